--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,235 @@
+//! Settings of each program, read once at start.
+
+use crate::check::{Fault, Faults, Source};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+/// What every instance-bound program needs to know of its place.
+pub trait Settings: DeserializeOwned + Default {
+    /// What must hold beyond the types; returns path and reason of each fault.
+    fn check(&self) -> Vec<(&'static str, &'static str)>;
+
+    /// Reads JSON with comments and checks it whole.
+    ///
+    /// # Errors
+    /// Every fault, with line and reason.
+    fn parse(text: &str) -> Result<Self, Faults> {
+        let source = Source::parse(text)?;
+        let mut faults: Vec<Fault> = Vec::new();
+        let settings: Self = source.read(&mut faults);
+        for (path, reason) in settings.check() {
+            if !faults.iter().any(|fault| fault.path == path) {
+                faults.push(source.fault_at(path, reason));
+            }
+        }
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(Faults(faults))
+        }
+    }
+}
+
+/// Settings of `passway-router`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RouterSettings {
+    /// Id of the instance.
+    pub instance: String,
+    /// Data hall of the instance.
+    pub data_hall: String,
+    /// Where callers connect, as `ip:port`.
+    pub listen: String,
+    /// Controllers, the one on this instance first, each as `ip:port`.
+    pub controllers: Vec<String>,
+    /// The key-value service, as `ip:port`; used only for claims.
+    pub key_value: String,
+    /// Connections served at one time.
+    pub max_connections: usize,
+    /// Largest body of a request, in bytes.
+    pub body_limit_bytes: usize,
+    /// Longest time until a deadline that a caller may ask for, in milliseconds.
+    pub max_deadline_ms: u64,
+    /// Time without word of the configuration after which new work is refused, in milliseconds.
+    pub stale_limit_ms: u64,
+    /// Lowest level that is logged.
+    pub log_level: String,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            instance: String::new(),
+            data_hall: String::new(),
+            listen: String::new(),
+            controllers: Vec::new(),
+            key_value: String::new(),
+            max_connections: 1_024,
+            body_limit_bytes: 1 << 20,
+            max_deadline_ms: 24 * 3_600 * 1_000,
+            stale_limit_ms: 7_000,
+            log_level: "info".into(),
+        }
+    }
+}
+
+impl Settings for RouterSettings {
+    fn check(&self) -> Vec<(&'static str, &'static str)> {
+        let mut faults = place_faults(&self.instance, &self.data_hall, &self.listen);
+        require(
+            &mut faults,
+            !self.controllers.is_empty(),
+            "controllers",
+            "may not be empty",
+        );
+        let all = self.controllers.iter().all(|address| is_address(address));
+        require(
+            &mut faults,
+            all,
+            "controllers",
+            "must be addresses as 10.0.0.1:7000",
+        );
+        require(
+            &mut faults,
+            is_address(&self.key_value),
+            "key_value",
+            ADDRESS_REASON,
+        );
+        require(
+            &mut faults,
+            self.max_connections > 0,
+            "max_connections",
+            "must be at least 1",
+        );
+        require(
+            &mut faults,
+            self.max_deadline_ms > 0,
+            "max_deadline_ms",
+            "must be at least 1",
+        );
+        require(
+            &mut faults,
+            is_level(&self.log_level),
+            "log_level",
+            LEVEL_REASON,
+        );
+        faults
+    }
+}
+
+/// Settings of `passway-controller`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ControllerSettings {
+    /// Id of the instance.
+    pub instance: String,
+    /// Data hall of the instance.
+    pub data_hall: String,
+    /// Where routers, other controllers and `passwayctl` connect, as `ip:port`.
+    pub listen: String,
+    /// Other controllers, each as `ip:port`.
+    pub peers: Vec<String>,
+    /// The key-value service, as `ip:port`.
+    pub key_value: String,
+    /// The instance list, as `ip:port`.
+    pub instance_list: String,
+    /// Time that a cell's lease lasts, in milliseconds.
+    pub lease_ms: u64,
+    /// Time after which an unanswered order can no longer arrive, in milliseconds.
+    pub order_settle_ms: u64,
+    /// Lowest level that is logged.
+    pub log_level: String,
+}
+
+impl Default for ControllerSettings {
+    fn default() -> Self {
+        Self {
+            instance: String::new(),
+            data_hall: String::new(),
+            listen: String::new(),
+            peers: Vec::new(),
+            key_value: String::new(),
+            instance_list: String::new(),
+            lease_ms: 3_000,
+            order_settle_ms: 10_000,
+            log_level: "info".into(),
+        }
+    }
+}
+
+impl Settings for ControllerSettings {
+    fn check(&self) -> Vec<(&'static str, &'static str)> {
+        let mut faults = place_faults(&self.instance, &self.data_hall, &self.listen);
+        let all = self.peers.iter().all(|address| is_address(address));
+        require(
+            &mut faults,
+            all,
+            "peers",
+            "must be addresses as 10.0.0.1:7000",
+        );
+        require(
+            &mut faults,
+            is_address(&self.key_value),
+            "key_value",
+            ADDRESS_REASON,
+        );
+        require(
+            &mut faults,
+            is_address(&self.instance_list),
+            "instance_list",
+            ADDRESS_REASON,
+        );
+        require(
+            &mut faults,
+            self.lease_ms >= 500,
+            "lease_ms",
+            "must be at least 500",
+        );
+        require(
+            &mut faults,
+            is_level(&self.log_level),
+            "log_level",
+            LEVEL_REASON,
+        );
+        faults
+    }
+}
+
+const ADDRESS_REASON: &str = "must be an IP number and a port, as 10.0.0.1:8000";
+const LEVEL_REASON: &str = "must be one of error, warn, info, debug, trace";
+
+fn require(
+    faults: &mut Vec<(&'static str, &'static str)>,
+    holds: bool,
+    path: &'static str,
+    reason: &'static str,
+) {
+    if !holds {
+        faults.push((path, reason));
+    }
+}
+
+fn place_faults(
+    instance: &str,
+    data_hall: &str,
+    listen: &str,
+) -> Vec<(&'static str, &'static str)> {
+    let mut faults = Vec::new();
+    require(&mut faults, !instance.is_empty(), "instance", "is required");
+    require(
+        &mut faults,
+        !data_hall.is_empty(),
+        "data_hall",
+        "is required",
+    );
+    require(&mut faults, is_address(listen), "listen", ADDRESS_REASON);
+    faults
+}
+
+fn is_address(text: &str) -> bool {
+    text.parse::<std::net::SocketAddr>().is_ok()
+}
+
+fn is_level(text: &str) -> bool {
+    ["error", "warn", "info", "debug", "trace"].contains(&text)
+}
--- /dev/null
+++ b/crates/controller/src/gossip.rs
@@ -0,0 +1,104 @@
+//! What this controller has heard from others, and when.
+
+use passway_types::prelude::*;
+use passway_wire::message::{CellHolder, Heartbeat};
+use std::collections::BTreeMap;
+
+/// The service or a peer counts as reached for this long after its last word.
+const REACHED_FOR: Duration = Duration::from_secs(5);
+
+/// Ages, holders and contacts.
+#[derive(Debug)]
+pub struct Gossip {
+    /// The last contact with the key-value service.
+    service_at: Option<Instant>,
+    /// The last word of a peer.
+    peer_at: Option<Instant>,
+    /// When the current revision was last confirmed at the service by anybody.
+    confirmed_at: Option<Instant>,
+    /// The confirmed revision.
+    confirmed: Revision,
+    holders: BTreeMap<String, CellHolder>,
+    started_at: Instant,
+    has_peers: bool,
+}
+
+impl Gossip {
+    /// Nothing heard yet.
+    pub fn new(now: Instant, has_peers: bool) -> Self {
+        Self {
+            service_at: None,
+            peer_at: None,
+            confirmed_at: None,
+            confirmed: 0,
+            holders: BTreeMap::new(),
+            started_at: now,
+            has_peers,
+        }
+    }
+
+    /// The key-value service answered.
+    pub fn service_reached(&mut self, now: Instant) {
+        self.service_at = Some(now);
+    }
+
+    /// A revision was confirmed at the service at this time.
+    pub fn confirm(&mut self, revision: Revision, at: Instant) {
+        if revision > self.confirmed {
+            self.confirmed = revision;
+            self.confirmed_at = Some(at);
+        } else if revision == self.confirmed {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Takes in a peer's heartbeat; returns whether a holder is new.
+    pub fn heard(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
+        self.peer_at = Some(now);
+        if heartbeat.config_revision > 0
+            && let Some(at) = now.checked_sub(Duration::from_millis(heartbeat.config_age_ms))
+        {
+            self.confirm(heartbeat.config_revision, at);
+        }
+        let news = heartbeat
+            .cells
+            .iter()
+            .map(|holder| self.learn(holder.clone()));
+        news.fold(false, |any, new| any | new)
+    }
+
+    /// Learns of a holder; the highest epoch wins.
+    pub fn learn(&mut self, holder: CellHolder) -> bool {
+        let known = self.holders.get(&holder.cell);
+        let is_new = known.is_none_or(|known| holder.epoch > known.epoch);
+        if is_new {
+            self.holders.insert(holder.cell.clone(), holder);
+        }
+        is_new
+    }
+
+    /// The holders known.
+    pub fn holders(&self) -> Vec<CellHolder> {
+        self.holders.values().cloned().collect()
+    }
+
+    /// Time since `revision` was confirmed; since the start if it never was.
+    pub fn config_age(&self, now: Instant, revision: Revision) -> Duration {
+        let confirmed_at = self.confirmed_at.filter(|_| self.confirmed <= revision);
+        now.saturating_duration_since(confirmed_at.unwrap_or(self.started_at))
+    }
+
+    /// Whether nothing was ever confirmed.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.confirmed_at.is_none()
+    }
+
+    /// Whether neither the service nor a peer is reached. A controller without
+    /// peers has nobody to fall behind, so it is never isolated.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let reached = |at: Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < REACHED_FOR)
+        };
+        self.has_peers && !reached(self.service_at) && !reached(self.peer_at)
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node.rs
@@ -0,0 +1,606 @@
+//! The deciding thread of a controller.
+
+mod cell_shell;
+mod peers;
+
+use crate::audit::AuditTrail;
+use crate::config_feed::{self, ReadPace, millis};
+use crate::gossip::Gossip;
+use crate::status::{NodeStatus, RouterStatus};
+use crate::{translate, workers};
+use anyhow::{Context, Result};
+use cell_shell::{CellShell, Services};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use passway_config::settings::ControllerSettings;
+use passway_config::{Catalog, StoredRevision};
+use passway_decide::cell::{Action, Event};
+use passway_decide::plan::Holder;
+use passway_platform::engine::HttpEngineControl;
+use passway_platform::instance_list::{HttpInstanceList, ListedInstance};
+use passway_platform::key_value::HttpKeyValue;
+use passway_process::dial::Dialer;
+use passway_process::outbox::Outbox;
+use passway_types::prelude::*;
+use passway_wire::Body;
+use passway_wire::message::{CellHolder, Config, Heartbeat, Hello, ProbeAnswer, QueryAnswer, Role};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+
+/// Longest time for a call to the key-value service or the instance list.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for an upstream to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for an upstream to answer a question for its status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(50);
+/// Pause between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Age of the confirmation at which a holder reads the configuration.
+const HOLDER_READ_AGE: Duration = Duration::from_secs(1);
+/// Age at which the first controller that leads nothing reads it; more for the next.
+const STANDBY_READ_AGE: Duration = Duration::from_secs(2);
+
+/// The number of an accepted connection.
+pub type LinkId = u64;
+
+/// Something that happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// An event for one cell's decisions.
+    Cell {
+        /// The cell.
+        cell: CellName,
+        /// The event.
+        event: Event,
+    },
+    /// A connection was accepted.
+    Linked {
+        /// Its number.
+        id: LinkId,
+        /// Sends to it.
+        outbox: Outbox,
+    },
+    /// A message came on an accepted connection.
+    Heard {
+        /// The connection.
+        id: LinkId,
+        /// The message.
+        body: Body,
+    },
+    /// An accepted connection ended.
+    Unlinked {
+        /// The connection.
+        id: LinkId,
+    },
+    /// A message came from a controller that this one connected to.
+    FromPeer(Body),
+    /// The key-value service answered something.
+    ServiceReached,
+    /// The configuration was read.
+    ConfigRead {
+        /// When the question was sent.
+        asked_at: Instant,
+        /// The revision that stands, if any.
+        stored: Option<Arc<StoredRevision>>,
+    },
+    /// The configuration could not be read.
+    ConfigUnavailable,
+    /// The instance list was read.
+    Listed(Vec<ListedInstance>),
+    /// The process stops; the sender is told when leases are given back.
+    Stop(Sender<()>),
+}
+
+/// An accepted connection.
+#[derive(Debug)]
+struct Peer {
+    outbox: Outbox,
+    hello: Option<Hello>,
+}
+
+/// The state of the deciding thread.
+#[derive(Debug)]
+pub struct Node {
+    me: Holder,
+    data_hall: String,
+    services: Services,
+    cells: BTreeMap<CellName, CellShell>,
+    links: HashMap<LinkId, Peer>,
+    stored: Option<Arc<StoredRevision>>,
+    catalog: Arc<Catalog>,
+    gossip: Gossip,
+    pace: Arc<ReadPace>,
+    audit: AuditTrail,
+    listed: HashSet<InstanceId>,
+    gone: HashSet<InstanceId>,
+    rank: u32,
+    inputs: Sender<Input>,
+    tick_at: Instant,
+    heartbeat_at: Instant,
+    _dialers: Vec<Dialer>,
+}
+
+impl Node {
+    /// A controller that knows nothing yet.
+    ///
+    /// # Errors
+    /// If an address in the settings cannot be parsed.
+    pub fn new(
+        settings: ControllerSettings,
+        address: SocketAddr,
+        inputs: Sender<Input>,
+    ) -> Result<Self> {
+        let key_value = settings.key_value.parse().context("key_value")?;
+        let list = settings.instance_list.parse().context("instance_list")?;
+        let me = Holder {
+            instance: settings.instance.as_str().into(),
+            incarnation: passway_process::draw_incarnation(),
+            address,
+        };
+        let services = Services {
+            key_value: Arc::new(HttpKeyValue::new(key_value, PLATFORM_TIMEOUT)),
+            engines: Arc::new(HttpEngineControl::new(ORDER_TIMEOUT, STATUS_TIMEOUT)),
+            lease: Duration::from_millis(settings.lease_ms),
+            order_settle: Duration::from_millis(settings.order_settle_ms),
+            inputs: inputs.clone(),
+        };
+        let pace = ReadPace::new(HOLDER_READ_AGE);
+        config_feed::start(services.key_value.clone(), pace.clone(), inputs.clone());
+        let list = Arc::new(HttpInstanceList::new(list, PLATFORM_TIMEOUT));
+        workers::start_list(list, inputs.clone());
+        let dialers = peers::dial_all(&settings.peers, &me, &inputs)?;
+        let now = Instant::now();
+        Ok(Self {
+            gossip: Gossip::new(now, !settings.peers.is_empty()),
+            me,
+            data_hall: settings.data_hall,
+            services,
+            cells: BTreeMap::new(),
+            links: HashMap::new(),
+            stored: None,
+            catalog: Arc::new(Catalog::default()),
+            pace,
+            audit: AuditTrail::default(),
+            listed: HashSet::new(),
+            gone: HashSet::new(),
+            rank: 0,
+            inputs,
+            tick_at: now,
+            heartbeat_at: now,
+            _dialers: dialers,
+        })
+    }
+
+    /// Decides until the process stops.
+    pub fn run(mut self, inputs: &Receiver<Input>) {
+        log::info!(instance = &*self.me.instance, address:% = self.me.address,
+            data_hall = self.data_hall; "controller started");
+        loop {
+            match inputs.recv_deadline(self.tick_at) {
+                Ok(Input::Stop(done)) => {
+                    self.stop();
+                    // Nobody waits if the stop was cut.
+                    let _ = done.send(());
+                    return;
+                }
+                Ok(input) => self.take(Instant::now(), input),
+                Err(RecvTimeoutError::Timeout) => self.tick(Instant::now()),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, now: Instant, input: Input) {
+        match input {
+            Input::Cell { cell, event } => self.cell_event(now, &cell, event),
+            Input::Linked { id, outbox } => {
+                self.links.insert(
+                    id,
+                    Peer {
+                        outbox,
+                        hello: None,
+                    },
+                );
+            }
+            Input::Heard { id, body } => self.heard(now, id, body),
+            Input::Unlinked { id } => self.unlinked(now, id),
+            Input::FromPeer(body) => self.heard_from_peer(now, body),
+            Input::ServiceReached => self.gossip.service_reached(now),
+            Input::ConfigRead { asked_at, stored } => {
+                self.gossip.service_reached(now);
+                if let Some(stored) = stored {
+                    self.gossip.confirm(stored.revision, asked_at);
+                    self.adopt(now, stored);
+                }
+                self.set_pace(now);
+            }
+            Input::Listed(listed) => self.listed(now, &listed),
+            Input::ConfigUnavailable | Input::Stop(_) => {}
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.tick_at = now + TICK;
+        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
+        for cell in cells {
+            self.cell_event(now, &cell, Event::Tick);
+        }
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now + HEARTBEAT;
+            self.send_heartbeats(now);
+        }
+        self.set_pace(now);
+    }
+
+    fn stop(&mut self) {
+        let now = Instant::now();
+        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
+        for cell in cells {
+            self.cell_event(now, &cell, Event::Shutdown);
+        }
+        // Dropping the cells ends their job queues; the threads finish what is queued.
+        for (_, shell) in std::mem::take(&mut self.cells) {
+            shell.finish();
+        }
+        log::info!(instance = &*self.me.instance; "controller stopped");
+    }
+
+    fn revision(&self) -> Revision {
+        self.stored.as_ref().map_or(0, |stored| stored.revision)
+    }
+
+    fn set_pace(&self, now: Instant) {
+        let leads = self.cells.values().any(CellShell::is_active);
+        let limit = if leads {
+            HOLDER_READ_AGE
+        } else {
+            STANDBY_READ_AGE * (self.rank + 1)
+        };
+        let unconfirmed = self.gossip.is_unconfirmed();
+        let age = self.gossip.config_age(now, self.revision());
+        self.pace
+            .set(if unconfirmed { Duration::MAX } else { age }, limit);
+    }
+
+    /// Puts a revision in force if it is newer than the one that is.
+    fn adopt(&mut self, now: Instant, stored: Arc<StoredRevision>) {
+        if stored.revision <= self.revision() {
+            return;
+        }
+        let catalog = match stored.catalog() {
+            Ok(catalog) => Arc::new(catalog),
+            Err(faults) => {
+                log::error!(revision = stored.revision, faults:% = faults;
+                    "a stored revision does not pass its checks");
+                return;
+            }
+        };
+        log::info!(revision = stored.revision, author = stored.author.as_str(); "configuration in force");
+        self.stored = Some(stored);
+        self.catalog = catalog.clone();
+        for cell in &catalog.cells {
+            if !self.cells.contains_key(cell) {
+                let shell =
+                    CellShell::new(now, cell.clone(), &self.me, catalog.clone(), &self.services);
+                self.cells.insert(cell.clone(), shell);
+            }
+        }
+        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
+        for cell in cells {
+            if let Some(shell) = self.cells.get_mut(&cell) {
+                shell.use_catalog(&catalog, &self.services);
+            }
+            self.cell_event(now, &cell, Event::Catalog(catalog.clone()));
+        }
+        self.send_config_to_all();
+        self.send_heartbeats(now);
+    }
+
+    fn cell_event(&mut self, now: Instant, cell: &CellName, event: Event) {
+        let Some(shell) = self.cells.get_mut(cell) else {
+            return;
+        };
+        let was_active = shell.is_active();
+        let actions = shell.handle(now, event);
+        let is_active = shell.is_active();
+        for action in actions {
+            self.perform(now, cell, action);
+        }
+        if is_active && !was_active {
+            self.announce_holder(now, cell);
+        }
+    }
+
+    fn announce_holder(&mut self, now: Instant, cell: &CellName) {
+        let Some(epoch) = self.cells.get(cell).map(CellShell::epoch) else {
+            return;
+        };
+        let address = self.me.address.to_string();
+        self.gossip.learn(CellHolder {
+            cell: cell.to_string(),
+            epoch,
+            address,
+        });
+        self.send_heartbeats(now);
+    }
+
+    fn perform(&mut self, now: Instant, cell: &CellName, action: Action) {
+        match action {
+            Action::AnswerDemand {
+                router,
+                model,
+                verdict,
+            } => {
+                let verdict = translate::verdict(now, &model, verdict);
+                self.send_to_router(router, &Body::Verdict(verdict));
+            }
+            Action::Publish(change) => {
+                let Some(shell) = self.cells.get_mut(cell) else {
+                    return;
+                };
+                let routes = shell.publish(&change);
+                self.send_to_routers(&Body::Routes(routes));
+            }
+            Action::Audit(decision) => self.audit.record(&self.me.instance, cell, &decision),
+            Action::ProbeFormer { epoch, holder } if self.gone.contains(&holder.instance) => {
+                let event = Event::FormerGone(epoch);
+                // Taken with the next input, not inside this decision.
+                let _ = self.inputs.send(Input::Cell {
+                    cell: cell.clone(),
+                    event,
+                });
+                log::info!(instance = &*holder.instance, epoch = epoch; "former holder is gone");
+            }
+            other => {
+                if let Some(shell) = self.cells.get_mut(cell) {
+                    shell.perform(other);
+                }
+            }
+        }
+    }
+
+    fn heard(&mut self, now: Instant, id: LinkId, body: Body) {
+        match body {
+            Body::Hello(hello) => self.hello(now, id, hello),
+            Body::Demand(demand) => {
+                let Some(router) = self.incarnation_of(id) else {
+                    return;
+                };
+                let demand = translate::demand(now, router, demand);
+                if let Some(cell) = self.cell_of(&demand.model) {
+                    self.cell_event(now, &cell, Event::Demand(demand));
+                }
+            }
+            Body::Usage(usage) => {
+                let Some(router) = self.incarnation_of(id) else {
+                    return;
+                };
+                let usage = translate::usage(now, router, usage);
+                if let Some(cell) = self.cell_of(&usage.model) {
+                    self.cell_event(now, &cell, Event::Usage(usage));
+                }
+            }
+            Body::Probe(probe) => {
+                let shell = self.cells.get(probe.cell.as_str());
+                let may_order = shell.is_some_and(|shell| shell.may_order(probe.epoch));
+                let incarnation = self.me.incarnation;
+                self.send_to(
+                    id,
+                    Body::ProbeAnswer(ProbeAnswer {
+                        incarnation,
+                        may_order,
+                    }),
+                );
+            }
+            Body::Query(query) => {
+                let json = self.answer(now, &query.what);
+                self.send_to(id, Body::QueryAnswer(QueryAnswer { json }));
+            }
+            Body::Heartbeat(_)
+            | Body::Config(_)
+            | Body::Routes(_)
+            | Body::Verdict(_)
+            | Body::ProbeAnswer(_)
+            | Body::QueryAnswer(_) => {}
+        }
+    }
+
+    fn hello(&mut self, now: Instant, id: LinkId, hello: Hello) {
+        let heartbeat = self.heartbeat(now);
+        let Some(peer) = self.links.get_mut(&id) else {
+            return;
+        };
+        let is_first = peer.hello.is_none();
+        let lags = hello.config_revision < heartbeat.config_revision;
+        let is_router = hello.role == i32::from(Role::Router);
+        peer.hello = Some(hello);
+        if !is_first {
+            return;
+        }
+        peer.outbox.send(Body::Heartbeat(heartbeat));
+        if lags && let Some(config) = config_message(self.stored.as_deref()) {
+            peer.outbox.send(config);
+        }
+        if is_router {
+            for routes in self.cells.values().filter_map(CellShell::whole_table) {
+                peer.outbox.send(Body::Routes(routes));
+            }
+        }
+    }
+
+    fn unlinked(&mut self, now: Instant, id: LinkId) {
+        let Some(peer) = self.links.remove(&id) else {
+            return;
+        };
+        let Some(hello) = peer
+            .hello
+            .filter(|hello| hello.role == i32::from(Role::Router))
+        else {
+            return;
+        };
+        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
+        for cell in cells {
+            self.cell_event(now, &cell, Event::RouterGone(hello.incarnation));
+        }
+    }
+
+    fn heard_from_peer(&mut self, now: Instant, body: Body) {
+        match body {
+            Body::Heartbeat(heartbeat) => {
+                let news = self.gossip.heard(now, &heartbeat);
+                if news {
+                    self.send_heartbeats(now);
+                }
+            }
+            Body::Config(config) => match serde_json::from_slice(&config.stored_json) {
+                Ok(stored) => self.adopt(now, Arc::new(stored)),
+                Err(error) => log::error!(error:% = error; "a peer's configuration cannot be read"),
+            },
+            _ => {}
+        }
+    }
+
+    fn listed(&mut self, now: Instant, listed: &[ListedInstance]) {
+        let ids: HashSet<InstanceId> = listed.iter().map(|entry| entry.id.clone()).collect();
+        let newly_gone: Vec<InstanceId> = self.listed.difference(&ids).cloned().collect();
+        self.gone.retain(|id| !ids.contains(id));
+        for id in newly_gone {
+            log::warn!(id = &*id; "the platform no longer lists it");
+            self.gone.insert(id.clone());
+            self.upstream_event(now, &id, Event::UpstreamGone(id.clone()));
+        }
+        for entry in listed.iter().filter(|entry| entry.leaving) {
+            self.upstream_event(now, &entry.id, Event::UpstreamLeaving(entry.id.clone()));
+        }
+        self.listed = ids;
+        self.update_ranks(now);
+    }
+
+    fn upstream_event(&mut self, now: Instant, id: &str, event: Event) {
+        let cell = self
+            .catalog
+            .upstreams
+            .get(id)
+            .map(|upstream| upstream.cell.clone());
+        if let Some(cell) = cell {
+            self.cell_event(now, &cell, event);
+        }
+    }
+
+    /// The controller's place among the live ones, another one for each cell.
+    fn update_ranks(&mut self, now: Instant) {
+        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
+        let weight = passway_config::catalog::rendezvous_hash;
+        for cell in cells {
+            let mine = weight(&self.me.instance, &cell);
+            let upstreams = &self.catalog.upstreams;
+            let instances = self.listed.iter().filter(|id| !upstreams.contains_key(*id));
+            let before = instances.filter(|id| weight(id, &cell) > mine).count();
+            self.rank = u32::try_from(before).unwrap_or(u32::MAX);
+            self.cell_event(now, &cell, Event::Rank(self.rank));
+        }
+    }
+
+    fn incarnation_of(&self, id: LinkId) -> Option<Incarnation> {
+        Some(self.links.get(&id)?.hello.as_ref()?.incarnation)
+    }
+
+    fn cell_of(&self, model: &str) -> Option<CellName> {
+        self.catalog
+            .models
+            .get(model)
+            .map(|model| model.cell.clone())
+    }
+
+    fn routers(&self) -> impl Iterator<Item = (&Hello, &Outbox)> {
+        self.links.values().filter_map(|peer| {
+            let hello = peer.hello.as_ref()?;
+            (hello.role == i32::from(Role::Router)).then_some((hello, &peer.outbox))
+        })
+    }
+
+    fn send_to(&self, id: LinkId, body: Body) {
+        if let Some(peer) = self.links.get(&id) {
+            peer.outbox.send(body);
+        }
+    }
+
+    fn send_to_router(&self, router: Incarnation, body: &Body) {
+        for (_, outbox) in self
+            .routers()
+            .filter(|(hello, _)| hello.incarnation == router)
+        {
+            outbox.send(body.clone());
+        }
+    }
+
+    fn send_to_routers(&self, body: &Body) {
+        for (_, outbox) in self.routers() {
+            outbox.send(body.clone());
+        }
+    }
+
+    fn heartbeat(&self, now: Instant) -> Heartbeat {
+        let routers: HashSet<u64> = self.routers().map(|(hello, _)| hello.incarnation).collect();
+        Heartbeat {
+            instance: self.me.instance.to_string(),
+            incarnation: self.me.incarnation,
+            config_revision: self.revision(),
+            config_age_ms: millis(self.gossip.config_age(now, self.revision())),
+            isolated: self.gossip.is_isolated(now),
+            routers: u32::try_from(routers.len()).unwrap_or(u32::MAX),
+            cells: self.gossip.holders(),
+        }
+    }
+
+    fn send_heartbeats(&self, now: Instant) {
+        let heartbeat = Body::Heartbeat(self.heartbeat(now));
+        for peer in self.links.values().filter(|peer| peer.hello.is_some()) {
+            peer.outbox.send(heartbeat.clone());
+        }
+    }
+
+    fn send_config_to_all(&self) {
+        let Some(config) = config_message(self.stored.as_deref()) else {
+            return;
+        };
+        for peer in self.links.values().filter(|peer| peer.hello.is_some()) {
+            peer.outbox.send(config.clone());
+        }
+    }
+
+    fn answer(&self, now: Instant, what: &str) -> String {
+        let answer = match what {
+            "status" => serde_json::to_string(&self.status(now)),
+            "audit" => serde_json::to_string(&self.audit.entries()),
+            _ => return "null".into(),
+        };
+        answer.unwrap_or_else(|_| "null".into())
+    }
+
+    fn status(&self, now: Instant) -> NodeStatus {
+        let routers = self.routers().map(|(hello, _)| RouterStatus {
+            instance: hello.instance.clone(),
+            config_revision: hello.config_revision,
+            in_progress: hello.in_progress,
+            leaving: hello.leaving,
+        });
+        NodeStatus {
+            instance: self.me.instance.to_string(),
+            incarnation: self.me.incarnation,
+            config_revision: self.revision(),
+            config_age_ms: millis(self.gossip.config_age(now, self.revision())),
+            isolated: self.gossip.is_isolated(now),
+            routers: routers.collect(),
+            cells: self.cells.values().filter_map(CellShell::status).collect(),
+        }
+    }
+}
+
+fn config_message(stored: Option<&StoredRevision>) -> Option<Body> {
+    let json = serde_json::to_vec(stored?).ok()?;
+    Some(Body::Config(Config {
+        stored_json: json.into(),
+    }))
+}
--- /dev/null
+++ b/crates/decide/src/cell/ordering.rs
@@ -0,0 +1,235 @@
+//! Which orders go to upstreams, and when memory is free again.
+
+use super::term::{Stage, Term};
+use super::upstreams::{OrderInFlight, UpstreamView, Upstreams};
+use super::{Action, Decision};
+use crate::messages::{Order, OrderKind};
+use crate::plan::{Placement, PlacementState};
+use passway_config::Catalog;
+use passway_types::prelude::*;
+
+/// Time for routers to hear that a replica gets nothing new.
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
+
+/// Frees placements that are absent for good.
+///
+/// An upstream that checks fencing numbers refuses whatever is older than the
+/// unload order that it answered. Any other upstream must have answered
+/// "absent" to an order sent after every older order had settled, those of
+/// former holders included.
+pub(super) fn free_absent(term: &mut Term, upstreams: &Upstreams, actions: &mut Vec<Action>) {
+    let leaving: Vec<(PlacementId, UpstreamId)> = term
+        .draft
+        .placements()
+        .filter(|p| p.state == PlacementState::Leaving)
+        .map(|p| (p.id, p.upstream.clone()))
+        .collect();
+    for (id, upstream) in leaving {
+        let Some(view) = upstreams.get(&upstream) else {
+            continue;
+        };
+        let Stage::Absent { ordered_at } = term.stage(id) else {
+            continue;
+        };
+        let fenced = view.entry.checks_fencing;
+        if !fenced && !was_settled(term, view, id, ordered_at) {
+            continue;
+        }
+        if term.draft.free(id, fenced).is_ok() {
+            term.forget(id);
+            actions.push(Action::Audit(Decision::Freed { placement: id }));
+        }
+    }
+}
+
+/// Whether nothing that was sent before `ordered_at` could arrive after it.
+fn was_settled(term: &Term, view: &UpstreamView, id: PlacementId, ordered_at: Instant) -> bool {
+    let former_cleared = term
+        .former_cleared_at
+        .is_none_or(|cleared| ordered_at >= cleared);
+    view.is_settled(ordered_at) && former_cleared && !term.draft.former_may_order(id)
+}
+
+/// Hands at most one order to each upstream that can take one.
+pub(super) fn send_orders(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &mut Upstreams,
+    actions: &mut Vec<Action>,
+) {
+    send_unloads(term, now, catalog, upstreams, actions);
+    let most = catalog.weight_store.max_loads as usize;
+    let mut loads = term.loads_in_flight(upstreams);
+    for placement in loads_wanted(term, catalog) {
+        if loads >= most {
+            return;
+        }
+        let takes = upstreams
+            .get(&placement.upstream)
+            .is_some_and(|view| view.takes_order(now));
+        if takes {
+            send(
+                term,
+                now,
+                catalog,
+                &placement,
+                OrderKind::Load,
+                upstreams,
+                actions,
+            );
+            loads += 1;
+        }
+    }
+}
+
+fn send_unloads(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &mut Upstreams,
+    actions: &mut Vec<Action>,
+) {
+    let leaving: Vec<Placement> = term
+        .plan()
+        .placements()
+        .filter(|p| p.state == PlacementState::Leaving)
+        .cloned()
+        .collect();
+    for placement in leaving {
+        let Some(view) = upstreams.get(&placement.upstream) else {
+            continue;
+        };
+        if view.takes_order(now) && wants_unload(term, now, view, &placement) {
+            send(
+                term,
+                now,
+                catalog,
+                &placement,
+                OrderKind::Unload,
+                upstreams,
+                actions,
+            );
+        }
+    }
+}
+
+fn wants_unload(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> bool {
+    match term.stage(placement.id) {
+        // Absent, but an older order could still have arrived after: ask again
+        // once everything has settled.
+        Stage::Absent { ordered_at } => {
+            !view.entry.checks_fencing
+                && term.draft.placement(placement.id).is_some()
+                && !was_settled(term, view, placement.id, ordered_at)
+                && was_settled(term, view, placement.id, now)
+        }
+        Stage::Ready => is_drained(term, now, view, placement),
+        Stage::Unknown | Stage::Loading => true,
+    }
+}
+
+/// Whether routers have stopped sending and nothing runs any more.
+fn is_drained(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> bool {
+    let withdrawn_at = term
+        .progress
+        .get(&placement.id)
+        .and_then(|p| p.withdrawn_at);
+    let Some(withdrawn_at) = withdrawn_at else {
+        return true;
+    };
+    let quiet_at = withdrawn_at + DRAIN_GRACE;
+    let asked_since = view
+        .status
+        .as_ref()
+        .is_some_and(|(asked_at, _)| *asked_at >= quiet_at);
+    let running = view
+        .reported(&placement.model)
+        .map_or(0, |loaded| loaded.running);
+    now >= quiet_at && asked_since && running == 0
+}
+
+/// Held placements that need a load order, most pressing first.
+fn loads_wanted(term: &Term, catalog: &Catalog) -> Vec<Placement> {
+    let base_ready = |placement: &Placement| {
+        let base = catalog
+            .models
+            .get(&placement.model)
+            .and_then(|model| model.base.as_ref());
+        base.is_none_or(|base| {
+            let beside = term.plan().find(base, &placement.upstream);
+            beside.is_some_and(|p| term.stage(p.id) == Stage::Ready)
+        })
+    };
+    let mut wanted: Vec<Placement> = term
+        .plan()
+        .placements()
+        .filter(|p| p.state == PlacementState::Held && term.stage(p.id) == Stage::Unknown)
+        .filter(|p| {
+            term.draft
+                .placement(p.id)
+                .is_some_and(|d| d.state == PlacementState::Held)
+        })
+        .filter(|p| base_ready(p))
+        .cloned()
+        .collect();
+    wanted.sort_by_key(|p| urgency(term, catalog, p));
+    wanted
+}
+
+/// Order of loads: those that are waited for by priority and deadline, then the rest.
+pub(super) fn urgency(
+    term: &Term,
+    catalog: &Catalog,
+    placement: &Placement,
+) -> (bool, u32, Option<Instant>, PlacementId) {
+    let own = term.demands.get(&placement.model);
+    // A base is as pressing as the adapter that waits for it.
+    let dependent = term.plan().on_upstream(&placement.upstream).find_map(|p| {
+        let model = catalog.models.get(&p.model)?;
+        let is_adapter_of = model.base.as_ref() == Some(&placement.model);
+        if is_adapter_of {
+            term.demands.get(&p.model)
+        } else {
+            None
+        }
+    });
+    let demand = own.or(dependent);
+    let priority = demand.as_ref().map_or(u32::MAX, |d| d.priority);
+    let deadline_at = demand.as_ref().map(|d| d.earliest_deadline_at);
+    (demand.is_none(), priority, deadline_at, placement.id)
+}
+
+/// Hands one order to the sender.
+fn send(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    placement: &Placement,
+    kind: OrderKind,
+    upstreams: &mut Upstreams,
+    actions: &mut Vec<Action>,
+) {
+    let Some(view) = upstreams.get_mut(&placement.upstream) else {
+        return;
+    };
+    term.orders_made += 1;
+    let order = Order {
+        kind,
+        fence: (term.epoch() << 32) | u64::from(term.orders_made),
+        placement: placement.id,
+        model: placement.model.clone(),
+        base: catalog
+            .models
+            .get(&placement.model)
+            .and_then(|model| model.base.clone()),
+        size_bytes: placement.reserved_bytes,
+        upstream: placement.upstream.clone(),
+        not_after: term.orders_not_after(),
+    };
+    view.order = Some(OrderInFlight {
+        order: order.clone(),
+        handed_at: now,
+    });
+    actions.push(Action::SendOrder(order));
+}
--- /dev/null
+++ b/crates/decide/src/cell/placing.rs
@@ -0,0 +1,430 @@
+//! Which model goes where, what makes room for it, and when it is ready.
+
+use super::demand::ModelDemand;
+use super::ordering::urgency;
+use super::term::{Stage, Term};
+use super::upstreams::{UpstreamView, Upstreams};
+use super::{Action, Decision};
+use crate::keep::{IdleHistory, policy_of};
+use crate::plan::{Placement, PlacementState, PlanError, Reason, Wish};
+use passway_config::Catalog;
+use passway_config::catalog::Model;
+use passway_config::policy::Attributes;
+use passway_types::prelude::*;
+
+/// Expected time to drain and unload a replica that makes room.
+const MAKE_ROOM: Duration = Duration::from_millis(1_500);
+/// Retry hint when no upstream has room.
+const NO_CAPACITY_RETRY: Duration = Duration::from_secs(2);
+/// Shortest expected time to a first serving replica.
+const SHORTEST_WAIT: Duration = Duration::from_millis(50);
+/// Pause between two looks for idle replicas.
+const IDLE_CHECK_PAUSE: Duration = Duration::from_millis(250);
+
+/// Places every model that is waited for and has no replica, or too few.
+pub(super) fn place_demands(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &Upstreams,
+    actions: &mut Vec<Action>,
+) {
+    term.refused.clear();
+    for demand in term.demands.in_order() {
+        let Some(model) = catalog.models.get(&demand.model) else {
+            term.refused
+                .insert(demand.model.clone(), ResultCode::UnknownModel);
+            continue;
+        };
+        let held = held_count(term, &demand.model);
+        let first = held == 0;
+        if !first && !wants_more(term, catalog, &demand, held) {
+            continue;
+        }
+        if term.draft.replicas(&demand.model).count() >= model.max_replicas as usize {
+            continue;
+        }
+        if let Some(code) = place(
+            term, now, catalog, upstreams, model, &demand, first, actions,
+        ) && first
+        {
+            term.refused.insert(demand.model.clone(), code);
+        }
+    }
+}
+
+fn held_count(term: &Term, model: &str) -> usize {
+    term.draft
+        .replicas(model)
+        .filter(|p| p.state == PlacementState::Held)
+        .count()
+}
+
+/// Whether more wait than the replicas held can run at one time.
+fn wants_more(term: &Term, catalog: &Catalog, demand: &ModelDemand, held: usize) -> bool {
+    let slots: u32 = term
+        .draft
+        .replicas(&demand.model)
+        .filter_map(|p| catalog.upstreams.get(&p.upstream))
+        .map(|upstream| upstream.slots)
+        .sum();
+    held > 0 && demand.waiting > slots
+}
+
+/// Places one replica, or begins to make room for it; returns why it cannot.
+#[expect(
+    clippy::too_many_arguments,
+    reason = "one decision over the whole state"
+)]
+fn place(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &Upstreams,
+    model: &Model,
+    demand: &ModelDemand,
+    may_evict: bool,
+    actions: &mut Vec<Action>,
+) -> Option<ResultCode> {
+    let mut views: Vec<&UpstreamView> = upstreams
+        .iter()
+        .filter(|view| view.takes_placements())
+        .collect();
+    views.sort_by_key(|view| place_cost(term, now, view, model));
+    let mut code = ResultCode::NoCapacity;
+    for view in &views {
+        match reserve(term, catalog, view, model, demand, actions) {
+            Ok(()) => {
+                term.making_room.remove(&model.name);
+                return None;
+            }
+            Err(PlanError::GroupAtCap) => code = ResultCode::GroupAtCap,
+            Err(_) => {}
+        }
+    }
+    if code == ResultCode::GroupAtCap || !may_evict {
+        return Some(code);
+    }
+    if is_room_under_way(term, &model.name) {
+        return None;
+    }
+    let made = make_room(term, now, catalog, &views, model, actions);
+    if made { None } else { Some(code) }
+}
+
+/// What a replica on this upstream costs: the load, then the memory already taken.
+fn place_cost(
+    term: &Term,
+    now: Instant,
+    view: &UpstreamView,
+    model: &Model,
+) -> (bool, Duration, u64, UpstreamId) {
+    let base_absent = model
+        .base
+        .as_ref()
+        .is_some_and(|base| term.draft.find(base, &view.entry.id).is_none());
+    let load = term
+        .estimator
+        .load_time(now, view.tier(&model.name), model.size_bytes);
+    let taken_bytes = term.draft.reserved_bytes(&view.entry.id);
+    (base_absent, load, taken_bytes, view.entry.id.clone())
+}
+
+/// Reserves memory for the model, and for its base if that is missing.
+fn reserve(
+    term: &mut Term,
+    catalog: &Catalog,
+    view: &UpstreamView,
+    model: &Model,
+    demand: &ModelDemand,
+    actions: &mut Vec<Action>,
+) -> Result<(), PlanError> {
+    let upstream = &view.entry.id;
+    let mut draft = term.draft.clone();
+    let mut made = Vec::new();
+    if let Some(base) = &model.base
+        && draft.find(base, upstream).is_none()
+    {
+        let reason = Reason::BaseOf(model.name.clone());
+        made.push(draft.reserve(catalog, &wish(catalog, base, upstream, demand, reason))?);
+    }
+    let reason = Reason::Demand(demand.group.clone());
+    made.push(draft.reserve(
+        catalog,
+        &wish(catalog, &model.name, upstream, demand, reason),
+    )?);
+    term.draft = draft;
+    for placement in made.into_iter().filter_map(|id| term.draft.placement(id)) {
+        actions.push(Action::Audit(Decision::Placed {
+            placement: placement.id,
+            model: placement.model.clone(),
+            upstream: placement.upstream.clone(),
+            reason: format!("{:?}, {} waiting", placement.reason, demand.waiting),
+        }));
+    }
+    Ok(())
+}
+
+fn wish(
+    catalog: &Catalog,
+    model: &ModelName,
+    upstream: &UpstreamId,
+    demand: &ModelDemand,
+    reason: Reason,
+) -> Wish {
+    let attributes = Attributes {
+        group: &demand.group,
+        model,
+        kind: "",
+        priority: demand.priority,
+    };
+    Wish {
+        model: model.clone(),
+        upstream: upstream.clone(),
+        group: demand.group.clone(),
+        reason,
+        max_held_bytes: catalog.policy.rule(&attributes).max_held_bytes,
+    }
+}
+
+fn is_room_under_way(term: &mut Term, model: &ModelName) -> bool {
+    let Some(upstream) = term.making_room.get(model) else {
+        return false;
+    };
+    let under_way = term
+        .draft
+        .on_upstream(upstream)
+        .any(|p| p.state == PlacementState::Leaving);
+    if !under_way {
+        term.making_room.remove(model);
+    }
+    under_way
+}
+
+/// Unloads the idle replicas, on one upstream, whose loss costs least.
+fn make_room(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    views: &[&UpstreamView],
+    model: &Model,
+    actions: &mut Vec<Action>,
+) -> bool {
+    let choices = views
+        .iter()
+        .filter_map(|view| victims(term, now, catalog, view, model));
+    let best = choices.min_by(|a, b| a.cost.total_cmp(&b.cost));
+    let Some(best) = best else { return false };
+    for id in best.placements {
+        term.begin_unload(now, catalog, id, "makes room", actions);
+    }
+    term.making_room.insert(model.name.clone(), best.upstream);
+    true
+}
+
+/// Replicas that would make room on one upstream.
+struct Victims {
+    upstream: UpstreamId,
+    placements: Vec<PlacementId>,
+    cost: f64,
+}
+
+fn victims(
+    term: &Term,
+    now: Instant,
+    catalog: &Catalog,
+    view: &UpstreamView,
+    model: &Model,
+) -> Option<Victims> {
+    let upstream = &view.entry.id;
+    let base = model
+        .base
+        .as_ref()
+        .filter(|base| term.draft.find(base, upstream).is_none());
+    let base_bytes = base
+        .and_then(|base| catalog.models.get(base))
+        .map_or(0, |m| m.size_bytes);
+    let needed_bytes = model.size_bytes + base_bytes;
+    let free_bytes = view
+        .entry
+        .memory_bytes
+        .saturating_sub(term.draft.reserved_bytes(upstream));
+    let mut idle: Vec<(f64, &Placement)> = term
+        .draft
+        .on_upstream(upstream)
+        .filter(|p| Some(&p.model) != model.base.as_ref())
+        .filter(|p| is_idle(term, catalog, view, p))
+        .map(|p| (loss(term, now, view, p), p))
+        .collect();
+    idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut victims = Victims {
+        upstream: upstream.clone(),
+        placements: Vec::new(),
+        cost: 0.0,
+    };
+    let mut gained_bytes = free_bytes;
+    for (cost, placement) in idle {
+        if gained_bytes >= needed_bytes {
+            break;
+        }
+        gained_bytes += placement.reserved_bytes;
+        victims.cost += cost;
+        victims.placements.push(placement.id);
+    }
+    (gained_bytes >= needed_bytes).then_some(victims)
+}
+
+/// Whether nothing runs on or waits for a ready replica, nor for an adapter on it.
+fn is_idle(term: &Term, catalog: &Catalog, view: &UpstreamView, placement: &Placement) -> bool {
+    let adapters_present = term.draft.on_upstream(&placement.upstream).any(|p| {
+        let model = catalog.models.get(&p.model);
+        model.is_some_and(|model| model.base.as_ref() == Some(&placement.model))
+    });
+    let running = term
+        .usage
+        .get(&placement.model)
+        .is_some_and(super::term::ModelUse::is_running)
+        || view
+            .reported(&placement.model)
+            .is_some_and(|loaded| loaded.running > 0);
+    placement.state == PlacementState::Held
+        && term.stage(placement.id) == Stage::Ready
+        && !adapters_present
+        && !running
+        && !term.demands.contains(&placement.model)
+}
+
+/// Expected cost of losing an idle replica: its reload, the likelier the more recent its use.
+fn loss(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> f64 {
+    let tier = view.tier(&placement.model);
+    let reload = term
+        .estimator
+        .load_time(now, tier, placement.reserved_bytes);
+    let idle = now.saturating_duration_since(last_used_at(term, now, placement));
+    reload.as_secs_f64() / (1.0 + idle.as_secs_f64())
+}
+
+fn last_used_at(term: &Term, now: Instant, placement: &Placement) -> Instant {
+    let used_at = term
+        .usage
+        .get(&placement.model)
+        .and_then(|usage| usage.last_used_at);
+    let ready_at = term
+        .progress
+        .get(&placement.id)
+        .map(|progress| progress.since);
+    used_at.max(ready_at).unwrap_or(now)
+}
+
+/// Unloads what is idle for too long, what its upstream or the catalog no longer keeps.
+pub(super) fn unload_unneeded(
+    term: &mut Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &Upstreams,
+    actions: &mut Vec<Action>,
+) {
+    if now < term.idle_check_at {
+        return;
+    }
+    term.idle_check_at = now + IDLE_CHECK_PAUSE;
+    let policy = policy_of(&catalog.keep);
+    let none = IdleHistory::default();
+    let held: Vec<Placement> = term
+        .draft
+        .placements()
+        .filter(|p| p.state == PlacementState::Held)
+        .cloned()
+        .collect();
+    for placement in held {
+        let Some(view) = upstreams.get(&placement.upstream) else {
+            continue;
+        };
+        let reason = if view.leaving {
+            "upstream is leaving"
+        } else if !catalog.models.contains_key(&placement.model) {
+            "not in the configuration"
+        } else if is_idle(term, catalog, view, &placement) {
+            let tier = view.tier(&placement.model);
+            let reload = term
+                .estimator
+                .load_time(now, tier, placement.reserved_bytes);
+            let history = term
+                .usage
+                .get(&placement.model)
+                .map_or(&none, |usage| &usage.history);
+            let keep_until = last_used_at(term, now, &placement) + policy.keep_for(history, reload);
+            if now < keep_until {
+                continue;
+            }
+            "idle"
+        } else {
+            continue;
+        };
+        term.begin_unload(now, catalog, placement.id, reason, actions);
+    }
+}
+
+/// When a model that is waited for is expected to serve.
+pub(super) fn estimate_ready(
+    term: &Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &Upstreams,
+    demand: &ModelDemand,
+) -> Instant {
+    let held = term
+        .draft
+        .replicas(&demand.model)
+        .filter(|p| p.state == PlacementState::Held);
+    let waits = held.map(
+        |placement| match term.estimator.remaining(now, placement.id) {
+            Some(remaining) => remaining,
+            None => queue_wait(term, now, catalog, upstreams, placement),
+        },
+    );
+    let wait = waits.min().unwrap_or_else(|| {
+        let model = catalog.models.get(&demand.model);
+        let size_bytes = model.map_or(0, |model| model.size_bytes);
+        let tier = crate::messages::Tier::Remote;
+        MAKE_ROOM + term.estimator.load_time(now, tier, size_bytes)
+    });
+    now + wait.max(SHORTEST_WAIT)
+}
+
+/// Time until a placement that still waits for its load order is ready.
+fn queue_wait(
+    term: &Term,
+    now: Instant,
+    catalog: &Catalog,
+    upstreams: &Upstreams,
+    placement: &Placement,
+) -> Duration {
+    let load_of = |p: &Placement| {
+        let tier = upstreams.get(&p.upstream).map(|view| view.tier(&p.model));
+        let tier = tier.unwrap_or(crate::messages::Tier::Remote);
+        term.estimator.load_time(now, tier, p.reserved_bytes)
+    };
+    let mine = urgency(term, catalog, placement);
+    let most = catalog.weight_store.max_loads;
+    let mut ahead = Duration::ZERO;
+    for other in term.draft.placements().filter(|p| p.id != placement.id) {
+        let is_held = other.state == PlacementState::Held;
+        ahead += match term.stage(other.id) {
+            Stage::Loading => term.estimator.remaining(now, other.id).unwrap_or_default(),
+            Stage::Unknown if is_held && urgency(term, catalog, other) < mine => load_of(other),
+            _ => Duration::ZERO,
+        };
+    }
+    ahead / most + load_of(placement)
+}
+
+/// When to come back after a refusal: when the first load in progress ends, since
+/// until then nothing changes, but at least after a while.
+pub(super) fn retry_after_refusal(term: &Term, now: Instant) -> Duration {
+    let loading = term
+        .draft
+        .placements()
+        .filter_map(|p| term.estimator.remaining(now, p.id));
+    loading.min().unwrap_or_default().max(NO_CAPACITY_RETRY)
+}
--- /dev/null
+++ b/crates/decide/src/router.rs
@@ -0,0 +1,771 @@
+//! The decisions of one router: admission, waiting, routing and retries.
+//!
+//! A [`RouterCore`] is told what happens and returns [`RouterAction`]s. Every
+//! request that arrives ends in exactly one `Refuse`, or in a `Start` whose end
+//! the caller reports with [`RouterCore::ended`].
+//!
+//! * [`queue`]: requests that wait for one model, by group.
+//! * [`share`]: fair sharing of tokens between groups.
+//! * [`budget`]: how many retries may be added to the traffic.
+
+pub mod budget;
+pub mod queue;
+pub mod share;
+
+use crate::messages::{Demand, DemandVerdict, RouteChange, Usage};
+use budget::RetryBudget;
+use passway_config::Catalog;
+use passway_config::policy::Attributes;
+use passway_types::prelude::*;
+use queue::{ModelQueue, Place, Waiting};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use share::ShareClock;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// Time for a refusal to travel to the caller before its deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// First guess of the time that a warm engine needs for a whole request.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(200);
+/// Weight of the newest service time in the moving average, as a divisor.
+const SERVICE_TIME_DIVISOR: u32 = 8;
+/// Time for which an upstream that refused a connection gets nothing.
+const BLOCK_TIME: Duration = Duration::from_secs(1);
+/// Time for which an upstream that had no slot free gets nothing.
+const BUSY_TIME: Duration = Duration::from_millis(50);
+/// Shortest pause between two demands for one model.
+const DEMAND_PAUSE: Duration = Duration::from_millis(100);
+/// An unanswered or standing demand is repeated after this time.
+const DEMAND_REPEAT: Duration = Duration::from_secs(1);
+/// Time for which a refusal by the controller answers new arrivals too.
+const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
+/// Pause between two reports of use for a model in use.
+const USAGE_PAUSE: Duration = Duration::from_millis(500);
+/// Priority of a request that policy gives none.
+const DEFAULT_PRIORITY: u32 = 100;
+/// Tokens assumed for a request until its answer is counted.
+const ASSUMED_TOKENS: u32 = 64;
+/// Retry hint when a queue is full or a cap is reached.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// A request as it arrives.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Its number.
+    pub request: RequestId,
+    /// The model, adapter or alias that the caller names.
+    pub model: String,
+    /// The caller's group.
+    pub group: String,
+    /// The kind that the caller names, or empty.
+    pub kind: String,
+    /// The priority that the caller asks for within its group.
+    pub priority: Option<u32>,
+    /// The caller's deadline; `None` takes the group's default.
+    pub deadline_at: Option<Instant>,
+}
+
+/// How an attempt at an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The whole answer was passed on.
+    Served {
+        /// Tokens in the answer.
+        tokens: u32,
+    },
+    /// The connection was refused: nothing reached the upstream.
+    Unreachable,
+    /// The upstream does not hold the model: nothing ran.
+    NotLoaded,
+    /// The upstream has no slot free: nothing ran.
+    Busy,
+    /// The upstream failed; the request may go on elsewhere.
+    Failed,
+    /// The caller went away, or the deadline passed.
+    Abandoned,
+}
+
+/// Something for the router's program to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouterAction {
+    /// Send the request to an upstream.
+    Start {
+        /// Which request.
+        request: RequestId,
+        /// Where to.
+        upstream: UpstreamId,
+        /// The resolved model.
+        model: ModelName,
+        /// The request's deadline.
+        deadline_at: Instant,
+        /// The priority that policy gives it.
+        priority: u32,
+    },
+    /// Answer the request for good.
+    Refuse {
+        /// Which request.
+        request: RequestId,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Tell the cell's controller.
+    Demand(Demand),
+    /// Tell the cell's controller.
+    Usage(Usage),
+}
+
+/// A request that an upstream works on.
+#[derive(Debug)]
+struct Running {
+    waiting: Waiting,
+    model: ModelName,
+    upstream: UpstreamId,
+    started_at: Instant,
+}
+
+/// The last demand told to the controller for a model.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    at: Instant,
+    waiting: u32,
+    earliest_deadline_at: Instant,
+}
+
+/// Decides for one router.
+#[derive(Debug)]
+pub struct RouterCore {
+    me: Incarnation,
+    catalog: Arc<Catalog>,
+    rng: ChaCha8Rng,
+    routes: HashMap<ModelName, Vec<UpstreamId>>,
+    queues: BTreeMap<ModelName, ModelQueue>,
+    running: HashMap<RequestId, Running>,
+    upstream_running: HashMap<UpstreamId, u32>,
+    group_running: HashMap<GroupName, u32>,
+    group_waiting: HashMap<GroupName, u32>,
+    model_running: HashMap<ModelName, u32>,
+    blocked_until: HashMap<UpstreamId, Instant>,
+    /// Replicas that upstreams denied to hold; the controller hears of it from
+    /// the upstream itself and takes the route back if that lasts.
+    denied_until: HashMap<(ModelName, UpstreamId), Instant>,
+    shares: ShareClock,
+    budget: RetryBudget,
+    service_time: Duration,
+    ready_at: HashMap<ModelName, Instant>,
+    refused: HashMap<ModelName, (Instant, Refusal)>,
+    told: HashMap<ModelName, Told>,
+    used: HashSet<ModelName>,
+    usage_at: Instant,
+    routers: u32,
+    draining: bool,
+    stale: bool,
+}
+
+impl RouterCore {
+    /// A router that knows a catalog and no routes.
+    pub fn new(me: Incarnation, catalog: Arc<Catalog>, now: Instant) -> Self {
+        Self {
+            me,
+            catalog,
+            rng: ChaCha8Rng::seed_from_u64(me),
+            routes: HashMap::new(),
+            queues: BTreeMap::new(),
+            running: HashMap::new(),
+            upstream_running: HashMap::new(),
+            group_running: HashMap::new(),
+            group_waiting: HashMap::new(),
+            model_running: HashMap::new(),
+            blocked_until: HashMap::new(),
+            denied_until: HashMap::new(),
+            shares: ShareClock::default(),
+            budget: RetryBudget::default(),
+            service_time: FIRST_SERVICE_TIME,
+            ready_at: HashMap::new(),
+            refused: HashMap::new(),
+            told: HashMap::new(),
+            used: HashSet::new(),
+            usage_at: now,
+            routers: 1,
+            draining: false,
+            stale: false,
+        }
+    }
+
+    /// Takes over a newer catalog.
+    pub fn use_catalog(&mut self, catalog: Arc<Catalog>) {
+        if catalog.revision >= self.catalog.revision {
+            self.catalog = catalog;
+        }
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    /// How many routers share the upstreams.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
+    /// Stops taking new requests; those that wait or run go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Records whether the configuration is known to be current.
+    pub fn set_stale(&mut self, stale: bool) {
+        self.stale = stale;
+    }
+
+    /// Requests that wait or run.
+    pub fn in_progress(&self) -> usize {
+        self.running.len() + self.waiting()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(ModelQueue::len).sum()
+    }
+
+    /// Takes a request in: it starts, waits, or is refused.
+    pub fn arrive(&mut self, now: Instant, arrival: &Arrival) -> Vec<RouterAction> {
+        let mut actions = Vec::new();
+        let request = arrival.request;
+        match self.admit(now, arrival) {
+            Ok((model, waiting)) => {
+                self.enqueue(model, waiting);
+                self.dispatch(now, &mut actions);
+                self.tell_demands(now, &mut actions);
+            }
+            Err(refusal) => actions.push(RouterAction::Refuse { request, refusal }),
+        }
+        actions
+    }
+
+    fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<(ModelName, Waiting), Refusal> {
+        if self.draining {
+            return Err(
+                Refusal::new(ResultCode::Draining, "this instance is leaving")
+                    .retry_after(Duration::ZERO),
+            );
+        }
+        if self.stale {
+            return Err(
+                Refusal::new(ResultCode::ConfigStale, "no word of the configuration")
+                    .retry_after(BUSY_RETRY),
+            );
+        }
+        let unknown = || Refusal::new(ResultCode::UnknownModel, arrival.model.clone());
+        let model = self
+            .catalog
+            .resolve(&arrival.model)
+            .ok_or_else(unknown)?
+            .name
+            .clone();
+        let unknown = || Refusal::new(ResultCode::UnknownGroup, arrival.group.clone());
+        let group = self
+            .catalog
+            .groups
+            .get(arrival.group.as_str())
+            .ok_or_else(unknown)?;
+        let waiting_now = self.group_waiting.get(&group.name).copied().unwrap_or(0);
+        if waiting_now >= group.max_waiting {
+            return Err(
+                Refusal::new(ResultCode::QueueFull, "too many requests of the group wait")
+                    .retry_after(BUSY_RETRY),
+            );
+        }
+        let asked_priority = arrival.priority.unwrap_or(DEFAULT_PRIORITY);
+        let ruling = self.catalog.policy.rule(&Attributes {
+            group: &group.name,
+            model: &model,
+            kind: &arrival.kind,
+            priority: asked_priority,
+        });
+        let deadline_at = arrival.deadline_at.unwrap_or(now + group.default_deadline);
+        let may_wait_until = ruling.may_wait.map(|may_wait| now + may_wait);
+        let waiting = Waiting {
+            request: arrival.request,
+            group: group.name.clone(),
+            asked_priority,
+            priority: ruling.priority.unwrap_or(DEFAULT_PRIORITY),
+            deadline_at,
+            give_up_at: may_wait_until.map_or(deadline_at, |at| at.min(deadline_at)),
+            max_running: ruling.max_running,
+        };
+        self.check_reachable(now, &model, &waiting)?;
+        Ok((model, waiting))
+    }
+
+    /// Refuses at once what is known not to be served in time.
+    fn check_reachable(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        waiting: &Waiting,
+    ) -> Result<(), Refusal> {
+        self.refused.retain(|_, (until, _)| *until > now);
+        if let Some((_, refusal)) = self.refused.get(model) {
+            return Err(refusal.clone());
+        }
+        let ready_at = self.expected_start(now, model);
+        if ready_at + ANSWER_MARGIN > waiting.give_up_at {
+            return Err(deadline_unreachable(now, ready_at));
+        }
+        Ok(())
+    }
+
+    /// When a request that joins the model's queue now is expected to start.
+    fn expected_start(&self, now: Instant, model: &str) -> Instant {
+        let Some(upstreams) = self.routes.get(model) else {
+            return self.ready_at.get(model).copied().unwrap_or(now).max(now);
+        };
+        let slots: u32 = upstreams.iter().map(|upstream| self.slots(upstream)).sum();
+        let ahead = self.queues.get(model).map_or(0, ModelQueue::len);
+        let rounds = u32::try_from(ahead).unwrap_or(u32::MAX) / slots.max(1);
+        now + self.service_time.saturating_mul(rounds)
+    }
+
+    fn enqueue(&mut self, model: ModelName, waiting: Waiting) {
+        *self.group_waiting.entry(waiting.group.clone()).or_default() += 1;
+        let share = self
+            .catalog
+            .groups
+            .get(&waiting.group)
+            .map_or(1, |group| group.share);
+        self.shares.join(&waiting.group, share);
+        self.queues.entry(model).or_default().push(waiting);
+    }
+
+    fn dequeue(&mut self, model: &ModelName, place: &Place) -> Option<Waiting> {
+        let queue = self.queues.get_mut(model)?;
+        let waiting = queue.remove(place)?;
+        if queue.is_empty() {
+            self.queues.remove(model);
+        }
+        if let Some(count) = self.group_waiting.get_mut(&waiting.group) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.shares.leave(&waiting.group);
+            }
+        }
+        Some(waiting)
+    }
+
+    /// Starts whatever has a free slot, in the order that policy and shares give.
+    fn dispatch(&mut self, now: Instant, actions: &mut Vec<RouterAction>) {
+        while let Some((model, place, upstream)) = self.next_start(now) {
+            let Some(waiting) = self.dequeue(&model, &place) else {
+                return;
+            };
+            actions.push(self.start(now, model, waiting, upstream));
+        }
+    }
+
+    fn next_start(&mut self, now: Instant) -> Option<(ModelName, Place, UpstreamId)> {
+        let mut best: Option<(ModelName, Place)> = None;
+        for (model, queue) in &self.queues {
+            if !self.has_free_slot(now, model) {
+                continue;
+            }
+            let may_run = |waiting: &Waiting| self.group_may_run(waiting);
+            let Some(place) = queue.first(&self.shares, may_run) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(_, first)| place < *first) {
+                best = Some((model.clone(), place));
+            }
+        }
+        let (model, place) = best?;
+        let upstream = self.choose(now, &model)?;
+        Some((model, place, upstream))
+    }
+
+    fn group_may_run(&self, waiting: &Waiting) -> bool {
+        let running = self.group_running.get(&waiting.group).copied().unwrap_or(0);
+        waiting.max_running.is_none_or(|most| running < most)
+    }
+
+    /// This router's part of an upstream's slots.
+    fn slots(&self, upstream: &str) -> u32 {
+        self.catalog
+            .upstreams
+            .get(upstream)
+            .map_or(0, |entry| (entry.slots / self.routers).max(1))
+    }
+
+    fn is_free(&self, now: Instant, model: &ModelName, upstream: &UpstreamId) -> bool {
+        let is_over = |until: &Instant| now >= *until;
+        let blocked = !self.blocked_until.get(upstream).is_none_or(is_over);
+        let replica = (model.clone(), upstream.clone());
+        let denied = !self.denied_until.get(&replica).is_none_or(is_over);
+        let running = self.upstream_running.get(upstream).copied().unwrap_or(0);
+        !blocked && !denied && running < self.slots(upstream)
+    }
+
+    fn has_free_slot(&self, now: Instant, model: &ModelName) -> bool {
+        let upstreams = self.routes.get(model);
+        upstreams.is_some_and(|all| {
+            all.iter()
+                .any(|upstream| self.is_free(now, model, upstream))
+        })
+    }
+
+    /// Power of two choices over the free replicas, by this router's own load.
+    fn choose(&mut self, now: Instant, model: &ModelName) -> Option<UpstreamId> {
+        let upstreams = self.routes.get(model)?;
+        let free: Vec<&UpstreamId> = upstreams
+            .iter()
+            .filter(|upstream| self.is_free(now, model, upstream))
+            .collect();
+        if free.is_empty() {
+            return None;
+        }
+        let first = free[self.rng.random_range(0..free.len())];
+        let second = free[self.rng.random_range(0..free.len())];
+        let load = |id: &UpstreamId| self.upstream_running.get(id).copied().unwrap_or(0);
+        let chosen = if load(second) < load(first) {
+            second
+        } else {
+            first
+        };
+        Some(chosen.clone())
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        model: ModelName,
+        waiting: Waiting,
+        upstream: UpstreamId,
+    ) -> RouterAction {
+        *self.upstream_running.entry(upstream.clone()).or_default() += 1;
+        *self.group_running.entry(waiting.group.clone()).or_default() += 1;
+        *self.model_running.entry(model.clone()).or_default() += 1;
+        self.shares
+            .charge(&waiting.group, i64::from(ASSUMED_TOKENS));
+        self.budget.started();
+        self.used.insert(model.clone());
+        let action = RouterAction::Start {
+            request: waiting.request,
+            upstream: upstream.clone(),
+            model: model.clone(),
+            deadline_at: waiting.deadline_at,
+            priority: waiting.priority,
+        };
+        let running = Running {
+            waiting,
+            model,
+            upstream,
+            started_at: now,
+        };
+        self.running.insert(running.waiting.request, running);
+        action
+    }
+
+    /// Records how an attempt ended; a failed one waits again if the budget allows.
+    pub fn ended(&mut self, now: Instant, request: RequestId, ended: Ended) -> Vec<RouterAction> {
+        let mut actions = Vec::new();
+        let Some(running) = self.running.remove(&request) else {
+            return actions;
+        };
+        decrement(&mut self.upstream_running, &running.upstream);
+        decrement(&mut self.group_running, &running.waiting.group);
+        decrement(&mut self.model_running, &running.model);
+        self.used.insert(running.model.clone());
+        match ended {
+            Ended::Served { tokens } => {
+                let spent = i64::from(tokens) - i64::from(ASSUMED_TOKENS);
+                self.shares.charge(&running.waiting.group, spent);
+                let took = now.saturating_duration_since(running.started_at);
+                let kept = self.service_time / SERVICE_TIME_DIVISOR * (SERVICE_TIME_DIVISOR - 1);
+                self.service_time = kept + took / SERVICE_TIME_DIVISOR;
+            }
+            Ended::Abandoned => {}
+            Ended::Unreachable | Ended::Failed => {
+                self.blocked_until
+                    .insert(running.upstream.clone(), now + BLOCK_TIME);
+                self.retry(now, running, ended, &mut actions);
+            }
+            Ended::NotLoaded => {
+                let replica = (running.model.clone(), running.upstream.clone());
+                self.denied_until.insert(replica, now + BLOCK_TIME);
+                self.retry(now, running, ended, &mut actions);
+            }
+            Ended::Busy => {
+                self.blocked_until
+                    .insert(running.upstream.clone(), now + BUSY_TIME);
+                self.retry(now, running, ended, &mut actions);
+            }
+        }
+        self.dispatch(now, &mut actions);
+        self.tell_demands(now, &mut actions);
+        actions
+    }
+
+    fn retry(
+        &mut self,
+        now: Instant,
+        running: Running,
+        ended: Ended,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        self.shares
+            .charge(&running.waiting.group, -i64::from(ASSUMED_TOKENS));
+        let in_time = now + ANSWER_MARGIN < running.waiting.give_up_at;
+        if in_time && self.budget.take() {
+            self.enqueue(running.model, running.waiting);
+            return;
+        }
+        let code = match ended {
+            Ended::Failed => ResultCode::UpstreamFailed,
+            _ => ResultCode::NotStarted,
+        };
+        let refusal = Refusal::new(code, "retries are spent").retry_after(BUSY_RETRY);
+        actions.push(RouterAction::Refuse {
+            request: running.waiting.request,
+            refusal,
+        });
+    }
+
+    /// The caller of a waiting request went away.
+    pub fn abandon(&mut self, request: RequestId) {
+        let found = self
+            .queues
+            .iter()
+            .find_map(|(model, queue)| queue.find(request).map(|place| (model.clone(), place)));
+        if let Some((model, place)) = found {
+            self.dequeue(&model, &place);
+        }
+    }
+
+    fn remove_route(&mut self, model: &ModelName, upstream: &UpstreamId) {
+        if let Some(upstreams) = self.routes.get_mut(model) {
+            upstreams.retain(|id| id != upstream);
+            if upstreams.is_empty() {
+                self.routes.remove(model);
+            }
+        }
+    }
+
+    /// Takes in where requests may be sent.
+    ///
+    /// `cell_models` tells which models a whole table speaks for.
+    pub fn routes_changed(
+        &mut self,
+        now: Instant,
+        change: &RouteChange,
+        cell: &str,
+    ) -> Vec<RouterAction> {
+        if change.whole {
+            let catalog = self.catalog.clone();
+            let of_cell =
+                |model: &ModelName| catalog.models.get(model).is_none_or(|m| &*m.cell == cell);
+            self.routes.retain(|model, _| !of_cell(model));
+            // A new table may come from a new holder, which knows no demand yet.
+            self.told.clear();
+        }
+        for (model, upstream) in &change.removed {
+            self.remove_route(model, upstream);
+        }
+        for (model, upstream) in &change.added {
+            let upstreams = self.routes.entry(model.clone()).or_default();
+            if !upstreams.contains(upstream) {
+                upstreams.push(upstream.clone());
+            }
+            self.ready_at.remove(model);
+            self.refused.remove(model);
+        }
+        let mut actions = Vec::new();
+        self.dispatch(now, &mut actions);
+        self.tell_demands(now, &mut actions);
+        actions
+    }
+
+    /// Takes in the controller's answer to a demand.
+    pub fn verdict(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        verdict: DemandVerdict,
+    ) -> Vec<RouterAction> {
+        let mut actions = Vec::new();
+        match verdict {
+            DemandVerdict::ReadyAt(ready_at) => {
+                self.ready_at.insert(model.clone(), ready_at);
+                self.refuse_unreachable(now, model, &mut actions);
+            }
+            DemandVerdict::Refused { code, retry_at } => {
+                let refusal = Refusal::new(code, "the model is asleep and cannot be woken")
+                    .retry_after(retry_at.saturating_duration_since(now));
+                self.ready_at.remove(model);
+                self.told.remove(model);
+                let until = now + REFUSAL_MEMORY;
+                self.refused.insert(model.clone(), (until, refusal.clone()));
+                self.refuse_where(model, |_| true, &refusal, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Refuses at once every waiting request whose deadline lies before the expected start.
+    fn refuse_unreachable(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        if self.routes.contains_key(model) {
+            return;
+        }
+        let Some(ready_at) = self.ready_at.get(model).copied() else {
+            return;
+        };
+        let refusal = deadline_unreachable(now, ready_at);
+        let too_late = |waiting: &Waiting| ready_at + ANSWER_MARGIN > waiting.give_up_at;
+        self.refuse_where(model, too_late, &refusal, actions);
+    }
+
+    fn refuse_where(
+        &mut self,
+        model: &ModelName,
+        matches: impl Fn(&Waiting) -> bool,
+        refusal: &Refusal,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        let Some(queue) = self.queues.get(model) else {
+            return;
+        };
+        for place in queue.places(matches) {
+            if let Some(waiting) = self.dequeue(model, &place) {
+                let request = waiting.request;
+                actions.push(RouterAction::Refuse {
+                    request,
+                    refusal: refusal.clone(),
+                });
+            }
+        }
+    }
+
+    /// Does what time brings: refusals, retries after a block, repeated demands, reports of use.
+    pub fn tick(&mut self, now: Instant) -> Vec<RouterAction> {
+        let mut actions = Vec::new();
+        let models: Vec<ModelName> = self.queues.keys().cloned().collect();
+        for model in models {
+            let ready_at = self.expected_start(now, &model);
+            let wait = ready_at.saturating_duration_since(now).max(BUSY_RETRY);
+            let refusal = Refusal::new(ResultCode::DeadlinePassed, "waited until the deadline")
+                .retry_after(wait);
+            let due = |waiting: &Waiting| now + ANSWER_MARGIN >= waiting.give_up_at;
+            self.refuse_where(&model, due, &refusal, &mut actions);
+            self.refuse_unreachable(now, &model, &mut actions);
+        }
+        self.blocked_until.retain(|_, until| now < *until);
+        self.denied_until.retain(|_, until| now < *until);
+        self.dispatch(now, &mut actions);
+        self.tell_demands(now, &mut actions);
+        self.report_usage(now, &mut actions);
+        actions
+    }
+
+    /// Tells the controller of models that are waited for and have no replica with room.
+    fn tell_demands(&mut self, now: Instant, actions: &mut Vec<RouterAction>) {
+        let gone: Vec<ModelName> = self
+            .told
+            .keys()
+            .filter(|model| !self.queues.contains_key(*model))
+            .cloned()
+            .collect();
+        for model in gone {
+            if let Some(told) = self.told.remove(&model) {
+                let deadline_at = told.earliest_deadline_at;
+                actions.push(self.demand(&model, "".into(), 0, deadline_at, DEFAULT_PRIORITY));
+            }
+        }
+        let models: Vec<ModelName> = self.queues.keys().cloned().collect();
+        for model in models {
+            self.tell_demand(now, &model, actions);
+        }
+    }
+
+    fn tell_demand(&mut self, now: Instant, model: &ModelName, actions: &mut Vec<RouterAction>) {
+        let Some(first) = self.queues.get(model).and_then(ModelQueue::earliest) else {
+            return;
+        };
+        let waiting = self.queues.get(model).map_or(0, ModelQueue::len);
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let earliest_deadline_at = first.give_up_at;
+        if let Some(told) = self.told.get(model) {
+            let since = now.saturating_duration_since(told.at);
+            let changed = waiting > told.waiting.saturating_mul(2)
+                || earliest_deadline_at < told.earliest_deadline_at;
+            if since < DEMAND_PAUSE || (!changed && since < DEMAND_REPEAT) {
+                return;
+            }
+        }
+        let (group, priority) = (first.group.clone(), first.priority);
+        self.told.insert(
+            model.clone(),
+            Told {
+                at: now,
+                waiting,
+                earliest_deadline_at,
+            },
+        );
+        actions.push(self.demand(model, group, waiting, earliest_deadline_at, priority));
+    }
+
+    fn demand(
+        &self,
+        model: &ModelName,
+        group: GroupName,
+        waiting: u32,
+        earliest_deadline_at: Instant,
+        priority: u32,
+    ) -> RouterAction {
+        RouterAction::Demand(Demand {
+            router: self.me,
+            model: model.clone(),
+            group,
+            waiting,
+            earliest_deadline_at,
+            priority,
+        })
+    }
+
+    fn report_usage(&mut self, now: Instant, actions: &mut Vec<RouterAction>) {
+        if now < self.usage_at {
+            return;
+        }
+        self.usage_at = now + USAGE_PAUSE;
+        for model in self.used.drain() {
+            let running = self.model_running.get(&model).copied().unwrap_or(0);
+            let usage = Usage {
+                router: self.me,
+                model,
+                running,
+                last_used_at: now,
+            };
+            actions.push(RouterAction::Usage(usage));
+        }
+        // A model with requests in progress is in use until they end.
+        self.used.extend(self.model_running.keys().cloned());
+    }
+}
+
+fn deadline_unreachable(now: Instant, ready_at: Instant) -> Refusal {
+    let wait = ready_at.saturating_duration_since(now);
+    let detail = format!("expected to start in {} ms", wait.as_millis());
+    Refusal::new(ResultCode::DeadlineUnreachable, detail).retry_after(wait)
+}
+
+/// Takes one off a count and removes it at zero.
+fn decrement(counts: &mut HashMap<Arc<str>, u32>, key: &Arc<str>) {
+    if let Some(count) = counts.get_mut(key) {
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,119 @@
+//! The body of an answer: bytes, or a reader whose every read is passed on at once.
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use std::fmt;
+use std::io::{self, Read};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Bytes taken from a reader at one time.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// The body of an answer.
+pub struct Body {
+    source: Source,
+    /// Whether the last frame may still wait in the connection's buffer.
+    unflushed: bool,
+    on_end: Option<Box<dyn FnOnce() + Send>>,
+}
+
+enum Source {
+    Whole(Option<Bytes>),
+    Reader(Box<dyn Read + Send>),
+}
+
+impl Body {
+    /// A body of bytes.
+    pub fn new(bytes: impl Into<Bytes>) -> Self {
+        let bytes = Some(bytes.into()).filter(|bytes| !bytes.is_empty());
+        Self {
+            source: Source::Whole(bytes),
+            unflushed: false,
+            on_end: None,
+        }
+    }
+
+    /// A body that is read from `reader`, which may block. Each read is sent
+    /// before the next one. An error breaks the connection, so that the caller
+    /// can tell a broken answer from a whole one.
+    pub fn wrap_reader(reader: impl Read + Send + 'static) -> Self {
+        Self {
+            source: Source::Reader(Box::new(reader)),
+            unflushed: false,
+            on_end: None,
+        }
+    }
+
+    /// Calls `on_end` when the body was sent or given up.
+    pub(crate) fn set_on_end(&mut self, on_end: impl FnOnce() + Send + 'static) {
+        self.on_end = Some(Box::new(on_end));
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end();
+        }
+    }
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Body").finish_non_exhaustive()
+    }
+}
+
+impl<T: Into<Bytes>> From<T> for Body {
+    fn from(bytes: T) -> Self {
+        Self::new(bytes)
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let this = &mut *self;
+        match &mut this.source {
+            Source::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Source::Reader(_) if this.unflushed => {
+                // `hyper` flushes when a body has nothing ready; without this
+                // pause a token would wait for the next one.
+                this.unflushed = false;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Source::Reader(reader) => {
+                let mut chunk = vec![0; CHUNK_BYTES];
+                match reader.read(&mut chunk) {
+                    Ok(0) => Poll::Ready(None),
+                    Ok(count) => {
+                        chunk.truncate(count);
+                        this.unflushed = true;
+                        Poll::Ready(Some(Ok(Frame::data(chunk.into()))))
+                    }
+                    Err(error) => Poll::Ready(Some(Err(error))),
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.source, Source::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            Source::Reader(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,282 @@
+//! Drives one connection on the thread that it has to itself.
+
+use crate::Response;
+use crate::body::Body;
+use crate::io::{Interest, Socket};
+use crate::server::{self, Handler};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::io::ErrorKind;
+use std::net::TcpStream;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Wake, Waker};
+use std::time::{Duration, Instant};
+
+/// Longest wait between two looks at the deadlines.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Bounds of a connection.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Connections at one time.
+    pub max_connections: usize,
+    /// Largest body.
+    pub body_bytes: usize,
+    /// Time for a request's head to arrive, idle time before it included.
+    pub head_time: Duration,
+    /// Time for a request's body to arrive.
+    pub body_time: Duration,
+    /// Time for a caller to take any bytes of an answer.
+    pub write_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_connections: 1_024,
+            body_bytes: 4 << 20,
+            head_time: Duration::from_secs(10),
+            body_time: Duration::from_secs(10),
+            write_time: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unread {
+    /// It is over the limit.
+    TooLarge,
+    /// It did not arrive in time.
+    TooSlow,
+    /// It broke off, or is not well formed.
+    Broken,
+}
+
+/// A request with its body.
+#[derive(Debug)]
+pub struct Request {
+    /// Method, path and headers.
+    pub head: http::request::Parts,
+    /// The body, or why there is none.
+    pub body: Result<Bytes, Unread>,
+    /// Who sent it.
+    pub caller: Caller,
+}
+
+impl Request {
+    /// A header's value, if it is there and text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+}
+
+/// The connection's other end.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    stream: Arc<TcpStream>,
+}
+
+impl Caller {
+    /// Whether the caller has closed its connection.
+    pub fn is_gone(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+}
+
+/// What the connection does, with the moment by which it must have gone on.
+#[derive(Debug, Clone, Copy)]
+enum Phase {
+    Head { until: Instant },
+    Body,
+    Answer { until: Instant },
+}
+
+#[derive(Debug)]
+struct State {
+    phase: Mutex<Phase>,
+    limits: Limits,
+}
+
+impl State {
+    fn set(&self, phase: Phase) {
+        *self.phase.lock().unwrap_or_else(PoisonError::into_inner) = phase;
+    }
+
+    fn get(&self) -> Phase {
+        *self.phase.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn await_head(&self) {
+        self.set(Phase::Head {
+            until: Instant::now() + self.limits.head_time,
+        });
+    }
+
+    fn await_writes(&self) {
+        self.set(Phase::Answer {
+            until: Instant::now() + self.limits.write_time,
+        });
+    }
+
+    fn is_over(&self, now: Instant, waits_to_write: bool) -> bool {
+        match self.get() {
+            Phase::Head { until } => now >= until,
+            Phase::Body => false,
+            Phase::Answer { until } => waits_to_write && now >= until,
+        }
+    }
+}
+
+/// Remembers a wake-up that came while the connection was polled.
+#[derive(Debug, Default)]
+struct Woken(AtomicBool);
+
+impl Wake for Woken {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Release);
+    }
+}
+
+/// Serves a connection until it ends.
+pub(crate) fn serve(stream: TcpStream, handler: &Handler, limits: &Limits, keep_alive: bool) {
+    if stream.set_nonblocking(true).is_err() {
+        return;
+    }
+    // Tokens are small and must not wait for one another.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let stream = Arc::new(stream);
+    let interest = Rc::new(Interest::default());
+    let now = Instant::now();
+    let phase = Mutex::new(Phase::Head {
+        until: now + limits.head_time,
+    });
+    let state = Arc::new(State {
+        phase,
+        limits: limits.clone(),
+    });
+    let caller = Caller {
+        stream: stream.clone(),
+    };
+    let service = service_fn(|request| answer(request, handler, &state, &caller));
+    let socket = Socket {
+        stream: stream.clone(),
+        interest: interest.clone(),
+    };
+    let connection = http1::Builder::new()
+        .keep_alive(keep_alive)
+        .serve_connection(socket, service);
+    let mut connection = pin!(connection);
+    let woken = Arc::new(Woken::default());
+    let waker = Waker::from(woken.clone());
+    let mut context = Context::from_waker(&waker);
+    loop {
+        interest.clear();
+        match connection.as_mut().poll(&mut context) {
+            Poll::Ready(Ok(())) => return,
+            Poll::Ready(Err(error)) => {
+                log::debug!(error:% = error; "a connection ended early");
+                return;
+            }
+            Poll::Pending => {}
+        }
+        if interest.take_wrote() && matches!(state.get(), Phase::Answer { .. }) {
+            state.await_writes();
+        }
+        if woken.0.swap(false, Ordering::AcqRel) {
+            continue;
+        }
+        if state.is_over(Instant::now(), interest.waits_to_write())
+            || interest.wait(&stream, LOOK_PAUSE).is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn answer(
+    request: hyper::Request<Incoming>,
+    handler: &Handler,
+    state: &Arc<State>,
+    caller: &Caller,
+) -> Result<Response, Infallible> {
+    state.set(Phase::Body);
+    let (head, incoming) = request.into_parts();
+    let body = read_body(incoming, &state.limits).await;
+    let mut response = server::call(
+        handler,
+        Request {
+            head,
+            body,
+            caller: caller.clone(),
+        },
+    );
+    state.await_writes();
+    let ended = state.clone();
+    response.body_mut().set_on_end(move || ended.await_head());
+    Ok(response)
+}
+
+async fn read_body(incoming: Incoming, limits: &Limits) -> Result<Bytes, Unread> {
+    let until = Instant::now() + limits.body_time;
+    let incoming = RefCell::new(incoming);
+    let mut body = Vec::new();
+    loop {
+        // The connection's loop polls again at every look, so that a body that
+        // stands still is noticed without a timer.
+        let frame = std::future::poll_fn(|context| {
+            let mut incoming = incoming.borrow_mut();
+            let polled = pin!(incoming.frame()).as_mut().poll(context);
+            match polled {
+                Poll::Pending if Instant::now() >= until => Poll::Ready(Err(Unread::TooSlow)),
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(frame) => Poll::Ready(Ok(frame)),
+            }
+        });
+        let Some(frame) = frame.await? else {
+            return Ok(body.into());
+        };
+        let frame = frame.map_err(|_| Unread::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if body.len() + data.len() > limits.body_bytes {
+            return Err(Unread::TooLarge);
+        }
+        body.extend_from_slice(&data);
+    }
+}
+
+/// The answer to a connection that is one too many.
+pub(crate) fn refuse(stream: &TcpStream, answer: &[u8]) {
+    use std::io::Write;
+    // The caller may be gone or slow; neither may hold up accepting.
+    if stream.set_nonblocking(true).is_ok() {
+        let mut stream = stream;
+        let _ = stream.write(answer);
+    }
+}
+
+impl Default for Body {
+    fn default() -> Self {
+        Self::new(Bytes::new())
+    }
+}
--- /dev/null
+++ b/crates/http/src/io.rs
@@ -0,0 +1,111 @@
+//! A non-blocking socket for `hyper`, and the wait until it can go on.
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use std::cell::Cell;
+use std::io::{self, ErrorKind, Read as _, Write as _};
+use std::net::{Shutdown, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// Bytes read at one time.
+const READ_BYTES: usize = 8 << 10;
+
+/// What a connection waits for.
+#[derive(Debug, Default)]
+pub(crate) struct Interest {
+    read: Cell<bool>,
+    write: Cell<bool>,
+    /// Set whenever bytes went out, so that a slow reader can be told from a stuck one.
+    wrote: Cell<bool>,
+}
+
+impl Interest {
+    pub(crate) fn clear(&self) {
+        self.read.set(false);
+        self.write.set(false);
+    }
+
+    pub(crate) fn take_wrote(&self) -> bool {
+        self.wrote.replace(false)
+    }
+
+    pub(crate) fn waits_to_write(&self) -> bool {
+        self.write.get()
+    }
+
+    /// Blocks until the socket can go on, or the time is over.
+    pub(crate) fn wait(&self, stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+        let mut flags = PollFlags::empty();
+        if self.read.get() || !self.write.get() {
+            flags |= PollFlags::IN;
+        }
+        if self.write.get() {
+            flags |= PollFlags::OUT;
+        }
+        let timeout = Timespec::try_from(timeout).map_err(io::Error::other)?;
+        match poll(&mut [PollFd::new(stream, flags)], Some(&timeout)) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+/// The socket.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    pub(crate) stream: Arc<TcpStream>,
+    pub(crate) interest: Rc<Interest>,
+}
+
+impl Read for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0; READ_BYTES];
+        let most = buffer.remaining().min(READ_BYTES);
+        match (&*self.stream).read(&mut chunk[..most]) {
+            Ok(count) => {
+                buffer.put_slice(&chunk[..count]);
+                Poll::Ready(Ok(()))
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                self.interest.read.set(true);
+                Poll::Pending
+            }
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match (&*self.stream).write(bytes) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                self.interest.write.set(true);
+                Poll::Pending
+            }
+            written => {
+                self.interest.wrote.set(true);
+                Poll::Ready(written)
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.stream.shutdown(Shutdown::Write))
+    }
+}
--- /dev/null
+++ b/crates/router/src/http.rs
@@ -0,0 +1,183 @@
+//! Callers' requests: paths, headers, bodies and refusals.
+
+use crate::control::Control;
+use crate::shared::Shared;
+use crate::{generate, service};
+use passway_http::{Body, Request, Response, Unread};
+use passway_types::prelude::*;
+use serde::Serialize;
+
+/// Header that names the caller's group.
+pub const GROUP_HEADER: &str = "x-passway-group";
+/// Header that gives the time until the deadline in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-passway-deadline-ms";
+/// Header that gives the priority within the group; a lower number goes first.
+pub const PRIORITY_HEADER: &str = "x-passway-priority";
+/// Header that names the kind of request, for policy.
+pub const KIND_HEADER: &str = "x-passway-kind";
+/// Header that carries the request's id to upstreams, logs and answers.
+pub const REQUEST_HEADER: &str = "x-passway-request";
+/// Header of a refusal: its numbered code.
+pub const CODE_HEADER: &str = "x-passway-code";
+/// Header of a refusal: whether the request ran.
+pub const RAN_HEADER: &str = "x-passway-ran";
+
+/// Group of a caller that names none.
+const DEFAULT_GROUP: &str = "default";
+/// Refused connections come back after this time.
+const CONNECTIONS_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers one request.
+pub fn handle(shared: &Arc<Shared>, control: &Arc<Control>, request: &Request) -> Response {
+    let path = request.path().to_owned();
+    match path.as_str() {
+        "/health" => return health(shared),
+        "/metrics" => return text(200, shared.metrics.text()),
+        _ => {}
+    }
+    let guard = shared.enter();
+    let answered = match path.as_str() {
+        "/v1/chat/completions" | "/v1/completions" => {
+            generate::handle(shared, control, request, guard)
+        }
+        _ if path.starts_with(service::PREFIX) => service::handle(shared, request),
+        _ => Err(Refusal::new(ResultCode::UnknownPath, path)),
+    };
+    answered.unwrap_or_else(|refusal| refuse(shared, &refusal))
+}
+
+fn health(shared: &Shared) -> Response {
+    if shared.is_leaving() {
+        return text(503, "leaving".into());
+    }
+    if shared.catalog.load().revision == 0 {
+        return text(503, "starting".into());
+    }
+    text(200, "serving".into())
+}
+
+fn text(status: u16, body: String) -> Response {
+    build(::http::Response::builder().status(status), Body::new(body))
+}
+
+/// Finishes an answer whose parts are known to be valid.
+pub(crate) fn build(builder: ::http::response::Builder, body: Body) -> Response {
+    builder.body(body).unwrap_or_else(|error| {
+        log::error!(error:% = error; "an answer could not be built");
+        Response::default()
+    })
+}
+
+/// What a caller says of its request in headers.
+#[derive(Debug)]
+pub(crate) struct Meta {
+    pub(crate) group: String,
+    pub(crate) kind: String,
+    pub(crate) priority: Option<u32>,
+    pub(crate) deadline_at: Option<Instant>,
+}
+
+/// Reads the headers.
+pub(crate) fn meta(shared: &Shared, request: &Request) -> Result<Meta, Refusal> {
+    let now = Instant::now();
+    let bad = |detail: &str| Refusal::new(ResultCode::BadDeadline, detail);
+    let deadline_at = match request.header(DEADLINE_HEADER) {
+        None => None,
+        Some(text) => {
+            let ms: u64 = text
+                .parse()
+                .map_err(|_| bad("the deadline is not a number"))?;
+            let wait = Duration::from_millis(ms);
+            if ms == 0 || wait > shared.limits.max_deadline {
+                return Err(bad("the deadline is zero or too far off"));
+            }
+            Some(now + wait)
+        }
+    };
+    let priority =
+        match request.header(PRIORITY_HEADER) {
+            None => None,
+            Some(text) => Some(text.parse().map_err(|_| {
+                Refusal::new(ResultCode::BadRequest, "the priority is not a number")
+            })?),
+        };
+    Ok(Meta {
+        group: request
+            .header(GROUP_HEADER)
+            .unwrap_or(DEFAULT_GROUP)
+            .to_owned(),
+        kind: request.header(KIND_HEADER).unwrap_or_default().to_owned(),
+        priority,
+        deadline_at,
+    })
+}
+
+/// The body of a request.
+pub(crate) fn body<'r>(shared: &Shared, request: &'r Request) -> Result<&'r [u8], Refusal> {
+    let limit = shared.limits.body_bytes;
+    request.body.as_deref().map_err(|unread| match unread {
+        Unread::TooLarge => Refusal::new(ResultCode::BodyTooLarge, format!("over {limit} bytes")),
+        Unread::TooSlow => Refusal::new(ResultCode::BodyTooSlow, "the body did not arrive"),
+        Unread::Broken => Refusal::new(ResultCode::BadRequest, "the body broke off"),
+    })
+}
+
+/// The body of a refusal.
+#[derive(Debug, Serialize)]
+struct RefusalBody<'a> {
+    code: u16,
+    name: &'a str,
+    ran: &'a str,
+    detail: &'a str,
+    retry_after_ms: Option<u64>,
+}
+
+/// A refusal as the JSON object that its body and stream events carry.
+pub(crate) fn refusal_json(refusal: &Refusal) -> String {
+    let retry_after_ms = refusal
+        .retry_after
+        .map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+    let body = RefusalBody {
+        code: refusal.code as u16,
+        name: refusal.code.name(),
+        ran: refusal.code.ran().as_str(),
+        detail: &refusal.detail,
+        retry_after_ms,
+    };
+    let json = serde_json::json!({ "error": body });
+    json.to_string()
+}
+
+/// The whole answer, head included, to a connection that is one too many.
+pub(crate) fn too_many_connections() -> Vec<u8> {
+    let refusal = Refusal::new(ResultCode::TooManyConnections, "too many connections")
+        .retry_after(CONNECTIONS_RETRY);
+    let (code, body) = (refusal.code, refusal_json(&refusal));
+    let head = format!(
+        "HTTP/1.1 {} Unavailable\r\ncontent-type: application/json\r\n{CODE_HEADER}: {}\r\n\
+         {RAN_HEADER}: {}\r\nretry-after: {}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        code.http_status(),
+        code as u16,
+        code.ran().as_str(),
+        CONNECTIONS_RETRY.as_secs(),
+        body.len()
+    );
+    (head + &body).into_bytes()
+}
+
+/// Answers with a refusal.
+pub(crate) fn refuse(shared: &Shared, refusal: &Refusal) -> Response {
+    shared.metrics.refused(refusal.code);
+    log::debug!(code:% = refusal.code, detail = refusal.detail.as_str(); "refused");
+    let mut builder = ::http::Response::builder()
+        .status(refusal.code.http_status())
+        .header("content-type", "application/json")
+        .header(CODE_HEADER, (refusal.code as u16).to_string())
+        .header(RAN_HEADER, refusal.code.ran().as_str());
+    if let Some(after) = refusal.retry_after {
+        // Whole seconds, rounded up, as the header wants it; the body has milliseconds.
+        let seconds = after.as_millis().div_ceil(1_000);
+        builder = builder.header("retry-after", seconds.to_string());
+    }
+    build(builder, Body::new(refusal_json(refusal)))
+}
--- /dev/null
+++ b/crates/router/src/lifecycle.rs
@@ -0,0 +1,118 @@
+//! The life cycle of a router: serving, then draining, then gone.
+
+use crate::control::Control;
+use crate::http;
+use crate::shared::Shared;
+use anyhow::{Context, Result};
+use passway_config::settings::RouterSettings;
+use passway_http::Server;
+use passway_http::connection::Limits;
+use passway_types::prelude::*;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+
+/// Pause between two looks at what is still in progress.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+/// Requests are taken for this long after the health check says "leaving", so
+/// that the balancer can turn away before anybody is refused.
+const BALANCER_GRACE: Duration = Duration::from_millis(1_500);
+/// Pause between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Takes requests.
+#[derive(Debug)]
+pub struct Serving;
+/// Takes no requests; finishes what is in progress.
+#[derive(Debug)]
+pub struct Draining;
+
+/// A router in state `S`.
+#[derive(Debug)]
+pub struct Router<S> {
+    shared: Arc<Shared>,
+    control: Arc<Control>,
+    address: SocketAddr,
+    state: PhantomData<S>,
+}
+
+impl Router<Serving> {
+    /// Starts a router with checked settings.
+    ///
+    /// # Errors
+    /// If the address cannot be bound.
+    pub fn start(settings: &RouterSettings) -> Result<Self> {
+        let listen: SocketAddr = settings.listen.parse().context("listen")?;
+        let limits = Limits {
+            max_connections: settings.max_connections,
+            body_bytes: settings.body_limit_bytes,
+            ..Limits::default()
+        };
+        let server = Server::bind(listen).with_context(|| format!("binding {listen}"))?;
+        let server = server.limits(limits).refusal(http::too_many_connections());
+        let address = server.local_addr().context("local address")?;
+        let shared = Arc::new(Shared::new(settings)?);
+        let control = Control::start(settings, &shared)?;
+        let serving = (shared.clone(), control.clone());
+        std::thread::spawn(move || {
+            let (shared, control) = serving;
+            server.serve(move |request| http::handle(&shared, &control, &request))
+        });
+        let ticking = (shared.clone(), control.clone());
+        std::thread::spawn(move || {
+            let (shared, control) = ticking;
+            loop {
+                control.decide(&shared, passway_decide::router::RouterCore::tick);
+                std::thread::sleep(TICK);
+            }
+        });
+        log::info!(instance = settings.instance.as_str(), address:% = address; "router started");
+        Ok(Self {
+            shared,
+            control,
+            address,
+            state: PhantomData,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The revision of the configuration in force; 0 if none.
+    pub fn revision(&self) -> Revision {
+        self.shared.catalog.load().revision
+    }
+
+    /// Turns the health check to "leaving" and, after the balancer had time to
+    /// turn away, takes no more requests.
+    pub fn drain(self) -> Router<Draining> {
+        self.shared.set_leaving();
+        self.control.say_hello(&self.shared);
+        log::info!(in_progress = self.shared.in_progress(); "router leaving");
+        std::thread::sleep(BALANCER_GRACE);
+        self.control.decide(&self.shared, |core, _| {
+            core.drain();
+            Vec::new()
+        });
+        Router {
+            shared: self.shared,
+            control: self.control,
+            address: self.address,
+            state: PhantomData,
+        }
+    }
+}
+
+impl Router<Draining> {
+    /// Waits until nothing is in progress, or until `is_cut` says to stop
+    /// waiting; returns how many requests were cut.
+    pub fn finish(self, is_cut: impl Fn() -> bool) -> usize {
+        while self.shared.in_progress() > 0 && !is_cut() {
+            std::thread::sleep(DRAIN_STEP);
+        }
+        let cut = self.shared.in_progress();
+        log::info!(cut = cut; "router stopped");
+        cut
+    }
+}
--- /dev/null
+++ b/crates/router/src/service.rs
@@ -0,0 +1,234 @@
+//! Calls to plain services.
+
+use crate::claims::{Claimed, OwnClaim};
+use crate::http::{self, REQUEST_HEADER};
+use crate::shared::Shared;
+use passway_config::catalog::Service;
+use passway_decide::claim::{ClaimState, StoredAnswer};
+use passway_http::{Body, Request, Response};
+use passway_platform::http::{CallError, agent, classify};
+use passway_types::hash::stable_hash;
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+
+/// Paths of plain services begin with this, then the service's name.
+pub const PREFIX: &str = "/services/";
+/// Header by which a caller marks a call that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest key.
+const MAX_KEY_BYTES: usize = 128;
+/// Time until the deadline of a call that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Largest answer that is kept for repeats; a larger one is passed on but a
+/// repeat gets "unknown".
+const MAX_STORED_BYTES: usize = 256 << 10;
+/// Attempts for a call that may be repeated.
+const MAX_ATTEMPTS: usize = 2;
+/// Retry hint when no replica of the service takes connections.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// A call as it goes to a replica.
+struct Call {
+    method: String,
+    path_and_query: String,
+    content_type: String,
+    body: Vec<u8>,
+    key: Option<String>,
+    label: String,
+    deadline_at: Instant,
+}
+
+/// Answers a call to a plain service.
+///
+/// # Errors
+/// The refusal that is the call's final answer.
+pub fn handle(shared: &Arc<Shared>, request: &Request) -> Result<Response, Refusal> {
+    if shared.is_leaving() {
+        log::debug!("a call came while leaving");
+    }
+    let meta = http::meta(shared, request)?;
+    let path = request
+        .head
+        .uri
+        .path_and_query()
+        .map_or("", |path| path.as_str())
+        .to_owned();
+    let unknown = || Refusal::new(ResultCode::UnknownPath, path.clone());
+    let rest = path.strip_prefix(PREFIX).ok_or_else(unknown)?;
+    let (name, rest) = rest.split_once('/').ok_or_else(unknown)?;
+    let catalog = shared.catalog.load();
+    let service = catalog.services.get(name).ok_or_else(unknown)?.clone();
+    let key = key_of(request)?;
+    let (number, _) = shared.register();
+    shared.unregister(number);
+    let call = Call {
+        method: request.head.method.to_string(),
+        path_and_query: format!("/{rest}"),
+        content_type: request
+            .header("content-type")
+            .unwrap_or_default()
+            .to_owned(),
+        body: http::body(shared, request)?.to_vec(),
+        key,
+        label: format!("{:x}-{number}", shared.incarnation),
+        deadline_at: meta
+            .deadline_at
+            .unwrap_or(Instant::now() + DEFAULT_DEADLINE),
+    };
+    let answer = match &call.key {
+        Some(key) => call_claimed(shared, &service, &call, key)?,
+        None => call_unclaimed(&service, &call)?,
+    };
+    shared.metrics.served();
+    let builder = ::http::Response::builder()
+        .status(answer.http_status)
+        .header("content-type", &answer.content_type)
+        .header(REQUEST_HEADER, &call.label);
+    Ok(http::build(builder, Body::new(answer.body)))
+}
+
+fn key_of(request: &Request) -> Result<Option<String>, Refusal> {
+    let Some(value) = request.head.headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let bad = || {
+        Refusal::new(
+            ResultCode::BadRequest,
+            "the key is empty, too long or not text",
+        )
+    };
+    let key = value.to_str().map_err(|_| bad())?;
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        Err(bad())
+    } else {
+        Ok(Some(key.to_owned()))
+    }
+}
+
+fn call_claimed(
+    shared: &Shared,
+    service: &Service,
+    call: &Call,
+    key: &str,
+) -> Result<StoredAnswer, Refusal> {
+    let digest = stable_hash(&[
+        call.method.as_bytes(),
+        call.path_and_query.as_bytes(),
+        &call.body,
+    ]);
+    let own = match shared.claims.claim(&service.name, key, digest)? {
+        Claimed::Replay(answer) => return Ok(answer),
+        Claimed::Send(own) => own,
+    };
+    send_claimed(shared, service, call, own)
+}
+
+/// Sends a claimed call: to another replica only while nothing has left.
+fn send_claimed(
+    shared: &Shared,
+    service: &Service,
+    call: &Call,
+    own: OwnClaim,
+) -> Result<StoredAnswer, Refusal> {
+    match send_until_sent(service, call) {
+        Ok(answer) => {
+            let state = if answer.body.len() <= MAX_STORED_BYTES {
+                ClaimState::Done(answer.clone())
+            } else {
+                ClaimState::Unknown
+            };
+            shared.claims.settle(own, state);
+            Ok(answer)
+        }
+        Err(CallError::NotSent) => {
+            shared.claims.settle(own, ClaimState::Released);
+            Err(unreachable_service(service))
+        }
+        Err(CallError::Lost) => {
+            shared.claims.settle(own, ClaimState::Unknown);
+            Err(lost(call))
+        }
+    }
+}
+
+/// Sends a call without a key. One that settings mark as not repeatable is sent
+/// once; any other may be sent again to another replica.
+fn call_unclaimed(service: &Service, call: &Call) -> Result<StoredAnswer, Refusal> {
+    let attempts = if service.not_repeatable.contains(&call.method) {
+        1
+    } else {
+        MAX_ATTEMPTS
+    };
+    for attempt in 1..=attempts {
+        match send_until_sent(service, call) {
+            Ok(answer) => return Ok(answer),
+            Err(CallError::NotSent) => return Err(unreachable_service(service)),
+            Err(CallError::Lost) if attempt < attempts => {}
+            Err(CallError::Lost) => break,
+        }
+    }
+    Err(lost(call))
+}
+
+/// Tries replicas until one takes the connection, from one that the call's own
+/// label picks.
+fn send_until_sent(service: &Service, call: &Call) -> Result<StoredAnswer, CallError> {
+    let count = service.addresses.len();
+    let first = usize::try_from(stable_hash(&[call.label.as_bytes()])).unwrap_or(0) % count.max(1);
+    for step in 0..count {
+        match send(service.addresses[(first + step) % count], call) {
+            Err(CallError::NotSent) => {}
+            ended => return ended,
+        }
+    }
+    Err(CallError::NotSent)
+}
+
+fn send(address: SocketAddr, call: &Call) -> Result<StoredAnswer, CallError> {
+    let left = call.deadline_at.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(CallError::NotSent);
+    }
+    let mut request = ureq::http::Request::builder()
+        .method(call.method.as_str())
+        .uri(format!("http://{address}{}", call.path_and_query))
+        .header("content-type", &call.content_type)
+        .header(REQUEST_HEADER, &call.label);
+    if let Some(key) = &call.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    let request = request
+        .body(call.body.as_slice())
+        .map_err(|_| CallError::NotSent)?;
+    let mut response = agent(Some(left), 0)
+        .run(request)
+        .map_err(|error| classify(&error))?;
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|v| v.to_str().ok());
+    let content_type = content_type.unwrap_or_default().to_owned();
+    let body = response
+        .body_mut()
+        .read_to_vec()
+        .map_err(|_| CallError::Lost)?;
+    Ok(StoredAnswer {
+        http_status: response.status().as_u16(),
+        content_type,
+        body,
+    })
+}
+
+fn unreachable_service(service: &Service) -> Refusal {
+    let detail = format!("no replica of {} takes connections", service.name);
+    Refusal::new(ResultCode::NotStarted, detail).retry_after(UNREACHABLE_RETRY)
+}
+
+fn lost(call: &Call) -> Refusal {
+    if Instant::now() >= call.deadline_at {
+        Refusal::new(ResultCode::AnswerLate, "no answer in time")
+    } else {
+        Refusal::new(ResultCode::UpstreamFailed, "the service broke off")
+    }
+}
--- /dev/null
+++ b/crates/router/src/stream.rs
@@ -0,0 +1,143 @@
+//! Streamed answers: whole events only, resumed where an engine breaks off.
+
+use crate::generate::Job;
+use crate::http::refusal_json;
+use passway_types::prelude::*;
+use std::io::{self, BufRead, BufReader, Read};
+
+/// The event that ends a whole stream.
+const DONE: &[u8] = b"data: [DONE]";
+/// Largest event that is passed on.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An engine's stream of server-sent events.
+pub struct EngineStream {
+    reader: BufReader<Box<dyn Read + Send>>,
+}
+
+impl std::fmt::Debug for EngineStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EngineStream").finish_non_exhaustive()
+    }
+}
+
+/// One event, or that the stream broke.
+#[derive(Debug, PartialEq, Eq)]
+pub enum StreamEvent {
+    /// A token, with the blank line that ends the event.
+    Token(Vec<u8>),
+    /// The end of a whole stream.
+    Done(Vec<u8>),
+    /// The stream broke off; half of an event is thrown away.
+    Broken,
+}
+
+impl EngineStream {
+    /// Reads events from `reader`.
+    pub fn new(reader: impl Read + Send + 'static) -> Self {
+        Self {
+            reader: BufReader::new(Box::new(reader)),
+        }
+    }
+
+    /// The next event.
+    pub fn next_event(&mut self) -> StreamEvent {
+        let mut event = Vec::new();
+        loop {
+            let before = event.len();
+            match self.reader.read_until(b'\n', &mut event) {
+                Ok(0) | Err(_) => return StreamEvent::Broken,
+                Ok(_) if event.last() != Some(&b'\n') => return StreamEvent::Broken,
+                Ok(_) if event.len() > MAX_EVENT_BYTES => return StreamEvent::Broken,
+                Ok(_) => {}
+            }
+            let line = event[before..].trim_ascii();
+            if !line.is_empty() {
+                continue;
+            }
+            if before == 0 {
+                // A blank line before any event carries nothing.
+                event.clear();
+                continue;
+            }
+            let is_done = event.starts_with(DONE);
+            return if is_done {
+                StreamEvent::Done(event)
+            } else {
+                StreamEvent::Token(event)
+            };
+        }
+    }
+}
+
+/// The body of a streamed answer.
+///
+/// Only whole events are passed on, and they are counted; an engine that breaks
+/// off is replaced by another one that leaves out as many. So no token comes
+/// twice and none is missing. A stream that cannot go on ends with an event
+/// that carries a refusal, never as if it were whole.
+#[derive(Debug)]
+pub struct StreamReader {
+    job: Job,
+    engine: EngineStream,
+    delivered: u32,
+    pending: io::Cursor<Vec<u8>>,
+    ended: bool,
+}
+
+impl StreamReader {
+    /// Passes on `engine`'s events for `job`.
+    pub fn new(job: Job, engine: EngineStream) -> Self {
+        Self {
+            job,
+            engine,
+            delivered: 0,
+            pending: io::Cursor::default(),
+            ended: false,
+        }
+    }
+
+    fn advance(&mut self) {
+        let bytes = loop {
+            match self.engine.next_event() {
+                StreamEvent::Token(bytes) => {
+                    self.delivered += 1;
+                    break bytes;
+                }
+                StreamEvent::Done(bytes) => {
+                    self.ended = true;
+                    self.job.served(self.delivered);
+                    break bytes;
+                }
+                StreamEvent::Broken => match self.job.resume(self.delivered) {
+                    Ok(engine) => self.engine = engine,
+                    Err(refusal) => {
+                        self.ended = true;
+                        break self.give_up(refusal);
+                    }
+                },
+            }
+        };
+        self.pending = io::Cursor::new(bytes);
+    }
+
+    fn give_up(&self, mut refusal: Refusal) -> Vec<u8> {
+        if self.delivered > 0 {
+            // Whatever kept it from going on, tokens were delivered: it ran.
+            refusal.code = ResultCode::AnswerBroken;
+        }
+        self.job.shared.metrics.refused(refusal.code);
+        format!("event: error\ndata: {}\n\n", refusal_json(&refusal)).into_bytes()
+    }
+}
+
+impl Read for StreamReader {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let count = self.pending.read(buffer)?;
+        if count > 0 || self.ended {
+            return Ok(count);
+        }
+        self.advance();
+        self.pending.read(buffer)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/key_value.rs
@@ -0,0 +1,261 @@
+//! A stand-in of the platform's key-value service.
+
+use crate::server;
+use passway_http::{Body, Request, Response};
+use passway_platform::key_value::{
+    KeyValue, LeaseId, PutOutcome, Unavailable, VERSION_HEADER, Versioned,
+};
+use passway_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// What the service is told to do wrong.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Answers nothing.
+    pub down: bool,
+    /// Takes effect, but the answer is lost, for this many writes.
+    pub lose_answers: u32,
+    /// Answers this much later.
+    pub delay_ms: u64,
+}
+
+/// Calls counted by kind.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Calls {
+    /// Reads.
+    pub reads: u64,
+    /// Writes, lease calls included.
+    pub writes: u64,
+}
+
+#[derive(Debug)]
+struct Stored {
+    version: Version,
+    value: Vec<u8>,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    keys: BTreeMap<String, Stored>,
+    leases: HashMap<LeaseId, (Duration, Instant)>,
+    last_version: Version,
+    last_lease: LeaseId,
+    faults: Faults,
+    calls: Calls,
+}
+
+/// The service in memory; clones are the same service.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryKeyValue {
+    state: Arc<Mutex<State>>,
+}
+
+impl MemoryKeyValue {
+    /// An empty service.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the service what to do wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> Calls {
+        self.state().calls.clone()
+    }
+
+    fn begin(&self, is_write: bool) -> Result<MutexGuard<'_, State>, Unavailable> {
+        let delay_ms = self.state().faults.delay_ms;
+        if delay_ms > 0 {
+            std::thread::sleep(Duration::from_millis(delay_ms));
+        }
+        let mut state = self.state();
+        if is_write {
+            state.calls.writes += 1;
+        } else {
+            state.calls.reads += 1;
+        }
+        if state.faults.down {
+            return Err(Unavailable);
+        }
+        state.expire(Instant::now());
+        Ok(state)
+    }
+
+    /// Serves the protocol over HTTP.
+    pub fn serve(&self, address: SocketAddr) -> SocketAddr {
+        let service = self.clone();
+        server::serve(address, move |request| service.handle(&request))
+    }
+
+    fn handle(&self, request: &Request) -> Response {
+        let path = request.path().to_owned();
+        let method = request.head.method.as_str().to_owned();
+        let body = request.body.clone().unwrap_or_default();
+        let answered = match (method.as_str(), path.as_str()) {
+            ("POST", "/standin/faults") => {
+                self.set_faults(serde_json::from_slice(&body).unwrap_or_default());
+                Ok(server::answer(200, ""))
+            }
+            ("GET", "/standin/calls") => Ok(server::json(&self.calls())),
+            (_, path) if path.starts_with("/v1/kv/") => {
+                self.handle_key(&method, &path["/v1/kv/".len()..], request, &body)
+            }
+            ("POST", "/v1/leases") => {
+                let ttl_ms = server::query(request, "ttl_ms").unwrap_or(1_000);
+                self.grant_lease(Duration::from_millis(ttl_ms))
+                    .map(|lease| server::answer(200, lease.to_string()))
+            }
+            (_, path) if path.starts_with("/v1/leases/") => {
+                self.handle_lease(&method, &path["/v1/leases/".len()..])
+            }
+            _ => Ok(server::answer(404, "")),
+        };
+        answered.unwrap_or_else(|Unavailable| server::answer(503, ""))
+    }
+
+    fn handle_key(
+        &self,
+        method: &str,
+        key: &str,
+        request: &Request,
+        body: &[u8],
+    ) -> Result<Response, Unavailable> {
+        if method == "GET" {
+            return Ok(match self.get(key)? {
+                None => server::answer(404, ""),
+                Some(found) => versioned(found.version, found.value),
+            });
+        }
+        let expected = server::query(request, "expected").unwrap_or(0);
+        let lease = server::query(request, "lease");
+        Ok(match self.put_if(key, expected, body, lease)? {
+            PutOutcome::Written(version) => versioned(version, Vec::new()),
+            PutOutcome::Conflict => server::answer(409, ""),
+        })
+    }
+
+    fn handle_lease(&self, method: &str, rest: &str) -> Result<Response, Unavailable> {
+        let (id, is_renewal) = match rest.strip_suffix("/renew") {
+            Some(id) => (id, true),
+            None => (rest, false),
+        };
+        let id = id.parse().unwrap_or(0);
+        if is_renewal {
+            let status = if self.renew_lease(id)? { 200 } else { 404 };
+            return Ok(server::answer(status, ""));
+        }
+        if method == "DELETE" {
+            self.end_lease(id)?;
+        }
+        Ok(server::answer(200, ""))
+    }
+}
+
+fn versioned(version: Version, body: Vec<u8>) -> Response {
+    let builder = http::Response::builder().header(VERSION_HEADER, version.to_string());
+    builder.body(Body::new(body)).unwrap_or_default()
+}
+
+impl State {
+    fn expire(&mut self, now: Instant) {
+        let ended: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, at))| now >= *at)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in ended {
+            self.end(lease);
+        }
+    }
+
+    fn end(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        self.keys.retain(|_, stored| stored.lease != Some(lease));
+    }
+
+    fn put(
+        &mut self,
+        key: &str,
+        expected: Version,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> PutOutcome {
+        let stands = self.keys.get(key).map_or(0, |stored| stored.version);
+        if stands != expected || lease.is_some_and(|id| !self.leases.contains_key(&id)) {
+            return PutOutcome::Conflict;
+        }
+        self.last_version += 1;
+        let version = self.last_version;
+        self.keys.insert(
+            key.to_owned(),
+            Stored {
+                version,
+                value: value.to_vec(),
+                lease,
+            },
+        );
+        PutOutcome::Written(version)
+    }
+}
+
+impl KeyValue for MemoryKeyValue {
+    fn get(&self, key: &str) -> Result<Option<Versioned>, Unavailable> {
+        let state = self.begin(false)?;
+        let found = state.keys.get(key);
+        Ok(found.map(|s| Versioned {
+            version: s.version,
+            value: s.value.clone(),
+        }))
+    }
+
+    fn put_if(
+        &self,
+        key: &str,
+        expected: Version,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> Result<PutOutcome, Unavailable> {
+        let mut state = self.begin(true)?;
+        let outcome = state.put(key, expected, value, lease);
+        if state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            return Err(Unavailable);
+        }
+        Ok(outcome)
+    }
+
+    fn grant_lease(&self, time_to_live: Duration) -> Result<LeaseId, Unavailable> {
+        let mut state = self.begin(true)?;
+        state.last_lease += 1;
+        let lease = state.last_lease;
+        state
+            .leases
+            .insert(lease, (time_to_live, Instant::now() + time_to_live));
+        Ok(lease)
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> Result<bool, Unavailable> {
+        let mut state = self.begin(true)?;
+        let now = Instant::now();
+        let found = state.leases.get_mut(&lease);
+        Ok(found.map(|(ttl, at)| *at = now + *ttl).is_some())
+    }
+
+    fn end_lease(&self, lease: LeaseId) -> Result<(), Unavailable> {
+        self.begin(true)?.end(lease);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,22 @@
+//! Small stand-ins of what passway stands between, and a load tool.
+//!
+//! Test support only: no shipped program links this crate. Each stand-in speaks
+//! the protocol that the adapters in `passway-platform` speak, can be told to
+//! fail, and keeps the ledger by which the promises are judged.
+//!
+//! * [`key_value`]: compare-and-swap, leases; outages, slowness, lost answers, call counts.
+//! * [`weight_store`]: a few loads at a time, a few a second; can slow down.
+//! * [`engine`]: a model engine with memory, loads, streams, fencing checked or ignored.
+//! * [`service`]: a plain service that counts runs per key.
+//! * [`instance_list`]: a list that lags.
+//! * [`world`]: all of them together with a configuration.
+//! * [`load`]: callers, whose answers are checked.
+
+pub mod engine;
+pub mod instance_list;
+pub mod key_value;
+pub mod load;
+pub mod server;
+pub mod service;
+pub mod weight_store;
+pub mod world;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,14 @@
+//! Messages between passway's own processes, and their framing.
+//!
+//! * [`message`]: one [`message::Envelope`] a frame, protocol buffers by derive,
+//!   so the build needs no generator.
+//! * [`link`]: a blocking connection that sends and receives envelopes.
+//!
+//! Times travel as what remains in milliseconds, never as a clock reading, since
+//! the clocks of two instances are not compared.
+
+pub mod link;
+pub mod message;
+
+pub use link::{Link, LinkReader};
+pub use message::{Body, Envelope};
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,125 @@
+//! A blocking connection that sends and receives envelopes.
+
+use crate::message::{Body, Envelope};
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// Largest frame: a whole configuration and some room.
+const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Bytes read at one time.
+const READ_BYTES: usize = 16 << 10;
+/// A peer that takes no bytes for this long is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
+
+/// The sending half; clones share one connection.
+#[derive(Debug, Clone)]
+pub struct Link {
+    stream: Arc<Mutex<TcpStream>>,
+}
+
+/// The receiving half.
+#[derive(Debug)]
+pub struct LinkReader {
+    stream: TcpStream,
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl Link {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    /// The connection's error.
+    pub fn connect(address: SocketAddr, timeout: Duration) -> io::Result<(Self, LinkReader)> {
+        Self::from_stream(TcpStream::connect_timeout(&address, timeout)?)
+    }
+
+    /// Uses an accepted connection.
+    ///
+    /// # Errors
+    /// The socket's error.
+    pub fn from_stream(stream: TcpStream) -> io::Result<(Self, LinkReader)> {
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+        let reading = stream.try_clone()?;
+        let reader = LinkReader {
+            stream: reading,
+            codec: codec(),
+            buffer: BytesMut::new(),
+        };
+        Ok((
+            Self {
+                stream: Arc::new(Mutex::new(stream)),
+            },
+            reader,
+        ))
+    }
+
+    /// Sends one message.
+    ///
+    /// # Errors
+    /// The socket's error; the connection is closed then, since a frame may have
+    /// been cut.
+    pub fn send(&self, body: Body) -> io::Result<()> {
+        let envelope = Envelope { body: Some(body) };
+        let mut frame = BytesMut::new();
+        codec().encode(Bytes::from(envelope.encode_to_vec()), &mut frame)?;
+        let mut stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
+        let sent = stream.write_all(&frame);
+        if sent.is_err() {
+            // Closing may fail only because the peer closed first.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        sent
+    }
+
+    /// Closes both directions, which also ends the reader.
+    pub fn close(&self) {
+        let stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
+        // Closing may fail only because the peer closed first.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
+impl LinkReader {
+    /// Ends a receive that hears nothing for this long with an error.
+    ///
+    /// # Errors
+    /// The socket's error.
+    pub fn set_timeout(&self, timeout: Duration) -> io::Result<()> {
+        self.stream.set_read_timeout(Some(timeout))
+    }
+
+    /// Receives one message; `None` when the peer closed.
+    ///
+    /// # Errors
+    /// The socket's error, or a frame that cannot be decoded.
+    pub fn receive(&mut self) -> io::Result<Option<Body>> {
+        loop {
+            if let Some(frame) = self.codec.decode(&mut self.buffer)? {
+                let envelope = Envelope::decode(frame).map_err(io::Error::other)?;
+                match envelope.body {
+                    Some(body) => return Ok(Some(body)),
+                    None => continue,
+                }
+            }
+            let mut chunk = [0; READ_BYTES];
+            let count = self.stream.read(&mut chunk)?;
+            if count == 0 {
+                return Ok(None);
+            }
+            self.buffer.extend_from_slice(&chunk[..count]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,252 @@
+//! The messages.
+
+use prost::{Message, Oneof};
+
+/// One frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// What it carries; `None` comes from a newer program and is ignored.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    pub body: Option<Body>,
+}
+
+/// The kinds of message.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// First message of whoever connects.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// A controller's heartbeat.
+    #[prost(message, tag = "2")]
+    Heartbeat(Heartbeat),
+    /// A revision of the configuration.
+    #[prost(message, tag = "3")]
+    Config(Config),
+    /// Where requests may be sent.
+    #[prost(message, tag = "4")]
+    Routes(Routes),
+    /// A router's demand.
+    #[prost(message, tag = "5")]
+    Demand(Demand),
+    /// A holder's answer to a demand.
+    #[prost(message, tag = "6")]
+    Verdict(Verdict),
+    /// A router's report of use.
+    #[prost(message, tag = "7")]
+    Usage(Usage),
+    /// Asks whether a former holder can still send orders.
+    #[prost(message, tag = "8")]
+    Probe(Probe),
+    /// The answer to a probe.
+    #[prost(message, tag = "9")]
+    ProbeAnswer(ProbeAnswer),
+    /// An operator's question.
+    #[prost(message, tag = "10")]
+    Query(Query),
+    /// The answer to an operator's question, as JSON.
+    #[prost(message, tag = "11")]
+    QueryAnswer(QueryAnswer),
+}
+
+/// What a program is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Role {
+    /// Unknown.
+    Unspecified = 0,
+    /// A router.
+    Router = 1,
+    /// A controller.
+    Controller = 2,
+    /// `passwayctl`.
+    Operator = 3,
+}
+
+/// First message of whoever connects; routers repeat it as their heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// What the sender is.
+    #[prost(enumeration = "Role", tag = "1")]
+    pub role: i32,
+    /// The instance that it runs on.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Its incarnation.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// The revision that is in force at the sender.
+    #[prost(uint64, tag = "4")]
+    pub config_revision: u64,
+    /// Requests in progress at the sender.
+    #[prost(uint32, tag = "5")]
+    pub in_progress: u32,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+}
+
+/// What a controller knows of the holder of a cell.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct CellHolder {
+    /// The cell.
+    #[prost(string, tag = "1")]
+    pub cell: String,
+    /// The epoch.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Where the holder listens.
+    #[prost(string, tag = "3")]
+    pub address: String,
+}
+
+/// A controller's heartbeat, sent to all that are connected.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// The controller's instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Its incarnation.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// The highest revision that it knows.
+    #[prost(uint64, tag = "3")]
+    pub config_revision: u64,
+    /// Time since that revision was last confirmed at the key-value service by
+    /// anybody, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub config_age_ms: u64,
+    /// Whether it reaches neither the service nor any other controller.
+    #[prost(bool, tag = "5")]
+    pub isolated: bool,
+    /// Live routers.
+    #[prost(uint32, tag = "6")]
+    pub routers: u32,
+    /// The holders that it knows.
+    #[prost(message, repeated, tag = "7")]
+    pub cells: Vec<CellHolder>,
+}
+
+/// A revision of the configuration.
+#[derive(Clone, PartialEq, Message)]
+pub struct Config {
+    /// The stored revision as JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub stored_json: bytes::Bytes,
+}
+
+/// A replica.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Route {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The upstream.
+    #[prost(string, tag = "2")]
+    pub upstream: String,
+}
+
+/// A change of where requests may be sent.
+#[derive(Clone, PartialEq, Message)]
+pub struct Routes {
+    /// The cell that it speaks for.
+    #[prost(string, tag = "1")]
+    pub cell: String,
+    /// The epoch of the holder that sent it; an older one is ignored.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Whether `added` is the whole table.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
+    /// Replicas that serve.
+    #[prost(message, repeated, tag = "4")]
+    pub added: Vec<Route>,
+    /// Replicas that get nothing new.
+    #[prost(message, repeated, tag = "5")]
+    pub removed: Vec<Route>,
+}
+
+/// A router's demand for a model.
+#[derive(Clone, PartialEq, Message)]
+pub struct Demand {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The group that waits first.
+    #[prost(string, tag = "2")]
+    pub group: String,
+    /// Requests that wait.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    /// Time to the earliest deadline, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub deadline_in_ms: u64,
+    /// The best priority among them.
+    #[prost(uint32, tag = "5")]
+    pub priority: u32,
+}
+
+/// A holder's answer to a demand.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Verdict {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Time until the model is expected to serve, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub ready_in_ms: u64,
+    /// The result code if the demand is refused, else 0.
+    #[prost(uint32, tag = "3")]
+    pub refused_code: u32,
+    /// When to come back, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub retry_in_ms: u64,
+}
+
+/// A router's report of use.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Usage {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+}
+
+/// Asks whether a former holder can still send orders.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Probe {
+    /// The cell.
+    #[prost(string, tag = "1")]
+    pub cell: String,
+    /// The epoch that the former holder had.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+
+/// The answer to a probe.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct ProbeAnswer {
+    /// The incarnation of the process that answers.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Whether an order of that epoch is still in its hands.
+    #[prost(bool, tag = "2")]
+    pub may_order: bool,
+}
+
+/// An operator's question.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Query {
+    /// `status`, `audit` or `drain`.
+    #[prost(string, tag = "1")]
+    pub what: String,
+}
+
+/// The answer to an operator's question.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct QueryAnswer {
+    /// JSON text.
+    #[prost(string, tag = "1")]
+    pub json: String,
+}
--- /dev/null
+++ b/src/bin/passway-controller.rs
@@ -0,0 +1,36 @@
+//! The controller of one instance.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use passway_config::settings::{ControllerSettings, Settings};
+use passway_controller::Controller;
+use std::path::PathBuf;
+
+/// Decides which model is loaded where, for the cells that this instance leads.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// Settings file, JSON with comments.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Only check the settings.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    let path = &arguments.settings;
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let settings = ControllerSettings::parse(&text).with_context(|| path.display().to_string())?;
+    if arguments.check {
+        println!("{}: no faults", path.display());
+        return Ok(());
+    }
+    passway_process::logging::start("passway-controller", &settings.log_level)?;
+    let signals = passway_process::signals::termination()?;
+    let controller = Controller::start(settings)?;
+    signals.recv().context("waiting for a signal")?;
+    controller.stop();
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/passway-router.rs
@@ -0,0 +1,41 @@
+//! The router of one instance.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use passway_config::settings::{RouterSettings, Settings};
+use passway_router::Router;
+use std::path::PathBuf;
+
+/// Serves callers: admission, waiting, routing and streaming.
+///
+/// The first SIGTERM drains: what is in progress runs to its end. A second one cuts it.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// Settings file, JSON with comments.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Only check the settings.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    let path = &arguments.settings;
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let settings = RouterSettings::parse(&text).with_context(|| path.display().to_string())?;
+    if arguments.check {
+        println!("{}: no faults", path.display());
+        return Ok(());
+    }
+    passway_process::logging::start("passway-router", &settings.log_level)?;
+    let signals = passway_process::signals::termination()?;
+    let router = Router::start(&settings)?;
+    signals.recv().context("waiting for a signal")?;
+    let cut = router.drain().finish(|| signals.try_recv().is_ok());
+    if cut > 0 {
+        log::warn!(cut = cut; "a second signal cut requests in progress");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The shipped programs of passway; all code is in `crates/*`.
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! All scenario tests, one module a feature.
+
+mod bad_input;
+mod burst_loads;
+mod support;
--- /dev/null
+++ b/tests/all/support.rs
@@ -0,0 +1,44 @@
+//! Small helpers that several features share.
+
+use passway_standins::load::{Call, Sample, call};
+use passway_standins::world::{Fleet, WorldPlan};
+use passway_types::prelude::*;
+
+/// A world that is quick to start: two instances, three engines.
+pub fn small_plan() -> WorldPlan {
+    WorldPlan {
+        instances: 2,
+        engines: 3,
+        services: 1,
+        models: 6,
+        adapters: 4,
+        ..WorldPlan::default()
+    }
+}
+
+/// Makes `count` requests for one model at all routers at one time.
+pub fn burst(fleet: &Fleet, model: &str, count: usize, deadline: Duration) -> Vec<Sample> {
+    let routers: Vec<_> = fleet
+        .routers
+        .iter()
+        .map(passway_router::Router::address)
+        .collect();
+    let callers: Vec<_> = (0..count)
+        .map(|number| {
+            let one = Call {
+                router: routers[number % routers.len()],
+                model: model.into(),
+                group: "default".into(),
+                prompt: format!("question {number}"),
+                tokens: 8,
+                stream: number % 2 == 0,
+                deadline,
+            };
+            std::thread::spawn(move || call(&one))
+        })
+        .collect();
+    callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller panicked"))
+        .collect()
+}
