--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -4,7 +4,7 @@
 //! read-copy-update pointer and never see half of a change.
 
 use crate::check::{Fault, Faults, Source};
-use crate::document::{AdapterEntry, Document, KeepEntry, ModelEntry, WeightStoreEntry};
+use crate::document::{AdapterEntry, Document, Fencing, KeepEntry, ModelEntry, WeightStoreEntry};
 use crate::policy::Policy;
 use passway_types::hash::stable_hash;
 use passway_types::prelude::*;
@@ -44,8 +44,8 @@
     pub memory_bytes: u64,
     /// Requests that it runs at one time.
     pub slots: u32,
-    /// Whether it refuses an order that carries an old fencing number.
-    pub checks_fencing: bool,
+    /// What it does with an old fencing number.
+    pub fencing: Fencing,
     /// Whether the operators take it out of service.
     pub draining: bool,
 }
@@ -226,7 +226,7 @@
                 cell: entry.cell.as_str().into(),
                 memory_bytes: entry.memory_mb * MB_BYTES,
                 slots: entry.slots,
-                checks_fencing: entry.checks_fencing,
+                fencing: entry.fencing,
                 draining: entry.draining,
             };
             self.catalog.cells.insert(upstream.cell.clone());
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -130,9 +130,8 @@
     pub memory_mb: u64,
     /// Requests that it runs at one time.
     pub slots: u32,
-    /// Whether it refuses an order that carries an old fencing number.
-    /// Left out means that it does not.
-    pub checks_fencing: bool,
+    /// What it does with an old fencing number; left out means `ignores`.
+    pub fencing: Fencing,
     /// Whether the operators take it out of service: it gets nothing new and its
     /// models are unloaded.
     pub draining: bool,
@@ -147,12 +146,24 @@
             cell: "main".into(),
             memory_mb: 0,
             slots: 8,
-            checks_fencing: false,
+            fencing: Fencing::Ignores,
             draining: false,
         }
     }
 }
 
+/// What an upstream does with an order that carries an old fencing number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fencing {
+    /// It carries the order out.
+    Ignores,
+    /// It refuses the order, but has forgotten the highest number after a restart.
+    Forgets,
+    /// It refuses the order, also after a restart.
+    Keeps,
+}
+
 /// A plain service.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// A change of the expected time below this is not told again.
-const TELL_AGAIN: Duration = Duration::from_millis(200);
+const TELL_AGAIN: Duration = Duration::from_millis(500);
 
 /// What one router asked and was told.
 #[derive(Debug)]
--- a/crates/decide/src/cell/ordering.rs
+++ b/crates/decide/src/cell/ordering.rs
@@ -6,6 +6,7 @@
 use crate::messages::{Order, OrderKind};
 use crate::plan::{Placement, PlacementState};
 use passway_config::Catalog;
+use passway_config::document::Fencing;
 use passway_types::prelude::*;
 
 /// Time for routers to hear that a replica gets nothing new.
@@ -13,10 +14,12 @@
 
 /// Frees placements that are absent for good.
 ///
-/// An upstream that checks fencing numbers refuses whatever is older than the
+/// An upstream that keeps fencing numbers refuses whatever is older than the
 /// unload order that it answered. Any other upstream must have answered
 /// "absent" to an order sent after every older order had settled, those of
-/// former holders included.
+/// former holders included. One that forgets its number at a restart counts
+/// among the others: a holder that was paused before it sent may wake after
+/// the restart.
 pub(super) fn free_absent(term: &mut Term, upstreams: &Upstreams, actions: &mut Vec<Action>) {
     let leaving: Vec<(PlacementId, UpstreamId)> = term
         .draft
@@ -31,7 +34,7 @@
         let Stage::Absent { ordered_at } = term.stage(id) else {
             continue;
         };
-        let fenced = view.entry.checks_fencing;
+        let fenced = view.entry.fencing == Fencing::Keeps;
         if !fenced && !was_settled(term, view, id, ordered_at) {
             continue;
         }
@@ -119,7 +122,7 @@
         // Absent, but an older order could still have arrived after: ask again
         // once everything has settled.
         Stage::Absent { ordered_at } => {
-            !view.entry.checks_fencing
+            view.entry.fencing != Fencing::Keeps
                 && term.draft.placement(placement.id).is_some()
                 && !was_settled(term, view, placement.id, ordered_at)
                 && was_settled(term, view, placement.id, now)
--- /dev/null
+++ b/tests/all/cell_scenarios.rs
@@ -0,0 +1,190 @@
+//! Scripted scenarios of a cell: `tests/all/scenarios/cell/*`.
+//!
+//! A script is a list of commands, each followed by `----` and what it prints;
+//! `REWRITE=1 cargo test cell_scenarios` blesses the outputs anew. Commands:
+//!
+//! * `world nodes=N engines=N memory=MB fencing=ignores|forgets|keeps`
+//! * `demand model=NAME waiting=N deadline_ms=N`
+//! * `run ms=N`
+//! * `pause node=N|leader ms=N`, `kill node=...`, `restart node=...`
+//! * `store state=up|down`
+//! * `chance what=lose_write_answer|delay_write|lose_order_answer|delay_order|hold_order percent=N`
+//! * `engine restart=N`
+//! * `show`: the leader, the plan, what engines hold, broken promises, last verdicts
+
+use crate::cell_world::{CellWorld, Chances};
+use datadriven::{TestCase, walk};
+use passway_config::Document;
+use passway_config::document::{
+    AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
+};
+use passway_types::prelude::*;
+use std::fmt::Write;
+
+const SEED: u64 = 7;
+
+#[test]
+fn scripts_hold() {
+    walk("tests/all/scenarios/cell", |file| {
+        let mut world = None;
+        file.run(|case| {
+            let mut case = case.clone();
+            run(&mut world, &mut case).expect("script")
+        });
+    });
+}
+
+fn run(
+    world: &mut Option<CellWorld>,
+    case: &mut TestCase,
+) -> Result<String, datadriven::DataDrivenError> {
+    if case.directive == "world" {
+        *world = Some(build(case)?);
+        return Ok(String::new());
+    }
+    let world = world.as_mut().expect("`world` comes first");
+    match case.directive.as_str() {
+        "demand" => {
+            let name: String = case.take_arg("model")?;
+            let model = format!("{name}@1");
+            let deadline = Duration::from_millis(case.take_arg("deadline_ms")?);
+            world.demand(&model, case.take_arg("waiting")?, deadline);
+        }
+        "run" => world.run(Duration::from_millis(case.take_arg("ms")?)),
+        "pause" => {
+            let node = node(world, case)?;
+            world.pause(node, Duration::from_millis(case.take_arg("ms")?));
+        }
+        "kill" => {
+            let node = node(world, case)?;
+            world.kill(node);
+        }
+        "restart" => {
+            let node = node(world, case)?;
+            world.restart(node);
+        }
+        "store" => {
+            let state: String = case.take_arg("state")?;
+            world.store.down = state == "down";
+        }
+        "chance" => chance(&mut world.chances, case)?,
+        "engine" => world.restart_engine(case.take_arg("restart")?),
+        "show" => return Ok(show(world)),
+        other => panic!("unknown command {other}"),
+    }
+    Ok(String::new())
+}
+
+fn node(world: &CellWorld, case: &mut TestCase) -> Result<usize, datadriven::DataDrivenError> {
+    let text: String = case.take_arg("node")?;
+    Ok(if text == "leader" {
+        world.leader().expect("a leader")
+    } else {
+        text.parse().expect("a number")
+    })
+}
+
+fn chance(chances: &mut Chances, case: &mut TestCase) -> Result<(), datadriven::DataDrivenError> {
+    let what: String = case.take_arg("what")?;
+    let percent = case.take_arg("percent")?;
+    let chance = match what.as_str() {
+        "lose_write_answer" => &mut chances.lose_write_answer,
+        "delay_write" => &mut chances.delay_write,
+        "lose_order_answer" => &mut chances.lose_order_answer,
+        "delay_order" => &mut chances.delay_order,
+        "hold_order" => &mut chances.hold_order,
+        other => panic!("unknown chance {other}"),
+    };
+    *chance = percent;
+    Ok(())
+}
+
+fn build(case: &mut TestCase) -> Result<CellWorld, datadriven::DataDrivenError> {
+    let nodes = case.take_arg("nodes")?;
+    let engines: usize = case.take_arg("engines")?;
+    let memory_mb = case.take_arg("memory")?;
+    let fencing: String = case.take_arg("fencing")?;
+    let fencing = match fencing.as_str() {
+        "keeps" => Fencing::Keeps,
+        "forgets" => Fencing::Forgets,
+        _ => Fencing::Ignores,
+    };
+    let upstreams = (0..engines).map(|number| UpstreamEntry {
+        id: format!("engine{number}"),
+        address: format!("10.0.1.{}:8000", number + 1),
+        data_hall: "hall".into(),
+        memory_mb,
+        slots: 4,
+        fencing,
+        ..UpstreamEntry::default()
+    });
+    let models = (0..4).map(|number| ModelEntry {
+        name: format!("m{number}"),
+        size_mb: 10,
+        ..ModelEntry::default()
+    });
+    let adapter = AdapterEntry {
+        name: "a0".into(),
+        base: "m0@1".into(),
+        size_mb: 2,
+        ..AdapterEntry::default()
+    };
+    let document = Document {
+        groups: vec![GroupEntry {
+            name: "default".into(),
+            ..GroupEntry::default()
+        }],
+        models: models.collect(),
+        adapters: vec![adapter],
+        upstreams: upstreams.collect(),
+        keep: KeepEntry {
+            policy: KeepPolicyName::Fixed,
+            max_idle_ms: 60_000,
+            ..KeepEntry::default()
+        },
+        ..Document::default()
+    };
+    Ok(CellWorld::new(SEED, nodes, &document, Chances::default()))
+}
+
+fn show(world: &mut CellWorld) -> String {
+    let mut out = String::new();
+    let leader = world
+        .leader()
+        .map_or("nobody".to_owned(), |node| format!("node {node}"));
+    let terms = world
+        .nodes
+        .iter()
+        .filter_map(|n| n.controller.as_ref()?.term());
+    let believers = terms.count();
+    writeln!(out, "leader {leader}, {believers} believe to lead").expect("string");
+    match &world.store.plan {
+        None => writeln!(out, "no plan").expect("string"),
+        Some((_, plan)) => {
+            let former: Vec<Epoch> = plan.former().iter().map(|former| former.epoch).collect();
+            writeln!(out, "epoch {}, former {former:?}", plan.epoch).expect("string");
+            for p in plan.placements() {
+                writeln!(
+                    out,
+                    "  p{} {} on {}: {:?}",
+                    p.id, p.model, p.upstream, p.state
+                )
+                .expect("string");
+            }
+        }
+    }
+    for (number, engine) in world.engines.iter().enumerate() {
+        let held: Vec<&str> = engine.loaded.keys().map(|model| &**model).collect();
+        let loads: u32 = engine.loads.values().sum();
+        writeln!(out, "engine{number} holds {held:?} after {loads} loads").expect("string");
+    }
+    for node in &mut world.nodes {
+        for verdict in node.verdicts.drain(..) {
+            writeln!(out, "told: {verdict}").expect("string");
+        }
+    }
+    for violation in world.violations.drain(..) {
+        writeln!(out, "BROKEN {violation}").expect("string");
+    }
+    out
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,4 +2,7 @@
 
 mod bad_input;
 mod burst_loads;
+mod cell_faults;
+mod cell_scenarios;
+mod cell_world;
 mod support;
