--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -143,15 +143,16 @@
     let source = Source::parse(text)?;
     let mut faults = Vec::new();
     let document: Document = source.read(&mut faults);
-    match Catalog::build(&document, revision) {
+    let built = Catalog::build(&document, revision);
+    if let Err(found) = &built {
+        let known: HashSet<String> = faults.iter().map(|f| f.path.clone()).collect();
+        let new = found.0.iter().filter(|f| !known.contains(&f.path));
+        faults.extend(new.map(|f| source.fault_at(&f.path, f.reason.clone())));
+    }
+    faults.sort_by_key(|fault| fault.line);
+    match built {
         Ok(catalog) if faults.is_empty() => Ok((document, catalog)),
-        Ok(_) => Err(Faults(faults)),
-        Err(found) => {
-            let known: HashSet<String> = faults.iter().map(|f| f.path.clone()).collect();
-            let new = found.0.into_iter().filter(|f| !known.contains(&f.path));
-            faults.extend(new.map(|f| source.fault_at(&f.path, f.reason)));
-            Err(Faults(faults))
-        }
+        _ => Err(Faults(faults)),
     }
 }
 
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,7 +2,7 @@
 
 use jsonc_parser::{CollectOptions, ParseOptions, ast};
 use serde::de::DeserializeOwned;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use serde_path_to_error::Segment;
 use std::fmt;
 
@@ -51,8 +51,11 @@
     /// # Errors
     /// One fault, at the line where the text is not JSON.
     pub fn parse(text: &'a str) -> Result<Self, Faults> {
-        jsonc_parser::parse_to_serde_value::<Value>(text, &ParseOptions::default())
-            .map(|value| Self { text, value })
+        jsonc_parser::parse_to_serde_value::<Option<Value>>(text, &ParseOptions::default())
+            .map(|value| Self {
+                text,
+                value: value.unwrap_or_else(|| Value::Object(Map::new())),
+            })
             .map_err(|e| {
                 Faults(vec![Fault {
                     path: "file".into(),
@@ -169,7 +172,7 @@
         (Step::Key(key), Value::Object(map)) => map.remove(key).is_some(),
         // An array keeps its length, so that later paths still name the right item.
         (Step::Index(index), Value::Array(items)) if !items[*index].is_object() => {
-            items[*index] = Value::Object(serde_json::Map::new());
+            items[*index] = Value::Object(Map::new());
             true
         }
         _ => false,
--- /dev/null
+++ b/crates/ctl/src/ask.rs
@@ -0,0 +1,51 @@
+//! Questions to controllers.
+
+use passway_controller::audit::AuditEntry;
+use passway_controller::status::NodeStatus;
+use passway_types::prelude::*;
+use passway_wire::message::{Hello, Query, Role};
+use passway_wire::{Body, Link};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+
+/// Longest time for a controller to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The status of each controller, `None` for one that does not answer.
+pub fn statuses(controllers: &[SocketAddr]) -> Vec<(SocketAddr, Option<NodeStatus>)> {
+    controllers
+        .iter()
+        .map(|address| (*address, ask(*address, "status")))
+        .collect()
+}
+
+/// The decisions of all controllers that answer, oldest first.
+pub fn audit(controllers: &[SocketAddr]) -> Vec<AuditEntry> {
+    let answers = controllers
+        .iter()
+        .filter_map(|address| ask::<Vec<AuditEntry>>(*address, "audit"));
+    let mut entries: Vec<AuditEntry> = answers.flatten().collect();
+    entries.sort_by_key(|entry| entry.at_unix_ms);
+    entries
+}
+
+fn ask<T: DeserializeOwned>(address: SocketAddr, what: &str) -> Option<T> {
+    let (link, mut reader) = Link::connect(address, TIMEOUT).ok()?;
+    reader.set_timeout(TIMEOUT).ok()?;
+    link.send(Body::Hello(Hello {
+        role: Role::Operator.into(),
+        ..Default::default()
+    }))
+    .ok()?;
+    link.send(Body::Query(Query {
+        what: what.to_owned(),
+    }))
+    .ok()?;
+    while let Ok(Some(body)) = reader.receive() {
+        if let Body::QueryAnswer(answer) = body {
+            link.close();
+            return serde_json::from_str(&answer.json).ok();
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/ctl/src/commands/audit.rs
@@ -0,0 +1,57 @@
+//! `passwayctl audit`: who changed what and when, and what was decided.
+
+use super::history::latest;
+use super::print_json;
+use crate::cli::{Common, ExitCode};
+use crate::store::ConfigStore;
+use crate::{ask, table};
+use anyhow::Result;
+use passway_controller::audit::AuditEntry;
+
+pub(crate) fn run(common: &Common, store: &ConfigStore) -> Result<ExitCode> {
+    let mut entries = ask::audit(&common.controllers);
+    for stored in latest(store)? {
+        entries.push(AuditEntry {
+            at_unix_ms: stored.applied_at_unix_s * 1_000,
+            instance: stored.author,
+            cell: String::new(),
+            event: "configured".into(),
+            number: stored.revision,
+            model: String::new(),
+            upstream: String::new(),
+            reason: stored.changes.join("; "),
+        });
+    }
+    entries.sort_by_key(|entry| entry.at_unix_ms);
+    print_entries(common, &entries);
+    Ok(ExitCode::Done)
+}
+
+/// Prints entries as a table or as JSON.
+pub(crate) fn print_entries(common: &Common, entries: &[AuditEntry]) {
+    if common.json {
+        print_json(&entries);
+        return;
+    }
+    let rows = entries.iter().map(|entry| {
+        vec![
+            entry.at_unix_ms.to_string(),
+            entry.instance.clone(),
+            entry.event.clone(),
+            entry.number.to_string(),
+            entry.model.clone(),
+            entry.upstream.clone(),
+            entry.reason.clone(),
+        ]
+    });
+    let header = [
+        "AT (UNIX MS)",
+        "BY",
+        "EVENT",
+        "NUMBER",
+        "MODEL",
+        "UPSTREAM",
+        "REASON",
+    ];
+    table::print(&header, &rows.collect::<Vec<_>>());
+}
--- /dev/null
+++ b/crates/ctl/src/commands/explain.rs
@@ -0,0 +1,41 @@
+//! `passwayctl explain`: why is a model loaded, or not.
+
+use super::audit::print_entries;
+use crate::ask;
+use crate::cli::{Common, ExitCode};
+use passway_controller::audit::AuditEntry;
+
+pub(crate) fn run(common: &Common, model: &str) -> ExitCode {
+    let statuses = ask::statuses(&common.controllers);
+    let known: Vec<_> = statuses
+        .iter()
+        .filter_map(|(_, status)| status.as_ref())
+        .collect();
+    if known.is_empty() {
+        println!("no controller answers");
+        return ExitCode::Unreachable;
+    }
+    let cells = known.iter().flat_map(|status| &status.cells);
+    let placements = cells
+        .flat_map(|cell| &cell.placements)
+        .filter(|p| p.model == model);
+    let placements: Vec<_> = placements.collect();
+    let entries: Vec<AuditEntry> = ask::audit(&common.controllers)
+        .into_iter()
+        .filter(|e| e.model == model)
+        .collect();
+    if !common.json {
+        if placements.is_empty() {
+            println!("{model} is not placed");
+        }
+        for placement in placements {
+            println!(
+                "{model} is on {} as placement {}: {}, for group {}",
+                placement.upstream, placement.id, placement.state, placement.group
+            );
+        }
+        println!();
+    }
+    print_entries(common, &entries);
+    ExitCode::Done
+}
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -243,19 +243,24 @@
         actions
     }
 
-    fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<(ModelName, Waiting), Refusal> {
+    /// Whether this instance takes new work at all.
+    ///
+    /// # Errors
+    /// The refusal that any new request gets.
+    pub fn check_serving(&self) -> Result<(), Refusal> {
         if self.draining {
-            return Err(
-                Refusal::new(ResultCode::Draining, "this instance is leaving")
-                    .retry_after(Duration::ZERO),
-            );
+            let refusal = Refusal::new(ResultCode::Draining, "this instance is leaving");
+            return Err(refusal.retry_after(Duration::ZERO));
         }
         if self.stale {
-            return Err(
-                Refusal::new(ResultCode::ConfigStale, "no word of the configuration")
-                    .retry_after(BUSY_RETRY),
-            );
+            let refusal = Refusal::new(ResultCode::ConfigStale, "no word of the configuration");
+            return Err(refusal.retry_after(BUSY_RETRY));
         }
+        Ok(())
+    }
+
+    fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<(ModelName, Waiting), Refusal> {
+        self.check_serving()?;
         let unknown = || Refusal::new(ResultCode::UnknownModel, arrival.model.clone());
         let model = self
             .catalog
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -44,9 +44,7 @@
 /// # Errors
 /// The refusal that is the call's final answer.
 pub fn handle(shared: &Arc<Shared>, request: &Request) -> Result<Response, Refusal> {
-    if shared.is_leaving() {
-        log::debug!("a call came while leaving");
-    }
+    shared.core().check_serving()?;
     let meta = http::meta(shared, request)?;
     let path = request
         .head
--- /dev/null
+++ b/crates/standins/src/bin/passway-standins.rs
@@ -0,0 +1,79 @@
+//! The stand-ins of a configuration file as one process of its own.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use passway_config::catalog;
+use passway_config::document::Fencing;
+use passway_platform::instance_list::ListedInstance;
+use passway_standins::engine::{Engine, EngineTraits};
+use passway_standins::instance_list::LaggingList;
+use passway_standins::key_value::MemoryKeyValue;
+use passway_standins::service::PlainService;
+use passway_standins::weight_store::{Pace, WeightStore};
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Starts a key-value service, an instance list, and every upstream and plain
+/// service that the configuration names, on the addresses that it names.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// The configuration file.
+    #[arg(long)]
+    config: PathBuf,
+    /// Where the key-value service listens.
+    #[arg(long, default_value = "127.0.0.1:9000")]
+    key_value: SocketAddr,
+    /// Where the instance list listens.
+    #[arg(long, default_value = "127.0.0.1:9001")]
+    instance_list: SocketAddr,
+    /// Entry instances that are listed, `entry0` and so on.
+    #[arg(long, default_value_t = 6)]
+    instances: usize,
+    /// Time from one token to the next, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    token_ms: u64,
+    /// Time after which the instance list shows a change, in milliseconds.
+    #[arg(long, default_value_t = 2_000)]
+    list_lag_ms: u64,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    passway_process::logging::start("passway-standins", "warn")?;
+    let path = &arguments.config;
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let (_, catalog) = catalog::parse(&text, 0).with_context(|| path.display().to_string())?;
+    let signals = passway_process::signals::termination()?;
+    let store = WeightStore::new(Pace::default());
+    for upstream in catalog.upstreams.values() {
+        let traits = EngineTraits {
+            memory_bytes: upstream.memory_bytes,
+            slots: upstream.slots,
+            checks_fencing: upstream.fencing != Fencing::Ignores,
+            token_time: Duration::from_millis(arguments.token_ms),
+        };
+        Engine::new(traits, store.clone()).serve(upstream.address);
+    }
+    for service in catalog.services.values() {
+        let stand_in = PlainService::new();
+        for address in &service.addresses {
+            stand_in.serve(*address);
+        }
+    }
+    MemoryKeyValue::new().serve(arguments.key_value);
+    let instances = (0..arguments.instances).map(|number| format!("entry{number}").into());
+    let ids = catalog.upstreams.keys().cloned().chain(instances);
+    let listed = ids
+        .map(|id| ListedInstance { id, leaving: false })
+        .collect();
+    LaggingList::new(Duration::from_millis(arguments.list_lag_ms), listed)
+        .serve(arguments.instance_list);
+    println!(
+        "{} engines and {} plain services",
+        catalog.upstreams.len(),
+        catalog.services.len()
+    );
+    signals.recv().context("waiting for a signal")
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,4 +5,6 @@
 mod cell_faults;
 mod cell_scenarios;
 mod cell_world;
+mod config_checks;
+mod policy_rules;
 mod support;
--- /dev/null
+++ b/tests/all/policy_rules.rs
@@ -0,0 +1,58 @@
+//! Policy programs: the first rule that holds and sets an attribute decides it.
+
+use passway_config::document::PolicyEntry;
+use passway_config::policy::{Attributes, MAX_NODES, Policy};
+use std::time::Duration;
+
+fn rule(when: &str, priority: Option<u32>, may_wait_ms: Option<u64>) -> PolicyEntry {
+    PolicyEntry {
+        when: when.into(),
+        priority,
+        may_wait_ms,
+        ..PolicyEntry::default()
+    }
+}
+
+fn attributes<'a>(group: &'a str, kind: &'a str) -> Attributes<'a> {
+    Attributes {
+        group,
+        model: "m@1",
+        kind,
+        priority: 100,
+    }
+}
+
+#[test]
+fn first_rule_decides() {
+    let rules = [
+        rule("kind == 'rush'", Some(1), None),
+        rule("group == 'drivers'", Some(5), Some(200)),
+        rule("true", Some(9), None),
+    ];
+    let policy = Policy::compile(&rules).expect("compiles");
+    assert_eq!(
+        policy.rule(&attributes("drivers", "rush")).priority,
+        Some(1)
+    );
+    let may_wait = policy.rule(&attributes("drivers", "rush")).may_wait;
+    assert_eq!(may_wait, Some(Duration::from_millis(200)));
+    assert_eq!(policy.rule(&attributes("drivers", "")).priority, Some(5));
+    assert_eq!(policy.rule(&attributes("accounts", "")).priority, Some(9));
+}
+
+#[test]
+fn cost_is_bounded() {
+    let long = vec!["group == 'a'"; MAX_NODES].join(" || ");
+    let faults = Policy::compile(&[rule(&long, Some(1), None)]).expect_err("too long");
+    assert!(
+        faults[0].reason.contains("the limit is"),
+        "{}",
+        faults[0].reason
+    );
+}
+
+#[test]
+fn wrong_type_fails() {
+    let policy = Policy::compile(&[rule("group + 1 == 2", Some(1), None)]).expect("compiles");
+    assert_eq!(policy.rule(&attributes("a", "")).priority, None);
+}
