--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -22,6 +22,7 @@
                 faults.push(source.fault_at(path, reason));
             }
         }
+        faults.sort_by_key(|fault| fault.line);
         if faults.is_empty() {
             Ok(settings)
         } else {
