--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -419,7 +419,7 @@
                 },
             },
             Role::Active(term) => {
-                let is_deposed = term.plan_read(version, found).is_err();
+                let is_deposed = term.plan_read(now, version, found).is_err();
                 if is_deposed {
                     self.stand_down(now, actions);
                 }
@@ -473,7 +473,7 @@
                     self.begin_term(now, change.confirm(version), actions);
                 }
             }
-            Role::Active(term) => term.write_done(version),
+            Role::Active(term) => term.write_done(now, version),
             _ => {}
         }
     }
--- a/crates/decide/src/cell/placing.rs
+++ b/crates/decide/src/cell/placing.rs
@@ -216,7 +216,7 @@
     let best = choices.min_by(|a, b| a.cost.total_cmp(&b.cost));
     let Some(best) = best else { return false };
     for id in best.placements {
-        term.begin_unload(now, catalog, id, "makes room", actions);
+        term.begin_unload(catalog, id, "makes room", actions);
     }
     term.making_room.insert(model.name.clone(), best.upstream);
     true
@@ -361,7 +361,7 @@
         } else {
             continue;
         };
-        term.begin_unload(now, catalog, placement.id, reason, actions);
+        term.begin_unload(catalog, placement.id, reason, actions);
     }
 }
 
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -194,10 +194,27 @@
         self.renew_at += READ_RETRY;
     }
 
-    pub(super) fn write_done(&mut self, version: Version) {
+    pub(super) fn write_done(&mut self, now: Instant, version: Version) {
         if let Some(change) = self.in_flight.take() {
-            self.committed = change.confirm(version);
-            self.write_began_at = None;
+            self.commit(now, change.confirm(version));
+        }
+    }
+
+    /// Takes over a plan that is known to be written. Routes to what is leaving
+    /// are taken back now and not when that was decided: in an outage the
+    /// decision may stay unwritten for long, and the model goes on serving.
+    fn commit(&mut self, now: Instant, committed: CommittedPlan) {
+        self.committed = committed;
+        self.write_began_at = None;
+        let leaving = self.committed.plan().placements();
+        for placement in leaving.filter(|p| p.state == PlacementState::Leaving) {
+            let unknown = Progress {
+                stage: Stage::Unknown,
+                since: now,
+                withdrawn_at: None,
+            };
+            let progress = self.progress.entry(placement.id).or_insert(unknown);
+            progress.withdrawn_at.get_or_insert(now);
         }
     }
 
@@ -212,15 +229,19 @@
     /// Learns from a read what became of the change in flight.
     ///
     /// Returns an error if another holder has begun a later term.
-    pub(super) fn plan_read(&mut self, version: Version, found: Option<Plan>) -> Result<(), ()> {
+    pub(super) fn plan_read(
+        &mut self,
+        now: Instant,
+        version: Version,
+        found: Option<Plan>,
+    ) -> Result<(), ()> {
         use super::write::Resolution;
         let Some(change) = self.in_flight.take() else {
             return Ok(());
         };
         match change.resolve(version, found) {
             Resolution::Committed(committed) => {
-                self.committed = committed;
-                self.write_began_at = None;
+                self.commit(now, committed);
                 Ok(())
             }
             // Our own term stands in the service, so anything else is a later term
@@ -490,7 +511,7 @@
                 .get(id)
                 .is_some_and(|view| view.reachable && !view.leaving)
         };
-        self.draft
+        self.plan()
             .placements()
             .filter(|p| p.state == PlacementState::Held && self.stage(p.id) == Stage::Ready)
             .filter(|p| serves(&p.upstream))
@@ -498,10 +519,9 @@
             .collect()
     }
 
-    /// Decides that a placement is to leave and takes its routes back.
+    /// Decides that a placement is to leave.
     pub(super) fn begin_unload(
         &mut self,
-        now: Instant,
         catalog: &Catalog,
         id: PlacementId,
         reason: &'static str,
@@ -510,13 +530,6 @@
         if self.draft.begin_unload(catalog, id).is_err() {
             return false;
         }
-        let progress = self.progress.entry(id);
-        let progress = progress.or_insert(Progress {
-            stage: Stage::Unknown,
-            since: now,
-            withdrawn_at: None,
-        });
-        progress.withdrawn_at = Some(now);
         if let Some(placement) = self.draft.placement(id) {
             actions.push(Action::Audit(Decision::Unloading {
                 placement: id,
--- a/crates/decide/src/estimate.rs
+++ b/crates/decide/src/estimate.rs
@@ -4,8 +4,15 @@
 use passway_types::prelude::*;
 use std::collections::HashMap;
 
-/// Weight of the newest observation in the moving average.
-const NEWEST_WEIGHT: f64 = 0.4;
+/// Weight of the newest observation in the moving average. High, because the
+/// store slows down and recovers as a whole: the newest load tells most.
+const NEWEST_WEIGHT: f64 = 0.6;
+/// A load in progress is overdue past this many times the average.
+const OVERDUE: f64 = 1.25;
+/// The end of a load is learned this much late; not yet a sign of a slow store.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// An overdue load is expected to take this many times what it took so far.
+const OVERDUE_STRETCH: f64 = 2.0;
 /// Pace assumed for a checkpoint on disk against one in the weight store.
 const DISK_SPEEDUP: f64 = 4.0;
 /// Pace assumed for a checkpoint in memory against one in the weight store.
@@ -23,8 +30,8 @@
 
 /// A moving average of seconds per byte for each tier.
 ///
-/// A load that has already taken longer than the average raises the estimate
-/// before it ends, so a slow weight store shows within the time of one load.
+/// An overdue load raises the estimate before it ends, so a slow weight store
+/// shows within the time of one load.
 #[derive(Debug)]
 pub struct LoadEstimator {
     seconds_per_byte: HashMap<Tier, f64>,
@@ -88,14 +95,26 @@
         Some(whole.saturating_sub(now.saturating_duration_since(load.started_at)))
     }
 
-    /// The average, or the pace of the slowest load in progress if that is worse.
+    /// The average, or more if a load in progress is overdue: nothing tells how
+    /// long it will still take but that it has taken so long already, so it is
+    /// expected to take as long again.
     fn current_pace(&self, now: Instant, tier: Tier) -> f64 {
         let average = self.seconds_per_byte.get(&tier).copied().unwrap_or(0.0);
         let running = self.running.values().filter(|load| load.tier == tier);
-        running.map(|load| pace(now, load)).fold(average, f64::max)
+        let overdue = running.filter(|load| is_overdue(now, load, average));
+        overdue
+            .map(|load| pace(now, load) * OVERDUE_STRETCH)
+            .fold(average, f64::max)
     }
 }
 
+fn is_overdue(now: Instant, load: &Running, average: f64) -> bool {
+    #[expect(clippy::cast_precision_loss, reason = "an estimate needs no 53 bits")]
+    let expected = Duration::from_secs_f64(average * load.size_bytes as f64);
+    let so_far = now.saturating_duration_since(load.started_at);
+    so_far > expected.mul_f64(OVERDUE) + REPORT_LAG
+}
+
 fn pace(now: Instant, load: &Running) -> f64 {
     let elapsed = now.saturating_duration_since(load.started_at);
     #[expect(clippy::cast_precision_loss, reason = "an estimate needs no 53 bits")]
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -298,6 +298,7 @@
             deadline_at,
             give_up_at: may_wait_until.map_or(deadline_at, |at| at.min(deadline_at)),
             max_running: ruling.max_running,
+            may_have_run: false,
         };
         self.check_reachable(now, &model, &waiting)?;
         Ok((model, waiting))
@@ -512,25 +513,23 @@
     fn retry(
         &mut self,
         now: Instant,
-        running: Running,
+        mut running: Running,
         ended: Ended,
         actions: &mut Vec<RouterAction>,
     ) {
         self.shares
             .charge(&running.waiting.group, -i64::from(ASSUMED_TOKENS));
+        running.waiting.may_have_run |= ended == Ended::Failed;
         let in_time = now + ANSWER_MARGIN < running.waiting.give_up_at;
         if in_time && self.budget.take() {
             self.enqueue(running.model, running.waiting);
             return;
         }
-        let code = match ended {
-            Ended::Failed => ResultCode::UpstreamFailed,
-            _ => ResultCode::NotStarted,
-        };
-        let refusal = Refusal::new(code, "retries are spent").retry_after(BUSY_RETRY);
+        let refusal = Refusal::new(ResultCode::NotStarted, "retries are spent");
+        let refusal = refusal.retry_after(BUSY_RETRY);
         actions.push(RouterAction::Refuse {
             request: running.waiting.request,
-            refusal,
+            refusal: running.waiting.final_answer(refusal),
         });
     }
 
@@ -644,10 +643,10 @@
         };
         for place in queue.places(matches) {
             if let Some(waiting) = self.dequeue(model, &place) {
-                let request = waiting.request;
+                let refusal = waiting.final_answer(refusal.clone());
                 actions.push(RouterAction::Refuse {
-                    request,
-                    refusal: refusal.clone(),
+                    request: waiting.request,
+                    refusal,
                 });
             }
         }
--- a/crates/decide/src/router/queue.rs
+++ b/crates/decide/src/router/queue.rs
@@ -21,6 +21,29 @@
     pub give_up_at: Instant,
     /// Most requests of the group that run at one time.
     pub max_running: Option<u32>,
+    /// Whether an earlier attempt may have reached an upstream.
+    pub may_have_run: bool,
+}
+
+impl Waiting {
+    /// The final answer when the request is given up for the reason of `refusal`.
+    ///
+    /// A reason that says "not run" speaks of the last attempt alone; if an
+    /// earlier one may have reached an upstream, the answer must say "unknown".
+    pub fn final_answer(&self, refusal: Refusal) -> Refusal {
+        if !self.may_have_run || refusal.code.ran() != Ran::NotRun {
+            return refusal;
+        }
+        let detail = format!(
+            "an attempt failed; then {}: {}",
+            refusal.code, refusal.detail
+        );
+        Refusal {
+            code: ResultCode::UpstreamFailed,
+            detail,
+            ..refusal
+        }
+    }
 }
 
 /// Order within one group: policy's priority, asked priority, deadline, arrival.
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -10,6 +10,7 @@
 use passway_platform::http::{CallError, agent, classify};
 use passway_types::prelude::*;
 use serde_json::Value;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Header that tells an engine the time until the deadline.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -41,6 +42,7 @@
     arrived_at: Instant,
     give_up_at: Instant,
     is_streamed: bool,
+    was_attempted: AtomicBool,
     caller: Caller,
     _guard: InProgress,
 }
@@ -87,6 +89,7 @@
             .deadline_at
             .unwrap_or(arrived_at + shared.limits.max_deadline),
         is_streamed,
+        was_attempted: AtomicBool::new(false),
         caller: request.caller.clone(),
         _guard: guard,
     };
@@ -154,6 +157,7 @@
                     self.shared.metrics.waited(self.arrived_at.elapsed());
                 }
                 self.shared.metrics.attempt();
+                self.was_attempted.store(true, Ordering::Relaxed);
                 let attempt = self.attempt(&upstream, &model, deadline_at, priority, resume_at);
                 Ok((attempt, deadline_at))
             }
@@ -171,8 +175,13 @@
                 return Err(Refusal::new(ResultCode::CallerGone, "the caller went away"));
             }
             if Instant::now() >= last_resort {
-                let detail = "nothing was decided in time";
-                return Err(Refusal::new(ResultCode::DeadlinePassed, detail));
+                let attempted = self.was_attempted.load(Ordering::Relaxed);
+                let code = if attempted {
+                    ResultCode::AnswerLate
+                } else {
+                    ResultCode::DeadlinePassed
+                };
+                return Err(Refusal::new(code, "nothing was decided in time"));
             }
         }
     }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -7,7 +7,8 @@
 use crate::weight_store::{Pace, WeightStore};
 use anyhow::{Context, Result};
 use passway_config::document::{
-    AdapterEntry, Document, Fencing, GroupEntry, ModelEntry, ServiceEntry, UpstreamEntry,
+    AdapterEntry, Document, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry,
+    ServiceEntry, UpstreamEntry,
 };
 use passway_config::revision::{CURRENT_KEY, StoredRevision};
 use passway_config::settings::{ControllerSettings, RouterSettings};
@@ -56,6 +57,8 @@
     pub list_lag: Duration,
     /// Time that a cell's lease lasts, in milliseconds.
     pub lease_ms: u64,
+    /// How long idle replicas are kept.
+    pub keep: KeepEntry,
 }
 
 impl Default for WorldPlan {
@@ -75,6 +78,10 @@
             pace: Pace::default(),
             list_lag: Duration::from_secs(2),
             lease_ms: 2_000,
+            keep: KeepEntry {
+                policy: KeepPolicyName::Fixed,
+                ..KeepEntry::default()
+            },
         }
     }
 }
@@ -338,6 +345,7 @@
         groups: groups.into(),
         models: models.collect(),
         adapters: adapters.collect(),
+        keep: plan.keep.clone(),
         ..Document::default()
     }
 }
--- a/tests/all/cell_faults.rs
+++ b/tests/all/cell_faults.rs
@@ -3,6 +3,7 @@
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
 use crate::cell_world::{CellWorld, Chances};
+use crate::support::from_environment;
 use passway_config::Document;
 use passway_config::document::{
     AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
@@ -16,13 +17,6 @@
 const MODELS: usize = 5;
 const CALM: Duration = Duration::from_secs(30);
 
-fn from_environment(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
 /// Three engines with room for two models and a bit each, five models, two adapters.
 fn document(rng: &mut ChaCha8Rng) -> Document {
     let upstreams = (0..3).map(|number| UpstreamEntry {
--- a/tests/all/cell_scenarios.rs
+++ b/tests/all/cell_scenarios.rs
@@ -10,6 +10,7 @@
 //! * `store state=up|down`
 //! * `chance what=lose_write_answer|delay_write|lose_order_answer|delay_order|hold_order percent=N`
 //! * `engine restart=N`
+//! * `load ms=N`: how long loads take from now on
 //! * `show`: the leader, the plan, what engines hold, broken promises, last verdicts
 
 use crate::cell_world::{CellWorld, Chances};
@@ -18,6 +19,7 @@
 use passway_config::document::{
     AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
 };
+use passway_decide::messages::DemandVerdict;
 use passway_types::prelude::*;
 use std::fmt::Write;
 
@@ -68,6 +70,7 @@
             world.store.down = state == "down";
         }
         "chance" => chance(&mut world.chances, case)?,
+        "load" => world.load_time = Duration::from_millis(case.take_arg("ms")?),
         "engine" => world.restart_engine(case.take_arg("restart")?),
         "show" => return Ok(show(world)),
         other => panic!("unknown command {other}"),
@@ -178,9 +181,27 @@
         let loads: u32 = engine.loads.values().sum();
         writeln!(out, "engine{number} holds {held:?} after {loads} loads").expect("string");
     }
+    if let Some(node) = world
+        .nodes
+        .iter()
+        .find(|n| n.controller.as_ref().is_some_and(|c| c.term().is_some()))
+    {
+        let routed: Vec<String> = node
+            .routes
+            .iter()
+            .map(|(m, u)| format!("{m} on {u}"))
+            .collect();
+        writeln!(out, "routed: {routed:?}").expect("string");
+    }
     for node in &mut world.nodes {
-        for verdict in node.verdicts.drain(..) {
-            writeln!(out, "told: {verdict}").expect("string");
+        for (at, model, verdict) in node.verdicts.drain(..) {
+            let text = match verdict {
+                DemandVerdict::ReadyAt(ready_at) => {
+                    format!("ready in {} ms", (ready_at - at).as_millis())
+                }
+                DemandVerdict::Refused { code, .. } => code.to_string(),
+            };
+            writeln!(out, "told: {model}: {text}").expect("string");
         }
     }
     for violation in world.violations.drain(..) {
--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -7,7 +7,8 @@
 use passway_config::{Catalog, Document};
 use passway_decide::cell::{Action, CellController, CellLimits, Event};
 use passway_decide::messages::{
-    Demand, LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, RouteChange, UpstreamStatus,
+    Demand, DemandVerdict, LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, RouteChange,
+    UpstreamStatus,
 };
 use passway_decide::plan::{Holder, Plan};
 use passway_types::prelude::*;
@@ -70,7 +71,7 @@
     pub paused_until: Option<Instant>,
     in_hand: Vec<Epoch>,
     pub routes: BTreeSet<(ModelName, UpstreamId)>,
-    pub verdicts: Vec<String>,
+    pub verdicts: Vec<(Instant, ModelName, DemandVerdict)>,
 }
 
 #[derive(Debug)]
@@ -401,15 +402,8 @@
             }
             Action::Publish(change) => self.publish(node, &change),
             Action::AnswerDemand { model, verdict, .. } => {
-                let verdict = match verdict {
-                    passway_decide::messages::DemandVerdict::ReadyAt(_) => "ready soon".to_owned(),
-                    passway_decide::messages::DemandVerdict::Refused { code, .. } => {
-                        code.to_string()
-                    }
-                };
-                self.nodes[node]
-                    .verdicts
-                    .push(format!("{model}: {verdict}"));
+                let at = self.now;
+                self.nodes[node].verdicts.push((at, model, verdict));
             }
             Action::Audit(_) => {}
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,4 +7,8 @@
 mod cell_world;
 mod config_checks;
 mod policy_rules;
+mod process_kills;
+mod processes;
+mod router_faults;
+mod slow_store;
 mod support;
--- /dev/null
+++ b/tests/all/processes.rs
@@ -0,0 +1,221 @@
+//! The shipped programs as processes in front of stand-ins in the test's own process.
+
+use passway_standins::load::{Call, Sample, call};
+use passway_standins::world::{World, data_hall, instance_id};
+use passway_types::prelude::*;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread::JoinHandle;
+
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const READY_STEP: Duration = Duration::from_millis(30);
+
+/// One program that runs; it is ended with the test.
+pub struct Program {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Program {
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("signal");
+    }
+
+    /// Waits for the program's end and returns its exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.wait().expect("wait").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Routers and controllers of a world's instances.
+pub struct Processes {
+    pub controllers: Vec<Program>,
+    pub routers: Vec<Program>,
+    controller_addresses: Vec<SocketAddr>,
+    folder: PathBuf,
+    key_value: SocketAddr,
+    instance_list: SocketAddr,
+    lease_ms: u64,
+}
+
+/// A port that the kernel chose, on a loopback address that this test alone uses,
+/// so that nobody takes the port between here and the program's start.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [high, low] = [
+        std::process::id() / 250 % 250 + 1,
+        std::process::id() % 250 + 1,
+    ];
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    let ip = format!("127.{high}.{low}.{last}:0");
+    let listener = TcpListener::bind(ip).expect("bind");
+    listener.local_addr().expect("address")
+}
+
+impl Processes {
+    /// Starts every instance of the world and waits until the routers serve.
+    pub fn start(world: &World) -> Self {
+        static FOLDERS: AtomicU8 = AtomicU8::new(0);
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("passway-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("folder");
+        let count = world.plan.instances;
+        let mut processes = Self {
+            controllers: Vec::new(),
+            routers: Vec::new(),
+            controller_addresses: (0..count).map(|_| free_address()).collect(),
+            folder,
+            key_value: world.key_value_address,
+            instance_list: world.list_address,
+            lease_ms: world.plan.lease_ms,
+        };
+        for number in 0..count {
+            let controller = processes.start_controller(number);
+            processes.controllers.push(controller);
+        }
+        for number in 0..count {
+            let router = processes.start_router(number);
+            processes.routers.push(router);
+        }
+        for router in &processes.routers {
+            wait_until_serving(router.address);
+        }
+        processes
+    }
+
+    fn start_controller(&self, number: usize) -> Program {
+        let address = self.controller_addresses[number];
+        let peers = self
+            .controller_addresses
+            .iter()
+            .filter(|peer| **peer != address);
+        let settings = json!({
+            "instance": instance_id(number),
+            "data_hall": data_hall(number),
+            "listen": address,
+            "peers": peers.collect::<Vec<_>>(),
+            "key_value": self.key_value,
+            "instance_list": self.instance_list,
+            "lease_ms": self.lease_ms,
+            "order_settle_ms": 3_000,
+        });
+        let program = env!("CARGO_BIN_EXE_passway-controller");
+        self.spawn(program, &format!("controller{number}"), &settings, address)
+    }
+
+    /// Starts an instance's router, again if need be.
+    pub fn start_router(&self, number: usize) -> Program {
+        let address = free_address();
+        let own_first = self.controller_addresses.iter().cycle().skip(number);
+        let controllers = own_first.take(self.controller_addresses.len());
+        let settings = json!({
+            "instance": instance_id(number),
+            "data_hall": data_hall(number),
+            "listen": address,
+            "controllers": controllers.collect::<Vec<_>>(),
+            "key_value": self.key_value,
+        });
+        let program = env!("CARGO_BIN_EXE_passway-router");
+        self.spawn(program, &format!("router{number}"), &settings, address)
+    }
+
+    fn spawn(
+        &self,
+        program: &str,
+        name: &str,
+        settings: &serde_json::Value,
+        address: SocketAddr,
+    ) -> Program {
+        let path = self.folder.join(format!("{name}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("settings");
+        let log = std::fs::File::create(self.folder.join(format!("{name}.log"))).expect("log");
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(&path)
+            .stderr(log)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("spawn");
+        Program { child, address }
+    }
+
+    /// The instance whose controller leads, by its log.
+    pub fn leader(&self) -> usize {
+        let limit_at = Instant::now() + READY_LIMIT;
+        loop {
+            let epochs = (0..self.controllers.len()).map(|number| {
+                let path = self.folder.join(format!("controller{number}.log"));
+                let log = std::fs::read_to_string(path).unwrap_or_default();
+                let taken = log.lines().filter(|line| line.contains("event=took_over"));
+                let epochs = taken.filter_map(|line| {
+                    line.split("number=")
+                        .nth(1)?
+                        .split(' ')
+                        .next()?
+                        .parse::<u64>()
+                        .ok()
+                });
+                (epochs.max(), number)
+            });
+            if let Some((Some(_), number)) = epochs.max() {
+                return number;
+            }
+            assert!(Instant::now() < limit_at, "nobody leads");
+            std::thread::sleep(READY_STEP);
+        }
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        // Left behind it only wastes room.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a router's health check says that it serves.
+pub fn wait_until_serving(address: SocketAddr) {
+    let limit_at = Instant::now() + READY_LIMIT;
+    while health(address) != Some(200) {
+        assert!(Instant::now() < limit_at, "{address} does not serve");
+        std::thread::sleep(READY_STEP);
+    }
+}
+
+/// The status of a router's health check; `None` if it takes no connection.
+pub fn health(address: SocketAddr) -> Option<u16> {
+    TcpStream::connect(address).ok()?;
+    let answer = ureq::get(format!("http://{address}/health"))
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .call();
+    answer.ok().map(|answer| answer.status().as_u16())
+}
+
+/// A request that is made in a thread of its own.
+pub fn ask(router: SocketAddr, model: &str, number: usize, tokens: u32) -> JoinHandle<Sample> {
+    let one = Call {
+        router,
+        model: model.into(),
+        group: "default".into(),
+        prompt: format!("question {number}"),
+        tokens,
+        stream: number.is_multiple_of(2),
+        deadline: Duration::from_secs(20),
+    };
+    std::thread::spawn(move || call(&one))
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -42,3 +42,11 @@
         .map(|caller| caller.join().expect("a caller panicked"))
         .collect()
 }
+
+/// A number from an environment variable.
+pub fn from_environment(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
