--- a/crates/standins/src/key_value.rs
+++ b/crates/standins/src/key_value.rs
@@ -17,6 +17,8 @@
 pub struct Faults {
     /// Answers nothing.
     pub down: bool,
+    /// This many writes are answered before answers are lost.
+    pub answer_first: u32,
     /// Takes effect, but the answer is lost, for this many writes.
     pub lose_answers: u32,
     /// Answers this much later.
@@ -230,7 +232,9 @@
     ) -> Result<PutOutcome, Unavailable> {
         let mut state = self.begin(true)?;
         let outcome = state.put(key, expected, value, lease);
-        if state.faults.lose_answers > 0 {
+        if state.faults.answer_first > 0 {
+            state.faults.answer_first -= 1;
+        } else if state.faults.lose_answers > 0 {
             state.faults.lose_answers -= 1;
             return Err(Unavailable);
         }
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -5,6 +5,7 @@
 use passway_types::prelude::*;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
+use std::collections::HashSet;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -132,6 +133,51 @@
         self.spawn(program, &format!("router{number}"), &settings, address)
     }
 
+    /// Kills a controller and starts it anew at its address.
+    pub fn restart_controller(&mut self, number: usize) {
+        self.controllers[number].signal(Signal::KILL);
+        self.controllers[number].exit_code();
+        self.controllers[number] = self.start_controller(number);
+    }
+
+    /// Kills a router and starts it anew.
+    pub fn restart_router(&mut self, number: usize) {
+        self.routers[number].signal(Signal::KILL);
+        self.routers[number].exit_code();
+        self.routers[number] = self.start_router(number);
+        wait_until_serving(self.routers[number].address);
+    }
+
+    /// Waits until every controller, and `routers` routers, report a revision.
+    pub fn wait_for_revision(&self, revision: Revision, routers: usize) {
+        let limit_at = Instant::now() + READY_LIMIT;
+        loop {
+            let statuses = passway_ctl::ask::statuses(&self.controller_addresses);
+            let known: Vec<_> = statuses
+                .iter()
+                .filter_map(|(_, status)| status.as_ref())
+                .collect();
+            let everywhere = known.len() == self.controller_addresses.len()
+                && known
+                    .iter()
+                    .all(|status| status.config_revision >= revision);
+            let at_revision: HashSet<&str> = known
+                .iter()
+                .flat_map(|status| &status.routers)
+                .filter(|router| router.config_revision >= revision)
+                .map(|router| router.instance.as_str())
+                .collect();
+            if everywhere && at_revision.len() >= routers {
+                return;
+            }
+            assert!(
+                Instant::now() < limit_at,
+                "not in force everywhere: {known:?}"
+            );
+            std::thread::sleep(READY_STEP);
+        }
+    }
+
     fn spawn(
         &self,
         program: &str,
