--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -7,7 +7,8 @@
 
 use crate::document::PolicyEntry;
 use cel::common::ast::Expr;
-use cel::{Context, IdedExpr, Program, Value};
+use cel::{Context, Env, IdedExpr, Program, Value};
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 /// Most nodes in the syntax tree of one condition.
@@ -123,8 +124,11 @@
     }
 }
 
+/// The functions of the language, set up once.
+static LANGUAGE: LazyLock<Arc<Env>> = LazyLock::new(|| Arc::new(Env::stdlib()));
+
 fn context_of<'a>(attributes: &Attributes<'_>) -> Context<'a, 'a> {
-    let mut context = Context::default();
+    let mut context = Context::with_env(LANGUAGE.clone());
     context.add_variable_from_value("group", attributes.group.to_owned());
     context.add_variable_from_value("model", attributes.model.to_owned());
     context.add_variable_from_value("kind", attributes.kind.to_owned());
--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -3,12 +3,71 @@
 use crate::catalog::Catalog;
 use crate::check::Faults;
 use crate::document::Document;
+use anyhow::{Context, Result};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use passway_types::ids::Revision;
 use serde::{Deserialize, Serialize};
+use std::io::{Read, Write};
+use std::sync::Arc;
 
 /// Key of the current revision.
 pub const CURRENT_KEY: &str = "config/current";
 
+/// Largest revision that is decoded, in bytes; guards against a broken value.
+const MAX_DECODED_BYTES: u64 = 64 << 20;
+
+/// Encodes a revision as it is kept and sent: JSON, compressed.
+///
+/// Plain JSON passes the key-value service's limit of a megabyte at the size of
+/// the target; see `docs/CAPACITY.md`.
+///
+/// # Errors
+/// If it cannot be written as JSON.
+pub fn encode(stored: &StoredRevision) -> Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let json = serde_json::to_vec(stored).context("encoding a revision")?;
+    encoder.write_all(&json).context("compressing a revision")?;
+    encoder.finish().context("compressing a revision")
+}
+
+/// Decodes what [`encode`] made.
+///
+/// # Errors
+/// If the bytes are something else.
+pub fn decode(bytes: &[u8]) -> Result<StoredRevision> {
+    let mut json = Vec::new();
+    let decoder = DeflateDecoder::new(bytes);
+    decoder
+        .take(MAX_DECODED_BYTES)
+        .read_to_end(&mut json)
+        .context("decompressing a revision")?;
+    serde_json::from_slice(&json).context("decoding a revision")
+}
+
+/// A revision together with the bytes that it came in, to be passed on as they are.
+#[derive(Debug, Clone)]
+pub struct KeptRevision {
+    /// The revision.
+    pub stored: StoredRevision,
+    /// What [`encode`] made of it.
+    pub encoded: Arc<[u8]>,
+}
+
+impl KeptRevision {
+    /// Decodes bytes and keeps them.
+    ///
+    /// # Errors
+    /// If the bytes are not a revision.
+    pub fn from_bytes(encoded: &[u8]) -> Result<Self> {
+        Ok(Self {
+            stored: decode(encoded)?,
+            encoded: encoded.into(),
+        })
+    }
+}
+
 /// One accepted revision with who made it and when; the audit trail of configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoredRevision {
@@ -38,7 +97,7 @@
     ///
     /// # Errors
     /// Every fault of the document.
-    pub fn catalog(&self) -> Result<Catalog, Faults> {
+    pub fn catalog(&self) -> std::result::Result<Catalog, Faults> {
         Catalog::build(&self.document, self.revision)
     }
 }
--- a/crates/controller/src/config_feed.rs
+++ b/crates/controller/src/config_feed.rs
@@ -6,7 +6,7 @@
 
 use crate::node::Input;
 use crossbeam::channel::Sender;
-use passway_config::revision::{CURRENT_KEY, StoredRevision};
+use passway_config::revision::{CURRENT_KEY, KeptRevision};
 use passway_platform::key_value::KeyValue;
 use passway_types::prelude::*;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,6 +14,10 @@
 /// Pause between two looks at whether a read is due.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for which the service is asked to wait for a change; well below the
+/// time-out of a call.
+const WATCH_WAIT: Duration = Duration::from_millis(600);
+
 /// Tells the reading thread how old the confirmation may become before it reads.
 #[derive(Debug)]
 pub struct ReadPace {
@@ -45,8 +49,9 @@
 /// Starts the reading thread.
 pub(crate) fn start(key_value: Arc<dyn KeyValue>, pace: Arc<ReadPace>, inputs: Sender<Input>) {
     std::thread::spawn(move || {
+        let mut known = 0;
         loop {
-            if pace.is_due() && inputs.send(read(&*key_value)).is_err() {
+            if pace.is_due() && inputs.send(read(&*key_value, &mut known)).is_err() {
                 return;
             }
             std::thread::sleep(LOOK_PAUSE);
@@ -54,19 +59,29 @@
     });
 }
 
-fn read(key_value: &dyn KeyValue) -> Input {
+/// Waits a while for another version than `known`. Where nothing changes, the
+/// configuration does not travel, and what is known is confirmed.
+fn read(key_value: &dyn KeyValue, known: &mut Version) -> Input {
     let asked_at = Instant::now();
-    let Ok(found) = key_value.get(CURRENT_KEY) else {
+    let Ok(found) = key_value.watch(CURRENT_KEY, *known, WATCH_WAIT) else {
         return Input::ConfigUnavailable;
     };
-    let stored = found.and_then(|found| match serde_json::from_slice(&found.value) {
-        Ok(stored) => Some(Arc::<StoredRevision>::new(stored)),
+    let Some(found) = found else {
+        return Input::ConfigConfirmed { asked_at };
+    };
+    match KeptRevision::from_bytes(&found.value) {
+        Ok(kept) => {
+            *known = found.version;
+            Input::ConfigRead {
+                asked_at,
+                kept: Arc::new(kept),
+            }
+        }
         Err(error) => {
             log::error!(error:% = error; "the stored configuration cannot be read");
-            None
+            Input::ConfigUnavailable
         }
-    });
-    Input::ConfigRead { asked_at, stored }
+    }
 }
 
 pub(crate) fn millis(duration: Duration) -> u64 {
--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -19,6 +19,7 @@
     /// The confirmed revision.
     confirmed: Revision,
     holders: BTreeMap<String, CellHolder>,
+    holders_version: u64,
     started_at: Instant,
     has_peers: bool,
 }
@@ -32,6 +33,7 @@
             confirmed_at: None,
             confirmed: 0,
             holders: BTreeMap::new(),
+            holders_version: 0,
             started_at: now,
             has_peers,
         }
@@ -73,10 +75,16 @@
         let is_new = known.is_none_or(|known| holder.epoch > known.epoch);
         if is_new {
             self.holders.insert(holder.cell.clone(), holder);
+            self.holders_version += 1;
         }
         is_new
     }
 
+    /// Grows whenever a holder is learned.
+    pub fn holders_version(&self) -> u64 {
+        self.holders_version
+    }
+
     /// The holders known.
     pub fn holders(&self) -> Vec<CellHolder> {
         self.holders.values().cloned().collect()
--- a/crates/controller/src/listener.rs
+++ b/crates/controller/src/listener.rs
@@ -10,7 +10,7 @@
 /// Pause after an accept failed, for instance for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A peer that is silent for this long is given up.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+const SILENCE_LIMIT: Duration = Duration::from_secs(20);
 
 /// Starts the accepting thread.
 pub(crate) fn start(listener: TcpListener, inputs: Sender<Input>) {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -11,18 +11,21 @@
 use anyhow::{Context, Result};
 use cell_shell::{CellShell, Services};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use passway_config::Catalog;
+use passway_config::revision::KeptRevision;
 use passway_config::settings::ControllerSettings;
-use passway_config::{Catalog, StoredRevision};
 use passway_decide::cell::{Action, Event};
 use passway_decide::plan::Holder;
 use passway_platform::engine::HttpEngineControl;
 use passway_platform::instance_list::{HttpInstanceList, ListedInstance};
 use passway_platform::key_value::HttpKeyValue;
-use passway_process::dial::Dialer;
 use passway_process::outbox::Outbox;
 use passway_types::prelude::*;
 use passway_wire::Body;
-use passway_wire::message::{CellHolder, Config, Heartbeat, Hello, ProbeAnswer, QueryAnswer, Role};
+use passway_wire::message::{
+    CellHolder, Config, ConfigWanted, Heartbeat, Hello, ProbeAnswer, QueryAnswer, Role,
+};
+use peers::Peers;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -36,6 +39,13 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Pause between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Connections that share one pause between heartbeats; with more connections
+/// the pause grows, so that heartbeats cost the same however many listen.
+const LINKS_PER_PAUSE: usize = 16;
+/// Longest pause between two heartbeats.
+const MAX_HEARTBEAT: Duration = Duration::from_secs(5);
+/// Another peer is asked for a revision after this time.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(700);
 /// Age of the confirmation at which a holder reads the configuration.
 const HOLDER_READ_AGE: Duration = Duration::from_secs(1);
 /// Age at which the first controller that leads nothing reads it; more for the next.
@@ -74,15 +84,25 @@
         id: LinkId,
     },
     /// A message came from a controller that this one connected to.
-    FromPeer(Body),
+    FromPeer {
+        /// The controller's address.
+        peer: SocketAddr,
+        /// The message.
+        body: Body,
+    },
     /// The key-value service answered something.
     ServiceReached,
-    /// The configuration was read.
+    /// The configuration was read and is another one than before.
     ConfigRead {
         /// When the question was sent.
         asked_at: Instant,
-        /// The revision that stands, if any.
-        stored: Option<Arc<StoredRevision>>,
+        /// The revision that stands.
+        kept: Arc<KeptRevision>,
+    },
+    /// The configuration that was read last still stands.
+    ConfigConfirmed {
+        /// When the question was sent.
+        asked_at: Instant,
     },
     /// The configuration could not be read.
     ConfigUnavailable,
@@ -97,6 +117,8 @@
 struct Peer {
     outbox: Outbox,
     hello: Option<Hello>,
+    /// The version of the holders that the peer was told of.
+    told_holders: Option<u64>,
 }
 
 /// The state of the deciding thread.
@@ -107,7 +129,9 @@
     services: Services,
     cells: BTreeMap<CellName, CellShell>,
     links: HashMap<LinkId, Peer>,
-    stored: Option<Arc<StoredRevision>>,
+    kept: Option<Arc<KeptRevision>>,
+    /// The revision that this controller read last from the service itself.
+    read_revision: Revision,
     catalog: Arc<Catalog>,
     gossip: Gossip,
     pace: Arc<ReadPace>,
@@ -118,7 +142,8 @@
     inputs: Sender<Input>,
     tick_at: Instant,
     heartbeat_at: Instant,
-    _dialers: Vec<Dialer>,
+    peers: Peers,
+    config_asked_at: Option<Instant>,
 }
 
 impl Node {
@@ -149,7 +174,7 @@
         config_feed::start(services.key_value.clone(), pace.clone(), inputs.clone());
         let list = Arc::new(HttpInstanceList::new(list, PLATFORM_TIMEOUT));
         workers::start_list(list, inputs.clone());
-        let dialers = peers::dial_all(&settings.peers, &me, &inputs)?;
+        let peers = Peers::dial(&settings.peers, &me, &inputs)?;
         let now = Instant::now();
         Ok(Self {
             gossip: Gossip::new(now, !settings.peers.is_empty()),
@@ -158,7 +183,8 @@
             services,
             cells: BTreeMap::new(),
             links: HashMap::new(),
-            stored: None,
+            kept: None,
+            read_revision: 0,
             catalog: Arc::new(Catalog::default()),
             pace,
             audit: AuditTrail::default(),
@@ -168,7 +194,8 @@
             inputs,
             tick_at: now,
             heartbeat_at: now,
-            _dialers: dialers,
+            peers,
+            config_asked_at: None,
         })
     }
 
@@ -200,18 +227,25 @@
                     Peer {
                         outbox,
                         hello: None,
+                        told_holders: None,
                     },
                 );
             }
             Input::Heard { id, body } => self.heard(now, id, body),
             Input::Unlinked { id } => self.unlinked(now, id),
-            Input::FromPeer(body) => self.heard_from_peer(now, body),
+            Input::FromPeer { peer, body } => self.heard_from_peer(now, peer, body),
             Input::ServiceReached => self.gossip.service_reached(now),
-            Input::ConfigRead { asked_at, stored } => {
+            Input::ConfigRead { asked_at, kept } => {
                 self.gossip.service_reached(now);
-                if let Some(stored) = stored {
-                    self.gossip.confirm(stored.revision, asked_at);
-                    self.adopt(now, stored);
+                self.read_revision = kept.stored.revision;
+                self.gossip.confirm(self.read_revision, asked_at);
+                self.adopt(now, kept);
+                self.set_pace(now);
+            }
+            Input::ConfigConfirmed { asked_at } => {
+                self.gossip.service_reached(now);
+                if self.read_revision > 0 {
+                    self.gossip.confirm(self.read_revision, asked_at);
                 }
                 self.set_pace(now);
             }
@@ -227,7 +261,8 @@
             self.cell_event(now, &cell, Event::Tick);
         }
         if now >= self.heartbeat_at {
-            self.heartbeat_at = now + HEARTBEAT;
+            let pauses = u32::try_from(self.links.len() / LINKS_PER_PAUSE).unwrap_or(u32::MAX);
+            self.heartbeat_at = now + HEARTBEAT.saturating_mul(pauses.max(1)).min(MAX_HEARTBEAT);
             self.send_heartbeats(now);
         }
         self.set_pace(now);
@@ -247,7 +282,7 @@
     }
 
     fn revision(&self) -> Revision {
-        self.stored.as_ref().map_or(0, |stored| stored.revision)
+        self.kept.as_ref().map_or(0, |kept| kept.stored.revision)
     }
 
     fn set_pace(&self, now: Instant) {
@@ -264,7 +299,8 @@
     }
 
     /// Puts a revision in force if it is newer than the one that is.
-    fn adopt(&mut self, now: Instant, stored: Arc<StoredRevision>) {
+    fn adopt(&mut self, now: Instant, kept: Arc<KeptRevision>) {
+        let stored = &kept.stored;
         if stored.revision <= self.revision() {
             return;
         }
@@ -277,7 +313,7 @@
             }
         };
         log::info!(revision = stored.revision, author = stored.author.as_str(); "configuration in force");
-        self.stored = Some(stored);
+        self.kept = Some(kept);
         self.catalog = catalog.clone();
         for cell in &catalog.cells {
             if !self.cells.contains_key(cell) {
@@ -289,11 +325,10 @@
         let cells: Vec<CellName> = self.cells.keys().cloned().collect();
         for cell in cells {
             if let Some(shell) = self.cells.get_mut(&cell) {
-                shell.use_catalog(&catalog, &self.services);
+                shell.use_catalog(&catalog);
             }
             self.cell_event(now, &cell, Event::Catalog(catalog.clone()));
         }
-        self.send_config_to_all();
         self.send_heartbeats(now);
     }
 
@@ -393,11 +428,17 @@
                     }),
                 );
             }
+            Body::ConfigWanted(wanted) if wanted.have_revision < self.revision() => {
+                if let Some(config) = self.config_message() {
+                    self.send_to(id, config);
+                }
+            }
             Body::Query(query) => {
                 let json = self.answer(now, &query.what);
                 self.send_to(id, Body::QueryAnswer(QueryAnswer { json }));
             }
-            Body::Heartbeat(_)
+            Body::ConfigWanted(_)
+            | Body::Heartbeat(_)
             | Body::Config(_)
             | Body::Routes(_)
             | Body::Verdict(_)
@@ -412,16 +453,12 @@
             return;
         };
         let is_first = peer.hello.is_none();
-        let lags = hello.config_revision < heartbeat.config_revision;
         let is_router = hello.role == i32::from(Role::Router);
         peer.hello = Some(hello);
         if !is_first {
             return;
         }
         peer.outbox.send(Body::Heartbeat(heartbeat));
-        if lags && let Some(config) = config_message(self.stored.as_deref()) {
-            peer.outbox.send(config);
-        }
         if is_router {
             for routes in self.cells.values().filter_map(CellShell::whole_table) {
                 peer.outbox.send(Body::Routes(routes));
@@ -445,22 +482,38 @@
         }
     }
 
-    fn heard_from_peer(&mut self, now: Instant, body: Body) {
+    fn heard_from_peer(&mut self, now: Instant, peer: SocketAddr, body: Body) {
         match body {
             Body::Heartbeat(heartbeat) => {
                 let news = self.gossip.heard(now, &heartbeat);
                 if news {
                     self.send_heartbeats(now);
                 }
+                self.want_config(now, peer, heartbeat.config_revision);
             }
-            Body::Config(config) => match serde_json::from_slice(&config.stored_json) {
-                Ok(stored) => self.adopt(now, Arc::new(stored)),
+            Body::Config(config) => match KeptRevision::from_bytes(&config.encoded) {
+                Ok(kept) => self.adopt(now, Arc::new(kept)),
                 Err(error) => log::error!(error:% = error; "a peer's configuration cannot be read"),
             },
             _ => {}
         }
     }
 
+    /// Asks for a revision that this controller lacks, at one peer at a time.
+    fn want_config(&mut self, now: Instant, peer: SocketAddr, revision: Revision) {
+        let have_revision = self.revision();
+        if revision <= have_revision
+            || self
+                .config_asked_at
+                .is_some_and(|at| now < at + CONFIG_PATIENCE)
+        {
+            return;
+        }
+        self.config_asked_at = Some(now);
+        self.peers
+            .send(peer, Body::ConfigWanted(ConfigWanted { have_revision }));
+    }
+
     fn listed(&mut self, now: Instant, listed: &[ListedInstance]) {
         let ids: HashSet<InstanceId> = listed.iter().map(|entry| entry.id.clone()).collect();
         let newly_gone: Vec<InstanceId> = self.listed.difference(&ids).cloned().collect();
@@ -554,20 +607,28 @@
         }
     }
 
-    fn send_heartbeats(&self, now: Instant) {
-        let heartbeat = Body::Heartbeat(self.heartbeat(now));
-        for peer in self.links.values().filter(|peer| peer.hello.is_some()) {
-            peer.outbox.send(heartbeat.clone());
+    /// Sends a heartbeat to all that are connected; the holders only to those
+    /// who have not been told of them as they are.
+    fn send_heartbeats(&mut self, now: Instant) {
+        let whole = self.heartbeat(now);
+        let brief = Heartbeat {
+            cells: Vec::new(),
+            ..whole.clone()
+        };
+        let version = self.gossip.holders_version();
+        for peer in self.links.values_mut().filter(|peer| peer.hello.is_some()) {
+            let is_told = peer.told_holders == Some(version);
+            peer.told_holders = Some(version);
+            let heartbeat = if is_told { &brief } else { &whole };
+            peer.outbox.send(Body::Heartbeat(heartbeat.clone()));
         }
     }
 
-    fn send_config_to_all(&self) {
-        let Some(config) = config_message(self.stored.as_deref()) else {
-            return;
-        };
-        for peer in self.links.values().filter(|peer| peer.hello.is_some()) {
-            peer.outbox.send(config.clone());
-        }
+    fn config_message(&self) -> Option<Body> {
+        let encoded = self.kept.as_ref()?.encoded.to_vec();
+        Some(Body::Config(Config {
+            encoded: encoded.into(),
+        }))
     }
 
     fn answer(&self, now: Instant, what: &str) -> String {
@@ -597,10 +658,3 @@
         }
     }
 }
-
-fn config_message(stored: Option<&StoredRevision>) -> Option<Body> {
-    let json = serde_json::to_vec(stored?).ok()?;
-    Some(Body::Config(Config {
-        stored_json: json.into(),
-    }))
-}
--- a/crates/controller/src/node/cell_shell.rs
+++ b/crates/controller/src/node/cell_shell.rs
@@ -49,7 +49,6 @@
 }
 
 /// One cell.
-#[derive(Debug)]
 pub(super) struct CellShell {
     cell: CellName,
     me: Holder,
@@ -58,6 +57,8 @@
     lease: Sender<LeaseJob>,
     lease_thread: JoinHandle<()>,
     plan: Sender<PlanJob>,
+    catalog: Arc<Catalog>,
+    engines: Arc<dyn EngineControl>,
     upstreams: HashMap<UpstreamId, UpstreamThreads>,
     /// Orders handed to a sender and not answered, by epoch.
     in_hand: BTreeMap<Epoch, u32>,
@@ -65,6 +66,14 @@
     published: bool,
 }
 
+impl fmt::Debug for CellShell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CellShell")
+            .field("cell", &self.cell)
+            .finish_non_exhaustive()
+    }
+}
+
 impl CellShell {
     pub(super) fn new(
         now: Instant,
@@ -85,13 +94,15 @@
         let (lease, lease_thread) =
             workers::start_lease(key_value.clone(), me, services.lease, reply.clone());
         Self {
-            controller: CellController::new(cell.clone(), me.clone(), limits, catalog, now),
+            controller: CellController::new(cell.clone(), me.clone(), limits, catalog.clone(), now),
             lease,
             lease_thread,
             plan: workers::start_plan(key_value.clone(), reply.clone()),
             cell,
             me: me.clone(),
             reply,
+            catalog,
+            engines: services.engines.clone(),
             upstreams: HashMap::new(),
             in_hand: BTreeMap::new(),
             routes: BTreeSet::new(),
@@ -99,18 +110,27 @@
         }
     }
 
-    /// Starts threads for new upstreams and for those that moved.
-    pub(super) fn use_catalog(&mut self, catalog: &Catalog, services: &Services) {
-        for entry in catalog.upstreams_of(&self.cell) {
+    /// Takes over a newer catalog.
+    pub(super) fn use_catalog(&mut self, catalog: &Arc<Catalog>) {
+        self.catalog = catalog.clone();
+        if !self.upstreams.is_empty() {
+            self.start_threads();
+        }
+    }
+
+    /// Starts threads for new upstreams and for those that moved. A controller
+    /// that never led the cell has none.
+    fn start_threads(&mut self) {
+        for entry in self.catalog.upstreams_of(&self.cell) {
             let known = self.upstreams.get(&entry.id);
             if known.is_some_and(|known| known.address == entry.address) {
                 continue;
             }
-            let engines = &services.engines;
             let pace = Arc::new(StatusPace::default());
-            let orders = workers::start_orders(engines.clone(), entry.address, self.reply.clone());
+            let engines = self.engines.clone();
+            let orders = workers::start_orders(engines, entry.address, self.reply.clone());
             workers::start_status(
-                engines.clone(),
+                self.engines.clone(),
                 entry.id.clone(),
                 entry.address,
                 pace.clone(),
@@ -131,7 +151,11 @@
         if let Event::Order { fence, .. } = &event {
             self.answered(*fence >> 32);
         }
+        let was_active = self.is_active();
         let actions = self.controller.handle(now, event);
+        if self.is_active() && !was_active {
+            self.start_threads();
+        }
         self.set_paces();
         actions
     }
--- a/crates/controller/src/node/peers.rs
+++ b/crates/controller/src/node/peers.rs
@@ -1,60 +1,110 @@
 //! Connections to other controllers.
+//!
+//! A controller connects to the peers that come 1, 2, 4, 8 ... places after it
+//! in the ring of all addresses. Each has so few connections that their number
+//! grows with the logarithm of the fleet, and news reaches everybody in as many
+//! hops.
 
 use super::Input;
 use anyhow::{Context, Result};
 use crossbeam::channel::Sender;
 use passway_decide::plan::Holder;
 use passway_process::dial::{Dialed, Dialer};
+use passway_process::outbox::Outbox;
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{Hello, Role};
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 
 /// Pause between two words to a peer, so that it does not take this one for dead.
 const WORD_PAUSE: Duration = Duration::from_secs(1);
 
-/// Keeps a connection to every peer but this controller itself.
-pub(super) fn dial_all(
-    peers: &[String],
-    me: &Holder,
-    inputs: &Sender<Input>,
-) -> Result<Vec<Dialer>> {
-    let mut dialers = Vec::new();
-    for text in peers {
-        let address: SocketAddr = text.parse().with_context(|| format!("peer {text}"))?;
-        if address != me.address {
-            dialers.push(dial(address, me, inputs.clone()));
+type Outboxes = Arc<Mutex<HashMap<SocketAddr, Outbox>>>;
+
+/// The peers that this controller is connected to.
+#[derive(Debug)]
+pub(super) struct Peers {
+    outboxes: Outboxes,
+    _dialers: Vec<Dialer>,
+}
+
+impl Peers {
+    /// Keeps a connection to each chosen peer.
+    ///
+    /// # Errors
+    /// If an address cannot be parsed.
+    pub(super) fn dial(peers: &[String], me: &Holder, inputs: &Sender<Input>) -> Result<Self> {
+        let mut ring = Vec::new();
+        for text in peers {
+            ring.push(text.parse().with_context(|| format!("peer {text}"))?);
+        }
+        let outboxes = Outboxes::default();
+        let chosen = chosen(ring, me.address);
+        let dialers = chosen
+            .into_iter()
+            .map(|peer| dial(peer, me, &outboxes, inputs.clone()));
+        let dialers = dialers.collect();
+        Ok(Self {
+            outboxes,
+            _dialers: dialers,
+        })
+    }
+
+    /// Sends to a peer, if it is connected.
+    pub(super) fn send(&self, peer: SocketAddr, body: Body) {
+        let outboxes = self.outboxes.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(outbox) = outboxes.get(&peer) {
+            outbox.send(body);
         }
     }
-    Ok(dialers)
 }
 
-fn dial(address: SocketAddr, me: &Holder, inputs: Sender<Input>) -> Dialer {
+/// The peers 1, 2, 4, 8 ... places after `me` in the sorted ring.
+pub(super) fn chosen(mut ring: Vec<SocketAddr>, me: SocketAddr) -> Vec<SocketAddr> {
+    ring.push(me);
+    ring.sort_unstable();
+    ring.dedup();
+    let place = ring.binary_search(&me).unwrap_or(0);
+    let steps = std::iter::successors(Some(1_usize), |step| Some(step * 2));
+    let steps = steps.take_while(|step| *step < ring.len());
+    steps
+        .map(|step| ring[(place + step) % ring.len()])
+        .collect()
+}
+
+fn dial(peer: SocketAddr, me: &Holder, outboxes: &Outboxes, inputs: Sender<Input>) -> Dialer {
     let hello = Hello {
         role: Role::Controller.into(),
         instance: me.instance.to_string(),
         incarnation: me.incarnation,
         ..Default::default()
     };
-    let mut outbox = None;
+    let outboxes = outboxes.clone();
     let mut said_at = Instant::now();
-    Dialer::start(address, move |dialed| match dialed {
-        Dialed::Connected(connected) => {
-            connected.send(Body::Hello(hello.clone()));
-            outbox = Some(connected);
-            said_at = Instant::now();
-        }
-        Dialed::Received(body) => {
-            // A heartbeat is answered, so that neither side falls silent.
-            if let Some(outbox) = &outbox
-                && said_at.elapsed() >= WORD_PAUSE
-            {
+    Dialer::start(peer, move |dialed| {
+        let mut outboxes = outboxes.lock().unwrap_or_else(PoisonError::into_inner);
+        match dialed {
+            Dialed::Connected(outbox) => {
                 outbox.send(Body::Hello(hello.clone()));
+                outboxes.insert(peer, outbox);
                 said_at = Instant::now();
             }
-            // The deciding thread ends only with the process.
-            let _ = inputs.send(Input::FromPeer(body));
+            Dialed::Received(body) => {
+                // A heartbeat is answered, so that neither side falls silent.
+                if let Some(outbox) = outboxes.get(&peer)
+                    && said_at.elapsed() >= WORD_PAUSE
+                {
+                    outbox.send(Body::Hello(hello.clone()));
+                    said_at = Instant::now();
+                }
+                // The deciding thread ends only with the process.
+                let _ = inputs.send(Input::FromPeer { peer, body });
+            }
+            Dialed::Disconnected => {
+                outboxes.remove(&peer);
+            }
         }
-        Dialed::Disconnected => outbox = None,
     })
 }
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -1,6 +1,6 @@
 //! The configuration in the key-value service.
 
-use passway_config::revision::{CURRENT_KEY, StoredRevision};
+use passway_config::revision::{self, CURRENT_KEY, StoredRevision};
 use passway_platform::key_value::{KeyValue, PutOutcome, Unavailable};
 use passway_types::prelude::*;
 use std::fmt;
@@ -90,8 +90,7 @@
             .get(key)
             .map_err(|Unavailable| ChangeError::Unreachable)?;
         let Some(found) = found else { return Ok(None) };
-        let stored = serde_json::from_slice(&found.value)
-            .map_err(|error| ChangeError::Unreadable(error.to_string()))?;
+        let stored = revision::decode(&found.value).map_err(unreadable)?;
         Ok(Some((found.version, stored)))
     }
 
@@ -106,8 +105,7 @@
             self.keep_history(stored)?;
         }
         let expected = before.as_ref().map_or(0, |(version, _)| *version);
-        let value =
-            serde_json::to_vec(next).map_err(|error| ChangeError::Unreadable(error.to_string()))?;
+        let value = revision::encode(next).map_err(unreadable)?;
         match self.key_value.put_if(CURRENT_KEY, expected, &value, None) {
             Ok(PutOutcome::Written(_)) => {}
             Ok(PutOutcome::Conflict) => return self.conflict(next),
@@ -154,8 +152,7 @@
     }
 
     fn keep_history(&self, stored: &StoredRevision) -> Result<(), ChangeError> {
-        let value = serde_json::to_vec(stored)
-            .map_err(|error| ChangeError::Unreadable(error.to_string()))?;
+        let value = revision::encode(stored).map_err(unreadable)?;
         let key = StoredRevision::history_key(stored.revision);
         // A conflict means that it is there already.
         let written = self.key_value.put_if(&key, 0, &value, None);
@@ -164,3 +161,7 @@
             .map_err(|Unavailable| ChangeError::Unreachable)
     }
 }
+
+fn unreadable(error: impl std::fmt::Display) -> ChangeError {
+    ChangeError::Unreadable(format!("{error:#}"))
+}
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -40,6 +40,18 @@
     /// [`Unavailable`] if the service did not answer.
     fn get(&self, key: &str) -> Result<Option<Versioned>, Unavailable>;
 
+    /// Waits up to `wait` for a key to have another version than `known` (0 for
+    /// absent); `None` if it has not changed.
+    ///
+    /// # Errors
+    /// [`Unavailable`] if the service did not answer.
+    fn watch(
+        &self,
+        key: &str,
+        known: Version,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, Unavailable>;
+
     /// Writes a key if its version is `expected` (0 for absent). With a lease,
     /// the key goes away when the lease ends.
     ///
@@ -116,6 +128,24 @@
         }))
     }
 
+    fn watch(
+        &self,
+        key: &str,
+        known: Version,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, Unavailable> {
+        let path = format!("/kv/{key}?known={known}&wait_ms={}", wait.as_millis());
+        let answer = self.call("GET", &path, b"")?;
+        if answer.status == 304 || answer.status == 404 {
+            return Ok(None);
+        }
+        let version = answer.version.ok_or(Unavailable)?;
+        Ok(Some(Versioned {
+            version,
+            value: answer.body,
+        }))
+    }
+
     fn put_if(
         &self,
         key: &str,
--- a/crates/process/src/dial.rs
+++ b/crates/process/src/dial.rs
@@ -10,7 +10,7 @@
 /// Time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A peer that is silent for this long is given up; heartbeats come far more often.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+const SILENCE_LIMIT: Duration = Duration::from_secs(12);
 /// Shortest pause between two attempts, in milliseconds; up to twice as long by chance.
 const RETRY_PAUSE_MS: u64 = 150;
 
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::{Shared, Word};
 use anyhow::{Context, Result};
-use passway_config::StoredRevision;
+use passway_config::revision::{self, StoredRevision};
 use passway_config::settings::RouterSettings;
 use passway_decide::messages::{DemandVerdict, RouteChange};
 use passway_decide::router::{RouterAction, RouterCore};
@@ -10,7 +10,7 @@
 use passway_process::outbox::Outbox;
 use passway_types::prelude::*;
 use passway_wire::Body;
-use passway_wire::message::{self, Heartbeat, Hello, Role};
+use passway_wire::message::{self, ConfigWanted, Heartbeat, Hello, Role};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError, Weak};
@@ -20,6 +20,9 @@
 /// Pause between two words to a controller, so that it does not take this router for dead.
 const WORD_PAUSE: Duration = Duration::from_secs(1);
 
+/// Another controller is asked for a revision after this time.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(700);
+
 /// Where a cell's holder listens.
 #[derive(Debug, Clone, Copy)]
 struct KnownHolder {
@@ -35,6 +38,7 @@
     route_epochs: HashMap<String, Epoch>,
     routers: HashMap<SocketAddr, u32>,
     heard_at: Option<Instant>,
+    config_asked_at: Option<Instant>,
 }
 
 /// A router's connections to controllers.
@@ -131,7 +135,7 @@
     fn received(&self, address: SocketAddr, body: Body, shared: &Arc<Shared>) {
         match body {
             Body::Heartbeat(heartbeat) => self.heartbeat(address, &heartbeat, shared),
-            Body::Config(config) => self.config(&config.stored_json, shared),
+            Body::Config(config) => self.config(&config.encoded, shared),
             Body::Routes(routes) => self.routes(routes, shared),
             Body::Verdict(verdict) => self.verdict(&verdict, shared),
             _ => {}
@@ -166,20 +170,41 @@
         for address in to_dial {
             self.dial(address, shared);
         }
+        self.want_config(address, heartbeat.config_revision, shared, now);
         let mut core = shared.core();
         core.set_routers(routers);
         let is_unconfigured = core.catalog().revision == 0;
         core.set_stale(is_unconfigured);
     }
 
-    fn config(&self, stored_json: &[u8], shared: &Arc<Shared>) {
-        let stored: StoredRevision = match serde_json::from_slice(stored_json) {
+    /// Asks for a revision that this router lacks, at one controller at a time.
+    fn want_config(&self, address: SocketAddr, revision: Revision, shared: &Shared, now: Instant) {
+        let have_revision = shared.catalog.load().revision;
+        if revision <= have_revision {
+            return;
+        }
+        {
+            let mut links = self.links();
+            if links
+                .config_asked_at
+                .is_some_and(|at| now < at + CONFIG_PATIENCE)
+            {
+                return;
+            }
+            links.config_asked_at = Some(now);
+        }
+        self.send_to(address, Body::ConfigWanted(ConfigWanted { have_revision }));
+    }
+
+    fn config(&self, encoded: &[u8], shared: &Arc<Shared>) {
+        let stored: StoredRevision = match revision::decode(encoded) {
             Ok(stored) => stored,
             Err(error) => {
                 log::error!(error:% = error; "a configuration cannot be read");
                 return;
             }
         };
+        self.links().config_asked_at = None;
         // Looked at and set under the lock of the decisions, so that two
         // controllers that send at one time cannot set the older one last.
         {
--- /dev/null
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -0,0 +1,477 @@
+//! Measures the slopes that `docs/CAPACITY.md` is worked out from.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use passway_config::document::{
+    AdapterEntry, Document, GroupEntry, ModelEntry, PolicyEntry, UpstreamEntry,
+};
+use passway_config::revision::StoredRevision;
+use passway_config::settings::{ControllerSettings, RouterSettings};
+use passway_config::{Catalog, revision};
+use passway_controller::Controller;
+use passway_decide::cell::{Action, CellController, CellLimits, Event};
+use passway_decide::messages::{Demand, OrderAnswer, RouteChange, UpstreamStatus};
+use passway_decide::plan::{Holder, Plan};
+use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
+use passway_platform::key_value::KeyValue;
+use passway_router::Router;
+use passway_standins::instance_list::LaggingList;
+use passway_standins::key_value::MemoryKeyValue;
+use passway_standins::world::{World, WorldPlan};
+use passway_types::prelude::*;
+use std::hint::black_box;
+use std::net::SocketAddr;
+
+/// Prints state, time, messages and calls against size.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// Time for which each fleet is watched, in seconds; 0 leaves the fleets out.
+    #[arg(long, default_value_t = 10)]
+    watch_s: u64,
+}
+
+/// Sizes: today, a third of the way, the target.
+const SIZES: [Size; 3] = [
+    Size {
+        models: 50,
+        adapters: 60,
+        upstreams: 9,
+        groups: 4,
+        rules: 3,
+    },
+    Size {
+        models: 250,
+        adapters: 2_900,
+        upstreams: 200,
+        groups: 70,
+        rules: 30,
+    },
+    Size {
+        models: 730,
+        adapters: 8_600,
+        upstreams: 600,
+        groups: 200,
+        rules: 100,
+    },
+];
+/// Placements of a cell.
+const PLACEMENTS: [usize; 4] = [16, 64, 256, 1_024];
+/// Instances of a fleet.
+const FLEETS: [usize; 5] = [3, 6, 12, 24, 48];
+/// Times that a decision is made for one figure.
+const ROUNDS: u32 = 2_000;
+
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    models: usize,
+    adapters: usize,
+    upstreams: usize,
+    groups: usize,
+    rules: usize,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    configuration()?;
+    router_decisions()?;
+    cell_decisions()?;
+    if arguments.watch_s > 0 {
+        roles(Duration::from_secs(arguments.watch_s))?;
+        fleets(Duration::from_secs(arguments.watch_s))?;
+    }
+    Ok(())
+}
+
+fn document(size: &Size) -> Document {
+    let groups = (0..size.groups).map(|number| GroupEntry {
+        name: format!("group{number}"),
+        ..GroupEntry::default()
+    });
+    let models = (0..size.models).map(|number| ModelEntry {
+        name: format!("base-model-{number}"),
+        size_mb: 8_000,
+        max_replicas: 2,
+        ..ModelEntry::default()
+    });
+    let adapters = (0..size.adapters).map(|number| AdapterEntry {
+        name: format!("adapter-for-customer-{number}"),
+        base: format!("base-model-{}@1", number % size.models),
+        size_mb: 200,
+        ..AdapterEntry::default()
+    });
+    let upstreams = (0..size.upstreams).map(|number| UpstreamEntry {
+        id: format!("upstream-{number}"),
+        address: format!("10.{}.{}.1:8000", number / 250, number % 250),
+        data_hall: format!("hall{}", number % 7),
+        memory_mb: 640_000,
+        ..UpstreamEntry::default()
+    });
+    let policies = (0..size.rules).map(|number| PolicyEntry {
+        name: format!("rule{number}"),
+        when: format!("group == 'group{number}' && kind == 'rush'"),
+        priority: Some(10),
+        ..PolicyEntry::default()
+    });
+    Document {
+        groups: groups.collect(),
+        models: models.collect(),
+        adapters: adapters.collect(),
+        upstreams: upstreams.collect(),
+        policies: policies.collect(),
+        ..Document::default()
+    }
+}
+
+fn stored(document: Document) -> StoredRevision {
+    StoredRevision {
+        revision: 1,
+        change_id: 1,
+        author: "somebody".into(),
+        applied_at_unix_s: 0,
+        comment: String::new(),
+        changes: Vec::new(),
+        document,
+    }
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> Result<u64> {
+    let text = std::fs::read_to_string("/proc/self/status").context("reading the status")?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+    kilobytes.map(|kb| kb << 10).context("no VmRSS")
+}
+
+fn configuration() -> Result<()> {
+    println!(
+        "configuration: models adapters stored_bytes encode_ms decode_ms build_ms resident_mb"
+    );
+    for size in SIZES {
+        let stored = stored(document(&size));
+        let began_at = Instant::now();
+        let bytes = revision::encode(&stored)?;
+        let encode = began_at.elapsed();
+        let began_at = Instant::now();
+        let read = revision::decode(&bytes)?;
+        let decode = began_at.elapsed();
+        let before_bytes = resident_bytes()?;
+        let began_at = Instant::now();
+        let catalog = read.catalog()?;
+        let build = began_at.elapsed();
+        let grown_bytes = resident_bytes()?.saturating_sub(before_bytes);
+        println!(
+            "  {:5} {:5} {:8} {:6.2} {:6.2} {:6.2} {:5.1}",
+            size.models,
+            size.adapters,
+            bytes.len(),
+            encode.as_secs_f64() * 1e3,
+            decode.as_secs_f64() * 1e3,
+            build.as_secs_f64() * 1e3,
+            mb(grown_bytes)
+        );
+        black_box(catalog);
+    }
+    Ok(())
+}
+
+#[expect(clippy::cast_precision_loss, reason = "for print only")]
+fn mb(bytes: u64) -> f64 {
+    bytes as f64 / 1_048_576.0
+}
+
+fn micros(total: Duration, rounds: u32) -> f64 {
+    total.as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+/// One warm request: admission, choice of a replica, end.
+fn router_decisions() -> Result<()> {
+    println!("router: models adapters rules arrive_and_end_us tick_us");
+    for size in SIZES {
+        let catalog = Arc::new(Catalog::build(&document(&size), 1)?);
+        let mut now = Instant::now();
+        let mut core = RouterCore::new(1, catalog.clone(), now);
+        let added = catalog.models.keys().enumerate().map(|(number, model)| {
+            (
+                model.clone(),
+                format!("upstream-{}", number % size.upstreams).into(),
+            )
+        });
+        let change = RouteChange {
+            added: added.collect(),
+            removed: Vec::new(),
+            whole: true,
+        };
+        core.routes_changed(now, &change, "main");
+        let began_at = Instant::now();
+        for round in 0..ROUNDS {
+            now += Duration::from_millis(1);
+            let arrival = Arrival {
+                request: u64::from(round),
+                model: format!("base-model-{}@1", round as usize % size.models),
+                group: format!("group{}", round as usize % size.groups),
+                kind: "rush".into(),
+                priority: None,
+                deadline_at: None,
+            };
+            for action in core.arrive(now, &arrival) {
+                if let RouterAction::Start { request, .. } = action {
+                    black_box(core.ended(now, request, Ended::Served { tokens: 10 }));
+                }
+            }
+        }
+        let served = began_at.elapsed();
+        let began_at = Instant::now();
+        for _ in 0..ROUNDS {
+            now += Duration::from_millis(1);
+            black_box(core.tick(now));
+        }
+        println!(
+            "  {:5} {:5} {:4} {:8.2} {:8.2}",
+            size.models,
+            size.adapters,
+            size.rules,
+            micros(served, ROUNDS),
+            micros(began_at.elapsed(), ROUNDS)
+        );
+    }
+    Ok(())
+}
+
+/// A cell with as many placements as asked for, driven until all are written.
+fn cell_with(placements: usize) -> Result<(CellController, Instant, Plan)> {
+    let size = Size {
+        models: placements,
+        adapters: 0,
+        upstreams: placements.div_ceil(16),
+        groups: 4,
+        rules: 3,
+    };
+    let catalog = Arc::new(Catalog::build(&document(&size), 1)?);
+    let now = Instant::now();
+    let me = Holder {
+        instance: "entry0".into(),
+        incarnation: 1,
+        address: "10.0.0.1:7000".parse().context("address")?,
+    };
+    let limits = CellLimits {
+        standby_poll: Duration::from_millis(300),
+        order_settle: Duration::from_secs(10),
+    };
+    let mut cell = CellController::new("main".into(), me, limits, catalog.clone(), now);
+    let mut plan = None;
+    let mut pending = vec![Event::Tick];
+    for upstream in catalog.upstreams.keys() {
+        let status = Some(UpstreamStatus::default());
+        pending.push(Event::Status {
+            upstream: upstream.clone(),
+            asked_at: now,
+            status,
+        });
+    }
+    let demands = catalog.models.keys().map(|model| {
+        Event::Demand(Demand {
+            router: 1,
+            model: model.clone(),
+            group: "group0".into(),
+            waiting: 1,
+            earliest_deadline_at: now + Duration::from_hours(1),
+            priority: 1,
+        })
+    });
+    let mut demands: Vec<Event> = demands.collect();
+    let mut version = 0;
+    while let Some(event) = pending.pop().or_else(|| demands.pop()) {
+        for action in cell.handle(now, event) {
+            match action {
+                Action::AcquireLease => pending.push(Event::LeaseGranted {
+                    until_at: now + Duration::from_hours(1),
+                }),
+                Action::ReadPlan => pending.push(Event::PlanRead {
+                    version: 0,
+                    plan: None,
+                }),
+                Action::WritePlan { plan: written, .. } => {
+                    version += 1;
+                    plan = Some(*written);
+                    pending.push(Event::WriteDone { version });
+                }
+                Action::SendOrder(order) => pending.push(Event::Order {
+                    upstream: order.upstream,
+                    fence: order.fence,
+                    answer: OrderAnswer::Loaded,
+                }),
+                _ => {}
+            }
+        }
+    }
+    for model in catalog.models.keys() {
+        let served = Demand {
+            router: 1,
+            model: model.clone(),
+            group: "group0".into(),
+            waiting: 0,
+            earliest_deadline_at: now,
+            priority: 1,
+        };
+        cell.handle(now, Event::Demand(served));
+    }
+    Ok((cell, now, plan.context("nothing was placed")?))
+}
+
+fn cell_decisions() -> Result<()> {
+    println!("cell: placements plan_bytes encode_us decode_us tick_us status_us");
+    for count in PLACEMENTS {
+        let (mut cell, now, plan) = cell_with(count)?;
+        let json = serde_json::to_vec(&plan)?;
+        let rounds = 200;
+        let encode = time(rounds, || drop(black_box(serde_json::to_vec(&plan))));
+        let decode = time(rounds, || {
+            drop(black_box(serde_json::from_slice::<Plan>(&json)));
+        });
+        let tick = time(rounds, || drop(black_box(cell.handle(now, Event::Tick))));
+        let status = time(rounds, || {
+            let upstream: UpstreamId = "upstream-0".into();
+            let event = Event::Status {
+                upstream,
+                asked_at: now,
+                status: None,
+            };
+            drop(black_box(cell.handle(now, event)));
+        });
+        println!(
+            "  {:5} {:7} {encode:8.1} {decode:8.1} {tick:8.1} {status:8.1}",
+            plan.placements().count(),
+            json.len()
+        );
+    }
+    Ok(())
+}
+
+/// Time of one round, in microseconds.
+fn time(rounds: u32, mut round: impl FnMut()) -> f64 {
+    let began_at = Instant::now();
+    for _ in 0..rounds {
+        round();
+    }
+    micros(began_at.elapsed(), rounds)
+}
+
+/// Clock ticks of processor time a second, as Linux reports it.
+const TICKS_PER_S: u64 = 100;
+/// Cells at the target: 15 upstreams each.
+const CELLS: usize = 40;
+
+/// Processor time of this process.
+fn processor_time() -> Result<Duration> {
+    let text = std::fs::read_to_string("/proc/self/stat").context("reading the times")?;
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split(' ')
+        .collect();
+    let field = |index: usize| fields.get(index).and_then(|text| text.parse::<u64>().ok());
+    let ticks = field(12).zip(field(13)).map(|(user, system)| user + system);
+    let ticks = ticks.context("no processor time")?;
+    Ok(Duration::from_millis(ticks * 1_000 / TICKS_PER_S))
+}
+
+/// One controller that leads nothing, then one that leads one cell, then a
+/// router beside it, with the configuration of each size; all idle.
+fn roles(watch: Duration) -> Result<()> {
+    println!("roles: models adapters role resident_mb processor_percent");
+    for size in SIZES {
+        let any: SocketAddr = "127.0.0.1:0".parse().context("address")?;
+        let key_value = MemoryKeyValue::new();
+        let mut document = document(&size);
+        let cells = CELLS.min(size.upstreams / 9);
+        for (number, upstream) in document.upstreams.iter_mut().enumerate() {
+            upstream.cell = format!("cell{}", number % cells);
+            // Nobody listens there: questions to upstreams are refused at once.
+            upstream.address = "127.0.0.1:9".into();
+        }
+        let encoded = revision::encode(&stored(document))?;
+        let put = |key: &str, value: &[u8]| key_value.put_if(key, 0, value, None);
+        put(revision::CURRENT_KEY, &encoded).map_err(|_| anyhow::anyhow!("storing"))?;
+        let holder = |cell: usize| format!("cells/cell{cell}/holder");
+        for cell in 0..cells {
+            put(&holder(cell), b"{}").map_err(|_| anyhow::anyhow!("storing"))?;
+        }
+        let settings = ControllerSettings {
+            instance: "entry0".into(),
+            data_hall: "hall0".into(),
+            listen: any.to_string(),
+            key_value: key_value.serve(any).to_string(),
+            instance_list: LaggingList::new(Duration::ZERO, Vec::new())
+                .serve(any)
+                .to_string(),
+            ..ControllerSettings::default()
+        };
+        let line = |role: &str, before_bytes: u64| -> Result<()> {
+            std::thread::sleep(Duration::from_secs(2));
+            let (began, began_at) = (processor_time()?, Instant::now());
+            std::thread::sleep(watch);
+            let used = processor_time()? - began;
+            let percent = used.as_secs_f64() / began_at.elapsed().as_secs_f64() * 100.0;
+            let grown = mb(resident_bytes()?.saturating_sub(before_bytes));
+            println!(
+                "  {:5} {:5} {role:18} {grown:6.1} {percent:6.2}",
+                size.models, size.adapters
+            );
+            Ok(())
+        };
+        let before_bytes = resident_bytes()?;
+        let controller = Controller::start(settings.clone())?;
+        line("standby", before_bytes)?;
+        key_value.remove(&holder(0));
+        line("leads one cell", before_bytes)?;
+        let router = Router::start(&RouterSettings {
+            instance: "entry0".into(),
+            data_hall: "hall0".into(),
+            listen: any.to_string(),
+            controllers: vec![controller.address().to_string()],
+            key_value: settings.key_value.clone(),
+            ..RouterSettings::default()
+        })?;
+        line("and a router", before_bytes)?;
+        controller.stop();
+        drop(router);
+    }
+    Ok(())
+}
+
+/// Idle fleets, all in this process: calls and bytes of control.
+fn fleets(watch: Duration) -> Result<()> {
+    println!("fleet: instances kv_reads_per_s kv_writes_per_s control_bytes_per_s_per_instance");
+    for instances in FLEETS {
+        let world = World::start(WorldPlan {
+            instances,
+            ..WorldPlan::default()
+        })?;
+        let fleet = world.start_fleet()?;
+        std::thread::sleep(Duration::from_secs(3));
+        let calls = world.key_value.calls();
+        let bytes = passway_wire::link::sent_bytes();
+        std::thread::sleep(watch);
+        let after = world.key_value.calls();
+        let seconds = watch.as_secs();
+        let sent = passway_wire::link::sent_bytes() - bytes;
+        println!(
+            "  {instances:4} {:7.2} {:7.2} {:8}",
+            rate(after.reads - calls.reads, seconds),
+            rate(after.writes - calls.writes, seconds),
+            sent / seconds / instances as u64
+        );
+        for controller in fleet.controllers {
+            controller.stop();
+        }
+        drop(fleet.routers);
+    }
+    Ok(())
+}
+
+#[expect(clippy::cast_precision_loss, reason = "for print only")]
+fn rate(count: u64, seconds: u64) -> f64 {
+    count as f64 / seconds as f64
+}
--- a/crates/standins/src/key_value.rs
+++ b/crates/standins/src/key_value.rs
@@ -11,6 +11,9 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+/// Pause between two looks of a waiting watch.
+const WATCH_STEP: Duration = Duration::from_millis(20);
+
 /// What the service is told to do wrong.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -72,6 +75,11 @@
         self.state().faults = faults;
     }
 
+    /// Takes a key away, as if its lease had ended.
+    pub fn remove(&self, key: &str) {
+        self.state().keys.remove(key);
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> Calls {
         self.state().calls.clone()
@@ -134,6 +142,19 @@
         request: &Request,
         body: &[u8],
     ) -> Result<Response, Unavailable> {
+        if method == "GET"
+            && let (Some(known), Some(wait_ms)) = (
+                server::query(request, "known"),
+                server::query(request, "wait_ms"),
+            )
+        {
+            return Ok(
+                match self.watch(key, known, Duration::from_millis(wait_ms))? {
+                    None => server::answer(304, ""),
+                    Some(found) => versioned(found.version, found.value),
+                },
+            );
+        }
         if method == "GET" {
             return Ok(match self.get(key)? {
                 None => server::answer(404, ""),
@@ -223,6 +244,32 @@
         }))
     }
 
+    fn watch(
+        &self,
+        key: &str,
+        known: Version,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, Unavailable> {
+        let until = Instant::now() + wait;
+        // One call, however long it waits.
+        drop(self.begin(false)?);
+        loop {
+            let state = self.state();
+            if state.faults.down {
+                return Err(Unavailable);
+            }
+            if let Some(found) = state.keys.get(key).filter(|found| found.version != known) {
+                let (version, value) = (found.version, found.value.clone());
+                return Ok(Some(Versioned { version, value }));
+            }
+            drop(state);
+            if Instant::now() >= until {
+                return Ok(None);
+            }
+            std::thread::sleep(WATCH_STEP);
+        }
+    }
+
     fn put_if(
         &self,
         key: &str,
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -10,7 +10,7 @@
     AdapterEntry, Document, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry,
     ServiceEntry, UpstreamEntry,
 };
-use passway_config::revision::{CURRENT_KEY, StoredRevision};
+use passway_config::revision::{self, CURRENT_KEY, StoredRevision};
 use passway_config::settings::{ControllerSettings, RouterSettings};
 use passway_controller::Controller;
 use passway_platform::instance_list::ListedInstance;
@@ -192,7 +192,7 @@
             changes: Vec::new(),
             document: self.document.clone(),
         };
-        let value = serde_json::to_vec(&stored).context("encoding the configuration")?;
+        let value = revision::encode(&stored)?;
         let written = self.key_value.put_if(CURRENT_KEY, 0, &value, None);
         written
             .map(|_| ())
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -5,6 +5,7 @@
 use prost::Message;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -16,6 +17,14 @@
 /// A peer that takes no bytes for this long is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes sent over all links of this process.
+static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes sent over all links of this process since its start, frames included.
+pub fn sent_bytes() -> u64 {
+    SENT_BYTES.load(Ordering::Relaxed)
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
@@ -77,6 +86,7 @@
         codec().encode(Bytes::from(envelope.encode_to_vec()), &mut frame)?;
         let mut stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
         let sent = stream.write_all(&frame);
+        SENT_BYTES.fetch_add(frame.len() as u64, Ordering::Relaxed);
         if sent.is_err() {
             // Closing may fail only because the peer closed first.
             let _ = stream.shutdown(Shutdown::Both);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it carries; `None` comes from a newer program and is ignored.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -46,6 +46,9 @@
     /// The answer to an operator's question, as JSON.
     #[prost(message, tag = "11")]
     QueryAnswer(QueryAnswer),
+    /// Asks a controller for its revision of the configuration.
+    #[prost(message, tag = "12")]
+    ConfigWanted(ConfigWanted),
 }
 
 /// What a program is.
@@ -121,17 +124,29 @@
     /// Live routers.
     #[prost(uint32, tag = "6")]
     pub routers: u32,
-    /// The holders that it knows.
+    /// The holders that it knows; left out while they are as in the last
+    /// heartbeat on this connection.
     #[prost(message, repeated, tag = "7")]
     pub cells: Vec<CellHolder>,
 }
 
+/// Asks a controller for its revision of the configuration.
+///
+/// Whoever lacks a revision asks one controller for it, so that it travels to
+/// each node once, however many controllers tell of it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct ConfigWanted {
+    /// The revision in force at the sender.
+    #[prost(uint64, tag = "1")]
+    pub have_revision: u64,
+}
+
 /// A revision of the configuration.
 #[derive(Clone, PartialEq, Message)]
 pub struct Config {
-    /// The stored revision as JSON.
+    /// The stored revision, encoded as it is kept.
     #[prost(bytes = "bytes", tag = "1")]
-    pub stored_json: bytes::Bytes,
+    pub encoded: bytes::Bytes,
 }
 
 /// A replica.
