--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -37,6 +37,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(50);
+/// Pause between two ticks of cells that others lead.
+const STANDBY_TICK: Duration = Duration::from_millis(200);
 /// Pause between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Connections that share one pause between heartbeats; with more connections
@@ -139,8 +141,11 @@
     listed: HashSet<InstanceId>,
     gone: HashSet<InstanceId>,
     rank: u32,
+    /// The revision for whose cells the ranks were worked out.
+    ranked: Revision,
     inputs: Sender<Input>,
     tick_at: Instant,
+    standby_tick_at: Instant,
     heartbeat_at: Instant,
     peers: Peers,
     config_asked_at: Option<Instant>,
@@ -191,8 +196,10 @@
             listed: HashSet::new(),
             gone: HashSet::new(),
             rank: 0,
+            ranked: 0,
             inputs,
             tick_at: now,
+            standby_tick_at: now,
             heartbeat_at: now,
             peers,
             config_asked_at: None,
@@ -256,8 +263,16 @@
 
     fn tick(&mut self, now: Instant) {
         self.tick_at = now + TICK;
-        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
-        for cell in cells {
+        let all_due = now >= self.standby_tick_at;
+        if all_due {
+            self.standby_tick_at = now + STANDBY_TICK;
+        }
+        let due = self
+            .cells
+            .iter()
+            .filter(|(_, shell)| all_due || shell.is_active());
+        let due: Vec<CellName> = due.map(|(cell, _)| cell.clone()).collect();
+        for cell in due {
             self.cell_event(now, &cell, Event::Tick);
         }
         if now >= self.heartbeat_at {
@@ -526,8 +541,12 @@
         for entry in listed.iter().filter(|entry| entry.leaving) {
             self.upstream_event(now, &entry.id, Event::UpstreamLeaving(entry.id.clone()));
         }
-        self.listed = ids;
-        self.update_ranks(now);
+        // Ranks take a hash for each instance and cell; they change with the list alone.
+        if ids != self.listed || self.ranked != self.revision() {
+            self.listed = ids;
+            self.ranked = self.revision();
+            self.update_ranks(now);
+        }
     }
 
     fn upstream_event(&mut self, now: Instant, id: &str, event: Event) {
--- a/crates/standins/src/bin/passway-slopes.rs
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -13,11 +13,12 @@
 use passway_decide::messages::{Demand, OrderAnswer, RouteChange, UpstreamStatus};
 use passway_decide::plan::{Holder, Plan};
 use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
+use passway_platform::instance_list::ListedInstance;
 use passway_platform::key_value::KeyValue;
 use passway_router::Router;
 use passway_standins::instance_list::LaggingList;
 use passway_standins::key_value::MemoryKeyValue;
-use passway_standins::world::{World, WorldPlan};
+use passway_standins::world::{Fleet, World, WorldPlan};
 use passway_types::prelude::*;
 use std::hint::black_box;
 use std::net::SocketAddr;
@@ -26,11 +27,16 @@
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Arguments {
-    /// Time for which each fleet is watched, in seconds; 0 leaves the fleets out.
+    /// Time for which each fleet and role is watched, in seconds.
     #[arg(long, default_value_t = 10)]
     watch_s: u64,
+    /// What to measure, with commas between.
+    #[arg(long, value_delimiter = ',', default_values_t = PARTS.map(str::to_owned))]
+    parts: Vec<String>,
 }
 
+/// Everything that can be measured.
+const PARTS: [&str; 5] = ["configuration", "router", "cell", "roles", "fleets"];
 /// Sizes: today, a third of the way, the target.
 const SIZES: [Size; 3] = [
     Size {
@@ -39,6 +45,7 @@
         upstreams: 9,
         groups: 4,
         rules: 3,
+        instances: 6,
     },
     Size {
         models: 250,
@@ -46,6 +53,7 @@
         upstreams: 200,
         groups: 70,
         rules: 30,
+        instances: 107,
     },
     Size {
         models: 730,
@@ -53,6 +61,7 @@
         upstreams: 600,
         groups: 200,
         rules: 100,
+        instances: 320,
     },
 ];
 /// Placements of a cell.
@@ -69,16 +78,21 @@
     upstreams: usize,
     groups: usize,
     rules: usize,
+    instances: usize,
 }
 
 fn main() -> Result<()> {
     let arguments = Arguments::parse();
-    configuration()?;
-    router_decisions()?;
-    cell_decisions()?;
-    if arguments.watch_s > 0 {
-        roles(Duration::from_secs(arguments.watch_s))?;
-        fleets(Duration::from_secs(arguments.watch_s))?;
+    let watch = Duration::from_secs(arguments.watch_s);
+    for part in &arguments.parts {
+        match part.as_str() {
+            "configuration" => configuration()?,
+            "router" => router_decisions()?,
+            "cell" => cell_decisions()?,
+            "roles" => roles(watch)?,
+            "fleets" => fleets(watch)?,
+            other => anyhow::bail!("{other} is none of {}", PARTS.join(", ")),
+        }
     }
     Ok(())
 }
@@ -246,6 +260,7 @@
         upstreams: placements.div_ceil(16),
         groups: 4,
         rules: 3,
+        instances: 6,
     };
     let catalog = Arc::new(Catalog::build(&document(&size), 1)?);
     let now = Instant::now();
@@ -377,6 +392,13 @@
     Ok(Duration::from_millis(ticks * 1_000 / TICKS_PER_S))
 }
 
+/// The list of a fleet, so that a controller knows how many come before it.
+fn instance_list(instances: usize) -> LaggingList {
+    let ids = (0..instances).map(|number| format!("entry{number}").into());
+    let listed = ids.map(|id| ListedInstance { id, leaving: false });
+    LaggingList::new(Duration::ZERO, listed.collect())
+}
+
 /// One controller that leads nothing, then one that leads one cell, then a
 /// router beside it, with the configuration of each size; all idle.
 fn roles(watch: Duration) -> Result<()> {
@@ -403,9 +425,7 @@
             data_hall: "hall0".into(),
             listen: any.to_string(),
             key_value: key_value.serve(any).to_string(),
-            instance_list: LaggingList::new(Duration::ZERO, Vec::new())
-                .serve(any)
-                .to_string(),
+            instance_list: instance_list(size.instances).serve(any).to_string(),
             ..ControllerSettings::default()
         };
         let line = |role: &str, before_bytes: u64| -> Result<()> {
@@ -443,7 +463,9 @@
 
 /// Idle fleets, all in this process: calls and bytes of control.
 fn fleets(watch: Duration) -> Result<()> {
-    println!("fleet: instances kv_reads_per_s kv_writes_per_s control_bytes_per_s_per_instance");
+    println!(
+        "fleet: instances kv_reads_per_s kv_writes_per_s control_bytes_per_s_per_instance spread_ms"
+    );
     for instances in FLEETS {
         let world = World::start(WorldPlan {
             instances,
@@ -457,11 +479,13 @@
         let after = world.key_value.calls();
         let seconds = watch.as_secs();
         let sent = passway_wire::link::sent_bytes() - bytes;
+        let spread = spread(&world, &fleet)?;
         println!(
-            "  {instances:4} {:7.2} {:7.2} {:8}",
+            "  {instances:4} {:7.2} {:7.2} {:8} {:6}",
             rate(after.reads - calls.reads, seconds),
             rate(after.writes - calls.writes, seconds),
-            sent / seconds / instances as u64
+            sent / seconds / instances as u64,
+            spread.as_millis()
         );
         for controller in fleet.controllers {
             controller.stop();
@@ -471,6 +495,22 @@
     Ok(())
 }
 
+/// Time from a change of configuration until it is in force at every router.
+fn spread(world: &World, fleet: &Fleet) -> Result<Duration> {
+    let found = world.key_value.get(revision::CURRENT_KEY);
+    let found = found.ok().flatten().context("no configuration")?;
+    let mut next = revision::decode(&found.value)?;
+    next.revision += 1;
+    let began_at = Instant::now();
+    let encoded = revision::encode(&next)?;
+    let written = world
+        .key_value
+        .put_if(revision::CURRENT_KEY, found.version, &encoded, None);
+    written.map_err(|_| anyhow::anyhow!("storing"))?;
+    fleet.wait_for_revision(next.revision)?;
+    Ok(began_at.elapsed())
+}
+
 #[expect(clippy::cast_precision_loss, reason = "for print only")]
 fn rate(count: u64, seconds: u64) -> f64 {
     count as f64 / seconds as f64
--- /dev/null
+++ b/tests/all/docs_match.rs
@@ -0,0 +1,36 @@
+//! Pages that describe the code agree with it; `UPDATE_EXPECT=1` writes them anew.
+
+use expect_test::expect_file;
+use passway_types::outcome::ResultCode;
+use std::fmt::Write;
+
+#[test]
+fn result_codes() {
+    let mut page = String::from(
+        "# Result codes\n\nEvery refusal carries its code in the header `x-passway-code`, whether the \
+         request ran in\n`x-passway-ran`, and both in its body, with `retry_after_ms` where a repeat may \
+         succeed\n(in whole seconds also as `retry-after`). A stream that cannot go on ends with an\n\
+         event `error` that carries the same body.\n\n\
+         This table is written from `crates/types/src/outcome.rs` by `tests/all/docs_match.rs`.\n\n\
+         | code | name | HTTP | ran | meaning |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for code in ResultCode::ALL {
+        let (number, name) = (*code as u16, code.name());
+        let (status, ran) = (code.http_status(), code.ran().as_str());
+        writeln!(
+            page,
+            "| {number} | {name} | {status} | {ran} |{} |",
+            code.description()
+        )
+        .expect("string");
+    }
+    expect_file!["../../docs/result-codes.md"].assert_eq(&page);
+}
+
+#[test]
+fn codes_are_unique() {
+    let mut numbers: Vec<u16> = ResultCode::ALL.iter().map(|code| *code as u16).collect();
+    numbers.dedup();
+    assert_eq!(numbers.len(), ResultCode::ALL.len());
+    assert!(numbers.is_sorted());
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod claims_once;
 mod config_checks;
 mod config_spread;
+mod docs_match;
 mod policy_rules;
 mod process_kills;
 mod processes;
