--- a/crates/standins/src/bin/passway-slopes.rs
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -432,7 +432,7 @@
             std::thread::sleep(Duration::from_secs(2));
             let (began, began_at) = (processor_time()?, Instant::now());
             std::thread::sleep(watch);
-            let used = processor_time()? - began;
+            let used = processor_time()?.saturating_sub(began);
             let percent = used.as_secs_f64() / began_at.elapsed().as_secs_f64() * 100.0;
             let grown = mb(resident_bytes()?.saturating_sub(before_bytes));
             println!(
