--- a/crates/decide/src/estimate.rs
+++ b/crates/decide/src/estimate.rs
@@ -1,13 +1,25 @@
 //! How long a load takes, learned from loads observed.
+//!
+//! An expected time is the product of two learned numbers:
+//!
+//! * for each tier and class of size, the usual time of a load, learned slowly.
+//!   Small loads are nearly all waiting and start-up, large ones nearly all
+//!   transfer, so neither tells how long the other takes;
+//! * for each tier, a slowdown that all sizes share, learned fast: the weight
+//!   store slows down and recovers as a whole.
+//!
+//! An overdue load raises the slowdown before it ends, so a slow weight store
+//! shows within the time of one load.
 
 use crate::messages::Tier;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 
-/// Weight of the newest observation in the moving average. High, because the
-/// store slows down and recovers as a whole: the newest load tells most.
-const NEWEST_WEIGHT: f64 = 0.6;
-/// A load in progress is overdue past this many times the average.
+/// Weight of the newest load in a class's usual time.
+const USUAL_WEIGHT: f64 = 0.1;
+/// Weight of the newest load in a tier's slowdown.
+const SLOWDOWN_WEIGHT: f64 = 0.6;
+/// A load in progress is overdue past this many times the expected time.
 const OVERDUE: f64 = 1.25;
 /// The end of a load is learned this much late; not yet a sign of a slow store.
 const REPORT_LAG: Duration = Duration::from_millis(500);
@@ -17,8 +29,13 @@
 const DISK_SPEEDUP: f64 = 4.0;
 /// Pace assumed for a checkpoint in memory against one in the weight store.
 const MEMORY_SPEEDUP: f64 = 16.0;
-/// Bytes in a megabyte.
-const MB_BYTES: f64 = 1_048_576.0;
+/// Time that any load takes besides the transfer, until it is learned.
+const START_TIME: Duration = Duration::from_millis(300);
+/// Bounds of a slowdown; beyond them one strange load would tell too much.
+const SLOWDOWN_BOUNDS: (f64, f64) = (0.05, 100.0);
+
+/// A class of sizes: the power of two of its megabytes.
+type SizeClass = u32;
 
 /// A load in progress.
 #[derive(Debug, Clone, Copy)]
@@ -28,28 +45,22 @@
     started_at: Instant,
 }
 
-/// A moving average of seconds per byte for each tier.
-///
-/// An overdue load raises the estimate before it ends, so a slow weight store
-/// shows within the time of one load.
+/// Learns how long loads take.
 #[derive(Debug)]
 pub struct LoadEstimator {
-    seconds_per_byte: HashMap<Tier, f64>,
+    remote_mb_per_s: u64,
+    usual: HashMap<(Tier, SizeClass), Duration>,
+    slowdown: HashMap<Tier, f64>,
     running: HashMap<PlacementId, Running>,
 }
 
 impl LoadEstimator {
     /// An estimator that begins with the operators' figure for the weight store.
     pub fn new(remote_mb_per_s: u64) -> Self {
-        #[expect(clippy::cast_precision_loss, reason = "an estimate needs no 53 bits")]
-        let remote = 1.0 / (remote_mb_per_s as f64 * MB_BYTES);
-        let seconds_per_byte = HashMap::from([
-            (Tier::Remote, remote),
-            (Tier::Disk, remote / DISK_SPEEDUP),
-            (Tier::Memory, remote / MEMORY_SPEEDUP),
-        ]);
         Self {
-            seconds_per_byte,
+            remote_mb_per_s,
+            usual: HashMap::new(),
+            slowdown: HashMap::new(),
             running: HashMap::new(),
         }
     }
@@ -71,9 +82,20 @@
         let Some(load) = self.running.remove(&id) else {
             return;
         };
-        let observed = pace(now, &load);
-        let average = self.seconds_per_byte.entry(load.tier).or_insert(observed);
-        *average += NEWEST_WEIGHT * (observed - *average);
+        let took_s = now.saturating_duration_since(load.started_at).as_secs_f64();
+        let usual_s = self.usual_time(load.tier, load.size_bytes).as_secs_f64();
+        let slowdown = self.slowdown.entry(load.tier).or_insert(1.0);
+        let observed = took_s / usual_s.max(f64::MIN_POSITIVE);
+        *slowdown += SLOWDOWN_WEIGHT * (observed - *slowdown);
+        *slowdown = slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1);
+        let unslowed_s = took_s / *slowdown;
+        let key = (load.tier, size_class(load.size_bytes));
+        let learned_s = match self.usual.get(&key) {
+            Some(_) => usual_s + USUAL_WEIGHT * (unslowed_s - usual_s),
+            // The first load of its class tells more than any guess.
+            None => unslowed_s,
+        };
+        self.usual.insert(key, Duration::from_secs_f64(learned_s));
     }
 
     /// Forgets a load that failed or was taken back.
@@ -83,41 +105,64 @@
 
     /// Expected time of a whole load.
     pub fn load_time(&self, now: Instant, tier: Tier, size_bytes: u64) -> Duration {
-        #[expect(clippy::cast_precision_loss, reason = "an estimate needs no 53 bits")]
-        let seconds = self.current_pace(now, tier) * size_bytes as f64;
-        Duration::from_secs_f64(seconds)
+        self.usual_time(tier, size_bytes)
+            .mul_f64(self.current_slowdown(now, tier))
     }
 
     /// Expected time until a load in progress ends.
     pub fn remaining(&self, now: Instant, id: PlacementId) -> Option<Duration> {
         let load = self.running.get(&id)?;
-        let whole = self.load_time(now, load.tier, load.size_bytes);
+        let expected = self.load_time(now, load.tier, load.size_bytes);
+        let whole = self
+            .overdue_time(now, load)
+            .map_or(expected, |own| own.max(expected));
         Some(whole.saturating_sub(now.saturating_duration_since(load.started_at)))
     }
 
-    /// The average, or more if a load in progress is overdue: nothing tells how
-    /// long it will still take but that it has taken so long already, so it is
-    /// expected to take as long again.
-    fn current_pace(&self, now: Instant, tier: Tier) -> f64 {
-        let average = self.seconds_per_byte.get(&tier).copied().unwrap_or(0.0);
-        let running = self.running.values().filter(|load| load.tier == tier);
-        let overdue = running.filter(|load| is_overdue(now, load, average));
-        overdue
-            .map(|load| pace(now, load) * OVERDUE_STRETCH)
-            .fold(average, f64::max)
+    /// The usual time of a load: learned for its class, else from the operators' figure.
+    fn usual_time(&self, tier: Tier, size_bytes: u64) -> Duration {
+        let learned = self.usual.get(&(tier, size_class(size_bytes)));
+        learned.copied().unwrap_or_else(|| {
+            let remote =
+                Duration::from_micros((size_bytes >> 20) * 1_000_000 / self.remote_mb_per_s);
+            let transfer = match tier {
+                Tier::Remote => remote,
+                Tier::Disk => remote.div_f64(DISK_SPEEDUP),
+                Tier::Memory => remote.div_f64(MEMORY_SPEEDUP),
+            };
+            START_TIME + transfer
+        })
     }
-}
 
-fn is_overdue(now: Instant, load: &Running, average: f64) -> bool {
-    #[expect(clippy::cast_precision_loss, reason = "an estimate needs no 53 bits")]
-    let expected = Duration::from_secs_f64(average * load.size_bytes as f64);
-    let so_far = now.saturating_duration_since(load.started_at);
-    so_far > expected.mul_f64(OVERDUE) + REPORT_LAG
+    /// The learned slowdown, or more if a load in progress is overdue. Only a
+    /// load whose usual time was learned tells something about others.
+    fn current_slowdown(&self, now: Instant, tier: Tier) -> f64 {
+        let learned = self.slowdown.get(&tier).copied().unwrap_or(1.0);
+        let known = self.running.values().filter(|load| {
+            load.tier == tier
+                && self
+                    .usual
+                    .contains_key(&(tier, size_class(load.size_bytes)))
+        });
+        let overdue = known.filter_map(|load| {
+            let usual = self.usual_time(tier, load.size_bytes).as_secs_f64();
+            Some(self.overdue_time(now, load)?.as_secs_f64() / usual.max(f64::MIN_POSITIVE))
+        });
+        overdue.fold(learned, f64::max)
+    }
+
+    /// What an overdue load is expected to take in all. Nothing tells how long it
+    /// will still take but that it has taken so long already, so it is expected
+    /// to take as long again.
+    fn overdue_time(&self, now: Instant, load: &Running) -> Option<Duration> {
+        let learned = self.slowdown.get(&load.tier).copied().unwrap_or(1.0);
+        let usual = self.usual_time(load.tier, load.size_bytes);
+        let so_far = now.saturating_duration_since(load.started_at);
+        let is_overdue = so_far > usual.mul_f64(learned * OVERDUE) + REPORT_LAG;
+        is_overdue.then(|| so_far.mul_f64(OVERDUE_STRETCH))
+    }
 }
 
-fn pace(now: Instant, load: &Running) -> f64 {
-    let elapsed = now.saturating_duration_since(load.started_at);
-    #[expect(clippy::cast_precision_loss, reason = "an estimate needs no 53 bits")]
-    let size = load.size_bytes.max(1) as f64;
-    elapsed.as_secs_f64() / size
+fn size_class(size_bytes: u64) -> SizeClass {
+    (size_bytes >> 20).max(1).ilog2()
 }
--- /dev/null
+++ b/crates/standins/src/bin/passway-load.rs
@@ -0,0 +1,332 @@
+//! Drives routers and controllers with a seeded trace and reports what it cost.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use hdrhistogram::Histogram;
+use passway_config::document::{KeepEntry, KeepPolicyName};
+use passway_standins::load::{Call, Outcome, call};
+use passway_standins::trace::{Purpose, Site, TraceRequest, draw};
+use passway_standins::world::{World, WorldPlan};
+use passway_types::prelude::*;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+
+/// Runs the same trace with each variant and prints a table.
+///
+/// A variant is a keep policy: `fixed:MS`, `ski_rental:COLD` or `histogram:COLD`,
+/// where COLD is what a second of cold wait costs against an idle second.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// `market` or `laundry`.
+    #[arg(long, default_value = "market")]
+    site: Site,
+    /// The variants, the baseline first, with commas between.
+    #[arg(
+        long,
+        value_delimiter = ',',
+        default_value = "fixed:10000,ski_rental:10,histogram:10"
+    )]
+    variants: Vec<String>,
+    /// Draws the trace.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of each run, a day compressed, in seconds.
+    #[arg(long, default_value_t = 60)]
+    length_s: u64,
+    /// Mean requests a second outside rushes.
+    #[arg(long, default_value_t = 8.0)]
+    rate_per_s: f64,
+    /// Where the report goes as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Where the plot goes as SVG.
+    #[arg(long)]
+    svg: Option<PathBuf>,
+}
+
+/// Pause between two looks at what the engines hold.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(50);
+
+/// What one run cost.
+#[derive(Debug, Clone, Serialize)]
+struct Report {
+    variant: String,
+    requests: usize,
+    whole: usize,
+    refused: BTreeMap<u64, usize>,
+    /// Answers that were broken or wrong; must be 0.
+    broken: usize,
+    /// Promises that the ledgers show broken; must be 0.
+    broken_promises: usize,
+    cold: u64,
+    cold_p50_ms: u64,
+    cold_p95_ms: u64,
+    cold_p99_ms: u64,
+    warm_p50_ms: u64,
+    warm_p99_ms: u64,
+    loads: u32,
+    /// Seconds for which a whole engine's memory was held by idle models.
+    idle_engine_s: f64,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    let length = Duration::from_secs(arguments.length_s);
+    let mut reports = Vec::new();
+    for variant in &arguments.variants {
+        let keep = keep_of(variant)?;
+        let plan = WorldPlan {
+            keep,
+            max_replicas: 2,
+            ..WorldPlan::default()
+        };
+        let trace = draw(
+            arguments.site,
+            arguments.seed,
+            length,
+            arguments.rate_per_s,
+            plan.models,
+            plan.adapters,
+        );
+        reports.push(run(variant, plan, &trace)?);
+    }
+    print_table(&reports);
+    if let Some(path) = &arguments.json {
+        std::fs::write(path, serde_json::to_string_pretty(&reports)?).context("json")?;
+    }
+    if let Some(path) = &arguments.svg {
+        std::fs::write(path, plot(&reports)).context("svg")?;
+    }
+    Ok(())
+}
+
+fn keep_of(variant: &str) -> Result<KeepEntry> {
+    let (policy, number) = variant
+        .split_once(':')
+        .context("a variant is POLICY:NUMBER")?;
+    let number: f64 = number.parse().context("a variant's number")?;
+    let entry = KeepEntry::default();
+    Ok(match policy {
+        "fixed" => KeepEntry {
+            policy: KeepPolicyName::Fixed,
+            max_idle_ms: Duration::from_secs_f64(number / 1_000.0)
+                .as_millis()
+                .try_into()?,
+            ..entry
+        },
+        "ski_rental" => KeepEntry {
+            policy: KeepPolicyName::SkiRental,
+            cold_weight: number,
+            ..entry
+        },
+        "histogram" => KeepEntry {
+            policy: KeepPolicyName::Histogram,
+            cold_weight: number,
+            ..entry
+        },
+        other => anyhow::bail!("no keep policy {other}"),
+    })
+}
+
+fn run(variant: &str, plan: WorldPlan, trace: &[TraceRequest]) -> Result<Report> {
+    let world = Arc::new(World::start(plan)?);
+    let fleet = world.start_fleet()?;
+    let routers: Vec<SocketAddr> = fleet
+        .routers
+        .iter()
+        .map(passway_router::Router::address)
+        .collect();
+    let sampler = Sampler::start(world.clone());
+    let began_at = Instant::now();
+    let mut callers: Vec<JoinHandle<(bool, passway_standins::load::Sample)>> = Vec::new();
+    for (number, request) in trace.iter().enumerate() {
+        std::thread::sleep(request.after.saturating_sub(began_at.elapsed()));
+        let is_cold = !world
+            .engines
+            .iter()
+            .any(|engine| engine.is_ready(&request.model));
+        let one = call_of(request, number, routers[number % routers.len()]);
+        callers.push(std::thread::spawn(move || (is_cold, call(&one))));
+    }
+    let mut samples = Vec::new();
+    for caller in callers {
+        samples.push(
+            caller
+                .join()
+                .map_err(|_| anyhow::anyhow!("a caller panicked"))?,
+        );
+    }
+    let idle_engine_s = sampler.stop();
+    let report = report(variant, &world, &samples, idle_engine_s)?;
+    for controller in fleet.controllers {
+        controller.stop();
+    }
+    Ok(report)
+}
+
+fn call_of(request: &TraceRequest, number: usize, router: SocketAddr) -> Call {
+    let (group, tokens, deadline_s) = match request.purpose {
+        Purpose::Rush => ("stalls", 16, 8),
+        Purpose::Lookup => ("default", 4, 8),
+        Purpose::Night => ("growers", 60, 60),
+    };
+    Call {
+        router,
+        model: request.model.clone(),
+        group: group.into(),
+        prompt: format!("question {number}"),
+        tokens,
+        stream: true,
+        deadline: Duration::from_secs(deadline_s),
+    }
+}
+
+/// Sums up the idle memory of all engines while it runs.
+struct Sampler {
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<f64>,
+}
+
+impl Sampler {
+    fn start(world: Arc<World>) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let is_stopped = stopped.clone();
+        let thread = std::thread::spawn(move || {
+            let mut idle_engine_s = 0.0;
+            let mut sampled_at = Instant::now();
+            while !is_stopped.load(Ordering::Relaxed) {
+                std::thread::sleep(SAMPLE_PAUSE);
+                let now = Instant::now();
+                let idle: f64 = world.engines.iter().map(|engine| engine.idle_share()).sum();
+                idle_engine_s += idle * (now - sampled_at).as_secs_f64();
+                sampled_at = now;
+            }
+            idle_engine_s
+        });
+        Self { stopped, thread }
+    }
+
+    fn stop(self) -> f64 {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.thread.join().unwrap_or(f64::NAN)
+    }
+}
+
+fn report(
+    variant: &str,
+    world: &World,
+    samples: &[(bool, passway_standins::load::Sample)],
+    idle_engine_s: f64,
+) -> Result<Report> {
+    let mut cold = Histogram::<u64>::new(3)?;
+    let mut warm = Histogram::<u64>::new(3)?;
+    let mut refused = BTreeMap::new();
+    let mut whole = 0;
+    let mut broken = 0;
+    for (is_cold, sample) in samples {
+        match &sample.outcome {
+            Outcome::Whole => {
+                whole += 1;
+                let first_ms = u64::try_from(sample.first.as_millis())?;
+                let into = if *is_cold { &mut cold } else { &mut warm };
+                into.record(first_ms)?;
+            }
+            Outcome::Refused { code, .. } => *refused.entry(*code).or_default() += 1,
+            Outcome::Broken(_) => broken += 1,
+        }
+    }
+    let ledgers: Vec<_> = world
+        .engines
+        .iter()
+        .map(passway_standins::engine::Engine::ledger)
+        .collect();
+    let over = ledgers
+        .iter()
+        .filter(|l| l.most_bytes > world.plan.engine_mb << 20 || l.no_room > 0);
+    Ok(Report {
+        variant: variant.to_owned(),
+        requests: samples.len(),
+        whole,
+        refused,
+        broken,
+        broken_promises: over.count(),
+        cold: cold.len(),
+        cold_p50_ms: cold.value_at_quantile(0.5),
+        cold_p95_ms: cold.value_at_quantile(0.95),
+        cold_p99_ms: cold.value_at_quantile(0.99),
+        warm_p50_ms: warm.value_at_quantile(0.5),
+        warm_p99_ms: warm.value_at_quantile(0.99),
+        loads: ledgers
+            .iter()
+            .flat_map(|ledger| ledger.loads.values())
+            .sum(),
+        idle_engine_s,
+    })
+}
+
+fn print_table(reports: &[Report]) {
+    println!(
+        "variant          requests whole refused broken promises cold cold_p50 cold_p95 cold_p99 \
+         warm_p50 warm_p99 loads idle_engine_s"
+    );
+    for r in reports {
+        let refused: usize = r.refused.values().sum();
+        println!(
+            "{:16} {:8} {:5} {refused:7} {:6} {:8} {:4} {:8} {:8} {:8} {:8} {:8} {:5} {:13.1}",
+            r.variant,
+            r.requests,
+            r.whole,
+            r.broken,
+            r.broken_promises,
+            r.cold,
+            r.cold_p50_ms,
+            r.cold_p95_ms,
+            r.cold_p99_ms,
+            r.warm_p50_ms,
+            r.warm_p99_ms,
+            r.loads,
+            r.idle_engine_s
+        );
+    }
+}
+
+/// The cold tail against idle time, a point a variant.
+fn plot(reports: &[Report]) -> String {
+    let most_idle = reports.iter().map(|r| r.idle_engine_s).fold(1.0, f64::max);
+    let most_ms = reports
+        .iter()
+        .map(|r| r.cold_p99_ms)
+        .max()
+        .unwrap_or(1)
+        .max(1);
+    let mut svg = String::from(
+        "<svg xmlns='http://www.w3.org/2000/svg' width='640' height='400' font-family='sans-serif' font-size='12'>\
+         <rect width='640' height='400' fill='white'/>\
+         <line x1='60' y1='350' x2='620' y2='350' stroke='black'/>\
+         <line x1='60' y1='20' x2='60' y2='350' stroke='black'/>\
+         <text x='250' y='385'>idle engine seconds</text>\
+         <text x='15' y='250' transform='rotate(-90 15 250)'>cold start p99, ms</text>",
+    );
+    for r in reports {
+        let x = 60.0 + r.idle_engine_s / most_idle * 460.0;
+        #[expect(clippy::cast_precision_loss, reason = "a plot")]
+        let y = 350.0 - r.cold_p99_ms as f64 / most_ms as f64 * 300.0;
+        // Writing into a string does not fail.
+        let _ = write!(
+            svg,
+            "<circle cx='{x:.0}' cy='{y:.0}' r='5'/><text x='{:.0}' y='{:.0}'>{} ({:.0} s, {} ms)</text>",
+            x + 8.0,
+            y + 4.0,
+            r.variant,
+            r.idle_engine_s,
+            r.cold_p99_ms
+        );
+    }
+    svg + "</svg>\n"
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -133,6 +133,27 @@
         self.state().loaded.keys().cloned().collect()
     }
 
+    /// Whether a model serves.
+    pub fn is_ready(&self, model: &str) -> bool {
+        self.state()
+            .loaded
+            .get(model)
+            .is_some_and(|loaded| loaded.ready)
+    }
+
+    /// The share of the memory that models hold which serve and run nothing.
+    pub fn idle_share(&self) -> f64 {
+        let state = self.state();
+        let idle = state
+            .loaded
+            .values()
+            .filter(|loaded| loaded.ready && loaded.running == 0);
+        let idle_mb: u64 = idle.map(|loaded| loaded.size_bytes >> 20).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a share")]
+        let share = idle_mb as f64 / (state.traits.memory_bytes >> 20) as f64;
+        share
+    }
+
     /// Tells the engine what to do wrong from now on.
     pub fn set_faults(&self, faults: Faults) {
         self.state().faults = faults;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`service`]: a plain service that counts runs per key.
 //! * [`instance_list`]: a list that lags.
 //! * [`world`]: all of them together with a configuration.
+//! * [`trace`]: seeded days of the two deployments.
 //! * [`load`]: callers, whose answers are checked.
 
 pub mod engine;
@@ -18,5 +19,6 @@
 pub mod load;
 pub mod server;
 pub mod service;
+pub mod trace;
 pub mod weight_store;
 pub mod world;
--- /dev/null
+++ b/tests/all/retry_budget.rs
@@ -0,0 +1,107 @@
+//! Retries stay within their budget when a third of the upstreams fail.
+
+use passway_config::document::{GroupEntry, ModelEntry, UpstreamEntry};
+use passway_config::{Catalog, Document};
+use passway_decide::messages::RouteChange;
+use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
+use passway_types::prelude::*;
+
+const UPSTREAMS: usize = 9;
+const REQUESTS: u64 = 20_000;
+const BETWEEN: Duration = Duration::from_millis(2);
+
+fn core(now: Instant) -> RouterCore {
+    let upstreams = (0..UPSTREAMS).map(|number| UpstreamEntry {
+        id: format!("engine{number}"),
+        address: "10.0.1.1:80".into(),
+        data_hall: "hall".into(),
+        memory_mb: 10,
+        slots: 64,
+        ..UpstreamEntry::default()
+    });
+    let model = ModelEntry {
+        name: "m".into(),
+        size_mb: 1,
+        max_replicas: 9,
+        ..ModelEntry::default()
+    };
+    let document = Document {
+        groups: vec![GroupEntry {
+            name: "default".into(),
+            ..GroupEntry::default()
+        }],
+        models: vec![model],
+        upstreams: upstreams.collect(),
+        ..Document::default()
+    };
+    let catalog = Catalog::build(&document, 1).expect("catalog");
+    let mut core = RouterCore::new(3, Arc::new(catalog), now);
+    let added = (0..UPSTREAMS).map(|number| ("m@1".into(), format!("engine{number}").into()));
+    let change = RouteChange {
+        added: added.collect(),
+        removed: Vec::new(),
+        whole: true,
+    };
+    core.routes_changed(now, &change, "main");
+    core
+}
+
+/// Attempts and whole answers when attempts at every third upstream end so.
+fn attempts(failure: Ended) -> (u64, u64) {
+    let mut now = Instant::now();
+    let mut core = core(now);
+    let (mut attempts, mut served) = (0, 0);
+    for request in 0..REQUESTS {
+        now += BETWEEN;
+        let arrival = Arrival {
+            request,
+            model: "m@1".into(),
+            group: "default".into(),
+            kind: String::new(),
+            priority: None,
+            deadline_at: None,
+        };
+        let mut actions = core.arrive(now, &arrival);
+        actions.extend(core.tick(now));
+        while let Some(action) = actions.pop() {
+            let RouterAction::Start {
+                request, upstream, ..
+            } = action
+            else {
+                continue;
+            };
+            attempts += 1;
+            let number: usize = upstream["engine".len()..].parse().expect("number");
+            let fails = number.is_multiple_of(3);
+            let ended = if fails {
+                failure
+            } else {
+                Ended::Served { tokens: 1 }
+            };
+            served += u64::from(!fails);
+            actions.extend(core.ended(now, request, ended));
+        }
+    }
+    (attempts, served)
+}
+
+#[test]
+fn third_fails() {
+    for failure in [
+        Ended::Unreachable,
+        Ended::Failed,
+        Ended::Busy,
+        Ended::NotLoaded,
+    ] {
+        let (attempts, served) = attempts(failure);
+        println!("{failure:?}: {attempts} attempts, {served} served, of {REQUESTS}");
+        assert!(
+            attempts * 10 <= REQUESTS * 11,
+            "{failure:?}: {attempts} attempts"
+        );
+        assert!(
+            served * 100 >= REQUESTS * 95,
+            "{failure:?}: {served} served"
+        );
+    }
+}
