--- a/crates/standins/src/bin/passway-load.rs
+++ b/crates/standins/src/bin/passway-load.rs
@@ -4,6 +4,7 @@
 use clap::Parser;
 use hdrhistogram::Histogram;
 use passway_config::document::{KeepEntry, KeepPolicyName};
+use passway_standins::engine::Engine;
 use passway_standins::load::{Call, Outcome, call};
 use passway_standins::trace::{Purpose, Site, TraceRequest, draw};
 use passway_standins::world::{World, WorldPlan};
@@ -142,7 +143,7 @@
         .iter()
         .map(passway_router::Router::address)
         .collect();
-    let sampler = Sampler::start(world.clone());
+    let idle_watch = Sampler::start(world.clone());
     let began_at = Instant::now();
     let mut callers: Vec<JoinHandle<(bool, passway_standins::load::Sample)>> = Vec::new();
     for (number, request) in trace.iter().enumerate() {
@@ -162,7 +163,7 @@
                 .map_err(|_| anyhow::anyhow!("a caller panicked"))?,
         );
     }
-    let idle_engine_s = sampler.stop();
+    let idle_engine_s = idle_watch.stop();
     let report = report(variant, &world, &samples, idle_engine_s)?;
     for controller in fleet.controllers {
         controller.stop();
@@ -203,7 +204,7 @@
             while !is_stopped.load(Ordering::Relaxed) {
                 std::thread::sleep(SAMPLE_PAUSE);
                 let now = Instant::now();
-                let idle: f64 = world.engines.iter().map(|engine| engine.idle_share()).sum();
+                let idle: f64 = world.engines.iter().map(Engine::idle_share).sum();
                 idle_engine_s += idle * (now - sampled_at).as_secs_f64();
                 sampled_at = now;
             }
@@ -241,11 +242,7 @@
             Outcome::Broken(_) => broken += 1,
         }
     }
-    let ledgers: Vec<_> = world
-        .engines
-        .iter()
-        .map(passway_standins::engine::Engine::ledger)
-        .collect();
+    let ledgers: Vec<_> = world.engines.iter().map(Engine::ledger).collect();
     let over = ledgers
         .iter()
         .filter(|l| l.most_bytes > world.plan.engine_mb << 20 || l.no_room > 0);
