--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,14 +1,26 @@
 //! Settings of each program, read once at start.
 
 use crate::check::{Fault, Faults, Source};
+use anyhow::Context;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use std::path::Path;
 
 /// What every instance-bound program needs to know of its place.
 pub trait Settings: DeserializeOwned + Default {
     /// What must hold beyond the types; returns path and reason of each fault.
     fn check(&self) -> Vec<(&'static str, &'static str)>;
 
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// If the file cannot be read, or every fault in it.
+    fn read(path: &Path) -> anyhow::Result<Self> {
+        let name = || path.display().to_string();
+        let text = std::fs::read_to_string(path).with_context(name)?;
+        Self::parse(&text).with_context(name)
+    }
+
     /// Reads JSON with comments and checks it whole.
     ///
     /// # Errors
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,16 +1,19 @@
 //! The deciding thread of a controller.
 
+mod answers;
 mod cell_shell;
+mod input;
 mod peers;
+mod sending;
 
 use crate::audit::AuditTrail;
-use crate::config_feed::{self, ReadPace, millis};
+use crate::config_feed::{self, ReadPace};
 use crate::gossip::Gossip;
-use crate::status::{NodeStatus, RouterStatus};
 use crate::{translate, workers};
 use anyhow::{Context, Result};
 use cell_shell::{CellShell, Services};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+pub use input::{Input, LinkId};
 use passway_config::Catalog;
 use passway_config::revision::KeptRevision;
 use passway_config::settings::ControllerSettings;
@@ -23,7 +26,7 @@
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{
-    CellHolder, Config, ConfigWanted, Heartbeat, Hello, ProbeAnswer, QueryAnswer, Role,
+    CellHolder, Config, ConfigWanted, Hello, ProbeAnswer, QueryAnswer, Role,
 };
 use peers::Peers;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -53,67 +56,6 @@
 /// Age at which the first controller that leads nothing reads it; more for the next.
 const STANDBY_READ_AGE: Duration = Duration::from_secs(2);
 
-/// The number of an accepted connection.
-pub type LinkId = u64;
-
-/// Something that happened outside.
-#[derive(Debug)]
-pub enum Input {
-    /// An event for one cell's decisions.
-    Cell {
-        /// The cell.
-        cell: CellName,
-        /// The event.
-        event: Event,
-    },
-    /// A connection was accepted.
-    Linked {
-        /// Its number.
-        id: LinkId,
-        /// Sends to it.
-        outbox: Outbox,
-    },
-    /// A message came on an accepted connection.
-    Heard {
-        /// The connection.
-        id: LinkId,
-        /// The message.
-        body: Body,
-    },
-    /// An accepted connection ended.
-    Unlinked {
-        /// The connection.
-        id: LinkId,
-    },
-    /// A message came from a controller that this one connected to.
-    FromPeer {
-        /// The controller's address.
-        peer: SocketAddr,
-        /// The message.
-        body: Body,
-    },
-    /// The key-value service answered something.
-    ServiceReached,
-    /// The configuration was read and is another one than before.
-    ConfigRead {
-        /// When the question was sent.
-        asked_at: Instant,
-        /// The revision that stands.
-        kept: Arc<KeptRevision>,
-    },
-    /// The configuration that was read last still stands.
-    ConfigConfirmed {
-        /// When the question was sent.
-        asked_at: Instant,
-    },
-    /// The configuration could not be read.
-    ConfigUnavailable,
-    /// The instance list was read.
-    Listed(Vec<ListedInstance>),
-    /// The process stops; the sender is told when leases are given back.
-    Stop(Sender<()>),
-}
-
 /// An accepted connection.
 #[derive(Debug)]
 struct Peer {
@@ -585,95 +527,10 @@
             .map(|model| model.cell.clone())
     }
 
-    fn routers(&self) -> impl Iterator<Item = (&Hello, &Outbox)> {
-        self.links.values().filter_map(|peer| {
-            let hello = peer.hello.as_ref()?;
-            (hello.role == i32::from(Role::Router)).then_some((hello, &peer.outbox))
-        })
-    }
-
-    fn send_to(&self, id: LinkId, body: Body) {
-        if let Some(peer) = self.links.get(&id) {
-            peer.outbox.send(body);
-        }
-    }
-
-    fn send_to_router(&self, router: Incarnation, body: &Body) {
-        for (_, outbox) in self
-            .routers()
-            .filter(|(hello, _)| hello.incarnation == router)
-        {
-            outbox.send(body.clone());
-        }
-    }
-
-    fn send_to_routers(&self, body: &Body) {
-        for (_, outbox) in self.routers() {
-            outbox.send(body.clone());
-        }
-    }
-
-    fn heartbeat(&self, now: Instant) -> Heartbeat {
-        let routers: HashSet<u64> = self.routers().map(|(hello, _)| hello.incarnation).collect();
-        Heartbeat {
-            instance: self.me.instance.to_string(),
-            incarnation: self.me.incarnation,
-            config_revision: self.revision(),
-            config_age_ms: millis(self.gossip.config_age(now, self.revision())),
-            isolated: self.gossip.is_isolated(now),
-            routers: u32::try_from(routers.len()).unwrap_or(u32::MAX),
-            cells: self.gossip.holders(),
-        }
-    }
-
-    /// Sends a heartbeat to all that are connected; the holders only to those
-    /// who have not been told of them as they are.
-    fn send_heartbeats(&mut self, now: Instant) {
-        let whole = self.heartbeat(now);
-        let brief = Heartbeat {
-            cells: Vec::new(),
-            ..whole.clone()
-        };
-        let version = self.gossip.holders_version();
-        for peer in self.links.values_mut().filter(|peer| peer.hello.is_some()) {
-            let is_told = peer.told_holders == Some(version);
-            peer.told_holders = Some(version);
-            let heartbeat = if is_told { &brief } else { &whole };
-            peer.outbox.send(Body::Heartbeat(heartbeat.clone()));
-        }
-    }
-
     fn config_message(&self) -> Option<Body> {
         let encoded = self.kept.as_ref()?.encoded.to_vec();
         Some(Body::Config(Config {
             encoded: encoded.into(),
         }))
     }
-
-    fn answer(&self, now: Instant, what: &str) -> String {
-        let answer = match what {
-            "status" => serde_json::to_string(&self.status(now)),
-            "audit" => serde_json::to_string(&self.audit.entries()),
-            _ => return "null".into(),
-        };
-        answer.unwrap_or_else(|_| "null".into())
-    }
-
-    fn status(&self, now: Instant) -> NodeStatus {
-        let routers = self.routers().map(|(hello, _)| RouterStatus {
-            instance: hello.instance.clone(),
-            config_revision: hello.config_revision,
-            in_progress: hello.in_progress,
-            leaving: hello.leaving,
-        });
-        NodeStatus {
-            instance: self.me.instance.to_string(),
-            incarnation: self.me.incarnation,
-            config_revision: self.revision(),
-            config_age_ms: millis(self.gossip.config_age(now, self.revision())),
-            isolated: self.gossip.is_isolated(now),
-            routers: routers.collect(),
-            cells: self.cells.values().filter_map(CellShell::status).collect(),
-        }
-    }
 }
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -8,7 +8,7 @@
 use super::{Action, Decision, change_id};
 use crate::estimate::LoadEstimator;
 use crate::keep::IdleHistory;
-use crate::messages::{DemandVerdict, LoadedState, OrderAnswer, OrderKind, RouteChange, Usage};
+use crate::messages::{LoadedState, OrderAnswer, OrderKind, Usage};
 use crate::plan::{PlacementState, Plan};
 use passway_config::Catalog;
 use passway_types::prelude::*;
@@ -20,10 +20,6 @@
 const READ_RETRY: Duration = Duration::from_millis(200);
 /// Pause between two probes of former holders.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
-/// Time given to upstreams for a first report before routes are published.
-const FIRST_REPORTS: Duration = Duration::from_secs(1);
-/// Retry hint when the key-value service does not answer.
-const CONTROL_RETRY: Duration = Duration::from_secs(2);
 /// The lease is renewed after this part of its time.
 const RENEW_DIVISOR: u32 = 3;
 
@@ -89,7 +85,7 @@
     lease_until: Instant,
     renew_at: Instant,
     renewing: bool,
-    started_at: Instant,
+    pub(super) started_at: Instant,
     changes_made: u64,
     pub(super) orders_made: u32,
     pub(super) progress: HashMap<PlacementId, Progress>,
@@ -100,7 +96,7 @@
     pub(super) making_room: HashMap<ModelName, UpstreamId>,
     /// Models that cannot be placed for now, and why.
     pub(super) refused: HashMap<ModelName, ResultCode>,
-    published: Option<BTreeSet<(ModelName, UpstreamId)>>,
+    pub(super) published: Option<BTreeSet<(ModelName, UpstreamId)>>,
     former_settled_at: HashMap<Epoch, Instant>,
     /// When the last former holder was cleared.
     pub(super) former_cleared_at: Option<Instant>,
@@ -427,98 +423,6 @@
         write_open || !self.has_lease(now)
     }
 
-    fn answer_demands(
-        &mut self,
-        now: Instant,
-        catalog: &Catalog,
-        upstreams: &Upstreams,
-        actions: &mut Vec<Action>,
-    ) {
-        for demand in self.demands.in_order() {
-            let model = &demand.model;
-            if self.is_routed(model) {
-                continue;
-            }
-            let verdict = if let Some(code) = self.refused.remove(model) {
-                let retry_at = now + placing::retry_after_refusal(self, now);
-                DemandVerdict::Refused { code, retry_at }
-            } else if self.is_blocked(now) && !self.is_loading(model) {
-                let code = ResultCode::ControlUnavailable;
-                DemandVerdict::Refused {
-                    code,
-                    retry_at: now + CONTROL_RETRY,
-                }
-            } else {
-                let ready_at = placing::estimate_ready(self, now, catalog, upstreams, &demand);
-                DemandVerdict::ReadyAt(ready_at)
-            };
-            for router in self.demands.tell(model, verdict) {
-                actions.push(Action::AnswerDemand {
-                    router,
-                    model: model.clone(),
-                    verdict,
-                });
-            }
-        }
-    }
-
-    fn is_routed(&self, model: &str) -> bool {
-        let routes = self.published.as_ref();
-        routes.is_some_and(|routes| routes.iter().any(|(routed, _)| &**routed == model))
-    }
-
-    fn is_loading(&self, model: &str) -> bool {
-        let mut replicas = self.committed.plan().replicas(model);
-        replicas.any(|p| {
-            p.state == PlacementState::Held
-                && matches!(self.stage(p.id), Stage::Loading | Stage::Ready)
-        })
-    }
-
-    /// Whether every upstream has reported, or has had the time to. Before that
-    /// "no room" would only mean "nobody asked yet".
-    fn knows_upstreams(&self, now: Instant, upstreams: &Upstreams) -> bool {
-        let heard_all = upstreams.iter().all(|view| view.status.is_some());
-        heard_all || now >= self.started_at + FIRST_REPORTS
-    }
-
-    fn publish(&mut self, upstreams: &Upstreams, now: Instant, actions: &mut Vec<Action>) {
-        if self.published.is_none() && !self.knows_upstreams(now, upstreams) {
-            return;
-        }
-        let routes = self.routes(upstreams);
-        let change = match &self.published {
-            None => RouteChange {
-                added: routes.iter().cloned().collect(),
-                removed: vec![],
-                whole: true,
-            },
-            Some(before) => RouteChange {
-                added: routes.difference(before).cloned().collect(),
-                removed: before.difference(&routes).cloned().collect(),
-                whole: false,
-            },
-        };
-        if change.whole || !change.added.is_empty() || !change.removed.is_empty() {
-            actions.push(Action::Publish(change));
-            self.published = Some(routes);
-        }
-    }
-
-    fn routes(&self, upstreams: &Upstreams) -> BTreeSet<(ModelName, UpstreamId)> {
-        let serves = |id: &UpstreamId| {
-            upstreams
-                .get(id)
-                .is_some_and(|view| view.reachable && !view.leaving)
-        };
-        self.plan()
-            .placements()
-            .filter(|p| p.state == PlacementState::Held && self.stage(p.id) == Stage::Ready)
-            .filter(|p| serves(&p.upstream))
-            .map(|p| (p.model.clone(), p.upstream.clone()))
-            .collect()
-    }
-
     /// Decides that a placement is to leave.
     pub(super) fn begin_unload(
         &mut self,
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -4,16 +4,20 @@
 //! request that arrives ends in exactly one `Refuse`, or in a `Start` whose end
 //! the caller reports with [`RouterCore::ended`].
 //!
+//! * [`events`]: what goes in and comes out.
 //! * [`queue`]: requests that wait for one model, by group.
 //! * [`share`]: fair sharing of tokens between groups.
 //! * [`budget`]: how many retries may be added to the traffic.
 
 pub mod budget;
+pub mod events;
 pub mod queue;
 pub mod share;
+mod telling;
 
-use crate::messages::{Demand, DemandVerdict, RouteChange, Usage};
+use crate::messages::{DemandVerdict, RouteChange};
 use budget::RetryBudget;
+pub use events::{Arrival, Ended, RouterAction};
 use passway_config::Catalog;
 use passway_config::policy::Attributes;
 use passway_types::prelude::*;
@@ -22,6 +26,7 @@
 use rand_chacha::ChaCha8Rng;
 use share::ShareClock;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use telling::Told;
 
 /// Time for a refusal to travel to the caller before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
@@ -33,14 +38,8 @@
 const BLOCK_TIME: Duration = Duration::from_secs(1);
 /// Time for which an upstream that had no slot free gets nothing.
 const BUSY_TIME: Duration = Duration::from_millis(50);
-/// Shortest pause between two demands for one model.
-const DEMAND_PAUSE: Duration = Duration::from_millis(100);
-/// An unanswered or standing demand is repeated after this time.
-const DEMAND_REPEAT: Duration = Duration::from_secs(1);
 /// Time for which a refusal by the controller answers new arrivals too.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
-/// Pause between two reports of use for a model in use.
-const USAGE_PAUSE: Duration = Duration::from_millis(500);
 /// Priority of a request that policy gives none.
 const DEFAULT_PRIORITY: u32 = 100;
 /// Tokens assumed for a request until its answer is counted.
@@ -48,72 +47,6 @@
 /// Retry hint when a queue is full or a cap is reached.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
-/// A request as it arrives.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// Its number.
-    pub request: RequestId,
-    /// The model, adapter or alias that the caller names.
-    pub model: String,
-    /// The caller's group.
-    pub group: String,
-    /// The kind that the caller names, or empty.
-    pub kind: String,
-    /// The priority that the caller asks for within its group.
-    pub priority: Option<u32>,
-    /// The caller's deadline; `None` takes the group's default.
-    pub deadline_at: Option<Instant>,
-}
-
-/// How an attempt at an upstream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ended {
-    /// The whole answer was passed on.
-    Served {
-        /// Tokens in the answer.
-        tokens: u32,
-    },
-    /// The connection was refused: nothing reached the upstream.
-    Unreachable,
-    /// The upstream does not hold the model: nothing ran.
-    NotLoaded,
-    /// The upstream has no slot free: nothing ran.
-    Busy,
-    /// The upstream failed; the request may go on elsewhere.
-    Failed,
-    /// The caller went away, or the deadline passed.
-    Abandoned,
-}
-
-/// Something for the router's program to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RouterAction {
-    /// Send the request to an upstream.
-    Start {
-        /// Which request.
-        request: RequestId,
-        /// Where to.
-        upstream: UpstreamId,
-        /// The resolved model.
-        model: ModelName,
-        /// The request's deadline.
-        deadline_at: Instant,
-        /// The priority that policy gives it.
-        priority: u32,
-    },
-    /// Answer the request for good.
-    Refuse {
-        /// Which request.
-        request: RequestId,
-        /// The answer.
-        refusal: Refusal,
-    },
-    /// Tell the cell's controller.
-    Demand(Demand),
-    /// Tell the cell's controller.
-    Usage(Usage),
-}
-
 /// A request that an upstream works on.
 #[derive(Debug)]
 struct Running {
@@ -123,14 +56,6 @@
     started_at: Instant,
 }
 
-/// The last demand told to the controller for a model.
-#[derive(Debug, Clone, Copy)]
-struct Told {
-    at: Instant,
-    waiting: u32,
-    earliest_deadline_at: Instant,
-}
-
 /// Decides for one router.
 #[derive(Debug)]
 pub struct RouterCore {
@@ -672,90 +597,6 @@
         self.report_usage(now, &mut actions);
         actions
     }
-
-    /// Tells the controller of models that are waited for and have no replica with room.
-    fn tell_demands(&mut self, now: Instant, actions: &mut Vec<RouterAction>) {
-        let gone: Vec<ModelName> = self
-            .told
-            .keys()
-            .filter(|model| !self.queues.contains_key(*model))
-            .cloned()
-            .collect();
-        for model in gone {
-            if let Some(told) = self.told.remove(&model) {
-                let deadline_at = told.earliest_deadline_at;
-                actions.push(self.demand(&model, "".into(), 0, deadline_at, DEFAULT_PRIORITY));
-            }
-        }
-        let models: Vec<ModelName> = self.queues.keys().cloned().collect();
-        for model in models {
-            self.tell_demand(now, &model, actions);
-        }
-    }
-
-    fn tell_demand(&mut self, now: Instant, model: &ModelName, actions: &mut Vec<RouterAction>) {
-        let Some(first) = self.queues.get(model).and_then(ModelQueue::earliest) else {
-            return;
-        };
-        let waiting = self.queues.get(model).map_or(0, ModelQueue::len);
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        let earliest_deadline_at = first.give_up_at;
-        if let Some(told) = self.told.get(model) {
-            let since = now.saturating_duration_since(told.at);
-            let changed = waiting > told.waiting.saturating_mul(2)
-                || earliest_deadline_at < told.earliest_deadline_at;
-            if since < DEMAND_PAUSE || (!changed && since < DEMAND_REPEAT) {
-                return;
-            }
-        }
-        let (group, priority) = (first.group.clone(), first.priority);
-        self.told.insert(
-            model.clone(),
-            Told {
-                at: now,
-                waiting,
-                earliest_deadline_at,
-            },
-        );
-        actions.push(self.demand(model, group, waiting, earliest_deadline_at, priority));
-    }
-
-    fn demand(
-        &self,
-        model: &ModelName,
-        group: GroupName,
-        waiting: u32,
-        earliest_deadline_at: Instant,
-        priority: u32,
-    ) -> RouterAction {
-        RouterAction::Demand(Demand {
-            router: self.me,
-            model: model.clone(),
-            group,
-            waiting,
-            earliest_deadline_at,
-            priority,
-        })
-    }
-
-    fn report_usage(&mut self, now: Instant, actions: &mut Vec<RouterAction>) {
-        if now < self.usage_at {
-            return;
-        }
-        self.usage_at = now + USAGE_PAUSE;
-        for model in self.used.drain() {
-            let running = self.model_running.get(&model).copied().unwrap_or(0);
-            let usage = Usage {
-                router: self.me,
-                model,
-                running,
-                last_used_at: now,
-            };
-            actions.push(RouterAction::Usage(usage));
-        }
-        // A model with requests in progress is in use until they end.
-        self.used.extend(self.model_running.keys().cloned());
-    }
 }
 
 fn deadline_unreachable(now: Instant, ready_at: Instant) -> Refusal {
--- a/crates/standins/src/bin/passway-slopes.rs
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -2,22 +2,20 @@
 
 use anyhow::{Context, Result};
 use clap::Parser;
-use passway_config::document::{
-    AdapterEntry, Document, GroupEntry, ModelEntry, PolicyEntry, UpstreamEntry,
-};
 use passway_config::revision::StoredRevision;
 use passway_config::settings::{ControllerSettings, RouterSettings};
-use passway_config::{Catalog, revision};
+use passway_config::{Catalog, Document, revision};
 use passway_controller::Controller;
 use passway_decide::cell::{Action, CellController, CellLimits, Event};
-use passway_decide::messages::{Demand, OrderAnswer, RouteChange, UpstreamStatus};
+use passway_decide::messages::{Demand, OrderAnswer, UpstreamStatus};
 use passway_decide::plan::{Holder, Plan};
-use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
 use passway_platform::instance_list::ListedInstance;
 use passway_platform::key_value::KeyValue;
 use passway_router::Router;
 use passway_standins::instance_list::LaggingList;
 use passway_standins::key_value::MemoryKeyValue;
+use passway_standins::load::{Call, Outcome, Sample, call};
+use passway_standins::sizes::{SIZES, Size, WarmRouter, document};
 use passway_standins::world::{Fleet, World, WorldPlan};
 use passway_types::prelude::*;
 use std::hint::black_box;
@@ -36,33 +34,13 @@
 }
 
 /// Everything that can be measured.
-const PARTS: [&str; 5] = ["configuration", "router", "cell", "roles", "fleets"];
-/// Sizes: today, a third of the way, the target.
-const SIZES: [Size; 3] = [
-    Size {
-        models: 50,
-        adapters: 60,
-        upstreams: 9,
-        groups: 4,
-        rules: 3,
-        instances: 6,
-    },
-    Size {
-        models: 250,
-        adapters: 2_900,
-        upstreams: 200,
-        groups: 70,
-        rules: 30,
-        instances: 107,
-    },
-    Size {
-        models: 730,
-        adapters: 8_600,
-        upstreams: 600,
-        groups: 200,
-        rules: 100,
-        instances: 320,
-    },
+const PARTS: [&str; 6] = [
+    "configuration",
+    "router",
+    "cell",
+    "roles",
+    "fleets",
+    "latency",
 ];
 /// Placements of a cell.
 const PLACEMENTS: [usize; 4] = [16, 64, 256, 1_024];
@@ -71,72 +49,23 @@
 /// Times that a decision is made for one figure.
 const ROUNDS: u32 = 2_000;
 
-#[derive(Debug, Clone, Copy)]
-struct Size {
-    models: usize,
-    adapters: usize,
-    upstreams: usize,
-    groups: usize,
-    rules: usize,
-    instances: usize,
-}
-
 fn main() -> Result<()> {
     let arguments = Arguments::parse();
     let watch = Duration::from_secs(arguments.watch_s);
     for part in &arguments.parts {
         match part.as_str() {
             "configuration" => configuration()?,
-            "router" => router_decisions()?,
+            "router" => router_decisions(),
             "cell" => cell_decisions()?,
             "roles" => roles(watch)?,
             "fleets" => fleets(watch)?,
+            "latency" => latency()?,
             other => anyhow::bail!("{other} is none of {}", PARTS.join(", ")),
         }
     }
     Ok(())
 }
 
-fn document(size: &Size) -> Document {
-    let groups = (0..size.groups).map(|number| GroupEntry {
-        name: format!("group{number}"),
-        ..GroupEntry::default()
-    });
-    let models = (0..size.models).map(|number| ModelEntry {
-        name: format!("base-model-{number}"),
-        size_mb: 8_000,
-        max_replicas: 2,
-        ..ModelEntry::default()
-    });
-    let adapters = (0..size.adapters).map(|number| AdapterEntry {
-        name: format!("adapter-for-customer-{number}"),
-        base: format!("base-model-{}@1", number % size.models),
-        size_mb: 200,
-        ..AdapterEntry::default()
-    });
-    let upstreams = (0..size.upstreams).map(|number| UpstreamEntry {
-        id: format!("upstream-{number}"),
-        address: format!("10.{}.{}.1:8000", number / 250, number % 250),
-        data_hall: format!("hall{}", number % 7),
-        memory_mb: 640_000,
-        ..UpstreamEntry::default()
-    });
-    let policies = (0..size.rules).map(|number| PolicyEntry {
-        name: format!("rule{number}"),
-        when: format!("group == 'group{number}' && kind == 'rush'"),
-        priority: Some(10),
-        ..PolicyEntry::default()
-    });
-    Document {
-        groups: groups.collect(),
-        models: models.collect(),
-        adapters: adapters.collect(),
-        upstreams: upstreams.collect(),
-        policies: policies.collect(),
-        ..Document::default()
-    }
-}
-
 fn stored(document: Document) -> StoredRevision {
     StoredRevision {
         revision: 1,
@@ -199,57 +128,20 @@
 }
 
 /// One warm request: admission, choice of a replica, end.
-fn router_decisions() -> Result<()> {
+fn router_decisions() {
     println!("router: models adapters rules arrive_and_end_us tick_us");
     for size in SIZES {
-        let catalog = Arc::new(Catalog::build(&document(&size), 1)?);
-        let mut now = Instant::now();
-        let mut core = RouterCore::new(1, catalog.clone(), now);
-        let added = catalog.models.keys().enumerate().map(|(number, model)| {
-            (
-                model.clone(),
-                format!("upstream-{}", number % size.upstreams).into(),
-            )
+        let mut router = WarmRouter::new(size);
+        let served = time(ROUNDS, || router.serve_one());
+        let tick = time(ROUNDS, || {
+            router.now += Duration::from_millis(1);
+            drop(black_box(router.core.tick(router.now)));
         });
-        let change = RouteChange {
-            added: added.collect(),
-            removed: Vec::new(),
-            whole: true,
-        };
-        core.routes_changed(now, &change, "main");
-        let began_at = Instant::now();
-        for round in 0..ROUNDS {
-            now += Duration::from_millis(1);
-            let arrival = Arrival {
-                request: u64::from(round),
-                model: format!("base-model-{}@1", round as usize % size.models),
-                group: format!("group{}", round as usize % size.groups),
-                kind: "rush".into(),
-                priority: None,
-                deadline_at: None,
-            };
-            for action in core.arrive(now, &arrival) {
-                if let RouterAction::Start { request, .. } = action {
-                    black_box(core.ended(now, request, Ended::Served { tokens: 10 }));
-                }
-            }
-        }
-        let served = began_at.elapsed();
-        let began_at = Instant::now();
-        for _ in 0..ROUNDS {
-            now += Duration::from_millis(1);
-            black_box(core.tick(now));
-        }
         println!(
-            "  {:5} {:5} {:4} {:8.2} {:8.2}",
-            size.models,
-            size.adapters,
-            size.rules,
-            micros(served, ROUNDS),
-            micros(began_at.elapsed(), ROUNDS)
+            "  {:5} {:5} {:4} {served:8.2} {tick:8.2}",
+            size.models, size.adapters, size.rules
         );
     }
-    Ok(())
 }
 
 /// A cell with as many placements as asked for, driven until all are written.
@@ -515,3 +407,87 @@
 fn rate(count: u64, seconds: u64) -> f64 {
     count as f64 / seconds as f64
 }
+
+/// Streams at one time.
+const STREAMS: [usize; 3] = [1, 50, 200];
+/// Streams made for one figure.
+const SAMPLES: usize = 1_000;
+
+/// What a router adds in front of a warm engine, against the engine asked directly.
+fn latency() -> Result<()> {
+    println!("latency: streams to first_p50_ms first_p99_ms whole_p50_ms whole_p99_ms");
+    let plan = WorldPlan {
+        instances: 1,
+        engines: 1,
+        slots: 1_024,
+        ..WorldPlan::default()
+    };
+    let world = World::start(plan)?;
+    let fleet = world.start_fleet()?;
+    let router = fleet.routers.first().context("a router")?.address();
+    let engine = world
+        .document
+        .upstreams
+        .first()
+        .context("an engine")?
+        .address
+        .parse()?;
+    ensure_whole(&stream_times(router, 1, 1)?)?;
+    for streams in STREAMS {
+        for (name, address) in [("engine", engine), ("router", router)] {
+            let times = stream_times(address, streams, SAMPLES / streams)?;
+            ensure_whole(&times)?;
+            let quantile = |part: usize, of: fn(&Sample) -> Duration| {
+                let mut all: Vec<Duration> = times.iter().map(of).collect();
+                all.sort();
+                all[(all.len() * part / 100).min(all.len() - 1)].as_secs_f64() * 1e3
+            };
+            println!(
+                "  {streams:4} {name} {:7.2} {:7.2} {:7.2} {:7.2}",
+                quantile(50, |s| s.first),
+                quantile(99, |s| s.first),
+                quantile(50, |s| s.total),
+                quantile(99, |s| s.total)
+            );
+        }
+    }
+    Ok(())
+}
+
+fn ensure_whole(samples: &[Sample]) -> Result<()> {
+    let broken = samples
+        .iter()
+        .find(|sample| sample.outcome != Outcome::Whole);
+    broken.map_or(Ok(()), |sample| anyhow::bail!("{:?}", sample.outcome))
+}
+
+/// Makes `each` streams one after the other in each of `streams` threads.
+fn stream_times(address: SocketAddr, streams: usize, each: usize) -> Result<Vec<Sample>> {
+    let threads: Vec<_> = (0..streams)
+        .map(|thread| {
+            std::thread::spawn(move || {
+                let samples = (0..each).map(|number| {
+                    call(&Call {
+                        router: address,
+                        model: "model1@1".into(),
+                        group: "default".into(),
+                        prompt: format!("question {thread} {number}"),
+                        tokens: 8,
+                        stream: true,
+                        deadline: Duration::from_secs(30),
+                    })
+                });
+                samples.collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let mut samples = Vec::new();
+    for thread in threads {
+        samples.extend(
+            thread
+                .join()
+                .map_err(|_| anyhow::anyhow!("a caller panicked"))?,
+        );
+    }
+    Ok(samples)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`service`]: a plain service that counts runs per key.
 //! * [`instance_list`]: a list that lags.
 //! * [`world`]: all of them together with a configuration.
+//! * [`sizes`]: configurations at the sizes of today and of the target.
 //! * [`trace`]: seeded days of the two deployments.
 //! * [`load`]: callers, whose answers are checked.
 
@@ -19,6 +20,7 @@
 pub mod load;
 pub mod server;
 pub mod service;
+pub mod sizes;
 pub mod trace;
 pub mod weight_store;
 pub mod world;
--- /dev/null
+++ b/crates/standins/src/sizes.rs
@@ -0,0 +1,155 @@
+//! Configurations at the sizes of today and of the target.
+
+use passway_config::Catalog;
+use passway_config::document::{
+    AdapterEntry, Document, GroupEntry, ModelEntry, PolicyEntry, UpstreamEntry,
+};
+use passway_decide::messages::RouteChange;
+use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
+use passway_types::prelude::*;
+
+/// How much a configuration holds.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Base models.
+    pub models: usize,
+    /// Adapters.
+    pub adapters: usize,
+    /// Model engines.
+    pub upstreams: usize,
+    /// Groups.
+    pub groups: usize,
+    /// Policy rules.
+    pub rules: usize,
+    /// Entry instances.
+    pub instances: usize,
+}
+
+/// Sizes: today, a third of the way, the target.
+pub const SIZES: [Size; 3] = [
+    Size {
+        models: 50,
+        adapters: 60,
+        upstreams: 9,
+        groups: 4,
+        rules: 3,
+        instances: 6,
+    },
+    Size {
+        models: 250,
+        adapters: 2_900,
+        upstreams: 200,
+        groups: 70,
+        rules: 30,
+        instances: 107,
+    },
+    Size {
+        models: 730,
+        adapters: 8_600,
+        upstreams: 600,
+        groups: 200,
+        rules: 100,
+        instances: 320,
+    },
+];
+/// A configuration of a size.
+pub fn document(size: &Size) -> Document {
+    let groups = (0..size.groups).map(|number| GroupEntry {
+        name: format!("group{number}"),
+        ..GroupEntry::default()
+    });
+    let models = (0..size.models).map(|number| ModelEntry {
+        name: format!("base-model-{number}"),
+        size_mb: 8_000,
+        max_replicas: 2,
+        ..ModelEntry::default()
+    });
+    let adapters = (0..size.adapters).map(|number| AdapterEntry {
+        name: format!("adapter-for-customer-{number}"),
+        base: format!("base-model-{}@1", number % size.models),
+        size_mb: 200,
+        ..AdapterEntry::default()
+    });
+    let upstreams = (0..size.upstreams).map(|number| UpstreamEntry {
+        id: format!("upstream-{number}"),
+        address: format!("10.{}.{}.1:8000", number / 250, number % 250),
+        data_hall: format!("hall{}", number % 7),
+        memory_mb: 640_000,
+        ..UpstreamEntry::default()
+    });
+    let policies = (0..size.rules).map(|number| PolicyEntry {
+        name: format!("rule{number}"),
+        when: format!("group == 'group{number}' && kind == 'rush'"),
+        priority: Some(10),
+        ..PolicyEntry::default()
+    });
+    Document {
+        groups: groups.collect(),
+        models: models.collect(),
+        adapters: adapters.collect(),
+        upstreams: upstreams.collect(),
+        policies: policies.collect(),
+        ..Document::default()
+    }
+}
+
+/// A router that has a route to a replica of every model.
+pub struct WarmRouter {
+    /// Its decisions.
+    pub core: RouterCore,
+    /// Its clock.
+    pub now: Instant,
+    size: Size,
+    requests: RequestId,
+}
+
+impl WarmRouter {
+    /// A router with the configuration of a size.
+    ///
+    /// # Panics
+    /// If the configuration has faults.
+    pub fn new(size: Size) -> Self {
+        let catalog = Arc::new(Catalog::build(&document(&size), 1).expect("no faults"));
+        let now = Instant::now();
+        let mut core = RouterCore::new(1, catalog.clone(), now);
+        let added = catalog.models.keys().enumerate().map(|(number, model)| {
+            (
+                model.clone(),
+                format!("upstream-{}", number % size.upstreams).into(),
+            )
+        });
+        let change = RouteChange {
+            added: added.collect(),
+            removed: Vec::new(),
+            whole: true,
+        };
+        core.routes_changed(now, &change, "main");
+        Self {
+            core,
+            now,
+            size,
+            requests: 0,
+        }
+    }
+
+    /// Takes one request through admission, choice of a replica and its end.
+    pub fn serve_one(&mut self) {
+        self.now += Duration::from_millis(1);
+        self.requests += 1;
+        let number = usize::try_from(self.requests).unwrap_or(0);
+        let arrival = Arrival {
+            request: self.requests,
+            model: format!("base-model-{}@1", number % self.size.models),
+            group: format!("group{}", number % self.size.groups),
+            kind: "rush".into(),
+            priority: None,
+            deadline_at: None,
+        };
+        for action in self.core.arrive(self.now, &arrival) {
+            if let RouterAction::Start { request, .. } = action {
+                self.core
+                    .ended(self.now, request, Ended::Served { tokens: 10 });
+            }
+        }
+    }
+}
--- a/src/bin/passway-router.rs
+++ b/src/bin/passway-router.rs
@@ -22,11 +22,9 @@
 
 fn main() -> Result<()> {
     let arguments = Arguments::parse();
-    let path = &arguments.settings;
-    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
-    let settings = RouterSettings::parse(&text).with_context(|| path.display().to_string())?;
+    let settings = RouterSettings::read(&arguments.settings)?;
     if arguments.check {
-        println!("{}: no faults", path.display());
+        println!("{}: no faults", arguments.settings.display());
         return Ok(());
     }
     passway_process::logging::start("passway-router", &settings.log_level)?;
