--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -7,12 +7,12 @@
 //!
 //! * [`write`]: the life cycle of a change of the plan.
 //! * [`term`]: what the holder of a term knows and does.
-//! * [`placing`], [`ordering`], [`telling`], [`demand`], [`upstreams`]: its parts.
+//! * [`placing`], [`ordering`], [`publish`], [`demand`], [`upstreams`]: its parts.
 
 pub mod demand;
 mod ordering;
 mod placing;
-mod telling;
+mod publish;
 pub mod term;
 pub mod upstreams;
 pub mod write;
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -12,8 +12,8 @@
 pub mod budget;
 pub mod events;
 pub mod queue;
+mod reports;
 pub mod share;
-mod telling;
 
 use crate::messages::{DemandVerdict, RouteChange};
 use budget::RetryBudget;
@@ -24,9 +24,9 @@
 use queue::{ModelQueue, Place, Waiting};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use reports::Told;
 use share::ShareClock;
 use std::collections::{BTreeMap, HashMap, HashSet};
-use telling::Told;
 
 /// Time for a refusal to travel to the caller before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -173,8 +173,6 @@
         self.want_config(address, heartbeat.config_revision, shared, now);
         let mut core = shared.core();
         core.set_routers(routers);
-        let is_unconfigured = core.catalog().revision == 0;
-        core.set_stale(is_unconfigured);
     }
 
     /// Asks for a revision that this router lacks, at one controller at a time.
@@ -216,7 +214,6 @@
                 Ok(catalog) => {
                     let catalog = Arc::new(catalog);
                     core.use_catalog(catalog.clone());
-                    core.set_stale(false);
                     shared.catalog.store(catalog);
                 }
                 Err(faults) => {
@@ -285,9 +282,8 @@
             .is_none_or(|at| now.saturating_duration_since(at) > shared.limits.stale_limit);
         let actions = {
             let mut core = shared.core();
-            if silent {
-                core.set_stale(true);
-            }
+            let is_unconfigured = core.catalog().revision == 0;
+            core.set_stale(silent || is_unconfigured);
             decision(&mut core, now)
         };
         for action in actions {
--- a/tests/all/process_kills.rs
+++ b/tests/all/process_kills.rs
@@ -259,3 +259,52 @@
         "new work after three seconds"
     );
 }
+
+#[test]
+fn isolated_refuses() {
+    let world = World::start(small_plan()).expect("world");
+    let processes = Processes::start(&world);
+    let router = processes.routers[0].address;
+    all_whole(vec![ask(router, "model1@1", 0, 8)]);
+    // Neither the key-value service nor another controller is left to ask.
+    world.key_value.set_faults(key_value::Faults {
+        down: true,
+        ..Default::default()
+    });
+    processes.controllers[1].signal(Signal::STOP);
+    let limit_at = Instant::now() + Duration::from_secs(60);
+    let stale = u64::from(ResultCode::ConfigStale as u16);
+    let is_stale = |number| {
+        let outcome = ask(router, "model1@1", number, 8)
+            .join()
+            .expect("caller")
+            .outcome;
+        matches!(outcome, Outcome::Refused { code, .. } if code == stale)
+    };
+    while !is_stale(1) {
+        assert!(Instant::now() < limit_at, "new work is still taken");
+        std::thread::sleep(HEAD_START);
+    }
+    // And it stays so, heartbeat after heartbeat, for plain services too.
+    for number in 2..12 {
+        assert!(is_stale(number));
+        let url = format!("http://{router}/services/service0/tags");
+        let answer = ureq::get(url)
+            .config()
+            .http_status_as_error(false)
+            .build()
+            .call();
+        let answer = answer.expect("answer");
+        let code = answer
+            .headers()
+            .get("x-passway-code")
+            .and_then(|code| code.to_str().ok());
+        assert_eq!(code.and_then(|code| code.parse().ok()), Some(stale));
+        std::thread::sleep(Duration::from_millis(7));
+    }
+    processes.controllers[1].signal(Signal::CONT);
+    while is_stale(20) {
+        assert!(Instant::now() < limit_at, "no new work is taken again");
+        std::thread::sleep(HEAD_START);
+    }
+}
