A stopping router writes the outcomes of claimed calls before it exits

Cause: outcomes that wait for the key-value service lived in the router's memory alone; a planned stop in an outage lost them and every repeat got 1303. Ruled out: writing before answering (the caller would wait for the outage). Change: the stop waits up to 5 s, or until a second signal. Before (limit 0): the repeat gets 1303; after: the first receipt, one run (outcome_survives_stop). A router that is killed still loses them.

--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -5,7 +5,7 @@
 use passway_platform::key_value::{KeyValue, PutOutcome, Unavailable};
 use passway_types::prelude::*;
 use std::fmt::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 /// Outcomes that wait to be written while the key-value service is away.
 const UNWRITTEN: usize = 10_000;
@@ -46,6 +46,8 @@
     incarnation: Incarnation,
     attempts: AtomicU64,
     unwritten: Sender<Unwritten>,
+    /// Outcomes in the queue or in the hands of the writing thread.
+    unwritten_count: Arc<AtomicUsize>,
 }
 
 impl fmt::Debug for Claims {
@@ -61,11 +63,14 @@
     pub fn new(key_value: Arc<dyn KeyValue>, incarnation: Incarnation) -> Self {
         let (unwritten, receiver) = bounded::<Unwritten>(UNWRITTEN);
         let writing = key_value.clone();
+        let unwritten_count = Arc::new(AtomicUsize::new(0));
+        let count = unwritten_count.clone();
         std::thread::spawn(move || {
             for outcome in receiver {
                 while write_outcome(&*writing, &outcome.own, &outcome.state).is_err() {
                     std::thread::sleep(WRITE_RETRY);
                 }
+                count.fetch_sub(1, Ordering::AcqRel);
             }
         });
         Self {
@@ -73,9 +78,15 @@
             incarnation,
             attempts: AtomicU64::new(1),
             unwritten,
+            unwritten_count,
         }
     }
 
+    /// Outcomes that are not written yet.
+    pub fn unwritten(&self) -> usize {
+        self.unwritten_count.load(Ordering::Acquire)
+    }
+
     /// Claims a key for one call.
     ///
     /// # Errors
@@ -163,7 +174,9 @@
     }
 
     fn settle_later(&self, own: OwnClaim, state: ClaimState) {
+        self.unwritten_count.fetch_add(1, Ordering::AcqRel);
         if self.unwritten.try_send(Unwritten { own, state }).is_err() {
+            self.unwritten_count.fetch_sub(1, Ordering::AcqRel);
             // The claim stays as it is: repeats get "unknown", never a second run.
             log::error!("too many outcomes wait to be written");
         }
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -16,6 +16,8 @@
 /// Requests are taken for this long after the health check says "leaving", so
 /// that the balancer can turn away before anybody is refused.
 const BALANCER_GRACE: Duration = Duration::from_millis(1_500);
+/// Longest time that a stopping router waits to write the outcomes of claimed calls.
+const OUTCOMES_LIMIT: Duration = Duration::from_secs(5);
 /// Pause between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -105,12 +107,17 @@
 }
 
 impl Router<Draining> {
-    /// Waits until nothing is in progress, or until `is_cut` says to stop
+    /// Waits until nothing is in progress and the outcomes of claimed calls are
+    /// written (for a while, if the key-value service is away), or until `is_cut` says to stop
     /// waiting; returns how many requests were cut.
     pub fn finish(self, is_cut: impl Fn() -> bool) -> usize {
         while self.shared.in_progress() > 0 && !is_cut() {
             std::thread::sleep(DRAIN_STEP);
         }
+        let until = Instant::now() + OUTCOMES_LIMIT;
+        while self.shared.claims.unwritten() > 0 && Instant::now() < until && !is_cut() {
+            std::thread::sleep(DRAIN_STEP);
+        }
         let cut = self.shared.in_progress();
         log::info!(cut = cut; "router stopped");
         cut
--- a/crates/standins/src/key_value.rs
+++ b/crates/standins/src/key_value.rs
@@ -75,6 +75,11 @@
         self.state().faults = faults;
     }
 
+    /// Whether a key stands.
+    pub fn contains(&self, key: &str) -> bool {
+        self.state().keys.contains_key(key)
+    }
+
     /// Takes a key away, as if its lease had ended.
     pub fn remove(&self, key: &str) {
         self.state().keys.remove(key);
--- a/tests/all/process_kills.rs
+++ b/tests/all/process_kills.rs
@@ -5,6 +5,7 @@
 use passway_standins::engine;
 use passway_standins::key_value;
 use passway_standins::load::{Outcome, Sample};
+use passway_standins::service;
 use passway_standins::world::{World, WorldPlan};
 use passway_types::prelude::*;
 use rustix::process::Signal;
@@ -272,7 +273,7 @@
         ..Default::default()
     });
     processes.controllers[1].signal(Signal::STOP);
-    let limit_at = Instant::now() + Duration::from_secs(60);
+    let limit_at = Instant::now() + Duration::from_mins(1);
     let stale = u64::from(ResultCode::ConfigStale as u16);
     let is_stale = |number| {
         let outcome = ask(router, "model1@1", number, 8)
@@ -308,3 +309,41 @@
         std::thread::sleep(HEAD_START);
     }
 }
+
+#[test]
+fn outcome_survives_stop() {
+    let world = World::start(small_plan()).expect("world");
+    let mut processes = Processes::start(&world);
+    let (first, second) = (processes.routers[0].address, processes.routers[1].address);
+    let charge = |router| {
+        let url = format!("http://{router}/services/service0/charge");
+        let request = ureq::post(url).config().http_status_as_error(false).build();
+        let answer = request
+            .header("idempotency-key", "k")
+            .send("x")
+            .expect("answer");
+        answer.into_body().read_to_string().expect("body")
+    };
+    // The claim is written, then the key-value service goes away under the call.
+    let slow = service::Faults {
+        delay_ms: 500,
+        ..Default::default()
+    };
+    world.services[0].set_faults(slow);
+    let caller = std::thread::spawn(move || charge(first));
+    while !world.key_value.contains("claims/service0/6b") {
+        std::thread::yield_now();
+    }
+    world.key_value.set_faults(key_value::Faults {
+        down: true,
+        ..Default::default()
+    });
+    assert_eq!(caller.join().expect("caller"), "receipt k run 1");
+    processes.routers[0].signal(Signal::TERM);
+    // Longer than the grace for the balancer, after which nothing else is left to do.
+    std::thread::sleep(Duration::from_millis(2_500));
+    world.key_value.set_faults(key_value::Faults::default());
+    assert_eq!(processes.routers[0].exit_code(), Some(0));
+    assert_eq!(charge(second), "receipt k run 1");
+    assert_eq!(world.services[0].runs().get("k"), Some(&1));
+}
