Callers that hang up: tests; a log line for each request

Change: hang_up_midstream (the engine cancels, the router forgets) and hang_up_waiting (nothing reaches an engine); a structured line for each request with its id, model, group, wait and code.

--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -74,6 +74,7 @@
         .ok_or_else(|| bad("`model` is missing".into()))?
         .to_owned();
     let is_streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
+    let (model_name, group_name) = (model.clone(), meta.group.clone());
     let arrived_at = Instant::now();
     let (number, words) = shared.register();
     let job = Job {
@@ -102,7 +103,16 @@
         deadline_at: meta.deadline_at,
     };
     control.decide(shared, |core, now| core.arrive(now, &arrival));
-    job.run()
+    let label = job.label.clone();
+    let answered = job.run();
+    let wait_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    match &answered {
+        Ok(_) => log::info!(request = label, model = model_name, group = group_name,
+            wait_ms = wait_ms; "request answered"),
+        Err(refusal) => log::info!(request = label, model = model_name, group = group_name,
+            wait_ms = wait_ms, code = refusal.code as u16; "request refused"),
+    }
+    answered
 }
 
 impl Drop for Job {
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -86,6 +86,11 @@
         self.shared.catalog.load().revision
     }
 
+    /// Requests whose answer is not complete.
+    pub fn in_progress(&self) -> usize {
+        self.shared.in_progress()
+    }
+
     /// Turns the health check to "leaving" and, after the balancer had time to
     /// turn away, takes no more requests.
     pub fn drain(self) -> Router<Draining> {
--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -111,3 +111,58 @@
         assert_eq!(sample.outcome, Outcome::Whole);
     }
 }
+
+/// Waits until a condition holds.
+fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let limit_at = Instant::now() + Duration::from_secs(20);
+    while !holds() {
+        assert!(Instant::now() < limit_at, "{what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn hang_up_midstream() {
+    let world = World::start(small_plan()).expect("world");
+    let fleet = world.start_fleet().expect("fleet");
+    let body = r#"{"model":"model1@1","stream":true,"max_tokens":100000}"#;
+    let mut stream = TcpStream::connect(fleet.routers[0].address()).expect("connect");
+    stream.write_all(post("", body).as_bytes()).expect("write");
+    let mut some = [0; 400];
+    stream.read_exact(&mut some).expect("the stream begins");
+    drop(stream);
+    let cancelled = || {
+        world
+            .engines
+            .iter()
+            .map(|engine| engine.ledger().cancelled)
+            .sum::<u32>()
+    };
+    eventually("the engine goes on for nobody", || cancelled() == 1);
+    eventually("the router holds what nobody waits for", || {
+        fleet.routers[0].in_progress() == 0
+    });
+}
+
+#[test]
+fn hang_up_waiting() {
+    let world = World::start(small_plan()).expect("world");
+    let fleet = world.start_fleet().expect("fleet");
+    world.store.set_slowdown(50);
+    let body = r#"{"model":"model1@1"}"#;
+    let mut stream = TcpStream::connect(fleet.routers[0].address()).expect("connect");
+    stream.write_all(post("", body).as_bytes()).expect("write");
+    eventually("the request is taken", || {
+        fleet.routers[0].in_progress() == 1
+    });
+    drop(stream);
+    eventually("the router holds what nobody waits for", || {
+        fleet.routers[0].in_progress() == 0
+    });
+    let requests: u32 = world
+        .engines
+        .iter()
+        .map(|engine| engine.ledger().requests)
+        .sum();
+    assert_eq!(requests, 0);
+}
