One struct for what every placing decision looks at; idle replicas in a file of their own

Cause: functions of placing.rs took eight arguments, one with an allowed lint, and the file had two jobs. Change: Scene (time, catalog, upstreams); cell/idle.rs.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -7,9 +7,10 @@
 //!
 //! * [`write`]: the life cycle of a change of the plan.
 //! * [`term`]: what the holder of a term knows and does.
-//! * [`placing`], [`ordering`], [`publish`], [`demand`], [`upstreams`]: its parts.
+//! * [`placing`], [`idle`], [`ordering`], [`publish`], [`demand`], [`upstreams`]: its parts.
 
 pub mod demand;
+mod idle;
 mod ordering;
 mod placing;
 mod publish;
--- a/crates/decide/src/cell/placing.rs
+++ b/crates/decide/src/cell/placing.rs
@@ -1,34 +1,37 @@
 //! Which model goes where, what makes room for it, and when it is ready.
 
 use super::demand::ModelDemand;
+use super::idle::{is_idle, loss};
 use super::ordering::urgency;
 use super::term::{Stage, Term};
 use super::upstreams::{UpstreamView, Upstreams};
 use super::{Action, Decision};
-use crate::keep::{IdleHistory, policy_of};
 use crate::plan::{Placement, PlacementState, PlanError, Reason, Wish};
 use passway_config::Catalog;
 use passway_config::catalog::Model;
 use passway_config::policy::Attributes;
 use passway_types::prelude::*;
 
+/// What every decision looks at besides the term itself.
+#[derive(Clone, Copy)]
+pub(super) struct Scene<'a> {
+    /// The current time.
+    pub(super) now: Instant,
+    /// The configuration in force.
+    pub(super) catalog: &'a Catalog,
+    /// What is known of the upstreams.
+    pub(super) upstreams: &'a Upstreams,
+}
+
 /// Expected time to drain and unload a replica that makes room.
 const MAKE_ROOM: Duration = Duration::from_millis(1_500);
 /// Retry hint when no upstream has room.
 const NO_CAPACITY_RETRY: Duration = Duration::from_secs(2);
 /// Shortest expected time to a first serving replica.
 const SHORTEST_WAIT: Duration = Duration::from_millis(50);
-/// Pause between two looks for idle replicas.
-const IDLE_CHECK_PAUSE: Duration = Duration::from_millis(250);
-
 /// Places every model that is waited for and has no replica, or too few.
-pub(super) fn place_demands(
-    term: &mut Term,
-    now: Instant,
-    catalog: &Catalog,
-    upstreams: &Upstreams,
-    actions: &mut Vec<Action>,
-) {
+pub(super) fn place_demands(term: &mut Term, scene: Scene<'_>, actions: &mut Vec<Action>) {
+    let Scene { catalog, .. } = scene;
     term.refused.clear();
     for demand in term.demands.in_order() {
         let Some(model) = catalog.models.get(&demand.model) else {
@@ -44,9 +47,8 @@
         if term.draft.replicas(&demand.model).count() >= model.max_replicas as usize {
             continue;
         }
-        if let Some(code) = place(
-            term, now, catalog, upstreams, model, &demand, first, actions,
-        ) && first
+        if let Some(code) = place(term, scene, model, &demand, first, actions)
+            && first
         {
             term.refused.insert(demand.model.clone(), code);
         }
@@ -72,20 +74,19 @@
 }
 
 /// Places one replica, or begins to make room for it; returns why it cannot.
-#[expect(
-    clippy::too_many_arguments,
-    reason = "one decision over the whole state"
-)]
 fn place(
     term: &mut Term,
-    now: Instant,
-    catalog: &Catalog,
-    upstreams: &Upstreams,
+    scene: Scene<'_>,
     model: &Model,
     demand: &ModelDemand,
     may_evict: bool,
     actions: &mut Vec<Action>,
 ) -> Option<ResultCode> {
+    let Scene {
+        now,
+        catalog,
+        upstreams,
+    } = scene;
     let mut views: Vec<&UpstreamView> = upstreams
         .iter()
         .filter(|view| view.takes_placements())
@@ -108,7 +109,7 @@
     if is_room_under_way(term, &model.name) {
         return None;
     }
-    let made = make_room(term, now, catalog, &views, model, actions);
+    let made = make_room(term, scene, &views, model, actions);
     if made { None } else { Some(code) }
 }
 
@@ -204,19 +205,18 @@
 /// Unloads the idle replicas, on one upstream, whose loss costs least.
 fn make_room(
     term: &mut Term,
-    now: Instant,
-    catalog: &Catalog,
+    scene: Scene<'_>,
     views: &[&UpstreamView],
     model: &Model,
     actions: &mut Vec<Action>,
 ) -> bool {
     let choices = views
         .iter()
-        .filter_map(|view| victims(term, now, catalog, view, model));
+        .filter_map(|view| victims(term, scene, view, model));
     let best = choices.min_by(|a, b| a.cost.total_cmp(&b.cost));
     let Some(best) = best else { return false };
     for id in best.placements {
-        term.begin_unload(catalog, id, "makes room", actions);
+        term.begin_unload(scene.catalog, id, "makes room", actions);
     }
     term.making_room.insert(model.name.clone(), best.upstream);
     true
@@ -229,13 +229,8 @@
     cost: f64,
 }
 
-fn victims(
-    term: &Term,
-    now: Instant,
-    catalog: &Catalog,
-    view: &UpstreamView,
-    model: &Model,
-) -> Option<Victims> {
+fn victims(term: &Term, scene: Scene<'_>, view: &UpstreamView, model: &Model) -> Option<Victims> {
+    let Scene { now, catalog, .. } = scene;
     let upstream = &view.entry.id;
     let base = model
         .base
@@ -274,105 +269,9 @@
     (gained_bytes >= needed_bytes).then_some(victims)
 }
 
-/// Whether nothing runs on or waits for a ready replica, nor for an adapter on it.
-fn is_idle(term: &Term, catalog: &Catalog, view: &UpstreamView, placement: &Placement) -> bool {
-    let adapters_present = term.draft.on_upstream(&placement.upstream).any(|p| {
-        let model = catalog.models.get(&p.model);
-        model.is_some_and(|model| model.base.as_ref() == Some(&placement.model))
-    });
-    let running = term
-        .usage
-        .get(&placement.model)
-        .is_some_and(super::term::ModelUse::is_running)
-        || view
-            .reported(&placement.model)
-            .is_some_and(|loaded| loaded.running > 0);
-    placement.state == PlacementState::Held
-        && term.stage(placement.id) == Stage::Ready
-        && !adapters_present
-        && !running
-        && !term.demands.contains(&placement.model)
-}
-
-/// Expected cost of losing an idle replica: its reload, the likelier the more recent its use.
-fn loss(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> f64 {
-    let tier = view.tier(&placement.model);
-    let reload = term
-        .estimator
-        .load_time(now, tier, placement.reserved_bytes);
-    let idle = now.saturating_duration_since(last_used_at(term, now, placement));
-    reload.as_secs_f64() / (1.0 + idle.as_secs_f64())
-}
-
-fn last_used_at(term: &Term, now: Instant, placement: &Placement) -> Instant {
-    let used_at = term
-        .usage
-        .get(&placement.model)
-        .and_then(|usage| usage.last_used_at);
-    let ready_at = term
-        .progress
-        .get(&placement.id)
-        .map(|progress| progress.since);
-    used_at.max(ready_at).unwrap_or(now)
-}
-
-/// Unloads what is idle for too long, what its upstream or the catalog no longer keeps.
-pub(super) fn unload_unneeded(
-    term: &mut Term,
-    now: Instant,
-    catalog: &Catalog,
-    upstreams: &Upstreams,
-    actions: &mut Vec<Action>,
-) {
-    if now < term.idle_check_at {
-        return;
-    }
-    term.idle_check_at = now + IDLE_CHECK_PAUSE;
-    let policy = policy_of(&catalog.keep);
-    let none = IdleHistory::default();
-    let held: Vec<Placement> = term
-        .draft
-        .placements()
-        .filter(|p| p.state == PlacementState::Held)
-        .cloned()
-        .collect();
-    for placement in held {
-        let Some(view) = upstreams.get(&placement.upstream) else {
-            continue;
-        };
-        let reason = if view.leaving {
-            "upstream is leaving"
-        } else if !catalog.models.contains_key(&placement.model) {
-            "not in the configuration"
-        } else if is_idle(term, catalog, view, &placement) {
-            let tier = view.tier(&placement.model);
-            let reload = term
-                .estimator
-                .load_time(now, tier, placement.reserved_bytes);
-            let history = term
-                .usage
-                .get(&placement.model)
-                .map_or(&none, |usage| &usage.history);
-            let keep_until = last_used_at(term, now, &placement) + policy.keep_for(history, reload);
-            if now < keep_until {
-                continue;
-            }
-            "idle"
-        } else {
-            continue;
-        };
-        term.begin_unload(catalog, placement.id, reason, actions);
-    }
-}
-
 /// When a model that is waited for is expected to serve.
-pub(super) fn estimate_ready(
-    term: &Term,
-    now: Instant,
-    catalog: &Catalog,
-    upstreams: &Upstreams,
-    demand: &ModelDemand,
-) -> Instant {
+pub(super) fn estimate_ready(term: &Term, scene: Scene<'_>, demand: &ModelDemand) -> Instant {
+    let Scene { now, catalog, .. } = scene;
     let held = term
         .draft
         .replicas(&demand.model)
@@ -380,7 +279,7 @@
     let waits = held.map(
         |placement| match term.estimator.remaining(now, placement.id) {
             Some(remaining) => remaining,
-            None => queue_wait(term, now, catalog, upstreams, placement),
+            None => queue_wait(term, scene, placement),
         },
     );
     let wait = waits.min().unwrap_or_else(|| {
@@ -393,13 +292,12 @@
 }
 
 /// Time until a placement that still waits for its load order is ready.
-fn queue_wait(
-    term: &Term,
-    now: Instant,
-    catalog: &Catalog,
-    upstreams: &Upstreams,
-    placement: &Placement,
-) -> Duration {
+fn queue_wait(term: &Term, scene: Scene<'_>, placement: &Placement) -> Duration {
+    let Scene {
+        now,
+        catalog,
+        upstreams,
+    } = scene;
     let load_of = |p: &Placement| {
         let tier = upstreams.get(&p.upstream).map(|view| view.tier(&p.model));
         let tier = tier.unwrap_or(crate::messages::Tier::Remote);
--- a/crates/decide/src/cell/publish.rs
+++ b/crates/decide/src/cell/publish.rs
@@ -1,12 +1,11 @@
 //! What the holder of a term tells routers: routes, and answers to demands.
 
 use super::Action;
-use super::placing;
+use super::placing::{self, Scene};
 use super::term::{Stage, Term};
 use super::upstreams::Upstreams;
 use crate::messages::{DemandVerdict, RouteChange};
 use crate::plan::PlacementState;
-use passway_config::Catalog;
 use passway_types::prelude::*;
 use std::collections::BTreeSet;
 
@@ -15,13 +14,8 @@
 /// Retry hint when the key-value service does not answer.
 const CONTROL_RETRY: Duration = Duration::from_secs(2);
 impl Term {
-    pub(super) fn answer_demands(
-        &mut self,
-        now: Instant,
-        catalog: &Catalog,
-        upstreams: &Upstreams,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn answer_demands(&mut self, scene: Scene<'_>, actions: &mut Vec<Action>) {
+        let now = scene.now;
         for demand in self.demands.in_order() {
             let model = &demand.model;
             if self.is_routed(model) {
@@ -37,7 +31,7 @@
                     retry_at: now + CONTROL_RETRY,
                 }
             } else {
-                let ready_at = placing::estimate_ready(self, now, catalog, upstreams, &demand);
+                let ready_at = placing::estimate_ready(self, scene, &demand);
                 DemandVerdict::ReadyAt(ready_at)
             };
             for router in self.demands.tell(model, verdict) {
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -1,8 +1,9 @@
 //! One term of leadership over a cell.
 
 use super::demand::DemandBook;
+use super::idle;
 use super::ordering;
-use super::placing;
+use super::placing::{self, Scene};
 use super::upstreams::{OrderInFlight, Upstreams};
 use super::write::{Change, CommittedPlan, InFlight};
 use super::{Action, Decision, change_id};
@@ -390,16 +391,28 @@
     ) {
         self.demands.expire(now);
         if self.has_lease(now) {
+            let scene = Scene {
+                now,
+                catalog,
+                upstreams,
+            };
             if self.knows_upstreams(now, upstreams) {
-                placing::place_demands(self, now, catalog, upstreams, actions);
+                placing::place_demands(self, scene, actions);
             }
-            placing::unload_unneeded(self, now, catalog, upstreams, actions);
+            idle::unload_unneeded(self, scene, actions);
             ordering::free_absent(self, upstreams, actions);
             self.flush(now, actions);
             ordering::send_orders(self, now, catalog, upstreams, actions);
         }
         self.publish(upstreams, now, actions);
-        self.answer_demands(now, catalog, upstreams, actions);
+        self.answer_demands(
+            Scene {
+                now,
+                catalog,
+                upstreams,
+            },
+            actions,
+        );
     }
 
     /// Writes the draft if it differs from what stands and no write is open.
