--- a/crates/standins/src/bin/passway-demo.rs
+++ b/crates/standins/src/bin/passway-demo.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Result, ensure};
 use clap::Parser;
-use passway_standins::load::{Call, Outcome, Sample, call};
+use passway_standins::load::{Burst, Outcome, Sample};
 use passway_standins::world::{World, WorldPlan};
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
@@ -56,24 +56,13 @@
         .iter()
         .map(passway_router::Router::address)
         .collect();
-    let callers: Vec<_> = (0..arguments.requests)
-        .map(|number| {
-            let one = Call {
-                router: routers[number % routers.len()],
-                model: MODEL.into(),
-                group: "default".into(),
-                prompt: format!("question {number}"),
-                tokens: 16,
-                stream: number % 2 == 0,
-                deadline: DEADLINE,
-            };
-            std::thread::spawn(move || call(&one))
-        })
-        .collect();
-    let samples: Vec<Sample> = callers
-        .into_iter()
-        .filter_map(|caller| caller.join().ok())
-        .collect();
+    let burst = Burst {
+        model: MODEL.into(),
+        count: arguments.requests,
+        tokens: 16,
+        deadline: DEADLINE,
+    };
+    let samples = burst.run(&routers);
     report(&samples);
     let loads = world.loads_of(MODEL);
     println!(
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -56,6 +56,47 @@
     pub total: Duration,
 }
 
+/// Many requests for one model, spread over routers.
+#[derive(Debug, Clone)]
+pub struct Burst {
+    /// The model, adapter or alias.
+    pub model: String,
+    /// Requests at one time.
+    pub count: usize,
+    /// Tokens wanted by each.
+    pub tokens: u32,
+    /// Time until the deadline of each.
+    pub deadline: Duration,
+}
+
+impl Burst {
+    /// Makes all requests at one time, every second one streamed, and waits for
+    /// their answers.
+    ///
+    /// # Panics
+    /// If a caller's thread panicked.
+    pub fn run(&self, routers: &[SocketAddr]) -> Vec<Sample> {
+        let callers: Vec<_> = (0..self.count)
+            .map(|number| {
+                let one = Call {
+                    router: routers[number % routers.len()],
+                    model: self.model.clone(),
+                    group: "default".into(),
+                    prompt: format!("question {number}"),
+                    tokens: self.tokens,
+                    stream: number.is_multiple_of(2),
+                    deadline: self.deadline,
+                };
+                std::thread::spawn(move || call(&one))
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().expect("a caller panicked"))
+            .collect()
+    }
+}
+
 /// Makes one request and checks its answer.
 pub fn call(call: &Call) -> Sample {
     let began_at = Instant::now();
--- a/tests/all/docs_match.rs
+++ b/tests/all/docs_match.rs
@@ -1,9 +1,31 @@
 //! Pages that describe the code agree with it; `UPDATE_EXPECT=1` writes them anew.
 
 use expect_test::expect_file;
+use passway_config::settings::{ControllerSettings, RouterSettings, Settings};
 use passway_types::outcome::ResultCode;
 use std::fmt::Write;
 
+/// The fields of a program's settings, as its own fault for an unknown one lists them.
+fn fields_of<S: Settings + std::fmt::Debug>() -> Vec<String> {
+    let faults = S::parse(r#"{ "nonsense": 1 }"#)
+        .expect_err("a fault")
+        .to_string();
+    let listed = faults.split("expected one of ").nth(1).expect("a list");
+    let line = listed.lines().next().expect("a line");
+    line.split(", ").map(str::to_owned).collect()
+}
+
+#[test]
+fn settings_reference() {
+    let page = std::fs::read_to_string("docs/operators/run.md").expect("page");
+    for field in fields_of::<RouterSettings>()
+        .into_iter()
+        .chain(fields_of::<ControllerSettings>())
+    {
+        assert!(page.contains(&field), "{field} is not in the page");
+    }
+}
+
 #[test]
 fn result_codes() {
     let mut page = String::from(
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -1,6 +1,6 @@
 //! Small helpers that several features share.
 
-use passway_standins::load::{Call, Sample, call};
+use passway_standins::load::{Burst, Sample};
 use passway_standins::world::{Fleet, WorldPlan};
 use passway_types::prelude::*;
 
@@ -23,24 +23,13 @@
         .iter()
         .map(passway_router::Router::address)
         .collect();
-    let callers: Vec<_> = (0..count)
-        .map(|number| {
-            let one = Call {
-                router: routers[number % routers.len()],
-                model: model.into(),
-                group: "default".into(),
-                prompt: format!("question {number}"),
-                tokens: 8,
-                stream: number % 2 == 0,
-                deadline,
-            };
-            std::thread::spawn(move || call(&one))
-        })
-        .collect();
-    callers
-        .into_iter()
-        .map(|caller| caller.join().expect("a caller panicked"))
-        .collect()
+    Burst {
+        model: model.into(),
+        count,
+        tokens: 8,
+        deadline,
+    }
+    .run(&routers)
 }
 
 /// A number from an environment variable.
