Upstreams that leave may come back; what stood on a gone one is freed by the settle rules

Change: the list's word, the operators' and the upstream's own are kept apart and may be taken back; a gone upstream's placements are freed by whoever leads.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -17,6 +17,7 @@
 use passway_config::Catalog;
 use passway_config::revision::KeptRevision;
 use passway_config::settings::ControllerSettings;
+use passway_decide::cell::upstreams::Standing;
 use passway_decide::cell::{Action, Event};
 use passway_decide::plan::Holder;
 use passway_platform::engine::HttpEngineControl;
@@ -82,6 +83,8 @@
     audit: AuditTrail,
     listed: HashSet<InstanceId>,
     gone: HashSet<InstanceId>,
+    /// What the cells were told of their upstreams.
+    standings: HashMap<UpstreamId, Standing>,
     rank: u32,
     /// The revision for whose cells the ranks were worked out.
     ranked: Revision,
@@ -137,6 +140,7 @@
             audit: AuditTrail::default(),
             listed: HashSet::new(),
             gone: HashSet::new(),
+            standings: HashMap::new(),
             rank: 0,
             ranked: 0,
             inputs,
@@ -477,12 +481,14 @@
         self.gone.retain(|id| !ids.contains(id));
         for id in newly_gone {
             log::warn!(id = &*id; "the platform no longer lists it");
-            self.gone.insert(id.clone());
-            self.upstream_event(now, &id, Event::UpstreamGone(id.clone()));
-        }
-        for entry in listed.iter().filter(|entry| entry.leaving) {
-            self.upstream_event(now, &entry.id, Event::UpstreamLeaving(entry.id.clone()));
+            self.gone.insert(id);
         }
+        let leaving: HashSet<&str> = listed
+            .iter()
+            .filter(|entry| entry.leaving)
+            .map(|entry| &*entry.id)
+            .collect();
+        self.tell_standings(now, &leaving);
         // Ranks take a hash for each instance and cell; they change with the list alone.
         if ids != self.listed || self.ranked != self.revision() {
             self.listed = ids;
@@ -491,6 +497,28 @@
         }
     }
 
+    /// Tells the cells what the list says of their upstreams, where that is news.
+    fn tell_standings(&mut self, now: Instant, leaving: &HashSet<&str>) {
+        let upstreams: Vec<UpstreamId> = self.catalog.upstreams.keys().cloned().collect();
+        for upstream in upstreams {
+            let standing = if self.gone.contains(&upstream) {
+                Standing::Gone
+            } else if leaving.contains(&*upstream) {
+                Standing::Leaving
+            } else {
+                Standing::Listed
+            };
+            let told = self.standings.insert(upstream.clone(), standing);
+            if told.unwrap_or(Standing::Listed) != standing {
+                let event = Event::UpstreamStanding {
+                    upstream: upstream.clone(),
+                    standing,
+                };
+                self.upstream_event(now, &upstream, event);
+            }
+        }
+    }
+
     fn upstream_event(&mut self, now: Instant, id: &str, event: Event) {
         let cell = self
             .catalog
--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -25,7 +25,7 @@
 use passway_config::Catalog;
 use passway_types::prelude::*;
 use term::Term;
-use upstreams::Upstreams;
+use upstreams::{Standing, Upstreams};
 use write::{Change, InFlight, Resolution};
 
 /// Longest time between two attempts of a standby to take the lease, as a power of two of the first.
@@ -99,10 +99,13 @@
     RouterGone(Incarnation),
     /// The holder of an earlier epoch can send no more.
     FormerGone(Epoch),
-    /// The platform says that an upstream is leaving.
-    UpstreamLeaving(UpstreamId),
-    /// The platform has taken an upstream away for good.
-    UpstreamGone(UpstreamId),
+    /// What the platform's list says of an upstream has changed.
+    UpstreamStanding {
+        /// Which upstream.
+        upstream: UpstreamId,
+        /// What the list says now.
+        standing: Standing,
+    },
     /// A newer configuration is in force.
     Catalog(Arc<Catalog>),
     /// How many live controllers come before this one for the cell.
@@ -303,10 +306,8 @@
                 let settled_at = now + self.limits.order_settle;
                 self.with_term(|term, _| term.former_gone(epoch, settled_at));
             }
-            Event::UpstreamLeaving(upstream) => self.upstreams.set_leaving(&upstream),
-            Event::UpstreamGone(upstream) => {
-                self.upstreams.set_leaving(&upstream);
-                self.with_term(|term, _| term.upstream_gone(&upstream));
+            Event::UpstreamStanding { upstream, standing } => {
+                self.upstreams.set_standing(&upstream, standing);
             }
         }
         self.advance(now, &mut actions);
--- a/crates/decide/src/cell/idle.rs
+++ b/crates/decide/src/cell/idle.rs
@@ -82,7 +82,7 @@
         let Some(view) = upstreams.get(&placement.upstream) else {
             continue;
         };
-        let reason = if view.leaving {
+        let reason = if view.is_leaving() {
             "upstream is leaving"
         } else if !catalog.models.contains_key(&placement.model) {
             "not in the configuration"
--- a/crates/decide/src/cell/ordering.rs
+++ b/crates/decide/src/cell/ordering.rs
@@ -9,6 +9,8 @@
 use passway_config::document::Fencing;
 use passway_types::prelude::*;
 
+/// An upstream that the list no longer has is given this much of the term to answer.
+const GONE_PATIENCE: Duration = Duration::from_secs(2);
 /// Time for routers to hear that a replica gets nothing new.
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
 
@@ -45,6 +47,34 @@
     }
 }
 
+/// Frees what stood on upstreams that are gone for good.
+///
+/// Another machine may come back under the same id and address, so an older
+/// order must not be able to reach it either: the same rules hold as for an
+/// upstream that ignores fencing, with its silence for an "absent".
+pub(super) fn free_gone(term: &mut Term, upstreams: &Upstreams, actions: &mut Vec<Action>) {
+    let since = term.started_at + GONE_PATIENCE;
+    for view in upstreams
+        .iter()
+        .filter(|view| view.is_gone(since) && view.order.is_none())
+    {
+        let Some(silent_at) = view.silent_at else {
+            continue;
+        };
+        let lost: Vec<PlacementId> = term
+            .draft
+            .on_upstream(&view.entry.id)
+            .map(|placement| placement.id)
+            .collect();
+        for id in lost {
+            if was_settled(term, view, id, silent_at) && term.draft.free(id, false).is_ok() {
+                term.forget(id);
+                actions.push(Action::Audit(Decision::Freed { placement: id }));
+            }
+        }
+    }
+}
+
 /// Whether nothing that was sent before `ordered_at` could arrive after it.
 fn was_settled(term: &Term, view: &UpstreamView, id: PlacementId, ordered_at: Instant) -> bool {
     let former_cleared = term
--- a/crates/decide/src/cell/publish.rs
+++ b/crates/decide/src/cell/publish.rs
@@ -96,7 +96,7 @@
         let serves = |id: &UpstreamId| {
             upstreams
                 .get(id)
-                .is_some_and(|view| view.reachable && !view.leaving)
+                .is_some_and(|view| view.reachable && !view.is_leaving())
         };
         self.plan()
             .placements()
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -265,10 +265,6 @@
         self.former_settled_at.entry(epoch).or_insert(settled_at);
     }
 
-    pub(super) fn upstream_gone(&mut self, upstream: &str) {
-        self.draft.free_upstream(upstream);
-    }
-
     fn probe_former(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for epoch in self
             .former_settled_at
@@ -391,6 +387,7 @@
     ) {
         self.demands.expire(now);
         if self.has_lease(now) {
+            ordering::free_gone(self, upstreams, actions);
             let scene = Scene {
                 now,
                 catalog,
--- a/crates/decide/src/cell/upstreams.rs
+++ b/crates/decide/src/cell/upstreams.rs
@@ -22,6 +22,17 @@
     pub handed_at: Instant,
 }
 
+/// What the platform's list says of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It is listed, or was never heard of.
+    Listed,
+    /// It is listed as leaving.
+    Leaving,
+    /// It was listed and is no more.
+    Gone,
+}
+
 /// One upstream as the controller sees it.
 #[derive(Debug)]
 pub struct UpstreamView {
@@ -31,8 +42,14 @@
     pub status: Option<(Instant, UpstreamStatus)>,
     /// Whether the last question was answered.
     pub reachable: bool,
-    /// Whether it gets no new work.
-    pub leaving: bool,
+    /// When the last question was asked, if it was not answered.
+    pub silent_at: Option<Instant>,
+    /// When the last question was asked; what an earlier one brings is stale.
+    asked_at: Option<Instant>,
+    /// What the platform's list says.
+    pub standing: Standing,
+    /// Whether the configuration has it.
+    pub configured: bool,
     /// The one order under way.
     pub order: Option<OrderInFlight>,
     /// Until then an unanswered order may still arrive.
@@ -47,7 +64,10 @@
             entry,
             status: None,
             reachable: false,
-            leaving: false,
+            silent_at: None,
+            asked_at: None,
+            standing: Standing::Listed,
+            configured: true,
             order: None,
             unsettled_until: None,
             retry_at: None,
@@ -56,7 +76,26 @@
 
     /// Whether new models may be placed on it.
     pub fn takes_placements(&self) -> bool {
-        self.reachable && !self.leaving
+        self.reachable && !self.is_leaving()
+    }
+
+    /// Whether it gets no new work, by whoever's word: the platform's list, the
+    /// operators, or its own. Each may take its word back.
+    pub fn is_leaving(&self) -> bool {
+        let own_word = self
+            .status
+            .as_ref()
+            .is_some_and(|(_, status)| status.leaving);
+        self.standing != Standing::Listed || !self.configured || self.entry.draining || own_word
+    }
+
+    /// Whether it is gone for good, so that nothing is left of what it held.
+    ///
+    /// The list lags, so it is not believed alone: the upstream must also have
+    /// been silent to a question asked after `since`. A new holder may have heard
+    /// of its end long ago, and not that it came back and was used since.
+    pub fn is_gone(&self, since: Instant) -> bool {
+        self.standing == Standing::Gone && self.silent_at.is_some_and(|at| at >= since)
     }
 
     /// Whether an order may be sent now.
@@ -108,16 +147,12 @@
         for entry in catalog.upstreams_of(cell) {
             let view = self.views.entry(entry.id.clone());
             let view = view.or_insert_with(|| UpstreamView::new(entry.clone()));
-            if view.entry.draining && !entry.draining {
-                view.leaving = false;
-            }
-            view.leaving |= entry.draining;
             view.entry = entry.clone();
         }
         // An upstream that the catalog no longer has gets nothing new, but what
         // it holds is still unloaded properly.
         for (id, view) in &mut self.views {
-            view.leaving |= !catalog.upstreams.contains_key(id);
+            view.configured = catalog.upstreams.contains_key(id);
         }
     }
 
@@ -136,10 +171,10 @@
         self.views.values()
     }
 
-    /// Records that an upstream is leaving.
-    pub fn set_leaving(&mut self, id: &str) {
+    /// Records what the platform\'s list says.
+    pub fn set_standing(&mut self, id: &str, standing: Standing) {
         if let Some(view) = self.views.get_mut(id) {
-            view.leaving = true;
+            view.standing = standing;
         }
     }
 
@@ -148,9 +183,13 @@
         let Some(view) = self.views.get_mut(id) else {
             return;
         };
+        if view.asked_at.is_some_and(|last| asked_at < last) {
+            return;
+        }
+        view.asked_at = Some(asked_at);
         view.reachable = status.is_some();
+        view.silent_at = status.is_none().then_some(asked_at);
         if let Some(status) = status {
-            view.leaving |= status.leaving;
             view.status = Some((asked_at, status));
         }
     }
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -300,13 +300,6 @@
         Ok(())
     }
 
-    /// Removes everything on an upstream that the platform has taken away for good.
-    pub fn free_upstream(&mut self, upstream: &str) {
-        self.placements
-            .retain(|_, placement| &*placement.upstream != upstream);
-        self.forget_idle_former();
-    }
-
     /// Records that the holder of `epoch` can send no more orders.
     pub fn clear_former(&mut self, epoch: Epoch) {
         self.former.retain(|former| former.epoch != epoch);
--- a/tests/all/cell_faults.rs
+++ b/tests/all/cell_faults.rs
@@ -8,6 +8,7 @@
 use passway_config::document::{
     AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
 };
+use passway_decide::cell::upstreams::Standing;
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -68,13 +69,17 @@
 /// One fault, or none.
 fn disturb(world: &mut CellWorld, rng: &mut ChaCha8Rng) {
     let node = rng.random_range(0..NODES);
-    match rng.random_range(0..12) {
+    match rng.random_range(0..14) {
         0 => world.kill(node),
         1 => world.restart(node),
         2 => world.pause(node, Duration::from_millis(rng.random_range(100..8_000))),
         3 => world.store.down = true,
         4 | 5 => world.store.down = false,
         6 => world.restart_engine(rng.random_range(0..3)),
+        7 => {
+            let standing = [Standing::Listed, Standing::Leaving, Standing::Gone];
+            world.set_standing(rng.random_range(0..3), standing[rng.random_range(0..3)]);
+        }
         _ => {}
     }
 }
@@ -109,6 +114,9 @@
 fn recovers(world: &mut CellWorld) -> bool {
     world.store.down = false;
     world.chances = Chances::default();
+    for engine in 0..3 {
+        world.set_standing(engine, Standing::Listed);
+    }
     for node in 0..NODES {
         if world.nodes[node].controller.is_none() {
             world.restart(node);
--- a/tests/all/cell_scenarios.rs
+++ b/tests/all/cell_scenarios.rs
@@ -10,6 +10,7 @@
 //! * `store state=up|down`
 //! * `chance what=lose_write_answer|delay_write|lose_order_answer|delay_order|hold_order percent=N`
 //! * `engine restart=N`
+//! * `upstream engine=N state=listed|leaving|gone`
 //! * `load ms=N`: how long loads take from now on
 //! * `show`: the leader, the plan, what engines hold, broken promises, last verdicts
 
@@ -19,6 +20,7 @@
 use passway_config::document::{
     AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
 };
+use passway_decide::cell::upstreams::Standing;
 use passway_decide::messages::DemandVerdict;
 use passway_types::prelude::*;
 use std::fmt::Write;
@@ -71,6 +73,15 @@
         }
         "chance" => chance(&mut world.chances, case)?,
         "load" => world.load_time = Duration::from_millis(case.take_arg("ms")?),
+        "upstream" => {
+            let state: String = case.take_arg("state")?;
+            let standing = match state.as_str() {
+                "gone" => Standing::Gone,
+                "leaving" => Standing::Leaving,
+                _ => Standing::Listed,
+            };
+            world.set_standing(case.take_arg("engine")?, standing);
+        }
         "engine" => world.restart_engine(case.take_arg("restart")?),
         "show" => return Ok(show(world)),
         other => panic!("unknown command {other}"),
--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -5,6 +5,7 @@
 
 use passway_config::document::Fencing;
 use passway_config::{Catalog, Document};
+use passway_decide::cell::upstreams::Standing;
 use passway_decide::cell::{Action, CellController, CellLimits, Event};
 use passway_decide::messages::{
     Demand, DemandVerdict, LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, RouteChange,
@@ -80,6 +81,8 @@
     highest_fence: Fence,
     boot: u64,
     pub memory_mb: u64,
+    /// Whether it answers nothing.
+    pub down: bool,
     pub loaded: BTreeMap<ModelName, (u64, Instant)>,
     pub loads: BTreeMap<ModelName, u32>,
 }
@@ -119,6 +122,7 @@
             highest_fence: 0,
             boot: 1,
             memory_mb: entry.memory_mb,
+            down: false,
             loaded: BTreeMap::new(),
             loads: BTreeMap::new(),
         });
@@ -192,6 +196,23 @@
         }
     }
 
+    /// The platform takes an engine away with all that it holds, or brings it
+    /// back empty, and its list says so.
+    pub fn set_standing(&mut self, number: usize, standing: Standing) {
+        let engine = &mut self.engines[number];
+        engine.down = standing == Standing::Gone;
+        if engine.down {
+            engine.loaded.clear();
+            engine.boot += 1;
+        }
+        let upstream = engine_id(number);
+        for node in 0..self.nodes.len() {
+            let lag = self.delay(Duration::from_secs(2));
+            let upstream = upstream.clone();
+            self.post_event(lag, node, Event::UpstreamStanding { upstream, standing });
+        }
+    }
+
     fn chance(&mut self, percent: u32) -> bool {
         self.rng.random_range(0..100) < percent
     }
@@ -278,7 +299,7 @@
                 continue;
             }
             for engine in 0..self.engines.len() {
-                let status = Some(self.status_of(engine));
+                let status = (!self.engines[engine].down).then(|| self.status_of(engine));
                 let upstream = engine_id(engine);
                 let event = Event::Status {
                     upstream,
@@ -338,6 +359,7 @@
                 }
             }
             Message::Write { expected, plan } => drop(self.write(expected, *plan)),
+            Message::Order { engine, .. } if self.engines[engine].down => {}
             Message::Order { engine, order } => drop(self.execute(engine, &order)),
             Message::InHand {
                 node,
@@ -516,6 +538,15 @@
             return;
         }
         let engine = engine_number(&order.upstream);
+        if self.engines[engine].down {
+            let event = Event::Order {
+                upstream: order.upstream,
+                fence: order.fence,
+                answer: OrderAnswer::NotSent,
+            };
+            self.post_event(Duration::from_millis(1), node, event);
+            return;
+        }
         let (upstream, fence) = (order.upstream.clone(), order.fence);
         let answer = if self.chance(self.chances.delay_order) {
             let late = self.delay(LONGEST_DELAY);
