A write's answer counts only for the change that it names

Ruled out: upstreams' standing (none changed in that run), fencing. Change: the answer carries the change's id.

--- a/crates/controller/src/workers.rs
+++ b/crates/controller/src/workers.rs
@@ -189,7 +189,10 @@
         return Event::WriteUnclear;
     };
     match key_value.put_if(key, expected, &value, None) {
-        Ok(PutOutcome::Written(version)) => Event::WriteDone { version },
+        Ok(PutOutcome::Written(version)) => Event::WriteDone {
+            change: plan.last_change,
+            version,
+        },
         Ok(PutOutcome::Conflict) | Err(Unavailable) => Event::WriteUnclear,
     }
 }
--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -66,8 +66,10 @@
     },
     /// The plan could not be read.
     PlanUnavailable,
-    /// The last write took effect.
+    /// A write took effect.
     WriteDone {
+        /// The change that was written; an answer to an earlier one is stale.
+        change: ChangeId,
         /// The version it made.
         version: Version,
     },
@@ -274,7 +276,9 @@
                 self.plan_read(now, version, plan.map(|plan| *plan), &mut actions);
             }
             Event::PlanUnavailable => self.plan_unavailable(now),
-            Event::WriteDone { version } => self.write_done(now, version, &mut actions),
+            Event::WriteDone { change, version } => {
+                self.write_done(now, change, version, &mut actions);
+            }
             Event::WriteUnclear => self.read_again(now),
             Event::Catalog(catalog) => self.use_catalog(catalog),
             Event::Rank(rank) => self.rank = rank,
@@ -469,14 +473,20 @@
         }
     }
 
-    fn write_done(&mut self, now: Instant, version: Version, actions: &mut Vec<Action>) {
+    fn write_done(
+        &mut self,
+        now: Instant,
+        id: ChangeId,
+        version: Version,
+        actions: &mut Vec<Action>,
+    ) {
         match &mut self.role {
             Role::TakingOver { change, .. } => {
-                if let Some(change) = change.take() {
+                if let Some(change) = change.take_if(|change| change.id() == id) {
                     self.begin_term(now, change.confirm(version), actions);
                 }
             }
-            Role::Active(term) => term.write_done(now, version),
+            Role::Active(term) => term.write_done(now, id, version),
             _ => {}
         }
     }
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -191,8 +191,8 @@
         self.renew_at += READ_RETRY;
     }
 
-    pub(super) fn write_done(&mut self, now: Instant, version: Version) {
-        if let Some(change) = self.in_flight.take() {
+    pub(super) fn write_done(&mut self, now: Instant, id: ChangeId, version: Version) {
+        if let Some(change) = self.in_flight.take_if(|change| change.id() == id) {
             self.commit(now, change.confirm(version));
         }
     }
--- a/crates/decide/src/cell/write.rs
+++ b/crates/decide/src/cell/write.rs
@@ -72,6 +72,11 @@
 }
 
 impl Change<InFlight> {
+    /// The change's id, which its answers carry.
+    pub fn id(&self) -> ChangeId {
+        self.plan.last_change
+    }
+
     /// The write's own answer says that it took effect.
     pub fn confirm(self, version: Version) -> CommittedPlan {
         CommittedPlan {
--- a/crates/standins/src/bin/passway-slopes.rs
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -200,8 +200,9 @@
                 }),
                 Action::WritePlan { plan: written, .. } => {
                     version += 1;
+                    let change = written.last_change;
                     plan = Some(*written);
-                    pending.push(Event::WriteDone { version });
+                    pending.push(Event::WriteDone { change, version });
                 }
                 Action::SendOrder(order) => pending.push(Event::Order {
                     upstream: order.upstream,
--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -485,10 +485,11 @@
             self.post(late, Message::Write { expected, plan });
             self.post_event(CALL_TIMEOUT, node, Event::WriteUnclear);
         } else {
+            let change = plan.last_change;
             let written = self.write(expected, *plan);
             let lost = self.chance(self.chances.lose_write_answer);
             let event = match written {
-                Some(version) if !lost => Event::WriteDone { version },
+                Some(version) if !lost => Event::WriteDone { change, version },
                 _ => Event::WriteUnclear,
             };
             self.post_event(short, node, event);
