--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -419,6 +419,7 @@
         if !is_first {
             return;
         }
+        peer.told_holders = Some(self.gossip.holders_version());
         peer.outbox.send(Body::Heartbeat(heartbeat));
         if is_router {
             for routes in self.cells.values().filter_map(CellShell::whole_table) {
--- a/crates/controller/src/node/cell_shell.rs
+++ b/crates/controller/src/node/cell_shell.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::Sender;
 use passway_config::Catalog;
 use passway_decide::cell::{Action, CellController, CellLimits, Event};
-use passway_decide::messages::{Order, RouteChange};
+use passway_decide::messages::{Order, RouteChange, epoch_of};
 use passway_decide::plan::{Holder, Placement, PlacementState};
 use passway_platform::engine::EngineControl;
 use passway_platform::key_value::KeyValue;
@@ -149,7 +149,7 @@
 
     pub(super) fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         if let Event::Order { fence, .. } = &event {
-            self.answered(*fence >> 32);
+            self.answered(epoch_of(*fence));
         }
         let was_active = self.is_active();
         let actions = self.controller.handle(now, event);
@@ -254,7 +254,7 @@
     }
 
     fn send_order(&mut self, order: Order) {
-        *self.in_hand.entry(order.fence >> 32).or_default() += 1;
+        *self.in_hand.entry(epoch_of(order.fence)).or_default() += 1;
         match self.upstreams.get(&order.upstream) {
             Some(threads) => drop(threads.orders.send(order)),
             None => self.reply.event(Event::Order {
--- a/crates/decide/src/cell/idle.rs
+++ b/crates/decide/src/cell/idle.rs
@@ -39,14 +39,18 @@
 
 /// Expected cost of losing an idle replica: its reload, the likelier the more recent its use.
 pub(super) fn loss(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> f64 {
-    let tier = view.tier(&placement.model);
-    let reload = term
-        .estimator
-        .load_time(now, tier, placement.reserved_bytes);
+    let reload = reload_time(term, now, view, placement);
     let idle = now.saturating_duration_since(last_used_at(term, now, placement));
     reload.as_secs_f64() / (1.0 + idle.as_secs_f64())
 }
 
+/// Expected time to load a replica again where it stands.
+fn reload_time(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> Duration {
+    let tier = view.tier(&placement.model);
+    term.estimator
+        .load_time(now, tier, placement.reserved_bytes)
+}
+
 fn last_used_at(term: &Term, now: Instant, placement: &Placement) -> Instant {
     let used_at = term
         .usage
@@ -87,10 +91,7 @@
         } else if !catalog.models.contains_key(&placement.model) {
             "not in the configuration"
         } else if is_idle(term, catalog, view, &placement) {
-            let tier = view.tier(&placement.model);
-            let reload = term
-                .estimator
-                .load_time(now, tier, placement.reserved_bytes);
+            let reload = reload_time(term, now, view, &placement);
             let history = term
                 .usage
                 .get(&placement.model)
--- a/crates/decide/src/cell/ordering.rs
+++ b/crates/decide/src/cell/ordering.rs
@@ -3,7 +3,7 @@
 use super::term::{Stage, Term};
 use super::upstreams::{OrderInFlight, UpstreamView, Upstreams};
 use super::{Action, Decision};
-use crate::messages::{Order, OrderKind};
+use crate::messages::{Order, OrderKind, fence_of};
 use crate::plan::{Placement, PlacementState};
 use passway_config::Catalog;
 use passway_config::document::Fencing;
@@ -249,7 +249,7 @@
     term.orders_made += 1;
     let order = Order {
         kind,
-        fence: (term.epoch() << 32) | u64::from(term.orders_made),
+        fence: fence_of(term.epoch(), term.orders_made),
         placement: placement.id,
         model: placement.model.clone(),
         base: catalog
--- a/crates/decide/src/messages.rs
+++ b/crates/decide/src/messages.rs
@@ -13,6 +13,19 @@
     Remote,
 }
 
+/// Bits of a fencing number that count the orders of one epoch.
+const ORDER_BITS: u32 = 32;
+
+/// The fencing number of the `order`th order of an epoch.
+pub fn fence_of(epoch: Epoch, order: u32) -> Fence {
+    (epoch << ORDER_BITS) | u64::from(order)
+}
+
+/// The epoch that a fencing number was made in.
+pub fn epoch_of(fence: Fence) -> Epoch {
+    fence >> ORDER_BITS
+}
+
 /// What an order asks of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderKind {
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -81,7 +81,7 @@
         shared: shared.clone(),
         control: control.clone(),
         request: number,
-        label: format!("{:x}-{number}", shared.incarnation),
+        label: shared.label(number),
         words,
         path: request.path().to_owned(),
         body,
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -58,8 +58,6 @@
     let catalog = shared.catalog.load();
     let service = catalog.services.get(name).ok_or_else(unknown)?.clone();
     let key = key_of(request)?;
-    let (number, _) = shared.register();
-    shared.unregister(number);
     let call = Call {
         method: request.head.method.to_string(),
         path_and_query: format!("/{rest}"),
@@ -69,7 +67,7 @@
             .to_owned(),
         body: http::body(shared, request)?.to_vec(),
         key,
-        label: format!("{:x}-{number}", shared.incarnation),
+        label: shared.label(shared.draw_request()),
         deadline_at: meta
             .deadline_at
             .unwrap_or(Instant::now() + DEFAULT_DEADLINE),
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -108,9 +108,19 @@
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Draws a request number.
+    pub fn draw_request(&self) -> RequestId {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A request's id in logs, at upstreams and in answers; unlike any other router's.
+    pub fn label(&self, request: RequestId) -> String {
+        format!("{:x}-{request}", self.incarnation)
+    }
+
     /// Draws a request number and opens the channel on which its thread is told.
     pub fn register(&self) -> (RequestId, Receiver<Word>) {
-        let request = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let request = self.draw_request();
         let (sender, receiver) = unbounded();
         self.waiters().insert(request, sender);
         (request, receiver)
--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -7,6 +7,7 @@
 use passway_config::{Catalog, Document};
 use passway_decide::cell::upstreams::Standing;
 use passway_decide::cell::{Action, CellController, CellLimits, Event};
+use passway_decide::messages::epoch_of;
 use passway_decide::messages::{
     Demand, DemandVerdict, LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, RouteChange,
     UpstreamStatus,
@@ -272,7 +273,7 @@
             return;
         }
         if let Event::Order { fence, .. } = &event {
-            let epoch = fence >> 32;
+            let epoch = epoch_of(*fence);
             let in_hand = &mut self.nodes[node].in_hand;
             if let Some(place) = in_hand.iter().position(|held| *held == epoch) {
                 in_hand.remove(place);
@@ -507,7 +508,7 @@
     }
 
     fn order_call(&mut self, node: usize, order: Order) {
-        self.nodes[node].in_hand.push(order.fence >> 32);
+        self.nodes[node].in_hand.push(epoch_of(order.fence));
         let incarnation = self.nodes[node].incarnation;
         if self.now >= order.not_after {
             let (upstream, fence) = (order.upstream, order.fence);
