--- /dev/null
+++ b/crates/instance/src/events.rs
@@ -0,0 +1,73 @@
+//! Events of a stream: only whole ones are passed on, so that a stream can go on elsewhere.
+
+/// Cuts a stream into whole events.
+#[derive(Debug, Default)]
+pub struct EventCutter {
+    partial: Vec<u8>,
+    last_id: Option<u64>,
+    last_id_text: Option<String>,
+}
+
+/// The end of the event that begins at `from`, behind its empty line.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (at, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..at];
+        if line.is_empty() || line == b"\r" {
+            return Some(at + 1);
+        }
+        line_start = at + 1;
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<String> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        let text = std::str::from_utf8(value).ok()?;
+        Some(text.trim().to_owned())
+    })
+}
+
+impl EventCutter {
+    /// Adds bytes and moves whole events to `out`, leaving out those that went before.
+    pub fn add(&mut self, bytes: &[u8], out: &mut Vec<u8>) {
+        self.partial.extend_from_slice(bytes);
+        let mut used = 0;
+        while let Some(length) = event_end(&self.partial[used..]) {
+            let event = &self.partial[used..used + length];
+            used += length;
+            let text = event_id(event);
+            let number = text.as_ref().and_then(|text| text.parse::<u64>().ok());
+            if let (Some(number), Some(last)) = (number, self.last_id)
+                && number <= last
+            {
+                continue;
+            }
+            if text.is_some() {
+                self.last_id = number;
+                self.last_id_text = text;
+            }
+            out.extend_from_slice(event);
+        }
+        self.partial.drain(..used);
+    }
+
+    /// The id of the last event passed on.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id_text.as_deref()
+    }
+
+    /// Bytes behind the last whole event, at a clean end of the stream.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.partial)
+    }
+
+    /// Forgets a part of an event whose stream broke.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+}
--- /dev/null
+++ b/crates/instance/src/lib.rs
@@ -0,0 +1,26 @@
+//! One instance: a process that takes callers' requests and passes them to upstreams.
+//!
+//! Threads block; what they share is in [`shared`]: the configuration behind
+//! read-copy-update, counts as atomics, upstreams and the retry budget behind locks
+//! that are held for one decision at a time. All decisions are in `passway-serving`.
+//!
+//! * [`callers`] takes connections, [`forward`] one request, [`events`] cuts streams.
+//! * [`http1`] and [`pool`] are connections; [`reply`] writes answers.
+//! * [`feeds`] follows the store; [`ready`] answers the balancer.
+//! * [`lifecycle`] starts and stops.
+
+pub mod callers;
+pub mod events;
+pub mod feeds;
+pub mod forward;
+pub mod http1;
+pub mod lifecycle;
+pub mod pool;
+pub mod ready;
+pub mod reply;
+pub mod shared;
+
+/// Instances that share the fleet's allowances until their number is known.
+pub const EXPECTED_INSTANCES: usize = 8;
+
+pub use lifecycle::{Instance, Surroundings};
--- /dev/null
+++ b/crates/instance/src/lifecycle.rs
@@ -0,0 +1,88 @@
+//! Starting and stopping an instance.
+
+use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
+use crate::shared::Shared;
+use crate::{callers, ready};
+use anyhow::Result;
+use crossbeam::channel;
+use passway_serving::ports::{Directory, Engines, InstanceSettings, SharedStore, Vocabulary};
+use passway_types::prelude::*;
+
+/// Time that the balancer needs to notice that an instance is not ready: two questions, a second apart.
+const BALANCER_TIME: Duration = Duration::from_millis(2_600);
+/// Time kept back of the grace at a stop.
+const GRACE_RESERVE: Duration = Duration::from_millis(300);
+/// Pause between two looks whether requests are in progress at a stop.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// The place an instance runs in.
+pub struct Surroundings {
+    /// The store.
+    pub store: Arc<dyn SharedStore>,
+    /// What lies in the store.
+    pub directory: Arc<dyn Directory>,
+    /// Callers' and upstreams' words.
+    pub vocabulary: Box<dyn Vocabulary>,
+    /// The control side of engines.
+    pub engines: Arc<dyn Engines>,
+}
+
+impl std::fmt::Debug for Surroundings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Surroundings").finish_non_exhaustive()
+    }
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Instance {
+    shared: Arc<Shared>,
+}
+
+impl Instance {
+    /// Binds the addresses of the settings and begins to serve.
+    ///
+    /// # Errors
+    /// If an address cannot be bound.
+    pub fn start(settings: InstanceSettings, surroundings: Surroundings) -> Result<Self> {
+        let (needs, needed) = channel::unbounded();
+        let shared = Arc::new(Shared::new(settings, surroundings.vocabulary, needs));
+        let settings = &shared.settings;
+        ready::listen(&shared, settings.ready_address)?;
+        callers::listen(&shared, settings.callers_address)?;
+        feeds::follow(
+            surroundings.store.clone(),
+            ConfigurationFeed {
+                shared: shared.clone(),
+                directory: surroundings.directory.clone(),
+            },
+        );
+        feeds::follow(
+            surroundings.store.clone(),
+            UpstreamFeed {
+                shared: shared.clone(),
+                directory: surroundings.directory.clone(),
+            },
+        );
+        std::thread::spawn(move || for _need in needed {});
+        log::info!(instance:% = settings.instance; "started");
+        Ok(Self { shared })
+    }
+
+    /// Takes nothing new and finishes what is in progress, within the grace.
+    pub fn stop(&self) {
+        let begun_at = Instant::now();
+        self.shared.stop();
+        let end_at = begun_at + self.shared.settings.grace.saturating_sub(GRACE_RESERVE);
+        let quiet_at = begun_at + BALANCER_TIME;
+        loop {
+            let now = Instant::now();
+            let idle = self.shared.in_progress() == 0 && now >= quiet_at;
+            if idle || now >= end_at {
+                break;
+            }
+            std::thread::sleep(STOP_STEP);
+        }
+        log::info!(in_progress = self.shared.in_progress(); "stopped");
+    }
+}
--- /dev/null
+++ b/crates/instance/src/ready.rs
@@ -0,0 +1,65 @@
+//! The balancer's question whether this instance takes callers.
+
+use crate::http1::{self, Connection, HttpError};
+use crate::shared::Shared;
+use anyhow::{Context, Result};
+use passway_types::prelude::*;
+use std::net::{SocketAddr, TcpListener};
+
+/// Largest head of a question.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Longest rest of the balancer's connection.
+const REST: Duration = Duration::from_secs(10);
+/// Time for a question to arrive or an answer to leave.
+const STEP: Duration = Duration::from_secs(1);
+/// Stack of a connection's thread.
+const STACK_BYTES: usize = 128 << 10;
+
+/// Answers the balancer from now on.
+///
+/// # Errors
+/// If the address cannot be bound.
+pub fn listen(shared: &Arc<Shared>, address: SocketAddr) -> Result<()> {
+    let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    let shared = shared.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(connection) = stream.and_then(Connection::new) else {
+                continue;
+            };
+            let shared = shared.clone();
+            let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
+            let answering = thread.spawn(move || {
+                // The balancer asks again on a new connection.
+                let _ = answer(&shared, connection);
+            });
+            if let Err(error) = answering {
+                log::warn!(error:% = error; "no thread for the balancer's question");
+            }
+        }
+    });
+    Ok(())
+}
+
+fn answer(shared: &Shared, mut connection: Connection) -> Result<(), HttpError> {
+    loop {
+        let idle_until = Instant::now() + REST;
+        let head = http1::read_request_head(&mut connection, MAX_HEAD_BYTES, idle_until, STEP)?;
+        let Some(head) = head else {
+            return Ok(());
+        };
+        let close = head.headers.connection_says("close") || !head.is_1_1;
+        let status = if shared.is_ready() {
+            "200 OK"
+        } else {
+            "503 Service Unavailable"
+        };
+        let closing = if close { "Connection: close\r\n" } else { "" };
+        let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{closing}\r\n");
+        let until = Instant::now() + STEP;
+        http1::write_all(&mut connection, bytes.as_bytes(), false, None, until)?;
+        if close {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/shared.rs
@@ -0,0 +1,153 @@
+//! What the threads of an instance share.
+
+use crate::pool::ConnectionPool;
+use arc_swap::ArcSwapOption;
+use crossbeam::channel::Sender;
+use passway_serving::ports::{InstanceSettings, Vocabulary};
+use passway_serving::retry::RetryBudget;
+use passway_serving::routes::RouteTable;
+use passway_serving::upstreams::{ModelWish, UpstreamTable};
+use passway_types::prelude::*;
+use std::fmt;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+
+/// What requests tell the thread that knows the holder of the right to order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Need {
+    /// A request waits for a model or adapter.
+    Waits {
+        /// The service.
+        service: ServiceName,
+        /// What it needs.
+        wish: ModelWish,
+        /// When it is of no use any more.
+        until: Instant,
+    },
+    /// A request for a model was taken, whether it waits or not.
+    Taken {
+        /// The service.
+        service: ServiceName,
+        /// What it needs.
+        wish: ModelWish,
+    },
+}
+
+/// The state that the threads of an instance share.
+pub struct Shared {
+    /// The settings.
+    pub settings: InstanceSettings,
+    /// The configuration in force; read without a lock.
+    pub routes: ArcSwapOption<RouteTable>,
+    /// Connections to upstreams that rest.
+    pub pool: ConnectionPool,
+    /// The words of callers and upstreams.
+    pub vocabulary: Box<dyn Vocabulary>,
+    /// Where needs are told.
+    pub needs: Sender<Need>,
+    upstreams: Mutex<UpstreamTable>,
+    upstreams_changed: Condvar,
+    retries: Mutex<RetryBudget>,
+    upstreams_listed: AtomicBool,
+    stopping: AtomicBool,
+    in_progress: AtomicUsize,
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared").finish_non_exhaustive()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Nothing known and nothing in progress.
+    pub fn new(
+        settings: InstanceSettings,
+        vocabulary: Box<dyn Vocabulary>,
+        needs: Sender<Need>,
+    ) -> Self {
+        let upstreams = UpstreamTable::new(settings.hall.clone());
+        let retries = RetryBudget::new(settings.retry, crate::EXPECTED_INSTANCES);
+        Self {
+            settings,
+            routes: ArcSwapOption::empty(),
+            pool: ConnectionPool::default(),
+            vocabulary,
+            needs,
+            upstreams: Mutex::new(upstreams),
+            upstreams_changed: Condvar::new(),
+            retries: Mutex::new(retries),
+            upstreams_listed: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+        }
+    }
+
+    /// The upstreams; the lock is held for one decision at a time.
+    pub fn upstreams(&self) -> MutexGuard<'_, UpstreamTable> {
+        lock(&self.upstreams)
+    }
+
+    /// Wakes requests that wait for an upstream.
+    pub fn upstreams_changed(&self) {
+        self.upstreams_changed.notify_all();
+    }
+
+    /// Waits until upstreams change, `most` at the longest.
+    pub fn wait_for_upstreams(&self, guard: MutexGuard<'_, UpstreamTable>, most: Duration) {
+        // The caller looks again in any case.
+        drop(self.upstreams_changed.wait_timeout(guard, most));
+    }
+
+    /// The retry budget.
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.retries)
+    }
+
+    /// The upstreams were listed whole.
+    pub fn set_upstreams_listed(&self) {
+        self.upstreams_listed.store(true, Ordering::Release);
+    }
+
+    /// Whether requests can be served: both the configuration and the upstreams are known.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.upstreams_listed.load(Ordering::Acquire)
+            && self.routes.load().is_some()
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// The process is about to end.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Requests whose answer is not complete.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Acquire)
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        InProgress(self.clone())
+    }
+}
+
+/// Counts one request as in progress while it lives.
+#[derive(Debug)]
+pub struct InProgress(Arc<Shared>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -20,6 +20,8 @@
         .level_for("passway_controller", level)
         .level_for("passway_standins", level)
         .level_for("passway_process", level)
+        .level_for("passway_instance", level)
+        .level_for("passway_serving", level)
         .format(move |out, message, record| {
             let elapsed = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
--- /dev/null
+++ b/crates/serving/src/headers.rs
@@ -0,0 +1,79 @@
+//! Headers as they were received, in their order and spelling.
+
+/// One header.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Header {
+    /// The name as it was spelled.
+    pub name: String,
+    /// The value, byte for byte.
+    pub value: Vec<u8>,
+}
+
+/// The headers of a message.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Headers(pub Vec<Header>);
+
+/// Headers that concern one connection and are not passed on.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+impl Headers {
+    /// All values of a header; names are compared without case.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = self
+            .0
+            .iter()
+            .filter(move |h| h.name.eq_ignore_ascii_case(name));
+        named.map(|header| header.value.as_slice())
+    }
+
+    /// The first value of a header, if it is text.
+    pub fn text<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        let value = std::str::from_utf8(self.all(name).next()?).ok()?;
+        Some(value.trim())
+    }
+
+    /// Whether a header is there.
+    pub fn has(&self, name: &str) -> bool {
+        self.all(name).next().is_some()
+    }
+
+    /// Adds a header.
+    pub fn push(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+        self.0.push(Header {
+            name: name.to_owned(),
+            value: value.into(),
+        });
+    }
+
+    /// Whether the `Connection` header names a word, such as `close`.
+    pub fn connection_says(&self, word: &str) -> bool {
+        self.all("connection").any(|value| {
+            let value = String::from_utf8_lossy(value);
+            value
+                .split(',')
+                .any(|w| w.trim().eq_ignore_ascii_case(word))
+        })
+    }
+
+    /// The headers that travel on: all but those of one connection, those that
+    /// `Connection` names, and the framing.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &Header> {
+        self.0.iter().filter(|header| {
+            let name = header.name.as_str();
+            let listed = CONNECTION_HEADERS
+                .iter()
+                .any(|known| name.eq_ignore_ascii_case(known));
+            !listed && !name.eq_ignore_ascii_case("content-length") && !self.connection_says(name)
+        })
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,18 @@
+//! What an instance knows and decides, without I/O, threads or clock.
+//!
+//! * [`ports`]: what it needs of the place it runs in, as traits; an adapter of a
+//!   platform implements them and decides nothing.
+//! * [`routes`]: the operators' routes and services, and which route a request takes.
+//! * [`upstreams`]: what upstreams say of themselves, what this instance has seen of
+//!   them, and which one a request goes to.
+//! * [`retry`]: the part of the fleet's retry allowance that this instance may spend.
+//! * [`headers`]: headers as they were received.
+//!
+//! Events and the current time go in, answers come out; `passway-instance` is the
+//! shell with threads and sockets.
+
+pub mod headers;
+pub mod ports;
+pub mod retry;
+pub mod routes;
+pub mod upstreams;
--- /dev/null
+++ b/crates/serving/src/ports.rs
@@ -0,0 +1,309 @@
+//! What an instance needs of the place it runs in, as traits with typed messages.
+//!
+//! An adapter implements them in the words of one platform. It decides nothing.
+
+use crate::headers::Headers;
+use crate::routes::RouteTable;
+use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+
+/// A lease at the store.
+pub type LeaseId = u64;
+/// A point in the store's history.
+pub type StoreRevision = u64;
+
+/// A value in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredValue {
+    /// Its key.
+    pub key: String,
+    /// Its bytes.
+    pub value: Vec<u8>,
+    /// When it was written last.
+    pub revision: StoreRevision,
+}
+
+/// All values under a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// The values.
+    pub values: Vec<StoredValue>,
+    /// The moment from which to watch on.
+    pub revision: StoreRevision,
+}
+
+/// A change under a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreChange {
+    /// A value was written.
+    Written(StoredValue),
+    /// A key went away.
+    Removed {
+        /// The key.
+        key: String,
+    },
+}
+
+/// The answer to a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WatchAnswer {
+    /// What changed; nothing, if the time ran out.
+    Changes {
+        /// The changes in their order.
+        changes: Vec<StoreChange>,
+        /// The moment from which to watch on.
+        revision: StoreRevision,
+    },
+    /// The history since then is gone: list anew.
+    HistoryGone,
+}
+
+/// Why the store gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreError {
+    /// Nothing was done.
+    NotDone,
+    /// It may have been done, or may be done later.
+    Unknown,
+}
+
+/// One conditional write of one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConditionalWrite {
+    /// The key.
+    pub key: String,
+    /// The revision that must stand; 0 if the key must be absent.
+    pub expected: StoreRevision,
+    /// The new value; `None` removes the key.
+    pub value: Option<Vec<u8>>,
+    /// The lease that the key ends with.
+    pub lease: Option<LeaseId>,
+}
+
+/// The answer to a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriteAnswer {
+    /// Done, at this revision.
+    Written(StoreRevision),
+    /// Another value stands.
+    Conflict,
+    /// The lease has ended.
+    LeaseEnded,
+}
+
+/// The platform's store.
+pub trait SharedStore: Send + Sync {
+    /// Reads all values under a prefix.
+    ///
+    /// # Errors
+    /// If the store does not answer or refuses.
+    fn list(&self, prefix: &str) -> Result<Listing, StoreError>;
+
+    /// Waits up to `wait` for changes under a prefix after a revision.
+    ///
+    /// # Errors
+    /// If the store does not answer or refuses.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<WatchAnswer, StoreError>;
+
+    /// Writes a key under a condition.
+    ///
+    /// # Errors
+    /// If the store does not answer or refuses.
+    fn write(&self, write: &ConditionalWrite) -> Result<WriteAnswer, StoreError>;
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    /// If the store does not answer or refuses.
+    fn grant_lease(&self, time_to_live: Duration) -> Result<LeaseId, StoreError>;
+
+    /// Renews a lease; false if it has ended.
+    ///
+    /// # Errors
+    /// If the store does not answer or refuses.
+    fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError>;
+
+    /// Ends a lease and the keys under it.
+    ///
+    /// # Errors
+    /// If the store does not answer or refuses.
+    fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
+}
+
+/// What operators and upstreams write into the store.
+pub trait Directory: Send + Sync {
+    /// The prefix under which the configuration lies.
+    fn configuration_prefix(&self) -> &str;
+
+    /// Decodes a configuration; `None` if the key holds something else.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn configuration(&self, value: &StoredValue) -> anyhow::Result<Option<RouteTable>>;
+
+    /// The prefix under which upstreams keep themselves.
+    fn upstream_prefix(&self) -> &str;
+
+    /// The upstream's id that a key names.
+    fn upstream_id<'a>(&self, key: &'a str) -> Option<&'a str>;
+
+    /// Decodes what an upstream says of itself.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn upstream(&self, value: &StoredValue, now: Instant) -> anyhow::Result<UpstreamEntry>;
+}
+
+/// What a request's headers say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// The attempt's id.
+    pub id: String,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// The model and adapter, where one is asked for.
+    pub wish: Option<ModelWish>,
+    /// The last event that the caller has of a stream.
+    pub last_event: Option<String>,
+}
+
+/// What an instance adds to a request for an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stamp {
+    /// The incarnation that may run it.
+    pub upstream: UpstreamId,
+    /// What is left until the deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// Its rank among waiting requests; 0 goes first.
+    pub urgency: Option<u8>,
+    /// The event after which a stream goes on.
+    pub last_event: Option<String>,
+}
+
+/// What an upstream's answer says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The attempt that it answers.
+    pub id: Option<String>,
+    /// Whether an upstream vouches for it.
+    pub vouched: bool,
+    /// Whether the request has not run and never will.
+    pub not_run: bool,
+    /// Whether another incarnation than the expected one answered.
+    pub other_incarnation: bool,
+}
+
+/// The words in which callers and upstreams speak.
+pub trait Vocabulary: Send + Sync {
+    /// Reads a request's headers.
+    fn request(&self, headers: &Headers) -> RequestFacts;
+
+    /// The headers that go to an upstream, without framing.
+    fn forwarded(&self, headers: &Headers, stamp: &Stamp) -> Headers;
+
+    /// Reads an answer's head.
+    fn answer(&self, status: u16, headers: &Headers, expected: &str) -> AnswerFacts;
+
+    /// Labels an answer of this instance with the attempt that it belongs to.
+    fn label(&self, headers: &mut Headers, id: &str);
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Load or unload.
+    pub action: OrderAction,
+    /// What.
+    pub wish: ModelWish,
+    /// The orders that the engine must have taken for this one to count.
+    pub expected_orders: u64,
+    /// The incarnation that it is for.
+    pub upstream: UpstreamId,
+    /// The instance that gives it.
+    pub holder: InstanceId,
+    /// The term of the right to order.
+    pub fence: Fence,
+}
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Brings a model or adapter.
+    Load,
+    /// Takes it away.
+    Unload,
+}
+
+/// The answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Taken,
+    /// It held already.
+    Done,
+    /// Another order is under way, or the engine has taken others.
+    Conflict,
+    /// The engine refused it for good.
+    Refused,
+    /// Another incarnation has the address.
+    OtherIncarnation,
+    /// It was not sent.
+    NotSent,
+    /// No answer: it may be carried out later.
+    Lost,
+}
+
+/// What an engine says of its present state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineReport {
+    /// What stands on it.
+    pub models: Vec<ResidentModel>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders that it has taken.
+    pub orders_taken: u64,
+    /// Checkpoints in its memory.
+    pub in_memory: Vec<ModelName>,
+    /// Checkpoints on its disk.
+    pub on_disk: Vec<ModelName>,
+}
+
+/// The control side of engines.
+pub trait Engines: Send + Sync {
+    /// Gives an order.
+    fn order(&self, address: SocketAddr, order: &EngineOrder) -> OrderAnswer;
+
+    /// Asks for the state; `None` without an answer.
+    fn report(&self, address: SocketAddr) -> Option<EngineReport>;
+}
+
+/// The settings of one instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InstanceSettings {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Its data hall.
+    pub hall: DataHall,
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// The store.
+    pub store_address: SocketAddr,
+    /// Time from a stop's beginning to its end.
+    pub grace: Duration,
+    /// Shortest time-to-live of a lease.
+    pub shortest_lease: Duration,
+    /// Time in which two holders must not both give orders to one engine.
+    pub holder_gap: Duration,
+    /// Repeats that all instances together may send.
+    pub retry: crate::retry::RetryAllowance,
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -7,6 +7,8 @@
 
 /// A model or adapter in one version, written `name@version`.
 pub type ModelName = Arc<str>;
+/// An adapter of a model.
+pub type AdapterName = Arc<str>;
 /// An upstream (a model engine or a plain service replica), unique in the catalog.
 pub type UpstreamId = Arc<str>;
 /// A group of callers that owns a share of the pool.
--- /dev/null
+++ b/src/bin/passway-instance.rs
@@ -0,0 +1,53 @@
+//! One instance on the users' platform, started from the platform's settings file.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use passway_instance::{Instance, Surroundings};
+use passway_users_platform::{
+    MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl, read_settings,
+};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Exit code when the settings cannot be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// Serves callers on the users' platform. Settings come from the file that the
+/// platform names in the environment. SIGTERM finishes what is in progress and ends.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// Least important log lines that are written.
+    #[arg(long, default_value = "info")]
+    log_level: String,
+    /// Only check the settings.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> Result<ExitCode> {
+    let arguments = Arguments::parse();
+    let settings = match read_settings() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return Ok(ExitCode::from(BAD_SETTINGS));
+        }
+    };
+    if arguments.check {
+        println!("no faults");
+        return Ok(ExitCode::SUCCESS);
+    }
+    passway_process::logging::start("passway-instance", &arguments.log_level)?;
+    let signals = passway_process::signals::termination()?;
+    let surroundings = Surroundings {
+        store: Arc::new(MetadataStore::new(settings.store_address)),
+        directory: Arc::new(PlatformDirectory),
+        vocabulary: Box::new(PlatformHeaders),
+        engines: Arc::new(ServerControl::default()),
+    };
+    let instance = Instance::start(settings, surroundings)?;
+    signals.recv().context("waiting for a signal")?;
+    instance.stop();
+    Ok(ExitCode::SUCCESS)
+}
