--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -404,6 +404,8 @@
             | Body::Routes(_)
             | Body::Verdict(_)
             | Body::ProbeAnswer(_)
+            | Body::Needs(_)
+            | Body::Placements(_)
             | Body::QueryAnswer(_) => {}
         }
     }
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,6 +1,8 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
+use crate::holder::Input;
 use crate::shared::Shared;
+use crossbeam::channel::Sender;
 use passway_serving::ports::{
     Directory, Listing, SharedStore, StoreChange, StoreError, StoreRevision, StoredValue,
     WatchAnswer,
@@ -127,12 +129,19 @@
     pub shared: Arc<Shared>,
     /// Decodes it.
     pub directory: Arc<dyn Directory>,
+    /// The thread that orders, if this instance may.
+    pub holder: Sender<Input>,
 }
 
 /// Changes of upstreams within this time are taken in by one call.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(300);
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
 
 impl UpstreamFeed {
+    fn tell(&self, input: Input) {
+        // The deciding thread ends only with the process.
+        let _ = self.holder.send(input);
+    }
+
     fn decode(&self, value: &StoredValue) -> Option<passway_serving::upstreams::UpstreamEntry> {
         match self.directory.upstream(value, Instant::now()) {
             Ok(entry) => Some(entry),
@@ -152,6 +161,11 @@
     fn listed(&mut self, listing: Listing) {
         let entries = listing.values.iter().filter_map(|value| self.decode(value));
         let entries: Vec<_> = entries.collect();
+        let ids = entries.iter().map(|entry| entry.id.clone());
+        self.tell(Input::Listed(ids.collect()));
+        for entry in &entries {
+            self.tell(Input::Heard(entry.clone()));
+        }
         self.shared.upstreams().replace(entries, Instant::now());
         self.shared.set_upstreams_listed();
         self.shared.upstreams_changed();
@@ -162,6 +176,7 @@
             StoreChange::Written(value) => {
                 log::debug!(value:% = String::from_utf8_lossy(&value.value); "an upstream's word");
                 if let Some(entry) = self.decode(&value) {
+                    self.tell(Input::Heard(entry.clone()));
                     self.shared.upstreams().update(entry, Instant::now());
                 }
             }
@@ -169,6 +184,10 @@
                 if let Some(id) = self.directory.upstream_id(&key) {
                     self.shared.upstreams().remove(id);
                     self.shared.pool.forget(id);
+                    let entries = self.shared.upstreams();
+                    let ids = entries.entries().map(|entry| entry.id.clone()).collect();
+                    drop(entries);
+                    self.tell(Input::Listed(ids));
                 }
             }
         }
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -22,6 +22,8 @@
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Longest time between two looks whether a waiting request's caller is still there.
 const WAIT_STEP: Duration = Duration::from_millis(200);
+/// Pause between two words to the holder of the right to order about one waiting request.
+const TELL_PAUSE: Duration = Duration::from_millis(400);
 /// Part of its time that a request may wait for an upstream before it is refused.
 const WAIT_PART: f64 = 0.45;
 /// A request that may run once goes over a connection that has rested at most this long.
@@ -293,7 +295,7 @@
         let whole = self.deadline_at.saturating_duration_since(self.arrived_at);
         let patience = Duration::from_millis(self.route.patience_ms());
         let wait_until = self.arrived_at + whole.min(patience).mul_f64(WAIT_PART);
-        let mut told = false;
+        let mut told_at: Option<Instant> = None;
         loop {
             let now = Instant::now();
             let upstreams = self.shared.upstreams();
@@ -305,7 +307,7 @@
                 return None;
             }
             let is_absent = choice == Choice::Absent;
-            if !is_absent || self.tried.is_empty() || told {
+            if !is_absent || told_at.is_some() {
                 let step = WAIT_STEP.min(wait_until - now);
                 self.shared.wait_for_upstreams(upstreams, step);
             } else {
@@ -315,11 +317,12 @@
                 // Those that were tried may have what is needed again.
                 self.tried.clear();
             }
+            let may_tell = told_at.is_none_or(|at| now >= at + TELL_PAUSE);
             if is_absent
-                && !told
+                && may_tell
                 && let Some(wish) = self.wish()
             {
-                told = true;
+                told_at = Some(now);
                 self.tell(Need::Waits {
                     service: self.service.clone(),
                     wish: wish.clone(),
--- /dev/null
+++ b/crates/instance/src/holder.rs
@@ -0,0 +1,266 @@
+//! The holder of the right to order: hears what instances need and gives orders.
+//!
+//! Every instance runs this thread; it decides only while [`Right`] says so.
+
+use crate::right::Right;
+use crate::shared::Shared;
+use anyhow::{Context, Result};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use passway_process::outbox::Outbox;
+use passway_serving::placement::{Action, Placement, PlannedOrder, Planner};
+use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
+use passway_serving::upstreams::{ModelWish, UpstreamEntry};
+use passway_types::prelude::*;
+use passway_wire::message::{EnginePlacement, Needs, Placements, Resident, Wish};
+use passway_wire::{Body, Link};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpListener;
+
+/// Longest time between two looks while nothing is heard.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+
+/// What the deciding thread hears.
+#[derive(Debug)]
+pub enum Input {
+    /// An instance has connected.
+    Connected(u64, Outbox),
+    /// Its connection ended.
+    Disconnected(u64, Option<InstanceId>),
+    /// What an instance needs.
+    Needs(Needs),
+    /// An upstream has said something of itself.
+    Heard(UpstreamEntry),
+    /// Only these upstreams are there.
+    Listed(BTreeSet<UpstreamId>),
+    /// An order was answered.
+    Answered(PlannedOrder, OrderAnswer),
+    /// An engine told its state.
+    Reported(UpstreamId, Option<EngineReport>),
+}
+
+/// Starts to listen and to decide.
+///
+/// # Errors
+/// If the address for other instances cannot be bound.
+pub fn start(
+    shared: &Arc<Shared>,
+    right: &Arc<Right>,
+    engines: Arc<dyn Engines>,
+) -> Result<Sender<Input>> {
+    let address = shared.settings.peer_address;
+    let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    let (sender, inputs) = unbounded();
+    let accepting = sender.clone();
+    std::thread::spawn(move || accept(&listener, &accepting));
+    let holding = Holding {
+        shared: shared.clone(),
+        right: right.clone(),
+        engines,
+        sender: sender.clone(),
+        planner: Planner::default(),
+        peers: BTreeMap::new(),
+        fence: None,
+        version: None,
+    };
+    std::thread::spawn(move || holding.run(&inputs));
+    Ok(sender)
+}
+
+fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
+    for (number, stream) in (0..).zip(listener.incoming()) {
+        let Ok((link, mut reader)) = stream.and_then(Link::from_stream) else {
+            continue;
+        };
+        let inputs = inputs.clone();
+        std::thread::spawn(move || {
+            let mut instance = None;
+            // The deciding thread ends only with the process.
+            let _ = inputs.send(Input::Connected(number, Outbox::start(link)));
+            while let Ok(Some(body)) = reader.receive() {
+                if let Body::Needs(needs) = body {
+                    instance = Some(InstanceId::from(needs.instance.as_str()));
+                    let _ = inputs.send(Input::Needs(needs));
+                }
+            }
+            let _ = inputs.send(Input::Disconnected(number, instance));
+        });
+    }
+}
+
+struct Holding {
+    shared: Arc<Shared>,
+    right: Arc<Right>,
+    engines: Arc<dyn Engines>,
+    sender: Sender<Input>,
+    planner: Planner,
+    peers: BTreeMap<u64, Outbox>,
+    fence: Option<Fence>,
+    version: Option<Revision>,
+}
+
+fn wish(wish: &Wish) -> (ServiceName, ModelWish) {
+    let adapter = Some(wish.adapter.as_str()).filter(|name| !name.is_empty());
+    let wanted = ModelWish {
+        model: wish.model.as_str().into(),
+        adapter: adapter.map(Into::into),
+    };
+    (wish.service.as_str().into(), wanted)
+}
+
+fn encode(placement: Placement) -> EnginePlacement {
+    let models = placement.models.into_iter().map(|model| Resident {
+        model: model.name.to_string(),
+        adapters: model.adapters.iter().map(ToString::to_string).collect(),
+    });
+    EnginePlacement {
+        engine: placement.engine.to_string(),
+        models: models.collect(),
+        closing: placement.closing.iter().map(ToString::to_string).collect(),
+    }
+}
+
+impl Holding {
+    fn run(mut self, inputs: &Receiver<Input>) {
+        loop {
+            let now = Instant::now();
+            let look_at = if self.fence.is_some() {
+                self.planner.next_look_at(now)
+            } else {
+                now + LOOK_PAUSE
+            };
+            match inputs.recv_timeout(look_at.saturating_duration_since(now).min(LOOK_PAUSE)) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Ok(input) = inputs.try_recv() {
+                self.take(input);
+            }
+            self.decide();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = Instant::now();
+        match input {
+            Input::Connected(number, outbox) => {
+                if self.fence.is_some() {
+                    outbox.send(placements(self.planner.placements()));
+                }
+                self.peers.insert(number, outbox);
+            }
+            Input::Disconnected(number, instance) => {
+                self.peers.remove(&number);
+                if let Some(instance) = instance {
+                    self.planner.instance_gone(&instance);
+                }
+            }
+            Input::Needs(needs) => self.needs(&needs, now),
+            Input::Heard(entry) => self.planner.heard(entry, now),
+            Input::Listed(ids) => self.planner.retain(&ids),
+            Input::Answered(order, answer) => {
+                log::info!(engine:% = order.engine, action:? = order.action,
+                    model:% = order.wish.model, adapter:? = order.wish.adapter,
+                    expected = order.expected_orders, answer:? = answer; "order");
+                self.planner.answered(&order, answer, now);
+            }
+            Input::Reported(engine, report) => self.planner.reported(&engine, report, now),
+        }
+    }
+
+    fn needs(&mut self, needs: &Needs, now: Instant) {
+        for waiting in &needs.waiting {
+            let (service, wanted) = wish(waiting);
+            let until = now + Duration::from_millis(waiting.number.into());
+            self.planner.needed(&service, &wanted, until, now);
+        }
+        for taken in &needs.taken {
+            let (service, wanted) = wish(taken);
+            self.planner.taken(&service, &wanted, taken.number, now);
+        }
+        let running = needs.running.iter().map(|running| {
+            let engine = running.engine.as_str().into();
+            (engine, running.model.as_str().into(), running.count)
+        });
+        let running: Vec<_> = running.collect();
+        let instance = InstanceId::from(needs.instance.as_str());
+        self.planner.running(&instance, &running);
+    }
+
+    fn decide(&mut self) {
+        let routes = self.shared.routes.load_full();
+        if let Some(table) = routes.filter(|table| self.version != Some(table.version)) {
+            self.version = Some(table.version);
+            self.planner.set_table(&table);
+            let upstreams = self.shared.upstreams();
+            for entry in upstreams.entries() {
+                self.planner.heard(entry.clone(), Instant::now());
+            }
+        }
+        let fence = self.right.fence();
+        if fence != self.fence {
+            self.fence = fence;
+            if fence.is_some() {
+                self.planner.begin_term();
+            }
+        }
+        let Some(fence) = fence else {
+            return;
+        };
+        for action in self.planner.decide(Instant::now()) {
+            self.act(action, fence);
+        }
+        let changed = self.planner.take_changed();
+        if !changed.is_empty() {
+            let body = placements(changed);
+            for outbox in self.peers.values() {
+                outbox.send(body.clone());
+            }
+        }
+    }
+
+    fn act(&self, action: Action, fence: Fence) {
+        let (engines, right) = (self.engines.clone(), self.right.clone());
+        let (sender, holder) = (self.sender.clone(), self.shared.settings.instance.clone());
+        std::thread::spawn(move || {
+            let input = match action {
+                Action::Order(order) => {
+                    let answer = give(&*engines, &right, fence, holder, &order);
+                    Input::Answered(order, answer)
+                }
+                Action::Ask { engine, address } => Input::Reported(engine, engines.report(address)),
+            };
+            // The deciding thread ends only with the process.
+            let _ = sender.send(input);
+        });
+    }
+}
+
+/// Gives an order, if the term in which it was decided still runs.
+fn give(
+    engines: &dyn Engines,
+    right: &Right,
+    fence: Fence,
+    holder: InstanceId,
+    order: &PlannedOrder,
+) -> OrderAnswer {
+    let given = EngineOrder {
+        action: order.action,
+        wish: order.wish.clone(),
+        expected_orders: order.expected_orders,
+        upstream: order.engine.clone(),
+        holder,
+        fence,
+    };
+    // The last thing before it leaves: a holder that was paused must not send.
+    if right.fence() != Some(fence) {
+        return OrderAnswer::NotSent;
+    }
+    engines.order(order.address, &given)
+}
+
+fn placements(placements: Vec<Placement>) -> Body {
+    Body::Placements(Placements {
+        engines: placements.into_iter().map(encode).collect(),
+    })
+}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,17 +7,22 @@
 //! * [`callers`] takes connections, [`forward`] one request, [`events`] cuts streams.
 //! * [`http1`] and [`pool`] are connections; [`reply`] writes answers.
 //! * [`feeds`] follows the store; [`ready`] answers the balancer.
+//! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
+//!   [`report`] tells the holder what this instance needs.
 //! * [`lifecycle`] starts and stops.
 
 pub mod callers;
 pub mod events;
 pub mod feeds;
 pub mod forward;
+pub mod holder;
 pub mod http1;
 pub mod lifecycle;
 pub mod pool;
 pub mod ready;
 pub mod reply;
+pub mod report;
+pub mod right;
 pub mod shared;
 
 /// Instances that share the fleet's allowances until their number is known.
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -1,8 +1,9 @@
 //! Starting and stopping an instance.
 
 use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
+use crate::right::Right;
 use crate::shared::Shared;
-use crate::{callers, ready};
+use crate::{callers, holder, ready, report};
 use anyhow::Result;
 use crossbeam::channel;
 use passway_serving::ports::{Directory, Engines, InstanceSettings, SharedStore, Vocabulary};
@@ -37,6 +38,7 @@
 #[derive(Debug)]
 pub struct Instance {
     shared: Arc<Shared>,
+    right: Arc<Right>,
 }
 
 impl Instance {
@@ -50,6 +52,8 @@
         let settings = &shared.settings;
         ready::listen(&shared, settings.ready_address)?;
         callers::listen(&shared, settings.callers_address)?;
+        let right = Right::start(&shared, &surroundings.store);
+        let holder = holder::start(&shared, &right, surroundings.engines.clone())?;
         feeds::follow(
             surroundings.store.clone(),
             ConfigurationFeed {
@@ -62,17 +66,19 @@
             UpstreamFeed {
                 shared: shared.clone(),
                 directory: surroundings.directory.clone(),
+                holder: holder.clone(),
             },
         );
-        std::thread::spawn(move || for _need in needed {});
+        report::start(&shared, &right, needed);
         log::info!(instance:% = settings.instance; "started");
-        Ok(Self { shared })
+        Ok(Self { shared, right })
     }
 
     /// Takes nothing new and finishes what is in progress, within the grace.
     pub fn stop(&self) {
         let begun_at = Instant::now();
         self.shared.stop();
+        self.right.release();
         let end_at = begun_at + self.shared.settings.grace.saturating_sub(GRACE_RESERVE);
         let quiet_at = begun_at + BALANCER_TIME;
         loop {
--- /dev/null
+++ b/crates/instance/src/report.rs
@@ -0,0 +1,159 @@
+//! What this instance tells the holder of the right to order, and hears from it.
+
+use crate::right::{Holder, Right};
+use crate::shared::{Need, Shared};
+use crossbeam::channel::{Receiver, RecvTimeoutError};
+use passway_process::dial::{Dialed, Dialer};
+use passway_process::outbox::Outbox;
+use passway_serving::upstreams::{ModelWish, ResidentModel};
+use passway_types::prelude::*;
+use passway_wire::Body;
+use passway_wire::message::{EnginePlacement, Needs, Running, Wish};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+/// Pause between two reports of use when nothing waits.
+const REPORT_PAUSE: Duration = Duration::from_millis(400);
+
+type Link = Arc<Mutex<Option<Outbox>>>;
+
+/// Reports for as long as the process lives.
+pub fn start(shared: &Arc<Shared>, right: &Arc<Right>, needs: Receiver<Need>) {
+    let reporter = Reporter {
+        shared: shared.clone(),
+        right: right.clone(),
+        link: Link::default(),
+        dialed: None,
+        taken: BTreeMap::new(),
+    };
+    std::thread::spawn(move || reporter.run(&needs));
+}
+
+struct Reporter {
+    shared: Arc<Shared>,
+    right: Arc<Right>,
+    link: Link,
+    dialed: Option<(Holder, Dialer)>,
+    taken: BTreeMap<(ServiceName, ModelName, Option<AdapterName>), u32>,
+}
+
+fn wish(service: &ServiceName, wish: &ModelWish, number: u32) -> Wish {
+    Wish {
+        service: service.to_string(),
+        model: wish.model.to_string(),
+        adapter: wish.adapter.as_deref().unwrap_or_default().to_owned(),
+        number,
+    }
+}
+
+impl Reporter {
+    fn run(mut self, needs: &Receiver<Need>) {
+        let mut report_at = Instant::now() + REPORT_PAUSE;
+        loop {
+            let left = report_at.saturating_duration_since(Instant::now());
+            let mut waiting = Vec::new();
+            match needs.recv_timeout(left) {
+                Ok(need) => self.take(need, &mut waiting),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Ok(need) = needs.try_recv() {
+                self.take(need, &mut waiting);
+            }
+            let due = Instant::now() >= report_at;
+            if due {
+                report_at = Instant::now() + REPORT_PAUSE;
+            }
+            self.dial();
+            if due || !waiting.is_empty() {
+                self.send(waiting);
+            }
+        }
+    }
+
+    fn take(&mut self, need: Need, waiting: &mut Vec<Wish>) {
+        match need {
+            Need::Waits {
+                service,
+                wish: wanted,
+                until,
+            } => {
+                let left = until.saturating_duration_since(Instant::now());
+                let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+                waiting.push(wish(&service, &wanted, left_ms));
+            }
+            Need::Taken { service, wish } => {
+                *self
+                    .taken
+                    .entry((service, wish.model, wish.adapter))
+                    .or_default() += 1;
+            }
+        }
+    }
+
+    /// Connects to the holder of the right, if it is another one than before.
+    fn dial(&mut self) {
+        let Some(holder) = self.right.holder() else {
+            return;
+        };
+        if self
+            .dialed
+            .as_ref()
+            .is_some_and(|(known, _)| *known == holder)
+        {
+            return;
+        }
+        let (shared, link) = (self.shared.clone(), self.link.clone());
+        *link.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        let dialer = Dialer::start(holder.address, move |dialed| {
+            let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
+            match dialed {
+                Dialed::Connected(outbox) => *link = Some(outbox),
+                Dialed::Disconnected => *link = None,
+                Dialed::Received(Body::Placements(placements)) => {
+                    drop(link);
+                    placed(&shared, placements.engines);
+                }
+                Dialed::Received(_) => {}
+            }
+        });
+        self.dialed = Some((holder, dialer));
+    }
+
+    fn send(&mut self, waiting: Vec<Wish>) {
+        let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(outbox) = link.as_ref() else {
+            return;
+        };
+        let taken = std::mem::take(&mut self.taken);
+        let taken = taken.into_iter().map(|((service, model, adapter), count)| {
+            wish(&service, &ModelWish { model, adapter }, count)
+        });
+        let upstreams = self.shared.upstreams();
+        let running = upstreams.running().map(|(engine, model, count)| Running {
+            engine: engine.to_string(),
+            model: model.to_string(),
+            count,
+        });
+        outbox.send(Body::Needs(Needs {
+            instance: self.shared.settings.instance.to_string(),
+            waiting,
+            taken: taken.collect(),
+            running: running.collect(),
+        }));
+    }
+}
+
+fn placed(shared: &Shared, engines: Vec<EnginePlacement>) {
+    let mut upstreams = shared.upstreams();
+    for placement in engines {
+        let models = placement.models.into_iter().map(|model| ResidentModel {
+            name: model.model.into(),
+            adapters: model.adapters.into_iter().map(Into::into).collect(),
+        });
+        let closing = placement.closing.into_iter().map(Into::into);
+        upstreams.set_placement(&placement.engine, models.collect(), closing.collect());
+    }
+    drop(upstreams);
+    shared.upstreams_changed();
+}
--- /dev/null
+++ b/crates/serving/src/placement.rs
@@ -0,0 +1,360 @@
+//! Which models stand on which engines: the decisions of the holder of the right to order.
+//!
+//! Needs, uses, engines' words and answers to orders go in; orders, questions and
+//! changed placements come out. Each engine has at most one model order under way.
+//! Every order names the count of orders that the engine must have taken, so an
+//! order that is carried out late can only take effect in the state that it was
+//! decided for; memory is therefore checked against that state alone.
+
+mod demand;
+mod engine;
+mod victims;
+
+use crate::ports::{EngineReport, OrderAction, OrderAnswer};
+use crate::routes::{EnginePool, RouteTable};
+use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use demand::Demand;
+use engine::{Engine, Tier};
+use passway_types::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Loads from the weight store at one time that still run at full speed (users' pages).
+const STORE_LOADS_AT_ONCE: usize = 4;
+/// Loads from the weight store that serve nobody yet, at one time: each keeps its
+/// engine from exchanging models.
+const PREFETCHES_AT_ONCE: usize = 3;
+/// An order whose effect shows neither in the engine's word nor in a report is asked for after this.
+const ASK_PAUSE: Duration = Duration::from_millis(120);
+/// Time for an unload that no run holds up.
+const UNLOAD_TIME: Duration = Duration::from_millis(30);
+/// An exchange that costs more than this is not made for a further replica.
+const REPLICA_COST_MS: f64 = 2_500.0;
+
+/// A model or adapter order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedOrder {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Load or unload.
+    pub action: OrderAction,
+    /// What.
+    pub wish: ModelWish,
+    /// The count of orders that it must have taken.
+    pub expected_orders: u64,
+}
+
+/// What the holder is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Give an order.
+    Order(PlannedOrder),
+    /// Ask an engine for its state.
+    Ask {
+        /// The engine.
+        engine: UpstreamId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// Where requests may go on one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Models and adapters that stand there.
+    pub models: Vec<ResidentModel>,
+    /// Models that are about to go.
+    pub closing: Vec<ModelName>,
+}
+
+/// The decisions over all engines.
+#[derive(Debug, Default)]
+pub struct Planner {
+    engines: BTreeMap<UpstreamId, Engine>,
+    pools: BTreeMap<ServiceName, EnginePool>,
+    demand: Demand,
+    changed: BTreeSet<UpstreamId>,
+}
+
+impl Planner {
+    /// Uses a configuration.
+    pub fn set_table(&mut self, table: &RouteTable) {
+        let services = table.services.values();
+        let pools = services.filter_map(|s| Some((s.name.clone(), s.pool.clone()?)));
+        self.pools = pools.collect();
+    }
+
+    /// Forgets what was known of engines' orders, at the begin of a term.
+    pub fn begin_term(&mut self) {
+        for engine in self.engines.values_mut() {
+            engine.forget_orders();
+        }
+        self.changed.extend(self.engines.keys().cloned());
+    }
+
+    /// An engine has said something of itself.
+    pub fn heard(&mut self, entry: UpstreamEntry, now: Instant) {
+        if !self.pools.contains_key(&entry.service) {
+            return;
+        }
+        let id = entry.id.clone();
+        match self.engines.get_mut(&id) {
+            Some(engine) => engine.heard(entry, now),
+            None => {
+                self.engines.insert(id.clone(), Engine::new(entry));
+            }
+        }
+        self.changed.insert(id);
+    }
+
+    /// Only these upstreams are there.
+    pub fn retain(&mut self, ids: &BTreeSet<UpstreamId>) {
+        self.engines.retain(|id, _| ids.contains(id));
+    }
+
+    /// A request waits for a model or adapter.
+    pub fn needed(
+        &mut self,
+        service: &ServiceName,
+        wish: &ModelWish,
+        until: Instant,
+        now: Instant,
+    ) {
+        self.demand.waits(service, wish, until, now);
+    }
+
+    /// An instance took so many requests for a model or adapter.
+    pub fn taken(&mut self, service: &ServiceName, wish: &ModelWish, count: u32, now: Instant) {
+        self.demand.taken(service, wish, count, now);
+        for engine in self.engines.values_mut() {
+            engine.used(wish, now);
+        }
+    }
+
+    /// What runs of an instance's requests, by engine and model.
+    pub fn running(&mut self, instance: &InstanceId, runs: &[(UpstreamId, ModelName, u32)]) {
+        for (id, engine) in &mut self.engines {
+            let here = runs.iter().filter(|(engine, ..)| engine == id);
+            let here = here.map(|(_, model, count)| (model.clone(), *count));
+            engine.set_running(instance, here.collect());
+        }
+    }
+
+    /// An instance is gone, and what it ran with it.
+    pub fn instance_gone(&mut self, instance: &InstanceId) {
+        for engine in self.engines.values_mut() {
+            engine.set_running(instance, Vec::new());
+        }
+    }
+
+    /// An order was answered.
+    pub fn answered(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
+        let Some(engine) = self.engines.get_mut(&order.engine) else {
+            return;
+        };
+        let time = match order.action {
+            OrderAction::Unload => UNLOAD_TIME,
+            OrderAction::Load => engine.load_time(&self.pools, &order.wish.model),
+        };
+        engine.answered(order, answer, now + time, now);
+        self.changed.insert(order.engine.clone());
+    }
+
+    /// An engine told its state; `None` if it did not answer.
+    pub fn reported(&mut self, id: &UpstreamId, report: Option<EngineReport>, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.reported(report, now);
+            self.changed.insert(id.clone());
+        }
+    }
+
+    /// Placements that have changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<Placement> {
+        let changed = std::mem::take(&mut self.changed);
+        let engines = changed.iter().filter_map(|id| self.engines.get(id));
+        engines.map(Engine::placement).collect()
+    }
+
+    /// All placements, for an instance that has just connected.
+    pub fn placements(&self) -> Vec<Placement> {
+        self.engines.values().map(Engine::placement).collect()
+    }
+
+    /// What is to be done now.
+    pub fn decide(&mut self, now: Instant) -> Vec<Action> {
+        self.demand.expire(now);
+        self.serve_needs(now);
+        self.add_replicas(now);
+        self.prefetch(now);
+        let mut actions = Vec::new();
+        for (id, engine) in &mut self.engines {
+            let Some(pool) = self.pools.get(&engine.entry.service) else {
+                continue;
+            };
+            if engine.settle_adapter(now) {
+                self.changed.insert(id.clone());
+            }
+            let before = engine.closing.len();
+            if let Some(action) = engine.step(pool, now) {
+                actions.push(action);
+            }
+            if engine.closing.len() != before {
+                self.changed.insert(id.clone());
+            }
+        }
+        actions
+    }
+
+    /// When to decide again if nothing is heard.
+    pub fn next_look_at(&self, now: Instant) -> Instant {
+        let dues = self.engines.values().filter_map(Engine::look_at);
+        dues.min().unwrap_or(now + Duration::from_secs(1))
+    }
+
+    fn serve_needs(&mut self, now: Instant) {
+        for need in self.demand.waiting() {
+            let stands = self
+                .engines
+                .values()
+                .any(|e| e.serves(&need.service, &need.wish));
+            if stands {
+                self.demand.served(&need.service, &need.wish);
+                continue;
+            }
+            let model = &need.wish.model;
+            let on_way = self
+                .engines
+                .values()
+                .any(|e| e.will_have(&need.service, &need.wish));
+            if on_way {
+                continue;
+            }
+            let resident = self.engines.values().any(|e| e.has(&need.service, model));
+            match &need.wish.adapter {
+                Some(adapter) if resident => self.place_adapter(&need.service, model, adapter, now),
+                _ => {
+                    self.place_model(&need.service, model, None, now);
+                }
+            }
+        }
+    }
+
+    /// Brings an adapter to the engine that has its model and most room.
+    fn place_adapter(
+        &mut self,
+        service: &ServiceName,
+        model: &ModelName,
+        adapter: &AdapterName,
+        now: Instant,
+    ) {
+        let Some(pool) = self.pools.get(service) else {
+            return;
+        };
+        let engines = self.engines.values_mut();
+        let having = engines.filter(|e| e.has(service, model) && e.takes_orders());
+        let best = having.min_by_key(|engine| (engine.adapter_count(), engine.entry.id.clone()));
+        if let Some(engine) = best {
+            engine.want_adapter(pool, model, adapter, now);
+        }
+    }
+
+    fn store_loads(&self) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|e| e.loads_from_store()).count()
+    }
+
+    /// Begins to bring a model to the engine where that costs least.
+    fn place_model(
+        &mut self,
+        service: &ServiceName,
+        model: &ModelName,
+        most_ms: Option<f64>,
+        now: Instant,
+    ) -> bool {
+        let Some(pool) = self.pools.get(service) else {
+            return false;
+        };
+        let Some(spec) = pool.models.iter().find(|spec| spec.name == *model) else {
+            return false;
+        };
+        let store_is_full = self.store_loads() >= STORE_LOADS_AT_ONCE;
+        let mut best: Option<(f64, UpstreamId, Vec<ModelName>)> = None;
+        for (id, engine) in &self.engines {
+            if engine.entry.service != *service
+                || !engine.takes_orders()
+                || engine.has(service, model)
+            {
+                continue;
+            }
+            let tier = engine.tier(model);
+            if tier == Tier::Store && store_is_full {
+                continue;
+            }
+            let Some(victims) = self.victims(engine, pool, spec, now) else {
+                continue;
+            };
+            let load_ms = demand::as_f64(tier.load_ms(spec));
+            let cost = load_ms + engine.wait_ms(now) + victims.cost_ms;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, id.clone(), victims.models));
+            }
+        }
+        let Some((cost, id, victims)) = best else {
+            return false;
+        };
+        if most_ms.is_some_and(|most| cost > most) {
+            return false;
+        }
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.exchange(model.clone(), victims);
+            self.changed.insert(id);
+        }
+        true
+    }
+
+    /// Brings one more replica of a model that is asked for more than its replicas bear.
+    fn add_replicas(&mut self, now: Instant) {
+        let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
+        for service in services {
+            for (model, wanted) in self.demand.wanted_replicas(&service, now) {
+                let replicas = self.replicas(&service, &model);
+                let coming = self
+                    .engines
+                    .values()
+                    .any(|e| e.is_bringing(&service, &model));
+                if replicas < wanted && !coming {
+                    self.place_model(&service, &model, Some(REPLICA_COST_MS), now);
+                }
+            }
+        }
+    }
+
+    fn replicas(&self, service: &ServiceName, model: &ModelName) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|e| e.has(service, model)).count()
+    }
+
+    /// Fetches models that lie nowhere, while the weight store has nothing else to do.
+    fn prefetch(&mut self, now: Instant) {
+        if self.store_loads() >= PREFETCHES_AT_ONCE {
+            return;
+        }
+        let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
+        for service in services {
+            let engines = self.engines.values().filter(|e| e.entry.service == service);
+            let at_hand: BTreeSet<ModelName> = engines.flat_map(Engine::at_hand).collect();
+            let specs = self.pools.get(&service).map(|pool| &pool.models);
+            let missing = specs
+                .into_iter()
+                .flatten()
+                .find(|s| !at_hand.contains(&s.name));
+            if let Some(model) = missing.map(|spec| spec.name.clone()) {
+                self.place_model(&service, &model, None, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/placement/demand.rs
@@ -0,0 +1,150 @@
+//! What is asked for: requests that wait, and how often each model is asked for.
+
+use crate::upstreams::ModelWish;
+use passway_types::prelude::*;
+use std::collections::BTreeMap;
+
+/// Time over which requests are averaged, in seconds: long enough to see a rare
+/// model twice, short enough to follow demand that moves within some seconds.
+const RATE_TIME_S: f64 = 4.0;
+/// Requests a second that one replica of a busy model takes.
+const REQUESTS_PER_REPLICA_S: f64 = 6.0;
+/// A model asked for this often has a second replica, against the loss of the first.
+const SPARE_RATE_S: f64 = 1.5;
+
+/// A number as a floating point one; times and counts here are far below 2^52.
+#[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+pub(super) fn as_f64(number: u64) -> f64 {
+    number as f64
+}
+
+/// A wish that waits.
+#[derive(Debug, Clone)]
+pub(super) struct Waiting {
+    pub(super) service: ServiceName,
+    pub(super) wish: ModelWish,
+    since: Instant,
+    until: Instant,
+}
+
+/// Requests a second, as an average that fades.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    per_s: f64,
+    at: Instant,
+}
+
+impl Rate {
+    fn now(&self, now: Instant) -> f64 {
+        let quiet_s = now.saturating_duration_since(self.at).as_secs_f64();
+        self.per_s * (-quiet_s / RATE_TIME_S).exp()
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Demand {
+    waiting: Vec<Waiting>,
+    rates: BTreeMap<(ServiceName, ModelName), Rate>,
+}
+
+impl Demand {
+    pub(super) fn waits(
+        &mut self,
+        service: &ServiceName,
+        wish: &ModelWish,
+        until: Instant,
+        now: Instant,
+    ) {
+        let known = self
+            .waiting
+            .iter_mut()
+            .find(|w| w.service == *service && w.wish == *wish);
+        if let Some(known) = known {
+            known.until = known.until.max(until);
+            return;
+        }
+        self.waiting.push(Waiting {
+            service: service.clone(),
+            wish: wish.clone(),
+            since: now,
+            until,
+        });
+    }
+
+    pub(super) fn served(&mut self, service: &ServiceName, wish: &ModelWish) {
+        self.waiting
+            .retain(|w| w.service != *service || w.wish != *wish);
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.waiting.retain(|waiting| now < waiting.until);
+    }
+
+    /// What waits, the longest wait first.
+    pub(super) fn waiting(&self) -> Vec<Waiting> {
+        let mut waiting = self.waiting.clone();
+        waiting.sort_by_key(|waiting| waiting.since);
+        waiting
+    }
+
+    /// Whether a request waits for a model.
+    pub(super) fn is_awaited(&self, service: &ServiceName, model: &ModelName) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|w| w.service == *service && w.wish.model == *model)
+    }
+
+    pub(super) fn taken(
+        &mut self,
+        service: &ServiceName,
+        wish: &ModelWish,
+        count: u32,
+        now: Instant,
+    ) {
+        let key = (service.clone(), wish.model.clone());
+        let rate = self.rates.entry(key).or_insert(Rate {
+            per_s: 0.0,
+            at: now,
+        });
+        rate.per_s = rate.now(now) + f64::from(count) / RATE_TIME_S;
+        rate.at = now;
+    }
+
+    /// Requests a second for a model.
+    pub(super) fn rate(&self, service: &ServiceName, model: &ModelName, now: Instant) -> f64 {
+        let key = (service.clone(), model.clone());
+        self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
+    }
+
+    /// How many replicas the demand for a model is worth.
+    pub(super) fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
+        let rate = self.rate(service, model, now);
+        if rate < SPARE_RATE_S {
+            return 1;
+        }
+        let by_load = (rate / REQUESTS_PER_REPLICA_S).ceil();
+        let mut replicas = 2;
+        while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < by_load {
+            replicas += 1;
+        }
+        replicas
+    }
+
+    /// Models of a service that are worth more than one replica, the busiest first.
+    pub(super) fn wanted_replicas(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Vec<(ModelName, usize)> {
+        let rated = self.rates.iter().filter(|((named, _), _)| named == service);
+        let mut rated: Vec<(f64, ModelName)> = rated
+            .map(|((_, model), rate)| (rate.now(now), model.clone()))
+            .filter(|(rate, _)| *rate >= SPARE_RATE_S)
+            .collect();
+        rated.sort_by(|one, other| other.0.total_cmp(&one.0));
+        let wanted = rated.into_iter().map(|(_, model)| {
+            let wanted = self.wanted(service, &model, now);
+            (model, wanted)
+        });
+        wanted.collect()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/placement/engine.rs
@@ -0,0 +1,540 @@
+//! One engine as the holder knows it: what stands on it and which order is under way.
+
+use super::{ASK_PAUSE, Action, Placement, PlannedOrder};
+use crate::ports::{EngineReport, OrderAction, OrderAnswer};
+use crate::routes::{EnginePool, ModelSpec};
+use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_types::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// Time for an adapter to come; engines take some milliseconds.
+const ADAPTER_TIME: Duration = Duration::from_millis(12);
+
+/// Where an engine finds a model's weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Tier {
+    Memory,
+    Disk,
+    Store,
+}
+
+impl Tier {
+    pub(super) fn load_ms(self, spec: &ModelSpec) -> u64 {
+        match self {
+            Self::Memory => spec.memory_ms,
+            Self::Disk => spec.disk_ms,
+            Self::Store => spec.load_ms,
+        }
+    }
+}
+
+/// An order whose effect is not known yet.
+#[derive(Debug, Clone)]
+enum UnderWay {
+    /// It was sent and not answered.
+    Sent(PlannedOrder),
+    /// It was taken and should be done at `due_at`.
+    Taken {
+        order: PlannedOrder,
+        due_at: Instant,
+    },
+}
+
+impl UnderWay {
+    fn order(&self) -> &PlannedOrder {
+        match self {
+            Self::Sent(order) | Self::Taken { order, .. } => order,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) entry: UpstreamEntry,
+    models: Vec<ResidentModel>,
+    /// Models that are to make room, in the order in which they go.
+    pub(super) closing: Vec<ModelName>,
+    /// The model that comes when there is room.
+    coming: Option<ModelName>,
+    adapters_wanted: Vec<ModelWish>,
+    adapter_used_at: HashMap<ModelWish, Instant>,
+    came_at: HashMap<ModelName, Instant>,
+    running: BTreeMap<InstanceId, Vec<(ModelName, u32)>>,
+    /// Orders that it has taken; `None` until it was asked.
+    orders_taken: Option<u64>,
+    under_way: Option<UnderWay>,
+    adapter_order: Option<PlannedOrder>,
+    /// An adapter that is on its way and there at the moment given.
+    adapter_due: Option<(PlannedOrder, Instant)>,
+    ask_at: Option<Instant>,
+    asked: bool,
+}
+
+impl Engine {
+    pub(super) fn new(entry: UpstreamEntry) -> Self {
+        Self {
+            models: entry.models.clone(),
+            entry,
+            closing: Vec::new(),
+            coming: None,
+            adapters_wanted: Vec::new(),
+            adapter_used_at: HashMap::new(),
+            came_at: HashMap::new(),
+            running: BTreeMap::new(),
+            orders_taken: None,
+            under_way: None,
+            adapter_order: None,
+            adapter_due: None,
+            ask_at: None,
+            asked: false,
+        }
+    }
+
+    pub(super) fn forget_orders(&mut self) {
+        self.closing.clear();
+        self.coming = None;
+        self.adapters_wanted.clear();
+        self.orders_taken = None;
+        self.under_way = None;
+        self.adapter_order = None;
+        self.adapter_due = None;
+        self.ask_at = None;
+        self.asked = false;
+    }
+
+    pub(super) fn placement(&self) -> Placement {
+        Placement {
+            engine: self.entry.id.clone(),
+            models: self.models.clone(),
+            closing: self.closing.clone(),
+        }
+    }
+
+    fn resident(&self, model: &ModelName) -> Option<&ResidentModel> {
+        self.models.iter().find(|m| m.name == *model)
+    }
+
+    /// Whether a model stands here and stays.
+    pub(super) fn has(&self, service: &ServiceName, model: &ModelName) -> bool {
+        self.entry.service == *service
+            && !self.entry.draining
+            && !self.closing.contains(model)
+            && self.resident(model).is_some()
+    }
+
+    pub(super) fn serves(&self, service: &ServiceName, wish: &ModelWish) -> bool {
+        self.has(service, &wish.model)
+            && wish.adapter.as_ref().is_none_or(|adapter| {
+                let resident = self.resident(&wish.model);
+                resident.is_some_and(|model| model.adapters.contains(adapter))
+            })
+    }
+
+    pub(super) fn is_bringing(&self, service: &ServiceName, model: &ModelName) -> bool {
+        self.entry.service == *service && self.coming.as_ref() == Some(model)
+    }
+
+    pub(super) fn will_have(&self, service: &ServiceName, wish: &ModelWish) -> bool {
+        if wish.adapter.is_none() {
+            return self.is_bringing(service, &wish.model);
+        }
+        self.entry.service == *service
+            && (self.adapters_wanted.contains(wish)
+                || (self.resident(&wish.model).is_none() && self.is_bringing(service, &wish.model)))
+    }
+
+    pub(super) fn model_names(&self) -> Vec<ModelName> {
+        self.models.iter().map(|m| m.name.clone()).collect()
+    }
+
+    pub(super) fn at_hand(&self) -> Vec<ModelName> {
+        let mut names = self.model_names();
+        names.extend(self.coming.clone());
+        names.extend(self.entry.in_memory.iter().cloned());
+        names.extend(self.entry.on_disk.iter().cloned());
+        names
+    }
+
+    pub(super) fn tier(&self, model: &ModelName) -> Tier {
+        if self.entry.in_memory.contains(model) {
+            Tier::Memory
+        } else if self.entry.on_disk.contains(model) {
+            Tier::Disk
+        } else {
+            Tier::Store
+        }
+    }
+
+    pub(super) fn load_time(
+        &self,
+        pools: &BTreeMap<ServiceName, EnginePool>,
+        model: &ModelName,
+    ) -> Duration {
+        let pool = pools.get(&self.entry.service);
+        let spec = pool.and_then(|pool| pool.models.iter().find(|s| s.name == *model));
+        Duration::from_millis(spec.map_or(0, |spec| self.tier(model).load_ms(spec)))
+    }
+
+    pub(super) fn loads_from_store(&self) -> bool {
+        let coming = self.coming.as_ref();
+        coming.is_some_and(|model| self.tier(model) == Tier::Store)
+    }
+
+    pub(super) fn size_mb(&self, pool: &EnginePool, model: &ModelName) -> f64 {
+        let spec = pool.models.iter().find(|s| s.name == *model);
+        let adapters = self.resident(model).map_or(0, |m| m.adapters.len());
+        let adapters = super::demand::as_f64(u64::try_from(adapters).unwrap_or(0));
+        // A model that the configuration does not name is taken to fill the engine.
+        spec.map_or(pool.weights_mb, |s| s.weights_mb + adapters * s.adapter_mb)
+    }
+
+    pub(super) fn free_mb(&self, pool: &EnginePool) -> f64 {
+        let held = self.models.iter().map(|m| self.size_mb(pool, &m.name));
+        pool.weights_mb - held.sum::<f64>()
+    }
+
+    /// Whether a new exchange may begin here.
+    pub(super) fn takes_orders(&self) -> bool {
+        !self.entry.draining && self.coming.is_none() && self.orders_taken.is_some()
+    }
+
+    /// Time until the order under way is done, in milliseconds.
+    pub(super) fn wait_ms(&self, now: Instant) -> f64 {
+        match &self.under_way {
+            Some(UnderWay::Taken { due_at, .. }) => {
+                due_at.saturating_duration_since(now).as_secs_f64() * 1_000.0
+            }
+            _ => 0.0,
+        }
+    }
+
+    pub(super) fn exchange(&mut self, model: ModelName, victims: Vec<ModelName>) {
+        self.closing = victims;
+        self.coming = Some(model);
+    }
+
+    pub(super) fn came_within(&self, model: &ModelName, time: Duration, now: Instant) -> bool {
+        self.came_at.get(model).is_some_and(|at| now < *at + time)
+    }
+
+    pub(super) fn set_running(&mut self, instance: &InstanceId, runs: Vec<(ModelName, u32)>) {
+        if runs.is_empty() {
+            self.running.remove(instance);
+        } else {
+            self.running.insert(instance.clone(), runs);
+        }
+    }
+
+    /// Runs of a model, over all instances.
+    pub(super) fn runs(&self, model: &ModelName) -> u32 {
+        let runs = self.running.values().flatten();
+        runs.filter(|(named, _)| named == model)
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    pub(super) fn used(&mut self, wish: &ModelWish, now: Instant) {
+        if wish.adapter.is_some() {
+            self.adapter_used_at.insert(wish.clone(), now);
+        }
+    }
+
+    pub(super) fn adapter_count(&self) -> usize {
+        let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
+        standing + self.adapters_wanted.len()
+    }
+
+    pub(super) fn want_adapter(
+        &mut self,
+        pool: &EnginePool,
+        model: &ModelName,
+        adapter: &AdapterName,
+        now: Instant,
+    ) {
+        let wish = ModelWish {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        if pool.adapter_slots == 0 || self.adapters_wanted.contains(&wish) {
+            return;
+        }
+        self.adapter_used_at.insert(wish.clone(), now);
+        self.adapters_wanted.push(wish);
+    }
+
+    /// The engine has said something of itself.
+    pub(super) fn heard(&mut self, entry: UpstreamEntry, now: Instant) {
+        let was_draining = self.entry.draining;
+        self.entry = entry;
+        self.entry.draining |= was_draining;
+        let Some(UnderWay::Taken { order, .. }) = &self.under_way else {
+            return;
+        };
+        let model = order.wish.model.clone();
+        let stands = self.entry.models.iter().any(|m| m.name == model);
+        if stands == (order.action == OrderAction::Load) {
+            self.model_order_done(now);
+        }
+    }
+
+    /// The model order under way has taken effect.
+    fn model_order_done(&mut self, now: Instant) {
+        let Some(under_way) = self.under_way.take() else {
+            return;
+        };
+        let order = under_way.order();
+        let model = order.wish.model.clone();
+        self.ask_at = None;
+        self.closing.retain(|closing| *closing != model);
+        self.models.retain(|m| m.name != model);
+        if order.action == OrderAction::Load {
+            self.models.push(ResidentModel {
+                name: model.clone(),
+                adapters: Vec::new(),
+            });
+            self.came_at.insert(model.clone(), now);
+            if self.coming.as_ref() == Some(&model) {
+                self.coming = None;
+            }
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        order: &PlannedOrder,
+        answer: OrderAnswer,
+        due_at: Instant,
+        now: Instant,
+    ) {
+        if order.wish.adapter.is_some() {
+            self.adapter_answered(order, answer, now);
+            return;
+        }
+        let sent = matches!(&self.under_way, Some(UnderWay::Sent(sent)) if sent == order);
+        if !sent {
+            return;
+        }
+        match answer {
+            OrderAnswer::Taken => {
+                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+                self.under_way = Some(UnderWay::Taken {
+                    order: order.clone(),
+                    due_at,
+                });
+                self.ask_at = Some(due_at + ASK_PAUSE);
+            }
+            OrderAnswer::NotSent => {
+                self.under_way = None;
+                self.ask_at = Some(now + ASK_PAUSE);
+            }
+            OrderAnswer::Refused | OrderAnswer::OtherIncarnation => {
+                self.abandon();
+                self.ask_at = Some(now + ASK_PAUSE);
+            }
+            OrderAnswer::Done | OrderAnswer::Conflict | OrderAnswer::Lost => {
+                self.under_way = None;
+                self.orders_taken = None;
+                self.ask_at = Some(now + ASK_PAUSE);
+            }
+        }
+    }
+
+    /// Gives the exchange up.
+    fn abandon(&mut self) {
+        self.under_way = None;
+        self.coming = None;
+        self.closing.clear();
+        self.orders_taken = None;
+    }
+
+    fn adapter_answered(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
+        if self.adapter_order.as_ref() != Some(order) {
+            return;
+        }
+        self.adapter_order = None;
+        match answer {
+            OrderAnswer::Taken => {
+                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+                self.adapter_due = Some((order.clone(), now + ADAPTER_TIME));
+            }
+            OrderAnswer::Done if order.action == OrderAction::Unload => {
+                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+                self.adapter_done(order);
+            }
+            OrderAnswer::Done => {
+                self.adapter_done(order);
+                self.orders_taken = None;
+            }
+            OrderAnswer::NotSent => self.ask_at = Some(now + ASK_PAUSE),
+            OrderAnswer::Refused | OrderAnswer::OtherIncarnation => {
+                self.adapters_wanted.retain(|wish| *wish != order.wish);
+            }
+            OrderAnswer::Conflict | OrderAnswer::Lost => {
+                self.orders_taken = None;
+                self.ask_at = Some(now + ASK_PAUSE);
+            }
+        }
+    }
+
+    fn adapter_done(&mut self, order: &PlannedOrder) {
+        self.adapters_wanted.retain(|wish| *wish != order.wish);
+        let model = self.models.iter_mut().find(|m| m.name == order.wish.model);
+        let (Some(model), Some(adapter)) = (model, &order.wish.adapter) else {
+            return;
+        };
+        model.adapters.retain(|name| name != adapter);
+        if order.action == OrderAction::Load {
+            model.adapters.push(adapter.clone());
+        }
+    }
+
+    /// The engine told its state, which is some hundred milliseconds old.
+    pub(super) fn reported(&mut self, report: Option<EngineReport>, now: Instant) {
+        self.asked = false;
+        self.ask_at = Some(now + ASK_PAUSE);
+        let Some(report) = report else {
+            return;
+        };
+        if self
+            .orders_taken
+            .is_some_and(|taken| report.orders_taken < taken)
+        {
+            // Older than the last answer.
+            return;
+        }
+        self.orders_taken = Some(report.orders_taken);
+        if report.busy {
+            return;
+        }
+        self.ask_at = None;
+        if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
+            let model = &order.wish.model;
+            let stands = report.models.iter().any(|m| m.name == *model);
+            if stands == (order.action == OrderAction::Load) {
+                self.model_order_done(now);
+            } else {
+                // It was taken and came to nothing.
+                self.under_way = None;
+            }
+        }
+        self.models = report.models;
+        self.entry.in_memory = report.in_memory;
+        self.entry.on_disk = report.on_disk;
+        let coming = self.coming.clone();
+        if coming.is_some_and(|model| self.resident(&model).is_some()) {
+            self.coming = None;
+            self.closing.clear();
+        }
+        let models = &self.models;
+        self.closing
+            .retain(|model| models.iter().any(|m| m.name == *model));
+    }
+
+    pub(super) fn look_at(&self) -> Option<Instant> {
+        let ask_at = self.ask_at.filter(|_| !self.asked);
+        let adapter_at = self.adapter_due.as_ref().map(|(_, at)| *at);
+        ask_at.into_iter().chain(adapter_at).min()
+    }
+
+    /// Takes in an adapter that has come by now; true if one has.
+    pub(super) fn settle_adapter(&mut self, now: Instant) -> bool {
+        let due = self.adapter_due.take_if(|(_, at)| now >= *at);
+        let Some((order, _)) = due else {
+            return false;
+        };
+        self.adapter_done(&order);
+        true
+    }
+
+    fn order(&self, action: OrderAction, wish: ModelWish, expected_orders: u64) -> PlannedOrder {
+        PlannedOrder {
+            engine: self.entry.id.clone(),
+            address: self.entry.address,
+            action,
+            wish,
+            expected_orders,
+        }
+    }
+
+    /// The next order or question, if there is one.
+    pub(super) fn step(&mut self, pool: &EnginePool, now: Instant) -> Option<Action> {
+        if self.asked {
+            return None;
+        }
+        let due = self.ask_at.is_some_and(|at| now >= at);
+        if due || (self.orders_taken.is_none() && self.ask_at.is_none()) {
+            self.asked = true;
+            self.ask_at = None;
+            return Some(Action::Ask {
+                engine: self.entry.id.clone(),
+                address: self.entry.address,
+            });
+        }
+        let sent = matches!(self.under_way, Some(UnderWay::Sent(_)));
+        if sent || self.adapter_order.is_some() || self.adapter_due.is_some() {
+            return None;
+        }
+        let expected = self.orders_taken?;
+        if let Some(order) = self.adapter_step(pool, expected) {
+            self.adapter_order = Some(order.clone());
+            return Some(Action::Order(order));
+        }
+        if self.under_way.is_some() {
+            return None;
+        }
+        let order = self.model_step(pool, expected)?;
+        self.under_way = Some(UnderWay::Sent(order.clone()));
+        Some(Action::Order(order))
+    }
+
+    fn model_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
+        let coming = self.coming.clone()?;
+        if self.entry.draining {
+            self.coming = None;
+            self.closing.clear();
+            return None;
+        }
+        let wish = |model| ModelWish {
+            model,
+            adapter: None,
+        };
+        if self.free_mb(pool) >= self.size_mb(pool, &coming) {
+            // A model that still stands although it was to go may be used again.
+            self.closing.clear();
+            return Some(self.order(OrderAction::Load, wish(coming), expected));
+        }
+        let Some(victim) = self.closing.first().cloned() else {
+            self.coming = None;
+            return None;
+        };
+        Some(self.order(OrderAction::Unload, wish(victim), expected))
+    }
+
+    fn adapter_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
+        let models = &self.models;
+        let closing = &self.closing;
+        self.adapters_wanted.retain(|wish| {
+            models.iter().any(|m| m.name == wish.model) && !closing.contains(&wish.model)
+        });
+        let wanted = self.adapters_wanted.first().cloned()?;
+        let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
+        if standing < pool.adapter_slots {
+            let spec = pool.models.iter().find(|s| s.name == wanted.model)?;
+            if self.free_mb(pool) >= spec.adapter_mb {
+                return Some(self.order(OrderAction::Load, wanted, expected));
+            }
+        }
+        let oldest = self.oldest_adapter()?;
+        Some(self.order(OrderAction::Unload, oldest, expected))
+    }
+
+    fn oldest_adapter(&self) -> Option<ModelWish> {
+        let standing = self.models.iter().flat_map(|model| {
+            model.adapters.iter().map(|adapter| ModelWish {
+                model: model.name.clone(),
+                adapter: Some(adapter.clone()),
+            })
+        });
+        standing.min_by_key(|wish| self.adapter_used_at.get(wish).copied())
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it carries; `None` comes from a newer program and is ignored.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -49,6 +49,93 @@
     /// Asks a controller for its revision of the configuration.
     #[prost(message, tag = "12")]
     ConfigWanted(ConfigWanted),
+    /// What an instance needs and uses.
+    #[prost(message, tag = "13")]
+    Needs(Needs),
+    /// What stands on engines.
+    #[prost(message, tag = "14")]
+    Placements(Placements),
+}
+
+/// A model or adapter of a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct Wish {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The model.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// The adapter; empty for none.
+    #[prost(string, tag = "3")]
+    pub adapter: String,
+    /// Milliseconds for which a request still waits, or the requests taken.
+    #[prost(uint32, tag = "4")]
+    pub number: u32,
+}
+
+/// Requests that run on an engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct Running {
+    /// The engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// The model.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// How many.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+}
+
+/// What an instance tells the holder of the right to order.
+#[derive(Clone, PartialEq, Message)]
+pub struct Needs {
+    /// The instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// What requests wait for.
+    #[prost(message, repeated, tag = "2")]
+    pub waiting: Vec<Wish>,
+    /// What requests were taken for since the last message.
+    #[prost(message, repeated, tag = "3")]
+    pub taken: Vec<Wish>,
+    /// What runs now.
+    #[prost(message, repeated, tag = "4")]
+    pub running: Vec<Running>,
+}
+
+/// A model on an engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct Resident {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Its adapters there.
+    #[prost(string, repeated, tag = "2")]
+    pub adapters: Vec<String>,
+}
+
+/// What stands on one engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct EnginePlacement {
+    /// The engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Its models.
+    #[prost(message, repeated, tag = "2")]
+    pub models: Vec<Resident>,
+    /// Models that are about to go.
+    #[prost(string, repeated, tag = "3")]
+    pub closing: Vec<String>,
+}
+
+/// What the holder of the right to order tells the instances.
+#[derive(Clone, PartialEq, Message)]
+pub struct Placements {
+    /// The engines whose placement has changed.
+    #[prost(message, repeated, tag = "1")]
+    pub engines: Vec<EnginePlacement>,
 }
 
 /// What a program is.
