Mends: orders on a busy engine's report, late requests at a stop, SIGHUP

Ruled out: late orders, two holders. Change: a busy report gives no ground for an order; requests that come when the balancer has had its time are refused as not run; SIGHUP and a look every 2 s take changed bounds in.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -150,7 +150,7 @@
     };
     let Some(table) = shared.routes.load_full().filter(|_| {
         // Upstreams that are not known yet cannot be told from none.
-        shared.is_ready() || shared.is_stopping()
+        shared.is_ready() || (shared.is_stopping() && !shared.is_closed())
     }) else {
         return refuse(caller, not_run(RETRY_AFTER_MS));
     };
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -164,7 +164,10 @@
                     expected = order.expected_orders, answer:? = answer; "order");
                 self.planner.answered(&order, answer, now);
             }
-            Input::Reported(engine, report) => self.planner.reported(&engine, report, now),
+            Input::Reported(engine, report) => {
+                log::info!(engine:% = engine, report:? = report.as_ref().map(|r| (r.busy, r.orders_taken, r.models.len())); "report");
+                self.planner.reported(&engine, report, now);
+            }
         }
     }
 
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -74,15 +74,29 @@
         Ok(Self { shared, right })
     }
 
+    /// Uses settings that have changed. Names and addresses stay until the next start.
+    pub fn reload(&self, settings: &InstanceSettings) {
+        self.shared.use_bounds(settings.bounds);
+    }
+
     /// Takes nothing new and finishes what is in progress, within the grace.
     pub fn stop(&self) {
         let begun_at = Instant::now();
         self.shared.stop();
         self.right.release();
-        let end_at = begun_at + self.shared.settings.grace.saturating_sub(GRACE_RESERVE);
+        let end_at = begun_at
+            + self
+                .shared
+                .bounds
+                .load()
+                .grace
+                .saturating_sub(GRACE_RESERVE);
         let quiet_at = begun_at + BALANCER_TIME;
         loop {
             let now = Instant::now();
+            if now >= quiet_at {
+                self.shared.close();
+            }
             let idle = self.shared.in_progress() == 0 && now >= quiet_at;
             if idle || now >= end_at {
                 break;
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -137,7 +137,7 @@
 
     /// Takes and renews the right for as long as the process lives.
     fn keep(&self, shared: &Shared, store: &dyn SharedStore) {
-        let time = LEASE_TIME.max(shared.settings.shortest_lease);
+        let time = LEASE_TIME.max(shared.bounds.load().shortest_lease);
         loop {
             let state = self.state();
             if state.released {
@@ -154,7 +154,7 @@
                 std::thread::sleep(RETRY_PAUSE);
                 continue;
             };
-            let Some(fence) = self.take(shared, store, lease) else {
+            let Some(fence) = Self::take(shared, store, lease) else {
                 std::thread::sleep(RETRY_PAUSE);
                 continue;
             };
@@ -164,7 +164,7 @@
     }
 
     /// Writes the key; the fencing number if it is mine.
-    fn take(&self, shared: &Shared, store: &dyn SharedStore, lease: LeaseId) -> Option<Fence> {
+    fn take(shared: &Shared, store: &dyn SharedStore, lease: LeaseId) -> Option<Fence> {
         let write = ConditionalWrite {
             key: HOLDER_KEY.to_owned(),
             expected: 0,
@@ -233,7 +233,7 @@
         let state = self.state();
         let now = Instant::now();
         match state.other_seen_at {
-            Some(_) if state.has_held => now + shared.settings.holder_gap,
+            Some(_) if state.has_held => now + shared.bounds.load().holder_gap,
             _ => now,
         }
     }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -1,9 +1,9 @@
 //! What the threads of an instance share.
 
 use crate::pool::ConnectionPool;
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
-use passway_serving::ports::{InstanceSettings, Vocabulary};
+use passway_serving::ports::{InstanceBounds, InstanceSettings, Vocabulary};
 use passway_serving::retry::RetryBudget;
 use passway_serving::routes::RouteTable;
 use passway_serving::upstreams::{ModelWish, UpstreamTable};
@@ -35,8 +35,10 @@
 
 /// The state that the threads of an instance share.
 pub struct Shared {
-    /// The settings.
+    /// The settings that the process started with; addresses and names stay as they are.
     pub settings: InstanceSettings,
+    /// The bounds in force, which may change while the process runs.
+    pub bounds: ArcSwap<InstanceBounds>,
     /// The configuration in force; read without a lock.
     pub routes: ArcSwapOption<RouteTable>,
     /// Connections to upstreams that rest.
@@ -50,6 +52,8 @@
     retries: Mutex<RetryBudget>,
     upstreams_listed: AtomicBool,
     stopping: AtomicBool,
+    /// Requests are not taken any more: the balancer has had time to notice the stop.
+    closed: AtomicBool,
     in_progress: AtomicUsize,
 }
 
@@ -71,8 +75,9 @@
         needs: Sender<Need>,
     ) -> Self {
         let upstreams = UpstreamTable::new(settings.hall.clone());
-        let retries = RetryBudget::new(settings.retry, crate::EXPECTED_INSTANCES);
+        let retries = RetryBudget::new(settings.bounds.retry, crate::EXPECTED_INSTANCES);
         Self {
+            bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
             routes: ArcSwapOption::empty(),
             pool: ConnectionPool::default(),
@@ -83,6 +88,7 @@
             retries: Mutex::new(retries),
             upstreams_listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
         }
     }
@@ -108,6 +114,16 @@
         lock(&self.retries)
     }
 
+    /// Uses bounds that have changed.
+    pub fn use_bounds(&self, bounds: InstanceBounds) {
+        if **self.bounds.load() == bounds {
+            return;
+        }
+        log::info!(bounds:? = bounds; "bounds have changed");
+        self.retries().set_allowance(bounds.retry);
+        self.bounds.store(Arc::new(bounds));
+    }
+
     /// The upstreams were listed whole.
     pub fn set_upstreams_listed(&self) {
         self.upstreams_listed.store(true, Ordering::Release);
@@ -130,6 +146,16 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Whether requests are refused, since they might not end before the process does.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// Refuses requests from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
     /// Requests whose answer is not complete.
     pub fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::Acquire)
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -1,13 +1,44 @@
-//! Termination signals as a channel.
+//! Signals as a channel.
 
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, bounded};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 /// Signals remembered while nobody listens.
 const REMEMBERED: usize = 4;
 
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// The process is to end.
+    Stop,
+    /// The settings have changed.
+    Reload,
+}
+
+/// A channel that gets a message for each SIGTERM, SIGINT and SIGHUP.
+///
+/// # Errors
+/// If the handlers cannot be installed.
+pub fn asked() -> Result<Receiver<Asked>> {
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).context("installing signal handlers")?;
+    let (sender, receiver) = bounded(REMEMBERED);
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            let asked = if signal == SIGHUP {
+                Asked::Reload
+            } else {
+                Asked::Stop
+            };
+            // A full channel has enough signals already.
+            let _ = sender.try_send(asked);
+        }
+    });
+    Ok(receiver)
+}
+
 /// A channel that gets a message for each SIGTERM and SIGINT.
 ///
 /// # Errors
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -7,6 +7,8 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
+/// The pause between questions without an answer doubles at most so often.
+const MAX_DOUBLINGS: u32 = 3;
 /// Time for an adapter to come; engines take some milliseconds.
 const ADAPTER_TIME: Duration = Duration::from_millis(12);
 
@@ -68,6 +70,8 @@
     adapter_due: Option<(PlannedOrder, Instant)>,
     ask_at: Option<Instant>,
     asked: bool,
+    /// Questions in a row without an answer.
+    unanswered: u32,
 }
 
 impl Engine {
@@ -87,6 +91,7 @@
             adapter_due: None,
             ask_at: None,
             asked: false,
+            unanswered: 0,
         }
     }
 
@@ -267,6 +272,9 @@
         let was_draining = self.entry.draining;
         self.entry = entry;
         self.entry.draining |= was_draining;
+        if self.orders_taken.is_none() && self.under_way.is_none() {
+            self.models.clone_from(&self.entry.models);
+        }
         let Some(UnderWay::Taken { order, .. }) = &self.under_way else {
             return;
         };
@@ -327,10 +335,11 @@
                 self.under_way = None;
                 self.ask_at = Some(now + ASK_PAUSE);
             }
-            OrderAnswer::Refused | OrderAnswer::OtherIncarnation => {
+            OrderAnswer::Refused => {
                 self.abandon();
                 self.ask_at = Some(now + ASK_PAUSE);
             }
+            OrderAnswer::OtherIncarnation => self.ended(),
             OrderAnswer::Done | OrderAnswer::Conflict | OrderAnswer::Lost => {
                 self.under_way = None;
                 self.orders_taken = None;
@@ -339,6 +348,16 @@
         }
     }
 
+    /// This incarnation has ended; its entry goes later.
+    fn ended(&mut self) {
+        self.abandon();
+        self.entry.draining = true;
+        self.models.clear();
+        self.ask_at = None;
+        // Nothing more is asked at an address that belongs to another one now.
+        self.asked = true;
+    }
+
     /// Gives the exchange up.
     fn abandon(&mut self) {
         self.under_way = None;
@@ -366,7 +385,8 @@
                 self.orders_taken = None;
             }
             OrderAnswer::NotSent => self.ask_at = Some(now + ASK_PAUSE),
-            OrderAnswer::Refused | OrderAnswer::OtherIncarnation => {
+            OrderAnswer::OtherIncarnation => self.ended(),
+            OrderAnswer::Refused => {
                 self.adapters_wanted.retain(|wish| *wish != order.wish);
             }
             OrderAnswer::Conflict | OrderAnswer::Lost => {
@@ -391,10 +411,14 @@
     /// The engine told its state, which is some hundred milliseconds old.
     pub(super) fn reported(&mut self, report: Option<EngineReport>, now: Instant) {
         self.asked = false;
-        self.ask_at = Some(now + ASK_PAUSE);
         let Some(report) = report else {
+            self.unanswered += 1;
+            let pause = ASK_PAUSE * (1 << self.unanswered.min(MAX_DOUBLINGS));
+            self.ask_at = Some(now + pause);
             return;
         };
+        self.unanswered = 0;
+        self.ask_at = Some(now + ASK_PAUSE);
         if self
             .orders_taken
             .is_some_and(|taken| report.orders_taken < taken)
@@ -402,10 +426,15 @@
             // Older than the last answer.
             return;
         }
-        self.orders_taken = Some(report.orders_taken);
         if report.busy {
+            // What an order under way will change is not known: no order may be
+            // decided on this state.
+            if self.under_way.is_none() {
+                self.orders_taken = None;
+            }
             return;
         }
+        self.orders_taken = Some(report.orders_taken);
         self.ask_at = None;
         if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
             let model = &order.wish.model;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -298,6 +298,13 @@
     pub peer_address: SocketAddr,
     /// The store.
     pub store_address: SocketAddr,
+    /// Bounds that may change while the process runs.
+    pub bounds: InstanceBounds,
+}
+
+/// Bounds that may change while a process runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct InstanceBounds {
     /// Time from a stop's beginning to its end.
     pub grace: Duration,
     /// Shortest time-to-live of a lease.
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Sets the allowance of the whole fleet.
+    pub fn set_allowance(&mut self, allowance: RetryAllowance) {
+        self.allowance = allowance;
+    }
+
     /// Sets how many instances share the fixed allowance.
     pub fn set_instances(&mut self, instances: usize) {
         self.instances = count(instances);
--- a/src/bin/passway-instance.rs
+++ b/src/bin/passway-instance.rs
@@ -1,14 +1,18 @@
 //! One instance on the users' platform, started from the platform's settings file.
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use clap::Parser;
 use passway_instance::{Instance, Surroundings};
+use passway_process::signals::Asked;
 use passway_users_platform::{
     MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl, read_settings,
 };
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
+/// Pause between two looks at the settings file.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
 /// Exit code when the settings cannot be used.
 const BAD_SETTINGS: u8 = 2;
 
@@ -39,7 +43,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     passway_process::logging::start("passway-instance", &arguments.log_level)?;
-    let signals = passway_process::signals::termination()?;
+    let signals = passway_process::signals::asked()?;
     let surroundings = Surroundings {
         store: Arc::new(MetadataStore::new(settings.store_address)),
         directory: Arc::new(PlatformDirectory),
@@ -47,7 +51,15 @@
         engines: Arc::new(ServerControl::default()),
     };
     let instance = Instance::start(settings, surroundings)?;
-    signals.recv().context("waiting for a signal")?;
+    while signals.recv_timeout(SETTINGS_PAUSE) != Ok(Asked::Stop) {
+        // The file may change with or without a signal.
+        match read_settings() {
+            Ok(settings) => instance.reload(&settings),
+            Err(error) => {
+                log::warn!(error:% = format!("{error:#}"); "changed settings cannot be used");
+            }
+        }
+    }
     instance.stop();
     Ok(ExitCode::SUCCESS)
 }
