--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -23,12 +23,13 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts callers from now on.
+/// Accepts callers from now on; the address that was bound.
 ///
 /// # Errors
 /// If the address cannot be bound.
-pub fn listen(shared: &Arc<Shared>, address: SocketAddr) -> Result<()> {
+pub fn listen(shared: &Arc<Shared>, address: SocketAddr) -> Result<SocketAddr> {
     let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    let bound = listener.local_addr().context("the bound address")?;
     let shared = shared.clone();
     std::thread::spawn(move || {
         loop {
@@ -41,7 +42,7 @@
             }
         }
     });
-    Ok(())
+    Ok(bound)
 }
 
 fn take(shared: &Arc<Shared>, stream: TcpStream) {
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -14,7 +14,7 @@
 use passway_wire::message::{EnginePlacement, Needs, Placements, Resident, Wish};
 use passway_wire::{Body, Link};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 /// Longest time between two looks while nothing is heard.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
@@ -38,17 +38,21 @@
     Reported(UpstreamId, Option<EngineReport>),
 }
 
-/// Starts to listen and to decide.
+/// Binds the address for other instances.
 ///
 /// # Errors
-/// If the address for other instances cannot be bound.
+/// If it cannot be bound.
+pub fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| format!("binding {address}"))
+}
+
+/// Starts to listen and to decide.
 pub fn start(
     shared: &Arc<Shared>,
     right: &Arc<Right>,
     engines: Arc<dyn Engines>,
-) -> Result<Sender<Input>> {
-    let address = shared.settings.peer_address;
-    let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    listener: TcpListener,
+) -> Sender<Input> {
     let (sender, inputs) = unbounded();
     let accepting = sender.clone();
     std::thread::spawn(move || accept(&listener, &accepting));
@@ -63,7 +67,7 @@
         version: None,
     };
     std::thread::spawn(move || holding.run(&inputs));
-    Ok(sender)
+    sender
 }
 
 fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -4,10 +4,11 @@
 use crate::right::Right;
 use crate::shared::Shared;
 use crate::{callers, holder, ready, report};
-use anyhow::Result;
+use anyhow::{Context, Result};
 use crossbeam::channel;
 use passway_serving::ports::{Directory, Engines, InstanceSettings, SharedStore, Vocabulary};
 use passway_types::prelude::*;
+use std::net::SocketAddr;
 
 /// Time that the balancer needs to notice that an instance is not ready: two questions, a second apart.
 const BALANCER_TIME: Duration = Duration::from_millis(2_600);
@@ -39,21 +40,25 @@
 pub struct Instance {
     shared: Arc<Shared>,
     right: Arc<Right>,
+    callers_address: SocketAddr,
+    ready_address: SocketAddr,
 }
 
 impl Instance {
-    /// Binds the addresses of the settings and begins to serve.
+    /// Binds the addresses of the settings and begins to serve; at port 0 the kernel chooses.
     ///
     /// # Errors
     /// If an address cannot be bound.
-    pub fn start(settings: InstanceSettings, surroundings: Surroundings) -> Result<Self> {
+    pub fn start(mut settings: InstanceSettings, surroundings: Surroundings) -> Result<Self> {
+        let peers = holder::bind(settings.peer_address)?;
+        settings.peer_address = peers.local_addr().context("the bound address")?;
         let (needs, needed) = channel::unbounded();
         let shared = Arc::new(Shared::new(settings, surroundings.vocabulary, needs));
         let settings = &shared.settings;
-        ready::listen(&shared, settings.ready_address)?;
-        callers::listen(&shared, settings.callers_address)?;
+        let ready_address = ready::listen(&shared, settings.ready_address)?;
+        let callers_address = callers::listen(&shared, settings.callers_address)?;
         let right = Right::start(&shared, &surroundings.store);
-        let holder = holder::start(&shared, &right, surroundings.engines.clone())?;
+        let holder = holder::start(&shared, &right, surroundings.engines.clone(), peers);
         feeds::follow(
             surroundings.store.clone(),
             ConfigurationFeed {
@@ -71,7 +76,46 @@
         );
         report::start(&shared, &right, needed);
         log::info!(instance:% = settings.instance; "started");
-        Ok(Self { shared, right })
+        Ok(Self {
+            shared,
+            right,
+            callers_address,
+            ready_address,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Where the balancer asks.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
+
+    /// Whether it takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Requests whose answer is not complete.
+    pub fn in_progress(&self) -> usize {
+        self.shared.in_progress()
+    }
+
+    /// The fencing number, if this instance may give orders now.
+    pub fn fence(&self) -> Option<Fence> {
+        self.right.fence()
+    }
+
+    /// The configuration's version in force.
+    pub fn version(&self) -> Option<Revision> {
+        self.shared
+            .routes
+            .load()
+            .as_ref()
+            .map(|table| table.version)
     }
 
     /// Uses settings that have changed. Names and addresses stay until the next start.
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -15,12 +15,13 @@
 /// Stack of a connection's thread.
 const STACK_BYTES: usize = 128 << 10;
 
-/// Answers the balancer from now on.
+/// Answers the balancer from now on; the address that was bound.
 ///
 /// # Errors
 /// If the address cannot be bound.
-pub fn listen(shared: &Arc<Shared>, address: SocketAddr) -> Result<()> {
+pub fn listen(shared: &Arc<Shared>, address: SocketAddr) -> Result<SocketAddr> {
     let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    let bound = listener.local_addr().context("the bound address")?;
     let shared = shared.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming() {
@@ -38,7 +39,7 @@
             }
         }
     });
-    Ok(())
+    Ok(bound)
 }
 
 fn answer(shared: &Shared, mut connection: Connection) -> Result<(), HttpError> {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`engine`]: a model engine with memory, loads, streams, fencing checked or ignored.
 //! * [`service`]: a plain service that counts runs per key.
 //! * [`instance_list`]: a list that lags.
+//! * [`platform`]: the users' platform: its store, model servers, servers of scripted bytes.
 //! * [`world`]: all of them together with a configuration.
 //! * [`sizes`]: configurations at the sizes of today and of the target.
 //! * [`trace`]: seeded days of the two deployments.
@@ -18,6 +19,7 @@
 pub mod instance_list;
 pub mod key_value;
 pub mod load;
+pub mod platform;
 pub mod server;
 pub mod service;
 pub mod sizes;
--- /dev/null
+++ b/crates/standins/src/platform/model_server.rs
@@ -0,0 +1,263 @@
+//! A model server with orders, reports and streams, whose ledger judges the orders.
+
+use super::raw::{RawServer, Received, Step};
+use super::store::MetadataStandIn;
+use passway_types::prelude::*;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Events of a stream.
+pub const EVENTS: u64 = 5;
+
+/// What the server is told to do wrong.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// Cuts the next stream off after so many events.
+    pub cuts_after: Option<u64>,
+    /// Takes the next order and does not answer it.
+    pub loses_answer: bool,
+}
+
+/// An order that was taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenOrder {
+    /// `load_model` or `unload_model`.
+    pub operation: String,
+    /// The model, with an adapter behind a slash.
+    pub wish: String,
+    /// Who gave it.
+    pub holder: String,
+    /// The fencing number.
+    pub fence: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    models: Vec<(String, Vec<String>)>,
+    on_disk: Vec<String>,
+    taken: Vec<TakenOrder>,
+    over_limit: u32,
+    runs: Vec<String>,
+    faults: Faults,
+}
+
+/// The server.
+#[derive(Debug, Clone)]
+pub struct ModelServer {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    service: String,
+    places: usize,
+    state: Arc<Mutex<State>>,
+    store: MetadataStandIn,
+}
+
+fn answer(status: u16, id: &str, body: &str, more: &str) -> Vec<Step> {
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} X\r\nContent-Length: {length}\r\nRequest-Id: {id}\r\n{more}\r\n{body}"
+    );
+    vec![Step::Send(text.into_bytes())]
+}
+
+impl ModelServer {
+    /// A server with room for so many models, which lists itself in the store.
+    pub fn start(
+        store: &MetadataStandIn,
+        id: &str,
+        service: &str,
+        places: usize,
+        models: &[&str],
+        on_disk: &[&str],
+    ) -> Self {
+        let state = State {
+            models: models
+                .iter()
+                .map(|m| ((*m).to_owned(), Vec::new()))
+                .collect(),
+            on_disk: on_disk
+                .iter()
+                .chain(models)
+                .map(|m| (*m).to_owned())
+                .collect(),
+            ..State::default()
+        };
+        let state = Arc::new(Mutex::new(state));
+        let this: Arc<Mutex<Option<Self>>> = Arc::default();
+        let answering = this.clone();
+        let raw = RawServer::start(move |received| {
+            let server = answering
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone();
+            server.map_or_else(Vec::new, |server| server.answer(received))
+        });
+        let server = Self {
+            id: id.to_owned(),
+            address: raw.address,
+            service: service.to_owned(),
+            places,
+            state,
+            store: store.clone(),
+        };
+        *this.lock().unwrap_or_else(PoisonError::into_inner) = Some(server.clone());
+        server.list("ready");
+        server
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the server what to do wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// Says something of itself in the store.
+    pub fn list(&self, said: &str) {
+        let state = self.state();
+        let entry = json!({"service": self.service, "address": self.address.to_string(),
+            "zone": "hall0", "version": "v1", "slots": 8, "state": said, "cold_left_ms": 0,
+            "models": models(&state), "sequence": 1,
+            "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
+        drop(state);
+        self.store.put(&format!("servers/{}", self.id), &entry);
+    }
+
+    /// Orders that were taken.
+    pub fn taken(&self) -> Vec<TakenOrder> {
+        self.state().taken.clone()
+    }
+
+    /// Orders to load more than there is room for.
+    pub fn over_limit(&self) -> u32 {
+        self.state().over_limit
+    }
+
+    /// Requests that ran.
+    pub fn runs(&self) -> Vec<String> {
+        self.state().runs.clone()
+    }
+
+    fn answer(&self, received: &Received) -> Vec<Step> {
+        let id = received.header("request-id").unwrap_or_default().to_owned();
+        if received
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            return answer(421, &id, "", &format!("Instance-Id: {}\r\n", self.id));
+        }
+        if received.line().starts_with("GET /report ") {
+            let state = self.state();
+            let report = json!({"models": models(&state), "in_flight": false,
+                "sequence": state.taken.len(), "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
+            return answer(200, &id, &report.to_string(), "");
+        }
+        if received.line().starts_with("POST /order ") {
+            return self.order(received, &id);
+        }
+        self.stream(received, &id)
+    }
+
+    fn order(&self, received: &Received, id: &str) -> Vec<Step> {
+        let Ok(order) = serde_json::from_slice::<Value>(&received.body) else {
+            return answer(400, id, "", "");
+        };
+        let mut state = self.state();
+        let expected = order["expected"].as_u64();
+        if expected.is_some_and(|count| usize::try_from(count).ok() != Some(state.taken.len())) {
+            return answer(409, id, "", "");
+        }
+        let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
+        let (operation, model) = (text("operation"), text("model"));
+        let adapter = order["adapter"].as_str().map(str::to_owned);
+        let wish = adapter
+            .as_ref()
+            .map_or(model.clone(), |a| format!("{model}/{a}"));
+        state.taken.push(TakenOrder {
+            operation: operation.clone(),
+            wish,
+            holder: text("holder"),
+            fence: order["fence"].as_u64().unwrap_or(0),
+        });
+        let is_load = operation == "load_model";
+        match (is_load, adapter) {
+            (true, None) if state.models.len() >= self.places => state.over_limit += 1,
+            (true, None) => {
+                state.on_disk.push(model.clone());
+                state.models.push((model, Vec::new()));
+            }
+            (false, None) => state.models.retain(|(name, _)| *name != model),
+            (is_load, Some(adapter)) => {
+                for (name, adapters) in &mut state.models {
+                    if *name == model {
+                        adapters.retain(|known| *known != adapter);
+                        if is_load {
+                            adapters.push(adapter.clone());
+                        }
+                    }
+                }
+            }
+        }
+        let lost = std::mem::take(&mut state.faults.loses_answer);
+        drop(state);
+        self.list("ready");
+        if lost {
+            return vec![Step::Close];
+        }
+        answer(202, id, "", "")
+    }
+
+    fn stream(&self, received: &Received, id: &str) -> Vec<Step> {
+        let wish = received.header("model").unwrap_or_default();
+        let (model, adapter) = wish.split_once('/').unwrap_or((wish, ""));
+        let mut state = self.state();
+        let stands = state.models.iter().any(|(name, adapters)| {
+            name == model && (adapter.is_empty() || adapters.iter().any(|known| known == adapter))
+        });
+        if !stands {
+            return answer(421, id, "", "Not-Executed: 1\r\n");
+        }
+        state.runs.push(id.to_owned());
+        let cuts_after = state.faults.cuts_after.take();
+        drop(state);
+        let from = received
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok());
+        let from: u64 = from.unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{}\r\n\r\n",
+            self.id
+        );
+        let mut steps = vec![Step::Send(head.into_bytes())];
+        for number in from + 1..=EVENTS {
+            if cuts_after.is_some_and(|after| number > after) {
+                // In the middle of an event.
+                steps.push(Step::Send(b"ff\r\nid: ".to_vec()));
+                steps.push(Step::Close);
+                return steps;
+            }
+            let event = event(number);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            steps.push(Step::Send(chunk.into_bytes()));
+        }
+        steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
+        steps
+    }
+}
+
+/// One event of a stream.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: token{number}\n\n")
+}
+
+fn models(state: &State) -> Vec<Value> {
+    let models = state.models.iter();
+    models
+        .map(|(name, adapters)| json!({"name": name, "version": 1, "adapters": adapters}))
+        .collect()
+}
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,332 @@
+//! The platform's metadata store, in memory.
+
+use crate::server::{answer, json, json_body, query, serve};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use passway_http::{Request, Response};
+use passway_types::prelude::*;
+use serde::Deserialize;
+use serde_json::{Value, json as value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+
+/// Items of one page.
+const PAGE: usize = 500;
+/// Longest hold of a call that is not answered.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// What the store is told to do wrong.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// Answers every call with this status.
+    pub refuses: Option<u16>,
+    /// Answers every call with bytes that are no JSON.
+    pub talks_garbage: bool,
+    /// Does so many of the next writes and does not answer them.
+    pub loses_answers: u32,
+    /// Holds every call and does not answer.
+    pub is_silent: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug)]
+struct Lease {
+    time: Duration,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, Lease>,
+    /// Changes in their order: key, revision, and the item unless it went away.
+    history: Vec<(String, u64, Option<Item>)>,
+    forgotten_to: u64,
+    revision: u64,
+    next_lease: u64,
+    calls: BTreeMap<String, u64>,
+    faults: Faults,
+}
+
+/// The store; clones are the same store.
+#[derive(Debug, Clone, Default)]
+pub struct MetadataStandIn {
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    expected: Vec<Expected>,
+    writes: Vec<Write>,
+    remove: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Expected {
+    tls_key: String,
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Write {
+    tls_key: String,
+    value: String,
+    lease: u64,
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        self.revision += 1;
+        let item = Item {
+            value,
+            revision: self.revision,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history
+            .push((key.to_owned(), self.revision, Some(item)));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push((key.to_owned(), self.revision, None));
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let items = self.items.iter().filter(|(_, item)| item.lease == lease);
+        let keys: Vec<String> = items.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn lapse(&mut self) {
+        let now = Instant::now();
+        let over = self.leases.iter().filter(|(_, lease)| lease.until <= now);
+        let over: Vec<u64> = over.map(|(id, _)| *id).collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+}
+
+fn in_json(key: &str, item: &Item) -> Value {
+    value!({"tls_key": key, "value": STANDARD.encode(&item.value), "revision": item.revision,
+        "created": item.revision, "lease": item.lease})
+}
+
+fn text(request: &Request, name: &str) -> String {
+    let pairs = request.head.uri.query().unwrap_or_default().split('&');
+    let mut named = pairs.filter_map(|pair| pair.split_once('='));
+    let found = named.find(|(key, _)| *key == name);
+    found.map(|(_, value)| value.to_owned()).unwrap_or_default()
+}
+
+impl MetadataStandIn {
+    /// Serves on a port that the kernel chooses.
+    pub fn serve(&self) -> SocketAddr {
+        let store = self.clone();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        serve(any, move |request| store.answer(&request))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the store what to do wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+        self.shared.1.notify_all();
+    }
+
+    /// Writes a value as the operator or a server does.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.state().put(key, value.to_string().into_bytes(), 0);
+        self.shared.1.notify_all();
+    }
+
+    /// Takes a key away.
+    pub fn remove(&self, key: &str) {
+        self.state().remove(key);
+        self.shared.1.notify_all();
+    }
+
+    /// A key's value.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        let mut state = self.state();
+        state.lapse();
+        state.items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Forgets what has changed up to now.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.forgotten_to = state.revision;
+        state.history.clear();
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
+    /// Calls by path since the start.
+    pub fn calls(&self) -> BTreeMap<String, u64> {
+        self.state().calls.clone()
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        let path = request.path().to_owned();
+        let faults = {
+            let mut state = self.state();
+            state.lapse();
+            *state.calls.entry(path.clone()).or_default() += 1;
+            state.faults.clone()
+        };
+        if let Some(status) = faults.refuses {
+            return answer(status, "");
+        }
+        if faults.is_silent {
+            std::thread::sleep(SILENCE);
+            return answer(503, "");
+        }
+        if faults.talks_garbage {
+            return answer(200, "<html>no JSON</html>");
+        }
+        let (call, id) = path.rsplit_once('/').unwrap_or_default();
+        let id: u64 = id.parse().unwrap_or(0);
+        match (request.head.method.as_str(), path.as_str(), call) {
+            ("GET", "/kv-key", _) => self.key(request),
+            ("GET", "/kv-range", _) => self.range(request),
+            ("GET", "/kv-watch", _) => self.watch(request),
+            ("POST", "/kv-txn", _) => self.transaction(request),
+            ("POST", "/kv-lease", _) => self.grant(request),
+            ("POST", _, "/kv-keep") => self.renew(id),
+            ("DELETE", _, "/kv-lease-end") => {
+                self.state().end_lease(id);
+                self.shared.1.notify_all();
+                answer(200, "{}")
+            }
+            _ => answer(404, ""),
+        }
+    }
+
+    fn key(&self, request: &Request) -> Response {
+        let key = text(request, "tls_key");
+        let state = self.state();
+        let item = state.items.get(&key);
+        item.map_or_else(|| answer(404, ""), |item| json(&in_json(&key, item)))
+    }
+
+    fn range(&self, request: &Request) -> Response {
+        let (prefix, after) = (text(request, "prefix"), text(request, "after"));
+        let state = self.state();
+        let items = state.items.iter();
+        let mut items = items.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+        let page: Vec<Value> = items
+            .by_ref()
+            .take(PAGE)
+            .map(|(k, i)| in_json(k, i))
+            .collect();
+        let has_more = items.next().is_some();
+        json(&value!({"items": page, "has_more": has_more, "store_revision": state.revision}))
+    }
+
+    fn watch(&self, request: &Request) -> Response {
+        let prefix = text(request, "prefix");
+        let after = query(request, "after").unwrap_or(0);
+        let wait = Duration::from_millis(query(request, "wait_ms").unwrap_or(0));
+        let until = Instant::now() + wait;
+        let mut state = self.state();
+        loop {
+            state.lapse();
+            if after < state.forgotten_to {
+                return answer(410, "");
+            }
+            let news = state.history.iter();
+            let news = news.filter(|(key, at, _)| key.starts_with(&prefix) && *at > after);
+            let events: Vec<Value> = news
+                .map(|(key, revision, item)| match item {
+                    Some(item) => in_json(key, item),
+                    None => value!({"tls_key": key, "revision": revision, "tombstone": true}),
+                })
+                .collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() || state.faults.refuses.is_some() {
+                return json(&value!({"events": events, "store_revision": state.revision}));
+            }
+            // Leases lapse without a call; look again soon.
+            let step = left.min(Duration::from_millis(50));
+            let waited = self.shared.1.wait_timeout(state, step);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn transaction(&self, request: &Request) -> Response {
+        let Some(transaction) = json_body::<Transaction>(request) else {
+            return answer(400, "");
+        };
+        let mut state = self.state();
+        let stands = |row: &Expected| {
+            let item = state.items.get(&row.tls_key);
+            item.map_or(0, |item| item.revision) == row.revision
+        };
+        if !transaction.expected.iter().all(stands) {
+            return answer(412, "{\"items\":[]}");
+        }
+        let leases = &state.leases;
+        let known = |write: &Write| write.lease == 0 || leases.contains_key(&write.lease);
+        if !transaction.writes.iter().all(known) {
+            return answer(404, "");
+        }
+        for write in transaction.writes {
+            let Ok(bytes) = STANDARD.decode(write.value) else {
+                return answer(400, "");
+            };
+            state.put(&write.tls_key, bytes, write.lease);
+        }
+        for key in transaction.remove {
+            state.remove(&key);
+        }
+        let lost = state.faults.loses_answers > 0;
+        state.faults.loses_answers = state.faults.loses_answers.saturating_sub(1);
+        let revision = state.revision;
+        drop(state);
+        self.shared.1.notify_all();
+        if lost {
+            std::thread::sleep(SILENCE);
+            return answer(504, "");
+        }
+        json(&value!({ "revision": revision }))
+    }
+
+    fn grant(&self, request: &Request) -> Response {
+        let Some(ttl_ms) = json_body::<Value>(request).and_then(|b| b["ttl_ms"].as_u64()) else {
+            return answer(400, "");
+        };
+        let mut state = self.state();
+        state.next_lease += 1;
+        let (lease, time) = (state.next_lease, Duration::from_millis(ttl_ms));
+        let until = Instant::now() + time;
+        state.leases.insert(lease, Lease { time, until });
+        json(&value!({"lease": lease, "ttl_ms": ttl_ms}))
+    }
+
+    fn renew(&self, lease: u64) -> Response {
+        let mut state = self.state();
+        let Some(lease) = state.leases.get_mut(&lease) else {
+            return answer(404, "");
+        };
+        lease.until = Instant::now() + lease.time;
+        let ttl_ms = u64::try_from(lease.time.as_millis()).unwrap_or(u64::MAX);
+        json(&value!({ "ttl_ms": ttl_ms }))
+    }
+}
--- /dev/null
+++ b/tests/all/model_orders.rs
@@ -0,0 +1,301 @@
+//! Models come to where they are asked for, by one holder's orders.
+
+use crate::site::{self, PATIENCE, ask, request, until};
+use passway_serving::placement::{Action, PlannedOrder, Planner};
+use passway_serving::ports::{Directory, EngineReport, OrderAction, OrderAnswer, StoredValue};
+use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer, event};
+use passway_types::prelude::*;
+use passway_users_platform::PlatformDirectory;
+
+fn stream(address: std::net::SocketAddr, route: &str, id: &str, model: &str) -> site::Answer {
+    let bytes = request(
+        "POST",
+        &format!("/{route}/"),
+        id,
+        &format!("Model: {model}\r\n"),
+        "{}",
+    );
+    ask(address, &bytes).expect("an answer")
+}
+
+fn all_events() -> String {
+    (1..=EVENTS).map(event).collect()
+}
+
+#[test]
+fn rare_model_comes() {
+    let store = site::store(&["m0", "m1", "m2"]);
+    let server = ModelServer::start(&store, "i-0", "engines", 2, &["m0", "m1"], &["m2"]);
+    let instance = site::ready("one", &store);
+    until("the right to order", || instance.fence().is_some());
+    let answer = stream(instance.callers_address(), "report", "r1", "m2");
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, all_events());
+    let taken = server.taken();
+    let operations: Vec<&str> = taken.iter().map(|order| &*order.operation).collect();
+    assert_eq!(operations, ["unload_model", "load_model"]);
+    assert_eq!(server.over_limit(), 0);
+}
+
+#[test]
+fn adapter_comes() {
+    let store = site::store(&["m0"]);
+    let server = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
+    let instance = site::ready("one", &store);
+    until("the right to order", || instance.fence().is_some());
+    for adapter in ["a1", "a2", "a3", "a1"] {
+        let answer = stream(
+            instance.callers_address(),
+            "chat",
+            adapter,
+            &format!("m0/{adapter}"),
+        );
+        assert_eq!((answer.status, answer.whole), (200, true), "{adapter}");
+    }
+    // Two places: each later one makes another go first.
+    let loads = server
+        .taken()
+        .iter()
+        .filter(|o| o.operation == "load_model")
+        .count();
+    let unloads = server
+        .taken()
+        .iter()
+        .filter(|o| o.operation == "unload_model")
+        .count();
+    assert_eq!((loads, unloads), (4, 2));
+}
+
+#[test]
+fn lost_order_answer() {
+    let store = site::store(&["m0", "m1", "m2"]);
+    let server = ModelServer::start(&store, "i-0", "engines", 2, &["m0", "m1"], &["m2"]);
+    let instance = site::ready("one", &store);
+    until("the right to order", || instance.fence().is_some());
+    server.set_faults(Faults {
+        loses_answer: true,
+        ..Faults::default()
+    });
+    let answer = stream(instance.callers_address(), "report", "r1", "m2");
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(server.over_limit(), 0);
+    assert_eq!(server.taken().len(), 2);
+}
+
+#[test]
+fn stream_resumes() {
+    let store = site::store(&["m0"]);
+    let one = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
+    let two = ModelServer::start(&store, "i-1", "engines", 2, &["m0"], &[]);
+    let instance = site::ready("one", &store);
+    for server in [&one, &two] {
+        server.set_faults(Faults {
+            cuts_after: Some(2),
+            ..Faults::default()
+        });
+    }
+    // The first server cuts after event 2 and the second after none that it sends.
+    two.set_faults(Faults::default());
+    let answer = stream(instance.callers_address(), "chat", "c1", "m0");
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, all_events());
+    assert_eq!(one.runs().len() + two.runs().len(), 2);
+    assert_eq!(answer.head.matches("Response-Seal").count(), 1);
+}
+
+#[test]
+fn broken_stream_not_whole() {
+    let store = site::store(&["m0"]);
+    let server = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
+    let instance = site::ready("one", &store);
+    server.set_faults(Faults {
+        cuts_after: Some(2),
+        ..Faults::default()
+    });
+    let answer = stream(instance.callers_address(), "report", "c1", "m0");
+    assert_eq!((answer.status, answer.whole), (200, false));
+    assert_eq!(answer.body, event(1) + &event(2));
+    assert_eq!(server.runs().len(), 1);
+}
+
+#[test]
+fn one_holder_at_a_time() {
+    let store = site::store(&["m0", "m1", "m2", "m3"]);
+    let server = ModelServer::start(&store, "i-0", "engines", 2, &["m0", "m1"], &["m2", "m3"]);
+    let instances = [site::ready("one", &store), site::ready("two", &store)];
+    until("a holder", || instances.iter().any(|i| i.fence().is_some()));
+    let first = instances
+        .iter()
+        .position(|i| i.fence().is_some())
+        .expect("a holder");
+    for _ in 0..50 {
+        let holders = instances.iter().filter(|i| i.fence().is_some()).count();
+        assert!(holders <= 1);
+    }
+    let other = &instances[1 - first];
+    // The other instance's requests reach the holder.
+    assert_eq!(
+        stream(other.callers_address(), "report", "r1", "m2").status,
+        200
+    );
+    std::thread::scope(|scope| {
+        scope.spawn(|| instances[first].stop());
+        until("the other's turn", || other.fence().is_some());
+        assert_eq!(instances[first].fence(), None);
+    });
+    assert_eq!(
+        stream(other.callers_address(), "report", "r2", "m3").status,
+        200
+    );
+    let taken = server.taken();
+    let mut holders: Vec<(&str, u64)> = taken.iter().map(|o| (&*o.holder, o.fence)).collect();
+    holders.dedup();
+    assert_eq!(holders.len(), 2, "{holders:?}");
+    assert!(holders[0].1 < holders[1].1);
+}
+
+/// A planner with one engine that has room for two models.
+struct Planned {
+    planner: Planner,
+    now: Instant,
+}
+
+fn resident(name: &str) -> ResidentModel {
+    ResidentModel {
+        name: name.into(),
+        adapters: Vec::new(),
+    }
+}
+
+impl Planned {
+    fn new() -> Self {
+        let value = StoredValue {
+            key: "op/config".into(),
+            value: site::configuration(1, &["m0", "m1", "m2", "m3"])
+                .to_string()
+                .into(),
+            revision: 1,
+        };
+        let table = PlatformDirectory.configuration(&value).expect("decoded");
+        let mut planner = Planner::default();
+        planner.set_table(&table.expect("a configuration"));
+        let now = Instant::now();
+        planner.heard(
+            UpstreamEntry {
+                id: "i-0".into(),
+                service: "engines".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                hall: "hall0".into(),
+                slots: 8,
+                draining: false,
+                gone_at: None,
+                models: vec![resident("m0"), resident("m1")],
+                in_memory: Vec::new(),
+                on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+                orders_taken: 0,
+            },
+            now,
+        );
+        planner.begin_term();
+        Self { planner, now }
+    }
+
+    fn need(&mut self, model: &str) {
+        let wish = ModelWish {
+            model: model.into(),
+            adapter: None,
+        };
+        let until = self.now + PATIENCE;
+        self.planner
+            .needed(&"engines".into(), &wish, until, self.now);
+    }
+
+    fn report(&mut self, busy: bool, orders_taken: u64, models: &[&str]) {
+        let report = EngineReport {
+            models: models.iter().map(|name| resident(name)).collect(),
+            busy,
+            orders_taken,
+            in_memory: Vec::new(),
+            on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+        };
+        self.planner.reported(&"i-0".into(), Some(report), self.now);
+    }
+
+    /// Orders decided within a second of looks, each answered by `answer`.
+    fn orders(&mut self, answer: OrderAnswer) -> Vec<PlannedOrder> {
+        let mut orders = Vec::new();
+        for _ in 0..20 {
+            self.now += Duration::from_millis(50);
+            for action in self.planner.decide(self.now) {
+                if let Action::Order(order) = action {
+                    self.planner.answered(&order, answer, self.now);
+                    orders.push(order);
+                }
+            }
+        }
+        orders
+    }
+}
+
+#[test]
+fn asks_before_ordering() {
+    let mut planned = Planned::new();
+    planned.need("m2");
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+    planned.report(false, 3, &["m0", "m1"]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].action, OrderAction::Unload);
+    assert_eq!(orders[0].expected_orders, 3);
+}
+
+#[test]
+fn busy_report_no_ground() {
+    // Another holder's load is under way: the models it tells are not all that take room.
+    let mut planned = Planned::new();
+    planned.need("m2");
+    planned.orders(OrderAnswer::Taken);
+    planned.report(true, 4, &["m0"]);
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+    planned.report(false, 4, &["m0", "m3"]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(
+        orders.first().map(|order| order.action),
+        Some(OrderAction::Unload)
+    );
+}
+
+#[test]
+fn no_load_before_room() {
+    // The unload was taken, and a run holds it up.
+    let mut planned = Planned::new();
+    planned.need("m2");
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(orders.len(), 1);
+    planned.report(true, 1, &["m0", "m1"]);
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+    // An older state, told late.
+    planned.report(false, 0, &["m1"]);
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+    planned.report(false, 1, &["m1"]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(
+        orders.first().map(|order| order.action),
+        Some(OrderAction::Load)
+    );
+    assert_eq!(orders.first().map(|order| order.expected_orders), Some(1));
+}
+
+#[test]
+fn other_incarnation() {
+    let mut planned = Planned::new();
+    planned.need("m2");
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    assert_eq!(planned.orders(OrderAnswer::OtherIncarnation).len(), 1);
+    planned.report(false, 0, &[]);
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+}
--- /dev/null
+++ b/tests/all/pass_through.rs
@@ -0,0 +1,379 @@
+//! Requests and answers pass through whole and unchanged, or not at all.
+
+use crate::site::{self, Caller, HOST, ask, list_plain, request, until};
+use passway_instance::Instance;
+use passway_standins::platform::raw::{RawServer, Received, Step};
+use passway_standins::platform::store::MetadataStandIn;
+use passway_types::prelude::*;
+
+fn send(text: impl Into<String>) -> Step {
+    Step::Send(text.into().into_bytes())
+}
+
+fn id_of(received: &Received) -> String {
+    received.header("request-id").unwrap_or_default().to_owned()
+}
+
+fn whole(received: &Received, body: &str) -> String {
+    let (id, length) = (id_of(received), body.len());
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s.{id}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn not_run(received: &Received) -> String {
+    let id = id_of(received);
+    format!("HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// An instance before servers of scripted bytes.
+fn before(servers: &[&RawServer]) -> (MetadataStandIn, Instance) {
+    let store = site::store(&[]);
+    for (number, server) in servers.iter().enumerate() {
+        list_plain(&store, &format!("i-{number}"), server.address, "ready");
+    }
+    let instance = site::ready("one", &store);
+    (store, instance)
+}
+
+fn answering() -> RawServer {
+    RawServer::start(|received| vec![send(whole(received, "fine"))])
+}
+
+#[test]
+fn byte_for_byte() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let more = "X-One: a  b\r\nX-Two: 1\r\nX-Two: 2\r\nCookie: k=v\r\n";
+    let bytes = request("PUT", "/read/a%20b/../c?q=%41&&r", "id1", more, "b\0dy");
+    let answer = ask(instance.callers_address(), &bytes).expect("an answer");
+    assert_eq!(
+        (answer.status, &*answer.body, answer.whole),
+        (200, "fine", true)
+    );
+    assert_eq!(answer.header("response-seal"), Some("s.id1"));
+    let received = server.received().remove(0);
+    assert_eq!(received.line(), "PUT /read/a%20b/../c?q=%41&&r HTTP/1.1");
+    assert_eq!(received.body, b"b\0dy");
+    assert_eq!(
+        received
+            .head
+            .matches("X-One: a  b\r\nX-Two: 1\r\nX-Two: 2\r\nCookie: k=v")
+            .count(),
+        1
+    );
+    assert_eq!(received.head.matches("Host:").count(), 1);
+    assert_eq!(received.header("expect-instance"), Some("i-0"));
+    let left: u64 = received
+        .header("deadline-ms")
+        .and_then(|t| t.parse().ok())
+        .expect("time");
+    assert!(left <= 8_000);
+}
+
+#[test]
+fn own_headers_dropped() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let forged = "Hold: 1\r\nPin-Ms: 9\r\nKv-Backup: 1\r\nkv-from: 2\r\nExpect-Instance: x\r\nConnection: X-Gone\r\nX-Gone: 1\r\n";
+    ask(
+        instance.callers_address(),
+        &request("GET", "/read/", "id1", forged, ""),
+    );
+    let received = server.received().remove(0);
+    for name in [
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-from",
+        "x-gone",
+        "connection",
+    ] {
+        assert_eq!(received.header(name), None, "{name}");
+    }
+    assert_eq!(received.head.matches("Expect-Instance").count(), 1);
+}
+
+#[test]
+fn chunked_body() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let bytes = format!(
+        "POST /read/ HTTP/1.1\r\nHost: {HOST}:80\r\nRequest-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+    );
+    let answer = ask(instance.callers_address(), bytes.as_bytes()).expect("an answer");
+    assert_eq!(answer.status, 200);
+    let received = server.received().remove(0);
+    assert_eq!(received.body, b"abcde");
+    assert_eq!(received.header("transfer-encoding"), None);
+}
+
+#[test]
+fn smuggling_refused() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let framings = [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: +3\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Content-Length : 3\r\n",
+    ];
+    for framing in framings {
+        let bytes = format!(
+            "POST /read/ HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: s\r\n{framing}\r\n0\r\n\r\nGET /read/in HTTP/1.1\r\nHost: {HOST}\r\n\r\n"
+        );
+        let mut caller = Caller::connect(instance.callers_address());
+        caller.send(bytes.as_bytes());
+        let answer = caller.receive().expect("an answer");
+        assert_eq!(answer.status, 400, "{framing}");
+        assert_eq!(caller.receive(), None, "{framing}");
+    }
+    assert_eq!(server.received(), []);
+}
+
+#[test]
+fn half_sent_not_passed() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let mut caller = Caller::connect(instance.callers_address());
+    let bytes = request("POST", "/pay/", "h", "", "whole body");
+    caller.send(&bytes[..bytes.len() - 4]);
+    drop(caller);
+    let answer = ask(
+        instance.callers_address(),
+        &request("GET", "/read/", "n", "", ""),
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    assert_eq!(server.received().len(), 1);
+}
+
+#[test]
+fn no_route() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("GET", "/none/", "n", "", ""),
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(404));
+    assert_eq!(server.received(), []);
+}
+
+#[test]
+fn short_body_not_whole() {
+    let server = RawServer::start(|received| {
+        let answer = whole(received, "0123456789");
+        vec![send(&answer[..answer.len() - 3]), Step::Close]
+    });
+    let (_store, instance) = before(&[&server]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", ""),
+    );
+    // It may have run: neither a success nor "not run".
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+    assert_eq!(server.received().len(), 1);
+}
+
+#[test]
+fn garbage_is_no_answer() {
+    let server = RawServer::start(|_| vec![send("SSH-2.0-x\r\n\r\n"), Step::Close]);
+    let (_store, instance) = before(&[&server]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", ""),
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+    assert_eq!(server.received().len(), 1);
+}
+
+#[test]
+fn unsealed_success() {
+    let server = RawServer::start(|received| {
+        let id = id_of(received);
+        vec![send(format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nno"
+        ))]
+    });
+    let (_store, instance) = before(&[&server]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", ""),
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+}
+
+#[test]
+fn surplus_never_passed() {
+    let server = RawServer::start(|received| {
+        let surplus = "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nResponse-Seal: x\r\nContent-Length: 5\r\n\r\nwrong";
+        vec![send(whole(received, "mine") + surplus)]
+    });
+    let (_store, instance) = before(&[&server]);
+    for number in 0..6 {
+        let bytes = request("GET", "/read/", &format!("id{number}"), "", "");
+        let answer = ask(instance.callers_address(), &bytes).expect("an answer");
+        assert_eq!((answer.status, &*answer.body), (200, "mine"));
+    }
+    let connections: Vec<usize> = server.received().iter().map(|r| r.connection).collect();
+    assert_eq!(connections, [0, 1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn late_answer_skipped() {
+    let server = RawServer::start(|received| {
+        let late = "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nold";
+        vec![send(late.to_owned() + &whole(received, "mine"))]
+    });
+    let (_store, instance) = before(&[&server]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", ""),
+    );
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, &*answer.body), (200, "mine"));
+    assert_eq!(server.received().len(), 1);
+}
+
+#[test]
+fn answered_early() {
+    // It rejects a long request before reading it; the rest must not meet another request.
+    let server = RawServer::start(|received| {
+        let id = id_of(received);
+        vec![send(format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 1\r\n\r\ny"
+        ))]
+    });
+    let (_store, instance) = before(&[&server]);
+    let body = "x".repeat(60_000);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", &body),
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    assert_eq!(server.received().remove(0).body.len(), body.len());
+}
+
+#[test]
+fn not_run_goes_elsewhere() {
+    let full = RawServer::start(|received| vec![send(not_run(received))]);
+    let fine = answering();
+    let (_store, instance) = before(&[&full, &fine]);
+    for number in 0..4 {
+        let bytes = request("POST", "/pay/", &format!("id{number}"), "", "");
+        let answer = ask(instance.callers_address(), &bytes);
+        assert_eq!(answer.map(|answer| answer.status), Some(200));
+    }
+    assert_eq!(fine.received().len(), 4);
+}
+
+#[test]
+fn refused_with_hint() {
+    let full = RawServer::start(|received| vec![send(not_run(received))]);
+    let (_store, instance) = before(&[&full]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", ""),
+    );
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("request-id"), Some("p"));
+}
+
+#[test]
+fn once_only_runs_once() {
+    let breaks = || RawServer::start(|_| vec![Step::Close]);
+    let (one, two) = (breaks(), breaks());
+    let (_store, instance) = before(&[&one, &two]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", "x"),
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+    assert_eq!(one.received().len() + two.received().len(), 1);
+}
+
+#[test]
+fn repeatable_runs_again() {
+    let breaks = RawServer::start(|_| vec![Step::Close]);
+    let fine = answering();
+    let (_store, instance) = before(&[&breaks, &fine]);
+    for number in 0..4 {
+        let bytes = request("GET", "/read/", &format!("id{number}"), "", "");
+        let answer = ask(instance.callers_address(), &bytes);
+        assert_eq!(answer.map(|answer| answer.status), Some(200));
+    }
+}
+
+#[test]
+fn failure_unchanged() {
+    let server = RawServer::start(|received| {
+        let id = id_of(received);
+        vec![send(format!(
+            "HTTP/1.1 500 Oh\r\nRequest-Id: {id}\r\nResponse-Seal: f\r\nContent-Length: 3\r\n\r\nbad"
+        ))]
+    });
+    let (_store, instance) = before(&[&server]);
+    let answer = ask(
+        instance.callers_address(),
+        &request("POST", "/pay/", "p", "", ""),
+    );
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, &*answer.body), (500, "bad"));
+    assert_eq!(answer.header("response-seal"), Some("f"));
+}
+
+#[test]
+fn caller_leaves() {
+    let server = RawServer::start(|_| vec![Step::Pause(Duration::from_mins(1))]);
+    let (_store, instance) = before(&[&server]);
+    let mut caller = Caller::connect(instance.callers_address());
+    caller.send(&request("GET", "/read/", "g", "", ""));
+    until("the request", || server.received().len() == 1);
+    assert_eq!(instance.in_progress(), 1);
+    drop(caller);
+    until("the end of the request", || instance.in_progress() == 0);
+}
+
+#[test]
+fn kept_connections() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    let mut caller = Caller::connect(instance.callers_address());
+    for number in 0..5 {
+        caller.send(&request("POST", "/pay/", &format!("id{number}"), "", "x"));
+        assert_eq!(caller.receive().map(|answer| answer.status), Some(200));
+    }
+    let received = server.received();
+    assert_eq!(received.len(), 5);
+    assert!(received.iter().all(|received| received.connection == 0));
+}
+
+#[test]
+fn stop_finishes() {
+    let server = RawServer::start(|received| {
+        let pause = Step::Pause(Duration::from_millis(600));
+        vec![pause, send(whole(received, "done"))]
+    });
+    let (_store, instance) = before(&[&server]);
+    let address = instance.callers_address();
+    let mut kept = Caller::connect(address);
+    let slow = std::thread::spawn(move || ask(address, &request("POST", "/pay/", "p", "", "x")));
+    until("the request", || server.received().len() == 1);
+    std::thread::scope(|scope| {
+        let stopping = scope.spawn(|| instance.stop());
+        until("the stop", || !instance.is_ready());
+        let answer = slow.join().expect("a caller").expect("an answer");
+        assert_eq!((answer.status, &*answer.body), (200, "done"));
+        stopping.join().expect("the stop");
+    });
+    // A connection from before brings a request that could not end in time.
+    kept.send(&request("POST", "/pay/", "late", "", "x"));
+    let late = kept.receive().expect("an answer");
+    assert_eq!(late.status, 503);
+    assert_eq!(late.header("connection"), Some("close"));
+    assert_eq!(server.received().len(), 1);
+}
--- /dev/null
+++ b/tests/all/store_feeds.rs
@@ -0,0 +1,167 @@
+//! What the store tells is in force soon and never reverts, through its faults.
+
+use crate::site::{self, ask, configuration, list_plain, request, until};
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_standins::platform::store::Faults;
+use passway_types::prelude::*;
+use serde_json::json;
+
+fn plain() -> RawServer {
+    RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        );
+        vec![Step::Send(text.into_bytes())]
+    })
+}
+
+#[test]
+fn garbage_store() {
+    let store = site::store(&[]);
+    store.set_faults(Faults {
+        talks_garbage: true,
+        ..Faults::default()
+    });
+    let instance = site::start("one", &store);
+    until("calls", || store.calls().values().sum::<u64>() > 4);
+    assert!(!instance.is_ready());
+    let answer = ask(
+        instance.callers_address(),
+        &request("GET", "/read/", "g", "", ""),
+    );
+    // It knows no configuration yet: not 404.
+    assert_eq!(answer.map(|answer| answer.status), Some(503));
+    store.set_faults(Faults::default());
+    until("readiness", || instance.is_ready());
+}
+
+#[test]
+fn unusable_configuration() {
+    let store = site::store(&[]);
+    let instance = site::ready("one", &store);
+    store.put("op/config", &json!({"version": 2, "routes": "none"}));
+    store.put("op/other", &json!({"version": 9}));
+    let mut third = configuration(3, &[]);
+    third["a_new_field"] = json!({"ignored": true});
+    store.put("op/config", &third);
+    until("the third version", || instance.version() == Some(3));
+}
+
+#[test]
+fn never_reverts() {
+    let store = site::store(&[]);
+    let instance = site::ready("one", &store);
+    store.put("op/config", &configuration(7, &[]));
+    until("version 7", || instance.version() == Some(7));
+    store.put("op/config", &configuration(4, &[]));
+    store.put("op/config", &configuration(8, &[]));
+    until("version 8", || instance.version() == Some(8));
+}
+
+#[test]
+fn history_forgotten() {
+    let store = site::store(&[]);
+    let instance = site::ready("one", &store);
+    store.set_faults(Faults {
+        refuses: Some(503),
+        ..Faults::default()
+    });
+    store.put("op/config", &configuration(2, &[]));
+    store.forget_history();
+    store.set_faults(Faults::default());
+    until("version 2", || instance.version() == Some(2));
+}
+
+#[test]
+fn serves_through_outage() {
+    let store = site::store(&[]);
+    let server = plain();
+    list_plain(&store, "i-0", server.address, "ready");
+    let instance = site::ready("one", &store);
+    for faults in [
+        Faults {
+            refuses: Some(503),
+            ..Faults::default()
+        },
+        Faults {
+            refuses: Some(429),
+            ..Faults::default()
+        },
+        Faults {
+            is_silent: true,
+            ..Faults::default()
+        },
+        Faults {
+            talks_garbage: true,
+            ..Faults::default()
+        },
+    ] {
+        store.set_faults(faults);
+        let answer = ask(
+            instance.callers_address(),
+            &request("GET", "/read/", "o", "", ""),
+        );
+        assert_eq!(answer.map(|answer| answer.status), Some(200));
+        assert!(instance.is_ready());
+    }
+}
+
+#[test]
+fn leaving_gets_nothing_new() {
+    let store = site::store(&[]);
+    let (leaving, staying) = (plain(), plain());
+    list_plain(&store, "i-0", leaving.address, "ready");
+    let instance = site::ready("one", &store);
+    assert!(
+        ask(
+            instance.callers_address(),
+            &request("GET", "/read/", "a", "", "")
+        )
+        .is_some()
+    );
+    list_plain(&store, "i-1", staying.address, "ready");
+    list_plain(&store, "i-0", leaving.address, "draining");
+    until("the other server's turn", || {
+        ask(
+            instance.callers_address(),
+            &request("GET", "/read/", "b", "", ""),
+        );
+        !staying.received().is_empty()
+    });
+    // An older word of it, which arrives late, changes nothing.
+    list_plain(&store, "i-0", leaving.address, "ready");
+    let before = leaving.received().len();
+    for _ in 0..20 {
+        ask(
+            instance.callers_address(),
+            &request("GET", "/read/", "c", "", ""),
+        );
+    }
+    assert_eq!(leaving.received().len(), before);
+}
+
+#[test]
+fn missing_setting_named() {
+    let text = "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternal_ports = [1, 2]\n\
+        [listen_addrs]\nfrontend = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n\
+        [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 52\n\
+        [platform]\naddress = \"127.0.0.1:3\"\nttl_min_ms = 1000\n";
+    let error = passway_users_platform::settings::decode(text).expect_err("no lease_ms");
+    assert!(format!("{error:#}").contains("lease_ms"), "{error:#}");
+    let whole = text.replace("[platform]", "lease_ms = 3000\nunknown = \"x\"\n[platform]");
+    let settings = passway_users_platform::settings::decode(&whole).expect("settings");
+    assert_eq!(settings.bounds.holder_gap, Duration::from_secs(3));
+}
+
+#[test]
+fn wrong_settings_exit_code() {
+    let program = env!("CARGO_BIN_EXE_passway-instance");
+    let run = std::process::Command::new(program)
+        .env("PASSWAY_BOOT", "/nonexistent/boot.toml")
+        .output()
+        .expect("running");
+    assert_eq!(run.status.code(), Some(2));
+    let said = String::from_utf8_lossy(&run.stderr).into_owned();
+    assert!(said.contains("/nonexistent/boot.toml"), "{said}");
+}
