The configuration counts as current from the moment asked about, not from a tick

Cause: a router's plain calls read a flag that only a 20 ms tick set, so one that came between the first configuration and the next tick was refused with 1206; a refused first call is what outcome_survives_stop then waited for without end. Beside load the tick came late, so it showed more. Ruled out: stale limits (7 s were never reached). The deadline is stored in the decisions now; the wait has an end.

--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -83,7 +83,8 @@
     usage_at: Instant,
     routers: u32,
     draining: bool,
-    stale: bool,
+    /// Until when the configuration counts as current; `None` without a bound.
+    current_until: Option<Instant>,
 }
 
 impl RouterCore {
@@ -112,7 +113,7 @@
             usage_at: now,
             routers: 1,
             draining: false,
-            stale: false,
+            current_until: None,
         }
     }
 
@@ -138,9 +139,9 @@
         self.draining = true;
     }
 
-    /// Records whether the configuration is known to be current.
-    pub fn set_stale(&mut self, stale: bool) {
-        self.stale = stale;
+    /// Records until when the configuration counts as current.
+    pub fn set_current_until(&mut self, until: Instant) {
+        self.current_until = Some(until);
     }
 
     /// Requests that wait or run.
@@ -172,12 +173,13 @@
     ///
     /// # Errors
     /// The refusal that any new request gets.
-    pub fn check_serving(&self) -> Result<(), Refusal> {
+    pub fn check_serving(&self, now: Instant) -> Result<(), Refusal> {
         if self.draining {
             let refusal = Refusal::new(ResultCode::Draining, "this instance is leaving");
             return Err(refusal.retry_after(Duration::ZERO));
         }
-        if self.stale {
+        let bounded = self.current_until;
+        if bounded.is_some_and(|until| now >= until || self.catalog.revision == 0) {
             let refusal = Refusal::new(ResultCode::ConfigStale, "no word of the configuration");
             return Err(refusal.retry_after(BUSY_RETRY));
         }
@@ -185,7 +187,7 @@
     }
 
     fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<(ModelName, Waiting), Refusal> {
-        self.check_serving()?;
+        self.check_serving(now)?;
         let unknown = || Refusal::new(ResultCode::UnknownModel, arrival.model.clone());
         let model = self
             .catalog
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -37,7 +37,6 @@
     holders: HashMap<String, KnownHolder>,
     route_epochs: HashMap<String, Epoch>,
     routers: HashMap<SocketAddr, u32>,
-    heard_at: Option<Instant>,
     config_asked_at: Option<Instant>,
 }
 
@@ -147,9 +146,6 @@
         let mut to_dial = Vec::new();
         let routers = {
             let mut links = self.links();
-            if !heartbeat.isolated {
-                links.heard_at = Some(now);
-            }
             links.routers.insert(address, heartbeat.routers);
             for cell in &heartbeat.cells {
                 let Ok(holder_address) = cell.address.parse() else {
@@ -173,6 +169,9 @@
         self.want_config(address, heartbeat.config_revision, shared, now);
         let mut core = shared.core();
         core.set_routers(routers);
+        if !heartbeat.isolated {
+            core.set_current_until(now + shared.limits.stale_limit);
+        }
     }
 
     /// Asks for a revision that this router lacks, at one controller at a time.
@@ -276,16 +275,7 @@
         decision: impl FnOnce(&mut RouterCore, Instant) -> Vec<RouterAction>,
     ) {
         let now = Instant::now();
-        let silent = self
-            .links()
-            .heard_at
-            .is_none_or(|at| now.saturating_duration_since(at) > shared.limits.stale_limit);
-        let actions = {
-            let mut core = shared.core();
-            let is_unconfigured = core.catalog().revision == 0;
-            core.set_stale(silent || is_unconfigured);
-            decision(&mut core, now)
-        };
+        let actions = decision(&mut shared.core(), now);
         for action in actions {
             self.perform(shared, now, action);
         }
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -44,7 +44,7 @@
 /// # Errors
 /// The refusal that is the call's final answer.
 pub fn handle(shared: &Arc<Shared>, request: &Request) -> Result<Response, Refusal> {
-    shared.core().check_serving()?;
+    shared.core().check_serving(Instant::now())?;
     let meta = http::meta(shared, request)?;
     let path = request
         .head
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -78,8 +78,9 @@
         let catalog = Arc::new(Catalog::default());
         let key_value = settings.key_value.parse().context("key_value")?;
         let key_value = Arc::new(HttpKeyValue::new(key_value, CLAIM_TIMEOUT));
-        let mut core = RouterCore::new(incarnation, catalog.clone(), Instant::now());
-        core.set_stale(true);
+        let now = Instant::now();
+        let mut core = RouterCore::new(incarnation, catalog.clone(), now);
+        core.set_current_until(now);
         Ok(Self {
             catalog: ArcSwap::new(catalog),
             metrics: Metrics::default(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod cell_world;
 mod claims_once;
 mod config_checks;
+mod config_freshness;
 mod config_spread;
 mod docs_match;
 mod fair_share;
--- a/tests/all/process_kills.rs
+++ b/tests/all/process_kills.rs
@@ -331,7 +331,9 @@
     };
     world.services[0].set_faults(slow);
     let caller = std::thread::spawn(move || charge(first));
+    let limit_at = Instant::now() + Duration::from_secs(20);
     while !world.key_value.contains("claims/service0/6b") {
+        assert!(Instant::now() < limit_at, "no claim is written");
         std::thread::yield_now();
     }
     world.key_value.set_faults(key_value::Faults {
