The store's news by way of the holder: one watch instead of one an instance

Ruled out: longer waits (a silent cut would be noticed too late), stale reads (they are priced a tenth each but poll). Change: instances subscribe at the holder, which passes on changes with the store's revisions and beats every 300 ms while its lease holds; an instance that does not hear it for 1 s asks the store itself. What stands on engines travels only as placements.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -406,6 +406,8 @@
             | Body::ProbeAnswer(_)
             | Body::Needs(_)
             | Body::Placements(_)
+            | Body::Subscribe(_)
+            | Body::News(_)
             | Body::QueryAnswer(_) => {}
         }
     }
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,6 +1,8 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
 use crate::holder::Input;
+use crate::relay::{Tap, Told};
+use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
 use passway_serving::ports::{
@@ -14,58 +16,135 @@
 /// Pause after the store refused or did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest wait for the holder's news before its standing is looked at again.
+const RELAY_STEP: Duration = Duration::from_millis(250);
+
 /// Takes in what lies under a prefix.
 pub trait Feed: Send {
     /// The prefix.
     fn prefix(&self) -> String;
     /// Everything was read.
-    fn listed(&mut self, listing: Listing);
-    /// Something has changed.
-    fn changed(&mut self, change: StoreChange);
+    fn listed(&mut self, listing: &Listing);
+    /// Something has changed; whether other instances must hear of it.
+    fn changed(&mut self, change: &StoreChange) -> bool;
     /// All changes that are known were taken in; the pause before asking for more.
     fn settled(&mut self) -> Duration;
 }
 
-/// Follows a prefix for as long as the process lives.
-pub fn follow(store: Arc<dyn SharedStore>, mut feed: impl Feed + 'static) {
-    std::thread::spawn(move || {
-        let prefix = feed.prefix();
-        let mut known: Option<StoreRevision> = None;
+/// Follows a prefix for as long as the process lives: by the holder of the right to
+/// order while it is relied on, else by the store.
+pub fn follow(
+    store: Arc<dyn SharedStore>,
+    tap: Tap,
+    news: Sender<Input>,
+    feed: impl Feed + 'static,
+) {
+    let follower = Follower {
+        prefix: feed.prefix(),
+        store,
+        tap,
+        news,
+        feed,
+        known: None,
+        rested: false,
+    };
+    std::thread::spawn(move || follower.run());
+}
+
+struct Follower<F> {
+    prefix: String,
+    store: Arc<dyn SharedStore>,
+    tap: Tap,
+    news: Sender<Input>,
+    feed: F,
+    /// The point from which to go on; `None` to list anew.
+    known: Option<StoreRevision>,
+    /// Whether it has rested while others were relayed.
+    rested: bool,
+}
+
+impl<F: Feed> Follower<F> {
+    fn run(mut self) {
         loop {
-            match step(&*store, &mut feed, &prefix, known) {
-                Ok(revision) => {
-                    known = revision;
-                    std::thread::sleep(feed.settled());
+            if self.known.is_some()
+                && let Some(told) = self.tap.next(RELAY_STEP)
+            {
+                self.rested |= self.tap.feed.is_none();
+                if let Some(told) = told {
+                    self.relayed(told);
                 }
+                continue;
+            }
+            if std::mem::take(&mut self.rested) {
+                // Nothing was heard meanwhile.
+                self.known = None;
+            }
+            match self.ask() {
+                Ok(()) => std::thread::sleep(self.feed.settled()),
                 Err(error) => {
-                    log::debug!(prefix = prefix, error:? = error; "the store gave no answer");
+                    log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
                     std::thread::sleep(RETRY_PAUSE);
                 }
             }
         }
-    });
-}
+    }
 
-/// One list or watch; the point from which to go on, or `None` to list anew.
-fn step(
-    store: &dyn SharedStore,
-    feed: &mut impl Feed,
-    prefix: &str,
-    known: Option<StoreRevision>,
-) -> Result<Option<StoreRevision>, StoreError> {
-    let Some(after) = known else {
-        let listing = store.list(prefix)?;
-        let revision = listing.revision;
-        feed.listed(listing);
-        return Ok(Some(revision));
-    };
-    match store.watch(prefix, after, WATCH_WAIT)? {
-        WatchAnswer::HistoryGone => Ok(None),
-        WatchAnswer::Changes { changes, revision } => {
-            for change in changes {
-                feed.changed(change);
+    /// One list or watch.
+    fn ask(&mut self) -> Result<(), StoreError> {
+        let Some(after) = self.known else {
+            let listing = self.store.list(&self.prefix)?;
+            self.take(Told::Whole(listing));
+            return Ok(());
+        };
+        match self.store.watch(&self.prefix, after, WATCH_WAIT)? {
+            WatchAnswer::HistoryGone => self.known = None,
+            WatchAnswer::Changes { changes, revision } => self.take(Told::Changes {
+                from: after,
+                to: revision.max(after),
+                changes,
+            }),
+        }
+        Ok(())
+    }
+
+    /// Takes in what the holder told, unless something is missing in between.
+    fn relayed(&mut self, told: Told) {
+        let known = self.known.unwrap_or(0);
+        match &told {
+            Told::Whole(listing) if listing.revision < known => return,
+            Told::Changes { to, .. } if *to <= known => return,
+            Told::Changes { from, .. } if *from > known => {
+                log::info!(prefix = self.prefix, from = *from, known = known; "a gap in the holder's news");
+                self.tap.relay.lost();
+                return;
+            }
+            _ => {}
+        }
+        self.take(told);
+        self.feed.settled();
+    }
+
+    fn take(&mut self, told: Told) {
+        let told = match told {
+            Told::Whole(listing) => {
+                self.feed.listed(&listing);
+                self.known = Some(listing.revision);
+                Told::Whole(listing)
+            }
+            Told::Changes { from, to, changes } => {
+                self.known = Some(to);
+                let material = changes.into_iter().filter(|c| self.feed.changed(c));
+                Told::Changes {
+                    from,
+                    to,
+                    changes: material.collect(),
+                }
             }
-            Ok(Some(revision.max(after)))
+        };
+        if let (Some(feed), Some(known)) = (self.tap.feed, self.known) {
+            self.tap.set_known(known);
+            // The deciding thread ends only with the process.
+            let _ = self.news.send(Input::News(feed, told));
         }
     }
 }
@@ -106,16 +185,17 @@
         self.directory.configuration_prefix().to_owned()
     }
 
-    fn listed(&mut self, listing: Listing) {
+    fn listed(&mut self, listing: &Listing) {
         for value in &listing.values {
             self.take(value);
         }
     }
 
-    fn changed(&mut self, change: StoreChange) {
+    fn changed(&mut self, change: &StoreChange) -> bool {
         if let StoreChange::Written(value) = change {
-            self.take(&value);
+            self.take(value);
         }
+        true
     }
 
     fn settled(&mut self) -> Duration {
@@ -131,10 +211,14 @@
     pub directory: Arc<dyn Directory>,
     /// The thread that orders, if this instance may.
     pub holder: Sender<Input>,
+    /// Whether it may.
+    pub right: Arc<Right>,
 }
 
 /// Changes of upstreams within this time are taken in by one call.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(400);
+/// The same at the holder of the right to order, which waits for engines' words.
+const HOLDER_PAUSE: Duration = Duration::from_millis(30);
 
 impl UpstreamFeed {
     fn tell(&self, input: Input) {
@@ -158,7 +242,7 @@
         self.directory.upstream_prefix().to_owned()
     }
 
-    fn listed(&mut self, listing: Listing) {
+    fn listed(&mut self, listing: &Listing) {
         let entries = listing.values.iter().filter_map(|value| self.decode(value));
         let entries: Vec<_> = entries.collect();
         let ids = entries.iter().map(|entry| entry.id.clone());
@@ -171,17 +255,18 @@
         self.shared.upstreams_changed();
     }
 
-    fn changed(&mut self, change: StoreChange) {
+    fn changed(&mut self, change: &StoreChange) -> bool {
         match change {
             StoreChange::Written(value) => {
-                log::debug!(value:% = String::from_utf8_lossy(&value.value); "an upstream's word");
-                if let Some(entry) = self.decode(&value) {
-                    self.tell(Input::Heard(entry.clone()));
-                    self.shared.upstreams().update(entry, Instant::now());
-                }
+                let Some(entry) = self.decode(value) else {
+                    return false;
+                };
+                self.tell(Input::Heard(entry.clone()));
+                // What stands on an engine travels by placements, which are shorter.
+                self.shared.upstreams().update(entry, Instant::now())
             }
-            StoreChange::Removed { key } => {
-                if let Some(id) = self.directory.upstream_id(&key) {
+            StoreChange::Removed { key, .. } => {
+                if let Some(id) = self.directory.upstream_id(key) {
                     self.shared.upstreams().remove(id);
                     self.shared.pool.forget(id);
                     let entries = self.shared.upstreams();
@@ -189,12 +274,17 @@
                     drop(entries);
                     self.tell(Input::Listed(ids));
                 }
+                true
             }
         }
     }
 
     fn settled(&mut self) -> Duration {
         self.shared.upstreams_changed();
-        UPSTREAM_PAUSE
+        if self.right.fence().is_some() {
+            HOLDER_PAUSE
+        } else {
+            UPSTREAM_PAUSE
+        }
     }
 }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -2,6 +2,7 @@
 //!
 //! Every instance runs this thread; it decides only while [`Right`] says so.
 
+use crate::relay::{FEEDS, FeedLog, HEARTBEAT_PAUSE, Told};
 use crate::right::Right;
 use crate::shared::Shared;
 use anyhow::{Context, Result};
@@ -11,7 +12,7 @@
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
 use passway_serving::upstreams::{ModelWish, UpstreamEntry};
 use passway_types::prelude::*;
-use passway_wire::message::{EnginePlacement, Needs, Placements, Resident, Wish};
+use passway_wire::message::{EnginePlacement, Needs, News, Placements, Resident, Wish};
 use passway_wire::{Body, Link};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -28,6 +29,10 @@
     Disconnected(u64, Option<InstanceId>),
     /// What an instance needs.
     Needs(Needs),
+    /// An instance wants the store's news, of which it knows so much.
+    Subscribe(u64, Vec<u64>),
+    /// The store's news of a feed.
+    News(usize, Told),
     /// An upstream has said something of itself.
     Heard(UpstreamEntry),
     /// Only these upstreams are there.
@@ -63,6 +68,9 @@
         sender: sender.clone(),
         planner: Planner::default(),
         peers: BTreeMap::new(),
+        subscribers: BTreeSet::new(),
+        logs: Default::default(),
+        heartbeat_at: Instant::now(),
         fence: None,
         version: None,
     };
@@ -81,10 +89,15 @@
             // The deciding thread ends only with the process.
             let _ = inputs.send(Input::Connected(number, Outbox::start(link)));
             while let Ok(Some(body)) = reader.receive() {
-                if let Body::Needs(needs) = body {
-                    instance = Some(InstanceId::from(needs.instance.as_str()));
-                    let _ = inputs.send(Input::Needs(needs));
-                }
+                let input = match body {
+                    Body::Needs(needs) => {
+                        instance = Some(InstanceId::from(needs.instance.as_str()));
+                        Input::Needs(needs)
+                    }
+                    Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe.known),
+                    _ => continue,
+                };
+                let _ = inputs.send(input);
             }
             let _ = inputs.send(Input::Disconnected(number, instance));
         });
@@ -98,6 +111,10 @@
     sender: Sender<Input>,
     planner: Planner,
     peers: BTreeMap<u64, Outbox>,
+    /// Instances that hear the store's news from here.
+    subscribers: BTreeSet<u64>,
+    logs: [FeedLog; FEEDS],
+    heartbeat_at: Instant,
     fence: Option<Fence>,
     version: Option<Revision>,
 }
@@ -128,7 +145,7 @@
         loop {
             let now = Instant::now();
             let look_at = if self.fence.is_some() {
-                self.planner.next_look_at(now)
+                self.planner.next_look_at(now).min(self.heartbeat_at)
             } else {
                 now + LOOK_PAUSE
             };
@@ -155,11 +172,18 @@
             }
             Input::Disconnected(number, instance) => {
                 self.peers.remove(&number);
+                self.subscribers.remove(&number);
                 if let Some(instance) = instance {
                     self.planner.instance_gone(&instance);
                 }
             }
             Input::Needs(needs) => self.needs(&needs, now),
+            Input::Subscribe(number, known) => self.subscribe(number, &known),
+            Input::News(feed, told) => {
+                if let Some(news) = self.logs[feed].add(feed, &told) {
+                    self.pass_on(&news);
+                }
+            }
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
             Input::Answered(order, answer) => {
@@ -175,6 +199,40 @@
         }
     }
 
+    /// Tells an instance what it lacks, and from now on what comes.
+    fn subscribe(&mut self, number: u64, known: &[u64]) {
+        if self.fence.is_none() {
+            return;
+        }
+        let Some(outbox) = self.peers.get(&number) else {
+            return;
+        };
+        for (feed, log) in self.logs.iter().enumerate() {
+            let known = known.get(feed).copied().unwrap_or(0);
+            if let Some(news) = log.after(feed, known) {
+                outbox.send(Body::News(news));
+            }
+        }
+        outbox.send(Body::News(News::default()));
+        self.subscribers.insert(number);
+    }
+
+    fn pass_on(&self, news: &News) {
+        for number in &self.subscribers {
+            if let Some(outbox) = self.peers.get(number) {
+                outbox.send(Body::News(news.clone()));
+            }
+        }
+    }
+
+    /// Shows the others that the lease still holds.
+    fn beat(&mut self, now: Instant) {
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now + HEARTBEAT_PAUSE;
+            self.pass_on(&News::default());
+        }
+    }
+
     fn needs(&mut self, needs: &Needs, now: Instant) {
         for waiting in &needs.waiting {
             let (service, wanted) = wish(waiting);
@@ -207,6 +265,12 @@
         let fence = self.right.fence();
         if fence != self.fence {
             self.fence = fence;
+            // Whoever heard the news from here asks the store now.
+            for number in std::mem::take(&mut self.subscribers) {
+                if let Some(outbox) = self.peers.remove(&number) {
+                    outbox.close();
+                }
+            }
             if fence.is_some() {
                 self.planner.begin_term();
             }
@@ -214,7 +278,9 @@
         let Some(fence) = fence else {
             return;
         };
-        for action in self.planner.decide(Instant::now()) {
+        let now = Instant::now();
+        self.beat(now);
+        for action in self.planner.decide(now) {
             self.act(action, fence);
         }
         let changed = self.planner.take_changed();
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`feeds`] follows the store; [`ready`] answers the balancer.
 //! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
 //!   [`report`] tells the holder what this instance needs.
+//! * [`relay`]: the store's news by way of the holder.
 //! * [`lifecycle`] starts and stops.
 
 pub mod callers;
@@ -20,6 +21,7 @@
 pub mod lifecycle;
 pub mod pool;
 pub mod ready;
+pub mod relay;
 pub mod reply;
 pub mod report;
 pub mod right;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Starting and stopping an instance.
 
 use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
+use crate::relay::Relay;
 use crate::right::Right;
 use crate::shared::Shared;
 use crate::{callers, holder, ready, report};
@@ -57,24 +58,32 @@
         let settings = &shared.settings;
         let ready_address = ready::listen(&shared, settings.ready_address)?;
         let callers_address = callers::listen(&shared, settings.callers_address)?;
-        let right = Right::start(&shared, &surroundings.store);
+        let right = Arc::new(Right::default());
+        let (relay, [configuration_tap, upstream_tap]) = Relay::new();
         let holder = holder::start(&shared, &right, surroundings.engines.clone(), peers);
+        let store = &surroundings.store;
+        right.start(&shared, store, relay.resting(), holder.clone());
         feeds::follow(
-            surroundings.store.clone(),
+            store.clone(),
+            configuration_tap,
+            holder.clone(),
             ConfigurationFeed {
                 shared: shared.clone(),
                 directory: surroundings.directory.clone(),
             },
         );
         feeds::follow(
-            surroundings.store.clone(),
+            store.clone(),
+            upstream_tap,
+            holder.clone(),
             UpstreamFeed {
                 shared: shared.clone(),
                 directory: surroundings.directory.clone(),
                 holder: holder.clone(),
+                right: right.clone(),
             },
         );
-        report::start(&shared, &right, needed);
+        report::start(&shared, &right, &relay, needed);
         log::info!(instance:% = settings.instance; "started");
         Ok(Self {
             shared,
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,5 +1,6 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
+use crate::relay::Relay;
 use crate::right::{Holder, Right};
 use crate::shared::{Need, Shared};
 use crossbeam::channel::{Receiver, RecvTimeoutError};
@@ -8,21 +9,27 @@
 use passway_serving::upstreams::{ModelWish, ResidentModel};
 use passway_types::prelude::*;
 use passway_wire::Body;
-use passway_wire::message::{EnginePlacement, Needs, Running, Wish};
+use passway_wire::message::{EnginePlacement, Needs, Running, Subscribe, Wish};
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 
 /// Pause between two reports of use when nothing waits.
 const REPORT_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause between two requests for the holder's news.
+const SUBSCRIBE_PAUSE: Duration = Duration::from_millis(600);
+
 type Link = Arc<Mutex<Option<Outbox>>>;
 
 /// Reports for as long as the process lives.
-pub fn start(shared: &Arc<Shared>, right: &Arc<Right>, needs: Receiver<Need>) {
+pub fn start(shared: &Arc<Shared>, right: &Arc<Right>, relay: &Arc<Relay>, needs: Receiver<Need>) {
     let reporter = Reporter {
         shared: shared.clone(),
         right: right.clone(),
+        relay: relay.clone(),
         link: Link::default(),
+        subscribed_at: None,
+        last_running: Vec::new(),
         dialed: None,
         taken: BTreeMap::new(),
     };
@@ -32,7 +39,10 @@
 struct Reporter {
     shared: Arc<Shared>,
     right: Arc<Right>,
+    relay: Arc<Relay>,
     link: Link,
+    subscribed_at: Option<Instant>,
+    last_running: Vec<Running>,
     dialed: Option<(Holder, Dialer)>,
     taken: BTreeMap<(ServiceName, ModelName, Option<AdapterName>), u32>,
 }
@@ -65,6 +75,7 @@
                 report_at = Instant::now() + REPORT_PAUSE;
             }
             self.dial();
+            self.subscribe();
             if due || !waiting.is_empty() {
                 self.send(waiting);
             }
@@ -104,12 +115,28 @@
             return;
         }
         let (shared, link) = (self.shared.clone(), self.link.clone());
+        let relay = self.relay.clone();
         *link.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        relay.lost();
+        self.subscribed_at = None;
+        let right = self.right.clone();
+        let dialed_holder = holder.clone();
         let dialer = Dialer::start(holder.address, move |dialed| {
+            if right.holder().as_ref() != Some(&dialed_holder) {
+                // Another one holds the right by now; its own dialer speaks.
+                return;
+            }
             let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
             match dialed {
                 Dialed::Connected(outbox) => *link = Some(outbox),
-                Dialed::Disconnected => *link = None,
+                Dialed::Disconnected => {
+                    *link = None;
+                    relay.lost();
+                }
+                Dialed::Received(Body::News(news)) => {
+                    drop(link);
+                    relay.heard(news);
+                }
                 Dialed::Received(Body::Placements(placements)) => {
                     drop(link);
                     placed(&shared, placements.engines);
@@ -120,6 +147,25 @@
         self.dialed = Some((holder, dialer));
     }
 
+    /// Asks the holder for the store's news, once this instance knows it up to some point.
+    fn subscribe(&mut self) {
+        let holder = self.right.holder();
+        let is_me = holder.is_none_or(|h| h.instance == self.shared.settings.instance);
+        // The holder may not have begun its term when it was asked.
+        let asked = self.subscribed_at;
+        if is_me || self.relay.is_live() || asked.is_some_and(|at| at.elapsed() < SUBSCRIBE_PAUSE) {
+            return;
+        }
+        let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        let (Some(outbox), Some(known)) = (link.as_ref(), self.relay.known()) else {
+            return;
+        };
+        outbox.send(Body::Subscribe(Subscribe {
+            known: known.to_vec(),
+        }));
+        self.subscribed_at = Some(Instant::now());
+    }
+
     fn send(&mut self, waiting: Vec<Wish>) {
         let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(outbox) = link.as_ref() else {
@@ -135,11 +181,18 @@
             model: model.to_string(),
             count,
         });
+        let mut running: Vec<Running> = running.collect();
+        running.sort_by(|one, other| (&one.engine, &one.model).cmp(&(&other.engine, &other.model)));
+        let taken: Vec<Wish> = taken.collect();
+        if waiting.is_empty() && taken.is_empty() && running == self.last_running {
+            return;
+        }
+        self.last_running.clone_from(&running);
         outbox.send(Body::Needs(Needs {
             instance: self.shared.settings.instance.to_string(),
             waiting,
-            taken: taken.collect(),
-            running: running.collect(),
+            taken,
+            running,
         }));
     }
 }
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -5,7 +5,10 @@
 //! the fencing number: it only grows, and each holder has its own.
 
 use crate::feeds::{Feed, follow};
+use crate::holder::Input;
+use crate::relay::Tap;
 use crate::shared::Shared;
+use crossbeam::channel::Sender;
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue, WriteAnswer,
 };
@@ -54,7 +57,7 @@
 }
 
 /// The right to order, as this instance knows it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Right {
     state: Mutex<State>,
     changed: Condvar,
@@ -77,21 +80,20 @@
 
 impl Right {
     /// Follows the key and takes it whenever nobody holds it.
-    pub fn start(shared: &Arc<Shared>, store: &Arc<dyn SharedStore>) -> Arc<Self> {
-        let right = Arc::new(Self {
-            state: Mutex::new(State::default()),
-            changed: Condvar::new(),
-        });
-        follow(
-            store.clone(),
-            HolderFeed {
-                right: right.clone(),
-                instance: shared.settings.instance.clone(),
-            },
-        );
-        let (keeping, shared, store) = (right.clone(), shared.clone(), store.clone());
+    pub fn start(
+        self: &Arc<Self>,
+        shared: &Arc<Shared>,
+        store: &Arc<dyn SharedStore>,
+        tap: Tap,
+        news: Sender<Input>,
+    ) {
+        let feed = HolderFeed {
+            right: self.clone(),
+            instance: shared.settings.instance.clone(),
+        };
+        follow(store.clone(), tap, news, feed);
+        let (keeping, shared, store) = (self.clone(), shared.clone(), store.clone());
         std::thread::spawn(move || keeping.keep(&shared, &*store));
-        right
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -255,21 +257,22 @@
         OWN_PREFIX.to_owned()
     }
 
-    fn listed(&mut self, listing: Listing) {
+    fn listed(&mut self, listing: &Listing) {
         let value = listing.values.iter().find(|value| value.key == HOLDER_KEY);
         self.right.seen(value.and_then(decode), &self.instance);
     }
 
-    fn changed(&mut self, change: StoreChange) {
+    fn changed(&mut self, change: &StoreChange) -> bool {
         match change {
             StoreChange::Written(value) if value.key == HOLDER_KEY => {
-                self.right.seen(decode(&value), &self.instance);
+                self.right.seen(decode(value), &self.instance);
             }
-            StoreChange::Removed { key } if key == HOLDER_KEY => {
+            StoreChange::Removed { key, .. } if key == HOLDER_KEY => {
                 self.right.seen(None, &self.instance);
             }
             _ => {}
         }
+        false
     }
 
     fn settled(&mut self) -> Duration {
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -42,9 +42,29 @@
     Removed {
         /// The key.
         key: String,
+        /// When it went.
+        revision: StoreRevision,
     },
 }
 
+impl StoreChange {
+    /// The key that has changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(value) => &value.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
+    /// When it changed.
+    pub fn revision(&self) -> StoreRevision {
+        match self {
+            Self::Written(value) => value.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// The answer to a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchAnswer {
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -178,20 +178,26 @@
         self.upstreams.values().map(|upstream| &upstream.entry)
     }
 
-    /// An upstream has said something of itself.
-    pub fn update(&mut self, entry: UpstreamEntry, now: Instant) {
+    /// An upstream has said something of itself; whether it is more than what stands on it.
+    pub fn update(&mut self, entry: UpstreamEntry, now: Instant) -> bool {
         let Some(known) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
             self.upstreams.insert(id, Upstream::new(entry, now));
-            return;
+            return true;
         };
         if known.entry.models != entry.models {
             known.absent_until.clear();
         }
         // Leaving is final for an incarnation, whatever an older word says.
         let was_draining = known.entry.draining;
+        let more = known.entry.service != entry.service
+            || known.entry.address != entry.address
+            || known.entry.slots != entry.slots
+            || known.entry.draining != entry.draining
+            || known.entry.gone_at.is_some() != entry.gone_at.is_some();
         known.entry = entry;
         known.entry.draining |= was_draining;
+        more
     }
 
     /// An upstream is gone; it gets nothing new.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,7 +6,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it carries; `None` comes from a newer program and is ignored.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     pub body: Option<Body>,
 }
 
@@ -55,6 +58,51 @@
     /// What stands on engines.
     #[prost(message, tag = "14")]
     Placements(Placements),
+    /// Asks the holder of the right to order for what the store tells it.
+    #[prost(message, tag = "15")]
+    Subscribe(Subscribe),
+    /// What the store told the holder.
+    #[prost(message, tag = "16")]
+    News(News),
+}
+
+/// An instance asks for the store's news.
+#[derive(Clone, PartialEq, Message)]
+pub struct Subscribe {
+    /// What it knows of each feed: the store's revision, 0 for nothing; in the order of feeds.
+    #[prost(uint64, repeated, tag = "1")]
+    pub known: Vec<u64>,
+}
+
+/// A value of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsValue {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its bytes; absent if the key went away.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub value: Option<Vec<u8>>,
+    /// The store's revision of the change.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
+
+/// What the store told of one feed; without changes it only says that the sender lives.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    /// The feed's number.
+    #[prost(uint32, tag = "1")]
+    pub feed: u32,
+    /// The revision that the changes follow on; 0 if this is all there is.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// The revision up to which this tells; 0 if it tells nothing.
+    #[prost(uint64, tag = "3")]
+    pub to: u64,
+    /// The changes, or all values.
+    #[prost(message, repeated, tag = "4")]
+    pub values: Vec<NewsValue>,
 }
 
 /// A model or adapter of a service.
