--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -50,16 +50,16 @@
     pub draining: bool,
 }
 
-/// A group of callers.
+/// A workspace of callers.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Group {
+pub struct Workspace {
     /// Its name.
-    pub name: GroupName,
+    pub name: WorkspaceName,
     /// Weight in the fair sharing of tokens; at least 1.
     pub share: u32,
     /// Time until the deadline of a request that names none.
     pub default_deadline: Duration,
-    /// Requests of the group that may wait at one router.
+    /// Requests of the workspace that may wait at one router.
     pub max_waiting: u32,
 }
 
@@ -79,8 +79,8 @@
 pub struct Catalog {
     /// The revision it was built from.
     pub revision: Revision,
-    /// Groups by name.
-    pub groups: HashMap<GroupName, Group>,
+    /// Workspaces by name.
+    pub workspaces: HashMap<WorkspaceName, Workspace>,
     /// Models and adapters by `name@version`.
     pub models: HashMap<ModelName, Arc<Model>>,
     /// Other names of models and adapters.
@@ -107,7 +107,7 @@
     pub fn build(document: &Document, revision: Revision) -> Result<Self, Faults> {
         let mut builder = Builder::default();
         builder.catalog.revision = revision;
-        builder.groups(document);
+        builder.workspaces(document);
         builder.upstreams(document);
         builder.models(document);
         builder.adapters(document);
@@ -177,9 +177,9 @@
         }
     }
 
-    fn groups(&mut self, document: &Document) {
-        for (i, entry) in document.groups.iter().enumerate() {
-            let at = |field: &str| format!("groups[{i}].{field}");
+    fn workspaces(&mut self, document: &Document) {
+        for (i, entry) in document.workspaces.iter().enumerate() {
+            let at = |field: &str| format!("workspaces[{i}].{field}");
             self.require(!entry.name.is_empty(), || at("name"), "is required");
             self.require(entry.share > 0, || at("share"), "must be at least 1");
             let deadline_ok = entry.default_deadline_ms > 0;
@@ -188,14 +188,14 @@
                 || at("default_deadline_ms"),
                 "must be at least 1",
             );
-            let name: GroupName = entry.name.as_str().into();
-            let group = Group {
+            let name: WorkspaceName = entry.name.as_str().into();
+            let workspace = Workspace {
                 name: name.clone(),
                 share: entry.share,
                 default_deadline: Duration::from_millis(entry.default_deadline_ms),
                 max_waiting: entry.max_waiting,
             };
-            let twice = self.catalog.groups.insert(name, group).is_some();
+            let twice = self.catalog.workspaces.insert(name, workspace).is_some();
             self.require(!twice, || at("name"), "stands twice");
         }
     }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -9,8 +9,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Document {
-    /// Groups of callers and their shares.
-    pub groups: Vec<GroupEntry>,
+    /// Workspaces of callers and their shares.
+    pub workspaces: Vec<WorkspaceEntry>,
     /// Base models.
     pub models: Vec<ModelEntry>,
     /// Adapters on base models.
@@ -27,21 +27,21 @@
     pub weight_store: WeightStoreEntry,
 }
 
-/// A group of callers.
+/// A workspace of callers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct GroupEntry {
-    /// Name, as in the `x-passway-group` header.
+pub struct WorkspaceEntry {
+    /// Name, as in the `x-passway-workspace` header.
     pub name: String,
     /// Weight in the fair sharing of tokens.
     pub share: u32,
     /// Deadline for requests that name none, in milliseconds.
     pub default_deadline_ms: u64,
-    /// Requests of the group that may wait at one router.
+    /// Requests of the workspace that may wait at one router.
     pub max_waiting: u32,
 }
 
-impl Default for GroupEntry {
+impl Default for WorkspaceEntry {
     fn default() -> Self {
         Self {
             name: String::new(),
@@ -183,15 +183,15 @@
 pub struct PolicyEntry {
     /// Name, for explanations.
     pub name: String,
-    /// A condition over `group`, `model`, `kind` and `priority`.
+    /// A condition over `workspace`, `model`, `kind` and `priority`.
     pub when: String,
     /// Requests with a lower number go first.
     pub priority: Option<u32>,
     /// Longest time that a request may wait, in milliseconds.
     pub may_wait_ms: Option<u64>,
-    /// Most requests of one group that run at one time through one router.
+    /// Most requests of one workspace that run at one time through one router.
     pub max_running: Option<u32>,
-    /// Most accelerator memory that models woken for the group may hold, in
+    /// Most accelerator memory that models woken for the workspace may hold, in
     /// megabytes (2^20 bytes).
     pub max_held_mb: Option<u64>,
 }
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -16,13 +16,13 @@
 /// Most rules in one configuration.
 pub const MAX_RULES: usize = 100;
 /// The variables that a condition may use.
-pub const VARIABLES: [&str; 4] = ["group", "model", "kind", "priority"];
+pub const VARIABLES: [&str; 4] = ["workspace", "model", "kind", "priority"];
 
 /// What a condition sees of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Attributes<'a> {
-    /// The caller's group.
-    pub group: &'a str,
+    /// The caller's workspace.
+    pub workspace: &'a str,
     /// The model as `name@version`.
     pub model: &'a str,
     /// The kind that the caller names, or empty.
@@ -38,9 +38,9 @@
     pub priority: Option<u32>,
     /// Longest time that the request may wait.
     pub may_wait: Option<Duration>,
-    /// Most requests of the group that run at one time through one router.
+    /// Most requests of the workspace that run at one time through one router.
     pub max_running: Option<u32>,
-    /// Most accelerator memory held for the group.
+    /// Most accelerator memory held for the workspace.
     pub max_held_bytes: Option<u64>,
 }
 
@@ -129,7 +129,7 @@
 
 fn context_of<'a>(attributes: &Attributes<'_>) -> Context<'a, 'a> {
     let mut context = Context::with_env(LANGUAGE.clone());
-    context.add_variable_from_value("group", attributes.group.to_owned());
+    context.add_variable_from_value("workspace", attributes.workspace.to_owned());
     context.add_variable_from_value("model", attributes.model.to_owned());
     context.add_variable_from_value("kind", attributes.kind.to_owned());
     context.add_variable_from_value("priority", i64::from(attributes.priority));
--- a/crates/controller/src/node/cell_shell.rs
+++ b/crates/controller/src/node/cell_shell.rs
@@ -284,7 +284,7 @@
             upstream: placement.upstream.to_string(),
             state: format!("{:?}, {:?}", placement.state, term.stage(placement.id)),
             reserved_mb: placement.reserved_bytes >> 20,
-            group: placement.group.to_string(),
+            workspace: placement.workspace.to_string(),
         };
         Some(CellStatus {
             cell: self.cell.to_string(),
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -58,6 +58,6 @@
     pub state: String,
     /// Megabytes (2^20 bytes) that it reserves.
     pub reserved_mb: u64,
-    /// The group it is held for.
-    pub group: String,
+    /// The workspace it is held for.
+    pub workspace: String,
 }
--- a/crates/controller/src/translate.rs
+++ b/crates/controller/src/translate.rs
@@ -9,7 +9,7 @@
     Demand {
         router,
         model: from.model.into(),
-        group: from.group.into(),
+        workspace: from.workspace.into(),
         waiting: from.waiting,
         earliest_deadline_at: now + Duration::from_millis(from.deadline_in_ms),
         priority: from.priority,
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -30,8 +30,8 @@
         }
         for placement in placements {
             println!(
-                "{model} is on {} as placement {}: {}, for group {}",
-                placement.upstream, placement.id, placement.state, placement.group
+                "{model} is on {} as placement {}: {}, for workspace {}",
+                placement.upstream, placement.id, placement.state, placement.workspace
             );
         }
         println!();
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -93,13 +93,20 @@
                 placement.model.clone(),
                 placement.state.clone(),
                 format!("{} MB", placement.reserved_mb),
-                placement.group.clone(),
+                placement.workspace.clone(),
             ]
         })
         .collect();
     println!();
     table::print(
-        &["CELL", "UPSTREAM", "MODEL", "STATE", "RESERVED", "GROUP"],
+        &[
+            "CELL",
+            "UPSTREAM",
+            "MODEL",
+            "STATE",
+            "RESERVED",
+            "WORKSPACE",
+        ],
         &rows,
     );
 }
--- a/crates/decide/src/cell/demand.rs
+++ b/crates/decide/src/cell/demand.rs
@@ -25,8 +25,8 @@
     pub earliest_deadline_at: Instant,
     /// The best priority among them.
     pub priority: u32,
-    /// The group of the request with the earliest deadline.
-    pub group: GroupName,
+    /// The workspace of the request with the earliest deadline.
+    pub workspace: WorkspaceName,
 }
 
 /// The demands of all routers.
@@ -83,7 +83,7 @@
                 .values()
                 .map(|entry| entry.demand.priority)
                 .min()?,
-            group: first.demand.group.clone(),
+            workspace: first.demand.workspace.clone(),
         })
     }
 
--- a/crates/decide/src/cell/placing.rs
+++ b/crates/decide/src/cell/placing.rs
@@ -99,11 +99,11 @@
                 term.making_room.remove(&model.name);
                 return None;
             }
-            Err(PlanError::GroupAtCap) => code = ResultCode::GroupAtCap,
+            Err(PlanError::WorkspaceAtCap) => code = ResultCode::WorkspaceAtCap,
             Err(_) => {}
         }
     }
-    if code == ResultCode::GroupAtCap || !may_evict {
+    if code == ResultCode::WorkspaceAtCap || !may_evict {
         return Some(code);
     }
     if is_room_under_way(term, &model.name) {
@@ -149,7 +149,7 @@
         let reason = Reason::BaseOf(model.name.clone());
         made.push(draft.reserve(catalog, &wish(catalog, base, upstream, demand, reason))?);
     }
-    let reason = Reason::Demand(demand.group.clone());
+    let reason = Reason::Demand(demand.workspace.clone());
     made.push(draft.reserve(
         catalog,
         &wish(catalog, &model.name, upstream, demand, reason),
@@ -174,7 +174,7 @@
     reason: Reason,
 ) -> Wish {
     let attributes = Attributes {
-        group: &demand.group,
+        workspace: &demand.workspace,
         model,
         kind: "",
         priority: demand.priority,
@@ -182,7 +182,7 @@
     Wish {
         model: model.clone(),
         upstream: upstream.clone(),
-        group: demand.group.clone(),
+        workspace: demand.workspace.clone(),
         reason,
         max_held_bytes: catalog.policy.rule(&attributes).max_held_bytes,
     }
--- a/crates/decide/src/messages.rs
+++ b/crates/decide/src/messages.rs
@@ -123,8 +123,8 @@
     pub router: Incarnation,
     /// The model or adapter.
     pub model: ModelName,
-    /// The group that waits first.
-    pub group: GroupName,
+    /// The workspace that waits first.
+    pub workspace: WorkspaceName,
     /// Requests that wait; 0 takes the demand back.
     pub waiting: u32,
     /// The earliest deadline among them.
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -52,8 +52,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
-    /// Requests of a group wait for the model.
-    Demand(GroupName),
+    /// Requests of a workspace wait for the model.
+    Demand(WorkspaceName),
     /// An adapter on this base is wanted.
     BaseOf(ModelName),
 }
@@ -73,8 +73,8 @@
     pub state: PlacementState,
     /// The epoch that made it; holders of earlier epochs never ordered it.
     pub created_epoch: Epoch,
-    /// The group it is held for.
-    pub group: GroupName,
+    /// The workspace it is held for.
+    pub workspace: WorkspaceName,
     /// Why it was made.
     pub reason: Reason,
 }
@@ -94,8 +94,8 @@
     BaseMissing,
     /// An adapter still stands on this base.
     AdapterPresent,
-    /// The group's cap on held memory would be passed.
-    GroupAtCap,
+    /// The workspace's cap on held memory would be passed.
+    WorkspaceAtCap,
     /// An order for the placement can still arrive.
     OrderMayArrive,
 }
@@ -107,11 +107,11 @@
     pub model: ModelName,
     /// Where it should stand.
     pub upstream: UpstreamId,
-    /// The group it is held for.
-    pub group: GroupName,
+    /// The workspace it is held for.
+    pub workspace: WorkspaceName,
     /// Why.
     pub reason: Reason,
-    /// The group's cap on held memory, in bytes.
+    /// The workspace's cap on held memory, in bytes.
     pub max_held_bytes: Option<u64>,
 }
 
@@ -189,10 +189,10 @@
         self.on_upstream(upstream).map(|p| p.reserved_bytes).sum()
     }
 
-    /// Bytes held for a group over the cell.
-    pub fn group_bytes(&self, group: &str) -> u64 {
+    /// Bytes held for a workspace over the cell.
+    pub fn workspace_bytes(&self, workspace: &str) -> u64 {
         self.placements()
-            .filter(|p| &*p.group == group)
+            .filter(|p| &*p.workspace == workspace)
             .map(|p| p.reserved_bytes)
             .sum()
     }
@@ -224,12 +224,12 @@
         if self.reserved_bytes(&wish.upstream) + model.size_bytes > upstream.memory_bytes {
             return Err(PlanError::Memory);
         }
-        let held_bytes = self.group_bytes(&wish.group) + model.size_bytes;
+        let held_bytes = self.workspace_bytes(&wish.workspace) + model.size_bytes;
         if wish
             .max_held_bytes
             .is_some_and(|cap_bytes| held_bytes > cap_bytes)
         {
-            return Err(PlanError::GroupAtCap);
+            return Err(PlanError::WorkspaceAtCap);
         }
         let id = self.next_placement;
         self.next_placement += 1;
@@ -240,7 +240,7 @@
             reserved_bytes: model.size_bytes,
             state: PlacementState::Held,
             created_epoch: self.epoch,
-            group: wish.group.clone(),
+            workspace: wish.workspace.clone(),
             reason: wish.reason.clone(),
         };
         self.placements.insert(id, placement);
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -5,8 +5,8 @@
 //! the caller reports with [`RouterCore::ended`].
 //!
 //! * [`events`]: what goes in and comes out.
-//! * [`queue`]: requests that wait for one model, by group.
-//! * [`share`]: fair sharing of tokens between groups.
+//! * [`queue`]: requests that wait for one model, by workspace.
+//! * [`share`]: fair sharing of tokens between workspaces.
 //! * [`budget`]: how many retries may be added to the traffic.
 
 pub mod budget;
@@ -66,8 +66,8 @@
     queues: BTreeMap<ModelName, ModelQueue>,
     running: HashMap<RequestId, Running>,
     upstream_running: HashMap<UpstreamId, u32>,
-    group_running: HashMap<GroupName, u32>,
-    group_waiting: HashMap<GroupName, u32>,
+    workspace_running: HashMap<WorkspaceName, u32>,
+    workspace_waiting: HashMap<WorkspaceName, u32>,
     model_running: HashMap<ModelName, u32>,
     blocked_until: HashMap<UpstreamId, Instant>,
     /// Replicas that upstreams denied to hold; the controller hears of it from
@@ -98,8 +98,8 @@
             queues: BTreeMap::new(),
             running: HashMap::new(),
             upstream_running: HashMap::new(),
-            group_running: HashMap::new(),
-            group_waiting: HashMap::new(),
+            workspace_running: HashMap::new(),
+            workspace_waiting: HashMap::new(),
             model_running: HashMap::new(),
             blocked_until: HashMap::new(),
             denied_until: HashMap::new(),
@@ -195,31 +195,38 @@
             .ok_or_else(unknown)?
             .name
             .clone();
-        let unknown = || Refusal::new(ResultCode::UnknownGroup, arrival.group.clone());
-        let group = self
+        let unknown = || Refusal::new(ResultCode::UnknownWorkspace, arrival.workspace.clone());
+        let workspace = self
             .catalog
-            .groups
-            .get(arrival.group.as_str())
+            .workspaces
+            .get(arrival.workspace.as_str())
             .ok_or_else(unknown)?;
-        let waiting_now = self.group_waiting.get(&group.name).copied().unwrap_or(0);
-        if waiting_now >= group.max_waiting {
-            return Err(
-                Refusal::new(ResultCode::QueueFull, "too many requests of the group wait")
-                    .retry_after(BUSY_RETRY),
-            );
+        let waiting_now = self
+            .workspace_waiting
+            .get(&workspace.name)
+            .copied()
+            .unwrap_or(0);
+        if waiting_now >= workspace.max_waiting {
+            return Err(Refusal::new(
+                ResultCode::QueueFull,
+                "too many requests of the workspace wait",
+            )
+            .retry_after(BUSY_RETRY));
         }
         let asked_priority = arrival.priority.unwrap_or(DEFAULT_PRIORITY);
         let ruling = self.catalog.policy.rule(&Attributes {
-            group: &group.name,
+            workspace: &workspace.name,
             model: &model,
             kind: &arrival.kind,
             priority: asked_priority,
         });
-        let deadline_at = arrival.deadline_at.unwrap_or(now + group.default_deadline);
+        let deadline_at = arrival
+            .deadline_at
+            .unwrap_or(now + workspace.default_deadline);
         let may_wait_until = ruling.may_wait.map(|may_wait| now + may_wait);
         let waiting = Waiting {
             request: arrival.request,
-            group: group.name.clone(),
+            workspace: workspace.name.clone(),
             asked_priority,
             priority: ruling.priority.unwrap_or(DEFAULT_PRIORITY),
             deadline_at,
@@ -261,13 +268,16 @@
     }
 
     fn enqueue(&mut self, model: ModelName, waiting: Waiting) {
-        *self.group_waiting.entry(waiting.group.clone()).or_default() += 1;
+        *self
+            .workspace_waiting
+            .entry(waiting.workspace.clone())
+            .or_default() += 1;
         let share = self
             .catalog
-            .groups
-            .get(&waiting.group)
-            .map_or(1, |group| group.share);
-        self.shares.join(&waiting.group, share);
+            .workspaces
+            .get(&waiting.workspace)
+            .map_or(1, |workspace| workspace.share);
+        self.shares.join(&waiting.workspace, share);
         self.queues.entry(model).or_default().push(waiting);
     }
 
@@ -277,10 +287,10 @@
         if queue.is_empty() {
             self.queues.remove(model);
         }
-        if let Some(count) = self.group_waiting.get_mut(&waiting.group) {
+        if let Some(count) = self.workspace_waiting.get_mut(&waiting.workspace) {
             *count = count.saturating_sub(1);
             if *count == 0 {
-                self.shares.leave(&waiting.group);
+                self.shares.leave(&waiting.workspace);
             }
         }
         Some(waiting)
@@ -302,7 +312,7 @@
             if !self.has_free_slot(now, model) {
                 continue;
             }
-            let may_run = |waiting: &Waiting| self.group_may_run(waiting);
+            let may_run = |waiting: &Waiting| self.workspace_may_run(waiting);
             let Some(place) = queue.first(&self.shares, may_run) else {
                 continue;
             };
@@ -315,8 +325,12 @@
         Some((model, place, upstream))
     }
 
-    fn group_may_run(&self, waiting: &Waiting) -> bool {
-        let running = self.group_running.get(&waiting.group).copied().unwrap_or(0);
+    fn workspace_may_run(&self, waiting: &Waiting) -> bool {
+        let running = self
+            .workspace_running
+            .get(&waiting.workspace)
+            .copied()
+            .unwrap_or(0);
         waiting.max_running.is_none_or(|most| running < most)
     }
 
@@ -374,10 +388,13 @@
         upstream: UpstreamId,
     ) -> RouterAction {
         *self.upstream_running.entry(upstream.clone()).or_default() += 1;
-        *self.group_running.entry(waiting.group.clone()).or_default() += 1;
+        *self
+            .workspace_running
+            .entry(waiting.workspace.clone())
+            .or_default() += 1;
         *self.model_running.entry(model.clone()).or_default() += 1;
         self.shares
-            .charge(&waiting.group, i64::from(ASSUMED_TOKENS));
+            .charge(&waiting.workspace, i64::from(ASSUMED_TOKENS));
         self.budget.started();
         self.used.insert(model.clone());
         let action = RouterAction::Start {
@@ -404,13 +421,13 @@
             return actions;
         };
         decrement(&mut self.upstream_running, &running.upstream);
-        decrement(&mut self.group_running, &running.waiting.group);
+        decrement(&mut self.workspace_running, &running.waiting.workspace);
         decrement(&mut self.model_running, &running.model);
         self.used.insert(running.model.clone());
         match ended {
             Ended::Served { tokens } => {
                 let spent = i64::from(tokens) - i64::from(ASSUMED_TOKENS);
-                self.shares.charge(&running.waiting.group, spent);
+                self.shares.charge(&running.waiting.workspace, spent);
                 let took = now.saturating_duration_since(running.started_at);
                 let kept = self.service_time / SERVICE_TIME_DIVISOR * (SERVICE_TIME_DIVISOR - 1);
                 self.service_time = kept + took / SERVICE_TIME_DIVISOR;
@@ -445,7 +462,7 @@
         actions: &mut Vec<RouterAction>,
     ) {
         self.shares
-            .charge(&running.waiting.group, -i64::from(ASSUMED_TOKENS));
+            .charge(&running.waiting.workspace, -i64::from(ASSUMED_TOKENS));
         running.waiting.may_have_run |= ended == Ended::Failed;
         let in_time = now + ANSWER_MARGIN < running.waiting.give_up_at;
         if in_time && self.budget.take() {
--- a/crates/decide/src/router/events.rs
+++ b/crates/decide/src/router/events.rs
@@ -10,13 +10,13 @@
     pub request: RequestId,
     /// The model, adapter or alias that the caller names.
     pub model: String,
-    /// The caller's group.
-    pub group: String,
+    /// The caller's workspace.
+    pub workspace: String,
     /// The kind that the caller names, or empty.
     pub kind: String,
-    /// The priority that the caller asks for within its group.
+    /// The priority that the caller asks for within its workspace.
     pub priority: Option<u32>,
-    /// The caller's deadline; `None` takes the group's default.
+    /// The caller's deadline; `None` takes the workspace's default.
     pub deadline_at: Option<Instant>,
 }
 
--- a/crates/decide/src/router/queue.rs
+++ b/crates/decide/src/router/queue.rs
@@ -9,17 +9,17 @@
 pub struct Waiting {
     /// Its number.
     pub request: RequestId,
-    /// The caller's group.
-    pub group: GroupName,
-    /// The priority that the caller asks for; orders requests within the group.
+    /// The caller's workspace.
+    pub workspace: WorkspaceName,
+    /// The priority that the caller asks for; orders requests within the workspace.
     pub asked_priority: u32,
-    /// The priority that policy gives; orders requests across groups.
+    /// The priority that policy gives; orders requests across workspaces.
     pub priority: u32,
     /// The caller's deadline.
     pub deadline_at: Instant,
     /// When it is refused if it still waits; at most the deadline.
     pub give_up_at: Instant,
-    /// Most requests of the group that run at one time.
+    /// Most requests of the workspace that run at one time.
     pub max_running: Option<u32>,
     /// Whether an earlier attempt may have reached an upstream.
     pub may_have_run: bool,
@@ -46,24 +46,24 @@
     }
 }
 
-/// Order within one group: policy's priority, asked priority, deadline, arrival.
-type GroupKey = (u32, u32, Instant, RequestId);
+/// Order within one workspace: policy's priority, asked priority, deadline, arrival.
+type WorkspaceKey = (u32, u32, Instant, RequestId);
 
 /// Where a request stands; a smaller place goes first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     priority: u32,
-    /// Weighted tokens that the group has been served, in thousandths.
+    /// Weighted tokens that the workspace has been served, in thousandths.
     served_milli: u64,
-    key: GroupKey,
-    group: GroupName,
+    key: WorkspaceKey,
+    workspace: WorkspaceName,
 }
 
 /// The queue of one model.
 #[derive(Debug, Default)]
 pub struct ModelQueue {
-    groups: HashMap<GroupName, BTreeMap<GroupKey, Waiting>>,
-    by_request: HashMap<RequestId, (GroupName, GroupKey)>,
+    workspaces: HashMap<WorkspaceName, BTreeMap<WorkspaceKey, Waiting>>,
+    by_request: HashMap<RequestId, (WorkspaceName, WorkspaceKey)>,
 }
 
 impl ModelQueue {
@@ -71,9 +71,9 @@
     pub fn push(&mut self, waiting: Waiting) {
         let key = key_of(&waiting);
         self.by_request
-            .insert(waiting.request, (waiting.group.clone(), key));
-        self.groups
-            .entry(waiting.group.clone())
+            .insert(waiting.request, (waiting.workspace.clone(), key));
+        self.workspaces
+            .entry(waiting.workspace.clone())
             .or_default()
             .insert(key, waiting);
     }
@@ -88,41 +88,44 @@
         self.by_request.is_empty()
     }
 
-    /// The request that goes first: by priority, then the group that was served
-    /// least for its share, then the group's own order.
+    /// The request that goes first: by priority, then the workspace that was served
+    /// least for its share, then the workspace's own order.
     pub fn first(&self, shares: &ShareClock, may_run: impl Fn(&Waiting) -> bool) -> Option<Place> {
-        let heads = self.groups.values().filter_map(|group| group.iter().next());
+        let heads = self
+            .workspaces
+            .values()
+            .filter_map(|workspace| workspace.iter().next());
         let heads = heads.filter(|(_, waiting)| may_run(waiting));
         heads
             .map(|(key, waiting)| Place {
                 priority: waiting.priority,
-                served_milli: shares.served_milli(&waiting.group),
+                served_milli: shares.served_milli(&waiting.workspace),
                 key: *key,
-                group: waiting.group.clone(),
+                workspace: waiting.workspace.clone(),
             })
             .min()
     }
 
     /// The request with the earliest time to give up.
     pub fn earliest(&self) -> Option<&Waiting> {
-        let all = self.groups.values().flat_map(BTreeMap::values);
+        let all = self.workspaces.values().flat_map(BTreeMap::values);
         all.min_by_key(|waiting| waiting.give_up_at)
     }
 
     /// The place of a request.
     pub fn find(&self, request: RequestId) -> Option<Place> {
-        let (group, key) = self.by_request.get(&request)?;
+        let (workspace, key) = self.by_request.get(&request)?;
         Some(Place {
             priority: key.0,
             served_milli: 0,
             key: *key,
-            group: group.clone(),
+            workspace: workspace.clone(),
         })
     }
 
     /// The places of all requests that match.
     pub fn places(&self, matches: impl Fn(&Waiting) -> bool) -> Vec<Place> {
-        let all = self.groups.values().flat_map(BTreeMap::values);
+        let all = self.workspaces.values().flat_map(BTreeMap::values);
         all.filter(|waiting| matches(waiting))
             .filter_map(|w| self.find(w.request))
             .collect()
@@ -130,17 +133,17 @@
 
     /// Takes a request out.
     pub fn remove(&mut self, place: &Place) -> Option<Waiting> {
-        let group = self.groups.get_mut(&place.group)?;
-        let waiting = group.remove(&place.key)?;
-        if group.is_empty() {
-            self.groups.remove(&place.group);
+        let workspace = self.workspaces.get_mut(&place.workspace)?;
+        let waiting = workspace.remove(&place.key)?;
+        if workspace.is_empty() {
+            self.workspaces.remove(&place.workspace);
         }
         self.by_request.remove(&waiting.request);
         Some(waiting)
     }
 }
 
-fn key_of(waiting: &Waiting) -> GroupKey {
+fn key_of(waiting: &Waiting) -> WorkspaceKey {
     (
         waiting.priority,
         waiting.asked_priority,
--- a/crates/decide/src/router/reports.rs
+++ b/crates/decide/src/router/reports.rs
@@ -55,7 +55,7 @@
                 return;
             }
         }
-        let (group, priority) = (first.group.clone(), first.priority);
+        let (workspace, priority) = (first.workspace.clone(), first.priority);
         self.told.insert(
             model.clone(),
             Told {
@@ -64,13 +64,13 @@
                 earliest_deadline_at,
             },
         );
-        actions.push(self.demand(model, group, waiting, earliest_deadline_at, priority));
+        actions.push(self.demand(model, workspace, waiting, earliest_deadline_at, priority));
     }
 
     fn demand(
         &self,
         model: &ModelName,
-        group: GroupName,
+        workspace: WorkspaceName,
         waiting: u32,
         earliest_deadline_at: Instant,
         priority: u32,
@@ -78,7 +78,7 @@
         RouterAction::Demand(Demand {
             router: self.me,
             model: model.clone(),
-            group,
+            workspace,
             waiting,
             earliest_deadline_at,
             priority,
--- a/crates/decide/src/router/share.rs
+++ b/crates/decide/src/router/share.rs
@@ -1,8 +1,8 @@
-//! Fair sharing of tokens between groups: a virtual token counter.
+//! Fair sharing of tokens between workspaces: a virtual token counter.
 //!
-//! Each group has a counter of tokens served, divided by its share; the group
-//! with the lowest counter goes first. A group that comes back after it had
-//! nothing to do starts from the lowest counter of the active groups, so it can
+//! Each workspace has a counter of tokens served, divided by its share; the workspace
+//! with the lowest counter goes first. A workspace that comes back after it had
+//! nothing to do starts from the lowest counter of the active workspaces, so it can
 //! neither claim the time it was away nor be punished for it.
 
 use passway_types::prelude::*;
@@ -18,18 +18,18 @@
     active: bool,
 }
 
-/// The counters of all groups at one router.
+/// The counters of all workspaces at one router.
 #[derive(Debug, Default)]
 pub struct ShareClock {
-    counters: HashMap<GroupName, Counter>,
+    counters: HashMap<WorkspaceName, Counter>,
 }
 
 impl ShareClock {
-    /// A request of the group begins to wait.
-    pub fn join(&mut self, group: &GroupName, share: u32) {
+    /// A request of the workspace begins to wait.
+    pub fn join(&mut self, workspace: &WorkspaceName, share: u32) {
         let active = self.counters.values().filter(|counter| counter.active);
         let lowest_milli = active.map(|counter| counter.served_milli).min();
-        let counter = self.counters.entry(group.clone()).or_default();
+        let counter = self.counters.entry(workspace.clone()).or_default();
         counter.share = share.max(1);
         if !counter.active {
             counter.active = true;
@@ -37,25 +37,25 @@
         }
     }
 
-    /// No request of the group waits any more.
-    pub fn leave(&mut self, group: &str) {
-        if let Some(counter) = self.counters.get_mut(group) {
+    /// No request of the workspace waits any more.
+    pub fn leave(&mut self, workspace: &str) {
+        if let Some(counter) = self.counters.get_mut(workspace) {
             counter.active = false;
         }
     }
 
     /// Charges tokens; a negative number corrects an earlier guess.
-    pub fn charge(&mut self, group: &str, tokens: i64) {
-        if let Some(counter) = self.counters.get_mut(group) {
+    pub fn charge(&mut self, workspace: &str, tokens: i64) {
+        if let Some(counter) = self.counters.get_mut(workspace) {
             let milli = tokens * MILLI / i64::from(counter.share.max(1));
             counter.served_milli = counter.served_milli.saturating_add_signed(milli);
         }
     }
 
     /// Weighted tokens served, in thousandths.
-    pub fn served_milli(&self, group: &str) -> u64 {
+    pub fn served_milli(&self, workspace: &str) -> u64 {
         self.counters
-            .get(group)
+            .get(workspace)
             .map_or(0, |counter| counter.served_milli)
     }
 }
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -20,7 +20,7 @@
 pub const FEEDS: usize = 2;
 
 /// A holder that is silent for this long is not relied on; it speaks far more often.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Pause between two words of the holder when there is no news.
 pub const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
 /// Changes kept for instances that connect.
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -307,7 +307,7 @@
                 let deadline_in = demand.earliest_deadline_at.saturating_duration_since(now);
                 let body = Body::Demand(message::Demand {
                     model: demand.model.to_string(),
-                    group: demand.group.to_string(),
+                    workspace: demand.workspace.to_string(),
                     waiting: demand.waiting,
                     deadline_in_ms: u64::try_from(deadline_in.as_millis()).unwrap_or(u64::MAX),
                     priority: demand.priority,
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -74,7 +74,7 @@
         .ok_or_else(|| bad("`model` is missing".into()))?
         .to_owned();
     let is_streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
-    let (model_name, group_name) = (model.clone(), meta.group.clone());
+    let (model_name, workspace_name) = (model.clone(), meta.workspace.clone());
     let arrived_at = Instant::now();
     let (number, words) = shared.register();
     let job = Job {
@@ -97,7 +97,7 @@
     let arrival = Arrival {
         request: number,
         model,
-        group: meta.group,
+        workspace: meta.workspace,
         kind: meta.kind,
         priority: meta.priority,
         deadline_at: meta.deadline_at,
@@ -107,9 +107,9 @@
     let answered = job.run();
     let wait_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     match &answered {
-        Ok(_) => log::info!(request = label, model = model_name, group = group_name,
+        Ok(_) => log::info!(request = label, model = model_name, workspace = workspace_name,
             wait_ms = wait_ms; "request answered"),
-        Err(refusal) => log::info!(request = label, model = model_name, group = group_name,
+        Err(refusal) => log::info!(request = label, model = model_name, workspace = workspace_name,
             wait_ms = wait_ms, code = refusal.code as u16; "request refused"),
     }
     answered
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -7,11 +7,11 @@
 use passway_types::prelude::*;
 use serde::Serialize;
 
-/// Header that names the caller's group.
-pub const GROUP_HEADER: &str = "x-passway-group";
+/// Header that names the caller's workspace.
+pub const WORKSPACE_HEADER: &str = "x-passway-workspace";
 /// Header that gives the time until the deadline in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-passway-deadline-ms";
-/// Header that gives the priority within the group; a lower number goes first.
+/// Header that gives the priority within the workspace; a lower number goes first.
 pub const PRIORITY_HEADER: &str = "x-passway-priority";
 /// Header that names the kind of request, for policy.
 pub const KIND_HEADER: &str = "x-passway-kind";
@@ -22,8 +22,8 @@
 /// Header of a refusal: whether the request ran.
 pub const RAN_HEADER: &str = "x-passway-ran";
 
-/// Group of a caller that names none.
-const DEFAULT_GROUP: &str = "default";
+/// Workspace of a caller that names none.
+const DEFAULT_WORKSPACE: &str = "default";
 /// Refused connections come back after this time.
 const CONNECTIONS_RETRY: Duration = Duration::from_secs(1);
 
@@ -71,7 +71,7 @@
 /// What a caller says of its request in headers.
 #[derive(Debug)]
 pub(crate) struct Meta {
-    pub(crate) group: String,
+    pub(crate) workspace: String,
     pub(crate) kind: String,
     pub(crate) priority: Option<u32>,
     pub(crate) deadline_at: Option<Instant>,
@@ -102,9 +102,9 @@
             })?),
         };
     Ok(Meta {
-        group: request
-            .header(GROUP_HEADER)
-            .unwrap_or(DEFAULT_GROUP)
+        workspace: request
+            .header(WORKSPACE_HEADER)
+            .unwrap_or(DEFAULT_WORKSPACE)
             .to_owned(),
         kind: request.header(KIND_HEADER).unwrap_or_default().to_owned(),
         priority,
--- a/crates/standins/src/bin/passway-load.rs
+++ b/crates/standins/src/bin/passway-load.rs
@@ -172,7 +172,7 @@
 }
 
 fn call_of(request: &TraceRequest, number: usize, router: SocketAddr) -> Call {
-    let (group, tokens, deadline_s) = match request.purpose {
+    let (workspace, tokens, deadline_s) = match request.purpose {
         Purpose::Rush => ("stalls", 16, 8),
         Purpose::Lookup => ("default", 4, 8),
         Purpose::Night => ("growers", 60, 60),
@@ -180,7 +180,7 @@
     Call {
         router,
         model: request.model.clone(),
-        group: group.into(),
+        workspace: workspace.into(),
         prompt: format!("question {number}"),
         tokens,
         stream: true,
--- a/crates/standins/src/bin/passway-slopes.rs
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -150,7 +150,7 @@
         models: placements,
         adapters: 0,
         upstreams: placements.div_ceil(16),
-        groups: 4,
+        workspaces: 4,
         rules: 3,
         instances: 6,
     };
@@ -180,7 +180,7 @@
         Event::Demand(Demand {
             router: 1,
             model: model.clone(),
-            group: "group0".into(),
+            workspace: "workspace0".into(),
             waiting: 1,
             earliest_deadline_at: now + Duration::from_hours(1),
             priority: 1,
@@ -217,7 +217,7 @@
         let served = Demand {
             router: 1,
             model: model.clone(),
-            group: "group0".into(),
+            workspace: "workspace0".into(),
             waiting: 0,
             earliest_deadline_at: now,
             priority: 1,
@@ -471,7 +471,7 @@
                     call(&Call {
                         router: address,
                         model: "model1@1".into(),
-                        group: "default".into(),
+                        workspace: "default".into(),
                         prompt: format!("question {thread} {number}"),
                         tokens: 8,
                         stream: true,
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -17,8 +17,8 @@
     pub router: SocketAddr,
     /// The model, adapter or alias.
     pub model: String,
-    /// The group.
-    pub group: String,
+    /// The workspace.
+    pub workspace: String,
     /// Tells this request's answer from any other's.
     pub prompt: String,
     /// Tokens wanted.
@@ -81,7 +81,7 @@
                 let one = Call {
                     router: routers[number % routers.len()],
                     model: self.model.clone(),
-                    group: "default".into(),
+                    workspace: "default".into(),
                     prompt: format!("question {number}"),
                     tokens: self.tokens,
                     stream: number.is_multiple_of(2),
@@ -125,7 +125,7 @@
     let sent = agent(Some(call.deadline + PATIENCE), 0)
         .post(format!("http://{}/v1/chat/completions", call.router))
         .header("content-type", "application/json")
-        .header("x-passway-group", &call.group)
+        .header("x-passway-workspace", &call.workspace)
         .header(
             "x-passway-deadline-ms",
             call.deadline.as_millis().to_string(),
--- a/crates/standins/src/sizes.rs
+++ b/crates/standins/src/sizes.rs
@@ -2,7 +2,7 @@
 
 use passway_config::Catalog;
 use passway_config::document::{
-    AdapterEntry, Document, GroupEntry, ModelEntry, PolicyEntry, UpstreamEntry,
+    AdapterEntry, Document, ModelEntry, PolicyEntry, UpstreamEntry, WorkspaceEntry,
 };
 use passway_decide::messages::RouteChange;
 use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
@@ -17,8 +17,8 @@
     pub adapters: usize,
     /// Model engines.
     pub upstreams: usize,
-    /// Groups.
-    pub groups: usize,
+    /// Workspaces.
+    pub workspaces: usize,
     /// Policy rules.
     pub rules: usize,
     /// Entry instances.
@@ -31,7 +31,7 @@
         models: 50,
         adapters: 60,
         upstreams: 9,
-        groups: 4,
+        workspaces: 4,
         rules: 3,
         instances: 6,
     },
@@ -39,7 +39,7 @@
         models: 250,
         adapters: 2_900,
         upstreams: 200,
-        groups: 70,
+        workspaces: 70,
         rules: 30,
         instances: 107,
     },
@@ -47,16 +47,16 @@
         models: 730,
         adapters: 8_600,
         upstreams: 600,
-        groups: 200,
+        workspaces: 200,
         rules: 100,
         instances: 320,
     },
 ];
 /// A configuration of a size.
 pub fn document(size: &Size) -> Document {
-    let groups = (0..size.groups).map(|number| GroupEntry {
-        name: format!("group{number}"),
-        ..GroupEntry::default()
+    let workspaces = (0..size.workspaces).map(|number| WorkspaceEntry {
+        name: format!("workspace{number}"),
+        ..WorkspaceEntry::default()
     });
     let models = (0..size.models).map(|number| ModelEntry {
         name: format!("base-model-{number}"),
@@ -79,12 +79,12 @@
     });
     let policies = (0..size.rules).map(|number| PolicyEntry {
         name: format!("rule{number}"),
-        when: format!("group == 'group{number}' && kind == 'rush'"),
+        when: format!("workspace == 'workspace{number}' && kind == 'rush'"),
         priority: Some(10),
         ..PolicyEntry::default()
     });
     Document {
-        groups: groups.collect(),
+        workspaces: workspaces.collect(),
         models: models.collect(),
         adapters: adapters.collect(),
         upstreams: upstreams.collect(),
@@ -140,7 +140,7 @@
         let arrival = Arrival {
             request: self.requests,
             model: format!("base-model-{}@1", number % self.size.models),
-            group: format!("group{}", number % self.size.groups),
+            workspace: format!("workspace{}", number % self.size.workspaces),
             kind: "rush".into(),
             priority: None,
             deadline_at: None,
--- a/crates/standins/src/trace.rs
+++ b/crates/standins/src/trace.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// What a request is for; it decides group, length and deadline.
+/// What a request is for; it decides workspace, length and deadline.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
     /// A customer waits: a price suggestion, a rush reply.
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -7,8 +7,8 @@
 use crate::weight_store::{Pace, WeightStore};
 use anyhow::{Context, Result};
 use passway_config::document::{
-    AdapterEntry, Document, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry,
-    ServiceEntry, UpstreamEntry,
+    AdapterEntry, Document, Fencing, KeepEntry, KeepPolicyName, ModelEntry, ServiceEntry,
+    UpstreamEntry, WorkspaceEntry,
 };
 use passway_config::revision::{self, CURRENT_KEY, StoredRevision};
 use passway_config::settings::{ControllerSettings, RouterSettings};
@@ -325,9 +325,9 @@
 }
 
 fn base_document(plan: &WorldPlan) -> Document {
-    let groups = ["default", "stalls", "growers"].map(|name| GroupEntry {
+    let workspaces = ["default", "stalls", "growers"].map(|name| WorkspaceEntry {
         name: name.into(),
-        ..GroupEntry::default()
+        ..WorkspaceEntry::default()
     });
     let models = (0..plan.models).map(|number| ModelEntry {
         name: format!("model{number}"),
@@ -342,7 +342,7 @@
         ..AdapterEntry::default()
     });
     Document {
-        groups: groups.into(),
+        workspaces: workspaces.into(),
         models: models.collect(),
         adapters: adapters.collect(),
         keep: plan.keep.clone(),
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -11,8 +11,8 @@
 pub type AdapterName = Arc<str>;
 /// An upstream (a model engine or a plain service replica), unique in the catalog.
 pub type UpstreamId = Arc<str>;
-/// A group of callers that owns a share of the pool.
-pub type GroupName = Arc<str>;
+/// A workspace of callers that owns a share of the pool.
+pub type WorkspaceName = Arc<str>;
 /// A plain service that stands beside the model engines.
 pub type ServiceName = Arc<str>;
 /// A machine that runs passway's programs.
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -72,8 +72,8 @@
     BodyTooLarge = 1102, 413, NotRun;
     /// No model, adapter or alias of that name is configured.
     UnknownModel = 1103, 404, NotRun;
-    /// No group of that name is configured.
-    UnknownGroup = 1104, 403, NotRun;
+    /// No workspace of that name is configured.
+    UnknownWorkspace = 1104, 403, NotRun;
     /// The deadline is not a number, is zero, or is further off than the limit.
     BadDeadline = 1105, 400, NotRun;
     /// No plain service of that name is configured, or no such path.
@@ -94,8 +94,8 @@
     Draining = 1205, 503, NotRun;
     /// This instance holds no configuration that it knows to be current.
     ConfigStale = 1206, 503, NotRun;
-    /// The group is at a cap that policy sets.
-    GroupAtCap = 1207, 429, NotRun;
+    /// The workspace is at a cap that policy sets.
+    WorkspaceAtCap = 1207, 429, NotRun;
     /// Retries are spent; every attempt is known not to have started.
     NotStarted = 1208, 502, NotRun;
     /// The deadline came near while the request waited.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -321,9 +321,9 @@
     /// The model.
     #[prost(string, tag = "1")]
     pub model: String,
-    /// The group that waits first.
+    /// The workspace that waits first.
     #[prost(string, tag = "2")]
-    pub group: String,
+    pub workspace: String,
     /// Requests that wait.
     #[prost(uint32, tag = "3")]
     pub waiting: u32,
--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -51,8 +51,8 @@
             ResultCode::UnknownModel,
         ),
         (
-            post("x-passway-group: nobody\r\n", model),
-            ResultCode::UnknownGroup,
+            post("x-passway-workspace: nobody\r\n", model),
+            ResultCode::UnknownWorkspace,
         ),
         (
             post("x-passway-deadline-ms: 0\r\n", model),
--- a/tests/all/cell_faults.rs
+++ b/tests/all/cell_faults.rs
@@ -6,7 +6,7 @@
 use crate::support::from_environment;
 use passway_config::Document;
 use passway_config::document::{
-    AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
+    AdapterEntry, Fencing, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry, WorkspaceEntry,
 };
 use passway_decide::cell::upstreams::Standing;
 use passway_types::prelude::*;
@@ -43,9 +43,9 @@
         ..AdapterEntry::default()
     });
     Document {
-        groups: vec![GroupEntry {
+        workspaces: vec![WorkspaceEntry {
             name: "default".into(),
-            ..GroupEntry::default()
+            ..WorkspaceEntry::default()
         }],
         models: models.collect(),
         adapters: adapters.collect(),
--- a/tests/all/cell_scenarios.rs
+++ b/tests/all/cell_scenarios.rs
@@ -18,7 +18,7 @@
 use datadriven::{TestCase, walk};
 use passway_config::Document;
 use passway_config::document::{
-    AdapterEntry, Fencing, GroupEntry, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry,
+    AdapterEntry, Fencing, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry, WorkspaceEntry,
 };
 use passway_decide::cell::upstreams::Standing;
 use passway_decide::messages::DemandVerdict;
@@ -144,9 +144,9 @@
         ..AdapterEntry::default()
     };
     let document = Document {
-        groups: vec![GroupEntry {
+        workspaces: vec![WorkspaceEntry {
             name: "default".into(),
-            ..GroupEntry::default()
+            ..WorkspaceEntry::default()
         }],
         models: models.collect(),
         adapters: vec![adapter],
--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -648,7 +648,7 @@
         let demand = Demand {
             router: 1_000,
             model: model.into(),
-            group: "default".into(),
+            workspace: "default".into(),
             waiting,
             earliest_deadline_at: self.now + deadline,
             priority: 100,
--- a/tests/all/config_checks.rs
+++ b/tests/all/config_checks.rs
@@ -44,7 +44,7 @@
 #[test]
 fn catalog_faults() {
     let text = r#"{
-  "groups": [{ "name": "stalls", "share": 0 }, { "name": "stalls" }],
+  "workspaces": [{ "name": "stalls", "share": 0 }, { "name": "stalls" }],
   "models": [
     { "name": "price", "size_mb": 10, "colour": "red" },
     { "name": "huge", "size_mb": 999 },
@@ -53,29 +53,29 @@
   "adapters": [{ "name": "crop", "base": "nobody@1", "size_mb": 1 }],
   "upstreams": [{ "id": "e0", "address": "10.0.0.1:80", "data_hall": "a", "memory_mb": 100 }],
   "policies": [
-    { "name": "typo", "when": "group == 'stalls", "priority": 1 },
+    { "name": "typo", "when": "workspace == 'stalls", "priority": 1 },
     { "name": "unknown", "when": "colour == 'red'", "priority": 1 },
-    { "name": "loops", "when": "['a'].exists(x, x == group)", "priority": 1 },
+    { "name": "loops", "when": "['a'].exists(x, x == workspace)", "priority": 1 },
     { "name": "empty", "when": "true" },
   ],
 }"#;
     let faults = catalog::parse(text, 1).expect_err("faults").to_string();
     expect![[r#"
-        line 2: groups[0].share: must be at least 1
-        line 2: groups[1].name: stands twice
+        line 2: workspaces[0].share: must be at least 1
+        line 2: workspaces[1].name: stands twice
         line 4: models[0].colour: unknown field `colour`, expected one of `name`, `version`, `aliases`, `size_mb`, `max_replicas`, `cell`
         line 5: models[1].name: fits on no upstream of its cell
         line 6: models[2].cell: no upstream is in such a cell
         line 8: adapters[0].base: no such base model
-        line 11: policies[0].when: line 1, column 10: Syntax error: token recognition error at: ''stalls'; line 1, column 17: Syntax error: mismatched input '<EOF>' expecting {'[', '{', '(', '.', '-', '!', 'true', 'false', 'null', NUM_FLOAT, NUM_INT, NUM_UINT, STRING, BYTES, IDENTIFIER}
-        line 12: policies[1].when: unknown variable `colour`; known: group, model, kind, priority
+        line 11: policies[0].when: line 1, column 14: Syntax error: token recognition error at: ''stalls'; line 1, column 21: Syntax error: mismatched input '<EOF>' expecting {'[', '{', '(', '.', '-', '!', 'true', 'false', 'null', NUM_FLOAT, NUM_INT, NUM_UINT, STRING, BYTES, IDENTIFIER}
+        line 12: policies[1].when: unknown variable `colour`; known: workspace, model, kind, priority
         line 13: policies[2].when: loops (all, exists, map, filter) are refused
         line 14: policies[3].when: sets nothing"#]].assert_eq(&faults);
 }
 
 #[test]
 fn not_json() {
-    let faults = catalog::parse("{\n  \"groups\": [,]\n}", 1)
+    let faults = catalog::parse("{\n  \"workspaces\": [,]\n}", 1)
         .expect_err("faults")
         .to_string();
     expect!["line 2: file: Unexpected comma"].assert_eq(&faults);
--- a/tests/all/config_spread.rs
+++ b/tests/all/config_spread.rs
@@ -11,7 +11,7 @@
 fn next(before: &Current, author: &str, share: u32) -> StoredRevision {
     let (_, stored) = before.as_ref().expect("a revision");
     let mut document = stored.document.clone();
-    document.groups[0].share = share;
+    document.workspaces[0].share = share;
     StoredRevision {
         revision: stored.revision + 1,
         change_id: rand::random(),
--- a/tests/all/fair_share.rs
+++ b/tests/all/fair_share.rs
@@ -1,6 +1,6 @@
-//! Groups share a router by their shares, and a flood of one does not move another's tail.
+//! Workspaces share a router by their shares, and a flood of one does not move another's tail.
 
-use passway_config::document::{GroupEntry, ModelEntry, PolicyEntry, UpstreamEntry};
+use passway_config::document::{ModelEntry, PolicyEntry, UpstreamEntry, WorkspaceEntry};
 use passway_config::{Catalog, Document};
 use passway_decide::messages::RouteChange;
 use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
@@ -26,14 +26,14 @@
 
 impl Bench {
     fn new(policies: Vec<PolicyEntry>) -> Self {
-        let group = |name: &str, share| GroupEntry {
+        let workspace = |name: &str, share| WorkspaceEntry {
             name: name.into(),
             share,
             max_waiting: 100_000,
             default_deadline_ms: 3_600_000,
         };
         let document = Document {
-            groups: vec![group("big", 3), group("small", 1)],
+            workspaces: vec![workspace("big", 3), workspace("small", 1)],
             models: vec![ModelEntry {
                 name: "m".into(),
                 size_mb: 1,
@@ -73,14 +73,14 @@
         }
     }
 
-    fn ask(&mut self, group: &str) {
+    fn ask(&mut self, workspace: &str) {
         self.requests += 1;
         self.arrived
-            .insert(self.requests, (group.to_owned(), self.now));
+            .insert(self.requests, (workspace.to_owned(), self.now));
         let arrival = Arrival {
             request: self.requests,
             model: "m@1".into(),
-            group: group.into(),
+            workspace: workspace.into(),
             kind: String::new(),
             priority: None,
             deadline_at: None,
@@ -92,16 +92,16 @@
     fn perform(&mut self, actions: Vec<RouterAction>) {
         for action in actions {
             if let RouterAction::Start { request, .. } = action {
-                let (group, since) = self.arrived[&request].clone();
+                let (workspace, since) = self.arrived[&request].clone();
                 self.waits
-                    .entry(group.clone())
+                    .entry(workspace.clone())
                     .or_default()
                     .push(self.now - since);
-                *self.served.entry(group.clone()).or_default() += u64::from(TOKENS);
+                *self.served.entry(workspace.clone()).or_default() += u64::from(TOKENS);
                 self.running
-                    .insert((self.now + SERVICE, request), group.clone());
-                let now_running = self.running.values().filter(|g| **g == group).count();
-                let most = self.most_running.entry(group).or_default();
+                    .insert((self.now + SERVICE, request), workspace.clone());
+                let now_running = self.running.values().filter(|g| **g == workspace).count();
+                let most = self.most_running.entry(workspace).or_default();
                 *most = (*most).max(now_running);
             }
         }
@@ -122,19 +122,19 @@
         self.now = until;
     }
 
-    fn served(&self, group: &str) -> u64 {
-        self.served.get(group).copied().unwrap_or(0)
+    fn served(&self, workspace: &str) -> u64 {
+        self.served.get(workspace).copied().unwrap_or(0)
     }
 
-    fn p99(&self, group: &str) -> Duration {
-        let mut waits = self.waits[group].clone();
+    fn p99(&self, workspace: &str) -> Duration {
+        let mut waits = self.waits[workspace].clone();
         waits.sort();
         waits[waits.len() * 99 / 100]
     }
 }
 
 #[test]
-fn backlogged_groups() {
+fn backlogged_workspaces() {
     let mut bench = Bench::new(Vec::new());
     for _ in 0..2_000 {
         bench.ask("big");
@@ -143,20 +143,20 @@
     let mut largest_gap = 0;
     for step in 1..200 {
         bench.run_until(bench.start + SERVICE * step);
-        let weighted = |group: &str, share: u64| bench.served(group) / share;
+        let weighted = |workspace: &str, share: u64| bench.served(workspace) / share;
         largest_gap = largest_gap.max(weighted("big", 3).abs_diff(weighted("small", 1)));
     }
     println!("largest gap of weighted service: {largest_gap} tokens");
     assert!(largest_gap <= u64::from(TOKENS * SLOTS), "{largest_gap}");
 }
 
-/// The small group asks once in 100 ms, half of its share of the engine.
+/// The small workspace asks once in 100 ms, half of its share of the engine.
 fn small_tail(flood: bool) -> Duration {
     let mut bench = Bench::new(Vec::new());
     for step in 1..400 {
         bench.ask("small");
         if flood {
-            // Ten times the share of the big group.
+            // Ten times the share of the big workspace.
             for _ in 0..60 {
                 bench.ask("big");
             }
@@ -169,7 +169,7 @@
 #[test]
 fn flood_of_another() {
     let (alone, flooded) = (small_tail(false), small_tail(true));
-    println!("p99 wait of the small group: {alone:?} alone, {flooded:?} beside a flood");
+    println!("p99 wait of the small workspace: {alone:?} alone, {flooded:?} beside a flood");
     // One service time: the engine does not stop what it has begun.
     assert!(flooded <= alone + SERVICE, "{flooded:?}");
 }
@@ -178,7 +178,7 @@
 fn cap_holds_always() {
     let cap = PolicyEntry {
         name: "cap".into(),
-        when: "group == 'big'".into(),
+        when: "workspace == 'big'".into(),
         max_running: Some(2),
         ..PolicyEntry::default()
     };
--- a/tests/all/policy_rules.rs
+++ b/tests/all/policy_rules.rs
@@ -13,9 +13,9 @@
     }
 }
 
-fn attributes<'a>(group: &'a str, kind: &'a str) -> Attributes<'a> {
+fn attributes<'a>(workspace: &'a str, kind: &'a str) -> Attributes<'a> {
     Attributes {
-        group,
+        workspace,
         model: "m@1",
         kind,
         priority: 100,
@@ -26,7 +26,7 @@
 fn first_rule_decides() {
     let rules = [
         rule("kind == 'rush'", Some(1), None),
-        rule("group == 'drivers'", Some(5), Some(200)),
+        rule("workspace == 'drivers'", Some(5), Some(200)),
         rule("true", Some(9), None),
     ];
     let policy = Policy::compile(&rules).expect("compiles");
@@ -42,7 +42,7 @@
 
 #[test]
 fn cost_is_bounded() {
-    let long = vec!["group == 'a'"; MAX_NODES].join(" || ");
+    let long = vec!["workspace == 'a'"; MAX_NODES].join(" || ");
     let faults = Policy::compile(&[rule(&long, Some(1), None)]).expect_err("too long");
     assert!(
         faults[0].reason.contains("the limit is"),
@@ -53,6 +53,6 @@
 
 #[test]
 fn wrong_type_fails() {
-    let policy = Policy::compile(&[rule("group + 1 == 2", Some(1), None)]).expect("compiles");
+    let policy = Policy::compile(&[rule("workspace + 1 == 2", Some(1), None)]).expect("compiles");
     assert_eq!(policy.rule(&attributes("a", "")).priority, None);
 }
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -257,7 +257,7 @@
     let one = Call {
         router,
         model: model.into(),
-        group: "default".into(),
+        workspace: "default".into(),
         prompt: format!("question {number}"),
         tokens,
         stream: number.is_multiple_of(2),
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -1,6 +1,6 @@
 //! Retries stay within their budget when a third of the upstreams fail.
 
-use passway_config::document::{GroupEntry, ModelEntry, UpstreamEntry};
+use passway_config::document::{ModelEntry, UpstreamEntry, WorkspaceEntry};
 use passway_config::{Catalog, Document};
 use passway_decide::messages::RouteChange;
 use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
@@ -26,9 +26,9 @@
         ..ModelEntry::default()
     };
     let document = Document {
-        groups: vec![GroupEntry {
+        workspaces: vec![WorkspaceEntry {
             name: "default".into(),
-            ..GroupEntry::default()
+            ..WorkspaceEntry::default()
         }],
         models: vec![model],
         upstreams: upstreams.collect(),
@@ -56,7 +56,7 @@
         let arrival = Arrival {
             request,
             model: "m@1".into(),
-            group: "default".into(),
+            workspace: "default".into(),
             kind: String::new(),
             priority: None,
             deadline_at: None,
--- a/tests/all/router_faults.rs
+++ b/tests/all/router_faults.rs
@@ -4,7 +4,7 @@
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
 use crate::support::from_environment;
-use passway_config::document::{GroupEntry, ModelEntry, PolicyEntry, UpstreamEntry};
+use passway_config::document::{ModelEntry, PolicyEntry, UpstreamEntry, WorkspaceEntry};
 use passway_config::{Catalog, Document};
 use passway_decide::messages::{DemandVerdict, RouteChange};
 use passway_decide::router::{Arrival, Ended, RouterAction, RouterCore};
@@ -48,10 +48,10 @@
 }
 
 fn catalog() -> Catalog {
-    let groups = ["stalls", "growers"].map(|name| GroupEntry {
+    let workspaces = ["stalls", "growers"].map(|name| WorkspaceEntry {
         name: name.into(),
         max_waiting: 40,
-        ..GroupEntry::default()
+        ..WorkspaceEntry::default()
     });
     let models = (0..MODELS).map(|number| ModelEntry {
         name: format!("m{number}"),
@@ -73,7 +73,7 @@
         ..PolicyEntry::default()
     };
     let document = Document {
-        groups: groups.into(),
+        workspaces: workspaces.into(),
         models: models.collect(),
         upstreams: upstreams.collect(),
         policies: vec![wait],
@@ -124,7 +124,7 @@
         } else {
             ""
         };
-        let group = if self.rng.random_bool(0.5) {
+        let workspace = if self.rng.random_bool(0.5) {
             "stalls"
         } else {
             "growers"
@@ -132,7 +132,7 @@
         let arrival = Arrival {
             request,
             model: self.model().to_string(),
-            group: group.into(),
+            workspace: workspace.into(),
             kind: kind.into(),
             priority: None,
             deadline_at: Some(deadline_at),
--- a/tests/all/slow_store.rs
+++ b/tests/all/slow_store.rs
@@ -3,7 +3,7 @@
 
 use crate::cell_world::{CellWorld, Chances};
 use passway_config::Document;
-use passway_config::document::{GroupEntry, ModelEntry, UpstreamEntry, WeightStoreEntry};
+use passway_config::document::{ModelEntry, UpstreamEntry, WeightStoreEntry, WorkspaceEntry};
 use passway_decide::messages::RouteChange;
 use passway_decide::router::{Arrival, RouterAction, RouterCore};
 use passway_types::prelude::*;
@@ -28,9 +28,9 @@
             ..ModelEntry::default()
         });
         let document = Document {
-            groups: vec![GroupEntry {
+            workspaces: vec![WorkspaceEntry {
                 name: "default".into(),
-                ..GroupEntry::default()
+                ..WorkspaceEntry::default()
             }],
             models: models.collect(),
             upstreams: vec![UpstreamEntry {
@@ -65,7 +65,7 @@
         let arrival = Arrival {
             request: self.requests,
             model: format!("{model}@1"),
-            group: "default".into(),
+            workspace: "default".into(),
             kind: String::new(),
             priority: None,
             deadline_at: Some(self.world.now + deadline),
