An adapter in use keeps its place; older words of an engine are ignored

Also found: an entry's sequence counts the server's check-ins (seen in a trial with logs), so an older entry can be told by it. Change: a taken adapter unload holds its place until a report shows that it went; words with a lower number change nothing but leaving. Both tests fail without the change to the engine's state.

--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -269,6 +269,11 @@
 
     /// The engine has said something of itself.
     pub(super) fn heard(&mut self, entry: UpstreamEntry, now: Instant) {
+        if entry.beat < self.entry.beat {
+            // An older word, told late; only leaving is final.
+            self.entry.draining |= entry.draining;
+            return;
+        }
         let was_draining = self.entry.draining;
         self.entry = entry;
         self.entry.draining |= was_draining;
@@ -293,6 +298,8 @@
         let order = under_way.order();
         let model = order.wish.model.clone();
         self.ask_at = None;
+        // An answer that is still on its way is not waited for.
+        self.asked = false;
         self.closing.retain(|closing| *closing != model);
         self.models.retain(|m| m.name != model);
         if order.action == OrderAction::Load {
@@ -372,6 +379,11 @@
         }
         self.adapter_order = None;
         match answer {
+            OrderAnswer::Taken if order.action == OrderAction::Unload => {
+                // A run uses it: it takes its place until a report shows that it went.
+                self.orders_taken = None;
+                self.ask_at = Some(now + ASK_PAUSE);
+            }
             OrderAnswer::Taken => {
                 self.orders_taken = self.orders_taken.map(|taken| taken + 1);
                 self.adapter_due = Some((order.clone(), now + ADAPTER_TIME));
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -49,8 +49,8 @@
     pub in_memory: Vec<ModelName>,
     /// Checkpoints on its disk.
     pub on_disk: Vec<ModelName>,
-    /// Orders that it has taken.
-    pub orders_taken: u64,
+    /// Number of this word of its; grows while it lives.
+    pub beat: u64,
 }
 
 /// What a request needs on an engine.
@@ -185,6 +185,12 @@
             self.upstreams.insert(id, Upstream::new(entry, now));
             return true;
         };
+        if entry.beat < known.entry.beat {
+            // An older word, told late; only leaving is final.
+            let leaves = entry.draining && !known.entry.draining;
+            known.entry.draining |= entry.draining;
+            return leaves;
+        }
         if known.entry.models != entry.models {
             known.absent_until.clear();
         }
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -181,24 +181,27 @@
         let mut planner = Planner::default();
         planner.set_table(&table.expect("a configuration"));
         let now = Instant::now();
-        planner.heard(
-            UpstreamEntry {
-                id: "i-0".into(),
-                service: "engines".into(),
-                address: ([127, 0, 0, 1], 1).into(),
-                hall: "hall0".into(),
-                slots: 8,
-                draining: false,
-                gone_at: None,
-                models: vec![resident("m0"), resident("m1")],
-                in_memory: Vec::new(),
-                on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
-                orders_taken: 0,
-            },
-            now,
-        );
-        planner.begin_term();
-        Self { planner, now }
+        let mut planned = Self { planner, now };
+        planned.hear(1, &["m0", "m1"]);
+        planned.planner.begin_term();
+        planned
+    }
+
+    fn hear(&mut self, beat: u64, models: &[&str]) {
+        let entry = UpstreamEntry {
+            id: "i-0".into(),
+            service: "engines".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            hall: "hall0".into(),
+            slots: 8,
+            draining: false,
+            gone_at: None,
+            models: models.iter().map(|name| resident(name)).collect(),
+            in_memory: Vec::new(),
+            on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+            beat,
+        };
+        self.planner.heard(entry, self.now);
     }
 
     fn need(&mut self, model: &str) {
@@ -299,3 +302,74 @@
     planned.report(false, 0, &[]);
     assert_eq!(planned.orders(OrderAnswer::Taken), []);
 }
+
+#[test]
+fn used_adapter_keeps_place() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    let model = |adapters: &[&str]| ResidentModel {
+        name: "m0".into(),
+        adapters: adapters.iter().map(|name| (*name).into()).collect(),
+    };
+    let report = |orders_taken, adapters: &[&str]| EngineReport {
+        models: vec![model(adapters), resident("m1")],
+        busy: false,
+        orders_taken,
+        in_memory: Vec::new(),
+        on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+    };
+    let engine: UpstreamId = "i-0".into();
+    planned
+        .planner
+        .reported(&engine, Some(report(0, &["a1", "a2"])), planned.now);
+    let wish = ModelWish {
+        model: "m0".into(),
+        adapter: Some("a3".into()),
+    };
+    let until = planned.now + PATIENCE;
+    planned
+        .planner
+        .needed(&"engines".into(), &wish, until, planned.now);
+    // Both places are taken; a run holds the unload up.
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!(orders[0].action, OrderAction::Unload);
+    planned
+        .planner
+        .reported(&engine, Some(report(1, &["a1", "a2"])), planned.now);
+    let again = planned.orders(OrderAnswer::Taken);
+    assert!(
+        again
+            .iter()
+            .all(|order| order.action == OrderAction::Unload),
+        "{again:?}"
+    );
+    planned
+        .planner
+        .reported(&engine, Some(report(2, &["a2"])), planned.now);
+    let loads = planned.orders(OrderAnswer::Taken);
+    assert_eq!(
+        loads.first().map(|order| order.action),
+        Some(OrderAction::Load)
+    );
+}
+
+#[test]
+fn older_word_ignored() {
+    let mut planned = Planned::new();
+    planned.need("m2");
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    let victim = orders.first().expect("an unload").wish.model.clone();
+    let stays = if &*victim == "m0" { "m1" } else { "m0" };
+    // A word from when the place was empty once before.
+    planned.hear(0, &[stays]);
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+    planned.hear(2, &[stays]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(
+        orders.first().map(|order| order.action),
+        Some(OrderAction::Load)
+    );
+}
