A new holder listens first; earned repeats are kept; parts by the number of instances

Change: instances tell a new holder what they took in the last 4 s, which waits 450 ms; the bucket holds a window's earnings; the holder tells how many share.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -166,7 +166,7 @@
     };
     let is_engine = is_engine(&table, &service);
     let timeout_ms = facts.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    shared.retries().requested(&service);
+    shared.retries().requested(&service, arrived_at);
     Forwarding {
         shared,
         caller,
@@ -217,7 +217,7 @@
             let Some(target) = self.find_upstream(failed.is_none()) else {
                 return self.give_up(failed);
             };
-            if !first && !self.shared.retries().try_spend(&self.service) {
+            if !first && !self.may_repeat() {
                 return self.give_up(failed);
             }
             self.tried.push(target.id.clone());
@@ -259,6 +259,11 @@
         self.route.kind.may_run_again() && self.runs < self.route.attempts
     }
 
+    fn may_repeat(&self) -> bool {
+        let mut retries = self.shared.retries();
+        retries.try_spend(&self.service, Instant::now())
+    }
+
     fn tell(&self, need: Need) {
         // The thread that hears it ends only with the process.
         let _ = self.shared.needs.send(need);
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -229,7 +229,12 @@
     fn beat(&mut self, now: Instant) {
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + HEARTBEAT_PAUSE;
-            self.pass_on(&News::default());
+            let instances = self.subscribers.len() + 1;
+            self.shared.use_instances(instances);
+            self.pass_on(&News {
+                instances: u32::try_from(instances).unwrap_or(u32::MAX),
+                ..News::default()
+            });
         }
     }
 
@@ -272,7 +277,7 @@
                 }
             }
             if fence.is_some() {
-                self.planner.begin_term();
+                self.planner.begin_term(Instant::now());
             }
         }
         let Some(fence) = fence else {
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -240,6 +240,7 @@
                     from: from.max(1),
                     to: self.to,
                     values: values.collect(),
+                    instances: 0,
                 })
             }
         }
@@ -273,6 +274,7 @@
             from: 0,
             to: self.to,
             values: values.collect(),
+            instances: 0,
         })
     }
 
@@ -289,6 +291,7 @@
             from: known,
             to: self.to,
             values,
+            instances: 0,
         })
     }
 }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -10,9 +10,13 @@
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{EnginePlacement, Needs, Running, Subscribe, Wish};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+/// Time for which requests that were taken are told to a new holder: the time over
+/// which it averages.
+const RECENT: Duration = Duration::from_secs(4);
 /// Pause between two reports of use when nothing waits.
 const REPORT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -32,6 +36,8 @@
         last_running: Vec::new(),
         dialed: None,
         taken: BTreeMap::new(),
+        recent: VecDeque::new(),
+        is_new: Arc::default(),
     };
     std::thread::spawn(move || reporter.run(&needs));
 }
@@ -44,9 +50,15 @@
     subscribed_at: Option<Instant>,
     last_running: Vec<Running>,
     dialed: Option<(Holder, Dialer)>,
-    taken: BTreeMap<(ServiceName, ModelName, Option<AdapterName>), u32>,
+    taken: Taken,
+    /// What was taken lately, for a holder that begins its term.
+    recent: VecDeque<(Instant, ServiceName, ModelWish)>,
+    /// Set when a connection to a holder has been made that was told nothing yet.
+    is_new: Arc<AtomicBool>,
 }
 
+type Taken = BTreeMap<(ServiceName, ModelName, Option<AdapterName>), u32>;
+
 fn wish(service: &ServiceName, wish: &ModelWish, number: u32) -> Wish {
     Wish {
         service: service.to_string(),
@@ -76,7 +88,7 @@
             }
             self.dial();
             self.subscribe();
-            if due || !waiting.is_empty() {
+            if due || !waiting.is_empty() || self.is_new.load(Ordering::Acquire) {
                 self.send(waiting);
             }
         }
@@ -94,6 +106,15 @@
                 waiting.push(wish(&service, &wanted, left_ms));
             }
             Need::Taken { service, wish } => {
+                let now = Instant::now();
+                while self
+                    .recent
+                    .front()
+                    .is_some_and(|(at, ..)| *at + RECENT < now)
+                {
+                    self.recent.pop_front();
+                }
+                self.recent.push_back((now, service.clone(), wish.clone()));
                 *self
                     .taken
                     .entry((service, wish.model, wish.adapter))
@@ -121,6 +142,7 @@
         self.subscribed_at = None;
         let right = self.right.clone();
         let dialed_holder = holder.clone();
+        let is_new = self.is_new.clone();
         let dialer = Dialer::start(holder.address, move |dialed| {
             if right.holder().as_ref() != Some(&dialed_holder) {
                 // Another one holds the right by now; its own dialer speaks.
@@ -128,13 +150,20 @@
             }
             let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
             match dialed {
-                Dialed::Connected(outbox) => *link = Some(outbox),
+                Dialed::Connected(outbox) => {
+                    *link = Some(outbox);
+                    is_new.store(true, Ordering::Release);
+                }
                 Dialed::Disconnected => {
                     *link = None;
                     relay.lost();
                 }
                 Dialed::Received(Body::News(news)) => {
                     drop(link);
+                    if let Some(instances) = usize::try_from(news.instances).ok().filter(|n| *n > 0)
+                    {
+                        shared.use_instances(instances);
+                    }
                     relay.heard(news);
                 }
                 Dialed::Received(Body::Placements(placements)) => {
@@ -171,7 +200,11 @@
         let Some(outbox) = link.as_ref() else {
             return;
         };
-        let taken = std::mem::take(&mut self.taken);
+        let mut taken = std::mem::take(&mut self.taken);
+        if self.is_new.swap(false, Ordering::AcqRel) {
+            taken = recent_counts(&self.recent);
+            self.last_running.clear();
+        }
         let taken = taken.into_iter().map(|((service, model, adapter), count)| {
             wish(&service, &ModelWish { model, adapter }, count)
         });
@@ -197,6 +230,16 @@
     }
 }
 
+/// Counts what was taken lately.
+fn recent_counts(recent: &VecDeque<(Instant, ServiceName, ModelWish)>) -> Taken {
+    let mut taken = Taken::new();
+    for (_, service, wish) in recent {
+        let key = (service.clone(), wish.model.clone(), wish.adapter.clone());
+        *taken.entry(key).or_default() += 1;
+    }
+    taken
+}
+
 fn placed(shared: &Shared, engines: Vec<EnginePlacement>) {
     let mut upstreams = shared.upstreams();
     for placement in engines {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -75,7 +75,7 @@
         needs: Sender<Need>,
     ) -> Self {
         let upstreams = UpstreamTable::new(settings.hall.clone());
-        let retries = RetryBudget::new(settings.bounds.retry, crate::EXPECTED_INSTANCES);
+        let retries = RetryBudget::new(settings.bounds.retry, crate::UNKNOWN_INSTANCES);
         Self {
             bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
@@ -124,6 +124,11 @@
         self.bounds.store(Arc::new(bounds));
     }
 
+    /// Shares the fleet's allowances among so many instances, and some that may join.
+    pub fn use_instances(&self, instances: usize) {
+        self.retries().set_instances(instances + instances / 4 + 1);
+    }
+
     /// The upstreams were listed whole.
     pub fn set_upstreams_listed(&self) {
         self.upstreams_listed.store(true, Ordering::Release);
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -28,6 +28,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an unload that no run holds up.
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
+/// Time in which instances that hear of a new holder connect and tell what they use.
+const LISTENING_TIME: Duration = Duration::from_millis(450);
 /// An exchange that costs more than this is not made for a further replica.
 const REPLICA_COST_MS: f64 = 2_500.0;
 
@@ -78,6 +80,7 @@
     pools: BTreeMap<ServiceName, EnginePool>,
     demand: Demand,
     changed: BTreeSet<UpstreamId>,
+    listening_until: Option<Instant>,
 }
 
 impl Planner {
@@ -88,8 +91,10 @@
         self.pools = pools.collect();
     }
 
-    /// Forgets what was known of engines' orders, at the begin of a term.
-    pub fn begin_term(&mut self) {
+    /// Forgets what was known of engines' orders, at the begin of a term. Instances
+    /// tell within moments what they need and use; until then nothing gives way.
+    pub fn begin_term(&mut self, now: Instant) {
+        self.listening_until = Some(now + LISTENING_TIME);
         for engine in self.engines.values_mut() {
             engine.forget_orders();
         }
@@ -187,9 +192,12 @@
     /// What is to be done now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         self.demand.expire(now);
-        self.serve_needs(now);
-        self.add_replicas(now);
-        self.prefetch(now);
+        let listens = self.listening_until.is_some_and(|until| now < until);
+        if !listens {
+            self.serve_needs(now);
+            self.add_replicas(now);
+            self.prefetch(now);
+        }
         let mut actions = Vec::new();
         for (id, engine) in &mut self.engines {
             let Some(pool) = self.pools.get(&engine.entry.service) else {
@@ -212,7 +220,9 @@
     /// When to decide again if nothing is heard.
     pub fn next_look_at(&self, now: Instant) -> Instant {
         let dues = self.engines.values().filter_map(Engine::look_at);
-        dues.min().unwrap_or(now + Duration::from_secs(1))
+        let listening = self.listening_until.filter(|until| now < *until);
+        let next = dues.chain(listening).min();
+        next.unwrap_or(now + Duration::from_secs(1))
     }
 
     fn serve_needs(&mut self, now: Instant) {
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -7,6 +7,8 @@
 
 /// What it costs to wait for the runs of a model that gives way, in milliseconds.
 const RUNS_COST_MS: f64 = 1_500.0;
+/// What each run adds, since it shows that the model is in demand.
+const RUN_COST_MS: f64 = 400.0;
 /// What it costs to take a replica that its demand is worth, in milliseconds.
 const WANTED_COST_MS: f64 = 6_000.0;
 /// What one request a second for the model that gives way costs, in milliseconds.
@@ -67,8 +69,9 @@
         let replicas = self.replicas(service, model);
         let wanted = self.demand.wanted(service, model, now);
         let mut cost = 0.0;
-        if engine.runs(model) > 0 {
-            cost += RUNS_COST_MS;
+        let runs = engine.runs(model);
+        if runs > 0 {
+            cost += RUNS_COST_MS + RUN_COST_MS * f64::from(runs);
         }
         if replicas <= wanted {
             cost += RATE_COST_MS * rate;
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -5,15 +5,15 @@
 //! requests it took itself, and its part of the fixed allowance, so that no
 //! agreement is needed and nothing is borrowed.
 
-use std::collections::HashMap;
-
 use passway_types::prelude::*;
+use std::collections::HashMap;
 
-/// Part of the allowed ratio that is spent; the rest covers requests that are
-/// counted in another window than their repeats.
-const RATIO_PART: f64 = 0.7;
-/// Part of the fixed allowance that is spent, for instances that restart with a full bucket.
-const SLACK_PART: f64 = 0.8;
+/// Part of the allowed ratio that is earned. What was earned in one window may be
+/// spent in the next, so half of the ratio keeps each window inside the whole.
+const RATIO_PART: f64 = 0.5;
+/// Part of the fixed allowance that is spent. It comes back over one window, so a
+/// window may see it twice.
+const SLACK_PART: f64 = 0.45;
 
 /// The allowance of the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -22,6 +22,17 @@
     pub ratio: f64,
     /// Repeats in a window whatever the requests.
     pub slack: f64,
+    /// The window, in seconds.
+    pub window_s: f64,
+}
+
+/// What one service may still be sent.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    left: f64,
+    /// Requests of about one window, as a count that fades.
+    recent: f64,
+    at: Instant,
 }
 
 /// Repeats that may still be sent, by service.
@@ -29,7 +40,7 @@
 pub struct RetryBudget {
     allowance: RetryAllowance,
     instances: f64,
-    left: HashMap<ServiceName, f64>,
+    buckets: HashMap<ServiceName, Bucket>,
 }
 
 impl RetryBudget {
@@ -38,7 +49,7 @@
         Self {
             allowance,
             instances: count(instances),
-            left: HashMap::new(),
+            buckets: HashMap::new(),
         }
     }
 
@@ -52,25 +63,43 @@
         self.instances = count(instances);
     }
 
-    fn cap(&self) -> f64 {
+    fn part(&self) -> f64 {
         self.allowance.slack * SLACK_PART / self.instances
     }
 
+    fn bucket(&mut self, service: &ServiceName, now: Instant) -> &mut Bucket {
+        let part = self.part();
+        let window_s = self.allowance.window_s;
+        let earned = self.allowance.ratio * RATIO_PART;
+        let bucket = self.buckets.entry(service.clone()).or_insert(Bucket {
+            left: part,
+            recent: 0.0,
+            at: now,
+        });
+        let quiet_s = now.saturating_duration_since(bucket.at).as_secs_f64();
+        bucket.at = now;
+        bucket.recent *= (-quiet_s / window_s).exp();
+        // The fixed part comes back over a window; what was earned fades with its requests.
+        let most = part + earned * bucket.recent;
+        bucket.left = (bucket.left + part * quiet_s / window_s).min(most);
+        bucket
+    }
+
     /// A request for the service was taken.
-    pub fn requested(&mut self, service: &ServiceName) {
-        let cap = self.cap();
-        let left = self.left.entry(service.clone()).or_insert(cap);
-        *left = (*left + self.allowance.ratio * RATIO_PART).min(cap);
+    pub fn requested(&mut self, service: &ServiceName, now: Instant) {
+        let earned = self.allowance.ratio * RATIO_PART;
+        let bucket = self.bucket(service, now);
+        bucket.recent += 1.0;
+        bucket.left += earned;
     }
 
     /// Spends one repeat if there is one left.
-    pub fn try_spend(&mut self, service: &ServiceName) -> bool {
-        let cap = self.cap();
-        let left = self.left.entry(service.clone()).or_insert(cap);
-        if *left < 1.0 {
+    pub fn try_spend(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let bucket = self.bucket(service, now);
+        if bucket.left < 1.0 {
             return false;
         }
-        *left -= 1.0;
+        bucket.left -= 1.0;
         true
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -103,6 +103,9 @@
     /// The changes, or all values.
     #[prost(message, repeated, tag = "4")]
     pub values: Vec<NewsValue>,
+    /// Instances that the holder knows of; 0 if it does not say.
+    #[prost(uint32, tag = "5")]
+    pub instances: u32,
 }
 
 /// A model or adapter of a service.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod process_kills;
 mod processes;
 mod retry_budget;
+mod retry_share;
 mod router_faults;
 mod site;
 mod slow_store;
