Streams leave a silent server; callers that left are seen before a request is sent

Change: the caller's end is looked at before each attempt; a server that works and is not heard of for 700 ms costs like a failing one, and a resumable stream on it goes on elsewhere. No answer is ended sooner for it. silent_server_left fails with the move taken out.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::shared::{Need, Shared};
 use passway_serving::headers::Headers;
 use passway_serving::ports::{RequestFacts, Stamp};
-use passway_serving::routes::{Route, RouteTable};
+use passway_serving::routes::{RequestKind, Route, RouteTable};
 use passway_serving::upstreams::{Choice, Outcome};
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -24,6 +24,11 @@
 const WAIT_STEP: Duration = Duration::from_millis(200);
 /// Pause between two words to the holder of the right to order about one waiting request.
 const TELL_PAUSE: Duration = Duration::from_millis(400);
+/// A stream that may go on elsewhere does so after a pause of so many times its goal
+/// for pauses, if nothing else is heard of its upstream either.
+const SILENT_GAPS: u64 = 3;
+/// Shortest such pause.
+const MIN_SILENCE: Duration = Duration::from_millis(800);
 /// Part of its time that a request may wait for an upstream before it is refused.
 const WAIT_PART: f64 = 0.45;
 /// A request that may run once goes over a connection that has rested at most this long.
@@ -342,8 +347,14 @@
     }
 
     fn attempt(&mut self, target: &Target) -> Attempt {
+        if self.caller.is_closed() {
+            return Attempt::CallerGone;
+        }
         let wish = self.wish().cloned();
-        self.shared.upstreams().started(&target.id, wish.as_ref());
+        let now = Instant::now();
+        self.shared
+            .upstreams()
+            .started(&target.id, wish.as_ref(), now);
         let attempt = self.exchange(target);
         let outcome = match &attempt {
             Attempt::Answered(_) => Outcome::Answered,
@@ -380,6 +391,28 @@
         }
     }
 
+    /// Until when to wait before it is looked whether the upstream is silent. Only a
+    /// stream that may go on elsewhere is looked at; any other ends by its own times.
+    fn step_until(&self) -> Instant {
+        let may_move = self.route.kind == RequestKind::Stream { resumable: true }
+            && self.runs + 1 < self.route.attempts;
+        if !may_move {
+            return self.deadline_at;
+        }
+        let step = Duration::from_millis(self.route.gap_goal_ms * SILENT_GAPS);
+        self.deadline_at.min(Instant::now() + step.max(MIN_SILENCE))
+    }
+
+    fn is_silent(&self, target: &Target) -> bool {
+        let now = Instant::now();
+        self.shared.upstreams().is_silent(&target.id, now)
+    }
+
+    fn heard(&self, target: &Target) {
+        let now = Instant::now();
+        self.shared.upstreams().heard(&target.id, now);
+    }
+
     fn request_bytes(&self, target: &Target) -> Vec<u8> {
         let left = self.deadline_at.saturating_duration_since(Instant::now());
         let stamp = Stamp {
@@ -413,13 +446,19 @@
             Err(_) => return Attempt::Broken,
         };
         for _ in 0..=MAX_SURPLUS_ANSWERS {
-            let answer = http1::read_answer_head(&mut upstream, Some(self.caller), until);
-            let head = match answer {
-                Ok(head) => head,
-                Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-                Err(HttpError::TimedOut) => return Attempt::TimedOut,
-                Err(_) => return Attempt::Broken,
+            let head = loop {
+                let step = self.step_until();
+                match http1::read_answer_head(&mut upstream, Some(self.caller), step) {
+                    Ok(head) => break head,
+                    Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
+                    Err(HttpError::TimedOut) if Instant::now() >= until => {
+                        return Attempt::TimedOut;
+                    }
+                    Err(HttpError::TimedOut) if !self.is_silent(target) => {}
+                    Err(_) => return Attempt::Broken,
+                }
             };
+            self.heard(target);
             let facts = self
                 .shared
                 .vocabulary
@@ -571,17 +610,21 @@
         let mut events = Vec::new();
         loop {
             received.clear();
-            let until = self.deadline_at;
+            let until = self.step_until();
             let part = body.next(&mut upstream, &mut received, Some(self.caller), until);
             let ended = match part {
                 Ok(part) => part == BodyPart::End,
                 Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-                Err(HttpError::TimedOut) => return Attempt::TimedOut,
+                Err(HttpError::TimedOut) if Instant::now() >= self.deadline_at => {
+                    return Attempt::TimedOut;
+                }
+                Err(HttpError::TimedOut) if !self.is_silent(target) => continue,
                 Err(_) => {
                     self.relay.cutter.drop_partial();
                     return Attempt::Broken;
                 }
             };
+            self.heard(target);
             events.clear();
             self.relay.cutter.add(&received, &mut events);
             if ended {
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -14,6 +14,11 @@
 const OTHER_HALL_COST: f64 = 0.04;
 /// An upstream that could not be reached gets nothing for this long if there is another.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
+/// What an upstream costs that has been silent, in units of its slots.
+const SILENCE_COST: f64 = 3.0;
+/// An upstream that works and is not heard of for this long counts as silent: its
+/// streams send an event every few hundredths of a second.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 /// A model that an upstream said it does not have is not asked for there for this long.
 const ABSENT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -96,6 +101,8 @@
     entry: UpstreamEntry,
     in_flight: u32,
     in_flight_models: HashMap<ModelName, u32>,
+    /// Since when nothing was heard while requests run; `None` while none runs.
+    silent_since: Option<Instant>,
     failure_rate: f64,
     judged_at: Instant,
     unreachable_until: Instant,
@@ -110,6 +117,7 @@
             entry,
             in_flight: 0,
             in_flight_models: HashMap::new(),
+            silent_since: None,
             failure_rate: 0.0,
             judged_at: now,
             unreachable_until: now,
@@ -141,6 +149,11 @@
         self.failure_rate * 0.5_f64.powf(quiet_s / FAILURE_HALF_LIFE_S)
     }
 
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silent_since
+            .is_some_and(|since| now >= since + SILENCE_LIMIT)
+    }
+
     fn cost(&self, hall: &DataHall, now: Instant) -> f64 {
         let load = f64::from(self.in_flight) / f64::from(self.entry.slots.max(1));
         let away = if self.entry.hall == *hall {
@@ -148,7 +161,12 @@
         } else {
             OTHER_HALL_COST
         };
-        load + away + FAILURE_COST * self.failure_rate(now)
+        let silence = if self.is_silent(now) {
+            SILENCE_COST
+        } else {
+            0.0
+        };
+        load + away + silence + FAILURE_COST * self.failure_rate(now)
     }
 }
 
@@ -276,9 +294,10 @@
     }
 
     /// A request was sent to an upstream.
-    pub fn started(&mut self, id: &str, wish: Option<&ModelWish>) {
+    pub fn started(&mut self, id: &str, wish: Option<&ModelWish>, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.in_flight += 1;
+            upstream.silent_since.get_or_insert(now);
             if let Some(wish) = wish {
                 let count = upstream.in_flight_models.entry(wish.model.clone());
                 *count.or_default() += 1;
@@ -286,12 +305,29 @@
         }
     }
 
+    /// Bytes have come from an upstream.
+    pub fn heard(&mut self, id: &str, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.silent_since = Some(now);
+        }
+    }
+
+    /// Whether an upstream that works has not been heard of for long.
+    pub fn is_silent(&self, id: &str, now: Instant) -> bool {
+        self.upstreams
+            .get(id)
+            .is_some_and(|upstream| upstream.is_silent(now))
+    }
+
     /// A request that was sent to an upstream has ended.
     pub fn ended(&mut self, id: &str, wish: Option<&ModelWish>, outcome: Outcome, now: Instant) {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        if upstream.in_flight == 0 {
+            upstream.silent_since = None;
+        }
         if let Some(wish) = wish
             && let Some(count) = upstream.in_flight_models.get_mut(&wish.model)
         {
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -15,6 +15,8 @@
 pub struct Faults {
     /// Cuts the next stream off after so many events.
     pub cuts_after: Option<u64>,
+    /// Sends nothing more after so many events of the next stream.
+    pub silent_after: Option<u64>,
     /// Takes the next order and does not answer it.
     pub loses_answer: bool,
 }
@@ -224,6 +226,7 @@
         }
         state.runs.push(id.to_owned());
         let cuts_after = state.faults.cuts_after.take();
+        let silent_after = state.faults.silent_after.take();
         drop(state);
         let from = received
             .header("last-event-id")
@@ -241,6 +244,10 @@
                 steps.push(Step::Close);
                 return steps;
             }
+            if silent_after.is_some_and(|after| number > after) {
+                steps.push(Step::Pause(Duration::from_secs(30)));
+                return steps;
+            }
             let event = event(number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             steps.push(Step::Send(chunk.into_bytes()));
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -391,3 +391,29 @@
     let orders = planned.orders(OrderAnswer::Taken);
     assert_eq!(orders.first().map(|order| &*order.wish.model), Some("m1"));
 }
+
+#[test]
+fn silent_server_left() {
+    let store = site::store(&["m0"]);
+    let one = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
+    let two = ModelServer::start(&store, "i-1", "engines", 2, &["m0"], &[]);
+    let instance = site::ready("one", &store);
+    // Whichever is first falls silent after two events; its connection stays open.
+    for server in [&one, &two] {
+        server.set_faults(Faults {
+            silent_after: Some(2),
+            ..Faults::default()
+        });
+    }
+    let answers: Vec<_> = (0..2)
+        .map(|number| {
+            let address = instance.callers_address();
+            std::thread::spawn(move || stream(address, "chat", &format!("c{number}"), "m0"))
+        })
+        .collect();
+    for answer in answers {
+        let answer = answer.join().expect("a caller");
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.body, all_events());
+    }
+}
