--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,8 @@
 mod fair_share;
 mod model_orders;
 mod pass_through;
+mod platform_soak;
+mod platform_words;
 mod policy_rules;
 mod process_kills;
 mod processes;
--- /dev/null
+++ b/tests/all/platform_soak.rs
@@ -0,0 +1,199 @@
+//! A randomized soak of two instances among stand-ins: stores that fail, servers that
+//! cut, fall silent and lose answers, instances that stop and come back.
+//!
+//! `PASSWAY_SOAK_STEPS` sets its length, `PASSWAY_SOAK_SEED` the seed. What must hold is
+//! judged from the stand-ins' ledgers and the callers' answers, never from times.
+
+use crate::site::{self, ask, list_plain, request, until};
+use crate::support::from_environment;
+use passway_instance::Instance;
+use passway_standins::platform::model_server::{self, EVENTS, ModelServer, event};
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_standins::platform::store::{Faults, MetadataStandIn};
+use passway_types::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+const DEFAULT_STEPS: u64 = 40;
+const MODELS: [&str; 5] = ["m0", "m1", "m2", "m3", "m4"];
+/// Chance of each fault in a step.
+const FAULT_CHANCE: f64 = 0.15;
+
+type Answers = Arc<Mutex<Vec<(String, u16)>>>;
+
+/// A plain server that breaks off, sheds or answers, by turns.
+fn plain() -> RawServer {
+    RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let head = |status, more: &str| {
+            let text = format!(
+                "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n{more}\r\nok"
+            );
+            vec![Step::Send(text.into_bytes())]
+        };
+        match received.number % 7 {
+            2 => vec![Step::Close],
+            4 => head(503, "Not-Executed: 1\r\n"),
+            5 => head(500, "Response-Seal: s\r\n"),
+            _ => head(200, "Response-Seal: s\r\n"),
+        }
+    })
+}
+
+fn draw_store_faults(rng: &mut ChaCha8Rng) -> Faults {
+    let mut faults = Faults::default();
+    match rng.random_range(0..4) {
+        0 => faults.refuses = Some(503),
+        1 => faults.refuses = Some(429),
+        2 => faults.talks_garbage = true,
+        _ => faults.loses_answers = 2,
+    }
+    faults
+}
+
+fn draw_server_faults(rng: &mut ChaCha8Rng) -> model_server::Faults {
+    let after = Some(rng.random_range(0..EVENTS));
+    match rng.random_range(0..3) {
+        0 => model_server::Faults {
+            cuts_after: after,
+            ..Default::default()
+        },
+        1 => model_server::Faults {
+            silent_after: after,
+            ..Default::default()
+        },
+        _ => model_server::Faults {
+            loses_answer: true,
+            ..Default::default()
+        },
+    }
+}
+
+/// One caller: a stream or a call that may run once.
+fn call(address: std::net::SocketAddr, number: u64, model: &str, answers: &Answers) {
+    let id = format!("r{number}");
+    let (path, more) = match number % 3 {
+        0 => ("/pay/", String::new()),
+        1 => ("/chat/", format!("Model: {model}\r\n")),
+        _ => ("/report/", format!("Model: {model}\r\n")),
+    };
+    let more = more + "Connection: close\r\n";
+    let bytes = request("POST", path, &id, &more, "{}");
+    let Some(answer) = ask(address, &bytes) else {
+        return;
+    };
+    if answer.status == 200 && number % 3 > 0 {
+        let events: Vec<String> = (1..=EVENTS).map(event).collect();
+        assert!(events.concat().starts_with(&answer.body), "{}", answer.body);
+        assert!(
+            !answer.whole || answer.body == events.concat(),
+            "{}",
+            answer.body
+        );
+    }
+    answers.lock().expect("answers").push((id, answer.status));
+}
+
+fn start_two(store: &MetadataStandIn) -> [Instance; 2] {
+    ["one", "two"].map(|name| site::ready(name, store))
+}
+
+#[test]
+fn random_faults() {
+    let steps = from_environment("PASSWAY_SOAK_STEPS", DEFAULT_STEPS);
+    let mut rng = ChaCha8Rng::seed_from_u64(from_environment("PASSWAY_SOAK_SEED", 1));
+    let store = site::store(&MODELS);
+    let plains = [plain(), plain()];
+    for (number, server) in plains.iter().enumerate() {
+        list_plain(&store, &format!("p-{number}"), server.address, "ready");
+    }
+    let servers = ["i-0", "i-1", "i-2"]
+        .map(|id| ModelServer::start(&store, id, "engines", 2, &["m0", "m1"], &["m2", "m3", "m4"]));
+    let mut instances = start_two(&store);
+    let answers = Answers::default();
+    let mut callers = Vec::new();
+    for step in 0..steps {
+        if rng.random_bool(FAULT_CHANCE) {
+            store.set_faults(draw_store_faults(&mut rng));
+        } else if rng.random_bool(0.5) {
+            store.set_faults(Faults::default());
+        }
+        if rng.random_bool(FAULT_CHANCE) {
+            store.forget_history();
+        }
+        for server in &servers {
+            if rng.random_bool(FAULT_CHANCE) {
+                server.set_faults(draw_server_faults(&mut rng));
+            }
+        }
+        if rng.random_bool(FAULT_CHANCE / 3.0) {
+            // One is restarted; the other takes over the right to order.
+            let which = rng.random_range(0..2);
+            instances[which].stop();
+            store.set_faults(Faults::default());
+            instances[which] = site::ready(["one", "two"][which], &store);
+        }
+        for part in 0..4 {
+            let number = step * 4 + part;
+            let address = instances[rng.random_range(0..2)].callers_address();
+            let model = MODELS[rng.random_range(0..MODELS.len())];
+            let answers = answers.clone();
+            callers.push(std::thread::spawn(move || {
+                call(address, number, model, &answers)
+            }));
+        }
+        std::thread::sleep(Duration::from_millis(rng.random_range(10..60)));
+    }
+    store.set_faults(Faults::default());
+    for caller in callers {
+        caller.join().expect("a caller");
+    }
+    judge(&servers, &plains, &answers);
+    until("service after the faults", || {
+        let bytes = request("POST", "/report/", "last", "Model: m4\r\n", "{}");
+        let answer = ask(instances[0].callers_address(), &bytes);
+        answer.is_some_and(|answer| answer.whole && answer.status == 200)
+    });
+}
+
+fn judge(servers: &[ModelServer], plains: &[RawServer], answers: &Answers) {
+    let answers = answers.lock().expect("answers");
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for server in servers {
+        assert_eq!(server.over_limit(), 0, "an order to load without room");
+        let mut highest = 0;
+        for order in server.taken() {
+            assert!(
+                order.fence >= highest,
+                "an older holder's order after a newer one's"
+            );
+            highest = order.fence;
+        }
+        for id in server.runs() {
+            *runs.entry(id).or_default() += 1;
+        }
+    }
+    for server in plains {
+        // The fourth of seven is shed; every other one counts as run.
+        for received in server.received().iter().filter(|r| r.number % 7 != 4) {
+            let id = received.header("request-id").unwrap_or_default();
+            *runs.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    for (id, count) in &runs {
+        let number: u64 = id[1..].parse().unwrap_or(1);
+        let may_resume = number % 3 == 1;
+        assert!(may_resume || *count <= 1, "{id} ran {count} times");
+    }
+    for (id, status) in answers.iter() {
+        let number: u64 = id[1..].parse().unwrap_or(1);
+        let refused = matches!(status, 429 | 503);
+        let once_only = number % 3 != 1;
+        assert!(
+            !(refused && once_only && runs.contains_key(id)),
+            "{id} ran and was refused"
+        );
+    }
+}
