Few calls to a store that does not answer; shed servers rest; turns for the right

Change: pauses double and are shared over an instance's feeds; a server that sheds rests 80 ms; instances draw a moment within 250 ms to take the key.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,7 +1,7 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
 use crate::holder::Input;
-use crate::relay::{Tap, Told};
+use crate::relay::{CONFIGURATION, Tap, Told};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -13,8 +13,6 @@
 
 /// Longest wait of one watch; a watch on a connection that was cut silently is noticed after it.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
-/// Pause after the store refused or did not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest wait for the holder's news before its standing is looked at again.
 const RELAY_STEP: Duration = Duration::from_millis(250);
@@ -29,6 +27,8 @@
     fn changed(&mut self, change: &StoreChange) -> bool;
     /// All changes that are known were taken in; the pause before asking for more.
     fn settled(&mut self) -> Duration;
+    /// What the instance shares.
+    fn shared(&self) -> &Shared;
 }
 
 /// Follows a prefix for as long as the process lives: by the holder of the right to
@@ -47,6 +47,7 @@
         feed,
         known: None,
         rested: false,
+        failures: 0,
     };
     std::thread::spawn(move || follower.run());
 }
@@ -61,6 +62,8 @@
     known: Option<StoreRevision>,
     /// Whether it has rested while others were relayed.
     rested: bool,
+    /// Calls in a row that the store did not answer.
+    failures: u32,
 }
 
 impl<F: Feed> Follower<F> {
@@ -80,10 +83,17 @@
                 self.known = None;
             }
             match self.ask() {
-                Ok(()) => std::thread::sleep(self.feed.settled()),
+                Ok(()) => {
+                    self.failures = 0;
+                    self.feed.shared().store_health.answered();
+                    std::thread::sleep(self.feed.settled());
+                }
                 Err(error) => {
                     log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
-                    std::thread::sleep(RETRY_PAUSE);
+                    let health = &self.feed.shared().store_health;
+                    health.failed();
+                    health.pause(self.failures, self.tap.feed == Some(CONFIGURATION));
+                    self.failures += 1;
                 }
             }
         }
@@ -201,6 +211,10 @@
     fn settled(&mut self) -> Duration {
         Duration::ZERO
     }
+
+    fn shared(&self) -> &Shared {
+        &self.shared
+    }
 }
 
 /// Takes in the upstreams.
@@ -287,4 +301,8 @@
             UPSTREAM_PAUSE
         }
     }
+
+    fn shared(&self) -> &Shared {
+        &self.shared
+    }
 }
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -29,6 +29,8 @@
 const SILENT_GAPS: u64 = 3;
 /// Shortest such pause.
 const MIN_SILENCE: Duration = Duration::from_millis(800);
+/// Longest time between two looks whether a full upstream has room.
+const FULL_STEP: Duration = Duration::from_millis(40);
 /// Part of its time that a request may wait for an upstream before it is refused.
 const WAIT_PART: f64 = 0.45;
 /// A request that may run once goes over a connection that has rested at most this long.
@@ -236,12 +238,9 @@
                     return self.give_up(failed);
                 }
                 Attempt::NotSent => {}
-                Attempt::NotRun(_) => {
-                    // What is full now may have room in a moment.
-                    if self.tried.len() >= 3 {
-                        self.tried.clear();
-                    }
-                }
+                // What is full now may have room in a moment.
+                Attempt::NotRun(Outcome::Shed) => self.tried.clear(),
+                Attempt::NotRun(_) => {}
                 Attempt::Broken => {
                     self.runs += 1;
                     if !self.may_run_again() {
@@ -318,7 +317,8 @@
             }
             let is_absent = choice == Choice::Absent;
             if !is_absent || told_at.is_some() {
-                let step = WAIT_STEP.min(wait_until - now);
+                let longest = if is_absent { WAIT_STEP } else { FULL_STEP };
+                let step = longest.min(wait_until - now);
                 self.shared.wait_for_upstreams(upstreams, step);
             } else {
                 drop(upstreams);
@@ -522,7 +522,7 @@
                 self.shared.upstreams().absent(&target.id, wish, now);
                 return Attempt::NotRun(Outcome::Unknown);
             }
-            return Attempt::NotRun(Outcome::Failed);
+            return Attempt::NotRun(Outcome::Shed);
         }
         if is_success {
             return Attempt::Answered(self.pass_whole(head, &bytes));
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`feeds`] follows the store; [`ready`] answers the balancer.
 //! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
 //!   [`report`] tells the holder what this instance needs.
+//! * [`health`]: whether the store answers.
 //! * [`relay`]: the store's news by way of the holder.
 //! * [`lifecycle`] starts and stops.
 
@@ -16,6 +17,7 @@
 pub mod events;
 pub mod feeds;
 pub mod forward;
+pub mod health;
 pub mod holder;
 pub mod http1;
 pub mod lifecycle;
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -13,6 +13,7 @@
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue, WriteAnswer,
 };
 use passway_types::prelude::*;
+use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
@@ -28,6 +29,8 @@
 const SAFETY: Duration = Duration::from_millis(150);
 /// Pause after the store refused or did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time within which instances draw the moment at which they try to take the key.
+const TURN: Duration = Duration::from_millis(250);
 /// Pause between two looks at a key that another instance holds.
 const IDLE_STEP: Duration = Duration::from_secs(5);
 
@@ -89,7 +92,7 @@
     ) {
         let feed = HolderFeed {
             right: self.clone(),
-            instance: shared.settings.instance.clone(),
+            shared: shared.clone(),
         };
         follow(store.clone(), tap, news, feed);
         let (keeping, shared, store) = (self.clone(), shared.clone(), store.clone());
@@ -150,6 +153,19 @@
                 continue;
             }
             drop(state);
+            // All instances see at one moment that nobody holds the key; most of them
+            // wait and see another one take it.
+            let turn = TURN.mul_f64(rand::rng().random_range(0.0..1.0));
+            std::thread::sleep(turn);
+            let health = &shared.store_health;
+            if self.holder().is_some() || health.is_failing() {
+                std::thread::sleep(if health.is_failing() {
+                    RETRY_PAUSE
+                } else {
+                    Duration::ZERO
+                });
+                continue;
+            }
             // The lease may be granted and its answer lost; the next one is another.
             let asked_at = Instant::now();
             let Ok(lease) = store.grant_lease(time) else {
@@ -249,7 +265,7 @@
 
 struct HolderFeed {
     right: Arc<Right>,
-    instance: InstanceId,
+    shared: Arc<Shared>,
 }
 
 impl Feed for HolderFeed {
@@ -259,16 +275,19 @@
 
     fn listed(&mut self, listing: &Listing) {
         let value = listing.values.iter().find(|value| value.key == HOLDER_KEY);
-        self.right.seen(value.and_then(decode), &self.instance);
+        self.right
+            .seen(value.and_then(decode), &self.shared.settings.instance);
     }
 
     fn changed(&mut self, change: &StoreChange) -> bool {
         match change {
             StoreChange::Written(value) if value.key == HOLDER_KEY => {
-                self.right.seen(decode(value), &self.instance);
+                let me = &self.shared.settings.instance;
+                self.right.seen(decode(value), me);
             }
             StoreChange::Removed { key, .. } if key == HOLDER_KEY => {
-                self.right.seen(None, &self.instance);
+                let me = &self.shared.settings.instance;
+                self.right.seen(None, me);
             }
             _ => {}
         }
@@ -278,4 +297,8 @@
     fn settled(&mut self) -> Duration {
         Duration::ZERO
     }
+
+    fn shared(&self) -> &Shared {
+        &self.shared
+    }
 }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the threads of an instance share.
 
+use crate::health::StoreHealth;
 use crate::pool::ConnectionPool;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
@@ -41,6 +42,8 @@
     pub bounds: ArcSwap<InstanceBounds>,
     /// The configuration in force; read without a lock.
     pub routes: ArcSwapOption<RouteTable>,
+    /// Whether the store answers.
+    pub store_health: StoreHealth,
     /// Connections to upstreams that rest.
     pub pool: ConnectionPool,
     /// The words of callers and upstreams.
@@ -80,6 +83,7 @@
             bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
             routes: ArcSwapOption::empty(),
+            store_health: StoreHealth::default(),
             pool: ConnectionPool::default(),
             vocabulary,
             needs,
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -12,6 +12,8 @@
 const FAILURE_COST: f64 = 3.0;
 /// What another data hall costs in the choice, in units of an upstream's slots.
 const OTHER_HALL_COST: f64 = 0.04;
+/// An upstream that took a request for one too many is not asked again for this long.
+const SHED_PAUSE: Duration = Duration::from_millis(80);
 /// An upstream that could not be reached gets nothing for this long if there is another.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
 /// What an upstream costs that has been silent, in units of its slots.
@@ -74,6 +76,8 @@
     Answered,
     /// It failed, broke off, or did not take the request though it should have.
     Failed,
+    /// It did not take the request, being too full.
+    Shed,
     /// It could not be reached.
     Unreachable,
     /// The caller left, or nothing else can be said.
@@ -106,6 +110,7 @@
     failure_rate: f64,
     judged_at: Instant,
     unreachable_until: Instant,
+    full_until: Instant,
     absent_until: HashMap<ModelWish, Instant>,
     /// Models that the holder of the right to order is about to unload.
     closing: Vec<ModelName>,
@@ -121,6 +126,7 @@
             failure_rate: 0.0,
             judged_at: now,
             unreachable_until: now,
+            full_until: now,
             absent_until: HashMap::new(),
             closing: Vec::new(),
         }
@@ -270,7 +276,7 @@
             if wish.is_some_and(|wish| !upstream.has(wish, now)) {
                 continue;
             }
-            if upstream.in_flight >= entry.slots {
+            if upstream.in_flight >= entry.slots || now < upstream.full_until {
                 full = true;
                 continue;
             }
@@ -336,6 +342,10 @@
         let failed = match outcome {
             Outcome::Answered => 0.0,
             Outcome::Failed => 1.0,
+            Outcome::Shed => {
+                upstream.full_until = now + SHED_PAUSE;
+                1.0
+            }
             Outcome::Unreachable => {
                 upstream.unreachable_until = now + UNREACHABLE_PAUSE;
                 1.0
