--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -237,10 +237,9 @@
                     self.runs += 1;
                     return self.give_up(failed);
                 }
-                Attempt::NotSent => {}
                 // What is full now may have room in a moment.
                 Attempt::NotRun(Outcome::Shed) => self.tried.clear(),
-                Attempt::NotRun(_) => {}
+                Attempt::NotRun(_) | Attempt::NotSent => {}
                 Attempt::Broken => {
                     self.runs += 1;
                     if !self.may_run_again() {
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -23,7 +23,7 @@
 const STORE_LOADS_AT_ONCE: usize = 4;
 /// Loads from the weight store that serve nobody yet, at one time: each keeps its
 /// engine from exchanging models.
-const PREFETCHES_AT_ONCE: usize = 3;
+const PREFETCHES_AT_ONCE: usize = 2;
 /// An order whose effect shows neither in the engine's word nor in a report is asked for after this.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an unload that no run holds up.
@@ -33,6 +33,30 @@
 /// An exchange that costs more than this is not made for a further replica.
 const REPLICA_COST_MS: f64 = 2_500.0;
 
+/// A request waits this long for an engine that has its model nearer than the weight
+/// store, which takes several seconds.
+const DISK_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Under which terms a model is brought.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    /// Most that it may cost, in milliseconds.
+    most_ms: Option<f64>,
+    /// Whether it may come from the weight store although an engine has it nearer.
+    may_fetch: bool,
+}
+
+impl Terms {
+    const REPLICA: Self = Self {
+        most_ms: Some(REPLICA_COST_MS),
+        may_fetch: false,
+    };
+    const PREFETCH: Self = Self {
+        most_ms: None,
+        may_fetch: true,
+    };
+}
+
 /// A model or adapter order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlannedOrder {
@@ -247,7 +271,11 @@
             match &need.wish.adapter {
                 Some(adapter) if resident => self.place_adapter(&need.service, model, adapter, now),
                 _ => {
-                    self.place_model(&need.service, model, None, now);
+                    let terms = Terms {
+                        most_ms: None,
+                        may_fetch: now >= need.since + DISK_PATIENCE,
+                    };
+                    self.place_model(&need.service, model, terms, now);
                 }
             }
         }
@@ -282,7 +310,7 @@
         &mut self,
         service: &ServiceName,
         model: &ModelName,
-        most_ms: Option<f64>,
+        terms: Terms,
         now: Instant,
     ) -> bool {
         let Some(pool) = self.pools.get(service) else {
@@ -291,7 +319,13 @@
         let Some(spec) = pool.models.iter().find(|spec| spec.name == *model) else {
             return false;
         };
-        let store_is_full = self.store_loads() >= STORE_LOADS_AT_ONCE;
+        // An engine that has it nearer will be free before a load from the store ends.
+        let is_at_hand = self.engines.values().any(|engine| {
+            let here = engine.entry.service == *service && !engine.entry.draining;
+            here && engine.tier(model) != Tier::Store
+        });
+        let no_fetch =
+            (is_at_hand && !terms.may_fetch) || self.store_loads() >= STORE_LOADS_AT_ONCE;
         let mut best: Option<(f64, UpstreamId, Vec<ModelName>)> = None;
         for (id, engine) in &self.engines {
             if engine.entry.service != *service
@@ -301,7 +335,7 @@
                 continue;
             }
             let tier = engine.tier(model);
-            if tier == Tier::Store && store_is_full {
+            if tier == Tier::Store && no_fetch {
                 continue;
             }
             let Some(victims) = self.victims(engine, pool, spec, now) else {
@@ -316,7 +350,7 @@
         let Some((cost, id, victims)) = best else {
             return false;
         };
-        if most_ms.is_some_and(|most| cost > most) {
+        if terms.most_ms.is_some_and(|most| cost > most) {
             return false;
         }
         if let Some(engine) = self.engines.get_mut(&id) {
@@ -337,7 +371,7 @@
                     .values()
                     .any(|e| e.is_bringing(&service, &model));
                 if replicas < wanted && !coming {
-                    self.place_model(&service, &model, Some(REPLICA_COST_MS), now);
+                    self.place_model(&service, &model, Terms::REPLICA, now);
                 }
             }
         }
@@ -363,7 +397,7 @@
                 .flatten()
                 .find(|s| !at_hand.contains(&s.name));
             if let Some(model) = missing.map(|spec| spec.name.clone()) {
-                self.place_model(&service, &model, None, now);
+                self.place_model(&service, &model, Terms::PREFETCH, now);
             }
         }
     }
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -23,7 +23,7 @@
 pub(super) struct Waiting {
     pub(super) service: ServiceName,
     pub(super) wish: ModelWish,
-    since: Instant,
+    pub(super) since: Instant,
     until: Instant,
 }
 
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -7,6 +7,8 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
+/// An engine that is busy with an order of before is asked again after this.
+const BUSY_PAUSE: Duration = Duration::from_millis(250);
 /// The pause between questions without an answer doubles at most so often.
 const MAX_DOUBLINGS: u32 = 3;
 /// Time for an adapter to come; engines take some milliseconds.
@@ -439,6 +441,7 @@
             return;
         }
         if report.busy {
+            self.ask_at = Some(now + BUSY_PAUSE);
             // What an order under way will change is not known: no order may be
             // decided on this state.
             if self.under_way.is_none() {
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -188,8 +188,12 @@
     }
 
     fn hear(&mut self, beat: u64, models: &[&str]) {
+        self.hear_of("i-0", beat, models, &["m0", "m1", "m2", "m3"]);
+    }
+
+    fn hear_of(&mut self, id: &str, beat: u64, models: &[&str], on_disk: &[&str]) {
         let entry = UpstreamEntry {
-            id: "i-0".into(),
+            id: id.into(),
             service: "engines".into(),
             address: ([127, 0, 0, 1], 1).into(),
             hall: "hall0".into(),
@@ -198,7 +202,7 @@
             gone_at: None,
             models: models.iter().map(|name| resident(name)).collect(),
             in_memory: Vec::new(),
-            on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+            on_disk: on_disk.iter().map(|name| (*name).into()).collect(),
             beat,
         };
         self.planner.heard(entry, self.now);
@@ -417,3 +421,31 @@
         assert_eq!(answer.body, all_events());
     }
 }
+
+#[test]
+fn disk_before_weight_store() {
+    // One engine has every model on its disk and is busy; an empty one could only fetch.
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.hear_of("i-9", 1, &[], &[]);
+    let empty = EngineReport {
+        models: Vec::new(),
+        busy: false,
+        orders_taken: 0,
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    };
+    planned
+        .planner
+        .reported(&"i-9".into(), Some(empty), planned.now);
+    planned.report(true, 0, &["m0"]);
+    planned.need("m2");
+    let orders = planned.orders(OrderAnswer::Taken);
+    assert_eq!(
+        orders,
+        [],
+        "a second is less than a load from the weight store"
+    );
+    let fetched = planned.orders(OrderAnswer::Taken);
+    assert_eq!(fetched.first().map(|order| &*order.engine), Some("i-9"));
+}
--- a/tests/all/platform_soak.rs
+++ b/tests/all/platform_soak.rs
@@ -84,7 +84,7 @@
     let Some(answer) = ask(address, &bytes) else {
         return;
     };
-    if answer.status == 200 && number % 3 > 0 {
+    if answer.status == 200 && !number.is_multiple_of(3) {
         let events: Vec<String> = (1..=EVENTS).map(event).collect();
         assert!(events.concat().starts_with(&answer.body), "{}", answer.body);
         assert!(
@@ -141,7 +141,7 @@
             let model = MODELS[rng.random_range(0..MODELS.len())];
             let answers = answers.clone();
             callers.push(std::thread::spawn(move || {
-                call(address, number, model, &answers)
+                call(address, number, model, &answers);
             }));
         }
         std::thread::sleep(Duration::from_millis(rng.random_range(10..60)));
