--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -307,7 +307,8 @@
         loop {
             let now = Instant::now();
             let upstreams = self.shared.upstreams();
-            let choice = upstreams.choose(&self.service, self.wish(), &self.tried, now);
+            let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
+            let choice = upstreams.choose(&self.service, self.wish(), &self.tried, drawn, now);
             if let Choice::Send { id, address } = choice {
                 return Some(Target { id, address });
             }
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -22,11 +22,11 @@
 /// The key that the holder keeps.
 const HOLDER_KEY: &str = "passway/holder";
 /// Time-to-live of the holder's lease, unless the store has a longer shortest one.
-const LEASE_TIME: Duration = Duration::from_millis(1_600);
+const LEASE_TIME: Duration = Duration::from_millis(1_200);
 /// A lease is renewed when this part of it has passed.
 const RENEW_PART: f64 = 0.25;
 /// The holder stops this long before its lease ends.
-const SAFETY: Duration = Duration::from_millis(150);
+const SAFETY: Duration = Duration::from_millis(120);
 /// Pause after the store refused or did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time within which instances draw the moment at which they try to take the key.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -13,7 +13,7 @@
 use crate::ports::{EngineReport, OrderAction, OrderAnswer};
 use crate::routes::{EnginePool, RouteTable};
 use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
-use demand::Demand;
+use demand::{Demand, Load};
 use engine::{Engine, Tier};
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,7 +29,7 @@
 /// Time for an unload that no run holds up.
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
 /// Time in which instances that hear of a new holder connect and tell what they use.
-const LISTENING_TIME: Duration = Duration::from_millis(450);
+const LISTENING_TIME: Duration = Duration::from_millis(300);
 /// An exchange that costs more than this is not made for a further replica.
 const REPLICA_COST_MS: f64 = 2_500.0;
 
@@ -364,7 +364,8 @@
     fn add_replicas(&mut self, now: Instant) {
         let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
         for service in services {
-            for (model, wanted) in self.demand.wanted_replicas(&service, now) {
+            for model in self.demand.busy_models(&service, now) {
+                let wanted = self.wanted(&service, &model, now);
                 let replicas = self.replicas(&service, &model);
                 let coming = self
                     .engines
@@ -377,6 +378,16 @@
         }
     }
 
+    fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
+        let engines = self.engines.values();
+        let here = engines.filter(|e| e.entry.service == *service);
+        let load = Load {
+            runs: here.map(|engine| engine.runs(model)).sum(),
+            slots: self.pools.get(service).map_or(1, |pool| pool.slots),
+        };
+        self.demand.wanted(service, model, load, now)
+    }
+
     fn replicas(&self, service: &ServiceName, model: &ModelName) -> usize {
         let engines = self.engines.values();
         engines.filter(|e| e.has(service, model)).count()
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -12,6 +12,19 @@
 /// A model asked for this often has a second replica, against the loss of the first.
 const SPARE_RATE_S: f64 = 1.5;
 
+/// Part of an engine's slots that the runs of a busy model may fill: instances see only
+/// their own load, so the spread over engines is uneven.
+const SLOTS_PART: f64 = 0.4;
+
+/// How much a model is used now.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Load {
+    /// Requests that run, over all engines.
+    pub(super) runs: u32,
+    /// Requests that an engine runs at one time.
+    pub(super) slots: u32,
+}
+
 /// A number as a floating point one; times and counts here are far below 2^52.
 #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
 pub(super) fn as_f64(number: u64) -> f64 {
@@ -115,13 +128,21 @@
         self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
     }
 
-    /// How many replicas the demand for a model is worth.
-    pub(super) fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
+    /// How many replicas the demand for a model is worth, with so many runs and slots an engine.
+    pub(super) fn wanted(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        load: Load,
+        now: Instant,
+    ) -> usize {
         let rate = self.rate(service, model, now);
         if rate < SPARE_RATE_S {
             return 1;
         }
-        let by_load = (rate / REQUESTS_PER_REPLICA_S).ceil();
+        let by_rate = rate / REQUESTS_PER_REPLICA_S;
+        let by_runs = f64::from(load.runs) / (f64::from(load.slots.max(1)) * SLOTS_PART);
+        let by_load = by_rate.max(by_runs).ceil();
         let mut replicas = 2;
         while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < by_load {
             replicas += 1;
@@ -130,21 +151,13 @@
     }
 
     /// Models of a service that are worth more than one replica, the busiest first.
-    pub(super) fn wanted_replicas(
-        &self,
-        service: &ServiceName,
-        now: Instant,
-    ) -> Vec<(ModelName, usize)> {
+    pub(super) fn busy_models(&self, service: &ServiceName, now: Instant) -> Vec<ModelName> {
         let rated = self.rates.iter().filter(|((named, _), _)| named == service);
         let mut rated: Vec<(f64, ModelName)> = rated
             .map(|((_, model), rate)| (rate.now(now), model.clone()))
             .filter(|(rate, _)| *rate >= SPARE_RATE_S)
             .collect();
         rated.sort_by(|one, other| other.0.total_cmp(&one.0));
-        let wanted = rated.into_iter().map(|(_, model)| {
-            let wanted = self.wanted(service, &model, now);
-            (model, wanted)
-        });
-        wanted.collect()
+        rated.into_iter().map(|(_, model)| model).collect()
     }
 }
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -67,7 +67,7 @@
         }
         let rate = self.demand.rate(service, model, now);
         let replicas = self.replicas(service, model);
-        let wanted = self.demand.wanted(service, model, now);
+        let wanted = self.wanted(service, model, now);
         let mut cost = 0.0;
         let runs = engine.runs(model);
         if runs > 0 {
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -10,8 +10,11 @@
 const FAILURE_HALF_LIFE_S: f64 = 2.0;
 /// What a failure rate of one costs in the choice, in units of an upstream's slots.
 const FAILURE_COST: f64 = 3.0;
-/// What another data hall costs in the choice, in units of an upstream's slots.
-const OTHER_HALL_COST: f64 = 0.04;
+/// What another data hall costs in the choice, in units of an upstream's slots: little,
+/// since an instance sees only its own load and all of a hall would choose alike.
+const OTHER_HALL_COST: f64 = 0.01;
+/// The draw that tells upstreams of like cost apart is worth up to so many requests.
+const DRAW_REQUESTS: f64 = 1.0;
 /// An upstream that took a request for one too many is not asked again for this long.
 const SHED_PAUSE: Duration = Duration::from_millis(80);
 /// An upstream that could not be reached gets nothing for this long if there is another.
@@ -183,6 +186,18 @@
     upstreams: HashMap<UpstreamId, Upstream>,
 }
 
+/// A part of one, fixed by a number and a name.
+fn part_of(drawn: u64, name: &str) -> f64 {
+    // FNV-1a over the name, begun with the number; the upper bits are mixed best.
+    let hash = name
+        .bytes()
+        .fold(drawn ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+    let mixed = (hash ^ (hash >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    f64::from(u32::try_from(mixed >> 32).unwrap_or(0)) / f64::from(u32::MAX)
+}
+
 impl UpstreamTable {
     /// No upstreams, for an instance in a data hall.
     pub fn new(hall: DataHall) -> Self {
@@ -259,11 +274,14 @@
     /// The upstream for a request.
     ///
     /// `tried` are upstreams that the request has been at, which it does not go to again.
+    /// `drawn` is a number of the request's own, so that instances that all see little
+    /// load do not all choose the same upstream.
     pub fn choose(
         &self,
         service: &ServiceName,
         wish: Option<&ModelWish>,
         tried: &[UpstreamId],
+        drawn: u64,
         now: Instant,
     ) -> Choice {
         let mut full = false;
@@ -281,7 +299,9 @@
                 continue;
             }
             let unreachable = now < upstream.unreachable_until;
-            let cost = upstream.cost(&self.hall, now);
+            let slots = f64::from(entry.slots.max(1));
+            let cost =
+                upstream.cost(&self.hall, now) + part_of(drawn, &entry.id) * DRAW_REQUESTS / slots;
             let better = best.is_none_or(|(worst, least, known)| {
                 (unreachable, cost, &entry.id) < (worst, least, &known.entry.id)
             });
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,3 +26,4 @@
 mod store_feeds;
 mod stream_resume;
 mod support;
+mod upstream_choice;
