--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -403,9 +403,15 @@
         self.deadline_at.min(Instant::now() + step.max(MIN_SILENCE))
     }
 
+    /// Whether the upstream is silent and another one can go on.
     fn is_silent(&self, target: &Target) -> bool {
         let now = Instant::now();
-        self.shared.upstreams().is_silent(&target.id, now)
+        let upstreams = self.shared.upstreams();
+        upstreams.is_silent(&target.id, now)
+            && matches!(
+                upstreams.choose(&self.service, self.wish(), &self.tried, 0, now),
+                Choice::Send { .. }
+            )
     }
 
     fn heard(&self, target: &Target) {
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -17,6 +17,8 @@
     pub cuts_after: Option<u64>,
     /// Sends nothing more after so many events of the next stream.
     pub silent_after: Option<u64>,
+    /// Pauses for 2.5 s after so many events of the next stream.
+    pub pause_after: Option<u64>,
     /// Takes the next order and does not answer it.
     pub loses_answer: bool,
 }
@@ -227,6 +229,7 @@
         state.runs.push(id.to_owned());
         let cuts_after = state.faults.cuts_after.take();
         let silent_after = state.faults.silent_after.take();
+        let pause_after = state.faults.pause_after.take();
         drop(state);
         let from = received
             .header("last-event-id")
@@ -248,6 +251,9 @@
                 steps.push(Step::Pause(Duration::from_secs(30)));
                 return steps;
             }
+            if pause_after == Some(number - 1) {
+                steps.push(Step::Pause(Duration::from_millis(2_500)));
+            }
             let event = event(number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             steps.push(Step::Send(chunk.into_bytes()));
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -449,3 +449,19 @@
     let fetched = planned.orders(OrderAnswer::Taken);
     assert_eq!(fetched.first().map(|order| &*order.engine), Some("i-9"));
 }
+
+#[test]
+fn silent_server_kept() {
+    // Nobody else has the model: its silence ends nothing sooner.
+    let store = site::store(&["m0"]);
+    let server = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
+    let instance = site::ready("one", &store);
+    server.set_faults(Faults {
+        pause_after: Some(2),
+        ..Faults::default()
+    });
+    let answer = stream(instance.callers_address(), "chat", "c1", "m0");
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, all_events());
+    assert_eq!(server.runs().len(), 1);
+}
