--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -558,7 +558,9 @@
         let models = &self.models;
         let closing = &self.closing;
         self.adapters_wanted.retain(|wish| {
-            models.iter().any(|m| m.name == wish.model) && !closing.contains(&wish.model)
+            let model = models.iter().find(|m| m.name == wish.model);
+            let stands = model.is_some_and(|m| wish.adapter.iter().all(|a| m.adapters.contains(a)));
+            model.is_some() && !stands && !closing.contains(&wish.model)
         });
         let wanted = self.adapters_wanted.first().cloned()?;
         let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod fair_share;
 mod model_orders;
 mod pass_through;
+mod placement_faults;
 mod platform_soak;
 mod platform_words;
 mod policy_rules;
