--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -41,6 +41,14 @@
 const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// When a refused caller may come back, where nothing better is known.
 const RETRY_AFTER_MS: u64 = 500;
+/// When a caller may come back to an instance that knows no configuration yet.
+const START_RETRY_MS: u64 = 1_500;
+/// Part of its time that a request may wait for the first configuration.
+const START_PART: f64 = 0.3;
+/// Longest such wait.
+const START_WAIT: Duration = Duration::from_secs(1);
+/// Pause between two looks whether the configuration has come.
+const START_STEP: Duration = Duration::from_millis(30);
 /// Answers of earlier requests that are left out before a connection is given up.
 const MAX_SURPLUS_ANSWERS: usize = 2;
 /// Most times that one request is offered to upstreams.
@@ -155,11 +163,8 @@
         let done = reply::refuse(caller, &*shared.vocabulary, &facts.id, refusal, close_after);
         after(done.is_ok() && !close_after)
     };
-    let Some(table) = shared.routes.load_full().filter(|_| {
-        // Upstreams that are not known yet cannot be told from none.
-        shared.is_ready() || (shared.is_stopping() && !shared.is_closed())
-    }) else {
-        return refuse(caller, not_run(RETRY_AFTER_MS));
+    let Some(table) = known_routes(shared, caller, &facts, arrived_at) else {
+        return refuse(caller, not_run(START_RETRY_MS));
     };
     let Some(host) = host_of(head) else {
         return refuse(caller, Refusal::Malformed);
@@ -193,6 +198,32 @@
     .run()
 }
 
+/// The routes, as soon as both they and the upstreams are known. An instance that has
+/// just started waits a moment for them: the store may be about to answer.
+fn known_routes(
+    shared: &Shared,
+    caller: &mut Connection,
+    facts: &RequestFacts,
+    arrived_at: Instant,
+) -> Option<Arc<RouteTable>> {
+    let time = facts
+        .deadline_ms
+        .map(Duration::from_millis)
+        .unwrap_or_default();
+    let until = arrived_at + time.mul_f64(START_PART).min(START_WAIT);
+    loop {
+        // Upstreams that are not known yet cannot be told from none.
+        let knows = shared.is_ready() || (shared.is_stopping() && !shared.is_closed());
+        if knows {
+            return shared.routes.load_full();
+        }
+        if shared.is_stopping() || Instant::now() >= until || caller.is_closed() {
+            return None;
+        }
+        std::thread::sleep(START_STEP);
+    }
+}
+
 fn is_engine(table: &RouteTable, service: &ServiceName) -> bool {
     let service = table.services.get(service);
     service.is_some_and(|service| service.pool.is_some())
--- a/tests/all/store_feeds.rs
+++ b/tests/all/store_feeds.rs
@@ -31,9 +31,19 @@
         &request("GET", "/read/", "g", "", ""),
     );
     // It knows no configuration yet: not 404.
-    assert_eq!(answer.map(|answer| answer.status), Some(503));
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    // One that comes shortly before the store is back waits for it.
+    let server = plain();
+    list_plain(&store, "i-0", server.address, "ready");
+    let address = instance.callers_address();
+    let early = std::thread::spawn(move || ask(address, &request("GET", "/read/", "e", "", "")));
     store.set_faults(Faults::default());
     until("readiness", || instance.is_ready());
+    let early = early.join().expect("a caller").expect("an answer");
+    // Within its second the store may or may not have been asked again.
+    assert!(matches!(early.status, 200 | 503), "{}", early.status);
 }
 
 #[test]
