Forwarding a request: one attempt has its own module

Change: `forward/exchange.rs` holds one attempt (sending, reading the answer, passing it on) with the constants it alone uses. `exchange_over` is split into sending, finding the answer that belongs to the request, and leaving out others; `pass_stream` into the opening, the next part and its framing; `serve` into finding the destination and running.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -1,44 +1,30 @@
-//! One request: choosing an upstream, sending, passing the answer on, going on elsewhere.
+//! One request: its route, the loop over attempts, waiting for an upstream, giving up.
+//! What happens within one attempt is in `exchange`.
 //!
 //! What an attempt tells decides what may follow. A request that was not run may go
 //! to another upstream whatever its kind. One that may have run goes to another only
 //! if its kind allows it, and is never refused as "not run".
 
+mod exchange;
+
 use crate::events::EventCutter;
-use crate::http1::{
-    self, AnswerHead, BodyPart, BodyReader, Connection, HttpError, RequestHead, Wrote, encode_head,
-};
-use crate::pool;
-use crate::reply::{self, Refusal, WRITE_TIME};
+use crate::http1::{AnswerHead, Connection, RequestHead};
+use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
-use passway_serving::headers::Headers;
-use passway_serving::ports::{RequestFacts, Stamp};
-use passway_serving::routes::{RequestKind, Route, RouteTable};
-use passway_serving::upstreams::{Choice, Outcome};
+use passway_serving::ports::RequestFacts;
+use passway_serving::routes::{Route, RouteTable};
+use passway_serving::upstreams::{Choice, ModelWish, Outcome};
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
-/// Time to connect to an upstream; a round trip takes a few milliseconds.
-const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Longest time between two looks whether a waiting request's caller is still there.
 const WAIT_STEP: Duration = Duration::from_millis(200);
 /// Pause between two words to the holder of the right to order about one waiting request.
 const TELL_PAUSE: Duration = Duration::from_millis(400);
-/// A stream that may go on elsewhere does so after a pause of so many times its goal
-/// for pauses, if nothing else is heard of its upstream either.
-const SILENT_GAPS: u64 = 3;
-/// Shortest such pause.
-const MIN_SILENCE: Duration = Duration::from_millis(800);
 /// Longest time between two looks whether a full upstream has room.
 const FULL_STEP: Duration = Duration::from_millis(40);
 /// Part of its time that a request may wait for an upstream before it is refused.
 const WAIT_PART: f64 = 0.45;
-/// A request that may run once goes over a connection that has rested at most this long.
-const FRESH_REST: Duration = Duration::from_millis(900);
-/// Any other request goes over a connection however long it has rested.
-const ANY_REST: Duration = Duration::from_mins(10);
-/// Largest answer that is held back until it is whole.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// When a refused caller may come back, where nothing better is known.
 const RETRY_AFTER_MS: u64 = 500;
 /// When a caller may come back to an instance that knows no configuration yet.
@@ -49,8 +35,6 @@
 const START_WAIT: Duration = Duration::from_secs(1);
 /// Pause between two looks whether the configuration has come.
 const START_STEP: Duration = Duration::from_millis(30);
-/// Answers of earlier requests that are left out before a connection is given up.
-const MAX_SURPLUS_ANSWERS: usize = 2;
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
@@ -104,6 +88,14 @@
     address: SocketAddr,
 }
 
+/// Where a request goes by the configuration.
+#[derive(Debug)]
+struct Destination {
+    route: Arc<Route>,
+    service: ServiceName,
+    is_engine: bool,
+}
+
 /// One request on its way.
 pub struct Forwarding<'a> {
     shared: &'a Arc<Shared>,
@@ -159,35 +151,26 @@
 ) -> After {
     let facts = shared.vocabulary.request(&head.headers);
     let close_after = shared.is_stopping() || !head.is_1_1 || head.headers.connection_says("close");
-    let refuse = |caller: &mut Connection, refusal| {
-        let done = reply::refuse(caller, &*shared.vocabulary, &facts.id, refusal, close_after);
-        after(done.is_ok() && !close_after)
-    };
-    let Some(table) = known_routes(shared, caller, &facts, arrived_at) else {
-        return refuse(caller, not_run(START_RETRY_MS));
-    };
-    let Some(host) = host_of(head) else {
-        return refuse(caller, Refusal::Malformed);
-    };
-    let path = head.target.split('?').next().unwrap_or_default();
-    let Some(route) = table.find(&host, path).cloned() else {
-        return refuse(caller, Refusal::NoRoute);
-    };
-    let Some(service) = route.backend(draw(&facts.id)).cloned() else {
-        return refuse(caller, not_run(RETRY_AFTER_MS));
+    let destination = match find_destination(shared, caller, head, &facts, arrived_at) {
+        Ok(destination) => destination,
+        Err(refusal) => {
+            let vocabulary = &*shared.vocabulary;
+            let done = reply::refuse(caller, vocabulary, &facts.id, refusal, close_after);
+            return after(done.is_ok() && !close_after);
+        }
     };
-    let is_engine = is_engine(&table, &service);
-    let timeout_ms = facts.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    shared.retries().requested(&service, arrived_at);
+    let caller_ms = facts.deadline_ms.unwrap_or(u64::MAX);
+    let timeout_ms = caller_ms.min(destination.route.timeout_ms);
+    shared.retries().requested(&destination.service, arrived_at);
     Forwarding {
         shared,
         caller,
         head,
         body,
         facts,
-        route,
-        service,
-        is_engine,
+        route: destination.route,
+        service: destination.service,
+        is_engine: destination.is_engine,
         arrived_at,
         deadline_at: arrived_at + Duration::from_millis(timeout_ms),
         close_after,
@@ -198,6 +181,27 @@
     .run()
 }
 
+/// The route and service of a request; the error is what its caller is told.
+fn find_destination(
+    shared: &Shared,
+    caller: &mut Connection,
+    head: &RequestHead,
+    facts: &RequestFacts,
+    arrived_at: Instant,
+) -> Result<Destination, Refusal> {
+    let table = known_routes(shared, caller, facts, arrived_at).ok_or(not_run(START_RETRY_MS))?;
+    let host = host_of(head).ok_or(Refusal::Malformed)?;
+    let path = head.target.split('?').next().unwrap_or_default();
+    let route = table.find(&host, path).cloned().ok_or(Refusal::NoRoute)?;
+    let service = route.backend(draw(&facts.id)).cloned();
+    let service = service.ok_or(not_run(RETRY_AFTER_MS))?;
+    Ok(Destination {
+        is_engine: is_engine(&table, &service),
+        route,
+        service,
+    })
+}
+
 /// The routes, as soon as both they and the upstreams are known. An instance that has
 /// just started waits a moment for them: the store may be about to answer.
 fn known_routes(
@@ -238,7 +242,7 @@
 }
 
 impl Forwarding<'_> {
-    fn wish(&self) -> Option<&passway_serving::upstreams::ModelWish> {
+    fn wish(&self) -> Option<&ModelWish> {
         self.facts.wish.as_ref().filter(|_| self.is_engine)
     }
 
@@ -401,294 +405,6 @@
         self.shared.upstreams_changed();
         attempt
     }
-
-    /// Sends the request over a rested or a new connection.
-    fn exchange(&mut self, target: &Target) -> Attempt {
-        let longest = if self.route.kind.may_run_again() {
-            ANY_REST
-        } else {
-            FRESH_REST
-        };
-        let now = Instant::now();
-        if let Some(kept) = self.shared.pool.take(&target.id, longest, now) {
-            let attempt = self.exchange_over(target, kept);
-            if !matches!(attempt, Attempt::NotSent) {
-                return attempt;
-            }
-        }
-        match Connection::connect(target.address, CONNECT_TIME) {
-            Ok(connection) => self.exchange_over(target, connection),
-            Err(_) => Attempt::NotSent,
-        }
-    }
-
-    /// Until when to wait before it is looked whether the upstream is silent. Only a
-    /// stream that may go on elsewhere is looked at; any other ends by its own times.
-    fn step_until(&self) -> Instant {
-        let may_move = self.route.kind == RequestKind::Stream { resumable: true }
-            && self.runs + 1 < self.route.attempts;
-        if !may_move {
-            return self.deadline_at;
-        }
-        let step = Duration::from_millis(self.route.gap_goal_ms * SILENT_GAPS);
-        self.deadline_at.min(Instant::now() + step.max(MIN_SILENCE))
-    }
-
-    /// Whether the upstream is silent and another one can go on.
-    fn is_silent(&self, target: &Target) -> bool {
-        let now = Instant::now();
-        let upstreams = self.shared.upstreams();
-        upstreams.is_silent(&target.id, now)
-            && matches!(
-                upstreams.choose(&self.service, self.wish(), &self.tried, 0, now),
-                Choice::Send { .. }
-            )
-    }
-
-    fn heard(&self, target: &Target) {
-        let now = Instant::now();
-        self.shared.upstreams().heard(&target.id, now);
-    }
-
-    fn request_bytes(&self, target: &Target) -> Vec<u8> {
-        let left = self.deadline_at.saturating_duration_since(Instant::now());
-        let stamp = Stamp {
-            upstream: target.id.clone(),
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            urgency: self.is_engine.then_some(self.route.priority.min(9)),
-            last_event: self.relay.cutter.last_id().map(str::to_owned),
-        };
-        let mut headers = self.shared.vocabulary.forwarded(&self.head.headers, &stamp);
-        let has_body =
-            self.head.headers.has("content-length") || self.head.headers.has("transfer-encoding");
-        if has_body {
-            headers.push("Content-Length", self.body.len().to_string());
-        }
-        let line = format!("{} {} HTTP/1.1", self.head.method, self.head.target);
-        let mut bytes = encode_head(&line, &headers);
-        bytes.extend_from_slice(self.body);
-        bytes
-    }
-
-    fn exchange_over(&mut self, target: &Target, mut upstream: Connection) -> Attempt {
-        let bytes = self.request_bytes(target);
-        let until = self.deadline_at;
-        let wrote = http1::write_all(&mut upstream, &bytes, true, Some(self.caller), until);
-        let whole = match wrote {
-            Ok(wrote) => wrote == Wrote::Whole,
-            Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-            Err(HttpError::TimedOut) => return Attempt::TimedOut,
-            // A part may have arrived; an upstream runs only whole requests, but
-            // what was written last may have been the end of one.
-            Err(_) => return Attempt::Broken,
-        };
-        for _ in 0..=MAX_SURPLUS_ANSWERS {
-            let head = loop {
-                let step = self.step_until();
-                match http1::read_answer_head(&mut upstream, Some(self.caller), step) {
-                    Ok(head) => break head,
-                    Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-                    Err(HttpError::TimedOut) if Instant::now() >= until => {
-                        return Attempt::TimedOut;
-                    }
-                    Err(HttpError::TimedOut) if !self.is_silent(target) => {}
-                    Err(_) => return Attempt::Broken,
-                }
-            };
-            self.heard(target);
-            let facts = self
-                .shared
-                .vocabulary
-                .answer(head.status, &head.headers, &target.id);
-            let is_mine = facts.id.as_deref().is_none_or(|id| id == self.facts.id);
-            if !is_mine {
-                // An answer to an earlier request: what follows may be ours.
-                let Ok(mut body) = BodyReader::of_answer(&head, &self.head.method) else {
-                    return Attempt::Broken;
-                };
-                let rest = body.read_whole(&mut upstream, MAX_WHOLE_BYTES, None, until);
-                if rest.is_err() || !body.reusable {
-                    return Attempt::Broken;
-                }
-                continue;
-            }
-            return self.answered(target, upstream, &head, &facts, whole);
-        }
-        Attempt::Broken
-    }
-
-    fn answered(
-        &mut self,
-        target: &Target,
-        mut upstream: Connection,
-        head: &AnswerHead,
-        facts: &passway_serving::ports::AnswerFacts,
-        request_whole: bool,
-    ) -> Attempt {
-        let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
-            return Attempt::Broken;
-        };
-        body.reusable &= request_whole;
-        let is_success = (200..300).contains(&head.status);
-        let encoded = head.headers.has("content-encoding");
-        if is_success && (!facts.vouched || encoded || facts.id.is_none()) {
-            return Attempt::Broken;
-        }
-        if is_success && self.route.kind.is_stream() {
-            return self.pass_stream(target, upstream, head, body);
-        }
-        let until = self.deadline_at;
-        let read = body.read_whole(&mut upstream, MAX_WHOLE_BYTES, Some(self.caller), until);
-        let bytes = match read {
-            Ok(bytes) => bytes,
-            Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-            Err(HttpError::TimedOut) if !facts.not_run => return Attempt::TimedOut,
-            Err(_) if !facts.not_run => return Attempt::Broken,
-            Err(_) => Vec::new(),
-        };
-        self.rest(target, upstream, head, &body);
-        if facts.not_run {
-            if facts.other_incarnation {
-                self.shared.pool.forget(&target.id);
-                return Attempt::NotRun(Outcome::Unreachable);
-            }
-            if head.status == 421
-                && let Some(wish) = self.wish()
-            {
-                let now = Instant::now();
-                self.shared.upstreams().absent(&target.id, wish, now);
-                return Attempt::NotRun(Outcome::Unknown);
-            }
-            return Attempt::NotRun(Outcome::Shed);
-        }
-        if is_success {
-            return Attempt::Answered(self.pass_whole(head, &bytes));
-        }
-        if !facts.vouched {
-            return Attempt::Broken;
-        }
-        Attempt::Failed(Box::new(FailedAnswer {
-            head: head.clone(),
-            body: bytes,
-        }))
-    }
-
-    /// Keeps the upstream's connection if it may carry another request.
-    fn rest(
-        &self,
-        target: &Target,
-        mut upstream: Connection,
-        head: &AnswerHead,
-        body: &BodyReader,
-    ) {
-        if !body.reusable || !body.is_done() || !upstream.is_clean() {
-            return;
-        }
-        let named = head.headers.text("keep-alive").and_then(|text| {
-            let parts = text.split(',');
-            let mut timeout = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
-            timeout.find_map(|seconds| seconds.parse().ok())
-        });
-        let rest = pool::rest_time(named);
-        let now = Instant::now();
-        self.shared.pool.put(&target.id, upstream, rest, now);
-    }
-
-    fn answer_headers(&self, head: &AnswerHead) -> Headers {
-        let mut headers = Headers(head.headers.end_to_end().cloned().collect());
-        if self.close_after {
-            headers.push("Connection", "close");
-        }
-        headers
-    }
-
-    fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
-        // A ready answer is delivered, late too.
-        let until = self.deadline_at.max(Instant::now() + WRITE_TIME);
-        http1::write_all(self.caller, bytes, false, None, until)?;
-        Ok(())
-    }
-
-    /// Passes on an answer that is whole.
-    fn pass_whole(&mut self, head: &AnswerHead, body: &[u8]) -> After {
-        let mut headers = self.answer_headers(head);
-        let bodyless = self.head.method == "HEAD" || matches!(head.status, 204 | 304);
-        if !bodyless {
-            headers.push("Content-Length", body.len().to_string());
-        }
-        let line = format!("HTTP/1.1 {} {}", head.status, head.reason);
-        let mut bytes = encode_head(&line, &headers);
-        if !bodyless {
-            bytes.extend_from_slice(body);
-        }
-        let written = self.write(&bytes);
-        after(written.is_ok() && !self.close_after)
-    }
-
-    /// Passes on a stream, event by event.
-    fn pass_stream(
-        &mut self,
-        target: &Target,
-        mut upstream: Connection,
-        head: &AnswerHead,
-        mut body: BodyReader,
-    ) -> Attempt {
-        let mut opening = Vec::new();
-        if !self.relay.head_sent {
-            let mut headers = self.answer_headers(head);
-            self.relay.chunked = self.head.is_1_1;
-            if self.relay.chunked {
-                headers.push("Transfer-Encoding", "chunked");
-            }
-            let line = format!("HTTP/1.1 {} {}", head.status, head.reason);
-            opening = encode_head(&line, &headers);
-        }
-        let mut received = Vec::new();
-        let mut events = Vec::new();
-        loop {
-            received.clear();
-            let until = self.step_until();
-            let part = body.next(&mut upstream, &mut received, Some(self.caller), until);
-            let ended = match part {
-                Ok(part) => part == BodyPart::End,
-                Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-                Err(HttpError::TimedOut) if Instant::now() >= self.deadline_at => {
-                    return Attempt::TimedOut;
-                }
-                Err(HttpError::TimedOut) if !self.is_silent(target) => continue,
-                Err(_) => {
-                    self.relay.cutter.drop_partial();
-                    return Attempt::Broken;
-                }
-            };
-            self.heard(target);
-            events.clear();
-            self.relay.cutter.add(&received, &mut events);
-            if ended {
-                events.extend(self.relay.cutter.take_rest());
-            }
-            let mut out = std::mem::take(&mut opening);
-            if self.relay.chunked && !events.is_empty() {
-                out.extend(reply::chunk(&events));
-            } else {
-                out.extend_from_slice(&events);
-            }
-            if ended && self.relay.chunked {
-                out.extend_from_slice(reply::LAST_CHUNK);
-            }
-            if !out.is_empty() {
-                self.relay.head_sent = true;
-                if self.write(&out).is_err() {
-                    return Attempt::CallerGone;
-                }
-            }
-            if ended {
-                self.rest(target, upstream, head, &body);
-                let keep = self.relay.chunked && !self.close_after;
-                return Attempt::Answered(after(keep));
-            }
-        }
-    }
 }
 
 impl Attempt {
--- /dev/null
+++ b/crates/instance/src/forward/exchange.rs
@@ -0,0 +1,390 @@
+//! One attempt: sending the request to one upstream, reading its answer, passing it on.
+//!
+//! An answer that is no stream is held back until it is whole, so that another
+//! upstream may still answer. A stream is passed on as its events come; only whole
+//! events go out, so that another upstream can go on behind the last of them.
+
+use super::{After, Attempt, FailedAnswer, Forwarding, Target, after};
+use crate::http1::{
+    self, AnswerHead, BodyPart, BodyReader, Connection, HttpError, Wrote, encode_head,
+};
+use crate::pool;
+use crate::reply::{self, WRITE_TIME};
+use passway_serving::headers::Headers;
+use passway_serving::ports::{AnswerFacts, Stamp};
+use passway_serving::routes::RequestKind;
+use passway_serving::upstreams::{Choice, Outcome};
+use passway_types::prelude::*;
+
+/// Time to connect to an upstream; a round trip takes a few milliseconds.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+/// A stream that may go on elsewhere does so after a pause of so many times its goal
+/// for pauses, if nothing else is heard of its upstream either.
+const SILENT_GAPS: u64 = 3;
+/// Shortest such pause.
+const MIN_SILENCE: Duration = Duration::from_millis(800);
+/// A request that may run once goes over a connection that has rested at most this long.
+const FRESH_REST: Duration = Duration::from_millis(900);
+/// Any other request goes over a connection however long it has rested.
+const ANY_REST: Duration = Duration::from_mins(10);
+/// Largest answer that is held back until it is whole.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Answers of earlier requests that are left out before a connection is given up.
+const MAX_SURPLUS_ANSWERS: usize = 2;
+
+impl Forwarding<'_> {
+    /// Sends the request over a rested or a new connection.
+    pub(super) fn exchange(&mut self, target: &Target) -> Attempt {
+        let longest = if self.route.kind.may_run_again() {
+            ANY_REST
+        } else {
+            FRESH_REST
+        };
+        let now = Instant::now();
+        if let Some(kept) = self.shared.pool.take(&target.id, longest, now) {
+            let attempt = self.exchange_over(target, kept);
+            if !matches!(attempt, Attempt::NotSent) {
+                return attempt;
+            }
+        }
+        match Connection::connect(target.address, CONNECT_TIME) {
+            Ok(connection) => self.exchange_over(target, connection),
+            Err(_) => Attempt::NotSent,
+        }
+    }
+
+    /// Until when to wait before it is looked whether the upstream is silent. Only a
+    /// stream that may go on elsewhere is looked at; any other ends by its own times.
+    fn step_until(&self) -> Instant {
+        let may_move = self.route.kind == RequestKind::Stream { resumable: true }
+            && self.runs + 1 < self.route.attempts;
+        if !may_move {
+            return self.deadline_at;
+        }
+        let step = Duration::from_millis(self.route.gap_goal_ms * SILENT_GAPS);
+        self.deadline_at.min(Instant::now() + step.max(MIN_SILENCE))
+    }
+
+    /// Whether the upstream is silent and another one can go on.
+    fn is_silent(&self, target: &Target) -> bool {
+        let now = Instant::now();
+        let upstreams = self.shared.upstreams();
+        upstreams.is_silent(&target.id, now)
+            && matches!(
+                upstreams.choose(&self.service, self.wish(), &self.tried, 0, now),
+                Choice::Send { .. }
+            )
+    }
+
+    fn heard(&self, target: &Target) {
+        let now = Instant::now();
+        self.shared.upstreams().heard(&target.id, now);
+    }
+
+    fn request_bytes(&self, target: &Target) -> Vec<u8> {
+        let left = self.deadline_at.saturating_duration_since(Instant::now());
+        let stamp = Stamp {
+            upstream: target.id.clone(),
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            urgency: self.is_engine.then_some(self.route.priority.min(9)),
+            last_event: self.relay.cutter.last_id().map(str::to_owned),
+        };
+        let mut headers = self.shared.vocabulary.forwarded(&self.head.headers, &stamp);
+        let has_body =
+            self.head.headers.has("content-length") || self.head.headers.has("transfer-encoding");
+        if has_body {
+            headers.push("Content-Length", self.body.len().to_string());
+        }
+        let line = format!("{} {} HTTP/1.1", self.head.method, self.head.target);
+        let mut bytes = encode_head(&line, &headers);
+        bytes.extend_from_slice(self.body);
+        bytes
+    }
+
+    /// Sends the request over `upstream` and deals with the answer to it.
+    fn exchange_over(&mut self, target: &Target, mut upstream: Connection) -> Attempt {
+        let wrote = match self.send(target, &mut upstream) {
+            Ok(wrote) => wrote,
+            Err(ended) => return ended,
+        };
+        match self.read_own_head(target, &mut upstream) {
+            Ok((head, facts)) => {
+                let whole = wrote == Wrote::Whole;
+                self.answered(target, upstream, &head, &facts, whole)
+            }
+            Err(ended) => ended,
+        }
+    }
+
+    /// Writes the request; the error says how the attempt ended.
+    fn send(&mut self, target: &Target, upstream: &mut Connection) -> Result<Wrote, Attempt> {
+        let bytes = self.request_bytes(target);
+        let until = self.deadline_at;
+        let wrote = http1::write_all(upstream, &bytes, true, Some(self.caller), until);
+        wrote.map_err(|error| match error {
+            HttpError::WatchedClosed => Attempt::CallerGone,
+            HttpError::TimedOut => Attempt::TimedOut,
+            // A part may have arrived; an upstream runs only whole requests, but
+            // what was written last may have been the end of one.
+            _ => Attempt::Broken,
+        })
+    }
+
+    /// Reads answers until one belongs to this request, and returns its head.
+    fn read_own_head(
+        &mut self,
+        target: &Target,
+        upstream: &mut Connection,
+    ) -> Result<(AnswerHead, AnswerFacts), Attempt> {
+        for _ in 0..=MAX_SURPLUS_ANSWERS {
+            let head = self.read_head(target, upstream)?;
+            self.heard(target);
+            let vocabulary = &self.shared.vocabulary;
+            let facts = vocabulary.answer(head.status, &head.headers, &target.id);
+            if facts.id.as_deref().is_none_or(|id| id == self.facts.id) {
+                return Ok((head, facts));
+            }
+            // An answer to an earlier request: what follows may be ours.
+            self.skip_body(upstream, &head)?;
+        }
+        Err(Attempt::Broken)
+    }
+
+    /// Reads the next answer's head, for as long as the upstream is not silent.
+    fn read_head(
+        &mut self,
+        target: &Target,
+        upstream: &mut Connection,
+    ) -> Result<AnswerHead, Attempt> {
+        loop {
+            let step = self.step_until();
+            match http1::read_answer_head(upstream, Some(self.caller), step) {
+                Ok(head) => return Ok(head),
+                Err(HttpError::WatchedClosed) => return Err(Attempt::CallerGone),
+                Err(HttpError::TimedOut) if Instant::now() >= self.deadline_at => {
+                    return Err(Attempt::TimedOut);
+                }
+                Err(HttpError::TimedOut) if !self.is_silent(target) => {}
+                Err(_) => return Err(Attempt::Broken),
+            }
+        }
+    }
+
+    /// Reads the body of another request's answer and drops it.
+    fn skip_body(&self, upstream: &mut Connection, head: &AnswerHead) -> Result<(), Attempt> {
+        let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
+            return Err(Attempt::Broken);
+        };
+        let rest = body.read_whole(upstream, MAX_WHOLE_BYTES, None, self.deadline_at);
+        if rest.is_err() || !body.reusable {
+            return Err(Attempt::Broken);
+        }
+        Ok(())
+    }
+
+    /// Decides what an answer to this request means, and passes it on if it counts.
+    fn answered(
+        &mut self,
+        target: &Target,
+        mut upstream: Connection,
+        head: &AnswerHead,
+        facts: &AnswerFacts,
+        request_whole: bool,
+    ) -> Attempt {
+        let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
+            return Attempt::Broken;
+        };
+        body.reusable &= request_whole;
+        let is_success = (200..300).contains(&head.status);
+        let encoded = head.headers.has("content-encoding");
+        if is_success && (!facts.vouched || encoded || facts.id.is_none()) {
+            return Attempt::Broken;
+        }
+        if is_success && self.route.kind.is_stream() {
+            return self.pass_stream(target, upstream, head, body);
+        }
+        let until = self.deadline_at;
+        let read = body.read_whole(&mut upstream, MAX_WHOLE_BYTES, Some(self.caller), until);
+        let bytes = match read {
+            Ok(bytes) => bytes,
+            Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
+            Err(HttpError::TimedOut) if !facts.not_run => return Attempt::TimedOut,
+            Err(_) if !facts.not_run => return Attempt::Broken,
+            Err(_) => Vec::new(),
+        };
+        self.rest(target, upstream, head, &body);
+        if facts.not_run {
+            return self.refused(target, head, facts);
+        }
+        if is_success {
+            return Attempt::Answered(self.pass_whole(head, &bytes));
+        }
+        if !facts.vouched {
+            return Attempt::Broken;
+        }
+        Attempt::Failed(Box::new(FailedAnswer {
+            head: head.clone(),
+            body: bytes,
+        }))
+    }
+
+    /// The upstream has not run the request; what that tells of the upstream.
+    fn refused(&self, target: &Target, head: &AnswerHead, facts: &AnswerFacts) -> Attempt {
+        if facts.other_incarnation {
+            self.shared.pool.forget(&target.id);
+            return Attempt::NotRun(Outcome::Unreachable);
+        }
+        if head.status == 421
+            && let Some(wish) = self.wish()
+        {
+            let now = Instant::now();
+            self.shared.upstreams().absent(&target.id, wish, now);
+            return Attempt::NotRun(Outcome::Unknown);
+        }
+        Attempt::NotRun(Outcome::Shed)
+    }
+
+    /// Keeps the upstream's connection if it may carry another request.
+    fn rest(
+        &self,
+        target: &Target,
+        mut upstream: Connection,
+        head: &AnswerHead,
+        body: &BodyReader,
+    ) {
+        if !body.reusable || !body.is_done() || !upstream.is_clean() {
+            return;
+        }
+        let named = head.headers.text("keep-alive").and_then(|text| {
+            let parts = text.split(',');
+            let mut timeout = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
+            timeout.find_map(|seconds| seconds.parse().ok())
+        });
+        let rest = pool::rest_time(named);
+        let now = Instant::now();
+        self.shared.pool.put(&target.id, upstream, rest, now);
+    }
+
+    fn answer_headers(&self, head: &AnswerHead) -> Headers {
+        let mut headers = Headers(head.headers.end_to_end().cloned().collect());
+        if self.close_after {
+            headers.push("Connection", "close");
+        }
+        headers
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        // A ready answer is delivered, late too.
+        let until = self.deadline_at.max(Instant::now() + WRITE_TIME);
+        http1::write_all(self.caller, bytes, false, None, until)?;
+        Ok(())
+    }
+
+    /// Passes on an answer that is whole.
+    pub(super) fn pass_whole(&mut self, head: &AnswerHead, body: &[u8]) -> After {
+        let mut headers = self.answer_headers(head);
+        let bodyless = self.head.method == "HEAD" || matches!(head.status, 204 | 304);
+        if !bodyless {
+            headers.push("Content-Length", body.len().to_string());
+        }
+        let line = format!("HTTP/1.1 {} {}", head.status, head.reason);
+        let mut bytes = encode_head(&line, &headers);
+        if !bodyless {
+            bytes.extend_from_slice(body);
+        }
+        let written = self.write(&bytes);
+        after(written.is_ok() && !self.close_after)
+    }
+
+    /// Passes on a stream, event by event.
+    fn pass_stream(
+        &mut self,
+        target: &Target,
+        mut upstream: Connection,
+        head: &AnswerHead,
+        mut body: BodyReader,
+    ) -> Attempt {
+        let mut opening = self.stream_opening(head);
+        let mut received = Vec::new();
+        let mut events = Vec::new();
+        loop {
+            let part = self.next_part(target, &mut upstream, &mut body, &mut received);
+            let ended = match part {
+                Ok(part) => part == BodyPart::End,
+                Err(ended) => return ended,
+            };
+            self.heard(target);
+            events.clear();
+            self.relay.cutter.add(&received, &mut events);
+            if ended {
+                events.extend(self.relay.cutter.take_rest());
+            }
+            let out = self.framed(std::mem::take(&mut opening), &events, ended);
+            if !out.is_empty() {
+                self.relay.head_sent = true;
+                if self.write(&out).is_err() {
+                    return Attempt::CallerGone;
+                }
+            }
+            if ended {
+                self.rest(target, upstream, head, &body);
+                let keep = self.relay.chunked && !self.close_after;
+                return Attempt::Answered(after(keep));
+            }
+        }
+    }
+
+    /// The head of a stream's answer; empty if an earlier attempt has sent it.
+    fn stream_opening(&mut self, head: &AnswerHead) -> Vec<u8> {
+        if self.relay.head_sent {
+            return Vec::new();
+        }
+        let mut headers = self.answer_headers(head);
+        self.relay.chunked = self.head.is_1_1;
+        if self.relay.chunked {
+            headers.push("Transfer-Encoding", "chunked");
+        }
+        let line = format!("HTTP/1.1 {} {}", head.status, head.reason);
+        encode_head(&line, &headers)
+    }
+
+    /// Reads the next part of a stream, for as long as the upstream is not silent.
+    fn next_part(
+        &mut self,
+        target: &Target,
+        upstream: &mut Connection,
+        body: &mut BodyReader,
+        received: &mut Vec<u8>,
+    ) -> Result<BodyPart, Attempt> {
+        loop {
+            received.clear();
+            let until = self.step_until();
+            match body.next(upstream, received, Some(self.caller), until) {
+                Ok(part) => return Ok(part),
+                Err(HttpError::WatchedClosed) => return Err(Attempt::CallerGone),
+                Err(HttpError::TimedOut) if Instant::now() >= self.deadline_at => {
+                    return Err(Attempt::TimedOut);
+                }
+                Err(HttpError::TimedOut) if !self.is_silent(target) => {}
+                Err(_) => {
+                    self.relay.cutter.drop_partial();
+                    return Err(Attempt::Broken);
+                }
+            }
+        }
+    }
+
+    /// `opening` followed by `events`, framed for the caller.
+    fn framed(&self, opening: Vec<u8>, events: &[u8], ended: bool) -> Vec<u8> {
+        let mut out = opening;
+        if self.relay.chunked && !events.is_empty() {
+            out.extend(reply::chunk(events));
+        } else {
+            out.extend_from_slice(events);
+        }
+        if ended && self.relay.chunked {
+            out.extend_from_slice(reply::LAST_CHUNK);
+        }
+        out
+    }
+}
