One engine in the placement: orders and reports apart

Cause: placement/engine.rs had 586 lines and mixed what stands on an engine with the orders to it and what it tells of itself. Change: `engine/orders.rs` holds which order comes next and what its answer changes, `engine/reports.rs` the entries and reports; each has the constants that it alone uses. `engine.rs` keeps the state and the questions about it. Code moved, not altered.

--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -1,19 +1,16 @@
 //! One engine as the holder knows it: what stands on it and which order is under way.
+//! Orders and their answers are in `orders`, what it tells of itself in `reports`.
 
-use super::{ASK_PAUSE, Action, Placement, PlannedOrder};
-use crate::ports::{EngineReport, OrderAction, OrderAnswer};
+mod orders;
+mod reports;
+
+use super::{Placement, PlannedOrder};
+use crate::ports::OrderAction;
 use crate::routes::{EnginePool, ModelSpec};
 use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
-/// An engine that is busy with an order of before is asked again after this.
-const BUSY_PAUSE: Duration = Duration::from_millis(250);
-/// The pause between questions without an answer doubles at most so often.
-const MAX_DOUBLINGS: u32 = 3;
-/// Time for an adapter to come; engines take some milliseconds.
-const ADAPTER_TIME: Duration = Duration::from_millis(12);
-
 /// Where an engine finds a model's weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Tier {
@@ -269,29 +266,6 @@
         self.adapters_wanted.push(wish);
     }
 
-    /// The engine has said something of itself.
-    pub(super) fn heard(&mut self, entry: UpstreamEntry, now: Instant) {
-        if entry.beat < self.entry.beat {
-            // An older word, told late; only leaving is final.
-            self.entry.draining |= entry.draining;
-            return;
-        }
-        let was_draining = self.entry.draining;
-        self.entry = entry;
-        self.entry.draining |= was_draining;
-        if self.orders_taken.is_none() && self.under_way.is_none() {
-            self.models.clone_from(&self.entry.models);
-        }
-        let Some(UnderWay::Taken { order, .. }) = &self.under_way else {
-            return;
-        };
-        let model = order.wish.model.clone();
-        let stands = self.entry.models.iter().any(|m| m.name == model);
-        if stands == (order.action == OrderAction::Load) {
-            self.model_order_done(now);
-        }
-    }
-
     /// The model order under way has taken effect.
     fn model_order_done(&mut self, now: Instant) {
         let Some(under_way) = self.under_way.take() else {
@@ -316,47 +290,6 @@
         }
     }
 
-    pub(super) fn answered(
-        &mut self,
-        order: &PlannedOrder,
-        answer: OrderAnswer,
-        due_at: Instant,
-        now: Instant,
-    ) {
-        if order.wish.adapter.is_some() {
-            self.adapter_answered(order, answer, now);
-            return;
-        }
-        let sent = matches!(&self.under_way, Some(UnderWay::Sent(sent)) if sent == order);
-        if !sent {
-            return;
-        }
-        match answer {
-            OrderAnswer::Taken => {
-                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
-                self.under_way = Some(UnderWay::Taken {
-                    order: order.clone(),
-                    due_at,
-                });
-                self.ask_at = Some(due_at + ASK_PAUSE);
-            }
-            OrderAnswer::NotSent => {
-                self.under_way = None;
-                self.ask_at = Some(now + ASK_PAUSE);
-            }
-            OrderAnswer::Refused => {
-                self.abandon();
-                self.ask_at = Some(now + ASK_PAUSE);
-            }
-            OrderAnswer::OtherIncarnation => self.ended(),
-            OrderAnswer::Done | OrderAnswer::Conflict | OrderAnswer::Lost => {
-                self.under_way = None;
-                self.orders_taken = None;
-                self.ask_at = Some(now + ASK_PAUSE);
-            }
-        }
-    }
-
     /// This incarnation has ended; its entry goes later.
     fn ended(&mut self) {
         self.abandon();
@@ -375,41 +308,6 @@
         self.orders_taken = None;
     }
 
-    fn adapter_answered(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
-        if self.adapter_order.as_ref() != Some(order) {
-            return;
-        }
-        self.adapter_order = None;
-        match answer {
-            OrderAnswer::Taken if order.action == OrderAction::Unload => {
-                // A run uses it: it takes its place until a report shows that it went.
-                self.orders_taken = None;
-                self.ask_at = Some(now + ASK_PAUSE);
-            }
-            OrderAnswer::Taken => {
-                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
-                self.adapter_due = Some((order.clone(), now + ADAPTER_TIME));
-            }
-            OrderAnswer::Done if order.action == OrderAction::Unload => {
-                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
-                self.adapter_done(order);
-            }
-            OrderAnswer::Done => {
-                self.adapter_done(order);
-                self.orders_taken = None;
-            }
-            OrderAnswer::NotSent => self.ask_at = Some(now + ASK_PAUSE),
-            OrderAnswer::OtherIncarnation => self.ended(),
-            OrderAnswer::Refused => {
-                self.adapters_wanted.retain(|wish| *wish != order.wish);
-            }
-            OrderAnswer::Conflict | OrderAnswer::Lost => {
-                self.orders_taken = None;
-                self.ask_at = Some(now + ASK_PAUSE);
-            }
-        }
-    }
-
     fn adapter_done(&mut self, order: &PlannedOrder) {
         self.adapters_wanted.retain(|wish| *wish != order.wish);
         let model = self.models.iter_mut().find(|m| m.name == order.wish.model);
@@ -422,58 +320,6 @@
         }
     }
 
-    /// The engine told its state, which is some hundred milliseconds old.
-    pub(super) fn reported(&mut self, report: Option<EngineReport>, now: Instant) {
-        self.asked = false;
-        let Some(report) = report else {
-            self.unanswered += 1;
-            let pause = ASK_PAUSE * (1 << self.unanswered.min(MAX_DOUBLINGS));
-            self.ask_at = Some(now + pause);
-            return;
-        };
-        self.unanswered = 0;
-        self.ask_at = Some(now + ASK_PAUSE);
-        if self
-            .orders_taken
-            .is_some_and(|taken| report.orders_taken < taken)
-        {
-            // Older than the last answer.
-            return;
-        }
-        if report.busy {
-            self.ask_at = Some(now + BUSY_PAUSE);
-            // What an order under way will change is not known: no order may be
-            // decided on this state.
-            if self.under_way.is_none() {
-                self.orders_taken = None;
-            }
-            return;
-        }
-        self.orders_taken = Some(report.orders_taken);
-        self.ask_at = None;
-        if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
-            let model = &order.wish.model;
-            let stands = report.models.iter().any(|m| m.name == *model);
-            if stands == (order.action == OrderAction::Load) {
-                self.model_order_done(now);
-            } else {
-                // It was taken and came to nothing.
-                self.under_way = None;
-            }
-        }
-        self.models = report.models;
-        self.entry.in_memory = report.in_memory;
-        self.entry.on_disk = report.on_disk;
-        let coming = self.coming.clone();
-        if coming.is_some_and(|model| self.resident(&model).is_some()) {
-            self.coming = None;
-            self.closing.clear();
-        }
-        let models = &self.models;
-        self.closing
-            .retain(|model| models.iter().any(|m| m.name == *model));
-    }
-
     pub(super) fn look_at(&self) -> Option<Instant> {
         let ask_at = self.ask_at.filter(|_| !self.asked);
         let adapter_at = self.adapter_due.as_ref().map(|(_, at)| *at);
@@ -489,98 +335,4 @@
         self.adapter_done(&order);
         true
     }
-
-    fn order(&self, action: OrderAction, wish: ModelWish, expected_orders: u64) -> PlannedOrder {
-        PlannedOrder {
-            engine: self.entry.id.clone(),
-            address: self.entry.address,
-            action,
-            wish,
-            expected_orders,
-        }
-    }
-
-    /// The next order or question, if there is one.
-    pub(super) fn step(&mut self, pool: &EnginePool, now: Instant) -> Option<Action> {
-        if self.asked {
-            return None;
-        }
-        let due = self.ask_at.is_some_and(|at| now >= at);
-        if due || (self.orders_taken.is_none() && self.ask_at.is_none()) {
-            self.asked = true;
-            self.ask_at = None;
-            return Some(Action::Ask {
-                engine: self.entry.id.clone(),
-                address: self.entry.address,
-            });
-        }
-        let sent = matches!(self.under_way, Some(UnderWay::Sent(_)));
-        if sent || self.adapter_order.is_some() || self.adapter_due.is_some() {
-            return None;
-        }
-        let expected = self.orders_taken?;
-        if let Some(order) = self.adapter_step(pool, expected) {
-            self.adapter_order = Some(order.clone());
-            return Some(Action::Order(order));
-        }
-        if self.under_way.is_some() {
-            return None;
-        }
-        let order = self.model_step(pool, expected)?;
-        self.under_way = Some(UnderWay::Sent(order.clone()));
-        Some(Action::Order(order))
-    }
-
-    fn model_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
-        let coming = self.coming.clone()?;
-        if self.entry.draining {
-            self.coming = None;
-            self.closing.clear();
-            return None;
-        }
-        let wish = |model| ModelWish {
-            model,
-            adapter: None,
-        };
-        if self.free_mb(pool) >= self.size_mb(pool, &coming) {
-            // A model that still stands although it was to go may be used again.
-            self.closing.clear();
-            return Some(self.order(OrderAction::Load, wish(coming), expected));
-        }
-        let Some(victim) = self.closing.first().cloned() else {
-            self.coming = None;
-            return None;
-        };
-        Some(self.order(OrderAction::Unload, wish(victim), expected))
-    }
-
-    fn adapter_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
-        let models = &self.models;
-        let closing = &self.closing;
-        self.adapters_wanted.retain(|wish| {
-            let model = models.iter().find(|m| m.name == wish.model);
-            let stands = model.is_some_and(|m| wish.adapter.iter().all(|a| m.adapters.contains(a)));
-            model.is_some() && !stands && !closing.contains(&wish.model)
-        });
-        let wanted = self.adapters_wanted.first().cloned()?;
-        let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
-        if standing < pool.adapter_slots {
-            let spec = pool.models.iter().find(|s| s.name == wanted.model)?;
-            if self.free_mb(pool) >= spec.adapter_mb {
-                return Some(self.order(OrderAction::Load, wanted, expected));
-            }
-        }
-        let oldest = self.oldest_adapter()?;
-        Some(self.order(OrderAction::Unload, oldest, expected))
-    }
-
-    fn oldest_adapter(&self) -> Option<ModelWish> {
-        let standing = self.models.iter().flat_map(|model| {
-            model.adapters.iter().map(|adapter| ModelWish {
-                model: model.name.clone(),
-                adapter: Some(adapter.clone()),
-            })
-        });
-        standing.min_by_key(|wish| self.adapter_used_at.get(wish).copied())
-    }
 }
