HTTP/1.1: the connection, heads and bodies in modules of their own

Change: `http1/socket.rs`, `http1/head.rs` and `http1/body.rs`; `http1.rs` keeps the error and re-exports, so public paths stay. Code moved, not altered.

--- /dev/null
+++ b/crates/instance/src/http1/head.rs
@@ -0,0 +1,151 @@
+//! Heads of requests and answers: reading, parsing, writing.
+
+use super::HttpError;
+use super::socket::{Connection, read_more};
+use passway_serving::headers::Headers;
+use std::time::{Duration, Instant};
+
+/// Most headers of a message.
+const MAX_HEADERS: usize = 128;
+/// Largest head of an answer.
+pub const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// The method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Whether the caller speaks HTTP/1.1.
+    pub is_1_1: bool,
+    /// The headers.
+    pub headers: Headers,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: u16,
+    /// The reason phrase.
+    pub reason: String,
+    /// Whether the upstream speaks HTTP/1.1.
+    pub is_1_1: bool,
+    /// The headers.
+    pub headers: Headers,
+}
+
+fn collect(parsed: &[httparse::Header<'_>]) -> Headers {
+    let mut headers = Headers::default();
+    for header in parsed {
+        headers.push(header.name, header.value);
+    }
+    headers
+}
+
+fn parse_request(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, HttpError> {
+    let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut parsed);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => {
+            let head = RequestHead {
+                method: request.method.unwrap_or_default().to_owned(),
+                target: request.path.unwrap_or_default().to_owned(),
+                is_1_1: request.version == Some(1),
+                headers: collect(request.headers),
+            };
+            Ok(Some((head, length)))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(HttpError::Malformed("not a request")),
+    }
+}
+
+fn parse_answer(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, HttpError> {
+    let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut answer = httparse::Response::new(&mut parsed);
+    match answer.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => {
+            let head = AnswerHead {
+                status: answer.code.unwrap_or_default(),
+                reason: answer.reason.unwrap_or_default().to_owned(),
+                is_1_1: answer.version == Some(1),
+                headers: collect(answer.headers),
+            };
+            Ok(Some((head, length)))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(HttpError::Malformed("not an answer")),
+    }
+}
+
+/// Reads a request's head. The time for it begins with its first byte; before that
+/// the connection may rest until `idle_until`. `None` if it was closed at rest.
+///
+/// # Errors
+/// If the head is malformed, too large or late, or the connection breaks.
+pub fn read_request_head(
+    connection: &mut Connection,
+    max_bytes: usize,
+    idle_until: Instant,
+    header_time: Duration,
+) -> Result<Option<RequestHead>, HttpError> {
+    if connection.unused().is_empty() && !read_more(connection, None, idle_until)? {
+        return Ok(None);
+    }
+    let until = Instant::now() + header_time;
+    loop {
+        if let Some((head, length)) = parse_request(connection.unused())? {
+            connection.advance(length);
+            return Ok(Some(head));
+        }
+        if connection.unused().len() >= max_bytes {
+            return Err(HttpError::TooLarge);
+        }
+        if !read_more(connection, None, until)? {
+            return Err(HttpError::Closed);
+        }
+    }
+}
+
+/// Reads an answer's head, leaving out interim ones.
+///
+/// # Errors
+/// If the head is malformed or late, or a connection breaks.
+pub fn read_answer_head(
+    connection: &mut Connection,
+    mut watched: Option<&mut Connection>,
+    until: Instant,
+) -> Result<AnswerHead, HttpError> {
+    loop {
+        if let Some((head, length)) = parse_answer(connection.unused())? {
+            connection.advance(length);
+            if head.status >= 200 {
+                return Ok(head);
+            }
+            continue;
+        }
+        if connection.unused().len() >= MAX_ANSWER_HEAD_BYTES {
+            return Err(HttpError::TooLarge);
+        }
+        if !read_more(connection, watched.as_deref_mut(), until)? {
+            return Err(HttpError::Closed);
+        }
+    }
+}
+
+/// Writes a message's head into bytes.
+pub fn encode_head(first_line: &str, headers: &Headers) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(512);
+    bytes.extend_from_slice(first_line.as_bytes());
+    bytes.extend_from_slice(b"\r\n");
+    for header in &headers.0 {
+        bytes.extend_from_slice(header.name.as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(&header.value);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
