Leftovers: doubled logic, names, comments that no longer fit

Cause: "has no body" and the status line stood twice each, "the order has taken effect" and the number of standing adapters too; `forward::Relay` had the name of the other `relay::Relay`; 421 and the numbers of FNV-1a had no names; a few comments told of what is gone. `exchange` looked for a `NotSent` that `exchange_over` never returns. Change: one function for each; `Delivered`, `keep`, `spawn_thread` and `serve_connection` as names; named constants; comments say what is so; the branch that could not be reached is gone.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -34,7 +34,7 @@
     std::thread::spawn(move || {
         loop {
             match listener.accept() {
-                Ok((stream, _)) => take(&shared, stream),
+                Ok((stream, _)) => spawn_thread(&shared, stream),
                 Err(error) => {
                     log::warn!(error:% = error; "a connection could not be accepted");
                     std::thread::sleep(ACCEPT_PAUSE);
@@ -45,11 +45,12 @@
     Ok(bound)
 }
 
-fn take(shared: &Arc<Shared>, stream: TcpStream) {
+fn spawn_thread(shared: &Arc<Shared>, stream: TcpStream) {
     let shared = shared.clone();
     let run = move || {
+        // A socket that refuses its options is of no use; dropping it closes it.
         if let Ok(connection) = Connection::new(stream) {
-            converse(&shared, connection);
+            serve_connection(&shared, connection);
         }
     };
     let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
@@ -63,7 +64,8 @@
     routes.as_ref().map_or(FIRST_LIMITS, |table| table.limits)
 }
 
-fn converse(shared: &Arc<Shared>, mut caller: Connection) {
+/// Reads and serves one request after the other until the connection ends.
+fn serve_connection(shared: &Arc<Shared>, mut caller: Connection) {
     loop {
         let limits = limits(shared);
         let idle_until = Instant::now() + Duration::from_millis(limits.idle_timeout_ms);
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -38,6 +38,11 @@
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
+/// Start value of the 64-bit FNV-1a hash, as published.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// Factor of the 64-bit FNV-1a hash, as published.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
 /// Whether the caller's connection may carry another request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum After {
@@ -56,7 +61,7 @@
     CallerGone,
     /// The upstream has not run it and never will.
     NotRun(Outcome),
-    /// Nothing of it was sent, or a kept connection had ended before.
+    /// No connection could be made, so nothing of it was sent.
     NotSent,
     /// It may have run; the answer broke off or was no answer.
     Broken,
@@ -73,9 +78,9 @@
     body: Vec<u8>,
 }
 
-/// What has gone to the caller.
+/// What has gone to the caller, over all attempts.
 #[derive(Debug, Default)]
-struct Relay {
+struct Delivered {
     head_sent: bool,
     chunked: bool,
     cutter: EventCutter,
@@ -109,7 +114,7 @@
     arrived_at: Instant,
     deadline_at: Instant,
     close_after: bool,
-    relay: Relay,
+    delivered: Delivered,
     tried: Vec<UpstreamId>,
     runs: u32,
 }
@@ -123,14 +128,15 @@
     }
 }
 
-/// A stable number for a request, by which it takes its part of a split route.
+/// A stable number for a request, by which it takes its part of a split route: the
+/// same request always takes the same backend. FNV-1a.
 fn draw(id: &str) -> u64 {
-    // FNV-1a: the same request always takes the same backend.
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    id.bytes().fold(FNV_OFFSET_BASIS, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
     })
 }
 
+/// The host that a request names, without its port; `None` unless it names just one.
 fn host_of(head: &RequestHead) -> Option<String> {
     let mut hosts = head.headers.all("host");
     let host = std::str::from_utf8(hosts.next()?).ok()?;
@@ -174,7 +180,7 @@
         arrived_at,
         deadline_at: arrived_at + Duration::from_millis(timeout_ms),
         close_after,
-        relay: Relay::default(),
+        delivered: Delivered::default(),
         tried: Vec::new(),
         runs: 0,
     }
@@ -309,7 +315,7 @@
 
     /// The last answer, when nothing more can be tried.
     fn give_up(mut self, failed: Option<Box<FailedAnswer>>) -> After {
-        if self.relay.head_sent {
+        if self.delivered.head_sent {
             // A stream that breaks off must not look whole.
             log::info!(request = self.facts.id, code = 0; "stream broken off");
             return After::Close;
@@ -375,7 +381,7 @@
                 });
             }
             if self.caller.is_closed() {
-                // The next step sees the closed connection and ends.
+                // The caller has left: nobody reads what giving up writes.
                 return None;
             }
         }
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -31,6 +31,9 @@
 const MAX_WHOLE_BYTES: usize = 1 << 20;
 /// Answers of earlier requests that are left out before a connection is given up.
 const MAX_SURPLUS_ANSWERS: usize = 2;
+/// Status of an upstream that does not have what the request is for (RFC 9110:
+/// Misdirected Request).
+const MISDIRECTED: u16 = 421;
 
 impl Forwarding<'_> {
     /// Sends the request over a rested or a new connection.
@@ -42,10 +45,7 @@
         };
         let now = Instant::now();
         if let Some(kept) = self.shared.pool.take(&target.id, longest, now) {
-            let attempt = self.exchange_over(target, kept);
-            if !matches!(attempt, Attempt::NotSent) {
-                return attempt;
-            }
+            return self.exchange_over(target, kept);
         }
         match Connection::connect(target.address, CONNECT_TIME) {
             Ok(connection) => self.exchange_over(target, connection),
@@ -87,7 +87,7 @@
             upstream: target.id.clone(),
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             urgency: self.is_engine.then_some(self.route.priority.min(9)),
-            last_event: self.relay.cutter.last_id().map(str::to_owned),
+            last_event: self.delivered.cutter.last_id().map(str::to_owned),
         };
         let mut headers = self.shared.vocabulary.forwarded(&self.head.headers, &stamp);
         let has_body =
@@ -212,7 +212,7 @@
             Err(_) if !facts.not_run => return Attempt::Broken,
             Err(_) => Vec::new(),
         };
-        self.rest(target, upstream, head, &body);
+        self.keep(target, upstream, head, &body);
         if facts.not_run {
             return self.refused(target, head, facts);
         }
@@ -234,7 +234,7 @@
             self.shared.pool.forget(&target.id);
             return Attempt::NotRun(Outcome::Unreachable);
         }
-        if head.status == 421
+        if head.status == MISDIRECTED
             && let Some(wish) = self.wish()
         {
             let now = Instant::now();
@@ -245,7 +245,7 @@
     }
 
     /// Keeps the upstream's connection if it may carry another request.
-    fn rest(
+    fn keep(
         &self,
         target: &Target,
         mut upstream: Connection,
@@ -283,12 +283,11 @@
     /// Passes on an answer that is whole.
     pub(super) fn pass_whole(&mut self, head: &AnswerHead, body: &[u8]) -> After {
         let mut headers = self.answer_headers(head);
-        let bodyless = self.head.method == "HEAD" || matches!(head.status, 204 | 304);
+        let bodyless = head.is_bodyless(&self.head.method);
         if !bodyless {
             headers.push("Content-Length", body.len().to_string());
         }
-        let line = format!("HTTP/1.1 {} {}", head.status, head.reason);
-        let mut bytes = encode_head(&line, &headers);
+        let mut bytes = encode_head(&head.status_line(), &headers);
         if !bodyless {
             bytes.extend_from_slice(body);
         }
@@ -315,20 +314,20 @@
             };
             self.heard(target);
             events.clear();
-            self.relay.cutter.add(&received, &mut events);
+            self.delivered.cutter.add(&received, &mut events);
             if ended {
-                events.extend(self.relay.cutter.take_rest());
+                events.extend(self.delivered.cutter.take_rest());
             }
             let out = self.framed(std::mem::take(&mut opening), &events, ended);
             if !out.is_empty() {
-                self.relay.head_sent = true;
+                self.delivered.head_sent = true;
                 if self.write(&out).is_err() {
                     return Attempt::CallerGone;
                 }
             }
             if ended {
-                self.rest(target, upstream, head, &body);
-                let keep = self.relay.chunked && !self.close_after;
+                self.keep(target, upstream, head, &body);
+                let keep = self.delivered.chunked && !self.close_after;
                 return Attempt::Answered(after(keep));
             }
         }
@@ -336,16 +335,15 @@
 
     /// The head of a stream's answer; empty if an earlier attempt has sent it.
     fn stream_opening(&mut self, head: &AnswerHead) -> Vec<u8> {
-        if self.relay.head_sent {
+        if self.delivered.head_sent {
             return Vec::new();
         }
         let mut headers = self.answer_headers(head);
-        self.relay.chunked = self.head.is_1_1;
-        if self.relay.chunked {
+        self.delivered.chunked = self.head.is_1_1;
+        if self.delivered.chunked {
             headers.push("Transfer-Encoding", "chunked");
         }
-        let line = format!("HTTP/1.1 {} {}", head.status, head.reason);
-        encode_head(&line, &headers)
+        encode_head(&head.status_line(), &headers)
     }
 
     /// Reads the next part of a stream, for as long as the upstream is not silent.
@@ -367,7 +365,7 @@
                 }
                 Err(HttpError::TimedOut) if !self.is_silent(target) => {}
                 Err(_) => {
-                    self.relay.cutter.drop_partial();
+                    self.delivered.cutter.drop_partial();
                     return Err(Attempt::Broken);
                 }
             }
@@ -377,12 +375,12 @@
     /// `opening` followed by `events`, framed for the caller.
     fn framed(&self, opening: Vec<u8>, events: &[u8], ended: bool) -> Vec<u8> {
         let mut out = opening;
-        if self.relay.chunked && !events.is_empty() {
+        if self.delivered.chunked && !events.is_empty() {
             out.extend(reply::chunk(events));
         } else {
             out.extend_from_slice(events);
         }
-        if ended && self.relay.chunked {
+        if ended && self.delivered.chunked {
             out.extend_from_slice(reply::LAST_CHUNK);
         }
         out
--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -99,7 +99,7 @@
     pub fn of_answer(head: &AnswerHead, method: &str) -> Result<Self, HttpError> {
         let length = single_length(&head.headers)?;
         let chunked = is_chunked(&head.headers)?;
-        let empty = method == "HEAD" || matches!(head.status, 204 | 304);
+        let empty = head.is_bodyless(method);
         let framing = match (chunked, length) {
             _ if empty => Framing::Done,
             (true, Some(_)) => return Err(HttpError::Malformed("a length and chunks")),
--- a/crates/instance/src/http1/head.rs
+++ b/crates/instance/src/http1/head.rs
@@ -36,6 +36,19 @@
     pub headers: Headers,
 }
 
+impl AnswerHead {
+    /// Whether an answer with this head to a request of `method` has no body,
+    /// whatever its headers say.
+    pub fn is_bodyless(&self, method: &str) -> bool {
+        method == "HEAD" || matches!(self.status, 204 | 304)
+    }
+
+    /// The first line of the answer when it is passed on.
+    pub fn status_line(&self) -> String {
+        format!("HTTP/1.1 {} {}", self.status, self.reason)
+    }
+}
+
 fn collect(parsed: &[httparse::Header<'_>]) -> Headers {
     let mut headers = Headers::default();
     for header in parsed {
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -26,6 +26,7 @@
     std::thread::spawn(move || {
         for stream in listener.incoming() {
             let Ok(connection) = stream.and_then(Connection::new) else {
+                // The balancer asks again on a new connection.
                 continue;
             };
             let shared = shared.clone();
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -9,7 +9,7 @@
 use passway_serving::ports::{Listing, StoreChange, StoreRevision, StoredValue};
 use passway_types::prelude::*;
 use passway_wire::message::{News, NewsValue};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Number of the configuration's feed.
@@ -201,7 +201,7 @@
 /// The latest of one feed, for instances that hear it from here.
 #[derive(Debug, Default)]
 pub struct FeedLog {
-    values: std::collections::BTreeMap<String, StoredValue>,
+    values: BTreeMap<String, StoredValue>,
     changes: VecDeque<StoreChange>,
     /// Changes after this revision are kept.
     since: StoreRevision,
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -49,6 +49,7 @@
     }
 }
 
+/// What the holder knows of one engine, and its orders to it.
 #[derive(Debug)]
 pub(super) struct Engine {
     pub(super) entry: UpstreamEntry,
@@ -243,9 +244,14 @@
         }
     }
 
+    /// Adapters that stand here.
+    fn standing_adapters(&self) -> usize {
+        self.models.iter().map(|m| m.adapters.len()).sum()
+    }
+
+    /// Adapters that stand here or are wanted.
     pub(super) fn adapter_count(&self) -> usize {
-        let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
-        standing + self.adapters_wanted.len()
+        self.standing_adapters() + self.adapters_wanted.len()
     }
 
     pub(super) fn want_adapter(
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -164,8 +164,7 @@
             model.is_some() && !stands && !closing.contains(&wish.model)
         });
         let wanted = self.adapters_wanted.first().cloned()?;
-        let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
-        if standing < pool.adapter_slots {
+        if self.standing_adapters() < pool.adapter_slots {
             let spec = pool.models.iter().find(|s| s.name == wanted.model)?;
             if self.free_mb(pool) >= spec.adapter_mb {
                 return Some(self.order(OrderAction::Load, wanted, expected));
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -2,9 +2,9 @@
 //! it is asked for its state.
 
 use super::{Engine, UnderWay};
-use crate::placement::ASK_PAUSE;
+use crate::placement::{ASK_PAUSE, PlannedOrder};
 use crate::ports::{EngineReport, OrderAction};
-use crate::upstreams::UpstreamEntry;
+use crate::upstreams::{ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
 
 /// An engine that is busy with an order of before is asked again after this.
@@ -12,11 +12,17 @@
 /// The pause between questions without an answer doubles at most so often.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// Whether a model order has taken effect on an engine with these models.
+fn has_taken_effect(order: &PlannedOrder, models: &[ResidentModel]) -> bool {
+    let stands = models.iter().any(|m| m.name == order.wish.model);
+    stands == (order.action == OrderAction::Load)
+}
+
 impl Engine {
     /// The engine has said something of itself.
     pub(in crate::placement) fn heard(&mut self, entry: UpstreamEntry, now: Instant) {
         if entry.beat < self.entry.beat {
-            // An older word, told late; only leaving is final.
+            // An older check-in that came late; only leaving is final.
             self.entry.draining |= entry.draining;
             return;
         }
@@ -29,9 +35,7 @@
         let Some(UnderWay::Taken { order, .. }) = &self.under_way else {
             return;
         };
-        let model = order.wish.model.clone();
-        let stands = self.entry.models.iter().any(|m| m.name == model);
-        if stands == (order.action == OrderAction::Load) {
+        if has_taken_effect(order, &self.entry.models) {
             self.model_order_done(now);
         }
     }
@@ -66,9 +70,7 @@
         self.orders_taken = Some(report.orders_taken);
         self.ask_at = None;
         if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
-            let model = &order.wish.model;
-            let stands = report.models.iter().any(|m| m.name == *model);
-            if stands == (order.action == OrderAction::Load) {
+            if has_taken_effect(order, &report.models) {
                 self.model_order_done(now);
             } else {
                 // It was taken and came to nothing.
