FNV-1a stands once, with named numbers

Cause: forward.rs and upstreams.rs each had the hash with its numbers written out. Change: `passway_serving::hash::fnv1a`; the numbers of the mixing step that follows it in the choice of upstreams have names too. Same values for the same input.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -11,6 +11,7 @@
 use crate::http1::{AnswerHead, Connection, RequestHead};
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
+use passway_serving::hash::fnv1a;
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
 use passway_serving::upstreams::{Choice, ModelWish, Outcome};
@@ -38,11 +39,6 @@
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
-/// Start value of the 64-bit FNV-1a hash, as published.
-const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-/// Factor of the 64-bit FNV-1a hash, as published.
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-
 /// Whether the caller's connection may carry another request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum After {
@@ -129,11 +125,9 @@
 }
 
 /// A stable number for a request, by which it takes its part of a split route: the
-/// same request always takes the same backend. FNV-1a.
+/// same request always takes the same backend.
 fn draw(id: &str) -> u64 {
-    id.bytes().fold(FNV_OFFSET_BASIS, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    })
+    fnv1a(0, id)
 }
 
 /// The host that a request names, without its port; `None` unless it names just one.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,10 +8,12 @@
 //!   them, and which one a request goes to.
 //! * [`retry`]: the part of the fleet's retry allowance that this instance may spend.
 //! * [`headers`]: headers as they were received.
+//! * [`hash`]: a hash that is the same in each process.
 //!
 //! Events and the current time go in, answers come out; `passway-instance` is the
 //! shell with threads and sockets.
 
+pub mod hash;
 pub mod headers;
 pub mod placement;
 pub mod ports;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! Upstreams: what they say of themselves, what this instance saw, and the choice.
 
+use crate::hash::fnv1a;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -186,15 +187,17 @@
     upstreams: HashMap<UpstreamId, Upstream>,
 }
 
+/// How far a hash is shifted down onto itself, so that its upper bits have a part in
+/// the multiplication that follows; about half of its bits.
+const MIX_SHIFT: u32 = 29;
+/// 2^64 divided by the golden ratio: the usual odd factor to mix a hash's bits.
+const MIX_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// A part of one, fixed by a number and a name.
 fn part_of(drawn: u64, name: &str) -> f64 {
-    // FNV-1a over the name, begun with the number; the upper bits are mixed best.
-    let hash = name
-        .bytes()
-        .fold(drawn ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
-    let mixed = (hash ^ (hash >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let hash = fnv1a(drawn, name);
+    // The upper bits are mixed best.
+    let mixed = (hash ^ (hash >> MIX_SHIFT)).wrapping_mul(MIX_FACTOR);
     f64::from(u32::try_from(mixed >> 32).unwrap_or(0)) / f64::from(u32::MAX)
 }
 
