A request that was given up is taken back by a reset

Change: connections to upstreams close by a reset and end when 1.5 s go by unacknowledged; a kept connection that had broken before a byte was written gives way to a new one (the branch was there and never taken). abandoned_is_reset fails without the reset.

--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -45,7 +45,10 @@
         };
         let now = Instant::now();
         if let Some(kept) = self.shared.pool.take(&target.id, longest, now) {
-            return self.exchange_over(target, kept);
+            let attempt = self.exchange_over(target, kept);
+            if !matches!(attempt, Attempt::NotSent) {
+                return attempt;
+            }
         }
         match Connection::connect(target.address, CONNECT_TIME) {
             Ok(connection) => self.exchange_over(target, connection),
@@ -124,6 +127,7 @@
         wrote.map_err(|error| match error {
             HttpError::WatchedClosed => Attempt::CallerGone,
             HttpError::TimedOut => Attempt::TimedOut,
+            HttpError::NothingWritten => Attempt::NotSent,
             // A part may have arrived; an upstream runs only whole requests, but
             // what was written last may have been the end of one.
             _ => Attempt::Broken,
--- a/crates/instance/src/http1.rs
+++ b/crates/instance/src/http1.rs
@@ -24,6 +24,8 @@
     TimedOut,
     /// The other end closed before the message was whole.
     Closed,
+    /// The connection had broken before anything was written.
+    NothingWritten,
     /// The connection broke.
     Io(io::Error),
     /// The bytes are no message.
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -11,8 +11,11 @@
 
 /// Bytes read at one time.
 const READ_BYTES: usize = 16 << 10;
-/// Unacknowledged bytes end a connection after this time.
+/// Unacknowledged bytes end a caller's connection after this time.
 const USER_TIMEOUT_MS: u32 = 4_000;
+/// The same towards an upstream: less than the 2 s after which nothing new may reach
+/// one that leaves, and enough for three lost segments in a row.
+const UPSTREAM_TIMEOUT_MS: u32 = 1_500;
 
 /// What one read gave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,12 +54,18 @@
         })
     }
 
-    /// Connects.
+    /// Connects to an upstream.
     ///
     /// # Errors
     /// The socket's error.
     pub fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        Self::new(TcpStream::connect_timeout(&address, timeout)?)
+        let connection = Self::new(TcpStream::connect_timeout(&address, timeout)?)?;
+        let stream = &connection.stream;
+        rustix::net::sockopt::set_tcp_user_timeout(stream, UPSTREAM_TIMEOUT_MS)?;
+        // Closing takes back what has not arrived: a request that was given up must
+        // not reach an upstream seconds later.
+        rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
+        Ok(connection)
     }
 
     /// Bytes that were read and not used.
@@ -213,6 +222,7 @@
                     return Ok(Wrote::AnsweredEarly);
                 }
             }
+            Err(_) if written == 0 => return Err(HttpError::NothingWritten),
             Err(error) => return Err(error.into()),
         }
     }
--- a/tests/all/pass_through.rs
+++ b/tests/all/pass_through.rs
@@ -377,3 +377,20 @@
     assert_eq!(late.header("connection"), Some("close"));
     assert_eq!(server.received().len(), 1);
 }
+
+#[test]
+fn abandoned_is_reset() {
+    // A reset takes back what has not arrived; a plain close would send it on.
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("binding");
+    let store = site::store(&[]);
+    let address = listener.local_addr().expect("an address");
+    list_plain(&store, "i-0", address, "ready");
+    let instance = site::ready("one", &store);
+    let mut caller = Caller::connect(instance.callers_address());
+    caller.send(&request("POST", "/pay/", "p", "", "x"));
+    let (mut late, _) = listener.accept().expect("a connection");
+    drop(caller);
+    until("the end of the request", || instance.in_progress() == 0);
+    let rest = std::io::Read::read_to_end(&mut late, &mut Vec::new());
+    assert!(rest.is_err(), "closed without a reset: {rest:?}");
+}
