--- a/tests/all/pass_through.rs
+++ b/tests/all/pass_through.rs
@@ -394,3 +394,25 @@
     let rest = std::io::Read::read_to_end(&mut late, &mut Vec::new());
     assert!(rest.is_err(), "closed without a reset: {rest:?}");
 }
+
+#[test]
+fn missing_headers() {
+    let server = answering();
+    let (_store, instance) = before(&[&server]);
+    // No host: no route can be found, and nothing is held afterwards.
+    let bytes = b"GET /read/ HTTP/1.1\r\nRequest-Id: n\r\n\r\n";
+    let answer = ask(instance.callers_address(), bytes);
+    assert_eq!(answer.map(|answer| answer.status), Some(400));
+    assert_eq!(server.received(), []);
+    // No id and no time: the route's own time holds, and the server judges the rest.
+    let bytes = format!("GET /read/ HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+    ask(instance.callers_address(), bytes.as_bytes());
+    let received = server.received().remove(0);
+    assert_eq!(received.header("request-id"), None);
+    let left: u64 = received
+        .header("deadline-ms")
+        .and_then(|t| t.parse().ok())
+        .expect("time");
+    assert!(left <= 10_000);
+    until("the end of the request", || instance.in_progress() == 0);
+}
