Loads from the weight store are counted against its ceiling

On the sites the ceiling is kept only because four loads at once of 6 s each stay far under it.

Ruled out: counting only orders that were answered, since one whose answer was lost may begin up to 12 s later; and taking a successor's window as empty, since it does not know what the holder before it began.

Change: `placement::ceiling` counts loads over the window of the settings (`ceiling_window_s`, 5 s if there is none). An order without an answer counts until the engine's count of orders shows that it has begun or never will. A new term begins with the most that can have begun before it. A negative length of time in the settings is refused with the field's name; it ended the process before.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -70,7 +70,7 @@
         right: right.clone(),
         engines,
         sender: sender.clone(),
-        planner: Planner::default(),
+        planner: Planner::new(shared.bounds.load().load_window),
         peers: BTreeMap::new(),
         subscribers: BTreeSet::new(),
         logs: Default::default(),
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,6 +6,7 @@
 //! order that is carried out late can only take effect in the state that it was
 //! decided for; memory is therefore checked against that state alone.
 
+mod ceiling;
 mod demand;
 mod engine;
 mod victims;
@@ -13,6 +14,8 @@
 use crate::ports::{EngineReport, OrderAction, OrderAnswer};
 use crate::routes::{EnginePool, RouteTable};
 use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use ceiling::StoreLoads;
+pub use ceiling::USUAL_LOAD_WINDOW;
 use demand::{Demand, Load};
 use engine::{Engine, Tier};
 use passway_types::prelude::*;
@@ -98,27 +101,54 @@
 }
 
 /// The decisions over all engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Planner {
     engines: BTreeMap<UpstreamId, Engine>,
     pools: BTreeMap<ServiceName, EnginePool>,
     demand: Demand,
+    /// Loads that count against each service's ceiling of the weight store.
+    store_loads: BTreeMap<ServiceName, StoreLoads>,
+    /// The span over which they count.
+    load_window: Duration,
     changed: BTreeSet<UpstreamId>,
     listening_until: Option<Instant>,
 }
 
 impl Planner {
+    /// No engines; loads from the weight store count over a span.
+    pub fn new(load_window: Duration) -> Self {
+        Self {
+            engines: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            demand: Demand::default(),
+            store_loads: BTreeMap::new(),
+            load_window,
+            changed: BTreeSet::new(),
+            listening_until: None,
+        }
+    }
+
     /// Uses a configuration.
     pub fn set_table(&mut self, table: &RouteTable) {
         let services = table.services.values();
         let pools = services.filter_map(|s| Some((s.name.clone(), s.pool.clone()?)));
         self.pools = pools.collect();
+        for service in self.pools.keys() {
+            let loads = || StoreLoads::new(self.load_window);
+            let known = self.store_loads.entry(service.clone());
+            known.or_insert_with(loads);
+        }
     }
 
     /// Forgets what was known of engines' orders, at the begin of a term. Instances
     /// tell within moments what they need and use; until then nothing gives way.
     pub fn begin_term(&mut self, now: Instant) {
         self.listening_until = Some(now + LISTENING_TIME);
+        for (service, loads) in &mut self.store_loads {
+            if let Some(pool) = self.pools.get(service) {
+                loads.begin_term(pool, now);
+            }
+        }
         for engine in self.engines.values_mut() {
             engine.forget_orders();
         }
@@ -189,6 +219,16 @@
             OrderAction::Unload => UNLOAD_TIME,
             OrderAction::Load => engine.load_time(&self.pools, &order.wish.model),
         };
+        if let Some(loads) = self.store_loads.get_mut(&engine.entry.service) {
+            match answer {
+                OrderAnswer::Taken => {
+                    loads.count_is(&order.engine, order.expected_orders + 1, now);
+                }
+                _ if !engine.is_store_load(order) => {}
+                OrderAnswer::Lost => loads.lost(&order.engine, now),
+                _ => loads.not_begun(&order.engine),
+            }
+        }
         engine.answered(order, answer, now + time, now);
         self.changed.insert(order.engine.clone());
     }
@@ -196,6 +236,10 @@
     /// An engine told its state; `None` if it did not answer.
     pub fn reported(&mut self, id: &UpstreamId, report: Option<EngineReport>, now: Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
+            let loads = self.store_loads.get_mut(&engine.entry.service);
+            if let (Some(report), Some(loads)) = (&report, loads) {
+                loads.count_is(id, report.orders_taken, now);
+            }
             engine.reported(report, now);
             self.changed.insert(id.clone());
         }
@@ -229,14 +273,22 @@
         }
         let mut actions = Vec::new();
         for (id, engine) in &mut self.engines {
-            let Some(pool) = self.pools.get(&engine.entry.service) else {
+            let service = &engine.entry.service;
+            let pool = self.pools.get(service);
+            let (Some(pool), Some(loads)) = (pool, self.store_loads.get_mut(service)) else {
                 continue;
             };
             if engine.settle_adapter(now) {
                 self.changed.insert(id.clone());
             }
             let before = engine.closing.len();
-            if let Some(action) = engine.step(pool, now) {
+            let may_fetch = loads.has_room(pool, now);
+            if let Some(action) = engine.step(pool, may_fetch, now) {
+                if let Action::Order(order) = &action
+                    && engine.is_store_load(order)
+                {
+                    loads.begin(id, order.expected_orders, now);
+                }
                 actions.push(action);
             }
             if engine.closing.len() != before {
@@ -250,7 +302,9 @@
     pub fn next_look_at(&self, now: Instant) -> Instant {
         let dues = self.engines.values().filter_map(Engine::look_at);
         let listening = self.listening_until.filter(|until| now < *until);
-        let next = dues.chain(listening).min();
+        let rooms = self.store_loads.values();
+        let rooms = rooms.filter_map(|loads| loads.room_at(now));
+        let next = dues.chain(listening).chain(rooms).min();
         next.unwrap_or(now + Duration::from_secs(1))
     }
 
@@ -305,7 +359,8 @@
         }
     }
 
-    fn store_loads(&self) -> usize {
+    /// Loads from the weight store that are under way or about to begin.
+    fn loads_under_way(&self) -> usize {
         let engines = self.engines.values();
         engines.filter(|e| e.loads_from_store()).count()
     }
@@ -329,8 +384,10 @@
             let here = engine.entry.service == *service && !engine.entry.draining;
             here && engine.tier(model) != Tier::Store
         });
-        let no_fetch =
-            (is_at_hand && !terms.may_fetch) || self.store_loads() >= STORE_LOADS_AT_ONCE;
+        let ceiling = self.store_loads.get(service);
+        let has_room = ceiling.is_none_or(|loads| loads.has_room(pool, now))
+            && self.loads_under_way() < STORE_LOADS_AT_ONCE;
+        let no_fetch = (is_at_hand && !terms.may_fetch) || !has_room;
         let mut best: Option<(f64, UpstreamId, Vec<ModelName>)> = None;
         for (id, engine) in &self.engines {
             if engine.entry.service != *service
@@ -400,7 +457,7 @@
 
     /// Fetches models that lie nowhere, while the weight store has nothing else to do.
     fn prefetch(&mut self, now: Instant) {
-        if self.store_loads() >= PREFETCHES_AT_ONCE {
+        if self.loads_under_way() >= PREFETCHES_AT_ONCE {
             return;
         }
         let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -185,6 +185,12 @@
         coming.is_some_and(|model| self.tier(model) == Tier::Store)
     }
 
+    /// Whether an order brings a model from the weight store.
+    pub(super) fn is_store_load(&self, order: &PlannedOrder) -> bool {
+        let is_load = order.action == OrderAction::Load && order.wish.adapter.is_none();
+        is_load && self.tier(&order.wish.model) == Tier::Store
+    }
+
     pub(super) fn size_mb(&self, pool: &EnginePool, model: &ModelName) -> f64 {
         let spec = pool.models.iter().find(|s| s.name == *model);
         let adapters = self.resident(model).map_or(0, |m| m.adapters.len());
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -101,8 +101,14 @@
         }
     }
 
-    /// The next order or question, if there is one.
-    pub(in crate::placement) fn step(&mut self, pool: &EnginePool, now: Instant) -> Option<Action> {
+    /// The next order or question, if there is one. Without `may_fetch` nothing is
+    /// loaded from the weight store.
+    pub(in crate::placement) fn step(
+        &mut self,
+        pool: &EnginePool,
+        may_fetch: bool,
+        now: Instant,
+    ) -> Option<Action> {
         if self.asked {
             return None;
         }
@@ -128,6 +134,9 @@
             return None;
         }
         let order = self.model_step(pool, expected)?;
+        if !may_fetch && self.is_store_load(&order) {
+            return None;
+        }
         self.under_way = Some(UnderWay::Sent(order.clone()));
         Some(Action::Order(order))
     }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -333,6 +333,8 @@
     pub shortest_lease: Duration,
     /// Time in which two holders must not both give orders to one engine.
     pub holder_gap: Duration,
+    /// Span over which loads from the weight store count against its ceiling.
+    pub load_window: Duration,
     /// Repeats that all instances together may send.
     pub retry: crate::retry::RetryAllowance,
 }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -1,6 +1,7 @@
 //! An instance in this process among stand-ins that speak the users' platform's protocol.
 
 use passway_instance::{Instance, Surroundings};
+use passway_serving::placement::USUAL_LOAD_WINDOW;
 use passway_serving::ports::{InstanceBounds, InstanceSettings};
 use passway_serving::retry::RetryAllowance;
 use passway_standins::platform::store::MetadataStandIn;
@@ -83,6 +84,7 @@
             grace: Duration::from_secs(8),
             shortest_lease: Duration::from_secs(1),
             holder_gap: Duration::from_secs(1),
+            load_window: USUAL_LOAD_WINDOW,
             retry: RetryAllowance {
                 ratio: 0.2,
                 slack: 800.0,
--- a/tests/all/store_feeds.rs
+++ b/tests/all/store_feeds.rs
@@ -162,6 +162,9 @@
     let whole = text.replace("[platform]", "lease_ms = 3000\nunknown = \"x\"\n[platform]");
     let settings = passway_users_platform::settings::decode(&whole).expect("settings");
     assert_eq!(settings.bounds.holder_gap, Duration::from_secs(3));
+    let negative = whole.replace("grace_s = 8", "grace_s = -8");
+    let error = passway_users_platform::settings::decode(&negative).expect_err("no time");
+    assert!(format!("{error:#}").contains("grace_s"), "{error:#}");
 }
 
 #[test]
