Entries that lapsed while the store was away get the time to come back

Instances dropped every missing upstream with the first list after the outage, and the holder forgot its engines with them.

Ruled out: keeping missing entries always (a server that never says "draining" leaves by its entry alone, and gets nothing new from then on); counting a single failed call as an outage (the same, beside a call that fails by itself).

Change: `serving::absence` knows when the store was away for this instance and says when a missing entry means gone: at once, or 2 s after the return. The table keeps such an upstream until then; it stops being chosen at that moment whether or not anybody looks.

Tests: lapsed_entry_returns and missing_means_gone, which do not compile on the code before.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -25,6 +25,8 @@
     fn listed(&mut self, listing: &Listing);
     /// Something has changed; whether other instances must hear of it.
     fn changed(&mut self, change: &StoreChange) -> bool;
+    /// Looks after what is due by time alone.
+    fn tick(&mut self) {}
     /// All changes that are known were taken in; the pause before asking for more.
     fn settled(&mut self) -> Duration;
     /// What the instance shares.
@@ -69,6 +71,7 @@
 impl<F: Feed> Follower<F> {
     fn run(mut self) {
         loop {
+            self.feed.tick();
             if self.known.is_some()
                 && let Some(told) = self.tap.next(RELAY_STEP)
             {
@@ -240,6 +243,22 @@
         let _ = self.holder.send(input);
     }
 
+    /// Forgets upstreams that are gone, here and at the holder.
+    fn expire(&self) {
+        let mut upstreams = self.shared.upstreams();
+        let gone = upstreams.expire(Instant::now());
+        let left = upstreams.entries().map(|entry| entry.id.clone()).collect();
+        drop(upstreams);
+        if gone.is_empty() {
+            return;
+        }
+        for id in &gone {
+            log::info!(upstream:% = id; "an upstream is gone");
+            self.shared.pool.forget(id);
+        }
+        self.tell(Input::Listed(left));
+    }
+
     fn decode(&self, value: &StoredValue) -> Option<passway_serving::upstreams::UpstreamEntry> {
         match self.directory.upstream(value, Instant::now()) {
             Ok(entry) => Some(entry),
@@ -259,12 +278,13 @@
     fn listed(&mut self, listing: &Listing) {
         let entries = listing.values.iter().filter_map(|value| self.decode(value));
         let entries: Vec<_> = entries.collect();
-        let ids = entries.iter().map(|entry| entry.id.clone());
-        self.tell(Input::Listed(ids.collect()));
         for entry in &entries {
             self.tell(Input::Heard(entry.clone()));
         }
-        self.shared.upstreams().replace(entries, Instant::now());
+        let now = Instant::now();
+        let gone_at = self.shared.store_health.gone_at(now);
+        self.shared.upstreams().replace(entries, gone_at, now);
+        self.expire();
         self.shared.set_upstreams_listed();
         self.shared.upstreams_changed();
     }
@@ -281,18 +301,19 @@
             }
             StoreChange::Removed { key, .. } => {
                 if let Some(id) = self.directory.upstream_id(key) {
-                    self.shared.upstreams().remove(id);
-                    self.shared.pool.forget(id);
-                    let entries = self.shared.upstreams();
-                    let ids = entries.entries().map(|entry| entry.id.clone()).collect();
-                    drop(entries);
-                    self.tell(Input::Listed(ids));
+                    let gone_at = self.shared.store_health.gone_at(Instant::now());
+                    self.shared.upstreams().miss(id, gone_at);
+                    self.expire();
                 }
                 true
             }
         }
     }
 
+    fn tick(&mut self) {
+        self.expire();
+    }
+
     fn settled(&mut self) -> Duration {
         self.shared.upstreams_changed();
         if self.right.fence().is_some() {
--- a/crates/instance/src/health.rs
+++ b/crates/instance/src/health.rs
@@ -1,9 +1,11 @@
 //! Whether the store answers, shared by all that ask it, so that few calls go to one
 //! that does not.
 
+use passway_serving::absence::Outages;
 use passway_types::prelude::*;
 use rand::RngExt;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// First pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
@@ -18,19 +20,31 @@
 #[derive(Debug, Default)]
 pub struct StoreHealth {
     failing: AtomicBool,
+    outages: Mutex<Outages>,
 }
 
 impl StoreHealth {
+    fn outages(&self) -> MutexGuard<'_, Outages> {
+        self.outages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A call was answered.
     pub fn answered(&self) {
+        self.outages().answered(Instant::now());
         self.failing.store(false, Ordering::Release);
     }
 
     /// A call was not answered, or refused.
     pub fn failed(&self) {
+        self.outages().failed(Instant::now());
         self.failing.store(true, Ordering::Release);
     }
 
+    /// When an entry that is missing now means that its upstream is gone.
+    pub fn gone_at(&self, now: Instant) -> Instant {
+        self.outages().gone_at(now)
+    }
+
     /// Whether the last call failed.
     pub fn is_failing(&self) -> bool {
         self.failing.load(Ordering::Acquire)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`routes`]: the operators' routes and services, and which route a request takes.
 //! * [`upstreams`]: what upstreams say of themselves, what this instance has seen of
 //!   them, and which one a request goes to.
+//! * [`absence`]: whether an upstream whose entry is missing is gone.
 //! * [`retry`]: the part of the fleet's retry allowance that this instance may spend.
 //! * [`headers`]: headers as they were received.
 //! * [`hash`]: a hash that is the same in each process.
@@ -13,6 +14,7 @@
 //! Events and the current time go in, answers come out; `passway-instance` is the
 //! shell with threads and sockets.
 
+pub mod absence;
 pub mod hash;
 pub mod headers;
 pub mod placement;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -118,6 +118,8 @@
     absent_until: HashMap<ModelWish, Instant>,
     /// Models that the holder of the right to order is about to unload.
     closing: Vec<ModelName>,
+    /// When it is gone unless its entry comes back; `None` while the entry is there.
+    gone_at: Option<Instant>,
 }
 
 impl Upstream {
@@ -133,9 +135,14 @@
             full_until: now,
             absent_until: HashMap::new(),
             closing: Vec::new(),
+            gone_at: None,
         }
     }
 
+    fn is_gone(&self, now: Instant) -> bool {
+        self.gone_at.is_some_and(|at| now >= at)
+    }
+
     fn has(&self, wish: &ModelWish, now: Instant) -> bool {
         if self.closing.contains(&wish.model) {
             return false;
@@ -227,18 +234,20 @@
             self.upstreams.insert(id, Upstream::new(entry, now));
             return true;
         };
+        let returned = known.gone_at.take().is_some();
         if entry.beat < known.entry.beat {
             // An older word, told late; only leaving is final.
             let leaves = entry.draining && !known.entry.draining;
             known.entry.draining |= entry.draining;
-            return leaves;
+            return leaves || returned;
         }
         if known.entry.models != entry.models {
             known.absent_until.clear();
         }
         // Leaving is final for an incarnation, whatever an older word says.
         let was_draining = known.entry.draining;
-        let more = known.entry.service != entry.service
+        let more = returned
+            || known.entry.service != entry.service
             || known.entry.address != entry.address
             || known.entry.slots != entry.slots
             || known.entry.draining != entry.draining
@@ -248,20 +257,34 @@
         more
     }
 
-    /// An upstream is gone; it gets nothing new.
-    pub fn remove(&mut self, id: &str) {
-        self.upstreams.remove(id);
+    /// An upstream's entry is missing; it is gone at the moment given unless the entry
+    /// comes back.
+    pub fn miss(&mut self, id: &str, gone_at: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.gone_at.get_or_insert(gone_at);
+        }
     }
 
-    /// The whole list was read: what is not on it is gone.
-    pub fn replace(&mut self, entries: Vec<UpstreamEntry>, now: Instant) {
-        self.upstreams
-            .retain(|id, _| entries.iter().any(|entry| entry.id == *id));
+    /// The whole list was read; what is not on it is gone at the moment given.
+    pub fn replace(&mut self, entries: Vec<UpstreamEntry>, gone_at: Instant, now: Instant) {
+        for (id, upstream) in &mut self.upstreams {
+            if !entries.iter().any(|entry| entry.id == *id) {
+                upstream.gone_at.get_or_insert(gone_at);
+            }
+        }
         for entry in entries {
             self.update(entry, now);
         }
     }
 
+    /// Forgets upstreams that are gone by now, and names them.
+    pub fn expire(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let gone = self
+            .upstreams
+            .extract_if(|_, upstream| upstream.is_gone(now));
+        gone.map(|(id, _)| id).collect()
+    }
+
     /// What the holder of the right to order says of an engine's models, which is
     /// newer than the engine's own word.
     pub fn set_placement(&mut self, id: &str, models: Vec<ResidentModel>, closing: Vec<ModelName>) {
@@ -294,6 +317,9 @@
             if entry.service != *service || entry.draining || tried.contains(&entry.id) {
                 continue;
             }
+            if upstream.is_gone(now) {
+                continue;
+            }
             if wish.is_some_and(|wish| !upstream.has(wish, now)) {
                 continue;
             }
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -1,5 +1,6 @@
 //! Which upstream a request goes to.
 
+use passway_serving::absence::Outages;
 use passway_serving::upstreams::{
     Choice, ModelWish, Outcome, ResidentModel, UpstreamEntry, UpstreamTable,
 };
@@ -128,3 +129,54 @@
     assert!(table.update(older, now));
     assert_eq!(spread(&table, now).len(), 0);
 }
+
+/// Whether an upstream may be chosen.
+fn is_chosen(table: &UpstreamTable, id: &str, now: Instant) -> bool {
+    spread(table, now).contains_key(id)
+}
+
+#[test]
+fn lapsed_entry_returns() {
+    let began_at = Instant::now();
+    let second = |count| began_at + Duration::from_secs(count);
+    let mut table = table(began_at);
+    let mut outages = Outages::default();
+    outages.failed(second(1));
+    outages.answered(second(9));
+    // Two entries have lapsed meanwhile; one comes back.
+    let listed = (2..COUNT).map(|number| entry(number, 6)).collect();
+    table.replace(listed, outages.gone_at(second(9)), second(9));
+    assert!(is_chosen(&table, "i-0", second(10)));
+    assert!(is_chosen(&table, "i-1", second(10)));
+    // Others that heard of its end must hear that it is back.
+    assert!(table.update(entry(1, 6), second(10)));
+    assert!(table.expire(second(10)).is_empty());
+    // The other one is gone when its time is over, whether anybody looked or not.
+    assert!(!is_chosen(&table, "i-0", second(11)));
+    assert!(is_chosen(&table, "i-1", second(30)));
+    assert_eq!(table.expire(second(11)), [UpstreamId::from("i-0")]);
+}
+
+#[test]
+fn missing_means_gone() {
+    let began_at = Instant::now();
+    let later = began_at + Duration::from_millis(600);
+    let mut table = table(began_at);
+    let mut outages = Outages::default();
+    // A call that failed by itself is no outage: no entry lapses in so short a time.
+    outages.failed(began_at);
+    outages.answered(later);
+    table.miss("i-0", outages.gone_at(later));
+    assert!(!is_chosen(&table, "i-0", later));
+    // While the store is away, an entry's end is the lease's, not the upstream's.
+    outages.failed(later);
+    let away = later + Duration::from_secs(5);
+    table.miss("i-1", outages.gone_at(away));
+    assert!(is_chosen(&table, "i-1", away));
+    // One that was leaving gets nothing new all the same.
+    let mut leaving = entry(2, 6);
+    leaving.draining = true;
+    table.update(leaving, later);
+    table.miss("i-2", outages.gone_at(away));
+    assert!(!is_chosen(&table, "i-2", away));
+}
