The right to order is a decision of its own, proved in virtual time

Reading it for that showed two faults: a process that was restarted did not know that its machine had held the right a moment before, so holders could take turns at one engine; and a renewal without an answer was made again only after 400 ms, mostly too late for the lease.

Change: `serving::tenure` decides, `instance::right` calls. `passway/holders` names the last holders and is written in the same transaction as the key, conditional on what was read; writes to the store are lists of conditional writes now. Whoever need not wait goes first. A renewal without an answer is made again after 100 ms.

--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -58,7 +58,7 @@
         let settings = &shared.settings;
         let ready_address = ready::listen(&shared, settings.ready_address)?;
         let callers_address = callers::listen(&shared, settings.callers_address)?;
-        let right = Arc::new(Right::default());
+        let right = Arc::new(Right::new(&shared));
         let (relay, [configuration_tap, upstream_tap]) = Relay::new();
         let holder = holder::start(&shared, &right, surroundings.engines.clone(), peers);
         let store = &surroundings.store;
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,11 +1,12 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
 use crate::relay::Relay;
-use crate::right::{Holder, Right};
+use crate::right::Right;
 use crate::shared::{Need, Shared};
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
+use passway_serving::tenure::Holder;
 use passway_serving::upstreams::{ModelWish, ResidentModel};
 use passway_types::prelude::*;
 use passway_wire::Body;
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -1,8 +1,7 @@
 //! The right to give orders: one key under a lease, held by one instance at a time.
 //!
-//! Whoever holds the key may order until its lease ends by its own steady clock,
-//! counted from before the lease was asked for. The store's revision of the key is
-//! the fencing number: it only grows, and each holder has its own.
+//! [`Tenure`] decides; here are the thread that makes its calls to the store and the
+//! feed that tells it what stands there.
 
 use crate::feeds::{Feed, follow};
 use crate::holder::Input;
@@ -10,64 +9,29 @@
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
 use passway_serving::ports::{
-    ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue, WriteAnswer,
+    ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue,
 };
+use passway_serving::tenure::{Holder, RecentHolders, Step, Tenure, TenureLimits};
 use passway_types::prelude::*;
 use rand::RngExt;
-use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 /// The prefix of passway's own keys.
 const OWN_PREFIX: &str = "passway/";
-/// The key that the holder keeps.
+/// The key that the holder keeps: its name and address.
 const HOLDER_KEY: &str = "passway/holder";
+/// The key that names who has held the right lately, the last one last.
+const RECENT_KEY: &str = "passway/holders";
 /// Time-to-live of the holder's lease, unless the store has a longer shortest one.
 const LEASE_TIME: Duration = Duration::from_millis(1_200);
-/// A lease is renewed when this part of it has passed.
-const RENEW_PART: f64 = 0.25;
-/// The holder stops this long before its lease ends.
-const SAFETY: Duration = Duration::from_millis(120);
-/// Pause after the store refused or did not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Time within which instances draw the moment at which they try to take the key.
-const TURN: Duration = Duration::from_millis(250);
 /// An instance with less processor than this lets others take the key: on the grown
 /// market site's calm day the holder used 0.135 of a core.
 const WEAK_PART: f64 = 0.2;
-/// How much later such an instance tries.
-const WEAK_PAUSE: Duration = Duration::from_millis(350);
-/// Pause between two looks at a key that another instance holds.
-const IDLE_STEP: Duration = Duration::from_secs(5);
-
-/// Who holds the right, as the store says.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Holder {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Where it listens for other instances.
-    pub address: SocketAddr,
-    /// The store's revision of the key.
-    pub fence: Fence,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    /// Whether the key was read at all.
-    known: bool,
-    holder: Option<Holder>,
-    /// My term: its fencing number and when it ends.
-    term: Option<(Fence, Instant)>,
-    /// When another instance was last seen to hold the key.
-    other_seen_at: Option<Instant>,
-    /// Whether this process has ever given orders.
-    has_held: bool,
-    released: bool,
-}
 
 /// The right to order, as this instance knows it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Right {
-    state: Mutex<State>,
+    tenure: Mutex<Tenure>,
     changed: Condvar,
 }
 
@@ -86,7 +50,38 @@
     })
 }
 
+fn encode_recent(names: &[InstanceId]) -> Vec<u8> {
+    names.join(" ").into_bytes()
+}
+
+fn decode_recent(value: &StoredValue) -> RecentHolders {
+    let text = String::from_utf8_lossy(&value.value);
+    RecentHolders {
+        names: text.split_whitespace().map(Into::into).collect(),
+        revision: value.revision,
+    }
+}
+
 impl Right {
+    /// Nothing is known yet of who holds the right.
+    pub fn new(shared: &Shared) -> Self {
+        let settings = &shared.settings;
+        let bounds = shared.bounds.load();
+        let limits = TenureLimits {
+            lease: LEASE_TIME.max(bounds.shortest_lease),
+            gap: bounds.holder_gap,
+            is_weak: settings.processor_part < WEAK_PART,
+        };
+        Self {
+            tenure: Mutex::new(Tenure::new(
+                settings.instance.clone(),
+                limits,
+                Instant::now(),
+            )),
+            changed: Condvar::new(),
+        }
+    }
+
     /// Follows the key and takes it whenever nobody holds it.
     pub fn start(
         self: &Arc<Self>,
@@ -104,163 +99,100 @@
         std::thread::spawn(move || keeping.keep(&shared, &*store));
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn tenure(&self) -> MutexGuard<'_, Tenure> {
+        self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what is known, and lets the thread that keeps the right look at it.
+    fn update(&self, change: impl FnOnce(&mut Tenure)) {
+        change(&mut self.tenure());
+        self.changed.notify_all();
     }
 
     /// Who holds the right.
     pub fn holder(&self) -> Option<Holder> {
-        self.state().holder.clone()
+        self.tenure().holder().cloned()
     }
 
     /// My fencing number, if I may give an order now.
     pub fn fence(&self) -> Option<Fence> {
-        let state = self.state();
-        let (fence, until) = state.term?;
-        (Instant::now() < until).then_some(fence)
+        self.tenure().fence(Instant::now())
     }
 
     /// Gives the right back, so that another instance can take it at once.
     pub fn release(&self) {
-        let mut state = self.state();
-        state.released = true;
-        state.term = None;
-        drop(state);
-        self.changed.notify_all();
-    }
-
-    fn seen(&self, holder: Option<Holder>, me: &InstanceId) {
-        let mut state = self.state();
-        state.known = true;
-        if holder.as_ref().is_some_and(|holder| holder.instance != *me) {
-            state.other_seen_at = Some(Instant::now());
-        }
-        state.holder = holder;
-        drop(state);
-        self.changed.notify_all();
-    }
-
-    fn wait(&self, state: MutexGuard<'_, State>, most: Duration) {
-        // The caller looks again in any case.
-        drop(self.changed.wait_timeout(state, most));
+        self.update(Tenure::release);
     }
 
     /// Takes and renews the right for as long as the process lives.
     fn keep(&self, shared: &Shared, store: &dyn SharedStore) {
-        let time = LEASE_TIME.max(shared.bounds.load().shortest_lease);
+        let mut held = None;
         loop {
-            let state = self.state();
-            if state.released {
-                return;
-            }
-            if !state.known || state.holder.is_some() {
-                self.wait(state, IDLE_STEP);
-                continue;
+            let mut tenure = self.tenure();
+            tenure.set_gap(shared.bounds.load().holder_gap);
+            let drawn = rand::rng().random_range(0.0..1.0);
+            let answers = !shared.store_health.is_failing();
+            let now = Instant::now();
+            let step = tenure.step(drawn, answers, now);
+            if matches!(step, Step::End(_))
+                && let Some(fence) = held.take()
+            {
+                log::info!(fence = fence; "lost the right to order");
             }
-            drop(state);
-            // All instances see at one moment that nobody holds the key; most of them
-            // wait and see another one take it.
-            let turn = TURN.mul_f64(rand::rng().random_range(0.0..1.0));
-            let is_weak = shared.settings.processor_part < WEAK_PART;
-            std::thread::sleep(if is_weak { turn + WEAK_PAUSE } else { turn });
-            let health = &shared.store_health;
-            if self.holder().is_some() || health.is_failing() {
-                std::thread::sleep(if health.is_failing() {
-                    RETRY_PAUSE
-                } else {
-                    Duration::ZERO
-                });
-                continue;
+            match step {
+                Step::Wait(until) => {
+                    // It is looked again in any case.
+                    let left = until.saturating_duration_since(now);
+                    drop(self.changed.wait_timeout(tenure, left));
+                }
+                Step::Grant => {
+                    let time = tenure.lease_time();
+                    drop(tenure);
+                    let answer = store.grant_lease(time);
+                    self.tenure().granted(answer, now);
+                }
+                Step::Take(lease) => {
+                    let recent = tenure.recent_with_me();
+                    drop(tenure);
+                    let answer = store.write(&taking(shared, lease, &recent));
+                    held = self.tenure().taken(&answer, Instant::now());
+                    if let Some(fence) = held {
+                        log::info!(fence = fence; "holds the right to order");
+                    }
+                }
+                Step::Renew(lease) => {
+                    drop(tenure);
+                    let answer = store.renew_lease(lease);
+                    self.tenure().renewed(answer, now, Instant::now());
+                }
+                Step::End(lease) => {
+                    drop(tenure);
+                    end(store, lease);
+                    self.tenure().ended(Instant::now());
+                }
+                Step::Stop => return,
             }
-            // The lease may be granted and its answer lost; the next one is another.
-            let asked_at = Instant::now();
-            let Ok(lease) = store.grant_lease(time) else {
-                std::thread::sleep(RETRY_PAUSE);
-                continue;
-            };
-            let Some(fence) = Self::take(shared, store, lease) else {
-                std::thread::sleep(RETRY_PAUSE);
-                continue;
-            };
-            log::info!(fence = fence; "holds the right to order");
-            self.hold(shared, store, lease, fence, asked_at, time);
         }
     }
+}
 
-    /// Writes the key; the fencing number if it is mine.
-    fn take(shared: &Shared, store: &dyn SharedStore, lease: LeaseId) -> Option<Fence> {
-        let write = ConditionalWrite {
+/// The writes that take the key if nobody has it, and if nobody had it since the list of
+/// holders was read.
+fn taking(shared: &Shared, lease: LeaseId, recent: &RecentHolders) -> [ConditionalWrite; 2] {
+    [
+        ConditionalWrite {
             key: HOLDER_KEY.to_owned(),
             expected: 0,
             value: Some(encode(shared)),
             lease: Some(lease),
-        };
-        match store.write(&write) {
-            Ok(WriteAnswer::Written(revision)) => Some(revision),
-            // Without an answer it may take effect yet: ending the lease takes the
-            // key away with it.
-            Ok(WriteAnswer::Conflict | WriteAnswer::LeaseEnded) | Err(_) => {
-                end(store, lease);
-                None
-            }
-        }
-    }
-
-    /// Renews the lease until it is lost or given back.
-    fn hold(
-        &self,
-        shared: &Shared,
-        store: &dyn SharedStore,
-        lease: LeaseId,
-        fence: Fence,
-        asked_at: Instant,
-        time: Duration,
-    ) {
-        let begin_at = self.begin_at(shared);
-        let mut until = asked_at + time.saturating_sub(SAFETY);
-        loop {
-            let now = Instant::now();
-            let mut state = self.state();
-            if state.released {
-                drop(state);
-                end(store, lease);
-                return;
-            }
-            if now >= until {
-                break;
-            }
-            if now >= begin_at {
-                state.term = Some((fence, until));
-                state.has_held = true;
-            }
-            let other = state.holder.as_ref().is_some_and(|h| h.fence > fence);
-            if other {
-                break;
-            }
-            self.wait(state, time.mul_f64(RENEW_PART));
-            let asked_at = Instant::now();
-            match store.renew_lease(lease) {
-                Ok(true) => until = asked_at + time.saturating_sub(SAFETY),
-                Ok(false) => break,
-                Err(_) => std::thread::sleep(RETRY_PAUSE),
-            }
-        }
-        log::info!(fence = fence; "lost the right to order");
-        self.state().term = None;
-        end(store, lease);
-        std::thread::sleep(RETRY_PAUSE);
-    }
-
-    /// Two holders must not take turns: one that has held before lets the time of
-    /// another's last order pass.
-    fn begin_at(&self, shared: &Shared) -> Instant {
-        let state = self.state();
-        let now = Instant::now();
-        match state.other_seen_at {
-            Some(_) if state.has_held => now + shared.bounds.load().holder_gap,
-            _ => now,
-        }
-    }
+        },
+        ConditionalWrite {
+            key: RECENT_KEY.to_owned(),
+            expected: recent.revision,
+            value: Some(encode_recent(&recent.names)),
+            lease: None,
+        },
+    ]
 }
 
 fn end(store: &dyn SharedStore, lease: LeaseId) {
@@ -280,20 +212,26 @@
     }
 
     fn listed(&mut self, listing: &Listing) {
-        let value = listing.values.iter().find(|value| value.key == HOLDER_KEY);
-        self.right
-            .seen(value.and_then(decode), &self.shared.settings.instance);
+        let find = |key| listing.values.iter().find(|value| value.key == key);
+        let holder = find(HOLDER_KEY).and_then(decode);
+        let recent = find(RECENT_KEY).map(decode_recent).unwrap_or_default();
+        self.right.update(|tenure| {
+            tenure.seen_recent(recent);
+            tenure.seen(holder);
+        });
     }
 
     fn changed(&mut self, change: &StoreChange) -> bool {
         match change {
             StoreChange::Written(value) if value.key == HOLDER_KEY => {
-                let me = &self.shared.settings.instance;
-                self.right.seen(decode(value), me);
+                self.right.update(|tenure| tenure.seen(decode(value)));
+            }
+            StoreChange::Written(value) if value.key == RECENT_KEY => {
+                let recent = decode_recent(value);
+                self.right.update(|tenure| tenure.seen_recent(recent));
             }
             StoreChange::Removed { key, .. } if key == HOLDER_KEY => {
-                let me = &self.shared.settings.instance;
-                self.right.seen(None, me);
+                self.right.update(|tenure| tenure.seen(None));
             }
             _ => {}
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`upstreams`]: what upstreams say of themselves, what this instance has seen of
 //!   them, and which one a request goes to.
 //! * [`absence`]: whether an upstream whose entry is missing is gone.
+//! * [`tenure`]: who holds the right to order, and when an instance takes it.
 //! * [`retry`]: the part of the fleet's retry allowance that this instance may spend.
 //! * [`headers`]: headers as they were received.
 //! * [`hash`]: a hash that is the same in each process.
@@ -21,4 +22,5 @@
 pub mod ports;
 pub mod retry;
 pub mod routes;
+pub mod tenure;
 pub mod upstreams;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -101,7 +101,7 @@
     pub lease: Option<LeaseId>,
 }
 
-/// The answer to a conditional write.
+/// The answer to conditional writes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WriteAnswer {
     /// Done, at this revision.
@@ -131,11 +131,11 @@
         wait: Duration,
     ) -> Result<WatchAnswer, StoreError>;
 
-    /// Writes a key under a condition.
+    /// Writes keys, all of them if every condition holds, else none.
     ///
     /// # Errors
     /// If the store does not answer or refuses.
-    fn write(&self, write: &ConditionalWrite) -> Result<WriteAnswer, StoreError>;
+    fn write(&self, writes: &[ConditionalWrite]) -> Result<WriteAnswer, StoreError>;
 
     /// Grants a lease.
     ///
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -27,4 +27,5 @@
 mod store_feeds;
 mod stream_resume;
 mod support;
+mod tenure_faults;
 mod upstream_choice;
