How long to wait for the key-value service is a setting; tests beside load are patient

Both codes come from fixed waits in real time: 1 s for a call, 500 ms for an open write. A process that gets no processor for so long takes it for an outage of the service.

Ruled out: letting those callers come again as told (the tests would then pass over a refusal that a quiet machine must not give); longer leases (a kill would take longer to be noticed, and the codes do not come from there).

Change: `key_value_timeout_ms` and `write_patience_ms` are settings with the values of before as defaults, checked and documented. The tests of outages keep the defaults.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -65,6 +65,8 @@
     pub max_deadline_ms: u64,
     /// Time without word of the configuration after which new work is refused, in milliseconds.
     pub stale_limit_ms: u64,
+    /// Longest time for a call to the key-value service, in milliseconds.
+    pub key_value_timeout_ms: u64,
     /// Lowest level that is logged.
     pub log_level: String,
 }
@@ -81,6 +83,7 @@
             body_limit_bytes: 1 << 20,
             max_deadline_ms: 24 * 3_600 * 1_000,
             stale_limit_ms: 7_000,
+            key_value_timeout_ms: DEFAULT_KEY_VALUE_TIMEOUT_MS,
             log_level: "info".into(),
         }
     }
@@ -118,7 +121,13 @@
             &mut faults,
             self.max_deadline_ms > 0,
             "max_deadline_ms",
-            "must be at least 1",
+            TIME_REASON,
+        );
+        require(
+            &mut faults,
+            self.key_value_timeout_ms > 0,
+            "key_value_timeout_ms",
+            TIME_REASON,
         );
         require(
             &mut faults,
@@ -150,6 +159,11 @@
     pub lease_ms: u64,
     /// Time after which an unanswered order can no longer arrive, in milliseconds.
     pub order_settle_ms: u64,
+    /// Longest time for a call to the key-value service or the instance list, in milliseconds.
+    pub key_value_timeout_ms: u64,
+    /// Time for which a write of a plan may be open before sleeping models are refused, in
+    /// milliseconds.
+    pub write_patience_ms: u64,
     /// Lowest level that is logged.
     pub log_level: String,
 }
@@ -165,6 +179,8 @@
             instance_list: String::new(),
             lease_ms: 3_000,
             order_settle_ms: 10_000,
+            key_value_timeout_ms: DEFAULT_KEY_VALUE_TIMEOUT_MS,
+            write_patience_ms: 500,
             log_level: "info".into(),
         }
     }
@@ -198,6 +214,18 @@
             "lease_ms",
             "must be at least 500",
         );
+        require(
+            &mut faults,
+            self.key_value_timeout_ms > 0,
+            "key_value_timeout_ms",
+            TIME_REASON,
+        );
+        require(
+            &mut faults,
+            self.write_patience_ms > 0,
+            "write_patience_ms",
+            TIME_REASON,
+        );
         require(
             &mut faults,
             is_level(&self.log_level),
@@ -208,6 +236,9 @@
     }
 }
 
+/// Some hundred times what the key-value service takes when nothing is wrong.
+const DEFAULT_KEY_VALUE_TIMEOUT_MS: u64 = 1_000;
+const TIME_REASON: &str = "must be at least 1";
 const ADDRESS_REASON: &str = "must be an IP number and a port, as 10.0.0.1:8000";
 const LEVEL_REASON: &str = "must be one of error, warn, info, debug, trace";
 
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -33,8 +33,6 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
-/// Longest time for a call to the key-value service or the instance list.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time for an upstream to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time for an upstream to answer a question for its status.
@@ -113,16 +111,18 @@
             incarnation: passway_process::draw_incarnation(),
             address,
         };
+        let call_timeout = Duration::from_millis(settings.key_value_timeout_ms);
         let services = Services {
-            key_value: Arc::new(HttpKeyValue::new(key_value, PLATFORM_TIMEOUT)),
+            key_value: Arc::new(HttpKeyValue::new(key_value, call_timeout)),
             engines: Arc::new(HttpEngineControl::new(ORDER_TIMEOUT, STATUS_TIMEOUT)),
             lease: Duration::from_millis(settings.lease_ms),
             order_settle: Duration::from_millis(settings.order_settle_ms),
+            write_patience: Duration::from_millis(settings.write_patience_ms),
             inputs: inputs.clone(),
         };
         let pace = ReadPace::new(HOLDER_READ_AGE);
         config_feed::start(services.key_value.clone(), pace.clone(), inputs.clone());
-        let list = Arc::new(HttpInstanceList::new(list, PLATFORM_TIMEOUT));
+        let list = Arc::new(HttpInstanceList::new(list, call_timeout));
         workers::start_list(list, inputs.clone());
         let peers = Peers::dial(&settings.peers, &me, &inputs)?;
         let now = Instant::now();
--- a/crates/controller/src/node/cell_shell.rs
+++ b/crates/controller/src/node/cell_shell.rs
@@ -29,6 +29,7 @@
     pub(crate) engines: Arc<dyn EngineControl>,
     pub(crate) lease: Duration,
     pub(crate) order_settle: Duration,
+    pub(crate) write_patience: Duration,
     pub(crate) inputs: Sender<Input>,
 }
 
@@ -89,6 +90,7 @@
         let limits = CellLimits {
             standby_poll: services.lease / STANDBY_POLL_DIVISOR,
             order_settle: services.order_settle,
+            write_patience: services.write_patience,
         };
         let key_value = &services.key_value;
         let (lease, lease_thread) =
--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -40,6 +40,8 @@
     pub standby_poll: Duration,
     /// Time after which an unanswered order can no longer arrive.
     pub order_settle: Duration,
+    /// A write that is open for longer counts as an outage of the key-value service.
+    pub write_patience: Duration,
 }
 
 /// Something that happened.
@@ -508,6 +510,7 @@
             *lease_until,
             &self.catalog,
             self.changes_made,
+            self.limits.write_patience,
         );
         term.adopt(now, &self.upstreams);
         self.role = Role::Active(Box::new(term));
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -15,8 +15,6 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 
-/// A write that is open for longer counts as an outage of the key-value service.
-const WRITE_PATIENCE: Duration = Duration::from_millis(500);
 /// Pause before the plan is read again to learn what became of a write.
 const READ_RETRY: Duration = Duration::from_millis(200);
 /// Pause between two probes of former holders.
@@ -82,6 +80,8 @@
     pub(super) draft: Plan,
     in_flight: Option<Change<InFlight>>,
     write_began_at: Option<Instant>,
+    /// A write that is open for longer counts as an outage of the key-value service.
+    write_patience: Duration,
     read_at: Option<Instant>,
     lease_until: Instant,
     renew_at: Instant,
@@ -112,12 +112,14 @@
         lease_until: Instant,
         catalog: &Catalog,
         changes_made: u64,
+        write_patience: Duration,
     ) -> Self {
         Self {
             draft: committed.plan().clone(),
             committed,
             in_flight: None,
             write_began_at: None,
+            write_patience,
             read_at: None,
             lease_until,
             renew_at: now + lease_until.saturating_duration_since(now) / RENEW_DIVISOR,
@@ -429,7 +431,7 @@
     pub(super) fn is_blocked(&self, now: Instant) -> bool {
         let write_open = self
             .write_began_at
-            .is_some_and(|began| now >= began + WRITE_PATIENCE);
+            .is_some_and(|began| now >= began + self.write_patience);
         write_open || !self.has_lease(now)
     }
 
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -14,9 +14,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Longest time for a call to the key-value service.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// What the decisions tell a request's thread.
 #[derive(Debug)]
 pub enum Word {
@@ -77,7 +74,10 @@
         let incarnation = passway_process::draw_incarnation();
         let catalog = Arc::new(Catalog::default());
         let key_value = settings.key_value.parse().context("key_value")?;
-        let key_value = Arc::new(HttpKeyValue::new(key_value, CLAIM_TIMEOUT));
+        let key_value = Arc::new(HttpKeyValue::new(
+            key_value,
+            Duration::from_millis(settings.key_value_timeout_ms),
+        ));
         let now = Instant::now();
         let mut core = RouterCore::new(incarnation, catalog.clone(), now);
         core.set_current_until(now);
--- a/crates/standins/src/bin/passway-slopes.rs
+++ b/crates/standins/src/bin/passway-slopes.rs
@@ -164,6 +164,7 @@
     let limits = CellLimits {
         standby_poll: Duration::from_millis(300),
         order_settle: Duration::from_secs(10),
+        write_patience: Duration::from_millis(500),
     };
     let mut cell = CellController::new("main".into(), me, limits, catalog.clone(), now);
     let mut plan = None;
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -57,6 +57,9 @@
     pub list_lag: Duration,
     /// Time that a cell's lease lasts, in milliseconds.
     pub lease_ms: u64,
+    /// How long routers and controllers wait for the key-value service; the shipped
+    /// defaults where `None`.
+    pub patience: Option<Duration>,
     /// How long idle replicas are kept.
     pub keep: KeepEntry,
 }
@@ -78,6 +81,7 @@
             pace: Pace::default(),
             list_lag: Duration::from_secs(2),
             lease_ms: 2_000,
+            patience: None,
             keep: KeepEntry {
                 policy: KeepPolicyName::Fixed,
                 ..KeepEntry::default()
@@ -86,6 +90,16 @@
     }
 }
 
+impl WorldPlan {
+    /// A wait for the key-value service in milliseconds, where programs usually wait
+    /// so long.
+    pub fn wait_ms(&self, usual: u64) -> u64 {
+        let millis = |patience: Duration| u64::try_from(patience.as_millis());
+        self.patience
+            .map_or(usual, |p| millis(p).unwrap_or(u64::MAX))
+    }
+}
+
 /// The stand-ins of a world.
 #[derive(Debug)]
 pub struct World {
@@ -206,7 +220,11 @@
         listen: SocketAddr,
         all: &[SocketAddr],
     ) -> ControllerSettings {
+        let defaults = ControllerSettings::default();
+        let wait_ms = |usual: u64| self.plan.wait_ms(usual);
         ControllerSettings {
+            key_value_timeout_ms: wait_ms(defaults.key_value_timeout_ms),
+            write_patience_ms: wait_ms(defaults.write_patience_ms),
             instance: instance_id(number),
             data_hall: data_hall(number),
             listen: listen.to_string(),
@@ -218,7 +236,7 @@
             key_value: self.key_value_address.to_string(),
             instance_list: self.list_address.to_string(),
             lease_ms: self.plan.lease_ms,
-            ..ControllerSettings::default()
+            ..defaults
         }
     }
 
@@ -229,13 +247,15 @@
             .cycle()
             .skip(number)
             .take(controllers.len());
+        let defaults = RouterSettings::default();
         RouterSettings {
+            key_value_timeout_ms: self.plan.wait_ms(defaults.key_value_timeout_ms),
             instance: instance_id(number),
             data_hall: data_hall(number),
             listen: ANY_PORT.into(),
             controllers: own_first.map(ToString::to_string).collect(),
             key_value: self.key_value_address.to_string(),
-            ..RouterSettings::default()
+            ..defaults
         }
     }
 
--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -162,6 +162,7 @@
         let limits = CellLimits {
             standby_poll: Duration::from_millis(300),
             order_settle: LONGEST_DELAY,
+            write_patience: Duration::from_millis(500),
         };
         let controller =
             CellController::new("main".into(), me, limits, self.catalog.clone(), self.now);
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -16,6 +16,15 @@
     }
 }
 
+/// The same for tests that are not about an unavailable key-value service: on a busy
+/// machine its calls may take seconds, which would be refused as an outage.
+pub fn patient_plan() -> WorldPlan {
+    WorldPlan {
+        patience: Some(Duration::from_secs(10)),
+        ..small_plan()
+    }
+}
+
 /// Makes `count` requests for one model at all routers at one time.
 pub fn burst(fleet: &Fleet, model: &str, count: usize, deadline: Duration) -> Vec<Sample> {
     let routers: Vec<_> = fleet
