Placement policies behind one trait, a model of a fleet to compare them, patient tests

`passway-experiment` runs policies against each other in `fleet_model`: engines, weight store and demand in virtual time around the planner that ships, seeded, at today's, the grown and the target's size; JSON and SVG.

Also: five whole suites, two such loops at once by mistake, beside 120 busy processes (load averages of 300 to 400): every run failed 3 to 8 tests, nearly all with 1204, since leases of 2 s lapse there. Tests that wait for no successor have leases of 10 s now. process_kills::controller_paused needs the short one and stays open at such loads.

Suite green, 115 tests.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -70,7 +70,10 @@
         right: right.clone(),
         engines,
         sender: sender.clone(),
-        planner: Planner::new(shared.bounds.load().load_window),
+        planner: Planner::new(
+            shared.bounds.load().load_window,
+            shared.settings.placement.policy(),
+        ),
         peers: BTreeMap::new(),
         subscribers: BTreeSet::new(),
         logs: Default::default(),
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -9,6 +9,7 @@
 mod ceiling;
 mod demand;
 mod engine;
+pub mod policy;
 mod victims;
 
 use crate::ports::{EngineReport, OrderAction, OrderAnswer};
@@ -16,17 +17,16 @@
 use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
 use ceiling::StoreLoads;
 pub use ceiling::USUAL_LOAD_WINDOW;
-use demand::{Demand, Load};
+use demand::Demand;
+pub use demand::Load;
 use engine::{Engine, Tier};
 use passway_types::prelude::*;
+use policy::PlacementPolicy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Loads from the weight store at one time that still run at full speed (users' pages).
 const STORE_LOADS_AT_ONCE: usize = 4;
-/// Loads from the weight store that serve nobody yet, at one time: each keeps its
-/// engine from exchanging models.
-const PREFETCHES_AT_ONCE: usize = 2;
 /// An order whose effect shows neither in the engine's word nor in a report is asked for after this.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an unload that no run holds up.
@@ -36,10 +36,6 @@
 /// An exchange that costs more than this is not made for a further replica.
 const REPLICA_COST_MS: f64 = 2_500.0;
 
-/// A request waits this long for an engine that has its model nearer than the weight
-/// store, which takes several seconds.
-const DISK_PATIENCE: Duration = Duration::from_millis(1_500);
-
 /// Under which terms a model is brought.
 #[derive(Debug, Clone, Copy)]
 struct Terms {
@@ -106,6 +102,7 @@
     engines: BTreeMap<UpstreamId, Engine>,
     pools: BTreeMap<ServiceName, EnginePool>,
     demand: Demand,
+    policy: Box<dyn PlacementPolicy>,
     /// Loads that count against each service's ceiling of the weight store.
     store_loads: BTreeMap<ServiceName, StoreLoads>,
     /// The span over which they count.
@@ -116,11 +113,12 @@
 
 impl Planner {
     /// No engines; loads from the weight store count over a span.
-    pub fn new(load_window: Duration) -> Self {
+    pub fn new(load_window: Duration, policy: Box<dyn PlacementPolicy>) -> Self {
         Self {
             engines: BTreeMap::new(),
             pools: BTreeMap::new(),
             demand: Demand::default(),
+            policy,
             store_loads: BTreeMap::new(),
             load_window,
             changed: BTreeSet::new(),
@@ -332,7 +330,7 @@
                 _ => {
                     let terms = Terms {
                         most_ms: None,
-                        may_fetch: now >= need.since + DISK_PATIENCE,
+                        may_fetch: now >= need.since + self.policy.home_patience(),
                     };
                     self.place_model(&need.service, model, terms, now);
                 }
@@ -447,7 +445,8 @@
             runs: here.map(|engine| engine.runs(model)).sum(),
             slots: self.pools.get(service).map_or(1, |pool| pool.slots),
         };
-        self.demand.wanted(service, model, load, now)
+        self.policy
+            .replicas(self.demand.rate(service, model, now), load)
     }
 
     fn replicas(&self, service: &ServiceName, model: &ModelName) -> usize {
@@ -457,7 +456,7 @@
 
     /// Fetches models that lie nowhere, while the weight store has nothing else to do.
     fn prefetch(&mut self, now: Instant) {
-        if self.loads_under_way() >= PREFETCHES_AT_ONCE {
+        if self.loads_under_way() >= self.policy.prefetches() {
             return;
         }
         let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -7,22 +7,16 @@
 /// Time over which requests are averaged, in seconds: long enough to see a rare
 /// model twice, short enough to follow demand that moves within some seconds.
 const RATE_TIME_S: f64 = 4.0;
-/// Requests a second that one replica of a busy model takes.
-const REQUESTS_PER_REPLICA_S: f64 = 6.0;
-/// A model asked for this often has a second replica, against the loss of the first.
-const SPARE_RATE_S: f64 = 1.5;
-
-/// Part of an engine's slots that the runs of a busy model may fill: instances see only
-/// their own load, so the spread over engines is uneven.
-const SLOTS_PART: f64 = 0.4;
+/// Models asked for less often are worth one replica whatever the policy.
+const BUSY_RATE_S: f64 = 0.5;
 
 /// How much a model is used now.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Load {
+pub struct Load {
     /// Requests that run, over all engines.
-    pub(super) runs: u32,
+    pub runs: u32,
     /// Requests that an engine runs at one time.
-    pub(super) slots: u32,
+    pub slots: u32,
 }
 
 /// A number as a floating point one; times and counts here are far below 2^52.
@@ -128,34 +122,12 @@
         self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
     }
 
-    /// How many replicas the demand for a model is worth, with so many runs and slots an engine.
-    pub(super) fn wanted(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        load: Load,
-        now: Instant,
-    ) -> usize {
-        let rate = self.rate(service, model, now);
-        if rate < SPARE_RATE_S {
-            return 1;
-        }
-        let by_rate = rate / REQUESTS_PER_REPLICA_S;
-        let by_runs = f64::from(load.runs) / (f64::from(load.slots.max(1)) * SLOTS_PART);
-        let by_load = by_rate.max(by_runs).ceil();
-        let mut replicas = 2;
-        while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < by_load {
-            replicas += 1;
-        }
-        replicas
-    }
-
-    /// Models of a service that are worth more than one replica, the busiest first.
+    /// Models of a service that may be worth more than one replica, the busiest first.
     pub(super) fn busy_models(&self, service: &ServiceName, now: Instant) -> Vec<ModelName> {
         let rated = self.rates.iter().filter(|((named, _), _)| named == service);
         let mut rated: Vec<(f64, ModelName)> = rated
             .map(|((_, model), rate)| (rate.now(now), model.clone()))
-            .filter(|(rate, _)| *rate >= SPARE_RATE_S)
+            .filter(|(rate, _)| *rate >= BUSY_RATE_S)
             .collect();
         rated.sort_by(|one, other| other.0.total_cmp(&one.0));
         rated.into_iter().map(|(_, model)| model).collect()
--- /dev/null
+++ b/crates/serving/src/placement/policy.rs
@@ -0,0 +1,168 @@
+//! What a placement policy decides, and the policies that ship.
+//!
+//! The planner keeps memory, adapter places and the weight store's ceiling whatever the
+//! policy says; a policy says what is worth bringing. The simple ones are baselines to
+//! measure against, in the model (`passway-experiment`) and on the users' bench.
+
+use super::demand::Load;
+use passway_types::prelude::*;
+use std::fmt;
+use std::str::FromStr;
+
+/// Requests a second that one replica of a busy model takes.
+const REQUESTS_PER_REPLICA_S: f64 = 6.0;
+/// A model asked for this often has a second replica, against the loss of the first.
+const SPARE_RATE_S: f64 = 1.5;
+/// Part of an engine's slots that the runs of a busy model may fill: instances see only
+/// their own load, so the spread over engines is uneven.
+const SLOTS_PART: f64 = 0.4;
+/// Loads from the weight store that serve nobody yet, at one time: each keeps its
+/// engine from exchanging models.
+const PREFETCHES_AT_ONCE: usize = 2;
+/// A request waits this long for an engine that has its model nearer than the weight
+/// store, which takes several seconds.
+const HOME_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// What is worth bringing to engines.
+pub trait PlacementPolicy: fmt::Debug + Send {
+    /// Replicas that a model is worth, which is asked for `rate_s` times a second.
+    fn replicas(&self, rate_s: f64, load: Load) -> usize;
+
+    /// Loads from the weight store that may run at one time although nobody waits for them.
+    fn prefetches(&self) -> usize;
+
+    /// How long a request waits for an engine that has its model near, before another
+    /// engine fetches it from the weight store.
+    fn home_patience(&self) -> Duration;
+}
+
+/// The policies by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PolicyName {
+    /// Replicas by measured demand, prefetch, homes. What ships.
+    #[default]
+    Balanced,
+    /// One replica of what is asked for, when it is asked for.
+    OnDemand,
+    /// Two replicas of whatever is asked for at all, no prefetch.
+    FixedReplicas,
+    /// As `balanced`, but any engine fetches what it lacks at once.
+    NoHomes,
+    /// As `balanced`, without prefetch.
+    NoPrefetch,
+}
+
+impl PolicyName {
+    /// All of them.
+    pub const ALL: [Self; 5] = [
+        Self::Balanced,
+        Self::OnDemand,
+        Self::FixedReplicas,
+        Self::NoHomes,
+        Self::NoPrefetch,
+    ];
+
+    /// The name in settings and on command lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Balanced => "balanced",
+            Self::OnDemand => "on-demand",
+            Self::FixedReplicas => "fixed-replicas",
+            Self::NoHomes => "no-homes",
+            Self::NoPrefetch => "no-prefetch",
+        }
+    }
+
+    /// The policy.
+    pub fn policy(self) -> Box<dyn PlacementPolicy> {
+        let balanced = Parts {
+            replicas: Replicas::ByDemand,
+            prefetches: PREFETCHES_AT_ONCE,
+            home_patience: HOME_PATIENCE,
+        };
+        Box::new(match self {
+            Self::Balanced => balanced,
+            Self::OnDemand => Parts {
+                replicas: Replicas::Fixed(1),
+                prefetches: 0,
+                ..balanced
+            },
+            Self::FixedReplicas => Parts {
+                replicas: Replicas::Fixed(2),
+                prefetches: 0,
+                ..balanced
+            },
+            Self::NoHomes => Parts {
+                home_patience: Duration::ZERO,
+                ..balanced
+            },
+            Self::NoPrefetch => Parts {
+                prefetches: 0,
+                ..balanced
+            },
+        })
+    }
+}
+
+impl fmt::Display for PolicyName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for PolicyName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let found = Self::ALL.into_iter().find(|name| name.as_str() == text);
+        found.ok_or_else(|| {
+            let names = Self::ALL.map(Self::as_str);
+            format!("no placement policy; known are {}", names.join(", "))
+        })
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Replicas {
+    ByDemand,
+    Fixed(usize),
+}
+
+/// A policy put together of its parts.
+#[derive(Debug, Clone, Copy)]
+struct Parts {
+    replicas: Replicas,
+    prefetches: usize,
+    home_patience: Duration,
+}
+
+impl PlacementPolicy for Parts {
+    fn replicas(&self, rate_s: f64, load: Load) -> usize {
+        match self.replicas {
+            Replicas::Fixed(count) => count,
+            Replicas::ByDemand => by_demand(rate_s, load),
+        }
+    }
+
+    fn prefetches(&self) -> usize {
+        self.prefetches
+    }
+
+    fn home_patience(&self) -> Duration {
+        self.home_patience
+    }
+}
+
+fn by_demand(rate_s: f64, load: Load) -> usize {
+    if rate_s < SPARE_RATE_S {
+        return 1;
+    }
+    let by_rate = rate_s / REQUESTS_PER_REPLICA_S;
+    let by_runs = f64::from(load.runs) / (f64::from(load.slots.max(1)) * SLOTS_PART);
+    let by_load = by_rate.max(by_runs).ceil();
+    let mut replicas = 2;
+    while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < by_load {
+        replicas += 1;
+    }
+    replicas
+}
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -3,6 +3,7 @@
 //! An adapter implements them in the words of one platform. It decides nothing.
 
 use crate::headers::Headers;
+use crate::placement::policy::PolicyName;
 use crate::routes::RouteTable;
 use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
@@ -320,6 +321,8 @@
     pub store_address: SocketAddr,
     /// Processor that it has, as a part of a usual core.
     pub processor_part: f64,
+    /// What is worth bringing to engines, while this instance has the right to order.
+    pub placement: PolicyName,
     /// Bounds that may change while the process runs.
     pub bounds: InstanceBounds,
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,11 +11,13 @@
 //! * [`instance_list`]: a list that lags.
 //! * [`platform`]: the users' platform: its store, model servers, servers of scripted bytes.
 //! * [`world`]: all of them together with a configuration.
+//! * [`fleet_model`]: engines, weight store and demand in virtual time, to compare policies.
 //! * [`sizes`]: configurations at the sizes of today and of the target.
 //! * [`trace`]: seeded days of the two deployments.
 //! * [`load`]: callers, whose answers are checked.
 
 pub mod engine;
+pub mod fleet_model;
 pub mod instance_list;
 pub mod key_value;
 pub mod load;
--- a/src/bin/passway-instance.rs
+++ b/src/bin/passway-instance.rs
@@ -4,6 +4,7 @@
 use clap::Parser;
 use passway_instance::{Instance, Surroundings};
 use passway_process::signals::Asked;
+use passway_serving::placement::policy::PolicyName;
 use passway_users_platform::{
     MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl, read_settings,
 };
@@ -24,6 +25,9 @@
     /// Least important log lines that are written.
     #[arg(long, default_value = "info")]
     log_level: String,
+    /// What is worth bringing to engines: balanced, or a baseline to measure against.
+    #[arg(long, default_value_t)]
+    placement: PolicyName,
     /// Only check the settings.
     #[arg(long)]
     check: bool,
@@ -31,7 +35,7 @@
 
 fn main() -> Result<ExitCode> {
     let arguments = Arguments::parse();
-    let settings = match read_settings() {
+    let mut settings = match read_settings() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error:#}");
@@ -42,6 +46,7 @@
         println!("no faults");
         return Ok(ExitCode::SUCCESS);
     }
+    settings.placement = arguments.placement;
     passway_process::logging::start("passway-instance", &arguments.log_level)?;
     let signals = passway_process::signals::asked()?;
     let surroundings = Surroundings {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod placement_faults;
 mod platform_soak;
 mod platform_words;
+mod policy_compare;
 mod policy_rules;
 mod process_kills;
 mod processes;
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -1,6 +1,7 @@
 //! Models come to where they are asked for, by one holder's orders.
 
 use crate::site::{self, PATIENCE, ask, request, until};
+use passway_serving::placement::policy::PolicyName;
 use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW};
 use passway_serving::ports::{Directory, EngineReport, OrderAction, OrderAnswer, StoredValue};
 use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
@@ -178,7 +179,7 @@
             revision: 1,
         };
         let table = PlatformDirectory.configuration(&value).expect("decoded");
-        let mut planner = Planner::new(USUAL_LOAD_WINDOW);
+        let mut planner = Planner::new(USUAL_LOAD_WINDOW, PolicyName::Balanced.policy());
         planner.set_table(&table.expect("a configuration"));
         let now = Instant::now();
         let mut fresh = Self { planner, now };
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -7,6 +7,7 @@
 
 use crate::site;
 use crate::support::from_environment;
+use passway_serving::placement::policy::PolicyName;
 use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW};
 use passway_serving::ports::{Directory, EngineReport, OrderAction, OrderAnswer, StoredValue};
 use passway_serving::routes::RouteTable;
@@ -162,7 +163,7 @@
             step: 0,
             engines: Vec::new(),
             late: Vec::new(),
-            planner: Planner::new(USUAL_LOAD_WINDOW),
+            planner: Planner::new(USUAL_LOAD_WINDOW, PolicyName::Balanced.policy()),
             incarnations: 0,
             over: Vec::new(),
             orders: 0,
@@ -186,7 +187,7 @@
 
     /// A successor that knows what lies in the store.
     fn change_holder(&mut self) {
-        self.planner = Planner::new(USUAL_LOAD_WINDOW);
+        self.planner = Planner::new(USUAL_LOAD_WINDOW, PolicyName::Balanced.policy());
         self.planner.set_table(&self.matter.table());
         for engine in &self.engines {
             if let Some(entry) = engine.told.last() {
--- a/tests/all/process_kills.rs
+++ b/tests/all/process_kills.rs
@@ -87,6 +87,7 @@
 fn controller_killed_loading() {
     let plan = WorldPlan {
         instances: 3,
+        lease_ms: small_plan().lease_ms,
         ..patient_plan()
     };
     let world = World::start(plan).expect("world");
@@ -114,6 +115,7 @@
         let plan = WorldPlan {
             instances: 3,
             checks_fencing,
+            lease_ms: small_plan().lease_ms,
             ..patient_plan()
         };
         let world = World::start(plan).expect("world");
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -2,6 +2,7 @@
 
 use passway_instance::{Instance, Surroundings};
 use passway_serving::placement::USUAL_LOAD_WINDOW;
+use passway_serving::placement::policy::PolicyName;
 use passway_serving::ports::{InstanceBounds, InstanceSettings};
 use passway_serving::retry::RetryAllowance;
 use passway_standins::platform::store::MetadataStandIn;
@@ -80,6 +81,7 @@
         peer_address: any,
         store_address: store,
         processor_part: 1.0,
+        placement: PolicyName::default(),
         bounds: InstanceBounds {
             grace: Duration::from_secs(8),
             shortest_lease: Duration::from_secs(1),
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -16,11 +16,13 @@
     }
 }
 
-/// The same for tests that are not about an unavailable key-value service: on a busy
-/// machine its calls may take seconds, which would be refused as an outage.
+/// The same for tests that are about neither an unavailable key-value service nor a lost
+/// controller: on a busy machine its calls may take seconds, and leases may lapse, which
+/// would be refused as an outage.
 pub fn patient_plan() -> WorldPlan {
     WorldPlan {
         patience: Some(Duration::from_secs(10)),
+        lease_ms: 10_000,
         ..small_plan()
     }
 }
