Replicas and runs are counted once a planning pass

For each model that might give way the planner counted replicas and runs over all engines, and looked through all waiting requests.

Ruled out: fewer passes (needs would wait longer for their order).

Change: `placement::census` counts replicas and runs once a pass and after each exchange; what is awaited is kept as a set.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -7,6 +7,7 @@
 //! decided for; memory is therefore checked against that state alone.
 
 mod ceiling;
+mod census;
 mod demand;
 mod engine;
 pub mod policy;
@@ -17,6 +18,7 @@
 use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
 use ceiling::StoreLoads;
 pub use ceiling::USUAL_LOAD_WINDOW;
+use census::Census;
 use demand::Demand;
 pub use demand::Load;
 use engine::{Engine, Tier};
@@ -103,6 +105,8 @@
     pools: BTreeMap<ServiceName, EnginePool>,
     demand: Demand,
     policy: Box<dyn PlacementPolicy>,
+    /// Replicas and runs, as they were counted at the last change of a pass.
+    census: Census,
     /// Loads that count against each service's ceiling of the weight store.
     store_loads: BTreeMap<ServiceName, StoreLoads>,
     /// The span over which they count.
@@ -119,6 +123,7 @@
             pools: BTreeMap::new(),
             demand: Demand::default(),
             policy,
+            census: Census::default(),
             store_loads: BTreeMap::new(),
             load_window,
             changed: BTreeSet::new(),
@@ -265,6 +270,7 @@
         self.demand.expire(now);
         let listens = self.listening_until.is_some_and(|until| now < until);
         if !listens {
+            self.count();
             self.serve_needs(now);
             self.add_replicas(now);
             self.prefetch(now);
@@ -308,15 +314,14 @@
 
     fn serve_needs(&mut self, now: Instant) {
         for need in self.demand.waiting() {
-            let stands = self
-                .engines
-                .values()
-                .any(|e| e.serves(&need.service, &need.wish));
+            let model = &need.wish.model;
+            let resident = self.replicas(&need.service, model) > 0;
+            let mut engines = self.engines.values();
+            let stands = resident && engines.any(|e| e.serves(&need.service, &need.wish));
             if stands {
                 self.demand.served(&need.service, &need.wish);
                 continue;
             }
-            let model = &need.wish.model;
             let on_way = self
                 .engines
                 .values()
@@ -324,7 +329,6 @@
             if on_way {
                 continue;
             }
-            let resident = self.engines.values().any(|e| e.has(&need.service, model));
             match &need.wish.adapter {
                 Some(adapter) if resident => self.place_adapter(&need.service, model, adapter, now),
                 _ => {
@@ -416,6 +420,7 @@
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.exchange(model.clone(), victims);
             self.changed.insert(id);
+            self.count();
         }
         true
     }
@@ -439,10 +444,8 @@
     }
 
     fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
-        let engines = self.engines.values();
-        let here = engines.filter(|e| e.entry.service == *service);
         let load = Load {
-            runs: here.map(|engine| engine.runs(model)).sum(),
+            runs: self.census.runs(service, model),
             slots: self.pools.get(service).map_or(1, |pool| pool.slots),
         };
         self.policy
@@ -450,8 +453,11 @@
     }
 
     fn replicas(&self, service: &ServiceName, model: &ModelName) -> usize {
-        let engines = self.engines.values();
-        engines.filter(|e| e.has(service, model)).count()
+        self.census.replicas(service, model)
+    }
+
+    fn count(&mut self) {
+        self.census = Census::of(self.engines.values());
     }
 
     /// Fetches models that lie nowhere, while the weight store has nothing else to do.
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::upstreams::ModelWish;
 use passway_types::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 /// Time over which requests are averaged, in seconds: long enough to see a rare
 /// model twice, short enough to follow demand that moves within some seconds.
@@ -51,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     waiting: Vec<Waiting>,
+    /// Models that requests wait for.
+    awaited: HashSet<(ServiceName, ModelName)>,
     rates: BTreeMap<(ServiceName, ModelName), Rate>,
 }
 
@@ -70,6 +72,7 @@
             known.until = known.until.max(until);
             return;
         }
+        self.awaited.insert((service.clone(), wish.model.clone()));
         self.waiting.push(Waiting {
             service: service.clone(),
             wish: wish.clone(),
@@ -79,12 +82,22 @@
     }
 
     pub(super) fn served(&mut self, service: &ServiceName, wish: &ModelWish) {
-        self.waiting
-            .retain(|w| w.service != *service || w.wish != *wish);
+        self.retain(|w| w.service != *service || w.wish != *wish);
     }
 
     pub(super) fn expire(&mut self, now: Instant) {
-        self.waiting.retain(|waiting| now < waiting.until);
+        self.retain(|waiting| now < waiting.until);
+    }
+
+    fn retain(&mut self, stays: impl FnMut(&Waiting) -> bool) {
+        let before = self.waiting.len();
+        self.waiting.retain(stays);
+        if self.waiting.len() == before {
+            return;
+        }
+        let waiting = self.waiting.iter();
+        let models = waiting.map(|w| (w.service.clone(), w.wish.model.clone()));
+        self.awaited = models.collect();
     }
 
     /// What waits, the longest wait first.
@@ -96,8 +109,7 @@
 
     /// Whether a request waits for a model.
     pub(super) fn is_awaited(&self, service: &ServiceName, model: &ModelName) -> bool {
-        let mut waiting = self.waiting.iter();
-        waiting.any(|w| w.service == *service && w.wish.model == *model)
+        !self.awaited.is_empty() && self.awaited.contains(&(service.clone(), model.clone()))
     }
 
     pub(super) fn taken(
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -236,6 +236,18 @@
         }
     }
 
+    /// Models that stand here and stay.
+    pub(super) fn staying(&self) -> impl Iterator<Item = &ModelName> {
+        let stays = |name: &&ModelName| !self.entry.draining && !self.closing.contains(name);
+        self.models.iter().map(|model| &model.name).filter(stays)
+    }
+
+    /// Runs by model, as each instance told them.
+    pub(super) fn all_runs(&self) -> impl Iterator<Item = (&ModelName, u32)> {
+        let runs = self.running.values().flatten();
+        runs.map(|(model, count)| (model, *count))
+    }
+
     /// Runs of a model, over all instances.
     pub(super) fn runs(&self, model: &ModelName) -> u32 {
         let runs = self.running.values().flatten();
