JSON logs with a bound, a line at each request's end, and passwayctl trace

Ruled out: a line for each attempt at the usual level (three times the volume; `debug` has it); writing in the thread that logs.

Change: `passway-instance` writes JSON lines to standard output through a queue and one thread, in batches of 100 ms; `--log-lines-per-s` bounds them (100), the second half of the bound is for requests' ends, what is dropped is counted and told. Each request ends with one line: route, service, model, last upstream, offers, runs, status, how it ended, waits, the configuration's version. `passwayctl trace ID FILES` prints a request's lines and the orders, holders and lost upstreams shortly before its end, over all instances.

With a blocking write full_pipe_serves does not end within 40 s; with the queue it passes.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -96,6 +96,14 @@
         /// The model as `name@version`.
         model: String,
     },
+    /// Tell a request's life on the users' platform from instances' logs: its lines, and
+    /// the orders and holders shortly before its end. Times count from the end.
+    Trace {
+        /// The request's id.
+        request: String,
+        /// Logs; standard input if none is named.
+        files: Vec<PathBuf>,
+    },
     /// Take an upstream out of service.
     Drain {
         /// The upstream's id.
@@ -153,6 +161,7 @@
             Command::History => commands::history::run(common, &store),
             Command::Audit => commands::audit::run(common, &store),
             Command::Explain { model } => Ok(commands::explain::run(common, model)),
+            Command::Trace { request, files } => commands::trace::run(request, files),
             Command::Drain {
                 upstream,
                 undo,
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -9,6 +9,7 @@
 pub(crate) mod history;
 pub(crate) mod show;
 pub(crate) mod status;
+pub mod trace;
 
 use crate::cli::{Common, ExitCode};
 use anyhow::{Context, Result};
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod ask;
 pub mod changes;
 pub mod cli;
-mod commands;
+pub mod commands;
 pub mod store;
 pub mod table;
 
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -11,6 +11,7 @@
 use crate::http1::{AnswerHead, Connection, RequestHead};
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
+use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::hash::fnv1a;
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
@@ -113,6 +114,24 @@
     delivered: Delivered,
     tried: Vec<UpstreamId>,
     runs: u32,
+    story: Story,
+}
+
+/// What the line about the request's end tells beside its facts.
+#[derive(Debug, Default)]
+struct Story {
+    /// Times that it was offered to an upstream.
+    offers: u32,
+    /// The last of them.
+    upstream: Option<UpstreamId>,
+    /// Time until the first offer, in milliseconds.
+    waited_ms: Option<u64>,
+    /// Time until the first bytes of the answer went out, in milliseconds.
+    first_ms: Option<u64>,
+    /// The status that the caller got; 0 if none.
+    status: u16,
+    /// How it ended.
+    end: &'static str,
 }
 
 impl std::fmt::Debug for Forwarding<'_> {
@@ -154,6 +173,9 @@
     let destination = match find_destination(shared, caller, head, &facts, arrived_at) {
         Ok(destination) => destination,
         Err(refusal) => {
+            log::info!(target: REQUEST_TARGET, request = facts.id, status = refusal.code(),
+                offers = 0, runs = 0, end = "refused before a route was known";
+                "request ended");
             let vocabulary = &*shared.vocabulary;
             let done = reply::refuse(caller, vocabulary, &facts.id, refusal, close_after);
             return after(done.is_ok() && !close_after);
@@ -177,8 +199,9 @@
         delivered: Delivered::default(),
         tried: Vec::new(),
         runs: 0,
+        story: Story::default(),
     }
-    .run()
+    .serve()
 }
 
 /// The route and service of a request; the error is what its caller is told.
@@ -246,7 +269,25 @@
         self.facts.wish.as_ref().filter(|_| self.is_engine)
     }
 
-    fn run(mut self) -> After {
+    /// Serves the request and says how it ended.
+    fn serve(mut self) -> After {
+        let after = self.run();
+        let story = &self.story;
+        let table = self.shared.routes.load();
+        let version = table.as_ref().map_or(0, |table| table.version);
+        let wish = self.facts.wish.as_ref();
+        log::info!(target: REQUEST_TARGET, request = self.facts.id, route:% = self.route.name,
+            service:% = self.service, model:% = wish.map_or("", |wish| &wish.model),
+            adapter:% = wish.and_then(|wish| wish.adapter.as_deref()).unwrap_or(""),
+            upstream:% = story.upstream.as_deref().unwrap_or(""), offers = story.offers,
+            runs = self.runs, status = story.status, end = story.end,
+            waited_ms = story.waited_ms.unwrap_or(0), first_ms = story.first_ms.unwrap_or(0),
+            took_ms = self.held_ms(), config_version = version;
+            "request ended");
+        after
+    }
+
+    fn run(&mut self) -> After {
         if let Some(wish) = self.wish() {
             self.tell(Need::Taken {
                 service: self.service.clone(),
@@ -263,11 +304,18 @@
                 return self.give_up(failed);
             }
             self.tried.push(target.id.clone());
+            self.story.offers += 1;
+            self.story.upstream = Some(target.id.clone());
+            let waited_ms = self.held_ms();
+            self.story.waited_ms.get_or_insert(waited_ms);
             let attempt = self.attempt(&target);
             log::debug!(request = self.facts.id, upstream:% = target.id, offer = offer; "{}", attempt.name());
             match attempt {
                 Attempt::Answered(after) => return after,
-                Attempt::CallerGone => return After::Close,
+                Attempt::CallerGone => {
+                    self.story.end = "caller gone";
+                    return After::Close;
+                }
                 Attempt::TimedOut => {
                     self.runs += 1;
                     return self.give_up(failed);
@@ -293,6 +341,11 @@
         self.give_up(failed)
     }
 
+    /// Time since the request arrived, in milliseconds.
+    fn held_ms(&self) -> u64 {
+        u64::try_from(self.arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn may_run_again(&self) -> bool {
         self.route.kind.may_run_again() && self.runs < self.route.attempts
     }
@@ -308,10 +361,10 @@
     }
 
     /// The last answer, when nothing more can be tried.
-    fn give_up(mut self, failed: Option<Box<FailedAnswer>>) -> After {
+    fn give_up(&mut self, failed: Option<Box<FailedAnswer>>) -> After {
         if self.delivered.head_sent {
             // A stream that breaks off must not look whole.
-            log::info!(request = self.facts.id, code = 0; "stream broken off");
+            self.story.end = "stream broken off";
             return After::Close;
         }
         if let Some(failed) = failed {
@@ -324,9 +377,8 @@
         } else {
             Refusal::AnswerLost
         };
-        log::info!(request = self.facts.id, route:% = self.route.name, code = refusal.code(),
-            runs = self.runs, after_ms = self.arrived_at.elapsed().as_millis();
-            "refused");
+        self.story.status = refusal.code();
+        self.story.end = "refused";
         let vocabulary = &*self.shared.vocabulary;
         let close = self.close_after;
         let done = reply::refuse(self.caller, vocabulary, &self.facts.id, refusal, close);
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -1,9 +1,42 @@
 //! One structured line an event, through `log` and `fern`.
+//!
+//! * [`start`]: `key=value` lines on standard error, for programs run by hand.
+//! * [`json`]: JSON lines on standard output, bounded in volume, for programs whose
+//!   output is collected.
+
+pub mod json;
+pub mod volume;
 
 use anyhow::{Context, Result};
 use log::kv::{self, Key, Value, VisitSource};
 use std::fmt::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The crates whose lines are written at the level of the settings.
+const OWN_CRATES: [&str; 6] = [
+    "passway_router",
+    "passway_controller",
+    "passway_standins",
+    "passway_process",
+    "passway_instance",
+    "passway_serving",
+];
+
+/// A dispatch that lets our own lines through at `level`, others from warnings on.
+fn dispatch(level: &str) -> Result<fern::Dispatch> {
+    let level: log::LevelFilter = level.parse().context("log_level")?;
+    let mut dispatch = fern::Dispatch::new().level(log::LevelFilter::Warn);
+    for name in OWN_CRATES {
+        dispatch = dispatch.level_for(name, level);
+    }
+    Ok(dispatch)
+}
+
+/// Time since 1970-01-01 UTC, as this machine's clock has it.
+fn time_of_day() -> Duration {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.unwrap_or_default()
+}
 
 /// Starts logging to standard error.
 ///
@@ -13,19 +46,9 @@
 /// # Errors
 /// If the level is not known or logging was started before.
 pub fn start(program: &'static str, level: &str) -> Result<()> {
-    let level: log::LevelFilter = level.parse().context("log_level")?;
-    fern::Dispatch::new()
-        .level(log::LevelFilter::Warn)
-        .level_for("passway_router", level)
-        .level_for("passway_controller", level)
-        .level_for("passway_standins", level)
-        .level_for("passway_process", level)
-        .level_for("passway_instance", level)
-        .level_for("passway_serving", level)
+    dispatch(level)?
         .format(move |out, message, record| {
-            let elapsed = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
+            let elapsed = time_of_day();
             let mut pairs = Pairs(String::new());
             // Writing into a string does not fail.
             let _ = record.key_values().visit(&mut pairs);
--- /dev/null
+++ b/crates/process/src/logging/json.rs
@@ -0,0 +1,128 @@
+//! JSON lines on standard output.
+//!
+//! Lines go through a queue to one thread that writes them in batches, so that nobody
+//! who logs waits for whoever reads the output. What does not fit into the queue or the
+//! bound is dropped, counted, and told with the next batch.
+
+use super::volume::VolumeBound;
+use super::{dispatch, time_of_day};
+use anyhow::{Context, Result};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use log::kv::{self, Key, Value, VisitSource};
+use serde_json::{Map, Value as Json};
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Lines that wait to be written.
+const QUEUED_LINES: usize = 2_048;
+/// Lines of this time are written by one call.
+const BATCH_TIME: Duration = Duration::from_millis(100);
+/// The target of lines about the end of a request, which come first in the bound.
+pub const REQUEST_TARGET: &str = "passway_instance::request";
+
+/// Where lines go on their way to the output.
+struct Sink {
+    lines: Sender<String>,
+    bound: Mutex<VolumeBound>,
+    dropped: Arc<AtomicU64>,
+}
+
+/// Starts logging to standard output, at most so many lines a second in the mean.
+///
+/// # Errors
+/// If the level is not known or logging was started before.
+pub fn start(program: &'static str, level: &str, lines_per_s: u32) -> Result<()> {
+    let dispatch = dispatch(level)?;
+    let dropped = Arc::new(AtomicU64::new(0));
+    let (lines, queued) = bounded(QUEUED_LINES);
+    let counted = dropped.clone();
+    std::thread::spawn(move || write_batches(&queued, &counted, program));
+    let sink = Sink {
+        lines,
+        bound: Mutex::new(VolumeBound::new(lines_per_s, Instant::now())),
+        dropped,
+    };
+    let output = fern::Output::call(move |record| sink.take(record, program));
+    dispatch
+        .chain(output)
+        .apply()
+        .context("logging was started before")
+}
+
+impl Sink {
+    fn take(&self, record: &log::Record<'_>, program: &str) {
+        let ends_request = record.target() == REQUEST_TARGET;
+        let mut bound = self.bound.lock().unwrap_or_else(PoisonError::into_inner);
+        let admitted = bound.admit(ends_request, Instant::now());
+        drop(bound);
+        if !admitted || self.lines.try_send(line(record, program)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// One event as a line of JSON.
+fn line(record: &log::Record<'_>, program: &str) -> String {
+    let mut fields = Fields(head(&record.level().to_string(), program));
+    fields.0.insert("target".into(), record.target().into());
+    let message = record.args().to_string();
+    fields.0.insert("message".into(), message.into());
+    // Gathering into a map does not fail.
+    let _ = record.key_values().visit(&mut fields);
+    Json::Object(fields.0).to_string()
+}
+
+fn head(level: &str, program: &str) -> Map<String, Json> {
+    let at_ms = u64::try_from(time_of_day().as_millis()).unwrap_or(u64::MAX);
+    let mut fields = Map::new();
+    fields.insert("at_ms".into(), at_ms.into());
+    fields.insert("level".into(), level.into());
+    fields.insert("program".into(), program.into());
+    fields
+}
+
+struct Fields(Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let json = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), ..) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (.., Some(truth)) => truth.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), json);
+        Ok(())
+    }
+}
+
+/// Writes lines until the process ends; nobody waits for it.
+fn write_batches(queued: &Receiver<String>, dropped: &AtomicU64, program: &str) {
+    let mut batch = String::new();
+    while let Ok(first) = queued.recv() {
+        std::thread::sleep(BATCH_TIME);
+        batch.clear();
+        for line in std::iter::once(first).chain(queued.try_iter()) {
+            batch.push_str(&line);
+            batch.push('\n');
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let mut fields = head("WARN", program);
+            fields.insert("message".into(), "log lines were dropped".into());
+            fields.insert("dropped".into(), lost.into());
+            batch.push_str(&Json::Object(fields).to_string());
+            batch.push('\n');
+        }
+        // Whoever reads the output is gone; there is nobody to tell.
+        let _ = std::io::stdout().write_all(batch.as_bytes());
+    }
+}
+
+/// Time after which a line that was logged before has been written, if somebody reads.
+pub fn flush_time() -> Duration {
+    BATCH_TIME * 2
+}
--- a/src/bin/passway-instance.rs
+++ b/src/bin/passway-instance.rs
@@ -3,6 +3,7 @@
 use anyhow::Result;
 use clap::Parser;
 use passway_instance::{Instance, Surroundings};
+use passway_process::logging;
 use passway_process::signals::Asked;
 use passway_serving::placement::policy::PolicyName;
 use passway_users_platform::{
@@ -25,6 +26,9 @@
     /// Least important log lines that are written.
     #[arg(long, default_value = "info")]
     log_level: String,
+    /// Log lines a second, in the mean; the ends of requests come first.
+    #[arg(long, default_value_t = 100)]
+    log_lines_per_s: u32,
     /// What is worth bringing to engines: balanced, or a baseline to measure against.
     #[arg(long, default_value_t)]
     placement: PolicyName,
@@ -47,7 +51,11 @@
         return Ok(ExitCode::SUCCESS);
     }
     settings.placement = arguments.placement;
-    passway_process::logging::start("passway-instance", &arguments.log_level)?;
+    logging::json::start(
+        "passway-instance",
+        &arguments.log_level,
+        arguments.log_lines_per_s,
+    )?;
     let signals = passway_process::signals::asked()?;
     let surroundings = Surroundings {
         store: Arc::new(MetadataStore::new(settings.store_address)),
@@ -66,5 +74,6 @@
         }
     }
     instance.stop();
+    std::thread::sleep(logging::json::flush_time());
     Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/tests/all/log_lines.rs
@@ -0,0 +1,113 @@
+//! Logs of instances on the users' platform: their volume, a reader that does not read,
+//! and a request's story out of them.
+
+use crate::site::{self, ask, list_plain, request, until};
+use expect_test::expect;
+use passway_ctl::commands::trace;
+use passway_process::logging::volume::VolumeBound;
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_types::prelude::*;
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+
+/// A process that a test has started; it is ended with the test, however that ends.
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn ends_come_first() {
+    let began_at = Instant::now();
+    let mut bound = VolumeBound::new(100, began_at);
+    let mut admitted = [0; 2];
+    // A storm of 20,000 lines in ten seconds, a tenth of them ends of requests.
+    for number in 0..20_000_u64 {
+        let now = began_at + Duration::from_micros(number * 500);
+        let ends_request = number % 10 == 0;
+        admitted[usize::from(ends_request)] += u32::from(bound.admit(ends_request, now));
+    }
+    let [others, ends] = admitted;
+    // 100 a second and what two quiet seconds had gathered.
+    assert!(others + ends <= 1_200, "{others} and {ends}");
+    assert!(ends > 8 * others, "{others} lines beside {ends} ends");
+}
+
+#[test]
+fn full_pipe_serves() {
+    let store = site::store(&[]);
+    let server = RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        );
+        vec![Step::Send(text.into_bytes())]
+    });
+    list_plain(&store, "i-0", server.address, "ready");
+    let free = || {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        listener.local_addr().expect("address")
+    };
+    let (callers, ready, peers) = (free(), free(), free());
+    let settings = format!(
+        "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternal_ports = [{}, 1]\n\
+        [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
+        [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n\
+        lease_ms = 3000\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
+        peers.port(),
+        store.serve(),
+    );
+    let path = std::env::temp_dir().join(format!("passway-pipe-{}.toml", std::process::id()));
+    std::fs::write(&path, settings).expect("settings");
+    let instance = Ended(
+        Command::new(env!("CARGO_BIN_EXE_passway-instance"))
+            .args(["--log-level", "debug", "--log-lines-per-s", "1000000"])
+            .env("PASSWAY_BOOT", &path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("an instance"),
+    );
+    until("a listening instance", || {
+        TcpStream::connect(callers).is_ok()
+    });
+    let is_served = |number: u32| {
+        let id = format!("p{number}");
+        let answer = ask(callers, &request("GET", "/read/", &id, "", ""));
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    until("a first answer", || is_served(0));
+    // Far more lines than a pipe of 64 KB holds, and nobody reads them.
+    let count = (1..600).filter(|number| is_served(*number)).count();
+    drop(instance);
+    std::fs::remove_file(&path).expect("removing the settings");
+    assert_eq!(count, 599);
+}
+
+#[test]
+fn story_of_request() {
+    let log = r#"
+  7.68 front-2 {"at_ms":7600,"message":"lost the right to order","fence":2}
+  8.01 front-3 {"at_ms":9100,"message":"holds the right to order","fence":70}
+  8.40 front-3 {"at_ms":9500,"message":"order","model":"m1","engine":"e4","action":"Load","answer":"Taken"}
+  8.41 front-3 {"at_ms":9510,"message":"order","model":"m2","engine":"e5","action":"Load","answer":"Taken"}
+  1.00 front-1 {"at_ms":1000,"message":"configuration in force","version":4}
+not a line of ours
+  9.90 front-1 {"at_ms":9900,"level":"INFO","target":"t","message":"request ended","request":"r1","model":"m1","adapter":"","status":503,"end":"refused","runs":0}
+  9.91 front-1 {"at_ms":9910,"message":"request ended","request":"r2","status":200}
+"#;
+    let story = trace::story(log, "r1").expect("a story");
+    expect![[r#"
+        -2.300s front-2                  lost the right to order fence=2
+        -0.800s front-3                  holds the right to order fence=70
+        -0.400s front-3                  order action=Load answer=Taken engine=e4 model=m1
+        +0.000s front-1                  request ended end=refused model=m1 runs=0 status=503
+    "#]]
+    .assert_eq(&story);
+    assert_eq!(trace::story(log, "r3"), None);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod config_spread;
 mod docs_match;
 mod fair_share;
+mod log_lines;
 mod model_orders;
 mod pass_through;
 mod placement_faults;
