full_pipe_serves holds the log of one connection against a full pipe

Change: 3,000 requests on one connection, whose next request waits for the line about the one before.

--- a/tests/all/log_lines.rs
+++ b/tests/all/log_lines.rs
@@ -1,7 +1,7 @@
 //! Logs of instances on the users' platform: their volume, a reader that does not read,
 //! and a request's story out of them.
 
-use crate::site::{self, ask, list_plain, request, until};
+use crate::site::{self, Answer, Caller, ask, list_plain, request, until};
 use expect_test::expect;
 use passway_ctl::commands::trace;
 use passway_process::logging::volume::VolumeBound;
@@ -10,6 +10,9 @@
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 
+/// Requests whose lines nobody reads.
+const REQUESTS: u32 = 3_000;
+
 /// A process that a test has started; it is ended with the test, however that ends.
 struct Ended(Child);
 
@@ -76,17 +79,20 @@
     until("a listening instance", || {
         TcpStream::connect(callers).is_ok()
     });
-    let is_served = |number: u32| {
-        let id = format!("p{number}");
-        let answer = ask(callers, &request("GET", "/read/", &id, "", ""));
-        answer.is_some_and(|answer| answer.status == 200)
-    };
-    until("a first answer", || is_served(0));
-    // Far more lines than a pipe of 64 KB holds, and nobody reads them.
-    let count = (1..600).filter(|number| is_served(*number)).count();
+    let first = request("GET", "/read/", "first", "", "");
+    let is_served = |answer: Option<Answer>| answer.is_some_and(|a| a.status == 200);
+    until("a first answer", || is_served(ask(callers, &first)));
+    // Some megabytes of lines, more than a pipe holds, and nobody reads them. All on one
+    // connection, whose next request waits for the line about the one before.
+    let mut caller = Caller::connect(callers);
+    let mut count = 0;
+    for number in 0..REQUESTS {
+        caller.send(&request("GET", "/read/", &format!("p{number}"), "", ""));
+        count += u32::from(is_served(caller.receive()));
+    }
     drop(instance);
     std::fs::remove_file(&path).expect("removing the settings");
-    assert_eq!(count, 599);
+    assert_eq!(count, REQUESTS);
 }
 
 #[test]
