--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -13,8 +13,9 @@
 
 /// Time that the balancer needs to notice that an instance is not ready: two questions, a second apart.
 const BALANCER_TIME: Duration = Duration::from_millis(2_600);
-/// Time kept back of the grace at a stop.
-const GRACE_RESERVE: Duration = Duration::from_millis(300);
+/// Time kept back of the grace at a stop: the last log lines take 200 ms, and the process
+/// has a quarter of a core.
+const GRACE_RESERVE: Duration = Duration::from_millis(600);
 /// Pause between two looks whether requests are in progress at a stop.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
