Metrics of an instance on the users' platform

Change: counters, gauges and histograms through prometheus-client at `/metrics` on the balancer's address: ends of requests, attempts, orders by answer, the wait for a model (the cold start), the first byte, the right, the configuration's version, requests in progress, whether the store answers. The page lists them with what to alarm on; a test holds page and scrape together.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -173,8 +173,10 @@
     let destination = match find_destination(shared, caller, head, &facts, arrived_at) {
         Ok(destination) => destination,
         Err(refusal) => {
+            let end = "refused before a route was known";
+            shared.metrics.ended(end, refusal.code());
             log::info!(target: REQUEST_TARGET, request = facts.id, status = refusal.code(),
-                offers = 0, runs = 0, end = "refused before a route was known";
+                offers = 0, runs = 0, end = end;
                 "request ended");
             let vocabulary = &*shared.vocabulary;
             let done = reply::refuse(caller, vocabulary, &facts.id, refusal, close_after);
@@ -273,6 +275,14 @@
     fn serve(mut self) -> After {
         let after = self.run();
         let story = &self.story;
+        let metrics = &self.shared.metrics;
+        metrics.ended(story.end, story.status);
+        if let Some(first_ms) = story.first_ms {
+            metrics.first_byte(Duration::from_millis(first_ms));
+        }
+        if let Some(waited_ms) = story.waited_ms.filter(|_| self.is_engine) {
+            metrics.model_wait(Duration::from_millis(waited_ms));
+        }
         let table = self.shared.routes.load();
         let version = table.as_ref().map_or(0, |table| table.version);
         let wish = self.facts.wish.as_ref();
@@ -309,6 +319,7 @@
             let waited_ms = self.held_ms();
             self.story.waited_ms.get_or_insert(waited_ms);
             let attempt = self.attempt(&target);
+            self.shared.metrics.attempt(attempt.name());
             log::debug!(request = self.facts.id, upstream:% = target.id, offer = offer; "{}", attempt.name());
             match attempt {
                 Attempt::Answered(after) => return after,
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -202,6 +202,7 @@
                 log::info!(engine:% = order.engine, action:? = order.action,
                     model:% = order.wish.model, adapter:? = order.wish.adapter,
                     expected = order.expected_orders, answer:? = answer; "order");
+                self.shared.metrics.order(name_of(answer));
                 self.planner.answered(&order, answer, now);
             }
             Input::Reported(engine, report) => {
@@ -333,6 +334,19 @@
     }
 }
 
+/// The answer's label in metrics.
+fn name_of(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Taken => "taken",
+        OrderAnswer::Done => "done",
+        OrderAnswer::Conflict => "conflict",
+        OrderAnswer::Refused => "refused",
+        OrderAnswer::OtherIncarnation => "other incarnation",
+        OrderAnswer::NotSent => "not sent",
+        OrderAnswer::Lost => "lost",
+    }
+}
+
 /// Gives an order, if the term in which it was decided still runs.
 fn give(
     engines: &dyn Engines,
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`feeds`] follows the store; [`ready`] answers the balancer.
 //! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
 //!   [`report`] tells the holder what this instance needs.
+//! * [`metrics`]: counters for `/metrics`.
 //! * [`health`]: whether the store answers.
 //! * [`relay`]: the store's news by way of the holder.
 //! * [`lifecycle`] starts and stops.
@@ -21,6 +22,7 @@
 pub mod holder;
 pub mod http1;
 pub mod lifecycle;
+pub mod metrics;
 pub mod pool;
 pub mod ready;
 pub mod relay;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -57,9 +57,9 @@
         let (needs, needed) = channel::unbounded();
         let shared = Arc::new(Shared::new(settings, surroundings.vocabulary, needs));
         let settings = &shared.settings;
-        let ready_address = ready::listen(&shared, settings.ready_address)?;
-        let callers_address = callers::listen(&shared, settings.callers_address)?;
         let right = Arc::new(Right::new(&shared));
+        let ready_address = ready::listen(&shared, &right, settings.ready_address)?;
+        let callers_address = callers::listen(&shared, settings.callers_address)?;
         let (relay, [configuration_tap, upstream_tap]) = Relay::new();
         let holder = holder::start(&shared, &right, surroundings.engines.clone(), peers);
         let store = &surroundings.store;
--- /dev/null
+++ b/crates/instance/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Counters, gauges and histograms of one instance, for `GET /metrics` on the address
+//! where the balancer asks. Names and what to alarm on: `docs/OPERATIONS.md`.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use std::fmt;
+use std::time::Duration;
+
+/// Upper bound of the smallest bucket, in seconds.
+const FIRST_BUCKET_S: f64 = 0.004;
+/// Number of buckets, each twice as wide as the one before: up to 32 s.
+const BUCKETS: u16 = 14;
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    end: &'static str,
+    status: u16,
+}
+
+/// An attempt at an upstream, or an order.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+/// What holds at the moment of a look.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Standing {
+    /// Whether this instance has the right to order.
+    pub holds_right: bool,
+    /// The configuration's version in force; 0 if none is.
+    pub config_version: u64,
+    /// Requests whose answer is not complete.
+    pub in_progress: usize,
+    /// Whether the store answered last.
+    pub store_answers: bool,
+}
+
+/// The metrics of an instance.
+pub struct Metrics {
+    registry: Registry,
+    ended: Family<EndLabels, Counter>,
+    attempts: Family<OutcomeLabels, Counter>,
+    orders: Family<OutcomeLabels, Counter>,
+    model_wait: Histogram,
+    first_byte: Histogram,
+    holds_right: Gauge,
+    config_version: Gauge,
+    in_progress: Gauge,
+    store_answers: Gauge,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("passway_instance"),
+            ended: Family::default(),
+            attempts: Family::default(),
+            orders: Family::default(),
+            model_wait: times(),
+            first_byte: times(),
+            holds_right: Gauge::default(),
+            config_version: Gauge::default(),
+            in_progress: Gauge::default(),
+            store_answers: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let ended = self.ended.clone();
+        registry.register("requests", "Requests by how they ended", ended);
+        let attempts = self.attempts.clone();
+        registry.register("attempts", "Attempts at upstreams by outcome", attempts);
+        let orders = self.orders.clone();
+        registry.register("orders", "Orders to engines by answer", orders);
+        // What an alarm looks at stands there from the start.
+        for outcome in ["taken", "refused"] {
+            let _zero = self.orders.get_or_create(&OutcomeLabels { outcome });
+        }
+        let seconds = Unit::Seconds;
+        let wait = self.model_wait.clone();
+        let help = "Time until a request for a model was offered to an engine";
+        registry.register_with_unit("model_wait", help, seconds.clone(), wait);
+        let first_byte = self.first_byte.clone();
+        let help = "Time until the first bytes of an answer went out";
+        registry.register_with_unit("first_byte", help, seconds, first_byte);
+        let gauge = self.holds_right.clone();
+        registry.register("holds_right", "1 while this instance may order", gauge);
+        let gauge = self.config_version.clone();
+        registry.register("config_version", "Configuration in force", gauge);
+        let gauge = self.in_progress.clone();
+        registry.register("in_progress", "Requests without a complete answer", gauge);
+        let gauge = self.store_answers.clone();
+        registry.register("store_answers", "1 if the store answered last", gauge);
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&self, end: &'static str, status: u16) {
+        self.ended.get_or_create(&EndLabels { end, status }).inc();
+    }
+
+    /// Counts an attempt at an upstream.
+    pub fn attempt(&self, outcome: &'static str) {
+        self.attempts
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts an answer to an order.
+    pub fn order(&self, outcome: &'static str) {
+        self.orders.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Records how long a request waited for an engine with its model.
+    pub fn model_wait(&self, wait: Duration) {
+        self.model_wait.observe(wait.as_secs_f64());
+    }
+
+    /// Records when the first bytes of an answer went out.
+    pub fn first_byte(&self, after: Duration) {
+        self.first_byte.observe(after.as_secs_f64());
+    }
+
+    /// The text that `/metrics` answers.
+    pub fn text(&self, standing: &Standing) -> String {
+        let number = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.holds_right.set(standing.holds_right.into());
+        self.config_version.set(number(standing.config_version));
+        self.in_progress
+            .set(i64::try_from(standing.in_progress).unwrap_or(i64::MAX));
+        self.store_answers.set(standing.store_answers.into());
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::error!(error:% = error; "metrics cannot be encoded");
+            return String::new();
+        }
+        text
+    }
+}
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the threads of an instance share.
 
 use crate::health::StoreHealth;
+use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
@@ -44,6 +45,8 @@
     pub routes: ArcSwapOption<RouteTable>,
     /// Whether the store answers.
     pub store_health: StoreHealth,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Connections to upstreams that rest.
     pub pool: ConnectionPool,
     /// The words of callers and upstreams.
@@ -84,6 +87,7 @@
             settings,
             routes: ArcSwapOption::empty(),
             store_health: StoreHealth::default(),
+            metrics: Metrics::default(),
             pool: ConnectionPool::default(),
             vocabulary,
             needs,
--- /dev/null
+++ b/tests/all/instance_metrics.rs
@@ -0,0 +1,57 @@
+//! Metrics of an instance on the users' platform, against its page.
+
+use crate::site::{self, ask, list_plain, request, until};
+use passway_standins::platform::raw::{RawServer, Step};
+use std::collections::BTreeSet;
+
+const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
+
+/// Names of metrics, as a scrape tells them.
+fn names(text: &str) -> BTreeSet<&str> {
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    types.filter_map(|rest| rest.split(' ').next()).collect()
+}
+
+#[test]
+fn scrape_matches_page() {
+    let store = site::store(&[]);
+    let server = RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        );
+        vec![Step::Send(text.into_bytes())]
+    });
+    list_plain(&store, "i-0", server.address, "ready");
+    let instance = site::ready("one", &store);
+    until("the right to order", || instance.fence().is_some());
+    for path in ["/read/", "/read/", "/nowhere/"] {
+        let bytes = request("GET", path, "m", "", "");
+        assert!(ask(instance.callers_address(), &bytes).is_some());
+    }
+    let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let answer = ask(instance.ready_address(), question).expect("metrics");
+    assert_eq!(answer.status, 200);
+    let text = answer.body;
+    for line in [
+        "passway_instance_requests_total{end=\"answered\",status=\"200\"} 2",
+        "passway_instance_requests_total{end=\"refused before a route was known\",status=\"404\"} 1",
+        "passway_instance_attempts_total{outcome=\"answered\"} 2",
+        "passway_instance_first_byte_seconds_count 2",
+        "passway_instance_holds_right 1",
+        "passway_instance_config_version 1",
+        "passway_instance_store_answers 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+    // The page lists what there is, all of it and nothing else.
+    let rows = PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `passway_instance_"));
+    let listed: BTreeSet<&str> = rows.filter_map(|row| row.split('`').next()).collect();
+    let told = names(&text).into_iter();
+    let told: BTreeSet<&str> = told
+        .filter_map(|name| name.strip_prefix("passway_instance_"))
+        .collect();
+    assert_eq!(listed, told);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod config_spread;
 mod docs_match;
 mod fair_share;
+mod instance_metrics;
 mod log_lines;
 mod model_orders;
 mod pass_through;
