scrape_matches_page waits for the counts

Cause: beside 40 busy processes it failed in one of three suites: a request is counted after its answer is out, and the scrape came in between. The counts are waited for, with an end; what they must be is unchanged.

--- a/tests/all/instance_metrics.rs
+++ b/tests/all/instance_metrics.rs
@@ -30,11 +30,17 @@
         assert!(ask(instance.callers_address(), &bytes).is_some());
     }
     let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    let answer = ask(instance.ready_address(), question).expect("metrics");
-    assert_eq!(answer.status, 200);
-    let text = answer.body;
+    let scrape = || {
+        let answer = ask(instance.ready_address(), question).expect("metrics");
+        assert_eq!(answer.status, 200);
+        answer.body
+    };
+    // A request is counted when its answer is out, which the caller may have seen before.
+    let count = "passway_instance_requests_total{end=\"answered\",status=\"200\"} 2";
+    until("the counts", || scrape().contains(count));
+    let text = scrape();
     for line in [
-        "passway_instance_requests_total{end=\"answered\",status=\"200\"} 2",
+        count,
         "passway_instance_requests_total{end=\"refused before a route was known\",status=\"404\"} 1",
         "passway_instance_attempts_total{outcome=\"answered\"} 2",
         "passway_instance_first_byte_seconds_count 2",
