What is brought to engines has a module of its own

placement.rs held the planner's state, its inputs and all that decides what comes to which engine. The last is now placement/bring.rs; the search for the cheapest exchange is a function that only looks, and place_model makes what it found. Its return value, which nobody used, is gone. The limit on loads at one time lies beside the weight store's ceiling. Behaviour is unchanged: the fault runs of the placement give the same orders and loads as before.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,6 +6,7 @@
 //! order that is carried out late can only take effect in the state that it was
 //! decided for; memory is therefore checked against that state alone.
 
+mod bring;
 mod ceiling;
 mod census;
 mod demand;
@@ -21,42 +22,18 @@
 use census::Census;
 use demand::Demand;
 pub use demand::Load;
-use engine::{Engine, Tier};
+use engine::Engine;
 use passway_types::prelude::*;
 use policy::PlacementPolicy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Loads from the weight store at one time that still run at full speed (users' pages).
-const STORE_LOADS_AT_ONCE: usize = 4;
 /// An order whose effect shows neither in the engine's word nor in a report is asked for after this.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an unload that no run holds up.
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
 /// Time in which instances that hear of a new holder connect and tell what they use.
 const LISTENING_TIME: Duration = Duration::from_millis(300);
-/// An exchange that costs more than this is not made for a further replica.
-const REPLICA_COST_MS: f64 = 2_500.0;
-
-/// Under which terms a model is brought.
-#[derive(Debug, Clone, Copy)]
-struct Terms {
-    /// Most that it may cost, in milliseconds.
-    most_ms: Option<f64>,
-    /// Whether it may come from the weight store although an engine has it nearer.
-    may_fetch: bool,
-}
-
-impl Terms {
-    const REPLICA: Self = Self {
-        most_ms: Some(REPLICA_COST_MS),
-        may_fetch: false,
-    };
-    const PREFETCH: Self = Self {
-        most_ms: None,
-        may_fetch: true,
-    };
-}
 
 /// A model or adapter order.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -275,6 +252,11 @@
             self.add_replicas(now);
             self.prefetch(now);
         }
+        self.next_actions(now)
+    }
+
+    /// The next order or question of each engine.
+    fn next_actions(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         for (id, engine) in &mut self.engines {
             let service = &engine.entry.service;
@@ -312,137 +294,7 @@
         next.unwrap_or(now + Duration::from_secs(1))
     }
 
-    fn serve_needs(&mut self, now: Instant) {
-        for need in self.demand.waiting() {
-            let model = &need.wish.model;
-            let resident = self.replicas(&need.service, model) > 0;
-            let mut engines = self.engines.values();
-            let stands = resident && engines.any(|e| e.serves(&need.service, &need.wish));
-            if stands {
-                self.demand.served(&need.service, &need.wish);
-                continue;
-            }
-            let on_way = self
-                .engines
-                .values()
-                .any(|e| e.will_have(&need.service, &need.wish));
-            if on_way {
-                continue;
-            }
-            match &need.wish.adapter {
-                Some(adapter) if resident => self.place_adapter(&need.service, model, adapter, now),
-                _ => {
-                    let terms = Terms {
-                        most_ms: None,
-                        may_fetch: now >= need.since + self.policy.home_patience(),
-                    };
-                    self.place_model(&need.service, model, terms, now);
-                }
-            }
-        }
-    }
-
-    /// Brings an adapter to the engine that has its model and most room.
-    fn place_adapter(
-        &mut self,
-        service: &ServiceName,
-        model: &ModelName,
-        adapter: &AdapterName,
-        now: Instant,
-    ) {
-        let Some(pool) = self.pools.get(service) else {
-            return;
-        };
-        let engines = self.engines.values_mut();
-        let having = engines.filter(|e| e.has(service, model) && e.takes_orders());
-        let best = having.min_by_key(|engine| (engine.adapter_count(), engine.entry.id.clone()));
-        if let Some(engine) = best {
-            engine.want_adapter(pool, model, adapter, now);
-        }
-    }
-
-    /// Loads from the weight store that are under way or about to begin.
-    fn loads_under_way(&self) -> usize {
-        let engines = self.engines.values();
-        engines.filter(|e| e.loads_from_store()).count()
-    }
-
-    /// Begins to bring a model to the engine where that costs least.
-    fn place_model(
-        &mut self,
-        service: &ServiceName,
-        model: &ModelName,
-        terms: Terms,
-        now: Instant,
-    ) -> bool {
-        let Some(pool) = self.pools.get(service) else {
-            return false;
-        };
-        let Some(spec) = pool.models.iter().find(|spec| spec.name == *model) else {
-            return false;
-        };
-        // An engine that has it nearer will be free before a load from the store ends.
-        let is_at_hand = self.engines.values().any(|engine| {
-            let here = engine.entry.service == *service && !engine.entry.draining;
-            here && engine.tier(model) != Tier::Store
-        });
-        let ceiling = self.store_loads.get(service);
-        let has_room = ceiling.is_none_or(|loads| loads.has_room(pool, now))
-            && self.loads_under_way() < STORE_LOADS_AT_ONCE;
-        let no_fetch = (is_at_hand && !terms.may_fetch) || !has_room;
-        let mut best: Option<(f64, UpstreamId, Vec<ModelName>)> = None;
-        for (id, engine) in &self.engines {
-            if engine.entry.service != *service
-                || !engine.takes_orders()
-                || engine.has(service, model)
-            {
-                continue;
-            }
-            let tier = engine.tier(model);
-            if tier == Tier::Store && no_fetch {
-                continue;
-            }
-            let Some(victims) = self.victims(engine, pool, spec, now) else {
-                continue;
-            };
-            let load_ms = demand::as_f64(tier.load_ms(spec));
-            let cost = load_ms + engine.wait_ms(now) + victims.cost_ms;
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, id.clone(), victims.models));
-            }
-        }
-        let Some((cost, id, victims)) = best else {
-            return false;
-        };
-        if terms.most_ms.is_some_and(|most| cost > most) {
-            return false;
-        }
-        if let Some(engine) = self.engines.get_mut(&id) {
-            engine.exchange(model.clone(), victims);
-            self.changed.insert(id);
-            self.count();
-        }
-        true
-    }
-
-    /// Brings one more replica of a model that is asked for more than its replicas bear.
-    fn add_replicas(&mut self, now: Instant) {
-        let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
-        for service in services {
-            for model in self.demand.busy_models(&service, now) {
-                let wanted = self.wanted(&service, &model, now);
-                let replicas = self.replicas(&service, &model);
-                let coming = self
-                    .engines
-                    .values()
-                    .any(|e| e.is_bringing(&service, &model));
-                if replicas < wanted && !coming {
-                    self.place_model(&service, &model, Terms::REPLICA, now);
-                }
-            }
-        }
-    }
-
+    /// Replicas that a model is worth now.
     fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
         let load = Load {
             runs: self.census.runs(service, model),
@@ -452,31 +304,13 @@
             .replicas(self.demand.rate(service, model, now), load)
     }
 
+    /// Engines on which a model stands and stays.
     fn replicas(&self, service: &ServiceName, model: &ModelName) -> usize {
         self.census.replicas(service, model)
     }
 
+    /// Counts replicas and runs anew.
     fn count(&mut self) {
         self.census = Census::of(self.engines.values());
     }
-
-    /// Fetches models that lie nowhere, while the weight store has nothing else to do.
-    fn prefetch(&mut self, now: Instant) {
-        if self.loads_under_way() >= self.policy.prefetches() {
-            return;
-        }
-        let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
-        for service in services {
-            let engines = self.engines.values().filter(|e| e.entry.service == service);
-            let at_hand: BTreeSet<ModelName> = engines.flat_map(Engine::at_hand).collect();
-            let specs = self.pools.get(&service).map(|pool| &pool.models);
-            let missing = specs
-                .into_iter()
-                .flatten()
-                .find(|s| !at_hand.contains(&s.name));
-            if let Some(model) = missing.map(|spec| spec.name.clone()) {
-                self.place_model(&service, &model, Terms::PREFETCH, now);
-            }
-        }
-    }
 }
--- a/crates/serving/src/placement/ceiling.rs
+++ b/crates/serving/src/placement/ceiling.rs
@@ -4,7 +4,6 @@
 //! seconds later, so it counts until it cannot come any more. What a predecessor
 //! ordered is not known to its successor, which takes the most that it can have begun.
 
-use super::STORE_LOADS_AT_ONCE;
 use crate::routes::EnginePool;
 use passway_types::prelude::*;
 use std::collections::VecDeque;
@@ -12,6 +11,8 @@
 /// The span over which loads are counted, unless the settings name another (the users'
 /// sheets all have this one).
 pub const USUAL_LOAD_WINDOW: Duration = Duration::from_secs(5);
+/// Loads from the weight store at one time that still run at full speed (users' pages).
+pub(super) const STORE_LOADS_AT_ONCE: usize = 4;
 /// An order without an answer may be carried out so much later (users' bench: up to 12 s).
 const LATEST_BEGIN: Duration = Duration::from_secs(12);
 
