--- /dev/null
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -0,0 +1,152 @@
+//! One upstream: its own word, and what this instance saw of it.
+
+use super::{ModelWish, Outcome, UpstreamEntry};
+use passway_types::prelude::*;
+use std::collections::HashMap;
+
+/// Weight of the newest outcome in an upstream's failure rate.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Time in which a failure rate halves when nothing is sent, so that the upstream is tried again.
+const FAILURE_HALF_LIFE_S: f64 = 2.0;
+/// An upstream that took a request for one too many is not asked again for this long.
+const SHED_PAUSE: Duration = Duration::from_millis(80);
+/// An upstream that could not be reached gets nothing for this long if there is another.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
+/// An upstream that works and is not heard of for this long counts as silent: its
+/// streams send an event every few hundredths of a second.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// A model that an upstream said it does not have is not asked for there for this long.
+const ABSENT_PAUSE: Duration = Duration::from_millis(400);
+
+/// An upstream's word and what this instance saw of it.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) entry: UpstreamEntry,
+    /// Requests of this instance that run there, in all and by model.
+    pub(super) in_flight: u32,
+    pub(super) in_flight_models: HashMap<ModelName, u32>,
+    /// Since when nothing was heard while requests run; `None` while none runs.
+    silent_since: Option<Instant>,
+    /// As it was at `judged_at`, between 0 and 1.
+    failure_rate: f64,
+    judged_at: Instant,
+    /// Until when it gets nothing if there is another.
+    pub(super) unreachable_until: Instant,
+    /// Until when it counts as full.
+    pub(super) full_until: Instant,
+    /// Until when it counts as lacking what it said it does not have.
+    pub(super) absent_until: HashMap<ModelWish, Instant>,
+    /// Models that the holder of the right to order is about to unload.
+    pub(super) closing: Vec<ModelName>,
+    /// When it is gone unless its entry comes back; `None` while the entry is there.
+    pub(super) gone_at: Option<Instant>,
+}
+
+impl Upstream {
+    /// One of which nothing was seen yet.
+    pub(super) fn new(entry: UpstreamEntry, now: Instant) -> Self {
+        Self {
+            entry,
+            in_flight: 0,
+            in_flight_models: HashMap::new(),
+            silent_since: None,
+            failure_rate: 0.0,
+            judged_at: now,
+            unreachable_until: now,
+            full_until: now,
+            absent_until: HashMap::new(),
+            closing: Vec::new(),
+            gone_at: None,
+        }
+    }
+
+    /// Whether its entry is missing for too long.
+    pub(super) fn is_gone(&self, now: Instant) -> bool {
+        self.gone_at.is_some_and(|at| now >= at)
+    }
+
+    /// Whether it has what a request needs, as far as is known.
+    pub(super) fn has(&self, wish: &ModelWish, now: Instant) -> bool {
+        if self.closing.contains(&wish.model) {
+            return false;
+        }
+        if self
+            .absent_until
+            .get(wish)
+            .is_some_and(|until| now < *until)
+        {
+            return false;
+        }
+        let resident = self.entry.models.iter().find(|m| m.name == wish.model);
+        resident.is_some_and(|model| {
+            let adapter = wish.adapter.as_ref();
+            adapter.is_none_or(|adapter| model.adapters.contains(adapter))
+        })
+    }
+
+    /// The part of its attempts that failed, faded by the time since the last one.
+    pub(super) fn failure_rate(&self, now: Instant) -> f64 {
+        let quiet_s = now.saturating_duration_since(self.judged_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(quiet_s / FAILURE_HALF_LIFE_S)
+    }
+
+    /// Whether it works and has not been heard of for long.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        self.silent_since
+            .is_some_and(|since| now >= since + SILENCE_LIMIT)
+    }
+
+    /// A request was sent to it.
+    pub(super) fn started(&mut self, wish: Option<&ModelWish>, now: Instant) {
+        self.in_flight += 1;
+        self.silent_since.get_or_insert(now);
+        if let Some(wish) = wish {
+            let count = self.in_flight_models.entry(wish.model.clone());
+            *count.or_default() += 1;
+        }
+    }
+
+    /// Bytes have come from it.
+    pub(super) fn heard(&mut self, now: Instant) {
+        self.silent_since = Some(now);
+    }
+
+    /// A request that was sent to it has ended.
+    pub(super) fn ended(&mut self, wish: Option<&ModelWish>, outcome: Outcome, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 {
+            self.silent_since = None;
+        }
+        if let Some(wish) = wish
+            && let Some(count) = self.in_flight_models.get_mut(&wish.model)
+        {
+            *count = count.saturating_sub(1);
+        }
+        self.judge(outcome, now);
+    }
+
+    /// Takes an outcome into the failure rate and the pauses.
+    fn judge(&mut self, outcome: Outcome, now: Instant) {
+        let failed = match outcome {
+            Outcome::Answered => 0.0,
+            Outcome::Failed => 1.0,
+            Outcome::Shed => {
+                self.full_until = now + SHED_PAUSE;
+                1.0
+            }
+            Outcome::Unreachable => {
+                self.unreachable_until = now + UNREACHABLE_PAUSE;
+                1.0
+            }
+            Outcome::Unknown => return,
+        };
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + FAILURE_WEIGHT * (failed - rate);
+        self.judged_at = now;
+    }
+
+    /// It said that it does not have what a request needs.
+    pub(super) fn absent(&mut self, wish: &ModelWish, now: Instant) {
+        self.absent_until.insert(wish.clone(), now + ABSENT_PAUSE);
+    }
+}
