What a tap of the relay hears is an enum

Tap::next returned Option<Option<Told>>, which only its comment told apart: the holder is lost, nothing came, news came. It returns relay::Heard now. The loop that follows a feed had both sources in one function; hear and follow_store take one each. Behaviour is unchanged.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,7 +1,7 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
 use crate::holder::Input;
-use crate::relay::{CONFIGURATION, Tap, Told};
+use crate::relay::{CONFIGURATION, Heard, Tap, Told};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -72,32 +72,46 @@
     fn run(mut self) {
         loop {
             self.feed.tick();
-            if self.known.is_some()
-                && let Some(told) = self.tap.next(RELAY_STEP)
-            {
-                self.rested |= self.tap.feed.is_none();
-                if let Some(told) = told {
-                    self.relayed(told);
-                }
-                continue;
+            if !self.hear() {
+                self.follow_store();
             }
-            if std::mem::take(&mut self.rested) {
-                // Nothing was heard meanwhile.
-                self.known = None;
+        }
+    }
+
+    /// Waits a step for the holder's news; whether the holder is relied on.
+    fn hear(&mut self) -> bool {
+        if self.known.is_none() {
+            return false;
+        }
+        let heard = self.tap.next(RELAY_STEP);
+        if heard == Heard::HolderLost {
+            return false;
+        }
+        self.rested |= self.tap.feed.is_none();
+        if let Heard::News(told) = heard {
+            self.relayed(told);
+        }
+        true
+    }
+
+    /// Asks the store once and pauses as its answer or silence calls for.
+    fn follow_store(&mut self) {
+        if std::mem::take(&mut self.rested) {
+            // Nothing was heard meanwhile.
+            self.known = None;
+        }
+        match self.ask() {
+            Ok(()) => {
+                self.failures = 0;
+                self.feed.shared().store_health.answered();
+                std::thread::sleep(self.feed.settled());
             }
-            match self.ask() {
-                Ok(()) => {
-                    self.failures = 0;
-                    self.feed.shared().store_health.answered();
-                    std::thread::sleep(self.feed.settled());
-                }
-                Err(error) => {
-                    log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
-                    let health = &self.feed.shared().store_health;
-                    health.failed();
-                    health.pause(self.failures, self.tap.feed == Some(CONFIGURATION));
-                    self.failures += 1;
-                }
+            Err(error) => {
+                log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
+                let health = &self.feed.shared().store_health;
+                health.failed();
+                health.pause(self.failures, self.tap.feed == Some(CONFIGURATION));
+                self.failures += 1;
             }
         }
     }
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -42,6 +42,17 @@
     },
 }
 
+/// What a feed hears of the holder within some time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Heard {
+    /// News.
+    News(Told),
+    /// The holder is relied on and told nothing.
+    Nothing,
+    /// The holder is not relied on; the store is to be asked.
+    HolderLost,
+}
+
 #[derive(Debug)]
 struct State {
     heard_at: Option<Instant>,
@@ -136,16 +147,17 @@
 }
 
 impl Tap {
-    /// The next news, if the holder is relied on; `None` if the store is to be asked.
-    pub fn next(&self, longest: Duration) -> Option<Option<Told>> {
+    /// Waits up to `longest` for the holder's next news, if the holder is relied on.
+    pub fn next(&self, longest: Duration) -> Heard {
         if !self.relay.is_live() {
-            return None;
+            return Heard::HolderLost;
         }
         let Some(told) = &self.told else {
             std::thread::sleep(longest);
-            return Some(None);
+            return Heard::Nothing;
         };
-        Some(told.recv_timeout(longest).ok())
+        told.recv_timeout(longest)
+            .map_or(Heard::Nothing, Heard::News)
     }
 
     /// Records up to where the feed is known.
