The fleet model's run is three modules

run.rs had the engines at the start, the requests' way and the run itself in 392 lines; start.rs, requests.rs and run.rs have one each.

--- a/crates/standins/src/fleet_model.rs
+++ b/crates/standins/src/fleet_model.rs
@@ -7,14 +7,19 @@
 //!
 //! * [`size`]: how large a fleet is and what is asked of it.
 //! * [`engine`]: one engine: places, disk, memory, one order at a time.
+//! * [`start`]: the engines as a run finds them.
+//! * `requests`: requests that come, wait and give up.
 //! * [`run`]: a run of one policy, step by step.
 //! * [`outcome`]: what came of it.
 
 pub mod engine;
 pub mod outcome;
+mod requests;
 pub mod run;
 pub mod size;
+pub mod start;
 
 pub use outcome::Outcome;
-pub use run::{Disks, Run, warm_planner};
+pub use run::Run;
 pub use size::{FleetSize, SIZES};
+pub use start::{Disks, warm_planner};
--- a/crates/standins/src/fleet_model/engine.rs
+++ b/crates/standins/src/fleet_model/engine.rs
@@ -1,6 +1,6 @@
 //! One engine of the model: places, disk, memory, one order at a time.
 
-use super::size::{DISK_PLACES, MEMORY_PLACES, PLACES};
+use super::size::{DISK_MS, DISK_PLACES, LOAD_MS, MEMORY_MS, MEMORY_PLACES, PLACES, UNLOAD_MS};
 use passway_serving::placement::PlannedOrder;
 use passway_serving::ports::{EngineReport, OrderAction, OrderAnswer};
 use passway_serving::upstreams::{ResidentModel, UpstreamEntry};
@@ -47,6 +47,7 @@
     pub overfull: u32,
 }
 
+/// Puts a model last on a list that drops its first ones when it is full.
 fn keep(list: &mut VecDeque<ModelName>, model: &ModelName, most: usize) {
     list.retain(|kept| kept != model);
     list.push_back(model.clone());
@@ -124,25 +125,29 @@
         self.running() < self.slots
     }
 
+    /// Where a load of a model would come from.
+    fn source(&self, model: &ModelName) -> Source {
+        if self.memory.contains(model) {
+            Source::Memory
+        } else if self.disk.contains(model) {
+            Source::Disk
+        } else {
+            Source::Store
+        }
+    }
+
     /// Takes an order, or does not.
     pub fn take(&mut self, order: &PlannedOrder) -> OrderAnswer {
         if self.busy.is_some() || order.expected_orders != self.orders_taken {
             return OrderAnswer::Conflict;
         }
         self.orders_taken += 1;
-        let model = &order.wish.model;
-        let source = if self.memory.contains(model) {
-            Source::Memory
-        } else if self.disk.contains(model) {
-            Source::Disk
-        } else {
-            Source::Store
-        };
-        let left_ms = match (order.action, source) {
-            (OrderAction::Unload, _) => 30.0,
-            (OrderAction::Load, Source::Memory) => 470.0,
-            (OrderAction::Load, Source::Disk) => 840.0,
-            (OrderAction::Load, Source::Store) => 6_000.0,
+        let source = self.source(&order.wish.model);
+        let time_ms = match (order.action, source) {
+            (OrderAction::Unload, _) => UNLOAD_MS,
+            (OrderAction::Load, Source::Memory) => MEMORY_MS,
+            (OrderAction::Load, Source::Disk) => DISK_MS,
+            (OrderAction::Load, Source::Store) => LOAD_MS,
         };
         if order.action == OrderAction::Load && self.resident.len() >= PLACES {
             self.overfull += 1;
@@ -150,7 +155,7 @@
         self.busy = Some(Busy {
             order: order.clone(),
             source,
-            left_ms,
+            left_ms: time_ms.into(),
         });
         OrderAnswer::Taken
     }
--- a/crates/standins/src/fleet_model/size.rs
+++ b/crates/standins/src/fleet_model/size.rs
@@ -1,8 +1,6 @@
 //! How large a fleet is, and what is asked of it.
 
-use passway_serving::routes::{
-    CallerLimits, EnginePool, ModelSpec, RouteTable, Service as PlainService,
-};
+use passway_serving::routes::{CallerLimits, EnginePool, ModelSpec, RouteTable, Service};
 use passway_types::prelude::*;
 
 /// A fleet's size. Figures of today and of the grown sites come from the users' sheets;
@@ -70,10 +68,17 @@
 /// Loads from the weight store that run at full speed together (sheet).
 pub const FULL_SPEED_LOADS: usize = 4;
 
-const LOAD_MS: u64 = 6_000;
-const DISK_MS: u64 = 840;
-const MEMORY_MS: u64 = 470;
+/// Time of a load from the weight store at full speed.
+pub(super) const LOAD_MS: u32 = 6_000;
+/// Time of a load from an engine's disk.
+pub(super) const DISK_MS: u32 = 840;
+/// Time of a load from an engine's memory.
+pub(super) const MEMORY_MS: u32 = 470;
+/// Time of an unload that no run holds up.
+pub(super) const UNLOAD_MS: u32 = 30;
+/// A model's size.
 const MODEL_MB: f64 = 72_700.0;
+/// Accelerator memory of one engine.
 const ENGINE_MB: f64 = 230_000.0;
 
 impl FleetSize {
@@ -98,9 +103,9 @@
             name: Self::model(number),
             weights_mb: MODEL_MB,
             adapter_mb: 66.0,
-            load_ms: LOAD_MS,
-            disk_ms: DISK_MS,
-            memory_ms: MEMORY_MS,
+            load_ms: LOAD_MS.into(),
+            disk_ms: DISK_MS.into(),
+            memory_ms: MEMORY_MS.into(),
         };
         EnginePool {
             slots: self.slots,
@@ -113,7 +118,7 @@
 
     /// A configuration with these engines and no routes.
     pub fn table(&self) -> RouteTable {
-        let service = PlainService {
+        let service = Service {
             name: Self::service(),
             max_connections: u32::MAX,
             pool: Some(self.pool()),
