The fault tests of tenure and placement are split by their parts

The store and the fate of calls, the checks, the engine and the matter of a run are modules below the two; what is drawn is drawn in the same order. Each test still fails when its rule is broken on purpose: a renewal that makes the term half as long again as the lease; engines that are taken to have 99 MB and one adapter place too much; a ceiling that forgets lost orders and former holders.

--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -5,90 +5,30 @@
 //! again, engines restart empty, and holders follow one another with orders still on their
 //! way. `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
-use crate::site;
+mod engine;
+mod matter;
+
 use crate::support::from_environment;
+use engine::Engine;
+use matter::Matter;
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW};
-use passway_serving::ports::{Directory, EngineReport, OrderAction, OrderAnswer, StoredValue};
-use passway_serving::routes::RouteTable;
-use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_serving::ports::OrderAnswer;
+use passway_serving::upstreams::ModelWish;
 use passway_types::prelude::*;
-use passway_users_platform::PlatformDirectory;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 const DEFAULT_RUNS: u64 = 150;
 const STEPS: u32 = 400;
 const STEP: Duration = Duration::from_millis(50);
 const ENGINES: usize = 3;
-const MODELS: [&str; 6] = ["m0", "m1", "m2", "m3", "m4", "m5"];
-/// Models that fit on an engine, and adapters, as `site::configuration` says.
-const PLACES: usize = 2;
-const ADAPTER_PLACES: usize = 2;
-/// How old a report's state is.
-const REPORT_LAG_STEPS: usize = 4;
-/// Models of the runs against the weight store's ceiling: more than fit on the disks soon.
-const MANY_MODELS: [&str; 14] = [
-    "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9", "m10", "m11", "m12", "m13",
-];
-/// The ceiling of those runs: loads a second, and the span over which they are counted.
-const LOADS_PER_S: f64 = 0.6;
+/// The span over which loads from the weight store are counted.
 const CEILING_WINDOW: Duration = USUAL_LOAD_WINDOW;
 /// Most loads that may begin in one such span (users' rules: a tenth and three over).
 const CEILING_LOADS: usize = 6;
 
-/// What a run is about.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Matter {
-    /// Accelerator memory and adapter places.
-    Memory,
-    /// The weight store's ceiling: loads are short, and disks are lost with their engines.
-    Ceiling,
-}
-
-impl Matter {
-    fn models(self) -> &'static [&'static str] {
-        match self {
-            Self::Memory => &MODELS,
-            Self::Ceiling => &MANY_MODELS,
-        }
-    }
-
-    fn table(self) -> RouteTable {
-        let mut file = site::configuration(1, self.models());
-        if self == Self::Ceiling {
-            file["services"][1]["engine"]["loads_per_s"] = LOADS_PER_S.into();
-        }
-        let value = StoredValue {
-            key: "op/config".into(),
-            value: file.to_string().into(),
-            revision: 1,
-        };
-        let table = PlatformDirectory.configuration(&value).expect("decoded");
-        table.expect("a configuration")
-    }
-}
-
-#[derive(Debug, Clone, Default)]
-struct State {
-    models: Vec<ResidentModel>,
-    on_disk: BTreeSet<ModelName>,
-    taken: u64,
-    /// The model order under way and the step at which it is done.
-    busy: Option<(PlannedOrder, u32)>,
-    /// Adapters that leave when their run ends.
-    leaving: Vec<(ModelWish, u32)>,
-}
-
-struct Engine {
-    id: UpstreamId,
-    state: State,
-    history: VecDeque<State>,
-    beat: u64,
-    told: Vec<UpstreamEntry>,
-}
-
 struct World {
     rng: ChaCha8Rng,
     now: Instant,
@@ -98,6 +38,7 @@
     late: Vec<(u32, PlannedOrder)>,
     planner: Planner,
     incarnations: u32,
+    /// Limits that an order has broken.
     over: Vec<String>,
     orders: u32,
     matter: Matter,
@@ -105,56 +46,6 @@
     store_loads: Vec<Instant>,
 }
 
-fn adapters(state: &State) -> usize {
-    state.models.iter().map(|model| model.adapters.len()).sum()
-}
-
-impl Engine {
-    fn new(number: u32, on_disk: BTreeSet<ModelName>) -> Self {
-        Self {
-            id: format!("i-{number}").into(),
-            state: State {
-                on_disk,
-                ..State::default()
-            },
-            history: VecDeque::new(),
-            beat: 0,
-            told: Vec::new(),
-        }
-    }
-
-    fn entry(&mut self) -> UpstreamEntry {
-        self.beat += 1;
-        let entry = UpstreamEntry {
-            id: self.id.clone(),
-            service: "engines".into(),
-            address: ([127, 0, 0, 1], 9).into(),
-            hall: "hall0".into(),
-            slots: 8,
-            draining: false,
-            gone_at: None,
-            models: self.state.models.clone(),
-            in_memory: Vec::new(),
-            on_disk: self.state.on_disk.iter().cloned().collect(),
-            beat: self.beat,
-        };
-        self.told.push(entry.clone());
-        entry
-    }
-
-    /// The state that a report shows: some steps old.
-    fn report(&self) -> EngineReport {
-        let state = self.history.front().unwrap_or(&self.state);
-        EngineReport {
-            models: state.models.clone(),
-            busy: state.busy.is_some(),
-            orders_taken: state.taken,
-            in_memory: Vec::new(),
-            on_disk: state.on_disk.iter().cloned().collect(),
-        }
-    }
-}
-
 impl World {
     fn new(seed: u64, matter: Matter) -> Self {
         let mut world = Self {
@@ -217,98 +108,26 @@
 
     /// What an engine does with an order.
     fn carry_out(&mut self, order: &PlannedOrder) -> OrderAnswer {
-        let step = self.step;
-        let run = self.rng.random_range(0..30);
+        let run_steps = self.rng.random_range(0..30);
         let Some(engine) = self.engines.iter_mut().find(|e| e.id == order.engine) else {
             return OrderAnswer::OtherIncarnation;
         };
-        let state = &mut engine.state;
-        if state.taken != order.expected_orders || state.busy.is_some() {
-            return OrderAnswer::Conflict;
+        let effect = engine.state.take(order, run_steps, self.step);
+        self.orders += u32::from(effect.is_order);
+        self.over.extend(effect.over);
+        if effect.from_store {
+            self.store_loads.push(self.now);
         }
-        state.taken += 1;
-        self.orders += 1;
-        let is_load = order.action == OrderAction::Load;
-        if let Some(adapter) = &order.wish.adapter {
-            let used = run < 8;
-            let held = state
-                .leaving
-                .iter()
-                .filter(|(w, _)| w.adapter.is_some())
-                .count();
-            let Some(model) = state.models.iter_mut().find(|m| m.name == order.wish.model) else {
-                return OrderAnswer::Refused;
-            };
-            if is_load && model.adapters.contains(adapter) {
-                // It holds already and counts as no order.
-                state.taken -= 1;
-                return OrderAnswer::Done;
-            }
-            if is_load {
-                model.adapters.push(adapter.clone());
-                if adapters(state) > ADAPTER_PLACES {
-                    self.over
-                        .push(format!("adapters: {order:?}, {held} leaving"));
-                }
-                return OrderAnswer::Taken;
-            }
-            if used {
-                state.leaving.push((order.wish.clone(), step + 10));
-                return OrderAnswer::Taken;
-            }
-            model.adapters.retain(|name| name != adapter);
-            return OrderAnswer::Done;
-        }
-        if is_load {
-            if state.models.len() >= PLACES {
-                self.over.push(format!("models: {order:?}"));
-            }
-            let from_store = !state.on_disk.contains(&order.wish.model);
-            if from_store {
-                self.store_loads.push(self.now);
-            }
-            let steps = if from_store { 4 } else { 1 };
-            state.busy = Some((order.clone(), step + steps));
-        } else {
-            // Runs hold an unload up.
-            state.busy = Some((order.clone(), step + 1 + run / 3));
-        }
-        OrderAnswer::Taken
+        effect.answer
     }
 
     /// Ends what is due on the engines; they say so, at times late or twice.
     fn progress(&mut self) {
-        let step = self.step;
         let mut changed = Vec::new();
         for (number, engine) in self.engines.iter_mut().enumerate() {
-            let state = &mut engine.state;
-            if let Some((order, _)) = state.busy.take_if(|(_, at)| *at <= step) {
-                state.models.retain(|m| m.name != order.wish.model);
-                if order.action == OrderAction::Load {
-                    state.on_disk.insert(order.wish.model.clone());
-                    state.models.push(ResidentModel {
-                        name: order.wish.model,
-                        adapters: Vec::new(),
-                    });
-                }
+            if engine.progress(self.step) {
                 changed.push(number);
             }
-            let models = &mut state.models;
-            state.leaving.retain(|(wish, at)| {
-                if *at > step {
-                    return true;
-                }
-                for model in models.iter_mut().filter(|m| m.name == wish.model) {
-                    model
-                        .adapters
-                        .retain(|name| Some(name) != wish.adapter.as_ref());
-                }
-                false
-            });
-            engine.history.push_back(engine.state.clone());
-            if engine.history.len() > REPORT_LAG_STEPS {
-                engine.history.pop_front();
-            }
         }
         for number in changed {
             let entry = self.engines[number].entry();
@@ -373,37 +192,47 @@
             }
             self.progress();
             if self.rng.random_bool(0.3) {
-                let models = self.matter.models();
-                let model = models[self.rng.random_range(0..models.len())];
-                let adapter = self.rng.random_bool(0.4).then(|| {
-                    let number = self.rng.random_range(1..4);
-                    AdapterName::from(format!("a{number}").as_str())
-                });
-                let wish = ModelWish {
-                    model: model.into(),
-                    adapter,
-                };
-                let until = self.now + Duration::from_secs(4);
-                self.planner
-                    .needed(&"engines".into(), &wish, until, self.now);
-                self.planner.taken(&"engines".into(), &wish, 1, self.now);
-            }
-            // A successor leaves a window free for loads that it does not know of.
-            let successions = if self.matter == Matter::Ceiling {
-                0.003
-            } else {
-                0.01
-            };
-            if self.rng.random_bool(successions) {
-                self.change_holder();
-            }
-            if self.rng.random_bool(0.01) {
-                let which = self.rng.random_range(0..self.engines.len());
-                self.restart(which);
+                self.ask();
             }
+            self.draw_faults();
             self.act();
         }
     }
+
+    /// A request comes for a model or adapter drawn at random.
+    fn ask(&mut self) {
+        let models = self.matter.models();
+        let model = models[self.rng.random_range(0..models.len())];
+        let adapter = self.rng.random_bool(0.4).then(|| {
+            let number = self.rng.random_range(1..4);
+            AdapterName::from(format!("a{number}").as_str())
+        });
+        let wish = ModelWish {
+            model: model.into(),
+            adapter,
+        };
+        let until = self.now + Duration::from_secs(4);
+        self.planner
+            .needed(&"engines".into(), &wish, until, self.now);
+        self.planner.taken(&"engines".into(), &wish, 1, self.now);
+    }
+
+    /// Holders follow one another and engines restart, at random.
+    fn draw_faults(&mut self) {
+        // A successor leaves a window free for loads that it does not know of.
+        let successions = if self.matter == Matter::Ceiling {
+            0.003
+        } else {
+            0.01
+        };
+        if self.rng.random_bool(successions) {
+            self.change_holder();
+        }
+        if self.rng.random_bool(0.01) {
+            let which = self.rng.random_range(0..self.engines.len());
+            self.restart(which);
+        }
+    }
 }
 
 #[test]
--- a/tests/all/tenure_faults.rs
+++ b/tests/all/tenure_faults.rs
@@ -6,13 +6,16 @@
 //! instances stand still, are killed and start again under the same name.
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
+mod checks;
+mod store;
+
 use crate::support::from_environment;
-use passway_serving::ports::{LeaseId, StoreError, StoreRevision, WriteAnswer};
 use passway_serving::tenure::{Holder, RecentHolders, Step, Tenure, TenureLimits};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
+use store::{Answer, Arriving, Request, Store};
 
 const DEFAULT_RUNS: u64 = 60;
 const INSTANCES: usize = 4;
@@ -25,68 +28,6 @@
     gap: Duration::from_secs(3),
     is_weak: false,
 };
-/// A call without an answer is given up after this.
-const CALL_TIMEOUT_MS: u64 = 900;
-const RENEW_TIMEOUT_MS: u64 = 450;
-
-/// The store's side of the right.
-#[derive(Debug, Default)]
-struct Store {
-    revision: StoreRevision,
-    holder: Option<(InstanceId, StoreRevision, LeaseId)>,
-    recent: RecentHolders,
-    /// Leases that were ever granted; their ids are never used again.
-    granted: LeaseId,
-    /// When leases end.
-    leases: BTreeMap<LeaseId, u64>,
-    away_until: u64,
-}
-
-/// What an instance asks of the store.
-#[derive(Debug, Clone)]
-enum Request {
-    Grant,
-    Take(LeaseId, RecentHolders),
-    Renew(LeaseId),
-    End(LeaseId),
-}
-
-#[derive(Debug, Clone)]
-enum Answer {
-    Granted(Result<LeaseId, StoreError>),
-    Taken(Result<WriteAnswer, StoreError>),
-    Renewed(Result<bool, StoreError>),
-    Ended,
-}
-
-impl Request {
-    fn failed(&self, error: StoreError) -> Answer {
-        match self {
-            Self::Grant => Answer::Granted(Err(error)),
-            Self::Take(..) => Answer::Taken(Err(error)),
-            Self::Renew(_) => Answer::Renewed(Err(error)),
-            Self::End(_) => Answer::Ended,
-        }
-    }
-
-    fn timeout_ms(&self) -> u64 {
-        match self {
-            Self::Renew(_) => RENEW_TIMEOUT_MS,
-            _ => CALL_TIMEOUT_MS,
-        }
-    }
-}
-
-/// A call on its way to the store.
-struct Arriving {
-    at_ms: u64,
-    from: usize,
-    life: u32,
-    request: Request,
-    /// How long the answer takes; `None` if it is lost.
-    answer_ms: Option<u64>,
-}
-
 /// News of the store on its way to an instance.
 #[derive(Debug, Clone)]
 enum News {
@@ -175,134 +116,6 @@
         }
     }
 
-    fn set_holder(&mut self, holder: Option<(InstanceId, StoreRevision, LeaseId)>) {
-        let told = holder
-            .as_ref()
-            .map(|(name, revision, _)| holder_of(name, *revision));
-        self.store.holder = holder;
-        self.tell(&News::Holder(told));
-    }
-
-    /// Ends leases whose time is over; the key goes with its lease.
-    fn expire(&mut self) {
-        let now_ms = self.now_ms;
-        self.store.leases.retain(|_, ends| now_ms < *ends);
-        let holder = self.store.holder.as_ref();
-        if holder.is_some_and(|(_, _, lease)| !self.store.leases.contains_key(lease)) {
-            self.store.revision += 1;
-            self.set_holder(None);
-        }
-    }
-
-    /// What the store does with a call.
-    fn carry_out(&mut self, from: &InstanceId, request: &Request) -> Answer {
-        let lease_ms = u64::try_from(LIMITS.lease.as_millis()).expect("a short lease");
-        let ends = self.now_ms + lease_ms;
-        match request {
-            Request::Grant => {
-                self.store.granted += 1;
-                let lease = self.store.granted;
-                self.store.leases.insert(lease, ends);
-                Answer::Granted(Ok(lease))
-            }
-            Request::Take(lease, recent) => {
-                let stands =
-                    self.store.holder.is_some() || self.store.recent.revision != recent.revision;
-                if stands {
-                    return Answer::Taken(Ok(WriteAnswer::Conflict));
-                }
-                if !self.store.leases.contains_key(lease) {
-                    return Answer::Taken(Ok(WriteAnswer::LeaseEnded));
-                }
-                self.store.revision += 1;
-                let revision = self.store.revision;
-                self.store.recent = RecentHolders {
-                    names: recent.names.clone(),
-                    revision,
-                };
-                self.set_holder(Some((from.clone(), revision, *lease)));
-                self.tell(&News::Recent(self.store.recent.clone()));
-                Answer::Taken(Ok(WriteAnswer::Written(revision)))
-            }
-            Request::Renew(lease) => match self.store.leases.get_mut(lease) {
-                Some(known) => {
-                    *known = ends;
-                    Answer::Renewed(Ok(true))
-                }
-                None => Answer::Renewed(Ok(false)),
-            },
-            Request::End(lease) => {
-                self.store.leases.remove(lease);
-                self.expire();
-                Answer::Ended
-            }
-        }
-    }
-
-    /// Calls that arrive at the store now.
-    fn serve_calls(&mut self) {
-        let now_ms = self.now_ms;
-        let due: Vec<Arriving> = self
-            .arriving
-            .extract_if(.., |call| call.at_ms <= now_ms)
-            .collect();
-        for call in due {
-            if now_ms < self.store.away_until {
-                continue;
-            }
-            let name = self.instances[call.from].name.clone();
-            let answer = self.carry_out(&name, &call.request);
-            let instance = &mut self.instances[call.from];
-            if let Some(answer_ms) = call.answer_ms
-                && instance.life == call.life
-                && now_ms >= instance.cut_until
-                && let Some((at, pending)) = &mut instance.answer
-                && now_ms + answer_ms < *at
-            {
-                (*at, *pending) = (now_ms + answer_ms, answer);
-            }
-        }
-    }
-
-    /// Sends a call; how it fares is drawn.
-    fn call(&mut self, from: usize, request: Request) {
-        let now_ms = self.now_ms;
-        let timeout_ms = request.timeout_ms();
-        let quiet = now_ms >= FAULTS_MS;
-        let fate = if quiet {
-            99
-        } else {
-            self.rng.random_range(0..100)
-        };
-        let near_ms = self.rng.random_range(2..12);
-        let answer_ms = self.rng.random_range(2..12);
-        let late_ms = self.rng.random_range(1_000..6_000);
-        let (life, cut_until) = (self.instances[from].life, self.instances[from].cut_until);
-        let mut answered = (now_ms + timeout_ms, request.failed(StoreError::Unknown));
-        let (arrives, answer_ms) = match fate {
-            _ if now_ms < cut_until => (None, None),
-            0..4 => {
-                answered = (now_ms + near_ms, request.failed(StoreError::NotDone));
-                (None, None)
-            }
-            4..8 => (None, None),
-            8..12 => (Some(now_ms + near_ms), None),
-            12..16 => (Some(now_ms + late_ms), None),
-            16..20 => (Some(now_ms + near_ms), Some(answer_ms * 30)),
-            _ => (Some(now_ms + near_ms), Some(answer_ms)),
-        };
-        self.instances[from].answer = Some(answered);
-        if let Some(at_ms) = arrives {
-            self.arriving.push(Arriving {
-                at_ms,
-                from,
-                life,
-                request,
-                answer_ms,
-            });
-        }
-    }
-
     fn take_answer(&mut self, number: usize) {
         let (now, now_ms) = (self.now(), self.now_ms);
         let instance = &mut self.instances[number];
@@ -404,52 +217,6 @@
         instance.news.push_front((starts_at, News::Recent(recent)));
     }
 
-    /// Whoever could order now, and what that breaks.
-    fn look(&mut self) {
-        let (now, now_ms) = (self.now(), self.now_ms);
-        let awake = self
-            .instances
-            .iter()
-            .filter(|instance| now_ms >= instance.starts_at && now_ms >= instance.frozen_until);
-        let holding: Vec<(InstanceId, Fence)> = awake
-            .filter_map(|i| Some((i.name.clone(), i.tenure.fence(now)?)))
-            .collect();
-        if holding.len() > 1 {
-            self.broken
-                .push(format!("{now_ms} ms: two holders, {holding:?}"));
-        }
-        for (name, fence) in holding {
-            self.check_turn(&name, fence);
-            self.ordered.insert(name.clone(), (now_ms, fence));
-            if self.last.as_ref().is_none_or(|(last, _)| *last != name) {
-                self.successions += 1;
-            }
-            self.last = Some((name, fence));
-        }
-    }
-
-    fn check_turn(&mut self, name: &InstanceId, fence: Fence) {
-        let Some((last, last_fence)) = &self.last else {
-            return;
-        };
-        let now_ms = self.now_ms;
-        if *last_fence > fence || (last_fence == &fence && last != name) {
-            self.broken.push(format!(
-                "{now_ms} ms: {name} orders with {fence}, {last} did with {last_fence}"
-            ));
-        }
-        let gap_ms = u64::try_from(LIMITS.gap.as_millis()).expect("a short gap");
-        let since = self
-            .ordered
-            .get(last)
-            .map_or(u64::MAX, |(at, _)| now_ms - at);
-        if last != name && self.ordered.contains_key(name) && since + TICK_MS < gap_ms {
-            self.broken.push(format!(
-                "{now_ms} ms: {name} takes turns with {last} after {since} ms"
-            ));
-        }
-    }
-
     fn run(&mut self) {
         while self.now_ms < END_MS {
             self.now_ms += TICK_MS;
@@ -465,22 +232,7 @@
             }
             self.look();
         }
-        let orders_now = self.ordered.values().any(|(at, _)| *at == self.now_ms);
-        let released = self
-            .instances
-            .iter()
-            .all(|i| i.tenure.fence(self.now()).is_none());
-        if !orders_now && !self.all_released() {
-            self.broken
-                .push(format!("nobody orders at the end; {released}"));
-        }
-    }
-
-    /// Whether every instance has given the right back for good.
-    fn all_released(&mut self) -> bool {
-        let now = self.now();
-        let mut instances = self.instances.iter_mut();
-        instances.all(|i| i.tenure.step(0.0, true, now) == Step::Stop)
+        self.check_end();
     }
 }
 
