The fault tests take their runs and seeds from one place

Four files each read PASSWAY_FAULT_RUNS and PASSWAY_FAULT_SEED, made the range of seeds and put the same failure together; support::FaultRuns does this once. A failure shows eight broken runs everywhere, where two tests showed five. Conditions, defaults and variables are unchanged.

--- a/tests/all/cell_faults.rs
+++ b/tests/all/cell_faults.rs
@@ -3,7 +3,7 @@
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
 use crate::cell_world::{CellWorld, Chances};
-use crate::support::from_environment;
+use crate::support::FaultRuns;
 use passway_config::Document;
 use passway_config::document::{
     AdapterEntry, Fencing, KeepEntry, KeepPolicyName, ModelEntry, UpstreamEntry, WorkspaceEntry,
@@ -135,12 +135,11 @@
 
 #[test]
 fn exact_under_faults() {
-    let runs = from_environment("PASSWAY_FAULT_RUNS", DEFAULT_RUNS);
-    let first = from_environment("PASSWAY_FAULT_SEED", 1);
+    let runs = FaultRuns::from_environment(DEFAULT_RUNS);
     let mut broken = Vec::new();
     let mut stuck = Vec::new();
     let mut loads = 0;
-    for seed in first..first + runs {
+    for seed in runs.seeds() {
         let mut world = disturbed_run(seed);
         let recovered = recovers(&mut world);
         loads += world
@@ -155,24 +154,21 @@
         }
     }
     println!(
-        "{runs} runs, {loads} loads, {} broken, {} stuck",
+        "{} runs, {loads} loads, {} broken, {} stuck",
+        runs.count,
         broken.len(),
         stuck.len()
     );
-    assert!(
-        broken.is_empty(),
-        "{} of {runs} runs: {:#?}",
-        broken.len(),
-        &broken[..broken.len().min(5)]
-    );
+    runs.assert_none_broken(&broken);
     assert!(
         stuck.is_empty(),
-        "{} of {runs} runs are stuck: {:?}",
+        "{} of {} runs are stuck: {:?}",
         stuck.len(),
+        runs.count,
         &stuck[..stuck.len().min(9)]
     );
     assert!(
-        loads > u32::try_from(runs).expect("few"),
+        loads > u32::try_from(runs.count).expect("few"),
         "the runs load too little to prove anything"
     );
 }
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -8,7 +8,7 @@
 mod engine;
 mod matter;
 
-use crate::support::from_environment;
+use crate::support::FaultRuns;
 use engine::Engine;
 use matter::Matter;
 use passway_serving::placement::policy::PolicyName;
@@ -237,28 +237,26 @@
 
 #[test]
 fn placement_under_faults() {
-    let runs = from_environment("PASSWAY_FAULT_RUNS", DEFAULT_RUNS);
-    let first = from_environment("PASSWAY_FAULT_SEED", 1);
+    let runs = FaultRuns::from_environment(DEFAULT_RUNS);
     let mut orders = 0;
-    for seed in first..first + runs {
+    for seed in runs.seeds() {
         let mut world = World::new(seed, Matter::Memory);
         world.run();
         assert!(world.over.is_empty(), "seed {seed}: {:?}", world.over);
         orders += world.orders;
     }
-    println!("{runs} runs, {orders} orders taken, 0 over a limit");
+    println!("{} runs, {orders} orders taken, 0 over a limit", runs.count);
     assert!(
-        u64::from(orders) > 20 * runs,
+        u64::from(orders) > 20 * runs.count,
         "too few orders to prove anything: {orders}"
     );
 }
 
 #[test]
 fn store_ceiling_kept() {
-    let runs = from_environment("PASSWAY_FAULT_RUNS", DEFAULT_RUNS);
-    let first = from_environment("PASSWAY_FAULT_SEED", 1);
+    let runs = FaultRuns::from_environment(DEFAULT_RUNS);
     let mut loads = 0;
-    for seed in first..first + runs {
+    for seed in runs.seeds() {
         let mut world = World::new(seed, Matter::Ceiling);
         world.run();
         let most = world.most_store_loads();
@@ -266,8 +264,11 @@
         assert!(world.over.is_empty(), "seed {seed}: {:?}", world.over);
         loads += world.store_loads.len();
     }
-    println!("{runs} runs, {loads} loads from the weight store, 0 over its ceiling");
+    println!(
+        "{} runs, {loads} loads from the weight store, 0 over its ceiling",
+        runs.count
+    );
     // Half of what the ceiling allows in 20 s, so that it is not kept by loading nothing.
-    let fair = usize::try_from(runs).unwrap_or(usize::MAX) * 6;
-    assert!(loads > fair, "only {loads} loads in {runs} runs");
+    let fair = usize::try_from(runs.count).unwrap_or(usize::MAX) * 6;
+    assert!(loads > fair, "only {loads} loads in {} runs", runs.count);
 }
--- a/tests/all/router_faults.rs
+++ b/tests/all/router_faults.rs
@@ -3,7 +3,7 @@
 //!
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
-use crate::support::from_environment;
+use crate::support::FaultRuns;
 use passway_config::document::{ModelEntry, PolicyEntry, UpstreamEntry, WorkspaceEntry};
 use passway_config::{Catalog, Document};
 use passway_decide::messages::{DemandVerdict, RouteChange};
@@ -298,11 +298,10 @@
 
 #[test]
 fn final_and_true() {
-    let runs = from_environment("PASSWAY_FAULT_RUNS", DEFAULT_RUNS);
-    let first = from_environment("PASSWAY_FAULT_SEED", 1);
+    let runs = FaultRuns::from_environment(DEFAULT_RUNS);
     let mut broken = Vec::new();
     let mut requests = 0;
-    for seed in first..first + runs {
+    for seed in runs.seeds() {
         let mut world = World::new(seed);
         world.run();
         world.judge();
@@ -311,11 +310,10 @@
             broken.push(format!("seed {seed}: {fault}"));
         }
     }
-    println!("{runs} runs, {requests} requests, {} broken", broken.len());
-    let some = &broken[..broken.len().min(8)];
-    assert!(
-        broken.is_empty(),
-        "{} of {runs} runs: {some:#?}",
+    println!(
+        "{} runs, {requests} requests, {} broken",
+        runs.count,
         broken.len()
     );
+    runs.assert_none_broken(&broken);
 }
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -3,6 +3,10 @@
 use passway_standins::load::{Burst, Sample};
 use passway_standins::world::{Fleet, WorldPlan};
 use passway_types::prelude::*;
+use std::ops::Range;
+
+/// Broken fault runs that a failed test shows.
+const SHOWN_RUNS: usize = 8;
 
 /// A world that is quick to start: two instances, three engines.
 pub fn small_plan() -> WorldPlan {
@@ -50,3 +54,38 @@
         .and_then(|text| text.parse().ok())
         .unwrap_or(default)
 }
+
+/// The fault runs of one test, each with a seed of its own.
+#[derive(Debug, Clone, Copy)]
+pub struct FaultRuns {
+    /// How many there are.
+    pub count: u64,
+    first_seed: u64,
+}
+
+impl FaultRuns {
+    /// As many as `PASSWAY_FAULT_RUNS` says, or else `default`, with seeds from
+    /// `PASSWAY_FAULT_SEED` on.
+    pub fn from_environment(default: u64) -> Self {
+        Self {
+            count: from_environment("PASSWAY_FAULT_RUNS", default),
+            first_seed: from_environment("PASSWAY_FAULT_SEED", 1),
+        }
+    }
+
+    /// The seeds.
+    pub fn seeds(self) -> Range<u64> {
+        self.first_seed..self.first_seed + self.count
+    }
+
+    /// Fails if a run broke a rule, and shows the first of them.
+    pub fn assert_none_broken(self, broken: &[String]) {
+        let shown = &broken[..broken.len().min(SHOWN_RUNS)];
+        assert!(
+            broken.is_empty(),
+            "{} of {} runs: {shown:#?}",
+            broken.len(),
+            self.count
+        );
+    }
+}
--- a/tests/all/tenure_faults.rs
+++ b/tests/all/tenure_faults.rs
@@ -9,7 +9,7 @@
 mod checks;
 mod store;
 
-use crate::support::from_environment;
+use crate::support::FaultRuns;
 use passway_serving::tenure::{Holder, RecentHolders, Step, Tenure, TenureLimits};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -238,11 +238,10 @@
 
 #[test]
 fn one_holder_under_faults() {
-    let runs = from_environment("PASSWAY_FAULT_RUNS", DEFAULT_RUNS);
-    let first = from_environment("PASSWAY_FAULT_SEED", 1);
+    let runs = FaultRuns::from_environment(DEFAULT_RUNS);
     let mut broken = Vec::new();
     let mut successions = 0;
-    for seed in first..first + runs {
+    for seed in runs.seeds() {
         let mut world = World::new(seed);
         world.run();
         successions += world.successions;
@@ -251,17 +250,13 @@
         }
     }
     println!(
-        "{runs} runs, {successions} successions, {} broken",
+        "{} runs, {successions} successions, {} broken",
+        runs.count,
         broken.len()
     );
+    runs.assert_none_broken(&broken);
     assert!(
-        broken.is_empty(),
-        "{} of {runs}: {:#?}",
-        broken.len(),
-        &broken[..broken.len().min(5)]
-    );
-    assert!(
-        u64::from(successions) > 2 * runs,
+        u64::from(successions) > 2 * runs.count,
         "too few successions: {successions}"
     );
 }
