How much a model is used is a Usage, not a Load

In the placement a load is an order or what the weight store gives; the public type that tells a policy of runs and slots had the same name. Methods of Demand and parts of the policies that had no comment have one. Behaviour is unchanged.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -21,7 +21,7 @@
 pub use ceiling::USUAL_LOAD_WINDOW;
 use census::Census;
 use demand::Demand;
-pub use demand::Load;
+pub use demand::Usage;
 use engine::Engine;
 use passway_types::prelude::*;
 use policy::PlacementPolicy;
@@ -296,12 +296,12 @@
 
     /// Replicas that a model is worth now.
     fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
-        let load = Load {
+        let usage = Usage {
             runs: self.census.runs(service, model),
             slots: self.pools.get(service).map_or(1, |pool| pool.slots),
         };
         self.policy
-            .replicas(self.demand.rate(service, model, now), load)
+            .replicas(self.demand.rate(service, model, now), usage)
     }
 
     /// Engines on which a model stands and stays.
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -12,7 +12,7 @@
 
 /// How much a model is used now.
 #[derive(Debug, Clone, Copy)]
-pub struct Load {
+pub struct Usage {
     /// Requests that run, over all engines.
     pub runs: u32,
     /// Requests that an engine runs at one time.
@@ -48,6 +48,7 @@
     }
 }
 
+/// What waits, and how often each model is asked for.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     waiting: Vec<Waiting>,
@@ -57,6 +58,7 @@
 }
 
 impl Demand {
+    /// A request waits for a model or adapter until a moment at most.
     pub(super) fn waits(
         &mut self,
         service: &ServiceName,
@@ -81,10 +83,12 @@
         });
     }
 
+    /// A wish waits no more.
     pub(super) fn served(&mut self, service: &ServiceName, wish: &ModelWish) {
         self.retain(|w| w.service != *service || w.wish != *wish);
     }
 
+    /// Drops wishes whose time is over.
     pub(super) fn expire(&mut self, now: Instant) {
         self.retain(|waiting| now < waiting.until);
     }
@@ -112,6 +116,7 @@
         !self.awaited.is_empty() && self.awaited.contains(&(service.clone(), model.clone()))
     }
 
+    /// So many requests came for a model.
     pub(super) fn taken(
         &mut self,
         service: &ServiceName,
--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -4,7 +4,7 @@
 //! policy says; a policy says what is worth bringing. The simple ones are baselines to
 //! measure against, in the model (`passway-experiment`) and on the users' bench.
 
-use super::demand::Load;
+use super::demand::Usage;
 use passway_types::prelude::*;
 use std::fmt;
 use std::str::FromStr;
@@ -26,7 +26,7 @@
 /// What is worth bringing to engines.
 pub trait PlacementPolicy: fmt::Debug + Send {
     /// Replicas that a model is worth, which is asked for `rate_s` times a second.
-    fn replicas(&self, rate_s: f64, load: Load) -> usize;
+    fn replicas(&self, rate_s: f64, usage: Usage) -> usize;
 
     /// Loads from the weight store that may run at one time although nobody waits for them.
     fn prefetches(&self) -> usize;
@@ -122,6 +122,7 @@
     }
 }
 
+/// How many replicas a model is worth.
 #[derive(Debug, Clone, Copy)]
 enum Replicas {
     ByDemand,
@@ -137,10 +138,10 @@
 }
 
 impl PlacementPolicy for Parts {
-    fn replicas(&self, rate_s: f64, load: Load) -> usize {
+    fn replicas(&self, rate_s: f64, usage: Usage) -> usize {
         match self.replicas {
             Replicas::Fixed(count) => count,
-            Replicas::ByDemand => by_demand(rate_s, load),
+            Replicas::ByDemand => by_demand(rate_s, usage),
         }
     }
 
@@ -153,15 +154,17 @@
     }
 }
 
-fn by_demand(rate_s: f64, load: Load) -> usize {
+/// Replicas that bear a model's requests and runs; one for a model that is asked for
+/// seldom, at least two for any other.
+fn by_demand(rate_s: f64, usage: Usage) -> usize {
     if rate_s < SPARE_RATE_S {
         return 1;
     }
     let by_rate = rate_s / REQUESTS_PER_REPLICA_S;
-    let by_runs = f64::from(load.runs) / (f64::from(load.slots.max(1)) * SLOTS_PART);
-    let by_load = by_rate.max(by_runs).ceil();
+    let by_runs = f64::from(usage.runs) / (f64::from(usage.slots.max(1)) * SLOTS_PART);
+    let needed = by_rate.max(by_runs).ceil();
     let mut replicas = 2;
-    while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < by_load {
+    while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < needed {
         replicas += 1;
     }
     replicas
