--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -13,13 +13,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The crates whose lines are written at the level of the settings.
-const OWN_CRATES: [&str; 6] = [
+const OWN_CRATES: [&str; 7] = [
     "passway_router",
     "passway_controller",
     "passway_standins",
     "passway_process",
     "passway_instance",
     "passway_serving",
+    "passway_users_platform",
 ];
 
 /// A dispatch that lets our own lines through at `level`, others from warnings on.
