--- a/tests/all/instance_metrics.rs
+++ b/tests/all/instance_metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics of an instance on the users' platform, against its page.
 
-use crate::site::{self, ask, list_plain, request, until};
-use passway_standins::platform::raw::{RawServer, Step};
+use crate::site::{self, ask, list_plain, plain_server, request, until};
 use std::collections::BTreeSet;
 
 const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
@@ -15,13 +14,7 @@
 #[test]
 fn scrape_matches_page() {
     let store = site::store(&[]);
-    let server = RawServer::start(|received| {
-        let id = received.header("request-id").unwrap_or_default();
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-        );
-        vec![Step::Send(text.into_bytes())]
-    });
+    let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
     let instance = site::ready("one", &store);
     until("the right to order", || instance.fence().is_some());
--- a/tests/all/log_lines.rs
+++ b/tests/all/log_lines.rs
@@ -1,11 +1,10 @@
 //! Logs of instances on the users' platform: their volume, a reader that does not read,
 //! and a request's story out of them.
 
-use crate::site::{self, Answer, Caller, ask, list_plain, request, until};
+use crate::site::{self, Answer, Caller, ask, list_plain, plain_server, request, until};
 use expect_test::expect;
 use passway_ctl::commands::trace;
 use passway_process::logging::volume::VolumeBound;
-use passway_standins::platform::raw::{RawServer, Step};
 use passway_types::prelude::*;
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -44,13 +43,7 @@
 #[test]
 fn full_pipe_serves() {
     let store = site::store(&[]);
-    let server = RawServer::start(|received| {
-        let id = received.header("request-id").unwrap_or_default();
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-        );
-        vec![Step::Send(text.into_bytes())]
-    });
+    let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
     let free = || {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -5,6 +5,7 @@
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::ports::{InstanceBounds, InstanceSettings};
 use passway_serving::retry::RetryAllowance;
+use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 use passway_users_platform::{MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl};
@@ -63,6 +64,17 @@
     store
 }
 
+/// A plain server that answers everything well.
+pub fn plain_server() -> RawServer {
+    RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        );
+        vec![Step::Send(text.into_bytes())]
+    })
+}
+
 /// Lists a plain server.
 pub fn list_plain(store: &MetadataStandIn, id: &str, address: SocketAddr, state: &str) {
     let entry = json!({"service": "plain", "address": address.to_string(), "zone": "hall0",
--- a/tests/all/store_feeds.rs
+++ b/tests/all/store_feeds.rs
@@ -1,21 +1,10 @@
 //! What the store tells is in force soon and never reverts, through its faults.
 
-use crate::site::{self, ask, configuration, list_plain, request, until};
-use passway_standins::platform::raw::{RawServer, Step};
+use crate::site::{self, ask, configuration, list_plain, plain_server, request, until};
 use passway_standins::platform::store::Faults;
 use passway_types::prelude::*;
 use serde_json::json;
 
-fn plain() -> RawServer {
-    RawServer::start(|received| {
-        let id = received.header("request-id").unwrap_or_default();
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-        );
-        vec![Step::Send(text.into_bytes())]
-    })
-}
-
 #[test]
 fn garbage_store() {
     let store = site::store(&[]);
@@ -35,7 +24,7 @@
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
     // One that comes shortly before the store is back waits for it.
-    let server = plain();
+    let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
     let address = instance.callers_address();
     let early = std::thread::spawn(move || ask(address, &request("GET", "/read/", "e", "", "")));
@@ -86,7 +75,7 @@
 #[test]
 fn serves_through_outage() {
     let store = site::store(&[]);
-    let server = plain();
+    let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
     let instance = site::ready("one", &store);
     for faults in [
@@ -120,7 +109,7 @@
 #[test]
 fn leaving_gets_nothing_new() {
     let store = site::store(&[]);
-    let (leaving, staying) = (plain(), plain());
+    let (leaving, staying) = (plain_server(), plain_server());
     list_plain(&store, "i-0", leaving.address, "ready");
     let instance = site::ready("one", &store);
     assert!(
