--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,6 +1,7 @@
 //! The decisions that stand on hot paths, at several sizes.
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use passway_serving::placement::Waiters;
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::upstreams::ModelWish;
 use passway_standins::fleet_model::{self, FleetSize, warm_planner};
@@ -58,7 +59,14 @@
                     adapter: None,
                 };
                 let until = now + Duration::from_secs(4);
-                planner.needed(&service, &wish, until, now);
+                let waiters = Waiters {
+                    instance: "one".into(),
+                    service: service.clone(),
+                    wish,
+                    count: 1,
+                    until,
+                };
+                planner.waiting(waiters, now);
                 planner.decide(now)
             });
         });
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -21,8 +21,6 @@
 
 /// Longest time between two looks whether a waiting request's caller is still there.
 const WAIT_STEP: Duration = Duration::from_millis(200);
-/// Pause between two words to the holder of the right to order about one waiting request.
-const TELL_PAUSE: Duration = Duration::from_millis(400);
 /// Longest time between two looks whether a full upstream has room.
 const FULL_STEP: Duration = Duration::from_millis(40);
 /// Part of its time that a request may wait for an upstream before it is refused.
@@ -299,7 +297,7 @@
 
     fn run(&mut self) -> After {
         if let Some(wish) = self.wish() {
-            self.tell(Need::Taken {
+            self.shared.tell(Need::Taken {
                 service: self.service.clone(),
                 wish: wish.clone(),
             });
@@ -366,11 +364,6 @@
         retries.try_spend(&self.service, Instant::now())
     }
 
-    fn tell(&self, need: Need) {
-        // The thread that hears it ends only with the process.
-        let _ = self.shared.needs.send(need);
-    }
-
     /// The last answer, when nothing more can be tried.
     fn give_up(&mut self, failed: Option<Box<FailedAnswer>>) -> After {
         if self.delivered.head_sent {
@@ -401,7 +394,7 @@
         let whole = self.deadline_at.saturating_duration_since(self.arrived_at);
         let patience = Duration::from_millis(self.route.patience_ms());
         let wait_until = self.arrived_at + whole.min(patience).mul_f64(WAIT_PART);
-        let mut told_at: Option<Instant> = None;
+        let mut told: Option<ToldWait> = None;
         loop {
             let now = Instant::now();
             self.shared.metrics.choice();
@@ -415,17 +408,16 @@
                 return None;
             }
             let is_absent = choice == Choice::Absent;
-            let may_tell = told_at.is_none_or(|at| now >= at + TELL_PAUSE);
             if is_absent
-                && may_tell
+                && told.is_none()
                 && let Some(wish) = self.wish()
             {
-                told_at = Some(now);
-                self.tell(Need::Waits {
-                    service: self.service.clone(),
-                    wish: wish.clone(),
-                    until: wait_until,
-                });
+                told = Some(ToldWait::begin(
+                    self.shared,
+                    &self.service,
+                    wish,
+                    wait_until,
+                ));
             }
             // The guard is held from the choice on, so no change is missed, and each
             // turn of this loop waits: requests for a service that has no upstream left
@@ -470,6 +462,37 @@
     }
 }
 
+/// The holder of the right to order counts a request as waiting while this lives.
+struct ToldWait<'a> {
+    shared: &'a Shared,
+    service: ServiceName,
+    wish: ModelWish,
+}
+
+impl<'a> ToldWait<'a> {
+    fn begin(shared: &'a Shared, service: &ServiceName, wish: &ModelWish, until: Instant) -> Self {
+        shared.tell(Need::Waits {
+            service: service.clone(),
+            wish: wish.clone(),
+            until,
+        });
+        Self {
+            shared,
+            service: service.clone(),
+            wish: wish.clone(),
+        }
+    }
+}
+
+impl Drop for ToldWait<'_> {
+    fn drop(&mut self) {
+        self.shared.tell(Need::WaitEnds {
+            service: self.service.clone(),
+            wish: self.wish.clone(),
+        });
+    }
+}
+
 impl Attempt {
     fn name(&self) -> &'static str {
         match self {
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -8,7 +8,7 @@
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use passway_process::outbox::Outbox;
-use passway_serving::placement::{Action, Placement, PlannedOrder, Planner};
+use passway_serving::placement::{Action, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
 use passway_serving::upstreams::{ModelWish, UpstreamEntry};
 use passway_types::prelude::*;
@@ -254,12 +254,18 @@
     fn needs(&mut self, needs: &Needs, now: Instant) {
         for waiting in &needs.waiting {
             let (service, wanted) = wish(waiting);
-            let until = now + Duration::from_millis(waiting.number.into());
-            self.planner.needed(&service, &wanted, until, now);
+            let waiters = Waiters {
+                instance: needs.instance.as_str().into(),
+                service,
+                wish: wanted,
+                count: waiting.count,
+                until: now + Duration::from_millis(waiting.wait_ms.into()),
+            };
+            self.planner.waiting(waiters, now);
         }
         for taken in &needs.taken {
             let (service, wanted) = wish(taken);
-            self.planner.taken(&service, &wanted, taken.number, now);
+            self.planner.taken(&service, &wanted, taken.count, now);
         }
         let running = needs.running.iter().map(|running| {
             let engine = running.engine.as_str().into();
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -11,7 +11,7 @@
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{EnginePlacement, Needs, Running, Subscribe, Wish};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
@@ -37,6 +37,8 @@
         last_running: Vec::new(),
         dialed: None,
         taken: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+        untold: BTreeSet::new(),
         recent: VecDeque::new(),
         is_new: Arc::default(),
     };
@@ -52,20 +54,39 @@
     last_running: Vec<Running>,
     dialed: Option<(Holder, Dialer)>,
     taken: Taken,
+    /// What requests wait for here.
+    waiting: BTreeMap<WishKey, WaitingHere>,
+    /// What of it the holder was not told.
+    untold: BTreeSet<WishKey>,
     /// What was taken lately, for a holder that begins its term.
-    recent: VecDeque<(Instant, ServiceName, ModelWish)>,
+    recent: VecDeque<(Instant, WishKey)>,
     /// Set when a connection to a holder has been made that was told nothing yet.
     is_new: Arc<AtomicBool>,
 }
 
-type Taken = BTreeMap<(ServiceName, ModelName, Option<AdapterName>), u32>;
+/// A model or adapter of a service.
+type WishKey = (ServiceName, ModelName, Option<AdapterName>);
+type Taken = BTreeMap<WishKey, u32>;
 
-fn wish(service: &ServiceName, wish: &ModelWish, number: u32) -> Wish {
+/// Requests of this instance that wait for one model or adapter.
+#[derive(Debug, Clone, Copy)]
+struct WaitingHere {
+    count: u32,
+    /// When the last of them gives up.
+    until: Instant,
+}
+
+fn key(service: ServiceName, wish: ModelWish) -> WishKey {
+    (service, wish.model, wish.adapter)
+}
+
+fn wish((service, model, adapter): &WishKey, count: u32, wait: Duration) -> Wish {
     Wish {
         service: service.to_string(),
-        model: wish.model.to_string(),
-        adapter: wish.adapter.as_deref().unwrap_or_default().to_owned(),
-        number,
+        model: model.to_string(),
+        adapter: adapter.as_deref().unwrap_or_default().to_owned(),
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        count,
     }
 }
 
@@ -74,14 +95,13 @@
         let mut report_at = Instant::now() + REPORT_PAUSE;
         loop {
             let left = report_at.saturating_duration_since(Instant::now());
-            let mut waiting = Vec::new();
             match needs.recv_timeout(left) {
-                Ok(need) => self.take(need, &mut waiting),
+                Ok(need) => self.take(need),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             while let Ok(need) = needs.try_recv() {
-                self.take(need, &mut waiting);
+                self.take(need);
             }
             let due = Instant::now() >= report_at;
             if due {
@@ -89,22 +109,35 @@
             }
             self.dial();
             self.subscribe();
-            if due || !waiting.is_empty() || self.is_new.load(Ordering::Acquire) {
-                self.send(waiting);
+            if due || !self.untold.is_empty() || self.is_new.load(Ordering::Acquire) {
+                self.send();
             }
         }
     }
 
-    fn take(&mut self, need: Need, waiting: &mut Vec<Wish>) {
+    fn take(&mut self, need: Need) {
         match need {
             Need::Waits {
                 service,
-                wish: wanted,
+                wish,
                 until,
             } => {
-                let left = until.saturating_duration_since(Instant::now());
-                let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-                waiting.push(wish(&service, &wanted, left_ms));
+                let key = key(service, wish);
+                let here = self.waiting.entry(key.clone());
+                let here = here.or_insert(WaitingHere { count: 0, until });
+                here.count += 1;
+                here.until = here.until.max(until);
+                self.untold.insert(key);
+            }
+            Need::WaitEnds { service, wish } => {
+                let key = key(service, wish);
+                if let Some(here) = self.waiting.get_mut(&key) {
+                    here.count -= 1;
+                    if here.count == 0 {
+                        self.waiting.remove(&key);
+                    }
+                }
+                self.untold.insert(key);
             }
             Need::Taken { service, wish } => {
                 let now = Instant::now();
@@ -115,11 +148,9 @@
                 {
                     self.recent.pop_front();
                 }
-                self.recent.push_back((now, service.clone(), wish.clone()));
-                *self
-                    .taken
-                    .entry((service, wish.model, wish.adapter))
-                    .or_default() += 1;
+                let key = key(service, wish);
+                self.recent.push_back((now, key.clone()));
+                *self.taken.entry(key).or_default() += 1;
             }
         }
     }
@@ -196,19 +227,28 @@
         self.subscribed_at = Some(Instant::now());
     }
 
-    fn send(&mut self, waiting: Vec<Wish>) {
+    fn send(&mut self) {
         let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(outbox) = link.as_ref() else {
             return;
         };
         let mut taken = std::mem::take(&mut self.taken);
+        let mut untold = std::mem::take(&mut self.untold);
         if self.is_new.swap(false, Ordering::AcqRel) {
             taken = recent_counts(&self.recent);
+            untold = self.waiting.keys().cloned().collect();
             self.last_running.clear();
         }
-        let taken = taken.into_iter().map(|((service, model, adapter), count)| {
-            wish(&service, &ModelWish { model, adapter }, count)
+        let now = Instant::now();
+        let waiting = untold.iter().map(|key| match self.waiting.get(key) {
+            Some(here) => wish(key, here.count, here.until.saturating_duration_since(now)),
+            None => wish(key, 0, Duration::ZERO),
         });
+        let waiting: Vec<Wish> = waiting.collect();
+        let taken = taken
+            .iter()
+            .map(|(key, count)| wish(key, *count, Duration::ZERO));
+        let taken: Vec<Wish> = taken.collect();
         let upstreams = self.shared.upstreams();
         let running = upstreams.running().map(|(engine, model, count)| Running {
             engine: engine.to_string(),
@@ -217,7 +257,6 @@
         });
         let mut running: Vec<Running> = running.collect();
         running.sort_by(|one, other| (&one.engine, &one.model).cmp(&(&other.engine, &other.model)));
-        let taken: Vec<Wish> = taken.collect();
         if waiting.is_empty() && taken.is_empty() && running == self.last_running {
             return;
         }
@@ -232,11 +271,10 @@
 }
 
 /// Counts what was taken lately.
-fn recent_counts(recent: &VecDeque<(Instant, ServiceName, ModelWish)>) -> Taken {
+fn recent_counts(recent: &VecDeque<(Instant, WishKey)>) -> Taken {
     let mut taken = Taken::new();
-    for (_, service, wish) in recent {
-        let key = (service.clone(), wish.model.clone(), wish.adapter.clone());
-        *taken.entry(key).or_default() += 1;
+    for (_, key) in recent {
+        *taken.entry(key.clone()).or_default() += 1;
     }
     taken
 }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -26,6 +26,13 @@
         /// When it is of no use any more.
         until: Instant,
     },
+    /// A request that waited does so no more.
+    WaitEnds {
+        /// The service.
+        service: ServiceName,
+        /// What it waited for.
+        wish: ModelWish,
+    },
     /// A request for a model was taken, whether it waits or not.
     Taken {
         /// The service.
@@ -51,8 +58,7 @@
     pub pool: ConnectionPool,
     /// The words of callers and upstreams.
     pub vocabulary: Box<dyn Vocabulary>,
-    /// Where needs are told.
-    pub needs: Sender<Need>,
+    needs: Sender<Need>,
     upstreams: Mutex<UpstreamTable>,
     upstreams_changed: Condvar,
     retries: Mutex<RetryBudget>,
@@ -106,6 +112,12 @@
         lock(&self.upstreams)
     }
 
+    /// Tells the thread that knows the holder of the right to order.
+    pub fn tell(&self, need: Need) {
+        // The thread that hears it ends only with the process.
+        let _ = self.needs.send(need);
+    }
+
     /// Wakes requests that wait for an upstream.
     pub fn upstreams_changed(&self) {
         self.upstreams_changed.notify_all();
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -13,6 +13,7 @@
 mod engine;
 pub mod policy;
 mod victims;
+mod worth;
 
 use crate::ports::{EngineReport, OrderAction, OrderAnswer};
 use crate::routes::{EnginePool, RouteTable};
@@ -21,7 +22,7 @@
 pub use ceiling::USUAL_LOAD_WINDOW;
 use census::Census;
 use demand::Demand;
-pub use demand::Usage;
+pub use demand::{Usage, Waiters};
 use engine::Engine;
 use passway_types::prelude::*;
 use policy::PlacementPolicy;
@@ -155,15 +156,9 @@
         self.engines.retain(|id, _| ids.contains(id));
     }
 
-    /// A request waits for a model or adapter.
-    pub fn needed(
-        &mut self,
-        service: &ServiceName,
-        wish: &ModelWish,
-        until: Instant,
-        now: Instant,
-    ) {
-        self.demand.waits(service, wish, until, now);
+    /// So many requests of an instance wait for a model or adapter now.
+    pub fn waiting(&mut self, waiters: Waiters, now: Instant) {
+        self.demand.waits(waiters, now);
     }
 
     /// An instance took so many requests for a model or adapter.
@@ -185,6 +180,7 @@
 
     /// An instance is gone, and what it ran with it.
     pub fn instance_gone(&mut self, instance: &InstanceId) {
+        self.demand.instance_gone(instance);
         for engine in self.engines.values_mut() {
             engine.set_running(instance, Vec::new());
         }
@@ -248,8 +244,8 @@
         let listens = self.listening_until.is_some_and(|until| now < until);
         if !listens {
             self.count();
-            self.serve_needs(now);
-            self.add_replicas(now);
+            self.bring_adapters(now);
+            self.bring_models(now);
             self.prefetch(now);
         }
         self.next_actions(now)
--- a/crates/serving/src/placement/bring.rs
+++ b/crates/serving/src/placement/bring.rs
@@ -1,36 +1,21 @@
-//! What is brought to engines: what requests wait for, further replicas of what is
-//! asked for often, and models that nobody waits for yet.
+//! What is brought to engines: adapters that requests wait for, models by what a replica
+//! is worth to them, and models that nobody waits for yet.
 
 use super::Planner;
 use super::ceiling::STORE_LOADS_AT_ONCE;
 use super::demand;
 use super::engine::{Engine, Tier};
+use super::worth::Candidate;
 use crate::routes::{EnginePool, ModelSpec};
 use passway_types::prelude::*;
 use std::collections::BTreeSet;
 
-/// An exchange that costs more than this is not made for a further replica.
-const REPLICA_COST_MS: f64 = 2_500.0;
-
-/// Under which terms a model is brought.
-#[derive(Debug, Clone, Copy)]
-struct Terms {
-    /// Most that it may cost, in milliseconds.
-    most_ms: Option<f64>,
-    /// Whether it may come from the weight store although an engine has it nearer.
-    may_fetch: bool,
-}
-
-impl Terms {
-    const REPLICA: Self = Self {
-        most_ms: Some(REPLICA_COST_MS),
-        may_fetch: false,
-    };
-    const PREFETCH: Self = Self {
-        most_ms: None,
-        may_fetch: true,
-    };
-}
+/// A replica must gain so many times what the models lose that make room for it, so that
+/// two models of like worth do not take turns.
+const GAIN_MARGIN: f64 = 1.25;
+/// Requests in time that an engine serves by a second of loading for others, which it
+/// cannot do while it loads this one.
+const ENGINE_TIME_WORTH_PER_S: f64 = 0.5;
 
 /// A way to bring a model to an engine.
 #[derive(Debug)]
@@ -38,38 +23,23 @@
     engine: UpstreamId,
     /// Models that make room for it.
     victims: Vec<ModelName>,
-    /// Time until the model stands, and what the victims' going costs, in milliseconds.
-    cost_ms: f64,
+    /// Requests in time that it costs, with the time that it takes.
+    cost: f64,
 }
 
 impl Planner {
-    /// Begins to bring what requests wait for and nobody brings yet.
-    pub(super) fn serve_needs(&mut self, now: Instant) {
+    /// Begins to bring adapters that requests wait for, where their model stands.
+    pub(super) fn bring_adapters(&mut self, now: Instant) {
         for need in self.demand.waiting() {
-            let model = &need.wish.model;
-            let resident = self.replicas(&need.service, model) > 0;
-            let mut engines = self.engines.values();
-            let stands = resident && engines.any(|e| e.serves(&need.service, &need.wish));
-            if stands {
-                self.demand.served(&need.service, &need.wish);
-                continue;
-            }
-            let on_way = self
-                .engines
-                .values()
-                .any(|e| e.will_have(&need.service, &need.wish));
-            if on_way {
+            let Some(adapter) = &need.wish.adapter else {
                 continue;
-            }
-            match &need.wish.adapter {
-                Some(adapter) if resident => self.place_adapter(&need.service, model, adapter, now),
-                _ => {
-                    let terms = Terms {
-                        most_ms: None,
-                        may_fetch: now >= need.since + self.policy.home_patience(),
-                    };
-                    self.place_model(&need.service, model, terms, now);
-                }
+            };
+            let mut engines = self.engines.values();
+            let is_met = engines.any(|e| {
+                e.serves(&need.service, &need.wish) || e.will_have(&need.service, &need.wish)
+            });
+            if !is_met {
+                self.place_adapter(&need.service, &need.wish.model, adapter, now);
             }
         }
     }
@@ -93,21 +63,12 @@
         }
     }
 
-    /// Brings one more replica of a model that is asked for more than its replicas bear.
-    pub(super) fn add_replicas(&mut self, now: Instant) {
-        let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
-        for service in services {
-            for model in self.demand.busy_models(&service, now) {
-                let wanted = self.wanted(&service, &model, now);
-                let replicas = self.replicas(&service, &model);
-                let coming = self
-                    .engines
-                    .values()
-                    .any(|e| e.is_bringing(&service, &model));
-                if replicas < wanted && !coming {
-                    self.place_model(&service, &model, Terms::REPLICA, now);
-                }
-            }
+    /// Begins to bring models that are worth one more replica, those that gain most first.
+    pub(super) fn bring_models(&mut self, now: Instant) {
+        for candidate in self.candidates(now) {
+            let since = candidate.since;
+            let may_fetch = since.is_some_and(|at| now >= at + self.policy.home_patience());
+            self.place_model(&candidate, may_fetch, now);
         }
     }
 
@@ -126,7 +87,15 @@
                 .flatten()
                 .find(|s| !at_hand.contains(&s.name));
             if let Some(model) = missing.map(|spec| spec.name.clone()) {
-                self.place_model(&service, &model, Terms::PREFETCH, now);
+                let candidate = Candidate {
+                    service,
+                    model,
+                    // Whatever it displaces can come back from near.
+                    gain: f64::INFINITY,
+                    delay_cost_per_s: 0.0,
+                    since: None,
+                };
+                self.place_model(&candidate, true, now);
             }
         }
     }
@@ -137,22 +106,13 @@
         engines.filter(|e| e.loads_from_store()).count()
     }
 
-    /// Begins to bring a model to the engine where that costs least.
-    fn place_model(
-        &mut self,
-        service: &ServiceName,
-        model: &ModelName,
-        terms: Terms,
-        now: Instant,
-    ) {
-        let Some(exchange) = self.cheapest_exchange(service, model, terms, now) else {
+    /// Begins to bring a model to the engine where that costs least, if it is worth it.
+    fn place_model(&mut self, candidate: &Candidate, may_fetch: bool, now: Instant) {
+        let Some(exchange) = self.cheapest_exchange(candidate, may_fetch, now) else {
             return;
         };
-        if terms.most_ms.is_some_and(|most| exchange.cost_ms > most) {
-            return;
-        }
         if let Some(engine) = self.engines.get_mut(&exchange.engine) {
-            engine.exchange(model.clone(), exchange.victims);
+            engine.exchange(candidate.model.clone(), exchange.victims);
             self.changed.insert(exchange.engine);
             self.count();
         }
@@ -161,14 +121,14 @@
     /// The cheapest way to bring a model to an engine that does not have it.
     fn cheapest_exchange(
         &self,
-        service: &ServiceName,
-        model: &ModelName,
-        terms: Terms,
+        candidate: &Candidate,
+        may_fetch: bool,
         now: Instant,
     ) -> Option<Exchange> {
+        let (service, model) = (&candidate.service, &candidate.model);
         let pool = self.pools.get(service)?;
         let spec = pool.models.iter().find(|spec| spec.name == *model)?;
-        let may_fetch = self.may_fetch(service, pool, spec, terms, now);
+        let may_fetch = self.may_fetch(service, pool, spec, may_fetch, now);
         let mut best: Option<Exchange> = None;
         for engine in self.engines.values() {
             if engine.entry.service != *service
@@ -178,41 +138,51 @@
             {
                 continue;
             }
-            let Some(exchange) = self.exchange(engine, pool, spec, now) else {
+            let Some(exchange) = self.exchange(engine, pool, spec, candidate, now) else {
                 continue;
             };
-            let least = best.as_ref().map(|known| known.cost_ms);
-            if least.is_none_or(|least| exchange.cost_ms < least) {
+            let least = best.as_ref().map(|known| known.cost);
+            if least.is_none_or(|least| exchange.cost < least) {
                 best = Some(exchange);
             }
         }
         best
     }
 
-    /// How a model comes to one engine; `None` if no models may give way to it there.
+    /// How a model comes to one engine; `None` if nothing may give way to it there, or
+    /// what gives way is worth more.
     fn exchange(
         &self,
         engine: &Engine,
         pool: &EnginePool,
         spec: &ModelSpec,
+        candidate: &Candidate,
         now: Instant,
     ) -> Option<Exchange> {
         let victims = self.victims(engine, pool, spec, now)?;
-        let load_ms = demand::as_f64(engine.tier(&spec.name).load_ms(spec));
+        if candidate.gain < GAIN_MARGIN * victims.worth {
+            return None;
+        }
+        let load_s = demand::as_f64(engine.tier(&spec.name).load_ms(spec)) / 1_000.0;
+        let wait_s = engine.wait_ms(now) / 1_000.0;
+        let delay_s = wait_s + victims.time_s + load_s;
         Some(Exchange {
             engine: engine.entry.id.clone(),
-            cost_ms: load_ms + engine.wait_ms(now) + victims.cost_ms,
+            cost: victims.worth
+                + delay_s * candidate.delay_cost_per_s
+                + (victims.time_s + load_s) * ENGINE_TIME_WORTH_PER_S,
             victims: victims.models,
         })
     }
 
-    /// Whether a model may come from the weight store now.
+    /// Whether a model may come from the weight store now; `insists` if that may be
+    /// although an engine has it nearer.
     fn may_fetch(
         &self,
         service: &ServiceName,
         pool: &EnginePool,
         spec: &ModelSpec,
-        terms: Terms,
+        insists: bool,
         now: Instant,
     ) -> bool {
         // An engine that has it nearer will be free before a load from the store ends.
@@ -223,6 +193,6 @@
         let ceiling = self.store_loads.get(service);
         let has_room = ceiling.is_none_or(|loads| loads.has_room(pool, now))
             && self.loads_under_way() < STORE_LOADS_AT_ONCE;
-        has_room && (terms.may_fetch || !is_at_hand)
+        has_room && (insists || !is_at_hand)
     }
 }
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -2,11 +2,14 @@
 
 use crate::upstreams::ModelWish;
 use passway_types::prelude::*;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 /// Time over which requests are averaged, in seconds: long enough to see a rare
 /// model twice, short enough to follow demand that moves within some seconds.
 const RATE_TIME_S: f64 = 4.0;
+/// The same for the trend: demand moves on to another model within 4 to 6 s, and its
+/// replicas take half a second each to come.
+const TREND_TIME_S: f64 = 1.0;
 /// Models asked for less often are worth one replica whatever the policy.
 const BUSY_RATE_S: f64 = 0.5;
 
@@ -19,32 +22,70 @@
     pub slots: u32,
 }
 
+/// Requests of one instance that wait for a model or adapter.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiters {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The service.
+    pub service: ServiceName,
+    /// What they need.
+    pub wish: ModelWish,
+    /// How many there are; 0 if none waits any more.
+    pub count: u32,
+    /// When the last of them gives up.
+    pub until: Instant,
+}
+
 /// A number as a floating point one; times and counts here are far below 2^52.
 #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
 pub(super) fn as_f64(number: u64) -> f64 {
     number as f64
 }
 
-/// A wish that waits.
+/// A model or adapter that requests wait for.
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
     pub(super) service: ServiceName,
     pub(super) wish: ModelWish,
+    /// Since when requests have waited for it without a break.
     pub(super) since: Instant,
-    until: Instant,
+    /// Requests of each instance, and when the last of them gives up.
+    by_instance: BTreeMap<InstanceId, (u32, Instant)>,
+}
+
+impl Waiting {
+    /// Requests that wait.
+    pub(super) fn count(&self) -> u32 {
+        self.by_instance.values().map(|(count, _)| count).sum()
+    }
 }
 
 /// Requests a second, as an average that fades.
 #[derive(Debug, Clone, Copy)]
 struct Rate {
     per_s: f64,
+    /// The same over a shorter time.
+    trend_per_s: f64,
     at: Instant,
 }
 
 impl Rate {
-    fn now(&self, now: Instant) -> f64 {
+    fn fade(self, now: Instant) -> Self {
         let quiet_s = now.saturating_duration_since(self.at).as_secs_f64();
-        self.per_s * (-quiet_s / RATE_TIME_S).exp()
+        Self {
+            per_s: self.per_s * (-quiet_s / RATE_TIME_S).exp(),
+            trend_per_s: self.trend_per_s * (-quiet_s / TREND_TIME_S).exp(),
+            at: now,
+        }
+    }
+
+    /// The average, or the trend where that is surely higher: less one standard error,
+    /// so that two requests that happen to come together are no trend.
+    fn now(self, now: Instant) -> f64 {
+        let faded = self.fade(now);
+        let error = (faded.trend_per_s / (2.0 * TREND_TIME_S)).sqrt();
+        faded.per_s.max(faded.trend_per_s - error)
     }
 }
 
@@ -52,56 +93,78 @@
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     waiting: Vec<Waiting>,
-    /// Models that requests wait for.
-    awaited: HashSet<(ServiceName, ModelName)>,
+    /// Requests that wait for each model, with any adapter or none.
+    waiters: HashMap<(ServiceName, ModelName), u32>,
     rates: BTreeMap<(ServiceName, ModelName), Rate>,
 }
 
 impl Demand {
-    /// A request waits for a model or adapter until a moment at most.
-    pub(super) fn waits(
-        &mut self,
-        service: &ServiceName,
-        wish: &ModelWish,
-        until: Instant,
-        now: Instant,
-    ) {
-        let known = self
-            .waiting
-            .iter_mut()
-            .find(|w| w.service == *service && w.wish == *wish);
-        if let Some(known) = known {
-            known.until = known.until.max(until);
-            return;
-        }
-        self.awaited.insert((service.clone(), wish.model.clone()));
-        self.waiting.push(Waiting {
-            service: service.clone(),
-            wish: wish.clone(),
-            since: now,
+    /// So many requests of an instance wait for a model or adapter now.
+    pub(super) fn waits(&mut self, waiters: Waiters, now: Instant) {
+        let Waiters {
+            instance,
+            service,
+            wish,
+            count,
             until,
-        });
+        } = waiters;
+        let same = |w: &Waiting| w.service == service && w.wish == wish;
+        let index = self.waiting.iter().position(same);
+        match (index, count) {
+            (None, 0) => return,
+            (None, _) => self.waiting.push(Waiting {
+                service,
+                wish,
+                since: now,
+                by_instance: BTreeMap::from([(instance, (count, until))]),
+            }),
+            (Some(index), 0) => {
+                self.waiting[index].by_instance.remove(&instance);
+                if self.waiting[index].by_instance.is_empty() {
+                    self.waiting.remove(index);
+                }
+            }
+            (Some(index), _) => {
+                let by_instance = &mut self.waiting[index].by_instance;
+                by_instance.insert(instance, (count, until));
+            }
+        }
+        self.count();
     }
 
-    /// A wish waits no more.
-    pub(super) fn served(&mut self, service: &ServiceName, wish: &ModelWish) {
-        self.retain(|w| w.service != *service || w.wish != *wish);
+    /// An instance is gone, and what waited there.
+    pub(super) fn instance_gone(&mut self, instance: &InstanceId) {
+        self.retain(|named, _| named != instance);
     }
 
-    /// Drops wishes whose time is over.
+    /// Drops requests whose time is over.
     pub(super) fn expire(&mut self, now: Instant) {
-        self.retain(|waiting| now < waiting.until);
+        self.retain(|_, until| now < until);
     }
 
-    fn retain(&mut self, stays: impl FnMut(&Waiting) -> bool) {
-        let before = self.waiting.len();
-        self.waiting.retain(stays);
-        if self.waiting.len() == before {
-            return;
+    fn retain(&mut self, stays: impl Fn(&InstanceId, Instant) -> bool) {
+        let parts = |waiting: &[Waiting]| -> usize {
+            let counts = waiting.iter().map(|w| w.by_instance.len());
+            counts.sum()
+        };
+        let before = parts(&self.waiting);
+        for waiting in &mut self.waiting {
+            waiting
+                .by_instance
+                .retain(|instance, (_, until)| stays(instance, *until));
+        }
+        if parts(&self.waiting) != before {
+            self.waiting.retain(|w| !w.by_instance.is_empty());
+            self.count();
+        }
+    }
+
+    fn count(&mut self) {
+        self.waiters.clear();
+        for waiting in &self.waiting {
+            let key = (waiting.service.clone(), waiting.wish.model.clone());
+            *self.waiters.entry(key).or_default() += waiting.count();
         }
-        let waiting = self.waiting.iter();
-        let models = waiting.map(|w| (w.service.clone(), w.wish.model.clone()));
-        self.awaited = models.collect();
     }
 
     /// What waits, the longest wait first.
@@ -111,9 +174,13 @@
         waiting
     }
 
-    /// Whether a request waits for a model.
-    pub(super) fn is_awaited(&self, service: &ServiceName, model: &ModelName) -> bool {
-        !self.awaited.is_empty() && self.awaited.contains(&(service.clone(), model.clone()))
+    /// Requests that wait for a model, with any adapter or none.
+    pub(super) fn waiters(&self, service: &ServiceName, model: &ModelName) -> u32 {
+        if self.waiters.is_empty() {
+            return 0;
+        }
+        let key = (service.clone(), model.clone());
+        self.waiters.get(&key).copied().unwrap_or(0)
     }
 
     /// So many requests came for a model.
@@ -125,12 +192,18 @@
         now: Instant,
     ) {
         let key = (service.clone(), wish.model.clone());
-        let rate = self.rates.entry(key).or_insert(Rate {
-            per_s: 0.0,
-            at: now,
-        });
-        rate.per_s = rate.now(now) + f64::from(count) / RATE_TIME_S;
-        rate.at = now;
+        let known = self.rates.get(&key);
+        let mut rate = known.map_or(
+            Rate {
+                per_s: 0.0,
+                trend_per_s: 0.0,
+                at: now,
+            },
+            |rate| rate.fade(now),
+        );
+        rate.per_s += f64::from(count) / RATE_TIME_S;
+        rate.trend_per_s += f64::from(count) / TREND_TIME_S;
+        self.rates.insert(key, rate);
     }
 
     /// Requests a second for a model.
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -5,26 +5,38 @@
 use crate::routes::{EnginePool, ModelSpec};
 use passway_types::prelude::*;
 
-/// What it costs to wait for the runs of a model that gives way, in milliseconds.
-const RUNS_COST_MS: f64 = 1_500.0;
-/// What each run adds, since it shows that the model is in demand.
-const RUN_COST_MS: f64 = 400.0;
-/// What it costs to take a replica that its demand is worth, in milliseconds.
-const WANTED_COST_MS: f64 = 6_000.0;
-/// What one request a second for the model that gives way costs, in milliseconds.
-const RATE_COST_MS: f64 = 4_000.0;
-/// A model that was brought for somebody stays at least this long.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Time that an engine takes to unload a model that runs nothing, in seconds: an order
+/// and its effect, as seen in the logs of instances.
+const UNLOAD_S: f64 = 0.08;
+/// Time until the runs of a model have ended that gives way, in seconds: an engine
+/// unloads a model when its last run is over.
+const RUNS_S: f64 = 0.8;
+/// A model that was brought for somebody stays at least this long: instances hear of it
+/// and send what waits.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Models that make room together.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Victims {
     pub(super) models: Vec<ModelName>,
-    pub(super) cost_ms: f64,
+    /// Requests in time that their going costs.
+    pub(super) worth: f64,
+    /// Time until they are gone, in seconds.
+    pub(super) time_s: f64,
+}
+
+/// A model that may give way.
+#[derive(Debug)]
+struct Leaving {
+    model: ModelName,
+    worth: f64,
+    size_mb: f64,
+    has_runs: bool,
 }
 
 impl Planner {
-    /// The models of an engine whose going makes room for another at the least cost.
+    /// The models of an engine whose going makes room for another at the least cost;
+    /// `None` if there is no room however many go.
     pub(super) fn victims(
         &self,
         engine: &Engine,
@@ -32,53 +44,48 @@
         spec: &ModelSpec,
         now: Instant,
     ) -> Option<Victims> {
-        let mut free_mb = engine.free_mb(pool);
+        let mut lacking_mb = spec.weights_mb - engine.free_mb(pool);
+        if lacking_mb <= 0.0 {
+            return Some(Victims::default());
+        }
         let service = &engine.entry.service;
-        let mut costs: Vec<(f64, ModelName)> = Vec::new();
-        for model in engine.model_names() {
-            if let Some(cost) = self.leaving_cost_ms(engine, service, &model, now) {
-                costs.push((cost, model));
+        let names = engine.model_names().into_iter();
+        let may_leave = names.filter(|model| !engine.came_within(model, SETTLE_TIME, now));
+        let mut leaving: Vec<Leaving> = may_leave
+            .map(|model| Leaving {
+                worth: self.replica_worth(service, &model, now),
+                size_mb: engine.size_mb(pool, &model),
+                has_runs: engine.runs(&model) > 0,
+                model,
+            })
+            .collect();
+        // One that runs something costs time, which counts like a request or so.
+        let cost = |l: &Leaving| l.worth + if l.has_runs { RUNS_S } else { 0.0 };
+        leaving.sort_by(|one, other| cost(one).total_cmp(&cost(other)));
+        let mut chosen: Vec<Leaving> = Vec::new();
+        for model in leaving {
+            if lacking_mb <= 0.0 {
+                break;
             }
+            lacking_mb -= model.size_mb;
+            chosen.push(model);
         }
-        costs.sort_by(|one, other| one.0.total_cmp(&other.0));
-        let mut victims = Victims {
-            models: Vec::new(),
-            cost_ms: 0.0,
-        };
-        let mut costs = costs.into_iter();
-        while free_mb < spec.weights_mb {
-            let (cost, model) = costs.next()?;
-            free_mb += engine.size_mb(pool, &model);
-            victims.cost_ms += cost;
-            victims.models.push(model);
-        }
-        Some(victims)
-    }
-
-    fn leaving_cost_ms(
-        &self,
-        engine: &Engine,
-        service: &ServiceName,
-        model: &ModelName,
-        now: Instant,
-    ) -> Option<f64> {
-        if self.demand.is_awaited(service, model) || engine.came_within(model, SETTLE_TIME, now) {
+        if lacking_mb > 0.0 {
             return None;
         }
-        let rate = self.demand.rate(service, model, now);
-        let replicas = self.replicas(service, model);
-        let wanted = self.wanted(service, model, now);
-        let mut cost = 0.0;
-        let runs = engine.runs(model);
-        if runs > 0 {
-            cost += RUNS_COST_MS + RUN_COST_MS * f64::from(runs);
-        }
-        if replicas <= wanted {
-            cost += RATE_COST_MS * rate;
-        }
-        if wanted > 1 && replicas <= wanted {
-            cost += WANTED_COST_MS;
+        // What came in for its low worth may have become needless by a larger one.
+        for index in (0..chosen.len()).rev() {
+            if lacking_mb + chosen[index].size_mb <= 0.0 {
+                lacking_mb += chosen.remove(index).size_mb;
+            }
         }
-        Some(cost)
+        let time_s = chosen
+            .iter()
+            .map(|l| if l.has_runs { RUNS_S } else { UNLOAD_S });
+        Some(Victims {
+            time_s: time_s.sum(),
+            worth: chosen.iter().map(|l| l.worth).sum(),
+            models: chosen.into_iter().map(|l| l.model).collect(),
+        })
     }
 }
--- /dev/null
+++ b/crates/serving/src/placement/worth.rs
@@ -0,0 +1,113 @@
+//! What a place on an engine is worth to a model, in one currency for busy and rare
+//! models alike: requests that are served in time thanks to it.
+
+use super::Planner;
+use super::demand::{Waiting, as_f64};
+use passway_types::prelude::*;
+
+/// Time over which a place counts, in seconds: what it would take to bring a model back
+/// that was wrongly sent away, with the runs of what it replaces.
+const HORIZON_S: f64 = 1.5;
+/// What remains of a replica's worth that the demand does not need, as a part: enough
+/// that the least asked for goes first.
+const SPARE_PART: f64 = 0.02;
+/// A wait of so many seconds adds one more request to the count of those that wait, so
+/// that nothing that is asked for is left out however busy the others are.
+const AGEING_S: f64 = 1.0;
+
+/// A model that is worth one more replica.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    pub(super) service: ServiceName,
+    pub(super) model: ModelName,
+    /// Requests in time that the replica gains.
+    pub(super) gain: f64,
+    /// Requests that are late by each second that it takes.
+    pub(super) delay_cost_per_s: f64,
+    /// Since when requests have waited for it; `None` if none does.
+    pub(super) since: Option<Instant>,
+}
+
+/// A number of replicas to calculate with.
+fn whole(number: usize) -> f64 {
+    as_f64(u64::try_from(number).unwrap_or(u64::MAX))
+}
+
+impl Planner {
+    /// Models that are worth one more replica, those that gain most first.
+    pub(super) fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let waiting = self.demand.waiting();
+        let mut candidates: Vec<Candidate> = Vec::new();
+        for service in self.pools.keys() {
+            let mut models = self.demand.busy_models(service, now);
+            for waits in waiting.iter().filter(|w| w.service == *service) {
+                if !models.contains(&waits.wish.model) {
+                    models.push(waits.wish.model.clone());
+                }
+            }
+            let worth = models.into_iter().filter_map(|model| {
+                let waiting = waiting.iter();
+                let same = |w: &&Waiting| w.service == *service && w.wish.model == model;
+                let here: Vec<&Waiting> = waiting.filter(same).collect();
+                self.candidate(service, model, &here, now)
+            });
+            candidates.extend(worth);
+        }
+        candidates.sort_by(|one, other| other.gain.total_cmp(&one.gain));
+        candidates
+    }
+
+    /// What one more replica of a model gains; `None` if it has enough of them.
+    fn candidate(
+        &self,
+        service: &ServiceName,
+        model: ModelName,
+        waiting: &[&Waiting],
+        now: Instant,
+    ) -> Option<Candidate> {
+        let bringing = self.engines.values();
+        let coming = bringing.filter(|e| e.is_bringing(service, &model)).count();
+        let replicas = self.replicas(service, &model) + coming;
+        let wanted = self.wanted(service, &model, now);
+        if replicas >= wanted {
+            return None;
+        }
+        let rate = self.demand.rate(service, &model, now);
+        let part = rate / whole(wanted.max(1));
+        let mut candidate = Candidate {
+            service: service.clone(),
+            model,
+            gain: part * HORIZON_S,
+            delay_cost_per_s: part,
+            since: None,
+        };
+        if replicas == 0 {
+            let counts = waiting.iter().map(|waiting| {
+                let age = now.saturating_duration_since(waiting.since);
+                f64::from(waiting.count()) + age.as_secs_f64() / AGEING_S
+            });
+            let waiters: f64 = counts.sum();
+            candidate.gain = rate * HORIZON_S + waiters;
+            candidate.delay_cost_per_s = rate + waiters;
+            candidate.since = waiting.iter().map(|waiting| waiting.since).min();
+        }
+        Some(candidate)
+    }
+
+    /// Requests in time that one of a model's replicas is worth.
+    pub(super) fn replica_worth(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        now: Instant,
+    ) -> f64 {
+        let replicas = self.replicas(service, model);
+        let wanted = self.wanted(service, model, now);
+        let rate = self.demand.rate(service, model, now);
+        if replicas > wanted {
+            return SPARE_PART * rate * HORIZON_S;
+        }
+        let waiters = f64::from(self.demand.waiters(service, model));
+        (rate * HORIZON_S + waiters) / whole(replicas.max(1))
+    }
+}
--- a/crates/standins/src/fleet_model/requests.rs
+++ b/crates/standins/src/fleet_model/requests.rs
@@ -3,9 +3,11 @@
 use super::outcome::Served;
 use super::run::{Run, STEP_MS};
 use super::size::FleetSize;
+use passway_serving::placement::Waiters;
 use passway_serving::upstreams::ModelWish;
 use passway_types::prelude::*;
 use rand::RngExt;
+use std::collections::BTreeMap;
 
 /// Aims for the first token (market sheet).
 const BUSY_AIM_MS: u64 = 400;
@@ -13,8 +15,6 @@
 /// A request waits at most this long for an engine: 0.45 of a caller's patience.
 const BUSY_WAIT_MS: u64 = 1_080;
 const RARE_WAIT_MS: u64 = 4_500;
-/// Pause between two words to the planner about one waiting request.
-const TELL_MS: u64 = 400;
 /// Demand moves on to other busy models every so often.
 const SHIFT_MS: u64 = 15_000;
 /// Busy models fall off by this part from one to the next.
@@ -51,8 +51,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Waiting {
     pub(super) since_ms: u64,
-    /// When the planner was told of it; 0 if it was not.
-    told_ms: u64,
     pub(super) class: Class,
 }
 
@@ -111,7 +109,6 @@
         self.served(class).asked += 1;
         let waiting = Waiting {
             since_ms: self.now_ms,
-            told_ms: 0,
             class,
         };
         self.waiting.entry(model).or_default().push_back(waiting);
@@ -139,32 +136,31 @@
         }
     }
 
-    /// Tells the planner what waits for a model that stands nowhere.
+    /// Tells the planner how many requests wait for each model that stands nowhere.
     pub(super) fn tell_needs(&mut self) {
-        let (now, now_ms) = (self.now(), self.now_ms);
+        let now = self.now();
         let until = now + Duration::from_millis(RARE_WAIT_MS);
-        for number in self.models_to_tell() {
-            let first = self.waiting.get_mut(&number);
-            if let Some(first) = first.and_then(|queue| queue.front_mut()) {
-                first.told_ms = now_ms;
-            }
-            let wish = wish(FleetSize::model(number));
-            self.planner
-                .needed(&FleetSize::service(), &wish, until, now);
-        }
-    }
-
-    /// Models that stand nowhere and whose first request was not told of lately.
-    fn models_to_tell(&self) -> Vec<usize> {
-        let untold = self.waiting.iter().filter(|(_, queue)| {
-            let first = queue.front();
-            first.is_some_and(|first| first.told_ms == 0 || self.now_ms >= first.told_ms + TELL_MS)
-        });
-        let numbers = untold.map(|(number, _)| *number);
-        let missing = numbers.filter(|number| {
-            let model = FleetSize::model(*number);
+        let waiting = self.waiting.iter().filter(|(number, _)| {
+            let model = FleetSize::model(**number);
             !self.engines.iter().any(|engine| self.stays(engine, &model))
         });
-        missing.collect()
+        let counts = waiting.map(|(number, queue)| {
+            let count = u32::try_from(queue.len()).unwrap_or(u32::MAX);
+            (*number, count)
+        });
+        let counts: BTreeMap<usize, u32> = counts.collect();
+        let told = std::mem::replace(&mut self.told, counts.clone());
+        let ended = told.into_keys().map(|number| (number, 0));
+        let changes: BTreeMap<usize, u32> = ended.chain(counts).collect();
+        for (number, count) in changes {
+            let waiters = Waiters {
+                instance: "all".into(),
+                service: FleetSize::service(),
+                wish: wish(FleetSize::model(number)),
+                count,
+                until,
+            };
+            self.planner.waiting(waiters, now);
+        }
     }
 }
--- a/crates/standins/src/fleet_model/run.rs
+++ b/crates/standins/src/fleet_model/run.rs
@@ -34,6 +34,8 @@
     placed: HashMap<UpstreamId, Placement>,
     /// Requests that wait, by the number of their model.
     pub(super) waiting: BTreeMap<usize, VecDeque<Waiting>>,
+    /// Requests that the planner was told of as waiting, by the number of their model.
+    pub(super) told: BTreeMap<usize, u32>,
     /// Runs in the order in which they end: when, engine, model.
     ends: VecDeque<(u64, usize, ModelName)>,
     idle_ms: f64,
@@ -68,6 +70,7 @@
             now_ms: 0,
             placed: HashMap::new(),
             waiting: BTreeMap::new(),
+            told: BTreeMap::new(),
             ends: VecDeque::new(),
             idle_ms: 0.0,
             outcome: Outcome {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -120,9 +120,12 @@
     /// The adapter; empty for none.
     #[prost(string, tag = "3")]
     pub adapter: String,
-    /// Milliseconds for which a request still waits, or the requests taken.
+    /// Milliseconds for which the last of the requests still waits; 0 for requests taken.
     #[prost(uint32, tag = "4")]
-    pub number: u32,
+    pub wait_ms: u32,
+    /// Requests that wait, 0 if none does any more; or requests taken.
+    #[prost(uint32, tag = "5")]
+    pub count: u32,
 }
 
 /// Requests that run on an engine.
@@ -145,7 +148,7 @@
     /// The instance.
     #[prost(string, tag = "1")]
     pub instance: String,
-    /// What requests wait for.
+    /// What requests wait for, where that has changed since the last message.
     #[prost(message, repeated, tag = "2")]
     pub waiting: Vec<Wish>,
     /// What requests were taken for since the last message.
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -1,13 +1,11 @@
 //! Models come to where they are asked for, by one holder's orders.
 
-use crate::site::{self, PATIENCE, ask, request, until};
-use passway_serving::placement::policy::PolicyName;
-use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW};
-use passway_serving::ports::{Directory, EngineReport, OrderAction, OrderAnswer, StoredValue};
-use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use crate::planned::{Planned, resident};
+use crate::site::{self, ask, request, until};
+use passway_serving::ports::{EngineReport, OrderAction, OrderAnswer};
+use passway_serving::upstreams::{ModelWish, ResidentModel};
 use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer, event};
 use passway_types::prelude::*;
-use passway_users_platform::PlatformDirectory;
 
 fn stream(address: std::net::SocketAddr, route: &str, id: &str, model: &str) -> site::Answer {
     let bytes = request(
@@ -156,96 +154,6 @@
     assert!(holders[0].1 < holders[1].1);
 }
 
-/// A planner with one engine that has room for two models.
-struct Planned {
-    planner: Planner,
-    now: Instant,
-}
-
-fn resident(name: &str) -> ResidentModel {
-    ResidentModel {
-        name: name.into(),
-        adapters: Vec::new(),
-    }
-}
-
-impl Planned {
-    fn new() -> Self {
-        let value = StoredValue {
-            key: "op/config".into(),
-            value: site::configuration(1, &["m0", "m1", "m2", "m3"])
-                .to_string()
-                .into(),
-            revision: 1,
-        };
-        let table = PlatformDirectory.configuration(&value).expect("decoded");
-        let mut planner = Planner::new(USUAL_LOAD_WINDOW, PolicyName::Balanced.policy());
-        planner.set_table(&table.expect("a configuration"));
-        let now = Instant::now();
-        let mut fresh = Self { planner, now };
-        fresh.hear(1, &["m0", "m1"]);
-        fresh.planner.begin_term(now);
-        fresh
-    }
-
-    fn hear(&mut self, beat: u64, models: &[&str]) {
-        self.hear_of("i-0", beat, models, &["m0", "m1", "m2", "m3"]);
-    }
-
-    fn hear_of(&mut self, id: &str, beat: u64, models: &[&str], on_disk: &[&str]) {
-        let entry = UpstreamEntry {
-            id: id.into(),
-            service: "engines".into(),
-            address: ([127, 0, 0, 1], 1).into(),
-            hall: "hall0".into(),
-            slots: 8,
-            draining: false,
-            gone_at: None,
-            models: models.iter().map(|name| resident(name)).collect(),
-            in_memory: Vec::new(),
-            on_disk: on_disk.iter().map(|name| (*name).into()).collect(),
-            beat,
-        };
-        self.planner.heard(entry, self.now);
-    }
-
-    fn need(&mut self, model: &str) {
-        let wish = ModelWish {
-            model: model.into(),
-            adapter: None,
-        };
-        let until = self.now + PATIENCE;
-        self.planner
-            .needed(&"engines".into(), &wish, until, self.now);
-    }
-
-    fn report(&mut self, busy: bool, orders_taken: u64, models: &[&str]) {
-        let report = EngineReport {
-            models: models.iter().map(|name| resident(name)).collect(),
-            busy,
-            orders_taken,
-            in_memory: Vec::new(),
-            on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
-        };
-        self.planner.reported(&"i-0".into(), Some(report), self.now);
-    }
-
-    /// Orders decided within a second of looks, each answered by `answer`.
-    fn orders(&mut self, answer: OrderAnswer) -> Vec<PlannedOrder> {
-        let mut orders = Vec::new();
-        for _ in 0..20 {
-            self.now += Duration::from_millis(50);
-            for action in self.planner.decide(self.now) {
-                if let Action::Order(order) = action {
-                    self.planner.answered(&order, answer, self.now);
-                    orders.push(order);
-                }
-            }
-        }
-        orders
-    }
-}
-
 #[test]
 fn asks_before_ordering() {
     let mut planned = Planned::new();
@@ -331,10 +239,7 @@
         model: "m0".into(),
         adapter: Some("a3".into()),
     };
-    let until = planned.now + PATIENCE;
-    planned
-        .planner
-        .needed(&"engines".into(), &wish, until, planned.now);
+    planned.need_wish(wish, 1);
     // Both places are taken; a run holds the unload up.
     let orders = planned.orders(OrderAnswer::Taken);
     assert_eq!(orders.len(), 1, "{orders:?}");
--- /dev/null
+++ b/tests/all/place_worth.rs
@@ -0,0 +1,99 @@
+//! Places go to the models whose requests gain most by them, busy or rare.
+
+use crate::planned::{Planned, plain};
+use passway_serving::ports::{OrderAction, OrderAnswer};
+use passway_types::prelude::*;
+
+/// Lets requests come for models, so many a second each, for some seconds.
+fn ask(planned: &mut Planned, models: &[(&str, u32)], seconds: u32) {
+    for _ in 0..seconds * 10 {
+        planned.now += Duration::from_millis(100);
+        for (model, per_s) in models {
+            let count = per_s / 10;
+            planned
+                .planner
+                .taken(&"engines".into(), &plain(model), count, planned.now);
+        }
+    }
+}
+
+/// What is loaded or unloaded first within a second.
+fn first(planned: &mut Planned) -> Option<(OrderAction, String)> {
+    let orders = planned.orders(OrderAnswer::Taken);
+    let first = orders.first()?;
+    Some((first.action, first.wish.model.to_string()))
+}
+
+#[test]
+fn many_before_longest() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.hear(2, &["m0"]);
+    planned.need("m2");
+    planned.now += Duration::from_millis(300);
+    planned.need_wish(plain("m3"), 50);
+    planned.report(false, 0, &["m0"]);
+    assert_eq!(first(&mut planned), Some((OrderAction::Load, "m3".into())));
+}
+
+#[test]
+fn busy_stays() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    ask(&mut planned, &[("m0", 40), ("m1", 20)], 5);
+    planned.need("m2");
+    assert_eq!(first(&mut planned), None);
+}
+
+#[test]
+fn rare_gives_way_to_many() {
+    // Requests wait for m0 itself, but far more for m2.
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    planned.need("m0");
+    planned.need("m1");
+    planned.need_wish(plain("m2"), 20);
+    let first = first(&mut planned).expect("an order");
+    assert_eq!(first.0, OrderAction::Unload);
+}
+
+#[test]
+fn long_wait_counts() {
+    // Two models that are asked for now and then leave one out for some time, not for ever.
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    planned.need("m2");
+    let mut waited_s = 0;
+    loop {
+        ask(&mut planned, &[("m0", 10), ("m1", 10)], 1);
+        if first(&mut planned).is_some() {
+            break;
+        }
+        waited_s += 2;
+        assert!(waited_s < 20, "left out");
+    }
+    assert!(waited_s >= 2, "ten requests a second give way to one");
+}
+
+#[test]
+fn ended_wait_forgotten() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.need("m2");
+    planned.need_wish(plain("m2"), 0);
+    planned.report(false, 0, &["m0", "m1"]);
+    assert_eq!(first(&mut planned), None);
+}
+
+#[test]
+fn instance_gone_waits_end() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.need("m2");
+    planned.planner.instance_gone(&"one".into());
+    planned.report(false, 0, &["m0", "m1"]);
+    assert_eq!(first(&mut planned), None);
+}
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -12,7 +12,7 @@
 use engine::Engine;
 use matter::Matter;
 use passway_serving::placement::policy::PolicyName;
-use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW};
+use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW, Waiters};
 use passway_serving::ports::OrderAnswer;
 use passway_serving::upstreams::ModelWish;
 use passway_types::prelude::*;
@@ -212,8 +212,14 @@
             adapter,
         };
         let until = self.now + Duration::from_secs(4);
-        self.planner
-            .needed(&"engines".into(), &wish, until, self.now);
+        let waiters = Waiters {
+            instance: "one".into(),
+            service: "engines".into(),
+            wish: wish.clone(),
+            count: 1,
+            until,
+        };
+        self.planner.waiting(waiters, self.now);
         self.planner.taken(&"engines".into(), &wish, 1, self.now);
     }
 
--- /dev/null
+++ b/tests/all/planned.rs
@@ -0,0 +1,121 @@
+//! A planner with one engine, in virtual time.
+
+use crate::site::{self, PATIENCE};
+use passway_serving::placement::policy::PolicyName;
+use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW, Waiters};
+use passway_serving::ports::{Directory, EngineReport, OrderAnswer, StoredValue};
+use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_types::prelude::*;
+use passway_users_platform::PlatformDirectory;
+
+/// A model without an adapter, as a request asks for it.
+pub fn plain(model: &str) -> ModelWish {
+    ModelWish {
+        model: model.into(),
+        adapter: None,
+    }
+}
+
+/// A planner with one engine that has room for two models.
+pub struct Planned {
+    /// The planner.
+    pub planner: Planner,
+    /// The time it is there.
+    pub now: Instant,
+}
+
+/// A model without adapters.
+pub fn resident(name: &str) -> ResidentModel {
+    ResidentModel {
+        name: name.into(),
+        adapters: Vec::new(),
+    }
+}
+
+impl Planned {
+    /// One engine with m0 and m1 on its accelerators and all models on its disk.
+    pub fn new() -> Self {
+        let value = StoredValue {
+            key: "op/config".into(),
+            value: site::configuration(1, &["m0", "m1", "m2", "m3"])
+                .to_string()
+                .into(),
+            revision: 1,
+        };
+        let table = PlatformDirectory.configuration(&value).expect("decoded");
+        let mut planner = Planner::new(USUAL_LOAD_WINDOW, PolicyName::Balanced.policy());
+        planner.set_table(&table.expect("a configuration"));
+        let now = Instant::now();
+        let mut fresh = Self { planner, now };
+        fresh.hear(1, &["m0", "m1"]);
+        fresh.planner.begin_term(now);
+        fresh
+    }
+
+    /// The engine says what stands on it.
+    pub fn hear(&mut self, beat: u64, models: &[&str]) {
+        self.hear_of("i-0", beat, models, &["m0", "m1", "m2", "m3"]);
+    }
+
+    /// An engine says what stands on it and what lies on its disk.
+    pub fn hear_of(&mut self, id: &str, beat: u64, models: &[&str], on_disk: &[&str]) {
+        let entry = UpstreamEntry {
+            id: id.into(),
+            service: "engines".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            hall: "hall0".into(),
+            slots: 8,
+            draining: false,
+            gone_at: None,
+            models: models.iter().map(|name| resident(name)).collect(),
+            in_memory: Vec::new(),
+            on_disk: on_disk.iter().map(|name| (*name).into()).collect(),
+            beat,
+        };
+        self.planner.heard(entry, self.now);
+    }
+
+    /// One request waits for a model.
+    pub fn need(&mut self, model: &str) {
+        self.need_wish(plain(model), 1);
+    }
+
+    /// So many requests of one instance wait.
+    pub fn need_wish(&mut self, wish: ModelWish, count: u32) {
+        let waiters = Waiters {
+            instance: "one".into(),
+            service: "engines".into(),
+            wish,
+            count,
+            until: self.now + PATIENCE,
+        };
+        self.planner.waiting(waiters, self.now);
+    }
+
+    /// The engine tells its state.
+    pub fn report(&mut self, busy: bool, orders_taken: u64, models: &[&str]) {
+        let report = EngineReport {
+            models: models.iter().map(|name| resident(name)).collect(),
+            busy,
+            orders_taken,
+            in_memory: Vec::new(),
+            on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+        };
+        self.planner.reported(&"i-0".into(), Some(report), self.now);
+    }
+
+    /// Orders decided within a second of looks, each answered by `answer`.
+    pub fn orders(&mut self, answer: OrderAnswer) -> Vec<PlannedOrder> {
+        let mut orders = Vec::new();
+        for _ in 0..20 {
+            self.now += Duration::from_millis(50);
+            for action in self.planner.decide(self.now) {
+                if let Action::Order(order) = action {
+                    self.planner.answered(&order, answer, self.now);
+                    orders.push(order);
+                }
+            }
+        }
+        orders
+    }
+}
--- a/tests/all/waiting_requests.rs
+++ b/tests/all/waiting_requests.rs
@@ -10,7 +10,9 @@
 /// Choices that an instance has made so far.
 fn choices(instance: &Instance) -> u64 {
     let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    let text = ask(instance.ready_address(), question).expect("metrics").body;
+    let text = ask(instance.ready_address(), question)
+        .expect("metrics")
+        .body;
     let name = "passway_instance_choices_total ";
     let mut counts = text.lines().filter_map(|line| line.strip_prefix(name));
     let count = counts.next().expect("a count");
