Replicas of busy models by runs and waiting requests, not by a fixed rate

Ruled out: another constant.

Change: replicas = (runs + waiting requests) / (0.4 of an engine's slots), two at least for a model asked for 1.5 times a second or more.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -294,6 +294,7 @@
     fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
         let usage = Usage {
             runs: self.census.runs(service, model),
+            waiters: self.demand.waiters(service, model),
             slots: self.pools.get(service).map_or(1, |pool| pool.slots),
         };
         self.policy
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -18,6 +18,8 @@
 pub struct Usage {
     /// Requests that run, over all engines.
     pub runs: u32,
+    /// Requests that wait since no engine takes them.
+    pub waiters: u32,
     /// Requests that an engine runs at one time.
     pub slots: u32,
 }
--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -9,8 +9,6 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// Requests a second that one replica of a busy model takes.
-const REQUESTS_PER_REPLICA_S: f64 = 6.0;
 /// A model asked for this often has a second replica, against the loss of the first.
 const SPARE_RATE_S: f64 = 1.5;
 /// Part of an engine's slots that the runs of a busy model may fill: instances see only
@@ -154,15 +152,16 @@
     }
 }
 
-/// Replicas that bear a model's requests and runs; one for a model that is asked for
-/// seldom, at least two for any other.
+/// Replicas that bear a model's requests; one for a model that is asked for seldom, at
+/// least two for any other. Runs and waiting requests say how many are needed whatever
+/// the model's pace and prompts: a fixed rate for each replica kept a third of all places
+/// from rare models, or starved slow ones.
 fn by_demand(rate_s: f64, usage: Usage) -> usize {
     if rate_s < SPARE_RATE_S {
         return 1;
     }
-    let by_rate = rate_s / REQUESTS_PER_REPLICA_S;
-    let by_runs = f64::from(usage.runs) / (f64::from(usage.slots.max(1)) * SLOTS_PART);
-    let needed = by_rate.max(by_runs).ceil();
+    let runs = f64::from(usage.runs + usage.waiters);
+    let needed = (runs / (f64::from(usage.slots.max(1)) * SLOTS_PART)).ceil();
     let mut replicas = 2;
     while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < needed {
         replicas += 1;
--- a/tests/all/place_worth.rs
+++ b/tests/all/place_worth.rs
@@ -1,6 +1,8 @@
 //! Places go to the models whose requests gain most by them, busy or rare.
 
 use crate::planned::{Planned, plain};
+use passway_serving::placement::Usage;
+use passway_serving::placement::policy::PolicyName;
 use passway_serving::ports::{OrderAction, OrderAnswer};
 use passway_types::prelude::*;
 
@@ -97,3 +99,19 @@
     planned.report(false, 0, &["m0", "m1"]);
     assert_eq!(first(&mut planned), None);
 }
+
+#[test]
+fn replicas_by_runs() {
+    let policy = PolicyName::Balanced.policy();
+    let usage = |runs, waiters, slots| Usage {
+        runs,
+        waiters,
+        slots,
+    };
+    assert_eq!(policy.replicas(0.4, usage(3, 0, 64)), 1, "rare");
+    // A pace of forty a second alone says nothing: a fast model bears it.
+    assert_eq!(policy.replicas(40.0, usage(20, 0, 64)), 2);
+    assert_eq!(policy.replicas(40.0, usage(70, 0, 64)), 3);
+    assert_eq!(policy.replicas(40.0, usage(20, 50, 64)), 3);
+    assert_eq!(policy.replicas(40.0, usage(20, 0, 12)), 5);
+}
