passwayctl analyze: what binds, from instances' logs

Change: a verb beside trace with tables over time, by route, by model and by engine, cold starts, idle places, causes of unserved requests; JSON and SVG. The lines of logs are parsed in one place for both verbs.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -104,6 +104,18 @@
         /// Logs; standard input if none is named.
         files: Vec<PathBuf>,
     },
+    /// Tell from instances' logs what binds: requests over time, by route and by model,
+    /// why some were not served, the load of each engine, cold starts, idle places.
+    Analyze {
+        /// Logs; standard input if none is named.
+        files: Vec<PathBuf>,
+        /// Width of a row of the table over time, in seconds.
+        #[arg(long, default_value_t = 2)]
+        window_s: u64,
+        /// Also draw requests over time and where the busiest models stood.
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
     /// Take an upstream out of service.
     Drain {
         /// The upstream's id.
@@ -162,6 +174,11 @@
             Command::Audit => commands::audit::run(common, &store),
             Command::Explain { model } => Ok(commands::explain::run(common, model)),
             Command::Trace { request, files } => commands::trace::run(request, files),
+            Command::Analyze {
+                files,
+                window_s,
+                svg,
+            } => commands::analyze::run(common, files, *window_s, svg.as_deref()),
             Command::Drain {
                 upstream,
                 undo,
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,5 +1,6 @@
 //! One file a subcommand.
 
+pub mod analyze;
 pub(crate) mod apply;
 pub(crate) mod audit;
 pub(crate) mod check;
@@ -7,6 +8,7 @@
 pub(crate) mod drain;
 pub(crate) mod explain;
 pub(crate) mod history;
+mod log_line;
 pub(crate) mod show;
 pub(crate) mod status;
 pub mod trace;
--- a/crates/ctl/src/commands/trace.rs
+++ b/crates/ctl/src/commands/trace.rs
@@ -1,10 +1,9 @@
 //! `passwayctl trace`: a request's life, from the logs of all instances.
 
+use super::log_line::{Line, read};
 use crate::cli::ExitCode;
-use anyhow::{Context, Result};
-use serde_json::{Map, Value};
+use anyhow::Result;
 use std::fmt::Write;
-use std::io::Read;
 use std::path::{Path, PathBuf};
 
 /// Lines about orders and holders that belong to this much time before a request's end.
@@ -16,33 +15,7 @@
     "at_ms", "level", "program", "target", "message", "request", "instance",
 ];
 
-/// One line of a log.
-struct Line {
-    /// What stood before the JSON, where a collector puts the instance's name.
-    source: String,
-    at_ms: u64,
-    fields: Map<String, Value>,
-}
-
 impl Line {
-    /// A line, if it holds a JSON object.
-    fn parse(text: &str) -> Option<Self> {
-        let begin = text.find('{')?;
-        let fields: Map<String, Value> = serde_json::from_str(&text[begin..]).ok()?;
-        let at_ms = fields.get("at_ms")?.as_u64()?;
-        let source = text[..begin].split_whitespace().last().unwrap_or("");
-        Some(Self {
-            source: source.to_owned(),
-            at_ms,
-            fields,
-        })
-    }
-
-    fn text(&self, field: &str) -> &str {
-        let value = self.fields.get(field);
-        value.and_then(Value::as_str).unwrap_or("")
-    }
-
     /// Whether a line about the fleet bears on what a request needed.
     fn concerns(&self, end: &Self) -> bool {
         let message = self.text("message");
@@ -91,19 +64,6 @@
     }
 }
 
-fn read(files: &[PathBuf]) -> Result<String> {
-    let mut text = String::new();
-    if files.is_empty() {
-        let read = std::io::stdin().read_to_string(&mut text);
-        read.context("standard input")?;
-    }
-    for file in files {
-        let name = || file.display().to_string();
-        text.push_str(&std::fs::read_to_string(file).with_context(name)?);
-    }
-    Ok(text)
-}
-
 /// The story of a request, or `None` if no line names it.
 pub fn story(text: &str, request: &str) -> Option<String> {
     let lines: Vec<Line> = text.lines().filter_map(Line::parse).collect();
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod docs_match;
 mod fair_share;
 mod instance_metrics;
+mod log_analysis;
 mod log_lines;
 mod model_orders;
 mod pass_through;
