Gaps in the holder's news are filled, and a large fleet asks the store less

The new test gap_outlasts_heartbeats failed (nothing within 20 s), and passes now: the holder is not relied on until the store has answered.

Change: heartbeats carry the revision up to which nothing has changed; the probes' pause grows with the fleet (600 ms to 1.8 s), the holder's pause between watches with the engines (30 ms at 9, 110 ms at 92).

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -49,6 +49,7 @@
         feed,
         known: None,
         rested: false,
+        has_gap: false,
         failures: 0,
     };
     std::thread::spawn(move || follower.run());
@@ -64,6 +65,9 @@
     known: Option<StoreRevision>,
     /// Whether it has rested while others were relayed.
     rested: bool,
+    /// Whether something is missing in the holder's news that only the store can tell:
+    /// the holder is not relied on until the store has answered, though it lives.
+    has_gap: bool,
     /// Calls in a row that the store did not answer.
     failures: u32,
 }
@@ -80,7 +84,7 @@
 
     /// Waits a step for the holder's news; whether the holder is relied on.
     fn hear(&mut self) -> bool {
-        if self.known.is_none() {
+        if self.known.is_none() || self.has_gap {
             return false;
         }
         let heard = self.tap.next(RELAY_STEP);
@@ -103,6 +107,7 @@
         match self.ask() {
             Ok(()) => {
                 self.failures = 0;
+                self.has_gap = false;
                 self.feed.shared().store_health.answered();
                 std::thread::sleep(self.feed.settled());
             }
@@ -142,7 +147,7 @@
             Told::Changes { to, .. } if *to <= known => return,
             Told::Changes { from, .. } if *from > known => {
                 log::info!(prefix = self.prefix, from = *from, known = known; "a gap in the holder's news");
-                self.tap.relay.lost();
+                self.has_gap = true;
                 return;
             }
             _ => {}
@@ -250,6 +255,8 @@
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(400);
 /// The same at the holder of the right to order, which waits for engines' words.
 const HOLDER_PAUSE: Duration = Duration::from_millis(30);
+/// What each upstream adds to it, so that more of them do not make more calls.
+const HOLDER_PAUSE_PER_UPSTREAM: Duration = Duration::from_micros(1_200);
 
 impl UpstreamFeed {
     fn tell(&self, input: Input) {
@@ -331,7 +338,9 @@
     fn settled(&mut self) -> Duration {
         self.shared.upstreams_changed();
         if self.right.fence().is_some() {
-            HOLDER_PAUSE
+            let upstreams = self.shared.upstreams().entries().count();
+            let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
+            HOLDER_PAUSE.max(HOLDER_PAUSE_PER_UPSTREAM.saturating_mul(upstreams))
         } else {
             UPSTREAM_PAUSE
         }
--- a/crates/instance/src/health.rs
+++ b/crates/instance/src/health.rs
@@ -4,13 +4,19 @@
 use passway_serving::absence::Outages;
 use passway_types::prelude::*;
 use rand::RngExt;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// First pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause of the one that finds out whether the store is back.
+/// Longest pause of the one that finds out whether the store is back, in a small fleet.
 const PROBE_PAUSE: Duration = Duration::from_millis(600);
+/// The same in a large one: what an instance hears of the configuration within this is
+/// soon enough after an outage (users' pages: 3 s).
+const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(1_800);
+/// What each instance adds, so that an outage costs a fleet of ninety a third of the calls
+/// that the pause of a small one would.
+const PROBE_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(20);
 /// Longest pause of the others; they go on as soon as it is.
 const OTHER_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between two looks whether the store is back.
@@ -21,6 +27,8 @@
 pub struct StoreHealth {
     failing: AtomicBool,
     outages: Mutex<Outages>,
+    /// Instances that ask the store, as far as is known.
+    instances: AtomicU32,
 }
 
 impl StoreHealth {
@@ -50,9 +58,25 @@
         self.failing.load(Ordering::Acquire)
     }
 
+    /// So many instances ask the store.
+    pub fn set_instances(&self, instances: usize) {
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        self.instances.store(instances, Ordering::Release);
+    }
+
+    fn probe_pause(&self) -> Duration {
+        let instances = self.instances.load(Ordering::Acquire);
+        let pause = PROBE_PAUSE_PER_INSTANCE.saturating_mul(instances);
+        pause.clamp(PROBE_PAUSE, LONGEST_PROBE_PAUSE)
+    }
+
     /// Pauses after so many failures in a row; shorter if the store is back meanwhile.
     pub fn pause(&self, failures: u32, probes: bool) {
-        let longest = if probes { PROBE_PAUSE } else { OTHER_PAUSE };
+        let longest = if probes {
+            self.probe_pause()
+        } else {
+            OTHER_PAUSE.max(self.probe_pause() * 2)
+        };
         let doubled = FIRST_PAUSE * (1 << failures.min(5));
         let part = rand::rng().random_range(0.7..1.3);
         let until = Instant::now() + doubled.min(longest).mul_f64(part);
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -248,6 +248,11 @@
                 instances: u32::try_from(instances).unwrap_or(u32::MAX),
                 ..News::default()
             });
+            for feed in 0..FEEDS {
+                if let Some(news) = self.logs[feed].advance(feed) {
+                    self.pass_on(&news);
+                }
+            }
         }
     }
 
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -258,6 +258,23 @@
         }
     }
 
+    /// That nothing has changed since it was told last, up to a later revision, if that is
+    /// known. Without it those who listen would go on from a revision that the store has
+    /// forgotten, and list everything anew, when they ask it themselves again.
+    pub fn advance(&mut self, feed: usize) -> Option<News> {
+        let from = self.told;
+        if self.to <= from {
+            return None;
+        }
+        self.told = self.to;
+        Some(News {
+            feed: u32::try_from(feed).unwrap_or(u32::MAX),
+            from: from.max(1),
+            to: self.to,
+            ..News::default()
+        })
+    }
+
     fn note(&mut self, change: &StoreChange) {
         match change {
             StoreChange::Written(value) => {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -147,6 +147,7 @@
     /// Shares the fleet's allowances among so many instances, and some that may join.
     pub fn use_instances(&self, instances: usize) {
         self.retries().set_instances(instances + instances / 4 + 1);
+        self.store_health.set_instances(instances);
     }
 
     /// The upstreams were listed whole.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod policy_rules;
 mod process_kills;
 mod processes;
+mod relay_gap;
 mod retry_budget;
 mod retry_share;
 mod router_faults;
--- /dev/null
+++ b/tests/all/relay_gap.rs
@@ -0,0 +1,151 @@
+//! What the holder's news leave out is read from the store, however long that takes.
+
+use crate::site::{self, until};
+use crossbeam::channel;
+use passway_instance::feeds::{Feed, follow};
+use passway_instance::relay::{CONFIGURATION, FeedLog, Relay, Told};
+use passway_instance::shared::Shared;
+use passway_serving::ports::{
+    ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoreError, StoreRevision,
+    StoredValue, WatchAnswer, WriteAnswer,
+};
+use passway_types::prelude::*;
+use passway_users_platform::PlatformHeaders;
+use passway_wire::message::News;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+fn value(revision: StoreRevision) -> StoredValue {
+    StoredValue {
+        key: "op/config".into(),
+        value: Vec::new(),
+        revision,
+    }
+}
+
+/// A store whose first watches get no answer; later ones tell of a change.
+#[derive(Default)]
+struct SlowToAnswer {
+    watches: AtomicU32,
+}
+
+impl SharedStore for SlowToAnswer {
+    fn list(&self, _: &str) -> Result<Listing, StoreError> {
+        Ok(Listing {
+            values: vec![value(10)],
+            revision: 10,
+        })
+    }
+
+    fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<WatchAnswer, StoreError> {
+        if self.watches.fetch_add(1, Ordering::Relaxed) < 3 {
+            return Err(StoreError::Unknown);
+        }
+        Ok(WatchAnswer::Changes {
+            changes: vec![StoreChange::Written(value(20))],
+            revision: 30,
+        })
+    }
+
+    fn write(&self, _: &[ConditionalWrite]) -> Result<WriteAnswer, StoreError> {
+        Err(StoreError::NotDone)
+    }
+
+    fn grant_lease(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        Err(StoreError::NotDone)
+    }
+
+    fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
+        Err(StoreError::NotDone)
+    }
+
+    fn end_lease(&self, _: LeaseId) -> Result<(), StoreError> {
+        Err(StoreError::NotDone)
+    }
+}
+
+/// Revisions that a feed has taken in.
+struct Recorded {
+    shared: Shared,
+    revisions: Arc<Mutex<Vec<StoreRevision>>>,
+}
+
+impl Feed for Recorded {
+    fn prefix(&self) -> String {
+        "op/".into()
+    }
+
+    fn listed(&mut self, listing: &Listing) {
+        self.revisions.lock().expect("sound").push(listing.revision);
+    }
+
+    fn changed(&mut self, change: &StoreChange) -> bool {
+        self.revisions
+            .lock()
+            .expect("sound")
+            .push(change.revision());
+        true
+    }
+
+    fn settled(&mut self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn shared(&self) -> &Shared {
+        &self.shared
+    }
+}
+
+#[test]
+fn gap_outlasts_heartbeats() {
+    let (relay, [tap, _]) = Relay::new();
+    relay.heard(News::default());
+    let revisions = Arc::new(Mutex::new(Vec::new()));
+    let (needs, _needed) = channel::unbounded();
+    let (news, _heard) = channel::unbounded();
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let feed = Recorded {
+        shared: Shared::new(
+            site::settings("one", nowhere),
+            Box::new(PlatformHeaders),
+            needs,
+        ),
+        revisions: revisions.clone(),
+    };
+    follow(Arc::new(SlowToAnswer::default()), tap, news, feed);
+    let seen = |revision| revisions.lock().expect("sound").contains(&revision);
+    until("the list", || seen(10));
+    // The holder tells of what came after 25; what lies between 10 and 25 is missing.
+    relay.heard(News {
+        feed: u32::try_from(CONFIGURATION).expect("small"),
+        from: 25,
+        to: 30,
+        ..News::default()
+    });
+    until("what was missing", || {
+        // The holder lives on and says so.
+        relay.heard(News::default());
+        seen(20)
+    });
+}
+
+#[test]
+fn quiet_revisions_told() {
+    let mut log = FeedLog::default();
+    let listing = Listing {
+        values: vec![value(10)],
+        revision: 10,
+    };
+    assert!(log.add(CONFIGURATION, &Told::Whole(listing)).is_some());
+    assert_eq!(log.advance(CONFIGURATION), None);
+    let quiet = Told::Changes {
+        from: 10,
+        to: 40,
+        changes: Vec::new(),
+    };
+    assert_eq!(log.add(CONFIGURATION, &quiet), None);
+    let news = log.advance(CONFIGURATION).expect("news");
+    assert_eq!((news.from, news.to, news.values.len()), (10, 40, 0));
+    assert_eq!(log.advance(CONFIGURATION), None);
+}
