--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -11,6 +11,7 @@
 mod census;
 mod demand;
 mod engine;
+mod homes;
 pub mod policy;
 mod victims;
 mod worth;
@@ -24,6 +25,7 @@
 use demand::Demand;
 pub use demand::{Usage, Waiters};
 use engine::Engine;
+use homes::Homes;
 use passway_types::prelude::*;
 use policy::PlacementPolicy;
 use std::collections::{BTreeMap, BTreeSet};
@@ -85,6 +87,8 @@
     policy: Box<dyn PlacementPolicy>,
     /// Replicas and runs, as they were counted at the last change of a pass.
     census: Census,
+    /// Engines that have each model near; `None` if what they have may have changed.
+    homes: Option<Homes>,
     /// Loads that count against each service's ceiling of the weight store.
     store_loads: BTreeMap<ServiceName, StoreLoads>,
     /// The span over which they count.
@@ -102,6 +106,7 @@
             demand: Demand::default(),
             policy,
             census: Census::default(),
+            homes: None,
             store_loads: BTreeMap::new(),
             load_window,
             changed: BTreeSet::new(),
@@ -141,6 +146,7 @@
         if !self.pools.contains_key(&entry.service) {
             return;
         }
+        self.homes = None;
         let id = entry.id.clone();
         match self.engines.get_mut(&id) {
             Some(engine) => engine.heard(entry, now),
@@ -153,6 +159,7 @@
 
     /// Only these upstreams are there.
     pub fn retain(&mut self, ids: &BTreeSet<UpstreamId>) {
+        self.homes = None;
         self.engines.retain(|id, _| ids.contains(id));
     }
 
@@ -217,6 +224,7 @@
                 loads.count_is(id, report.orders_taken, now);
             }
             engine.reported(report, now);
+            self.homes = None;
             self.changed.insert(id.clone());
         }
     }
@@ -244,6 +252,9 @@
         let listens = self.listening_until.is_some_and(|until| now < until);
         if !listens {
             self.count();
+            if self.homes.is_none() {
+                self.homes = Some(Homes::of(self.engines.values()));
+            }
             self.bring_adapters(now);
             self.bring_models(now);
             self.prefetch(now);
@@ -306,6 +317,22 @@
         self.census.replicas(service, model)
     }
 
+    /// Engines on which a model comes.
+    fn bringing(&self, service: &ServiceName, model: &ModelName) -> usize {
+        self.census.bringing(service, model)
+    }
+
+    /// Engines that have a model near.
+    fn homes_of<'a>(
+        &'a self,
+        service: &ServiceName,
+        model: &ModelName,
+    ) -> impl Iterator<Item = &'a Engine> + use<'a> {
+        let homes = self.homes.as_ref();
+        let homes = homes.map_or(&[][..], |homes| homes.of_model(service, model));
+        homes.iter().filter_map(|id| self.engines.get(id))
+    }
+
     /// Counts replicas and runs anew.
     fn count(&mut self) {
         self.census = Census::of(self.engines.values());
--- a/crates/serving/src/placement/bring.rs
+++ b/crates/serving/src/placement/bring.rs
@@ -75,9 +75,8 @@
     /// another one had better fetch it.
     fn home_is_too_late(&self, candidate: &Candidate, now: Instant) -> bool {
         let pool = self.pools.get(&candidate.service);
-        let specs = pool.into_iter().flat_map(|pool| &pool.models);
-        let mut specs = specs.filter(|spec| spec.name == candidate.model);
-        let (Some(spec), Some(since)) = (specs.next(), candidate.since) else {
+        let spec = pool.and_then(|pool| pool.models.named(&candidate.model));
+        let (Some(spec), Some(since)) = (spec, candidate.since) else {
             return false;
         };
         let fetch_time = Duration::from_millis(spec.load_ms);
@@ -139,10 +138,16 @@
     ) -> Option<Exchange> {
         let (service, model) = (&candidate.service, &candidate.model);
         let pool = self.pools.get(service)?;
-        let spec = pool.models.iter().find(|spec| spec.name == *model)?;
+        let spec = pool.models.named(model)?;
         let may_fetch = self.may_fetch(service, pool, spec, may_fetch, now);
+        let near = self.homes_of(service, model);
+        let near: Vec<&Engine> = if may_fetch {
+            self.engines.values().collect()
+        } else {
+            near.collect()
+        };
         let mut best: Option<Exchange> = None;
-        for engine in self.engines.values() {
+        for engine in near {
             if engine.entry.service != *service
                 || !engine.takes_orders()
                 || engine.has(service, model)
@@ -198,10 +203,8 @@
         now: Instant,
     ) -> bool {
         // An engine that has it nearer will be free before a load from the store ends.
-        let is_at_hand = self.engines.values().any(|engine| {
-            let here = engine.entry.service == *service && !engine.entry.draining;
-            here && engine.tier(&spec.name) != Tier::Store
-        });
+        let mut homes = self.homes_of(service, &spec.name);
+        let is_at_hand = homes.any(|engine| !engine.entry.draining);
         let ceiling = self.store_loads.get(service);
         let has_room = ceiling.is_none_or(|loads| loads.has_room(pool, now))
             && self.loads_under_way() < STORE_LOADS_AT_ONCE;
--- a/crates/serving/src/placement/census.rs
+++ b/crates/serving/src/placement/census.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
     replicas: usize,
+    bringing: usize,
     runs: u32,
 }
 
@@ -26,6 +27,9 @@
             for model in engine.staying() {
                 counts.entry(model.clone()).or_default().replicas += 1;
             }
+            if let Some(model) = engine.coming() {
+                counts.entry(model.clone()).or_default().bringing += 1;
+            }
             for (model, runs) in engine.all_runs() {
                 counts.entry(model.clone()).or_default().runs += runs;
             }
@@ -44,6 +48,11 @@
         self.counts(service, model).replicas
     }
 
+    /// Engines on which a model comes.
+    pub(super) fn bringing(&self, service: &ServiceName, model: &ModelName) -> usize {
+        self.counts(service, model).bringing
+    }
+
     /// Requests that run for a model.
     pub(super) fn runs(&self, service: &ServiceName, model: &ModelName) -> u32 {
         self.counts(service, model).runs
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -214,14 +214,15 @@
         self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
     }
 
-    /// Models of a service that may be worth more than one replica, the busiest first.
-    pub(super) fn busy_models(&self, service: &ServiceName, now: Instant) -> Vec<ModelName> {
-        let rated = self.rates.iter().filter(|((named, _), _)| named == service);
-        let mut rated: Vec<(f64, ModelName)> = rated
-            .map(|((_, model), rate)| (rate.now(now), model.clone()))
-            .filter(|(rate, _)| *rate >= BUSY_RATE_S)
-            .collect();
-        rated.sort_by(|one, other| other.0.total_cmp(&one.0));
-        rated.into_iter().map(|(_, model)| model).collect()
+    /// Models that may be worth more than one replica.
+    pub(super) fn busy_models(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&ServiceName, &ModelName)> {
+        let busy = self
+            .rates
+            .iter()
+            .filter(move |(_, rate)| rate.now(now) >= BUSY_RATE_S);
+        busy.map(|((service, model), _)| (service, model))
     }
 }
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -139,6 +139,11 @@
         self.entry.service == *service && self.coming.as_ref() == Some(model)
     }
 
+    /// The model that comes, if one does.
+    pub(super) fn coming(&self) -> Option<&ModelName> {
+        self.coming.as_ref()
+    }
+
     pub(super) fn will_have(&self, service: &ServiceName, wish: &ModelWish) -> bool {
         if wish.adapter.is_none() {
             return self.is_bringing(service, &wish.model);
@@ -176,7 +181,7 @@
         model: &ModelName,
     ) -> Duration {
         let pool = pools.get(&self.entry.service);
-        let spec = pool.and_then(|pool| pool.models.iter().find(|s| s.name == *model));
+        let spec = pool.and_then(|pool| pool.models.named(model));
         Duration::from_millis(spec.map_or(0, |spec| self.tier(model).load_ms(spec)))
     }
 
@@ -192,7 +197,7 @@
     }
 
     pub(super) fn size_mb(&self, pool: &EnginePool, model: &ModelName) -> f64 {
-        let spec = pool.models.iter().find(|s| s.name == *model);
+        let spec = pool.models.named(model);
         let adapters = self.resident(model).map_or(0, |m| m.adapters.len());
         let adapters = super::demand::as_f64(u64::try_from(adapters).unwrap_or(0));
         // A model that the configuration does not name is taken to fill the engine.
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -174,7 +174,7 @@
         });
         let wanted = self.adapters_wanted.first().cloned()?;
         if self.standing_adapters() < pool.adapter_slots {
-            let spec = pool.models.iter().find(|s| s.name == wanted.model)?;
+            let spec = pool.models.named(&wanted.model)?;
             if self.free_mb(pool) >= spec.adapter_mb {
                 return Some(self.order(OrderAction::Load, wanted, expected));
             }
--- a/crates/serving/src/placement/worth.rs
+++ b/crates/serving/src/placement/worth.rs
@@ -4,6 +4,7 @@
 use super::Planner;
 use super::demand::{Waiting, as_f64};
 use passway_types::prelude::*;
+use std::collections::BTreeMap;
 
 /// Time over which a place counts, in seconds: what it would take to bring a model back
 /// that was wrongly sent away, with the runs of what it replaces.
@@ -37,22 +38,22 @@
     /// Models that are worth one more replica, those that gain most first.
     pub(super) fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let waiting = self.demand.waiting();
-        let mut candidates: Vec<Candidate> = Vec::new();
-        for service in self.pools.keys() {
-            let mut models = self.demand.busy_models(service, now);
-            for waits in waiting.iter().filter(|w| w.service == *service) {
-                if !models.contains(&waits.wish.model) {
-                    models.push(waits.wish.model.clone());
-                }
-            }
-            let worth = models.into_iter().filter_map(|model| {
-                let waiting = waiting.iter();
-                let same = |w: &&Waiting| w.service == *service && w.wish.model == model;
-                let here: Vec<&Waiting> = waiting.filter(same).collect();
-                self.candidate(service, model, &here, now)
-            });
-            candidates.extend(worth);
+        let mut models: BTreeMap<(&ServiceName, &ModelName), Vec<&Waiting>> = BTreeMap::new();
+        let busy = self.demand.busy_models(now);
+        for (service, model) in busy {
+            models.entry((service, model)).or_default();
+        }
+        for waits in &waiting {
+            let model = (&waits.service, &waits.wish.model);
+            models.entry(model).or_default().push(waits);
         }
+        let worth = models
+            .into_iter()
+            .filter_map(|((service, model), waiting)| {
+                let has_pool = self.pools.contains_key(service);
+                has_pool.then(|| self.candidate(service, model, &waiting, now))?
+            });
+        let mut candidates: Vec<Candidate> = worth.collect();
         candidates.sort_by(|one, other| other.gain.total_cmp(&one.gain));
         candidates
     }
@@ -61,22 +62,20 @@
     fn candidate(
         &self,
         service: &ServiceName,
-        model: ModelName,
+        model: &ModelName,
         waiting: &[&Waiting],
         now: Instant,
     ) -> Option<Candidate> {
-        let bringing = self.engines.values();
-        let coming = bringing.filter(|e| e.is_bringing(service, &model)).count();
-        let replicas = self.replicas(service, &model) + coming;
-        let wanted = self.wanted(service, &model, now);
+        let replicas = self.replicas(service, model) + self.bringing(service, model);
+        let wanted = self.wanted(service, model, now);
         if replicas >= wanted {
             return None;
         }
-        let rate = self.demand.rate(service, &model, now);
+        let rate = self.demand.rate(service, model, now);
         let part = rate / whole(wanted.max(1));
         let mut candidate = Candidate {
             service: service.clone(),
-            model,
+            model: model.clone(),
             gain: part * HORIZON_S,
             delay_cost_per_s: part,
             since: None,
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -125,7 +125,56 @@
     /// Loads a second that the weight store allows over all engines.
     pub loads_per_s: f64,
     /// The models.
-    pub models: Vec<ModelSpec>,
+    pub models: ModelSpecs,
+}
+
+/// The models of a pool, in the operators' order and by name.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ModelSpecs {
+    specs: Vec<ModelSpec>,
+    by_name: HashMap<ModelName, usize>,
+}
+
+impl ModelSpecs {
+    /// The model of a name.
+    pub fn named(&self, model: &str) -> Option<&ModelSpec> {
+        self.by_name.get(model).map(|index| &self.specs[*index])
+    }
+
+    /// All models.
+    pub fn iter(&self) -> std::slice::Iter<'_, ModelSpec> {
+        self.specs.iter()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.specs.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.specs.is_empty()
+    }
+}
+
+impl FromIterator<ModelSpec> for ModelSpecs {
+    fn from_iter<I: IntoIterator<Item = ModelSpec>>(specs: I) -> Self {
+        let specs: Vec<ModelSpec> = specs.into_iter().collect();
+        let names = specs.iter().map(|spec| spec.name.clone()).zip(0..);
+        Self {
+            by_name: names.collect(),
+            specs,
+        }
+    }
+}
+
+impl<'a> IntoIterator for &'a ModelSpecs {
+    type Item = &'a ModelSpec;
+    type IntoIter = std::slice::Iter<'a, ModelSpec>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.iter()
+    }
 }
 
 /// A service.
