--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -103,7 +103,7 @@
         Self {
             engines: BTreeMap::new(),
             pools: BTreeMap::new(),
-            demand: Demand::default(),
+            demand: Demand::new(policy.weights().trend),
             policy,
             census: Census::default(),
             homes: None,
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -84,8 +84,11 @@
 
     /// The average, or the trend where that is surely higher: less one standard error,
     /// so that two requests that happen to come together are no trend.
-    fn now(self, now: Instant) -> f64 {
+    fn now(self, now: Instant, trend: bool) -> f64 {
         let faded = self.fade(now);
+        if !trend {
+            return faded.per_s;
+        }
         let error = (faded.trend_per_s / (2.0 * TREND_TIME_S)).sqrt();
         faded.per_s.max(faded.trend_per_s - error)
     }
@@ -98,9 +101,19 @@
     /// Requests that wait for each model, with any adapter or none.
     waiters: HashMap<(ServiceName, ModelName), u32>,
     rates: BTreeMap<(ServiceName, ModelName), Rate>,
+    /// Whether the trend counts.
+    trend: bool,
 }
 
 impl Demand {
+    /// Nothing is asked for yet.
+    pub(super) fn new(trend: bool) -> Self {
+        Self {
+            trend,
+            ..Self::default()
+        }
+    }
+
     /// So many requests of an instance wait for a model or adapter now.
     pub(super) fn waits(&mut self, waiters: Waiters, now: Instant) {
         let Waiters {
@@ -211,7 +224,8 @@
     /// Requests a second for a model.
     pub(super) fn rate(&self, service: &ServiceName, model: &ModelName, now: Instant) -> f64 {
         let key = (service.clone(), model.clone());
-        self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
+        let rate = self.rates.get(&key);
+        rate.map_or(0.0, |rate| rate.now(now, self.trend))
     }
 
     /// Models that may be worth more than one replica.
@@ -222,7 +236,7 @@
         let busy = self
             .rates
             .iter()
-            .filter(move |(_, rate)| rate.now(now) >= BUSY_RATE_S);
+            .filter(move |(_, rate)| rate.now(now, self.trend) >= BUSY_RATE_S);
         busy.map(|((service, model), _)| (service, model))
     }
 }
--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -17,15 +17,39 @@
 /// Loads from the weight store that serve nobody yet, at one time: each keeps its
 /// engine from exchanging models.
 const PREFETCHES_AT_ONCE: usize = 2;
+/// Requests a second that one replica takes, for the policy that goes by them.
+const REQUESTS_PER_REPLICA_S: f64 = 6.0;
 /// A request waits at least this long for an engine that has its model nearer than the
 /// weight store.
 const HOME_PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// What counts in the worth of a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Weights {
+    /// Each waiting request, not just that some wait.
+    pub counts: bool,
+    /// The trend of the requests for a model, where it is above their average.
+    pub trend: bool,
+    /// How long requests have waited.
+    pub ageing: bool,
+}
+
+impl Weights {
+    const ALL: Self = Self {
+        counts: true,
+        trend: true,
+        ageing: true,
+    };
+}
+
 /// What is worth bringing to engines.
 pub trait PlacementPolicy: fmt::Debug + Send {
     /// Replicas that a model is worth, which is asked for `rate_s` times a second.
     fn replicas(&self, rate_s: f64, usage: Usage) -> usize;
 
+    /// What counts in the worth of a place.
+    fn weights(&self) -> Weights;
+
     /// Loads from the weight store that may run at one time although nobody waits for them.
     fn prefetches(&self) -> usize;
 
@@ -48,16 +72,31 @@
     NoHomes,
     /// As `balanced`, without prefetch.
     NoPrefetch,
+    /// As `balanced`, but a home is waited for 1.5 s, however long a fetch takes.
+    ShortHomes,
+    /// As `balanced`, with a replica for every six requests a second.
+    ByRate,
+    /// As `balanced`, but requests that wait for one model count as one.
+    NoCounts,
+    /// As `balanced`, without the trend of requests.
+    NoTrend,
+    /// As `balanced`, but a long wait counts no more than a short one.
+    NoAgeing,
 }
 
 impl PolicyName {
     /// All of them.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 10] = [
         Self::Balanced,
         Self::OnDemand,
         Self::FixedReplicas,
         Self::NoHomes,
         Self::NoPrefetch,
+        Self::ShortHomes,
+        Self::ByRate,
+        Self::NoCounts,
+        Self::NoTrend,
+        Self::NoAgeing,
     ];
 
     /// The name in settings and on command lines.
@@ -68,6 +107,11 @@
             Self::FixedReplicas => "fixed-replicas",
             Self::NoHomes => "no-homes",
             Self::NoPrefetch => "no-prefetch",
+            Self::ShortHomes => "short-homes",
+            Self::ByRate => "by-rate",
+            Self::NoCounts => "no-counts",
+            Self::NoTrend => "no-trend",
+            Self::NoAgeing => "no-ageing",
         }
     }
 
@@ -77,6 +121,7 @@
             replicas: Replicas::ByDemand,
             prefetches: PREFETCHES_AT_ONCE,
             homes: Homes::Wait,
+            weights: Weights::ALL,
         };
         Box::new(match self {
             Self::Balanced => balanced,
@@ -98,6 +143,22 @@
                 prefetches: 0,
                 ..balanced
             },
+            Self::ShortHomes => Parts {
+                homes: Homes::WaitShort,
+                ..balanced
+            },
+            Self::ByRate => Parts {
+                replicas: Replicas::ByRate,
+                ..balanced
+            },
+            Self::NoCounts | Self::NoTrend | Self::NoAgeing => Parts {
+                weights: Weights {
+                    counts: self != Self::NoCounts,
+                    trend: self != Self::NoTrend,
+                    ageing: self != Self::NoAgeing,
+                },
+                ..balanced
+            },
         })
     }
 }
@@ -124,6 +185,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Replicas {
     ByDemand,
+    ByRate,
     Fixed(usize),
 }
 
@@ -131,6 +193,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Homes {
     Wait,
+    WaitShort,
     Ignore,
 }
 
@@ -140,6 +203,7 @@
     replicas: Replicas,
     prefetches: usize,
     homes: Homes,
+    weights: Weights,
 }
 
 impl PlacementPolicy for Parts {
@@ -147,9 +211,14 @@
         match self.replicas {
             Replicas::Fixed(count) => count,
             Replicas::ByDemand => by_demand(rate_s, usage),
+            Replicas::ByRate => by_rate(rate_s),
         }
     }
 
+    fn weights(&self) -> Weights {
+        self.weights
+    }
+
     fn prefetches(&self) -> usize {
         self.prefetches
     }
@@ -160,11 +229,21 @@
     fn home_patience(&self, fetch_time: Duration) -> Duration {
         match self.homes {
             Homes::Wait => HOME_PATIENCE.max(fetch_time),
+            Homes::WaitShort => HOME_PATIENCE,
             Homes::Ignore => Duration::ZERO,
         }
     }
 }
 
+/// A replica for every so many requests a second; at least two for a model that is asked
+/// for often.
+fn by_rate(rate_s: f64) -> usize {
+    if rate_s < SPARE_RATE_S {
+        return 1;
+    }
+    at_least(rate_s / REQUESTS_PER_REPLICA_S).max(2)
+}
+
 /// Replicas that bear a model's requests; one for a model that is asked for seldom, at
 /// least two for any other. Runs and waiting requests say how many are needed whatever
 /// the model's pace and prompts: a fixed rate for each replica kept a third of all places
@@ -174,8 +253,12 @@
         return 1;
     }
     let runs = f64::from(usage.runs + usage.waiters);
-    let needed = (runs / (f64::from(usage.slots.max(1)) * SLOTS_PART)).ceil();
-    let mut replicas = 2;
+    at_least(runs / (f64::from(usage.slots.max(1)) * SLOTS_PART)).max(2)
+}
+
+/// The next whole number, one at least.
+fn at_least(needed: f64) -> usize {
+    let mut replicas = 1;
     while f64::from(u32::try_from(replicas).unwrap_or(u32::MAX)) < needed {
         replicas += 1;
     }
--- a/crates/serving/src/placement/worth.rs
+++ b/crates/serving/src/placement/worth.rs
@@ -81,9 +81,12 @@
             since: None,
         };
         if replicas == 0 {
+            let weights = self.policy.weights();
             let counts = waiting.iter().map(|waiting| {
+                let count = if weights.counts { waiting.count() } else { 1 };
                 let age = now.saturating_duration_since(waiting.since);
-                f64::from(waiting.count()) + age.as_secs_f64() / AGEING_S
+                let ageing = if weights.ageing { 1.0 / AGEING_S } else { 0.0 };
+                f64::from(count) + age.as_secs_f64() * ageing
             });
             let waiters: f64 = counts.sum();
             candidate.gain = rate * HORIZON_S + waiters;
