A new holder tells the instances that cannot learn of it from the store

Ruled out: more patience (the cut outlasts it), asking peers at random (nobody knows them). Change: a holder tells all who listen where each can be reached; a new one connects to those that have not come within 700 ms, for 10 s, and says that it holds the right. The word is believed only while the store does not answer, and only for a higher fencing number than any seen; it never makes an instance take the right.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -407,6 +407,8 @@
             | Body::Needs(_)
             | Body::Placements(_)
             | Body::Subscribe(_)
+            | Body::Members(_)
+            | Body::Successor(_)
             | Body::News(_)
             | Body::QueryAnswer(_) => {}
         }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -2,6 +2,7 @@
 //!
 //! Every instance runs this thread; it decides only while [`Right`] says so.
 
+use crate::members::{self, Addresses, Announcement};
 use crate::relay::{FEEDS, FeedLog, HEARTBEAT_PAUSE, Told};
 use crate::right::Right;
 use crate::shared::Shared;
@@ -10,9 +11,10 @@
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
+use passway_serving::tenure::Holder;
 use passway_serving::upstreams::{ModelWish, UpstreamEntry};
 use passway_types::prelude::*;
-use passway_wire::message::{EnginePlacement, Needs, News, Placements, Resident, Wish};
+use passway_wire::message::{EnginePlacement, Needs, News, Placements, Resident, Subscribe, Wish};
 use passway_wire::{Body, Link};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -33,8 +35,10 @@
     Disconnected(u64, Option<InstanceId>),
     /// What an instance needs.
     Needs(Needs),
-    /// An instance wants the store's news, of which it knows so much.
-    Subscribe(u64, Vec<u64>),
+    /// An instance wants the store's news.
+    Subscribe(u64, Subscribe),
+    /// Another instance holds the right to order.
+    Succeeded(Holder),
     /// The store's news of a feed.
     News(usize, Told),
     /// An upstream has said something of itself.
@@ -75,7 +79,8 @@
             shared.settings.placement.policy(),
         ),
         peers: BTreeMap::new(),
-        subscribers: BTreeSet::new(),
+        subscribers: BTreeMap::new(),
+        announcement: None,
         logs: Default::default(),
         heartbeat_at: Instant::now(),
         tell_at: Instant::now(),
@@ -102,7 +107,11 @@
                         instance = Some(InstanceId::from(needs.instance.as_str()));
                         Input::Needs(needs)
                     }
-                    Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe.known),
+                    Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe),
+                    Body::Successor(told) => match members::successor(&told) {
+                        Some(holder) => Input::Succeeded(holder),
+                        None => continue,
+                    },
                     _ => continue,
                 };
                 let _ = inputs.send(input);
@@ -119,8 +128,10 @@
     sender: Sender<Input>,
     planner: Planner,
     peers: BTreeMap<u64, Outbox>,
-    /// Instances that hear the store's news from here.
-    subscribers: BTreeSet<u64>,
+    /// Instances that hear the store's news from here, and where they listen.
+    subscribers: BTreeMap<u64, Option<(InstanceId, SocketAddr)>>,
+    /// What is left to tell of a term that has begun.
+    announcement: Option<Announcement>,
     logs: [FeedLog; FEEDS],
     heartbeat_at: Instant,
     /// When changed placements may be told again.
@@ -190,7 +201,8 @@
                 }
             }
             Input::Needs(needs) => self.needs(&needs, now),
-            Input::Subscribe(number, known) => self.subscribe(number, &known),
+            Input::Subscribe(number, subscribe) => self.subscribe(number, &subscribe),
+            Input::Succeeded(holder) => self.succeeded(&holder),
             Input::News(feed, told) => {
                 if let Some(news) = self.logs[feed].add(feed, &told) {
                     self.pass_on(&news);
@@ -213,7 +225,7 @@
     }
 
     /// Tells an instance what it lacks, and from now on what comes.
-    fn subscribe(&mut self, number: u64, known: &[u64]) {
+    fn subscribe(&mut self, number: u64, subscribe: &Subscribe) {
         if self.fence.is_none() {
             return;
         }
@@ -221,17 +233,54 @@
             return;
         };
         for (feed, log) in self.logs.iter().enumerate() {
-            let known = known.get(feed).copied().unwrap_or(0);
+            let known = subscribe.known.get(feed).copied().unwrap_or(0);
             if let Some(news) = log.after(feed, known) {
                 outbox.send(Body::News(news));
             }
         }
         outbox.send(Body::News(News::default()));
-        self.subscribers.insert(number);
+        let address = subscribe.address.parse().ok();
+        let member = address.map(|address| (subscribe.instance.as_str().into(), address));
+        self.subscribers.insert(number, member);
+        self.tell_members(number);
+    }
+
+    /// Where those can be reached that listen here, and this instance itself.
+    fn members(&self) -> Addresses {
+        let settings = &self.shared.settings;
+        let me = (settings.instance.clone(), settings.peer_address);
+        let others = self.subscribers.values().flatten().cloned();
+        others.chain([me]).collect()
+    }
+
+    /// Tells who listens: one that has just come, and all if it was not known. One that
+    /// went may come back, and stays known until a holder after this one does not know it.
+    fn tell_members(&self, newcomer: u64) {
+        let mut known = self.shared.members();
+        let before = known.len();
+        known.extend(self.members());
+        let has_grown = known.len() > before;
+        let body = members::encode(&known);
+        drop(known);
+        for number in self.subscribers.keys() {
+            if (has_grown || *number == newcomer)
+                && let Some(outbox) = self.peers.get(number)
+            {
+                outbox.send(body.clone());
+            }
+        }
+    }
+
+    /// Another instance says that it holds the right. Believed only while the store does
+    /// not answer: it tells better.
+    fn succeeded(&self, holder: &Holder) {
+        if self.shared.store_health.is_failing() && self.right.told(holder.clone()) {
+            log::info!(holder:% = holder.instance, fence = holder.fence; "heard of a new holder");
+        }
     }
 
     fn pass_on(&self, news: &News) {
-        for number in &self.subscribers {
+        for number in self.subscribers.keys() {
             if let Some(outbox) = self.peers.get(number) {
                 outbox.send(Body::News(news.clone()));
             }
@@ -256,6 +305,15 @@
         }
     }
 
+    /// Tells those of the term that has begun who have not come by themselves.
+    fn announce(&mut self, now: Instant) {
+        let Some(mut announcement) = self.announcement.take() else {
+            return;
+        };
+        let is_over = announcement.go_on(&self.shared, &self.members(), now);
+        self.announcement = (!is_over).then_some(announcement);
+    }
+
     fn needs(&mut self, needs: &Needs, now: Instant) {
         for waiting in &needs.waiting {
             let (service, wanted) = wish(waiting);
@@ -295,11 +353,12 @@
         if fence != self.fence {
             self.fence = fence;
             // Whoever heard the news from here asks the store now.
-            for number in std::mem::take(&mut self.subscribers) {
+            for number in std::mem::take(&mut self.subscribers).into_keys() {
                 if let Some(outbox) = self.peers.remove(&number) {
                     outbox.close();
                 }
             }
+            self.announcement = fence.map(|fence| Announcement::begin(fence, Instant::now()));
             if fence.is_some() {
                 self.planner.begin_term(Instant::now());
             }
@@ -309,6 +368,7 @@
         };
         let now = Instant::now();
         self.beat(now);
+        self.announce(now);
         for action in self.planner.decide(now) {
             self.act(action, fence);
         }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod holder;
 pub mod http1;
 pub mod lifecycle;
+pub mod members;
 pub mod metrics;
 pub mod pool;
 pub mod ready;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result};
 use crossbeam::channel;
 use passway_serving::ports::{Directory, Engines, InstanceSettings, SharedStore, Vocabulary};
+use passway_serving::tenure::Holder;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -119,6 +120,16 @@
         self.right.fence()
     }
 
+    /// Who holds the right to order, as far as this instance knows.
+    pub fn holder(&self) -> Option<Holder> {
+        self.right.holder()
+    }
+
+    /// Instances that it could announce a term to, itself among them.
+    pub fn known_members(&self) -> usize {
+        self.shared.members().len()
+    }
+
     /// The configuration's version in force.
     pub fn version(&self) -> Option<Revision> {
         self.shared
--- /dev/null
+++ b/crates/instance/src/members.rs
@@ -0,0 +1,117 @@
+//! Instances that are known from the holder of the right to order, and how a new holder
+//! reaches those that cannot learn of it from the store.
+//!
+//! An instance that is cut off from the store follows the holder for as long as that holds
+//! the right. When the right goes to another one it cannot learn so: it goes on by what it
+//! knew, its needs reach nobody, and requests for models that stand nowhere are refused (on
+//! a calm day with such a cut of 7 s, all of the day's refusals). So a holder tells all who
+//! listen where each of them can be reached, and a new one connects to those that have not
+//! come by themselves.
+
+use crate::shared::Shared;
+use passway_process::dial::{Dialed, Dialer};
+use passway_process::outbox::Outbox;
+use passway_serving::tenure::Holder;
+use passway_types::prelude::*;
+use passway_wire::Body;
+use passway_wire::message::{Member, Members, Successor};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Instances that reach the store have come by then: they hear of the new holder at once and
+/// connect within a retry of their dialers.
+const COMING_TIME: Duration = Duration::from_millis(700);
+/// For so long a new holder tries to reach the others; a cut of the store lasts some seconds.
+const ANNOUNCING_TIME: Duration = Duration::from_secs(10);
+
+/// Where instances listen for others, by name.
+pub type Addresses = BTreeMap<InstanceId, SocketAddr>;
+
+/// The addresses that a message tells; those that cannot be read are left out.
+pub fn decode(members: &Members) -> Addresses {
+    let addresses = members.members.iter().filter_map(|member| {
+        let address = member.address.parse().ok()?;
+        Some((InstanceId::from(member.instance.as_str()), address))
+    });
+    addresses.collect()
+}
+
+/// The message that tells addresses.
+pub fn encode(addresses: &Addresses) -> Body {
+    let members = addresses.iter().map(|(instance, address)| Member {
+        instance: instance.to_string(),
+        address: address.to_string(),
+    });
+    Body::Members(Members {
+        members: members.collect(),
+    })
+}
+
+/// The holder that a message names.
+pub fn successor(told: &Successor) -> Option<Holder> {
+    Some(Holder {
+        instance: told.instance.as_str().into(),
+        address: told.address.parse().ok()?,
+        fence: told.fence,
+    })
+}
+
+/// The words of a new holder to those that have not come by themselves.
+#[derive(Debug)]
+pub struct Announcement {
+    fence: Fence,
+    begun_at: Instant,
+    /// Connections to those that did not come; dropped when they have.
+    dialers: BTreeMap<InstanceId, Dialer>,
+}
+
+impl Announcement {
+    /// A term begins.
+    pub fn begin(fence: Fence, now: Instant) -> Self {
+        Self {
+            fence,
+            begun_at: now,
+            dialers: BTreeMap::new(),
+        }
+    }
+
+    /// Connects to members that are not among those that have come; whether it is over.
+    pub fn go_on(&mut self, shared: &Shared, come: &Addresses, now: Instant) -> bool {
+        if now < self.begun_at + COMING_TIME {
+            return false;
+        }
+        if now >= self.begun_at + ANNOUNCING_TIME {
+            return true;
+        }
+        let me = &shared.settings.instance;
+        let known = shared.members();
+        let missing: Addresses = known
+            .iter()
+            .filter(|(name, _)| *name != me && !come.contains_key(*name))
+            .map(|(name, address)| (name.clone(), *address))
+            .collect();
+        drop(known);
+        self.dialers.retain(|name, _| missing.contains_key(name));
+        for (name, address) in missing {
+            let word = Body::Successor(Successor {
+                instance: me.to_string(),
+                address: shared.settings.peer_address.to_string(),
+                fence: self.fence,
+            });
+            let dialer = self.dialers.entry(name);
+            dialer.or_insert_with(|| {
+                let mut connection: Option<Outbox> = None;
+                Dialer::start(address, move |dialed| match dialed {
+                    Dialed::Connected(outbox) => {
+                        outbox.send(word.clone());
+                        // Kept open until it was read.
+                        connection.replace(outbox);
+                    }
+                    Dialed::Disconnected => drop(connection.take()),
+                    Dialed::Received(_) => {}
+                })
+            });
+        }
+        self.dialers.is_empty()
+    }
+}
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,5 +1,6 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
+use crate::members;
 use crate::relay::Relay;
 use crate::right::Right;
 use crate::shared::{Need, Shared};
@@ -198,6 +199,10 @@
                     }
                     relay.heard(news);
                 }
+                Dialed::Received(Body::Members(told)) => {
+                    drop(link);
+                    *shared.members() = members::decode(&told);
+                }
                 Dialed::Received(Body::Placements(placements)) => {
                     drop(link);
                     placed(&shared, placements.engines);
@@ -223,6 +228,8 @@
         };
         outbox.send(Body::Subscribe(Subscribe {
             known: known.to_vec(),
+            instance: self.shared.settings.instance.to_string(),
+            address: self.shared.settings.peer_address.to_string(),
         }));
         self.subscribed_at = Some(Instant::now());
     }
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -114,6 +114,13 @@
         self.tenure().holder().cloned()
     }
 
+    /// Another instance says that it holds the right; whether that is news.
+    pub fn told(&self, holder: Holder) -> bool {
+        let is_news = self.tenure().told(holder);
+        self.changed.notify_all();
+        is_news
+    }
+
     /// My fencing number, if I may give an order now.
     pub fn fence(&self) -> Option<Fence> {
         self.tenure().fence(Instant::now())
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the threads of an instance share.
 
 use crate::health::StoreHealth;
+use crate::members::Addresses;
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -62,6 +63,7 @@
     upstreams: Mutex<UpstreamTable>,
     upstreams_changed: Condvar,
     retries: Mutex<RetryBudget>,
+    members: Mutex<Addresses>,
     upstreams_listed: AtomicBool,
     stopping: AtomicBool,
     /// Requests are not taken any more: the balancer has had time to notice the stop.
@@ -100,6 +102,7 @@
             upstreams: Mutex::new(upstreams),
             upstreams_changed: Condvar::new(),
             retries: Mutex::new(retries),
+            members: Mutex::new(Addresses::new()),
             upstreams_listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -134,6 +137,11 @@
         lock(&self.retries)
     }
 
+    /// Instances that the holder of the right to order knows, and where they listen.
+    pub fn members(&self) -> MutexGuard<'_, Addresses> {
+        lock(&self.members)
+    }
+
     /// Uses bounds that have changed.
     pub fn use_bounds(&self, bounds: InstanceBounds) {
         if **self.bounds.load() == bounds {
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -132,6 +132,8 @@
     /// Whether the key was read at all.
     is_known: bool,
     holder: Option<Holder>,
+    /// The highest fencing number that was seen: an older holder is gone for good.
+    highest: Fence,
     recent: RecentHolders,
     /// Whether this process knows that nobody else ordered after its last term.
     held_last: bool,
@@ -149,6 +151,7 @@
             stage: Stage::Watching,
             is_known: false,
             holder: None,
+            highest: 0,
             recent: RecentHolders::default(),
             held_last: false,
             quiet_since: now,
@@ -189,9 +192,23 @@
     /// The key was read, or has changed.
     pub fn seen(&mut self, holder: Option<Holder>) {
         self.is_known = true;
+        let fence = holder.as_ref().map_or(0, |holder| holder.fence);
+        self.highest = self.highest.max(fence);
         self.holder = holder;
     }
 
+    /// Another instance says that it holds the right, while the store does not answer;
+    /// whether that is news. It only tells whom to follow: this instance takes the right by
+    /// the store's word alone.
+    pub fn told(&mut self, holder: Holder) -> bool {
+        if holder.fence <= self.highest || holder.instance == self.me {
+            return false;
+        }
+        self.highest = holder.fence;
+        self.holder = Some(holder);
+        true
+    }
+
     /// The list of who has held the right lately was read, or has changed.
     pub fn seen_recent(&mut self, recent: RecentHolders) {
         // A list that was read may be older than a change that was heard.
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -132,6 +132,25 @@
     found.map(|(_, value)| value.to_owned()).unwrap_or_default()
 }
 
+/// One way to the store, whose calls alone can be refused.
+#[derive(Debug)]
+pub struct StoreWay {
+    address: SocketAddr,
+    faults: Arc<Mutex<Faults>>,
+}
+
+impl StoreWay {
+    /// Where it is served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells this way what to do wrong from now on; of the faults only refusals count here.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+}
+
 impl MetadataStandIn {
     /// Serves on a port that the kernel chooses.
     pub fn serve(&self) -> SocketAddr {
@@ -140,6 +159,19 @@
         serve(any, move |request| store.answer(&request))
     }
 
+    /// Serves on a port that the kernel chooses, with faults of this way to it alone.
+    pub fn serve_way(&self) -> StoreWay {
+        let store = self.clone();
+        let faults: Arc<Mutex<Faults>> = Arc::default();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let here = faults.clone();
+        let address = serve(any, move |request| {
+            let refuses = here.lock().unwrap_or_else(PoisonError::into_inner).refuses;
+            refuses.map_or_else(|| store.answer(&request), |status| answer(status, ""))
+        });
+        StoreWay { address, faults }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,7 @@
     /// What it carries; `None` comes from a newer program and is ignored.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub body: Option<Body>,
 }
@@ -64,6 +64,12 @@
     /// What the store told the holder.
     #[prost(message, tag = "16")]
     News(News),
+    /// Where the instances that listen to the holder can be reached.
+    #[prost(message, tag = "17")]
+    Members(Members),
+    /// Who holds the right to order now.
+    #[prost(message, tag = "18")]
+    Successor(Successor),
 }
 
 /// An instance asks for the store's news.
@@ -72,6 +78,45 @@
     /// What it knows of each feed: the store's revision, 0 for nothing; in the order of feeds.
     #[prost(uint64, repeated, tag = "1")]
     pub known: Vec<u64>,
+    /// Its name.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Where it listens for other instances.
+    #[prost(string, tag = "3")]
+    pub address: String,
+}
+
+/// An instance and where it listens for others.
+#[derive(Clone, PartialEq, Message)]
+pub struct Member {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// The address.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
+/// The instances that listen to the holder of the right to order, and itself.
+#[derive(Clone, PartialEq, Message)]
+pub struct Members {
+    /// All of them.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<Member>,
+}
+
+/// A new holder of the right to order says so to an instance that may not know it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Successor {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Where it listens for other instances.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Its fencing number.
+    #[prost(uint64, tag = "3")]
+    pub fence: u64,
 }
 
 /// A value of the store.
--- /dev/null
+++ b/tests/all/holder_heard.rs
@@ -0,0 +1,84 @@
+//! An instance that is cut off from the store hears of a new holder from that holder.
+
+use crate::site::{self, until};
+use passway_serving::tenure::{Holder, Tenure, TenureLimits};
+use passway_standins::platform::store::Faults;
+use passway_types::prelude::*;
+
+fn holder(name: &str, fence: Fence) -> Holder {
+    Holder {
+        instance: name.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        fence,
+    }
+}
+
+fn tenure() -> Tenure {
+    let limits = TenureLimits {
+        lease: Duration::from_millis(1_200),
+        gap: Duration::from_secs(1),
+        is_weak: false,
+    };
+    Tenure::new("one".into(), limits, Instant::now())
+}
+
+#[test]
+fn only_newer_believed() {
+    let mut tenure = tenure();
+    tenure.seen(Some(holder("two", 5)));
+    assert!(!tenure.told(holder("three", 4)), "an older term");
+    assert!(!tenure.told(holder("two", 5)), "no news");
+    assert!(!tenure.told(holder("one", 9)), "nobody else speaks for me");
+    assert!(tenure.told(holder("three", 6)));
+    assert_eq!(tenure.holder().map(|h| h.fence), Some(6));
+    // The store tells that it is gone; a word that comes late changes nothing.
+    tenure.seen(None);
+    assert!(!tenure.told(holder("three", 6)));
+    assert_eq!(tenure.holder(), None);
+}
+
+/// The right changes hands while one instance reaches the others and not the store.
+#[test]
+fn cut_instance_follows() {
+    let store = site::store(&["m0"]);
+    let ways = [store.serve_way(), store.serve_way(), store.serve_way()];
+    let names = ["one", "two", "three"];
+    let instances = names.iter().zip(&ways);
+    let instances: Vec<_> = instances
+        .map(|(name, way)| site::start_at(name, way.address()))
+        .collect();
+    for instance in &instances {
+        until("readiness", || instance.is_ready());
+    }
+    let holds = |number: &usize| instances[*number].fence().is_some();
+    let mut first = None;
+    until("a holder", || {
+        first = (0..3).find(holds);
+        first.is_some()
+    });
+    let first = first.expect("a holder");
+    let cut = (first + 1) % 3;
+    until("all members known", || {
+        instances
+            .iter()
+            .all(|instance| instance.known_members() == 3)
+    });
+    ways[cut].set_faults(Faults {
+        refuses: Some(503),
+        ..Faults::default()
+    });
+    // The holder loses the store as well, and with it the right.
+    ways[first].set_faults(Faults {
+        refuses: Some(503),
+        ..Faults::default()
+    });
+    let last = 3 - first - cut;
+    until("a successor", || holds(&last));
+    let fence = instances[last].fence();
+    for number in [cut, first] {
+        until("the word of it", || {
+            let heard = instances[number].holder();
+            heard.map(|holder| holder.fence) == fence
+        });
+    }
+}
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -110,7 +110,11 @@
 
 /// Starts an instance without waiting for it.
 pub fn start(name: &str, store: &MetadataStandIn) -> Instance {
-    let address = store.serve();
+    start_at(name, store.serve())
+}
+
+/// Starts an instance that reaches the store at an address.
+pub fn start_at(name: &str, address: SocketAddr) -> Instance {
     let surroundings = Surroundings {
         store: Arc::new(MetadataStore::new(address)),
         directory: Arc::new(PlatformDirectory),
