--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -103,7 +103,7 @@
         Self {
             engines: BTreeMap::new(),
             pools: BTreeMap::new(),
-            demand: Demand::new(policy.weights().trend),
+            demand: Demand::default(),
             policy,
             census: Census::default(),
             homes: None,
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -7,9 +7,6 @@
 /// Time over which requests are averaged, in seconds: long enough to see a rare
 /// model twice, short enough to follow demand that moves within some seconds.
 const RATE_TIME_S: f64 = 4.0;
-/// The same for the trend: demand moves on to another model within 4 to 6 s, and its
-/// replicas take half a second each to come.
-const TREND_TIME_S: f64 = 1.0;
 /// Models asked for less often are worth one replica whatever the policy.
 const BUSY_RATE_S: f64 = 0.5;
 
@@ -67,30 +64,13 @@
 #[derive(Debug, Clone, Copy)]
 struct Rate {
     per_s: f64,
-    /// The same over a shorter time.
-    trend_per_s: f64,
     at: Instant,
 }
 
 impl Rate {
-    fn fade(self, now: Instant) -> Self {
+    fn now(self, now: Instant) -> f64 {
         let quiet_s = now.saturating_duration_since(self.at).as_secs_f64();
-        Self {
-            per_s: self.per_s * (-quiet_s / RATE_TIME_S).exp(),
-            trend_per_s: self.trend_per_s * (-quiet_s / TREND_TIME_S).exp(),
-            at: now,
-        }
-    }
-
-    /// The average, or the trend where that is surely higher: less one standard error,
-    /// so that two requests that happen to come together are no trend.
-    fn now(self, now: Instant, trend: bool) -> f64 {
-        let faded = self.fade(now);
-        if !trend {
-            return faded.per_s;
-        }
-        let error = (faded.trend_per_s / (2.0 * TREND_TIME_S)).sqrt();
-        faded.per_s.max(faded.trend_per_s - error)
+        self.per_s * (-quiet_s / RATE_TIME_S).exp()
     }
 }
 
@@ -101,19 +81,9 @@
     /// Requests that wait for each model, with any adapter or none.
     waiters: HashMap<(ServiceName, ModelName), u32>,
     rates: BTreeMap<(ServiceName, ModelName), Rate>,
-    /// Whether the trend counts.
-    trend: bool,
 }
 
 impl Demand {
-    /// Nothing is asked for yet.
-    pub(super) fn new(trend: bool) -> Self {
-        Self {
-            trend,
-            ..Self::default()
-        }
-    }
-
     /// So many requests of an instance wait for a model or adapter now.
     pub(super) fn waits(&mut self, waiters: Waiters, now: Instant) {
         let Waiters {
@@ -207,25 +177,18 @@
         now: Instant,
     ) {
         let key = (service.clone(), wish.model.clone());
-        let known = self.rates.get(&key);
-        let mut rate = known.map_or(
-            Rate {
-                per_s: 0.0,
-                trend_per_s: 0.0,
-                at: now,
-            },
-            |rate| rate.fade(now),
-        );
-        rate.per_s += f64::from(count) / RATE_TIME_S;
-        rate.trend_per_s += f64::from(count) / TREND_TIME_S;
-        self.rates.insert(key, rate);
+        let rate = self.rates.entry(key).or_insert(Rate {
+            per_s: 0.0,
+            at: now,
+        });
+        rate.per_s = rate.now(now) + f64::from(count) / RATE_TIME_S;
+        rate.at = now;
     }
 
     /// Requests a second for a model.
     pub(super) fn rate(&self, service: &ServiceName, model: &ModelName, now: Instant) -> f64 {
         let key = (service.clone(), model.clone());
-        let rate = self.rates.get(&key);
-        rate.map_or(0.0, |rate| rate.now(now, self.trend))
+        self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
     }
 
     /// Models that may be worth more than one replica.
@@ -236,7 +199,7 @@
         let busy = self
             .rates
             .iter()
-            .filter(move |(_, rate)| rate.now(now, self.trend) >= BUSY_RATE_S);
+            .filter(move |(_, rate)| rate.now(now) >= BUSY_RATE_S);
         busy.map(|((service, model), _)| (service, model))
     }
 }
--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -28,8 +28,6 @@
 pub struct Weights {
     /// Each waiting request, not just that some wait.
     pub counts: bool,
-    /// The trend of the requests for a model, where it is above their average.
-    pub trend: bool,
     /// How long requests have waited.
     pub ageing: bool,
 }
@@ -37,7 +35,6 @@
 impl Weights {
     const ALL: Self = Self {
         counts: true,
-        trend: true,
         ageing: true,
     };
 }
@@ -78,15 +75,13 @@
     ByRate,
     /// As `balanced`, but requests that wait for one model count as one.
     NoCounts,
-    /// As `balanced`, without the trend of requests.
-    NoTrend,
     /// As `balanced`, but a long wait counts no more than a short one.
     NoAgeing,
 }
 
 impl PolicyName {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 9] = [
         Self::Balanced,
         Self::OnDemand,
         Self::FixedReplicas,
@@ -95,7 +90,6 @@
         Self::ShortHomes,
         Self::ByRate,
         Self::NoCounts,
-        Self::NoTrend,
         Self::NoAgeing,
     ];
 
@@ -110,7 +104,6 @@
             Self::ShortHomes => "short-homes",
             Self::ByRate => "by-rate",
             Self::NoCounts => "no-counts",
-            Self::NoTrend => "no-trend",
             Self::NoAgeing => "no-ageing",
         }
     }
@@ -151,10 +144,9 @@
                 replicas: Replicas::ByRate,
                 ..balanced
             },
-            Self::NoCounts | Self::NoTrend | Self::NoAgeing => Parts {
+            Self::NoCounts | Self::NoAgeing => Parts {
                 weights: Weights {
                     counts: self != Self::NoCounts,
-                    trend: self != Self::NoTrend,
                     ageing: self != Self::NoAgeing,
                 },
                 ..balanced
