--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -3,7 +3,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use passway_serving::placement::Waiters;
 use passway_serving::placement::policy::PolicyName;
-use passway_serving::upstreams::ModelWish;
+use passway_serving::upstreams::ModelRef;
 use passway_standins::fleet_model::{self, FleetSize, warm_planner};
 use passway_standins::sizes::{SIZES, WarmRouter};
 use std::time::{Duration, Instant};
@@ -26,7 +26,7 @@
         let begun_at = Instant::now();
         let mut planner = warm_planner(&size, PolicyName::Balanced, begun_at);
         let service = FleetSize::service();
-        let wish = ModelWish {
+        let wish = ModelRef {
             model: FleetSize::model(size.models - 1),
             adapter: None,
         };
@@ -54,7 +54,7 @@
             bencher.iter(|| {
                 now += Duration::from_millis(1);
                 number = (number + 7) % size.models;
-                let wish = ModelWish {
+                let wish = ModelRef {
                     model: FleetSize::model(number),
                     adapter: None,
                 };
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -15,7 +15,7 @@
 use passway_serving::hash::fnv1a;
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
-use passway_serving::upstreams::{Choice, ModelWish, Outcome};
+use passway_serving::upstreams::{Choice, ModelRef, Outcome};
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -112,12 +112,12 @@
     delivered: Delivered,
     tried: Vec<UpstreamId>,
     runs: u32,
-    story: Story,
+    record: RequestRecord,
 }
 
 /// What the line about the request's end tells beside its facts.
 #[derive(Debug, Default)]
-struct Story {
+struct RequestRecord {
     /// Times that it was offered to an upstream.
     offers: u32,
     /// The last of them.
@@ -199,7 +199,7 @@
         delivered: Delivered::default(),
         tried: Vec::new(),
         runs: 0,
-        story: Story::default(),
+        record: RequestRecord::default(),
     }
     .serve()
 }
@@ -265,20 +265,20 @@
 }
 
 impl Forwarding<'_> {
-    fn wish(&self) -> Option<&ModelWish> {
+    fn wish(&self) -> Option<&ModelRef> {
         self.facts.wish.as_ref().filter(|_| self.is_engine)
     }
 
     /// Serves the request and says how it ended.
     fn serve(mut self) -> After {
         let after = self.run();
-        let story = &self.story;
+        let record = &self.record;
         let metrics = &self.shared.metrics;
-        metrics.ended(story.end, story.status);
-        if let Some(first_ms) = story.first_ms {
+        metrics.ended(record.end, record.status);
+        if let Some(first_ms) = record.first_ms {
             metrics.first_byte(Duration::from_millis(first_ms));
         }
-        if let Some(waited_ms) = story.waited_ms.filter(|_| self.is_engine) {
+        if let Some(waited_ms) = record.waited_ms.filter(|_| self.is_engine) {
             metrics.model_wait(Duration::from_millis(waited_ms));
         }
         let table = self.shared.routes.load();
@@ -287,9 +287,9 @@
         log::info!(target: REQUEST_TARGET, request = self.facts.id, route:% = self.route.name,
             service:% = self.service, model:% = wish.map_or("", |wish| &wish.model),
             adapter:% = wish.and_then(|wish| wish.adapter.as_deref()).unwrap_or(""),
-            upstream:% = story.upstream.as_deref().unwrap_or(""), offers = story.offers,
-            runs = self.runs, status = story.status, end = story.end,
-            waited_ms = story.waited_ms.unwrap_or(0), first_ms = story.first_ms.unwrap_or(0),
+            upstream:% = record.upstream.as_deref().unwrap_or(""), offers = record.offers,
+            runs = self.runs, status = record.status, end = record.end,
+            waited_ms = record.waited_ms.unwrap_or(0), first_ms = record.first_ms.unwrap_or(0),
             took_ms = self.held_ms(), config_version = version;
             "request ended");
         after
@@ -312,17 +312,17 @@
                 return self.give_up(failed);
             }
             self.tried.push(target.id.clone());
-            self.story.offers += 1;
-            self.story.upstream = Some(target.id.clone());
+            self.record.offers += 1;
+            self.record.upstream = Some(target.id.clone());
             let waited_ms = self.held_ms();
-            self.story.waited_ms.get_or_insert(waited_ms);
+            self.record.waited_ms.get_or_insert(waited_ms);
             let attempt = self.attempt(&target);
             self.shared.metrics.attempt(attempt.name());
             log::debug!(request = self.facts.id, upstream:% = target.id, offer = offer; "{}", attempt.name());
             match attempt {
                 Attempt::Answered(after) => return after,
                 Attempt::CallerGone => {
-                    self.story.end = "caller gone";
+                    self.record.end = "caller gone";
                     return After::Close;
                 }
                 Attempt::TimedOut => {
@@ -368,7 +368,7 @@
     fn give_up(&mut self, failed: Option<Box<FailedAnswer>>) -> After {
         if self.delivered.head_sent {
             // A stream that breaks off must not look whole.
-            self.story.end = "stream broken off";
+            self.record.end = "stream broken off";
             return After::Close;
         }
         if let Some(failed) = failed {
@@ -381,8 +381,8 @@
         } else {
             Refusal::AnswerLost
         };
-        self.story.status = refusal.code();
-        self.story.end = "refused";
+        self.record.status = refusal.code();
+        self.record.end = "refused";
         let vocabulary = &*self.shared.vocabulary;
         let close = self.close_after;
         let done = reply::refuse(self.caller, vocabulary, &self.facts.id, refusal, close);
@@ -466,11 +466,11 @@
 struct ToldWait<'a> {
     shared: &'a Shared,
     service: ServiceName,
-    wish: ModelWish,
+    wish: ModelRef,
 }
 
 impl<'a> ToldWait<'a> {
-    fn begin(shared: &'a Shared, service: &ServiceName, wish: &ModelWish, until: Instant) -> Self {
+    fn begin(shared: &'a Shared, service: &ServiceName, wish: &ModelRef, until: Instant) -> Self {
         shared.tell(Need::Waits {
             service: service.clone(),
             wish: wish.clone(),
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -279,7 +279,7 @@
 
     fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
         let first_ms = self.held_ms();
-        self.story.first_ms.get_or_insert(first_ms);
+        self.record.first_ms.get_or_insert(first_ms);
         // A ready answer is delivered, late too.
         let until = self.deadline_at.max(Instant::now() + WRITE_TIME);
         http1::write_all(self.caller, bytes, false, None, until)?;
@@ -297,8 +297,8 @@
         if !bodyless {
             bytes.extend_from_slice(body);
         }
-        self.story.status = head.status;
-        self.story.end = "answered";
+        self.record.status = head.status;
+        self.record.end = "answered";
         let written = self.write(&bytes);
         after(written.is_ok() && !self.close_after)
     }
@@ -329,13 +329,13 @@
             let out = self.framed(std::mem::take(&mut opening), &events, ended);
             if !out.is_empty() {
                 self.delivered.head_sent = true;
-                self.story.status = head.status;
+                self.record.status = head.status;
                 if self.write(&out).is_err() {
                     return Attempt::CallerGone;
                 }
             }
             if ended {
-                self.story.end = "answered";
+                self.record.end = "answered";
                 self.keep(target, upstream, head, &body);
                 let keep = self.delivered.chunked && !self.close_after;
                 return Attempt::Answered(after(keep));
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -9,10 +9,10 @@
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use passway_process::outbox::Outbox;
-use passway_serving::placement::{Action, Placement, PlannedOrder, Planner, Waiters};
+use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
 use passway_serving::tenure::Holder;
-use passway_serving::upstreams::{ModelWish, UpstreamEntry};
+use passway_serving::upstreams::{ModelRef, UpstreamEntry};
 use passway_types::prelude::*;
 use passway_wire::message::{EnginePlacement, Needs, News, Placements, Resident, Subscribe, Wish};
 use passway_wire::{Body, Link};
@@ -140,9 +140,9 @@
     version: Option<Revision>,
 }
 
-fn wish(wish: &Wish) -> (ServiceName, ModelWish) {
+fn wish(wish: &Wish) -> (ServiceName, ModelRef) {
     let adapter = Some(wish.adapter.as_str()).filter(|name| !name.is_empty());
-    let wanted = ModelWish {
+    let wanted = ModelRef {
         model: wish.model.as_str().into(),
         adapter: adapter.map(Into::into),
     };
@@ -330,9 +330,10 @@
             let (service, wanted) = wish(taken);
             self.planner.taken(&service, &wanted, taken.count, now);
         }
-        let running = needs.running.iter().map(|running| {
-            let engine = running.engine.as_str().into();
-            (engine, running.model.as_str().into(), running.count)
+        let running = needs.running.iter().map(|running| ModelRuns {
+            engine: running.engine.as_str().into(),
+            model: running.model.as_str().into(),
+            count: running.count,
         });
         let running: Vec<_> = running.collect();
         let instance = InstanceId::from(needs.instance.as_str());
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -8,7 +8,7 @@
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
 use passway_serving::tenure::Holder;
-use passway_serving::upstreams::{ModelWish, ResidentModel};
+use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{EnginePlacement, Needs, Running, Subscribe, Wish};
@@ -77,7 +77,7 @@
     until: Instant,
 }
 
-fn key(service: ServiceName, wish: ModelWish) -> WishKey {
+fn key(service: ServiceName, wish: ModelRef) -> WishKey {
     (service, wish.model, wish.adapter)
 }
 
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -9,7 +9,7 @@
 use passway_serving::ports::{InstanceBounds, InstanceSettings, Vocabulary};
 use passway_serving::retry::RetryBudget;
 use passway_serving::routes::RouteTable;
-use passway_serving::upstreams::{ModelWish, UpstreamTable};
+use passway_serving::upstreams::{ModelRef, UpstreamTable};
 use passway_types::prelude::*;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -23,7 +23,7 @@
         /// The service.
         service: ServiceName,
         /// What it needs.
-        wish: ModelWish,
+        wish: ModelRef,
         /// When it is of no use any more.
         until: Instant,
     },
@@ -32,14 +32,14 @@
         /// The service.
         service: ServiceName,
         /// What it waited for.
-        wish: ModelWish,
+        wish: ModelRef,
     },
     /// A request for a model was taken, whether it waits or not.
     Taken {
         /// The service.
         service: ServiceName,
         /// What it needs.
-        wish: ModelWish,
+        wish: ModelRef,
     },
 }
 
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -18,7 +18,7 @@
 
 use crate::ports::{EngineReport, OrderAction, OrderAnswer};
 use crate::routes::{EnginePool, RouteTable};
-use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use ceiling::StoreLoads;
 pub use ceiling::USUAL_LOAD_WINDOW;
 use census::Census;
@@ -48,11 +48,22 @@
     /// Load or unload.
     pub action: OrderAction,
     /// What.
-    pub wish: ModelWish,
+    pub wish: ModelRef,
     /// The count of orders that it must have taken.
     pub expected_orders: u64,
 }
 
+/// Requests for a model that run on an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelRuns {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// The model.
+    pub model: ModelName,
+    /// How many there are.
+    pub count: u32,
+}
+
 /// What the holder is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -169,18 +180,18 @@
     }
 
     /// An instance took so many requests for a model or adapter.
-    pub fn taken(&mut self, service: &ServiceName, wish: &ModelWish, count: u32, now: Instant) {
+    pub fn taken(&mut self, service: &ServiceName, wish: &ModelRef, count: u32, now: Instant) {
         self.demand.taken(service, wish, count, now);
         for engine in self.engines.values_mut() {
             engine.used(wish, now);
         }
     }
 
-    /// What runs of an instance's requests, by engine and model.
-    pub fn running(&mut self, instance: &InstanceId, runs: &[(UpstreamId, ModelName, u32)]) {
+    /// What runs of an instance's requests.
+    pub fn running(&mut self, instance: &InstanceId, runs: &[ModelRuns]) {
         for (id, engine) in &mut self.engines {
-            let here = runs.iter().filter(|(engine, ..)| engine == id);
-            let here = here.map(|(_, model, count)| (model.clone(), *count));
+            let here = runs.iter().filter(|runs| runs.engine == *id);
+            let here = here.map(|runs| (runs.model.clone(), runs.count));
             engine.set_running(instance, here.collect());
         }
     }
--- a/crates/serving/src/placement/bring.rs
+++ b/crates/serving/src/placement/bring.rs
@@ -19,7 +19,7 @@
 
 /// A way to bring a model to an engine.
 #[derive(Debug)]
-struct Exchange {
+struct Swap {
     engine: UpstreamId,
     /// Models that make room for it.
     victims: Vec<ModelName>,
@@ -119,23 +119,18 @@
 
     /// Begins to bring a model to the engine where that costs least, if it is worth it.
     fn place_model(&mut self, candidate: &Candidate, may_fetch: bool, now: Instant) {
-        let Some(exchange) = self.cheapest_exchange(candidate, may_fetch, now) else {
+        let Some(swap) = self.cheapest_swap(candidate, may_fetch, now) else {
             return;
         };
-        if let Some(engine) = self.engines.get_mut(&exchange.engine) {
-            engine.exchange(candidate.model.clone(), exchange.victims);
-            self.changed.insert(exchange.engine);
+        if let Some(engine) = self.engines.get_mut(&swap.engine) {
+            engine.swap(candidate.model.clone(), swap.victims);
+            self.changed.insert(swap.engine);
             self.count();
         }
     }
 
     /// The cheapest way to bring a model to an engine that does not have it.
-    fn cheapest_exchange(
-        &self,
-        candidate: &Candidate,
-        may_fetch: bool,
-        now: Instant,
-    ) -> Option<Exchange> {
+    fn cheapest_swap(&self, candidate: &Candidate, may_fetch: bool, now: Instant) -> Option<Swap> {
         let (service, model) = (&candidate.service, &candidate.model);
         let pool = self.pools.get(service)?;
         let spec = pool.models.named(model)?;
@@ -146,7 +141,7 @@
         } else {
             near.collect()
         };
-        let mut best: Option<Exchange> = None;
+        let mut best: Option<Swap> = None;
         for engine in near {
             if engine.entry.service != *service
                 || !engine.takes_orders()
@@ -155,12 +150,12 @@
             {
                 continue;
             }
-            let Some(exchange) = self.exchange(engine, pool, spec, candidate, now) else {
+            let Some(swap) = self.swap(engine, pool, spec, candidate, now) else {
                 continue;
             };
             let least = best.as_ref().map(|known| known.cost);
-            if least.is_none_or(|least| exchange.cost < least) {
-                best = Some(exchange);
+            if least.is_none_or(|least| swap.cost < least) {
+                best = Some(swap);
             }
         }
         best
@@ -168,14 +163,14 @@
 
     /// How a model comes to one engine; `None` if nothing may give way to it there, or
     /// what gives way is worth more.
-    fn exchange(
+    fn swap(
         &self,
         engine: &Engine,
         pool: &EnginePool,
         spec: &ModelSpec,
         candidate: &Candidate,
         now: Instant,
-    ) -> Option<Exchange> {
+    ) -> Option<Swap> {
         let victims = self.victims(engine, pool, spec, now)?;
         if candidate.gain < GAIN_MARGIN * victims.worth {
             return None;
@@ -183,7 +178,7 @@
         let load_s = demand::as_f64(engine.tier(&spec.name).load_ms(spec)) / 1_000.0;
         let wait_s = engine.wait_ms(now) / 1_000.0;
         let delay_s = wait_s + victims.time_s + load_s;
-        Some(Exchange {
+        Some(Swap {
             engine: engine.entry.id.clone(),
             cost: victims.worth
                 + delay_s * candidate.delay_cost_per_s
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -1,6 +1,6 @@
 //! What is asked for: requests that wait, and how often each model is asked for.
 
-use crate::upstreams::ModelWish;
+use crate::upstreams::ModelRef;
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -29,7 +29,7 @@
     /// The service.
     pub service: ServiceName,
     /// What they need.
-    pub wish: ModelWish,
+    pub wish: ModelRef,
     /// How many there are; 0 if none waits any more.
     pub count: u32,
     /// When the last of them gives up.
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
     pub(super) service: ServiceName,
-    pub(super) wish: ModelWish,
+    pub(super) wish: ModelRef,
     /// Since when requests have waited for it without a break.
     pub(super) since: Instant,
     /// Requests of each instance, and when the last of them gives up.
@@ -172,7 +172,7 @@
     pub(super) fn taken(
         &mut self,
         service: &ServiceName,
-        wish: &ModelWish,
+        wish: &ModelRef,
         count: u32,
         now: Instant,
     ) {
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -7,7 +7,7 @@
 use super::{Placement, PlannedOrder};
 use crate::ports::OrderAction;
 use crate::routes::{EnginePool, ModelSpec};
-use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -58,9 +58,9 @@
     pub(super) closing: Vec<ModelName>,
     /// The model that comes when there is room.
     coming: Option<ModelName>,
-    adapters_wanted: Vec<ModelWish>,
-    adapter_used_at: HashMap<ModelWish, Instant>,
-    came_at: HashMap<ModelName, Instant>,
+    adapters_wanted: Vec<ModelRef>,
+    adapter_used_at: HashMap<ModelRef, Instant>,
+    loaded_at: HashMap<ModelName, Instant>,
     running: BTreeMap<InstanceId, Vec<(ModelName, u32)>>,
     /// Orders that it has taken; `None` until it was asked.
     orders_taken: Option<u64>,
@@ -83,7 +83,7 @@
             coming: None,
             adapters_wanted: Vec::new(),
             adapter_used_at: HashMap::new(),
-            came_at: HashMap::new(),
+            loaded_at: HashMap::new(),
             running: BTreeMap::new(),
             orders_taken: None,
             under_way: None,
@@ -127,7 +127,7 @@
             && self.resident(model).is_some()
     }
 
-    pub(super) fn serves(&self, service: &ServiceName, wish: &ModelWish) -> bool {
+    pub(super) fn serves(&self, service: &ServiceName, wish: &ModelRef) -> bool {
         self.has(service, &wish.model)
             && wish.adapter.as_ref().is_none_or(|adapter| {
                 let resident = self.resident(&wish.model);
@@ -144,7 +144,7 @@
         self.coming.as_ref()
     }
 
-    pub(super) fn will_have(&self, service: &ServiceName, wish: &ModelWish) -> bool {
+    pub(super) fn will_have(&self, service: &ServiceName, wish: &ModelRef) -> bool {
         if wish.adapter.is_none() {
             return self.is_bringing(service, &wish.model);
         }
@@ -209,7 +209,7 @@
         pool.weights_mb - held.sum::<f64>()
     }
 
-    /// Whether a new exchange may begin here.
+    /// Whether a new swap may begin here.
     pub(super) fn takes_orders(&self) -> bool {
         !self.entry.draining && self.coming.is_none() && self.orders_taken.is_some()
     }
@@ -224,13 +224,13 @@
         }
     }
 
-    pub(super) fn exchange(&mut self, model: ModelName, victims: Vec<ModelName>) {
+    pub(super) fn swap(&mut self, model: ModelName, victims: Vec<ModelName>) {
         self.closing = victims;
         self.coming = Some(model);
     }
 
-    pub(super) fn came_within(&self, model: &ModelName, time: Duration, now: Instant) -> bool {
-        self.came_at.get(model).is_some_and(|at| now < *at + time)
+    pub(super) fn loaded_within(&self, model: &ModelName, time: Duration, now: Instant) -> bool {
+        self.loaded_at.get(model).is_some_and(|at| now < *at + time)
     }
 
     pub(super) fn set_running(&mut self, instance: &InstanceId, runs: Vec<(ModelName, u32)>) {
@@ -261,7 +261,7 @@
             .sum()
     }
 
-    pub(super) fn used(&mut self, wish: &ModelWish, now: Instant) {
+    pub(super) fn used(&mut self, wish: &ModelRef, now: Instant) {
         if wish.adapter.is_some() {
             self.adapter_used_at.insert(wish.clone(), now);
         }
@@ -284,7 +284,7 @@
         adapter: &AdapterName,
         now: Instant,
     ) {
-        let wish = ModelWish {
+        let wish = ModelRef {
             model: model.clone(),
             adapter: Some(adapter.clone()),
         };
@@ -312,7 +312,7 @@
                 name: model.clone(),
                 adapters: Vec::new(),
             });
-            self.came_at.insert(model.clone(), now);
+            self.loaded_at.insert(model.clone(), now);
             if self.coming.as_ref() == Some(&model) {
                 self.coming = None;
             }
@@ -329,7 +329,7 @@
         self.asked = true;
     }
 
-    /// Gives the exchange up.
+    /// Gives the swap up.
     fn abandon(&mut self) {
         self.under_way = None;
         self.coming = None;
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -8,7 +8,7 @@
 use crate::placement::{ASK_PAUSE, Action, PlannedOrder};
 use crate::ports::{OrderAction, OrderAnswer};
 use crate::routes::EnginePool;
-use crate::upstreams::ModelWish;
+use crate::upstreams::ModelRef;
 use passway_types::prelude::*;
 
 /// Time for an adapter to come; engines take some milliseconds.
@@ -91,7 +91,7 @@
         }
     }
 
-    fn order(&self, action: OrderAction, wish: ModelWish, expected_orders: u64) -> PlannedOrder {
+    fn order(&self, action: OrderAction, wish: ModelRef, expected_orders: u64) -> PlannedOrder {
         PlannedOrder {
             engine: self.entry.id.clone(),
             address: self.entry.address,
@@ -148,7 +148,7 @@
             self.closing.clear();
             return None;
         }
-        let wish = |model| ModelWish {
+        let wish = |model| ModelRef {
             model,
             adapter: None,
         };
@@ -183,9 +183,9 @@
         Some(self.order(OrderAction::Unload, oldest, expected))
     }
 
-    fn oldest_adapter(&self) -> Option<ModelWish> {
+    fn oldest_adapter(&self) -> Option<ModelRef> {
         let standing = self.models.iter().flat_map(|model| {
-            model.adapters.iter().map(|adapter| ModelWish {
+            model.adapters.iter().map(|adapter| ModelRef {
                 model: model.name.clone(),
                 adapter: Some(adapter.clone()),
             })
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -50,7 +50,7 @@
         }
         let service = &engine.entry.service;
         let names = engine.model_names().into_iter();
-        let may_leave = names.filter(|model| !engine.came_within(model, SETTLE_TIME, now));
+        let may_leave = names.filter(|model| !engine.loaded_within(model, SETTLE_TIME, now));
         let mut leaving: Vec<Leaving> = may_leave
             .map(|model| Leaving {
                 worth: self.replica_worth(service, &model, now),
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -5,7 +5,7 @@
 use crate::headers::Headers;
 use crate::placement::policy::PolicyName;
 use crate::routes::RouteTable;
-use crate::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -189,7 +189,7 @@
     /// How long the caller waits, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// The model and adapter, where one is asked for.
-    pub wish: Option<ModelWish>,
+    pub wish: Option<ModelRef>,
     /// The last event that the caller has of a stream.
     pub last_event: Option<String>,
 }
@@ -241,7 +241,7 @@
     /// Load or unload.
     pub action: OrderAction,
     /// What.
-    pub wish: ModelWish,
+    pub wish: ModelRef,
     /// The orders that the engine must have taken for this one to count.
     pub expected_orders: u64,
     /// The incarnation that it is for.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -47,7 +47,7 @@
 
 /// What a request needs on an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct ModelWish {
+pub struct ModelRef {
     /// The model.
     pub model: ModelName,
     /// The adapter, if one is asked for.
@@ -167,7 +167,7 @@
     }
 
     /// A request was sent to an upstream.
-    pub fn started(&mut self, id: &str, wish: Option<&ModelWish>, now: Instant) {
+    pub fn started(&mut self, id: &str, wish: Option<&ModelRef>, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.started(wish, now);
         }
@@ -188,14 +188,14 @@
     }
 
     /// A request that was sent to an upstream has ended.
-    pub fn ended(&mut self, id: &str, wish: Option<&ModelWish>, outcome: Outcome, now: Instant) {
+    pub fn ended(&mut self, id: &str, wish: Option<&ModelRef>, outcome: Outcome, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.ended(wish, outcome, now);
         }
     }
 
     /// An engine said that it does not have what a request needs.
-    pub fn absent(&mut self, id: &str, wish: &ModelWish, now: Instant) {
+    pub fn absent(&mut self, id: &str, wish: &ModelRef, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.absent(wish, now);
         }
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -1,7 +1,7 @@
 //! Which upstream a request goes to.
 
 use super::upstream::Upstream;
-use super::{ModelWish, UpstreamTable};
+use super::{ModelRef, UpstreamTable};
 use crate::hash::fnv1a;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -96,7 +96,7 @@
     pub fn choose(
         &self,
         service: &ServiceName,
-        wish: Option<&ModelWish>,
+        wish: Option<&ModelRef>,
         tried: &[UpstreamId],
         drawn: u64,
         now: Instant,
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -1,6 +1,6 @@
 //! One upstream: its own word, and what this instance saw of it.
 
-use super::{ModelWish, Outcome, UpstreamEntry};
+use super::{ModelRef, Outcome, UpstreamEntry};
 use passway_types::prelude::*;
 use std::collections::HashMap;
 
@@ -35,7 +35,7 @@
     /// Until when it counts as full.
     pub(super) full_until: Instant,
     /// Until when it counts as lacking what it said it does not have.
-    pub(super) absent_until: HashMap<ModelWish, Instant>,
+    pub(super) absent_until: HashMap<ModelRef, Instant>,
     /// Models that the holder of the right to order is about to unload.
     pub(super) closing: Vec<ModelName>,
     /// When it is gone unless its entry comes back; `None` while the entry is there.
@@ -66,7 +66,7 @@
     }
 
     /// Whether it has what a request needs, as far as is known.
-    pub(super) fn has(&self, wish: &ModelWish, now: Instant) -> bool {
+    pub(super) fn has(&self, wish: &ModelRef, now: Instant) -> bool {
         if self.closing.contains(&wish.model) {
             return false;
         }
@@ -97,7 +97,7 @@
     }
 
     /// A request was sent to it.
-    pub(super) fn started(&mut self, wish: Option<&ModelWish>, now: Instant) {
+    pub(super) fn started(&mut self, wish: Option<&ModelRef>, now: Instant) {
         self.in_flight += 1;
         self.silent_since.get_or_insert(now);
         if let Some(wish) = wish {
@@ -112,7 +112,7 @@
     }
 
     /// A request that was sent to it has ended.
-    pub(super) fn ended(&mut self, wish: Option<&ModelWish>, outcome: Outcome, now: Instant) {
+    pub(super) fn ended(&mut self, wish: Option<&ModelRef>, outcome: Outcome, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 {
             self.silent_since = None;
@@ -146,7 +146,7 @@
     }
 
     /// It said that it does not have what a request needs.
-    pub(super) fn absent(&mut self, wish: &ModelWish, now: Instant) {
+    pub(super) fn absent(&mut self, wish: &ModelRef, now: Instant) {
         self.absent_until.insert(wish.clone(), now + ABSENT_PAUSE);
     }
 }
--- a/crates/standins/src/fleet_model/requests.rs
+++ b/crates/standins/src/fleet_model/requests.rs
@@ -4,7 +4,7 @@
 use super::run::{Run, STEP_MS};
 use super::size::FleetSize;
 use passway_serving::placement::Waiters;
-use passway_serving::upstreams::ModelWish;
+use passway_serving::upstreams::ModelRef;
 use passway_types::prelude::*;
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -54,8 +54,8 @@
     pub(super) class: Class,
 }
 
-fn wish(model: ModelName) -> ModelWish {
-    ModelWish {
+fn wish(model: ModelName) -> ModelRef {
+    ModelRef {
         model,
         adapter: None,
     }
--- a/crates/standins/src/fleet_model/run.rs
+++ b/crates/standins/src/fleet_model/run.rs
@@ -6,7 +6,9 @@
 use super::size::{FULL_SPEED_LOADS, FleetSize, PLACES};
 use super::start::{Disks, first_engines};
 use passway_serving::placement::policy::PolicyName;
-use passway_serving::placement::{Action, Placement, PlannedOrder, Planner, USUAL_LOAD_WINDOW};
+use passway_serving::placement::{
+    Action, ModelRuns, Placement, PlannedOrder, Planner, USUAL_LOAD_WINDOW,
+};
 use passway_serving::ports::OrderAction;
 use passway_types::prelude::*;
 use rand::SeedableRng;
@@ -144,7 +146,11 @@
         let mut runs = Vec::new();
         for engine in &self.engines {
             for (model, count) in engine.resident.iter().filter(|(_, count)| **count > 0) {
-                runs.push((engine.id.clone(), model.clone(), *count));
+                runs.push(ModelRuns {
+                    engine: engine.id.clone(),
+                    model: model.clone(),
+                    count: *count,
+                });
             }
         }
         self.planner.running(&"all".into(), &runs);
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -3,7 +3,7 @@
 use crate::planned::{Planned, resident};
 use crate::site::{self, ask, request, until};
 use passway_serving::ports::{EngineReport, OrderAction, OrderAnswer};
-use passway_serving::upstreams::{ModelWish, ResidentModel};
+use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer, event};
 use passway_types::prelude::*;
 
@@ -235,7 +235,7 @@
     planned
         .planner
         .reported(&engine, Some(report(0, &["a1", "a2"])), planned.now);
-    let wish = ModelWish {
+    let wish = ModelRef {
         model: "m0".into(),
         adapter: Some("a3".into()),
     };
@@ -291,7 +291,7 @@
     planned.report(false, 0, &["m0", "m1"]);
     assert_eq!(planned.planner.decide(planned.now), []);
     // Instances tell what they took before the term began: m0 is busy.
-    let busy = ModelWish {
+    let busy = ModelRef {
         model: "m0".into(),
         adapter: None,
     };
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -14,7 +14,7 @@
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW, Waiters};
 use passway_serving::ports::OrderAnswer;
-use passway_serving::upstreams::ModelWish;
+use passway_serving::upstreams::ModelRef;
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -207,7 +207,7 @@
             let number = self.rng.random_range(1..4);
             AdapterName::from(format!("a{number}").as_str())
         });
-        let wish = ModelWish {
+        let wish = ModelRef {
             model: model.into(),
             adapter,
         };
--- a/tests/all/placement_faults/engine.rs
+++ b/tests/all/placement_faults/engine.rs
@@ -2,7 +2,7 @@
 
 use passway_serving::placement::PlannedOrder;
 use passway_serving::ports::{EngineReport, OrderAction, OrderAnswer};
-use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_serving::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -24,7 +24,7 @@
     /// The model order under way and the step at which it is done.
     busy: Option<(PlannedOrder, u32)>,
     /// Adapters that leave when their run ends.
-    leaving: Vec<(ModelWish, u32)>,
+    leaving: Vec<(ModelRef, u32)>,
 }
 
 pub(super) struct Engine {
--- a/tests/all/planned.rs
+++ b/tests/all/planned.rs
@@ -4,13 +4,13 @@
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::placement::{Action, PlannedOrder, Planner, USUAL_LOAD_WINDOW, Waiters};
 use passway_serving::ports::{Directory, EngineReport, OrderAnswer, StoredValue};
-use passway_serving::upstreams::{ModelWish, ResidentModel, UpstreamEntry};
+use passway_serving::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
 use passway_users_platform::PlatformDirectory;
 
 /// A model without an adapter, as a request asks for it.
-pub fn plain(model: &str) -> ModelWish {
-    ModelWish {
+pub fn plain(model: &str) -> ModelRef {
+    ModelRef {
         model: model.into(),
         adapter: None,
     }
@@ -81,7 +81,7 @@
     }
 
     /// So many requests of one instance wait.
-    pub fn need_wish(&mut self, wish: ModelWish, count: u32) {
+    pub fn need_wish(&mut self, wish: ModelRef, count: u32) {
         let waiters = Waiters {
             instance: "one".into(),
             service: "engines".into(),
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -2,7 +2,7 @@
 
 use passway_serving::absence::Outages;
 use passway_serving::upstreams::{
-    Choice, ModelWish, Outcome, ResidentModel, UpstreamEntry, UpstreamTable,
+    Choice, ModelRef, Outcome, ResidentModel, UpstreamEntry, UpstreamTable,
 };
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
@@ -36,8 +36,8 @@
     table
 }
 
-fn wish() -> ModelWish {
-    ModelWish {
+fn wish() -> ModelRef {
+    ModelRef {
         model: "m0".into(),
         adapter: None,
     }
