--- a/tests/all/tenure_faults.rs
+++ b/tests/all/tenure_faults.rs
@@ -3,7 +3,8 @@
 //!
 //! Calls to the store are refused, lost on the way, carried out seconds late or left
 //! without an answer; the store is away for all or for one; news of it comes late;
-//! instances stand still, are killed and start again under the same name.
+//! instances stand still, are killed and start again under the same name; holders say
+//! that they are, and the word comes late.
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
 mod checks;
@@ -44,6 +45,8 @@
     /// The answer that the call under way gets and when; `None` while no call is made.
     answer: Option<(u64, Answer)>,
     news: VecDeque<(u64, News)>,
+    /// Words of holders on their way, each with when it comes.
+    words: Vec<(u64, Holder)>,
     frozen_until: u64,
     starts_at: u64,
     /// Calls and news do not come through until then.
@@ -85,6 +88,7 @@
                 answer: None,
                 news: VecDeque::from([(0, News::Holder(None))]),
                 frozen_until: 0,
+                words: Vec::new(),
                 starts_at: 0,
                 cut_until: 0,
             }
@@ -145,6 +149,35 @@
         }
     }
 
+    /// A holder says that it is one, to an instance drawn at random; the word takes a while,
+    /// at times so long that the term is over by then.
+    fn announce(&mut self) {
+        let now = self.now();
+        let holds = |i: &Instance| Some((i.name.clone(), i.tenure.fence(now)?));
+        let holders: Vec<_> = self.instances.iter().filter_map(holds).collect();
+        for (name, fence) in holders {
+            if self.rng.random_bool(0.05) {
+                let at = self.now_ms + self.rng.random_range(1..3_000);
+                let which = self.rng.random_range(0..INSTANCES);
+                let words = &mut self.instances[which].words;
+                words.push((at, holder_of(&name, fence)));
+            }
+        }
+    }
+
+    /// Takes in words of holders; they are believed only while the store does not answer.
+    fn take_words(&mut self, number: usize) {
+        let (now_ms, away_until) = (self.now_ms, self.store.away_until);
+        let instance = &mut self.instances[number];
+        let is_cut = now_ms < instance.cut_until.max(away_until);
+        let due = instance.words.extract_if(.., |(at, _)| *at <= now_ms);
+        for (_, holder) in due.collect::<Vec<_>>() {
+            if is_cut {
+                instance.tenure.told(holder);
+            }
+        }
+    }
+
     /// Lets an instance do what it does in one tick.
     fn act(&mut self, number: usize) {
         let (now, now_ms) = (self.now(), self.now_ms);
@@ -155,6 +188,7 @@
         if now_ms >= instance.cut_until && now_ms >= self.store.away_until {
             self.take_news(number);
         }
+        self.take_words(number);
         self.take_answer(number);
         let instance = &mut self.instances[number];
         if instance.answer.is_some() {
@@ -206,6 +240,7 @@
         instance.tenure = Tenure::new(instance.name.clone(), LIMITS, begun_at);
         instance.life += 1;
         instance.answer = None;
+        instance.words.clear();
         instance.starts_at = starts_at;
         instance.frozen_until = 0;
         // What it hears first is the whole, as it stands when it is read.
@@ -227,6 +262,7 @@
                 self.expire();
             }
             self.serve_calls();
+            self.announce();
             for number in 0..INSTANCES {
                 self.act(number);
             }
