Connections that fall silent are noticed by time-outs of our own

Tests that failed first: one_lost_call_to_store (the second call: no answer), and links_notice_silence (no limit set). Not tested: a silent link itself, which loopback cannot give without tools.

--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -46,6 +46,10 @@
         let now = Instant::now();
         if let Some(kept) = self.shared.pool.take(&target.id, longest, now) {
             let attempt = self.exchange_over(target, kept);
+            if matches!(attempt, Attempt::Broken | Attempt::TimedOut) {
+                // The others that rest may be as dead as this one was.
+                self.shared.pool.forget(&target.id);
+            }
             if !matches!(attempt, Attempt::NotSent) {
                 return attempt;
             }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -16,6 +16,10 @@
 const READ_BYTES: usize = 16 << 10;
 /// A peer that takes no bytes for this long is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Unacknowledged bytes end a connection after this time, in milliseconds: one that has
+/// fallen silent takes what is written for as long as its buffers do, and an instance's
+/// needs would reach nobody. Enough for three lost segments in a row.
+const SILENCE_LIMIT_MS: u32 = 1_500;
 
 /// Bytes sent over all links of this process.
 static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
@@ -54,12 +58,23 @@
         Self::from_stream(TcpStream::connect_timeout(&address, timeout)?)
     }
 
+    /// How long bytes that are not acknowledged may be on their way before the connection
+    /// ends, in milliseconds; 0 if that is left to the system.
+    ///
+    /// # Errors
+    /// The socket's error.
+    pub fn silence_limit_ms(&self) -> io::Result<u32> {
+        let stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(rustix::net::sockopt::tcp_user_timeout(&*stream)?)
+    }
+
     /// Uses an accepted connection.
     ///
     /// # Errors
     /// The socket's error.
     pub fn from_stream(stream: TcpStream) -> io::Result<(Self, LinkReader)> {
         stream.set_nodelay(true)?;
+        rustix::net::sockopt::set_tcp_user_timeout(&stream, SILENCE_LIMIT_MS)?;
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         let reading = stream.try_clone()?;
         let reader = LinkReader {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -30,6 +30,7 @@
 mod retry_budget;
 mod retry_share;
 mod router_faults;
+mod silent_connections;
 mod site;
 mod slow_store;
 mod store_feeds;
--- /dev/null
+++ b/tests/all/silent_connections.rs
@@ -0,0 +1,85 @@
+//! Open connections fall silent for good while new ones work: nothing tells but time.
+
+use passway_serving::ports::SharedStore;
+use passway_types::prelude::*;
+use passway_users_platform::MetadataStore;
+use passway_wire::Link;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Barrier;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Calls that are under way at one time, each on a connection of its own.
+const AT_ONCE: usize = 3;
+/// Longest time that a link may take to notice that its peer is silent, in milliseconds.
+const MOST_SILENCE_MS: u32 = 2_000;
+
+/// Whether the connection has brought a request, read to its end.
+fn is_asked(stream: &mut TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 1_024];
+    while !bytes.windows(4).any(|four| four == b"\r\n\r\n") {
+        match stream.read(&mut chunk) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// A store that grants every renewal. The first connections answer together; once they are
+/// told to, they say nothing more and stay open.
+fn store(old_are_silent: &Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let old_are_silent = old_are_silent.clone();
+    let together = Arc::new(Barrier::new(AT_ONCE));
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a connection");
+            let old_are_silent = old_are_silent.clone();
+            let together = together.clone();
+            std::thread::spawn(move || {
+                let is_old = number < AT_ONCE;
+                let mut is_first = is_old;
+                while is_asked(&mut stream) {
+                    if is_old && old_are_silent.load(Ordering::Acquire) {
+                        continue;
+                    }
+                    if std::mem::take(&mut is_first) {
+                        together.wait();
+                    }
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+                    if stream.write_all(answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn one_lost_call_to_store() {
+    let old_are_silent = Arc::new(AtomicBool::new(false));
+    let store = MetadataStore::new(store(&old_are_silent));
+    std::thread::scope(|scope| {
+        for _ in 0..AT_ONCE {
+            scope.spawn(|| assert_eq!(store.renew_lease(1), Ok(true)));
+        }
+    });
+    old_are_silent.store(true, Ordering::Release);
+    assert!(store.renew_lease(1).is_err(), "a connection that is silent");
+    // The others are as old: a lease is lost before each has been tried.
+    assert_eq!(store.renew_lease(1), Ok(true));
+}
+
+#[test]
+fn links_notice_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let (link, _reader) = Link::connect(address, Duration::from_secs(5)).expect("a link");
+    let limit_ms = link.silence_limit_ms().expect("an option");
+    assert!((1..=MOST_SILENCE_MS).contains(&limit_ms), "{limit_ms} ms");
+}
