Routers of a fleet that starts count those that are listed

Change: for 15 s after its start a router counts as many routers as controllers are listed in its settings. Such a refusal says how its last attempt ended.

--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -82,6 +82,8 @@
     used: HashSet<ModelName>,
     usage_at: Instant,
     routers: u32,
+    /// Routers that are listed, and until when they count as there.
+    expected: Option<(u32, Instant)>,
     draining: bool,
     /// Until when the configuration counts as current; `None` without a bound.
     current_until: Option<Instant>,
@@ -112,6 +114,7 @@
             used: HashSet::new(),
             usage_at: now,
             routers: 1,
+            expected: None,
             draining: false,
             current_until: None,
         }
@@ -129,9 +132,20 @@
         &self.catalog
     }
 
-    /// How many routers share the upstreams.
-    pub fn set_routers(&mut self, routers: u32) {
-        self.routers = routers.max(1);
+    /// So many routers are listed, and may share the upstreams before controllers know them.
+    /// Until a moment they are taken to be there: routers of a fleet that starts would each
+    /// take an upstream for their own, be turned away by the other routers' requests, and
+    /// spend their retries on that.
+    pub fn expect_routers(&mut self, listed: u32, until: Instant) {
+        self.expected = Some((listed, until));
+        self.routers = self.routers.max(listed);
+    }
+
+    /// How many routers share the upstreams, as controllers know them.
+    pub fn set_routers(&mut self, known: u32, now: Instant) {
+        let expected = self.expected.filter(|(_, until)| now < *until);
+        let listed = expected.map_or(1, |(listed, _)| listed);
+        self.routers = known.max(listed).max(1);
     }
 
     /// Stops taking new requests; those that wait or run go on.
@@ -469,7 +483,8 @@
             self.enqueue(running.model, running.waiting);
             return;
         }
-        let refusal = Refusal::new(ResultCode::NotStarted, "retries are spent");
+        let detail = format!("retries are spent; the last attempt ended as {ended:?}");
+        let refusal = Refusal::new(ResultCode::NotStarted, detail);
         let refusal = refusal.retry_after(BUSY_RETRY);
         actions.push(RouterAction::Refuse {
             request: running.waiting.request,
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -168,7 +168,7 @@
         }
         self.want_config(address, heartbeat.config_revision, shared, now);
         let mut core = shared.core();
-        core.set_routers(routers);
+        core.set_routers(routers, now);
         if !heartbeat.isolated {
             core.set_current_until(now + shared.limits.stale_limit);
         }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -65,6 +65,10 @@
     pub stale_limit: Duration,
 }
 
+/// Time in which the routers of a fleet that starts come to be known to its controllers: a
+/// dial, a hello and a heartbeat, on a busy machine some seconds.
+const STARTING_TIME: Duration = Duration::from_secs(15);
+
 impl Shared {
     /// Nothing in progress and no configuration.
     ///
@@ -81,6 +85,9 @@
         let now = Instant::now();
         let mut core = RouterCore::new(incarnation, catalog.clone(), now);
         core.set_current_until(now);
+        // Each instance runs a controller and a router.
+        let listed = u32::try_from(settings.controllers.len()).unwrap_or(u32::MAX);
+        core.expect_routers(listed, now + STARTING_TIME);
         Ok(Self {
             catalog: ArcSwap::new(catalog),
             metrics: Metrics::default(),
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -105,3 +105,41 @@
         );
     }
 }
+
+/// Attempts that a router starts when far more requests come than it may start.
+fn started(core: &mut RouterCore, first: RequestId, now: Instant) -> usize {
+    let mut actions = Vec::new();
+    for request in first..first + 900 {
+        let arrival = Arrival {
+            request,
+            model: "m@1".into(),
+            workspace: "default".into(),
+            kind: String::new(),
+            priority: None,
+            deadline_at: None,
+        };
+        actions.extend(core.arrive(now, &arrival));
+    }
+    let starts = |action: &&RouterAction| matches!(action, RouterAction::Start { .. });
+    actions.iter().filter(starts).count()
+}
+
+#[test]
+fn starting_fleet_shares() {
+    let now = Instant::now();
+    let mut core = core(now);
+    core.expect_routers(6, now + Duration::from_secs(15));
+    // The first heartbeat of a controller that only this router has reached yet.
+    core.set_routers(1, now);
+    assert_eq!(started(&mut core, 0, now), UPSTREAMS * (64 / 6));
+}
+
+#[test]
+fn lost_routers_share() {
+    let now = Instant::now();
+    let mut core = core(now);
+    core.expect_routers(6, now + Duration::from_secs(15));
+    let later = now + Duration::from_secs(20);
+    core.set_routers(2, later);
+    assert_eq!(started(&mut core, 0, later), UPSTREAMS * 32);
+}
