--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -215,9 +215,9 @@
         self.prefetches
     }
 
-    /// As long as the fetch takes, during which its engine loads nothing else: with less,
-    /// four of nine engines fetched for one request each while homes had a queue, the
-    /// queues grew, and the mean worth of a day with trouble was 0.53 where it is 0.60.
+    /// As long as the fetch takes, during which its engine loads nothing else: with 1.5 s,
+    /// four of nine engines fetched for one request each while homes had a queue, and the
+    /// queues grew: 358 of 498 requests for rare models were in time where it is 462.
     fn home_patience(&self, fetch_time: Duration) -> Duration {
         match self.homes {
             Homes::Wait => HOME_PATIENCE.max(fetch_time),
--- a/crates/serving/src/placement/worth.rs
+++ b/crates/serving/src/placement/worth.rs
@@ -6,8 +6,8 @@
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
 
-/// Time over which a place counts, in seconds: what it would take to bring a model back
-/// that was wrongly sent away, with the runs of what it replaces.
+/// Time over which a place counts, in seconds: what it takes to bring a model back that was
+/// wrongly sent away, the runs of what it replaces (0.8 s) and its load (0.3 to 0.5 s).
 const HORIZON_S: f64 = 1.5;
 /// What remains of a replica's worth that the demand does not need, as a part: enough
 /// that the least asked for goes first.
