What the holder tells as gone is gone, for an instance that is cut off itself too

Ruled out: late news (the holder passes leaving on at once), a gap (none logged). Change: what the holder tells counts as the store's answer for the memory of outages. Test: told_entries_go waited 20 s in vain before, passes now.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -152,6 +152,7 @@
             }
             _ => {}
         }
+        self.feed.shared().store_health.relayed();
         self.take(told);
         self.feed.settled();
     }
--- a/crates/instance/src/health.rs
+++ b/crates/instance/src/health.rs
@@ -42,6 +42,13 @@
         self.failing.store(false, Ordering::Release);
     }
 
+    /// The holder of the right to order tells what the store says. What it tells as gone is
+    /// gone: an instance that is cut off itself calls the store no more while it listens, and
+    /// would take its own cut for an outage in which entries lapse until it called again.
+    pub fn relayed(&self) {
+        self.outages().answered(Instant::now());
+    }
+
     /// A call was not answered, or refused.
     pub fn failed(&self) {
         self.outages().failed(Instant::now());
--- a/tests/all/relay_gap.rs
+++ b/tests/all/relay_gap.rs
@@ -65,9 +65,38 @@
     }
 }
 
+/// A store that is listed once and never answers again.
+struct CutOff;
+
+impl SharedStore for CutOff {
+    fn list(&self, _: &str) -> Result<Listing, StoreError> {
+        SlowToAnswer::default().list("")
+    }
+
+    fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<WatchAnswer, StoreError> {
+        Err(StoreError::Unknown)
+    }
+
+    fn write(&self, _: &[ConditionalWrite]) -> Result<WriteAnswer, StoreError> {
+        Err(StoreError::NotDone)
+    }
+
+    fn grant_lease(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        Err(StoreError::NotDone)
+    }
+
+    fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
+        Err(StoreError::NotDone)
+    }
+
+    fn end_lease(&self, _: LeaseId) -> Result<(), StoreError> {
+        Err(StoreError::NotDone)
+    }
+}
+
 /// Revisions that a feed has taken in.
 struct Recorded {
-    shared: Shared,
+    shared: Arc<Shared>,
     revisions: Arc<Mutex<Vec<StoreRevision>>>,
 }
 
@@ -106,11 +135,11 @@
     let (news, _heard) = channel::unbounded();
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
     let feed = Recorded {
-        shared: Shared::new(
+        shared: Arc::new(Shared::new(
             site::settings("one", nowhere),
             Box::new(PlatformHeaders),
             needs,
-        ),
+        )),
         revisions: revisions.clone(),
     };
     follow(Arc::new(SlowToAnswer::default()), tap, news, feed);
@@ -149,3 +178,36 @@
     assert_eq!((news.from, news.to, news.values.len()), (10, 40, 0));
     assert_eq!(log.advance(CONFIGURATION), None);
 }
+
+/// An instance that is cut off from the store and follows the holder: an entry that the
+/// holder tells as gone is gone, and not only missing for as long as the cut lasts.
+#[test]
+fn told_entries_go() {
+    let (relay, [tap, _]) = Relay::new();
+    let (needs, _needed) = channel::unbounded();
+    let (news, _heard) = channel::unbounded();
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = site::settings("one", nowhere);
+    let shared = Arc::new(Shared::new(settings, Box::new(PlatformHeaders), needs));
+    let feed = Recorded {
+        shared: shared.clone(),
+        revisions: Arc::default(),
+    };
+    follow(Arc::new(CutOff), tap, news, feed);
+    let is_gone_at_once = || {
+        let now = Instant::now();
+        shared.store_health.gone_at(now) == now
+    };
+    until("an outage", || !is_gone_at_once());
+    let mut to = 10;
+    until("the holder's word for the store's", || {
+        to += 1;
+        relay.heard(News {
+            feed: u32::try_from(CONFIGURATION).expect("small"),
+            from: 10,
+            to,
+            ..News::default()
+        });
+        is_gone_at_once()
+    });
+}
