Instances that are gone for good leave the list of members

Cause (read): the list that a holder tells was only ever added to, so over a life of replaced instances it grows without end, and each new holder dials the dead ones for 10 s. Change: whoever has not come when a new holder ends its announcement is forgotten. Test: gone_member_forgotten waited 20 s in vain before, passes now.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -254,7 +254,7 @@
     }
 
     /// Tells who listens: one that has just come, and all if it was not known. One that
-    /// went may come back, and stays known until a holder after this one does not know it.
+    /// went may come back, and stays known until the next holder has waited for it in vain.
     fn tell_members(&self, newcomer: u64) {
         let mut known = self.shared.members();
         let before = known.len();
@@ -310,8 +310,19 @@
         let Some(mut announcement) = self.announcement.take() else {
             return;
         };
-        let is_over = announcement.go_on(&self.shared, &self.members(), now);
-        self.announcement = (!is_over).then_some(announcement);
+        if !announcement.go_on(&self.shared, &self.members(), now) {
+            self.announcement = Some(announcement);
+            return;
+        }
+        // Whoever did not come in all this time is forgotten, or the list would only grow.
+        let here = self.members();
+        let body = members::encode(&here);
+        *self.shared.members() = here;
+        for number in self.subscribers.keys() {
+            if let Some(outbox) = self.peers.get(number) {
+                outbox.send(body.clone());
+            }
+        }
     }
 
     fn needs(&mut self, needs: &Needs, now: Instant) {
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -4,6 +4,8 @@
 use passway_serving::tenure::{Holder, Tenure, TenureLimits};
 use passway_standins::platform::store::Faults;
 use passway_types::prelude::*;
+use passway_wire::message::Subscribe;
+use passway_wire::{Body, Link};
 
 fn holder(name: &str, fence: Fence) -> Holder {
     Holder {
@@ -82,3 +84,32 @@
         });
     }
 }
+
+/// Instances that are gone for good do not stay on the list.
+#[test]
+fn gone_member_forgotten() {
+    let store = site::store(&["m0"]);
+    let instances = ["one", "two"].map(|name| site::ready(name, &store));
+    let holds = |number: &usize| instances[*number].fence().is_some();
+    let mut first = None;
+    until("a holder", || {
+        first = (0..2).find(holds);
+        first.is_some()
+    });
+    let first = first.expect("a holder");
+    let all_know = |members| instances.iter().all(|i| i.known_members() == members);
+    until("both known", || all_know(2));
+    let holder = instances[first].holder().expect("itself");
+    let (link, _reader) = Link::connect(holder.address, Duration::from_secs(5)).expect("a link");
+    let subscribe = Subscribe {
+        known: vec![1, 1],
+        instance: "ghost".into(),
+        address: "127.0.0.1:1".into(),
+    };
+    link.send(Body::Subscribe(subscribe)).expect("sent");
+    until("a third one", || all_know(3));
+    link.close();
+    instances[first].stop();
+    until("a successor", || holds(&(1 - first)));
+    until("the list without it", || all_know(2));
+}
