--- a/tests/all/relay_gap.rs
+++ b/tests/all/relay_gap.rs
@@ -25,9 +25,19 @@
 }
 
 /// A store whose first watches get no answer; later ones tell of a change.
-#[derive(Default)]
 struct SlowToAnswer {
     watches: AtomicU32,
+    /// Watches that get no answer.
+    unanswered: u32,
+}
+
+impl SlowToAnswer {
+    fn new(unanswered: u32) -> Arc<Self> {
+        Arc::new(Self {
+            watches: AtomicU32::new(0),
+            unanswered,
+        })
+    }
 }
 
 impl SharedStore for SlowToAnswer {
@@ -39,7 +49,7 @@
     }
 
     fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<WatchAnswer, StoreError> {
-        if self.watches.fetch_add(1, Ordering::Relaxed) < 3 {
+        if self.watches.fetch_add(1, Ordering::Relaxed) < self.unanswered {
             return Err(StoreError::Unknown);
         }
         Ok(WatchAnswer::Changes {
@@ -65,35 +75,6 @@
     }
 }
 
-/// A store that is listed once and never answers again.
-struct CutOff;
-
-impl SharedStore for CutOff {
-    fn list(&self, _: &str) -> Result<Listing, StoreError> {
-        SlowToAnswer::default().list("")
-    }
-
-    fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<WatchAnswer, StoreError> {
-        Err(StoreError::Unknown)
-    }
-
-    fn write(&self, _: &[ConditionalWrite]) -> Result<WriteAnswer, StoreError> {
-        Err(StoreError::NotDone)
-    }
-
-    fn grant_lease(&self, _: Duration) -> Result<LeaseId, StoreError> {
-        Err(StoreError::NotDone)
-    }
-
-    fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
-        Err(StoreError::NotDone)
-    }
-
-    fn end_lease(&self, _: LeaseId) -> Result<(), StoreError> {
-        Err(StoreError::NotDone)
-    }
-}
-
 /// Revisions that a feed has taken in.
 struct Recorded {
     shared: Arc<Shared>,
@@ -142,7 +123,7 @@
         )),
         revisions: revisions.clone(),
     };
-    follow(Arc::new(SlowToAnswer::default()), tap, news, feed);
+    follow(SlowToAnswer::new(3), tap, news, feed);
     let seen = |revision| revisions.lock().expect("sound").contains(&revision);
     until("the list", || seen(10));
     // The holder tells of what came after 25; what lies between 10 and 25 is missing.
@@ -193,7 +174,7 @@
         shared: shared.clone(),
         revisions: Arc::default(),
     };
-    follow(Arc::new(CutOff), tap, news, feed);
+    follow(SlowToAnswer::new(u32::MAX), tap, news, feed);
     let is_gone_at_once = || {
         let now = Instant::now();
         shared.store_health.gone_at(now) == now
