--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -262,12 +262,10 @@
         let has_grown = known.len() > before;
         let body = members::encode(&known);
         drop(known);
-        for number in self.subscribers.keys() {
-            if (has_grown || *number == newcomer)
-                && let Some(outbox) = self.peers.get(number)
-            {
-                outbox.send(body.clone());
-            }
+        if has_grown {
+            self.send_to_subscribers(&body);
+        } else {
+            self.send_to(newcomer, &body);
         }
     }
 
@@ -280,10 +278,18 @@
     }
 
     fn pass_on(&self, news: &News) {
+        self.send_to_subscribers(&Body::News(news.clone()));
+    }
+
+    fn send_to_subscribers(&self, body: &Body) {
         for number in self.subscribers.keys() {
-            if let Some(outbox) = self.peers.get(number) {
-                outbox.send(Body::News(news.clone()));
-            }
+            self.send_to(*number, body);
+        }
+    }
+
+    fn send_to(&self, number: u64, body: &Body) {
+        if let Some(outbox) = self.peers.get(&number) {
+            outbox.send(body.clone());
         }
     }
 
@@ -318,11 +324,7 @@
         let here = self.members();
         let body = members::encode(&here);
         *self.shared.members() = here;
-        for number in self.subscribers.keys() {
-            if let Some(outbox) = self.peers.get(number) {
-                outbox.send(body.clone());
-            }
-        }
+        self.send_to_subscribers(&body);
     }
 
     fn needs(&mut self, needs: &Needs, now: Instant) {
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -46,6 +46,18 @@
     core
 }
 
+/// A request for the only model, without a deadline.
+fn arrival(request: RequestId) -> Arrival {
+    Arrival {
+        request,
+        model: "m@1".into(),
+        workspace: "default".into(),
+        kind: String::new(),
+        priority: None,
+        deadline_at: None,
+    }
+}
+
 /// Attempts and whole answers when attempts at every third upstream end so.
 fn attempts(failure: Ended) -> (u64, u64) {
     let mut now = Instant::now();
@@ -53,14 +65,7 @@
     let (mut attempts, mut served) = (0, 0);
     for request in 0..REQUESTS {
         now += BETWEEN;
-        let arrival = Arrival {
-            request,
-            model: "m@1".into(),
-            workspace: "default".into(),
-            kind: String::new(),
-            priority: None,
-            deadline_at: None,
-        };
+        let arrival = arrival(request);
         let mut actions = core.arrive(now, &arrival);
         actions.extend(core.tick(now));
         while let Some(action) = actions.pop() {
@@ -110,14 +115,7 @@
 fn started(core: &mut RouterCore, first: RequestId, now: Instant) -> usize {
     let mut actions = Vec::new();
     for request in first..first + 900 {
-        let arrival = Arrival {
-            request,
-            model: "m@1".into(),
-            workspace: "default".into(),
-            kind: String::new(),
-            priority: None,
-            deadline_at: None,
-        };
+        let arrival = arrival(request);
         actions.extend(core.arrive(now, &arrival));
     }
     let starts = |action: &&RouterAction| matches!(action, RouterAction::Start { .. });
