A former holder's refusal does not reach its successor's requests

Its lease has lapsed, so it refuses them with 1204, and the router took any controller's verdict: it refused what waits for that model and, for 250 ms, what comes, although the successor's routes were in force.

Ruled out: the successor's own lease (its refusal would be honest, and the failing request came after the pause had ended, when models 1 to 4 stood); a router that asked the paused controller anew (it knows the successor's epoch by then, or models 1 to 4 had not been whole).

Change: a router takes verdicts only from the holder that it knows, and a refusal of a model that is routed by now is left out.

Before: both tests of tests/all/former_holder.rs fail (1204 in place of the holder's 1203; a routed model refused).

--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -559,6 +559,8 @@
                 self.ready_at.insert(model.clone(), ready_at);
                 self.refuse_unreachable(now, model, &mut actions);
             }
+            // The answer to a demand of before the route was known.
+            DemandVerdict::Refused { .. } if self.routes.contains_key(model) => {}
             DemandVerdict::Refused { code, retry_at } => {
                 let refusal = Refusal::new(code, "the model is asleep and cannot be woken")
                     .retry_after(retry_at.saturating_duration_since(now));
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -136,7 +136,7 @@
             Body::Heartbeat(heartbeat) => self.heartbeat(address, &heartbeat, shared),
             Body::Config(config) => self.config(&config.encoded, shared),
             Body::Routes(routes) => self.routes(routes, shared),
-            Body::Verdict(verdict) => self.verdict(&verdict, shared),
+            Body::Verdict(verdict) => self.verdict(address, &verdict, shared),
             _ => {}
         }
     }
@@ -252,7 +252,14 @@
         });
     }
 
-    fn verdict(&self, verdict: &message::Verdict, shared: &Arc<Shared>) {
+    /// Takes in the answer to a demand, if it is the holder's. A controller that was paused
+    /// answers what it was asked as the holder, and would refuse what its successor serves.
+    fn verdict(&self, address: SocketAddr, verdict: &message::Verdict, shared: &Arc<Shared>) {
+        let holder = self.holder_of(shared, &verdict.model);
+        if holder.is_none_or(|holder| holder.address != address) {
+            log::info!(model = verdict.model, controller:% = address; "an answer of a former holder is left out");
+            return;
+        }
         let now = Instant::now();
         let code = ResultCode::ALL
             .iter()
@@ -327,15 +334,17 @@
 
     /// Sends to the holder of the model's cell; the decisions repeat what is lost.
     fn send_to_holder(&self, shared: &Shared, model: &str, body: Body) {
-        let catalog = shared.catalog.load();
-        let Some(model) = catalog.models.get(model) else {
-            return;
-        };
-        let holder = self.links().holders.get(&*model.cell).copied();
-        if let Some(holder) = holder {
+        if let Some(holder) = self.holder_of(shared, model) {
             self.send_to(holder.address, body);
         }
     }
+
+    /// The holder of a model's cell, as far as it is known.
+    fn holder_of(&self, shared: &Shared, model: &str) -> Option<KnownHolder> {
+        let catalog = shared.catalog.load();
+        let cell = &catalog.models.get(model)?.cell;
+        self.links().holders.get(&**cell).copied()
+    }
 }
 
 fn hello(shared: &Shared) -> Hello {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod config_spread;
 mod docs_match;
 mod fair_share;
+mod former_holder;
 mod holder_heard;
 mod instance_metrics;
 mod log_analysis;
