A model whose slots are all taken is fetched, and worth its part of the requests

Change: where runs and waiting requests take all slots, a home is not waited for, and one more replica is worth its equal part of the requests rather than that of all that are wanted.

Test place_worth::fetched_when_slots_lack.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -314,13 +314,27 @@
 
     /// Replicas that a model is worth now.
     fn wanted(&self, service: &ServiceName, model: &ModelName, now: Instant) -> usize {
-        let usage = Usage {
+        let usage = self.usage(service, model);
+        self.policy
+            .replicas(self.demand.rate(service, model, now), usage)
+    }
+
+    /// How much a model is used now.
+    fn usage(&self, service: &ServiceName, model: &ModelName) -> Usage {
+        Usage {
             runs: self.census.runs(service, model),
             waiters: self.demand.waiters(service, model),
             slots: self.pools.get(service).map_or(1, |pool| pool.slots),
-        };
-        self.policy
-            .replicas(self.demand.rate(service, model, now), usage)
+        }
+    }
+
+    /// Whether requests take all slots of the engines that have a model, and of those that
+    /// it comes to.
+    fn lacks_slots(&self, service: &ServiceName, model: &ModelName) -> bool {
+        let replicas = self.replicas(service, model) + self.bringing(service, model);
+        let usage = self.usage(service, model);
+        let slots = u64::from(usage.slots) * u64::try_from(replicas).unwrap_or(u64::MAX);
+        replicas > 0 && u64::from(usage.runs) + u64::from(usage.waiters) >= slots
     }
 
     /// Engines on which a model stands and stays.
--- a/crates/serving/src/placement/bring.rs
+++ b/crates/serving/src/placement/bring.rs
@@ -66,8 +66,11 @@
     /// Begins to bring models that are worth one more replica, those that gain most first.
     pub(super) fn bring_models(&mut self, now: Instant) {
         for candidate in self.candidates(now) {
-            let may_fetch = self.home_is_too_late(&candidate, now);
-            self.place_model(&candidate, may_fetch, now);
+            // Engines that have it near have it by now, or no room for it, and more requests
+            // are turned away each second than a fetch costs its engine.
+            let insists = self.lacks_slots(&candidate.service, &candidate.model)
+                || self.home_is_too_late(&candidate, now);
+            self.place_model(&candidate, insists, now);
         }
     }
 
--- a/crates/serving/src/placement/worth.rs
+++ b/crates/serving/src/placement/worth.rs
@@ -72,7 +72,14 @@
             return None;
         }
         let rate = self.demand.rate(service, model, now);
-        let part = rate / whole(wanted.max(1));
+        // Where requests find no slot, one more replica takes its part of them at once;
+        // else it only makes queues shorter, the less the more replicas are wanted.
+        let sharing = if self.lacks_slots(service, model) {
+            replicas + 1
+        } else {
+            wanted
+        };
+        let part = rate / whole(sharing.max(1));
         let mut candidate = Candidate {
             service: service.clone(),
             model: model.clone(),
--- a/tests/all/place_worth.rs
+++ b/tests/all/place_worth.rs
@@ -1,8 +1,8 @@
 //! Places go to the models whose requests gain most by them, busy or rare.
 
 use crate::planned::{Planned, plain};
-use passway_serving::placement::Usage;
 use passway_serving::placement::policy::PolicyName;
+use passway_serving::placement::{ModelRuns, Usage};
 use passway_serving::ports::{OrderAction, OrderAnswer};
 use passway_types::prelude::*;
 
@@ -123,3 +123,33 @@
     assert!(patience(PolicyName::Balanced) >= fetch_time);
     assert_eq!(patience(PolicyName::NoHomes), Duration::ZERO);
 }
+
+/// Two engines with room for two models each; m0 stands on the first one alone, whose eight
+/// slots its requests take or do not take.
+fn replicas_come(runs: u32) -> bool {
+    let mut planned = Planned::new();
+    planned.hear(1, &["m0"]);
+    planned.hear_of("i-1", 1, &["m1"], &["m1"]);
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0"]);
+    planned.report_of("i-1", 0, &["m1"]);
+    ask(&mut planned, &[("m0", 20)], 5);
+    let running = ModelRuns {
+        engine: "i-0".into(),
+        model: "m0".into(),
+        count: runs,
+    };
+    planned.planner.running(&"one".into(), &[running]);
+    let orders = planned.orders(OrderAnswer::Taken);
+    let second = orders.iter().find(|order| &*order.engine == "i-1");
+    second.is_some_and(|order| &*order.wish.model == "m0" && order.action == OrderAction::Load)
+}
+
+#[test]
+fn fetched_when_slots_lack() {
+    assert!(replicas_come(8));
+    assert!(
+        !replicas_come(4),
+        "the engine that has it near bears its requests"
+    );
+}
--- a/tests/all/planned.rs
+++ b/tests/all/planned.rs
@@ -94,14 +94,31 @@
 
     /// The engine tells its state.
     pub fn report(&mut self, busy: bool, orders_taken: u64, models: &[&str]) {
+        let on_disk = ["m0", "m1", "m2", "m3"];
+        self.reported("i-0", busy, orders_taken, models, &on_disk);
+    }
+
+    /// An engine that is not busy tells its state; all it has on its disk stands there.
+    pub fn report_of(&mut self, id: &str, orders_taken: u64, models: &[&str]) {
+        self.reported(id, false, orders_taken, models, models);
+    }
+
+    fn reported(
+        &mut self,
+        id: &str,
+        busy: bool,
+        orders_taken: u64,
+        models: &[&str],
+        on_disk: &[&str],
+    ) {
         let report = EngineReport {
             models: models.iter().map(|name| resident(name)).collect(),
             busy,
             orders_taken,
             in_memory: Vec::new(),
-            on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+            on_disk: on_disk.iter().map(|name| (*name).into()).collect(),
         };
-        self.planner.reported(&"i-0".into(), Some(report), self.now);
+        self.planner.reported(&id.into(), Some(report), self.now);
     }
 
     /// Orders decided within a second of looks, each answered by `answer`.
