--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -410,7 +410,9 @@
             | Body::Members(_)
             | Body::Successor(_)
             | Body::News(_)
-            | Body::QueryAnswer(_) => {}
+            | Body::QueryAnswer(_)
+            | Body::PromiseWanted(_)
+            | Body::Promise(_) => {}
         }
     }
 
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -29,6 +29,10 @@
     fn tick(&mut self) {}
     /// All changes that are known were taken in; the pause before asking for more.
     fn settled(&mut self) -> Duration;
+    /// Whether the store is to be asked although the holder is relied on.
+    fn must_ask(&self) -> bool {
+        false
+    }
     /// What the instance shares.
     fn shared(&self) -> &Shared;
 }
@@ -84,7 +88,7 @@
 
     /// Waits a step for the holder's news; whether the holder is relied on.
     fn hear(&mut self) -> bool {
-        if self.known.is_none() || self.has_gap {
+        if self.known.is_none() || self.has_gap || self.feed.must_ask() {
             return false;
         }
         let heard = self.tap.next(RELAY_STEP);
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -2,6 +2,7 @@
 //!
 //! Every instance runs this thread; it decides only while [`Right`] says so.
 
+use crate::candidates::Candidates;
 use crate::members::{self, Addresses, Announcement};
 use crate::relay::{FEEDS, FeedLog, HEARTBEAT_PAUSE, Told};
 use crate::right::Right;
@@ -11,10 +12,12 @@
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
-use passway_serving::tenure::Holder;
+use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry};
 use passway_types::prelude::*;
-use passway_wire::message::{EnginePlacement, Needs, News, Placements, Resident, Subscribe, Wish};
+use passway_wire::message::{
+    EnginePlacement, Needs, News, Placements, Promise, PromiseWanted, Resident, Subscribe, Wish,
+};
 use passway_wire::{Body, Link};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
@@ -22,6 +25,9 @@
 /// Longest time between two looks while nothing is heard.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
+/// Pause between two looks whether orders may be given, in a term that may not give them now.
+const RIGHT_STEP: Duration = Duration::from_millis(50);
+
 /// Pause between two words about placements, for each instance that hears them: 69
 /// instances are told every 34 ms at most, 6 every 3 ms.
 const TELL_PAUSE_PER_PEER: Duration = Duration::from_micros(500);
@@ -39,6 +45,8 @@
     Subscribe(u64, Subscribe),
     /// Another instance holds the right to order.
     Succeeded(Holder),
+    /// A candidate promises not to take the right to order.
+    Promised(Promise),
     /// The store's news of a feed.
     News(usize, Told),
     /// An upstream has said something of itself.
@@ -80,6 +88,8 @@
         ),
         peers: BTreeMap::new(),
         subscribers: BTreeMap::new(),
+        candidates: Candidates::default(),
+        begun_at: Instant::now(),
         announcement: None,
         logs: Default::default(),
         heartbeat_at: Instant::now(),
@@ -112,6 +122,7 @@
                         Some(holder) => Input::Succeeded(holder),
                         None => continue,
                     },
+                    Body::Promise(promise) => Input::Promised(promise),
                     _ => continue,
                 };
                 let _ = inputs.send(input);
@@ -130,6 +141,10 @@
     peers: BTreeMap<u64, Outbox>,
     /// Instances that hear the store's news from here, and where they listen.
     subscribers: BTreeMap<u64, Option<(InstanceId, SocketAddr)>>,
+    /// Who may succeed this instance.
+    candidates: Candidates,
+    /// What times that are told to others are counted from.
+    begun_at: Instant,
     /// What is left to tell of a term that has begun.
     announcement: Option<Announcement>,
     logs: [FeedLog; FEEDS],
@@ -167,7 +182,12 @@
             let now = Instant::now();
             let look_at = if self.fence.is_some() {
                 let telling = self.planner.has_changed().then_some(self.tell_at);
-                let next = self.planner.next_look_at(now).min(self.heartbeat_at);
+                let next = if self.right.fence().is_some() {
+                    self.planner.next_look_at(now)
+                } else {
+                    now + RIGHT_STEP
+                };
+                let next = next.min(self.heartbeat_at);
                 telling.map_or(next, |at| next.min(at))
             } else {
                 now + LOOK_PAUSE
@@ -195,7 +215,9 @@
             }
             Input::Disconnected(number, instance) => {
                 self.peers.remove(&number);
-                self.subscribers.remove(&number);
+                if let Some((name, _)) = self.subscribers.remove(&number).flatten() {
+                    self.candidates.went(&name, now);
+                }
                 if let Some(instance) = instance {
                     self.planner.instance_gone(&instance);
                 }
@@ -203,6 +225,7 @@
             Input::Needs(needs) => self.needs(&needs, now),
             Input::Subscribe(number, subscribe) => self.subscribe(number, &subscribe),
             Input::Succeeded(holder) => self.succeeded(&holder),
+            Input::Promised(promise) => self.promised(&promise),
             Input::News(feed, told) => {
                 if let Some(news) = self.logs[feed].add(feed, &told) {
                     self.pass_on(&news);
@@ -241,6 +264,9 @@
         outbox.send(Body::News(News::default()));
         let address = subscribe.address.parse().ok();
         let member = address.map(|address| (subscribe.instance.as_str().into(), address));
+        if let Some((name, address)) = member.clone() {
+            self.candidates.came(name, address, subscribe.is_weak);
+        }
         self.subscribers.insert(number, member);
         self.tell_members(number);
     }
@@ -272,11 +298,54 @@
     /// Another instance says that it holds the right. Believed only while the store does
     /// not answer: it tells better.
     fn succeeded(&self, holder: &Holder) {
-        if self.shared.store_health.is_failing() && self.right.told(holder.clone()) {
+        let is_silent =
+            self.shared.store_health.is_failing() || self.right.asks_promises().is_some();
+        if is_silent && self.right.told(holder.clone()) {
             log::info!(holder:% = holder.instance, fence = holder.fence; "heard of a new holder");
         }
     }
 
+    /// A candidate has answered what it was asked in `ask_candidates`.
+    fn promised(&mut self, promise: &Promise) {
+        let name = InstanceId::from(promise.instance.as_str());
+        if promise.leaves {
+            self.candidates.left(&name);
+            self.right.left(&name, promise.fence);
+        } else {
+            let asked_at = self.begun_at + Duration::from_millis(promise.asked_ms);
+            self.right.promised(&name, promise.fence, asked_at);
+        }
+    }
+
+    /// Chooses who may succeed this instance, and asks them for their promises while the
+    /// store does not answer.
+    fn ask_candidates(&mut self, now: Instant) {
+        let settings = &self.shared.settings;
+        let me = Candidate {
+            instance: settings.instance.clone(),
+            address: settings.peer_address,
+        };
+        if let Some(chosen) = self.candidates.choose(&me, now) {
+            self.right.want_candidates(chosen);
+        }
+        let Some(fence) = self.right.asks_promises() else {
+            return;
+        };
+        let asked = now.saturating_duration_since(self.begun_at);
+        let body = Body::PromiseWanted(PromiseWanted {
+            fence,
+            asked_ms: u64::try_from(asked.as_millis()).unwrap_or(u64::MAX),
+        });
+        for (number, member) in &self.subscribers {
+            if member
+                .as_ref()
+                .is_some_and(|(name, _)| self.candidates.contains(name))
+            {
+                self.send_to(*number, &body);
+            }
+        }
+    }
+
     fn pass_on(&self, news: &News) {
         self.send_to_subscribers(&Body::News(news.clone()));
     }
@@ -299,6 +368,7 @@
             self.heartbeat_at = now + HEARTBEAT_PAUSE;
             let instances = self.subscribers.len() + 1;
             self.shared.use_instances(instances);
+            self.ask_candidates(now);
             self.pass_on(&News {
                 instances: u32::try_from(instances).unwrap_or(u32::MAX),
                 ..News::default()
@@ -363,16 +433,20 @@
                 self.planner.heard(entry.clone(), Instant::now());
             }
         }
-        let fence = self.right.fence();
+        let fence = self.right.term();
         if fence != self.fence {
             self.fence = fence;
+            self.candidates = Candidates::default();
             // Whoever heard the news from here asks the store now.
             for number in std::mem::take(&mut self.subscribers).into_keys() {
                 if let Some(outbox) = self.peers.remove(&number) {
                     outbox.close();
                 }
             }
-            self.announcement = fence.map(|fence| Announcement::begin(fence, Instant::now()));
+            let urgent = self.right.former_candidates().into_iter();
+            let urgent: Addresses = urgent.map(|one| (one.instance, one.address)).collect();
+            self.announcement =
+                fence.map(|fence| Announcement::begin(fence, urgent, Instant::now()));
             if fence.is_some() {
                 self.planner.begin_term(Instant::now());
             }
@@ -383,8 +457,10 @@
         let now = Instant::now();
         self.beat(now);
         self.announce(now);
-        for action in self.planner.decide(now) {
-            self.act(action, fence);
+        if self.right.fence() == Some(fence) {
+            for action in self.planner.decide(now) {
+                self.act(action, fence);
+            }
         }
         self.tell_changes(now);
     }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -8,13 +8,15 @@
 //! * [`http1`] and [`pool`] are connections; [`reply`] writes answers.
 //! * [`feeds`] follows the store; [`ready`] answers the balancer.
 //! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
-//!   [`report`] tells the holder what this instance needs.
+//!   [`candidates`] are those that may succeed it, [`report`] tells the holder what this
+//!   instance needs.
 //! * [`metrics`]: counters for `/metrics`.
 //! * [`health`]: whether the store answers.
 //! * [`relay`]: the store's news by way of the holder.
 //! * [`lifecycle`] starts and stops.
 
 pub mod callers;
+pub mod candidates;
 pub mod events;
 pub mod feeds;
 pub mod forward;
--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -61,36 +61,37 @@
 pub struct Announcement {
     fence: Fence,
     begun_at: Instant,
+    /// Those that are told at once: they may carry another holder without the store, which
+    /// stops when it hears of this one.
+    urgent: Addresses,
     /// Connections to those that did not come; dropped when they have.
     dialers: BTreeMap<InstanceId, Dialer>,
 }
 
 impl Announcement {
     /// A term begins.
-    pub fn begin(fence: Fence, now: Instant) -> Self {
+    pub fn begin(fence: Fence, urgent: Addresses, now: Instant) -> Self {
         Self {
             fence,
             begun_at: now,
+            urgent,
             dialers: BTreeMap::new(),
         }
     }
 
     /// Connects to members that are not among those that have come; whether it is over.
     pub fn go_on(&mut self, shared: &Shared, come: &Addresses, now: Instant) -> bool {
-        if now < self.begun_at + COMING_TIME {
-            return false;
-        }
         if now >= self.begun_at + ANNOUNCING_TIME {
             return true;
         }
         let me = &shared.settings.instance;
-        let known = shared.members();
-        let missing: Addresses = known
-            .iter()
-            .filter(|(name, _)| *name != me && !come.contains_key(*name))
-            .map(|(name, address)| (name.clone(), *address))
-            .collect();
-        drop(known);
+        let mut known = self.urgent.clone();
+        let others_should_have_come = now >= self.begun_at + COMING_TIME;
+        if others_should_have_come {
+            known.extend(shared.members().clone());
+        }
+        known.retain(|name, _| name != me && !come.contains_key(name));
+        let missing = known;
         self.dialers.retain(|name, _| missing.contains_key(name));
         for (name, address) in missing {
             let word = Body::Successor(Successor {
@@ -112,6 +113,6 @@
                 })
             });
         }
-        self.dialers.is_empty()
+        others_should_have_come && self.dialers.is_empty()
     }
 }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -11,7 +11,9 @@
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::prelude::*;
 use passway_wire::Body;
-use passway_wire::message::{EnginePlacement, Needs, Running, Subscribe, Wish};
+use passway_wire::message::{
+    EnginePlacement, Needs, Promise, PromiseWanted, Running, Subscribe, Wish,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -207,6 +209,13 @@
                     drop(link);
                     placed(&shared, placements.engines);
                 }
+                Dialed::Received(Body::PromiseWanted(wanted)) => {
+                    if let Some(promise) = promise(&shared, &right, &dialed_holder, wanted)
+                        && let Some(outbox) = link.as_ref()
+                    {
+                        outbox.send(Body::Promise(promise));
+                    }
+                }
                 Dialed::Received(_) => {}
             }
         });
@@ -230,6 +239,7 @@
             known: known.to_vec(),
             instance: self.shared.settings.instance.to_string(),
             address: self.shared.settings.peer_address.to_string(),
+            is_weak: self.right.is_weak(),
         }));
         self.subscribed_at = Some(Instant::now());
     }
@@ -277,6 +287,25 @@
     }
 }
 
+/// The answer to a holder that the store does not answer; `None` if this instance may take
+/// the right.
+fn promise(
+    shared: &Shared,
+    right: &Right,
+    asker: &Holder,
+    wanted: PromiseWanted,
+) -> Option<Promise> {
+    let leaves = shared.is_stopping();
+    let store_answers = !shared.store_health.is_failing();
+    let promises = leaves || right.promise(&asker.instance, store_answers);
+    promises.then(|| Promise {
+        instance: shared.settings.instance.to_string(),
+        fence: wanted.fence,
+        asked_ms: wanted.asked_ms,
+        leaves,
+    })
+}
+
 /// Counts what was taken lately.
 fn recent_counts(recent: &VecDeque<(Instant, WishKey)>) -> Taken {
     let mut taken = Taken::new();
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -11,7 +11,7 @@
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue,
 };
-use passway_serving::tenure::{Holder, RecentHolders, Step, Tenure, TenureLimits};
+use passway_serving::tenure::{Candidate, Holder, RecentHolders, Step, Tenure, TenureLimits};
 use passway_types::prelude::*;
 use rand::RngExt;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -27,12 +27,22 @@
 /// An instance with less processor than this lets others take the key: on the grown
 /// market site's calm day the holder used 0.135 of a core.
 const WEAK_PART: f64 = 0.2;
+/// A candidate asks the store itself for so long after a holder asked it for a promise:
+/// three of the holder's heartbeats.
+const ASKED_TIME: Duration = Duration::from_secs(1);
 
 /// The right to order, as this instance knows it.
 #[derive(Debug)]
 pub struct Right {
     tenure: Mutex<Tenure>,
     changed: Condvar,
+    /// When a holder asked last for a promise.
+    asked_at: Mutex<Option<Instant>>,
+    is_weak: bool,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn encode(shared: &Shared) -> Vec<u8> {
@@ -50,27 +60,46 @@
     })
 }
 
-fn encode_recent(names: &[InstanceId]) -> Vec<u8> {
-    names.join(" ").into_bytes()
+/// One line with the names of holders, one with candidates and their addresses.
+fn encode_recent(recent: &RecentHolders) -> Vec<u8> {
+    let candidates = recent.candidates.iter();
+    let candidates = candidates.map(|one| format!("{}={}", one.instance, one.address));
+    let candidates: Vec<String> = candidates.collect();
+    format!("{}\n{}", recent.names.join(" "), candidates.join(" ")).into_bytes()
 }
 
 fn decode_recent(value: &StoredValue) -> RecentHolders {
     let text = String::from_utf8_lossy(&value.value);
+    let mut lines = text.lines();
+    let names = lines.next().unwrap_or_default().split_whitespace();
+    let candidates = lines.next().unwrap_or_default().split_whitespace();
     RecentHolders {
-        names: text.split_whitespace().map(Into::into).collect(),
+        names: names.map(Into::into).collect(),
+        candidates: candidates.filter_map(decode_candidate).collect(),
         revision: value.revision,
     }
 }
 
+/// A candidate whose address cannot be read would never be asked, and the term would end:
+/// it is left out like one that is not listed, which is told by the instance's own name.
+fn decode_candidate(text: &str) -> Option<Candidate> {
+    let (instance, address) = text.rsplit_once('=')?;
+    Some(Candidate {
+        instance: instance.into(),
+        address: address.parse().ok()?,
+    })
+}
+
 impl Right {
     /// Nothing is known yet of who holds the right.
     pub fn new(shared: &Shared) -> Self {
         let settings = &shared.settings;
         let bounds = shared.bounds.load();
+        let is_weak = settings.processor_part < WEAK_PART;
         let limits = TenureLimits {
             lease: LEASE_TIME.max(bounds.shortest_lease),
             gap: bounds.holder_gap,
-            is_weak: settings.processor_part < WEAK_PART,
+            is_weak,
         };
         Self {
             tenure: Mutex::new(Tenure::new(
@@ -79,9 +108,16 @@
                 Instant::now(),
             )),
             changed: Condvar::new(),
+            asked_at: Mutex::default(),
+            is_weak,
         }
     }
 
+    /// Whether others had better hold the right, since this instance has little processor.
+    pub fn is_weak(&self) -> bool {
+        self.is_weak
+    }
+
     /// Follows the key and takes it whenever nobody holds it.
     pub fn start(
         self: &Arc<Self>,
@@ -100,7 +136,7 @@
     }
 
     fn tenure(&self) -> MutexGuard<'_, Tenure> {
-        self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.tenure)
     }
 
     /// Changes what is known, and lets the thread that keeps the right look at it.
@@ -126,6 +162,50 @@
         self.tenure().fence(Instant::now())
     }
 
+    /// My fencing number for as long as my term lasts, also while I may not order.
+    pub fn term(&self) -> Option<Fence> {
+        self.tenure().term(Instant::now())
+    }
+
+    /// My fencing number, if the candidates are to promise that they do not take the right:
+    /// the store did not answer the last renewal.
+    pub fn asks_promises(&self) -> Option<Fence> {
+        self.tenure().asks_promises(Instant::now())
+    }
+
+    /// Whether this instance promises a holder not to take the right for a while.
+    pub fn promise(&self, asker: &InstanceId, store_answers: bool) -> bool {
+        let now = Instant::now();
+        *lock(&self.asked_at) = Some(now);
+        self.tenure().promise(asker, store_answers, now)
+    }
+
+    /// Whether a holder has asked for a promise lately, so that this instance had better
+    /// find out whether the store answers.
+    fn is_asked(&self) -> bool {
+        lock(&self.asked_at).is_some_and(|at| at.elapsed() < ASKED_TIME)
+    }
+
+    /// A candidate promises, asked at a moment.
+    pub fn promised(&self, from: &InstanceId, fence: Fence, asked_at: Instant) {
+        self.update(|tenure| tenure.promised(from, fence, asked_at));
+    }
+
+    /// A candidate's process ends.
+    pub fn left(&self, from: &InstanceId, fence: Fence) {
+        self.update(|tenure| tenure.left(from, fence));
+    }
+
+    /// The candidates that a term of mine should have.
+    pub fn want_candidates(&self, wanted: Vec<Candidate>) {
+        self.update(|tenure| tenure.want_candidates(wanted));
+    }
+
+    /// Candidates that the store named before my term: they may carry another holder.
+    pub fn former_candidates(&self) -> Vec<Candidate> {
+        self.tenure().former_candidates().to_vec()
+    }
+
     /// Gives the right back, so that another instance can take it at once.
     pub fn release(&self) {
         self.update(Tenure::release);
@@ -170,8 +250,18 @@
                 Step::Renew(lease) => {
                     drop(tenure);
                     let answer = store.renew_lease(lease);
+                    if answer == Ok(true) {
+                        shared.store_health.answered();
+                    }
                     self.tenure().renewed(answer, now, Instant::now());
                 }
+                Step::List => {
+                    let recent = tenure.recent_with_candidates();
+                    drop(tenure);
+                    let answer = store.write(&[listing(&recent)]);
+                    log::info!(candidates = recent.candidates.len(), answer:? = answer; "list of candidates");
+                    self.tenure().listed(&answer, recent, Instant::now());
+                }
                 Step::End(lease) => {
                     drop(tenure);
                     end(store, lease);
@@ -193,15 +283,20 @@
             value: Some(encode(shared)),
             lease: Some(lease),
         },
-        ConditionalWrite {
-            key: RECENT_KEY.to_owned(),
-            expected: recent.revision,
-            value: Some(encode_recent(&recent.names)),
-            lease: None,
-        },
+        listing(recent),
     ]
 }
 
+/// The write of the list of holders, if nobody wrote it since it was read.
+fn listing(recent: &RecentHolders) -> ConditionalWrite {
+    ConditionalWrite {
+        key: RECENT_KEY.to_owned(),
+        expected: recent.revision,
+        value: Some(encode_recent(recent)),
+        lease: None,
+    }
+}
+
 fn end(store: &dyn SharedStore, lease: LeaseId) {
     if store.end_lease(lease).is_err() {
         log::debug!(lease = lease; "a lease could not be ended and runs out");
@@ -249,6 +344,10 @@
         Duration::ZERO
     }
 
+    fn must_ask(&self) -> bool {
+        self.right.is_asked()
+    }
+
     fn shared(&self) -> &Shared {
         &self.shared
     }
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -9,11 +9,18 @@
 //! finds itself there lets some time pass before it orders again, so that two holders do
 //! not take turns at one engine; those that are not there go first.
 //!
+//! While the store is away a holder goes on by the word of all who could succeed it: see
+//! [`promises`].
+//!
 //! [`Tenure::step`] says what to ask of the store, and its answer goes to the method
 //! named after the call. There is no I/O and no clock here.
 
+mod promises;
+
 use crate::ports::{LeaseId, StoreError, StoreRevision, WriteAnswer};
 use passway_types::prelude::*;
+pub use promises::PROMISE_TIME;
+use promises::Promises;
 use std::net::SocketAddr;
 
 /// A lease is renewed when this part of it has passed.
@@ -35,6 +42,16 @@
 const FORGET_TIME: Duration = Duration::from_mins(1);
 /// Names of former holders that are kept.
 const KEPT_HOLDERS: usize = 12;
+/// A term whose lease has run out and that not all candidates carry may still be taken up
+/// again within this: a candidate learns that the store is silent only by a call's time-out.
+const RESUME_TIME: Duration = Duration::from_secs(3);
+/// Pause between two writes of the list of candidates.
+const LIST_PAUSE: Duration = Duration::from_secs(2);
+/// A term begins so long after the key was taken, if there were candidates: a holder that
+/// they carry without the store is told meanwhile. Instances say what they need in this time.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(300);
+/// How much later an instance tries that is not a candidate.
+const NOT_LISTED_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Who holds the right, as the store says.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,11 +64,22 @@
     pub fence: Fence,
 }
 
+/// An instance that may take the key at once.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Candidate {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+}
+
 /// Who has held the right lately, as the store says.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RecentHolders {
     /// The instances, the last one last.
     pub names: Vec<InstanceId>,
+    /// Who may take the key at once; anybody if it is empty.
+    pub candidates: Vec<Candidate>,
     /// The store's revision of the key; 0 if it was never written.
     pub revision: StoreRevision,
 }
@@ -78,6 +106,8 @@
     Take(LeaseId),
     /// Renew the lease.
     Renew(LeaseId),
+    /// Write the list of holders with the candidates of this term.
+    List,
     /// End the lease.
     End(LeaseId),
     /// Nothing any more.
@@ -94,6 +124,10 @@
     /// When the lease ends, less the safety.
     until: Instant,
     renew_at: Instant,
+    /// Whether the store left the last call without a good answer.
+    is_unanswered: bool,
+    /// When the list of candidates may be written again.
+    list_at: Instant,
 }
 
 /// A lease under which the key is to be written.
@@ -105,6 +139,19 @@
     /// Whether a term must begin with a pause. Decided before the key is written: the
     /// list of holders names this instance last from then on.
     pauses: bool,
+    /// Time in which a holder that candidates carry hears of the term and stops.
+    announcing: Duration,
+}
+
+impl Granted {
+    fn new(lease: LeaseId, asked_at: Instant) -> Self {
+        Self {
+            lease,
+            asked_at,
+            pauses: true,
+            announcing: Duration::ZERO,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -140,6 +187,14 @@
     /// When this process began, or its last term ended.
     quiet_since: Instant,
     is_released: bool,
+    /// Until when this instance has promised not to take the key.
+    promised_until: Instant,
+    /// What the candidates of my term have promised.
+    promises: Promises,
+    /// Candidates that the store named when the key was taken.
+    former_candidates: Vec<Candidate>,
+    /// The candidates that the term should have.
+    wanted: Vec<Candidate>,
 }
 
 impl Tenure {
@@ -156,6 +211,11 @@
             held_last: false,
             quiet_since: now,
             is_released: false,
+            // A process before this one may have promised.
+            promised_until: now + PROMISE_TIME,
+            promises: Promises::default(),
+            former_candidates: Vec::new(),
+            wanted: Vec::new(),
         }
     }
 
@@ -179,10 +239,96 @@
         let Stage::Holding(term) = self.stage else {
             return None;
         };
-        let runs = now >= term.begin_at && now < term.until;
+        let runs = now >= term.begin_at && now < self.ordering_until(&term);
         (runs && !self.is_released && !self.is_succeeded(term.fence)).then_some(term.fence)
     }
 
+    /// My fencing number for as long as my term lasts, also while I may not order: before
+    /// its begin, and while candidates are asked to carry it.
+    pub fn term(&self, now: Instant) -> Option<Fence> {
+        let Stage::Holding(term) = self.stage else {
+            return None;
+        };
+        let lasts = now < self.lasting_until(&term);
+        (lasts && !self.is_released && !self.is_succeeded(term.fence)).then_some(term.fence)
+    }
+
+    /// The last moment of a term at which an order may be given: by the lease, or by the
+    /// candidates' word.
+    fn ordering_until(&self, term: &Term) -> Instant {
+        let carried = self.promises.hold_until(&self.me);
+        carried.map_or(term.until, |until| until.max(term.until))
+    }
+
+    /// When a term is given up.
+    fn lasting_until(&self, term: &Term) -> Instant {
+        let until = self.ordering_until(term);
+        if self.promises.has_candidates(&self.me) {
+            until + RESUME_TIME
+        } else {
+            until
+        }
+    }
+
+    /// My fencing number, if the candidates of my term are to promise.
+    pub fn asks_promises(&self, now: Instant) -> Option<Fence> {
+        let Stage::Holding(term) = self.stage else {
+            return None;
+        };
+        let asks = term.is_unanswered && self.promises.has_candidates(&self.me);
+        self.term(now).filter(|_| asks)
+    }
+
+    /// A candidate promises, asked at a moment, not to take the key.
+    pub fn promised(&mut self, from: &InstanceId, fence: Fence, asked_at: Instant) {
+        if self.holds(fence) {
+            let until = asked_at + PROMISE_TIME.saturating_sub(SAFETY);
+            self.promises.promised(from, until);
+        }
+    }
+
+    /// A candidate's process ends, and does not take the key any more.
+    pub fn left(&mut self, from: &InstanceId, fence: Fence) {
+        if self.holds(fence) {
+            self.promises.left(from);
+        }
+    }
+
+    fn holds(&self, fence: Fence) -> bool {
+        matches!(self.stage, Stage::Holding(term) if term.fence == fence)
+    }
+
+    /// Whether this instance promises the holder that asks not to take the key for
+    /// [`PROMISE_TIME`]: not if it reaches the store, takes the key itself, or knows that
+    /// another one had it later.
+    pub fn promise(&mut self, asker: &InstanceId, store_answers: bool, now: Instant) -> bool {
+        let takes = matches!(self.stage, Stage::Granted(_) | Stage::Holding(_));
+        let holder = self.holder.as_ref();
+        let is_last = holder.is_some_and(|h| h.instance == *asker && h.fence >= self.highest)
+            && self.recent.names.last() == Some(asker);
+        if takes || store_answers || !is_last {
+            return false;
+        }
+        self.promised_until = self.promised_until.max(now + PROMISE_TIME);
+        true
+    }
+
+    /// The candidates that my term should have, if I hold the right.
+    pub fn want_candidates(&mut self, wanted: Vec<Candidate>) {
+        self.wanted = wanted;
+    }
+
+    /// Candidates that the store named when this instance took the key last.
+    pub fn former_candidates(&self) -> &[Candidate] {
+        &self.former_candidates
+    }
+
+    /// Whether this instance may take the key at once.
+    fn is_candidate(&self) -> bool {
+        let candidates = &self.recent.candidates;
+        candidates.is_empty() || candidates.iter().any(|one| one.instance == self.me)
+    }
+
     /// Whether somebody else took the right after a term of mine began.
     fn is_succeeded(&self, fence: Fence) -> bool {
         let holder = self.holder.as_ref();
@@ -214,10 +360,21 @@
         // A list that was read may be older than a change that was heard.
         if recent.revision >= self.recent.revision {
             self.held_last &= recent.names.last() == Some(&self.me);
+            if recent.revision > self.recent.revision {
+                self.listed_are(&recent);
+            }
             self.recent = recent;
         }
     }
 
+    /// The store has these candidates, which are mine if I took the key last.
+    fn listed_are(&mut self, recent: &RecentHolders) {
+        let is_mine = recent.names.last() == Some(&self.me);
+        let names = recent.candidates.iter().map(|one| one.instance.clone());
+        let is_listed = is_mine && recent.candidates.iter().any(|c| c.instance == self.me);
+        self.promises.set_listed(names.filter(|_| is_listed));
+    }
+
     /// The list to write beside the key when this instance takes it, and the revision
     /// that it replaces.
     pub fn recent_with_me(&self) -> RecentHolders {
@@ -227,10 +384,20 @@
         let surplus = names.len().saturating_sub(KEPT_HOLDERS);
         RecentHolders {
             names: names.split_off(surplus),
+            // They stay those that may take the key at once, whoever holds it.
+            candidates: self.recent.candidates.clone(),
             revision: self.recent.revision,
         }
     }
 
+    /// The list to write for [`Step::List`], and the revision that it replaces.
+    pub fn recent_with_candidates(&self) -> RecentHolders {
+        RecentHolders {
+            candidates: self.wanted.clone(),
+            ..self.recent.clone()
+        }
+    }
+
     /// Gives the right back, so that another instance can take it at once.
     pub fn release(&mut self) {
         self.is_released = true;
@@ -263,9 +430,15 @@
                 self.stage = Stage::Watching;
                 Step::Wait(now + IDLE_STEP)
             }
+            Stage::Turn(_) if now < self.promised_until => Step::Wait(self.promised_until),
             Stage::Turn(_) if !store_answers => self.pause(now),
             Stage::Turn(_) => Step::Grant,
-            Stage::Granted(granted) => Step::Take(granted.lease),
+            // It may have promised while the lease was asked for.
+            Stage::Granted(granted) if now < self.promised_until => {
+                self.stage = Stage::Ending(granted.lease);
+                Step::End(granted.lease)
+            }
+            Stage::Granted(granted) => self.take(granted, now),
             Stage::Holding(term) => self.hold(term, now),
             Stage::Ending(lease) => Step::End(lease),
             Stage::Stopped => Step::Stop,
@@ -283,10 +456,33 @@
         if self.must_pause(now) {
             pause += HELD_PAUSE;
         }
+        if !self.is_candidate() {
+            pause += NOT_LISTED_PAUSE;
+        }
         self.stage = Stage::Turn(now + pause);
         Step::Wait(now + pause)
     }
 
+    /// How the term would begin is told by the list that its taking replaces.
+    fn take(&mut self, granted: Granted, now: Instant) -> Step {
+        self.former_candidates.clone_from(&self.recent.candidates);
+        let announcing = if self.recent.candidates.is_empty() {
+            Duration::ZERO
+        } else if self.is_candidate() {
+            // Others carry nobody without this one's promise, unless its process before
+            // this one left for good.
+            ANNOUNCE_TIME
+        } else {
+            self.limits.gap
+        };
+        self.stage = Stage::Granted(Granted {
+            pauses: self.must_pause(now),
+            announcing,
+            ..granted
+        });
+        Step::Take(granted.lease)
+    }
+
     fn pause(&mut self, now: Instant) -> Step {
         let until = now + RETRY_PAUSE;
         self.stage = Stage::Pausing(until);
@@ -294,14 +490,29 @@
     }
 
     fn hold(&mut self, term: Term, now: Instant) -> Step {
-        if now >= term.until || self.is_succeeded(term.fence) {
+        if now >= self.lasting_until(&term) || self.is_succeeded(term.fence) {
             return self.lose(term.lease, now);
         }
         self.held_last |= now >= term.begin_at;
-        if now < term.renew_at {
+        if now >= term.renew_at {
+            return Step::Renew(term.lease);
+        }
+        if term.is_unanswered || !self.lacks_list() {
             return Step::Wait(term.renew_at);
         }
-        Step::Renew(term.lease)
+        if now < term.list_at {
+            return Step::Wait(term.renew_at.min(term.list_at));
+        }
+        let names = self.wanted.iter().map(|one| one.instance.clone());
+        self.promises.writing(names);
+        Step::List
+    }
+
+    /// Whether the store has other candidates than it should have. It is told of the taking
+    /// by the same value, which must be known before it is replaced.
+    fn lacks_list(&self) -> bool {
+        let is_mine = self.recent.names.last() == Some(&self.me);
+        is_mine && self.wanted.len() > 1 && self.wanted != self.recent.candidates
     }
 
     fn lose(&mut self, lease: LeaseId, now: Instant) -> Step {
@@ -328,11 +539,7 @@
     pub fn granted(&mut self, answer: Result<LeaseId, StoreError>, asked_at: Instant) {
         // A lease whose grant had no answer holds no key, and runs out.
         self.stage = match answer {
-            Ok(lease) => Stage::Granted(Granted {
-                lease,
-                asked_at,
-                pauses: self.must_pause(asked_at),
-            }),
+            Ok(lease) => Stage::Granted(Granted::new(lease, asked_at)),
             Err(_) => Stage::Pausing(asked_at + RETRY_PAUSE),
         };
     }
@@ -356,15 +563,19 @@
         };
         // Nothing was ordered yet, and a term may be over before its answer comes.
         self.held_last = false;
-        let begin_at = if granted.pauses {
-            now + self.limits.gap
-        } else {
-            now
-        };
+        // A pause is counted from the last order of a holder that candidates carry.
+        let mut begin_at = now + granted.announcing;
+        if granted.pauses {
+            begin_at += self.limits.gap;
+        }
+        self.highest = self.highest.max(fence);
+        self.promises = Promises::default();
         self.stage = Stage::Holding(Term {
             lease,
             fence,
             begin_at,
+            is_unanswered: false,
+            list_at: now + LIST_PAUSE / 2,
             until: granted.asked_at + self.limits.lease.saturating_sub(SAFETY),
             renew_at: now + self.limits.lease.mul_f64(RENEW_PART),
         });
@@ -380,16 +591,42 @@
             Ok(true) => {
                 term.until = asked_at + self.limits.lease.saturating_sub(SAFETY);
                 term.renew_at = asked_at + self.limits.lease.mul_f64(RENEW_PART);
+                term.is_unanswered = false;
+                self.promises.store_answered();
             }
             Ok(false) => {
                 self.lose(term.lease, now);
                 return;
             }
-            Err(_) => term.renew_at = now + RETRY_PAUSE,
+            Err(_) => {
+                term.renew_at = now + RETRY_PAUSE;
+                term.is_unanswered = true;
+            }
         }
         self.stage = Stage::Holding(term);
     }
 
+    /// The answer to [`Step::List`], whose list was `written`.
+    pub fn listed(
+        &mut self,
+        answer: &Result<WriteAnswer, StoreError>,
+        written: RecentHolders,
+        now: Instant,
+    ) {
+        let Stage::Holding(term) = &mut self.stage else {
+            return;
+        };
+        term.list_at = now + LIST_PAUSE;
+        // Without an answer it may take effect yet, and after a conflict it is not known
+        // what stands: what the store tells next shows it.
+        if let Ok(WriteAnswer::Written(revision)) = *answer {
+            self.seen_recent(RecentHolders {
+                revision,
+                ..written
+            });
+        }
+    }
+
     /// The lease was ended, or runs out by itself.
     pub fn ended(&mut self, now: Instant) {
         self.stage = if self.is_released {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,8 @@
     /// What it carries; `None` comes from a newer program and is ignored.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, \
+                20"
     )]
     pub body: Option<Body>,
 }
@@ -70,6 +71,41 @@
     /// Who holds the right to order now.
     #[prost(message, tag = "18")]
     Successor(Successor),
+    /// A holder that the store does not answer asks a candidate to promise.
+    #[prost(message, tag = "19")]
+    PromiseWanted(PromiseWanted),
+    /// A candidate's promise not to take the right to order.
+    #[prost(message, tag = "20")]
+    Promise(Promise),
+}
+
+/// A holder of the right to order that the store does not answer asks a candidate to
+/// promise that it does not take the right for a while.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct PromiseWanted {
+    /// The holder's fencing number.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    /// When it was asked, in milliseconds since some moment of the holder's own.
+    #[prost(uint64, tag = "2")]
+    pub asked_ms: u64,
+}
+
+/// A candidate's promise not to take the right to order.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Promise {
+    /// The candidate.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// The fencing number that the holder named.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// The moment that it named.
+    #[prost(uint64, tag = "3")]
+    pub asked_ms: u64,
+    /// Whether the candidate's process ends, so that it never takes the right.
+    #[prost(bool, tag = "4")]
+    pub leaves: bool,
 }
 
 /// An instance asks for the store's news.
@@ -84,6 +120,9 @@
     /// Where it listens for other instances.
     #[prost(string, tag = "3")]
     pub address: String,
+    /// Whether others had better hold the right to order, since it has little processor.
+    #[prost(bool, tag = "4")]
+    pub is_weak: bool,
 }
 
 /// An instance and where it listens for others.
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -105,6 +105,7 @@
         known: vec![1, 1],
         instance: "ghost".into(),
         address: "127.0.0.1:1".into(),
+        is_weak: false,
     };
     link.send(Body::Subscribe(subscribe)).expect("sent");
     until("a third one", || all_know(3));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod log_analysis;
 mod log_lines;
 mod model_orders;
+mod outage_terms;
 mod pass_through;
 mod place_worth;
 mod placement_faults;
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -1,23 +1,12 @@
 //! Models come to where they are asked for, by one holder's orders.
 
 use crate::planned::{Planned, resident};
-use crate::site::{self, ask, request, until};
+use crate::site::{self, stream, until};
 use passway_serving::ports::{EngineReport, OrderAction, OrderAnswer};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer, event};
 use passway_types::prelude::*;
 
-fn stream(address: std::net::SocketAddr, route: &str, id: &str, model: &str) -> site::Answer {
-    let bytes = request(
-        "POST",
-        &format!("/{route}/"),
-        id,
-        &format!("Model: {model}\r\n"),
-        "{}",
-    );
-    ask(address, &bytes).expect("an answer")
-}
-
 fn all_events() -> String {
     (1..=EVENTS).map(event).collect()
 }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -108,6 +108,18 @@
     }
 }
 
+/// Asks for a stream of a model; the answer.
+pub fn stream(address: SocketAddr, route: &str, id: &str, model: &str) -> Answer {
+    let bytes = request(
+        "POST",
+        &format!("/{route}/"),
+        id,
+        &format!("Model: {model}\r\n"),
+        "{}",
+    );
+    ask(address, &bytes).expect("an answer")
+}
+
 /// Starts an instance without waiting for it.
 pub fn start(name: &str, store: &MetadataStandIn) -> Instance {
     start_at(name, store.serve())
@@ -115,13 +127,19 @@
 
 /// Starts an instance that reaches the store at an address.
 pub fn start_at(name: &str, address: SocketAddr) -> Instance {
+    start_with(settings(name, address))
+}
+
+/// Starts an instance with settings.
+pub fn start_with(settings: InstanceSettings) -> Instance {
+    let address = settings.store_address;
     let surroundings = Surroundings {
         store: Arc::new(MetadataStore::new(address)),
         directory: Arc::new(PlatformDirectory),
         vocabulary: Box::new(PlatformHeaders),
         engines: Arc::new(ServerControl::default()),
     };
-    Instance::start(settings(name, address), surroundings).expect("an instance")
+    Instance::start(settings, surroundings).expect("an instance")
 }
 
 /// Starts an instance and waits until it is ready.
--- a/tests/all/tenure_faults.rs
+++ b/tests/all/tenure_faults.rs
@@ -3,14 +3,17 @@
 //!
 //! Calls to the store are refused, lost on the way, carried out seconds late or left
 //! without an answer; the store is away for all or for one; news of it comes late;
-//! instances stand still, are killed and start again under the same name; holders say
-//! that they are, and the word comes late.
+//! instances stand still, are killed and start again under the same name, or come anew;
+//! holders say that they are, and the word comes late; candidates promise a holder that the
+//! store does not answer, whatever they see of the store themselves.
 //! `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first seed.
 
+mod carrying;
 mod checks;
 mod store;
 
 use crate::support::FaultRuns;
+use carrying::Letter;
 use passway_serving::tenure::{Holder, RecentHolders, Step, Tenure, TenureLimits};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -19,7 +22,9 @@
 use store::{Answer, Arriving, Request, Store};
 
 const DEFAULT_RUNS: u64 = 60;
-const INSTANCES: usize = 4;
+const INSTANCES: usize = 6;
+/// The last of them are machines that are added to the fleet during the run.
+const NEWCOMERS: usize = 2;
 const TICK_MS: u64 = 10;
 /// Faults are drawn until then; afterwards somebody must hold the right again.
 const FAULTS_MS: u64 = 30_000;
@@ -29,6 +34,17 @@
     gap: Duration::from_secs(3),
     is_weak: false,
 };
+/// Which faults are drawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mix {
+    Usual,
+    Outages,
+    /// Outages in which words of holders take seconds, and no process is told to stop: the
+    /// promises alone must keep holders apart.
+    SlowWords,
+    None,
+}
+
 /// News of the store on its way to an instance.
 #[derive(Debug, Clone)]
 enum News {
@@ -47,6 +63,12 @@
     news: VecDeque<(u64, News)>,
     /// Words of holders on their way, each with when it comes.
     words: Vec<(u64, Holder)>,
+    /// Messages about promises on their way, each with when it comes.
+    letters: Vec<(u64, Letter)>,
+    /// Whether it has given the right back for good.
+    is_released: bool,
+    /// When its process ends and another one starts; `None` unless it was told to stop.
+    ends_at: Option<u64>,
     frozen_until: u64,
     starts_at: u64,
     /// Calls and news do not come through until then.
@@ -64,6 +86,12 @@
     ordered: BTreeMap<InstanceId, (u64, Fence)>,
     last: Option<(InstanceId, Fence)>,
     successions: u32,
+    /// Time in which somebody could order though the store was away for longer than a lease.
+    carried_ms: u64,
+    /// Time in which the store was away for longer than a lease.
+    away_ms: u64,
+    away_since: Option<u64>,
+    mix: Mix,
     broken: Vec<String>,
 }
 
@@ -76,7 +104,7 @@
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, mix: Mix) -> Self {
         let begun_at = Instant::now();
         let instance = |number: usize| {
             let name = InstanceId::from(format!("n{number}").as_str());
@@ -89,20 +117,35 @@
                 news: VecDeque::from([(0, News::Holder(None))]),
                 frozen_until: 0,
                 words: Vec::new(),
+                letters: Vec::new(),
+                is_released: false,
+                ends_at: None,
                 starts_at: 0,
                 cut_until: 0,
             }
         };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut instances: Vec<Instance> = (0..INSTANCES).map(instance).collect();
+        for newcomer in &mut instances[INSTANCES - NEWCOMERS..] {
+            let starts_at = rng.random_range(2_000..FAULTS_MS);
+            newcomer.starts_at = starts_at;
+            let begun_at = begun_at + Duration::from_millis(starts_at);
+            newcomer.tenure = Tenure::new(newcomer.name.clone(), LIMITS, begun_at);
+        }
         Self {
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
             begun_at,
             now_ms: 0,
             store: Store::default(),
-            instances: (0..INSTANCES).map(instance).collect(),
+            instances,
             arriving: Vec::new(),
             ordered: BTreeMap::new(),
             last: None,
             successions: 0,
+            carried_ms: 0,
+            away_ms: 0,
+            away_since: None,
+            mix,
             broken: Vec::new(),
         }
     }
@@ -130,9 +173,13 @@
         match answer {
             Answer::Granted(answer) => tenure.granted(answer, asked_at),
             Answer::Taken(answer) => {
-                tenure.taken(&answer, now);
+                if let Some(fence) = tenure.taken(&answer, now) {
+                    let holder = holder_of(&instance.name, fence);
+                    self.tell_all(number, &holder);
+                }
             }
             Answer::Renewed(answer) => tenure.renewed(answer, asked_at, now),
+            Answer::Listed(answer, written) => tenure.listed(&answer, written, now),
             Answer::Ended => tenure.ended(now),
         }
     }
@@ -167,12 +214,13 @@
 
     /// Takes in words of holders; they are believed only while the store does not answer.
     fn take_words(&mut self, number: usize) {
+        let now = self.now();
         let (now_ms, away_until) = (self.now_ms, self.store.away_until);
         let instance = &mut self.instances[number];
         let is_cut = now_ms < instance.cut_until.max(away_until);
         let due = instance.words.extract_if(.., |(at, _)| *at <= now_ms);
         for (_, holder) in due.collect::<Vec<_>>() {
-            if is_cut {
+            if is_cut || instance.tenure.asks_promises(now).is_some() {
                 instance.tenure.told(holder);
             }
         }
@@ -189,7 +237,9 @@
             self.take_news(number);
         }
         self.take_words(number);
+        self.take_letters(number);
         self.take_answer(number);
+        self.want_candidates(number);
         let instance = &mut self.instances[number];
         if instance.answer.is_some() {
             return;
@@ -202,6 +252,7 @@
             Step::Grant => Request::Grant,
             Step::Take(lease) => Request::Take(lease, instance.tenure.recent_with_me()),
             Step::Renew(lease) => Request::Renew(lease),
+            Step::List => Request::List(instance.tenure.recent_with_candidates()),
             Step::End(lease) => Request::End(lease),
         };
         self.call(number, request);
@@ -227,11 +278,56 @@
             1 => self.kill(which),
             2 => self.instances[which].cut_until = now_ms + length_ms,
             3 if length_ms < 1_500 => self.store.away_until = now_ms + 3 * length_ms,
-            4 => self.instances[which].tenure.release(),
+            4 => self.stop(which, length_ms),
+            _ => {}
+        }
+    }
+
+    /// Outages of the store for all or for nearly all, and fewer other faults than usual:
+    /// candidates carry holders until something strikes them.
+    fn draw_outages(&mut self) {
+        let now_ms = self.now_ms;
+        let which = self.rng.random_range(0..INSTANCES);
+        let length_ms = self.rng.random_range(200..4_000);
+        match self.rng.random_range(0..2_000) {
+            0..4 => self.store.away_until = now_ms + 2 * length_ms,
+            4..8 => self.cut_all_but(which, length_ms + 1_000),
+            8..11 => self.instances[which].frozen_until = now_ms + length_ms / 2,
+            11..14 => self.kill(which),
+            14..17 if self.mix == Mix::Outages => self.stop(which, length_ms),
+            17..20 => self.instances[which].cut_until = now_ms + length_ms,
             _ => {}
         }
     }
 
+    /// All instances but one are cut off from the store.
+    fn cut_all_but(&mut self, which: usize, length_ms: u64) {
+        for (number, instance) in self.instances.iter_mut().enumerate() {
+            if number != which {
+                instance.cut_until = self.now_ms + length_ms;
+            }
+        }
+    }
+
+    /// A process is told to stop; most are followed by another one.
+    fn stop(&mut self, which: usize, length_ms: u64) {
+        let is_followed = self.rng.random_bool(0.8);
+        let instance = &mut self.instances[which];
+        instance.tenure.release();
+        instance.is_released = true;
+        instance.ends_at = is_followed.then_some(self.now_ms + length_ms);
+    }
+
+    /// Ends processes that were told to stop, when their time is over.
+    fn end_stopped(&mut self) {
+        for which in 0..INSTANCES {
+            let ends_at = self.instances[which].ends_at;
+            if ends_at.is_some_and(|at| self.now_ms >= at) {
+                self.kill(which);
+            }
+        }
+    }
+
     /// Ends a process; another one starts under its name and reads what stands.
     fn kill(&mut self, which: usize) {
         let starts_at = self.now_ms + self.rng.random_range(100..1_500);
@@ -241,6 +337,9 @@
         instance.life += 1;
         instance.answer = None;
         instance.words.clear();
+        instance.letters.clear();
+        instance.is_released = false;
+        instance.ends_at = None;
         instance.starts_at = starts_at;
         instance.frozen_until = 0;
         // What it hears first is the whole, as it stands when it is read.
@@ -254,39 +353,82 @@
 
     fn run(&mut self) {
         while self.now_ms < END_MS {
-            self.now_ms += TICK_MS;
-            if self.now_ms < FAULTS_MS {
-                self.draw_faults();
-            }
-            if self.now_ms >= self.store.away_until {
-                self.expire();
-            }
-            self.serve_calls();
-            self.announce();
-            for number in 0..INSTANCES {
-                self.act(number);
-            }
-            self.look();
+            self.tick(|world| {
+                if world.now_ms < FAULTS_MS {
+                    match world.mix {
+                        Mix::Usual => world.draw_faults(),
+                        Mix::Outages | Mix::SlowWords => world.draw_outages(),
+                        Mix::None => {}
+                    }
+                }
+            });
         }
         self.check_end();
     }
+
+    /// Lets all do what they do in one tick, after some faults.
+    fn tick(&mut self, faults: impl FnOnce(&mut Self)) {
+        self.now_ms += TICK_MS;
+        faults(self);
+        self.end_stopped();
+        if self.now_ms >= self.store.away_until {
+            self.expire();
+        }
+        self.serve_calls();
+        self.announce();
+        self.ask_promises();
+        for number in 0..INSTANCES {
+            self.act(number);
+        }
+        self.look();
+    }
+
+    /// Lets time pass without faults.
+    fn pass(&mut self, time_ms: u64) {
+        for _ in 0..time_ms / TICK_MS {
+            self.tick(|_| {});
+        }
+    }
 }
 
 #[test]
-fn one_holder_under_faults() {
+fn carried_through_outage() {
+    for seed in 1..20 {
+        let mut world = World::new(seed, Mix::None);
+        world.pass(8_000);
+        let (holder, fence) = world.last.clone().expect("a holder");
+        world.store.away_until = world.now_ms + 10_000;
+        // Candidates learn by a call's time-out that the store is away.
+        world.pass(2_500);
+        world.carried_ms = 0;
+        world.pass(7_000);
+        assert_eq!(world.carried_ms, 7_000, "seed {seed}");
+        assert_eq!(world.last, Some((holder, fence)));
+        world.pass(3_500);
+        assert!(world.holds_now(), "seed {seed}: nobody after the outage");
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    }
+}
+
+/// Plays all runs of a mix; no rule may be broken in any.
+fn run_all(mix: Mix) {
     let runs = FaultRuns::from_environment(DEFAULT_RUNS);
     let mut broken = Vec::new();
     let mut successions = 0;
+    let (mut carried_ms, mut away_ms) = (0, 0);
     for seed in runs.seeds() {
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, mix);
         world.run();
         successions += world.successions;
+        carried_ms += world.carried_ms;
+        away_ms += world.away_ms;
         if let Some(what) = world.broken.first() {
             broken.push(format!("seed {seed}: {what}"));
         }
     }
     println!(
-        "{} runs, {successions} successions, {} broken",
+        "{} runs of {mix:?}, {successions} successions, {} broken; {carried_ms} of {away_ms} ms \
+         of outages with a holder",
         runs.count,
         broken.len()
     );
@@ -296,3 +438,18 @@
         "too few successions: {successions}"
     );
 }
+
+#[test]
+fn one_holder_under_faults() {
+    run_all(Mix::Usual);
+}
+
+#[test]
+fn one_holder_in_outages() {
+    run_all(Mix::Outages);
+}
+
+#[test]
+fn one_holder_by_promises() {
+    run_all(Mix::SlowWords);
+}
--- a/tests/all/tenure_faults/checks.rs
+++ b/tests/all/tenure_faults/checks.rs
@@ -19,6 +19,7 @@
             self.broken
                 .push(format!("{now_ms} ms: two holders, {holding:?}"));
         }
+        self.count_outage(!holding.is_empty());
         for (name, fence) in holding {
             self.check_turn(&name, fence);
             self.ordered.insert(name.clone(), (now_ms, fence));
@@ -29,6 +30,21 @@
         }
     }
 
+    /// Counts how much of the outages somebody could order in.
+    fn count_outage(&mut self, is_held: bool) {
+        let now_ms = self.now_ms;
+        if now_ms >= self.store.away_until {
+            self.away_since = None;
+            return;
+        }
+        let since = *self.away_since.get_or_insert(now_ms);
+        let lease_ms = u64::try_from(LIMITS.lease.as_millis()).expect("a short lease");
+        if now_ms >= since + lease_ms {
+            self.away_ms += TICK_MS;
+            self.carried_ms += if is_held { TICK_MS } else { 0 };
+        }
+    }
+
     fn check_turn(&mut self, name: &InstanceId, fence: Fence) {
         let Some((last, last_fence)) = &self.last else {
             return;
@@ -51,9 +67,14 @@
         }
     }
 
+    /// Whether somebody could order in this tick.
+    pub(super) fn holds_now(&self) -> bool {
+        self.ordered.values().any(|(at, _)| *at == self.now_ms)
+    }
+
     /// Somebody holds the right at the end, or all have given it back.
     pub(super) fn check_end(&mut self) {
-        let orders_now = self.ordered.values().any(|(at, _)| *at == self.now_ms);
+        let orders_now = self.holds_now();
         let is_free = self
             .instances
             .iter()
--- a/tests/all/tenure_faults/store.rs
+++ b/tests/all/tenure_faults/store.rs
@@ -1,6 +1,6 @@
 //! The store's side of the right to order, and how calls to it fare.
 
-use super::{FAULTS_MS, LIMITS, News, World, holder_of};
+use super::{FAULTS_MS, LIMITS, Mix, News, World, holder_of};
 use passway_serving::ports::{LeaseId, StoreError, StoreRevision, WriteAnswer};
 use passway_serving::tenure::RecentHolders;
 use passway_types::prelude::*;
@@ -30,6 +30,7 @@
     Grant,
     Take(LeaseId, RecentHolders),
     Renew(LeaseId),
+    List(RecentHolders),
     End(LeaseId),
 }
 
@@ -39,6 +40,7 @@
     Granted(Result<LeaseId, StoreError>),
     Taken(Result<WriteAnswer, StoreError>),
     Renewed(Result<bool, StoreError>),
+    Listed(Result<WriteAnswer, StoreError>, RecentHolders),
     Ended,
 }
 
@@ -48,6 +50,7 @@
             Self::Grant => Answer::Granted(Err(error)),
             Self::Take(..) => Answer::Taken(Err(error)),
             Self::Renew(_) => Answer::Renewed(Err(error)),
+            Self::List(recent) => Answer::Listed(Err(error), recent.clone()),
             Self::End(_) => Answer::Ended,
         }
     }
@@ -125,6 +128,7 @@
                 }
                 None => Answer::Renewed(Ok(false)),
             },
+            Request::List(recent) => Answer::Listed(Ok(self.list(recent)), recent.clone()),
             Request::End(lease) => {
                 self.store.leases.remove(lease);
                 self.expire();
@@ -145,14 +149,29 @@
         self.store.revision += 1;
         let revision = self.store.revision;
         self.store.recent = RecentHolders {
-            names: recent.names.clone(),
             revision,
+            ..recent.clone()
         };
         self.set_holder(Some((from.clone(), revision, lease)));
         self.tell(&News::Recent(self.store.recent.clone()));
         WriteAnswer::Written(revision)
     }
 
+    /// Writes the list of holders with its candidates, if it is as it was read.
+    fn list(&mut self, recent: &RecentHolders) -> WriteAnswer {
+        if self.store.recent.revision != recent.revision {
+            return WriteAnswer::Conflict;
+        }
+        self.store.revision += 1;
+        let revision = self.store.revision;
+        self.store.recent = RecentHolders {
+            revision,
+            ..recent.clone()
+        };
+        self.tell(&News::Recent(self.store.recent.clone()));
+        WriteAnswer::Written(revision)
+    }
+
     /// Calls that arrive at the store now.
     pub(super) fn serve_calls(&mut self) {
         let now_ms = self.now_ms;
@@ -207,7 +226,12 @@
 
     /// Draws how a call fares; calls of an instance that is cut off are lost.
     fn draw_fate(&mut self, from: usize) -> Fate {
-        let drawn = if self.now_ms >= FAULTS_MS {
+        let fares_well = match self.mix {
+            Mix::Usual => false,
+            Mix::Outages | Mix::SlowWords => self.rng.random_bool(0.8),
+            Mix::None => true,
+        };
+        let drawn = if fares_well || self.now_ms >= FAULTS_MS {
             NO_FAULT
         } else {
             self.rng.random_range(0..100)
