Engines that answer no question count as gone, and are asked before they get an order

A model that stood on such an engine counted as present, so requests for it waited in vain.

Ruled out: the retry pause of orders, which holds for questions only.

Change: after an order that was not sent the engine's count of orders is unknown, so it is asked first; two questions without an answer, and what stands on it counts for nothing and what was to come there may come elsewhere; an engine that should have what requests have waited for 500 ms for is asked, once a second at most.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -35,6 +35,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an unload that no run holds up.
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
+/// Instances hear of a model that has come, and send what waits for it, well within this.
+const DOUBT_TIME: Duration = Duration::from_millis(500);
 /// Time in which instances that hear of a new holder connect and tell what they use.
 const LISTENING_TIME: Duration = Duration::from_millis(300);
 
@@ -262,6 +264,7 @@
         self.demand.expire(now);
         let listens = self.listening_until.is_some_and(|until| now < until);
         if !listens {
+            self.doubt_engines(now);
             self.count();
             if self.homes.is_none() {
                 self.homes = Some(Homes::of(self.engines.values()));
@@ -273,6 +276,21 @@
         self.next_actions(now)
     }
 
+    /// Has engines asked that should have what requests have waited for: they may be gone,
+    /// or have lost it.
+    fn doubt_engines(&mut self, now: Instant) {
+        for waiting in self.demand.waiting() {
+            if now < waiting.since + DOUBT_TIME {
+                continue;
+            }
+            for engine in self.engines.values_mut() {
+                if engine.serves(&waiting.service, &waiting.wish) {
+                    engine.doubt(now);
+                }
+            }
+        }
+    }
+
     /// The next order or question of each engine.
     fn next_actions(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -11,6 +11,11 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
+/// An engine that leaves so many questions in a row unanswered counts as gone.
+const UNREACHABLE_AFTER: u32 = 2;
+/// Pause between two questions to an engine that should have what requests wait for.
+const DOUBT_PAUSE: Duration = Duration::from_secs(1);
+
 /// Where an engine finds a model's weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Tier {
@@ -72,6 +77,8 @@
     asked: bool,
     /// Questions in a row without an answer.
     unanswered: u32,
+    /// When it was asked last since requests wait for what it should have.
+    doubted_at: Option<Instant>,
 }
 
 impl Engine {
@@ -92,6 +99,7 @@
             ask_at: None,
             asked: false,
             unanswered: 0,
+            doubted_at: None,
         }
     }
 
@@ -123,10 +131,27 @@
     pub(super) fn has(&self, service: &ServiceName, model: &ModelName) -> bool {
         self.entry.service == *service
             && !self.entry.draining
+            && !self.is_unreachable()
             && !self.closing.contains(model)
             && self.resident(model).is_some()
     }
 
+    /// Whether it left the last questions unanswered. Its entry goes seconds after its end,
+    /// and not at all while the store is away; meanwhile what stands on it serves nobody.
+    fn is_unreachable(&self) -> bool {
+        self.unanswered >= UNREACHABLE_AFTER
+    }
+
+    /// Requests wait for what it should have: it is asked, once in a while.
+    pub(super) fn doubt(&mut self, now: Instant) {
+        let is_asked = self.asked || self.ask_at.is_some() || self.under_way.is_some();
+        let pause_is_over = self.doubted_at.is_none_or(|at| now >= at + DOUBT_PAUSE);
+        if !is_asked && pause_is_over {
+            self.doubted_at = Some(now);
+            self.ask_at = Some(now);
+        }
+    }
+
     pub(super) fn serves(&self, service: &ServiceName, wish: &ModelRef) -> bool {
         self.has(service, &wish.model)
             && wish.adapter.as_ref().is_none_or(|adapter| {
@@ -243,7 +268,8 @@
 
     /// Models that stand here and stay.
     pub(super) fn staying(&self) -> impl Iterator<Item = &ModelName> {
-        let stays = |name: &&ModelName| !self.entry.draining && !self.closing.contains(name);
+        let is_usable = !self.entry.draining && !self.is_unreachable();
+        let stays = move |name: &&ModelName| is_usable && !self.closing.contains(name);
         self.models.iter().map(|model| &model.name).filter(stays)
     }
 
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -39,16 +39,17 @@
                 });
                 self.ask_at = Some(due_at + ASK_PAUSE);
             }
-            OrderAnswer::NotSent => {
-                self.under_way = None;
-                self.ask_at = Some(now + ASK_PAUSE);
-            }
             OrderAnswer::Refused => {
                 self.abandon();
                 self.ask_at = Some(now + ASK_PAUSE);
             }
             OrderAnswer::OtherIncarnation => self.ended(),
-            OrderAnswer::Done | OrderAnswer::Conflict | OrderAnswer::Lost => {
+            // One that cannot be reached is asked before it gets another order: while the
+            // store is away its entry stays, and orders to it would follow each other at once.
+            OrderAnswer::NotSent
+            | OrderAnswer::Done
+            | OrderAnswer::Conflict
+            | OrderAnswer::Lost => {
                 self.under_way = None;
                 self.orders_taken = None;
                 self.ask_at = Some(now + ASK_PAUSE);
@@ -79,12 +80,11 @@
                 self.adapter_done(order);
                 self.orders_taken = None;
             }
-            OrderAnswer::NotSent => self.ask_at = Some(now + ASK_PAUSE),
             OrderAnswer::OtherIncarnation => self.ended(),
             OrderAnswer::Refused => {
                 self.adapters_wanted.retain(|wish| *wish != order.wish);
             }
-            OrderAnswer::Conflict | OrderAnswer::Lost => {
+            OrderAnswer::NotSent | OrderAnswer::Conflict | OrderAnswer::Lost => {
                 self.orders_taken = None;
                 self.ask_at = Some(now + ASK_PAUSE);
             }
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -45,6 +45,10 @@
         self.asked = false;
         let Some(report) = report else {
             self.unanswered += 1;
+            if self.is_unreachable() {
+                // What was to come here may come elsewhere; it is asked before any order.
+                self.abandon();
+            }
             let pause = ASK_PAUSE * (1 << self.unanswered.min(MAX_DOUBLINGS));
             self.ask_at = Some(now + pause);
             return;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod instance_metrics;
 mod log_analysis;
 mod log_lines;
+mod lost_engines;
 mod model_orders;
 mod outage_terms;
 mod pass_through;
--- a/tests/all/planned.rs
+++ b/tests/all/planned.rs
@@ -121,6 +121,26 @@
         self.planner.reported(&id.into(), Some(report), self.now);
     }
 
+    /// What is decided within so many looks 50 ms apart; the engines answer no question,
+    /// and orders to them are not sent.
+    pub fn unanswered(&mut self, looks: u32) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for _ in 0..looks {
+            self.now += Duration::from_millis(50);
+            for action in self.planner.decide(self.now) {
+                match &action {
+                    Action::Order(order) => {
+                        let answer = OrderAnswer::NotSent;
+                        self.planner.answered(order, answer, self.now);
+                    }
+                    Action::Ask { engine, .. } => self.planner.reported(engine, None, self.now),
+                }
+                actions.push(action);
+            }
+        }
+        actions
+    }
+
     /// Orders decided within a second of looks, each answered by `answer`.
     pub fn orders(&mut self, answer: OrderAnswer) -> Vec<PlannedOrder> {
         let mut orders = Vec::new();
