A new process takes the key at once and begins its term when an old promise is over

A new process waited 900 ms before it took the key, and its term began 300 ms after that.

Ruled out: the 300 ms themselves, in which a new holder listened before as well; candidates that refuse a holder which is cut off alone (asked once, they see the key go as before).

Change: the key is taken at once, and the term begins 900 ms after the start of the process at the earliest, if there are candidates. What an old promise protects is the first order.

--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -189,6 +189,9 @@
     is_released: bool,
     /// Until when this instance has promised not to take the key.
     promised_until: Instant,
+    /// Until when a promise of the process before this one may hold. A term that is taken
+    /// meanwhile begins then, so that a fleet that starts anew waits once for both.
+    unknown_until: Instant,
     /// What the candidates of my term have promised.
     promises: Promises,
     /// Candidates that the store named when the key was taken.
@@ -211,8 +214,8 @@
             held_last: false,
             quiet_since: now,
             is_released: false,
-            // A process before this one may have promised.
-            promised_until: now + PROMISE_TIME,
+            promised_until: now,
+            unknown_until: now + PROMISE_TIME,
             promises: Promises::default(),
             former_candidates: Vec::new(),
             wanted: Vec::new(),
@@ -568,6 +571,9 @@
         if granted.pauses {
             begin_at += self.limits.gap;
         }
+        if !self.former_candidates.is_empty() {
+            begin_at = begin_at.max(self.unknown_until);
+        }
         self.highest = self.highest.max(fence);
         self.promises = Promises::default();
         self.stage = Stage::Holding(Term {
