--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -15,13 +15,15 @@
 //! [`Tenure::step`] says what to ask of the store, and its answer goes to the method
 //! named after the call. There is no I/O and no clock here.
 
+mod candidates;
 mod promises;
+mod records;
 
-use crate::ports::{LeaseId, StoreError, StoreRevision, WriteAnswer};
+use crate::ports::{LeaseId, StoreError, WriteAnswer};
 use passway_types::prelude::*;
 pub use promises::PROMISE_TIME;
 use promises::Promises;
-use std::net::SocketAddr;
+pub use records::{Candidate, Holder, RecentHolders, Step, TenureLimits};
 
 /// A lease is renewed when this part of it has passed.
 const RENEW_PART: f64 = 0.25;
@@ -42,9 +44,6 @@
 const FORGET_TIME: Duration = Duration::from_mins(1);
 /// Names of former holders that are kept.
 const KEPT_HOLDERS: usize = 12;
-/// A term whose lease has run out and that not all candidates carry may still be taken up
-/// again within this: a candidate learns that the store is silent only by a call's time-out.
-const RESUME_TIME: Duration = Duration::from_secs(3);
 /// Pause between two writes of the list of candidates.
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 /// A term begins so long after the key was taken, if there were candidates: a holder that
@@ -53,67 +52,6 @@
 /// How much later an instance tries that is not a candidate.
 const NOT_LISTED_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Who holds the right, as the store says.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Holder {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Where it listens for other instances.
-    pub address: SocketAddr,
-    /// The store's revision of the key.
-    pub fence: Fence,
-}
-
-/// An instance that may take the key at once.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Candidate {
-    /// Its name.
-    pub instance: InstanceId,
-    /// Where it listens for other instances.
-    pub address: SocketAddr,
-}
-
-/// Who has held the right lately, as the store says.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RecentHolders {
-    /// The instances, the last one last.
-    pub names: Vec<InstanceId>,
-    /// Who may take the key at once; anybody if it is empty.
-    pub candidates: Vec<Candidate>,
-    /// The store's revision of the key; 0 if it was never written.
-    pub revision: StoreRevision,
-}
-
-/// What is fixed about an instance's tenure.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TenureLimits {
-    /// Time-to-live of the lease.
-    pub lease: Duration,
-    /// Time in which two holders must not both order at one engine.
-    pub gap: Duration,
-    /// Whether others had better hold the right, since this instance has little processor.
-    pub is_weak: bool,
-}
-
-/// What to do next about the right.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Step {
-    /// Nothing before this moment, unless something is heard.
-    Wait(Instant),
-    /// Ask for a lease.
-    Grant,
-    /// Write the holder's key under the lease, if it is not there.
-    Take(LeaseId),
-    /// Renew the lease.
-    Renew(LeaseId),
-    /// Write the list of holders with the candidates of this term.
-    List,
-    /// End the lease.
-    End(LeaseId),
-    /// Nothing any more.
-    Stop,
-}
-
 /// A term of this instance.
 #[derive(Debug, Clone, Copy)]
 struct Term {
@@ -256,82 +194,6 @@
         (lasts && !self.is_released && !self.is_succeeded(term.fence)).then_some(term.fence)
     }
 
-    /// The last moment of a term at which an order may be given: by the lease, or by the
-    /// candidates' word.
-    fn ordering_until(&self, term: &Term) -> Instant {
-        let carried = self.promises.hold_until(&self.me);
-        carried.map_or(term.until, |until| until.max(term.until))
-    }
-
-    /// When a term is given up.
-    fn lasting_until(&self, term: &Term) -> Instant {
-        let until = self.ordering_until(term);
-        if self.promises.has_candidates(&self.me) {
-            until + RESUME_TIME
-        } else {
-            until
-        }
-    }
-
-    /// My fencing number, if the candidates of my term are to promise.
-    pub fn asks_promises(&self, now: Instant) -> Option<Fence> {
-        let Stage::Holding(term) = self.stage else {
-            return None;
-        };
-        let asks = term.is_unanswered && self.promises.has_candidates(&self.me);
-        self.term(now).filter(|_| asks)
-    }
-
-    /// A candidate promises, asked at a moment, not to take the key.
-    pub fn promised(&mut self, from: &InstanceId, fence: Fence, asked_at: Instant) {
-        if self.holds(fence) {
-            let until = asked_at + PROMISE_TIME.saturating_sub(SAFETY);
-            self.promises.promised(from, until);
-        }
-    }
-
-    /// A candidate's process ends, and does not take the key any more.
-    pub fn left(&mut self, from: &InstanceId, fence: Fence) {
-        if self.holds(fence) {
-            self.promises.left(from);
-        }
-    }
-
-    fn holds(&self, fence: Fence) -> bool {
-        matches!(self.stage, Stage::Holding(term) if term.fence == fence)
-    }
-
-    /// Whether this instance promises the holder that asks not to take the key for
-    /// [`PROMISE_TIME`]: not if it reaches the store, takes the key itself, or knows that
-    /// another one had it later.
-    pub fn promise(&mut self, asker: &InstanceId, store_answers: bool, now: Instant) -> bool {
-        let takes = matches!(self.stage, Stage::Granted(_) | Stage::Holding(_));
-        let holder = self.holder.as_ref();
-        let is_last = holder.is_some_and(|h| h.instance == *asker && h.fence >= self.highest)
-            && self.recent.names.last() == Some(asker);
-        if takes || store_answers || !is_last {
-            return false;
-        }
-        self.promised_until = self.promised_until.max(now + PROMISE_TIME);
-        true
-    }
-
-    /// The candidates that my term should have, if I hold the right.
-    pub fn want_candidates(&mut self, wanted: Vec<Candidate>) {
-        self.wanted = wanted;
-    }
-
-    /// Candidates that the store named when this instance took the key last.
-    pub fn former_candidates(&self) -> &[Candidate] {
-        &self.former_candidates
-    }
-
-    /// Whether this instance may take the key at once.
-    fn is_candidate(&self) -> bool {
-        let candidates = &self.recent.candidates;
-        candidates.is_empty() || candidates.iter().any(|one| one.instance == self.me)
-    }
-
     /// Whether somebody else took the right after a term of mine began.
     fn is_succeeded(&self, fence: Fence) -> bool {
         let holder = self.holder.as_ref();
@@ -370,14 +232,6 @@
         }
     }
 
-    /// The store has these candidates, which are mine if I took the key last.
-    fn listed_are(&mut self, recent: &RecentHolders) {
-        let is_mine = recent.names.last() == Some(&self.me);
-        let names = recent.candidates.iter().map(|one| one.instance.clone());
-        let is_listed = is_mine && recent.candidates.iter().any(|c| c.instance == self.me);
-        self.promises.set_listed(names.filter(|_| is_listed));
-    }
-
     /// The list to write beside the key when this instance takes it, and the revision
     /// that it replaces.
     pub fn recent_with_me(&self) -> RecentHolders {
@@ -393,14 +247,6 @@
         }
     }
 
-    /// The list to write for [`Step::List`], and the revision that it replaces.
-    pub fn recent_with_candidates(&self) -> RecentHolders {
-        RecentHolders {
-            candidates: self.wanted.clone(),
-            ..self.recent.clone()
-        }
-    }
-
     /// Gives the right back, so that another instance can take it at once.
     pub fn release(&mut self) {
         self.is_released = true;
@@ -511,13 +357,6 @@
         Step::List
     }
 
-    /// Whether the store has other candidates than it should have. It is told of the taking
-    /// by the same value, which must be known before it is replaced.
-    fn lacks_list(&self) -> bool {
-        let is_mine = self.recent.names.last() == Some(&self.me);
-        is_mine && self.wanted.len() > 1 && self.wanted != self.recent.candidates
-    }
-
     fn lose(&mut self, lease: LeaseId, now: Instant) -> Step {
         self.quiet_since = now;
         self.stage = Stage::Ending(lease);
@@ -612,27 +451,6 @@
         self.stage = Stage::Holding(term);
     }
 
-    /// The answer to [`Step::List`], whose list was `written`.
-    pub fn listed(
-        &mut self,
-        answer: &Result<WriteAnswer, StoreError>,
-        written: RecentHolders,
-        now: Instant,
-    ) {
-        let Stage::Holding(term) = &mut self.stage else {
-            return;
-        };
-        term.list_at = now + LIST_PAUSE;
-        // Without an answer it may take effect yet, and after a conflict it is not known
-        // what stands: what the store tells next shows it.
-        if let Ok(WriteAnswer::Written(revision)) = *answer {
-            self.seen_recent(RecentHolders {
-                revision,
-                ..written
-            });
-        }
-    }
-
     /// The lease was ended, or runs out by itself.
     pub fn ended(&mut self, now: Instant) {
         self.stage = if self.is_released {
--- /dev/null
+++ b/crates/serving/src/tenure/records.rs
@@ -0,0 +1,66 @@
+//! What the store says of the right to order, and what is asked of it.
+
+use crate::ports::{LeaseId, StoreRevision};
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+
+/// Who holds the right, as the store says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+    /// The store's revision of the key.
+    pub fence: Fence,
+}
+
+/// An instance that may take the key at once.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Candidate {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+}
+
+/// Who has held the right lately, as the store says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RecentHolders {
+    /// The instances, the last one last.
+    pub names: Vec<InstanceId>,
+    /// Who may take the key at once; anybody if it is empty.
+    pub candidates: Vec<Candidate>,
+    /// The store's revision of the key; 0 if it was never written.
+    pub revision: StoreRevision,
+}
+
+/// What is fixed about an instance's tenure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TenureLimits {
+    /// Time-to-live of the lease.
+    pub lease: Duration,
+    /// Time in which two holders must not both order at one engine.
+    pub gap: Duration,
+    /// Whether others had better hold the right, since this instance has little processor.
+    pub is_weak: bool,
+}
+
+/// What to do next about the right.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing before this moment, unless something is heard.
+    Wait(Instant),
+    /// Ask for a lease.
+    Grant,
+    /// Write the holder's key under the lease, if it is not there.
+    Take(LeaseId),
+    /// Renew the lease.
+    Renew(LeaseId),
+    /// Write the list of holders with the candidates of this term.
+    List,
+    /// End the lease.
+    End(LeaseId),
+    /// Nothing any more.
+    Stop,
+}
