--- a/crates/serving/src/placement/bring.rs
+++ b/crates/serving/src/placement/bring.rs
@@ -88,7 +88,12 @@
 
     /// Fetches models that lie nowhere, while the weight store has nothing else to do.
     pub(super) fn prefetch(&mut self, now: Instant) {
-        if self.loads_under_way() >= self.policy.prefetches() {
+        let mut most = self.policy.prefetches();
+        if most > 0 && self.demand.is_quiet(now) {
+            // Nobody misses an engine that loads.
+            most = STORE_LOADS_AT_ONCE;
+        }
+        if self.loads_under_way() >= most {
             return;
         }
         let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -10,6 +10,9 @@
 /// Models asked for less often are worth one replica whatever the policy.
 const BUSY_RATE_S: f64 = 0.5;
 
+/// So few requests a second for all models together count as none.
+const QUIET_RATE_S: f64 = 0.5;
+
 /// How much a model is used now.
 #[derive(Debug, Clone, Copy)]
 pub struct Usage {
@@ -191,6 +194,12 @@
         self.rates.get(&key).map_or(0.0, |rate| rate.now(now))
     }
 
+    /// Whether nothing is asked for, as before traffic comes.
+    pub(super) fn is_quiet(&self, now: Instant) -> bool {
+        let per_s = self.rates.values().map(|rate| rate.now(now)).sum::<f64>();
+        self.waiting.is_empty() && per_s < QUIET_RATE_S
+    }
+
     /// Models that may be worth more than one replica.
     pub(super) fn busy_models(
         &self,
