--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -80,8 +80,8 @@
     }
 }
 
-/// A candidate whose address cannot be read would never be asked, and the term would end:
-/// it is left out like one that is not listed, which is told by the instance's own name.
+/// One whose address cannot be read is left out: it finds itself on no list, and waits like
+/// any other instance that is no candidate.
 fn decode_candidate(text: &str) -> Option<Candidate> {
     let (instance, address) = text.rsplit_once('=')?;
     Some(Candidate {
