--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -17,6 +17,15 @@
 /// Longest wait for the holder's news before its standing is looked at again.
 const RELAY_STEP: Duration = Duration::from_millis(250);
 
+/// Where news come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// The store itself.
+    Store,
+    /// The holder of the right to order.
+    Holder,
+}
+
 /// Takes in what lies under a prefix.
 pub trait Feed: Send {
     /// The prefix.
@@ -129,16 +138,19 @@
     fn ask(&mut self) -> Result<(), StoreError> {
         let Some(after) = self.known else {
             let listing = self.store.list(&self.prefix)?;
-            self.take(Told::Whole(listing));
+            self.take(Told::Whole(listing), Source::Store);
             return Ok(());
         };
         match self.store.watch(&self.prefix, after, WATCH_WAIT)? {
             WatchAnswer::HistoryGone => self.known = None,
-            WatchAnswer::Changes { changes, revision } => self.take(Told::Changes {
-                from: after,
-                to: revision.max(after),
-                changes,
-            }),
+            WatchAnswer::Changes { changes, revision } => {
+                let told = Told::Changes {
+                    from: after,
+                    to: revision.max(after),
+                    changes,
+                };
+                self.take(told, Source::Store);
+            }
         }
         Ok(())
     }
@@ -157,11 +169,14 @@
             _ => {}
         }
         self.feed.shared().store_health.relayed();
-        self.take(told);
+        self.take(told, Source::Holder);
         self.feed.settled();
     }
 
-    fn take(&mut self, told: Told) {
+    fn take(&mut self, told: Told, source: Source) {
+        if self.tap.feed == Some(CONFIGURATION) && told.values() > 0 {
+            log::info!(source:? = source, known = self.known, to = told.to(), bytes = told.bytes(); "configuration heard");
+        }
         let told = match told {
             Told::Whole(listing) => {
                 self.feed.listed(&listing);
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -42,6 +42,36 @@
     },
 }
 
+impl Told {
+    /// The revision up to which it tells.
+    pub fn to(&self) -> StoreRevision {
+        match self {
+            Self::Whole(listing) => listing.revision,
+            Self::Changes { to, .. } => *to,
+        }
+    }
+
+    /// The values that it tells; keys that went away count too.
+    pub fn values(&self) -> usize {
+        match self {
+            Self::Whole(listing) => listing.values.len(),
+            Self::Changes { changes, .. } => changes.len(),
+        }
+    }
+
+    /// Bytes of the values that it tells.
+    pub fn bytes(&self) -> usize {
+        let size = |change: &StoreChange| match change {
+            StoreChange::Written(value) => value.value.len(),
+            StoreChange::Removed { .. } => 0,
+        };
+        match self {
+            Self::Whole(listing) => listing.values.iter().map(|value| value.value.len()).sum(),
+            Self::Changes { changes, .. } => changes.iter().map(size).sum(),
+        }
+    }
+}
+
 /// What a feed hears of the holder within some time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Heard {
