What waits for a peer is bounded in bytes, and a message for many is kept once

Cause: a queue of 4,096 messages of any size for each listener, each a copy, encoded again for each; and whoever closes a link waits for a write that is stuck in it, so one peer that takes nothing held up the thread that decides for all, 2 s at a time. Ruled out: a smaller number of messages: sizes go from 50 bytes to a megabyte. Change: links send frames that are encoded once and shared; an outbox takes no more than 8 MiB behind a peer, then cuts it off as before; closing takes no lock. The gauge tells bytes. Conclusion: bounded, but a listener is still sent every version; next.

--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -40,8 +40,8 @@
     pub in_progress: usize,
     /// Whether the store answered last.
     pub store_answers: bool,
-    /// Messages that wait to be sent to other instances.
-    pub waiting_messages: u64,
+    /// Bytes that wait to be sent to other instances, for each of them.
+    pub waiting_bytes: usize,
 }
 
 /// The metrics of an instance.
@@ -57,7 +57,7 @@
     config_version: Gauge,
     in_progress: Gauge,
     store_answers: Gauge,
-    waiting_messages: Gauge,
+    waiting_bytes: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -84,7 +84,7 @@
             config_version: Gauge::default(),
             in_progress: Gauge::default(),
             store_answers: Gauge::default(),
-            waiting_messages: Gauge::default(),
+            waiting_bytes: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -121,9 +121,9 @@
         registry.register("in_progress", "Requests without a complete answer", gauge);
         let gauge = self.store_answers.clone();
         registry.register("store_answers", "1 if the store answered last", gauge);
-        let gauge = self.waiting_messages.clone();
-        let help = "Messages that wait to be sent to other instances";
-        registry.register("waiting_messages", help, gauge);
+        let gauge = self.waiting_bytes.clone();
+        let help = "Waits to be sent to other instances, summed over them";
+        registry.register_with_unit("waiting", help, Unit::Bytes, gauge);
     }
 
     /// Counts a request that has ended.
@@ -166,7 +166,8 @@
         self.in_progress
             .set(i64::try_from(standing.in_progress).unwrap_or(i64::MAX));
         self.store_answers.set(standing.store_answers.into());
-        self.waiting_messages.set(number(standing.waiting_messages));
+        self.waiting_bytes
+            .set(i64::try_from(standing.waiting_bytes).unwrap_or(i64::MAX));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics cannot be encoded");
--- a/crates/process/src/outbox.rs
+++ b/crates/process/src/outbox.rs
@@ -1,61 +1,117 @@
 //! Sending to a peer without ever blocking the sender.
 
-use crossbeam::channel::{Sender, bounded};
-use passway_wire::{Body, Link};
-use std::sync::atomic::{AtomicU64, Ordering};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use passway_wire::link::MAX_FRAME_BYTES;
+use passway_wire::{Body, Frame, Link};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Messages that may wait for a slow peer.
+/// Messages that may wait for a slow peer; small ones reach this bound first.
 const CAPACITY: usize = 4_096;
+/// Bytes that may wait for a slow peer before one more message: a largest frame on its way
+/// and the next one behind it. Frames that go to many peers are kept once, however many wait.
+pub const MAX_WAITING_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
-/// Messages that wait in all outboxes of this process.
-static WAITING: AtomicU64 = AtomicU64::new(0);
+/// Bytes that wait in all outboxes of this process; a frame counts once for each peer.
+static ALL_WAITING: AtomicUsize = AtomicUsize::new(0);
 
-/// Messages that wait in all outboxes of this process.
-pub fn waiting_messages() -> u64 {
-    WAITING.load(Ordering::Relaxed)
+/// Bytes that wait in all outboxes of this process; a frame that waits for several peers
+/// counts for each of them, though it is kept once.
+pub fn waiting_bytes() -> usize {
+    ALL_WAITING.load(Ordering::Relaxed)
 }
 
-/// A bounded queue of messages with a thread that sends them.
+/// A queue of messages with a thread that sends them, bounded in messages and in bytes.
 ///
 /// A peer that falls too far behind is cut off; it connects again and gets
 /// everything anew.
 #[derive(Debug, Clone)]
 pub struct Outbox {
-    sender: Sender<Body>,
+    sender: Sender<Frame>,
+    waiting: Arc<Waiting>,
     link: Link,
 }
 
+/// Bytes that wait for one peer; what is left of them is taken back when the last user is gone.
+#[derive(Debug, Default)]
+struct Waiting(AtomicUsize);
+
+impl Waiting {
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+        ALL_WAITING.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    fn sub(&self, bytes: usize) {
+        self.0.fetch_sub(bytes, Ordering::Relaxed);
+        ALL_WAITING.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        ALL_WAITING.fetch_sub(self.0.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+}
+
 impl Outbox {
     /// Starts the sending thread.
     pub fn start(link: Link) -> Self {
-        let (sender, receiver) = bounded::<Body>(CAPACITY);
-        let sending = link.clone();
-        std::thread::spawn(move || {
-            for body in &receiver {
-                let sent = sending.send(body);
-                WAITING.fetch_sub(1, Ordering::Relaxed);
-                if sent.is_err() {
-                    break;
-                }
-            }
-            let left = receiver.try_iter().count();
-            WAITING.fetch_sub(left as u64, Ordering::Relaxed);
-            sending.close();
-        });
-        Self { sender, link }
+        let (sender, frames) = bounded(CAPACITY);
+        let outbox = Self {
+            sender,
+            waiting: Arc::default(),
+            link,
+        };
+        let (link, waiting) = (outbox.link.clone(), outbox.waiting.clone());
+        std::thread::spawn(move || send_all(&link, &waiting, &frames));
+        outbox
     }
 
     /// Queues a message.
     pub fn send(&self, body: Body) {
-        WAITING.fetch_add(1, Ordering::Relaxed);
-        if self.sender.try_send(body).is_err() {
-            WAITING.fetch_sub(1, Ordering::Relaxed);
+        match Frame::new(body) {
+            Ok(frame) => self.send_frame(frame),
+            Err(error) => {
+                log::error!(error:% = error; "a message is too large to be sent");
+                self.link.close();
+            }
+        }
+    }
+
+    /// Queues an encoded message.
+    pub fn send_frame(&self, frame: Frame) {
+        let bytes = frame.bytes();
+        if self.waiting_bytes() > MAX_WAITING_BYTES {
+            log::warn!(waiting_bytes = self.waiting_bytes(); "a peer takes too little and is cut off");
+            return self.link.close();
+        }
+        self.waiting.add(bytes);
+        if self.sender.try_send(frame).is_err() {
+            self.waiting.sub(bytes);
             self.link.close();
         }
     }
 
+    /// Bytes that wait for this peer, the message that is being written among them.
+    pub fn waiting_bytes(&self) -> usize {
+        self.waiting.0.load(Ordering::Relaxed)
+    }
+
     /// Cuts the connection.
     pub fn close(&self) {
         self.link.close();
     }
 }
+
+/// Sends until nobody queues any more or the connection breaks.
+fn send_all(link: &Link, waiting: &Waiting, frames: &Receiver<Frame>) {
+    for frame in frames {
+        let sent = link.send_frame(&frame);
+        waiting.sub(frame.bytes());
+        if sent.is_err() {
+            return;
+        }
+    }
+    link.close();
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod link;
 pub mod message;
 
-pub use link::{Link, LinkReader};
+pub use link::{Frame, Link, LinkReader};
 pub use message::{Body, Envelope};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-/// Largest frame: a whole configuration and some room.
-const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Largest frame: a whole configuration (1 MB in the users' store) and some room.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
 /// Bytes read at one time.
 const READ_BYTES: usize = 16 << 10;
 /// A peer that takes no bytes for this long is given up.
@@ -35,10 +35,36 @@
         .new_codec()
 }
 
+/// A message as it goes over a link. Clones share the bytes, so one that goes to many peers
+/// is encoded and kept once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame(Bytes);
+
+impl Frame {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    /// If it is larger than [`MAX_FRAME_BYTES`].
+    pub fn new(body: Body) -> io::Result<Self> {
+        let envelope = Envelope { body: Some(body) };
+        let mut frame = BytesMut::new();
+        codec().encode(Bytes::from(envelope.encode_to_vec()), &mut frame)?;
+        Ok(Self(frame.freeze()))
+    }
+
+    /// Its length in bytes.
+    pub fn bytes(&self) -> usize {
+        self.0.len()
+    }
+}
+
 /// The sending half; clones share one connection.
 #[derive(Debug, Clone)]
 pub struct Link {
-    stream: Arc<Mutex<TcpStream>>,
+    stream: Arc<TcpStream>,
+    /// Held while a frame is written, and by nothing else: a peer that takes no bytes holds
+    /// the writer up, and must not hold up those who close the connection.
+    writing: Arc<Mutex<()>>,
 }
 
 /// The receiving half.
@@ -64,8 +90,7 @@
     /// # Errors
     /// The socket's error.
     pub fn silence_limit_ms(&self) -> io::Result<u32> {
-        let stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(rustix::net::sockopt::tcp_user_timeout(&*stream)?)
+        Ok(rustix::net::sockopt::tcp_user_timeout(&*self.stream)?)
     }
 
     /// Uses an accepted connection.
@@ -84,7 +109,8 @@
         };
         Ok((
             Self {
-                stream: Arc::new(Mutex::new(stream)),
+                stream: Arc::new(stream),
+                writing: Arc::default(),
             },
             reader,
         ))
@@ -96,24 +122,28 @@
     /// The socket's error; the connection is closed then, since a frame may have
     /// been cut.
     pub fn send(&self, body: Body) -> io::Result<()> {
-        let envelope = Envelope { body: Some(body) };
-        let mut frame = BytesMut::new();
-        codec().encode(Bytes::from(envelope.encode_to_vec()), &mut frame)?;
-        let mut stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
-        let sent = stream.write_all(&frame);
-        SENT_BYTES.fetch_add(frame.len() as u64, Ordering::Relaxed);
+        self.send_frame(&Frame::new(body)?)
+    }
+
+    /// Sends one encoded message.
+    ///
+    /// # Errors
+    /// As [`Link::send`].
+    pub fn send_frame(&self, frame: &Frame) -> io::Result<()> {
+        let writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        let sent = (&*self.stream).write_all(&frame.0);
+        drop(writing);
+        SENT_BYTES.fetch_add(frame.bytes() as u64, Ordering::Relaxed);
         if sent.is_err() {
-            // Closing may fail only because the peer closed first.
-            let _ = stream.shutdown(Shutdown::Both);
+            self.close();
         }
         sent
     }
 
-    /// Closes both directions, which also ends the reader.
+    /// Closes both directions, which also ends the reader and a write under way.
     pub fn close(&self) {
-        let stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner);
         // Closing may fail only because the peer closed first.
-        let _ = stream.shutdown(Shutdown::Both);
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
 
--- a/tests/all/instance_metrics.rs
+++ b/tests/all/instance_metrics.rs
@@ -40,7 +40,7 @@
         "passway_instance_holds_right 1",
         "passway_instance_config_version 1",
         "passway_instance_store_answers 1",
-        "passway_instance_waiting_messages ",
+        "passway_instance_waiting_bytes ",
     ] {
         assert!(text.contains(line), "{line} is not in\n{text}");
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod model_orders;
 mod outage_terms;
 mod pass_through;
+mod peer_queue;
 mod place_worth;
 mod placement_faults;
 mod planned;
