A listener is told the newest version only, packed against the one it knows

Cause: the holder sent each version of the configuration whole to each listener and kept the last 400 changes whole, here and at every other instance. One version of 0.95 MB for 78 listeners is 74 MB, three seconds of a link of 200 Mbit/s; what stands in the queue before a version makes it late, and the heartbeat comes through the same queue. Ruled out: only a bound on the queue (a listener cut off comes back and is told everything again); each listener asking the store (79 calls a change, priced). Change: a feed's log holds one value of each key and, of large ones, the one before; a listener whose link has not taken what it was told hears the newest later; large values are packed (zstd) against the one before where the listener has it; what waits to be taken in is merged to the newest of each key. A list after a forgotten history tells the differences only.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,7 +1,8 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
 use crate::holder::Input;
-use crate::relay::{CONFIGURATION, Heard, Tap, Told};
+use crate::news::Told;
+use crate::relay::{CONFIGURATION, Heard, Tap};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -177,6 +178,7 @@
         if self.tap.feed == Some(CONFIGURATION) && told.values() > 0 {
             log::info!(source:? = source, known = self.known, to = told.to(), bytes = told.bytes(); "configuration heard");
         }
+        self.tap.taken(&told, told.to());
         let told = match told {
             Told::Whole(listing) => {
                 self.feed.listed(&listing);
@@ -193,8 +195,7 @@
                 }
             }
         };
-        if let (Some(feed), Some(known)) = (self.tap.feed, self.known) {
-            self.tap.set_known(known);
+        if let Some(feed) = self.tap.feed {
             // The deciding thread ends only with the process.
             let _ = self.news.send(Input::News(feed, told));
         }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -3,22 +3,24 @@
 //! Every instance runs this thread; it decides only while [`Right`] says so.
 
 use crate::candidates::Candidates;
+use crate::feed_log::FeedLog;
 use crate::members::{self, Addresses, Announcement};
-use crate::relay::{FEEDS, FeedLog, HEARTBEAT_PAUSE, Told};
+use crate::news::Told;
+use crate::relay::{FEEDS, HEARTBEAT_PAUSE};
 use crate::right::Right;
 use crate::shared::Shared;
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
-use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
+use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer, StoreRevision};
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry};
 use passway_types::prelude::*;
 use passway_wire::message::{
     EnginePlacement, Needs, News, Placements, Promise, PromiseWanted, Resident, Subscribe, Wish,
 };
-use passway_wire::{Body, Link};
+use passway_wire::{Body, Frame, Link};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 
@@ -32,6 +34,10 @@
 /// instances are told every 34 ms at most, 6 every 3 ms.
 const TELL_PAUSE_PER_PEER: Duration = Duration::from_micros(500);
 
+/// A listener with more than this on its way hears no news until it has taken it, and then the
+/// newest only: what a link of 10 Mbit/s carries in 50 ms.
+const NEWS_BACKLOG_BYTES: usize = 64 << 10;
+
 /// What the deciding thread hears.
 #[derive(Debug)]
 pub enum Input {
@@ -87,7 +93,8 @@
             shared.settings.placement.policy(),
         ),
         peers: BTreeMap::new(),
-        subscribers: BTreeMap::new(),
+        listeners: BTreeMap::new(),
+        has_backlog: false,
         candidates: Candidates::default(),
         begun_at: Instant::now(),
         announcement: None,
@@ -132,6 +139,14 @@
     }
 }
 
+/// An instance that hears the store's news from here.
+struct Listener {
+    /// Its name and where it listens, if it has told that.
+    member: Option<(InstanceId, SocketAddr)>,
+    /// Up to where it was told each feed.
+    told: [StoreRevision; FEEDS],
+}
+
 struct Holding {
     shared: Arc<Shared>,
     right: Arc<Right>,
@@ -139,8 +154,10 @@
     sender: Sender<Input>,
     planner: Planner,
     peers: BTreeMap<u64, Outbox>,
-    /// Instances that hear the store's news from here, and where they listen.
-    subscribers: BTreeMap<u64, Option<(InstanceId, SocketAddr)>>,
+    /// Instances that hear the store's news from here.
+    listeners: BTreeMap<u64, Listener>,
+    /// Whether one of them has not taken yet what it was told before.
+    has_backlog: bool,
     /// Who may succeed this instance.
     candidates: Candidates,
     /// What times that are told to others are counted from.
@@ -215,7 +232,8 @@
             }
             Input::Disconnected(number, instance) => {
                 self.peers.remove(&number);
-                if let Some((name, _)) = self.subscribers.remove(&number).flatten() {
+                let listener = self.listeners.remove(&number);
+                if let Some((name, _)) = listener.and_then(|listener| listener.member) {
                     self.candidates.went(&name, now);
                 }
                 if let Some(instance) = instance {
@@ -227,8 +245,8 @@
             Input::Succeeded(holder) => self.succeeded(&holder),
             Input::Promised(promise) => self.promised(&promise),
             Input::News(feed, told) => {
-                if let Some(news) = self.logs[feed].add(feed, &told) {
-                    self.pass_on(&news);
+                if self.logs[feed].add(&told) {
+                    self.catch_up(false);
                 }
             }
             Input::Heard(entry) => self.planner.heard(entry, now),
@@ -255,19 +273,16 @@
         let Some(outbox) = self.peers.get(&number) else {
             return;
         };
-        for (feed, log) in self.logs.iter().enumerate() {
-            let known = subscribe.known.get(feed).copied().unwrap_or(0);
-            if let Some(news) = log.after(feed, known) {
-                outbox.send(Body::News(news));
-            }
-        }
         outbox.send(Body::News(News::default()));
         let address = subscribe.address.parse().ok();
         let member = address.map(|address| (subscribe.instance.as_str().into(), address));
         if let Some((name, address)) = member.clone() {
             self.candidates.came(name, address, subscribe.is_weak);
         }
-        self.subscribers.insert(number, member);
+        let known = |feed| subscribe.known.get(feed).copied().unwrap_or(0);
+        let told = std::array::from_fn(known);
+        self.listeners.insert(number, Listener { member, told });
+        self.catch_up(true);
         self.tell_members(number);
     }
 
@@ -275,7 +290,8 @@
     fn members(&self) -> Addresses {
         let settings = &self.shared.settings;
         let me = (settings.instance.clone(), settings.peer_address);
-        let others = self.subscribers.values().flatten().cloned();
+        let others = self.listeners.values();
+        let others = others.filter_map(|listener| listener.member.clone());
         others.chain([me]).collect()
     }
 
@@ -289,7 +305,7 @@
         let body = members::encode(&known);
         drop(known);
         if has_grown {
-            self.send_to_subscribers(&body);
+            self.send_to_listeners(&body);
         } else {
             self.send_to(newcomer, &body);
         }
@@ -336,24 +352,50 @@
             fence,
             asked_ms: u64::try_from(asked.as_millis()).unwrap_or(u64::MAX),
         });
-        for (number, member) in &self.subscribers {
-            if member
-                .as_ref()
-                .is_some_and(|(name, _)| self.candidates.contains(name))
-            {
+        for (number, listener) in &self.listeners {
+            let member = listener.member.as_ref();
+            if member.is_some_and(|(name, _)| self.candidates.contains(name)) {
                 self.send_to(*number, &body);
             }
         }
     }
 
-    fn pass_on(&self, news: &News) {
-        self.send_to_subscribers(&Body::News(news.clone()));
+    /// Tells each listener the newest of what it lacks, unless it has not taken yet what it
+    /// was told before. What has not changed, up to a later revision, is told with the
+    /// heartbeat only; without it a listener would go on from a revision that the store has
+    /// forgotten when it asks it itself again.
+    fn catch_up(&mut self, with_heartbeat: bool) {
+        let mut frames = BTreeMap::new();
+        self.has_backlog = false;
+        for (number, listener) in &mut self.listeners {
+            let Some(outbox) = self.peers.get(number) else {
+                continue;
+            };
+            for (feed, log) in self.logs.iter().enumerate() {
+                let known = listener.told[feed];
+                let is_quiet = !log.has_news(known);
+                if is_quiet && (!with_heartbeat || known >= log.to()) {
+                    continue;
+                }
+                if outbox.waiting_bytes() > NEWS_BACKLOG_BYTES {
+                    self.has_backlog = true;
+                    break;
+                }
+                // Most listeners know the same; they share one frame.
+                let frame = frames.entry((feed, known));
+                let frame = frame.or_insert_with(|| news_frame(log, feed, known));
+                if let Some(frame) = frame {
+                    outbox.send_frame(frame.clone());
+                }
+                listener.told[feed] = log.to();
+            }
+        }
     }
 
-    fn send_to_subscribers(&self, body: &Body) {
-        for number in self.subscribers.keys() {
-            self.send_to(*number, body);
-        }
+    fn send_to_listeners(&self, body: &Body) {
+        let numbers = self.listeners.keys();
+        let outboxes = numbers.filter_map(|number| self.peers.get(number));
+        send_to_all(outboxes, body.clone());
     }
 
     fn send_to(&self, number: u64, body: &Body) {
@@ -366,18 +408,16 @@
     fn beat(&mut self, now: Instant) {
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + HEARTBEAT_PAUSE;
-            let instances = self.subscribers.len() + 1;
+            let instances = self.listeners.len() + 1;
             self.shared.use_instances(instances);
             self.ask_candidates(now);
-            self.pass_on(&News {
+            self.send_to_listeners(&Body::News(News {
                 instances: u32::try_from(instances).unwrap_or(u32::MAX),
                 ..News::default()
-            });
-            for feed in 0..FEEDS {
-                if let Some(news) = self.logs[feed].advance(feed) {
-                    self.pass_on(&news);
-                }
-            }
+            }));
+            self.catch_up(true);
+        } else if self.has_backlog {
+            self.catch_up(false);
         }
     }
 
@@ -394,7 +434,7 @@
         let here = self.members();
         let body = members::encode(&here);
         *self.shared.members() = here;
-        self.send_to_subscribers(&body);
+        self.send_to_listeners(&body);
     }
 
     fn needs(&mut self, needs: &Needs, now: Instant) {
@@ -438,7 +478,7 @@
             self.fence = fence;
             self.candidates = Candidates::default();
             // Whoever heard the news from here asks the store now.
-            for number in std::mem::take(&mut self.subscribers).into_keys() {
+            for number in std::mem::take(&mut self.listeners).into_keys() {
                 if let Some(outbox) = self.peers.remove(&number) {
                     outbox.close();
                 }
@@ -473,9 +513,7 @@
         let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
         self.tell_at = now + TELL_PAUSE_PER_PEER * peers;
         let body = placements(self.planner.take_changed());
-        for outbox in self.peers.values() {
-            outbox.send(body.clone());
-        }
+        send_to_all(self.peers.values(), body);
     }
 
     fn act(&self, action: Action, fence: Fence) {
@@ -531,6 +569,24 @@
     engines.order(order.address, &given)
 }
 
+/// What an instance lacks that knows a feed up to a revision, as it goes over a link; `None`
+/// if it is too large to be sent, and the instance sees the gap and asks the store.
+fn news_frame(log: &FeedLog, feed: usize, known: StoreRevision) -> Option<Frame> {
+    let news = Body::News(log.after(feed, known)?);
+    let frame = Frame::new(news);
+    frame
+        .inspect_err(|error| log::error!(feed = feed, error:% = error; "news cannot be sent"))
+        .ok()
+}
+
+/// Sends one message to many; it is encoded and kept once.
+fn send_to_all<'a>(outboxes: impl Iterator<Item = &'a Outbox>, body: Body) {
+    match Frame::new(body) {
+        Ok(frame) => outboxes.for_each(|outbox| outbox.send_frame(frame.clone())),
+        Err(error) => log::error!(error:% = error; "a message cannot be sent"),
+    }
+}
+
 fn placements(placements: Vec<Placement>) -> Body {
     Body::Placements(Placements {
         engines: placements.into_iter().map(encode).collect(),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -12,12 +12,14 @@
 //!   instance needs.
 //! * [`metrics`]: counters for `/metrics`.
 //! * [`health`]: whether the store answers.
-//! * [`relay`]: the store's news by way of the holder.
+//! * [`relay`]: the store's news by way of the holder, [`news`] as they travel, [`packing`] of
+//!   large values, [`feed_log`]: what the holder keeps to tell others.
 //! * [`lifecycle`] starts and stops.
 
 pub mod callers;
 pub mod candidates;
 pub mod events;
+pub mod feed_log;
 pub mod feeds;
 pub mod forward;
 pub mod health;
@@ -26,6 +28,8 @@
 pub mod lifecycle;
 pub mod members;
 pub mod metrics;
+pub mod news;
+pub mod packing;
 pub mod pool;
 pub mod ready;
 pub mod relay;
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -5,11 +5,11 @@
 //! long as it shows that it lives and holds its lease, and ask the store themselves
 //! at all other times. Changes carry the store's revisions, so a gap is seen.
 
-use crossbeam::channel::{Receiver, Sender, unbounded};
-use passway_serving::ports::{Listing, StoreChange, StoreRevision, StoredValue};
+use crate::news::{Bases, Told};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use passway_serving::ports::StoreRevision;
 use passway_types::prelude::*;
-use passway_wire::message::{News, NewsValue};
-use std::collections::{BTreeMap, VecDeque};
+use passway_wire::message::News;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Number of the configuration's feed.
@@ -23,54 +23,6 @@
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Pause between two words of the holder when there is no news.
 pub const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
-/// Changes kept for instances that connect.
-const KEPT_CHANGES: usize = 400;
-
-/// News of one feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Told {
-    /// All values.
-    Whole(Listing),
-    /// Changes between two revisions.
-    Changes {
-        /// The revision that they follow on.
-        from: StoreRevision,
-        /// The revision up to which they tell.
-        to: StoreRevision,
-        /// The changes in their order.
-        changes: Vec<StoreChange>,
-    },
-}
-
-impl Told {
-    /// The revision up to which it tells.
-    pub fn to(&self) -> StoreRevision {
-        match self {
-            Self::Whole(listing) => listing.revision,
-            Self::Changes { to, .. } => *to,
-        }
-    }
-
-    /// The values that it tells; keys that went away count too.
-    pub fn values(&self) -> usize {
-        match self {
-            Self::Whole(listing) => listing.values.len(),
-            Self::Changes { changes, .. } => changes.len(),
-        }
-    }
-
-    /// Bytes of the values that it tells.
-    pub fn bytes(&self) -> usize {
-        let size = |change: &StoreChange| match change {
-            StoreChange::Written(value) => value.value.len(),
-            StoreChange::Removed { .. } => 0,
-        };
-        match self {
-            Self::Whole(listing) => listing.values.iter().map(|value| value.value.len()).sum(),
-            Self::Changes { changes, .. } => changes.iter().map(size).sum(),
-        }
-    }
-}
 
 /// What a feed hears of the holder within some time.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,17 +35,23 @@
     HolderLost,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct State {
     heard_at: Option<Instant>,
     known: [StoreRevision; FEEDS],
+    /// What was heard and not taken in yet, merged.
+    waiting: [Option<Told>; FEEDS],
+    /// Feeds of which a word could not be read, to be told whole.
+    unreadable: [bool; FEEDS],
+    bases: [Bases; FEEDS],
 }
 
 /// What an instance hears of the holder.
 #[derive(Debug)]
 pub struct Relay {
     state: Mutex<State>,
-    told: [Sender<Told>; FEEDS],
+    /// Wakes the feeds' threads.
+    woken: [Sender<()>; FEEDS],
 }
 
 /// One feed's end of a relay.
@@ -103,29 +61,26 @@
     pub relay: Arc<Relay>,
     /// The feed's number; `None` for one that is not relayed but rests meanwhile.
     pub feed: Option<usize>,
-    told: Option<Receiver<Told>>,
+    wakes: Option<Receiver<()>>,
 }
 
 impl Relay {
     /// A relay that nothing was heard of, and its feeds' ends.
     pub fn new() -> (Arc<Self>, [Tap; FEEDS]) {
-        let (configuration, heard_configuration) = unbounded();
-        let (upstreams, heard_upstreams) = unbounded();
+        let (configuration, wakes_configuration) = bounded(1);
+        let (upstreams, wakes_upstreams) = bounded(1);
         let relay = Arc::new(Self {
-            state: Mutex::new(State {
-                heard_at: None,
-                known: [0; FEEDS],
-            }),
-            told: [configuration, upstreams],
+            state: Mutex::default(),
+            woken: [configuration, upstreams],
         });
-        let tap = |feed, told| Tap {
+        let tap = |feed, wakes| Tap {
             relay: relay.clone(),
             feed: Some(feed),
-            told: Some(told),
+            wakes: Some(wakes),
         };
         let taps = [
-            tap(CONFIGURATION, heard_configuration),
-            tap(UPSTREAMS, heard_upstreams),
+            tap(CONFIGURATION, wakes_configuration),
+            tap(UPSTREAMS, wakes_upstreams),
         ];
         (relay, taps)
     }
@@ -135,7 +90,7 @@
         Tap {
             relay: self.clone(),
             feed: None,
-            told: None,
+            wakes: None,
         }
     }
 
@@ -154,203 +109,88 @@
         self.state().heard_at = None;
     }
 
-    /// What is known of each feed, once all feeds have been read.
+    /// What is known of each feed, once all feeds have been read; 0 for one that is to be
+    /// told whole.
     pub fn known(&self) -> Option<[StoreRevision; FEEDS]> {
-        let known = self.state().known;
-        known.iter().all(|revision| *revision > 0).then_some(known)
+        let state = self.state();
+        let mut known = state.known;
+        if known.contains(&0) {
+            return None;
+        }
+        for (known, unreadable) in known.iter_mut().zip(state.unreadable) {
+            if unreadable {
+                *known = 0;
+            }
+        }
+        Some(known)
     }
 
-    fn set_known(&self, feed: usize, revision: StoreRevision) {
-        self.state().known[feed] = revision;
+    /// Whether the holder is to be asked again, since a word of it could not be read.
+    pub fn wants_again(&self) -> bool {
+        self.state().unreadable.contains(&true)
     }
 
     /// Takes in a word of the holder.
     pub fn heard(&self, news: News) {
-        self.state().heard_at = Some(Instant::now());
+        let mut state = self.state();
+        state.heard_at = Some(Instant::now());
         let feed = usize::try_from(news.feed).unwrap_or(FEEDS);
         if news.to == 0 || feed >= FEEDS {
             return;
         }
-        // The feed's thread ends only with the process.
-        let _ = self.told[feed].send(decode(news));
+        let is_whole = news.from == 0;
+        match state.bases[feed].decode(news) {
+            Ok(told) => {
+                if is_whole {
+                    state.unreadable[feed] = false;
+                }
+                let before = state.waiting[feed].take();
+                let told = match before {
+                    Some(before) => before.followed_by(told),
+                    None => told,
+                };
+                state.waiting[feed] = Some(told);
+            }
+            Err(error) => {
+                log::warn!(feed = feed, error:% = format!("{error:#}"); "a word of the holder cannot be read");
+                state.unreadable[feed] = true;
+            }
+        }
+        drop(state);
+        // A wake that waits already will do.
+        let _ = self.woken[feed].try_send(());
     }
 }
 
 impl Tap {
+    /// What the holder told since the last call.
+    fn take(&self) -> Option<Told> {
+        let feed = self.feed?;
+        self.relay.state().waiting[feed].take()
+    }
+
     /// Waits up to `longest` for the holder's next news, if the holder is relied on.
     pub fn next(&self, longest: Duration) -> Heard {
         if !self.relay.is_live() {
             return Heard::HolderLost;
         }
-        let Some(told) = &self.told else {
-            std::thread::sleep(longest);
-            return Heard::Nothing;
-        };
-        told.recv_timeout(longest)
-            .map_or(Heard::Nothing, Heard::News)
-    }
-
-    /// Records up to where the feed is known.
-    pub fn set_known(&self, revision: StoreRevision) {
-        if let Some(feed) = self.feed {
-            self.relay.set_known(feed, revision);
-        }
-    }
-}
-
-fn decode(news: News) -> Told {
-    let change = |value: NewsValue| {
-        let (key, revision) = (value.key, value.revision);
-        match value.value {
-            Some(value) => StoreChange::Written(StoredValue {
-                key,
-                value,
-                revision,
-            }),
-            None => StoreChange::Removed { key, revision },
+        if let Some(told) = self.take() {
+            return Heard::News(told);
         }
-    };
-    let changes: Vec<_> = news.values.into_iter().map(change).collect();
-    if news.from > 0 {
-        return Told::Changes {
-            from: news.from,
-            to: news.to,
-            changes,
-        };
-    }
-    let values = changes.into_iter().filter_map(|change| match change {
-        StoreChange::Written(value) => Some(value),
-        StoreChange::Removed { .. } => None,
-    });
-    Told::Whole(Listing {
-        values: values.collect(),
-        revision: news.to,
-    })
-}
-
-fn encode(change: &StoreChange) -> NewsValue {
-    let value = match change {
-        StoreChange::Written(value) => Some(value.value.clone()),
-        StoreChange::Removed { .. } => None,
-    };
-    NewsValue {
-        key: change.key().to_owned(),
-        value,
-        revision: change.revision(),
-    }
-}
-
-/// The latest of one feed, for instances that hear it from here.
-#[derive(Debug, Default)]
-pub struct FeedLog {
-    values: BTreeMap<String, StoredValue>,
-    changes: VecDeque<StoreChange>,
-    /// Changes after this revision are kept.
-    since: StoreRevision,
-    to: StoreRevision,
-    /// Up to where everybody who listens was told; what needs no telling lies behind it.
-    told: StoreRevision,
-}
-
-impl FeedLog {
-    /// Takes in news; what of it is to be passed on.
-    pub fn add(&mut self, feed: usize, told: &Told) -> Option<News> {
-        let number = u32::try_from(feed).unwrap_or(u32::MAX);
-        match told {
-            Told::Whole(listing) => {
-                let values = listing.values.iter();
-                self.values = values.map(|v| (v.key.clone(), v.clone())).collect();
-                self.changes.clear();
-                self.since = listing.revision;
-                self.to = listing.revision;
-                self.told = self.to;
-                self.whole(number)
-            }
-            Told::Changes { to, changes, .. } => {
-                let from = self.told;
-                self.to = self.to.max(*to);
-                for change in changes {
-                    self.note(change);
-                }
-                let values = changes.iter().map(encode);
-                if changes.is_empty() {
-                    return None;
-                }
-                self.told = self.to;
-                Some(News {
-                    feed: number,
-                    from: from.max(1),
-                    to: self.to,
-                    values: values.collect(),
-                    instances: 0,
-                })
-            }
-        }
-    }
-
-    /// That nothing has changed since it was told last, up to a later revision, if that is
-    /// known. Without it those who listen would go on from a revision that the store has
-    /// forgotten, and list everything anew, when they ask it themselves again.
-    pub fn advance(&mut self, feed: usize) -> Option<News> {
-        let from = self.told;
-        if self.to <= from {
-            return None;
+        match &self.wakes {
+            // In either case it is looked whether anything waits.
+            Some(wakes) => drop(wakes.recv_timeout(longest)),
+            None => std::thread::sleep(longest),
         }
-        self.told = self.to;
-        Some(News {
-            feed: u32::try_from(feed).unwrap_or(u32::MAX),
-            from: from.max(1),
-            to: self.to,
-            ..News::default()
-        })
+        self.take().map_or(Heard::Nothing, Heard::News)
     }
 
-    fn note(&mut self, change: &StoreChange) {
-        match change {
-            StoreChange::Written(value) => {
-                self.values.insert(value.key.clone(), value.clone());
-            }
-            StoreChange::Removed { key, .. } => {
-                self.values.remove(key);
-            }
-        }
-        self.changes.push_back(change.clone());
-        if self.changes.len() > KEPT_CHANGES
-            && let Some(oldest) = self.changes.pop_front()
-        {
-            self.since = oldest.revision();
-        }
-    }
-
-    fn whole(&self, number: u32) -> Option<News> {
-        let values = self.values.values().map(|value| NewsValue {
-            key: value.key.clone(),
-            value: Some(value.value.clone()),
-            revision: value.revision,
-        });
-        (self.to > 0).then(|| News {
-            feed: number,
-            from: 0,
-            to: self.to,
-            values: values.collect(),
-            instances: 0,
-        })
-    }
-
-    /// What an instance lacks that knows the feed up to a revision.
-    pub fn after(&self, feed: usize, known: StoreRevision) -> Option<News> {
-        let number = u32::try_from(feed).unwrap_or(u32::MAX);
-        if known < self.since || known == 0 {
-            return self.whole(number);
+    /// Records what is taken in, and up to where the feed is known then.
+    pub fn taken(&self, told: &Told, known: StoreRevision) {
+        if let Some(feed) = self.feed {
+            let mut state = self.relay.state();
+            state.bases[feed].note(told);
+            state.known[feed] = known;
         }
-        let newer = self.changes.iter().filter(|c| c.revision() > known);
-        let values: Vec<_> = newer.map(encode).collect();
-        (known < self.to).then_some(News {
-            feed: number,
-            from: known,
-            to: self.to,
-            values,
-            instances: 0,
-        })
     }
 }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -228,7 +228,8 @@
         let is_me = holder.is_none_or(|h| h.instance == self.shared.settings.instance);
         // The holder may not have begun its term when it was asked.
         let asked = self.subscribed_at;
-        if is_me || self.relay.is_live() || asked.is_some_and(|at| at.elapsed() < SUBSCRIBE_PAUSE) {
+        let hears_all = self.relay.is_live() && !self.relay.wants_again();
+        if is_me || hears_all || asked.is_some_and(|at| at.elapsed() < SUBSCRIBE_PAUSE) {
             return;
         }
         let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -6,6 +6,7 @@
 use crate::placement::policy::PolicyName;
 use crate::routes::RouteTable;
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
+use bytes::Bytes;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -19,8 +20,8 @@
 pub struct StoredValue {
     /// Its key.
     pub key: String,
-    /// Its bytes.
-    pub value: Vec<u8>,
+    /// Its bytes; clones share them.
+    pub value: Bytes,
     /// When it was written last.
     pub revision: StoreRevision,
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -164,12 +164,18 @@
     /// Its key.
     #[prost(string, tag = "1")]
     pub key: String,
-    /// Its bytes; absent if the key went away.
-    #[prost(bytes = "vec", optional, tag = "2")]
-    pub value: Option<Vec<u8>>,
+    /// Its bytes, packed if `plain_bytes` is not 0; absent if the key went away.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub value: Option<bytes::Bytes>,
     /// The store's revision of the change.
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    /// Its length before it was packed, in bytes; 0 if it is not packed.
+    #[prost(uint64, tag = "4")]
+    pub plain_bytes: u64,
+    /// The revision of the key's value that it is packed against; 0 if against none.
+    #[prost(uint64, tag = "5")]
+    pub base: u64,
 }
 
 /// What the store told of one feed; without changes it only says that the sender lives.
@@ -190,6 +196,14 @@
     /// Instances that the holder knows of; 0 if it does not say.
     #[prost(uint32, tag = "5")]
     pub instances: u32,
+    /// When this was queued, in milliseconds since a moment of the holder's own; 0 if it does
+    /// not say.
+    #[prost(uint64, tag = "6")]
+    pub sent_ms: u64,
+    /// When the store confirmed last to the holder that it knows all of a feed, by feeds, in
+    /// milliseconds since the same moment; 0 for never.
+    #[prost(uint64, repeated, tag = "7")]
+    pub confirmed_ms: Vec<u64>,
 }
 
 /// A model or adapter of a service.
--- a/tests/all/config_way.rs
+++ b/tests/all/config_way.rs
@@ -9,6 +9,7 @@
 //! its own knowledge was. Proved by these two tests, in which the other way is open.
 
 use crate::site::{self, until};
+use bytes::Bytes;
 use crossbeam::channel;
 use passway_instance::feeds::{Feed, follow};
 use passway_instance::relay::{CONFIGURATION, Relay};
@@ -50,7 +51,7 @@
         }
         let change = StoredValue {
             key: "op/config".into(),
-            value: Vec::new(),
+            value: Bytes::new(),
             revision: 20,
         };
         Ok(WatchAnswer::Changes {
@@ -138,8 +139,9 @@
             to: 20,
             values: vec![NewsValue {
                 key: "op/config".into(),
-                value: Some(Vec::new()),
+                value: Some(Bytes::new()),
                 revision: 20,
+                ..NewsValue::default()
             }],
             ..News::default()
         });
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod config_way;
 mod docs_match;
 mod fair_share;
+mod feed_log;
 mod former_holder;
 mod holder_heard;
 mod instance_metrics;
--- a/tests/all/peer_queue.rs
+++ b/tests/all/peer_queue.rs
@@ -24,8 +24,9 @@
     for _ in 0..MESSAGES {
         let value = NewsValue {
             key: "k".into(),
-            value: Some(vec![7; MESSAGE_BYTES]),
+            value: Some(vec![7; MESSAGE_BYTES].into()),
             revision: 1,
+            ..NewsValue::default()
         };
         outbox.send(Body::News(News {
             values: vec![value],
--- a/tests/all/relay_gap.rs
+++ b/tests/all/relay_gap.rs
@@ -1,9 +1,12 @@
 //! What the holder's news leave out is read from the store, however long that takes.
 
 use crate::site::{self, until};
+use bytes::Bytes;
 use crossbeam::channel;
+use passway_instance::feed_log::FeedLog;
 use passway_instance::feeds::{Feed, follow};
-use passway_instance::relay::{CONFIGURATION, FeedLog, Relay, Told};
+use passway_instance::news::Told;
+use passway_instance::relay::{CONFIGURATION, Relay};
 use passway_instance::shared::Shared;
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoreError, StoreRevision,
@@ -19,7 +22,7 @@
 fn value(revision: StoreRevision) -> StoredValue {
     StoredValue {
         key: "op/config".into(),
-        value: Vec::new(),
+        value: Bytes::new(),
         revision,
     }
 }
@@ -147,17 +150,18 @@
         values: vec![value(10)],
         revision: 10,
     };
-    assert!(log.add(CONFIGURATION, &Told::Whole(listing)).is_some());
-    assert_eq!(log.advance(CONFIGURATION), None);
+    assert!(log.add(&Told::Whole(listing)));
+    assert_eq!(log.after(CONFIGURATION, 10), None);
     let quiet = Told::Changes {
         from: 10,
         to: 40,
         changes: Vec::new(),
     };
-    assert_eq!(log.add(CONFIGURATION, &quiet), None);
-    let news = log.advance(CONFIGURATION).expect("news");
+    assert!(!log.add(&quiet));
+    assert!(!log.has_news(10));
+    let news = log.after(CONFIGURATION, 10).expect("news");
     assert_eq!((news.from, news.to, news.values.len()), (10, 40, 0));
-    assert_eq!(log.advance(CONFIGURATION), None);
+    assert_eq!(log.after(CONFIGURATION, 40), None);
 }
 
 /// An instance that is cut off from the store and follows the holder: an entry that the
