An instance hears the holder also while it asks the store

Cause: after a forgotten history, a gap or a failed call a feed asked the store and nothing else: in a call that hangs on a silent connection (2.7 s) or in the pause after one that failed (up to 2.3 s), while the holder's news lay unread. A link that had fallen silent was asked on again every 0.6 s, and a new connection waited for that pause. A watch from an old revision brought fourteen versions where one was wanted. Ruled out: shorter pauses alone: a store that turns an instance away never answers it. Change: pauses are spent listening; the holder's news close a gap and make up for a forgotten history where they follow on what is known; the configuration is listed, not watched, after the holder was relied on or a call failed; a silent link is closed; a new one is subscribed on at once; what is unreadable is asked for whole; a watch of a relayed feed waits 0.8 s at most.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,8 +1,8 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
 use crate::holder::Input;
-use crate::news::Told;
-use crate::relay::{CONFIGURATION, Heard, Tap};
+use crate::news::{self, Told};
+use crate::relay::{CONFIGURATION, Tap};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -12,12 +12,19 @@
 };
 use passway_types::prelude::*;
 
-/// Longest wait of one watch; a watch on a connection that was cut silently is noticed after it.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of one watch of a feed that others hear by way of the holder; a connection
+/// that was cut silently is noticed after it. Of 3 s until a version is in force everywhere
+/// (users' pages; 2 s in a small fleet) the holder may lose half so.
+const RELAYED_WATCH: Duration = Duration::from_millis(800);
+/// The same of a feed that each instance follows for itself.
+const OWN_WATCH: Duration = Duration::from_secs(2);
 
 /// Longest wait for the holder's news before its standing is looked at again.
 const RELAY_STEP: Duration = Duration::from_millis(250);
 
+/// Pause between two looks, after a call that failed, whether the store answers others here.
+const LOOK_STEP: Duration = Duration::from_millis(100);
+
 /// Where news come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -39,6 +46,11 @@
     fn tick(&mut self) {}
     /// All changes that are known were taken in; the pause before asking for more.
     fn settled(&mut self) -> Duration;
+    /// Whether all values are cheaper than the changes that lie behind: a watch tells each
+    /// change that was made meanwhile, a list the last of them only.
+    fn lists_rather(&self) -> bool {
+        false
+    }
     /// Whether the store is to be asked although the holder is relied on.
     fn must_ask(&self) -> bool {
         false
@@ -48,7 +60,7 @@
 }
 
 /// Follows a prefix for as long as the process lives: by the holder of the right to
-/// order while it is relied on, else by the store.
+/// order while it is relied on, else by the store and by what the holder tells meanwhile.
 pub fn follow(
     store: Arc<dyn SharedStore>,
     tap: Tap,
@@ -62,62 +74,94 @@
         news,
         feed,
         known: None,
-        rested: false,
+        lists_next: false,
+        relied: false,
         has_gap: false,
         failures: 0,
+        pause: Pause::over(Instant::now()),
     };
     std::thread::spawn(move || follower.run());
 }
 
+/// The time for which the store is not asked after a call that failed.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    /// From then on it is asked if it has answered somebody else here.
+    soonest: Instant,
+    /// From then on it is asked in any case.
+    until: Instant,
+}
+
+impl Pause {
+    fn over(now: Instant) -> Self {
+        Self {
+            soonest: now,
+            until: now,
+        }
+    }
+}
+
 struct Follower<F> {
     prefix: String,
     store: Arc<dyn SharedStore>,
     tap: Tap,
     news: Sender<Input>,
     feed: F,
-    /// The point from which to go on; `None` to list anew.
+    /// The point from which to go on; `None` before the first list.
     known: Option<StoreRevision>,
-    /// Whether it has rested while others were relayed.
-    rested: bool,
-    /// Whether something is missing in the holder's news that only the store can tell:
-    /// the holder is not relied on until the store has answered, though it lives.
+    /// Whether the store is to be asked for all values rather than for what has changed.
+    lists_next: bool,
+    /// Whether the holder was relied on last.
+    relied: bool,
+    /// Whether something is missing in the holder's news: it is not relied on until the store
+    /// has told it, or the holder itself.
     has_gap: bool,
     /// Calls in a row that the store did not answer.
     failures: u32,
+    pause: Pause,
 }
 
 impl<F: Feed> Follower<F> {
+    /// Hears the holder at all times, and asks the store while the holder is not relied on.
     fn run(mut self) {
         loop {
             self.feed.tick();
-            if !self.hear() {
+            // What the holder told while the store was asked.
+            self.hear(Duration::ZERO);
+            if self.relies() {
+                self.relied = true;
+                self.hear(RELAY_STEP);
+            } else if self.may_ask() {
                 self.follow_store();
+            } else {
+                self.hear(LOOK_STEP);
             }
         }
     }
 
-    /// Waits a step for the holder's news; whether the holder is relied on.
-    fn hear(&mut self) -> bool {
-        if self.known.is_none() || self.has_gap || self.feed.must_ask() {
-            return false;
-        }
-        let heard = self.tap.next(RELAY_STEP);
-        if heard == Heard::HolderLost {
-            return false;
-        }
-        self.rested |= self.tap.feed.is_none();
-        if let Heard::News(told) = heard {
+    /// Whether the holder's news are enough.
+    fn relies(&self) -> bool {
+        self.known.is_some() && !self.has_gap && !self.feed.must_ask() && self.tap.is_live()
+    }
+
+    fn may_ask(&self) -> bool {
+        let now = Instant::now();
+        let is_failing = self.feed.shared().store_health.is_failing();
+        now >= self.pause.until || (now >= self.pause.soonest && !is_failing)
+    }
+
+    /// Waits a while for the holder's news.
+    fn hear(&mut self, longest: Duration) {
+        if let Some(told) = self.tap.next(longest) {
             self.relayed(told);
         }
-        true
     }
 
     /// Asks the store once and pauses as its answer or silence calls for.
     fn follow_store(&mut self) {
-        if std::mem::take(&mut self.rested) {
-            // Nothing was heard meanwhile.
-            self.known = None;
-        }
+        // A feed that is not relayed heard nothing while the holder was relied on.
+        let lists = self.tap.feed.is_none() || self.feed.lists_rather();
+        self.lists_next |= std::mem::take(&mut self.relied) && lists;
         match self.ask() {
             Ok(()) => {
                 self.failures = 0;
@@ -127,9 +171,15 @@
             }
             Err(error) => {
                 log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
+                self.lists_next |= self.feed.lists_rather();
                 let health = &self.feed.shared().store_health;
                 health.failed();
-                health.pause(self.failures, self.tap.feed == Some(CONFIGURATION));
+                let now = Instant::now();
+                let probes = self.tap.feed == Some(CONFIGURATION);
+                self.pause = Pause {
+                    soonest: now + LOOK_STEP,
+                    until: now + health.pause_after(self.failures, probes),
+                };
                 self.failures += 1;
             }
         }
@@ -137,18 +187,20 @@
 
     /// One list or watch.
     fn ask(&mut self) -> Result<(), StoreError> {
-        let Some(after) = self.known else {
+        let Some(after) = self.known.filter(|_| !self.lists_next) else {
             let listing = self.store.list(&self.prefix)?;
+            self.lists_next = false;
             self.take(Told::Whole(listing), Source::Store);
             return Ok(());
         };
-        match self.store.watch(&self.prefix, after, WATCH_WAIT)? {
-            WatchAnswer::HistoryGone => self.known = None,
+        let wait = self.tap.feed.map_or(OWN_WATCH, |_| RELAYED_WATCH);
+        match self.store.watch(&self.prefix, after, wait)? {
+            WatchAnswer::HistoryGone => self.lists_next = true,
             WatchAnswer::Changes { changes, revision } => {
                 let told = Told::Changes {
                     from: after,
                     to: revision.max(after),
-                    changes,
+                    changes: news::newest(changes.into_iter()),
                 };
                 self.take(told, Source::Store);
             }
@@ -169,6 +221,7 @@
             }
             _ => {}
         }
+        self.has_gap = false;
         self.feed.shared().store_health.relayed();
         self.take(told, Source::Holder);
         self.feed.settled();
@@ -255,6 +308,10 @@
         Duration::ZERO
     }
 
+    fn lists_rather(&self) -> bool {
+        true
+    }
+
     fn shared(&self) -> &Shared {
         &self.shared
     }
--- a/crates/instance/src/health.rs
+++ b/crates/instance/src/health.rs
@@ -19,8 +19,6 @@
 const PROBE_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(20);
 /// Longest pause of the others; they go on as soon as it is.
 const OTHER_PAUSE: Duration = Duration::from_secs(2);
-/// Pause between two looks whether the store is back.
-const LOOK_STEP: Duration = Duration::from_millis(100);
 
 /// Whether the store answered last.
 #[derive(Debug, Default)]
@@ -77,8 +75,8 @@
         pause.clamp(PROBE_PAUSE, LONGEST_PROBE_PAUSE)
     }
 
-    /// Pauses after so many failures in a row; shorter if the store is back meanwhile.
-    pub fn pause(&self, failures: u32, probes: bool) {
+    /// The pause after a call that failed, with so many failures in a row before it.
+    pub fn pause_after(&self, failures: u32, probes: bool) -> Duration {
         let longest = if probes {
             self.probe_pause()
         } else {
@@ -86,13 +84,6 @@
         };
         let doubled = FIRST_PAUSE * (1 << failures.min(5));
         let part = rand::rng().random_range(0.7..1.3);
-        let until = Instant::now() + doubled.min(longest).mul_f64(part);
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || !self.is_failing() {
-                return;
-            }
-            std::thread::sleep(left.min(LOOK_STEP));
-        }
+        doubled.min(longest).mul_f64(part)
     }
 }
--- a/crates/instance/src/news.rs
+++ b/crates/instance/src/news.rs
@@ -88,7 +88,7 @@
 }
 
 /// The newest change of each key, in the order of revisions.
-fn newest(changes: impl Iterator<Item = StoreChange>) -> Vec<StoreChange> {
+pub fn newest(changes: impl Iterator<Item = StoreChange>) -> Vec<StoreChange> {
     let mut by_key: BTreeMap<String, StoreChange> = BTreeMap::new();
     for change in changes {
         let is_older = |known: &StoreChange| known.revision() > change.revision();
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -24,17 +24,6 @@
 /// Pause between two words of the holder when there is no news.
 pub const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
 
-/// What a feed hears of the holder within some time.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Heard {
-    /// News.
-    News(Told),
-    /// The holder is relied on and told nothing.
-    Nothing,
-    /// The holder is not relied on; the store is to be asked.
-    HolderLost,
-}
-
 #[derive(Debug, Default)]
 struct State {
     heard_at: Option<Instant>,
@@ -104,25 +93,24 @@
         heard_at.is_some_and(|at| at.elapsed() < SILENCE_LIMIT)
     }
 
+    /// Whether the holder has spoken and has fallen silent since.
+    pub fn is_silent(&self) -> bool {
+        let heard_at = self.state().heard_at;
+        heard_at.is_some_and(|at| at.elapsed() >= SILENCE_LIMIT)
+    }
+
     /// The holder is not relied on any more.
     pub fn lost(&self) {
         self.state().heard_at = None;
     }
 
-    /// What is known of each feed, once all feeds have been read; 0 for one that is to be
-    /// told whole.
-    pub fn known(&self) -> Option<[StoreRevision; FEEDS]> {
+    /// What is known of each feed; 0 for one that is to be told whole.
+    pub fn known(&self) -> [StoreRevision; FEEDS] {
         let state = self.state();
-        let mut known = state.known;
-        if known.contains(&0) {
-            return None;
-        }
-        for (known, unreadable) in known.iter_mut().zip(state.unreadable) {
-            if unreadable {
-                *known = 0;
-            }
-        }
-        Some(known)
+        std::array::from_fn(|feed| {
+            let is_unreadable = state.unreadable[feed];
+            if is_unreadable { 0 } else { state.known[feed] }
+        })
     }
 
     /// Whether the holder is to be asked again, since a word of it could not be read.
@@ -169,20 +157,23 @@
         self.relay.state().waiting[feed].take()
     }
 
-    /// Waits up to `longest` for the holder's next news, if the holder is relied on.
-    pub fn next(&self, longest: Duration) -> Heard {
-        if !self.relay.is_live() {
-            return Heard::HolderLost;
-        }
-        if let Some(told) = self.take() {
-            return Heard::News(told);
+    /// Whether the holder is relied on now.
+    pub fn is_live(&self) -> bool {
+        self.relay.is_live()
+    }
+
+    /// Waits up to `longest` for what the holder tells.
+    pub fn next(&self, longest: Duration) -> Option<Told> {
+        let told = self.take();
+        if told.is_some() || longest.is_zero() {
+            return told;
         }
         match &self.wakes {
             // In either case it is looked whether anything waits.
             Some(wakes) => drop(wakes.recv_timeout(longest)),
             None => std::thread::sleep(longest),
         }
-        self.take().map_or(Heard::Nothing, Heard::News)
+        self.take()
     }
 
     /// Records what is taken in, and up to where the feed is known then.
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -142,6 +142,8 @@
                 }
                 self.untold.insert(key);
             }
+            // It is a reason to look, which follows in any case.
+            Need::HolderReached => {}
             Need::Taken { service, wish } => {
                 let now = Instant::now();
                 while self
@@ -188,6 +190,8 @@
                 Dialed::Connected(outbox) => {
                     *link = Some(outbox);
                     is_new.store(true, Ordering::Release);
+                    drop(link);
+                    shared.tell(Need::HolderReached);
                 }
                 Dialed::Disconnected => {
                     *link = None;
@@ -226,16 +230,32 @@
     fn subscribe(&mut self) {
         let holder = self.right.holder();
         let is_me = holder.is_none_or(|h| h.instance == self.shared.settings.instance);
+        if self.is_new.load(Ordering::Acquire) {
+            self.subscribed_at = None;
+        }
         // The holder may not have begun its term when it was asked.
         let asked = self.subscribed_at;
         let hears_all = self.relay.is_live() && !self.relay.wants_again();
         if is_me || hears_all || asked.is_some_and(|at| at.elapsed() < SUBSCRIBE_PAUSE) {
             return;
         }
-        let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
-        let (Some(outbox), Some(known)) = (link.as_ref(), self.relay.known()) else {
+        let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(outbox) = link.as_ref() else {
             return;
         };
+        if self.relay.is_silent() {
+            // The connection may have fallen silent; a new one tells whether the holder has.
+            outbox.close();
+            *link = None;
+            self.relay.lost();
+            return;
+        }
+        let known = self.relay.known();
+        let reads_itself = known.contains(&0) && !self.relay.wants_again();
+        if reads_itself && !self.shared.store_health.is_failing() {
+            // The store tells it soon, and the holder is spared telling everything.
+            return;
+        }
         outbox.send(Body::Subscribe(Subscribe {
             known: known.to_vec(),
             instance: self.shared.settings.instance.to_string(),
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -34,6 +34,8 @@
         /// What it waited for.
         wish: ModelRef,
     },
+    /// A connection to the holder stands.
+    HolderReached,
     /// A request for a model was taken, whether it waits or not.
     Taken {
         /// The service.
--- a/tests/all/config_way.rs
+++ b/tests/all/config_way.rs
@@ -107,9 +107,13 @@
     }
 }
 
-/// Follows a store; the relay, and whether a revision was taken in.
-fn followed(store: OneWay) -> (Arc<Relay>, impl Fn(StoreRevision) -> bool) {
+/// Follows a store, from the first moment beside a holder that speaks or not; the relay, and
+/// whether a revision was taken in.
+fn followed(store: OneWay, holder_speaks: bool) -> (Arc<Relay>, impl Fn(StoreRevision) -> bool) {
     let (relay, [tap, _]) = Relay::new();
+    if holder_speaks {
+        relay.heard(News::default());
+    }
     let revisions = Arc::new(Mutex::new(Vec::new()));
     // The reporting thread is not there; what is told to it goes nowhere.
     let (needs, _needed) = channel::unbounded();
@@ -127,10 +131,11 @@
 
 #[test]
 fn told_while_turned_away() {
-    let (relay, seen) = followed(OneWay {
+    let turning_away = OneWay {
         turns_away: true,
         ..OneWay::default()
-    });
+    };
+    let (relay, seen) = followed(turning_away, false);
     until("the list", || seen(10));
     until("the holder's word", || {
         relay.heard(News {
@@ -151,8 +156,7 @@
 
 #[test]
 fn silent_knowledge() {
-    let (relay, seen) = followed(OneWay::default());
-    relay.heard(News::default());
+    let (relay, seen) = followed(OneWay::default(), true);
     until("the list", || seen(10));
     until("the store's word", || {
         // The holder lives and says so, and has heard nothing of the store.
