--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod former_holder;
 mod holder_heard;
 mod instance_metrics;
+mod large_answers;
 mod log_analysis;
 mod log_lines;
 mod lost_engines;
