Words that wait for the deciding and the reporting thread are bounded

Cause: the same class: both queues were without a bound, and a thread that stands still (a frozen machine, a store's write) let them grow with instances times requests. Change: 1,024 words for the deciding thread, 4,096 for the reporting one; whoever has one more waits, and with it the connection that it came from. A term that begins wakes the deciding thread, which saw it up to a second later before. Worst case worked out: 3 MB and 0.4 MB.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -10,7 +10,7 @@
 use crate::right::Right;
 use crate::shared::Shared;
 use anyhow::{Context, Result};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer, StoreRevision};
@@ -24,6 +24,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 
+/// What the deciding thread may have to take in, in words; whoever has one more waits, and so
+/// do instances that send it. An engine's entry with all that it keeps has some 3 kB, so 3 MB.
+const INPUTS: usize = 1_024;
+
 /// Longest time between two looks while nothing is heard.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -49,6 +53,8 @@
     Needs(Needs),
     /// An instance wants the store's news.
     Subscribe(u64, Subscribe),
+    /// A term of this instance has begun.
+    TermBegun,
     /// Another instance holds the right to order.
     Succeeded(Holder),
     /// A candidate promises not to take the right to order.
@@ -81,7 +87,7 @@
     engines: Arc<dyn Engines>,
     listener: TcpListener,
 ) -> Sender<Input> {
-    let (sender, inputs) = unbounded();
+    let (sender, inputs) = bounded(INPUTS);
     let accepting = sender.clone();
     std::thread::spawn(move || accept(&listener, &accepting));
     let holding = Holding {
@@ -246,6 +252,8 @@
             }
             Input::Needs(needs) => self.needs(&needs, now),
             Input::Subscribe(number, subscribe) => self.subscribe(number, &subscribe),
+            // It is a reason to look, which follows in any case.
+            Input::TermBegun => {}
             Input::Succeeded(holder) => self.succeeded(&holder),
             Input::Promised(promise) => self.promised(&promise),
             Input::News(feed, told) => {
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -17,6 +17,10 @@
 /// Time kept back of the grace at a stop: the last log lines take 200 ms, and the process
 /// has a quarter of a core.
 const GRACE_RESERVE: Duration = Duration::from_millis(600);
+/// Words about requests that wait to be reported to the holder; a request that has one more
+/// waits a moment. Some hundred bytes each, so 0.4 MB; a second of a busy instance's requests
+/// are a hundred.
+const NEEDS: usize = 4_096;
 /// Pause between two looks whether requests are in progress at a stop.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
@@ -55,7 +59,7 @@
     pub fn start(mut settings: InstanceSettings, surroundings: Surroundings) -> Result<Self> {
         let peers = holder::bind(settings.peer_address)?;
         settings.peer_address = peers.local_addr().context("the bound address")?;
-        let (needs, needed) = channel::unbounded();
+        let (needs, needed) = channel::bounded(NEEDS);
         let shared = Arc::new(Shared::new(settings, surroundings.vocabulary, needs));
         let settings = &shared.settings;
         let right = Arc::new(Right::new(&shared));
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -130,9 +130,9 @@
             right: self.clone(),
             shared: shared.clone(),
         };
-        follow(store.clone(), tap, news, feed);
+        follow(store.clone(), tap, news.clone(), feed);
         let (keeping, shared, store) = (self.clone(), shared.clone(), store.clone());
-        std::thread::spawn(move || keeping.keep(&shared, &*store));
+        std::thread::spawn(move || keeping.keep(&shared, &*store, &news));
     }
 
     fn tenure(&self) -> MutexGuard<'_, Tenure> {
@@ -212,7 +212,7 @@
     }
 
     /// Takes and renews the right for as long as the process lives.
-    fn keep(&self, shared: &Shared, store: &dyn SharedStore) {
+    fn keep(&self, shared: &Shared, store: &dyn SharedStore, news: &Sender<Input>) {
         let mut held = None;
         loop {
             let mut tenure = self.tenure();
@@ -245,6 +245,8 @@
                     held = self.tenure().taken(&answer, Instant::now());
                     if let Some(fence) = held {
                         log::info!(fence = fence; "holds the right to order");
+                        // The deciding thread ends only with the process.
+                        let _ = news.send(Input::TermBegun);
                     }
                 }
                 Step::Renew(lease) => {
