--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -241,6 +241,8 @@
             _ => {}
         }
         self.has_gap = false;
+        // A store that turned this instance away for long is asked soon once the holder is lost.
+        self.failures = 0;
         self.feed.shared().store_health.relayed();
         self.take(told, Source::Holder);
         self.feed.settled();
