--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -132,9 +132,10 @@
             self.feed.tick();
             // What the holder told while the store was asked.
             self.hear(Duration::ZERO);
-            if self.relies() {
+            if let Some(until) = self.relied_until() {
                 self.relied = true;
-                self.hear(RELAY_STEP);
+                let left = until.saturating_duration_since(Instant::now());
+                self.hear(left.min(RELAY_STEP));
             } else if self.may_ask() {
                 self.follow_store();
             } else {
@@ -143,9 +144,10 @@
         }
     }
 
-    /// Whether the holder's news are enough.
-    fn relies(&self) -> bool {
-        self.known.is_some() && !self.has_gap && !self.feed.must_ask() && self.tap.is_live()
+    /// Until when the holder's news are enough; `None` if they are not now.
+    fn relied_until(&self) -> Option<Instant> {
+        let must_ask = self.known.is_none() || self.has_gap || self.feed.must_ask();
+        self.tap.relied_until().filter(|_| !must_ask)
     }
 
     /// Whether the store may be asked now. While the holder speaks, and neither it nor this
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -130,10 +130,16 @@
         heard_at.is_some_and(|at| at.elapsed() < SILENCE_LIMIT)
     }
 
-    /// Whether the holder speaks and knows a feed up to now.
-    fn is_current(&self, feed: usize) -> bool {
-        let confirmed_at = self.state().confirmed_at[feed];
-        self.is_heard() && confirmed_at.is_some_and(|at| at.elapsed() < KNOWLEDGE_LIMIT)
+    /// Until when the holder is relied on: for a feed, as long as it speaks and knows the feed;
+    /// for none, as long as it speaks. `None` if it is not relied on now.
+    fn relied_until(&self, feed: Option<usize>) -> Option<Instant> {
+        let state = self.state();
+        let heard_until = state.heard_at? + SILENCE_LIMIT;
+        let until = match feed {
+            Some(feed) => heard_until.min(state.confirmed_at[feed]? + KNOWLEDGE_LIMIT),
+            None => heard_until,
+        };
+        (Instant::now() < until).then_some(until)
     }
 
     /// When the store answered last for each feed, in milliseconds since a moment; 0 for never.
@@ -210,12 +216,9 @@
         self.relay.state().waiting[feed].take()
     }
 
-    /// Whether the holder is relied on now.
-    pub fn is_live(&self) -> bool {
-        match self.feed {
-            Some(feed) => self.relay.is_current(feed),
-            None => self.relay.is_heard(),
-        }
+    /// Until when the holder is relied on if it tells nothing more; `None` if it is not now.
+    pub fn relied_until(&self) -> Option<Instant> {
+        self.relay.relied_until(self.feed)
     }
 
     /// The store has answered, with all that it knew at a moment.
