What the holder tells twice, or has not seen itself, reaches a listener whole

Cause: found by a review of the mend by somebody who had not seen the work; each shown by a test. (1) A listener that had read a version from the store itself could not unpack the holder's word of the same one, nor of the one after, and asked for everything. (2) A call that had failed kept the upstreams' feed from asking for as long as the configuration's relied on the holder, since nobody else asked. (3) A key that came and went within one answer, or between two lists, was never told gone to one that had read it between. (4) Waiting news took in an older word and could bring back what had gone. (5) Too large a frame left a listener behind without a gap to show it, and what could not be read was asked for for ever. Change: bases of two versions, and what is known already is not unpacked; one feed asks for both only while it does ask; removals are told also of unknown keys, and whoever knows a moment between two lists is told everything; older words are left out; a gap is told where nothing else can be; what is known from the store is not asked for any more. list_tells_differences looked from within the unseen span, which is told whole now (unseen_span_told_whole); it looks from before it. The stubs of three test files are one, tests/all/followed.rs; the assertions are the same.

--- a/crates/instance/src/feed_log.rs
+++ b/crates/instance/src/feed_log.rs
@@ -10,6 +10,9 @@
 /// told everything.
 const KEPT_REMOVALS: usize = 400;
 
+/// Spans of unseen revisions that are remembered.
+const KEPT_SPANS: usize = 8;
+
 /// One value of each key, and what large ones took the place of.
 ///
 /// Only the newest value of a key is of use to anybody, so the log holds what the store
@@ -23,6 +26,9 @@
     removals: VecDeque<(StoreRevision, String)>,
     /// Removals after this revision are kept.
     since: StoreRevision,
+    /// Spans of revisions of which only the end is known, since all was listed anew there: a
+    /// key may have come and gone between. Whoever knows a moment inside is told everything.
+    unseen: VecDeque<(StoreRevision, StoreRevision)>,
     /// Up to where this tells.
     to: StoreRevision,
     /// The last revision at which anything has changed that is told.
@@ -55,6 +61,13 @@
     fn replace(&mut self, listing: &Listing) {
         if self.to == 0 {
             self.since = listing.revision;
+        } else if self.to < listing.revision {
+            self.unseen.push_back((self.to, listing.revision));
+            if self.unseen.len() > KEPT_SPANS
+                && let Some((_, end)) = self.unseen.pop_front()
+            {
+                self.since = self.since.max(end);
+            }
         }
         let listed: BTreeSet<&str> = listing.values.iter().map(|v| v.key.as_str()).collect();
         let known = self.values.keys();
@@ -82,15 +95,14 @@
                 }
             }
             StoreChange::Removed { key, revision } => {
-                if self.values.remove(key).is_none() {
-                    return;
-                }
+                // It is told also if its coming was not seen here: others may have read it.
+                self.values.remove(key);
                 self.replaced.remove(key);
                 self.removals.push_back((*revision, key.clone()));
                 if self.removals.len() > KEPT_REMOVALS
                     && let Some((oldest, _)) = self.removals.pop_front()
                 {
-                    self.since = oldest;
+                    self.since = self.since.max(oldest);
                 }
             }
         }
@@ -102,7 +114,8 @@
         if known >= self.to {
             return None;
         }
-        let is_whole = known == 0 || known < self.since;
+        let is_unseen = |(begin, end): &(_, _)| *begin < known && known < *end;
+        let is_whole = known == 0 || known < self.since || self.unseen.iter().any(is_unseen);
         let from = if is_whole { 0 } else { known };
         let values = self.values.values().filter(|value| value.revision > from);
         let mut values: Vec<NewsValue> = values.map(|value| self.encode(value, known)).collect();
@@ -124,6 +137,16 @@
         })
     }
 
+    /// Tells one that it lacks something that cannot be told it, so that it asks the store.
+    pub fn gap(&self, feed: usize) -> News {
+        News {
+            feed: u32::try_from(feed).unwrap_or(u32::MAX),
+            from: self.to,
+            to: self.to,
+            ..News::default()
+        }
+    }
+
     /// A value for one that knows the feed up to a revision.
     fn encode(&self, value: &StoredValue, known: StoreRevision) -> NewsValue {
         let plain = NewsValue {
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -151,11 +151,13 @@
     }
 
     /// Whether the store may be asked now. While the holder speaks, and neither it nor this
-    /// instance is answered, one feed finds out whether the store is back.
+    /// instance is answered, the configuration's feed alone finds out whether the store is back.
     fn may_ask(&self) -> bool {
         let now = Instant::now();
         let is_failing = self.feed.shared().store_health.is_failing();
-        if is_failing && self.tap.feed == Some(UPSTREAMS) && self.tap.relay.is_heard() {
+        let relay = &self.tap.relay;
+        let other_asks = relay.is_heard() && relay.relied_until(Some(CONFIGURATION)).is_none();
+        if is_failing && self.tap.feed == Some(UPSTREAMS) && other_asks {
             return false;
         }
         now >= self.pause.until || (now >= self.pause.soonest && !is_failing)
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -588,14 +588,15 @@
     engines.order(order.address, &given)
 }
 
-/// What an instance lacks that knows a feed up to a revision, as it goes over a link; `None`
-/// if it is too large to be sent, and the instance sees the gap and asks the store.
+/// What an instance lacks that knows a feed up to a revision, as it goes over a link. If that
+/// is too large, that there is something, so that the instance asks the store.
 fn news_frame(log: &FeedLog, feed: usize, known: StoreRevision) -> Option<Frame> {
-    let news = Body::News(log.after(feed, known)?);
-    let frame = Frame::new(news);
-    frame
-        .inspect_err(|error| log::error!(feed = feed, error:% = error; "news cannot be sent"))
-        .ok()
+    let frame = Frame::new(Body::News(log.after(feed, known)?));
+    let frame = frame.or_else(|error| {
+        log::error!(feed = feed, error:% = error; "news cannot be sent");
+        Frame::new(Body::News(log.gap(feed)))
+    });
+    frame.ok()
 }
 
 /// Sends one message to many; it is encoded and kept once.
--- a/crates/instance/src/news.rs
+++ b/crates/instance/src/news.rs
@@ -54,25 +54,19 @@
 
     /// This and what came after it, with the newest change of each key only: what waits to be
     /// taken in is never larger than what the store holds. If something is missing between
-    /// the two, only the newer one is left, and whoever takes it in sees the gap.
+    /// the two, only the newer one is left, and whoever takes it in sees the gap. What this
+    /// tells already is not told again, since it may have changed since.
     #[must_use]
     pub fn followed_by(self, newer: Self) -> Self {
-        let Self::Changes {
-            from: next,
-            to: end,
-            changes: later,
-        } = newer
-        else {
-            return newer;
+        let known = self.to();
+        let Self::Changes { from, to, changes } = newer else {
+            return if newer.to() < known { self } else { newer };
         };
-        if next > self.to() {
-            return Self::Changes {
-                from: next,
-                to: end,
-                changes: later,
-            };
+        if from > known {
+            return Self::Changes { from, to, changes };
         }
-        let to = self.to().max(end);
+        let to = to.max(known);
+        let later = changes.into_iter().filter(|c| c.revision() > known);
         match self {
             Self::Whole(listing) => Self::Whole(Listing {
                 values: written(listing.values, later),
@@ -102,7 +96,10 @@
 }
 
 /// Values after changes.
-fn written(values: Vec<StoredValue>, changes: Vec<StoreChange>) -> Vec<StoredValue> {
+fn written(
+    values: Vec<StoredValue>,
+    changes: impl IntoIterator<Item = StoreChange>,
+) -> Vec<StoredValue> {
     let values = values.into_iter().map(StoreChange::Written);
     let left = newest(values.chain(changes)).into_iter();
     let left = left.filter_map(|change| match change {
@@ -112,9 +109,13 @@
     left.collect()
 }
 
-/// Large values that are known, which others may be packed against.
+/// Large values that others may be packed against: of each key the newest one known and the
+/// one before, since the sender may not have heard yet of the newest.
 #[derive(Debug, Default)]
-pub struct Bases(BTreeMap<String, StoredValue>);
+pub struct Bases(BTreeMap<String, Vec<StoredValue>>);
+
+/// Values that are kept of a key.
+const KEPT_BASES: usize = 2;
 
 impl Bases {
     /// Takes in what was told.
@@ -139,10 +140,24 @@
     }
 
     fn keep(&mut self, value: &StoredValue) {
-        let known = self.0.get(&value.key).map_or(0, |known| known.revision);
-        if value.value.len() >= PACKED_FROM_BYTES && value.revision > known {
-            self.0.insert(value.key.clone(), value.clone());
+        let newest = self.newest(&value.key).map_or(0, |known| known.revision);
+        if value.value.len() < PACKED_FROM_BYTES || value.revision <= newest {
+            return;
+        }
+        let kept = self.0.entry(value.key.clone()).or_default();
+        if kept.len() >= KEPT_BASES {
+            kept.remove(0);
         }
+        kept.push(value.clone());
+    }
+
+    fn newest(&self, key: &str) -> Option<&StoredValue> {
+        self.0.get(key)?.last()
+    }
+
+    fn at(&self, key: &str, revision: StoreRevision) -> Option<&StoredValue> {
+        let kept = self.0.get(key)?;
+        kept.iter().find(|known| known.revision == revision)
     }
 
     /// Decodes news and takes them in.
@@ -175,8 +190,11 @@
             return Ok(StoreChange::Removed { key, revision });
         };
         if told.plain_bytes > 0 {
-            let base = self.0.get(&key).filter(|known| known.revision == told.base);
-            let base = base.map(|known| &*known.value);
+            if let Some(known) = self.newest(&key).filter(|known| known.revision >= revision) {
+                // It has come from the store already, and what it was packed against may be gone.
+                return Ok(StoreChange::Written(known.clone()));
+            }
+            let base = self.at(&key, told.base).map(|known| &*known.value);
             let plain_bytes = usize::try_from(told.plain_bytes)?;
             let plain = packing::unpack(&value, base, plain_bytes);
             value = plain
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -41,8 +41,9 @@
     known: [StoreRevision; FEEDS],
     /// What was heard and not taken in yet, merged.
     waiting: [Option<Told>; FEEDS],
-    /// Feeds of which a word could not be read, to be told whole.
-    unreadable: [bool; FEEDS],
+    /// Up to where a word of a feed told that could not be read; it is to be told whole, unless
+    /// that is known from the store by then.
+    unreadable: [Option<StoreRevision>; FEEDS],
     bases: [Bases; FEEDS],
 }
 
@@ -132,7 +133,7 @@
 
     /// Until when the holder is relied on: for a feed, as long as it speaks and knows the feed;
     /// for none, as long as it speaks. `None` if it is not relied on now.
-    fn relied_until(&self, feed: Option<usize>) -> Option<Instant> {
+    pub fn relied_until(&self, feed: Option<usize>) -> Option<Instant> {
         let state = self.state();
         let heard_until = state.heard_at? + SILENCE_LIMIT;
         let until = match feed {
@@ -167,14 +168,14 @@
     pub fn known(&self) -> [StoreRevision; FEEDS] {
         let state = self.state();
         std::array::from_fn(|feed| {
-            let is_unreadable = state.unreadable[feed];
-            if is_unreadable { 0 } else { state.known[feed] }
+            let is_readable = state.unreadable[feed].is_none();
+            if is_readable { state.known[feed] } else { 0 }
         })
     }
 
     /// Whether the holder is to be asked again, since a word of it could not be read.
     pub fn wants_again(&self) -> bool {
-        self.state().unreadable.contains(&true)
+        self.state().unreadable.iter().any(Option::is_some)
     }
 
     /// Takes in a word of the holder.
@@ -185,12 +186,9 @@
         if news.to == 0 || feed >= FEEDS {
             return;
         }
-        let is_whole = news.from == 0;
+        let to = news.to;
         match state.bases[feed].decode(news) {
             Ok(told) => {
-                if is_whole {
-                    state.unreadable[feed] = false;
-                }
                 let before = state.waiting[feed].take();
                 let told = match before {
                     Some(before) => before.followed_by(told),
@@ -200,7 +198,7 @@
             }
             Err(error) => {
                 log::warn!(feed = feed, error:% = format!("{error:#}"); "a word of the holder cannot be read");
-                state.unreadable[feed] = true;
+                state.unreadable[feed] = Some(to);
             }
         }
         drop(state);
@@ -248,6 +246,8 @@
             let mut state = self.relay.state();
             state.bases[feed].note(told);
             state.known[feed] = known;
+            let unreadable = &mut state.unreadable[feed];
+            *unreadable = unreadable.filter(|to| *to > known);
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod docs_match;
 mod fair_share;
 mod feed_log;
+mod followed;
 mod former_holder;
 mod holder_heard;
 mod instance_metrics;
