Settings: each rule on a field stands once

What stood twice: the settings of the router and of the controller checked `key_value`, `key_value_timeout_ms`, `log_level` and their lists of addresses by twin lines, each with its own copy of reason and condition, and faults were passed on as bare pairs of texts. Change: `settings/checks.rs` has one method a rule (address, addresses, time, level, required text); the programs name only their fields. A fault is a `FieldFault`. Behaviour unchanged: the same rules in the same order with the same texts.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,15 +1,19 @@
 //! Settings of each program, read once at start.
 
+mod checks;
+
 use crate::check::{Fault, Faults, Source};
 use anyhow::Context;
+use checks::Checks;
+pub use checks::FieldFault;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::path::Path;
 
 /// What every instance-bound program needs to know of its place.
 pub trait Settings: DeserializeOwned + Default {
-    /// What must hold beyond the types; returns path and reason of each fault.
-    fn check(&self) -> Vec<(&'static str, &'static str)>;
+    /// What must hold beyond the types; returns each field at fault.
+    fn check(&self) -> Vec<FieldFault>;
 
     /// Reads and checks a file.
     ///
@@ -29,9 +33,9 @@
         let source = Source::parse(text)?;
         let mut faults: Vec<Fault> = Vec::new();
         let settings: Self = source.read(&mut faults);
-        for (path, reason) in settings.check() {
-            if !faults.iter().any(|fault| fault.path == path) {
-                faults.push(source.fault_at(path, reason));
+        for found in settings.check() {
+            if !faults.iter().any(|fault| fault.path == found.path) {
+                faults.push(source.fault_at(found.path, found.reason));
             }
         }
         faults.sort_by_key(|fault| fault.line);
@@ -90,52 +94,24 @@
 }
 
 impl Settings for RouterSettings {
-    fn check(&self) -> Vec<(&'static str, &'static str)> {
-        let mut faults = place_faults(&self.instance, &self.data_hall, &self.listen);
-        require(
-            &mut faults,
-            !self.controllers.is_empty(),
+    fn check(&self) -> Vec<FieldFault> {
+        let mut checks = Checks::of_place(&self.instance, &self.data_hall, &self.listen);
+        checks.require(
             "controllers",
+            !self.controllers.is_empty(),
             "may not be empty",
         );
-        let all = self.controllers.iter().all(|address| is_address(address));
-        require(
-            &mut faults,
-            all,
-            "controllers",
-            "must be addresses as 10.0.0.1:7000",
-        );
-        require(
-            &mut faults,
-            is_address(&self.key_value),
-            "key_value",
-            ADDRESS_REASON,
-        );
-        require(
-            &mut faults,
-            self.max_connections > 0,
+        checks.addresses("controllers", &self.controllers);
+        checks.address("key_value", &self.key_value);
+        checks.require(
             "max_connections",
+            self.max_connections > 0,
             "must be at least 1",
         );
-        require(
-            &mut faults,
-            self.max_deadline_ms > 0,
-            "max_deadline_ms",
-            TIME_REASON,
-        );
-        require(
-            &mut faults,
-            self.key_value_timeout_ms > 0,
-            "key_value_timeout_ms",
-            TIME_REASON,
-        );
-        require(
-            &mut faults,
-            is_level(&self.log_level),
-            "log_level",
-            LEVEL_REASON,
-        );
-        faults
+        checks.time("max_deadline_ms", self.max_deadline_ms);
+        checks.time("key_value_timeout_ms", self.key_value_timeout_ms);
+        checks.level("log_level", &self.log_level);
+        checks.into_faults()
     }
 }
 
@@ -187,93 +163,18 @@
 }
 
 impl Settings for ControllerSettings {
-    fn check(&self) -> Vec<(&'static str, &'static str)> {
-        let mut faults = place_faults(&self.instance, &self.data_hall, &self.listen);
-        let all = self.peers.iter().all(|address| is_address(address));
-        require(
-            &mut faults,
-            all,
-            "peers",
-            "must be addresses as 10.0.0.1:7000",
-        );
-        require(
-            &mut faults,
-            is_address(&self.key_value),
-            "key_value",
-            ADDRESS_REASON,
-        );
-        require(
-            &mut faults,
-            is_address(&self.instance_list),
-            "instance_list",
-            ADDRESS_REASON,
-        );
-        require(
-            &mut faults,
-            self.lease_ms >= 500,
-            "lease_ms",
-            "must be at least 500",
-        );
-        require(
-            &mut faults,
-            self.key_value_timeout_ms > 0,
-            "key_value_timeout_ms",
-            TIME_REASON,
-        );
-        require(
-            &mut faults,
-            self.write_patience_ms > 0,
-            "write_patience_ms",
-            TIME_REASON,
-        );
-        require(
-            &mut faults,
-            is_level(&self.log_level),
-            "log_level",
-            LEVEL_REASON,
-        );
-        faults
+    fn check(&self) -> Vec<FieldFault> {
+        let mut checks = Checks::of_place(&self.instance, &self.data_hall, &self.listen);
+        checks.addresses("peers", &self.peers);
+        checks.address("key_value", &self.key_value);
+        checks.address("instance_list", &self.instance_list);
+        checks.require("lease_ms", self.lease_ms >= 500, "must be at least 500");
+        checks.time("key_value_timeout_ms", self.key_value_timeout_ms);
+        checks.time("write_patience_ms", self.write_patience_ms);
+        checks.level("log_level", &self.log_level);
+        checks.into_faults()
     }
 }
 
 /// Some hundred times what the key-value service takes when nothing is wrong.
 const DEFAULT_KEY_VALUE_TIMEOUT_MS: u64 = 1_000;
-const TIME_REASON: &str = "must be at least 1";
-const ADDRESS_REASON: &str = "must be an IP number and a port, as 10.0.0.1:8000";
-const LEVEL_REASON: &str = "must be one of error, warn, info, debug, trace";
-
-fn require(
-    faults: &mut Vec<(&'static str, &'static str)>,
-    holds: bool,
-    path: &'static str,
-    reason: &'static str,
-) {
-    if !holds {
-        faults.push((path, reason));
-    }
-}
-
-fn place_faults(
-    instance: &str,
-    data_hall: &str,
-    listen: &str,
-) -> Vec<(&'static str, &'static str)> {
-    let mut faults = Vec::new();
-    require(&mut faults, !instance.is_empty(), "instance", "is required");
-    require(
-        &mut faults,
-        !data_hall.is_empty(),
-        "data_hall",
-        "is required",
-    );
-    require(&mut faults, is_address(listen), "listen", ADDRESS_REASON);
-    faults
-}
-
-fn is_address(text: &str) -> bool {
-    text.parse::<std::net::SocketAddr>().is_ok()
-}
-
-fn is_level(text: &str) -> bool {
-    ["error", "warn", "info", "debug", "trace"].contains(&text)
-}
