Router decisions: one type for replicas, waiters, attempts and forecast each

The counts of waiting and running requests were kept up at several places. Change: four types own their state: `Replicas` (routes, blocks, this router's load, the choice among two), `Waiters` (queues and shares), `Attempts` (what runs, by workspace and model) and `Forecast` (what controllers answered, how long requests take). Admission, what follows the end of an attempt, and giving up have a module each. Behaviour unchanged, the draws of the random generator included; its public methods and types are the same. Shown by `router_faults`, `fair_share`, `retry_budget`, `former_holder`, `slow_store`, `config_freshness`: passed.

--- /dev/null
+++ b/crates/decide/src/router/admission.rs
@@ -0,0 +1,94 @@
+//! Whether a request is taken in at all.
+
+use super::queue::Waiting;
+use super::{ANSWER_MARGIN, Arrival, BUSY_RETRY, DEFAULT_PRIORITY, RouterCore};
+use passway_config::policy::Attributes;
+use passway_types::prelude::*;
+
+impl RouterCore {
+    /// Whether this instance takes new work at all.
+    ///
+    /// # Errors
+    /// The refusal that any new request gets.
+    pub fn check_serving(&self, now: Instant) -> Result<(), Refusal> {
+        if self.draining {
+            let refusal = Refusal::new(ResultCode::Draining, "this instance is leaving");
+            return Err(refusal.retry_after(Duration::ZERO));
+        }
+        let bounded = self.current_until;
+        if bounded.is_some_and(|until| now >= until || self.catalog.revision == 0) {
+            let refusal = Refusal::new(ResultCode::ConfigStale, "no word of the configuration");
+            return Err(refusal.retry_after(BUSY_RETRY));
+        }
+        Ok(())
+    }
+
+    /// Resolves a request's names and rules on it.
+    pub(super) fn admit(
+        &mut self,
+        now: Instant,
+        arrival: &Arrival,
+    ) -> Result<(ModelName, Waiting), Refusal> {
+        self.check_serving(now)?;
+        let unknown = || Refusal::new(ResultCode::UnknownModel, arrival.model.clone());
+        let model = self
+            .catalog
+            .resolve(&arrival.model)
+            .ok_or_else(unknown)?
+            .name
+            .clone();
+        let unknown = || Refusal::new(ResultCode::UnknownWorkspace, arrival.workspace.clone());
+        let workspace = self
+            .catalog
+            .workspaces
+            .get(arrival.workspace.as_str())
+            .ok_or_else(unknown)?;
+        if self.waiters.of_workspace(&workspace.name) >= workspace.max_waiting {
+            return Err(Refusal::new(
+                ResultCode::QueueFull,
+                "too many requests of the workspace wait",
+            )
+            .retry_after(BUSY_RETRY));
+        }
+        let asked_priority = arrival.priority.unwrap_or(DEFAULT_PRIORITY);
+        let ruling = self.catalog.policy.rule(&Attributes {
+            workspace: &workspace.name,
+            model: &model,
+            kind: &arrival.kind,
+            priority: asked_priority,
+        });
+        let deadline_at = arrival
+            .deadline_at
+            .unwrap_or(now + workspace.default_deadline);
+        let may_wait_until = ruling.may_wait.map(|may_wait| now + may_wait);
+        let waiting = Waiting {
+            request: arrival.request,
+            workspace: workspace.name.clone(),
+            asked_priority,
+            priority: ruling.priority.unwrap_or(DEFAULT_PRIORITY),
+            deadline_at,
+            give_up_at: may_wait_until.map_or(deadline_at, |at| at.min(deadline_at)),
+            max_running: ruling.max_running,
+            may_have_run: false,
+        };
+        self.check_reachable(now, &model, &waiting)?;
+        Ok((model, waiting))
+    }
+
+    /// Refuses at once what is known not to be served in time.
+    fn check_reachable(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        waiting: &Waiting,
+    ) -> Result<(), Refusal> {
+        if let Some(refusal) = self.forecast.refusal(now, model) {
+            return Err(refusal);
+        }
+        let start_at = self.expected_start(now, model);
+        if start_at + ANSWER_MARGIN > waiting.give_up_at {
+            return Err(super::refusals::deadline_unreachable(now, start_at));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/decide/src/router/replicas.rs
@@ -0,0 +1,170 @@
+//! The replicas that a router may send to, and its load on their upstreams.
+
+use passway_config::Catalog;
+use passway_types::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+
+/// The routes of one router and which of them can take a request now.
+#[derive(Debug)]
+pub(super) struct Replicas {
+    rng: ChaCha8Rng,
+    routes: HashMap<ModelName, Vec<UpstreamId>>,
+    /// This router's requests by upstream.
+    running: HashMap<UpstreamId, u32>,
+    blocked_until: HashMap<UpstreamId, Instant>,
+    /// Replicas that upstreams denied to hold; the controller hears of it from
+    /// the upstream itself and takes the route back if that lasts.
+    denied_until: HashMap<(ModelName, UpstreamId), Instant>,
+    /// Routers that share the slots of each upstream.
+    routers: u32,
+    /// Routers that are listed, and until when they count as there.
+    expected: Option<(u32, Instant)>,
+}
+
+impl Replicas {
+    /// No routes, and the slots of all upstreams for this router alone.
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            routes: HashMap::new(),
+            running: HashMap::new(),
+            blocked_until: HashMap::new(),
+            denied_until: HashMap::new(),
+            routers: 1,
+            expected: None,
+        }
+    }
+
+    /// So many routers count as there until a moment.
+    pub(super) fn expect_routers(&mut self, listed: u32, until: Instant) {
+        self.expected = Some((listed, until));
+        self.routers = self.routers.max(listed);
+    }
+
+    /// So many routers are known to controllers.
+    pub(super) fn set_routers(&mut self, known: u32, now: Instant) {
+        let expected = self.expected.filter(|(_, until)| now < *until);
+        let listed = expected.map_or(1, |(listed, _)| listed);
+        self.routers = known.max(listed).max(1);
+    }
+
+    /// Whether any upstream is routed to for the model.
+    pub(super) fn has_route(&self, model: &str) -> bool {
+        self.routes.contains_key(model)
+    }
+
+    /// Adds a route; one that stands already is not added twice.
+    pub(super) fn add_route(&mut self, model: &ModelName, upstream: &UpstreamId) {
+        let upstreams = self.routes.entry(model.clone()).or_default();
+        if !upstreams.contains(upstream) {
+            upstreams.push(upstream.clone());
+        }
+    }
+
+    /// Removes a route if there is one.
+    pub(super) fn remove_route(&mut self, model: &ModelName, upstream: &UpstreamId) {
+        if let Some(upstreams) = self.routes.get_mut(model) {
+            upstreams.retain(|id| id != upstream);
+            if upstreams.is_empty() {
+                self.routes.remove(model);
+            }
+        }
+    }
+
+    /// Removes all routes of the models that match.
+    pub(super) fn remove_models(&mut self, matches: impl Fn(&ModelName) -> bool) {
+        self.routes.retain(|model, _| !matches(model));
+    }
+
+    /// This router's slots for a model on all its upstreams; `None` without a route.
+    pub(super) fn slots_of(&self, catalog: &Catalog, model: &str) -> Option<u32> {
+        let upstreams = self.routes.get(model)?;
+        Some(upstreams.iter().map(|id| self.slots(catalog, id)).sum())
+    }
+
+    /// This router's part of an upstream's slots.
+    fn slots(&self, catalog: &Catalog, upstream: &str) -> u32 {
+        catalog
+            .upstreams
+            .get(upstream)
+            .map_or(0, |entry| (entry.slots / self.routers).max(1))
+    }
+
+    fn running_on(&self, upstream: &str) -> u32 {
+        self.running.get(upstream).copied().unwrap_or(0)
+    }
+
+    fn is_free(
+        &self,
+        now: Instant,
+        catalog: &Catalog,
+        model: &ModelName,
+        upstream: &UpstreamId,
+    ) -> bool {
+        let is_over = |until: &Instant| now >= *until;
+        let blocked = !self.blocked_until.get(upstream).is_none_or(is_over);
+        let replica = (model.clone(), upstream.clone());
+        let denied = !self.denied_until.get(&replica).is_none_or(is_over);
+        !blocked && !denied && self.running_on(upstream) < self.slots(catalog, upstream)
+    }
+
+    /// Whether any replica of the model can take a request.
+    pub(super) fn has_free_slot(&self, now: Instant, catalog: &Catalog, model: &ModelName) -> bool {
+        let upstreams = self.routes.get(model);
+        upstreams.is_some_and(|all| all.iter().any(|id| self.is_free(now, catalog, model, id)))
+    }
+
+    /// Power of two choices over the free replicas, by this router's own load.
+    pub(super) fn choose(
+        &mut self,
+        now: Instant,
+        catalog: &Catalog,
+        model: &ModelName,
+    ) -> Option<UpstreamId> {
+        let upstreams = self.routes.get(model)?;
+        let free: Vec<&UpstreamId> = upstreams
+            .iter()
+            .filter(|upstream| self.is_free(now, catalog, model, upstream))
+            .collect();
+        if free.is_empty() {
+            return None;
+        }
+        let first = free[self.rng.random_range(0..free.len())];
+        let second = free[self.rng.random_range(0..free.len())];
+        let chosen = if self.running_on(second) < self.running_on(first) {
+            second
+        } else {
+            first
+        };
+        Some(chosen.clone())
+    }
+
+    /// A request was sent to the upstream.
+    pub(super) fn started(&mut self, upstream: &UpstreamId) {
+        *self.running.entry(upstream.clone()).or_default() += 1;
+    }
+
+    /// A request to the upstream is over.
+    pub(super) fn ended(&mut self, upstream: &UpstreamId) {
+        super::decrement(&mut self.running, upstream);
+    }
+
+    /// Nothing is sent to the upstream until a moment.
+    pub(super) fn block(&mut self, upstream: &UpstreamId, until: Instant) {
+        self.blocked_until.insert(upstream.clone(), until);
+    }
+
+    /// Nothing is sent to one replica until a moment.
+    pub(super) fn deny(&mut self, model: &ModelName, upstream: &UpstreamId, until: Instant) {
+        let replica = (model.clone(), upstream.clone());
+        self.denied_until.insert(replica, until);
+    }
+
+    /// Drops the blocks that are over.
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.blocked_until.retain(|_, until| now < *until);
+        self.denied_until.retain(|_, until| now < *until);
+    }
+}
--- a/crates/decide/src/router/reports.rs
+++ b/crates/decide/src/router/reports.rs
@@ -1,6 +1,5 @@
 //! What a router tells controllers: demands, coalesced per model, and use.
 
-use super::queue::ModelQueue;
 use super::{DEFAULT_PRIORITY, RouterAction, RouterCore};
 use crate::messages::{Demand, Usage};
 use passway_types::prelude::*;
@@ -11,6 +10,7 @@
 const DEMAND_REPEAT: Duration = Duration::from_secs(1);
 /// Pause between two reports of use for a model in use.
 const USAGE_PAUSE: Duration = Duration::from_millis(500);
+
 /// The last demand told to the controller for a model.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Told {
@@ -25,7 +25,7 @@
         let gone: Vec<ModelName> = self
             .told
             .keys()
-            .filter(|model| !self.queues.contains_key(*model))
+            .filter(|model| !self.waiters.has_model(model))
             .cloned()
             .collect();
         for model in gone {
@@ -34,18 +34,16 @@
                 actions.push(self.demand(&model, "".into(), 0, deadline_at, DEFAULT_PRIORITY));
             }
         }
-        let models: Vec<ModelName> = self.queues.keys().cloned().collect();
-        for model in models {
+        for model in self.waiters.models() {
             self.tell_demand(now, &model, actions);
         }
     }
 
     fn tell_demand(&mut self, now: Instant, model: &ModelName, actions: &mut Vec<RouterAction>) {
-        let Some(first) = self.queues.get(model).and_then(ModelQueue::earliest) else {
+        let Some(first) = self.waiters.earliest(model) else {
             return;
         };
-        let waiting = self.queues.get(model).map_or(0, ModelQueue::len);
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let waiting = u32::try_from(self.waiters.of_model(model)).unwrap_or(u32::MAX);
         let earliest_deadline_at = first.give_up_at;
         if let Some(told) = self.told.get(model) {
             let since = now.saturating_duration_since(told.at);
@@ -91,7 +89,7 @@
         }
         self.usage_at = now + USAGE_PAUSE;
         for model in self.used.drain() {
-            let running = self.model_running.get(&model).copied().unwrap_or(0);
+            let running = self.attempts.of_model(&model);
             let usage = Usage {
                 router: self.me,
                 model,
@@ -101,6 +99,6 @@
             actions.push(RouterAction::Usage(usage));
         }
         // A model with requests in progress is in use until they end.
-        self.used.extend(self.model_running.keys().cloned());
+        self.used.extend(self.attempts.models().cloned());
     }
 }
