Fakes of a cell: engine and store know their own rules

Change: `cell_world/engine.rs` and `cell_world/store.rs` are types with their rules; `calls.rs` is how calls go and fail, `promises.rs` what must hold. Behaviour unchanged, the order of the random draws included, and no assertion touched. Shown by `cell_scenarios` (blessed outputs unchanged), `cell_faults`, `slow_store`: passed.

--- a/tests/all/cell_world.rs
+++ b/tests/all/cell_world.rs
@@ -3,29 +3,27 @@
 //! The fake engines do not defend themselves: they load whatever arrives and
 //! is not fenced off. Whatever breaks a promise therefore shows.
 
-use passway_config::document::Fencing;
+mod calls;
+mod engine;
+mod promises;
+mod store;
+
+use engine::{Engine, engine_id};
 use passway_config::{Catalog, Document};
 use passway_decide::cell::upstreams::Standing;
-use passway_decide::cell::{Action, CellController, CellLimits, Event};
-use passway_decide::messages::epoch_of;
-use passway_decide::messages::{
-    Demand, DemandVerdict, LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, RouteChange,
-    UpstreamStatus,
-};
+use passway_decide::cell::{CellController, CellLimits, Event};
+use passway_decide::messages::{Demand, DemandVerdict, Order, epoch_of};
 use passway_decide::plan::{Holder, Plan};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
+use store::Store;
 
 const TICK: Duration = Duration::from_millis(50);
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
-const LEASE: Duration = Duration::from_secs(2);
-const RELIED_ON: Duration = Duration::from_millis(1_600);
 /// Longest time that a message is under way; the settle time of the controllers.
 pub const LONGEST_DELAY: Duration = Duration::from_secs(6);
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// What goes wrong by chance, each in percent.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Chances {
@@ -76,26 +74,6 @@
     pub verdicts: Vec<(Instant, ModelName, DemandVerdict)>,
 }
 
-#[derive(Debug)]
-pub struct Engine {
-    pub fencing: Fencing,
-    highest_fence: Fence,
-    boot: u64,
-    pub memory_mb: u64,
-    /// Whether it answers nothing.
-    pub down: bool,
-    pub loaded: BTreeMap<ModelName, (u64, Instant)>,
-    pub loads: BTreeMap<ModelName, u32>,
-}
-
-#[derive(Debug, Default)]
-pub struct Store {
-    pub plan: Option<(Version, Plan)>,
-    lease: Option<(usize, Incarnation, Instant)>,
-    pub down: bool,
-    versions: Version,
-}
-
 /// The world of one cell.
 pub struct CellWorld {
     pub now: Instant,
@@ -118,15 +96,7 @@
     pub fn new(seed: u64, nodes: usize, document: &Document, chances: Chances) -> Self {
         let now = Instant::now();
         let catalog = Arc::new(Catalog::build(document, 1).expect("catalog"));
-        let engines = document.upstreams.iter().map(|entry| Engine {
-            fencing: entry.fencing,
-            highest_fence: 0,
-            boot: 1,
-            memory_mb: entry.memory_mb,
-            down: false,
-            loaded: BTreeMap::new(),
-            loads: BTreeMap::new(),
-        });
+        let engines = document.upstreams.iter().map(Engine::new);
         let mut world = Self {
             now,
             start: now,
@@ -190,23 +160,13 @@
     }
 
     pub fn restart_engine(&mut self, engine: usize) {
-        let engine = &mut self.engines[engine];
-        engine.boot += 1;
-        engine.loaded.clear();
-        if engine.fencing == Fencing::Forgets {
-            engine.highest_fence = 0;
-        }
+        self.engines[engine].restart();
     }
 
     /// The platform takes an engine away with all that it holds, or brings it
     /// back empty, and its list says so.
     pub fn set_standing(&mut self, number: usize, standing: Standing) {
-        let engine = &mut self.engines[number];
-        engine.down = standing == Standing::Gone;
-        if engine.down {
-            engine.loaded.clear();
-            engine.boot += 1;
-        }
+        self.engines[number].set_gone(standing == Standing::Gone);
         let upstream = engine_id(number);
         for node in 0..self.nodes.len() {
             let lag = self.delay(Duration::from_secs(2));
@@ -301,7 +261,7 @@
                 continue;
             }
             for engine in 0..self.engines.len() {
-                let status = (!self.engines[engine].down).then(|| self.status_of(engine));
+                let status = self.engines[engine].status(self.now);
                 let upstream = engine_id(engine);
                 let event = Event::Status {
                     upstream,
@@ -314,27 +274,6 @@
         }
     }
 
-    fn status_of(&self, engine: usize) -> UpstreamStatus {
-        let engine = &self.engines[engine];
-        let loaded = engine
-            .loaded
-            .iter()
-            .map(|(model, (_, ready_at))| LoadedModel {
-                model: model.clone(),
-                state: if self.now >= *ready_at {
-                    LoadedState::Ready
-                } else {
-                    LoadedState::Loading
-                },
-                running: 0,
-            });
-        UpstreamStatus {
-            boot: engine.boot,
-            loaded: loaded.collect(),
-            ..Default::default()
-        }
-    }
-
     fn deliver(&mut self, message: Message) {
         match message {
             Message::ToNode {
@@ -360,7 +299,7 @@
                     _ => self.give(node, event),
                 }
             }
-            Message::Write { expected, plan } => drop(self.write(expected, *plan)),
+            Message::Write { expected, plan } => drop(self.store.write(expected, *plan)),
             Message::Order { engine, .. } if self.engines[engine].down => {}
             Message::Order { engine, order } => drop(self.execute(engine, &order)),
             Message::InHand {
@@ -379,271 +318,6 @@
         }
     }
 
-    fn perform(&mut self, node: usize, action: Action) {
-        let short = self.delay(Duration::from_millis(5));
-        match action {
-            Action::AcquireLease => {
-                let event = self.acquire(node);
-                self.post_event(short, node, event);
-            }
-            Action::RenewLease => {
-                let event = self.renew(node);
-                self.post_event(short, node, event);
-            }
-            Action::ReleaseLease => {
-                let incarnation = self.nodes[node].incarnation;
-                self.store
-                    .lease
-                    .take_if(|(_, holder, _)| *holder == incarnation);
-            }
-            Action::ReadPlan => {
-                let event = if self.store.down {
-                    Event::PlanUnavailable
-                } else {
-                    let (version, plan) = self
-                        .store
-                        .plan
-                        .clone()
-                        .map_or((0, None), |(v, p)| (v, Some(p)));
-                    Event::PlanRead {
-                        version,
-                        plan: plan.map(Box::new),
-                    }
-                };
-                self.post_event(short, node, event);
-            }
-            Action::WritePlan { expected, plan } => self.write_call(node, expected, plan),
-            Action::SendOrder(order) => self.order_call(node, order),
-            Action::ProbeFormer { epoch, holder } => {
-                let asker_incarnation = self.nodes[node].incarnation;
-                let probe = Message::Probe {
-                    asker: node,
-                    asker_incarnation,
-                    epoch,
-                    former: holder,
-                };
-                self.post(short, probe);
-            }
-            Action::Publish(change) => self.publish(node, &change),
-            Action::AnswerDemand { model, verdict, .. } => {
-                let at = self.now;
-                self.nodes[node].verdicts.push((at, model, verdict));
-            }
-            Action::Audit(_) => {}
-        }
-    }
-
-    fn publish(&mut self, node: usize, change: &RouteChange) {
-        let routes = &mut self.nodes[node].routes;
-        if change.whole {
-            routes.clear();
-        }
-        for route in &change.removed {
-            routes.remove(route);
-        }
-        routes.extend(change.added.iter().cloned());
-    }
-
-    fn acquire(&mut self, node: usize) -> Event {
-        if self.store.down {
-            return Event::LeaseUnavailable;
-        }
-        let incarnation = self.nodes[node].incarnation;
-        let held = self
-            .store
-            .lease
-            .is_some_and(|(_, holder, until)| self.now < until && holder != incarnation);
-        if held {
-            return Event::LeaseDenied;
-        }
-        self.store.lease = Some((node, incarnation, self.now + LEASE));
-        Event::LeaseGranted {
-            until_at: self.now + RELIED_ON,
-        }
-    }
-
-    fn renew(&mut self, node: usize) -> Event {
-        if self.store.down {
-            return Event::LeaseUnavailable;
-        }
-        let incarnation = self.nodes[node].incarnation;
-        match &mut self.store.lease {
-            Some((_, holder, until)) if *holder == incarnation && self.now < *until => {
-                *until = self.now + LEASE;
-                Event::LeaseGranted {
-                    until_at: self.now + RELIED_ON,
-                }
-            }
-            _ => Event::LeaseDenied,
-        }
-    }
-
-    fn write_call(&mut self, node: usize, expected: Version, plan: Box<Plan>) {
-        let short = self.delay(Duration::from_millis(5));
-        if self.store.down {
-            self.post_event(CALL_TIMEOUT, node, Event::WriteUnclear);
-        } else if self.chance(self.chances.delay_write) {
-            let late = self.delay(LONGEST_DELAY);
-            self.post(late, Message::Write { expected, plan });
-            self.post_event(CALL_TIMEOUT, node, Event::WriteUnclear);
-        } else {
-            let change = plan.last_change;
-            let written = self.write(expected, *plan);
-            let lost = self.chance(self.chances.lose_write_answer);
-            let event = match written {
-                Some(version) if !lost => Event::WriteDone { change, version },
-                _ => Event::WriteUnclear,
-            };
-            self.post_event(short, node, event);
-        }
-    }
-
-    fn write(&mut self, expected: Version, plan: Plan) -> Option<Version> {
-        let stands = self.store.plan.as_ref().map_or(0, |(version, _)| *version);
-        if stands != expected {
-            return None;
-        }
-        self.store.versions += 1;
-        self.store.plan = Some((self.store.versions, plan));
-        Some(self.store.versions)
-    }
-
-    fn order_call(&mut self, node: usize, order: Order) {
-        self.nodes[node].in_hand.push(epoch_of(order.fence));
-        let incarnation = self.nodes[node].incarnation;
-        if self.now >= order.not_after {
-            let (upstream, fence) = (order.upstream, order.fence);
-            let event = Event::Order {
-                upstream,
-                fence,
-                answer: OrderAnswer::NotSent,
-            };
-            self.post_event(Duration::ZERO, node, event);
-        } else if self.chance(self.chances.hold_order) {
-            // The check has passed; the process now stops for longer than its lease.
-            let pause = LEASE + self.delay(LEASE * 3);
-            self.pause(node, pause);
-            self.post(
-                pause,
-                Message::InHand {
-                    node,
-                    incarnation,
-                    order,
-                },
-            );
-        } else {
-            self.send(node, incarnation, order);
-        }
-    }
-
-    fn send(&mut self, node: usize, incarnation: Incarnation, order: Order) {
-        if self.nodes[node].incarnation != incarnation || self.nodes[node].controller.is_none() {
-            return;
-        }
-        let engine = engine_number(&order.upstream);
-        if self.engines[engine].down {
-            let event = Event::Order {
-                upstream: order.upstream,
-                fence: order.fence,
-                answer: OrderAnswer::NotSent,
-            };
-            self.post_event(Duration::from_millis(1), node, event);
-            return;
-        }
-        let (upstream, fence) = (order.upstream.clone(), order.fence);
-        let answer = if self.chance(self.chances.delay_order) {
-            let late = self.delay(LONGEST_DELAY);
-            self.post(late, Message::Order { engine, order });
-            self.post_event(
-                CALL_TIMEOUT,
-                node,
-                Event::Order {
-                    upstream,
-                    fence,
-                    answer: OrderAnswer::Lost,
-                },
-            );
-            return;
-        } else {
-            self.execute(engine, &order)
-        };
-        let lost = self.chance(self.chances.lose_order_answer);
-        let answer = if lost { OrderAnswer::Lost } else { answer };
-        let short = self.delay(Duration::from_millis(20));
-        self.post_event(
-            short,
-            node,
-            Event::Order {
-                upstream,
-                fence,
-                answer,
-            },
-        );
-    }
-
-    fn execute(&mut self, engine: usize, order: &Order) -> OrderAnswer {
-        let (now, load_time) = (self.now, self.load_time);
-        let engine = &mut self.engines[engine];
-        if engine.fencing != Fencing::Ignores {
-            if order.fence < engine.highest_fence {
-                return OrderAnswer::Fenced;
-            }
-            engine.highest_fence = order.fence;
-        }
-        match order.kind {
-            OrderKind::Unload => {
-                engine.loaded.remove(&order.model);
-                OrderAnswer::Absent
-            }
-            OrderKind::Load => {
-                if let Some((_, ready_at)) = engine.loaded.get(&order.model) {
-                    let ready = now >= *ready_at;
-                    return if ready {
-                        OrderAnswer::Loaded
-                    } else {
-                        OrderAnswer::Loading
-                    };
-                }
-                engine.loaded.insert(
-                    order.model.clone(),
-                    (order.size_bytes >> 20, now + load_time),
-                );
-                *engine.loads.entry(order.model.clone()).or_default() += 1;
-                OrderAnswer::Loading
-            }
-        }
-    }
-
-    fn probe(
-        &mut self,
-        asker: usize,
-        asker_incarnation: Incarnation,
-        epoch: Epoch,
-        former: &Holder,
-    ) {
-        let number: usize = former.instance["entry".len()..].parse().expect("number");
-        if !self.is_awake(number) {
-            return;
-        }
-        let node = &self.nodes[number];
-        let leads = node
-            .controller
-            .as_ref()
-            .and_then(|c| c.term())
-            .is_some_and(|t| t.epoch() == epoch);
-        let may_order =
-            node.incarnation == former.incarnation && (leads || node.in_hand.contains(&epoch));
-        if !may_order {
-            let event = Event::FormerGone(epoch);
-            let message = Message::ToNode {
-                node: asker,
-                incarnation: asker_incarnation,
-                event,
-            };
-            self.post(Duration::from_millis(2), message);
-        }
-    }
-
     /// Tells every awake controller of a demand.
     pub fn demand(&mut self, model: &str, waiting: u32, deadline: Duration) {
         let demand = Demand {
@@ -659,44 +333,6 @@
         }
     }
 
-    /// Judges the promises: memory, replicas, nothing loaded that is not decided.
-    fn check(&mut self) {
-        let mut found = Vec::new();
-        let mut replicas: BTreeMap<&ModelName, u32> = BTreeMap::new();
-        for (number, engine) in self.engines.iter().enumerate() {
-            let held_mb: u64 = engine.loaded.values().map(|(size_mb, _)| size_mb).sum();
-            if held_mb > engine.memory_mb {
-                found.push(format!(
-                    "engine{number} holds {held_mb} of {} MB",
-                    engine.memory_mb
-                ));
-            }
-            for model in engine.loaded.keys() {
-                *replicas.entry(model).or_default() += 1;
-                let plan = self.store.plan.as_ref().map(|(_, plan)| plan);
-                let decided = plan.is_some_and(|p| p.find(model, &engine_id(number)).is_some());
-                if !decided {
-                    found.push(format!("{model} on engine{number} is not decided"));
-                }
-            }
-        }
-        for (model, count) in replicas {
-            let most = self
-                .catalog
-                .models
-                .get(model)
-                .map_or(0, |model| model.max_replicas);
-            if count > most {
-                found.push(format!(
-                    "{count} replicas of {model}, decided at most {most}"
-                ));
-            }
-        }
-        let at_ms = (self.now - self.start).as_millis();
-        self.violations
-            .extend(found.into_iter().map(|text| format!("{at_ms} ms: {text}")));
-    }
-
     pub fn leader(&self) -> Option<usize> {
         (0..self.nodes.len()).find(|node| {
             let controller = self.nodes[*node].controller.as_ref();
@@ -717,11 +353,3 @@
         })
     }
 }
-
-pub fn engine_id(number: usize) -> UpstreamId {
-    format!("engine{number}").into()
-}
-
-fn engine_number(id: &str) -> usize {
-    id["engine".len()..].parse().expect("number")
-}
--- /dev/null
+++ b/tests/all/cell_world/engine.rs
@@ -0,0 +1,115 @@
+//! A fake engine that does whatever is ordered and not fenced off.
+
+use passway_config::document::{Fencing, UpstreamEntry};
+use passway_decide::messages::{
+    LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, UpstreamStatus,
+};
+use passway_types::prelude::*;
+use std::collections::BTreeMap;
+
+#[derive(Debug)]
+pub struct Engine {
+    pub fencing: Fencing,
+    highest_fence: Fence,
+    boot: u64,
+    pub memory_mb: u64,
+    /// Whether it answers nothing.
+    pub down: bool,
+    /// Size in MB and the moment at which it is ready, of each model.
+    pub loaded: BTreeMap<ModelName, (u64, Instant)>,
+    pub loads: BTreeMap<ModelName, u32>,
+}
+
+impl Engine {
+    pub fn new(entry: &UpstreamEntry) -> Self {
+        Self {
+            fencing: entry.fencing,
+            highest_fence: 0,
+            boot: 1,
+            memory_mb: entry.memory_mb,
+            down: false,
+            loaded: BTreeMap::new(),
+            loads: BTreeMap::new(),
+        }
+    }
+
+    pub fn restart(&mut self) {
+        self.boot += 1;
+        self.loaded.clear();
+        if self.fencing == Fencing::Forgets {
+            self.highest_fence = 0;
+        }
+    }
+
+    /// Takes it away with all that it holds, or brings it back empty.
+    pub fn set_gone(&mut self, gone: bool) {
+        self.down = gone;
+        if gone {
+            self.loaded.clear();
+            self.boot += 1;
+        }
+    }
+
+    /// What it says of itself; `None` while it answers nothing.
+    pub fn status(&self, now: Instant) -> Option<UpstreamStatus> {
+        if self.down {
+            return None;
+        }
+        let loaded = self
+            .loaded
+            .iter()
+            .map(|(model, (_, ready_at))| LoadedModel {
+                model: model.clone(),
+                state: if now >= *ready_at {
+                    LoadedState::Ready
+                } else {
+                    LoadedState::Loading
+                },
+                running: 0,
+            });
+        Some(UpstreamStatus {
+            boot: self.boot,
+            loaded: loaded.collect(),
+            ..Default::default()
+        })
+    }
+
+    pub fn execute(&mut self, now: Instant, load_time: Duration, order: &Order) -> OrderAnswer {
+        if self.fencing != Fencing::Ignores {
+            if order.fence < self.highest_fence {
+                return OrderAnswer::Fenced;
+            }
+            self.highest_fence = order.fence;
+        }
+        match order.kind {
+            OrderKind::Unload => {
+                self.loaded.remove(&order.model);
+                OrderAnswer::Absent
+            }
+            OrderKind::Load => self.load(now, load_time, order),
+        }
+    }
+
+    fn load(&mut self, now: Instant, load_time: Duration, order: &Order) -> OrderAnswer {
+        if let Some((_, ready_at)) = self.loaded.get(&order.model) {
+            return if now >= *ready_at {
+                OrderAnswer::Loaded
+            } else {
+                OrderAnswer::Loading
+            };
+        }
+        let size_mb = order.size_bytes >> 20;
+        self.loaded
+            .insert(order.model.clone(), (size_mb, now + load_time));
+        *self.loads.entry(order.model.clone()).or_default() += 1;
+        OrderAnswer::Loading
+    }
+}
+
+pub fn engine_id(number: usize) -> UpstreamId {
+    format!("engine{number}").into()
+}
+
+pub fn engine_number(id: &str) -> usize {
+    id["engine".len()..].parse().expect("number")
+}
