Term of a cell: lease, former holders, progress and use are types of their own

`term::Stage` is reached by the same path as before. Behaviour unchanged: the same rules, moved. Shown by `cell_scenarios` (blessed outputs unchanged), `cell_faults`, `slow_store`, `former_holder`: passed.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -7,15 +7,20 @@
 //!
 //! * [`write`]: the life cycle of a change of the plan.
 //! * [`term`]: what the holder of a term knows and does.
-//! * [`placing`], [`idle`], [`ordering`], [`publish`], [`demand`], [`upstreams`]: its parts.
+//! * [`lease`], [`former`], [`progress`], [`usage`], [`demand`], [`upstreams`]: what it knows.
+//! * [`placing`], [`idle`], [`ordering`], [`publish`]: what it does.
 
 pub mod demand;
+mod former;
 mod idle;
+mod lease;
 mod ordering;
 mod placing;
+mod progress;
 mod publish;
 pub mod term;
 pub mod upstreams;
+mod usage;
 pub mod write;
 
 use crate::messages::{
--- a/crates/decide/src/cell/idle.rs
+++ b/crates/decide/src/cell/idle.rs
@@ -26,7 +26,7 @@
     let running = term
         .usage
         .get(&placement.model)
-        .is_some_and(super::term::ModelUse::is_running)
+        .is_some_and(super::usage::ModelUse::is_running)
         || view
             .reported(&placement.model)
             .is_some_and(|loaded| loaded.running > 0);
@@ -47,7 +47,8 @@
 /// Expected time to load a replica again where it stands.
 fn reload_time(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> Duration {
     let tier = view.tier(&placement.model);
-    term.estimator
+    term.progress
+        .estimator
         .load_time(now, tier, placement.reserved_bytes)
 }
 
@@ -56,10 +57,7 @@
         .usage
         .get(&placement.model)
         .and_then(|usage| usage.last_used_at);
-    let ready_at = term
-        .progress
-        .get(&placement.id)
-        .map(|progress| progress.since);
+    let ready_at = term.progress.since(placement.id);
     used_at.max(ready_at).unwrap_or(now)
 }
 
--- a/crates/decide/src/cell/ordering.rs
+++ b/crates/decide/src/cell/ordering.rs
@@ -78,7 +78,8 @@
 /// Whether nothing that was sent before `ordered_at` could arrive after it.
 fn was_settled(term: &Term, view: &UpstreamView, id: PlacementId, ordered_at: Instant) -> bool {
     let former_cleared = term
-        .former_cleared_at
+        .former
+        .cleared_at()
         .is_none_or(|cleared| ordered_at >= cleared);
     view.is_settled(ordered_at) && former_cleared && !term.draft.former_may_order(id)
 }
@@ -164,11 +165,7 @@
 
 /// Whether routers have stopped sending and nothing runs any more.
 fn is_drained(term: &Term, now: Instant, view: &UpstreamView, placement: &Placement) -> bool {
-    let withdrawn_at = term
-        .progress
-        .get(&placement.id)
-        .and_then(|p| p.withdrawn_at);
-    let Some(withdrawn_at) = withdrawn_at else {
+    let Some(withdrawn_at) = term.progress.withdrawn_at(placement.id) else {
         return true;
     };
     let quiet_at = withdrawn_at + DRAIN_GRACE;
--- a/crates/decide/src/cell/placing.rs
+++ b/crates/decide/src/cell/placing.rs
@@ -125,6 +125,7 @@
         .as_ref()
         .is_some_and(|base| term.draft.find(base, &view.entry.id).is_none());
     let load = term
+        .progress
         .estimator
         .load_time(now, view.tier(&model.name), model.size_bytes);
     let taken_bytes = term.draft.reserved_bytes(&view.entry.id);
@@ -277,7 +278,7 @@
         .replicas(&demand.model)
         .filter(|p| p.state == PlacementState::Held);
     let waits = held.map(
-        |placement| match term.estimator.remaining(now, placement.id) {
+        |placement| match term.progress.estimator.remaining(now, placement.id) {
             Some(remaining) => remaining,
             None => queue_wait(term, scene, placement),
         },
@@ -286,7 +287,7 @@
         let model = catalog.models.get(&demand.model);
         let size_bytes = model.map_or(0, |model| model.size_bytes);
         let tier = crate::messages::Tier::Remote;
-        MAKE_ROOM + term.estimator.load_time(now, tier, size_bytes)
+        MAKE_ROOM + term.progress.estimator.load_time(now, tier, size_bytes)
     });
     now + wait.max(SHORTEST_WAIT)
 }
@@ -301,7 +302,9 @@
     let load_of = |p: &Placement| {
         let tier = upstreams.get(&p.upstream).map(|view| view.tier(&p.model));
         let tier = tier.unwrap_or(crate::messages::Tier::Remote);
-        term.estimator.load_time(now, tier, p.reserved_bytes)
+        term.progress
+            .estimator
+            .load_time(now, tier, p.reserved_bytes)
     };
     let mine = urgency(term, catalog, placement);
     let most = catalog.weight_store.max_loads;
@@ -309,7 +312,11 @@
     for other in term.draft.placements().filter(|p| p.id != placement.id) {
         let is_held = other.state == PlacementState::Held;
         ahead += match term.stage(other.id) {
-            Stage::Loading => term.estimator.remaining(now, other.id).unwrap_or_default(),
+            Stage::Loading => term
+                .progress
+                .estimator
+                .remaining(now, other.id)
+                .unwrap_or_default(),
             Stage::Unknown if is_held && urgency(term, catalog, other) < mine => load_of(other),
             _ => Duration::ZERO,
         };
@@ -323,6 +330,6 @@
     let loading = term
         .draft
         .placements()
-        .filter_map(|p| term.estimator.remaining(now, p.id));
+        .filter_map(|p| term.progress.estimator.remaining(now, p.id));
     loading.min().unwrap_or_default().max(NO_CAPACITY_RETRY)
 }
--- /dev/null
+++ b/crates/decide/src/cell/usage.rs
@@ -0,0 +1,38 @@
+//! How the models of a cell are used, by the reports of all routers.
+
+use crate::keep::IdleHistory;
+use crate::messages::Usage;
+use passway_types::prelude::*;
+use std::collections::HashMap;
+
+/// How one model is used.
+#[derive(Debug, Default)]
+pub(super) struct ModelUse {
+    running: HashMap<Incarnation, u32>,
+    pub(super) last_used_at: Option<Instant>,
+    pub(super) history: IdleHistory,
+}
+
+impl ModelUse {
+    /// Whether requests run at any router.
+    pub(super) fn is_running(&self) -> bool {
+        self.running.values().any(|running| *running > 0)
+    }
+
+    /// Takes in a router's report.
+    pub(super) fn record(&mut self, usage: &Usage) {
+        if !self.is_running()
+            && let Some(last) = self.last_used_at
+            && usage.last_used_at > last
+        {
+            self.history.record(usage.last_used_at - last);
+        }
+        self.running.insert(usage.router, usage.running);
+        self.last_used_at = self.last_used_at.max(Some(usage.last_used_at));
+    }
+
+    /// Forgets a router.
+    pub(super) fn remove_router(&mut self, router: Incarnation) {
+        self.running.remove(&router);
+    }
+}
