Controller node: connections, the platform's list and the configuration apart

The deciding thread kept the accepted connections, the instance list and the configuration as bare maps; `Peer` (an accepted connection) stood beside `Peers` (connections to other controllers). Change: `node/links.rs` (`Links`: who is connected, sending, which holders were sent), `node/fleet.rs` (`Fleet`: who is listed, gone or leaving, ranks) and `node/configuration.rs` (adopting, asking for and passing on a revision). `sending.rs` went into them. Behaviour unchanged, with one thing to see: the two log lines that moved name their new modules as target (`passway_controller::node::configuration`, `…::fleet`). Shown by `processes`, `process_kills`, `config_spread`, `config_freshness`, `silent_connections`, `former_holder`, `log_lines`, `bad_input`: 28 passed.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -2,9 +2,11 @@
 
 mod answers;
 mod cell_shell;
+mod configuration;
+mod fleet;
 mod input;
+mod links;
 mod peers;
-mod sending;
 
 use crate::audit::AuditTrail;
 use crate::config_feed::{self, ReadPace};
@@ -12,25 +14,24 @@
 use crate::{translate, workers};
 use anyhow::{Context, Result};
 use cell_shell::{CellShell, Services};
+use configuration::HOLDER_READ_AGE;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use fleet::Fleet;
 pub use input::{Input, LinkId};
+use links::Links;
 use passway_config::Catalog;
 use passway_config::revision::KeptRevision;
 use passway_config::settings::ControllerSettings;
-use passway_decide::cell::upstreams::Standing;
 use passway_decide::cell::{Action, Event};
 use passway_decide::plan::Holder;
 use passway_platform::engine::HttpEngineControl;
 use passway_platform::instance_list::{HttpInstanceList, ListedInstance};
 use passway_platform::key_value::HttpKeyValue;
-use passway_process::outbox::Outbox;
 use passway_types::prelude::*;
 use passway_wire::Body;
-use passway_wire::message::{
-    CellHolder, Config, ConfigWanted, Hello, ProbeAnswer, QueryAnswer, Role,
-};
+use passway_wire::message::{CellHolder, Heartbeat, Hello, ProbeAnswer, QueryAnswer};
 use peers::Peers;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Longest time for an upstream to answer an order.
@@ -48,21 +49,6 @@
 const LINKS_PER_PAUSE: usize = 16;
 /// Longest pause between two heartbeats.
 const MAX_HEARTBEAT: Duration = Duration::from_secs(5);
-/// Another peer is asked for a revision after this time.
-const CONFIG_PATIENCE: Duration = Duration::from_millis(700);
-/// Age of the confirmation at which a holder reads the configuration.
-const HOLDER_READ_AGE: Duration = Duration::from_secs(1);
-/// Age at which the first controller that leads nothing reads it; more for the next.
-const STANDBY_READ_AGE: Duration = Duration::from_secs(2);
-
-/// An accepted connection.
-#[derive(Debug)]
-struct Peer {
-    outbox: Outbox,
-    hello: Option<Hello>,
-    /// The version of the holders that the peer was told of.
-    told_holders: Option<u64>,
-}
 
 /// The state of the deciding thread.
 #[derive(Debug)]
@@ -71,7 +57,7 @@
     data_hall: String,
     services: Services,
     cells: BTreeMap<CellName, CellShell>,
-    links: HashMap<LinkId, Peer>,
+    links: Links,
     kept: Option<Arc<KeptRevision>>,
     /// The revision that this controller read last from the service itself.
     read_revision: Revision,
@@ -79,13 +65,8 @@
     gossip: Gossip,
     pace: Arc<ReadPace>,
     audit: AuditTrail,
-    listed: HashSet<InstanceId>,
-    gone: HashSet<InstanceId>,
-    /// What the cells were told of their upstreams.
-    standings: HashMap<UpstreamId, Standing>,
+    fleet: Fleet,
     rank: u32,
-    /// The revision for whose cells the ranks were worked out.
-    ranked: Revision,
     inputs: Sender<Input>,
     tick_at: Instant,
     standby_tick_at: Instant,
@@ -132,17 +113,14 @@
             data_hall: settings.data_hall,
             services,
             cells: BTreeMap::new(),
-            links: HashMap::new(),
+            links: Links::default(),
             kept: None,
             read_revision: 0,
             catalog: Arc::new(Catalog::default()),
             pace,
             audit: AuditTrail::default(),
-            listed: HashSet::new(),
-            gone: HashSet::new(),
-            standings: HashMap::new(),
+            fleet: Fleet::default(),
             rank: 0,
-            ranked: 0,
             inputs,
             tick_at: now,
             standby_tick_at: now,
@@ -174,16 +152,7 @@
     fn take(&mut self, now: Instant, input: Input) {
         match input {
             Input::Cell { cell, event } => self.cell_event(now, &cell, event),
-            Input::Linked { id, outbox } => {
-                self.links.insert(
-                    id,
-                    Peer {
-                        outbox,
-                        hello: None,
-                        told_holders: None,
-                    },
-                );
-            }
+            Input::Linked { id, outbox } => self.links.add(id, outbox),
             Input::Heard { id, body } => self.heard(now, id, body),
             Input::Unlinked { id } => self.unlinked(now, id),
             Input::FromPeer { peer, body } => self.heard_from_peer(now, peer, body),
@@ -242,57 +211,6 @@
         log::info!(instance = &*self.me.instance; "controller stopped");
     }
 
-    fn revision(&self) -> Revision {
-        self.kept.as_ref().map_or(0, |kept| kept.stored.revision)
-    }
-
-    fn set_pace(&self, now: Instant) {
-        let leads = self.cells.values().any(CellShell::is_active);
-        let limit = if leads {
-            HOLDER_READ_AGE
-        } else {
-            STANDBY_READ_AGE * (self.rank + 1)
-        };
-        let unconfirmed = self.gossip.is_unconfirmed();
-        let age = self.gossip.config_age(now, self.revision());
-        self.pace
-            .set(if unconfirmed { Duration::MAX } else { age }, limit);
-    }
-
-    /// Puts a revision in force if it is newer than the one that is.
-    fn adopt(&mut self, now: Instant, kept: Arc<KeptRevision>) {
-        let stored = &kept.stored;
-        if stored.revision <= self.revision() {
-            return;
-        }
-        let catalog = match stored.catalog() {
-            Ok(catalog) => Arc::new(catalog),
-            Err(faults) => {
-                log::error!(revision = stored.revision, faults:% = faults;
-                    "a stored revision does not pass its checks");
-                return;
-            }
-        };
-        log::info!(revision = stored.revision, author = stored.author.as_str(); "configuration in force");
-        self.kept = Some(kept);
-        self.catalog = catalog.clone();
-        for cell in &catalog.cells {
-            if !self.cells.contains_key(cell) {
-                let shell =
-                    CellShell::new(now, cell.clone(), &self.me, catalog.clone(), &self.services);
-                self.cells.insert(cell.clone(), shell);
-            }
-        }
-        let cells: Vec<CellName> = self.cells.keys().cloned().collect();
-        for cell in cells {
-            if let Some(shell) = self.cells.get_mut(&cell) {
-                shell.use_catalog(&catalog);
-            }
-            self.cell_event(now, &cell, Event::Catalog(catalog.clone()));
-        }
-        self.send_heartbeats(now);
-    }
-
     fn cell_event(&mut self, now: Instant, cell: &CellName, event: Event) {
         let Some(shell) = self.cells.get_mut(cell) else {
             return;
@@ -329,17 +247,17 @@
                 verdict,
             } => {
                 let verdict = translate::verdict(now, &model, verdict);
-                self.send_to_router(router, &Body::Verdict(verdict));
+                self.links.send_to_router(router, &Body::Verdict(verdict));
             }
             Action::Publish(change) => {
                 let Some(shell) = self.cells.get_mut(cell) else {
                     return;
                 };
                 let routes = shell.publish(&change);
-                self.send_to_routers(&Body::Routes(routes));
+                self.links.send_to_routers(&Body::Routes(routes));
             }
             Action::Audit(decision) => self.audit.record(&self.me.instance, cell, &decision),
-            Action::ProbeFormer { epoch, holder } if self.gone.contains(&holder.instance) => {
+            Action::ProbeFormer { epoch, holder } if self.fleet.is_gone(&holder.instance) => {
                 let event = Event::FormerGone(epoch);
                 // Taken with the next input, not inside this decision.
                 let _ = self.inputs.send(Input::Cell {
@@ -360,7 +278,7 @@
         match body {
             Body::Hello(hello) => self.hello(now, id, hello),
             Body::Demand(demand) => {
-                let Some(router) = self.incarnation_of(id) else {
+                let Some(router) = self.links.incarnation_of(id) else {
                     return;
                 };
                 let demand = translate::demand(now, router, demand);
@@ -369,7 +287,7 @@
                 }
             }
             Body::Usage(usage) => {
-                let Some(router) = self.incarnation_of(id) else {
+                let Some(router) = self.links.incarnation_of(id) else {
                     return;
                 };
                 let usage = translate::usage(now, router, usage);
@@ -381,7 +299,7 @@
                 let shell = self.cells.get(probe.cell.as_str());
                 let may_order = shell.is_some_and(|shell| shell.may_order(probe.epoch));
                 let incarnation = self.me.incarnation;
-                self.send_to(
+                self.links.send_to(
                     id,
                     Body::ProbeAnswer(ProbeAnswer {
                         incarnation,
@@ -391,12 +309,13 @@
             }
             Body::ConfigWanted(wanted) if wanted.have_revision < self.revision() => {
                 if let Some(config) = self.config_message() {
-                    self.send_to(id, config);
+                    self.links.send_to(id, config);
                 }
             }
             Body::Query(query) => {
                 let json = self.answer(now, &query.what);
-                self.send_to(id, Body::QueryAnswer(QueryAnswer { json }));
+                self.links
+                    .send_to(id, Body::QueryAnswer(QueryAnswer { json }));
             }
             Body::ConfigWanted(_)
             | Body::Heartbeat(_)
@@ -417,33 +336,23 @@
     }
 
     fn hello(&mut self, now: Instant, id: LinkId, hello: Hello) {
+        // Of the time before: a router that connects is not yet counted.
         let heartbeat = self.heartbeat(now);
-        let Some(peer) = self.links.get_mut(&id) else {
-            return;
-        };
-        let is_first = peer.hello.is_none();
-        let is_router = hello.role == i32::from(Role::Router);
-        peer.hello = Some(hello);
-        if !is_first {
+        let is_router = links::is_router(&hello);
+        if !self.links.greeted(id, hello) {
             return;
         }
-        peer.told_holders = Some(self.gossip.holders_version());
-        peer.outbox.send(Body::Heartbeat(heartbeat));
+        let version = self.gossip.holders_version();
+        self.links.send_heartbeat(id, heartbeat, version);
         if is_router {
             for routes in self.cells.values().filter_map(CellShell::whole_table) {
-                peer.outbox.send(Body::Routes(routes));
+                self.links.send_to(id, Body::Routes(routes));
             }
         }
     }
 
     fn unlinked(&mut self, now: Instant, id: LinkId) {
-        let Some(peer) = self.links.remove(&id) else {
-            return;
-        };
-        let Some(hello) = peer
-            .hello
-            .filter(|hello| hello.role == i32::from(Role::Router))
-        else {
+        let Some(hello) = self.links.remove(id).filter(links::is_router) else {
             return;
         };
         let cells: Vec<CellName> = self.cells.keys().cloned().collect();
@@ -452,6 +361,24 @@
         }
     }
 
+    fn heartbeat(&self, now: Instant) -> Heartbeat {
+        Heartbeat {
+            instance: self.me.instance.to_string(),
+            incarnation: self.me.incarnation,
+            config_revision: self.revision(),
+            config_age_ms: config_feed::millis(self.gossip.config_age(now, self.revision())),
+            isolated: self.gossip.is_isolated(now),
+            routers: self.links.router_count(),
+            cells: self.gossip.holders(),
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: Instant) {
+        let heartbeat = self.heartbeat(now);
+        let version = self.gossip.holders_version();
+        self.links.send_heartbeats(&heartbeat, version);
+    }
+
     fn heard_from_peer(&mut self, now: Instant, peer: SocketAddr, body: Body) {
         match body {
             Body::Heartbeat(heartbeat) => {
@@ -469,65 +396,20 @@
         }
     }
 
-    /// Asks for a revision that this controller lacks, at one peer at a time.
-    fn want_config(&mut self, now: Instant, peer: SocketAddr, revision: Revision) {
-        let have_revision = self.revision();
-        if revision <= have_revision
-            || self
-                .config_asked_at
-                .is_some_and(|at| now < at + CONFIG_PATIENCE)
-        {
-            return;
-        }
-        self.config_asked_at = Some(now);
-        self.peers
-            .send(peer, Body::ConfigWanted(ConfigWanted { have_revision }));
-    }
-
-    fn listed(&mut self, now: Instant, listed: &[ListedInstance]) {
-        let ids: HashSet<InstanceId> = listed.iter().map(|entry| entry.id.clone()).collect();
-        let newly_gone: Vec<InstanceId> = self.listed.difference(&ids).cloned().collect();
-        self.gone.retain(|id| !ids.contains(id));
-        for id in newly_gone {
-            log::warn!(id = &*id; "the platform no longer lists it");
-            self.gone.insert(id);
+    fn listed(&mut self, now: Instant, list: &[ListedInstance]) {
+        let catalog = self.catalog.clone();
+        for (upstream, standing) in self.fleet.update(list, &catalog) {
+            let event = Event::UpstreamStanding {
+                upstream: upstream.clone(),
+                standing,
+            };
+            self.upstream_event(now, &upstream, event);
         }
-        let leaving: HashSet<&str> = listed
-            .iter()
-            .filter(|entry| entry.leaving)
-            .map(|entry| &*entry.id)
-            .collect();
-        self.tell_standings(now, &leaving);
-        // Ranks take a hash for each instance and cell; they change with the list alone.
-        if ids != self.listed || self.ranked != self.revision() {
-            self.listed = ids;
-            self.ranked = self.revision();
+        if self.fleet.begin_ranking(self.revision()) {
             self.update_ranks(now);
         }
     }
 
-    /// Tells the cells what the list says of their upstreams, where that is news.
-    fn tell_standings(&mut self, now: Instant, leaving: &HashSet<&str>) {
-        let upstreams: Vec<UpstreamId> = self.catalog.upstreams.keys().cloned().collect();
-        for upstream in upstreams {
-            let standing = if self.gone.contains(&upstream) {
-                Standing::Gone
-            } else if leaving.contains(&*upstream) {
-                Standing::Leaving
-            } else {
-                Standing::Listed
-            };
-            let told = self.standings.insert(upstream.clone(), standing);
-            if told.unwrap_or(Standing::Listed) != standing {
-                let event = Event::UpstreamStanding {
-                    upstream: upstream.clone(),
-                    standing,
-                };
-                self.upstream_event(now, &upstream, event);
-            }
-        }
-    }
-
     fn upstream_event(&mut self, now: Instant, id: &str, event: Event) {
         let cell = self
             .catalog
@@ -542,32 +424,16 @@
     /// The controller's place among the live ones, another one for each cell.
     fn update_ranks(&mut self, now: Instant) {
         let cells: Vec<CellName> = self.cells.keys().cloned().collect();
-        let weight = passway_config::catalog::rendezvous_hash;
         for cell in cells {
-            let mine = weight(&self.me.instance, &cell);
-            let upstreams = &self.catalog.upstreams;
-            let instances = self.listed.iter().filter(|id| !upstreams.contains_key(*id));
-            let before = instances.filter(|id| weight(id, &cell) > mine).count();
-            self.rank = u32::try_from(before).unwrap_or(u32::MAX);
+            self.rank = self.fleet.rank(&self.me.instance, &cell, &self.catalog);
             self.cell_event(now, &cell, Event::Rank(self.rank));
         }
     }
 
-    fn incarnation_of(&self, id: LinkId) -> Option<Incarnation> {
-        Some(self.links.get(&id)?.hello.as_ref()?.incarnation)
-    }
-
     fn cell_of(&self, model: &str) -> Option<CellName> {
         self.catalog
             .models
             .get(model)
             .map(|model| model.cell.clone())
     }
-
-    fn config_message(&self) -> Option<Body> {
-        let encoded = self.kept.as_ref()?.encoded.to_vec();
-        Some(Body::Config(Config {
-            encoded: encoded.into(),
-        }))
-    }
 }
--- a/crates/controller/src/node/answers.rs
+++ b/crates/controller/src/node/answers.rs
@@ -17,7 +17,7 @@
     }
 
     fn status(&self, now: Instant) -> NodeStatus {
-        let routers = self.routers().map(|(hello, _)| RouterStatus {
+        let routers = self.links.routers().map(|hello| RouterStatus {
             instance: hello.instance.clone(),
             config_revision: hello.config_revision,
             in_progress: hello.in_progress,
