Serving: names of the field inside the crate

What needed explaining: a model or adapter that a request targets was a `wish`; arrivals were `taken`, an entry or bytes were `heard`, models were `brought` and gave way. Change: `model_ref` for parameters, locals and private fields; `record_arrivals`, `set_waiters`, `record_use`, `update`, `record_activity`; `placement/bring.rs` is `loading.rs` with `place_models` and `place_adapters`; comments say load and evict. What others outside the crate use keeps its name (`PlannedOrder::wish`, `Waiters::wish`, `Planner::heard` and `taken`, `UpstreamTable::heard`, `Tenure::told` and `taken`). Behaviour unchanged: names and comments alone.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! * [`ports`]: what it needs of the place it runs in, as traits; an adapter of a
 //!   platform implements them and decides nothing.
-//! * [`placement`]: which models stand on which engines, and the orders that bring them.
+//! * [`placement`]: which models stand on which engines, and the orders that load them.
 //! * [`routes`]: the operators' routes and services, and which route a request takes.
 //! * [`upstreams`]: what upstreams say of themselves, what this instance has seen of
 //!   them, and which one a request goes to.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,12 +6,12 @@
 //! order that is carried out late can only take effect in the state that it was
 //! decided for; memory is therefore checked against that state alone.
 
-mod bring;
 mod ceiling;
 mod census;
 mod demand;
 mod engine;
 mod homes;
+mod loading;
 pub mod policy;
 mod victims;
 mod worth;
@@ -140,7 +140,7 @@
     }
 
     /// Forgets what was known of engines' orders, at the begin of a term. Instances
-    /// tell within moments what they need and use; until then nothing gives way.
+    /// tell within moments what they need and use; until then nothing is evicted.
     pub fn begin_term(&mut self, now: Instant) {
         self.listening_until = Some(now + LISTENING_TIME);
         for (service, loads) in &mut self.store_loads {
@@ -162,7 +162,7 @@
         self.homes = None;
         let id = entry.id.clone();
         match self.engines.get_mut(&id) {
-            Some(engine) => engine.heard(entry, now),
+            Some(engine) => engine.update(entry, now),
             None => {
                 self.engines.insert(id.clone(), Engine::new(entry));
             }
@@ -178,14 +178,14 @@
 
     /// So many requests of an instance wait for a model or adapter now.
     pub fn waiting(&mut self, waiters: Waiters, now: Instant) {
-        self.demand.waits(waiters, now);
+        self.demand.set_waiters(waiters, now);
     }
 
     /// An instance took so many requests for a model or adapter.
-    pub fn taken(&mut self, service: &ServiceName, wish: &ModelRef, count: u32, now: Instant) {
-        self.demand.taken(service, wish, count, now);
+    pub fn taken(&mut self, service: &ServiceName, model_ref: &ModelRef, count: u32, now: Instant) {
+        self.demand.record_arrivals(service, model_ref, count, now);
         for engine in self.engines.values_mut() {
-            engine.used(wish, now);
+            engine.record_use(model_ref, now);
         }
     }
 
@@ -269,8 +269,8 @@
             if self.homes.is_none() {
                 self.homes = Some(Homes::of(self.engines.values()));
             }
-            self.bring_adapters(now);
-            self.bring_models(now);
+            self.place_adapters(now);
+            self.place_models(now);
             self.prefetch(now);
         }
         self.next_actions(now)
@@ -284,7 +284,7 @@
                 continue;
             }
             for engine in self.engines.values_mut() {
-                if engine.serves(&waiting.service, &waiting.wish) {
+                if engine.serves(&waiting.service, &waiting.model_ref) {
                     engine.doubt(now);
                 }
             }
@@ -349,7 +349,7 @@
     /// Whether requests take all slots of the engines that have a model, and of those that
     /// it comes to.
     fn lacks_slots(&self, service: &ServiceName, model: &ModelName) -> bool {
-        let replicas = self.replicas(service, model) + self.bringing(service, model);
+        let replicas = self.replicas(service, model) + self.coming(service, model);
         let usage = self.usage(service, model);
         let slots = u64::from(usage.slots) * u64::try_from(replicas).unwrap_or(u64::MAX);
         replicas > 0 && u64::from(usage.runs) + u64::from(usage.waiters) >= slots
@@ -361,8 +361,8 @@
     }
 
     /// Engines on which a model comes.
-    fn bringing(&self, service: &ServiceName, model: &ModelName) -> usize {
-        self.census.bringing(service, model)
+    fn coming(&self, service: &ServiceName, model: &ModelName) -> usize {
+        self.census.coming(service, model)
     }
 
     /// Engines that have a model near.
--- a/crates/serving/src/placement/census.rs
+++ b/crates/serving/src/placement/census.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
     replicas: usize,
-    bringing: usize,
+    coming: usize,
     runs: u32,
 }
 
@@ -28,7 +28,7 @@
                 counts.entry(model.clone()).or_default().replicas += 1;
             }
             if let Some(model) = engine.coming() {
-                counts.entry(model.clone()).or_default().bringing += 1;
+                counts.entry(model.clone()).or_default().coming += 1;
             }
             for (model, runs) in engine.all_runs() {
                 counts.entry(model.clone()).or_default().runs += runs;
@@ -48,9 +48,9 @@
         self.counts(service, model).replicas
     }
 
-    /// Engines on which a model comes.
-    pub(super) fn bringing(&self, service: &ServiceName, model: &ModelName) -> usize {
-        self.counts(service, model).bringing
+    /// Engines on which a model is to be loaded.
+    pub(super) fn coming(&self, service: &ServiceName, model: &ModelName) -> usize {
+        self.counts(service, model).coming
     }
 
     /// Requests that run for a model.
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
     pub(super) service: ServiceName,
-    pub(super) wish: ModelRef,
+    pub(super) model_ref: ModelRef,
     /// Since when requests have waited for it without a break.
     pub(super) since: Instant,
     /// Requests of each instance, and when the last of them gives up.
@@ -88,21 +88,21 @@
 
 impl Demand {
     /// So many requests of an instance wait for a model or adapter now.
-    pub(super) fn waits(&mut self, waiters: Waiters, now: Instant) {
+    pub(super) fn set_waiters(&mut self, waiters: Waiters, now: Instant) {
         let Waiters {
             instance,
             service,
-            wish,
+            wish: model_ref,
             count,
             until,
         } = waiters;
-        let same = |w: &Waiting| w.service == service && w.wish == wish;
+        let same = |w: &Waiting| w.service == service && w.model_ref == model_ref;
         let index = self.waiting.iter().position(same);
         match (index, count) {
             (None, 0) => return,
             (None, _) => self.waiting.push(Waiting {
                 service,
-                wish,
+                model_ref,
                 since: now,
                 by_instance: BTreeMap::from([(instance, (count, until))]),
             }),
@@ -150,7 +150,7 @@
     fn count(&mut self) {
         self.waiters.clear();
         for waiting in &self.waiting {
-            let key = (waiting.service.clone(), waiting.wish.model.clone());
+            let key = (waiting.service.clone(), waiting.model_ref.model.clone());
             *self.waiters.entry(key).or_default() += waiting.count();
         }
     }
@@ -172,14 +172,14 @@
     }
 
     /// So many requests came for a model.
-    pub(super) fn taken(
+    pub(super) fn record_arrivals(
         &mut self,
         service: &ServiceName,
-        wish: &ModelRef,
+        model_ref: &ModelRef,
         count: u32,
         now: Instant,
     ) {
-        let key = (service.clone(), wish.model.clone());
+        let key = (service.clone(), model_ref.model.clone());
         let rate = self.rates.entry(key).or_insert(Rate {
             per_s: 0.0,
             at: now,
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -152,15 +152,17 @@
         }
     }
 
-    pub(super) fn serves(&self, service: &ServiceName, wish: &ModelRef) -> bool {
-        self.has(service, &wish.model)
-            && wish.adapter.as_ref().is_none_or(|adapter| {
-                let resident = self.resident(&wish.model);
+    /// Whether requests for a model or adapter can run here.
+    pub(super) fn serves(&self, service: &ServiceName, model_ref: &ModelRef) -> bool {
+        self.has(service, &model_ref.model)
+            && model_ref.adapter.as_ref().is_none_or(|adapter| {
+                let resident = self.resident(&model_ref.model);
                 resident.is_some_and(|model| model.adapters.contains(adapter))
             })
     }
 
-    pub(super) fn is_bringing(&self, service: &ServiceName, model: &ModelName) -> bool {
+    /// Whether a model is to be loaded here, once there is room.
+    pub(super) fn will_load(&self, service: &ServiceName, model: &ModelName) -> bool {
         self.entry.service == *service && self.coming.as_ref() == Some(model)
     }
 
@@ -169,13 +171,15 @@
         self.coming.as_ref()
     }
 
-    pub(super) fn will_have(&self, service: &ServiceName, wish: &ModelRef) -> bool {
-        if wish.adapter.is_none() {
-            return self.is_bringing(service, &wish.model);
+    /// Whether a model, or an adapter or the model it belongs to, is still to be loaded here.
+    pub(super) fn will_have(&self, service: &ServiceName, model_ref: &ModelRef) -> bool {
+        if model_ref.adapter.is_none() {
+            return self.will_load(service, &model_ref.model);
         }
         self.entry.service == *service
-            && (self.adapters_wanted.contains(wish)
-                || (self.resident(&wish.model).is_none() && self.is_bringing(service, &wish.model)))
+            && (self.adapters_wanted.contains(model_ref)
+                || (self.resident(&model_ref.model).is_none()
+                    && self.will_load(service, &model_ref.model)))
     }
 
     pub(super) fn model_names(&self) -> Vec<ModelName> {
@@ -215,7 +219,7 @@
         coming.is_some_and(|model| self.tier(model) == Tier::Store)
     }
 
-    /// Whether an order brings a model from the weight store.
+    /// Whether an order loads a model from the weight store.
     pub(super) fn is_store_load(&self, order: &PlannedOrder) -> bool {
         let is_load = order.action == OrderAction::Load && order.wish.adapter.is_none();
         is_load && self.tier(&order.wish.model) == Tier::Store
@@ -287,9 +291,10 @@
             .sum()
     }
 
-    pub(super) fn used(&mut self, wish: &ModelRef, now: Instant) {
-        if wish.adapter.is_some() {
-            self.adapter_used_at.insert(wish.clone(), now);
+    /// Requests for a model or adapter came; the adapter that was used last is unloaded last.
+    pub(super) fn record_use(&mut self, model_ref: &ModelRef, now: Instant) {
+        if model_ref.adapter.is_some() {
+            self.adapter_used_at.insert(model_ref.clone(), now);
         }
     }
 
@@ -310,15 +315,15 @@
         adapter: &AdapterName,
         now: Instant,
     ) {
-        let wish = ModelRef {
+        let model_ref = ModelRef {
             model: model.clone(),
             adapter: Some(adapter.clone()),
         };
-        if pool.adapter_slots == 0 || self.adapters_wanted.contains(&wish) {
+        if pool.adapter_slots == 0 || self.adapters_wanted.contains(&model_ref) {
             return;
         }
-        self.adapter_used_at.insert(wish.clone(), now);
-        self.adapters_wanted.push(wish);
+        self.adapter_used_at.insert(model_ref.clone(), now);
+        self.adapters_wanted.push(model_ref);
     }
 
     /// The model order under way has taken effect.
@@ -364,7 +369,8 @@
     }
 
     fn adapter_done(&mut self, order: &PlannedOrder) {
-        self.adapters_wanted.retain(|wish| *wish != order.wish);
+        self.adapters_wanted
+            .retain(|model_ref| *model_ref != order.wish);
         let model = self.models.iter_mut().find(|m| m.name == order.wish.model);
         let (Some(model), Some(adapter)) = (model, &order.wish.adapter) else {
             return;
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -82,7 +82,8 @@
             }
             OrderAnswer::OtherIncarnation => self.ended(),
             OrderAnswer::Refused => {
-                self.adapters_wanted.retain(|wish| *wish != order.wish);
+                self.adapters_wanted
+                    .retain(|model_ref| *model_ref != order.wish);
             }
             OrderAnswer::NotSent | OrderAnswer::Conflict | OrderAnswer::Lost => {
                 self.orders_taken = None;
@@ -91,12 +92,17 @@
         }
     }
 
-    fn order(&self, action: OrderAction, wish: ModelRef, expected_orders: u64) -> PlannedOrder {
+    fn order(
+        &self,
+        action: OrderAction,
+        model_ref: ModelRef,
+        expected_orders: u64,
+    ) -> PlannedOrder {
         PlannedOrder {
             engine: self.entry.id.clone(),
             address: self.entry.address,
             action,
-            wish,
+            wish: model_ref,
             expected_orders,
         }
     }
@@ -148,29 +154,30 @@
             self.closing.clear();
             return None;
         }
-        let wish = |model| ModelRef {
+        let whole = |model| ModelRef {
             model,
             adapter: None,
         };
         if self.free_mb(pool) >= self.size_mb(pool, &coming) {
             // A model that still stands although it was to go may be used again.
             self.closing.clear();
-            return Some(self.order(OrderAction::Load, wish(coming), expected));
+            return Some(self.order(OrderAction::Load, whole(coming), expected));
         }
         let Some(victim) = self.closing.first().cloned() else {
             self.coming = None;
             return None;
         };
-        Some(self.order(OrderAction::Unload, wish(victim), expected))
+        Some(self.order(OrderAction::Unload, whole(victim), expected))
     }
 
     fn adapter_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
         let models = &self.models;
         let closing = &self.closing;
-        self.adapters_wanted.retain(|wish| {
-            let model = models.iter().find(|m| m.name == wish.model);
-            let stands = model.is_some_and(|m| wish.adapter.iter().all(|a| m.adapters.contains(a)));
-            model.is_some() && !stands && !closing.contains(&wish.model)
+        self.adapters_wanted.retain(|model_ref| {
+            let model = models.iter().find(|m| m.name == model_ref.model);
+            let stands =
+                model.is_some_and(|m| model_ref.adapter.iter().all(|a| m.adapters.contains(a)));
+            model.is_some() && !stands && !closing.contains(&model_ref.model)
         });
         let wanted = self.adapters_wanted.first().cloned()?;
         if self.standing_adapters() < pool.adapter_slots {
@@ -190,6 +197,6 @@
                 adapter: Some(adapter.clone()),
             })
         });
-        standing.min_by_key(|wish| self.adapter_used_at.get(wish).copied())
+        standing.min_by_key(|model_ref| self.adapter_used_at.get(model_ref).copied())
     }
 }
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -20,7 +20,7 @@
 
 impl Engine {
     /// The engine has said something of itself.
-    pub(in crate::placement) fn heard(&mut self, entry: UpstreamEntry, now: Instant) {
+    pub(in crate::placement) fn update(&mut self, entry: UpstreamEntry, now: Instant) {
         if entry.beat < self.entry.beat {
             // An older check-in that came late; only leaving is final.
             self.entry.draining |= entry.draining;
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -1,4 +1,4 @@
-//! What is brought to engines: adapters that requests wait for, models by what a replica
+//! What is loaded on engines: adapters that requests wait for, models by what a replica
 //! is worth to them, and models that nobody waits for yet.
 
 use super::Planner;
@@ -20,7 +20,7 @@
 /// While nobody asks for anything, one more load may run at a time for each so many engines.
 const ENGINES_PER_QUIET_LOAD: usize = 40;
 
-/// A way to bring a model to an engine.
+/// A way to load a model on an engine.
 #[derive(Debug)]
 struct Swap {
     engine: UpstreamId,
@@ -31,23 +31,24 @@
 }
 
 impl Planner {
-    /// Begins to bring adapters that requests wait for, where their model stands.
-    pub(super) fn bring_adapters(&mut self, now: Instant) {
+    /// Begins to load adapters that requests wait for, where their model stands.
+    pub(super) fn place_adapters(&mut self, now: Instant) {
         for need in self.demand.waiting() {
-            let Some(adapter) = &need.wish.adapter else {
+            let Some(adapter) = &need.model_ref.adapter else {
                 continue;
             };
             let mut engines = self.engines.values();
             let is_met = engines.any(|e| {
-                e.serves(&need.service, &need.wish) || e.will_have(&need.service, &need.wish)
+                e.serves(&need.service, &need.model_ref)
+                    || e.will_have(&need.service, &need.model_ref)
             });
             if !is_met {
-                self.place_adapter(&need.service, &need.wish.model, adapter, now);
+                self.place_adapter(&need.service, &need.model_ref.model, adapter, now);
             }
         }
     }
 
-    /// Brings an adapter to the engine that has its model and most room.
+    /// Loads an adapter on the engine that has its model and most room.
     fn place_adapter(
         &mut self,
         service: &ServiceName,
@@ -66,8 +67,8 @@
         }
     }
 
-    /// Begins to bring models that are worth one more replica, those that gain most first.
-    pub(super) fn bring_models(&mut self, now: Instant) {
+    /// Begins to load models that are worth one more replica, those that gain most first.
+    pub(super) fn place_models(&mut self, now: Instant) {
         for candidate in self.candidates(now) {
             // Engines that have it near have it by now, or no room for it, and more requests
             // are turned away each second than a fetch costs its engine.
@@ -130,7 +131,7 @@
         engines.filter(|e| e.loads_from_store()).count()
     }
 
-    /// Begins to bring a model to the engine where that costs least, if it is worth it.
+    /// Begins to load a model on the engine where that costs least, if it is worth it.
     fn place_model(&mut self, candidate: &Candidate, may_fetch: bool, now: Instant) {
         let Some(swap) = self.cheapest_swap(candidate, may_fetch, now) else {
             return;
@@ -142,7 +143,7 @@
         }
     }
 
-    /// The cheapest way to bring a model to an engine that does not have it.
+    /// The cheapest way to load a model on an engine that does not have it.
     fn cheapest_swap(&self, candidate: &Candidate, may_fetch: bool, now: Instant) -> Option<Swap> {
         let (service, model) = (&candidate.service, &candidate.model);
         let pool = self.pools.get(service)?;
@@ -174,8 +175,8 @@
         best
     }
 
-    /// How a model comes to one engine; `None` if nothing may give way to it there, or
-    /// what gives way is worth more.
+    /// How a model comes to one engine; `None` if nothing may be evicted for it there, or
+    /// what would be evicted is worth more.
     fn swap(
         &self,
         engine: &Engine,
--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -1,7 +1,7 @@
 //! What a placement policy decides, and the policies that ship.
 //!
 //! The planner keeps memory, adapter places and the weight store's ceiling whatever the
-//! policy says; a policy says what is worth bringing. The simple ones are baselines to
+//! policy says; a policy says what is worth loading. The simple ones are baselines to
 //! measure against, in the model (`passway-experiment`) and on the users' bench.
 
 use super::demand::Usage;
@@ -39,7 +39,7 @@
     };
 }
 
-/// What is worth bringing to engines.
+/// What is worth loading on engines.
 pub trait PlacementPolicy: fmt::Debug + Send {
     /// Replicas that a model is worth, which is asked for `rate_s` times a second.
     fn replicas(&self, rate_s: f64, usage: Usage) -> usize;
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -1,4 +1,4 @@
-//! Which models give way to another.
+//! Which models are evicted for another.
 
 use super::Planner;
 use super::engine::Engine;
@@ -8,10 +8,10 @@
 /// Time that an engine takes to unload a model that runs nothing, in seconds: an order
 /// and its effect, as seen in the logs of instances.
 const UNLOAD_S: f64 = 0.08;
-/// Time until the runs of a model have ended that gives way, in seconds: an engine
+/// Time until the runs of an evicted model have ended, in seconds: an engine
 /// unloads a model when its last run is over.
 const RUNS_S: f64 = 0.8;
-/// A model that was brought for somebody stays at least this long: instances hear of it
+/// A model that was loaded for somebody stays at least this long: instances hear of it
 /// and send what waits.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
@@ -25,7 +25,7 @@
     pub(super) time_s: f64,
 }
 
-/// A model that may give way.
+/// A model that may be evicted.
 #[derive(Debug)]
 struct Leaving {
     model: ModelName,
--- a/crates/serving/src/placement/worth.rs
+++ b/crates/serving/src/placement/worth.rs
@@ -6,7 +6,7 @@
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
 
-/// Time over which a place counts, in seconds: what it takes to bring a model back that was
+/// Time over which a place counts, in seconds: what it takes to load a model again that was
 /// wrongly sent away, the runs of what it replaces (0.8 s) and its load (0.3 to 0.5 s).
 const HORIZON_S: f64 = 1.5;
 /// What remains of a replica's worth that the demand does not need, as a part: enough
@@ -43,9 +43,9 @@
         for (service, model) in busy {
             models.entry((service, model)).or_default();
         }
-        for waits in &waiting {
-            let model = (&waits.service, &waits.wish.model);
-            models.entry(model).or_default().push(waits);
+        for waiter in &waiting {
+            let model = (&waiter.service, &waiter.model_ref.model);
+            models.entry(model).or_default().push(waiter);
         }
         let worth = models
             .into_iter()
@@ -66,7 +66,7 @@
         waiting: &[&Waiting],
         now: Instant,
     ) -> Option<Candidate> {
-        let replicas = self.replicas(service, model) + self.bringing(service, model);
+        let replicas = self.replicas(service, model) + self.coming(service, model);
         let wanted = self.wanted(service, model, now);
         if replicas >= wanted {
             return None;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -167,16 +167,16 @@
     }
 
     /// A request was sent to an upstream.
-    pub fn started(&mut self, id: &str, wish: Option<&ModelRef>, now: Instant) {
+    pub fn started(&mut self, id: &str, model_ref: Option<&ModelRef>, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.started(wish, now);
+            upstream.started(model_ref, now);
         }
     }
 
     /// Bytes have come from an upstream.
     pub fn heard(&mut self, id: &str, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.heard(now);
+            upstream.record_activity(now);
         }
     }
 
@@ -188,16 +188,22 @@
     }
 
     /// A request that was sent to an upstream has ended.
-    pub fn ended(&mut self, id: &str, wish: Option<&ModelRef>, outcome: Outcome, now: Instant) {
+    pub fn ended(
+        &mut self,
+        id: &str,
+        model_ref: Option<&ModelRef>,
+        outcome: Outcome,
+        now: Instant,
+    ) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.ended(wish, outcome, now);
+            upstream.ended(model_ref, outcome, now);
         }
     }
 
     /// An engine said that it does not have what a request needs.
-    pub fn absent(&mut self, id: &str, wish: &ModelRef, now: Instant) {
+    pub fn absent(&mut self, id: &str, model_ref: &ModelRef, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.absent(wish, now);
+            upstream.absent(model_ref, now);
         }
     }
 
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -96,7 +96,7 @@
     pub fn choose(
         &self,
         service: &ServiceName,
-        wish: Option<&ModelRef>,
+        model_ref: Option<&ModelRef>,
         tried: &[UpstreamId],
         drawn: u64,
         now: Instant,
@@ -109,7 +109,7 @@
                 && !entry.draining
                 && !tried.contains(&entry.id)
                 && !upstream.is_gone(now)
-                && wish.is_none_or(|wish| upstream.has(wish, now));
+                && model_ref.is_none_or(|model_ref| upstream.has(model_ref, now));
             if !is_usable {
                 continue;
             }
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -66,20 +66,20 @@
     }
 
     /// Whether it has what a request needs, as far as is known.
-    pub(super) fn has(&self, wish: &ModelRef, now: Instant) -> bool {
-        if self.closing.contains(&wish.model) {
+    pub(super) fn has(&self, model_ref: &ModelRef, now: Instant) -> bool {
+        if self.closing.contains(&model_ref.model) {
             return false;
         }
         if self
             .absent_until
-            .get(wish)
+            .get(model_ref)
             .is_some_and(|until| now < *until)
         {
             return false;
         }
-        let resident = self.entry.models.iter().find(|m| m.name == wish.model);
+        let resident = self.entry.models.iter().find(|m| m.name == model_ref.model);
         resident.is_some_and(|model| {
-            let adapter = wish.adapter.as_ref();
+            let adapter = model_ref.adapter.as_ref();
             adapter.is_none_or(|adapter| model.adapters.contains(adapter))
         })
     }
@@ -97,28 +97,28 @@
     }
 
     /// A request was sent to it.
-    pub(super) fn started(&mut self, wish: Option<&ModelRef>, now: Instant) {
+    pub(super) fn started(&mut self, model_ref: Option<&ModelRef>, now: Instant) {
         self.in_flight += 1;
         self.silent_since.get_or_insert(now);
-        if let Some(wish) = wish {
-            let count = self.in_flight_models.entry(wish.model.clone());
+        if let Some(model_ref) = model_ref {
+            let count = self.in_flight_models.entry(model_ref.model.clone());
             *count.or_default() += 1;
         }
     }
 
     /// Bytes have come from it.
-    pub(super) fn heard(&mut self, now: Instant) {
+    pub(super) fn record_activity(&mut self, now: Instant) {
         self.silent_since = Some(now);
     }
 
     /// A request that was sent to it has ended.
-    pub(super) fn ended(&mut self, wish: Option<&ModelRef>, outcome: Outcome, now: Instant) {
+    pub(super) fn ended(&mut self, model_ref: Option<&ModelRef>, outcome: Outcome, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 {
             self.silent_since = None;
         }
-        if let Some(wish) = wish
-            && let Some(count) = self.in_flight_models.get_mut(&wish.model)
+        if let Some(model_ref) = model_ref
+            && let Some(count) = self.in_flight_models.get_mut(&model_ref.model)
         {
             *count = count.saturating_sub(1);
         }
@@ -146,7 +146,8 @@
     }
 
     /// It said that it does not have what a request needs.
-    pub(super) fn absent(&mut self, wish: &ModelRef, now: Instant) {
-        self.absent_until.insert(wish.clone(), now + ABSENT_PAUSE);
+    pub(super) fn absent(&mut self, model_ref: &ModelRef, now: Instant) {
+        self.absent_until
+            .insert(model_ref.clone(), now + ABSENT_PAUSE);
     }
 }
