A request that waits at a planned stop gets no answer: a test that shows it

Cause: to be mended. An instance that is told to stop takes requests for another 2.6 s, so that the balancer can turn away. When its grace is nearly over, the process ends, whatever a request still waits for; one that waits for a model longer than that loses its connection without an answer. Ruled out: a kill by the platform; in the test nobody sends one, and the process ends by itself with code 0. Change: tests/all/planned_stops.rs starts the program, sends SIGTERM, waits until the balancer is told, and sends a request for a model that stands on no engine.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod place_worth;
 mod placement_faults;
 mod planned;
+mod planned_stops;
 mod platform_soak;
 mod platform_words;
 mod policy_compare;
--- /dev/null
+++ b/tests/all/planned_stops.rs
@@ -0,0 +1,131 @@
+//! What an instance still holds when it is told to stop gets an answer before the
+//! process ends.
+//!
+//! The fault seen: an instance with a grace of 8 s took a request 2.3 s after SIGTERM,
+//! while the balancer still sent it some, for a model that stood on no engine. The
+//! request could have waited for longer than the grace lasted; 7.6 s after the signal
+//! the process ended, and its caller's connection closed with no answer.
+
+use crate::processes::free_address;
+use crate::site::{self, Caller, configuration, request, until};
+use passway_standins::platform::model_server::ModelServer;
+use passway_standins::platform::store::MetadataStandIn;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+/// The grace of the instance under test, in seconds: the shortest that leaves time
+/// between the balancer's notice and the end.
+const GRACE_S: f64 = 4.5;
+/// Every route's time and every caller's: far beyond the grace, so that nothing but the
+/// stop can end a request.
+const LONG_MS: u64 = 60_000;
+
+/// An instance as a process of its own.
+struct Program {
+    child: Child,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    settings: std::path::PathBuf,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        // Left behind it only wastes room.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+impl Program {
+    /// Starts an instance on a store and waits until it is ready.
+    fn start(name: &str, store: &MetadataStandIn) -> Self {
+        let (callers, ready, peers) = (free_address(), free_address(), free_address());
+        let text = format!(
+            "node_name = \"{name}\"\nzone = \"hall0\"\nip = \"{}\"\ninternal_ports = [{}, 1]\n\
+            [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
+            [bounds]\ngrace_s = {GRACE_S}\nretry_budget_ratio = 0.2\nretry_slack = 52\n\
+            retry_window_s = 10\nlease_ms = 3000\n\
+            [platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
+            peers.ip(),
+            peers.port(),
+            store.serve(),
+        );
+        let file = format!("passway-{name}-{}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, text).expect("settings");
+        let child = Command::new(env!("CARGO_BIN_EXE_passway-instance"))
+            .env("PASSWAY_BOOT", &settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("an instance");
+        let program = Self {
+            child,
+            callers,
+            ready,
+            settings,
+        };
+        until("readiness", || program.readiness() == Some(200));
+        program
+    }
+
+    /// What the balancer is told.
+    fn readiness(&self) -> Option<u16> {
+        std::net::TcpStream::connect(self.ready).ok()?;
+        let question = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        site::ask(self.ready, question).map(|answer| answer.status)
+    }
+
+    /// Sends SIGTERM and waits until the balancer is told of it; requests are still taken.
+    fn begin_stop(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).expect("signal");
+        until("notice to the balancer", || self.readiness() == Some(503));
+    }
+
+    /// Waits for the process's end.
+    fn ended(&mut self) {
+        let code = self.child.wait().expect("wait").code();
+        assert_eq!(code, Some(0));
+    }
+}
+
+/// A store whose routes all allow far more time than a grace lasts.
+fn patient_store(models: &[&str]) -> MetadataStandIn {
+    let store = MetadataStandIn::default();
+    let mut configuration = configuration(1, models);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(LONG_MS);
+        route["goal_ms"] = json!(LONG_MS);
+    }
+    store.put("op/config", &configuration);
+    store
+}
+
+/// A request whose caller has far more time than a grace lasts.
+fn patient_request(method: &str, path: &str, id: &str, more: &str) -> Vec<u8> {
+    let bytes = request(method, path, id, more, "{}");
+    let text = String::from_utf8(bytes).expect("text");
+    let patient = format!("Deadline-Ms: {LONG_MS}");
+    text.replace("Deadline-Ms: 8000", &patient).into_bytes()
+}
+
+#[test]
+fn waiting_request_refused() {
+    let store = patient_store(&["m0", "m1"]);
+    // The only engine has another model, and nobody holds the right to order a change:
+    // the instance gives it back when it is told to stop.
+    let _engine = ModelServer::start(&store, "e0", "engines", 1, &["m0"], &[]);
+    let mut program = Program::start("waits", &store);
+    program.begin_stop();
+    let mut caller = Caller::connect(program.callers);
+    caller.send(&patient_request("POST", "/chat/", "w", "Model: m1\r\n"));
+    let answer = caller.receive().expect("an answer before the end");
+    // It was never sent on, and its caller may send it elsewhere.
+    assert_eq!((answer.status, answer.whole), (503, true));
+    assert!(answer.header("retry-after").is_some(), "{}", answer.head);
+    program.ended();
+}
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -54,7 +54,7 @@
 
 /// A port that the kernel chose, on a loopback address that this test alone uses,
 /// so that nobody takes the port between here and the program's start.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [high, low] = [
         std::process::id() / 250 % 250 + 1,
