Streams cut at a stop are logged, and one without chunks no longer looks complete

Cause: (1) a stream that was still going out when the process ended left no "request ended" line, so nothing told which callers a stop had cut. (2) Looked for beside the stop: a caller on HTTP/1.0 gets a stream without chunks, whose end is the connection's end; one that broke off, at a stop or because its upstream failed, ended with an orderly close and looked complete. Ruled out: refusing streams to HTTP/1.0; whole ones are served well. Change: a second, later event cuts streams at the end of a stop, so that they end by the usual way, with a line ("stream cut by the stop"). A broken stream without chunks ends with a reset.

--- a/crates/ctl/src/commands/analyze/events.rs
+++ b/crates/ctl/src/commands/analyze/events.rs
@@ -34,7 +34,7 @@
             ("caller gone", ..) => "the caller left",
             ("stream broken off", ..) => "the stream broke off",
             ("answered", ..) => "the upstream failed",
-            ("refused at the stop", ..) => "the instance stopped",
+            ("refused at the stop" | "stream cut by the stop", ..) => "the instance stopped",
             (_, 503, 0, _) => "no upstream had what it needs in time",
             (_, 503, ..) => "upstreams were full or had lost the model",
             (_, 504, ..) => "its time ended at an upstream",
--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers' connections: one thread each.
 
-use crate::ending::Ending;
+use crate::ending::Endings;
 use crate::forward::{self, After};
 use crate::http1::{self, BodyReader, Connection, HttpError, RequestHead};
 use crate::reply::{self, Refusal};
@@ -36,7 +36,7 @@
 pub struct Callers {
     address: SocketAddr,
     shared: Arc<Shared>,
-    ending: Arc<Ending>,
+    endings: Arc<Endings>,
     open: Arc<AtomicUsize>,
 }
 
@@ -44,16 +44,16 @@
 /// stop can wait for it.
 struct Serving {
     shared: Arc<Shared>,
-    ending: Arc<Ending>,
+    endings: Arc<Endings>,
     open: Arc<AtomicUsize>,
 }
 
 impl Serving {
-    fn begin(shared: &Arc<Shared>, ending: &Arc<Ending>, open: &Arc<AtomicUsize>) -> Self {
+    fn begin(shared: &Arc<Shared>, endings: &Arc<Endings>, open: &Arc<AtomicUsize>) -> Self {
         open.fetch_add(1, Ordering::AcqRel);
         Self {
             shared: shared.clone(),
-            ending: ending.clone(),
+            endings: endings.clone(),
             open: open.clone(),
         }
     }
@@ -61,7 +61,7 @@
 
 impl Clone for Serving {
     fn clone(&self) -> Self {
-        Self::begin(&self.shared, &self.ending, &self.open)
+        Self::begin(&self.shared, &self.endings, &self.open)
     }
 }
 
@@ -83,10 +83,10 @@
     let callers = Callers {
         address: listener.local_addr().context("the bound address")?,
         shared: shared.clone(),
-        ending: Arc::new(Ending::new().context("the signal of the end")?),
+        endings: Arc::new(Endings::new().context("the signals of the end")?),
         open: Arc::default(),
     };
-    let serving = Serving::begin(shared, &callers.ending, &callers.open);
+    let serving = Serving::begin(shared, &callers.endings, &callers.open);
     std::thread::spawn(move || accept(&serving, &listener));
     Ok(callers)
 }
@@ -101,7 +101,12 @@
     /// beyond those that the kernel has already accepted.
     pub fn end(&self) {
         self.shared.end();
-        self.ending.set();
+        self.endings.answers.set();
+    }
+
+    /// Cuts the streams that still go out.
+    pub fn cut_streams(&self) {
+        self.endings.streams.set();
     }
 
     /// Threads that may still have a caller to answer.
@@ -120,7 +125,7 @@
                 if serving.shared.is_ending() {
                     return;
                 }
-                wait_to_accept(listener, &serving.ending);
+                wait_to_accept(listener, &serving.endings);
             }
             Err(error) => {
                 log::warn!(error:% = error; "a connection could not be accepted");
@@ -130,10 +135,10 @@
     }
 }
 
-fn wait_to_accept(listener: &TcpListener, ending: &Ending) {
+fn wait_to_accept(listener: &TcpListener, endings: &Endings) {
     let mut polled = [
         PollFd::new(listener, PollFlags::IN),
-        PollFd::new(ending, PollFlags::IN),
+        PollFd::new(&endings.answers, PollFlags::IN),
     ];
     match poll(&mut polled, None) {
         Ok(_) | Err(rustix::io::Errno::INTR) => {}
@@ -148,7 +153,7 @@
     let run = move || {
         // A socket that refuses its options is of no use; dropping it closes it.
         if let Ok(mut connection) = Connection::new(stream) {
-            connection.end_with(serving.ending.clone());
+            connection.end_with(serving.endings.clone());
             serve_connection(&serving, connection);
         }
     };
@@ -202,8 +207,8 @@
         if after == After::Close {
             return;
         }
-        // A stream's connection has been let off it.
-        caller.end_with(serving.ending.clone());
+        // A stream's connection waited for the later ending.
+        caller.end_with(serving.endings.clone());
     }
 }
 
--- a/crates/instance/src/ending.rs
+++ b/crates/instance/src/ending.rs
@@ -3,7 +3,8 @@
 //! A thread that waits for a connection is in the kernel, perhaps for as long as a route
 //! allows. A stop must wake it while there is still time to answer. The [`Ending`] is a
 //! descriptor that becomes readable at that moment and stays so; whoever waits on a
-//! caller's behalf waits for it as well.
+//! caller's behalf waits for it as well. There are two such moments: one for what can still
+//! get an answer, and a later one for streams that have begun, which can only be cut.
 
 use rustix::event::{EventfdFlags, eventfd};
 use std::io;
@@ -31,6 +32,28 @@
     }
 }
 
+/// Both moments of a stop.
+#[derive(Debug)]
+pub struct Endings {
+    /// Ends waits for answers of which nothing has gone out.
+    pub answers: Ending,
+    /// Ends streams.
+    pub streams: Ending,
+}
+
+impl Endings {
+    /// Neither is set yet.
+    ///
+    /// # Errors
+    /// If the process has no descriptors left.
+    pub fn new() -> io::Result<Self> {
+        Ok(Self {
+            answers: Ending::new()?,
+            streams: Ending::new()?,
+        })
+    }
+}
+
 impl AsFd for Ending {
     fn as_fd(&self) -> BorrowedFd<'_> {
         self.0.as_fd()
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -377,7 +377,14 @@
     fn give_up(&mut self, failed: Option<Box<FailedAnswer>>) -> After {
         if self.delivered.head_sent {
             // A stream that breaks off must not look whole.
-            self.record.end = "stream broken off";
+            self.record.end = if self.record.cut_by_stop {
+                "stream cut by the stop"
+            } else {
+                "stream broken off"
+            };
+            if !self.delivered.chunked {
+                self.caller.reset_when_closed();
+            }
             return After::Close;
         }
         if let Some(failed) = failed {
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -338,8 +338,8 @@
             let out = self.framed(std::mem::take(&mut opening), &events, ended);
             if !out.is_empty() {
                 self.delivered.head_sent = true;
-                // Nothing but its rest can be an answer any more.
-                self.caller.outlast_ending();
+                // No other answer can be given any more.
+                self.caller.end_with_streams();
                 self.record.status = head.status;
                 if self.write(&out).is_err() {
                     return Attempt::CallerGone;
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -4,7 +4,7 @@
 //! caller ends when the caller has left.
 
 use super::HttpError;
-use crate::ending::Ending;
+use crate::ending::Endings;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -37,8 +37,10 @@
     buffer: Vec<u8>,
     used: usize,
     ended: bool,
-    /// Ends waits for bytes that concern this connection.
-    ending: Option<Arc<Ending>>,
+    /// End waits for bytes that concern this connection.
+    endings: Option<Arc<Endings>>,
+    /// Whether a stream goes out, which only the later ending ends.
+    streams: bool,
 }
 
 impl Connection {
@@ -55,7 +57,8 @@
             buffer: Vec::new(),
             used: 0,
             ended: false,
-            ending: None,
+            endings: None,
+            streams: false,
         })
     }
 
@@ -74,14 +77,24 @@
     }
 
     /// Waits for bytes, on this connection or on one that is waited for on its behalf, end
-    /// with `ending`. Writing to this connection does not.
-    pub fn end_with(&mut self, ending: Arc<Ending>) {
-        self.ending = Some(ending);
+    /// with the ending of answers. Writing to this connection does not.
+    pub fn end_with(&mut self, endings: Arc<Endings>) {
+        self.endings = Some(endings);
+        self.streams = false;
     }
 
-    /// No wait ends with the process's ending any more.
-    pub fn outlast_ending(&mut self) {
-        self.ending = None;
+    /// From now on such waits end with the ending of streams.
+    pub fn end_with_streams(&mut self) {
+        self.streams = true;
+    }
+
+    /// Resets the connection when it is closed, so that what has gone out does not look
+    /// complete where nothing but the connection's end marks the end of a body.
+    pub fn reset_when_closed(&self) {
+        let linger = Some(Duration::ZERO);
+        if let Err(error) = rustix::net::sockopt::set_socket_linger(&self.stream, linger) {
+            log::warn!(error:% = error; "a broken answer may look complete");
+        }
     }
 
     /// Bytes that were read and not used.
@@ -154,7 +167,7 @@
     /// unread bytes resets the connection, and a reset can destroy the answer before the
     /// other end reads it. What still comes is dropped, until the other end closes or `until`.
     pub fn close_after_answer(&mut self, until: Instant) {
-        self.ending = None;
+        self.endings = None;
         if self.stream.shutdown(Shutdown::Write).is_err() {
             // The other end closed first.
             return;
@@ -178,18 +191,20 @@
     Timespec::try_from(left).map_err(|_| HttpError::TimedOut)
 }
 
-/// The ending that ends a wait for bytes. A wait that only writes goes on: what it writes
-/// may be the answer that the ending itself brings about.
-fn ending_of(
+/// The endings of the caller for whom a wait for bytes goes on, and whether it gets a stream.
+/// A wait that only writes goes on: what it writes may be the answer that the ending itself
+/// brings about.
+fn endings_of(
     connection: &Connection,
     flags: PollFlags,
     watched: Option<&Connection>,
-) -> Option<Arc<Ending>> {
+) -> Option<(Arc<Endings>, bool)> {
     if !flags.contains(PollFlags::IN) {
         return None;
     }
-    let of_watched = watched.and_then(|watched| watched.ending.clone());
-    of_watched.or_else(|| connection.ending.clone())
+    let caller = watched.unwrap_or(connection);
+    let endings = caller.endings.clone();
+    endings.map(|endings| (endings, caller.streams))
 }
 
 /// Waits until `connection` can go on in one of the `flags`, the watched one is closed, or
@@ -201,15 +216,19 @@
     until: Instant,
 ) -> Result<PollFlags, HttpError> {
     let timeout = remaining(until)?;
-    let ending = ending_of(connection, flags, watched.as_deref());
+    let endings = endings_of(connection, flags, watched.as_deref());
     // Bytes of a next request say nothing about the caller's leaving.
     let watched = watched.filter(|watched| watched.unused().is_empty());
     let mut polled = vec![PollFd::new(&connection.stream, flags)];
     if let Some(watched) = &watched {
         polled.push(PollFd::new(&watched.stream, PollFlags::IN));
     }
-    let watches_ending = ending.is_some();
-    if let Some(ending) = &ending {
+    if let Some((endings, streams)) = &endings {
+        let ending = if *streams {
+            &endings.streams
+        } else {
+            &endings.answers
+        };
         polled.push(PollFd::new(ending, PollFlags::IN));
     }
     match poll(&mut polled, Some(&timeout)) {
@@ -218,7 +237,7 @@
     }
     let ready = polled[0].revents();
     let mut others = polled[1..].iter().map(|p| !p.revents().is_empty());
-    let is_ending = watches_ending && others.next_back().unwrap_or(false);
+    let is_ending = endings.is_some() && others.next_back().unwrap_or(false);
     let looked = others.next().unwrap_or(false);
     if looked && watched.is_some_and(Connection::is_closed) {
         return Err(HttpError::WatchedClosed);
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -22,6 +22,8 @@
 /// than 20 ms of one core, which is 0.8 s on an instance that has a fortieth of one; such an
 /// instance holds some tens. Upstreams keep five sixths of the usual grace of 8 s.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
+/// Time for cut streams to close and to be logged, out of the reserve.
+const CUT_TIME: Duration = Duration::from_millis(100);
 /// Pause between two looks whether requests are in progress at a stop.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
@@ -151,7 +153,7 @@
 
     /// Takes nothing new and finishes what is in progress, within the grace. What cannot
     /// be finished gets an answer: "not run" if it was never sent on, and otherwise that
-    /// the answer is lost. Only a stream that has begun runs until the process ends.
+    /// the answer is lost. A stream that has begun goes on a little longer, and is cut then.
     pub fn stop(&self) {
         let begun_at = Instant::now();
         let grace = self.shared.bounds.load().grace;
@@ -165,6 +167,8 @@
         wait_until(ends_at, || self.shared.in_progress() == 0);
         self.callers.end();
         wait_until(stopped_at, || self.callers.open() == 0);
+        self.callers.cut_streams();
+        wait_until(stopped_at + CUT_TIME, || self.callers.open() == 0);
         log::info!(in_progress = self.shared.in_progress(), open = self.callers.open(); "stopped");
     }
 }
--- a/tests/all/pass_through.rs
+++ b/tests/all/pass_through.rs
@@ -2,6 +2,7 @@
 
 use crate::site::{self, Caller, HOST, ask, list_plain, request, until};
 use passway_instance::Instance;
+use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::raw::{RawServer, Received, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
@@ -397,6 +398,23 @@
     ));
 }
 
+#[test]
+fn unframed_break_shows() {
+    let store = site::store(&["m0"]);
+    let engine = ModelServer::start(&store, "e0", "engines", 1, &["m0"], &[]);
+    engine.set_faults(Faults {
+        cuts_after: Some(2),
+        ..Faults::default()
+    });
+    let instance = site::ready("one", &store);
+    let mut caller = Caller::connect(instance.callers_address());
+    let head = "Host: shop.example\r\nRequest-Id: u\r\nModel: m0\r\nContent-Length: 0\r\n";
+    caller.send(format!("POST /report/ HTTP/1.0\r\n{head}\r\n").as_bytes());
+    // Without chunks a body that ends with its connection is complete unless it is reset.
+    let rest = std::io::Read::read_to_end(&mut caller.stream, &mut Vec::new());
+    assert!(rest.is_err(), "looks complete: {rest:?}");
+}
+
 #[test]
 fn abandoned_is_reset() {
     // A reset takes back what has not arrived; a plain close would send it on.
--- a/tests/all/planned_stops.rs
+++ b/tests/all/planned_stops.rs
@@ -15,7 +15,7 @@
 use passway_standins::platform::store::MetadataStandIn;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
@@ -216,14 +216,20 @@
     program.ended();
 }
 
-#[test]
-fn cut_stream_shows() {
-    let store = patient_store(&["m0"]);
-    let engine = ModelServer::start(&store, "e0", "engines", 1, &["m0"], &[]);
+/// An engine whose next stream falls silent before its end.
+fn silent_engine(store: &MetadataStandIn) -> ModelServer {
+    let engine = ModelServer::start(store, "e0", "engines", 1, &["m0"], &[]);
     engine.set_faults(Faults {
         silent_after: Some(2),
         ..Faults::default()
     });
+    engine
+}
+
+#[test]
+fn cut_stream_shows() {
+    let store = patient_store(&["m0"]);
+    let engine = silent_engine(&store);
     let mut program = Program::start("stream", &store);
     let mut caller = Caller::connect(program.callers);
     caller.send(&patient_request("POST", "/report/", "s", "Model: m0\r\n"));
@@ -235,3 +241,21 @@
     assert!(!answer.body.is_empty());
     program.ended();
 }
+
+#[test]
+fn unframed_stream_shows() {
+    let store = patient_store(&["m0"]);
+    let engine = silent_engine(&store);
+    let mut program = Program::start("unframed", &store);
+    let mut caller = Caller::connect(program.callers);
+    let bytes = patient_request("POST", "/report/", "s", "Model: m0\r\n");
+    let text = String::from_utf8(bytes).expect("text");
+    caller.send(text.replace("HTTP/1.1", "HTTP/1.0").as_bytes());
+    until("its start", || engine.runs().len() == 1);
+    program.begin_stop();
+    // HTTP/1.0 has no chunks: what ends with the connection is complete unless it is reset.
+    let rest = caller.stream.read_to_end(&mut Vec::new());
+    let error = rest.expect_err("looks complete");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    program.ended();
+}
