--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -14,10 +14,11 @@
 //! * [`health`]: whether the store answers.
 //! * [`relay`]: the store's news by way of the holder, [`news`] as they travel, [`packing`] of
 //!   large values, [`feed_log`]: what the holder keeps to tell others.
-//! * [`lifecycle`] starts and stops.
+//! * [`lifecycle`] starts and stops; [`ending`] wakes what still waits at a stop.
 
 pub mod callers;
 pub mod candidates;
+pub mod ending;
 pub mod events;
 pub mod feed_log;
 pub mod feeds;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,6 +29,7 @@
 mod place_worth;
 mod placement_faults;
 mod planned;
+mod planned_stops;
 mod platform_soak;
 mod platform_words;
 mod policy_compare;
