Who holds the right is looked up while the holder knows nothing; needs have no bound again

Cause: (1) the feed of the right rested for as long as the holder spoke. Change: (1) it rests for as long as the holder knows the configuration.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -2,7 +2,7 @@
 
 use crate::holder::Input;
 use crate::news::{self, Told};
-use crate::relay::{CONFIGURATION, Tap, UPSTREAMS};
+use crate::relay::{CONFIGURATION, Tap};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -156,8 +156,10 @@
         let now = Instant::now();
         let is_failing = self.feed.shared().store_health.is_failing();
         let relay = &self.tap.relay;
-        let other_asks = relay.is_heard() && relay.relied_until(Some(CONFIGURATION)).is_none();
-        if is_failing && self.tap.feed == Some(UPSTREAMS) && other_asks {
+        let another_asks = self.tap.feed != Some(CONFIGURATION)
+            && relay.is_heard()
+            && relay.relied_until(CONFIGURATION).is_none();
+        if is_failing && another_asks && !self.feed.must_ask() {
             return false;
         }
         now >= self.pause.until || (now >= self.pause.soonest && !is_failing)
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -18,10 +18,6 @@
 /// Time kept back of the grace at a stop: the last log lines take 200 ms, and the process
 /// has a quarter of a core.
 const GRACE_RESERVE: Duration = Duration::from_millis(600);
-/// Words about requests that wait to be reported to the holder; a request that has one more
-/// waits a moment. Some hundred bytes each, so 0.4 MB; a second of a busy instance's requests
-/// are a hundred.
-const NEEDS: usize = 4_096;
 /// Time before that for the answers to whatever still waits. Refusing 400 requests took less
 /// than 20 ms of one core, which is 0.8 s on an instance that has a fortieth of one; such an
 /// instance holds some tens. Upstreams keep five sixths of the usual grace of 8 s.
@@ -66,7 +62,10 @@
     pub fn start(mut settings: InstanceSettings, surroundings: Surroundings) -> Result<Self> {
         let peers = holder::bind(settings.peer_address)?;
         settings.peer_address = peers.local_addr().context("the bound address")?;
-        let (needs, needed) = channel::bounded(NEEDS);
+        // Without a bound: requests tell their needs while they hold the upstreams' lock, which the
+        // reporting thread takes as well. Three words of a hundred bytes a request that is in
+        // progress are the most that wait.
+        let (needs, needed) = channel::unbounded();
         let shared = Arc::new(Shared::new(settings, surroundings.vocabulary, needs));
         let settings = &shared.settings;
         let right = Arc::new(Right::new(&shared));
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -131,15 +131,12 @@
         heard_at.is_some_and(|at| at.elapsed() < SILENCE_LIMIT)
     }
 
-    /// Until when the holder is relied on: for a feed, as long as it speaks and knows the feed;
-    /// for none, as long as it speaks. `None` if it is not relied on now.
-    pub fn relied_until(&self, feed: Option<usize>) -> Option<Instant> {
+    /// Until when the holder is relied on for a feed, if it speaks and knows the feed.
+    pub fn relied_until(&self, feed: usize) -> Option<Instant> {
         let state = self.state();
         let heard_until = state.heard_at? + SILENCE_LIMIT;
-        let until = match feed {
-            Some(feed) => heard_until.min(state.confirmed_at[feed]? + KNOWLEDGE_LIMIT),
-            None => heard_until,
-        };
+        let known_until = state.confirmed_at[feed]? + KNOWLEDGE_LIMIT;
+        let until = heard_until.min(known_until);
         (Instant::now() < until).then_some(until)
     }
 
@@ -214,9 +211,11 @@
         self.relay.state().waiting[feed].take()
     }
 
-    /// Until when the holder is relied on if it tells nothing more; `None` if it is not now.
+    /// Until when the holder is relied on if it tells nothing more; `None` if it is not now. A
+    /// feed that rests meanwhile does so for as long as the holder knows the configuration: one
+    /// that does not may have lost the right without knowing that either.
     pub fn relied_until(&self) -> Option<Instant> {
-        self.relay.relied_until(self.feed)
+        self.relay.relied_until(self.feed.unwrap_or(CONFIGURATION))
     }
 
     /// The store has answered, with all that it knew at a moment.
--- a/tests/all/config_way.rs
+++ b/tests/all/config_way.rs
@@ -108,3 +108,19 @@
         upstreams.have(20)
     });
 }
+
+/// A holder that speaks and knows nothing any more: who holds the right is asked of the store.
+/// Cut off from the store, such a holder kept its term for 3 s after its lease; nobody looked
+/// whether the right was free, and those that reached nobody else heard nothing for 4.4 s.
+#[test]
+fn resting_feed_wakes() {
+    let (relay, _) = Relay::new();
+    relay.heard(News::default());
+    let store = ToldStore::new(|_| Ok(empty_list()), |_| Ok(change()));
+    let seen = followed(store, relay.resting(), &shared());
+    until("the list", || seen.have(10));
+    until("the store's word", || {
+        relay.heard(News::default());
+        seen.have(20)
+    });
+}
