--- /dev/null
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -0,0 +1,200 @@
+//! Measures what one instance keeps in memory for its configuration, by a counting allocator:
+//! the decoded table, the log of changes that a holder of the right to order keeps for
+//! instances that connect, and the queues to instances that do not read.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use passway_instance::relay::{CONFIGURATION, FeedLog, Told};
+use passway_process::outbox::Outbox;
+use passway_serving::ports::{Directory, StoreChange, StoredValue};
+use passway_serving::routes::RouteTable;
+use passway_users_platform::PlatformDirectory;
+use passway_wire::{Body, Link};
+use peak_alloc::PeakAlloc;
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
+use serde_json::json;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+#[global_allocator]
+static ALLOCATOR: PeakAlloc = PeakAlloc;
+
+/// The key of the configuration in the platform's store.
+const KEY: &str = "op/config";
+/// Routes of the configuration that is sent to peers: about the largest value of the store.
+const SENT_ROUTES: usize = 5_000;
+/// Socket buffers of a connection, in bytes: the platform's links have small windows, and what
+/// the kernel of this machine would take by itself (4 MB) would not stand in the queues.
+const SOCKET_BUFFER_BYTES: usize = 16 << 10;
+/// Time after sending at which queues are measured: a peer that reads nothing is cut off
+/// after 2 s.
+const QUEUE_TIME: Duration = Duration::from_millis(500);
+
+/// Prints the bytes that are kept, and the most that were in use, for each case.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Routes of a configuration, divided by commas.
+    #[arg(long, value_delimiter = ',', default_value = "500,5000,20000")]
+    routes: Vec<usize>,
+    /// Changes of the configuration, divided by commas.
+    #[arg(long, value_delimiter = ',', default_value = "1,30,400")]
+    changes: Vec<u64>,
+    /// Peers that do not read, divided by commas.
+    #[arg(long, value_delimiter = ',', default_value = "6,79,300")]
+    peers: Vec<usize>,
+    /// Configurations that are sent to each peer.
+    #[arg(long, default_value_t = 4)]
+    sent: u64,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    println!("{:<44} {:>14} {:>14}", "case", "kept bytes", "peak bytes");
+    for &routes in &arguments.routes {
+        decoded_table(routes)?;
+    }
+    for &routes in &arguments.routes {
+        for &changes in &arguments.changes {
+            change_log(routes, changes)?;
+        }
+    }
+    for &peers in &arguments.peers {
+        queues(peers, arguments.sent)?;
+    }
+    Ok(())
+}
+
+/// Bytes in use at the start of a case.
+struct Case {
+    before_bytes: usize,
+}
+
+impl Case {
+    fn begin() -> Self {
+        ALLOCATOR.reset_peak_usage();
+        Self {
+            before_bytes: ALLOCATOR.current_usage(),
+        }
+    }
+
+    /// Prints what the case keeps now and the most that it had in use.
+    fn print(&self, name: &str) {
+        let kept = ALLOCATOR.current_usage().saturating_sub(self.before_bytes);
+        let peak = ALLOCATOR.peak_usage().saturating_sub(self.before_bytes);
+        println!("{name:<44} {kept:>14} {peak:>14}");
+    }
+}
+
+/// One version of a configuration, as it lies in the store.
+fn configuration(version: u64, routes: usize) -> Result<StoredValue> {
+    let route = |number: usize| {
+        json!({"name": format!("route-{number}"), "host": format!("host-{}.example", number % 97),
+            "prefix": format!("/service/{number}/"), "kind": "idempotent", "timeout_ms": 10_000,
+            "goal_ms": 1_000, "priority": 1, "service": format!("service-{}", number % 50),
+            "attempts": 2})
+    };
+    let service = |number: usize| json!({"name": format!("service-{number}"), "max_conns": 96});
+    let file = json!({"version": version,
+        "routes": (0..routes).map(route).collect::<Vec<_>>(),
+        "services": (0..50).map(service).collect::<Vec<_>>(),
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}});
+    Ok(StoredValue {
+        key: KEY.to_owned(),
+        value: serde_json::to_vec(&file).context("encoding a configuration")?,
+        revision: version,
+    })
+}
+
+fn decode(value: &StoredValue) -> Result<RouteTable> {
+    let table = PlatformDirectory.configuration(value)?;
+    table.context("the key holds no configuration")
+}
+
+fn decoded_table(routes: usize) -> Result<()> {
+    let value = configuration(1, routes)?;
+    let case = Case::begin();
+    let table = decode(&value)?;
+    let bytes = value.value.len();
+    case.print(&format!("table, {routes} routes ({bytes} bytes)"));
+    let newer = decode(&value)?;
+    case.print(&format!("table and its successor, {routes} routes"));
+    drop((table, newer));
+    Ok(())
+}
+
+fn change_log(routes: usize, changes: u64) -> Result<()> {
+    let first = configuration(1, routes)?;
+    let case = Case::begin();
+    let mut log = FeedLog::default();
+    for revision in 1..=changes {
+        let value = StoredValue {
+            revision,
+            ..first.clone()
+        };
+        let told = Told::Changes {
+            from: revision - 1,
+            to: revision,
+            changes: vec![StoreChange::Written(value)],
+        };
+        // What is to be passed on is not kept here: the queues are measured apart.
+        drop(log.add(CONFIGURATION, &told));
+    }
+    case.print(&format!("log, {routes} routes, {changes} changes"));
+    drop(log);
+    Ok(())
+}
+
+/// Connections whose other ends are open and read nothing.
+fn silent_peers(count: usize) -> Result<(Vec<Outbox>, Vec<TcpStream>)> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(any).context("binding")?;
+    // Connections take the size from the socket that accepts them.
+    set_socket_recv_buffer_size(&listener, SOCKET_BUFFER_BYTES).context("a peer's buffer")?;
+    let address = listener.local_addr().context("the bound address")?;
+    let mut outboxes = Vec::new();
+    let mut silent = Vec::new();
+    for _ in 0..count {
+        let stream = TcpStream::connect(address).context("connecting")?;
+        set_socket_send_buffer_size(&stream, SOCKET_BUFFER_BYTES).context("our buffer")?;
+        let (link, _reader) = Link::from_stream(stream).context("a link")?;
+        outboxes.push(Outbox::start(link));
+        silent.push(listener.accept().context("accepting")?.0);
+    }
+    Ok((outboxes, silent))
+}
+
+fn queues(peers: usize, sent: u64) -> Result<()> {
+    let value = configuration(1, SENT_ROUTES)?;
+    let (outboxes, silent) = silent_peers(peers)?;
+    let case = Case::begin();
+    let mut log = FeedLog::default();
+    for revision in 1..=sent {
+        let value = StoredValue {
+            revision,
+            ..value.clone()
+        };
+        let told = Told::Changes {
+            from: revision - 1,
+            to: revision,
+            changes: vec![StoreChange::Written(value)],
+        };
+        let news = log
+            .add(CONFIGURATION, &told)
+            .context("nothing to pass on")?;
+        let body = Body::News(news);
+        for outbox in &outboxes {
+            outbox.send(body.clone());
+        }
+    }
+    drop(log);
+    std::thread::sleep(QUEUE_TIME);
+    case.print(&format!("queues, {peers} silent peers, {sent} versions"));
+    for outbox in &outboxes {
+        outbox.close();
+    }
+    drop((outboxes, silent));
+    // The sending threads give back what they hold.
+    std::thread::sleep(QUEUE_TIME);
+    Ok(())
+}
