Failing tests: the planner keeps names of models and adapters for good

Cause: the holder notes a rate for each model name that any instance's callers sent, and at each engine the time of the last use of each adapter that was ever asked for. Neither is ever dropped.

--- /dev/null
+++ b/tests/all/bounded_state.rs
@@ -0,0 +1,46 @@
+//! What outlives a request is bounded, whatever names callers send and however many models,
+//! adapters and services there have been. What is kept is read from the debug text of the
+//! state: a name that occurs in it is kept.
+
+use crate::planned::{Planned, plain};
+use passway_serving::upstreams::ModelRef;
+use passway_types::prelude::*;
+
+/// Names that come once and never again.
+const NAMES: usize = 1_000;
+
+/// How many of the names that begin so occur in the debug text of a state.
+fn kept(state: &impl std::fmt::Debug, names: &str) -> usize {
+    format!("{state:?}").matches(names).count()
+}
+
+#[test]
+fn invented_models() {
+    let mut planned = Planned::new();
+    for number in 0..NAMES {
+        let wish = plain(&format!("invented-{number}"));
+        planned
+            .planner
+            .taken(&"engines".into(), &wish, 1, planned.now);
+    }
+    planned.now += Duration::from_mins(1);
+    planned.need("m2");
+    planned.planner.decide(planned.now);
+    assert_eq!(kept(&planned.planner, "invented-"), 0);
+}
+
+#[test]
+fn adapters_elsewhere() {
+    let mut planned = Planned::new();
+    for number in 0..NAMES {
+        let wish = ModelRef {
+            model: "m0".into(),
+            adapter: Some(format!("elsewhere-{number}").into()),
+        };
+        planned
+            .planner
+            .taken(&"engines".into(), &wish, 1, planned.now);
+    }
+    // None of them stands on the engine or is wanted there.
+    assert_eq!(kept(&planned.planner, "elsewhere-"), 0);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! All scenario tests, one module a feature.
 
 mod bad_input;
+mod bounded_state;
 mod burst_loads;
 mod cell_faults;
 mod cell_scenarios;
