Planner forgets models and adapters that nobody asks for

Cause: each request's adapter was noted at every engine, and each model name a request carried got a rate; both stayed until the process ended. The names come from callers.

Ruled out: taking in only what the configuration names. An instance may hear of a version before the holder does, and a wait that was told once would be lost.

Change: an engine notes the use of an adapter only if it stands there or is wanted there, and forgets the others when they are as many; times of loads are kept for models that stand there; a rate below 0.0001/s (one request after 31 s) is dropped, looked for every 4 s.

Conclusion: the holder's memory follows what stands and what is asked for now. A flood of invented names is bounded by time and the holder's link, not by a count.

--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -10,6 +10,12 @@
 /// Models asked for less often are worth one replica whatever the policy.
 const BUSY_RATE_S: f64 = 0.5;
 
+/// A model asked for less often is forgotten: one request is after 31 s. All 730 models of a
+/// large fleet together stay below [`QUIET_RATE_S`] then, so forgetting them changes no decision.
+const FORGOTTEN_RATE_S: f64 = 0.000_1;
+/// Pause between two looks for models to forget: the time over which rates are averaged.
+const FORGET_PAUSE: Duration = Duration::from_secs(4);
+
 /// So few requests a second for all models together count as none.
 const QUIET_RATE_S: f64 = 0.5;
 
@@ -83,7 +89,10 @@
     waiting: Vec<Waiting>,
     /// Requests that wait for each model, with any adapter or none.
     waiters: HashMap<(ServiceName, ModelName), u32>,
+    /// Names come from callers, so those that are not asked for any more must go.
     rates: BTreeMap<(ServiceName, ModelName), Rate>,
+    /// When faded rates are looked for again.
+    forget_at: Option<Instant>,
 }
 
 impl Demand {
@@ -125,9 +134,14 @@
         self.retain(|named, _| named != instance);
     }
 
-    /// Drops requests whose time is over.
+    /// Drops requests whose time is over, and models that are not asked for any more.
     pub(super) fn expire(&mut self, now: Instant) {
         self.retain(|_, until| now < until);
+        if self.forget_at.is_none_or(|at| now >= at) {
+            self.forget_at = Some(now + FORGET_PAUSE);
+            self.rates
+                .retain(|_, rate| rate.now(now) >= FORGOTTEN_RATE_S);
+        }
     }
 
     fn retain(&mut self, stays: impl Fn(&InstanceId, Instant) -> bool) {
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -13,6 +13,9 @@
 
 /// An engine that leaves so many questions in a row unanswered counts as gone.
 const UNREACHABLE_AFTER: u32 = 2;
+/// Times of adapters' use that are kept beyond twice those that count: so few that 600 engines
+/// keep below 5 MB, so many that they are seldom looked through.
+const SPARE_ADAPTER_USES: usize = 32;
 /// Pause between two questions to an engine that should have what requests wait for.
 const DOUBT_PAUSE: Duration = Duration::from_secs(1);
 
@@ -64,7 +67,9 @@
     /// The model that comes when there is room.
     coming: Option<ModelName>,
     adapters_wanted: Vec<ModelRef>,
+    /// For adapters that stand here or are wanted, and some that went.
     adapter_used_at: HashMap<ModelRef, Instant>,
+    /// For models that stand here.
     loaded_at: HashMap<ModelName, Instant>,
     running: BTreeMap<InstanceId, Vec<(ModelName, u32)>>,
     /// Orders that it has taken; `None` until it was asked.
@@ -153,11 +158,16 @@
     }
 
     pub(super) fn serves(&self, service: &ServiceName, wish: &ModelRef) -> bool {
-        self.has(service, &wish.model)
-            && wish.adapter.as_ref().is_none_or(|adapter| {
-                let resident = self.resident(&wish.model);
-                resident.is_some_and(|model| model.adapters.contains(adapter))
-            })
+        self.has(service, &wish.model) && (wish.adapter.is_none() || self.has_adapter(wish))
+    }
+
+    /// Whether the adapter that a request needs stands here.
+    fn has_adapter(&self, wish: &ModelRef) -> bool {
+        let adapters = self.resident(&wish.model).map(|model| &model.adapters);
+        let adapter = wish.adapter.as_ref();
+        adapters
+            .zip(adapter)
+            .is_some_and(|(adapters, adapter)| adapters.contains(adapter))
     }
 
     pub(super) fn is_bringing(&self, service: &ServiceName, model: &ModelName) -> bool {
@@ -288,11 +298,24 @@
     }
 
     pub(super) fn used(&mut self, wish: &ModelRef, now: Instant) {
-        if wish.adapter.is_some() {
-            self.adapter_used_at.insert(wish.clone(), now);
+        // One that stands elsewhere takes no place here, and names come from callers.
+        if self.has_adapter(wish) {
+            self.note_use(wish, now);
         }
     }
 
+    /// Notes a use, and forgets those of adapters that neither stand here nor are wanted
+    /// whenever they are as many as those that do.
+    fn note_use(&mut self, wish: &ModelRef, now: Instant) {
+        let most = 2 * self.adapter_count() + SPARE_ADAPTER_USES;
+        if self.adapter_used_at.len() >= most {
+            let mut uses = std::mem::take(&mut self.adapter_used_at);
+            uses.retain(|wish, _| self.has_adapter(wish) || self.adapters_wanted.contains(wish));
+            self.adapter_used_at = uses;
+        }
+        self.adapter_used_at.insert(wish.clone(), now);
+    }
+
     /// Adapters that stand here.
     fn standing_adapters(&self) -> usize {
         self.models.iter().map(|m| m.adapters.len()).sum()
@@ -317,7 +340,7 @@
         if pool.adapter_slots == 0 || self.adapters_wanted.contains(&wish) {
             return;
         }
-        self.adapter_used_at.insert(wish.clone(), now);
+        self.note_use(&wish, now);
         self.adapters_wanted.push(wish);
     }
 
@@ -338,6 +361,9 @@
                 name: model.clone(),
                 adapters: Vec::new(),
             });
+            let models = &self.models;
+            self.loaded_at
+                .retain(|loaded, _| models.iter().any(|m| m.name == *loaded));
             self.loaded_at.insert(model.clone(), now);
             if self.coming.as_ref() == Some(&model) {
                 self.coming = None;
--- a/tests/all/bounded_state.rs
+++ b/tests/all/bounded_state.rs
@@ -3,11 +3,14 @@
 //! state: a name that occurs in it is kept.
 
 use crate::planned::{Planned, plain};
+use passway_serving::ports::OrderAnswer;
 use passway_serving::upstreams::ModelRef;
 use passway_types::prelude::*;
 
 /// Names that come once and never again.
 const NAMES: usize = 1_000;
+/// Names that may be kept without need, so that they are seldom looked through.
+const MOST_SPARE: usize = 64;
 
 /// How many of the names that begin so occur in the debug text of a state.
 fn kept(state: &impl std::fmt::Debug, names: &str) -> usize {
@@ -44,3 +47,22 @@
     // None of them stands on the engine or is wanted there.
     assert_eq!(kept(&planned.planner, "elsewhere-"), 0);
 }
+
+#[test]
+fn refused_adapters() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    for number in 0..NAMES {
+        let wish = ModelRef {
+            model: "m0".into(),
+            adapter: Some(format!("refused-{number}").into()),
+        };
+        planned.need_wish(wish.clone(), 1);
+        let orders = planned.orders(OrderAnswer::Refused);
+        assert!(!orders.is_empty(), "{number}");
+        planned.need_wish(wish, 0);
+    }
+    let kept = kept(&planned.planner, "refused-");
+    assert!(kept < MOST_SPARE, "{kept}");
+}
