Failing tests: ended runs, renamed services, endless lines of a chunked body

Cause: an upstream's count of a model's runs stays at zero instead of going; the retry budget keeps a bucket for each service name of all configurations; the line of a chunk's size and the trailer are kept until their end comes, which a caller may never send.

--- a/tests/all/bounded_state.rs
+++ b/tests/all/bounded_state.rs
@@ -4,7 +4,8 @@
 
 use crate::planned::{Planned, plain};
 use passway_serving::ports::OrderAnswer;
-use passway_serving::upstreams::ModelRef;
+use passway_serving::retry::{RetryAllowance, RetryBudget};
+use passway_serving::upstreams::{ModelRef, Outcome, UpstreamEntry, UpstreamTable};
 use passway_types::prelude::*;
 
 /// Names that come once and never again.
@@ -17,6 +18,22 @@
     format!("{state:?}").matches(names).count()
 }
 
+fn entry() -> UpstreamEntry {
+    UpstreamEntry {
+        id: "i-0".into(),
+        service: "engines".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        hall: "hall0".into(),
+        slots: 16,
+        draining: false,
+        gone_at: None,
+        models: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        beat: 1,
+    }
+}
+
 #[test]
 fn invented_models() {
     let mut planned = Planned::new();
@@ -66,3 +83,36 @@
     let kept = kept(&planned.planner, "refused-");
     assert!(kept < MOST_SPARE, "{kept}");
 }
+
+#[test]
+fn ended_runs() {
+    let now = Instant::now();
+    let mut upstreams = UpstreamTable::new("hall0".into());
+    upstreams.update(entry(), now);
+    for number in 0..NAMES {
+        let wish = plain(&format!("ended-{number}"));
+        upstreams.started("i-0", Some(&wish), now);
+        upstreams.ended("i-0", Some(&wish), Outcome::Answered, now);
+    }
+    assert_eq!(kept(&upstreams, "ended-"), 0);
+}
+
+#[test]
+fn renamed_services() {
+    let allowance = RetryAllowance {
+        ratio: 0.2,
+        slack: 52.0,
+        window_s: 10.0,
+    };
+    let mut budget = RetryBudget::new(allowance, 4);
+    let mut now = Instant::now();
+    for number in 0..NAMES {
+        // A new configuration renames the service.
+        let service = format!("renamed-{number}").into();
+        budget.requested(&service, now);
+        assert!(budget.try_spend(&service, now));
+        now += Duration::from_secs(10);
+    }
+    let kept = kept(&budget, "renamed-");
+    assert!(kept < MOST_SPARE, "{kept}");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod config_freshness;
 mod config_spread;
 mod docs_match;
+mod endless_input;
 mod fair_share;
 mod former_holder;
 mod holder_heard;
