Upstreams forget models without requests, the retry budget services without requests

Cause: a model's count at an upstream stayed at zero for as long as the upstream lived, and the retry budget kept a bucket for each service of any configuration there had been.

Ruled out: dropping buckets when a configuration leaves a service out. A version that brings it back a moment later would give it a full part again, beyond the fleet's allowance.

Change: a count that reaches zero goes; a service that had no request for four windows is forgotten when there are twice as many as at the last look. Its part is whole again after one.

Conclusion: both follow what is asked for now.

--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -14,6 +14,11 @@
 /// Part of the fixed allowance that is spent. It comes back over one window, so a
 /// window may see it twice.
 const SLACK_PART: f64 = 0.45;
+/// A service without requests for so many windows is forgotten: its part is whole again after
+/// one, and what it earned has faded to 2% after four.
+const FORGOTTEN_WINDOWS: f64 = 4.0;
+/// Services that are kept before the first look for some to forget.
+const SPARE_SERVICES: usize = 16;
 
 /// The allowance of the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,6 +46,8 @@
     allowance: RetryAllowance,
     instances: f64,
     buckets: HashMap<ServiceName, Bucket>,
+    /// With so many services it is looked whether some are gone from the configuration.
+    look_at_services: usize,
 }
 
 impl RetryBudget {
@@ -50,6 +57,7 @@
             allowance,
             instances: count(instances),
             buckets: HashMap::new(),
+            look_at_services: SPARE_SERVICES,
         }
     }
 
@@ -67,7 +75,20 @@
         self.allowance.slack * SLACK_PART / self.instances
     }
 
+    /// Forgets services that are not asked for any more. One that comes back begins with its
+    /// part, which it would have by then.
+    fn forget_quiet(&mut self, now: Instant) {
+        let longest_s = FORGOTTEN_WINDOWS * self.allowance.window_s;
+        let quiet_s = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
+        self.buckets
+            .retain(|_, bucket| quiet_s(bucket.at) < longest_s);
+        self.look_at_services = 2 * self.buckets.len() + SPARE_SERVICES;
+    }
+
     fn bucket(&mut self, service: &ServiceName, now: Instant) -> &mut Bucket {
+        if self.buckets.len() >= self.look_at_services {
+            self.forget_quiet(now);
+        }
         let part = self.part();
         let window_s = self.allowance.window_s;
         let earned = self.allowance.ratio * RATIO_PART;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -205,9 +205,7 @@
     pub fn running(&self) -> impl Iterator<Item = (&UpstreamId, &ModelName, u32)> {
         self.upstreams.iter().flat_map(|(id, upstream)| {
             let models = upstream.in_flight_models.iter();
-            models
-                .filter(|(_, count)| **count > 0)
-                .map(move |(model, count)| (id, model, *count))
+            models.map(move |(model, count)| (id, model, *count))
         })
     }
 }
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) entry: UpstreamEntry,
-    /// Requests of this instance that run there, in all and by model.
+    /// Requests of this instance that run there, in all and by model; no model without any.
     pub(super) in_flight: u32,
     pub(super) in_flight_models: HashMap<ModelName, u32>,
     /// Since when nothing was heard while requests run; `None` while none runs.
@@ -121,6 +121,9 @@
             && let Some(count) = self.in_flight_models.get_mut(&wish.model)
         {
             *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_flight_models.remove(&wish.model);
+            }
         }
         self.judge(outcome, now);
     }
