Lines of chunks and trailers of a body are bounded

Cause: the parser asks for more bytes until a chunk's line ends, and its extensions may be of any length; the trailer likewise. The bound on a body counts its bytes alone, so one caller could have as much kept as it sends in 10 s: more than 256 MB in 2 s on 1,000 Mbit/s.

Ruled out: refusing extensions.

Change: a line, and all lines of a trailer together, may have 16 KiB; a caller beyond that gets 413 as for a body that is too large, an upstream's attempt counts as broken.

Conclusion: what a request's framing keeps is at most 32 KiB.

--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -6,6 +6,12 @@
 use passway_serving::headers::Headers;
 use std::time::Instant;
 
+/// Longest line of a chunk's size with its extensions, and largest trailer. None of them is
+/// passed on; without a bound a sender whose line never ends is kept whole until its time is
+/// over, which on a link of 1,000 Mbit/s is more than the process may have. As much as a
+/// request's head may have on the users' sites.
+const MAX_LINE_BYTES: usize = 16 << 10;
+
 /// How a body ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Framing {
@@ -29,6 +35,8 @@
 #[derive(Debug)]
 pub struct BodyReader {
     framing: Framing,
+    /// Bytes of the trailer that were left out.
+    trailer_bytes: usize,
     /// Whether the connection may carry another message when the body has ended.
     pub reusable: bool,
 }
@@ -88,6 +96,7 @@
         };
         Ok(Self {
             framing,
+            trailer_bytes: 0,
             reusable: true,
         })
     }
@@ -111,6 +120,7 @@
         let says_close = head.headers.connection_says("close");
         Ok(Self {
             framing,
+            trailer_bytes: 0,
             reusable: head.is_1_1 && !says_close && framing != Framing::Connection,
         })
     }
@@ -163,14 +173,23 @@
                         connection.advance(length);
                         self.framing = Framing::Chunk(size);
                     }
+                    Ok(httparse::Status::Partial) if bytes.len() > MAX_LINE_BYTES => {
+                        return Err(HttpError::TooLarge);
+                    }
                     Ok(httparse::Status::Partial) => return Ok(moved),
                     Err(_) => return Err(HttpError::Malformed("a chunk without its size")),
                 },
                 Framing::Trailer => {
-                    let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else {
+                    let end = bytes.windows(2).position(|pair| pair == b"\r\n");
+                    let length = end.map_or(bytes.len(), |end| end + 2);
+                    if self.trailer_bytes + length > MAX_LINE_BYTES {
+                        return Err(HttpError::TooLarge);
+                    }
+                    let Some(end) = end else {
                         return Ok(moved);
                     };
-                    connection.advance(end + 2);
+                    connection.advance(length);
+                    self.trailer_bytes += length;
                     if end == 0 {
                         self.framing = Framing::Done;
                     }
@@ -191,7 +210,8 @@
     /// Waits for the next part of the body and adds it to `out`.
     ///
     /// # Errors
-    /// If the body breaks off or is late, or a connection breaks.
+    /// If the body breaks off or is late, a chunk's line or the trailer is too large, or a
+    /// connection breaks.
     pub fn next(
         &mut self,
         connection: &mut Connection,
