Failing tests: resting connections have no bound over all upstreams

Cause: 16 connections may rest for each upstream, and those whose time is over are looked at only when their own upstream is used again: 600 upstreams make 9,600, where the smallest instance has 3,900 sockets, and each keeps a read buffer of 16 KiB (157 MB of its 160).

--- a/crates/instance/src/pool.rs
+++ b/crates/instance/src/pool.rs
@@ -11,6 +11,9 @@
 const REST_PART: f64 = 0.6;
 /// Connections that rest for one upstream.
 const MAX_RESTING: usize = 16;
+/// Connections that rest for all upstreams together: more than twice an instance's part of all
+/// slots in the fleets of today (96 at most), and a fifteenth of the smallest one's sockets.
+pub const MAX_RESTING_IN_ALL: usize = 256;
 
 #[derive(Debug)]
 struct Resting {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -32,6 +32,7 @@
 mod process_kills;
 mod processes;
 mod relay_gap;
+mod resting_connections;
 mod retry_budget;
 mod retry_share;
 mod router_faults;
