Failing test: log lines that nobody reads take memory by their length

Cause: 2,048 lines may wait, of any length; request ids, models and adapters in them come from callers' headers (16 KiB).

--- a/tests/all/log_lines.rs
+++ b/tests/all/log_lines.rs
@@ -6,11 +6,17 @@
 use passway_ctl::commands::trace;
 use passway_process::logging::volume::VolumeBound;
 use passway_types::prelude::*;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
 /// Requests whose lines nobody reads.
 const REQUESTS: u32 = 3_000;
+/// An id that a head still has room for.
+const LONG_ID_BYTES: usize = 12 << 10;
+/// What such lines may take: a queue and a batch of 1 MiB each, and what the allocator and a
+/// connection need beside them.
+const MOST_GROWN_BYTES: usize = 8 << 20;
 
 /// A process that a test has started; it is ended with the test, however that ends.
 struct Ended(Child);
@@ -40,52 +46,107 @@
     assert!(ends > 8 * others, "{others} lines beside {ends} ends");
 }
 
+/// An instance's process whose output nobody reads.
+struct Unread {
+    process: Ended,
+    callers: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Unread {
+    /// Starts one beside a plain server and waits for its first answer.
+    fn start(name: &str) -> Self {
+        let store = site::store(&[]);
+        let server = plain_server();
+        list_plain(&store, "i-0", server.address, "ready");
+        let free = || {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+            listener.local_addr().expect("address")
+        };
+        let (callers, ready, peers) = (free(), free(), free());
+        let text = format!(
+            "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternal_ports = [{}, 1]\n\
+            [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
+            [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n\
+            lease_ms = 3000\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
+            peers.port(),
+            store.serve(),
+        );
+        let file = format!("passway-{name}-{}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, text).expect("settings");
+        let process = Ended(
+            Command::new(env!("CARGO_BIN_EXE_passway-instance"))
+                .args(["--log-level", "debug", "--log-lines-per-s", "1000000"])
+                .env("PASSWAY_BOOT", &settings)
+                .stdout(Stdio::piped())
+                .stderr(Stdio::null())
+                .spawn()
+                .expect("an instance"),
+        );
+        until("a listening instance", || {
+            TcpStream::connect(callers).is_ok()
+        });
+        let first = request("GET", "/read/", "first", "", "");
+        until("a first answer", || is_served(ask(callers, &first)));
+        Self {
+            process,
+            callers,
+            settings,
+        }
+    }
+
+    /// Sends requests on one connection, whose next request waits for the line about the one
+    /// before; how many are answered well.
+    fn serve(&self, requests: u32, id: &str) -> u32 {
+        let mut caller = Caller::connect(self.callers);
+        let mut count = 0;
+        for number in 0..requests {
+            let id = format!("{id}{number}");
+            caller.send(&request("GET", "/read/", &id, "", ""));
+            count += u32::from(is_served(caller.receive()));
+        }
+        count
+    }
+
+    /// Resident memory.
+    fn resident_bytes(&self) -> usize {
+        let status = format!("/proc/{}/status", self.process.0.id());
+        let status = std::fs::read_to_string(status).expect("the process's status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes: usize = kilobytes.expect("a size").parse().expect("a number");
+        kilobytes << 10
+    }
+}
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        // A file in the temporary directory does no harm if it stays.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn is_served(answer: Option<Answer>) -> bool {
+    answer.is_some_and(|answer| answer.status == 200)
+}
+
 #[test]
 fn full_pipe_serves() {
-    let store = site::store(&[]);
-    let server = plain_server();
-    list_plain(&store, "i-0", server.address, "ready");
-    let free = || {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-        listener.local_addr().expect("address")
-    };
-    let (callers, ready, peers) = (free(), free(), free());
-    let settings = format!(
-        "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternal_ports = [{}, 1]\n\
-        [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
-        [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n\
-        lease_ms = 3000\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
-        peers.port(),
-        store.serve(),
-    );
-    let path = std::env::temp_dir().join(format!("passway-pipe-{}.toml", std::process::id()));
-    std::fs::write(&path, settings).expect("settings");
-    let instance = Ended(
-        Command::new(env!("CARGO_BIN_EXE_passway-instance"))
-            .args(["--log-level", "debug", "--log-lines-per-s", "1000000"])
-            .env("PASSWAY_BOOT", &path)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("an instance"),
-    );
-    until("a listening instance", || {
-        TcpStream::connect(callers).is_ok()
-    });
-    let first = request("GET", "/read/", "first", "", "");
-    let is_served = |answer: Option<Answer>| answer.is_some_and(|a| a.status == 200);
-    until("a first answer", || is_served(ask(callers, &first)));
-    // Some megabytes of lines, more than a pipe holds, and nobody reads them. All on one
-    // connection, whose next request waits for the line about the one before.
-    let mut caller = Caller::connect(callers);
-    let mut count = 0;
-    for number in 0..REQUESTS {
-        caller.send(&request("GET", "/read/", &format!("p{number}"), "", ""));
-        count += u32::from(is_served(caller.receive()));
-    }
-    drop(instance);
-    std::fs::remove_file(&path).expect("removing the settings");
-    assert_eq!(count, REQUESTS);
+    let instance = Unread::start("pipe");
+    // Some megabytes of lines, more than a pipe holds, and nobody reads them.
+    assert_eq!(instance.serve(REQUESTS, "p"), REQUESTS);
+}
+
+#[test]
+fn long_lines_bounded() {
+    let instance = Unread::start("long");
+    let before_bytes = instance.resident_bytes();
+    // Lines carry ids that callers choose.
+    let id = "l".repeat(LONG_ID_BYTES);
+    assert_eq!(instance.serve(REQUESTS, &id), REQUESTS);
+    let grown_bytes = instance.resident_bytes().saturating_sub(before_bytes);
+    assert!(grown_bytes < MOST_GROWN_BYTES, "{grown_bytes}");
 }
 
 #[test]
