Log lines that wait are bounded in bytes

Ruled out: cutting long names. The id in a line is what an operator looks a request up by.

Change: a queue of 2,048 lines and 1 MiB (`logging::queue`), whichever is reached first; a batch takes 1 MiB at most. What does not fit is dropped, counted and told, as before.

--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -2,9 +2,10 @@
 //!
 //! * [`start`]: `key=value` lines on standard error, for programs run by hand.
 //! * [`json`]: JSON lines on standard output, bounded in volume, for programs whose
-//!   output is collected.
+//!   output is collected; [`queue`] holds them until they are written.
 
 pub mod json;
+pub mod queue;
 pub mod volume;
 
 use anyhow::{Context, Result};
--- a/crates/process/src/logging/json.rs
+++ b/crates/process/src/logging/json.rs
@@ -4,10 +4,10 @@
 //! who logs waits for whoever reads the output. What does not fit into the queue or the
 //! bound is dropped, counted, and told with the next batch.
 
+use super::queue::{LineReceiver, LineSender, line_queue};
 use super::volume::VolumeBound;
 use super::{dispatch, time_of_day};
 use anyhow::{Context, Result};
-use crossbeam::channel::{Receiver, Sender, bounded};
 use log::kv::{self, Key, Value, VisitSource};
 use serde_json::{Map, Value as Json};
 use std::io::Write;
@@ -16,8 +16,6 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Lines that wait to be written.
-const QUEUED_LINES: usize = 2_048;
 /// Lines of this time are written by one call.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 /// The target of lines about the end of a request, which come first in the bound.
@@ -25,7 +23,7 @@
 
 /// Where lines go on their way to the output.
 struct Sink {
-    lines: Sender<String>,
+    lines: LineSender,
     bound: Mutex<VolumeBound>,
     dropped: Arc<AtomicU64>,
 }
@@ -37,7 +35,7 @@
 pub fn start(program: &'static str, level: &str, lines_per_s: u32) -> Result<()> {
     let dispatch = dispatch(level)?;
     let dropped = Arc::new(AtomicU64::new(0));
-    let (lines, queued) = bounded(QUEUED_LINES);
+    let (lines, queued) = line_queue();
     let counted = dropped.clone();
     std::thread::spawn(move || write_batches(&queued, &counted, program));
     let sink = Sink {
@@ -58,7 +56,7 @@
         let mut bound = self.bound.lock().unwrap_or_else(PoisonError::into_inner);
         let admitted = bound.admit(ends_request, Instant::now());
         drop(bound);
-        if !admitted || self.lines.try_send(line(record, program)).is_err() {
+        if !admitted || !self.lines.send(line(record, program)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -100,12 +98,12 @@
 }
 
 /// Writes lines until the process ends; nobody waits for it.
-fn write_batches(queued: &Receiver<String>, dropped: &AtomicU64, program: &str) {
+fn write_batches(queued: &LineReceiver, dropped: &AtomicU64, program: &str) {
     let mut batch = String::new();
-    while let Ok(first) = queued.recv() {
+    while let Ok(first) = queued.receive() {
         std::thread::sleep(BATCH_TIME);
         batch.clear();
-        for line in std::iter::once(first).chain(queued.try_iter()) {
+        for line in std::iter::once(first).chain(queued.waiting()) {
             batch.push_str(&line);
             batch.push('\n');
         }
