Benchmark of kept memory: servers, the planner and empty outboxes

Cause: three figures of the inventory came from a trial program that is not kept.

Ruled out: measuring connections and threads there too; what they take is resident pages, which depend on the allocator's arenas and the order of events, and stays a trial.

Change: passway-config-memory also prints what 90 and 600 servers take in the table of upstreams and in the planner, the planner after requests for 8,600 adapters, and outboxes to which nothing was sent.

--- a/crates/standins/src/bin/passway-config-memory.rs
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -1,24 +1,37 @@
-//! Measures what one instance keeps in memory for its configuration, by a counting allocator:
-//! the decoded table, the log of changes that a holder of the right to order keeps for
-//! instances that connect, and the queues to instances that do not read.
+//! Measures what one instance keeps in memory for its configuration and its fleet, by a counting
+//! allocator: the decoded table, the servers in the store and the planner's view of them, the
+//! log of changes that a holder of the right to order keeps for instances that connect, and the
+//! queues to instances that do not read.
 
 use anyhow::{Context, Result};
 use clap::Parser;
 use passway_instance::relay::{CONFIGURATION, FeedLog, Told};
 use passway_process::outbox::Outbox;
+use passway_serving::placement::policy::PolicyName;
+use passway_serving::placement::{Planner, USUAL_LOAD_WINDOW};
 use passway_serving::ports::{Directory, StoreChange, StoredValue};
-use passway_serving::routes::RouteTable;
+use passway_serving::routes::{CallerLimits, EnginePool, ModelSpec, RouteTable, Service};
+use passway_serving::upstreams::{ModelRef, UpstreamEntry, UpstreamTable};
 use passway_users_platform::PlatformDirectory;
 use passway_wire::{Body, Link};
 use peak_alloc::PeakAlloc;
 use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use serde_json::json;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[global_allocator]
 static ALLOCATOR: PeakAlloc = PeakAlloc;
 
+/// The service of all servers.
+const ENGINES: &str = "engines";
+/// Models of the fleet that is aimed at.
+const MODELS: usize = 730;
+/// Models on a server's accelerators, in its memory and on its disk, on the high side: the
+/// largest servers of the users' sites keep 150 GB and 1.3 TB of copies, here of 10 GB each.
+const RESIDENT: usize = 6;
+const IN_MEMORY: usize = 15;
+const ON_DISK: usize = 130;
 /// The key of the configuration in the platform's store.
 const KEY: &str = "op/config";
 /// Routes of the configuration that is sent to peers: about the largest value of the store.
@@ -42,6 +55,12 @@
     /// Peers that do not read, divided by commas.
     #[arg(long, value_delimiter = ',', default_value = "6,79,300")]
     peers: Vec<usize>,
+    /// Servers in the store, divided by commas.
+    #[arg(long, value_delimiter = ',', default_value = "90,600")]
+    servers: Vec<usize>,
+    /// Adapters that requests ask for.
+    #[arg(long, default_value_t = 8_600)]
+    adapters: usize,
     /// Configurations that are sent to each peer.
     #[arg(long, default_value_t = 4)]
     sent: u64,
@@ -53,6 +72,9 @@
     for &routes in &arguments.routes {
         decoded_table(routes)?;
     }
+    for &servers in &arguments.servers {
+        known_servers(servers, arguments.adapters)?;
+    }
     for &routes in &arguments.routes {
         for &changes in &arguments.changes {
             change_log(routes, changes)?;
@@ -123,6 +145,89 @@
     Ok(())
 }
 
+/// Names of models, from one on.
+fn model_names(from: usize, count: usize) -> Vec<String> {
+    let numbers = from..from + count;
+    numbers.map(|n| format!("model-{}", n % MODELS)).collect()
+}
+
+/// What a server says of itself.
+fn server(number: usize) -> Result<UpstreamEntry> {
+    let resident = |name: &String| json!({"name": name, "adapters": ["a1", "a2"]});
+    let models: Vec<_> = model_names(number, RESIDENT).iter().map(resident).collect();
+    let row = json!({"service": ENGINES, "address": "10.1.2.3:8000", "zone": "hall", "slots": 16,
+        "state": "ready", "models": models, "sequence": 1,
+        "at_hand": {"in_memory": model_names(number, IN_MEMORY),
+            "on_disk": model_names(number, ON_DISK)}});
+    let value = StoredValue {
+        key: format!("servers/i-{number}"),
+        value: serde_json::to_vec(&row).context("encoding a server")?,
+        revision: 1,
+    };
+    PlatformDirectory.upstream(&value, Instant::now())
+}
+
+/// A configuration with all models.
+fn models_table() -> RouteTable {
+    let spec = |name: String| ModelSpec {
+        name: name.into(),
+        weights_mb: 70.0,
+        adapter_mb: 1.0,
+        load_ms: 6_000,
+        disk_ms: 2_000,
+        memory_ms: 500,
+    };
+    let pool = EnginePool {
+        slots: 16,
+        weights_mb: 500.0,
+        adapter_slots: 8,
+        loads_per_s: 1.0,
+        models: model_names(0, MODELS).into_iter().map(spec).collect(),
+    };
+    let service = Service {
+        name: ENGINES.into(),
+        max_connections: 96,
+        pool: Some(pool),
+    };
+    let limits = CallerLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 65_536,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    RouteTable::new(1, Vec::new(), vec![service], limits)
+}
+
+/// What every instance keeps of the servers, and what the holder's planner does, before and
+/// after requests for adapters that stand nowhere.
+fn known_servers(servers: usize, adapters: usize) -> Result<()> {
+    let now = Instant::now();
+    let case = Case::begin();
+    let mut upstreams = UpstreamTable::new("hall".into());
+    for number in 0..servers {
+        upstreams.update(server(number)?, now);
+    }
+    case.print(&format!("upstreams, {servers} servers"));
+    drop(upstreams);
+    let table = models_table();
+    let case = Case::begin();
+    let mut planner = Planner::new(USUAL_LOAD_WINDOW, PolicyName::default().policy());
+    planner.set_table(&table);
+    for number in 0..servers {
+        planner.heard(server(number)?, now);
+    }
+    case.print(&format!("planner, {servers} servers"));
+    for number in 0..adapters {
+        let wish = ModelRef {
+            model: format!("model-{}", number % MODELS).into(),
+            adapter: Some(format!("adapter-{number}").into()),
+        };
+        planner.taken(&ENGINES.into(), &wish, 1, now);
+    }
+    case.print(&format!("planner, {servers} servers, {adapters} adapters"));
+    Ok(())
+}
+
 fn change_log(routes: usize, changes: u64) -> Result<()> {
     let first = configuration(1, routes)?;
     let case = Case::begin();
@@ -166,7 +271,9 @@
 
 fn queues(peers: usize, sent: u64) -> Result<()> {
     let value = configuration(1, SENT_ROUTES)?;
+    let case = Case::begin();
     let (outboxes, silent) = silent_peers(peers)?;
+    case.print(&format!("queues, {peers} peers, nothing sent"));
     let case = Case::begin();
     let mut log = FeedLog::default();
     for revision in 1..=sent {
