--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -2,14 +2,14 @@
 //!
 //! A watch of each instance on each prefix would cost the store as many calls as
 //! there are instances. The holder watches for all; the others hear from it for as
-//! long as it shows that it lives and holds its lease, and ask the store themselves
-//! at all other times. Changes carry the store's revisions, so a gap is seen.
+//! long as it shows that it lives, holds its lease and has heard the store itself a moment
+//! ago, and ask the store themselves at all other times. Changes carry the store's revisions, so a gap is seen.
 
-use crossbeam::channel::{Receiver, Sender, unbounded};
-use passway_serving::ports::{Listing, StoreChange, StoreRevision, StoredValue};
+use crate::news::{Bases, Told};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use passway_serving::ports::StoreRevision;
 use passway_types::prelude::*;
-use passway_wire::message::{News, NewsValue};
-use std::collections::{BTreeMap, VecDeque};
+use passway_wire::message::News;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Number of the configuration's feed.
@@ -21,49 +21,64 @@
 
 /// A holder that is silent for this long is not relied on; it speaks far more often.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+/// A holder that knows a feed up to a moment longer ago than this is not relied on for it,
+/// though it speaks: its watch of 0.8 s, its heartbeat of 0.3 s, and 0.4 s for a store that
+/// answers slowly and for the way.
+const KNOWLEDGE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause between two words of the holder when there is no news.
 pub const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
-/// Changes kept for instances that connect.
-const KEPT_CHANGES: usize = 400;
 
-/// News of one feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Told {
-    /// All values.
-    Whole(Listing),
-    /// Changes between two revisions.
-    Changes {
-        /// The revision that they follow on.
-        from: StoreRevision,
-        /// The revision up to which they tell.
-        to: StoreRevision,
-        /// The changes in their order.
-        changes: Vec<StoreChange>,
-    },
+#[derive(Debug, Default)]
+struct State {
+    heard_at: Option<Instant>,
+    /// The moment that the holder counts from, by the quickest of its words. How much later
+    /// than that a word seems to be is how long it was on its way.
+    holder_begun_at: Option<Instant>,
+    /// When the store confirmed last to the holder that it knows all of a feed.
+    confirmed_at: [Option<Instant>; FEEDS],
+    /// When the store answered last here, for each feed.
+    answered_at: [Option<Instant>; FEEDS],
+    known: [StoreRevision; FEEDS],
+    /// What was heard and not taken in yet, merged.
+    waiting: [Option<Told>; FEEDS],
+    /// Up to where a word of a feed told that could not be read; it is to be told whole, unless
+    /// that is known from the store by then.
+    unreadable: [Option<StoreRevision>; FEEDS],
+    bases: [Bases; FEEDS],
 }
 
-/// What a feed hears of the holder within some time.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Heard {
-    /// News.
-    News(Told),
-    /// The holder is relied on and told nothing.
-    Nothing,
-    /// The holder is not relied on; the store is to be asked.
-    HolderLost,
+impl State {
+    /// Takes in up to when the holder knew the feeds, by a word that has just come.
+    fn confirmed(&mut self, news: &News, now: Instant) {
+        self.heard_at = Some(now);
+        if news.sent_ms == 0 {
+            return;
+        }
+        let Some(begun_at) = now.checked_sub(Duration::from_millis(news.sent_ms)) else {
+            return;
+        };
+        let begun_at = self.holder_begun_at.map_or(begun_at, |at| at.min(begun_at));
+        self.holder_begun_at = Some(begun_at);
+        for (known, ms) in self.confirmed_at.iter_mut().zip(&news.confirmed_ms) {
+            if *ms > 0 {
+                *known = Some(begun_at + Duration::from_millis(*ms));
+            }
+        }
+    }
 }
 
-#[derive(Debug)]
-struct State {
-    heard_at: Option<Instant>,
-    known: [StoreRevision; FEEDS],
+/// Milliseconds between two moments.
+pub fn millis_since(since: Instant, at: Instant) -> u64 {
+    let passed = at.saturating_duration_since(since);
+    u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// What an instance hears of the holder.
 #[derive(Debug)]
 pub struct Relay {
     state: Mutex<State>,
-    told: [Sender<Told>; FEEDS],
+    /// Wakes the feeds' threads.
+    woken: [Sender<()>; FEEDS],
 }
 
 /// One feed's end of a relay.
@@ -73,29 +88,26 @@
     pub relay: Arc<Relay>,
     /// The feed's number; `None` for one that is not relayed but rests meanwhile.
     pub feed: Option<usize>,
-    told: Option<Receiver<Told>>,
+    wakes: Option<Receiver<()>>,
 }
 
 impl Relay {
     /// A relay that nothing was heard of, and its feeds' ends.
     pub fn new() -> (Arc<Self>, [Tap; FEEDS]) {
-        let (configuration, heard_configuration) = unbounded();
-        let (upstreams, heard_upstreams) = unbounded();
+        let (configuration, wakes_configuration) = bounded(1);
+        let (upstreams, wakes_upstreams) = bounded(1);
         let relay = Arc::new(Self {
-            state: Mutex::new(State {
-                heard_at: None,
-                known: [0; FEEDS],
-            }),
-            told: [configuration, upstreams],
+            state: Mutex::default(),
+            woken: [configuration, upstreams],
         });
-        let tap = |feed, told| Tap {
+        let tap = |feed, wakes| Tap {
             relay: relay.clone(),
             feed: Some(feed),
-            told: Some(told),
+            wakes: Some(wakes),
         };
         let taps = [
-            tap(CONFIGURATION, heard_configuration),
-            tap(UPSTREAMS, heard_upstreams),
+            tap(CONFIGURATION, wakes_configuration),
+            tap(UPSTREAMS, wakes_upstreams),
         ];
         (relay, taps)
     }
@@ -105,7 +117,7 @@
         Tap {
             relay: self.clone(),
             feed: None,
-            told: None,
+            wakes: None,
         }
     }
 
@@ -113,214 +125,129 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether the holder is relied on now.
-    pub fn is_live(&self) -> bool {
+    /// Whether the holder speaks.
+    pub fn is_heard(&self) -> bool {
         let heard_at = self.state().heard_at;
         heard_at.is_some_and(|at| at.elapsed() < SILENCE_LIMIT)
     }
 
-    /// The holder is not relied on any more.
-    pub fn lost(&self) {
-        self.state().heard_at = None;
+    /// Until when the holder is relied on: for a feed, as long as it speaks and knows the feed;
+    /// for none, as long as it speaks. `None` if it is not relied on now.
+    pub fn relied_until(&self, feed: Option<usize>) -> Option<Instant> {
+        let state = self.state();
+        let heard_until = state.heard_at? + SILENCE_LIMIT;
+        let until = match feed {
+            Some(feed) => heard_until.min(state.confirmed_at[feed]? + KNOWLEDGE_LIMIT),
+            None => heard_until,
+        };
+        (Instant::now() < until).then_some(until)
     }
 
-    /// What is known of each feed, once all feeds have been read.
-    pub fn known(&self) -> Option<[StoreRevision; FEEDS]> {
-        let known = self.state().known;
-        known.iter().all(|revision| *revision > 0).then_some(known)
+    /// When the store answered last for each feed, in milliseconds since a moment; 0 for never.
+    pub fn answered_ms(&self, since: Instant) -> Vec<u64> {
+        let answered_at = self.state().answered_at;
+        let count = |at: Instant| millis_since(since, at).max(1);
+        answered_at.iter().map(|at| at.map_or(0, count)).collect()
     }
 
-    fn set_known(&self, feed: usize, revision: StoreRevision) {
-        self.state().known[feed] = revision;
+    /// Whether the holder has spoken and has fallen silent since.
+    pub fn is_silent(&self) -> bool {
+        let heard_at = self.state().heard_at;
+        heard_at.is_some_and(|at| at.elapsed() >= SILENCE_LIMIT)
+    }
+
+    /// The holder is not relied on any more.
+    pub fn lost(&self) {
+        let mut state = self.state();
+        state.heard_at = None;
+        state.holder_begun_at = None;
+        state.confirmed_at = [None; FEEDS];
+    }
+
+    /// What is known of each feed; 0 for one that is to be told whole.
+    pub fn known(&self) -> [StoreRevision; FEEDS] {
+        let state = self.state();
+        std::array::from_fn(|feed| {
+            let is_readable = state.unreadable[feed].is_none();
+            if is_readable { state.known[feed] } else { 0 }
+        })
+    }
+
+    /// Whether the holder is to be asked again, since a word of it could not be read.
+    pub fn wants_again(&self) -> bool {
+        self.state().unreadable.iter().any(Option::is_some)
     }
 
     /// Takes in a word of the holder.
     pub fn heard(&self, news: News) {
-        self.state().heard_at = Some(Instant::now());
+        let mut state = self.state();
+        state.confirmed(&news, Instant::now());
         let feed = usize::try_from(news.feed).unwrap_or(FEEDS);
         if news.to == 0 || feed >= FEEDS {
             return;
         }
-        // The feed's thread ends only with the process.
-        let _ = self.told[feed].send(decode(news));
-    }
-}
-
-impl Tap {
-    /// Waits up to `longest` for the holder's next news, if the holder is relied on.
-    pub fn next(&self, longest: Duration) -> Heard {
-        if !self.relay.is_live() {
-            return Heard::HolderLost;
-        }
-        let Some(told) = &self.told else {
-            std::thread::sleep(longest);
-            return Heard::Nothing;
-        };
-        told.recv_timeout(longest)
-            .map_or(Heard::Nothing, Heard::News)
-    }
-
-    /// Records up to where the feed is known.
-    pub fn set_known(&self, revision: StoreRevision) {
-        if let Some(feed) = self.feed {
-            self.relay.set_known(feed, revision);
-        }
-    }
-}
-
-fn decode(news: News) -> Told {
-    let change = |value: NewsValue| {
-        let (key, revision) = (value.key, value.revision);
-        match value.value {
-            Some(value) => StoreChange::Written(StoredValue {
-                key,
-                value,
-                revision,
-            }),
-            None => StoreChange::Removed { key, revision },
+        let to = news.to;
+        match state.bases[feed].decode(news) {
+            Ok(told) => {
+                let before = state.waiting[feed].take();
+                let told = match before {
+                    Some(before) => before.followed_by(told),
+                    None => told,
+                };
+                state.waiting[feed] = Some(told);
+            }
+            Err(error) => {
+                log::warn!(feed = feed, error:% = format!("{error:#}"); "a word of the holder cannot be read");
+                state.unreadable[feed] = Some(to);
+            }
         }
-    };
-    let changes: Vec<_> = news.values.into_iter().map(change).collect();
-    if news.from > 0 {
-        return Told::Changes {
-            from: news.from,
-            to: news.to,
-            changes,
-        };
+        drop(state);
+        // A wake that waits already will do.
+        let _ = self.woken[feed].try_send(());
     }
-    let values = changes.into_iter().filter_map(|change| match change {
-        StoreChange::Written(value) => Some(value),
-        StoreChange::Removed { .. } => None,
-    });
-    Told::Whole(Listing {
-        values: values.collect(),
-        revision: news.to,
-    })
 }
 
-fn encode(change: &StoreChange) -> NewsValue {
-    let value = match change {
-        StoreChange::Written(value) => Some(value.value.clone()),
-        StoreChange::Removed { .. } => None,
-    };
-    NewsValue {
-        key: change.key().to_owned(),
-        value,
-        revision: change.revision(),
+impl Tap {
+    /// What the holder told since the last call.
+    fn take(&self) -> Option<Told> {
+        let feed = self.feed?;
+        self.relay.state().waiting[feed].take()
     }
-}
-
-/// The latest of one feed, for instances that hear it from here.
-#[derive(Debug, Default)]
-pub struct FeedLog {
-    values: BTreeMap<String, StoredValue>,
-    changes: VecDeque<StoreChange>,
-    /// Changes after this revision are kept.
-    since: StoreRevision,
-    to: StoreRevision,
-    /// Up to where everybody who listens was told; what needs no telling lies behind it.
-    told: StoreRevision,
-}
 
-impl FeedLog {
-    /// Takes in news; what of it is to be passed on.
-    pub fn add(&mut self, feed: usize, told: &Told) -> Option<News> {
-        let number = u32::try_from(feed).unwrap_or(u32::MAX);
-        match told {
-            Told::Whole(listing) => {
-                let values = listing.values.iter();
-                self.values = values.map(|v| (v.key.clone(), v.clone())).collect();
-                self.changes.clear();
-                self.since = listing.revision;
-                self.to = listing.revision;
-                self.told = self.to;
-                self.whole(number)
-            }
-            Told::Changes { to, changes, .. } => {
-                let from = self.told;
-                self.to = self.to.max(*to);
-                for change in changes {
-                    self.note(change);
-                }
-                let values = changes.iter().map(encode);
-                if changes.is_empty() {
-                    return None;
-                }
-                self.told = self.to;
-                Some(News {
-                    feed: number,
-                    from: from.max(1),
-                    to: self.to,
-                    values: values.collect(),
-                    instances: 0,
-                })
-            }
-        }
+    /// Until when the holder is relied on if it tells nothing more; `None` if it is not now.
+    pub fn relied_until(&self) -> Option<Instant> {
+        self.relay.relied_until(self.feed)
     }
 
-    /// That nothing has changed since it was told last, up to a later revision, if that is
-    /// known. Without it those who listen would go on from a revision that the store has
-    /// forgotten, and list everything anew, when they ask it themselves again.
-    pub fn advance(&mut self, feed: usize) -> Option<News> {
-        let from = self.told;
-        if self.to <= from {
-            return None;
+    /// The store has answered, with all that it knew at a moment.
+    pub fn answered(&self, at: Instant) {
+        if let Some(feed) = self.feed {
+            self.relay.state().answered_at[feed] = Some(at);
         }
-        self.told = self.to;
-        Some(News {
-            feed: u32::try_from(feed).unwrap_or(u32::MAX),
-            from: from.max(1),
-            to: self.to,
-            ..News::default()
-        })
     }
 
-    fn note(&mut self, change: &StoreChange) {
-        match change {
-            StoreChange::Written(value) => {
-                self.values.insert(value.key.clone(), value.clone());
-            }
-            StoreChange::Removed { key, .. } => {
-                self.values.remove(key);
-            }
+    /// Waits up to `longest` for what the holder tells.
+    pub fn next(&self, longest: Duration) -> Option<Told> {
+        let told = self.take();
+        if told.is_some() || longest.is_zero() {
+            return told;
         }
-        self.changes.push_back(change.clone());
-        if self.changes.len() > KEPT_CHANGES
-            && let Some(oldest) = self.changes.pop_front()
-        {
-            self.since = oldest.revision();
+        match &self.wakes {
+            // In either case it is looked whether anything waits.
+            Some(wakes) => drop(wakes.recv_timeout(longest)),
+            None => std::thread::sleep(longest),
         }
+        self.take()
     }
 
-    fn whole(&self, number: u32) -> Option<News> {
-        let values = self.values.values().map(|value| NewsValue {
-            key: value.key.clone(),
-            value: Some(value.value.clone()),
-            revision: value.revision,
-        });
-        (self.to > 0).then(|| News {
-            feed: number,
-            from: 0,
-            to: self.to,
-            values: values.collect(),
-            instances: 0,
-        })
-    }
-
-    /// What an instance lacks that knows the feed up to a revision.
-    pub fn after(&self, feed: usize, known: StoreRevision) -> Option<News> {
-        let number = u32::try_from(feed).unwrap_or(u32::MAX);
-        if known < self.since || known == 0 {
-            return self.whole(number);
+    /// Records what is taken in, and up to where the feed is known then.
+    pub fn taken(&self, told: &Told, known: StoreRevision) {
+        if let Some(feed) = self.feed {
+            let mut state = self.relay.state();
+            state.bases[feed].note(told);
+            state.known[feed] = known;
+            let unreadable = &mut state.unreadable[feed];
+            *unreadable = unreadable.filter(|to| *to > known);
         }
-        let newer = self.changes.iter().filter(|c| c.revision() > known);
-        let values: Vec<_> = newer.map(encode).collect();
-        (known < self.to).then_some(News {
-            feed: number,
-            from: known,
-            to: self.to,
-            values,
-            instances: 0,
-        })
     }
 }
--- a/crates/standins/src/bin/passway-config-memory.rs
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -5,7 +5,9 @@
 
 use anyhow::{Context, Result};
 use clap::Parser;
-use passway_instance::relay::{CONFIGURATION, FeedLog, Told};
+use passway_instance::feed_log::FeedLog;
+use passway_instance::news::Told;
+use passway_instance::relay::CONFIGURATION;
 use passway_process::outbox::Outbox;
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::placement::{Planner, USUAL_LOAD_WINDOW};
@@ -13,7 +15,7 @@
 use passway_serving::routes::{CallerLimits, EnginePool, ModelSpec, RouteTable, Service};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry, UpstreamTable};
 use passway_users_platform::PlatformDirectory;
-use passway_wire::{Body, Link};
+use passway_wire::{Body, Frame, Link};
 use peak_alloc::PeakAlloc;
 use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use serde_json::json;
@@ -107,11 +109,12 @@
     }
 }
 
-/// One version of a configuration, as it lies in the store.
+/// One version of a configuration, as it lies in the store; each route differs from the version
+/// before.
 fn configuration(version: u64, routes: usize) -> Result<StoredValue> {
     let route = |number: usize| {
         json!({"name": format!("route-{number}"), "host": format!("host-{}.example", number % 97),
-            "prefix": format!("/service/{number}/"), "kind": "idempotent", "timeout_ms": 10_000,
+            "prefix": format!("/{version}/{number}/"), "kind": "idempotent", "timeout_ms": 10_000,
             "goal_ms": 1_000, "priority": 1, "service": format!("service-{}", number % 50),
             "attempts": 2})
     };
@@ -123,7 +126,9 @@
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}});
     Ok(StoredValue {
         key: KEY.to_owned(),
-        value: serde_json::to_vec(&file).context("encoding a configuration")?,
+        value: serde_json::to_vec(&file)
+            .context("encoding a configuration")?
+            .into(),
         revision: version,
     })
 }
@@ -161,7 +166,9 @@
             "on_disk": model_names(number, ON_DISK)}});
     let value = StoredValue {
         key: format!("servers/i-{number}"),
-        value: serde_json::to_vec(&row).context("encoding a server")?,
+        value: serde_json::to_vec(&row)
+            .context("encoding a server")?
+            .into(),
         revision: 1,
     };
     PlatformDirectory.upstream(&value, Instant::now())
@@ -234,6 +241,8 @@
     let mut log = FeedLog::default();
     for revision in 1..=changes {
         let value = StoredValue {
+            // As from the store: bytes of its own, and not those of the version before.
+            value: first.value.to_vec().into(),
             revision,
             ..first.clone()
         };
@@ -242,8 +251,8 @@
             to: revision,
             changes: vec![StoreChange::Written(value)],
         };
-        // What is to be passed on is not kept here: the queues are measured apart.
-        drop(log.add(CONFIGURATION, &told));
+        // What is to be passed on is not made here: the queues are measured apart.
+        log.add(&told);
     }
     case.print(&format!("log, {routes} routes, {changes} changes"));
     drop(log);
@@ -270,28 +279,24 @@
 }
 
 fn queues(peers: usize, sent: u64) -> Result<()> {
-    let value = configuration(1, SENT_ROUTES)?;
     let case = Case::begin();
     let (outboxes, silent) = silent_peers(peers)?;
     case.print(&format!("queues, {peers} peers, nothing sent"));
     let case = Case::begin();
     let mut log = FeedLog::default();
     for revision in 1..=sent {
-        let value = StoredValue {
-            revision,
-            ..value.clone()
-        };
+        let value = configuration(revision, SENT_ROUTES)?;
         let told = Told::Changes {
             from: revision - 1,
             to: revision,
             changes: vec![StoreChange::Written(value)],
         };
-        let news = log
-            .add(CONFIGURATION, &told)
-            .context("nothing to pass on")?;
-        let body = Body::News(news);
+        log.add(&told);
+        let news = log.after(CONFIGURATION, revision - 1);
+        let news = news.context("nothing to pass on")?;
+        let frame = Frame::new(Body::News(news)).context("encoding news")?;
         for outbox in &outboxes {
-            outbox.send(body.clone());
+            outbox.send_frame(frame.clone());
         }
     }
     drop(log);
--- /dev/null
+++ b/tests/all/config_way.rs
@@ -0,0 +1,110 @@
+//! A version that the store has taken reaches an instance whichever way is open.
+//!
+//! Seen: an instance answered 404 for a route more than three seconds after the store had
+//! taken the version that adds it, on days on which the store turned some instances away
+//! and forgot its history while versions came in quick succession. Two ways were shut
+//! without need. An instance whose history was gone asked the store for everything, again
+//! and again while that turned it away, and did not take in what the holder of the right to
+//! order told it meanwhile. And a holder was believed for as long as it spoke, however old
+//! its own knowledge was. Proved by these two tests, in which the other way is open.
+
+use crate::followed::{ToldStore, beat, followed, shared};
+use crate::site::until;
+use bytes::Bytes;
+use passway_instance::relay::{CONFIGURATION, Relay};
+use passway_serving::ports::{Listing, StoreChange, StoreError, StoredValue, WatchAnswer};
+use passway_types::prelude::*;
+use passway_wire::message::{News, NewsValue};
+
+fn empty_list() -> Listing {
+    Listing {
+        values: Vec::new(),
+        revision: 10,
+    }
+}
+
+/// Tells of a change at 20.
+fn change() -> WatchAnswer {
+    let value = StoredValue {
+        key: "op/config".into(),
+        value: Bytes::new(),
+        revision: 20,
+    };
+    WatchAnswer::Changes {
+        changes: vec![StoreChange::Written(value)],
+        revision: 20,
+    }
+}
+
+#[test]
+fn told_while_turned_away() {
+    let (relay, [tap, _]) = Relay::new();
+    let once = |number| {
+        if number == 0 {
+            Ok(empty_list())
+        } else {
+            Err(StoreError::NotDone)
+        }
+    };
+    let store = ToldStore::new(once, |_| Ok(WatchAnswer::HistoryGone));
+    let seen = followed(store, tap, &shared());
+    until("the list", || seen.have(10));
+    until("the holder's word", || {
+        relay.heard(News {
+            feed: u32::try_from(CONFIGURATION).expect("small"),
+            from: 10,
+            to: 20,
+            values: vec![NewsValue {
+                key: "op/config".into(),
+                value: Some(Bytes::new()),
+                revision: 20,
+                ..NewsValue::default()
+            }],
+            ..News::default()
+        });
+        seen.have(20)
+    });
+}
+
+#[test]
+fn silent_knowledge() {
+    let (relay, [tap, _]) = Relay::new();
+    relay.heard(News::default());
+    let store = ToldStore::new(|_| Ok(empty_list()), |_| Ok(change()));
+    let seen = followed(store, tap, &shared());
+    until("the list", || seen.have(10));
+    until("the store's word", || {
+        // The holder lives and says so, and has heard nothing of the store.
+        relay.heard(News::default());
+        seen.have(20)
+    });
+}
+
+/// A holder that knows the configuration up to now and the upstreams no more: an instance
+/// relies on it for the one and asks the store for the other, also after a call that failed.
+/// The failure was kept for as long as nobody else asked, and nobody did.
+#[test]
+fn upstreams_asked_after_failure() {
+    let (relay, [configuration, upstreams]) = Relay::new();
+    let begun_at = Instant::now();
+    relay.heard(beat(begun_at, 1));
+    let shared = shared();
+    let once_lost = |number| {
+        if number == 0 {
+            Err(StoreError::NotDone)
+        } else {
+            Ok(change())
+        }
+    };
+    let store = || ToldStore::new(|_| Ok(empty_list()), once_lost);
+    let configuration = followed(store(), configuration, &shared);
+    until("the configuration", || {
+        relay.heard(beat(begun_at, 1));
+        configuration.have(10)
+    });
+    let upstreams = followed(store(), upstreams, &shared);
+    until("the store's word on the upstreams", || {
+        relay.heard(beat(begun_at, 1));
+        upstreams.have(20)
+    });
+}
