--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! All scenario tests, one module a feature.
 
 mod bad_input;
+mod bounded_state;
 mod burst_loads;
 mod cell_faults;
 mod cell_scenarios;
@@ -12,6 +13,7 @@
 mod config_spread;
 mod config_way;
 mod docs_match;
+mod endless_input;
 mod fair_share;
 mod feed_log;
 mod followed;
@@ -37,6 +39,7 @@
 mod process_kills;
 mod processes;
 mod relay_gap;
+mod resting_connections;
 mod retry_budget;
 mod retry_share;
 mod router_faults;
