--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,6 +1,6 @@
 //! What the store tells: the configuration and the upstreams, each by its own watch.
 
-use crate::holder::Input;
+use crate::holder::{FeedNews, Input};
 use crate::news::{self, Told};
 use crate::relay::{CONFIGURATION, Tap};
 use crate::right::Right;
@@ -13,20 +13,23 @@
 use passway_types::prelude::*;
 
 /// Longest wait of one watch of a feed that others hear by way of the holder; a connection
-/// that was cut silently is noticed after it. Of 3 s until a version is in force everywhere
-/// (users' pages; 2 s in a small fleet) the holder may lose half so.
+/// that was cut silently is noticed 0.5 s after it. A version has 2 s to be in force
+/// everywhere in a small fleet and 3 s in a large one (users' pages); this leaves the rest of
+/// them for asking anew.
 const RELAYED_WATCH: Duration = Duration::from_millis(800);
 /// The same of a feed that each instance follows for itself.
 const OWN_WATCH: Duration = Duration::from_secs(2);
 
-/// Longest wait for the holder's news before its standing is looked at again.
+/// Longest wait for the holder's news before its standing is looked at again: upstreams whose
+/// time is over are forgotten as often.
 const RELAY_STEP: Duration = Duration::from_millis(250);
 
 /// Calls in a row that count as failed at least once the holder is not answered either: the
 /// pause is 0.6 s then rather than 0.15 s, at up to a hundred instances at one time.
 const OUTAGE_FAILURES: u32 = 2;
 
-/// Pause between two looks, after a call that failed, whether the store answers others here.
+/// Pause between two looks, after a call that failed, whether the store answers others here:
+/// short against the first pause before it is asked again in any case.
 const LOOK_STEP: Duration = Duration::from_millis(100);
 
 /// Where news come from.
@@ -68,7 +71,7 @@
 pub fn follow(
     store: Arc<dyn SharedStore>,
     tap: Tap,
-    news: Sender<Input>,
+    news: Sender<FeedNews>,
     feed: impl Feed + 'static,
 ) {
     let follower = Follower {
@@ -109,7 +112,7 @@
     prefix: String,
     store: Arc<dyn SharedStore>,
     tap: Tap,
-    news: Sender<Input>,
+    news: Sender<FeedNews>,
     feed: F,
     /// The point from which to go on; `None` before the first list.
     known: Option<StoreRevision>,
@@ -180,7 +183,6 @@
         match self.ask() {
             Ok(()) => {
                 self.failures = 0;
-                self.has_gap = false;
                 self.feed.shared().store_health.answered();
                 std::thread::sleep(self.feed.settled());
             }
@@ -242,11 +244,11 @@
             Told::Changes { from, .. } if *from > known => {
                 log::info!(prefix = self.prefix, from = *from, known = known; "a gap in the holder's news");
                 self.has_gap = true;
+                self.tap.missed(told.to());
                 return;
             }
             _ => {}
         }
-        self.has_gap = false;
         // A store that turned this instance away for long is asked soon once the holder is lost.
         self.failures = 0;
         self.feed.shared().store_health.relayed();
@@ -258,6 +260,7 @@
         if self.tap.feed == Some(CONFIGURATION) && told.values() > 0 {
             log::info!(source:? = source, known = self.known, to = told.to(), bytes = told.bytes(); "configuration heard");
         }
+        self.has_gap = false;
         self.tap.taken(&told, told.to());
         let told = match told {
             Told::Whole(listing) => {
@@ -277,7 +280,7 @@
         };
         if let Some(feed) = self.tap.feed {
             // The deciding thread ends only with the process.
-            let _ = self.news.send(Input::News(feed, told));
+            let _ = self.news.send((feed, told));
         }
     }
 }
@@ -442,7 +445,7 @@
 
     fn settled(&mut self) -> Duration {
         self.shared.upstreams_changed();
-        if self.right.fence().is_some() {
+        if self.right.term().is_some() {
             let upstreams = self.shared.upstreams().entries().count();
             let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
             HOLDER_PAUSE.max(HOLDER_PAUSE_PER_UPSTREAM.saturating_mul(upstreams))
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -10,7 +10,7 @@
 use crate::right::Right;
 use crate::shared::Shared;
 use anyhow::{Context, Result};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer, StoreRevision};
@@ -24,10 +24,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 
-/// What the deciding thread may have to take in, in words; whoever has one more waits, and so
-/// do instances that send it. An engine's entry with all that it keeps has some 3 kB, so 3 MB.
+/// What the deciding thread may have to take in besides; whoever has one more waits, and so do
+/// instances that send it. An engine's entry with all that it keeps has some 3 kB, so 3 MB.
 const INPUTS: usize = 1_024;
 
+/// What is told of one feed, by its number.
+pub type FeedNews = (usize, Told);
+
+/// News that wait for the deciding thread; a feed that has one more waits. Each may hold as
+/// much as the store does, and shares it with what is in force.
+const WAITING_NEWS: usize = 2;
+
 /// Longest time between two looks while nothing is heard.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -59,8 +66,6 @@
     Succeeded(Holder),
     /// A candidate promises not to take the right to order.
     Promised(Promise),
-    /// The store's news of a feed.
-    News(usize, Told),
     /// An upstream has said something of itself.
     Heard(UpstreamEntry),
     /// Only these upstreams are there.
@@ -86,8 +91,9 @@
     relay: &Arc<Relay>,
     engines: Arc<dyn Engines>,
     listener: TcpListener,
-) -> Sender<Input> {
+) -> (Sender<Input>, Sender<FeedNews>) {
     let (sender, inputs) = bounded(INPUTS);
+    let (news_sender, news) = bounded(WAITING_NEWS);
     let accepting = sender.clone();
     std::thread::spawn(move || accept(&listener, &accepting));
     let holding = Holding {
@@ -107,13 +113,14 @@
         begun_at: Instant::now(),
         announcement: None,
         logs: Default::default(),
+        frames: BTreeMap::new(),
         heartbeat_at: Instant::now(),
         tell_at: Instant::now(),
         fence: None,
         version: None,
     };
-    std::thread::spawn(move || holding.run(&inputs));
-    sender
+    std::thread::spawn(move || holding.run(&inputs, &news));
+    (sender, news_sender)
 }
 
 fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
@@ -147,6 +154,10 @@
     }
 }
 
+/// Frames that are kept to be shared. Listeners know one revision or the next; those of a term
+/// that begins know a few more.
+const KEPT_FRAMES: usize = 16;
+
 /// An instance that hears the store's news from here.
 struct Listener {
     /// Its name and where it listens, if it has told that.
@@ -175,6 +186,9 @@
     /// What is left to tell of a term that has begun.
     announcement: Option<Announcement>,
     logs: [FeedLog; FEEDS],
+    /// What is told, by feed and by what is known already: most listeners know the same, and
+    /// share one frame. Empty whenever a log has changed.
+    frames: BTreeMap<(usize, StoreRevision), Option<Frame>>,
     heartbeat_at: Instant,
     /// When changed placements may be told again.
     tell_at: Instant,
@@ -204,7 +218,7 @@
 }
 
 impl Holding {
-    fn run(mut self, inputs: &Receiver<Input>) {
+    fn run(mut self, inputs: &Receiver<Input>, news: &Receiver<FeedNews>) {
         loop {
             let now = Instant::now();
             let look_at = if self.fence.is_some() {
@@ -219,14 +233,27 @@
             } else {
                 now + LOOK_PAUSE
             };
-            match inputs.recv_timeout(look_at.saturating_duration_since(now).min(LOOK_PAUSE)) {
-                Ok(input) => self.take(input),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            let longest = look_at.saturating_duration_since(now).min(LOOK_PAUSE);
+            // The threads that send end only with the process.
+            crossbeam::select! {
+                recv(inputs) -> input => {
+                    if let Ok(input) = input {
+                        self.take(input);
+                    }
+                }
+                recv(news) -> told => {
+                    if let Ok(told) = told {
+                        self.take_news(&told);
+                    }
+                }
+                default(longest) => {}
             }
             while let Ok(input) = inputs.try_recv() {
                 self.take(input);
             }
+            while let Ok(told) = news.try_recv() {
+                self.take_news(&told);
+            }
             self.decide();
         }
     }
@@ -256,11 +283,6 @@
             Input::TermBegun => {}
             Input::Succeeded(holder) => self.succeeded(&holder),
             Input::Promised(promise) => self.promised(&promise),
-            Input::News(feed, told) => {
-                if self.logs[feed].add(&told) {
-                    self.catch_up(false);
-                }
-            }
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
             Input::Answered(order, answer) => {
@@ -277,6 +299,14 @@
         }
     }
 
+    /// Takes in what a feed was told, and tells it to those who listen.
+    fn take_news(&mut self, (feed, told): &FeedNews) {
+        self.frames.clear();
+        if self.logs[*feed].add(told) {
+            self.catch_up(false);
+        }
+    }
+
     /// Tells an instance what it lacks, and from now on what comes.
     fn subscribe(&mut self, number: u64, subscribe: &Subscribe) {
         if self.fence.is_none() {
@@ -377,7 +407,6 @@
     /// heartbeat only; without it a listener would go on from a revision that the store has
     /// forgotten when it asks it itself again.
     fn catch_up(&mut self, with_heartbeat: bool) {
-        let mut frames = BTreeMap::new();
         self.has_backlog = false;
         for (number, listener) in &mut self.listeners {
             let Some(outbox) = self.peers.get(number) else {
@@ -393,8 +422,10 @@
                     self.has_backlog = true;
                     break;
                 }
-                // Most listeners know the same; they share one frame.
-                let frame = frames.entry((feed, known));
+                if self.frames.len() >= KEPT_FRAMES {
+                    self.frames.clear();
+                }
+                let frame = self.frames.entry((feed, known));
                 let frame = frame.or_insert_with(|| news_frame(log, feed, known));
                 if let Some(frame) = frame {
                     outbox.send_frame(frame.clone());
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -73,13 +73,19 @@
         let callers = callers::listen(&shared, settings.callers_address)?;
         let (relay, [configuration_tap, upstream_tap]) = Relay::new();
         let engines = surroundings.engines.clone();
-        let holder = holder::start(&shared, &right, &relay, engines, peers);
+        let (holder, news) = holder::start(&shared, &right, &relay, engines, peers);
         let store = &surroundings.store;
-        right.start(&shared, store, relay.resting(), holder.clone());
+        right.start(
+            &shared,
+            store,
+            relay.resting(),
+            holder.clone(),
+            news.clone(),
+        );
         feeds::follow(
             store.clone(),
             configuration_tap,
-            holder.clone(),
+            news.clone(),
             ConfigurationFeed {
                 shared: shared.clone(),
                 directory: surroundings.directory.clone(),
@@ -88,7 +94,7 @@
         feeds::follow(
             store.clone(),
             upstream_tap,
-            holder.clone(),
+            news,
             UpstreamFeed {
                 shared: shared.clone(),
                 directory: surroundings.directory.clone(),
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -19,7 +19,7 @@
 /// Number of feeds that are relayed.
 pub const FEEDS: usize = 2;
 
-/// A holder that is silent for this long is not relied on; it speaks far more often.
+/// A holder that is silent for this long is not relied on: three of its heartbeats.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// A holder that knows a feed up to a moment longer ago than this is not relied on for it,
 /// though it speaks: its watch of 0.8 s, its heartbeat of 0.3 s, and 0.4 s for a store that
@@ -41,9 +41,9 @@
     known: [StoreRevision; FEEDS],
     /// What was heard and not taken in yet, merged.
     waiting: [Option<Told>; FEEDS],
-    /// Up to where a word of a feed told that could not be read; it is to be told whole, unless
-    /// that is known from the store by then.
-    unreadable: [Option<StoreRevision>; FEEDS],
+    /// Up to where a feed is not known, since a word could not be read or is missing; it is to
+    /// be told whole, unless the store has told that by then.
+    unknown_to: [Option<StoreRevision>; FEEDS],
     bases: [Bases; FEEDS],
 }
 
@@ -153,26 +153,33 @@
         heard_at.is_some_and(|at| at.elapsed() >= SILENCE_LIMIT)
     }
 
-    /// The holder is not relied on any more.
+    /// The connection to the holder is gone, and it is not relied on any more. The moment that
+    /// it counts from stays: all words of the next connection may be long on their way.
     pub fn lost(&self) {
         let mut state = self.state();
         state.heard_at = None;
-        state.holder_begun_at = None;
         state.confirmed_at = [None; FEEDS];
     }
 
+    /// There is another holder.
+    pub fn succeeded(&self) {
+        self.lost();
+        self.state().holder_begun_at = None;
+    }
+
     /// What is known of each feed; 0 for one that is to be told whole.
     pub fn known(&self) -> [StoreRevision; FEEDS] {
         let state = self.state();
         std::array::from_fn(|feed| {
-            let is_readable = state.unreadable[feed].is_none();
-            if is_readable { state.known[feed] } else { 0 }
+            let is_unknown = state.unknown_to[feed].is_some();
+            if is_unknown { 0 } else { state.known[feed] }
         })
     }
 
-    /// Whether the holder is to be asked again, since a word of it could not be read.
+    /// Whether the holder is to be asked again, since a word of it could not be read or is
+    /// missing.
     pub fn wants_again(&self) -> bool {
-        self.state().unreadable.iter().any(Option::is_some)
+        self.state().unknown_to.iter().any(Option::is_some)
     }
 
     /// Takes in a word of the holder.
@@ -195,7 +202,7 @@
             }
             Err(error) => {
                 log::warn!(feed = feed, error:% = format!("{error:#}"); "a word of the holder cannot be read");
-                state.unreadable[feed] = Some(to);
+                state.unknown_to[feed] = Some(to);
             }
         }
         drop(state);
@@ -218,6 +225,13 @@
         self.relay.relied_until(self.feed.unwrap_or(CONFIGURATION))
     }
 
+    /// Something is missing in the holder's news, up to a revision.
+    pub fn missed(&self, to: StoreRevision) {
+        if let Some(feed) = self.feed {
+            self.relay.state().unknown_to[feed] = Some(to);
+        }
+    }
+
     /// The store has answered, with all that it knew at a moment.
     pub fn answered(&self, at: Instant) {
         if let Some(feed) = self.feed {
@@ -245,8 +259,8 @@
             let mut state = self.relay.state();
             state.bases[feed].note(told);
             state.known[feed] = known;
-            let unreadable = &mut state.unreadable[feed];
-            *unreadable = unreadable.filter(|to| *to > known);
+            let unknown_to = &mut state.unknown_to[feed];
+            *unknown_to = unknown_to.filter(|to| *to > known);
         }
     }
 }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -174,18 +174,22 @@
         }
         let (shared, link) = (self.shared.clone(), self.link.clone());
         let relay = self.relay.clone();
-        *link.lock().unwrap_or_else(PoisonError::into_inner) = None;
-        relay.lost();
+        {
+            // Together: a word of the former holder that is being taken in comes before both.
+            let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
+            *link = None;
+            relay.succeeded();
+        }
         self.subscribed_at = None;
         let right = self.right.clone();
         let dialed_holder = holder.clone();
         let is_new = self.is_new.clone();
         let dialer = Dialer::start(holder.address, move |dialed| {
+            let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
             if right.holder().as_ref() != Some(&dialed_holder) {
                 // Another one holds the right by now; its own dialer speaks.
                 return;
             }
-            let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
             match dialed {
                 Dialed::Connected(outbox) => {
                     *link = Some(outbox);
@@ -198,12 +202,12 @@
                     relay.lost();
                 }
                 Dialed::Received(Body::News(news)) => {
-                    drop(link);
                     if let Some(instances) = usize::try_from(news.instances).ok().filter(|n| *n > 0)
                     {
                         shared.use_instances(instances);
                     }
                     relay.heard(news);
+                    drop(link);
                 }
                 Dialed::Received(Body::Members(told)) => {
                     drop(link);
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -4,7 +4,7 @@
 //! feed that tells it what stands there.
 
 use crate::feeds::{Feed, follow};
-use crate::holder::Input;
+use crate::holder::{FeedNews, Input};
 use crate::relay::Tap;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -124,15 +124,16 @@
         shared: &Arc<Shared>,
         store: &Arc<dyn SharedStore>,
         tap: Tap,
-        news: Sender<Input>,
+        holder: Sender<Input>,
+        news: Sender<FeedNews>,
     ) {
         let feed = HolderFeed {
             right: self.clone(),
             shared: shared.clone(),
         };
-        follow(store.clone(), tap, news.clone(), feed);
+        follow(store.clone(), tap, news, feed);
         let (keeping, shared, store) = (self.clone(), shared.clone(), store.clone());
-        std::thread::spawn(move || keeping.keep(&shared, &*store, &news));
+        std::thread::spawn(move || keeping.keep(&shared, &*store, &holder));
     }
 
     fn tenure(&self) -> MutexGuard<'_, Tenure> {
@@ -212,7 +213,7 @@
     }
 
     /// Takes and renews the right for as long as the process lives.
-    fn keep(&self, shared: &Shared, store: &dyn SharedStore, news: &Sender<Input>) {
+    fn keep(&self, shared: &Shared, store: &dyn SharedStore, holder: &Sender<Input>) {
         let mut held = None;
         loop {
             let mut tenure = self.tenure();
@@ -246,7 +247,7 @@
                     if let Some(fence) = held {
                         log::info!(fence = fence; "holds the right to order");
                         // The deciding thread ends only with the process.
-                        let _ = news.send(Input::TermBegun);
+                        let _ = holder.send(Input::TermBegun);
                     }
                 }
                 Step::Renew(lease) => {
--- a/crates/process/src/outbox.rs
+++ b/crates/process/src/outbox.rs
@@ -1,12 +1,13 @@
 //! Sending to a peer without ever blocking the sender.
 
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, unbounded};
 use passway_wire::link::MAX_FRAME_BYTES;
 use passway_wire::{Body, Frame, Link};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Messages that may wait for a slow peer; small ones reach this bound first.
+/// Messages that may wait for a slow peer; small ones reach this bound first. The queue itself
+/// has none, since one that has sets all its places aside: 165 kB a peer.
 const CAPACITY: usize = 4_096;
 /// Bytes that may wait for a slow peer before one more message: a largest frame on its way
 /// and the next one behind it. Frames that go to many peers are kept once, however many wait.
@@ -57,7 +58,7 @@
 impl Outbox {
     /// Starts the sending thread.
     pub fn start(link: Link) -> Self {
-        let (sender, frames) = bounded(CAPACITY);
+        let (sender, frames) = unbounded();
         let outbox = Self {
             sender,
             waiting: Arc::default(),
@@ -82,12 +83,12 @@
     /// Queues an encoded message.
     pub fn send_frame(&self, frame: Frame) {
         let bytes = frame.bytes();
-        if self.waiting_bytes() > MAX_WAITING_BYTES {
+        if self.waiting_bytes() > MAX_WAITING_BYTES || self.sender.len() >= CAPACITY {
             log::warn!(waiting_bytes = self.waiting_bytes(); "a peer takes too little and is cut off");
             return self.link.close();
         }
         self.waiting.add(bytes);
-        if self.sender.try_send(frame).is_err() {
+        if self.sender.send(frame).is_err() {
             self.waiting.sub(bytes);
             self.link.close();
         }
--- a/crates/serving/src/absence.rs
+++ b/crates/serving/src/absence.rs
@@ -9,7 +9,8 @@
 
 /// Calls that fail for less than this are no outage that lets entries lapse: an entry
 /// lapses after three check-ins of silence, about 3.6 s (users' pages), of which a call
-/// that waits for an answer takes up to 2.7 s before it counts as failed.
+/// that waits for an answer takes up to 1.3 s before it counts as failed. Counted from there,
+/// so that an outage of 2.3 s is one.
 const SHORTEST_OUTAGE: Duration = Duration::from_secs(1);
 /// Upstreams that live are back so soon after the store's return (users' pages).
 const RETURN_TIME: Duration = Duration::from_secs(2);
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -188,6 +188,12 @@
         self.shared.1.notify_all();
     }
 
+    /// Writes bytes as one of the system's own processes does, under no lease.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.state().put(key, value.to_vec(), 0);
+        self.shared.1.notify_all();
+    }
+
     /// Takes a key away.
     pub fn remove(&self, key: &str) {
         self.state().remove(key);
--- a/tests/all/config_way.rs
+++ b/tests/all/config_way.rs
@@ -11,7 +11,7 @@
 use crate::followed::{ToldStore, beat, followed, shared};
 use crate::site::until;
 use bytes::Bytes;
-use passway_instance::relay::{CONFIGURATION, Relay};
+use passway_instance::relay::{CONFIGURATION, FEEDS, Relay};
 use passway_serving::ports::{Listing, StoreChange, StoreError, StoredValue, WatchAnswer};
 use passway_types::prelude::*;
 use passway_wire::message::{News, NewsValue};
@@ -124,3 +124,63 @@
         seen.have(20)
     });
 }
+
+/// After a gap the store's history is gone too: everything is listed, nothing is forgotten.
+#[test]
+fn gap_outlasts_gone_history() {
+    let (relay, [tap, _]) = Relay::new();
+    let begun_at = Instant::now();
+    relay.heard(beat(begun_at, FEEDS));
+    let list = |number| {
+        let revision = if number == 0 { 10 } else { 30 };
+        Ok(Listing {
+            values: Vec::new(),
+            revision,
+        })
+    };
+    let store = ToldStore::new(list, |_| Ok(WatchAnswer::HistoryGone));
+    let seen = followed(store, tap, &shared());
+    until("the list", || seen.have(10));
+    relay.heard(News {
+        feed: u32::try_from(CONFIGURATION).expect("small"),
+        from: 25,
+        to: 28,
+        ..News::default()
+    });
+    until("everything", || {
+        relay.heard(beat(begun_at, FEEDS));
+        seen.have(30)
+    });
+}
+
+/// A gap is closed by the holder too, which is asked for everything.
+#[test]
+fn gap_is_asked_for() {
+    let (relay, [tap, _]) = Relay::new();
+    relay.heard(beat(Instant::now(), FEEDS));
+    let once = |number| {
+        if number == 0 {
+            Ok(empty_list())
+        } else {
+            Err(StoreError::NotDone)
+        }
+    };
+    let store = ToldStore::new(once, |_| Err(StoreError::NotDone));
+    let seen = followed(store, tap, &shared());
+    until("the list", || seen.have(10));
+    relay.heard(News {
+        feed: u32::try_from(CONFIGURATION).expect("small"),
+        from: 25,
+        to: 28,
+        ..News::default()
+    });
+    until("the wish for everything", || relay.wants_again());
+    assert_eq!(relay.known()[CONFIGURATION], 0);
+    relay.heard(News {
+        feed: u32::try_from(CONFIGURATION).expect("small"),
+        to: 28,
+        ..News::default()
+    });
+    until("the holder's word", || seen.have(28));
+    assert!(!relay.wants_again());
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod followed;
 mod former_holder;
 mod holder_heard;
+mod holder_link;
 mod instance_metrics;
 mod large_answers;
 mod log_analysis;
