Listeners are a module; a listener that was not told the newest hears no knowledge

Beside it, from the review: a heartbeat said that the holder knew a feed also to a listener whose link had not taken the newest yet, and before the first news to one that had just come; a watch that brought changes counted as knowledge of when its answer was whole. Change: instance/listeners.rs; news go before heartbeats, and one that is behind is told only that the holder lives; a watch with changes counts from when it was asked.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -220,10 +220,14 @@
             return Ok(());
         };
         let wait = self.tap.feed.map_or(OWN_WATCH, |_| RELAYED_WATCH);
+        let asked_at = Instant::now();
         match self.store.watch(&self.prefix, after, wait)? {
             WatchAnswer::HistoryGone => self.lists_next = true,
             WatchAnswer::Changes { changes, revision } => {
-                self.tap.answered(Instant::now());
+                // A large answer may have begun long ago; one without changes has just come.
+                let is_quiet = changes.is_empty();
+                let known_at = if is_quiet { Instant::now() } else { asked_at };
+                self.tap.answered(known_at);
                 let told = Told::Changes {
                     from: after,
                     to: revision.max(after),
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -3,17 +3,17 @@
 //! Every instance runs this thread; it decides only while [`Right`] says so.
 
 use crate::candidates::Candidates;
-use crate::feed_log::FeedLog;
+use crate::listeners::Listeners;
 use crate::members::{self, Addresses, Announcement};
 use crate::news::Told;
-use crate::relay::{self, FEEDS, HEARTBEAT_PAUSE, Relay};
+use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
 use crate::shared::Shared;
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
-use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer, StoreRevision};
+use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry};
 use passway_types::prelude::*;
@@ -45,10 +45,6 @@
 /// instances are told every 34 ms at most, 6 every 3 ms.
 const TELL_PAUSE_PER_PEER: Duration = Duration::from_micros(500);
 
-/// A listener with more than this on its way hears no news until it has taken it, and then the
-/// newest only: what a link of 10 Mbit/s carries in 50 ms.
-const NEWS_BACKLOG_BYTES: usize = 64 << 10;
-
 /// What the deciding thread hears.
 #[derive(Debug)]
 pub enum Input {
@@ -107,13 +103,10 @@
             shared.settings.placement.policy(),
         ),
         peers: BTreeMap::new(),
-        listeners: BTreeMap::new(),
-        has_backlog: false,
+        listeners: Listeners::default(),
         candidates: Candidates::default(),
         begun_at: Instant::now(),
         announcement: None,
-        logs: Default::default(),
-        frames: BTreeMap::new(),
         heartbeat_at: Instant::now(),
         tell_at: Instant::now(),
         fence: None,
@@ -154,18 +147,6 @@
     }
 }
 
-/// Frames that are kept to be shared. Listeners know one revision or the next; those of a term
-/// that begins know a few more.
-const KEPT_FRAMES: usize = 16;
-
-/// An instance that hears the store's news from here.
-struct Listener {
-    /// Its name and where it listens, if it has told that.
-    member: Option<(InstanceId, SocketAddr)>,
-    /// Up to where it was told each feed.
-    told: [StoreRevision; FEEDS],
-}
-
 struct Holding {
     shared: Arc<Shared>,
     right: Arc<Right>,
@@ -176,19 +157,13 @@
     planner: Planner,
     peers: BTreeMap<u64, Outbox>,
     /// Instances that hear the store's news from here.
-    listeners: BTreeMap<u64, Listener>,
-    /// Whether one of them has not taken yet what it was told before.
-    has_backlog: bool,
+    listeners: Listeners,
     /// Who may succeed this instance.
     candidates: Candidates,
     /// What times that are told to others are counted from.
     begun_at: Instant,
     /// What is left to tell of a term that has begun.
     announcement: Option<Announcement>,
-    logs: [FeedLog; FEEDS],
-    /// What is told, by feed and by what is known already: most listeners know the same, and
-    /// share one frame. Empty whenever a log has changed.
-    frames: BTreeMap<(usize, StoreRevision), Option<Frame>>,
     heartbeat_at: Instant,
     /// When changed placements may be told again.
     tell_at: Instant,
@@ -269,8 +244,7 @@
             }
             Input::Disconnected(number, instance) => {
                 self.peers.remove(&number);
-                let listener = self.listeners.remove(&number);
-                if let Some((name, _)) = listener.and_then(|listener| listener.member) {
+                if let Some((name, _)) = self.listeners.went(number) {
                     self.candidates.went(&name, now);
                 }
                 if let Some(instance) = instance {
@@ -300,22 +274,17 @@
     }
 
     /// Takes in what a feed was told, and tells it to those who listen.
-    fn take_news(&mut self, (feed, told): &FeedNews) {
-        self.frames.clear();
-        if self.logs[*feed].add(told) {
-            self.catch_up(false);
+    fn take_news(&mut self, news: &FeedNews) {
+        if self.listeners.add_news(news) {
+            self.listeners.catch_up(&self.peers, false);
         }
     }
 
     /// Tells an instance what it lacks, and from now on what comes.
     fn subscribe(&mut self, number: u64, subscribe: &Subscribe) {
-        if self.fence.is_none() {
+        if self.fence.is_none() || !self.peers.contains_key(&number) {
             return;
         }
-        let Some(outbox) = self.peers.get(&number) else {
-            return;
-        };
-        outbox.send(Body::News(self.heartbeat(0, Instant::now())));
         let address = subscribe.address.parse().ok();
         let member = address.map(|address| (subscribe.instance.as_str().into(), address));
         if let Some((name, address)) = member.clone() {
@@ -323,8 +292,9 @@
         }
         let known = |feed| subscribe.known.get(feed).copied().unwrap_or(0);
         let told = std::array::from_fn(known);
-        self.listeners.insert(number, Listener { member, told });
-        self.catch_up(true);
+        self.listeners.came(number, member, told);
+        self.listeners.catch_up(&self.peers, true);
+        self.send_heartbeats([number], 0);
         self.tell_members(number);
     }
 
@@ -332,8 +302,7 @@
     fn members(&self) -> Addresses {
         let settings = &self.shared.settings;
         let me = (settings.instance.clone(), settings.peer_address);
-        let others = self.listeners.values();
-        let others = others.filter_map(|listener| listener.member.clone());
+        let others = self.listeners.members().map(|(_, member)| member.clone());
         others.chain([me]).collect()
     }
 
@@ -394,50 +363,16 @@
             fence,
             asked_ms: u64::try_from(asked.as_millis()).unwrap_or(u64::MAX),
         });
-        for (number, listener) in &self.listeners {
-            let member = listener.member.as_ref();
-            if member.is_some_and(|(name, _)| self.candidates.contains(name)) {
-                self.send_to(*number, &body);
-            }
-        }
-    }
-
-    /// Tells each listener the newest of what it lacks, unless it has not taken yet what it
-    /// was told before. What has not changed, up to a later revision, is told with the
-    /// heartbeat only; without it a listener would go on from a revision that the store has
-    /// forgotten when it asks it itself again.
-    fn catch_up(&mut self, with_heartbeat: bool) {
-        self.has_backlog = false;
-        for (number, listener) in &mut self.listeners {
-            let Some(outbox) = self.peers.get(number) else {
-                continue;
-            };
-            for (feed, log) in self.logs.iter().enumerate() {
-                let known = listener.told[feed];
-                let is_quiet = !log.has_news(known);
-                if is_quiet && (!with_heartbeat || known >= log.to()) {
-                    continue;
-                }
-                if outbox.waiting_bytes() > NEWS_BACKLOG_BYTES {
-                    self.has_backlog = true;
-                    break;
-                }
-                if self.frames.len() >= KEPT_FRAMES {
-                    self.frames.clear();
-                }
-                let frame = self.frames.entry((feed, known));
-                let frame = frame.or_insert_with(|| news_frame(log, feed, known));
-                if let Some(frame) = frame {
-                    outbox.send_frame(frame.clone());
-                }
-                listener.told[feed] = log.to();
+        for (number, (name, _)) in self.listeners.members() {
+            if self.candidates.contains(name) {
+                self.send_to(number, &body);
             }
         }
     }
 
     fn send_to_listeners(&self, body: &Body) {
-        let numbers = self.listeners.keys();
-        let outboxes = numbers.filter_map(|number| self.peers.get(number));
+        let numbers = self.listeners.numbers();
+        let outboxes = numbers.filter_map(|number| self.peers.get(&number));
         send_to_all(outboxes, body.clone());
     }
 
@@ -457,17 +392,33 @@
         }
     }
 
+    /// Sends heartbeats to listeners. To one that has not been told the newest it says only
+    /// that the holder lives: what the listener was told before grows old.
+    fn send_heartbeats(&self, listeners: impl IntoIterator<Item = u64>, instances: usize) {
+        let is_behind = |number: &u64| self.listeners.is_behind(*number);
+        let (behind, current): (Vec<u64>, Vec<u64>) = listeners.into_iter().partition(is_behind);
+        let heartbeat = self.heartbeat(instances, Instant::now());
+        let alive = News {
+            confirmed_ms: Vec::new(),
+            ..heartbeat.clone()
+        };
+        for (numbers, news) in [(current, heartbeat), (behind, alive)] {
+            let outboxes = numbers.iter().filter_map(|number| self.peers.get(number));
+            send_to_all(outboxes, Body::News(news));
+        }
+    }
+
     /// Shows the others that the lease still holds.
     fn beat(&mut self, now: Instant) {
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + HEARTBEAT_PAUSE;
-            let instances = self.listeners.len() + 1;
+            let instances = self.listeners.count() + 1;
             self.shared.use_instances(instances);
             self.ask_candidates(now);
-            self.send_to_listeners(&Body::News(self.heartbeat(instances, now)));
-            self.catch_up(true);
-        } else if self.has_backlog {
-            self.catch_up(false);
+            self.listeners.catch_up(&self.peers, true);
+            self.send_heartbeats(self.listeners.numbers(), instances);
+        } else if self.listeners.has_backlog() {
+            self.listeners.catch_up(&self.peers, false);
         }
     }
 
@@ -528,7 +479,7 @@
             self.fence = fence;
             self.candidates = Candidates::default();
             // Whoever heard the news from here asks the store now.
-            for number in std::mem::take(&mut self.listeners).into_keys() {
+            for number in self.listeners.end() {
                 if let Some(outbox) = self.peers.remove(&number) {
                     outbox.close();
                 }
@@ -619,17 +570,6 @@
     engines.order(order.address, &given)
 }
 
-/// What an instance lacks that knows a feed up to a revision, as it goes over a link. If that
-/// is too large, that there is something, so that the instance asks the store.
-fn news_frame(log: &FeedLog, feed: usize, known: StoreRevision) -> Option<Frame> {
-    let frame = Frame::new(Body::News(log.after(feed, known)?));
-    let frame = frame.or_else(|error| {
-        log::error!(feed = feed, error:% = error; "news cannot be sent");
-        Frame::new(Body::News(log.gap(feed)))
-    });
-    frame.ok()
-}
-
 /// Sends one message to many; it is encoded and kept once.
 fn send_to_all<'a>(outboxes: impl Iterator<Item = &'a Outbox>, body: Body) {
     match Frame::new(body) {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -13,7 +13,7 @@
 //! * [`metrics`]: counters for `/metrics`.
 //! * [`health`]: whether the store answers.
 //! * [`relay`]: the store's news by way of the holder, [`news`] as they travel, [`packing`] of
-//!   large values, [`feed_log`]: what the holder keeps to tell others.
+//!   large values; [`listeners`]: who hears it from the holder, [`feed_log`] what there is to tell.
 //! * [`lifecycle`] starts and stops; [`ending`] wakes what still waits at a stop.
 
 pub mod callers;
@@ -27,6 +27,7 @@
 pub mod holder;
 pub mod http1;
 pub mod lifecycle;
+pub mod listeners;
 pub mod members;
 pub mod metrics;
 pub mod news;
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -3,7 +3,8 @@
 //! A watch of each instance on each prefix would cost the store as many calls as
 //! there are instances. The holder watches for all; the others hear from it for as
 //! long as it shows that it lives, holds its lease and has heard the store itself a moment
-//! ago, and ask the store themselves at all other times. Changes carry the store's revisions, so a gap is seen.
+//! ago, and ask the store themselves at all other times. Changes carry the store's
+//! revisions, so a gap is seen.
 
 use crate::news::{Bases, Told};
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -49,7 +50,7 @@
 
 impl State {
     /// Takes in up to when the holder knew the feeds, by a word that has just come.
-    fn confirmed(&mut self, news: &News, now: Instant) {
+    fn note_times(&mut self, news: &News, now: Instant) {
         self.heard_at = Some(now);
         if news.sent_ms == 0 {
             return;
@@ -112,7 +113,7 @@
         (relay, taps)
     }
 
-    /// An end for a feed that only rests while the relay is live.
+    /// An end for a feed that only rests while the holder is relied on.
     pub fn resting(self: &Arc<Self>) -> Tap {
         Tap {
             relay: self.clone(),
@@ -185,7 +186,7 @@
     /// Takes in a word of the holder.
     pub fn heard(&self, news: News) {
         let mut state = self.state();
-        state.confirmed(&news, Instant::now());
+        state.note_times(&news, Instant::now());
         let feed = usize::try_from(news.feed).unwrap_or(FEEDS);
         if news.to == 0 || feed >= FEEDS {
             return;
