--- a/crates/instance/src/events.rs
+++ b/crates/instance/src/events.rs
@@ -1,5 +1,13 @@
 //! Events of a stream: only whole ones are passed on, so that a stream can go on elsewhere.
 
+/// Largest part of an event that is kept until the event is whole, in bytes: as much as of an
+/// answer that is no stream.
+const MAX_PARTIAL_BYTES: usize = 1 << 20;
+
+/// An event is larger than any that is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLarge;
+
 /// Cuts a stream into whole events.
 #[derive(Debug, Default)]
 pub struct EventCutter {
@@ -34,7 +42,13 @@
 
 impl EventCutter {
     /// Adds bytes and moves whole events to `out`, leaving out those that went before.
-    pub fn add(&mut self, bytes: &[u8], out: &mut Vec<u8>) {
+    ///
+    /// # Errors
+    /// If an event is too large to be kept until it is whole; nothing more is kept then.
+    pub fn add(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), EventTooLarge> {
+        if self.partial.len() > MAX_PARTIAL_BYTES {
+            return Err(EventTooLarge);
+        }
         self.partial.extend_from_slice(bytes);
         let mut used = 0;
         while let Some(length) = event_end(&self.partial[used..]) {
@@ -54,6 +68,7 @@
             out.extend_from_slice(event);
         }
         self.partial.drain(..used);
+        Ok(())
     }
 
     /// The id of the last event passed on.
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -331,7 +331,10 @@
             };
             self.heard(target);
             events.clear();
-            self.delivered.cutter.add(&received, &mut events);
+            if self.delivered.cutter.add(&received, &mut events).is_err() {
+                self.delivered.cutter.drop_partial();
+                return Attempt::Broken;
+            }
             if ended {
                 events.extend(self.delivered.cutter.take_rest());
             }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -272,6 +272,9 @@
     fn send(&mut self) {
         let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(outbox) = link.as_ref() else {
+            // A new connection is told what was taken lately and what waits then.
+            self.taken.clear();
+            self.untold.clear();
             return;
         };
         let mut taken = std::mem::take(&mut self.taken);
--- a/tests/all/endless_input.rs
+++ b/tests/all/endless_input.rs
@@ -1,7 +1,8 @@
-//! Parts of a request's body that are no body, lines of chunks and trailers, are bounded like
-//! the rest, and what goes beyond is refused by an answer.
+//! Input that does not end is bounded: lines of chunks and trailers of a request's body, refused
+//! by an answer, and an event of an upstream's stream, which breaks the attempt.
 
 use crate::site::{self, Answer, Caller, HOST, list_plain, plain_server};
+use passway_instance::events::EventCutter;
 
 /// More than any line of a chunked body may have, and little enough to be read whole before
 /// the answer comes, so that the connection is not reset.
@@ -48,3 +49,17 @@
     let answer = answer_to(body).expect("an answer");
     assert_eq!((answer.status, answer.whole), (200, true));
 }
+
+#[test]
+fn endless_event() {
+    let mut cutter = EventCutter::default();
+    let part = [b'x'; 16 << 10];
+    let mut passed_on = Vec::new();
+    for _ in 0..256 {
+        // Whoever reads the stream ends it once this is refused.
+        let _ = cutter.add(&part, &mut passed_on);
+    }
+    assert!(passed_on.is_empty());
+    let kept = cutter.take_rest().len();
+    assert!(kept <= 2 << 20, "{kept} bytes of one event");
+}
