Bodies of all requests together are bounded; one that does not fit is refused honestly

Ruled out: fewer connections, which refuses callers that bring nothing. Change: 32 MiB in all, by the announced length before the body is read, by the true one after; what does not fit gets 503 with Retry-After and has not run. A single larger body is let in alone. Conclusion: the number of connections is bounded by descriptors alone, and open.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -192,6 +192,14 @@
         };
         let in_progress = shared.enter();
         let arrived_at = Instant::now();
+        let announced = head.headers.text("content-length");
+        let announced = announced
+            .and_then(|length| length.parse().ok())
+            .unwrap_or(0);
+        // A length beyond what is allowed is refused as such, by who reads it.
+        let Some(mut room) = shared.hold_body(announced.min(limits.max_body_bytes)) else {
+            return refuse_for_room(shared, caller, &head);
+        };
         let body = match read_body(&mut caller, &head, limits.max_body_bytes) {
             Ok(body) => body,
             Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
@@ -202,8 +210,11 @@
             }
             Err(_) => return,
         };
+        if !room.set_bytes(body.len()) {
+            return refuse_for_room(shared, caller, &head);
+        }
         let after = forward::serve(shared, &mut caller, &head, &body, arrived_at);
-        drop(in_progress);
+        drop((in_progress, room));
         if after == After::Close {
             return;
         }
@@ -218,10 +229,19 @@
 
 /// Refuses a request of which the process has read only a part when it ends.
 fn refuse_unread(shared: &Shared, caller: Connection, id: &str) {
+    refuse_not_run(shared, caller, id, "half read at the stop");
+}
+
+/// Refuses a request for whose body the others in progress leave no room.
+fn refuse_for_room(shared: &Shared, caller: Connection, head: &RequestHead) {
+    let facts = shared.vocabulary.request(&head.headers);
+    refuse_not_run(shared, caller, &facts.id, "no room for its body");
+}
+
+fn refuse_not_run(shared: &Shared, caller: Connection, id: &str, end: &'static str) {
     let refusal = Refusal::NotRun {
         retry_after_ms: forward::RETRY_AFTER_MS,
     };
-    let end = "half read at the stop";
     shared.metrics.ended(end, refusal.code());
     log::info!(target: REQUEST_TARGET, request = id, status = refusal.code(), offers = 0,
         runs = 0, end = end; "request ended");
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -45,6 +45,10 @@
     },
 }
 
+/// Most bytes that the bodies of all requests in progress may have together: a fifth of the
+/// memory of the smallest instance (160 MB).
+pub const MAX_HELD_BODIES_BYTES: usize = 32 << 20;
+
 /// The state that the threads of an instance share.
 pub struct Shared {
     /// The settings that the process started with; addresses and names stay as they are.
@@ -75,6 +79,8 @@
     /// The moment at which a stop ends what waits; set when the stop begins.
     ends_at: OnceLock<Instant>,
     in_progress: AtomicUsize,
+    /// Bytes of the bodies of requests in progress.
+    held_bodies: AtomicUsize,
 }
 
 impl fmt::Debug for Shared {
@@ -115,6 +121,7 @@
             ending: AtomicBool::new(false),
             ends_at: OnceLock::new(),
             in_progress: AtomicUsize::new(0),
+            held_bodies: AtomicUsize::new(0),
         }
     }
 
@@ -229,6 +236,51 @@
     }
 }
 
+impl Shared {
+    /// Takes room for a request's body; `None` if the bodies of others leave none. One that is
+    /// larger than all may be is let in alone.
+    pub fn hold_body(self: &Arc<Self>, bytes: usize) -> Option<HeldBody> {
+        let mut held = HeldBody {
+            shared: self.clone(),
+            bytes: 0,
+        };
+        held.set_bytes(bytes).then_some(held)
+    }
+}
+
+/// Room for a request's body, which is free again when this is dropped.
+#[derive(Debug)]
+pub struct HeldBody {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
+
+impl HeldBody {
+    /// Takes as much room as the body needs; whether there is so much. If not, it keeps what
+    /// it has.
+    pub fn set_bytes(&mut self, bytes: usize) -> bool {
+        let mine = self.bytes;
+        let fits = |all: usize| {
+            let others = all - mine;
+            let fits = others == 0 || others + bytes <= MAX_HELD_BODIES_BYTES;
+            (fits || bytes <= mine).then_some(others + bytes)
+        };
+        let all = &self.shared.held_bodies;
+        let taken = all.fetch_update(Ordering::AcqRel, Ordering::Acquire, fits);
+        if taken.is_ok() {
+            self.bytes = bytes;
+        }
+        taken.is_ok()
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        let all = &self.shared.held_bodies;
+        all.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 /// Counts one request as in progress while it lives.
 #[derive(Debug)]
 pub struct InProgress(Arc<Shared>);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod feed_log;
 mod followed;
 mod former_holder;
+mod held_bodies;
 mod holder_heard;
 mod holder_link;
 mod instance_metrics;
