A thread that cannot be made ends neither the deciding nor the accepting thread

Change: without a thread a connecting instance's link is closed, an order counts as not sent, a question as unanswered. No test brings a lack of threads about.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -20,7 +20,7 @@
 use passway_wire::message::{
     EnginePlacement, Needs, News, Placements, Promise, PromiseWanted, Resident, Subscribe, Wish,
 };
-use passway_wire::{Body, Frame, Link};
+use passway_wire::{Body, Frame, Link, LinkReader};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 
@@ -118,33 +118,40 @@
 
 fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
     for (number, stream) in (0..).zip(listener.incoming()) {
-        let Ok((link, mut reader)) = stream.and_then(Link::from_stream) else {
+        let Ok((link, reader)) = stream.and_then(Link::from_stream) else {
             continue;
         };
         let inputs = inputs.clone();
-        std::thread::spawn(move || {
-            let mut instance = None;
-            // The deciding thread ends only with the process.
-            let _ = inputs.send(Input::Connected(number, Outbox::start(link)));
-            while let Ok(Some(body)) = reader.receive() {
-                let input = match body {
-                    Body::Needs(needs) => {
-                        instance = Some(InstanceId::from(needs.instance.as_str()));
-                        Input::Needs(needs)
-                    }
-                    Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe),
-                    Body::Successor(told) => match members::successor(&told) {
-                        Some(holder) => Input::Succeeded(holder),
-                        None => continue,
-                    },
-                    Body::Promise(promise) => Input::Promised(promise),
-                    _ => continue,
-                };
-                let _ = inputs.send(input);
+        let hearing = move || hear_peer(number, link, reader, &inputs);
+        if let Err(error) = std::thread::Builder::new().spawn(hearing) {
+            // The peer finds its connection closed and makes another one.
+            log::warn!(error:% = error; "no thread for an instance that connects");
+        }
+    }
+}
+
+/// Passes on what a peer says for as long as it is connected.
+fn hear_peer(number: u64, link: Link, mut reader: LinkReader, inputs: &Sender<Input>) {
+    let mut instance = None;
+    // The deciding thread ends only with the process.
+    let _ = inputs.send(Input::Connected(number, Outbox::start(link)));
+    while let Ok(Some(body)) = reader.receive() {
+        let input = match body {
+            Body::Needs(needs) => {
+                instance = Some(InstanceId::from(needs.instance.as_str()));
+                Input::Needs(needs)
             }
-            let _ = inputs.send(Input::Disconnected(number, instance));
-        });
+            Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe),
+            Body::Successor(told) => match members::successor(&told) {
+                Some(holder) => Input::Succeeded(holder),
+                None => continue,
+            },
+            Body::Promise(promise) => Input::Promised(promise),
+            _ => continue,
+        };
+        let _ = inputs.send(input);
     }
+    let _ = inputs.send(Input::Disconnected(number, instance));
 }
 
 struct Holding {
@@ -517,10 +524,14 @@
         send_to_all(self.peers.values(), body);
     }
 
-    fn act(&self, action: Action, fence: Fence) {
+    fn act(&mut self, action: Action, fence: Fence) {
         let (engines, right) = (self.engines.clone(), self.right.clone());
         let (sender, holder) = (self.sender.clone(), self.shared.settings.instance.clone());
-        std::thread::spawn(move || {
+        let unsent = match &action {
+            Action::Order(order) => Input::Answered(order.clone(), OrderAnswer::NotSent),
+            Action::Ask { engine, .. } => Input::Reported(engine.clone(), None),
+        };
+        let carry_out = move || {
             let input = match action {
                 Action::Order(order) => {
                     let answer = give(&*engines, &right, fence, holder, &order);
@@ -530,7 +541,11 @@
             };
             // The deciding thread ends only with the process.
             let _ = sender.send(input);
-        });
+        };
+        if let Err(error) = std::thread::Builder::new().spawn(carry_out) {
+            log::warn!(error:% = error; "no thread for an order or a question");
+            self.take(unsent);
+        }
     }
 }
 
