Two tests of feeds share their steps; log tests take free addresses as others do

What stood twice: silent_knowledge and resting_feed_wakes, the same steps on another feed; a search for free ports in log_lines beside processes::free_address, whose addresses nobody else takes before the program's start. Change: asks_beside_words; free_address in log_lines.

--- a/tests/all/config_way.rs
+++ b/tests/all/config_way.rs
@@ -12,7 +12,7 @@
 use crate::followed::{ToldStore, beat, followed, shared, word};
 use crate::site::until;
 use bytes::Bytes;
-use passway_instance::relay::{CONFIGURATION, FEEDS, Relay};
+use passway_instance::relay::{CONFIGURATION, FEEDS, Relay, Tap};
 use passway_serving::ports::{Listing, StoreChange, StoreError, StoredValue, WatchAnswer};
 use passway_types::prelude::*;
 use passway_wire::message::{News, NewsValue};
@@ -64,20 +64,24 @@
     });
 }
 
-#[test]
-fn silent_knowledge() {
-    let (relay, [tap, _]) = Relay::new();
+/// A feed asks the store although the holder speaks, which has heard nothing of the store.
+fn asks_beside_words(relay: &Relay, tap: Tap) {
     relay.heard(News::default());
     let store = ToldStore::new(|_| Ok(empty_list()), |_| Ok(change()));
     let seen = followed(store, tap, &shared());
     until("the list", || seen.have(10));
     until("the store's word", || {
-        // The holder lives and says so, and has heard nothing of the store.
         relay.heard(News::default());
         seen.have(20)
     });
 }
 
+#[test]
+fn silent_knowledge() {
+    let (relay, [tap, _]) = Relay::new();
+    asks_beside_words(&relay, tap);
+}
+
 /// A holder that knows the configuration up to now and the upstreams no more: an instance
 /// relies on it for the one and asks the store for the other, also after a call that failed.
 /// The failure was kept for as long as nobody else asked, and nobody did.
@@ -113,14 +117,7 @@
 #[test]
 fn resting_feed_wakes() {
     let (relay, _) = Relay::new();
-    relay.heard(News::default());
-    let store = ToldStore::new(|_| Ok(empty_list()), |_| Ok(change()));
-    let seen = followed(store, relay.resting(), &shared());
-    until("the list", || seen.have(10));
-    until("the store's word", || {
-        relay.heard(News::default());
-        seen.have(20)
-    });
+    asks_beside_words(&relay, relay.resting());
 }
 
 /// After a gap the store's history is gone too: everything is listed, nothing is forgotten.
--- a/tests/all/log_lines.rs
+++ b/tests/all/log_lines.rs
@@ -1,12 +1,13 @@
 //! Logs of instances on the users' platform: their volume, a reader that does not read,
 //! and a request's story out of them.
 
+use crate::processes::free_address;
 use crate::site::{self, Answer, Caller, ask, list_plain, plain_server, request, until};
 use expect_test::expect;
 use passway_ctl::commands::trace;
 use passway_process::logging::volume::VolumeBound;
 use passway_types::prelude::*;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
@@ -59,16 +60,13 @@
         let store = site::store(&[]);
         let server = plain_server();
         list_plain(&store, "i-0", server.address, "ready");
-        let free = || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-            listener.local_addr().expect("address")
-        };
-        let (callers, ready, peers) = (free(), free(), free());
+        let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let text = format!(
-            "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternal_ports = [{}, 1]\n\
+            "node_name = \"n\"\nzone = \"z\"\nip = \"{}\"\ninternal_ports = [{}, 1]\n\
             [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
             [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n\
             lease_ms = 3000\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
+            peers.ip(),
             peers.port(),
             store.serve(),
         );
