An announced holder is followed once the cut is noticed, not only if it was noticed before

Cause (the red test cut_instance_follows): a new holder announces itself once to an instance that has not come; the instance believed it only if its own store calls had failed by then, and forgot it otherwise. Ruled out: the announcement does not get lost on the way (Dialer connects until it is told). Test: early_word_kept announces while the store answers and cuts the store then; before: 'the holder that was announced does not come about' in 20 s; after: passes, with the other three of the file.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -4,7 +4,7 @@
 
 use crate::candidates::Candidates;
 use crate::listeners::Listeners;
-use crate::members::{self, Addresses, Announcement};
+use crate::members::{self, Addresses, Announcement, KeptAnnouncement};
 use crate::news::Told;
 use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
@@ -107,6 +107,7 @@
         candidates: Candidates::default(),
         begun_at: Instant::now(),
         announcement: None,
+        heard_of: KeptAnnouncement::default(),
         heartbeat_at: Instant::now(),
         tell_at: Instant::now(),
         fence: None,
@@ -171,6 +172,8 @@
     begun_at: Instant,
     /// What is left to tell of a term that has begun.
     announcement: Option<Announcement>,
+    /// What another instance announced of its own term.
+    heard_of: KeptAnnouncement,
     heartbeat_at: Instant,
     /// When changed placements may be told again.
     tell_at: Instant,
@@ -262,7 +265,7 @@
             Input::Subscribe(number, subscribe) => self.subscribe(number, &subscribe),
             // It is a reason to look, which follows in any case.
             Input::TermBegun => {}
-            Input::Succeeded(holder) => self.succeeded(&holder),
+            Input::Succeeded(holder) => self.heard_of.keep(holder, now),
             Input::Promised(promise) => self.promised(&promise),
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
@@ -329,12 +332,13 @@
         }
     }
 
-    /// Another instance says that it holds the right. Believed only while the store does
-    /// not answer: it tells better.
-    fn succeeded(&self, holder: &Holder) {
-        let is_silent =
+    /// Follows a holder that was announced, if the store does not answer: else it tells better.
+    fn follow_announced(&mut self, now: Instant) {
+        let is_cut_off =
             self.shared.store_health.is_failing() || self.right.asks_promises().is_some();
-        if is_silent && self.right.told(holder.clone()) {
+        if let Some(holder) = self.heard_of.take(is_cut_off, now)
+            && self.right.told(holder.clone())
+        {
             log::info!(holder:% = holder.instance, fence = holder.fence; "heard of a new holder");
         }
     }
@@ -472,6 +476,7 @@
     }
 
     fn decide(&mut self) {
+        self.follow_announced(Instant::now());
         let routes = self.shared.routes.load_full();
         if let Some(table) = routes.filter(|table| self.version != Some(table.version)) {
             self.version = Some(table.version);
--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -56,6 +56,30 @@
     })
 }
 
+/// The announcement of a new holder, kept until this instance has use for it.
+///
+/// It is made once, and may come before this instance has noticed that the store does not
+/// answer it: a call takes up to a second to fail.
+#[derive(Debug, Default)]
+pub struct KeptAnnouncement(Option<(Holder, Instant)>);
+
+impl KeptAnnouncement {
+    /// An announcement has come. An older term never replaces a newer one.
+    pub fn keep(&mut self, holder: Holder, now: Instant) {
+        let newest = self.0.as_ref().map(|(known, _)| known.fence);
+        if newest.is_none_or(|newest| holder.fence >= newest) {
+            self.0 = Some((holder, now + ANNOUNCING_TIME));
+        }
+    }
+
+    /// The holder to follow, once `is_cut_off`; each announcement is given out once.
+    pub fn take(&mut self, is_cut_off: bool, now: Instant) -> Option<Holder> {
+        self.0.take_if(|(_, until)| now >= *until);
+        let (holder, _) = self.0.take_if(|_| is_cut_off)?;
+        Some(holder)
+    }
+}
+
 /// The words of a new holder to those that have not come by themselves.
 #[derive(Debug)]
 pub struct Announcement {
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -4,8 +4,9 @@
 use passway_serving::tenure::{Holder, Tenure, TenureLimits};
 use passway_standins::platform::store::Faults;
 use passway_types::prelude::*;
-use passway_wire::message::Subscribe;
+use passway_wire::message::{Subscribe, Successor};
 use passway_wire::{Body, Link};
+use std::net::TcpListener;
 
 fn holder(name: &str, fence: Fence) -> Holder {
     Holder {
@@ -85,6 +86,38 @@
     }
 }
 
+/// The announcement of a new holder reaches an instance before the instance has noticed that
+/// it is cut off. It is made once, so it must count when the cut is noticed.
+#[test]
+fn early_word_kept() {
+    let store = site::store(&["m0"]);
+    let way = store.serve_way();
+    let instance = site::start_at("one", way.address());
+    until("readiness", || instance.is_ready());
+    until("the right", || instance.fence().is_some());
+    let own = instance.holder().expect("itself");
+    let successor = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = successor.local_addr().expect("address");
+    let (link, _reader) = Link::connect(own.address, Duration::from_secs(5)).expect("a link");
+    let fence = own.fence + 1_000;
+    let announced = Successor {
+        instance: "two".into(),
+        address: address.to_string(),
+        fence,
+    };
+    link.send(Body::Successor(announced)).expect("sent");
+    // Taken in by now, while the store answers: its word goes first.
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(instance.holder().map(|h| h.fence), Some(own.fence));
+    way.set_faults(Faults {
+        refuses: Some(503),
+        ..Faults::default()
+    });
+    until("the holder that was announced", || {
+        instance.holder().map(|h| h.fence) == Some(fence)
+    });
+}
+
 /// Instances that are gone for good do not stay on the list.
 #[test]
 fn gone_member_forgotten() {
