--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -5,12 +5,15 @@
 use crate::relay::{CONFIGURATION, Tap};
 use crate::right::Right;
 use crate::shared::Shared;
+use anyhow::ensure;
 use crossbeam::channel::Sender;
 use passway_serving::ports::{
     Directory, Listing, SharedStore, StoreChange, StoreError, StoreRevision, StoredValue,
     WatchAnswer,
 };
+use passway_serving::upstreams::UpstreamEntry;
 use passway_types::prelude::*;
+use std::collections::BTreeSet;
 
 /// Longest wait of one watch of a feed that others hear by way of the holder; a connection
 /// that was cut silently is noticed 0.5 s after it. A version has 2 s to be in force
@@ -41,6 +44,15 @@
     Holder,
 }
 
+/// Why a feed is behind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outage {
+    /// The holder is not relied on any more, after a second or so.
+    OfHolder,
+    /// The store did not answer, for nobody knows how long.
+    OfStore,
+}
+
 /// Takes in what lies under a prefix.
 pub trait Feed: Send {
     /// The prefix.
@@ -55,7 +67,7 @@
     fn settled(&mut self) -> Duration;
     /// Whether all values are cheaper than the changes that lie behind: a watch tells each
     /// change that was made meanwhile, a list the last of them only.
-    fn lists_rather(&self) -> bool {
+    fn lists_rather(&self, _after: Outage) -> bool {
         false
     }
     /// Whether the store is to be asked although the holder is relied on.
@@ -178,7 +190,7 @@
     /// Asks the store once and pauses as its answer or silence calls for.
     fn follow_store(&mut self) {
         // A feed that is not relayed heard nothing while the holder was relied on.
-        let lists = self.tap.feed.is_none() || self.feed.lists_rather();
+        let lists = self.tap.feed.is_none() || self.feed.lists_rather(Outage::OfHolder);
         self.lists_next |= std::mem::take(&mut self.relied) && lists;
         match self.ask() {
             Ok(()) => {
@@ -188,7 +200,8 @@
             }
             Err(error) => {
                 log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
-                self.lists_next |= self.feed.lists_rather();
+                // An answer that did not come in time may have held many versions.
+                self.lists_next |= self.feed.lists_rather(Outage::OfStore);
                 let health = &self.feed.shared().store_health;
                 health.failed();
                 let now = Instant::now();
@@ -289,15 +302,29 @@
     }
 }
 
+/// Versions that came within this time are a series: more of them may lie behind.
+const SERIES_TIME: Duration = Duration::from_secs(5);
+
 /// Takes in the configuration.
 pub struct ConfigurationFeed {
     /// What the instance shares.
     pub shared: Arc<Shared>,
     /// Decodes it.
     pub directory: Arc<dyn Directory>,
+    /// When the last version and the one before it came.
+    versions_at: [Option<Instant>; 2],
 }
 
 impl ConfigurationFeed {
+    /// A feed that has heard nothing yet.
+    pub fn new(shared: Arc<Shared>, directory: Arc<dyn Directory>) -> Self {
+        Self {
+            shared,
+            directory,
+            versions_at: [None; 2],
+        }
+    }
+
     fn take(&self, value: &StoredValue) {
         match self.directory.configuration(value) {
             Ok(Some(table)) => {
@@ -334,6 +361,7 @@
     fn changed(&mut self, change: &StoreChange) -> bool {
         if let StoreChange::Written(value) = change {
             self.take(value);
+            self.versions_at = [Some(Instant::now()), self.versions_at[0]];
         }
         true
     }
@@ -342,8 +370,12 @@
         Duration::ZERO
     }
 
-    fn lists_rather(&self) -> bool {
-        true
+    /// A list has the whole configuration, 180 kB for 1,375 models, and all instances ask at
+    /// the same moment when the holder is lost: 53 MB for 295 of them, 0.4 s of the store's
+    /// link. A watch has nothing if no version came meanwhile, and each that did if some have.
+    fn lists_rather(&self, after: Outage) -> bool {
+        let is_recent = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() < SERIES_TIME);
+        after == Outage::OfStore || self.versions_at.into_iter().all(is_recent)
     }
 
     fn shared(&self) -> &Shared {
@@ -361,6 +393,8 @@
     pub holder: Sender<Input>,
     /// Whether it may.
     pub right: Arc<Right>,
+    /// Keys whose entries cannot be used, so that each is told once.
+    unusable: BTreeSet<String>,
 }
 
 /// Changes of upstreams within this time are taken in by one call.
@@ -371,6 +405,22 @@
 const HOLDER_PAUSE_PER_UPSTREAM: Duration = Duration::from_micros(1_200);
 
 impl UpstreamFeed {
+    /// A feed that has heard nothing yet.
+    pub fn new(
+        shared: Arc<Shared>,
+        directory: Arc<dyn Directory>,
+        holder: Sender<Input>,
+        right: Arc<Right>,
+    ) -> Self {
+        Self {
+            shared,
+            directory,
+            holder,
+            right,
+            unusable: BTreeSet::new(),
+        }
+    }
+
     fn tell(&self, input: Input) {
         // The deciding thread ends only with the process.
         let _ = self.holder.send(input);
@@ -392,15 +442,60 @@
         self.tell(Input::Listed(left));
     }
 
-    fn decode(&self, value: &StoredValue) -> Option<passway_serving::upstreams::UpstreamEntry> {
-        match self.directory.upstream(value, Instant::now()) {
-            Ok(entry) => Some(entry),
+    /// What an upstream says of itself; `None` if the entry names none that can be used. It
+    /// may have been written by something else.
+    fn decode(&mut self, value: &StoredValue) -> Option<UpstreamEntry> {
+        let entry = self.directory.upstream(value, Instant::now());
+        match entry.and_then(|entry| self.of_its_service(entry)) {
+            Ok(entry) => {
+                self.unusable.remove(&value.key);
+                Some(entry)
+            }
             Err(error) => {
-                log::warn!(key = value.key, error:% = format!("{error:#}"); "an upstream's entry cannot be used");
+                if self.unusable.insert(value.key.clone()) {
+                    self.shared.metrics.unusable_entry();
+                    log::warn!(key = value.key, error:% = format!("{error:#}"); "an upstream's entry cannot be used");
+                }
                 None
             }
         }
     }
+
+    /// An upstream stays with its service: what moves it to one that the configuration does
+    /// not know is not its own word, and must not pass for the newest one.
+    fn of_its_service(&self, entry: UpstreamEntry) -> anyhow::Result<UpstreamEntry> {
+        let table = self.shared.routes.load();
+        let is_known = |service| {
+            let services = table.as_ref().map(|table| &table.services);
+            services.is_some_and(|services| services.contains_key(service))
+        };
+        let upstreams = self.shared.upstreams();
+        let before = upstreams.service_of(&entry.id);
+        let moves = before.is_some_and(|before| *before != entry.service && is_known(before));
+        ensure!(
+            !moves || is_known(&entry.service),
+            "an unknown service, {}",
+            entry.service
+        );
+        drop(upstreams);
+        Ok(entry)
+    }
+
+    /// Connections to what upstreams were before they started again lead nowhere.
+    fn forget_restarted(&self) {
+        let restarted = self.shared.upstreams().take_restarted();
+        for id in restarted {
+            log::info!(upstream:% = id; "an upstream has started again under its id");
+            self.shared.pool.forget(&id);
+        }
+    }
+
+    /// An upstream is not listed any more.
+    fn miss(&self, id: &str) {
+        let gone_at = self.shared.store_health.gone_at(Instant::now());
+        self.shared.upstreams().miss(id, gone_at);
+        self.expire();
+    }
 }
 
 impl Feed for UpstreamFeed {
@@ -409,6 +504,8 @@
     }
 
     fn listed(&mut self, listing: &Listing) {
+        self.unusable
+            .retain(|key| listing.values.iter().any(|value| value.key == *key));
         let entries = listing.values.iter().filter_map(|value| self.decode(value));
         let entries: Vec<_> = entries.collect();
         for entry in &entries {
@@ -417,6 +514,7 @@
         let now = Instant::now();
         let gone_at = self.shared.store_health.gone_at(now);
         self.shared.upstreams().replace(entries, gone_at, now);
+        self.forget_restarted();
         self.expire();
         self.shared.set_upstreams_listed();
         self.shared.upstreams_changed();
@@ -426,17 +524,21 @@
         match change {
             StoreChange::Written(value) => {
                 let Some(entry) = self.decode(value) else {
-                    return false;
+                    if let Some(id) = self.directory.upstream_id(&value.key) {
+                        self.miss(id);
+                    }
+                    return true;
                 };
                 self.tell(Input::Heard(entry.clone()));
                 // What stands on an engine travels by placements, which are shorter.
-                self.shared.upstreams().update(entry, Instant::now())
+                let is_told = self.shared.upstreams().update(entry, Instant::now());
+                self.forget_restarted();
+                is_told
             }
             StoreChange::Removed { key, .. } => {
+                self.unusable.remove(key);
                 if let Some(id) = self.directory.upstream_id(key) {
-                    let gone_at = self.shared.store_health.gone_at(Instant::now());
-                    self.shared.upstreams().miss(id, gone_at);
-                    self.expire();
+                    self.miss(id);
                 }
                 true
             }
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -51,6 +51,7 @@
     attempts: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
     choices: Counter,
+    unusable_entries: Counter,
     model_wait: Histogram,
     first_byte: Histogram,
     holds_right: Gauge,
@@ -78,6 +79,7 @@
             attempts: Family::default(),
             orders: Family::default(),
             choices: Counter::default(),
+            unusable_entries: Counter::default(),
             model_wait: times(),
             first_byte: times(),
             holds_right: Gauge::default(),
@@ -102,6 +104,9 @@
         registry.register("orders", "Orders to engines by answer", orders);
         let choices = self.choices.clone();
         registry.register("choices", "Choices of an upstream for a request", choices);
+        let unusable = self.unusable_entries.clone();
+        let help = "Entries of upstreams that turned out to name none that can be used";
+        registry.register("unusable_entries", help, unusable);
         // What an alarm looks at stands there from the start.
         for outcome in ["taken", "refused"] {
             let _zero = self.orders.get_or_create(&OutcomeLabels { outcome });
@@ -143,6 +148,11 @@
         self.choices.inc();
     }
 
+    /// Counts an upstream's entry that cannot be used.
+    pub fn unusable_entry(&self) {
+        self.unusable_entries.inc();
+    }
+
     /// Counts an answer to an order.
     pub fn order(&self, outcome: &'static str) {
         self.orders.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,6 +6,7 @@
 //! order that is carried out late can only take effect in the state that it was
 //! decided for; memory is therefore checked against that state alone.
 
+mod announced;
 mod ceiling;
 mod census;
 mod demand;
@@ -19,6 +20,8 @@
 use crate::ports::{EngineReport, OrderAction, OrderAnswer};
 use crate::routes::{EnginePool, RouteTable};
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
+use announced::Announced;
+pub use announced::{PlacementDigest, digest};
 use ceiling::StoreLoads;
 pub use ceiling::USUAL_LOAD_WINDOW;
 use census::Census;
@@ -37,6 +40,9 @@
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
 /// Instances hear of a model that has come, and send what waits for it, well within this.
 const DOUBT_TIME: Duration = Duration::from_millis(500);
+/// How old the state that an engine reports may be: some hundred milliseconds (users' pages).
+/// What may have changed since then is not known to whoever did not order it.
+const REPORT_AGE: Duration = Duration::from_millis(500);
 /// Time in which instances that hear of a new holder connect and tell what they use.
 const LISTENING_TIME: Duration = Duration::from_millis(300);
 
@@ -53,6 +59,8 @@
     pub wish: ModelRef,
     /// The count of orders that it must have taken.
     pub expected_orders: u64,
+    /// The start of the engine for which it was decided.
+    pub started_at_ms: u64,
 }
 
 /// Requests for a model that run on an engine.
@@ -107,6 +115,12 @@
     /// The span over which they count.
     load_window: Duration,
     changed: BTreeSet<UpstreamId>,
+    announced: Announced,
+    /// When engines may be asked for their state in this term: what a holder before ordered
+    /// last shows in a report by then. `None` until the term's first decision.
+    reports_from: Option<Instant>,
+    /// Whether another holder, or a process before this one, ordered before this term.
+    has_predecessor: bool,
     listening_until: Option<Instant>,
 }
 
@@ -123,6 +137,9 @@
             store_loads: BTreeMap::new(),
             load_window,
             changed: BTreeSet::new(),
+            announced: Announced::default(),
+            reports_from: None,
+            has_predecessor: false,
             listening_until: None,
         }
     }
@@ -139,10 +156,19 @@
         }
     }
 
-    /// Forgets what was known of engines' orders, at the begin of a term. Instances
-    /// tell within moments what they need and use; until then nothing is evicted.
-    pub fn begin_term(&mut self, now: Instant) {
+    /// Begins a term with what this instance knew of engines as a listener, and forgets what
+    /// was known of their orders. With a predecessor, orders that it had no answer to may be
+    /// carried out yet. Instances tell within moments what they need and use; until
+    /// then nothing is evicted.
+    pub fn begin_term(
+        &mut self,
+        entries: impl Iterator<Item = UpstreamEntry>,
+        has_predecessor: bool,
+        now: Instant,
+    ) {
         self.listening_until = Some(now + LISTENING_TIME);
+        self.reports_from = None;
+        self.has_predecessor = has_predecessor;
         for (service, loads) in &mut self.store_loads {
             if let Some(pool) = self.pools.get(service) {
                 loads.begin_term(pool, now);
@@ -151,7 +177,13 @@
         for engine in self.engines.values_mut() {
             engine.forget_orders();
         }
-        self.changed.extend(self.engines.keys().cloned());
+        for entry in entries {
+            self.heard(entry, now);
+        }
+        // Instances compare what they know with this when they connect.
+        self.changed.clear();
+        let placements = self.engines.values().map(Engine::placement);
+        self.announced.begin(placements);
     }
 
     /// An engine has said something of itself.
@@ -174,6 +206,7 @@
     pub fn retain(&mut self, ids: &BTreeSet<UpstreamId>) {
         self.homes = None;
         self.engines.retain(|id, _| ids.contains(id));
+        self.announced.retain(ids);
     }
 
     /// So many requests of an instance wait for a model or adapter now.
@@ -251,12 +284,17 @@
     pub fn take_changed(&mut self) -> Vec<Placement> {
         let changed = std::mem::take(&mut self.changed);
         let engines = changed.iter().filter_map(|id| self.engines.get(id));
-        engines.map(Engine::placement).collect()
+        let mut placements: Vec<Placement> = engines.map(Engine::placement).collect();
+        placements.retain(|placement| self.announced.is_news(placement));
+        placements
     }
 
-    /// All placements, for an instance that has just connected.
-    pub fn placements(&self) -> Vec<Placement> {
-        self.engines.values().map(Engine::placement).collect()
+    /// The placements that an instance lacks which knows those with some digests.
+    pub fn placements_unlike(&self, known: &BTreeSet<PlacementDigest>) -> Vec<Placement> {
+        let placements = self.engines.values().map(Engine::placement);
+        placements
+            .filter(|p| !known.contains(&p.digest()))
+            .collect()
     }
 
     /// What is to be done now.
@@ -294,6 +332,11 @@
     /// The next order or question of each engine.
     fn next_actions(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
+        let reports_from = *self.reports_from.get_or_insert(now + REPORT_AGE);
+        if now < reports_from {
+            return actions;
+        }
+        let inherits = self.has_predecessor && now < reports_from + ceiling::LATEST_BEGIN;
         for (id, engine) in &mut self.engines {
             let service = &engine.entry.service;
             let pool = self.pools.get(service);
@@ -305,7 +348,7 @@
             }
             let before = engine.closing.len();
             let may_fetch = loads.has_room(pool, now);
-            if let Some(action) = engine.step(pool, may_fetch, now) {
+            if let Some(action) = engine.step(pool, may_fetch, inherits, now) {
                 if let Action::Order(order) = &action
                     && engine.is_store_load(order)
                 {
@@ -323,7 +366,8 @@
     /// When to decide again if nothing is heard.
     pub fn next_look_at(&self, now: Instant) -> Instant {
         let dues = self.engines.values().filter_map(Engine::look_at);
-        let listening = self.listening_until.filter(|until| now < *until);
+        let moments = [self.listening_until, self.reports_from];
+        let listening = moments.into_iter().flatten().filter(|at| now < *at);
         let rooms = self.store_loads.values();
         let rooms = rooms.filter_map(|loads| loads.room_at(now));
         let next = dues.chain(listening).chain(rooms).min();
--- a/crates/serving/src/placement/ceiling.rs
+++ b/crates/serving/src/placement/ceiling.rs
@@ -14,7 +14,7 @@
 /// Loads from the weight store at one time that still run at full speed (users' pages).
 pub(super) const STORE_LOADS_AT_ONCE: usize = 4;
 /// An order without an answer may be carried out so much later (users' bench: up to 12 s).
-const LATEST_BEGIN: Duration = Duration::from_secs(12);
+pub(super) const LATEST_BEGIN: Duration = Duration::from_secs(12);
 
 /// A load that has begun, or may begin yet.
 #[derive(Debug, Clone)]
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -9,13 +9,16 @@
 use crate::routes::{EnginePool, ModelSpec};
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// An engine that leaves so many questions in a row unanswered counts as gone.
 const UNREACHABLE_AFTER: u32 = 2;
 /// Times of adapters' use that are kept beyond twice those that count: so few that 600 engines
 /// keep below 5 MB, so many that they are seldom looked through.
 const SPARE_ADAPTER_USES: usize = 32;
+/// An engine whose entry has no higher number than this has started within the time in which
+/// an order without an answer may be carried out (12 s): it checks in about every 1.2 s.
+const RECENT_BEATS: u64 = 10;
 /// Pause between two questions to an engine that should have what requests wait for.
 const DOUBT_PAUSE: Duration = Duration::from_secs(1);
 
@@ -57,11 +60,46 @@
     }
 }
 
+/// Whether an order of a holder before may be carried out yet: one that was not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Inherited {
+    /// None can.
+    Nothing,
+    /// One for the count at which this term found the engine, until that moves.
+    AtThisCount,
+    /// One for any count: the engine has started again, and its count with it.
+    AtAnyCount,
+}
+
+/// An order without an answer, which the engine may carry out yet.
+#[derive(Debug, Clone)]
+struct Unresolved {
+    order: PlannedOrder,
+    until: Instant,
+}
+
 /// What the holder knows of one engine, and its orders to it.
+///
+/// An order must fit whatever the engine's true state is when it arrives: that the engine can
+/// refuse it by its count does not make it right. So room is kept for what is loading, for
+/// what may be loaded yet, and until it is sure that something has gone.
 #[derive(Debug)]
 pub(super) struct Engine {
     pub(super) entry: UpstreamEntry,
     models: Vec<ResidentModel>,
+    /// Models of `models` that the engine's own entry has listed since they came. Entries
+    /// arrive late: that one does not list a model tells that it has gone only if one before
+    /// did list it.
+    listed: BTreeSet<ModelName>,
+    /// Whether it has told its state in this term.
+    has_reported: bool,
+    /// Adapters that were on their way by the last report, whoever ordered them.
+    adapters_coming: Vec<ModelRef>,
+    /// Orders whose answers were lost lately.
+    unresolved: Vec<Unresolved>,
+    inherited: Inherited,
+    /// Orders that it has taken at least: a report with fewer is older than that.
+    least_orders: u64,
     /// Models that are to make room, in the order in which they go.
     pub(super) closing: Vec<ModelName>,
     /// The model that comes when there is room.
@@ -71,6 +109,8 @@
     adapter_used_at: HashMap<ModelRef, Instant>,
     /// For models that stand here.
     loaded_at: HashMap<ModelName, Instant>,
+    /// For adapters that stand here and were loaded by orders of this term.
+    adapter_loaded_at: HashMap<ModelRef, Instant>,
     running: BTreeMap<InstanceId, Vec<(ModelName, u32)>>,
     /// Orders that it has taken; `None` until it was asked.
     orders_taken: Option<u64>,
@@ -91,11 +131,18 @@
         Self {
             models: entry.models.clone(),
             entry,
+            listed: BTreeSet::new(),
+            has_reported: false,
+            adapters_coming: Vec::new(),
+            unresolved: Vec::new(),
+            inherited: Inherited::AtThisCount,
+            least_orders: 0,
             closing: Vec::new(),
             coming: None,
             adapters_wanted: Vec::new(),
             adapter_used_at: HashMap::new(),
             loaded_at: HashMap::new(),
+            adapter_loaded_at: HashMap::new(),
             running: BTreeMap::new(),
             orders_taken: None,
             under_way: None,
@@ -108,7 +155,23 @@
         }
     }
 
+    /// It has started again under its id, and holds and knows nothing of before. An order
+    /// that it has not answered may reach it yet.
+    fn restart(&mut self, entry: UpstreamEntry) {
+        let unresolved = std::mem::take(&mut self.unresolved);
+        *self = Self::new(entry);
+        self.unresolved = unresolved;
+        self.inherited = Inherited::AtAnyCount;
+    }
+
     pub(super) fn forget_orders(&mut self) {
+        self.listed.clear();
+        self.has_reported = false;
+        self.inherited = if self.entry.beat <= RECENT_BEATS {
+            Inherited::AtAnyCount
+        } else {
+            Inherited::AtThisCount
+        };
         self.closing.clear();
         self.coming = None;
         self.adapters_wanted.clear();
@@ -189,6 +252,7 @@
         }
         self.entry.service == *service
             && (self.adapters_wanted.contains(model_ref)
+                || self.adapters_coming.contains(model_ref)
                 || (self.resident(&model_ref.model).is_none()
                     && self.will_load(service, &model_ref.model)))
     }
@@ -244,9 +308,69 @@
         spec.map_or(pool.weights_mb, |s| s.weights_mb + adapters * s.adapter_mb)
     }
 
+    /// Room for more weights, beside what stands, is loading, or may be loaded yet.
     pub(super) fn free_mb(&self, pool: &EnginePool) -> f64 {
+        self.free_mb_beside(pool, None)
+    }
+
+    /// The same for what an order brings: it takes no room beside itself.
+    fn free_mb_beside(&self, pool: &EnginePool, ordered: Option<&ModelRef>) -> f64 {
         let held = self.models.iter().map(|m| self.size_mb(pool, &m.name));
-        pool.weights_mb - held.sum::<f64>()
+        let loading = self.under_way.as_ref().map(UnderWay::order);
+        let coming = loading.into_iter().chain(self.pending_orders());
+        let coming: BTreeSet<&ModelRef> = coming
+            .filter(|order| order.action == OrderAction::Load)
+            .map(|order| &order.wish)
+            .chain(&self.adapters_coming)
+            .filter(|wish| Some(*wish) != ordered && !self.stands(wish))
+            .collect();
+        let coming = coming.into_iter().map(|wish| Self::wish_mb(pool, wish));
+        let inherited = if self.inherits() {
+            let sizes = pool.models.iter().map(|spec| spec.weights_mb);
+            sizes.fold(0.0, f64::max)
+        } else {
+            0.0
+        };
+        pool.weights_mb - held.sum::<f64>() - coming.sum::<f64>() - inherited
+    }
+
+    /// What a model or adapter takes.
+    fn wish_mb(pool: &EnginePool, wish: &ModelRef) -> f64 {
+        let spec = pool.models.named(&wish.model);
+        let of_spec = |spec: &ModelSpec| {
+            if wish.adapter.is_some() {
+                spec.adapter_mb
+            } else {
+                spec.weights_mb
+            }
+        };
+        spec.map_or(pool.weights_mb, of_spec)
+    }
+
+    /// Whether a model, or an adapter, stands here.
+    fn stands(&self, wish: &ModelRef) -> bool {
+        if wish.adapter.is_some() {
+            self.has_adapter(wish)
+        } else {
+            self.resident(&wish.model).is_some()
+        }
+    }
+
+    fn inherits(&self) -> bool {
+        self.inherited != Inherited::Nothing
+    }
+
+    /// Orders that were not answered and may be carried out yet. One for a count that the
+    /// engine has passed may be again once it has started anew, with a count of 0.
+    fn pending_orders(&self) -> impl Iterator<Item = &PlannedOrder> {
+        let orders = self.unresolved.iter().map(|unresolved| &unresolved.order);
+        orders.filter(|order| order.expected_orders >= self.least_orders)
+    }
+
+    /// The engine has taken so many orders: what was sent for a lower count was carried out
+    /// by now, or never will be.
+    fn count_is(&mut self, orders_taken: u64) {
+        self.least_orders = self.least_orders.max(orders_taken);
     }
 
     /// Whether a new swap may begin here.
@@ -322,6 +446,20 @@
         self.adapter_used_at.insert(model_ref.clone(), now);
     }
 
+    /// Adapters that take a place here: those that stand, are on their way, or may be yet;
+    /// but for the one that is ordered.
+    fn adapter_places(&self, ordered: &ModelRef) -> usize {
+        let standing: usize = self.models.iter().map(|m| m.adapters.len()).sum();
+        let pending = self.pending_orders();
+        let pending = pending.filter(|order| order.action == OrderAction::Load);
+        let pending = pending.map(|order| &order.wish);
+        let coming = self.adapters_coming.iter().chain(pending);
+        let coming: BTreeSet<&ModelRef> = coming
+            .filter(|wish| wish.adapter.is_some() && *wish != ordered && !self.stands(wish))
+            .collect();
+        standing + coming.len() + usize::from(self.inherits())
+    }
+
     /// Adapters that stand here.
     fn standing_adapters(&self) -> usize {
         self.models.iter().map(|m| m.adapters.len()).sum()
@@ -362,6 +500,7 @@
         self.asked = false;
         self.closing.retain(|closing| *closing != model);
         self.models.retain(|m| m.name != model);
+        self.listed.remove(&model);
         if order.action == OrderAction::Load {
             self.models.push(ResidentModel {
                 name: model.clone(),
@@ -395,7 +534,13 @@
         self.orders_taken = None;
     }
 
-    fn adapter_done(&mut self, order: &PlannedOrder) {
+    fn adapter_done(&mut self, order: &PlannedOrder, now: Instant) {
+        let mut loaded_at = std::mem::take(&mut self.adapter_loaded_at);
+        loaded_at.retain(|loaded, _| self.has_adapter(loaded) && *loaded != order.wish);
+        if order.action == OrderAction::Load {
+            loaded_at.insert(order.wish.clone(), now);
+        }
+        self.adapter_loaded_at = loaded_at;
         self.adapters_wanted
             .retain(|model_ref| *model_ref != order.wish);
         let model = self.models.iter_mut().find(|m| m.name == order.wish.model);
@@ -420,7 +565,7 @@
         let Some((order, _)) = due else {
             return false;
         };
-        self.adapter_done(&order);
+        self.adapter_done(&order, now);
         true
     }
 }
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -4,8 +4,10 @@
 //! model order is sent. An answer that leaves open whether the order was run makes
 //! the engine's state unknown, so that it is asked before the next order.
 
-use super::{Engine, UnderWay};
-use crate::placement::{ASK_PAUSE, Action, PlannedOrder};
+use super::{Engine, Inherited, UnderWay, Unresolved};
+use crate::placement::ceiling::LATEST_BEGIN;
+use crate::placement::victims::SETTLE_TIME;
+use crate::placement::{ASK_PAUSE, Action, PlannedOrder, REPORT_AGE};
 use crate::ports::{OrderAction, OrderAnswer};
 use crate::routes::EnginePool;
 use crate::upstreams::ModelRef;
@@ -32,7 +34,7 @@
         }
         match answer {
             OrderAnswer::Taken => {
-                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+                self.count_taken();
                 self.under_way = Some(UnderWay::Taken {
                     order: order.clone(),
                     due_at,
@@ -46,17 +48,42 @@
             OrderAnswer::OtherIncarnation => self.ended(),
             // One that cannot be reached is asked before it gets another order: while the
             // store is away its entry stays, and orders to it would follow each other at once.
-            OrderAnswer::NotSent
-            | OrderAnswer::Done
-            | OrderAnswer::Conflict
-            | OrderAnswer::Lost => {
+            OrderAnswer::NotSent => {
                 self.under_way = None;
                 self.orders_taken = None;
                 self.ask_at = Some(now + ASK_PAUSE);
             }
+            OrderAnswer::Done | OrderAnswer::Conflict | OrderAnswer::Lost => {
+                self.under_way = None;
+                self.in_doubt(order, answer, now);
+            }
+        }
+    }
+
+    /// One more order was taken.
+    fn count_taken(&mut self) {
+        if self.inherited == Inherited::AtThisCount {
+            self.inherited = Inherited::Nothing;
+        }
+        self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+        if let Some(taken) = self.orders_taken {
+            self.count_is(taken);
         }
     }
 
+    /// The engine is not in the state for which an order was decided, or may have carried it
+    /// out. Nothing is ordered before a report that cannot be older than that.
+    fn in_doubt(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
+        if answer == OrderAnswer::Lost {
+            self.unresolved.push(Unresolved {
+                order: order.clone(),
+                until: now + LATEST_BEGIN,
+            });
+        }
+        self.orders_taken = None;
+        self.ask_at = Some(now + REPORT_AGE);
+    }
+
     fn adapter_answered(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
         if self.adapter_order.as_ref() != Some(order) {
             return;
@@ -69,15 +96,15 @@
                 self.ask_at = Some(now + ASK_PAUSE);
             }
             OrderAnswer::Taken => {
-                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+                self.count_taken();
                 self.adapter_due = Some((order.clone(), now + ADAPTER_TIME));
             }
             OrderAnswer::Done if order.action == OrderAction::Unload => {
-                self.orders_taken = self.orders_taken.map(|taken| taken + 1);
-                self.adapter_done(order);
+                self.count_taken();
+                self.adapter_done(order, now);
             }
             OrderAnswer::Done => {
-                self.adapter_done(order);
+                self.adapter_done(order, now);
                 self.orders_taken = None;
             }
             OrderAnswer::OtherIncarnation => self.ended(),
@@ -85,10 +112,11 @@
                 self.adapters_wanted
                     .retain(|model_ref| *model_ref != order.wish);
             }
-            OrderAnswer::NotSent | OrderAnswer::Conflict | OrderAnswer::Lost => {
+            OrderAnswer::NotSent => {
                 self.orders_taken = None;
                 self.ask_at = Some(now + ASK_PAUSE);
             }
+            OrderAnswer::Conflict | OrderAnswer::Lost => self.in_doubt(order, answer, now),
         }
     }
 
@@ -104,20 +132,26 @@
             action,
             wish: model_ref,
             expected_orders,
+            started_at_ms: self.entry.started_at_ms,
         }
     }
 
     /// The next order or question, if there is one. Without `may_fetch` nothing is
-    /// loaded from the weight store.
+    /// loaded from the weight store. `inherits` as long as orders of the term before may come.
     pub(in crate::placement) fn step(
         &mut self,
         pool: &EnginePool,
         may_fetch: bool,
+        inherits: bool,
         now: Instant,
     ) -> Option<Action> {
         if self.asked {
             return None;
         }
+        if !inherits {
+            self.inherited = Inherited::Nothing;
+        }
+        self.unresolved.retain(|pending| now < pending.until);
         let due = self.ask_at.is_some_and(|at| now >= at);
         if due || (self.orders_taken.is_none() && self.ask_at.is_none()) {
             self.asked = true;
@@ -132,7 +166,7 @@
             return None;
         }
         let expected = self.orders_taken?;
-        if let Some(order) = self.adapter_step(pool, expected) {
+        if let Some(order) = self.adapter_step(pool, expected, now) {
             self.adapter_order = Some(order.clone());
             return Some(Action::Order(order));
         }
@@ -158,10 +192,11 @@
             model,
             adapter: None,
         };
-        if self.free_mb(pool) >= self.size_mb(pool, &coming) {
+        let wish = whole(coming);
+        if self.free_mb_beside(pool, Some(&wish)) >= self.size_mb(pool, &wish.model) {
             // A model that still stands although it was to go may be used again.
             self.closing.clear();
-            return Some(self.order(OrderAction::Load, whole(coming), expected));
+            return Some(self.order(OrderAction::Load, wish, expected));
         }
         let Some(victim) = self.closing.first().cloned() else {
             self.coming = None;
@@ -170,7 +205,12 @@
         Some(self.order(OrderAction::Unload, whole(victim), expected))
     }
 
-    fn adapter_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
+    fn adapter_step(
+        &mut self,
+        pool: &EnginePool,
+        expected: u64,
+        now: Instant,
+    ) -> Option<PlannedOrder> {
         let models = &self.models;
         let closing = &self.closing;
         self.adapters_wanted.retain(|model_ref| {
@@ -180,23 +220,30 @@
             model.is_some() && !stands && !closing.contains(&model_ref.model)
         });
         let wanted = self.adapters_wanted.first().cloned()?;
-        if self.standing_adapters() < pool.adapter_slots {
+        if self.adapter_places(&wanted) < pool.adapter_slots {
             let spec = pool.models.named(&wanted.model)?;
-            if self.free_mb(pool) >= spec.adapter_mb {
+            if self.free_mb_beside(pool, Some(&wanted)) >= spec.adapter_mb {
                 return Some(self.order(OrderAction::Load, wanted, expected));
             }
         }
-        let oldest = self.oldest_adapter()?;
+        let oldest = self.oldest_adapter(now)?;
         Some(self.order(OrderAction::Unload, oldest, expected))
     }
 
-    fn oldest_adapter(&self) -> Option<ModelRef> {
+    /// The adapter that was used longest ago, but for those that have just come: what waits
+    /// for them is on its way, and the store may give them later than is thought.
+    fn oldest_adapter(&self, now: Instant) -> Option<ModelRef> {
         let standing = self.models.iter().flat_map(|model| {
             model.adapters.iter().map(|adapter| ModelRef {
                 model: model.name.clone(),
                 adapter: Some(adapter.clone()),
             })
         });
-        standing.min_by_key(|model_ref| self.adapter_used_at.get(model_ref).copied())
+        let has_settled = |wish: &ModelRef| {
+            let loaded_at = self.adapter_loaded_at.get(wish);
+            loaded_at.is_none_or(|at| now >= *at + SETTLE_TIME)
+        };
+        let settled = standing.filter(has_settled);
+        settled.min_by_key(|model_ref| self.adapter_used_at.get(model_ref).copied())
     }
 }
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -21,25 +21,54 @@
 impl Engine {
     /// The engine has said something of itself.
     pub(in crate::placement) fn update(&mut self, entry: UpstreamEntry, now: Instant) {
+        if entry.started_at_ms > self.entry.started_at_ms {
+            self.restart(entry);
+            return;
+        }
+        if entry.started_at_ms < self.entry.started_at_ms {
+            // It was said before the engine started again.
+            return;
+        }
         if entry.beat < self.entry.beat {
             // An older check-in that came late; only leaving is final.
             self.entry.draining |= entry.draining;
             return;
         }
         let was_draining = self.entry.draining;
-        self.entry = entry;
+        let before = std::mem::replace(&mut self.entry, entry);
         self.entry.draining |= was_draining;
         if self.orders_taken.is_none() && self.under_way.is_none() {
             self.models.clone_from(&self.entry.models);
         }
-        let Some(UnderWay::Taken { order, .. }) = &self.under_way else {
-            return;
-        };
-        if has_taken_effect(order, &self.entry.models) {
+        let under_way = self.under_way.as_ref();
+        let is_done = under_way.is_some_and(|under_way| match under_way {
+            UnderWay::Sent(_) => false,
+            UnderWay::Taken { order, .. } => self.shows_effect(order, &before),
+        });
+        self.note_listed();
+        if is_done {
             self.model_order_done(now);
         }
     }
 
+    /// Whether the newest entry shows that a model order has taken effect. It may be seconds
+    /// old, so it does only if the entry before showed how it was before the order.
+    fn shows_effect(&self, order: &PlannedOrder, before: &UpstreamEntry) -> bool {
+        let model = &order.wish.model;
+        let showed_before = match order.action {
+            OrderAction::Load => !before.models.iter().any(|m| m.name == *model),
+            OrderAction::Unload => self.listed.contains(model),
+        };
+        showed_before && has_taken_effect(order, &self.entry.models)
+    }
+
+    /// Notes which of the models that stand here the entry lists.
+    fn note_listed(&mut self) {
+        let entry = self.entry.models.iter().map(|model| &model.name);
+        let listed = entry.filter(|name| self.resident(name).is_some());
+        self.listed = listed.cloned().collect();
+    }
+
     /// The engine told its state, which is some hundred milliseconds old.
     pub(in crate::placement) fn reported(&mut self, report: Option<EngineReport>, now: Instant) {
         self.asked = false;
@@ -55,13 +84,22 @@
         };
         self.unanswered = 0;
         self.ask_at = Some(now + ASK_PAUSE);
-        if self
-            .orders_taken
-            .is_some_and(|taken| report.orders_taken < taken)
-        {
-            // Older than the last answer.
+        if report.started_at_ms > self.entry.started_at_ms {
+            let entry = UpstreamEntry {
+                models: report.models.clone(),
+                beat: 0,
+                started_at_ms: report.started_at_ms,
+                ..self.entry.clone()
+            };
+            self.restart(entry);
+        }
+        let is_older = report.started_at_ms < self.entry.started_at_ms
+            || report.orders_taken < self.least_orders;
+        if is_older {
+            // Older than the last answer, or than the engine's start.
             return;
         }
+        self.count_is(report.orders_taken);
         if report.busy {
             self.ask_at = Some(now + BUSY_PAUSE);
             // What an order under way will change is not known: no order may be
@@ -71,6 +109,7 @@
             }
             return;
         }
+        let is_first = !std::mem::replace(&mut self.has_reported, true);
         self.orders_taken = Some(report.orders_taken);
         self.ask_at = None;
         if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
@@ -82,6 +121,10 @@
             }
         }
         self.models = report.models;
+        self.adapters_coming = report.adapters_coming;
+        if !self.adapters_coming.is_empty() {
+            self.ask_at = Some(now + ASK_PAUSE);
+        }
         self.entry.in_memory = report.in_memory;
         self.entry.on_disk = report.on_disk;
         let coming = self.coming.clone();
@@ -90,7 +133,11 @@
             self.closing.clear();
         }
         let models = &self.models;
-        self.closing
-            .retain(|model| models.iter().any(|m| m.name == *model));
+        let stands = |model: &ModelName| models.iter().any(|m| m.name == *model);
+        self.closing.retain(stands);
+        self.listed.retain(stands);
+        if is_first {
+            self.note_listed();
+        }
     }
 }
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -11,9 +11,9 @@
 /// Time until the runs of an evicted model have ended, in seconds: an engine
 /// unloads a model when its last run is over.
 const RUNS_S: f64 = 0.8;
-/// A model that was loaded for somebody stays at least this long: instances hear of it
+/// A model or adapter that was loaded for somebody stays at least this long: instances hear of it
 /// and send what waits.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Models that make room together.
 #[derive(Debug, Default)]
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -294,6 +294,10 @@
     pub in_memory: Vec<ModelName>,
     /// Checkpoints on its disk.
     pub on_disk: Vec<ModelName>,
+    /// Adapters on their way to it: they take room and do not serve yet.
+    pub adapters_coming: Vec<ModelRef>,
+    /// When it started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    pub started_at_ms: u64,
 }
 
 /// The control side of engines.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod upstream;
 
+use crate::placement::{PlacementDigest, digest};
 pub use choice::Choice;
 use passway_types::prelude::*;
 use std::collections::HashMap;
@@ -21,7 +22,7 @@
 /// What an upstream says of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamEntry {
-    /// Its id; a restarted upstream has another.
+    /// Its id; an upstream that starts again may keep it (`started_at_ms`).
     pub id: UpstreamId,
     /// The service it belongs to.
     pub service: ServiceName,
@@ -43,10 +44,13 @@
     pub on_disk: Vec<ModelName>,
     /// Number of this word of its; grows while it lives.
     pub beat: u64,
+    /// When it started, in Unix milliseconds by its own clock; 0 if it does not tell. It may
+    /// start again under its id, and then holds and knows nothing of before.
+    pub started_at_ms: u64,
 }
 
 /// What a request needs on an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ModelRef {
     /// The model.
     pub model: ModelName,
@@ -74,6 +78,7 @@
 pub struct UpstreamTable {
     hall: DataHall,
     upstreams: HashMap<UpstreamId, Upstream>,
+    restarted: Vec<UpstreamId>,
 }
 
 impl UpstreamTable {
@@ -82,6 +87,7 @@
         Self {
             hall,
             upstreams: HashMap::new(),
+            restarted: Vec::new(),
         }
     }
 
@@ -103,6 +109,16 @@
             self.upstreams.insert(id, Upstream::new(entry, now));
             return true;
         };
+        if entry.started_at_ms < known.entry.started_at_ms {
+            // It was said before the upstream started again.
+            return false;
+        }
+        if entry.started_at_ms > known.entry.started_at_ms {
+            // Nothing that was seen of it before holds for it now.
+            self.restarted.push(entry.id.clone());
+            *known = Upstream::new(entry, now);
+            return true;
+        }
         let returned = known.gone_at.take().is_some();
         if entry.beat < known.entry.beat {
             // An older word, told late; only leaving is final.
@@ -126,6 +142,17 @@
         more
     }
 
+    /// Upstreams that have started again under their ids since the last call.
+    pub fn take_restarted(&mut self) -> Vec<UpstreamId> {
+        std::mem::take(&mut self.restarted)
+    }
+
+    /// The service that an upstream has said to belong to.
+    pub fn service_of(&self, id: &str) -> Option<&ServiceName> {
+        let upstream = self.upstreams.get(id)?;
+        Some(&upstream.entry.service)
+    }
+
     /// An upstream's entry is missing; it is gone at the moment given unless the entry
     /// comes back.
     pub fn miss(&mut self, id: &str, gone_at: Instant) {
@@ -166,6 +193,19 @@
         }
     }
 
+    /// Digests of what stands on each engine, as far as is known here.
+    pub fn placement_digests(&self) -> impl Iterator<Item = PlacementDigest> {
+        let engines = self.upstreams.values();
+        engines.map(|engine| digest(&engine.entry.id, &engine.entry.models, &engine.closing))
+    }
+
+    /// A term of this instance begins: what a holder before was about to evict stays.
+    pub fn forget_closing(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.closing.clear();
+        }
+    }
+
     /// A request was sent to an upstream.
     pub fn started(&mut self, id: &str, model_ref: Option<&ModelRef>, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/standins/src/fleet_model/engine.rs
+++ b/crates/standins/src/fleet_model/engine.rs
@@ -101,6 +101,7 @@
             in_memory: self.memory.iter().cloned().collect(),
             on_disk: self.disk.iter().cloned().collect(),
             beat: self.beat,
+            started_at_ms: 0,
         }
     }
 
@@ -112,6 +113,8 @@
             orders_taken: self.orders_taken,
             in_memory: self.memory.iter().cloned().collect(),
             on_disk: self.disk.iter().cloned().collect(),
+            adapters_coming: Vec::new(),
+            started_at_ms: 0,
         }
     }
 
--- a/crates/standins/src/fleet_model/run.rs
+++ b/crates/standins/src/fleet_model/run.rs
@@ -59,7 +59,7 @@
         for engine in &mut engines {
             planner.heard(engine.entry(), begun_at);
         }
-        planner.begin_term(begun_at);
+        planner.begin_term(std::iter::empty(), false, begun_at);
         let ids = engines.iter().enumerate();
         Self {
             by_id: ids
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -44,6 +44,8 @@
     matter: Matter,
     /// When loads from the weight store began.
     store_loads: Vec<Instant>,
+    /// How long engines' words take to the holder.
+    lag_steps: u32,
 }
 
 impl World {
@@ -60,12 +62,15 @@
             orders: 0,
             matter,
             store_loads: Vec::new(),
+            lag_steps: 0,
         };
         world.planner.set_table(&matter.table());
         for _ in 0..ENGINES {
             world.add_engine(BTreeSet::new());
         }
-        world.planner.begin_term(world.now);
+        world
+            .planner
+            .begin_term(std::iter::empty(), false, world.now);
         world
     }
 
@@ -85,12 +90,18 @@
                 self.planner.heard(entry.clone(), self.now);
             }
         }
-        self.planner.begin_term(self.now);
+        self.planner.begin_term(std::iter::empty(), true, self.now);
     }
 
-    /// An engine restarts under another id; its disk stays, unless another machine
-    /// takes its place.
+    /// An engine restarts, under its id or another one; its disk stays, unless another
+    /// machine takes its place.
     fn restart(&mut self, which: usize) {
+        if self.rng.random_bool(0.5) {
+            let engine = &mut self.engines[which];
+            engine.start_again(self.step);
+            engine.send(self.step, self.lag_steps);
+            return;
+        }
         let gone = self.engines.remove(which);
         let replaced = self.matter == Matter::Ceiling && self.rng.random_bool(0.7);
         self.add_engine(if replaced {
@@ -114,24 +125,33 @@
         };
         let effect = engine.state.take(order, run_steps, self.step);
         self.orders += u32::from(effect.is_order);
-        self.over.extend(effect.over);
         if effect.from_store {
             self.store_loads.push(self.now);
         }
         effect.answer
     }
 
+    /// An order reaches an engine, which then takes it, refuses it or puts it off.
+    fn receive(&mut self, order: &PlannedOrder) {
+        let engine = self.engines.iter().find(|e| e.id == order.engine);
+        let over = engine.and_then(|engine| engine.state.over(order));
+        self.over.extend(over);
+    }
+
     /// Ends what is due on the engines; they say so, at times late or twice.
     fn progress(&mut self) {
-        let mut changed = Vec::new();
-        for (number, engine) in self.engines.iter_mut().enumerate() {
-            if engine.progress(self.step) {
-                changed.push(number);
-            }
+        if self.rng.random_bool(0.02) {
+            // The store is slow, or the holder's watch is.
+            self.lag_steps = self.rng.random_range(0..60);
+        }
+        if self.rng.random_bool(0.1) {
+            self.lag_steps = 0;
         }
-        for number in changed {
-            let entry = self.engines[number].entry();
-            if self.rng.random_bool(0.8) {
+        for engine in &mut self.engines {
+            if engine.progress(self.step) && self.rng.random_bool(0.8) {
+                engine.send(self.step, self.lag_steps);
+            }
+            for entry in engine.arriving(self.step) {
                 self.planner.heard(entry, self.now);
             }
         }
@@ -147,7 +167,11 @@
         for action in self.planner.decide(self.now) {
             match action {
                 Action::Order(order) => {
-                    let answer = match self.rng.random_range(0..12) {
+                    let fate = self.rng.random_range(0..12);
+                    if fate != 2 {
+                        self.receive(&order);
+                    }
+                    let answer = match fate {
                         0 => {
                             let delay = self.rng.random_range(1..160);
                             self.late.push((self.step + delay, order.clone()));
--- a/tests/all/placement_faults/engine.rs
+++ b/tests/all/placement_faults/engine.rs
@@ -1,4 +1,7 @@
 //! An engine of the fault runs: it takes orders and carries them out step by step.
+//!
+//! An order counts as over a limit by what it asks for when it is *received*, whether the
+//! engine then takes it or refuses it for its count: callers of the engine are judged so.
 
 use passway_serving::placement::PlannedOrder;
 use passway_serving::ports::{EngineReport, OrderAction, OrderAnswer};
@@ -25,6 +28,10 @@
     busy: Option<(PlannedOrder, u32)>,
     /// Adapters that leave when their run ends.
     leaving: Vec<(ModelRef, u32)>,
+    /// Adapters on their way, and the step at which they are there.
+    coming: Vec<(ModelRef, u32)>,
+    /// When the engine started, in milliseconds.
+    started_at_ms: u64,
 }
 
 pub(super) struct Engine {
@@ -35,6 +42,8 @@
     beat: u64,
     /// Its words so far.
     pub(super) told: Vec<UpstreamEntry>,
+    /// Its words that have not reached the holder yet, and the steps at which they do.
+    on_their_way: VecDeque<(u32, UpstreamEntry)>,
 }
 
 /// What came of an order.
@@ -45,8 +54,6 @@
     pub(super) is_order: bool,
     /// Whether a load from the weight store began.
     pub(super) from_store: bool,
-    /// The limit that it breaks.
-    pub(super) over: Option<String>,
 }
 
 impl Effect {
@@ -62,14 +69,35 @@
             answer,
             is_order: true,
             from_store: false,
-            over: None,
         }
     }
 }
 
 impl State {
     fn adapters(&self) -> usize {
-        self.models.iter().map(|model| model.adapters.len()).sum()
+        let standing: usize = self.models.iter().map(|model| model.adapters.len()).sum();
+        standing + self.coming.len()
+    }
+
+    /// The limit that an order is over by what it asks for, if it reaches the engine now.
+    pub(super) fn over(&self, order: &PlannedOrder) -> Option<String> {
+        if order.action != OrderAction::Load {
+            return None;
+        }
+        let model = &order.wish.model;
+        let loading = self.busy.as_ref().map(|(busy, _)| busy);
+        let loading = loading.filter(|busy| busy.action == OrderAction::Load);
+        let stands = self.models.iter().find(|m| m.name == *model);
+        let Some(adapter) = &order.wish.adapter else {
+            let is_there = stands.is_some() || loading.is_some_and(|l| l.wish.model == *model);
+            let held = self.models.len() + usize::from(loading.is_some());
+            let is_over = !is_there && held >= PLACES;
+            return is_over.then(|| format!("models: {order:?}, {self:?}"));
+        };
+        let is_there = stands.is_some_and(|m| m.adapters.contains(adapter))
+            || self.coming.iter().any(|(wish, _)| *wish == order.wish);
+        let is_over = !is_there && self.adapters() >= ADAPTER_PLACES;
+        is_over.then(|| format!("adapters: {order:?}, {self:?}"))
     }
 
     /// Takes an order or refuses it; requests run for `run_steps` yet.
@@ -102,13 +130,9 @@
             return Effect::counted(OrderAnswer::Done);
         }
         if is_load {
-            model.adapters.push(adapter.clone());
-            let leaving = self.leaving.len();
-            let is_over = self.adapters() > ADAPTER_PLACES;
-            return Effect {
-                over: is_over.then(|| format!("adapters: {order:?}, {leaving} leaving")),
-                ..Effect::counted(OrderAnswer::Taken)
-            };
+            // The weight store gives adapters one after the other: some take long.
+            self.coming.push((order.wish.clone(), step + run_steps / 6));
+            return Effect::counted(OrderAnswer::Taken);
         }
         if run_steps < ADAPTER_RUN_STEPS {
             self.leaving.push((order.wish.clone(), step + 10));
@@ -121,8 +145,6 @@
     fn take_model(&mut self, order: &PlannedOrder, run_steps: u32, step: u32) -> Effect {
         let mut effect = Effect::counted(OrderAnswer::Taken);
         if order.action == OrderAction::Load {
-            let is_over = self.models.len() >= PLACES;
-            effect.over = is_over.then(|| format!("models: {order:?}"));
             effect.from_store = !self.on_disk.contains(&order.wish.model);
             let steps = if effect.from_store { 4 } else { 1 };
             self.busy = Some((order.clone(), step + steps));
@@ -139,6 +161,8 @@
             return false;
         };
         self.models.retain(|m| m.name != order.wish.model);
+        self.coming
+            .retain(|(wish, _)| wish.model != order.wish.model);
         if order.action == OrderAction::Load {
             self.on_disk.insert(order.wish.model.clone());
             self.models.push(ResidentModel {
@@ -149,9 +173,15 @@
         true
     }
 
-    /// Adapters go whose last run has ended.
+    /// Adapters come that are due, and go whose last run has ended.
     fn end_adapters(&mut self, step: u32) {
         let models = &mut self.models;
+        for (wish, _) in self.coming.extract_if(.., |(_, at)| *at <= step) {
+            let model = models.iter_mut().find(|m| m.name == wish.model);
+            if let Some((model, adapter)) = model.zip(wish.adapter) {
+                model.adapters.push(adapter);
+            }
+        }
         self.leaving.retain(|(wish, at)| {
             if *at > step {
                 return true;
@@ -177,9 +207,40 @@
             history: VecDeque::new(),
             beat: 0,
             told: Vec::new(),
+            on_their_way: VecDeque::new(),
         }
     }
 
+    /// It starts again under its id: only its disk is as it was.
+    pub(super) fn start_again(&mut self, step: u32) {
+        self.state = State {
+            on_disk: std::mem::take(&mut self.state.on_disk),
+            started_at_ms: u64::from(step),
+            ..State::default()
+        };
+        self.beat = 0;
+        self.told.clear();
+    }
+
+    /// Says something of itself, which reaches the holder after some steps: behind all that it
+    /// said before.
+    pub(super) fn send(&mut self, step: u32, lag_steps: u32) {
+        let last = self.on_their_way.back().map_or(0, |(at, _)| *at);
+        let entry = self.entry();
+        self.on_their_way
+            .push_back((last.max(step + lag_steps), entry));
+    }
+
+    /// What reaches the holder by now.
+    pub(super) fn arriving(&mut self, step: u32) -> Vec<UpstreamEntry> {
+        let due = self.on_their_way.iter().take_while(|(at, _)| *at <= step);
+        let due = due.count();
+        self.on_their_way
+            .drain(..due)
+            .map(|(_, entry)| entry)
+            .collect()
+    }
+
     pub(super) fn entry(&mut self) -> UpstreamEntry {
         self.beat += 1;
         let entry = UpstreamEntry {
@@ -194,6 +255,7 @@
             in_memory: Vec::new(),
             on_disk: self.state.on_disk.iter().cloned().collect(),
             beat: self.beat,
+            started_at_ms: self.state.started_at_ms,
         };
         self.told.push(entry.clone());
         entry
@@ -208,6 +270,8 @@
             orders_taken: state.taken,
             in_memory: Vec::new(),
             on_disk: state.on_disk.iter().cloned().collect(),
+            adapters_coming: state.coming.iter().map(|(wish, _)| wish.clone()).collect(),
+            started_at_ms: state.started_at_ms,
         }
     }
 
--- a/tests/all/planned.rs
+++ b/tests/all/planned.rs
@@ -48,7 +48,7 @@
         let now = Instant::now();
         let mut fresh = Self { planner, now };
         fresh.hear(1, &["m0", "m1"]);
-        fresh.planner.begin_term(now);
+        fresh.planner.begin_term(std::iter::empty(), false, now);
         fresh
     }
 
@@ -71,6 +71,7 @@
             in_memory: Vec::new(),
             on_disk: on_disk.iter().map(|name| (*name).into()).collect(),
             beat,
+            started_at_ms: 0,
         };
         self.planner.heard(entry, self.now);
     }
@@ -117,6 +118,8 @@
             orders_taken,
             in_memory: Vec::new(),
             on_disk: on_disk.iter().map(|name| (*name).into()).collect(),
+            adapters_coming: Vec::new(),
+            started_at_ms: 0,
         };
         self.planner.reported(&id.into(), Some(report), self.now);
     }
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -25,6 +25,7 @@
         in_memory: Vec::new(),
         on_disk: Vec::new(),
         beat,
+        started_at_ms: 0,
     }
 }
 
@@ -180,3 +181,37 @@
     table.miss("i-2", outages.gone_at(away));
     assert!(!is_chosen(&table, "i-2", away));
 }
+
+/// An upstream that starts again under its id has nothing of what was seen of it before, and
+/// what it said before its start is not believed any more.
+#[test]
+fn started_again() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::new("hall0".into());
+    let before = entry(0, 40);
+    let id = before.id.clone();
+    table.update(before.clone(), now);
+    for _ in 0..4 {
+        table.started(&id, None, now);
+        table.ended(&id, None, Outcome::Shed, now);
+    }
+    let chosen = |table: &UpstreamTable| table.choose(&before.service, None, &[], 0, now);
+    assert_eq!(chosen(&table), Choice::Full);
+    let anew = UpstreamEntry {
+        draining: false,
+        models: Vec::new(),
+        beat: 1,
+        started_at_ms: 500,
+        ..before.clone()
+    };
+    assert!(table.update(anew, now), "others must hear of it");
+    assert_eq!(table.take_restarted(), std::slice::from_ref(&id));
+    assert!(matches!(chosen(&table), Choice::Send { .. }));
+    let late = UpstreamEntry {
+        draining: true,
+        beat: 41,
+        ..before.clone()
+    };
+    assert!(!table.update(late, now), "said before its start");
+    assert!(matches!(chosen(&table), Choice::Send { .. }));
+}
