A fleet's start and hand-overs cost what changes; the retry budget binds while the fleet comes

Cause 1 (the right to order changed hands five times in the 14 s before traffic): each of 295 instances that came was told to all, as the whole list: n^3/3 addresses, 430 MB, in front of the holder's own renewals on a link of 20 Mbit/s. Each also got all placements when it connected and again at the term's begin (19 kB each), and each feed that lost the holder listed the whole configuration (178 kB, 1,078 times in 13 s). Change: a process begins with no part of the fixed allowance and comes to it over a window; a term tells its count after 3 s; a smaller count holds only once two windows have passed.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -4,7 +4,7 @@
 
 use crate::candidates::Candidates;
 use crate::listeners::Listeners;
-use crate::members::{self, Addresses, Announcement, KeptAnnouncement};
+use crate::members::{self, Addresses, Announcement, KeptAnnouncement, Roster};
 use crate::news::Told;
 use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
@@ -14,6 +14,7 @@
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
+use passway_serving::retry::InstanceCount;
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry};
 use passway_types::prelude::*;
@@ -105,7 +106,9 @@
         peers: BTreeMap::new(),
         listeners: Listeners::default(),
         candidates: Candidates::default(),
+        roster: Roster::default(),
         begun_at: Instant::now(),
+        instances: InstanceCount::begin(Instant::now()),
         announcement: None,
         heard_of: KeptAnnouncement::default(),
         heartbeat_at: Instant::now(),
@@ -168,8 +171,12 @@
     listeners: Listeners,
     /// Who may succeed this instance.
     candidates: Candidates,
+    /// Who has been told of which members.
+    roster: Roster,
     /// What times that are told to others are counted from.
     begun_at: Instant,
+    /// How many instances share the fleet's allowances.
+    instances: InstanceCount,
     /// What is left to tell of a term that has begun.
     announcement: Option<Announcement>,
     /// What another instance announced of its own term.
@@ -247,9 +254,6 @@
         let now = Instant::now();
         match input {
             Input::Connected(number, outbox) => {
-                if self.fence.is_some() {
-                    outbox.send(placements(self.planner.placements()));
-                }
                 self.peers.insert(number, outbox);
             }
             Input::Disconnected(number, instance) => {
@@ -305,7 +309,11 @@
         self.listeners.came(number, member, told);
         self.listeners.catch_up(&self.peers, true);
         self.send_heartbeats([number], 0);
-        self.tell_members(number);
+        let known = subscribe.placements.iter().copied().collect();
+        let lacking = self.planner.placements_unlike(&known);
+        if !lacking.is_empty() {
+            self.send_to(number, &placements(lacking));
+        }
     }
 
     /// Where those can be reached that listen here, and this instance itself.
@@ -316,20 +324,24 @@
         others.chain([me]).collect()
     }
 
-    /// Tells who listens: one that has just come, and all if it was not known. One that
-    /// went may come back, and stays known until the next holder has waited for it in vain.
-    fn tell_members(&self, newcomer: u64) {
+    /// Tells those that may succeed this instance who listens here. One that went may come
+    /// back, and stays known until the next holder has waited for it in vain.
+    fn tell_members(&mut self) {
+        let here = self.members();
         let mut known = self.shared.members();
-        let before = known.len();
-        known.extend(self.members());
-        let has_grown = known.len() > before;
+        known.extend(here);
+        let listeners = self.listeners.members();
+        let successors = listeners.filter(|(_, (name, _))| self.candidates.contains(name));
+        let due = self
+            .roster
+            .due(&known, successors.map(|(number, _)| number));
+        if due.is_empty() {
+            return;
+        }
         let body = members::encode(&known);
         drop(known);
-        if has_grown {
-            self.send_to_listeners(&body);
-        } else {
-            self.send_to(newcomer, &body);
-        }
+        let outboxes = due.iter().filter_map(|number| self.peers.get(number));
+        send_to_all(outboxes, body);
     }
 
     /// Follows a holder that was announced, if the store does not answer: else it tells better.
@@ -381,12 +393,6 @@
         }
     }
 
-    fn send_to_listeners(&self, body: &Body) {
-        let numbers = self.listeners.numbers();
-        let outboxes = numbers.filter_map(|number| self.peers.get(&number));
-        send_to_all(outboxes, body.clone());
-    }
-
     fn send_to(&self, number: u64, body: &Body) {
         if let Some(outbox) = self.peers.get(&number) {
             outbox.send(body.clone());
@@ -424,10 +430,14 @@
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + HEARTBEAT_PAUSE;
             let instances = self.listeners.count() + 1;
-            self.shared.use_instances(instances);
+            let instances = self.instances.shared_by(instances, now);
+            if let Some(instances) = instances {
+                self.shared.use_instances(instances);
+            }
             self.ask_candidates(now);
+            self.tell_members();
             self.listeners.catch_up(&self.peers, true);
-            self.send_heartbeats(self.listeners.numbers(), instances);
+            self.send_heartbeats(self.listeners.numbers(), instances.unwrap_or(0));
         } else if self.listeners.has_backlog() {
             self.listeners.catch_up(&self.peers, false);
         }
@@ -443,10 +453,7 @@
             return;
         }
         // Whoever did not come in all this time is forgotten, or the list would only grow.
-        let here = self.members();
-        let body = members::encode(&here);
-        *self.shared.members() = here;
-        self.send_to_listeners(&body);
+        *self.shared.members() = self.members();
     }
 
     fn needs(&mut self, needs: &Needs, now: Instant) {
@@ -490,6 +497,8 @@
         if fence != self.fence {
             self.fence = fence;
             self.candidates = Candidates::default();
+            self.roster = Roster::default();
+            self.instances = InstanceCount::begin(Instant::now());
             // Whoever heard the news from here asks the store now.
             for number in self.listeners.end() {
                 if let Some(outbox) = self.peers.remove(&number) {
@@ -501,7 +510,7 @@
             self.announcement =
                 fence.map(|fence| Announcement::begin(fence, urgent, Instant::now()));
             if fence.is_some() {
-                self.planner.begin_term(Instant::now());
+                self.begin_term();
             }
         }
         let Some(fence) = fence else {
@@ -518,6 +527,16 @@
         self.tell_changes(now);
     }
 
+    /// The planner begins with what this instance knew as a listener.
+    fn begin_term(&mut self) {
+        let mut upstreams = self.shared.upstreams();
+        upstreams.forget_closing();
+        let entries = upstreams.entries().cloned();
+        let has_predecessor = self.right.has_predecessor();
+        self.planner
+            .begin_term(entries, has_predecessor, Instant::now());
+    }
+
     /// Tells all instances what has changed, the less often the more there are.
     fn tell_changes(&mut self, now: Instant) {
         if now < self.tell_at || !self.planner.has_changed() {
@@ -525,8 +544,10 @@
         }
         let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
         self.tell_at = now + TELL_PAUSE_PER_PEER * peers;
-        let body = placements(self.planner.take_changed());
-        send_to_all(self.peers.values(), body);
+        let changed = self.planner.take_changed();
+        if !changed.is_empty() {
+            send_to_all(self.peers.values(), placements(changed));
+        }
     }
 
     fn act(&mut self, action: Action, fence: Fence) {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -40,8 +40,4 @@
 pub mod right;
 pub mod shared;
 
-/// Instances that share the fleet's allowances while their number is not known: so
-/// many that a large fleet stays inside them.
-pub const UNKNOWN_INSTANCES: usize = 40;
-
 pub use lifecycle::{Instance, Surroundings};
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -86,21 +86,18 @@
             store.clone(),
             configuration_tap,
             news.clone(),
-            ConfigurationFeed {
-                shared: shared.clone(),
-                directory: surroundings.directory.clone(),
-            },
+            ConfigurationFeed::new(shared.clone(), surroundings.directory.clone()),
         );
         feeds::follow(
             store.clone(),
             upstream_tap,
             news,
-            UpstreamFeed {
-                shared: shared.clone(),
-                directory: surroundings.directory.clone(),
-                holder: holder.clone(),
-                right: right.clone(),
-            },
+            UpstreamFeed::new(
+                shared.clone(),
+                surroundings.directory.clone(),
+                holder.clone(),
+                right.clone(),
+            ),
         );
         report::start(&shared, &right, &relay, needed);
         log::info!(instance:% = settings.instance; "started");
@@ -152,6 +149,13 @@
         self.shared.members().len()
     }
 
+    /// Whether a request for a service could be sent a second time now: a process that has
+    /// just started must first come to its part of the fleet's allowance.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let now = Instant::now();
+        self.shared.retries().has_spare(&service.into(), now)
+    }
+
     /// The configuration's version in force.
     pub fn version(&self) -> Option<Revision> {
         self.shared
--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -15,7 +15,7 @@
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{Member, Members, Successor};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Instances that reach the store have come by then: they hear of the new holder at once and
@@ -56,6 +56,39 @@
     })
 }
 
+/// Who has been told of which members.
+///
+/// Only those that may succeed the holder need the list, and they are told by heartbeat: to
+/// tell each of `n` instances of each that comes costs `n`³/3 addresses while a fleet starts,
+/// 430 MB for 295 of them, which delayed the holder's renewals behind them until it had lost
+/// the right.
+#[derive(Debug, Default)]
+pub struct Roster {
+    /// The list as it was told last.
+    listed: Addresses,
+    /// The connections to which it was told.
+    told: BTreeSet<u64>,
+}
+
+impl Roster {
+    /// The connections, of those that may succeed the holder, to which the list is to be told
+    /// now; they count as told.
+    pub fn due(
+        &mut self,
+        members: &Addresses,
+        successors: impl Iterator<Item = u64>,
+    ) -> BTreeSet<u64> {
+        if self.listed != *members {
+            self.listed.clone_from(members);
+            self.told.clear();
+        }
+        let successors: BTreeSet<u64> = successors.collect();
+        let due = successors.difference(&self.told).copied().collect();
+        self.told = successors;
+        due
+    }
+}
+
 /// The announcement of a new holder, kept until this instance has use for it.
 ///
 /// It is made once, and may come before this instance has noticed that the store does not
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -265,6 +265,7 @@
             instance: self.shared.settings.instance.to_string(),
             address: self.shared.settings.peer_address.to_string(),
             is_weak: self.right.is_weak(),
+            placements: self.shared.upstreams().placement_digests().collect(),
         }));
         self.subscribed_at = Some(Instant::now());
     }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -101,7 +101,7 @@
         needs: Sender<Need>,
     ) -> Self {
         let upstreams = UpstreamTable::new(settings.hall.clone());
-        let retries = RetryBudget::new(settings.bounds.retry, crate::UNKNOWN_INSTANCES);
+        let retries = RetryBudget::new(settings.bounds.retry);
         Self {
             bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
@@ -169,7 +169,8 @@
 
     /// Shares the fleet's allowances among so many instances, and some that may join.
     pub fn use_instances(&self, instances: usize) {
-        self.retries().set_instances(instances + instances / 4 + 1);
+        let shared_by = instances + instances / 4 + 1;
+        self.retries().set_instances(shared_by, Instant::now());
         self.store_health.set_instances(instances);
     }
 
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -14,6 +14,12 @@
 /// Part of the fixed allowance that is spent. It comes back over one window, so a
 /// window may see it twice.
 const SLACK_PART: f64 = 0.45;
+/// For so many windows the allowance is shared as among the most instances that were there: a
+/// window may see what they had, and what they had earned in the one before.
+const COUNTED_WINDOWS: f64 = 2.0;
+/// Instances come to a new holder within this: a retry of their dialers, and some for those
+/// that had relied on the holder before until it was silent.
+const COMING_TIME: Duration = Duration::from_secs(3);
 /// A service without requests for so many windows is forgotten: its part is whole again after
 /// one, and what it earned has faded to 2% after four.
 const FORGOTTEN_WINDOWS: f64 = 4.0;
@@ -40,22 +46,61 @@
     at: Instant,
 }
 
+/// How many instances share the allowance, as a holder of the right to order sees them come.
+///
+/// While a fleet comes to a new holder that sees one after the other. To tell each that it
+/// shares with few would give all of them together many times the allowance.
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceCount {
+    known_from: Instant,
+}
+
+impl InstanceCount {
+    /// A term begins.
+    pub fn begin(now: Instant) -> Self {
+        Self {
+            known_from: now + COMING_TIME,
+        }
+    }
+
+    /// The number to share among, where so many are there now; `None` while others may be on
+    /// their way.
+    pub fn shared_by(self, instances: usize, now: Instant) -> Option<usize> {
+        (now >= self.known_from).then_some(instances)
+    }
+}
+
+/// A number of instances that was told, and until when it counts although fewer are there.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    instances: f64,
+    until: Instant,
+}
+
 /// Repeats that may still be sent, by service.
+///
+/// A process begins with none, and comes to its part of the fixed allowance over a window:
+/// the one before it may have spent that part, and it knows the fleet's size only once that
+/// is told. What it earns by its own requests it may spend at once.
 #[derive(Debug)]
 pub struct RetryBudget {
     allowance: RetryAllowance,
-    instances: f64,
+    /// The numbers that count, the largest first; empty until one is told.
+    instances: Vec<Told>,
+    /// When the first of them was told.
+    told_at: Option<Instant>,
     buckets: HashMap<ServiceName, Bucket>,
     /// With so many services it is looked whether some are gone from the configuration.
     look_at_services: usize,
 }
 
 impl RetryBudget {
-    /// A full budget for one of `instances` instances.
-    pub fn new(allowance: RetryAllowance, instances: usize) -> Self {
+    /// An empty budget for an instance that does not know how many there are.
+    pub fn new(allowance: RetryAllowance) -> Self {
         Self {
             allowance,
-            instances: count(instances),
+            instances: Vec::new(),
+            told_at: None,
             buckets: HashMap::new(),
             look_at_services: SPARE_SERVICES,
         }
@@ -66,13 +111,26 @@
         self.allowance = allowance;
     }
 
-    /// Sets how many instances share the fixed allowance.
-    pub fn set_instances(&mut self, instances: usize) {
-        self.instances = count(instances);
+    /// So many instances share the fixed allowance now. More count at once, fewer once no
+    /// window sees the others any more.
+    pub fn set_instances(&mut self, instances: usize, now: Instant) {
+        let instances = count(instances);
+        self.told_at.get_or_insert(now);
+        let counted_s = COUNTED_WINDOWS * self.allowance.window_s;
+        let until = now + Duration::from_secs_f64(counted_s);
+        self.instances
+            .retain(|told| told.instances > instances && told.until > now);
+        self.instances.push(Told { instances, until });
     }
 
-    fn part(&self) -> f64 {
-        self.allowance.slack * SLACK_PART / self.instances
+    /// The part of the fixed allowance of one instance.
+    fn part(&self, now: Instant) -> f64 {
+        let slack = self.allowance.slack * SLACK_PART;
+        // The newest counts until another one is told.
+        let newest = self.instances.last();
+        let mut counted = self.instances.iter().filter(|told| told.until > now);
+        let most = counted.next().or(newest);
+        most.map_or(0.0, |most| slack / most.instances)
     }
 
     /// Forgets services that are not asked for any more. One that comes back begins with its
@@ -89,11 +147,15 @@
         if self.buckets.len() >= self.look_at_services {
             self.forget_quiet(now);
         }
-        let part = self.part();
+        let part = self.part(now);
         let window_s = self.allowance.window_s;
         let earned = self.allowance.ratio * RATIO_PART;
+        let told_s = self.told_at.map_or(0.0, |at| {
+            let passed = now.saturating_duration_since(at);
+            passed.as_secs_f64()
+        });
         let bucket = self.buckets.entry(service.clone()).or_insert(Bucket {
-            left: part,
+            left: part * (told_s / window_s).min(1.0),
             recent: 0.0,
             at: now,
         });
@@ -114,14 +176,18 @@
         bucket.left += earned;
     }
 
+    /// Whether a repeat could be spent.
+    pub fn has_spare(&mut self, service: &ServiceName, now: Instant) -> bool {
+        self.bucket(service, now).left >= 1.0
+    }
+
     /// Spends one repeat if there is one left.
     pub fn try_spend(&mut self, service: &ServiceName, now: Instant) -> bool {
-        let bucket = self.bucket(service, now);
-        if bucket.left < 1.0 {
-            return false;
+        let has_spare = self.has_spare(service, now);
+        if has_spare {
+            self.bucket(service, now).left -= 1.0;
         }
-        bucket.left -= 1.0;
-        true
+        has_spare
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -123,6 +123,9 @@
     /// Whether others had better hold the right to order, since it has little processor.
     #[prost(bool, tag = "4")]
     pub is_weak: bool,
+    /// Digests of what it believes to stand on each engine.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub placements: Vec<u64>,
 }
 
 /// An instance and where it listens for others.
--- a/tests/all/bounded_state.rs
+++ b/tests/all/bounded_state.rs
@@ -31,6 +31,7 @@
         in_memory: Vec::new(),
         on_disk: Vec::new(),
         beat: 1,
+        started_at_ms: 0,
     }
 }
 
@@ -104,8 +105,11 @@
         slack: 52.0,
         window_s: 10.0,
     };
-    let mut budget = RetryBudget::new(allowance, 4);
+    let mut budget = RetryBudget::new(allowance);
     let mut now = Instant::now();
+    // Known for a window, so that each service begins with its part.
+    let before = now.checked_sub(Duration::from_secs(10)).expect("a clock");
+    budget.set_instances(4, before);
     for number in 0..NAMES {
         // A new configuration renames the service.
         let service = format!("renamed-{number}").into();
--- a/tests/all/config_memory.rs
+++ b/tests/all/config_memory.rs
@@ -54,6 +54,7 @@
             instance: name.into(),
             address: "127.0.0.1:1".into(),
             is_weak: false,
+            placements: Vec::new(),
         }))
     };
     until("its coming", || {
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -139,6 +139,7 @@
         instance: "ghost".into(),
         address: "127.0.0.1:1".into(),
         is_weak: false,
+        placements: Vec::new(),
     };
     link.send(Body::Subscribe(subscribe)).expect("sent");
     until("a third one", || all_know(3));
--- a/tests/all/model_orders.rs
+++ b/tests/all/model_orders.rs
@@ -77,6 +77,7 @@
     let one = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
     let two = ModelServer::start(&store, "i-1", "engines", 2, &["m0"], &[]);
     let instance = site::ready("one", &store);
+    until("a repeat to spend", || instance.may_repeat("engines"));
     for server in [&one, &two] {
         server.set_faults(Faults {
             cuts_after: Some(2),
@@ -219,6 +220,8 @@
         orders_taken,
         in_memory: Vec::new(),
         on_disk: ["m0", "m1", "m2", "m3"].map(Into::into).to_vec(),
+        adapters_coming: Vec::new(),
+        started_at_ms: 0,
     };
     let engine: UpstreamId = "i-0".into();
     planned
@@ -297,6 +300,7 @@
     let one = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &[]);
     let two = ModelServer::start(&store, "i-1", "engines", 2, &["m0"], &[]);
     let instance = site::ready("one", &store);
+    until("a repeat to spend", || instance.may_repeat("engines"));
     // Whichever is first falls silent after two events; its connection stays open.
     for server in [&one, &two] {
         server.set_faults(Faults {
@@ -329,6 +333,8 @@
         orders_taken: 0,
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        adapters_coming: Vec::new(),
+        started_at_ms: 0,
     };
     planned
         .planner
--- a/tests/all/pass_through.rs
+++ b/tests/all/pass_through.rs
@@ -263,6 +263,7 @@
     let fine = answering();
     let (_store, instance) = before(&[&full, &fine]);
     for number in 0..4 {
+        until("a repeat to spend", || instance.may_repeat("plain"));
         let bytes = request("POST", "/pay/", &format!("id{number}"), "", "");
         let answer = ask(instance.callers_address(), &bytes);
         assert_eq!(answer.map(|answer| answer.status), Some(200));
@@ -303,6 +304,7 @@
     let fine = answering();
     let (_store, instance) = before(&[&breaks, &fine]);
     for number in 0..4 {
+        until("a repeat to spend", || instance.may_repeat("plain"));
         let bytes = request("GET", "/read/", &format!("id{number}"), "", "");
         let answer = ask(instance.callers_address(), &bytes);
         assert_eq!(answer.map(|answer| answer.status), Some(200));
