--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -331,6 +331,7 @@
             | Body::News(_)
             | Body::QueryAnswer(_)
             | Body::PromiseWanted(_)
+            | Body::Dispatchers(_)
             | Body::Promise(_) => {}
         }
     }
--- a/crates/instance/src/candidates.rs
+++ b/crates/instance/src/candidates.rs
@@ -4,6 +4,7 @@
 //! they are few however large the fleet is, and those that have the processor for the
 //! holder's work.
 
+use passway_serving::hash;
 use passway_serving::tenure::Candidate;
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
@@ -85,6 +86,37 @@
         Some(chosen)
     }
 
+    /// Instances that may dispatch for engines, as many as are wanted: those that do already
+    /// and are still here, then those with more processor, spread by name. The holder, which
+    /// has enough to do, is none of them.
+    pub fn dispatchers(
+        &self,
+        before: &[Candidate],
+        wanted: usize,
+        me: &InstanceId,
+    ) -> Vec<Candidate> {
+        let here = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.gone_at.is_none());
+        let here = here.filter(|(name, _)| *name != me);
+        let mut ranked: Vec<(bool, bool, u64, Candidate)> = here
+            .map(|(instance, member)| {
+                let candidate = Candidate {
+                    instance: instance.clone(),
+                    address: member.address,
+                };
+                let is_new = !before.contains(&candidate);
+                (member.is_weak, is_new, hash::mixed(0, instance), candidate)
+            })
+            .collect();
+        ranked.sort();
+        let chosen = ranked.into_iter().take(wanted);
+        let mut chosen: Vec<Candidate> = chosen.map(|(.., candidate)| candidate).collect();
+        chosen.sort();
+        chosen
+    }
+
     /// Whether an instance was chosen last.
     pub fn contains(&self, instance: &InstanceId) -> bool {
         self.chosen.iter().any(|one| one.instance == *instance)
--- /dev/null
+++ b/crates/instance/src/dispatch.rs
@@ -0,0 +1,419 @@
+//! Asking dispatchers for engines, and being one: datagrams on the port for other instances.
+//!
+//! An answer that does not come within 60 ms is not waited for: the request goes by
+//! what this instance has sent itself, and the next ones ask another dispatcher for a while. So
+//! a dispatcher that dies, freezes or is cut off costs a request that moment and nothing else.
+
+use crate::shared::Shared;
+use crossbeam::channel::{Sender, bounded};
+use passway_serving::dispatch::{Dispatchers, REFRESH_PAUSE, RunBook, RunId, RunKey};
+use passway_serving::tenure::Candidate;
+use passway_serving::upstreams::{Choice, ModelRef, Outcome, Wanted};
+use passway_types::prelude::*;
+use passway_wire::dispatch::{
+    Ask, Datagram, Dispatch as Body, Ended, Grant, RunHere, RunOutcome, Running, Verdict,
+};
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Time for an answer before the question is asked again: a round trip between halls takes
+/// some 3 ms, and an instance with a part of a core may begin late.
+const ASK_AGAIN: Duration = Duration::from_millis(25);
+/// Time for an answer to the second question: 60 ms in all.
+const LAST_ANSWER: Duration = Duration::from_millis(35);
+/// Dispatchers that are asked for one attempt before it waits.
+const MOST_ASKED: usize = 2;
+/// Largest datagram: what goes over any link in one piece.
+const MAX_BYTES: usize = 1_400;
+/// Runs that fit into one of them, at some 30 bytes each.
+const RUNS_PER_DATAGRAM: usize = 40;
+
+/// A run of this instance that its dispatcher knows, or will hear of.
+#[derive(Debug, Clone)]
+struct OwnRun {
+    engine: UpstreamId,
+    /// Who granted it; `None` if it was sent without asking.
+    granted_by: Option<SocketAddr>,
+}
+
+/// What a request is told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Told {
+    /// Where it goes.
+    pub choice: Choice,
+    /// The number of the run, if it goes.
+    pub run: Option<RunId>,
+}
+
+/// The instance's part in dispatching.
+#[derive(Debug)]
+pub struct Dispatch {
+    me: SocketAddr,
+    /// `None` if the port is taken: the instance then goes by what it sees itself.
+    socket: Option<UdpSocket>,
+    dispatchers: Mutex<Dispatchers>,
+    book: Mutex<RunBook>,
+    /// Attempts that wait for an answer.
+    asking: Mutex<HashMap<RunId, Sender<Grant>>>,
+    runs: Mutex<HashMap<RunId, OwnRun>>,
+    next_run: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Dispatch {
+    /// Binds the address for other instances.
+    pub fn bind(me: SocketAddr) -> Self {
+        let socket = UdpSocket::bind(me);
+        if let Err(error) = &socket {
+            log::warn!(address:% = me, error:% = error; "no port for dispatching; engines are chosen by what is seen here");
+        }
+        Self {
+            me,
+            socket: socket.ok(),
+            dispatchers: Mutex::default(),
+            book: Mutex::default(),
+            asking: Mutex::default(),
+            runs: Mutex::default(),
+            // Numbers of a process before this one are not used again.
+            next_run: AtomicU64::new(rand::random()),
+        }
+    }
+
+    /// Uses another list of dispatchers.
+    pub fn set(&self, list: Vec<Candidate>) {
+        log::info!(dispatchers = list.len(); "dispatchers");
+        lock(&self.dispatchers).set(list);
+        // The thread that answers looks again.
+        self.send(self.me, None);
+    }
+
+    /// Who dispatches for engines.
+    pub fn list(&self) -> Vec<Candidate> {
+        lock(&self.dispatchers).list().to_vec()
+    }
+
+    /// Whether engines have dispatchers.
+    pub fn is_used(&self) -> bool {
+        self.socket.is_some() && !lock(&self.dispatchers).is_empty()
+    }
+
+    fn dispatcher_of(&self, engine: &str) -> Option<SocketAddr> {
+        lock(&self.dispatchers).of_engine(engine, Instant::now())
+    }
+
+    /// Sends a datagram. One that cannot be sent is lost like any other.
+    fn send(&self, to: SocketAddr, body: Option<Body>) {
+        if let Some(socket) = &self.socket
+            && let Err(error) = socket.send_to(&Datagram::bytes(body), to)
+        {
+            log::debug!(to:% = to, error:% = error; "a datagram was not sent");
+        }
+    }
+
+    /// An engine for a request; `None` if nobody tells, so that it goes by what is seen here.
+    pub fn ask(
+        &self,
+        shared: &Shared,
+        service: &ServiceName,
+        model_ref: &ModelRef,
+        tried: &[UpstreamId],
+        drawn: u64,
+    ) -> Option<Told> {
+        if !self.is_used() {
+            return None;
+        }
+        let now = Instant::now();
+        let wanted = Wanted {
+            service,
+            model_ref: Some(model_ref),
+            hall: &shared.settings.hall,
+            drawn,
+        };
+        let mut engines = shared.upstreams().drawn_engines(wanted, now);
+        engines.retain(|id| !tried.contains(id));
+        let ask = Ask {
+            id: 0,
+            service: service.to_string(),
+            model: model_ref.model.to_string(),
+            adapter: model_ref.adapter.as_deref().unwrap_or_default().to_owned(),
+            hall: shared.settings.hall.to_string(),
+            drawn,
+            tried: tried.iter().map(ToString::to_string).collect(),
+        };
+        let mut asked = Vec::new();
+        let mut choice = Choice::Absent;
+        for engine in &engines {
+            let dispatcher = self.dispatcher_of(engine)?;
+            if asked.contains(&dispatcher) {
+                continue;
+            }
+            if asked.len() >= MOST_ASKED {
+                break;
+            }
+            asked.push(dispatcher);
+            let id = self.next_run.fetch_add(1, Ordering::Relaxed);
+            let ask = Ask { id, ..ask.clone() };
+            let Some(grant) = self.question(shared, dispatcher, ask) else {
+                lock(&self.dispatchers).silent(dispatcher, Instant::now());
+                return None;
+            };
+            match grant.verdict() {
+                Verdict::Go => return self.granted(shared, dispatcher, &grant),
+                Verdict::Full => choice = Choice::Full,
+                Verdict::Absent => {}
+            }
+        }
+        // That none of them knows what stands there by what is heard here is told soon.
+        let is_told = choice == Choice::Full || engines.is_empty();
+        is_told.then_some(Told { choice, run: None })
+    }
+
+    /// The engine that was granted, if it is known here.
+    fn granted(&self, shared: &Shared, by: SocketAddr, grant: &Grant) -> Option<Told> {
+        let engine = UpstreamId::from(grant.engine.as_str());
+        let address = shared.upstreams().address_of(&engine)?;
+        let run = OwnRun {
+            engine: engine.clone(),
+            granted_by: Some(by),
+        };
+        lock(&self.runs).insert(grant.id, run);
+        Some(Told {
+            choice: Choice::Send {
+                id: engine,
+                address,
+            },
+            run: Some(grant.id),
+        })
+    }
+
+    /// One question and its answer; `None` without one.
+    fn question(&self, shared: &Shared, dispatcher: SocketAddr, ask: Ask) -> Option<Grant> {
+        if dispatcher == self.me {
+            return Some(self.answer(shared, self.me, &ask));
+        }
+        let (sender, answers) = bounded(2);
+        let id = ask.id;
+        lock(&self.asking).insert(id, sender);
+        let body = Body::Ask(ask);
+        self.send(dispatcher, Some(body.clone()));
+        let mut answer = answers.recv_timeout(ASK_AGAIN);
+        if answer.is_err() {
+            self.send(dispatcher, Some(body));
+            answer = answers.recv_timeout(LAST_ANSWER);
+        }
+        lock(&self.asking).remove(&id);
+        answer.ok()
+    }
+
+    /// A request goes to an engine without having asked; the run's number.
+    pub fn unasked(&self, engine: &UpstreamId) -> Option<RunId> {
+        if !self.is_used() {
+            return None;
+        }
+        let id = self.next_run.fetch_add(1, Ordering::Relaxed);
+        let run = OwnRun {
+            engine: engine.clone(),
+            granted_by: None,
+        };
+        lock(&self.runs).insert(id, run);
+        Some(id)
+    }
+
+    /// A run of this instance is over.
+    pub fn ended(&self, shared: &Shared, id: RunId, outcome: Outcome) {
+        let run = lock(&self.runs).remove(&id);
+        let Some(OwnRun { engine, granted_by }) = run else {
+            return;
+        };
+        let Some(dispatcher) = granted_by.or_else(|| self.dispatcher_of(&engine)) else {
+            return;
+        };
+        let ended = Ended {
+            id,
+            outcome: encode(outcome).into(),
+        };
+        if dispatcher == self.me {
+            self.over(shared, self.me, &ended);
+        } else {
+            self.send(dispatcher, Some(Body::Ended(ended)));
+        }
+    }
+
+    /// Answers a question, as the dispatcher.
+    fn answer(&self, shared: &Shared, from: SocketAddr, ask: &Ask) -> Grant {
+        let key = RunKey {
+            instance: from,
+            id: ask.id,
+        };
+        let grant = |verdict: Verdict, engine: &str| Grant {
+            id: ask.id,
+            verdict: verdict.into(),
+            engine: engine.to_owned(),
+        };
+        let now = Instant::now();
+        // The order of locks: the upstreams before the book.
+        let upstreams = shared.upstreams();
+        let mut book = lock(&self.book);
+        if let Some(engine) = book.engine_of(key) {
+            return grant(Verdict::Go, engine);
+        }
+        let adapter = Some(ask.adapter.as_str()).filter(|name| !name.is_empty());
+        let model_ref = ModelRef {
+            model: ask.model.as_str().into(),
+            adapter: adapter.map(Into::into),
+        };
+        let (service, hall) = (ask.service.as_str().into(), ask.hall.as_str().into());
+        let wanted = Wanted {
+            service: &service,
+            model_ref: Some(&model_ref),
+            hall: &hall,
+            drawn: ask.drawn,
+        };
+        let dispatchers = lock(&self.dispatchers);
+        let is_open = |id: &UpstreamId| {
+            !ask.tried.iter().any(|tried| **tried == **id)
+                && dispatchers.of_engine(id, now) == Some(self.me)
+        };
+        let runs = |id: &UpstreamId| book.load(id);
+        match upstreams.choose_by(wanted, is_open, Some(&runs), now) {
+            Choice::Send { id, .. } => {
+                book.note(key, &id, now);
+                grant(Verdict::Go, &id)
+            }
+            Choice::Full => grant(Verdict::Full, ""),
+            Choice::Absent => grant(Verdict::Absent, ""),
+        }
+    }
+
+    /// A run is over, as its dispatcher hears.
+    fn over(&self, shared: &Shared, from: SocketAddr, ended: &Ended) {
+        let key = RunKey {
+            instance: from,
+            id: ended.id,
+        };
+        let engine = lock(&self.book).end(key);
+        if let (Some(engine), Some(outcome)) = (engine, decode(ended.outcome())) {
+            shared
+                .upstreams()
+                .observed(&engine, outcome, Instant::now());
+        }
+    }
+
+    /// Takes in a datagram.
+    fn take(&self, shared: &Shared, from: SocketAddr, body: Body) {
+        match body {
+            Body::Ask(ask) => {
+                let grant = self.answer(shared, from, &ask);
+                self.send(from, Some(Body::Grant(grant)));
+            }
+            Body::Grant(grant) => {
+                // One that comes late, or twice, is of no use: the run ends by not being told.
+                if let Some(sender) = lock(&self.asking).get(&grant.id) {
+                    let _ = sender.try_send(grant);
+                }
+            }
+            Body::Ended(ended) => self.over(shared, from, &ended),
+            Body::Running(running) => {
+                let now = Instant::now();
+                let mut book = lock(&self.book);
+                for run in running.runs {
+                    let key = RunKey {
+                        instance: from,
+                        id: run.id,
+                    };
+                    book.note(key, &run.engine.as_str().into(), now);
+                }
+            }
+        }
+    }
+
+    /// Tells dispatchers what runs on their engines, so that they know it although they have
+    /// just begun, or an end was lost.
+    fn refresh(&self, shared: &Shared) {
+        let runs = lock(&self.runs).clone();
+        let mut by_dispatcher: HashMap<SocketAddr, Vec<RunHere>> = HashMap::new();
+        for (id, run) in runs {
+            if let Some(dispatcher) = self.dispatcher_of(&run.engine) {
+                let here = RunHere {
+                    id,
+                    engine: run.engine.to_string(),
+                };
+                by_dispatcher.entry(dispatcher).or_default().push(here);
+            }
+        }
+        for (dispatcher, runs) in by_dispatcher {
+            for part in runs.chunks(RUNS_PER_DATAGRAM) {
+                let body = Body::Running(Running {
+                    runs: part.to_vec(),
+                });
+                if dispatcher == self.me {
+                    self.take(shared, self.me, body);
+                } else {
+                    self.send(dispatcher, Some(body));
+                }
+            }
+        }
+    }
+
+    /// Hears others for as long as the process lives.
+    pub fn start(shared: &Arc<Shared>) {
+        let shared = shared.clone();
+        std::thread::spawn(move || shared.dispatch.run(&shared));
+    }
+
+    fn run(&self, shared: &Shared) {
+        let Some(socket) = &self.socket else {
+            return;
+        };
+        let mut bytes = [0; MAX_BYTES];
+        let mut refresh_at = Instant::now();
+        loop {
+            let now = Instant::now();
+            // Without dispatchers nothing is due by time: a datagram tells when there are some.
+            let pause = self.is_used().then(|| {
+                if now >= refresh_at {
+                    refresh_at = now + REFRESH_PAUSE;
+                    self.refresh(shared);
+                    lock(&self.book).expire(now);
+                }
+                let left = refresh_at.saturating_duration_since(now);
+                left.max(Duration::from_millis(1))
+            });
+            if let Err(error) = socket.set_read_timeout(pause) {
+                log::warn!(error:% = error; "a time-out cannot be set");
+            }
+            let Ok((length, from)) = socket.recv_from(&mut bytes) else {
+                // The time is over, or a datagram of before was refused by a dead port.
+                continue;
+            };
+            if let Some(body) = Datagram::read(&bytes[..length]) {
+                self.take(shared, from, body);
+            }
+        }
+    }
+}
+
+fn encode(outcome: Outcome) -> RunOutcome {
+    match outcome {
+        Outcome::Answered => RunOutcome::Answered,
+        Outcome::Failed => RunOutcome::Failed,
+        Outcome::Shed => RunOutcome::Shed,
+        Outcome::Unreachable => RunOutcome::Unreachable,
+        Outcome::Unknown => RunOutcome::Unknown,
+    }
+}
+
+fn decode(outcome: RunOutcome) -> Option<Outcome> {
+    match outcome {
+        RunOutcome::Answered => Some(Outcome::Answered),
+        RunOutcome::Failed => Some(Outcome::Failed),
+        RunOutcome::Shed => Some(Outcome::Shed),
+        RunOutcome::Unreachable => Some(Outcome::Unreachable),
+        RunOutcome::Unknown => None,
+    }
+}
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -7,6 +7,7 @@
 use crate::shared::Shared;
 use anyhow::ensure;
 use crossbeam::channel::Sender;
+use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
     Directory, Listing, SharedStore, StoreChange, StoreError, StoreRevision, StoredValue,
     WatchAnswer,
@@ -336,7 +337,7 @@
                 {
                     return;
                 }
-                log::info!(version = table.version; "configuration in force");
+                log::info!(target: DECISION_TARGET, version = table.version; "configuration in force");
                 self.shared.routes.store(Some(Arc::new(table)));
             }
             Ok(None) => {}
@@ -436,7 +437,7 @@
             return;
         }
         for id in &gone {
-            log::info!(upstream:% = id; "an upstream is gone");
+            log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream is gone");
             self.shared.pool.forget(id);
         }
         self.tell(Input::Listed(left));
@@ -485,7 +486,7 @@
     fn forget_restarted(&self) {
         let restarted = self.shared.upstreams().take_restarted();
         for id in restarted {
-            log::info!(upstream:% = id; "an upstream has started again under its id");
+            log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream has started again under its id");
             self.shared.pool.forget(&id);
         }
     }
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -12,6 +12,7 @@
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
 use passway_process::logging::json::REQUEST_TARGET;
+use passway_serving::dispatch::RunId;
 use passway_serving::hash::fnv1a;
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
@@ -88,6 +89,8 @@
 struct Target {
     id: UpstreamId,
     address: SocketAddr,
+    /// The run's number, where engines have dispatchers.
+    run: Option<RunId>,
 }
 
 /// Where a request goes by the configuration.
@@ -114,6 +117,10 @@
     delivered: Delivered,
     tried: Vec<UpstreamId>,
     runs: u32,
+    /// When the attempt in progress began.
+    attempt_at: Instant,
+    /// Where the request goes on, chosen before an upstream that is silent was left.
+    next: Option<Target>,
     record: RequestRecord,
 }
 
@@ -203,6 +210,8 @@
         delivered: Delivered::default(),
         tried: Vec::new(),
         runs: 0,
+        attempt_at: arrived_at,
+        next: None,
         record: RequestRecord::default(),
     }
     .serve()
@@ -276,6 +285,11 @@
     /// Serves the request and says how it ended.
     fn serve(mut self) -> After {
         let after = self.run();
+        if let Some(run) = self.next.take().and_then(|unused| unused.run) {
+            self.shared
+                .dispatch
+                .ended(self.shared, run, Outcome::Unknown);
+        }
         let record = &self.record;
         let metrics = &self.shared.metrics;
         metrics.ended(record.end, record.status);
@@ -418,16 +432,18 @@
 
     /// Waits for an upstream that can take the request.
     fn find_upstream(&mut self, may_wait: bool) -> Option<Target> {
+        if let Some(next) = self.next.take() {
+            return Some(next);
+        }
         let mut told: Option<ToldWait> = None;
         loop {
             let now = Instant::now();
             self.shared.metrics.choice();
-            let upstreams = self.shared.upstreams();
-            let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
-            let choice = upstreams.choose(&self.service, self.wish(), &self.tried, drawn, now);
-            if let Choice::Send { id, address } = choice {
-                return Some(Target { id, address });
-            }
+            let seen = self.shared.changes_seen();
+            let choice = match self.choose(now) {
+                Ok(target) => return Some(target),
+                Err(choice) => choice,
+            };
             // A stop shortens the request's time, and what it waits must leave time to run.
             let stop_at = self.shared.ends_at().unwrap_or(self.deadline_at);
             let wait_until = self.wait_until(self.deadline_at.min(stop_at));
@@ -447,12 +463,11 @@
                     wait_until,
                 ));
             }
-            // The guard is held from the choice on, so no change is missed, and each
-            // turn of this loop waits: requests for a service that has no upstream left
+            // Each turn of this loop waits: requests for a service that has no upstream left
             // must not take the processor from all others.
             let longest = if is_absent { WAIT_STEP } else { FULL_STEP };
             let step = longest.min(wait_until - now);
-            self.shared.wait_for_upstreams(upstreams, step);
+            self.shared.wait_for_upstreams(seen, step);
             if is_absent {
                 // Those that were tried may have what is needed again.
                 self.tried.clear();
@@ -464,12 +479,50 @@
         }
     }
 
+    /// The upstream for the next attempt, or why there is none now.
+    fn choose(&self, now: Instant) -> Result<Target, Choice> {
+        let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
+        let dispatch = &self.shared.dispatch;
+        let told = self
+            .wish()
+            .and_then(|wish| dispatch.ask(self.shared, &self.service, wish, &self.tried, drawn));
+        if let Some(told) = told {
+            return match told.choice {
+                Choice::Send { id, address } => Ok(Target {
+                    id,
+                    address,
+                    run: told.run,
+                }),
+                none => Err(none),
+            };
+        }
+        let upstreams = self.shared.upstreams();
+        match upstreams.choose(&self.service, self.wish(), &self.tried, drawn, now) {
+            Choice::Send { id, address } => Ok(Target {
+                run: self.wish().and_then(|_| dispatch.unasked(&id)),
+                id,
+                address,
+            }),
+            none => Err(none),
+        }
+    }
+
     fn attempt(&mut self, target: &Target) -> Attempt {
+        let (attempt, outcome) = self.attempted(target);
+        if let Some(run) = target.run {
+            self.shared.dispatch.ended(self.shared, run, outcome);
+        }
+        attempt
+    }
+
+    /// One attempt, and what it tells of the upstream.
+    fn attempted(&mut self, target: &Target) -> (Attempt, Outcome) {
         if self.caller.is_closed() {
-            return Attempt::CallerGone;
+            return (Attempt::CallerGone, Outcome::Unknown);
         }
         let wish = self.wish().cloned();
         let now = Instant::now();
+        self.attempt_at = now;
         self.shared
             .upstreams()
             .started(&target.id, wish.as_ref(), now);
@@ -486,7 +539,7 @@
         upstreams.ended(&target.id, wish.as_ref(), outcome, now);
         drop(upstreams);
         self.shared.upstreams_changed();
-        attempt
+        (attempt, outcome)
     }
 }
 
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -13,7 +13,7 @@
 use passway_serving::headers::Headers;
 use passway_serving::ports::{AnswerFacts, Stamp};
 use passway_serving::routes::RequestKind;
-use passway_serving::upstreams::{Choice, Outcome};
+use passway_serving::upstreams::Outcome;
 use passway_types::prelude::*;
 
 /// Time to connect to an upstream; a round trip takes a few milliseconds.
@@ -72,15 +72,28 @@
         self.deadline_at.min(Instant::now() + step.max(MIN_SILENCE))
     }
 
-    /// Whether the upstream is silent and another one can go on.
-    fn is_silent(&self, target: &Target) -> bool {
+    /// Whether the upstream is silent for longer than is usual and another one can go on: it
+    /// is chosen, and a repeat is left, before this one is given up.
+    fn is_silent(&mut self, target: &Target) -> bool {
         let now = Instant::now();
-        let upstreams = self.shared.upstreams();
-        upstreams.is_silent(&target.id, now)
-            && matches!(
-                upstreams.choose(&self.service, self.wish(), &self.tried, 0, now),
-                Choice::Send { .. }
-            )
+        if !self.shared.upstreams().is_silent(&target.id, now)
+            || now < self.usual_until()
+            || !self.shared.retries().has_spare(&self.service, now)
+        {
+            return false;
+        }
+        self.next = self.choose(now).ok();
+        self.next.is_some()
+    }
+
+    /// Until when it is usual that nothing has come yet; past once something has.
+    fn usual_until(&self) -> Instant {
+        if self.delivered.head_sent {
+            return self.attempt_at;
+        }
+        let goal = Duration::from_millis(self.route.goal_ms);
+        let usual = self.shared.usual_times().longest(&self.route.name, goal);
+        self.attempt_at + usual
     }
 
     fn heard(&self, target: &Target) {
@@ -151,6 +164,11 @@
             let vocabulary = &self.shared.vocabulary;
             let facts = vocabulary.answer(head.status, &head.headers, &target.id);
             if facts.id.as_deref().is_none_or(|id| id == self.facts.id) {
+                if self.route.kind.is_stream() && !facts.not_run {
+                    let after = self.attempt_at.elapsed();
+                    let mut usual = self.shared.usual_times();
+                    usual.observe(&self.route.name, after);
+                }
                 return Ok((head, facts));
             }
             // An answer to an earlier request: what follows may be ours.
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -11,7 +11,9 @@
 use crate::shared::Shared;
 use anyhow::{Context, Result};
 use crossbeam::channel::{Receiver, Sender, bounded};
+use passway_process::logging::json::DECISION_TARGET;
 use passway_process::outbox::Outbox;
+use passway_serving::dispatch;
 use passway_serving::placement::{Action, ModelRuns, Placement, PlannedOrder, Planner, Waiters};
 use passway_serving::ports::{EngineOrder, EngineReport, Engines, OrderAnswer};
 use passway_serving::retry::InstanceCount;
@@ -106,6 +108,7 @@
         peers: BTreeMap::new(),
         listeners: Listeners::default(),
         candidates: Candidates::default(),
+        dispatchers: Vec::new(),
         roster: Roster::default(),
         begun_at: Instant::now(),
         instances: InstanceCount::begin(Instant::now()),
@@ -171,6 +174,8 @@
     listeners: Listeners,
     /// Who may succeed this instance.
     candidates: Candidates,
+    /// Who dispatches for engines.
+    dispatchers: Vec<Candidate>,
     /// Who has been told of which members.
     roster: Roster,
     /// What times that are told to others are counted from.
@@ -274,7 +279,7 @@
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
             Input::Answered(order, answer) => {
-                log::info!(engine:% = order.engine, action:? = order.action,
+                log::info!(target: DECISION_TARGET, engine:% = order.engine, action:? = order.action,
                     model:% = order.wish.model, adapter:? = order.wish.adapter,
                     expected = order.expected_orders, answer:? = answer; "order");
                 self.shared.metrics.order(name_of(answer));
@@ -314,6 +319,9 @@
         if !lacking.is_empty() {
             self.send_to(number, &placements(lacking));
         }
+        if !self.dispatchers.is_empty() {
+            self.send_to(number, &self.dispatchers_body());
+        }
     }
 
     /// Where those can be reached that listen here, and this instance itself.
@@ -338,12 +346,33 @@
         if due.is_empty() {
             return;
         }
-        let body = members::encode(&known);
+        let body = Body::Members(members::encode(&known));
         drop(known);
         let outboxes = due.iter().filter_map(|number| self.peers.get(number));
         send_to_all(outboxes, body);
     }
 
+    /// Chooses who dispatches for engines, and tells all if that has changed. Until the fleet
+    /// has come the ones before stay, or none.
+    fn tell_dispatchers(&mut self, instances: Option<usize>) {
+        let Some(instances) = instances else {
+            return;
+        };
+        let wanted = dispatch::dispatchers_wanted(instances, self.planner.engines());
+        let me = &self.shared.settings.instance;
+        let chosen = self.candidates.dispatchers(&self.dispatchers, wanted, me);
+        if chosen != self.dispatchers {
+            self.dispatchers = chosen;
+            send_to_all(self.peers.values(), self.dispatchers_body());
+        }
+    }
+
+    fn dispatchers_body(&self) -> Body {
+        let chosen = self.dispatchers.iter();
+        let chosen = chosen.map(|one| (one.instance.clone(), one.address));
+        Body::Dispatchers(members::encode(&chosen.collect()))
+    }
+
     /// Follows a holder that was announced, if the store does not answer: else it tells better.
     fn follow_announced(&mut self, now: Instant) {
         let is_cut_off =
@@ -351,7 +380,7 @@
         if let Some(holder) = self.heard_of.take(is_cut_off, now)
             && self.right.told(holder.clone())
         {
-            log::info!(holder:% = holder.instance, fence = holder.fence; "heard of a new holder");
+            log::info!(target: DECISION_TARGET, holder:% = holder.instance, fence = holder.fence; "heard of a new holder");
         }
     }
 
@@ -436,6 +465,7 @@
             }
             self.ask_candidates(now);
             self.tell_members();
+            self.tell_dispatchers(instances);
             self.listeners.catch_up(&self.peers, true);
             self.send_heartbeats(self.listeners.numbers(), instances.unwrap_or(0));
         } else if self.listeners.has_backlog() {
@@ -498,6 +528,7 @@
             self.fence = fence;
             self.candidates = Candidates::default();
             self.roster = Roster::default();
+            self.dispatchers = self.shared.dispatch.list();
             self.instances = InstanceCount::begin(Instant::now());
             // Whoever heard the news from here asks the store now.
             for number in self.listeners.end() {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod callers;
 pub mod candidates;
+pub mod dispatch;
 pub mod ending;
 pub mod events;
 pub mod feed_log;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Starting and stopping an instance.
 
 use crate::callers::Callers;
+use crate::dispatch::Dispatch;
 use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
 use crate::relay::Relay;
 use crate::right::Right;
@@ -99,6 +100,7 @@
                 right.clone(),
             ),
         );
+        Dispatch::start(&shared);
         report::start(&shared, &right, &relay, needed);
         log::info!(instance:% = settings.instance; "started");
         Ok(Self {
@@ -149,6 +151,11 @@
         self.shared.members().len()
     }
 
+    /// How many instances dispatch for engines, as far as this one was told.
+    pub fn dispatchers(&self) -> usize {
+        self.shared.dispatch.list().len()
+    }
+
     /// Whether a request for a service could be sent a second time now: a process that has
     /// just started must first come to its part of the fleet's allowance.
     pub fn may_repeat(&self, service: &str) -> bool {
--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -37,14 +37,14 @@
 }
 
 /// The message that tells addresses.
-pub fn encode(addresses: &Addresses) -> Body {
+pub fn encode(addresses: &Addresses) -> Members {
     let members = addresses.iter().map(|(instance, address)| Member {
         instance: instance.to_string(),
         address: address.to_string(),
     });
-    Body::Members(Members {
+    Members {
         members: members.collect(),
-    })
+    }
 }
 
 /// The holder that a message names.
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
-use passway_serving::tenure::Holder;
+use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::prelude::*;
 use passway_wire::Body;
@@ -213,6 +213,12 @@
                     drop(link);
                     *shared.members() = members::decode(&told);
                 }
+                Dialed::Received(Body::Dispatchers(told)) => {
+                    drop(link);
+                    let list = members::decode(&told).into_iter();
+                    let list = list.map(|(instance, address)| Candidate { instance, address });
+                    shared.dispatch.set(list.collect());
+                }
                 Dialed::Received(Body::Placements(placements)) => {
                     drop(link);
                     placed(&shared, placements.engines);
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -8,6 +8,7 @@
 use crate::relay::Tap;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
+use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue,
 };
@@ -230,7 +231,7 @@
             if matches!(step, Step::End(_))
                 && let Some(fence) = held.take()
             {
-                log::info!(fence = fence; "lost the right to order");
+                log::info!(target: DECISION_TARGET, fence = fence; "lost the right to order");
             }
             match step {
                 Step::Wait(until) => {
@@ -250,7 +251,7 @@
                     let answer = store.write(&taking(shared, lease, &recent));
                     held = self.tenure().taken(&answer, Instant::now());
                     if let Some(fence) = held {
-                        log::info!(fence = fence; "holds the right to order");
+                        log::info!(target: DECISION_TARGET, fence = fence; "holds the right to order");
                         // The deciding thread ends only with the process.
                         let _ = holder.send(Input::TermBegun);
                     }
@@ -267,7 +268,7 @@
                     let recent = tenure.recent_with_candidates();
                     drop(tenure);
                     let answer = store.write(&[listing(&recent)]);
-                    log::info!(candidates = recent.candidates.len(), answer:? = answer; "list of candidates");
+                    log::info!(target: DECISION_TARGET, candidates = recent.candidates.len(), answer:? = answer; "list of candidates");
                     self.tenure().listed(&answer, recent, Instant::now());
                 }
                 Step::End(lease) => {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the threads of an instance share.
 
+use crate::dispatch::Dispatch;
 use crate::health::StoreHealth;
 use crate::members::Addresses;
 use crate::metrics::Metrics;
@@ -10,9 +11,10 @@
 use passway_serving::retry::RetryBudget;
 use passway_serving::routes::RouteTable;
 use passway_serving::upstreams::{ModelRef, UpstreamTable};
+use passway_serving::usual_time::UsualTimes;
 use passway_types::prelude::*;
 use std::fmt;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 
 /// What requests tell the thread that knows the holder of the right to order.
@@ -63,12 +65,17 @@
     pub metrics: Metrics,
     /// Connections to upstreams that rest.
     pub pool: ConnectionPool,
+    /// Which engine a request goes to, in a large fleet.
+    pub dispatch: Dispatch,
     /// The words of callers and upstreams.
     pub vocabulary: Box<dyn Vocabulary>,
     needs: Sender<Need>,
     upstreams: Mutex<UpstreamTable>,
     upstreams_changed: Condvar,
+    /// Changes of upstreams so far.
+    upstream_changes: AtomicU64,
     retries: Mutex<RetryBudget>,
+    usual_times: Mutex<UsualTimes>,
     members: Mutex<Addresses>,
     upstreams_listed: AtomicBool,
     stopping: AtomicBool,
@@ -104,6 +111,7 @@
         let retries = RetryBudget::new(settings.bounds.retry);
         Self {
             bounds: ArcSwap::from_pointee(settings.bounds),
+            dispatch: Dispatch::bind(settings.peer_address),
             settings,
             routes: ArcSwapOption::empty(),
             store_health: StoreHealth::default(),
@@ -113,7 +121,9 @@
             needs,
             upstreams: Mutex::new(upstreams),
             upstreams_changed: Condvar::new(),
+            upstream_changes: AtomicU64::new(0),
             retries: Mutex::new(retries),
+            usual_times: Mutex::default(),
             members: Mutex::new(Addresses::new()),
             upstreams_listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -138,13 +148,24 @@
 
     /// Wakes requests that wait for an upstream.
     pub fn upstreams_changed(&self) {
+        self.upstream_changes.fetch_add(1, Ordering::AcqRel);
+        // Whoever is about to wait has seen the change, or waits by now and is woken.
+        drop(self.upstreams());
         self.upstreams_changed.notify_all();
     }
 
-    /// Waits until upstreams change, `most` at the longest.
-    pub fn wait_for_upstreams(&self, guard: MutexGuard<'_, UpstreamTable>, most: Duration) {
-        // The caller looks again in any case.
-        drop(self.upstreams_changed.wait_timeout(guard, most));
+    /// A point in the series of changes of upstreams.
+    pub fn changes_seen(&self) -> u64 {
+        self.upstream_changes.load(Ordering::Acquire)
+    }
+
+    /// Waits until upstreams have changed since a point, `most` at the longest.
+    pub fn wait_for_upstreams(&self, seen: u64, most: Duration) {
+        let guard = self.upstreams();
+        if self.changes_seen() == seen {
+            // The caller looks again in any case.
+            drop(self.upstreams_changed.wait_timeout(guard, most));
+        }
     }
 
     /// The retry budget.
@@ -152,6 +173,11 @@
         lock(&self.retries)
     }
 
+    /// How long upstreams usually take to the first byte.
+    pub fn usual_times(&self) -> MutexGuard<'_, UsualTimes> {
+        lock(&self.usual_times)
+    }
+
     /// Instances that the holder of the right to order knows, and where they listen.
     pub fn members(&self) -> MutexGuard<'_, Addresses> {
         lock(&self.members)
--- a/crates/process/src/logging/json.rs
+++ b/crates/process/src/logging/json.rs
@@ -5,7 +5,7 @@
 //! bound is dropped, counted, and told with the next batch.
 
 use super::queue::{LineReceiver, LineSender, line_queue};
-use super::volume::VolumeBound;
+use super::volume::{LineClass, VolumeBound};
 use super::{dispatch, time_of_day};
 use anyhow::{Context, Result};
 use log::kv::{self, Key, Value, VisitSource};
@@ -20,12 +20,34 @@
 const BATCH_TIME: Duration = Duration::from_millis(100);
 /// The target of lines about the end of a request, which come first in the bound.
 pub const REQUEST_TARGET: &str = "passway_instance::request";
+/// The target of lines about decisions that change an engine, the right to order, or the
+/// configuration in force, which have a bound of their own.
+pub const DECISION_TARGET: &str = "passway_instance::decision";
 
 /// Where lines go on their way to the output.
 struct Sink {
     lines: LineSender,
     bound: Mutex<VolumeBound>,
-    dropped: Arc<AtomicU64>,
+    dropped: Arc<Dropped>,
+}
+
+/// Lines that were dropped since this was told last, by what they were about.
+#[derive(Default)]
+struct Dropped {
+    decisions: AtomicU64,
+    request_ends: AtomicU64,
+    others: AtomicU64,
+}
+
+impl Dropped {
+    fn count(&self, class: LineClass) {
+        let counter = match class {
+            LineClass::Decision => &self.decisions,
+            LineClass::RequestEnd => &self.request_ends,
+            LineClass::Other => &self.others,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 /// Starts logging to standard output, at most so many lines a second in the mean.
@@ -34,7 +56,7 @@
 /// If the level is not known or logging was started before.
 pub fn start(program: &'static str, level: &str, lines_per_s: u32) -> Result<()> {
     let dispatch = dispatch(level)?;
-    let dropped = Arc::new(AtomicU64::new(0));
+    let dropped = Arc::new(Dropped::default());
     let (lines, queued) = line_queue();
     let counted = dropped.clone();
     std::thread::spawn(move || write_batches(&queued, &counted, program));
@@ -52,12 +74,16 @@
 
 impl Sink {
     fn take(&self, record: &log::Record<'_>, program: &str) {
-        let ends_request = record.target() == REQUEST_TARGET;
+        let class = match record.target() {
+            DECISION_TARGET => LineClass::Decision,
+            REQUEST_TARGET => LineClass::RequestEnd,
+            _ => LineClass::Other,
+        };
         let mut bound = self.bound.lock().unwrap_or_else(PoisonError::into_inner);
-        let admitted = bound.admit(ends_request, Instant::now());
+        let admitted = bound.admit(class, Instant::now());
         drop(bound);
         if !admitted || !self.lines.send(line(record, program)) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.dropped.count(class);
         }
     }
 }
@@ -98,7 +124,7 @@
 }
 
 /// Writes lines until the process ends; nobody waits for it.
-fn write_batches(queued: &LineReceiver, dropped: &AtomicU64, program: &str) {
+fn write_batches(queued: &LineReceiver, dropped: &Dropped, program: &str) {
     let mut batch = String::new();
     while let Ok(first) = queued.receive() {
         std::thread::sleep(BATCH_TIME);
@@ -107,11 +133,16 @@
             batch.push_str(&line);
             batch.push('\n');
         }
-        let lost = dropped.swap(0, Ordering::Relaxed);
+        let [decisions, request_ends, others] =
+            [&dropped.decisions, &dropped.request_ends, &dropped.others]
+                .map(|counter| counter.swap(0, Ordering::Relaxed));
+        let lost = decisions + request_ends + others;
         if lost > 0 {
             let mut fields = head("WARN", program);
             fields.insert("message".into(), "log lines were dropped".into());
             fields.insert("dropped".into(), lost.into());
+            fields.insert("decisions".into(), decisions.into());
+            fields.insert("request_ends".into(), request_ends.into());
             batch.push_str(&Json::Object(fields).to_string());
             batch.push('\n');
         }
--- a/crates/process/src/logging/volume.rs
+++ b/crates/process/src/logging/volume.rs
@@ -6,12 +6,61 @@
 const RESERVED_PART: f64 = 0.5;
 /// Lines may gather for this long while fewer are written, in seconds.
 const BURST_S: f64 = 2.0;
+/// Lines about decisions, as a part of the bound on all others, which they do not use: the
+/// holder before 256 engines gives 250 orders a second on a calm day, at some 200 bytes each;
+/// any other instance writes a few in all.
+const DECISIONS_PART: f64 = 4.0;
 
-/// A bound on lines a second, in which the ends of requests come first.
-#[derive(Debug)]
-pub struct VolumeBound {
+/// What a line is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LineClass {
+    /// A decision that changes an engine, the right to order, or the configuration in force.
+    Decision,
+    /// The end of a request.
+    RequestEnd,
+    /// Anything else.
+    Other,
+}
+
+/// Lines that may be written, as they come back with time.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
     lines_per_s: f64,
     left: f64,
+}
+
+impl Bucket {
+    fn full(lines_per_s: f64) -> Self {
+        Self {
+            lines_per_s,
+            left: lines_per_s * BURST_S,
+        }
+    }
+
+    fn most(&self) -> f64 {
+        self.lines_per_s * BURST_S
+    }
+
+    fn fill(&mut self, quiet_s: f64) {
+        self.left = (self.left + self.lines_per_s * quiet_s).min(self.most());
+    }
+
+    /// Takes a line, if that leaves what is reserved for others.
+    fn take(&mut self, reserved: f64) -> bool {
+        let has_room = self.left - 1.0 >= reserved;
+        if has_room {
+            self.left -= 1.0;
+        }
+        has_room
+    }
+}
+
+/// A bound on lines a second: lines about decisions never give way to those of requests, and
+/// the ends of requests come before all that is left.
+#[derive(Debug)]
+pub struct VolumeBound {
+    decisions: Bucket,
+    others: Bucket,
     at: Instant,
 }
 
@@ -20,27 +69,22 @@
     pub fn new(lines_per_s: u32, now: Instant) -> Self {
         let lines_per_s = f64::from(lines_per_s);
         Self {
-            lines_per_s,
-            left: lines_per_s * BURST_S,
+            decisions: Bucket::full(lines_per_s * DECISIONS_PART),
+            others: Bucket::full(lines_per_s),
             at: now,
         }
     }
 
     /// Whether a line may be written now.
-    pub fn admit(&mut self, ends_request: bool, now: Instant) -> bool {
+    pub fn admit(&mut self, class: LineClass, now: Instant) -> bool {
         let quiet_s = now.saturating_duration_since(self.at).as_secs_f64();
-        let most = self.lines_per_s * BURST_S;
-        self.left = (self.left + self.lines_per_s * quiet_s).min(most);
+        self.decisions.fill(quiet_s);
+        self.others.fill(quiet_s);
         self.at = self.at.max(now);
-        let reserved = if ends_request {
-            0.0
-        } else {
-            most * RESERVED_PART
-        };
-        if self.left - 1.0 < reserved {
-            return false;
+        match class {
+            LineClass::Decision => self.decisions.take(0.0),
+            LineClass::RequestEnd => self.others.take(0.0),
+            LineClass::Other => self.others.take(self.others.most() * RESERVED_PART),
         }
-        self.left -= 1.0;
-        true
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 //! shell with threads and sockets.
 
 pub mod absence;
+pub mod dispatch;
 pub mod hash;
 pub mod headers;
 pub mod placement;
@@ -24,3 +25,4 @@
 pub mod routes;
 pub mod tenure;
 pub mod upstreams;
+pub mod usual_time;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -202,6 +202,11 @@
         self.changed.insert(id);
     }
 
+    /// How many engines there are.
+    pub fn engines(&self) -> usize {
+        self.engines.len()
+    }
+
     /// Only these upstreams are there.
     pub fn retain(&mut self, ids: &BTreeSet<UpstreamId>) {
         self.homes = None;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -4,7 +4,7 @@
 mod upstream;
 
 use crate::placement::{PlacementDigest, digest};
-pub use choice::Choice;
+pub use choice::{Choice, Wanted};
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -240,6 +240,19 @@
         }
     }
 
+    /// Another instance's request that was sent to an upstream has ended so.
+    pub fn observed(&mut self, id: &str, outcome: Outcome, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.judge(outcome, now);
+        }
+    }
+
+    /// Where an upstream listens.
+    pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
+        let upstream = self.upstreams.get(id)?;
+        Some(upstream.entry.address)
+    }
+
     /// An engine said that it does not have what a request needs.
     pub fn absent(&mut self, id: &str, model_ref: &ModelRef, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -2,7 +2,7 @@
 
 use super::upstream::Upstream;
 use super::{ModelRef, UpstreamTable};
-use crate::hash::fnv1a;
+use crate::hash;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -15,12 +15,6 @@
 const DRAW_REQUESTS: f64 = 1.0;
 /// What an upstream costs that has been silent, in units of its slots.
 const SILENCE_COST: f64 = 3.0;
-/// How far a hash is shifted down onto itself, so that its upper bits have a part in
-/// the multiplication that follows; about half of its bits.
-const MIX_SHIFT: u32 = 29;
-/// 2^64 divided by the golden ratio: the usual odd factor to mix a hash's bits.
-const MIX_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// Where to send a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Choice {
@@ -39,10 +33,8 @@
 
 /// A part of one, fixed by a number and a name.
 fn part_of(drawn: u64, name: &str) -> f64 {
-    let hash = fnv1a(drawn, name);
-    // The upper bits are mixed best.
-    let mixed = (hash ^ (hash >> MIX_SHIFT)).wrapping_mul(MIX_FACTOR);
-    f64::from(u32::try_from(mixed >> 32).unwrap_or(0)) / f64::from(u32::MAX)
+    let upper = hash::mixed(drawn, name) >> 32;
+    f64::from(u32::try_from(upper).unwrap_or(0)) / f64::from(u32::MAX)
 }
 
 /// What upstreams are compared by, the first field first; the least is chosen.
@@ -56,23 +48,23 @@
 }
 
 impl Upstream {
-    fn rank(&self, hall: &DataHall, drawn: u64, now: Instant) -> Rank<'_> {
+    fn rank(&self, load: u32, hall: &DataHall, drawn: u64, now: Instant) -> Rank<'_> {
         let id = &self.entry.id;
         let slots = f64::from(self.entry.slots.max(1));
         Rank {
             is_unreachable: now < self.unreachable_until,
-            cost: self.cost(hall, now) + part_of(drawn, id) * DRAW_REQUESTS / slots,
+            cost: self.cost(load, hall, now) + part_of(drawn, id) * DRAW_REQUESTS / slots,
             id,
         }
     }
 
-    fn is_full(&self, now: Instant) -> bool {
-        self.in_flight >= self.entry.slots || now < self.full_until
+    fn is_full(&self, load: u32, now: Instant) -> bool {
+        load >= self.entry.slots || now < self.full_until
     }
 
     /// What it costs to send a request there, in units of its slots.
-    fn cost(&self, hall: &DataHall, now: Instant) -> f64 {
-        let load = f64::from(self.in_flight) / f64::from(self.entry.slots.max(1));
+    fn cost(&self, load: u32, hall: &DataHall, now: Instant) -> f64 {
+        let load = f64::from(load) / f64::from(self.entry.slots.max(1));
         let away = if self.entry.hall == *hall {
             0.0
         } else {
@@ -87,12 +79,25 @@
     }
 }
 
+/// What a request needs of an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model and adapter, on engines.
+    pub model_ref: Option<&'a ModelRef>,
+    /// The hall that is preferred at equal load.
+    pub hall: &'a DataHall,
+    /// A number of the request's own, so that instances that all see little load do not all
+    /// choose the same upstream.
+    pub drawn: u64,
+}
+
 impl UpstreamTable {
-    /// The upstream for a request.
+    /// The upstream for a request by what this instance has sent itself.
     ///
     /// `tried` are upstreams that the request has been at, which it does not go to again.
-    /// `drawn` is a number of the request's own, so that instances that all see little
-    /// load do not all choose the same upstream.
+    /// `drawn` is as in [`Wanted`].
     pub fn choose(
         &self,
         service: &ServiceName,
@@ -100,24 +105,38 @@
         tried: &[UpstreamId],
         drawn: u64,
         now: Instant,
+    ) -> Choice {
+        let wanted = Wanted {
+            service,
+            model_ref,
+            hall: &self.hall,
+            drawn,
+        };
+        let is_open = |id: &UpstreamId| !tried.contains(id);
+        self.choose_by(wanted, is_open, None, now)
+    }
+
+    /// The upstream for a request among those that are `open` to it. The load is what `runs`
+    /// tells, or what this instance has sent itself.
+    pub fn choose_by(
+        &self,
+        wanted: Wanted<'_>,
+        is_open: impl Fn(&UpstreamId) -> bool,
+        runs: Option<&dyn Fn(&UpstreamId) -> u32>,
+        now: Instant,
     ) -> Choice {
         let mut full = false;
         let mut best: Option<(Rank<'_>, &Upstream)> = None;
-        for upstream in self.upstreams.values() {
-            let entry = &upstream.entry;
-            let is_usable = entry.service == *service
-                && !entry.draining
-                && !tried.contains(&entry.id)
-                && !upstream.is_gone(now)
-                && model_ref.is_none_or(|model_ref| upstream.has(model_ref, now));
-            if !is_usable {
+        for upstream in self.usable(wanted.service, wanted.model_ref, now) {
+            if !is_open(&upstream.entry.id) {
                 continue;
             }
-            if upstream.is_full(now) {
+            let load = runs.map_or(upstream.in_flight, |runs| runs(&upstream.entry.id));
+            if upstream.is_full(load, now) {
                 full = true;
                 continue;
             }
-            let rank = upstream.rank(&self.hall, drawn, now);
+            let rank = upstream.rank(load, wanted.hall, wanted.drawn, now);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, upstream));
             }
@@ -131,4 +150,28 @@
             None => Choice::Absent,
         }
     }
+
+    /// Upstreams that take new requests and have what is needed, as far as is known.
+    fn usable<'a>(
+        &'a self,
+        service: &ServiceName,
+        model_ref: Option<&ModelRef>,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams.values().filter(move |upstream| {
+            let entry = &upstream.entry;
+            entry.service == *service
+                && !entry.draining
+                && !upstream.is_gone(now)
+                && model_ref.is_none_or(|model_ref| upstream.has(model_ref, now))
+        })
+    }
+
+    /// Engines that could take a request, in an order drawn for it.
+    pub fn drawn_engines(&self, wanted: Wanted<'_>, now: Instant) -> Vec<UpstreamId> {
+        let usable = self.usable(wanted.service, wanted.model_ref, now);
+        let mut ids: Vec<UpstreamId> = usable.map(|engine| engine.entry.id.clone()).collect();
+        ids.sort_by_cached_key(|id| hash::mixed(wanted.drawn, id));
+        ids
+    }
 }
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -129,7 +129,7 @@
     }
 
     /// Takes an outcome into the failure rate and the pauses.
-    fn judge(&mut self, outcome: Outcome, now: Instant) {
+    pub(super) fn judge(&mut self, outcome: Outcome, now: Instant) {
         let failed = match outcome {
             Outcome::Answered => 0.0,
             Outcome::Failed => 1.0,
--- /dev/null
+++ b/crates/wire/src/dispatch.rs
@@ -0,0 +1,139 @@
+//! Datagrams between an instance and the dispatcher of an engine: one message each, and each
+//! may be lost or come twice.
+
+use prost::{Message, Oneof};
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct Datagram {
+    /// What it says; `None` comes from a newer program and is ignored.
+    #[prost(oneof = "Dispatch", tags = "1, 2, 3, 4")]
+    pub body: Option<Dispatch>,
+}
+
+impl Datagram {
+    /// The bytes of a datagram with a message, or without one.
+    pub fn bytes(body: Option<Dispatch>) -> Vec<u8> {
+        Self { body }.encode_to_vec()
+    }
+
+    /// The message that bytes hold; `None` if there is none, or it cannot be read.
+    pub fn read(bytes: &[u8]) -> Option<Dispatch> {
+        Self::decode(bytes).ok()?.body
+    }
+}
+
+/// The kinds of datagram.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Dispatch {
+    /// Asks for an engine.
+    #[prost(message, tag = "1")]
+    Ask(Ask),
+    /// The answer.
+    #[prost(message, tag = "2")]
+    Grant(Grant),
+    /// A run is over.
+    #[prost(message, tag = "3")]
+    Ended(Ended),
+    /// All that an instance runs on the dispatcher's engines.
+    #[prost(message, tag = "4")]
+    Running(Running),
+}
+
+/// Asks for an engine for one attempt.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    /// The attempt's number at the instance that asks.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The model.
+    #[prost(string, tag = "3")]
+    pub model: String,
+    /// The adapter; empty for none.
+    #[prost(string, tag = "4")]
+    pub adapter: String,
+    /// The hall that is preferred at equal load.
+    #[prost(string, tag = "5")]
+    pub hall: String,
+    /// A number of the request's own.
+    #[prost(fixed64, tag = "6")]
+    pub drawn: u64,
+    /// Engines where the request has been.
+    #[prost(string, repeated, tag = "7")]
+    pub tried: Vec<String>,
+}
+
+/// What an attempt may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Verdict {
+    /// None of the dispatcher's engines has what is needed.
+    Absent = 0,
+    /// All that have it are full.
+    Full = 1,
+    /// It goes to the engine that is named.
+    Go = 2,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Grant {
+    /// The attempt's number.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What it may do.
+    #[prost(enumeration = "Verdict", tag = "2")]
+    pub verdict: i32,
+    /// The engine.
+    #[prost(string, tag = "3")]
+    pub engine: String,
+}
+
+/// How a run that is over tells about its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum RunOutcome {
+    /// Nothing.
+    Unknown = 0,
+    /// It answered well.
+    Answered = 1,
+    /// It failed.
+    Failed = 2,
+    /// It was too full.
+    Shed = 3,
+    /// It could not be reached.
+    Unreachable = 4,
+}
+
+/// A run is over.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ended {
+    /// The attempt's number.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What it tells.
+    #[prost(enumeration = "RunOutcome", tag = "2")]
+    pub outcome: i32,
+}
+
+/// A run on an engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct RunHere {
+    /// The attempt's number.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The engine.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+}
+
+/// What an instance runs on a dispatcher's engines.
+#[derive(Clone, PartialEq, Message)]
+pub struct Running {
+    /// The runs.
+    #[prost(message, repeated, tag = "1")]
+    pub runs: Vec<RunHere>,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`message`]: one [`message::Envelope`] a frame, protocol buffers by derive,
 //!   so the build needs no generator.
+//! * [`dispatch`]: datagrams about where requests go.
 //! * [`link`]: a blocking connection that sends and receives envelopes.
 //!
 //! Times travel as what remains in milliseconds, never as a clock reading, since
 //! the clocks of two instances are not compared.
 
+pub mod dispatch;
 pub mod link;
 pub mod message;
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
     #[prost(
         oneof = "Body",
         tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, \
-                20"
+                20, 21"
     )]
     pub body: Option<Body>,
 }
@@ -77,6 +77,9 @@
     /// A candidate's promise not to take the right to order.
     #[prost(message, tag = "20")]
     Promise(Promise),
+    /// The instances that dispatch for engines.
+    #[prost(message, tag = "21")]
+    Dispatchers(Members),
 }
 
 /// A holder of the right to order that the store does not answer asks a candidate to
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -95,6 +95,8 @@
     let instance = site::start_at("one", way.address());
     until("readiness", || instance.is_ready());
     until("the right", || instance.fence().is_some());
+    // The term begins with the write's answer; the key is seen by the feed, a moment later.
+    until("the key", || instance.holder().is_some());
     let own = instance.holder().expect("itself");
     let successor = TcpListener::bind("127.0.0.1:0").expect("bind");
     let address = successor.local_addr().expect("address");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,8 @@
 mod config_memory;
 mod config_spread;
 mod config_way;
+mod dispatch_load;
+mod dispatch_way;
 mod docs_match;
 mod endless_input;
 mod fair_share;
