--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -6,7 +6,9 @@
 
 use crate::shared::Shared;
 use crossbeam::channel::{Sender, bounded};
-use passway_serving::dispatch::{Dispatchers, REFRESH_PAUSE, RunBook, RunId, RunKey};
+use passway_serving::dispatch::{
+    Dispatchers, REFRESH_PAUSE, RunBook, RunId, RunKey, Waiter, WaitingLine,
+};
 use passway_serving::tenure::Candidate;
 use passway_serving::upstreams::{Choice, ModelRef, Outcome, Wanted};
 use passway_types::prelude::*;
@@ -30,6 +32,9 @@
 /// Runs that fit into one of them, at some 30 bytes each.
 const RUNS_PER_DATAGRAM: usize = 40;
 
+/// Longest time to or since a due moment that is told: far over any request's patience.
+const LONGEST_DUE_MS: u64 = 600_000;
+
 /// A run of this instance that its dispatcher knows, or will hear of.
 #[derive(Debug, Clone)]
 struct OwnRun {
@@ -47,6 +52,40 @@
     pub run: Option<RunId>,
 }
 
+/// A request's question.
+#[derive(Debug, Clone, Copy)]
+pub struct Question<'a> {
+    /// The attempt's number, from [`Dispatch::next_run`]; the same when it asks again.
+    pub id: RunId,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// What it needs.
+    pub model_ref: &'a ModelRef,
+    /// Engines where it has been.
+    pub tried: &'a [UpstreamId],
+    /// A number of the request's own.
+    pub drawn: u64,
+    /// When it must begin to be in time.
+    pub due_at: Instant,
+}
+
+/// Time until a moment in milliseconds; below 0 if it is past.
+fn due_in_ms(due_at: Instant, now: Instant) -> i64 {
+    let ms = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+    ms(due_at.saturating_duration_since(now)) - ms(now.saturating_duration_since(due_at))
+}
+
+/// The moment that is so many milliseconds away.
+fn due_at(due_in_ms: i64, now: Instant) -> Instant {
+    let away = Duration::from_millis(due_in_ms.unsigned_abs().min(LONGEST_DUE_MS));
+    let moment = if due_in_ms < 0 {
+        now.checked_sub(away)
+    } else {
+        now.checked_add(away)
+    };
+    moment.unwrap_or(now)
+}
+
 /// The instance's part in dispatching.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -55,6 +94,7 @@
     socket: Option<UdpSocket>,
     dispatchers: Mutex<Dispatchers>,
     book: Mutex<RunBook>,
+    line: Mutex<WaitingLine>,
     /// Attempts that wait for an answer.
     asking: Mutex<HashMap<RunId, Sender<Grant>>>,
     runs: Mutex<HashMap<RunId, OwnRun>>,
@@ -77,6 +117,7 @@
             socket: socket.ok(),
             dispatchers: Mutex::default(),
             book: Mutex::default(),
+            line: Mutex::default(),
             asking: Mutex::default(),
             runs: Mutex::default(),
             // Numbers of a process before this one are not used again.
@@ -116,18 +157,18 @@
     }
 
     /// An engine for a request; `None` if nobody tells, so that it goes by what is seen here.
-    pub fn ask(
-        &self,
-        shared: &Shared,
-        service: &ServiceName,
-        model_ref: &ModelRef,
-        tried: &[UpstreamId],
-        drawn: u64,
-    ) -> Option<Told> {
+    pub fn ask(&self, shared: &Shared, question: &Question<'_>) -> Option<Told> {
         if !self.is_used() {
             return None;
         }
         let now = Instant::now();
+        let &Question {
+            service,
+            model_ref,
+            tried,
+            drawn,
+            ..
+        } = question;
         let wanted = Wanted {
             service,
             model_ref: Some(model_ref),
@@ -143,6 +184,7 @@
             adapter: model_ref.adapter.as_deref().unwrap_or_default().to_owned(),
             hall: shared.settings.hall.to_string(),
             drawn,
+            due_in_ms: due_in_ms(question.due_at, now),
             tried: tried.iter().map(ToString::to_string).collect(),
         };
         let mut asked = Vec::new();
@@ -156,8 +198,10 @@
                 break;
             }
             asked.push(dispatcher);
-            let id = self.next_run.fetch_add(1, Ordering::Relaxed);
-            let ask = Ask { id, ..ask.clone() };
+            let ask = Ask {
+                id: question.id,
+                ..ask.clone()
+            };
             let Some(grant) = self.question(shared, dispatcher, ask) else {
                 lock(&self.dispatchers).silent(dispatcher, Instant::now());
                 return None;
@@ -210,12 +254,17 @@
         answer.ok()
     }
 
+    /// A number for an attempt.
+    pub fn next_run(&self) -> RunId {
+        self.next_run.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// A request goes to an engine without having asked; the run's number.
     pub fn unasked(&self, engine: &UpstreamId) -> Option<RunId> {
         if !self.is_used() {
             return None;
         }
-        let id = self.next_run.fetch_add(1, Ordering::Relaxed);
+        let id = self.next_run();
         let run = OwnRun {
             engine: engine.clone(),
             granted_by: None,
@@ -280,12 +329,29 @@
                 && dispatchers.of_engine(id, now) == Some(self.me)
         };
         let runs = |id: &UpstreamId| book.load(id);
-        match upstreams.choose_by(wanted, is_open, Some(&runs), now) {
+        let choice = upstreams.choose_by(wanted, is_open, Some(&runs), now);
+        let mut line = lock(&self.line);
+        let waiter = Waiter {
+            model_ref: model_ref.clone(),
+            due_at: due_at(ask.due_in_ms, now),
+        };
+        match choice {
             Choice::Send { id, .. } => {
+                let free = upstreams.slots_of(&id).saturating_sub(book.load(&id));
+                let could_use = |other: &ModelRef| upstreams.has(&id, other, now);
+                let before = line.before(key, &waiter, could_use, now);
+                if before >= usize::try_from(free).unwrap_or(usize::MAX) {
+                    line.note(key, waiter, now);
+                    return grant(Verdict::Full, "");
+                }
+                line.leave(key);
                 book.note(key, &id, now);
                 grant(Verdict::Go, &id)
             }
-            Choice::Full => grant(Verdict::Full, ""),
+            Choice::Full => {
+                line.note(key, waiter, now);
+                grant(Verdict::Full, "")
+            }
             Choice::Absent => grant(Verdict::Absent, ""),
         }
     }
@@ -380,6 +446,7 @@
                     refresh_at = now + REFRESH_PAUSE;
                     self.refresh(shared);
                     lock(&self.book).expire(now);
+                    lock(&self.line).expire(now);
                 }
                 let left = refresh_at.saturating_duration_since(now);
                 left.max(Duration::from_millis(1))
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -404,6 +404,10 @@
 const HOLDER_PAUSE: Duration = Duration::from_millis(30);
 /// What each upstream adds to it, so that more of them do not make more calls.
 const HOLDER_PAUSE_PER_UPSTREAM: Duration = Duration::from_micros(1_200);
+/// Longest such pause. Each of the two orders of a swap shows its effect in an engine's entry,
+/// half a pause late in the mean: with 317 ms, as 264 upstreams would make it, a third of a
+/// swap of 1 s was waiting for that.
+const LONGEST_HOLDER_PAUSE: Duration = Duration::from_millis(110);
 
 impl UpstreamFeed {
     /// A feed that has heard nothing yet.
@@ -555,7 +559,8 @@
         if self.right.term().is_some() {
             let upstreams = self.shared.upstreams().entries().count();
             let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
-            HOLDER_PAUSE.max(HOLDER_PAUSE_PER_UPSTREAM.saturating_mul(upstreams))
+            let pause = HOLDER_PAUSE_PER_UPSTREAM.saturating_mul(upstreams);
+            pause.clamp(HOLDER_PAUSE, LONGEST_HOLDER_PAUSE)
         } else {
             UPSTREAM_PAUSE
         }
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -7,6 +7,7 @@
 
 mod exchange;
 
+use crate::dispatch::Question;
 use crate::events::EventCutter;
 use crate::http1::{AnswerHead, Connection, RequestHead};
 use crate::reply::{self, Refusal};
@@ -23,7 +24,7 @@
 /// Longest time between two looks whether a waiting request's caller is still there.
 const WAIT_STEP: Duration = Duration::from_millis(200);
 /// Longest time between two looks whether a full upstream has room.
-const FULL_STEP: Duration = Duration::from_millis(40);
+const FULL_STEP: Duration = Duration::from_millis(50);
 /// Part of its time that a request may wait for an upstream before it is refused.
 const WAIT_PART: f64 = 0.45;
 /// When a refused caller may come back, where nothing better is known.
@@ -36,6 +37,8 @@
 const START_WAIT: Duration = Duration::from_secs(1);
 /// Pause between two looks whether the configuration has come.
 const START_STEP: Duration = Duration::from_millis(30);
+/// Part of its goal after which the most urgent kind of request is due.
+const URGENT_PART: f64 = 0.5;
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
@@ -117,6 +120,8 @@
     delivered: Delivered,
     tried: Vec<UpstreamId>,
     runs: u32,
+    /// The number under which the next attempt asks for an engine.
+    question: RunId,
     /// When the attempt in progress began.
     attempt_at: Instant,
     /// Where the request goes on, chosen before an upstream that is silent was left.
@@ -210,6 +215,7 @@
         delivered: Delivered::default(),
         tried: Vec::new(),
         runs: 0,
+        question: shared.dispatch.next_run(),
         attempt_at: arrived_at,
         next: None,
         record: RequestRecord::default(),
@@ -467,7 +473,12 @@
             // must not take the processor from all others.
             let longest = if is_absent { WAIT_STEP } else { FULL_STEP };
             let step = longest.min(wait_until - now);
-            self.shared.wait_for_upstreams(seen, step);
+            if is_absent || !self.shared.dispatch.is_used() {
+                self.shared.wait_for_upstreams(seen, step);
+            } else {
+                // A slot is free when the dispatcher says so, whatever changes here.
+                std::thread::sleep(step);
+            }
             if is_absent {
                 // Those that were tried may have what is needed again.
                 self.tried.clear();
@@ -483,9 +494,17 @@
     fn choose(&self, now: Instant) -> Result<Target, Choice> {
         let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
         let dispatch = &self.shared.dispatch;
-        let told = self
-            .wish()
-            .and_then(|wish| dispatch.ask(self.shared, &self.service, wish, &self.tried, drawn));
+        let told = self.wish().and_then(|model_ref| {
+            let question = Question {
+                id: self.question,
+                service: &self.service,
+                model_ref,
+                tried: &self.tried,
+                drawn,
+                due_at: self.due_at(),
+            };
+            dispatch.ask(self.shared, &question)
+        });
         if let Some(told) = told {
             return match told.choice {
                 Choice::Send { id, address } => Ok(Target {
@@ -507,8 +526,21 @@
         }
     }
 
+    /// When the request must begin to be in time. What is most urgent is due when half of its
+    /// goal is over, so that it goes before what has a like goal.
+    fn due_at(&self) -> Instant {
+        let goal = Duration::from_millis(self.route.goal_ms);
+        let part = if self.route.priority == 0 {
+            URGENT_PART
+        } else {
+            1.0
+        };
+        self.arrived_at + goal.mul_f64(part)
+    }
+
     fn attempt(&mut self, target: &Target) -> Attempt {
         let (attempt, outcome) = self.attempted(target);
+        self.question = self.shared.dispatch.next_run();
         if let Some(run) = target.run {
             self.shared.dispatch.ended(self.shared, run, outcome);
         }
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -82,6 +82,7 @@
         {
             return false;
         }
+        self.question = self.shared.dispatch.next_run();
         self.next = self.choose(now).ok();
         self.next.is_some()
     }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -568,8 +568,24 @@
             .begin_term(entries, has_predecessor, Instant::now());
     }
 
+    /// Tells those whose requests wait for what has come, and those that dispatch for engines.
+    fn tell_awaited(&self, awaited: Vec<(Placement, BTreeSet<InstanceId>)>) {
+        for (placement, waiting) in awaited {
+            let body = placements(vec![placement]);
+            let hears = |name: &InstanceId| {
+                waiting.contains(name) || self.dispatchers.iter().any(|one| one.instance == *name)
+            };
+            let members = self.listeners.members();
+            let told = members.filter(|(_, (name, _))| hears(name));
+            let outboxes = told.filter_map(|(number, _)| self.peers.get(&number));
+            send_to_all(outboxes, body);
+        }
+    }
+
     /// Tells all instances what has changed, the less often the more there are.
     fn tell_changes(&mut self, now: Instant) {
+        let awaited = self.planner.take_awaited();
+        self.tell_awaited(awaited);
         if now < self.tell_at || !self.planner.has_changed() {
             return;
         }
--- a/crates/serving/src/dispatch.rs
+++ b/crates/serving/src/dispatch.rs
@@ -17,6 +17,7 @@
 
 use crate::hash;
 use crate::tenure::Candidate;
+use crate::upstreams::ModelRef;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -35,6 +36,10 @@
 /// A run that nobody has spoken of for so long is over: two words may be lost.
 const RUN_TIME: Duration = Duration::from_millis(1_300);
 
+/// A request that waits and has not asked again for so long is gone: it asks every 50 ms, and
+/// an answer may take 60 ms.
+const ASKED_TIME: Duration = Duration::from_millis(180);
+
 /// An attempt's number, unique at the instance that makes it.
 pub type RunId = u64;
 
@@ -102,6 +107,66 @@
     until: Instant,
 }
 
+/// A request that waits at a dispatcher for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiter {
+    /// What it needs.
+    pub model_ref: ModelRef,
+    /// When it must begin to be in time.
+    pub due_at: Instant,
+}
+
+impl Waiter {
+    /// Whether this one goes before another: one that can be in time before one that cannot,
+    /// then the one that is due first.
+    fn goes_before(&self, other: &Self, now: Instant) -> bool {
+        let rank = |waiter: &Self| (waiter.due_at < now, waiter.due_at);
+        rank(self) < rank(other)
+    }
+}
+
+/// Requests that wait for a slot of a dispatcher's engines.
+///
+/// Each asks again by itself, some 20 times a second; whoever does not any more is gone. A slot
+/// that is free is left to those that go first and could use it, so that it stands idle for one
+/// such pause at most, and nobody who asks often goes before one who is due.
+#[derive(Debug, Default)]
+pub struct WaitingLine {
+    waiters: HashMap<RunKey, (Waiter, Instant)>,
+}
+
+impl WaitingLine {
+    /// A request finds no slot.
+    pub fn note(&mut self, key: RunKey, waiter: Waiter, now: Instant) {
+        self.waiters.insert(key, (waiter, now + ASKED_TIME));
+    }
+
+    /// A request waits no more.
+    pub fn leave(&mut self, key: RunKey) {
+        self.waiters.remove(&key);
+    }
+
+    /// Drops requests that have not asked again.
+    pub fn expire(&mut self, now: Instant) {
+        self.waiters.retain(|_, (_, until)| now < *until);
+    }
+
+    /// Requests that go before one and could use an engine that has some models or adapters.
+    pub fn before(
+        &self,
+        key: RunKey,
+        waiter: &Waiter,
+        could_use: impl Fn(&ModelRef) -> bool,
+        now: Instant,
+    ) -> usize {
+        let others = self.waiters.iter().filter(|(other, _)| **other != key);
+        let first = others.filter(|(_, (other, until))| {
+            now < *until && other.goes_before(waiter, now) && could_use(&other.model_ref)
+        });
+        first.count()
+    }
+}
+
 /// The runs on the engines of one dispatcher.
 #[derive(Debug, Default)]
 pub struct RunBook {
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -285,6 +285,28 @@
         !self.changed.is_empty()
     }
 
+    /// Placements of engines to which something has come that requests wait for, and the
+    /// instances that wait: they are told at once, and all others with the next batch.
+    pub fn take_awaited(&mut self) -> Vec<(Placement, BTreeSet<InstanceId>)> {
+        let mut awaited = Vec::new();
+        for id in &self.changed {
+            let Some(engine) = self.engines.get_mut(id) else {
+                continue;
+            };
+            let came = engine.take_just_came();
+            let service = &engine.entry.service;
+            let instances: BTreeSet<InstanceId> = came
+                .iter()
+                .flat_map(|wish| self.demand.waiting_instances(service, wish))
+                .cloned()
+                .collect();
+            if !instances.is_empty() {
+                awaited.push((engine.placement(), instances));
+            }
+        }
+        awaited
+    }
+
     /// Placements that have changed since the last call.
     pub fn take_changed(&mut self) -> Vec<Placement> {
         let changed = std::mem::take(&mut self.changed);
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -176,6 +176,17 @@
         waiting
     }
 
+    /// Instances whose requests wait for a model or adapter.
+    pub(super) fn waiting_instances<'a>(
+        &'a self,
+        service: &ServiceName,
+        model_ref: &ModelRef,
+    ) -> impl Iterator<Item = &'a InstanceId> + use<'a> {
+        let same = |w: &&Waiting| w.service == *service && w.model_ref == *model_ref;
+        let waiting = self.waiting.iter().find(same);
+        waiting.into_iter().flat_map(|w| w.by_instance.keys())
+    }
+
     /// Requests that wait for a model, with any adapter or none.
     pub(super) fn waiters(&self, service: &ServiceName, model: &ModelName) -> u32 {
         if self.waiters.is_empty() {
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -107,6 +107,8 @@
     adapters_wanted: Vec<ModelRef>,
     /// For adapters that stand here or are wanted, and some that went.
     adapter_used_at: HashMap<ModelRef, Instant>,
+    /// Models and adapters that have come since this was asked last.
+    just_came: Vec<ModelRef>,
     /// For models that stand here.
     loaded_at: HashMap<ModelName, Instant>,
     /// For adapters that stand here and were loaded by orders of this term.
@@ -141,6 +143,7 @@
             coming: None,
             adapters_wanted: Vec::new(),
             adapter_used_at: HashMap::new(),
+            just_came: Vec::new(),
             loaded_at: HashMap::new(),
             adapter_loaded_at: HashMap::new(),
             running: BTreeMap::new(),
@@ -183,6 +186,11 @@
         self.asked = false;
     }
 
+    /// Models and adapters that have come since the last call.
+    pub(super) fn take_just_came(&mut self) -> Vec<ModelRef> {
+        std::mem::take(&mut self.just_came)
+    }
+
     pub(super) fn placement(&self) -> Placement {
         Placement {
             engine: self.entry.id.clone(),
@@ -510,6 +518,7 @@
             self.loaded_at
                 .retain(|loaded, _| models.iter().any(|m| m.name == *loaded));
             self.loaded_at.insert(model.clone(), now);
+            self.just_came.push(order.wish.clone());
             if self.coming.as_ref() == Some(&model) {
                 self.coming = None;
             }
@@ -539,6 +548,7 @@
         loaded_at.retain(|loaded, _| self.has_adapter(loaded) && *loaded != order.wish);
         if order.action == OrderAction::Load {
             loaded_at.insert(order.wish.clone(), now);
+            self.just_came.push(order.wish.clone());
         }
         self.adapter_loaded_at = loaded_at;
         self.adapters_wanted
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -247,6 +247,19 @@
         }
     }
 
+    /// Whether an upstream has what a request needs, as far as is known.
+    pub fn has(&self, id: &str, model_ref: &ModelRef, now: Instant) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.is_some_and(|upstream| upstream.has(model_ref, now))
+    }
+
+    /// Requests that an upstream works on at one time.
+    pub fn slots_of(&self, id: &str) -> u32 {
+        self.upstreams
+            .get(id)
+            .map_or(0, |upstream| upstream.entry.slots)
+    }
+
     /// Where an upstream listens.
     pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
         let upstream = self.upstreams.get(id)?;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -61,6 +61,9 @@
     /// A number of the request's own.
     #[prost(fixed64, tag = "6")]
     pub drawn: u64,
+    /// Time until it must begin to be in time, in milliseconds; below 0 if it is late.
+    #[prost(sint64, tag = "8")]
+    pub due_in_ms: i64,
     /// Engines where the request has been.
     #[prost(string, repeated, tag = "7")]
     pub tried: Vec<String>,
