Entries confirm orders by what they have not shown before; successors hear which engines are in doubt

Change: every set of models that an engine has had is known, entries arrive in order, so one that shows none of the sets it may still be late with shows the order's effect. Change: the holder tells those that may succeed it, ahead of its orders, to which engines orders are on their way or without an answer; only these keep room.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -111,6 +111,7 @@
         peers: BTreeMap::new(),
         listeners: Listeners::default(),
         candidates: Candidates::default(),
+        doubtful: BTreeSet::new(),
         dispatchers: Vec::new(),
         roster: Roster::default(),
         begun_at: Instant::now(),
@@ -178,6 +179,8 @@
     listeners: Listeners,
     /// Who may succeed this instance.
     candidates: Candidates,
+    /// Engines to which orders have no answer, as was told last.
+    doubtful: BTreeSet<UpstreamId>,
     /// Who dispatches for engines.
     dispatchers: Vec<Candidate>,
     /// Who has been told of which members.
@@ -358,6 +361,24 @@
         send_to_all(outboxes, body);
     }
 
+    /// Tells those that may succeed this instance to which engines orders are on their way, ahead
+    /// of the orders: whether the answer to one gets lost is known too late for that.
+    fn tell_doubtful(&mut self, now: Instant) {
+        let doubtful: BTreeSet<UpstreamId> = self.planner.doubtful(now).cloned().collect();
+        if doubtful == self.doubtful {
+            return;
+        }
+        self.doubtful = doubtful;
+        let news = News {
+            confirmed_ms: Vec::new(),
+            ..self.heartbeat(0, now)
+        };
+        let members = self.listeners.members();
+        let successors = members.filter(|(_, (name, _))| self.candidates.contains(name));
+        let outboxes = successors.filter_map(|(number, _)| self.peers.get(&number));
+        send_to_all(outboxes, Body::News(news));
+    }
+
     /// Chooses who dispatches for engines, and tells all if that has changed. Until the fleet
     /// has come the ones before stay, or none.
     fn tell_dispatchers(&mut self, instances: Option<usize>) {
@@ -440,6 +461,11 @@
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             sent_ms: relay::millis_since(self.begun_at, now).max(1),
             confirmed_ms: self.relay.answered_ms(self.begun_at),
+            doubtful: self
+                .planner
+                .doubtful(now)
+                .map(ToString::to_string)
+                .collect(),
             ..News::default()
         }
     }
@@ -562,6 +588,7 @@
             // Whatever else it has to do, the thread plans for half of its time at most.
             self.plan_at = Instant::now() + took.clamp(Duration::ZERO, LONGEST_PLAN_PAUSE);
             self.shared.metrics.planned(took);
+            self.tell_doubtful(now);
             for action in actions {
                 self.act(action, fence);
             }
@@ -574,9 +601,8 @@
         let mut upstreams = self.shared.upstreams();
         upstreams.forget_closing();
         let entries = upstreams.entries().cloned();
-        let has_predecessor = self.right.has_predecessor();
-        self.planner
-            .begin_term(entries, has_predecessor, Instant::now());
+        let doubtful = self.shared.doubtful_engines();
+        self.planner.begin_term(entries, &doubtful, Instant::now());
     }
 
     /// Tells those whose requests wait for what has come, and those that dispatch for engines.
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -206,6 +206,10 @@
                     {
                         shared.use_instances(instances);
                     }
+                    if news.sent_ms > 0 {
+                        let doubtful = news.doubtful.iter().map(|id| id.as_str().into());
+                        shared.set_doubtful_engines(doubtful.collect());
+                    }
                     relay.heard(news);
                     drop(link);
                 }
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -164,11 +164,6 @@
         self.tenure().fence(Instant::now())
     }
 
-    /// Whether anybody held the right before my term.
-    pub fn has_predecessor(&self) -> bool {
-        self.tenure().has_predecessor()
-    }
-
     /// My fencing number for as long as my term lasts, also while I may not order.
     pub fn term(&self) -> Option<Fence> {
         self.tenure().term(Instant::now())
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -13,6 +13,7 @@
 use passway_serving::upstreams::{ModelRef, UpstreamTable};
 use passway_serving::usual_time::UsualTimes;
 use passway_types::prelude::*;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -76,6 +77,7 @@
     upstream_changes: AtomicU64,
     retries: Mutex<RetryBudget>,
     usual_times: Mutex<UsualTimes>,
+    doubtful_engines: Mutex<BTreeSet<UpstreamId>>,
     members: Mutex<Addresses>,
     upstreams_listed: AtomicBool,
     stopping: AtomicBool,
@@ -124,6 +126,7 @@
             upstream_changes: AtomicU64::new(0),
             retries: Mutex::new(retries),
             usual_times: Mutex::default(),
+            doubtful_engines: Mutex::default(),
             members: Mutex::new(Addresses::new()),
             upstreams_listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -173,6 +176,16 @@
         lock(&self.retries)
     }
 
+    /// Engines to which an order of the holder may be carried out yet, as it told last.
+    pub fn doubtful_engines(&self) -> BTreeSet<UpstreamId> {
+        lock(&self.doubtful_engines).clone()
+    }
+
+    /// The holder tells to which engines an order has no answer.
+    pub fn set_doubtful_engines(&self, engines: BTreeSet<UpstreamId>) {
+        *lock(&self.doubtful_engines) = engines;
+    }
+
     /// How long upstreams usually take to the first byte.
     pub fn usual_times(&self) -> MutexGuard<'_, UsualTimes> {
         lock(&self.usual_times)
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -121,8 +121,6 @@
     /// When engines may be asked for their state in this term: what a holder before ordered
     /// last shows in a report by then. `None` until the term's first decision.
     reports_from: Option<Instant>,
-    /// Whether another holder, or a process before this one, ordered before this term.
-    has_predecessor: bool,
     listening_until: Option<Instant>,
 }
 
@@ -142,7 +140,6 @@
             runs_on: HashMap::new(),
             announced: Announced::default(),
             reports_from: None,
-            has_predecessor: false,
             listening_until: None,
         }
     }
@@ -160,25 +157,24 @@
     }
 
     /// Begins a term with what this instance knew of engines as a listener, and forgets what
-    /// was known of their orders. With a predecessor, orders that it had no answer to may be
-    /// carried out yet. Instances tell within moments what they need and use; until
+    /// was known of their orders. In `doubtful` engines orders that the holder before had no
+    /// answer to may be carried out yet. Instances tell within moments what they need and use; until
     /// then nothing is evicted.
     pub fn begin_term(
         &mut self,
         entries: impl Iterator<Item = UpstreamEntry>,
-        has_predecessor: bool,
+        doubtful: &BTreeSet<UpstreamId>,
         now: Instant,
     ) {
         self.listening_until = Some(now + LISTENING_TIME);
         self.reports_from = None;
-        self.has_predecessor = has_predecessor;
         for (service, loads) in &mut self.store_loads {
             if let Some(pool) = self.pools.get(service) {
                 loads.begin_term(pool, now);
             }
         }
-        for engine in self.engines.values_mut() {
-            engine.forget_orders();
+        for (id, engine) in &mut self.engines {
+            engine.forget_orders(doubtful.contains(id));
         }
         for entry in entries {
             self.heard(entry, now);
@@ -206,6 +202,12 @@
         self.changed.insert(id);
     }
 
+    /// Engines to which an order has no answer and may be carried out yet, for a successor.
+    pub fn doubtful(&self, now: Instant) -> impl Iterator<Item = &UpstreamId> {
+        let doubtful = self.engines.iter().filter(move |(_, e)| e.is_doubtful(now));
+        doubtful.map(|(id, _)| id)
+    }
+
     /// How many engines there are.
     pub fn engines(&self) -> usize {
         self.engines.len()
@@ -382,7 +384,7 @@
         if now < reports_from {
             return actions;
         }
-        let inherits = self.has_predecessor && now < reports_from + ceiling::LATEST_BEGIN;
+        let inherits = now < reports_from + ceiling::LATEST_BEGIN;
         for (id, engine) in &mut self.engines {
             let service = &engine.entry.service;
             let pool = self.pools.get(service);
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -3,12 +3,14 @@
 
 mod orders;
 mod reports;
+mod shown;
 
 use super::{Placement, PlannedOrder};
 use crate::ports::OrderAction;
 use crate::routes::{EnginePool, ModelSpec};
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
+use shown::ShownModels;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// An engine that leaves so many questions in a row unanswered counts as gone.
@@ -87,12 +89,8 @@
 pub(super) struct Engine {
     pub(super) entry: UpstreamEntry,
     models: Vec<ResidentModel>,
-    /// Models of `models` that the engine's own entry has listed since they came. Entries
-    /// arrive late: that one does not list a model tells that it has gone only if one before
-    /// did list it.
-    listed: BTreeSet<ModelName>,
-    /// Whether it has told its state in this term.
-    has_reported: bool,
+    /// What its entries have shown of its models.
+    shown: ShownModels,
     /// Adapters that were on their way by the last report, whoever ordered them.
     adapters_coming: Vec<ModelRef>,
     /// Orders whose answers were lost lately.
@@ -135,11 +133,10 @@
         Self {
             models: entry.models.clone(),
             entry,
-            listed: BTreeSet::new(),
-            has_reported: false,
+            shown: ShownModels::default(),
             adapters_coming: Vec::new(),
             unresolved: Vec::new(),
-            inherited: Inherited::AtThisCount,
+            inherited: Inherited::Nothing,
             least_orders: 0,
             closing: Vec::new(),
             coming: None,
@@ -165,18 +162,29 @@
     /// that it has not answered may reach it yet.
     fn restart(&mut self, entry: UpstreamEntry) {
         let unresolved = std::mem::take(&mut self.unresolved);
+        let inherits = self.inherits();
         *self = Self::new(entry);
         self.unresolved = unresolved;
-        self.inherited = Inherited::AtAnyCount;
+        if inherits {
+            self.inherited = Inherited::AtAnyCount;
+        }
     }
 
-    pub(super) fn forget_orders(&mut self) {
-        self.listed.clear();
-        self.has_reported = false;
-        self.inherited = if self.entry.beat <= RECENT_BEATS {
-            Inherited::AtAnyCount
-        } else {
-            Inherited::AtThisCount
+    /// Whether an order to it has no answer and may be carried out yet.
+    pub(super) fn is_doubtful(&self, now: Instant) -> bool {
+        matches!(self.under_way, Some(UnderWay::Sent(_)))
+            || self.adapter_order.is_some()
+            || self.inherits()
+            || self.unresolved.iter().any(|pending| now < pending.until)
+    }
+
+    /// A term begins. In a `doubtful` engine an order of the holder before may be carried out yet.
+    pub(super) fn forget_orders(&mut self, doubtful: bool) {
+        self.shown.clear();
+        self.inherited = match doubtful {
+            false => Inherited::Nothing,
+            true if self.entry.beat <= RECENT_BEATS => Inherited::AtAnyCount,
+            true => Inherited::AtThisCount,
         };
         self.closing.clear();
         self.coming = None;
@@ -328,11 +336,14 @@
             .filter(|wish| Some(*wish) != ordered && !self.stands(wish))
             .collect();
         let coming = coming.into_iter().map(|wish| Self::wish_mb(pool, wish));
-        let inherited = if self.inherits() {
-            let sizes = pool.models.iter().map(|spec| spec.weights_mb);
-            sizes.fold(0.0, f64::max)
-        } else {
-            0.0
+        let inherited = match self.inherited {
+            Inherited::Nothing => 0.0,
+            Inherited::AtThisCount => {
+                let sizes = pool.models.iter().map(|spec| spec.weights_mb);
+                sizes.fold(0.0, f64::max)
+            }
+            // Several may come, one after the other.
+            Inherited::AtAnyCount => pool.weights_mb,
         };
         pool.weights_mb - held.sum::<f64>() - coming.sum::<f64>() - inherited
     }
@@ -461,7 +472,12 @@
         let coming: BTreeSet<&ModelRef> = coming
             .filter(|wish| wish.adapter.is_some() && *wish != ordered && !self.stands(wish))
             .collect();
-        standing + coming.len() + usize::from(self.inherits())
+        let inherited = match self.inherited {
+            Inherited::Nothing => 0,
+            Inherited::AtThisCount => 1,
+            Inherited::AtAnyCount => usize::from(u16::MAX),
+        };
+        standing + coming.len() + inherited
     }
 
     /// Adapters that stand here.
@@ -504,7 +520,6 @@
         self.asked = false;
         self.closing.retain(|closing| *closing != model);
         self.models.retain(|m| m.name != model);
-        self.listed.remove(&model);
         if order.action == OrderAction::Load {
             self.models.push(ResidentModel {
                 name: model.clone(),
@@ -519,6 +534,7 @@
                 self.coming = None;
             }
         }
+        self.shown.has(&self.models, &self.entry.models);
     }
 
     /// This incarnation has ended; its entry goes later.
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -6,6 +6,7 @@
 use crate::ports::{EngineReport, OrderAction};
 use crate::upstreams::{ResidentModel, UpstreamEntry};
 use passway_types::prelude::*;
+use std::collections::BTreeSet;
 
 /// An engine that is busy with an order of before is asked again after this.
 const BUSY_PAUSE: Duration = Duration::from_millis(250);
@@ -35,38 +36,27 @@
             return;
         }
         let was_draining = self.entry.draining;
-        let before = std::mem::replace(&mut self.entry, entry);
+        self.entry = entry;
         self.entry.draining |= was_draining;
         if self.orders_taken.is_none() && self.under_way.is_none() {
             self.models.clone_from(&self.entry.models);
         }
-        let under_way = self.under_way.as_ref();
-        let is_done = under_way.is_some_and(|under_way| match under_way {
-            UnderWay::Sent(_) => false,
-            UnderWay::Taken { order, .. } => self.shows_effect(order, &before),
-        });
-        self.note_listed();
-        if is_done {
+        let is_new = self.shown.is_new(&self.entry.models);
+        if let Some(UnderWay::Taken { order, .. }) = &self.under_way
+            && is_new
+            && self.is_effect_of(order)
+        {
             self.model_order_done(now);
         }
     }
 
-    /// Whether the newest entry shows that a model order has taken effect. It may be seconds
-    /// old, so it does only if the entry before showed how it was before the order.
-    fn shows_effect(&self, order: &PlannedOrder, before: &UpstreamEntry) -> bool {
-        let model = &order.wish.model;
-        let showed_before = match order.action {
-            OrderAction::Load => !before.models.iter().any(|m| m.name == *model),
-            OrderAction::Unload => self.listed.contains(model),
-        };
-        showed_before && has_taken_effect(order, &self.entry.models)
-    }
-
-    /// Notes which of the models that stand here the entry lists.
-    fn note_listed(&mut self) {
-        let entry = self.entry.models.iter().map(|model| &model.name);
-        let listed = entry.filter(|name| self.resident(name).is_some());
-        self.listed = listed.cloned().collect();
+    /// Whether the entry shows the models that stand here after an order and nothing else.
+    fn is_effect_of(&self, order: &PlannedOrder) -> bool {
+        let others = self.models.iter().filter(|m| m.name != order.wish.model);
+        let ordered = (order.action == OrderAction::Load).then_some(&order.wish.model);
+        let after: BTreeSet<&ModelName> = others.map(|m| &m.name).chain(ordered).collect();
+        let shown = self.entry.models.iter().map(|m| &m.name);
+        after == shown.collect()
     }
 
     /// The engine told its state, which is some hundred milliseconds old.
@@ -109,7 +99,6 @@
             }
             return;
         }
-        let is_first = !std::mem::replace(&mut self.has_reported, true);
         self.orders_taken = Some(report.orders_taken);
         self.ask_at = None;
         if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
@@ -135,9 +124,6 @@
         let models = &self.models;
         let stands = |model: &ModelName| models.iter().any(|m| m.name == *model);
         self.closing.retain(stands);
-        self.listed.retain(stands);
-        if is_first {
-            self.note_listed();
-        }
+        self.shown.has(&self.models, &self.entry.models);
     }
 }
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -134,8 +134,6 @@
     promises: Promises,
     /// Candidates that the store named when the key was taken.
     former_candidates: Vec<Candidate>,
-    /// Holders before this term that are still listed, this instance among them.
-    predecessors: usize,
     /// The candidates that the term should have.
     wanted: Vec<Candidate>,
 }
@@ -158,7 +156,6 @@
             unknown_until: now + PROMISE_TIME,
             promises: Promises::default(),
             former_candidates: Vec::new(),
-            predecessors: 0,
             wanted: Vec::new(),
         }
     }
@@ -187,11 +184,6 @@
         (runs && !self.is_released && !self.is_succeeded(term.fence)).then_some(term.fence)
     }
 
-    /// Whether anybody, this instance among them, held the right before my term.
-    pub fn has_predecessor(&self) -> bool {
-        self.predecessors > 0
-    }
-
     /// My fencing number for as long as my term lasts, also while I may not order: before
     /// its begin, and while candidates are asked to carry it.
     pub fn term(&self, now: Instant) -> Option<Fence> {
@@ -323,7 +315,6 @@
     /// How the term would begin is told by the list that its taking replaces.
     fn take(&mut self, granted: Granted, now: Instant) -> Step {
         self.former_candidates.clone_from(&self.recent.candidates);
-        self.predecessors = self.recent.names.len();
         let announcing = if self.recent.candidates.is_empty() {
             Duration::ZERO
         } else if self.is_candidate() {
--- a/crates/standins/src/fleet_model/run.rs
+++ b/crates/standins/src/fleet_model/run.rs
@@ -59,7 +59,11 @@
         for engine in &mut engines {
             planner.heard(engine.entry(), begun_at);
         }
-        planner.begin_term(std::iter::empty(), false, begun_at);
+        planner.begin_term(
+            std::iter::empty(),
+            &std::collections::BTreeSet::new(),
+            begun_at,
+        );
         let ids = engines.iter().enumerate();
         Self {
             by_id: ids
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -210,6 +210,9 @@
     /// milliseconds since the same moment; 0 for never.
     #[prost(uint64, repeated, tag = "7")]
     pub confirmed_ms: Vec<u64>,
+    /// Engines to which an order of the holder has no answer and may be carried out yet.
+    #[prost(string, repeated, tag = "8")]
+    pub doubtful: Vec<String>,
 }
 
 /// A model or adapter of a service.
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -46,6 +46,8 @@
     store_loads: Vec<Instant>,
     /// How long engines' words take to the holder.
     lag_steps: u32,
+    /// Engines to which orders had no answer, as the holder told ahead of its last orders.
+    doubtful: BTreeSet<UpstreamId>,
 }
 
 impl World {
@@ -63,6 +65,7 @@
             matter,
             store_loads: Vec::new(),
             lag_steps: 0,
+            doubtful: BTreeSet::new(),
         };
         world.planner.set_table(&matter.table());
         for _ in 0..ENGINES {
@@ -70,7 +73,7 @@
         }
         world
             .planner
-            .begin_term(std::iter::empty(), false, world.now);
+            .begin_term(std::iter::empty(), &BTreeSet::new(), world.now);
         world
     }
 
@@ -90,7 +93,8 @@
                 self.planner.heard(entry.clone(), self.now);
             }
         }
-        self.planner.begin_term(std::iter::empty(), true, self.now);
+        self.planner
+            .begin_term(std::iter::empty(), &self.doubtful, self.now);
     }
 
     /// An engine restarts, under its id or another one; its disk stays, unless another
@@ -164,7 +168,9 @@
     }
 
     fn act(&mut self) {
-        for action in self.planner.decide(self.now) {
+        let actions = self.planner.decide(self.now);
+        self.doubtful = self.planner.doubtful(self.now).cloned().collect();
+        for action in actions {
             match action {
                 Action::Order(order) => {
                     let fate = self.rng.random_range(0..12);
--- a/tests/all/planned.rs
+++ b/tests/all/planned.rs
@@ -48,7 +48,9 @@
         let now = Instant::now();
         let mut fresh = Self { planner, now };
         fresh.hear(1, &["m0", "m1"]);
-        fresh.planner.begin_term(std::iter::empty(), false, now);
+        fresh
+            .planner
+            .begin_term(std::iter::empty(), &std::collections::BTreeSet::new(), now);
         fresh
     }
 
