--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -148,10 +148,7 @@
         if self.asked {
             return None;
         }
-        if !inherits {
-            self.inherited = Inherited::Nothing;
-        }
-        self.unresolved.retain(|pending| now < pending.until);
+        self.forget_pending(inherits, now);
         let due = self.ask_at.is_some_and(|at| now >= at);
         if due || (self.orders_taken.is_none() && self.ask_at.is_none()) {
             self.asked = true;
@@ -181,6 +178,21 @@
         Some(Action::Order(order))
     }
 
+    /// Forgets orders that cannot be carried out any more. Whether they were is not known, so
+    /// the engine is asked before the next order.
+    fn forget_pending(&mut self, inherits: bool, now: Instant) {
+        let before = self.unresolved.len();
+        self.unresolved.retain(|pending| now < pending.until);
+        let mut is_over = self.unresolved.len() < before;
+        if !inherits && self.inherits() {
+            self.inherited = Inherited::Nothing;
+            is_over = true;
+        }
+        if is_over && self.under_way.is_none() {
+            self.orders_taken = None;
+        }
+    }
+
     fn model_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
         let coming = self.coming.clone()?;
         if self.entry.draining {
