--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod endless_input;
 mod fair_share;
 mod feed_log;
+mod fleet_start;
 mod followed;
 mod foreign_entries;
 mod former_holder;
