--- /dev/null
+++ b/crates/instance/src/holder/telling.rs
@@ -0,0 +1,178 @@
+//! What the holder tells other instances: its heartbeat, members, who dispatches for engines,
+//! to which engines orders are on their way, and placements.
+
+use super::{Holding, TELL_PAUSE_PER_PEER};
+use crate::members::{self, Addresses};
+use crate::relay;
+use passway_process::outbox::Outbox;
+use passway_serving::dispatch;
+use passway_serving::placement::Placement;
+use passway_types::prelude::*;
+use passway_wire::message::{EnginePlacement, News, Placements, Resident};
+use passway_wire::{Body, Frame};
+use std::collections::BTreeSet;
+
+fn encode(placement: Placement) -> EnginePlacement {
+    let models = placement.models.into_iter().map(|model| Resident {
+        model: model.name.to_string(),
+        adapters: model.adapters.iter().map(ToString::to_string).collect(),
+    });
+    EnginePlacement {
+        engine: placement.engine.to_string(),
+        models: models.collect(),
+        closing: placement.closing.iter().map(ToString::to_string).collect(),
+    }
+}
+
+impl Holding {
+    /// Where those can be reached that listen here, and this instance itself.
+    pub(super) fn members(&self) -> Addresses {
+        let settings = &self.shared.settings;
+        let me = (settings.instance.clone(), settings.peer_address);
+        let others = self.listeners.members().map(|(_, member)| member.clone());
+        others.chain([me]).collect()
+    }
+
+    /// Tells those that may succeed this instance who listens here. One that went may come
+    /// back, and stays known until the next holder has waited for it in vain.
+    pub(super) fn tell_members(&mut self) {
+        let here = self.members();
+        let mut known = self.shared.members();
+        known.extend(here);
+        let listeners = self.listeners.members();
+        let successors = listeners.filter(|(_, (name, _))| self.candidates.contains(name));
+        let due = self
+            .roster
+            .due(&known, successors.map(|(number, _)| number));
+        if due.is_empty() {
+            return;
+        }
+        let body = Body::Members(members::encode(&known));
+        drop(known);
+        let outboxes = due.iter().filter_map(|number| self.peers.get(number));
+        send_to_all(outboxes, body);
+    }
+
+    /// Tells those that may succeed this instance to which engines orders are on their way, ahead
+    /// of the orders: whether the answer to one gets lost is known too late for that.
+    pub(super) fn tell_doubtful(&mut self, now: Instant) {
+        let doubtful: BTreeSet<UpstreamId> = self.planner.doubtful(now).cloned().collect();
+        if doubtful == self.doubtful {
+            return;
+        }
+        self.doubtful = doubtful;
+        let news = News {
+            confirmed_ms: Vec::new(),
+            ..self.heartbeat(0, now)
+        };
+        let members = self.listeners.members();
+        let successors = members.filter(|(_, (name, _))| self.candidates.contains(name));
+        let outboxes = successors.filter_map(|(number, _)| self.peers.get(&number));
+        send_to_all(outboxes, Body::News(news));
+    }
+
+    /// Chooses who dispatches for engines, and tells all if that has changed. Until the fleet
+    /// has come the ones before stay, or none.
+    pub(super) fn tell_dispatchers(&mut self, instances: Option<usize>) {
+        let Some(instances) = instances else {
+            return;
+        };
+        let wanted = dispatch::dispatchers_wanted(instances, self.planner.engines());
+        let me = &self.shared.settings.instance;
+        let chosen = self.candidates.dispatchers(&self.dispatchers, wanted, me);
+        if chosen != self.dispatchers {
+            self.dispatchers = chosen;
+            send_to_all(self.peers.values(), self.dispatchers_body());
+        }
+    }
+
+    pub(super) fn dispatchers_body(&self) -> Body {
+        let chosen = self.dispatchers.iter();
+        let chosen = chosen.map(|one| (one.instance.clone(), one.address));
+        Body::Dispatchers(members::encode(&chosen.collect()))
+    }
+
+    pub(super) fn send_to(&self, number: u64, body: &Body) {
+        if let Some(outbox) = self.peers.get(&number) {
+            outbox.send(body.clone());
+        }
+    }
+
+    /// The word that the holder lives, and up to when it knows the feeds.
+    pub(super) fn heartbeat(&self, instances: usize, now: Instant) -> News {
+        News {
+            instances: u32::try_from(instances).unwrap_or(u32::MAX),
+            sent_ms: relay::millis_since(self.begun_at, now).max(1),
+            confirmed_ms: self.relay.answered_ms(self.begun_at),
+            doubtful: self
+                .planner
+                .doubtful(now)
+                .map(ToString::to_string)
+                .collect(),
+            ..News::default()
+        }
+    }
+
+    /// Sends heartbeats to listeners. To one that has not been told the newest it says only
+    /// that the holder lives: what the listener was told before grows old.
+    pub(super) fn send_heartbeats(
+        &self,
+        listeners: impl IntoIterator<Item = u64>,
+        instances: usize,
+    ) {
+        let is_behind = |number: &u64| self.listeners.is_behind(*number);
+        let (behind, current): (Vec<u64>, Vec<u64>) = listeners.into_iter().partition(is_behind);
+        let heartbeat = self.heartbeat(instances, Instant::now());
+        let alive = News {
+            confirmed_ms: Vec::new(),
+            ..heartbeat.clone()
+        };
+        for (numbers, news) in [(current, heartbeat), (behind, alive)] {
+            let outboxes = numbers.iter().filter_map(|number| self.peers.get(number));
+            send_to_all(outboxes, Body::News(news));
+        }
+    }
+
+    /// Tells those whose requests wait for what has come, and those that dispatch for engines.
+    pub(super) fn tell_awaited(&self, awaited: Vec<(Placement, BTreeSet<InstanceId>)>) {
+        for (placement, waiting) in awaited {
+            let body = placements(vec![placement]);
+            let hears = |name: &InstanceId| {
+                waiting.contains(name) || self.dispatchers.iter().any(|one| one.instance == *name)
+            };
+            let members = self.listeners.members();
+            let told = members.filter(|(_, (name, _))| hears(name));
+            let outboxes = told.filter_map(|(number, _)| self.peers.get(&number));
+            send_to_all(outboxes, body);
+        }
+    }
+
+    /// Tells all instances what has changed, the less often the more there are.
+    pub(super) fn tell_changes(&mut self, now: Instant) {
+        let awaited = self.planner.take_awaited();
+        self.tell_awaited(awaited);
+        if now < self.tell_at || !self.planner.has_changed() {
+            return;
+        }
+        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        self.tell_at = now + TELL_PAUSE_PER_PEER * peers;
+        let changed = self.planner.take_changed();
+        if !changed.is_empty() {
+            send_to_all(self.peers.values(), placements(changed));
+        }
+    }
+}
+
+/// Sends one message to many; it is encoded and kept once.
+pub(super) fn send_to_all<'a>(outboxes: impl Iterator<Item = &'a Outbox>, body: Body) {
+    match Frame::new(body) {
+        Ok(frame) => outboxes.for_each(|outbox| outbox.send_frame(frame.clone())),
+        Err(error) => log::error!(error:% = error; "a message cannot be sent"),
+    }
+}
+
+pub(super) fn placements(placements: Vec<Placement>) -> Body {
+    Body::Placements(Placements {
+        engines: placements.into_iter().map(encode).collect(),
+    })
+}
