--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -309,6 +309,7 @@
         let known = |feed| subscribe.known.get(feed).copied().unwrap_or(0);
         let told = std::array::from_fn(known);
         self.listeners.came(number, member, told);
+        self.tell_term(number);
         self.listeners.catch_up(&self.peers, true);
         self.send_heartbeats([number], 0);
         let known = subscribe.placements.iter().copied().collect();
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -8,7 +8,7 @@
 use passway_serving::dispatch;
 use passway_serving::placement::Placement;
 use passway_types::prelude::*;
-use passway_wire::message::{EnginePlacement, News, Placements, Resident};
+use passway_wire::message::{EnginePlacement, News, Placements, Resident, Successor};
 use passway_wire::{Body, Frame};
 use std::collections::BTreeSet;
 
@@ -33,6 +33,21 @@
         others.chain([me]).collect()
     }
 
+    /// Tells one that listens which term this is: one that is cut off from the store comes back
+    /// to the same holder by itself and would take it for the term before.
+    pub(super) fn tell_term(&self, number: u64) {
+        let Some(fence) = self.fence else {
+            return;
+        };
+        let settings = &self.shared.settings;
+        let term = Successor {
+            instance: settings.instance.to_string(),
+            address: settings.peer_address.to_string(),
+            fence,
+        };
+        self.send_to(number, &Body::Successor(term));
+    }
+
     /// Tells those that may succeed this instance who listens here. One that went may come
     /// back, and stays known until the next holder has waited for it in vain.
     pub(super) fn tell_members(&mut self) {
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -217,6 +217,18 @@
                     drop(link);
                     *shared.members() = members::decode(&told);
                 }
+                Dialed::Received(Body::Successor(term)) => {
+                    // Believed like any other word about the right: while the store is silent.
+                    drop(link);
+                    let holder = members::successor(&term);
+                    let is_same = |named: &Holder| named.instance == dialed_holder.instance;
+                    if let Some(holder) = holder.filter(is_same)
+                        && shared.store_health.is_failing()
+                        && right.told(holder)
+                    {
+                        log::info!(fence = term.fence; "a new term of the same holder");
+                    }
+                }
                 Dialed::Received(Body::Dispatchers(told)) => {
                     drop(link);
                     let list = members::decode(&told).into_iter();
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -150,3 +150,40 @@
     until("a successor", || holds(&(1 - first)));
     until("the list without it", || all_know(2));
 }
+
+/// A holder that loses the right and takes it again is followed in its new term by an instance
+/// that is cut off from the store and comes back to it by itself, without an announcement.
+#[test]
+fn same_holder_again() {
+    let store = site::store(&["m0"]);
+    let holder = crate::holder_link::Holder::begin(&store);
+    let way = store.serve_way();
+    let instance = site::start_at("one", way.address());
+    until("readiness", || instance.is_ready());
+    let (link, mut reader) = holder.accept();
+    assert!(crate::holder_link::subscription(&mut reader).is_some());
+    let known = instance.holder().expect("the played holder");
+    way.set_faults(Faults {
+        refuses: Some(503),
+        ..Faults::default()
+    });
+    let term = Successor {
+        instance: known.instance.to_string(),
+        address: known.address.to_string(),
+        fence: known.fence + 1,
+    };
+    until("the new term", || {
+        // Said again, as on each subscription; the link may be made anew meanwhile.
+        let _ = link.send(Body::Successor(term.clone()));
+        instance.holder().map(|h| h.fence) == Some(known.fence + 1)
+    });
+    // Another instance's word on this link is not the holder's.
+    let other = Successor {
+        instance: "two".into(),
+        fence: known.fence + 9,
+        ..term
+    };
+    let _ = link.send(Body::Successor(other));
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(instance.holder().map(|h| h.fence), Some(known.fence + 1));
+}
