A dispatcher reads words with long names whole

Cause: datagrams were read into 1,400 bytes. What an instance says of 40 runs on engines with ids of over 20 letters is longer, was cut and could not be read: its runs were forgotten after 1.3 s and their slots given again. Change: the buffer holds the largest datagram. Test: dispatch_way::long_words_read, which failed before.

--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -27,9 +27,10 @@
 const LAST_ANSWER: Duration = Duration::from_millis(35);
 /// Dispatchers that are asked for one attempt before it waits.
 const MOST_ASKED: usize = 2;
-/// Largest datagram: what goes over any link in one piece.
-const MAX_BYTES: usize = 1_400;
-/// Runs that fit into one of them, at some 30 bytes each.
+/// Largest datagram that is read: what UDP carries.
+const MAX_BYTES: usize = 65_507;
+/// Runs that are told in one: with names of usual length, of some 15 bytes, what goes over any
+/// link in one piece (1,400 bytes); with longer ones it goes in several.
 const RUNS_PER_DATAGRAM: usize = 40;
 
 /// Longest time to or since a due moment that is told: far over any request's patience.
@@ -442,7 +443,7 @@
         let Some(socket) = &self.socket else {
             return;
         };
-        let mut bytes = [0; MAX_BYTES];
+        let mut bytes = vec![0; MAX_BYTES];
         let mut refresh_at = Instant::now();
         loop {
             let now = Instant::now();
--- a/tests/all/dispatch_way.rs
+++ b/tests/all/dispatch_way.rs
@@ -155,6 +155,36 @@
     });
 }
 
+/// Names may be long: a word of several kilobytes is read whole.
+#[test]
+fn long_words_read() {
+    let world = world(&[None]);
+    let all = granted_until_full(&world).len();
+    let slots = u64::try_from(all / 2).expect("small");
+    let run = |id, engine: &str| passway_wire::dispatch::RunHere {
+        id,
+        engine: engine.to_owned(),
+    };
+    let long = "e".repeat(200);
+    let others = (1_000..1_032).map(|id| run(id, &long));
+    let runs = others.chain((0..slots).map(|id| run(id, "i-0")));
+    let running = Running {
+        runs: runs.collect(),
+    };
+    let other = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    until("slots of one engine alone", || {
+        let bytes = Datagram::bytes(Some(Dispatch::Running(running.clone())));
+        assert!(bytes.len() > 4_096);
+        other.send_to(&bytes, world.address).expect("sent");
+        let grant = world.ask(1_000);
+        if grant.verdict() != Verdict::Go {
+            return false;
+        }
+        assert_eq!(grant.engine, "i-1");
+        true
+    });
+}
+
 #[test]
 fn goes_where_told() {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
