Sight: a run that breaks off tells which request it was under

Cause: lines know a request by its id, and a caller that comes again has a new one, so the logs of the incident could not tell one request that crashes engine after engine from many that were unlucky. Change: 'a run broke off' with a digest of caller, method, host, path and body, computed for these runs only. No change of what is decided.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -10,11 +10,13 @@
 use crate::dispatch::Question;
 use crate::events::EventCutter;
 use crate::http1::{AnswerHead, Connection, RequestHead};
+use crate::relay::millis_since;
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
 use passway_serving::hash::fnv1a;
+use passway_serving::poison::RequestDigest;
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
 use passway_serving::upstreams::{Choice, ModelRef, Outcome};
@@ -363,6 +365,7 @@
                 Attempt::NotRun(_) | Attempt::NotSent => {}
                 Attempt::Broken => {
                     self.runs += 1;
+                    self.log_broken(&target);
                     if !self.may_run_again() {
                         return self.give_up(failed);
                     }
@@ -379,9 +382,24 @@
         self.give_up(failed)
     }
 
+    /// What the request asks for, whatever its id.
+    fn digest(&self) -> RequestDigest {
+        let host = host_of(self.head).unwrap_or_default();
+        let (method, target) = (&self.head.method, &self.head.target);
+        RequestDigest::of(self.caller.peer_ip(), method, &host, target, self.body)
+    }
+
+    /// Tells which request it was under which a run broke off: one that comes again has
+    /// another id.
+    fn log_broken(&self, target: &Target) {
+        let ran_ms = millis_since(self.attempt_at, Instant::now());
+        log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
+            upstream:% = target.id, ran_ms = ran_ms; "a run broke off");
+    }
+
     /// Time since the request arrived, in milliseconds.
     fn held_ms(&self) -> u64 {
-        u64::try_from(self.arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+        millis_since(self.arrived_at, Instant::now())
     }
 
     fn may_run_again(&self) -> bool {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod hash;
 pub mod headers;
 pub mod placement;
+pub mod poison;
 pub mod ports;
 pub mod retry;
 pub mod routes;
--- /dev/null
+++ b/crates/serving/src/poison.rs
@@ -0,0 +1,5 @@
+//! Requests that crash the upstreams that run them.
+
+mod digest;
+
+pub use digest::RequestDigest;
--- /dev/null
+++ b/crates/serving/src/poison/digest.rs
@@ -0,0 +1,31 @@
+//! What a request asks for, whatever its id.
+
+use passway_types::hash::{DIGEST_BYTES, stable_digest};
+use std::fmt;
+use std::net::IpAddr;
+
+/// Tells a request that comes again, under another id or at another instance, from others.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestDigest(pub [u8; DIGEST_BYTES]);
+
+impl RequestDigest {
+    /// The digest of what stays the same when a caller sends a request again. Ids, deadlines
+    /// and the event after which a stream goes on do not.
+    pub fn of(caller: IpAddr, method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let caller = caller.to_string();
+        let [caller, method, host, target] = [&*caller, method, host, target].map(str::as_bytes);
+        Self(stable_digest(&[caller, method, host, target, body]))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
