A request that crashes engines is refused after three, at every instance

Cause: harm that one input does was judged by each arrival alone and forgotten with its id. Change: crashes are counted by a digest of caller, method, host, path and body, once for each start of an engine; an engine has crashed if nobody listens at the port of a run that broke off and it had not said that it leaves. Instances tell the holder at once, it tells all from the second crash on, keeps the refused ones in the store, and an instance serves only once it has heard of them. A whole run clears; crashes that a refused request explains count half for others. The refused get 503, not run, and when it is forgotten.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -332,7 +332,8 @@
             | Body::QueryAnswer(_)
             | Body::PromiseWanted(_)
             | Body::Dispatchers(_)
-            | Body::Promise(_) => {}
+            | Body::Promise(_)
+            | Body::Suspects(_) => {}
         }
     }
 
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -6,6 +6,7 @@
 //! if its kind allows it, and is never refused as "not run".
 
 mod exchange;
+mod suspect;
 
 use crate::dispatch::Question;
 use crate::events::EventCutter;
@@ -16,11 +17,12 @@
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
 use passway_serving::hash::fnv1a;
-use passway_serving::poison::RequestDigest;
+use passway_serving::poison::{RequestDigest, UpstreamStart};
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
 use passway_serving::upstreams::{Choice, ModelRef, Outcome};
 use passway_types::prelude::*;
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 
 /// Longest time between two looks whether a waiting request's caller is still there.
@@ -128,6 +130,8 @@
     attempt_at: Instant,
     /// Where the request goes on, chosen before an upstream that is silent was left.
     next: Option<Target>,
+    /// What it asks for, once that was computed.
+    digest: OnceCell<RequestDigest>,
     record: RequestRecord,
 }
 
@@ -220,6 +224,7 @@
         question: shared.dispatch.next_run(),
         attempt_at: arrived_at,
         next: None,
+        digest: OnceCell::new(),
         record: RequestRecord::default(),
     }
     .serve()
@@ -281,6 +286,10 @@
     Refusal::NotRun { retry_after_ms }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn after(keep: bool) -> After {
     if keep { After::Keep } else { After::Close }
 }
@@ -322,7 +331,9 @@
     }
 
     fn run(&mut self) -> After {
-        if let Some(wish) = self.wish() {
+        if let Some(wish) = self.wish()
+            && self.refused_for().is_none()
+        {
             self.shared.tell(Need::Taken {
                 service: self.service.clone(),
                 wish: wish.clone(),
@@ -342,11 +353,15 @@
             self.record.upstream = Some(target.id.clone());
             let waited_ms = self.held_ms();
             self.record.waited_ms.get_or_insert(waited_ms);
+            let start = self.start_of(&target);
             let attempt = self.attempt(&target);
             self.shared.metrics.attempt(attempt.name());
             log::debug!(request = self.facts.id, upstream:% = target.id, offer = offer; "{}", attempt.name());
             match attempt {
-                Attempt::Answered(after) => return after,
+                Attempt::Answered(after) => {
+                    self.run_answered();
+                    return after;
+                }
                 Attempt::CallerGone => {
                     self.record.end = "caller gone";
                     return After::Close;
@@ -365,13 +380,14 @@
                 Attempt::NotRun(_) | Attempt::NotSent => {}
                 Attempt::Broken => {
                     self.runs += 1;
-                    self.log_broken(&target);
+                    self.run_broke(&target, start);
                     if !self.may_run_again() {
                         return self.give_up(failed);
                     }
                 }
                 Attempt::Failed(answer) => {
                     self.runs += 1;
+                    self.run_answered();
                     failed = Some(answer);
                     if !self.may_run_again() {
                         return self.give_up(failed);
@@ -382,19 +398,12 @@
         self.give_up(failed)
     }
 
-    /// What the request asks for, whatever its id.
-    fn digest(&self) -> RequestDigest {
-        let host = host_of(self.head).unwrap_or_default();
-        let (method, target) = (&self.head.method, &self.head.target);
-        RequestDigest::of(self.caller.peer_ip(), method, &host, target, self.body)
-    }
-
-    /// Tells which request it was under which a run broke off: one that comes again has
-    /// another id.
-    fn log_broken(&self, target: &Target) {
-        let ran_ms = millis_since(self.attempt_at, Instant::now());
-        log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
-            upstream:% = target.id, ran_ms = ran_ms; "a run broke off");
+    /// The start of an upstream that an attempt goes to.
+    fn start_of(&self, target: &Target) -> UpstreamStart {
+        UpstreamStart {
+            upstream: target.id.clone(),
+            started_at_ms: self.shared.upstreams().started_at_ms(&target.id),
+        }
     }
 
     /// Time since the request arrived, in milliseconds.
@@ -428,8 +437,10 @@
         if let Some(failed) = failed {
             return self.pass_whole(&failed.head, &failed.body);
         }
+        let refused_for = self.refused_for();
         let refusal = if self.runs == 0 {
-            not_run(RETRY_AFTER_MS)
+            // What crashes engines is not run before it is forgotten.
+            not_run(refused_for.map_or(RETRY_AFTER_MS, millis))
         } else if Instant::now() >= self.deadline_at {
             Refusal::TimedOut
         } else {
@@ -438,6 +449,8 @@
         self.record.status = refusal.code();
         self.record.end = if self.record.cut_by_stop {
             "refused at the stop"
+        } else if refused_for.is_some() {
+            "refused as crashing upstreams"
         } else {
             "refused"
         };
@@ -456,11 +469,16 @@
 
     /// Waits for an upstream that can take the request.
     fn find_upstream(&mut self, may_wait: bool) -> Option<Target> {
-        if let Some(next) = self.next.take() {
+        if self.refused_for().is_none()
+            && let Some(next) = self.next.take()
+        {
             return Some(next);
         }
         let mut told: Option<ToldWait> = None;
         loop {
+            if self.refused_for().is_some() {
+                return None;
+            }
             let now = Instant::now();
             self.shared.metrics.choice();
             let seen = self.shared.changes_seen();
--- /dev/null
+++ b/crates/instance/src/forward/suspect.rs
@@ -0,0 +1,79 @@
+//! Whether a request crashes the upstreams that run it.
+
+use super::{Forwarding, Target, host_of};
+use crate::http1::Connection;
+use crate::pool;
+use crate::relay::millis_since;
+use crate::shared::Need;
+use passway_process::logging::json::REQUEST_TARGET;
+use passway_serving::poison::{RequestDigest, UpstreamStart};
+use passway_types::prelude::*;
+use std::io::ErrorKind;
+
+/// Time for the port of an upstream that broke off to refuse a connection, as that of a process
+/// that has ended does within a round trip of some milliseconds. A cut link says nothing, and the
+/// request waits for this before it goes on elsewhere.
+const REFUSAL_TIME: Duration = Duration::from_millis(60);
+
+impl Forwarding<'_> {
+    /// What the request asks for, whatever its id.
+    fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = host_of(self.head).unwrap_or_default();
+            let (method, target) = (&self.head.method, &self.head.target);
+            RequestDigest::of(self.caller.peer_ip(), method, &host, target, self.body)
+        })
+    }
+
+    /// For how long the request is refused yet, since it crashes what runs it.
+    pub(super) fn refused_for(&self) -> Option<Duration> {
+        let poison = &self.shared.poison;
+        if poison.refused() == 0 {
+            return None;
+        }
+        poison.refused_for(self.digest())
+    }
+
+    /// A run broke off: if the upstream has crashed, the request may be why.
+    pub(super) fn run_broke(&self, target: &Target, start: UpstreamStart) {
+        let has_crashed = self.has_crashed(target);
+        let ran_ms = millis_since(self.attempt_at, Instant::now());
+        log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
+            upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms; "a run broke off");
+        if !has_crashed {
+            return;
+        }
+        if let Some(suspect) = self.shared.poison.crashed(self.digest(), start) {
+            self.shared.tell(Need::Suspect(suspect));
+        }
+    }
+
+    /// A run has ended with an answer, so the request does not crash what runs it.
+    pub(super) fn run_answered(&self) {
+        let poison = &self.shared.poison;
+        if poison.is_empty() {
+            return;
+        }
+        if let Some(suspect) = poison.answered(self.digest()) {
+            self.shared.tell(Need::Suspect(suspect));
+        }
+    }
+
+    /// Whether an upstream that broke off has crashed: nobody listens at its port, and it had not
+    /// said that it leaves. A lost connection and a spoilt answer leave it where it is.
+    fn has_crashed(&self, target: &Target) -> bool {
+        if self.shared.upstreams().is_draining(&target.id) {
+            return false;
+        }
+        match Connection::connect(target.address, REFUSAL_TIME) {
+            Ok(connection) => {
+                // It lives, and the connection serves the next request.
+                let rest = pool::rest_time(None);
+                let pool = &self.shared.pool;
+                pool.put(&target.id, connection, rest, Instant::now());
+                false
+            }
+            Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+        }
+    }
+}
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -21,11 +21,11 @@
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry};
 use passway_types::prelude::*;
-use passway_wire::message::{Needs, Promise, PromiseWanted, Subscribe, Wish};
+use passway_wire::message::{Needs, Promise, PromiseWanted, Subscribe, Suspects, Wish};
 use passway_wire::{Body, Link, LinkReader};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
-use telling::placements;
+use telling::{TOLD_CRASHES, placements};
 
 /// What the deciding thread may have to take in besides; whoever has one more waits, and so do
 /// instances that send it. An engine's entry with all that it keeps has some 3 kB, so 3 MB.
@@ -66,6 +66,8 @@
     TermBegun,
     /// Another instance holds the right to order.
     Succeeded(Holder),
+    /// An instance knows of requests under which upstreams crashed.
+    Suspects(Suspects),
     /// A candidate promises not to take the right to order.
     Promised(Promise),
     /// An upstream has said something of itself.
@@ -159,6 +161,7 @@
                 None => continue,
             },
             Body::Promise(promise) => Input::Promised(promise),
+            Body::Suspects(suspects) => Input::Suspects(suspects),
             _ => continue,
         };
         let _ = inputs.send(input);
@@ -272,6 +275,7 @@
             // It is a reason to look, which follows in any case.
             Input::TermBegun => {}
             Input::Succeeded(holder) => self.heard_of.keep(holder, now),
+            Input::Suspects(told) => self.tell_suspects(told),
             Input::Promised(promise) => self.promised(&promise),
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
@@ -312,6 +316,8 @@
         self.tell_term(number);
         self.listeners.catch_up(&self.peers, true);
         self.send_heartbeats([number], 0);
+        let suspects = self.shared.poison.suspects(TOLD_CRASHES);
+        self.send_to(number, &Body::Suspects(suspects));
         let known = subscribe.placements.iter().copied().collect();
         let lacking = self.planner.placements_unlike(&known);
         if !lacking.is_empty() {
@@ -485,6 +491,7 @@
     fn begin_term(&mut self) {
         let mut upstreams = self.shared.upstreams();
         upstreams.forget_closing();
+        self.shared.poison.look();
         let entries = upstreams.entries().cloned();
         let doubtful = self.shared.doubtful_engines();
         self.planner.begin_term(entries, &doubtful, Instant::now());
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -3,15 +3,20 @@
 
 use super::{Holding, TELL_PAUSE_PER_PEER};
 use crate::members::{self, Addresses};
+use crate::poison;
 use crate::relay;
 use passway_process::outbox::Outbox;
 use passway_serving::dispatch;
 use passway_serving::placement::Placement;
 use passway_types::prelude::*;
-use passway_wire::message::{EnginePlacement, News, Placements, Resident, Successor};
+use passway_wire::message::{EnginePlacement, News, Placements, Resident, Successor, Suspects};
 use passway_wire::{Body, Frame};
 use std::collections::BTreeSet;
 
+/// A request is told to all once so many upstreams have crashed under it: the next crash may be
+/// the last one that is allowed, at whichever instance it comes again.
+pub(super) const TOLD_CRASHES: usize = 2;
+
 fn encode(placement: Placement) -> EnginePlacement {
     let models = placement.models.into_iter().map(|model| Resident {
         model: model.name.to_string(),
@@ -86,6 +91,15 @@
         send_to_all(outboxes, Body::News(news));
     }
 
+    /// Joins in what an instance knows of requests that crash upstreams, and tells all.
+    pub(super) fn tell_suspects(&self, told: Suspects) {
+        let mut known = self.shared.poison.join(told);
+        known.retain(|suspect| suspect.crashes.len() >= TOLD_CRASHES);
+        if self.fence.is_some() && !known.is_empty() {
+            send_to_all(self.peers.values(), Body::Suspects(poison::encode(known)));
+        }
+    }
+
     /// Chooses who dispatches for engines, and tells all if that has changed. Until the fleet
     /// has come the ones before stay, or none.
     pub(super) fn tell_dispatchers(&mut self, instances: Option<usize>) {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
 //!   [`candidates`] are those that may succeed it, [`report`] tells the holder what this
 //!   instance needs.
+//! * [`poison`]: requests that crash upstreams, as they are known, told and kept.
 //! * [`metrics`]: counters for `/metrics`.
 //! * [`health`]: whether the store answers.
 //! * [`relay`]: the store's news by way of the holder, [`news`] as they travel, [`packing`] of
@@ -33,6 +34,7 @@
 pub mod metrics;
 pub mod news;
 pub mod packing;
+pub mod poison;
 pub mod pool;
 pub mod ready;
 pub mod relay;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -3,6 +3,7 @@
 use crate::callers::Callers;
 use crate::dispatch::Dispatch;
 use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
+use crate::poison::Poison;
 use crate::relay::Relay;
 use crate::right::Right;
 use crate::shared::Shared;
@@ -100,6 +101,7 @@
                 right.clone(),
             ),
         );
+        Poison::keep(&shared, &right, store);
         Dispatch::start(&shared);
         report::start(&shared, &right, &relay, needed);
         log::info!(instance:% = settings.instance; "started");
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -40,6 +40,8 @@
     pub in_progress: usize,
     /// Whether the store answered last.
     pub store_answers: bool,
+    /// Requests that are refused since they crash upstreams.
+    pub poison_requests: usize,
     /// Bytes that wait to be sent to other instances, for each of them.
     pub waiting_bytes: usize,
 }
@@ -60,6 +62,7 @@
     in_progress: Gauge,
     store_answers: Gauge,
     waiting_bytes: Gauge,
+    poison_requests: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -89,6 +92,7 @@
             in_progress: Gauge::default(),
             store_answers: Gauge::default(),
             waiting_bytes: Gauge::default(),
+            poison_requests: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -134,6 +138,9 @@
         let gauge = self.waiting_bytes.clone();
         let help = "Waits to be sent to other instances, summed over them";
         registry.register_with_unit("waiting", help, Unit::Bytes, gauge);
+        let gauge = self.poison_requests.clone();
+        let help = "Requests that are refused since they crash upstreams";
+        registry.register("poison_requests", help, gauge);
     }
 
     /// Counts a request that has ended.
@@ -188,6 +195,8 @@
         self.store_answers.set(standing.store_answers.into());
         self.waiting_bytes
             .set(i64::try_from(standing.waiting_bytes).unwrap_or(i64::MAX));
+        self.poison_requests
+            .set(i64::try_from(standing.poison_requests).unwrap_or(i64::MAX));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics cannot be encoded");
--- /dev/null
+++ b/crates/instance/src/poison.rs
@@ -0,0 +1,241 @@
+//! Requests that crash upstreams, as this instance knows them and as they are told and kept.
+//!
+//! Each instance joins in what it sees itself, what the holder of the right to order tells, and what
+//! lies in the store, where the holder keeps the requests that are refused: a fleet that starts
+//! again knows them before it serves.
+
+use crate::right::Right;
+use crate::shared::Shared;
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use passway_process::logging::json::DECISION_TARGET;
+use passway_serving::poison::{Blame, PoisonList, RequestDigest, Suspect, UpstreamStart};
+use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
+use passway_types::prelude::*;
+use passway_wire::message::{self, Crash, Suspects};
+use prost::Message;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// The key under which the requests that are refused lie in the store.
+pub const KEY: &str = "passway/poison";
+/// Requests that are told or kept at most, 150 bytes each: what a link of 10 Mbit/s carries in
+/// 60 ms.
+const MAX_TOLD: usize = 512;
+/// Pause before the store is written to again that did not take the list.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The list as it lies in the store.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+struct Kept {
+    revision: StoreRevision,
+    value: Vec<u8>,
+}
+
+/// What this instance knows of requests that crash upstreams.
+#[derive(Debug)]
+pub struct Poison {
+    list: Mutex<PoisonList>,
+    /// Whether nothing is known of any request; read on each request, without a lock.
+    is_empty: AtomicBool,
+    refused: AtomicUsize,
+    /// Whether what the fleet knows was heard of since the process began.
+    is_told: AtomicBool,
+    kept: Mutex<Kept>,
+    /// Wakes the thread that keeps the list in the store.
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+impl Default for Poison {
+    fn default() -> Self {
+        let (wake, woken) = bounded(1);
+        Self {
+            list: Mutex::default(),
+            is_empty: AtomicBool::new(true),
+            refused: AtomicUsize::new(0),
+            is_told: AtomicBool::new(false),
+            kept: Mutex::default(),
+            wake,
+            woken,
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Poison {
+    /// Whether nothing is known of any request.
+    pub fn is_empty(&self) -> bool {
+        self.is_empty.load(Ordering::Acquire)
+    }
+
+    /// How many requests are refused.
+    pub fn refused(&self) -> usize {
+        self.refused.load(Ordering::Acquire)
+    }
+
+    /// Whether what the fleet knows was heard of, from the store or from the holder.
+    pub fn is_told(&self) -> bool {
+        self.is_told.load(Ordering::Acquire)
+    }
+
+    /// For how long a request is refused yet; `None` if it may be run.
+    pub fn refused_for(&self, digest: RequestDigest) -> Option<Duration> {
+        lock(&self.list).refused_for(digest, Instant::now())
+    }
+
+    /// An upstream has crashed under a request. Returns what others are to be told.
+    pub fn crashed(&self, digest: RequestDigest, crash: UpstreamStart) -> Option<Suspect> {
+        let news = lock(&self.list).crashed(digest, crash, Instant::now());
+        self.changed();
+        news
+    }
+
+    /// A request has had an answer. Returns what others are to be told.
+    pub fn answered(&self, digest: RequestDigest) -> Option<Suspect> {
+        let news = lock(&self.list).answered(digest);
+        if news.is_some() {
+            self.changed();
+        }
+        news
+    }
+
+    /// Joins in what others know. Returns the requests that were told, as they are known now.
+    pub fn join(&self, told: Suspects) -> Vec<Suspect> {
+        self.is_told.store(true, Ordering::Release);
+        let told: Vec<Suspect> = told.suspects.into_iter().filter_map(decode).collect();
+        if told.is_empty() {
+            return told;
+        }
+        let digests: Vec<RequestDigest> = told.iter().map(|suspect| suspect.digest).collect();
+        let mut list = lock(&self.list);
+        list.join(told, Instant::now());
+        let known = digests.iter().filter_map(|digest| list.get(*digest));
+        let known = known.cloned().collect();
+        drop(list);
+        self.changed();
+        known
+    }
+
+    /// What is known of requests that at least so many crashes tell of, as it is told.
+    pub fn suspects(&self, min_crashes: usize) -> Suspects {
+        encode(lock(&self.list).suspects(min_crashes))
+    }
+
+    /// The list lies so in the store; empty if it does not.
+    pub fn seen_in_store(&self, revision: StoreRevision, value: &[u8]) {
+        *lock(&self.kept) = Kept {
+            revision,
+            value: value.to_vec(),
+        };
+        match Suspects::decode(value) {
+            Ok(told) => drop(self.join(told)),
+            Err(error) => {
+                log::warn!(error:% = error; "the list of refused requests cannot be read");
+            }
+        }
+        self.look();
+    }
+
+    /// Lets the thread that keeps the list look whether it lies in the store as it is.
+    pub fn look(&self) {
+        match self.wake.try_send(()) {
+            // A look that is due already will do.
+            Ok(()) | Err(TrySendError::Full(())) => {}
+            Err(TrySendError::Disconnected(())) => log::error!("nobody keeps refused requests"),
+        }
+    }
+
+    fn changed(&self) {
+        let list = lock(&self.list);
+        let refused = list.refused();
+        self.is_empty.store(list.is_empty(), Ordering::Release);
+        drop(list);
+        if self.refused.swap(refused, Ordering::AcqRel) != refused {
+            log::info!(target: DECISION_TARGET, refused = refused; "requests that crash upstreams");
+        }
+        self.look();
+    }
+
+    /// The write that makes the store hold the requests that are refused; `None` if it does.
+    fn write(&self) -> Option<ConditionalWrite> {
+        let refused = lock(&self.list).refused_suspects();
+        let value = encode(refused).encode_to_vec();
+        let kept = lock(&self.kept);
+        (kept.value != value).then(|| ConditionalWrite {
+            key: KEY.to_owned(),
+            expected: kept.revision,
+            value: Some(value),
+            lease: None,
+        })
+    }
+
+    /// Keeps the list in the store while this instance has the right to order.
+    pub fn keep(shared: &Arc<Shared>, right: &Arc<Right>, store: &Arc<dyn SharedStore>) {
+        let (shared, right, store) = (shared.clone(), right.clone(), store.clone());
+        std::thread::spawn(move || {
+            let poison = &shared.poison;
+            while poison.woken.recv().is_ok() {
+                while right.term().is_some()
+                    && let Some(write) = poison.write()
+                {
+                    let answer = store.write(std::slice::from_ref(&write));
+                    if let (Ok(WriteAnswer::Written(revision)), Some(value)) = (answer, write.value)
+                    {
+                        *lock(&poison.kept) = Kept { revision, value };
+                    } else {
+                        // The watch tells what stands there, or the store comes back.
+                        std::thread::sleep(WRITE_PAUSE);
+                    }
+                }
+            }
+        });
+    }
+}
+
+/// The message about requests, the first ones if there are too many.
+pub fn encode(suspects: Vec<Suspect>) -> Suspects {
+    let suspects = suspects.into_iter().take(MAX_TOLD);
+    Suspects {
+        suspects: suspects.map(encode_one).collect(),
+    }
+}
+
+fn encode_one(suspect: Suspect) -> message::Suspect {
+    let crashes = suspect.crashes.into_iter().map(|(crash, blame)| Crash {
+        upstream: crash.upstream.to_string(),
+        started_at_ms: crash.started_at_ms,
+        blame: match blame {
+            Blame::Full => 0,
+            Blame::Explained => 1,
+            Blame::Cleared => 2,
+        },
+    });
+    message::Suspect {
+        digest: suspect.digest.0.to_vec(),
+        crashes: crashes.collect(),
+    }
+}
+
+/// One whose digest has another length comes from another build and is left out.
+fn decode(told: message::Suspect) -> Option<Suspect> {
+    let digest = RequestDigest(told.digest.try_into().ok()?);
+    let crashes = told.crashes.into_iter().map(|crash| {
+        let start = UpstreamStart {
+            upstream: crash.upstream.into(),
+            started_at_ms: crash.started_at_ms,
+        };
+        let blame = match crash.blame {
+            0 => Blame::Full,
+            1 => Blame::Explained,
+            _ => Blame::Cleared,
+        };
+        (start, blame)
+    });
+    Some(Suspect {
+        digest,
+        crashes: crashes.collect(),
+    })
+}
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,12 +1,14 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
 use crate::members;
+use crate::poison;
 use crate::relay::Relay;
 use crate::right::Right;
 use crate::shared::{Need, Shared};
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
+use passway_serving::poison::Suspect;
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::prelude::*;
@@ -42,6 +44,7 @@
         taken: BTreeMap::new(),
         waiting: BTreeMap::new(),
         untold: BTreeSet::new(),
+        suspects: Vec::new(),
         recent: VecDeque::new(),
         is_new: Arc::default(),
     };
@@ -61,6 +64,8 @@
     waiting: BTreeMap<WishKey, WaitingHere>,
     /// What of it the holder was not told.
     untold: BTreeSet<WishKey>,
+    /// Requests of which something became known that the holder was not told.
+    suspects: Vec<Suspect>,
     /// What was taken lately, for a holder that begins its term.
     recent: VecDeque<(Instant, WishKey)>,
     /// Set when a connection to a holder has been made that was told nothing yet.
@@ -112,7 +117,11 @@
             }
             self.dial();
             self.subscribe();
-            if due || !self.untold.is_empty() || self.is_new.load(Ordering::Acquire) {
+            if due
+                || !self.untold.is_empty()
+                || !self.suspects.is_empty()
+                || self.is_new.load(Ordering::Acquire)
+            {
                 self.send();
             }
         }
@@ -142,6 +151,7 @@
                 }
                 self.untold.insert(key);
             }
+            Need::Suspect(suspect) => self.suspects.push(suspect),
             // It is a reason to look, which follows in any case.
             Need::HolderReached => {}
             Need::Taken { service, wish } => {
@@ -235,6 +245,10 @@
                     let list = list.map(|(instance, address)| Candidate { instance, address });
                     shared.dispatch.set(list.collect());
                 }
+                Dialed::Received(Body::Suspects(told)) => {
+                    drop(link);
+                    shared.poison.join(told);
+                }
                 Dialed::Received(Body::Placements(placements)) => {
                     drop(link);
                     placed(&shared, placements.engines);
@@ -298,14 +312,20 @@
             // A new connection is told what was taken lately and what waits then.
             self.taken.clear();
             self.untold.clear();
+            self.suspects.clear();
             return;
         };
         let mut taken = std::mem::take(&mut self.taken);
         let mut untold = std::mem::take(&mut self.untold);
+        let mut suspects = poison::encode(std::mem::take(&mut self.suspects));
         if self.is_new.swap(false, Ordering::AcqRel) {
             taken = recent_counts(&self.recent);
             untold = self.waiting.keys().cloned().collect();
             self.last_running.clear();
+            suspects = self.shared.poison.suspects(1);
+        }
+        if !suspects.suspects.is_empty() {
+            outbox.send(Body::Suspects(suspects));
         }
         let now = Instant::now();
         let waiting = untold.iter().map(|key| match self.waiting.get(key) {
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -5,6 +5,7 @@
 
 use crate::feeds::{Feed, follow};
 use crate::holder::{FeedNews, Input};
+use crate::poison;
 use crate::relay::Tap;
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
@@ -321,6 +322,9 @@
         let find = |key| listing.values.iter().find(|value| value.key == key);
         let holder = find(HOLDER_KEY).and_then(decode);
         let recent = find(RECENT_KEY).map(decode_recent).unwrap_or_default();
+        let refused = find(poison::KEY).map(|value| (value.revision, &*value.value));
+        let (revision, value) = refused.unwrap_or_default();
+        self.shared.poison.seen_in_store(revision, value);
         self.right.update(|tenure| {
             tenure.seen_recent(recent);
             tenure.seen(holder);
@@ -336,6 +340,13 @@
                 let recent = decode_recent(value);
                 self.right.update(|tenure| tenure.seen_recent(recent));
             }
+            StoreChange::Written(value) if value.key == poison::KEY => {
+                let poison = &self.shared.poison;
+                poison.seen_in_store(value.revision, &value.value);
+            }
+            StoreChange::Removed { key, .. } if key == poison::KEY => {
+                self.shared.poison.seen_in_store(0, &[]);
+            }
             StoreChange::Removed { key, .. } if key == HOLDER_KEY => {
                 self.right.update(|tenure| tenure.seen(None));
             }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -4,9 +4,11 @@
 use crate::health::StoreHealth;
 use crate::members::Addresses;
 use crate::metrics::Metrics;
+use crate::poison::Poison;
 use crate::pool::ConnectionPool;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
+use passway_serving::poison::Suspect;
 use passway_serving::ports::{InstanceBounds, InstanceSettings, Vocabulary};
 use passway_serving::retry::RetryBudget;
 use passway_serving::routes::RouteTable;
@@ -37,6 +39,8 @@
         /// What it waited for.
         wish: ModelRef,
     },
+    /// What became known of a request under which upstreams crashed.
+    Suspect(Suspect),
     /// A connection to the holder stands.
     HolderReached,
     /// A request for a model was taken, whether it waits or not.
@@ -68,6 +72,8 @@
     pub pool: ConnectionPool,
     /// Which engine a request goes to, in a large fleet.
     pub dispatch: Dispatch,
+    /// Requests that crash upstreams.
+    pub poison: Poison,
     /// The words of callers and upstreams.
     pub vocabulary: Box<dyn Vocabulary>,
     needs: Sender<Need>,
@@ -119,6 +125,7 @@
             store_health: StoreHealth::default(),
             metrics: Metrics::default(),
             pool: ConnectionPool::default(),
+            poison: Poison::default(),
             vocabulary,
             needs,
             upstreams: Mutex::new(upstreams),
@@ -218,9 +225,11 @@
         self.upstreams_listed.store(true, Ordering::Release);
     }
 
-    /// Whether requests can be served: both the configuration and the upstreams are known.
+    /// Whether requests can be served: the configuration and the upstreams are known, and
+    /// which requests crash them.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
+            && self.poison.is_told()
             && self.upstreams_listed.load(Ordering::Acquire)
             && self.routes.load().is_some()
     }
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison.rs
@@ -1,5 +1,11 @@
 //! Requests that crash the upstreams that run them.
+//!
+//! Such a request comes again, under another id and at another instance, and each run takes an engine
+//! and all that runs there. So crashes are counted by what a request asks for
+//! ([`RequestDigest`]), over all instances, and it is refused after [`MAX_CRASHES`].
 
 mod digest;
+mod list;
 
 pub use digest::RequestDigest;
+pub use list::{Blame, MAX_CRASHES, PoisonList, Suspect, UpstreamStart};
--- /dev/null
+++ b/crates/serving/src/poison/list.rs
@@ -0,0 +1,257 @@
+//! Which requests were being run when upstreams crashed, and which of them are refused.
+
+use super::RequestDigest;
+use passway_types::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// Crashes under one request after which it is refused. Two would refuse many of those that ran
+/// beside it: they go on together at the next engine, and an engine runs a dozen.
+pub const MAX_CRASHES: u32 = 3;
+/// What a crash counts that nothing else explains; so that half of it can be told.
+const FULL_WEIGHT: u32 = 2;
+/// A request is refused for so long after its last crash. A caller that keeps repeating it may
+/// then end three engines an hour; a request that was refused wrongly is served again.
+const REFUSED_TIME: Duration = Duration::from_hours(1);
+/// Fewer crashes are remembered for so long: callers' time budgets are seconds to minutes.
+const SUSPECTED_TIME: Duration = Duration::from_mins(10);
+/// Time for what other instances saw of a crash to arrive, before it is held to be explained.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Suspects that are kept, some 300 bytes each. A rack of 20 engines leaves 240.
+const MAX_SUSPECTS: usize = 4_096;
+/// As many are kept once there are more, so that the list is not sorted for each.
+const KEPT_SUSPECTS: usize = MAX_SUSPECTS * 3 / 4;
+/// Crashes that are kept of one request.
+const MAX_KEPT_CRASHES: usize = 8;
+
+/// One start of an upstream: an upstream may start again under its id.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamStart {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// When it started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    pub started_at_ms: u64,
+}
+
+/// What a crash tells about a request that was being run. The later ones replace the earlier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Blame {
+    /// The request may have been the cause.
+    Full,
+    /// Another request that is refused was being run as well, and crashed more upstreams.
+    Explained,
+    /// The request has been answered since, so it does not crash what runs it.
+    Cleared,
+}
+
+impl Blame {
+    fn weight(self) -> u32 {
+        match self {
+            Self::Full => FULL_WEIGHT,
+            Self::Explained => FULL_WEIGHT / 2,
+            Self::Cleared => 0,
+        }
+    }
+}
+
+/// A request and the crashes under it, as instances tell one another. Knowledge of several
+/// instances is joined, in any order and any number of times, with the same result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// The request.
+    pub digest: RequestDigest,
+    /// The crashes.
+    pub crashes: BTreeMap<UpstreamStart, Blame>,
+}
+
+impl Suspect {
+    fn weight(&self) -> u32 {
+        self.crashes.values().map(|blame| blame.weight()).sum()
+    }
+
+    fn is_refused(&self) -> bool {
+        self.weight() >= MAX_CRASHES * FULL_WEIGHT
+    }
+
+    /// Joins in what is known of a crash; whether that is news.
+    fn join(&mut self, crash: UpstreamStart, blame: Blame) -> bool {
+        if let Some(known) = self.crashes.get_mut(&crash) {
+            let is_news = blame > *known;
+            *known = blame.max(*known);
+            return is_news;
+        }
+        let has_room = self.crashes.len() < MAX_KEPT_CRASHES;
+        if has_room {
+            self.crashes.insert(crash, blame);
+        }
+        has_room
+    }
+}
+
+/// What is known of one request here.
+#[derive(Debug)]
+struct Known {
+    suspect: Suspect,
+    /// When the last crash became known.
+    at: Instant,
+    /// When others' crashes that it explains are to be weighed anew, if it is refused.
+    settles_at: Option<Instant>,
+}
+
+impl Known {
+    fn is_over(&self, now: Instant) -> bool {
+        self.until() <= now
+    }
+
+    fn until(&self) -> Instant {
+        let is_refused = self.suspect.is_refused();
+        self.at
+            + if is_refused {
+                REFUSED_TIME
+            } else {
+                SUSPECTED_TIME
+            }
+    }
+}
+
+/// The requests under which upstreams have crashed lately.
+#[derive(Debug, Default)]
+pub struct PoisonList {
+    known: HashMap<RequestDigest, Known>,
+}
+
+impl PoisonList {
+    /// Whether nothing is known of any request.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// How many requests are refused.
+    pub fn refused(&self) -> usize {
+        let all = self.known.values();
+        all.filter(|known| known.suspect.is_refused()).count()
+    }
+
+    /// What is known of a request.
+    pub fn get(&self, digest: RequestDigest) -> Option<&Suspect> {
+        self.known.get(&digest).map(|known| &known.suspect)
+    }
+
+    /// For how long a request is refused yet; `None` if it may be run.
+    pub fn refused_for(&self, digest: RequestDigest, now: Instant) -> Option<Duration> {
+        let known = self.known.get(&digest)?;
+        let is_refused = known.suspect.is_refused() && !known.is_over(now);
+        is_refused.then(|| known.until().saturating_duration_since(now))
+    }
+
+    /// An upstream has crashed while it ran a request, or while that waited there. Returns what
+    /// others are to be told.
+    pub fn crashed(
+        &mut self,
+        digest: RequestDigest,
+        crash: UpstreamStart,
+        now: Instant,
+    ) -> Option<Suspect> {
+        let crashes = BTreeMap::from([(crash, Blame::Full)]);
+        let news = self.join([Suspect { digest, crashes }], now);
+        news.into_iter().next()
+    }
+
+    /// A request has had an answer. Returns what others are to be told.
+    pub fn answered(&mut self, digest: RequestDigest) -> Option<Suspect> {
+        let suspect = &mut self.known.get_mut(&digest)?.suspect;
+        if suspect.weight() == 0 {
+            return None;
+        }
+        let crashes = suspect.crashes.values_mut();
+        crashes.for_each(|blame| *blame = Blame::Cleared);
+        Some(suspect.clone())
+    }
+
+    /// Joins in what others know. Returns what is news, whole.
+    pub fn join(&mut self, told: impl IntoIterator<Item = Suspect>, now: Instant) -> Vec<Suspect> {
+        self.settle(now);
+        let mut news = Vec::new();
+        for told in told {
+            let digest = told.digest;
+            let known = self.known.entry(digest).or_insert_with(|| Known {
+                suspect: Suspect {
+                    digest,
+                    crashes: BTreeMap::new(),
+                },
+                at: now,
+                settles_at: None,
+            });
+            let was_refused = known.suspect.is_refused();
+            let mut is_news = false;
+            for (crash, blame) in told.crashes {
+                is_news |= known.suspect.join(crash, blame);
+            }
+            if !is_news {
+                continue;
+            }
+            known.at = now;
+            if known.suspect.is_refused() && !was_refused {
+                known.settles_at = Some(now + SETTLING_TIME);
+            }
+            news.push(known.suspect.clone());
+        }
+        self.bound(now);
+        news
+    }
+
+    /// What is known of requests that at least so many crashes tell of, the newest first.
+    pub fn suspects(&self, min_crashes: usize) -> Vec<Suspect> {
+        let mut all: Vec<&Known> = self.known.values().collect();
+        all.retain(|known| known.suspect.crashes.len() >= min_crashes);
+        all.sort_by_key(|known| std::cmp::Reverse((known.at, known.suspect.digest)));
+        all.into_iter().map(|k| k.suspect.clone()).collect()
+    }
+
+    /// The requests that are refused.
+    pub fn refused_suspects(&self) -> Vec<Suspect> {
+        let mut all = self.suspects(1);
+        all.retain(Suspect::is_refused);
+        all
+    }
+
+    /// Crashes that requests refused for a while explain count less for all others. Those that
+    /// crashed as many upstreams beside them are refused by then, and stay so.
+    fn settle(&mut self, now: Instant) {
+        let mut explained = Vec::new();
+        for known in self.known.values_mut() {
+            if known.settles_at.is_some_and(|at| at <= now) {
+                known.settles_at = None;
+                explained.extend(known.suspect.crashes.keys().cloned());
+            }
+        }
+        if explained.is_empty() {
+            return;
+        }
+        for known in self.known.values_mut() {
+            if known.suspect.is_refused() {
+                continue;
+            }
+            for crash in &explained {
+                if let Some(blame) = known.suspect.crashes.get_mut(crash) {
+                    *blame = Blame::Explained.max(*blame);
+                }
+            }
+        }
+    }
+
+    /// Forgets what is old, and of too many those that crashed the fewest upstreams, the oldest first.
+    fn bound(&mut self, now: Instant) {
+        self.known.retain(|_, known| !known.is_over(now));
+        if self.known.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let all = self.known.values();
+        let mut ranked: Vec<_> = all
+            .map(|known| (known.suspect.weight(), known.at, known.suspect.digest))
+            .collect();
+        ranked.sort_unstable();
+        for (_, _, digest) in &ranked[..ranked.len() - KEPT_SUSPECTS] {
+            self.known.remove(digest);
+        }
+    }
+}
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -147,6 +147,18 @@
         std::mem::take(&mut self.restarted)
     }
 
+    /// Whether an upstream has said that it leaves.
+    pub fn is_draining(&self, id: &str) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.is_some_and(|upstream| upstream.entry.draining)
+    }
+
+    /// When an upstream has started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    pub fn started_at_ms(&self, id: &str) -> u64 {
+        let upstream = self.upstreams.get(id);
+        upstream.map_or(0, |upstream| upstream.entry.started_at_ms)
+    }
+
     /// The service that an upstream has said to belong to.
     pub fn service_of(&self, id: &str) -> Option<&ServiceName> {
         let upstream = self.upstreams.get(id)?;
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -1,6 +1,7 @@
 //! A server whose every byte is scripted, for answers that no library would give.
 
 use passway_types::prelude::*;
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -63,22 +64,29 @@
     begun: AtomicBool,
     /// Whether its port is closed.
     port_closed: AtomicBool,
-    /// Its connections.
-    streams: Mutex<Vec<TcpStream>>,
+    /// Its connections, by how many came before.
+    streams: Mutex<BTreeMap<usize, TcpStream>>,
 }
 
 impl Crash {
-    fn streams(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+    fn streams(&self) -> MutexGuard<'_, BTreeMap<usize, TcpStream>> {
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A connection was accepted.
-    fn keep(&self, stream: &TcpStream) {
-        self.streams().extend(stream.try_clone());
+    fn keep(&self, connection: usize, stream: &TcpStream) {
+        let stream = stream.try_clone().ok();
+        self.streams()
+            .extend(stream.map(|stream| (connection, stream)));
+    }
+
+    /// A connection has ended; it is closed once nobody keeps it.
+    fn forget(&self, connection: usize) {
+        self.streams().remove(&connection);
     }
 
     fn cut(&self) {
-        for stream in self.streams().drain(..) {
+        for stream in std::mem::take(&mut *self.streams()).values() {
             // One that has ended already is cut.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -105,11 +113,12 @@
                     break;
                 }
                 let Ok(stream) = stream else { continue };
-                accepting.crash.keep(&stream);
+                accepting.crash.keep(connection, &stream);
                 let (server, script) = (accepting.clone(), script.clone());
                 std::thread::spawn(move || {
                     // A caller that leaves ends the connection; there is no one to tell.
                     let _ = server.converse(stream, connection, &*script);
+                    server.crash.forget(connection);
                     server.closed().push(connection);
                 });
             }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
     #[prost(
         oneof = "Body",
         tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, \
-                20, 21"
+                20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -80,6 +80,9 @@
     /// The instances that dispatch for engines.
     #[prost(message, tag = "21")]
     Dispatchers(Members),
+    /// Requests under which upstreams have crashed.
+    #[prost(message, tag = "22")]
+    Suspects(Suspects),
 }
 
 /// A holder of the right to order that the store does not answer asks a candidate to
@@ -111,6 +114,40 @@
     pub leaves: bool,
 }
 
+/// A crash of an upstream.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Crash {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// When it had started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+    /// What the crash tells about the request: 0 that it may be the cause, 1 that another
+    /// one explains it, 2 that the request was answered since.
+    #[prost(uint32, tag = "3")]
+    pub blame: u32,
+}
+
+/// A request under which upstreams have crashed.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Suspect {
+    /// The digest of what it asks for.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: Vec<u8>,
+    /// The crashes.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<Crash>,
+}
+
+/// Requests under which upstreams have crashed, as far as the sender knows.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Suspects {
+    /// The requests.
+    #[prost(message, repeated, tag = "1")]
+    pub suspects: Vec<Suspect>,
+}
+
 /// An instance asks for the store's news.
 #[derive(Clone, PartialEq, Message)]
 pub struct Subscribe {
--- a/tests/all/poison_requests.rs
+++ b/tests/all/poison_requests.rs
@@ -53,21 +53,24 @@
         .contains("\npassway_instance_poison_requests 1\n")
 }
 
+/// A kind of route that goes on at a second engine, and one that does not.
 #[test]
 fn crashes_three_engines() {
+    ["chat", "report"].into_iter().for_each(crashes_three);
+}
+
+fn crashes_three(route: &str) {
     let (store, engines) = engines(8);
     let instance = site::ready("one", &store);
     until("a repeat to spend", || instance.may_repeat("engines"));
     for number in 0..engines.len() {
-        // Both kinds of route: one that goes on at a second engine, and one that does not.
-        let route = ["chat", "report"][number % 2];
         send(&instance, route, &format!("p{number}"), POISON);
         let other = send(&instance, "chat", &format!("o{number}"), "{}");
         assert_eq!((other.status, other.whole), (200, true));
     }
     assert_eq!(ended(&engines), MOST_ENDS);
     // What cannot be served is told so at once, and that it is of no use to come back soon.
-    let refused = send(&instance, "chat", "last", POISON);
+    let refused = send(&instance, route, "last", POISON);
     assert_eq!(refused.status, 503);
     let seconds = refused.header("retry-after").and_then(|s| s.parse().ok());
     assert!(seconds.is_some_and(|s: f64| s > 60.0), "{refused:?}");
@@ -83,7 +86,7 @@
     assert_eq!(ended(&engines), MOST_ENDS);
     until("both know it", || instances.iter().all(knows));
     for instance in &instances {
-        assert_eq!(send(instance, "chat", "p", POISON).status, 503);
+        assert_eq!(send(instance, "report", "p", POISON).status, 503);
         assert_eq!(send(instance, "chat", "o", "{}").status, 200);
     }
     assert_eq!(ended(&engines), MOST_ENDS);
@@ -100,6 +103,6 @@
     before.stop();
     // Nobody is left who knows it, and it is the first request of all.
     let after = site::ready("two", &store);
-    assert_eq!(send(&after, "chat", "p", POISON).status, 503);
+    assert_eq!(send(&after, "report", "p", POISON).status, 503);
     assert_eq!(ended(&engines), MOST_ENDS);
 }
