Red: a request that crashes engines comes again from other addresses

Cause: the digest holds the address that a request came from. Nothing on the wire names the caller, and what leaves one gateway comes from several addresses.

--- a/tests/all/poison_requests.rs
+++ b/tests/all/poison_requests.rs
@@ -7,10 +7,11 @@
 //! that one input does was judged by each arrival alone. What proved it: the lines of the broken runs
 //! carry the same digest of caller, path and body under different ids, with one run and a living engine each.
 
-use crate::site::{self, Answer, HOST, ask, request, until};
+use crate::site::{self, Answer, Caller, HOST, ask, request, until};
 use passway_instance::Instance;
 use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::store::MetadataStandIn;
+use std::net::SocketAddr;
 
 /// What crashes the engines.
 const POISON: &str = "poison";
@@ -92,6 +93,22 @@
     assert_eq!(ended(&engines), MOST_ENDS);
 }
 
+/// A caller's requests may leave from several addresses, and those of several from one: nothing
+/// on the wire names the caller itself.
+#[test]
+fn known_from_other_addresses() {
+    let (store, engines) = engines(8);
+    let instance = site::ready("one", &store);
+    for last in 1..=8 {
+        let from = SocketAddr::from(([127, 0, 0, last], 0));
+        let to = instance.callers_address();
+        let mut caller = Caller::connect_from(from, to);
+        caller.send(&request("POST", "/report/", "p", "Model: m0\r\n", POISON));
+        assert!(caller.receive().is_some());
+    }
+    assert_eq!(ended(&engines), MOST_ENDS);
+}
+
 #[test]
 fn known_after_restarts() {
     let (store, engines) = engines(8);
