--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -21,7 +21,7 @@
         *self.digest.get_or_init(|| {
             let host = host_of(self.head).unwrap_or_default();
             let (method, target) = (&self.head.method, &self.head.target);
-            RequestDigest::of(self.caller.peer_ip(), method, &host, target, self.body)
+            RequestDigest::of(method, &host, target, self.body)
         })
     }
 
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -7,7 +7,7 @@
 use crate::ending::Endings;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,7 +34,6 @@
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
-    peer_ip: IpAddr,
     buffer: Vec<u8>,
     used: usize,
     ended: bool,
@@ -54,7 +53,6 @@
         stream.set_nodelay(true)?;
         rustix::net::sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS)?;
         Ok(Self {
-            peer_ip: stream.peer_addr()?.ip(),
             stream,
             buffer: Vec::new(),
             used: 0,
@@ -78,11 +76,6 @@
         Ok(connection)
     }
 
-    /// The address of the other end.
-    pub fn peer_ip(&self) -> IpAddr {
-        self.peer_ip
-    }
-
     /// Waits for bytes, on this connection or on one that is waited for on its behalf, end
     /// with the ending of answers. Writing to this connection does not.
     pub fn end_with(&mut self, endings: Arc<Endings>) {
--- a/crates/serving/src/poison/digest.rs
+++ b/crates/serving/src/poison/digest.rs
@@ -2,7 +2,6 @@
 
 use passway_types::hash::{DIGEST_BYTES, stable_digest};
 use std::fmt;
-use std::net::IpAddr;
 
 /// Tells a request that comes again, under another id or at another instance, from others.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -10,11 +9,11 @@
 
 impl RequestDigest {
     /// The digest of what stays the same when a caller sends a request again. Ids, deadlines
-    /// and the event after which a stream goes on do not.
-    pub fn of(caller: IpAddr, method: &str, host: &str, target: &str, body: &[u8]) -> Self {
-        let caller = caller.to_string();
-        let [caller, method, host, target] = [&*caller, method, host, target].map(str::as_bytes);
-        Self(stable_digest(&[caller, method, host, target, body]))
+    /// and the event after which a stream goes on do not. Nor does the address it comes from:
+    /// callers behind a gateway share addresses, and one caller's requests leave from several.
+    pub fn of(method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let [method, host, target] = [method, host, target].map(str::as_bytes);
+        Self(stable_digest(&[method, host, target, body]))
     }
 }
 
