Red: a machine that was suspended believes that no time has passed

Cause: moments come from the steady clock, which does not count a suspension, so leases, promises, time budgets and the age of what others told seem to go on.

--- a/tests/all/poison_requests.rs
+++ b/tests/all/poison_requests.rs
@@ -11,7 +11,8 @@
 use passway_instance::Instance;
 use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::store::MetadataStandIn;
-use std::net::SocketAddr;
+use rustix::net::{self, AddressFamily, SocketType};
+use std::net::{SocketAddr, TcpStream};
 
 /// What crashes the engines.
 const POISON: &str = "poison";
@@ -45,7 +46,16 @@
     ask(instance.callers_address(), &bytes).expect("an answer")
 }
 
-/// Waits until an instance refuses one request.
+/// Connects from an address.
+fn connect(from: SocketAddr, to: SocketAddr) -> TcpStream {
+    let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let socket = socket.expect("a socket");
+    net::bind(&socket, &from).expect("binding");
+    net::connect(&socket, &to).expect("connecting");
+    socket.into()
+}
+
+/// Whether an instance refuses one request.
 fn knows(instance: &Instance) -> bool {
     let question = format!("GET /metrics HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n");
     let metrics = ask(instance.ready_address(), question.as_bytes()).expect("metrics");
@@ -102,7 +112,7 @@
     for last in 1..=8 {
         let from = SocketAddr::from(([127, 0, 0, last], 0));
         let to = instance.callers_address();
-        let mut caller = Caller::connect_from(from, to);
+        let mut caller = Caller::over(connect(from, to));
         caller.send(&request("POST", "/report/", "p", "Model: m0\r\n", POISON));
         assert!(caller.receive().is_some());
     }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -9,7 +9,6 @@
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 use passway_users_platform::{MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl};
-use rustix::net::{self, AddressFamily, SocketType};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -186,16 +185,8 @@
         Self::over(TcpStream::connect(address).expect("connecting"))
     }
 
-    /// Connects from an address.
-    pub fn connect_from(from: SocketAddr, to: SocketAddr) -> Self {
-        let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None);
-        let socket = socket.expect("a socket");
-        net::bind(&socket, &from).expect("binding");
-        net::connect(&socket, &to).expect("connecting");
-        Self::over(socket.into())
-    }
-
-    fn over(stream: TcpStream) -> Self {
+    /// Uses a connection.
+    pub fn over(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         Self {
             stream,
--- /dev/null
+++ b/tests/suspended/main.rs
@@ -0,0 +1,20 @@
+//! What an instance does first when its machine has been suspended: the steady clock stood still,
+//! and everybody else's time went on.
+//!
+//! The clock is the process's, so the tests run one after the other ([`alone`]).
+
+#[path = "../all/site.rs"]
+mod site;
+
+mod caller;
+mod holder;
+mod listener;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// Keeps the other tests waiting while it lives.
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
