--- a/crates/controller/src/config_feed.rs
+++ b/crates/controller/src/config_feed.rs
@@ -8,6 +8,7 @@
 use crossbeam::channel::Sender;
 use passway_config::revision::{CURRENT_KEY, KeptRevision};
 use passway_platform::key_value::KeyValue;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -62,7 +63,7 @@
 /// Waits a while for another version than `known`. Where nothing changes, the
 /// configuration does not travel, and what is known is confirmed.
 fn read(key_value: &dyn KeyValue, known: &mut Version) -> Input {
-    let asked_at = Instant::now();
+    let asked_at = clock::now();
     let Ok(found) = key_value.watch(CURRENT_KEY, *known, WATCH_WAIT) else {
         return Input::ConfigUnavailable;
     };
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -27,6 +27,7 @@
 use passway_platform::engine::HttpEngineControl;
 use passway_platform::instance_list::{HttpInstanceList, ListedInstance};
 use passway_platform::key_value::HttpKeyValue;
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{CellHolder, Heartbeat, Hello, ProbeAnswer, QueryAnswer};
@@ -106,7 +107,7 @@
         let list = Arc::new(HttpInstanceList::new(list, call_timeout));
         workers::start_list(list, inputs.clone());
         let peers = Peers::dial(&settings.peers, &me, &inputs)?;
-        let now = Instant::now();
+        let now = clock::now();
         Ok(Self {
             gossip: Gossip::new(now, !settings.peers.is_empty()),
             me,
@@ -135,15 +136,16 @@
         log::info!(instance = &*self.me.instance, address:% = self.me.address,
             data_hall = self.data_hall; "controller started");
         loop {
-            match inputs.recv_deadline(self.tick_at) {
+            let left = self.tick_at.saturating_duration_since(clock::now());
+            match inputs.recv_timeout(left) {
                 Ok(Input::Stop(done)) => {
                     self.stop();
                     // Nobody waits if the stop was cut.
                     let _ = done.send(());
                     return;
                 }
-                Ok(input) => self.take(Instant::now(), input),
-                Err(RecvTimeoutError::Timeout) => self.tick(Instant::now()),
+                Ok(input) => self.take(clock::now(), input),
+                Err(RecvTimeoutError::Timeout) => self.tick(clock::now()),
                 Err(RecvTimeoutError::Disconnected) => return,
             }
         }
@@ -199,7 +201,7 @@
     }
 
     fn stop(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         let cells: Vec<CellName> = self.cells.keys().cloned().collect();
         for cell in cells {
             self.cell_event(now, &cell, Event::Shutdown);
--- a/crates/controller/src/node/peers.rs
+++ b/crates/controller/src/node/peers.rs
@@ -11,6 +11,7 @@
 use passway_decide::plan::Holder;
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{Hello, Role};
@@ -82,22 +83,22 @@
         ..Default::default()
     };
     let outboxes = outboxes.clone();
-    let mut said_at = Instant::now();
+    let mut said_at = clock::now();
     Dialer::start(peer, move |dialed| {
         let mut outboxes = outboxes.lock().unwrap_or_else(PoisonError::into_inner);
         match dialed {
             Dialed::Connected(outbox) => {
                 outbox.send(Body::Hello(hello.clone()));
                 outboxes.insert(peer, outbox);
-                said_at = Instant::now();
+                said_at = clock::now();
             }
             Dialed::Received(body) => {
                 // A heartbeat is answered, so that neither side falls silent.
                 if let Some(outbox) = outboxes.get(&peer)
-                    && said_at.elapsed() >= WORD_PAUSE
+                    && clock::since(said_at) >= WORD_PAUSE
                 {
                     outbox.send(Body::Hello(hello.clone()));
-                    said_at = Instant::now();
+                    said_at = clock::now();
                 }
                 // The deciding thread ends only with the process.
                 let _ = inputs.send(Input::FromPeer { peer, body });
--- a/crates/controller/src/workers.rs
+++ b/crates/controller/src/workers.rs
@@ -11,6 +11,7 @@
 use passway_platform::engine::EngineControl;
 use passway_platform::instance_list::InstanceList;
 use passway_platform::key_value::{KeyValue, LeaseId, PutOutcome, Unavailable};
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::{Hello, Probe, Role};
 use passway_wire::{Body, Link};
@@ -74,7 +75,7 @@
         for job in jobs {
             // Counted from before the call: the service may start the lease's
             // time as soon as the call arrives.
-            let until_at = Instant::now() + time_to_live * RELIED_TENTHS / 10;
+            let until_at = clock::now() + time_to_live * RELIED_TENTHS / 10;
             let answer = match job {
                 LeaseJob::Acquire => {
                     acquire(&*key_value, &reply.cell, &value, time_to_live, &mut lease)
@@ -250,9 +251,9 @@
             } else {
                 QUIET_STATUS_PAUSE
             };
-            let due = asked_at.is_none_or(|at| at.elapsed() >= pause);
+            let due = asked_at.is_none_or(|at| clock::since(at) >= pause);
             if due && pace.active.load(Ordering::Relaxed) {
-                let now = Instant::now();
+                let now = clock::now();
                 asked_at = Some(now);
                 let status = engines.status(address);
                 reply.event(Event::Status {
--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -7,6 +7,7 @@
 use crate::store::{ChangeError, ConfigStore, Current};
 use anyhow::Result;
 use passway_config::{Document, StoredRevision};
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -138,19 +139,19 @@
 /// Waits until every controller named, and every router connected to one, has
 /// the revision in force.
 fn wait(common: &Common, revision: Revision, timeout: Duration) -> ExitCode {
-    let began_at = Instant::now();
+    let began_at = clock::now();
     let mut said = String::new();
     loop {
         let lacking = lacking(common, revision);
         if lacking.is_empty() {
             println!(
                 "in force everywhere after {} ms",
-                began_at.elapsed().as_millis()
+                clock::since(began_at).as_millis()
             );
             return ExitCode::Done;
         }
         let names = lacking.join(", ");
-        if began_at.elapsed() >= timeout {
+        if clock::since(began_at) >= timeout {
             println!("not in force at: {names}");
             return ExitCode::NotEverywhere;
         }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use passway_types::clock;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io::ErrorKind;
@@ -125,13 +126,13 @@
 
     fn await_head(&self) {
         self.set(Phase::Head {
-            until: Instant::now() + self.limits.head_time,
+            until: clock::now() + self.limits.head_time,
         });
     }
 
     fn await_writes(&self) {
         self.set(Phase::Answer {
-            until: Instant::now() + self.limits.write_time,
+            until: clock::now() + self.limits.write_time,
         });
     }
 
@@ -165,7 +166,7 @@
     }
     let stream = Arc::new(stream);
     let interest = Rc::new(Interest::default());
-    let now = Instant::now();
+    let now = clock::now();
     let phase = Mutex::new(Phase::Head {
         until: now + limits.head_time,
     });
@@ -204,7 +205,7 @@
         if woken.0.swap(false, Ordering::AcqRel) {
             continue;
         }
-        if state.is_over(Instant::now(), interest.waits_to_write())
+        if state.is_over(clock::now(), interest.waits_to_write())
             || interest.wait(&stream, LOOK_PAUSE).is_err()
         {
             return;
@@ -236,7 +237,7 @@
 }
 
 async fn read_body(incoming: Incoming, limits: &Limits) -> Result<Bytes, Unread> {
-    let until = Instant::now() + limits.body_time;
+    let until = clock::now() + limits.body_time;
     let incoming = RefCell::new(incoming);
     let mut body = Vec::new();
     loop {
@@ -246,7 +247,7 @@
             let mut incoming = incoming.borrow_mut();
             let polled = pin!(incoming.frame()).as_mut().poll(context);
             match polled {
-                Poll::Pending if Instant::now() >= until => Poll::Ready(Err(Unread::TooSlow)),
+                Poll::Pending if clock::now() >= until => Poll::Ready(Err(Unread::TooSlow)),
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(frame) => Poll::Ready(Ok(frame)),
             }
--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result};
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::routes::CallerLimits;
+use passway_types::clock;
 use passway_types::prelude::*;
 use rustix::event::{PollFd, PollFlags, poll};
 use std::io::ErrorKind;
@@ -173,7 +174,7 @@
     let shared = &serving.shared;
     loop {
         let limits = limits(shared);
-        let idle_until = Instant::now() + Duration::from_millis(limits.idle_timeout_ms);
+        let idle_until = clock::now() + Duration::from_millis(limits.idle_timeout_ms);
         let header_time = Duration::from_millis(limits.header_timeout_ms);
         let head = http1::read_request_head(
             &mut caller,
@@ -191,7 +192,7 @@
             Ok(None) | Err(_) => return,
         };
         let in_progress = shared.enter();
-        let arrived_at = Instant::now();
+        let arrived_at = clock::now();
         let announced = head.headers.text("content-length");
         let announced = announced
             .and_then(|length| length.parse().ok())
@@ -252,7 +253,7 @@
     let written = reply::refuse(&mut caller, &*shared.vocabulary, id, refusal, true);
     // If the caller is gone already, there is nobody else to tell.
     if written.is_ok() {
-        caller.close_after_answer(Instant::now() + UNREAD_TIME);
+        caller.close_after_answer(clock::now() + UNREAD_TIME);
     }
 }
 
@@ -262,7 +263,7 @@
     max_bytes: usize,
 ) -> Result<Vec<u8>, HttpError> {
     let mut body = BodyReader::of_request(head)?;
-    let until = Instant::now() + BODY_TIME;
+    let until = clock::now() + BODY_TIME;
     let expects = head.headers.text("expect");
     if expects.is_some_and(|word| word.eq_ignore_ascii_case("100-continue")) && !body.is_done() {
         http1::write_all(caller, b"HTTP/1.1 100 Continue\r\n\r\n", false, None, until)?;
--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -11,6 +11,7 @@
 };
 use passway_serving::tenure::Candidate;
 use passway_serving::upstreams::{Choice, ModelRef, Outcome, Wanted};
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::dispatch::{
     Ask, Datagram, Dispatch as Body, Ended, Grant, RunHere, RunOutcome, Running, Verdict,
@@ -147,7 +148,7 @@
     }
 
     fn dispatcher_of(&self, engine: &str) -> Option<SocketAddr> {
-        lock(&self.dispatchers).of_engine(engine, Instant::now())
+        lock(&self.dispatchers).of_engine(engine, clock::now())
     }
 
     /// Sends a datagram. One that cannot be sent is lost like any other.
@@ -164,7 +165,7 @@
         if !self.is_used() {
             return None;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let &Question {
             service,
             model_ref,
@@ -207,7 +208,7 @@
                 ..ask.clone()
             };
             let Some(grant) = self.question(shared, dispatcher, ask) else {
-                lock(&self.dispatchers).silent(dispatcher, Instant::now());
+                lock(&self.dispatchers).silent(dispatcher, clock::now());
                 return None;
             };
             match grant.verdict() {
@@ -308,7 +309,7 @@
             verdict: verdict.into(),
             engine: engine.to_owned(),
         };
-        let now = Instant::now();
+        let now = clock::now();
         // The order of locks: the upstreams before the book.
         let upstreams = shared.upstreams();
         let mut book = lock(&self.book);
@@ -371,9 +372,7 @@
         };
         let engine = lock(&self.book).end(key);
         if let (Some(engine), Some(outcome)) = (engine, decode(ended.outcome())) {
-            shared
-                .upstreams()
-                .observed(&engine, outcome, Instant::now());
+            shared.upstreams().observed(&engine, outcome, clock::now());
         }
     }
 
@@ -392,7 +391,7 @@
             }
             Body::Ended(ended) => self.over(shared, from, &ended),
             Body::Running(running) => {
-                let now = Instant::now();
+                let now = clock::now();
                 let mut book = lock(&self.book);
                 for run in running.runs {
                     let key = RunKey {
@@ -444,9 +443,9 @@
             return;
         };
         let mut bytes = vec![0; MAX_BYTES];
-        let mut refresh_at = Instant::now();
+        let mut refresh_at = clock::now();
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             // Without dispatchers nothing is due by time: a datagram tells when there are some.
             let pause = self.is_used().then(|| {
                 if now >= refresh_at {
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -13,6 +13,7 @@
     WatchAnswer,
 };
 use passway_serving::upstreams::UpstreamEntry;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::BTreeSet;
 
@@ -98,7 +99,7 @@
         relied: false,
         has_gap: false,
         failures: 0,
-        pause: Pause::over(Instant::now()),
+        pause: Pause::over(clock::now()),
     };
     std::thread::spawn(move || follower.run());
 }
@@ -150,7 +151,7 @@
             self.hear(Duration::ZERO);
             if let Some(until) = self.relied_until() {
                 self.relied = true;
-                let left = until.saturating_duration_since(Instant::now());
+                let left = until.saturating_duration_since(clock::now());
                 self.hear(left.min(RELAY_STEP));
             } else if self.may_ask() {
                 self.follow_store();
@@ -169,7 +170,7 @@
     /// Whether the store may be asked now. While the holder speaks, and neither it nor this
     /// instance is answered, the configuration's feed alone finds out whether the store is back.
     fn may_ask(&self) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let is_failing = self.feed.shared().store_health.is_failing();
         let relay = &self.tap.relay;
         let another_asks = self.tap.feed != Some(CONFIGURATION)
@@ -205,7 +206,7 @@
                 self.lists_next |= self.feed.lists_rather(Outage::OfStore);
                 let health = &self.feed.shared().store_health;
                 health.failed();
-                let now = Instant::now();
+                let now = clock::now();
                 let probes = self.tap.feed == Some(CONFIGURATION);
                 // The holder is not answered either: an outage, more likely than not.
                 let outage = if self.tap.relay.is_heard() {
@@ -226,7 +227,7 @@
     /// One list or watch.
     fn ask(&mut self) -> Result<(), StoreError> {
         let Some(after) = self.known.filter(|_| !self.lists_next) else {
-            let asked_at = Instant::now();
+            let asked_at = clock::now();
             let listing = self.store.list(&self.prefix)?;
             self.tap.answered(asked_at);
             self.lists_next = false;
@@ -234,13 +235,13 @@
             return Ok(());
         };
         let wait = self.tap.feed.map_or(OWN_WATCH, |_| RELAYED_WATCH);
-        let asked_at = Instant::now();
+        let asked_at = clock::now();
         match self.store.watch(&self.prefix, after, wait)? {
             WatchAnswer::HistoryGone => self.lists_next = true,
             WatchAnswer::Changes { changes, revision } => {
                 // A large answer may have begun long ago; one without changes has just come.
                 let is_quiet = changes.is_empty();
-                let known_at = if is_quiet { Instant::now() } else { asked_at };
+                let known_at = if is_quiet { clock::now() } else { asked_at };
                 self.tap.answered(known_at);
                 let told = Told::Changes {
                     from: after,
@@ -362,7 +363,7 @@
     fn changed(&mut self, change: &StoreChange) -> bool {
         if let StoreChange::Written(value) = change {
             self.take(value);
-            self.versions_at = [Some(Instant::now()), self.versions_at[0]];
+            self.versions_at = [Some(clock::now()), self.versions_at[0]];
         }
         true
     }
@@ -375,7 +376,7 @@
     /// the same moment when the holder is lost: 53 MB for 295 of them, 0.4 s of the store's
     /// link. A watch has nothing if no version came meanwhile, and each that did if some have.
     fn lists_rather(&self, after: Outage) -> bool {
-        let is_recent = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() < SERIES_TIME);
+        let is_recent = |at: Option<Instant>| at.is_some_and(|at| clock::since(at) < SERIES_TIME);
         after == Outage::OfStore || self.versions_at.into_iter().all(is_recent)
     }
 
@@ -434,7 +435,7 @@
     /// Forgets upstreams that are gone, here and at the holder.
     fn expire(&self) {
         let mut upstreams = self.shared.upstreams();
-        let gone = upstreams.expire(Instant::now());
+        let gone = upstreams.expire(clock::now());
         let left = upstreams.entries().map(|entry| entry.id.clone()).collect();
         drop(upstreams);
         if gone.is_empty() {
@@ -450,7 +451,7 @@
     /// What an upstream says of itself; `None` if the entry names none that can be used. It
     /// may have been written by something else.
     fn decode(&mut self, value: &StoredValue) -> Option<UpstreamEntry> {
-        let entry = self.directory.upstream(value, Instant::now());
+        let entry = self.directory.upstream(value, clock::now());
         match entry.and_then(|entry| self.of_its_service(entry)) {
             Ok(entry) => {
                 self.unusable.remove(&value.key);
@@ -497,7 +498,7 @@
 
     /// An upstream is not listed any more.
     fn miss(&self, id: &str) {
-        let gone_at = self.shared.store_health.gone_at(Instant::now());
+        let gone_at = self.shared.store_health.gone_at(clock::now());
         self.shared.upstreams().miss(id, gone_at);
         self.expire();
     }
@@ -516,7 +517,7 @@
         for entry in &entries {
             self.tell(Input::Heard(entry.clone()));
         }
-        let now = Instant::now();
+        let now = clock::now();
         let gone_at = self.shared.store_health.gone_at(now);
         self.shared.upstreams().replace(entries, gone_at, now);
         self.forget_restarted();
@@ -536,7 +537,7 @@
                 };
                 self.tell(Input::Heard(entry.clone()));
                 // What stands on an engine travels by placements, which are shorter.
-                let is_told = self.shared.upstreams().update(entry, Instant::now());
+                let is_told = self.shared.upstreams().update(entry, clock::now());
                 self.forget_restarted();
                 is_told
             }
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -21,6 +21,7 @@
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::{Route, RouteTable};
 use passway_serving::upstreams::{Choice, ModelRef, Outcome};
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::cell::OnceCell;
 use std::net::SocketAddr;
@@ -270,7 +271,7 @@
         if knows {
             return shared.routes.load_full();
         }
-        if shared.is_stopping() || Instant::now() >= until || caller.is_closed() {
+        if shared.is_stopping() || clock::now() >= until || caller.is_closed() {
             return None;
         }
         std::thread::sleep(START_STEP);
@@ -408,7 +409,7 @@
 
     /// Time since the request arrived, in milliseconds.
     fn held_ms(&self) -> u64 {
-        millis_since(self.arrived_at, Instant::now())
+        millis_since(self.arrived_at, clock::now())
     }
 
     fn may_run_again(&self) -> bool {
@@ -417,7 +418,7 @@
 
     fn may_repeat(&self) -> bool {
         let mut retries = self.shared.retries();
-        retries.try_spend(&self.service, Instant::now())
+        retries.try_spend(&self.service, clock::now())
     }
 
     /// The last answer, when nothing more can be tried.
@@ -441,7 +442,7 @@
         let refusal = if self.runs == 0 {
             // What crashes engines is not run before it is forgotten.
             not_run(refused_for.map_or(RETRY_AFTER_MS, millis))
-        } else if Instant::now() >= self.deadline_at {
+        } else if clock::now() >= self.deadline_at {
             Refusal::TimedOut
         } else {
             Refusal::AnswerLost
@@ -479,7 +480,7 @@
             if self.refused_for().is_some() {
                 return None;
             }
-            let now = Instant::now();
+            let now = clock::now();
             self.shared.metrics.choice();
             let seen = self.shared.changes_seen();
             let choice = match self.choose(now) {
@@ -590,7 +591,7 @@
             return (Attempt::CallerGone, Outcome::Unknown);
         }
         let wish = self.wish().cloned();
-        let now = Instant::now();
+        let now = clock::now();
         self.attempt_at = now;
         self.shared
             .upstreams()
@@ -603,7 +604,7 @@
             Attempt::NotSent => Outcome::Unreachable,
             Attempt::Broken | Attempt::Failed(_) | Attempt::TimedOut => Outcome::Failed,
         };
-        let now = Instant::now();
+        let now = clock::now();
         let mut upstreams = self.shared.upstreams();
         upstreams.ended(&target.id, wish.as_ref(), outcome, now);
         drop(upstreams);
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -14,6 +14,7 @@
 use passway_serving::ports::{AnswerFacts, Stamp};
 use passway_serving::routes::RequestKind;
 use passway_serving::upstreams::Outcome;
+use passway_types::clock;
 use passway_types::prelude::*;
 
 /// Time to connect to an upstream; a round trip takes a few milliseconds.
@@ -43,7 +44,7 @@
         } else {
             FRESH_REST
         };
-        let now = Instant::now();
+        let now = clock::now();
         if let Some(kept) = self.shared.pool.take(&target.id, longest, now) {
             let attempt = self.exchange_over(target, kept);
             if matches!(attempt, Attempt::Broken | Attempt::TimedOut) {
@@ -69,13 +70,13 @@
             return self.deadline_at;
         }
         let step = Duration::from_millis(self.route.gap_goal_ms * SILENT_GAPS);
-        self.deadline_at.min(Instant::now() + step.max(MIN_SILENCE))
+        self.deadline_at.min(clock::now() + step.max(MIN_SILENCE))
     }
 
     /// Whether the upstream is silent for longer than is usual and another one can go on: it
     /// is chosen, and a repeat is left, before this one is given up.
     fn is_silent(&mut self, target: &Target) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         if !self.shared.upstreams().is_silent(&target.id, now)
             || now < self.usual_until()
             || !self.shared.retries().has_spare(&self.service, now)
@@ -98,12 +99,12 @@
     }
 
     fn heard(&self, target: &Target) {
-        let now = Instant::now();
+        let now = clock::now();
         self.shared.upstreams().heard(&target.id, now);
     }
 
     fn request_bytes(&self, target: &Target) -> Vec<u8> {
-        let left = self.deadline_at.saturating_duration_since(Instant::now());
+        let left = self.deadline_at.saturating_duration_since(clock::now());
         let stamp = Stamp {
             upstream: target.id.clone(),
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
@@ -166,7 +167,7 @@
             let facts = vocabulary.answer(head.status, &head.headers, &target.id);
             if facts.id.as_deref().is_none_or(|id| id == self.facts.id) {
                 if self.route.kind.is_stream() && !facts.not_run {
-                    let after = self.attempt_at.elapsed();
+                    let after = clock::since(self.attempt_at);
                     let mut usual = self.shared.usual_times();
                     usual.observe(&self.route.name, after);
                 }
@@ -190,7 +191,7 @@
                 Ok(head) => return Ok(head),
                 Err(HttpError::WatchedClosed) => return Err(Attempt::CallerGone),
                 Err(HttpError::Ending) => return Err(Attempt::Ending),
-                Err(HttpError::TimedOut) if Instant::now() >= self.deadline_at => {
+                Err(HttpError::TimedOut) if clock::now() >= self.deadline_at => {
                     return Err(Attempt::TimedOut);
                 }
                 Err(HttpError::TimedOut) if !self.is_silent(target) => {}
@@ -269,7 +270,7 @@
         if head.status == MISDIRECTED
             && let Some(wish) = self.wish()
         {
-            let now = Instant::now();
+            let now = clock::now();
             self.shared.upstreams().absent(&target.id, wish, now);
             return Attempt::NotRun(Outcome::Unknown);
         }
@@ -293,7 +294,7 @@
             timeout.find_map(|seconds| seconds.parse().ok())
         });
         let rest = pool::rest_time(named);
-        let now = Instant::now();
+        let now = clock::now();
         self.shared.pool.put(&target.id, upstream, rest, now);
     }
 
@@ -309,7 +310,7 @@
         let first_ms = self.held_ms();
         self.record.first_ms.get_or_insert(first_ms);
         // A ready answer is delivered, late too.
-        let until = self.deadline_at.max(Instant::now() + WRITE_TIME);
+        let until = self.deadline_at.max(clock::now() + WRITE_TIME);
         http1::write_all(self.caller, bytes, false, None, until)?;
         Ok(())
     }
@@ -404,7 +405,7 @@
                 Ok(part) => return Ok(part),
                 Err(HttpError::WatchedClosed) => return Err(Attempt::CallerGone),
                 Err(HttpError::Ending) => return Err(Attempt::Ending),
-                Err(HttpError::TimedOut) if Instant::now() >= self.deadline_at => {
+                Err(HttpError::TimedOut) if clock::now() >= self.deadline_at => {
                     return Err(Attempt::TimedOut);
                 }
                 Err(HttpError::TimedOut) if !self.is_silent(target) => {}
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -7,6 +7,7 @@
 use crate::shared::Need;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::poison::{RequestDigest, UpstreamStart};
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
 
@@ -37,7 +38,7 @@
     /// A run broke off: if the upstream has crashed, the request may be why.
     pub(super) fn run_broke(&self, target: &Target, start: UpstreamStart) {
         let has_crashed = self.has_crashed(target);
-        let ran_ms = millis_since(self.attempt_at, Instant::now());
+        let ran_ms = millis_since(self.attempt_at, clock::now());
         log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
             upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms; "a run broke off");
         if !has_crashed {
@@ -70,7 +71,7 @@
                 // It lives, and the connection serves the next request.
                 let rest = pool::rest_time(None);
                 let pool = &self.shared.pool;
-                pool.put(&target.id, connection, rest, Instant::now());
+                pool.put(&target.id, connection, rest, clock::now());
                 false
             }
             Err(error) => error.kind() == ErrorKind::ConnectionRefused,
--- a/crates/instance/src/health.rs
+++ b/crates/instance/src/health.rs
@@ -2,6 +2,7 @@
 //! that does not.
 
 use passway_serving::absence::Outages;
+use passway_types::clock;
 use passway_types::prelude::*;
 use rand::RngExt;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -36,7 +37,7 @@
 
     /// A call was answered.
     pub fn answered(&self) {
-        self.outages().answered(Instant::now());
+        self.outages().answered(clock::now());
         self.failing.store(false, Ordering::Release);
     }
 
@@ -44,12 +45,12 @@
     /// gone: an instance that is cut off itself calls the store no more while it listens, and
     /// would take its own cut for an outage in which entries lapse until it called again.
     pub fn relayed(&self) {
-        self.outages().answered(Instant::now());
+        self.outages().answered(clock::now());
     }
 
     /// A call was not answered, or refused.
     pub fn failed(&self) {
-        self.outages().failed(Instant::now());
+        self.outages().failed(clock::now());
         self.failing.store(true, Ordering::Release);
     }
 
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -20,6 +20,7 @@
 use passway_serving::retry::InstanceCount;
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry};
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::{Needs, Promise, PromiseWanted, Subscribe, Suspects, Wish};
 use passway_wire::{Body, Link, LinkReader};
@@ -116,13 +117,13 @@
         doubtful: BTreeSet::new(),
         dispatchers: Vec::new(),
         roster: Roster::default(),
-        begun_at: Instant::now(),
-        instances: InstanceCount::begin(Instant::now()),
+        begun_at: clock::now(),
+        instances: InstanceCount::begin(clock::now()),
         announcement: None,
         heard_of: KeptAnnouncement::default(),
-        heartbeat_at: Instant::now(),
-        tell_at: Instant::now(),
-        plan_at: Instant::now(),
+        heartbeat_at: clock::now(),
+        tell_at: clock::now(),
+        plan_at: clock::now(),
         fence: None,
         version: None,
     };
@@ -217,7 +218,7 @@
 impl Holding {
     fn run(mut self, inputs: &Receiver<Input>, news: &Receiver<FeedNews>) {
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let look_at = if self.fence.is_some() {
                 let telling = self.planner.has_changed().then_some(self.tell_at);
                 let next = if self.right.fence().is_some() {
@@ -256,7 +257,7 @@
     }
 
     fn take(&mut self, input: Input) {
-        let now = Instant::now();
+        let now = clock::now();
         match input {
             Input::Connected(number, outbox) => {
                 self.peers.insert(number, outbox);
@@ -436,14 +437,14 @@
     }
 
     fn decide(&mut self) {
-        self.follow_announced(Instant::now());
+        self.follow_announced(clock::now());
         let routes = self.shared.routes.load_full();
         if let Some(table) = routes.filter(|table| self.version != Some(table.version)) {
             self.version = Some(table.version);
             self.planner.set_table(&table);
             let upstreams = self.shared.upstreams();
             for entry in upstreams.entries() {
-                self.planner.heard(entry.clone(), Instant::now());
+                self.planner.heard(entry.clone(), clock::now());
             }
         }
         let fence = self.right.term();
@@ -452,7 +453,7 @@
             self.candidates = Candidates::default();
             self.roster = Roster::default();
             self.dispatchers = self.shared.dispatch.list();
-            self.instances = InstanceCount::begin(Instant::now());
+            self.instances = InstanceCount::begin(clock::now());
             // Whoever heard the news from here asks the store now.
             for number in self.listeners.end() {
                 if let Some(outbox) = self.peers.remove(&number) {
@@ -461,8 +462,7 @@
             }
             let urgent = self.right.former_candidates().into_iter();
             let urgent: Addresses = urgent.map(|one| (one.instance, one.address)).collect();
-            self.announcement =
-                fence.map(|fence| Announcement::begin(fence, urgent, Instant::now()));
+            self.announcement = fence.map(|fence| Announcement::begin(fence, urgent, clock::now()));
             if fence.is_some() {
                 self.begin_term();
             }
@@ -470,14 +470,14 @@
         let Some(fence) = fence else {
             return;
         };
-        let now = Instant::now();
+        let now = clock::now();
         self.beat(now);
         self.announce(now);
         if self.right.fence() == Some(fence) && now >= self.plan_at {
             let actions = self.planner.decide(now);
-            let took = now.elapsed();
+            let took = clock::since(now);
             // Whatever else it has to do, the thread plans for half of its time at most.
-            self.plan_at = Instant::now() + took.clamp(Duration::ZERO, LONGEST_PLAN_PAUSE);
+            self.plan_at = clock::now() + took.clamp(Duration::ZERO, LONGEST_PLAN_PAUSE);
             self.shared.metrics.planned(took);
             self.tell_doubtful(now);
             for action in actions {
@@ -494,7 +494,7 @@
         self.shared.poison.look();
         let entries = upstreams.entries().cloned();
         let doubtful = self.shared.doubtful_engines();
-        self.planner.begin_term(entries, &doubtful, Instant::now());
+        self.planner.begin_term(entries, &doubtful, clock::now());
     }
 
     fn act(&mut self, action: Action, fence: Fence) {
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -8,6 +8,7 @@
 use passway_process::outbox::Outbox;
 use passway_serving::dispatch;
 use passway_serving::placement::Placement;
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::{EnginePlacement, News, Placements, Resident, Successor, Suspects};
 use passway_wire::{Body, Frame};
@@ -151,7 +152,7 @@
     ) {
         let is_behind = |number: &u64| self.listeners.is_behind(*number);
         let (behind, current): (Vec<u64>, Vec<u64>) = listeners.into_iter().partition(is_behind);
-        let heartbeat = self.heartbeat(instances, Instant::now());
+        let heartbeat = self.heartbeat(instances, clock::now());
         let alive = News {
             confirmed_ms: Vec::new(),
             ..heartbeat.clone()
--- a/crates/instance/src/http1/head.rs
+++ b/crates/instance/src/http1/head.rs
@@ -3,6 +3,7 @@
 use super::HttpError;
 use super::socket::{Connection, read_more};
 use passway_serving::headers::Headers;
+use passway_types::clock;
 use std::time::{Duration, Instant};
 
 /// Most headers of a message.
@@ -107,7 +108,7 @@
     if connection.unused().is_empty() && !read_more(connection, None, idle_until)? {
         return Ok(None);
     }
-    let until = Instant::now() + header_time;
+    let until = clock::now() + header_time;
     loop {
         if let Some((head, length)) = parse_request(connection.unused())? {
             connection.advance(length);
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -5,6 +5,7 @@
 
 use super::HttpError;
 use crate::ending::Endings;
+use passway_types::clock;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -19,6 +20,11 @@
 /// one that leaves, and enough for three lost segments in a row.
 const UPSTREAM_TIMEOUT_MS: u32 = 1_500;
 
+/// Longest wait on behalf of a caller before the time is compared again: the system's waits do
+/// not count that a machine was suspended, and an answer at a route's time-out may come 0.5 s
+/// late (users' pages). An engine sends events far more often, so this wakes hardly anybody.
+const WAKE_STEP: Duration = Duration::from_millis(300);
+
 /// What one read gave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Filled {
@@ -186,13 +192,13 @@
     }
 }
 
-/// The time left until `until`, as `poll` takes it; an error if there is none.
-fn remaining(until: Instant) -> Result<Timespec, HttpError> {
-    let left = until.saturating_duration_since(Instant::now());
+/// The time left until `until`, at most `longest`, as `poll` takes it; an error if there is none.
+fn remaining(until: Instant, longest: Duration) -> Result<Timespec, HttpError> {
+    let left = until.saturating_duration_since(clock::now());
     if left.is_zero() {
         return Err(HttpError::TimedOut);
     }
-    Timespec::try_from(left).map_err(|_| HttpError::TimedOut)
+    Timespec::try_from(left.min(longest)).map_err(|_| HttpError::TimedOut)
 }
 
 /// The endings of the caller for whom a wait for bytes goes on, and whether it gets a stream.
@@ -212,14 +218,20 @@
 }
 
 /// Waits until `connection` can go on in one of the `flags`, the watched one is closed, or
-/// the process is about to end.
+/// the process is about to end; on behalf of a watched one no longer than [`WAKE_STEP`].
 fn wait(
     connection: &Connection,
     flags: PollFlags,
     watched: Option<&mut Connection>,
     until: Instant,
 ) -> Result<PollFlags, HttpError> {
-    let timeout = remaining(until)?;
+    let is_for_caller = watched.is_some();
+    let longest = if is_for_caller {
+        WAKE_STEP
+    } else {
+        Duration::MAX
+    };
+    let timeout = remaining(until, longest)?;
     let endings = endings_of(connection, flags, watched.as_deref());
     // Bytes of a next request say nothing about the caller's leaving.
     let watched = watched.filter(|watched| watched.unused().is_empty());
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -12,6 +12,7 @@
 use crossbeam::channel;
 use passway_serving::ports::{Directory, Engines, InstanceSettings, SharedStore, Vocabulary};
 use passway_serving::tenure::Holder;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -161,7 +162,7 @@
     /// Whether a request for a service could be sent a second time now: a process that has
     /// just started must first come to its part of the fleet's allowance.
     pub fn may_repeat(&self, service: &str) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         self.shared.retries().has_spare(&service.into(), now)
     }
 
@@ -183,7 +184,7 @@
     /// be finished gets an answer: "not run" if it was never sent on, and otherwise that
     /// the answer is lost. A stream that has begun goes on a little longer, and is cut then.
     pub fn stop(&self) {
-        let begun_at = Instant::now();
+        let begun_at = clock::now();
         let grace = self.shared.bounds.load().grace;
         let stopped_at = begun_at + grace.saturating_sub(GRACE_RESERVE);
         let ends_at = begun_at + grace.saturating_sub(GRACE_RESERVE + ANSWER_TIME);
@@ -204,7 +205,7 @@
 /// Waits until `holds` does, at most until `limit_at`.
 fn wait_until(limit_at: Instant, holds: impl Fn() -> bool) {
     loop {
-        let left = limit_at.saturating_duration_since(Instant::now());
+        let left = limit_at.saturating_duration_since(clock::now());
         if left.is_zero() || holds() {
             return;
         }
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -10,6 +10,7 @@
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::poison::{Blame, PoisonList, RequestDigest, Suspect, UpstreamStart};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::{self, Crash, Suspects};
 use prost::Message;
@@ -83,12 +84,12 @@
 
     /// For how long a request is refused yet; `None` if it may be run.
     pub fn refused_for(&self, digest: RequestDigest) -> Option<Duration> {
-        lock(&self.list).refused_for(digest, Instant::now())
+        lock(&self.list).refused_for(digest, clock::now())
     }
 
     /// An upstream has crashed under a request. Returns what others are to be told.
     pub fn crashed(&self, digest: RequestDigest, crash: UpstreamStart) -> Option<Suspect> {
-        let news = lock(&self.list).crashed(digest, crash, Instant::now());
+        let news = lock(&self.list).crashed(digest, crash, clock::now());
         self.changed();
         news
     }
@@ -111,7 +112,7 @@
         }
         let digests: Vec<RequestDigest> = told.iter().map(|suspect| suspect.digest).collect();
         let mut list = lock(&self.list);
-        list.join(told, Instant::now());
+        list.join(told, clock::now());
         let known = digests.iter().filter_map(|digest| list.get(*digest));
         let known = known.cloned().collect();
         drop(list);
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -5,6 +5,7 @@
 use crate::right::Right;
 use crate::shared::Shared;
 use anyhow::{Context, Result};
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::net::{SocketAddr, TcpListener};
 
@@ -61,7 +62,7 @@
 
 fn answer(shared: &Shared, right: &Right, mut connection: Connection) -> Result<(), HttpError> {
     loop {
-        let idle_until = Instant::now() + REST;
+        let idle_until = clock::now() + REST;
         let head = http1::read_request_head(&mut connection, MAX_HEAD_BYTES, idle_until, STEP)?;
         let Some(head) = head else {
             return Ok(());
@@ -80,7 +81,7 @@
         let closing = if close { "Connection: close\r\n" } else { "" };
         let length = body.len();
         let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{closing}\r\n{body}");
-        let until = Instant::now() + STEP;
+        let until = clock::now() + STEP;
         http1::write_all(&mut connection, bytes.as_bytes(), false, None, until)?;
         if close {
             return Ok(());
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::news::{Bases, Told};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_serving::ports::StoreRevision;
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::News;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -129,7 +130,7 @@
     /// Whether the holder speaks.
     pub fn is_heard(&self) -> bool {
         let heard_at = self.state().heard_at;
-        heard_at.is_some_and(|at| at.elapsed() < SILENCE_LIMIT)
+        heard_at.is_some_and(|at| clock::since(at) < SILENCE_LIMIT)
     }
 
     /// Until when the holder is relied on for a feed, if it speaks and knows the feed.
@@ -138,7 +139,7 @@
         let heard_until = state.heard_at? + SILENCE_LIMIT;
         let known_until = state.confirmed_at[feed]? + KNOWLEDGE_LIMIT;
         let until = heard_until.min(known_until);
-        (Instant::now() < until).then_some(until)
+        (clock::now() < until).then_some(until)
     }
 
     /// When the store answered last for each feed, in milliseconds since a moment; 0 for never.
@@ -151,7 +152,7 @@
     /// Whether the holder has spoken and has fallen silent since.
     pub fn is_silent(&self) -> bool {
         let heard_at = self.state().heard_at;
-        heard_at.is_some_and(|at| at.elapsed() >= SILENCE_LIMIT)
+        heard_at.is_some_and(|at| clock::since(at) >= SILENCE_LIMIT)
     }
 
     /// The connection to the holder is gone, and it is not relied on any more. The moment that
@@ -186,7 +187,7 @@
     /// Takes in a word of the holder.
     pub fn heard(&self, news: News) {
         let mut state = self.state();
-        state.note_times(&news, Instant::now());
+        state.note_times(&news, clock::now());
         let feed = usize::try_from(news.feed).unwrap_or(FEEDS);
         if news.to == 0 || feed >= FEEDS {
             return;
--- a/crates/instance/src/reply.rs
+++ b/crates/instance/src/reply.rs
@@ -3,6 +3,7 @@
 use crate::http1::{self, Connection, HttpError, encode_head};
 use passway_serving::headers::Headers;
 use passway_serving::ports::Vocabulary;
+use passway_types::clock;
 use passway_types::prelude::*;
 
 /// Time for a caller to take an answer that is ready.
@@ -73,7 +74,7 @@
         headers.push("Connection", "close");
     }
     let bytes = encode_head(&format!("HTTP/1.1 {status} {reason}"), &headers);
-    let until = Instant::now() + WRITE_TIME;
+    let until = clock::now() + WRITE_TIME;
     http1::write_all(caller, &bytes, false, None, until)?;
     Ok(())
 }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -11,6 +11,7 @@
 use passway_serving::poison::Suspect;
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{
@@ -100,9 +101,9 @@
 
 impl Reporter {
     fn run(mut self, needs: &Receiver<Need>) {
-        let mut report_at = Instant::now() + REPORT_PAUSE;
+        let mut report_at = clock::now() + REPORT_PAUSE;
         loop {
-            let left = report_at.saturating_duration_since(Instant::now());
+            let left = report_at.saturating_duration_since(clock::now());
             match needs.recv_timeout(left) {
                 Ok(need) => self.take(need),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -111,9 +112,9 @@
             while let Ok(need) = needs.try_recv() {
                 self.take(need);
             }
-            let due = Instant::now() >= report_at;
+            let due = clock::now() >= report_at;
             if due {
-                report_at = Instant::now() + REPORT_PAUSE;
+                report_at = clock::now() + REPORT_PAUSE;
             }
             self.dial();
             self.subscribe();
@@ -155,7 +156,7 @@
             // It is a reason to look, which follows in any case.
             Need::HolderReached => {}
             Need::Taken { service, wish } => {
-                let now = Instant::now();
+                let now = clock::now();
                 while self
                     .recent
                     .front()
@@ -276,7 +277,7 @@
         // The holder may not have begun its term when it was asked.
         let asked = self.subscribed_at;
         let hears_all = self.relay.is_heard() && !self.relay.wants_again();
-        if is_me || hears_all || asked.is_some_and(|at| at.elapsed() < SUBSCRIBE_PAUSE) {
+        if is_me || hears_all || asked.is_some_and(|at| clock::since(at) < SUBSCRIBE_PAUSE) {
             return;
         }
         let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
@@ -303,7 +304,7 @@
             is_weak: self.right.is_weak(),
             placements: self.shared.upstreams().placement_digests().collect(),
         }));
-        self.subscribed_at = Some(Instant::now());
+        self.subscribed_at = Some(clock::now());
     }
 
     fn send(&mut self) {
@@ -327,7 +328,7 @@
         if !suspects.suspects.is_empty() {
             outbox.send(Body::Suspects(suspects));
         }
-        let now = Instant::now();
+        let now = clock::now();
         let waiting = untold.iter().map(|key| match self.waiting.get(key) {
             Some(here) => wish(key, here.count, here.until.saturating_duration_since(now)),
             None => wish(key, 0, Duration::ZERO),
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -14,6 +14,7 @@
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue,
 };
 use passway_serving::tenure::{Candidate, Holder, RecentHolders, Step, Tenure, TenureLimits};
+use passway_types::clock;
 use passway_types::prelude::*;
 use rand::RngExt;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -104,11 +105,7 @@
             is_weak,
         };
         Self {
-            tenure: Mutex::new(Tenure::new(
-                settings.instance.clone(),
-                limits,
-                Instant::now(),
-            )),
+            tenure: Mutex::new(Tenure::new(settings.instance.clone(), limits, clock::now())),
             changed: Condvar::new(),
             asked_at: Mutex::default(),
             is_weak,
@@ -162,23 +159,23 @@
 
     /// My fencing number, if I may give an order now.
     pub fn fence(&self) -> Option<Fence> {
-        self.tenure().fence(Instant::now())
+        self.tenure().fence(clock::now())
     }
 
     /// My fencing number for as long as my term lasts, also while I may not order.
     pub fn term(&self) -> Option<Fence> {
-        self.tenure().term(Instant::now())
+        self.tenure().term(clock::now())
     }
 
     /// My fencing number, if the candidates are to promise that they do not take the right:
     /// the store did not answer the last renewal.
     pub fn asks_promises(&self) -> Option<Fence> {
-        self.tenure().asks_promises(Instant::now())
+        self.tenure().asks_promises(clock::now())
     }
 
     /// Whether this instance promises a holder not to take the right for a while.
     pub fn promise(&self, asker: &InstanceId, store_answers: bool) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         *lock(&self.asked_at) = Some(now);
         self.tenure().promise(asker, store_answers, now)
     }
@@ -186,7 +183,7 @@
     /// Whether a holder has asked for a promise lately, so that this instance had better
     /// find out whether the store answers.
     fn is_asked(&self) -> bool {
-        lock(&self.asked_at).is_some_and(|at| at.elapsed() < ASKED_TIME)
+        lock(&self.asked_at).is_some_and(|at| clock::since(at) < ASKED_TIME)
     }
 
     /// A candidate promises, asked at a moment.
@@ -222,7 +219,7 @@
             tenure.set_gap(shared.bounds.load().holder_gap);
             let drawn = rand::rng().random_range(0.0..1.0);
             let answers = !shared.store_health.is_failing();
-            let now = Instant::now();
+            let now = clock::now();
             let step = tenure.step(drawn, answers, now);
             if matches!(step, Step::End(_))
                 && let Some(fence) = held.take()
@@ -245,7 +242,7 @@
                     let recent = tenure.recent_with_me();
                     drop(tenure);
                     let answer = store.write(&taking(shared, lease, &recent));
-                    held = self.tenure().taken(&answer, Instant::now());
+                    held = self.tenure().taken(&answer, clock::now());
                     if let Some(fence) = held {
                         log::info!(target: DECISION_TARGET, fence = fence; "holds the right to order");
                         // The deciding thread ends only with the process.
@@ -258,19 +255,19 @@
                     if answer == Ok(true) {
                         shared.store_health.answered();
                     }
-                    self.tenure().renewed(answer, now, Instant::now());
+                    self.tenure().renewed(answer, now, clock::now());
                 }
                 Step::List => {
                     let recent = tenure.recent_with_candidates();
                     drop(tenure);
                     let answer = store.write(&[listing(&recent)]);
                     log::info!(target: DECISION_TARGET, candidates = recent.candidates.len(), answer:? = answer; "list of candidates");
-                    self.tenure().listed(&answer, recent, Instant::now());
+                    self.tenure().listed(&answer, recent, clock::now());
                 }
                 Step::End(lease) => {
                     drop(tenure);
                     end(store, lease);
-                    self.tenure().ended(Instant::now());
+                    self.tenure().ended(clock::now());
                 }
                 Step::Stop => return,
             }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -14,6 +14,7 @@
 use passway_serving::routes::RouteTable;
 use passway_serving::upstreams::{ModelRef, UpstreamTable};
 use passway_serving::usual_time::UsualTimes;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::BTreeSet;
 use std::fmt;
@@ -216,7 +217,7 @@
     /// Shares the fleet's allowances among so many instances, and some that may join.
     pub fn use_instances(&self, instances: usize) {
         let shared_by = instances + instances / 4 + 1;
-        self.retries().set_instances(shared_by, Instant::now());
+        self.retries().set_instances(shared_by, clock::now());
         self.store_health.set_instances(instances);
     }
 
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -4,6 +4,7 @@
 use passway_decide::messages::{
     LoadedModel, LoadedState, Order, OrderAnswer, OrderKind, Tier, UpstreamStatus,
 };
+use passway_types::clock;
 use passway_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -163,7 +164,7 @@
         let url = format!("http://{address}/control/order");
         // The last thing before the order leaves: a holder that was paused for
         // longer than its lease must not send.
-        if Instant::now() >= order.not_after {
+        if clock::now() >= order.not_after {
             return OrderAnswer::NotSent;
         }
         match self.orders.call("POST", &url, &body) {
--- a/crates/process/src/logging/json.rs
+++ b/crates/process/src/logging/json.rs
@@ -9,12 +9,13 @@
 use super::{dispatch, time_of_day};
 use anyhow::{Context, Result};
 use log::kv::{self, Key, Value, VisitSource};
+use passway_types::clock;
 use serde_json::{Map, Value as Json};
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Lines of this time are written by one call.
 const BATCH_TIME: Duration = Duration::from_millis(100);
@@ -62,7 +63,7 @@
     std::thread::spawn(move || write_batches(&queued, &counted, program));
     let sink = Sink {
         lines,
-        bound: Mutex::new(VolumeBound::new(lines_per_s, Instant::now())),
+        bound: Mutex::new(VolumeBound::new(lines_per_s, clock::now())),
         dropped,
     };
     let output = fern::Output::call(move |record| sink.take(record, program));
@@ -80,7 +81,7 @@
             _ => LineClass::Other,
         };
         let mut bound = self.bound.lock().unwrap_or_else(PoisonError::into_inner);
-        let admitted = bound.admit(class, Instant::now());
+        let admitted = bound.admit(class, clock::now());
         drop(bound);
         if !admitted || !self.lines.send(line(record, program)) {
             self.dropped.count(class);
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -8,6 +8,7 @@
 use passway_decide::router::{RouterAction, RouterCore};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
+use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{self, ConfigWanted, Heartbeat, Hello, Role};
@@ -80,7 +81,7 @@
             return;
         }
         let (control, shared) = (self.me.clone(), shared.clone());
-        let mut said_at = Instant::now();
+        let mut said_at = clock::now();
         let dialer = Dialer::start(address, move |dialed| {
             let Some(control) = control.upgrade() else {
                 return;
@@ -89,13 +90,13 @@
                 Dialed::Connected(outbox) => {
                     outbox.send(Body::Hello(hello(&shared)));
                     control.links().outboxes.insert(address, outbox);
-                    said_at = Instant::now();
+                    said_at = clock::now();
                 }
                 Dialed::Disconnected => control.disconnected(address),
                 Dialed::Received(body) => {
                     control.received(address, body, &shared);
-                    if said_at.elapsed() >= WORD_PAUSE {
-                        said_at = Instant::now();
+                    if clock::since(said_at) >= WORD_PAUSE {
+                        said_at = clock::now();
                         control.send_to(address, Body::Hello(hello(&shared)));
                     }
                 }
@@ -142,7 +143,7 @@
     }
 
     fn heartbeat(&self, address: SocketAddr, heartbeat: &Heartbeat, shared: &Arc<Shared>) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut to_dial = Vec::new();
         let routers = {
             let mut links = self.links();
@@ -260,7 +261,7 @@
             log::info!(model = verdict.model, controller:% = address; "an answer of a former holder is left out");
             return;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let code = ResultCode::ALL
             .iter()
             .find(|code| **code as u32 == verdict.refused_code);
@@ -281,7 +282,7 @@
         shared: &Shared,
         decision: impl FnOnce(&mut RouterCore, Instant) -> Vec<RouterAction>,
     ) {
-        let now = Instant::now();
+        let now = clock::now();
         let actions = decision(&mut shared.core(), now);
         for action in actions {
             self.perform(shared, now, action);
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -8,6 +8,7 @@
 use passway_decide::router::{Arrival, Ended};
 use passway_http::{Body, Caller, Request, Response};
 use passway_platform::http::{CallError, agent, classify};
+use passway_types::clock;
 use passway_types::prelude::*;
 use serde_json::Value;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -75,7 +76,7 @@
         .to_owned();
     let is_streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
     let (model_name, workspace_name) = (model.clone(), meta.workspace.clone());
-    let arrived_at = Instant::now();
+    let arrived_at = clock::now();
     let (number, words) = shared.register();
     let job = Job {
         shared: shared.clone(),
@@ -105,7 +106,7 @@
     control.decide(shared, |core, now| core.arrive(now, &arrival));
     let label = job.label.clone();
     let answered = job.run();
-    let wait_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let wait_ms = u64::try_from(clock::since(arrived_at).as_millis()).unwrap_or(u64::MAX);
     match &answered {
         Ok(_) => log::info!(request = label, model = model_name, workspace = workspace_name,
             wait_ms = wait_ms; "request answered"),
@@ -144,7 +145,7 @@
             }
             match response.body_mut().read_to_vec() {
                 Ok(body) => return Ok(self.whole(body)),
-                Err(_) if Instant::now() >= deadline_at => {
+                Err(_) if clock::now() >= deadline_at => {
                     return Err(Refusal::new(ResultCode::AnswerLate, "no answer in time"));
                 }
                 // Nothing was passed on yet, so the request may run again.
@@ -164,7 +165,7 @@
                 priority,
             } => {
                 if resume_at == 0 {
-                    self.shared.metrics.waited(self.arrived_at.elapsed());
+                    self.shared.metrics.waited(clock::since(self.arrived_at));
                 }
                 self.shared.metrics.attempt();
                 self.was_attempted.store(true, Ordering::Relaxed);
@@ -184,7 +185,7 @@
             if self.caller.is_gone() {
                 return Err(Refusal::new(ResultCode::CallerGone, "the caller went away"));
             }
-            if Instant::now() >= last_resort {
+            if clock::now() >= last_resort {
                 let attempted = self.was_attempted.load(Ordering::Relaxed);
                 let code = if attempted {
                     ResultCode::AnswerLate
@@ -208,7 +209,7 @@
         let Some(entry) = catalog.upstreams.get(upstream) else {
             return Attempt::Ended(Ended::NotLoaded);
         };
-        let left = deadline_at.saturating_duration_since(Instant::now());
+        let left = deadline_at.saturating_duration_since(clock::now());
         let mut body = self.body.clone();
         body["model"] = Value::from(model);
         let request = ureq::http::Request::post(format!("http://{}{}", entry.address, self.path))
@@ -244,7 +245,7 @@
             "attempt failed");
         match classify(error) {
             CallError::NotSent => Attempt::Ended(Ended::Unreachable),
-            CallError::Lost if Instant::now() >= deadline_at => Attempt::Late,
+            CallError::Lost if clock::now() >= deadline_at => Attempt::Late,
             CallError::Lost => Attempt::Ended(Ended::Failed),
         }
     }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -4,6 +4,7 @@
 use crate::shared::Shared;
 use crate::{generate, service};
 use passway_http::{Body, Request, Response, Unread};
+use passway_types::clock;
 use passway_types::prelude::*;
 use serde::Serialize;
 
@@ -79,7 +80,7 @@
 
 /// Reads the headers.
 pub(crate) fn meta(shared: &Shared, request: &Request) -> Result<Meta, Refusal> {
-    let now = Instant::now();
+    let now = clock::now();
     let bad = |detail: &str| Refusal::new(ResultCode::BadDeadline, detail);
     let deadline_at = match request.header(DEADLINE_HEADER) {
         None => None,
--- a/crates/router/src/lifecycle.rs
+++ b/crates/router/src/lifecycle.rs
@@ -7,6 +7,7 @@
 use passway_config::settings::RouterSettings;
 use passway_http::Server;
 use passway_http::connection::Limits;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
@@ -119,8 +120,8 @@
         while self.shared.in_progress() > 0 && !is_cut() {
             std::thread::sleep(DRAIN_STEP);
         }
-        let until = Instant::now() + OUTCOMES_LIMIT;
-        while self.shared.claims.unwritten() > 0 && Instant::now() < until && !is_cut() {
+        let until = clock::now() + OUTCOMES_LIMIT;
+        while self.shared.claims.unwritten() > 0 && clock::now() < until && !is_cut() {
             std::thread::sleep(DRAIN_STEP);
         }
         let cut = self.shared.in_progress();
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -7,6 +7,7 @@
 use passway_decide::claim::{ClaimState, StoredAnswer};
 use passway_http::{Body, Request, Response};
 use passway_platform::http::{CallError, agent, classify};
+use passway_types::clock;
 use passway_types::hash::stable_hash;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -44,7 +45,7 @@
 /// # Errors
 /// The refusal that is the call's final answer.
 pub fn handle(shared: &Arc<Shared>, request: &Request) -> Result<Response, Refusal> {
-    shared.core().check_serving(Instant::now())?;
+    shared.core().check_serving(clock::now())?;
     let meta = http::meta(shared, request)?;
     let path = request
         .head
@@ -68,9 +69,7 @@
         body: http::body(shared, request)?.to_vec(),
         key,
         label: shared.label(shared.draw_request()),
-        deadline_at: meta
-            .deadline_at
-            .unwrap_or(Instant::now() + DEFAULT_DEADLINE),
+        deadline_at: meta.deadline_at.unwrap_or(clock::now() + DEFAULT_DEADLINE),
     };
     let answer = match &call.key {
         Some(key) => call_claimed(shared, &service, &call, key)?,
@@ -182,7 +181,7 @@
 }
 
 fn send(address: SocketAddr, call: &Call) -> Result<StoredAnswer, CallError> {
-    let left = call.deadline_at.saturating_duration_since(Instant::now());
+    let left = call.deadline_at.saturating_duration_since(clock::now());
     if left.is_zero() {
         return Err(CallError::NotSent);
     }
@@ -222,7 +221,7 @@
 }
 
 fn lost(call: &Call) -> Refusal {
-    if Instant::now() >= call.deadline_at {
+    if clock::now() >= call.deadline_at {
         Refusal::new(ResultCode::AnswerLate, "no answer in time")
     } else {
         Refusal::new(ResultCode::UpstreamFailed, "the service broke off")
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -9,6 +9,7 @@
 use passway_config::settings::RouterSettings;
 use passway_decide::router::RouterCore;
 use passway_platform::key_value::HttpKeyValue;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -82,7 +83,7 @@
             key_value,
             Duration::from_millis(settings.key_value_timeout_ms),
         ));
-        let now = Instant::now();
+        let now = clock::now();
         let mut core = RouterCore::new(incarnation, catalog.clone(), now);
         core.set_current_until(now);
         // Each instance runs a controller and a router.
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -24,6 +24,10 @@
 static PLAYED_MS: AtomicU64 = AtomicU64::new(0);
 
 /// The present moment. It goes on while the machine is suspended, and is never set back.
+#[expect(
+    clippy::disallowed_methods,
+    reason = "the one place that makes the steady clock count suspensions"
+)]
 pub fn now() -> Instant {
     let start = START.get_or_init(|| Start {
         instant: Instant::now(),
