Red: a model whose load ends its engine is ordered on the next one

Cause: the same as of requests that crash engines, looked for elsewhere: what an order did is forgotten with the engine.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod config_memory;
 mod config_spread;
 mod config_way;
+mod crashing_loads;
 mod dispatch_load;
 mod dispatch_way;
 mod docs_match;
--- a/tests/all/planned.rs
+++ b/tests/all/planned.rs
@@ -86,6 +86,15 @@
         self.planner.heard(entry, self.now);
     }
 
+    /// An engine says that it leaves.
+    pub fn leaves(&mut self, id: &str) {
+        let entry = UpstreamEntry {
+            draining: true,
+            ..entry(id, 2, &["m0"])
+        };
+        self.planner.heard(entry, self.now);
+    }
+
     /// One request waits for a model.
     pub fn need(&mut self, model: &str) {
         self.need_wish(plain(model), 1);
@@ -114,7 +123,8 @@
         self.reported(id, false, orders_taken, models, models);
     }
 
-    fn reported(
+    /// An engine tells its state.
+    pub fn reported(
         &mut self,
         id: &str,
         busy: bool,
