A model whose loads end engines is not loaded after three of them

Cause: an order's harm was forgotten with the engine it ended. Change: the planner counts engines that end, or start again, while a model comes to them and without having said that they leave; after three the model is not loaded for ten minutes, unless it comes to one meanwhile. The holder logs it. Left: a new holder begins to count anew.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -126,6 +126,7 @@
         plan_at: clock::now(),
         fence: None,
         version: None,
+        refused_models: 0,
     };
     std::thread::spawn(move || holding.run(&inputs, &news));
     (sender, news_sender)
@@ -204,6 +205,8 @@
     plan_at: Instant,
     fence: Option<Fence>,
     version: Option<Revision>,
+    /// Models that are not loaded since their loads ended engines, as was logged last.
+    refused_models: usize,
 }
 
 fn wish(wish: &Wish) -> (ServiceName, ModelRef) {
@@ -479,6 +482,7 @@
             // Whatever else it has to do, the thread plans for half of its time at most.
             self.plan_at = clock::now() + took.clamp(Duration::ZERO, LONGEST_PLAN_PAUSE);
             self.shared.metrics.planned(took);
+            self.log_refused_models();
             self.tell_doubtful(now);
             for action in actions {
                 self.act(action, fence);
@@ -487,6 +491,15 @@
         self.tell_changes(now);
     }
 
+    /// Tells which models are not loaded any more since their loads ended engines.
+    fn log_refused_models(&mut self) {
+        let refused: Vec<_> = self.planner.refused_models().collect();
+        if refused.len() != self.refused_models {
+            self.refused_models = refused.len();
+            log::warn!(target: DECISION_TARGET, models:? = refused; "models whose loads end engines");
+        }
+    }
+
     /// The planner begins with what this instance knew as a listener.
     fn begin_term(&mut self) {
         let mut upstreams = self.shared.upstreams();
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -9,6 +9,7 @@
 mod announced;
 mod ceiling;
 mod census;
+mod crashing_loads;
 mod demand;
 mod engine;
 mod homes;
@@ -25,9 +26,10 @@
 use ceiling::StoreLoads;
 pub use ceiling::USUAL_LOAD_WINDOW;
 use census::Census;
+use crashing_loads::CrashingLoads;
 use demand::Demand;
 pub use demand::{Usage, Waiters};
-use engine::Engine;
+use engine::{Engine, Loading};
 use homes::Homes;
 use passway_types::prelude::*;
 use policy::PlacementPolicy;
@@ -118,6 +120,9 @@
     /// Engines on which each instance has runs.
     runs_on: HashMap<InstanceId, Vec<UpstreamId>>,
     announced: Announced,
+    /// Engines that were there and are not, or have started again, while a model came to them.
+    ended_loading: Vec<Loading>,
+    crashing_loads: CrashingLoads,
     /// When engines may be asked for their state in this term: what a holder before ordered
     /// last shows in a report by then. `None` until the term's first decision.
     reports_from: Option<Instant>,
@@ -139,6 +144,8 @@
             changed: BTreeSet::new(),
             runs_on: HashMap::new(),
             announced: Announced::default(),
+            ended_loading: Vec::new(),
+            crashing_loads: CrashingLoads::default(),
             reports_from: None,
             listening_until: None,
         }
@@ -192,6 +199,9 @@
         }
         let id = entry.id.clone();
         if let Some(engine) = self.engines.get_mut(&id) {
+            if entry.started_at_ms > engine.entry.started_at_ms {
+                self.ended_loading.extend(engine.loading());
+            }
             engine.update(entry, now);
             self.homes.update(engine);
         } else {
@@ -216,7 +226,9 @@
     /// Only these upstreams are there.
     pub fn retain(&mut self, ids: &BTreeSet<UpstreamId>) {
         self.homes.retain(ids);
-        self.engines.retain(|id, _| ids.contains(id));
+        let gone = self.engines.extract_if(.., |id, _| !ids.contains(id));
+        self.ended_loading
+            .extend(gone.filter_map(|(_, engine)| engine.loading()));
         self.announced.retain(ids);
     }
 
@@ -293,6 +305,10 @@
     /// An engine told its state; `None` if it did not answer.
     pub fn reported(&mut self, id: &UpstreamId, report: Option<EngineReport>, now: Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
+            let started_at_ms = report.as_ref().map_or(0, |report| report.started_at_ms);
+            if started_at_ms > engine.entry.started_at_ms {
+                self.ended_loading.extend(engine.loading());
+            }
             let loads = self.store_loads.get_mut(&engine.entry.service);
             if let (Some(report), Some(loads)) = (&report, loads) {
                 loads.count_is(id, report.orders_taken, now);
@@ -350,6 +366,7 @@
     /// What is to be done now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         self.demand.expire(now);
+        self.blame_loads(now);
         let listens = self.listening_until.is_some_and(|until| now < until);
         if !listens {
             self.count();
@@ -361,6 +378,24 @@
         self.next_actions(now)
     }
 
+    /// Counts engines that ended while a model came to them against the model.
+    fn blame_loads(&mut self, now: Instant) {
+        for loading in std::mem::take(&mut self.ended_loading) {
+            let Loading {
+                service,
+                model,
+                start,
+            } = loading;
+            self.crashing_loads.ended(&service, &model, start, now);
+        }
+        self.crashing_loads.expire(&self.engines, now);
+    }
+
+    /// Models that are not loaded, since engines ended while they came.
+    pub fn refused_models(&self) -> impl Iterator<Item = &(ServiceName, ModelName)> {
+        self.crashing_loads.refused()
+    }
+
     /// Has engines asked that should have what requests have waited for: they may be gone,
     /// or have lost it.
     fn doubt_engines(&mut self, now: Instant) {
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -7,6 +7,7 @@
 mod shown;
 
 use super::{Placement, PlannedOrder};
+use crate::poison::UpstreamStart;
 use crate::ports::OrderAction;
 use crate::routes::{EnginePool, ModelSpec};
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
@@ -81,6 +82,14 @@
     until: Instant,
 }
 
+/// A model that was coming to an engine.
+#[derive(Debug)]
+pub(super) struct Loading {
+    pub(super) service: ServiceName,
+    pub(super) model: ModelName,
+    pub(super) start: UpstreamStart,
+}
+
 /// What the holder knows of one engine, and its orders to it.
 ///
 /// An order must fit whatever the engine's true state is when it arrives: that the engine can
@@ -123,6 +132,8 @@
     adapter_due: Option<(PlannedOrder, Instant)>,
     ask_at: Option<Instant>,
     asked: bool,
+    /// The model whose load was taken and that has not come yet, also once that is given up.
+    loading: Option<ModelName>,
     /// Questions in a row without an answer.
     unanswered: u32,
     /// When it was asked last since requests wait for what it should have.
@@ -155,6 +166,7 @@
             ask_at: None,
             asked: false,
             unanswered: 0,
+            loading: None,
             doubted_at: None,
         }
     }
@@ -199,6 +211,29 @@
     }
 
     /// Models and adapters that have come since the last call.
+    /// The model that was coming to it, if it has ended now without having said that it leaves.
+    pub(super) fn loading(&self) -> Option<Loading> {
+        Some(Loading {
+            service: self.entry.service.clone(),
+            model: self.loading.clone()?,
+            start: UpstreamStart {
+                upstream: self.entry.id.clone(),
+                started_at_ms: self.entry.started_at_ms,
+            },
+        })
+    }
+
+    /// Whether a model has come to it by an order after a moment.
+    pub(super) fn has_loaded(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        after: Instant,
+    ) -> bool {
+        let loaded_at = self.loaded_at.get(model);
+        self.entry.service == *service && loaded_at.is_some_and(|at| *at > after)
+    }
+
     pub(super) fn take_just_came(&mut self) -> Vec<ModelRef> {
         std::mem::take(&mut self.just_came)
     }
@@ -430,6 +465,7 @@
         let order = under_way.order();
         let model = order.wish.model.clone();
         self.ask_at = None;
+        self.loading = None;
         // An answer that is still on its way is not waited for.
         self.asked = false;
         self.closing.retain(|closing| *closing != model);
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -35,6 +35,9 @@
         match answer {
             OrderAnswer::Taken => {
                 self.count_taken();
+                if order.action == OrderAction::Load {
+                    self.loading = Some(order.wish.model.clone());
+                }
                 self.under_way = Some(UnderWay::Taken {
                     order: order.clone(),
                     due_at,
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -35,6 +35,10 @@
             self.entry.draining |= entry.draining;
             return;
         }
+        if entry.draining {
+            // Whatever comes to it, that is not why it ends.
+            self.loading = None;
+        }
         let was_draining = self.entry.draining;
         self.entry = entry;
         self.entry.draining |= was_draining;
@@ -100,6 +104,7 @@
             return;
         }
         self.orders_taken = Some(report.orders_taken);
+        self.loading = None;
         self.ask_at = None;
         if let Some(UnderWay::Taken { order, .. }) = &self.under_way {
             if has_taken_effect(order, &report.models) {
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -112,7 +112,8 @@
         for service in services {
             let specs = self.pools.get(&service).map(|pool| &pool.models);
             let lies_nowhere = |spec: &&ModelSpec| {
-                self.homes_of(&service, &spec.name).next().is_none()
+                !self.crashing_loads.is_refused(&service, &spec.name)
+                    && self.homes_of(&service, &spec.name).next().is_none()
                     && self.replicas(&service, &spec.name) == 0
                     && self.coming(&service, &spec.name) == 0
             };
@@ -138,7 +139,11 @@
 
     /// Begins to load a model on the engine where that costs least, if it is worth it.
     fn place_model(&mut self, candidate: &Candidate, may_fetch: bool, now: Instant) {
-        let Some(swap) = self.cheapest_swap(candidate, may_fetch, now) else {
+        let is_refused = self
+            .crashing_loads
+            .is_refused(&candidate.service, &candidate.model);
+        let swap = self.cheapest_swap(candidate, may_fetch, now);
+        let Some(swap) = swap.filter(|_| !is_refused) else {
             return;
         };
         if let Some(engine) = self.engines.get_mut(&swap.engine) {
