Operators clear refused requests by removing their key from the store

What is wrong may be the engines and not the request. Whoever sees the key go clears the list and tells the holder, which tells all.

--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -140,6 +140,16 @@
         self.look();
     }
 
+    /// An operator has taken the list out of the store: the requests on it may run again. Returns
+    /// what others are to be told.
+    pub fn removed_from_store(&self) -> Vec<Suspect> {
+        *lock(&self.kept) = Kept::default();
+        let cleared = lock(&self.list).clear_refused();
+        log::info!(target: DECISION_TARGET, cleared = cleared.len(); "refused requests were cleared");
+        self.changed();
+        cleared
+    }
+
     /// Lets the thread that keeps the list look whether it lies in the store as it is.
     pub fn look(&self) {
         match self.wake.try_send(()) {
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -7,7 +7,7 @@
 use crate::holder::{FeedNews, Input};
 use crate::poison;
 use crate::relay::Tap;
-use crate::shared::Shared;
+use crate::shared::{Need, Shared};
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
@@ -342,7 +342,9 @@
                 poison.seen_in_store(value.revision, &value.value);
             }
             StoreChange::Removed { key, .. } if key == poison::KEY => {
-                self.shared.poison.seen_in_store(0, &[]);
+                for suspect in self.shared.poison.removed_from_store() {
+                    self.shared.tell(Need::Suspect(suspect));
+                }
             }
             StoreChange::Removed { key, .. } if key == HOLDER_KEY => {
                 self.right.update(|tenure| tenure.seen(None));
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -72,6 +72,12 @@
         self.weight() >= MAX_CRASHES * FULL_WEIGHT
     }
 
+    /// What has crashed so far is not held against it any more.
+    fn clear(&mut self) {
+        let crashes = self.crashes.values_mut();
+        crashes.for_each(|blame| *blame = Blame::Cleared);
+    }
+
     /// Joins in what is known of a crash; whether that is news.
     fn join(&mut self, crash: UpstreamStart, blame: Blame) -> bool {
         if let Some(known) = self.crashes.get_mut(&crash) {
@@ -162,11 +168,22 @@
         if suspect.weight() == 0 {
             return None;
         }
-        let crashes = suspect.crashes.values_mut();
-        crashes.for_each(|blame| *blame = Blame::Cleared);
+        suspect.clear();
         Some(suspect.clone())
     }
 
+    /// An operator has it that the requests that are refused may run. Returns what others are
+    /// to be told.
+    pub fn clear_refused(&mut self) -> Vec<Suspect> {
+        let all = self.known.values_mut().map(|known| &mut known.suspect);
+        let refused = all.filter(|suspect| suspect.is_refused());
+        let cleared = refused.map(|suspect| {
+            suspect.clear();
+            suspect.clone()
+        });
+        cleared.collect()
+    }
+
     /// Joins in what others know. Returns what is news, whole.
     pub fn join(&mut self, told: impl IntoIterator<Item = Suspect>, now: Instant) -> Vec<Suspect> {
         self.settle(now);
--- a/tests/all/poison_requests.rs
+++ b/tests/all/poison_requests.rs
@@ -119,6 +119,28 @@
     assert_eq!(ended(&engines), MOST_ENDS);
 }
 
+/// An operator takes the list out of the store, since what was wrong with the engines is mended.
+#[test]
+fn cleared_by_operator() {
+    let (store, engines) = engines(8);
+    let instances = ["one", "two"].map(|name| site::ready(name, &store));
+    for number in 0..MOST_ENDS {
+        send(&instances[0], "report", &format!("p{number}"), POISON);
+    }
+    until("both know it", || instances.iter().all(knows));
+    until("it is kept", || store.get("passway/poison").is_some());
+    store.remove("passway/poison");
+    until("nobody refuses it", || !instances.iter().any(knows));
+    for engine in &engines {
+        engine.set_faults(Faults::default());
+    }
+    for instance in &instances {
+        // The engines that have crashed are still listed.
+        until("a repeat to spend", || instance.may_repeat("engines"));
+        assert_eq!(send(instance, "report", "p", POISON).status, 200);
+    }
+}
+
 #[test]
 fn known_after_restarts() {
     let (store, engines) = engines(8);
