--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -41,6 +41,7 @@
 mod planned_stops;
 mod platform_soak;
 mod platform_words;
+mod poison_innocents;
 mod poison_list;
 mod poison_requests;
 mod policy_compare;
