--- /dev/null
+++ b/crates/standins/src/platform/proxy.rs
@@ -0,0 +1,127 @@
+//! A way whose connections can be delayed, reset and silenced.
+
+use passway_types::prelude::*;
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Bytes that go on at one time.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// What happens to what goes this way from now on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WayFaults {
+    /// Each chunk waits for so long.
+    pub delay: Duration,
+    /// What callers send is lost, and their connections stay open and silent for good.
+    pub loses_requests: bool,
+    /// The same of what comes back.
+    pub loses_answers: bool,
+    /// New connections are closed at once.
+    pub refuses: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: WayFaults,
+    /// Both ends of each connection, by how many came before.
+    open: BTreeMap<u64, [TcpStream; 2]>,
+    connections: u64,
+}
+
+/// The way; clones are the same one.
+#[derive(Debug, Clone)]
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Proxy {
+    /// A way to an address, on a port that the kernel chooses.
+    ///
+    /// # Panics
+    /// If no port can be bound.
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("binding a way");
+        let proxy = Self {
+            address: listener.local_addr().expect("a way's address"),
+            state: Arc::default(),
+        };
+        let accepting = proxy.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                accepting.connect(&stream, target);
+            }
+        });
+        proxy
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What happens from now on; connections that have gone silent stay so.
+    pub fn set_faults(&self, faults: WayFaults) {
+        self.state().faults = faults;
+    }
+
+    /// Cuts all connections.
+    pub fn reset(&self) {
+        for ends in std::mem::take(&mut self.state().open).values() {
+            close(ends);
+        }
+    }
+
+    fn connect(&self, caller: &TcpStream, target: SocketAddr) {
+        if self.state().faults.refuses {
+            return;
+        }
+        // A port that nobody listens at any more is told by the caller's connection that ends.
+        let Ok(server) = TcpStream::connect(target) else {
+            return;
+        };
+        let (Ok(caller_end), Ok(server_end)) = (caller.try_clone(), server.try_clone()) else {
+            return;
+        };
+        // Small messages go at once, as without a way between.
+        let _ = (caller.set_nodelay(true), server.set_nodelay(true));
+        let mut state = self.state();
+        state.connections += 1;
+        let number = state.connections;
+        state.open.insert(number, [caller_end, server_end]);
+        drop(state);
+        self.copy(number, [caller, &server], |faults| faults.loses_requests);
+        self.copy(number, [&server, caller], |faults| faults.loses_answers);
+    }
+
+    /// Passes on what one end sends until either closes.
+    fn copy(&self, number: u64, [from, to]: [&TcpStream; 2], loses: fn(&WayFaults) -> bool) {
+        let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
+            return;
+        };
+        let proxy = self.clone();
+        std::thread::spawn(move || {
+            let mut chunk = [0; CHUNK_BYTES];
+            let mut is_silent = false;
+            while let Ok(count @ 1..) = from.read(&mut chunk) {
+                let faults = proxy.state().faults;
+                std::thread::sleep(faults.delay);
+                is_silent |= loses(&faults);
+                if !is_silent && to.write_all(&chunk[..count]).is_err() {
+                    break;
+                }
+            }
+            close(&[from, to]);
+            proxy.state().open.remove(&number);
+        });
+    }
+}
+
+fn close(ends: &[TcpStream; 2]) {
+    for end in ends {
+        // One that is closed already needs no closing.
+        let _ = end.shutdown(Shutdown::Both);
+    }
+}
--- a/tests/all/config_memory.rs
+++ b/tests/all/config_memory.rs
@@ -10,6 +10,7 @@
 
 use crate::site::{self, configuration, until};
 use passway_instance::Instance;
+use passway_standins::platform::caller::HOST;
 use passway_wire::message::{News, Subscribe};
 use passway_wire::{Body, Link, LinkReader};
 use prost::Message;
@@ -33,7 +34,7 @@
     routes.extend((0..ROUTES).map(|number| {
         // Prefixes that do not repeat, as operators' do not.
         let prefix = format!("/{:x}/", number.wrapping_mul(0x9E37_79B9_7F4A_7C15));
-        json!({"name": format!("more-{number}"), "host": site::HOST, "prefix": prefix,
+        json!({"name": format!("more-{number}"), "host": HOST, "prefix": prefix,
             "kind": "idempotent", "timeout_ms": 10_000, "goal_ms": 1_000, "priority": 1,
             "service": "plain", "attempts": 2, "sticky": false, "resumable": false})
     }));
--- a/tests/all/endless_input.rs
+++ b/tests/all/endless_input.rs
@@ -1,8 +1,9 @@
 //! Input that does not end is bounded: lines of chunks and trailers of a request's body, refused
 //! by an answer, and an event of an upstream's stream, which breaks the attempt.
 
-use crate::site::{self, Answer, Caller, HOST, list_plain, plain_server};
+use crate::site::{self, Answer, Caller, list_plain, plain_server};
 use passway_instance::events::EventCutter;
+use passway_standins::platform::caller::HOST;
 
 /// More than any line of a chunked body may have, and little enough to be read whole before
 /// the answer comes, so that the connection is not reset.
--- a/tests/all/log_lines.rs
+++ b/tests/all/log_lines.rs
@@ -1,15 +1,13 @@
 //! Logs of instances on the users' platform: their volume, a reader that does not read,
 //! and a request's story out of them.
 
-use crate::processes::free_address;
 use crate::site::{self, Answer, Caller, ask, list_plain, plain_server, request, until};
 use expect_test::expect;
 use passway_ctl::commands::trace;
 use passway_process::logging::volume::{LineClass, VolumeBound};
+use passway_standins::platform::program::{Output, Program, ProgramPlan};
 use passway_types::prelude::*;
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::TcpStream;
 
 /// Requests whose lines nobody reads.
 const REQUESTS: u32 = 3_000;
@@ -19,17 +17,6 @@
 /// connection need beside them.
 const MOST_GROWN_BYTES: usize = 8 << 20;
 
-/// A process that a test has started; it is ended with the test, however that ends.
-struct Ended(Child);
-
-impl Drop for Ended {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[test]
 fn ends_come_first() {
     let began_at = Instant::now();
@@ -75,82 +62,40 @@
     assert!(more.count() <= 800);
 }
 
-/// An instance's process whose output nobody reads.
-struct Unread {
-    process: Ended,
-    callers: SocketAddr,
-    settings: PathBuf,
-}
-
-impl Unread {
-    /// Starts one beside a plain server and waits for its first answer.
-    fn start(name: &str) -> Self {
-        let store = site::store(&[]);
-        let server = plain_server();
-        list_plain(&store, "i-0", server.address, "ready");
-        let (callers, ready, peers) = (free_address(), free_address(), free_address());
-        let text = format!(
-            "node_name = \"n\"\nzone = \"z\"\nip = \"{}\"\ninternal_ports = [{}, 1]\n\
-            [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
-            [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n\
-            lease_ms = 3000\n[platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
-            peers.ip(),
-            peers.port(),
-            store.serve(),
-        );
-        let file = format!("passway-{name}-{}.toml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        std::fs::write(&settings, text).expect("settings");
-        let process = Ended(
-            Command::new(env!("CARGO_BIN_EXE_passway-instance"))
-                .args(["--log-level", "debug", "--log-lines-per-s", "1000000"])
-                .env("PASSWAY_BOOT", &settings)
-                .stdout(Stdio::piped())
-                .stderr(Stdio::null())
-                .spawn()
-                .expect("an instance"),
-        );
-        until("a listening instance", || {
-            TcpStream::connect(callers).is_ok()
-        });
-        let first = request("GET", "/read/", "first", "", "");
-        until("a first answer", || is_served(ask(callers, &first)));
-        Self {
-            process,
-            callers,
-            settings,
-        }
-    }
-
-    /// Sends requests on one connection, whose next request waits for the line about the one
-    /// before; how many are answered well.
-    fn serve(&self, requests: u32, id: &str) -> u32 {
-        let mut caller = Caller::connect(self.callers);
-        let mut count = 0;
-        for number in 0..requests {
-            let id = format!("{id}{number}");
-            caller.send(&request("GET", "/read/", &id, "", ""));
-            count += u32::from(is_served(caller.receive()));
-        }
-        count
-    }
-
-    /// Resident memory.
-    fn resident_bytes(&self) -> usize {
-        let status = format!("/proc/{}/status", self.process.0.id());
-        let status = std::fs::read_to_string(status).expect("the process's status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next());
-        let kilobytes: usize = kilobytes.expect("a size").parse().expect("a number");
-        kilobytes << 10
-    }
+/// An instance whose lines nobody reads, beside a plain server; it has answered once.
+fn unread(name: &str) -> Program {
+    let store = site::store(&[]);
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let arguments = ["--log-level", "debug", "--log-lines-per-s", "1000000"];
+    let program = Program::start(ProgramPlan {
+        program: env!("CARGO_BIN_EXE_passway-instance").into(),
+        name: name.to_owned(),
+        store: store.serve(),
+        grace_s: 8.0,
+        arguments: arguments.map(str::to_owned).into(),
+        output: Output::Unread,
+    });
+    let program = program.expect("an instance");
+    until("a listening instance", || {
+        TcpStream::connect(program.callers).is_ok()
+    });
+    let first = request("GET", "/read/", "first", "", "");
+    until("a first answer", || is_served(ask(program.callers, &first)));
+    program
 }
 
-impl Drop for Unread {
-    fn drop(&mut self) {
-        // A file in the temporary directory does no harm if it stays.
-        let _ = std::fs::remove_file(&self.settings);
+/// Sends requests on one connection, whose next request waits for the line about the one
+/// before; how many are answered well.
+fn serve(program: &Program, requests: u32, id: &str) -> u32 {
+    let mut caller = Caller::connect(program.callers);
+    let mut count = 0;
+    for number in 0..requests {
+        let id = format!("{id}{number}");
+        caller.send(&request("GET", "/read/", &id, "", ""));
+        count += u32::from(is_served(caller.receive()));
     }
+    count
 }
 
 fn is_served(answer: Option<Answer>) -> bool {
@@ -159,18 +104,18 @@
 
 #[test]
 fn full_pipe_serves() {
-    let instance = Unread::start("pipe");
+    let instance = unread("pipe");
     // Some megabytes of lines, more than a pipe holds, and nobody reads them.
-    assert_eq!(instance.serve(REQUESTS, "p"), REQUESTS);
+    assert_eq!(serve(&instance, REQUESTS, "p"), REQUESTS);
 }
 
 #[test]
 fn long_lines_bounded() {
-    let instance = Unread::start("long");
+    let instance = unread("long");
     let before_bytes = instance.resident_bytes();
     // Lines carry ids that callers choose.
     let id = "l".repeat(LONG_ID_BYTES);
-    assert_eq!(instance.serve(REQUESTS, &id), REQUESTS);
+    assert_eq!(serve(&instance, REQUESTS, &id), REQUESTS);
     let grown_bytes = instance.resident_bytes().saturating_sub(before_bytes);
     assert!(grown_bytes < MOST_GROWN_BYTES, "{grown_bytes}");
 }
--- a/tests/all/pass_through.rs
+++ b/tests/all/pass_through.rs
@@ -1,7 +1,8 @@
 //! Requests and answers pass through whole and unchanged, or not at all.
 
-use crate::site::{self, Caller, HOST, ask, list_plain, request, until};
+use crate::site::{self, Caller, ask, list_plain, request, until};
 use passway_instance::Instance;
+use passway_standins::platform::caller::HOST;
 use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::raw::{RawServer, Received, Step};
 use passway_standins::platform::store::MetadataStandIn;
--- a/tests/all/planned_stops.rs
+++ b/tests/all/planned_stops.rs
@@ -6,18 +6,14 @@
 //! request could have waited for longer than the grace lasted; 7.6 s after the signal
 //! the process ended, and its caller's connection closed with no answer.
 
-use crate::processes::free_address;
-use crate::site::{
-    self, Caller, PATIENCE, configuration, list_plain, plain_server, request, until,
-};
+use crate::site::{Caller, PATIENCE, configuration, list_plain, plain_server, request, until};
 use passway_standins::platform::model_server::{Faults, ModelServer};
+use passway_standins::platform::program::{Output, Program, ProgramPlan};
 use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::json;
 use std::io::{ErrorKind, Read};
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 
 /// The grace of the instance under test, in seconds: the shortest that leaves time
 /// between the balancer's notice and the end.
@@ -26,75 +22,33 @@
 /// stop can end a request.
 const LONG_MS: u64 = 60_000;
 
-/// An instance as a process of its own.
-struct Program {
-    child: Child,
-    callers: SocketAddr,
-    ready: SocketAddr,
-    settings: std::path::PathBuf,
+/// Starts an instance on a store and waits until it is ready.
+fn start(name: &str, store: &MetadataStandIn) -> Program {
+    let program = Program::start(ProgramPlan {
+        program: env!("CARGO_BIN_EXE_passway-instance").into(),
+        name: name.to_owned(),
+        store: store.serve(),
+        grace_s: GRACE_S,
+        arguments: Vec::new(),
+        output: Output::Null,
+    });
+    let program = program.expect("an instance");
+    until("readiness", || program.readiness() == Some(200));
+    program
 }
 
-impl Drop for Program {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        // Left behind it only wastes room.
-        let _ = std::fs::remove_file(&self.settings);
-    }
+/// Sends SIGTERM and waits until the balancer is told of it; requests are still taken.
+fn begin_stop(program: &Program) {
+    program.signal(Signal::TERM);
+    until("notice to the balancer", || {
+        program.readiness() == Some(503)
+    });
 }
 
-impl Program {
-    /// Starts an instance on a store and waits until it is ready.
-    fn start(name: &str, store: &MetadataStandIn) -> Self {
-        let (callers, ready, peers) = (free_address(), free_address(), free_address());
-        let text = format!(
-            "node_name = \"{name}\"\nzone = \"hall0\"\nip = \"{}\"\ninternal_ports = [{}, 1]\n\
-            [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
-            [bounds]\ngrace_s = {GRACE_S}\nretry_budget_ratio = 0.2\nretry_slack = 52\n\
-            retry_window_s = 10\nlease_ms = 3000\n\
-            [platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
-            peers.ip(),
-            peers.port(),
-            store.serve(),
-        );
-        let file = format!("passway-{name}-{}.toml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        std::fs::write(&settings, text).expect("settings");
-        let child = Command::new(env!("CARGO_BIN_EXE_passway-instance"))
-            .env("PASSWAY_BOOT", &settings)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("an instance");
-        let program = Self {
-            child,
-            callers,
-            ready,
-            settings,
-        };
-        until("readiness", || program.readiness() == Some(200));
-        program
-    }
-
-    /// What the balancer is told.
-    fn readiness(&self) -> Option<u16> {
-        std::net::TcpStream::connect(self.ready).ok()?;
-        let question = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        site::ask(self.ready, question).map(|answer| answer.status)
-    }
-
-    /// Sends SIGTERM and waits until the balancer is told of it; requests are still taken.
-    fn begin_stop(&self) {
-        kill_process(Pid::from_child(&self.child), Signal::TERM).expect("signal");
-        until("notice to the balancer", || self.readiness() == Some(503));
-    }
-
-    /// Waits for the process's end.
-    fn ended(&mut self) {
-        let code = self.child.wait().expect("wait").code();
-        assert_eq!(code, Some(0));
-    }
+/// Waits for the process's end.
+fn ended(mut program: Program) {
+    let code = program.child.wait().expect("wait").code();
+    assert_eq!(code, Some(0));
 }
 
 /// A store whose routes all allow far more time than a grace lasts.
@@ -125,15 +79,15 @@
     // The only engine has another model, and nobody holds the right to order a change:
     // the instance gives it back when it is told to stop.
     let _engine = ModelServer::start(&store, "e0", "engines", 1, &["m0"], &[]);
-    let mut program = Program::start("waits", &store);
-    program.begin_stop();
+    let program = start("waits", &store);
+    begin_stop(&program);
     let mut caller = Caller::connect(program.callers);
     caller.send(&patient_request("POST", "/chat/", "w", "Model: m1\r\n"));
     let answer = caller.receive().expect("an answer before the end");
     // It was never sent on, and its caller may send it elsewhere.
     assert_eq!((answer.status, answer.whole), (503, true));
     assert!(answer.header("retry-after").is_some(), "{}", answer.head);
-    program.ended();
+    ended(program);
 }
 
 /// A plain server that takes requests and answers none.
@@ -146,21 +100,21 @@
     let store = patient_store(&[]);
     let server = silent_server();
     list_plain(&store, "i-0", server.address, "ready");
-    let mut program = Program::start("unanswered", &store);
+    let program = start("unanswered", &store);
     let mut callers = ["pay", "read"].map(|route| {
         let mut caller = Caller::connect(program.callers);
         caller.send(&patient_request("POST", &format!("/{route}/"), route, ""));
         caller
     });
     until("both at the server", || server.received().len() == 2);
-    program.begin_stop();
+    begin_stop(&program);
     for caller in &mut callers {
         let answer = caller.receive().expect("an answer before the end");
         // It may have run, so it must not be called "not run".
         assert_eq!((answer.status, answer.whole), (502, true));
         assert!(answer.header("request-id").is_some(), "{}", answer.head);
     }
-    program.ended();
+    ended(program);
     assert_eq!(server.received().len(), 2, "sent on again at the stop");
 }
 
@@ -169,7 +123,7 @@
     let store = patient_store(&[]);
     let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
-    let mut program = Program::start("half", &store);
+    let program = start("half", &store);
     let whole = patient_request("POST", "/pay/", "half", "");
     let head_bytes = whole.len() - "\r\n{}".len();
     // The one lacks the end of its head, the other the end of its body.
@@ -178,13 +132,13 @@
         caller.send(&whole[..sent]);
         caller
     });
-    program.begin_stop();
+    begin_stop(&program);
     for caller in &mut callers {
         let answer = caller.receive().expect("an answer before the end");
         assert_eq!((answer.status, answer.whole), (503, true));
         assert_eq!(caller.receive(), None);
     }
-    program.ended();
+    ended(program);
     assert_eq!(server.received(), []);
 }
 
@@ -193,7 +147,7 @@
     let store = patient_store(&[]);
     let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
-    let mut program = Program::start("resting", &store);
+    let program = start("resting", &store);
     let mut resting = Caller::connect(program.callers);
     resting.send(&patient_request("POST", "/read/", "before", ""));
     let answer = resting.receive().expect("an answer");
@@ -205,7 +159,7 @@
     let mut used = Caller::connect(program.callers);
     used.send(&patient_request("POST", "/read/", "first", ""));
     assert_eq!(used.receive().map(|answer| answer.status), Some(200));
-    program.begin_stop();
+    begin_stop(&program);
     // Served while the balancer has not turned away, refused later; in both cases its caller
     // is told that the connection ends.
     used.send(&patient_request("POST", "/read/", "second", ""));
@@ -213,7 +167,7 @@
     assert!(matches!(answer.status, 200 | 503), "{}", answer.head);
     assert_eq!(answer.header("connection"), Some("close"));
     assert!(matches!(resting.stream.read(&mut [0; 1]), Ok(0)));
-    program.ended();
+    ended(program);
 }
 
 /// An engine whose next stream falls silent before its end.
@@ -230,32 +184,32 @@
 fn cut_stream_shows() {
     let store = patient_store(&["m0"]);
     let engine = silent_engine(&store);
-    let mut program = Program::start("stream", &store);
+    let program = start("stream", &store);
     let mut caller = Caller::connect(program.callers);
     caller.send(&patient_request("POST", "/report/", "s", "Model: m0\r\n"));
     until("its start", || engine.runs().len() == 1);
-    program.begin_stop();
+    begin_stop(&program);
     let answer = caller.receive().expect("the head of the stream");
     // Its beginning has gone out; it must not look complete.
     assert_eq!((answer.status, answer.whole), (200, false));
     assert!(!answer.body.is_empty());
-    program.ended();
+    ended(program);
 }
 
 #[test]
 fn unframed_stream_shows() {
     let store = patient_store(&["m0"]);
     let engine = silent_engine(&store);
-    let mut program = Program::start("unframed", &store);
+    let program = start("unframed", &store);
     let mut caller = Caller::connect(program.callers);
     let bytes = patient_request("POST", "/report/", "s", "Model: m0\r\n");
     let text = String::from_utf8(bytes).expect("text");
     caller.send(text.replace("HTTP/1.1", "HTTP/1.0").as_bytes());
     until("its start", || engine.runs().len() == 1);
-    program.begin_stop();
+    begin_stop(&program);
     // HTTP/1.0 has no chunks: what ends with the connection is complete unless it is reset.
     let rest = caller.stream.read_to_end(&mut Vec::new());
     let error = rest.expect_err("looks complete");
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
-    program.ended();
+    ended(program);
 }
--- a/tests/all/poison_requests.rs
+++ b/tests/all/poison_requests.rs
@@ -7,8 +7,9 @@
 //! that one input does was judged by each arrival alone. What proved it: the lines of the broken runs
 //! carry the same digest of caller, path and body under different ids, with one run and a living engine each.
 
-use crate::site::{self, Answer, Caller, HOST, ask, request, until};
+use crate::site::{self, Answer, Caller, ask, request, until};
 use passway_instance::Instance;
+use passway_standins::platform::caller::HOST;
 use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::store::MetadataStandIn;
 use rustix::net::{self, AddressFamily, SocketType};
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -1,12 +1,13 @@
 //! The shipped programs as processes in front of stand-ins in the test's own process.
 
 use passway_standins::load::{Call, Sample, call};
+use passway_standins::platform::program::free_address;
 use passway_standins::world::{World, WorldPlan, data_hall, instance_id};
 use passway_types::prelude::*;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::collections::HashSet;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -52,20 +53,6 @@
     plan: WorldPlan,
 }
 
-/// A port that the kernel chose, on a loopback address that this test alone uses,
-/// so that nobody takes the port between here and the program's start.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [high, low] = [
-        std::process::id() / 250 % 250 + 1,
-        std::process::id() % 250 + 1,
-    ];
-    let last = NEXT.fetch_add(1, Ordering::Relaxed);
-    let ip = format!("127.{high}.{low}.{last}:0");
-    let listener = TcpListener::bind(ip).expect("bind");
-    listener.local_addr().expect("address")
-}
-
 impl Processes {
     /// Starts every instance of the world and waits until the routers serve.
     pub fn start(world: &World) -> Self {
