Fault soak of the real program: processes, ways that reset and fall silent, promises judged

Three instances as processes, four engines behind ways of their own, two plain servers, callers who use open connections until the process is gone; faults drawn by a seed: kills, stops, pauses, changes in series, store and ways cut, slow or silent, engines that cut, fall silent and crash on one request. Judged from callers and servers only, nothing by times: own whole answers, once is once, 'not run' is true, a planned stop loses nothing that ran, no version goes back, orders within room and by one holder after the other, memory, served again.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`world`]: all of them together with a configuration.
 //! * [`fleet_model`]: engines, weight store and demand in virtual time, to compare policies.
 //! * [`sizes`]: configurations at the sizes of today and of the target.
+//! * [`soak`]: real instances among the stand-ins, faults drawn by a seed, promises judged.
 //! * [`trace`]: seeded days of the two deployments.
 //! * [`load`]: callers, whose answers are checked.
 
@@ -25,6 +26,7 @@
 pub mod server;
 pub mod service;
 pub mod sizes;
+pub mod soak;
 pub mod trace;
 pub mod weight_store;
 pub mod world;
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -25,6 +25,17 @@
     pub crashes_on: Option<String>,
 }
 
+/// The models of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Models<'a> {
+    /// How many may stand on it.
+    pub places: usize,
+    /// Those that do.
+    pub standing: &'a [&'a str],
+    /// Those on its disk besides.
+    pub on_disk: &'a [&'a str],
+}
+
 /// An order that was taken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakenOrder {
@@ -80,6 +91,27 @@
         models: &[&str],
         on_disk: &[&str],
     ) -> Self {
+        let models = Models {
+            places,
+            standing: models,
+            on_disk,
+        };
+        Self::start_behind(store, id, service, models, |address| address)
+    }
+
+    /// A server that lists itself at the address of a way to it.
+    pub fn start_behind(
+        store: &MetadataStandIn,
+        id: &str,
+        service: &str,
+        models: Models<'_>,
+        way_to: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) -> Self {
+        let Models {
+            places,
+            standing: models,
+            on_disk,
+        } = models;
         let state = State {
             models: models
                 .iter()
@@ -104,7 +136,7 @@
         });
         let server = Self {
             id: id.to_owned(),
-            address: raw.address,
+            address: way_to(raw.address),
             service: service.to_owned(),
             places,
             state,
--- a/crates/standins/src/platform/proxy.rs
+++ b/crates/standins/src/platform/proxy.rs
@@ -28,6 +28,8 @@
     /// Both ends of each connection, by how many came before.
     open: BTreeMap<u64, [TcpStream; 2]>,
     connections: u64,
+    /// Whether the other end has crashed, so that nobody listens here any more.
+    is_closed: bool,
 }
 
 /// The way; clones are the same one.
@@ -35,6 +37,7 @@
 pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
+    target: SocketAddr,
     state: Arc<Mutex<State>>,
 }
 
@@ -47,12 +50,16 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("binding a way");
         let proxy = Self {
             address: listener.local_addr().expect("a way's address"),
+            target,
             state: Arc::default(),
         };
         let accepting = proxy.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                accepting.connect(&stream, target);
+                if accepting.state().is_closed {
+                    break;
+                }
+                accepting.connect(&stream);
             }
         });
         proxy
@@ -74,12 +81,25 @@
         }
     }
 
-    fn connect(&self, caller: &TcpStream, target: SocketAddr) {
+    /// Closes the port if nobody listens at the other end any more: whoever tries it again finds
+    /// what a crash leaves.
+    fn close_with_target(&self) {
+        if TcpStream::connect(self.target).is_ok() {
+            return;
+        }
+        self.state().is_closed = true;
+        while TcpStream::connect(self.address).is_ok() {
+            // The one that woke the thread that accepts; the next is refused.
+            std::thread::yield_now();
+        }
+    }
+
+    fn connect(&self, caller: &TcpStream) {
         if self.state().faults.refuses {
             return;
         }
         // A port that nobody listens at any more is told by the caller's connection that ends.
-        let Ok(server) = TcpStream::connect(target) else {
+        let Ok(server) = TcpStream::connect(self.target) else {
             return;
         };
         let (Ok(caller_end), Ok(server_end)) = (caller.try_clone(), server.try_clone()) else {
@@ -92,12 +112,28 @@
         let number = state.connections;
         state.open.insert(number, [caller_end, server_end]);
         drop(state);
-        self.copy(number, [caller, &server], |faults| faults.loses_requests);
-        self.copy(number, [&server, caller], |faults| faults.loses_answers);
+        self.copy(
+            number,
+            [caller, &server],
+            |faults| faults.loses_requests,
+            false,
+        );
+        self.copy(
+            number,
+            [&server, caller],
+            |faults| faults.loses_answers,
+            true,
+        );
     }
 
     /// Passes on what one end sends until either closes.
-    fn copy(&self, number: u64, [from, to]: [&TcpStream; 2], loses: fn(&WayFaults) -> bool) {
+    fn copy(
+        &self,
+        number: u64,
+        [from, to]: [&TcpStream; 2],
+        loses: fn(&WayFaults) -> bool,
+        is_answers: bool,
+    ) {
         let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
             return;
         };
@@ -113,6 +149,9 @@
                     break;
                 }
             }
+            if is_answers {
+                proxy.close_with_target();
+            }
             close(&[from, to]);
             proxy.state().open.remove(&number);
         });
--- /dev/null
+++ b/crates/standins/src/soak/callers.rs
@@ -0,0 +1,182 @@
+//! Who asks for what, and what each of them got.
+
+use super::SoakPlan;
+use super::world::{MODELS, POISON, Site, World};
+use crate::platform::caller::{Answer, Caller, request};
+use passway_types::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+
+/// Longest pause of a caller between two requests.
+const LONGEST_PAUSE_MS: u64 = 60;
+/// One request in so many crashes the engines that run it.
+const POISON_IN: u32 = 150;
+/// Chance that a caller goes on over the connection that it has.
+const KEEPS_CHANCE: f64 = 0.9;
+
+/// A kind of request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// A call that may run once.
+    Once,
+    /// A call that may run again.
+    Again,
+    /// A stream that may go on elsewhere.
+    Resumable,
+    /// A stream that may run once.
+    Stream,
+    /// A call by the route that a version of the configuration added.
+    Version(u64),
+}
+
+/// One request and what came of it.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// Its id.
+    pub id: String,
+    /// What it was.
+    pub asked: Asked,
+    /// The instance, by its place in the world.
+    pub site: usize,
+    /// The life of the process that it was sent to, if that was the same when it ended.
+    pub life: Option<u64>,
+    /// Whether anything but a planned stop happened to the instance meanwhile.
+    pub harmed: bool,
+    /// The answer; `None` if the connection ended without one.
+    pub answer: Option<Answer>,
+}
+
+/// The callers.
+#[derive(Debug)]
+pub struct Callers {
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<Record>>>,
+}
+
+struct One {
+    number: usize,
+    rng: ChaCha8Rng,
+    sites: Vec<Arc<Site>>,
+    version: Arc<dyn Fn() -> u64 + Send + Sync>,
+    ended: Arc<AtomicBool>,
+    sent: Arc<AtomicU64>,
+}
+
+impl Callers {
+    /// Lets them begin.
+    pub fn start(world: &Arc<World>, plan: &SoakPlan) -> Self {
+        let ended: Arc<AtomicBool> = Arc::default();
+        let sent: Arc<AtomicU64> = Arc::default();
+        let threads = (0..plan.callers).map(|number| {
+            let world = world.clone();
+            let one = One {
+                number,
+                // Beside the schedule's own stream of numbers.
+                rng: ChaCha8Rng::seed_from_u64(plan.seed ^ (u64::MAX - number as u64)),
+                sites: world.sites.clone(),
+                version: Arc::new(move || world.version()),
+                ended: ended.clone(),
+                sent: sent.clone(),
+            };
+            std::thread::spawn(move || one.run())
+        });
+        Self {
+            threads: threads.collect(),
+            ended,
+        }
+    }
+
+    /// Waits for all of them; what they got.
+    pub fn end(self) -> Vec<Record> {
+        self.ended.store(true, Ordering::Release);
+        let records = self.threads.into_iter().map(|thread| {
+            // A caller that panicked has printed why; what it saw is lost.
+            thread.join().unwrap_or_default()
+        });
+        records.flatten().collect()
+    }
+}
+
+impl One {
+    fn run(mut self) -> Vec<Record> {
+        let mut records = Vec::new();
+        let mut kept: Option<(usize, Caller)> = None;
+        while !self.ended.load(Ordering::Acquire) {
+            let keeps = self.rng.random_bool(KEEPS_CHANCE);
+            let connection = kept.take().filter(|_| keeps);
+            let Some((site, caller)) = connection.or_else(|| self.connect()) else {
+                self.rest();
+                continue;
+            };
+            let (record, caller) = self.ask(site, caller);
+            kept = caller.map(|caller| (site, caller));
+            records.extend(record);
+            self.rest();
+        }
+        records
+    }
+
+    fn rest(&mut self) {
+        let pause_ms = self.rng.random_range(0..LONGEST_PAUSE_MS);
+        std::thread::sleep(Duration::from_millis(pause_ms));
+    }
+
+    /// Connects to an instance; `None` while it is not there.
+    fn connect(&mut self) -> Option<(usize, Caller)> {
+        let site = self.rng.random_range(0..self.sites.len());
+        let stream = TcpStream::connect(self.sites[site].callers).ok()?;
+        Some((site, Caller::over(stream)))
+    }
+
+    /// Asks once; the connection, if it may carry another request. A request that could not
+    /// be sent is no request.
+    fn ask(&mut self, site: usize, mut caller: Caller) -> (Option<Record>, Option<Caller>) {
+        let number = self.sent.fetch_add(1, Ordering::AcqRel);
+        let id = format!("r{}-{number}", self.number);
+        let (asked, bytes) = self.draw(&id);
+        let there = self.sites[site].clone();
+        let life = there.life.load(Ordering::Acquire);
+        let harmed = there.harmed.load(Ordering::Acquire);
+        if !caller.try_send(&bytes) {
+            return (None, None);
+        }
+        let answer = caller.receive();
+        let keeps = answer
+            .as_ref()
+            .is_some_and(|answer| answer.whole && answer.header("connection") != Some("close"));
+        let record = Record {
+            id,
+            asked,
+            site,
+            life: (there.life.load(Ordering::Acquire) == life).then_some(life),
+            harmed: there.harmed.load(Ordering::Acquire) != harmed,
+            answer,
+        };
+        (Some(record), Some(caller).filter(|_| keeps))
+    }
+
+    fn draw(&mut self, id: &str) -> (Asked, Vec<u8>) {
+        let model = MODELS[self.rng.random_range(0..MODELS.len())];
+        let model = format!("Model: {model}\r\n");
+        let version = (self.version)();
+        match self.rng.random_range(0..6) {
+            0 => (Asked::Once, request("POST", "/pay/", id, "", id)),
+            1 => (Asked::Again, request("GET", "/read/", id, "", "")),
+            2 if version > 1 => {
+                let version = self.rng.random_range(2..=version);
+                let path = format!("/v{version}/");
+                (Asked::Version(version), request("GET", &path, id, "", ""))
+            }
+            3 => (Asked::Stream, request("POST", "/report/", id, &model, id)),
+            _ if self.rng.random_ratio(1, POISON_IN) => {
+                let model = format!("Model: {}\r\n", MODELS[0]);
+                let bytes = request("POST", "/chat/", id, &model, POISON);
+                (Asked::Resumable, bytes)
+            }
+            _ => (Asked::Resumable, request("POST", "/chat/", id, &model, id)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/judge.rs
@@ -0,0 +1,202 @@
+//! The promises, judged from what callers and servers saw.
+
+use super::SoakReport;
+use super::callers::{Asked, Record};
+use super::world::{MODELS, World};
+use crate::platform::caller::{Answer, ask, request};
+use crate::platform::model_server::{EVENTS, event};
+use crate::platform::raw::RawServer;
+use passway_types::prelude::*;
+use std::collections::BTreeMap;
+
+/// An instance may have at most so much resident memory: the smallest one's limit (users' pages).
+const MAX_RESIDENT_BYTES: usize = 160 << 20;
+/// Crashes that one request may bring about for each instance: instances that are cut off or
+/// have just been killed count for themselves, and two that run at one moment each end one.
+const MAX_CRASHES_PER_INSTANCE: usize = 4;
+/// Longest wait until everything is served again once nothing fails any more.
+const RECOVERY_LIMIT: Duration = Duration::from_mins(1);
+/// Pause between two tries.
+const TRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Judges what all callers saw.
+pub fn judge(world: &World, records: &[Record], report: &mut SoakReport) {
+    let runs = runs(world);
+    report.requests = records.len();
+    let crashed = world.engines().into_iter().filter(|e| e.server.crashed());
+    report.crashed_engines = crashed.count();
+    for record in records {
+        let ran = runs.get(&record.id).copied().unwrap_or(0);
+        match &record.answer {
+            Some(answer) if answer.status == 200 && answer.whole => report.served += 1,
+            Some(answer) if is_refusal(answer) => report.refused += 1,
+            None => report.closed += 1,
+            Some(_) => {}
+        }
+        let broken = [
+            own_answer(record),
+            run_once(record, ran),
+            not_run_is_true(record, ran),
+            not_lost(record, ran),
+        ];
+        let broken = broken.into_iter().flatten();
+        report.broken.extend(broken.map(|what| {
+            format!(
+                "{what}: {} {:?} at instance {}",
+                record.id, record.asked, record.site
+            )
+        }));
+    }
+    never_back(records, report);
+    orders(world, report);
+    let most = MAX_CRASHES_PER_INSTANCE * world.sites.len();
+    if report.crashed_engines > most {
+        let crashed = report.crashed_engines;
+        report
+            .broken
+            .push(format!("one request ended {crashed} engines"));
+    }
+    for (number, site) in world.sites.iter().enumerate() {
+        let bytes = site.program().resident_bytes();
+        report.peak_bytes = report.peak_bytes.max(bytes);
+        if bytes > MAX_RESIDENT_BYTES {
+            report
+                .broken
+                .push(format!("instance {number} has {bytes} bytes"));
+        }
+    }
+}
+
+/// How often each request ran, at all servers.
+fn runs(world: &World) -> BTreeMap<String, usize> {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    let plain = world.plains.iter().flat_map(RawServer::received);
+    let plain = plain.map(|received| received.header("request-id").unwrap_or_default().to_owned());
+    let engines = world.engines().into_iter();
+    let streams = engines.flat_map(|engine| engine.server.runs());
+    for id in plain.chain(streams) {
+        *runs.entry(id).or_default() += 1;
+    }
+    runs
+}
+
+fn is_refusal(answer: &Answer) -> bool {
+    matches!(answer.status, 408 | 421 | 429 | 503)
+}
+
+/// A success is the server's whole answer to this request, and what is cut does not look whole.
+fn own_answer(record: &Record) -> Option<String> {
+    let answer = record
+        .answer
+        .as_ref()
+        .filter(|answer| answer.status == 200)?;
+    if answer.header("request-id") != Some(&record.id) {
+        return Some("another request's answer".to_owned());
+    }
+    let whole = match record.asked {
+        Asked::Resumable | Asked::Stream => (1..=EVENTS).map(event).collect::<Vec<_>>().concat(),
+        Asked::Once | Asked::Again | Asked::Version(_) => record.id.clone(),
+    };
+    let is_right = if answer.whole {
+        answer.body == whole
+    } else {
+        whole.starts_with(&answer.body)
+    };
+    (!is_right).then(|| format!("a wrong body, {:?}", answer.body))
+}
+
+/// What may run once does not run again.
+fn run_once(record: &Record, ran: usize) -> Option<String> {
+    let once = matches!(record.asked, Asked::Once | Asked::Stream);
+    (once && ran > 1).then(|| format!("ran {ran} times"))
+}
+
+/// What has run is not refused as "not run".
+fn not_run_is_true(record: &Record, ran: usize) -> Option<String> {
+    let once = matches!(record.asked, Asked::Once | Asked::Stream);
+    let refused = record.answer.as_ref().is_some_and(is_refusal);
+    (once && refused && ran > 0).then(|| "refused as not run, and has run".to_owned())
+}
+
+/// A planned stop cuts nothing: a call that a plain server has run gets an answer, unless
+/// something else happened to the instance.
+fn not_lost(record: &Record, ran: usize) -> Option<String> {
+    let is_plain = !matches!(record.asked, Asked::Resumable | Asked::Stream);
+    let lost = is_plain && ran > 0 && record.answer.is_none() && !record.harmed;
+    lost.then(|| "ran, and its connection ended without an answer".to_owned())
+}
+
+/// Once a caller was served by a version's route, the same life of a process refuses it none of
+/// that or an older version.
+fn never_back(records: &[Record], report: &mut SoakReport) {
+    // Records of different callers are not in one order, those of one are.
+    let mut last: BTreeMap<(&str, usize, u64), u64> = BTreeMap::new();
+    for record in records {
+        let (Asked::Version(version), Some(life), Some(answer)) =
+            (record.asked, record.life, &record.answer)
+        else {
+            continue;
+        };
+        let caller = record.id.split('-').next().unwrap_or_default();
+        let newest = last.entry((caller, record.site, life)).or_default();
+        match answer.status {
+            200 => *newest = version.max(*newest),
+            404 if version <= *newest => {
+                let what = format!("version {version} is gone after {newest}: {}", record.id);
+                report.broken.push(what);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// No engine is ordered beyond its room, or by an older holder after a newer one.
+fn orders(world: &World, report: &mut SoakReport) {
+    for engine in world.engines() {
+        let id = &engine.server.id;
+        if engine.server.over_limit() > 0 {
+            report
+                .broken
+                .push(format!("{id} was ordered to load without room"));
+        }
+        let fences: Vec<u64> = engine.server.taken().iter().map(|o| o.fence).collect();
+        if !fences.is_sorted() {
+            report
+                .broken
+                .push(format!("{id} took an older holder's order: {fences:?}"));
+        }
+    }
+}
+
+/// Once nothing fails any more, each instance serves each kind.
+pub fn serves_again(world: &World, report: &mut SoakReport) {
+    if !world.all_ready() {
+        report
+            .broken
+            .push("an instance does not become ready again".to_owned());
+        return;
+    }
+    for (number, site) in world.sites.iter().enumerate() {
+        let model = format!("Model: {}\r\n", MODELS[number % MODELS.len()]);
+        let kinds = [
+            ("GET", "/read/", ""),
+            ("POST", "/pay/", ""),
+            ("POST", "/chat/", &*model),
+        ];
+        for (method, path, more) in kinds {
+            let limit_at = Instant::now() + RECOVERY_LIMIT;
+            let is_served = || {
+                let bytes = request(method, path, "after", more, "after");
+                ask(site.callers, &bytes).is_some_and(|a| a.status == 200 && a.whole)
+            };
+            while !is_served() {
+                if Instant::now() >= limit_at {
+                    let broken = format!("{path} is not served again at instance {number}");
+                    report.broken.push(broken);
+                    break;
+                }
+                std::thread::sleep(TRY_PAUSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/schedule.rs
@@ -0,0 +1,197 @@
+//! Which faults come when.
+
+use super::world::{POISON, World};
+use crate::platform::model_server::{EVENTS, Faults as EngineFaults};
+use crate::platform::proxy::WayFaults;
+use crate::platform::store::Faults as StoreFaults;
+use passway_types::prelude::*;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use std::collections::BTreeMap;
+
+/// Longest time for which a process stands still.
+const LONGEST_PAUSE_MS: u64 = 2_500;
+/// Longest delay of what goes over a way.
+const LONGEST_DELAY_MS: u64 = 200;
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// Everything is well from now on; processes go on.
+    Lift,
+    /// The store answers wrongly, or not at all.
+    Store,
+    /// The store forgets its history.
+    ForgetHistory,
+    /// One instance's way to the store is cut, slow or silent.
+    Way,
+    /// One instance's connections to the store are reset.
+    ResetWay,
+    /// A process is killed.
+    Kill,
+    /// Several processes are killed, one after the other.
+    KillMany,
+    /// A process is stopped as planned.
+    Stop,
+    /// A process stands still.
+    Pause,
+    /// The operator changes the configuration.
+    Configure,
+    /// The same, three times at once.
+    ConfigureOften,
+    /// An engine cuts a stream, falls silent or loses an answer.
+    Engine,
+    /// The way to an engine is slow or silent.
+    EngineWay,
+    /// Connections to an engine are reset.
+    ResetEngineWay,
+}
+
+const FAULTS: [Fault; 14] = [
+    Fault::Lift,
+    Fault::Store,
+    Fault::ForgetHistory,
+    Fault::Way,
+    Fault::ResetWay,
+    Fault::Kill,
+    Fault::KillMany,
+    Fault::Stop,
+    Fault::Pause,
+    Fault::Configure,
+    Fault::ConfigureOften,
+    Fault::Engine,
+    Fault::EngineWay,
+    Fault::ResetEngineWay,
+];
+
+impl Fault {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Lift => "lift",
+            Self::Store => "store",
+            Self::ForgetHistory => "forget history",
+            Self::Way => "way",
+            Self::ResetWay => "reset way",
+            Self::Kill => "kill",
+            Self::KillMany => "kill many",
+            Self::Stop => "stop",
+            Self::Pause => "pause",
+            Self::Configure => "configure",
+            Self::ConfigureOften => "configure often",
+            Self::Engine => "engine",
+            Self::EngineWay => "engine way",
+            Self::ResetEngineWay => "reset engine way",
+        }
+    }
+}
+
+/// Draws faults.
+#[derive(Debug)]
+pub struct Schedule {
+    rng: ChaCha8Rng,
+    played: BTreeMap<&'static str, u32>,
+}
+
+impl Schedule {
+    /// The schedule of a seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            played: BTreeMap::new(),
+        }
+    }
+
+    /// What was played, by name.
+    pub fn played(&self) -> &BTreeMap<&'static str, u32> {
+        &self.played
+    }
+
+    /// The next fault, and a pause of at most `longest`. Stops and pauses of processes go on
+    /// beside what follows.
+    pub fn step(&mut self, world: &World, longest: Duration) {
+        let fault = *FAULTS.choose(&mut self.rng).unwrap_or(&Fault::Lift);
+        *self.played.entry(fault.name()).or_default() += 1;
+        let site = self.rng.random_range(0..world.sites.len());
+        let site = &world.sites[site];
+        let engines = world.engines();
+        let engine = &engines[self.rng.random_range(0..engines.len())];
+        match fault {
+            Fault::Lift => world.lift_faults(),
+            Fault::Store => world.store.set_faults(self.store_faults()),
+            Fault::ForgetHistory => world.store.forget_history(),
+            Fault::Way => {
+                site.harm();
+                site.way.set_faults(self.way_faults());
+            }
+            Fault::ResetWay => site.way.reset(),
+            Fault::Kill => site.kill(),
+            Fault::KillMany => {
+                let first = self.rng.random_range(0..world.sites.len());
+                world.sites[first..].iter().for_each(|site| site.kill());
+            }
+            Fault::Stop => {
+                let site = site.clone();
+                std::thread::spawn(move || site.restart(Signal::TERM));
+            }
+            Fault::Pause => {
+                site.harm();
+                let time = Duration::from_millis(self.rng.random_range(50..LONGEST_PAUSE_MS));
+                let site = site.clone();
+                std::thread::spawn(move || {
+                    site.program().signal(Signal::STOP);
+                    std::thread::sleep(time);
+                    site.program().signal(Signal::CONT);
+                });
+            }
+            Fault::Configure => world.next_version(),
+            Fault::ConfigureOften => (0..3).for_each(|_| world.next_version()),
+            Fault::Engine => engine.server.set_faults(self.engine_faults()),
+            Fault::EngineWay => engine.way.set_faults(self.way_faults()),
+            Fault::ResetEngineWay => engine.way.reset(),
+        }
+        std::thread::sleep(longest.mul_f64(self.rng.random_range(0.1..1.0)));
+    }
+
+    fn store_faults(&mut self) -> StoreFaults {
+        let mut faults = StoreFaults::default();
+        match self.rng.random_range(0..5) {
+            0 => faults.refuses = Some(503),
+            1 => faults.refuses = Some(429),
+            2 => faults.talks_garbage = true,
+            3 => faults.is_silent = true,
+            _ => faults.loses_answers = 3,
+        }
+        faults
+    }
+
+    fn way_faults(&mut self) -> WayFaults {
+        let mut faults = WayFaults::default();
+        match self.rng.random_range(0..4) {
+            0 => {
+                let delay_ms = self.rng.random_range(1..LONGEST_DELAY_MS);
+                faults.delay = Duration::from_millis(delay_ms);
+            }
+            1 => faults.loses_requests = true,
+            2 => faults.loses_answers = true,
+            _ => faults.refuses = true,
+        }
+        faults
+    }
+
+    fn engine_faults(&mut self) -> EngineFaults {
+        let after = Some(self.rng.random_range(0..EVENTS));
+        let mut faults = EngineFaults {
+            crashes_on: Some(POISON.to_owned()),
+            ..EngineFaults::default()
+        };
+        match self.rng.random_range(0..4) {
+            0 => faults.cuts_after = after,
+            1 => faults.silent_after = after,
+            2 => faults.pause_after = after,
+            _ => faults.loses_answer = true,
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/world.rs
@@ -0,0 +1,302 @@
+//! The processes, the stand-ins and the ways between them.
+
+use super::{SoakPlan, SoakReport};
+use crate::platform::caller::HOST;
+use crate::platform::documents::{configuration, list_plain};
+use crate::platform::model_server::{Faults as EngineFaults, ModelServer, Models};
+use crate::platform::program::{Output, Program, ProgramPlan};
+use crate::platform::proxy::{Proxy, WayFaults};
+use crate::platform::raw::{RawServer, Step};
+use crate::platform::store::{Faults as StoreFaults, MetadataStandIn};
+use anyhow::{Result, ensure};
+use passway_types::prelude::*;
+use rustix::process::Signal;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// The models; each engine begins with two of them.
+pub const MODELS: [&str; 5] = ["m0", "m1", "m2", "m3", "m4"];
+/// The body that crashes engines, if they are told so.
+pub const POISON: &str = "poison";
+/// Time from SIGTERM to the end, in seconds: the shortest that leaves time between the
+/// balancer's notice and the end.
+const GRACE_S: f64 = 4.5;
+/// Longest wait for instances to serve: a busy machine starts dozens of processes in seconds.
+const START_LIMIT: Duration = Duration::from_mins(2);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// An engine's entry stays for so long after its crash; another engine comes then.
+const ENTRY_TIME: Duration = Duration::from_millis(1_500);
+
+/// One instance and its way to the store.
+#[derive(Debug)]
+pub struct Site {
+    program: Mutex<Program>,
+    /// Held by whoever ends the process and starts it again.
+    restarting: Mutex<()>,
+    /// Its way to the store.
+    pub way: Proxy,
+    /// Where callers connect; the same after each start.
+    pub callers: SocketAddr,
+    /// How many times it was killed, paused or cut: what callers lose then is not a stop's.
+    pub harmed: AtomicU64,
+    /// Lives of the process so far.
+    pub life: AtomicU64,
+}
+
+impl Site {
+    /// The process, for a moment: others signal it while it ends.
+    pub fn program(&self) -> MutexGuard<'_, Program> {
+        self.program.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Something other than a planned stop happens to it.
+    pub fn harm(&self) {
+        self.harmed.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Ends it by a signal and starts it again.
+    pub fn restart(&self, signal: Signal) {
+        let _alone = self
+            .restarting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        self.program().signal(signal);
+        while matches!(self.program().child.try_wait(), Ok(None)) {
+            std::thread::sleep(LOOK_PAUSE);
+        }
+        self.life.fetch_add(1, Ordering::AcqRel);
+        let again = self.program().start_again();
+        again.expect("an instance that starts again");
+    }
+
+    /// Kills it and starts it again.
+    pub fn kill(&self) {
+        self.harm();
+        self.restart(Signal::KILL);
+        self.harm();
+    }
+}
+
+/// An engine behind its way.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// The engine.
+    pub server: ModelServer,
+    /// The way to it.
+    pub way: Proxy,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub struct World {
+    /// The store.
+    pub store: MetadataStandIn,
+    /// The instances.
+    pub sites: Vec<Arc<Site>>,
+    /// Plain servers, which fail nothing.
+    pub plains: Vec<RawServer>,
+    engines: Arc<Mutex<Vec<Engine>>>,
+    version: AtomicU64,
+    ended: Arc<AtomicBool>,
+}
+
+/// A plain server that says whose request it answers.
+fn plain_server() -> RawServer {
+    RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let length = id.len();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: {length}\r\n\r\n{id}"
+        );
+        vec![Step::Send(text.into_bytes())]
+    })
+}
+
+fn start_engine(store: &MetadataStandIn, number: usize) -> Engine {
+    let id = format!("i-{number}");
+    let standing = [MODELS[number % 2], MODELS[2 + number % 3]];
+    let models = Models {
+        places: standing.len(),
+        standing: &standing,
+        on_disk: &MODELS,
+    };
+    let mut way = None;
+    let server = ModelServer::start_behind(store, &id, "engines", models, |address| {
+        way.insert(Proxy::start(address)).address
+    });
+    server.set_faults(EngineFaults {
+        crashes_on: Some(POISON.to_owned()),
+        ..EngineFaults::default()
+    });
+    Engine {
+        way: way.unwrap_or_else(|| Proxy::start(server.address)),
+        server,
+    }
+}
+
+impl World {
+    /// Starts everything and waits until all instances are ready.
+    pub fn start(plan: &SoakPlan) -> Result<Self> {
+        let store = MetadataStandIn::default();
+        store.put("op/config", &configuration(1, &MODELS));
+        let plains = vec![plain_server(), plain_server()];
+        for (number, server) in plains.iter().enumerate() {
+            list_plain(&store, &format!("p-{number}"), server.address, "ready");
+        }
+        let engines = (0..plan.engines).map(|number| start_engine(&store, number));
+        let engines: Arc<Mutex<Vec<Engine>>> = Arc::new(Mutex::new(engines.collect()));
+        let sites: Result<Vec<Arc<Site>>> = (0..plan.instances)
+            .map(|number| start_site(plan, &store, number))
+            .collect();
+        let world = Self {
+            store,
+            sites: sites?,
+            plains,
+            engines,
+            version: AtomicU64::new(1),
+            ended: Arc::default(),
+        };
+        world.replace_crashed();
+        ensure!(world.all_ready(), "the instances do not become ready");
+        Ok(world)
+    }
+
+    /// Engines that were there, those that crashed among them.
+    pub fn engines(&self) -> Vec<Engine> {
+        let engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
+        engines.clone()
+    }
+
+    /// The newest version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::Acquire)
+    }
+
+    /// The operator adds a route, by which callers see that the version is in force.
+    pub fn next_version(&self) {
+        let version = self.version() + 1;
+        let mut table = configuration(version, &MODELS);
+        let pattern = table["routes"][0].clone();
+        if let Some(routes) = table["routes"].as_array_mut() {
+            for added in 2..=version {
+                let mut route = pattern.clone();
+                route["name"] = json!(format!("v{added}"));
+                route["host"] = json!(HOST);
+                route["prefix"] = json!(format!("/v{added}/"));
+                routes.push(route);
+            }
+        }
+        self.store.put("op/config", &table);
+        // Callers ask for it from now on; an instance may not know it yet.
+        self.version.store(version, Ordering::Release);
+    }
+
+    /// Waits until all instances are ready; whether they are.
+    pub fn all_ready(&self) -> bool {
+        let limit_at = Instant::now() + START_LIMIT;
+        self.sites.iter().all(|site| {
+            while Instant::now() < limit_at {
+                if site.program().readiness() == Some(200) {
+                    return true;
+                }
+                std::thread::sleep(LOOK_PAUSE);
+            }
+            false
+        })
+    }
+
+    /// Another engine comes for each that crashes, and the entry of that one goes.
+    fn replace_crashed(&self) {
+        let (store, engines, ended) =
+            (self.store.clone(), self.engines.clone(), self.ended.clone());
+        std::thread::spawn(move || {
+            let mut replaced = 0;
+            while !ended.load(Ordering::Acquire) {
+                std::thread::sleep(LOOK_PAUSE);
+                let all = engines
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .clone();
+                let crashed = all.iter().filter(|engine| engine.server.crashed());
+                for engine in crashed.skip(replaced) {
+                    engine.way.set_faults(WayFaults {
+                        refuses: true,
+                        ..WayFaults::default()
+                    });
+                    std::thread::sleep(ENTRY_TIME);
+                    store.remove(&format!("servers/{}", engine.server.id));
+                    let mut all = engines.lock().unwrap_or_else(PoisonError::into_inner);
+                    let another = start_engine(&store, all.len());
+                    all.push(another);
+                    replaced += 1;
+                }
+            }
+        });
+    }
+
+    /// Nothing fails any more.
+    pub fn lift_faults(&self) {
+        self.store.set_faults(StoreFaults::default());
+        for site in &self.sites {
+            site.way.set_faults(WayFaults::default());
+            // Connections that had gone silent stay so; new ones work.
+            site.way.reset();
+            site.program().signal(Signal::CONT);
+        }
+        for engine in self.engines() {
+            engine.server.set_faults(EngineFaults {
+                crashes_on: Some(POISON.to_owned()),
+                ..EngineFaults::default()
+            });
+            if !engine.server.crashed() {
+                engine.way.set_faults(WayFaults::default());
+                engine.way.reset();
+            }
+        }
+    }
+
+    /// Stops all instances as the platform does.
+    pub fn stop(&self, report: &mut SoakReport) {
+        self.ended.store(true, Ordering::Release);
+        for site in &self.sites {
+            let _alone = site
+                .restarting
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let bytes = site.program().resident_bytes();
+            report.peak_bytes = report.peak_bytes.max(bytes);
+            site.program().signal(Signal::TERM);
+        }
+        for (number, site) in self.sites.iter().enumerate() {
+            let code = site.program().child.wait().ok().and_then(|s| s.code());
+            if code != Some(0) {
+                let broken = format!("instance {number} ended with {code:?} at its stop");
+                report.broken.push(broken);
+            }
+        }
+    }
+}
+
+fn start_site(plan: &SoakPlan, store: &MetadataStandIn, number: usize) -> Result<Arc<Site>> {
+    let way = Proxy::start(store.serve());
+    let name = format!("soak{}-{number}", plan.seed);
+    let program = Program::start(ProgramPlan {
+        program: plan.program.clone(),
+        output: Output::File(plan.logs.join(format!("{name}.log"))),
+        name,
+        store: way.address,
+        grace_s: GRACE_S,
+        arguments: Vec::new(),
+    })?;
+    Ok(Arc::new(Site {
+        callers: program.callers,
+        program: Mutex::new(program),
+        restarting: Mutex::default(),
+        way,
+        harmed: AtomicU64::new(0),
+        life: AtomicU64::new(0),
+    }))
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -57,6 +57,7 @@
 mod silent_connections;
 mod site;
 mod slow_store;
+mod soak;
 mod store_feeds;
 mod stream_resume;
 mod support;
--- /dev/null
+++ b/tests/all/soak.rs
@@ -0,0 +1,34 @@
+//! The fault soak, short: real processes, a fixed seed. `passway-soak` plays more of it.
+
+use crate::support::from_environment;
+use passway_standins::soak::{self, SoakPlan};
+use passway_types::prelude::*;
+
+/// Faults of the run in CI, some 15 s.
+const STEPS: u64 = 40;
+
+#[test]
+fn promises_kept() {
+    let seed = from_environment("PASSWAY_SOAK_SEED", 1);
+    let logs = std::env::temp_dir().join(format!("passway-soak-{}", std::process::id()));
+    std::fs::create_dir_all(&logs).expect("a folder for logs");
+    let report = soak::run(&SoakPlan {
+        program: env!("CARGO_BIN_EXE_passway-instance").into(),
+        logs: logs.clone(),
+        seed,
+        instances: 3,
+        engines: 4,
+        callers: 8,
+        steps: from_environment("PASSWAY_SOAK_STEPS", STEPS),
+        pause: Duration::from_millis(500),
+    });
+    let report = report.expect("a soak");
+    assert_eq!(
+        report.broken,
+        Vec::<String>::new(),
+        "logs: {}",
+        logs.display()
+    );
+    assert!(report.served > 0, "{report:?}");
+    std::fs::remove_dir_all(&logs).expect("the folder removed");
+}
