Requests under which two engines crashed are kept through the loss of all instances

Cause: only refused requests lay in the store, so two crashes were forgotten whenever all instances went. Change: those whose next crash is the last allowed are kept as well; two writes a second at most; removing the key clears them too.

--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -1,8 +1,8 @@
 //! Requests that crash upstreams, as this instance knows them and as they are told and kept.
 //!
 //! Each instance joins in what it sees itself, what the holder of the right to order tells, and what
-//! lies in the store, where the holder keeps the requests that are refused: a fleet that starts
-//! again knows them before it serves.
+//! lies in the store, where the holder keeps the requests that are refused or may be after the
+//! next crash: a fleet that starts again knows them before it serves.
 
 use crate::right::Right;
 use crate::shared::Shared;
@@ -17,12 +17,12 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// The key under which the requests that are refused lie in the store.
+/// The key under which requests that crash upstreams lie in the store.
 pub const KEY: &str = "passway/poison";
 /// Requests that are told or kept at most, 150 bytes each: what a link of 10 Mbit/s carries in
 /// 60 ms.
 const MAX_TOLD: usize = 512;
-/// Pause before the store is written to again that did not take the list.
+/// Pause between two writes of the list: two calls a second at most, while engines crash.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 
 /// The list as it lies in the store.
@@ -144,8 +144,8 @@
     /// what others are to be told.
     pub fn removed_from_store(&self) -> Vec<Suspect> {
         *lock(&self.kept) = Kept::default();
-        let cleared = lock(&self.list).clear_refused();
-        log::info!(target: DECISION_TARGET, cleared = cleared.len(); "refused requests were cleared");
+        let cleared = lock(&self.list).clear_kept();
+        log::info!(target: DECISION_TARGET, cleared = cleared.len(); "requests that crash upstreams were cleared");
         self.changed();
         cleared
     }
@@ -170,10 +170,11 @@
         self.look();
     }
 
-    /// The write that makes the store hold the requests that are refused; `None` if it does.
+    /// The write that makes the store hold what is to be known when all have gone; `None` if it
+    /// does.
     fn write(&self) -> Option<ConditionalWrite> {
-        let refused = lock(&self.list).refused_suspects();
-        let value = encode(refused).encode_to_vec();
+        let kept = lock(&self.list).kept_suspects();
+        let value = encode(kept).encode_to_vec();
         let kept = lock(&self.kept);
         (kept.value != value).then(|| ConditionalWrite {
             key: KEY.to_owned(),
@@ -196,10 +197,10 @@
                     if let (Ok(WriteAnswer::Written(revision)), Some(value)) = (answer, write.value)
                     {
                         *lock(&poison.kept) = Kept { revision, value };
-                    } else {
-                        // The watch tells what stands there, or the store comes back.
-                        std::thread::sleep(WRITE_PAUSE);
                     }
+                    // What more is heard of a crash goes into one write; or the watch tells what
+                    // stands there now, or the store comes back.
+                    std::thread::sleep(WRITE_PAUSE);
                 }
             }
         });
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -68,6 +68,11 @@
         self.crashes.values().map(|blame| blame.weight()).sum()
     }
 
+    /// Whether the next crash is the last that is allowed.
+    fn is_kept(&self) -> bool {
+        self.weight() >= (MAX_CRASHES - 1) * FULL_WEIGHT
+    }
+
     fn is_refused(&self) -> bool {
         self.weight() >= MAX_CRASHES * FULL_WEIGHT
     }
@@ -172,12 +177,12 @@
         Some(suspect.clone())
     }
 
-    /// An operator has it that the requests that are refused may run. Returns what others are
+    /// An operator has it that the requests that were kept may run. Returns what others are
     /// to be told.
-    pub fn clear_refused(&mut self) -> Vec<Suspect> {
+    pub fn clear_kept(&mut self) -> Vec<Suspect> {
         let all = self.known.values_mut().map(|known| &mut known.suspect);
-        let refused = all.filter(|suspect| suspect.is_refused());
-        let cleared = refused.map(|suspect| {
+        let kept = all.filter(|suspect| suspect.is_kept());
+        let cleared = kept.map(|suspect| {
             suspect.clear();
             suspect.clone()
         });
@@ -224,10 +229,10 @@
         all.into_iter().map(|k| k.suspect.clone()).collect()
     }
 
-    /// The requests that are refused.
-    pub fn refused_suspects(&self) -> Vec<Suspect> {
+    /// The requests that are to be known when all instances have gone.
+    pub fn kept_suspects(&self) -> Vec<Suspect> {
         let mut all = self.suspects(1);
-        all.retain(Suspect::is_refused);
+        all.retain(Suspect::is_kept);
         all
     }
 
