--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -21,6 +21,8 @@
     pub pause_after: Option<u64>,
     /// Takes the next order and does not answer it.
     pub loses_answer: bool,
+    /// Pauses for so long before each event of all streams.
+    pub event_pause: Duration,
     /// Crashes when it begins to run a request with this body.
     pub crashes_on: Option<String>,
 }
@@ -275,6 +277,7 @@
         let cuts_after = state.faults.cuts_after.take();
         let silent_after = state.faults.silent_after.take();
         let pause_after = state.faults.pause_after.take();
+        let event_pause = state.faults.event_pause;
         drop(state);
         let from = received
             .header("last-event-id")
@@ -299,6 +302,9 @@
             if pause_after == Some(number - 1) {
                 steps.push(Step::Pause(Duration::from_millis(2_500)));
             }
+            if !event_pause.is_zero() {
+                steps.push(Step::Pause(event_pause));
+            }
             let event = event(number);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             steps.push(Step::Send(chunk.into_bytes()));
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -13,7 +13,7 @@
 /// Longest pause of a caller between two requests.
 const LONGEST_PAUSE_MS: u64 = 60;
 /// One request in so many crashes the engines that run it.
-const POISON_IN: u32 = 60;
+const POISON_IN: u32 = 15;
 /// Chance that a caller goes on over the connection that it has.
 const KEEPS_CHANCE: f64 = 0.9;
 
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -1,6 +1,6 @@
 //! Which faults come when.
 
-use super::world::{POISON, World};
+use super::world::{World, usual_engine};
 use crate::platform::model_server::{EVENTS, Faults as EngineFaults};
 use crate::platform::proxy::WayFaults;
 use crate::platform::store::Faults as StoreFaults;
@@ -187,10 +187,7 @@
 
     fn engine_faults(&mut self) -> EngineFaults {
         let after = Some(self.rng.random_range(0..EVENTS));
-        let mut faults = EngineFaults {
-            crashes_on: Some(POISON.to_owned()),
-            ..EngineFaults::default()
-        };
+        let mut faults = usual_engine();
         match self.rng.random_range(0..4) {
             0 => faults.cuts_after = after,
             1 => faults.silent_after = after,
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -25,6 +25,10 @@
 const GRACE_S: f64 = 4.5;
 /// Longest wait for instances to serve: a busy machine starts dozens of processes in seconds.
 const START_LIMIT: Duration = Duration::from_mins(2);
+/// Time that a plain server works on a call, so that stops and kills find some under way.
+const CALL_TIME: Duration = Duration::from_millis(15);
+/// Time between two events of a stream, for the same reason.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// An engine's entry stays for so long after its crash; another engine comes then.
@@ -120,16 +124,25 @@
             return vec![Step::Send(text.into_bytes())];
         }
         if received.number % 9 == 4 {
-            return vec![Step::Close];
+            return vec![Step::Pause(CALL_TIME), Step::Close];
         }
         let length = id.len();
         let text = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: {length}\r\n\r\n{id}"
         );
-        vec![Step::Send(text.into_bytes())]
+        vec![Step::Pause(CALL_TIME), Step::Send(text.into_bytes())]
     })
 }
 
+/// What engines do while nothing fails: their streams last, and one request crashes them.
+pub fn usual_engine() -> EngineFaults {
+    EngineFaults {
+        crashes_on: Some(POISON.to_owned()),
+        event_pause: EVENT_PAUSE,
+        ..EngineFaults::default()
+    }
+}
+
 fn start_engine(store: &MetadataStandIn, number: usize) -> Engine {
     let id = format!("i-{number}");
     let standing = [MODELS[number % 2], MODELS[2 + number % 3]];
@@ -142,10 +155,7 @@
     let server = ModelServer::start_behind(store, &id, "engines", models, |address| {
         way.insert(Proxy::start(address)).address
     });
-    server.set_faults(EngineFaults {
-        crashes_on: Some(POISON.to_owned()),
-        ..EngineFaults::default()
-    });
+    server.set_faults(usual_engine());
     Engine {
         way: way.unwrap_or_else(|| Proxy::start(server.address)),
         server,
@@ -262,10 +272,7 @@
             site.program().signal(Signal::CONT);
         }
         for engine in self.engines() {
-            engine.server.set_faults(EngineFaults {
-                crashes_on: Some(POISON.to_owned()),
-                ..EngineFaults::default()
-            });
+            engine.server.set_faults(usual_engine());
             if !engine.server.crashed() {
                 engine.way.set_faults(WayFaults::default());
                 engine.way.reset();
