--- /dev/null
+++ b/tests/suspended/dispatcher.rs
@@ -0,0 +1,69 @@
+//! The dispatcher of engines.
+
+use crate::alone;
+use crate::site::{self, PATIENCE, until};
+use passway_standins::platform::model_server::ModelServer;
+use passway_types::clock;
+use passway_types::prelude::*;
+use passway_wire::dispatch::{Ask, Datagram, Dispatch, Verdict};
+use passway_wire::message::{Member, Members};
+use passway_wire::{Body, Link};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+
+/// What the instance that dispatches answers to a question.
+fn ask(socket: &UdpSocket, dispatcher: SocketAddr, id: u64) -> Verdict {
+    let question = Ask {
+        id,
+        service: "engines".into(),
+        model: "m0".into(),
+        hall: "hall0".into(),
+        ..Ask::default()
+    };
+    let bytes = Datagram::bytes(Some(Dispatch::Ask(question)));
+    socket.send_to(&bytes, dispatcher).expect("sent");
+    let mut bytes = [0; 1_500];
+    loop {
+        let (length, _) = socket.recv_from(&mut bytes).expect("an answer");
+        if let Some(Dispatch::Grant(grant)) = Datagram::read(&bytes[..length])
+            && grant.id == id
+        {
+            return grant.verdict();
+        }
+    }
+}
+
+/// Runs that nobody has spoken of since before are over, and their slots are free.
+#[test]
+fn old_runs_lapse() {
+    let _alone = alone();
+    let store = site::store(&["m0"]);
+    let _engine = ModelServer::start(&store, "i-0", "engines", 1, &["m0"], &[]);
+    let holder = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = holder.local_addr().expect("address");
+    store.put_bytes("passway/holder", format!("played {address}").as_bytes());
+    let instance = site::ready("one", &store);
+    let (link, mut reader) = Link::from_stream(holder.accept().expect("a link").0).expect("a link");
+    let dispatcher = loop {
+        if let Some(Body::Subscribe(subscribe)) = reader.receive().expect("a message") {
+            break subscribe.address;
+        }
+    };
+    let member = Member {
+        instance: "one".into(),
+        address: dispatcher.clone(),
+    };
+    let members = Members {
+        members: vec![member],
+    };
+    link.send(Body::Dispatchers(members)).expect("sent");
+    until("a dispatcher", || instance.dispatchers() == 1);
+    let dispatcher: SocketAddr = dispatcher.parse().expect("an address");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    let full = (0..100).find(|id| ask(&socket, dispatcher, *id) != Verdict::Go);
+    assert!(full.is_some(), "the engine has fewer slots");
+    clock::play_suspension(Duration::from_secs(10));
+    // The question that wakes it may be answered by what it knew before.
+    ask(&socket, dispatcher, 200);
+    assert_eq!(ask(&socket, dispatcher, 201), Verdict::Go);
+}
--- a/tests/suspended/main.rs
+++ b/tests/suspended/main.rs
@@ -7,6 +7,7 @@
 mod site;
 
 mod caller;
+mod dispatcher;
 mod holder;
 mod listener;
 
