One way to whole milliseconds; whether a request is refused is looked at once a turn

Four places counted milliseconds by hand beside relay::millis_since; they call it or the new relay::millis. find_upstream asked twice in its first turn whether the request is refused. No change of behaviour.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -11,7 +11,7 @@
 
 use crate::events::EventCutter;
 use crate::http1::{AnswerHead, Connection, RequestHead};
-use crate::relay::millis_since;
+use crate::relay::{millis, millis_since};
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
 use passway_process::logging::json::REQUEST_TARGET;
@@ -279,10 +279,6 @@
     Refusal::NotRun { retry_after_ms }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn after(keep: bool) -> After {
     if keep { After::Keep } else { After::Close }
 }
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -9,6 +9,7 @@
     self, AnswerHead, BodyPart, BodyReader, Connection, HttpError, Wrote, encode_head,
 };
 use crate::pool;
+use crate::relay;
 use crate::reply::{self, WRITE_TIME};
 use passway_serving::headers::Headers;
 use passway_serving::ports::{AnswerFacts, Stamp};
@@ -107,7 +108,7 @@
         let left = self.deadline_at.saturating_duration_since(clock::now());
         let stamp = Stamp {
             upstream: target.id.clone(),
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            deadline_ms: relay::millis(left),
             urgency: self.is_engine.then_some(self.route.priority.min(9)),
             last_event: self.delivered.cutter.last_id().map(str::to_owned),
         };
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -26,16 +26,14 @@
 
     /// Waits for an upstream that can take the request.
     pub(super) fn find_upstream(&mut self, may_wait: bool) -> Option<Target> {
-        if self.refused_for().is_none()
-            && let Some(next) = self.next.take()
-        {
-            return Some(next);
-        }
         let mut told: Option<ToldWait> = None;
         loop {
             if self.refused_for().is_some() {
                 return None;
             }
+            if let Some(next) = self.next.take() {
+                return Some(next);
+            }
             let now = clock::now();
             self.shared.metrics.choice();
             let seen = self.shared.changes_seen();
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -12,7 +12,7 @@
 use crate::listeners::Listeners;
 use crate::members::{Addresses, Announcement, KeptAnnouncement, Roster};
 use crate::news::Told;
-use crate::relay::{HEARTBEAT_PAUSE, Relay};
+use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -298,10 +298,9 @@
         let Some(fence) = self.right.asks_promises() else {
             return;
         };
-        let asked = now.saturating_duration_since(self.begun_at);
         let body = Body::PromiseWanted(PromiseWanted {
             fence,
-            asked_ms: u64::try_from(asked.as_millis()).unwrap_or(u64::MAX),
+            asked_ms: relay::millis_since(self.begun_at, now),
         });
         for (number, (name, _)) in self.listeners.members() {
             if self.candidates.contains(name) {
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -69,10 +69,14 @@
     }
 }
 
+/// A time in whole milliseconds.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Milliseconds between two moments.
 pub fn millis_since(since: Instant, at: Instant) -> u64 {
-    let passed = at.saturating_duration_since(since);
-    u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+    millis(at.saturating_duration_since(since))
 }
 
 /// What an instance hears of the holder.
