Red: keys go upstream, and whoever has none is served

Cause: the programs know nothing of workspaces: the configuration's list of them is not decoded, no route asks for a key, and a caller's key and workspace header pass like any other header. Failing before the mend: workspace_keys::key_withheld (the server receives the key and the forged workspace), unknown_refused and key_taken_away (200 where 401 is due), public_route. wrong_workspaces and without_workspaces hold on the code as it is and must go on to. Stand-ins: documents with workspaces.

--- a/crates/standins/src/platform/documents.rs
+++ b/crates/standins/src/platform/documents.rs
@@ -33,6 +33,18 @@
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}})
 }
 
+/// A configuration with workspaces, whose routes ask for a key of one of them.
+pub fn with_workspaces(mut configuration: Value, workspaces: &[Value]) -> Value {
+    configuration["tenants"] = workspaces.into();
+    configuration
+}
+
+/// A workspace with keys that may use so many tokens a second, and as many at once; 0 for no limit.
+pub fn workspace(name: &str, keys: &[&str], tokens_per_s: f64) -> Value {
+    json!({"name": name, "api_keys": keys, "priority": 1, "unit": "token_count",
+        "plain_tokens": 200, "rate_per_s": tokens_per_s, "burst": tokens_per_s})
+}
+
 /// Lists a plain server.
 pub fn list_plain(store: &MetadataStandIn, id: &str, address: SocketAddr, state: &str) {
     let entry = json!({"service": "plain", "address": address.to_string(), "zone": "hall0",
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -64,3 +64,4 @@
 mod tenure_faults;
 mod upstream_choice;
 mod waiting_requests;
+mod workspace_keys;
