--- /dev/null
+++ b/tests/all/closed_site.rs
@@ -0,0 +1,52 @@
+//! An instance whose routes ask for keys, with bounds as the settings file gives them.
+
+use crate::site::{self, ask, configuration, request};
+use passway_instance::Instance;
+use passway_serving::ports::InstanceSettings;
+use passway_standins::platform::documents::with_workspaces;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// A key of the workspace that all of these have.
+pub const KEY: &str = "k1-asnmgkcuyj8pjbvk9m68";
+
+/// A version with workspaces, and a public route `open` beside the closed ones.
+pub fn closed(version: u64, workspaces: &[Value]) -> Value {
+    let mut document = with_workspaces(configuration(version, &["m0"]), workspaces);
+    let mut open = document["routes"][0].clone();
+    open["name"] = "open".into();
+    open["prefix"] = "/open/".into();
+    open["public"] = true.into();
+    let routes = document["routes"].as_array_mut().expect("routes");
+    routes.push(open);
+    document
+}
+
+/// Settings on loopback whose bounds are written as in the settings file.
+pub fn settings(name: &str, store: SocketAddr, bounds: &str) -> InstanceSettings {
+    let text = format!(
+        "node_name = \"{name}\"\nzone = \"hall0\"\nip = \"127.0.0.1\"\ninternal_ports = [0, 0]\n\
+        [listen_addrs]\nfrontend = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
+        [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nretry_slack = 800\n\
+        retry_window_s = 10\nlease_ms = 1000\n{bounds}\n\
+        [platform]\naddress = \"{store}\"\nttl_min_ms = 1000\n"
+    );
+    passway_users_platform::settings::decode(&text).expect("settings")
+}
+
+/// Starts an instance with bounds and waits until it is ready.
+pub fn ready(name: &str, store: SocketAddr, bounds: &str) -> Instance {
+    let instance = site::start_with(settings(name, store, bounds));
+    site::until("readiness", || instance.is_ready());
+    instance
+}
+
+/// What a request with the key is answered, by status and `Retry-After`.
+pub fn status(instance: &Instance, path: &str, id: &str) -> (u16, Option<f64>) {
+    let head = format!("Authorization: Token {KEY}\r\n");
+    let bytes = request("GET", path, id, &head, "");
+    let answer = ask(instance.callers_address(), &bytes).expect("an answer");
+    let retry_after = answer.header("retry-after");
+    let retry_after = retry_after.map(|text| text.parse().expect("a number"));
+    (answer.status, retry_after)
+}
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -1,6 +1,7 @@
 //! An instance in this process among stand-ins that speak the users' platform's protocol.
 
 use passway_instance::{Instance, Surroundings};
+use passway_serving::allotment::QuotaBounds;
 use passway_serving::placement::USUAL_LOAD_WINDOW;
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::ports::{InstanceBounds, InstanceSettings};
@@ -64,6 +65,12 @@
                 slack: 800.0,
                 window_s: 10.0,
             },
+            revocation: None,
+            quota: QuotaBounds {
+                window: Duration::from_secs(8),
+                overage: 0.1,
+                slack: 17_000.0,
+            },
         },
     }
 }
--- /dev/null
+++ b/tests/all/workspace_allotments.rs
@@ -0,0 +1,93 @@
+//! A workspace uses what it may over all instances, and not more.
+
+use crate::closed_site::{KEY, closed, ready, status};
+use crate::site::{list_plain, plain_server, until};
+use passway_instance::Instance;
+use passway_standins::platform::documents::workspace;
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_standins::platform::store::MetadataStandIn;
+use passway_types::prelude::*;
+
+/// What a request counts that names no tokens (`documents::workspace`).
+const PLAIN_TOKENS: f64 = 200.0;
+/// Units a second, and as many at once.
+const RATE: f64 = 2_000.0;
+const BOUNDS: &str = "quota_window_s = 8\nquota_overage = 0.1\nquota_slack = 2000";
+
+fn store(server: &RawServer) -> MetadataStandIn {
+    let store = MetadataStandIn::default();
+    store.put("op/config", &closed(1, &[workspace("alpha", &[KEY], RATE)]));
+    list_plain(&store, "i-0", server.address, "ready");
+    store
+}
+
+/// Once the keeper answers.
+fn kept(instance: &Instance) {
+    until("a keeper", || status(instance, "/read/", "first").0 == 200);
+}
+
+#[test]
+fn beyond_refused() {
+    let server = plain_server();
+    let store = store(&server);
+    let address = store.serve();
+    let instances = [
+        ready("one", address, BOUNDS),
+        ready("two", address, BOUNDS),
+        ready("three", address, BOUNDS),
+    ];
+    instances.iter().for_each(kept);
+    let begun_at = Instant::now();
+    let mut granted = 0.0;
+    let mut refused = 0;
+    for number in 0..120 {
+        match status(&instances[number % 3], "/read/", &format!("id{number}")) {
+            (200, _) => granted += PLAIN_TOKENS,
+            (429, Some(retry_after_s)) => {
+                assert!(retry_after_s > 0.0);
+                refused += 1;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    let time_s = begun_at.elapsed().as_secs_f64();
+    let most = (RATE * time_s + RATE) * 1.1 + 2_000.0;
+    assert!(granted <= most, "{granted} of {most}");
+    assert!(refused > 0);
+    assert!(granted > 0.0);
+}
+
+/// What a server sheds has not run, and its workspace may use it.
+#[test]
+fn given_back() {
+    let server = RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let shed = "503 X\r\nNot-Executed: 1\r\nContent-Length: 0";
+        let whole = "200 OK\r\nResponse-Seal: s\r\nContent-Length: 0";
+        let answer = if id.starts_with("shed") { shed } else { whole };
+        let text = format!("HTTP/1.1 {answer}\r\nRequest-Id: {id}\r\n\r\n");
+        vec![Step::Send(text.into_bytes())]
+    });
+    let store = store(&server);
+    let instance = ready("one", store.serve(), BOUNDS);
+    kept(&instance);
+    // Four times what it may use at once.
+    for number in 0..40 {
+        let (code, _) = status(&instance, "/pay/", &format!("shed{number}"));
+        assert_eq!(code, 503);
+    }
+    assert_eq!(status(&instance, "/pay/", "id").0, 200);
+}
+
+/// Nothing is counted for a workspace without a limit.
+#[test]
+fn unlimited() {
+    let server = plain_server();
+    let store = store(&server);
+    store.put("op/config", &closed(2, &[workspace("alpha", &[KEY], 0.0)]));
+    let instance = ready("one", store.serve(), BOUNDS);
+    for number in 0..60 {
+        let (code, _) = status(&instance, "/read/", &format!("id{number}"));
+        assert_eq!(code, 200);
+    }
+}
--- /dev/null
+++ b/tests/all/workspace_revocation.rs
@@ -0,0 +1,87 @@
+//! A key that was taken away stops in time also where nothing is heard of that.
+
+use crate::closed_site::{KEY, closed, ready, status};
+use crate::site::{list_plain, plain_server, until};
+use passway_standins::platform::documents::workspace;
+use passway_standins::platform::store::{Faults, MetadataStandIn};
+use passway_types::prelude::*;
+
+/// Keys stop within a second and a half.
+const BOUNDS: &str = "strict_revoke = true\nrevoke_ms = 1500";
+const BOUND: Duration = Duration::from_millis(1_500);
+
+fn store() -> MetadataStandIn {
+    let store = MetadataStandIn::default();
+    store.put("op/config", &closed(1, &[workspace("alpha", &[KEY], 0.0)]));
+    store
+}
+
+fn silent() -> Faults {
+    Faults {
+        is_silent: true,
+        ..Faults::default()
+    }
+}
+
+/// An instance that hears nothing refuses closed routes once a key may have been taken away, says
+/// that the request has not run, and serves public ones.
+#[test]
+fn unproved_refused() {
+    let store = store();
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let instance = ready("one", store.serve(), BOUNDS);
+    assert_eq!(status(&instance, "/read/", "id1").0, 200);
+    store.set_faults(silent());
+    let silent_at = Instant::now();
+    // Any question before that may have been answered.
+    until("the bound", || silent_at.elapsed() > BOUND);
+    let (code, retry_after) = status(&instance, "/read/", "id2");
+    assert_eq!(code, 503);
+    assert!(retry_after.is_some());
+    assert!(!instance.is_ready());
+    assert_eq!(status(&instance, "/open/", "id3").0, 200);
+    let ran = server.received();
+    let ran = ran.iter().filter_map(|one| one.header("request-id"));
+    assert_eq!(ran.collect::<Vec<_>>(), ["id1", "id3"]);
+    store.set_faults(Faults::default());
+    until("service", || status(&instance, "/read/", "id4").0 == 200);
+    until("readiness", || instance.is_ready());
+}
+
+/// One that the store turns away is served by the proofs of another.
+#[test]
+fn proved_by_another() {
+    let store = store();
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let holder = ready("one", store.serve(), BOUNDS);
+    until("the right", || holder.fence().is_some());
+    let way = store.serve_way();
+    let other = ready("two", way.address(), BOUNDS);
+    way.set_faults(Faults {
+        refuses: Some(503),
+        ..Faults::default()
+    });
+    let refused_at = Instant::now();
+    while refused_at.elapsed() < 3 * BOUND {
+        assert_eq!(status(&other, "/read/", "id1").0, 200);
+        std::thread::sleep(BOUND / 10);
+    }
+    // And hears by the same way that the key is taken away.
+    store.put("op/config", &closed(2, &[workspace("alpha", &["k"], 0.0)]));
+    until("the new version", || other.version() == Some(2));
+    assert_eq!(status(&other, "/read/", "id2").0, 401);
+}
+
+/// Without such a bound an instance serves on.
+#[test]
+fn unbounded_serves() {
+    let store = store();
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let instance = ready("one", store.serve(), "revoke_ms = 100");
+    store.set_faults(silent());
+    std::thread::sleep(BOUND);
+    assert_eq!(status(&instance, "/read/", "id1").0, 200);
+}
--- a/tests/suspended/main.rs
+++ b/tests/suspended/main.rs
@@ -6,9 +6,13 @@
 #[path = "../all/site.rs"]
 mod site;
 
+#[path = "../all/closed_site.rs"]
+mod closed_site;
+
 mod caller;
 mod dispatcher;
 mod holder;
+mod keys;
 mod listener;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
