--- a/tests/all/docs_match.rs
+++ b/tests/all/docs_match.rs
@@ -5,6 +5,24 @@
 use passway_types::outcome::ResultCode;
 use std::fmt::Write;
 
+/// What `passway-instance` answers by itself: there a refusal is a status alone.
+const PLATFORM_CODES: &str = "
+## On the users' platform
+
+`passway-instance` answers by status alone; whatever an upstream answered is passed on as it is.
+
+| status | ran | meaning | `Retry-After` |
+| --- | --- | --- | --- |
+| 400 | not run | The bytes are no request, or name no host or more than one. | |
+| 401 | not run | The route needs a key, and no workspace holds the one that was sent. | |
+| 404 | not run | No route matches. | |
+| 413, 431 | not run | The body or the head is too large. | |
+| 429 | not run | The workspace has used its allotment. | the request's turn, 5 s at most |
+| 502 | unknown | An upstream may have run it, and its answer is lost. | |
+| 503 | not run | No upstream could take it; nobody could say what its workspace has used; its key may have been taken away meanwhile; or the instance is stopping. | when it may be otherwise; 0.05 s where another instance most likely can |
+| 504 | unknown | The time is over while an upstream works. | |
+";
+
 /// The fields of a program's settings, as its own fault for an unknown one lists them.
 fn fields_of<S: Settings + std::fmt::Debug>() -> Vec<String> {
     let faults = S::parse(r#"{ "nonsense": 1 }"#)
@@ -46,6 +64,7 @@
         )
         .expect("string");
     }
+    page.push_str(PLATFORM_CODES);
     expect_file!["../../docs/result-codes.md"].assert_eq(&page);
 }
 
--- /dev/null
+++ b/tests/all/workspace_secrets.rs
@@ -0,0 +1,88 @@
+//! Keys are secrets: nothing that an instance writes shows one.
+
+use crate::closed_site::{KEY, closed};
+use crate::site::{ask, list_plain, plain_server, request, until};
+use passway_serving::workspaces::KeyDigest;
+use passway_standins::platform::documents::workspace;
+use passway_standins::platform::program::{Output, Program, ProgramPlan};
+use passway_standins::platform::store::MetadataStandIn;
+use passway_users_platform::PlatformDirectory;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+fn answered(address: SocketAddr, key: &str, id: &str) -> u16 {
+    let head = format!("Authorization: Token {key}\r\n");
+    let bytes = request("GET", "/read/", id, &head, "");
+    ask(address, &bytes).expect("an answer").status
+}
+
+#[test]
+fn logs_and_metrics() {
+    let store = MetadataStandIn::default();
+    store.put("op/config", &closed(1, &[workspace("alpha", &[KEY], 1e6)]));
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let log = std::env::temp_dir().join(format!("passway-secrets-{}", std::process::id()));
+    let program = Program::start(ProgramPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_passway-instance")),
+        name: "secrets".to_owned(),
+        store: store.serve(),
+        grace_s: 4.5,
+        arguments: Vec::new(),
+        output: Output::File(log.clone()),
+    });
+    let mut program = program.expect("an instance");
+    until("readiness", || program.readiness() == Some(200));
+    let stranger = "k9-somebody-elses-key";
+    assert_eq!(answered(program.callers, KEY, "id1"), 200);
+    assert_eq!(answered(program.callers, stranger, "id2"), 401);
+    // Versions that cannot be used are told with a reason.
+    let twice = [
+        workspace("alpha", &[KEY], 0.0),
+        workspace("beta", &[KEY], 0.0),
+    ];
+    store.put("op/config", &closed(2, &twice));
+    let mut wrong = closed(3, &[workspace("alpha", &[KEY], 0.0)]);
+    wrong["tenants"][0]["api_keys"] = json!([KEY, {"key": KEY}]);
+    store.put("op/config", &wrong);
+    let metrics = || {
+        let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        ask(program.ready, question).expect("metrics").body
+    };
+    until("both versions are told", || {
+        metrics().contains("unusable_configurations_total 2")
+    });
+    let metrics = metrics();
+    // Lines are written a little later than they are told.
+    let written = || std::fs::read_to_string(&log).expect("a log");
+    until("the log", || {
+        let text = written();
+        text.contains("\"id1\"") && text.matches("cannot be used").count() == 2
+    });
+    program.child.kill().expect("an end");
+    program.child.wait().expect("an end");
+    let text = written();
+    std::fs::remove_file(&log).expect("a log");
+    for output in [&text, &metrics] {
+        assert!(
+            !output.contains(KEY) && !output.contains(stranger),
+            "{output}"
+        );
+    }
+}
+
+#[test]
+fn debug_output() {
+    use passway_serving::ports::{Directory, StoredValue};
+    let document = closed(1, &[workspace("alpha", &[KEY], 0.0)]);
+    let value = StoredValue {
+        key: "op/config".into(),
+        value: document.to_string().into_bytes().into(),
+        revision: 1,
+    };
+    let table = PlatformDirectory.configuration(&value).expect("usable");
+    let table = table.expect("a table");
+    let text = format!("{table:?} {:?}", KeyDigest::of(KEY.as_bytes()));
+    assert!(!text.contains(KEY));
+}
