--- a/tests/all/instance_metrics.rs
+++ b/tests/all/instance_metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of an instance on the users' platform, against its page.
 
+use crate::closed_site::{KEY, closed};
 use crate::site::{self, ask, list_plain, plain_server, request, until};
+use passway_standins::platform::documents::workspace;
+use passway_standins::platform::store::MetadataStandIn;
 use std::collections::BTreeSet;
 
 const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
@@ -13,13 +16,15 @@
 
 #[test]
 fn scrape_matches_page() {
-    let store = site::store(&[]);
+    let store = MetadataStandIn::default();
+    store.put("op/config", &closed(1, &[workspace("alpha", &[KEY], 1e6)]));
     let server = plain_server();
     list_plain(&store, "i-0", server.address, "ready");
     let instance = site::ready("one", &store);
     until("the right to order", || instance.fence().is_some());
+    let head = format!("Authorization: Token {KEY}\r\n");
     for path in ["/read/", "/read/", "/nowhere/"] {
-        let bytes = request("GET", path, "m", "", "");
+        let bytes = request("GET", path, "m", &head, "");
         assert!(ask(instance.callers_address(), &bytes).is_some());
     }
     let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
@@ -35,6 +40,7 @@
     for line in [
         count,
         "passway_instance_requests_total{end=\"refused before a route was known\",status=\"404\"} 1",
+        "passway_instance_workspace_requests_total{workspace=\"alpha\",allotment=\"granted\"} 2",
         "passway_instance_attempts_total{outcome=\"answered\"} 2",
         "passway_instance_first_byte_seconds_count 2",
         "passway_instance_holds_right 1",
