A keeper's successor begins with half full buckets where the one before had them so

Change: the keeper tells in the store, once a second and only what has changed, which buckets are at least half full; a successor empties that first and relies on it then, so that it is relied on once. Ruled out: levels and times in the store (clocks may jump; grants since the write are unknown).

--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping an instance.
 
+use crate::allotments::Allotments;
 use crate::callers::Callers;
 use crate::dispatch::Dispatch;
 use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
@@ -105,6 +106,7 @@
             ),
         );
         Poison::keep(&shared, &right, store);
+        Allotments::keep(&shared, &right, store);
         Dispatch::start(&shared);
         ConfigurationAge::start(&shared);
         report::start(&shared, &right, &relay, needed);
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -3,6 +3,7 @@
 //! [`Tenure`] decides; here are the thread that makes its calls to the store and the
 //! feed that tells it what stands there.
 
+use crate::allotments;
 use crate::feeds::{Feed, follow};
 use crate::holder::{FeedNews, Input};
 use crate::poison;
@@ -245,6 +246,7 @@
                     held = self.tenure().taken(&answer, clock::now());
                     if let Some(fence) = held {
                         log::info!(target: DECISION_TARGET, fence = fence; "holds the right to order");
+                        shared.allotments.term_begun();
                         // The deciding thread ends only with the process.
                         let _ = holder.send(Input::TermBegun);
                     }
@@ -322,6 +324,9 @@
         let refused = find(poison::KEY).map(|value| (value.revision, &*value.value));
         let (revision, value) = refused.unwrap_or_default();
         self.shared.poison.seen_in_store(revision, value);
+        let half_full = find(allotments::KEY).map(|value| (value.revision, &*value.value));
+        let (revision, value) = half_full.unwrap_or_default();
+        self.shared.allotments.seen_in_store(revision, value);
         self.right.update(|tenure| {
             tenure.seen_recent(recent);
             tenure.seen(holder);
@@ -341,6 +346,13 @@
                 let poison = &self.shared.poison;
                 poison.seen_in_store(value.revision, &value.value);
             }
+            StoreChange::Written(value) if value.key == allotments::KEY => {
+                let allotments = &self.shared.allotments;
+                allotments.seen_in_store(value.revision, &value.value);
+            }
+            StoreChange::Removed { key, .. } if key == allotments::KEY => {
+                self.shared.allotments.seen_in_store(0, &[]);
+            }
             StoreChange::Removed { key, .. } if key == poison::KEY => {
                 for suspect in self.shared.poison.removed_from_store() {
                     self.shared.tell(Need::Suspect(suspect));
--- a/crates/serving/src/allotment.rs
+++ b/crates/serving/src/allotment.rs
@@ -7,7 +7,8 @@
 //! by its lease, and everybody knows it.
 //!
 //! A keeper that goes takes its buckets with it, and its successor begins with nearly empty ones: what
-//! was used before counts in the same window. Until there is a successor, each instance goes on with
+//! was used before counts in the same window. For that it is known which buckets were at least half
+//! full ([`Keeper::half_full`]): those begin half full, once. Until there is a successor, each instance goes on with
 //! [`Parts`]: a part of the workspace's rate as large as its part of the workspace's use was, for a
 //! short time. The parts of all instances together are the rate.
 //!
@@ -15,7 +16,7 @@
 
 use crate::workspaces::Allotment;
 use passway_types::prelude::*;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// Part of the overage that the keeper grants beyond the allotment: callers' requests come a little
@@ -29,6 +30,9 @@
 /// A keeper begins with what a workspace may use in this time: two that begin in a window of eight
 /// seconds, and the parts used before each, are less than the overage of a tenth.
 const START_TIME: Duration = Duration::from_millis(200);
+/// The part of a full bucket with which one begins that was at least so full: of all that a workspace may
+/// use in a window it is a twentieth, and the overage a tenth.
+const HALF: f64 = 0.5;
 /// An instance's use counts by the factor e less for each of these that have passed.
 const USE_TIME: Duration = Duration::from_secs(2);
 /// An instance that does not hear the keeper goes on with its part for so long. A third of the
@@ -116,12 +120,17 @@
 
     fn refill(&mut self, allotted: Allotment, extra: Allotment, now: Instant) {
         let passed_s = now.saturating_duration_since(self.at).as_secs_f64();
-        let filled = |level: f64, by: Allotment| (level + by.rate_per_s * passed_s).min(by.burst);
-        self.level = filled(self.level, allotted);
-        self.extra = filled(self.extra, extra);
+        self.level = self.level_at(allotted, now);
+        self.extra = (self.extra + extra.rate_per_s * passed_s).min(extra.burst);
         self.at = now;
     }
 
+    /// Units of the allotment that may be used at a moment.
+    fn level_at(&self, allotted: Allotment, now: Instant) -> f64 {
+        let passed_s = now.saturating_duration_since(self.at).as_secs_f64();
+        (self.level + allotted.rate_per_s * passed_s).min(allotted.burst)
+    }
+
     /// Takes what a request counts, if it fits.
     fn take(&mut self, cost: f64) -> bool {
         let from = if self.level >= cost {
@@ -174,6 +183,8 @@
 #[derive(Debug)]
 pub struct Keeper {
     bounds: QuotaBounds,
+    /// Workspaces that were not asked for yet and whose buckets begin half full.
+    begin_half_full: BTreeSet<WorkspaceName>,
     buckets: HashMap<WorkspaceName, Bucket>,
 }
 
@@ -182,10 +193,42 @@
     pub fn new(bounds: QuotaBounds) -> Self {
         Self {
             bounds,
+            begin_half_full: BTreeSet::new(),
             buckets: HashMap::new(),
         }
     }
 
+    /// These workspaces' buckets were at least half full when the keeper before told so last, and
+    /// nobody else was told that: what they may use at once is there again.
+    pub fn begin_half_full(
+        &mut self,
+        names: impl IntoIterator<Item = WorkspaceName>,
+        allotment: impl Fn(&str) -> Option<Allotment>,
+    ) {
+        for name in names {
+            if let Some(bucket) = self.buckets.get_mut(&name) {
+                let burst = allotment(&name).map_or(0.0, |allotment| allotment.burst);
+                bucket.level = (bucket.level + burst * HALF).min(burst);
+            } else {
+                self.begin_half_full.insert(name);
+            }
+        }
+    }
+
+    /// Workspaces whose buckets are at least half full.
+    pub fn half_full(
+        &self,
+        allotment: impl Fn(&str) -> Option<Allotment>,
+        now: Instant,
+    ) -> BTreeSet<WorkspaceName> {
+        let asked = self.buckets.iter().filter(|(name, bucket)| {
+            let allotment = allotment(name);
+            allotment.is_some_and(|one| bucket.level_at(one, now) >= one.burst * HALF)
+        });
+        let asked = asked.map(|(name, _)| name);
+        asked.chain(&self.begin_half_full).cloned().collect()
+    }
+
     /// What is granted beyond an allotment.
     fn extra(&self, allotment: Allotment) -> Allotment {
         let part = self.bounds.overage * OVERAGE_PART;
@@ -205,7 +248,11 @@
         now: Instant,
     ) -> Ruling {
         let extra = self.extra(allotment);
-        let level = allotment.rate_per_s * START_TIME.as_secs_f64();
+        let level = if self.begin_half_full.remove(workspace) {
+            allotment.burst * HALF
+        } else {
+            allotment.rate_per_s * START_TIME.as_secs_f64()
+        };
         let start = self.bounds.slack * START_PART;
         let bucket = self.buckets.entry(workspace.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(level, start, now));
@@ -238,6 +285,7 @@
 
     /// Forgets workspaces that are not there any more.
     pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
+        self.begin_half_full.retain(|name| is_there(name));
         self.buckets.retain(|name, _| is_there(name));
     }
 
--- a/crates/standins/src/allotment_model/ways.rs
+++ b/crates/standins/src/allotment_model/ways.rs
@@ -3,10 +3,11 @@
 use super::cases::State;
 use super::{Asking, Plan};
 use passway_serving::allotment::{Keeper, Parts, QuotaBounds, Ruling};
+use passway_serving::workspaces::Allotment;
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// What a way says to a request.
@@ -47,6 +48,9 @@
     fn messages(&self) -> u64;
 }
 
+/// Pause between two looks of the keeper whether what lies in the store has changed.
+const KEPT_PAUSE: Duration = Duration::from_secs(1);
+
 fn address(instance: usize) -> SocketAddr {
     let port = u16::try_from(instance).unwrap_or(u16::MAX);
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -60,6 +64,10 @@
     keeper: Keeper,
     term: u64,
     parts: HashMap<(usize, u64), Parts>,
+    /// What a successor finds in the store, as it was told last.
+    half_full: BTreeSet<WorkspaceName>,
+    tell_at: Option<Instant>,
+    allotments: HashMap<WorkspaceName, Allotment>,
     rng: ChaCha8Rng,
     messages: u64,
 }
@@ -67,11 +75,15 @@
 impl AskedKeeper {
     /// Before anything was asked.
     pub fn new(plan: &Plan) -> Self {
+        let allotment = |asking: &Asking| (asking.name.clone(), asking.allotment);
         Self {
             bounds: plan.bounds,
             keeper: Keeper::new(plan.bounds),
             term: 0,
             parts: HashMap::new(),
+            half_full: BTreeSet::new(),
+            tell_at: None,
+            allotments: plan.workspaces.iter().map(allotment).collect(),
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             messages: 0,
         }
@@ -79,10 +91,17 @@
 }
 
 impl Way for AskedKeeper {
-    fn pass_time(&mut self, state: &State, _now: Instant) {
+    fn pass_time(&mut self, state: &State, now: Instant) {
+        let allotment = |name: &str| self.allotments.get(name).copied();
         if state.term != self.term {
             self.term = state.term;
             self.keeper = Keeper::new(self.bounds);
+            let left = std::mem::take(&mut self.half_full);
+            self.keeper.begin_half_full(left, allotment);
+            self.tell_at = Some(now + KEPT_PAUSE);
+        } else if self.tell_at.is_none_or(|at| now >= at) && !state.holder_lost {
+            self.tell_at = Some(now + KEPT_PAUSE);
+            self.half_full = self.keeper.half_full(allotment, now);
         }
     }
 
--- a/tests/all/workspace_allotments.rs
+++ b/tests/all/workspace_allotments.rs
@@ -81,6 +81,25 @@
     assert_eq!(status(&instance, "/pay/", "id").0, 200);
 }
 
+/// A keeper begins with what the one before has left, and takes that out of the store first.
+#[test]
+fn begins_half_full() {
+    let server = plain_server();
+    let store = store(&server);
+    store.put_bytes("passway/half-full", b"alpha");
+    let instance = ready("one", store.serve(), BOUNDS);
+    until("what was left is taken", || {
+        store.get("passway/half-full").as_deref() == Some(b"")
+    });
+    // Half of the burst, whatever more comes meanwhile.
+    let half = (0..5).map(|number| status(&instance, "/read/", &format!("id{number}")).0);
+    assert_eq!(half.collect::<Vec<_>>(), [200; 5]);
+    // Once the bucket is full it is told so again.
+    until("it is told", || {
+        store.get("passway/half-full").as_deref() == Some(b"alpha")
+    });
+}
+
 /// Nothing is counted for a workspace without a limit.
 #[test]
 fn unlimited() {
