Soak: workspaces, keys that are taken away, an allotment

Cause: the soak knew no workspaces, and its instances had no bound on keys. Change: each version brings a key and takes one away; callers come with new, usual and removed ones, and with that of a workspace that may use ten calls a second. Judged from outside: nobody served by a key 3 s after it was taken away, no server sees a key or a request without its workspace, no window over the small workspace's allotment.

--- a/crates/standins/src/platform/program.rs
+++ b/crates/standins/src/platform/program.rs
@@ -25,6 +25,13 @@
     listener.local_addr().expect("address")
 }
 
+/// Time within which keys that were taken away stop.
+pub const REVOKE_MS: u64 = 3_000;
+/// Window of allotments, in seconds.
+pub const QUOTA_WINDOW_S: u64 = 8;
+/// Units that a workspace may use beyond its allotment in a window, beside a tenth of it.
+pub const QUOTA_SLACK: u32 = 2_000;
+
 /// What an instance is started with.
 #[derive(Debug, Clone)]
 pub struct ProgramPlan {
@@ -105,7 +112,8 @@
             "node_name = \"{}\"\nzone = \"hall0\"\nip = \"{}\"\ninternal_ports = [{}, 1]\n\
             [listen_addrs]\nfrontend = \"{callers}\"\nready = \"{ready}\"\n\
             [bounds]\ngrace_s = {}\nretry_budget_ratio = 0.2\nretry_slack = 52\n\
-            retry_window_s = 10\nlease_ms = 3000\n\
+            retry_window_s = 10\nlease_ms = 3000\nstrict_revoke = true\nrevoke_ms = {REVOKE_MS}\n\
+            quota_window_s = {QUOTA_WINDOW_S}\nquota_overage = 0.1\nquota_slack = {QUOTA_SLACK}\n\
             [platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
             plan.name,
             peers.ip(),
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -7,11 +7,12 @@
 //! * [`world`]: the processes, the stand-ins and the ways between them.
 //! * [`schedule`]: which faults come when.
 //! * [`callers`]: who asks for what, and what each of them got.
-//! * [`judge`]: the promises.
+//! * [`judge`]: the promises; [`workspaces`]: those on keys and allotments.
 
 mod callers;
 mod judge;
 mod schedule;
+mod workspaces;
 mod world;
 
 use anyhow::Result;
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Who asks for what, and what each of them got.
 
 use super::SoakPlan;
-use super::world::{MODELS, POISON, Site, World};
+use super::world::{MODELS, POISON, SMALL_KEY, Site, World, key};
 use crate::platform::caller::{Answer, Caller, request};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -45,6 +45,12 @@
     pub life: Option<u64>,
     /// Whether anything but a planned stop happened to the instance meanwhile.
     pub harmed: bool,
+    /// The version whose key it came with; `None` for the workspace that may use little.
+    pub key_of: Option<u64>,
+    /// Just before it was sent.
+    pub sent_at: Instant,
+    /// When it had ended.
+    pub ended_at: Instant,
     /// The answer; `None` if the connection ended without one.
     pub answer: Option<Answer>,
 }
@@ -136,10 +142,13 @@
     fn ask(&mut self, site: usize, mut caller: Caller) -> (Option<Record>, Option<Caller>) {
         let number = self.sent.fetch_add(1, Ordering::AcqRel);
         let id = format!("r{}-{number}", self.number);
-        let (asked, bytes) = self.draw(&id);
+        let key_of = self.draw_key();
+        let key = key_of.map_or_else(|| SMALL_KEY.to_owned(), key);
+        let (asked, bytes) = self.draw(&id, &key);
         let there = self.sites[site].clone();
         let life = there.life.load(Ordering::Acquire);
         let harmed = there.harmed.load(Ordering::Acquire);
+        let sent_at = Instant::now();
         if !caller.try_send(&bytes) {
             return (None, None);
         }
@@ -153,26 +162,43 @@
             site,
             life: (there.life.load(Ordering::Acquire) == life).then_some(life),
             harmed: there.harmed.load(Ordering::Acquire) != harmed,
+            key_of,
+            sent_at,
+            ended_at: Instant::now(),
             answer,
         };
         (Some(record), Some(caller).filter(|_| keeps))
     }
 
-    fn draw(&mut self, id: &str) -> (Asked, Vec<u8>) {
+    /// A key that most instances know: mostly one that the newest version has kept, at times one that
+    /// it brought, or that was taken away.
+    fn draw_key(&mut self) -> Option<u64> {
+        let version = (self.version)();
+        let age = match self.rng.random_range(0..20) {
+            0..2 => return None,
+            2..5 => 0,
+            5..8 => self.rng.random_range(2..5),
+            _ => 1,
+        };
+        Some(version.saturating_sub(age))
+    }
+
+    fn draw(&mut self, id: &str, key: &str) -> (Asked, Vec<u8>) {
+        let key = format!("Authorization: Token {key}\r\n");
         let model = MODELS[self.rng.random_range(0..MODELS.len())];
-        let model = format!("Model: {model}\r\n");
+        let model = format!("{key}Model: {model}\r\n");
         let version = (self.version)();
         match self.rng.random_range(0..6) {
-            0 => (Asked::Once, request("POST", "/pay/", id, "", id)),
-            1 => (Asked::Again, request("GET", "/read/", id, "", "")),
+            0 => (Asked::Once, request("POST", "/pay/", id, &key, id)),
+            1 => (Asked::Again, request("GET", "/read/", id, &key, "")),
             2 if version > 1 => {
                 let version = self.rng.random_range(2..=version);
                 let path = format!("/v{version}/");
-                (Asked::Version(version), request("GET", &path, id, "", ""))
+                (Asked::Version(version), request("GET", &path, id, &key, ""))
             }
             3 => (Asked::Stream, request("POST", "/report/", id, &model, id)),
             _ if self.rng.random_ratio(1, POISON_IN) => {
-                let model = format!("Model: {}\r\n", MODELS[0]);
+                let model = format!("{key}Model: {}\r\n", MODELS[0]);
                 let bytes = request("POST", "/chat/", id, &model, POISON);
                 (Asked::Resumable, bytes)
             }
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -2,7 +2,8 @@
 
 use super::SoakReport;
 use super::callers::{Asked, Record};
-use super::world::{MODELS, World, is_shed};
+use super::workspaces;
+use super::world::{MODELS, World, is_shed, key};
 use crate::platform::caller::{Answer, ask, request};
 use crate::platform::model_server::{EVENTS, event};
 use crate::platform::raw::RawServer;
@@ -47,6 +48,7 @@
             )
         }));
     }
+    workspaces::judge(world, records, report);
     never_back(records, report);
     orders(world, report);
     let most = MAX_CRASHES + world.sites.len();
@@ -178,10 +180,11 @@
         return;
     }
     for (number, site) in world.sites.iter().enumerate() {
-        let model = format!("Model: {}\r\n", MODELS[number % MODELS.len()]);
+        let key = format!("Authorization: Token {}\r\n", key(world.version()));
+        let model = format!("{key}Model: {}\r\n", MODELS[number % MODELS.len()]);
         let kinds = [
-            ("GET", "/read/", ""),
-            ("POST", "/pay/", ""),
+            ("GET", "/read/", &*key),
+            ("POST", "/pay/", &*key),
             ("POST", "/chat/", &*model),
         ];
         for (method, path, more) in kinds {
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -2,7 +2,7 @@
 
 use super::{SoakPlan, SoakReport};
 use crate::platform::caller::HOST;
-use crate::platform::documents::{configuration, list_plain};
+use crate::platform::documents::{configuration, list_plain, with_workspaces, workspace};
 use crate::platform::model_server::{Faults as EngineFaults, ModelServer, Models};
 use crate::platform::program::{Output, Program, ProgramPlan};
 use crate::platform::proxy::{Proxy, WayFaults};
@@ -11,13 +11,36 @@
 use anyhow::{Result, ensure};
 use passway_types::prelude::*;
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// The models; each engine begins with two of them.
 pub const MODELS: [&str; 5] = ["m0", "m1", "m2", "m3", "m4"];
+/// The key of a workspace that may use little.
+pub const SMALL_KEY: &str = "soak-key-small";
+/// Units a second that it may use, and as many at once: ten calls.
+pub const SMALL_RATE: u32 = 2_000;
+/// What a call counts.
+pub const CALL_UNITS: u32 = 200;
+
+/// The key that a version brings; the next one keeps it, and the one after takes it away.
+pub fn key(version: u64) -> String {
+    format!("soak-key-{version}")
+}
+
+/// A version's workspaces.
+fn with_keys(version: u64, table: Value) -> Value {
+    let (new, old) = (key(version), key(version.saturating_sub(1)));
+    let workspaces = [
+        workspace("large", &[&new, &old], 0.0),
+        workspace("small", &[SMALL_KEY], f64::from(SMALL_RATE)),
+    ];
+    with_workspaces(table, &workspaces)
+}
+
 /// The body that crashes engines, if they are told so.
 pub const POISON: &str = "poison";
 /// Time from SIGTERM to the end, in seconds: the shortest that leaves time between the
@@ -104,6 +127,8 @@
     pub plains: Vec<RawServer>,
     engines: Arc<Mutex<Vec<Engine>>>,
     version: AtomicU64,
+    /// Versions whose keys were taken away, and when the store had taken that.
+    taken_away: Mutex<BTreeMap<u64, Instant>>,
     ended: Arc<AtomicBool>,
 }
 
@@ -166,7 +191,7 @@
     /// Starts everything and waits until all instances are ready.
     pub fn start(plan: &SoakPlan) -> Result<Self> {
         let store = MetadataStandIn::default();
-        store.put("op/config", &configuration(1, &MODELS));
+        store.put("op/config", &with_keys(1, configuration(1, &MODELS)));
         let plains = vec![plain_server(), plain_server()];
         for (number, server) in plains.iter().enumerate() {
             list_plain(&store, &format!("p-{number}"), server.address, "ready");
@@ -182,6 +207,7 @@
             plains,
             engines,
             version: AtomicU64::new(1),
+            taken_away: Mutex::default(),
             ended: Arc::default(),
         };
         world.replace_crashed();
@@ -214,11 +240,20 @@
                 routes.push(route);
             }
         }
-        self.store.put("op/config", &table);
+        self.store.put("op/config", &with_keys(version, table));
+        let mut taken_away = self.taken_away();
+        taken_away.insert(version.saturating_sub(2), Instant::now());
+        drop(taken_away);
         // Callers ask for it from now on; an instance may not know it yet.
         self.version.store(version, Ordering::Release);
     }
 
+    /// Versions whose keys were taken away, and when the store had taken that.
+    pub fn taken_away(&self) -> MutexGuard<'_, BTreeMap<u64, Instant>> {
+        let taken_away = self.taken_away.lock();
+        taken_away.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until all instances are ready; whether they are.
     pub fn all_ready(&self) -> bool {
         let limit_at = Instant::now() + START_LIMIT;
