What can only come from the weight store, and too late, is refused at once with when it comes

Change: an instance that knows no engine with a copy, and a fetch that takes longer than the request may wait, refuses it as not run with the time of a fetch; the holder counts it as waiting for as long as it would have, so that it is fetched for the next. Tests: hopeless_waits.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -133,6 +133,8 @@
     attempt_at: Instant,
     /// Where the request goes on, chosen before an upstream that is silent was left.
     next: Option<Target>,
+    /// When its model can be there at the earliest, in milliseconds, if that is too late for it.
+    comes_ms: Option<u64>,
     /// What it asks for, once that was computed.
     digest: OnceCell<RequestDigest>,
     record: RequestRecord,
@@ -229,6 +231,7 @@
         question: shared.dispatch.next_run(),
         attempt_at: arrived_at,
         next: None,
+        comes_ms: None,
         digest: OnceCell::new(),
         record: RequestRecord::default(),
     }
@@ -460,7 +463,8 @@
         let refused_for = self.refused_for();
         let refusal = if self.runs == 0 {
             // What crashes engines is not run before it is forgotten.
-            not_run(refused_for.map_or(RETRY_AFTER_MS, millis))
+            let model_ms = self.comes_ms.unwrap_or(RETRY_AFTER_MS);
+            not_run(refused_for.map_or(model_ms, millis))
         } else if clock::now() >= self.deadline_at {
             Refusal::TimedOut
         } else {
@@ -470,6 +474,8 @@
             "refused at the stop"
         } else if refused_for.is_some() {
             "refused as crashing upstreams"
+        } else if self.comes_ms.is_some() {
+            "refused, its model comes too late"
         } else {
             "refused"
         };
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -41,6 +41,14 @@
                 Ok(target) => return Some(target),
                 Err(choice) => choice,
             };
+            if choice == Choice::Absent
+                && may_wait
+                && self.record.offers == 0
+                && let Some(comes_ms) = self.comes_too_late(now)
+            {
+                self.comes_ms = Some(comes_ms);
+                return None;
+            }
             // A stop shortens the request's time, and what it waits must leave time to run.
             let stop_at = self.shared.ends_at().unwrap_or(self.deadline_at);
             let wait_until = self.wait_until(self.deadline_at.min(stop_at));
@@ -81,6 +89,28 @@
         }
     }
 
+    /// When its model can be there at the earliest, in milliseconds, if that is known to be later than
+    /// the request may wait. The holder counts it as waiting as if it did, since others will ask.
+    fn comes_too_late(&self, now: Instant) -> Option<u64> {
+        let model_ref = self.wish()?;
+        let table = self.shared.routes.load();
+        let pool = table.as_ref()?.services.get(&self.service)?.pool.as_ref()?;
+        let load_ms = pool.models.named(&model_ref.model)?.load_ms;
+        let wait_until = self.wait_until(self.deadline_at);
+        let comes_at = now + Duration::from_millis(load_ms);
+        let upstreams = self.shared.upstreams();
+        if comes_at <= wait_until || !upstreams.lies_nowhere(&self.service, &model_ref.model) {
+            return None;
+        }
+        drop(upstreams);
+        self.shared.tell(Need::Missed {
+            service: self.service.clone(),
+            wish: model_ref.clone(),
+            until: wait_until,
+        });
+        Some(load_ms)
+    }
+
     /// The upstream for the next attempt, or why there is none now.
     pub(super) fn choose(&self, now: Instant) -> Result<Target, Choice> {
         let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -44,6 +44,7 @@
         dialed: None,
         taken: BTreeMap::new(),
         waiting: BTreeMap::new(),
+        missed: Vec::new(),
         untold: BTreeSet::new(),
         suspects: Vec::new(),
         recent: VecDeque::new(),
@@ -63,6 +64,8 @@
     taken: Taken,
     /// What requests wait for here.
     waiting: BTreeMap<WishKey, WaitingHere>,
+    /// Requests that were refused at once, and until when they count as waiting.
+    missed: Vec<(Instant, WishKey)>,
     /// What of it the holder was not told.
     untold: BTreeSet<WishKey>,
     /// Requests of which something became known that the holder was not told.
@@ -116,6 +119,7 @@
             if due {
                 report_at = clock::now() + REPORT_PAUSE;
             }
+            self.end_missed(clock::now());
             self.dial();
             self.subscribe();
             if due
@@ -128,29 +132,52 @@
         }
     }
 
+    fn wait_begins(&mut self, key: WishKey, until: Instant) {
+        let here = self.waiting.entry(key.clone());
+        let here = here.or_insert(WaitingHere { count: 0, until });
+        here.count += 1;
+        here.until = here.until.max(until);
+        self.untold.insert(key);
+    }
+
+    fn wait_ends(&mut self, key: WishKey) {
+        if let Some(here) = self.waiting.get_mut(&key) {
+            here.count -= 1;
+            if here.count == 0 {
+                self.waiting.remove(&key);
+            }
+        }
+        self.untold.insert(key);
+    }
+
+    /// Requests that were refused count as waiting no longer than they would have waited.
+    fn end_missed(&mut self, now: Instant) {
+        let over: Vec<WishKey> = self
+            .missed
+            .extract_if(.., |(until, _)| now >= *until)
+            .map(|(_, key)| key)
+            .collect();
+        for key in over {
+            self.wait_ends(key);
+        }
+    }
+
     fn take(&mut self, need: Need) {
         match need {
             Need::Waits {
                 service,
                 wish,
                 until,
+            } => self.wait_begins(key(service, wish), until),
+            Need::WaitEnds { service, wish } => self.wait_ends(key(service, wish)),
+            Need::Missed {
+                service,
+                wish,
+                until,
             } => {
                 let key = key(service, wish);
-                let here = self.waiting.entry(key.clone());
-                let here = here.or_insert(WaitingHere { count: 0, until });
-                here.count += 1;
-                here.until = here.until.max(until);
-                self.untold.insert(key);
-            }
-            Need::WaitEnds { service, wish } => {
-                let key = key(service, wish);
-                if let Some(here) = self.waiting.get_mut(&key) {
-                    here.count -= 1;
-                    if here.count == 0 {
-                        self.waiting.remove(&key);
-                    }
-                }
-                self.untold.insert(key);
+                self.missed.push((until, key.clone()));
+                self.wait_begins(key, until);
             }
             Need::Suspect(suspect) => self.suspects.push(suspect),
             // It is a reason to look, which follows in any case.
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -45,6 +45,16 @@
         /// What it waited for.
         wish: ModelRef,
     },
+    /// A request was refused since what it needs comes too late for it; it counts as waiting for as
+    /// long as it would have.
+    Missed {
+        /// The service.
+        service: ServiceName,
+        /// What it needs.
+        wish: ModelRef,
+        /// How long it would have waited.
+        until: Instant,
+    },
     /// What became known of a request under which upstreams crashed.
     Suspect(Suspect),
     /// A connection to the holder stands.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -139,6 +139,7 @@
             || known.entry.gone_at.is_some() != entry.gone_at.is_some();
         known.entry = entry;
         known.entry.draining |= was_draining;
+        known.note_standing();
         more
     }
 
@@ -201,6 +202,7 @@
                 upstream.absent_until.clear();
             }
             upstream.entry.models = models;
+            upstream.note_standing();
             upstream.closing = closing;
         }
     }
@@ -265,6 +267,14 @@
         upstream.is_some_and(|upstream| upstream.has(model_ref, now))
     }
 
+    /// Whether none of a service's engines has a model or a copy of it, so that it can only come from
+    /// the weight store. Unknown engines may have it: false if there is none.
+    pub fn lies_nowhere(&self, service: &ServiceName, model: &ModelName) -> bool {
+        let all = self.upstreams.values();
+        let mut engines = all.filter(|one| one.entry.service == *service).peekable();
+        engines.peek().is_some() && !engines.any(|one| one.keeps(model))
+    }
+
     /// Requests that an upstream works on at one time.
     pub fn slots_of(&self, id: &str) -> u32 {
         self.upstreams
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -2,7 +2,7 @@
 
 use super::{ModelRef, Outcome, UpstreamEntry};
 use passway_types::prelude::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Weight of the newest outcome in an upstream's failure rate.
 const FAILURE_WEIGHT: f64 = 0.25;
@@ -38,6 +38,8 @@
     pub(super) absent_until: HashMap<ModelRef, Instant>,
     /// Models that the holder of the right to order is about to unload.
     pub(super) closing: Vec<ModelName>,
+    /// Models that stood here since it is known, which it keeps a copy of.
+    stood: HashSet<ModelName>,
     /// When it is gone unless its entry comes back; `None` while the entry is there.
     pub(super) gone_at: Option<Instant>,
 }
@@ -56,10 +58,29 @@
             full_until: now,
             absent_until: HashMap::new(),
             closing: Vec::new(),
+            stood: HashSet::new(),
             gone_at: None,
         }
     }
 
+    /// Notes what stands here now.
+    pub(super) fn note_standing(&mut self) {
+        for model in &self.entry.models {
+            if !self.stood.contains(&model.name) {
+                self.stood.insert(model.name.clone());
+            }
+        }
+    }
+
+    /// Whether a model can come here from nearer than the weight store, as far as is known.
+    pub(super) fn keeps(&self, model: &ModelName) -> bool {
+        let entry = &self.entry;
+        self.stood.contains(model)
+            || entry.models.iter().any(|standing| standing.name == *model)
+            || entry.in_memory.contains(model)
+            || entry.on_disk.contains(model)
+    }
+
     /// Whether its entry is missing for too long.
     pub(super) fn is_gone(&self, now: Instant) -> bool {
         self.gone_at.is_some_and(|at| now >= at)
--- /dev/null
+++ b/tests/all/hopeless_waits.rs
@@ -0,0 +1,77 @@
+//! What cannot be served in time is refused at once.
+//!
+//! The pattern: 705 rare models of which 83 lie on no engine's disk; the weight store brings two in ten
+//! seconds, and a request for one of the others waited 3.6 s for nothing, 311 of 3,705 on a calm day.
+
+use crate::site::{self, stream, until};
+use passway_instance::Instance;
+use passway_serving::upstreams::{ResidentModel, UpstreamEntry, UpstreamTable};
+use passway_standins::platform::model_server::ModelServer;
+use passway_standins::platform::store::MetadataStandIn;
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+
+/// An instance before an engine that has one model, one on its disk, and one nowhere; a load
+/// from the weight store takes a minute.
+fn place() -> (MetadataStandIn, ModelServer, Instance) {
+    let store = MetadataStandIn::default();
+    let mut document = site::configuration(1, &["m0", "m1", "m2"]);
+    let models = &mut document["services"][1]["engine"]["models"];
+    for model in models.as_array_mut().expect("models") {
+        model["load_time_s"] = 60.0.into();
+    }
+    store.put("op/config", &document);
+    let engine = ModelServer::start(&store, "i-0", "engines", 2, &["m0"], &["m1"]);
+    let instance = site::ready("one", &store);
+    (store, engine, instance)
+}
+
+#[test]
+fn told_when_it_comes() {
+    let (_store, _engine, instance) = place();
+    let address = instance.callers_address();
+    let answer = stream(address, "chat", "id1", "m2");
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("retry-after"), Some("60.000"));
+}
+
+#[test]
+fn waits_for_what_is_near() {
+    let (_store, _engine, instance) = place();
+    let address = instance.callers_address();
+    assert_eq!(stream(address, "chat", "id1", "m0").status, 200);
+    until("the right to order", || instance.fence().is_some());
+    until("m1", || stream(address, "chat", "id2", "m1").status == 200);
+}
+
+/// What has stood on an engine has left a copy there, whoever told of it.
+#[test]
+fn copies_are_remembered() {
+    let (service, m0) = ("engines".into(), "m0".into());
+    let mut table = UpstreamTable::new("hall0".into());
+    assert!(!table.lies_nowhere(&service, &m0), "nothing is known");
+    let entry = UpstreamEntry {
+        id: "i-0".into(),
+        service: service.clone(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        hall: "hall0".into(),
+        slots: 8,
+        draining: false,
+        gone_at: None,
+        models: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: vec!["m1".into()],
+        beat: 1,
+        started_at_ms: 1,
+    };
+    table.update(entry, Instant::now());
+    assert!(table.lies_nowhere(&service, &m0));
+    assert!(!table.lies_nowhere(&service, &"m1".into()));
+    let standing = ResidentModel {
+        name: m0.clone(),
+        adapters: Vec::new(),
+    };
+    table.set_placement("i-0", vec![standing], Vec::new());
+    table.set_placement("i-0", Vec::new(), Vec::new());
+    assert!(!table.lies_nowhere(&service, &m0));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,6 +29,7 @@
 mod held_bodies;
 mod holder_heard;
 mod holder_link;
+mod hopeless_waits;
 mod instance_metrics;
 mod large_answers;
 mod log_analysis;
