--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -1,43 +1,40 @@
-//! One request: its route, the loop over attempts, giving up. Waiting for an upstream is in
-//! `waiting`, what happens within one attempt in `exchange`.
+//! One request: the loop over attempts, giving up.
+//!
+//! * [`destination`]: its route and service. [`access`]: whether it may go.
+//! * [`waiting`]: waiting for an upstream and choosing it.
+//! * [`attempt`], [`exchange`]: what happens within one attempt. [`suspect`]: whether the request
+//!   crashes what runs it.
 //!
 //! What an attempt tells decides what may follow. A request that was not run may go
 //! to another upstream whatever its kind. One that may have run goes to another only
 //! if its kind allows it, and is never refused as "not run".
 
 mod access;
+mod attempt;
+mod destination;
 mod exchange;
 mod suspect;
 mod waiting;
 
-use crate::events::EventCutter;
-use crate::http1::{AnswerHead, Connection, RequestHead};
+use crate::http1::{Connection, RequestHead};
 use crate::relay::{millis, millis_since};
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
-use access::{Access, Denied, NO_KEY};
+use access::{Access, Denied};
+use attempt::{Attempt, Delivered, FailedAnswer, Target};
+use destination::{draw, find_destination, host_of};
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
-use passway_serving::hash::fnv1a;
 use passway_serving::poison::{RequestDigest, UpstreamStart};
 use passway_serving::ports::RequestFacts;
-use passway_serving::routes::{Route, RouteTable};
+use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::cell::OnceCell;
-use std::net::SocketAddr;
 
 /// When a refused caller may come back, where nothing better is known.
 pub const RETRY_AFTER_MS: u64 = 500;
-/// When a caller may come back to an instance that knows no configuration yet.
-const START_RETRY_MS: u64 = 1_500;
-/// Part of its time that a request may wait for the first configuration.
-const START_PART: f64 = 0.3;
-/// Longest such wait.
-const START_WAIT: Duration = Duration::from_secs(1);
-/// Pause between two looks whether the configuration has come.
-const START_STEP: Duration = Duration::from_millis(30);
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
@@ -50,62 +47,6 @@
     Close,
 }
 
-/// How one attempt ended.
-#[derive(Debug)]
-enum Attempt {
-    /// The caller has the answer.
-    Answered(After),
-    /// The caller left, or its connection broke.
-    CallerGone,
-    /// The upstream has not run it and never will.
-    NotRun(Outcome),
-    /// No connection could be made, so nothing of it was sent.
-    NotSent,
-    /// It may have run; the answer broke off or was no answer.
-    Broken,
-    /// The upstream failed and says so.
-    Failed(Box<FailedAnswer>),
-    /// It may not go, or not any more; nothing of it was sent.
-    Denied(Denied),
-    /// The time is over.
-    TimedOut,
-    /// The process is about to end; the request may have run.
-    Ending,
-}
-
-/// A failure that an upstream vouches for, kept in case nobody does better.
-#[derive(Debug)]
-struct FailedAnswer {
-    head: AnswerHead,
-    body: Vec<u8>,
-}
-
-/// What has gone to the caller, over all attempts.
-#[derive(Debug, Default)]
-struct Delivered {
-    head_sent: bool,
-    chunked: bool,
-    cutter: EventCutter,
-}
-
-/// An upstream chosen for an attempt.
-#[derive(Debug, Clone)]
-struct Target {
-    id: UpstreamId,
-    address: SocketAddr,
-    /// The run's number, where engines have dispatchers.
-    run: Option<RunId>,
-}
-
-/// Where a request goes by the configuration.
-#[derive(Debug)]
-struct Destination {
-    route: Arc<Route>,
-    service: ServiceName,
-    is_engine: bool,
-    access: Access,
-}
-
 /// One request on its way.
 pub struct Forwarding<'a> {
     shared: &'a Arc<Shared>,
@@ -168,23 +109,6 @@
     }
 }
 
-/// A stable number for a request, by which it takes its part of a split route: the
-/// same request always takes the same backend.
-fn draw(id: &str) -> u64 {
-    fnv1a(0, id)
-}
-
-/// The host that a request names, without its port; `None` unless it names just one.
-fn host_of(head: &RequestHead) -> Option<String> {
-    let mut hosts = head.headers.all("host");
-    let host = std::str::from_utf8(hosts.next()?).ok()?;
-    if hosts.next().is_some() {
-        return None;
-    }
-    let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-    Some(name.to_ascii_lowercase())
-}
-
 /// Answers one request whose head and body have been read.
 pub fn serve(
     shared: &Arc<Shared>,
@@ -238,66 +162,6 @@
     .serve()
 }
 
-/// The route and service of a request; the error is what its caller is told.
-fn find_destination(
-    shared: &Shared,
-    caller: &mut Connection,
-    head: &RequestHead,
-    facts: &RequestFacts,
-    arrived_at: Instant,
-) -> Result<Destination, Denied> {
-    let unrouted = |refusal| Denied {
-        refusal,
-        end: "refused before a route was known",
-    };
-    let table = known_routes(shared, caller, facts, arrived_at);
-    let table = table.ok_or(unrouted(not_run(START_RETRY_MS)))?;
-    let host = host_of(head).ok_or(unrouted(Refusal::Malformed))?;
-    let path = head.target.split('?').next().unwrap_or_default();
-    let route = table.find(&host, path).cloned();
-    let route = route.ok_or(unrouted(Refusal::NoRoute))?;
-    let access = Access::of(&table, &route, facts).ok_or(NO_KEY)?;
-    let service = route.backend(draw(&facts.id)).cloned();
-    let service = service.ok_or(unrouted(not_run(RETRY_AFTER_MS)))?;
-    Ok(Destination {
-        access,
-        is_engine: is_engine(&table, &service),
-        route,
-        service,
-    })
-}
-
-/// The routes, as soon as both they and the upstreams are known. An instance that has
-/// just started waits a moment for them: the store may be about to answer.
-fn known_routes(
-    shared: &Shared,
-    caller: &mut Connection,
-    facts: &RequestFacts,
-    arrived_at: Instant,
-) -> Option<Arc<RouteTable>> {
-    let time = facts
-        .deadline_ms
-        .map(Duration::from_millis)
-        .unwrap_or_default();
-    let until = arrived_at + time.mul_f64(START_PART).min(START_WAIT);
-    loop {
-        // Upstreams that are not known yet cannot be told from none.
-        let knows = shared.can_serve() || (shared.is_stopping() && !shared.is_closed());
-        if knows {
-            return shared.routes.load_full();
-        }
-        if shared.is_stopping() || clock::now() >= until || caller.is_closed() {
-            return None;
-        }
-        std::thread::sleep(START_STEP);
-    }
-}
-
-fn is_engine(table: &RouteTable, service: &ServiceName) -> bool {
-    let service = table.services.get(service);
-    service.is_some_and(|service| service.pool.is_some())
-}
-
 fn not_run(retry_after_ms: u64) -> Refusal {
     Refusal::NotRun { retry_after_ms }
 }
@@ -529,24 +393,3 @@
         (attempt, outcome)
     }
 }
-
-impl Attempt {
-    /// Whether an upstream may have run the request.
-    fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotRun(_) | Self::NotSent | Self::Denied(_))
-    }
-
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Answered(_) => "answered",
-            Self::CallerGone => "caller gone",
-            Self::NotRun(_) => "not run",
-            Self::NotSent => "not sent",
-            Self::Denied(_) => "denied",
-            Self::Broken => "broken",
-            Self::Failed(_) => "failed",
-            Self::TimedOut => "timed out",
-            Self::Ending => "ended by the stop",
-        }
-    }
-}
--- /dev/null
+++ b/crates/instance/src/forward/attempt.rs
@@ -0,0 +1,78 @@
+//! One attempt at an upstream: where it goes, how it ended, what of its answer went out.
+
+use super::After;
+use super::access::Denied;
+use crate::events::EventCutter;
+use crate::http1::AnswerHead;
+use passway_serving::dispatch::RunId;
+use passway_serving::upstreams::Outcome;
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+
+/// How one attempt ended.
+#[derive(Debug)]
+pub(super) enum Attempt {
+    /// The caller has the answer.
+    Answered(After),
+    /// The caller left, or its connection broke.
+    CallerGone,
+    /// The upstream has not run it and never will.
+    NotRun(Outcome),
+    /// No connection could be made, so nothing of it was sent.
+    NotSent,
+    /// It may have run; the answer broke off or was no answer.
+    Broken,
+    /// The upstream failed and says so.
+    Failed(Box<FailedAnswer>),
+    /// It may not go, or not any more; nothing of it was sent.
+    Denied(Denied),
+    /// The time is over.
+    TimedOut,
+    /// The process is about to end; the request may have run.
+    Ending,
+}
+
+/// A failure that an upstream vouches for, kept in case nobody does better.
+#[derive(Debug)]
+pub(super) struct FailedAnswer {
+    pub(super) head: AnswerHead,
+    pub(super) body: Vec<u8>,
+}
+
+/// What has gone to the caller, over all attempts.
+#[derive(Debug, Default)]
+pub(super) struct Delivered {
+    pub(super) head_sent: bool,
+    pub(super) chunked: bool,
+    pub(super) cutter: EventCutter,
+}
+
+/// An upstream chosen for an attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) id: UpstreamId,
+    pub(super) address: SocketAddr,
+    /// The run's number, where engines have dispatchers.
+    pub(super) run: Option<RunId>,
+}
+
+impl Attempt {
+    /// Whether an upstream may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotRun(_) | Self::NotSent | Self::Denied(_))
+    }
+
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::CallerGone => "caller gone",
+            Self::NotRun(_) => "not run",
+            Self::NotSent => "not sent",
+            Self::Denied(_) => "denied",
+            Self::Broken => "broken",
+            Self::Failed(_) => "failed",
+            Self::TimedOut => "timed out",
+            Self::Ending => "ended by the stop",
+        }
+    }
+}
--- a/tests/all/workspace_keys.rs
+++ b/tests/all/workspace_keys.rs
@@ -5,7 +5,7 @@
 use passway_standins::platform::documents::{configuration, with_workspaces, workspace};
 use passway_standins::platform::raw::{RawServer, Received};
 use passway_standins::platform::store::MetadataStandIn;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const KEY: &str = "k1-asnmgkcuyj8pjbvk9m68";
 const OTHER_KEY: &str = "k2-b7xw1yh5kzq3r9dd0vfe";
@@ -166,3 +166,31 @@
     let received = server.received().remove(0);
     assert!(received.head.contains(KEY));
 }
+
+/// An engine is told the workspace's rank, which goes before its route's.
+#[test]
+fn rank_of_workspace() {
+    let store = MetadataStandIn::default();
+    let mut document = closed(1, &[KEY]);
+    document["tenants"][0]["priority"] = 0.into();
+    document["tenants"][1]["priority"] = Value::Null;
+    store.put("op/config", &document);
+    let engine = plain_server();
+    let entry = json!({"service": "engines", "address": engine.address.to_string(),
+        "zone": "hall0", "version": "v1", "slots": 6, "state": "ready", "sequence": 1,
+        "cold_left_ms": 0, "models": [{"name": "m0", "adapters": []}]});
+    store.put("servers/i-0", &entry);
+    let instance = site::ready("one", &store);
+    // The routes of the stand-in's configuration have rank 1.
+    for (id, key, rank) in [("id1", KEY, "0"), ("id2", OTHER_KEY, "1")] {
+        let head = format!("{}Model: m0\r\n", with(key));
+        let bytes = request("POST", "/chat/", id, &head, "x");
+        ask(instance.callers_address(), &bytes).expect("an answer");
+        let received = engine.received();
+        let own = received
+            .iter()
+            .find(|one| one.header("request-id") == Some(id));
+        let own = own.expect("a request that arrived");
+        assert_eq!(own.header("request-urgency"), Some(rank), "{id}");
+    }
+}
