A keeper's bucket has filled since the keeper began, whether or not anybody asked

Change: it begins with the keeper. Test: allotment_begin::fills_unasked; on the code before it would begin with 0.2 s of the rate (not run there).

--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -325,7 +325,7 @@
         keeping.take_if(|one| one.fence != fence);
         let new = || Keeping {
             fence,
-            keeper: Keeper::new(shared.bounds.load().quota),
+            keeper: Keeper::new(shared.bounds.load().quota, clock::now()),
         };
         &mut keeping.get_or_insert_with(new).keeper
     }
--- a/crates/serving/src/allotment.rs
+++ b/crates/serving/src/allotment.rs
@@ -183,16 +183,19 @@
 #[derive(Debug)]
 pub struct Keeper {
     bounds: QuotaBounds,
+    /// Since then nothing was used that is not counted here.
+    begun_at: Instant,
     /// Workspaces that were not asked for yet and whose buckets begin half full.
     begin_half_full: BTreeSet<WorkspaceName>,
     buckets: HashMap<WorkspaceName, Bucket>,
 }
 
 impl Keeper {
-    /// A keeper that knows nothing of what was used before.
-    pub fn new(bounds: QuotaBounds) -> Self {
+    /// A keeper from now on, that knows nothing of what was used before.
+    pub fn new(bounds: QuotaBounds, now: Instant) -> Self {
         Self {
             bounds,
+            begun_at: now,
             begin_half_full: BTreeSet::new(),
             buckets: HashMap::new(),
         }
@@ -255,7 +258,8 @@
         };
         let start = self.bounds.slack * START_PART;
         let bucket = self.buckets.entry(workspace.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::new(level, start, now));
+        // It has filled since the keeper began, whether or not anybody asked.
+        let bucket = bucket.or_insert_with(|| Bucket::new(level, start, self.begun_at));
         bucket.refill(allotment, extra, now);
         if !bucket.take(cost) {
             return Ruling::Refused {
--- a/crates/standins/src/allotment_model/ways.rs
+++ b/crates/standins/src/allotment_model/ways.rs
@@ -78,7 +78,7 @@
         let allotment = |asking: &Asking| (asking.name.clone(), asking.allotment);
         Self {
             bounds: plan.bounds,
-            keeper: Keeper::new(plan.bounds),
+            keeper: Keeper::new(plan.bounds, passway_types::clock::now()),
             term: 0,
             parts: HashMap::new(),
             half_full: BTreeSet::new(),
@@ -95,7 +95,7 @@
         let allotment = |name: &str| self.allotments.get(name).copied();
         if state.term != self.term {
             self.term = state.term;
-            self.keeper = Keeper::new(self.bounds);
+            self.keeper = Keeper::new(self.bounds, now);
             let left = std::mem::take(&mut self.half_full);
             self.keeper.begin_half_full(left, allotment);
             self.tell_at = Some(now + KEPT_PAUSE);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! All scenario tests, one module a feature.
 
+mod allotment_begin;
 mod allotment_load;
 mod bad_input;
 mod bounded_state;
