Test of secrets: each unusable version is waited for

Traced: the two versions came in one answer of the store, of which a feed takes the newest of each key (news::newest, bounds of the configuration's way), so one was counted. That is meant so; the test put the second without waiting for the first. Change: it waits; what it asks of each version is as before.

--- a/tests/all/workspace_secrets.rs
+++ b/tests/all/workspace_secrets.rs
@@ -37,22 +37,28 @@
     let stranger = "k9-somebody-elses-key";
     assert_eq!(answered(program.callers, KEY, "id1"), 200);
     assert_eq!(answered(program.callers, stranger, "id2"), 401);
-    // Versions that cannot be used are told with a reason.
+    let metrics = || {
+        let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        ask(program.ready, question).expect("metrics").body
+    };
+    let refused = |count: u32| {
+        until("a version is refused", || {
+            let text = metrics();
+            text.contains(&format!("unusable_configurations_total {count}\n"))
+        });
+    };
+    // Versions that cannot be used are told with a reason, one after the other: of two that come at
+    // one time only the newest is looked at.
     let twice = [
         workspace("alpha", &[KEY], 0.0),
         workspace("beta", &[KEY], 0.0),
     ];
     store.put("op/config", &closed(2, &twice));
+    refused(1);
     let mut wrong = closed(3, &[workspace("alpha", &[KEY], 0.0)]);
     wrong["tenants"][0]["api_keys"] = json!([KEY, {"key": KEY}]);
     store.put("op/config", &wrong);
-    let metrics = || {
-        let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        ask(program.ready, question).expect("metrics").body
-    };
-    until("both versions are told", || {
-        metrics().contains("unusable_configurations_total 2")
-    });
+    refused(2);
     let metrics = metrics();
     // Lines are written a little later than they are told.
     let written = || std::fs::read_to_string(&log).expect("a log");
