--- a/crates/standins/src/bin/passway-config-memory.rs
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -14,6 +14,7 @@
 use passway_serving::ports::{Directory, StoreChange, StoredValue};
 use passway_serving::routes::{CallerLimits, EnginePool, ModelSpec, RouteTable, Service};
 use passway_serving::upstreams::{ModelRef, UpstreamEntry, UpstreamTable};
+use passway_types::clock;
 use passway_users_platform::PlatformDirectory;
 use passway_wire::{Body, Frame, Link};
 use peak_alloc::PeakAlloc;
@@ -57,6 +58,9 @@
     /// Peers that do not read, divided by commas.
     #[arg(long, value_delimiter = ',', default_value = "6,79,300")]
     peers: Vec<usize>,
+    /// Keys of workspaces, ten to each, divided by commas.
+    #[arg(long, value_delimiter = ',', default_value = "1000,20000")]
+    keys: Vec<usize>,
     /// Servers in the store, divided by commas.
     #[arg(long, value_delimiter = ',', default_value = "90,600")]
     servers: Vec<usize>,
@@ -74,6 +78,9 @@
     for &routes in &arguments.routes {
         decoded_table(routes)?;
     }
+    for &keys in &arguments.keys {
+        workspace_keys(keys)?;
+    }
     for &servers in &arguments.servers {
         known_servers(servers, arguments.adapters)?;
     }
@@ -88,6 +95,9 @@
     Ok(())
 }
 
+/// Keys of a workspace.
+const KEYS_OF_WORKSPACE: usize = 10;
+
 /// Bytes in use at the start of a case.
 struct Case {
     before_bytes: usize,
@@ -150,6 +160,30 @@
     Ok(())
 }
 
+/// Keys of a configuration with few routes, and the time to decode them.
+fn workspace_keys(keys: usize) -> Result<()> {
+    let mut value = configuration(1, 10)?;
+    let mut file: serde_json::Value = serde_json::from_slice(&value.value)?;
+    let workspace = |number: usize| {
+        let keys = (0..KEYS_OF_WORKSPACE).map(|key| format!("{number:010}{key:010}"));
+        json!({"name": format!("workspace-{number}"), "api_keys": keys.collect::<Vec<_>>(),
+            "unit": "token_count", "plain_tokens": 200, "rate_per_s": 1_000, "burst": 1_000})
+    };
+    let workspaces = (0..keys / KEYS_OF_WORKSPACE).map(workspace);
+    file["tenants"] = workspaces.collect();
+    value.value = serde_json::to_vec(&file)?.into();
+    drop(file);
+    let case = Case::begin();
+    let begun_at = clock::now();
+    let table = decode(&value)?;
+    let took = clock::since(begun_at);
+    let bytes = value.value.len();
+    case.print(&format!("table, {keys} keys ({bytes} bytes)"));
+    println!("decoded in {} us", took.as_micros());
+    drop(table);
+    Ok(())
+}
+
 /// Names of models, from one on.
 fn model_names(from: usize, count: usize) -> Vec<String> {
     let numbers = from..from + count;
@@ -160,7 +194,7 @@
 fn server(number: usize) -> Result<UpstreamEntry> {
     let resident = |name: &String| json!({"name": name, "adapters": ["a1", "a2"]});
     let models: Vec<_> = model_names(number, RESIDENT).iter().map(resident).collect();
-    let row = json!({"service": ENGINES, "address": "10.1.2.3:8000", "zone": "hall", "slots": 16,
+    let row = json!({"service": ENGINES, "address": "10.1.2.3:8000", "zone": "hall", "version": "v1", "cold_left_ms": 0, "slots": 16,
         "state": "ready", "models": models, "sequence": 1,
         "at_hand": {"in_memory": model_names(number, IN_MEMORY),
             "on_disk": model_names(number, ON_DISK)}});
