Red: an instance that cannot ask by datagram hears the holder and proves nothing

Cause: while the holder is relied on the store is not asked, and proofs come by datagram alone: with its UDP port taken, or on links that lose datagrams, an instance refuses closed routes for good. Failing: workspace_revocation::proved_without_datagrams.

--- a/tests/all/workspace_revocation.rs
+++ b/tests/all/workspace_revocation.rs
@@ -1,10 +1,11 @@
 //! A key that was taken away stops in time also where nothing is heard of that.
 
-use crate::closed_site::{KEY, closed, ready, status};
-use crate::site::{list_plain, plain_server, until};
+use crate::closed_site::{KEY, closed, ready, settings, status};
+use crate::site::{self, list_plain, plain_server, until};
 use passway_standins::platform::documents::workspace;
 use passway_standins::platform::store::{Faults, MetadataStandIn};
 use passway_types::prelude::*;
+use std::net::UdpSocket;
 
 /// Keys stop within a second and a half.
 const BOUNDS: &str = "strict_revoke = true\nrevoke_ms = 1500";
@@ -83,3 +84,24 @@
     std::thread::sleep(BOUND);
     assert_eq!(status(&instance, "/read/", "id1").0, 200);
 }
+
+/// One that hears the holder and cannot ask anybody by datagram asks the store instead.
+#[test]
+fn proved_without_datagrams() {
+    let store = store();
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let address = store.serve();
+    let holder = ready("one", address, BOUNDS);
+    until("the right", || holder.fence().is_some());
+    let taken = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let mut settings = settings("two", address, BOUNDS);
+    settings.peer_address = taken.local_addr().expect("an address");
+    let other = site::start_with(settings);
+    until("readiness", || other.is_ready());
+    std::thread::sleep(2 * BOUND);
+    until("service", || status(&other, "/read/", "id1").0 == 200);
+    // And it stays so: each proof is followed by the next.
+    std::thread::sleep(2 * BOUND);
+    until("service", || status(&other, "/read/", "id2").0 == 200);
+}
