The store is asked for a proof where others have given none for half of the bound

Change: the configuration's feed must ask the store while its proof is older than half of the bound on keys. Only where the configuration has keys and there is such a bound. Tests: workspace_revocation::proved_without_datagrams passes; config_way, relay_gap and others as before.

--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -1,6 +1,7 @@
 //! The feed of the configuration.
 
 use super::{Feed, Outage};
+use crate::freshness::OLD_PART;
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{Directory, Listing, StoreChange, StoredValue};
@@ -95,6 +96,14 @@
         after == Outage::OfStore || self.versions_at.into_iter().all(is_recent)
     }
 
+    /// While the holder is relied on it is asked how old its proof is; the store is, too, where that has
+    /// proved nothing for long.
+    fn must_ask(&self) -> bool {
+        let shared = &self.shared;
+        let bound = shared.revocation();
+        bound.is_some_and(|bound| !shared.configuration_age.is_younger(bound / OLD_PART))
+    }
+
     fn shared(&self) -> &Shared {
         &self.shared
     }
--- a/crates/instance/src/freshness.rs
+++ b/crates/instance/src/freshness.rs
@@ -20,8 +20,8 @@
 
 /// Part of the bound after which a proof is asked for: four more questions fit into the rest.
 const ASK_PART: u32 = 5;
-/// Part of the bound after which a proof is old enough to ask others than the holder.
-const OLD_PART: u32 = 2;
+/// Part of the bound after which a proof is old enough to ask others than the holder, and the store.
+pub const OLD_PART: u32 = 2;
 /// Other instances that are asked at a time.
 const OTHERS_ASKED: usize = 2;
 /// Pause between two looks where no proof is needed.
@@ -166,7 +166,8 @@
         }
     }
 
-    fn is_younger(&self, age: Duration) -> bool {
+    /// Whether there is a proof that is younger than this.
+    pub fn is_younger(&self, age: Duration) -> bool {
         self.age().is_some_and(|proof| proof < age)
     }
 
