--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -39,7 +39,7 @@
 
 /// What becomes of a request by its workspace's allotment.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Word {
+pub enum Decision {
     /// It may go.
     Granted,
     /// The workspace has used what it may; when to come back.
@@ -102,9 +102,9 @@
 
 impl Allotments {
     /// Whether a request of a workspace may go that counts so much.
-    pub fn ask(&self, shared: &Shared, workspace: &Workspace, cost: f64) -> Word {
+    pub fn ask(&self, shared: &Shared, workspace: &Workspace, cost: f64) -> Decision {
         let Some(allotment) = workspace.allotment else {
-            return Word::Granted;
+            return Decision::Granted;
         };
         let now = clock::now();
         let ask = UseAsk {
@@ -119,13 +119,17 @@
         let mut parts = lock(&self.parts);
         let Some(told) = told else {
             let fits = parts.take(&workspace.name, cost, rand::random(), now);
-            return if fits { Word::Granted } else { Word::Unknown };
+            return if fits {
+                Decision::Granted
+            } else {
+                Decision::Unknown
+            };
         };
         if told.verdict() == UseVerdict::Granted {
             parts.told(&workspace.name, told.part_per_s, window, now);
-            return Word::Granted;
+            return Decision::Granted;
         }
-        Word::Refused(Duration::from_millis(told.retry_after_ms))
+        Decision::Refused(Duration::from_millis(told.retry_after_ms))
     }
 
     /// The keeper's ruling; `None` if there is none that answers.
@@ -158,7 +162,7 @@
         None
     }
 
-    /// A request that was granted did not run and never will. A word about it that is lost costs
+    /// A request that was granted did not run and never will. If the message is lost, that costs
     /// its workspace what the request counts.
     pub fn give_back(&self, shared: &Shared, workspace: &Workspace, cost: f64) {
         let Some(holder) = shared.right().and_then(|right| right.holder()) else {
--- a/crates/instance/src/forward/access.rs
+++ b/crates/instance/src/forward/access.rs
@@ -2,7 +2,7 @@
 //! allotment.
 
 use super::{Forwarding, RETRY_AFTER_MS, not_run};
-use crate::allotments::Word;
+use crate::allotments::Decision;
 use crate::relay::millis;
 use crate::reply::Refusal;
 use passway_serving::ports::{RequestFacts, WorkspaceMark};
@@ -108,21 +108,21 @@
         let wait_until = self.wait_until(self.deadline_at);
         loop {
             let shared = self.shared;
-            let word = shared.allotments.ask(shared, &workspace, cost);
-            shared.metrics.workspace(&workspace.name, word);
-            match word {
-                Word::Granted => {
+            let decision = shared.allotments.ask(shared, &workspace, cost);
+            shared.metrics.workspace(&workspace.name, decision);
+            match decision {
+                Decision::Granted => {
                     self.used = Some(cost);
                     return Ok(());
                 }
-                Word::Refused(retry_after) => {
+                Decision::Refused(retry_after) => {
                     let retry_after_ms = millis(retry_after);
                     return Err(Denied {
                         refusal: Refusal::OverAllotment { retry_after_ms },
                         end: "refused beyond its workspace's allotment",
                     });
                 }
-                Word::Unknown => {}
+                Decision::Unknown => {}
             }
             if clock::now() >= wait_until || shared.is_ending() || self.caller.is_closed() {
                 return Err(Denied {
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters, gauges and histograms of one instance, for `GET /metrics` on the address
 //! where the balancer asks. Names and what to alarm on: `docs/OPERATIONS.md`.
 
-use crate::allotments::Word;
+use crate::allotments::Decision;
 use passway_types::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -206,7 +206,7 @@
     }
 
     /// Counts what a workspace's allotment said to a request.
-    pub fn workspace(&self, workspace: &WorkspaceName, word: Word) {
+    pub fn workspace(&self, workspace: &WorkspaceName, decision: Decision) {
         let named = self.named_workspaces.lock();
         let mut named = named.unwrap_or_else(PoisonError::into_inner);
         if named.len() < MAX_WORKSPACES {
@@ -221,10 +221,10 @@
                 OTHER_WORKSPACES
             }
             .to_owned(),
-            allotment: match word {
-                Word::Granted => "granted",
-                Word::Refused(_) => "refused",
-                Word::Unknown => "unknown",
+            allotment: match decision {
+                Decision::Granted => "granted",
+                Decision::Refused(_) => "refused",
+                Decision::Unknown => "unknown",
             },
         };
         self.workspaces.get_or_create(&labels).inc();
--- a/crates/serving/src/allotment.rs
+++ b/crates/serving/src/allotment.rs
@@ -56,7 +56,7 @@
     pub slack: f64,
 }
 
-/// The keeper's word on a request.
+/// What the keeper decides on a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Ruling {
     /// It may go.
@@ -337,7 +337,7 @@
         (part.rate_per_s, part.at, part.told_at) = (rate_per_s, now, now);
     }
 
-    /// Whether a request that counts so much may go without the keeper's word.
+    /// Whether a request that counts so much may go without asking the keeper.
     ///
     /// A part of one three-hundredth of a rate seldom holds a request. So one that does not fit goes
     /// with the chance that the part is of it, by a number drawn from 0 to 1, and takes the part in
--- a/crates/standins/src/allotment_model.rs
+++ b/crates/standins/src/allotment_model.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use std::collections::VecDeque;
-use ways::{Way, Word};
+use ways::{Decision, Way};
 
 /// Requests that nobody but the requests' own luck times come so far apart: the model's step.
 const STEP: Duration = Duration::from_millis(2);
@@ -28,7 +28,7 @@
 /// where nobody can say.
 const COMES_BACK: Duration = Duration::from_millis(500);
 
-/// A request that waits for a word.
+/// A request that waits for a decision.
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     workspace: usize,
@@ -219,15 +219,15 @@
             let ledger = &mut ledgers[request.workspace];
             let asking = &ledger.asking;
             match way.ask(&state, request.instance, asking, plan.cost, now) {
-                Word::Granted => ledger.granted(plan.cost, plan.bounds, now),
-                Word::Refused(after) => {
+                Decision::Granted => ledger.granted(plan.cost, plan.bounds, now),
+                Decision::Refused(after) => {
                     waiting.extend(comes_back(request, &state, &mut rng, now + after));
                 }
-                Word::Unknown if now < request.until => waiting.push(Waiting {
+                Decision::Unknown if now < request.until => waiting.push(Waiting {
                     ask_at: now + ASK_PAUSE,
                     ..request
                 }),
-                Word::Unknown => {
+                Decision::Unknown => {
                     waiting.extend(comes_back(request, &state, &mut rng, now + COMES_BACK));
                 }
             }
--- a/crates/standins/src/allotment_model/ways.rs
+++ b/crates/standins/src/allotment_model/ways.rs
@@ -12,7 +12,7 @@
 
 /// What a way says to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
+pub enum Decision {
     /// It may pass.
     Granted,
     /// Its workspace has used what it may; when to come back.
@@ -21,7 +21,7 @@
     Unknown,
 }
 
-impl Word {
+impl Decision {
     fn of(fits: bool) -> Self {
         if fits {
             Self::Granted
@@ -43,7 +43,7 @@
         asking: &Asking,
         cost: f64,
         now: Instant,
-    ) -> Word;
+    ) -> Decision;
     /// Messages so far, over all instances, each counted where it is sent and where it is received.
     fn messages(&self) -> u64;
 }
@@ -112,14 +112,18 @@
         asking: &Asking,
         cost: f64,
         now: Instant,
-    ) -> Word {
+    ) -> Decision {
         let parts = self
             .parts
             .entry((instance, state.life(instance)))
             .or_default();
         if state.is_cut(instance) || state.holder_lost {
             let fits = parts.take(&asking.name, cost, self.rng.random(), now);
-            return if fits { Word::Granted } else { Word::Unknown };
+            return if fits {
+                Decision::Granted
+            } else {
+                Decision::Unknown
+            };
         }
         self.messages += 4;
         match self
@@ -128,9 +132,9 @@
         {
             Ruling::Granted { part_per_s } => {
                 parts.told(&asking.name, part_per_s, self.bounds.window, now);
-                Word::Granted
+                Decision::Granted
             }
-            Ruling::Refused { retry_after } => Word::Refused(retry_after),
+            Ruling::Refused { retry_after } => Decision::Refused(retry_after),
         }
     }
 
@@ -226,13 +230,13 @@
         asking: &Asking,
         cost: f64,
         now: Instant,
-    ) -> Word {
+    ) -> Decision {
         let key = (instance, asking.name.clone());
         *self.asked.entry(key.clone()).or_default() += cost;
         let life = state.life(instance);
         let part = self.parts.get_mut(&key);
         let Some(part) = part.filter(|part| now < part.until && part.life == life) else {
-            return Word::Unknown;
+            return Decision::Unknown;
         };
         let passed = now.saturating_duration_since(part.at).as_secs_f64();
         let most = part.rate_per_s.max(cost);
@@ -242,7 +246,7 @@
         if fits {
             part.level -= cost;
         }
-        Word::of(fits)
+        Decision::of(fits)
     }
 
     fn messages(&self) -> u64 {
@@ -315,9 +319,9 @@
         asking: &Asking,
         cost: f64,
         _now: Instant,
-    ) -> Word {
+    ) -> Decision {
         if self.heard.get(&instance) != Some(&state.life(instance)) {
-            return Word::Unknown;
+            return Decision::Unknown;
         }
         let told = self.told.get(&asking.name).copied().unwrap_or(0.0);
         let own = self.own.entry((instance, asking.name.clone())).or_default();
@@ -325,7 +329,7 @@
         if fits {
             *own += cost;
         }
-        Word::of(fits)
+        Decision::of(fits)
     }
 
     fn messages(&self) -> u64 {
--- a/tests/all/workspace_keys.rs
+++ b/tests/all/workspace_keys.rs
@@ -1,31 +1,22 @@
 //! A key opens closed routes, stays here, and names its workspace to the upstream.
 
+use crate::closed_site::{self, KEY};
 use crate::site::{self, ask, list_plain, plain_server, request, until};
 use passway_instance::Instance;
-use passway_standins::platform::documents::{configuration, with_workspaces, workspace};
+use passway_standins::platform::documents::workspace;
 use passway_standins::platform::raw::{RawServer, Received};
 use passway_standins::platform::store::MetadataStandIn;
 use serde_json::{Value, json};
 
-const KEY: &str = "k1-asnmgkcuyj8pjbvk9m68";
 const OTHER_KEY: &str = "k2-b7xw1yh5kzq3r9dd0vfe";
 
 /// Two workspaces with a key each, and a public route beside the closed ones.
 fn closed(version: u64, keys: &[&str]) -> Value {
-    let mut document = with_workspaces(
-        configuration(version, &[]),
-        &[
-            workspace("alpha", keys, 0.0),
-            workspace("beta", &[OTHER_KEY], 0.0),
-        ],
-    );
-    let mut open = document["routes"][0].clone();
-    open["name"] = "open".into();
-    open["prefix"] = "/open/".into();
-    open["public"] = true.into();
-    let routes = document["routes"].as_array_mut().expect("routes");
-    routes.push(open);
-    document
+    let workspaces = [
+        workspace("alpha", keys, 0.0),
+        workspace("beta", &[OTHER_KEY], 0.0),
+    ];
+    closed_site::closed(version, &workspaces)
 }
 
 struct Place {
