Sight: what upstreams say that they take is read, logged and counted

Missing for the incident: nothing told what an upstream said of its limit, or since when an instance knew it. Change: the adapter decodes the word; an instance keeps it with the upstream's start and logs each change; metrics for how many upstreams name a limit and for words that cannot be read. Words have an order: one whose request was sent after another was heard is newer for certain, and of two that may have overtaken each other the stricter counts. Nothing acts on it yet. Ruled out: the newest heard is the newest said (answers overtake each other, and a stream's head is old).

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -2,8 +2,8 @@
 //!
 //! * [`destination`]: its route and service. [`access`]: whether it may go.
 //! * [`waiting`]: waiting for an upstream and choosing it.
-//! * [`attempt`], [`exchange`]: what happens within one attempt. [`suspect`]: whether the request
-//!   crashes what runs it.
+//! * [`attempt`], [`exchange`]: what happens within one attempt. [`suspect`]: whether the
+//!   request crashes what runs it. [`limits`]: what upstreams say that they take.
 //!
 //! What an attempt tells decides what may follow. A request that was not run may go
 //! to another upstream whatever its kind. One that may have run goes to another only
@@ -13,6 +13,7 @@
 mod attempt;
 mod destination;
 mod exchange;
+mod limits;
 mod suspect;
 mod waiting;
 
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -171,6 +171,9 @@
             let vocabulary = &self.shared.vocabulary;
             let facts = vocabulary.answer(head.status, &head.headers, &target.id);
             if facts.id.as_deref().is_none_or(|id| id == self.facts.id) {
+                if !facts.other_incarnation {
+                    self.note_limit(target, &facts);
+                }
                 if self.route.kind.is_stream() && !facts.not_run {
                     let after = clock::since(self.attempt_at);
                     let mut usual = self.shared.usual_times();
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -62,6 +62,8 @@
     pub poison_requests: usize,
     /// Bytes that wait to be sent to other instances, for each of them.
     pub waiting_bytes: usize,
+    /// Upstreams that name how much they take.
+    pub limited_upstreams: usize,
 }
 
 /// The metrics of an instance.
@@ -85,6 +87,8 @@
     store_answers: Gauge,
     waiting_bytes: Gauge,
     poison_requests: Gauge,
+    limited_upstreams: Gauge,
+    unusable_limits: Counter,
 }
 
 impl fmt::Debug for Metrics {
@@ -119,6 +123,8 @@
             store_answers: Gauge::default(),
             waiting_bytes: Gauge::default(),
             poison_requests: Gauge::default(),
+            limited_upstreams: Gauge::default(),
+            unusable_limits: Counter::default(),
         };
         metrics.register();
         metrics
@@ -176,6 +182,12 @@
         let gauge = self.poison_requests.clone();
         let help = "Requests that are refused since they crash upstreams";
         registry.register("poison_requests", help, gauge);
+        let gauge = self.limited_upstreams.clone();
+        let help = "Upstreams that name how many requests a second they take";
+        registry.register("limited_upstreams", help, gauge);
+        let unusable = self.unusable_limits.clone();
+        let help = "Answers that name a limit which cannot be read";
+        registry.register("unusable_limits", help, unusable);
     }
 
     /// Counts a request that has ended.
@@ -200,6 +212,11 @@
         self.unusable_entries.inc();
     }
 
+    /// Counts an answer that names a limit which cannot be read.
+    pub fn unusable_limit(&self) {
+        self.unusable_limits.inc();
+    }
+
     /// Counts a version of the configuration that cannot be used.
     pub fn unusable_configuration(&self) {
         self.unusable_configurations.inc();
@@ -266,6 +283,8 @@
             .set(i64::try_from(standing.waiting_bytes).unwrap_or(i64::MAX));
         self.poison_requests
             .set(i64::try_from(standing.poison_requests).unwrap_or(i64::MAX));
+        self.limited_upstreams
+            .set(i64::try_from(standing.limited_upstreams).unwrap_or(i64::MAX));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics cannot be encoded");
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -58,6 +58,7 @@
         configuration_age: shared.configuration_age.age(),
         poison_requests: shared.poison.refused(),
         waiting_bytes: passway_process::outbox::waiting_bytes(),
+        limited_upstreams: shared.upstreams().limited(),
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`retry`]: the part of the fleet's retry allowance that this instance may spend.
 //! * [`workspaces`]: who may use closed routes, and how much; [`freshness`]: until when the
 //!   configuration that says so may be acted on; [`allotment`]: what they have used.
+//! * [`limits`]: what upstreams in need say that they take.
 //! * [`headers`]: headers as they were received.
 //! * [`hash`]: a hash that is the same in each process.
 //!
@@ -23,6 +24,7 @@
 pub mod freshness;
 pub mod hash;
 pub mod headers;
+pub mod limits;
 pub mod placement;
 pub mod poison;
 pub mod ports;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -4,6 +4,7 @@
 
 use crate::allotment::QuotaBounds;
 use crate::headers::Headers;
+use crate::limits::NamedLimit;
 use crate::placement::policy::PolicyName;
 use crate::routes::RouteTable;
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
@@ -227,7 +228,7 @@
 }
 
 /// What an upstream's answer says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerFacts {
     /// The attempt that it answers.
     pub id: Option<String>,
@@ -237,6 +238,8 @@
     pub not_run: bool,
     /// Whether another incarnation than the expected one answered.
     pub other_incarnation: bool,
+    /// What the upstream says that it takes.
+    pub limit: NamedLimit,
 }
 
 /// The words in which callers and upstreams speak.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod upstream;
 
+use crate::limits::LimitWord;
 use crate::placement::{PlacementDigest, digest};
 pub use choice::{Choice, Wanted};
 use passway_types::prelude::*;
@@ -261,6 +262,23 @@
         }
     }
 
+    /// An upstream has said how much it takes. Returns whether that is another limit than before.
+    pub fn note_limit(&mut self, id: &str, word: LimitWord) -> bool {
+        let upstream = self.upstreams.get_mut(id);
+        upstream.is_some_and(|upstream| upstream.note_limit(word))
+    }
+
+    /// Requests a second that an upstream takes from all instances together; `None` without a limit.
+    pub fn limit_per_s(&self, id: &str) -> Option<f64> {
+        self.upstreams.get(id)?.limit_per_s()
+    }
+
+    /// Upstreams that name a limit.
+    pub fn limited(&self) -> usize {
+        let all = self.upstreams.values();
+        all.filter(|one| one.limit_per_s().is_some()).count()
+    }
+
     /// Whether an upstream has what a request needs, as far as is known.
     pub fn has(&self, id: &str, model_ref: &ModelRef, now: Instant) -> bool {
         let upstream = self.upstreams.get(id);
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -1,6 +1,7 @@
 //! One upstream: its own word, and what this instance saw of it.
 
 use super::{ModelRef, Outcome, UpstreamEntry};
+use crate::limits::LimitWord;
 use passway_types::prelude::*;
 use std::collections::{HashMap, HashSet};
 
@@ -42,6 +43,8 @@
     stood: HashSet<ModelName>,
     /// When it is gone unless its entry comes back; `None` while the entry is there.
     pub(super) gone_at: Option<Instant>,
+    /// What it said last of how much it takes; `None` if it never named a limit.
+    limit: Option<LimitWord>,
 }
 
 impl Upstream {
@@ -60,9 +63,28 @@
             closing: Vec::new(),
             stood: HashSet::new(),
             gone_at: None,
+            limit: None,
         }
     }
 
+    /// Requests a second that it takes from all instances together; `None` without a limit.
+    pub(super) fn limit_per_s(&self) -> Option<f64> {
+        self.limit?.per_s
+    }
+
+    /// It has said how much it takes. Returns whether that is another limit than before.
+    pub(super) fn note_limit(&mut self, word: LimitWord) -> bool {
+        let known = self.limit.as_ref();
+        // One that never named a limit says in each answer that it is in no need.
+        let is_news = known.map_or(word.per_s.is_some(), |known| word.replaces(known));
+        if !is_news {
+            return false;
+        }
+        let before = self.limit_per_s();
+        self.limit = Some(word);
+        word.per_s != before
+    }
+
     /// Notes what stands here now.
     pub(super) fn note_standing(&mut self) {
         for model in &self.entry.models {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -33,6 +33,7 @@
 mod hopeless_waits;
 mod instance_metrics;
 mod large_answers;
+mod limit_words;
 mod log_analysis;
 mod log_lines;
 mod lost_engines;
