Red: an upstream that names what it takes gets as much as before

Callers of three instances ask without a rest; one of three servers begins to name 1.1 requests a second.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -34,6 +34,7 @@
 mod instance_metrics;
 mod large_answers;
 mod limit_words;
+mod limited_upstreams;
 mod log_analysis;
 mod log_lines;
 mod lost_engines;
