--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -335,7 +335,8 @@
             | Body::PromiseWanted(_)
             | Body::Dispatchers(_)
             | Body::Promise(_)
-            | Body::Suspects(_) => {}
+            | Body::Suspects(_)
+            | Body::Limits(_) => {}
         }
     }
 
--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -1,18 +1,16 @@
-//! Asking the keeper of allotments, and being it.
+//! What workspaces use of their allotments: asking the keeper, and being it.
 //!
-//! The holder of the right to order is the keeper for as long as its term lasts by its own clock. It
-//! keeps in the store which workspaces' buckets are at least half full. A successor takes that out
+//! The keeper keeps in the store which workspaces' buckets are at least half full. A successor takes that out
 //! of there before it relies on it, so that it is relied on once.
 
-use crate::questions::Questions;
+use crate::keeper::TermKeeper;
 use crate::relay::millis;
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use passway_serving::allotment::{Keeper, Parts, Ruling};
+use passway_serving::allotment::{Parts, QuotaBounds, Ruling};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_serving::routes::RouteTable;
-use passway_serving::tenure::Holder;
 use passway_serving::workspaces::{Allotment, Workspace};
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -22,12 +20,6 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// A keeper that did not answer is not asked for this long.
-const SILENT_TIME: Duration = Duration::from_millis(300);
-/// One that was asked and is not the keeper is not asked again for this long: a term begins, or has
-/// ended, and everybody hears of that within some hundred milliseconds.
-const NOT_KEEPER_TIME: Duration = Duration::from_millis(100);
-
 /// The key under which the names of workspaces with half full buckets lie in the store.
 pub const KEY: &str = "passway/half-full";
 /// Pause between two looks whether that has changed: a call a second at most.
@@ -48,12 +40,6 @@
     Unknown,
 }
 
-#[derive(Debug)]
-struct Keeping {
-    fence: Fence,
-    keeper: Keeper,
-}
-
 /// What lies in the store.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 struct Kept {
@@ -61,20 +47,11 @@
     half_full: BTreeSet<WorkspaceName>,
 }
 
-/// A keeper that is not asked, and until when.
-#[derive(Debug, Clone, PartialEq)]
-struct Silent {
-    holder: Holder,
-    until: Instant,
-}
-
 /// This instance's part in keeping workspaces to their allotments.
 #[derive(Debug)]
 pub struct Allotments {
-    keeping: Mutex<Option<Keeping>>,
+    keeper: TermKeeper,
     parts: Mutex<Parts>,
-    asked: Questions<UseTold>,
-    silent: Mutex<Option<Silent>>,
     kept: Mutex<Kept>,
     /// Wakes the thread that keeps them in the store.
     wake: Sender<()>,
@@ -85,10 +62,8 @@
     fn default() -> Self {
         let (wake, woken) = bounded(1);
         Self {
-            keeping: Mutex::default(),
+            keeper: TermKeeper::default(),
             parts: Mutex::default(),
-            asked: Questions::default(),
-            silent: Mutex::default(),
             kept: Mutex::default(),
             wake,
             woken,
@@ -113,8 +88,9 @@
             cost,
             rate_per_s: allotment.rate_per_s,
             burst: allotment.burst,
+            upstream: String::new(),
         };
-        let told = self.question(shared, &ask);
+        let told = shared.keeper.ask(shared, &ask);
         let window = shared.bounds.load().quota.window;
         let mut parts = lock(&self.parts);
         let Some(told) = told else {
@@ -132,36 +108,6 @@
         Decision::Refused(Duration::from_millis(told.retry_after_ms))
     }
 
-    /// The keeper's ruling; `None` if there is none that answers.
-    fn question(&self, shared: &Shared, ask: &UseAsk) -> Option<UseTold> {
-        let holder = shared.right()?.holder()?;
-        let settings = &shared.settings;
-        if holder.instance == settings.instance {
-            let told = self.rule(shared, settings.peer_address, ask);
-            return Some(told).filter(|told| told.verdict() != UseVerdict::NotKeeper);
-        }
-        let now = clock::now();
-        let is_silent = |silent: &Silent| silent.holder == holder && now < silent.until;
-        if lock(&self.silent).as_ref().is_some_and(is_silent) {
-            return None;
-        }
-        let body = Body::UseAsk(ask.clone());
-        let address = holder.address;
-        let told = self
-            .asked
-            .ask(ask.id, || shared.dispatch.send(address, body.clone()));
-        let pause = match &told {
-            Some(told) if told.verdict() != UseVerdict::NotKeeper => return Some(told.clone()),
-            Some(_) => NOT_KEEPER_TIME,
-            None => SILENT_TIME,
-        };
-        *lock(&self.silent) = Some(Silent {
-            holder,
-            until: clock::now() + pause,
-        });
-        None
-    }
-
     /// A request that was granted did not run and never will. If the message is lost, that costs
     /// its workspace what the request counts.
     pub fn give_back(&self, shared: &Shared, workspace: &Workspace, cost: f64) {
@@ -180,20 +126,12 @@
         }
     }
 
-    /// Takes in the answer to a question of this instance.
-    pub fn answered(&self, told: UseTold) {
-        self.asked.answered(told.id, told);
-    }
-
-    /// Answers an instance's question; only the keeper rules.
-    pub fn rule(&self, shared: &Shared, from: SocketAddr, ask: &UseAsk) -> UseTold {
+    /// Answers an instance's question, in a term of this instance.
+    pub fn rule(&self, shared: &Shared, fence: Fence, from: SocketAddr, ask: &UseAsk) -> UseTold {
         let mut told = UseTold {
             id: ask.id,
             ..UseTold::default()
         };
-        let Some(fence) = shared.right().and_then(|right| right.term()) else {
-            return told;
-        };
         let name = WorkspaceName::from(ask.workspace.as_str());
         let asked = Allotment {
             rate_per_s: ask.rate_per_s,
@@ -201,10 +139,10 @@
         };
         let routes = shared.routes.load();
         let allotment = allotment_of(routes.as_deref(), &name).unwrap_or(asked);
-        let now = clock::now();
-        let mut keeping = lock(&self.keeping);
-        let keeper = Self::keeper_of(&mut keeping, shared, fence);
-        match keeper.ask(&name, allotment, from, ask.cost, now) {
+        let ruling = self.keeper.of_term(fence, quota(shared), |keeper| {
+            keeper.ask(&name, allotment, from, ask.cost, clock::now())
+        });
+        match ruling {
             Ruling::Granted { part_per_s } => {
                 told.set_verdict(UseVerdict::Granted);
                 told.part_per_s = part_per_s;
@@ -223,11 +161,9 @@
         let Some(allotment) = allotment_of(routes.as_deref(), &back.workspace) else {
             return;
         };
-        if let Some(keeping) = lock(&self.keeping).as_mut() {
-            let now = clock::now();
-            let keeper = &mut keeping.keeper;
-            keeper.give_back(&back.workspace, allotment, from, back.cost, now);
-        }
+        self.keeper.of_any_term(|keeper| {
+            keeper.give_back(&back.workspace, allotment, from, back.cost, clock::now());
+        });
     }
 
     /// The names lie so in the store; none if they do not.
@@ -299,9 +235,10 @@
             let left = lock(&self.kept).half_full.clone();
             if self.write(store, BTreeSet::new()) {
                 let routes = shared.routes.load();
-                let mut keeping = lock(&self.keeping);
-                let keeper = Self::keeper_of(&mut keeping, shared, fence);
-                keeper.begin_half_full(left, |name| allotment_of(routes.as_deref(), name));
+                let allotment = |name: &str| allotment_of(routes.as_deref(), name);
+                self.keeper.of_term(fence, quota(shared), |keeper| {
+                    keeper.begin_half_full(left, allotment);
+                });
                 return;
             }
             std::thread::sleep(TAKE_PAUSE);
@@ -311,29 +248,14 @@
     /// Tells the next keeper which buckets are half full now.
     fn tell(&self, shared: &Shared, fence: Fence, store: &dyn SharedStore) {
         let routes = shared.routes.load();
-        let mut keeping = lock(&self.keeping);
-        let keeper = Self::keeper_of(&mut keeping, shared, fence);
         let allotment = |name: &str| allotment_of(routes.as_deref(), name);
-        let names = keeper.half_full(allotment, clock::now());
-        drop(keeping);
+        let names = self.keeper.of_term(fence, quota(shared), |keeper| {
+            keeper.half_full(allotment, clock::now())
+        });
         // What could not be written is looked at again.
         self.write(store, names);
     }
 
-    /// The keeper of a term.
-    fn keeper_of<'a>(
-        keeping: &'a mut Option<Keeping>,
-        shared: &Shared,
-        fence: Fence,
-    ) -> &'a mut Keeper {
-        keeping.take_if(|one| one.fence != fence);
-        let new = || Keeping {
-            fence,
-            keeper: Keeper::new(shared.bounds.load().quota, clock::now()),
-        };
-        &mut keeping.get_or_insert_with(new).keeper
-    }
-
     /// Forgets workspaces that a new configuration does not name.
     pub fn retain(&self, table: &RouteTable) {
         let is_there = |name: &str| {
@@ -341,12 +263,14 @@
             workspaces.is_some_and(|all| all.named(name).is_some())
         };
         lock(&self.parts).retain(is_there);
-        if let Some(keeping) = lock(&self.keeping).as_mut() {
-            keeping.keeper.retain(is_there);
-        }
+        self.keeper.of_any_term(|keeper| keeper.retain(is_there));
     }
 }
 
+fn quota(shared: &Shared) -> QuotaBounds {
+    shared.bounds.load().quota
+}
+
 fn allotment_of(table: Option<&RouteTable>, workspace: &str) -> Option<Allotment> {
     let workspaces = table?.workspaces.as_ref()?;
     workspaces.named(workspace)?.allotment
--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! what this instance has sent itself, and the next ones ask another dispatcher for a while. So
 //! a dispatcher that dies, freezes or is cut off costs a request that moment and nothing else.
 
+use crate::keeper;
 use crate::questions::Questions;
 use crate::shared::Shared;
 use passway_serving::dispatch::{
@@ -389,10 +390,10 @@
             }
             Body::VersionTold(told) => shared.configuration_age.answered(told),
             Body::UseAsk(ask) => {
-                let told = shared.allotments.rule(shared, from, &ask);
+                let told = keeper::rule(shared, from, &ask);
                 self.send(from, Body::UseTold(told));
             }
-            Body::UseTold(told) => shared.allotments.answered(told),
+            Body::UseTold(told) => shared.keeper.answered(told),
             Body::UseBack(back) => shared.allotments.take_back(shared, from, &back),
         }
     }
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -73,6 +73,7 @@
             log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream is gone");
             self.shared.pool.forget(id);
         }
+        self.shared.limits.retain(&self.shared);
         self.tell(Input::Listed(left));
     }
 
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -24,6 +24,7 @@
 use access::{Access, Denied};
 use attempt::{Attempt, Delivered, FailedAnswer, Target};
 use destination::{draw, find_destination, host_of};
+use limits::HeldBack;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
 use passway_serving::poison::{RequestDigest, UpstreamStart};
@@ -68,6 +69,10 @@
     close_after: bool,
     delivered: Delivered,
     tried: Vec<UpstreamId>,
+    /// Upstreams in need that do not take the request yet.
+    held_back: Vec<HeldBack>,
+    /// When the first of those does, in milliseconds, if only they have what it needs.
+    turn_ms: Option<u64>,
     runs: u32,
     /// The number under which the next attempt asks for an engine.
     question: RunId,
@@ -152,6 +157,8 @@
         close_after,
         delivered: Delivered::default(),
         tried: Vec::new(),
+        held_back: Vec::new(),
+        turn_ms: None,
         runs: 0,
         question: shared.dispatch.next_run(),
         attempt_at: arrived_at,
@@ -328,7 +335,7 @@
         let refused_for = self.refused_for();
         let refusal = if self.runs == 0 {
             // What crashes engines is not run before it is forgotten.
-            let model_ms = self.comes_ms.unwrap_or(RETRY_AFTER_MS);
+            let model_ms = self.comes_ms.or(self.turn_ms).unwrap_or(RETRY_AFTER_MS);
             not_run(refused_for.map_or(model_ms, millis))
         } else if clock::now() >= self.deadline_at {
             Refusal::TimedOut
@@ -341,6 +348,8 @@
             "refused as crashing upstreams"
         } else if self.comes_ms.is_some() {
             "refused, its model comes too late"
+        } else if self.turn_ms.is_some() {
+            "refused, its upstreams take no more"
         } else {
             "refused"
         };
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -85,7 +85,8 @@
             return false;
         }
         self.question = self.shared.dispatch.next_run();
-        self.next = self.choose(now).ok();
+        let next = self.choose(now).ok();
+        self.next = next.filter(|next| self.takes_turn(next));
         self.next.is_some()
     }
 
--- a/crates/instance/src/forward/limits.rs
+++ b/crates/instance/src/forward/limits.rs
@@ -1,10 +1,31 @@
-//! What upstreams say that they take.
+//! What upstreams say that they take, and a request's turn at one that does.
 
 use super::{Forwarding, Target};
-use passway_process::logging::json::DECISION_TARGET;
+use crate::limits::{self, Turn};
+use crate::shared::Need;
 use passway_serving::limits::{LimitWord, NamedLimit};
 use passway_serving::ports::AnswerFacts;
+use passway_serving::upstreams::Outcome;
 use passway_types::clock;
+use passway_types::prelude::*;
+
+/// Pause before an upstream is asked for again for which nobody counts.
+const UNCOUNTED_STEP: Duration = Duration::from_millis(100);
+/// Shortest pause before an upstream in need is asked for again.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
+/// Upstreams in need that a request asks for a turn before it waits or is refused: each is a question to
+/// the holder, and those that come later are no emptier.
+const MOST_ASKED: usize = 3;
+
+/// An upstream in need that does not take the request yet.
+#[derive(Debug, Clone)]
+pub(super) struct HeldBack {
+    upstream: UpstreamId,
+    /// When it is asked for again.
+    until: Instant,
+    /// Whether that is its turn by the count, or nobody counts.
+    is_counted: bool,
+}
 
 impl Forwarding<'_> {
     /// Takes in what an answer says about how much its upstream takes.
@@ -24,8 +45,82 @@
             sent_at: self.attempt_at,
             heard_at: clock::now(),
         };
-        if self.shared.upstreams().note_limit(&target.id, word) {
-            log::info!(target: DECISION_TARGET, upstream:% = target.id, per_s:? = per_s; "an upstream says what it takes");
+        if limits::note(self.shared, &target.id, word) {
+            self.shared.tell(Need::Limit(target.id.clone()));
         }
     }
+
+    /// Whether the request may go to an upstream that was chosen for it. All ways to an upstream lead
+    /// through here, whatever the request was before: first tries, repeats, streams that go on elsewhere,
+    /// and requests that were waiting when the upstream named its limit.
+    pub(super) fn takes_turn(&mut self, target: &Target) -> bool {
+        let limit = self.shared.upstreams().limit_per_s(&target.id);
+        let Some(per_s) = limit else {
+            return true;
+        };
+        let turn = self.shared.limits.ask(self.shared, &target.id, per_s);
+        self.shared.metrics.turn(turn);
+        let (pause, is_counted) = match turn {
+            Turn::Now => return true,
+            Turn::After(pause) => (pause, true),
+            Turn::Unknown => (UNCOUNTED_STEP, false),
+        };
+        let now = clock::now();
+        self.held_back.retain(|held| now < held.until);
+        self.held_back.push(HeldBack {
+            upstream: target.id.clone(),
+            until: now + pause.max(LEAST_PAUSE),
+            is_counted,
+        });
+        self.question = self.shared.dispatch.next_run();
+        if let Some(run) = target.run {
+            self.shared
+                .dispatch
+                .ended(self.shared, run, Outcome::Unknown);
+        }
+        false
+    }
+
+    /// Upstreams in need that do not take the request yet.
+    fn held_back(&self, now: Instant) -> impl Iterator<Item = &HeldBack> {
+        self.held_back.iter().filter(move |held| now < held.until)
+    }
+
+    /// Upstreams that the request does not go to now: those where it has been, and those in need that
+    /// do not take it yet.
+    pub(super) fn closed_to_it(&self, now: Instant) -> Vec<UpstreamId> {
+        let held = self.held_back(now).map(|held| &held.upstream);
+        self.tried.iter().chain(held).cloned().collect()
+    }
+
+    /// Whether the request asks no further upstream in need for a turn.
+    pub(super) fn has_asked_enough(&self, now: Instant) -> bool {
+        self.held_back(now).count() >= MOST_ASKED
+    }
+
+    /// When the first of the upstreams in need is asked for again; `None` if none holds it back.
+    pub(super) fn turn_at(&self, now: Instant) -> Option<Instant> {
+        self.held_back(now).map(|held| held.until).min()
+    }
+
+    /// Whether the request had better be refused, with when it may come back: only upstreams in need
+    /// have what it needs, none takes it before its wait is over, and what it needs comes
+    /// to no other one by then.
+    pub(super) fn comes_in_vain(&self, wait_until: Instant, now: Instant) -> bool {
+        let mut held = self.held_back(now).peekable();
+        let has_no_turn =
+            held.peek().is_some() && held.all(|held| held.is_counted && held.until > wait_until);
+        has_no_turn && !self.comes_elsewhere(wait_until, now)
+    }
+
+    /// Whether an engine that is in no need has the request's model near, or can fetch it in time.
+    fn comes_elsewhere(&self, wait_until: Instant, now: Instant) -> bool {
+        let Some(model_ref) = self.wish() else {
+            return false;
+        };
+        let comes_at = self.load_time().map(|load| now + load);
+        let upstreams = self.shared.upstreams();
+        comes_at.is_some_and(|at| at <= wait_until)
+            || upstreams.lies_elsewhere(&self.service, &model_ref.model)
+    }
 }
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -2,6 +2,7 @@
 
 use super::{Forwarding, Target, draw};
 use crate::dispatch::Question;
+use crate::relay::{millis, millis_since};
 use crate::shared::{Need, Shared};
 use passway_serving::upstreams::{Choice, ModelRef};
 use passway_types::clock;
@@ -38,10 +39,14 @@
             self.shared.metrics.choice();
             let seen = self.shared.changes_seen();
             let choice = match self.choose(now) {
-                Ok(target) => return Some(target),
+                Ok(target) if self.takes_turn(&target) => return Some(target),
+                Ok(_) if !self.has_asked_enough(now) => continue,
+                Ok(_) => Choice::Absent,
                 Err(choice) => choice,
             };
+            let turn_at = self.turn_at(now);
             if choice == Choice::Absent
+                && turn_at.is_none()
                 && may_wait
                 && self.record.offers == 0
                 && let Some(comes_ms) = self.comes_too_late(now)
@@ -52,11 +57,18 @@
             // A stop shortens the request's time, and what it waits must leave time to run.
             let stop_at = self.shared.ends_at().unwrap_or(self.deadline_at);
             let wait_until = self.wait_until(self.deadline_at.min(stop_at));
+            let is_absent = choice == Choice::Absent;
+            self.turn_ms = turn_at
+                .filter(|_| is_absent)
+                .map(|at| millis_since(now, at));
             if now >= wait_until || !may_wait || self.shared.is_ending() {
                 self.record.cut_by_stop = now < self.wait_until(self.deadline_at);
                 return None;
             }
-            let is_absent = choice == Choice::Absent;
+            if is_absent && self.comes_in_vain(wait_until, now) {
+                self.tell_missed(wait_until);
+                return None;
+            }
             if is_absent
                 && told.is_none()
                 && let Some(wish) = self.wish()
@@ -71,7 +83,8 @@
             // Each turn of this loop waits: requests for a service that has no upstream left
             // must not take the processor from all others.
             let longest = if is_absent { WAIT_STEP } else { FULL_STEP };
-            let step = longest.min(wait_until - now);
+            let look_at = turn_at.map_or(wait_until, |at| at.min(wait_until));
+            let step = longest.min(look_at - now);
             if is_absent || !self.shared.dispatch.is_used() {
                 self.shared.wait_for_upstreams(seen, step);
             } else {
@@ -93,34 +106,49 @@
     /// the request may wait. The holder counts it as waiting as if it did, since others will ask.
     fn comes_too_late(&self, now: Instant) -> Option<u64> {
         let model_ref = self.wish()?;
-        let table = self.shared.routes.load();
-        let pool = table.as_ref()?.services.get(&self.service)?.pool.as_ref()?;
-        let load_ms = pool.models.named(&model_ref.model)?.load_ms;
+        let load_time = self.load_time()?;
         let wait_until = self.wait_until(self.deadline_at);
-        let comes_at = now + Duration::from_millis(load_ms);
+        let comes_at = now + load_time;
         let upstreams = self.shared.upstreams();
         if comes_at <= wait_until || !upstreams.lies_nowhere(&self.service, &model_ref.model) {
             return None;
         }
         drop(upstreams);
-        self.shared.tell(Need::Missed {
-            service: self.service.clone(),
-            wish: model_ref.clone(),
-            until: wait_until,
-        });
-        Some(load_ms)
+        self.tell_missed(wait_until);
+        Some(millis(load_time))
+    }
+
+    /// How long the request's model takes from the weight store.
+    pub(super) fn load_time(&self) -> Option<Duration> {
+        let model_ref = self.wish()?;
+        let table = self.shared.routes.load();
+        let pool = table.as_ref()?.services.get(&self.service)?.pool.as_ref()?;
+        let load_ms = pool.models.named(&model_ref.model)?.load_ms;
+        Some(Duration::from_millis(load_ms))
+    }
+
+    /// Tells the holder that the request is refused, which would have waited for its model.
+    fn tell_missed(&self, wait_until: Instant) {
+        if let Some(model_ref) = self.wish() {
+            self.shared.tell(Need::Missed {
+                service: self.service.clone(),
+                wish: model_ref.clone(),
+                until: wait_until,
+            });
+        }
     }
 
     /// The upstream for the next attempt, or why there is none now.
     pub(super) fn choose(&self, now: Instant) -> Result<Target, Choice> {
         let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
+        let closed = self.closed_to_it(now);
         let dispatch = &self.shared.dispatch;
         let told = self.wish().and_then(|model_ref| {
             let question = Question {
                 id: self.question,
                 service: &self.service,
                 model_ref,
-                tried: &self.tried,
+                tried: &closed,
                 drawn,
                 due_at: self.due_at(),
                 is_urgent: self.priority() == 0,
@@ -138,7 +166,7 @@
             };
         }
         let upstreams = self.shared.upstreams();
-        match upstreams.choose(&self.service, self.wish(), &self.tried, drawn, now) {
+        match upstreams.choose(&self.service, self.wish(), &closed, drawn, now) {
             Choice::Send { id, address } => Ok(Target {
                 run: self.wish().and_then(|_| dispatch.unasked(&id)),
                 id,
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -9,6 +9,7 @@
 pub use peers::{Input, bind};
 
 use crate::candidates::Candidates;
+use crate::limits;
 use crate::listeners::Listeners;
 use crate::members::{Addresses, Announcement, KeptAnnouncement, Roster};
 use crate::news::Told;
@@ -83,6 +84,7 @@
         listeners: Listeners::default(),
         candidates: Candidates::default(),
         doubtful: BTreeSet::new(),
+        told_limits: BTreeMap::new(),
         dispatchers: Vec::new(),
         roster: Roster::default(),
         begun_at: clock::now(),
@@ -115,6 +117,8 @@
     candidates: Candidates,
     /// Engines to which orders have no answer, as was told last.
     doubtful: BTreeSet<UpstreamId>,
+    /// Limits of upstreams in need, as was told last.
+    told_limits: BTreeMap<UpstreamId, f64>,
     /// Who dispatches for engines.
     dispatchers: Vec<Candidate>,
     /// Who has been told of which members.
@@ -209,6 +213,7 @@
             Input::TermBegun => {}
             Input::Succeeded(holder) => self.heard_of.keep(holder, now),
             Input::Suspects(told) => self.tell_suspects(told),
+            Input::Limits(told) => self.tell_limits(told),
             Input::Promised(promise) => self.promised(&promise),
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
@@ -251,6 +256,10 @@
         self.send_heartbeats([number], 0);
         let suspects = self.shared.poison.suspects(TOLD_CRASHES);
         self.send_to(number, &Body::Suspects(suspects));
+        let limits = limits::encode(&self.shared, None);
+        if !limits.limits.is_empty() {
+            self.send_to(number, &Body::Limits(limits));
+        }
         let known = subscribe.placements.iter().copied().collect();
         let lacking = self.planner.placements_unlike(&known);
         if !lacking.is_empty() {
@@ -382,6 +391,7 @@
         if fence != self.fence {
             self.fence = fence;
             self.candidates = Candidates::default();
+            self.told_limits.clear();
             self.roster = Roster::default();
             self.dispatchers = self.shared.dispatch.list();
             self.instances = InstanceCount::begin(clock::now());
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -2,6 +2,7 @@
 //! to which engines orders are on their way, and placements.
 
 use super::{Holding, TELL_PAUSE_PER_PEER};
+use crate::limits;
 use crate::members::{self, Addresses};
 use crate::poison;
 use crate::relay;
@@ -10,7 +11,9 @@
 use passway_serving::placement::Placement;
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::{EnginePlacement, News, Placements, Resident, Successor, Suspects};
+use passway_wire::message::{
+    EnginePlacement, Limits, News, Placements, Resident, Successor, Suspects,
+};
 use passway_wire::{Body, Frame};
 use std::collections::BTreeSet;
 
@@ -18,6 +21,10 @@
 /// the last one that is allowed, at whichever instance it comes again.
 pub(super) const TOLD_CRASHES: usize = 2;
 
+/// A limit that has changed by less, as a part of it, is not told again: what counts is what the
+/// holder knows, whom all ask.
+const TOLD_CHANGE_PART: f64 = 0.1;
+
 fn encode(placement: Placement) -> EnginePlacement {
     let models = placement.models.into_iter().map(|model| Resident {
         model: model.name.to_string(),
@@ -101,6 +108,32 @@
         }
     }
 
+    /// Joins in what an instance knows of upstreams' limits, and tells all what is news: whoever has
+    /// not heard it from the upstream itself sends there as before.
+    pub(super) fn tell_limits(&mut self, told: Limits) {
+        let mut named = limits::join(&self.shared, told);
+        let upstreams = self.shared.upstreams();
+        named.retain(|id| {
+            let before = self.told_limits.get(id).copied();
+            let now = upstreams.limit_per_s(id);
+            let is_news = match (before, now) {
+                (Some(before), Some(now)) => (now - before).abs() > TOLD_CHANGE_PART * before,
+                (before, now) => before.is_some() != now.is_some(),
+            };
+            match now {
+                Some(per_s) if is_news => drop(self.told_limits.insert(id.clone(), per_s)),
+                Some(_) => {}
+                None => drop(self.told_limits.remove(id)),
+            }
+            is_news
+        });
+        drop(upstreams);
+        if self.fence.is_some() && !named.is_empty() {
+            let body = Body::Limits(limits::encode(&self.shared, Some(&named)));
+            send_to_all(self.peers.values(), body);
+        }
+    }
+
     /// Chooses who dispatches for engines, and tells all if that has changed. Until the fleet
     /// has come the ones before stay, or none.
     pub(super) fn tell_dispatchers(&mut self, instances: Option<usize>) {
--- /dev/null
+++ b/crates/instance/src/keeper.rs
@@ -0,0 +1,126 @@
+//! Asking the instance that counts for all, and what it counts.
+//!
+//! The holder of the right to order counts what workspaces use and what goes to upstreams in need, for
+//! as long as its term lasts by its own clock: there are never two that count.
+
+use crate::questions::Questions;
+use crate::shared::Shared;
+use passway_serving::allotment::{Keeper, QuotaBounds};
+use passway_serving::tenure::Holder;
+use passway_types::clock;
+use passway_types::prelude::*;
+use passway_wire::dispatch::Dispatch as Body;
+use passway_wire::permits::{UseAsk, UseTold, UseVerdict};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// A keeper that did not answer is not asked for this long.
+const SILENT_TIME: Duration = Duration::from_millis(300);
+/// One that was asked and is not the keeper is not asked again for this long: a term begins, or has
+/// ended, and everybody hears of that within some hundred milliseconds.
+const NOT_KEEPER_TIME: Duration = Duration::from_millis(100);
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A keeper that is not asked, and until when.
+#[derive(Debug, Clone, PartialEq)]
+struct Silent {
+    holder: Holder,
+    until: Instant,
+}
+
+/// This instance's questions to the keeper.
+#[derive(Debug, Default)]
+pub struct KeeperLink {
+    asked: Questions<UseTold>,
+    silent: Mutex<Option<Silent>>,
+}
+
+impl KeeperLink {
+    /// The keeper's ruling; `None` if there is none that answers.
+    pub fn ask(&self, shared: &Shared, ask: &UseAsk) -> Option<UseTold> {
+        let holder = shared.right()?.holder()?;
+        let settings = &shared.settings;
+        if holder.instance == settings.instance {
+            let told = rule(shared, settings.peer_address, ask);
+            return Some(told).filter(|told| told.verdict() != UseVerdict::NotKeeper);
+        }
+        let now = clock::now();
+        let is_silent = |silent: &Silent| silent.holder == holder && now < silent.until;
+        if lock(&self.silent).as_ref().is_some_and(is_silent) {
+            return None;
+        }
+        let body = Body::UseAsk(ask.clone());
+        let address = holder.address;
+        let told = self
+            .asked
+            .ask(ask.id, || shared.dispatch.send(address, body.clone()));
+        let pause = match &told {
+            Some(told) if told.verdict() != UseVerdict::NotKeeper => return Some(told.clone()),
+            Some(_) => NOT_KEEPER_TIME,
+            None => SILENT_TIME,
+        };
+        *lock(&self.silent) = Some(Silent {
+            holder,
+            until: clock::now() + pause,
+        });
+        None
+    }
+
+    /// Takes in the answer to a question of this instance.
+    pub fn answered(&self, told: UseTold) {
+        self.asked.answered(told.id, told);
+    }
+}
+
+/// Answers an instance's question; only the keeper rules.
+pub fn rule(shared: &Shared, from: SocketAddr, ask: &UseAsk) -> UseTold {
+    let Some(fence) = shared.right().and_then(|right| right.term()) else {
+        return UseTold {
+            id: ask.id,
+            ..UseTold::default()
+        };
+    };
+    if ask.upstream.is_empty() {
+        shared.allotments.rule(shared, fence, from, ask)
+    } else {
+        shared.limits.rule(shared, fence, from, ask)
+    }
+}
+
+#[derive(Debug)]
+struct Keeping {
+    fence: Fence,
+    keeper: Keeper,
+}
+
+/// What is counted in the newest term of this instance.
+#[derive(Debug, Default)]
+pub struct TermKeeper(Mutex<Option<Keeping>>);
+
+impl TermKeeper {
+    /// Acts on the keeper of a term, which counts from nothing in each.
+    pub fn of_term<T>(
+        &self,
+        fence: Fence,
+        bounds: QuotaBounds,
+        act: impl FnOnce(&mut Keeper) -> T,
+    ) -> T {
+        let mut keeping = lock(&self.0);
+        keeping.take_if(|one| one.fence != fence);
+        let new = || Keeping {
+            fence,
+            keeper: Keeper::new(bounds, clock::now()),
+        };
+        act(&mut keeping.get_or_insert_with(new).keeper)
+    }
+
+    /// Acts on the keeper of the newest term, if there was one.
+    pub fn of_any_term(&self, act: impl FnOnce(&mut Keeper)) {
+        if let Some(keeping) = lock(&self.0).as_mut() {
+            act(&mut keeping.keeper);
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/limits.rs
@@ -0,0 +1,153 @@
+//! Keeping upstreams in need to what they say that they take, over all instances.
+//!
+//! Each instance tells the holder of the right to order what it hears of an upstream's limit, and the
+//! holder tells all. Whoever would send a request to a limited upstream asks the holder, which
+//! counts. Without an answer an instance has a small share, by what it knows of the fleet's size.
+
+use crate::keeper::TermKeeper;
+use crate::relay::{millis, millis_since};
+use crate::shared::Shared;
+use passway_process::logging::json::DECISION_TARGET;
+use passway_serving::allotment::Ruling;
+use passway_serving::limits::{self, EXACT, LimitWord, Shares};
+use passway_types::clock;
+use passway_types::prelude::*;
+use passway_wire::message::{Limits as Told, UpstreamLimit};
+use passway_wire::permits::{UseAsk, UseTold, UseVerdict};
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+/// Whether a request may go to an upstream in need.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Turn {
+    /// Now.
+    Now,
+    /// Not before this time has passed.
+    After(Duration),
+    /// Nobody counts, and this instance's share is spent.
+    Unknown,
+}
+
+/// This instance's part in keeping upstreams to their limits.
+#[derive(Debug, Default)]
+pub struct Limits {
+    counter: TermKeeper,
+    shares: Mutex<Shares>,
+}
+
+impl Limits {
+    /// Whether a request may go to an upstream that takes so many a second.
+    pub fn ask(&self, shared: &Shared, upstream: &UpstreamId, per_s: f64) -> Turn {
+        let ask = UseAsk {
+            id: rand::random(),
+            upstream: upstream.to_string(),
+            cost: 1.0,
+            rate_per_s: per_s,
+            ..UseAsk::default()
+        };
+        match shared.keeper.ask(shared, &ask) {
+            Some(told) if told.verdict() == UseVerdict::Granted => Turn::Now,
+            Some(told) => Turn::After(Duration::from_millis(told.retry_after_ms)),
+            None => self.share(shared, upstream, per_s),
+        }
+    }
+
+    fn share(&self, shared: &Shared, upstream: &UpstreamId, per_s: f64) -> Turn {
+        let instances = shared.instances();
+        let mut kept = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        if kept.take(upstream, per_s, instances, rand::random(), clock::now()) {
+            Turn::Now
+        } else {
+            Turn::Unknown
+        }
+    }
+
+    /// Answers an instance's question, in a term of this instance.
+    pub fn rule(&self, shared: &Shared, fence: Fence, from: SocketAddr, ask: &UseAsk) -> UseTold {
+        let upstream = UpstreamId::from(ask.upstream.as_str());
+        // A word that one of the two has not heard yet is the newer one; which, is not known here.
+        let known = shared.upstreams().limit_per_s(&upstream);
+        let per_s = known.map_or(ask.rate_per_s, |known| known.min(ask.rate_per_s));
+        let mut told = UseTold {
+            id: ask.id,
+            ..UseTold::default()
+        };
+        let allotment = limits::allotment(per_s);
+        let ruling = self.counter.of_term(fence, EXACT, |keeper| {
+            keeper.ask(&upstream, allotment, from, ask.cost, clock::now())
+        });
+        match ruling {
+            Ruling::Granted { .. } => told.set_verdict(UseVerdict::Granted),
+            Ruling::Refused { retry_after } => {
+                told.set_verdict(UseVerdict::Refused);
+                told.retry_after_ms = millis(retry_after);
+            }
+        }
+        told
+    }
+
+    /// Forgets what was counted for upstreams that name no limit any more.
+    pub fn retain(&self, shared: &Shared) {
+        let upstreams = shared.upstreams();
+        let is_limited = |id: &str| upstreams.limit_per_s(id).is_some();
+        self.counter.of_any_term(|keeper| keeper.retain(is_limited));
+        let mut kept = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.retain(is_limited);
+    }
+}
+
+/// An upstream has said how much it takes, here or at another instance. Returns whether that is another
+/// limit than before.
+pub fn note(shared: &Shared, upstream: &UpstreamId, word: LimitWord) -> bool {
+    let has_changed = shared.upstreams().note_limit(upstream, word);
+    if has_changed {
+        log::info!(target: DECISION_TARGET, upstream:% = upstream, per_s:? = word.per_s; "an upstream says what it takes");
+        if word.per_s.is_none() {
+            shared.limits.retain(shared);
+        }
+        shared.upstreams_changed();
+    }
+    has_changed
+}
+
+/// The words of some upstreams, or of all that have said something, as they are told.
+pub fn encode(shared: &Shared, named: Option<&[UpstreamId]>) -> Told {
+    let now = clock::now();
+    let upstreams = shared.upstreams();
+    let words = upstreams.limit_words();
+    let words = words.filter(|(id, ..)| named.is_none_or(|named| named.contains(id)));
+    let limits = words.map(|(id, started_at_ms, word)| UpstreamLimit {
+        upstream: id.to_string(),
+        started_at_ms,
+        per_s: word.per_s,
+        sent_ms_ago: millis_since(word.sent_at, now),
+        heard_ms_ago: millis_since(word.heard_at, now),
+    });
+    Told {
+        limits: limits.collect(),
+    }
+}
+
+/// Takes in what another instance tells. Returns the upstreams that it tells of.
+pub fn join(shared: &Shared, told: Told) -> Vec<UpstreamId> {
+    let now = clock::now();
+    let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+    let mut named = Vec::new();
+    for told in told.limits {
+        let upstream = UpstreamId::from(told.upstream);
+        // What was said by another start of it says nothing of this one.
+        if shared.upstreams().started_at_ms(&upstream) != told.started_at_ms {
+            continue;
+        }
+        let word = LimitWord {
+            per_s: told
+                .per_s
+                .filter(|per_s| per_s.is_finite() && *per_s >= 0.0),
+            sent_at: ago(told.sent_ms_ago),
+            heard_at: ago(told.heard_ms_ago),
+        };
+        note(shared, &upstream, word);
+        named.push(upstream);
+    }
+    named
+}
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -2,6 +2,7 @@
 //! where the balancer asks. Names and what to alarm on: `docs/OPERATIONS.md`.
 
 use crate::allotments::Decision;
+use crate::limits::Turn;
 use passway_types::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -89,6 +90,7 @@
     poison_requests: Gauge,
     limited_upstreams: Gauge,
     unusable_limits: Counter,
+    turns: Family<OutcomeLabels, Counter>,
 }
 
 impl fmt::Debug for Metrics {
@@ -125,6 +127,7 @@
             poison_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
             unusable_limits: Counter::default(),
+            turns: Family::default(),
         };
         metrics.register();
         metrics
@@ -158,6 +161,9 @@
         for outcome in ["taken", "refused"] {
             let _zero = self.orders.get_or_create(&OutcomeLabels { outcome });
         }
+        for outcome in ["now", "later", "unknown"] {
+            let _zero = self.turns.get_or_create(&OutcomeLabels { outcome });
+        }
         let seconds = Unit::Seconds;
         let wait = self.model_wait.clone();
         let help = "Time until a request for a model was offered to an engine";
@@ -185,6 +191,9 @@
         let gauge = self.limited_upstreams.clone();
         let help = "Upstreams that name how many requests a second they take";
         registry.register("limited_upstreams", help, gauge);
+        let turns = self.turns.clone();
+        let help = "Requests for a turn at an upstream that names a limit, by answer";
+        registry.register("limited_turns", help, turns);
         let unusable = self.unusable_limits.clone();
         let help = "Answers that name a limit which cannot be read";
         registry.register("unusable_limits", help, unusable);
@@ -212,6 +221,16 @@
         self.unusable_entries.inc();
     }
 
+    /// Counts what a request was told that asked for a turn at an upstream in need.
+    pub fn turn(&self, turn: Turn) {
+        let outcome = match turn {
+            Turn::Now => "now",
+            Turn::After(_) => "later",
+            Turn::Unknown => "unknown",
+        };
+        self.turns.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Counts an answer that names a limit which cannot be read.
     pub fn unusable_limit(&self) {
         self.unusable_limits.inc();
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,5 +1,6 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
+use crate::limits;
 use crate::members;
 use crate::poison;
 use crate::relay::Relay;
@@ -47,6 +48,7 @@
         missed: Vec::new(),
         untold: BTreeSet::new(),
         suspects: Vec::new(),
+        limits: BTreeSet::new(),
         recent: VecDeque::new(),
         is_new: Arc::default(),
     };
@@ -70,6 +72,8 @@
     untold: BTreeSet<WishKey>,
     /// Requests of which something became known that the holder was not told.
     suspects: Vec<Suspect>,
+    /// Upstreams that said something else of how much they take than before.
+    limits: BTreeSet<UpstreamId>,
     /// What was taken lately, for a holder that begins its term.
     recent: VecDeque<(Instant, WishKey)>,
     /// Set when a connection to a holder has been made that was told nothing yet.
@@ -125,6 +129,7 @@
             if due
                 || !self.untold.is_empty()
                 || !self.suspects.is_empty()
+                || !self.limits.is_empty()
                 || self.is_new.load(Ordering::Acquire)
             {
                 self.send();
@@ -180,6 +185,9 @@
                 self.wait_begins(key, until);
             }
             Need::Suspect(suspect) => self.suspects.push(suspect),
+            Need::Limit(upstream) => {
+                self.limits.insert(upstream);
+            }
             // It is a reason to look, which follows in any case.
             Need::HolderReached => {}
             Need::Taken { service, wish } => {
@@ -277,6 +285,10 @@
                     drop(link);
                     shared.poison.join(told);
                 }
+                Dialed::Received(Body::Limits(told)) => {
+                    drop(link);
+                    limits::join(&shared, told);
+                }
                 Dialed::Received(Body::Placements(placements)) => {
                     drop(link);
                     placed(&shared, placements.engines);
@@ -341,16 +353,23 @@
             self.taken.clear();
             self.untold.clear();
             self.suspects.clear();
+            self.limits.clear();
             return;
         };
         let mut taken = std::mem::take(&mut self.taken);
         let mut untold = std::mem::take(&mut self.untold);
         let mut suspects = poison::encode(std::mem::take(&mut self.suspects));
+        let named: Vec<UpstreamId> = std::mem::take(&mut self.limits).into_iter().collect();
+        let mut limits = limits::encode(&self.shared, Some(&named));
         if self.is_new.swap(false, Ordering::AcqRel) {
             taken = recent_counts(&self.recent);
             untold = self.waiting.keys().cloned().collect();
             self.last_running.clear();
             suspects = self.shared.poison.suspects(1);
+            limits = limits::encode(&self.shared, None);
+        }
+        if !limits.limits.is_empty() {
+            outbox.send(Body::Limits(limits));
         }
         if !suspects.suspects.is_empty() {
             outbox.send(Body::Suspects(suspects));
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -4,6 +4,8 @@
 use crate::dispatch::Dispatch;
 use crate::freshness::ConfigurationAge;
 use crate::health::StoreHealth;
+use crate::keeper::KeeperLink;
+use crate::limits::Limits;
 use crate::members::Addresses;
 use crate::metrics::Metrics;
 use crate::poison::Poison;
@@ -57,6 +59,8 @@
     },
     /// What became known of a request under which upstreams crashed.
     Suspect(Suspect),
+    /// An upstream says something else of how much it takes than before.
+    Limit(UpstreamId),
     /// A connection to the holder stands.
     HolderReached,
     /// A request for a model was taken, whether it waits or not.
@@ -94,8 +98,12 @@
     pub dispatch: Dispatch,
     /// How new the configuration is for sure.
     pub configuration_age: ConfigurationAge,
+    /// Questions to the instance that counts for all.
+    pub keeper: KeeperLink,
     /// What workspaces may use.
     pub allotments: Allotments,
+    /// What goes to upstreams in need.
+    pub limits: Limits,
     /// Requests that crash upstreams.
     pub poison: Poison,
     /// The words of callers and upstreams.
@@ -119,6 +127,8 @@
     /// The moment at which a stop ends what waits; set when the stop begins.
     ends_at: OnceLock<Instant>,
     in_progress: AtomicUsize,
+    /// How many instances there are, as the holder told last; 0 if it has not.
+    instances: AtomicUsize,
     /// Bytes of the bodies of requests in progress.
     held_bodies: AtomicUsize,
 }
@@ -151,7 +161,9 @@
             metrics: Metrics::default(),
             pool: ConnectionPool::default(),
             configuration_age: ConfigurationAge::default(),
+            keeper: KeeperLink::default(),
             allotments: Allotments::default(),
+            limits: Limits::default(),
             poison: Poison::default(),
             vocabulary,
             needs,
@@ -169,6 +181,7 @@
             ending: AtomicBool::new(false),
             ends_at: OnceLock::new(),
             in_progress: AtomicUsize::new(0),
+            instances: AtomicUsize::new(0),
             held_bodies: AtomicUsize::new(0),
         }
     }
@@ -292,11 +305,17 @@
 
     /// Shares the fleet's allowances among so many instances, and some that may join.
     pub fn use_instances(&self, instances: usize) {
+        self.instances.store(instances, Ordering::Release);
         let shared_by = instances + instances / 4 + 1;
         self.retries().set_instances(shared_by, clock::now());
         self.store_health.set_instances(instances);
     }
 
+    /// How many instances there are, as the holder told last; 0 if it has not.
+    pub fn instances(&self) -> usize {
+        self.instances.load(Ordering::Acquire)
+    }
+
     /// The upstreams were listed whole.
     pub fn set_upstreams_listed(&self) {
         self.upstreams_listed.store(true, Ordering::Release);
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -273,6 +273,15 @@
         self.upstreams.get(id)?.limit_per_s()
     }
 
+    /// What upstreams said last of how much they take, those that ever named a limit, with their starts
+    /// in Unix milliseconds by their own clocks.
+    pub fn limit_words(&self) -> impl Iterator<Item = (&UpstreamId, u64, LimitWord)> {
+        self.upstreams.iter().filter_map(|(id, upstream)| {
+            let word = upstream.limit_word()?;
+            Some((id, upstream.entry.started_at_ms, word))
+        })
+    }
+
     /// Upstreams that name a limit.
     pub fn limited(&self) -> usize {
         let all = self.upstreams.values();
@@ -293,6 +302,13 @@
         engines.peek().is_some() && !engines.any(|one| one.keeps(model))
     }
 
+    /// Whether an engine that is in no need has a model or a copy of it.
+    pub fn lies_elsewhere(&self, service: &ServiceName, model: &ModelName) -> bool {
+        let all = self.upstreams.values();
+        let mut engines = all.filter(|one| one.entry.service == *service);
+        engines.any(|one| one.limit_per_s().is_none() && one.keeps(model))
+    }
+
     /// Requests that an upstream works on at one time.
     pub fn slots_of(&self, id: &str) -> u32 {
         self.upstreams
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -15,6 +15,9 @@
 const DRAW_REQUESTS: f64 = 1.0;
 /// What an upstream costs that has been silent, in units of its slots.
 const SILENCE_COST: f64 = 3.0;
+/// One in so many requests takes upstreams in need for any other, so that somebody hears when they
+/// are in need no more although others carry what they did.
+const REQUESTS_PER_TRIAL: u64 = 50;
 /// Where to send a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Choice {
@@ -41,6 +44,8 @@
 #[derive(Debug, PartialEq, PartialOrd)]
 struct Rank<'a> {
     is_unreachable: bool,
+    /// What an upstream in need takes is left to requests that nobody else can serve.
+    is_last: bool,
     /// In units of the upstream's slots.
     cost: f64,
     /// Tells equal costs apart.
@@ -53,11 +58,18 @@
         let slots = f64::from(self.entry.slots.max(1));
         Rank {
             is_unreachable: now < self.unreachable_until,
+            is_last: self.goes_last(drawn),
             cost: self.cost(load, hall, now) + part_of(drawn, id) * DRAW_REQUESTS / slots,
             id,
         }
     }
 
+    /// Whether a request with a number of its own goes here only if it can go nowhere else.
+    fn goes_last(&self, drawn: u64) -> bool {
+        self.limit_per_s().is_some()
+            && !hash::mixed(!drawn, &self.entry.id).is_multiple_of(REQUESTS_PER_TRIAL)
+    }
+
     fn is_full(&self, load: u32, now: Instant) -> bool {
         load >= self.entry.slots || now < self.full_until
     }
@@ -167,11 +179,15 @@
         })
     }
 
-    /// Engines that could take a request, in an order drawn for it.
+    /// Engines that could take a request, in an order drawn for it, those in need last.
     pub fn drawn_engines(&self, wanted: Wanted<'_>, now: Instant) -> Vec<UpstreamId> {
         let usable = self.usable(wanted.service, wanted.model_ref, now);
-        let mut ids: Vec<UpstreamId> = usable.map(|engine| engine.entry.id.clone()).collect();
-        ids.sort_by_cached_key(|id| hash::mixed(wanted.drawn, id));
-        ids
+        let mut engines: Vec<&Upstream> = usable.collect();
+        engines.sort_by_cached_key(|engine| {
+            let drawn = hash::mixed(wanted.drawn, &engine.entry.id);
+            (engine.goes_last(wanted.drawn), drawn)
+        });
+        let ids = engines.iter().map(|engine| engine.entry.id.clone());
+        ids.collect()
     }
 }
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -72,6 +72,11 @@
         self.limit?.per_s
     }
 
+    /// What it said last of how much it takes; `None` if it never named a limit.
+    pub(super) fn limit_word(&self) -> Option<LimitWord> {
+        self.limit
+    }
+
     /// It has said how much it takes. Returns whether that is another limit than before.
     pub(super) fn note_limit(&mut self, word: LimitWord) -> bool {
         let known = self.limit.as_ref();
--- a/crates/standins/src/allotment_model.rs
+++ b/crates/standins/src/allotment_model.rs
@@ -1,14 +1,17 @@
-//! Ways to keep workspaces to their allotments over many instances, played in a model of a fleet
-//! without sockets: who admits what, and what an exact count would have said.
+//! Ways to keep workspaces to their allotments, and upstreams in need to their limits, over many
+//! instances, played in a model of a fleet without sockets: who admits what, and what an exact count
+//! would have said.
 //!
-//! * [`ways`]: the ways, behind one trait.
+//! * [`ways`]: the ways, behind one trait. [`limit_ways`]: those for limits.
 //! * [`cases`]: what callers and instances do.
 
 pub mod cases;
+pub mod limit_ways;
 pub mod ways;
 
 use cases::{Case, State};
 use passway_serving::allotment::QuotaBounds;
+use passway_serving::limits;
 use passway_serving::workspaces::Allotment;
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -60,6 +63,8 @@
     pub cost: f64,
     /// What may be used beyond allotments.
     pub bounds: QuotaBounds,
+    /// Whether what may go at once counts towards what is allowed in a window, besides the rate.
+    pub allows_burst: bool,
     /// Length of a play.
     pub time: Duration,
     /// Fixes the requests.
@@ -91,6 +96,32 @@
                 overage: 0.1,
                 slack: 17_000.0,
             },
+            allows_burst: true,
+            time: Duration::from_secs(24),
+            seed,
+        }
+    }
+
+    /// Upstreams in need instead of workspaces: each names how many requests a second it takes, and
+    /// callers ask for five times that. In four seconds one and a half times the limit and five
+    /// requests are allowed.
+    pub fn upstreams_in_need(instances: usize, seed: u64) -> Self {
+        let limits = [50.0, 12.0, 5.0, 2.3, 1.1, 0.5];
+        let upstreams = limits.iter().map(|per_s| Asking {
+            name: format!("{per_s}/s").into(),
+            allotment: limits::allotment(*per_s),
+            usual_per_s: per_s * 5.0,
+        });
+        Self {
+            instances,
+            workspaces: upstreams.collect(),
+            cost: 1.0,
+            bounds: QuotaBounds {
+                window: Duration::from_secs(4),
+                overage: 0.5,
+                slack: 5.0,
+            },
+            allows_burst: false,
             time: Duration::from_secs(24),
             seed,
         }
@@ -163,7 +194,8 @@
     }
 
     /// A request passes.
-    fn granted(&mut self, cost: f64, bounds: QuotaBounds, now: Instant) {
+    fn granted(&mut self, plan: &Plan, now: Instant) {
+        let (cost, bounds) = (plan.cost, plan.bounds);
         self.granted_now += cost;
         self.used.push_back((now, cost));
         self.in_window += cost;
@@ -174,6 +206,7 @@
             self.in_window -= cost;
         }
         let Allotment { rate_per_s, burst } = self.asking.allotment;
+        let burst = if plan.allows_burst { burst } else { 0.0 };
         let allotted = rate_per_s * bounds.window.as_secs_f64() + burst;
         let most = allotted * (1.0 + bounds.overage) + bounds.slack;
         self.over = self.over.max(self.in_window - most);
@@ -219,7 +252,7 @@
             let ledger = &mut ledgers[request.workspace];
             let asking = &ledger.asking;
             match way.ask(&state, request.instance, asking, plan.cost, now) {
-                Decision::Granted => ledger.granted(plan.cost, plan.bounds, now),
+                Decision::Granted => ledger.granted(plan, now),
                 Decision::Refused(after) => {
                     waiting.extend(comes_back(request, &state, &mut rng, now + after));
                 }
--- a/crates/standins/src/allotment_model/ways.rs
+++ b/crates/standins/src/allotment_model/ways.rs
@@ -51,7 +51,7 @@
 /// Pause between two looks of the keeper whether what lies in the store has changed.
 const KEPT_PAUSE: Duration = Duration::from_secs(1);
 
-fn address(instance: usize) -> SocketAddr {
+pub(super) fn address(instance: usize) -> SocketAddr {
     let port = u16::try_from(instance).unwrap_or(u16::MAX);
     SocketAddr::from(([127, 0, 0, 1], port))
 }
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -25,6 +25,8 @@
     pub event_pause: Duration,
     /// Crashes when it begins to run a request with this body.
     pub crashes_on: Option<String>,
+    /// Names so many requests a second as what it takes.
+    pub limit_per_s: Option<f64>,
 }
 
 /// The models of a server.
@@ -58,6 +60,7 @@
     taken: Vec<TakenOrder>,
     over_limit: u32,
     runs: Vec<String>,
+    run_at: Vec<Instant>,
     crashed: bool,
     faults: Faults,
 }
@@ -184,6 +187,11 @@
         self.state().runs.clone()
     }
 
+    /// When they began.
+    pub fn run_at(&self) -> Vec<Instant> {
+        self.state().run_at.clone()
+    }
+
     /// Whether it has crashed.
     pub fn crashed(&self) -> bool {
         self.state().crashed
@@ -269,6 +277,7 @@
             return answer(421, id, "", "Not-Executed: 1\r\n");
         }
         state.runs.push(id.to_owned());
+        state.run_at.push(Instant::now());
         let crashes_on = state.faults.crashes_on.as_deref();
         if crashes_on.is_some_and(|body| body.as_bytes() == received.body) {
             state.crashed = true;
@@ -278,13 +287,15 @@
         let silent_after = state.faults.silent_after.take();
         let pause_after = state.faults.pause_after.take();
         let event_pause = state.faults.event_pause;
+        let limit = state.faults.limit_per_s;
+        let limit = limit.map_or_else(String::new, |per_s| format!("Server-Limit: {per_s}\r\n"));
         drop(state);
         let from = received
             .header("last-event-id")
             .and_then(|text| text.parse().ok());
         let from: u64 = from.unwrap_or(0);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\n{limit}Response-Seal: seal-{}\r\n\r\n",
             self.id
         );
         let mut steps = vec![Step::Send(head.into_bytes())];
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
     #[prost(
         oneof = "Body",
         tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, \
-                20, 21, 22"
+                20, 21, 22, 23"
     )]
     pub body: Option<Body>,
 }
@@ -83,6 +83,37 @@
     /// Requests under which upstreams have crashed.
     #[prost(message, tag = "22")]
     Suspects(Suspects),
+    /// How much upstreams in need say that they take.
+    #[prost(message, tag = "23")]
+    Limits(Limits),
+}
+
+/// What an upstream said of how much it takes.
+#[derive(Clone, PartialEq, Message)]
+pub struct UpstreamLimit {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// When it had started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+    /// Requests a second, from all instances together; `None` if it is in no need any more.
+    #[prost(double, optional, tag = "3")]
+    pub per_s: Option<f64>,
+    /// Time since the request was sent whose answer says so, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub sent_ms_ago: u64,
+    /// Time since that answer came, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub heard_ms_ago: u64,
+}
+
+/// What upstreams said of how much they take, as far as the sender knows.
+#[derive(Clone, PartialEq, Message)]
+pub struct Limits {
+    /// The upstreams.
+    #[prost(message, repeated, tag = "1")]
+    pub limits: Vec<UpstreamLimit>,
 }
 
 /// A holder of the right to order that the store does not answer asks a candidate to
--- a/crates/wire/src/permits.rs
+++ b/crates/wire/src/permits.rs
@@ -25,25 +25,29 @@
     pub age_ms: u64,
 }
 
-/// Asks the keeper of allotments whether a request may go.
+/// Asks the keeper whether a request may go: for its workspace's allotment, or to an upstream that
+/// names how much it takes.
 #[derive(Clone, PartialEq, Message)]
 pub struct UseAsk {
     /// The question's number at the instance that asks.
     #[prost(fixed64, tag = "1")]
     pub id: u64,
-    /// The workspace.
+    /// The workspace; empty if it is asked for an upstream.
     #[prost(string, tag = "2")]
     pub workspace: String,
-    /// What the request counts, in the unit of its workspace.
+    /// What the request counts, in the unit of its workspace; for an upstream 1.
     #[prost(double, tag = "3")]
     pub cost: f64,
-    /// The workspace's rate as the asking instance knows it, in units a second, for a keeper that
-    /// does not know the workspace yet.
+    /// The workspace's rate or the upstream's limit as the asking instance knows it, in units a second,
+    /// for a keeper that does not know it yet.
     #[prost(double, tag = "4")]
     pub rate_per_s: f64,
-    /// Its burst, in units, for the same.
+    /// The workspace's burst, in units, for the same.
     #[prost(double, tag = "5")]
     pub burst: f64,
+    /// The upstream; empty if it is asked for a workspace.
+    #[prost(string, tag = "6")]
+    pub upstream: String,
 }
 
 /// Whether a request may go.
@@ -54,7 +58,7 @@
     NotKeeper = 0,
     /// It may.
     Granted = 1,
-    /// The workspace has used what it may.
+    /// The workspace has used what it may, or the upstream has what it takes.
     Refused = 2,
 }
 
--- a/tests/all/docs_match.rs
+++ b/tests/all/docs_match.rs
@@ -19,7 +19,7 @@
 | 413, 431 | not run | The body or the head is too large. | |
 | 429 | not run | The workspace has used its allotment. | the request's turn, 5 s at most |
 | 502 | unknown | An upstream may have run it, and its answer is lost. | |
-| 503 | not run | No upstream could take it; nobody could say what its workspace has used; its key may have been taken away meanwhile; or the instance is stopping. | when it may be otherwise; 0.05 s where another instance most likely can |
+| 503 | not run | No upstream could take it; nobody could say what its workspace has used; its key may have been taken away meanwhile; its upstreams take no more now; or the instance is stopping. | when it may be otherwise; 0.05 s where another instance most likely can |
 | 504 | unknown | The time is over while an upstream works. | |
 ";
 
--- a/tests/all/limited_upstreams.rs
+++ b/tests/all/limited_upstreams.rs
@@ -3,9 +3,17 @@
 //! Seen: two engines named in their answers how many requests a second they take, 1.1 and 2.2, and
 //! went on getting as many as before, 20 and 40 in four seconds, from all seven instances. The test
 //! does the same with three instances before three servers, one of which begins to name a limit.
+//!
+//! How it came about: an answer's head was read for whose it is and whether it ran; what else an upstream
+//! says of itself there was passed on to the caller and forgotten. The cause was proved by the logs, in
+//! which no instance sent less than before, all offers being first ones, and by the test, which failed with
+//! 160 requests in four seconds. That each instance heeds the word alone would not have been enough: the sum
+//! over all counts, so one of them counts for all.
 
-use crate::site::{self, Caller, list_plain, request};
+use crate::holder_link::Holder;
+use crate::site::{self, Caller, ask, list_plain, request, stream, until};
 use passway_instance::Instance;
+use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
@@ -59,19 +67,26 @@
         self.arrivals.lock().expect("arrivals").clone()
     }
 
-    /// Most arrivals in one of the spans that begin at a moment or later.
-    fn most_in_window(&self, from: Instant) -> usize {
-        let arrivals = self.arrivals();
-        let spans = arrivals.iter().filter(|at| **at >= from).map(|begin| {
-            let within = arrivals
-                .iter()
-                .filter(|at| *at >= begin && **at < *begin + WINDOW);
-            within.count()
-        });
-        spans.max().unwrap_or(0)
+    fn most_in_window(&self, from: Instant) -> u32 {
+        most_in_window(&self.arrivals(), from)
     }
 }
 
+/// Most arrivals in one of the spans that begin at a moment or later.
+fn most_in_window(arrivals: &[Instant], from: Instant) -> u32 {
+    let spans = arrivals.iter().filter(|at| **at >= from).map(|begin| {
+        let within = |at: &&Instant| *at >= begin && **at < *begin + WINDOW;
+        arrivals.iter().filter(within).count()
+    });
+    u32::try_from(spans.max().unwrap_or(0)).expect("a count")
+}
+
+fn kept(arrivals: &[Instant], from: Instant, per_s: f64) {
+    let most = f64::from(most_in_window(arrivals, from));
+    let allowed = 1.5 * per_s * WINDOW.as_secs_f64() + SLACK;
+    assert!(most <= allowed, "{most} in a window, allowed {allowed}");
+}
+
 /// Callers that ask an instance without a pause between, but for a little.
 struct Callers {
     is_over: Arc<AtomicBool>,
@@ -126,10 +141,6 @@
     (store, instances.into())
 }
 
-fn allowed(per_s: f64) -> f64 {
-    1.5 * per_s * WINDOW.as_secs_f64() + SLACK
-}
-
 /// Lets a server name a limit while callers ask for long enough that it counts. Returns what they got.
 fn play(instances: &[Instance], server: &Server, path: &'static str, per_s: f64) -> Vec<u16> {
     let callers = Callers::start(instances, path);
@@ -138,10 +149,7 @@
     let named_at = Instant::now();
     std::thread::sleep(CONTACT + WINDOW + Duration::from_secs(1));
     let statuses = callers.end();
-    let most = server.most_in_window(named_at + CONTACT);
-    let most = f64::from(u32::try_from(most).expect("a count"));
-    let allowed = allowed(per_s);
-    assert!(most <= allowed, "{most} in a window, allowed {allowed}");
+    kept(&server.arrivals(), named_at + CONTACT, per_s);
     statuses
 }
 
@@ -165,3 +173,150 @@
 fn once_only_requests() {
     one_of_three("/pay/");
 }
+
+/// One request through one instance is enough for all of them to know.
+#[test]
+fn told_to_all() {
+    let servers = [Server::start()];
+    let (store, instances) = site(&servers);
+    let limited = |instance: &Instance| {
+        let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let answer = ask(instance.ready_address(), question).expect("metrics");
+        answer
+            .body
+            .contains("\npassway_instance_limited_upstreams 1\n")
+    };
+    let read = |id: &str| {
+        let bytes = request("GET", "/read/", id, "", "");
+        let answer = ask(instances[0].callers_address(), &bytes);
+        answer.expect("an answer").status
+    };
+    servers[0].name_limit(Some(50.0));
+    assert_eq!(read("first"), 200);
+    until("all know", || instances.iter().all(limited));
+    // One that comes later is told when it connects.
+    let later = site::ready("four", &store);
+    until("it knows", || limited(&later));
+    servers[0].name_limit(None);
+    until("it ends", || read("more") == 200 && !limited(&instances[0]));
+    until("all know that", || !instances.iter().any(limited));
+    until("it knows that", || !limited(&later));
+}
+
+/// A limit that falls to a tenth counts as it is now, and one that ends is over although others carry
+/// everything meanwhile.
+#[test]
+fn comes_and_goes() {
+    let servers = [Server::start(), Server::start()];
+    let (_store, instances) = site(&servers);
+    servers[0].name_limit(Some(20.0));
+    let callers = Callers::start(&instances, "/read/");
+    std::thread::sleep(CONTACT);
+    servers[0].name_limit(Some(2.0));
+    let named_at = Instant::now();
+    std::thread::sleep(CONTACT + WINDOW + Duration::from_secs(1));
+    kept(&servers[0].arrivals(), named_at + CONTACT, 2.0);
+    servers[0].name_limit(None);
+    let arrived = servers[0].arrivals().len();
+    until("as much as before", || {
+        servers[0].arrivals().len() > arrived + 100
+    });
+    assert!(callers.end().iter().all(|status| *status == 200));
+}
+
+/// Where nobody else serves, callers are told at once when to come back, each server gets what it takes, and
+/// nothing that it does not take is counted against it.
+#[test]
+fn all_in_need() {
+    let servers = [Server::start(), Server::start()];
+    let (_store, instances) = site(&servers);
+    for server in &servers {
+        server.name_limit(Some(3.0));
+    }
+    let callers = Callers::start(&instances, "/pay/");
+    let named_at = Instant::now();
+    std::thread::sleep(CONTACT + WINDOW + Duration::from_secs(1));
+    // More at a time than the two take before their waits are over.
+    let address = instances[0].callers_address();
+    let askers = (0..40).map(|number| {
+        let bytes = request("GET", "/pay/", &format!("refused{number}"), "", "");
+        std::thread::spawn(move || ask(address, &bytes).expect("an answer"))
+    });
+    let askers: Vec<_> = askers.collect();
+    let asked = askers.into_iter().map(|one| one.join().expect("a caller"));
+    let refused = asked.filter(|answer| answer.status == 503);
+    let told: Vec<f64> = refused
+        .map(|answer| {
+            answer
+                .header("retry-after")
+                .and_then(|text| text.parse().ok())
+        })
+        .map(|told| told.expect("when to come back"))
+        .collect();
+    assert!(!told.is_empty() && told.iter().all(|time_s| *time_s > 0.0));
+    let statuses = callers.end();
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)));
+    for server in &servers {
+        kept(&server.arrivals(), named_at + CONTACT, 3.0);
+        assert!(server.most_in_window(named_at + CONTACT) >= 3);
+    }
+    // Both take anything again, and get it.
+    for server in &servers {
+        server.name_limit(None);
+    }
+    let arrived = servers.each_ref().map(|server| server.arrivals().len());
+    let mut ids = 0..;
+    until("as much as before", || {
+        let id = format!("again{:?}", ids.next());
+        let bytes = request("GET", "/pay/", &id, "", "");
+        ask(instances[1].callers_address(), &bytes).expect("an answer");
+        let mut both = servers.iter().zip(arrived);
+        both.all(|(server, arrived)| server.arrivals().len() > arrived + 30)
+    });
+}
+
+/// Streams that break off at one engine go on at the one in need as often as it takes requests.
+#[test]
+fn resumed_streams() {
+    let store = site::store(&["m0"]);
+    let engine = |id| ModelServer::start(&store, id, "engines", 2, &["m0"], &[]);
+    let (needy, breaking) = (engine("i-0"), engine("i-1"));
+    let instances = ["one", "two"].map(|name| site::ready(name, &store));
+    needy.set_faults(Faults {
+        limit_per_s: Some(1.0),
+        ..Faults::default()
+    });
+    let begun_at = Instant::now();
+    let mut asked = 0;
+    while begun_at.elapsed() < CONTACT + WINDOW + Duration::from_secs(1) {
+        breaking.set_faults(Faults {
+            cuts_after: Some(2),
+            ..Faults::default()
+        });
+        let address = instances[asked % 2].callers_address();
+        stream(address, "chat", &format!("id{asked}"), "m0");
+        asked += 1;
+    }
+    kept(&needy.run_at(), begun_at + CONTACT, 1.0);
+    assert!(needy.run_at().len() > 1);
+}
+
+/// Nobody counts, and the instance was never told how many there are: the upstream in need gets nothing
+/// more, and callers are refused, not held until their time is over.
+#[test]
+fn nobody_counts() {
+    let servers = [Server::start()];
+    let store = site::store(&[]);
+    list_plain(&store, "i-0", servers[0].raw.address, "ready");
+    let _silent = Holder::begin(&store);
+    let instance = site::ready("one", &store);
+    servers[0].name_limit(Some(1.0));
+    let statuses = (0..4).map(|number| {
+        let bytes = request("GET", "/read/", &format!("id{number}"), "", "");
+        ask(instance.callers_address(), &bytes)
+            .expect("an answer")
+            .status
+    });
+    assert_eq!(statuses.collect::<Vec<_>>(), [200, 503, 503, 503]);
+    assert_eq!(servers[0].arrivals().len(), 1);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -33,6 +33,7 @@
 mod hopeless_waits;
 mod instance_metrics;
 mod large_answers;
+mod limit_load;
 mod limit_words;
 mod limited_upstreams;
 mod log_analysis;
