What an engine in need does not bear comes to another one

What callers saw: requests for a model that stands on one engine alone, which takes one a second, were refused for as long as that lasted, although other engines have room: to the planner the model stood there as before. Cause: an engine's limit did not reach what decides where models stand. Change: a model counts as standing on an engine in need only if that bears what the model is asked for, with its other models; nothing new comes to such an engine; it is no reason to wait for it that it has a model near. Why it holds: the holder knows all limits before others do, and a restart or the end of the need takes the limit away.

--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -116,6 +116,7 @@
         named.retain(|id| {
             let before = self.told_limits.get(id).copied();
             let now = upstreams.limit_per_s(id);
+            self.planner.set_limit(id, now);
             let is_news = match (before, now) {
                 (Some(before), Some(now)) => (now - before).abs() > TOLD_CHANGE_PART * before,
                 (before, now) => before.is_some() != now.is_some(),
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -319,6 +319,13 @@
         }
     }
 
+    /// An engine in need takes so many requests a second, or is in no need any more.
+    pub fn set_limit(&mut self, id: &UpstreamId, per_s: Option<f64>) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.set_limit(per_s);
+        }
+    }
+
     /// Whether placements have changed since they were taken last.
     pub fn has_changed(&self) -> bool {
         !self.changed.is_empty()
@@ -369,7 +376,7 @@
         self.blame_loads(now);
         let listens = self.listening_until.is_some_and(|until| now < until);
         if !listens {
-            self.count();
+            self.count(now);
             self.doubt_engines(now);
             self.place_adapters(now);
             self.place_models(now);
@@ -503,7 +510,11 @@
     }
 
     /// Counts replicas and runs anew.
-    fn count(&mut self) {
-        self.census = Census::of(self.engines.values());
+    fn count(&mut self, now: Instant) {
+        let demand = &self.demand;
+        let bears = |engine: &Engine, model: &ModelName| {
+            !engine.is_in_need() || engine.bears(demand.rate(&engine.entry.service, model, now))
+        };
+        self.census = Census::of(self.engines.values(), bears);
     }
 }
--- a/crates/serving/src/placement/census.rs
+++ b/crates/serving/src/placement/census.rs
@@ -22,14 +22,18 @@
 }
 
 impl Census {
-    /// Counts what engines hold and run.
-    pub(super) fn of<'a>(engines: impl Iterator<Item = &'a Engine>) -> Self {
+    /// Counts what engines hold and run. A model on an engine that does not bear its requests has
+    /// no replica there.
+    pub(super) fn of<'a>(
+        engines: impl Iterator<Item = &'a Engine>,
+        bears: impl Fn(&Engine, &ModelName) -> bool,
+    ) -> Self {
         let mut services: HashMap<ServiceName, HashMap<ModelName, Counts>> = HashMap::new();
         let mut fetches = 0;
         for engine in engines {
             fetches += usize::from(engine.loads_from_store());
             let counts = services.entry(engine.entry.service.clone()).or_default();
-            for model in engine.staying() {
+            for model in engine.staying().filter(|model| bears(engine, model)) {
                 let counts = counts.entry(model.clone()).or_default();
                 counts.replicas.push(engine.entry.id.clone());
             }
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -95,6 +95,8 @@
     unanswered: u32,
     /// When it was asked last since requests wait for what it should have.
     doubted_at: Option<Instant>,
+    /// Requests a second that it takes while it is in need.
+    limit_per_s: Option<f64>,
 }
 
 impl Engine {
@@ -125,6 +127,7 @@
             unanswered: 0,
             loading: None,
             doubted_at: None,
+            limit_per_s: None,
         }
     }
 
@@ -312,6 +315,23 @@
         spec.map_or(pool.weights_mb, |s| s.weights_mb + adapters * s.adapter_mb)
     }
 
+    /// It says how much it takes; `None` once it is in no need any more.
+    pub(super) fn set_limit(&mut self, per_s: Option<f64>) {
+        self.limit_per_s = per_s;
+    }
+
+    /// Whether it says that it takes less than it has slots for.
+    pub(super) fn is_in_need(&self) -> bool {
+        self.limit_per_s.is_some()
+    }
+
+    /// Whether it takes what one of its models is asked for, if the others are asked for as often.
+    pub(super) fn bears(&self, asked_per_s: f64) -> bool {
+        let models = u64::try_from(self.models.len()).unwrap_or(u64::MAX);
+        let limit = self.limit_per_s;
+        limit.is_none_or(|per_s| asked_per_s * super::demand::as_f64(models) <= per_s)
+    }
+
     /// Whether a new swap may begin here.
     pub(super) fn takes_orders(&self) -> bool {
         !self.entry.draining && self.coming.is_none() && self.orders_taken.is_some()
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -45,9 +45,12 @@
             .map(|need| (need.service.clone(), need.model_ref.clone()))
             .collect();
         for (service, model_ref) in needs {
+            let rate = self.demand.rate(&service, &model_ref.model, now);
             let mut engines = self.engines.values();
-            let is_met = engines
-                .any(|e| e.serves(&service, &model_ref) || e.will_have(&service, &model_ref));
+            let is_met = engines.any(|engine| {
+                (engine.serves(&service, &model_ref) && engine.bears(rate))
+                    || engine.will_have(&service, &model_ref)
+            });
             if let Some(adapter) = model_ref.adapter.as_ref().filter(|_| !is_met) {
                 self.place_adapter(&service, &model_ref.model, adapter, now);
             }
@@ -66,8 +69,19 @@
             return;
         };
         let engines = self.engines.values_mut();
-        let having = engines.filter(|e| e.has(service, model) && e.takes_orders());
-        let best = having.min_by_key(|engine| (engine.adapter_count(), engine.entry.id.clone()));
+        let model_ref = ModelRef {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        let having = engines.filter(|engine| {
+            engine.has(service, model)
+                && engine.takes_orders()
+                && !engine.serves(service, &model_ref)
+        });
+        let best = having.min_by_key(|engine| {
+            let id = engine.entry.id.clone();
+            (engine.is_in_need(), engine.adapter_count(), id)
+        });
         if let Some(engine) = best {
             engine.want_adapter(pool, model, adapter, now);
         }
@@ -171,6 +185,8 @@
             if engine.entry.service != *service
                 || !engine.takes_orders()
                 || engine.has(service, model)
+                // What comes there would serve few.
+                || engine.is_in_need()
             {
                 continue;
             }
@@ -240,7 +256,15 @@
     ) -> bool {
         // An engine that has it nearer will be free before a load from the store ends.
         let mut homes = self.homes_of(service, &spec.name);
-        let is_at_hand = homes.any(|engine| !engine.entry.draining);
+        let rate = self.demand.rate(service, &spec.name, now);
+        let is_at_hand = homes.any(|engine| {
+            let serves = if engine.has(service, &spec.name) {
+                engine.bears(rate)
+            } else {
+                !engine.is_in_need()
+            };
+            serves && !engine.entry.draining
+        });
         let ceiling = self.store_loads.get(service);
         let has_room = ceiling.is_none_or(|loads| loads.has_room(pool, now))
             && self.loads_under_way() < STORE_LOADS_AT_ONCE;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -35,6 +35,7 @@
 mod large_answers;
 mod limit_load;
 mod limit_words;
+mod limited_engines;
 mod limited_upstreams;
 mod log_analysis;
 mod log_lines;
