Requests that crash engines are known where the port stays open

What callers saw: a request that crashes what runs it ended engine after engine, with all streams there, where a supervisor keeps the port open: 41 and 43 engines in 24 s. Cause: the only evidence of a crash was a port that refuses a connection right after the break. Change: a break opens a doubt with the start of the engine; a report or an entry of a later start, or an entry that goes without a leaving, makes it a crash; a report of the same start acquits. With two doubts a request runs alone among those like it, with three it waits. Which starts broke off is told to all at once, and they get nothing meanwhile. Why it holds: evidence of any kind, in any order, closes a doubt once, by the same join as crashes; without any it lapses.

--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -63,6 +63,8 @@
     /// Forgets upstreams that are gone, here and at the holder.
     fn expire(&self) {
         let mut upstreams = self.shared.upstreams();
+        let leaving = upstreams.entries().filter(|entry| entry.draining);
+        let leaving: BTreeSet<UpstreamId> = leaving.map(|entry| entry.id.clone()).collect();
         let gone = upstreams.expire(clock::now());
         let left = upstreams.entries().map(|entry| entry.id.clone()).collect();
         drop(upstreams);
@@ -72,6 +74,9 @@
         for id in &gone {
             log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream is gone");
             self.shared.pool.forget(id);
+            if !leaving.contains(id) {
+                self.shared.upstream_ended(id, u64::MAX);
+            }
         }
         self.shared.limits.retain(&self.shared);
         self.tell(Input::Listed(left));
@@ -122,6 +127,8 @@
         for id in restarted {
             log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream has started again under its id");
             self.shared.pool.forget(&id);
+            let started_at_ms = self.shared.upstreams().started_at_ms(&id);
+            self.shared.upstream_ended(&id, started_at_ms);
         }
     }
 
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -18,6 +18,7 @@
 mod waiting;
 
 use crate::http1::{Connection, RequestHead};
+use crate::poison::Trial;
 use crate::relay::{millis, millis_since};
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
@@ -27,7 +28,7 @@
 use limits::HeldBack;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
-use passway_serving::poison::{RequestDigest, UpstreamStart};
+use passway_serving::poison::{RequestDigest, Standing, UpstreamStart};
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
@@ -37,6 +38,9 @@
 
 /// When a refused caller may come back, where nothing better is known.
 pub const RETRY_AFTER_MS: u64 = 500;
+/// When a caller may come back whose request may crash upstreams: what broke off under it has started
+/// again by then, or has proved to live.
+const HELD_RETRY_MS: u64 = 2_000;
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
@@ -80,6 +84,10 @@
     attempt_at: Instant,
     /// Where the request goes on, chosen before an upstream that is silent was left.
     next: Option<Target>,
+    /// Whether it may run while upstreams that broke off under it may have ended.
+    standing: Standing,
+    /// While it runs alone among those like it.
+    trial: Option<Trial>,
     /// When its model can be there at the earliest, in milliseconds, if that is too late for it.
     comes_ms: Option<u64>,
     /// What it asks for, once that was computed.
@@ -159,6 +167,8 @@
         tried: Vec::new(),
         held_back: Vec::new(),
         turn_ms: None,
+        standing: Standing::default(),
+        trial: None,
         runs: 0,
         question: shared.dispatch.next_run(),
         attempt_at: arrived_at,
@@ -263,6 +273,10 @@
                 Attempt::Denied(denied) => return self.refuse(denied),
                 Attempt::TimedOut => {
                     self.runs += 1;
+                    let now = clock::now();
+                    if self.shared.upstreams().is_silent(&target.id, now) {
+                        self.doubt(&target, &start);
+                    }
                     return self.give_up(failed);
                 }
                 Attempt::Ending => {
@@ -333,10 +347,12 @@
             return self.pass_whole(&failed.head, &failed.body);
         }
         let refused_for = self.refused_for();
+        let is_held = self.standing != Standing::Free && self.trial.is_none();
         let refusal = if self.runs == 0 {
             // What crashes engines is not run before it is forgotten.
             let model_ms = self.comes_ms.or(self.turn_ms).unwrap_or(RETRY_AFTER_MS);
-            not_run(refused_for.map_or(model_ms, millis))
+            let held_ms = if is_held { HELD_RETRY_MS } else { model_ms };
+            not_run(refused_for.map_or(held_ms, millis))
         } else if clock::now() >= self.deadline_at {
             Refusal::TimedOut
         } else {
@@ -346,6 +362,8 @@
             "refused at the stop"
         } else if refused_for.is_some() {
             "refused as crashing upstreams"
+        } else if is_held {
+            "refused, it may crash upstreams"
         } else if self.comes_ms.is_some() {
             "refused, its model comes too late"
         } else if self.turn_ms.is_some() {
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -2,11 +2,12 @@
 
 use super::{Forwarding, Target, host_of};
 use crate::http1::Connection;
+use crate::poison::Poison;
 use crate::pool;
 use crate::relay::millis_since;
 use crate::shared::Need;
 use passway_process::logging::json::REQUEST_TARGET;
-use passway_serving::poison::{RequestDigest, UpstreamStart};
+use passway_serving::poison::{RequestDigest, Standing, UpstreamStart};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
@@ -42,6 +43,7 @@
         log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
             upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms; "a run broke off");
         if !has_crashed {
+            self.doubt(target, &start);
             return;
         }
         if let Some(suspect) = self.shared.poison.crashed(self.digest(), start) {
@@ -49,6 +51,37 @@
         }
     }
 
+    /// An upstream that broke off, or was silent until the request's time was over, may have ended although
+    /// its port does not tell: under a supervisor it stays open, and a machine that went dark says nothing.
+    pub(super) fn doubt(&self, target: &Target, start: &UpstreamStart) {
+        if self.shared.upstreams().is_draining(&target.id) {
+            return;
+        }
+        let address = self.is_engine.then_some(target.address);
+        let sent_at = self.attempt_at;
+        Poison::broke_off(self.shared, self.digest(), start, sent_at, address);
+    }
+
+    /// Whether the request may run now, as far as upstreams tell that broke off under it.
+    pub(super) fn may_run_beside_doubt(&mut self) -> bool {
+        let poison = &self.shared.poison;
+        self.standing = if poison.is_empty() {
+            Standing::Free
+        } else {
+            poison.standing(self.digest())
+        };
+        match self.standing {
+            Standing::Free => true,
+            Standing::Held => false,
+            Standing::Alone => {
+                if self.trial.is_none() {
+                    self.trial = Poison::run_alone(self.shared, self.digest());
+                }
+                self.trial.is_some()
+            }
+        }
+    }
+
     /// A run has ended with an answer, so the request does not crash what runs it.
     pub(super) fn run_answered(&self) {
         let poison = &self.shared.poison;
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -32,10 +32,16 @@
             if self.refused_for().is_some() {
                 return None;
             }
+            let now = clock::now();
+            if !self.may_run_beside_doubt() {
+                if !self.wait_held(now) {
+                    return None;
+                }
+                continue;
+            }
             if let Some(next) = self.next.take() {
                 return Some(next);
             }
-            let now = clock::now();
             self.shared.metrics.choice();
             let seen = self.shared.changes_seen();
             let choice = match self.choose(now) {
@@ -102,6 +108,18 @@
         }
     }
 
+    /// Waits a little for what tells whether the request crashes upstreams; false once it has waited for
+    /// as long as it may.
+    fn wait_held(&mut self, now: Instant) -> bool {
+        let stop_at = self.shared.ends_at().unwrap_or(self.deadline_at);
+        let wait_until = self.wait_until(self.deadline_at.min(stop_at));
+        let may_wait = now < wait_until && !self.shared.is_ending() && !self.caller.is_closed();
+        if may_wait {
+            std::thread::sleep(FULL_STEP.min(wait_until - now));
+        }
+        may_wait
+    }
+
     /// When its model can be there at the earliest, in milliseconds, if that is known to be later than
     /// the request may wait. The holder counts it as waiting as if it did, since others will ask.
     fn comes_too_late(&self, now: Instant) -> Option<u64> {
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -101,10 +101,16 @@
 
     /// Joins in what an instance knows of requests that crash upstreams, and tells all.
     pub(super) fn tell_suspects(&self, told: Suspects) {
+        let breaks = told.breaks.clone();
+        self.shared.poison.join_breaks(&breaks);
         let mut known = self.shared.poison.join(told);
         known.retain(|suspect| suspect.crashes.len() >= TOLD_CRASHES);
-        if self.fence.is_some() && !known.is_empty() {
-            send_to_all(self.peers.values(), Body::Suspects(poison::encode(known)));
+        if self.fence.is_some() && !(known.is_empty() && breaks.is_empty()) {
+            let suspects = Suspects {
+                breaks,
+                ..poison::encode(known)
+            };
+            send_to_all(self.peers.values(), Body::Suspects(suspects));
         }
     }
 
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -79,6 +79,7 @@
         let callers = callers::listen(&shared, settings.callers_address)?;
         let (relay, [configuration_tap, upstream_tap]) = Relay::new();
         let engines = surroundings.engines.clone();
+        shared.set_engines(engines.clone());
         let (holder, news) = holder::start(&shared, &right, &relay, engines, peers);
         let store = &surroundings.store;
         right.start(
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -4,18 +4,24 @@
 //! lies in the store, where the holder keeps the requests that are refused or may be after the
 //! next crash: a fleet that starts again knows them before it serves.
 
+mod watch;
+
+use crate::relay::millis_since;
 use crate::right::Right;
-use crate::shared::Shared;
+use crate::shared::{Need, Shared};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use passway_process::logging::json::DECISION_TARGET;
-use passway_serving::poison::{Blame, PoisonList, RequestDigest, Suspect, UpstreamStart};
+use passway_serving::poison::{Blame, PoisonList, RequestDigest, Standing, Suspect, UpstreamStart};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::{self, Crash, Suspects};
+use passway_wire::message::{self, Break, Crash, Suspects};
 use prost::Message;
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use watch::Watched;
 
 /// The key under which requests that crash upstreams lie in the store.
 pub const KEY: &str = "passway/poison";
@@ -42,6 +48,10 @@
     /// Whether what the fleet knows was heard of since the process began.
     is_told: AtomicBool,
     kept: Mutex<Kept>,
+    /// Requests that run alone among those like them.
+    trials: Mutex<HashSet<RequestDigest>>,
+    /// Engines that broke off and are asked whether they have ended.
+    watched: Watched,
     /// Wakes the thread that keeps the list in the store.
     wake: Sender<()>,
     woken: Receiver<()>,
@@ -56,12 +66,27 @@
             refused: AtomicUsize::new(0),
             is_told: AtomicBool::new(false),
             kept: Mutex::default(),
+            trials: Mutex::default(),
+            watched: Watched::default(),
             wake,
             woken,
         }
     }
 }
 
+/// A request runs alone among those like it while this lives.
+#[derive(Debug)]
+pub struct Trial {
+    shared: Arc<Shared>,
+    digest: RequestDigest,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        lock(&self.shared.poison.trials).remove(&self.digest);
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -94,6 +119,66 @@
         news
     }
 
+    /// Whether a request may run while it is not known which upstreams have ended that broke off under it.
+    pub fn standing(&self, digest: RequestDigest) -> Standing {
+        lock(&self.list).standing(digest, clock::now())
+    }
+
+    /// Lets a request run alone among those like it here; `None` while another one does.
+    pub fn run_alone(shared: &Arc<Shared>, digest: RequestDigest) -> Option<Trial> {
+        let is_first = lock(&shared.poison.trials).insert(digest);
+        is_first.then(|| Trial {
+            shared: shared.clone(),
+            digest,
+        })
+    }
+
+    /// An upstream broke off under a request, and nothing tells yet whether it has ended. An engine is
+    /// asked at its address.
+    pub fn broke_off(
+        shared: &Arc<Shared>,
+        digest: RequestDigest,
+        start: &UpstreamStart,
+        sent_at: Instant,
+        address: Option<SocketAddr>,
+    ) {
+        let poison = &shared.poison;
+        let now = clock::now();
+        let mut list = lock(&poison.list);
+        let news = list.broke_off(digest, start.clone(), sent_at, now);
+        let is_first = list.note_break(start, now, now);
+        drop(list);
+        poison.changed();
+        if is_first {
+            shared.tell(Need::Broke(start.clone(), now));
+            shared.upstreams().doubt(&start.upstream, now);
+        }
+        if let Some(news) = news {
+            shared.tell(Need::Suspect(news));
+        }
+        if let Some(address) = address {
+            watch::watch(shared, digest, start, address);
+        }
+    }
+
+    /// An upstream that broke off under a request runs on. Returns what others are to be told.
+    fn lives(&self, digest: RequestDigest, start: UpstreamStart) -> Option<Suspect> {
+        let news = lock(&self.list).lives(digest, start, clock::now());
+        self.changed();
+        news
+    }
+
+    /// Starts of an upstream before a moment in Unix milliseconds, by its own clock, have ended. Returns
+    /// what others are to be told.
+    pub fn ended(&self, upstream: &str, before_ms: u64) -> Vec<Suspect> {
+        if self.is_empty() {
+            return Vec::new();
+        }
+        let news = lock(&self.list).ended(upstream, before_ms, clock::now());
+        self.changed();
+        news
+    }
+
     /// A request has had an answer. Returns what others are to be told.
     pub fn answered(&self, digest: RequestDigest) -> Option<Suspect> {
         let news = lock(&self.list).answered(digest);
@@ -103,6 +188,23 @@
         news
     }
 
+    /// Takes in which upstreams broke off at other instances. Returns those that were not known.
+    pub fn join_breaks(&self, told: &[Break]) -> Vec<(UpstreamStart, Instant)> {
+        let now = clock::now();
+        let mut list = lock(&self.list);
+        let breaks = told.iter().map(|told| {
+            let start = UpstreamStart {
+                upstream: told.upstream.as_str().into(),
+                started_at_ms: told.started_at_ms,
+            };
+            let at = now.checked_sub(Duration::from_millis(told.ms_ago));
+            (start, at.unwrap_or(now))
+        });
+        let mut breaks: Vec<_> = breaks.collect();
+        breaks.retain(|(start, at)| list.note_break(start, *at, now));
+        breaks
+    }
+
     /// Joins in what others know. Returns the requests that were told, as they are known now.
     pub fn join(&self, told: Suspects) -> Vec<Suspect> {
         self.is_told.store(true, Ordering::Release);
@@ -212,9 +314,21 @@
     let suspects = suspects.into_iter().take(MAX_TOLD);
     Suspects {
         suspects: suspects.map(encode_one).collect(),
+        breaks: Vec::new(),
     }
 }
 
+/// Upstreams that broke off, as they are told.
+pub fn encode_breaks(breaks: &[(UpstreamStart, Instant)]) -> Vec<Break> {
+    let now = clock::now();
+    let breaks = breaks.iter().map(|(start, at)| Break {
+        upstream: start.upstream.to_string(),
+        started_at_ms: start.started_at_ms,
+        ms_ago: millis_since(*at, now),
+    });
+    breaks.collect()
+}
+
 fn encode_one(suspect: Suspect) -> message::Suspect {
     let crashes = suspect.crashes.into_iter().map(|(crash, blame)| Crash {
         upstream: crash.upstream.to_string(),
@@ -223,6 +337,7 @@
             Blame::Full => 0,
             Blame::Explained => 1,
             Blame::Cleared => 2,
+            Blame::Open => 3,
         },
     });
     message::Suspect {
@@ -242,6 +357,7 @@
         let blame = match crash.blame {
             0 => Blame::Full,
             1 => Blame::Explained,
+            3 => Blame::Open,
             _ => Blame::Cleared,
         };
         (start, blame)
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -9,7 +9,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
-use passway_serving::poison::Suspect;
+use passway_serving::poison::{Suspect, UpstreamStart};
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::clock;
@@ -48,6 +48,7 @@
         missed: Vec::new(),
         untold: BTreeSet::new(),
         suspects: Vec::new(),
+        breaks: Vec::new(),
         limits: BTreeSet::new(),
         recent: VecDeque::new(),
         is_new: Arc::default(),
@@ -72,6 +73,8 @@
     untold: BTreeSet<WishKey>,
     /// Requests of which something became known that the holder was not told.
     suspects: Vec<Suspect>,
+    /// Upstreams that broke off here.
+    breaks: Vec<(UpstreamStart, Instant)>,
     /// Upstreams that said something else of how much they take than before.
     limits: BTreeSet<UpstreamId>,
     /// What was taken lately, for a holder that begins its term.
@@ -129,6 +132,7 @@
             if due
                 || !self.untold.is_empty()
                 || !self.suspects.is_empty()
+                || !self.breaks.is_empty()
                 || !self.limits.is_empty()
                 || self.is_new.load(Ordering::Acquire)
             {
@@ -185,6 +189,7 @@
                 self.wait_begins(key, until);
             }
             Need::Suspect(suspect) => self.suspects.push(suspect),
+            Need::Broke(start, at) => self.breaks.push((start, at)),
             Need::Limit(upstream) => {
                 self.limits.insert(upstream);
             }
@@ -283,7 +288,13 @@
                 }
                 Dialed::Received(Body::Suspects(told)) => {
                     drop(link);
-                    shared.poison.join(told);
+                    for (start, at) in shared.poison.join_breaks(&told.breaks) {
+                        shared.upstreams().doubt(&start.upstream, at);
+                    }
+                    // Only a word on requests says that what the fleet knows of them was told.
+                    if !told.suspects.is_empty() || told.breaks.is_empty() {
+                        shared.poison.join(told);
+                    }
                 }
                 Dialed::Received(Body::Limits(told)) => {
                     drop(link);
@@ -353,6 +364,7 @@
             self.taken.clear();
             self.untold.clear();
             self.suspects.clear();
+            self.breaks.clear();
             self.limits.clear();
             return;
         };
@@ -371,7 +383,8 @@
         if !limits.limits.is_empty() {
             outbox.send(Body::Limits(limits));
         }
-        if !suspects.suspects.is_empty() {
+        suspects.breaks = poison::encode_breaks(&std::mem::take(&mut self.breaks));
+        if !suspects.suspects.is_empty() || !suspects.breaks.is_empty() {
             outbox.send(Body::Suspects(suspects));
         }
         let now = clock::now();
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -13,8 +13,8 @@
 use crate::right::Right;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
-use passway_serving::poison::Suspect;
-use passway_serving::ports::{InstanceBounds, InstanceSettings, Vocabulary};
+use passway_serving::poison::{Suspect, UpstreamStart};
+use passway_serving::ports::{Engines, InstanceBounds, InstanceSettings, Vocabulary};
 use passway_serving::retry::RetryBudget;
 use passway_serving::routes::RouteTable;
 use passway_serving::upstreams::{ModelRef, UpstreamTable};
@@ -59,6 +59,8 @@
     },
     /// What became known of a request under which upstreams crashed.
     Suspect(Suspect),
+    /// A start of an upstream broke off at a moment and may have ended.
+    Broke(UpstreamStart, Instant),
     /// An upstream says something else of how much it takes than before.
     Limit(UpstreamId),
     /// A connection to the holder stands.
@@ -118,6 +120,7 @@
     doubtful_engines: Mutex<BTreeSet<UpstreamId>>,
     members: Mutex<Addresses>,
     right: OnceLock<Arc<Right>>,
+    engines: OnceLock<Arc<dyn Engines>>,
     upstreams_listed: AtomicBool,
     stopping: AtomicBool,
     /// Requests are not taken any more: the balancer has had time to notice the stop.
@@ -175,6 +178,7 @@
             doubtful_engines: Mutex::default(),
             members: Mutex::new(Addresses::new()),
             right: OnceLock::new(),
+            engines: OnceLock::new(),
             upstreams_listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -255,6 +259,25 @@
         let _ = self.right.set(right);
     }
 
+    /// The control side of engines; `None` while the process starts.
+    pub fn engines(&self) -> Option<Arc<dyn Engines>> {
+        self.engines.get().cloned()
+    }
+
+    /// Sets the control side of engines, once.
+    pub fn set_engines(&self, engines: Arc<dyn Engines>) {
+        // A process has one.
+        let _ = self.engines.set(engines);
+    }
+
+    /// Starts of an upstream before a moment in Unix milliseconds, by its own clock, have ended without
+    /// having said so: the requests that broke off there may be why.
+    pub fn upstream_ended(&self, upstream: &str, before_ms: u64) {
+        for suspect in self.poison.ended(upstream, before_ms) {
+            self.tell(Need::Suspect(suspect));
+        }
+    }
+
     /// Where other instances listen, as far as they are known here.
     pub fn other_instances(&self) -> Vec<SocketAddr> {
         let dispatchers = self.dispatch.list();
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison.rs
@@ -8,4 +8,4 @@
 mod list;
 
 pub use digest::RequestDigest;
-pub use list::{Blame, MAX_CRASHES, PoisonList, Suspect, UpstreamStart};
+pub use list::{Blame, MAX_CRASHES, OPEN_TIME, PoisonList, Standing, Suspect, UpstreamStart};
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -14,6 +14,9 @@
 const REFUSED_TIME: Duration = Duration::from_hours(1);
 /// Fewer crashes are remembered for so long: callers' time budgets are seconds to minutes.
 const SUSPECTED_TIME: Duration = Duration::from_mins(10);
+/// An upstream of which nothing tells for so long whether it has ended counts as living. Its entry goes
+/// after three check-ins of silence, some four seconds.
+pub const OPEN_TIME: Duration = Duration::from_secs(8);
 /// Time for what other instances saw of a crash to arrive, before it is held to be explained.
 const SETTLING_TIME: Duration = Duration::from_secs(1);
 /// Suspects that are kept, some 300 bytes each. A rack of 20 engines leaves 240.
@@ -35,6 +38,8 @@
 /// What a crash tells about a request that was being run. The later ones replace the earlier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Blame {
+    /// The upstream broke off, and it is not known yet whether it has ended.
+    Open,
     /// The request may have been the cause.
     Full,
     /// Another request that is refused was being run as well, and crashed more upstreams.
@@ -48,11 +53,24 @@
         match self {
             Self::Full => FULL_WEIGHT,
             Self::Explained => FULL_WEIGHT / 2,
-            Self::Cleared => 0,
+            Self::Open | Self::Cleared => 0,
         }
     }
 }
 
+/// Whether a request may run while upstreams that broke off under it may have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Standing {
+    /// It may.
+    #[default]
+    Free,
+    /// One of those like it at a time: if it ends the next upstream too it is to be refused, and an answer
+    /// shows that something else ended the others.
+    Alone,
+    /// Not before it is known: if all have ended it is to be refused.
+    Held,
+}
+
 /// A request and the crashes under it, as instances tell one another. Knowledge of several
 /// instances is joined, in any order and any number of times, with the same result.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -68,6 +86,12 @@
         self.crashes.values().map(|blame| blame.weight()).sum()
     }
 
+    /// The weight that it has if all upstreams that broke off have ended.
+    fn open_weight(&self) -> u32 {
+        let open = self.crashes.values().filter(|blame| **blame == Blame::Open);
+        self.weight() + open.map(|_| FULL_WEIGHT).sum::<u32>()
+    }
+
     /// Whether the next crash is the last that is allowed.
     fn is_kept(&self) -> bool {
         self.weight() >= (MAX_CRASHES - 1) * FULL_WEIGHT
@@ -106,9 +130,19 @@
     at: Instant,
     /// When others' crashes that it explains are to be weighed anew, if it is refused.
     settles_at: Option<Instant>,
+    /// Until when upstreams that broke off may prove to have ended.
+    open_until: Instant,
 }
 
 impl Known {
+    /// Drops breaks of which nothing told in time whether the upstream has ended.
+    fn lapse(&mut self, now: Instant) {
+        if now >= self.open_until {
+            let crashes = &mut self.suspect.crashes;
+            crashes.retain(|_, blame| *blame != Blame::Open);
+        }
+    }
+
     fn is_over(&self, now: Instant) -> bool {
         self.until() <= now
     }
@@ -128,6 +162,8 @@
 #[derive(Debug, Default)]
 pub struct PoisonList {
     known: HashMap<RequestDigest, Known>,
+    /// Starts of upstreams that broke off lately, and when that was first.
+    breaks: HashMap<UpstreamStart, Instant>,
 }
 
 impl PoisonList {
@@ -154,6 +190,24 @@
         is_refused.then(|| known.until().saturating_duration_since(now))
     }
 
+    /// Whether a request may run while it is not known which upstreams have ended that broke off under it.
+    pub fn standing(&self, digest: RequestDigest, now: Instant) -> Standing {
+        let Some(known) = self.known.get(&digest) else {
+            return Standing::Free;
+        };
+        let suspect = &known.suspect;
+        let weight = suspect.open_weight();
+        if now >= known.open_until || suspect.is_refused() || weight == suspect.weight() {
+            Standing::Free
+        } else if weight >= MAX_CRASHES * FULL_WEIGHT {
+            Standing::Held
+        } else if weight >= (MAX_CRASHES - 1) * FULL_WEIGHT {
+            Standing::Alone
+        } else {
+            Standing::Free
+        }
+    }
+
     /// An upstream has crashed while it ran a request, or while that waited there. Returns what
     /// others are to be told.
     pub fn crashed(
@@ -162,7 +216,72 @@
         crash: UpstreamStart,
         now: Instant,
     ) -> Option<Suspect> {
-        let crashes = BTreeMap::from([(crash, Blame::Full)]);
+        self.note(digest, crash, Blame::Full, now)
+    }
+
+    /// A start of an upstream broke off at a moment and may have ended. Returns whether that is news.
+    pub fn note_break(&mut self, start: &UpstreamStart, at: Instant, now: Instant) -> bool {
+        self.breaks.retain(|_, first| now < *first + OPEN_TIME);
+        let is_news = !self.breaks.contains_key(start);
+        let first = self.breaks.entry(start.clone()).or_insert(at);
+        *first = at.min(*first);
+        is_news
+    }
+
+    /// An upstream broke off under a request, which was sent at a moment, and may have ended. Whatever is
+    /// sent to one that has ended breaks off too and tells nothing of the request. Returns what others are to
+    /// be told.
+    pub fn broke_off(
+        &mut self,
+        digest: RequestDigest,
+        start: UpstreamStart,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<Suspect> {
+        let broke_at = self.breaks.get(&start);
+        let may_be_cause = broke_at.is_none_or(|broke_at| sent_at <= *broke_at);
+        may_be_cause.then(|| self.note(digest, start, Blame::Open, now))?
+    }
+
+    /// An upstream that broke off under a request runs on as the start that it was. Returns what others
+    /// are to be told.
+    pub fn lives(
+        &mut self,
+        digest: RequestDigest,
+        start: UpstreamStart,
+        now: Instant,
+    ) -> Option<Suspect> {
+        let known = self.known.get(&digest)?;
+        let is_open = known.suspect.crashes.get(&start) == Some(&Blame::Open);
+        is_open.then(|| self.note(digest, start, Blame::Cleared, now))?
+    }
+
+    /// Starts of an upstream before a moment in Unix milliseconds, by its own clock, have ended: what they
+    /// broke off under then is known. Returns what others are to be told.
+    pub fn ended(&mut self, upstream: &str, before_ms: u64, now: Instant) -> Vec<Suspect> {
+        let mut crashes = Vec::new();
+        for (digest, known) in &self.known {
+            let ended = known.suspect.crashes.iter().filter(|(start, blame)| {
+                **blame == Blame::Open
+                    && *start.upstream == *upstream
+                    && start.started_at_ms < before_ms
+            });
+            crashes.extend(ended.map(|(start, _)| (*digest, start.clone())));
+        }
+        let news = crashes
+            .into_iter()
+            .filter_map(|(digest, start)| self.crashed(digest, start, now));
+        news.collect()
+    }
+
+    fn note(
+        &mut self,
+        digest: RequestDigest,
+        start: UpstreamStart,
+        blame: Blame,
+        now: Instant,
+    ) -> Option<Suspect> {
+        let crashes = BTreeMap::from([(start, blame)]);
         let news = self.join([Suspect { digest, crashes }], now);
         news.into_iter().next()
     }
@@ -170,7 +289,7 @@
     /// A request has had an answer. Returns what others are to be told.
     pub fn answered(&mut self, digest: RequestDigest) -> Option<Suspect> {
         let suspect = &mut self.known.get_mut(&digest)?.suspect;
-        if suspect.weight() == 0 {
+        if suspect.open_weight() == 0 {
             return None;
         }
         suspect.clear();
@@ -202,11 +321,17 @@
                 },
                 at: now,
                 settles_at: None,
+                open_until: now + OPEN_TIME,
             });
+            known.lapse(now);
             let was_refused = known.suspect.is_refused();
             let mut is_news = false;
             for (crash, blame) in told.crashes {
-                is_news |= known.suspect.join(crash, blame);
+                let joined = known.suspect.join(crash, blame);
+                if joined && blame == Blame::Open {
+                    known.open_until = now + OPEN_TIME;
+                }
+                is_news |= joined;
             }
             if !is_news {
                 continue;
@@ -263,7 +388,10 @@
 
     /// Forgets what is old, and of too many those that crashed the fewest upstreams, the oldest first.
     fn bound(&mut self, now: Instant) {
-        self.known.retain(|_, known| !known.is_over(now));
+        self.known.retain(|_, known| {
+            known.lapse(now);
+            !known.is_over(now) && !known.suspect.crashes.is_empty()
+        });
         if self.known.len() <= MAX_SUSPECTS {
             return;
         }
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -322,6 +322,20 @@
         Some(upstream.entry.address)
     }
 
+    /// An upstream broke off and may have ended: it gets nothing for a while if there is another.
+    pub fn doubt(&mut self, id: &str, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.doubt(now);
+        }
+    }
+
+    /// An upstream that broke off runs on.
+    pub fn trust(&mut self, id: &str, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.unreachable_until = now;
+        }
+    }
+
     /// An engine said that it does not have what a request needs.
     pub fn absent(&mut self, id: &str, model_ref: &ModelRef, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -196,6 +196,11 @@
         self.judged_at = now;
     }
 
+    /// It may have ended: it gets nothing for a while if there is another.
+    pub(super) fn doubt(&mut self, now: Instant) {
+        self.unreachable_until = now + UNREACHABLE_PAUSE;
+    }
+
     /// It said that it does not have what a request needs.
     pub(super) fn absent(&mut self, model_ref: &ModelRef, now: Instant) {
         self.absent_until
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -155,7 +155,8 @@
     #[prost(uint64, tag = "2")]
     pub started_at_ms: u64,
     /// What the crash tells about the request: 0 that it may be the cause, 1 that another
-    /// one explains it, 2 that the request was answered since.
+    /// one explains it, 2 that the request was answered since, 3 that the upstream broke off and it
+    /// is not known whether it has ended.
     #[prost(uint32, tag = "3")]
     pub blame: u32,
 }
@@ -177,6 +178,23 @@
     /// The requests.
     #[prost(message, repeated, tag = "1")]
     pub suspects: Vec<Suspect>,
+    /// Upstreams that broke off lately and may have ended.
+    #[prost(message, repeated, tag = "2")]
+    pub breaks: Vec<Break>,
+}
+
+/// A start of an upstream that broke off.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Break {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// When it had started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+    /// Time since it broke off, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub ms_ago: u64,
 }
 
 /// An instance asks for the store's news.
--- a/tests/all/poison_list.rs
+++ b/tests/all/poison_list.rs
@@ -1,7 +1,7 @@
 //! Which requests are blamed for crashes of upstreams, decided without a network.
 
 use passway_serving::poison::{
-    Blame, MAX_CRASHES, PoisonList, RequestDigest, Suspect, UpstreamStart,
+    Blame, MAX_CRASHES, OPEN_TIME, PoisonList, RequestDigest, Standing, Suspect, UpstreamStart,
 };
 use passway_types::prelude::*;
 use proptest::prelude::*;
@@ -128,8 +128,93 @@
     assert!(list.refused_for(named(0), now).is_some(), "the worst stay");
 }
 
+/// A request breaks off at an upstream to which it was sent just before.
+fn broke_off(list: &mut PoisonList, number: u64, request: u8, now: Instant) {
+    list.broke_off(digest(request), crash(number), now, now);
+    list.note_break(&crash(number), now, now);
+}
+
+#[test]
+fn alone_then_held() {
+    let (mut list, now) = (PoisonList::default(), Instant::now());
+    broke_off(&mut list, 1, 1, now);
+    assert_eq!(list.standing(digest(1), now), Standing::Free);
+    broke_off(&mut list, 2, 1, now);
+    assert_eq!(list.standing(digest(1), now), Standing::Alone);
+    broke_off(&mut list, 3, 1, now);
+    assert_eq!(list.standing(digest(1), now), Standing::Held);
+    assert!(!refused(&list, 1, now), "nothing has proved to have ended");
+    // Evidence comes in any order, and twice.
+    for number in [2, 1, 2, 3] {
+        list.ended(&crash(number).upstream, u64::MAX, now);
+    }
+    assert!(refused(&list, 1, now));
+    assert_eq!(list.standing(digest(1), now), Standing::Free);
+}
+
+#[test]
+fn living_acquits() {
+    let (mut list, now) = (PoisonList::default(), Instant::now());
+    for number in 1..=3 {
+        broke_off(&mut list, number, 1, now);
+    }
+    assert!(list.lives(digest(1), crash(2), now).is_some());
+    assert!(list.lives(digest(1), crash(2), now).is_none(), "told once");
+    assert_eq!(list.standing(digest(1), now), Standing::Alone);
+    // A later end of that upstream has another cause.
+    list.ended(&crash(2).upstream, u64::MAX, now);
+    list.ended(&crash(1).upstream, u64::MAX, now);
+    list.ended(&crash(3).upstream, u64::MAX, now);
+    assert!(!refused(&list, 1, now));
+    assert!(list.answered(digest(1)).is_some());
+    assert_eq!(list.standing(digest(1), now), Standing::Free);
+}
+
+/// An upstream that has ended closes whatever is sent to it, which is not the fault of that.
+#[test]
+fn later_breaks_blame_nobody() {
+    let (mut list, now) = (PoisonList::default(), Instant::now());
+    broke_off(&mut list, 1, 1, now);
+    let later = now + SECOND / 4;
+    assert!(list.broke_off(digest(2), crash(1), later, later).is_none());
+    // What ran there already when it broke off may be the cause as well.
+    let running = list.broke_off(digest(3), crash(1), now, later);
+    assert!(running.is_some());
+    list.ended(&crash(1).upstream, u64::MAX, later);
+    assert!(list.get(digest(2)).is_none());
+}
+
+/// Only starts that were there before the one that is known now have ended.
+#[test]
+fn other_starts_stay_open() {
+    let (mut list, now) = (PoisonList::default(), Instant::now());
+    for started_at_ms in [5, 9] {
+        let start = UpstreamStart {
+            started_at_ms,
+            ..crash(1)
+        };
+        list.broke_off(digest(1), start, now, now);
+    }
+    let news = list.ended(&crash(1).upstream, 9, now);
+    let blames: Vec<_> = news[0].crashes.values().copied().collect();
+    assert_eq!(blames, [Blame::Full, Blame::Open]);
+}
+
+#[test]
+fn doubt_lapses() {
+    let (mut list, now) = (PoisonList::default(), Instant::now());
+    for number in 1..=3 {
+        broke_off(&mut list, number, 1, now);
+    }
+    let later = now + OPEN_TIME;
+    assert_eq!(list.standing(digest(1), later), Standing::Free);
+    list.crashed(digest(2), crash(9), later);
+    assert!(list.get(digest(1)).is_none());
+}
+
 fn suspects() -> impl Strategy<Value = Vec<Suspect>> {
     let blame = prop_oneof![
+        Just(Blame::Open),
         Just(Blame::Full),
         Just(Blame::Explained),
         Just(Blame::Cleared)
