--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -112,6 +112,9 @@
 
 /// The words of some upstreams, or of all that have said something, as they are told.
 pub fn encode(shared: &Shared, named: Option<&[UpstreamId]>) -> Told {
+    if named.is_some_and(<[UpstreamId]>::is_empty) {
+        return Told::default();
+    }
     let now = clock::now();
     let upstreams = shared.upstreams();
     let words = upstreams.limit_words();
