A holder that begins a term asks a thousand engines over ten seconds

What callers saw after a loss of all instances: models that do not stand are not loaded for twelve seconds, holder after holder losing the right to order. Cause: each asked all engines for their state in one moment, which takes two seconds of a quarter of a core, and its lease of 1.2 s was not renewed; its successor did the same. Change: questions that nothing but a new term asks for are spread, 32 at once and a hundred a second; engines that have near what requests wait for come first. What stands where is known from entries without that. Why it holds: what a begin costs in a second does not grow with the fleet.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -15,6 +15,7 @@
 mod homes;
 mod loading;
 pub mod policy;
+mod questions;
 mod victims;
 mod worth;
 
@@ -33,6 +34,7 @@
 use homes::Homes;
 use passway_types::prelude::*;
 use policy::PlacementPolicy;
+use questions::Questions;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
@@ -123,6 +125,7 @@
     /// Engines that were there and are not, or have started again, while a model came to them.
     ended_loading: Vec<Loading>,
     crashing_loads: CrashingLoads,
+    questions: Questions,
     /// When engines may be asked for their state in this term: what a holder before ordered
     /// last shows in a report by then. `None` until the term's first decision.
     reports_from: Option<Instant>,
@@ -146,6 +149,7 @@
             announced: Announced::default(),
             ended_loading: Vec::new(),
             crashing_loads: CrashingLoads::default(),
+            questions: Questions::default(),
             reports_from: None,
             listening_until: None,
         }
@@ -427,7 +431,13 @@
             return actions;
         }
         let inherits = now < reports_from + ceiling::LATEST_BEGIN;
-        for (id, engine) in &mut self.engines {
+        self.questions.begin_pass(now);
+        let awaited = self.awaited_homes();
+        let (first, others): (Vec<_>, Vec<_>) = self
+            .engines
+            .iter_mut()
+            .partition(|(id, _)| awaited.contains(*id));
+        for (id, engine) in first.into_iter().chain(others) {
             let service = &engine.entry.service;
             let pool = self.pools.get(service);
             let (Some(pool), Some(loads)) = (pool, self.store_loads.get_mut(service)) else {
@@ -438,6 +448,10 @@
             }
             let before = engine.closing.len();
             let may_fetch = loads.has_room(pool, now);
+            // What it says of itself tells where requests can go; only orders need its own report.
+            if engine.awaits_first_question() && !self.questions.take() {
+                continue;
+            }
             if let Some(action) = engine.step(pool, may_fetch, inherits, now) {
                 if let Action::Order(order) = &action
                     && engine.is_store_load(order)
@@ -453,10 +467,24 @@
         actions
     }
 
+    /// Engines that have near what requests wait for.
+    fn awaited_homes(&self) -> BTreeSet<UpstreamId> {
+        let waiting = self.demand.waiting().into_iter();
+        let homes = waiting.flat_map(|waiting| {
+            self.homes
+                .of_model(&waiting.service, &waiting.model_ref.model)
+        });
+        homes.cloned().collect()
+    }
+
     /// When to decide again if nothing is heard.
     pub fn next_look_at(&self, now: Instant) -> Instant {
         let dues = self.engines.values().filter_map(Engine::look_at);
-        let moments = [self.listening_until, self.reports_from];
+        let moments = [
+            self.listening_until,
+            self.reports_from,
+            self.questions.room_at(),
+        ];
         let listening = moments.into_iter().flatten().filter(|at| now < *at);
         let rooms = self.store_loads.values();
         let rooms = rooms.filter_map(|loads| loads.room_at(now));
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -153,7 +153,7 @@
         }
         self.forget_pending(inherits, now);
         let due = self.ask_at.is_some_and(|at| now >= at);
-        if due || (self.orders_taken.is_none() && self.ask_at.is_none()) {
+        if due || self.awaits_first_question() {
             self.asked = true;
             self.ask_at = None;
             return Some(Action::Ask {
@@ -181,6 +181,11 @@
         Some(Action::Order(order))
     }
 
+    /// Whether nothing but a new term, or that it was forgotten, is a reason to ask it.
+    pub(in crate::placement) fn awaits_first_question(&self) -> bool {
+        !self.asked && self.orders_taken.is_none() && self.ask_at.is_none()
+    }
+
     /// Forgets orders that cannot be carried out any more. Whether they were is not known, so
     /// the engine is asked before the next order.
     fn forget_pending(&mut self, inherits: bool, now: Instant) {
--- a/tests/all/term_begin.rs
+++ b/tests/all/term_begin.rs
@@ -41,7 +41,7 @@
         for action in planned.planner.decide(planned.now) {
             match action {
                 Action::Ask { engine, .. } => {
-                    let last = planned.on_disk_of(&engine);
+                    let last = on_disk_of(&engine);
                     planned.reported(&engine, false, 0, &["m0"], &["m0", last]);
                     asked.push(engine);
                 }
@@ -57,14 +57,12 @@
     (asked, orders)
 }
 
-impl Planned {
-    /// What the last engine alone has on its disk, or what the others have.
-    fn on_disk_of(&self, engine: &str) -> &'static str {
-        if engine == format!("j-{:04}", ENGINES - 1) {
-            "m2"
-        } else {
-            "m1"
-        }
+/// What the last engine alone has on its disk, or what the others have.
+fn on_disk_of(engine: &str) -> &'static str {
+    if engine == format!("j-{:04}", ENGINES - 1) {
+        "m2"
+    } else {
+        "m1"
     }
 }
 
