Breaks are told once, and of engines only

Cause: a trial at 300 instances before three plain upstreams that reset connections beyond those they take: each instance told each break, and the holder told all of them to all, 300 x 300 messages for each; and a path without a body is one request to the count, which would have been let run one at a time at an instance. Change: the holder tells each start once in eight seconds; plain upstreams, which cannot be asked for their start, open no doubt. As before, a closed port counts there.

--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -51,14 +51,15 @@
         }
     }
 
-    /// An upstream that broke off, or was silent until the request's time was over, may have ended although
+    /// An engine that broke off, or was silent until the request's time was over, may have ended although
     /// its port does not tell: under a supervisor it stays open, and a machine that went dark says nothing.
+    ///
+    /// Plain upstreams tell nothing of their start, and reset connections beyond those that they take.
     pub(super) fn doubt(&self, target: &Target, start: &UpstreamStart) {
-        if self.shared.upstreams().is_draining(&target.id) {
+        if !self.is_engine || self.shared.upstreams().is_draining(&target.id) {
             return;
         }
-        let address = self.is_engine.then_some(target.address);
-        let sent_at = self.attempt_at;
+        let (sent_at, address) = (self.attempt_at, target.address);
         Poison::broke_off(self.shared, self.digest(), start, sent_at, address);
     }
 
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -21,6 +21,7 @@
 use passway_process::logging::json::DECISION_TARGET;
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Planner, Waiters};
+use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{Engines, OrderAnswer};
 use passway_serving::retry::InstanceCount;
 use passway_serving::tenure::Candidate;
@@ -84,6 +85,7 @@
         listeners: Listeners::default(),
         candidates: Candidates::default(),
         doubtful: BTreeSet::new(),
+        told_breaks: BTreeMap::new(),
         told_limits: BTreeMap::new(),
         dispatchers: Vec::new(),
         roster: Roster::default(),
@@ -117,6 +119,8 @@
     candidates: Candidates,
     /// Engines to which orders have no answer, as was told last.
     doubtful: BTreeSet<UpstreamId>,
+    /// Starts of upstreams that broke off, as was told, and until when that is remembered.
+    told_breaks: BTreeMap<UpstreamStart, Instant>,
     /// Limits of upstreams in need, as was told last.
     told_limits: BTreeMap<UpstreamId, f64>,
     /// Who dispatches for engines.
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -100,9 +100,16 @@
     }
 
     /// Joins in what an instance knows of requests that crash upstreams, and tells all.
-    pub(super) fn tell_suspects(&self, told: Suspects) {
-        let breaks = told.breaks.clone();
-        self.shared.poison.join_breaks(&breaks);
+    pub(super) fn tell_suspects(&mut self, told: Suspects) {
+        let now = clock::now();
+        let mut breaks = self.shared.poison.join_breaks(&told.breaks);
+        // Many instances see one upstream break off, and all are told once.
+        self.told_breaks.retain(|_, until| now < *until);
+        breaks.retain(|(start, _)| {
+            let until = now + poison::OPEN_TIME;
+            self.told_breaks.insert(start.clone(), until).is_none()
+        });
+        let breaks = poison::encode_breaks(&breaks);
         let mut known = self.shared.poison.join(told);
         known.retain(|suspect| suspect.crashes.len() >= TOLD_CRASHES);
         if self.fence.is_some() && !(known.is_empty() && breaks.is_empty()) {
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -11,6 +11,7 @@
 use crate::shared::{Need, Shared};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use passway_process::logging::json::DECISION_TARGET;
+pub use passway_serving::poison::OPEN_TIME;
 use passway_serving::poison::{Blame, PoisonList, RequestDigest, Standing, Suspect, UpstreamStart};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_types::clock;
@@ -133,14 +134,13 @@
         })
     }
 
-    /// An upstream broke off under a request, and nothing tells yet whether it has ended. An engine is
-    /// asked at its address.
+    /// An engine broke off under a request, and nothing tells yet whether it has ended: it is asked.
     pub fn broke_off(
         shared: &Arc<Shared>,
         digest: RequestDigest,
         start: &UpstreamStart,
         sent_at: Instant,
-        address: Option<SocketAddr>,
+        address: SocketAddr,
     ) {
         let poison = &shared.poison;
         let now = clock::now();
@@ -156,9 +156,7 @@
         if let Some(news) = news {
             shared.tell(Need::Suspect(news));
         }
-        if let Some(address) = address {
-            watch::watch(shared, digest, start, address);
-        }
+        watch::watch(shared, digest, start, address);
     }
 
     /// An upstream that broke off under a request runs on. Returns what others are to be told.
@@ -188,7 +186,7 @@
         news
     }
 
-    /// Takes in which upstreams broke off at other instances. Returns those that were not known.
+    /// Takes in which upstreams broke off at other instances. Returns them.
     pub fn join_breaks(&self, told: &[Break]) -> Vec<(UpstreamStart, Instant)> {
         let now = clock::now();
         let mut list = lock(&self.list);
@@ -200,8 +198,10 @@
             let at = now.checked_sub(Duration::from_millis(told.ms_ago));
             (start, at.unwrap_or(now))
         });
-        let mut breaks: Vec<_> = breaks.collect();
-        breaks.retain(|(start, at)| list.note_break(start, *at, now));
+        let breaks: Vec<_> = breaks.collect();
+        for (start, at) in &breaks {
+            list.note_break(start, *at, now);
+        }
         breaks
     }
 
