--- a/tests/all/dispatch_way.rs
+++ b/tests/all/dispatch_way.rs
@@ -4,7 +4,7 @@
 use crate::holder_link::{Holder, subscription};
 use crate::site::{self, PATIENCE, stream, until};
 use passway_instance::Instance;
-use passway_standins::platform::model_server::ModelServer;
+use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_wire::dispatch::{Ask, Datagram, Dispatch, Ended, Grant, RunOutcome, Running, Verdict};
 use passway_wire::message::{Member, Members};
@@ -244,3 +244,26 @@
     }
     assert_eq!(world.ask(1).verdict(), Verdict::Go);
 }
+
+/// An engine in need is named last by its dispatcher, and gets nothing that nobody counts; others carry its
+/// requests.
+#[test]
+fn engine_in_need() {
+    let world = world(&[None]);
+    world.servers[0].set_faults(Faults {
+        limit_per_s: Some(1.0),
+        ..Faults::default()
+    });
+    let address = world.instance.callers_address();
+    let mut ids = 0..;
+    let mut send = || stream(address, "chat", &format!("id{:?}", ids.next()), "m0").status;
+    until("the word is heard", || {
+        send();
+        !world.servers[0].runs().is_empty()
+    });
+    let runs = world.servers[0].runs().len();
+    for _ in 0..120 {
+        assert_eq!(send(), 200);
+    }
+    assert_eq!(world.servers[0].runs().len(), runs);
+}
