--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`destination`]: its route and service. [`access`]: whether it may go.
 //! * [`waiting`]: waiting for an upstream and choosing it.
+//! * [`refusing`]: the answer when nothing more can be tried.
 //! * [`attempt`], [`exchange`]: what happens within one attempt. [`suspect`]: whether the
 //!   request crashes what runs it. [`limits`]: what upstreams say that they take.
 //!
@@ -14,12 +15,13 @@
 mod destination;
 mod exchange;
 mod limits;
+mod refusing;
 mod suspect;
 mod waiting;
 
 use crate::http1::{Connection, RequestHead};
 use crate::poison::Trial;
-use crate::relay::{millis, millis_since};
+use crate::relay::millis_since;
 use crate::reply::{self, Refusal};
 use crate::shared::{Need, Shared};
 use access::{Access, Denied};
@@ -38,9 +40,6 @@
 
 /// When a refused caller may come back, where nothing better is known.
 pub const RETRY_AFTER_MS: u64 = 500;
-/// When a caller may come back whose request may crash upstreams: what broke off under it has started
-/// again by then, or has proved to live.
-const HELD_RETRY_MS: u64 = 2_000;
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
@@ -275,7 +274,7 @@
                     self.runs += 1;
                     let now = clock::now();
                     if self.shared.upstreams().is_silent(&target.id, now) {
-                        self.doubt(&target, &start);
+                        self.doubt(&target, &start, true);
                     }
                     return self.give_up(failed);
                 }
@@ -329,62 +328,6 @@
         retries.try_spend(&self.service, clock::now())
     }
 
-    /// The last answer, when nothing more can be tried.
-    fn give_up(&mut self, failed: Option<Box<FailedAnswer>>) -> After {
-        if self.delivered.head_sent {
-            // A stream that breaks off must not look whole.
-            self.record.end = if self.record.cut_by_stop {
-                "stream cut by the stop"
-            } else {
-                "stream broken off"
-            };
-            if !self.delivered.chunked {
-                self.caller.reset_when_closed();
-            }
-            return After::Close;
-        }
-        if let Some(failed) = failed {
-            return self.pass_whole(&failed.head, &failed.body);
-        }
-        let refused_for = self.refused_for();
-        let is_held = self.standing != Standing::Free && self.trial.is_none();
-        let refusal = if self.runs == 0 {
-            // What crashes engines is not run before it is forgotten.
-            let model_ms = self.comes_ms.or(self.turn_ms).unwrap_or(RETRY_AFTER_MS);
-            let held_ms = if is_held { HELD_RETRY_MS } else { model_ms };
-            not_run(refused_for.map_or(held_ms, millis))
-        } else if clock::now() >= self.deadline_at {
-            Refusal::TimedOut
-        } else {
-            Refusal::AnswerLost
-        };
-        let end = if self.record.cut_by_stop {
-            "refused at the stop"
-        } else if refused_for.is_some() {
-            "refused as crashing upstreams"
-        } else if is_held {
-            "refused, it may crash upstreams"
-        } else if self.comes_ms.is_some() {
-            "refused, its model comes too late"
-        } else if self.turn_ms.is_some() {
-            "refused, its upstreams take no more"
-        } else {
-            "refused"
-        };
-        self.refuse(Denied { refusal, end })
-    }
-
-    /// Refuses the request.
-    fn refuse(&mut self, denied: Denied) -> After {
-        let Denied { refusal, end } = denied;
-        self.record.status = refusal.code();
-        self.record.end = end;
-        let vocabulary = &*self.shared.vocabulary;
-        let close = self.close_after;
-        let done = reply::refuse(self.caller, vocabulary, &self.facts.id, refusal, close);
-        after(done.is_ok() && !close)
-    }
-
     fn attempt(&mut self, target: &Target) -> Attempt {
         let (attempt, outcome) = self.attempted(target);
         self.question = self.shared.dispatch.next_run();
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -43,7 +43,7 @@
         log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
             upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms; "a run broke off");
         if !has_crashed {
-            self.doubt(target, &start);
+            self.doubt(target, &start, false);
             return;
         }
         if let Some(suspect) = self.shared.poison.crashed(self.digest(), start) {
@@ -51,16 +51,20 @@
         }
     }
 
-    /// An engine that broke off, or was silent until the request's time was over, may have ended although
+    /// An engine that broke off, or was `silent` until the request's time was over, may have ended although
     /// its port does not tell: under a supervisor it stays open, and a machine that went dark says nothing.
     ///
     /// Plain upstreams tell nothing of their start, and reset connections beyond those that they take.
-    pub(super) fn doubt(&self, target: &Target, start: &UpstreamStart) {
+    pub(super) fn doubt(&self, target: &Target, start: &UpstreamStart, silent: bool) {
         if !self.is_engine || self.shared.upstreams().is_draining(&target.id) {
             return;
         }
-        let (sent_at, address) = (self.attempt_at, target.address);
-        Poison::broke_off(self.shared, self.digest(), start, sent_at, address);
+        let (digest, sent_at) = (self.digest(), self.attempt_at);
+        if silent {
+            Poison::doubt(self.shared, digest, start, sent_at, target.address);
+        } else {
+            Poison::broke_off(self.shared, digest, start, sent_at, target.address);
+        }
     }
 
     /// Whether the request may run now, as far as upstreams tell that broke off under it.
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -105,10 +105,10 @@
         let mut breaks = self.shared.poison.join_breaks(&told.breaks);
         // Many instances see one upstream break off, and all are told once.
         self.told_breaks.retain(|_, until| now < *until);
-        breaks.retain(|(start, _)| {
-            let until = now + poison::OPEN_TIME;
-            self.told_breaks.insert(start.clone(), until).is_none()
-        });
+        breaks.retain(|(start, _)| !self.told_breaks.contains_key(start));
+        let until = now + poison::OPEN_TIME;
+        let told_now = breaks.iter().map(|(start, _)| (start.clone(), until));
+        self.told_breaks.extend(told_now);
         let breaks = poison::encode_breaks(&breaks);
         let mut known = self.shared.poison.join(told);
         known.retain(|suspect| suspect.crashes.len() >= TOLD_CRASHES);
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -134,7 +134,7 @@
         })
     }
 
-    /// An engine broke off under a request, and nothing tells yet whether it has ended: it is asked.
+    /// An engine broke off under a request, and nothing tells yet whether it has ended.
     pub fn broke_off(
         shared: &Arc<Shared>,
         digest: RequestDigest,
@@ -142,17 +142,26 @@
         sent_at: Instant,
         address: SocketAddr,
     ) {
-        let poison = &shared.poison;
+        Self::doubt(shared, digest, start, sent_at, address);
         let now = clock::now();
-        let mut list = lock(&poison.list);
-        let news = list.broke_off(digest, start.clone(), sent_at, now);
-        let is_first = list.note_break(start, now, now);
-        drop(list);
-        poison.changed();
-        if is_first {
+        if lock(&shared.poison.list).note_break(start, now, now) {
             shared.tell(Need::Broke(start.clone(), now));
             shared.upstreams().doubt(&start.upstream, now);
         }
+    }
+
+    /// An engine may have ended under a request, which was sent at a moment: it is asked.
+    pub fn doubt(
+        shared: &Arc<Shared>,
+        digest: RequestDigest,
+        start: &UpstreamStart,
+        sent_at: Instant,
+        address: SocketAddr,
+    ) {
+        let poison = &shared.poison;
+        let now = clock::now();
+        let news = lock(&poison.list).broke_off(digest, start.clone(), sent_at, now);
+        poison.changed();
         if let Some(news) = news {
             shared.tell(Need::Suspect(news));
         }
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -252,6 +252,7 @@
         now: Instant,
     ) -> Option<Suspect> {
         let known = self.known.get(&digest)?;
+        self.breaks.remove(&start);
         let is_open = known.suspect.crashes.get(&start) == Some(&Blame::Open);
         is_open.then(|| self.note(digest, start, Blame::Cleared, now))?
     }
--- a/tests/all/fleet_start.rs
+++ b/tests/all/fleet_start.rs
@@ -108,7 +108,11 @@
     // All are told what has changed, once, in whatever order an engine names its models.
     assert_eq!(planner.take_changed().len(), 2);
     let unlike = planner.placements_unlike(&known(&table));
-    assert_eq!(unlike.len(), 2, "one that connects later lacks them as before");
+    assert_eq!(
+        unlike.len(),
+        2,
+        "one that connects later lacks them as before"
+    );
     let again = UpstreamEntry {
         beat: 3,
         ..engine(7, &["m0", "m2"])
