A test's port that is taken for datagrams is free for connections

Cause: the test takes a UDP port that the kernel chooses, and the instance then listens on the same port by TCP, where another test's stand-in may listen; the instance was never started, so nothing of the product is told by it. Change: such a port is passed over for another one. The check is as it was.

--- a/tests/all/workspace_revocation.rs
+++ b/tests/all/workspace_revocation.rs
@@ -5,7 +5,7 @@
 use passway_standins::platform::documents::workspace;
 use passway_standins::platform::store::{Faults, MetadataStandIn};
 use passway_types::prelude::*;
-use std::net::UdpSocket;
+use std::net::{TcpListener, UdpSocket};
 
 /// Keys stop within a second and a half.
 const BOUNDS: &str = "strict_revoke = true\nrevoke_ms = 1500";
@@ -94,7 +94,13 @@
     let address = store.serve();
     let holder = ready("one", address, BOUNDS);
     until("the right", || holder.fence().is_some());
-    let taken = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    // The instance takes the same port for connections, which must not be another test's.
+    let taken = std::iter::repeat_with(|| UdpSocket::bind("127.0.0.1:0").expect("a port"));
+    let mut free = taken.filter(|taken| {
+        let address = taken.local_addr().expect("an address");
+        TcpListener::bind(address).is_ok()
+    });
+    let taken = free.next().expect("a port that nobody listens on");
     let mut settings = settings("two", address, BOUNDS);
     settings.peer_address = taken.local_addr().expect("an address");
     let other = site::start_with(settings);
