Sight: leaving and rest are read from each answer, logged and counted; nothing is decided by them

Cause: logs and metrics could not tell whether an instance knew that an upstream leaves, or that it was asked for rest. Change: the adapter decodes an answer's head into one value of what the upstream says of itself (limit, leaving, rest), for answers to callers' requests as for reports and answers to orders, which were not read for it. An instance logs the first word of a start that leaves, and each rest with its time; gauges and counters show both, and words that cannot be read. Reports name the engine that is asked, as orders do. A word belongs to the start that was chosen for the attempt: one that comes after a restart under the same id no longer counts for the new start, for limits too.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -30,7 +30,7 @@
 use limits::HeldBack;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
-use passway_serving::poison::{RequestDigest, Standing, UpstreamStart};
+use passway_serving::poison::{RequestDigest, Standing};
 use passway_serving::ports::RequestFacts;
 use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
@@ -251,7 +251,7 @@
             self.record.upstream = Some(target.id.clone());
             let waited_ms = self.held_ms();
             self.record.waited_ms.get_or_insert(waited_ms);
-            let start = self.start_of(&target);
+            let start = target.start();
             let attempt = self.attempt(&target);
             self.shared.metrics.attempt(attempt.name());
             log::debug!(request = self.facts.id, upstream:% = target.id, offer = offer; "{}", attempt.name());
@@ -306,14 +306,6 @@
         self.give_up(failed)
     }
 
-    /// The start of an upstream that an attempt goes to.
-    fn start_of(&self, target: &Target) -> UpstreamStart {
-        UpstreamStart {
-            upstream: target.id.clone(),
-            started_at_ms: self.shared.upstreams().started_at_ms(&target.id),
-        }
-    }
-
     /// Time since the request arrived, in milliseconds.
     fn held_ms(&self) -> u64 {
         millis_since(self.arrived_at, clock::now())
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -5,6 +5,7 @@
 use crate::events::EventCutter;
 use crate::http1::AnswerHead;
 use passway_serving::dispatch::RunId;
+use passway_serving::poison::UpstreamStart;
 use passway_serving::upstreams::Outcome;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -52,10 +53,22 @@
 pub(super) struct Target {
     pub(super) id: UpstreamId,
     pub(super) address: SocketAddr,
+    /// When it had started when it was chosen, in Unix milliseconds by its own clock; 0 if it does not tell.
+    pub(super) started_at_ms: u64,
     /// The run's number, where engines have dispatchers.
     pub(super) run: Option<RunId>,
 }
 
+impl Target {
+    /// The start of the upstream that was chosen.
+    pub(super) fn start(&self) -> UpstreamStart {
+        UpstreamStart {
+            upstream: self.id.clone(),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
+
 impl Attempt {
     /// Whether an upstream may have run the request.
     pub(super) fn may_have_run(&self) -> bool {
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -11,6 +11,7 @@
 use crate::pool;
 use crate::relay;
 use crate::reply::{self, WRITE_TIME};
+use crate::words::{self, Heard};
 use passway_serving::headers::Headers;
 use passway_serving::ports::{AnswerFacts, Stamp};
 use passway_serving::routes::RequestKind;
@@ -172,9 +173,7 @@
             let vocabulary = &self.shared.vocabulary;
             let facts = vocabulary.answer(head.status, &head.headers, &target.id);
             if facts.id.as_deref().is_none_or(|id| id == self.facts.id) {
-                if !facts.other_incarnation {
-                    self.note_limit(target, &facts);
-                }
+                self.hear_words(target, &facts);
                 if self.route.kind.is_stream() && !facts.not_run {
                     let after = clock::since(self.attempt_at);
                     let mut usual = self.shared.usual_times();
@@ -188,6 +187,21 @@
         Err(Attempt::Broken)
     }
 
+    /// Takes in what an answer to this request says of its upstream. One that names no request may be
+    /// anybody's, and one of another incarnation says nothing of the upstream that was asked.
+    fn hear_words(&self, target: &Target, facts: &AnswerFacts) {
+        if facts.other_incarnation || facts.id.is_none() {
+            return;
+        }
+        let heard = Heard {
+            start: &target.start(),
+            words: &facts.words,
+            vouched: facts.vouched,
+            sent_at: self.attempt_at,
+        };
+        words::hear(self.shared, heard);
+    }
+
     /// Reads the next answer's head, for as long as the upstream is not silent.
     fn read_head(
         &mut self,
--- a/crates/instance/src/forward/limits.rs
+++ b/crates/instance/src/forward/limits.rs
@@ -1,10 +1,7 @@
-//! What upstreams say that they take, and a request's turn at one that does.
+//! A request's turn at an upstream that says what it takes.
 
 use super::{Forwarding, Target};
-use crate::limits::{self, Turn};
-use crate::shared::Need;
-use passway_serving::limits::{LimitWord, NamedLimit};
-use passway_serving::ports::AnswerFacts;
+use crate::limits::Turn;
 use passway_serving::upstreams::Outcome;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -28,28 +25,6 @@
 }
 
 impl Forwarding<'_> {
-    /// Takes in what an answer says about how much its upstream takes.
-    pub(super) fn note_limit(&self, target: &Target, facts: &AnswerFacts) {
-        let per_s = match facts.limit {
-            NamedLimit::PerSecond(per_s) => Some(per_s),
-            // Only an answer that the upstream vouches for is its word that it is in no need.
-            NamedLimit::Absent if facts.vouched => None,
-            NamedLimit::Absent => return,
-            NamedLimit::Unusable => {
-                self.shared.metrics.unusable_limit();
-                return;
-            }
-        };
-        let word = LimitWord {
-            per_s,
-            sent_at: self.attempt_at,
-            heard_at: clock::now(),
-        };
-        if limits::note(self.shared, &target.id, word) {
-            self.shared.tell(Need::Limit(target.id.clone()));
-        }
-    }
-
     /// Whether the request may go to an upstream that was chosen for it. All ways to an upstream lead
     /// through here, whatever the request was before: first tries, repeats, streams that go on elsewhere,
     /// and requests that were waiting when the upstream named its limit.
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -176,6 +176,7 @@
         if let Some(told) = told {
             return match told.choice {
                 Choice::Send { id, address } => Ok(Target {
+                    started_at_ms: self.shared.upstreams().started_at_ms(&id),
                     id,
                     address,
                     run: told.run,
@@ -187,6 +188,7 @@
         match upstreams.choose(&self.service, self.wish(), &closed, drawn, now) {
             Choice::Send { id, address } => Ok(Target {
                 run: self.wish().and_then(|_| dispatch.unasked(&id)),
+                started_at_ms: upstreams.started_at_ms(&id),
                 id,
                 address,
             }),
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -2,22 +2,23 @@
 //!
 //! Every instance runs this thread; it decides only while [`Right`] says so.
 
-mod giving;
+mod order_names;
 mod peers;
 mod telling;
 
 pub use peers::{Input, bind};
 
 use crate::candidates::Candidates;
-use crate::limits;
+use crate::control;
 use crate::listeners::Listeners;
 use crate::members::{Addresses, Announcement, KeptAnnouncement, Roster};
 use crate::news::Told;
 use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
 use crate::shared::Shared;
+use crate::words;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use giving::{give, name_of};
+use order_names::name_of;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_process::outbox::Outbox;
 use passway_serving::placement::{Action, ModelRuns, Planner, Waiters};
@@ -260,7 +261,7 @@
         self.send_heartbeats([number], 0);
         let suspects = self.shared.poison.suspects(TOLD_CRASHES);
         self.send_to(number, &Body::Suspects(suspects));
-        let limits = limits::encode(&self.shared, None);
+        let limits = words::encode(&self.shared, None);
         if !limits.limits.is_empty() {
             self.send_to(number, &Body::Limits(limits));
         }
@@ -458,7 +459,7 @@
 
     fn act(&mut self, action: Action, fence: Fence) {
         let (engines, right) = (self.engines.clone(), self.right.clone());
-        let (sender, holder) = (self.sender.clone(), self.shared.settings.instance.clone());
+        let (sender, shared) = (self.sender.clone(), self.shared.clone());
         let unsent = match &action {
             Action::Order(order) => Input::Answered(order.clone(), OrderAnswer::NotSent),
             Action::Ask { engine, .. } => Input::Reported(engine.clone(), None),
@@ -466,10 +467,17 @@
         let carry_out = move || {
             let input = match action {
                 Action::Order(order) => {
-                    let answer = give(&*engines, &right, fence, holder, &order);
+                    let answer = control::give(&shared, &*engines, &right, fence, &order);
                     Input::Answered(order, answer)
                 }
-                Action::Ask { engine, address } => Input::Reported(engine, engines.report(address)),
+                Action::Ask { engine, address } => {
+                    let start = UpstreamStart {
+                        started_at_ms: shared.upstreams().started_at_ms(&engine),
+                        upstream: engine.clone(),
+                    };
+                    let report = control::report(&shared, &*engines, &start, address);
+                    Input::Reported(engine, report)
+                }
             };
             // The deciding thread ends only with the process.
             let _ = sender.send(input);
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -2,10 +2,10 @@
 //! to which engines orders are on their way, and placements.
 
 use super::{Holding, TELL_PAUSE_PER_PEER};
-use crate::limits;
 use crate::members::{self, Addresses};
 use crate::poison;
 use crate::relay;
+use crate::words;
 use passway_process::outbox::Outbox;
 use passway_serving::dispatch;
 use passway_serving::placement::Placement;
@@ -124,7 +124,7 @@
     /// Joins in what an instance knows of upstreams' limits, and tells all what is news: whoever has
     /// not heard it from the upstream itself sends there as before.
     pub(super) fn tell_limits(&mut self, told: Limits) {
-        let mut named = limits::join(&self.shared, told);
+        let mut named = words::join(&self.shared, told);
         let upstreams = self.shared.upstreams();
         named.retain(|id| {
             let before = self.told_limits.get(id).copied();
@@ -143,7 +143,7 @@
         });
         drop(upstreams);
         if self.fence.is_some() && !named.is_empty() {
-            let body = Body::Limits(limits::encode(&self.shared, Some(&named)));
+            let body = Body::Limits(words::encode(&self.shared, Some(&named)));
             send_to_all(self.peers.values(), body);
         }
     }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -10,6 +10,8 @@
 //! * [`right`] is the right to order, [`holder`] decides and orders while it has it,
 //!   [`candidates`] are those that may succeed it, [`report`] tells the holder what this
 //!   instance needs.
+//! * [`words`]: what upstreams say of themselves, as it is taken in and told; [`control`]: orders and
+//!   questions to engines; [`limits`]: keeping upstreams in need to what they take.
 //! * [`poison`]: requests that crash upstreams, as they are known, told and kept.
 //! * [`freshness`]: how new the configuration is for sure; [`allotments`]: what workspaces may use;
 //!   [`questions`] to other instances.
@@ -22,6 +24,7 @@
 pub mod allotments;
 pub mod callers;
 pub mod candidates;
+pub mod control;
 pub mod dispatch;
 pub mod ending;
 pub mod events;
@@ -49,5 +52,6 @@
 pub mod report;
 pub mod right;
 pub mod shared;
+pub mod words;
 
 pub use lifecycle::{Instance, Surroundings};
--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -1,18 +1,15 @@
 //! Keeping upstreams in need to what they say that they take, over all instances.
 //!
-//! Each instance tells the holder of the right to order what it hears of an upstream's limit, and the
-//! holder tells all. Whoever would send a request to a limited upstream asks the holder, which
+//! What upstreams say is told to all ([`crate::words`]). Whoever would send a request to a limited upstream asks the holder, which
 //! counts. Without an answer an instance has a small share, by what it knows of the fleet's size.
 
 use crate::keeper::TermKeeper;
-use crate::relay::{millis, millis_since};
+use crate::relay::millis;
 use crate::shared::Shared;
-use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::allotment::Ruling;
-use passway_serving::limits::{self, EXACT, LimitWord, Shares};
+use passway_serving::limits::{self, EXACT, Shares};
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::{Limits as Told, UpstreamLimit};
 use passway_wire::permits::{UseAsk, UseTold, UseVerdict};
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -95,62 +92,3 @@
         kept.retain(is_limited);
     }
 }
-
-/// An upstream has said how much it takes, here or at another instance. Returns whether that is another
-/// limit than before.
-pub fn note(shared: &Shared, upstream: &UpstreamId, word: LimitWord) -> bool {
-    let has_changed = shared.upstreams().note_limit(upstream, word);
-    if has_changed {
-        log::info!(target: DECISION_TARGET, upstream:% = upstream, per_s:? = word.per_s; "an upstream says what it takes");
-        if word.per_s.is_none() {
-            shared.limits.retain(shared);
-        }
-        shared.upstreams_changed();
-    }
-    has_changed
-}
-
-/// The words of some upstreams, or of all that have said something, as they are told.
-pub fn encode(shared: &Shared, named: Option<&[UpstreamId]>) -> Told {
-    if named.is_some_and(<[UpstreamId]>::is_empty) {
-        return Told::default();
-    }
-    let now = clock::now();
-    let upstreams = shared.upstreams();
-    let words = upstreams.limit_words();
-    let words = words.filter(|(id, ..)| named.is_none_or(|named| named.contains(id)));
-    let limits = words.map(|(id, started_at_ms, word)| UpstreamLimit {
-        upstream: id.to_string(),
-        started_at_ms,
-        per_s: word.per_s,
-        sent_ms_ago: millis_since(word.sent_at, now),
-        heard_ms_ago: millis_since(word.heard_at, now),
-    });
-    Told {
-        limits: limits.collect(),
-    }
-}
-
-/// Takes in what another instance tells. Returns the upstreams that it tells of.
-pub fn join(shared: &Shared, told: Told) -> Vec<UpstreamId> {
-    let now = clock::now();
-    let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
-    let mut named = Vec::new();
-    for told in told.limits {
-        let upstream = UpstreamId::from(told.upstream);
-        // What was said by another start of it says nothing of this one.
-        if shared.upstreams().started_at_ms(&upstream) != told.started_at_ms {
-            continue;
-        }
-        let word = LimitWord {
-            per_s: told
-                .per_s
-                .filter(|per_s| per_s.is_finite() && *per_s >= 0.0),
-            sent_at: ago(told.sent_ms_ago),
-            heard_at: ago(told.heard_ms_ago),
-        };
-        note(shared, &upstream, word);
-        named.push(upstream);
-    }
-    named
-}
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -33,6 +33,12 @@
     outcome: &'static str,
 }
 
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WordLabels {
+    word: &'static str,
+}
+
 /// Most workspaces that are counted by name, those that came first: each has four counters of some
 /// 100 bytes. The others are counted together.
 const MAX_WORKSPACES: usize = 200;
@@ -65,6 +71,10 @@
     pub waiting_bytes: usize,
     /// Upstreams that name how much they take.
     pub limited_upstreams: usize,
+    /// Starts of upstreams that are known to leave, or to have left in the last minutes.
+    pub leaving_upstreams: usize,
+    /// Upstreams that have asked this instance for rest.
+    pub resting_upstreams: usize,
 }
 
 /// The metrics of an instance.
@@ -89,7 +99,10 @@
     waiting_bytes: Gauge,
     poison_requests: Gauge,
     limited_upstreams: Gauge,
-    unusable_limits: Counter,
+    leaving_upstreams: Gauge,
+    resting_upstreams: Gauge,
+    rests: Counter,
+    unusable_words: Family<WordLabels, Counter>,
     turns: Family<OutcomeLabels, Counter>,
 }
 
@@ -126,7 +139,10 @@
             waiting_bytes: Gauge::default(),
             poison_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
-            unusable_limits: Counter::default(),
+            leaving_upstreams: Gauge::default(),
+            resting_upstreams: Gauge::default(),
+            rests: Counter::default(),
+            unusable_words: Family::default(),
             turns: Family::default(),
         };
         metrics.register();
@@ -194,9 +210,22 @@
         let turns = self.turns.clone();
         let help = "Requests for a turn at an upstream that names a limit, by answer";
         registry.register("limited_turns", help, turns);
-        let unusable = self.unusable_limits.clone();
-        let help = "Answers that name a limit which cannot be read";
-        registry.register("unusable_limits", help, unusable);
+        let gauge = self.leaving_upstreams.clone();
+        let help =
+            "Starts of upstreams that are known to leave, or to have left in the last minutes";
+        registry.register("leaving_upstreams", help, gauge);
+        let gauge = self.resting_upstreams.clone();
+        let help = "Upstreams that have asked this instance for rest";
+        registry.register("resting_upstreams", help, gauge);
+        let rests = self.rests.clone();
+        let help = "Answers that ask this instance for rest";
+        registry.register("rests", help, rests);
+        for word in ["limit", "leaving", "rest"] {
+            let _zero = self.unusable_words.get_or_create(&WordLabels { word });
+        }
+        let unusable = self.unusable_words.clone();
+        let help = "Words of upstreams of themselves that cannot be read";
+        registry.register("unusable_words", help, unusable);
     }
 
     /// Counts a request that has ended.
@@ -231,9 +260,16 @@
         self.turns.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
-    /// Counts an answer that names a limit which cannot be read.
-    pub fn unusable_limit(&self) {
-        self.unusable_limits.inc();
+    /// Counts a word of an upstream of itself that cannot be read.
+    pub fn unusable_word(&self, word: &'static str) {
+        self.unusable_words
+            .get_or_create(&WordLabels { word })
+            .inc();
+    }
+
+    /// Counts an answer that asks this instance for rest.
+    pub fn rest(&self) {
+        self.rests.inc();
     }
 
     /// Counts a version of the configuration that cannot be used.
@@ -304,6 +340,10 @@
             .set(i64::try_from(standing.poison_requests).unwrap_or(i64::MAX));
         self.limited_upstreams
             .set(i64::try_from(standing.limited_upstreams).unwrap_or(i64::MAX));
+        self.leaving_upstreams
+            .set(i64::try_from(standing.leaving_upstreams).unwrap_or(i64::MAX));
+        self.resting_upstreams
+            .set(i64::try_from(standing.resting_upstreams).unwrap_or(i64::MAX));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics cannot be encoded");
--- a/crates/instance/src/poison/watch.rs
+++ b/crates/instance/src/poison/watch.rs
@@ -3,6 +3,7 @@
 //! A supervisor keeps the port open, and a machine that fell silent refuses nothing. So the engine is asked
 //! for its report until it tells its start; its entry tells the same when it goes or names a later start.
 
+use crate::control;
 use crate::shared::{Need, Shared};
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::poison::{OPEN_TIME, RequestDigest, UpstreamStart};
@@ -102,7 +103,7 @@
         std::thread::sleep(pause);
         pause = ASK_PAUSE;
         let since_break = clock::since(broke_at);
-        let report = engines.report(address);
+        let report = control::report(shared, engines, start, address);
         if report.is_none() {
             // Whatever is sent there would break off too.
             shared.upstreams().doubt(&start.upstream, clock::now());
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -50,6 +50,10 @@
 
 fn standing(shared: &Shared, right: &Right) -> Standing {
     let routes = shared.routes.load();
+    let upstreams = shared.upstreams();
+    let (limited_upstreams, leaving_upstreams) = (upstreams.limited(), upstreams.leaving().count());
+    let resting_upstreams = upstreams.resting(clock::now());
+    drop(upstreams);
     Standing {
         holds_right: right.fence().is_some(),
         config_version: routes.as_ref().map_or(0, |table| table.version),
@@ -58,7 +62,9 @@
         configuration_age: shared.configuration_age.age(),
         poison_requests: shared.poison.refused(),
         waiting_bytes: passway_process::outbox::waiting_bytes(),
-        limited_upstreams: shared.upstreams().limited(),
+        limited_upstreams,
+        leaving_upstreams,
+        resting_upstreams,
     }
 }
 
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,11 +1,11 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
-use crate::limits;
 use crate::members;
 use crate::poison;
 use crate::relay::Relay;
 use crate::right::Right;
 use crate::shared::{Need, Shared};
+use crate::words;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
@@ -49,7 +49,7 @@
         untold: BTreeSet::new(),
         suspects: Vec::new(),
         breaks: Vec::new(),
-        limits: BTreeSet::new(),
+        words: BTreeSet::new(),
         recent: VecDeque::new(),
         is_new: Arc::default(),
     };
@@ -75,8 +75,8 @@
     suspects: Vec<Suspect>,
     /// Upstreams that broke off here.
     breaks: Vec<(UpstreamStart, Instant)>,
-    /// Upstreams that said something else of how much they take than before.
-    limits: BTreeSet<UpstreamId>,
+    /// Upstreams that said something else of themselves than before.
+    words: BTreeSet<UpstreamId>,
     /// What was taken lately, for a holder that begins its term.
     recent: VecDeque<(Instant, WishKey)>,
     /// Set when a connection to a holder has been made that was told nothing yet.
@@ -133,7 +133,7 @@
                 || !self.untold.is_empty()
                 || !self.suspects.is_empty()
                 || !self.breaks.is_empty()
-                || !self.limits.is_empty()
+                || !self.words.is_empty()
                 || self.is_new.load(Ordering::Acquire)
             {
                 self.send();
@@ -190,8 +190,8 @@
             }
             Need::Suspect(suspect) => self.suspects.push(suspect),
             Need::Broke(start, at) => self.breaks.push((start, at)),
-            Need::Limit(upstream) => {
-                self.limits.insert(upstream);
+            Need::Word(upstream) => {
+                self.words.insert(upstream);
             }
             // It is a reason to look, which follows in any case.
             Need::HolderReached => {}
@@ -298,7 +298,7 @@
                 }
                 Dialed::Received(Body::Limits(told)) => {
                     drop(link);
-                    limits::join(&shared, told);
+                    words::join(&shared, told);
                 }
                 Dialed::Received(Body::Placements(placements)) => {
                     drop(link);
@@ -365,23 +365,23 @@
             self.untold.clear();
             self.suspects.clear();
             self.breaks.clear();
-            self.limits.clear();
+            self.words.clear();
             return;
         };
         let mut taken = std::mem::take(&mut self.taken);
         let mut untold = std::mem::take(&mut self.untold);
         let mut suspects = poison::encode(std::mem::take(&mut self.suspects));
-        let named: Vec<UpstreamId> = std::mem::take(&mut self.limits).into_iter().collect();
-        let mut limits = limits::encode(&self.shared, Some(&named));
+        let named: Vec<UpstreamId> = std::mem::take(&mut self.words).into_iter().collect();
+        let mut said = words::encode(&self.shared, Some(&named));
         if self.is_new.swap(false, Ordering::AcqRel) {
             taken = recent_counts(&self.recent);
             untold = self.waiting.keys().cloned().collect();
             self.last_running.clear();
             suspects = self.shared.poison.suspects(1);
-            limits = limits::encode(&self.shared, None);
+            said = words::encode(&self.shared, None);
         }
-        if !limits.limits.is_empty() {
-            outbox.send(Body::Limits(limits));
+        if !said.limits.is_empty() {
+            outbox.send(Body::Limits(said));
         }
         suspects.breaks = poison::encode_breaks(&std::mem::take(&mut self.breaks));
         if !suspects.suspects.is_empty() || !suspects.breaks.is_empty() {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -61,8 +61,8 @@
     Suspect(Suspect),
     /// A start of an upstream broke off at a moment and may have ended.
     Broke(UpstreamStart, Instant),
-    /// An upstream says something else of how much it takes than before.
-    Limit(UpstreamId),
+    /// An upstream says something else of itself than before.
+    Word(UpstreamId),
     /// A connection to the holder stands.
     HolderReached,
     /// A request for a model was taken, whether it waits or not.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`workspaces`]: who may use closed routes, and how much; [`freshness`]: until when the
 //!   configuration that says so may be acted on; [`allotment`]: what they have used.
 //! * [`limits`]: what upstreams in need say that they take.
+//! * [`words`]: what upstreams say of themselves in their answers.
 //! * [`headers`]: headers as they were received.
 //! * [`hash`]: a hash that is the same in each process.
 //!
@@ -33,4 +34,5 @@
 pub mod tenure;
 pub mod upstreams;
 pub mod usual_time;
+pub mod words;
 pub mod workspaces;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -4,10 +4,10 @@
 
 use crate::allotment::QuotaBounds;
 use crate::headers::Headers;
-use crate::limits::NamedLimit;
 use crate::placement::policy::PolicyName;
 use crate::routes::RouteTable;
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
+use crate::words::UpstreamWords;
 use crate::workspaces::KeyDigest;
 use bytes::Bytes;
 use passway_types::prelude::*;
@@ -238,8 +238,8 @@
     pub not_run: bool,
     /// Whether another incarnation than the expected one answered.
     pub other_incarnation: bool,
-    /// What the upstream says that it takes.
-    pub limit: NamedLimit,
+    /// What it says of its upstream.
+    pub words: UpstreamWords,
 }
 
 /// The words in which callers and upstreams speak.
@@ -324,13 +324,22 @@
     pub started_at_ms: u64,
 }
 
+/// An engine's answer, and what it says of the engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Said<T> {
+    /// What it answers.
+    pub answer: T,
+    /// What the answer's head says of the engine; nothing without an answer of this engine's.
+    pub words: UpstreamWords,
+}
+
 /// The control side of engines.
 pub trait Engines: Send + Sync {
     /// Gives an order.
-    fn order(&self, address: SocketAddr, order: &EngineOrder) -> OrderAnswer;
+    fn order(&self, address: SocketAddr, order: &EngineOrder) -> Said<OrderAnswer>;
 
-    /// Asks for the state; `None` without an answer.
-    fn report(&self, address: SocketAddr) -> Option<EngineReport>;
+    /// Asks an engine for its state; `None` without an answer.
+    fn report(&self, engine: &UpstreamId, address: SocketAddr) -> Said<Option<EngineReport>>;
 }
 
 /// The settings of one instance.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -1,11 +1,13 @@
 //! Upstreams: what they say of themselves, what this instance saw, and the choice.
 
 mod choice;
+mod departures;
 mod upstream;
 
 use crate::limits::LimitWord;
 use crate::placement::{PlacementDigest, digest};
 pub use choice::{Choice, Wanted};
+use departures::Departures;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -80,6 +82,7 @@
     hall: DataHall,
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<UpstreamId>,
+    departures: Departures,
 }
 
 impl UpstreamTable {
@@ -89,6 +92,7 @@
             hall,
             upstreams: HashMap::new(),
             restarted: Vec::new(),
+            departures: Departures::default(),
         }
     }
 
@@ -192,7 +196,10 @@
         let gone = self
             .upstreams
             .extract_if(|_, upstream| upstream.is_gone(now));
-        gone.map(|(id, _)| id).collect()
+        let gone = gone.map(|(id, _)| id).collect();
+        let upstreams = &self.upstreams;
+        self.departures.expire(|id| upstreams.contains_key(id), now);
+        gone
     }
 
     /// What the holder of the right to order says of an engine's models, which is
@@ -262,6 +269,29 @@
         }
     }
 
+    /// A start of an upstream has said in an answer that it leaves. Returns whether that is news.
+    pub fn note_leaving(&mut self, id: &UpstreamId, started_at_ms: u64, now: Instant) -> bool {
+        self.departures.note(id, started_at_ms, now)
+    }
+
+    /// Upstreams that are known to leave, with their starts in Unix milliseconds by their own clocks.
+    pub fn leaving(&self) -> impl Iterator<Item = (&UpstreamId, u64)> {
+        self.departures.all()
+    }
+
+    /// An upstream has asked this instance for rest until a moment.
+    pub fn note_rest(&mut self, id: &str, until: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.note_rest(until);
+        }
+    }
+
+    /// Upstreams that want nothing from this instance now.
+    pub fn resting(&self, now: Instant) -> usize {
+        let all = self.upstreams.values();
+        all.filter(|one| one.rests_until(now).is_some()).count()
+    }
+
     /// An upstream has said how much it takes. Returns whether that is another limit than before.
     pub fn note_limit(&mut self, id: &str, word: LimitWord) -> bool {
         let upstream = self.upstreams.get_mut(id);
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -45,6 +45,8 @@
     pub(super) gone_at: Option<Instant>,
     /// What it said last of how much it takes; `None` if it never named a limit.
     limit: Option<LimitWord>,
+    /// Until when it wants nothing from this instance; `None` if it never asked for rest.
+    rest_until: Option<Instant>,
 }
 
 impl Upstream {
@@ -64,6 +66,7 @@
             stood: HashSet::new(),
             gone_at: None,
             limit: None,
+            rest_until: None,
         }
     }
 
@@ -90,6 +93,16 @@
         word.per_s != before
     }
 
+    /// It has asked this instance for rest until a moment. Of several rests the one that ends last counts.
+    pub(super) fn note_rest(&mut self, until: Instant) {
+        self.rest_until = self.rest_until.max(Some(until));
+    }
+
+    /// Until when it wants nothing from this instance; `None` if it wants requests.
+    pub(super) fn rests_until(&self, now: Instant) -> Option<Instant> {
+        self.rest_until.filter(|until| now < *until)
+    }
+
     /// Notes what stands here now.
     pub(super) fn note_standing(&mut self) {
         for model in &self.entry.models {
--- a/tests/all/limit_words.rs
+++ b/tests/all/limit_words.rs
@@ -13,7 +13,7 @@
     for value in values {
         headers.push("server-limit", *value);
     }
-    PlatformHeaders.answer(200, &headers, "i-0").limit
+    PlatformHeaders.answer(200, &headers, "i-0").words.limit
 }
 
 #[test]
@@ -102,5 +102,6 @@
         let line = format!("\npassway_instance_limited_upstreams {limited}\n");
         until(&line, || scrape().contains(&line));
     }
-    assert!(scrape().contains("passway_instance_unusable_limits_total 1"));
+    let unusable = "passway_instance_unusable_words_total{word=\"limit\"} 1\n";
+    assert!(scrape().contains(unusable));
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -74,6 +74,7 @@
 mod tenure_faults;
 mod term_begin;
 mod upstream_choice;
+mod upstream_words;
 mod waiting_requests;
 mod workspace_allotments;
 mod workspace_headers;
--- /dev/null
+++ b/tests/all/upstream_words.rs
@@ -0,0 +1,103 @@
+//! What upstreams say of themselves in the heads of their answers: how each word is read, and from where.
+
+use crate::site::{self, ask, list_plain, request, until};
+use passway_instance::Instance;
+use passway_serving::headers::Headers;
+use passway_serving::ports::Vocabulary;
+use passway_serving::words::{NamedLeaving, NamedRest, UpstreamWords};
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_types::prelude::*;
+use passway_users_platform::PlatformHeaders;
+
+fn read(status: u16, lines: &[(&str, &str)]) -> UpstreamWords {
+    let mut headers = Headers::default();
+    for (name, value) in lines {
+        headers.push(name, *value);
+    }
+    PlatformHeaders.answer(status, &headers, "i-0").words
+}
+
+#[test]
+fn read_leaving() {
+    let read = |values: &[&str]| {
+        let lines: Vec<_> = values.iter().map(|v| ("server-leaving", *v)).collect();
+        read(200, &lines).leaving
+    };
+    assert_eq!(read(&[]), NamedLeaving::Absent);
+    assert_eq!(read(&["1"]), NamedLeaving::Leaves);
+    assert_eq!(read(&[" 1 "]), NamedLeaving::Leaves);
+    assert_eq!(read(&["x", "1"]), NamedLeaving::Leaves);
+    for unusable in ["", "0", "true", "11", "1.0", "1,1", "-1"] {
+        assert_eq!(read(&[unusable]), NamedLeaving::Unusable, "{unusable:?}");
+    }
+}
+
+#[test]
+fn read_rest() {
+    let read = |status: u16, values: &[&str]| {
+        let lines: Vec<_> = values.iter().map(|v| ("retry-after", *v)).collect();
+        read(status, &lines).rest
+    };
+    let seconds = |s: f64| NamedRest::For(Duration::from_secs_f64(s));
+    assert_eq!(read(503, &[]), NamedRest::Absent);
+    assert_eq!(read(503, &["3"]), seconds(3.0));
+    assert_eq!(read(429, &["0.25"]), seconds(0.25));
+    assert_eq!(read(503, &["0"]), seconds(0.0));
+    // Of several the longest that can be read.
+    assert_eq!(read(503, &["2", "x", "3.5", "1"]), seconds(3.5));
+    assert_eq!(read(503, &["1e300"]), NamedRest::For(Duration::MAX));
+    for unusable in ["", "-1", "NaN", "inf", "3 s", "soon"] {
+        assert_eq!(read(503, &[unusable]), NamedRest::Unusable, "{unusable:?}");
+    }
+    // Only who turns a request away asks for rest.
+    for status in [200, 202, 404, 421, 500, 504] {
+        assert_eq!(read(status, &["3"]), NamedRest::Absent, "{status}");
+    }
+}
+
+/// A date counts from when the upstream answered by its own clock, however wrong that is.
+#[test]
+fn read_rest_as_date() {
+    let until = ("Retry-After", "Sun, 06 Nov 1994 08:49:40 GMT");
+    let at = |second: &str| format!("Sun, 06 Nov 1994 08:49:{second} GMT");
+    let rest = |date: &str| read(503, &[("Date", date), until]).rest;
+    assert_eq!(rest(&at("37")), NamedRest::For(Duration::from_secs(3)));
+    assert_eq!(rest(&at("41")), NamedRest::For(Duration::ZERO));
+    // It is long past by this machine's clock.
+    assert_eq!(read(503, &[until]).rest, NamedRest::For(Duration::ZERO));
+}
+
+fn scrape(instance: &Instance) -> String {
+    let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let answer = ask(instance.ready_address(), question);
+    answer.expect("metrics").body
+}
+
+/// An instance's metrics show what it has heard, from a refusal too, and what it could not read.
+#[test]
+fn shown_in_metrics() {
+    let server = RawServer::start(|received| {
+        let id = received.header("request-id").unwrap_or_default();
+        let lines = "Server-Leaving: 1\r\nRetry-After: 60\r\nServer-Limit: x\r\n";
+        let text = format!(
+            "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n{lines}Content-Length: 0\r\n\r\n"
+        );
+        vec![Step::Send(text.into_bytes())]
+    });
+    let store = site::store(&[]);
+    list_plain(&store, "i-0", server.address, "ready");
+    let instance = site::ready("one", &store);
+    let shows = |line: &str| scrape(&instance).contains(line);
+    assert!(shows("\npassway_instance_leaving_upstreams 0\n"));
+    assert!(shows("\npassway_instance_resting_upstreams 0\n"));
+    let bytes = request("GET", "/read/", "id", "", "");
+    ask(instance.callers_address(), &bytes);
+    for line in ["leaving_upstreams 1\n", "resting_upstreams 1\n"] {
+        let line = format!("\npassway_instance_{line}");
+        until(&line, || shows(&line));
+    }
+    assert!(!shows("\npassway_instance_rests_total 0\n"));
+    assert!(!shows(
+        "passway_instance_unusable_words_total{word=\"limit\"} 0\n"
+    ));
+}
