Red: upstreams that leave or ask for rest by their answers get requests as before

Two plain servers, both listed as ready, one of which begins to say that it leaves: 36 of 60 requests reach it afterwards (1 is allowed, the one that heard it).

--- /dev/null
+++ b/tests/all/saying.rs
@@ -0,0 +1,76 @@
+//! A plain server that says of itself what it is told to say, and what reaches it.
+
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_types::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+/// What a server answers.
+#[derive(Debug, Clone, Copy)]
+pub struct Saying {
+    /// The status; 503 and 429 have not run.
+    pub status: u16,
+    /// Lines of the head besides.
+    pub lines: &'static str,
+}
+
+/// It answers well and says nothing of itself.
+pub const WELL: Saying = Saying {
+    status: 200,
+    lines: "",
+};
+
+/// The server.
+pub struct SayingServer {
+    pub raw: RawServer,
+    saying: Arc<Mutex<Saying>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl SayingServer {
+    /// One that answers well.
+    pub fn start() -> Self {
+        let saying = Arc::new(Mutex::new(WELL));
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let (said, seen) = (saying.clone(), arrivals.clone());
+        let raw = RawServer::start(move |received| {
+            seen.lock().expect("arrivals").push(Instant::now());
+            let Saying { status, lines } = *said.lock().expect("what it says");
+            let id = received.header("request-id").unwrap_or_default();
+            let more = if [429, 503].contains(&status) {
+                "Not-Executed: 1\r\n"
+            } else {
+                "Response-Seal: s\r\n"
+            };
+            let text = format!(
+                "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\n{more}{lines}Content-Length: 0\r\n\r\n"
+            );
+            vec![Step::Send(text.into_bytes())]
+        });
+        Self {
+            raw,
+            saying,
+            arrivals,
+        }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.raw.address
+    }
+
+    /// From now on it answers so.
+    pub fn says(&self, saying: Saying) {
+        *self.saying.lock().expect("what it says") = saying;
+    }
+
+    /// When requests reached it.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().expect("arrivals").clone()
+    }
+
+    /// How many have.
+    pub fn count(&self) -> usize {
+        self.arrivals().len()
+    }
+}
