Upstreams that say in an answer that they leave get nothing more, from any instance

Callers saw nothing; upstreams got requests seconds after an answer had said that they leave (DRAIN, 2,157 and 3,913 ms). Cause: leaving was known from the store's entry alone, and the store was away from 6 to 20 s. Evidence: arrivals without a gap, all first offers, no store answer (against the hypothesis of a word that was lost again or a way past it). Change, one knowledge and one door. A start that leaves, by an answer of any kind, a report, an answer to an order or its entry, is kept apart from entries (departures.rs): entries lapse and come back as they were while the store is away. What one instance hears the holder tells all, with the limits' words; the planner counts the engine as leaving, so that its models come elsewhere, and wants no adapters there. A request is sent by a permit that only the door makes, which looks again at what the upstream has said since it was chosen: leaving, and a limit that it names since.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -336,7 +336,7 @@
             | Body::Dispatchers(_)
             | Body::Promise(_)
             | Body::Suspects(_)
-            | Body::Limits(_) => {}
+            | Body::Words(_) => {}
         }
     }
 
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -87,8 +87,11 @@
     fn decode(&mut self, value: &StoredValue) -> Option<UpstreamEntry> {
         let entry = self.directory.upstream(value, clock::now());
         match entry.and_then(|entry| self.of_its_service(entry)) {
-            Ok(entry) => {
+            Ok(mut entry) => {
                 self.unusable.remove(&value.key);
+                let upstreams = self.shared.upstreams();
+                entry.draining |= upstreams.leaves(&entry.id, entry.started_at_ms);
+                drop(upstreams);
                 Some(entry)
             }
             Err(error) => {
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -4,7 +4,8 @@
 //! * [`waiting`]: waiting for an upstream and choosing it.
 //! * [`refusing`]: the answer when nothing more can be tried.
 //! * [`attempt`], [`exchange`]: what happens within one attempt. [`suspect`]: whether the
-//!   request crashes what runs it. [`limits`]: what upstreams say that they take.
+//!   request crashes what runs it. [`limits`]: a turn at upstreams in need. [`door`]: the last look
+//!   before a request leaves.
 //!
 //! What an attempt tells decides what may follow. A request that was not run may go
 //! to another upstream whatever its kind. One that may have run goes to another only
@@ -13,6 +14,7 @@
 mod access;
 mod attempt;
 mod destination;
+mod door;
 mod exchange;
 mod limits;
 mod refusing;
@@ -285,7 +287,7 @@
                 }
                 // What is full now may have room in a moment.
                 Attempt::NotRun(Outcome::Shed) => self.tried.clear(),
-                Attempt::NotRun(_) | Attempt::NotSent => {}
+                Attempt::NotRun(_) | Attempt::NotSent | Attempt::Unwanted => {}
                 Attempt::Broken => {
                     self.runs += 1;
                     self.run_broke(&target, start);
@@ -343,7 +345,9 @@
         let attempt = self.exchange(target);
         let outcome = match &attempt {
             Attempt::Answered(_) => Outcome::Answered,
-            Attempt::CallerGone | Attempt::Ending | Attempt::Denied(_) => Outcome::Unknown,
+            Attempt::CallerGone | Attempt::Ending | Attempt::Denied(_) | Attempt::Unwanted => {
+                Outcome::Unknown
+            }
             Attempt::NotRun(outcome) => *outcome,
             Attempt::NotSent => Outcome::Unreachable,
             Attempt::Broken | Attempt::Failed(_) | Attempt::TimedOut => Outcome::Failed,
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -21,6 +21,8 @@
     NotRun(Outcome),
     /// No connection could be made, so nothing of it was sent.
     NotSent,
+    /// The upstream has said meanwhile that it does not want it; nothing of it was sent.
+    Unwanted,
     /// It may have run; the answer broke off or was no answer.
     Broken,
     /// The upstream failed and says so.
@@ -55,6 +57,8 @@
     pub(super) address: SocketAddr,
     /// When it had started when it was chosen, in Unix milliseconds by its own clock; 0 if it does not tell.
     pub(super) started_at_ms: u64,
+    /// Whether the count of all instances has given it a turn there.
+    pub(super) has_turn: bool,
     /// The run's number, where engines have dispatchers.
     pub(super) run: Option<RunId>,
 }
@@ -72,7 +76,10 @@
 impl Attempt {
     /// Whether an upstream may have run the request.
     pub(super) fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotRun(_) | Self::NotSent | Self::Denied(_))
+        !matches!(
+            self,
+            Self::NotRun(_) | Self::NotSent | Self::Unwanted | Self::Denied(_)
+        )
     }
 
     pub(super) fn name(&self) -> &'static str {
@@ -81,6 +88,7 @@
             Self::CallerGone => "caller gone",
             Self::NotRun(_) => "not run",
             Self::NotSent => "not sent",
+            Self::Unwanted => "unwanted",
             Self::Denied(_) => "denied",
             Self::Broken => "broken",
             Self::Failed(_) => "failed",
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -4,6 +4,7 @@
 //! upstream may still answer. A stream is passed on as its events come; only whole
 //! events go out, so that another upstream can go on behind the last of them.
 
+use super::door::Permit;
 use super::{After, Attempt, FailedAnswer, Forwarding, Target, after};
 use crate::http1::{
     self, AnswerHead, BodyPart, BodyReader, Connection, HttpError, Wrote, encode_head,
@@ -87,7 +88,7 @@
         }
         self.question = self.shared.dispatch.next_run();
         let next = self.choose(now).ok();
-        self.next = next.filter(|next| self.takes_turn(next));
+        self.next = next.and_then(|next| self.with_turn(next));
         self.next.is_some()
     }
 
@@ -132,7 +133,10 @@
         if let Err(denied) = self.check_access() {
             return Attempt::Denied(denied);
         }
-        let wrote = match self.send(target, &mut upstream) {
+        let Some(permit) = self.permit(target) else {
+            return Attempt::Unwanted;
+        };
+        let wrote = match self.send(target, permit, &mut upstream) {
             Ok(wrote) => wrote,
             Err(ended) => return ended,
         };
@@ -146,7 +150,12 @@
     }
 
     /// Writes the request; the error says how the attempt ended.
-    fn send(&mut self, target: &Target, upstream: &mut Connection) -> Result<Wrote, Attempt> {
+    fn send(
+        &mut self,
+        target: &Target,
+        _permit: Permit,
+        upstream: &mut Connection,
+    ) -> Result<Wrote, Attempt> {
         let bytes = self.request_bytes(target);
         let until = self.deadline_at;
         let wrote = http1::write_all(upstream, &bytes, true, Some(self.caller), until);
--- a/crates/instance/src/forward/limits.rs
+++ b/crates/instance/src/forward/limits.rs
@@ -25,18 +25,20 @@
 }
 
 impl Forwarding<'_> {
-    /// Whether the request may go to an upstream that was chosen for it. All ways to an upstream lead
-    /// through here, whatever the request was before: first tries, repeats, streams that go on elsewhere,
-    /// and requests that were waiting when the upstream named its limit.
-    pub(super) fn takes_turn(&mut self, target: &Target) -> bool {
+    /// The upstream that was chosen for the request, with a turn if it names a limit; `None` if the request's
+    /// turn has not come.
+    pub(super) fn with_turn(&mut self, mut target: Target) -> Option<Target> {
         let limit = self.shared.upstreams().limit_per_s(&target.id);
         let Some(per_s) = limit else {
-            return true;
+            return Some(target);
         };
         let turn = self.shared.limits.ask(self.shared, &target.id, per_s);
         self.shared.metrics.turn(turn);
         let (pause, is_counted) = match turn {
-            Turn::Now => return true,
+            Turn::Now => {
+                target.has_turn = true;
+                return Some(target);
+            }
             Turn::After(pause) => (pause, true),
             Turn::Unknown => (UNCOUNTED_STEP, false),
         };
@@ -53,7 +55,7 @@
                 .dispatch
                 .ended(self.shared, run, Outcome::Unknown);
         }
-        false
+        None
     }
 
     /// Upstreams in need that do not take the request yet.
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -45,9 +45,11 @@
             self.shared.metrics.choice();
             let seen = self.shared.changes_seen();
             let choice = match self.choose(now) {
-                Ok(target) if self.takes_turn(&target) => return Some(target),
-                Ok(_) if !self.has_asked_enough(now) => continue,
-                Ok(_) => Choice::Absent,
+                Ok(target) => match self.with_turn(target) {
+                    Some(target) => return Some(target),
+                    None if !self.has_asked_enough(now) => continue,
+                    None => Choice::Absent,
+                },
                 Err(choice) => choice,
             };
             let turn_at = self.turn_at(now);
@@ -179,6 +181,7 @@
                     started_at_ms: self.shared.upstreams().started_at_ms(&id),
                     id,
                     address,
+                    has_turn: false,
                     run: told.run,
                 }),
                 none => Err(none),
@@ -191,6 +194,7 @@
                 started_at_ms: upstreams.started_at_ms(&id),
                 id,
                 address,
+                has_turn: false,
             }),
             none => Err(none),
         }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -30,7 +30,7 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
-use passway_wire::message::{Needs, Promise, PromiseWanted, Subscribe, Wish};
+use passway_wire::message::{Needs, Promise, PromiseWanted, Subscribe, Wish, Words};
 use peers::accept;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
@@ -88,6 +88,7 @@
         doubtful: BTreeSet::new(),
         told_breaks: BTreeMap::new(),
         told_limits: BTreeMap::new(),
+        told_leaving: BTreeMap::new(),
         dispatchers: Vec::new(),
         roster: Roster::default(),
         begun_at: clock::now(),
@@ -124,6 +125,8 @@
     told_breaks: BTreeMap<UpstreamStart, Instant>,
     /// Limits of upstreams in need, as was told last.
     told_limits: BTreeMap<UpstreamId, f64>,
+    /// Starts of upstreams that leave, as was told.
+    told_leaving: BTreeMap<UpstreamId, u64>,
     /// Who dispatches for engines.
     dispatchers: Vec<Candidate>,
     /// Who has been told of which members.
@@ -218,7 +221,7 @@
             Input::TermBegun => {}
             Input::Succeeded(holder) => self.heard_of.keep(holder, now),
             Input::Suspects(told) => self.tell_suspects(told),
-            Input::Limits(told) => self.tell_limits(told),
+            Input::Words(told) => self.tell_words(told),
             Input::Promised(promise) => self.promised(&promise),
             Input::Heard(entry) => self.planner.heard(entry, now),
             Input::Listed(ids) => self.planner.retain(&ids),
@@ -261,9 +264,9 @@
         self.send_heartbeats([number], 0);
         let suspects = self.shared.poison.suspects(TOLD_CRASHES);
         self.send_to(number, &Body::Suspects(suspects));
-        let limits = words::encode(&self.shared, None);
-        if !limits.limits.is_empty() {
-            self.send_to(number, &Body::Limits(limits));
+        let said = words::encode(&self.shared, None);
+        if said != Words::default() {
+            self.send_to(number, &Body::Words(said));
         }
         let known = subscribe.placements.iter().copied().collect();
         let lacking = self.planner.placements_unlike(&known);
@@ -397,6 +400,7 @@
             self.fence = fence;
             self.candidates = Candidates::default();
             self.told_limits.clear();
+            self.told_leaving.clear();
             self.roster = Roster::default();
             self.dispatchers = self.shared.dispatch.list();
             self.instances = InstanceCount::begin(clock::now());
--- a/crates/instance/src/holder/peers.rs
+++ b/crates/instance/src/holder/peers.rs
@@ -9,7 +9,7 @@
 use passway_serving::tenure::Holder;
 use passway_serving::upstreams::UpstreamEntry;
 use passway_types::prelude::*;
-use passway_wire::message::{Limits, Needs, Promise, Subscribe, Suspects};
+use passway_wire::message::{Needs, Promise, Subscribe, Suspects, Words};
 use passway_wire::{Body, Link, LinkReader};
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
@@ -32,7 +32,7 @@
     /// An instance knows of requests under which upstreams crashed.
     Suspects(Suspects),
     /// An instance knows how much upstreams take.
-    Limits(Limits),
+    Words(Words),
     /// A candidate promises not to take the right to order.
     Promised(Promise),
     /// An upstream has said something of itself.
@@ -86,7 +86,7 @@
             },
             Body::Promise(promise) => Input::Promised(promise),
             Body::Suspects(suspects) => Input::Suspects(suspects),
-            Body::Limits(told) => Input::Limits(told),
+            Body::Words(told) => Input::Words(told),
             _ => continue,
         };
         let _ = inputs.send(input);
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -12,7 +12,7 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::{
-    EnginePlacement, Limits, News, Placements, Resident, Successor, Suspects,
+    EnginePlacement, News, Placements, Resident, Successor, Suspects, Words,
 };
 use passway_wire::{Body, Frame};
 use std::collections::BTreeSet;
@@ -121,33 +121,51 @@
         }
     }
 
-    /// Joins in what an instance knows of upstreams' limits, and tells all what is news: whoever has
+    /// Joins in what upstreams said of themselves to an instance, and tells all what is news: whoever has
     /// not heard it from the upstream itself sends there as before.
-    pub(super) fn tell_limits(&mut self, told: Limits) {
+    pub(super) fn tell_words(&mut self, told: Words) {
         let mut named = words::join(&self.shared, told);
-        let upstreams = self.shared.upstreams();
         named.retain(|id| {
-            let before = self.told_limits.get(id).copied();
-            let now = upstreams.limit_per_s(id);
-            self.planner.set_limit(id, now);
-            let is_news = match (before, now) {
-                (Some(before), Some(now)) => (now - before).abs() > TOLD_CHANGE_PART * before,
-                (before, now) => before.is_some() != now.is_some(),
-            };
-            match now {
-                Some(per_s) if is_news => drop(self.told_limits.insert(id.clone(), per_s)),
-                Some(_) => {}
-                None => drop(self.told_limits.remove(id)),
-            }
-            is_news
+            // Both are taken in.
+            let limits = self.take_limit(id);
+            let leaves = self.take_leaving(id);
+            limits || leaves
         });
-        drop(upstreams);
         if self.fence.is_some() && !named.is_empty() {
-            let body = Body::Limits(words::encode(&self.shared, Some(&named)));
+            let body = Body::Words(words::encode(&self.shared, Some(&named)));
             send_to_all(self.peers.values(), body);
         }
     }
 
+    /// Takes in how much an upstream takes. Returns whether that is to be told.
+    fn take_limit(&mut self, id: &UpstreamId) -> bool {
+        let before = self.told_limits.get(id).copied();
+        let now = self.shared.upstreams().limit_per_s(id);
+        self.planner.set_limit(id, now);
+        let is_news = match (before, now) {
+            (Some(before), Some(now)) => (now - before).abs() > TOLD_CHANGE_PART * before,
+            (before, now) => before.is_some() != now.is_some(),
+        };
+        match now {
+            Some(per_s) if is_news => drop(self.told_limits.insert(id.clone(), per_s)),
+            Some(_) => {}
+            None => drop(self.told_limits.remove(id)),
+        }
+        is_news
+    }
+
+    /// Takes in that an upstream leaves, if it does. Returns whether that is to be told.
+    fn take_leaving(&mut self, id: &UpstreamId) -> bool {
+        let upstreams = self.shared.upstreams();
+        let known = upstreams.leaving().find(|(leaving, _)| *leaving == id);
+        let Some((_, started_at_ms)) = known else {
+            return false;
+        };
+        drop(upstreams);
+        self.planner.set_leaving(id, started_at_ms);
+        self.told_leaving.insert(id.clone(), started_at_ms) != Some(started_at_ms)
+    }
+
     /// Chooses who dispatches for engines, and tells all if that has changed. Until the fleet
     /// has come the ones before stay, or none.
     pub(super) fn tell_dispatchers(&mut self, instances: Option<usize>) {
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -16,7 +16,7 @@
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{
-    EnginePlacement, Needs, Promise, PromiseWanted, Running, Subscribe, Wish,
+    EnginePlacement, Needs, Promise, PromiseWanted, Running, Subscribe, Wish, Words,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -296,7 +296,7 @@
                         shared.poison.join(told);
                     }
                 }
-                Dialed::Received(Body::Limits(told)) => {
+                Dialed::Received(Body::Words(told)) => {
                     drop(link);
                     words::join(&shared, told);
                 }
@@ -380,8 +380,8 @@
             suspects = self.shared.poison.suspects(1);
             said = words::encode(&self.shared, None);
         }
-        if !said.limits.is_empty() {
-            outbox.send(Body::Limits(said));
+        if said != Words::default() {
+            outbox.send(Body::Words(said));
         }
         suspects.breaks = poison::encode_breaks(&std::mem::take(&mut self.breaks));
         if !suspects.suspects.is_empty() || !suspects.breaks.is_empty() {
--- a/crates/instance/src/words.rs
+++ b/crates/instance/src/words.rs
@@ -11,7 +11,7 @@
 use passway_serving::words::{NamedLeaving, NamedRest, UpstreamWords};
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::{Limits as Told, UpstreamLimit};
+use passway_wire::message::{LeavingUpstream, UpstreamLimit, Words};
 
 /// Longest rest that is kept: one request in this time finds out whether the upstream still wants it, so
 /// that a figure that is wrong does not take an upstream away for good.
@@ -37,8 +37,8 @@
         shared.metrics.unusable_word(word);
     }
     hear_limit(shared, heard);
-    if words.leaving == NamedLeaving::Leaves {
-        leaves(shared, start);
+    if words.leaving == NamedLeaving::Leaves && leaves(shared, start) {
+        shared.tell(Need::Word(start.upstream.clone()));
     }
     if let NamedRest::For(rest) = words.rest {
         rests(shared, start, rest);
@@ -70,6 +70,7 @@
     drop(upstreams);
     if is_news {
         log::info!(target: DECISION_TARGET, upstream:% = start.upstream; "an upstream says that it leaves");
+        shared.upstreams_changed();
     }
     is_news
 }
@@ -106,28 +107,34 @@
 }
 
 /// The words of some upstreams, or of all that have said something, as they are told.
-pub fn encode(shared: &Shared, named: Option<&[UpstreamId]>) -> Told {
+pub fn encode(shared: &Shared, named: Option<&[UpstreamId]>) -> Words {
     if named.is_some_and(<[UpstreamId]>::is_empty) {
-        return Told::default();
+        return Words::default();
     }
     let now = clock::now();
     let upstreams = shared.upstreams();
-    let words = upstreams.limit_words();
-    let words = words.filter(|(id, ..)| named.is_none_or(|named| named.contains(id)));
-    let limits = words.map(|(id, started_at_ms, word)| UpstreamLimit {
+    let is_named = |id: &UpstreamId| named.is_none_or(|named| named.contains(id));
+    let limits = upstreams.limit_words().filter(|(id, ..)| is_named(id));
+    let limits = limits.map(|(id, started_at_ms, word)| UpstreamLimit {
         upstream: id.to_string(),
         started_at_ms,
         per_s: word.per_s,
         sent_ms_ago: millis_since(word.sent_at, now),
         heard_ms_ago: millis_since(word.heard_at, now),
     });
-    Told {
+    let leaving = upstreams.leaving().filter(|(id, _)| is_named(id));
+    let leaving = leaving.map(|(id, started_at_ms)| LeavingUpstream {
+        upstream: id.to_string(),
+        started_at_ms,
+    });
+    Words {
         limits: limits.collect(),
+        leaving: leaving.collect(),
     }
 }
 
 /// Takes in what another instance tells. Returns the upstreams that it tells of.
-pub fn join(shared: &Shared, told: Told) -> Vec<UpstreamId> {
+pub fn join(shared: &Shared, told: Words) -> Vec<UpstreamId> {
     let now = clock::now();
     let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
     let mut named = Vec::new();
@@ -149,5 +156,13 @@
         note_limit(shared, &start, word);
         named.push(start.upstream);
     }
+    for told in told.leaving {
+        let start = UpstreamStart {
+            upstream: UpstreamId::from(told.upstream),
+            started_at_ms: told.started_at_ms,
+        };
+        leaves(shared, &start);
+        named.push(start.upstream);
+    }
     named
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -330,6 +330,16 @@
         }
     }
 
+    /// A start of an engine leaves, as it said in an answer.
+    pub fn set_leaving(&mut self, id: &UpstreamId, started_at_ms: u64) {
+        if let Some(engine) = self.engines.get_mut(id)
+            && engine.entry.started_at_ms == started_at_ms
+        {
+            engine.leaves();
+            self.changed.insert(id.clone());
+        }
+    }
+
     /// Whether placements have changed since they were taken last.
     pub fn has_changed(&self) -> bool {
         !self.changed.is_empty()
--- a/crates/serving/src/placement/engine/reports.rs
+++ b/crates/serving/src/placement/engine/reports.rs
@@ -32,16 +32,16 @@
         }
         if entry.beat < self.entry.beat {
             // An older check-in that came late; only leaving is final.
-            self.entry.draining |= entry.draining;
+            if entry.draining {
+                self.leaves();
+            }
             return;
         }
-        if entry.draining {
-            // Whatever comes to it, that is not why it ends.
-            self.loading = None;
-        }
-        let was_draining = self.entry.draining;
+        let leaves = entry.draining || self.entry.draining;
         self.entry = entry;
-        self.entry.draining |= was_draining;
+        if leaves {
+            self.leaves();
+        }
         if self.orders_taken.is_none() && self.under_way.is_none() {
             self.models.clone_from(&self.entry.models);
         }
@@ -54,6 +54,14 @@
         }
     }
 
+    /// It says that it leaves, which is final for its start: nothing is brought to it any more.
+    pub(in crate::placement) fn leaves(&mut self) {
+        self.entry.draining = true;
+        self.adapters_wanted.clear();
+        // Whatever comes to it, that is not why it ends.
+        self.loading = None;
+    }
+
     /// Whether the entry shows the models that stand here after an order and nothing else.
     fn is_effect_of(&self, order: &PlannedOrder) -> bool {
         let others = self.models.iter().filter(|m| m.name != order.wish.model);
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -108,7 +108,12 @@
 
     /// An upstream has said something of itself. Returns whether more has changed than
     /// the models that stand on it.
-    pub fn update(&mut self, entry: UpstreamEntry, now: Instant) -> bool {
+    pub fn update(&mut self, mut entry: UpstreamEntry, now: Instant) -> bool {
+        if entry.draining {
+            let _ = self.departures.note(&entry.id, entry.started_at_ms, now);
+        }
+        // Leaving is final for a start, whatever a word says that is older or does not know it yet.
+        entry.draining = self.leaves(&entry.id, entry.started_at_ms);
         let Some(known) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
             self.upstreams.insert(id, Upstream::new(entry, now));
@@ -134,8 +139,6 @@
         if known.entry.models != entry.models {
             known.absent_until.clear();
         }
-        // Leaving is final for an incarnation, whatever an older word says.
-        let was_draining = known.entry.draining;
         let more = returned
             || known.entry.service != entry.service
             || known.entry.address != entry.address
@@ -143,7 +146,6 @@
             || known.entry.draining != entry.draining
             || known.entry.gone_at.is_some() != entry.gone_at.is_some();
         known.entry = entry;
-        known.entry.draining |= was_draining;
         known.note_standing();
         more
     }
@@ -271,7 +273,19 @@
 
     /// A start of an upstream has said in an answer that it leaves. Returns whether that is news.
     pub fn note_leaving(&mut self, id: &UpstreamId, started_at_ms: u64, now: Instant) -> bool {
-        self.departures.note(id, started_at_ms, now)
+        let is_news = self.departures.note(id, started_at_ms, now);
+        let leaves = self.leaves(id, started_at_ms);
+        if let Some(upstream) = self.upstreams.get_mut(id)
+            && upstream.entry.started_at_ms == started_at_ms
+        {
+            upstream.entry.draining |= leaves;
+        }
+        is_news
+    }
+
+    /// Whether a start of an upstream has said that it leaves, in an answer or in its entry.
+    pub fn leaves(&self, id: &str, started_at_ms: u64) -> bool {
+        self.departures.leaves(id, started_at_ms)
     }
 
     /// Upstreams that are known to leave, with their starts in Unix milliseconds by their own clocks.
@@ -279,6 +293,12 @@
         self.departures.all()
     }
 
+    /// Whether a start of an upstream wants requests of this instance, as far as it has said. One that is not
+    /// listed any more may serve on.
+    pub fn wants(&self, id: &str, started_at_ms: u64) -> bool {
+        !self.leaves(id, started_at_ms)
+    }
+
     /// An upstream has asked this instance for rest until a moment.
     pub fn note_rest(&mut self, id: &str, until: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/serving/src/upstreams/departures.rs
+++ b/crates/serving/src/upstreams/departures.rs
@@ -34,6 +34,12 @@
         true
     }
 
+    /// Whether a start has said that it leaves.
+    pub(super) fn leaves(&self, id: &str, started_at_ms: u64) -> bool {
+        let known = self.0.get(id);
+        known.is_some_and(|known| known.started_at_ms == started_at_ms)
+    }
+
     /// All of them: the upstream and its start.
     pub(super) fn all(&self) -> impl Iterator<Item = (&UpstreamId, u64)> {
         self.0.iter().map(|(id, known)| (id, known.started_at_ms))
--- a/crates/standins/src/platform/documents.rs
+++ b/crates/standins/src/platform/documents.rs
@@ -45,9 +45,15 @@
         "plain_tokens": 200, "rate_per_s": tokens_per_s, "burst": tokens_per_s})
 }
 
+/// The entry of a plain server that is ready.
+pub fn plain_entry(address: SocketAddr) -> Value {
+    json!({"service": "plain", "address": address.to_string(), "zone": "hall0",
+        "version": "v1", "slots": 6, "state": "ready", "sequence": 1, "cold_left_ms": 0})
+}
+
 /// Lists a plain server.
 pub fn list_plain(store: &MetadataStandIn, id: &str, address: SocketAddr, state: &str) {
-    let entry = json!({"service": "plain", "address": address.to_string(), "zone": "hall0",
-        "version": "v1", "slots": 6, "state": state, "sequence": 1, "cold_left_ms": 0});
+    let mut entry = plain_entry(address);
+    entry["state"] = state.into();
     store.put(&format!("servers/{id}"), &entry);
 }
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -29,6 +29,10 @@
     pub crashes_on: Option<String>,
     /// Names so many requests a second as what it takes.
     pub limit_per_s: Option<f64>,
+    /// Says in all of its answers that it leaves.
+    pub leaves: bool,
+    /// Turns requests away, and asks for so many seconds of rest.
+    pub rest_s: Option<f64>,
     /// A crash leaves its port open, whose connections are closed for so long; then it starts again
     /// under its id.
     pub restarts_after: Option<Duration>,
@@ -66,6 +70,9 @@
     over_limit: u32,
     runs: Vec<String>,
     run_at: Vec<Instant>,
+    turned_away_at: Vec<Instant>,
+    /// When orders and questions for its state came.
+    asked_at: Vec<Instant>,
     /// Bodies of the requests under which it crashed and started again.
     restarts: Vec<String>,
     down_until: Option<Instant>,
@@ -200,6 +207,16 @@
         self.state().run_at.clone()
     }
 
+    /// When it turned requests away.
+    pub fn turned_away_at(&self) -> Vec<Instant> {
+        self.state().turned_away_at.clone()
+    }
+
+    /// When orders and questions for its state came.
+    pub fn asked_at(&self) -> Vec<Instant> {
+        self.state().asked_at.clone()
+    }
+
     /// Bodies of the requests under which it crashed and started again.
     pub fn restarts(&self) -> Vec<String> {
         self.state().restarts.clone()
@@ -238,10 +255,12 @@
             return answer(421, &id, "", &format!("Instance-Id: {}\r\n", self.id));
         }
         if received.line().starts_with("GET /report ") {
-            let state = self.state();
+            let mut state = self.state();
             let report = json!({"models": models(&state), "in_flight": false,
                 "born": born(&state), "sequence": state.taken.len(), "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
-            return answer(200, &id, &report.to_string(), "");
+            state.asked_at.push(Instant::now());
+            let said = words(&state.faults);
+            return answer(200, &id, &report.to_string(), &said);
         }
         if received.line().starts_with("POST /order ") {
             return self.order(received, &id);
@@ -289,13 +308,15 @@
                 }
             }
         }
+        state.asked_at.push(Instant::now());
+        let said = words(&state.faults);
         let lost = std::mem::take(&mut state.faults.loses_answer);
         drop(state);
         self.list("ready");
         if lost {
             return vec![Step::Close];
         }
-        answer(202, id, "", "")
+        answer(202, id, "", &said)
     }
 
     fn stream(&self, received: &Received, id: &str) -> Vec<Step> {
@@ -305,8 +326,15 @@
         let stands = state.models.iter().any(|(name, adapters)| {
             name == model && (adapter.is_empty() || adapters.iter().any(|known| known == adapter))
         });
+        let said = words(&state.faults);
+        if let Some(rest_s) = state.faults.rest_s {
+            let more = format!("Not-Executed: 1\r\nRetry-After: {rest_s}\r\n{said}");
+            state.turned_away_at.push(Instant::now());
+            return answer(503, id, "", &more);
+        }
         if !stands {
-            return answer(421, id, "", "Not-Executed: 1\r\n");
+            let more = format!("Not-Executed: 1\r\n{said}");
+            return answer(421, id, "", &more);
         }
         state.runs.push(id.to_owned());
         state.run_at.push(Instant::now());
@@ -324,15 +352,13 @@
         let silent_after = state.faults.silent_after.take();
         let pause_after = state.faults.pause_after.take();
         let event_pause = state.faults.event_pause;
-        let limit = state.faults.limit_per_s;
-        let limit = limit.map_or_else(String::new, |per_s| format!("Server-Limit: {per_s}\r\n"));
         drop(state);
         let from = received
             .header("last-event-id")
             .and_then(|text| text.parse().ok());
         let from: u64 = from.unwrap_or(0);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\n{limit}Response-Seal: seal-{}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\n{said}Response-Seal: seal-{}\r\n\r\n",
             self.id
         );
         let mut steps = vec![Step::Send(head.into_bytes())];
@@ -367,6 +393,14 @@
     format!("id: {number}\ndata: token{number}\n\n")
 }
 
+/// What all of its answers say of it.
+fn words(faults: &Faults) -> String {
+    let limit = faults.limit_per_s;
+    let limit = limit.map(|per_s| format!("Server-Limit: {per_s}\r\n"));
+    let leaving = faults.leaves.then(|| "Server-Leaving: 1\r\n".to_owned());
+    limit.into_iter().chain(leaving).collect()
+}
+
 /// Unix milliseconds of its start, as far as is told: it counts its starts.
 fn born(state: &State) -> u64 {
     FIRST_START_MS + u64::try_from(state.restarts.len()).unwrap_or(0)
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -83,9 +83,9 @@
     /// Requests under which upstreams have crashed.
     #[prost(message, tag = "22")]
     Suspects(Suspects),
-    /// How much upstreams in need say that they take.
+    /// What upstreams say of themselves in their answers.
     #[prost(message, tag = "23")]
-    Limits(Limits),
+    Words(Words),
 }
 
 /// What an upstream said of how much it takes.
@@ -108,12 +108,26 @@
     pub heard_ms_ago: u64,
 }
 
-/// What upstreams said of how much they take, as far as the sender knows.
+/// A start of an upstream that leaves.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LeavingUpstream {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// When it had started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+}
+
+/// What upstreams said of themselves in their answers, as far as the sender knows.
 #[derive(Clone, PartialEq, Message)]
-pub struct Limits {
-    /// The upstreams.
+pub struct Words {
+    /// How much they take.
     #[prost(message, repeated, tag = "1")]
     pub limits: Vec<UpstreamLimit>,
+    /// Those that leave.
+    #[prost(message, repeated, tag = "2")]
+    pub leaving: Vec<LeavingUpstream>,
 }
 
 /// A holder of the right to order that the store does not answer asks a candidate to
--- a/tests/all/leaving_upstreams.rs
+++ b/tests/all/leaving_upstreams.rs
@@ -1,9 +1,17 @@
 //! Upstreams that say in their answers that they leave get nothing more from whoever has heard it.
 
 use crate::saying::{Saying, SayingServer, WELL};
-use crate::site::{self, ask, list_plain, request};
+use crate::site::{self, ask, list_plain, request, stream, until};
 use passway_instance::Instance;
+use passway_standins::platform::documents::plain_entry;
+use passway_standins::platform::model_server::{Faults, ModelServer};
 use passway_standins::platform::store::MetadataStandIn;
+use passway_types::prelude::*;
+
+/// After this an upstream whose entry is missing is forgotten.
+const GONE_TIME: Duration = Duration::from_secs(4);
+/// Within this an instance has heard of an entry.
+const HEARD_TIME: Duration = Duration::from_secs(1);
 
 const LEAVES: Saying = Saying {
     status: 200,
@@ -50,3 +58,114 @@
         );
     }
 }
+
+/// Whatever an answer is, its word counts: a refusal, a failure, one of a request that may run once.
+#[test]
+fn word_in_any_answer() {
+    for status in [200, 404, 429, 500, 503] {
+        let (leaving, staying) = (SayingServer::start(), SayingServer::start());
+        let (_store, instances) = before(&[&leaving, &staying], &["one"]);
+        leaving.says(Saying { status, ..LEAVES });
+        send(&instances[0], "/read/", "id", 40);
+        assert_eq!(leaving.count(), 1, "{status}");
+    }
+}
+
+/// The word stands on a stream's head, and the stream goes on to its end.
+#[test]
+fn word_on_stream() {
+    let store = site::store(&["m0"]);
+    let engine = |id| ModelServer::start(&store, id, "engines", 2, &["m0"], &[]);
+    let (leaving, staying) = (engine("i-0"), engine("i-1"));
+    let instance = site::ready("one", &store);
+    leaving.set_faults(Faults {
+        leaves: true,
+        ..Faults::default()
+    });
+    for number in 0..30 {
+        let answer = stream(
+            instance.callers_address(),
+            "chat",
+            &format!("id{number}"),
+            "m0",
+        );
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+    assert!(leaving.runs().len() <= 1, "{:?}", leaving.runs());
+    assert!(staying.runs().len() >= 29);
+}
+
+/// One instance hears it, and none sends anything more.
+#[test]
+fn told_to_all() {
+    let (leaving, staying) = (SayingServer::start(), SayingServer::start());
+    let (store, instances) = before(&[&leaving, &staying], &["one", "two", "three"]);
+    leaving.says(LEAVES);
+    until("the word", || {
+        send(&instances[0], "/read/", "first", 1);
+        leaving.count() == 1
+    });
+    until("all know", || instances.iter().all(knows));
+    // One that comes later is told when it connects.
+    let later = site::ready("four", &store);
+    until("it knows", || knows(&later));
+    for instance in instances.iter().chain([&later]) {
+        send(instance, "/read/", "then", 20);
+    }
+    assert_eq!(leaving.count(), 1);
+}
+
+fn knows(instance: &Instance) -> bool {
+    let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let answer = ask(instance.ready_address(), question).expect("metrics");
+    let line = "\npassway_instance_leaving_upstreams 1\n";
+    answer.body.contains(line)
+}
+
+/// While the store is away entries lapse and come back as they were, without the word; a new start of the
+/// upstream under its id is another one.
+#[test]
+fn final_for_a_start() {
+    let (leaving, staying) = (SayingServer::start(), SayingServer::start());
+    let (store, instances) = before(&[&leaving, &staying], &["one"]);
+    leaving.says(LEAVES);
+    send(&instances[0], "/read/", "first", 40);
+    assert_eq!(leaving.count(), 1);
+    store.remove("servers/i-0");
+    std::thread::sleep(GONE_TIME);
+    list_plain(&store, "i-0", leaving.address(), "ready");
+    std::thread::sleep(HEARD_TIME);
+    send(&instances[0], "/read/", "back", 40);
+    assert_eq!(leaving.count(), 1);
+    leaving.says(WELL);
+    let mut entry = plain_entry(leaving.address());
+    entry["born"] = 5.into();
+    store.put("servers/i-0", &entry);
+    until("requests to the new start", || {
+        send(&instances[0], "/read/", "new", 5);
+        leaving.count() > 1
+    });
+}
+
+/// Only the one that leaves has the model: it comes elsewhere although no entry says so.
+#[test]
+fn model_comes_elsewhere() {
+    let store = site::store(&["m0"]);
+    let engine =
+        |id, models: &[&str]| ModelServer::start(&store, id, "engines", 2, models, &["m0"]);
+    let (leaving, staying) = (engine("i-0", &["m0"]), engine("i-1", &[]));
+    let instance = site::ready("one", &store);
+    until("the right to order", || instance.fence().is_some());
+    leaving.set_faults(Faults {
+        leaves: true,
+        ..Faults::default()
+    });
+    for number in 0..20 {
+        let id = format!("id{number}");
+        let answer = stream(instance.callers_address(), "chat", &id, "m0");
+        assert_eq!(answer.status, 200, "{number}");
+    }
+    // Its reports say so too, so that it may get none at all.
+    assert!(leaving.runs().len() <= 1);
+    assert!(staying.runs().len() >= 19);
+}
