Engines that ask the holder for rest get no orders and no questions; what waits for them comes elsewhere

Cause: the same as for requests, at the other place that sends to engines: answers to orders and reports were not read for words, and nothing asked whether the engine wants any. Second fault of the class, as with limits: to the planner a model stood on a resting engine as on any other, so that it came to no other engine. Change: the holder neither orders nor asks engines that rest for it, with a last look before each; whoever asks an engine that broke off waits likewise. Instances tell the holder their rests, the holder tells nobody: a rest is for whom it was said to. Nothing is brought to an engine that rests for anybody, and a model that requests wait for has no replica there.

--- a/crates/instance/src/control.rs
+++ b/crates/instance/src/control.rs
@@ -23,6 +23,12 @@
     said.answer
 }
 
+/// Whether an engine wants nothing from this instance.
+pub fn rests(shared: &Shared, engine: &str) -> bool {
+    let upstreams = shared.upstreams();
+    upstreams.closed_until(engine, clock::now()).is_some()
+}
+
 /// Asks an engine for its state; `None` without an answer.
 pub fn report(
     shared: &Shared,
@@ -56,8 +62,9 @@
         started_at_ms: order.started_at_ms,
     };
     let sent_at = clock::now();
-    // The last thing before it leaves: a holder that was paused must not send.
-    if right.fence() != Some(fence) {
+    // The last thing before it leaves: a holder that was paused must not send, and an engine may have asked
+    // for rest since.
+    if right.fence() != Some(fence) || rests(shared, &order.engine) {
         return OrderAnswer::NotSent;
     }
     let said = engines.order(order.address, &given);
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -424,6 +424,11 @@
         self.beat(now);
         self.announce(now);
         if self.right.fence() == Some(fence) && now >= self.plan_at {
+            let upstreams = self.shared.upstreams();
+            let resting = upstreams.resting(now);
+            let resting = resting.map(|(id, until)| (id.clone(), until)).collect();
+            drop(upstreams);
+            self.planner.set_resting(resting);
             let actions = self.planner.decide(now);
             let took = clock::since(now);
             // Whatever else it has to do, the thread plans for half of its time at most.
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -5,7 +5,7 @@
 use crate::members::{self, Addresses};
 use crate::poison;
 use crate::relay;
-use crate::words;
+use crate::words::{self, LONGEST_REST_MS};
 use passway_process::outbox::Outbox;
 use passway_serving::dispatch;
 use passway_serving::placement::Placement;
@@ -124,6 +124,12 @@
     /// Joins in what upstreams said of themselves to an instance, and tells all what is news: whoever has
     /// not heard it from the upstream itself sends there as before.
     pub(super) fn tell_words(&mut self, told: Words) {
+        let now = clock::now();
+        for told in &told.resting {
+            let until = now + Duration::from_millis(told.left_ms.min(LONGEST_REST_MS));
+            let engine = UpstreamId::from(told.upstream.as_str());
+            self.planner.note_rest(&engine, told.started_at_ms, until);
+        }
         let mut named = words::join(&self.shared, told);
         named.retain(|id| {
             // Both are taken in.
--- a/crates/instance/src/poison/watch.rs
+++ b/crates/instance/src/poison/watch.rs
@@ -102,6 +102,9 @@
     while found.is_none() && clock::since(broke_at) < OPEN_TIME {
         std::thread::sleep(pause);
         pause = ASK_PAUSE;
+        if control::rests(shared, &start.upstream) {
+            continue;
+        }
         let since_break = clock::since(broke_at);
         let report = control::report(shared, engines, start, address);
         if report.is_none() {
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -372,13 +372,13 @@
         let mut untold = std::mem::take(&mut self.untold);
         let mut suspects = poison::encode(std::mem::take(&mut self.suspects));
         let named: Vec<UpstreamId> = std::mem::take(&mut self.words).into_iter().collect();
-        let mut said = words::encode(&self.shared, Some(&named));
+        let mut said = words::encode_for_holder(&self.shared, Some(&named));
         if self.is_new.swap(false, Ordering::AcqRel) {
             taken = recent_counts(&self.recent);
             untold = self.waiting.keys().cloned().collect();
             self.last_running.clear();
             suspects = self.shared.poison.suspects(1);
-            said = words::encode(&self.shared, None);
+            said = words::encode_for_holder(&self.shared, None);
         }
         if said != Words::default() {
             outbox.send(Body::Words(said));
--- a/crates/instance/src/words.rs
+++ b/crates/instance/src/words.rs
@@ -11,11 +11,11 @@
 use passway_serving::words::{NamedLeaving, NamedRest, UpstreamWords};
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::{LeavingUpstream, UpstreamLimit, Words};
+use passway_wire::message::{LeavingUpstream, RestingUpstream, UpstreamLimit, Words};
 
 /// Longest rest that is kept: one request in this time finds out whether the upstream still wants it, so
 /// that a figure that is wrong does not take an upstream away for good.
-const LONGEST_REST: Duration = Duration::from_mins(10);
+pub const LONGEST_REST_MS: u64 = 600_000;
 
 /// Instances that were turned away at one time come back this long after each other, in the mean.
 const SPREAD_PER_INSTANCE: Duration = Duration::from_millis(2);
@@ -85,7 +85,7 @@
 
 /// An upstream wants nothing from this instance for some time.
 fn rests(shared: &Shared, start: &UpstreamStart, rest: Duration) {
-    let rest = rest.min(LONGEST_REST);
+    let rest = rest.min(Duration::from_millis(LONGEST_REST_MS));
     let instances = u32::try_from(shared.instances()).unwrap_or(u32::MAX);
     let spread = SPREAD_PER_INSTANCE
         .saturating_mul(instances)
@@ -98,6 +98,7 @@
     upstreams.note_rest(&start.upstream, until);
     drop(upstreams);
     shared.upstreams_changed();
+    shared.tell(Need::Word(start.upstream.clone()));
     shared.metrics.rest();
     log::info!(target: DECISION_TARGET, upstream:% = start.upstream, rest_ms = millis(rest); "an upstream asks for rest");
 }
@@ -144,9 +145,27 @@
     Words {
         limits: limits.collect(),
         leaving: leaving.collect(),
+        resting: Vec::new(),
     }
 }
 
+/// What this instance tells the holder of some upstreams, or of all: their words, and which of them want
+/// nothing from this instance.
+pub fn encode_for_holder(shared: &Shared, named: Option<&[UpstreamId]>) -> Words {
+    let now = clock::now();
+    let mut words = encode(shared, named);
+    let upstreams = shared.upstreams();
+    let is_named = |id: &UpstreamId| named.is_none_or(|named| named.contains(id));
+    let resting = upstreams.resting(now).filter(|(id, _)| is_named(id));
+    let resting = resting.map(|(id, until)| RestingUpstream {
+        upstream: id.to_string(),
+        started_at_ms: upstreams.started_at_ms(id),
+        left_ms: millis(until.saturating_duration_since(now)),
+    });
+    words.resting = resting.collect();
+    words
+}
+
 /// Takes in what another instance tells. Returns the upstreams that it tells of.
 pub fn join(shared: &Shared, told: Words) -> Vec<UpstreamId> {
     let now = clock::now();
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -126,6 +126,8 @@
     ended_loading: Vec<Loading>,
     crashing_loads: CrashingLoads,
     questions: Questions,
+    /// Engines that want nothing from this instance, and until when.
+    resting: BTreeMap<UpstreamId, Instant>,
     /// When engines may be asked for their state in this term: what a holder before ordered
     /// last shows in a report by then. `None` until the term's first decision.
     reports_from: Option<Instant>,
@@ -150,6 +152,7 @@
             ended_loading: Vec::new(),
             crashing_loads: CrashingLoads::default(),
             questions: Questions::default(),
+            resting: BTreeMap::new(),
             reports_from: None,
             listening_until: None,
         }
@@ -340,6 +343,22 @@
         }
     }
 
+    /// An engine wants nothing from some instance until a moment: what requests wait for there had better come
+    /// to another one, and nothing comes to it meanwhile.
+    pub fn note_rest(&mut self, id: &UpstreamId, started_at_ms: u64, until: Instant) {
+        if let Some(engine) = self.engines.get_mut(id)
+            && engine.entry.started_at_ms == started_at_ms
+        {
+            engine.note_rest(until);
+        }
+    }
+
+    /// These engines want nothing from this instance until the moments given: they are neither ordered nor
+    /// asked before.
+    pub fn set_resting(&mut self, resting: BTreeMap<UpstreamId, Instant>) {
+        self.resting = resting;
+    }
+
     /// Whether placements have changed since they were taken last.
     pub fn has_changed(&self) -> bool {
         !self.changed.is_empty()
@@ -460,6 +479,9 @@
             if engine.settle_adapter(now) {
                 self.changed.insert(id.clone());
             }
+            if self.resting.contains_key(id) {
+                continue;
+            }
             let before = engine.closing.len();
             let may_fetch = loads.has_room(pool, now);
             // What it says of itself tells where requests can go; only orders need its own report.
@@ -493,13 +515,17 @@
 
     /// When to decide again if nothing is heard.
     pub fn next_look_at(&self, now: Instant) -> Instant {
-        let dues = self.engines.values().filter_map(Engine::look_at);
+        let engines = self.engines.iter();
+        let open = engines.filter(|(id, _)| !self.resting.contains_key(*id));
+        let dues = open.filter_map(|(_, engine)| engine.look_at());
         let moments = [
             self.listening_until,
             self.reports_from,
             self.questions.room_at(),
         ];
-        let listening = moments.into_iter().flatten().filter(|at| now < *at);
+        let rests = self.resting.values().copied();
+        let listening = moments.into_iter().flatten().chain(rests);
+        let listening = listening.filter(|at| now < *at);
         let rooms = self.store_loads.values();
         let rooms = rooms.filter_map(|loads| loads.room_at(now));
         let next = dues.chain(listening).chain(rooms).min();
@@ -555,7 +581,10 @@
     fn count(&mut self, now: Instant) {
         let demand = &self.demand;
         let bears = |engine: &Engine, model: &ModelName| {
-            !engine.is_in_need() || engine.bears(demand.rate(&engine.entry.service, model, now))
+            let service = &engine.entry.service;
+            let is_missed = engine.rests(now) && demand.waiters(service, model) > 0;
+            let bears = !engine.is_in_need() || engine.bears(demand.rate(service, model, now));
+            bears && !is_missed
         };
         self.census = Census::of(self.engines.values(), bears);
     }
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -97,6 +97,8 @@
     doubted_at: Option<Instant>,
     /// Requests a second that it takes while it is in need.
     limit_per_s: Option<f64>,
+    /// Until when it wants nothing from some instance.
+    rests_until: Option<Instant>,
 }
 
 impl Engine {
@@ -128,6 +130,7 @@
             loading: None,
             doubted_at: None,
             limit_per_s: None,
+            rests_until: None,
         }
     }
 
@@ -320,6 +323,16 @@
         self.limit_per_s = per_s;
     }
 
+    /// It wants nothing from some instance until a moment.
+    pub(super) fn note_rest(&mut self, until: Instant) {
+        self.rests_until = self.rests_until.max(Some(until));
+    }
+
+    /// Whether it wants nothing from some instance.
+    pub(super) fn rests(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it says that it takes less than it has slots for.
     pub(super) fn is_in_need(&self) -> bool {
         self.limit_per_s.is_some()
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -187,6 +187,7 @@
                 || engine.has(service, model)
                 // What comes there would serve few.
                 || engine.is_in_need()
+                || engine.rests(now)
             {
                 continue;
             }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -119,6 +119,20 @@
     pub started_at_ms: u64,
 }
 
+/// A start of an upstream that wants nothing from the instance that tells it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct RestingUpstream {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// When it had started, in Unix milliseconds by its own clock; 0 if it does not tell.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+    /// For how long yet, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub left_ms: u64,
+}
+
 /// What upstreams said of themselves in their answers, as far as the sender knows.
 #[derive(Clone, PartialEq, Message)]
 pub struct Words {
@@ -128,6 +142,9 @@
     /// Those that leave.
     #[prost(message, repeated, tag = "2")]
     pub leaving: Vec<LeavingUpstream>,
+    /// Those that want nothing from the sender; told to the holder of the right to order only.
+    #[prost(message, repeated, tag = "3")]
+    pub resting: Vec<RestingUpstream>,
 }
 
 /// A holder of the right to order that the store does not answer asks a candidate to
--- a/tests/all/limited_engines.rs
+++ b/tests/all/limited_engines.rs
@@ -98,3 +98,33 @@
     planned.need("m3");
     assert!(loads(&planned.orders(OrderAnswer::Taken), "i-0", "m3"));
 }
+
+/// Requests wait for a model that stands only on an engine that wants nothing from their instance.
+#[test]
+fn missed_at_rest_comes_to_another() {
+    let mut planned = Planned::new();
+    planned.hear_of("i-1", 1, &["m3"], &["m3", "m0"]);
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0", "m1"]);
+    planned.reported("i-1", false, 0, &["m3"], &["m3", "m0"]);
+    planned.need("m0");
+    assert!(!loads(&planned.orders(OrderAnswer::Taken), "i-1", "m0"));
+    let until = planned.now + Duration::from_secs(3);
+    planned.planner.note_rest(&"i-0".into(), 0, until);
+    assert!(loads(&planned.orders(OrderAnswer::Taken), "i-1", "m0"));
+}
+
+/// Nothing is ordered from an engine, or asked, that wants nothing from the holder.
+#[test]
+fn no_orders_at_rest() {
+    let mut planned = Planned::new();
+    planned.orders(OrderAnswer::Taken);
+    planned.report(false, 0, &["m0"]);
+    let engine = UpstreamId::from("i-0");
+    let until = planned.now + Duration::from_secs(3);
+    planned.planner.set_resting([(engine, until)].into());
+    planned.need("m2");
+    assert_eq!(planned.orders(OrderAnswer::Taken), []);
+    planned.planner.set_resting([].into());
+    assert!(loads(&planned.orders(OrderAnswer::Taken), "i-0", "m2"));
+}
--- a/tests/all/resting_upstreams.rs
+++ b/tests/all/resting_upstreams.rs
@@ -131,7 +131,7 @@
         resting.count() == 1
     });
     resting.says(WELL);
-    while begun_at.elapsed() < REST - ON_ITS_WAY {
+    while begun_at.elapsed() < REST.saturating_sub(ON_ITS_WAY) {
         let id = format!("id{:?}", ids.next());
         assert_eq!(get(&instance, &id).status, 200);
     }
