Upstreams that are slow from their start get less; what is said of an end at short notice is told by leaving

Two open rows of the table of what upstreams say. cold_left_ms was read by nobody: a cold upstream got as much as a warm one (cold_is_spared fails without the cost).

--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -38,8 +38,8 @@
     pub slots: u32,
     /// Whether it takes nothing new.
     pub draining: bool,
-    /// When it will be gone, if it is taken away at short notice.
-    pub gone_at: Option<Instant>,
+    /// Until when it is slow from its start; `None` if it is not.
+    pub cold_until: Option<Instant>,
     /// Models on its accelerators.
     pub models: Vec<ResidentModel>,
     /// Checkpoints in its memory.
@@ -144,8 +144,7 @@
             || known.entry.service != entry.service
             || known.entry.address != entry.address
             || known.entry.slots != entry.slots
-            || known.entry.draining != entry.draining
-            || known.entry.gone_at.is_some() != entry.gone_at.is_some();
+            || known.entry.draining != entry.draining;
         known.entry = entry;
         known.note_standing();
         more
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -15,6 +15,8 @@
 const DRAW_REQUESTS: f64 = 1.0;
 /// What an upstream costs that has been silent, in units of its slots.
 const SILENCE_COST: f64 = 3.0;
+/// What an upstream costs that is slow from its start, in units of its slots.
+const COLD_COST: f64 = 0.5;
 /// One in so many requests takes upstreams in need for any other, so that somebody hears when they
 /// are in need no more although others carry what they did.
 const REQUESTS_PER_TRIAL: u64 = 50;
@@ -101,7 +103,9 @@
         } else {
             0.0
         };
-        load + away + silence + FAILURE_COST * self.failure_rate(now)
+        let is_cold = self.entry.cold_until.is_some_and(|until| now < until);
+        let cold = if is_cold { COLD_COST } else { 0.0 };
+        load + away + silence + cold + FAILURE_COST * self.failure_rate(now)
     }
 }
 
--- a/crates/standins/src/fleet_model/engine.rs
+++ b/crates/standins/src/fleet_model/engine.rs
@@ -96,7 +96,7 @@
             hall: "hall0".into(),
             slots: self.slots,
             draining: false,
-            gone_at: None,
+            cold_until: None,
             models: self.residents(),
             in_memory: self.memory.iter().cloned().collect(),
             on_disk: self.disk.iter().cloned().collect(),
