--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -3,12 +3,11 @@
 //! The keeper keeps in the store which workspaces' buckets are at least half full. A successor takes that out
 //! of there before it relies on it, so that it is relied on once.
 
-use crate::keeper::TermKeeper;
-use crate::relay::millis;
+use crate::keeper::{self, TermKeeper};
 use crate::right::Right;
 use crate::shared::Shared;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use passway_serving::allotment::{Parts, QuotaBounds, Ruling};
+use passway_serving::allotment::{Parts, QuotaBounds};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_serving::routes::RouteTable;
 use passway_serving::workspaces::{Allotment, Workspace};
@@ -128,10 +127,6 @@
 
     /// Answers an instance's question, in a term of this instance.
     pub fn rule(&self, shared: &Shared, fence: Fence, from: SocketAddr, ask: &UseAsk) -> UseTold {
-        let mut told = UseTold {
-            id: ask.id,
-            ..UseTold::default()
-        };
         let name = WorkspaceName::from(ask.workspace.as_str());
         let asked = Allotment {
             rate_per_s: ask.rate_per_s,
@@ -142,17 +137,7 @@
         let ruling = self.keeper.of_term(fence, quota(shared), |keeper| {
             keeper.ask(&name, allotment, from, ask.cost, clock::now())
         });
-        match ruling {
-            Ruling::Granted { part_per_s } => {
-                told.set_verdict(UseVerdict::Granted);
-                told.part_per_s = part_per_s;
-            }
-            Ruling::Refused { retry_after } => {
-                told.set_verdict(UseVerdict::Refused);
-                told.retry_after_ms = millis(retry_after);
-            }
-        }
-        told
+        keeper::told(ask, ruling)
     }
 
     /// Takes back what a request counted that was granted here.
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -63,19 +63,17 @@
     /// Forgets upstreams that are gone, here and at the holder.
     fn expire(&self) {
         let mut upstreams = self.shared.upstreams();
-        let leaving = upstreams.entries().filter(|entry| entry.draining);
-        let leaving: BTreeSet<UpstreamId> = leaving.map(|entry| entry.id.clone()).collect();
         let gone = upstreams.expire(clock::now());
         let left = upstreams.entries().map(|entry| entry.id.clone()).collect();
         drop(upstreams);
         if gone.is_empty() {
             return;
         }
-        for id in &gone {
-            log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream is gone");
-            self.shared.pool.forget(id);
-            if !leaving.contains(id) {
-                self.shared.upstream_ended(id, u64::MAX);
+        for entry in &gone {
+            log::info!(target: DECISION_TARGET, upstream:% = entry.id; "an upstream is gone");
+            self.shared.pool.forget(&entry.id);
+            if !entry.draining {
+                self.shared.upstream_ended(&entry.id, u64::MAX);
             }
         }
         self.shared.limits.retain(&self.shared);
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -460,9 +460,8 @@
         let entries = upstreams.entries().cloned();
         let doubtful = self.shared.doubtful_engines();
         self.planner.begin_term(entries, &doubtful, clock::now());
-        for entry in upstreams.entries() {
-            let limit = upstreams.limit_per_s(&entry.id);
-            self.planner.set_limit(&entry.id, limit);
+        for (id, _, word) in upstreams.limit_words() {
+            self.planner.set_limit(id, word.per_s);
         }
     }
 
--- a/crates/instance/src/keeper.rs
+++ b/crates/instance/src/keeper.rs
@@ -4,8 +4,9 @@
 //! as long as its term lasts by its own clock: there are never two that count.
 
 use crate::questions::Questions;
+use crate::relay::millis;
 use crate::shared::Shared;
-use passway_serving::allotment::{Keeper, QuotaBounds};
+use passway_serving::allotment::{Keeper, QuotaBounds, Ruling};
 use passway_serving::tenure::Holder;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -90,6 +91,25 @@
     }
 }
 
+/// The answer that a ruling makes to a question.
+pub fn told(ask: &UseAsk, ruling: Ruling) -> UseTold {
+    let mut told = UseTold {
+        id: ask.id,
+        ..UseTold::default()
+    };
+    match ruling {
+        Ruling::Granted { part_per_s } => {
+            told.set_verdict(UseVerdict::Granted);
+            told.part_per_s = part_per_s;
+        }
+        Ruling::Refused { retry_after } => {
+            told.set_verdict(UseVerdict::Refused);
+            told.retry_after_ms = millis(retry_after);
+        }
+    }
+    told
+}
+
 #[derive(Debug)]
 struct Keeping {
     fence: Fence,
--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -3,10 +3,8 @@
 //! What upstreams say is told to all ([`crate::words`]). Whoever would send a request to a limited upstream asks the holder, which
 //! counts. Without an answer an instance has a small share, by what it knows of the fleet's size.
 
-use crate::keeper::TermKeeper;
-use crate::relay::millis;
+use crate::keeper::{self, TermKeeper};
 use crate::shared::Shared;
-use passway_serving::allotment::Ruling;
 use passway_serving::limits::{self, EXACT, Shares};
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -65,22 +63,11 @@
         // A word that one of the two has not heard yet is the newer one; which, is not known here.
         let known = shared.upstreams().limit_per_s(&upstream);
         let per_s = known.map_or(ask.rate_per_s, |known| known.min(ask.rate_per_s));
-        let mut told = UseTold {
-            id: ask.id,
-            ..UseTold::default()
-        };
         let allotment = limits::allotment(per_s);
         let ruling = self.counter.of_term(fence, EXACT, |keeper| {
             keeper.ask(&upstream, allotment, from, ask.cost, clock::now())
         });
-        match ruling {
-            Ruling::Granted { .. } => told.set_verdict(UseVerdict::Granted),
-            Ruling::Refused { retry_after } => {
-                told.set_verdict(UseVerdict::Refused);
-                told.retry_after_ms = millis(retry_after);
-            }
-        }
-        told
+        keeper::told(ask, ruling)
     }
 
     /// Forgets what was counted for upstreams that name no limit any more.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -193,12 +193,12 @@
         }
     }
 
-    /// Forgets upstreams that are gone by now, and names them.
-    pub fn expire(&mut self, now: Instant) -> Vec<UpstreamId> {
+    /// Forgets upstreams that are gone by now, and hands out their last entries.
+    pub fn expire(&mut self, now: Instant) -> Vec<UpstreamEntry> {
         let gone = self
             .upstreams
             .extract_if(|_, upstream| upstream.is_gone(now));
-        let gone = gone.map(|(id, _)| id).collect();
+        let gone = gone.map(|(_, upstream)| upstream.entry).collect();
         let upstreams = &self.upstreams;
         self.departures.expire(|id| upstreams.contains_key(id), now);
         gone
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -9,6 +9,8 @@
 
 /// When each server has started first, in Unix milliseconds.
 const FIRST_START_MS: u64 = 1_792_321_983_006;
+/// Time that a server which has left takes to start again.
+const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Events of a stream.
 pub const EVENTS: u64 = 5;
 
@@ -62,6 +64,21 @@
     pub fence: u64,
 }
 
+/// A request that came, and what its answer said of the server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Its id.
+    pub id: String,
+    /// When it came.
+    pub at: Instant,
+    /// The start of the server that it came to, counted.
+    pub start: usize,
+    /// Whether the answer said that the server leaves.
+    pub leaves: bool,
+    /// The rest that the answer asked for.
+    pub rest: Option<Duration>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     models: Vec<(String, Vec<String>)>,
@@ -70,7 +87,9 @@
     over_limit: u32,
     runs: Vec<String>,
     run_at: Vec<Instant>,
-    turned_away_at: Vec<Instant>,
+    arrivals: Vec<Arrival>,
+    /// Whether it leaves, until it starts again.
+    leaves: bool,
     /// When orders and questions for its state came.
     asked_at: Vec<Instant>,
     /// Bodies of the requests under which it crashed and started again.
@@ -80,6 +99,12 @@
     faults: Faults,
 }
 
+impl State {
+    fn says_leaving(&self) -> bool {
+        self.leaves || self.faults.leaves
+    }
+}
+
 /// The server.
 #[derive(Debug, Clone)]
 pub struct ModelServer {
@@ -207,9 +232,19 @@
         self.state().run_at.clone()
     }
 
-    /// When it turned requests away.
-    pub fn turned_away_at(&self) -> Vec<Instant> {
-        self.state().turned_away_at.clone()
+    /// Requests that came, whether or not they ran.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state().arrivals.clone()
+    }
+
+    /// Says from now on that it leaves, ends after so long and starts again under its id.
+    pub fn leave(&self, after: Duration) {
+        self.state().leaves = true;
+        let server = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(after);
+            server.restart(b"", RESTART_TIME);
+        });
     }
 
     /// When orders and questions for its state came.
@@ -232,6 +267,7 @@
         let mut state = self.state();
         let body = String::from_utf8_lossy(body).into_owned();
         state.restarts.push(body);
+        state.leaves = false;
         state.down_until = Some(Instant::now() + after);
         drop(state);
         let server = self.clone();
@@ -259,7 +295,7 @@
             let report = json!({"models": models(&state), "in_flight": false,
                 "born": born(&state), "sequence": state.taken.len(), "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
             state.asked_at.push(Instant::now());
-            let said = words(&state.faults);
+            let said = words(&state);
             return answer(200, &id, &report.to_string(), &said);
         }
         if received.line().starts_with("POST /order ") {
@@ -309,7 +345,7 @@
             }
         }
         state.asked_at.push(Instant::now());
-        let said = words(&state.faults);
+        let said = words(&state);
         let lost = std::mem::take(&mut state.faults.loses_answer);
         drop(state);
         self.list("ready");
@@ -326,10 +362,18 @@
         let stands = state.models.iter().any(|(name, adapters)| {
             name == model && (adapter.is_empty() || adapters.iter().any(|known| known == adapter))
         });
-        let said = words(&state.faults);
-        if let Some(rest_s) = state.faults.rest_s {
+        let said = words(&state);
+        let rest_s = state.faults.rest_s;
+        let arrival = Arrival {
+            id: id.to_owned(),
+            at: Instant::now(),
+            start: state.restarts.len(),
+            leaves: state.says_leaving(),
+            rest: rest_s.map(Duration::from_secs_f64),
+        };
+        state.arrivals.push(arrival);
+        if let Some(rest_s) = rest_s {
             let more = format!("Not-Executed: 1\r\nRetry-After: {rest_s}\r\n{said}");
-            state.turned_away_at.push(Instant::now());
             return answer(503, id, "", &more);
         }
         if !stands {
@@ -394,10 +438,12 @@
 }
 
 /// What all of its answers say of it.
-fn words(faults: &Faults) -> String {
-    let limit = faults.limit_per_s;
+fn words(state: &State) -> String {
+    let limit = state.faults.limit_per_s;
     let limit = limit.map(|per_s| format!("Server-Limit: {per_s}\r\n"));
-    let leaving = faults.leaves.then(|| "Server-Leaving: 1\r\n".to_owned());
+    let leaving = state
+        .says_leaving()
+        .then(|| "Server-Leaving: 1\r\n".to_owned());
     limit.into_iter().chain(leaving).collect()
 }
 
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod judge;
 mod schedule;
+mod words;
 mod workspaces;
 mod world;
 
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -2,8 +2,9 @@
 
 use super::SoakReport;
 use super::callers::{Asked, Record};
+use super::words;
 use super::workspaces;
-use super::world::{MODELS, World, is_shed, key};
+use super::world::{MODELS, POISON, World, is_shed, key};
 use crate::platform::caller::{Answer, ask, request};
 use crate::platform::model_server::{EVENTS, event};
 use crate::platform::raw::RawServer;
@@ -24,8 +25,7 @@
 pub fn judge(world: &World, records: &[Record], report: &mut SoakReport) {
     let runs = runs(world);
     report.requests = records.len();
-    let crashed = world.engines().into_iter().filter(|e| e.server.crashed());
-    report.crashed_engines = crashed.count();
+    report.crashed_engines = crashes(world);
     for record in records {
         let ran = runs.get(&record.id).copied().unwrap_or(0);
         match &record.answer {
@@ -49,6 +49,7 @@
         }));
     }
     workspaces::judge(world, records, report);
+    words::judge(world, records, report);
     never_back(records, report);
     orders(world, report);
     let most = MAX_CRASHES + world.sites.len();
@@ -69,6 +70,17 @@
     }
 }
 
+/// How many engines the request that crashes them has ended, those that started again among them.
+fn crashes(world: &World) -> usize {
+    let engines = world.engines().into_iter();
+    let crashes = engines.map(|engine| {
+        let restarts = engine.server.restarts();
+        let restarts = restarts.iter().filter(|body| body.starts_with(POISON));
+        usize::from(engine.server.crashed()) + restarts.count()
+    });
+    crashes.sum()
+}
+
 /// How often each request ran, at all servers.
 fn runs(world: &World) -> BTreeMap<String, usize> {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -10,9 +10,12 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 
 /// Longest time for which a process stands still.
 const LONGEST_PAUSE_MS: u64 = 2_500;
+/// Longest time from an engine's word that it leaves to its end.
+const LONGEST_LEAVING_MS: u64 = 4_000;
 /// Longest delay of what goes over a way.
 const LONGEST_DELAY_MS: u64 = 200;
 
@@ -47,10 +50,14 @@
     EngineWay,
     /// Connections to an engine are reset.
     ResetEngineWay,
+    /// An engine names how much it takes, or asks for rest.
+    EngineWord,
+    /// An engine leaves, which its answers say and its entry does not, and starts again.
+    EngineLeaves,
 }
 
 /// What is drawn from; engines fail more often than the rest, as each such fault is one stream's.
-const FAULTS: [Fault; 18] = [
+const FAULTS: [Fault; 22] = [
     Fault::Lift,
     Fault::Store,
     Fault::ForgetHistory,
@@ -69,6 +76,10 @@
     Fault::Engine,
     Fault::EngineWay,
     Fault::ResetEngineWay,
+    Fault::EngineWord,
+    Fault::EngineWord,
+    Fault::EngineLeaves,
+    Fault::EngineLeaves,
 ];
 
 impl Fault {
@@ -88,6 +99,8 @@
             Self::Engine => "engine",
             Self::EngineWay => "engine way",
             Self::ResetEngineWay => "reset engine way",
+            Self::EngineWord => "engine word",
+            Self::EngineLeaves => "engine leaves",
         }
     }
 }
@@ -152,9 +165,20 @@
             }
             Fault::Configure => world.next_version(),
             Fault::ConfigureOften => (0..3).for_each(|_| world.next_version()),
-            Fault::Engine => engine.server.set_faults(self.engine_faults()),
-            Fault::EngineWay => engine.way.set_faults(self.way_faults()),
-            Fault::ResetEngineWay => engine.way.reset(),
+            Fault::Engine => engine.server.set_faults(self.engine_faults(engine.number)),
+            Fault::EngineWay => {
+                engine.way_harmed.store(true, Ordering::Release);
+                engine.way.set_faults(self.way_faults());
+            }
+            Fault::ResetEngineWay => {
+                engine.way_harmed.store(true, Ordering::Release);
+                engine.way.reset();
+            }
+            Fault::EngineWord => engine.server.set_faults(self.engine_word(engine.number)),
+            Fault::EngineLeaves => {
+                let after_ms = self.rng.random_range(0..LONGEST_LEAVING_MS);
+                engine.server.leave(Duration::from_millis(after_ms));
+            }
         }
         std::thread::sleep(longest.mul_f64(self.rng.random_range(0.1..1.0)));
     }
@@ -185,9 +209,19 @@
         faults
     }
 
-    fn engine_faults(&mut self) -> EngineFaults {
+    fn engine_word(&mut self, number: usize) -> EngineFaults {
+        let mut faults = usual_engine(number);
+        if self.rng.random_bool(0.5) {
+            faults.limit_per_s = Some(self.rng.random_range(0.5..20.0));
+        } else {
+            faults.rest_s = Some(self.rng.random_range(0.1..3.0));
+        }
+        faults
+    }
+
+    fn engine_faults(&mut self, number: usize) -> EngineFaults {
         let after = Some(self.rng.random_range(0..EVENTS));
-        let mut faults = usual_engine();
+        let mut faults = usual_engine(number);
         match self.rng.random_range(0..4) {
             0 => faults.cuts_after = after,
             1 => faults.silent_after = after,
--- a/crates/standins/src/soak/world.rs
+++ b/crates/standins/src/soak/world.rs
@@ -54,6 +54,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// A supervised engine serves again this long after a crash.
+const SUPERVISED_TIME: Duration = Duration::from_millis(800);
 /// An engine's entry stays for so long after its crash; another engine comes then.
 const ENTRY_TIME: Duration = Duration::from_millis(1_500);
 
@@ -110,10 +112,14 @@
 /// An engine behind its way.
 #[derive(Debug, Clone)]
 pub struct Engine {
+    /// How many were started before it.
+    pub number: usize,
     /// The engine.
     pub server: ModelServer,
     /// The way to it.
     pub way: Proxy,
+    /// Whether anything has happened to that: what it answers may not have been heard.
+    pub way_harmed: Arc<AtomicBool>,
 }
 
 /// All of it.
@@ -159,10 +165,12 @@
     })
 }
 
-/// What engines do while nothing fails: their streams last, and one request crashes them.
-pub fn usual_engine() -> EngineFaults {
+/// What engines do while nothing fails: their streams last, and one request crashes them. Every second one
+/// is kept by a supervisor, so that its port stays open and it starts again under its id.
+pub fn usual_engine(number: usize) -> EngineFaults {
     EngineFaults {
         crashes_on: Some(POISON.to_owned()),
+        restarts_after: (number % 2 == 1).then_some(SUPERVISED_TIME),
         event_pause: EVENT_PAUSE,
         ..EngineFaults::default()
     }
@@ -180,8 +188,10 @@
     let server = ModelServer::start_behind(store, &id, "engines", models, |address| {
         way.insert(Proxy::start(address)).address
     });
-    server.set_faults(usual_engine());
+    server.set_faults(usual_engine(number));
     Engine {
+        number,
+        way_harmed: Arc::default(),
         way: way.unwrap_or_else(|| Proxy::start(server.address)),
         server,
     }
@@ -307,7 +317,7 @@
             site.program().signal(Signal::CONT);
         }
         for engine in self.engines() {
-            engine.server.set_faults(usual_engine());
+            engine.server.set_faults(usual_engine(engine.number));
             if !engine.server.crashed() {
                 engine.way.set_faults(WayFaults::default());
                 engine.way.reset();
--- a/tests/all/resting_upstreams.rs
+++ b/tests/all/resting_upstreams.rs
@@ -233,9 +233,9 @@
         std::thread::spawn(move || stream(address, "chat", model, model).status)
     };
     let first = ask_for("m0");
-    until("the refusal", || !engine.turned_away_at().is_empty());
+    until("the refusal", || !engine.arrivals().is_empty());
     engine.set_faults(Faults::default());
-    let turned_away_at = engine.turned_away_at()[0];
+    let turned_away_at = engine.arrivals()[0].at;
     let others = [ask_for("m1"), ask_for("m2")];
     assert_eq!(first.join().expect("a caller"), 200);
     for other in others {
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -184,7 +184,7 @@
     // The other one is gone when its time is over, whether anybody looked or not.
     assert!(!is_chosen(&table, "i-0", second(11)));
     assert!(is_chosen(&table, "i-1", second(30)));
-    assert_eq!(table.expire(second(11)), [UpstreamId::from("i-0")]);
+    assert_eq!(table.expire(second(11)), [entry(0, 5)]);
 }
 
 #[test]
