--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -10,7 +10,7 @@
 pub use choice::{Choice, Wanted};
 use departures::Departures;
 use passway_types::prelude::*;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use upstream::Upstream;
 
@@ -84,6 +84,8 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<UpstreamId>,
     departures: Departures,
+    /// Upstreams that have asked for rest, until an answer of theirs shows that it is over: few of many.
+    resting: BTreeSet<UpstreamId>,
 }
 
 impl UpstreamTable {
@@ -94,6 +96,7 @@
             upstreams: HashMap::new(),
             restarted: Vec::new(),
             departures: Departures::default(),
+            resting: BTreeSet::new(),
         }
     }
 
@@ -201,6 +204,7 @@
         let gone = gone.map(|(_, upstream)| upstream.entry).collect();
         let upstreams = &self.upstreams;
         self.departures.expire(|id| upstreams.contains_key(id), now);
+        self.resting.retain(|id| upstreams.contains_key(id));
         gone
     }
 
@@ -304,16 +308,21 @@
     }
 
     /// An upstream has asked this instance for rest until a moment.
-    pub fn note_rest(&mut self, id: &str, until: Instant) {
+    pub fn note_rest(&mut self, id: &UpstreamId, until: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.rest.begin(until);
+            self.resting.insert(id.clone());
         }
     }
 
     /// An upstream asks for no rest in its answer to what was sent at a moment.
     pub fn note_no_rest(&mut self, id: &str, sent_at: Instant) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.rest.answered(sent_at);
+        if !self.resting.contains(id) {
+            return;
+        }
+        let upstream = self.upstreams.get_mut(id);
+        if upstream.is_none_or(|upstream| upstream.rest.answered(sent_at)) {
+            self.resting.remove(id);
         }
     }
 
@@ -324,8 +333,8 @@
 
     /// Upstreams that want nothing from this instance now, with when they do.
     pub fn resting(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, Instant)> {
-        self.upstreams.iter().filter_map(move |(id, upstream)| {
-            let rest = &upstream.rest;
+        self.resting.iter().filter_map(move |id| {
+            let rest = &self.upstreams.get(id)?.rest;
             let until = rest.closed_until(now).filter(|_| rest.lasts(now))?;
             Some((id, until))
         })
@@ -338,7 +347,8 @@
         model_ref: Option<&ModelRef>,
         now: Instant,
     ) -> Vec<(UpstreamId, Instant)> {
-        let closed = self.upstreams.iter().filter_map(|(id, upstream)| {
+        let closed = self.resting.iter().filter_map(|id| {
+            let upstream = self.upstreams.get(id)?;
             let until = upstream.rest.closed_until(now)?;
             let is_usable = upstream.is_usable(service, model_ref, now);
             is_usable.then(|| (id.clone(), until))
--- a/crates/serving/src/upstreams/rest.rs
+++ b/crates/serving/src/upstreams/rest.rs
@@ -24,12 +24,14 @@
         self.tried_at = None;
     }
 
-    /// An answer to what was sent at a moment asks for no rest. What was sent before the rest was over says
-    /// nothing of it.
-    pub(super) fn answered(&mut self, sent_at: Instant) {
-        if self.until.is_some_and(|until| sent_at >= until) {
+    /// An answer to what was sent at a moment asks for no rest. Returns whether the rest is over: what was
+    /// sent before its end says nothing of it.
+    pub(super) fn answered(&mut self, sent_at: Instant) -> bool {
+        let is_over = self.until.is_none_or(|until| sent_at >= until);
+        if is_over {
             *self = Self::default();
         }
+        is_over
     }
 
     /// Until when nothing may go there; `None` if a request may go now.
