--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -54,6 +54,7 @@
 mod poison_innocents;
 mod poison_list;
 mod poison_open_ports;
+mod poison_rack;
 mod poison_requests;
 mod policy_compare;
 mod policy_rules;
