Grants against an engine's word: tests with a dispatcher that has not heard it

A dispatcher that grants the first engine to whoever asks, whatever it is told: after the engine has said that it leaves, or has asked for a minute of rest, none of ten requests reaches it (the door).

--- a/tests/all/dispatch_way.rs
+++ b/tests/all/dispatch_way.rs
@@ -267,3 +267,55 @@
     }
     assert_eq!(world.servers[0].runs().len(), runs);
 }
+
+/// A dispatcher that grants the first engine to whoever asks, whatever it is told.
+fn stubborn_dispatcher() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    let address = socket.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let mut bytes = [0; 1_500];
+        while let Ok((length, from)) = socket.recv_from(&mut bytes) {
+            if let Some(Dispatch::Ask(ask)) = Datagram::read(&bytes[..length]) {
+                let grant = Grant {
+                    id: ask.id,
+                    verdict: Verdict::Go.into(),
+                    engine: "i-0".into(),
+                };
+                let bytes = Datagram::bytes(Some(Dispatch::Grant(grant)));
+                socket.send_to(&bytes, from).expect("sent");
+            }
+        }
+    });
+    address
+}
+
+/// A grant by somebody who has not heard an engine's word sends nothing there.
+fn granted_against_word(faults: Faults) {
+    let world = world(&[Some(stubborn_dispatcher())]);
+    let address = world.instance.callers_address();
+    let send = |id: &str| stream(address, "chat", id, "m0").status;
+    assert_eq!(send("before"), 200);
+    world.servers[0].set_faults(faults);
+    send("word");
+    let arrived = world.servers[0].arrivals().len();
+    for number in 0..10 {
+        send(&format!("id{number}"));
+    }
+    assert_eq!(world.servers[0].arrivals().len(), arrived);
+}
+
+#[test]
+fn granted_and_leaving() {
+    granted_against_word(Faults {
+        leaves: true,
+        ..Faults::default()
+    });
+}
+
+#[test]
+fn granted_and_resting() {
+    granted_against_word(Faults {
+        rest_s: Some(60.0),
+        ..Faults::default()
+    });
+}
