--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -62,6 +62,7 @@
 mod processes;
 mod received_orders;
 mod relay_gap;
+mod rest_ways;
 mod resting_connections;
 mod resting_upstreams;
 mod retry_budget;
