Tests: one plain server that says words, one scrape of metrics

limited_upstreams had a server of its own beside the one of the two new files, and five tests scraped metrics each for itself.

--- a/tests/all/leaving_upstreams.rs
+++ b/tests/all/leaving_upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that say in their answers that they leave get nothing more from whoever has heard it.
 
-use crate::saying::{Saying, SayingServer, WELL};
+use crate::saying::{Saying, SayingServer};
+use crate::scrape::metrics;
 use crate::site::{self, ask, list_plain, request, stream, until};
 use passway_instance::Instance;
 use passway_standins::platform::documents::plain_entry;
@@ -13,10 +14,9 @@
 /// Within this an instance has heard of an entry.
 const HEARD_TIME: Duration = Duration::from_secs(1);
 
-const LEAVES: Saying = Saying {
-    status: 200,
-    lines: "Server-Leaving: 1\r\n",
-};
+fn leaves(status: u16) -> Saying {
+    Saying::line(status, "Server-Leaving: 1")
+}
 
 /// Instances before servers that are all listed as ready.
 fn before(servers: &[&SayingServer], names: &[&str]) -> (MetadataStandIn, Vec<Instance>) {
@@ -46,9 +46,9 @@
     let (leaving, staying) = (SayingServer::start(), SayingServer::start());
     let (_store, instances) = before(&[&leaving, &staying], &["one"]);
     for (path, ids) in [("/read/", "read"), ("/pay/", "pay")] {
-        leaving.says(WELL);
+        leaving.says(Saying::nothing());
         let before = leaving.count();
-        leaving.says(LEAVES);
+        leaving.says(leaves(200));
         let statuses = send(&instances[0], path, ids, 60);
         assert!(statuses.iter().all(|status| *status == 200));
         assert!(
@@ -65,7 +65,7 @@
     for status in [200, 404, 429, 500, 503] {
         let (leaving, staying) = (SayingServer::start(), SayingServer::start());
         let (_store, instances) = before(&[&leaving, &staying], &["one"]);
-        leaving.says(Saying { status, ..LEAVES });
+        leaving.says(leaves(status));
         send(&instances[0], "/read/", "id", 40);
         assert_eq!(leaving.count(), 1, "{status}");
     }
@@ -100,7 +100,7 @@
 fn told_to_all() {
     let (leaving, staying) = (SayingServer::start(), SayingServer::start());
     let (store, instances) = before(&[&leaving, &staying], &["one", "two", "three"]);
-    leaving.says(LEAVES);
+    leaving.says(leaves(200));
     send(&instances[0], "/read/", "first", 40);
     assert_eq!(leaving.count(), 1);
     until("all know", || instances.iter().all(knows));
@@ -114,10 +114,7 @@
 }
 
 fn knows(instance: &Instance) -> bool {
-    let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    let answer = ask(instance.ready_address(), question).expect("metrics");
-    let line = "\npassway_instance_leaving_upstreams 1\n";
-    answer.body.contains(line)
+    metrics(instance).contains("\npassway_instance_leaving_upstreams 1\n")
 }
 
 /// While the store is away entries lapse and come back as they were, without the word; a new start of the
@@ -126,7 +123,7 @@
 fn final_for_a_start() {
     let (leaving, staying) = (SayingServer::start(), SayingServer::start());
     let (store, instances) = before(&[&leaving, &staying], &["one"]);
-    leaving.says(LEAVES);
+    leaving.says(leaves(200));
     send(&instances[0], "/read/", "first", 40);
     assert_eq!(leaving.count(), 1);
     store.remove("servers/i-0");
@@ -135,7 +132,7 @@
     std::thread::sleep(HEARD_TIME);
     send(&instances[0], "/read/", "back", 40);
     assert_eq!(leaving.count(), 1);
-    leaving.says(WELL);
+    leaving.says(Saying::nothing());
     let mut entry = plain_entry(leaving.address());
     entry["born"] = 5.into();
     store.put("servers/i-0", &entry);
--- a/tests/all/limit_words.rs
+++ b/tests/all/limit_words.rs
@@ -1,5 +1,6 @@
 //! What upstreams say about how much they take: how it is read, and which of two words counts.
 
+use crate::scrape::metrics;
 use crate::site::{self, ask, list_plain, request, until};
 use passway_serving::headers::Headers;
 use passway_serving::limits::{LimitWord, NamedLimit};
@@ -86,12 +87,7 @@
     let store = site::store(&[]);
     list_plain(&store, "i-0", server.address, "ready");
     let instance = site::ready("one", &store);
-    let scrape = || {
-        let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        ask(instance.ready_address(), question)
-            .expect("metrics")
-            .body
-    };
+    let scrape = || metrics(&instance);
     for (number, limited) in [0, 1, 1, 0].into_iter().enumerate() {
         let bytes = request("GET", "/read/", &format!("id{number}"), "", "");
         let answer = ask(instance.callers_address(), &bytes).expect("an answer");
--- a/tests/all/limited_upstreams.rs
+++ b/tests/all/limited_upstreams.rs
@@ -11,14 +11,14 @@
 //! over all counts, so one of them counts for all.
 
 use crate::holder_link::Holder;
+use crate::saying::{Saying, SayingServer};
+use crate::scrape::metrics;
 use crate::site::{self, Caller, ask, list_plain, request, stream, until};
 use passway_instance::Instance;
 use passway_standins::platform::model_server::{Faults, ModelServer};
-use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// The span over which arrivals are counted.
@@ -28,48 +28,9 @@
 /// From the first word on until it counts.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// A plain server that names a limit, or none.
-struct Server {
-    raw: RawServer,
-    limit: Arc<Mutex<Option<f64>>>,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
-}
-
-impl Server {
-    fn start() -> Self {
-        let limit: Arc<Mutex<Option<f64>>> = Arc::default();
-        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-        let (named, seen) = (limit.clone(), arrivals.clone());
-        let raw = RawServer::start(move |received| {
-            seen.lock().expect("arrivals").push(Instant::now());
-            let id = received.header("request-id").unwrap_or_default();
-            let line = named
-                .lock()
-                .expect("the limit")
-                .map_or_else(String::new, |per_s| format!("Server-Limit: {per_s}\r\n"));
-            let text = format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n{line}Content-Length: 0\r\n\r\n"
-            );
-            vec![Step::Send(text.into_bytes())]
-        });
-        Self {
-            raw,
-            limit,
-            arrivals,
-        }
-    }
-
-    fn name_limit(&self, per_s: Option<f64>) {
-        *self.limit.lock().expect("the limit") = per_s;
-    }
-
-    fn arrivals(&self) -> Vec<Instant> {
-        self.arrivals.lock().expect("arrivals").clone()
-    }
-
-    fn most_in_window(&self, from: Instant) -> u32 {
-        most_in_window(&self.arrivals(), from)
-    }
+fn name_limit(server: &SayingServer, per_s: Option<f64>) {
+    let line = per_s.map_or_else(String::new, |per_s| format!("Server-Limit: {per_s}"));
+    server.says(Saying::line(200, line));
 }
 
 /// Most arrivals in one of the spans that begin at a moment or later.
@@ -131,10 +92,10 @@
 }
 
 /// Three instances before servers of one service.
-fn site(servers: &[Server]) -> (MetadataStandIn, Vec<Instance>) {
+fn site(servers: &[SayingServer]) -> (MetadataStandIn, Vec<Instance>) {
     let store = site::store(&[]);
     for (number, server) in servers.iter().enumerate() {
-        list_plain(&store, &format!("i-{number}"), server.raw.address, "ready");
+        list_plain(&store, &format!("i-{number}"), server.address(), "ready");
     }
     let names = ["one", "two", "three"];
     let instances = names.map(|name| site::ready(name, &store));
@@ -142,10 +103,10 @@
 }
 
 /// Lets a server name a limit while callers ask for long enough that it counts. Returns what they got.
-fn play(instances: &[Instance], server: &Server, path: &'static str, per_s: f64) -> Vec<u16> {
+fn play(instances: &[Instance], server: &SayingServer, path: &'static str, per_s: f64) -> Vec<u16> {
     let callers = Callers::start(instances, path);
     std::thread::sleep(Duration::from_secs(1));
-    server.name_limit(Some(per_s));
+    name_limit(server, Some(per_s));
     let named_at = Instant::now();
     std::thread::sleep(CONTACT + WINDOW + Duration::from_secs(1));
     let statuses = callers.end();
@@ -155,13 +116,17 @@
 
 /// The others carry what one does not take, and callers notice nothing.
 fn one_of_three(path: &'static str) {
-    let servers = [Server::start(), Server::start(), Server::start()];
+    let servers = [
+        SayingServer::start(),
+        SayingServer::start(),
+        SayingServer::start(),
+    ];
     let (_store, instances) = site(&servers);
     let begun_at = Instant::now();
     let statuses = play(&instances, &servers[0], path, 1.1);
     assert!(statuses.iter().all(|status| *status == 200));
     // What it takes it gets, or nobody would hear that it is in need no more.
-    assert!(servers[0].most_in_window(begun_at + CONTACT) > 0);
+    assert!(most_in_window(&servers[0].arrivals(), begun_at + CONTACT) > 0);
 }
 
 #[test]
@@ -177,27 +142,23 @@
 /// One request through one instance is enough for all of them to know.
 #[test]
 fn told_to_all() {
-    let servers = [Server::start()];
+    let servers = [SayingServer::start()];
     let (store, instances) = site(&servers);
     let limited = |instance: &Instance| {
-        let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        let answer = ask(instance.ready_address(), question).expect("metrics");
-        answer
-            .body
-            .contains("\npassway_instance_limited_upstreams 1\n")
+        metrics(instance).contains("\npassway_instance_limited_upstreams 1\n")
     };
     let read = |id: &str| {
         let bytes = request("GET", "/read/", id, "", "");
         let answer = ask(instances[0].callers_address(), &bytes);
         answer.expect("an answer").status
     };
-    servers[0].name_limit(Some(50.0));
+    name_limit(&servers[0], Some(50.0));
     assert_eq!(read("first"), 200);
     until("all know", || instances.iter().all(limited));
     // One that comes later is told when it connects.
     let later = site::ready("four", &store);
     until("it knows", || limited(&later));
-    servers[0].name_limit(None);
+    name_limit(&servers[0], None);
     until("it ends", || read("more") == 200 && !limited(&instances[0]));
     until("all know that", || !instances.iter().any(limited));
     until("it knows that", || !limited(&later));
@@ -207,16 +168,16 @@
 /// everything meanwhile.
 #[test]
 fn comes_and_goes() {
-    let servers = [Server::start(), Server::start()];
+    let servers = [SayingServer::start(), SayingServer::start()];
     let (_store, instances) = site(&servers);
-    servers[0].name_limit(Some(20.0));
+    name_limit(&servers[0], Some(20.0));
     let callers = Callers::start(&instances, "/read/");
     std::thread::sleep(CONTACT);
-    servers[0].name_limit(Some(2.0));
+    name_limit(&servers[0], Some(2.0));
     let named_at = Instant::now();
     std::thread::sleep(CONTACT + WINDOW + Duration::from_secs(1));
     kept(&servers[0].arrivals(), named_at + CONTACT, 2.0);
-    servers[0].name_limit(None);
+    name_limit(&servers[0], None);
     let arrived = servers[0].arrivals().len();
     until("as much as before", || {
         servers[0].arrivals().len() > arrived + 100
@@ -228,10 +189,10 @@
 /// nothing that it does not take is counted against it.
 #[test]
 fn all_in_need() {
-    let servers = [Server::start(), Server::start()];
+    let servers = [SayingServer::start(), SayingServer::start()];
     let (_store, instances) = site(&servers);
     for server in &servers {
-        server.name_limit(Some(3.0));
+        name_limit(server, Some(3.0));
     }
     let callers = Callers::start(&instances, "/pay/");
     let named_at = Instant::now();
@@ -258,11 +219,11 @@
     assert!(statuses.iter().all(|status| [200, 503].contains(status)));
     for server in &servers {
         kept(&server.arrivals(), named_at + CONTACT, 3.0);
-        assert!(server.most_in_window(named_at + CONTACT) >= 3);
+        assert!(most_in_window(&server.arrivals(), named_at + CONTACT) >= 3);
     }
     // Both take anything again, and get it.
     for server in &servers {
-        server.name_limit(None);
+        name_limit(server, None);
     }
     let arrived = servers.each_ref().map(|server| server.arrivals().len());
     let mut ids = 0..;
@@ -305,12 +266,12 @@
 /// more, and callers are refused, not held until their time is over.
 #[test]
 fn nobody_counts() {
-    let servers = [Server::start()];
+    let servers = [SayingServer::start()];
     let store = site::store(&[]);
-    list_plain(&store, "i-0", servers[0].raw.address, "ready");
+    list_plain(&store, "i-0", servers[0].address(), "ready");
     let _silent = Holder::begin(&store);
     let instance = site::ready("one", &store);
-    servers[0].name_limit(Some(1.0));
+    name_limit(&servers[0], Some(1.0));
     let statuses = (0..4).map(|number| {
         let bytes = request("GET", "/read/", &format!("id{number}"), "", "");
         ask(instance.callers_address(), &bytes)
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -69,6 +69,7 @@
 mod retry_share;
 mod router_faults;
 mod saying;
+mod scrape;
 mod silent_connections;
 mod site;
 mod slow_store;
--- a/tests/all/rest_ways.rs
+++ b/tests/all/rest_ways.rs
@@ -5,7 +5,6 @@
 //! four fifths of what all of them take. `sick`: a third of them turn everything away for four seconds and ask for three. `full`: twice
 //! the usual requests for four seconds, and whoever is full asks for one. A request is offered twice at most.
 
-use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/tests/all/resting_upstreams.rs
+++ b/tests/all/resting_upstreams.rs
@@ -1,6 +1,6 @@
 //! Upstreams that turn an instance away and ask it for rest get nothing from it meanwhile.
 
-use crate::saying::{Saying, SayingServer, WELL};
+use crate::saying::{Saying, SayingServer};
 use crate::site::{self, Answer, ask, list_plain, request, stream, until};
 use passway_instance::Instance;
 use passway_serving::upstreams::{UpstreamEntry, UpstreamTable};
@@ -8,10 +8,10 @@
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 
-const RESTS: Saying = Saying {
-    status: 503,
-    lines: "Retry-After: 2\r\n",
-};
+fn rests(time_s: f64) -> Saying {
+    Saying::line(503, format!("Retry-After: {time_s}"))
+}
+
 const REST: Duration = Duration::from_secs(2);
 /// What is on its way when an upstream asks for rest.
 const ON_ITS_WAY: Duration = Duration::from_millis(500);
@@ -25,7 +25,7 @@
         let store = site::store(&[]);
         list_plain(&store, "i-0", server.address(), "ready");
         let instance = site::ready("one", &store);
-        server.says(RESTS);
+        server.says(rests(REST.as_secs_f64()));
         let address = instance.callers_address();
         let callers = (0..6).map(|number| {
             std::thread::spawn(move || {
@@ -38,7 +38,7 @@
         while server.count() == 0 {
             std::thread::sleep(Duration::from_millis(5));
         }
-        server.says(WELL);
+        server.says(Saying::nothing());
         for caller in callers {
             let status = caller.join().expect("a caller");
             assert!([200, 503].contains(&status));
@@ -80,10 +80,7 @@
 fn refused_at_once() {
     let server = SayingServer::start();
     let (_store, instance) = before(&[&server]);
-    server.says(Saying {
-        status: 503,
-        lines: "Retry-After: 30\r\n",
-    });
+    server.says(rests(30.0));
     for number in 0..5 {
         let answer = get(&instance, &format!("id{number}"));
         assert_eq!(answer.status, 503);
@@ -99,17 +96,14 @@
 fn served_after_rest() {
     let server = SayingServer::start();
     let (_store, instance) = before(&[&server]);
-    server.says(Saying {
-        status: 503,
-        lines: "Retry-After: 0.6\r\n",
-    });
+    server.says(rests(0.6));
     let address = instance.callers_address();
     let waiting = std::thread::spawn(move || {
         let bytes = request("GET", "/read/", "first", "", "");
         ask(address, &bytes).expect("an answer").status
     });
     until("the refusal", || server.count() == 1);
-    server.says(WELL);
+    server.says(Saying::nothing());
     assert_eq!(waiting.join().expect("a caller"), 200);
     let arrivals = server.arrivals();
     assert!(arrivals[1] - arrivals[0] >= Duration::from_millis(600));
@@ -122,7 +116,7 @@
 fn others_carry() {
     let (resting, other) = (SayingServer::start(), SayingServer::start());
     let (_store, instance) = before(&[&resting, &other]);
-    resting.says(RESTS);
+    resting.says(rests(REST.as_secs_f64()));
     let begun_at = Instant::now();
     let mut ids = 0..;
     until("the refusal", || {
@@ -130,7 +124,7 @@
         assert_eq!(get(&instance, &id).status, 200);
         resting.count() == 1
     });
-    resting.says(WELL);
+    resting.says(Saying::nothing());
     while begun_at.elapsed() < REST.saturating_sub(ON_ITS_WAY) {
         let id = format!("id{:?}", ids.next());
         assert_eq!(get(&instance, &id).status, 200);
@@ -187,10 +181,7 @@
 fn one_at_a_time_after_rest() {
     let server = SayingServer::start();
     let (_store, instance) = before(&[&server]);
-    server.says(Saying {
-        status: 503,
-        lines: "Retry-After: 0.7\r\n",
-    });
+    server.says(rests(0.7));
     let address = instance.callers_address();
     let callers = (0..10).map(|number| {
         std::thread::spawn(move || {
@@ -209,7 +200,7 @@
     let arrivals = server.arrivals();
     let back = arrivals[0] + Duration::from_millis(700);
     assert_eq!(arrivals.iter().filter(|at| **at >= back).count(), 1);
-    server.says(WELL);
+    server.says(Saying::nothing());
     for caller in callers {
         assert_eq!(caller.join().expect("a caller"), 200);
     }
--- a/tests/all/saying.rs
+++ b/tests/all/saying.rs
@@ -6,19 +6,30 @@
 use std::sync::Mutex;
 
 /// What a server answers.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Saying {
     /// The status; 503 and 429 have not run.
     pub status: u16,
     /// Lines of the head besides.
-    pub lines: &'static str,
+    pub lines: String,
 }
 
-/// It answers well and says nothing of itself.
-pub const WELL: Saying = Saying {
-    status: 200,
-    lines: "",
-};
+impl Saying {
+    /// It answers well and says nothing of itself.
+    pub fn nothing() -> Self {
+        Self::line(200, "")
+    }
+
+    /// It answers so, with a line in the head; none if that is empty.
+    pub fn line(status: u16, line: impl AsRef<str>) -> Self {
+        let line = line.as_ref();
+        let end = if line.is_empty() { "" } else { "\r\n" };
+        Self {
+            status,
+            lines: format!("{line}{end}"),
+        }
+    }
+}
 
 /// The server.
 pub struct SayingServer {
@@ -30,12 +41,12 @@
 impl SayingServer {
     /// One that answers well.
     pub fn start() -> Self {
-        let saying = Arc::new(Mutex::new(WELL));
+        let saying = Arc::new(Mutex::new(Saying::nothing()));
         let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
         let (said, seen) = (saying.clone(), arrivals.clone());
         let raw = RawServer::start(move |received| {
             seen.lock().expect("arrivals").push(Instant::now());
-            let Saying { status, lines } = *said.lock().expect("what it says");
+            let Saying { status, lines } = said.lock().expect("what it says").clone();
             let id = received.header("request-id").unwrap_or_default();
             let more = if [429, 503].contains(&status) {
                 "Not-Executed: 1\r\n"
--- a/tests/all/upstream_words.rs
+++ b/tests/all/upstream_words.rs
@@ -1,11 +1,11 @@
 //! What upstreams say of themselves in the heads of their answers: how each word is read, and from where.
 
+use crate::saying::{Saying, SayingServer};
+use crate::scrape::metrics;
 use crate::site::{self, ask, list_plain, request, until};
-use passway_instance::Instance;
 use passway_serving::headers::Headers;
 use passway_serving::ports::Vocabulary;
 use passway_serving::words::{NamedLeaving, NamedRest, UpstreamWords};
-use passway_standins::platform::raw::{RawServer, Step};
 use passway_types::prelude::*;
 use passway_users_platform::PlatformHeaders;
 
@@ -67,27 +67,18 @@
     assert_eq!(read(503, &[until]).rest, NamedRest::For(Duration::ZERO));
 }
 
-fn scrape(instance: &Instance) -> String {
-    let question = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    let answer = ask(instance.ready_address(), question);
-    answer.expect("metrics").body
-}
-
 /// An instance's metrics show what it has heard, from a refusal too, and what it could not read.
 #[test]
 fn shown_in_metrics() {
-    let server = RawServer::start(|received| {
-        let id = received.header("request-id").unwrap_or_default();
-        let lines = "Server-Leaving: 1\r\nRetry-After: 60\r\nServer-Limit: x\r\n";
-        let text = format!(
-            "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n{lines}Content-Length: 0\r\n\r\n"
-        );
-        vec![Step::Send(text.into_bytes())]
+    let server = SayingServer::start();
+    server.says(Saying {
+        status: 503,
+        lines: "Server-Leaving: 1\r\nRetry-After: 60\r\nServer-Limit: x\r\n".to_owned(),
     });
     let store = site::store(&[]);
-    list_plain(&store, "i-0", server.address, "ready");
+    list_plain(&store, "i-0", server.address(), "ready");
     let instance = site::ready("one", &store);
-    let shows = |line: &str| scrape(&instance).contains(line);
+    let shows = |line: &str| metrics(&instance).contains(line);
     assert!(shows("\npassway_instance_leaving_upstreams 0\n"));
     assert!(shows("\npassway_instance_resting_upstreams 0\n"));
     let bytes = request("GET", "/read/", "id", "", "");
