--- a/deploy/sweep-table.sh
+++ b/deploy/sweep-table.sh
@@ -14,7 +14,7 @@
             for (at = from; at <= to; at++) text = text " " $at " |"
             return text
         }
-        /^sweep-[0-9]+ / {
+        /^sweep-[0-9]+ / && $2 ~ /\// {
             size = substr($1, 7)
             sizes = sizes " " size " |"
             rule = rule " --- |"
