--- a/tests/all/poison_requests.rs
+++ b/tests/all/poison_requests.rs
@@ -174,3 +174,27 @@
     assert_eq!(send(&after, "report", "p", POISON).status, 503);
     assert_eq!(ended(&engines), MOST_ENDS);
 }
+
+/// Seven and eleven runs ended under one request: two engines had ended, and everybody knew, when it came at eight
+/// instances within a tenth of a second.
+#[test]
+fn many_copies_after_two_crashes() {
+    let (store, engines) = engines(10);
+    let names = [
+        "one", "two", "three", "four", "five", "six", "seven", "eight",
+    ];
+    let instances = names.map(|name| site::ready(name, &store));
+    for number in 0..MOST_ENDS - 1 {
+        send(&instances[0], "report", &format!("p{number}"), POISON);
+    }
+    assert_eq!(ended(&engines), MOST_ENDS - 1);
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    std::thread::scope(|scope| {
+        for (number, instance) in instances.iter().enumerate() {
+            let id = format!("copy{number}");
+            scope.spawn(move || send(instance, "report", &id, POISON));
+        }
+    });
+    // One more, and what was under way.
+    assert!(ended(&engines) <= MOST_ENDS + 1, "{}", ended(&engines));
+}
