Tests: a store that answers at once no longer keeps a processor busy until the process ends

Cause: feeds live as long as the test process. Those of config_way and relay_gap that follow a ToldStore got an answer to each watch at once, so five or six threads spun for the rest of the run, beside tests that wait for times. A real store holds a watch that has nothing new; ToldStore does too now, and lists from the fifth on take 0.1 s. No assertion is touched. Ruled out: the order of tests; the product's own feeds (they ask no sooner than the store answers).

--- a/tests/all/followed.rs
+++ b/tests/all/followed.rs
@@ -16,10 +16,17 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+/// Lists that are answered at once. A feed lives as long as the process: one whose history is gone
+/// each time would keep a processor busy with lists.
+const LISTS_AT_ONCE: u32 = 4;
+/// Time for an answer after these.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// What a store answers to a list or a watch with that number.
 pub type Answer<T> = fn(u32) -> Result<T, StoreError>;
 
-/// A store that answers lists and watches as told, and nothing else.
+/// A store that answers lists and watches as told, and nothing else. Like a real one it holds a watch that has
+/// nothing new to tell.
 pub struct ToldStore {
     lists: AtomicU32,
     watches: AtomicU32,
@@ -41,11 +48,28 @@
 
 impl SharedStore for ToldStore {
     fn list(&self, _: &str) -> Result<Listing, StoreError> {
-        (self.list)(self.lists.fetch_add(1, Ordering::Relaxed))
-    }
-
-    fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<WatchAnswer, StoreError> {
-        (self.watch)(self.watches.fetch_add(1, Ordering::Relaxed))
+        let number = self.lists.fetch_add(1, Ordering::Relaxed);
+        if number >= LISTS_AT_ONCE {
+            std::thread::sleep(ANSWER_TIME);
+        }
+        (self.list)(number)
+    }
+
+    fn watch(
+        &self,
+        _: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        let answer = (self.watch)(self.watches.fetch_add(1, Ordering::Relaxed));
+        let is_old = |answer: &WatchAnswer| match answer {
+            WatchAnswer::Changes { revision, .. } => *revision <= after,
+            WatchAnswer::HistoryGone => false,
+        };
+        if answer.as_ref().is_ok_and(is_old) {
+            std::thread::sleep(wait);
+        }
+        answer
     }
 
     fn write(&self, _: &[ConditionalWrite]) -> Result<WriteAnswer, StoreError> {
