Poison: one run at a time over all instances after two ends; crashes of one moment refuse nobody

Change: who would send a request with two ends or more asks the counter for its turn (serving::poison::turns, one map, lapses and is given back); each crash carries when its run was sent and when it broke off; crashes whose runs were all sent before the first break, within a second, do not refuse, the request runs alone and an answer clears it. Conclusion: under way plus one in the worst case; a new counter knows no turns (one run more for each).

--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -88,6 +88,7 @@
             rate_per_s: allotment.rate_per_s,
             burst: allotment.burst,
             upstream: String::new(),
+            ..UseAsk::default()
         };
         let told = shared.keeper.ask(shared, &ask);
         let window = shared.bounds.load().quota.window;
@@ -116,6 +117,7 @@
         let back = UseBack {
             workspace: workspace.name.to_string(),
             cost,
+            ..UseBack::default()
         };
         let settings = &shared.settings;
         if holder.instance == settings.instance {
--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -394,7 +394,10 @@
                 self.send(from, Body::UseTold(told));
             }
             Body::UseTold(told) => shared.keeper.answered(told),
-            Body::UseBack(back) => shared.allotments.take_back(shared, from, &back),
+            Body::UseBack(back) if back.digest.is_empty() => {
+                shared.allotments.take_back(shared, from, &back);
+            }
+            Body::UseBack(back) => shared.poison.take_back(from, &back),
         }
     }
 
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -37,7 +37,10 @@
     }
 
     /// A run broke off: if the upstream has crashed, the request may be why.
-    pub(super) fn run_broke(&self, target: &Target, start: UpstreamStart) {
+    pub(super) fn run_broke(&mut self, target: &Target, start: UpstreamStart) {
+        if let Some(trial) = &mut self.trial {
+            trial.broke();
+        }
         let has_crashed = self.has_crashed(target);
         let ran_ms = millis_since(self.attempt_at, clock::now());
         log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
@@ -46,7 +49,8 @@
             self.doubt(target, &start, false);
             return;
         }
-        if let Some(suspect) = self.shared.poison.crashed(self.digest(), start) {
+        let (digest, sent_at) = (self.digest(), self.attempt_at);
+        if let Some(suspect) = self.shared.poison.crashed(digest, start, sent_at) {
             self.shared.tell(Need::Suspect(suspect));
         }
     }
@@ -80,7 +84,8 @@
             Standing::Held => false,
             Standing::Alone => {
                 if self.trial.is_none() {
-                    self.trial = Poison::run_alone(self.shared, self.digest());
+                    let left = self.deadline_at.saturating_duration_since(clock::now());
+                    self.trial = Poison::run_alone(self.shared, self.digest(), left);
                 }
                 self.trial.is_some()
             }
--- a/crates/instance/src/keeper.rs
+++ b/crates/instance/src/keeper.rs
@@ -1,6 +1,6 @@
 //! Asking the instance that counts for all, and what it counts.
 //!
-//! The holder of the right to order counts what workspaces use and what goes to upstreams in need, for
+//! The holder of the right to order counts what workspaces use, what goes to upstreams in need and what runs alone, for
 //! as long as its term lasts by its own clock: there are never two that count.
 
 use crate::questions::Questions;
@@ -84,7 +84,9 @@
             ..UseTold::default()
         };
     };
-    if ask.upstream.is_empty() {
+    if !ask.digest.is_empty() {
+        shared.poison.rule(fence, from, ask)
+    } else if ask.upstream.is_empty() {
         shared.allotments.rule(shared, fence, from, ask)
     } else {
         shared.limits.rule(shared, fence, from, ask)
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -6,19 +6,23 @@
 
 mod watch;
 
-use crate::relay::millis_since;
+use crate::relay::{millis, millis_since};
 use crate::right::Right;
 use crate::shared::{Need, Shared};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use passway_process::logging::json::DECISION_TARGET;
 pub use passway_serving::poison::OPEN_TIME;
-use passway_serving::poison::{Blame, PoisonList, RequestDigest, Standing, Suspect, UpstreamStart};
+use passway_serving::poison::{
+    Blame, PoisonList, RequestDigest, RunSpan, RunTurns, Standing, Suspect, UpstreamStart,
+};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_types::clock;
 use passway_types::prelude::*;
+use passway_wire::dispatch::Dispatch as Body;
 use passway_wire::message::{self, Break, Crash, Suspects};
+use passway_wire::permits::{UseAsk, UseBack, UseTold, UseVerdict};
 use prost::Message;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -29,6 +33,9 @@
 /// Requests that are told or kept at most, 150 bytes each: what a link of 10 Mbit/s carries in
 /// 60 ms.
 const MAX_TOLD: usize = 512;
+/// Longest time that a word on a crash takes to another instance: what is told as so long ago is up to so much
+/// longer ago.
+const MOST_TELLING_MS: u64 = 100;
 /// Pause between two writes of the list: two calls a second at most, while engines crash.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -51,6 +58,8 @@
     kept: Mutex<Kept>,
     /// Requests that run alone among those like them.
     trials: Mutex<HashSet<RequestDigest>>,
+    /// The same over all instances, while this one counts for all.
+    turns: Mutex<RunTurns>,
     /// Engines that broke off and are asked whether they have ended.
     watched: Watched,
     /// Wakes the thread that keeps the list in the store.
@@ -68,6 +77,7 @@
             is_told: AtomicBool::new(false),
             kept: Mutex::default(),
             trials: Mutex::default(),
+            turns: Mutex::default(),
             watched: Watched::default(),
             wake,
             woken,
@@ -80,11 +90,36 @@
 pub struct Trial {
     shared: Arc<Shared>,
     digest: RequestDigest,
+    /// The number of the question that the counter granted; `None` if nobody counts.
+    turn: Option<u64>,
+    /// Whether an upstream broke off under it.
+    has_broken: bool,
+}
+
+impl Trial {
+    /// An upstream broke off under it. Its turn lapses by itself: by then all know what that was.
+    pub fn broke(&mut self) {
+        self.has_broken = true;
+    }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        lock(&self.shared.poison.trials).remove(&self.digest);
+        let shared = &self.shared;
+        lock(&shared.poison.trials).remove(&self.digest);
+        let holder = shared.right().and_then(|right| right.holder());
+        if let (Some(id), Some(holder), false) = (self.turn, holder, self.has_broken) {
+            let back = UseBack {
+                digest: self.digest.0.to_vec(),
+                id,
+                ..UseBack::default()
+            };
+            if holder.instance == shared.settings.instance {
+                shared.poison.take_back(shared.settings.peer_address, &back);
+            } else {
+                shared.dispatch.send(holder.address, Body::UseBack(back));
+            }
+        }
     }
 }
 
@@ -113,9 +148,14 @@
         lock(&self.list).refused_for(digest, clock::now())
     }
 
-    /// An upstream has crashed under a request. Returns what others are to be told.
-    pub fn crashed(&self, digest: RequestDigest, crash: UpstreamStart) -> Option<Suspect> {
-        let news = lock(&self.list).crashed(digest, crash, clock::now());
+    /// An upstream has crashed under a request that was sent at a moment. Returns what others are to be told.
+    pub fn crashed(
+        &self,
+        digest: RequestDigest,
+        crash: UpstreamStart,
+        sent_at: Instant,
+    ) -> Option<Suspect> {
+        let news = lock(&self.list).crashed_run(digest, crash, sent_at, clock::now());
         self.changed();
         news
     }
@@ -125,13 +165,63 @@
         lock(&self.list).standing(digest, clock::now())
     }
 
-    /// Lets a request run alone among those like it here; `None` while another one does.
-    pub fn run_alone(shared: &Arc<Shared>, digest: RequestDigest) -> Option<Trial> {
+    /// Lets a request run alone, for so long at most, among those like it at all instances, or at this one if
+    /// nobody counts; `None` while another one does.
+    pub fn run_alone(
+        shared: &Arc<Shared>,
+        digest: RequestDigest,
+        longest: Duration,
+    ) -> Option<Trial> {
         let is_first = lock(&shared.poison.trials).insert(digest);
-        is_first.then(|| Trial {
+        if !is_first {
+            return None;
+        }
+        let mut trial = Trial {
             shared: shared.clone(),
             digest,
-        })
+            turn: None,
+            has_broken: false,
+        };
+        let ask = UseAsk {
+            id: rand::random(),
+            digest: digest.0.to_vec(),
+            run_ms: millis(longest),
+            ..UseAsk::default()
+        };
+        match shared.keeper.ask(shared, &ask) {
+            Some(told) if told.verdict() != UseVerdict::Granted => None,
+            told => {
+                trial.turn = told.map(|_| ask.id);
+                Some(trial)
+            }
+        }
+    }
+
+    /// Answers an instance that asks to run a request alone, in a term of this instance.
+    pub fn rule(&self, fence: Fence, from: SocketAddr, ask: &UseAsk) -> UseTold {
+        let mut told = UseTold {
+            id: ask.id,
+            ..UseTold::default()
+        };
+        let Some(digest) = digest_of(&ask.digest) else {
+            return told;
+        };
+        let (run, time) = ((from, ask.id), Duration::from_millis(ask.run_ms));
+        match lock(&self.turns).ask(fence, digest, run, time, clock::now()) {
+            Ok(()) => told.set_verdict(UseVerdict::Granted),
+            Err(pause) => {
+                told.set_verdict(UseVerdict::Refused);
+                told.retry_after_ms = millis(pause);
+            }
+        }
+        told
+    }
+
+    /// A run that was alone is over and has ended nothing.
+    pub fn take_back(&self, from: SocketAddr, back: &UseBack) {
+        if let Some(digest) = digest_of(&back.digest) {
+            lock(&self.turns).give_back(digest, (from, back.id));
+        }
     }
 
     /// An engine broke off under a request, and nothing tells yet whether it has ended.
@@ -284,7 +374,9 @@
     /// The write that makes the store hold what is to be known when all have gone; `None` if it
     /// does.
     fn write(&self) -> Option<ConditionalWrite> {
-        let kept = lock(&self.list).kept_suspects();
+        let mut kept = lock(&self.list).kept_suspects();
+        // Times that passed would make it another value at each look.
+        kept.iter_mut().for_each(|suspect| suspect.runs.clear());
         let value = encode(kept).encode_to_vec();
         let kept = lock(&self.kept);
         (kept.value != value).then(|| ConditionalWrite {
@@ -339,15 +431,21 @@
 }
 
 fn encode_one(suspect: Suspect) -> message::Suspect {
-    let crashes = suspect.crashes.into_iter().map(|(crash, blame)| Crash {
-        upstream: crash.upstream.to_string(),
-        started_at_ms: crash.started_at_ms,
-        blame: match blame {
-            Blame::Full => 0,
-            Blame::Explained => 1,
-            Blame::Cleared => 2,
-            Blame::Open => 3,
-        },
+    let now = clock::now();
+    let crashes = suspect.crashes.into_iter().map(|(crash, blame)| {
+        let run = suspect.runs.get(&crash);
+        Crash {
+            upstream: crash.upstream.to_string(),
+            started_at_ms: crash.started_at_ms,
+            blame: match blame {
+                Blame::Full => 0,
+                Blame::Explained => 1,
+                Blame::Cleared => 2,
+                Blame::Open => 3,
+            },
+            sent_ms_ago: run.map(|run| millis_since(run.sent_at, now)),
+            broke_ms_ago: run.map(|run| millis_since(run.broke_at, now)),
+        }
     });
     message::Suspect {
         digest: suspect.digest.0.to_vec(),
@@ -355,10 +453,19 @@
     }
 }
 
+/// The digest that some bytes hold.
+fn digest_of(bytes: &[u8]) -> Option<RequestDigest> {
+    Some(RequestDigest(bytes.try_into().ok()?))
+}
+
 /// One whose digest has another length comes from another build and is left out.
 fn decode(told: message::Suspect) -> Option<Suspect> {
-    let digest = RequestDigest(told.digest.try_into().ok()?);
+    let digest = digest_of(&told.digest)?;
+    let now = clock::now();
+    let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+    let mut runs = BTreeMap::new();
     let crashes = told.crashes.into_iter().map(|crash| {
+        let times = crash.sent_ms_ago.zip(crash.broke_ms_ago);
         let start = UpstreamStart {
             upstream: crash.upstream.into(),
             started_at_ms: crash.started_at_ms,
@@ -369,10 +476,19 @@
             3 => Blame::Open,
             _ => Blame::Cleared,
         };
+        if let Some((sent_ms, broke_ms)) = times {
+            let run = RunSpan {
+                sent_at: ago(sent_ms),
+                broke_at: ago(broke_ms.saturating_add(MOST_TELLING_MS)),
+            };
+            runs.insert(start.clone(), run);
+        }
         (start, blame)
     });
+    let crashes = crashes.collect();
     Some(Suspect {
         digest,
-        crashes: crashes.collect(),
+        crashes,
+        runs,
     })
 }
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison.rs
@@ -6,6 +6,10 @@
 
 mod digest;
 mod list;
+mod turns;
 
 pub use digest::RequestDigest;
-pub use list::{Blame, MAX_CRASHES, OPEN_TIME, PoisonList, Standing, Suspect, UpstreamStart};
+pub use list::{
+    Blame, MAX_CRASHES, OPEN_TIME, PoisonList, RunSpan, Standing, Suspect, UpstreamStart,
+};
+pub use turns::{RunTurns, TurnId};
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -58,14 +58,37 @@
     }
 }
 
+/// When a run was sent to an upstream, and when the upstream broke off. Of another instance's run the first may be
+/// too late and the second too early, never the other way round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunSpan {
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// When the upstream broke off.
+    pub broke_at: Instant,
+}
+
+impl RunSpan {
+    /// What two instances know of runs that were alike: the first of each moment.
+    fn join(self, other: Self) -> Self {
+        Self {
+            sent_at: self.sent_at.min(other.sent_at),
+            broke_at: self.broke_at.min(other.broke_at),
+        }
+    }
+}
+
+/// Upstreams that break off within this time may have ended of one cause.
+const MOMENT: Duration = Duration::from_secs(1);
+
 /// Whether a request may run while upstreams that broke off under it may have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Standing {
     /// It may.
     #[default]
     Free,
-    /// One of those like it at a time: if it ends the next upstream too it is to be refused, and an answer
-    /// shows that something else ended the others.
+    /// One of those like it at a time, over all instances: if it ends the next upstream too it is to be refused,
+    /// and an answer shows that something else ended the others.
     Alone,
     /// Not before it is known: if all have ended it is to be refused.
     Held,
@@ -79,9 +102,29 @@
     pub digest: RequestDigest,
     /// The crashes.
     pub crashes: BTreeMap<UpstreamStart, Blame>,
+    /// The runs that broke off, where that is known.
+    pub runs: BTreeMap<UpstreamStart, RunSpan>,
 }
 
 impl Suspect {
+    /// Whether all crashes that count fell into one moment, before which the request was already being run on
+    /// each of the upstreams. Whatever took them together, a rack's loss, explains that without the request,
+    /// which goes to its next upstream after the last one broke off.
+    fn is_of_one_moment(&self) -> bool {
+        let counted = self.crashes.iter();
+        let counted = counted.filter(|(_, blame)| **blame != Blame::Cleared);
+        let spans = counted.map(|(start, _)| self.runs.get(start));
+        let Some(spans) = spans.collect::<Option<Vec<_>>>() else {
+            return false;
+        };
+        let first = spans.iter().map(|span| span.broke_at).min();
+        first.is_some_and(|first| {
+            let is_of_it =
+                |span: &&RunSpan| span.sent_at <= first && span.broke_at <= first + MOMENT;
+            spans.iter().all(is_of_it)
+        })
+    }
+
     fn weight(&self) -> u32 {
         self.crashes.values().map(|blame| blame.weight()).sum()
     }
@@ -98,7 +141,7 @@
     }
 
     fn is_refused(&self) -> bool {
-        self.weight() >= MAX_CRASHES * FULL_WEIGHT
+        self.weight() >= MAX_CRASHES * FULL_WEIGHT && !self.is_of_one_moment()
     }
 
     /// What has crashed so far is not held against it any more.
@@ -107,6 +150,16 @@
         crashes.for_each(|blame| *blame = Blame::Cleared);
     }
 
+    /// Joins in when runs were sent and broke off, of crashes that are known.
+    fn join_runs(&mut self, told: BTreeMap<UpstreamStart, RunSpan>) {
+        for (start, run) in told {
+            if self.crashes.contains_key(&start) {
+                let known = self.runs.entry(start).or_insert(run);
+                *known = known.join(run);
+            }
+        }
+    }
+
     /// Joins in what is known of a crash; whether that is news.
     fn join(&mut self, crash: UpstreamStart, blame: Blame) -> bool {
         if let Some(known) = self.crashes.get_mut(&crash) {
@@ -140,6 +193,8 @@
         if now >= self.open_until {
             let crashes = &mut self.suspect.crashes;
             crashes.retain(|_, blame| *blame != Blame::Open);
+            let runs = &mut self.suspect.runs;
+            runs.retain(|start, _| crashes.contains_key(start));
         }
     }
 
@@ -196,15 +251,21 @@
             return Standing::Free;
         };
         let suspect = &known.suspect;
-        let weight = suspect.open_weight();
-        if now >= known.open_until || suspect.is_refused() || weight == suspect.weight() {
+        let certain = suspect.weight();
+        let weight = if now < known.open_until {
+            suspect.open_weight()
+        } else {
+            certain
+        };
+        if suspect.is_refused() || weight < (MAX_CRASHES - 1) * FULL_WEIGHT {
             Standing::Free
-        } else if weight >= MAX_CRASHES * FULL_WEIGHT {
+        } else if weight >= MAX_CRASHES * FULL_WEIGHT
+            && weight > certain
+            && !suspect.is_of_one_moment()
+        {
             Standing::Held
-        } else if weight >= (MAX_CRASHES - 1) * FULL_WEIGHT {
-            Standing::Alone
         } else {
-            Standing::Free
+            Standing::Alone
         }
     }
 
@@ -216,7 +277,22 @@
         crash: UpstreamStart,
         now: Instant,
     ) -> Option<Suspect> {
-        self.note(digest, crash, Blame::Full, now)
+        self.note(digest, crash, Blame::Full, None, now)
+    }
+
+    /// The same, of a run that was sent at a moment.
+    pub fn crashed_run(
+        &mut self,
+        digest: RequestDigest,
+        crash: UpstreamStart,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<Suspect> {
+        let run = RunSpan {
+            sent_at,
+            broke_at: now,
+        };
+        self.note(digest, crash, Blame::Full, Some(run), now)
     }
 
     /// A start of an upstream broke off at a moment and may have ended. Returns whether that is news.
@@ -240,7 +316,11 @@
     ) -> Option<Suspect> {
         let broke_at = self.breaks.get(&start);
         let may_be_cause = broke_at.is_none_or(|broke_at| sent_at <= *broke_at);
-        may_be_cause.then(|| self.note(digest, start, Blame::Open, now))?
+        let run = RunSpan {
+            sent_at,
+            broke_at: now,
+        };
+        may_be_cause.then(|| self.note(digest, start, Blame::Open, Some(run), now))?
     }
 
     /// An upstream that broke off under a request runs on as the start that it was. Returns what others
@@ -254,7 +334,7 @@
         let known = self.known.get(&digest)?;
         self.breaks.remove(&start);
         let is_open = known.suspect.crashes.get(&start) == Some(&Blame::Open);
-        is_open.then(|| self.note(digest, start, Blame::Cleared, now))?
+        is_open.then(|| self.note(digest, start, Blame::Cleared, None, now))?
     }
 
     /// Starts of an upstream before a moment in Unix milliseconds, by its own clock, have ended: what they
@@ -280,10 +360,16 @@
         digest: RequestDigest,
         start: UpstreamStart,
         blame: Blame,
+        run: Option<RunSpan>,
         now: Instant,
     ) -> Option<Suspect> {
-        let crashes = BTreeMap::from([(start, blame)]);
-        let news = self.join([Suspect { digest, crashes }], now);
+        let runs = run.map(|run| (start.clone(), run));
+        let told = Suspect {
+            digest,
+            crashes: BTreeMap::from([(start, blame)]),
+            runs: runs.into_iter().collect(),
+        };
+        let news = self.join([told], now);
         news.into_iter().next()
     }
 
@@ -319,6 +405,7 @@
                 suspect: Suspect {
                     digest,
                     crashes: BTreeMap::new(),
+                    runs: BTreeMap::new(),
                 },
                 at: now,
                 settles_at: None,
@@ -334,6 +421,7 @@
                 }
                 is_news |= joined;
             }
+            known.suspect.join_runs(told.runs);
             if !is_news {
                 continue;
             }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -190,6 +190,12 @@
     /// is not known whether it has ended.
     #[prost(uint32, tag = "3")]
     pub blame: u32,
+    /// Time since the run was sent, in milliseconds, where that is known.
+    #[prost(uint64, optional, tag = "4")]
+    pub sent_ms_ago: Option<u64>,
+    /// Time since it broke off, in milliseconds, where that is known.
+    #[prost(uint64, optional, tag = "5")]
+    pub broke_ms_ago: Option<u64>,
 }
 
 /// A request under which upstreams have crashed.
--- a/crates/wire/src/permits.rs
+++ b/crates/wire/src/permits.rs
@@ -48,6 +48,13 @@
     /// The upstream; empty if it is asked for a workspace.
     #[prost(string, tag = "6")]
     pub upstream: String,
+    /// The digest of a request that may run one at a time over all instances; empty if it is asked for a
+    /// workspace or an upstream.
+    #[prost(bytes = "vec", tag = "7")]
+    pub digest: Vec<u8>,
+    /// How long such a run may last, in milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub run_ms: u64,
 }
 
 /// Whether a request may go.
@@ -88,4 +95,10 @@
     /// What it counted.
     #[prost(double, tag = "2")]
     pub cost: f64,
+    /// The digest of a request whose run was alone and is over; empty if it is of a workspace.
+    #[prost(bytes = "vec", tag = "3")]
+    pub digest: Vec<u8>,
+    /// The number of the question that was granted.
+    #[prost(fixed64, tag = "4")]
+    pub id: u64,
 }
