Requests go only where they may: emptied halls, regions that bind, cold upstreams by the counter

Ruled out: marking upstreams of an emptied hall as leaving (final for a start, so the hall could not be given back); a second counter for cold upstreams (the one for upstreams in need is a sum over all instances already, with a share for whoever cannot ask). Change: serving::halls has the halls' regions and the emptied ones; UpstreamTable asks it for every choice, also a dispatcher's (the question carries the regions), and the door asks last. The operators' word comes by the configuration's feed, so from the store, the holder or a neighbour. The planner takes an emptied hall's engines as going and back when the word is withdrawn. A cold upstream has the lower of what it names and cold_per_s as its limit; one of a hall that is given back counts as cold for cold_start_s, since its entry may be older than that. An unknown hall: an error line, a counter, nothing else closed. An empty allowed_regions binds nothing. Not built: the planner does not know the regions of who waits; whoever has not heard the store for long does not close halls by itself. Also, seen on the way: a whole list was compared with itself (e^2) and a set of all ids was built every 250 ms though nothing was gone.

--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -10,6 +10,7 @@
 use passway_serving::dispatch::{
     Dispatchers, REFRESH_PAUSE, RunBook, RunId, RunKey, Waiter, WaitingLine, counted_load,
 };
+use passway_serving::halls::AllowedRegions;
 use passway_serving::tenure::Candidate;
 use passway_serving::upstreams::{Choice, ModelRef, Outcome, Wanted};
 use passway_types::clock;
@@ -67,6 +68,8 @@
     pub due_at: Instant,
     /// Whether engines let it in before all others that wait.
     pub is_urgent: bool,
+    /// The regions in which it may be served.
+    pub allowed: &'a AllowedRegions,
 }
 
 /// Time until a moment in milliseconds; below 0 if it is past.
@@ -173,6 +176,7 @@
             service,
             model_ref: Some(model_ref),
             hall: &shared.settings.hall,
+            allowed: question.allowed,
             drawn,
         };
         let mut engines = shared.upstreams().drawn_engines(wanted, now);
@@ -187,6 +191,8 @@
             due_in_ms: due_in_ms(question.due_at, now),
             is_urgent: question.is_urgent,
             tried: tried.iter().map(ToString::to_string).collect(),
+            regions: question.allowed.names().map(ToString::to_string).collect(),
+            is_bound: question.allowed.bind(),
         };
         let mut asked = Vec::new();
         let mut choice = Choice::Absent;
@@ -308,11 +314,17 @@
             model: ask.model.as_str().into(),
             adapter: adapter.map(Into::into),
         };
+        let allowed = if ask.is_bound {
+            AllowedRegions::only(ask.regions.iter().map(|region| region.as_str().into()))
+        } else {
+            AllowedRegions::ANY
+        };
         let (service, hall) = (ask.service.as_str().into(), ask.hall.as_str().into());
         let wanted = Wanted {
             service: &service,
             model_ref: Some(&model_ref),
             hall: &hall,
+            allowed: &allowed,
             drawn: ask.drawn,
         };
         let dispatchers = lock(&self.dispatchers);
--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -7,10 +7,14 @@
 use passway_serving::ports::{Directory, Listing, StoreChange, StoredValue};
 use passway_types::clock;
 use passway_types::prelude::*;
+use std::collections::BTreeSet;
 
 /// Versions that came within this time are a series: more of them may lie behind.
 const SERIES_TIME: Duration = Duration::from_secs(5);
 
+/// The name under which halls that are not known are counted.
+const HALL_WORD: &str = "hall";
+
 /// Takes in the configuration.
 pub struct ConfigurationFeed {
     /// What the instance shares.
@@ -19,6 +23,8 @@
     pub directory: Arc<dyn Directory>,
     /// When the last version and the one before it came.
     versions_at: [Option<Instant>; 2],
+    /// Halls that operators have emptied.
+    emptied: BTreeSet<DataHall>,
 }
 
 impl ConfigurationFeed {
@@ -28,7 +34,27 @@
             shared,
             directory,
             versions_at: [None; 2],
+            emptied: BTreeSet::new(),
+        }
+    }
+
+    /// Halls of which nobody is to be sent anything are closed from now on, and no others.
+    fn use_emptied(&self) {
+        let mut upstreams = self.shared.upstreams();
+        let before = upstreams.emptied().clone();
+        if !upstreams.set_emptied(self.emptied.clone(), clock::now()) {
+            return;
+        }
+        let unknown = self.emptied.difference(&before);
+        let unknown = unknown.filter(|hall| !upstreams.knows_hall(hall));
+        let unknown: Vec<DataHall> = unknown.cloned().collect();
+        drop(upstreams);
+        for hall in unknown {
+            self.shared.metrics.unusable_word(HALL_WORD);
+            log::error!(hall:% = hall; "a hall that is not known is to be emptied");
         }
+        log::info!(target: DECISION_TARGET, halls:? = self.emptied; "halls emptied by operators");
+        self.shared.upstreams_changed();
     }
 
     fn take(&self, value: &StoredValue) {
@@ -45,6 +71,10 @@
                 log::info!(target: DECISION_TARGET, version = table.version; "configuration in force");
                 let version = table.version;
                 self.shared.allotments.retain(&table);
+                let services = table.services.values();
+                let cold =
+                    services.filter_map(|service| Some((service.name.clone(), service.cold?)));
+                self.shared.upstreams().set_cold_bounds(cold.collect());
                 self.shared.routes.store(Some(Arc::new(table)));
                 self.shared.configuration_age.set_in_force(version);
             }
@@ -66,10 +96,20 @@
         for value in &listing.values {
             self.take(value);
         }
+        let keys = listing.values.iter().map(|value| &value.key);
+        let halls = keys.filter_map(|key| self.directory.emptied_hall(key));
+        self.emptied = halls.map(Into::into).collect();
+        self.use_emptied();
     }
 
     fn changed(&mut self, change: &StoreChange) -> bool {
-        if let StoreChange::Written(value) = change {
+        if let Some(hall) = self.directory.emptied_hall(change.key()) {
+            match change {
+                StoreChange::Written(_) => self.emptied.insert(hall.into()),
+                StoreChange::Removed { .. } => self.emptied.remove(hall),
+            };
+            self.use_emptied();
+        } else if let StoreChange::Written(value) = change {
             self.take(value);
             self.versions_at = [Some(clock::now()), self.versions_at[0]];
         }
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -64,11 +64,11 @@
     fn expire(&self) {
         let mut upstreams = self.shared.upstreams();
         let gone = upstreams.expire(clock::now());
-        let left = upstreams.entries().map(|entry| entry.id.clone()).collect();
-        drop(upstreams);
         if gone.is_empty() {
             return;
         }
+        let left = upstreams.entries().map(|entry| entry.id.clone()).collect();
+        drop(upstreams);
         for entry in &gone {
             log::info!(target: DECISION_TARGET, upstream:% = entry.id; "an upstream is gone");
             self.shared.pool.forget(&entry.id);
--- a/crates/instance/src/forward/access.rs
+++ b/crates/instance/src/forward/access.rs
@@ -5,6 +5,7 @@
 use crate::allotments::Decision;
 use crate::relay::millis;
 use crate::reply::Refusal;
+use passway_serving::halls::AllowedRegions;
 use passway_serving::ports::{RequestFacts, WorkspaceMark};
 use passway_serving::routes::{Route, RouteTable};
 use passway_serving::workspaces::Workspace;
@@ -48,6 +49,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// What upstreams are told.
     pub mark: WorkspaceMark,
+    /// The regions in which it may be served, by its route and its workspace.
+    pub allowed: AllowedRegions,
     /// Whether it may go only with a key that holds.
     is_closed: bool,
 }
@@ -59,6 +62,7 @@
             return Some(Self {
                 workspace: None,
                 mark: WorkspaceMark::Untouched,
+                allowed: route.allowed.clone(),
                 is_closed: false,
             });
         };
@@ -69,7 +73,9 @@
             return None;
         }
         let name = workspace.as_ref().map(|workspace| workspace.name.clone());
+        let own = workspace.as_ref().map(|workspace| &workspace.allowed);
         Some(Self {
+            allowed: own.map_or(route.allowed.clone(), |own| own.and(&route.allowed)),
             workspace,
             mark: WorkspaceMark::Set(name),
             is_closed,
--- a/crates/instance/src/forward/limits.rs
+++ b/crates/instance/src/forward/limits.rs
@@ -28,7 +28,10 @@
     /// The upstream that was chosen for the request, with a turn if it names a limit; `None` if the request's
     /// turn has not come.
     pub(super) fn with_turn(&mut self, mut target: Target) -> Option<Target> {
-        let limit = self.shared.upstreams().limit_per_s(&target.id);
+        let limit = self
+            .shared
+            .upstreams()
+            .limit_per_s(&target.id, clock::now());
         let Some(per_s) = limit else {
             return Some(target);
         };
@@ -67,7 +70,7 @@
     /// this instance for rest.
     fn held_back(&self, now: Instant) -> Vec<HeldBack> {
         let upstreams = self.shared.upstreams();
-        let closed = upstreams.closed_to(&self.service, self.wish(), now);
+        let closed = upstreams.closed_to(self.wanted(), now);
         drop(upstreams);
         let resting = closed.into_iter().map(|(upstream, until)| HeldBack {
             upstream,
@@ -114,6 +117,6 @@
         let comes_at = self.load_time().map(|load| now + load);
         let upstreams = self.shared.upstreams();
         comes_at.is_some_and(|at| at <= wait_until)
-            || upstreams.lies_elsewhere(&self.service, &model_ref.model, now)
+            || upstreams.lies_elsewhere(&self.service, &model_ref.model, &self.access.allowed, now)
     }
 }
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -4,7 +4,7 @@
 use crate::dispatch::Question;
 use crate::relay::{millis, millis_since};
 use crate::shared::{Need, Shared};
-use passway_serving::upstreams::{Choice, ModelRef};
+use passway_serving::upstreams::{Choice, ModelRef, Wanted};
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -130,7 +130,9 @@
         let wait_until = self.wait_until(self.deadline_at);
         let comes_at = now + load_time;
         let upstreams = self.shared.upstreams();
-        if comes_at <= wait_until || !upstreams.lies_nowhere(&self.service, &model_ref.model) {
+        if comes_at <= wait_until
+            || !upstreams.lies_nowhere(&self.service, &model_ref.model, &self.access.allowed)
+        {
             return None;
         }
         drop(upstreams);
@@ -158,6 +160,17 @@
         }
     }
 
+    /// What the request needs of an upstream.
+    pub(super) fn wanted(&self) -> Wanted<'_> {
+        Wanted {
+            service: &self.service,
+            model_ref: self.wish(),
+            hall: &self.shared.settings.hall,
+            allowed: &self.access.allowed,
+            drawn: draw(&self.facts.id),
+        }
+    }
+
     /// The upstream for the next attempt, or why there is none now.
     pub(super) fn choose(&self, now: Instant) -> Result<Target, Choice> {
         let drawn = draw(&self.facts.id).wrapping_add(self.runs.into());
@@ -172,6 +185,7 @@
                 drawn,
                 due_at: self.due_at(),
                 is_urgent: self.priority() == 0,
+                allowed: &self.access.allowed,
             };
             dispatch.ask(self.shared, &question)
         });
@@ -188,7 +202,12 @@
             };
         }
         let upstreams = self.shared.upstreams();
-        match upstreams.choose(&self.service, self.wish(), &closed, drawn, now) {
+        let wanted = Wanted {
+            drawn,
+            ..self.wanted()
+        };
+        let is_open = |id: &UpstreamId| !closed.contains(id);
+        match upstreams.choose_by(wanted, is_open, None, now) {
             Choice::Send { id, address } => Ok(Target {
                 run: self.wish().and_then(|_| dispatch.unasked(&id)),
                 started_at_ms: upstreams.started_at_ms(&id),
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -395,6 +395,13 @@
                 self.planner.heard(entry.clone(), clock::now());
             }
         }
+        let upstreams = self.shared.upstreams();
+        let emptied = upstreams.emptied();
+        let emptied = (emptied != self.planner.emptied()).then(|| emptied.clone());
+        drop(upstreams);
+        if let Some(emptied) = emptied {
+            self.planner.set_emptied(emptied);
+        }
         let fence = self.right.term();
         if fence != self.fence {
             self.fence = fence;
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -146,7 +146,7 @@
     /// Takes in how much an upstream takes. Returns whether that is to be told.
     fn take_limit(&mut self, id: &UpstreamId) -> bool {
         let before = self.told_limits.get(id).copied();
-        let now = self.shared.upstreams().limit_per_s(id);
+        let now = self.shared.upstreams().named_limit_per_s(id);
         self.planner.set_limit(id, now);
         let is_news = match (before, now) {
             (Some(before), Some(now)) => (now - before).abs() > TOLD_CHANGE_PART * before,
--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -61,7 +61,7 @@
     pub fn rule(&self, shared: &Shared, fence: Fence, from: SocketAddr, ask: &UseAsk) -> UseTold {
         let upstream = UpstreamId::from(ask.upstream.as_str());
         // A word that one of the two has not heard yet is the newer one; which, is not known here.
-        let known = shared.upstreams().limit_per_s(&upstream);
+        let known = shared.upstreams().limit_per_s(&upstream, clock::now());
         let per_s = known.map_or(ask.rate_per_s, |known| known.min(ask.rate_per_s));
         let allotment = limits::allotment(per_s);
         let ruling = self.counter.of_term(fence, EXACT, |keeper| {
@@ -73,7 +73,8 @@
     /// Forgets what was counted for upstreams that name no limit any more.
     pub fn retain(&self, shared: &Shared) {
         let upstreams = shared.upstreams();
-        let is_limited = |id: &str| upstreams.limit_per_s(id).is_some();
+        let now = clock::now();
+        let is_limited = |id: &str| upstreams.limit_per_s(id, now).is_some();
         self.counter.of_any_term(|keeper| keeper.retain(is_limited));
         let mut kept = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
         kept.retain(is_limited);
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -220,11 +220,12 @@
         let rests = self.rests.clone();
         let help = "Answers that ask this instance for rest";
         registry.register("rests", help, rests);
-        for word in ["limit", "leaving", "rest"] {
+        for word in ["limit", "leaving", "rest", "hall"] {
             let _zero = self.unusable_words.get_or_create(&WordLabels { word });
         }
         let unusable = self.unusable_words.clone();
-        let help = "Words of upstreams of themselves that cannot be read";
+        let help =
+            "Words of upstreams of themselves, and of operators on halls, that cannot be used";
         registry.register("unusable_words", help, unusable);
     }
 
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -153,7 +153,8 @@
         vocabulary: Box<dyn Vocabulary>,
         needs: Sender<Need>,
     ) -> Self {
-        let upstreams = UpstreamTable::new(settings.hall.clone());
+        let upstreams =
+            UpstreamTable::new(settings.hall.clone()).with_regions(settings.regions.clone());
         let retries = RetryBudget::new(settings.bounds.retry);
         Self {
             bounds: ArcSwap::from_pointee(settings.bounds),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`retry`]: the part of the fleet's retry allowance that this instance may spend.
 //! * [`workspaces`]: who may use closed routes, and how much; [`freshness`]: until when the
 //!   configuration that says so may be acted on; [`allotment`]: what they have used.
+//! * [`halls`]: where requests may go: regions that bind, data halls that were emptied.
 //! * [`limits`]: what upstreams in need say that they take.
 //! * [`words`]: what upstreams say of themselves in their answers.
 //! * [`headers`]: headers as they were received.
@@ -23,6 +24,7 @@
 pub mod allotment;
 pub mod dispatch;
 pub mod freshness;
+pub mod halls;
 pub mod hash;
 pub mod headers;
 pub mod limits;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -126,6 +126,8 @@
     ended_loading: Vec<Loading>,
     crashing_loads: CrashingLoads,
     questions: Questions,
+    /// Halls that operators have emptied.
+    emptied: BTreeSet<DataHall>,
     /// Engines that want nothing from this instance, and until when.
     resting: BTreeMap<UpstreamId, Instant>,
     /// When engines may be asked for their state in this term: what a holder before ordered
@@ -152,6 +154,7 @@
             ended_loading: Vec::new(),
             crashing_loads: CrashingLoads::default(),
             questions: Questions::default(),
+            emptied: BTreeSet::new(),
             resting: BTreeMap::new(),
             reports_from: None,
             listening_until: None,
@@ -205,14 +208,17 @@
             return;
         }
         let id = entry.id.clone();
+        let is_emptied = self.emptied.contains(&entry.hall);
         if let Some(engine) = self.engines.get_mut(&id) {
+            engine.set_emptied(is_emptied);
             if entry.started_at_ms > engine.entry.started_at_ms {
                 self.ended_loading.extend(engine.loading());
             }
             engine.update(entry, now);
             self.homes.update(engine);
         } else {
-            let engine = Engine::new(entry);
+            let mut engine = Engine::new(entry);
+            engine.set_emptied(is_emptied);
             self.homes.update(&engine);
             self.engines.insert(id.clone(), engine);
         }
@@ -343,6 +349,22 @@
         }
     }
 
+    /// The halls that operators have emptied, as they were told last.
+    pub fn emptied(&self) -> &BTreeSet<DataHall> {
+        &self.emptied
+    }
+
+    /// Operators have emptied these halls and no others: what stands there comes elsewhere.
+    pub fn set_emptied(&mut self, emptied: BTreeSet<DataHall>) {
+        self.emptied = emptied;
+        for (id, engine) in &mut self.engines {
+            let is_emptied = self.emptied.contains(&engine.entry.hall);
+            if engine.set_emptied(is_emptied) {
+                self.changed.insert(id.clone());
+            }
+        }
+    }
+
     /// An engine wants nothing from some instance until a moment: what requests wait for there had better come
     /// to another one, and nothing comes to it meanwhile.
     pub fn note_rest(&mut self, id: &UpstreamId, started_at_ms: u64, until: Instant) {
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -99,6 +99,8 @@
     limit_per_s: Option<f64>,
     /// Until when it wants nothing from some instance.
     rests_until: Option<Instant>,
+    /// Whether operators have emptied its hall.
+    is_emptied: bool,
 }
 
 impl Engine {
@@ -131,6 +133,7 @@
             doubted_at: None,
             limit_per_s: None,
             rests_until: None,
+            is_emptied: false,
         }
     }
 
@@ -139,7 +142,9 @@
     fn restart(&mut self, entry: UpstreamEntry) {
         let unresolved = std::mem::take(&mut self.unresolved);
         let inherits = self.inherits();
+        let is_emptied = self.is_emptied;
         *self = Self::new(entry);
+        self.is_emptied = is_emptied;
         self.unresolved = unresolved;
         if inherits {
             self.inherited = Inherited::AtAnyCount;
@@ -216,12 +221,23 @@
     /// Whether a model stands here and stays.
     pub(super) fn has(&self, service: &ServiceName, model: &ModelName) -> bool {
         self.entry.service == *service
-            && !self.entry.draining
+            && !self.is_going()
             && !self.is_unreachable()
             && !self.closing.contains(model)
             && self.resident(model).is_some()
     }
 
+    /// Whether nothing new goes to it, so that what it has must come elsewhere: it leaves, or its hall was
+    /// emptied.
+    pub(super) fn is_going(&self) -> bool {
+        self.entry.draining || self.is_emptied
+    }
+
+    /// Whether operators have emptied its hall; returns whether that is news.
+    pub(super) fn set_emptied(&mut self, is_emptied: bool) -> bool {
+        std::mem::replace(&mut self.is_emptied, is_emptied) != is_emptied
+    }
+
     /// Whether it left the last questions unanswered. Its entry goes seconds after its end,
     /// and not at all while the store is away; meanwhile what stands on it serves nobody.
     fn is_unreachable(&self) -> bool {
@@ -347,7 +363,7 @@
 
     /// Whether a new swap may begin here.
     pub(super) fn takes_orders(&self) -> bool {
-        !self.entry.draining && self.coming.is_none() && self.orders_taken.is_some()
+        !self.is_going() && self.coming.is_none() && self.orders_taken.is_some()
     }
 
     /// Time until the order under way is done, in milliseconds.
@@ -380,7 +396,7 @@
 
     /// Models that stand here and stay.
     pub(super) fn staying(&self) -> impl Iterator<Item = &ModelName> {
-        let is_usable = !self.entry.draining && !self.is_unreachable();
+        let is_usable = !self.is_going() && !self.is_unreachable();
         let stays = move |name: &&ModelName| is_usable && !self.closing.contains(name);
         self.models.iter().map(|model| &model.name).filter(stays)
     }
--- a/crates/serving/src/placement/engine/orders.rs
+++ b/crates/serving/src/placement/engine/orders.rs
@@ -203,7 +203,7 @@
 
     fn model_step(&mut self, pool: &EnginePool, expected: u64) -> Option<PlannedOrder> {
         let coming = self.coming.clone()?;
-        if self.entry.draining {
+        if self.is_going() {
             self.coming = None;
             self.closing.clear();
             return None;
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -264,7 +264,7 @@
             } else {
                 !engine.is_in_need()
             };
-            serves && !engine.entry.draining
+            serves && !engine.is_going()
         });
         let ceiling = self.store_loads.get(service);
         let has_room = ceiling.is_none_or(|loads| loads.has_room(pool, now))
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -3,6 +3,7 @@
 //! An adapter implements them in the words of one platform. It decides nothing.
 
 use crate::allotment::QuotaBounds;
+use crate::halls::HallRegions;
 use crate::headers::Headers;
 use crate::placement::policy::PolicyName;
 use crate::routes::RouteTable;
@@ -166,6 +167,10 @@
     /// The prefix under which the configuration lies.
     fn configuration_prefix(&self) -> &str;
 
+    /// The data hall that a key of the configuration's prefix names as emptied, for as long as the key is there;
+    /// `None` if it holds something else.
+    fn emptied_hall<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Decodes a configuration; `None` if the key holds something else.
     ///
     /// # Errors
@@ -349,6 +354,8 @@
     pub instance: InstanceId,
     /// Its data hall.
     pub hall: DataHall,
+    /// The region of each data hall; empty if that is not told.
+    pub regions: HallRegions,
     /// Where callers connect.
     pub callers_address: SocketAddr,
     /// Where the balancer asks whether it is ready.
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -1,5 +1,7 @@
 //! Routes and services as operators configure them.
 
+use crate::halls::AllowedRegions;
+use crate::upstreams::ColdBound;
 use crate::workspaces::Workspaces;
 use passway_types::prelude::*;
 use std::collections::HashMap;
@@ -62,6 +64,8 @@
     pub priority: u8,
     /// Most upstreams that one request may be sent to.
     pub attempts: u32,
+    /// The regions in which its requests may be served.
+    pub allowed: AllowedRegions,
     /// Where its requests go.
     pub backends: Vec<Backend>,
 }
@@ -187,6 +191,8 @@
     pub name: ServiceName,
     /// Connections that an upstream takes from all instances together.
     pub max_connections: u32,
+    /// What a cold upstream bears; `None` without a bound.
+    pub cold: Option<ColdBound>,
     /// The engines' common traits; `None` for a plain service.
     pub pool: Option<EnginePool>,
 }
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -5,12 +5,13 @@
 mod rest;
 mod upstream;
 
+use crate::halls::{AllowedRegions, HallRegions, Halls};
 use crate::limits::LimitWord;
 use crate::placement::{PlacementDigest, digest};
 pub use choice::{Choice, Wanted};
 use departures::Departures;
 use passway_types::prelude::*;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use upstream::Upstream;
 
@@ -62,6 +63,15 @@
     pub adapter: Option<AdapterName>,
 }
 
+/// What a cold upstream of a service bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBound {
+    /// Requests a second, from all instances together.
+    pub per_s: f64,
+    /// How long an upstream stays cold from its start.
+    pub time: Duration,
+}
+
 /// How an attempt at an upstream ended, as far as it tells about the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -81,6 +91,9 @@
 #[derive(Debug)]
 pub struct UpstreamTable {
     hall: DataHall,
+    halls: Halls,
+    /// What cold upstreams bear, by service.
+    cold_bounds: HashMap<ServiceName, ColdBound>,
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<UpstreamId>,
     departures: Departures,
@@ -93,6 +106,8 @@
     pub fn new(hall: DataHall) -> Self {
         Self {
             hall,
+            halls: Halls::default(),
+            cold_bounds: HashMap::new(),
             upstreams: HashMap::new(),
             restarted: Vec::new(),
             departures: Departures::default(),
@@ -100,11 +115,67 @@
         }
     }
 
+    /// The same in a fleet whose halls lie in some regions.
+    #[must_use]
+    pub fn with_regions(self, regions: HallRegions) -> Self {
+        Self {
+            halls: Halls::new(regions),
+            ..self
+        }
+    }
+
     /// Whether no upstream is known.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
     }
 
+    /// Operators have emptied these halls and no others; returns whether that is news.
+    ///
+    /// Upstreams of a hall that is given back may be cold without having said so yet.
+    pub fn set_emptied(&mut self, emptied: BTreeSet<DataHall>, now: Instant) -> bool {
+        if *self.halls.emptied() == emptied {
+            return false;
+        }
+        let given_back = self.halls.set_emptied(emptied);
+        for upstream in self.upstreams.values_mut() {
+            let bound = self.cold_bounds.get(&upstream.entry.service);
+            if given_back.contains(&upstream.entry.hall)
+                && let Some(bound) = bound
+            {
+                upstream.may_be_cold_until = Some(now + bound.time);
+            }
+        }
+        true
+    }
+
+    /// The halls to which nothing may be sent.
+    pub fn emptied(&self) -> &BTreeSet<DataHall> {
+        self.halls.emptied()
+    }
+
+    /// Whether a hall is one of the fleet's; any is while none is known.
+    pub fn knows_hall(&self, hall: &DataHall) -> bool {
+        self.halls.knows(hall)
+    }
+
+    /// Whether a request with some allowed regions may be sent to an upstream where it stands. Where one stands
+    /// that is not listed is not known.
+    pub fn admits(&self, id: &str, allowed: &AllowedRegions) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.map_or(!self.halls.are_bound(allowed), |upstream| {
+            self.halls.admit(&upstream.entry.hall, allowed)
+        })
+    }
+
+    /// Uses a configuration's bounds on cold upstreams.
+    pub fn set_cold_bounds(&mut self, bounds: HashMap<ServiceName, ColdBound>) {
+        self.cold_bounds = bounds;
+        for upstream in self.upstreams.values_mut() {
+            let bound = self.cold_bounds.get(&upstream.entry.service);
+            upstream.cold_per_s = bound.map(|bound| bound.per_s);
+        }
+    }
+
     /// The entries as they were last heard.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.upstreams.values().map(|upstream| &upstream.entry)
@@ -118,9 +189,18 @@
         }
         // Leaving is final for a start, whatever a word says that is older or does not know it yet.
         entry.draining = self.leaves(&entry.id, entry.started_at_ms);
+        let cold_per_s = self
+            .cold_bounds
+            .get(&entry.service)
+            .map(|bound| bound.per_s);
+        let new = |entry| {
+            let mut upstream = Upstream::new(entry, now);
+            upstream.cold_per_s = cold_per_s;
+            upstream
+        };
         let Some(known) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
-            self.upstreams.insert(id, Upstream::new(entry, now));
+            self.upstreams.insert(id, new(entry));
             return true;
         };
         if entry.started_at_ms < known.entry.started_at_ms {
@@ -130,7 +210,7 @@
         if entry.started_at_ms > known.entry.started_at_ms {
             // Nothing that was seen of it before holds for it now.
             self.restarted.push(entry.id.clone());
-            *known = Upstream::new(entry, now);
+            *known = new(entry);
             return true;
         }
         let returned = known.gone_at.take().is_some();
@@ -147,7 +227,9 @@
             || known.entry.service != entry.service
             || known.entry.address != entry.address
             || known.entry.slots != entry.slots
-            || known.entry.draining != entry.draining;
+            || known.entry.draining != entry.draining
+            || known.is_colder_by(&entry);
+        known.cold_per_s = cold_per_s;
         known.entry = entry;
         known.note_standing();
         more
@@ -186,8 +268,9 @@
 
     /// The whole list was read; what is not on it is gone at the moment given.
     pub fn replace(&mut self, entries: Vec<UpstreamEntry>, gone_at: Instant, now: Instant) {
+        let listed: HashSet<&str> = entries.iter().map(|entry| &*entry.id).collect();
         for (id, upstream) in &mut self.upstreams {
-            if !entries.iter().any(|entry| entry.id == *id) {
+            if !listed.contains(&**id) {
                 upstream.gone_at.get_or_insert(gone_at);
             }
         }
@@ -341,16 +424,11 @@
     }
 
     /// Those that could serve a request, if they wanted one from this instance now, with when they do.
-    pub fn closed_to(
-        &self,
-        service: &ServiceName,
-        model_ref: Option<&ModelRef>,
-        now: Instant,
-    ) -> Vec<(UpstreamId, Instant)> {
+    pub fn closed_to(&self, wanted: Wanted<'_>, now: Instant) -> Vec<(UpstreamId, Instant)> {
         let closed = self.resting.iter().filter_map(|id| {
             let upstream = self.upstreams.get(id)?;
             let until = upstream.rest.closed_until(now)?;
-            let is_usable = upstream.is_usable(service, model_ref, now);
+            let is_usable = self.is_usable(upstream, wanted, now);
             is_usable.then(|| (id.clone(), until))
         });
         closed.collect()
@@ -362,9 +440,15 @@
         upstream.is_some_and(|upstream| upstream.note_limit(word))
     }
 
-    /// Requests a second that an upstream takes from all instances together; `None` without a limit.
-    pub fn limit_per_s(&self, id: &str) -> Option<f64> {
-        self.upstreams.get(id)?.limit_per_s()
+    /// Requests a second that an upstream takes from all instances together, as it says or as a cold one bears;
+    /// `None` without a limit.
+    pub fn limit_per_s(&self, id: &str, now: Instant) -> Option<f64> {
+        self.upstreams.get(id)?.limit_per_s(now)
+    }
+
+    /// Requests a second that an upstream says it takes from all instances together; `None` without a limit.
+    pub fn named_limit_per_s(&self, id: &str) -> Option<f64> {
+        self.upstreams.get(id)?.named_per_s()
     }
 
     /// What upstreams said last of how much they take, those that ever named a limit, with their starts
@@ -379,7 +463,7 @@
     /// Upstreams that name a limit.
     pub fn limited(&self) -> usize {
         let all = self.upstreams.values();
-        all.filter(|one| one.limit_per_s().is_some()).count()
+        all.filter(|one| one.named_per_s().is_some()).count()
     }
 
     /// Whether an upstream has what a request needs, as far as is known.
@@ -390,22 +474,43 @@
 
     /// Whether none of a service's engines has a model or a copy of it, so that it can only come from
     /// the weight store. Unknown engines may have it: false if there is none.
-    pub fn lies_nowhere(&self, service: &ServiceName, model: &ModelName) -> bool {
-        let all = self.upstreams.values();
-        let mut engines = all.filter(|one| one.entry.service == *service).peekable();
+    pub fn lies_nowhere(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        allowed: &AllowedRegions,
+    ) -> bool {
+        let mut engines = self.admitted(service, allowed).peekable();
         engines.peek().is_some() && !engines.any(|one| one.keeps(model))
     }
 
     /// Whether an engine that takes any requests has a model or a copy of it.
-    pub fn lies_elsewhere(&self, service: &ServiceName, model: &ModelName, now: Instant) -> bool {
-        let all = self.upstreams.values();
-        let mut engines = all.filter(|one| one.entry.service == *service);
+    pub fn lies_elsewhere(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        allowed: &AllowedRegions,
+        now: Instant,
+    ) -> bool {
+        let mut engines = self.admitted(service, allowed);
         engines.any(|one| {
-            let takes = one.limit_per_s().is_none() && !one.rest.lasts(now) && !one.entry.draining;
+            let takes =
+                one.limit_per_s(now).is_none() && !one.rest.lasts(now) && !one.entry.draining;
             takes && one.keeps(model)
         })
     }
 
+    /// Upstreams of a service where requests with some allowed regions may go.
+    fn admitted<'a>(
+        &'a self,
+        service: &ServiceName,
+        allowed: &AllowedRegions,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let all = self.upstreams.values();
+        let of_service = all.filter(move |one| one.entry.service == *service);
+        of_service.filter(move |one| self.halls.admit(&one.entry.hall, allowed))
+    }
+
     /// Requests that an upstream works on at one time.
     pub fn slots_of(&self, id: &str) -> u32 {
         self.upstreams
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -2,6 +2,7 @@
 
 use super::upstream::Upstream;
 use super::{ModelRef, UpstreamTable};
+use crate::halls::AllowedRegions;
 use crate::hash;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -60,7 +61,7 @@
         let slots = f64::from(self.entry.slots.max(1));
         Rank {
             is_unreachable: now < self.unreachable_until,
-            is_last: self.goes_last(drawn),
+            is_last: self.goes_last(drawn, now),
             cost: self.cost(load, hall, now) + part_of(drawn, id) * DRAW_REQUESTS / slots,
             id,
         }
@@ -81,8 +82,8 @@
     }
 
     /// Whether a request with a number of its own goes here only if it can go nowhere else.
-    fn goes_last(&self, drawn: u64) -> bool {
-        self.limit_per_s().is_some()
+    fn goes_last(&self, drawn: u64, now: Instant) -> bool {
+        self.limit_per_s(now).is_some()
             && !hash::mixed(!drawn, &self.entry.id).is_multiple_of(REQUESTS_PER_TRIAL)
     }
 
@@ -103,8 +104,7 @@
         } else {
             0.0
         };
-        let is_cold = self.entry.cold_until.is_some_and(|until| now < until);
-        let cold = if is_cold { COLD_COST } else { 0.0 };
+        let cold = if self.is_cold(now) { COLD_COST } else { 0.0 };
         load + away + silence + cold + FAILURE_COST * self.failure_rate(now)
     }
 }
@@ -118,6 +118,8 @@
     pub model_ref: Option<&'a ModelRef>,
     /// The hall that is preferred at equal load.
     pub hall: &'a DataHall,
+    /// The regions in which it may be served.
+    pub allowed: &'a AllowedRegions,
     /// A number of the request's own, so that instances that all see little load do not all
     /// choose the same upstream.
     pub drawn: u64,
@@ -140,6 +142,7 @@
             service,
             model_ref,
             hall: &self.hall,
+            allowed: &AllowedRegions::ANY,
             drawn,
         };
         let is_open = |id: &UpstreamId| !tried.contains(id);
@@ -157,7 +160,7 @@
     ) -> Choice {
         let mut full = false;
         let mut best: Option<(Rank<'_>, &Upstream)> = None;
-        for upstream in self.usable(wanted.service, wanted.model_ref, now) {
+        for upstream in self.usable(wanted, now) {
             if !is_open(&upstream.entry.id) {
                 continue;
             }
@@ -184,21 +187,27 @@
     /// Upstreams that take new requests and have what is needed, as far as is known.
     fn usable<'a>(
         &'a self,
-        service: &ServiceName,
-        model_ref: Option<&ModelRef>,
+        wanted: Wanted<'_>,
         now: Instant,
     ) -> impl Iterator<Item = &'a Upstream> {
         let all = self.upstreams.values();
-        all.filter(move |upstream| upstream.is_usable(service, model_ref, now))
+        all.filter(move |upstream| self.is_usable(upstream, wanted, now))
+    }
+
+    /// Whether an upstream takes new requests, has what is needed and stands where the request may go, as far
+    /// as is known.
+    pub(super) fn is_usable(&self, upstream: &Upstream, wanted: Wanted<'_>, now: Instant) -> bool {
+        upstream.is_usable(wanted.service, wanted.model_ref, now)
+            && self.halls.admit(&upstream.entry.hall, wanted.allowed)
     }
 
     /// Engines that could take a request, in an order drawn for it, those in need last.
     pub fn drawn_engines(&self, wanted: Wanted<'_>, now: Instant) -> Vec<UpstreamId> {
-        let usable = self.usable(wanted.service, wanted.model_ref, now);
+        let usable = self.usable(wanted, now);
         let mut engines: Vec<&Upstream> = usable.collect();
         engines.sort_by_cached_key(|engine| {
             let drawn = hash::mixed(wanted.drawn, &engine.entry.id);
-            (engine.goes_last(wanted.drawn), drawn)
+            (engine.goes_last(wanted.drawn, now), drawn)
         });
         let ids = engines.iter().map(|engine| engine.entry.id.clone());
         ids.collect()
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -17,6 +17,9 @@
 /// An upstream that works and is not heard of for this long counts as silent: its
 /// streams send an event every few hundredths of a second.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// A word that an upstream stays cold for so much longer is news: the same word heard twice is no more than
+/// some tenths of a second apart.
+const COLDER_TIME: Duration = Duration::from_millis(600);
 /// A model that an upstream said it does not have is not asked for there for this long.
 const ABSENT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -46,6 +49,10 @@
     pub(super) gone_at: Option<Instant>,
     /// What it said last of how much it takes; `None` if it never named a limit.
     limit: Option<LimitWord>,
+    /// Requests a second that it bears while it is cold; `None` if that is not bounded.
+    pub(super) cold_per_s: Option<f64>,
+    /// Until when it may be cold without having said so.
+    pub(super) may_be_cold_until: Option<Instant>,
     /// What it asked this instance for.
     pub(super) rest: Rest,
 }
@@ -67,15 +74,39 @@
             stood: HashSet::new(),
             gone_at: None,
             limit: None,
+            cold_per_s: None,
+            may_be_cold_until: None,
             rest: Rest::default(),
         }
     }
 
-    /// Requests a second that it takes from all instances together; `None` without a limit.
-    pub(super) fn limit_per_s(&self) -> Option<f64> {
+    /// Requests a second that it takes from all instances together, as it says or as a cold one bears;
+    /// `None` without a limit.
+    pub(super) fn limit_per_s(&self, now: Instant) -> Option<f64> {
+        let cold = self.cold_per_s.filter(|_| self.is_cold(now));
+        let limits = self.named_per_s().into_iter().chain(cold);
+        limits.reduce(f64::min)
+    }
+
+    /// Requests a second that it says it takes from all instances together; `None` without a limit.
+    pub(super) fn named_per_s(&self) -> Option<f64> {
         self.limit?.per_s
     }
 
+    /// Whether it is cold, as it says or as it may be.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        let until = self.entry.cold_until.max(self.may_be_cold_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Whether its next word says that it stays cold for longer than was known.
+    pub(super) fn is_colder_by(&self, entry: &UpstreamEntry) -> bool {
+        let known = self.entry.cold_until;
+        entry.cold_until.is_some_and(|until| {
+            known.is_none_or(|known| until.saturating_duration_since(known) >= COLDER_TIME)
+        })
+    }
+
     /// What it said last of how much it takes; `None` if it never named a limit.
     pub(super) fn limit_word(&self) -> Option<LimitWord> {
         self.limit
@@ -89,7 +120,7 @@
         if !is_news {
             return false;
         }
-        let before = self.limit_per_s();
+        let before = self.named_per_s();
         self.limit = Some(word);
         word.per_s != before
     }
--- a/crates/serving/src/workspaces.rs
+++ b/crates/serving/src/workspaces.rs
@@ -4,6 +4,7 @@
 //! digest, which is what requests are compared by, so that no log line, metric or `Debug` output
 //! can show a key, and the time of a comparison tells nothing of one.
 
+use crate::halls::AllowedRegions;
 use anyhow::ensure;
 use passway_types::hash::{DIGEST_BYTES, stable_digest};
 use passway_types::prelude::*;
@@ -59,6 +60,8 @@
     pub allotment: Option<Allotment>,
     /// What that is counted in.
     pub unit: CostUnit,
+    /// The regions in which its requests may be served.
+    pub allowed: AllowedRegions,
 }
 
 impl Workspace {
--- a/crates/standins/src/bin/passway-config-memory.rs
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -228,6 +228,7 @@
     let service = Service {
         name: ENGINES.into(),
         max_connections: 96,
+        cold: None,
         pool: Some(pool),
     };
     let limits = CallerLimits {
--- a/crates/standins/src/fleet_model/size.rs
+++ b/crates/standins/src/fleet_model/size.rs
@@ -121,6 +121,7 @@
         let service = Service {
             name: Self::service(),
             max_connections: u32::MAX,
+            cold: None,
             pool: Some(self.pool()),
         };
         let limits = CallerLimits {
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -19,6 +19,8 @@
 pub type InstanceId = Arc<str>;
 /// A data hall, the unit that fails together.
 pub type DataHall = Arc<str>;
+/// A region: data halls that laws or contracts take as one place.
+pub type Region = Arc<str>;
 /// A set of upstreams whose placements are decided together in one plan.
 pub type CellName = Arc<str>;
 /// A number drawn at the start of a process; it tells a restarted process from the old one.
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -86,6 +86,12 @@
     /// Whether engines let it in before all others that wait.
     #[prost(bool, tag = "9")]
     pub is_urgent: bool,
+    /// The regions in which it may be served, if they bind.
+    #[prost(string, repeated, tag = "10")]
+    pub regions: Vec<String>,
+    /// Whether they bind.
+    #[prost(bool, tag = "11")]
+    pub is_bound: bool,
 }
 
 /// What an attempt may do.
--- a/tests/all/dispatch_load.rs
+++ b/tests/all/dispatch_load.rs
@@ -10,6 +10,7 @@
 use passway_serving::dispatch::{
     Dispatchers, RunBook, RunKey, Waiter, WaitingLine, counted_load, dispatchers_wanted,
 };
+use passway_serving::halls::AllowedRegions;
 use passway_serving::tenure::Candidate;
 use passway_serving::upstreams::{
     Choice, ModelRef, ResidentModel, UpstreamEntry, UpstreamTable, Wanted,
@@ -148,6 +149,7 @@
             service: &service,
             model_ref: Some(&model_ref),
             hall: &hall,
+            allowed: &AllowedRegions::ANY,
             drawn: self.rng.random(),
         };
         if self.dispatchers.is_empty() {
--- a/tests/all/hopeless_waits.rs
+++ b/tests/all/hopeless_waits.rs
@@ -5,6 +5,7 @@
 
 use crate::site::{self, stream, until};
 use passway_instance::Instance;
+use passway_serving::halls::AllowedRegions;
 use passway_serving::upstreams::{ResidentModel, UpstreamEntry, UpstreamTable};
 use passway_standins::platform::model_server::ModelServer;
 use passway_standins::platform::store::MetadataStandIn;
@@ -49,7 +50,10 @@
 fn copies_are_remembered() {
     let (service, m0) = ("engines".into(), "m0".into());
     let mut table = UpstreamTable::new("hall0".into());
-    assert!(!table.lies_nowhere(&service, &m0), "nothing is known");
+    assert!(
+        !table.lies_nowhere(&service, &m0, &AllowedRegions::ANY),
+        "nothing is known"
+    );
     let entry = UpstreamEntry {
         id: "i-0".into(),
         service: service.clone(),
@@ -65,13 +69,13 @@
         started_at_ms: 1,
     };
     table.update(entry, Instant::now());
-    assert!(table.lies_nowhere(&service, &m0));
-    assert!(!table.lies_nowhere(&service, &"m1".into()));
+    assert!(table.lies_nowhere(&service, &m0, &AllowedRegions::ANY));
+    assert!(!table.lies_nowhere(&service, &"m1".into(), &AllowedRegions::ANY));
     let standing = ResidentModel {
         name: m0.clone(),
         adapters: Vec::new(),
     };
     table.set_placement("i-0", vec![standing], Vec::new());
     table.set_placement("i-0", Vec::new(), Vec::new());
-    assert!(!table.lies_nowhere(&service, &m0));
+    assert!(!table.lies_nowhere(&service, &m0, &AllowedRegions::ANY));
 }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -2,6 +2,7 @@
 
 use passway_instance::{Instance, Surroundings};
 use passway_serving::allotment::QuotaBounds;
+use passway_serving::halls::HallRegions;
 use passway_serving::placement::USUAL_LOAD_WINDOW;
 use passway_serving::placement::policy::PolicyName;
 use passway_serving::ports::{InstanceBounds, InstanceSettings};
@@ -49,6 +50,7 @@
     InstanceSettings {
         instance: name.into(),
         hall: "hall0".into(),
+        regions: HallRegions::new(),
         callers_address: any,
         ready_address: any,
         peer_address: any,
