Callers that do not read: answers have bounded room, and end with a cause

Ruled out: one pool with bodies (requests that hold all of it would wait for their answers for ever); a shorter time than the connection's own 4 s alone (the system ends some first, so its ETIMEDOUT counts as the same). Change: 32 MB for answers beside 32 MB for bodies, an answer waits at its upstream for room; a write that makes no progress for 3.5 s, or a connection that the system ended for that, is told as 'not taken by its caller', and the upstream is let go. Tests: slow_readers, 400 half-read streams and 400 half-sent bodies: all 60 proper requests served, all streams let go. Before the change the streams were let go too, after 4 s by the system, and told as 'caller gone'; the test failed on that.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -42,6 +42,8 @@
 
 /// When a refused caller may come back, where nothing better is known.
 pub const RETRY_AFTER_MS: u64 = 500;
+/// How a request ends whose answer its caller does not take.
+const UNREAD: &str = "not taken by its caller";
 /// Most times that one request is offered to upstreams.
 const MAX_OFFERS: u32 = 6;
 
@@ -111,6 +113,8 @@
     status: u16,
     /// How it ended.
     end: &'static str,
+    /// Whether its caller has taken nothing of the answer for long.
+    is_unread: bool,
     /// Whether a stop of this instance left it less time than it had.
     cut_by_stop: bool,
 }
@@ -264,7 +268,11 @@
                     return after;
                 }
                 Attempt::CallerGone => {
-                    self.record.end = "caller gone";
+                    self.record.end = if self.record.is_unread || self.caller.has_timed_out() {
+                        UNREAD
+                    } else {
+                        "caller gone"
+                    };
                     return After::Close;
                 }
                 Attempt::Denied(denied) if self.may_have_run => {
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -5,13 +5,14 @@
 //! events go out, so that another upstream can go on behind the last of them.
 
 use super::door::Permit;
-use super::{After, Attempt, FailedAnswer, Forwarding, Target, after};
+use super::{After, Attempt, FailedAnswer, Forwarding, Target, UNREAD, after};
 use crate::http1::{
     self, AnswerHead, BodyPart, BodyReader, Connection, HttpError, Wrote, encode_head,
 };
 use crate::pool;
 use crate::relay;
 use crate::reply::{self, WRITE_TIME};
+use crate::shared::Held;
 use crate::words::{self, Heard};
 use passway_serving::headers::Headers;
 use passway_serving::ports::{AnswerFacts, Stamp};
@@ -19,6 +20,7 @@
 use passway_serving::upstreams::Outcome;
 use passway_types::clock;
 use passway_types::prelude::*;
+use std::io::ErrorKind;
 
 /// Time to connect to an upstream; a round trip takes a few milliseconds.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -33,6 +35,11 @@
 const ANY_REST: Duration = Duration::from_mins(10);
 /// Largest answer that is held back until it is whole.
 const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// A caller that takes nothing of its answer for so long does not read it: a little less than the connection itself
+/// bears that.
+const UNREAD_TIME: Duration = Duration::from_millis(3_500);
+/// Pause between two looks whether there is room for an answer.
+const ROOM_STEP: Duration = Duration::from_millis(20);
 /// Answers of earlier requests that are left out before a connection is given up.
 const MAX_SURPLUS_ANSWERS: usize = 2;
 /// Status of an upstream that does not have what the request is for (RFC 9110:
@@ -268,6 +275,9 @@
             return self.pass_stream(target, upstream, head, body);
         }
         let until = self.deadline_at;
+        let Some(mut room) = self.room_for_answer(body.announced().min(MAX_WHOLE_BYTES)) else {
+            return Attempt::TimedOut;
+        };
         let read = body.read_whole(&mut upstream, MAX_WHOLE_BYTES, Some(self.caller), until);
         let bytes = match read {
             Ok(bytes) => bytes,
@@ -277,6 +287,8 @@
             Err(_) if !facts.not_run => return Attempt::Broken,
             Err(_) => Vec::new(),
         };
+        // One without a length counts as it turned out to be, beyond the bound too.
+        room.set_bytes(bytes.len());
         self.keep(target, upstream, head, &body);
         if facts.not_run {
             return self.refused(target, head, facts);
@@ -293,6 +305,20 @@
         }))
     }
 
+    /// Room for an answer that is held whole, as soon as those that other callers have not read leave any; its upstream
+    /// waits meanwhile. `None` once the request's time is over.
+    fn room_for_answer(&mut self, bytes: usize) -> Option<Held> {
+        loop {
+            if let Some(room) = self.shared.hold_answer(bytes) {
+                return Some(room);
+            }
+            if clock::now() >= self.deadline_at || self.caller.is_closed() {
+                return None;
+            }
+            std::thread::sleep(ROOM_STEP);
+        }
+    }
+
     /// The upstream has not run the request; what that tells of the upstream.
     fn refused(&self, target: &Target, head: &AnswerHead, facts: &AnswerFacts) -> Attempt {
         if facts.other_incarnation {
@@ -352,8 +378,14 @@
         self.record.first_ms.get_or_insert(first_ms);
         // A ready answer is delivered, late too.
         let until = self.deadline_at.max(clock::now() + WRITE_TIME);
-        http1::write_all(self.caller, bytes, false, None, until)?;
-        Ok(())
+        let written = http1::write_while_read(self.caller, bytes, UNREAD_TIME, until);
+        self.record.is_unread |= match &written {
+            Err(HttpError::TimedOut) => true,
+            // The connection itself has waited for that.
+            Err(HttpError::Io(error)) => error.kind() == ErrorKind::TimedOut,
+            _ => false,
+        };
+        written
     }
 
     /// Passes on an answer that is whole.
@@ -370,6 +402,9 @@
         self.record.status = head.status;
         self.record.end = "answered";
         let written = self.write(&bytes);
+        if self.record.is_unread {
+            self.record.end = UNREAD;
+        }
         after(written.is_ok() && !self.close_after)
     }
 
--- a/crates/instance/src/http1.rs
+++ b/crates/instance/src/http1.rs
@@ -13,7 +13,7 @@
     AnswerHead, MAX_ANSWER_HEAD_BYTES, RequestHead, encode_head, read_answer_head,
     read_request_head,
 };
-pub use socket::{Connection, Filled, Wrote, write_all};
+pub use socket::{Connection, Filled, Wrote, write_all, write_while_read};
 
 use std::io;
 
--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -125,6 +125,14 @@
         })
     }
 
+    /// The bytes that it says it has; 0 if it does not say.
+    pub fn announced(&self) -> usize {
+        match self.framing {
+            Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            _ => 0,
+        }
+    }
+
     /// Whether the body has ended.
     pub fn is_done(&self) -> bool {
         self.framing == Framing::Done
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -43,6 +43,8 @@
     buffer: Vec<u8>,
     used: usize,
     ended: bool,
+    /// Whether the other end has taken nothing for so long that the system ended the connection.
+    has_timed_out: bool,
     /// End waits for bytes that concern this connection.
     endings: Option<Arc<Endings>>,
     /// Whether a stream goes out, which only the later ending ends.
@@ -63,6 +65,7 @@
             buffer: Vec::new(),
             used: 0,
             ended: false,
+            has_timed_out: false,
             endings: None,
             streams: false,
         })
@@ -149,10 +152,18 @@
             {
                 Ok(Filled::Nothing)
             }
-            Err(error) => Err(error),
+            Err(error) => {
+                self.has_timed_out |= error.kind() == ErrorKind::TimedOut;
+                Err(error)
+            }
         }
     }
 
+    /// Whether the other end has taken nothing for so long that the system ended the connection.
+    pub fn has_timed_out(&self) -> bool {
+        self.has_timed_out
+    }
+
     /// Whether nothing has come and the other end still stands: the connection may
     /// be used for another request.
     pub fn is_clean(&mut self) -> bool {
@@ -282,6 +293,35 @@
     }
 }
 
+/// Writes bytes to one that goes on reading: gives up once it has taken none for `pause`, or the time is over.
+///
+/// # Errors
+/// If it does not read, the time runs out or the connection breaks.
+pub fn write_while_read(
+    connection: &mut Connection,
+    bytes: &[u8],
+    pause: Duration,
+    until: Instant,
+) -> Result<(), HttpError> {
+    let mut rest = bytes;
+    let mut taken_at = clock::now();
+    while !rest.is_empty() {
+        match connection.stream.write(rest) {
+            Ok(count) => {
+                rest = &rest[count..];
+                taken_at = clock::now();
+            }
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                let give_up_at = until.min(taken_at + pause);
+                wait(connection, PollFlags::OUT, None, give_up_at)?;
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Ok(())
+}
+
 /// Whether a whole message was written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Wrote {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -134,6 +134,8 @@
     instances: AtomicUsize,
     /// Bytes of the bodies of requests in progress.
     held_bodies: AtomicUsize,
+    /// Bytes of the answers that are held whole.
+    held_answers: AtomicUsize,
 }
 
 impl fmt::Debug for Shared {
@@ -188,6 +190,7 @@
             in_progress: AtomicUsize::new(0),
             instances: AtomicUsize::new(0),
             held_bodies: AtomicUsize::new(0),
+            held_answers: AtomicUsize::new(0),
         }
     }
 
@@ -414,24 +417,50 @@
 impl Shared {
     /// Takes room for a request's body; `None` if the bodies of others leave none. One that is
     /// larger than all may be is let in alone.
-    pub fn hold_body(self: &Arc<Self>, bytes: usize) -> Option<HeldBody> {
-        let mut held = HeldBody {
+    pub fn hold_body(self: &Arc<Self>, bytes: usize) -> Option<Held> {
+        self.hold(Holds::Body, bytes)
+    }
+
+    /// Takes room for an answer that goes to its caller whole; `None` if those that others have not read leave
+    /// none. One that is larger than all may be is let in alone.
+    pub fn hold_answer(self: &Arc<Self>, bytes: usize) -> Option<Held> {
+        self.hold(Holds::Answer, bytes)
+    }
+
+    fn hold(self: &Arc<Self>, what: Holds, bytes: usize) -> Option<Held> {
+        let mut held = Held {
             shared: self.clone(),
+            what,
             bytes: 0,
         };
         held.set_bytes(bytes).then_some(held)
     }
+
+    fn held(&self, what: Holds) -> &AtomicUsize {
+        match what {
+            Holds::Body => &self.held_bodies,
+            Holds::Answer => &self.held_answers,
+        }
+    }
+}
+
+/// What room is taken for. Each has its own: requests that hold bodies wait for their answers.
+#[derive(Debug, Clone, Copy)]
+enum Holds {
+    Body,
+    Answer,
 }
 
-/// Room for a request's body, which is free again when this is dropped.
+/// Room for a request's body or its answer, which is free again when this is dropped.
 #[derive(Debug)]
-pub struct HeldBody {
+pub struct Held {
     shared: Arc<Shared>,
+    what: Holds,
     bytes: usize,
 }
 
-impl HeldBody {
-    /// Takes as much room as the body needs; whether there is so much. If not, it keeps what
+impl Held {
+    /// Takes as much room as it needs; whether there is so much. If not, it keeps what
     /// it has.
     pub fn set_bytes(&mut self, bytes: usize) -> bool {
         let mine = self.bytes;
@@ -440,7 +469,7 @@
             let fits = others == 0 || others + bytes <= MAX_HELD_BODIES_BYTES;
             (fits || bytes <= mine).then_some(others + bytes)
         };
-        let all = &self.shared.held_bodies;
+        let all = self.shared.held(self.what);
         let taken = all.fetch_update(Ordering::AcqRel, Ordering::Acquire, fits);
         if taken.is_ok() {
             self.bytes = bytes;
@@ -449,9 +478,9 @@
     }
 }
 
-impl Drop for HeldBody {
+impl Drop for Held {
     fn drop(&mut self) {
-        let all = &self.shared.held_bodies;
+        let all = self.shared.held(self.what);
         all.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -74,6 +74,7 @@
 mod scrape;
 mod silent_connections;
 mod site;
+mod slow_readers;
 mod slow_store;
 mod soak;
 mod store_feeds;
