--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -97,6 +97,8 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<UpstreamId>,
     departures: Departures,
+    /// Upstreams that ever named a limit: few of many.
+    limited: BTreeSet<UpstreamId>,
     /// Upstreams that have asked for rest, until an answer of theirs shows that it is over: few of many.
     resting: BTreeSet<UpstreamId>,
 }
@@ -111,6 +113,7 @@
             upstreams: HashMap::new(),
             restarted: Vec::new(),
             departures: Departures::default(),
+            limited: BTreeSet::new(),
             resting: BTreeSet::new(),
         }
     }
@@ -124,6 +127,11 @@
         }
     }
 
+    /// How many upstreams are known.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// Whether no upstream is known.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
@@ -288,6 +296,7 @@
         let upstreams = &self.upstreams;
         self.departures.expire(|id| upstreams.contains_key(id), now);
         self.resting.retain(|id| upstreams.contains_key(id));
+        self.limited.retain(|id| upstreams.contains_key(id));
         gone
     }
 
@@ -435,9 +444,15 @@
     }
 
     /// An upstream has said how much it takes. Returns whether that is another limit than before.
-    pub fn note_limit(&mut self, id: &str, word: LimitWord) -> bool {
-        let upstream = self.upstreams.get_mut(id);
-        upstream.is_some_and(|upstream| upstream.note_limit(word))
+    pub fn note_limit(&mut self, id: &UpstreamId, word: LimitWord) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        let has_changed = upstream.note_limit(word);
+        if upstream.limit_word().is_some() {
+            self.limited.insert(id.clone());
+        }
+        has_changed
     }
 
     /// Requests a second that an upstream takes from all instances together, as it says or as a cold one bears;
@@ -454,7 +469,8 @@
     /// What upstreams said last of how much they take, those that ever named a limit, with their starts
     /// in Unix milliseconds by their own clocks.
     pub fn limit_words(&self) -> impl Iterator<Item = (&UpstreamId, u64, LimitWord)> {
-        self.upstreams.iter().filter_map(|(id, upstream)| {
+        self.limited.iter().filter_map(|id| {
+            let upstream = self.upstreams.get(id)?;
             let word = upstream.limit_word()?;
             Some((id, upstream.entry.started_at_ms, word))
         })
@@ -462,8 +478,8 @@
 
     /// Upstreams that name a limit.
     pub fn limited(&self) -> usize {
-        let all = self.upstreams.values();
-        all.filter(|one| one.named_per_s().is_some()).count()
+        let words = self.limit_words();
+        words.filter(|(.., word)| word.per_s.is_some()).count()
     }
 
     /// Whether an upstream has what a request needs, as far as is known.
