--- a/crates/instance/src/feed_log.rs
+++ b/crates/instance/src/feed_log.rs
@@ -47,11 +47,6 @@
         self.changed_at != before
     }
 
-    /// The last revision at which anything has changed that is told.
-    pub fn changed_at(&self) -> StoreRevision {
-        self.changed_at
-    }
-
     /// Up to where this tells.
     pub fn to(&self) -> StoreRevision {
         self.to
@@ -133,13 +128,11 @@
             }));
             values.sort_by_key(|value| value.revision);
         }
-        let packed = packing::pack_values(&mut values);
         Some(News {
             feed: u32::try_from(feed).unwrap_or(u32::MAX),
             from,
             to: self.to,
             values,
-            packed,
             ..News::default()
         })
     }
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -4,7 +4,7 @@
 mod upstreams;
 
 pub use configuration::ConfigurationFeed;
-pub use upstreams::{LONG_LIST, UpstreamFeed};
+pub use upstreams::UpstreamFeed;
 
 use crate::holder::FeedNews;
 use crate::news::{self, Told};
@@ -12,7 +12,7 @@
 use crate::shared::Shared;
 use crossbeam::channel::Sender;
 use passway_serving::ports::{
-    ConditionalWrite, Listing, SharedStore, StoreChange, StoreError, StoreRevision, WatchAnswer,
+    Listing, SharedStore, StoreChange, StoreError, StoreRevision, WatchAnswer,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -81,64 +81,10 @@
     fn must_ask(&self) -> bool {
         false
     }
-    /// For how long the holder is waited for, once it is not relied on, before the store is asked. All instances ask
-    /// it then, so a feed that is long is left to those that tell it on. `drawn` from 0 to 1 spreads them.
-    fn patience(&self, _stage: Stage, _drawn: f64) -> Duration {
-        Duration::ZERO
-    }
-    /// Whether there is more of it than all instances can read from the store.
-    fn is_long(&self) -> bool {
-        false
-    }
-    /// Whether this instance has to know all, however long the list is.
-    fn must_know_all(&self) -> bool {
-        true
-    }
     /// What the instance shares.
     fn shared(&self) -> &Shared;
 }
 
-/// What was found out about the length of a feed's list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum List {
-    /// It fits into one answer of the store, as far as is known.
-    Short,
-    /// It does not, and is left to the holder.
-    Left,
-    /// This instance has read it and told that the fleet is large.
-    Told,
-}
-
-/// What is known of a feed while the holder is not relied on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stage {
-    /// Nothing.
-    New,
-    /// Nothing, and its list is left to the holder, which is not heard.
-    Unheard,
-    /// Nothing, and its list is left to the holder, which speaks.
-    Promised,
-    /// All, up to some moment.
-    Known,
-}
-
-/// The key that tells instances that start that the fleet is large, so that they do not all read its list of upstreams
-/// to find that out.
-pub const LARGE_KEY: &str = "passway/large";
-/// The part of instances that start that find out whether the list is long, which they tell all.
-const EARLY_PART: f64 = 0.06;
-/// The others wait so long for that, or twice that.
-const HINT_TIME: Duration = Duration::from_millis(150);
-
-/// How long an instance that starts waits for others to find out whether the fleet is large.
-fn hint_patience(drawn: f64) -> Duration {
-    if drawn < EARLY_PART {
-        Duration::ZERO
-    } else {
-        HINT_TIME.mul_f64(1.0 + drawn)
-    }
-}
-
 /// Follows a prefix for as long as the process lives: by the holder of the right to
 /// order while it is relied on, else by the store and by what the holder tells meanwhile.
 pub fn follow(
@@ -159,8 +105,6 @@
         has_gap: false,
         failures: 0,
         pause: Pause::over(clock::now()),
-        list: List::Short,
-        alone: None,
     };
     std::thread::spawn(move || follower.run());
 }
@@ -201,9 +145,6 @@
     /// Calls in a row that the store did not answer.
     failures: u32,
     pause: Pause,
-    list: List,
-    /// Since when the holder has not been relied on, and this instance's place among those that ask the store then.
-    alone: Option<(Instant, f64)>,
 }
 
 impl<F: Feed> Follower<F> {
@@ -215,11 +156,8 @@
             self.hear(Duration::ZERO);
             if let Some(until) = self.relied_until() {
                 self.relied = true;
-                self.alone = None;
                 let left = until.saturating_duration_since(clock::now());
                 self.hear(left.min(RELAY_STEP));
-            } else if self.is_patient() {
-                self.hear(LOOK_STEP);
             } else if self.may_ask() {
                 self.follow_store();
             } else {
@@ -234,45 +172,6 @@
         self.tap.relied_until().filter(|_| !must_ask)
     }
 
-    /// Whether the holder, or its successor, is waited for.
-    fn is_patient(&mut self) -> bool {
-        let now = clock::now();
-        let (since, drawn) = *self.alone.get_or_insert_with(|| (now, rand::random()));
-        if self.feed.must_know_all() {
-            return false;
-        }
-        if self.known.is_none() && self.list == List::Short && self.feed.shared().is_large() {
-            self.leave_list();
-        }
-        let stage = match self.known {
-            Some(_) => Stage::Known,
-            None if self.list != List::Short && self.tap.relay.is_heard() => Stage::Promised,
-            None if self.list != List::Short => Stage::Unheard,
-            None => Stage::New,
-        };
-        now < since + self.feed.patience(stage, drawn)
-    }
-
-    /// The list is left to whoever has the right to order, which tells it on.
-    fn leave_list(&mut self) {
-        log::info!(prefix = self.prefix; "a long list is left to who tells it on");
-        self.list = List::Left;
-        self.tap.await_list();
-    }
-
-    /// Tells instances that start, now and later, that the fleet is large.
-    fn tell_large(&self) {
-        let hint = ConditionalWrite {
-            key: LARGE_KEY.to_owned(),
-            expected: 0,
-            value: Some(Vec::new()),
-            lease: None,
-        };
-        // Another one has told it, or the next one that finds out does.
-        let answer = self.store.write(&[hint]);
-        log::info!(answer:? = answer; "the fleet is large");
-    }
-
     /// Whether the store may be asked now. While the holder speaks, and neither it nor this
     /// instance is answered, the configuration's feed alone finds out whether the store is back.
     fn may_ask(&self) -> bool {
@@ -334,18 +233,7 @@
     fn ask(&mut self) -> Result<(), StoreError> {
         let Some(after) = self.known.filter(|_| !self.lists_next) else {
             let asked_at = clock::now();
-            let is_first = self.known.is_none() && self.list == List::Short;
-            let listing = if is_first && !self.feed.must_know_all() {
-                let Some(listing) = self.store.list_short(&self.prefix)? else {
-                    self.feed.shared().set_large();
-                    self.leave_list();
-                    self.tell_large();
-                    return Ok(());
-                };
-                listing
-            } else {
-                self.store.list(&self.prefix)?
-            };
+            let listing = self.store.list(&self.prefix)?;
             self.tap.answered(asked_at);
             self.lists_next = false;
             self.take(Told::Whole(listing), Source::Store);
@@ -434,10 +322,5 @@
             // The deciding thread ends only with the process.
             let _ = self.news.send((feed, told));
         }
-        if self.feed.is_long() && self.list != List::Told && self.feed.must_know_all() {
-            self.list = List::Told;
-            self.feed.shared().set_large();
-            self.tell_large();
-        }
     }
 }
--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -1,6 +1,6 @@
 //! The feed of the configuration.
 
-use super::{Feed, Outage, Stage, hint_patience};
+use super::{Feed, Outage};
 use crate::freshness::OLD_PART;
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
@@ -12,9 +12,6 @@
 /// Versions that came within this time are a series: more of them may lie behind.
 const SERIES_TIME: Duration = Duration::from_secs(5);
 
-/// Who starts in a large fleet is told the configuration by the holder within so long, or asks the store after that or
-/// twice that.
-const SUCCESSION_TIME: Duration = Duration::from_millis(1_800);
 /// The name under which halls that are not known are counted.
 const HALL_WORD: &str = "hall";
 
@@ -136,29 +133,7 @@
     /// link. A watch has nothing if no version came meanwhile, and each that did if some have.
     fn lists_rather(&self, after: Outage) -> bool {
         let is_recent = |at: Option<Instant>| at.is_some_and(|at| clock::since(at) < SERIES_TIME);
-        // Where lists of all instances are what the store does not answer for, another one each does not help.
-        let lost_answer = after == Outage::OfStore && !self.shared.is_large();
-        lost_answer || self.versions_at.into_iter().all(is_recent)
-    }
-
-    /// A thousand instances that list 200 kB each at their start fill the store's link for two seconds; behind that the
-    /// holder's lease lapses.
-    fn patience(&self, stage: Stage, drawn: f64) -> Duration {
-        match stage {
-            Stage::New => hint_patience(drawn),
-            Stage::Unheard | Stage::Promised => SUCCESSION_TIME.mul_f64(1.0 + drawn),
-            // A watch tells what came meanwhile, and nothing else; a version has few seconds.
-            Stage::Known => Duration::ZERO,
-        }
-    }
-
-    fn must_know_all(&self) -> bool {
-        let orders = self
-            .shared
-            .right()
-            .is_some_and(|right| right.term().is_some());
-        let is_small = self.shared.routes.load().is_some() && !self.shared.is_large();
-        is_small || orders || self.must_ask()
+        after == Outage::OfStore || self.versions_at.into_iter().all(is_recent)
     }
 
     /// While the holder is relied on it is asked how old its proof is; the store is, too, where that has
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -1,6 +1,6 @@
 //! The feed of the upstreams.
 
-use super::{Feed, Stage, hint_patience};
+use super::Feed;
 use crate::holder::Input;
 use crate::right::Right;
 use crate::shared::Shared;
@@ -38,17 +38,6 @@
 /// swap of 1 s was waiting for that.
 const LONGEST_HOLDER_PAUSE: Duration = Duration::from_millis(110);
 
-/// An instance that starts before a long list waits so long to be told it, or twice that: it is told to a few at one
-/// time.
-const PROMISED_TIME: Duration = Duration::from_secs(20);
-/// Upstreams from which on a list is long: two answers of the users' store.
-pub const LONG_LIST: usize = 1_000;
-/// Time in which a holder that is lost has a successor that has told who listens.
-const SUCCESSION_TIME: Duration = Duration::from_secs(5);
-/// Time over which instances before a thousand upstreams spread: some hundred of them, with half a megabyte each. Both
-/// grow with the fleet.
-const SPREAD_OF_THOUSAND: Duration = Duration::from_millis(500);
-
 impl UpstreamFeed {
     /// A feed that has heard nothing yet.
     pub fn new(
@@ -215,34 +204,6 @@
         }
     }
 
-    /// A list of many upstreams, and what they say each second, is more than the store's link carries to all
-    /// instances: ten thousand upstreams are 5 MB, and a thousand instances would fill a link of 1,000 Mbit/s for 40 s.
-    /// So who orders reads it and tells it on, and the others ask only if nobody does for long, spread over the time
-    /// that the link takes.
-    fn patience(&self, stage: Stage, drawn: f64) -> Duration {
-        match stage {
-            Stage::New => return hint_patience(drawn),
-            Stage::Unheard => return SUCCESSION_TIME.mul_f64(1.0 + drawn),
-            Stage::Promised => return PROMISED_TIME.mul_f64(1.0 + drawn),
-            Stage::Known => {}
-        }
-        // While a fleet starts its list is short, and grows by thousands a second.
-        if !self.is_long() && !self.shared.is_large() {
-            return Duration::ZERO;
-        }
-        let upstreams = self.shared.upstreams().len();
-        let thousands = f64::from(u32::try_from(upstreams).unwrap_or(u32::MAX)) / 1_000.0;
-        SUCCESSION_TIME + SPREAD_OF_THOUSAND.mul_f64(thousands * thousands * drawn)
-    }
-
-    fn is_long(&self) -> bool {
-        self.shared.upstreams().len() >= LONG_LIST
-    }
-
-    fn must_know_all(&self) -> bool {
-        self.right.term().is_some()
-    }
-
     fn shared(&self) -> &Shared {
         &self.shared
     }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -13,7 +13,7 @@
 use crate::listeners::Listeners;
 use crate::members::{Addresses, Announcement, KeptAnnouncement, Roster};
 use crate::news::Told;
-use crate::relay::{self, HEARTBEAT_PAUSE, Relay, UPSTREAMS};
+use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
 use crate::shared::Shared;
 use crate::words;
@@ -47,8 +47,6 @@
 /// much as the store does, and shares it with what is in force.
 const WAITING_NEWS: usize = 2;
 
-/// Pause before it is looked again whether listeners have taken what they were told.
-const BACKLOG_STEP: Duration = Duration::from_millis(25);
 /// Longest time between two looks while nothing is heard.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -173,8 +171,6 @@
                     now + RIGHT_STEP
                 };
                 let next = next.max(self.plan_at).min(self.heartbeat_at);
-                let backlog = self.listeners.has_backlog().then(|| now + BACKLOG_STEP);
-                let next = backlog.map_or(next, |at| next.min(at));
                 telling.map_or(next, |at| next.min(at))
             } else {
                 now + LOOK_PAUSE
@@ -264,7 +260,7 @@
         let told = std::array::from_fn(known);
         self.listeners.came(number, member, told);
         self.tell_term(number);
-        self.listeners.tell_newcomer(number, &self.peers);
+        self.listeners.catch_up(&self.peers, true);
         self.send_heartbeats([number], 0);
         let suspects = self.shared.poison.suspects(TOLD_CRASHES);
         self.send_to(number, &Body::Suspects(suspects));
@@ -272,15 +268,8 @@
         if said != Words::default() {
             self.send_to(number, &Body::Words(said));
         }
-        let lacking = if told[UPSTREAMS] == 0 {
-            // Whoever knows no engines has no use for what stands there, and asks again once it does.
-            Vec::new()
-        } else if subscribe.placement_sums.is_empty() {
-            let known = subscribe.placements.iter().copied().collect();
-            self.planner.placements_unlike(&known)
-        } else {
-            self.planner.placements_beside(&subscribe.placement_sums)
-        };
+        let known = subscribe.placements.iter().copied().collect();
+        let lacking = self.planner.placements_unlike(&known);
         if !lacking.is_empty() {
             self.send_to(number, &placements(lacking));
         }
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -205,7 +205,11 @@
             instances: u32::try_from(instances).unwrap_or(u32::MAX),
             sent_ms: relay::millis_since(self.begun_at, now).max(1),
             confirmed_ms: self.relay.answered_ms(self.begun_at),
-            doubtful: self.doubtful.iter().map(ToString::to_string).collect(),
+            doubtful: self
+                .planner
+                .doubtful(now)
+                .map(ToString::to_string)
+                .collect(),
             ..News::default()
         }
     }
--- a/crates/instance/src/listeners.rs
+++ b/crates/instance/src/listeners.rs
@@ -9,16 +9,11 @@
 use passway_wire::{Body, Frame};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::RangeBounds;
 
 /// A listener with more than this on its way hears no news until it has taken it, and then the
 /// newest only: what a link of 10 Mbit/s carries in 50 ms.
 const BACKLOG_BYTES: usize = 64 << 10;
 
-/// Listeners that are sent a long list at one time: on links of a tenth of the sender's they leave it a part of its own
-/// for all else that it tells.
-const LONG_LISTS_AT_ONCE: usize = 8;
-
 /// Frames that are kept to be shared. Listeners know one revision or the next; those of a term
 /// that begins know a few more.
 const KEPT_FRAMES: usize = 16;
@@ -34,16 +29,6 @@
     told: [StoreRevision; FEEDS],
 }
 
-/// All of a feed, as it goes over a link.
-#[derive(Debug)]
-struct Whole {
-    frame: Frame,
-    /// Up to where it tells.
-    to: StoreRevision,
-    /// The last change in it.
-    changed_at: StoreRevision,
-}
-
 /// The instances that listen, by the numbers of their connections, and what there is to tell.
 #[derive(Debug, Default)]
 pub struct Listeners {
@@ -52,9 +37,6 @@
     /// What is told, by feed and by what is known already: most listeners know the same, and
     /// share one frame. Empty whenever a log has changed.
     frames: BTreeMap<(usize, StoreRevision), Option<Frame>>,
-    /// All of each feed for those who know nothing of it, up to a revision; kept until something has changed that
-    /// is told.
-    whole: [Option<Whole>; FEEDS],
     /// Whether one of them has not taken yet what it was told before.
     has_backlog: bool,
 }
@@ -63,10 +45,7 @@
     /// Takes in news; whether there is anything to tell.
     pub fn add_news(&mut self, (feed, told): &FeedNews) -> bool {
         self.frames.clear();
-        let has_changed = self.logs[*feed].add(told);
-        let changed_at = self.logs[*feed].changed_at();
-        self.whole[*feed].take_if(|whole| whole.changed_at != changed_at);
-        has_changed
+        self.logs[*feed].add(told)
     }
 
     /// An instance listens on a connection and knows the feeds up to some revisions.
@@ -119,24 +98,7 @@
     /// when it asks it itself again.
     pub fn catch_up(&mut self, outboxes: &BTreeMap<u64, Outbox>, also_quiet: bool) {
         self.has_backlog = false;
-        self.tell(.., outboxes, also_quiet);
-    }
-
-    /// Tells one that has come what it lacks. To look after all for each of a thousand that come at once would be a
-    /// million looks.
-    pub fn tell_newcomer(&mut self, number: u64, outboxes: &BTreeMap<u64, Outbox>) {
-        self.tell(number..=number, outboxes, true);
-    }
-
-    fn tell(
-        &mut self,
-        numbers: impl RangeBounds<u64>,
-        outboxes: &BTreeMap<u64, Outbox>,
-        also_quiet: bool,
-    ) {
-        let is_busy = |outbox: &Outbox| outbox.waiting_bytes() > BACKLOG_BYTES;
-        let mut long_lists = outboxes.values().filter(|outbox| is_busy(outbox)).count();
-        for (number, listener) in self.by_number.range_mut(numbers) {
+        for (number, listener) in &mut self.by_number {
             let Some(outbox) = outboxes.get(number) else {
                 continue;
             };
@@ -146,41 +108,15 @@
                 if is_quiet && (!also_quiet || known >= log.to()) {
                     continue;
                 }
-                if is_busy(outbox) {
+                if outbox.waiting_bytes() > BACKLOG_BYTES {
                     self.has_backlog = true;
                     break;
                 }
-                if known == 0 {
-                    let whole = &mut self.whole[feed];
-                    if whole.is_none() {
-                        *whole = whole_of(log, feed);
-                    }
-                    let Some(whole) = whole else {
-                        continue;
-                    };
-                    let is_long = whole.frame.bytes() > BACKLOG_BYTES;
-                    if is_long && long_lists >= LONG_LISTS_AT_ONCE {
-                        self.has_backlog = true;
-                        continue;
-                    }
-                    long_lists += usize::from(is_long);
-                    outbox.send_frame(whole.frame.clone());
-                    listener.told[feed] = whole.to;
-                    continue;
-                }
                 if self.frames.len() >= KEPT_FRAMES {
                     self.frames.clear();
                 }
                 let frame = self.frames.entry((feed, known));
                 let frame = frame.or_insert_with(|| news_frame(log, feed, known));
-                let is_long = frame
-                    .as_ref()
-                    .is_some_and(|one| one.bytes() > BACKLOG_BYTES);
-                if is_long && long_lists >= LONG_LISTS_AT_ONCE {
-                    self.has_backlog = true;
-                    continue;
-                }
-                long_lists += usize::from(is_long);
                 if let Some(frame) = frame {
                     outbox.send_frame(frame.clone());
                 }
@@ -190,15 +126,6 @@
     }
 }
 
-/// All of a feed; `None` while nothing is known.
-fn whole_of(log: &FeedLog, feed: usize) -> Option<Whole> {
-    Some(Whole {
-        frame: news_frame(log, feed, 0)?,
-        to: log.to(),
-        changed_at: log.changed_at(),
-    })
-}
-
 /// What an instance lacks that knows a feed up to a revision, as it goes over a link. If that
 /// is too large, that there is something, so that the instance asks the store.
 fn news_frame(log: &FeedLog, feed: usize, known: StoreRevision) -> Option<Frame> {
--- a/crates/instance/src/news.rs
+++ b/crates/instance/src/news.rs
@@ -165,10 +165,8 @@
     /// # Errors
     /// If a value was packed against one that is not known here.
     pub fn decode(&mut self, news: News) -> Result<Told> {
-        let mut values = news.values;
-        packing::unpack_values(&news.packed, &mut values).context("unpacking a list")?;
         let changes: Result<Vec<StoreChange>> =
-            values.into_iter().map(|v| self.change(v)).collect();
+            news.values.into_iter().map(|v| self.change(v)).collect();
         let changes = changes?;
         let told = if news.from > 0 {
             Told::Changes {
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -46,8 +46,6 @@
     /// Up to where a feed is not known, since a word could not be read or is missing; it is to
     /// be told whole, unless the store has told that by then.
     unknown_to: [Option<StoreRevision>; FEEDS],
-    /// Whether nothing of a feed is known, and its list is too long for all to read it from the store.
-    awaits_list: [bool; FEEDS],
     bases: [Bases; FEEDS],
 }
 
@@ -179,7 +177,7 @@
     pub fn known(&self) -> [StoreRevision; FEEDS] {
         let state = self.state();
         std::array::from_fn(|feed| {
-            let is_unknown = state.unknown_to[feed].is_some() || state.awaits_list[feed];
+            let is_unknown = state.unknown_to[feed].is_some();
             if is_unknown { 0 } else { state.known[feed] }
         })
     }
@@ -187,12 +185,7 @@
     /// Whether the holder is to be asked again, since a word of it could not be read or is
     /// missing.
     pub fn wants_again(&self) -> bool {
-        self.awaits_list() || self.state().unknown_to.iter().any(Option::is_some)
-    }
-
-    /// Whether the holder is to tell a long list.
-    pub fn awaits_list(&self) -> bool {
-        self.state().awaits_list.contains(&true)
+        self.state().unknown_to.iter().any(Option::is_some)
     }
 
     /// Takes in a word of the holder.
@@ -245,13 +238,6 @@
         }
     }
 
-    /// A list is left to the holder.
-    pub fn await_list(&self) {
-        if let Some(feed) = self.feed {
-            self.relay.state().awaits_list[feed] = true;
-        }
-    }
-
     /// The store has answered, with all that it knew at a moment.
     pub fn answered(&self, at: Instant) {
         if let Some(feed) = self.feed {
@@ -279,7 +265,6 @@
             let mut state = self.relay.state();
             state.bases[feed].note(told);
             state.known[feed] = known;
-            state.awaits_list[feed] = false;
             let unknown_to = &mut state.unknown_to[feed];
             *unknown_to = unknown_to.filter(|to| *to > known);
         }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,16 +1,14 @@
 //! What this instance tells the holder of the right to order, and hears from it.
 
-use crate::feeds::LONG_LIST;
 use crate::members;
 use crate::poison;
-use crate::relay::{Relay, UPSTREAMS};
+use crate::relay::Relay;
 use crate::right::Right;
 use crate::shared::{Need, Shared};
 use crate::words;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{Dialed, Dialer};
 use passway_process::outbox::Outbox;
-use passway_serving::placement;
 use passway_serving::poison::{Suspect, UpstreamStart};
 use passway_serving::tenure::{Candidate, Holder};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
@@ -30,8 +28,6 @@
 /// Pause between two reports of use when nothing waits.
 const REPORT_PAUSE: Duration = Duration::from_millis(400);
 
-/// Pause between two requests for a long list, which the holder tells to a few at one time.
-const LIST_PAUSE: Duration = Duration::from_secs(10);
 /// Pause between two requests for the holder's news.
 const SUBSCRIBE_PAUSE: Duration = Duration::from_millis(600);
 
@@ -45,7 +41,6 @@
         relay: relay.clone(),
         link: Link::default(),
         subscribed_at: None,
-        has_compared: false,
         last_running: Vec::new(),
         dialed: None,
         taken: BTreeMap::new(),
@@ -67,8 +62,6 @@
     relay: Arc<Relay>,
     link: Link,
     subscribed_at: Option<Instant>,
-    /// Whether the holder was told what is known to stand on engines.
-    has_compared: bool,
     last_running: Vec<Running>,
     dialed: Option<(Holder, Dialer)>,
     taken: Taken,
@@ -330,20 +323,11 @@
         let is_me = holder.is_none_or(|h| h.instance == self.shared.settings.instance);
         if self.is_new.load(Ordering::Acquire) {
             self.subscribed_at = None;
-            self.has_compared = false;
         }
         // The holder may not have begun its term when it was asked.
         let asked = self.subscribed_at;
-        let known = self.relay.known();
-        // A long list is told in turn, and what stands on engines compared once they are known.
-        let is_promised =
-            asked.is_some_and(|at| clock::since(at) < LIST_PAUSE) && self.relay.awaits_list();
-        let hears_all = self.relay.is_heard() && (!self.relay.wants_again() || is_promised);
-        let has_compared = self.has_compared || known[UPSTREAMS] == 0;
-        if is_me
-            || (hears_all && has_compared)
-            || asked.is_some_and(|at| clock::since(at) < SUBSCRIBE_PAUSE)
-        {
+        let hears_all = self.relay.is_heard() && !self.relay.wants_again();
+        if is_me || hears_all || asked.is_some_and(|at| clock::since(at) < SUBSCRIBE_PAUSE) {
             return;
         }
         let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
@@ -357,27 +341,18 @@
             self.relay.lost();
             return;
         }
+        let known = self.relay.known();
         let reads_itself = known.contains(&0) && !self.relay.wants_again();
         if reads_itself && !self.shared.store_health.is_failing() {
             // The store tells it soon, and the holder is spared telling everything.
             return;
         }
-        let upstreams = self.shared.upstreams();
-        let (mut placements, mut placement_sums) = (Vec::new(), Vec::new());
-        if upstreams.len() < LONG_LIST {
-            placements.extend(upstreams.placement_digests());
-        } else {
-            placement_sums = placement::sums(upstreams.placement_digests());
-        }
-        drop(upstreams);
-        self.has_compared = known[UPSTREAMS] != 0;
         outbox.send(Body::Subscribe(Subscribe {
             known: known.to_vec(),
             instance: self.shared.settings.instance.to_string(),
             address: self.shared.settings.peer_address.to_string(),
             is_weak: self.right.is_weak(),
-            placements,
-            placement_sums,
+            placements: self.shared.upstreams().placement_digests().collect(),
         }));
         self.subscribed_at = Some(clock::now());
     }
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -4,7 +4,7 @@
 //! feed that tells it what stands there.
 
 use crate::allotments;
-use crate::feeds::{Feed, LARGE_KEY, follow};
+use crate::feeds::{Feed, follow};
 use crate::holder::{FeedNews, Input};
 use crate::poison;
 use crate::relay::Tap;
@@ -320,9 +320,6 @@
     fn listed(&mut self, listing: &Listing) {
         let find = |key| listing.values.iter().find(|value| value.key == key);
         let holder = find(HOLDER_KEY).and_then(decode);
-        if find(LARGE_KEY).is_some() {
-            self.shared.set_large();
-        }
         let recent = find(RECENT_KEY).map(decode_recent).unwrap_or_default();
         let refused = find(poison::KEY).map(|value| (value.revision, &*value.value));
         let (revision, value) = refused.unwrap_or_default();
@@ -345,7 +342,6 @@
                 let recent = decode_recent(value);
                 self.right.update(|tenure| tenure.seen_recent(recent));
             }
-            StoreChange::Written(value) if value.key == LARGE_KEY => self.shared.set_large(),
             StoreChange::Written(value) if value.key == poison::KEY => {
                 let poison = &self.shared.poison;
                 poison.seen_in_store(value.revision, &value.value);
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -74,13 +74,10 @@
     },
 }
 
-/// Most bytes that the bodies of all requests in progress may have together, and as many their answers: a fifth of
-/// the memory of the smallest instance (160 MB) each.
+/// Most bytes that the bodies of all requests in progress may have together: a fifth of the
+/// memory of the smallest instance (160 MB).
 pub const MAX_HELD_BODIES_BYTES: usize = 32 << 20;
 
-/// So many instances are many: what each asks of the store at one time, the store answers in seconds.
-const LARGE_INSTANCES: usize = 500;
-
 /// An instance that does not hear the keeper of allotments for so long lets callers be sent elsewhere. A
 /// keeper that is lost has a successor before that.
 const KEEPER_SILENCE: Duration = Duration::from_secs(2);
@@ -125,8 +122,6 @@
     right: OnceLock<Arc<Right>>,
     engines: OnceLock<Arc<dyn Engines>>,
     upstreams_listed: AtomicBool,
-    /// Whether there are more upstreams than all instances can read from the store.
-    is_large: AtomicBool,
     stopping: AtomicBool,
     /// Requests are not taken any more: the balancer has had time to notice the stop.
     closed: AtomicBool,
@@ -188,7 +183,6 @@
             right: OnceLock::new(),
             engines: OnceLock::new(),
             upstreams_listed: AtomicBool::new(false),
-            is_large: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             ending: AtomicBool::new(false),
@@ -349,16 +343,6 @@
         self.instances.load(Ordering::Acquire)
     }
 
-    /// The fleet is so large that its instances do not all ask the store at once.
-    pub fn set_large(&self) {
-        self.is_large.store(true, Ordering::Release);
-    }
-
-    /// Whether the fleet is so large that its instances do not all ask the store at once.
-    pub fn is_large(&self) -> bool {
-        self.is_large.load(Ordering::Acquire) || self.instances() >= LARGE_INSTANCES
-    }
-
     /// The upstreams were listed whole.
     pub fn set_upstreams_listed(&self) {
         self.upstreams_listed.store(true, Ordering::Release);
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -23,7 +23,7 @@
 use crate::routes::{EnginePool, RouteTable};
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
 use announced::Announced;
-pub use announced::{PlacementDigest, PlacementSums, digest, sums};
+pub use announced::{PlacementDigest, digest};
 use ceiling::StoreLoads;
 pub use ceiling::USUAL_LOAD_WINDOW;
 use census::Census;
@@ -429,15 +429,6 @@
             .collect()
     }
 
-    /// The placements of which an instance may lack some that knows those with some sums.
-    pub fn placements_beside(&self, known: &[u64]) -> Vec<Placement> {
-        let told = self.announced.unlike_sums(known);
-        let told = told.filter(|id| !self.changed.contains(*id));
-        let engines = told.chain(&self.changed);
-        let placements = engines.filter_map(|id| Some(self.engines.get(id)?.placement()));
-        placements.collect()
-    }
-
     /// What is to be done now.
     pub fn decide(&mut self, now: Instant) -> Vec<Action> {
         self.demand.expire(now);
--- a/crates/serving/src/placement/announced.rs
+++ b/crates/serving/src/placement/announced.rs
@@ -42,73 +42,21 @@
     }
 }
 
-/// Sums of digests, one for each of the parts into which engines are drawn. Two instances that know the same of an
-/// engine have like sums; so a thousand that connect at once tell some kilobytes each instead of a digest for each of
-/// ten thousand engines, and hear of the engines of those parts that differ.
-pub type PlacementSums = Vec<u64>;
-
-/// Parts into which engines are drawn.
-const PARTS: usize = 1_024;
-/// Spreads what differs in a digest over all bits of a sum.
-const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
-
-fn part_of(digest: PlacementDigest) -> usize {
-    // The upper half tells the engine.
-    usize::try_from(digest >> 32).unwrap_or(0) % PARTS
-}
-
-fn term_of(digest: PlacementDigest) -> u64 {
-    digest.wrapping_mul(SPREAD)
-}
-
-/// The sums of some digests.
-pub fn sums(digests: impl Iterator<Item = PlacementDigest>) -> PlacementSums {
-    let mut sums = vec![0_u64; PARTS];
-    for digest in digests {
-        let sum = &mut sums[part_of(digest)];
-        *sum = sum.wrapping_add(term_of(digest));
-    }
-    sums
-}
-
 /// The placements that all instances know, by their digests.
 #[derive(Debug, Default)]
-pub(super) struct Announced {
-    digests: BTreeMap<UpstreamId, PlacementDigest>,
-    /// The sums of the digests.
-    sums: PlacementSums,
-}
+pub(super) struct Announced(BTreeMap<UpstreamId, PlacementDigest>);
 
 impl Announced {
     /// A term begins: whoever connects compares what it knows with these.
     pub(super) fn begin(&mut self, placements: impl Iterator<Item = Placement>) {
         let digests = placements.map(|p| (p.engine.clone(), p.digest()));
-        self.digests = digests.collect();
-        self.sums = sums(self.digests.values().copied());
-    }
-
-    /// Takes one digest for another in the sums.
-    fn replace(&mut self, before: Option<PlacementDigest>, after: Option<PlacementDigest>) {
-        self.sums.resize(PARTS, 0);
-        if let Some(digest) = before {
-            let sum = &mut self.sums[part_of(digest)];
-            *sum = sum.wrapping_sub(term_of(digest));
-        }
-        if let Some(digest) = after {
-            let sum = &mut self.sums[part_of(digest)];
-            *sum = sum.wrapping_add(term_of(digest));
-        }
+        self.0 = digests.collect();
     }
 
     /// Whether a placement is news; it counts as told then.
     pub(super) fn is_news(&mut self, placement: &Placement) -> bool {
         let digest = placement.digest();
-        let before = self.digests.insert(placement.engine.clone(), digest);
-        if before == Some(digest) {
-            return false;
-        }
-        self.replace(before, Some(digest));
-        true
+        self.0.insert(placement.engine.clone(), digest) != Some(digest)
     }
 
     /// Engines of which an instance that knows some digests was told something else. To work all of them out
@@ -118,33 +66,12 @@
         &'a self,
         known: &'a BTreeSet<PlacementDigest>,
     ) -> impl Iterator<Item = &'a UpstreamId> {
-        let digests = self.digests.iter();
-        let unlike = digests.filter(|(_, digest)| !known.contains(*digest));
-        unlike.map(|(id, _)| id)
-    }
-
-    /// The same by sums, and with engines beside those that differ; none if all sums are alike.
-    pub(super) fn unlike_sums<'a>(
-        &'a self,
-        known: &'a [u64],
-    ) -> impl Iterator<Item = &'a UpstreamId> {
-        let is_like = self.sums == known;
-        let digests = self.digests.iter().filter(move |_| !is_like);
-        let unlike = digests.filter(|(_, digest)| {
-            let part = part_of(**digest);
-            known.get(part) != self.sums.get(part)
-        });
+        let unlike = self.0.iter().filter(|(_, digest)| !known.contains(*digest));
         unlike.map(|(id, _)| id)
     }
 
     /// Only these engines are there.
     pub(super) fn retain(&mut self, ids: &BTreeSet<UpstreamId>) {
-        let gone: Vec<_> = self
-            .digests
-            .extract_if(.., |id, _| !ids.contains(id))
-            .collect();
-        for (_, digest) in gone {
-            self.replace(Some(digest), None);
-        }
+        self.0.retain(|id, _| ids.contains(id));
     }
 }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -126,14 +126,6 @@
     /// If the store does not answer or refuses.
     fn list(&self, prefix: &str) -> Result<Listing, StoreError>;
 
-    /// Reads all values under a prefix if they come in one answer; `None` if there are more.
-    ///
-    /// # Errors
-    /// If the store does not answer or refuses.
-    fn list_short(&self, prefix: &str) -> Result<Option<Listing>, StoreError> {
-        self.list(prefix).map(Some)
-    }
-
     /// Waits up to `wait` for changes under a prefix after a revision.
     ///
     /// # Errors
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -212,10 +212,7 @@
     /// whether that is news. It only tells whom to follow: this instance takes the right by
     /// the store's word alone.
     pub fn told(&mut self, holder: Holder) -> bool {
-        // Told again, it counts where an answer of the store, under way since before, has put an older one in its place.
-        let is_back = holder.fence == self.highest
-            && (self.holder.as_ref()).is_some_and(|known| known.fence < holder.fence);
-        if !(holder.fence > self.highest || is_back) || holder.instance == self.me {
+        if holder.fence <= self.highest || holder.instance == self.me {
             return false;
         }
         self.highest = holder.fence;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -97,8 +97,6 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<UpstreamId>,
     departures: Departures,
-    /// Upstreams that ever named a limit: few of many.
-    limited: BTreeSet<UpstreamId>,
     /// Upstreams that have asked for rest, until an answer of theirs shows that it is over: few of many.
     resting: BTreeSet<UpstreamId>,
 }
@@ -113,7 +111,6 @@
             upstreams: HashMap::new(),
             restarted: Vec::new(),
             departures: Departures::default(),
-            limited: BTreeSet::new(),
             resting: BTreeSet::new(),
         }
     }
@@ -127,11 +124,6 @@
         }
     }
 
-    /// How many upstreams are known.
-    pub fn len(&self) -> usize {
-        self.upstreams.len()
-    }
-
     /// Whether no upstream is known.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
@@ -296,7 +288,6 @@
         let upstreams = &self.upstreams;
         self.departures.expire(|id| upstreams.contains_key(id), now);
         self.resting.retain(|id| upstreams.contains_key(id));
-        self.limited.retain(|id| upstreams.contains_key(id));
         gone
     }
 
@@ -444,15 +435,9 @@
     }
 
     /// An upstream has said how much it takes. Returns whether that is another limit than before.
-    pub fn note_limit(&mut self, id: &UpstreamId, word: LimitWord) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(id) else {
-            return false;
-        };
-        let has_changed = upstream.note_limit(word);
-        if upstream.limit_word().is_some() {
-            self.limited.insert(id.clone());
-        }
-        has_changed
+    pub fn note_limit(&mut self, id: &str, word: LimitWord) -> bool {
+        let upstream = self.upstreams.get_mut(id);
+        upstream.is_some_and(|upstream| upstream.note_limit(word))
     }
 
     /// Requests a second that an upstream takes from all instances together, as it says or as a cold one bears;
@@ -469,8 +454,7 @@
     /// What upstreams said last of how much they take, those that ever named a limit, with their starts
     /// in Unix milliseconds by their own clocks.
     pub fn limit_words(&self) -> impl Iterator<Item = (&UpstreamId, u64, LimitWord)> {
-        self.limited.iter().filter_map(|id| {
-            let upstream = self.upstreams.get(id)?;
+        self.upstreams.iter().filter_map(|(id, upstream)| {
             let word = upstream.limit_word()?;
             Some((id, upstream.entry.started_at_ms, word))
         })
@@ -478,8 +462,8 @@
 
     /// Upstreams that name a limit.
     pub fn limited(&self) -> usize {
-        let words = self.limit_words();
-        words.filter(|(.., word)| word.per_s.is_some()).count()
+        let all = self.upstreams.values();
+        all.filter(|one| one.named_per_s().is_some()).count()
     }
 
     /// Whether an upstream has what a request needs, as far as is known.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -249,12 +249,9 @@
     /// Whether others had better hold the right to order, since it has little processor.
     #[prost(bool, tag = "4")]
     pub is_weak: bool,
-    /// Digests of what it believes to stand on each engine, if there are few.
+    /// Digests of what it believes to stand on each engine.
     #[prost(fixed64, repeated, tag = "5")]
     pub placements: Vec<u64>,
-    /// Sums of these digests, if there are many.
-    #[prost(fixed64, repeated, tag = "6")]
-    pub placement_sums: Vec<u64>,
 }
 
 /// An instance and where it listens for others.
@@ -339,28 +336,6 @@
     /// Engines to which an order of the holder has no answer and may be carried out yet.
     #[prost(string, repeated, tag = "8")]
     pub doubtful: Vec<String>,
-    /// More of the changes, packed.
-    #[prost(message, repeated, tag = "9")]
-    pub packed: Vec<PackedValues>,
-}
-
-/// Some values of [`News`], packed together: a [`NewsValues`].
-#[derive(Clone, PartialEq, Message)]
-pub struct PackedValues {
-    /// The packed bytes.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub bytes: bytes::Bytes,
-    /// Their length unpacked, in bytes.
-    #[prost(uint64, tag = "2")]
-    pub plain_bytes: u64,
-}
-
-/// What [`PackedValues`] hold.
-#[derive(Clone, PartialEq, Message)]
-pub struct NewsValues {
-    /// The values.
-    #[prost(message, repeated, tag = "1")]
-    pub values: Vec<NewsValue>,
 }
 
 /// A model or adapter of a service.
--- a/tests/all/config_memory.rs
+++ b/tests/all/config_memory.rs
@@ -56,7 +56,6 @@
             address: "127.0.0.1:1".into(),
             is_weak: false,
             placements: Vec::new(),
-            placement_sums: Vec::new(),
         }))
     };
     until("its coming", || {
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -34,10 +34,6 @@
     assert!(!tenure.told(holder("one", 9)), "nobody else speaks for me");
     assert!(tenure.told(holder("three", 6)));
     assert_eq!(tenure.holder().map(|h| h.fence), Some(6));
-    // An answer of the store that was under way puts an older one in its place, for good until that is told again.
-    tenure.seen(Some(holder("two", 5)));
-    assert!(tenure.told(holder("three", 6)));
-    assert!(!tenure.told(holder("three", 6)), "no news");
     // The store tells that it is gone; a word that comes late changes nothing.
     tenure.seen(None);
     assert!(!tenure.told(holder("three", 6)));
@@ -146,7 +142,6 @@
         address: "127.0.0.1:1".into(),
         is_weak: false,
         placements: Vec::new(),
-        placement_sums: Vec::new(),
     };
     link.send(Body::Subscribe(subscribe)).expect("sent");
     until("a third one", || all_know(3));
--- a/tests/all/poison_list.rs
+++ b/tests/all/poison_list.rs
@@ -133,8 +133,7 @@
 /// A request breaks off at an upstream to which it was sent just before, after it had broken off at those with lower
 /// numbers.
 fn broke_off(list: &mut PoisonList, number: u64, request: u8, now: Instant) {
-    let before = Duration::from_millis(10 - number);
-    let at = now.checked_sub(before).expect("after the boot");
+    let at = now - Duration::from_millis(10 - number);
     list.broke_off(digest(request), crash(number), at, at);
     list.note_break(&crash(number), at, at);
 }
@@ -237,8 +236,7 @@
     let later = now + SECOND / 4;
     assert!(list.broke_off(digest(2), crash(1), later, later).is_none());
     // What ran there already when it broke off may be the cause as well.
-    let sent_at = now.checked_sub(SECOND).expect("after the boot");
-    let running = list.broke_off(digest(3), crash(1), sent_at, later);
+    let running = list.broke_off(digest(3), crash(1), now - SECOND, later);
     assert!(running.is_some());
     list.ended(&crash(1).upstream, u64::MAX, later);
     assert!(list.get(digest(2)).is_none());
