--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -21,8 +21,6 @@
 /// Instances that reach the store have come by then: they hear of the new holder at once and
 /// connect within a retry of their dialers.
 const COMING_TIME: Duration = Duration::from_millis(700);
-/// Instances that a new holder tries to reach at one time.
-const MOST_DIALED: usize = 128;
 /// For so long a new holder tries to reach the others; a cut of the store lasts some seconds.
 const ANNOUNCING_TIME: Duration = Duration::from_secs(10);
 
@@ -155,10 +153,6 @@
         drop(members);
         self.dialers.retain(|name, _| missing.contains_key(name));
         for (name, address) in missing {
-            if self.dialers.len() >= MOST_DIALED && !self.dialers.contains_key(&name) {
-                // In their turn: each is a thread here and one there.
-                continue;
-            }
             let word = Body::Successor(Successor {
                 instance: me.to_string(),
                 address: shared.settings.peer_address.to_string(),
--- a/crates/process/src/outbox.rs
+++ b/crates/process/src/outbox.rs
@@ -1,12 +1,13 @@
 //! Sending to a peer without ever blocking the sender.
 
+use crossbeam::channel::{Receiver, Sender, unbounded};
 use passway_wire::link::MAX_FRAME_BYTES;
 use passway_wire::{Body, Frame, Link};
-use std::collections::VecDeque;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Messages that may wait for a slow peer; small ones reach this bound first.
+/// Messages that may wait for a slow peer; small ones reach this bound first. The queue itself
+/// has none, since one that has sets all its places aside: 165 kB a peer.
 const CAPACITY: usize = 4_096;
 /// Bytes that may wait for a slow peer before one more message: a largest frame on its way
 /// and the next one behind it. Frames that go to many peers are kept once, however many wait.
@@ -21,39 +22,15 @@
     ALL_WAITING.load(Ordering::Relaxed)
 }
 
-/// A queue of messages, bounded in messages and in bytes.
-///
-/// What a peer takes at once is sent at once, by whoever sends it. Only while a peer takes less is there a thread, which
-/// sends what waits and ends: an instance that speaks to a thousand others has none for each of them.
+/// A queue of messages with a thread that sends them, bounded in messages and in bytes.
 ///
 /// A peer that falls too far behind is cut off; it connects again and gets
 /// everything anew.
 #[derive(Debug, Clone)]
-pub struct Outbox(Arc<Sending>);
-
-#[derive(Debug)]
-struct Sending {
+pub struct Outbox {
+    sender: Sender<Frame>,
+    waiting: Arc<Waiting>,
     link: Link,
-    waiting: Waiting,
-    queue: Mutex<Queue>,
-}
-
-/// What waits for one peer.
-#[derive(Debug, Default)]
-struct Queue {
-    frames: VecDeque<Frame>,
-    /// Bytes of the first of them that were sent.
-    taken: usize,
-    /// Whether a thread sends them.
-    is_sending: bool,
-    /// Whether the connection is of no use any more.
-    is_broken: bool,
-}
-
-impl Drop for Sending {
-    fn drop(&mut self) {
-        self.link.close();
-    }
 }
 
 /// Bytes that wait for one peer; what is left of them is taken back when the last user is gone.
@@ -79,99 +56,63 @@
 }
 
 impl Outbox {
-    /// Sends over a link.
+    /// Starts the sending thread.
     pub fn start(link: Link) -> Self {
-        Self(Arc::new(Sending {
+        let (sender, frames) = unbounded();
+        let outbox = Self {
+            sender,
+            waiting: Arc::default(),
             link,
-            waiting: Waiting::default(),
-            queue: Mutex::default(),
-        }))
+        };
+        let (link, waiting) = (outbox.link.clone(), outbox.waiting.clone());
+        std::thread::spawn(move || send_all(&link, &waiting, &frames));
+        outbox
     }
 
-    /// Sends a message, or queues it.
+    /// Queues a message.
     pub fn send(&self, body: Body) {
         match Frame::new(body) {
             Ok(frame) => self.send_frame(frame),
             Err(error) => {
                 log::error!(error:% = error; "a message is too large to be sent");
-                self.close();
+                self.link.close();
             }
         }
     }
 
-    /// Sends an encoded message, or queues it.
+    /// Queues an encoded message.
     pub fn send_frame(&self, frame: Frame) {
-        let sending = &self.0;
-        let mut queue = sending.queue();
-        if queue.is_broken {
-            return;
+        let bytes = frame.bytes();
+        if self.waiting_bytes() > MAX_WAITING_BYTES || self.sender.len() >= CAPACITY {
+            log::warn!(waiting_bytes = self.waiting_bytes(); "a peer takes too little and is cut off");
+            return self.link.close();
         }
-        if queue.is_sending {
-            if self.waiting_bytes() > MAX_WAITING_BYTES || queue.frames.len() >= CAPACITY {
-                log::warn!(waiting_bytes = self.waiting_bytes(); "a peer takes too little and is cut off");
-                return self.close();
-            }
-            sending.waiting.add(frame.bytes());
-            queue.frames.push_back(frame);
-            return;
-        }
-        match sending.link.send_at_once(&frame) {
-            Ok(taken) if taken == frame.bytes() => return,
-            Ok(taken) => {
-                sending.waiting.add(frame.bytes());
-                queue.frames.push_back(frame);
-                queue.taken = taken;
-                queue.is_sending = true;
-            }
-            Err(_) => {
-                queue.is_broken = true;
-                return;
-            }
-        }
-        drop(queue);
-        let rest = sending.clone();
-        if let Err(error) = std::thread::Builder::new().spawn(move || rest.send_waiting()) {
-            log::warn!(error:% = error; "no thread for what waits for a peer");
-            sending.queue().is_broken = true;
-            self.close();
+        self.waiting.add(bytes);
+        if self.sender.send(frame).is_err() {
+            self.waiting.sub(bytes);
+            self.link.close();
         }
     }
 
     /// Bytes that wait for this peer, the message that is being written among them.
     pub fn waiting_bytes(&self) -> usize {
-        self.0.waiting.0.load(Ordering::Relaxed)
+        self.waiting.0.load(Ordering::Relaxed)
     }
 
     /// Cuts the connection.
     pub fn close(&self) {
-        self.0.link.close();
+        self.link.close();
     }
 }
 
-impl Sending {
-    fn queue(&self) -> MutexGuard<'_, Queue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Sends until nothing waits or the connection breaks.
-    fn send_waiting(&self) {
-        loop {
-            let mut queue = self.queue();
-            let Some(frame) = queue.frames.front().cloned() else {
-                queue.is_sending = false;
-                return;
-            };
-            let taken = std::mem::take(&mut queue.taken);
-            drop(queue);
-            let sent = self.link.send_rest(&frame, taken);
-            let mut queue = self.queue();
-            queue.frames.pop_front();
-            self.waiting.sub(frame.bytes());
-            if sent.is_err() {
-                queue.is_broken = true;
-                queue.frames.clear();
-                return;
-            }
+/// Sends until nobody queues any more or the connection breaks.
+fn send_all(link: &Link, waiting: &Waiting, frames: &Receiver<Frame>) {
+    for frame in frames {
+        let sent = link.send_frame(&frame);
+        waiting.sub(frame.bytes());
+        if sent.is_err() {
+            return;
         }
     }
+    link.close();
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,8 +3,6 @@
 use crate::message::{Body, Envelope};
 use bytes::{Bytes, BytesMut};
 use prost::Message;
-use rustix::io::Errno;
-use rustix::net::SendFlags;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -132,42 +130,10 @@
     /// # Errors
     /// As [`Link::send`].
     pub fn send_frame(&self, frame: &Frame) -> io::Result<()> {
-        self.send_rest(frame, 0)
-    }
-
-    /// Sends what the peer takes of an encoded message at once, without waiting for it. Returns the bytes that it
-    /// took; the rest is to be sent before anything else.
-    ///
-    /// # Errors
-    /// As [`Link::send`].
-    pub fn send_at_once(&self, frame: &Frame) -> io::Result<usize> {
-        let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
-        let writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
-        let sent = rustix::net::send(&*self.stream, &frame.0, flags);
-        drop(writing);
-        match sent {
-            Ok(taken) => {
-                SENT_BYTES.fetch_add(taken as u64, Ordering::Relaxed);
-                Ok(taken)
-            }
-            Err(Errno::AGAIN | Errno::INTR) => Ok(0),
-            Err(error) => {
-                self.close();
-                Err(error.into())
-            }
-        }
-    }
-
-    /// Sends the rest of an encoded message of which some bytes were sent.
-    ///
-    /// # Errors
-    /// As [`Link::send`].
-    pub fn send_rest(&self, frame: &Frame, taken: usize) -> io::Result<()> {
-        let rest = &frame.0[taken..];
         let writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
-        let sent = (&*self.stream).write_all(rest);
+        let sent = (&*self.stream).write_all(&frame.0);
         drop(writing);
-        SENT_BYTES.fetch_add(rest.len() as u64, Ordering::Relaxed);
+        SENT_BYTES.fetch_add(frame.bytes() as u64, Ordering::Relaxed);
         if sent.is_err() {
             self.close();
         }
