--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -376,7 +376,9 @@
     fn write(&self) -> Option<ConditionalWrite> {
         let mut kept = lock(&self.list).kept_suspects();
         // Times that passed would make it another value at each look.
-        kept.iter_mut().for_each(|suspect| suspect.runs.clear());
+        for suspect in &mut kept {
+            suspect.runs.clear();
+        }
         let value = encode(kept).encode_to_vec();
         let kept = lock(&self.kept);
         (kept.value != value).then(|| ConditionalWrite {
--- a/crates/serving/src/halls.rs
+++ b/crates/serving/src/halls.rs
@@ -28,7 +28,7 @@
         match (&self.0, &other.0) {
             (None, _) => other.clone(),
             (_, None) => self.clone(),
-            (Some(these), Some(those)) => Self::only(these.intersection(those).cloned()),
+            (Some(mine), Some(others)) => Self::only(mine.intersection(others).cloned()),
         }
     }
 
--- a/tests/all/poison_list.rs
+++ b/tests/all/poison_list.rs
@@ -133,7 +133,8 @@
 /// A request breaks off at an upstream to which it was sent just before, after it had broken off at those with lower
 /// numbers.
 fn broke_off(list: &mut PoisonList, number: u64, request: u8, now: Instant) {
-    let at = now - Duration::from_millis(10 - number);
+    let before = Duration::from_millis(10 - number);
+    let at = now.checked_sub(before).expect("after the boot");
     list.broke_off(digest(request), crash(number), at, at);
     list.note_break(&crash(number), at, at);
 }
@@ -236,7 +237,8 @@
     let later = now + SECOND / 4;
     assert!(list.broke_off(digest(2), crash(1), later, later).is_none());
     // What ran there already when it broke off may be the cause as well.
-    let running = list.broke_off(digest(3), crash(1), now - SECOND, later);
+    let sent_at = now.checked_sub(SECOND).expect("after the boot");
+    let running = list.broke_off(digest(3), crash(1), sent_at, later);
     assert!(running.is_some());
     list.ended(&crash(1).upstream, u64::MAX, later);
     assert!(list.get(digest(2)).is_none());
