Red: two more that failed once; the stand-in that says words settles them before its arrival can be seen

By reading: the test sets the next word as soon as it sees the first arrival, which the stand-in noted before it had read its own word.

--- a/tests/all/saying.rs
+++ b/tests/all/saying.rs
@@ -45,8 +45,9 @@
         let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
         let (said, seen) = (saying.clone(), arrivals.clone());
         let raw = RawServer::start(move |received| {
-            seen.lock().expect("arrivals").push(Instant::now());
+            // What it says is settled once its arrival can be seen.
             let Saying { status, lines } = said.lock().expect("what it says").clone();
+            seen.lock().expect("arrivals").push(Instant::now());
             let id = received.header("request-id").unwrap_or_default();
             let more = if [429, 503].contains(&status) {
                 "Not-Executed: 1\r\n"
