Links stand when their process is stopped and goes on

What callers saw: 503 for a model that needs an order while the store is away (outage_terms::silent_store, refusing_store, line 42), although the holder and both candidates ran.

Cause: read() on a socket with a time-out returns EINTR after SIGCONT, also without any handler. LinkReader::receive passed that on, so each stop of a process ended all its links to other instances; they came back 150 to 300 ms later and had to be told everything anew. Trace (a test stopped for 80 ms of every 100): "asks candidates to carry the right to order without_promise= [three, two]", no candidate was ever asked, and the term ended 3 s after its lease.

Change: an interrupted read goes on. The tests' caller did the same thing wrong and counted a stop as the answer's end.

Before: tests/suspended stopped::links_stand fails ("Interrupted system call"); silent_store and refusing_store stopped for 80 of 100 ms, 180 of 200, 280 of 300, 290 of 300, 490 of 500: 10 of 10 fail. After: stopped for 80 of 100 and 180 of 200 ms 4 of 4 pass, links_stand passes.

Elsewhere: the instance's own HTTP sockets poll and heed EINTR; calls to the store and to engines (ureq) still count one that was interrupted as lost, which their callers already take as "may have been done".

--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -2,7 +2,7 @@
 //! answer ended.
 
 use passway_types::prelude::*;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 /// Longest wait for something that must come.
@@ -76,7 +76,13 @@
 
     fn more(&mut self) -> bool {
         let mut chunk = [0; 4_096];
-        let count = self.stream.read(&mut chunk).unwrap_or(0);
+        let count = loop {
+            match self.stream.read(&mut chunk) {
+                // A process that was stopped goes on with what it waited for.
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                read => break read.unwrap_or(0),
+            }
+        };
         self.bytes.extend_from_slice(&chunk[..count]);
         count > 0
     }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,7 +3,7 @@
 use crate::message::{Body, Envelope};
 use bytes::{Bytes, BytesMut};
 use prost::Message;
-use std::io::{self, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -170,10 +170,13 @@
                 }
             }
             let mut chunk = [0; READ_BYTES];
-            let count = self.stream.read(&mut chunk)?;
-            if count == 0 {
-                return Ok(None);
-            }
+            let count = match self.stream.read(&mut chunk) {
+                Ok(0) => return Ok(None),
+                Ok(count) => count,
+                // The process was stopped and goes on: the peer may stand as before.
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
             self.buffer.extend_from_slice(&chunk[..count]);
         }
     }
--- a/tests/suspended/main.rs
+++ b/tests/suspended/main.rs
@@ -14,6 +14,7 @@
 mod holder;
 mod keys;
 mod listener;
+mod stopped;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
