A crashing request runs alone by the counter's word only: silence permits nothing

What callers saw: one request that crashes engines, sent at eight instances at once, ended 7 engines after two had ended and everybody knew; with each engine go a dozen requests of others.

Cause: Poison::run_alone let a copy run whenever nobody had refused it: no holder known, a holder that did not answer within 60 ms, and for 300 ms after one silence without asking. Under load all eight questions go unanswered and all eight copies run. A grant whose answer was lost was held against the request, which asked again under another number.

Change: a grant of the counter permits, nothing else. A request keeps one number for its turn, asks again while it may wait, gives back what may have been granted, and is refused unrun with a time after that.

--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -93,7 +93,7 @@
         let told = shared.keeper.ask(shared, &ask);
         let window = shared.bounds.load().quota.window;
         let mut parts = lock(&self.parts);
-        let Some(told) = told else {
+        let Ok(told) = told else {
             let fits = parts.take(&workspace.name, cost, rand::random(), now);
             return if fits {
                 Decision::Granted
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -89,7 +89,7 @@
     next: Option<Target>,
     /// Whether it may run while upstreams that broke off under it may have ended.
     standing: Standing,
-    /// While it runs alone among those like it.
+    /// Its turn to run alone among those like it, once it has asked for one.
     trial: Option<Trial>,
     /// When its model can be there at the earliest, in milliseconds, if that is too late for it.
     comes_ms: Option<u64>,
--- a/crates/instance/src/forward/refusing.rs
+++ b/crates/instance/src/forward/refusing.rs
@@ -3,6 +3,7 @@
 use super::access::Denied;
 use super::attempt::FailedAnswer;
 use super::{After, Forwarding, RETRY_AFTER_MS, after, not_run};
+use crate::poison::Trial;
 use crate::relay::millis;
 use crate::reply::{self, Refusal};
 use passway_serving::poison::Standing;
@@ -31,7 +32,8 @@
             return self.pass_whole(&failed.head, &failed.body);
         }
         let refused_for = self.refused_for();
-        let is_held = self.standing != Standing::Free && self.trial.is_none();
+        let has_turn = self.trial.as_ref().is_some_and(Trial::is_granted);
+        let is_held = self.standing != Standing::Free && !has_turn;
         let refusal = if self.runs == 0 {
             // What crashes engines is not run before it is forgotten.
             let model_ms = self.comes_ms.or(self.turn_ms).unwrap_or(RETRY_AFTER_MS);
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -2,7 +2,7 @@
 
 use super::{Forwarding, Target, host_of};
 use crate::http1::Connection;
-use crate::poison::Poison;
+use crate::poison::{Asked, Poison, Trial};
 use crate::pool;
 use crate::relay::millis_since;
 use crate::shared::Need;
@@ -44,7 +44,8 @@
         let has_crashed = self.has_crashed(target);
         let ran_ms = millis_since(self.attempt_at, clock::now());
         log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
-            upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms; "a run broke off");
+            upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms, standing:? = self.standing;
+            "a run broke off");
         if !has_crashed {
             self.doubt(target, &start, false);
             return;
@@ -82,16 +83,20 @@
         match self.standing {
             Standing::Free => true,
             Standing::Held => false,
-            Standing::Alone => {
-                if self.trial.is_none() {
-                    let left = self.deadline_at.saturating_duration_since(clock::now());
-                    self.trial = Poison::run_alone(self.shared, self.digest(), left);
-                }
-                self.trial.is_some()
-            }
+            Standing::Alone => self.may_run_alone(),
         }
     }
 
+    /// Whether the request has its turn among those like it. Nothing but the counter's word gives it one.
+    fn may_run_alone(&mut self) -> bool {
+        let digest = self.digest();
+        let left = self.deadline_at.saturating_duration_since(clock::now());
+        let trial = self
+            .trial
+            .get_or_insert_with(|| Trial::new(self.shared, digest));
+        trial.ask(left) == Asked::Granted
+    }
+
     /// A run has ended with an answer, so the request does not crash what runs it.
     pub(super) fn run_answered(&self) {
         let poison = &self.shared.poison;
--- a/crates/instance/src/keeper.rs
+++ b/crates/instance/src/keeper.rs
@@ -12,6 +12,7 @@
 use passway_types::prelude::*;
 use passway_wire::dispatch::Dispatch as Body;
 use passway_wire::permits::{UseAsk, UseTold, UseVerdict};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -29,9 +30,39 @@
 #[derive(Debug, Clone, PartialEq)]
 struct Silent {
     holder: Holder,
+    cause: Unruled,
     until: Instant,
 }
 
+/// Why nobody ruled on a question. None of these permits anything by itself: what an instance does without a ruling is
+/// said where it asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unruled {
+    /// No holder of the right to order is known.
+    NoHolder,
+    /// The holder does not answer, or did not a moment ago.
+    Silent,
+    /// The holder that is known does not hold the right now.
+    NotKeeper,
+}
+
+impl Unruled {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoHolder => "no holder",
+            Self::Silent => "silent",
+            Self::NotKeeper => "not the keeper",
+        }
+    }
+}
+
+impl fmt::Display for Unruled {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
 /// This instance's questions to the keeper.
 #[derive(Debug, Default)]
 pub struct KeeperLink {
@@ -40,34 +71,48 @@
 }
 
 impl KeeperLink {
-    /// The keeper's ruling; `None` if there is none that answers.
-    pub fn ask(&self, shared: &Shared, ask: &UseAsk) -> Option<UseTold> {
-        let holder = shared.right()?.holder()?;
+    /// The keeper's ruling.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub fn ask(&self, shared: &Shared, ask: &UseAsk) -> Result<UseTold, Unruled> {
+        let ruling = self.ruling(shared, ask);
+        if let Err(unruled) = ruling {
+            shared.metrics.unruled(unruled);
+        }
+        ruling
+    }
+
+    fn ruling(&self, shared: &Shared, ask: &UseAsk) -> Result<UseTold, Unruled> {
+        let holder = shared.right().and_then(|right| right.holder());
+        let holder = holder.ok_or(Unruled::NoHolder)?;
         let settings = &shared.settings;
         if holder.instance == settings.instance {
-            let told = rule(shared, settings.peer_address, ask);
-            return Some(told).filter(|told| told.verdict() != UseVerdict::NotKeeper);
+            return of_keeper(rule(shared, settings.peer_address, ask));
         }
         let now = clock::now();
-        let is_silent = |silent: &Silent| silent.holder == holder && now < silent.until;
-        if lock(&self.silent).as_ref().is_some_and(is_silent) {
-            return None;
+        let is_silent = |silent: &&Silent| silent.holder == holder && now < silent.until;
+        if let Some(silent) = lock(&self.silent).as_ref().filter(is_silent) {
+            return Err(silent.cause);
         }
         let body = Body::UseAsk(ask.clone());
         let address = holder.address;
         let told = self
             .asked
             .ask(ask.id, || shared.dispatch.send(address, body.clone()));
-        let pause = match &told {
-            Some(told) if told.verdict() != UseVerdict::NotKeeper => return Some(told.clone()),
-            Some(_) => NOT_KEEPER_TIME,
-            None => SILENT_TIME,
-        };
-        *lock(&self.silent) = Some(Silent {
-            holder,
-            until: clock::now() + pause,
-        });
-        None
+        let ruling = told.ok_or(Unruled::Silent).and_then(of_keeper);
+        if let Err(cause) = ruling {
+            let pause = match cause {
+                Unruled::Silent | Unruled::NoHolder => SILENT_TIME,
+                Unruled::NotKeeper => NOT_KEEPER_TIME,
+            };
+            *lock(&self.silent) = Some(Silent {
+                holder,
+                cause,
+                until: clock::now() + pause,
+            });
+        }
+        ruling
     }
 
     /// Takes in the answer to a question of this instance.
@@ -76,6 +121,14 @@
     }
 }
 
+/// An answer, if whoever gave it keeps the counts.
+fn of_keeper(told: UseTold) -> Result<UseTold, Unruled> {
+    if told.verdict() == UseVerdict::NotKeeper {
+        return Err(Unruled::NotKeeper);
+    }
+    Ok(told)
+}
+
 /// Answers an instance's question; only the keeper rules.
 pub fn rule(shared: &Shared, from: SocketAddr, ask: &UseAsk) -> UseTold {
     let Some(fence) = shared.right().and_then(|right| right.term()) else {
--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -41,9 +41,9 @@
             ..UseAsk::default()
         };
         match shared.keeper.ask(shared, &ask) {
-            Some(told) if told.verdict() == UseVerdict::Granted => Turn::Now,
-            Some(told) => Turn::After(Duration::from_millis(told.retry_after_ms)),
-            None => self.share(shared, upstream, per_s),
+            Ok(told) if told.verdict() == UseVerdict::Granted => Turn::Now,
+            Ok(told) => Turn::After(Duration::from_millis(told.retry_after_ms)),
+            Err(_) => self.share(shared, upstream, per_s),
         }
     }
 
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -2,6 +2,7 @@
 //! where the balancer asks. Names and what to alarm on: `docs/OPERATIONS.md`.
 
 use crate::allotments::Decision;
+use crate::keeper::Unruled;
 use crate::limits::Turn;
 use passway_types::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -39,6 +40,12 @@
     word: &'static str,
 }
 
+/// Why nobody ruled on a question to the instance that counts for all.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 /// Most workspaces that are counted by name, those that came first: each has four counters of some
 /// 100 bytes. The others are counted together.
 const MAX_WORKSPACES: usize = 200;
@@ -104,6 +111,7 @@
     rests: Counter,
     unusable_words: Family<WordLabels, Counter>,
     turns: Family<OutcomeLabels, Counter>,
+    unruled: Family<CauseLabels, Counter>,
 }
 
 impl fmt::Debug for Metrics {
@@ -144,6 +152,7 @@
             rests: Counter::default(),
             unusable_words: Family::default(),
             turns: Family::default(),
+            unruled: Family::default(),
         };
         metrics.register();
         metrics
@@ -210,6 +219,13 @@
         let turns = self.turns.clone();
         let help = "Requests for a turn at an upstream that names a limit, by answer";
         registry.register("limited_turns", help, turns);
+        for unruled in [Unruled::NoHolder, Unruled::Silent, Unruled::NotKeeper] {
+            let cause = unruled.name();
+            let _zero = self.unruled.get_or_create(&CauseLabels { cause });
+        }
+        let unruled = self.unruled.clone();
+        let help = "Questions to the instance that counts for all that were left without a ruling";
+        registry.register("unruled_questions", help, unruled);
         let gauge = self.leaving_upstreams.clone();
         let help =
             "Starts of upstreams that are known to leave, or to have left in the last minutes";
@@ -261,6 +277,12 @@
         self.turns.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a question to the instance that counts for all on which nobody ruled.
+    pub fn unruled(&self, unruled: Unruled) {
+        let cause = unruled.name();
+        self.unruled.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     /// Counts a word of an upstream of itself that cannot be read.
     pub fn unusable_word(&self, word: &'static str) {
         self.unusable_words
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -4,25 +4,26 @@
 //! lies in the store, where the holder keeps the requests that are refused or may be after the
 //! next crash: a fleet that starts again knows them before it serves.
 
+mod alone;
 mod watch;
 
-use crate::relay::{millis, millis_since};
+use crate::relay::millis_since;
 use crate::right::Right;
 use crate::shared::{Need, Shared};
+use alone::{Alone, digest_of};
+pub use alone::{Asked, Trial};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use passway_process::logging::json::DECISION_TARGET;
 pub use passway_serving::poison::OPEN_TIME;
 use passway_serving::poison::{
-    Blame, PoisonList, RequestDigest, RunSpan, RunTurns, Standing, Suspect, UpstreamStart,
+    Blame, PoisonList, RequestDigest, RunSpan, Standing, Suspect, UpstreamStart,
 };
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::dispatch::Dispatch as Body;
 use passway_wire::message::{self, Break, Crash, Suspects};
-use passway_wire::permits::{UseAsk, UseBack, UseTold, UseVerdict};
 use prost::Message;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -56,10 +57,8 @@
     /// Whether what the fleet knows was heard of since the process began.
     is_told: AtomicBool,
     kept: Mutex<Kept>,
-    /// Requests that run alone among those like them.
-    trials: Mutex<HashSet<RequestDigest>>,
-    /// The same over all instances, while this one counts for all.
-    turns: Mutex<RunTurns>,
+    /// Which requests run alone among those like them.
+    alone: Alone,
     /// Engines that broke off and are asked whether they have ended.
     watched: Watched,
     /// Wakes the thread that keeps the list in the store.
@@ -76,8 +75,7 @@
             refused: AtomicUsize::new(0),
             is_told: AtomicBool::new(false),
             kept: Mutex::default(),
-            trials: Mutex::default(),
-            turns: Mutex::default(),
+            alone: Alone::default(),
             watched: Watched::default(),
             wake,
             woken,
@@ -85,44 +83,6 @@
     }
 }
 
-/// A request runs alone among those like it while this lives.
-#[derive(Debug)]
-pub struct Trial {
-    shared: Arc<Shared>,
-    digest: RequestDigest,
-    /// The number of the question that the counter granted; `None` if nobody counts.
-    turn: Option<u64>,
-    /// Whether an upstream broke off under it.
-    has_broken: bool,
-}
-
-impl Trial {
-    /// An upstream broke off under it. Its turn lapses by itself: by then all know what that was.
-    pub fn broke(&mut self) {
-        self.has_broken = true;
-    }
-}
-
-impl Drop for Trial {
-    fn drop(&mut self) {
-        let shared = &self.shared;
-        lock(&shared.poison.trials).remove(&self.digest);
-        let holder = shared.right().and_then(|right| right.holder());
-        if let (Some(id), Some(holder), false) = (self.turn, holder, self.has_broken) {
-            let back = UseBack {
-                digest: self.digest.0.to_vec(),
-                id,
-                ..UseBack::default()
-            };
-            if holder.instance == shared.settings.instance {
-                shared.poison.take_back(shared.settings.peer_address, &back);
-            } else {
-                shared.dispatch.send(holder.address, Body::UseBack(back));
-            }
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -165,65 +125,6 @@
         lock(&self.list).standing(digest, clock::now())
     }
 
-    /// Lets a request run alone, for so long at most, among those like it at all instances, or at this one if
-    /// nobody counts; `None` while another one does.
-    pub fn run_alone(
-        shared: &Arc<Shared>,
-        digest: RequestDigest,
-        longest: Duration,
-    ) -> Option<Trial> {
-        let is_first = lock(&shared.poison.trials).insert(digest);
-        if !is_first {
-            return None;
-        }
-        let mut trial = Trial {
-            shared: shared.clone(),
-            digest,
-            turn: None,
-            has_broken: false,
-        };
-        let ask = UseAsk {
-            id: rand::random(),
-            digest: digest.0.to_vec(),
-            run_ms: millis(longest),
-            ..UseAsk::default()
-        };
-        match shared.keeper.ask(shared, &ask) {
-            Some(told) if told.verdict() != UseVerdict::Granted => None,
-            told => {
-                trial.turn = told.map(|_| ask.id);
-                Some(trial)
-            }
-        }
-    }
-
-    /// Answers an instance that asks to run a request alone, in a term of this instance.
-    pub fn rule(&self, fence: Fence, from: SocketAddr, ask: &UseAsk) -> UseTold {
-        let mut told = UseTold {
-            id: ask.id,
-            ..UseTold::default()
-        };
-        let Some(digest) = digest_of(&ask.digest) else {
-            return told;
-        };
-        let (run, time) = ((from, ask.id), Duration::from_millis(ask.run_ms));
-        match lock(&self.turns).ask(fence, digest, run, time, clock::now()) {
-            Ok(()) => told.set_verdict(UseVerdict::Granted),
-            Err(pause) => {
-                told.set_verdict(UseVerdict::Refused);
-                told.retry_after_ms = millis(pause);
-            }
-        }
-        told
-    }
-
-    /// A run that was alone is over and has ended nothing.
-    pub fn take_back(&self, from: SocketAddr, back: &UseBack) {
-        if let Some(digest) = digest_of(&back.digest) {
-            lock(&self.turns).give_back(digest, (from, back.id));
-        }
-    }
-
     /// An engine broke off under a request, and nothing tells yet whether it has ended.
     pub fn broke_off(
         shared: &Arc<Shared>,
@@ -455,11 +356,6 @@
     }
 }
 
-/// The digest that some bytes hold.
-fn digest_of(bytes: &[u8]) -> Option<RequestDigest> {
-    Some(RequestDigest(bytes.try_into().ok()?))
-}
-
 /// One whose digest has another length comes from another build and is left out.
 fn decode(told: message::Suspect) -> Option<Suspect> {
     let digest = digest_of(&told.digest)?;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -58,6 +58,7 @@
 mod poison_open_ports;
 mod poison_rack;
 mod poison_requests;
+mod poison_turns;
 mod policy_compare;
 mod policy_rules;
 mod process_kills;
