Logs tell why a holder is not carried through an outage of the store

A holder that lost its right in an outage said only that; whether candidates were asked, what they answered and who did not was not to be told from logs, so outage_terms' 503 had no cause by evidence.

New: the holder names the candidates whose promise is lacking, when it begins to ask and whenever that changes, and again when its right ends; a candidate logs its answer when it is asked first and when it changes. Tenure::promise says why it does not promise. Tests have instances log with PASSWAY_LOG=info.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -85,6 +85,7 @@
         peers: BTreeMap::new(),
         listeners: Listeners::default(),
         candidates: Candidates::default(),
+        without_promise: None,
         doubtful: BTreeSet::new(),
         told_breaks: BTreeMap::new(),
         told_limits: BTreeMap::new(),
@@ -119,6 +120,8 @@
     listeners: Listeners,
     /// Who may succeed this instance.
     candidates: Candidates,
+    /// Candidates whose promise is lacking while they are asked for it, as was logged last.
+    without_promise: Option<Vec<InstanceId>>,
     /// Engines to which orders have no answer, as was told last.
     doubtful: BTreeSet<UpstreamId>,
     /// Starts of upstreams that broke off, as was told, and until when that is remembered.
@@ -313,8 +316,14 @@
             self.right.want_candidates(chosen);
         }
         let Some(fence) = self.right.asks_promises() else {
+            self.without_promise = None;
             return;
         };
+        let without = self.right.without_promise();
+        if self.without_promise.as_ref() != Some(&without) {
+            log::info!(target: DECISION_TARGET, fence = fence, without_promise:? = without; "asks candidates to carry the right to order");
+            self.without_promise = Some(without);
+        }
         let body = Body::PromiseWanted(PromiseWanted {
             fence,
             asked_ms: relay::millis_since(self.begun_at, now),
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -428,7 +428,7 @@
 ) -> Option<Promise> {
     let leaves = shared.is_stopping();
     let store_answers = !shared.store_health.is_failing();
-    let promises = leaves || right.promise(&asker.instance, store_answers);
+    let promises = leaves || right.promise(&asker.instance, store_answers).is_ok();
     promises.then(|| Promise {
         instance: shared.settings.instance.to_string(),
         fence: wanted.fence,
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -14,7 +14,9 @@
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue,
 };
-use passway_serving::tenure::{Candidate, Holder, RecentHolders, Step, Tenure, TenureLimits};
+use passway_serving::tenure::{
+    Candidate, Holder, NoPromise, RecentHolders, Step, Tenure, TenureLimits,
+};
 use passway_types::clock;
 use passway_types::prelude::*;
 use rand::RngExt;
@@ -42,6 +44,8 @@
     changed: Condvar,
     /// When a holder asked last for a promise.
     asked_at: Mutex<Option<Instant>>,
+    /// What it was answered, so that each change is told.
+    answered: Mutex<Option<Result<(), NoPromise>>>,
     is_weak: bool,
 }
 
@@ -109,6 +113,7 @@
             tenure: Mutex::new(Tenure::new(settings.instance.clone(), limits, clock::now())),
             changed: Condvar::new(),
             asked_at: Mutex::default(),
+            answered: Mutex::default(),
             is_weak,
         }
     }
@@ -175,10 +180,24 @@
     }
 
     /// Whether this instance promises a holder not to take the right for a while.
-    pub fn promise(&self, asker: &InstanceId, store_answers: bool) -> bool {
+    ///
+    /// # Errors
+    /// Why it does not.
+    pub fn promise(&self, asker: &InstanceId, store_answers: bool) -> Result<(), NoPromise> {
         let now = clock::now();
-        *lock(&self.asked_at) = Some(now);
-        self.tenure().promise(asker, store_answers, now)
+        let before = lock(&self.asked_at).replace(now);
+        let answer = self.tenure().promise(asker, store_answers, now);
+        let is_first = before.is_none_or(|at| now > at + ASKED_TIME);
+        let told = Some(answer);
+        if lock(&self.answered).replace(answer) != told || is_first {
+            log::info!(target: DECISION_TARGET, holder:% = asker, answer:? = answer; "asked for a promise not to take the right to order");
+        }
+        answer
+    }
+
+    /// The candidates of my term without whose word it does not go on beyond its lease.
+    pub fn without_promise(&self) -> Vec<InstanceId> {
+        self.tenure().without_promise(clock::now())
     }
 
     /// Whether a holder has asked for a promise lately, so that this instance had better
@@ -225,7 +244,8 @@
             if matches!(step, Step::End(_))
                 && let Some(fence) = held.take()
             {
-                log::info!(target: DECISION_TARGET, fence = fence; "lost the right to order");
+                let without_promise = tenure.without_promise(now);
+                log::info!(target: DECISION_TARGET, fence = fence, without_promise:? = without_promise; "lost the right to order");
             }
             match step {
                 Step::Wait(until) => {
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -21,8 +21,8 @@
 
 use crate::ports::{LeaseId, StoreError, WriteAnswer};
 use passway_types::prelude::*;
-pub use promises::PROMISE_TIME;
 use promises::Promises;
+pub use promises::{NoPromise, PROMISE_TIME};
 pub use records::{Candidate, Holder, RecentHolders, Step, TenureLimits};
 
 /// A lease is renewed when this part of it has passed.
--- a/crates/serving/src/tenure/candidates.rs
+++ b/crates/serving/src/tenure/candidates.rs
@@ -1,7 +1,7 @@
 //! The candidates of a term: who they are, what they promise, and how long they carry it.
 
 use super::promises::PROMISE_TIME;
-use super::{Candidate, LIST_PAUSE, RecentHolders, SAFETY, Stage, Tenure, Term};
+use super::{Candidate, LIST_PAUSE, NoPromise, RecentHolders, SAFETY, Stage, Tenure, Term};
 use crate::ports::{StoreError, WriteAnswer};
 use passway_types::prelude::*;
 
@@ -38,19 +38,36 @@
         matches!(self.stage, Stage::Holding(term) if term.fence == fence)
     }
 
-    /// Whether this instance promises the holder that asks not to take the key for
-    /// [`PROMISE_TIME`]: not if it reaches the store, takes the key itself, or knows that
-    /// another one had it later.
-    pub fn promise(&mut self, asker: &InstanceId, store_answers: bool, now: Instant) -> bool {
+    /// Promises the holder that asks not to take the key for [`PROMISE_TIME`].
+    ///
+    /// # Errors
+    /// Why this instance does not.
+    pub fn promise(
+        &mut self,
+        asker: &InstanceId,
+        store_answers: bool,
+        now: Instant,
+    ) -> Result<(), NoPromise> {
         let takes = matches!(self.stage, Stage::Granted(_) | Stage::Holding(_));
         let holder = self.holder.as_ref();
         let is_last = holder.is_some_and(|h| h.instance == *asker && h.fence >= self.highest)
             && self.recent.names.last() == Some(asker);
-        if takes || store_answers || !is_last {
-            return false;
+        if takes {
+            return Err(NoPromise::TakesItself);
+        }
+        if store_answers {
+            return Err(NoPromise::StoreAnswers);
+        }
+        if !is_last {
+            return Err(NoPromise::KnowsAnother);
         }
         self.promised_until = self.promised_until.max(now + PROMISE_TIME);
-        true
+        Ok(())
+    }
+
+    /// The candidates of my term without whose word it does not go on beyond its lease.
+    pub fn without_promise(&self, now: Instant) -> Vec<InstanceId> {
+        self.promises.lacking(&self.me, now)
     }
 
     /// The last moment of a term at which an order may be given: by the lease, or by the
--- a/crates/serving/src/tenure/promises.rs
+++ b/crates/serving/src/tenure/promises.rs
@@ -20,6 +20,17 @@
 /// that one that is lost does not end its term.
 pub const PROMISE_TIME: Duration = Duration::from_millis(900);
 
+/// Why an instance does not promise a holder to leave the key alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPromise {
+    /// It takes the key itself, or has it.
+    TakesItself,
+    /// The store answers it.
+    StoreAnswers,
+    /// It knows of a later holder, or does not know that the one that asks was the last.
+    KnowsAnother,
+}
+
 /// What one candidate has promised.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Promise {
@@ -74,6 +85,18 @@
         self.given.retain(|_, promise| *promise != Promise::ForGood);
     }
 
+    /// Those whose promise is missing or over.
+    pub(super) fn lacking(&self, me: &InstanceId, now: Instant) -> Vec<InstanceId> {
+        let asked = self.listed.union(&self.perhaps_listed);
+        let is_bound = |name: &InstanceId| match self.given.get(name) {
+            Some(Promise::ForGood) => true,
+            Some(Promise::Until(until)) => now < *until,
+            None => false,
+        };
+        let lacking = asked.filter(|name| *name != me && !is_bound(name));
+        lacking.cloned().collect()
+    }
+
     /// Until when nobody else takes the key; `None` if somebody might at any moment.
     pub(super) fn hold_until(&self, me: &InstanceId) -> Option<Instant> {
         if !self.has_candidates(me) {
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -14,6 +14,7 @@
 use passway_types::prelude::*;
 use passway_users_platform::{MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl};
 use std::net::SocketAddr;
+use std::sync::Once;
 
 /// Pause between two looks.
 const STEP: Duration = Duration::from_millis(10);
@@ -99,8 +100,20 @@
     start_with(settings(name, address))
 }
 
+/// Has instances log to standard error at the level that `PASSWAY_LOG` names; the lines of tests that run beside each
+/// other are mixed.
+fn log_if_asked() {
+    static STARTED: Once = Once::new();
+    STARTED.call_once(|| {
+        if let Ok(level) = std::env::var("PASSWAY_LOG") {
+            passway_process::logging::start("test", &level).expect("logging");
+        }
+    });
+}
+
 /// Starts an instance with settings.
 pub fn start_with(settings: InstanceSettings) -> Instance {
+    log_if_asked();
     let address = settings.store_address;
     let surroundings = Surroundings {
         store: Arc::new(MetadataStore::new(address)),
--- a/tests/all/tenure_faults/carrying.rs
+++ b/tests/all/tenure_faults/carrying.rs
@@ -115,7 +115,7 @@
                             from: number,
                             fence,
                         }
-                    } else if instance.tenure.promise(&asker, answers, now) {
+                    } else if instance.tenure.promise(&asker, answers, now).is_ok() {
                         Letter::Promises {
                             from: number,
                             fence,
