Instances hear of a second crash from who saw it, not by way of the holder alone

Cause: what is known of a request goes to the holder, and from there to all. While there is no holder nobody tells anything, for as long as that lasts.

Change: from the second crash on an instance tells all instances that it knows besides, by datagram: one hop instead of four, and without a holder. One news of a request and an engine's start goes out once, so what a rack's loss sends is bounded by engines x instances. What a peer tells does not count as having heard what the fleet knows.

poison_turns::told_without_holder fails without it (a copy runs at an instance whose holder tells nothing), passes with it.

--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -410,6 +410,7 @@
                 shared.allotments.take_back(shared, from, &back);
             }
             Body::UseBack(back) => shared.poison.take_back(from, &back),
+            Body::Suspects(told) => shared.poison.join_from_peer(told),
         }
     }
 
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -5,7 +5,6 @@
 use crate::poison::{Asked, Poison, Trial};
 use crate::pool;
 use crate::relay::millis_since;
-use crate::shared::Need;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::poison::{RequestDigest, Standing, UpstreamStart};
 use passway_types::clock;
@@ -52,7 +51,7 @@
         }
         let (digest, sent_at) = (self.digest(), self.attempt_at);
         if let Some(suspect) = self.shared.poison.crashed(digest, start, sent_at) {
-            self.shared.tell(Need::Suspect(suspect));
+            Poison::tell(self.shared, suspect);
         }
     }
 
@@ -104,7 +103,7 @@
             return;
         }
         if let Some(suspect) = poison.answered(self.digest()) {
-            self.shared.tell(Need::Suspect(suspect));
+            Poison::tell(self.shared, suspect);
         }
     }
 
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -13,6 +13,7 @@
 use crate::listeners::Listeners;
 use crate::members::{Addresses, Announcement, KeptAnnouncement, Roster};
 use crate::news::Told;
+use crate::poison::TOLD_CRASHES;
 use crate::relay::{self, HEARTBEAT_PAUSE, Relay};
 use crate::right::Right;
 use crate::shared::Shared;
@@ -34,7 +35,7 @@
 use peers::accept;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
-use telling::{TOLD_CRASHES, placements};
+use telling::placements;
 
 /// What the deciding thread may have to take in besides; whoever has one more waits, and so do
 /// instances that send it. An engine's entry with all that it keeps has some 3 kB, so 3 MB.
--- a/crates/instance/src/holder/telling.rs
+++ b/crates/instance/src/holder/telling.rs
@@ -3,7 +3,7 @@
 
 use super::{Holding, TELL_PAUSE_PER_PEER};
 use crate::members::{self, Addresses};
-use crate::poison;
+use crate::poison::{self, TOLD_CRASHES};
 use crate::relay;
 use crate::words::{self, LONGEST_REST_MS};
 use passway_process::outbox::Outbox;
@@ -17,10 +17,6 @@
 use passway_wire::{Body, Frame};
 use std::collections::BTreeSet;
 
-/// A request is told to all once so many upstreams have crashed under it: the next crash may be
-/// the last one that is allowed, at whichever instance it comes again.
-pub(super) const TOLD_CRASHES: usize = 2;
-
 /// A limit that has changed by less, as a part of it, is not told again: what counts is what the
 /// holder knows, whom all ask.
 const TOLD_CHANGE_PART: f64 = 0.1;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -172,6 +172,11 @@
         self.shared.retries().has_spare(&service.into(), now)
     }
 
+    /// How many other instances it knows.
+    pub fn other_instances(&self) -> usize {
+        self.shared.other_instances().len()
+    }
+
     /// The configuration's version in force.
     pub fn version(&self) -> Option<Revision> {
         self.shared
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -21,6 +21,7 @@
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_types::clock;
 use passway_types::prelude::*;
+use passway_wire::dispatch::Dispatch as Body;
 use passway_wire::message::{self, Break, Crash, Suspects};
 use prost::Message;
 use std::collections::BTreeMap;
@@ -34,6 +35,9 @@
 /// Requests that are told or kept at most, 150 bytes each: what a link of 10 Mbit/s carries in
 /// 60 ms.
 const MAX_TOLD: usize = 512;
+/// From so many crashes on all instances are told of a request: the next one may be the last that is allowed, at
+/// whichever it comes.
+pub const TOLD_CRASHES: usize = 2;
 /// Longest time that a word on a crash takes to another instance: what is told as so long ago is up to so much
 /// longer ago.
 const MOST_TELLING_MS: u64 = 100;
@@ -154,7 +158,7 @@
         let news = lock(&poison.list).broke_off(digest, start.clone(), sent_at, now);
         poison.changed();
         if let Some(news) = news {
-            shared.tell(Need::Suspect(news));
+            Self::tell(shared, news);
         }
         watch::watch(shared, digest, start, address);
     }
@@ -205,9 +209,33 @@
         breaks
     }
 
-    /// Joins in what others know. Returns the requests that were told, as they are known now.
+    /// Tells others what became known of a request: the holder, which tells all, and from the second crash on all
+    /// instances that are known here as well. The next run may be the last that is allowed, wherever it comes, and the
+    /// holder may be slow or gone.
+    pub fn tell(shared: &Shared, news: Suspect) {
+        if news.crashes.len() >= TOLD_CRASHES {
+            let suspects = encode(vec![news.clone()]);
+            for address in shared.other_instances() {
+                shared
+                    .dispatch
+                    .send(address, Body::Suspects(suspects.clone()));
+            }
+        }
+        shared.tell(Need::Suspect(news));
+    }
+
+    /// Joins in what the holder or the store tells. Returns the requests that were told, as they are known now.
     pub fn join(&self, told: Suspects) -> Vec<Suspect> {
         self.is_told.store(true, Ordering::Release);
+        self.take_in(told)
+    }
+
+    /// Joins in what another instance tells, which is not all that the fleet knows.
+    pub fn join_from_peer(&self, told: Suspects) {
+        self.take_in(told);
+    }
+
+    fn take_in(&self, told: Suspects) -> Vec<Suspect> {
         let told: Vec<Suspect> = told.suspects.into_iter().filter_map(decode).collect();
         if told.is_empty() {
             return told;
--- a/crates/instance/src/poison/watch.rs
+++ b/crates/instance/src/poison/watch.rs
@@ -4,7 +4,8 @@
 //! for its report until it tells its start; its entry tells the same when it goes or names a later start.
 
 use crate::control;
-use crate::shared::{Need, Shared};
+use crate::poison::Poison;
+use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::poison::{OPEN_TIME, RequestDigest, UpstreamStart};
 use passway_serving::ports::Engines;
@@ -120,7 +121,7 @@
             shared.upstreams().trust(&start.upstream, clock::now());
             for digest in digests {
                 if let Some(news) = shared.poison.lives(digest, start.clone()) {
-                    shared.tell(Need::Suspect(news));
+                    Poison::tell(shared, news);
                 }
             }
         }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Datagrams between instances: one message each, and each may be lost or come twice. Here are
 //! those to and from the dispatcher of an engine.
 
+use crate::message::Suspects;
 use crate::permits::{UseAsk, UseBack, UseTold, VersionAsk, VersionTold};
 use prost::{Message, Oneof};
 
@@ -8,7 +9,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// What it says; `None` comes from a newer program and is ignored.
-    #[prost(oneof = "Dispatch", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Dispatch", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Dispatch>,
 }
 
@@ -54,6 +55,9 @@
     /// What a workspace has not used.
     #[prost(message, tag = "9")]
     UseBack(UseBack),
+    /// What the sender knows of requests that crash upstreams.
+    #[prost(message, tag = "10")]
+    Suspects(Suspects),
 }
 
 /// Asks for an engine for one attempt.
