The holder's fencing number is the one that all others read

Seen while tracing outage_terms: "a new term of the same holder fence=4" at candidates whose holder had had one term only, right as an outage began; each of them dropped its link to the holder and made another one.

Cause: a term takes its number from the answer to the transaction that writes the holder's key and then the list of holders; a store that counts each key gives the answer the list's revision. Others read the key's own, one less, so the holder's word in an outage looked like a new term.

Change: the key is written last. Where a transaction has one revision nothing changes.

holder_link::fence_is_revision_of_key fails before (3 and 2), passes now.

--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -298,16 +298,17 @@
 }
 
 /// The writes that take the key if nobody has it, and if nobody had it since the list of
-/// holders was read.
+/// holders was read. The key is the last: the revision of the whole is then its own, the
+/// fencing number that all others read.
 fn taking(shared: &Shared, lease: LeaseId, recent: &RecentHolders) -> [ConditionalWrite; 2] {
     [
+        listing(recent),
         ConditionalWrite {
             key: HOLDER_KEY.to_owned(),
             expected: 0,
             value: Some(encode(shared)),
             lease: Some(lease),
         },
-        listing(recent),
     ]
 }
 
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -207,6 +207,13 @@
         state.items.get(key).map(|item| item.value.clone())
     }
 
+    /// A key's revision; 0 if it is not there.
+    pub fn revision_of(&self, key: &str) -> u64 {
+        let mut state = self.state();
+        state.lapse();
+        state.items.get(key).map_or(0, |item| item.revision)
+    }
+
     /// Forgets what has changed up to now.
     pub fn forget_history(&self) {
         let mut state = self.state();
--- a/tests/all/holder_link.rs
+++ b/tests/all/holder_link.rs
@@ -176,3 +176,13 @@
     link.send(Body::News(word)).expect("sent");
     until("the version", || instance.version() == Some(9));
 }
+
+/// All others read another fencing number than the holder had: the store counts each key that a transaction writes,
+/// and the holder's key was not the last.
+#[test]
+fn fence_is_revision_of_key() {
+    let store = site::store(&[]);
+    let instance = site::ready("one", &store);
+    until("the right to order", || instance.fence().is_some());
+    assert_eq!(instance.fence(), Some(store.revision_of("passway/holder")));
+}
