Terms that follow each other count the instances together

What callers saw: no request is repeated at another upstream, for as long as the holder loses and takes the right again within three seconds each time ("a repeat to spend does not come about": poison_requests::crashes_three_engines, cleared_by_operator, poison_open_ports' three, pass_through::repeatable_runs_again).

Cause: a term tells how many instances share the allowance of repeats three seconds after it began, since they come one after the other. Terms that last for less told nobody ever. Evidence: in four suites at once 3,557 lines "lost the right to order" in 122 s, none of them named a successor's term, and the waits of 20 s for a repeat ended in vain.

Ruled out: too few requests (what the tests wait for is the fixed part, which comes by time alone), a budget that was spent.

Change: if nobody else had the right in between (the list of holders, on whose revision the taking depends, ends with the own name), the count goes on, and the most instances that were there count until three seconds of the new term have passed, so that nobody is told that it shares with few.

retry_terms::short_terms_count_together (a store that refuses for 1.3 s of every 2.6 s): fails before ("no repeat to spend" after 20 s), passes now.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -420,7 +420,6 @@
             self.told_leaving.clear();
             self.roster = Roster::default();
             self.dispatchers = self.shared.dispatch.list();
-            self.instances = InstanceCount::begin(clock::now());
             // Whoever heard the news from here asks the store now.
             for number in self.listeners.end() {
                 if let Some(outbox) = self.peers.remove(&number) {
@@ -431,6 +430,7 @@
             let urgent: Addresses = urgent.map(|one| (one.instance, one.address)).collect();
             self.announcement = fence.map(|fence| Announcement::begin(fence, urgent, clock::now()));
             if fence.is_some() {
+                self.count_instances_anew(clock::now());
                 self.begin_term();
             }
         }
@@ -469,6 +469,15 @@
         }
     }
 
+    /// A term begins, and the instances come to it one after the other.
+    fn count_instances_anew(&mut self, now: Instant) {
+        if self.right.succeeds_itself() {
+            self.instances.resume(now);
+        } else {
+            self.instances = InstanceCount::begin(now);
+        }
+    }
+
     /// The planner begins with what this instance knew as a listener.
     fn begin_term(&mut self) {
         let mut upstreams = self.shared.upstreams();
--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -221,6 +221,11 @@
         self.update(|tenure| tenure.want_candidates(wanted));
     }
 
+    /// Whether nobody else had the right between this instance's last two terms.
+    pub fn succeeds_itself(&self) -> bool {
+        self.tenure().succeeds_itself()
+    }
+
     /// Candidates that the store named before my term: they may carry another holder.
     pub fn former_candidates(&self) -> Vec<Candidate> {
         self.tenure().former_candidates().to_vec()
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -50,23 +50,43 @@
 ///
 /// While a fleet comes to a new holder that sees one after the other. To tell each that it
 /// shares with few would give all of them together many times the allowance.
+///
+/// Where terms of one holder follow each other, each too short for that, they count together.
 #[derive(Debug, Clone, Copy)]
 pub struct InstanceCount {
     known_from: Instant,
+    /// Until then more instances may be on their way than are there.
+    coming_until: Instant,
+    /// The most that were there at one time since those before were known to have gone.
+    most: usize,
 }
 
 impl InstanceCount {
     /// A term begins.
     pub fn begin(now: Instant) -> Self {
+        let known_from = now + COMING_TIME;
         Self {
-            known_from: now + COMING_TIME,
+            known_from,
+            coming_until: known_from,
+            most: 0,
         }
     }
 
+    /// The holder's next term begins, and nobody else had one in between: who was there comes again.
+    pub fn resume(&mut self, now: Instant) {
+        self.coming_until = now + COMING_TIME;
+    }
+
     /// The number to share among, where so many are there now; `None` while others may be on
     /// their way.
-    pub fn shared_by(self, instances: usize, now: Instant) -> Option<usize> {
-        (now >= self.known_from).then_some(instances)
+    pub fn shared_by(&mut self, instances: usize, now: Instant) -> Option<usize> {
+        let is_settled = now >= self.coming_until;
+        self.most = if is_settled {
+            instances
+        } else {
+            self.most.max(instances)
+        };
+        (now >= self.known_from).then_some(self.most)
     }
 }
 
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -132,6 +132,8 @@
     unknown_until: Instant,
     /// What the candidates of my term have promised.
     promises: Promises,
+    /// Who had the right before it was taken here.
+    former_holder: Option<InstanceId>,
     /// Candidates that the store named when the key was taken.
     former_candidates: Vec<Candidate>,
     /// The candidates that the term should have.
@@ -155,6 +157,7 @@
             promised_until: now,
             unknown_until: now + PROMISE_TIME,
             promises: Promises::default(),
+            former_holder: None,
             former_candidates: Vec::new(),
             wanted: Vec::new(),
         }
@@ -194,6 +197,11 @@
         (lasts && !self.is_released && !self.is_succeeded(term.fence)).then_some(term.fence)
     }
 
+    /// Whether nobody else had the right between this instance's last two terms.
+    pub fn succeeds_itself(&self) -> bool {
+        self.former_holder.as_ref() == Some(&self.me)
+    }
+
     /// Whether somebody else took the right after a term of mine began.
     fn is_succeeded(&self, fence: Fence) -> bool {
         let holder = self.holder.as_ref();
@@ -315,6 +323,8 @@
     /// How the term would begin is told by the list that its taking replaces.
     fn take(&mut self, granted: Granted, now: Instant) -> Step {
         self.former_candidates.clone_from(&self.recent.candidates);
+        // The taking is conditional on this list, and whoever takes the key puts its own name last.
+        self.former_holder = self.recent.names.last().cloned();
         let announcing = if self.recent.candidates.is_empty() {
             Duration::ZERO
         } else if self.is_candidate() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -70,6 +70,7 @@
 mod resting_upstreams;
 mod retry_budget;
 mod retry_share;
+mod retry_terms;
 mod router_faults;
 mod saying;
 mod scrape;
