An engine whose port closes a little after its connections has ended as well

Cause: a crash counts if the port refuses a connection right after the break. If the port closes a moment later, the break opens a doubt; the engine is then asked for its report every 0.3 s, and that its port refuses was taken for no answer, not for its end. After eight seconds the doubt lapsed, nobody was blamed, and the request had another engine.

Change: where no report comes and the port refuses, the start that broke off has ended, unless it had said that it leaves.

poison_late_ports::end_seen_later (ports that outlive their engines by 0.3 s) fails before ("it is refused does not come about" in 20 s), passes now with three ends.

--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -2,7 +2,7 @@
 
 use super::{Forwarding, Target, host_of};
 use crate::http1::Connection;
-use crate::poison::{Asked, Poison, Trial};
+use crate::poison::{Asked, Poison, REFUSAL_TIME, Trial};
 use crate::pool;
 use crate::relay::millis_since;
 use passway_process::logging::json::REQUEST_TARGET;
@@ -11,11 +11,6 @@
 use passway_types::prelude::*;
 use std::io::ErrorKind;
 
-/// Time for the port of an upstream that broke off to refuse a connection, as that of a process
-/// that has ended does within a round trip of some milliseconds. A cut link says nothing, and the
-/// request waits for this before it goes on elsewhere.
-const REFUSAL_TIME: Duration = Duration::from_millis(60);
-
 impl Forwarding<'_> {
     /// What the request asks for, whatever its id.
     fn digest(&self) -> RequestDigest {
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -28,6 +28,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+pub use watch::REFUSAL_TIME;
 use watch::Watched;
 
 /// The key under which requests that crash upstreams lie in the store.
--- a/crates/instance/src/poison/watch.rs
+++ b/crates/instance/src/poison/watch.rs
@@ -4,6 +4,7 @@
 //! for its report until it tells its start; its entry tells the same when it goes or names a later start.
 
 use crate::control;
+use crate::http1::Connection;
 use crate::poison::Poison;
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
@@ -12,9 +13,14 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+/// Time for the port of an upstream that broke off to refuse a connection, as that of a process
+/// that has ended does within a round trip of some milliseconds. A cut link says nothing, and the
+/// request waits for this before it goes on elsewhere.
+pub const REFUSAL_TIME: Duration = Duration::from_millis(60);
 /// Pause before an engine is asked first: one that lives answers a broken connection at once.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two questions to an engine that does not answer.
@@ -96,6 +102,14 @@
     }
 }
 
+/// Whether nobody listens any more where an engine was that had not said that it leaves. Its port may have closed a
+/// little after its connections.
+fn has_gone(shared: &Shared, start: &UpstreamStart, address: SocketAddr) -> bool {
+    let refuses = Connection::connect(address, REFUSAL_TIME)
+        .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+    refuses && !shared.upstreams().is_draining(&start.upstream)
+}
+
 fn ask(shared: &Shared, engines: &dyn Engines, start: &UpstreamStart, address: SocketAddr) {
     let broke_at = clock::now();
     let mut pause = FIRST_PAUSE;
@@ -108,11 +122,15 @@
         }
         let since_break = clock::since(broke_at);
         let report = control::report(shared, engines, start, address);
-        if report.is_none() {
+        found = if let Some(report) = report {
+            verdict(start, report.started_at_ms, since_break)
+        } else {
             // Whatever is sent there would break off too.
             shared.upstreams().doubt(&start.upstream, clock::now());
-        }
-        found = report.and_then(|report| verdict(start, report.started_at_ms, since_break));
+            has_gone(shared, start, address).then_some(Verdict::Ended {
+                before_ms: start.started_at_ms + 1,
+            })
+        };
     }
     log::info!(target: DECISION_TARGET, upstream:% = start.upstream, found:? = found; "an upstream that broke off was asked");
     let digests = shared.poison.watched.take(start);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -54,6 +54,7 @@
 mod platform_soak;
 mod platform_words;
 mod poison_innocents;
+mod poison_late_ports;
 mod poison_list;
 mod poison_open_ports;
 mod poison_rack;
