A lease lasts as long as the store's answers ask for

What callers saw: while the store takes half a second to answer, nothing that needs an order or a count is served: the right to order is held for some milliseconds at a time.

Cause: the lease is 1.2 s. Asking for it and writing the key take an answer each, counted from before the first, and a renewal is given up after 0.45 s.

Change: an instance keeps the mean time of the store's answers to its calls about the right, and asks for a lease of eight times that, 1.2 s at least and three times as much at most; a renewal's answer may take three eighths of the lease, as before of 1.2 s. Below 0.15 s nothing changes. A holder that is lost is missed for up to 3.6 s where the store is that slow.

slow_renewals::right_is_kept fails before ("a term that lasts does not come about"), passes now.

--- a/crates/instance/src/right.rs
+++ b/crates/instance/src/right.rs
@@ -12,7 +12,7 @@
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
-    ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoredValue,
+    ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoreError, StoredValue,
 };
 use passway_serving::tenure::{
     Candidate, Holder, NoPromise, RecentHolders, Step, Tenure, TenureLimits,
@@ -236,6 +236,13 @@
         self.update(Tenure::release);
     }
 
+    /// Takes in how long the store took to answer a call that was made at a moment.
+    fn note_answer<T>(&self, answer: &Result<T, StoreError>, asked_at: Instant) {
+        if answer.is_ok() {
+            self.tenure().answered_within(clock::since(asked_at));
+        }
+    }
+
     /// Takes and renews the right for as long as the process lives.
     fn keep(&self, shared: &Shared, store: &dyn SharedStore, holder: &Sender<Input>) {
         let mut held = None;
@@ -261,12 +268,14 @@
                     let time = tenure.lease_time();
                     drop(tenure);
                     let answer = store.grant_lease(time);
+                    self.note_answer(&answer, now);
                     self.tenure().granted(answer, now);
                 }
                 Step::Take(lease) => {
                     let recent = tenure.recent_with_me();
                     drop(tenure);
                     let answer = store.write(&taking(shared, lease, &recent));
+                    self.note_answer(&answer, now);
                     held = self.tenure().taken(&answer, clock::now());
                     if let Some(fence) = held {
                         log::info!(target: DECISION_TARGET, fence = fence; "holds the right to order");
@@ -276,8 +285,10 @@
                     }
                 }
                 Step::Renew(lease) => {
+                    let longest = tenure.renewal_time();
                     drop(tenure);
-                    let answer = store.renew_lease(lease);
+                    let answer = store.renew_lease_within(lease, longest);
+                    self.note_answer(&answer, now);
                     if answer == Ok(true) {
                         shared.store_health.answered();
                     }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -118,6 +118,9 @@
     LeaseEnded,
 }
 
+/// Longest time for the answer to a renewal of a lease of 1.2 s: one that is lost can be made again in time.
+const RENEWAL_TIME: Duration = Duration::from_millis(450);
+
 /// The platform's store.
 pub trait SharedStore: Send + Sync {
     /// Reads all values under a prefix.
@@ -153,7 +156,15 @@
     ///
     /// # Errors
     /// If the store does not answer or refuses.
-    fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError>;
+    fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.renew_lease_within(lease, RENEWAL_TIME)
+    }
+
+    /// The same, with the longest time for the answer.
+    ///
+    /// # Errors
+    /// As [`SharedStore::renew_lease`].
+    fn renew_lease_within(&self, lease: LeaseId, longest: Duration) -> Result<bool, StoreError>;
 
     /// Ends a lease and the keys under it.
     ///
--- a/crates/serving/src/tenure.rs
+++ b/crates/serving/src/tenure.rs
@@ -15,11 +15,13 @@
 //! [`Tenure::step`] says what to ask of the store, and its answer goes to the method
 //! named after the call. There is no I/O and no clock here.
 
+mod answer_time;
 mod candidates;
 mod promises;
 mod records;
 
 use crate::ports::{LeaseId, StoreError, WriteAnswer};
+use answer_time::AnswerTime;
 use passway_types::prelude::*;
 use promises::Promises;
 pub use promises::{NoPromise, PROMISE_TIME};
@@ -27,6 +29,8 @@
 
 /// A lease is renewed when this part of it has passed.
 const RENEW_PART: f64 = 0.25;
+/// A renewal whose answer takes longer than this part of the lease is made again.
+const RENEWAL_PART: f64 = 0.375;
 /// The holder stops this long before its lease ends.
 const SAFETY: Duration = Duration::from_millis(120);
 /// Pause after the store refused or did not answer.
@@ -113,6 +117,10 @@
 pub struct Tenure {
     me: InstanceId,
     limits: TenureLimits,
+    /// How long the store takes to answer this instance.
+    answer_time: AnswerTime,
+    /// Time-to-live of the lease that was asked for last.
+    lease_time: Duration,
     stage: Stage,
     /// Whether the key was read at all.
     is_known: bool,
@@ -148,6 +156,8 @@
         Self {
             me,
             limits,
+            answer_time: AnswerTime::default(),
+            lease_time: limits.lease,
             stage: Stage::Watching,
             is_known: false,
             holder: None,
@@ -171,9 +181,19 @@
         self.limits.gap = gap;
     }
 
-    /// Time-to-live of the lease to ask for.
+    /// Time-to-live of the lease to ask for: longer than the shortest one where the store takes long to answer.
     pub fn lease_time(&self) -> Duration {
-        self.limits.lease
+        self.lease_time
+    }
+
+    /// Longest time for the answer to a renewal.
+    pub fn renewal_time(&self) -> Duration {
+        self.lease_time.mul_f64(RENEWAL_PART)
+    }
+
+    /// The store has answered a call about the right within some time.
+    pub fn answered_within(&mut self, took: Duration) {
+        self.answer_time.observe(took);
     }
 
     /// Who holds the right.
@@ -292,7 +312,10 @@
             }
             Stage::Turn(_) if now < self.promised_until => Step::Wait(self.promised_until),
             Stage::Turn(_) if !store_answers => self.pause(now),
-            Stage::Turn(_) => Step::Grant,
+            Stage::Turn(_) => {
+                self.lease_time = self.answer_time.lease(self.limits.lease);
+                Step::Grant
+            }
             // It may have promised while the lease was asked for.
             Stage::Granted(granted) if now < self.promised_until => {
                 self.stage = Stage::Ending(granted.lease);
@@ -447,8 +470,8 @@
             begin_at,
             unanswered: 0,
             list_at: now + LIST_PAUSE / 2,
-            until: granted.asked_at + self.limits.lease.saturating_sub(SAFETY),
-            renew_at: now + self.limits.lease.mul_f64(RENEW_PART),
+            until: granted.asked_at + self.lease_time.saturating_sub(SAFETY),
+            renew_at: now + self.lease_time.mul_f64(RENEW_PART),
         });
         Some(fence)
     }
@@ -460,8 +483,8 @@
         };
         match answer {
             Ok(true) => {
-                term.until = asked_at + self.limits.lease.saturating_sub(SAFETY);
-                term.renew_at = asked_at + self.limits.lease.mul_f64(RENEW_PART);
+                term.until = asked_at + self.lease_time.saturating_sub(SAFETY);
+                term.renew_at = asked_at + self.lease_time.mul_f64(RENEW_PART);
                 term.unanswered = 0;
                 self.promises.store_answered();
             }
--- a/crates/serving/src/tenure/records.rs
+++ b/crates/serving/src/tenure/records.rs
@@ -38,7 +38,7 @@
 /// What is fixed about an instance's tenure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TenureLimits {
-    /// Time-to-live of the lease.
+    /// Shortest time-to-live of the lease.
     pub lease: Duration,
     /// Time in which two holders must not both order at one engine.
     pub gap: Duration,
--- a/tests/all/followed.rs
+++ b/tests/all/followed.rs
@@ -80,7 +80,7 @@
         Err(StoreError::NotDone)
     }
 
-    fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
+    fn renew_lease_within(&self, _: LeaseId, _: Duration) -> Result<bool, StoreError> {
         Err(StoreError::NotDone)
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -78,6 +78,7 @@
 mod silent_connections;
 mod site;
 mod slow_readers;
+mod slow_renewals;
 mod slow_store;
 mod soak;
 mod store_feeds;
