Two tests take their upstream's entry from the one that others use

closed_halls and bounded_state each wrote out an UpstreamEntry field by field; both take planned::entry now and name what differs.

--- a/tests/all/bounded_state.rs
+++ b/tests/all/bounded_state.rs
@@ -20,18 +20,9 @@
 
 fn entry() -> UpstreamEntry {
     UpstreamEntry {
-        id: "i-0".into(),
-        service: "engines".into(),
         address: ([127, 0, 0, 1], 9).into(),
-        hall: "hall0".into(),
         slots: 16,
-        draining: false,
-        cold_until: None,
-        models: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-        beat: 1,
-        started_at_ms: 0,
+        ..crate::planned::entry("i-0", 1, &[])
     }
 }
 
--- a/tests/all/closed_halls.rs
+++ b/tests/all/closed_halls.rs
@@ -87,18 +87,11 @@
 
 fn entry(id: &str, hall: &str) -> UpstreamEntry {
     UpstreamEntry {
-        id: id.into(),
         service: "plain".into(),
         address: ([127, 0, 0, 1], 9).into(),
         hall: hall.into(),
         slots: 16,
-        draining: false,
-        cold_until: None,
-        models: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-        beat: 1,
-        started_at_ms: 0,
+        ..crate::planned::entry(id, 1, &[])
     }
 }
 
