Log why a controller refuses a demand, and when its decision thread was late

New lines: "refused a demand" (epoch and age of the term, lease left or expired, age of an unanswered renewal and write, waiting inputs), "lease call" (debug), "the decision thread was late", and at the router "the holder refused a demand" with the controller, the epoch and for how long the router has known of the term. The tests' programs log at the level of PASSWAY_LOG.

Two runs of controller_paused on one core beside 16 loops, both failing at the check after CONT, printed (first run; the second is alike):

032.521 controller2 took_over epoch 2 034.076 controller0 (resumed) refuses models 2 to 4 in epoch 1, its lease expired 2.7 s ago; the router ignores these 034.149 controller2 refuses model 5: epoch=2 term_age_ms=1627 lease_expired_ms=212 renewing_ms=None writing_ms=None waiting_inputs=0 034.686 controller1 acquires the lease; 035.853 controller2's first renewal, refused by the service

No renewal was under way when the lease expired: it was never asked for. With a line for each input and tick (not kept), controller2 handled 60 inputs between 032.377 and 035.628 and its next tick came at 035.825, late_ms=3441, with at most six inputs waiting at any time. Ruled out by this: a renewal in flight (hypothesis 1), the resumed controller's calls (2), a late first renewal time (3; due at about 032.9), the router taking the resumed controller's answer (4).

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -9,7 +9,7 @@
 mod peers;
 
 use crate::audit::AuditTrail;
-use crate::config_feed::{self, ReadSchedule};
+use crate::config_feed::{self, ReadSchedule, millis};
 use crate::gossip::Gossip;
 use crate::{translate, workers};
 use anyhow::{Context, Result};
@@ -23,6 +23,7 @@
 use passway_config::revision::EncodedRevision;
 use passway_config::settings::ControllerSettings;
 use passway_decide::cell::{Action, Event};
+use passway_decide::messages::DemandVerdict;
 use passway_decide::plan::Holder;
 use passway_platform::engine::HttpEngineControl;
 use passway_platform::instance_list::{HttpInstanceList, ListedInstance};
@@ -41,6 +42,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between two ticks of the cells that this controller leads.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// A tick that is late by at least this much is logged.
+const LATE_TICK: Duration = Duration::from_millis(500);
 /// Interval between two ticks of the cells that other controllers lead.
 const STANDBY_TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval between two heartbeats.
@@ -193,6 +196,11 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        let late = now.saturating_duration_since(self.tick_at);
+        if late >= LATE_TICK {
+            log::warn!(late_ms = millis(late), waiting_inputs = self.inputs.len();
+                "the decision thread was late");
+        }
         self.tick_at = now + TICK_INTERVAL;
         let standby_due = now >= self.standby_tick_at;
         if standby_due {
@@ -266,6 +274,9 @@
                 model,
                 verdict,
             } => {
+                if let DemandVerdict::Refused { code, .. } = verdict {
+                    self.log_refusal(now, cell, &model, code);
+                }
                 let verdict = translate::verdict(now, &model, verdict);
                 self.connections
                     .send_to_router(router, &Body::DemandAnswer(verdict));
@@ -297,6 +308,22 @@
         }
     }
 
+    /// Logs a refused demand with what this controller knew: the age of its term, how long its
+    /// lease still was, and how long calls to the key-value service had been unanswered.
+    fn log_refusal(&self, now: Instant, cell: &CellName, model: &str, code: ResultCode) {
+        let Some(term) = self.cells.get(cell).and_then(CellShell::term) else {
+            return;
+        };
+        let age_ms = |at: Instant| millis(now.saturating_duration_since(at));
+        let lease_left_ms = millis(term.lease_valid_until().saturating_duration_since(now));
+        log::info!(cell = &**cell, model = model, code = code as u32, epoch = term.epoch(),
+            term_age_ms = age_ms(term.started_at()), lease_left_ms = lease_left_ms,
+            lease_expired_ms = age_ms(term.lease_valid_until()),
+            renewing_ms:? = term.renewing_since().map(age_ms),
+            writing_ms:? = term.writing_since().map(age_ms),
+            waiting_inputs = self.inputs.len(); "refused a demand");
+    }
+
     fn handle_message(&mut self, now: Instant, id: ConnectionId, body: Body) {
         match body {
             Body::Hello(hello) => self.handle_hello(now, id, hello),
--- a/crates/controller/src/node/cell_shell.rs
+++ b/crates/controller/src/node/cell_shell.rs
@@ -6,6 +6,7 @@
 use crate::workers::{self, LeaseJob, PlanJob, ReplySender, StatusPolling};
 use crossbeam::channel::Sender;
 use passway_config::Catalog;
+use passway_decide::cell::term::{Stage, Term};
 use passway_decide::cell::{Action, CellController, CellLimits, Event};
 use passway_decide::messages::{Order, RouteChange, fence_epoch};
 use passway_decide::plan::{Holder, Placement, PlacementState};
@@ -195,7 +196,7 @@
             })
             .filter(|(term, placement)| {
                 placement.state == PlacementState::Leaving
-                    || term.stage(placement.id) != passway_decide::cell::term::Stage::Ready
+                    || term.stage(placement.id) != Stage::Ready
             })
             .map(|(_, placement)| &placement.upstream)
             .collect();
@@ -216,11 +217,14 @@
         self.controller.term().is_some()
     }
 
+    /// Returns the current term; `None` if this controller does not lead.
+    pub(super) fn term(&self) -> Option<&Term> {
+        self.controller.term()
+    }
+
     /// Returns the epoch of the current term; 0 if this controller does not lead.
     pub(super) fn epoch(&self) -> Epoch {
-        self.controller
-            .term()
-            .map_or(0, passway_decide::cell::term::Term::epoch)
+        self.controller.term().map_or(0, Term::epoch)
     }
 
     /// Whether this process may still send an order of `epoch`.
--- a/crates/controller/src/workers.rs
+++ b/crates/controller/src/workers.rs
@@ -5,6 +5,7 @@
 //! the key-value service delays neither orders nor calls of another kind, such as lease
 //! renewals.
 
+use crate::config_feed::millis;
 use crate::node::Input;
 use crossbeam::channel::{Sender, unbounded};
 use passway_decide::cell::Event;
@@ -77,7 +78,8 @@
         for job in jobs {
             // Counted from before the call, because the service may start the lease's
             // duration as soon as the call arrives.
-            let valid_until = clock::now() + time_to_live * USABLE_LEASE_TENTHS / 10;
+            let sent_at = clock::now();
+            let valid_until = sent_at + time_to_live * USABLE_LEASE_TENTHS / 10;
             let answer = match job {
                 LeaseJob::Acquire => {
                     acquire(&*key_value, &reply.cell, &value, time_to_live, &mut lease)
@@ -91,6 +93,8 @@
                     continue;
                 }
             };
+            log::debug!(cell = &*reply.cell, job:? = job, answer:? = answer,
+                took_ms = millis(clock::since(sent_at)); "lease call");
             if answer.is_ok() {
                 reply.send_service_reached();
             }
--- a/crates/decide/src/cell/lease.rs
+++ b/crates/decide/src/cell/lease.rs
@@ -10,7 +10,8 @@
 pub(super) struct HeldLease {
     valid_until: Instant,
     renew_at: Instant,
-    is_renewing: bool,
+    /// When the renewal in flight was requested; `None` if no renewal is in flight.
+    renewing_since: Option<Instant>,
 }
 
 impl HeldLease {
@@ -19,7 +20,7 @@
         Self {
             valid_until,
             renew_at: now + valid_until.saturating_duration_since(now) / RENEWAL_DIVISOR,
-            is_renewing: false,
+            renewing_since: None,
         }
     }
 
@@ -28,17 +29,24 @@
         self.valid_until
     }
 
+    /// Returns when the renewal in flight was requested, if one is.
+    pub(super) fn renewing_since(&self) -> Option<Instant> {
+        self.renewing_since
+    }
+
     /// Whether a renewal is due. If so, the renewal counts as started.
     pub(super) fn begin_renewal(&mut self, now: Instant) -> bool {
-        let is_due = now >= self.renew_at && !self.is_renewing;
-        self.is_renewing |= is_due;
+        let is_due = now >= self.renew_at && self.renewing_since.is_none();
+        if is_due {
+            self.renewing_since = Some(now);
+        }
         is_due
     }
 
     /// Records a renewal until `valid_until`.
     pub(super) fn renewed(&mut self, valid_until: Instant) {
         let renewal_due_at = self.renew_at;
-        self.is_renewing = false;
+        self.renewing_since = None;
         self.valid_until = self.valid_until.max(valid_until);
         self.renew_at = renewal_due_at
             + valid_until.saturating_duration_since(renewal_due_at) / RENEWAL_DIVISOR;
@@ -46,7 +54,7 @@
 
     /// Records that a renewal got no answer, and schedules the next attempt after `delay`.
     pub(super) fn renewal_failed(&mut self, delay: Duration) {
-        self.is_renewing = false;
+        self.renewing_since = None;
         self.renew_at += delay;
     }
 }
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -85,6 +85,11 @@
         self.committed.plan().epoch
     }
 
+    /// Returns when the term began.
+    pub fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
     /// Returns the plan that is known to be written.
     pub fn plan(&self) -> &Plan {
         self.committed.plan()
@@ -100,6 +105,21 @@
         now < self.lease.valid_until()
     }
 
+    /// Returns the time until which the lease can be relied on.
+    pub fn lease_valid_until(&self) -> Instant {
+        self.lease.valid_until()
+    }
+
+    /// Returns when the lease renewal in flight was requested, if one is.
+    pub fn renewing_since(&self) -> Option<Instant> {
+        self.lease.renewing_since()
+    }
+
+    /// Returns when the oldest change without a known outcome was sent, if there is one.
+    pub fn writing_since(&self) -> Option<Instant> {
+        self.write_started_at
+    }
+
     /// Returns the time from which no order may be sent any more.
     pub(super) fn orders_not_after(&self) -> Instant {
         self.lease.valid_until()
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -30,6 +30,8 @@
 struct KnownHolder {
     epoch: Epoch,
     address: SocketAddr,
+    /// When this router was first told of the term.
+    learned_at: Instant,
 }
 
 /// The connections to controllers and the latest state received over them.
@@ -170,6 +172,7 @@
                     let holder = KnownHolder {
                         epoch: cell.epoch,
                         address: holder_address,
+                        learned_at: now,
                     };
                     connections.holders.insert(cell.cell.clone(), holder);
                 }
@@ -295,11 +298,17 @@
         shared: &Arc<Shared>,
     ) {
         let holder = self.holder_of(shared, &verdict.model);
-        if holder.is_none_or(|holder| holder.address != address) {
+        let Some(holder) = holder.filter(|holder| holder.address == address) else {
             log::info!(model = verdict.model, controller:% = address; "ignored an answer of a previous holder");
             return;
-        }
+        };
         let now = clock::now();
+        if verdict.refused_code != 0 {
+            let holder_age = now.saturating_duration_since(holder.learned_at);
+            log::info!(model = verdict.model, code = verdict.refused_code,
+                controller:% = address, epoch = holder.epoch,
+                holder_age_ms:% = holder_age.as_millis(); "the holder refused a demand");
+        }
         let code = ResultCode::ALL
             .iter()
             .find(|code| **code as u32 == verdict.refused_code);
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -103,6 +103,7 @@
             "order_settle_ms": 3_000,
             "key_value_timeout_ms": self.plan.key_value_timeout_ms(1_000),
             "write_patience_ms": self.plan.key_value_timeout_ms(500),
+            "log_level": log_level(),
         });
         let program = env!("CARGO_BIN_EXE_passway-controller");
         self.spawn(program, &format!("controller{number}"), &settings, address)
@@ -120,6 +121,7 @@
             "controllers": controllers.collect::<Vec<_>>(),
             "key_value": self.key_value,
             "key_value_timeout_ms": self.plan.key_value_timeout_ms(1_000),
+            "log_level": log_level(),
         });
         let program = env!("CARGO_BIN_EXE_passway-router");
         self.spawn(program, &format!("router{number}"), &settings, address)
@@ -225,6 +227,12 @@
     }
 }
 
+/// Returns the level at which the programs log: the variable `PASSWAY_LOG`, or else `info`, which
+/// [`Processes::leader`] needs.
+fn log_level() -> String {
+    std::env::var("PASSWAY_LOG").unwrap_or_else(|_| "info".into())
+}
+
 /// Waits until a router's health check reports that it serves.
 pub fn wait_until_serving(address: SocketAddr) {
     let deadline_at = Instant::now() + READY_TIMEOUT;
