Controller: a due tick does not wait until no input is left

What callers saw: 1204 (no controller can decide) for a sleeping model with nearly all of their time left, while a controller that was neither paused nor cut off held the term (process_kills::controller_paused).

Cause: the decision thread ticked only when its queue was empty as the tick fell due, since recv_timeout returns a waiting input even after the time has run out. Renewals of the lease are sent by ticks. With an input at each wakeup there was no tick: late_ms=3441 with at most six inputs waiting, and the lease of 2 s expired without one renewal having been asked for (renewing_ms=None in the refusal). It needs no slow machine: any steady queue of inputs has the same effect.

Change: a tick is taken when it is due, after the input at hand.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -159,9 +159,15 @@
                     return;
                 }
                 Ok(input) => self.handle_input(clock::now(), input),
-                Err(RecvTimeoutError::Timeout) => self.tick(clock::now()),
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            // A due tick does not wait for the queue to be empty: under steady load it never is,
+            // and the lease would expire.
+            let now = clock::now();
+            if now >= self.tick_at {
+                self.tick(now);
+            }
         }
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -37,6 +37,7 @@
 mod large_store_answers;
 mod late_models;
 mod leadership_faults;
+mod lease_renewals;
 mod leaving_upstreams;
 mod limit_load;
 mod limit_signals;
