A holder whose lease has expired refuses nothing unless it knows of an outage

What callers saw: 1204 at once, with nearly all of their time left, from a holder that had been paused past its lease and had not yet asked for a renewal, while its successor served. Routers that know the successor ignore such an answer; one that has not heard of it passes it on. The same of any holder whose renewal is under way as its lease expires.

Cause: is_blocked took an expired lease for an outage of the key-value service. It proves none: the renewal may just be sent, or refused because another controller leads.

Without either, a holder with an expired lease says nothing; the router repeats a demand each second and to each new holder. An outage is still refused at once: store_down, store_down_unloading and late_write are unchanged.

--- a/crates/decide/src/cell/publish.rs
+++ b/crates/decide/src/cell/publish.rs
@@ -15,12 +15,21 @@
 const CONTROL_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 impl Term {
+    /// Answers the demands whose answer is new or has changed.
+    ///
+    /// A holder whose lease has expired answers none unless it knows that the key-value service is
+    /// down. Otherwise the renewed lease or the next holder serves the demand, which the router
+    /// sends again.
     pub(super) fn answer_demands(
         &mut self,
         context: DecisionContext<'_>,
         actions: &mut Vec<Action>,
     ) {
         let now = context.now;
+        let is_service_down = self.is_service_down(now);
+        if !self.has_lease(now) && !is_service_down {
+            return;
+        }
         for demand in self.demands.by_urgency() {
             let model = &demand.model;
             if self.is_routed(model) {
@@ -29,7 +38,7 @@
             let verdict = if let Some(code) = self.unplaceable.remove(model) {
                 let retry_at = now + placing::refusal_retry_after(self, now);
                 DemandVerdict::Refused { code, retry_at }
-            } else if self.is_blocked(now) && !self.is_loading(model) {
+            } else if is_service_down && !self.is_loading(model) {
                 let code = ResultCode::ControlUnavailable;
                 DemandVerdict::Refused {
                     code,
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -301,12 +301,17 @@
         actions.push(action);
     }
 
-    /// Whether decisions can currently not be written or orders not be sent.
-    pub(super) fn is_blocked(&self, now: Instant) -> bool {
-        let is_write_overdue = self
-            .write_started_at
-            .is_some_and(|started_at| now >= started_at + self.write_outage_after);
-        is_write_overdue || !self.has_lease(now)
+    /// Whether the key-value service is known not to answer: a write is overdue, or the lease has
+    /// expired and its renewal was not answered or is overdue.
+    ///
+    /// An expired lease alone doesn't prove that. After a pause, for instance, the renewal is only
+    /// just sent, and another controller may lead.
+    pub(super) fn is_service_down(&self, now: Instant) -> bool {
+        let is_overdue = |sent_at: Option<Instant>| {
+            sent_at.is_some_and(|sent_at| now >= sent_at + self.write_outage_after)
+        };
+        let is_renewal_lost = self.lease.is_unanswered() || is_overdue(self.lease.renewing_since());
+        is_overdue(self.write_started_at) || (!self.has_lease(now) && is_renewal_lost)
     }
 
     /// Marks a placement as leaving. Returns false if the plan rejects the change.
