A holder that was paused does not take the pause for an outage

Cause: a write counts as an outage of the key-value service once it has been open for write_patience_ms by the clock, and a renewal likewise. Time for which the process did not run counted too, and the answers that had arrived meanwhile were handled after the demands.

Change: a gap between two events of more than half of write_patience_ms is a pause (a holder ticks every 50 ms); calls without an answer are given the whole patience anew from its end.

Scenario cell/resumed_writer: "told: m1@1: 1204 ControlUnavailable" from the resumed holder before, only its successor's answer now. No expected output of another scenario changes.

--- a/crates/decide/src/cell.rs
+++ b/crates/decide/src/cell.rs
@@ -276,6 +276,7 @@
     /// Handles an event and returns the actions to carry out, in order.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.with_term(|term, _| term.note_event(now));
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::LeaseGranted { valid_until } => self.apply_grant(valid_until, now, &mut actions),
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -19,6 +19,10 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 
+/// A gap between two events longer than this part of `write_outage_after` means that the process
+/// was paused.
+const PAUSE_DIVISOR: u32 = 2;
+
 /// The state of the holder during its term.
 #[derive(Debug)]
 pub struct Term {
@@ -32,6 +36,10 @@
     write_outage_after: Duration,
     next_read_at: Option<Instant>,
     lease: HeldLease,
+    /// When the last event was handled.
+    last_event_at: Instant,
+    /// When the process last ran again after a pause.
+    resumed_at: Instant,
     pub(super) started_at: Instant,
     change_count: u64,
     pub(super) order_count: u32,
@@ -64,6 +72,8 @@
             write_outage_after,
             next_read_at: None,
             lease: HeldLease::new(now, lease_until),
+            last_event_at: now,
+            resumed_at: now,
             started_at: now,
             change_count,
             order_count: 0,
@@ -125,6 +135,15 @@
         self.lease.valid_until()
     }
 
+    /// Notices whether the process was paused before the event that is handled now.
+    pub(super) fn note_event(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_event_at);
+        if gap > self.write_outage_after / PAUSE_DIVISOR {
+            self.resumed_at = now;
+        }
+        self.last_event_at = now;
+    }
+
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.lease.begin_renewal(now) {
             actions.push(Action::RenewLease);
@@ -305,10 +324,13 @@
     /// expired and its renewal was not answered or is overdue.
     ///
     /// An expired lease alone doesn't prove that. After a pause, for instance, the renewal is only
-    /// just sent, and another controller may lead.
+    /// just sent, and another controller may lead. Nor does time for which the process was paused:
+    /// the answers to its calls may have arrived meanwhile.
     pub(super) fn is_service_down(&self, now: Instant) -> bool {
         let is_overdue = |sent_at: Option<Instant>| {
-            sent_at.is_some_and(|sent_at| now >= sent_at + self.write_outage_after)
+            sent_at.is_some_and(|sent_at| {
+                now >= sent_at.max(self.resumed_at) + self.write_outage_after
+            })
         };
         let is_renewal_lost = self.lease.is_unanswered() || is_overdue(self.lease.renewing_since());
         is_overdue(self.write_started_at) || (!self.has_lease(now) && is_renewal_lost)
