Holder and reporter: read what waits, not whatever keeps arriving

The holder's thread (crates/instance) emptied its queue before it decided, so beside messages that arrive as fast as they are handled it sent no heartbeat, asked for no promise and gave no order. The reporting thread emptied its queue likewise. A subscriber stops relying on a holder that is silent for a second: callers get 503 for a request that needs an order, while the holder runs.

Change: passway_process::queue::waiting, the messages that wait now; what is added meanwhile is read after the periodic work.

Looked through: all receives with a time-out of crates, platform and src. The others wait for one answer, or check what is due after each input.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -23,6 +23,7 @@
 use order_names::name_of;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_process::outbox::Outbox;
+use passway_process::queue;
 use passway_serving::leadership::Candidate;
 use passway_serving::placement::{Action, Planner, RunningRequests, Waiters};
 use passway_serving::poison::UpstreamStart;
@@ -204,10 +205,10 @@
                 }
                 default(timeout) => {}
             }
-            while let Ok(input) = inputs.try_recv() {
+            for input in queue::waiting(inputs) {
                 self.handle(input);
             }
-            while let Ok(update) = updates.try_recv() {
+            for update in queue::waiting(updates) {
                 self.handle_update(&update);
             }
             self.decide();
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -10,6 +10,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use passway_process::dial::{DialEvent, Dialer};
 use passway_process::outbox::Outbox;
+use passway_process::queue;
 use passway_serving::leadership::{Candidate, Holder};
 use passway_serving::poison::{Suspect, UpstreamStart};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
@@ -129,7 +130,7 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            while let Ok(event) = events.try_recv() {
+            for event in queue::waiting(events) {
                 self.record(event);
             }
             let is_report_due = clock::now() >= report_at;
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -3,11 +3,13 @@
 //! * [`logging`]: one structured line per event, through `log` and `fern`.
 //! * [`dial`]: a connection to a peer that reconnects automatically.
 //! * [`outbox`]: sending to a peer without blocking the sender.
+//! * [`queue`]: reading of a queue to which other threads add all the time.
 //! * [`signals`]: signals of the operating system as a channel.
 
 pub mod dial;
 pub mod logging;
 pub mod outbox;
+pub mod queue;
 pub mod signals;
 
 use passway_types::ids::Incarnation;
--- /dev/null
+++ b/tests/all/holder_inputs.rs
@@ -0,0 +1,87 @@
+//! The holder's thread beside a steady stream of messages of other instances.
+
+use crate::cluster::{self, until};
+use passway_types::prelude::*;
+use passway_wire::message::{InstanceReport, ModelRequests, Subscribe};
+use passway_wire::{Body, Frame, Link};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Number of connections that report without a pause.
+const REPORTING_CONNECTIONS: usize = 4;
+/// Number of models in each report.
+const REPORTED_MODELS: usize = 20;
+/// An instance that receives nothing from the holder for this long stops relying on it.
+const MAX_HOLDER_SILENCE: Duration = Duration::from_secs(1);
+/// Duration for which the holder is watched.
+const WATCHED_DURATION: Duration = Duration::from_secs(4);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn report(number: usize) -> Frame {
+    let requests = |model: usize| ModelRequests {
+        service: "chat".into(),
+        model: format!("m{model}"),
+        adapter: String::new(),
+        remaining_wait_ms: 1_000,
+        count: 1,
+    };
+    let report = InstanceReport {
+        instance: format!("reporter{number}"),
+        accepted: (0..REPORTED_MODELS).map(requests).collect(),
+        ..InstanceReport::default()
+    };
+    Frame::new(Body::InstanceReport(report)).expect("a report")
+}
+
+/// Sends reports to the holder until `is_done`.
+fn report_steadily(holder: SocketAddr, number: usize, is_done: &AtomicBool) {
+    let (link, _reader) = Link::connect(holder, CONNECT_TIMEOUT).expect("a link");
+    let report = report(number);
+    while !is_done.load(Ordering::Relaxed) {
+        link.send_frame(&report).expect("sent");
+    }
+}
+
+/// Returns the longest time for which a subscriber receives nothing from the holder.
+fn longest_silence(holder: SocketAddr) -> Duration {
+    let (link, mut reader) = Link::connect(holder, CONNECT_TIMEOUT).expect("a link");
+    reader.set_timeout(WATCHED_DURATION).expect("a timeout");
+    let subscribe = Subscribe {
+        instance: "watcher".into(),
+        ..Subscribe::default()
+    };
+    link.send(Body::Subscribe(subscribe)).expect("sent");
+    let end_at = Instant::now() + WATCHED_DURATION;
+    let mut last_received_at = Instant::now();
+    let mut longest = Duration::ZERO;
+    while Instant::now() < end_at {
+        // A read that fails is a silence until now.
+        let _ = reader.receive();
+        let now = Instant::now();
+        longest = longest.max(now.saturating_duration_since(last_received_at));
+        last_received_at = now;
+    }
+    longest
+}
+
+/// Guards against a holder that falls silent because it always has another message to handle.
+#[test]
+fn heartbeats_beside_steady_reports() {
+    let store = cluster::store(&["m0"]);
+    let instance = cluster::start_ready("one", &store);
+    until("the instance holds the leadership", || {
+        instance.fence().is_some()
+    });
+    let holder = instance.holder().expect("a holder").address;
+    let is_done = AtomicBool::new(false);
+    let longest = std::thread::scope(|scope| {
+        for number in 0..REPORTING_CONNECTIONS {
+            let is_done = &is_done;
+            scope.spawn(move || report_steadily(holder, number, is_done));
+        }
+        let longest = longest_silence(holder);
+        is_done.store(true, Ordering::Relaxed);
+        longest
+    });
+    assert!(longest < MAX_HOLDER_SILENCE, "silent for {longest:?}");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -30,6 +30,7 @@
 mod freshness_faults;
 mod graceful_stops;
 mod holder_heard;
+mod holder_inputs;
 mod holder_link;
 mod idle_connections;
 mod instance_metrics;
