Tests: a failing test of the programs prints their logs

The programs' logs lay in a folder that the failing test removed, so a failure that comes once could not be traced. While a test panics, each program's address, exit status and last 40 log lines are printed.

--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -17,6 +17,8 @@
 /// Maximum wait for programs to serve, to lead or to report a revision.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(30);
+/// Number of lines of each program's log that a failing test prints.
+const PRINTED_LOG_LINES: usize = 40;
 
 /// A running program; dropping it kills the process.
 pub struct Program {
@@ -193,6 +195,25 @@
         Program { child, address }
     }
 
+    /// Prints the last lines of each program's log and whether the program still runs.
+    fn print_logs(&mut self) {
+        let controllers = self.controllers.iter_mut().enumerate();
+        let controllers = controllers.map(|(number, it)| (format!("controller{number}"), it));
+        let routers = self.routers.iter_mut().enumerate();
+        let routers = routers.map(|(number, it)| (format!("router{number}"), it));
+        for (name, program) in controllers.chain(routers) {
+            let exit = program.child.try_wait();
+            let path = self.folder.join(format!("{name}.log"));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let last_lines = &lines[lines.len().saturating_sub(PRINTED_LOG_LINES)..];
+            println!("{name} at {}, exit {exit:?}:", program.address);
+            for line in last_lines {
+                println!("  {line}");
+            }
+        }
+    }
+
     /// Returns the number of the instance whose controller leads, according to the logs.
     pub fn leader(&self) -> usize {
         let deadline_at = Instant::now() + READY_TIMEOUT;
@@ -222,6 +243,9 @@
 
 impl Drop for Processes {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_logs();
+        }
         // If the removal fails, the folder only occupies disk space.
         let _ = std::fs::remove_dir_all(&self.folder);
     }
