A renewal that failed before a pause proves no outage after it

What callers saw: 1204 from a holder that was paused past its lease, if its last renewal had got no answer before, or ran into its time-out by the pause; its successor serves.

Cause: an unanswered renewal counted until the next one is answered, whatever the process missed in between.

Change: the time at which the failed renewal was sent is kept; it counts only if that was after the last pause.

Scenario cell/resumed_renewer: "told: m1@1: 1204 ControlUnavailable" before, none now. store_down, store_down_unloading and store_down_idle are unchanged: an outage without a pause is refused as before.

--- a/crates/decide/src/cell/lease.rs
+++ b/crates/decide/src/cell/lease.rs
@@ -12,8 +12,8 @@
     renew_at: Instant,
     /// When the renewal in flight was requested; `None` if no renewal is in flight.
     renewing_since: Option<Instant>,
-    /// Whether the last renewal that has ended got no answer.
-    is_unanswered: bool,
+    /// When the last renewal that has ended was requested, if it got no answer.
+    unanswered_since: Option<Instant>,
 }
 
 impl HeldLease {
@@ -23,7 +23,7 @@
             valid_until,
             renew_at: now + valid_until.saturating_duration_since(now) / RENEWAL_DIVISOR,
             renewing_since: None,
-            is_unanswered: false,
+            unanswered_since: None,
         }
     }
 
@@ -37,9 +37,9 @@
         self.renewing_since
     }
 
-    /// Whether the last renewal that has ended got no answer.
-    pub(super) fn is_unanswered(&self) -> bool {
-        self.is_unanswered
+    /// Returns when the last renewal that has ended was requested, if it got no answer.
+    pub(super) fn unanswered_since(&self) -> Option<Instant> {
+        self.unanswered_since
     }
 
     /// Whether a renewal is due. If so, the renewal counts as started.
@@ -55,7 +55,7 @@
     pub(super) fn renewed(&mut self, valid_until: Instant) {
         let renewal_due_at = self.renew_at;
         self.renewing_since = None;
-        self.is_unanswered = false;
+        self.unanswered_since = None;
         self.valid_until = self.valid_until.max(valid_until);
         self.renew_at = renewal_due_at
             + valid_until.saturating_duration_since(renewal_due_at) / RENEWAL_DIVISOR;
@@ -63,8 +63,7 @@
 
     /// Records that a renewal got no answer, and schedules the next attempt after `delay`.
     pub(super) fn renewal_failed(&mut self, delay: Duration) {
-        self.renewing_since = None;
-        self.is_unanswered = true;
+        self.unanswered_since = self.renewing_since.take();
         self.renew_at += delay;
     }
 }
--- a/crates/decide/src/cell/term.rs
+++ b/crates/decide/src/cell/term.rs
@@ -323,16 +323,19 @@
     /// Whether the key-value service is known not to answer: a write is overdue, or the lease has
     /// expired and its renewal was not answered or is overdue.
     ///
-    /// An expired lease alone doesn't prove that. After a pause, for instance, the renewal is only
-    /// just sent, and another controller may lead. Nor does time for which the process was paused:
-    /// the answers to its calls may have arrived meanwhile.
+    /// An expired lease alone doesn't prove that. After a pause of this process, for instance, the
+    /// renewal is only just sent, and another controller may lead. A call from before the pause
+    /// is overdue once it has been open for `write_outage_after` since the pause; a renewal that
+    /// failed and was sent before the pause proves nothing.
     pub(super) fn is_service_down(&self, now: Instant) -> bool {
         let is_overdue = |sent_at: Option<Instant>| {
             sent_at.is_some_and(|sent_at| {
                 now >= sent_at.max(self.resumed_at) + self.write_outage_after
             })
         };
-        let is_renewal_lost = self.lease.is_unanswered() || is_overdue(self.lease.renewing_since());
+        let has_failed = self.lease.unanswered_since();
+        let has_failed = has_failed.is_some_and(|sent_at| sent_at >= self.resumed_at);
+        let is_renewal_lost = has_failed || is_overdue(self.lease.renewing_since());
         is_overdue(self.write_started_at) || (!self.has_lease(now) && is_renewal_lost)
     }
 
