--- a/tests/all/holder_inputs.rs
+++ b/tests/all/holder_inputs.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Number of connections that report without a pause.
-const REPORTING_CONNECTIONS: usize = 4;
+const REPORTING_CONNECTIONS: usize = 2;
 /// Number of models in each report.
 const REPORTED_MODELS: usize = 20;
 /// An instance that receives nothing from the holder for this long stops relying on it.
