--- a/tests/all/holder_inputs.rs
+++ b/tests/all/holder_inputs.rs
@@ -3,7 +3,7 @@
 use crate::cluster::{self, until};
 use passway_types::prelude::*;
 use passway_wire::message::{InstanceReport, ModelRequests, Subscribe};
-use passway_wire::{Body, Frame, Link};
+use passway_wire::{Body, Frame, Link, LinkReader};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -33,33 +33,40 @@
     Frame::new(Body::InstanceReport(report)).expect("a report")
 }
 
-/// Sends reports to the holder until `is_done`.
+/// Sends reports to the holder until `is_done`, on a new connection where one is closed.
 fn report_steadily(holder: SocketAddr, number: usize, is_done: &AtomicBool) {
-    let (link, _reader) = Link::connect(holder, CONNECT_TIMEOUT).expect("a link");
     let report = report(number);
     while !is_done.load(Ordering::Relaxed) {
-        link.send_frame(&report).expect("sent");
+        let (link, _reader) = Link::connect(holder, CONNECT_TIMEOUT).expect("a link");
+        while !is_done.load(Ordering::Relaxed) && link.send_frame(&report).is_ok() {}
     }
 }
 
-/// Returns the longest time for which a subscriber receives nothing from the holder.
-fn longest_silence(holder: SocketAddr) -> Duration {
-    let (link, mut reader) = Link::connect(holder, CONNECT_TIMEOUT).expect("a link");
+fn subscribe(holder: SocketAddr) -> LinkReader {
+    let (link, reader) = Link::connect(holder, CONNECT_TIMEOUT).expect("a link");
     reader.set_timeout(WATCHED_DURATION).expect("a timeout");
     let subscribe = Subscribe {
         instance: "watcher".into(),
         ..Subscribe::default()
     };
     link.send(Body::Subscribe(subscribe)).expect("sent");
+    reader
+}
+
+/// Returns the longest time for which a subscriber receives nothing from the holder.
+fn longest_silence(holder: SocketAddr) -> Duration {
     let end_at = Instant::now() + WATCHED_DURATION;
+    let mut reader = subscribe(holder);
     let mut last_received_at = Instant::now();
     let mut longest = Duration::ZERO;
     while Instant::now() < end_at {
-        // A read that fails is a silence until now.
-        let _ = reader.receive();
-        let now = Instant::now();
-        longest = longest.max(now.saturating_duration_since(last_received_at));
-        last_received_at = now;
+        let is_received = matches!(reader.receive(), Ok(Some(_)));
+        longest = longest.max(last_received_at.elapsed());
+        if is_received {
+            last_received_at = Instant::now();
+        } else {
+            reader = subscribe(holder);
+        }
     }
     longest
 }
