Tests: wait for the holder's address before it is read

heartbeats_beside_steady_reports read the holder as soon as the instance had a fence; the holder is set a moment later.

--- a/tests/all/holder_inputs.rs
+++ b/tests/all/holder_inputs.rs
@@ -76,9 +76,8 @@
 fn heartbeats_beside_steady_reports() {
     let store = cluster::store(&["m0"]);
     let instance = cluster::start_ready("one", &store);
-    until("the instance holds the leadership", || {
-        instance.fence().is_some()
-    });
+    until("the leadership", || instance.fence().is_some());
+    until("the holder", || instance.holder().is_some());
     let holder = instance.holder().expect("a holder").address;
     let is_done = AtomicBool::new(false);
     let longest = std::thread::scope(|scope| {
