Tests: reading of updates ends where another wait has failed

Reading from one connection ends after two minutes, and the test then fails as it does for a subscriber that never gets the last version.

--- a/tests/all/config_memory.rs
+++ b/tests/all/config_memory.rs
@@ -14,7 +14,7 @@
 use passway_wire::{Body, Link, LinkReader};
 use prost::Message;
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Number of versions written in quick succession.
 const VERSION_COUNT: u64 = 40;
@@ -23,6 +23,10 @@
 /// Limit of the bytes that a subscriber receives: a few versions instead of all forty (20 MB).
 const MAX_BYTES: usize = 4 << 20;
 
+/// Maximum time to read from one connection. Without it the test would not end after one of its
+/// other waits has failed, because heartbeats keep arriving.
+const READ_LIMIT: Duration = Duration::from_mins(2);
+
 /// Delay of a slow subscriber before it reads a message.
 const SLOW_READ_DELAY: Duration = Duration::from_millis(100);
 
@@ -64,15 +68,19 @@
     reader
 }
 
-/// Reads updates with a delay before each, until one contains the key or the connection ends.
-/// Returns the bytes of all updates and whether the key was found.
+/// Reads updates with a delay before each, until one contains the key, the connection ends or
+/// [`READ_LIMIT`] is over. Returns the bytes of all updates and whether the key was found.
 fn read_until(reader: &mut LinkReader, key: &str, pause: Duration) -> (usize, bool) {
+    let limit_at = Instant::now() + READ_LIMIT;
     let mut bytes = 0;
     loop {
         std::thread::sleep(pause);
         let Ok(Some(body)) = reader.receive() else {
             return (bytes, false);
         };
+        if Instant::now() >= limit_at {
+            return (bytes, false);
+        }
         let Body::Updates(delta) = body else { continue };
         bytes += delta.encoded_len();
         let has_key = |delta: &Updates| delta.values.iter().any(|value| value.key == key);
