--- a/tests/all/lease_renewals.rs
+++ b/tests/all/lease_renewals.rs
@@ -58,7 +58,13 @@
     let (inputs, receiver) = unbounded();
     let node = Node::new(settings, address, inputs.clone()).expect("node");
     std::thread::spawn(move || node.run(&receiver));
-    let has_lease = || world.key_value.get(HOLDER_KEY).expect("a key").is_some();
+    let has_lease = || {
+        world
+            .key_value
+            .get(HOLDER_KEY)
+            .expect("an answer")
+            .is_some()
+    };
     let lead_until = Instant::now() + LEAD_TIMEOUT;
     while !has_lease() {
         assert!(Instant::now() < lead_until, "the controller does not lead");
