Log why no attempt follows the last; count retries by what came before

Cause: 'refused' with one attempt and 503 may mean that the retry allowance is used up or that no upstream is left, and the log lines of the incident at cut-off instances do not tell which.

Change: 'request ended' has stopped_by and not_sent; the metric passway_instance_retries counts attempts after the first by the answer of the retry budget and by whether an earlier attempt may have arrived. No logic changes.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -47,6 +47,12 @@
 const NOT_TAKEN: &str = "not taken by its caller";
 /// Largest number of attempts at upstreams for one request.
 const MAX_OFFERS: u32 = 6;
+/// Why no attempt followed, for logs: no upstream accepts the request.
+const NO_UPSTREAM: &str = "no upstream";
+/// Why no attempt followed, for logs: the retry allowance is used up.
+const NO_ALLOWANCE: &str = "no retry allowance";
+/// Why no attempt followed, for logs: the request has had [`MAX_OFFERS`].
+const NO_ATTEMPT_LEFT: &str = "no attempt left";
 
 /// Whether the caller's connection may carry another request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,6 +126,10 @@
     is_stalled: bool,
     /// Whether a stop of this instance shortened the request's time.
     cut_by_stop: bool,
+    /// Why no attempt follows the last one; empty if none was needed.
+    stopped_by: &'static str,
+    /// Attempts that certainly did not arrive at an upstream.
+    not_sent: u32,
 }
 
 impl std::fmt::Debug for Forwarding<'_> {
@@ -236,7 +246,8 @@
             upstream:% = request_log.upstream.as_deref().unwrap_or(""), offers = request_log.offers,
             runs = self.runs, status = request_log.status, end = request_log.end,
             waited_ms = request_log.waited_ms.unwrap_or(0), first_ms = request_log.first_ms.unwrap_or(0),
-            took_ms = self.elapsed_ms(), config_version = version;
+            took_ms = self.elapsed_ms(), config_version = version,
+            not_sent = request_log.not_sent, stopped_by = request_log.stopped_by;
             "request ended");
         reuse
     }
@@ -257,9 +268,11 @@
         for offer in 0..MAX_OFFERS {
             let is_first = offer == 0;
             let Some(target) = self.wait_for_upstream(failed.is_none()) else {
+                self.request_log.stopped_by = NO_UPSTREAM;
                 return self.answer_failure(failed);
             };
             if !is_first && !self.try_spend_retry() {
+                self.request_log.stopped_by = NO_ALLOWANCE;
                 return self.answer_failure(failed);
             }
             self.tried.push(target.id.clone());
@@ -306,7 +319,8 @@
                 }
                 // An upstream that was full may have free capacity by now.
                 Attempt::NotRun(Outcome::Shed) => self.tried.clear(),
-                Attempt::NotRun(_) | Attempt::NotSent | Attempt::NotPermitted => {}
+                Attempt::NotSent => self.request_log.not_sent += 1,
+                Attempt::NotRun(_) | Attempt::NotPermitted => {}
                 Attempt::Broken => {
                     self.runs += 1;
                     self.handle_broken_run(&target, start);
@@ -324,6 +338,7 @@
                 }
             }
         }
+        self.request_log.stopped_by = NO_ATTEMPT_LEFT;
         self.answer_failure(failed)
     }
 
@@ -338,7 +353,11 @@
 
     fn try_spend_retry(&self) -> bool {
         let mut retry_budget = self.shared.retry_budget();
-        retry_budget.try_spend(&self.service, clock::now())
+        let is_spent = retry_budget.try_spend(&self.service, clock::now());
+        drop(retry_budget);
+        let has_arrived = self.request_log.offers > self.request_log.not_sent;
+        self.shared.metrics.retry(is_spent, has_arrived);
+        is_spent
     }
 
     /// Makes one attempt, and reports the end of its run to the dispatcher.
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -40,6 +40,13 @@
     word: &'static str,
 }
 
+/// A retry that the retry budget allowed or not, and whether an earlier attempt arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabels {
+    budget: &'static str,
+    earlier: &'static str,
+}
+
 /// Why a query to the coordinator got no decision.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CauseLabels {
@@ -89,6 +96,7 @@
     registry: Registry,
     requests_ended: Family<EndLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
     choices: Counter,
     unusable_entries: Counter,
@@ -130,6 +138,7 @@
             registry: Registry::with_prefix("passway_instance"),
             requests_ended: Family::default(),
             attempts: Family::default(),
+            retries: Family::default(),
             orders: Family::default(),
             choices: Counter::default(),
             unusable_entries: Counter::default(),
@@ -166,6 +175,9 @@
         registry.register("requests", "Requests by how they ended", ended);
         let attempts = self.attempts.clone();
         registry.register("attempts", "Attempts at upstreams by outcome", attempts);
+        let retries = self.retries.clone();
+        let help = "Attempts after the first, by the retry budget's answer and by whether an earlier one arrived";
+        registry.register("retries", help, retries);
         let orders = self.orders.clone();
         registry.register("orders", "Orders to engines by answer", orders);
         let choices = self.choices.clone();
@@ -267,6 +279,16 @@
             .inc();
     }
 
+    /// Counts an attempt after the first: whether the retry budget allowed it, and whether an
+    /// earlier attempt may have arrived at an upstream.
+    pub fn retry(&self, is_allowed: bool, has_arrived: bool) {
+        let budget = if is_allowed { "spent" } else { "used up" };
+        let earlier = if has_arrived { "arrived" } else { "not sent" };
+        self.retries
+            .get_or_create(&RetryLabels { budget, earlier })
+            .inc();
+    }
+
     /// Counts a choice of an upstream, whether or not it found one.
     pub fn choice(&self) {
         self.choices.inc();
