Tests that fail: instances that lose their paths to all upstreams

A stand-in for the path from one instance to one upstream, which is cut by resets, by refusing new connections only, or by hanging.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`store`]: the metadata store with transactions, leases and watches, and with fault injection
 //!   (outages, lost answers).
+//! * [`cut_path`]: the network path from one instance to one upstream, which can be cut.
 //! * [`documents`]: a configuration, and store entries of servers that don't publish their own.
 //! * [`caller`]: an HTTP client that sends given bytes.
 //! * [`process`]: an instance as a separate process.
@@ -10,6 +11,7 @@
 //! * [`model_server`]: a model server with orders, reports and streams.
 
 pub mod caller;
+pub mod cut_path;
 pub mod documents;
 pub mod model_server;
 pub mod process;
--- /dev/null
+++ b/crates/standins/src/platform/cut_path.rs
@@ -0,0 +1,197 @@
+//! The network path from one instance to one upstream, which can be cut in several ways while the
+//! upstream serves everybody else.
+
+use super::process::free_address;
+use passway_types::prelude::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+
+/// Maximum number of bytes that are forwarded at once.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Interval between two attempts to accept a connection.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+/// Backlog of an open path.
+const OPEN_BACKLOG: i32 = 128;
+/// Connections that fill the backlog of a path that hangs.
+const FILLING_CONNECTIONS: usize = 4;
+
+/// The state of a path.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PathState {
+    /// Connections work.
+    #[default]
+    Open,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections live on, and new ones are refused.
+    Refusing,
+    /// Nothing passes: open connections fall silent, and attempts to connect get no answer.
+    Hanging,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    path: PathState,
+    /// The sockets of the open connections: from the instance and to the upstream.
+    open: Vec<[TcpStream; 2]>,
+    listener: Option<TcpListener>,
+    /// Connections that fill the backlog while the path hangs.
+    filling: Vec<TcpStream>,
+    /// Number of connections that were forwarded.
+    connections: u64,
+}
+
+/// A path; clones share the same state.
+#[derive(Debug, Clone)]
+pub struct CutPath {
+    /// The address that the instance connects to.
+    pub address: SocketAddr,
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl CutPath {
+    /// Opens a path to `target`.
+    ///
+    /// # Panics
+    /// If no port can be bound.
+    pub fn open(target: SocketAddr) -> Self {
+        let path = Self {
+            address: free_address(),
+            shared: Arc::default(),
+        };
+        path.state().listener = Some(bind(path.address));
+        let accepting = path.clone();
+        std::thread::spawn(move || {
+            loop {
+                match accepting.accept() {
+                    Some(caller) => accepting.connect(&caller, target),
+                    None => std::thread::sleep(ACCEPT_INTERVAL),
+                }
+            }
+        });
+        path
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Number of connections that reached the upstream over this path.
+    pub fn connections(&self) -> u64 {
+        self.state().connections
+    }
+
+    /// Changes the state of the path.
+    ///
+    /// # Panics
+    /// If the path's port cannot be bound again.
+    pub fn set(&self, path: PathState) {
+        let mut state = self.state();
+        state.path = path;
+        state.filling.clear();
+        match path {
+            PathState::Open => {
+                let listener = state.listener.take();
+                let listener = listener.unwrap_or_else(|| bind(self.address));
+                set_backlog(&listener, OPEN_BACKLOG);
+                state.listener = Some(listener);
+            }
+            PathState::Reset => {
+                state.listener = None;
+                for socket in state.open.drain(..).flatten() {
+                    reset(&socket);
+                }
+            }
+            PathState::Refusing => state.listener = None,
+            PathState::Hanging => {
+                if let Some(listener) = &state.listener {
+                    set_backlog(listener, 0);
+                }
+                state.filling = fill_backlog(self.address);
+            }
+        }
+        self.shared.1.notify_all();
+    }
+
+    /// Accepts a connection, unless the path is cut.
+    fn accept(&self) -> Option<TcpStream> {
+        let state = self.state();
+        let listener = state.listener.as_ref()?;
+        if state.path != PathState::Open {
+            return None;
+        }
+        listener.accept().ok().map(|(stream, _)| stream)
+    }
+
+    fn connect(&self, caller: &TcpStream, target: SocketAddr) {
+        // If the target refuses the connection, the instance's connection is closed.
+        let Ok(server) = TcpStream::connect(target) else {
+            return;
+        };
+        let (Ok(caller_end), Ok(server_end)) = (caller.try_clone(), server.try_clone()) else {
+            return;
+        };
+        // Small messages are sent without delay, as without a path between.
+        let _ = (caller.set_nodelay(true), server.set_nodelay(true));
+        let _ = caller.set_nonblocking(false);
+        let mut state = self.state();
+        state.connections += 1;
+        state.open.push([caller_end, server_end]);
+        drop(state);
+        self.forward([caller, &server]);
+        self.forward([&server, caller]);
+    }
+
+    /// Forwards one direction until either end closes the connection. A path that hangs holds the
+    /// data back.
+    fn forward(&self, [from, to]: [&TcpStream; 2]) {
+        let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
+            return;
+        };
+        let path = self.clone();
+        std::thread::spawn(move || {
+            let mut chunk = [0; CHUNK_BYTES];
+            while let Ok(count @ 1..) = from.read(&mut chunk) {
+                path.wait_while_hanging();
+                if to.write_all(&chunk[..count]).is_err() {
+                    break;
+                }
+            }
+            path.wait_while_hanging();
+            // Fails if the socket is already closed, which is fine.
+            let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+        });
+    }
+
+    fn wait_while_hanging(&self) {
+        let state = self.state();
+        let is_hanging = |state: &mut State| state.path == PathState::Hanging;
+        drop(self.shared.1.wait_while(state, is_hanging));
+    }
+}
+
+fn bind(address: SocketAddr) -> TcpListener {
+    let listener = TcpListener::bind(address).expect("binding a path");
+    listener
+        .set_nonblocking(true)
+        .expect("setting a path to non-blocking");
+    listener
+}
+
+fn set_backlog(listener: &TcpListener, backlog: i32) {
+    rustix::net::listen(listener, backlog).expect("changing a backlog");
+}
+
+/// Connects until the backlog is full; from then on attempts to connect get no answer.
+fn fill_backlog(address: SocketAddr) -> Vec<TcpStream> {
+    let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(20)).ok();
+    (0..FILLING_CONNECTIONS).filter_map(connect).collect()
+}
+
+/// Closes a connection with a reset.
+fn reset(socket: &TcpStream) {
+    // Fails if the socket is already closed, which is fine.
+    let _ = rustix::net::sockopt::set_socket_linger(socket, Some(Duration::ZERO));
+    let _ = socket.shutdown(Shutdown::Both);
+}
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -10,7 +10,8 @@
 use passway_serving::retry::RetryAllowance;
 pub use passway_standins::platform::caller::{Answer, Caller, RECEIVE_TIMEOUT, fetch, request};
 pub use passway_standins::platform::documents::{configuration, list_plain};
-use passway_standins::platform::raw::{RawServer, Step};
+pub use passway_standins::platform::raw::RawServer;
+use passway_standins::platform::raw::Step;
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 use passway_users_platform::{MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl};
@@ -106,7 +107,7 @@
 
 /// Makes instances log to standard error at the level in `PASSWAY_LOG`. The lines of concurrent
 /// tests are mixed.
-fn log_if_requested() {
+pub fn log_if_requested() {
     static STARTED: Once = Once::new();
     STARTED.call_once(|| {
         if let Ok(level) = std::env::var("PASSWAY_LOG") {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,8 @@
 mod config_paths;
 mod config_spread;
 mod crashing_loads;
+mod cut_off_cluster;
+mod cut_off_instances;
 mod dispatch_load;
 mod dispatcher_queries;
 mod docs_match;
