An attempt that never arrived costs no retry

Callers saw: 503 within milliseconds, with time left and upstreams untried, at instances that could not connect to some upstreams.

Cause: the retry allowance was spent before each attempt after the first, also if the earlier ones got no connection. The users' rule counts arrivals at upstreams beyond the first. With half of the paths gone the allowance is used up at once, and a request that the next upstream would have served is refused.

Change: a retry is spent only if an earlier attempt may have arrived. Unsent attempts stay bounded by the number of attempts of a request.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -23,6 +23,7 @@
 mod waiting;
 
 use crate::http1::{Connection, RequestHead};
+use crate::metrics::RetryDecision;
 use crate::poison::ExclusivePermit;
 use crate::relay::millis_since;
 use crate::reply::{self, Refusal};
@@ -319,8 +320,8 @@
                 }
                 // An upstream that was full may have free capacity by now.
                 Attempt::NotRun(Outcome::Shed) => self.tried.clear(),
-                Attempt::NotSent => self.request_log.not_sent += 1,
-                Attempt::NotRun(_) | Attempt::NotPermitted => {}
+                Attempt::NotSent | Attempt::NotPermitted => self.request_log.not_sent += 1,
+                Attempt::NotRun(_) => {}
                 Attempt::Broken => {
                     self.runs += 1;
                     self.handle_broken_run(&target, start);
@@ -351,12 +352,22 @@
         self.route.kind.can_run_again() && self.runs < self.route.attempts
     }
 
+    /// Whether another attempt may be made. It spends a retry only if an earlier attempt may have
+    /// arrived at an upstream.
     fn try_spend_retry(&self) -> bool {
+        let has_arrived = self.request_log.offers > self.request_log.not_sent;
+        if !has_arrived {
+            self.shared.metrics.retry(RetryDecision::Free);
+            return true;
+        }
         let mut retry_budget = self.shared.retry_budget();
         let is_spent = retry_budget.try_spend(&self.service, clock::now());
         drop(retry_budget);
-        let has_arrived = self.request_log.offers > self.request_log.not_sent;
-        self.shared.metrics.retry(is_spent, has_arrived);
+        self.shared.metrics.retry(if is_spent {
+            RetryDecision::Spent
+        } else {
+            RetryDecision::UsedUp
+        });
         is_spent
     }
 
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -40,11 +40,31 @@
     word: &'static str,
 }
 
-/// A retry that the retry budget allowed or not, and whether an earlier attempt arrived.
+/// What an attempt after the first costs the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Nothing, because no earlier attempt arrived at an upstream.
+    Free,
+    /// One retry.
+    Spent,
+    /// The attempt is not made, because no retry is left.
+    UsedUp,
+}
+
+impl RetryDecision {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Free => "free",
+            Self::Spent => "spent",
+            Self::UsedUp => "used up",
+        }
+    }
+}
+
+/// The label of a [`RetryDecision`].
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
     budget: &'static str,
-    earlier: &'static str,
 }
 
 /// Why a query to the coordinator got no decision.
@@ -176,7 +196,7 @@
         let attempts = self.attempts.clone();
         registry.register("attempts", "Attempts at upstreams by outcome", attempts);
         let retries = self.retries.clone();
-        let help = "Attempts after the first, by the retry budget's answer and by whether an earlier one arrived";
+        let help = "Attempts after the first, by what they cost the retry budget";
         registry.register("retries", help, retries);
         let orders = self.orders.clone();
         registry.register("orders", "Orders to engines by answer", orders);
@@ -198,6 +218,14 @@
         for outcome in ["taken", "refused"] {
             let _zero = self.orders.get_or_create(&OutcomeLabels { outcome });
         }
+        for decision in [
+            RetryDecision::Free,
+            RetryDecision::Spent,
+            RetryDecision::UsedUp,
+        ] {
+            let budget = decision.name();
+            let _zero = self.retries.get_or_create(&RetryLabels { budget });
+        }
         for outcome in ["now", "later", "unknown"] {
             let _zero = self
                 .limit_decisions
@@ -279,14 +307,10 @@
             .inc();
     }
 
-    /// Counts an attempt after the first: whether the retry budget allowed it, and whether an
-    /// earlier attempt may have arrived at an upstream.
-    pub fn retry(&self, is_allowed: bool, has_arrived: bool) {
-        let budget = if is_allowed { "spent" } else { "used up" };
-        let earlier = if has_arrived { "arrived" } else { "not sent" };
-        self.retries
-            .get_or_create(&RetryLabels { budget, earlier })
-            .inc();
+    /// Counts an attempt after the first, made or not.
+    pub fn retry(&self, decision: RetryDecision) {
+        let budget = decision.name();
+        self.retries.get_or_create(&RetryLabels { budget }).inc();
     }
 
     /// Counts a choice of an upstream, whether or not it found one.
