A holder that stops writes the crashes that it knows

Callers saw nothing yet: the test known_after_restarts passed because the first attempt of the instance after the restart met a crashed engine and the retry allowance was used up.

Cause: the writer of the list of crashing requests waits between two writes and then writes only during a term. A stop releases the term at once, so a crash within that wait before a stop is lost with the process.

Evidence, from the test's log: third crash at .318 s, 'lost the right to order' at .319 s, and the next process asks for a permit to run alone, which it does after two crashes.

Change: a process that had a term goes on writing while it stops. The write stays conditional on the stored list, so it overwrites nothing.

--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -339,10 +339,19 @@
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
             let poison = &shared.poison;
+            let mut had_term = false;
             while poison.wakeup_receiver.recv().is_ok() {
-                while leadership.term().is_some()
-                    && let Some(write) = poison.pending_write()
-                {
+                loop {
+                    let has_term = leadership.term().is_some();
+                    had_term |= has_term;
+                    // A holder that stops has released its term, but may know of a crash that
+                    // nobody else will write. The write is conditional on the stored list.
+                    if !has_term && !(had_term && shared.is_stopping()) {
+                        break;
+                    }
+                    let Some(write) = poison.pending_write() else {
+                        break;
+                    };
                     let answer = store.write(std::slice::from_ref(&write));
                     if let (Ok(WriteAnswer::Written(revision)), Some(value)) = (answer, write.value)
                     {
