--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -391,7 +391,8 @@
             | Body::Dispatchers(_)
             | Body::Promise(_)
             | Body::Suspects(_)
-            | Body::KnownSignals(_) => {}
+            | Body::KnownSignals(_)
+            | Body::PeerRequest(_) => {}
         }
     }
 
--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers' connections, served by one thread each.
 
-use crate::forward::{self, ConnectionReuse};
+use crate::forward::{self, ConnectionReuse, Origin};
 use crate::http1::{self, BodyReader, Connection, HttpError, RequestHead};
 use crate::reply::{self, Refusal};
 use crate::shared::Shared;
@@ -10,6 +10,7 @@
 use passway_serving::routes::CallerLimits;
 use passway_types::clock;
 use passway_types::prelude::*;
+use passway_wire::message::PeerRequest;
 use rustix::event::{PollFd, PollFlags, poll};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -92,7 +93,44 @@
     Ok(callers)
 }
 
+/// Serves requests that other instances pass on. Like callers' connections, theirs count as open
+/// until the answer is complete.
+#[derive(Debug, Clone)]
+pub struct PeerEntry {
+    shared: Arc<Shared>,
+    stop_signals: Arc<StopSignals>,
+    open: Arc<AtomicUsize>,
+}
+
+impl PeerEntry {
+    /// Serves the request that follows `announcement` on a connection from another instance.
+    /// `received` are the bytes after the announcement that have been read.
+    pub fn serve(&self, stream: TcpStream, received: &[u8], announcement: PeerRequest) {
+        let context = ConnectionContext::new(&self.shared, &self.stop_signals, &self.open);
+        // A socket that rejects its options is unusable; dropping it closes it.
+        if let Ok(mut connection) = Connection::new(stream) {
+            connection.unread(received);
+            connection.set_stop_signals(self.stop_signals.clone());
+            // The connection carries one request, and dropping it closes it.
+            drop(serve_next(
+                &context,
+                connection,
+                &Origin::Peer(announcement),
+            ));
+        }
+    }
+}
+
 impl Callers {
+    /// Serves requests that other instances pass on.
+    pub fn peer_entry(&self) -> PeerEntry {
+        PeerEntry {
+            shared: self.shared.clone(),
+            stop_signals: self.stop_signals.clone(),
+            open: self.open.clone(),
+        }
+    }
+
     /// The address that callers connect to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -170,92 +208,119 @@
 }
 
 /// Reads and serves one request after another until the connection ends.
-fn serve_connection(context: &ConnectionContext, mut caller: Connection) {
+fn serve_connection(context: &ConnectionContext, caller: Connection) {
+    let mut next = Some(caller);
+    while let Some(caller) = next {
+        next = serve_next(context, caller, &Origin::Caller);
+    }
+}
+
+/// Reads and serves one request. Returns the connection if it may carry another one.
+fn serve_next(
+    context: &ConnectionContext,
+    mut caller: Connection,
+    origin: &Origin,
+) -> Option<Connection> {
     let shared = &context.shared;
-    loop {
-        let limits = limits(shared);
-        let idle_until = clock::now() + Duration::from_millis(limits.idle_timeout_ms);
-        let header_timeout = Duration::from_millis(limits.header_timeout_ms);
-        let head = http1::read_request_head(
-            &mut caller,
-            limits.max_header_bytes,
-            idle_until,
-            header_timeout,
-        );
-        let head = match head {
-            Ok(Some(head)) => head,
-            Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
-            Err(HttpError::TooLarge) => return refuse(shared, caller, Refusal::HeadTooLarge),
-            Err(HttpError::Stopping) if !caller.buffered().is_empty() => {
-                return refuse_half_read(shared, caller, "");
-            }
-            Ok(None) | Err(_) => return,
-        };
-        let in_progress = shared.count_in_progress();
-        let arrived_at = clock::now();
-        let announced_length = head.headers.text("content-length");
-        let announced_bytes = announced_length
-            .and_then(|length| length.parse().ok())
-            .unwrap_or(0);
-        // A length above the limit is refused by the body reader below.
-        let Some(mut reservation) = shared.reserve_body(announced_bytes.min(limits.max_body_bytes))
-        else {
-            return refuse_for_memory(shared, caller, &head);
-        };
-        let body = match read_body(&mut caller, &head, limits.max_body_bytes) {
-            Ok(body) => body,
-            Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
-            Err(HttpError::TooLarge) => return refuse(shared, caller, Refusal::BodyTooLarge),
-            Err(HttpError::Stopping) => {
-                let facts = shared.vocabulary.parse_request(&head.headers);
-                return refuse_half_read(shared, caller, &facts.id);
-            }
-            Err(_) => return,
-        };
-        if !reservation.resize(body.len()) {
-            return refuse_for_memory(shared, caller, &head);
+    let limits = limits(shared);
+    let idle_until = clock::now() + Duration::from_millis(limits.idle_timeout_ms);
+    let header_timeout = Duration::from_millis(limits.header_timeout_ms);
+    let head = http1::read_request_head(
+        &mut caller,
+        limits.max_header_bytes,
+        idle_until,
+        header_timeout,
+    );
+    let head = match head {
+        Ok(Some(head)) => head,
+        Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
+        Err(HttpError::TooLarge) => return refuse(shared, caller, Refusal::HeadTooLarge),
+        Err(HttpError::Stopping) if !caller.buffered().is_empty() => {
+            return refuse_half_read(shared, caller, "");
         }
-        let reuse = forward::serve(shared, &mut caller, &head, &body, arrived_at);
-        drop((in_progress, reservation));
-        if reuse == ConnectionReuse::Close {
-            return;
+        Ok(None) | Err(_) => return None,
+    };
+    let in_progress = shared.count_in_progress();
+    let arrived_at = clock::now();
+    let announced_length = head.headers.text("content-length");
+    let announced_bytes = announced_length
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
+    // A length above the limit is refused by the body reader below.
+    let Some(mut reservation) = shared.reserve_body(announced_bytes.min(limits.max_body_bytes))
+    else {
+        return refuse_for_memory(shared, caller, &head);
+    };
+    let body = match read_body(&mut caller, &head, limits.max_body_bytes) {
+        Ok(body) => body,
+        Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
+        Err(HttpError::TooLarge) => return refuse(shared, caller, Refusal::BodyTooLarge),
+        Err(HttpError::Stopping) => {
+            let facts = shared.vocabulary.parse_request(&head.headers);
+            return refuse_half_read(shared, caller, &facts.id);
         }
-        // After a stream, waits of this connection end with the earlier signal again.
-        caller.set_stop_signals(context.stop_signals.clone());
+        Err(_) => return None,
+    };
+    if !reservation.resize(body.len()) {
+        return refuse_for_memory(shared, caller, &head);
+    }
+    let reuse = forward::serve(shared, &mut caller, &head, &body, arrived_at, origin);
+    drop((in_progress, reservation));
+    if reuse == ConnectionReuse::Close {
+        return None;
     }
+    // After a stream, waits of this connection end with the earlier signal again.
+    caller.set_stop_signals(context.stop_signals.clone());
+    Some(caller)
 }
 
-fn refuse(shared: &Shared, caller: Connection, refusal: Refusal) {
-    refuse_with_id(shared, caller, "", refusal);
+fn refuse(shared: &Shared, caller: Connection, refusal: Refusal) -> Option<Connection> {
+    refuse_with_id(shared, caller, "", refusal)
 }
 
 /// Refuses a request that was read only in part when the process stops.
-fn refuse_half_read(shared: &Shared, caller: Connection, id: &str) {
-    refuse_not_run(shared, caller, id, "half read at the stop");
+fn refuse_half_read(shared: &Shared, caller: Connection, id: &str) -> Option<Connection> {
+    refuse_not_run(shared, caller, id, "half read at the stop")
 }
 
 /// Refuses a request whose body does not fit into the memory bound for bodies.
-fn refuse_for_memory(shared: &Shared, caller: Connection, head: &RequestHead) {
+fn refuse_for_memory(
+    shared: &Shared,
+    caller: Connection,
+    head: &RequestHead,
+) -> Option<Connection> {
     let facts = shared.vocabulary.parse_request(&head.headers);
-    refuse_not_run(shared, caller, &facts.id, "no room for its body");
+    refuse_not_run(shared, caller, &facts.id, "no room for its body")
 }
 
-fn refuse_not_run(shared: &Shared, caller: Connection, id: &str, end: &'static str) {
+fn refuse_not_run(
+    shared: &Shared,
+    caller: Connection,
+    id: &str,
+    end: &'static str,
+) -> Option<Connection> {
     let refusal = Refusal::NotRun {
         retry_after_ms: forward::RETRY_AFTER_MS,
     };
     shared.metrics.request_ended(end, refusal.code());
     log::info!(target: REQUEST_TARGET, request = id, status = refusal.code(), offers = 0,
         runs = 0, end = end; "request ended");
-    refuse_with_id(shared, caller, id, refusal);
+    refuse_with_id(shared, caller, id, refusal)
 }
 
-fn refuse_with_id(shared: &Shared, mut caller: Connection, id: &str, refusal: Refusal) {
+/// Writes a refusal and closes the connection, which carries no other request.
+fn refuse_with_id(
+    shared: &Shared,
+    mut caller: Connection,
+    id: &str,
+    refusal: Refusal,
+) -> Option<Connection> {
     let written = reply::refuse(&mut caller, &*shared.vocabulary, id, refusal, true);
     // If the write failed, the caller has already disconnected.
     if written.is_ok() {
         caller.close_after_answer(clock::now() + DRAIN_TIMEOUT);
     }
+    None
 }
 
 fn read_body(
--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -447,6 +447,11 @@
             }
             Body::PermitRelease(release) => shared.poison.release_exclusive_run(from, &release),
             Body::Suspects(suspects) => shared.poison.merge_from_peer(suspects),
+            Body::PathQuery(query) => {
+                let answer = shared.paths.answer_query(shared, query);
+                self.send(from, Body::PathAnswer(answer));
+            }
+            Body::PathAnswer(answer) => shared.paths.receive_answer(from, answer),
         }
     }
 
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -7,6 +7,8 @@
 //! * `attempt` and `exchange` are one attempt. `suspect` tracks whether the request crashes
 //!   its upstreams. `limits` requests grants at limited upstreams. `send_permit` is the last
 //!   check before a request is sent.
+//! * `via_peer` passes a request on to another instance while this one is cut off from the
+//!   upstreams.
 //!
 //! The outcome of an attempt decides what may follow. A request that was not run may go to another
 //! upstream whatever its kind. One that may have run goes to another upstream only if its kind
@@ -20,6 +22,7 @@
 mod refusal;
 mod send_permit;
 mod suspect;
+mod via_peer;
 mod waiting;
 
 use crate::http1::{Connection, RequestHead};
@@ -30,16 +33,18 @@
 use crate::shared::{ReportEvent, Shared};
 use access::{Access, Denial};
 use attempt::{Attempt, Delivery, FailedAnswer, Target};
-use destination::{find_destination, host_of, request_hash};
+use destination::{Destination, find_destination, host_of, request_hash};
 use limits::DeferredUpstream;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
+use passway_serving::paths::PeerOffer;
 use passway_serving::poison::{RequestDigest, RunPermission};
 use passway_serving::ports::RequestMetadata;
 use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
 use passway_types::clock;
 use passway_types::prelude::*;
+use passway_wire::message::PeerRequest;
 use std::cell::OnceCell;
 
 /// Default `Retry-After` of a refusal, in milliseconds.
@@ -64,12 +69,30 @@
     Close,
 }
 
+/// Where a request comes from.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Origin {
+    /// From a caller.
+    Caller,
+    /// From another instance, which has admitted it and is cut off from the upstreams.
+    Peer(PeerRequest),
+}
+
+/// What the next attempt is sent to.
+#[derive(Debug)]
+enum NextHop {
+    Upstream(Target),
+    /// Another instance.
+    Peer(PeerOffer),
+}
+
 /// A request in progress.
 pub struct Forwarding<'a> {
     shared: &'a Arc<Shared>,
     caller: &'a mut Connection,
     head: &'a RequestHead,
     body: &'a [u8],
+    origin: &'a Origin,
     facts: RequestMetadata,
     route: Arc<Route>,
     service: ServiceName,
@@ -84,6 +107,10 @@
     should_close: bool,
     delivered: Delivery,
     tried: Vec<UpstreamId>,
+    /// Instances that the request was passed on to.
+    tried_peers: Vec<InstanceId>,
+    /// `Retry-After` of the last instance that refused the request, in milliseconds.
+    peer_retry_ms: Option<u64>,
     /// Upstreams that do not accept the request yet.
     deferred: Vec<DeferredUpstream>,
     /// Milliseconds until the first of `deferred` accepts the request, if no other upstream has the
@@ -115,6 +142,8 @@
     offers: u32,
     /// The upstream of the last attempt.
     upstream: Option<UpstreamId>,
+    /// The instance that the request was last passed on to.
+    peer: Option<InstanceId>,
     /// Time until the first attempt, in milliseconds.
     waited_ms: Option<u64>,
     /// Time until the first bytes of the answer were sent, in milliseconds.
@@ -149,17 +178,19 @@
     head: &RequestHead,
     body: &[u8],
     arrived_at: Instant,
+    origin: &Origin,
 ) -> ConnectionReuse {
-    let facts = shared.vocabulary.parse_request(&head.headers);
+    let mut facts = shared.vocabulary.parse_request(&head.headers);
+    if let Origin::Peer(announcement) = origin {
+        facts.deadline_ms = Some(announcement.remaining_ms);
+    }
     let should_close =
         shared.is_stopping() || !head.is_1_1 || head.headers.connection_contains("close");
-    let destination = match find_destination(shared, caller, head, &facts, arrived_at) {
+    let destination = find_destination(shared, caller, head, &facts, arrived_at);
+    let destination = match destination.and_then(|found| check_version(shared, origin, found)) {
         Ok(destination) => destination,
         Err(Denial { refusal, end }) => {
-            shared.metrics.request_ended(end, refusal.code());
-            log::info!(target: REQUEST_TARGET, request = facts.id, status = refusal.code(),
-                offers = 0, runs = 0, end = end;
-                "request ended");
+            log_unrouted(shared, origin, &facts, refusal, end);
             let vocabulary = &*shared.vocabulary;
             let written = reply::refuse(caller, vocabulary, &facts.id, refusal, should_close);
             return connection_reuse(written.is_ok() && !should_close);
@@ -167,14 +198,26 @@
     };
     let caller_deadline_ms = facts.deadline_ms.unwrap_or(u64::MAX);
     let timeout_ms = caller_deadline_ms.min(destination.route.timeout_ms);
-    shared
-        .retry_budget()
-        .record_request(&destination.service, arrived_at);
+    let mut delivered = Delivery::default();
+    let mut runs = 0;
+    match origin {
+        Origin::Caller => shared
+            .retry_budget()
+            .record_request(&destination.service, arrived_at),
+        // The other instance has counted the request.
+        Origin::Peer(announcement) => {
+            runs = announcement.runs;
+            delivered
+                .resume_after
+                .clone_from(&announcement.last_event_id);
+        }
+    }
     Forwarding {
         shared,
         caller,
         head,
         body,
+        origin,
         facts,
         route: destination.route,
         service: destination.service,
@@ -185,13 +228,15 @@
         arrived_at,
         deadline_at: arrived_at + Duration::from_millis(timeout_ms),
         should_close,
-        delivered: Delivery::default(),
+        delivered,
         tried: Vec::new(),
+        tried_peers: Vec::new(),
+        peer_retry_ms: None,
         deferred: Vec::new(),
         upstream_available_ms: None,
         run_permission: RunPermission::default(),
         exclusive_permit: None,
-        runs: 0,
+        runs,
         run_id: shared.dispatch.next_run_id(),
         attempt_at: arrived_at,
         next_target: None,
@@ -202,6 +247,51 @@
     .run()
 }
 
+/// Refuses a request from another instance that has a newer configuration than this one.
+fn check_version(
+    shared: &Shared,
+    origin: &Origin,
+    destination: Destination,
+) -> Result<Destination, Denial> {
+    let Origin::Peer(announcement) = origin else {
+        return Ok(destination);
+    };
+    let table = shared.routes.load();
+    let version = table.as_ref().map_or(0, |table| table.version);
+    if version >= announcement.config_version {
+        return Ok(destination);
+    }
+    Err(Denial {
+        refusal: not_run(RETRY_AFTER_MS),
+        end: "refused, another instance has a newer configuration",
+    })
+}
+
+/// Logs and counts a request that was refused before it had a route.
+fn log_unrouted(
+    shared: &Shared,
+    origin: &Origin,
+    facts: &RequestMetadata,
+    refusal: Refusal,
+    end: &'static str,
+) {
+    let status = refusal.code();
+    match origin {
+        Origin::Caller => {
+            shared.metrics.request_ended(end, status);
+            log::info!(target: REQUEST_TARGET, request = facts.id, status = status,
+                offers = 0, runs = 0, end = end;
+                "request ended");
+        }
+        Origin::Peer(announcement) => {
+            shared.metrics.peer_request(status);
+            log::info!(target: REQUEST_TARGET, request = facts.id, from = announcement.instance,
+                status = status, end = end;
+                "request of another instance ended");
+        }
+    }
+}
+
 fn not_run(retry_after_ms: u64) -> Refusal {
     Refusal::NotRun { retry_after_ms }
 }
@@ -228,8 +318,24 @@
                 .dispatch
                 .run_ended(self.shared, run_id, Outcome::Unknown);
         }
+        self.log_end();
+        reuse
+    }
+
+    /// Logs and counts how the request ended.
+    fn log_end(&self) {
         let request_log = &self.request_log;
         let metrics = &self.shared.metrics;
+        let upstream = request_log.upstream.as_deref().unwrap_or("");
+        if let Origin::Peer(announcement) = self.origin {
+            metrics.peer_request(request_log.status);
+            log::info!(target: REQUEST_TARGET, request = self.facts.id, from = announcement.instance,
+                upstream = upstream, offers = request_log.offers, runs = self.runs,
+                status = request_log.status, end = request_log.end, took_ms = self.elapsed_ms(),
+                stopped_by = request_log.stopped_by;
+                "request of another instance ended");
+            return;
+        }
         metrics.request_ended(request_log.end, request_log.status);
         if let Some(first_ms) = request_log.first_ms {
             metrics.first_byte(Duration::from_millis(first_ms));
@@ -244,20 +350,22 @@
             service:% = self.service, model:% = model_ref.map_or("", |model_ref| &model_ref.model),
             workspace:% = self.access.workspace.as_ref().map_or("", |workspace| &workspace.name),
             adapter:% = model_ref.and_then(|model_ref| model_ref.adapter.as_deref()).unwrap_or(""),
-            upstream:% = request_log.upstream.as_deref().unwrap_or(""), offers = request_log.offers,
+            upstream = upstream, peer = request_log.peer.as_deref().unwrap_or(""),
+            offers = request_log.offers,
             runs = self.runs, status = request_log.status, end = request_log.end,
             waited_ms = request_log.waited_ms.unwrap_or(0), first_ms = request_log.first_ms.unwrap_or(0),
             took_ms = self.elapsed_ms(), config_version = version,
             not_sent = request_log.not_sent, stopped_by = request_log.stopped_by;
             "request ended");
-        reuse
     }
 
     fn run_attempts(&mut self) -> ConnectionReuse {
         if let Err(denial) = self.admit() {
             return self.refuse(denial);
         }
+        // The instance that passes a request on has reported it.
         if let Some(model_ref) = self.model_ref()
+            && *self.origin == Origin::Caller
             && self.refused_for().is_none()
         {
             self.shared.report(ReportEvent::RequestAccepted {
@@ -268,7 +376,7 @@
         let mut failed: Option<Box<FailedAnswer>> = None;
         for offer in 0..MAX_OFFERS {
             let is_first = offer == 0;
-            let Some(target) = self.wait_for_upstream(failed.is_none()) else {
+            let Some(next_hop) = self.wait_for_next_hop(failed.is_none()) else {
                 self.request_log.stopped_by = NO_UPSTREAM;
                 return self.answer_failure(failed);
             };
@@ -276,15 +384,11 @@
                 self.request_log.stopped_by = NO_ALLOWANCE;
                 return self.answer_failure(failed);
             }
-            self.tried.push(target.id.clone());
             self.request_log.offers += 1;
-            self.request_log.upstream = Some(target.id.clone());
             let waited_ms = self.elapsed_ms();
             self.request_log.waited_ms.get_or_insert(waited_ms);
-            let start = target.start();
-            let attempt = self.attempt_and_report(&target);
-            self.shared.metrics.attempt(attempt.name());
-            log::debug!(request = self.facts.id, upstream:% = target.id, offer = offer; "{}", attempt.name());
+            let attempt = self.attempt_at_hop(&next_hop);
+            log::debug!(request = self.facts.id, next_hop:? = next_hop, offer = offer; "{}", attempt.name());
             self.may_have_run |= attempt.may_have_run();
             match attempt {
                 Attempt::Answered(reuse) => {
@@ -307,9 +411,8 @@
                 Attempt::Denied(denial) => return self.refuse(denial),
                 Attempt::TimedOut => {
                     self.runs += 1;
-                    let now = clock::now();
-                    if self.shared.upstreams().is_silent(&target.id, now) {
-                        self.watch_for_crash(&target, &start, true);
+                    if let NextHop::Upstream(target) = &next_hop {
+                        self.handle_silent_run(target);
                     }
                     return self.answer_failure(failed);
                 }
@@ -324,7 +427,9 @@
                 Attempt::NotRun(_) => {}
                 Attempt::Broken => {
                     self.runs += 1;
-                    self.handle_broken_run(&target, start);
+                    if let NextHop::Upstream(target) = &next_hop {
+                        self.handle_broken_run(target);
+                    }
                     if !self.may_run_again() {
                         return self.answer_failure(failed);
                     }
@@ -333,7 +438,8 @@
                     self.runs += 1;
                     self.handle_answered_run();
                     failed = Some(answer);
-                    if !self.may_run_again() {
+                    // Another instance has made the attempts that the request may have.
+                    if matches!(next_hop, NextHop::Peer(_)) || !self.may_run_again() {
                         return self.answer_failure(failed);
                     }
                 }
@@ -371,6 +477,23 @@
         is_spent
     }
 
+    /// Sends the request to an upstream or to another instance.
+    fn attempt_at_hop(&mut self, next_hop: &NextHop) -> Attempt {
+        match next_hop {
+            NextHop::Upstream(target) => {
+                self.tried.push(target.id.clone());
+                self.request_log.upstream = Some(target.id.clone());
+                let attempt = self.attempt_and_report(target);
+                self.shared.metrics.attempt(attempt.name());
+                attempt
+            }
+            NextHop::Peer(peer) => {
+                self.request_log.peer = Some(peer.instance.clone());
+                self.attempt_via_peer(peer)
+            }
+        }
+    }
+
     /// Makes one attempt, and reports the end of its run to the dispatcher.
     fn attempt_and_report(&mut self, target: &Target) -> Attempt {
         let (attempt, outcome) = self.run_attempt(target);
--- a/crates/instance/src/forward/access.rs
+++ b/crates/instance/src/forward/access.rs
@@ -1,7 +1,7 @@
 //! Whether a request is admitted: its key, the proof that the key is still valid, and its
 //! workspace's allotment.
 
-use super::{Forwarding, RETRY_AFTER_MS, not_run};
+use super::{Forwarding, Origin, RETRY_AFTER_MS, not_run};
 use crate::allotments::Decision;
 use crate::relay::millis;
 use crate::reply::Refusal;
@@ -104,7 +104,11 @@
                 return Err(UNPROVEN_CONFIGURATION);
             }
         }
-        self.charge_allotment()
+        // The instance that passes a request on has charged it.
+        match self.origin {
+            Origin::Caller => self.charge_allotment(),
+            Origin::Peer(_) => Ok(()),
+        }
     }
 
     /// Charges the request's cost to its workspace's allotment.
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -48,6 +48,16 @@
     pub(super) head_sent: bool,
     pub(super) chunked: bool,
     pub(super) splitter: EventSplitter,
+    /// The last event that the caller had received when another instance passed the request on.
+    pub(super) resume_after: Option<String>,
+}
+
+impl Delivery {
+    /// The last event that the caller has received, as far as this attempt must know it.
+    pub(super) fn last_event_id(&self) -> Option<String> {
+        let own = self.splitter.last_id().map(str::to_owned);
+        own.or_else(|| self.resume_after.clone())
+    }
 }
 
 /// An upstream chosen for an attempt.
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -36,7 +36,7 @@
 /// Longest idle time of a pooled connection for any other request.
 const MAX_IDLE_REPEATABLE: Duration = Duration::from_mins(10);
 /// Largest answer that is buffered whole.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
+pub(super) const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
 /// A caller that reads nothing of its answer for this long is given up. Slightly shorter than the
 /// user timeout of the connection itself.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_millis(3_500);
@@ -48,6 +48,15 @@
 /// Request).
 const MISDIRECTED: u16 = 421;
 
+/// Where an answer comes from.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum AnswerSource<'a> {
+    /// An upstream.
+    Upstream(&'a Target),
+    /// Another instance.
+    Peer,
+}
+
 impl Forwarding<'_> {
     /// Sends the request over a pooled or a new connection.
     pub(super) fn exchange(&mut self, target: &Target) -> Attempt {
@@ -67,10 +76,13 @@
                 return attempt;
             }
         }
-        match Connection::connect(target.address, CONNECT_TIMEOUT) {
-            Ok(connection) => self.exchange_over(target, connection),
-            Err(_) => Attempt::NotSent,
-        }
+        let paths = &self.shared.paths;
+        let Ok(connection) = Connection::connect(target.address, CONNECT_TIMEOUT) else {
+            paths.record_unreachable(&target.id);
+            return Attempt::NotSent;
+        };
+        paths.record_connected(self.shared);
+        self.exchange_over(target, connection)
     }
 
     /// Until when to wait before the next check whether the upstream is silent. Only a stream that
@@ -102,6 +114,14 @@
         self.next_target.is_some()
     }
 
+    /// The same for the source of a stream.
+    fn can_leave_silent_source(&mut self, source: AnswerSource<'_>) -> bool {
+        match source {
+            AnswerSource::Upstream(target) => self.can_leave_silent_upstream(target),
+            AnswerSource::Peer => false,
+        }
+    }
+
     /// By when the first byte usually arrives; in the past once the answer's head was delivered.
     fn usual_first_byte_at(&self) -> Instant {
         if self.delivered.head_sent {
@@ -127,7 +147,7 @@
             deadline_ms: relay::millis(remaining),
             workspace: self.access.mark.clone(),
             urgency: self.is_engine.then_some(self.priority().min(9)),
-            last_event_id: self.delivered.splitter.last_id().map(str::to_owned),
+            last_event_id: self.delivered.last_event_id(),
         };
         let mut headers = self
             .shared
@@ -289,12 +309,10 @@
             return Attempt::Broken;
         }
         if is_success && self.route.kind.is_stream() {
-            return self.deliver_stream(target, upstream, head, body);
+            return self.deliver_stream(AnswerSource::Upstream(target), upstream, head, body);
         }
         let until = self.deadline_at;
-        let Some(mut reservation) =
-            self.reserve_answer_memory(body.announced_bytes().min(MAX_BUFFERED_ANSWER_BYTES))
-        else {
+        let Some(mut reservation) = self.reserve_answer_memory(&body) else {
             return Attempt::TimedOut;
         };
         let read = body.read_whole(
@@ -331,7 +349,8 @@
 
     /// Waits for memory to buffer an answer; the upstream's connection waits meanwhile. `None` once
     /// the deadline has passed or the caller has left.
-    fn reserve_answer_memory(&mut self, bytes: usize) -> Option<MemoryReservation> {
+    pub(super) fn reserve_answer_memory(&mut self, body: &BodyReader) -> Option<MemoryReservation> {
+        let bytes = body.announced_bytes().min(MAX_BUFFERED_ANSWER_BYTES);
         loop {
             if let Some(reservation) = self.shared.reserve_answer(bytes) {
                 return Some(reservation);
@@ -441,9 +460,9 @@
     }
 
     /// Delivers a stream, event by event.
-    fn deliver_stream(
+    pub(super) fn deliver_stream(
         &mut self,
-        target: &Target,
+        source: AnswerSource<'_>,
         mut upstream: Connection,
         head: &AnswerHead,
         mut body: BodyReader,
@@ -452,12 +471,14 @@
         let mut received = Vec::new();
         let mut events = Vec::new();
         loop {
-            let part = self.read_stream_part(target, &mut upstream, &mut body, &mut received);
+            let part = self.read_stream_part(source, &mut upstream, &mut body, &mut received);
             let is_ended = match part {
                 Ok(part) => part == BodyPart::End,
                 Err(attempt) => return attempt,
             };
-            self.record_activity(target);
+            if let AnswerSource::Upstream(target) = source {
+                self.record_activity(target);
+            }
             events.clear();
             if self
                 .delivered
@@ -483,7 +504,9 @@
             }
             if is_ended {
                 self.request_log.end = "answered";
-                self.return_to_pool(target, upstream, head, &body);
+                if let AnswerSource::Upstream(target) = source {
+                    self.return_to_pool(target, upstream, head, &body);
+                }
                 let can_reuse = self.delivered.chunked && !self.should_close;
                 return Attempt::Answered(connection_reuse(can_reuse));
             }
@@ -506,14 +529,18 @@
     /// Reads the next part of a stream, unless the upstream falls silent.
     fn read_stream_part(
         &mut self,
-        target: &Target,
+        source: AnswerSource<'_>,
         upstream: &mut Connection,
         body: &mut BodyReader,
         received: &mut Vec<u8>,
     ) -> Result<BodyPart, Attempt> {
         loop {
             received.clear();
-            let until = self.next_silence_check_at();
+            let until = match source {
+                AnswerSource::Upstream(_) => self.next_silence_check_at(),
+                // The other instance moves the stream if its upstream falls silent.
+                AnswerSource::Peer => self.deadline_at,
+            };
             match body.read_part(upstream, received, Some(self.caller), until) {
                 Ok(part) => return Ok(part),
                 Err(HttpError::WatchedClosed) => return Err(Attempt::CallerGone),
@@ -521,7 +548,7 @@
                 Err(HttpError::TimedOut) if clock::now() >= self.deadline_at => {
                     return Err(Attempt::TimedOut);
                 }
-                Err(HttpError::TimedOut) if !self.can_leave_silent_upstream(target) => {}
+                Err(HttpError::TimedOut) if !self.can_leave_silent_source(source) => {}
                 Err(_) => {
                     self.delivered.splitter.drop_partial();
                     return Err(Attempt::Broken);
--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -42,6 +42,7 @@
             let available_ms = self
                 .model_ready_ms
                 .or(self.upstream_available_ms)
+                .or(self.peer_retry_ms)
                 .unwrap_or(RETRY_AFTER_MS);
             let retry_ms = if is_on_hold {
                 SUSPECT_RETRY_MS
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -31,7 +31,9 @@
     }
 
     /// Handles a run that broke off. If the upstream has crashed, the request becomes a suspect.
-    pub(super) fn handle_broken_run(&mut self, target: &Target, start: UpstreamStart) {
+    pub(super) fn handle_broken_run(&mut self, target: &Target) {
+        let start = target.start();
+        self.shared.paths.request_check();
         if let Some(permit) = &mut self.exclusive_permit {
             permit.record_break();
         }
@@ -50,6 +52,14 @@
         }
     }
 
+    /// Handles a run that reached its deadline without an answer.
+    pub(super) fn handle_silent_run(&self, target: &Target) {
+        if self.shared.upstreams().is_silent(&target.id, clock::now()) {
+            self.shared.paths.request_check();
+            self.watch_for_crash(target, &target.start(), true);
+        }
+    }
+
     /// Watches for a crash of an engine that broke off, or that was `silent` until the request's
     /// deadline. Its port alone does not show a crash: under a supervisor the port stays open, and
     /// a machine that has lost power sends nothing.
--- /dev/null
+++ b/crates/instance/src/forward/via_peer.rs
@@ -0,0 +1,190 @@
+//! Passing a request on to another instance while this one is cut off from the upstreams.
+//!
+//! The other instance serves the request like one of its own callers', except that it neither
+//! charges the allotment nor passes the request on again. Its answer is delivered as it arrives.
+//!
+//! An answer of an upstream is sealed. An answer without a seal is the other instance's own: by its
+//! status, a refusal promises that the request has not run and never will.
+
+use super::exchange::{AnswerSource, MAX_BUFFERED_ANSWER_BYTES};
+use super::{Attempt, FailedAnswer, Forwarding, Origin, request_hash};
+use crate::http1::{self, AnswerHead, BodyReader, Connection, HttpError, encode_head};
+use crate::metrics::PeerRequestOutcome;
+use crate::paths::PathMonitor;
+use crate::relay::millis;
+use passway_serving::headers::Headers;
+use passway_serving::paths::PeerOffer;
+use passway_serving::upstreams::Outcome;
+use passway_types::clock;
+use passway_types::prelude::*;
+use passway_wire::message::PeerRequest;
+use passway_wire::{Body, Frame};
+
+/// Instances that a request is passed on to one after the other, if they do not run it.
+const MAX_PEERS: usize = 2;
+/// Time to connect to another instance; a round trip between halls takes about 3 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long after the deadline the other instance's last word is awaited.
+const LAST_ANSWER_DELAY: Duration = Duration::from_millis(150);
+/// Headers of a request that concern the caller's connection to this instance.
+const CALLER_CONNECTION_HEADERS: [&str; 1] = ["expect"];
+/// Statuses that promise that the request has not run and never will: Request Timeout, Misdirected
+/// Request, Too Many Requests and Service Unavailable.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// Gateway Timeout.
+const TIMED_OUT_STATUS: u16 = 504;
+
+impl Forwarding<'_> {
+    /// The instance that the request should be passed on to now; `None` if this instance sends it
+    /// to an upstream itself.
+    pub(super) fn next_peer(&self) -> Option<PeerOffer> {
+        if matches!(self.origin, Origin::Peer(_)) || self.tried_peers.len() >= MAX_PEERS {
+            return None;
+        }
+        let random = request_hash(&self.facts.id);
+        let (paths, allowed) = (&self.shared.paths, &self.access.allowed_regions);
+        paths.choose_peer(self.shared, allowed, &self.tried_peers, random)
+    }
+
+    /// Passes the request on to another instance and delivers its answer.
+    pub(super) fn attempt_via_peer(&mut self, peer: &PeerOffer) -> Attempt {
+        self.tried_peers.push(peer.instance.clone());
+        // The other instance asks for its own permit.
+        self.exclusive_permit = None;
+        if self.caller.is_closed() {
+            return Attempt::CallerGone;
+        }
+        let guard = PathMonitor::count_passed_on(self.shared, &peer.instance);
+        self.attempt_at = clock::now();
+        let attempt = self.exchange_with_peer(peer);
+        drop(guard);
+        let outcome = match attempt {
+            Attempt::NotSent | Attempt::NotRun(_) => {
+                self.shared.paths.drop_offer(&peer.instance);
+                PeerRequestOutcome::NotRun
+            }
+            Attempt::Answered(_) | Attempt::Failed(_) => PeerRequestOutcome::Answered,
+            _ => PeerRequestOutcome::Lost,
+        };
+        self.shared.metrics.passed_on(outcome);
+        attempt
+    }
+
+    fn exchange_with_peer(&mut self, peer: &PeerOffer) -> Attempt {
+        if let Err(denial) = self.check_access() {
+            return Attempt::Denied(denial);
+        }
+        let Ok(mut connection) = Connection::connect(peer.address, CONNECT_TIMEOUT) else {
+            return Attempt::NotSent;
+        };
+        let Some(bytes) = self.bytes_for_peer() else {
+            return Attempt::NotSent;
+        };
+        let until = self.deadline_at;
+        let caller = Some(&mut *self.caller);
+        if let Err(error) = http1::write_all(&mut connection, &bytes, true, caller, until) {
+            return match error {
+                HttpError::WatchedClosed => Attempt::CallerGone,
+                HttpError::TimedOut => Attempt::TimedOut,
+                HttpError::Stopping => Attempt::Stopping,
+                HttpError::NothingWritten => Attempt::NotSent,
+                _ => Attempt::Broken,
+            };
+        }
+        let until = self.deadline_at + LAST_ANSWER_DELAY;
+        match http1::read_answer_head(&mut connection, Some(self.caller), until) {
+            Ok(head) => self.handle_peer_answer(connection, &head),
+            Err(error) => failed_read(&error),
+        }
+    }
+
+    /// The announcement and the request as the caller sent it; `None` if they cannot be encoded.
+    fn bytes_for_peer(&self) -> Option<Vec<u8>> {
+        let table = self.shared.routes.load();
+        let remaining = self.deadline_at.saturating_duration_since(clock::now());
+        let announcement = PeerRequest {
+            instance: self.shared.settings.instance.to_string(),
+            config_version: table.as_ref().map_or(0, |table| table.version),
+            remaining_ms: millis(remaining),
+            runs: self.runs,
+            last_event_id: self.delivered.splitter.last_id().map(str::to_owned),
+        };
+        let frame = Frame::new(Body::PeerRequest(announcement));
+        let frame = frame.inspect_err(|error| {
+            log::error!(error:% = error; "cannot encode the announcement of a request");
+        });
+        let mut bytes = frame.ok()?.as_bytes().to_vec();
+        let headers = self.head.headers.end_to_end().filter(|header| {
+            let mut names = CALLER_CONNECTION_HEADERS.iter();
+            !names.any(|name| header.name.eq_ignore_ascii_case(name))
+        });
+        let mut headers = Headers(headers.cloned().collect());
+        let has_body =
+            self.head.headers.has("content-length") || self.head.headers.has("transfer-encoding");
+        if has_body {
+            headers.push("Content-Length", self.body.len().to_string());
+        }
+        let first_line = format!("{} {} HTTP/1.1", self.head.method, self.head.target);
+        bytes.extend(encode_head(&first_line, &headers));
+        bytes.extend_from_slice(self.body);
+        Some(bytes)
+    }
+
+    fn handle_peer_answer(&mut self, mut connection: Connection, head: &AnswerHead) -> Attempt {
+        let vocabulary = &self.shared.vocabulary;
+        let facts = vocabulary.parse_answer(head.status, &head.headers, "");
+        let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
+            return Attempt::Broken;
+        };
+        let is_success = (200..300).contains(&head.status);
+        if facts.is_sealed && is_success && self.route.kind.is_stream() {
+            return self.deliver_stream(AnswerSource::Peer, connection, head, body);
+        }
+        let until = self.deadline_at + LAST_ANSWER_DELAY;
+        let Some(mut reservation) = self.reserve_answer_memory(&body) else {
+            return Attempt::TimedOut;
+        };
+        let caller = Some(&mut *self.caller);
+        let read = body.read_whole(&mut connection, MAX_BUFFERED_ANSWER_BYTES, caller, until);
+        let bytes = match read {
+            Ok(bytes) => bytes,
+            Err(error) => return failed_read(&error),
+        };
+        // An answer without a length is counted at its actual length, even beyond the bound.
+        reservation.resize(bytes.len());
+        if facts.is_sealed {
+            return if is_success {
+                Attempt::Answered(self.deliver_whole(head, &bytes))
+            } else {
+                Attempt::Failed(Box::new(FailedAnswer {
+                    head: head.clone(),
+                    body: bytes,
+                }))
+            };
+        }
+        if NOT_RUN_STATUSES.contains(&head.status) {
+            let retry_after_s = head.headers.text("retry-after");
+            let retry_after_s: Option<f64> = retry_after_s.and_then(|text| text.parse().ok());
+            let retry_after = retry_after_s.and_then(|s| Duration::try_from_secs_f64(s).ok());
+            self.peer_retry_ms = retry_after.map(millis).or(self.peer_retry_ms);
+            return Attempt::NotRun(Outcome::Unknown);
+        }
+        match head.status {
+            TIMED_OUT_STATUS => Attempt::TimedOut,
+            // The other instance has another configuration or other limits than this one, which
+            // has admitted the request.
+            400..500 => Attempt::NotRun(Outcome::Unknown),
+            _ => Attempt::Broken,
+        }
+    }
+}
+
+/// The outcome of an attempt whose answer could not be read. The request may have run.
+fn failed_read(error: &HttpError) -> Attempt {
+    match error {
+        HttpError::WatchedClosed => Attempt::CallerGone,
+        HttpError::TimedOut => Attempt::TimedOut,
+        HttpError::Stopping => Attempt::Stopping,
+        _ => Attempt::Broken,
+    }
+}
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -1,9 +1,10 @@
 //! Waiting for an upstream and choosing it.
 
-use super::{Forwarding, Target, request_hash};
+use super::{Forwarding, NextHop, Target, request_hash};
 use crate::dispatch::EngineQuery;
 use crate::relay::{millis, millis_since};
 use crate::shared::{ReportEvent, Shared};
+use passway_serving::paths::PathState;
 use passway_serving::upstreams::{Choice, ModelRef, RequestNeeds};
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -25,13 +26,20 @@
         self.arrived_at + total.min(patience).mul_f64(WAIT_RATIO)
     }
 
-    /// Waits for an upstream that accepts the request.
-    pub(super) fn wait_for_upstream(&mut self, may_wait: bool) -> Option<Target> {
+    /// Waits for an upstream that accepts the request, or for another instance if this one is cut
+    /// off from the upstreams.
+    pub(super) fn wait_for_next_hop(&mut self, may_wait: bool) -> Option<NextHop> {
         let mut reported_wait: Option<ReportedWait> = None;
         loop {
             if self.refused_for().is_some() {
                 return None;
             }
+            if let Some(peer) = self.next_peer() {
+                return Some(NextHop::Peer(peer));
+            }
+            if !self.tried_peers.is_empty() && self.shared.paths.state() == PathState::CutOff {
+                return None;
+            }
             let now = clock::now();
             if !self.may_run_now() {
                 if !self.wait_on_hold(now) {
@@ -40,13 +48,13 @@
                 continue;
             }
             if let Some(target) = self.next_target.take() {
-                return Some(target);
+                return Some(NextHop::Upstream(target));
             }
             self.shared.metrics.choice();
             let change_count = self.shared.upstream_change_count();
             let choice = match self.choose(now) {
                 Ok(target) => match self.with_limit_grant(target) {
-                    Some(target) => return Some(target),
+                    Some(target) => return Some(NextHop::Upstream(target)),
                     None if !self.has_used_grant_requests(now) => continue,
                     None => Choice::Absent,
                 },
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -9,6 +9,7 @@
 
 pub use peers::{Input, bind};
 
+use crate::callers::PeerEntry;
 use crate::candidates::Candidates;
 use crate::control;
 use crate::leadership::LeadershipDriver;
@@ -74,12 +75,12 @@
     leadership: &Arc<LeadershipDriver>,
     relay: &Arc<Relay>,
     engines: Arc<dyn Engines>,
-    listener: TcpListener,
+    (listener, entry): (TcpListener, PeerEntry),
 ) -> (Sender<Input>, Sender<NumberedUpdate>) {
     let (input_sender, inputs) = bounded(MAX_QUEUED_INPUTS);
     let (update_sender, updates) = bounded(MAX_QUEUED_UPDATES);
     let peer_inputs = input_sender.clone();
-    std::thread::spawn(move || accept(&listener, &peer_inputs));
+    std::thread::spawn(move || accept(&listener, &peer_inputs, &entry));
     let thread = HolderThread {
         shared: shared.clone(),
         leadership: leadership.clone(),
--- a/crates/instance/src/holder/peers.rs
+++ b/crates/instance/src/holder/peers.rs
@@ -1,5 +1,7 @@
-//! Receives messages from instances that connect, and defines the inputs of the holder thread.
+//! Receives messages and passed-on requests from instances that connect, and defines the inputs of
+//! the holder thread.
 
+use crate::callers::PeerEntry;
 use crate::members;
 use anyhow::{Context, Result};
 use crossbeam::channel::Sender;
@@ -54,13 +56,13 @@
 }
 
 /// Accepts connections of other instances until the process exits.
-pub(super) fn accept(listener: &TcpListener, inputs: &Sender<Input>) {
+pub(super) fn accept(listener: &TcpListener, inputs: &Sender<Input>, entry: &PeerEntry) {
     for (number, stream) in (0..).zip(listener.incoming()) {
         let Ok((link, reader)) = stream.and_then(Link::from_stream) else {
             continue;
         };
-        let inputs = inputs.clone();
-        let receive = move || receive_from_peer(number, link, reader, &inputs);
+        let (inputs, entry) = (inputs.clone(), entry.clone());
+        let receive = move || receive_from_peer(number, link, reader, &inputs, &entry);
         if let Err(error) = std::thread::Builder::new().spawn(receive) {
             // The peer finds its connection closed and opens another one.
             log::warn!(error:% = error; "cannot start a thread for a connecting instance");
@@ -68,28 +70,47 @@
     }
 }
 
-/// Forwards the messages of a peer until its connection ends.
-fn receive_from_peer(number: u64, link: Link, mut reader: LinkReader, inputs: &Sender<Input>) {
+/// Forwards the messages of a peer until its connection ends, or serves the request that the peer
+/// passes on. The first message shows which of the two the connection is for.
+fn receive_from_peer(
+    number: u64,
+    link: Link,
+    mut reader: LinkReader,
+    inputs: &Sender<Input>,
+    entry: &PeerEntry,
+) {
+    let mut next = reader.receive();
+    if let Ok(Some(Body::PeerRequest(announcement))) = next {
+        let (stream, received) = reader.into_parts();
+        entry.serve(stream, &received, announcement);
+        return;
+    }
     let mut instance = None;
     // The channel closes only when the process exits.
     let _ = inputs.send(Input::Connected(number, Outbox::start(link)));
-    while let Ok(Some(body)) = reader.receive() {
-        let input = match body {
-            Body::InstanceReport(report) => {
-                instance = Some(InstanceId::from(report.instance.as_str()));
-                Input::Report(report)
-            }
-            Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe),
-            Body::NewHolder(announced) => match members::decode_holder(&announced) {
-                Some(holder) => Input::HolderAnnounced(holder),
-                None => continue,
-            },
-            Body::Promise(promise) => Input::Promised(promise),
-            Body::Suspects(suspects) => Input::Suspects(suspects),
-            Body::KnownSignals(signals) => Input::Signals(signals),
-            _ => continue,
-        };
-        let _ = inputs.send(input);
+    while let Ok(Some(body)) = next {
+        if let Some(input) = input_of(number, body, &mut instance) {
+            let _ = inputs.send(input);
+        }
+        next = reader.receive();
     }
     let _ = inputs.send(Input::Disconnected(number, instance));
 }
+
+/// The input for a message; `None` if the message is not for the holder thread. Stores the name of
+/// an instance that reports.
+fn input_of(number: u64, body: Body, instance: &mut Option<InstanceId>) -> Option<Input> {
+    let input = match body {
+        Body::InstanceReport(report) => {
+            *instance = Some(InstanceId::from(report.instance.as_str()));
+            Input::Report(report)
+        }
+        Body::Subscribe(subscribe) => Input::Subscribe(number, subscribe),
+        Body::NewHolder(announced) => Input::HolderAnnounced(members::decode_holder(&announced)?),
+        Body::Promise(promise) => Input::Promised(promise),
+        Body::Suspects(suspects) => Input::Suspects(suspects),
+        Body::KnownSignals(signals) => Input::Signals(signals),
+        _ => return None,
+    };
+    Some(input)
+}
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Adds bytes that were read from the socket before it was wrapped.
+    pub fn unread(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
     /// Bytes that were read but not consumed.
     pub fn buffered(&self) -> &[u8] {
         &self.buffer[self.consumed..]
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -21,6 +21,7 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use rand::RngExt;
+use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 /// Prefix of passway's own keys in the store.
@@ -248,6 +249,13 @@
         self.leadership().previous_candidates().to_vec()
     }
 
+    /// Addresses of the candidates that the store lists.
+    pub fn listed_candidates(&self) -> Vec<SocketAddr> {
+        let leadership = self.leadership();
+        let candidates = leadership.listed_candidates().iter();
+        candidates.map(|candidate| candidate.address).collect()
+    }
+
     /// Releases leadership, so that another instance can acquire it at once.
     pub fn release(&self) {
         self.update(Leadership::release);
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod limits;
 pub mod members;
 pub mod metrics;
+pub mod paths;
 pub mod poison;
 pub mod pool;
 pub mod queries;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -6,6 +6,7 @@
 use crate::feeds::{self, ConfigurationFeed, UpstreamFeed};
 use crate::freshness::ConfigurationAge;
 use crate::leadership::LeadershipDriver;
+use crate::paths::PathMonitor;
 use crate::poison::PoisonTracker;
 use crate::relay::Relay;
 use crate::shared::Shared;
@@ -83,7 +84,13 @@
         let (relay, [configuration_receiver, upstream_receiver]) = Relay::new();
         let engines = surroundings.engines.clone();
         shared.set_engines(engines.clone());
-        let (holder, updates) = holder::start(&shared, &leadership, &relay, engines, peer_listener);
+        let (holder, updates) = holder::start(
+            &shared,
+            &leadership,
+            &relay,
+            engines,
+            (peer_listener, callers.peer_entry()),
+        );
         let store = &surroundings.store;
         leadership.start(
             &shared,
@@ -112,6 +119,7 @@
         PoisonTracker::start_writer(&shared, &leadership, store);
         Allotments::start_writer(&shared, &leadership, store);
         Dispatch::start(&shared);
+        PathMonitor::start(&shared);
         ConfigurationAge::start(&shared);
         report::start(&shared, &leadership, &relay, event_receiver);
         log::info!(instance:% = settings.instance; "started");
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -61,6 +61,35 @@
     }
 }
 
+/// How a request ended that was passed on to another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRequestOutcome {
+    /// The other instance delivered an upstream's answer.
+    Answered,
+    /// The other instance did not run the request.
+    NotRun,
+    /// The request may have run, and there is no answer of an upstream.
+    Lost,
+}
+
+impl PeerRequestOutcome {
+    const ALL: [Self; 3] = [Self::Answered, Self::NotRun, Self::Lost];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not run",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+/// The status of the answer to a request of another instance; 0 without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabels {
+    status: u16,
+}
+
 /// The label of a [`RetryDecision`].
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
@@ -117,6 +146,8 @@
     requests_ended: Family<EndLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     retries: Family<RetryLabels, Counter>,
+    passed_on: Family<OutcomeLabels, Counter>,
+    peer_requests: Family<StatusLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
     choices: Counter,
     unusable_entries: Counter,
@@ -159,6 +190,8 @@
             requests_ended: Family::default(),
             attempts: Family::default(),
             retries: Family::default(),
+            passed_on: Family::default(),
+            peer_requests: Family::default(),
             orders: Family::default(),
             choices: Counter::default(),
             unusable_entries: Counter::default(),
@@ -184,6 +217,7 @@
             unanswered_queries: Family::default(),
         };
         metrics.register();
+        metrics.register_next_hops();
         metrics
     }
 }
@@ -195,9 +229,6 @@
         registry.register("requests", "Requests by how they ended", ended);
         let attempts = self.attempts.clone();
         registry.register("attempts", "Attempts at upstreams by outcome", attempts);
-        let retries = self.retries.clone();
-        let help = "Attempts after the first, by what they cost the retry budget";
-        registry.register("retries", help, retries);
         let orders = self.orders.clone();
         registry.register("orders", "Orders to engines by answer", orders);
         let choices = self.choices.clone();
@@ -218,14 +249,6 @@
         for outcome in ["taken", "refused"] {
             let _zero = self.orders.get_or_create(&OutcomeLabels { outcome });
         }
-        for decision in [
-            RetryDecision::Free,
-            RetryDecision::Spent,
-            RetryDecision::UsedUp,
-        ] {
-            let budget = decision.name();
-            let _zero = self.retries.get_or_create(&RetryLabels { budget });
-        }
         for outcome in ["now", "later", "unknown"] {
             let _zero = self
                 .limit_decisions
@@ -293,6 +316,37 @@
         registry.register("unusable_words", help, unusable);
     }
 
+    /// Registers the metrics of retries and of requests that pass between instances. Their series
+    /// exist from the start.
+    fn register_next_hops(&mut self) {
+        let registry = &mut self.registry;
+        for decision in [
+            RetryDecision::Free,
+            RetryDecision::Spent,
+            RetryDecision::UsedUp,
+        ] {
+            let budget = decision.name();
+            let _zero = self.retries.get_or_create(&RetryLabels { budget });
+        }
+        let retries = self.retries.clone();
+        let help = "Attempts after the first, by what they cost the retry budget";
+        registry.register("retries", help, retries);
+        for outcome in PeerRequestOutcome::ALL {
+            let outcome = outcome.name();
+            let _zero = self.passed_on.get_or_create(&OutcomeLabels { outcome });
+        }
+        let passed_on = self.passed_on.clone();
+        let help =
+            "Requests passed on to another instance while cut off from the upstreams, by outcome";
+        registry.register("passed_on", help, passed_on);
+        let _zero = self
+            .peer_requests
+            .get_or_create(&StatusLabels { status: 200 });
+        let peer_requests = self.peer_requests.clone();
+        let help = "Requests served for other instances, by the status of the answer";
+        registry.register("peer_requests", help, peer_requests);
+    }
+
     /// Counts a request that has ended.
     pub fn request_ended(&self, end: &'static str, status: u16) {
         self.requests_ended
@@ -313,6 +367,21 @@
         self.retries.get_or_create(&RetryLabels { budget }).inc();
     }
 
+    /// Counts a request that was passed on to another instance.
+    pub fn passed_on(&self, outcome: PeerRequestOutcome) {
+        let outcome = outcome.name();
+        self.passed_on
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts a request that was served for another instance.
+    pub fn peer_request(&self, status: u16) {
+        self.peer_requests
+            .get_or_create(&StatusLabels { status })
+            .inc();
+    }
+
     /// Counts a choice of an upstream, whether or not it found one.
     pub fn choice(&self) {
         self.choices.inc();
--- a/crates/instance/src/queries.rs
+++ b/crates/instance/src/queries.rs
@@ -1,6 +1,7 @@
 //! Datagram queries to other instances. Each is sent at most twice.
 
 use crossbeam::channel::{Sender, bounded};
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -45,6 +46,31 @@
         answer.ok()
     }
 
+    /// Sends a query with a unique id to several instances. Returns the answers that arrive within
+    /// `timeout`, at most `count`.
+    pub fn send_and_collect(
+        &self,
+        id: u64,
+        count: usize,
+        timeout: Duration,
+        send: impl FnOnce(),
+    ) -> Vec<A> {
+        let (sender, received) = bounded(count);
+        self.waiting().insert(id, sender);
+        send();
+        let until = clock::now() + timeout;
+        let mut answers = Vec::new();
+        while answers.len() < count {
+            let remaining = until.saturating_duration_since(clock::now());
+            let Ok(answer) = received.recv_timeout(remaining) else {
+                break;
+            };
+            answers.push(answer);
+        }
+        self.waiting().remove(&id);
+        answers
+    }
+
     /// Delivers an answer to the waiting query. A late or duplicate answer is dropped.
     pub fn deliver_answer(&self, id: u64, answer: A) {
         if let Some(sender) = self.waiting().get(&id) {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::limits::Limits;
 use crate::members::Addresses;
 use crate::metrics::Metrics;
+use crate::paths::PathMonitor;
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -95,6 +96,8 @@
     pub store_health: StoreHealth,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Whether this instance reaches upstreams.
+    pub paths: PathMonitor,
     /// Idle connections to upstreams.
     pub pool: ConnectionPool,
     /// Queries to dispatchers, which choose engines in a large fleet.
@@ -167,6 +170,7 @@
             routes: ArcSwapOption::empty(),
             store_health: StoreHealth::default(),
             metrics: Metrics::default(),
+            paths: PathMonitor::default(),
             pool: ConnectionPool::default(),
             configuration_age: ConfigurationAge::default(),
             coordinator: CoordinatorClient::default(),
--- a/crates/serving/src/leadership/candidates.rs
+++ b/crates/serving/src/leadership/candidates.rs
@@ -99,6 +99,11 @@
         self.desired_candidates = desired;
     }
 
+    /// The candidates that the store lists.
+    pub fn listed_candidates(&self) -> &[Candidate] {
+        &self.recent.candidates
+    }
+
     /// The candidates in the store when this instance last took the key.
     pub fn previous_candidates(&self) -> &[Candidate] {
         &self.previous_candidates
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`routes`]: the operators' routes and services, and the route of each request.
 //! * [`upstreams`]: what upstreams report, what this instance has observed of them, and which one
 //!   a request goes to.
+//! * [`paths`]: whether this instance reaches upstreams at all, and which instance takes its
+//!   requests if not.
 //! * [`store_outages`]: when an upstream whose entry is missing counts as removed.
 //! * [`leadership`]: which instance may send orders to engines, and when an instance takes the
 //!   leadership.
@@ -34,6 +36,7 @@
 pub mod headers;
 pub mod leadership;
 pub mod limits;
+pub mod paths;
 pub mod placement;
 pub mod poison;
 pub mod ports;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -169,6 +169,12 @@
         })
     }
 
+    /// Whether a request with these allowed regions may be sent to an instance or an upstream in a
+    /// data hall.
+    pub fn admits_hall(&self, hall: &DataHall, allowed: &AllowedRegions) -> bool {
+        self.halls.admits(hall, allowed)
+    }
+
     /// Sets a configuration's rate limits for cold upstreams.
     pub fn set_cold_limits(&mut self, cold_limits: HashMap<ServiceName, ColdLimit>) {
         self.cold_limits = cold_limits;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -12,7 +12,7 @@
 pub struct Datagram {
     /// The message; `None` if a newer program sent a kind that this one does not know. Such a
     /// datagram is ignored.
-    #[prost(oneof = "Dispatch", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Dispatch", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Dispatch>,
 }
 
@@ -62,6 +62,44 @@
     /// The requests that crash upstreams, as far as the sender knows.
     #[prost(message, tag = "10")]
     Suspects(Suspects),
+    /// Asks an instance whether it reaches upstreams and takes requests of other instances.
+    #[prost(message, tag = "11")]
+    PathQuery(PathQuery),
+    /// The answer to [`Dispatch::PathQuery`].
+    #[prost(message, tag = "12")]
+    PathAnswer(PathAnswer),
+}
+
+/// Asks an instance whether it reaches upstreams and takes requests of other instances.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct PathQuery {
+    /// The number of the query, unique within the requesting instance.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+}
+
+/// The answer to a [`PathQuery`].
+#[derive(Clone, PartialEq, Message)]
+pub struct PathAnswer {
+    /// The number of the query.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// The instance that answers.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// The data hall of the instance.
+    #[prost(string, tag = "3")]
+    pub hall: String,
+    /// Whether the instance takes requests of other instances now.
+    #[prost(bool, tag = "4")]
+    pub accepts_requests: bool,
+    /// Time since the instance last established a connection to an upstream, in milliseconds;
+    /// `None` if it never did.
+    #[prost(uint64, optional, tag = "5")]
+    pub connected_ms_ago: Option<u64>,
+    /// Number of requests in progress at the instance.
+    #[prost(uint32, tag = "6")]
+    pub in_progress: u32,
 }
 
 /// Asks a dispatcher for an engine for one attempt.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -53,6 +53,11 @@
         Ok(Self(frame.freeze()))
     }
 
+    /// The encoded bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// Length of the frame in bytes.
     pub fn byte_len(&self) -> usize {
         self.0.len()
@@ -152,6 +157,11 @@
 }
 
 impl LinkReader {
+    /// The connection, and the bytes that were received after the last message.
+    pub fn into_parts(self) -> (TcpStream, BytesMut) {
+        (self.stream, self.buffer)
+    }
+
     /// Sets the time after which [`LinkReader::receive`] fails if no bytes arrive.
     ///
     /// # Errors
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -15,7 +15,7 @@
     #[prost(
         oneof = "Body",
         tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, \
-                20, 21, 22, 23"
+                20, 21, 22, 23, 24"
     )]
     pub body: Option<Body>,
 }
@@ -92,6 +92,32 @@
     /// Signals that upstreams sent about themselves in their answers.
     #[prost(message, tag = "23")]
     KnownSignals(KnownSignals),
+    /// Announces that a caller's request follows on the connection, as HTTP/1.1.
+    #[prost(message, tag = "24")]
+    PeerRequest(PeerRequest),
+}
+
+/// Announces a caller's request that an instance without a path to upstreams passes on.
+///
+/// The first and only message on its connection. The request follows as the caller sent it, and the
+/// answer is HTTP/1.1 too.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerRequest {
+    /// The instance that the caller is connected to.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// The version of the configuration by which that instance has admitted the request.
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    /// Time that is left for the request, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub remaining_ms: u64,
+    /// Number of upstreams that may have run the request already.
+    #[prost(uint32, tag = "4")]
+    pub runs: u32,
+    /// The last event of a stream that the caller has received; the stream resumes after it.
+    #[prost(string, optional, tag = "5")]
+    pub last_event_id: Option<String>,
 }
 
 /// The request rate that an upstream advertised as its limit.
--- a/tests/all/cut_off_cluster.rs
+++ b/tests/all/cut_off_cluster.rs
@@ -9,8 +9,11 @@
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 use passway_users_platform::{MetadataStore, PlatformDirectory, PlatformHeaders, ServerControl};
+use passway_wire::dispatch::{Datagram, Dispatch, PathAnswer};
+use passway_wire::message::PeerRequest;
+use passway_wire::{Body, Link};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::{Mutex, PoisonError};
 
 /// The paths from one instance to all upstreams.
@@ -96,3 +99,87 @@
     until("readiness", || instance.is_ready());
     (instance, paths)
 }
+
+/// An instance that a test plays: it claims to reach upstreams, and handles requests that others
+/// pass on by a script.
+pub struct PlayedPeer {
+    address: SocketAddr,
+    /// The announcements of the requests that were passed on.
+    pub announcements: Arc<Mutex<Vec<PeerRequest>>>,
+}
+
+impl PlayedPeer {
+    /// Starts a peer in a data hall. `handle` receives each connection after the announcement, with
+    /// the bytes that were read after it.
+    pub fn start(
+        name: &str,
+        hall: &str,
+        handle: impl Fn(TcpStream, &[u8]) + Send + Sync + 'static,
+    ) -> Self {
+        let (listener, socket) = bind_both();
+        let address = listener.local_addr().expect("an address");
+        let (name, hall) = (name.to_owned(), hall.to_owned());
+        std::thread::spawn(move || answer_queries(&socket, &name, &hall));
+        let peer = Self {
+            address,
+            announcements: Arc::default(),
+        };
+        let announcements = peer.announcements.clone();
+        let handle = Arc::new(handle);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (announcements, handle) = (announcements.clone(), handle.clone());
+                std::thread::spawn(move || {
+                    let (_link, mut reader) = Link::from_stream(stream).expect("a link");
+                    let Ok(Some(Body::PeerRequest(announcement))) = reader.receive() else {
+                        return;
+                    };
+                    announcements.lock().expect("a lock").push(announcement);
+                    let (stream, received) = reader.into_parts();
+                    handle(stream, &received);
+                });
+            }
+        });
+        peer
+    }
+
+    /// Lists peers in the store as the candidates of a holder that does not exist.
+    pub fn list(store: &MetadataStandIn, peers: &[(&str, &Self)]) {
+        store.put_bytes("passway/holder", b"played 127.0.0.1:9");
+        let peers = peers
+            .iter()
+            .map(|(name, peer)| format!("{name}={}", peer.address));
+        let peers: Vec<String> = peers.collect();
+        let text = format!("played\n{}", peers.join(" "));
+        store.put_bytes("passway/holders", text.as_bytes());
+    }
+}
+
+/// A listener and a datagram socket with the same port.
+fn bind_both() -> (TcpListener, UdpSocket) {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        if let Ok(socket) = UdpSocket::bind(address) {
+            return (listener, socket);
+        }
+    }
+}
+
+fn answer_queries(socket: &UdpSocket, name: &str, hall: &str) {
+    let mut bytes = [0; 1_500];
+    while let Ok((length, from)) = socket.recv_from(&mut bytes) {
+        if let Some(Dispatch::PathQuery(query)) = Datagram::decode_body(&bytes[..length]) {
+            let answer = Dispatch::PathAnswer(PathAnswer {
+                id: query.id,
+                instance: name.to_owned(),
+                hall: hall.to_owned(),
+                accepts_requests: true,
+                connected_ms_ago: Some(0),
+                in_progress: 0,
+            });
+            let bytes = Datagram::encode_body(Some(answer));
+            socket.send_to(&bytes, from).expect("sent");
+        }
+    }
+}
--- a/tests/all/cut_off_instances.rs
+++ b/tests/all/cut_off_instances.rs
@@ -94,6 +94,19 @@
     }
 }
 
+/// Number of requests that an instance has passed on.
+fn passed_on(instance: &Instance) -> u64 {
+    let scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let text = fetch(instance.ready_address(), scrape)
+        .expect("metrics")
+        .body;
+    let counts = text.lines().filter_map(|line| {
+        let count = line.strip_prefix("passway_instance_passed_on_total{")?;
+        count.rsplit(' ').next()?.parse::<u64>().ok()
+    });
+    counts.sum()
+}
+
 fn statuses(answers: &[Answer]) -> Vec<u16> {
     answers.iter().map(|answer| answer.status).collect()
 }
@@ -199,3 +212,20 @@
     let answer = send("innocent-last").expect("an answer");
     assert_eq!(answer.status, 200, "{}", answer.head);
 }
+
+/// Guards against taking one silent upstream, or the restart of all upstreams of a service, for
+/// lost paths.
+#[test]
+fn silent_upstream_is_no_cut() {
+    let test_bed = TestBed::start();
+    test_bed.send_round(0, REQUESTS_BEFORE);
+    let silent = test_bed.plain[0].address;
+    test_bed.paths.set_to(silent, PathState::Hanging);
+    test_bed.send_for(Duration::from_secs(1), 1);
+    test_bed.paths.set_to(silent, PathState::Open);
+    for server in &test_bed.plain {
+        test_bed.paths.set_to(server.address, PathState::Reset);
+    }
+    test_bed.send_for(Duration::from_secs(1), 10_000);
+    assert_eq!(passed_on(&test_bed.cut), 0);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -52,6 +52,7 @@
 mod model_orders;
 mod outage_terms;
 mod pass_through;
+mod passed_on_requests;
 mod peer_queue;
 mod placement_faults;
 mod platform_soak;
