--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -339,14 +339,15 @@
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
             let poison = &shared.poison;
-            let mut had_term = false;
+            let mut was_holder = false;
             while poison.wakeup_receiver.recv().is_ok() {
                 loop {
-                    let has_term = leadership.term().is_some();
-                    had_term |= has_term;
+                    let is_holder = leadership.term().is_some();
+                    was_holder |= is_holder;
                     // A holder that stops has released its term, but may know of a crash that
                     // nobody else will write. The write is conditional on the stored list.
-                    if !has_term && !(had_term && shared.is_stopping()) {
+                    let may_write = is_holder || was_holder && shared.is_stopping();
+                    if !may_write {
                         break;
                     }
                     let Some(write) = poison.pending_write() else {
