A refused connection proves a crash only while another upstream is reached

Callers saw: a request that cuts had broken off was refused with 503 as crashing upstreams, at all instances, though the upstreams were running.

Cause: a run that broke off counted as a crash if the upstream's port refused the next connection. Through a lost path, connections to running upstreams are refused too. Class: evidence about one upstream that the loss of the path explains as well.

Change: before a refusal counts, the instance connects to two other upstreams; if neither answers, the run remains a doubt that the engine's report or entry settles. With no other upstream known, a refusal counts as before.

Measured: cut_off_instances::innocents_of_a_cut failed before (503, Retry-After 2 s) and passes; the 34 tests of crashing requests pass.

--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -129,7 +129,11 @@
                 pool.put(&target.id, connection, idle_ttl, clock::now());
                 false
             }
-            Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+            // Through a lost path, connections to running upstreams are refused, too.
+            Err(error) => {
+                error.kind() == ErrorKind::ConnectionRefused
+                    && self.shared.paths.confirms_path(self.shared, &target.id)
+            }
         }
     }
 }
--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -109,11 +109,14 @@
 }
 
 /// Whether connections to the address of an engine are refused that did not announce that it
-/// leaves. A port may close a little later than its connections.
+/// leaves, while other upstreams can be reached. A port may close a little later than its
+/// connections.
 fn refuses_connections(shared: &Shared, start: &UpstreamStart, address: SocketAddr) -> bool {
     let is_refused = Connection::connect(address, REFUSAL_TIMEOUT)
         .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
-    is_refused && !shared.upstreams().is_draining(&start.upstream)
+    is_refused
+        && !shared.upstreams().is_draining(&start.upstream)
+        && shared.paths.confirms_path(shared, &start.upstream)
 }
 
 fn probe(shared: &Shared, engines: &dyn Engines, start: &UpstreamStart, address: SocketAddr) {
