A holder that stays cut off from the engines hands the leadership over

Callers saw: requests for models that no engine had loaded were refused at all instances for the length of a cut, because the holder was among the instances that were cut off.

Cause: a term ends with its lease only, and the store went on renewing it though no order or query reached an engine. Class: a lease that proves that the holder reaches the store, taken for proof that it can do its work.

Change: an instance that has been cut off for a second, while another one reaches upstreams, ends its term, and takes the key only once it connects again. Where no other instance reaches upstreams, nothing changes.

Measured: cut_off_instances::cut_holder_hands_over failed before (no new holder in 20 s) and passes, within 5 s and without a return after the cut; the 19 tests of cuts, leadership and outages pass.

--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -13,7 +13,8 @@
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::leadership::{
-    Candidate, Holder, Leadership, LeadershipSettings, PromiseRefusal, RecentHolders, Step,
+    Candidate, EngineAccess, Holder, Leadership, LeadershipSettings, PromiseRefusal, RecentHolders,
+    Step,
 };
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoreError, StoredValue,
@@ -256,6 +257,12 @@
         candidates.map(|candidate| candidate.address).collect()
     }
 
+    /// Sets whether this instance reaches engines. A holder that is cut off hands the leadership
+    /// over.
+    pub fn set_engine_access(&self, access: EngineAccess) {
+        self.update(|leadership| leadership.set_engine_access(access));
+    }
+
     /// Releases leadership, so that another instance can acquire it at once.
     pub fn release(&self) {
         self.update(Leadership::release);
--- a/crates/instance/src/paths.rs
+++ b/crates/instance/src/paths.rs
@@ -4,7 +4,7 @@
 //! A failed connection starts a check: the instance tries to connect to two other upstreams. If it
 //! reaches none, it asks other instances by datagram whether they do. It counts as cut off only if
 //! another instance has connected to an upstream since its own connections began to fail. Checks go
-//! on until a connection succeeds.
+//! on until a connection succeeds. If a holder stays cut off, it hands the leadership over.
 
 use crate::queries::PendingQueries;
 use crate::relay::millis;
@@ -12,6 +12,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::halls::AllowedRegions;
+use passway_serving::leadership::EngineAccess;
 use passway_serving::paths::{PathState, PeerOffer, UpstreamPaths, choose_peer};
 use passway_serving::upstreams::UpstreamEntry;
 use passway_types::clock;
@@ -49,6 +50,9 @@
 /// Asked by another instance, an instance that has connected to no upstream for this long checks its
 /// own paths, so that it can answer the next query.
 const MAX_PROOF_AGE: Duration = Duration::from_millis(150);
+/// A holder that is cut off for this long hands the leadership over: longer than a cut that is
+/// noticed by mistake, and short against the time for which no model would be loaded.
+const HAND_OVER_DELAY: Duration = Duration::from_secs(1);
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -150,6 +154,11 @@
         if previous != state {
             log::info!(target: DECISION_TARGET, before = previous.name(), now = state.name();
                 "the paths to the upstreams changed");
+            if state != PathState::CutOff
+                && let Some(leadership) = shared.leadership()
+            {
+                leadership.set_engine_access(EngineAccess::Reachable);
+            }
             shared.notify_upstreams_changed();
         }
     }
@@ -258,6 +267,7 @@
 
     /// Checks until a connection succeeds or too few upstreams are unreachable.
     fn check_until_connected(&self, shared: &Shared) {
+        let mut cut_off_since = None;
         for checks in 0.. {
             let is_connected = self.probe(shared, &probe_targets(shared, &BTreeSet::new()));
             let known = shared.upstreams().entries().count();
@@ -277,6 +287,15 @@
                 PathState::Lost
             };
             self.set_state(shared, state);
+            if state == PathState::CutOff {
+                let since = *cut_off_since.get_or_insert_with(clock::now);
+                let is_lasting = clock::since(since) >= HAND_OVER_DELAY;
+                if let Some(leadership) = shared.leadership().filter(|_| is_lasting) {
+                    leadership.set_engine_access(EngineAccess::CutOff);
+                }
+            } else {
+                cut_off_since = None;
+            }
             let interval = if has_peers || checks >= FIRST_CHECKS {
                 CHECK_INTERVAL
             } else {
--- a/crates/serving/src/leadership.rs
+++ b/crates/serving/src/leadership.rs
@@ -24,7 +24,9 @@
 use passway_types::prelude::*;
 use promises::Promises;
 pub use promises::{PROMISE_DURATION, PromiseRefusal};
-pub use records::{Candidate, EndCause, Holder, LeadershipSettings, RecentHolders, Step, TermEnd};
+pub use records::{
+    Candidate, EndCause, EngineAccess, Holder, LeadershipSettings, RecentHolders, Step, TermEnd,
+};
 use store_latency::StoreLatency;
 
 /// A lease is renewed when this fraction of its time-to-live has passed.
@@ -135,6 +137,7 @@
     /// When this process started or its last term ended.
     idle_since: Instant,
     is_released: bool,
+    engine_access: EngineAccess,
     /// Until when this instance has promised not to take the key.
     promised_until: Instant,
     /// Until when a promise of this instance's previous process may still hold. A term that is
@@ -169,6 +172,7 @@
             ordered_last: false,
             idle_since: now,
             is_released: false,
+            engine_access: EngineAccess::Reachable,
             promised_until: now,
             prior_promise_until: now + PROMISE_DURATION,
             promises: Promises::default(),
@@ -292,6 +296,16 @@
         self.is_released = true;
     }
 
+    /// Sets whether this instance reaches engines. An instance that is cut off ends its term, and
+    /// takes the key only once it reaches engines again.
+    pub fn set_engine_access(&mut self, access: EngineAccess) {
+        self.engine_access = access;
+    }
+
+    fn is_cut_off(&self) -> bool {
+        self.engine_access == EngineAccess::CutOff
+    }
+
     /// Whether another instance may have given orders since this one last did, recently enough to
     /// matter. That this instance is last on the list proves nothing: it may have taken the key
     /// without receiving the answer and given no order.
@@ -316,7 +330,7 @@
                 self.watch_key(random, now)
             }
             Stage::ScheduledTake(at) if now < at => Step::Wait(at),
-            Stage::ScheduledTake(_) if self.holder.is_some() => {
+            Stage::ScheduledTake(_) if self.holder.is_some() || self.is_cut_off() => {
                 self.stage = Stage::Watching;
                 Step::Wait(now + MAX_WAIT)
             }
@@ -339,7 +353,7 @@
     }
 
     fn watch_key(&mut self, random: f64, now: Instant) -> Step {
-        if !self.is_key_known || self.holder.is_some() {
+        if !self.is_key_known || self.holder.is_some() || self.is_cut_off() {
             return Step::Wait(now + MAX_WAIT);
         }
         let mut delay = TAKE_SPREAD.mul_f64(random);
@@ -391,6 +405,9 @@
         if now >= self.ends_at(&term) {
             return self.end_term(&term, EndCause::Lapsed, now);
         }
+        if self.is_cut_off() {
+            return self.end_term(&term, EndCause::CutOff, now);
+        }
         self.ordered_last |= now >= term.begin_at;
         if now >= term.renew_at {
             return Step::RenewLease(term.lease);
--- a/crates/serving/src/leadership/records.rs
+++ b/crates/serving/src/leadership/records.rs
@@ -46,6 +46,15 @@
     pub has_low_cpu: bool,
 }
 
+/// Whether an instance reaches the engines that a holder gives orders to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineAccess {
+    /// It does, or no other instance is known to.
+    Reachable,
+    /// It does not, while another instance does.
+    CutOff,
+}
+
 /// The next action for the leadership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -74,6 +83,8 @@
     LeaseGone,
     /// Another instance has taken the leadership.
     Succeeded,
+    /// This instance reached no engine while another instance did.
+    CutOff,
 }
 
 /// How a term ended that was not released.
--- a/tests/all/cut_off_instances.rs
+++ b/tests/all/cut_off_instances.rs
@@ -229,3 +229,41 @@
     test_bed.send_for(Duration::from_secs(1), 10_000);
     assert_eq!(passed_on(&test_bed.cut), 0);
 }
+
+/// Guards against a holder that keeps the leadership while it can order nothing, and against a
+/// leadership that returns as soon as the cut is over.
+#[test]
+fn cut_holder_hands_over() {
+    let store = cluster::store(&["m0"]);
+    let engines =
+        ["e-0", "e-1"].map(|id| ModelServer::start(&store, id, "engines", 2, &["m0"], &[]));
+    let server = cluster::plain_server();
+    list_plain(&store, "p-0", server.address, "ready");
+    let (cut, paths) = start_behind("one", &store, |_| {});
+    until("a holder", || cut.fence().is_some());
+    let other = cluster::start_ready("two", &store);
+    until("the other instance", || cut.other_instance_count() == 1);
+    paths.set(PathState::Hanging);
+    let send = |id: &str| {
+        let bytes = request("GET", "/read/", id, "", "");
+        fetch(cut.callers_address(), &bytes)
+    };
+    let begun_at = Instant::now();
+    until("a new holder", || {
+        send("cut");
+        other.fence().is_some()
+    });
+    assert!(
+        begun_at.elapsed() < Duration::from_secs(5),
+        "{:?}",
+        begun_at.elapsed()
+    );
+    paths.set(PathState::Open);
+    let fence = other.fence();
+    until("the end of the cut", || {
+        paths.connections() > 0 && send("again").is_some_and(|answer| answer.status == 200)
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!((cut.fence(), other.fence()), (None, fence));
+    drop(engines);
+}
