Tests that fail: a store that returns from an older copy

The stand-in of the store copies itself and returns from a copy as a new era: what was written since is lost, revisions and lease ids are given out again, a watch from a revision that it does not have gets 410, and all answers name the era.

--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -3,6 +3,7 @@
 use crate::server::{json_body, json_response, query_number, response, serve};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use http::HeaderValue;
 use passway_http::{Request, Response};
 use passway_types::prelude::*;
 use serde::Deserialize;
@@ -13,6 +14,8 @@
 
 /// Maximum number of items in a page of a range read.
 const MAX_PAGE_ITEMS: usize = 500;
+/// The header with the era in all answers.
+const ERA_HEADER: &str = "store-era";
 /// Time for which a call without an answer is held open.
 const UNANSWERED_CALL_DURATION: Duration = Duration::from_secs(3);
 
@@ -36,7 +39,7 @@
     lease: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lease {
     ttl: Duration,
     expires_at: Instant,
@@ -51,10 +54,23 @@
     compacted_to: u64,
     revision: u64,
     next_lease: u64,
+    /// How often the store has returned from an older copy.
+    era: u64,
     calls: BTreeMap<String, u64>,
     faults: Faults,
 }
 
+/// A copy of the store's contents, from which it can return later.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, Lease>,
+    history: Vec<(String, u64, Option<Item>)>,
+    compacted_to: u64,
+    revision: u64,
+    next_lease: u64,
+}
+
 /// A metadata store; clones share the same state.
 #[derive(Debug, Clone, Default)]
 pub struct MetadataStandIn {
@@ -229,12 +245,61 @@
         self.shared.1.notify_all();
     }
 
+    /// Copies the contents, leases and history.
+    pub fn copy(&self) -> StoreCopy {
+        let mut state = self.state();
+        state.expire_leases();
+        StoreCopy {
+            items: state.items.clone(),
+            leases: state.leases.clone(),
+            history: state.history.clone(),
+            compacted_to: state.compacted_to,
+            revision: state.revision,
+            next_lease: state.next_lease,
+        }
+    }
+
+    /// Returns from an older copy, as a new era. Everything written since is lost, and revisions and
+    /// lease ids are given out again. The leases of the copy run for their whole time again.
+    pub fn return_from(&self, copy: &StoreCopy) {
+        let mut state = self.state();
+        state.items.clone_from(&copy.items);
+        state.leases.clone_from(&copy.leases);
+        for lease in state.leases.values_mut() {
+            lease.expires_at = Instant::now() + lease.ttl;
+        }
+        state.history.clone_from(&copy.history);
+        state.compacted_to = copy.compacted_to;
+        state.revision = copy.revision;
+        state.next_lease = copy.next_lease;
+        state.era += 1;
+        drop(state);
+        self.shared.1.notify_all();
+    }
+
     /// Returns the number of calls by path since the start.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.state().calls.clone()
     }
 
+    /// Answers a call, and names the era in the answer.
     fn answer(&self, request: &Request) -> Response {
+        let era = self.state().era;
+        let answered = self.answer_call(request);
+        let is_same_era = self.state().era == era;
+        // The copy does not know what the call has done.
+        let mut answered = if is_same_era {
+            answered
+        } else {
+            response(503, "")
+        };
+        answered
+            .headers_mut()
+            .insert(ERA_HEADER, HeaderValue::from(era + u64::from(!is_same_era)));
+        answered
+    }
+
+    fn answer_call(&self, request: &Request) -> Response {
         let path = request.path().to_owned();
         let faults = {
             let mut state = self.state();
@@ -302,9 +367,10 @@
         let wait = Duration::from_millis(query_number(request, "wait_ms").unwrap_or(0));
         let wait_until = Instant::now() + wait;
         let mut state = self.state();
+        let era = state.era;
         loop {
             state.expire_leases();
-            if after < state.compacted_to {
+            if after < state.compacted_to || after > state.revision || era != state.era {
                 return response(410, "");
             }
             let changes = state.history.iter();
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -86,6 +86,7 @@
 mod slow_store;
 mod soak;
 mod store_feeds;
+mod store_returns;
 mod stream_resume;
 mod support;
 mod term_begin;
