Revisions and leases of the store know their era

Callers saw: a version of the configuration that the store had acknowledged was not in force at most instances for more than 2 s (404 for a new route, an old service), and requests reached an upstream 2.1 s after its leaving was acknowledged.

Cause: the store may return from an older copy, and then gives out revisions and lease ids again. The code compared bare numbers: the holder's updates with a lower number were dropped as duplicates, a value written again at a lower number was ignored, a watch from a number that was given out again missed what lay between, and a renewal could be another lease's. Class: an identifier that is unique only within an incarnation of its issuer, compared across incarnations.

Change: StoreRevision and LeaseId are types that carry the era; the client of the store makes them from the header of each answer. A revision of a later era is newer. A change of era ends watches and listings in progress; a renewal across it extends nothing; a write that names a revision or a lease of another era is a conflict. Other instances get the era with each revision, packed into the same fields. The fencing number holds both, so it grows over returns. A term goes on only if the key is still its own, under its lease; a successor waits out the gap between two holders. Entries that are missing count as removed two seconds after a return, and the store's answers prove no configuration for as long or until the operator has written again.

--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -209,10 +209,14 @@
         let Ok(WriteAnswer::Written(revision)) = answer else {
             return false;
         };
-        *lock(&self.stored) = StoredNames {
-            revision,
-            half_full: names,
-        };
+        let mut stored = lock(&self.stored);
+        // The watch may have returned a later state meanwhile.
+        if revision > stored.revision {
+            *stored = StoredNames {
+                revision,
+                half_full: names,
+            };
+        }
         true
     }
 
--- a/crates/instance/src/feed_log.rs
+++ b/crates/instance/src/feed_log.rs
@@ -61,7 +61,7 @@
     /// Applies a full listing. Only the differences count as changed, so that unchanged values are
     /// not sent again.
     fn apply_snapshot(&mut self, listing: &Listing) {
-        if self.to == 0 {
+        if self.to.is_none() {
             self.removals_complete_since = listing.revision;
         } else if self.to < listing.revision {
             self.unseen_spans.push_back((self.to, listing.revision));
@@ -124,14 +124,15 @@
             return None;
         }
         let is_inside = |(begin, end): &(_, _)| *begin < known && known < *end;
-        let is_complete = known == 0
+        let is_complete = known.is_none()
             || known < self.removals_complete_since
             || self.unseen_spans.iter().any(is_inside);
-        let from_revision = if is_complete { 0 } else { known };
-        let values = self
-            .values
-            .values()
-            .filter(|value| value.revision > from_revision);
+        let from = if is_complete {
+            StoreRevision::NONE
+        } else {
+            known
+        };
+        let values = self.values.values().filter(|value| value.revision > from);
         let mut values: Vec<StoreValue> = values
             .map(|value| self.encode_value(value, known))
             .collect();
@@ -139,15 +140,15 @@
             let removals = self.removals.iter().filter(|(at, _)| *at > known);
             values.extend(removals.map(|(revision, key)| StoreValue {
                 key: key.clone(),
-                revision: *revision,
+                revision: revision.packed(),
                 ..StoreValue::default()
             }));
             values.sort_by_key(|value| value.revision);
         }
         Some(Updates {
             feed: u32::try_from(feed).unwrap_or(u32::MAX),
-            from_revision,
-            to_revision: self.to,
+            from_revision: from.packed(),
+            to_revision: self.to.packed(),
             values,
             ..Updates::default()
         })
@@ -157,8 +158,8 @@
     pub fn gap_marker(&self, feed: usize) -> Updates {
         Updates {
             feed: u32::try_from(feed).unwrap_or(u32::MAX),
-            from_revision: self.to,
-            to_revision: self.to,
+            from_revision: self.to.packed(),
+            to_revision: self.to.packed(),
             ..Updates::default()
         }
     }
@@ -168,7 +169,7 @@
         let plain = StoreValue {
             key: value.key.clone(),
             value: Some(value.value.clone()),
-            revision: value.revision,
+            revision: value.revision.packed(),
             ..StoreValue::default()
         };
         if value.value.len() < MIN_COMPRESSED_BYTES {
@@ -180,7 +181,7 @@
             Ok(compressed) => StoreValue {
                 value: Some(compressed.into()),
                 uncompressed_bytes: value.value.len() as u64,
-                base_revision: base.map_or(0, |base| base.revision),
+                base_revision: base.map_or(0, |base| base.revision.packed()),
                 ..plain
             },
             Err(error) => {
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -11,8 +11,9 @@
 use crate::shared::Shared;
 use crate::updates::{self, FeedUpdate};
 use crossbeam::channel::Sender;
+use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
-    Listing, SharedStore, StoreChange, StoreError, StoreRevision, WatchAnswer,
+    Listing, SharedStore, StoreChange, StoreEra, StoreError, StoreRevision, WatchAnswer,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -71,6 +72,8 @@
     fn confirmed(&mut self, _asked_at: Instant) {}
     /// Does what is due by time alone.
     fn tick(&mut self) {}
+    /// Notes that the store has returned from an older copy, before what the copy holds is applied.
+    fn store_returned(&mut self) {}
     /// Finishes a batch of changes. Returns the delay before the next query.
     fn finish_batch(&mut self) -> Duration;
     /// Whether to list all values instead of watching for the missed changes: a watch returns every
@@ -283,12 +286,12 @@
 
     /// Applies an update from the holder, unless there is a gap before it.
     fn apply_relayed(&mut self, update: FeedUpdate) {
-        let known = self.known.unwrap_or(0);
+        let known = self.known.unwrap_or_default();
         match &update {
             FeedUpdate::Snapshot(listing) if listing.revision < known => return,
             FeedUpdate::Changes { to, .. } if *to <= known => return,
             FeedUpdate::Changes { from, .. } if *from > known => {
-                log::info!(prefix = self.prefix, from = *from, known = known; "a gap in the updates from the holder");
+                log::info!(prefix = self.prefix, from:% = from, known:% = known; "a gap in the updates from the holder");
                 self.has_gap = true;
                 self.receiver.report_gap(update.to());
                 return;
@@ -303,11 +306,22 @@
         self.feed.finish_batch();
     }
 
+    /// Notes that the store has returned from an older copy, if the era is later than the known one.
+    fn note_era(&mut self, era: StoreEra) {
+        if self.known.is_none_or(|known| known.era() >= era) {
+            return;
+        }
+        log::info!(target: DECISION_TARGET, prefix = self.prefix, era = era; "the store has returned from an older copy");
+        self.feed.shared().store_health.record_return();
+        self.feed.store_returned();
+    }
+
     fn apply(&mut self, update: FeedUpdate, source: Source) {
         if self.receiver.feed == Some(CONFIGURATION_FEED) && update.value_count() > 0 {
-            log::info!(source:? = source, known = self.known, to = update.to(), bytes = update.size_bytes(); "received a configuration");
+            log::info!(source:? = source, known:% = self.known.unwrap_or_default(), to:% = update.to(), bytes = update.size_bytes(); "received a configuration");
         }
         self.has_gap = false;
+        self.note_era(update.to().era());
         self.receiver.record_applied(&update, update.to());
         let update = match update {
             FeedUpdate::Snapshot(listing) => {
--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -12,6 +12,10 @@
 /// If the last two versions arrived within this time, more of them may have been missed.
 const VERSION_BURST_WINDOW: Duration = Duration::from_secs(5);
 
+/// After the store has returned from an older copy, operators write again what it has lost within
+/// this time.
+const REWRITE_DURATION: Duration = Duration::from_secs(2);
+
 /// The metric label under which unknown halls are counted.
 const UNKNOWN_HALL_LABEL: &str = "hall";
 
@@ -25,6 +29,9 @@
     last_versions_at: [Option<Instant>; 2],
     /// Halls that operators have emptied.
     emptied_halls: BTreeSet<DataHall>,
+    /// Until when the store may lack a version that operators had written before it returned from
+    /// an older copy, so that its answers prove nothing.
+    unproven_until: Option<Instant>,
 }
 
 impl ConfigurationFeed {
@@ -35,6 +42,7 @@
             directory,
             last_versions_at: [None; 2],
             emptied_halls: BTreeSet::new(),
+            unproven_until: None,
         }
     }
 
@@ -57,15 +65,17 @@
         self.shared.notify_upstreams_changed();
     }
 
-    fn apply_configuration(&self, value: &StoredValue) {
+    fn apply_configuration(&mut self, value: &StoredValue) {
         match self.directory.decode_configuration(value) {
             Ok(Some(table)) => {
                 let known = self.shared.routes.load();
+                let known_version = known.as_ref().map(|known| known.version);
+                if known_version.is_none_or(|known| table.version >= known) {
+                    // Operators have written what the store had lost.
+                    self.unproven_until = None;
+                }
                 // An older version never replaces a newer one.
-                if known
-                    .as_ref()
-                    .is_some_and(|known| known.version >= table.version)
-                {
+                if known_version.is_some_and(|known| known >= table.version) {
                     return;
                 }
                 log::info!(target: DECISION_TARGET, version = table.version; "configuration in force");
@@ -116,7 +126,14 @@
         true
     }
 
+    fn store_returned(&mut self) {
+        self.unproven_until = Some(clock::now() + REWRITE_DURATION);
+    }
+
     fn confirmed(&mut self, asked_at: Instant) {
+        if self.unproven_until.is_some_and(|until| asked_at < until) {
+            return;
+        }
         // An unusable version counts as not written: the last usable one stays in effect.
         if let Some(table) = &*self.shared.routes.load() {
             let age = &self.shared.configuration_age;
--- a/crates/instance/src/health.rs
+++ b/crates/instance/src/health.rs
@@ -55,6 +55,11 @@
         self.is_failing.store(true, Ordering::Release);
     }
 
+    /// Records that the store has returned from an older copy.
+    pub fn record_return(&self) {
+        self.outages().record_return(clock::now());
+    }
+
     /// When the upstream of an entry that is missing now counts as removed.
     pub fn missing_entry_expires_at(&self, now: Instant) -> Instant {
         self.outages().removal_at(now)
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -28,7 +28,7 @@
 use passway_serving::leadership::Candidate;
 use passway_serving::placement::{Action, Planner, RunningRequests, Waiters};
 use passway_serving::poison::UpstreamStart;
-use passway_serving::ports::{Engines, OrderAnswer};
+use passway_serving::ports::{Engines, OrderAnswer, StoreRevision};
 use passway_serving::retry::InstanceCount;
 use passway_serving::upstreams::ModelRef;
 use passway_types::clock;
@@ -272,7 +272,10 @@
         if let Some((name, address)) = member.clone() {
             self.candidates.add(name, address, subscribe.has_low_cpu);
         }
-        let known = |feed| subscribe.known_revisions.get(feed).copied().unwrap_or(0);
+        let known = |feed| {
+            let packed = subscribe.known_revisions.get(feed).copied();
+            StoreRevision::from_packed(packed.unwrap_or_default())
+        };
         let sent = std::array::from_fn(known);
         self.subscribers.add(number, member, sent);
         self.send_term(number);
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -13,11 +13,12 @@
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::leadership::{
-    Candidate, EngineAccess, Holder, Leadership, LeadershipSettings, PromiseRefusal, RecentHolders,
-    Step,
+    Candidate, EngineAccess, Holder, Leadership, LeadershipSettings, ListedLeadership,
+    PromiseRefusal, RecentHolders, Step,
 };
 use passway_serving::ports::{
-    ConditionalWrite, LeaseId, Listing, SharedStore, StoreChange, StoreError, StoredValue,
+    ConditionalWrite, LeaseId, Listing, RenewalAnswer, SharedStore, StoreChange, StoreError,
+    StoreRevision, StoredValue,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -67,7 +68,7 @@
     Some(Holder {
         instance: instance.into(),
         address: address.parse().ok()?,
-        fence: value.revision,
+        fence: value.revision.fence(),
     })
 }
 
@@ -322,7 +323,7 @@
                     drop(leadership);
                     let answer = store.renew_lease_with_timeout(lease, timeout);
                     self.record_store_latency(&answer, now);
-                    if answer == Ok(true) {
+                    if answer.is_ok_and(|answer| answer != RenewalAnswer::Ended) {
                         shared.store_health.record_answer();
                     }
                     self.leadership().handle_renewal(answer, now, clock::now());
@@ -370,7 +371,7 @@
         recent_holders_write(recent),
         ConditionalWrite {
             key: HOLDER_KEY.to_owned(),
-            expected: 0,
+            expected: StoreRevision::NONE,
             value: Some(encode_holder(shared)),
             lease: Some(lease),
         },
@@ -389,7 +390,7 @@
 
 fn end_lease(store: &dyn SharedStore, lease: LeaseId) {
     if store.end_lease(lease).is_err() {
-        log::debug!(lease = lease; "cannot end a lease; the lease expires by itself");
+        log::debug!(lease = lease.number; "cannot end a lease; the lease expires by itself");
     }
 }
 
@@ -404,19 +405,32 @@
     }
 
     fn apply_listing(&mut self, listing: &Listing) {
+        let era = listing.revision.era();
+        // A key that this era does not have is known to be missing in it.
+        let missing = (StoreRevision::new(era, 0), &[][..]);
         let find = |key| listing.values.iter().find(|value| value.key == key);
-        let holder = find(HOLDER_KEY).and_then(decode_holder);
-        let recent = find(RECENT_KEY).map(decode_recent).unwrap_or_default();
         let refused = find(poison::KEY).map(|value| (value.revision, &*value.value));
-        let (revision, value) = refused.unwrap_or_default();
+        let (revision, value) = refused.unwrap_or(missing);
         self.shared.poison.apply_stored(revision, value);
         let half_full = find(allotments::KEY).map(|value| (value.revision, &*value.value));
-        let (revision, value) = half_full.unwrap_or_default();
+        let (revision, value) = half_full.unwrap_or(missing);
         self.shared.allotments.apply_stored(revision, value);
-        self.leadership.update(|leadership| {
-            leadership.observe_recent(recent);
-            leadership.observe_holder(holder);
-        });
+        let key = find(HOLDER_KEY);
+        let listed = ListedLeadership {
+            era,
+            holder: key.and_then(decode_holder),
+            key: key.and_then(|key| Some((key.revision, key.lease?))),
+            recent: find(RECENT_KEY).map_or_else(
+                || RecentHolders {
+                    revision: StoreRevision::new(era, 0),
+                    ..RecentHolders::default()
+                },
+                decode_recent,
+            ),
+        };
+        let now = clock::now();
+        self.leadership
+            .update(|leadership| leadership.observe_listing(&listed, now));
     }
 
     fn apply_change(&mut self, change: &StoreChange) -> bool {
@@ -439,7 +453,8 @@
                 allotments.apply_stored(value.revision, &value.value);
             }
             StoreChange::Removed { key, .. } if key == allotments::KEY => {
-                self.shared.allotments.apply_stored(0, &[]);
+                let missing = StoreRevision::new(change.revision().era(), 0);
+                self.shared.allotments.apply_stored(missing, &[]);
             }
             StoreChange::Removed { key, .. } if key == poison::KEY => {
                 for suspect in self.shared.poison.clear_stored() {
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -356,7 +356,11 @@
                     let answer = store.write(std::slice::from_ref(&write));
                     if let (Ok(WriteAnswer::Written(revision)), Some(value)) = (answer, write.value)
                     {
-                        *lock(&poison.stored) = StoredList { revision, value };
+                        let mut stored = lock(&poison.stored);
+                        // The watch may have returned a later state meanwhile.
+                        if revision > stored.revision {
+                            *stored = StoredList { revision, value };
+                        }
                     }
                     // The pause collects further reports of a crash into one write. After a failed
                     // write, the watch returns the stored list meanwhile, or the store recovers.
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -181,12 +181,16 @@
         self.state().holder_clock_origin = None;
     }
 
-    /// The known revision of each feed; 0 for a feed that must be sent in full.
+    /// The known revision of each feed; none for a feed that must be sent in full.
     pub fn known_revisions(&self) -> [StoreRevision; FEED_COUNT] {
         let state = self.state();
         std::array::from_fn(|feed| {
             let has_gap = state.gap_until[feed].is_some();
-            if has_gap { 0 } else { state.known[feed] }
+            if has_gap {
+                StoreRevision::NONE
+            } else {
+                state.known[feed]
+            }
         })
     }
 
@@ -203,7 +207,7 @@
         if message.to_revision == 0 || feed >= FEED_COUNT {
             return;
         }
-        let to = message.to_revision;
+        let to = StoreRevision::from_packed(message.to_revision);
         match state.bases[feed].decode(message) {
             Ok(update) => {
                 let previous = state.pending[feed].take();
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -13,6 +13,7 @@
 use passway_process::queue;
 use passway_serving::leadership::{Candidate, Holder};
 use passway_serving::poison::{Suspect, UpstreamStart};
+use passway_serving::ports::StoreRevision;
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -364,13 +365,13 @@
             return;
         }
         let known = self.relay.known_revisions();
-        let reads_store = known.contains(&0) && !self.relay.needs_resend();
+        let reads_store = known.contains(&StoreRevision::NONE) && !self.relay.needs_resend();
         if reads_store && !self.shared.store_health.is_failing() {
             // The store answers soon, which saves the holder sending everything.
             return;
         }
         outbox.send(Body::Subscribe(Subscribe {
-            known_revisions: known.to_vec(),
+            known_revisions: known.iter().map(|known| known.packed()).collect(),
             instance: self.shared.settings.instance.to_string(),
             address: self.shared.settings.peer_address.to_string(),
             has_low_cpu: self.leadership.has_low_cpu(),
--- a/crates/instance/src/updates.rs
+++ b/crates/instance/src/updates.rs
@@ -146,7 +146,8 @@
     }
 
     fn retain_value(&mut self, value: &StoredValue) {
-        let newest = self.newest(&value.key).map_or(0, |known| known.revision);
+        let newest = self.newest(&value.key).map(|known| known.revision);
+        let newest = newest.unwrap_or_default();
         if value.value.len() < MIN_COMPRESSED_BYTES || value.revision <= newest {
             return;
         }
@@ -179,14 +180,14 @@
         let changes = changes?;
         let update = if message.from_revision > 0 {
             FeedUpdate::Changes {
-                from: message.from_revision,
-                to: message.to_revision,
+                from: StoreRevision::from_packed(message.from_revision),
+                to: StoreRevision::from_packed(message.to_revision),
                 changes,
             }
         } else {
             FeedUpdate::Snapshot(Listing {
                 values: apply_changes(Vec::new(), changes),
-                revision: message.to_revision,
+                revision: StoreRevision::from_packed(message.to_revision),
             })
         };
         self.record(&update);
@@ -194,7 +195,8 @@
     }
 
     fn decode_change(&self, received: StoreValue) -> Result<StoreChange> {
-        let (key, revision) = (received.key, received.revision);
+        let key = received.key;
+        let revision = StoreRevision::from_packed(received.revision);
         let Some(mut value) = received.value else {
             return Ok(StoreChange::Removed { key, revision });
         };
@@ -204,7 +206,7 @@
                 return Ok(StoreChange::Written(known.clone()));
             }
             let base = self
-                .at_revision(&key, received.base_revision)
+                .at_revision(&key, StoreRevision::from_packed(received.base_revision))
                 .map(|known| &*known.value);
             let plain_bytes = usize::try_from(received.uncompressed_bytes)?;
             let plain = compression::decompress(&value, base, plain_bytes);
@@ -216,6 +218,7 @@
             key,
             value,
             revision,
+            lease: None,
         }))
     }
 }
--- a/crates/serving/src/leadership.rs
+++ b/crates/serving/src/leadership.rs
@@ -3,7 +3,12 @@
 //! A key under a lease in the store names the holder. The instance that has written the key may
 //! give orders until the lease expires by its own monotonic clock. The expiry counts from the time
 //! before the lease was requested or renewed, so a holder that was paused or cut off stops before
-//! a successor can begin. The store's revision of the key is the fencing number, which only grows.
+//! a successor can begin. The store's revision of the key, with its era, is the fencing number, which
+//! only grows.
+//!
+//! The store may return from a copy that lacks the key or the lease. A term then goes on only if the
+//! key is still there under its lease; otherwise a successor waits until the previous holder must
+//! have stopped by its own clock.
 //!
 //! A second key, without a lease, lists the recent holders. An instance that finds itself on this
 //! list waits before it gives orders again, so that two holders do not alternate at one engine.
@@ -20,12 +25,13 @@
 mod records;
 mod store_latency;
 
-use crate::ports::{LeaseId, StoreError, WriteAnswer};
+use crate::ports::{LeaseId, RenewalAnswer, StoreEra, StoreError, StoreRevision, WriteAnswer};
 use passway_types::prelude::*;
 use promises::Promises;
 pub use promises::{PROMISE_DURATION, PromiseRefusal};
 pub use records::{
-    Candidate, EndCause, EngineAccess, Holder, LeadershipSettings, RecentHolders, Step, TermEnd,
+    Candidate, EndCause, EngineAccess, Holder, LeadershipSettings, ListedLeadership, RecentHolders,
+    Step, TermEnd,
 };
 use store_latency::StoreLatency;
 
@@ -64,12 +70,16 @@
 #[derive(Debug, Clone, Copy)]
 struct Term {
     lease: LeaseId,
+    /// The revision of the key as this instance wrote it.
+    key_revision: StoreRevision,
     fence: Fence,
     /// The earliest time at which this instance may give orders.
     begin_at: Instant,
     /// When the lease expires, less [`EXPIRY_MARGIN`].
     expires_at: Instant,
     renew_at: Instant,
+    /// When the last renewal that the store answered was sent.
+    renewed_at: Instant,
     /// Consecutive renewals that the store did not answer or refused.
     unanswered_renewals: u32,
     /// The earliest time for the next write of the candidate list.
@@ -128,6 +138,10 @@
     stage: Stage,
     /// Whether the key has been read.
     is_key_known: bool,
+    /// The era in which the key was last listed.
+    era: StoreEra,
+    /// When this instance learned that the store has returned from an older copy.
+    store_returned_at: Option<Instant>,
     holder: Option<Holder>,
     /// The highest fencing number seen so far. Holders with a lower one are superseded.
     highest_fence: Fence,
@@ -166,6 +180,8 @@
             lease_ttl: settings.min_lease_ttl,
             stage: Stage::Watching,
             is_key_known: false,
+            era: 0,
+            store_returned_at: None,
             holder: None,
             highest_fence: 0,
             recent: RecentHolders::default(),
@@ -248,6 +264,44 @@
         self.holder = holder;
     }
 
+    /// Records what a listing of the store in an era shows: the holder, the lease of its key, and the
+    /// recent holders.
+    ///
+    /// In a later era than before the key may be an older one, and leases may be gone. A term of this
+    /// instance goes on only if the key is still the one that this instance wrote, under the same
+    /// lease.
+    pub fn observe_listing(&mut self, listed: &ListedLeadership, now: Instant) {
+        let has_returned = self.is_key_known && listed.era > self.era;
+        self.era = self.era.max(listed.era);
+        let ordered_last = self.ordered_last;
+        self.observe_recent(listed.recent.clone());
+        self.observe_holder(listed.holder.clone());
+        if !has_returned {
+            return;
+        }
+        self.store_returned_at = Some(now);
+        match &mut self.stage {
+            Stage::Holding(term) if listed.shows(&self.own_id, term) => term.lease.era = listed.era,
+            Stage::Holding(term) => {
+                let term = *term;
+                // No instance has given orders since if the return is too recent for that.
+                self.ordered_last =
+                    ordered_last && now < term.renewed_at + self.settings.holder_gap;
+                self.end_term(&term, EndCause::StoreReturned, now);
+            }
+            Stage::Granted(granted) => self.stage = Stage::EndingLease(granted.lease),
+            _ => {}
+        }
+    }
+
+    /// Whether another instance may still give orders by a lease from before the store returned.
+    fn has_returned_recently(&self, now: Instant) -> bool {
+        let until = self
+            .store_returned_at
+            .map(|at| at + self.settings.holder_gap);
+        until.is_some_and(|until| now < until) && !self.ordered_last
+    }
+
     /// Records that another instance claims the leadership while the store does not answer.
     /// Returns whether the holder is new. The claim only determines which holder this instance
     /// follows; it takes the leadership itself only on the store's answer.
@@ -360,7 +414,7 @@
         if self.settings.has_low_cpu {
             delay += LOW_CPU_DELAY;
         }
-        if self.must_wait_for_gap(now) {
+        if self.must_wait_for_gap(now) || self.has_returned_recently(now) {
             delay += RECENT_HOLDER_DELAY;
         }
         if !self.is_candidate() {
@@ -385,7 +439,7 @@
             self.settings.holder_gap
         };
         self.stage = Stage::Granted(GrantedLease {
-            begins_after_gap: self.must_wait_for_gap(now),
+            begins_after_gap: self.must_wait_for_gap(now) || self.has_returned_recently(now),
             announce_for,
             ..granted
         });
@@ -475,7 +529,7 @@
             return None;
         };
         let lease = granted.lease;
-        let Ok(WriteAnswer::Written(fence)) = *answer else {
+        let Ok(WriteAnswer::Written(key_revision)) = *answer else {
             // An unanswered write may still take effect; ending the lease then removes the key.
             self.ordered_last = false;
             self.stage = Stage::EndingLease(lease);
@@ -491,16 +545,19 @@
         if !self.previous_candidates.is_empty() {
             begin_at = begin_at.max(self.prior_promise_until);
         }
+        let fence = key_revision.fence();
         self.highest_fence = self.highest_fence.max(fence);
         self.promises = Promises::default();
         self.stage = Stage::Holding(Term {
             lease,
+            key_revision,
             fence,
             begin_at,
             unanswered_renewals: 0,
             next_list_write_at: now + LIST_WRITE_INTERVAL / 2,
             expires_at: granted.sent_at + self.lease_ttl.saturating_sub(EXPIRY_MARGIN),
             renew_at: now + self.lease_ttl.mul_f64(RENEW_AT_RATIO),
+            renewed_at: granted.sent_at,
         });
         Some(fence)
     }
@@ -508,7 +565,7 @@
     /// Handles the answer to [`Step::RenewLease`], which was sent at `sent_at`.
     pub fn handle_renewal(
         &mut self,
-        answer: Result<bool, StoreError>,
+        answer: Result<RenewalAnswer, StoreError>,
         sent_at: Instant,
         now: Instant,
     ) {
@@ -516,16 +573,19 @@
             return;
         };
         match answer {
-            Ok(true) => {
+            Ok(RenewalAnswer::Renewed) => {
+                term.renewed_at = sent_at;
                 term.expires_at = sent_at + self.lease_ttl.saturating_sub(EXPIRY_MARGIN);
                 term.renew_at = sent_at + self.lease_ttl.mul_f64(RENEW_AT_RATIO);
                 term.unanswered_renewals = 0;
                 self.promises.clear_departures();
             }
-            Ok(false) => {
+            Ok(RenewalAnswer::Ended) => {
                 self.end_term(&term, EndCause::LeaseGone, now);
                 return;
             }
+            // The next listing shows whether the key is still this instance's.
+            Ok(RenewalAnswer::OtherEra) => term.renew_at = now + RETRY_DELAY,
             Err(_) => {
                 term.renew_at = now + RETRY_DELAY;
                 term.unanswered_renewals += 1;
--- a/crates/serving/src/leadership/records.rs
+++ b/crates/serving/src/leadership/records.rs
@@ -1,6 +1,7 @@
 //! What the store holds about the leadership, and the calls that are made to it.
 
-use crate::ports::{LeaseId, StoreRevision};
+use super::Term;
+use crate::ports::{LeaseId, StoreEra, StoreRevision};
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -11,7 +12,7 @@
     pub instance: InstanceId,
     /// Where the holder listens for other instances.
     pub address: SocketAddr,
-    /// The store's revision of the key, used as the fencing number.
+    /// The store's revision of the key with its era, used as the fencing number.
     pub fence: Fence,
 }
 
@@ -31,10 +32,37 @@
     pub names: Vec<InstanceId>,
     /// The instances that may take the key at once; any instance if this is empty.
     pub candidates: Vec<Candidate>,
-    /// The store's revision of this key; 0 if it was never written.
+    /// The store's revision of this key; its number is 0 if the key does not exist.
     pub revision: StoreRevision,
 }
 
+/// What a listing of the store shows of the leadership.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListedLeadership {
+    /// The era of the listing.
+    pub era: StoreEra,
+    /// The holder.
+    pub holder: Option<Holder>,
+    /// The revision of the holder's key and the lease with which the key expires.
+    pub key: Option<(StoreRevision, LeaseId)>,
+    /// The recent holders and the candidates.
+    pub recent: RecentHolders,
+}
+
+impl ListedLeadership {
+    /// Whether the listed key is the one that an instance wrote for its term, in whatever era.
+    pub(super) fn shows(&self, instance: &InstanceId, term: &Term) -> bool {
+        let is_own = self
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.instance == *instance);
+        let is_same_key = self.key.is_some_and(|(revision, lease)| {
+            revision.number() == term.key_revision.number() && lease.number == term.lease.number
+        });
+        is_own && is_same_key
+    }
+}
+
 /// Settings of an instance's leadership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeadershipSettings {
@@ -85,6 +113,8 @@
     Succeeded,
     /// This instance reached no engine while another instance did.
     CutOff,
+    /// The store has returned from an older copy without the key of this term.
+    StoreReturned,
 }
 
 /// How a term ended that was not released.
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -16,10 +16,7 @@
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
-/// The id of a lease in the store.
-pub type LeaseId = u64;
-/// A revision of the store; it grows with each change.
-pub type StoreRevision = u64;
+pub use crate::store_revision::{LeaseId, StoreEra, StoreRevision};
 
 /// A value in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,6 +27,8 @@
     pub value: Bytes,
     /// The revision of the last write.
     pub revision: StoreRevision,
+    /// The lease with which the key expires.
+    pub lease: Option<LeaseId>,
 }
 
 /// All values under a prefix.
@@ -83,7 +82,8 @@
         /// The revision after which to continue the watch.
         revision: StoreRevision,
     },
-    /// The store no longer has the history after that revision: list again.
+    /// The store no longer has the history after that revision, or has returned from an older copy
+    /// since: list again.
     HistoryCompacted,
 }
 
@@ -101,7 +101,7 @@
 pub struct ConditionalWrite {
     /// The key.
     pub key: String,
-    /// The revision that the key must have; 0 if the key must be absent.
+    /// The revision that the key must have; none if the key must be absent.
     pub expected: StoreRevision,
     /// The new value; `None` removes the key.
     pub value: Option<Vec<u8>>,
@@ -120,6 +120,18 @@
     LeaseEnded,
 }
 
+/// The answer to a renewal of a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RenewalAnswer {
+    /// The lease was renewed.
+    Renewed,
+    /// The lease has ended.
+    Ended,
+    /// The store has returned from an older copy since the lease was granted, so that its id may
+    /// be another lease's.
+    OtherEra,
+}
+
 /// Timeout for the renewal of a lease of 1.2 s: a renewal that is lost can be retried in time.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -154,11 +166,11 @@
     /// If the store does not answer or refuses.
     fn grant_lease(&self, time_to_live: Duration) -> Result<LeaseId, StoreError>;
 
-    /// Renews a lease. Returns false if it has ended.
+    /// Renews a lease.
     ///
     /// # Errors
     /// If the store does not answer or refuses.
-    fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError> {
+    fn renew_lease(&self, lease: LeaseId) -> Result<RenewalAnswer, StoreError> {
         self.renew_lease_with_timeout(lease, RENEWAL_TIMEOUT)
     }
 
@@ -170,9 +182,9 @@
         &self,
         lease: LeaseId,
         timeout: Duration,
-    ) -> Result<bool, StoreError>;
+    ) -> Result<RenewalAnswer, StoreError>;
 
-    /// Ends a lease and removes its keys.
+    /// Ends a lease and removes its keys. Does nothing for a lease of an earlier era.
     ///
     /// # Errors
     /// If the store does not answer or refuses.
--- a/crates/serving/src/store_outages.rs
+++ b/crates/serving/src/store_outages.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Records that the store has returned from an older copy, in which entries may be missing that
+    /// living upstreams write again.
+    pub fn record_return(&mut self, now: Instant) {
+        self.returned_at = Some(now);
+    }
+
     /// When a missing entry means that its upstream is removed: now, or after the time that it
     /// needs to restore the entry.
     pub fn removal_at(&self, now: Instant) -> Instant {
