The soak returns the store from an older copy

A fault 'return': the store returns from a copy of up to three seconds ago; the operator and the engines write again what it lacks.

--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -7,7 +7,7 @@
 use crate::platform::process::{InstanceProcess, Output, ProcessConfig};
 use crate::platform::proxy::{Proxy, ProxyFaults};
 use crate::platform::raw::{RawServer, Received, Step};
-use crate::platform::store::{Faults as StoreFaults, MetadataStandIn};
+use crate::platform::store::{Faults as StoreFaults, MetadataStandIn, StoreCopy};
 use anyhow::{Result, ensure};
 use passway_types::prelude::*;
 use rustix::process::Signal;
@@ -142,6 +142,7 @@
     version: AtomicU64,
     /// Versions whose keys were revoked, with the time at which the store had accepted the revocation.
     revoked_keys: Mutex<BTreeMap<u64, Instant>>,
+    publishing: Mutex<()>,
     is_stopped: Arc<AtomicBool>,
 }
 
@@ -226,6 +227,7 @@
             engines,
             version: AtomicU64::new(1),
             revoked_keys: Mutex::default(),
+            publishing: Mutex::default(),
             is_stopped: Arc::default(),
         };
         cluster.replace_crashed();
@@ -250,7 +252,24 @@
     /// Writes the next version of the configuration to the store. It adds a route, by which callers
     /// detect that the version is in effect, introduces an API key and revokes an old one.
     pub fn publish_next_version(&self) {
+        let _publishing = self.lock_publishing();
         let version = self.version() + 1;
+        self.publish_version(version);
+        let mut revoked_keys = self.revoked_keys();
+        revoked_keys.insert(version.saturating_sub(2), Instant::now());
+        drop(revoked_keys);
+        // Callers use the new version from now on, even if an instance doesn't know it yet.
+        self.version.store(version, Ordering::Release);
+    }
+
+    /// While this is held, the operator writes nothing else.
+    fn lock_publishing(&self) -> MutexGuard<'_, ()> {
+        self.publishing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn publish_version(&self, version: u64) {
         let mut document = configuration(version, &MODELS);
         let template = document["routes"][0].clone();
         if let Some(routes) = document["routes"].as_array_mut() {
@@ -263,11 +282,6 @@
             }
         }
         self.store.put("op/config", &with_keys(version, document));
-        let mut revoked_keys = self.revoked_keys();
-        revoked_keys.insert(version.saturating_sub(2), Instant::now());
-        drop(revoked_keys);
-        // Callers use the new version from now on, even if an instance doesn't know it yet.
-        self.version.store(version, Ordering::Release);
     }
 
     /// Returns the versions whose keys were revoked, each with the time at which the store had
@@ -277,6 +291,22 @@
         revoked_keys.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the store from a copy. The operator and the engines write again what the copy lacks,
+    /// and entries of engines that have been replaced since are gone.
+    pub fn return_store(&self, copy: &StoreCopy) {
+        let _publishing = self.lock_publishing();
+        let engines = self.engines();
+        self.store.return_from(copy);
+        for engine in &engines {
+            if engine.server.has_crashed() {
+                self.store.remove(&format!("servers/{}", engine.server.id));
+            } else {
+                engine.server.publish_entry("ready");
+            }
+        }
+        self.publish_version(self.version());
+    }
+
     /// Waits until all instances are ready; returns false after a timeout of 2 min.
     pub fn wait_until_ready(&self) -> bool {
         let deadline = Instant::now() + START_TIMEOUT;
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -16,6 +16,8 @@
 const MAX_STOPPED_MS: u64 = 2_500;
 /// Maximum time from an engine's announcement that it leaves to its restart, in milliseconds.
 const MAX_LEAVING_MS: u64 = 4_000;
+/// Maximum age of the copy that the store returns from, in milliseconds.
+const MAX_COPY_AGE_MS: u64 = 3_000;
 /// Maximum delay of the data that a proxy forwards, in milliseconds.
 const MAX_DELAY_MS: u64 = 200;
 
@@ -28,6 +30,8 @@
     Store,
     /// The store drops its history of changes.
     CompactHistory,
+    /// The store returns from a copy some seconds old.
+    StoreReturns,
     /// The proxy between one instance and the store refuses connections, is slow or drops data.
     StoreProxy,
     /// The connections between one instance and the store are closed.
@@ -59,10 +63,12 @@
 
 /// The faults to choose from. Engine faults appear several times, since each affects only one
 /// stream.
-const FAULTS: [Fault; 22] = [
+const FAULTS: [Fault; 24] = [
     Fault::ClearAll,
     Fault::Store,
     Fault::CompactHistory,
+    Fault::StoreReturns,
+    Fault::StoreReturns,
     Fault::StoreProxy,
     Fault::ResetStoreProxy,
     Fault::Kill,
@@ -91,6 +97,7 @@
             Self::ClearAll => "lift",
             Self::Store => "store",
             Self::CompactHistory => "forget history",
+            Self::StoreReturns => "return",
             Self::StoreProxy => "way",
             Self::ResetStoreProxy => "reset way",
             Self::Kill => "kill",
@@ -131,7 +138,7 @@
 
     /// Injects the next fault, then waits for a random time of at most `max_pause`. Stops and pauses
     /// of processes run in the background, concurrently with later faults.
-    pub fn inject_next(&mut self, cluster: &SoakCluster, max_pause: Duration) {
+    pub fn inject_next(&mut self, cluster: &Arc<SoakCluster>, max_pause: Duration) {
         let fault = *FAULTS.choose(&mut self.rng).unwrap_or(&Fault::ClearAll);
         *self.injected.entry(fault.name()).or_default() += 1;
         let instance = self.rng.random_range(0..cluster.instances.len());
@@ -142,6 +149,14 @@
             Fault::ClearAll => cluster.clear_faults(),
             Fault::Store => cluster.store.set_faults(self.random_store_faults()),
             Fault::CompactHistory => cluster.store.compact_history(),
+            Fault::StoreReturns => {
+                let age_ms = self.rng.random_range(100..MAX_COPY_AGE_MS);
+                let (cluster, copy) = (cluster.clone(), cluster.store.copy());
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(age_ms));
+                    cluster.return_store(&copy);
+                });
+            }
             Fault::StoreProxy => {
                 instance.record_disturbance();
                 instance.store_proxy.set_faults(self.random_proxy_faults());
