An older copy of the store proves no configuration

Callers saw nothing yet; a test of our own showed it.

Cause: what the copy holds was taken for what was written after the return.

Change: only a change that follows the copy ends the time in which the store's answers prove nothing.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -72,7 +72,7 @@
     fn confirmed(&mut self, _asked_at: Instant) {}
     /// Does what is due by time alone.
     fn tick(&mut self) {}
-    /// Notes that the store has returned from an older copy, before what the copy holds is applied.
+    /// Notes that the store has returned from an older copy, after what the copy holds was applied.
     fn store_returned(&mut self) {}
     /// Finishes a batch of changes. Returns the delay before the next query.
     fn finish_batch(&mut self) -> Duration;
@@ -306,14 +306,15 @@
         self.feed.finish_batch();
     }
 
-    /// Notes that the store has returned from an older copy, if the era is later than the known one.
-    fn note_era(&mut self, era: StoreEra) {
+    /// Records that the store has returned from an older copy, if the era is later than the known
+    /// one. Returns whether it has.
+    fn record_era(&mut self, era: StoreEra) -> bool {
         if self.known.is_none_or(|known| known.era() >= era) {
-            return;
+            return false;
         }
         log::info!(target: DECISION_TARGET, prefix = self.prefix, era = era; "the store has returned from an older copy");
         self.feed.shared().store_health.record_return();
-        self.feed.store_returned();
+        true
     }
 
     fn apply(&mut self, update: FeedUpdate, source: Source) {
@@ -321,7 +322,7 @@
             log::info!(source:? = source, known:% = self.known.unwrap_or_default(), to:% = update.to(), bytes = update.size_bytes(); "received a configuration");
         }
         self.has_gap = false;
-        self.note_era(update.to().era());
+        let has_returned = self.record_era(update.to().era());
         self.receiver.record_applied(&update, update.to());
         let update = match update {
             FeedUpdate::Snapshot(listing) => {
@@ -341,6 +342,9 @@
                 }
             }
         };
+        if has_returned {
+            self.feed.store_returned();
+        }
         if let Some(feed) = self.receiver.feed {
             // The channel closes only when the process exits.
             let _ = self.updates.send((feed, update));
--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -65,17 +65,15 @@
         self.shared.notify_upstreams_changed();
     }
 
-    fn apply_configuration(&mut self, value: &StoredValue) {
+    fn apply_configuration(&self, value: &StoredValue) {
         match self.directory.decode_configuration(value) {
             Ok(Some(table)) => {
                 let known = self.shared.routes.load();
-                let known_version = known.as_ref().map(|known| known.version);
-                if known_version.is_none_or(|known| table.version >= known) {
-                    // Operators have written what the store had lost.
-                    self.unproven_until = None;
-                }
                 // An older version never replaces a newer one.
-                if known_version.is_some_and(|known| known >= table.version) {
+                if known
+                    .as_ref()
+                    .is_some_and(|known| known.version >= table.version)
+                {
                     return;
                 }
                 log::info!(target: DECISION_TARGET, version = table.version; "configuration in force");
@@ -120,6 +118,8 @@
             };
             self.apply_emptied_halls();
         } else if let StoreChange::Written(value) = change {
+            // Operators have written again what the store had lost.
+            self.unproven_until = None;
             self.apply_configuration(value);
             self.last_versions_at = [Some(clock::now()), self.last_versions_at[0]];
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -85,6 +85,7 @@
 mod slow_renewals;
 mod slow_store;
 mod soak;
+mod store_eras;
 mod store_feeds;
 mod store_returns;
 mod stream_resume;
--- a/tests/all/workspace_revocation.rs
+++ b/tests/all/workspace_revocation.rs
@@ -128,3 +128,39 @@
         status_with_key(&other, "/read/", "id2").0 == 200
     });
 }
+
+/// Guards against a proof by a store that has returned from a copy older than the revocation.
+#[test]
+fn older_copy_proves_nothing() {
+    let store = store();
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let endpoint = store.serve_endpoint();
+    let instance = start_ready("one", endpoint.address(), BOUNDS);
+    assert_eq!(status_with_key(&instance, "/read/", "id1").0, 200);
+    let refusing = Faults {
+        error_status: Some(503),
+        ..Faults::default()
+    };
+    endpoint.set_faults(refusing);
+    // A watch from before that may still be answered.
+    std::thread::sleep(Duration::from_secs(1));
+    let copy = store.copy();
+    let revoked = keyed_configuration(2, &[workspace("alpha", &["another key"], 0.0)]);
+    store.put("op/config", &revoked);
+    let revoked_at = Instant::now();
+    until("the bound", || revoked_at.elapsed() > BOUND);
+    store.return_from(&copy);
+    endpoint.set_faults(Faults::default());
+    let returned_at = Instant::now();
+    while returned_at.elapsed() < BOUND {
+        assert_eq!(status_with_key(&instance, "/read/", "id2").0, 503);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    // The operator writes again what the copy lacks.
+    store.put("op/config", &revoked);
+    until("the second version", || {
+        instance.config_version() == Some(2)
+    });
+    assert_eq!(status_with_key(&instance, "/read/", "id3").0, 401);
+}
