--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`paths`]: whether this instance reaches upstreams at all, and which instance takes its
 //!   requests if not.
 //! * [`store_outages`]: when an upstream whose entry is missing counts as removed.
-//! * [`store_revision`]: revisions and leases of the store, which know their era.
+//! * [`revisions`]: revisions and leases of the store, which know their era.
 //! * [`leadership`]: which instance may send orders to engines, and when an instance takes the
 //!   leadership.
 //! * [`retry`]: this instance's share of the fleet's retry budget.
@@ -42,9 +42,9 @@
 pub mod poison;
 pub mod ports;
 pub mod retry;
+pub mod revisions;
 pub mod routes;
 pub mod signals;
 pub mod store_outages;
-pub mod store_revision;
 pub mod upstreams;
 pub mod workspaces;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -16,7 +16,7 @@
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
-pub use crate::store_revision::{LeaseId, StoreEra, StoreRevision};
+pub use crate::revisions::{LeaseId, StoreEra, StoreRevision};
 
 /// A value in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/tests/all/platform_words.rs
+++ b/tests/all/platform_words.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of the platform's headers, calls, fields and settings.
-const PLATFORM_NAMES: [&str; 20] = [
+const PLATFORM_NAMES: [&str; 21] = [
     "Response-Seal",
     "Not-Executed",
     "Token-Usage",
@@ -18,6 +18,7 @@
     "kv-range",
     "tls_key",
     "store_revision",
+    "Store-Era",
     "PASSWAY_BOOT",
     "load_model",
     "unload_model",
