A request that a peer held is not passed on a second time after its wait

Cause: a peer refuses a request whose model is nowhere only after it has waited for it; the second peer would wait again, and the caller would be held for seven tenths of its time before the same refusal.

One that may have run and may be repeated still goes on.

--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -41,6 +41,11 @@
         if matches!(self.origin, Origin::Peer(_)) || self.tried_peers.len() >= MAX_PEERS {
             return None;
         }
+        // The first instance may have refused the request only after it had waited for an upstream.
+        let has_waited = clock::now() >= self.wait_until(self.deadline_at);
+        if !self.tried_peers.is_empty() && !self.may_have_run && has_waited {
+            return None;
+        }
         let random = request_hash(&self.facts.id);
         let (paths, allowed) = (&self.shared.paths, &self.access.allowed_regions);
         paths.choose_peer(self.shared, allowed, &self.tried_peers, random)
