The bound on requests of other instances is enforced

Cause: the bound of 128 was announced in answers to queries and documented, but the entry for passed-on requests did not ask for admission, so the count stayed 0 and nothing was refused. Found on reading the change.

Change: the entry admits each request and refuses beyond the bound with 503.

Measured: passed_on_requests::bounded_at_each_peer; the 18 tests of cuts and passed-on requests pass.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::forward::{self, ConnectionReuse, Origin};
 use crate::http1::{self, BodyReader, Connection, HttpError, RequestHead};
+use crate::paths::PathMonitor;
 use crate::reply::{self, Refusal};
 use crate::shared::Shared;
 use crate::stop_signal::StopSignals;
@@ -111,6 +112,10 @@
         if let Ok(mut connection) = Connection::new(stream) {
             connection.unread(received);
             connection.set_stop_signals(self.stop_signals.clone());
+            let Some(_admission) = PathMonitor::admit_peer_request(&self.shared) else {
+                refuse_not_run(&self.shared, connection, "", "too many of other instances");
+                return;
+            };
             // The connection carries one request, and dropping it closes it.
             drop(serve_next(
                 &context,
--- a/crates/instance/src/paths.rs
+++ b/crates/instance/src/paths.rs
@@ -46,7 +46,7 @@
 const OFFER_TTL: Duration = Duration::from_millis(900);
 /// Maximum number of requests that an instance serves for others at the same time, so that they do
 /// not take all of its memory and time from its own callers.
-const MAX_PEER_REQUESTS: usize = 128;
+pub const MAX_PEER_REQUESTS: usize = 128;
 /// Asked by another instance, an instance that has connected to no upstream for this long checks its
 /// own paths, so that it can answer the next query.
 const MAX_PROOF_AGE: Duration = Duration::from_millis(150);
@@ -208,6 +208,7 @@
     }
 
     /// Admits a request of another instance; `None` if this one serves as many as it may.
+    #[must_use = "the request counts until the guard is dropped"]
     pub fn admit_peer_request(shared: &Arc<Shared>) -> Option<PeerRequestGuard> {
         let count = &shared.paths.peer_requests;
         let guard = PeerRequestGuard {
--- a/tests/all/passed_on_requests.rs
+++ b/tests/all/passed_on_requests.rs
@@ -4,12 +4,15 @@
 use crate::cluster::{self, Answer, Caller, fetch, list_plain, plain_server, request, until};
 use crate::cut_off_cluster::{Paths, PlayedPeer, start_behind};
 use passway_instance::Instance;
+use passway_instance::paths::MAX_PEER_REQUESTS;
 use passway_serving::halls::HallRegions;
 use passway_standins::platform::cut_path::PathState;
 use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer};
 use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
+use passway_wire::message::PeerRequest;
+use passway_wire::{Body, Link};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -222,6 +225,46 @@
     drop(pair.paths);
 }
 
+/// Guards against an instance that serves so many requests of others that its own callers get no
+/// room.
+#[test]
+fn bounded_at_each_peer() {
+    let store = cluster::store(&[]);
+    let slow = RawServer::start(|_| vec![Step::Pause(Duration::from_secs(30))]);
+    list_plain(&store, "p-0", slow.address, "ready");
+    let mut entry = passway_standins::platform::documents::plain_entry(slow.address);
+    entry["slots"] = 1_000.into();
+    store.put("servers/p-0", &entry);
+    let instance = cluster::start_ready("one", &store);
+    until("the holder", || instance.fence().is_some());
+    let address = instance.holder().expect("a holder").address;
+    let pass_on = |number: usize| {
+        let (link, reader) = Link::connect(address, Duration::from_secs(1)).expect("a link");
+        let announcement = PeerRequest {
+            instance: "two".into(),
+            config_version: 1,
+            remaining_ms: 8_000,
+            ..PeerRequest::default()
+        };
+        link.send(Body::PeerRequest(announcement)).expect("sent");
+        let (mut stream, _) = reader.into_parts();
+        let bytes = request("GET", "/read/", &format!("b-{number}"), "", "");
+        stream.write_all(&bytes).expect("sent");
+        stream
+    };
+    let held: Vec<_> = (0..MAX_PEER_REQUESTS).map(pass_on).collect();
+    until("all of them", || {
+        instance.in_progress() == MAX_PEER_REQUESTS
+    });
+    let mut refused = Caller::from_stream(pass_on(MAX_PEER_REQUESTS));
+    let answer = refused.receive().expect("an answer");
+    assert_eq!(answer.status, 503, "{}", answer.head);
+    assert_eq!(instance.in_progress(), MAX_PEER_REQUESTS);
+    drop(held);
+    until("the end of all", || instance.in_progress() == 0);
+    drop(pass_on(0));
+}
+
 /// Guards against requests that are counted as the caller's by both instances.
 #[test]
 fn counted_once() {
