Returns of the store in the simulation of the leadership; what it found

The simulated store keeps copies, is away for up to 2.5 s and returns from one as a new era: revisions and lease ids go back and are given out again, its conditions compare numbers only, and instances list it within 1.5 s. Clients answer as the adapter's does.

--- a/tests/all/leadership_faults.rs
+++ b/tests/all/leadership_faults.rs
@@ -5,7 +5,7 @@
 //! store is unavailable for all instances or for one, and its updates arrive late. Instances are
 //! paused, killed and restarted under the same name, or join the fleet. Announcements of holders
 //! arrive late. Candidates promise a holder whose store calls fail, whatever they observe of the
-//! store themselves. `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first
+//! store themselves. The store returns from older copies as new eras. `PASSWAY_FAULT_RUNS` sets the number of runs, `PASSWAY_FAULT_SEED` the first
 //! seed.
 
 mod checks;
@@ -13,13 +13,16 @@
 mod store;
 
 use crate::support::FaultRuns;
-use passway_serving::leadership::{Holder, Leadership, LeadershipSettings, RecentHolders, Step};
+use passway_serving::leadership::{
+    Holder, Leadership, LeadershipSettings, ListedLeadership, RecentHolders, Step,
+};
+use passway_serving::ports::StoreEra;
 use passway_types::prelude::*;
 use promise_messages::PromiseMessage;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
-use store::{Answer, Arriving, Request, Store};
+use store::{Answer, Arriving, Request, Store, StoreCopy};
 
 const DEFAULT_RUNS: u64 = 60;
 const INSTANCES: usize = 6;
@@ -29,6 +32,13 @@
 /// Faults occur until this time; afterwards an instance must become the holder again.
 const FAULTS_MS: u64 = 30_000;
 const END_MS: u64 = 46_000;
+/// Interval between two copies of the store, and how many are kept.
+const COPY_INTERVAL_MS: u64 = 400;
+const MAX_COPIES: usize = 10;
+/// Maximum time for which the store is away before it returns from a copy.
+const MAX_AWAY_MS: u64 = 2_500;
+/// Maximum time after the return until an instance lists the store again.
+const MAX_NOTICE_MS: u64 = 1_500;
 const SETTINGS: LeadershipSettings = LeadershipSettings {
     min_lease_ttl: Duration::from_millis(1_200),
     holder_gap: Duration::from_secs(3),
@@ -42,6 +52,8 @@
     /// Outages in which announcements of holders take seconds, and no process is asked to stop:
     /// the promises alone must prevent two holders.
     SlowAnnouncements,
+    /// The usual faults, and a store that returns from older copies.
+    StoreReturns,
     None,
 }
 
@@ -50,6 +62,9 @@
 enum Update {
     Holder(Option<Holder>),
     Recent(RecentHolders),
+    Listing(ListedLeadership),
+    /// The instance lists the store now.
+    Relist,
 }
 
 struct Instance {
@@ -73,6 +88,15 @@
     starts_at: u64,
     /// Until then neither calls nor updates get through.
     disconnected_until: u64,
+    /// The latest era in an answer or update of the store.
+    known_era: StoreEra,
+}
+
+impl Instance {
+    fn observe_listing(&mut self, listed: &ListedLeadership, now: Instant) {
+        self.known_era = self.known_era.max(listed.era);
+        self.leadership.observe_listing(listed, now);
+    }
 }
 
 struct World {
@@ -80,6 +104,8 @@
     started_at: Instant,
     now_ms: u64,
     store: Store,
+    /// Copies of the store, the oldest first, with the times at which they were made.
+    copies: VecDeque<(u64, StoreCopy)>,
     instances: Vec<Instance>,
     arriving: Vec<Arriving>,
     /// When each instance could last give an order, with its fencing number.
@@ -123,6 +149,7 @@
                 terminates_at: None,
                 starts_at: 0,
                 disconnected_until: 0,
+                known_era: 0,
             }
         };
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -138,6 +165,7 @@
             started_at,
             now_ms: 0,
             store: Store::default(),
+            copies: VecDeque::new(),
             instances,
             arriving: Vec::new(),
             last_order: BTreeMap::new(),
@@ -186,7 +214,7 @@
     }
 
     fn receive_updates(&mut self, number: usize) {
-        let now_ms = self.now_ms;
+        let (now, now_ms) = (self.now(), self.now_ms);
         let instance = &mut self.instances[number];
         while instance
             .updates
@@ -196,6 +224,10 @@
             match instance.updates.pop_front() {
                 Some((_, Update::Holder(holder))) => instance.leadership.observe_holder(holder),
                 Some((_, Update::Recent(recent))) => instance.leadership.observe_recent(recent),
+                Some((_, Update::Listing(listed))) => instance.observe_listing(&listed, now),
+                Some((_, Update::Relist)) => {
+                    instance.observe_listing(&self.store.listing(), now);
+                }
                 None => {}
             }
         }
@@ -313,6 +345,30 @@
         }
     }
 
+    /// Injects the usual faults, and a few returns of the store. A process that starts right after a
+    /// return cannot know of it, so none starts then.
+    fn inject_returns(&mut self) {
+        let now_ms = self.now_ms;
+        if now_ms.is_multiple_of(COPY_INTERVAL_MS) {
+            self.copies.push_back((now_ms, self.store.copy()));
+            if self.copies.len() > MAX_COPIES {
+                self.copies.pop_front();
+            }
+        }
+        let gap_ms = u64::try_from(SETTINGS.holder_gap.as_millis()).expect("a short gap");
+        let returned_at = self.store.returned_at;
+        let may_start = returned_at.is_none_or(|at| now_ms > at + MAX_NOTICE_MS + gap_ms);
+        let is_starting = self.instances.iter().any(|one| one.starts_at > now_ms);
+        if self.rng.random_bool(0.002) && !is_starting && !self.copies.is_empty() {
+            let index = self.rng.random_range(0..self.copies.len());
+            let (_, copy) = self.copies[index].clone();
+            let away_ms = self.rng.random_range(0..MAX_AWAY_MS);
+            self.return_store(&copy, away_ms);
+        } else if may_start {
+            self.inject_faults();
+        }
+    }
+
     /// Disconnects all instances but one from the store.
     fn disconnect_all_but(&mut self, index: usize, duration_ms: u64) {
         for (number, instance) in self.instances.iter_mut().enumerate() {
@@ -355,17 +411,13 @@
         instance.terminates_at = None;
         instance.starts_at = starts_at;
         instance.paused_until = 0;
+        instance.known_era = 0;
         // The first update is the complete state of the store when it is read.
-        let holder = self.store.holder.as_ref();
-        let holder = holder.map(|(name, revision, _)| holder_of(name, revision.fence()));
-        let recent = self.store.recent.clone();
+        let listed = self.store.listing();
         instance.updates.retain(|(at, _)| *at >= starts_at);
         instance
             .updates
-            .push_front((starts_at, Update::Holder(holder)));
-        instance
-            .updates
-            .push_front((starts_at, Update::Recent(recent)));
+            .push_front((starts_at, Update::Listing(listed)));
     }
 
     fn run(&mut self) {
@@ -374,6 +426,7 @@
                 if world.now_ms < FAULTS_MS {
                     match world.mix {
                         Mix::Usual => world.inject_faults(),
+                        Mix::StoreReturns => world.inject_returns(),
                         Mix::StoreOutages | Mix::SlowAnnouncements => world.inject_outages(),
                         Mix::None => {}
                     }
@@ -470,6 +523,13 @@
     run_all(Mix::StoreOutages);
 }
 
+/// Guards against two holders at a time, or a fencing number that does not grow, when the store
+/// loses the holder's key or lease, has those of an earlier holder, or gives them out again.
+#[test]
+fn one_holder_over_store_returns() {
+    run_all(Mix::StoreReturns);
+}
+
 #[test]
 fn one_holder_by_promises() {
     run_all(Mix::SlowAnnouncements);
