--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -114,7 +114,8 @@
         self.next_target.is_some()
     }
 
-    /// The same for the source of a stream.
+    /// Whether the source of a stream has been silent for longer than usual and another one can go
+    /// on.
     fn can_leave_silent_source(&mut self, source: AnswerSource<'_>) -> bool {
         match source {
             AnswerSource::Upstream(target) => self.can_leave_silent_upstream(target),
--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -24,9 +24,10 @@
 const MAX_PEERS: usize = 2;
 /// Time to connect to another instance; a round trip between halls takes about 3 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// How long after the deadline the other instance's last word is awaited.
+/// How long after the deadline the other instance's answer is awaited, since it may answer at the
+/// deadline.
 const LAST_ANSWER_DELAY: Duration = Duration::from_millis(150);
-/// Headers of a request that concern the caller's connection to this instance.
+/// Headers of a request that apply only to the caller's connection to this instance.
 const CALLER_CONNECTION_HEADERS: [&str; 1] = ["expect"];
 /// Statuses that promise that the request has not run and never will: Request Timeout, Misdirected
 /// Request, Too Many Requests and Service Unavailable.
--- a/crates/instance/src/paths.rs
+++ b/crates/instance/src/paths.rs
@@ -47,8 +47,8 @@
 /// Maximum number of requests that an instance serves for others at the same time, so that they do
 /// not take all of its memory and time from its own callers.
 pub const MAX_PEER_REQUESTS: usize = 128;
-/// Asked by another instance, an instance that has connected to no upstream for this long checks its
-/// own paths, so that it can answer the next query.
+/// A query from another instance starts a check if this one has connected to no upstream for this
+/// long, so that it can answer the next query.
 const MAX_PROOF_AGE: Duration = Duration::from_millis(150);
 /// A holder that is cut off for this long hands the leadership over: longer than a cut that is
 /// noticed by mistake, and short against the time for which no model would be loaded.
@@ -58,7 +58,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// What the other instances offer, and since when.
+/// The offers of other instances, and until when they may be used.
 #[derive(Debug, Default)]
 struct Offers {
     offers: Vec<PeerOffer>,
--- a/crates/serving/src/paths.rs
+++ b/crates/serving/src/paths.rs
@@ -9,6 +9,7 @@
 
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Number of upstreams that must be unreachable at the same time before the paths count as lost,
 /// unless fewer are known.
@@ -78,7 +79,7 @@
     /// The instance.
     pub instance: InstanceId,
     /// Where it listens for other instances.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Its data hall.
     pub hall: DataHall,
     /// Number of requests in progress there.
