A peer's refusal of a newer version is tested; a clearer log text

Cause: older_configuration_of_a_peer looked only at the announcement, not at the refusal that its name speaks of; 'too many of other instances' said of what only to those who knew.

Change: the test passes requests on to a real instance, by the version that it has and by a later one: 200 and 503, one arrival at the upstream. The log text and its row name requests. No logic changes.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -113,7 +113,12 @@
             connection.unread(received);
             connection.set_stop_signals(self.stop_signals.clone());
             let Some(_admission) = PathMonitor::admit_peer_request(&self.shared) else {
-                refuse_not_run(&self.shared, connection, "", "too many of other instances");
+                refuse_not_run(
+                    &self.shared,
+                    connection,
+                    "",
+                    "too many requests of other instances",
+                );
                 return;
             };
             // The connection carries one request, and dropping it closes it.
--- a/tests/all/passed_on_requests.rs
+++ b/tests/all/passed_on_requests.rs
@@ -237,20 +237,14 @@
     store.put("servers/p-0", &entry);
     let instance = cluster::start_ready("one", &store);
     until("the holder", || instance.fence().is_some());
-    let address = instance.holder().expect("a holder").address;
     let pass_on = |number: usize| {
-        let (link, reader) = Link::connect(address, Duration::from_secs(1)).expect("a link");
         let announcement = PeerRequest {
             instance: "two".into(),
             config_version: 1,
             remaining_ms: 8_000,
             ..PeerRequest::default()
         };
-        link.send(Body::PeerRequest(announcement)).expect("sent");
-        let (mut stream, _) = reader.into_parts();
-        let bytes = request("GET", "/read/", &format!("b-{number}"), "", "");
-        stream.write_all(&bytes).expect("sent");
-        stream
+        pass_on(&instance, announcement, &format!("b-{number}"))
     };
     let held: Vec<_> = (0..MAX_PEER_REQUESTS).map(pass_on).collect();
     until("all of them", || {
@@ -431,4 +425,34 @@
     assert_eq!(last.instance, "cut");
     assert!(last.remaining_ms <= 8_000, "{last:?}");
     drop(announcements);
+    // An instance refuses what another one has admitted by a version that it does not have.
+    let store = cluster::store(&[]);
+    let server = plain_server();
+    list_plain(&store, "p-0", server.address, "ready");
+    let instance = cluster::start_ready("one", &store);
+    until("the holder", || instance.fence().is_some());
+    for (config_version, status) in [(1, 200), (2, 503)] {
+        let announcement = PeerRequest {
+            instance: "cut".into(),
+            config_version,
+            remaining_ms: 8_000,
+            ..PeerRequest::default()
+        };
+        let mut caller = Caller::from_stream(pass_on(&instance, announcement, "older"));
+        let answer = caller.receive().expect("an answer");
+        assert_eq!(answer.status, status, "version {config_version}");
+    }
+    assert_eq!(server.received().len(), 1);
+}
+
+/// Passes a request on to an instance that is the holder, as another instance does.
+fn pass_on(instance: &Instance, announcement: PeerRequest, id: &str) -> TcpStream {
+    let address = instance.holder().expect("a holder").address;
+    let (link, reader) = Link::connect(address, Duration::from_secs(1)).expect("a link");
+    link.send(Body::PeerRequest(announcement)).expect("sent");
+    let (mut stream, _) = reader.into_parts();
+    stream
+        .write_all(&request("GET", "/read/", id, "", ""))
+        .expect("sent");
+    stream
 }
