Log how an answer announced its end

Cause: nothing in the logs told an answer without length and chunks from one whose last chunk its upstream had sent, the two hypotheses left for the broken answers that looked complete.

Change: 'request ended' has the key framing: length, chunks, empty or connection. No logic changes.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -25,7 +25,7 @@
 mod via_peer;
 mod waiting;
 
-use crate::http1::{Connection, RequestHead};
+use crate::http1::{AnnouncedEnd, Connection, RequestHead};
 use crate::metrics::RetryDecision;
 use crate::poison::ExclusivePermit;
 use crate::relay::millis_since;
@@ -148,6 +148,9 @@
     waited_ms: Option<u64>,
     /// Time until the first bytes of the answer were sent, in milliseconds.
     first_ms: Option<u64>,
+    /// How the last answer of an upstream or another instance announced its end; `None` without an
+    /// answer.
+    announced_end: Option<AnnouncedEnd>,
     /// The status sent to the caller; 0 if none.
     status: u16,
     /// How the request ended.
@@ -355,7 +358,8 @@
             runs = self.runs, status = request_log.status, end = request_log.end,
             waited_ms = request_log.waited_ms.unwrap_or(0), first_ms = request_log.first_ms.unwrap_or(0),
             took_ms = self.elapsed_ms(), config_version = version,
-            not_sent = request_log.not_sent, stopped_by = request_log.stopped_by;
+            not_sent = request_log.not_sent, stopped_by = request_log.stopped_by,
+            framing = request_log.announced_end.map_or("", AnnouncedEnd::name);
             "request ended");
     }
 
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -304,6 +304,7 @@
             return Attempt::Broken;
         };
         body.is_reusable &= request_whole;
+        self.request_log.announced_end = Some(body.announced_end);
         let is_success = (200..300).contains(&head.status);
         let is_encoded = head.headers.has("content-encoding");
         if is_success && (!facts.is_sealed || is_encoded || facts.id.is_none()) {
--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -31,10 +31,37 @@
     Done,
 }
 
+/// How the end of a message's body is announced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnnouncedEnd {
+    /// The body is empty by its head.
+    Empty,
+    /// By a length.
+    Length,
+    /// By the last chunk.
+    LastChunk,
+    /// Not at all: the body ends with its connection.
+    Connection,
+}
+
+impl AnnouncedEnd {
+    /// The name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length => "length",
+            Self::LastChunk => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// Decodes the body of one message.
 #[derive(Debug)]
 pub struct BodyReader {
     framing: Framing,
+    /// How the end of the body is announced.
+    pub announced_end: AnnouncedEnd,
     /// Bytes of the trailer that were skipped.
     trailer_bytes: usize,
     /// Whether the connection may carry another message after this body.
@@ -79,6 +106,18 @@
     Ok(true)
 }
 
+/// How a body announces its end that has this framing before its first byte.
+fn announced_end(framing: Framing) -> AnnouncedEnd {
+    match framing {
+        Framing::Done => AnnouncedEnd::Empty,
+        Framing::Length(_) => AnnouncedEnd::Length,
+        Framing::Connection => AnnouncedEnd::Connection,
+        Framing::Chunk(_) | Framing::ChunkEnd | Framing::ChunkHead | Framing::Trailer => {
+            AnnouncedEnd::LastChunk
+        }
+    }
+}
+
 impl BodyReader {
     /// The reader for the body of a request.
     ///
@@ -98,6 +137,7 @@
         };
         Ok(Self {
             framing,
+            announced_end: announced_end(framing),
             trailer_bytes: 0,
             is_reusable: true,
         })
@@ -122,6 +162,7 @@
         let says_close = head.headers.connection_contains("close");
         Ok(Self {
             framing,
+            announced_end: announced_end(framing),
             trailer_bytes: 0,
             is_reusable: head.is_1_1 && !says_close && framing != Framing::Connection,
         })
