Tests that fail: broken answers without length and chunks

Cause: an answer without length and chunks counts as complete however its connection ends, also when its upstream crashes. No stand-in sent such answers.

Change: the model server can send all answers so, and crash at the end of an event; a plain server that names itself and may lack a length; scripts can reset a connection.

Measured: 7 of 10 tests of unframed_answers fail: half a body with a length, streams of 2 and 3 of 5 events with the last chunk, a plain close over HTTP/1.0. The three with whole answers pass.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -5,6 +5,7 @@
 //! * [`cut_path`]: the network path from one instance to one upstream, which can be cut.
 //! * [`documents`]: a configuration, and store entries of servers that don't publish their own.
 //! * [`caller`]: an HTTP client that sends given bytes.
+//! * [`plain_server`]: a plain server whose answers may lack a length.
 //! * [`process`]: an instance as a separate process.
 //! * [`proxy`]: a TCP proxy whose connections can be delayed, reset and silenced.
 //! * [`raw`]: a server that sends scripted bytes.
@@ -14,6 +15,7 @@
 pub mod cut_path;
 pub mod documents;
 pub mod model_server;
+pub mod plain_server;
 pub mod process;
 pub mod proxy;
 pub mod raw;
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -17,8 +17,12 @@
 /// Faults that the server injects.
 #[derive(Debug, Clone, Default)]
 pub struct Faults {
-    /// Closes the connection of the next stream after this many events.
+    /// Closes the connection of the next stream after this many events, in the middle of an event.
     pub cut_after_events: Option<u64>,
+    /// Crashes in the next stream after this many events, at the end of an event.
+    pub crash_after_events: Option<u64>,
+    /// Sends all answers with neither a length nor chunks, and ends them by closing the connection.
+    pub is_unframed: bool,
     /// Sends nothing more in the next stream after this many events.
     pub silent_after_events: Option<u64>,
     /// Pauses the next stream for 2.5 s after this many events.
@@ -126,6 +130,20 @@
     vec![Step::Send(text.into_bytes())]
 }
 
+/// Removes the lengths from answers, which then end with their connection.
+fn without_length(steps: Vec<Step>) -> Vec<Step> {
+    let unframed = steps.into_iter().map(|step| match step {
+        Step::Send(bytes) => {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            let lines = text.split_inclusive("\r\n");
+            let kept = lines.filter(|line| !line.starts_with("Content-Length:"));
+            Step::Send(kept.collect::<String>().into_bytes())
+        }
+        other => other,
+    });
+    unframed.chain([Step::Close]).collect()
+}
+
 impl ModelServer {
     /// Starts a server that can hold `capacity` models and publishes its entry in the store.
     pub fn start(
@@ -283,16 +301,38 @@
         vec![Step::CloseAll]
     }
 
+    /// Crashes while it runs the request with this body: for good, or under a supervisor, which
+    /// restarts the server after a delay. Returns the step that closes all connections.
+    fn crash(&self, body: &[u8], restart_delay: Option<Duration>) -> Vec<Step> {
+        if let Some(delay) = restart_delay {
+            return self.restart(body, delay);
+        }
+        self.state().has_crashed = true;
+        vec![Step::Crash]
+    }
+
     fn answer(&self, received: &Received) -> Vec<Step> {
         if self.state().down_until.is_some() {
             return vec![Step::Close];
         }
+        let is_unframed = self.state().faults.is_unframed;
+        match self.framed_answer(received) {
+            Some(steps) if is_unframed => without_length(steps),
+            Some(steps) => steps,
+            None => self.stream(received),
+        }
+    }
+
+    /// Returns the answer to a request that is meant for another server or concerns orders; `None`
+    /// for a request for a stream.
+    fn framed_answer(&self, received: &Received) -> Option<Vec<Step>> {
         let id = received.header("request-id").unwrap_or_default().to_owned();
         if received
             .header("expect-instance")
             .is_some_and(|expected| expected != self.id)
         {
-            return answer(421, &id, "", &format!("Instance-Id: {}\r\n", self.id));
+            let named = format!("Instance-Id: {}\r\n", self.id);
+            return Some(answer(421, &id, "", &named));
         }
         if received.request_line().starts_with("GET /report ") {
             let mut state = self.state();
@@ -300,12 +340,10 @@
                 "born": started_at_ms(&state), "sequence": state.orders.len(), "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
             state.control_calls_at.push(Instant::now());
             let signals = signal_headers(&state);
-            return answer(200, &id, &report.to_string(), &signals);
+            return Some(answer(200, &id, &report.to_string(), &signals));
         }
-        if received.request_line().starts_with("POST /order ") {
-            return self.order(received, &id);
-        }
-        self.stream(received, &id)
+        let is_order = received.request_line().starts_with("POST /order ");
+        is_order.then(|| self.order(received, &id))
     }
 
     fn order(&self, received: &Received, id: &str) -> Vec<Step> {
@@ -359,7 +397,8 @@
         answer(202, id, "", &signals)
     }
 
-    fn stream(&self, received: &Received, id: &str) -> Vec<Step> {
+    fn stream(&self, received: &Received) -> Vec<Step> {
+        let id = received.header("request-id").unwrap_or_default();
         let model_ref = received.header("model").unwrap_or_default();
         let (model, adapter) = model_ref.split_once('/').unwrap_or((model_ref, ""));
         let mut state = self.state();
@@ -388,15 +427,15 @@
         state.executed_at.push(Instant::now());
         let prefix = state.faults.crash_on_prefix.as_deref();
         let crashes = prefix.is_some_and(|prefix| received.body.starts_with(prefix.as_bytes()));
-        if crashes && let Some(delay) = state.faults.restart_delay {
-            drop(state);
-            return self.restart(&received.body, delay);
-        }
         if crashes {
-            state.has_crashed = true;
-            return vec![Step::Crash];
+            let restart_delay = state.faults.restart_delay;
+            drop(state);
+            return self.crash(&received.body, restart_delay);
         }
         let cut_after = state.faults.cut_after_events.take();
+        let crash_after = state.faults.crash_after_events.take();
+        let is_unframed = state.faults.is_unframed;
+        let restart_delay = state.faults.restart_delay;
         let silent_after = state.faults.silent_after_events.take();
         let pause_after = state.faults.pause_after_events.take();
         let event_delay = state.faults.event_delay;
@@ -405,18 +444,27 @@
             .header("last-event-id")
             .and_then(|value| value.parse().ok());
         let resumed_from: u64 = resumed_from.unwrap_or(0);
+        let framing = if is_unframed {
+            ""
+        } else {
+            "Transfer-Encoding: chunked\r\n"
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\n{signals}Response-Seal: seal-{}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}Request-Id: {id}\r\n{signals}Response-Seal: seal-{}\r\n\r\n",
             self.id
         );
         let mut steps = vec![Step::Send(head.into_bytes())];
         for number in resumed_from + 1..=EVENTS {
             if cut_after.is_some_and(|count| number > count) {
-                // The stream breaks in the middle of an event.
-                steps.push(Step::Send(b"ff\r\nid: ".to_vec()));
+                let begun: &[u8] = if is_unframed { b"id: " } else { b"ff\r\nid: " };
+                steps.push(Step::Send(begun.to_vec()));
                 steps.push(Step::Close);
                 return steps;
             }
+            if crash_after.is_some_and(|count| number > count) {
+                steps.extend(self.crash(&received.body, restart_delay));
+                return steps;
+            }
             if silent_after.is_some_and(|count| number > count) {
                 steps.push(Step::Pause(Duration::from_secs(30)));
                 return steps;
@@ -428,10 +476,18 @@
                 steps.push(Step::Pause(event_delay));
             }
             let event = event(number);
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            steps.push(Step::Send(chunk.into_bytes()));
+            let bytes = if is_unframed {
+                event
+            } else {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            };
+            steps.push(Step::Send(bytes.into_bytes()));
         }
-        steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
+        steps.push(if is_unframed {
+            Step::Close
+        } else {
+            Step::Send(b"0\r\n\r\n".to_vec())
+        });
         steps
     }
 }
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -47,6 +47,8 @@
     Pause(Duration),
     /// Closes the request's connection.
     Close,
+    /// Resets the request's connection.
+    Reset,
     /// Crashes the server: closes its port, then all of its connections.
     Crash,
     /// Closes all connections of the server, but not its port: a supervisor keeps the port open when
@@ -190,6 +192,12 @@
                     Step::Send(bytes) => stream.write_all(&bytes)?,
                     Step::Pause(duration) => std::thread::sleep(duration),
                     Step::Close => return Ok(()),
+                    Step::Reset => {
+                        let linger = Some(Duration::ZERO);
+                        rustix::net::sockopt::set_socket_linger(&stream, linger)?;
+                        self.crash.unregister(connection);
+                        return Ok(());
+                    }
                     Step::Crash => self.crash(),
                     Step::CloseAll => self.crash.close_all(),
                 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -93,6 +93,7 @@
 mod term_begin;
 mod test_planner;
 mod unbounded_input;
+mod unframed_answers;
 mod upstream_choice;
 mod upstream_signals;
 mod waiting_requests;
