An answer that announces no end is complete only if its upstream is proved alive

Cause: BodyReader took any orderly end of a connection for the end of the body, where the head announces neither a length nor chunks; deliver_stream also passed on the beginning of an event, and deliver_whole wrote a length for half a body. Class: the absence of a sign of failure was taken for a proof of success.

Change: reading a body ends with a proof (announced end) or with 'connection closed', and whatever frames an answer as complete takes a proof. For a closed connection the start of the upstream must answer a query sent afterwards: engines by their report, plain upstreams by naming themselves to a query that is meant for no server, which needs no slot. A stream that ends inside an event is broken however it is framed. Without proof the attempt counts as broken. Log keys framing and proof, a line and two metrics for such answers.

endless_event asks the splitter for the bytes of the unfinished event, since nothing takes them out any more; its bound is the same.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -344,5 +344,6 @@
     if expect.is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) && !body.is_done() {
         http1::write_all(caller, b"HTTP/1.1 100 Continue\r\n\r\n", false, None, until)?;
     }
-    body.read_whole(caller, max_bytes, None, until)
+    let read = body.read_whole(caller, max_bytes, None, until)?;
+    Ok(read.bytes)
 }
--- a/crates/instance/src/events.rs
+++ b/crates/instance/src/events.rs
@@ -78,9 +78,9 @@
         self.last_id_text.as_deref()
     }
 
-    /// Bytes after the last complete event, for a stream that has ended regularly.
-    pub fn take_remainder(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
+    /// Bytes of an event that has begun and not ended.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
     }
 
     /// Drops an incomplete event of a stream that broke off.
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -4,7 +4,8 @@
 //!   admitted.
 //! * `waiting` waits for an upstream and chooses it.
 //! * `refusal` writes the answer when nothing more can be tried.
-//! * `attempt` and `exchange` are one attempt. `suspect` tracks whether the request crashes
+//! * `attempt` and `exchange` are one attempt. `completeness` proves that an answer is complete.
+//!   `suspect` tracks whether the request crashes
 //!   its upstreams. `limits` requests grants at limited upstreams. `send_permit` is the last
 //!   check before a request is sent.
 //! * `via_peer` passes a request on to another instance while this one is cut off from the
@@ -16,6 +17,7 @@
 
 mod access;
 mod attempt;
+mod completeness;
 mod destination;
 mod exchange;
 mod limits;
@@ -25,7 +27,7 @@
 mod via_peer;
 mod waiting;
 
-use crate::http1::{AnnouncedEnd, Connection, RequestHead};
+use crate::http1::{AnnouncedEnd, CompletenessProof, Connection, RequestHead};
 use crate::metrics::RetryDecision;
 use crate::poison::ExclusivePermit;
 use crate::relay::millis_since;
@@ -151,6 +153,8 @@
     /// How the last answer of an upstream or another instance announced its end; `None` without an
     /// answer.
     announced_end: Option<AnnouncedEnd>,
+    /// What proves that the delivered answer is complete.
+    proof: Option<CompletenessProof>,
     /// The status sent to the caller; 0 if none.
     status: u16,
     /// How the request ended.
@@ -359,7 +363,8 @@
             waited_ms = request_log.waited_ms.unwrap_or(0), first_ms = request_log.first_ms.unwrap_or(0),
             took_ms = self.elapsed_ms(), config_version = version,
             not_sent = request_log.not_sent, stopped_by = request_log.stopped_by,
-            framing = request_log.announced_end.map_or("", AnnouncedEnd::name);
+            framing = request_log.announced_end.map_or("", AnnouncedEnd::name),
+            proof = request_log.proof.map_or("", CompletenessProof::name);
             "request ended");
     }
 
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use super::ConnectionReuse;
 use super::access::Denial;
 use crate::events::EventSplitter;
-use crate::http1::AnswerHead;
+use crate::http1::{AnswerHead, CompletenessProof};
 use passway_serving::dispatch::RunId;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::upstreams::Outcome;
@@ -40,6 +40,7 @@
 pub(super) struct FailedAnswer {
     pub(super) head: AnswerHead,
     pub(super) body: Vec<u8>,
+    pub(super) proof: CompletenessProof,
 }
 
 /// What has been delivered to the caller, over all attempts.
--- /dev/null
+++ b/crates/instance/src/forward/completeness.rs
@@ -0,0 +1,82 @@
+//! What proves that an answer is complete, so that it may be framed as complete.
+//!
+//! | the answer announces | proof |
+//! | --- | --- |
+//! | a length, chunks, or an empty body | its announced end |
+//! | nothing, and an upstream closed its connection in order | that start of the upstream answers a query sent afterwards |
+//! | nothing, and its connection was reset or timed out | none |
+//! | nothing, and another instance sent it | none: instances always announce an end |
+//!
+//! A stream must not end inside an event besides. Without proof the attempt counts as broken: the
+//! request is resumed, repeated, or ends visibly as broken, as its kind allows.
+
+use super::exchange::AnswerSource;
+use super::{Forwarding, Target};
+use crate::http1::{BodyEnd, CompletenessProof};
+use crate::liveness::{self, Subject};
+use crate::relay::millis_since;
+use passway_process::logging::json::REQUEST_TARGET;
+use passway_types::clock;
+use passway_types::prelude::*;
+
+/// How long an answer without an announced end waits for its proof. A query takes a few milliseconds; an
+/// upstream that does not answer for this long may be silent for seconds.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Forwarding<'_> {
+    /// The proof that an answer which has ended is complete.
+    pub(super) fn prove_complete(
+        &self,
+        source: AnswerSource<'_>,
+        end: BodyEnd,
+    ) -> Option<CompletenessProof> {
+        match (end, source) {
+            (BodyEnd::Proved(proof), _) => Some(proof),
+            (BodyEnd::ConnectionClosed, AnswerSource::Upstream(target)) => {
+                self.ask_upstream(target)
+            }
+            (BodyEnd::ConnectionClosed, AnswerSource::Peer) => None,
+        }
+    }
+
+    /// The proof that a stream which has ended is complete. An event that has begun is dropped without
+    /// one.
+    pub(super) fn prove_stream_complete(
+        &mut self,
+        source: AnswerSource<'_>,
+        end: BodyEnd,
+    ) -> Option<CompletenessProof> {
+        if self.delivered.splitter.partial_bytes() > 0 {
+            self.delivered.splitter.drop_partial();
+            return None;
+        }
+        self.prove_complete(source, end)
+    }
+
+    /// Asks an upstream that has closed the connection of an answer whether it is still running.
+    fn ask_upstream(&self, target: &Target) -> Option<CompletenessProof> {
+        let table = self.shared.routes.load();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.services.get(&self.service));
+        let subject = Subject {
+            start: &target.start(),
+            address: target.address,
+            is_engine: self.is_engine,
+            health_path: service.and_then(|service| service.health_path.as_deref()),
+        };
+        let closed_at = clock::now();
+        let until = self.deadline_at.min(closed_at + PROOF_TIMEOUT);
+        let confirmed = liveness::confirm(self.shared, &subject, until);
+        let held = clock::since(closed_at);
+        let verdict = confirmed
+            .as_ref()
+            .map_or_else(|error| error.name(), |_| "live");
+        self.shared.metrics.unannounced_end(verdict, held);
+        log::info!(target: REQUEST_TARGET, request = self.facts.id, upstream:% = target.id,
+            verdict = verdict, held_ms = millis_since(closed_at, clock::now());
+            "an answer ended with its connection");
+        let live = confirmed.ok()?;
+        Some(CompletenessProof::of_live_upstream(&live))
+    }
+}
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -9,7 +9,8 @@
     Attempt, ConnectionReuse, FailedAnswer, Forwarding, NOT_TAKEN, Target, connection_reuse,
 };
 use crate::http1::{
-    self, AnswerHead, BodyPart, BodyReader, Connection, HttpError, WriteOutcome, encode_head,
+    self, AnswerHead, BodyPart, BodyReader, CompletenessProof, Connection, HttpError, ReadBody,
+    WriteOutcome, encode_head,
 };
 use crate::pool;
 use crate::relay;
@@ -323,29 +324,37 @@
             Some(self.caller),
             until,
         );
-        let bytes = match read {
-            Ok(bytes) => bytes,
+        if facts.not_run {
+            if matches!(read, Err(HttpError::WatchedClosed)) {
+                return Attempt::CallerGone;
+            }
+            // The head alone says that the request has not run.
+            self.return_to_pool(target, upstream, head, &body);
+            return self.handle_refusal(target, head, facts);
+        }
+        let ReadBody { bytes, end } = match read {
+            Ok(read) => read,
             Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
-            Err(HttpError::Stopping) if !facts.not_run => return Attempt::Stopping,
-            Err(HttpError::TimedOut) if !facts.not_run => return Attempt::TimedOut,
-            Err(_) if !facts.not_run => return Attempt::Broken,
-            Err(_) => Vec::new(),
+            Err(HttpError::Stopping) => return Attempt::Stopping,
+            Err(HttpError::TimedOut) => return Attempt::TimedOut,
+            Err(_) => return Attempt::Broken,
         };
         // An answer without a length is counted at its actual length, even beyond the bound.
         reservation.resize(bytes.len());
         self.return_to_pool(target, upstream, head, &body);
-        if facts.not_run {
-            return self.handle_refusal(target, head, facts);
-        }
-        if is_success {
-            return Attempt::Answered(self.deliver_whole(head, &bytes));
-        }
         if !facts.is_sealed {
             return Attempt::Broken;
         }
+        let Some(proof) = self.prove_complete(AnswerSource::Upstream(target), end) else {
+            return Attempt::Broken;
+        };
+        if is_success {
+            return Attempt::Answered(self.deliver_whole(head, &bytes, proof));
+        }
         Attempt::Failed(Box::new(FailedAnswer {
             head: head.clone(),
             body: bytes,
+            proof,
         }))
     }
 
@@ -442,7 +451,13 @@
     }
 
     /// Delivers a complete answer.
-    pub(super) fn deliver_whole(&mut self, head: &AnswerHead, body: &[u8]) -> ConnectionReuse {
+    pub(super) fn deliver_whole(
+        &mut self,
+        head: &AnswerHead,
+        body: &[u8],
+        proof: CompletenessProof,
+    ) -> ConnectionReuse {
+        self.request_log.proof = Some(proof);
         let mut headers = self.answer_headers(head);
         let is_bodyless = head.is_bodyless(&self.head.method);
         if !is_bodyless {
@@ -474,8 +489,9 @@
         let mut events = Vec::new();
         loop {
             let part = self.read_stream_part(source, &mut upstream, &mut body, &mut received);
-            let is_ended = match part {
-                Ok(part) => part == BodyPart::End,
+            let end = match part {
+                Ok(BodyPart::Bytes) => None,
+                Ok(BodyPart::End(end)) => Some(end),
                 Err(attempt) => return attempt,
             };
             if let AnswerSource::Upstream(target) = source {
@@ -491,10 +507,14 @@
                 self.delivered.splitter.drop_partial();
                 return Attempt::Broken;
             }
-            if is_ended {
-                events.extend(self.delivered.splitter.take_remainder());
-            }
-            let framed = self.frame_for_caller(std::mem::take(&mut opening), &events, is_ended);
+            let proof = match end {
+                Some(end) => match self.prove_stream_complete(source, end) {
+                    Some(proof) => Some(proof),
+                    None => return Attempt::Broken,
+                },
+                None => None,
+            };
+            let framed = self.frame_for_caller(std::mem::take(&mut opening), &events, proof);
             if !framed.is_empty() {
                 self.delivered.head_sent = true;
                 // Once the head is out, no other answer can be sent.
@@ -504,7 +524,8 @@
                     return Attempt::CallerGone;
                 }
             }
-            if is_ended {
+            if proof.is_some() {
+                self.request_log.proof = proof;
                 self.request_log.end = "answered";
                 if let AnswerSource::Upstream(target) = source {
                     self.return_to_pool(target, upstream, head, &body);
@@ -559,15 +580,20 @@
         }
     }
 
-    /// `opening` followed by `events`, framed for the caller.
-    fn frame_for_caller(&self, opening: Vec<u8>, events: &[u8], is_ended: bool) -> Vec<u8> {
+    /// `opening` followed by `events`, framed for the caller; with a proof, as the end of the stream.
+    fn frame_for_caller(
+        &self,
+        opening: Vec<u8>,
+        events: &[u8],
+        proof: Option<CompletenessProof>,
+    ) -> Vec<u8> {
         let mut framed = opening;
         if self.delivered.chunked && !events.is_empty() {
             framed.extend(reply::chunk(events));
         } else {
             framed.extend_from_slice(events);
         }
-        if is_ended && self.delivered.chunked {
+        if proof.is_some() && self.delivered.chunked {
             framed.extend_from_slice(reply::LAST_CHUNK);
         }
         framed
--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -29,7 +29,7 @@
             return ConnectionReuse::Close;
         }
         if let Some(failed) = failed {
-            return self.deliver_whole(&failed.head, &failed.body);
+            return self.deliver_whole(&failed.head, &failed.body, failed.proof);
         }
         let refused_for = self.refused_for();
         let has_permit = self
--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -8,7 +8,7 @@
 
 use super::exchange::{AnswerSource, MAX_BUFFERED_ANSWER_BYTES};
 use super::{Attempt, FailedAnswer, Forwarding, Origin, request_hash};
-use crate::http1::{self, AnswerHead, BodyReader, Connection, HttpError, encode_head};
+use crate::http1::{self, AnswerHead, BodyReader, Connection, HttpError, ReadBody, encode_head};
 use crate::metrics::PeerRequestOutcome;
 use crate::paths::PathMonitor;
 use crate::relay::millis;
@@ -153,19 +153,23 @@
         };
         let caller = Some(&mut *self.caller);
         let read = body.read_whole(&mut connection, MAX_BUFFERED_ANSWER_BYTES, caller, until);
-        let bytes = match read {
-            Ok(bytes) => bytes,
+        let ReadBody { bytes, end } = match read {
+            Ok(read) => read,
             Err(error) => return failed_read(&error),
         };
         // An answer without a length is counted at its actual length, even beyond the bound.
         reservation.resize(bytes.len());
         if facts.is_sealed {
+            let Some(proof) = self.prove_complete(AnswerSource::Peer, end) else {
+                return Attempt::Broken;
+            };
             return if is_success {
-                Attempt::Answered(self.deliver_whole(head, &bytes))
+                Attempt::Answered(self.deliver_whole(head, &bytes, proof))
             } else {
                 Attempt::Failed(Box::new(FailedAnswer {
                     head: head.clone(),
                     body: bytes,
+                    proof,
                 }))
             };
         }
--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -3,6 +3,7 @@
 use super::HttpError;
 use super::head::{AnswerHead, RequestHead};
 use super::socket::{Connection, read_more};
+use crate::liveness::LiveUpstream;
 use passway_serving::headers::Headers;
 use std::time::Instant;
 
@@ -68,13 +69,58 @@
     pub is_reusable: bool,
 }
 
+/// Proof that a body is complete. Whatever frames a body as complete for the next reader takes one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CompletenessProof(ProofKind);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProofKind {
+    AnnouncedEnd,
+    LiveUpstream,
+}
+
+impl CompletenessProof {
+    /// The proof that the start of an upstream that closed the connection in order was running after
+    /// that: it did not crash in the answer.
+    pub fn of_live_upstream(_: &LiveUpstream) -> Self {
+        Self(ProofKind::LiveUpstream)
+    }
+
+    /// The name for logs.
+    pub fn name(self) -> &'static str {
+        match self.0 {
+            ProofKind::AnnouncedEnd => "announced end",
+            ProofKind::LiveUpstream => "live upstream",
+        }
+    }
+}
+
+/// How a body ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// As its head or its last chunk announces.
+    Proved(CompletenessProof),
+    /// Its connection was closed in order, and nothing announces an end: the body may be complete or
+    /// broken off.
+    ConnectionClosed,
+}
+
 /// The result of reading one part of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyPart {
     /// Bytes were appended.
     Bytes,
-    /// The body has ended and is complete.
-    End,
+    /// The body has ended.
+    End(BodyEnd),
+}
+
+/// The bytes of a body that has ended.
+#[derive(Debug)]
+pub struct ReadBody {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// How the body ended.
+    pub end: BodyEnd,
 }
 
 fn single_length(headers: &Headers) -> Result<Option<u64>, HttpError> {
@@ -283,12 +329,12 @@
                 return Ok(BodyPart::Bytes);
             }
             if self.is_done() {
-                return Ok(BodyPart::End);
+                let proof = CompletenessProof(ProofKind::AnnouncedEnd);
+                return Ok(BodyPart::End(BodyEnd::Proved(proof)));
             }
             if !read_more(connection, watched.as_deref_mut(), until)? {
                 if self.framing == Framing::Connection {
-                    self.framing = Framing::Done;
-                    return Ok(BodyPart::End);
+                    return Ok(BodyPart::End(BodyEnd::ConnectionClosed));
                 }
                 return Err(HttpError::Closed);
             }
@@ -305,21 +351,20 @@
         max_bytes: usize,
         mut watched: Option<&mut Connection>,
         until: Instant,
-    ) -> Result<Vec<u8>, HttpError> {
-        let mut body = Vec::new();
+    ) -> Result<ReadBody, HttpError> {
+        let mut bytes = Vec::new();
         if let Framing::Length(length) = self.framing {
             // Growing by doubling would fragment the heap. Reserved memory that is never written
             // takes no physical memory.
             let length = usize::try_from(length).unwrap_or(usize::MAX);
-            body.reserve_exact(length.min(max_bytes));
+            bytes.reserve_exact(length.min(max_bytes));
         }
-        while self.read_part(connection, &mut body, watched.as_deref_mut(), until)?
-            == BodyPart::Bytes
-        {
-            if body.len() > max_bytes {
-                return Err(HttpError::TooLarge);
+        loop {
+            match self.read_part(connection, &mut bytes, watched.as_deref_mut(), until)? {
+                BodyPart::End(end) => return Ok(ReadBody { bytes, end }),
+                BodyPart::Bytes if bytes.len() > max_bytes => return Err(HttpError::TooLarge),
+                BodyPart::Bytes => {}
             }
         }
-        Ok(body)
     }
 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`signals`] applies and publishes the signals that upstreams send about themselves;
 //!   [`control`] sends orders and queries to engines; [`limits`] keeps limited upstreams within
 //!   their advertised rates; [`dispatch`] queries dispatchers for engines and answers such queries.
+//! * [`liveness`] asks upstreams whether they still run after a connection of theirs has ended.
 //! * [`poison`] detects requests that crash upstreams, publishes them and stores them.
 //! * [`freshness`] proves how recent the configuration is; [`allotments`] enforces the workspaces'
 //!   quotas; [`queries`] are datagram queries to other instances.
@@ -45,6 +46,7 @@
 pub mod leadership;
 pub mod lifecycle;
 pub mod limits;
+pub mod liveness;
 pub mod members;
 pub mod metrics;
 pub mod paths;
--- /dev/null
+++ b/crates/instance/src/liveness.rs
@@ -0,0 +1,136 @@
+//! Whether the start of an upstream that closed a connection, or broke it, is still running.
+//!
+//! Only an answer to a query that was sent afterwards shows that. A port that accepts connections does
+//! not: a supervisor keeps it open.
+
+use crate::control;
+use crate::http1::Connection;
+use crate::poison::REFUSAL_TIMEOUT;
+use crate::shared::Shared;
+use passway_serving::poison::UpstreamStart;
+use passway_serving::ports::Engines;
+use passway_types::clock;
+use passway_types::prelude::*;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+/// An upstream needs at least this long to restart. If one that does not report its start answers
+/// sooner under its id, it is the same start.
+const MIN_RESTART_DURATION: Duration = Duration::from_secs(1);
+/// Interval of queries without an answer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a report shows about a start of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The start is running.
+    Lives,
+    /// The start has terminated; a start at `before_ms` or later answers.
+    Ended {
+        /// In Unix milliseconds, by the engine's clock.
+        before_ms: u64,
+    },
+}
+
+/// The verdict on a start, given the start that a report names and the time since the connection ended.
+pub fn verdict(start: &UpstreamStart, reported_ms: u64, since_end: Duration) -> Option<Verdict> {
+    let known_ms = start.started_at_ms;
+    if reported_ms > known_ms {
+        return Some(Verdict::Ended {
+            before_ms: reported_ms,
+        });
+    }
+    let is_same_start =
+        reported_ms == known_ms && (known_ms > 0 || since_end < MIN_RESTART_DURATION);
+    is_same_start.then_some(Verdict::Lives)
+}
+
+/// Shows that a start of an upstream was running after one of its connections had ended. Only
+/// [`confirm`] makes one.
+#[derive(Debug)]
+pub struct LiveUpstream(());
+
+/// Why a start is not known to be running.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotConfirmed {
+    /// Another start has its address, or its port refuses connections.
+    Ended,
+    /// No query was answered.
+    Unknown,
+}
+
+impl NotConfirmed {
+    /// The name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// The upstream whose start is to be confirmed.
+#[derive(Debug)]
+pub struct Subject<'a> {
+    /// The start.
+    pub start: &'a UpstreamStart,
+    /// The address.
+    pub address: SocketAddr,
+    /// Whether the upstream answers queries for its state.
+    pub is_engine: bool,
+    /// The path of its health checks.
+    pub health_path: Option<&'a str>,
+}
+
+/// Asks the upstream, until `until`, whether the start is still running whose connection has just ended.
+///
+/// # Errors
+/// Why that is not known.
+pub fn confirm(
+    shared: &Shared,
+    subject: &Subject<'_>,
+    until: Instant,
+) -> Result<LiveUpstream, NotConfirmed> {
+    let engines = shared.engines().ok_or(NotConfirmed::Unknown)?;
+    let ended_at = clock::now();
+    loop {
+        // An upstream that has asked for a backoff is not called before the backoff ends.
+        if !control::is_backing_off(shared, &subject.start.upstream) {
+            match query(shared, &*engines, subject, ended_at) {
+                Some(Verdict::Lives) => return Ok(LiveUpstream(())),
+                Some(Verdict::Ended { .. }) => return Err(NotConfirmed::Ended),
+                None if refuses_connections(subject.address) => return Err(NotConfirmed::Ended),
+                None => {}
+            }
+        }
+        if clock::now() >= until {
+            return Err(NotConfirmed::Unknown);
+        }
+        std::thread::sleep(RETRY_INTERVAL);
+    }
+}
+
+fn query(
+    shared: &Shared,
+    engines: &dyn Engines,
+    subject: &Subject<'_>,
+    ended_at: Instant,
+) -> Option<Verdict> {
+    let start = subject.start;
+    if subject.is_engine {
+        let report = control::query_report(shared, engines, start, subject.address)?;
+        return verdict(start, report.started_at_ms, clock::since(ended_at));
+    }
+    let answered_by = engines.identify(subject.address, subject.health_path)?;
+    if answered_by != start.upstream {
+        let before_ms = start.started_at_ms + 1;
+        return Some(Verdict::Ended { before_ms });
+    }
+    verdict(start, start.started_at_ms, clock::since(ended_at))
+}
+
+/// Whether nothing listens at an address.
+pub fn refuses_connections(address: SocketAddr) -> bool {
+    Connection::connect(address, REFUSAL_TIMEOUT)
+        .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -102,6 +102,9 @@
     cause: &'static str,
 }
 
+/// What the upstream of an answer that ended with its connection may be found to be.
+const UNANNOUNCED_END_OUTCOMES: [&str; 3] = ["live", "ended", "unknown"];
+
 /// Largest number of workspaces that are counted by name, in order of arrival. Each has four
 /// counters of about 100 bytes. All others are counted together.
 const MAX_WORKSPACES: usize = 200;
@@ -147,6 +150,8 @@
     attempts: Family<OutcomeLabels, Counter>,
     retries: Family<RetryLabels, Counter>,
     passed_on: Family<OutcomeLabels, Counter>,
+    unannounced_ends: Family<OutcomeLabels, Counter>,
+    completeness_proof: Histogram,
     peer_requests: Family<StatusLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
     choices: Counter,
@@ -191,6 +196,8 @@
             attempts: Family::default(),
             retries: Family::default(),
             passed_on: Family::default(),
+            unannounced_ends: Family::default(),
+            completeness_proof: duration_histogram(),
             peer_requests: Family::default(),
             orders: Family::default(),
             choices: Counter::default(),
@@ -335,6 +342,17 @@
             let outcome = outcome.name();
             let _zero = self.passed_on.get_or_create(&OutcomeLabels { outcome });
         }
+        for outcome in UNANNOUNCED_END_OUTCOMES {
+            let _zero = self
+                .unannounced_ends
+                .get_or_create(&OutcomeLabels { outcome });
+        }
+        let unannounced = self.unannounced_ends.clone();
+        let help = "Answers that ended with their connection, by what their upstream then was";
+        registry.register("unannounced_ends", help, unannounced);
+        let proof = self.completeness_proof.clone();
+        let help = "Time for which such an answer waited for the proof that it is complete";
+        registry.register_with_unit("completeness_proof", help, Unit::Seconds, proof);
         let passed_on = self.passed_on.clone();
         let help =
             "Requests passed on to another instance while cut off from the upstreams, by outcome";
@@ -367,6 +385,15 @@
         self.retries.get_or_create(&RetryLabels { budget }).inc();
     }
 
+    /// Counts an answer that ended with its connection. `outcome` is what its upstream then was,
+    /// `held` how long the answer waited for that.
+    pub fn unannounced_end(&self, outcome: &'static str, held: Duration) {
+        self.unannounced_ends
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+        self.completeness_proof.observe(held.as_secs_f64());
+    }
+
     /// Counts a request that was passed on to another instance.
     pub fn passed_on(&self, outcome: PeerRequestOutcome) {
         let outcome = outcome.name();
--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -6,7 +6,7 @@
 //! the same when it disappears or names a later start.
 
 use crate::control;
-use crate::http1::Connection;
+use crate::liveness::{self, Verdict, verdict};
 use crate::poison::PoisonTracker;
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
@@ -15,7 +15,6 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -28,9 +27,6 @@
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Interval of queries of an engine that does not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
-/// An engine needs at least this long to restart. If an engine that does not report its start
-/// answers sooner, it did not crash.
-const MIN_RESTART_DURATION: Duration = Duration::from_secs(1);
 /// Maximum number of engines that are probed at the same time. The entries in the store show what
 /// happened to others.
 const MAX_PROBED_ENGINES: usize = 32;
@@ -64,28 +60,6 @@
     }
 }
 
-/// What a report shows about a start of an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
-    Lives,
-    /// The engine has terminated; a start at `before_ms` or later answers.
-    Ended {
-        before_ms: u64,
-    },
-}
-
-fn verdict(start: &UpstreamStart, reported_ms: u64, since_break: Duration) -> Option<Verdict> {
-    let known_ms = start.started_at_ms;
-    if reported_ms > known_ms {
-        return Some(Verdict::Ended {
-            before_ms: reported_ms,
-        });
-    }
-    let is_same_start =
-        reported_ms == known_ms && (known_ms > 0 || since_break < MIN_RESTART_DURATION);
-    is_same_start.then_some(Verdict::Lives)
-}
-
 /// Starts to probe an engine that broke off under a request.
 pub(super) fn start(
     shared: &Arc<Shared>,
@@ -112,9 +86,7 @@
 /// leaves, while other upstreams can be reached. A port may close a little later than its
 /// connections.
 fn refuses_connections(shared: &Shared, start: &UpstreamStart, address: SocketAddr) -> bool {
-    let is_refused = Connection::connect(address, REFUSAL_TIMEOUT)
-        .is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused);
-    is_refused
+    liveness::refuses_connections(address)
         && !shared.upstreams().is_draining(&start.upstream)
         && shared.paths.confirms_path(shared, &start.upstream)
 }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -372,6 +372,10 @@
     /// Sends an order.
     fn order(&self, address: SocketAddr, order: &EngineOrder) -> EngineResponse<OrderAnswer>;
 
+    /// Asks the process at an address which start of an upstream it is, without a slot and for any kind
+    /// of upstream. `None` without an answer that names one.
+    fn identify(&self, address: SocketAddr, health_path: Option<&str>) -> Option<UpstreamId>;
+
     /// Asks an engine for its state. The answer is `None` if there was none.
     fn report(
         &self,
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -198,6 +198,8 @@
     pub name: ServiceName,
     /// Maximum number of connections to an upstream from all instances together.
     pub max_connections: u32,
+    /// The path of its upstreams' health checks, if they have one.
+    pub health_path: Option<Arc<str>>,
     /// The rate limit of cold upstreams; `None` for no limit.
     pub cold_limit: Option<ColdLimit>,
     /// The common properties of the engines; `None` for a plain service.
--- a/crates/standins/src/bin/passway-config-memory.rs
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -239,6 +239,7 @@
     let service = Service {
         name: ENGINES.into(),
         max_connections: 96,
+        health_path: None,
         cold_limit: None,
         pool: Some(pool),
     };
--- a/crates/standins/src/fleet_model/size.rs
+++ b/crates/standins/src/fleet_model/size.rs
@@ -124,6 +124,7 @@
         let service = Service {
             name: Self::service(),
             max_connections: u32::MAX,
+            health_path: None,
             cold_limit: None,
             pool: Some(self.pool()),
         };
--- a/tests/all/unbounded_input.rs
+++ b/tests/all/unbounded_input.rs
@@ -61,7 +61,7 @@
         let _ = splitter.push(&chunk, &mut delivered);
     }
     assert!(delivered.is_empty());
-    let buffered = splitter.take_remainder().len();
+    let buffered = splitter.partial_bytes();
     assert!(
         buffered <= 2 << 20,
         "{buffered} bytes buffered of one event"
--- a/tests/all/unframed_answers.rs
+++ b/tests/all/unframed_answers.rs
@@ -25,7 +25,7 @@
 }
 
 /// Engines with the model. Those after the first answer soundly, and without framing.
-fn engines(first: Faults, count: usize) -> (MetadataStandIn, Instance) {
+fn engines(first: &Faults, count: usize) -> (MetadataStandIn, Instance) {
     let store = cluster::store(&["m0"]);
     for number in 0..count {
         let engine = ModelServer::start(&store, &format!("i-{number}"), "engines", 1, &["m0"], &[]);
@@ -68,12 +68,12 @@
 /// A stream that broke off after `events` events, on the route that may not be resumed and on the one
 /// that may.
 fn check_broken(faults: &Faults, events: u64) {
-    let (_store, instance) = engines(faults.clone(), 1);
+    let (_store, instance) = engines(faults, 1);
     let answer = stream(&instance, "report", "once");
     assert_eq!((answer.status, answer.is_complete), (200, false));
     assert_eq!(answer.body, (1..=events).map(event).collect::<String>());
     // Whichever of the two engines runs the stream first, no event is missing or repeated.
-    let (_store, instance) = engines(faults.clone(), 2);
+    let (_store, instance) = engines(faults, 2);
     for number in 0..4 {
         let answer = stream(&instance, "chat", &format!("resumed{number}"));
         assert_eq!((answer.status, answer.is_complete), (200, true));
@@ -130,7 +130,7 @@
 
 #[test]
 fn whole_streams_delivered() {
-    let (_store, instance) = engines(unframed(), 1);
+    let (_store, instance) = engines(&unframed(), 1);
     for route in ["chat", "report"] {
         let answer = stream(&instance, route, route);
         assert_eq!((answer.status, answer.is_complete), (200, true));
@@ -175,7 +175,7 @@
         ..unframed()
     };
     for (faults, is_whole) in [(unframed(), true), (crash, false)] {
-        let (_store, instance) = engines(faults, 1);
+        let (_store, instance) = engines(&faults, 1);
         let mut caller = Caller::connect(instance.callers_address());
         let head = "Host: shop.example\r\nRequest-Id: u\r\nModel: m0\r\nContent-Length: 0\r\n";
         caller.send(format!("POST /report/ HTTP/1.0\r\n{head}\r\n").as_bytes());
