The product's own platform: a body without an announced end counts as lost

The client of the product's own platform and its router took a body with neither a length nor chunks for whole at any end of its connection; a broken answer of a plain service could even be stored under a caller's key.

Change: such bodies count as lost. Streams there end with an event that says so, and are left. The users' platform's own calls may lack an announced end; their bodies prove themselves, as JSON objects of which no proper part decodes.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,6 +9,9 @@
 /// Maximum size of a response body; a larger one counts as [`CallError::Lost`].
 const MAX_RESPONSE_BYTES: u64 = 4 << 20;
 
+/// Maximum size of an answer of an upstream that is buffered whole.
+pub const MAX_ANSWER_BYTES: u64 = 10 << 20;
+
 /// Maximum number of idle connections of a client with keep-alive.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -65,8 +68,7 @@
         let version = response.headers().get(VERSION_HEADER);
         let version = version.and_then(|value| value.to_str().ok()?.parse().ok());
         let status = response.status().as_u16();
-        let reader = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES);
-        let body = reader.read_to_vec().map_err(|_| CallError::Lost)?;
+        let body = read_body(&mut response, MAX_RESPONSE_BYTES)?;
         Ok(Response {
             status,
             version,
@@ -75,6 +77,27 @@
     }
 }
 
+/// Reads the complete body of a response, at most `max_bytes`. A body whose end is not announced, by
+/// a length or chunks, may have been broken off and counts as lost.
+///
+/// # Errors
+/// [`CallError::Lost`] if the body is not known to be complete.
+pub fn read_body(
+    response: &mut ureq::http::Response<ureq::Body>,
+    max_bytes: u64,
+) -> Result<Vec<u8>, CallError> {
+    let headers = response.headers();
+    let is_empty_by_status = matches!(response.status().as_u16(), 204 | 304);
+    let has_announced_end = is_empty_by_status
+        || headers.contains_key("content-length")
+        || headers.contains_key("transfer-encoding");
+    if !has_announced_end {
+        return Err(CallError::Lost);
+    }
+    let reader = response.body_mut().with_config().limit(max_bytes);
+    reader.read_to_vec().map_err(|_| CallError::Lost)
+}
+
 /// Creates an agent without proxy and redirects that returns responses with error statuses as
 /// responses.
 ///
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::Receiver;
 use passway_decide::router::{Arrival, AttemptOutcome};
 use passway_http::{Body, Caller, Request, Response};
-use passway_platform::http::{CallError, agent, classify};
+use passway_platform::http::{CallError, MAX_ANSWER_BYTES, agent, classify, read_body};
 use passway_types::clock;
 use passway_types::prelude::*;
 use serde_json::Value;
@@ -145,7 +145,7 @@
             if self.is_streamed {
                 return Ok(self.stream_response(response));
             }
-            match response.body_mut().read_to_vec() {
+            match read_body(&mut response, MAX_ANSWER_BYTES) {
                 Ok(body) => return Ok(self.complete_response(body)),
                 Err(_) if clock::now() >= deadline_at => {
                     return Err(Refusal::new(ResultCode::AnswerLate, "no answer in time"));
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -6,7 +6,7 @@
 use passway_config::catalog::Service;
 use passway_decide::claim::{ClaimState, StoredAnswer};
 use passway_http::{Body, Request, Response};
-use passway_platform::http::{CallError, agent, classify};
+use passway_platform::http::{CallError, MAX_ANSWER_BYTES, agent, classify, read_body};
 use passway_types::clock;
 use passway_types::hash::stable_hash;
 use passway_types::prelude::*;
@@ -208,10 +208,7 @@
         .get("content-type")
         .and_then(|value| value.to_str().ok());
     let content_type = content_type.unwrap_or_default().to_owned();
-    let body = response
-        .body_mut()
-        .read_to_vec()
-        .map_err(|_| CallError::Lost)?;
+    let body = read_body(&mut response, MAX_ANSWER_BYTES)?;
     Ok(StoredAnswer {
         http_status: response.status().as_u16(),
         content_type,
--- /dev/null
+++ b/tests/all/announced_bodies.rs
@@ -0,0 +1,118 @@
+//! Answers to the instances' own calls: the store's, and the engines' reports.
+//!
+//! Guards against an answer that breaks off and is taken for a whole one. Whatever announces the end of
+//! the body, no proper part of one is accepted; a whole one is, also if nothing announces its end.
+
+use passway_platform::http::{CallError, Client};
+use passway_serving::ports::{Engines, SharedStore, StoreError, StoreRevision};
+use passway_standins::platform::raw::{RawServer, Step};
+use passway_types::prelude::*;
+use passway_users_platform::{MetadataStore, ServerControl};
+
+const LIST: &str = r#"{"items":[{"tls_key":"op/config","value":"bm9kZS0x","revision":4,"created":4,"lease":0}],"has_more":false,"store_revision":7}"#;
+const WATCH: &str =
+    r#"{"events":[{"tls_key":"op/config","revision":9,"tombstone":true}],"store_revision":9}"#;
+const REPORT: &str =
+    r#"{"models":[{"name":"m0","adapters":["a1"]}],"in_flight":false,"sequence":2,"born":12}"#;
+const LEASE: &str = r#"{"lease":771,"ttl_ms":3000}"#;
+
+/// How the answers of a server announce their end.
+#[derive(Debug, Clone, Copy)]
+enum Framing {
+    Length,
+    Chunks,
+    Connection,
+}
+
+/// A server that sends the first `sent` bytes of an answer with this body, and closes the connection.
+fn server(body: &'static str, framing: Framing, sent: usize) -> RawServer {
+    RawServer::start(move |_| {
+        let is_whole = sent == body.len();
+        let text = match framing {
+            Framing::Length => format!("Content-Length: {}\r\n\r\n{}", body.len(), &body[..sent]),
+            Framing::Chunks => {
+                let end = if is_whole { "\r\n0\r\n\r\n" } else { "" };
+                let length = body.len();
+                format!(
+                    "Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n{}{end}",
+                    &body[..sent]
+                )
+            }
+            Framing::Connection => format!("\r\n{}", &body[..sent]),
+        };
+        let text = format!("HTTP/1.1 200 OK\r\nConnection: close\r\n{text}");
+        vec![Step::Send(text.into_bytes()), Step::Close]
+    })
+}
+
+/// Calls a server that sends the whole body, and servers that break it off at each of several places.
+fn check(body: &'static str, is_accepted: impl Fn(&RawServer) -> bool) {
+    for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+        assert!(
+            is_accepted(&server(body, framing, body.len())),
+            "{framing:?}"
+        );
+        for sent in (0..body.len()).step_by(3).chain([body.len() - 1]) {
+            assert!(
+                !is_accepted(&server(body, framing, sent)),
+                "{framing:?}, {sent} bytes"
+            );
+        }
+    }
+}
+
+#[test]
+fn broken_lists() {
+    check(LIST, |server| {
+        MetadataStore::new(server.address).list("op/").is_ok()
+    });
+}
+
+#[test]
+fn broken_watches() {
+    let wait = Duration::from_millis(10);
+    check(WATCH, |server| {
+        let store = MetadataStore::new(server.address);
+        store.watch("op/", StoreRevision::NONE, wait).is_ok()
+    });
+}
+
+#[test]
+fn broken_leases() {
+    check(LEASE, |server| {
+        let store = MetadataStore::new(server.address);
+        let granted = store.grant_lease(Duration::from_secs(3));
+        assert!(granted.is_ok() || granted == Err(StoreError::Unknown));
+        granted.is_ok()
+    });
+}
+
+#[test]
+fn broken_reports() {
+    check(REPORT, |server| {
+        let report = ServerControl::default().report(&"i-0".into(), server.address);
+        report.answer.is_some()
+    });
+}
+
+/// The bodies that the product's own platform returns need not be JSON, so their end must be announced.
+#[test]
+fn unannounced_end_lost() {
+    let body = "0123456789";
+    for (framing, is_accepted) in [
+        (Framing::Length, true),
+        (Framing::Chunks, true),
+        (Framing::Connection, false),
+    ] {
+        let server = server(body, framing, body.len());
+        let client = Client::new(Duration::from_secs(5));
+        let answer = client.call("GET", &format!("http://{}/x", server.address), b"");
+        let body_bytes = answer.map(|answer| answer.body);
+        let expected = if is_accepted {
+            Ok(body.as_bytes().to_vec())
+        } else {
+            Err(CallError::Lost)
+        };
+        assert_eq!(body_bytes, expected, "{framing:?}");
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod allotment_begin;
 mod allotment_load;
+mod announced_bodies;
 mod backoff_strategies;
 mod bad_input;
 mod body_memory;
