Soak and peers: answers that announce no end, whole and broken

Cause: no stand-in sent answers with neither a length nor chunks, so no soak could see one that was broken off and framed as complete.

Change: in the soak a third of the engines and half of the disturbed ones send all answers so, reports included, and engines crash between events; plain servers send one of eight answers so, whole, and one broken off by a reset. The proxy resets connections where it closed them in order, and does not end a connection in order whose data it has dropped: either says of a cut answer that all of it has arrived. A peer's answer that announces no end is refused (test).

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -99,7 +99,8 @@
     /// The body of the request behind each restart; empty if the server left.
     restart_bodies: Vec<String>,
     down_until: Option<Instant>,
-    has_crashed: bool,
+    /// The body of the request behind the crash, once the server has crashed for good.
+    crash_body: Option<String>,
     faults: Faults,
 }
 
@@ -277,9 +278,14 @@
         self.state().restart_bodies.clone()
     }
 
+    /// Returns the body of the request behind the crash for good, if the server has crashed.
+    pub fn crash_body(&self) -> Option<String> {
+        self.state().crash_body.clone()
+    }
+
     /// Returns whether the server has crashed for good.
     pub fn has_crashed(&self) -> bool {
-        self.state().has_crashed
+        self.state().crash_body.is_some()
     }
 
     /// Takes the server down and brings it up again under the same id after `delay`. Returns the step
@@ -307,7 +313,7 @@
         if let Some(delay) = restart_delay {
             return self.restart(body, delay);
         }
-        self.state().has_crashed = true;
+        self.state().crash_body = Some(String::from_utf8_lossy(body).into_owned());
         vec![Step::Crash]
     }
 
--- a/crates/standins/src/platform/proxy.rs
+++ b/crates/standins/src/platform/proxy.rs
@@ -75,10 +75,10 @@
         self.state().faults = faults;
     }
 
-    /// Closes all open connections.
+    /// Resets all open connections.
     pub fn reset_connections(&self) {
         for sockets in std::mem::take(&mut self.state().open).values() {
-            close_sockets(sockets);
+            sockets.iter().for_each(reset_socket);
         }
     }
 
@@ -145,23 +145,42 @@
         std::thread::spawn(move || {
             let mut chunk = [0; CHUNK_BYTES];
             let mut is_silent = false;
-            while let Ok(count @ 1..) = from.read(&mut chunk) {
+            let is_reset = loop {
+                let count = match from.read(&mut chunk) {
+                    Ok(0) => break false,
+                    Ok(count) => count,
+                    Err(_) => break true,
+                };
                 let faults = proxy.state().faults;
                 std::thread::sleep(faults.delay);
                 is_silent |= is_dropped(&faults);
                 if !is_silent && to.write_all(&chunk[..count]).is_err() {
-                    break;
+                    break true;
                 }
-            }
+            };
             if is_from_target {
                 proxy.close_with_target();
             }
+            // An orderly end after dropped data would say that all data has arrived.
+            if is_silent && !is_reset {
+                return;
+            }
+            if is_reset {
+                reset_socket(&to);
+            }
             close_sockets(&[from, to]);
             proxy.state().open.remove(&connection_number);
         });
     }
 }
 
+/// Closes a connection with a reset, whoever else has the socket.
+fn reset_socket(socket: &TcpStream) {
+    // Fails if the socket is already closed, which is fine.
+    let _ = rustix::net::connect_unspec(socket);
+    let _ = socket.shutdown(Shutdown::Both);
+}
+
 fn close_sockets(sockets: &[TcpStream; 2]) {
     for socket in sockets {
         // Fails if the socket is already closed, which is fine.
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -7,7 +7,6 @@
 use super::workspace_checks;
 use crate::platform::caller::{Answer, fetch, request};
 use crate::platform::model_server::{EVENTS, event};
-use crate::platform::raw::RawServer;
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
 
@@ -76,9 +75,9 @@
 fn count_crashes(cluster: &SoakCluster) -> usize {
     let engines = cluster.engines().into_iter();
     let crashes = engines.map(|engine| {
-        let restarts = engine.server.restart_bodies();
-        let restarts = restarts.iter().filter(|body| body.starts_with(POISON));
-        usize::from(engine.server.has_crashed()) + restarts.count()
+        let bodies = engine.server.restart_bodies().into_iter();
+        let bodies = bodies.chain(engine.server.crash_body());
+        bodies.filter(|body| body.starts_with(POISON)).count()
     });
     crashes.sum()
 }
@@ -86,7 +85,7 @@
 /// Returns the number of executions of each request, over all servers.
 fn execution_counts(cluster: &SoakCluster) -> BTreeMap<String, usize> {
     let mut execution_counts: BTreeMap<String, usize> = BTreeMap::new();
-    let plain = cluster.plain_servers.iter().flat_map(RawServer::received);
+    let plain = cluster.plain_requests().into_iter();
     let plain = plain.filter(|received| !is_shed(received));
     let plain = plain.map(|received| received.header("request-id").unwrap_or_default().to_owned());
     let engines = cluster.engines().into_iter();
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -4,6 +4,7 @@
 use crate::platform::caller::HOST;
 use crate::platform::documents::{configuration, list_plain, with_workspaces, workspace};
 use crate::platform::model_server::{Faults as EngineFaults, InitialModels, ModelServer};
+use crate::platform::plain_server::{PlainAnswer, echo_steps, identity_steps};
 use crate::platform::process::{InstanceProcess, Output, ProcessConfig};
 use crate::platform::proxy::{Proxy, ProxyFaults};
 use crate::platform::raw::{RawServer, Received, Step};
@@ -137,7 +138,7 @@
     /// The instances.
     pub instances: Vec<Arc<SoakInstance>>,
     /// The plain servers.
-    pub plain_servers: Vec<RawServer>,
+    plain_servers: [(&'static str, RawServer); 2],
     engines: Arc<Mutex<Vec<Engine>>>,
     version: AtomicU64,
     /// Versions whose keys were revoked, with the time at which the store had accepted the revocation.
@@ -151,10 +152,14 @@
     received.number % 11 == 5
 }
 
-/// Starts a plain server that answers with the request's id. It sheds some requests, and closes the
-/// connection of others after executing them.
-fn plain_server() -> RawServer {
-    RawServer::start(|received| {
+/// Starts a plain server that answers with the request's id. It sheds some requests, closes the
+/// connection of others after executing them, and sends some answers without a length, of which it
+/// breaks off every second one.
+fn plain_server(server_id: String) -> RawServer {
+    RawServer::start(move |received| {
+        if let Some(steps) = identity_steps(received, &server_id) {
+            return steps;
+        }
         let id = received.header("request-id").unwrap_or_default();
         if is_shed(received) {
             let text = format!(
@@ -165,22 +170,26 @@
         if received.number % 9 == 4 {
             return vec![Step::Pause(CALL_DURATION), Step::Close];
         }
-        let length = id.len();
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: {length}\r\n\r\n{id}"
-        );
-        vec![Step::Pause(CALL_DURATION), Step::Send(text.into_bytes())]
+        let how = match received.number % 8 {
+            2 => PlainAnswer::Unframed,
+            6 => PlainAnswer::UnframedReset,
+            _ => PlainAnswer::Framed,
+        };
+        let mut steps = vec![Step::Pause(CALL_DURATION)];
+        steps.extend(echo_steps(received, how));
+        steps
     })
 }
 
 /// Returns the faults that engines always have: streams take some time, and the poison request
 /// crashes the engine. Every second engine runs under a supervisor: its port stays open, and it
-/// restarts under the same id.
+/// restarts under the same id. Every third one sends all answers with neither a length nor chunks.
 pub fn default_engine_faults(number: usize) -> EngineFaults {
     EngineFaults {
         crash_on_prefix: Some(POISON.to_owned()),
         restart_delay: (number % 2 == 1).then_some(SUPERVISED_RESTART_DELAY),
         event_delay: EVENT_DELAY,
+        is_unframed: number % 3 == 2,
         ..EngineFaults::default()
     }
 }
@@ -211,10 +220,11 @@
     pub fn start(plan: &SoakPlan) -> Result<Self> {
         let store = MetadataStandIn::default();
         store.put("op/config", &with_keys(1, configuration(1, &MODELS)));
-        let plain_servers = vec![plain_server(), plain_server()];
-        for (number, server) in plain_servers.iter().enumerate() {
-            list_plain(&store, &format!("p-{number}"), server.address, "ready");
-        }
+        let plain_servers = ["p-0", "p-1"].map(|id| {
+            let server = plain_server(id.to_owned());
+            list_plain(&store, id, server.address, "ready");
+            (id, server)
+        });
         let engines = (0..plan.engines).map(|number| start_engine(&store, number));
         let engines: Arc<Mutex<Vec<Engine>>> = Arc::new(Mutex::new(engines.collect()));
         let instances: Result<Vec<Arc<SoakInstance>>> = (0..plan.instances)
@@ -238,6 +248,17 @@
         Ok(cluster)
     }
 
+    /// Returns the requests that reached plain servers, without queries for their identity.
+    pub fn plain_requests(&self) -> Vec<Received> {
+        let servers = self.plain_servers.iter();
+        let received = servers.flat_map(|(id, server)| {
+            let mut received = server.received();
+            received.retain(|one| identity_steps(one, id).is_none());
+            received
+        });
+        received.collect()
+    }
+
     /// Returns all engines so far, crashed ones included.
     pub fn engines(&self) -> Vec<Engine> {
         let engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -244,10 +244,12 @@
     fn random_engine_faults(&mut self, number: usize) -> EngineFaults {
         let event_count = Some(self.rng.random_range(0..EVENTS));
         let mut faults = default_engine_faults(number);
-        match self.rng.random_range(0..4) {
+        faults.is_unframed |= self.rng.random_bool(0.5);
+        match self.rng.random_range(0..5) {
             0 => faults.cut_after_events = event_count,
             1 => faults.silent_after_events = event_count,
             2 => faults.pause_after_events = event_count,
+            3 => faults.crash_after_events = event_count,
             _ => faults.drops_order_answer = true,
         }
         faults
--- a/crates/standins/src/soak/workspace_checks.rs
+++ b/crates/standins/src/soak/workspace_checks.rs
@@ -4,7 +4,6 @@
 use super::callers::Record;
 use super::cluster::{SMALL_RATE_PER_S, SoakCluster, UNITS_PER_CALL};
 use crate::platform::process::{QUOTA_SLACK, QUOTA_WINDOW_S, REVOKE_MS};
-use crate::platform::raw::RawServer;
 use passway_types::prelude::*;
 
 /// Checks that revoked keys stop working in time, that servers receive no API keys but a workspace
@@ -25,7 +24,7 @@
             record.id
         )
     }));
-    let requests = cluster.plain_servers.iter().flat_map(RawServer::received);
+    let requests = cluster.plain_requests().into_iter();
     let exposed = requests.filter(|received| {
         let workspace = received.header("tenant");
         received.head.contains("soak-key") || !matches!(workspace, Some("large" | "small"))
--- a/tests/all/passed_on_requests.rs
+++ b/tests/all/passed_on_requests.rs
@@ -359,6 +359,18 @@
     peer.announcements.lock().expect("a lock").len()
 }
 
+/// Guards against a peer's answer that broke off and is framed as complete: instances always announce
+/// the end of an answer.
+#[test]
+fn unframed_answer_of_a_peer() {
+    let unframed = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nRequest-Id: x\r\n\r\nok";
+    let peers = ["a", "b"].map(|name| peer_answering(name, "hall0", unframed));
+    let (_store, cut, _paths) = cut_before(&[("a", &peers[0]), ("b", &peers[1])]);
+    wait_until_passed_on(&cut);
+    let answer = answered(&cut, &request("POST", "/pay/", "x", "", "{}"));
+    assert_eq!(answer.status, 502, "{}", answer.head);
+}
+
 /// Guards against refusals while another peer takes the request, and against a 404 by the older
 /// configuration of a peer.
 #[test]
