Read the parts of prompts; log them with runs that break off

Cause: no log named the parts of a prompt, so what the broken runs have in common could not be read.

Change: the platform's adapter reads Prompt-Prefix into part ids, without the last part, which is the request's own; bad values leave the parts unknown, with a log line. 'a run broke off' has the key parts. No logic changes.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -40,7 +40,7 @@
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
 use passway_serving::paths::PeerOffer;
-use passway_serving::poison::{RequestDigest, RunPermission};
+use passway_serving::poison::{PartId, RequestDigest, RunPermission};
 use passway_serving::ports::RequestMetadata;
 use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
@@ -134,6 +134,8 @@
     model_ready_ms: Option<u64>,
     /// Digest of the request's content, once computed.
     digest: OnceCell<RequestDigest>,
+    /// The parts of the prompt that other prompts may share, once read.
+    parts: OnceCell<Vec<PartId>>,
     request_log: RequestLog,
 }
 
@@ -249,6 +251,7 @@
         next_target: None,
         model_ready_ms: None,
         digest: OnceCell::new(),
+        parts: OnceCell::new(),
         request_log: RequestLog::default(),
     }
     .run()
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -6,7 +6,7 @@
 use crate::pool;
 use crate::relay::millis_since;
 use passway_process::logging::json::REQUEST_TARGET;
-use passway_serving::poison::{RequestDigest, RunPermission, UpstreamStart};
+use passway_serving::poison::{PartId, RequestDigest, RunPermission, UpstreamStart};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
@@ -21,6 +21,18 @@
         })
     }
 
+    /// The parts of the prompt that other prompts may share; none if the request names them wrongly.
+    fn parts(&self) -> &[PartId] {
+        self.parts.get_or_init(|| {
+            let parts = self.shared.vocabulary.shared_parts(&self.head.headers);
+            parts.unwrap_or_else(|error| {
+                log::info!(target: REQUEST_TARGET, request = self.facts.id, error:% = error;
+                    "the parts of a prompt are not known");
+                Vec::new()
+            })
+        })
+    }
+
     /// How long the request is still refused because it crashes upstreams.
     pub(super) fn refused_for(&self) -> Option<Duration> {
         let poison = &self.shared.poison;
@@ -40,7 +52,7 @@
         let has_crashed = self.has_crashed(target);
         let ran_ms = millis_since(self.attempt_at, clock::now());
         log::info!(target: REQUEST_TARGET, request = self.facts.id, digest:% = self.digest(),
-            upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms, standing:? = self.run_permission;
+            upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms, parts:? = self.parts(), standing:? = self.run_permission;
             "a run broke off");
         if !has_crashed {
             self.watch_for_crash(target, &start, false);
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod exclusive_runs;
 mod list;
+mod part;
 
 pub use digest::RequestDigest;
 pub use exclusive_runs::{ExclusiveRunId, ExclusiveRuns};
@@ -14,3 +15,4 @@
     CrashStatus, MAX_CRASHES, PoisonList, RunPermission, RunSpan, Suspect, UNCONFIRMED_TIMEOUT,
     UpstreamStart,
 };
+pub use part::{InvalidParts, MAX_PARTS, PartId};
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -8,6 +8,7 @@
 use crate::halls::HallRegions;
 use crate::headers::Headers;
 use crate::placement::policy::PolicyName;
+use crate::poison::{InvalidParts, PartId};
 use crate::routes::RouteTable;
 use crate::signals::UpstreamSignals;
 use crate::upstreams::{ModelRef, ResidentModel, UpstreamEntry};
@@ -281,6 +282,13 @@
     /// Parses a request's headers.
     fn parse_request(&self, headers: &Headers) -> RequestMetadata;
 
+    /// The parts of a request's prompt that other prompts may share, i.e. all but the last one; none
+    /// if the request names none.
+    ///
+    /// # Errors
+    /// If what the request names is not a list of parts.
+    fn shared_parts(&self, headers: &Headers) -> Result<Vec<PartId>, InvalidParts>;
+
     /// The headers to send to an upstream, without framing.
     fn forwarded_headers(&self, headers: &Headers, stamp: &ForwardingMetadata) -> Headers;
 
