Tests that fail: a part of prompts that crashes engines

Cause: a suspect is a digest of a whole request; of requests that share only a part no two are alike.

Change: the model server can crash after the first event of a stream whose prompt has a part. Three instances, ten engines that are replaced after two seconds, a crashing request every 0.4 s for 12 s and sound ones beside it: the part in the second place, in the third beside shared second ones, and with new first parts.

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -33,6 +33,8 @@
     pub event_delay: Duration,
     /// Crashes when it starts to execute a request whose body begins with this prefix.
     pub crash_on_prefix: Option<String>,
+    /// Crashes after the first event of a stream whose prompt has this part, unless it is the last.
+    pub crash_on_part: Option<String>,
     /// Limit that the server advertises in its answers, in requests per second.
     pub advertised_limit_per_s: Option<f64>,
     /// Announces in every answer that the server is leaving.
@@ -439,7 +441,12 @@
             return self.crash(&received.body, restart_delay);
         }
         let cut_after = state.faults.cut_after_events.take();
-        let crash_after = state.faults.crash_after_events.take();
+        let has_crashing_part = has_shared_part(received, state.faults.crash_on_part.as_deref());
+        let crash_after = if has_crashing_part {
+            Some(1)
+        } else {
+            state.faults.crash_after_events.take()
+        };
         let is_unframed = state.faults.is_unframed;
         let restart_delay = state.faults.restart_delay;
         let silent_after = state.faults.silent_after_events.take();
@@ -498,6 +505,14 @@
     }
 }
 
+/// Whether the prompt of a request has a part with this id before its last one.
+fn has_shared_part(received: &Received, id: Option<&str>) -> bool {
+    let prompt = received.header("prompt-prefix").unwrap_or_default();
+    let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let mut ids = shared.split(',').filter_map(|part| part.split_once(':'));
+    id.is_some_and(|id| ids.any(|(part_id, _)| part_id == id))
+}
+
 /// Returns the bytes of one event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: token{number}\n\n")
