--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -40,7 +40,7 @@
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
 use passway_serving::paths::PeerOffer;
-use passway_serving::poison::{PartId, RequestDigest, RunPermission};
+use passway_serving::poison::{PartId, RequestDigest, RunPermission, SuspectKey};
 use passway_serving::ports::RequestMetadata;
 use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
@@ -128,7 +128,9 @@
     /// Whether the request may run although upstreams that broke off while they ran it may have
     /// crashed.
     run_permission: RunPermission,
-    /// The permit to run alone among requests with the same digest, once requested.
+    /// What crashes under this request are counted under, once needed.
+    suspect_keys: OnceCell<Vec<SuspectKey>>,
+    /// The permit to run alone among requests with the same content or part, once requested.
     exclusive_permit: Option<ExclusivePermit>,
     /// Milliseconds until the model can be loaded, if that is too late for the request.
     model_ready_ms: Option<u64>,
@@ -244,6 +246,7 @@
         deferred: Vec::new(),
         upstream_available_ms: None,
         run_permission: RunPermission::default(),
+        suspect_keys: OnceCell::new(),
         exclusive_permit: None,
         runs,
         run_id: shared.dispatch.next_run_id(),
@@ -404,7 +407,7 @@
             self.may_have_run |= attempt.may_have_run();
             match attempt {
                 Attempt::Answered(reuse) => {
-                    self.handle_answered_run();
+                    self.handle_answered_run(true);
                     return reuse;
                 }
                 Attempt::CallerGone => {
@@ -448,7 +451,7 @@
                 }
                 Attempt::Failed(answer) => {
                     self.runs += 1;
-                    self.handle_answered_run();
+                    self.handle_answered_run(false);
                     failed = Some(answer);
                     // Another instance has made the attempts that the request may have.
                     if matches!(next_hop, NextHop::Peer(_)) || !self.may_run_again() {
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -6,7 +6,9 @@
 use crate::pool;
 use crate::relay::millis_since;
 use passway_process::logging::json::REQUEST_TARGET;
-use passway_serving::poison::{PartId, RequestDigest, RunPermission, UpstreamStart};
+use passway_serving::poison::{
+    PartId, RequestDigest, RunPermission, Standing, SuspectKey, UpstreamStart,
+};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
@@ -33,13 +35,26 @@
         })
     }
 
-    /// How long the request is still refused because it crashes upstreams.
-    pub(super) fn refused_for(&self) -> Option<Duration> {
+    /// What crashes under this request are counted under: its content, and the parts of its prompt.
+    fn suspect_keys(&self) -> &[SuspectKey] {
+        self.suspect_keys.get_or_init(|| {
+            let parts = self.parts().iter().copied().map(SuspectKey::from);
+            std::iter::once(self.digest().into()).chain(parts).collect()
+        })
+    }
+
+    /// Whether the request may run, given the crashes under its content and its parts.
+    fn standing(&self) -> Standing {
         let poison = &self.shared.poison;
-        if poison.refused_count() == 0 {
-            return None;
+        if poison.is_empty() {
+            return Standing::default();
         }
-        poison.refused_for(self.digest())
+        poison.standing(self.suspect_keys())
+    }
+
+    /// How long the request is still refused because it crashes upstreams.
+    pub(super) fn refused_for(&self) -> Option<Duration> {
+        self.standing().refused_for
     }
 
     /// Handles a run that broke off. If the upstream has crashed, the request becomes a suspect.
@@ -58,10 +73,9 @@
             self.watch_for_crash(target, &start, false);
             return;
         }
-        let (digest, sent_at) = (self.digest(), self.attempt_at);
-        if let Some(suspect) = self.shared.poison.record_crash(digest, start, sent_at) {
-            PoisonTracker::publish(self.shared, suspect);
-        }
+        let (keys, sent_at) = (self.suspect_keys(), self.attempt_at);
+        let updates = self.shared.poison.record_crash(keys, &start, sent_at);
+        PoisonTracker::publish(self.shared, updates);
     }
 
     /// Handles a run that reached its deadline without an answer.
@@ -82,49 +96,48 @@
         if !self.is_engine || self.shared.upstreams().is_draining(&target.id) {
             return;
         }
-        let (digest, sent_at) = (self.digest(), self.attempt_at);
+        let (keys, sent_at) = (self.suspect_keys(), self.attempt_at);
         if is_silent {
-            PoisonTracker::probe_after_break(self.shared, digest, start, sent_at, target.address);
+            PoisonTracker::probe_after_break(self.shared, keys, start, sent_at, target.address);
         } else {
-            PoisonTracker::record_break(self.shared, digest, start, sent_at, target.address);
+            PoisonTracker::record_break(self.shared, keys, start, sent_at, target.address);
         }
     }
 
     /// Whether the request may run now, given the upstreams that broke off while they ran it.
     pub(super) fn may_run_now(&mut self) -> bool {
-        let poison = &self.shared.poison;
-        self.run_permission = if poison.is_empty() {
-            RunPermission::Free
-        } else {
-            poison.run_permission(self.digest())
-        };
-        match self.run_permission {
-            RunPermission::Free => true,
-            RunPermission::Held => false,
-            RunPermission::Alone => self.has_exclusive_permit(),
+        let standing = self.standing();
+        self.run_permission = standing.permission;
+        match (standing.permission, standing.exclusive_key) {
+            (RunPermission::Free, _) => true,
+            (RunPermission::Alone, Some(key)) => self.has_exclusive_permit(key),
+            (RunPermission::Alone | RunPermission::Held, _) => false,
         }
     }
 
-    /// Whether the request has the exclusive permit for its digest. Only the coordinator can grant
-    /// it.
-    fn has_exclusive_permit(&mut self) -> bool {
-        let digest = self.digest();
+    /// Whether the request has the exclusive permit for a suspect. Only the coordinator can grant it.
+    fn has_exclusive_permit(&mut self, key: SuspectKey) -> bool {
         let remaining = self.deadline_at.saturating_duration_since(clock::now());
+        // What is known may have changed since another suspect's permit was requested.
+        self.exclusive_permit.take_if(|permit| permit.key() != key);
         let permit = self
             .exclusive_permit
-            .get_or_insert_with(|| ExclusivePermit::new(self.shared, digest));
+            .get_or_insert_with(|| ExclusivePermit::new(self.shared, key));
         permit.request(remaining) == PermitAnswer::Granted
     }
 
-    /// Handles a run that ended with an answer: the request does not crash its upstreams.
-    pub(super) fn handle_answered_run(&self) {
+    /// Handles a run that ended with an answer: the request does not crash its upstreams. Only a
+    /// whole answer shows that its parts do not either: a failure may have been written before the
+    /// upstream read them.
+    pub(super) fn handle_answered_run(&self, is_whole: bool) {
         let poison = &self.shared.poison;
         if poison.is_empty() {
             return;
         }
-        if let Some(suspect) = poison.record_answer(self.digest()) {
-            PoisonTracker::publish(self.shared, suspect);
-        }
+        let keys = self.suspect_keys().iter().copied();
+        let cleared = keys.filter(|key| is_whole || !key.is_part());
+        let cleared: Vec<SuspectKey> = cleared.collect();
+        PoisonTracker::publish(self.shared, poison.record_answer(&cleared));
     }
 
     /// Whether an upstream that broke off has crashed: its port refuses connections, and it had not
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -133,6 +133,8 @@
     pub configuration_age: Option<Duration>,
     /// Number of requests that are refused because they crash upstreams.
     pub poison_requests: usize,
+    /// Number of parts of prompts that are refused because they crash upstreams.
+    pub poison_parts: usize,
     /// Bytes that wait to be sent to other instances, summed over the instances.
     pub waiting_bytes: usize,
     /// Number of upstreams that advertise a limit.
@@ -169,6 +171,7 @@
     store_answers: Gauge,
     waiting_bytes: Gauge,
     poison_requests: Gauge,
+    poison_parts: Gauge,
     limited_upstreams: Gauge,
     leaving_upstreams: Gauge,
     upstreams_in_backoff: Gauge,
@@ -215,6 +218,7 @@
             store_answers: Gauge::default(),
             waiting_bytes: Gauge::default(),
             poison_requests: Gauge::default(),
+            poison_parts: Gauge::default(),
             limited_upstreams: Gauge::default(),
             leaving_upstreams: Gauge::default(),
             upstreams_in_backoff: Gauge::default(),
@@ -285,6 +289,9 @@
         let gauge = self.poison_requests.clone();
         let help = "Requests that are refused since they crash upstreams";
         registry.register("poison_requests", help, gauge);
+        let gauge = self.poison_parts.clone();
+        let help = "Parts of prompts that are refused because they crash upstreams";
+        registry.register("poison_parts", help, gauge);
         let gauge = self.limited_upstreams.clone();
         let help = "Upstreams that name how many requests a second they take";
         registry.register("limited_upstreams", help, gauge);
@@ -515,6 +522,8 @@
         self.store_answers.set(values.store_answers.into());
         self.waiting_bytes
             .set(i64::try_from(values.waiting_bytes).unwrap_or(i64::MAX));
+        self.poison_parts
+            .set(i64::try_from(values.poison_parts).unwrap_or(i64::MAX));
         self.poison_requests
             .set(i64::try_from(values.poison_requests).unwrap_or(i64::MAX));
         self.limited_upstreams
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -1,5 +1,5 @@
-//! Requests that crash upstreams: what this instance knows of them, exchanges with other instances
-//! and stores.
+//! Requests, and parts of prompts, that crash upstreams: what this instance knows of them, exchanges
+//! with other instances and stores.
 //!
 //! Each instance merges what it observes, what the holder of leadership publishes, and what is in
 //! the store. The holder stores the requests that are refused, or may be after the next crash, so
@@ -12,12 +12,12 @@
 use crate::relay::millis_since;
 use crate::shared::{ReportEvent, Shared};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use exclusive::ExclusivePermits;
 pub use exclusive::{ExclusivePermit, PermitAnswer};
-use exclusive::{ExclusivePermits, decode_digest};
 use passway_process::logging::json::DECISION_TARGET;
 pub use passway_serving::poison::UNCONFIRMED_TIMEOUT;
 use passway_serving::poison::{
-    CrashStatus, PoisonList, RequestDigest, RunPermission, RunSpan, Suspect, UpstreamStart,
+    CrashStatus, PoisonList, RunSpan, Standing, Suspect, SuspectKey, UpstreamStart,
 };
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_types::clock;
@@ -37,6 +37,8 @@
 /// Maximum number of requests that are sent or stored, at 150 bytes each. A link of 10 Mbit/s
 /// carries them in 60 ms.
 const MAX_SENT_SUSPECTS: usize = 512;
+/// Maximum number of suspects in a datagram.
+const MAX_DATAGRAM_SUSPECTS: usize = 32;
 /// From this number of crashes on, a request is published to all instances: the next crash may be
 /// the last one allowed, at whichever instance it happens.
 pub const MIN_BROADCAST_CRASHES: usize = 2;
@@ -61,6 +63,7 @@
     /// Whether the list is empty; each request reads this without a lock.
     is_empty: AtomicBool,
     refused: AtomicUsize,
+    refused_parts: AtomicUsize,
     /// Whether the fleet's list was received since the process started.
     has_fleet_list: AtomicBool,
     stored: Mutex<StoredList>,
@@ -80,6 +83,7 @@
             list: Mutex::default(),
             is_empty: AtomicBool::new(true),
             refused: AtomicUsize::new(0),
+            refused_parts: AtomicUsize::new(0),
             has_fleet_list: AtomicBool::new(false),
             stored: Mutex::default(),
             exclusive_runs: ExclusivePermits::default(),
@@ -105,45 +109,44 @@
         self.refused.load(Ordering::Acquire)
     }
 
+    /// Number of parts of prompts that are refused in every request.
+    pub fn refused_part_count(&self) -> usize {
+        self.refused_parts.load(Ordering::Acquire)
+    }
+
     /// Whether the fleet's list was received, from the store or from the holder.
     pub fn has_fleet_list(&self) -> bool {
         self.has_fleet_list.load(Ordering::Acquire)
     }
 
-    /// How much longer a request is refused; `None` if it may run.
-    pub fn refused_for(&self, digest: RequestDigest) -> Option<Duration> {
-        lock(&self.list).remaining_refusal(digest, clock::now())
+    /// Whether a request with these keys, its own and those of its parts, may run.
+    pub fn standing(&self, keys: &[SuspectKey]) -> Standing {
+        lock(&self.list).standing(keys, clock::now())
     }
 
     /// Records that an upstream crashed under a request that was sent at `sent_at`. Returns what to
     /// publish.
     pub fn record_crash(
         &self,
-        digest: RequestDigest,
-        crash: UpstreamStart,
+        keys: &[SuspectKey],
+        crash: &UpstreamStart,
         sent_at: Instant,
-    ) -> Option<Suspect> {
-        let update = lock(&self.list).record_run_crash(digest, crash, sent_at, clock::now());
+    ) -> Vec<Suspect> {
+        let updates = lock(&self.list).record_run_crash(keys, crash, sent_at, clock::now());
         self.update_counts();
-        update
-    }
-
-    /// Whether a request may run while it is unknown whether upstreams that broke off under it have
-    /// crashed.
-    pub fn run_permission(&self, digest: RequestDigest) -> RunPermission {
-        lock(&self.list).run_permission(digest, clock::now())
+        updates
     }
 
     /// Records that an engine broke off under a request, if it is unknown yet whether the engine
     /// has crashed.
     pub fn record_break(
         shared: &Arc<Shared>,
-        digest: RequestDigest,
+        keys: &[SuspectKey],
         start: &UpstreamStart,
         sent_at: Instant,
         address: SocketAddr,
     ) {
-        Self::probe_after_break(shared, digest, start, sent_at, address);
+        Self::probe_after_break(shared, keys, start, sent_at, address);
         let now = clock::now();
         if lock(&shared.poison.list).record_disconnect(start, now, now) {
             shared.report(ReportEvent::StartBroken(start.clone(), now));
@@ -154,27 +157,34 @@
     /// Probes an engine that may have crashed under a request that was sent at `sent_at`.
     pub fn probe_after_break(
         shared: &Arc<Shared>,
-        digest: RequestDigest,
+        keys: &[SuspectKey],
         start: &UpstreamStart,
         sent_at: Instant,
         address: SocketAddr,
     ) {
         let poison = &shared.poison;
         let now = clock::now();
-        let update = lock(&poison.list).record_run_disconnect(digest, start.clone(), sent_at, now);
+        let updates = lock(&poison.list).record_run_disconnect(keys, start, sent_at, now);
         poison.update_counts();
-        if let Some(update) = update {
-            Self::publish(shared, update);
-        }
-        probe::start(shared, digest, start, address);
+        Self::publish(shared, updates);
+        probe::start(shared, keys, start, address);
     }
 
     /// Records that an upstream that broke off under a request is still running. Returns what to
     /// publish.
-    fn record_alive(&self, digest: RequestDigest, start: UpstreamStart) -> Option<Suspect> {
-        let update = lock(&self.list).record_alive(digest, start, clock::now());
+    fn record_alive(
+        &self,
+        keys: impl IntoIterator<Item = SuspectKey>,
+        start: &UpstreamStart,
+    ) -> Vec<Suspect> {
+        let now = clock::now();
+        let mut list = lock(&self.list);
+        let updates = keys.into_iter();
+        let updates = updates.filter_map(|key| list.record_alive(key, start.clone(), now));
+        let updates = updates.collect();
+        drop(list);
         self.update_counts();
-        update
+        updates
     }
 
     /// Records that all starts of an upstream before `before_ms` have terminated, in Unix
@@ -188,13 +198,16 @@
         update
     }
 
-    /// Records that a request was answered. Returns what to publish.
-    pub fn record_answer(&self, digest: RequestDigest) -> Option<Suspect> {
-        let update = lock(&self.list).record_answer(digest);
-        if update.is_some() {
+    /// Records that a run with these keys was answered. Returns what to publish.
+    pub fn record_answer(&self, keys: &[SuspectKey]) -> Vec<Suspect> {
+        let mut list = lock(&self.list);
+        let updates = keys.iter().filter_map(|key| list.record_answer(*key));
+        let updates: Vec<Suspect> = updates.collect();
+        drop(list);
+        if !updates.is_empty() {
             self.update_counts();
         }
-        update
+        updates
     }
 
     /// Merges the upstreams that broke off at other instances, and returns them.
@@ -219,20 +232,25 @@
         disconnected
     }
 
-    /// Reports an update of a suspect request to the holder, which publishes it to all instances.
-    /// From the second crash on, all known instances receive it directly, too: the next run may be
-    /// the last one allowed, at whichever instance it happens, and the holder may be slow or
-    /// terminated.
-    pub fn publish(shared: &Shared, update: Suspect) {
-        if update.crashes.len() >= MIN_BROADCAST_CRASHES {
-            let suspects = encode(vec![update.clone()]);
+    /// Reports updates of suspects to the holder, which publishes them to all instances. From the
+    /// second crash on, all known instances receive them directly, too: the next run may be the last
+    /// one allowed, at whichever instance it happens, and the holder may be slow or terminated.
+    pub fn publish(shared: &Shared, updates: Vec<Suspect>) {
+        let urgent = updates
+            .iter()
+            .filter(|update| update.crashes.len() >= MIN_BROADCAST_CRASHES);
+        let urgent: Vec<Suspect> = urgent.cloned().collect();
+        for urgent in urgent.chunks(MAX_DATAGRAM_SUSPECTS) {
+            let suspects = encode(urgent.to_vec());
             for address in shared.other_instances() {
                 shared
                     .dispatch
                     .send(address, Body::Suspects(suspects.clone()));
             }
         }
-        shared.report(ReportEvent::Suspect(update));
+        for update in updates {
+            shared.report(ReportEvent::Suspect(update));
+        }
     }
 
     /// Merges the fleet's list from the holder or the store. Returns the received requests with
@@ -252,10 +270,10 @@
         if received.is_empty() {
             return received;
         }
-        let digests: Vec<RequestDigest> = received.iter().map(|suspect| suspect.digest).collect();
+        let keys: Vec<SuspectKey> = received.iter().map(|suspect| suspect.key).collect();
         let mut list = lock(&self.list);
         list.merge(received, clock::now());
-        let known = digests.iter().filter_map(|digest| list.get(*digest));
+        let known = keys.iter().filter_map(|key| list.get(*key));
         let known = known.cloned().collect();
         drop(list);
         self.update_counts();
@@ -302,10 +320,15 @@
     }
 
     fn update_counts(&self) {
-        let list = lock(&self.list);
+        let mut list = lock(&self.list);
         let refused = list.refused_count();
+        let parts = list.refused_parts(clock::now());
         self.is_empty.store(list.is_empty(), Ordering::Release);
         drop(list);
+        if self.refused_parts.swap(parts.len(), Ordering::AcqRel) != parts.len() {
+            log::info!(target: DECISION_TARGET, refused = parts.len(), parts:? = parts;
+                "the refused parts of prompts changed");
+        }
         if self.refused.swap(refused, Ordering::AcqRel) != refused {
             log::info!(target: DECISION_TARGET, refused = refused; "number of refused poison requests changed");
         }
@@ -409,14 +432,14 @@
         }
     });
     message::Suspect {
-        digest: suspect.digest.0.to_vec(),
+        digest: suspect.key.to_bytes(),
         crashes: crashes.collect(),
     }
 }
 
-/// Decodes a request; `None` if the length of its digest shows that another build sent it.
+/// Decodes a suspect; `None` if another build sent something else.
 fn decode(received: message::Suspect) -> Option<Suspect> {
-    let digest = decode_digest(&received.digest)?;
+    let key = SuspectKey::from_bytes(&received.digest)?;
     let now = clock::now();
     let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
     let mut runs = BTreeMap::new();
@@ -442,9 +465,5 @@
         (start, blame)
     });
     let crashes = crashes.collect();
-    Some(Suspect {
-        digest,
-        crashes,
-        runs,
-    })
+    Some(Suspect { key, crashes, runs })
 }
--- a/crates/instance/src/poison/exclusive.rs
+++ b/crates/instance/src/poison/exclusive.rs
@@ -1,5 +1,5 @@
-//! Requests that run one at a time over all instances, because the next crash of an upstream is the
-//! last one allowed.
+//! Requests that run one at a time over all instances, among those with the same content or with the
+//! same part of their prompts, because the next crash of an upstream is the last one allowed.
 //!
 //! The coordinator grants permits for such runs. Without its decision no request has a permit: a
 //! request that cannot prove its permit waits and asks again. It uses the same id, so that a permit
@@ -10,7 +10,7 @@
 use crate::relay::millis;
 use crate::shared::Shared;
 use passway_process::logging::json::REQUEST_TARGET;
-use passway_serving::poison::{ExclusiveRuns, RequestDigest};
+use passway_serving::poison::{ExclusiveRuns, SuspectKey};
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::dispatch::Dispatch as Body;
@@ -22,8 +22,8 @@
 /// Requests that must run exclusively among their copies.
 #[derive(Debug, Default)]
 pub(super) struct ExclusivePermits {
-    /// Requests of this instance that run or ask for a permit.
-    local: Mutex<HashSet<RequestDigest>>,
+    /// Suspects for which a request of this instance runs or asks for a permit.
+    local: Mutex<HashSet<SuspectKey>>,
     /// Permits of all instances, while this instance is the coordinator.
     granted: Mutex<ExclusiveRuns>,
 }
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub struct ExclusivePermit {
     shared: Arc<Shared>,
-    digest: RequestDigest,
+    key: SuspectKey,
     /// The id under which the request asks for the permit.
     id: u64,
     is_granted: bool,
@@ -57,10 +57,10 @@
 
 impl ExclusivePermit {
     /// Creates the permit of a request that has not asked yet.
-    pub fn new(shared: &Arc<Shared>, digest: RequestDigest) -> Self {
+    pub fn new(shared: &Arc<Shared>, key: SuspectKey) -> Self {
         Self {
             shared: shared.clone(),
-            digest,
+            key,
             id: rand::random(),
             is_granted: false,
             may_be_granted: false,
@@ -69,6 +69,11 @@
         }
     }
 
+    /// The suspect that the permit is for.
+    pub fn key(&self) -> SuspectKey {
+        self.key
+    }
+
     /// Whether the request may run now.
     pub fn is_granted(&self) -> bool {
         self.is_granted
@@ -81,13 +86,13 @@
         }
         let shared = self.shared.clone();
         let local = &shared.poison.exclusive_runs.local;
-        if !lock(local).insert(self.digest) {
+        if !lock(local).insert(self.key) {
             return PermitAnswer::Taken;
         }
         let answer = self.request_from_coordinator(max_run);
         self.is_granted = answer == PermitAnswer::Granted;
         if !self.is_granted {
-            lock(local).remove(&self.digest);
+            lock(local).remove(&self.key);
         }
         answer
     }
@@ -95,7 +100,7 @@
     fn request_from_coordinator(&mut self, max_run: Duration) -> PermitAnswer {
         let request = PermitRequest {
             id: self.id,
-            digest: self.digest.0.to_vec(),
+            digest: self.key.to_bytes(),
             run_ms: millis(max_run),
             ..PermitRequest::default()
         };
@@ -108,7 +113,7 @@
             Err(no_decision) => {
                 self.may_be_granted |= no_decision == NoDecision::Silent;
                 if self.no_decision.replace(no_decision) != Some(no_decision) {
-                    log::info!(target: REQUEST_TARGET, digest:% = self.digest, cause:% = no_decision;
+                    log::info!(target: REQUEST_TARGET, suspect:% = self.key, cause:% = no_decision;
                         "no decision on a permit for an exclusive run");
                 }
                 PermitAnswer::Unproved(no_decision)
@@ -131,7 +136,7 @@
             return;
         };
         let released = PermitRelease {
-            digest: self.digest.0.to_vec(),
+            digest: self.key.to_bytes(),
             id: self.id,
             ..PermitRelease::default()
         };
@@ -150,7 +155,7 @@
 impl Drop for ExclusivePermit {
     fn drop(&mut self) {
         if self.is_granted {
-            lock(&self.shared.poison.exclusive_runs.local).remove(&self.digest);
+            lock(&self.shared.poison.exclusive_runs.local).remove(&self.key);
         }
         if (self.is_granted || self.may_be_granted) && !self.has_broken {
             self.release();
@@ -158,11 +163,6 @@
     }
 }
 
-/// Decodes a digest; `None` if its length shows that another build sent it.
-pub(super) fn decode_digest(bytes: &[u8]) -> Option<RequestDigest> {
-    Some(RequestDigest(bytes.try_into().ok()?))
-}
-
 impl PoisonTracker {
     /// Decides, in a term of this instance, whether an instance may run a request exclusively.
     pub fn decide_exclusive_run(
@@ -175,13 +175,13 @@
             id: request.id,
             ..PermitReply::default()
         };
-        let Some(digest) = decode_digest(&request.digest) else {
+        let Some(key) = SuspectKey::from_bytes(&request.digest) else {
             return answer;
         };
         let (run, max_duration) = ((from, request.id), Duration::from_millis(request.run_ms));
         match lock(&self.exclusive_runs.granted).try_acquire(
             fence,
-            digest,
+            key,
             run,
             max_duration,
             clock::now(),
@@ -197,8 +197,8 @@
 
     /// Releases the permit of a run that ended without a crash.
     pub fn release_exclusive_run(&self, from: SocketAddr, released: &PermitRelease) {
-        if let Some(digest) = decode_digest(&released.digest) {
-            lock(&self.exclusive_runs.granted).release(digest, (from, released.id));
+        if let Some(key) = SuspectKey::from_bytes(&released.digest) {
+            lock(&self.exclusive_runs.granted).release(key, (from, released.id));
         }
     }
 }
--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -10,7 +10,7 @@
 use crate::poison::PoisonTracker;
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
-use passway_serving::poison::{RequestDigest, UNCONFIRMED_TIMEOUT, UpstreamStart};
+use passway_serving::poison::{SuspectKey, UNCONFIRMED_TIMEOUT, UpstreamStart};
 use passway_serving::ports::Engines;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -31,31 +31,31 @@
 /// happened to others.
 const MAX_PROBED_ENGINES: usize = 32;
 
-/// Starts of engines that are probed, and the requests that broke off there.
+/// Starts of engines that are probed, and the suspects that broke off there.
 #[derive(Debug, Default)]
-pub(super) struct ProbedEngines(Mutex<BTreeMap<UpstreamStart, BTreeSet<RequestDigest>>>);
+pub(super) struct ProbedEngines(Mutex<BTreeMap<UpstreamStart, BTreeSet<SuspectKey>>>);
 
 impl ProbedEngines {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamStart, BTreeSet<RequestDigest>>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamStart, BTreeSet<SuspectKey>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds a request. Returns whether the caller must start a probe of the engine.
-    fn add(&self, digest: RequestDigest, start: &UpstreamStart) -> bool {
+    /// Adds suspects. Returns whether the caller must start a probe of the engine.
+    fn add(&self, keys: &[SuspectKey], start: &UpstreamStart) -> bool {
         let mut probed = self.lock();
-        if let Some(digests) = probed.get_mut(start) {
-            digests.insert(digest);
+        if let Some(known) = probed.get_mut(start) {
+            known.extend(keys);
             return false;
         }
         let has_capacity = probed.len() < MAX_PROBED_ENGINES;
         if has_capacity {
-            probed.insert(start.clone(), BTreeSet::from([digest]));
+            probed.insert(start.clone(), keys.iter().copied().collect());
         }
         has_capacity
     }
 
-    /// Removes the start of an engine. Returns the requests that broke off there.
-    fn take(&self, start: &UpstreamStart) -> BTreeSet<RequestDigest> {
+    /// Removes the start of an engine. Returns the suspects that broke off there.
+    fn take(&self, start: &UpstreamStart) -> BTreeSet<SuspectKey> {
         self.lock().remove(start).unwrap_or_default()
     }
 }
@@ -63,14 +63,14 @@
 /// Starts to probe an engine that broke off under a request.
 pub(super) fn start(
     shared: &Arc<Shared>,
-    digest: RequestDigest,
+    keys: &[SuspectKey],
     start: &UpstreamStart,
     address: SocketAddr,
 ) {
     let Some(engines) = shared.engines() else {
         return;
     };
-    if !shared.poison.probed_engines.add(digest, start) {
+    if !shared.poison.probed_engines.add(keys, start) {
         return;
     }
     let thread_shared = shared.clone();
@@ -116,17 +116,14 @@
         };
     }
     log::info!(target: DECISION_TARGET, upstream:% = start.upstream, found:? = found; "probed an upstream that broke off");
-    let digests = shared.poison.probed_engines.take(start);
+    let keys = shared.poison.probed_engines.take(start);
     match found {
         Some(Verdict::Lives) => {
             shared
                 .upstreams()
                 .mark_reachable(&start.upstream, clock::now());
-            for digest in digests {
-                if let Some(update) = shared.poison.record_alive(digest, start.clone()) {
-                    PoisonTracker::publish(shared, update);
-                }
-            }
+            let updates = shared.poison.record_alive(keys, start);
+            PoisonTracker::publish(shared, updates);
         }
         Some(Verdict::Ended { before_ms }) => shared.starts_ended(&start.upstream, before_ms),
         None => {}
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison.rs
@@ -4,13 +4,17 @@
 //! engine with everything that runs on it. So crashes are counted over all instances by the
 //! request's content ([`RequestDigest`]), and the request is refused after [`MAX_CRASHES`].
 
+mod blame;
 mod digest;
 mod exclusive_runs;
+mod key;
 mod list;
 mod part;
 
+pub use blame::Standing;
 pub use digest::RequestDigest;
 pub use exclusive_runs::{ExclusiveRunId, ExclusiveRuns};
+pub use key::SuspectKey;
 pub use list::{
     CrashStatus, MAX_CRASHES, PoisonList, RunPermission, RunSpan, Suspect, UNCONFIRMED_TIMEOUT,
     UpstreamStart,
--- /dev/null
+++ b/crates/serving/src/poison/blame.rs
@@ -0,0 +1,183 @@
+//! Which of the parts that ran together when upstreams crashed are to blame.
+//!
+//! A crash breaks off all runs of its upstream and is counted under all their parts. A part that
+//! crashes upstreams is in every such crash and in no run that ended whole since, so it has more
+//! crashes than any part that only ran beside it: a whole run clears its parts. Crashes at the same
+//! moment may have a common cause, such as the loss of a rack. So the measure of a part is the number
+//! of its crashes one after the other, each under a run that was sent after the previous crash.
+//!
+//! A crash does not count for a part in a request if another suspect explains it that the request does
+//! not have: one with more such crashes, or with as many while these are few. So of two parts that were
+//! always together, neither alone is refused, but requests that have both are.
+
+use super::list::{PoisonList, RunPermission, RunSpan, Suspect, SuspectRecord};
+use super::{CrashStatus, MAX_CRASHES, SuspectKey, UpstreamStart};
+use passway_types::prelude::*;
+use std::collections::HashMap;
+
+/// From this number of crashes on, a suspect with as many explains none: a caller could keep two
+/// crashing parts in the same crashes, so that each explains the other.
+const MIN_UNTIED_CRASHES: u32 = MAX_CRASHES + 1;
+/// Suspects with fewer crashes explain none: their parts are not limited either.
+const MIN_EXPLAINING_CRASHES: u32 = MAX_CRASHES - 1;
+
+/// Whether a request may run, given what is known of it and its parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Standing {
+    /// How long the request is refused; `None` if it may run.
+    pub refused_for: Option<Duration>,
+    /// Whether the request may run now, unless it is refused.
+    pub permission: RunPermission,
+    /// The suspect for which the request needs a permit, if it must run alone.
+    pub exclusive_key: Option<SuspectKey>,
+}
+
+/// The suspects that may explain a crash, by crash, with the number of their crashes.
+#[derive(Debug, Default)]
+pub(super) struct Blame(HashMap<UpstreamStart, Vec<(SuspectKey, u32)>>);
+
+impl Blame {
+    fn new(known: &HashMap<SuspectKey, SuspectRecord>) -> Self {
+        let mut by_crash: HashMap<UpstreamStart, Vec<(SuspectKey, u32)>> = HashMap::new();
+        for (key, known) in known {
+            let count = chain(&known.suspect, true);
+            if count < MIN_EXPLAINING_CRASHES {
+                continue;
+            }
+            for (start, _) in counted(&known.suspect, true) {
+                by_crash
+                    .entry(start.clone())
+                    .or_default()
+                    .push((*key, count));
+            }
+        }
+        Self(by_crash)
+    }
+
+    /// Whether a suspect that is not among `keys` explains a crash under a part with `count` crashes.
+    fn is_explained(&self, crash: &UpstreamStart, count: u32, keys: &[SuspectKey]) -> bool {
+        let suspects = self.0.get(crash).map_or(&[][..], Vec::as_slice);
+        suspects.iter().any(|(key, other)| {
+            let explains = *other > count || *other == count && count < MIN_UNTIED_CRASHES;
+            explains && !keys.contains(key)
+        })
+    }
+}
+
+/// The crashes that count, with or without unconfirmed ones.
+fn counted(
+    suspect: &Suspect,
+    with_unconfirmed: bool,
+) -> impl Iterator<Item = (&UpstreamStart, Option<&RunSpan>)> {
+    let crashes = suspect.crashes.iter().filter(move |(_, status)| {
+        **status == CrashStatus::Counted || with_unconfirmed && **status == CrashStatus::Unconfirmed
+    });
+    crashes.map(|(start, _)| (start, suspect.runs.get(start)))
+}
+
+/// The largest number of crashes one after the other, each under a run that was sent after the previous
+/// one. Crashes whose times are not known count each.
+fn longest_chain<'a>(crashes: impl Iterator<Item = Option<&'a RunSpan>>) -> u32 {
+    let (timed, untimed): (Vec<_>, Vec<_>) = crashes.partition(Option::is_some);
+    let mut spans: Vec<&RunSpan> = timed.into_iter().flatten().collect();
+    spans.sort_by_key(|span| span.disconnected_at);
+    let mut count = u32::try_from(untimed.len()).unwrap_or(u32::MAX);
+    let mut last_at = None;
+    for span in spans {
+        if last_at.is_none_or(|last_at| span.sent_at >= last_at) {
+            count = count.saturating_add(1);
+            last_at = Some(span.disconnected_at);
+        }
+    }
+    count
+}
+
+/// The number of crashes of a suspect one after the other, with or without unconfirmed ones.
+pub(super) fn chain(suspect: &Suspect, with_unconfirmed: bool) -> u32 {
+    longest_chain(counted(suspect, with_unconfirmed).map(|(_, span)| span))
+}
+
+impl PoisonList {
+    /// Whether a request with these keys, its own and those of its parts, may run.
+    pub fn standing(&mut self, keys: &[SuspectKey], now: Instant) -> Standing {
+        let mut standing = Standing::default();
+        for key in keys {
+            if !self.known.contains_key(key) {
+                continue;
+            }
+            let (refused_for, permission) = if key.is_part() {
+                self.judge_part(*key, keys, now)
+            } else {
+                (
+                    self.remaining_refusal(*key, now),
+                    self.run_permission(*key, now),
+                )
+            };
+            standing.refused_for = standing.refused_for.max(refused_for);
+            let is_stricter = permission > standing.permission;
+            // All requests with the part take the same permit; those that are alike have the same
+            // parts.
+            let is_wider = permission == RunPermission::Alone
+                && standing.permission == RunPermission::Alone
+                && key.is_part()
+                && standing
+                    .exclusive_key
+                    .is_none_or(|chosen| !chosen.is_part());
+            if is_stricter || is_wider {
+                standing.permission = permission;
+                standing.exclusive_key = (permission == RunPermission::Alone).then_some(*key);
+            }
+        }
+        standing
+    }
+
+    /// The parts that are refused in every request.
+    pub fn refused_parts(&mut self, now: Instant) -> Vec<SuspectKey> {
+        let suspects = self.known.values().map(|known| &known.suspect);
+        let candidates = suspects.filter(|suspect| suspect.key.is_part() && suspect.is_refused());
+        let mut parts: Vec<SuspectKey> = candidates.map(|suspect| suspect.key).collect();
+        parts.retain(|key| self.is_part_refused(*key, now));
+        parts.sort_unstable();
+        parts
+    }
+
+    /// Whether a part is refused in every request.
+    pub(super) fn is_part_refused(&mut self, key: SuspectKey, now: Instant) -> bool {
+        self.judge_part(key, &[key], now).0.is_some()
+    }
+
+    /// How long a request with these keys is refused because of the part `key`, and whether it may run.
+    fn judge_part(
+        &mut self,
+        key: SuspectKey,
+        keys: &[SuspectKey],
+        now: Instant,
+    ) -> (Option<Duration>, RunPermission) {
+        let blame = self.blame.take().unwrap_or_else(|| Blame::new(&self.known));
+        let judgement = self.known.get(&key).map(|known| {
+            let with_unconfirmed = now < known.unconfirmed_until;
+            let total = chain(&known.suspect, true);
+            let unexplained = |with_unconfirmed: bool| {
+                let crashes = counted(&known.suspect, with_unconfirmed);
+                let crashes = crashes.filter(|(start, _)| !blame.is_explained(start, total, keys));
+                longest_chain(crashes.map(|(_, span)| span))
+            };
+            let (confirmed, possible) = (unexplained(false), unexplained(with_unconfirmed));
+            if confirmed >= MAX_CRASHES {
+                let remaining = known.expires_at().saturating_duration_since(now);
+                return (
+                    (!remaining.is_zero()).then_some(remaining),
+                    RunPermission::Free,
+                );
+            }
+            let permission = match possible {
+                MAX_CRASHES.. => RunPermission::Held,
+                MIN_EXPLAINING_CRASHES => RunPermission::Alone,
+                _ => RunPermission::Free,
+            };
+            (None, permission)
+        });
+        self.blame = Some(blame);
+        judgement.unwrap_or((None, RunPermission::Free))
+    }
+}
--- a/crates/serving/src/poison/exclusive_runs.rs
+++ b/crates/serving/src/poison/exclusive_runs.rs
@@ -1,10 +1,10 @@
-//! Permits for suspect requests that run one at a time over all instances.
+//! Permits for suspects, i.e. requests or parts of prompts, that run one at a time over all instances.
 //!
-//! The coordinator gives the permit of each such request to one run. A coordinator whose term has
+//! The coordinator gives the permit of each suspect to one run. A coordinator whose term has
 //! just begun knows of no earlier permits, so in the worst case one more run is in flight for each
 //! change of the coordinator while a permit lasts.
 
-use super::RequestDigest;
+use super::SuspectKey;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,11 +29,11 @@
 #[derive(Debug, Default)]
 pub struct ExclusiveRuns {
     fence: Fence,
-    permits: HashMap<RequestDigest, Permit>,
+    permits: HashMap<SuspectKey, Permit>,
 }
 
 impl ExclusiveRuns {
-    /// Gives a run the permit for its request, for `duration` or `MAX_PERMIT_DURATION`,
+    /// Gives a run the permit for a suspect, for `duration` or `MAX_PERMIT_DURATION`,
     /// whichever is shorter.
     ///
     /// # Errors
@@ -41,7 +41,7 @@
     pub fn try_acquire(
         &mut self,
         fence: Fence,
-        digest: RequestDigest,
+        key: SuspectKey,
         run: ExclusiveRunId,
         duration: Duration,
         now: Instant,
@@ -52,12 +52,12 @@
         }
         self.permits.retain(|_, permit| now < permit.expires_at);
         let has_capacity = self.permits.len() < MAX_PERMITS;
-        match self.permits.get(&digest) {
+        match self.permits.get(&key) {
             Some(permit) if permit.run_id == run => Ok(()),
             None if has_capacity => {
                 let expires_at = now + duration.min(MAX_PERMIT_DURATION);
                 self.permits.insert(
-                    digest,
+                    key,
                     Permit {
                         run_id: run,
                         expires_at,
@@ -70,13 +70,13 @@
     }
 
     /// Releases the permit of a run that ended without a crash.
-    pub fn release(&mut self, digest: RequestDigest, run: ExclusiveRunId) {
+    pub fn release(&mut self, key: SuspectKey, run: ExclusiveRunId) {
         if self
             .permits
-            .get(&digest)
+            .get(&key)
             .is_some_and(|permit| permit.run_id == run)
         {
-            self.permits.remove(&digest);
+            self.permits.remove(&key);
         }
     }
 }
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -1,6 +1,8 @@
-//! Records which requests ran when upstreams crashed, and decides which of them are refused.
+//! Records which requests and parts of prompts ran when upstreams crashed, and decides which of them
+//! are refused. `blame` weighs parts against each other.
 
-use super::RequestDigest;
+use super::SuspectKey;
+use super::blame::{self, Blame};
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -86,7 +88,7 @@
 const INCIDENT_WINDOW: Duration = Duration::from_secs(1);
 
 /// Whether a request may run while upstreams that disconnected under it may have terminated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub enum RunPermission {
     /// The request may run.
     #[default]
@@ -104,8 +106,8 @@
 /// know gives the same result in any order and any number of times.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
-    /// The request's digest.
-    pub digest: RequestDigest,
+    /// The request or part.
+    pub key: SuspectKey,
     /// The crashes under the request.
     pub crashes: BTreeMap<UpstreamStart, CrashStatus>,
     /// The runs that ended with a disconnect, where their times are known.
@@ -146,12 +148,19 @@
         self.weight() + unconfirmed.map(|_| CRASH_WEIGHT).sum::<u32>()
     }
 
-    /// Whether the request is refused after the next crash, so that the suspect must be stored.
+    /// Whether the suspect may be refused after the next crash, so that it must be stored.
     fn should_persist(&self) -> bool {
+        if self.key.is_part() {
+            return blame::chain(self, false) >= MAX_CRASHES - 1;
+        }
         self.weight() >= (MAX_CRASHES - 1) * CRASH_WEIGHT
     }
 
-    fn is_refused(&self) -> bool {
+    /// Whether the crashes suffice for a refusal. Those of a part may still be due to another one.
+    pub(super) fn is_refused(&self) -> bool {
+        if self.key.is_part() {
+            return blame::chain(self, false) >= MAX_CRASHES;
+        }
         self.weight() >= MAX_CRASHES * CRASH_WEIGHT && !self.is_single_incident()
     }
 
@@ -171,6 +180,17 @@
         }
     }
 
+    /// Makes room for a crash. A part that many prompts share is cleared again and again, and may crash
+    /// upstreams later.
+    fn forget_cleared(&mut self) {
+        let mut cleared = self.crashes.iter();
+        let cleared = cleared.find(|(_, status)| **status >= CrashStatus::Explained);
+        if let Some(start) = cleared.map(|(start, _)| start.clone()) {
+            self.crashes.remove(&start);
+            self.runs.remove(&start);
+        }
+    }
+
     /// Merges the status of a crash. Returns whether it is new.
     fn merge(&mut self, crash: UpstreamStart, status: CrashStatus) -> bool {
         if let Some(known) = self.crashes.get_mut(&crash) {
@@ -178,6 +198,9 @@
             *known = status.max(*known);
             return is_new;
         }
+        if self.key.is_part() && self.crashes.len() >= MAX_CRASHES_PER_SUSPECT {
+            self.forget_cleared();
+        }
         let has_capacity = self.crashes.len() < MAX_CRASHES_PER_SUSPECT;
         if has_capacity {
             self.crashes.insert(crash, status);
@@ -186,17 +209,17 @@
     }
 }
 
-/// What this instance knows about one request.
+/// What this instance knows about one request or part.
 #[derive(Debug)]
-struct SuspectRecord {
-    suspect: Suspect,
+pub(super) struct SuspectRecord {
+    pub(super) suspect: Suspect,
     /// When the last crash became known.
     last_crash_at: Instant,
     /// If the request is refused: when the crashes of other requests that it explains are
     /// reassessed.
     settles_at: Option<Instant>,
     /// Until when the termination of disconnected upstreams may be confirmed.
-    unconfirmed_until: Instant,
+    pub(super) unconfirmed_until: Instant,
 }
 
 impl SuspectRecord {
@@ -210,11 +233,11 @@
         }
     }
 
-    fn is_expired(&self, now: Instant) -> bool {
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
         self.expires_at() <= now
     }
 
-    fn expires_at(&self) -> Instant {
+    pub(super) fn expires_at(&self) -> Instant {
         let is_refused = self.suspect.is_refused();
         self.last_crash_at
             + if is_refused {
@@ -225,10 +248,12 @@
     }
 }
 
-/// The requests under which upstreams have crashed recently.
+/// The requests and parts under which upstreams have crashed recently.
 #[derive(Debug, Default)]
 pub struct PoisonList {
-    known: HashMap<RequestDigest, SuspectRecord>,
+    pub(super) known: HashMap<SuspectKey, SuspectRecord>,
+    /// What explains the crashes of parts; `None` after a change.
+    pub(super) blame: Option<Blame>,
     /// Starts of upstreams that disconnected recently, with the time of the first disconnect.
     disconnects: HashMap<UpstreamStart, Instant>,
 }
@@ -241,26 +266,27 @@
 
     /// The number of refused requests.
     pub fn refused_count(&self) -> usize {
-        let all = self.known.values();
-        all.filter(|known| known.suspect.is_refused()).count()
+        let all = self.known.values().map(|known| &known.suspect);
+        all.filter(|suspect| !suspect.key.is_part() && suspect.is_refused())
+            .count()
     }
 
-    /// The suspect with this digest, if any.
-    pub fn get(&self, digest: RequestDigest) -> Option<&Suspect> {
-        self.known.get(&digest).map(|known| &known.suspect)
+    /// The suspect with this key, if any.
+    pub fn get(&self, key: SuspectKey) -> Option<&Suspect> {
+        self.known.get(&key).map(|known| &known.suspect)
     }
 
     /// How long a request is still refused; `None` if it may run.
-    pub fn remaining_refusal(&self, digest: RequestDigest, now: Instant) -> Option<Duration> {
-        let known = self.known.get(&digest)?;
+    pub fn remaining_refusal(&self, key: SuspectKey, now: Instant) -> Option<Duration> {
+        let known = self.known.get(&key)?;
         let is_refused = known.suspect.is_refused() && !known.is_expired(now);
         is_refused.then(|| known.expires_at().saturating_duration_since(now))
     }
 
     /// Whether a request may run while the termination of upstreams that disconnected under it is
     /// not confirmed.
-    pub fn run_permission(&self, digest: RequestDigest, now: Instant) -> RunPermission {
-        let Some(known) = self.known.get(&digest) else {
+    pub fn run_permission(&self, key: SuspectKey, now: Instant) -> RunPermission {
+        let Some(known) = self.known.get(&key) else {
             return RunPermission::Free;
         };
         let suspect = &known.suspect;
@@ -286,26 +312,22 @@
     /// the suspect to send to other instances.
     pub fn record_crash(
         &mut self,
-        digest: RequestDigest,
+        key: SuspectKey,
         crash: UpstreamStart,
         now: Instant,
     ) -> Option<Suspect> {
-        self.record(digest, crash, CrashStatus::Counted, None, now)
+        self.record(key, crash, CrashStatus::Counted, now)
     }
 
-    /// Like [`PoisonList::record_crash`], for a run that was sent at `sent_at`.
+    /// Like [`PoisonList::record_crash`], for all that a run counts under. The run was sent at `sent_at`.
     pub fn record_run_crash(
         &mut self,
-        digest: RequestDigest,
-        crash: UpstreamStart,
+        keys: &[SuspectKey],
+        crash: &UpstreamStart,
         sent_at: Instant,
         now: Instant,
-    ) -> Option<Suspect> {
-        let run = RunSpan {
-            sent_at,
-            disconnected_at: now,
-        };
-        self.record(digest, crash, CrashStatus::Counted, Some(run), now)
+    ) -> Vec<Suspect> {
+        self.record_run(keys, crash, CrashStatus::Counted, sent_at, now)
     }
 
     /// Records that a start of an upstream disconnected at a time and may have terminated. Returns
@@ -319,39 +341,55 @@
         is_new
     }
 
-    /// Records that an upstream disconnected under a request that was sent at `sent_at`, and may
-    /// have terminated. Requests sent to a terminated upstream fail too, so only those sent before
-    /// its first disconnect count. Returns the suspect to send to other instances.
+    /// Records that an upstream disconnected under a run that was sent at `sent_at`, and may have
+    /// terminated. Requests sent to a terminated upstream fail too, so only those sent before its first
+    /// disconnect count. Returns the suspects to send to other instances.
     pub fn record_run_disconnect(
         &mut self,
-        digest: RequestDigest,
-        start: UpstreamStart,
+        keys: &[SuspectKey],
+        start: &UpstreamStart,
         sent_at: Instant,
         now: Instant,
-    ) -> Option<Suspect> {
-        let first_disconnect_at = self.disconnects.get(&start);
-        let may_be_cause =
-            first_disconnect_at.is_none_or(|first_disconnect_at| sent_at <= *first_disconnect_at);
+    ) -> Vec<Suspect> {
+        let first_disconnect_at = self.disconnects.get(start);
+        if first_disconnect_at.is_some_and(|first_disconnect_at| sent_at > *first_disconnect_at) {
+            return Vec::new();
+        }
+        self.record_run(keys, start, CrashStatus::Unconfirmed, sent_at, now)
+    }
+
+    fn record_run(
+        &mut self,
+        keys: &[SuspectKey],
+        start: &UpstreamStart,
+        status: CrashStatus,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Vec<Suspect> {
         let run = RunSpan {
             sent_at,
             disconnected_at: now,
         };
-        may_be_cause
-            .then(|| self.record(digest, start, CrashStatus::Unconfirmed, Some(run), now))?
+        let received = keys.iter().map(|key| Suspect {
+            key: *key,
+            crashes: BTreeMap::from([(start.clone(), status)]),
+            runs: BTreeMap::from([(start.clone(), run)]),
+        });
+        self.merge(received.collect::<Vec<_>>(), now)
     }
 
     /// Records that an upstream that disconnected under a request still runs as the same start.
     /// Returns the suspect to send to other instances.
     pub fn record_alive(
         &mut self,
-        digest: RequestDigest,
+        key: SuspectKey,
         start: UpstreamStart,
         now: Instant,
     ) -> Option<Suspect> {
-        let known = self.known.get(&digest)?;
+        let known = self.known.get(&key)?;
         self.disconnects.remove(&start);
         let is_unconfirmed = known.suspect.crashes.get(&start) == Some(&CrashStatus::Unconfirmed);
-        is_unconfirmed.then(|| self.record(digest, start, CrashStatus::Cleared, None, now))?
+        is_unconfirmed.then(|| self.record(key, start, CrashStatus::Cleared, now))?
     }
 
     /// Confirms that all starts of an upstream before `before_ms`, in Unix milliseconds by its own
@@ -364,41 +402,40 @@
         now: Instant,
     ) -> Vec<Suspect> {
         let mut crashes = Vec::new();
-        for (digest, known) in &self.known {
+        for (key, known) in &self.known {
             let confirmed = known.suspect.crashes.iter().filter(|(start, status)| {
                 **status == CrashStatus::Unconfirmed
                     && *start.upstream == *upstream
                     && start.started_at_ms < before_ms
             });
-            crashes.extend(confirmed.map(|(start, _)| (*digest, start.clone())));
+            crashes.extend(confirmed.map(|(start, _)| (*key, start.clone())));
         }
         let updates = crashes
             .into_iter()
-            .filter_map(|(digest, start)| self.record_crash(digest, start, now));
+            .filter_map(|(key, start)| self.record_crash(key, start, now));
         updates.collect()
     }
 
     fn record(
         &mut self,
-        digest: RequestDigest,
+        key: SuspectKey,
         start: UpstreamStart,
         status: CrashStatus,
-        run: Option<RunSpan>,
         now: Instant,
     ) -> Option<Suspect> {
-        let runs = run.map(|run| (start.clone(), run));
         let received = Suspect {
-            digest,
+            key,
             crashes: BTreeMap::from([(start, status)]),
-            runs: runs.into_iter().collect(),
+            runs: BTreeMap::new(),
         };
         let updates = self.merge([received], now);
         updates.into_iter().next()
     }
 
-    /// Records that a request was answered. Returns the suspect to send to other instances.
-    pub fn record_answer(&mut self, digest: RequestDigest) -> Option<Suspect> {
-        let suspect = &mut self.known.get_mut(&digest)?.suspect;
+    /// Records that a run of a suspect was answered. Returns the suspect to send to other instances.
+    pub fn record_answer(&mut self, key: SuspectKey) -> Option<Suspect> {
+        self.blame = None;
+        let suspect = &mut self.known.get_mut(&key)?.suspect;
         if suspect.weight_if_confirmed() == 0 {
             return None;
         }
@@ -409,6 +446,7 @@
     /// Clears the stored suspects on an operator's request, so that they may run. Returns the
     /// suspects to send to other instances.
     pub fn clear_persisted(&mut self) -> Vec<Suspect> {
+        self.blame = None;
         let all = self.known.values_mut().map(|known| &mut known.suspect);
         let persisted = all.filter(|suspect| suspect.should_persist());
         let cleared = persisted.map(|suspect| {
@@ -426,12 +464,13 @@
         now: Instant,
     ) -> Vec<Suspect> {
         self.settle(now);
+        self.blame = None;
         let mut updates = Vec::new();
         for received in received {
-            let digest = received.digest;
-            let known = self.known.entry(digest).or_insert_with(|| SuspectRecord {
+            let key = received.key;
+            let known = self.known.entry(key).or_insert_with(|| SuspectRecord {
                 suspect: Suspect {
-                    digest,
+                    key,
                     crashes: BTreeMap::new(),
                     runs: BTreeMap::new(),
                 },
@@ -463,11 +502,15 @@
         updates
     }
 
-    /// Suspects with at least `min_crashes` crashes, the most recent first.
+    /// Suspects with at least `min_crashes` crashes: refused ones first, then the most recent.
     pub fn suspects(&self, min_crashes: usize) -> Vec<Suspect> {
         let mut all: Vec<&SuspectRecord> = self.known.values().collect();
         all.retain(|known| known.suspect.crashes.len() >= min_crashes);
-        all.sort_by_key(|known| std::cmp::Reverse((known.last_crash_at, known.suspect.digest)));
+        // Refused ones first: a caller that invents parts must not displace them.
+        all.sort_by_key(|known| {
+            let suspect = &known.suspect;
+            std::cmp::Reverse((suspect.is_refused(), known.last_crash_at, suspect.key))
+        });
         all.into_iter().map(|k| k.suspect.clone()).collect()
     }
 
@@ -478,22 +521,34 @@
         all
     }
 
-    /// Reassesses crashes that are explained by requests that have been refused for a while: they
-    /// count less for all other requests. Requests that crashed as many upstreams are refused by
+    /// Reassesses crashes that are explained by suspects that have been refused for a while: they
+    /// count less for all other suspects. Suspects that crashed as many upstreams are refused by
     /// then and stay refused.
     fn settle(&mut self, now: Instant) {
-        let mut explained = Vec::new();
-        for known in self.known.values_mut() {
+        let mut due = Vec::new();
+        for (key, known) in &mut self.known {
             if known.settles_at.is_some_and(|at| at <= now) {
                 known.settles_at = None;
-                explained.extend(known.suspect.crashes.keys().cloned());
+                due.push(*key);
             }
         }
-        if explained.is_empty() {
+        if due.is_empty() {
             return;
         }
-        for known in self.known.values_mut() {
-            if known.suspect.is_refused() {
+        let refused_parts = self.refused_parts(now);
+        // A part may have been refused only together with others.
+        due.retain(|key| !key.is_part() || refused_parts.contains(key));
+        let explaining = due.iter().filter_map(|key| self.known.get(key));
+        let explained = explaining.flat_map(|known| known.suspect.crashes.keys().cloned());
+        let explained: Vec<UpstreamStart> = explained.collect();
+        self.blame = None;
+        for (key, known) in &mut self.known {
+            let is_refused = if key.is_part() {
+                refused_parts.contains(key)
+            } else {
+                known.suspect.is_refused()
+            };
+            if is_refused {
                 continue;
             }
             for crash in &explained {
@@ -507,6 +562,7 @@
     /// Removes expired suspects. If there are still too many, removes those with the lowest weight
     /// first, and of these the oldest.
     fn evict(&mut self, now: Instant) {
+        self.blame = None;
         self.known.retain(|_, known| {
             known.drop_unconfirmed(now);
             !known.is_expired(now) && !known.suspect.crashes.is_empty()
@@ -520,13 +576,13 @@
                 (
                     known.suspect.weight(),
                     known.last_crash_at,
-                    known.suspect.digest,
+                    known.suspect.key,
                 )
             })
             .collect();
         ranked.sort_unstable();
-        for (_, _, digest) in &ranked[..ranked.len() - RETAINED_SUSPECTS] {
-            self.known.remove(digest);
+        for (_, _, key) in &ranked[..ranked.len() - RETAINED_SUSPECTS] {
+            self.known.remove(key);
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -53,6 +53,7 @@
 mod lost_engines;
 mod model_orders;
 mod outage_terms;
+mod part_blame;
 mod pass_through;
 mod passed_on_requests;
 mod peer_queue;
--- a/tests/all/poison_innocents.rs
+++ b/tests/all/poison_innocents.rs
@@ -4,7 +4,7 @@
 //! The load is that of a busy deployment: runs take 1.5 s in the mean, an attempt makes two runs,
 //! and a caller retries once, so that a request may run four times before its caller gives up.
 
-use passway_serving::poison::{PoisonList, RequestDigest, UpstreamStart};
+use passway_serving::poison::{PoisonList, RequestDigest, SuspectKey, UpstreamStart};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,15 +44,15 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Run {
-    digest: RequestDigest,
+    digest: SuspectKey,
     runs: u32,
     is_poison: bool,
 }
 
-fn digest(number: u64) -> RequestDigest {
+fn digest(number: u64) -> SuspectKey {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&number.to_le_bytes());
-    RequestDigest(bytes)
+    RequestDigest(bytes).into()
 }
 
 /// Crashes one engine; its requests run again elsewhere if they may.
--- a/tests/all/poison_list.rs
+++ b/tests/all/poison_list.rs
@@ -2,7 +2,7 @@
 
 use passway_serving::poison::{
     CrashStatus, ExclusiveRuns, MAX_CRASHES, PoisonList, RequestDigest, RunPermission, Suspect,
-    UNCONFIRMED_TIMEOUT, UpstreamStart,
+    SuspectKey, UNCONFIRMED_TIMEOUT, UpstreamStart,
 };
 use passway_types::prelude::*;
 use proptest::prelude::*;
@@ -11,8 +11,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn digest(number: u8) -> RequestDigest {
-    RequestDigest([number; 16])
+fn digest(number: u8) -> SuspectKey {
+    RequestDigest([number; 16]).into()
 }
 
 fn crash(number: u64) -> UpstreamStart {
@@ -119,7 +119,7 @@
     let numbered = |number: u32| {
         let mut bytes = [0; 16];
         bytes[..4].copy_from_slice(&number.to_le_bytes());
-        RequestDigest(bytes)
+        SuspectKey::Request(RequestDigest(bytes))
     };
     for number in 1..=3 {
         list.record_crash(numbered(0), crash(number), now);
@@ -140,7 +140,7 @@
 fn disconnected(list: &mut PoisonList, number: u64, request: u8, now: Instant) {
     let age = Duration::from_millis(10 - number);
     let at = now.checked_sub(age).expect("after the boot");
-    list.record_run_disconnect(digest(request), crash(number), at, at);
+    list.record_run_disconnect(&[digest(request)], &crash(number), at, at);
     list.record_disconnect(&crash(number), at, at);
 }
 
@@ -171,7 +171,7 @@
     let (sent_at, disconnected_at) = (now, now + SECOND);
     let mut list = PoisonList::default();
     for number in 1..=3 {
-        list.record_run_crash(digest(1), crash(number), sent_at, disconnected_at);
+        list.record_run_crash(&[digest(1)], &crash(number), sent_at, disconnected_at);
     }
     assert!(!refused(&list, 1, disconnected_at));
     assert_eq!(
@@ -186,7 +186,7 @@
         RunPermission::Free
     );
     let sent_at = disconnected_at + Duration::from_millis(1);
-    list.record_run_crash(digest(1), crash(4), sent_at, disconnected_at + SECOND);
+    list.record_run_crash(&[digest(1)], &crash(4), sent_at, disconnected_at + SECOND);
     assert!(refused(&list, 1, disconnected_at + SECOND));
 }
 
@@ -270,13 +270,13 @@
     disconnected(&mut list, 1, 1, now);
     let later = now + SECOND / 4;
     assert!(
-        list.record_run_disconnect(digest(2), crash(1), later, later)
-            .is_none()
+        list.record_run_disconnect(&[digest(2)], &crash(1), later, later)
+            .is_empty()
     );
     // A request that was already running when the upstream disconnected may be the cause as well.
     let sent_at = now.checked_sub(SECOND).expect("after the boot");
-    let running = list.record_run_disconnect(digest(3), crash(1), sent_at, later);
-    assert!(running.is_some());
+    let running = list.record_run_disconnect(&[digest(3)], &crash(1), sent_at, later);
+    assert!(!running.is_empty());
     list.record_terminated(&crash(1).upstream, u64::MAX, later);
     assert!(list.get(digest(2)).is_none());
 }
@@ -290,7 +290,7 @@
             started_at_ms,
             ..crash(1)
         };
-        list.record_run_disconnect(digest(1), start, now, now);
+        list.record_run_disconnect(&[digest(1)], &start, now, now);
     }
     let updates = list.record_terminated(&crash(1).upstream, 9, now);
     let statuses: Vec<_> = updates[0].crashes.values().copied().collect();
@@ -318,7 +318,7 @@
     ];
     let crashes = proptest::collection::btree_map(0_u64..6, status, 1..4);
     let suspect = (0_u8..4, crashes).prop_map(|(number, crashes)| Suspect {
-        digest: digest(number),
+        key: digest(number),
         crashes: crashes
             .into_iter()
             .map(|(n, status)| (crash(n), status))
@@ -342,9 +342,9 @@
         for suspect in reordered.iter().chain(&received) {
             other.merge([suspect.clone()], now);
         }
-        let known = |list: &PoisonList| -> BTreeMap<RequestDigest, Suspect> {
+        let known = |list: &PoisonList| -> BTreeMap<SuspectKey, Suspect> {
             let all = list.suspects(1).into_iter();
-            all.map(|suspect| (suspect.digest, suspect)).collect()
+            all.map(|suspect| (suspect.key, suspect)).collect()
         };
         prop_assert_eq!(known(&one), known(&other));
     }
--- a/tests/all/poison_rack.rs
+++ b/tests/all/poison_rack.rs
@@ -5,7 +5,9 @@
 //! Runs take 1.5 s in the mean, and a request runs four times at most. The termination of an
 //! engine is confirmed by its next start, or by the expiry of its entry if it does not return.
 
-use passway_serving::poison::{PoisonList, RequestDigest, RunPermission, UpstreamStart};
+use passway_serving::poison::{
+    PoisonList, RequestDigest, RunPermission, SuspectKey, UpstreamStart,
+};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -39,7 +41,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Run {
-    digest: RequestDigest,
+    digest: SuspectKey,
     runs: u32,
     sent_at: u64,
 }
@@ -69,10 +71,10 @@
     started_at: Instant,
 }
 
-fn digest(number: u64) -> RequestDigest {
+fn digest(number: u64) -> SuspectKey {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&number.to_le_bytes());
-    RequestDigest(bytes)
+    RequestDigest(bytes).into()
 }
 
 impl Fleet {
@@ -170,12 +172,8 @@
         for engine in rack {
             let start = self.start_of(engine);
             for run in std::mem::take(&mut self.runs[engine]) {
-                self.list.record_run_disconnect(
-                    run.digest,
-                    start.clone(),
-                    self.at(run.sent_at),
-                    now,
-                );
+                self.list
+                    .record_run_disconnect(&[run.digest], &start, self.at(run.sent_at), now);
                 interrupted.push(run);
             }
             self.list.record_disconnect(&start, now, now);
