A part that is blamed for crashes is tried again by one run at a time

Cause: no whole run clears a part that is refused, so one that was blamed wrongly, as on a route with little traffic while upstreams crash of something else, stays refused for an hour.

Change: after three crashes a part is refused for 2 s and after four for 20 s; then one run over all instances is tried by the permit that exists. A whole run clears the part, a crash adds one; from five on it is refused for an hour.

--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -133,7 +133,7 @@
     pub configuration_age: Option<Duration>,
     /// Number of requests that are refused because they crash upstreams.
     pub poison_requests: usize,
-    /// Number of parts of prompts that are refused because they crash upstreams.
+    /// Number of parts of prompts that are blamed for crashes of upstreams.
     pub poison_parts: usize,
     /// Bytes that wait to be sent to other instances, summed over the instances.
     pub waiting_bytes: usize,
@@ -290,7 +290,7 @@
         let help = "Requests that are refused since they crash upstreams";
         registry.register("poison_requests", help, gauge);
         let gauge = self.poison_parts.clone();
-        let help = "Parts of prompts that are refused because they crash upstreams";
+        let help = "Parts of prompts that are blamed for crashes of upstreams";
         registry.register("poison_parts", help, gauge);
         let gauge = self.limited_upstreams.clone();
         let help = "Upstreams that name how many requests a second they take";
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -63,7 +63,7 @@
     /// Whether the list is empty; each request reads this without a lock.
     is_empty: AtomicBool,
     refused: AtomicUsize,
-    refused_parts: AtomicUsize,
+    blamed_parts: AtomicUsize,
     /// Whether the fleet's list was received since the process started.
     has_fleet_list: AtomicBool,
     stored: Mutex<StoredList>,
@@ -83,7 +83,7 @@
             list: Mutex::default(),
             is_empty: AtomicBool::new(true),
             refused: AtomicUsize::new(0),
-            refused_parts: AtomicUsize::new(0),
+            blamed_parts: AtomicUsize::new(0),
             has_fleet_list: AtomicBool::new(false),
             stored: Mutex::default(),
             exclusive_runs: ExclusivePermits::default(),
@@ -109,9 +109,9 @@
         self.refused.load(Ordering::Acquire)
     }
 
-    /// Number of parts of prompts that are refused in every request.
-    pub fn refused_part_count(&self) -> usize {
-        self.refused_parts.load(Ordering::Acquire)
+    /// Number of parts of prompts that are blamed for crashes in every request.
+    pub fn blamed_part_count(&self) -> usize {
+        self.blamed_parts.load(Ordering::Acquire)
     }
 
     /// Whether the fleet's list was received, from the store or from the holder.
@@ -322,12 +322,12 @@
     fn update_counts(&self) {
         let mut list = lock(&self.list);
         let refused = list.refused_count();
-        let parts = list.refused_parts(clock::now());
+        let parts = list.blamed_parts(clock::now());
         self.is_empty.store(list.is_empty(), Ordering::Release);
         drop(list);
-        if self.refused_parts.swap(parts.len(), Ordering::AcqRel) != parts.len() {
-            log::info!(target: DECISION_TARGET, refused = parts.len(), parts:? = parts;
-                "the refused parts of prompts changed");
+        if self.blamed_parts.swap(parts.len(), Ordering::AcqRel) != parts.len() {
+            log::info!(target: DECISION_TARGET, blamed = parts.len(), parts:? = parts;
+                "the parts of prompts that are blamed for crashes changed");
         }
         if self.refused.swap(refused, Ordering::AcqRel) != refused {
             log::info!(target: DECISION_TARGET, refused = refused; "number of refused poison requests changed");
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -66,7 +66,7 @@
         store_answers: !shared.store_health.is_failing(),
         configuration_age: shared.configuration_age.age(),
         poison_requests: shared.poison.refused_count(),
-        poison_parts: shared.poison.refused_part_count(),
+        poison_parts: shared.poison.blamed_part_count(),
         waiting_bytes: passway_process::outbox::waiting_bytes(),
         limited_upstreams,
         leaving_upstreams,
--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -9,6 +9,9 @@
 //! A crash does not count for a part in a request if another suspect explains it that the request does
 //! not have: one with more such crashes, or with as many while these are few. So of two parts that were
 //! always together, neither alone is refused, but requests that have both are.
+//!
+//! A part may be blamed wrongly, and no whole run clears a part that is refused. So after the first
+//! refusals it is tried again, by one run at a time over all instances.
 
 use super::list::{PoisonList, RunPermission, RunSpan, Suspect, SuspectRecord};
 use super::{CrashStatus, MAX_CRASHES, SuspectKey, UpstreamStart};
@@ -18,6 +21,9 @@
 /// From this number of crashes on, a suspect with as many explains none: a caller could keep two
 /// crashing parts in the same crashes, so that each explains the other.
 const MIN_UNTIED_CRASHES: u32 = MAX_CRASHES + 1;
+/// How long a part is refused after its last crash, by the number of its crashes beyond
+/// [`MAX_CRASHES`]; then one run is tried. With more crashes it is refused until it is forgotten.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(20)];
 /// Suspects with fewer crashes explain none: their parts are not limited either.
 const MIN_EXPLAINING_CRASHES: u32 = MAX_CRASHES - 1;
 
@@ -106,7 +112,8 @@
                 continue;
             }
             let (refused_for, permission) = if key.is_part() {
-                self.judge_part(*key, keys, now)
+                let judgement = self.judge_part(*key, keys, now);
+                (judgement.refused_for, judgement.permission)
             } else {
                 (
                     self.remaining_refusal(*key, now),
@@ -131,53 +138,71 @@
         standing
     }
 
-    /// The parts that are refused in every request.
-    pub fn refused_parts(&mut self, now: Instant) -> Vec<SuspectKey> {
+    /// The parts that are blamed in every request.
+    pub fn blamed_parts(&mut self, now: Instant) -> Vec<SuspectKey> {
         let suspects = self.known.values().map(|known| &known.suspect);
         let candidates = suspects.filter(|suspect| suspect.key.is_part() && suspect.is_refused());
         let mut parts: Vec<SuspectKey> = candidates.map(|suspect| suspect.key).collect();
-        parts.retain(|key| self.is_part_refused(*key, now));
+        parts.retain(|key| self.judge_part(*key, &[*key], now).is_blamed);
         parts.sort_unstable();
         parts
     }
 
-    /// Whether a part is refused in every request.
-    pub(super) fn is_part_refused(&mut self, key: SuspectKey, now: Instant) -> bool {
-        self.judge_part(key, &[key], now).0.is_some()
-    }
-
-    /// How long a request with these keys is refused because of the part `key`, and whether it may run.
-    fn judge_part(
-        &mut self,
-        key: SuspectKey,
-        keys: &[SuspectKey],
-        now: Instant,
-    ) -> (Option<Duration>, RunPermission) {
+    /// The judgement on a request with these keys because of the part `key`.
+    fn judge_part(&mut self, key: SuspectKey, keys: &[SuspectKey], now: Instant) -> Judgement {
         let blame = self.blame.take().unwrap_or_else(|| Blame::new(&self.known));
         let judgement = self.known.get(&key).map(|known| {
-            let with_unconfirmed = now < known.unconfirmed_until;
             let total = chain(&known.suspect, true);
             let unexplained = |with_unconfirmed: bool| {
                 let crashes = counted(&known.suspect, with_unconfirmed);
                 let crashes = crashes.filter(|(start, _)| !blame.is_explained(start, total, keys));
                 longest_chain(crashes.map(|(_, span)| span))
             };
-            let (confirmed, possible) = (unexplained(false), unexplained(with_unconfirmed));
+            let confirmed = unexplained(false);
             if confirmed >= MAX_CRASHES {
-                let remaining = known.expires_at().saturating_duration_since(now);
-                return (
-                    (!remaining.is_zero()).then_some(remaining),
-                    RunPermission::Free,
-                );
+                return Judgement::of_blamed(known, confirmed, now);
             }
-            let permission = match possible {
+            let permission = match unexplained(now < known.unconfirmed_until) {
                 MAX_CRASHES.. => RunPermission::Held,
                 MIN_EXPLAINING_CRASHES => RunPermission::Alone,
                 _ => RunPermission::Free,
             };
-            (None, permission)
+            Judgement {
+                permission,
+                ..Judgement::default()
+            }
         });
         self.blame = Some(blame);
-        judgement.unwrap_or((None, RunPermission::Free))
+        judgement.unwrap_or_default()
+    }
+}
+
+/// What the crashes under one part mean for a request.
+#[derive(Debug, Default)]
+struct Judgement {
+    /// Whether the part is the cause of its crashes, as far as known.
+    is_blamed: bool,
+    refused_for: Option<Duration>,
+    permission: RunPermission,
+}
+
+impl Judgement {
+    /// The judgement on a part that is blamed for `crashes`.
+    fn of_blamed(known: &SuspectRecord, crashes: u32, now: Instant) -> Self {
+        let beyond = usize::try_from(crashes - MAX_CRASHES).unwrap_or(usize::MAX);
+        let trial_delay = TRIAL_DELAYS.get(beyond);
+        let refused_until =
+            trial_delay.map_or_else(|| known.expires_at(), |delay| known.last_crash_at + *delay);
+        let remaining = refused_until.saturating_duration_since(now);
+        let is_refused = !remaining.is_zero();
+        Self {
+            is_blamed: !known.is_expired(now),
+            refused_for: is_refused.then_some(remaining),
+            permission: if is_refused || known.is_expired(now) {
+                RunPermission::Free
+            } else {
+                RunPermission::Alone
+            },
+        }
     }
 }
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -214,7 +214,7 @@
 pub(super) struct SuspectRecord {
     pub(super) suspect: Suspect,
     /// When the last crash became known.
-    last_crash_at: Instant,
+    pub(super) last_crash_at: Instant,
     /// If the request is refused: when the crashes of other requests that it explains are
     /// reassessed.
     settles_at: Option<Instant>,
@@ -535,16 +535,16 @@
         if due.is_empty() {
             return;
         }
-        let refused_parts = self.refused_parts(now);
+        let blamed_parts = self.blamed_parts(now);
         // A part may have been refused only together with others.
-        due.retain(|key| !key.is_part() || refused_parts.contains(key));
+        due.retain(|key| !key.is_part() || blamed_parts.contains(key));
         let explaining = due.iter().filter_map(|key| self.known.get(key));
         let explained = explaining.flat_map(|known| known.suspect.crashes.keys().cloned());
         let explained: Vec<UpstreamStart> = explained.collect();
         self.blame = None;
         for (key, known) in &mut self.known {
             let is_refused = if key.is_part() {
-                refused_parts.contains(key)
+                blamed_parts.contains(key)
             } else {
                 known.suspect.is_refused()
             };
--- a/tests/all/part_blame.rs
+++ b/tests/all/part_blame.rs
@@ -166,11 +166,33 @@
     }
 }
 
+/// Guards against a part that was blamed wrongly and is refused for an hour: one run at a time is tried,
+/// and a whole run clears the part. One that crashes again is refused for longer each time.
+#[test]
+fn tried_again() {
+    let mut world = World::new();
+    for _ in 0..3 {
+        world.crash(&[&[SHARED, CRASHING]]);
+    }
+    for delay_s in [2, 20] {
+        assert!(world.is_refused(&[SHARED, CRASHING]));
+        world.now += Duration::from_secs(delay_s);
+        let standing = world.standing(&[SHARED, CRASHING]);
+        assert_eq!(standing.refused_for, None);
+        assert_eq!(standing.permission, RunPermission::Alone);
+        world.crash(&[&[SHARED, CRASHING]]);
+    }
+    world.now += Duration::from_secs(3_500);
+    assert!(world.is_refused(&[SHARED, CRASHING]));
+    world.whole_run(&[SHARED, CRASHING]);
+    assert!(world.is_free(&[SHARED, CRASHING]));
+}
+
 /// Guards against a caller that displaces a refused part by invented ones.
 #[test]
 fn invented_parts() {
     let mut world = World::new();
-    for _ in 0..3 {
+    for _ in 0..5 {
         world.crash(&[&[CRASHING]]);
     }
     for first in 0..80 {
