A part counts from the store for as much as before

Cause: the stored list has no times, so the crashes of one moment, as of a rack, counted one by one after a restart of all instances.

Change: of a part only its crashes one after the other are stored.

Measured: counts_as_much_from_the_store.

--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -16,7 +16,7 @@
 use super::list::{PoisonList, RunPermission, RunSpan, Suspect, SuspectRecord};
 use super::{CrashStatus, MAX_CRASHES, SuspectKey, UpstreamStart};
 use passway_types::prelude::*;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// From this number of crashes on, a suspect with as many explains none: a caller could keep two
 /// crashing parts in the same crashes, so that each explains the other.
@@ -46,7 +46,7 @@
     fn new(known: &HashMap<SuspectKey, SuspectRecord>) -> Self {
         let mut by_crash: HashMap<UpstreamStart, Vec<(SuspectKey, u32)>> = HashMap::new();
         for (key, known) in known {
-            let count = chain(&known.suspect, true);
+            let count = chain_length(&known.suspect, true);
             if count < MIN_EXPLAINING_CRASHES {
                 continue;
             }
@@ -81,26 +81,44 @@
     crashes.map(|(start, _)| (start, suspect.runs.get(start)))
 }
 
-/// The largest number of crashes one after the other, each under a run that was sent after the previous
-/// one. Crashes whose times are not known count each.
-fn longest_chain<'a>(crashes: impl Iterator<Item = Option<&'a RunSpan>>) -> u32 {
-    let (timed, untimed): (Vec<_>, Vec<_>) = crashes.partition(Option::is_some);
-    let mut spans: Vec<&RunSpan> = timed.into_iter().flatten().collect();
-    spans.sort_by_key(|span| span.disconnected_at);
-    let mut count = u32::try_from(untimed.len()).unwrap_or(u32::MAX);
+/// The longest sequence of crashes one after the other, each under a run that was sent after the
+/// previous one. Crashes whose times are not known belong to it.
+fn longest_chain<'a>(
+    crashes: impl Iterator<Item = (&'a UpstreamStart, Option<&'a RunSpan>)>,
+) -> Vec<&'a UpstreamStart> {
+    let mut chain = Vec::new();
+    let mut timed = Vec::new();
+    for (start, span) in crashes {
+        match span {
+            Some(span) => timed.push((span, start)),
+            None => chain.push(start),
+        }
+    }
+    timed.sort_by_key(|(span, _)| span.disconnected_at);
     let mut last_at = None;
-    for span in spans {
+    for (span, start) in timed {
         if last_at.is_none_or(|last_at| span.sent_at >= last_at) {
-            count = count.saturating_add(1);
+            chain.push(start);
             last_at = Some(span.disconnected_at);
         }
     }
-    count
+    chain
+}
+
+fn length(chain: &[&UpstreamStart]) -> u32 {
+    u32::try_from(chain.len()).unwrap_or(u32::MAX)
 }
 
 /// The number of crashes of a suspect one after the other, with or without unconfirmed ones.
-pub(super) fn chain(suspect: &Suspect, with_unconfirmed: bool) -> u32 {
-    longest_chain(counted(suspect, with_unconfirmed).map(|(_, span)| span))
+pub(super) fn chain_length(suspect: &Suspect, with_unconfirmed: bool) -> u32 {
+    length(&longest_chain(counted(suspect, with_unconfirmed)))
+}
+
+/// Reduces a part to its crashes one after the other, so that without their times they count as much.
+pub(super) fn retain_chain(suspect: &mut Suspect) {
+    let chain = longest_chain(counted(suspect, false)).into_iter().cloned();
+    let chain: BTreeSet<UpstreamStart> = chain.collect();
+    suspect.crashes.retain(|start, _| chain.contains(start));
 }
 
 impl PoisonList {
@@ -152,11 +170,11 @@
     fn judge_part(&mut self, key: SuspectKey, keys: &[SuspectKey], now: Instant) -> Judgement {
         let blame = self.blame.take().unwrap_or_else(|| Blame::new(&self.known));
         let judgement = self.known.get(&key).map(|known| {
-            let total = chain(&known.suspect, true);
+            let total = chain_length(&known.suspect, true);
             let unexplained = |with_unconfirmed: bool| {
                 let crashes = counted(&known.suspect, with_unconfirmed);
                 let crashes = crashes.filter(|(start, _)| !blame.is_explained(start, total, keys));
-                longest_chain(crashes.map(|(_, span)| span))
+                length(&longest_chain(crashes))
             };
             let confirmed = unexplained(false);
             if confirmed >= MAX_CRASHES {
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -151,7 +151,7 @@
     /// Whether the suspect may be refused after the next crash, so that it must be stored.
     fn should_persist(&self) -> bool {
         if self.key.is_part() {
-            return blame::chain(self, false) >= MAX_CRASHES - 1;
+            return blame::chain_length(self, false) >= MAX_CRASHES - 1;
         }
         self.weight() >= (MAX_CRASHES - 1) * CRASH_WEIGHT
     }
@@ -159,7 +159,7 @@
     /// Whether the crashes suffice for a refusal. Those of a part may still be due to another one.
     pub(super) fn is_refused(&self) -> bool {
         if self.key.is_part() {
-            return blame::chain(self, false) >= MAX_CRASHES;
+            return blame::chain_length(self, false) >= MAX_CRASHES;
         }
         self.weight() >= MAX_CRASHES * CRASH_WEIGHT && !self.is_single_incident()
     }
@@ -518,6 +518,8 @@
     pub fn persisted_suspects(&self) -> Vec<Suspect> {
         let mut all = self.suspects(1);
         all.retain(Suspect::should_persist);
+        let parts = all.iter_mut().filter(|suspect| suspect.key.is_part());
+        parts.for_each(blame::retain_chain);
         all
     }
 
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -33,8 +33,9 @@
     pub event_delay: Duration,
     /// Crashes when it starts to execute a request whose body begins with this prefix.
     pub crash_on_prefix: Option<String>,
-    /// Crashes after the first event of a stream whose prompt has this part, unless it is the last.
-    pub crash_on_part: Option<String>,
+    /// Crashes after the first event of a stream whose prompt has one of these parts, unless it is the
+    /// last.
+    pub crash_on_parts: Vec<String>,
     /// Limit that the server advertises in its answers, in requests per second.
     pub advertised_limit_per_s: Option<f64>,
     /// Announces in every answer that the server is leaving.
@@ -441,7 +442,7 @@
             return self.crash(&received.body, restart_delay);
         }
         let cut_after = state.faults.cut_after_events.take();
-        let has_crashing_part = has_shared_part(received, state.faults.crash_on_part.as_deref());
+        let has_crashing_part = has_shared_part(received, &state.faults.crash_on_parts);
         let crash_after = if has_crashing_part {
             Some(1)
         } else {
@@ -505,12 +506,12 @@
     }
 }
 
-/// Whether the prompt of a request has a part with this id before its last one.
-fn has_shared_part(received: &Received, id: Option<&str>) -> bool {
+/// Whether the prompt of a request has a part with one of these ids before its last one.
+fn has_shared_part(received: &Received, crashing: &[String]) -> bool {
     let prompt = received.header("prompt-prefix").unwrap_or_default();
     let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
     let mut ids = shared.split(',').filter_map(|part| part.split_once(':'));
-    id.is_some_and(|id| ids.any(|(part_id, _)| part_id == id))
+    ids.any(|(id, _)| crashing.iter().any(|crashing| crashing == id))
 }
 
 /// Returns the bytes of one event of a stream.
--- a/tests/all/crashing_parts.rs
+++ b/tests/all/crashing_parts.rs
@@ -14,6 +14,8 @@
 
 /// Part that crashes engines.
 const CRASHING: &str = "bad0bad0";
+/// Another one.
+const ALSO_CRASHING: &str = "bad1bad1";
 /// Number of engines at each moment.
 const ENGINES: usize = 10;
 /// How long an engine takes to be replaced.
@@ -36,14 +38,17 @@
 /// Engines of which each that has crashed is replaced by another one.
 struct Fleet {
     store: MetadataStandIn,
+    /// With a value, engines restart under their ids while their ports stay open.
+    restart_delay: Option<Duration>,
     engines: Mutex<Vec<ModelServer>>,
     is_over: AtomicBool,
 }
 
 impl Fleet {
-    fn start() -> Self {
+    fn start(restart_delay: Option<Duration>) -> Self {
         let fleet = Self {
             store: cluster::store(&["m0"]),
+            restart_delay,
             engines: Mutex::default(),
             is_over: AtomicBool::new(false),
         };
@@ -60,7 +65,8 @@
         let id = format!("i-{}", engines.len());
         let engine = ModelServer::start(&self.store, &id, "engines", 1, &["m0"], &[]);
         engine.set_faults(Faults {
-            crash_on_part: Some(CRASHING.to_owned()),
+            crash_on_parts: vec![CRASHING.to_owned(), ALSO_CRASHING.to_owned()],
+            restart_delay: self.restart_delay,
             event_delay: Duration::from_millis(20),
             ..Faults::default()
         });
@@ -118,7 +124,11 @@
 
 /// Sends crashing and sound requests, and checks how many engines crash and how many others are served.
 fn check(prompts: &[Prompt]) {
-    let fleet = Fleet::start();
+    check_with(prompts, None);
+}
+
+fn check_with(prompts: &[Prompt], restart_delay: Option<Duration>) {
+    let fleet = Fleet::start(restart_delay);
     let instances = ["one", "two", "three"].map(|name| cluster::start_ready(name, &fleet.store));
     for instance in &instances {
         until("a repeat to spend", || instance.has_spare_retry("engines"));
@@ -209,3 +219,45 @@
 fn new_first_parts() {
     check(&[|number| format!("e{number:x}:100,{CRASHING}:50,f{number:x}:30")]);
 }
+
+#[test]
+fn two_parts_at_once() {
+    check(&[
+        |number| format!("aa:100,{CRASHING}:50,f{number:x}:30"),
+        |number| format!("aa:100,{ALSO_CRASHING}:50,e{number:x}:30"),
+    ]);
+}
+
+/// Under a supervisor a crash is known only once the engine is back.
+#[test]
+fn behind_open_ports() {
+    check_with(
+        &[|number| format!("aa:100,{CRASHING}:50,f{number:x}:30")],
+        Some(RESTART_DURATION),
+    );
+}
+
+/// All instances restart: the next request with the part is refused at once.
+#[test]
+fn known_after_restarts() {
+    let fleet = Fleet::start(None);
+    let first = cluster::start_ready("one", &fleet.store);
+    let parts = |number: usize| format!("aa:100,{CRASHING}:50,f{number:x}:30");
+    until("a refusal", || {
+        let number = fleet.crashing_arrivals().len();
+        let answer = send(&first, &format!("bad{number}"), &parts(number));
+        answer.is_some_and(|answer| answer.status == 503)
+    });
+    let before = fleet.crashing_arrivals().len();
+    assert!(before <= KNOWN_CRASHES, "{before} requests reached engines");
+    until("the stored list", || {
+        fleet.store.get("passway/poison").is_some()
+    });
+    first.stop();
+    let second = cluster::start_ready("two", &fleet.store);
+    let answer = send(&second, "badlast", &parts(99)).expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert_eq!(fleet.crashing_arrivals().len(), before);
+    let sound = send(&second, "sound", "aa:100,5ec:50,1:30");
+    assert!(is_served(sound.as_ref()), "{sound:?}");
+}
--- a/tests/all/part_blame.rs
+++ b/tests/all/part_blame.rs
@@ -220,6 +220,30 @@
     assert!(world.is_refused(&[SOUND]));
 }
 
+/// Guards against a part that counts for more once it comes from the store, which keeps no times: of
+/// crashes at one moment only one counts.
+#[test]
+fn counts_as_much_from_the_store() {
+    let mut world = World::new();
+    let sent_at = world.now;
+    for _ in 0..4 {
+        world.now += Duration::from_millis(30);
+        world.crash_at(&[&[SHARED]], sent_at);
+    }
+    world.crash(&[&[SHARED]]);
+    assert_eq!(world.standing(&[SHARED]).permission, RunPermission::Alone);
+    let mut stored = world.list.persisted_suspects();
+    for suspect in &mut stored {
+        suspect.runs.clear();
+    }
+    let mut restarted = World::new();
+    restarted.list.merge(stored, restarted.now);
+    assert_eq!(
+        restarted.standing(&[SHARED]).permission,
+        RunPermission::Alone
+    );
+}
+
 #[test]
 fn keys_survive_encoding() {
     let request = SuspectKey::from(RequestDigest([7; 16]));
