A model of a fleet under a crashing part; a part's crashes stay bounded and counted

Cause: found by the model, 300 instances and 60 engines in virtual time: a part keeps eight crashes, and with eight at one moment no later one was recorded, so its refusal was never renewed and one trial followed the other (14 crashes, 4 late, 3 allowed).

Change: of a part that has eight crashes, one that is cleared, explained or at the same moment as another makes room. The soak draws requests with a crashing part, no two alike, and bounds the crashes under them.

--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -114,6 +114,13 @@
     length(&longest_chain(counted(suspect, with_unconfirmed)))
 }
 
+/// A crash of a suspect that is not among its crashes one after the other.
+pub(super) fn crash_outside_chain(suspect: &Suspect) -> Option<UpstreamStart> {
+    let chain = longest_chain(counted(suspect, true));
+    let mut outside = suspect.crashes.keys();
+    outside.find(|start| !chain.contains(start)).cloned()
+}
+
 /// Reduces a part to its crashes one after the other, so that without their times they count as much.
 pub(super) fn retain_chain(suspect: &mut Suspect) {
     let chain = longest_chain(counted(suspect, false)).into_iter().cloned();
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -180,12 +180,14 @@
         }
     }
 
-    /// Makes room for a crash. A part that many prompts share is cleared again and again, and may crash
-    /// upstreams later.
-    fn forget_cleared(&mut self) {
+    /// Makes room for a crash of a part, if another one counts for nothing. A part that many prompts share
+    /// is cleared again and again, and one that crashes upstreams may crash many at the same moment.
+    fn forget_crash(&mut self) {
         let mut cleared = self.crashes.iter();
         let cleared = cleared.find(|(_, status)| **status >= CrashStatus::Explained);
-        if let Some(start) = cleared.map(|(start, _)| start.clone()) {
+        let start = cleared.map(|(start, _)| start.clone());
+        let start = start.or_else(|| blame::crash_outside_chain(self));
+        if let Some(start) = start {
             self.crashes.remove(&start);
             self.runs.remove(&start);
         }
@@ -199,7 +201,7 @@
             return is_new;
         }
         if self.key.is_part() && self.crashes.len() >= MAX_CRASHES_PER_SUSPECT {
-            self.forget_cleared();
+            self.forget_crash();
         }
         let has_capacity = self.crashes.len() < MAX_CRASHES_PER_SUSPECT;
         if has_capacity {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! in a ledger that tests check invariants against.
 //!
 //! * [`allotment_model`]: simulates strategies that hold workspaces to their allotments.
+//! * [`part_model`]: simulates a fleet whose engines crash under one part of prompts.
 //! * [`key_value`]: a key-value service with compare-and-swap and leases, fault injection (outages,
 //!   delays, lost answers) and call counts.
 //! * [`weight_store`]: limits concurrent loads and their start rate; can be slowed down.
@@ -28,6 +29,7 @@
 pub mod instance_list;
 pub mod key_value;
 pub mod load;
+pub mod part_model;
 pub mod platform;
 pub mod server;
 pub mod service;
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -63,6 +63,8 @@
     pub closed: usize,
     /// Number of engine crashes caused by the poison request, restarted engines included.
     pub crashed_engines: usize,
+    /// Number of engine crashes caused by the crashing part of prompts.
+    pub crashed_by_part: usize,
     /// Peak resident memory of an instance, in bytes.
     pub peak_bytes: usize,
     /// Number of injected faults by name.
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -1,7 +1,10 @@
 //! Callers that send random requests and record the answers.
 
 use super::SoakPlan;
-use super::cluster::{MODELS, POISON, SMALL_KEY, SoakCluster, SoakInstance, key_of_version};
+use super::cluster::{
+    CRASHING_PART, CRASHING_PART_BODY, MODELS, POISON, SMALL_KEY, SoakCluster, SoakInstance,
+    key_of_version,
+};
 use crate::platform::caller::{Answer, Caller, request};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -15,6 +18,10 @@
 /// One in this many streaming requests is a poison request, which crashes the engine that executes
 /// it.
 const ONE_POISON_IN: u32 = 15;
+/// One in this many other streaming requests has the part that crashes engines; no two are alike.
+const ONE_CRASHING_PART_IN: u32 = 10;
+/// Number of parts of which each sound prompt has one in the second place.
+const SECOND_PARTS: u32 = 9;
 /// Probability that a caller reuses its open connection.
 const REUSE_PROBABILITY: f64 = 0.9;
 
@@ -192,7 +199,10 @@
     fn random_request(&mut self, id: &str, key: &str) -> (RequestKind, Vec<u8>) {
         let key_header = format!("Authorization: Token {key}\r\n");
         let model = MODELS[self.rng.random_range(0..MODELS.len())];
-        let model_header = format!("{key_header}Model: {model}\r\n");
+        let own_part = self.rng.random_range(0..u32::MAX);
+        let second_part = self.rng.random_range(0..SECOND_PARTS);
+        let prompt = format!("Prompt-Prefix: aa:100,5ec{second_part}:50,{own_part:x}:30\r\n");
+        let model_header = format!("{key_header}Model: {model}\r\n{prompt}");
         let version = (self.version)();
         match self.rng.random_range(0..6) {
             0 => (
@@ -220,6 +230,14 @@
                 let request_bytes = request("POST", "/chat/", id, &model_header, POISON);
                 (RequestKind::Resumable, request_bytes)
             }
+            _ if self.rng.random_ratio(1, ONE_CRASHING_PART_IN) => {
+                let prompt =
+                    format!("Prompt-Prefix: aa:100,{CRASHING_PART}:50,{own_part:x}:30\r\n");
+                let model_header = format!("{key_header}Model: {}\r\n{prompt}", MODELS[0]);
+                let body = format!("{CRASHING_PART_BODY}{id}");
+                let request_bytes = request("POST", "/chat/", id, &model_header, &body);
+                (RequestKind::Resumable, request_bytes)
+            }
             _ => (
                 RequestKind::Resumable,
                 request("POST", "/chat/", id, &model_header, id),
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -2,7 +2,7 @@
 
 use super::SoakReport;
 use super::callers::{Record, RequestKind};
-use super::cluster::{MODELS, POISON, SoakCluster, is_shed, key_of_version};
+use super::cluster::{CRASHING_PART_BODY, MODELS, POISON, SoakCluster, is_shed, key_of_version};
 use super::signal_checks;
 use super::workspace_checks;
 use crate::platform::caller::{Answer, fetch, request};
@@ -17,6 +17,9 @@
 /// several copies that run at the same time crashes an engine, and so does each instance that is
 /// disconnected from the others.
 const MAX_CRASHES: usize = 3;
+/// Maximum number of crashes caused by one part of prompts, in addition to one per instance: five until
+/// the part must be known, and three more (users' pages).
+const MAX_CRASHES_BY_PART: usize = 5 + 3;
 /// Maximum wait until all requests are served after the faults have ended.
 const RECOVERY_TIMEOUT: Duration = Duration::from_mins(1);
 /// Pause between two attempts.
@@ -26,7 +29,8 @@
 pub fn check_promises(cluster: &SoakCluster, records: &[Record], report: &mut SoakReport) {
     let execution_counts = execution_counts(cluster);
     report.requests = records.len();
-    report.crashed_engines = count_crashes(cluster);
+    report.crashed_engines = count_crashes(cluster, POISON);
+    report.crashed_by_part = count_crashes(cluster, CRASHING_PART_BODY);
     for record in records {
         let executions = execution_counts.get(&record.id).copied().unwrap_or(0);
         match &record.answer {
@@ -60,6 +64,13 @@
             .broken
             .push(format!("the poison request crashed {crash_count} engines"));
     }
+    let max_crashes = MAX_CRASHES_BY_PART + cluster.instances.len();
+    if report.crashed_by_part > max_crashes {
+        let crash_count = report.crashed_by_part;
+        report
+            .broken
+            .push(format!("the crashing part crashed {crash_count} engines"));
+    }
     for (number, instance) in cluster.instances.iter().enumerate() {
         let bytes = instance.process().resident_bytes();
         report.peak_bytes = report.peak_bytes.max(bytes);
@@ -71,13 +82,14 @@
     }
 }
 
-/// Returns the number of engine crashes caused by the poison request, restarted engines included.
-fn count_crashes(cluster: &SoakCluster) -> usize {
+/// Returns the number of engine crashes under requests whose bodies begin with `body`, restarted engines
+/// included.
+fn count_crashes(cluster: &SoakCluster, body: &str) -> usize {
     let engines = cluster.engines().into_iter();
     let crashes = engines.map(|engine| {
         let bodies = engine.server.restart_bodies().into_iter();
         let bodies = bodies.chain(engine.server.crash_body());
-        bodies.filter(|body| body.starts_with(POISON)).count()
+        bodies.filter(|crashed| crashed.starts_with(body)).count()
     });
     crashes.sum()
 }
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -48,6 +48,10 @@
 
 /// The body of the poison request, which crashes the engines.
 pub const POISON: &str = "poison";
+/// The part of prompts that crashes the engines.
+pub const CRASHING_PART: &str = "bad0bad0";
+/// Beginning of the bodies of requests with [`CRASHING_PART`].
+pub const CRASHING_PART_BODY: &str = "part-";
 /// Grace period from SIGTERM to the exit, in seconds: the shortest that leaves time between the
 /// load balancer's reaction and the exit.
 const GRACE_S: f64 = 4.5;
@@ -187,6 +191,7 @@
 pub fn default_engine_faults(number: usize) -> EngineFaults {
     EngineFaults {
         crash_on_prefix: Some(POISON.to_owned()),
+        crash_on_parts: vec![CRASHING_PART.to_owned()],
         restart_delay: (number % 2 == 1).then_some(SUPERVISED_RESTART_DELAY),
         event_delay: EVENT_DELAY,
         is_unframed: number % 3 == 2,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -54,6 +54,7 @@
 mod model_orders;
 mod outage_terms;
 mod part_blame;
+mod part_fleet;
 mod pass_through;
 mod passed_on_requests;
 mod peer_queue;
