A part is told to all instances by its crashes one after the other

Cause: a suspect was told to all instances from its second crash on. For a request that means a second attempt; a part that many prompts share has eight crashes at one moment, and each of 85 instances told it to all others for each run that broke off, and the holder once more.

Change: a part is urgent by its crashes one after the other, as for the permit; what was urgent before a change is told as well, so that a clearing arrives. Comments of the key in messages.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -14,7 +14,6 @@
 use crate::control;
 use crate::leadership::LeadershipDriver;
 use crate::members::{Addresses, Announcement, MemberListTracker, PendingAnnouncement};
-use crate::poison::MIN_BROADCAST_CRASHES;
 use crate::relay::{self, HEARTBEAT_INTERVAL, Relay};
 use crate::shared::Shared;
 use crate::signals;
@@ -281,7 +280,7 @@
         self.send_term(number);
         self.subscribers.send_updates(&self.peers, true);
         self.send_heartbeats([number], 0);
-        let suspects = self.shared.poison.suspects(MIN_BROADCAST_CRASHES);
+        let suspects = self.shared.poison.urgent_suspects();
         self.send_to(number, &Body::Suspects(suspects));
         let signals = signals::encode(&self.shared, None);
         if signals != KnownSignals::default() {
--- a/crates/instance/src/holder/publishing.rs
+++ b/crates/instance/src/holder/publishing.rs
@@ -3,7 +3,7 @@
 
 use super::{HolderThread, PLACEMENT_INTERVAL_PER_PEER};
 use crate::members::{self, Addresses};
-use crate::poison::{self, MIN_BROADCAST_CRASHES};
+use crate::poison;
 use crate::relay;
 use crate::signals::{self, MAX_BACKOFF_MS};
 use passway_process::outbox::Outbox;
@@ -108,8 +108,7 @@
         let published = disconnected.iter().map(|(start, _)| (start.clone(), until));
         self.published_disconnects.extend(published);
         let disconnects = poison::encode_disconnects(&disconnected);
-        let mut known = self.shared.poison.merge_fleet_list(received);
-        known.retain(|suspect| suspect.crashes.len() >= MIN_BROADCAST_CRASHES);
+        let known = self.shared.poison.merge_fleet_list(received);
         if self.fence.is_some() && !(known.is_empty() && disconnects.is_empty()) {
             let suspects = Suspects {
                 disconnects,
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -32,16 +32,13 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Key in the store of the requests that crash upstreams.
+/// Key in the store of the requests and parts that crash upstreams.
 pub const KEY: &str = "passway/poison";
-/// Maximum number of requests that are sent or stored, at 150 bytes each. A link of 10 Mbit/s
+/// Maximum number of suspects that are sent or stored, at 150 bytes each. A link of 10 Mbit/s
 /// carries them in 60 ms.
 const MAX_SENT_SUSPECTS: usize = 512;
 /// Maximum number of suspects in a datagram.
 const MAX_DATAGRAM_SUSPECTS: usize = 32;
-/// From this number of crashes on, a request is published to all instances: the next crash may be
-/// the last one allowed, at whichever instance it happens.
-pub const MIN_BROADCAST_CRASHES: usize = 2;
 /// Longest time that a report of a crash takes to another instance. A received age may be too low
 /// by up to this much.
 const MAX_PROPAGATION_MS: u64 = 100;
@@ -56,6 +53,15 @@
     value: Vec<u8>,
 }
 
+/// Changes of suspects that other instances must learn.
+#[derive(Debug, Default)]
+pub struct Updates {
+    /// All changed suspects, for the holder.
+    all: Vec<Suspect>,
+    /// Those that all instances must know at once, or had to before the change.
+    pub urgent: Vec<Suspect>,
+}
+
 /// What this instance knows of requests that crash upstreams.
 #[derive(Debug)]
 pub struct PoisonTracker {
@@ -131,10 +137,32 @@
         keys: &[SuspectKey],
         crash: &UpstreamStart,
         sent_at: Instant,
-    ) -> Vec<Suspect> {
-        let updates = lock(&self.list).record_run_crash(keys, crash, sent_at, clock::now());
-        self.update_counts();
-        updates
+    ) -> Updates {
+        self.change(keys, |list, now| {
+            list.record_run_crash(keys, crash, sent_at, now)
+        })
+    }
+
+    /// Changes what is known of some suspects. Returns what to publish.
+    fn change(
+        &self,
+        keys: &[SuspectKey],
+        apply: impl FnOnce(&mut PoisonList, Instant) -> Vec<Suspect>,
+    ) -> Updates {
+        let mut list = lock(&self.list);
+        let urgent_before = keys.iter().copied();
+        let urgent_before: Vec<SuspectKey> =
+            urgent_before.filter(|key| list.is_urgent(*key)).collect();
+        let all = apply(&mut list, clock::now());
+        let urgent = all
+            .iter()
+            .filter(|suspect| urgent_before.contains(&suspect.key) || list.is_urgent(suspect.key));
+        let urgent = urgent.cloned().collect();
+        drop(list);
+        if !all.is_empty() {
+            self.update_counts();
+        }
+        Updates { all, urgent }
     }
 
     /// Records that an engine broke off under a request, if it is unknown yet whether the engine
@@ -163,28 +191,21 @@
         address: SocketAddr,
     ) {
         let poison = &shared.poison;
-        let now = clock::now();
-        let updates = lock(&poison.list).record_run_disconnect(keys, start, sent_at, now);
-        poison.update_counts();
+        let updates = poison.change(keys, |list, now| {
+            list.record_run_disconnect(keys, start, sent_at, now)
+        });
         Self::publish(shared, updates);
         probe::start(shared, keys, start, address);
     }
 
     /// Records that an upstream that broke off under a request is still running. Returns what to
     /// publish.
-    fn record_alive(
-        &self,
-        keys: impl IntoIterator<Item = SuspectKey>,
-        start: &UpstreamStart,
-    ) -> Vec<Suspect> {
-        let now = clock::now();
-        let mut list = lock(&self.list);
-        let updates = keys.into_iter();
-        let updates = updates.filter_map(|key| list.record_alive(key, start.clone(), now));
-        let updates = updates.collect();
-        drop(list);
-        self.update_counts();
-        updates
+    fn record_alive(&self, keys: &[SuspectKey], start: &UpstreamStart) -> Updates {
+        self.change(keys, |list, now| {
+            let keys = keys.iter();
+            keys.filter_map(|key| list.record_alive(*key, start.clone(), now))
+                .collect()
+        })
     }
 
     /// Records that all starts of an upstream before `before_ms` have terminated, in Unix
@@ -199,15 +220,11 @@
     }
 
     /// Records that a run with these keys was answered. Returns what to publish.
-    pub fn record_answer(&self, keys: &[SuspectKey]) -> Vec<Suspect> {
-        let mut list = lock(&self.list);
-        let updates = keys.iter().filter_map(|key| list.record_answer(*key));
-        let updates: Vec<Suspect> = updates.collect();
-        drop(list);
-        if !updates.is_empty() {
-            self.update_counts();
-        }
-        updates
+    pub fn record_answer(&self, keys: &[SuspectKey]) -> Updates {
+        self.change(keys, |list, _| {
+            let keys = keys.iter();
+            keys.filter_map(|key| list.record_answer(*key)).collect()
+        })
     }
 
     /// Merges the upstreams that broke off at other instances, and returns them.
@@ -232,15 +249,11 @@
         disconnected
     }
 
-    /// Reports updates of suspects to the holder, which publishes them to all instances. From the
-    /// second crash on, all known instances receive them directly, too: the next run may be the last
-    /// one allowed, at whichever instance it happens, and the holder may be slow or terminated.
-    pub fn publish(shared: &Shared, updates: Vec<Suspect>) {
-        let urgent = updates
-            .iter()
-            .filter(|update| update.crashes.len() >= MIN_BROADCAST_CRASHES);
-        let urgent: Vec<Suspect> = urgent.cloned().collect();
-        for urgent in urgent.chunks(MAX_DATAGRAM_SUSPECTS) {
+    /// Reports updates of suspects to the holder, which publishes urgent ones to all instances. All known
+    /// instances receive those directly, too: the next run may be the last one allowed, at whichever
+    /// instance it happens, and the holder may be slow or terminated.
+    pub fn publish(shared: &Shared, updates: Updates) {
+        for urgent in updates.urgent.chunks(MAX_DATAGRAM_SUSPECTS) {
             let suspects = encode(urgent.to_vec());
             for address in shared.other_instances() {
                 shared
@@ -248,13 +261,13 @@
                     .send(address, Body::Suspects(suspects.clone()));
             }
         }
-        for update in updates {
+        for update in updates.all {
             shared.report(ReportEvent::Suspect(update));
         }
     }
 
-    /// Merges the fleet's list from the holder or the store. Returns the received requests with
-    /// everything known about them.
+    /// Merges the fleet's list from the holder or the store. Returns the received suspects that are or
+    /// were urgent, with everything known about them.
     pub fn merge_fleet_list(&self, received: Suspects) -> Vec<Suspect> {
         self.has_fleet_list.store(true, Ordering::Release);
         self.merge(received)
@@ -272,17 +285,25 @@
         }
         let keys: Vec<SuspectKey> = received.iter().map(|suspect| suspect.key).collect();
         let mut list = lock(&self.list);
+        let were_urgent: Vec<bool> = keys.iter().map(|key| list.is_urgent(*key)).collect();
         list.merge(received, clock::now());
-        let known = keys.iter().filter_map(|key| list.get(*key));
+        let urgent = keys.iter().zip(were_urgent);
+        let urgent = urgent.filter(|(key, was_urgent)| *was_urgent || list.is_urgent(**key));
+        let known = urgent.filter_map(|(key, _)| list.get(*key));
         let known = known.cloned().collect();
         drop(list);
         self.update_counts();
         known
     }
 
-    /// Encodes the requests with at least `min_crashes` crashes.
-    pub fn suspects(&self, min_crashes: usize) -> Suspects {
-        encode(lock(&self.list).suspects(min_crashes))
+    /// Encodes all suspects.
+    pub fn suspects(&self) -> Suspects {
+        encode(lock(&self.list).suspects(1))
+    }
+
+    /// Encodes the suspects that all instances must know.
+    pub fn urgent_suspects(&self) -> Suspects {
+        encode(lock(&self.list).urgent_suspects())
     }
 
     /// Records the list that is in the store now; empty if the key is missing.
--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -122,7 +122,8 @@
             shared
                 .upstreams()
                 .mark_reachable(&start.upstream, clock::now());
-            let updates = shared.poison.record_alive(keys, start);
+            let keys: Vec<SuspectKey> = keys.into_iter().collect();
+            let updates = shared.poison.record_alive(&keys, start);
             PoisonTracker::publish(shared, updates);
         }
         Some(Verdict::Ended { before_ms }) => shared.starts_ended(&start.upstream, before_ms),
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -403,7 +403,7 @@
             arrivals = recent_counts(&self.recent);
             unreported = self.waiting.keys().cloned().collect();
             self.last_running.clear();
-            suspects = self.shared.poison.suspects(1);
+            suspects = self.shared.poison.suspects();
             signals = signals::encode_for_holder(&self.shared, None);
         }
         if signals != KnownSignals::default() {
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison.rs
@@ -1,4 +1,5 @@
-//! Poison requests: requests that crash the upstreams that run them.
+//! Poison requests: requests that crash the upstreams that run them, by their content or by a part of
+//! their prompts.
 //!
 //! Such a request is retried under another id and at another instance, and each run takes down an
 //! engine with everything that runs on it. So crashes are counted over all instances by the
--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -24,8 +24,9 @@
 /// How long a part is refused after its last crash, by the number of its crashes beyond
 /// [`MAX_CRASHES`]; then one run is tried. With more crashes it is refused until it is forgotten.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(20)];
-/// Suspects with fewer crashes explain none: their parts are not limited either.
-const MIN_EXPLAINING_CRASHES: u32 = MAX_CRASHES - 1;
+/// From this number of crashes on, requests with a part run one at a time, and a suspect may explain the
+/// crashes of others.
+const MIN_LIMITED_CRASHES: u32 = MAX_CRASHES - 1;
 
 /// Whether a request may run, given what is known of it and its parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -47,7 +48,7 @@
         let mut by_crash: HashMap<UpstreamStart, Vec<(SuspectKey, u32)>> = HashMap::new();
         for (key, known) in known {
             let count = chain_length(&known.suspect, true);
-            if count < MIN_EXPLAINING_CRASHES {
+            if count < MIN_LIMITED_CRASHES {
                 continue;
             }
             for (start, _) in counted(&known.suspect, true) {
@@ -189,7 +190,7 @@
             }
             let permission = match unexplained(now < known.unconfirmed_until) {
                 MAX_CRASHES.. => RunPermission::Held,
-                MIN_EXPLAINING_CRASHES => RunPermission::Alone,
+                MIN_LIMITED_CRASHES => RunPermission::Alone,
                 _ => RunPermission::Free,
             };
             Judgement {
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -10,6 +10,9 @@
 /// requests that ran beside a poison request: they move together to the next engine, and an engine
 /// runs a dozen.
 pub const MAX_CRASHES: u32 = 3;
+/// From this number of crashes on, all instances must know a request: its next crash may be the last one
+/// allowed, at whichever instance it happens.
+const MIN_BROADCAST_CRASHES: usize = 2;
 /// Weight of a crash that nothing else explains. An even number, so that half of it is an integer.
 const CRASH_WEIGHT: u32 = 2;
 /// How long a request is refused after its last crash. A caller that keeps repeating it can then
@@ -93,7 +96,7 @@
     /// The request may run.
     #[default]
     Free,
-    /// One request with this content may run at a time, over all instances. If it crashes the next
+    /// One request with this content, or with this part, may run at a time, over all instances. If it crashes the next
     /// upstream too, the request is refused; an answer shows that something else crashed the
     /// others.
     Alone,
@@ -102,8 +105,9 @@
     Held,
 }
 
-/// A request and the crashes under it, as instances exchange them. Merging what several instances
-/// know gives the same result in any order and any number of times.
+/// A request, or a part of prompts, and the crashes under it, as instances exchange them. Merging what
+/// several instances know gives the same result in any order and any number of times; of a part with
+/// too many crashes, which of those that count for nothing are kept may differ.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
     /// The request or part.
@@ -273,6 +277,26 @@
             .count()
     }
 
+    /// Whether all instances must know a suspect at once, because its next crash may be the last one
+    /// allowed. A part that many requests share is in many crashes of one moment, which mean little.
+    pub fn is_urgent(&self, key: SuspectKey) -> bool {
+        self.known.get(&key).is_some_and(|known| {
+            let suspect = &known.suspect;
+            if key.is_part() {
+                blame::chain_length(suspect, true) >= MAX_CRASHES - 1
+            } else {
+                suspect.crashes.len() >= MIN_BROADCAST_CRASHES
+            }
+        })
+    }
+
+    /// The suspects that all instances must know.
+    pub fn urgent_suspects(&self) -> Vec<Suspect> {
+        let mut suspects = self.suspects(MIN_BROADCAST_CRASHES);
+        suspects.retain(|suspect| self.is_urgent(suspect.key));
+        suspects
+    }
+
     /// The suspect with this key, if any.
     pub fn get(&self, key: SuspectKey) -> Option<&Suspect> {
         self.known.get(&key).map(|known| &known.suspect)
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -9,7 +9,8 @@
 //! * [`process`]: an instance as a separate process.
 //! * [`proxy`]: a TCP proxy whose connections can be delayed, reset and silenced.
 //! * [`raw`]: a server that sends scripted bytes.
-//! * [`model_server`]: a model server with orders, reports and streams.
+//! * [`model_server`]: a model server with orders, reports and streams; [`replaced_engines`]: several, of
+//!   which crashed ones are replaced.
 
 pub mod caller;
 pub mod cut_path;
@@ -19,4 +20,5 @@
 pub mod process;
 pub mod proxy;
 pub mod raw;
+pub mod replaced_engines;
 pub mod store;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -243,10 +243,10 @@
 /// A request during which upstreams have crashed.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Suspect {
-    /// The digest of the request.
+    /// The digest of the request, or the tagged id of the part; encoded by `SuspectKey`.
     #[prost(bytes = "vec", tag = "1")]
     pub digest: Vec<u8>,
-    /// The crashes that happened while an upstream ran the request.
+    /// The crashes that happened while an upstream ran the request, or a request with the part.
     #[prost(message, repeated, tag = "2")]
     pub crashes: Vec<Crash>,
 }
--- a/crates/wire/src/permits.rs
+++ b/crates/wire/src/permits.rs
@@ -50,8 +50,8 @@
     /// The upstream; empty if the permit is not for the limit of an upstream.
     #[prost(string, tag = "6")]
     pub upstream: String,
-    /// The digest of a suspect request, of which only one may run at a time across all instances;
-    /// empty if the permit is not for an exclusive run.
+    /// The key of a suspect, a request or a part of prompts, of which only one may run at a time across
+    /// all instances; empty if the permit is not for an exclusive run.
     #[prost(bytes = "vec", tag = "7")]
     pub digest: Vec<u8>,
     /// Maximum duration of the exclusive run, in milliseconds.
--- a/tests/all/part_blame.rs
+++ b/tests/all/part_blame.rs
@@ -140,6 +140,8 @@
         world.crash_at(&[&[SHARED, SOUND]], sent_at);
     }
     assert!(world.is_free(&[SHARED, SOUND]));
+    // Told to all instances by each that saw it, such a part would fill the holder's link.
+    assert!(!world.list.is_urgent(part(SHARED)));
 }
 
 /// Guards against two crashing parts that hide behind each other.
