Crashes within half a second of each other are one moment for a part

Cause: crashes counted one after the other if a run was sent after the previous crash. Times that other instances report are off by up to 0.1 s each: a run sent 45 ms before the moment seemed to be sent after it.

Change: the next crash counts only if its run was sent half a second after the previous one.

--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -4,7 +4,8 @@
 //! crashes upstreams is in every such crash and in no run that ended whole since, so it has more
 //! crashes than any part that only ran beside it: a whole run clears its parts. Crashes at the same
 //! moment may have a common cause, such as the loss of a rack. So the measure of a part is the number
-//! of its crashes one after the other, each under a run that was sent after the previous crash.
+//! of its crashes one after the other, each under a run that was sent some time after the previous
+//! crash.
 //!
 //! A crash does not count for a part in a request if another suspect explains it that the request does
 //! not have: one with more such crashes, or with as many while these are few. So of two parts that were
@@ -18,6 +19,9 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 
+/// Crashes under runs that were sent within this time after a crash belong to the same moment: their
+/// upstreams may have had a common cause. The times that other instances report may be off by 0.1 s each.
+const MOMENT_DURATION: Duration = Duration::from_millis(500);
 /// From this number of crashes on, a suspect with as many explains none: a caller could keep two
 /// crashing parts in the same crashes, so that each explains the other.
 const MIN_UNTIED_CRASHES: u32 = MAX_CRASHES + 1;
@@ -82,8 +86,8 @@
     crashes.map(|(start, _)| (start, suspect.runs.get(start)))
 }
 
-/// The longest sequence of crashes one after the other, each under a run that was sent after the
-/// previous one. Crashes whose times are not known belong to it.
+/// The longest sequence of crashes one after the other, each under a run that was sent after the moment of
+/// the previous one. Crashes whose times are not known belong to it.
 fn longest_chain<'a>(
     crashes: impl Iterator<Item = (&'a UpstreamStart, Option<&'a RunSpan>)>,
 ) -> Vec<&'a UpstreamStart> {
@@ -98,7 +102,7 @@
     timed.sort_by_key(|(span, _)| span.disconnected_at);
     let mut last_at = None;
     for (span, start) in timed {
-        if last_at.is_none_or(|last_at| span.sent_at >= last_at) {
+        if last_at.is_none_or(|last_at| span.sent_at >= last_at + MOMENT_DURATION) {
             chain.push(start);
             last_at = Some(span.disconnected_at);
         }
