Logs tell which configuration a denial used, where it came from and how old its proof was

Cause: a 404 before a route was known named neither the version that it was answered from nor the age of that knowledge, and nothing at level info said when a feed began to rely on the holder or the store, how long a list took and which query of the store failed. Change: the line of a request without a route has host, path, config_version, config_source, config_received_ms, proof_ms, holder_heard_ms and holder_confirmed_ms. New lines: 'the source of a feed changed', 'listed a feed from the store', 'the store gave no answer' (debug before). No decision changes.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -7,7 +7,7 @@
 pub use upstreams::UpstreamFeed;
 
 use crate::holder::NumberedUpdate;
-use crate::relay::{CONFIGURATION_FEED, RelayReceiver};
+use crate::relay::{CONFIGURATION_FEED, RelayReceiver, age_ms, millis_since};
 use crate::shared::Shared;
 use crate::updates::{self, FeedUpdate};
 use crossbeam::channel::Sender;
@@ -44,7 +44,7 @@
 
 /// Where an update comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
+pub enum UpdateSource {
     /// The store itself.
     Store,
     /// The holder of leadership.
@@ -109,6 +109,7 @@
         has_gap: false,
         failures: 0,
         backoff: Backoff::none(clock::now()),
+        logged_trust: None,
     };
     std::thread::spawn(move || follower.run());
 }
@@ -149,6 +150,8 @@
     /// Number of consecutive calls that the store did not answer.
     failures: u32,
     backoff: Backoff,
+    /// Whether the feed relied on the holder when this was last logged.
+    logged_trust: Option<bool>,
 }
 
 impl<F: Feed> Follower<F> {
@@ -159,7 +162,9 @@
             self.feed.tick();
             // Applies updates that the holder sent during the query.
             self.receive(Duration::ZERO);
-            if let Some(until) = self.trusted_until() {
+            let trusted_until = self.trusted_until();
+            self.log_trust(trusted_until.is_some());
+            if let Some(until) = trusted_until {
                 self.trusted_holder = true;
                 let timeout = until.saturating_duration_since(clock::now());
                 self.receive(timeout.min(RELAY_POLL_INTERVAL));
@@ -177,6 +182,21 @@
         self.receiver.trusted_until().filter(|_| !must_query_store)
     }
 
+    /// Logs when the feed begins or ceases to rely on the holder, and why.
+    fn log_trust(&mut self, relies_on_holder: bool) {
+        if self.logged_trust.replace(relies_on_holder) == Some(relies_on_holder) {
+            return;
+        }
+        let relay = &self.receiver.relay;
+        let holder_confirmed_ms = self.receiver.feed.and_then(|feed| relay.confirmed_at(feed));
+        log::info!(prefix = self.prefix, relies_on_holder = relies_on_holder,
+            known:% = self.known.unwrap_or_default(), has_gap = self.has_gap,
+            holder_heard_ms = age_ms(relay.last_received_at()),
+            holder_confirmed_ms = age_ms(holder_confirmed_ms),
+            must_query_store = self.feed.must_query_store();
+            "the source of a feed changed");
+    }
+
     /// Whether the store may be queried now. If the holder is alive but neither it nor this
     /// instance gets answers from the store, only the configuration's feed checks whether the store
     /// is back.
@@ -206,14 +226,19 @@
         let prefers_listing =
             self.receiver.feed.is_none() || self.feed.prefers_listing(Interruption::HolderLost);
         self.must_list |= std::mem::take(&mut self.trusted_holder) && prefers_listing;
+        let is_list = self.known.is_none() || self.must_list;
+        let asked_at = clock::now();
         match self.query_store() {
             Ok(()) => {
+                if is_list {
+                    log::info!(prefix = self.prefix, took_ms = millis_since(asked_at, clock::now()), known:% = self.known.unwrap_or_default(); "listed a feed from the store");
+                }
                 self.failures = 0;
                 self.feed.shared().store_health.record_answer();
                 std::thread::sleep(self.feed.finish_batch());
             }
             Err(error) => {
-                log::debug!(prefix = self.prefix, error:? = error; "the store gave no answer");
+                log::info!(prefix = self.prefix, is_list = is_list, took_ms = millis_since(asked_at, clock::now()), failures = self.failures, error:? = error; "the store gave no answer");
                 // The store may have written many versions before an answer that did not arrive in
                 // time.
                 self.must_list |= self.feed.prefers_listing(Interruption::StoreSilent);
@@ -244,7 +269,7 @@
             let listing = self.store.list(&self.prefix)?;
             self.receiver.record_store_answer(asked_at);
             self.must_list = false;
-            self.apply(FeedUpdate::Snapshot(listing), Source::Store);
+            self.apply(FeedUpdate::Snapshot(listing), UpdateSource::Store);
             self.feed.confirmed(asked_at);
             return Ok(());
         };
@@ -263,7 +288,7 @@
                     to: revision.max(after),
                     changes: updates::latest_changes(changes.into_iter()),
                 };
-                self.apply(update, Source::Store);
+                self.apply(update, UpdateSource::Store);
                 self.feed.confirmed(asked_at);
             }
         }
@@ -302,7 +327,7 @@
         // after the holder is lost.
         self.failures = 0;
         self.feed.shared().store_health.record_relayed();
-        self.apply(update, Source::Holder);
+        self.apply(update, UpdateSource::Holder);
         self.feed.finish_batch();
     }
 
@@ -317,8 +342,9 @@
         true
     }
 
-    fn apply(&mut self, update: FeedUpdate, source: Source) {
+    fn apply(&mut self, update: FeedUpdate, source: UpdateSource) {
         if self.receiver.feed == Some(CONFIGURATION_FEED) && update.value_count() > 0 {
+            self.feed.shared().configuration_age.record_update(source);
             log::info!(source:? = source, known:% = self.known.unwrap_or_default(), to:% = update.to(), bytes = update.size_bytes(); "received a configuration");
         }
         self.has_gap = false;
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -33,7 +33,7 @@
 use crate::http1::{BodyFraming, CompletenessProof, Connection, RequestHead};
 use crate::metrics::RetryDecision;
 use crate::poison::ExclusivePermit;
-use crate::relay::{millis, millis_since};
+use crate::relay::{CONFIGURATION_FEED, age_ms, millis, millis_since};
 use crate::reply::{self, Refusal};
 use crate::shared::{ReportEvent, Shared};
 use access::{Access, Denial};
@@ -221,7 +221,7 @@
     let destination = match destination.and_then(|found| check_version(shared, origin, found)) {
         Ok(destination) => destination,
         Err(Denial { refusal, end }) => {
-            log_unrouted(shared, origin, &facts, refusal, end);
+            log_unrouted(shared, origin, head, &facts, refusal, end);
             let vocabulary = &*shared.vocabulary;
             let written = reply::refuse(caller, vocabulary, &facts.id, refusal, should_close);
             return connection_reuse(written.is_ok() && !should_close);
@@ -311,6 +311,7 @@
 fn log_unrouted(
     shared: &Shared,
     origin: &Origin,
+    head: &RequestHead,
     facts: &RequestMetadata,
     refusal: Refusal,
     end: &'static str,
@@ -319,8 +320,18 @@
     match origin {
         Origin::Caller => {
             shared.metrics.request_ended(end, status);
-            log::info!(target: REQUEST_TARGET, request = facts.id, status = status,
-                offers = 0, runs = 0, end = end;
+            let table = shared.routes.load();
+            let version = table.as_ref().map_or(0, |table| table.version);
+            let origin = shared.configuration_age.origin();
+            let relay = shared.relay();
+            log::info!(target: REQUEST_TARGET, request = facts.id, host = host_of(head).unwrap_or_default(),
+                path = head.path(), status = status,
+                offers = 0, runs = 0, end = end, config_version = version,
+                config_source:? = origin.map(|origin| origin.source),
+                config_received_ms = age_ms(origin.map(|origin| origin.received_at)),
+                proof_ms = shared.configuration_age.age().map_or(-1, |age| millis(age).cast_signed()),
+                holder_heard_ms = age_ms(relay.and_then(|relay| relay.last_received_at())),
+                holder_confirmed_ms = age_ms(relay.and_then(|relay| relay.confirmed_at(CONFIGURATION_FEED)));
                 "request ended");
         }
         Origin::Peer(announcement) => {
--- a/crates/instance/src/forward/destination.rs
+++ b/crates/instance/src/forward/destination.rs
@@ -63,7 +63,7 @@
     let table = wait_for_routes(shared, caller, facts, arrived_at);
     let table = table.ok_or(unrouted(not_run(START_RETRY_MS)))?;
     let host = host_of(head).ok_or(unrouted(Refusal::Malformed))?;
-    let path = head.target.split('?').next().unwrap_or_default();
+    let path = head.path();
     let route = table.find(&host, path).cloned();
     let route = route.ok_or(unrouted(Refusal::NoRoute))?;
     let access = Access::look_up(&table, &route, facts).ok_or(UNKNOWN_KEY)?;
--- a/crates/instance/src/freshness.rs
+++ b/crates/instance/src/freshness.rs
@@ -5,6 +5,7 @@
 //! holder's proof is, and asks other instances if the holder does not answer or has no better
 //! proof. The holder's answer also shows that the holder can be asked about workspaces' allotments.
 
+use crate::feeds::UpdateSource;
 use crate::queries::PendingQueries;
 use crate::relay::{millis, millis_since};
 use crate::shared::Shared;
@@ -33,10 +34,21 @@
 /// Delay after queries that proved nothing.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// When and from where the last update of the configuration arrived.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigurationOrigin {
+    /// The sender.
+    pub source: UpdateSource,
+    /// When the update was applied.
+    pub received_at: Instant,
+}
+
 /// What an instance can prove of its configuration's age.
 #[derive(Debug, Default)]
 pub struct ConfigurationAge {
     state: Mutex<Freshness>,
+    /// The origin of the last update.
+    origin: Mutex<Option<ConfigurationOrigin>>,
     /// Notified when the proof has changed.
     proof_updated: Condvar,
     /// Notified when a request needs a proof.
@@ -61,6 +73,23 @@
         self.update(|freshness| freshness.set_active_version(version));
     }
 
+    fn lock_origin(&self) -> MutexGuard<'_, Option<ConfigurationOrigin>> {
+        self.origin.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that an update was applied.
+    pub fn record_update(&self, source: UpdateSource) {
+        *self.lock_origin() = Some(ConfigurationOrigin {
+            source,
+            received_at: clock::now(),
+        });
+    }
+
+    /// The origin of the last update; `None` before the first.
+    pub fn origin(&self) -> Option<ConfigurationOrigin> {
+        *self.lock_origin()
+    }
+
     /// Records that the store, queried at `sent_at`, had no newer version than `version`, which
     /// is in effect.
     pub fn record_store_answer(&self, version: Revision, sent_at: Instant) {
--- a/crates/instance/src/http1/head.rs
+++ b/crates/instance/src/http1/head.rs
@@ -24,6 +24,13 @@
     pub headers: Headers,
 }
 
+impl RequestHead {
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
 /// The head of an answer.
 #[derive(Debug, Clone)]
 pub struct AnswerHead {
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -82,6 +82,7 @@
         let ready_address = ready::listen(&shared, &leadership, settings.ready_address)?;
         let callers = callers::listen(&shared, settings.callers_address)?;
         let (relay, [configuration_receiver, upstream_receiver]) = Relay::new();
+        shared.set_relay(relay.clone());
         let engines = surroundings.engines.clone();
         shared.set_engines(engines.clone());
         let (holder, updates) = holder::start(
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -81,6 +81,13 @@
     millis(at.saturating_duration_since(since))
 }
 
+/// Time since an instant for a log line, in milliseconds; -1 without one.
+pub fn age_ms(at: Option<Instant>) -> i64 {
+    at.map_or(-1, |at| {
+        i64::try_from(clock::since(at).as_millis()).unwrap_or(i64::MAX)
+    })
+}
+
 /// What this instance receives from the holder.
 #[derive(Debug)]
 pub struct Relay {
@@ -140,6 +147,16 @@
         last_received_at.is_some_and(|at| clock::since(at) < MAX_HOLDER_SILENCE)
     }
 
+    /// When the holder last sent anything on the present connection; `None` without a connection.
+    pub fn last_received_at(&self) -> Option<Instant> {
+        self.state().last_received_at
+    }
+
+    /// When the store last confirmed to the holder that the holder knows all of a feed.
+    pub fn confirmed_at(&self, feed: usize) -> Option<Instant> {
+        self.state().confirmed_at[feed]
+    }
+
     /// Until when the holder may be relied on for a feed; `None` if it is not alive or its
     /// knowledge of the feed is too old.
     pub fn trusted_until(&self, feed: usize) -> Option<Instant> {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::paths::PathMonitor;
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
+use crate::relay::Relay;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
 use passway_serving::first_byte_times::FirstByteTimes;
@@ -124,6 +125,7 @@
     unconfirmed_engines: Mutex<BTreeSet<UpstreamId>>,
     members: Mutex<Addresses>,
     leadership: OnceLock<Arc<LeadershipDriver>>,
+    relay: OnceLock<Arc<Relay>>,
     engines: OnceLock<Arc<dyn Engines>>,
     upstreams_listed: AtomicBool,
     is_stopping: AtomicBool,
@@ -187,6 +189,7 @@
             unconfirmed_engines: Mutex::default(),
             members: Mutex::new(Addresses::new()),
             leadership: OnceLock::new(),
+            relay: OnceLock::new(),
             engines: OnceLock::new(),
             upstreams_listed: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
@@ -270,6 +273,17 @@
         let _ = self.leadership.set(leadership);
     }
 
+    /// What this instance receives from the holder; `None` while the process starts.
+    pub fn relay(&self) -> Option<&Arc<Relay>> {
+        self.relay.get()
+    }
+
+    /// Sets the relay, once.
+    pub fn set_relay(&self, relay: Arc<Relay>) {
+        // Each process has exactly one.
+        let _ = self.relay.set(relay);
+    }
+
     /// The control interface of engines; `None` while the process starts.
     pub fn engines(&self) -> Option<Arc<dyn Engines>> {
         self.engines.get().cloned()
