One thread sends for all peers; a new holder announces itself to 128 instances at a time

A refused subscriber goes to the store, whose link is full already. Cause: an instance has two threads for each connection to another, 983 of them at the holder, and one of the two only waits for something to send. Change: what the peer's socket takes without waiting is sent by the caller; one thread of the process polls the sockets that take less. The bounds in messages, bytes and time without progress (2 s) are those of before. Links get a send buffer of 256 kB instead of up to 4 MB, so that an outbox knows what its peer has not taken. A new holder dials 128 missing instances at a time. The reader's thread of each connection is left.

--- a/crates/controller/src/listener.rs
+++ b/crates/controller/src/listener.rs
@@ -35,7 +35,7 @@
     if reader.set_timeout(READ_TIMEOUT).is_err() {
         return;
     }
-    let outbox = Outbox::start(link.clone());
+    let outbox = Outbox::new(link.clone());
     if inputs.send(Input::Connected { id, outbox }).is_err() {
         return;
     }
--- a/crates/instance/src/holder/peers.rs
+++ b/crates/instance/src/holder/peers.rs
@@ -87,7 +87,7 @@
     }
     let mut instance = None;
     // The channel closes only when the process exits.
-    let _ = inputs.send(Input::Connected(number, Outbox::start(link)));
+    let _ = inputs.send(Input::Connected(number, Outbox::new(link)));
     while let Ok(Some(body)) = next {
         if let Some(input) = input_of(number, body, &mut instance) {
             let _ = inputs.send(input);
--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -22,6 +22,8 @@
 const RECONNECT_WINDOW: Duration = Duration::from_millis(700);
 /// How long a new holder tries to reach the other instances. A cut of the store lasts some seconds.
 const ANNOUNCEMENT_WINDOW: Duration = Duration::from_secs(10);
+/// Number of instances that a new holder connects to at a time; each costs a thread at both ends.
+const MAX_ANNOUNCED_AT_ONCE: usize = 128;
 
 /// Addresses where instances listen for other instances, by name.
 pub type Addresses = BTreeMap<InstanceId, SocketAddr>;
@@ -152,6 +154,9 @@
         drop(members);
         self.dialers.retain(|name, _| missing.contains_key(name));
         for (name, address) in missing {
+            if self.dialers.len() >= MAX_ANNOUNCED_AT_ONCE && !self.dialers.contains_key(&name) {
+                continue;
+            }
             let message = Body::NewHolder(NewHolder {
                 instance: this_instance.to_string(),
                 address: shared.settings.peer_address.to_string(),
--- a/crates/process/src/dial.rs
+++ b/crates/process/src/dial.rs
@@ -67,7 +67,7 @@
     if reader.set_timeout(READ_TIMEOUT).is_err() {
         return;
     }
-    handle(DialEvent::Connected(Outbox::start(link.clone())));
+    handle(DialEvent::Connected(Outbox::new(link.clone())));
     while !is_stopped.load(Ordering::Relaxed) {
         match reader.receive() {
             Ok(Some(body)) => handle(DialEvent::Received(body)),
--- a/crates/standins/src/bin/passway-config-memory.rs
+++ b/crates/standins/src/bin/passway-config-memory.rs
@@ -325,7 +325,7 @@
         set_socket_send_buffer_size(&stream, SOCKET_BUFFER_BYTES)
             .context("setting the send buffer")?;
         let (link, _reader) = Link::from_stream(stream).context("creating a link")?;
-        outboxes.push(Outbox::start(link));
+        outboxes.push(Outbox::new(link));
         silent_ends.push(listener.accept().context("accepting a connection")?.0);
     }
     Ok((outboxes, silent_ends))
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,8 +3,11 @@
 use crate::message::{Body, Envelope};
 use bytes::{Bytes, BytesMut};
 use prost::Message;
+use rustix::io::Errno;
+use rustix::net::SendFlags;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -14,14 +17,19 @@
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 << 10;
-/// The connection is closed if a write to the peer blocks for this time.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The connection is closed if the peer takes nothing for this time.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The connection is closed if sent bytes are not acknowledged within this time.
 ///
 /// Without this limit, writes to an unresponsive peer succeed until the socket's buffers are full,
 /// and an instance's reports are lost meanwhile. The time allows for three lost segments in a row.
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 1_500;
 
+/// Size of a socket's send buffer. It is small compared with what the kernel would allow, 4 MB, so
+/// that a heartbeat waits behind little on the link of a holder with a thousand peers, and an
+/// outbox knows what its peer has not taken.
+const SEND_BUFFER_BYTES: usize = 256 << 10;
+
 /// Total bytes sent over all links of this process.
 static SENT_BYTES: AtomicU64 = AtomicU64::new(0);
 
@@ -106,6 +114,7 @@
     pub fn from_stream(stream: TcpStream) -> io::Result<(Self, LinkReader)> {
         stream.set_nodelay(true)?;
         rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
+        rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES)?;
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         let read_half = stream.try_clone()?;
         let reader = LinkReader {
@@ -149,6 +158,32 @@
         result
     }
 
+    /// Sends as much of an encoded message as the socket takes without waiting, after the first
+    /// `sent_bytes`, which are sent already. Returns the number of bytes sent now; the rest must be
+    /// sent before any other message.
+    ///
+    /// # Errors
+    /// The same as for [`Link::send`].
+    pub fn send_without_waiting(&self, frame: &Frame, sent_bytes: usize) -> io::Result<usize> {
+        let Ok(guard) = self.write_lock.try_lock() else {
+            return Ok(0);
+        };
+        let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
+        let sent = rustix::net::send(&*self.stream, &frame.0[sent_bytes..], flags);
+        drop(guard);
+        match sent {
+            Ok(bytes) => {
+                SENT_BYTES.fetch_add(bytes as u64, Ordering::Relaxed);
+                Ok(bytes)
+            }
+            Err(Errno::AGAIN | Errno::INTR) => Ok(0),
+            Err(error) => {
+                self.close();
+                Err(error.into())
+            }
+        }
+    }
+
     /// Closes both directions, which also ends the reader and a write in progress.
     pub fn close(&self) {
         // Fails only if the peer has already closed the connection.
@@ -156,6 +191,12 @@
     }
 }
 
+impl AsFd for Link {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 impl LinkReader {
     /// The connection, and the bytes that were received after the last message.
     pub fn into_parts(self) -> (TcpStream, BytesMut) {
