Tests: an instance denies requests only by a configuration that is proved to be current

By reading, an instance whose table is older than operators were told is in effect denies from that table; nothing is asked before a 401, 404, 413 or 431.

The tests: an instance that the store refuses, with a route, a key or a limit added longer ago than config_apply_ms; limits that changed while a connection was idle, and before the first configuration; a request that another instance admitted by a newer version; one query for many denials; a holder that names a newer version; and a 404 that stays a 404 where another instance has a proof.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -92,6 +92,7 @@
 mod slow_renewals;
 mod slow_store;
 mod soak;
+mod stale_denials;
 mod store_eras;
 mod store_feeds;
 mod store_returns;
--- a/tests/all/passed_on_requests.rs
+++ b/tests/all/passed_on_requests.rs
@@ -244,7 +244,7 @@
             remaining_ms: 8_000,
             ..PeerRequest::default()
         };
-        pass_on(&instance, announcement, &format!("b-{number}"))
+        pass_on(&instance, announcement, "/read/", &format!("b-{number}"))
     };
     let held: Vec<_> = (0..MAX_PEER_REQUESTS).map(pass_on).collect();
     until("all of them", || {
@@ -450,7 +450,7 @@
             remaining_ms: 8_000,
             ..PeerRequest::default()
         };
-        let mut caller = Caller::from_stream(pass_on(&instance, announcement, "older"));
+        let mut caller = Caller::from_stream(pass_on(&instance, announcement, "/read/", "older"));
         let answer = caller.receive().expect("an answer");
         assert_eq!(answer.status, status, "version {config_version}");
     }
@@ -458,13 +458,13 @@
 }
 
 /// Passes a request on to an instance that is the holder, as another instance does.
-fn pass_on(instance: &Instance, announcement: PeerRequest, id: &str) -> TcpStream {
+pub fn pass_on(instance: &Instance, announcement: PeerRequest, path: &str, id: &str) -> TcpStream {
     let address = instance.holder().expect("a holder").address;
     let (link, reader) = Link::connect(address, Duration::from_secs(1)).expect("a link");
     link.send(Body::PeerRequest(announcement)).expect("sent");
     let (mut stream, _) = reader.into_parts();
     stream
-        .write_all(&request("GET", "/read/", id, "", ""))
+        .write_all(&request("GET", path, id, "", ""))
         .expect("sent");
     stream
 }
