A request that another instance passes on is refused by its version first

What callers saw: nothing; the instance that passes a request on never passes a peer's 404 or 401 to the caller (forward/via_peer.rs). But a peer with an older configuration answered 404 or 401 from it, and logged and counted these as denials.

Cause: the route and the key were looked up before the version of the announcement was compared.

Change: the version is compared first, and a peer that is behind answers 503 (not run).

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -38,7 +38,7 @@
 use crate::shared::{ReportEvent, Shared};
 use access::{Access, Denial};
 use attempt::{Attempt, Delivery, FailedAnswer, Target};
-use destination::{Destination, find_destination, host_of, request_hash};
+use destination::{find_destination, host_of, request_hash};
 use limits::DeferredUpstream;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
@@ -217,8 +217,8 @@
     }
     let should_close =
         shared.is_stopping() || !head.is_1_1 || head.headers.connection_contains("close");
-    let destination = find_destination(shared, caller, head, &facts, arrived_at);
-    let destination = match destination.and_then(|found| check_version(shared, origin, found)) {
+    let destination = find_destination(shared, caller, head, &facts, arrived_at, origin);
+    let destination = match destination {
         Ok(destination) => destination,
         Err(Denial { refusal, end }) => {
             log_unrouted(shared, origin, head, &facts, refusal, end);
@@ -287,26 +287,6 @@
     .run()
 }
 
-/// Refuses a request from another instance that has a newer configuration than this one.
-fn check_version(
-    shared: &Shared,
-    origin: &Origin,
-    destination: Destination,
-) -> Result<Destination, Denial> {
-    let Origin::Peer(announcement) = origin else {
-        return Ok(destination);
-    };
-    let table = shared.routes.load();
-    let version = table.as_ref().map_or(0, |table| table.version);
-    if version >= announcement.config_version {
-        return Ok(destination);
-    }
-    Err(Denial {
-        refusal: not_run(RETRY_AFTER_MS),
-        end: "refused, another instance has a newer configuration",
-    })
-}
-
 /// Logs and counts a request that was refused before it had a route.
 fn log_unrouted(
     shared: &Shared,
--- a/crates/instance/src/forward/destination.rs
+++ b/crates/instance/src/forward/destination.rs
@@ -1,7 +1,7 @@
 //! The route and service of a request by the configuration in effect.
 
 use super::access::{Access, Denial, UNKNOWN_KEY};
-use super::{RETRY_AFTER_MS, not_run};
+use super::{Origin, RETRY_AFTER_MS, not_run};
 use crate::http1::{Connection, RequestHead};
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -55,6 +55,7 @@
     head: &RequestHead,
     facts: &RequestMetadata,
     arrived_at: Instant,
+    origin: &Origin,
 ) -> Result<Destination, Denial> {
     let unrouted = |refusal| Denial {
         refusal,
@@ -63,6 +64,7 @@
     let table = wait_for_routes(shared, caller, facts, arrived_at);
     let table = table.ok_or(unrouted(not_run(START_RETRY_MS)))?;
     let host = host_of(head).ok_or(unrouted(Refusal::Malformed))?;
+    check_version(&table, origin)?;
     let path = head.path();
     let route = table.find(&host, path).cloned();
     let route = route.ok_or(unrouted(Refusal::NoRoute))?;
@@ -77,6 +79,17 @@
     })
 }
 
+/// Refuses a request from another instance that has a newer configuration than this one.
+fn check_version(table: &RouteTable, origin: &Origin) -> Result<(), Denial> {
+    match origin {
+        Origin::Peer(announcement) if table.version < announcement.config_version => Err(Denial {
+            refusal: not_run(RETRY_AFTER_MS),
+            end: "refused, another instance has a newer configuration",
+        }),
+        _ => Ok(()),
+    }
+}
+
 /// The routes, as soon as both they and the upstreams are known. An instance that has just started
 /// waits briefly for them, because the store may be about to answer.
 fn wait_for_routes(
