The limits for a body are those in effect when its head has arrived

What callers saw (by reading): 413 on a kept connection for a body that the configuration in effect allows.

Cause: both limits were read before the wait for the next request, which lasts up to idle_timeout_ms.

Change: the limit for the body is read after the head has arrived.

Measured: stale_denials::limits_replaced_while_idle got 413, and gets 200.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -212,7 +212,7 @@
     }
 }
 
-fn limits(shared: &Shared) -> CallerLimits {
+fn newest_limits(shared: &Shared) -> CallerLimits {
     let routes = shared.routes.load();
     routes.as_ref().map_or(INITIAL_LIMITS, |table| table.limits)
 }
@@ -232,7 +232,7 @@
     origin: &Origin,
 ) -> Option<Connection> {
     let shared = &context.shared;
-    let limits = limits(shared);
+    let limits = newest_limits(shared);
     let idle_until = clock::now() + Duration::from_millis(limits.idle_timeout_ms);
     let header_timeout = Duration::from_millis(limits.header_timeout_ms);
     let head = http1::read_request_head(
@@ -252,6 +252,8 @@
     };
     let in_progress = shared.count_in_progress();
     let arrived_at = clock::now();
+    // They may have changed while the connection was idle.
+    let limits = newest_limits(shared);
     let announced_length = head.headers.text("content-length");
     let announced_bytes = announced_length
         .and_then(|length| length.parse().ok())
