A request is denied only by a configuration that is proved to be current

Cause: an instance whose configuration is older than what operators were told is in effect (config_apply_ms) denied from it like one that knows the newest. Only permits of keys needed a proof. Before the first configuration, built-in limits gave a final 413 or 431.

Change: a 401 (also directly before a request is sent), 404, 413 or 431 needs a proof that the version in effect was the newest at most config_apply_ms ago (2 s where the settings lack it). Without one, the request waits 0.3 of its time and 0.3 s at most, and is checked again by the newest version; it then gets its answer, or 503 with Retry-After 0.05. A proof is demanded by the denial itself: the holder is queried, then two other instances, then the configuration's feed queries the store once. One round serves all that wait, rounds are 0.2 s apart, and there is no query while nothing is denied. An instance that learns of a newer version waits for it instead. Wire formats are unchanged. A body that turned out too large by limits that were raised meanwhile gets 503, because what was read of it is gone. 413 and 431 are logged and counted, as 'refused, it is too large'. A query of the store for a proof alone does not list the configuration while the holder is relied on.

Not measured: the whole fleet.

--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers' connections, served by one thread each.
 
+use crate::denials::{self, Denial, UNPROVEN_CONFIGURATION};
 use crate::forward::{self, ConnectionReuse, Origin};
 use crate::http1::{self, BodyReader, Connection, HttpError, RequestHead};
 use crate::paths::PathMonitor;
@@ -217,6 +218,46 @@
     routes.as_ref().map_or(INITIAL_LIMITS, |table| table.limits)
 }
 
+/// The newest limits, if they allow more than the ones by which a request is too large.
+///
+/// # Errors
+/// The refusal of the request if they do not.
+fn raised_limits(
+    shared: &Shared,
+    caller: &mut Connection,
+    origin: &Origin,
+    until: Instant,
+    refusal: Refusal,
+    allows_more: impl Fn(&CallerLimits) -> bool,
+) -> Result<CallerLimits, Denial> {
+    denials::check_with_proof(shared, caller, until, || {
+        if let Some(table) = &*shared.routes.load() {
+            forward::check_version(table, origin)?;
+        }
+        let newest = newest_limits(shared);
+        allows_more(&newest)
+            .then_some(newest)
+            .ok_or(too_large(refusal))
+    })
+}
+
+fn too_large(refusal: Refusal) -> Denial {
+    Denial {
+        refusal,
+        end: "refused, it is too large",
+    }
+}
+
+/// Reads the head of the next request; `None` if the connection was closed while idle.
+fn read_head(
+    caller: &mut Connection,
+    limits: &CallerLimits,
+) -> Result<Option<RequestHead>, HttpError> {
+    let idle_until = clock::now() + Duration::from_millis(limits.idle_timeout_ms);
+    let header_timeout = Duration::from_millis(limits.header_timeout_ms);
+    http1::read_request_head(caller, limits.max_header_bytes, idle_until, header_timeout)
+}
+
 /// Reads and serves one request after another until the connection ends.
 fn serve_connection(context: &ConnectionContext, caller: Connection) {
     let mut next = Some(caller);
@@ -232,19 +273,23 @@
     origin: &Origin,
 ) -> Option<Connection> {
     let shared = &context.shared;
-    let limits = newest_limits(shared);
-    let idle_until = clock::now() + Duration::from_millis(limits.idle_timeout_ms);
-    let header_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let head = http1::read_request_head(
-        &mut caller,
-        limits.max_header_bytes,
-        idle_until,
-        header_timeout,
-    );
+    let mut limits = newest_limits(shared);
+    let head = loop {
+        match read_head(&mut caller, &limits) {
+            Err(HttpError::TooLarge) => {}
+            read => break read,
+        }
+        let until = denials::wait_until(origin, None, clock::now());
+        let allows_more = |newest: &CallerLimits| newest.max_header_bytes > limits.max_header_bytes;
+        let refusal = Refusal::HeadTooLarge;
+        match raised_limits(shared, &mut caller, origin, until, refusal, allows_more) {
+            Ok(raised) => limits = raised,
+            Err(denial) => return refuse_denied(shared, caller, "", denial),
+        }
+    };
     let head = match head {
         Ok(Some(head)) => head,
         Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
-        Err(HttpError::TooLarge) => return refuse(shared, caller, Refusal::HeadTooLarge),
         Err(HttpError::Stopping) if !caller.buffered().is_empty() => {
             return refuse_half_read(shared, caller, "");
         }
@@ -266,7 +311,13 @@
     let body = match read_body(&mut caller, &head, limits.max_body_bytes) {
         Ok(body) => body,
         Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
-        Err(HttpError::TooLarge) => return refuse(shared, caller, Refusal::BodyTooLarge),
+        Err(HttpError::FramingTooLarge) => {
+            let facts = shared.vocabulary.parse_request(&head.headers);
+            return refuse_denied(shared, caller, &facts.id, too_large(Refusal::BodyTooLarge));
+        }
+        Err(HttpError::TooLarge) => {
+            return refuse_large_body(shared, caller, &head, limits, origin);
+        }
         Err(HttpError::Stopping) => {
             let facts = shared.vocabulary.parse_request(&head.headers);
             return refuse_half_read(shared, caller, &facts.id);
@@ -314,9 +365,39 @@
     let refusal = Refusal::NotRun {
         retry_after_ms: forward::RETRY_AFTER_MS,
     };
+    refuse_denied(shared, caller, id, Denial { refusal, end })
+}
+
+/// Refuses a request whose body is larger than the limits by which it was read.
+fn refuse_large_body(
+    shared: &Shared,
+    mut caller: Connection,
+    head: &RequestHead,
+    limits: CallerLimits,
+    origin: &Origin,
+) -> Option<Connection> {
+    let facts = shared.vocabulary.parse_request(&head.headers);
+    let until = denials::wait_until(origin, facts.deadline_ms, clock::now());
+    let allows_more = |newest: &CallerLimits| newest.max_body_bytes > limits.max_body_bytes;
+    let refusal = Refusal::BodyTooLarge;
+    let raised = raised_limits(shared, &mut caller, origin, until, refusal, allows_more);
+    // What was read of the body is lost, so the caller must send the request again.
+    let denial = raised.err().unwrap_or(UNPROVEN_CONFIGURATION);
+    refuse_denied(shared, caller, &facts.id, denial)
+}
+
+/// Refuses a request that was not read completely, and logs and counts it.
+fn refuse_denied(
+    shared: &Shared,
+    caller: Connection,
+    id: &str,
+    Denial { refusal, end }: Denial,
+) -> Option<Connection> {
     shared.metrics.request_ended(end, refusal.code());
+    let table = shared.routes.load();
+    let version = table.as_ref().map_or(0, |table| table.version);
     log::info!(target: REQUEST_TARGET, request = id, status = refusal.code(), offers = 0,
-        runs = 0, end = end; "request ended");
+        runs = 0, end = end, config_version = version; "request ended");
     refuse_with_id(shared, caller, id, refusal)
 }
 
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -25,6 +25,9 @@
 /// Longest watch of a feed that each instance follows by itself.
 const OWN_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Watch for a proof of the configuration that requests wait for: the store answers at once.
+const PROOF_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// Number of queries that must fit into the time within which revoked keys stop working.
 const PROOFS_PER_REVOCATION_BOUND: u32 = 6;
 
@@ -222,13 +225,19 @@
 
     /// Queries the store once, and then waits or sets the backoff, depending on the answer.
     fn poll_store(&mut self) {
+        let is_for_proof = self.receiver.feed == Some(CONFIGURATION_FEED)
+            && self.feed.shared().configuration_age.take_store_query();
         // A feed that is not relayed received nothing while the holder was relied on.
         let prefers_listing =
             self.receiver.feed.is_none() || self.feed.prefers_listing(Interruption::HolderLost);
-        self.must_list |= std::mem::take(&mut self.trusted_holder) && prefers_listing;
+        // A query that only proves the configuration misses nothing that the holder relays.
+        let relies_on_holder =
+            is_for_proof && !self.has_gap && self.receiver.trusted_until().is_some();
+        let has_lost_holder = std::mem::take(&mut self.trusted_holder) && !relies_on_holder;
+        self.must_list |= has_lost_holder && prefers_listing;
         let is_list = self.known.is_none() || self.must_list;
         let asked_at = clock::now();
-        match self.query_store() {
+        match self.query_store(is_for_proof) {
             Ok(()) => {
                 if is_list {
                     log::info!(prefix = self.prefix, took_ms = millis_since(asked_at, clock::now()), known:% = self.known.unwrap_or_default(); "listed a feed from the store");
@@ -262,8 +271,8 @@
         }
     }
 
-    /// Lists or watches once.
-    fn query_store(&mut self) -> Result<(), StoreError> {
+    /// Lists or watches once. A watch that proves the configuration does not wait for changes.
+    fn query_store(&mut self, is_for_proof: bool) -> Result<(), StoreError> {
         let Some(after) = self.known.filter(|_| !self.must_list) else {
             let asked_at = clock::now();
             let listing = self.store.list(&self.prefix)?;
@@ -273,7 +282,11 @@
             self.feed.confirmed(asked_at);
             return Ok(());
         };
-        let timeout = self.watch_timeout();
+        let timeout = if is_for_proof {
+            PROOF_WATCH_TIMEOUT
+        } else {
+            self.watch_timeout()
+        };
         let asked_at = clock::now();
         match self.store.watch(&self.prefix, after, timeout)? {
             WatchAnswer::HistoryCompacted => self.must_list = true,
--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -163,11 +163,14 @@
     }
 
     /// While the holder is relied on, its answers to queries prove the configuration. The store is
-    /// queried too if those have proved nothing for long.
+    /// queried too if those have proved nothing for long, or if requests that would be denied wait
+    /// for a proof.
     fn must_query_store(&self) -> bool {
         let shared = &self.shared;
         let bound = shared.revocation_bound();
-        bound.is_some_and(|bound| !shared.configuration_age.is_younger(bound / STALE_DIVISOR))
+        let age = &shared.configuration_age;
+        let is_proof_old = |bound: Duration| !age.is_younger(bound / STALE_DIVISOR);
+        age.is_store_query_due() || bound.is_some_and(is_proof_old)
     }
 
     fn shared(&self) -> &Shared {
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -29,6 +29,7 @@
 mod via_peer;
 mod waiting;
 
+use crate::denials::Denial;
 use crate::dispatch::TooLate;
 use crate::http1::{BodyFraming, CompletenessProof, Connection, RequestHead};
 use crate::metrics::RetryDecision;
@@ -36,8 +37,9 @@
 use crate::relay::{CONFIGURATION_FEED, age_ms, millis, millis_since};
 use crate::reply::{self, Refusal};
 use crate::shared::{ReportEvent, Shared};
-use access::{Access, Denial};
+use access::Access;
 use attempt::{Attempt, Delivery, FailedAnswer, Target};
+pub(crate) use destination::check_version;
 use destination::{find_destination, host_of, request_hash};
 use limits::DeferredUpstream;
 use passway_process::logging::json::REQUEST_TARGET;
--- a/crates/instance/src/forward/access.rs
+++ b/crates/instance/src/forward/access.rs
@@ -3,8 +3,10 @@
 
 use super::{Forwarding, Origin, RETRY_AFTER_MS, not_run};
 use crate::allotments::Decision;
+use crate::denials::{self, Denial, PROOF_TIMEOUT, UNPROVEN_CONFIGURATION};
 use crate::relay::millis;
 use crate::reply::Refusal;
+use crate::shared::Shared;
 use passway_serving::halls::AllowedRegions;
 use passway_serving::ports::{RequestMetadata, WorkspaceHeader};
 use passway_serving::routes::{Route, RouteTable};
@@ -12,35 +14,14 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 
-/// Longest wait for a proof that the configuration is current: time for a query to one instance and
-/// a second query to another.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(150);
-/// `Retry-After` of an instance that cannot prove its configuration, in milliseconds. It is short
-/// because the retry most likely reaches another instance, which can.
-const UNPROVEN_RETRY_MS: u64 = 50;
 /// Interval between two attempts to reach the coordinator of allotments.
 const COORDINATOR_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Why a request is not admitted.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Denial {
-    /// The answer to the caller.
-    pub refusal: Refusal,
-    /// The reason for logs and metrics.
-    pub end: &'static str,
-}
-
 /// The request has no key that the configuration knows.
 pub(super) const UNKNOWN_KEY: Denial = Denial {
     refusal: Refusal::NoKey,
     end: "refused without a key that is known",
 };
-const UNPROVEN_CONFIGURATION: Denial = Denial {
-    refusal: Refusal::NotRun {
-        retry_after_ms: UNPROVEN_RETRY_MS,
-    },
-    end: "refused, the configuration may be old",
-};
 
 /// The workspace of a request, and whether the request needs one.
 #[derive(Debug, Clone)]
@@ -157,23 +138,37 @@
     }
 
     /// Checks the access again directly before the request is sent.
-    pub(super) fn check_access(&self) -> Result<(), Denial> {
+    pub(super) fn check_access(&mut self) -> Result<(), Denial> {
         if !self.access.needs_key {
             return Ok(());
         }
-        // Checks the proof before loading the table: a proof that arrives later may belong to a
-        // newer version without the key.
-        let bound = self.shared.revocation_bound();
-        if bound.is_some_and(|bound| !self.shared.configuration_age.is_proved_within(bound)) {
-            return Err(UNPROVEN_CONFIGURATION);
-        }
-        let table = self.shared.routes.load();
-        let current = table
-            .as_ref()
-            .and_then(|table| Access::look_up(table, &self.route, &self.facts));
-        match current {
-            Some(current) if current.mark == self.access.mark => Ok(()),
-            _ => Err(UNKNOWN_KEY),
-        }
+        let (shared, route, facts) = (self.shared, &self.route, &self.facts);
+        let until = self.deadline_at.min(clock::now() + PROOF_TIMEOUT);
+        denials::check_with_proof(shared, self.caller, until, || {
+            check_key(shared, route, facts, &self.access.mark)
+        })
+    }
+}
+
+/// Checks that the key of a request still belongs to the workspace by which it was admitted.
+fn check_key(
+    shared: &Shared,
+    route: &Route,
+    facts: &RequestMetadata,
+    mark: &WorkspaceHeader,
+) -> Result<(), Denial> {
+    // Checks the proof before loading the table: a proof that arrives later may belong to a newer
+    // version without the key.
+    let bound = shared.revocation_bound();
+    if bound.is_some_and(|bound| !shared.configuration_age.is_proved_within(bound)) {
+        return Err(UNPROVEN_CONFIGURATION);
+    }
+    let table = shared.routes.load();
+    let current = table
+        .as_ref()
+        .and_then(|table| Access::look_up(table, route, facts));
+    match current {
+        Some(current) if current.mark == *mark => Ok(()),
+        _ => Err(UNKNOWN_KEY),
     }
 }
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt at an upstream: its target, its outcome, and what was delivered of its answer.
 
 use super::ConnectionReuse;
-use super::access::Denial;
 use super::backup::BackupEngine;
+use crate::denials::Denial;
 use crate::events::EventSplitter;
 use crate::http1::{AnswerHead, CompletenessProof};
 use passway_serving::dispatch::RunId;
--- a/crates/instance/src/forward/destination.rs
+++ b/crates/instance/src/forward/destination.rs
@@ -1,7 +1,8 @@
 //! The route and service of a request by the configuration in effect.
 
-use super::access::{Access, Denial, UNKNOWN_KEY};
+use super::access::{Access, UNKNOWN_KEY};
 use super::{Origin, RETRY_AFTER_MS, not_run};
+use crate::denials::{self, CONFIGURATION_WAIT_RATIO, Denial};
 use crate::http1::{Connection, RequestHead};
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -13,12 +14,11 @@
 
 /// `Retry-After` of an instance without a configuration, in milliseconds.
 const START_RETRY_MS: u64 = 1_500;
-/// Fraction of its time that a request may wait for the first configuration.
-const START_WAIT_RATIO: f64 = 0.3;
 /// Longest wait for the first configuration.
 const MAX_START_WAIT: Duration = Duration::from_secs(1);
 /// Interval between two checks for the first configuration.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Route, service and access of a request.
 #[derive(Debug)]
 pub(super) struct Destination {
@@ -45,10 +45,18 @@
     Some(name.to_ascii_lowercase())
 }
 
+fn unrouted(refusal: Refusal) -> Denial {
+    Denial {
+        refusal,
+        end: "refused before a route was known",
+    }
+}
+
 /// Finds the route and service of a request.
 ///
 /// # Errors
-/// The refusal for the caller if there is no route or the request has no access.
+/// The refusal for the caller if there is no route or the request has no access, or if there is no
+/// proof of that.
 pub(super) fn find_destination(
     shared: &Shared,
     caller: &mut Connection,
@@ -57,30 +65,19 @@
     arrived_at: Instant,
     origin: &Origin,
 ) -> Result<Destination, Denial> {
-    let unrouted = |refusal| Denial {
-        refusal,
-        end: "refused before a route was known",
-    };
     let table = wait_for_routes(shared, caller, facts, arrived_at);
     let table = table.ok_or(unrouted(not_run(START_RETRY_MS)))?;
     let host = host_of(head).ok_or(unrouted(Refusal::Malformed))?;
     check_version(&table, origin)?;
-    let path = head.path();
-    let route = table.find(&host, path).cloned();
-    let route = route.ok_or(unrouted(Refusal::NoRoute))?;
-    let access = Access::look_up(&table, &route, facts).ok_or(UNKNOWN_KEY)?;
-    let service = route.backend(request_hash(&facts.id)).cloned();
-    let service = service.ok_or(unrouted(not_run(RETRY_AFTER_MS)))?;
-    Ok(Destination {
-        access,
-        is_engine: is_engine(&table, &service),
-        route,
-        service,
+    let until = denials::wait_until(origin, facts.deadline_ms, arrived_at);
+    denials::check_with_proof(shared, caller, until, || {
+        let newest = shared.routes.load();
+        look_up(newest.as_ref().unwrap_or(&table), &host, head.path(), facts)
     })
 }
 
 /// Refuses a request from another instance that has a newer configuration than this one.
-fn check_version(table: &RouteTable, origin: &Origin) -> Result<(), Denial> {
+pub(crate) fn check_version(table: &RouteTable, origin: &Origin) -> Result<(), Denial> {
     match origin {
         Origin::Peer(announcement) if table.version < announcement.config_version => Err(Denial {
             refusal: not_run(RETRY_AFTER_MS),
@@ -90,6 +87,26 @@
     }
 }
 
+/// The destination of a request by one version of the configuration.
+fn look_up(
+    table: &RouteTable,
+    host: &str,
+    path: &str,
+    facts: &RequestMetadata,
+) -> Result<Destination, Denial> {
+    let route = table.find(host, path).cloned();
+    let route = route.ok_or(unrouted(Refusal::NoRoute))?;
+    let access = Access::look_up(table, &route, facts).ok_or(UNKNOWN_KEY)?;
+    let service = route.backend(request_hash(&facts.id)).cloned();
+    let service = service.ok_or(unrouted(not_run(RETRY_AFTER_MS)))?;
+    Ok(Destination {
+        access,
+        is_engine: is_engine(table, &service),
+        route,
+        service,
+    })
+}
+
 /// The routes, as soon as both they and the upstreams are known. An instance that has just started
 /// waits briefly for them, because the store may be about to answer.
 fn wait_for_routes(
@@ -102,7 +119,10 @@
         .deadline_ms
         .map(Duration::from_millis)
         .unwrap_or_default();
-    let until = arrived_at + time_limit.mul_f64(START_WAIT_RATIO).min(MAX_START_WAIT);
+    let until = arrived_at
+        + time_limit
+            .mul_f64(CONFIGURATION_WAIT_RATIO)
+            .min(MAX_START_WAIT);
     loop {
         // Before the first list, a service without upstreams looks like one with unknown upstreams.
         let is_known =
--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -1,8 +1,8 @@
 //! The answer to a request when nothing more can be tried.
 
-use super::access::Denial;
 use super::attempt::FailedAnswer;
 use super::{ConnectionReuse, Forwarding, RETRY_AFTER_MS, connection_reuse, not_run};
+use crate::denials::Denial;
 use crate::poison::ExclusivePermit;
 use crate::relay::millis;
 use crate::reply::{self, Refusal};
--- a/crates/instance/src/freshness.rs
+++ b/crates/instance/src/freshness.rs
@@ -4,10 +4,14 @@
 //! holder of leadership does not query the store. Once a second it asks the holder how old the
 //! holder's proof is, and asks other instances if the holder does not answer or has no better
 //! proof. The holder's answer also shows that the holder can be asked about workspaces' allotments.
+//!
+//! Without revocable keys and allotments there are no such queries. A request that would be denied
+//! demands a proof if there is none: one round of queries, and then one query of the configuration's
+//! feed to the store, serve all requests that wait.
 
 use crate::feeds::UpdateSource;
 use crate::queries::PendingQueries;
-use crate::relay::{millis, millis_since};
+use crate::relay::{CONFIGURATION_FEED, millis, millis_since};
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::freshness::{Confirmation, Freshness};
@@ -17,6 +21,7 @@
 use passway_wire::permits::{VersionAnswer, VersionQuery};
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 /// Divides the bound to get the age at which a proof is renewed; four more queries fit into the
@@ -31,7 +36,7 @@
 /// The holder is queried at this interval even without need for a proof, because it counts
 /// allotments.
 const HOLDER_QUERY_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay after queries that proved nothing.
+/// Delay after queries that proved nothing. A demand for a proof lasts at least as long.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// When and from where the last update of the configuration arrived.
@@ -43,10 +48,42 @@
     pub received_at: Instant,
 }
 
+/// What requests that would be denied wait for.
+#[derive(Debug, Clone, Copy)]
+struct ProofDemand {
+    /// Maximum age of the proof.
+    bound: Duration,
+    /// When the demand ends.
+    until: Instant,
+    /// Whether no queries have been sent for the demand.
+    is_new: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    freshness: Freshness,
+    demand: Option<ProofDemand>,
+}
+
+impl State {
+    fn proves_denials(&self, bound: Duration) -> bool {
+        let until = self.freshness.denials_valid_until(bound);
+        until.is_some_and(|until| clock::now() < until)
+    }
+
+    /// The demand that has not ended and is not met.
+    fn open_demand(&self) -> Option<ProofDemand> {
+        let is_open = |demand: &ProofDemand| {
+            clock::now() < demand.until && !self.proves_denials(demand.bound)
+        };
+        self.demand.filter(is_open)
+    }
+}
+
 /// What an instance can prove of its configuration's age.
 #[derive(Debug, Default)]
 pub struct ConfigurationAge {
-    state: Mutex<Freshness>,
+    state: Mutex<State>,
     /// The origin of the last update.
     origin: Mutex<Option<ConfigurationOrigin>>,
     /// Notified when the proof has changed.
@@ -54,17 +91,19 @@
     /// Notified when a request needs a proof.
     proof_wanted: Condvar,
     pending: PendingQueries<VersionAnswer>,
+    /// Whether the configuration's feed must query the store for a demand.
+    is_store_query_due: AtomicBool,
     /// When the holder of leadership last answered.
     holder_answered_at: Mutex<Option<Instant>>,
 }
 
 impl ConfigurationAge {
-    fn state(&self) -> MutexGuard<'_, Freshness> {
+    fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn update(&self, change: impl FnOnce(&mut Freshness)) {
-        change(&mut self.state());
+        change(&mut self.state().freshness);
         self.proof_updated.notify_all();
     }
 
@@ -98,16 +137,55 @@
 
     /// Age of the proof; `None` before the first.
     pub fn age(&self) -> Option<Duration> {
-        let proof = self.state().proof()?;
+        let proof = self.state().freshness.proof()?;
         Some(clock::since(proof.sent_at))
     }
 
     /// Whether the proof is recent enough to act on workspaces' keys.
     pub fn is_proved_within(&self, bound: Duration) -> bool {
-        let until = self.state().keys_valid_until(bound);
+        let until = self.state().freshness.keys_valid_until(bound);
         until.is_some_and(|until| clock::now() < until)
     }
 
+    /// Whether requests may be denied by the configuration in effect.
+    pub fn proves_denials_within(&self, bound: Duration) -> bool {
+        self.state().proves_denials(bound)
+    }
+
+    /// Demands a proof by which requests may be denied, and waits for a change of what is proved,
+    /// at most for `max_wait`. The demand lasts until `until` or longer.
+    pub fn demand_denial_proof(&self, bound: Duration, until: Instant, max_wait: Duration) {
+        let mut state = self.state();
+        if state.proves_denials(bound) {
+            return;
+        }
+        let now = clock::now();
+        // The queries for a request that does not wait any more serve the following ones.
+        let until = until.max(now + RETRY_DELAY);
+        let previous = state.demand.filter(|demand| now < demand.until);
+        state.demand = Some(ProofDemand {
+            bound,
+            until: previous.map_or(until, |demand| demand.until.max(until)),
+            is_new: previous.is_none_or(|demand| demand.is_new),
+        });
+        if previous.is_none() {
+            self.proof_wanted.notify_all();
+        }
+        // The caller checks again after a notification as well as after the timeout.
+        drop(self.proof_updated.wait_timeout(state, max_wait));
+    }
+
+    /// Whether the configuration's feed must query the store, because requests wait for a proof and
+    /// other instances have not given one.
+    pub fn is_store_query_due(&self) -> bool {
+        self.is_store_query_due.load(Ordering::Acquire)
+    }
+
+    /// Whether such a query is due; it is not due again after this.
+    pub fn take_store_query(&self) -> bool {
+        self.is_store_query_due.swap(false, Ordering::AcqRel)
+    }
+
     /// Requests a new proof, and waits for it until `until`. Returns whether workspaces' keys may
     /// be acted on then.
     pub fn wait_until_proved(&self, bound: Duration, until: Instant) -> bool {
@@ -141,7 +219,7 @@
 
     /// Answers another instance's query.
     pub fn answer_query(&self, query: &VersionQuery) -> VersionAnswer {
-        let proof = self.state().proof();
+        let proof = self.state().freshness.proof();
         VersionAnswer {
             id: query.id,
             version: proof.map_or(0, |proof| proof.version),
@@ -179,7 +257,7 @@
     }
 
     /// Queries the holder, and other instances if that is not sufficient.
-    fn query_peers(&self, shared: &Shared, bound: Duration) {
+    fn query_peers(&self, shared: &Shared, is_sufficient: impl Fn() -> bool) {
         let this_instance = &shared.settings.instance;
         let holder = shared
             .leadership()
@@ -190,7 +268,7 @@
         if holder_answers {
             *self.holder_answered_at() = Some(clock::now());
         }
-        if self.is_younger(bound / STALE_DIVISOR) {
+        if is_sufficient() {
             return;
         }
         let others = shared.other_instances();
@@ -220,6 +298,7 @@
 
     fn run(&self, shared: &Shared) {
         let mut was_proved = true;
+        let mut demand_served_at = None;
         loop {
             let bound = shared.revocation_bound();
             if let Some(bound) = bound {
@@ -237,12 +316,51 @@
             } else {
                 IDLE_INTERVAL
             };
+            let delay = delay.min(self.serve_demand(shared, &mut demand_served_at));
             let state = self.state();
+            if state.demand.is_some_and(|demand| demand.is_new) {
+                continue;
+            }
             // The loop checks again after a notification as well as after the timeout.
             drop(self.proof_wanted.wait_timeout(state, delay));
         }
     }
 
+    /// Queries other instances for the requests that wait for a proof, and has the store queried if
+    /// they prove nothing. Returns the delay until the next check.
+    fn serve_demand(&self, shared: &Shared, served_at: &mut Option<Instant>) -> Duration {
+        let mut state = self.state();
+        if let Some(demand) = &mut state.demand {
+            demand.is_new = false;
+        }
+        let Some(ProofDemand { bound, .. }) = state.open_demand() else {
+            return Duration::MAX;
+        };
+        // Once a newer version is known, only its arrival helps.
+        let was_behind = state.freshness.is_behind();
+        drop(state);
+        let next_at = served_at.map(|at| at + RETRY_DELAY);
+        let delay = next_at.map(|at| at.saturating_duration_since(clock::now()));
+        if let Some(delay) = delay.filter(|delay| !delay.is_zero()) {
+            return delay;
+        }
+        let is_sufficient = || {
+            let state = self.state();
+            state.freshness.is_behind() || state.proves_denials(bound)
+        };
+        if !was_behind {
+            self.query_peers(shared, is_sufficient);
+        }
+        if was_behind || !is_sufficient() {
+            self.is_store_query_due.store(true, Ordering::Release);
+            if let Some(relay) = shared.relay() {
+                relay.wake_up(CONFIGURATION_FEED);
+            }
+        }
+        *served_at = Some(clock::now());
+        RETRY_DELAY
+    }
+
     /// Queries other instances if that is due. Returns the delay until the next check.
     fn refresh_if_due(
         &self,
@@ -265,7 +383,7 @@
             }
         };
         if due_in().is_zero() {
-            self.query_peers(shared, bound);
+            self.query_peers(shared, || self.is_younger(bound / STALE_DIVISOR));
         }
         due_in().clamp(RETRY_DELAY, IDLE_INTERVAL)
     }
--- a/crates/instance/src/http1.rs
+++ b/crates/instance/src/http1.rs
@@ -32,6 +32,8 @@
     Malformed(&'static str),
     /// The head or body exceeds its limit.
     TooLarge,
+    /// A chunk-size line or the trailer exceeds its limit, which no configuration changes.
+    FramingTooLarge,
     /// The watched connection was closed during the wait.
     WatchedClosed,
     /// The process is about to exit.
--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -277,7 +277,7 @@
                         self.state = DecoderState::Chunk(size);
                     }
                     Ok(httparse::Status::Partial) if bytes.len() > MAX_LINE_BYTES => {
-                        return Err(HttpError::TooLarge);
+                        return Err(HttpError::FramingTooLarge);
                     }
                     Ok(httparse::Status::Partial) => return Ok(has_moved),
                     Err(_) => return Err(HttpError::Malformed("an invalid chunk size")),
@@ -286,7 +286,7 @@
                     let end = bytes.windows(2).position(|pair| pair == b"\r\n");
                     let length = end.map_or(bytes.len(), |end| end + 2);
                     if self.trailer_bytes + length > MAX_LINE_BYTES {
-                        return Err(HttpError::TooLarge);
+                        return Err(HttpError::FramingTooLarge);
                     }
                     let Some(end) = end else {
                         return Ok(has_moved);
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -18,7 +18,8 @@
 //!   their advertised rates; [`dispatch`] queries dispatchers for engines and answers such queries.
 //! * [`liveness`] asks upstreams whether they still run after a connection of theirs has ended.
 //! * [`poison`] detects requests that crash upstreams, publishes them and stores them.
-//! * [`freshness`] proves how recent the configuration is; [`allotments`] enforces the workspaces'
+//! * [`freshness`] proves how recent the configuration is, and [`denials`] denies requests only by a
+//!   configuration that is proved to be recent; [`allotments`] enforces the workspaces'
 //!   quotas; [`queries`] are datagram queries to other instances.
 //! * [`metrics`] are the metrics of `/metrics`.
 //! * [`health`] tracks whether the store answers.
@@ -34,6 +35,7 @@
 pub mod compression;
 pub mod control;
 pub mod coordinator;
+pub mod denials;
 pub mod dispatch;
 pub mod events;
 pub mod feed_log;
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -211,6 +211,12 @@
         })
     }
 
+    /// Wakes up the thread of a feed.
+    pub fn wake_up(&self, feed: usize) {
+        // If the channel is full, a wakeup is already pending.
+        let _ = self.wakeup_senders[feed].try_send(());
+    }
+
     /// Whether the holder must resend a feed, because a message was unreadable or missing.
     pub fn needs_resend(&self) -> bool {
         self.state().gap_until.iter().any(Option::is_some)
@@ -240,8 +246,7 @@
             }
         }
         drop(state);
-        // If the channel is full, a wakeup is already pending.
-        let _ = self.wakeup_senders[feed].try_send(());
+        self.wake_up(feed);
     }
 }
 
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -1,8 +1,10 @@
 //! Until when an instance may apply the configuration that it has.
 //!
-//! Most of an instance's knowledge only improves decisions, so it may be outdated. A key, however,
-//! grants access: an instance that has not learned of a revocation would keep admitting the key's
-//! owner. Receiving nothing proves nothing. Proof is a request whose answer names the newest
+//! Most of an instance's knowledge only improves decisions, so it may be outdated. Two decisions
+//! need proof. A key grants access: an instance that has not learned of a revocation would keep
+//! admitting the key's owner. A denial, such as "no route matches", is final for the caller: an
+//! instance that has not learned of a newer version would deny what operators allow. Receiving
+//! nothing proves nothing. Proof is a request whose answer names the newest
 //! version: any later revocation happened after the request was *sent*. So the age of the
 //! configuration counts from sending the request, by the requester's clock, never from the answer,
 //! which may have been delayed or read late by a paused instance.
@@ -17,6 +19,10 @@
 /// hundredth, where crystals differ by a ten-thousandth.
 const CLOCK_DRIFT: f64 = 0.01;
 
+/// Default time after which operators may rely on a version being in effect at all instances. The
+/// documentation of the users' platform uses 2 s for all sites but the largest.
+pub const DEFAULT_CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+
 /// Confirms that a version was the newest when a request was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Confirmation {
@@ -76,4 +82,19 @@
     pub fn keys_valid_until(&self, max_age: Duration) -> Option<Instant> {
         Some(self.proved_at? + max_age.mul_f64(1.0 - CLOCK_DRIFT))
     }
+
+    /// Until when requests may be denied if no denial may rely on a version that was replaced
+    /// longer than `max_age` ago; `None` before the first proof and while a newer version is known
+    /// that is not active yet.
+    pub fn denials_valid_until(&self, max_age: Duration) -> Option<Instant> {
+        self.keys_valid_until(max_age).filter(|_| !self.is_behind())
+    }
+
+    /// Whether the latest confirmation names a version that is not active yet. An older one does
+    /// not count: the instance may be unable to decode that version, which the store then counts
+    /// as not written.
+    pub fn is_behind(&self) -> bool {
+        let pending_at = self.pending.map(|pending| pending.sent_at);
+        pending_at.is_some_and(|at| self.proved_at.is_none_or(|proved_at| proved_at <= at))
+    }
 }
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -451,6 +451,9 @@
     /// Time after which no instance may accept a revoked key, whatever it has received; `None` if
     /// a revoked key is refused only once the revocation is received.
     pub revocation: Option<Duration>,
+    /// Time after which operators may rely on a version of the configuration being in effect. No
+    /// request may be denied by a version that was replaced longer ago.
+    pub configuration: Duration,
     /// What workspaces may use beyond their allotments, over all instances.
     pub quota: QuotaBounds,
 }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -3,6 +3,7 @@
 
 use passway_instance::{Instance, Surroundings};
 use passway_serving::allotment::QuotaBounds;
+use passway_serving::freshness::DEFAULT_CONFIGURATION_BOUND;
 use passway_serving::halls::HallRegions;
 use passway_serving::placement::DEFAULT_LOAD_WINDOW;
 use passway_serving::placement::policy::PolicyName;
@@ -74,6 +75,7 @@
                 window_s: 10.0,
             },
             revocation: None,
+            configuration: DEFAULT_CONFIGURATION_BOUND,
             quota: QuotaBounds {
                 window: Duration::from_secs(8),
                 overage: 0.1,
--- a/tests/all/stale_denials.rs
+++ b/tests/all/stale_denials.rs
@@ -6,6 +6,7 @@
 };
 use crate::keyed_cluster::{KEY, keyed_configuration, settings, status_with_key};
 use crate::passed_on_requests::pass_on;
+use crate::workspace_revocation::start_without_datagrams;
 use passway_instance::Instance;
 use passway_standins::platform::caller::HOST;
 use passway_standins::platform::documents::workspace;
@@ -228,6 +229,34 @@
     assert_eq!(get(&other, "/new/").0, 200);
 }
 
+/// Guards against refusals by an instance that follows the holder and gets no answers to datagrams:
+/// it queries the store for the proof.
+#[test]
+fn denied_with_store_proof() {
+    let store = cluster::store(&[]);
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let address = store.serve();
+    let holder = cluster::start_at("one", address);
+    until("leadership", || holder.fence().is_some());
+    let (other, _taken) = start_without_datagrams("two", address, BOUNDS);
+    for _ in 0..2 {
+        std::thread::sleep(2 * BOUND);
+        let sent_at = Instant::now();
+        assert_eq!(get(&other, "/none/").0, 404);
+        println!("unknown route, proof of the store: {:?}", sent_at.elapsed());
+    }
+}
+
+/// Guards against the default where the settings name the bound.
+#[test]
+fn bound_of_settings() {
+    let store = SocketAddr::from(([127, 0, 0, 1], 1));
+    let bound = |text| settings("one", store, text).bounds.configuration;
+    assert_eq!(bound("config_apply_ms = 5000"), Duration::from_secs(5));
+    assert_eq!(bound(""), BOUND);
+}
+
 /// A holder that a test plays: it names a version as the newest in each answer, and counts the
 /// queries.
 fn play_holder(version: u64) -> (SocketAddr, Arc<AtomicUsize>) {
--- a/tests/all/workspace_revocation.rs
+++ b/tests/all/workspace_revocation.rs
@@ -2,10 +2,11 @@
 
 use crate::cluster::{self, list_plain, plain_server, until};
 use crate::keyed_cluster::{KEY, keyed_configuration, settings, start_ready, status_with_key};
+use passway_instance::Instance;
 use passway_standins::platform::documents::workspace;
 use passway_standins::platform::store::{Faults, MetadataStandIn};
 use passway_types::prelude::*;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 
 /// Revoked keys stop working within a second and a half.
 const BOUNDS: &str = "strict_revoke = true\nrevoke_ms = 1500";
@@ -97,6 +98,27 @@
     assert_eq!(status_with_key(&instance, "/read/", "id1").0, 200);
 }
 
+/// Starts an instance that gets no datagrams, because its port for them is taken, and waits until it
+/// is ready. Returns the socket that takes the port, too.
+pub fn start_without_datagrams(
+    name: &str,
+    store: SocketAddr,
+    bounds: &str,
+) -> (Instance, UdpSocket) {
+    // The instance binds the same port for connections, which must not be in use by another test.
+    let taken = std::iter::repeat_with(|| UdpSocket::bind("127.0.0.1:0").expect("a port"));
+    let mut free = taken.filter(|taken| {
+        let address = taken.local_addr().expect("an address");
+        TcpListener::bind(address).is_ok()
+    });
+    let taken = free.next().expect("an unused port");
+    let mut settings = settings(name, store, bounds);
+    settings.peer_address = taken.local_addr().expect("an address");
+    let instance = cluster::start_with(settings);
+    until("readiness", || instance.is_ready());
+    (instance, taken)
+}
+
 /// An instance that receives the holder's updates but gets no answers to datagrams queries the
 /// store instead.
 #[test]
@@ -107,17 +129,7 @@
     let address = store.serve();
     let holder = start_ready("one", address, BOUNDS);
     until("leadership", || holder.fence().is_some());
-    // The instance binds the same port for connections, which must not be in use by another test.
-    let taken = std::iter::repeat_with(|| UdpSocket::bind("127.0.0.1:0").expect("a port"));
-    let mut free = taken.filter(|taken| {
-        let address = taken.local_addr().expect("an address");
-        TcpListener::bind(address).is_ok()
-    });
-    let taken = free.next().expect("an unused port");
-    let mut settings = settings("two", address, BOUNDS);
-    settings.peer_address = taken.local_addr().expect("an address");
-    let other = cluster::start_with(settings);
-    until("readiness", || other.is_ready());
+    let (other, _taken) = start_without_datagrams("two", address, BOUNDS);
     std::thread::sleep(2 * BOUND);
     until("service", || {
         status_with_key(&other, "/read/", "id1").0 == 200
