Failing tests: each instance reads and watches the whole list of upstreams

Change: a model of it before a stand-in store, which counts pages and watched changes and refuses pages: 24 instances in one process before 1,200 upstreams, 4 before a list of 5 MB, and 20 subscribers of one holder.

--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -172,6 +172,11 @@
         self.shared.members().len()
     }
 
+    /// Number of upstreams that this instance knows.
+    pub fn known_upstream_count(&self) -> usize {
+        self.shared.upstreams().entries().count()
+    }
+
     /// Number of instances that dispatch for engines, by the holder's last message.
     pub fn dispatcher_count(&self) -> usize {
         self.shared.dispatch.dispatcher_list().len()
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -30,6 +30,17 @@
     pub answers_to_drop: u32,
     /// Holds every call open, then answers 503.
     pub is_silent: bool,
+    /// Number of upcoming reads of pages after the first one that are refused.
+    pub later_pages_to_refuse: u32,
+}
+
+/// The pages that were read of one prefix.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PagesRead {
+    /// Number of first pages.
+    pub first: u64,
+    /// Number of all other pages.
+    pub later: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -57,6 +68,10 @@
     /// How often the store has returned from an older copy.
     era: u64,
     calls: BTreeMap<String, u64>,
+    /// The pages that were read, by prefix.
+    pages_read: BTreeMap<String, PagesRead>,
+    /// Number of changes in the answers to watches, by prefix.
+    changes_watched: BTreeMap<String, u64>,
     faults: Faults,
 }
 
@@ -282,6 +297,18 @@
         self.state().calls.clone()
     }
 
+    /// Returns the pages that were read of a prefix since the start.
+    pub fn pages_read(&self, prefix: &str) -> PagesRead {
+        let pages_read = &self.state().pages_read;
+        pages_read.get(prefix).copied().unwrap_or_default()
+    }
+
+    /// Returns the number of changes in the answers to watches of a prefix since the start.
+    pub fn changes_watched(&self, prefix: &str) -> u64 {
+        let changes_watched = &self.state().changes_watched;
+        changes_watched.get(prefix).copied().unwrap_or_default()
+    }
+
     /// Answers a call, and names the era in the answer.
     fn answer(&self, request: &Request) -> Response {
         let era = self.state().era;
@@ -347,7 +374,15 @@
 
     fn range(&self, request: &Request) -> Response {
         let (prefix, after) = (query_text(request, "prefix"), query_text(request, "after"));
-        let state = self.state();
+        let mut state = self.state();
+        let is_first = after.is_empty();
+        if !is_first && state.faults.later_pages_to_refuse > 0 {
+            state.faults.later_pages_to_refuse -= 1;
+            return response(503, "");
+        }
+        let pages_read = state.pages_read.entry(prefix.clone()).or_default();
+        pages_read.first += u64::from(is_first);
+        pages_read.later += u64::from(!is_first);
         let items = state.items.iter();
         let mut items = items.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
         let page: Vec<Value> = items
@@ -383,6 +418,7 @@
                 .collect();
             let remaining = wait_until.saturating_duration_since(Instant::now());
             if !events.is_empty() || remaining.is_zero() || state.faults.error_status.is_some() {
+                *state.changes_watched.entry(prefix).or_default() += events.len() as u64;
                 return json_response(
                     &value!({"events": events, "store_revision": state.revision}),
                 );
--- /dev/null
+++ b/tests/all/long_lists.rs
@@ -0,0 +1,193 @@
+//! A list of upstreams that takes several pages of the store is read whole by the holder alone,
+//! which sends it to all other instances.
+//!
+//! Guards against a store whose link is full of lists. 984 instances started before 9,808 upstreams
+//! and read the list of 5 MB each, from its first page again after each page that failed, which
+//! takes 40 s on a link of 1,000 Mbit/s. The holder's lease renewals waited behind the lists, so
+//! that leadership changed every second or two and no order was sent all day.
+
+use crate::cluster::{self, until};
+use passway_instance::Instance;
+use passway_instance::relay::{FEED_COUNT, UPSTREAM_FEED};
+use passway_instance::subscribers::Subscribers;
+use passway_instance::updates::FeedUpdate;
+use passway_process::outbox::Outbox;
+use passway_serving::ports::{Listing, StoreRevision, StoredValue};
+use passway_standins::platform::documents::plain_entry;
+use passway_standins::platform::store::{Faults, MetadataStandIn};
+use passway_types::hash::stable_digest;
+use passway_types::prelude::*;
+use passway_wire::{Link, LinkReader};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+
+/// The prefix of the upstreams' entries.
+const PREFIX: &str = "servers/";
+/// Number of instances in a fleet.
+const INSTANCES: u64 = 24;
+/// Upstreams whose list takes three pages of the store.
+const THREE_PAGES: u32 = 1_200;
+/// Number of instances before a list that exceeds the limit of a frame. Each of them holds several
+/// copies of the list for a moment.
+const FEW_INSTANCES: u64 = 4;
+/// Upstreams whose list takes twenty-two pages of the store.
+const TWENTY_TWO_PAGES: u32 = 11_000;
+/// Length of a version by which the entries of [`TWENTY_TWO_PAGES`] take 5 MB.
+const LONG_VERSION_BYTES: usize = 300;
+/// Instances that may read the list whole: the holder, one that had the leadership before, and one
+/// that lost the holder while it waited for the list.
+const WHOLE_READERS: u64 = 3;
+
+/// A store with a configuration and entries of upstreams.
+fn store(upstreams: u32, version: &str) -> MetadataStandIn {
+    let store = cluster::store(&[]);
+    let mut entry = plain_entry(([127, 0, 0, 1], 1).into());
+    entry["version"] = json!(version);
+    for number in 0..upstreams {
+        store.put(&format!("{PREFIX}i-{number:05}"), &entry);
+    }
+    store
+}
+
+/// Starts instances and waits until all of them know all upstreams.
+fn start_all(store: &MetadataStandIn, instances: u64, upstreams: u32) -> Vec<Instance> {
+    let address = store.serve();
+    let started = (0..instances).map(|number| cluster::start_at(&format!("i{number}"), address));
+    let started: Vec<_> = started.collect();
+    until("readiness", || started.iter().all(Instance::is_ready));
+    let knows_all =
+        |instance: &Instance| u32::try_from(instance.known_upstream_count()) == Ok(upstreams);
+    until("all entries", || started.iter().all(knows_all));
+    started
+}
+
+/// Starts a fleet before a list of several pages. Checks that each instance reads one page and only
+/// the holder reads them all.
+fn check_reads(store: &MetadataStandIn, instances: u64, upstreams: u32, pages: u64) {
+    start_all(store, instances, upstreams);
+    let read = store.pages_read(PREFIX);
+    assert!(
+        read.first <= instances + WHOLE_READERS,
+        "{read:?} by {instances} instances"
+    );
+    assert!(
+        read.later <= WHOLE_READERS * (pages - 1),
+        "{read:?} by {instances} instances"
+    );
+}
+
+/// Guards against reads of the whole list by each instance.
+#[test]
+fn holder_reads_for_all() {
+    check_reads(&store(THREE_PAGES, "v1"), INSTANCES, THREE_PAGES, 3);
+}
+
+/// Guards against a list over the frame limit, for which the holder sent a gap marker, so that each
+/// instance read the list from the store.
+#[test]
+fn list_exceeds_frame() {
+    let version = "v".repeat(LONG_VERSION_BYTES);
+    let store = store(TWENTY_TWO_PAGES, &version);
+    check_reads(&store, FEW_INSTANCES, TWENTY_TWO_PAGES, 22);
+}
+
+/// Guards against a watch by each instance of entries that are written after the instances have
+/// started: the upstreams of a fleet that starts write thousands of entries a second.
+#[test]
+fn holder_watches_for_all() {
+    let store = cluster::store(&[]);
+    let address = store.serve();
+    let started = (0..INSTANCES).map(|number| cluster::start_at(&format!("i{number}"), address));
+    let started: Vec<_> = started.collect();
+    until("all first lists", || {
+        store.pages_read(PREFIX).first >= INSTANCES
+    });
+    let entry = plain_entry(([127, 0, 0, 1], 1).into());
+    for number in 0..THREE_PAGES {
+        store.put(&format!("{PREFIX}i-{number:05}"), &entry);
+    }
+    let knows_all =
+        |instance: &Instance| u32::try_from(instance.known_upstream_count()) == Ok(THREE_PAGES);
+    until("all entries", || started.iter().all(knows_all));
+    let watched = store.changes_watched(PREFIX);
+    let max_watched = WHOLE_READERS * u64::from(THREE_PAGES);
+    assert!(watched <= max_watched, "{watched} changes were watched");
+}
+
+/// Guards against reading a list from its first page again after a later page has failed.
+#[test]
+fn failed_page_read_again() {
+    let store = store(THREE_PAGES, "v1");
+    store.set_faults(Faults {
+        later_pages_to_refuse: 2,
+        ..Faults::default()
+    });
+    start_all(&store, 1, THREE_PAGES);
+    let read = store.pages_read(PREFIX);
+    assert_eq!((read.first, read.later), (1, 2));
+}
+
+/// Number of subscribers that know nothing.
+const SUBSCRIBERS: u64 = 20;
+/// Number of subscribers that may be sent a long list at a time.
+const LONG_LISTS_AT_ONCE: usize = 8;
+/// Number of values in a list that cannot be compressed.
+const RANDOM_VALUES: u64 = 1_000;
+/// Number of digests in each of them, of 32 bytes each.
+const DIGESTS_PER_VALUE: u64 = 100;
+
+/// A list of 3 MB that cannot be compressed.
+fn random_list() -> Listing {
+    let value = |number: u64| {
+        let digests = (0..DIGESTS_PER_VALUE)
+            .map(|part| stable_digest(&[&number.to_be_bytes(), &part.to_be_bytes()]));
+        StoredValue {
+            key: format!("{PREFIX}i-{number:05}"),
+            value: digests.flatten().collect::<Vec<u8>>().into(),
+            revision: StoreRevision::new(0, number + 1),
+            lease: None,
+        }
+    };
+    Listing {
+        values: (0..RANDOM_VALUES).map(value).collect(),
+        revision: StoreRevision::new(0, RANDOM_VALUES),
+    }
+}
+
+/// An outbox and the reader of the peer that it sends to.
+fn outbox_to_peer(listener: &TcpListener) -> (Outbox, LinkReader) {
+    let address = listener.local_addr().expect("address");
+    let (link, _) = Link::connect(address, Duration::from_secs(5)).expect("a link");
+    let (stream, _) = listener.accept().expect("a peer");
+    let (_, reader) = Link::from_stream(stream).expect("a link");
+    (Outbox::start(link), reader)
+}
+
+/// Guards against heartbeats that wait on the holder's link behind long lists for all subscribers.
+#[test]
+fn few_long_lists_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let mut subscribers = Subscribers::default();
+    let mut outboxes = BTreeMap::new();
+    let mut readers = Vec::new();
+    for number in 0..SUBSCRIBERS {
+        let (outbox, reader) = outbox_to_peer(&listener);
+        outboxes.insert(number, outbox);
+        readers.push(reader);
+        subscribers.add(number, None, [StoreRevision::NONE; FEED_COUNT]);
+    }
+    subscribers.add_update(&(UPSTREAM_FEED, FeedUpdate::Snapshot(random_list())));
+    subscribers.send_updates(&outboxes, false);
+    let is_sent = |number: &u64| !subscribers.is_behind(*number);
+    let sent = (0..SUBSCRIBERS).filter(is_sent).count();
+    assert_eq!(sent, LONG_LISTS_AT_ONCE);
+    assert!(subscribers.has_backlog());
+    for mut reader in readers {
+        std::thread::spawn(move || while let Ok(Some(_)) = reader.receive() {});
+    }
+    until("all subscribers to be sent the list", || {
+        subscribers.send_updates(&outboxes, false);
+        !(0..SUBSCRIBERS).any(|number| subscribers.is_behind(number))
+    });
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -52,6 +52,7 @@
 mod limited_upstreams;
 mod log_analysis;
 mod log_lines;
+mod long_lists;
 mod lost_engines;
 mod model_orders;
 mod outage_terms;
