A page of a list that the store does not deliver is read again, not the whole list

With 20 pages on a full link hardly a list ended. Change: SharedStore::list_page reads one page; a feed holds the pages that it has (feeds/partial_listing.rs) and requests the failed one again after its backoff. The list counts as of its first page, as before, and pages of two eras form no list, as before. Between the pages of the first list the holder's list may arrive; a later list is still read in one go, because any change that the holder sends discards what was read before it. The calls of list in other tests, all of lists of one page, are calls of list_page.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,6 +1,7 @@
 //! Feeds of the store's data: the configuration and the upstreams, each with its own watch.
 
 mod configuration;
+mod partial_listing;
 mod upstreams;
 
 pub use configuration::ConfigurationFeed;
@@ -11,6 +12,7 @@
 use crate::shared::Shared;
 use crate::updates::{self, FeedUpdate};
 use crossbeam::channel::Sender;
+use partial_listing::PartialListing;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
     Listing, SharedStore, StoreChange, StoreEra, StoreError, StoreRevision, WatchAnswer,
@@ -105,6 +107,7 @@
         feed,
         known: None,
         must_list: false,
+        partial: None,
         trusted_holder: false,
         has_gap: false,
         failures: 0,
@@ -142,6 +145,9 @@
     known: Option<StoreRevision>,
     /// Whether the next query must list all values instead of watching for changes.
     must_list: bool,
+    /// The pages of a list that is not complete yet. A page that the store does not deliver is
+    /// requested again after the backoff, and the pages before it are not.
+    partial: Option<PartialListing>,
     /// Whether the last pass relied on the holder.
     trusted_holder: bool,
     /// Whether there is a gap in the holder's updates. The holder is not relied on until the store
@@ -230,12 +236,11 @@
         let asked_at = clock::now();
         match self.query_store() {
             Ok(()) => {
-                if is_list {
-                    log::info!(prefix = self.prefix, took_ms = millis_since(asked_at, clock::now()), known:% = self.known.unwrap_or_default(); "listed a feed from the store");
-                }
                 self.failures = 0;
                 self.feed.shared().store_health.record_answer();
-                std::thread::sleep(self.feed.finish_batch());
+                if self.partial.is_none() {
+                    std::thread::sleep(self.feed.finish_batch());
+                }
             }
             Err(error) => {
                 log::info!(prefix = self.prefix, is_list = is_list, took_ms = millis_since(asked_at, clock::now()), failures = self.failures, error:? = error; "the store gave no answer");
@@ -262,16 +267,10 @@
         }
     }
 
-    /// Lists or watches once.
+    /// Reads pages of a list, or watches once.
     fn query_store(&mut self) -> Result<(), StoreError> {
         let Some(after) = self.known.filter(|_| !self.must_list) else {
-            let asked_at = clock::now();
-            let listing = self.store.list(&self.prefix)?;
-            self.receiver.record_store_answer(asked_at);
-            self.must_list = false;
-            self.apply(FeedUpdate::Snapshot(listing), UpdateSource::Store);
-            self.feed.confirmed(asked_at);
-            return Ok(());
+            return self.read_pages();
         };
         let timeout = self.watch_timeout();
         let asked_at = clock::now();
@@ -295,6 +294,49 @@
         Ok(())
     }
 
+    /// Reads the next page of the first list, or all remaining pages of a later one. The holder's
+    /// list may arrive between the pages of the first list. A later list would be discarded with
+    /// each change that the holder sends, and would never end.
+    fn read_pages(&mut self) -> Result<(), StoreError> {
+        loop {
+            self.read_page()?;
+            if self.partial.is_none() || self.known.is_none() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads one page of a list, and applies the list if it is complete.
+    fn read_page(&mut self) -> Result<(), StoreError> {
+        let requested_at = clock::now();
+        let after_key = self.partial.as_ref().and_then(PartialListing::next_after);
+        let page = self.store.list_page(&self.prefix, after_key)?;
+        self.failures = 0;
+        let partial = match self.partial.take() {
+            Some(partial) => partial.with_page(page).ok_or(StoreError::NotDone)?,
+            None => PartialListing::begin(page, requested_at),
+        };
+        if partial.next_after().is_some() {
+            self.partial = Some(partial);
+        } else {
+            self.apply_list(partial);
+        }
+        Ok(())
+    }
+
+    /// Applies a list that was read from the store.
+    fn apply_list(&mut self, list: PartialListing) {
+        let requested_at = list.requested_at;
+        self.receiver.record_store_answer(requested_at);
+        self.must_list = false;
+        self.apply(
+            FeedUpdate::Snapshot(list.into_listing()),
+            UpdateSource::Store,
+        );
+        self.feed.confirmed(requested_at);
+        log::info!(prefix = self.prefix, took_ms = millis_since(requested_at, clock::now()), known:% = self.known.unwrap_or_default(); "listed a feed from the store");
+    }
+
     /// How long the store may delay its answer to a watch. Answers prove the configuration, and the
     /// proof is as old as the query: one query, the next one, and the time until other instances
     /// know of the answer must fit into the time within which revoked keys stop working.
@@ -348,6 +390,8 @@
             log::info!(source:? = source, known:% = self.known.unwrap_or_default(), to:% = update.to(), bytes = update.size_bytes(); "received a configuration");
         }
         self.has_gap = false;
+        // Its pages may be older than the update.
+        self.partial = None;
         let has_returned = self.record_era(update.to().era());
         self.receiver.record_applied(&update, update.to());
         let update = match update {
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -42,6 +42,17 @@
     pub revision: StoreRevision,
 }
 
+/// A page of the values under a prefix, in the order of their keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListPage {
+    /// The values.
+    pub values: Vec<StoredValue>,
+    /// The store's revision when it answered.
+    pub revision: StoreRevision,
+    /// The key after which the next page begins; `None` for the last page.
+    pub next_after: Option<String>,
+}
+
 /// A change under a prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreChange {
@@ -139,11 +150,11 @@
 
 /// The platform's store.
 pub trait SharedStore: Send + Sync {
-    /// Reads all values under a prefix.
+    /// Reads the page of the values under a prefix that begins after a key, or the first page.
     ///
     /// # Errors
     /// If the store does not answer or refuses.
-    fn list(&self, prefix: &str) -> Result<Listing, StoreError>;
+    fn list_page(&self, prefix: &str, after_key: Option<&str>) -> Result<ListPage, StoreError>;
 
     /// Waits up to `wait` for changes under a prefix after a revision.
     ///
--- a/tests/all/broken_call_answers.rs
+++ b/tests/all/broken_call_answers.rs
@@ -64,7 +64,9 @@
 #[test]
 fn broken_lists() {
     check(LIST, |server| {
-        MetadataStore::new(server.address).list("op/").is_ok()
+        MetadataStore::new(server.address)
+            .list_page("op/", None)
+            .is_ok()
     });
 }
 
--- a/tests/all/large_store_answers.rs
+++ b/tests/all/large_store_answers.rs
@@ -51,7 +51,9 @@
 #[test]
 fn slow_list_is_read() {
     let (address, _) = store(PIECE_DELAY);
-    let listing = MetadataStore::new(address).list("op/").expect("a list");
+    let listing = MetadataStore::new(address)
+        .list_page("op/", None)
+        .expect("a list");
     assert_eq!(listing.revision.number(), 7);
 }
 
@@ -59,8 +61,8 @@
 fn idle_connection_not_reused() {
     let (address, connections) = store(Duration::ZERO);
     let store = MetadataStore::new(address);
-    store.list("op/").expect("a list");
+    store.list_page("op/", None).expect("a list");
     std::thread::sleep(IDLE_DURATION);
-    store.list("op/").expect("a list");
+    store.list_page("op/", None).expect("a list");
     assert_eq!(connections.load(Ordering::Relaxed), 2);
 }
--- a/tests/all/long_lists.rs
+++ b/tests/all/long_lists.rs
@@ -7,12 +7,13 @@
 //! that leadership changed every second or two and no order was sent all day.
 
 use crate::cluster::{self, until};
+use crate::scripted_store::{Revisions, ScriptedStore, at, follow_store, shared};
 use passway_instance::Instance;
-use passway_instance::relay::{FEED_COUNT, UPSTREAM_FEED};
+use passway_instance::relay::{FEED_COUNT, Relay, UPSTREAM_FEED};
 use passway_instance::subscribers::Subscribers;
 use passway_instance::updates::FeedUpdate;
 use passway_process::outbox::Outbox;
-use passway_serving::ports::{Listing, StoreRevision, StoredValue};
+use passway_serving::ports::{ListPage, Listing, StoreError, StoreRevision, StoredValue};
 use passway_standins::platform::documents::plain_entry;
 use passway_standins::platform::store::{Faults, MetadataStandIn};
 use passway_types::hash::stable_digest;
@@ -128,6 +129,53 @@
     assert_eq!((read.first, read.later), (1, 2));
 }
 
+/// A page of a list without values, at a revision.
+fn page(revision: StoreRevision, next_after: Option<&str>) -> ListPage {
+    ListPage {
+        values: Vec::new(),
+        revision,
+        next_after: next_after.map(str::to_owned),
+    }
+}
+
+/// Follows a store with these pages. Returns the revisions that are applied and the store.
+fn follow_pages(
+    page: impl Fn(u32) -> Result<ListPage, StoreError> + Send + Sync + 'static,
+) -> (Revisions, Arc<ScriptedStore>) {
+    let (_, [receiver, _]) = Relay::new();
+    let store = ScriptedStore::with_pages(page, |_| Err(StoreError::Unknown));
+    let revisions = follow_store(store.clone(), receiver, &shared());
+    (revisions, store)
+}
+
+/// Guards against a list that counts as of its last page, so that changes of the first page's keys
+/// that were made before the last page was read are never seen.
+#[test]
+fn list_is_of_its_first_page() {
+    let (revisions, store) = follow_pages(|number| match number {
+        0 => Ok(page(at(10), Some("a"))),
+        1 => Err(StoreError::Unknown),
+        _ => Ok(page(at(20), None)),
+    });
+    until("the list", || revisions.contains(10));
+    let after_a = Some("a".to_owned());
+    assert_eq!(store.requested_pages(), [None, after_a.clone(), after_a]);
+}
+
+/// Guards against a list of pages from before and after the store returned from an older copy.
+#[test]
+fn pages_of_two_eras() {
+    let (revisions, store) = follow_pages(|number| match number {
+        0 => Ok(page(at(10), Some("a"))),
+        1 => Ok(page(StoreRevision::new(1, 4), None)),
+        _ => Ok(page(StoreRevision::new(1, 5), None)),
+    });
+    until("the list", || {
+        revisions.contains_of(StoreRevision::new(1, 5))
+    });
+    assert_eq!(store.requested_pages(), [None, Some("a".to_owned()), None]);
+}
+
 /// Number of subscribers that know nothing.
 const SUBSCRIBERS: u64 = 20;
 /// Number of subscribers that may be sent a long list at a time.
--- a/tests/all/scripted_store.rs
+++ b/tests/all/scripted_store.rs
@@ -6,8 +6,8 @@
 use passway_instance::relay::{CONFIGURATION_FEED, FEED_COUNT, RelayReceiver};
 use passway_instance::shared::Shared;
 use passway_serving::ports::{
-    ConditionalWrite, LeaseId, Listing, RenewalAnswer, SharedStore, StoreChange, StoreError,
-    StoreRevision, WatchAnswer, WriteAnswer,
+    ConditionalWrite, LeaseId, ListPage, Listing, RenewalAnswer, SharedStore, StoreChange,
+    StoreError, StoreRevision, WatchAnswer, WriteAnswer,
 };
 use passway_types::prelude::*;
 use passway_users_platform::PlatformHeaders;
@@ -30,29 +30,56 @@
 pub struct ScriptedStore {
     lists: AtomicU32,
     watches: AtomicU32,
-    list: Answer<Listing>,
+    page: Box<dyn Fn(u32) -> Result<ListPage, StoreError> + Send + Sync>,
     watch: Answer<WatchAnswer>,
+    /// The key after which each requested page begins.
+    requested_pages: Mutex<Vec<Option<String>>>,
 }
 
 impl ScriptedStore {
-    /// Creates a store with these answers.
+    /// Creates a store with these answers, whose lists have one page.
     pub fn new(list: Answer<Listing>, watch: Answer<WatchAnswer>) -> Arc<Self> {
+        let page = move |number| {
+            list(number).map(|listing| ListPage {
+                values: listing.values,
+                revision: listing.revision,
+                next_after: None,
+            })
+        };
+        Self::with_pages(page, watch)
+    }
+
+    /// Creates a store with these answers, whose lists have several pages.
+    pub fn with_pages(
+        page: impl Fn(u32) -> Result<ListPage, StoreError> + Send + Sync + 'static,
+        watch: Answer<WatchAnswer>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             lists: AtomicU32::new(0),
             watches: AtomicU32::new(0),
-            list,
+            page: Box::new(page),
             watch,
+            requested_pages: Mutex::default(),
         })
     }
+
+    /// The key after which each page begins that was requested so far; `None` for a first page.
+    pub fn requested_pages(&self) -> Vec<Option<String>> {
+        let requested = self.requested_pages.lock();
+        requested.expect("an unpoisoned lock").clone()
+    }
 }
 
 impl SharedStore for ScriptedStore {
-    fn list(&self, _: &str) -> Result<Listing, StoreError> {
+    fn list_page(&self, _: &str, after_key: Option<&str>) -> Result<ListPage, StoreError> {
+        let mut requested = self.requested_pages.lock().expect("an unpoisoned lock");
+        requested.push(after_key.map(str::to_owned));
+        drop(requested);
         let number = self.lists.fetch_add(1, Ordering::Relaxed);
         if number >= IMMEDIATE_LISTS {
             std::thread::sleep(LATER_LIST_DELAY);
         }
-        (self.list)(number)
+        (self.page)(number)
     }
 
     fn watch(
@@ -117,10 +144,13 @@
 
     /// Whether the feed has applied a revision of the first era.
     pub fn contains(&self, number: u64) -> bool {
-        self.0
-            .lock()
-            .expect("an unpoisoned lock")
-            .contains(&at(number))
+        self.contains_of(at(number))
+    }
+
+    /// Whether the feed has applied a revision of any era.
+    pub fn contains_of(&self, revision: StoreRevision) -> bool {
+        let revisions = self.0.lock().expect("an unpoisoned lock");
+        revisions.contains(&revision)
     }
 }
 
--- a/tests/all/store_eras.rs
+++ b/tests/all/store_eras.rs
@@ -48,14 +48,14 @@
     let client = MetadataStore::new(store.serve());
     let copy = store.copy();
     store.put("op/lost", &json!(1));
-    let known = client.list("op/").expect("a listing").revision;
+    let known = client.list_page("op/", None).expect("a listing").revision;
     store.return_from(&copy);
     for number in 0..10 {
         store.put("op/other", &json!(number));
     }
     let answer = client.watch("op/", known, NO_WAIT).expect("an answer");
     assert_eq!(answer, WatchAnswer::HistoryCompacted);
-    let listing = client.list("op/").expect("a listing");
+    let listing = client.list_page("op/", None).expect("a listing");
     assert!(listing.revision > known);
     assert_eq!(listing.revision.era(), 1);
     assert!(listing.values.iter().all(|value| value.revision.era() == 1));
@@ -100,12 +100,12 @@
     let client = MetadataStore::new(store.serve());
     let copy = store.copy();
     store.put_bytes("passway/x", b"first");
-    let listing = client.list("passway/").expect("a listing");
+    let listing = client.list_page("passway/", None).expect("a listing");
     let known = listing.values[0].revision;
     store.return_from(&copy);
     store.put_bytes("passway/x", b"second");
     assert_eq!(store.revision_of("passway/x"), known.number());
-    client.list("passway/").expect("a listing");
+    client.list_page("passway/", None).expect("a listing");
     let answer = client.write(&[write("passway/x", known, None)]);
     assert_eq!(answer, Ok(WriteAnswer::Conflict));
     assert_eq!(store.get("passway/x").as_deref(), Some(&b"second"[..]));
