The holder sends long updates compressed as a whole, and whole long lists to eight subscribers at a time

All subscribers were sent it at once, and each change made the holder encode it anew. Change: an update of 16 kB and more is compressed as a whole where that saves a quarter (CompressedUpdates, a kind of message of its own: an older receiver ignores it, where it would take a message with an unknown field for an empty list). A whole feed of more than 64 kB goes to eight subscribers at a time; the holder's thread checks every 25 ms whether the next may follow.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -386,6 +386,7 @@
             | Body::Members(_)
             | Body::NewHolder(_)
             | Body::Updates(_)
+            | Body::CompressedUpdates(_)
             | Body::QueryAnswer(_)
             | Body::PromiseRequest(_)
             | Body::Dispatchers(_)
--- a/crates/instance/src/feed_log.rs
+++ b/crates/instance/src/feed_log.rs
@@ -118,15 +118,21 @@
         self.changed_revision = self.changed_revision.max(change.revision());
     }
 
+    /// Whether the changes after a revision suffice for an instance that knows the feed up to it, so
+    /// that the instance need not receive the whole feed.
+    pub fn has_all_changes_after(&self, known: StoreRevision) -> bool {
+        let is_inside = |(begin, end): &(_, _)| *begin < known && known < *end;
+        !known.is_none()
+            && known >= self.removals_complete_since
+            && !self.unseen_spans.iter().any(is_inside)
+    }
+
     /// What an instance lacks that knows the feed up to a revision; `None` if it lacks nothing.
     pub fn update_after(&self, feed: usize, known: StoreRevision) -> Option<Updates> {
         if known >= self.to {
             return None;
         }
-        let is_inside = |(begin, end): &(_, _)| *begin < known && known < *end;
-        let is_complete = known.is_none()
-            || known < self.removals_complete_since
-            || self.unseen_spans.iter().any(is_inside);
+        let is_complete = !self.has_all_changes_after(known);
         let from = if is_complete {
             StoreRevision::NONE
         } else {
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -54,6 +54,9 @@
 /// Each may be as large as the store's contents, which it shares with the data in use.
 const MAX_QUEUED_UPDATES: usize = 2;
 
+/// Interval of checks whether subscribers with a backlog have received what was sent before.
+const BACKLOG_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Longest wait of the holder thread when no input arrives.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -190,6 +193,9 @@
                     now + LEADERSHIP_CHECK_INTERVAL
                 };
                 let next = next.max(self.plan_at).min(self.heartbeat_at);
+                let has_backlog = self.subscribers.has_backlog();
+                let backlog_at = has_backlog.then(|| now + BACKLOG_CHECK_INTERVAL);
+                let next = backlog_at.map_or(next, |at| next.min(at));
                 publish_at.map_or(next, |at| next.min(at))
             } else {
                 now + IDLE_INTERVAL
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -23,8 +23,9 @@
 //! * [`metrics`] are the metrics of `/metrics`.
 //! * [`health`] tracks whether the store answers.
 //! * [`relay`] receives the store's updates through the holder, [`updates`] defines and encodes
-//!   them, and [`compression`] compresses large values; [`subscribers`] are the instances that
-//!   receive updates from the holder, and [`feed_log`] is the log of updates to send.
+//!   them, and [`compression`] compresses large values and long updates; [`subscribers`] are the
+//!   instances that receive updates from the holder, [`feed_log`] is the log of updates to send, and
+//!   [`feed_frames`] are the encoded updates that subscribers share.
 //! * [`lifecycle`] starts and stops the instance; [`stop_signal`] ends the remaining waits at a
 //!   stop.
 
@@ -36,6 +37,7 @@
 pub mod coordinator;
 pub mod dispatch;
 pub mod events;
+pub mod feed_frames;
 pub mod feed_log;
 pub mod feeds;
 pub mod forward;
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -5,12 +5,13 @@
 //! its lease is valid and the store answered it recently; at all other times they query the store
 //! themselves. Changes carry the store's revisions, so a receiver detects gaps.
 
+use crate::compression;
 use crate::updates::{CompressionBases, FeedUpdate};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_serving::ports::StoreRevision;
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::Updates;
+use passway_wire::message::{CompressedUpdates, Updates};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Number of the configuration's feed.
@@ -216,6 +217,20 @@
         self.state().gap_until.iter().any(Option::is_some)
     }
 
+    /// Takes in a compressed message from the holder.
+    pub fn receive_compressed(&self, message: &CompressedUpdates) {
+        match compression::decompress_update(message) {
+            Ok(update) => self.receive(update),
+            Err(error) => {
+                log::warn!(feed = message.feed, error:% = error; "cannot decode an update from the holder");
+                let feed = usize::try_from(message.feed).unwrap_or(FEED_COUNT);
+                if let Some(gap_until) = self.state().gap_until.get_mut(feed) {
+                    *gap_until = Some(StoreRevision::from_packed(message.to_revision));
+                }
+            }
+        }
+    }
+
     /// Takes in a message from the holder.
     pub fn receive(&self, message: Updates) {
         let mut state = self.state();
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -20,7 +20,7 @@
 use passway_wire::Body;
 use passway_wire::message::{
     EnginePlacement, InstanceReport, KnownSignals, ModelRequests, Promise, PromiseRequest,
-    RunCount, Subscribe,
+    RunCount, Subscribe, Updates,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -269,18 +269,14 @@
                     relay.holder_disconnected();
                 }
                 DialEvent::Received(Body::Updates(message)) => {
-                    if let Some(instances) =
-                        usize::try_from(message.instances).ok().filter(|n| *n > 0)
-                    {
-                        shared.set_instance_count(instances);
-                    }
-                    if message.queued_at_ms > 0 {
-                        let unconfirmed = message.unconfirmed.iter().map(|id| id.as_str().into());
-                        shared.set_unconfirmed_engines(unconfirmed.collect());
-                    }
+                    apply_heartbeat(&shared, &message);
                     relay.receive(message);
                     drop(link);
                 }
+                DialEvent::Received(Body::CompressedUpdates(message)) => {
+                    relay.receive_compressed(&message);
+                    drop(link);
+                }
                 DialEvent::Received(Body::Members(members)) => {
                     drop(link);
                     *shared.members() = members::decode(&members);
@@ -473,6 +469,17 @@
     })
 }
 
+/// Applies what a holder's message says besides the updates.
+fn apply_heartbeat(shared: &Shared, message: &Updates) {
+    if let Some(instances) = usize::try_from(message.instances).ok().filter(|n| *n > 0) {
+        shared.set_instance_count(instances);
+    }
+    if message.queued_at_ms > 0 {
+        let unconfirmed = message.unconfirmed.iter().map(|id| id.as_str().into());
+        shared.set_unconfirmed_engines(unconfirmed.collect());
+    }
+}
+
 /// Counts the recent requests by model and adapter.
 fn recent_counts(recent: &VecDeque<(Instant, DemandKey)>) -> ArrivalCounts {
     let mut arrivals = ArrivalCounts::new();
--- a/crates/instance/src/subscribers.rs
+++ b/crates/instance/src/subscribers.rs
@@ -1,13 +1,12 @@
 //! Instances that receive the store's updates from the holder, and the revisions that were sent to
 //! each.
 
-use crate::feed_log::FeedLog;
+use crate::feed_frames::FeedFrames;
 use crate::holder::NumberedUpdate;
 use crate::relay::FEED_COUNT;
 use passway_process::outbox::Outbox;
 use passway_serving::ports::StoreRevision;
 use passway_types::prelude::*;
-use passway_wire::{Body, Frame};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -15,9 +14,9 @@
 /// the newest ones. A link of 10 Mbit/s carries this much in 50 ms.
 const MAX_BACKLOG_BYTES: usize = 64 << 10;
 
-/// Maximum number of cached frames. Subscribers know the same revision or the next one; at the
-/// start of a term they know a few more.
-const MAX_CACHED_FRAMES: usize = 16;
+/// Maximum number of subscribers to which a whole feed of more than [`MAX_BACKLOG_BYTES`] is being
+/// sent. The holder's heartbeats share its link with them.
+const MAX_LONG_SENDS: usize = 8;
 
 /// An instance's name and the address where it listens for other instances.
 pub type Member = (InstanceId, SocketAddr);
@@ -34,19 +33,15 @@
 #[derive(Debug, Default)]
 pub struct Subscribers {
     by_connection: BTreeMap<u64, Subscriber>,
-    logs: [FeedLog; FEED_COUNT],
-    /// Encoded updates by feed and by known revision: most subscribers know the same revision and
-    /// share one frame. Cleared whenever a log changes.
-    frames: BTreeMap<(usize, StoreRevision), Option<Frame>>,
+    feeds: FeedFrames,
     /// Whether a subscriber still has a backlog of unsent updates.
     has_backlog: bool,
 }
 
 impl Subscribers {
     /// Records a feed update. Returns whether there is a change to send.
-    pub fn add_update(&mut self, (feed, update): &NumberedUpdate) -> bool {
-        self.frames.clear();
-        self.logs[*feed].apply(update)
+    pub fn add_update(&mut self, update: &NumberedUpdate) -> bool {
+        self.feeds.add_update(update)
     }
 
     /// Adds the subscriber on a connection, which knows the feeds up to the given revisions.
@@ -89,12 +84,12 @@
 
     /// Whether a subscriber lacks a change.
     pub fn is_behind(&self, number: u64) -> bool {
-        let sent = self
-            .by_connection
-            .get(&number)
-            .map(|subscriber| subscriber.sent);
-        let mut feeds = self.logs.iter().zip(sent.iter().flatten());
-        feeds.any(|(log, known)| log.has_changes_after(*known))
+        let subscriber = self.by_connection.get(&number);
+        let lacks = |sent: &[StoreRevision; FEED_COUNT]| {
+            let mut feeds = sent.iter().enumerate();
+            feeds.any(|(feed, known)| self.feeds.log(feed).has_changes_after(*known))
+        };
+        subscriber.is_some_and(|subscriber| lacks(&subscriber.sent))
     }
 
     /// Sends each subscriber the newest of what it lacks, unless it has a backlog. Revisions
@@ -102,41 +97,71 @@
     /// queries the store later would start from a revision that the store has already forgotten.
     pub fn send_updates(&mut self, outboxes: &BTreeMap<u64, Outbox>, include_unchanged: bool) {
         self.has_backlog = false;
+        let mut long_sends = outboxes.values().filter(|outbox| is_busy(outbox)).count();
         for (number, subscriber) in &mut self.by_connection {
             let Some(outbox) = outboxes.get(number) else {
                 continue;
             };
-            for (feed, log) in self.logs.iter().enumerate() {
+            for feed in 0..FEED_COUNT {
                 let known = subscriber.sent[feed];
+                let log = self.feeds.log(feed);
                 let is_unchanged = !log.has_changes_after(known);
                 if is_unchanged && (!include_unchanged || known >= log.to()) {
                     continue;
                 }
-                if outbox.waiting_bytes() > MAX_BACKLOG_BYTES {
+                if is_busy(outbox) {
                     self.has_backlog = true;
                     break;
                 }
-                if self.frames.len() >= MAX_CACHED_FRAMES {
-                    self.frames.clear();
-                }
-                let frame = self.frames.entry((feed, known));
-                let frame = frame.or_insert_with(|| update_frame(log, feed, known));
-                if let Some(frame) = frame {
-                    outbox.send_frame(frame.clone());
+                if known.is_none()
+                    && !subscriber.send_whole(feed, &mut self.feeds, outbox, &mut long_sends)
+                {
+                    self.has_backlog = true;
+                    continue;
                 }
-                subscriber.sent[feed] = log.to();
+                subscriber.send_changes(feed, &mut self.feeds, outbox);
             }
         }
     }
 }
 
-/// The encoded update for an instance that knows a feed up to a revision. If the update is too
-/// large, a gap marker takes its place, so that the instance queries the store.
-fn update_frame(log: &FeedLog, feed: usize, known: StoreRevision) -> Option<Frame> {
-    let frame = Frame::new(Body::Updates(log.update_after(feed, known)?));
-    let frame = frame.or_else(|error| {
-        log::error!(feed = feed, error:% = error; "cannot encode an update");
-        Frame::new(Body::Updates(log.gap_marker(feed)))
-    });
-    frame.ok()
+impl Subscriber {
+    /// Sends a whole feed, unless it is long and enough long feeds are being sent. Returns whether
+    /// there is nothing more to send for now than changes.
+    fn send_whole(
+        &mut self,
+        feed: usize,
+        feeds: &mut FeedFrames,
+        outbox: &Outbox,
+        long_sends: &mut usize,
+    ) -> bool {
+        let Some(whole) = feeds.whole(feed) else {
+            return true;
+        };
+        let is_long = whole.frame.byte_len() > MAX_BACKLOG_BYTES;
+        if is_long && *long_sends >= MAX_LONG_SENDS {
+            return false;
+        }
+        *long_sends += usize::from(is_long);
+        outbox.send_frame(whole.frame.clone());
+        self.sent[feed] = whole.to;
+        true
+    }
+
+    /// Sends what has changed in a feed since it was last sent.
+    fn send_changes(&mut self, feed: usize, feeds: &mut FeedFrames, outbox: &Outbox) {
+        let (known, to) = (self.sent[feed], feeds.log(feed).to());
+        if known >= to {
+            return;
+        }
+        if let Some(frame) = feeds.changes(feed, known) {
+            outbox.send_frame(frame);
+        }
+        self.sent[feed] = to;
+    }
+}
+
+/// Whether a peer has a backlog of unsent updates.
+fn is_busy(outbox: &Outbox) -> bool {
+    outbox.waiting_bytes() > MAX_BACKLOG_BYTES
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -15,7 +15,7 @@
     #[prost(
         oneof = "Body",
         tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, \
-                20, 21, 22, 23, 24"
+                20, 21, 22, 23, 24, 25"
     )]
     pub body: Option<Body>,
 }
@@ -95,6 +95,9 @@
     /// Announces that a caller's request follows on the connection, as HTTP/1.1.
     #[prost(message, tag = "24")]
     PeerRequest(PeerRequest),
+    /// Many updates of the store, relayed by the holder and compressed as a whole.
+    #[prost(message, tag = "25")]
+    CompressedUpdates(CompressedUpdates),
 }
 
 /// Announces a caller's request that an instance without a path to upstreams passes on.
@@ -384,6 +387,24 @@
     pub unconfirmed: Vec<String>,
 }
 
+/// An [`Updates`] message that is compressed as a whole. It is a kind of its own, because a receiver
+/// that ignored a compressed field of [`Updates`] would take the message for an empty list.
+#[derive(Clone, PartialEq, Message)]
+pub struct CompressedUpdates {
+    /// The index of the feed.
+    #[prost(uint32, tag = "1")]
+    pub feed: u32,
+    /// The revision up to which the updates are complete.
+    #[prost(uint64, tag = "2")]
+    pub to_revision: u64,
+    /// Length of the uncompressed message in bytes.
+    #[prost(uint64, tag = "3")]
+    pub uncompressed_bytes: u64,
+    /// The compressed message.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub compressed: bytes::Bytes,
+}
+
 /// The number of requests for a model or adapter of a service.
 #[derive(Clone, PartialEq, Message)]
 pub struct ModelRequests {
--- a/tests/all/long_lists.rs
+++ b/tests/all/long_lists.rs
@@ -9,6 +9,7 @@
 use crate::cluster::{self, until};
 use crate::scripted_store::{Revisions, ScriptedStore, at, follow_store, shared};
 use passway_instance::Instance;
+use passway_instance::compression::{decompress_update, update_body};
 use passway_instance::relay::{FEED_COUNT, Relay, UPSTREAM_FEED};
 use passway_instance::subscribers::Subscribers;
 use passway_instance::updates::FeedUpdate;
@@ -18,7 +19,9 @@
 use passway_standins::platform::store::{Faults, MetadataStandIn};
 use passway_types::hash::stable_digest;
 use passway_types::prelude::*;
-use passway_wire::{Link, LinkReader};
+use passway_wire::message::{CompressedUpdates, StoreValue, Updates};
+use passway_wire::{Body, Link, LinkReader};
+use prost::Message;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -239,3 +242,76 @@
         !(0..SUBSCRIBERS).any(|number| subscribers.is_behind(number))
     });
 }
+
+/// Upstreams in the list of a whole fleet.
+const FLEET_UPSTREAMS: u32 = 10_000;
+
+/// An update with the entries of many engines, which differ in id, address and models.
+fn fleet_update(engines: u32) -> Updates {
+    let value = |number: u32| {
+        let digest = stable_digest(&[&number.to_be_bytes()]);
+        let model = |at: usize| json!({"name": format!("m{:03}", digest[at]), "version": 1, "adapters": []});
+        let entry = json!({"service": "engines", "version": "v1", "slots": 12, "state": "ready",
+            "address": format!("10.{}.{}.{}:8080", digest[0] % 5, digest[1], digest[2]),
+            "zone": format!("hall{}", digest[0] % 5), "sequence": digest[3],
+            "models": [model(4), model(5), model(6)], "born": 1_788_089_100_000_u64 + u64::from(number)});
+        StoreValue {
+            key: format!("{PREFIX}i-{:02x}{:02x}{number:05x}", digest[7], digest[8]),
+            value: Some(entry.to_string().into_bytes().into()),
+            revision: u64::from(number) + 1,
+            ..StoreValue::default()
+        }
+    };
+    Updates {
+        feed: u32::try_from(UPSTREAM_FEED).expect("small"),
+        to_revision: u64::from(engines),
+        values: (0..engines).map(value).collect(),
+        ..Updates::default()
+    }
+}
+
+/// Guards against a list of a whole fleet that is sent uncompressed, which takes eight times as long on the holder's link.
+#[test]
+fn fleet_list_compressed() {
+    let update = fleet_update(FLEET_UPSTREAMS);
+    let plain_bytes = update.encoded_len();
+    let Body::CompressedUpdates(message) = update_body(update.clone()) else {
+        panic!("{plain_bytes} bytes are not compressed");
+    };
+    let bytes = message.compressed.len();
+    println!("{bytes} bytes instead of {plain_bytes}");
+    assert!(bytes * 4 < plain_bytes, "{bytes} of {plain_bytes} bytes");
+    assert_eq!(decompress_update(&message).expect("an update"), update);
+}
+
+/// Updates below 16 kB are sent as they are.
+#[test]
+fn short_update_uncompressed() {
+    for (engines, is_compressed) in [(1, false), (50, false), (60, true)] {
+        let body = update_body(fleet_update(engines));
+        let has_compressed = matches!(body, Body::CompressedUpdates(_));
+        assert_eq!(has_compressed, is_compressed, "{engines} engines");
+    }
+}
+
+/// Guards against a compressed update that is dropped without asking the holder to send it again.
+#[test]
+fn unreadable_list_requested_again() {
+    let (relay, _receivers) = Relay::new();
+    let Body::CompressedUpdates(whole) = update_body(fleet_update(1_000)) else {
+        panic!("not compressed");
+    };
+    let too_large = CompressedUpdates {
+        uncompressed_bytes: u64::MAX,
+        ..whole.clone()
+    };
+    relay.receive_compressed(&too_large);
+    assert!(relay.needs_resend());
+    let (relay, _receivers) = Relay::new();
+    let cut = CompressedUpdates {
+        compressed: whole.compressed.slice(..whole.compressed.len() / 2),
+        ..whole
+    };
+    relay.receive_compressed(&cut);
+    assert!(relay.needs_resend());
+}
