An instance that starts reads one page of a long list and leaves the others to the holder

A first page older than 10 s is read again then, because the store's history may end before it. The holder reads on at once.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,6 +1,7 @@
 //! Feeds of the store's data: the configuration and the upstreams, each with its own watch.
 
 mod configuration;
+mod list_wait;
 mod partial_listing;
 mod upstreams;
 
@@ -12,6 +13,7 @@
 use crate::shared::Shared;
 use crate::updates::{self, FeedUpdate};
 use crossbeam::channel::Sender;
+use list_wait::ListWait;
 use partial_listing::PartialListing;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
@@ -39,6 +41,11 @@
 /// once.
 const MIN_OUTAGE_FAILURES: u32 = 2;
 
+/// The first page of a list is read again if it is older than this when the instance reads on. The
+/// store keeps its history for a limited time, 20 s in a large fleet, and a list whose revision is
+/// older has to be read a second time.
+const MAX_FIRST_PAGE_AGE: Duration = Duration::from_secs(10);
+
 /// Interval of checks, after a failed call, whether the store answers another feed of this
 /// instance. It is short compared with the first backoff, after which the store is queried in any
 /// case.
@@ -87,6 +94,11 @@
     fn must_query_store(&self) -> bool {
         false
     }
+    /// Whether this instance may leave what the store would answer to the holder, which it is not
+    /// itself.
+    fn may_leave_to_holder(&self) -> bool {
+        false
+    }
     /// The shared state of the instance.
     fn shared(&self) -> &Shared;
 }
@@ -108,6 +120,7 @@
         known: None,
         must_list: false,
         partial: None,
+        list_reader: ListReader::Undecided,
         trusted_holder: false,
         has_gap: false,
         failures: 0,
@@ -117,6 +130,18 @@
     std::thread::spawn(move || follower.run());
 }
 
+/// Who reads a list of which this instance knows only the first page. Many instances that read a
+/// long list at once fill the store's link, and the holder's lease renewals wait behind the lists.
+#[derive(Debug, Clone, Copy)]
+enum ListReader {
+    /// Not decided, since no first page has shown that there are more.
+    Undecided,
+    /// The holder, which sends the list to all.
+    Holder(ListWait),
+    /// This instance, because it is the holder or waited for the holder in vain.
+    ThisInstance,
+}
+
 /// When the store may be queried again after a failed call.
 #[derive(Debug, Clone, Copy)]
 struct Backoff {
@@ -148,6 +173,8 @@
     /// The pages of a list that is not complete yet. A page that the store does not deliver is
     /// requested again after the backoff, and the pages before it are not.
     partial: Option<PartialListing>,
+    /// Who reads the rest of the first list.
+    list_reader: ListReader,
     /// Whether the last pass relied on the holder.
     trusted_holder: bool,
     /// Whether there is a gap in the holder's updates. The holder is not relied on until the store
@@ -174,6 +201,8 @@
                 self.trusted_holder = true;
                 let timeout = until.saturating_duration_since(clock::now());
                 self.receive(timeout.min(RELAY_POLL_INTERVAL));
+            } else if self.awaits_list() {
+                self.receive(HEALTH_CHECK_INTERVAL);
             } else if self.may_query_store() {
                 self.poll_store();
             } else {
@@ -188,6 +217,34 @@
         self.receiver.trusted_until().filter(|_| !must_query_store)
     }
 
+    /// Whether the rest of a list is left to the holder now.
+    fn awaits_list(&mut self) -> bool {
+        let ListReader::Holder(wait) = self.list_reader else {
+            return false;
+        };
+        let ends_at = wait.ends_at(self.feed.shared().instance_count());
+        if self.feed.may_leave_to_holder() && clock::now() < ends_at {
+            return true;
+        }
+        log::info!(prefix = self.prefix, is_holder = !self.feed.may_leave_to_holder(); "reading the rest of a long list from the store");
+        self.list_reader = ListReader::ThisInstance;
+        let is_current =
+            |page: &mut PartialListing| clock::since(page.requested_at) <= MAX_FIRST_PAGE_AGE;
+        self.partial.take_if(|page| !is_current(page));
+        false
+    }
+
+    /// Leaves the rest of a long list to the holder, if this instance may.
+    fn leave_list(&mut self) {
+        let is_undecided = matches!(self.list_reader, ListReader::Undecided);
+        if self.known.is_some() || !is_undecided || !self.feed.may_leave_to_holder() {
+            return;
+        }
+        log::info!(prefix = self.prefix; "the rest of a long list is left to the holder");
+        self.list_reader = ListReader::Holder(ListWait::begin());
+        self.receiver.await_whole_feed();
+    }
+
     /// Logs when the feed begins or ceases to rely on the holder, and why.
     fn log_trust(&mut self, relies_on_holder: bool) {
         if self.logged_trust.replace(relies_on_holder) == Some(relies_on_holder) {
@@ -318,6 +375,7 @@
         };
         if partial.next_after().is_some() {
             self.partial = Some(partial);
+            self.leave_list();
         } else {
             self.apply_list(partial);
         }
@@ -392,6 +450,7 @@
         self.has_gap = false;
         // Its pages may be older than the update.
         self.partial = None;
+        self.list_reader = ListReader::Undecided;
         let has_returned = self.record_era(update.to().era());
         self.receiver.record_applied(&update, update.to());
         let update = match update {
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -211,6 +211,11 @@
         }
     }
 
+    /// The holder reads the whole list, because the other instances receive it from the holder.
+    fn may_leave_to_holder(&self) -> bool {
+        self.leadership.term().is_none()
+    }
+
     fn shared(&self) -> &Shared {
         &self.shared
     }
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -46,6 +46,8 @@
     /// The revision up to which a feed has a gap, because a message was unreadable or missing. The
     /// holder must resend the whole feed, unless the store supplies it first.
     gap_until: [Option<StoreRevision>; FEED_COUNT],
+    /// Whether this instance, which does not know a feed yet, waits for the holder to send it.
+    awaits_whole: [bool; FEED_COUNT],
     bases: [CompressionBases; FEED_COUNT],
 }
 
@@ -212,6 +214,17 @@
         })
     }
 
+    /// Whether this instance reads a feed from the store that it does not know yet.
+    pub fn reads_unknown_feed(&self) -> bool {
+        (0..FEED_COUNT).any(|feed| self.is_reading_feed(feed))
+    }
+
+    /// Whether this instance does not know a feed yet and does not wait for the holder to send it.
+    pub fn is_reading_feed(&self, feed: usize) -> bool {
+        let state = self.state();
+        state.known[feed].is_none() && !state.awaits_whole[feed]
+    }
+
     /// Whether the holder must resend a feed, because a message was unreadable or missing.
     pub fn needs_resend(&self) -> bool {
         self.state().gap_until.iter().any(Option::is_some)
@@ -282,6 +295,14 @@
         }
     }
 
+    /// Requests the whole feed from the holder, because this instance does not read it from the
+    /// store.
+    pub fn await_whole_feed(&self) {
+        if let Some(feed) = self.feed {
+            self.relay.state().awaits_whole[feed] = true;
+        }
+    }
+
     /// Records that the store answered with everything it knew at an instant.
     pub fn record_store_answer(&self, at: Instant) {
         if let Some(feed) = self.feed {
@@ -309,6 +330,7 @@
             let mut state = self.relay.state();
             state.bases[feed].record(update);
             state.known[feed] = known;
+            state.awaits_whole[feed] = false;
             let gap_until = &mut state.gap_until[feed];
             *gap_until = gap_until.filter(|to| *to > known);
         }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -13,7 +13,6 @@
 use passway_process::queue;
 use passway_serving::leadership::{Candidate, Holder};
 use passway_serving::poison::{Suspect, UpstreamStart};
-use passway_serving::ports::StoreRevision;
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -361,7 +360,7 @@
             return;
         }
         let known = self.relay.known_revisions();
-        let reads_store = known.contains(&StoreRevision::NONE) && !self.relay.needs_resend();
+        let reads_store = self.relay.reads_unknown_feed() && !self.relay.needs_resend();
         if reads_store && !self.shared.store_health.is_failing() {
             // The store answers soon, which saves the holder sending everything.
             return;
--- a/tests/all/long_lists.rs
+++ b/tests/all/long_lists.rs
@@ -7,7 +7,9 @@
 //! that leadership changed every second or two and no order was sent all day.
 
 use crate::cluster::{self, until};
-use crate::scripted_store::{Revisions, ScriptedStore, at, follow_store, shared};
+use crate::scripted_store::{
+    Revisions, ScriptedStore, at, follow_leaving_lists, follow_store, shared,
+};
 use passway_instance::Instance;
 use passway_instance::compression::{decompress_update, update_body};
 use passway_instance::relay::{FEED_COUNT, Relay, UPSTREAM_FEED};
@@ -179,6 +181,47 @@
     assert_eq!(store.requested_pages(), [None, Some("a".to_owned()), None]);
 }
 
+/// A store whose list has two pages and which refuses watches.
+fn two_pages() -> Arc<ScriptedStore> {
+    let page = |number| {
+        let next_after = (number == 0).then_some("a");
+        Ok(page(at(10 + u64::from(number)), next_after))
+    };
+    ScriptedStore::with_pages(page, |_| Err(StoreError::Unknown))
+}
+
+/// Guards against an instance that waits for its list for ever where no instance is the holder.
+#[test]
+fn no_holder_sends_list() {
+    let (_, [_, receiver]) = Relay::new();
+    let store = two_pages();
+    let revisions = follow_leaving_lists(store.clone(), receiver, &shared());
+    until("the first page", || !store.requested_pages().is_empty());
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(store.requested_pages(), [None], "left to the holder");
+    until("the list", || revisions.contains(10));
+    assert_eq!(store.requested_pages(), [None, Some("a".to_owned())]);
+}
+
+/// Guards against an instance that reads on although the holder has sent the list.
+#[test]
+fn holder_sends_list() {
+    let (relay, [_, receiver]) = Relay::new();
+    let store = two_pages();
+    let revisions = follow_leaving_lists(store.clone(), receiver, &shared());
+    until("the request for the list", || {
+        !relay.is_reading_feed(UPSTREAM_FEED)
+    });
+    let whole = Updates {
+        feed: u32::try_from(UPSTREAM_FEED).expect("small"),
+        to_revision: 30,
+        ..Updates::default()
+    };
+    relay.receive(whole);
+    until("the list", || revisions.contains(30));
+    assert_eq!(store.requested_pages(), [None]);
+}
+
 /// Number of subscribers that know nothing.
 const SUBSCRIBERS: u64 = 20;
 /// Number of subscribers that may be sent a long list at a time.
--- a/tests/all/scripted_store.rs
+++ b/tests/all/scripted_store.rs
@@ -157,6 +157,7 @@
 struct RecordingFeed {
     shared: Arc<Shared>,
     revisions: Revisions,
+    may_leave_list: bool,
 }
 
 impl Feed for RecordingFeed {
@@ -177,6 +178,10 @@
         Duration::ZERO
     }
 
+    fn may_leave_to_holder(&self) -> bool {
+        self.may_leave_list
+    }
+
     fn shared(&self) -> &Shared {
         &self.shared
     }
@@ -187,12 +192,31 @@
     store: Arc<ScriptedStore>,
     receiver: RelayReceiver,
     shared: &Arc<Shared>,
+) -> Revisions {
+    follow_as(false, store, receiver, shared)
+}
+
+/// Follows a store as an instance that may leave the rest of a long list to the holder.
+pub fn follow_leaving_lists(
+    store: Arc<ScriptedStore>,
+    receiver: RelayReceiver,
+    shared: &Arc<Shared>,
+) -> Revisions {
+    follow_as(true, store, receiver, shared)
+}
+
+fn follow_as(
+    may_leave_list: bool,
+    store: Arc<ScriptedStore>,
+    receiver: RelayReceiver,
+    shared: &Arc<Shared>,
 ) -> Revisions {
     let revisions = Revisions::default();
     let (updates, _received) = channel::unbounded();
     let feed = RecordingFeed {
         shared: shared.clone(),
         revisions: revisions.clone(),
+        may_leave_list,
     };
     follow(store, receiver, updates, feed);
     revisions
