Changes of upstreams are left to the holder for as long as the store's link could not carry them to all instances

Change: after its first list an instance that is not the holder does not watch the upstreams for 1.5 to 4.5 s; by then a holder relays them. Later, its own queries of this feed begin and follow each other after 4 us x instances x upstreams (the store's link of 1,000 Mbit/s for 500 bytes each), half to one and a half times: 0.1 s at 100 instances and 264 upstreams, 39 s for the whole fleet. The holder, and an instance that must query the store, do not wait. Not played in a fleet yet. To be watched there: at 300 instances and 3,000 upstreams the interval is 1.8 to 5.4 s, in which an upstream that leaves while there is no holder is not noticed.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -21,6 +21,7 @@
 };
 use passway_types::clock;
 use passway_types::prelude::*;
+use rand::RngExt;
 
 /// Longest watch of a relayed feed. The instance notices a silently cut connection 0.5 s later. A
 /// new version must be in effect everywhere within 2 s in a small fleet and 3 s in a large one
@@ -94,6 +95,15 @@
     fn must_query_store(&self) -> bool {
         false
     }
+    /// Minimum interval of this instance's own queries while another instance may be the holder, so
+    /// that the store's link carries the answers to all instances.
+    fn min_query_interval(&self) -> Duration {
+        Duration::ZERO
+    }
+    /// Time for which this instance leaves the changes after its first list to the holder.
+    fn first_query_delay(&self) -> Duration {
+        Duration::ZERO
+    }
     /// Whether this instance may leave what the store would answer to the holder, which it is not
     /// itself.
     fn may_leave_to_holder(&self) -> bool {
@@ -125,6 +135,7 @@
         has_gap: false,
         failures: 0,
         backoff: Backoff::none(clock::now()),
+        own_query_at: clock::now(),
         logged_trust: None,
     };
     std::thread::spawn(move || follower.run());
@@ -183,6 +194,9 @@
     /// Number of consecutive calls that the store did not answer.
     failures: u32,
     backoff: Backoff,
+    /// Until when changes of a known feed are left to the holder, although the holder may not be
+    /// relied on.
+    own_query_at: Instant,
     /// Whether the feed relied on the holder when this was last logged.
     logged_trust: Option<bool>,
 }
@@ -203,6 +217,9 @@
                 self.receive(timeout.min(RELAY_POLL_INTERVAL));
             } else if self.awaits_list() {
                 self.receive(HEALTH_CHECK_INTERVAL);
+            } else if let Some(until) = self.awaits_holder_until() {
+                let timeout = until.saturating_duration_since(clock::now());
+                self.receive(timeout.min(HEALTH_CHECK_INTERVAL));
             } else if self.may_query_store() {
                 self.poll_store();
             } else {
@@ -234,6 +251,20 @@
         false
     }
 
+    /// Until when changes are left to the holder; `None` if the store may be queried now.
+    fn awaits_holder_until(&self) -> Option<Instant> {
+        let is_left = self.known.is_some()
+            && self.feed.may_leave_to_holder()
+            && !self.feed.must_query_store();
+        Some(self.own_query_at).filter(|until| is_left && clock::now() < *until)
+    }
+
+    /// Leaves changes to the holder for a time about which the instances differ.
+    fn delay_own_query(&mut self, delay: Duration) {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        self.own_query_at = clock::now() + delay.mul_f64(jitter);
+    }
+
     /// Leaves the rest of a long list to the holder, if this instance may.
     fn leave_list(&mut self) {
         let is_undecided = matches!(self.list_reader, ListReader::Undecided);
@@ -247,9 +278,13 @@
 
     /// Logs when the feed begins or ceases to rely on the holder, and why.
     fn log_trust(&mut self, relies_on_holder: bool) {
-        if self.logged_trust.replace(relies_on_holder) == Some(relies_on_holder) {
+        let previous = self.logged_trust.replace(relies_on_holder);
+        if previous == Some(relies_on_holder) {
             return;
         }
+        if previous == Some(true) {
+            self.delay_own_query(self.feed.min_query_interval());
+        }
         let relay = &self.receiver.relay;
         let holder_confirmed_ms = self.receiver.feed.and_then(|feed| relay.confirmed_at(feed));
         log::info!(prefix = self.prefix, relies_on_holder = relies_on_holder,
@@ -290,8 +325,15 @@
             self.receiver.feed.is_none() || self.feed.prefers_listing(Interruption::HolderLost);
         self.must_list |= std::mem::take(&mut self.trusted_holder) && prefers_listing;
         let is_list = self.known.is_none() || self.must_list;
+        let was_known = self.known.is_some();
         let asked_at = clock::now();
-        match self.query_store() {
+        let answer = self.query_store();
+        self.delay_own_query(if was_known {
+            self.feed.min_query_interval()
+        } else {
+            self.feed.first_query_delay()
+        });
+        match answer {
             Ok(()) => {
                 self.failures = 0;
                 self.feed.shared().store_health.record_answer();
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -38,6 +38,13 @@
 /// third of a swap of 1 s was waiting.
 const MAX_HOLDER_BATCH_DELAY: Duration = Duration::from_millis(110);
 
+/// Time for which a store's link of 1,000 Mbit/s carries the answer with the entry of an upstream to
+/// one instance: 500 bytes.
+const TRANSFER_TIME_PER_ENTRY: Duration = Duration::from_micros(4);
+/// Mean time for which an instance that has read its first list leaves changes to the holder.
+/// Upstreams that start together with the instances write thousands of entries a second.
+const FIRST_QUERY_DELAY: Duration = Duration::from_secs(3);
+
 impl UpstreamFeed {
     /// Creates a feed that has received nothing yet.
     pub fn new(
@@ -211,6 +218,20 @@
         }
     }
 
+    /// If all instances of a large fleet watched the upstreams while there is no holder, their
+    /// answers would fill the store's link, and no instance could renew the lease of the leadership.
+    fn min_query_interval(&self) -> Duration {
+        let count = |number| u32::try_from(number).unwrap_or(u32::MAX);
+        let instances = count(self.shared.instance_count());
+        let upstreams = count(self.shared.upstreams().entries().count());
+        let entries = instances.saturating_mul(upstreams);
+        TRANSFER_TIME_PER_ENTRY.saturating_mul(entries)
+    }
+
+    fn first_query_delay(&self) -> Duration {
+        FIRST_QUERY_DELAY
+    }
+
     /// The holder reads the whole list, because the other instances receive it from the holder.
     fn may_leave_to_holder(&self) -> bool {
         self.leadership.term().is_none()
