A subscriber that lacks upstreams still receives the confirmation of its configuration

While the holder sends a long list to eight subscribers at a time, all others would query the store for the configuration, which they know. Change: a heartbeat leaves out the confirmation of the feeds that the subscriber lacks changes of, and of no other. The field and its meaning to receivers are as before. Test: configuration_confirmed_before_list; there was no test of this before, and the old code was not run with it.

--- a/crates/instance/src/holder/publishing.rs
+++ b/crates/instance/src/holder/publishing.rs
@@ -217,21 +217,14 @@
         }
     }
 
-    /// Sends heartbeats to subscribers. A subscriber that lacks updates only receives that the
-    /// holder is alive, so that the age of what it knows keeps growing.
+    /// Sends heartbeats to subscribers.
     pub(super) fn send_heartbeats(
         &self,
         subscribers: impl IntoIterator<Item = u64>,
         instances: usize,
     ) {
-        let is_behind = |number: &u64| self.subscribers.is_behind(*number);
-        let (behind, current): (Vec<u64>, Vec<u64>) = subscribers.into_iter().partition(is_behind);
         let heartbeat = self.heartbeat(instances, clock::now());
-        let alive_only = Updates {
-            confirmed_at_ms: Vec::new(),
-            ..heartbeat.clone()
-        };
-        for (numbers, message) in [(current, heartbeat), (behind, alive_only)] {
+        for (message, numbers) in self.subscribers.heartbeats(subscribers, &heartbeat) {
             let outboxes = numbers.iter().filter_map(|number| self.peers.get(number));
             send_to_all(outboxes, Body::Updates(message));
         }
--- a/crates/instance/src/subscribers.rs
+++ b/crates/instance/src/subscribers.rs
@@ -7,6 +7,7 @@
 use passway_process::outbox::Outbox;
 use passway_serving::ports::StoreRevision;
 use passway_types::prelude::*;
+use passway_wire::message::Updates;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -84,12 +85,46 @@
 
     /// Whether a subscriber lacks a change.
     pub fn is_behind(&self, number: u64) -> bool {
+        self.feeds_behind(number).contains(&true)
+    }
+
+    /// The feeds of which a subscriber lacks a change.
+    fn feeds_behind(&self, number: u64) -> [bool; FEED_COUNT] {
         let subscriber = self.by_connection.get(&number);
-        let lacks = |sent: &[StoreRevision; FEED_COUNT]| {
-            let mut feeds = sent.iter().enumerate();
-            feeds.any(|(feed, known)| self.feeds.log(feed).has_changes_after(*known))
-        };
-        subscriber.is_some_and(|subscriber| lacks(&subscriber.sent))
+        let sent = subscriber.map(|subscriber| subscriber.sent);
+        std::array::from_fn(|feed| {
+            sent.is_some_and(|sent| self.feeds.log(feed).has_changes_after(sent[feed]))
+        })
+    }
+
+    /// The heartbeats for subscribers, with the connections that each is sent on. For a feed of
+    /// which a subscriber lacks changes, its heartbeat confirms nothing, so that the age of what
+    /// the subscriber knows of that feed keeps growing.
+    pub fn heartbeats(
+        &self,
+        numbers: impl IntoIterator<Item = u64>,
+        heartbeat: &Updates,
+    ) -> Vec<(Updates, Vec<u64>)> {
+        let mut by_feeds_behind: BTreeMap<_, Vec<u64>> = BTreeMap::new();
+        for number in numbers {
+            let feeds_behind = self.feeds_behind(number);
+            by_feeds_behind
+                .entry(feeds_behind)
+                .or_default()
+                .push(number);
+        }
+        let groups = by_feeds_behind.into_iter();
+        groups
+            .map(|(feeds_behind, numbers)| {
+                let confirmed = heartbeat.confirmed_at_ms.iter().zip(feeds_behind);
+                let confirmed = confirmed.map(|(ms, is_behind)| if is_behind { 0 } else { *ms });
+                let message = Updates {
+                    confirmed_at_ms: confirmed.collect(),
+                    ..heartbeat.clone()
+                };
+                (message, numbers)
+            })
+            .collect()
     }
 
     /// Sends each subscriber the newest of what it lacks, unless it has a backlog. Revisions
--- a/tests/all/long_lists.rs
+++ b/tests/all/long_lists.rs
@@ -10,9 +10,10 @@
 use crate::scripted_store::{
     Revisions, ScriptedStore, at, follow_leaving_lists, follow_store, shared,
 };
+use bytes::Bytes;
 use passway_instance::Instance;
 use passway_instance::compression::{decompress_update, update_body};
-use passway_instance::relay::{FEED_COUNT, Relay, UPSTREAM_FEED};
+use passway_instance::relay::{CONFIGURATION_FEED, FEED_COUNT, Relay, UPSTREAM_FEED};
 use passway_instance::subscribers::Subscribers;
 use passway_instance::updates::FeedUpdate;
 use passway_process::outbox::Outbox;
@@ -358,3 +359,41 @@
     relay.receive_compressed(&cut);
     assert!(relay.needs_resend());
 }
+
+/// An update of a feed with one value.
+fn one_value(revision: u64) -> FeedUpdate {
+    let value = StoredValue {
+        key: "key".into(),
+        value: Bytes::new(),
+        revision: at(revision),
+        lease: None,
+    };
+    FeedUpdate::Snapshot(Listing {
+        values: vec![value],
+        revision: at(revision),
+    })
+}
+
+/// Guards against instances that query the store for the configuration, which they know, because
+/// the holder has not sent them its list of upstreams yet.
+#[test]
+fn configuration_confirmed_before_list() {
+    let mut subscribers = Subscribers::default();
+    subscribers.add_update(&(CONFIGURATION_FEED, one_value(10)));
+    subscribers.add_update(&(UPSTREAM_FEED, one_value(20)));
+    subscribers.add(1, None, [at(10), StoreRevision::NONE]);
+    subscribers.add(2, None, [at(10), at(20)]);
+    subscribers.add(3, None, [at(9), at(20)]);
+    let heartbeat = Updates {
+        confirmed_at_ms: vec![7, 8],
+        ..Updates::default()
+    };
+    let heartbeats = subscribers.heartbeats(1..=3, &heartbeat);
+    let confirmed = |number: u64| {
+        let message = heartbeats.iter().find(|(_, to)| to.contains(&number));
+        message.map(|(message, _)| message.confirmed_at_ms.clone())
+    };
+    assert_eq!(confirmed(1), Some(vec![7, 0]));
+    assert_eq!(confirmed(2), Some(vec![7, 8]));
+    assert_eq!(confirmed(3), Some(vec![0, 8]));
+}
