--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -1,6 +1,8 @@
 //! Feeds of the store's data: the configuration and the upstreams, each with its own watch.
 
 mod configuration;
+mod list_wait;
+mod partial_listing;
 mod upstreams;
 
 pub use configuration::ConfigurationFeed;
@@ -11,12 +13,15 @@
 use crate::shared::Shared;
 use crate::updates::{self, FeedUpdate};
 use crossbeam::channel::Sender;
+use list_wait::ListWait;
+use partial_listing::PartialListing;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{
     Listing, SharedStore, StoreChange, StoreEra, StoreError, StoreRevision, WatchAnswer,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
+use rand::RngExt;
 
 /// Longest watch of a relayed feed. The instance notices a silently cut connection 0.5 s later. A
 /// new version must be in effect everywhere within 2 s in a small fleet and 3 s in a large one
@@ -40,6 +45,11 @@
 /// once.
 const MIN_OUTAGE_FAILURES: u32 = 2;
 
+/// The first page of a list is read again if it is older than this when the instance reads on. The
+/// store keeps its history for a limited time, 20 s in a large fleet, and a list whose revision is
+/// older has to be read a second time.
+const MAX_FIRST_PAGE_AGE: Duration = Duration::from_secs(10);
+
 /// Interval of checks, after a failed call, whether the store answers another feed of this
 /// instance. It is short compared with the first backoff, after which the store is queried in any
 /// case.
@@ -88,6 +98,20 @@
     fn must_query_store(&self) -> bool {
         false
     }
+    /// Minimum interval of this instance's own queries while another instance may be the holder, so
+    /// that the store's link carries the answers to all instances.
+    fn min_query_interval(&self) -> Duration {
+        Duration::ZERO
+    }
+    /// Time for which this instance leaves the changes after its first list to the holder.
+    fn first_query_delay(&self) -> Duration {
+        Duration::ZERO
+    }
+    /// Whether this instance may leave what the store would answer to the holder, which it is not
+    /// itself.
+    fn may_leave_to_holder(&self) -> bool {
+        false
+    }
     /// The shared state of the instance.
     fn shared(&self) -> &Shared;
 }
@@ -108,15 +132,30 @@
         feed,
         known: None,
         must_list: false,
+        partial: None,
+        list_reader: ListReader::Undecided,
         trusted_holder: false,
         has_gap: false,
         failures: 0,
         backoff: Backoff::none(clock::now()),
+        own_query_at: clock::now(),
         logged_trust: None,
     };
     std::thread::spawn(move || follower.run());
 }
 
+/// Who reads a list of which this instance knows only the first page. Many instances that read a
+/// long list at once fill the store's link, and the holder's lease renewals wait behind the lists.
+#[derive(Debug, Clone, Copy)]
+enum ListReader {
+    /// Not decided, since no first page has shown that there are more.
+    Undecided,
+    /// The holder, which sends the list to all.
+    Holder(ListWait),
+    /// This instance, because it is the holder or waited for the holder in vain.
+    ThisInstance,
+}
+
 /// When the store may be queried again after a failed call.
 #[derive(Debug, Clone, Copy)]
 struct Backoff {
@@ -145,6 +184,11 @@
     known: Option<StoreRevision>,
     /// Whether the next query must list all values instead of watching for changes.
     must_list: bool,
+    /// The pages of a list that is not complete yet. A page that the store does not deliver is
+    /// requested again after the backoff, and the pages before it are not.
+    partial: Option<PartialListing>,
+    /// Who reads the rest of the first list.
+    list_reader: ListReader,
     /// Whether the last pass relied on the holder.
     trusted_holder: bool,
     /// Whether there is a gap in the holder's updates. The holder is not relied on until the store
@@ -153,6 +197,9 @@
     /// Number of consecutive calls that the store did not answer.
     failures: u32,
     backoff: Backoff,
+    /// Until when changes of a known feed are left to the holder, although the holder may not be
+    /// relied on.
+    own_query_at: Instant,
     /// Whether the feed relied on the holder when this was last logged.
     logged_trust: Option<bool>,
 }
@@ -171,6 +218,11 @@
                 self.trusted_holder = true;
                 let timeout = until.saturating_duration_since(clock::now());
                 self.receive(timeout.min(RELAY_POLL_INTERVAL));
+            } else if self.awaits_list() {
+                self.receive(HEALTH_CHECK_INTERVAL);
+            } else if let Some(until) = self.awaits_holder_until() {
+                let timeout = until.saturating_duration_since(clock::now());
+                self.receive(timeout.min(HEALTH_CHECK_INTERVAL));
             } else if self.may_query_store() {
                 self.poll_store();
             } else {
@@ -185,11 +237,57 @@
         self.receiver.trusted_until().filter(|_| !must_query_store)
     }
 
+    /// Whether the rest of a list is left to the holder now.
+    fn awaits_list(&mut self) -> bool {
+        let ListReader::Holder(wait) = self.list_reader else {
+            return false;
+        };
+        let ends_at = wait.ends_at(self.feed.shared().instance_count());
+        if self.feed.may_leave_to_holder() && clock::now() < ends_at {
+            return true;
+        }
+        log::info!(prefix = self.prefix, is_holder = !self.feed.may_leave_to_holder(); "reading the rest of a long list from the store");
+        self.list_reader = ListReader::ThisInstance;
+        let is_current =
+            |page: &mut PartialListing| clock::since(page.requested_at) <= MAX_FIRST_PAGE_AGE;
+        self.partial.take_if(|page| !is_current(page));
+        false
+    }
+
+    /// Until when changes are left to the holder; `None` if the store may be queried now.
+    fn awaits_holder_until(&self) -> Option<Instant> {
+        let is_left = self.known.is_some()
+            && self.feed.may_leave_to_holder()
+            && !self.feed.must_query_store();
+        Some(self.own_query_at).filter(|until| is_left && clock::now() < *until)
+    }
+
+    /// Leaves changes to the holder for a time about which the instances differ.
+    fn delay_own_query(&mut self, delay: Duration) {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        self.own_query_at = clock::now() + delay.mul_f64(jitter);
+    }
+
+    /// Leaves the rest of a long list to the holder, if this instance may.
+    fn leave_list(&mut self) {
+        let is_undecided = matches!(self.list_reader, ListReader::Undecided);
+        if self.known.is_some() || !is_undecided || !self.feed.may_leave_to_holder() {
+            return;
+        }
+        log::info!(prefix = self.prefix; "the rest of a long list is left to the holder");
+        self.list_reader = ListReader::Holder(ListWait::begin());
+        self.receiver.await_whole_feed();
+    }
+
     /// Logs when the feed begins or ceases to rely on the holder, and why.
     fn log_trust(&mut self, relies_on_holder: bool) {
-        if self.logged_trust.replace(relies_on_holder) == Some(relies_on_holder) {
+        let previous = self.logged_trust.replace(relies_on_holder);
+        if previous == Some(relies_on_holder) {
             return;
         }
+        if previous == Some(true) {
+            self.delay_own_query(self.feed.min_query_interval());
+        }
         let relay = &self.receiver.relay;
         let holder_confirmed_ms = self.receiver.feed.and_then(|feed| relay.confirmed_at(feed));
         log::info!(prefix = self.prefix, relies_on_holder = relies_on_holder,
@@ -236,15 +334,21 @@
         let has_lost_holder = std::mem::take(&mut self.trusted_holder) && !relies_on_holder;
         self.must_list |= has_lost_holder && prefers_listing;
         let is_list = self.known.is_none() || self.must_list;
+        let was_known = self.known.is_some();
         let asked_at = clock::now();
-        match self.query_store(is_for_proof) {
+        let answer = self.query_store(is_for_proof);
+        self.delay_own_query(if was_known {
+            self.feed.min_query_interval()
+        } else {
+            self.feed.first_query_delay()
+        });
+        match answer {
             Ok(()) => {
-                if is_list {
-                    log::info!(prefix = self.prefix, took_ms = millis_since(asked_at, clock::now()), known:% = self.known.unwrap_or_default(); "listed a feed from the store");
-                }
                 self.failures = 0;
                 self.feed.shared().store_health.record_answer();
-                std::thread::sleep(self.feed.finish_batch());
+                if self.partial.is_none() {
+                    std::thread::sleep(self.feed.finish_batch());
+                }
             }
             Err(error) => {
                 log::info!(prefix = self.prefix, is_list = is_list, took_ms = millis_since(asked_at, clock::now()), failures = self.failures, error:? = error; "the store gave no answer");
@@ -271,16 +375,11 @@
         }
     }
 
-    /// Lists or watches once. A watch that proves the configuration does not wait for changes.
+    /// Reads pages of a list, or watches once. A watch that proves the configuration does not wait
+    /// for changes.
     fn query_store(&mut self, is_for_proof: bool) -> Result<(), StoreError> {
         let Some(after) = self.known.filter(|_| !self.must_list) else {
-            let asked_at = clock::now();
-            let listing = self.store.list(&self.prefix)?;
-            self.receiver.record_store_answer(asked_at);
-            self.must_list = false;
-            self.apply(FeedUpdate::Snapshot(listing), UpdateSource::Store);
-            self.feed.confirmed(asked_at);
-            return Ok(());
+            return self.read_pages();
         };
         let timeout = if is_for_proof {
             PROOF_WATCH_TIMEOUT
@@ -308,6 +407,50 @@
         Ok(())
     }
 
+    /// Reads the next page of the first list, or all remaining pages of a later one. The holder's
+    /// list may arrive between the pages of the first list. A later list would be discarded with
+    /// each change that the holder sends, and would never end.
+    fn read_pages(&mut self) -> Result<(), StoreError> {
+        loop {
+            self.read_page()?;
+            if self.partial.is_none() || self.known.is_none() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads one page of a list, and applies the list if it is complete.
+    fn read_page(&mut self) -> Result<(), StoreError> {
+        let requested_at = clock::now();
+        let after_key = self.partial.as_ref().and_then(PartialListing::next_after);
+        let page = self.store.list_page(&self.prefix, after_key)?;
+        self.failures = 0;
+        let partial = match self.partial.take() {
+            Some(partial) => partial.with_page(page).ok_or(StoreError::NotDone)?,
+            None => PartialListing::begin(page, requested_at),
+        };
+        if partial.next_after().is_some() {
+            self.partial = Some(partial);
+            self.leave_list();
+        } else {
+            self.apply_list(partial);
+        }
+        Ok(())
+    }
+
+    /// Applies a list that was read from the store.
+    fn apply_list(&mut self, list: PartialListing) {
+        let requested_at = list.requested_at;
+        self.receiver.record_store_answer(requested_at);
+        self.must_list = false;
+        self.apply(
+            FeedUpdate::Snapshot(list.into_listing()),
+            UpdateSource::Store,
+        );
+        self.feed.confirmed(requested_at);
+        log::info!(prefix = self.prefix, took_ms = millis_since(requested_at, clock::now()), known:% = self.known.unwrap_or_default(); "listed a feed from the store");
+    }
+
     /// How long the store may delay its answer to a watch. Answers prove the configuration, and the
     /// proof is as old as the query: one query, the next one, and the time until other instances
     /// know of the answer must fit into the time within which revoked keys stop working.
@@ -361,6 +504,9 @@
             log::info!(source:? = source, known:% = self.known.unwrap_or_default(), to:% = update.to(), bytes = update.size_bytes(); "received a configuration");
         }
         self.has_gap = false;
+        // Its pages may be older than the update.
+        self.partial = None;
+        self.list_reader = ListReader::Undecided;
         let has_returned = self.record_era(update.to().era());
         self.receiver.record_applied(&update, update.to());
         let update = match update {
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -5,12 +5,13 @@
 //! its lease is valid and the store answered it recently; at all other times they query the store
 //! themselves. Changes carry the store's revisions, so a receiver detects gaps.
 
+use crate::compression;
 use crate::updates::{CompressionBases, FeedUpdate};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_serving::ports::StoreRevision;
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::message::Updates;
+use passway_wire::message::{CompressedUpdates, Updates};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Number of the configuration's feed.
@@ -45,6 +46,8 @@
     /// The revision up to which a feed has a gap, because a message was unreadable or missing. The
     /// holder must resend the whole feed, unless the store supplies it first.
     gap_until: [Option<StoreRevision>; FEED_COUNT],
+    /// Whether this instance, which does not know a feed yet, waits for the holder to send it.
+    awaits_whole: [bool; FEED_COUNT],
     bases: [CompressionBases; FEED_COUNT],
 }
 
@@ -217,11 +220,36 @@
         let _ = self.wakeup_senders[feed].try_send(());
     }
 
+    /// Whether this instance reads a feed from the store that it does not know yet.
+    pub fn reads_unknown_feed(&self) -> bool {
+        (0..FEED_COUNT).any(|feed| self.is_reading_feed(feed))
+    }
+
+    /// Whether this instance does not know a feed yet and does not wait for the holder to send it.
+    pub fn is_reading_feed(&self, feed: usize) -> bool {
+        let state = self.state();
+        state.known[feed].is_none() && !state.awaits_whole[feed]
+    }
+
     /// Whether the holder must resend a feed, because a message was unreadable or missing.
     pub fn needs_resend(&self) -> bool {
         self.state().gap_until.iter().any(Option::is_some)
     }
 
+    /// Takes in a compressed message from the holder.
+    pub fn receive_compressed(&self, message: &CompressedUpdates) {
+        match compression::decompress_update(message) {
+            Ok(update) => self.receive(update),
+            Err(error) => {
+                log::warn!(feed = message.feed, error:% = error; "cannot decode an update from the holder");
+                let feed = usize::try_from(message.feed).unwrap_or(FEED_COUNT);
+                if let Some(gap_until) = self.state().gap_until.get_mut(feed) {
+                    *gap_until = Some(StoreRevision::from_packed(message.to_revision));
+                }
+            }
+        }
+    }
+
     /// Takes in a message from the holder.
     pub fn receive(&self, message: Updates) {
         let mut state = self.state();
@@ -272,6 +300,14 @@
         }
     }
 
+    /// Requests the whole feed from the holder, because this instance does not read it from the
+    /// store.
+    pub fn await_whole_feed(&self) {
+        if let Some(feed) = self.feed {
+            self.relay.state().awaits_whole[feed] = true;
+        }
+    }
+
     /// Records that the store answered with everything it knew at an instant.
     pub fn record_store_answer(&self, at: Instant) {
         if let Some(feed) = self.feed {
@@ -299,6 +335,7 @@
             let mut state = self.relay.state();
             state.bases[feed].record(update);
             state.known[feed] = known;
+            state.awaits_whole[feed] = false;
             let gap_until = &mut state.gap_until[feed];
             *gap_until = gap_until.filter(|to| *to > known);
         }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -13,14 +13,13 @@
 use passway_process::queue;
 use passway_serving::leadership::{Candidate, Holder};
 use passway_serving::poison::{Suspect, UpstreamStart};
-use passway_serving::ports::StoreRevision;
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
 use passway_wire::message::{
     EnginePlacement, InstanceReport, KnownSignals, ModelRequests, Promise, PromiseRequest,
-    RunCount, Subscribe,
+    RunCount, Subscribe, Updates,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -269,18 +268,14 @@
                     relay.holder_disconnected();
                 }
                 DialEvent::Received(Body::Updates(message)) => {
-                    if let Some(instances) =
-                        usize::try_from(message.instances).ok().filter(|n| *n > 0)
-                    {
-                        shared.set_instance_count(instances);
-                    }
-                    if message.queued_at_ms > 0 {
-                        let unconfirmed = message.unconfirmed.iter().map(|id| id.as_str().into());
-                        shared.set_unconfirmed_engines(unconfirmed.collect());
-                    }
+                    apply_heartbeat(&shared, &message);
                     relay.receive(message);
                     drop(link);
                 }
+                DialEvent::Received(Body::CompressedUpdates(message)) => {
+                    relay.receive_compressed(&message);
+                    drop(link);
+                }
                 DialEvent::Received(Body::Members(members)) => {
                     drop(link);
                     *shared.members() = members::decode(&members);
@@ -365,7 +360,7 @@
             return;
         }
         let known = self.relay.known_revisions();
-        let reads_store = known.contains(&StoreRevision::NONE) && !self.relay.needs_resend();
+        let reads_store = self.relay.reads_unknown_feed() && !self.relay.needs_resend();
         if reads_store && !self.shared.store_health.is_failing() {
             // The store answers soon, which saves the holder sending everything.
             return;
@@ -473,6 +468,17 @@
     })
 }
 
+/// Applies what a holder's message says besides the updates.
+fn apply_heartbeat(shared: &Shared, message: &Updates) {
+    if let Some(instances) = usize::try_from(message.instances).ok().filter(|n| *n > 0) {
+        shared.set_instance_count(instances);
+    }
+    if message.queued_at_ms > 0 {
+        let unconfirmed = message.unconfirmed.iter().map(|id| id.as_str().into());
+        shared.set_unconfirmed_engines(unconfirmed.collect());
+    }
+}
+
 /// Counts the recent requests by model and adapter.
 fn recent_counts(recent: &VecDeque<(Instant, DemandKey)>) -> ArrivalCounts {
     let mut arrivals = ArrivalCounts::new();
