A key that moved to another workspace while its request waited is not a 401

What callers saw (by reading): 401, after which they do not retry, although both versions of the configuration allow the request.

Cause: the check directly before a request is sent took any difference of the workspace for an unknown key.

Change: a key that belongs to another workspace now gets 503 (not run) with Retry-After 0.05, and a repeat is admitted for that workspace. A key that no workspace holds is a denial as before.

Measured: stale_denials::key_of_another_workspace got 401 before, and gets 503.

--- a/crates/instance/src/denials.rs
+++ b/crates/instance/src/denials.rs
@@ -24,7 +24,7 @@
 pub const CONFIGURATION_WAIT_RATIO: f64 = 0.3;
 /// `Retry-After` of an instance that cannot prove its configuration, in milliseconds. It is short
 /// because the retry most likely reaches another instance, which can.
-const UNPROVEN_RETRY_MS: u64 = 50;
+pub const UNPROVEN_RETRY_MS: u64 = 50;
 /// Interval of checks, during a wait for a proof, whether the caller has left.
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
 
--- a/crates/instance/src/forward/access.rs
+++ b/crates/instance/src/forward/access.rs
@@ -3,7 +3,7 @@
 
 use super::{Forwarding, Origin, RETRY_AFTER_MS, not_run};
 use crate::allotments::Decision;
-use crate::denials::{self, Denial, PROOF_TIMEOUT, UNPROVEN_CONFIGURATION};
+use crate::denials::{self, Denial, PROOF_TIMEOUT, UNPROVEN_CONFIGURATION, UNPROVEN_RETRY_MS};
 use crate::relay::millis;
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -22,6 +22,13 @@
     refusal: Refusal::NoKey,
     end: "refused without a key that is known",
 };
+/// The request was admitted for another workspace than its key belongs to now.
+const MOVED_KEY: Denial = Denial {
+    refusal: Refusal::NotRun {
+        retry_after_ms: UNPROVEN_RETRY_MS,
+    },
+    end: "refused, its key belongs to another workspace now",
+};
 
 /// The workspace of a request, and whether the request needs one.
 #[derive(Debug, Clone)]
@@ -169,6 +176,7 @@
         .and_then(|table| Access::look_up(table, route, facts));
     match current {
         Some(current) if current.mark == *mark => Ok(()),
-        _ => Err(UNKNOWN_KEY),
+        Some(_) => Err(MOVED_KEY),
+        None => Err(UNKNOWN_KEY),
     }
 }
--- a/tests/all/stale_denials.rs
+++ b/tests/all/stale_denials.rs
@@ -9,7 +9,8 @@
 use crate::workspace_revocation::start_without_datagrams;
 use passway_instance::Instance;
 use passway_standins::platform::caller::HOST;
-use passway_standins::platform::documents::workspace;
+use passway_standins::platform::documents::{with_workspaces, workspace};
+use passway_standins::platform::model_server::ModelServer;
 use passway_standins::platform::store::{Faults, MetadataStandIn, StoreEndpoint};
 use passway_types::prelude::*;
 use passway_wire::dispatch::{Datagram, Dispatch};
@@ -321,6 +322,32 @@
     until("the added route", || get(&cut.instance, "/new/").0 == 200);
 }
 
+/// Guards against a 401 for a key that moves to another workspace while its request waits: both
+/// versions allow the request.
+#[test]
+fn key_of_another_workspace() {
+    let store = MetadataStandIn::default();
+    let of_workspace = |version, name| {
+        let workspaces = [workspace(name, &[KEY], 0.0)];
+        with_workspaces(configuration(version, &["m0"]), &workspaces)
+    };
+    store.put("op/config", &of_workspace(1, "alpha"));
+    let instance = cluster::start_ready("one", &store);
+    let address = instance.callers_address();
+    let head = format!("Model: m0\r\nAuthorization: Token {KEY}\r\n");
+    let bytes = request("POST", "/report/", "moved", &head, "{}");
+    let waiting = std::thread::spawn(move || fetch(address, &bytes));
+    until("the waiting request", || instance.in_progress() == 1);
+    store.put("op/config", &of_workspace(2, "beta"));
+    until("the second version", || {
+        instance.config_version() == Some(2)
+    });
+    let _engine = ModelServer::start(&store, "e-0", "engines", 2, &["m0"], &[]);
+    let answer = waiting.join().expect("a caller").expect("an answer");
+    assert_eq!(answer.status, 503, "{}", answer.head);
+    assert_eq!(answer.header("retry-after"), Some("0.050"));
+}
+
 /// Guards against a 404 for a request that another instance has admitted by a newer version.
 #[test]
 fn newer_version_of_a_peer() {
