A version that cannot be decoded proves no denial

What callers saw (by reading): 404 with a proof for a route that operators had added with a version that this instance cannot decode.

Cause: such a version counted as not written, so the store's next answer proved the version before it.

Change: while the newest version that an instance has received cannot be decoded, the instance denies nothing; unknown routes get 503. Permits are proved as before. Left open: an instance that has not received the version yet may take another instance's proof of the one before it for a denial, because an answer to a query does not name the undecodable version.

Measured: stale_denials::unusable_version got 404 before, and gets 503, and 404 again with the next good version.

--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -68,12 +68,14 @@
     fn apply_configuration(&self, value: &StoredValue) {
         match self.directory.decode_configuration(value) {
             Ok(Some(table)) => {
+                let age = &self.shared.configuration_age;
                 let known = self.shared.routes.load();
                 // An older version never replaces a newer one.
                 if known
                     .as_ref()
                     .is_some_and(|known| known.version >= table.version)
                 {
+                    age.set_superseded(false);
                     return;
                 }
                 log::info!(target: DECISION_TARGET, version = table.version; "configuration in force");
@@ -92,10 +94,12 @@
                     .upstreams()
                     .set_tokens_per_event(tokens_per_event.collect());
                 self.shared.routes.store(Some(Arc::new(table)));
-                self.shared.configuration_age.set_in_force(version);
+                age.set_in_force(version);
+                age.set_superseded(false);
             }
             Ok(None) => {}
             Err(error) => {
+                self.shared.configuration_age.set_superseded(true);
                 self.shared.metrics.unusable_configuration();
                 log::error!(error:% = format!("{error:#}"); "a configuration cannot be used; the last good one stays in force");
             }
@@ -142,7 +146,8 @@
         if self.unproven_until.is_some_and(|until| asked_at < until) {
             return;
         }
-        // An unusable version counts as not written: the last usable one stays in effect.
+        // An unusable version counts as not written: the last usable one stays in effect, and only
+        // what it denies remains unproved.
         if let Some(table) = &*self.shared.routes.load() {
             let age = &self.shared.configuration_age;
             age.record_store_answer(table.version, asked_at);
--- a/crates/instance/src/freshness.rs
+++ b/crates/instance/src/freshness.rs
@@ -71,11 +71,14 @@
         until.is_some_and(|until| clock::now() < until)
     }
 
-    /// The demand that has not ended and is not met.
+    /// The demand that has not ended, is not met, and can be met by an answer.
     fn open_demand(&self) -> Option<ProofDemand> {
         let is_open = |demand: &ProofDemand| {
             clock::now() < demand.until && !self.proves_denials(demand.bound)
         };
+        if self.freshness.is_superseded() {
+            return None;
+        }
         self.demand.filter(is_open)
     }
 }
@@ -116,6 +119,11 @@
         self.origin.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records whether the newest version of operators cannot be used.
+    pub fn set_superseded(&self, is_superseded: bool) {
+        self.update(|freshness| freshness.set_superseded(is_superseded));
+    }
+
     /// Records that an update was applied.
     pub fn record_update(&self, source: UpdateSource) {
         *self.lock_origin() = Some(ConfigurationOrigin {
--- a/crates/serving/src/freshness.rs
+++ b/crates/serving/src/freshness.rs
@@ -41,9 +41,22 @@
     proved_at: Option<Instant>,
     /// The latest confirmation of a version that is not active yet.
     pending: Option<Confirmation>,
+    /// Whether operators have replaced the active version by one that cannot be used.
+    is_superseded: bool,
 }
 
 impl Freshness {
+    /// Records whether operators have replaced the active version by one that cannot be used. It may
+    /// allow what the active version denies.
+    pub fn set_superseded(&mut self, is_superseded: bool) {
+        self.is_superseded = is_superseded;
+    }
+
+    /// Whether the newest version of operators cannot be used, so that nothing may be denied.
+    pub fn is_superseded(&self) -> bool {
+        self.is_superseded
+    }
+
     /// Records that a version is active from now on.
     pub fn set_active_version(&mut self, version: Revision) {
         self.active_version = self.active_version.max(version);
@@ -85,14 +98,14 @@
 
     /// Until when requests may be denied if no denial may rely on a version that was replaced
     /// longer than `max_age` ago; `None` before the first proof and while a newer version is known
-    /// that is not active yet.
+    /// that is not active.
     pub fn denials_valid_until(&self, max_age: Duration) -> Option<Instant> {
-        self.keys_valid_until(max_age).filter(|_| !self.is_behind())
+        let until = self.keys_valid_until(max_age);
+        until.filter(|_| !self.is_behind() && !self.is_superseded)
     }
 
     /// Whether the latest confirmation names a version that is not active yet. An older one does
-    /// not count: the instance may be unable to decode that version, which the store then counts
-    /// as not written.
+    /// not count: the store has since proved that the instance has all that it can decode.
     pub fn is_behind(&self) -> bool {
         let pending_at = self.pending.map(|pending| pending.sent_at);
         pending_at.is_some_and(|at| self.proved_at.is_none_or(|proved_at| proved_at <= at))
--- a/tests/all/stale_denials.rs
+++ b/tests/all/stale_denials.rs
@@ -348,6 +348,26 @@
     assert_eq!(answer.header("retry-after"), Some("0.050"));
 }
 
+/// Guards against a 404 while the newest version cannot be used: it may have the route.
+#[test]
+fn unusable_version() {
+    let store = cluster::store(&[]);
+    let server = plain_server();
+    list_plain(&store, "i-0", server.address, "ready");
+    let instance = cluster::start_ready("one", &store);
+    assert_eq!(get(&instance, "/new/").0, 404);
+    let mut unusable = with_new_route(configuration(2, &[]));
+    unusable["services"] = "none".into();
+    store.put("op/config", &unusable);
+    // The store goes on to answer the instance, which proves nothing about this version.
+    std::thread::sleep(BOUND);
+    assert_not_denied(|| get(&instance, "/new/"));
+    assert_eq!(get(&instance, "/read/").0, 200);
+    store.put("op/config", &configuration(3, &[]));
+    until("the third version", || instance.config_version() == Some(3));
+    until("a proof of it", || get(&instance, "/new/").0 == 404);
+}
+
 /// Guards against a 404 for a request that another instance has admitted by a newer version.
 #[test]
 fn newer_version_of_a_peer() {
