--- a/tests/all/long_lists.rs
+++ b/tests/all/long_lists.rs
@@ -256,7 +256,7 @@
     let (link, _) = Link::connect(address, Duration::from_secs(5)).expect("a link");
     let (stream, _) = listener.accept().expect("a peer");
     let (_, reader) = Link::from_stream(stream).expect("a link");
-    (Outbox::start(link), reader)
+    (Outbox::new(link), reader)
 }
 
 /// Guards against heartbeats that wait on the holder's link behind long lists for all subscribers.
