--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -288,7 +288,7 @@
         let sent = std::array::from_fn(known);
         self.subscribers.add(number, member, sent);
         self.send_term(number);
-        self.subscribers.send_updates(&self.peers, true);
+        self.subscribers.send_updates_to(number, &self.peers);
         self.send_heartbeats([number], 0);
         let suspects = self.shared.poison.suspects_to_broadcast();
         self.send_to(number, &Body::Suspects(suspects));
--- a/crates/instance/src/subscribers.rs
+++ b/crates/instance/src/subscribers.rs
@@ -7,6 +7,7 @@
 use passway_process::outbox::Outbox;
 use passway_serving::ports::StoreRevision;
 use passway_types::prelude::*;
+use passway_wire::Frame;
 use passway_wire::message::Updates;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 /// the newest ones. A link of 10 Mbit/s carries this much in 50 ms.
 const MAX_BACKLOG_BYTES: usize = 64 << 10;
 
-/// Maximum number of subscribers to which a whole feed of more than [`MAX_BACKLOG_BYTES`] is being
+/// Maximum number of subscribers to which an update of more than [`MAX_BACKLOG_BYTES`] is being
 /// sent. The holder's heartbeats share its link with them.
 const MAX_LONG_SENDS: usize = 8;
 
@@ -132,67 +133,103 @@
     /// queries the store later would start from a revision that the store has already forgotten.
     pub fn send_updates(&mut self, outboxes: &BTreeMap<u64, Outbox>, include_unchanged: bool) {
         self.has_backlog = false;
-        let mut long_sends = outboxes.values().filter(|outbox| is_busy(outbox)).count();
+        let mut long_sends = LongSends::count(outboxes);
         for (number, subscriber) in &mut self.by_connection {
-            let Some(outbox) = outboxes.get(number) else {
-                continue;
-            };
-            for feed in 0..FEED_COUNT {
-                let known = subscriber.sent[feed];
-                let log = self.feeds.log(feed);
-                let is_unchanged = !log.has_changes_after(known);
-                if is_unchanged && (!include_unchanged || known >= log.to()) {
-                    continue;
-                }
-                if is_busy(outbox) {
-                    self.has_backlog = true;
-                    break;
-                }
-                if known.is_none()
-                    && !subscriber.send_whole(feed, &mut self.feeds, outbox, &mut long_sends)
-                {
-                    self.has_backlog = true;
-                    continue;
-                }
-                subscriber.send_changes(feed, &mut self.feeds, outbox);
+            if let Some(outbox) = outboxes.get(number) {
+                let is_complete =
+                    subscriber.send(&mut self.feeds, outbox, &mut long_sends, include_unchanged);
+                self.has_backlog |= !is_complete;
             }
         }
     }
+
+    /// Sends one subscriber everything that it lacks, including revisions without changes.
+    pub fn send_updates_to(&mut self, number: u64, outboxes: &BTreeMap<u64, Outbox>) {
+        let subscriber = self.by_connection.get_mut(&number);
+        if let (Some(subscriber), Some(outbox)) = (subscriber, outboxes.get(&number)) {
+            let mut long_sends = LongSends::count(outboxes);
+            let is_complete = subscriber.send(&mut self.feeds, outbox, &mut long_sends, true);
+            self.has_backlog |= !is_complete;
+        }
+    }
+}
+
+/// The long updates that are being sent. The holder's heartbeats share its link with them.
+#[derive(Debug)]
+struct LongSends(usize);
+
+impl LongSends {
+    /// Counts the peers that have not taken an update yet.
+    fn count(outboxes: &BTreeMap<u64, Outbox>) -> Self {
+        Self(outboxes.values().filter(|outbox| is_busy(outbox)).count())
+    }
+
+    /// Whether an update may be sent now; a long one then counts as being sent.
+    fn admit(&mut self, frame: &Frame) -> bool {
+        if frame.byte_len() <= MAX_BACKLOG_BYTES {
+            return true;
+        }
+        let is_admitted = self.0 < MAX_LONG_SENDS;
+        self.0 += usize::from(is_admitted);
+        is_admitted
+    }
 }
 
 impl Subscriber {
-    /// Sends a whole feed, unless it is long and enough long feeds are being sent. Returns whether
-    /// there is nothing more to send for now than changes.
-    fn send_whole(
+    /// Sends what the subscriber lacks of all feeds. Returns whether nothing is left for later.
+    fn send(
         &mut self,
-        feed: usize,
         feeds: &mut FeedFrames,
         outbox: &Outbox,
-        long_sends: &mut usize,
+        long_sends: &mut LongSends,
+        include_unchanged: bool,
     ) -> bool {
-        let Some(whole) = feeds.whole(feed) else {
-            return true;
-        };
-        let is_long = whole.frame.byte_len() > MAX_BACKLOG_BYTES;
-        if is_long && *long_sends >= MAX_LONG_SENDS {
-            return false;
+        let mut is_complete = true;
+        for feed in 0..FEED_COUNT {
+            let known = self.sent[feed];
+            let log = feeds.log(feed);
+            let is_unchanged = !log.has_changes_after(known);
+            if is_unchanged && (!include_unchanged || known >= log.to()) {
+                continue;
+            }
+            if is_busy(outbox) {
+                return false;
+            }
+            is_complete &= self.send_feed(feed, feeds, outbox, long_sends);
         }
-        *long_sends += usize::from(is_long);
-        outbox.send_frame(whole.frame.clone());
-        self.sent[feed] = whole.to;
-        true
+        is_complete
     }
 
-    /// Sends what has changed in a feed since it was last sent.
-    fn send_changes(&mut self, feed: usize, feeds: &mut FeedFrames, outbox: &Outbox) {
+    /// Sends what the subscriber lacks of a feed, unless it is long and enough long updates are
+    /// being sent. Returns whether it was sent.
+    fn send_feed(
+        &mut self,
+        feed: usize,
+        feeds: &mut FeedFrames,
+        outbox: &Outbox,
+        long_sends: &mut LongSends,
+    ) -> bool {
+        if feeds.must_send_whole(feed, self.sent[feed])
+            && let Some(whole) = feeds.whole(feed)
+        {
+            if !long_sends.admit(&whole.frame) {
+                return false;
+            }
+            outbox.send_frame(whole.frame.clone());
+            self.sent[feed] = whole.to;
+        }
         let (known, to) = (self.sent[feed], feeds.log(feed).to());
         if known >= to {
-            return;
+            return true;
         }
         if let Some(frame) = feeds.changes(feed, known) {
+            if !long_sends.admit(&frame) {
+                return false;
+            }
             outbox.send_frame(frame);
         }
         self.sent[feed] = to;
+        true
     }
 }
 
