Own queries of upstreams are put off within the time in which leaving upstreams must be known

Cause (review, by reading): an instance that relies on no holder left changes of upstreams to the next one for 4 us x instances x upstreams, 19 to 58 s in the whole fleet, where 5 s are allowed; each loss of a holder put the query off anew; after a start it took 1.5 to 4.5 s in any fleet. Tests: long_lists::own_queries_within_leaving_bound (before: 400,000 ms for its last case, by reckoning), few_long_changes_at_once.

--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -41,9 +41,14 @@
 /// Time for which a store's link of 1,000 Mbit/s carries the answer with the entry of an upstream to
 /// one instance: 500 bytes.
 const TRANSFER_TIME_PER_ENTRY: Duration = Duration::from_micros(4);
-/// Mean time for which an instance that has read its first list leaves changes to the holder.
-/// Upstreams that start together with the instances write thousands of entries a second.
-const FIRST_QUERY_DELAY: Duration = Duration::from_secs(3);
+/// Divides the time within which an instance must learn of leaving upstreams to get the longest mean
+/// interval of its own queries. Half as much again by chance, a second in which the holder's
+/// silence is noticed, and the answer itself fit into the rest.
+const QUERY_INTERVAL_DIVISOR: u32 = 4;
+/// Divides the time after a start for which no bound holds to get the mean time for which an
+/// instance that has read its first list leaves changes to the holder. Upstreams that start
+/// together with the instances write thousands of entries a second.
+const FIRST_QUERY_DIVISOR: u32 = 2;
 
 impl UpstreamFeed {
     /// Creates a feed that has received nothing yet.
@@ -220,16 +225,19 @@
 
     /// If all instances of a large fleet watched the upstreams while there is no holder, their
     /// answers would fill the store's link, and no instance could renew the lease of the leadership.
+    /// The interval allows for answers with all entries, as far as leaving upstreams still become
+    /// known in time.
     fn min_query_interval(&self) -> Duration {
         let count = |number| u32::try_from(number).unwrap_or(u32::MAX);
         let instances = count(self.shared.instance_count());
         let upstreams = count(self.shared.upstreams().entries().count());
         let entries = instances.saturating_mul(upstreams);
-        TRANSFER_TIME_PER_ENTRY.saturating_mul(entries)
+        let longest = self.shared.bounds.load().leaving / QUERY_INTERVAL_DIVISOR;
+        TRANSFER_TIME_PER_ENTRY.saturating_mul(entries).min(longest)
     }
 
     fn first_query_delay(&self) -> Duration {
-        FIRST_QUERY_DELAY
+        self.shared.bounds.load().joining / FIRST_QUERY_DIVISOR
     }
 
     /// The holder reads the whole list, because the other instances receive it from the holder.
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -465,6 +465,11 @@
     /// Time after which operators may rely on a version of the configuration being in effect. No
     /// request may be denied by a version that was replaced longer ago.
     pub configuration: Duration,
+    /// Time after which no instance may send to an upstream that has announced in the store that it
+    /// is leaving.
+    pub leaving: Duration,
+    /// Time after its start for which none of these bounds holds for an instance.
+    pub joining: Duration,
     /// What workspaces may use beyond their allotments, over all instances.
     pub quota: QuotaBounds,
 }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -76,6 +76,8 @@
             },
             revocation: None,
             configuration: DEFAULT_CONFIGURATION_BOUND,
+            leaving: Duration::from_secs(2),
+            joining: Duration::from_secs(3),
             quota: QuotaBounds {
                 window: Duration::from_secs(8),
                 overage: 0.1,
--- a/tests/all/long_lists.rs
+++ b/tests/all/long_lists.rs
@@ -13,6 +13,8 @@
 use bytes::Bytes;
 use passway_instance::Instance;
 use passway_instance::compression::{decompress_update, update_body};
+use passway_instance::feeds::{Feed, UpstreamFeed};
+use passway_instance::leadership::LeadershipDriver;
 use passway_instance::relay::{CONFIGURATION_FEED, FEED_COUNT, Relay, UPSTREAM_FEED};
 use passway_instance::subscribers::Subscribers;
 use passway_instance::updates::FeedUpdate;
@@ -22,6 +24,7 @@
 use passway_standins::platform::store::{Faults, MetadataStandIn};
 use passway_types::hash::stable_digest;
 use passway_types::prelude::*;
+use passway_users_platform::PlatformDirectory;
 use passway_wire::message::{CompressedUpdates, StoreValue, Updates};
 use passway_wire::{Body, Link, LinkReader};
 use prost::Message;
@@ -259,9 +262,9 @@
     (Outbox::new(link), reader)
 }
 
-/// Guards against heartbeats that wait on the holder's link behind long lists for all subscribers.
-#[test]
-fn few_long_lists_at_once() {
+/// Sends a long list to subscribers that know it up to a revision. Checks that few are being sent
+/// it at a time, and that all have it in the end.
+fn check_long_sends(known: StoreRevision) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
     let mut subscribers = Subscribers::default();
     let mut outboxes = BTreeMap::new();
@@ -270,13 +273,13 @@
         let (outbox, reader) = outbox_to_peer(&listener);
         outboxes.insert(number, outbox);
         readers.push(reader);
-        subscribers.add(number, None, [StoreRevision::NONE; FEED_COUNT]);
+        subscribers.add(number, None, [known; FEED_COUNT]);
     }
     subscribers.add_update(&(UPSTREAM_FEED, FeedUpdate::Snapshot(random_list())));
     subscribers.send_updates(&outboxes, false);
     let is_sent = |number: &u64| !subscribers.is_behind(*number);
     let sent = (0..SUBSCRIBERS).filter(is_sent).count();
-    assert_eq!(sent, LONG_LISTS_AT_ONCE);
+    assert_eq!(sent, LONG_LISTS_AT_ONCE, "known: {known}");
     assert!(subscribers.has_backlog());
     for mut reader in readers {
         std::thread::spawn(move || while let Ok(Some(_)) = reader.receive() {});
@@ -287,6 +290,47 @@
     });
 }
 
+/// Guards against heartbeats that wait on the holder's link behind long lists for all subscribers.
+#[test]
+fn few_long_lists_at_once() {
+    check_long_sends(StoreRevision::NONE);
+}
+
+/// Guards against the same behind long changes: instances that start know an empty list, and a
+/// holder that was lost had sent them a part.
+#[test]
+fn few_long_changes_at_once() {
+    check_long_sends(at(1));
+    check_long_sends(at(RANDOM_VALUES * 2 / 3));
+}
+
+/// Guards against an instance without a holder that learns of leaving upstreams too late: in a large
+/// fleet it left their changes to the next holder for up to a minute.
+#[test]
+fn own_queries_within_leaving_bound() {
+    let shared = shared();
+    let (holder_inputs, _receiver) = crossbeam::channel::unbounded();
+    let leadership = Arc::new(LeadershipDriver::new(&shared));
+    let directory = Arc::new(PlatformDirectory);
+    let mut feed = UpstreamFeed::new(shared.clone(), directory, holder_inputs, leadership);
+    let entry = plain_entry(([127, 0, 0, 1], 1).into());
+    let value = StoredValue {
+        key: format!("{PREFIX}i-0"),
+        value: entry.to_string().into_bytes().into(),
+        revision: at(1),
+        lease: None,
+    };
+    feed.apply_listing(&Listing {
+        values: vec![value],
+        revision: at(1),
+    });
+    for (instances, interval_ms) in [(10, 0), (25_000, 100), (100_000_000, 500)] {
+        shared.set_instance_count(instances);
+        let interval = feed.min_query_interval().as_millis();
+        assert_eq!(interval, interval_ms, "{instances} instances");
+    }
+}
+
 /// Upstreams in the list of a whole fleet.
 const FLEET_UPSTREAMS: u32 = 10_000;
 
