A query that only proves the configuration never makes an instance list it

What was seen (in review, then in a test): after one failed query for a proof, each further one listed the whole configuration, 145 kB in the largest fleet, while the holder was relied on.

Cause: a failed query marked the feed as having missed versions, as it does when the feed follows the store. While the holder is relied on nothing is missed; and only an own list clears the mark.

Change: such a query watches from the known revision, whatever other queries left to list, and its failure marks nothing. If the history from there is gone, it lists in the same query, once. It is such a query only while the holder is relied on and there is no gap.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -225,17 +225,14 @@
 
     /// Queries the store once, and then waits or sets the backoff, depending on the answer.
     fn poll_store(&mut self) {
-        let is_for_proof = self.receiver.feed == Some(CONFIGURATION_FEED)
-            && self.feed.shared().configuration_age.take_store_query();
+        let is_for_proof = self.take_proof_query();
         // A feed that is not relayed received nothing while the holder was relied on.
         let prefers_listing =
             self.receiver.feed.is_none() || self.feed.prefers_listing(Interruption::HolderLost);
-        // A query that only proves the configuration misses nothing that the holder relays.
-        let relies_on_holder =
-            is_for_proof && !self.has_gap && self.receiver.trusted_until().is_some();
-        let has_lost_holder = std::mem::take(&mut self.trusted_holder) && !relies_on_holder;
-        self.must_list |= has_lost_holder && prefers_listing;
-        let is_list = self.known.is_none() || self.must_list;
+        if !is_for_proof {
+            self.must_list |= std::mem::take(&mut self.trusted_holder) && prefers_listing;
+        }
+        let is_list = self.must_list(is_for_proof);
         let asked_at = clock::now();
         match self.query_store(is_for_proof) {
             Ok(()) => {
@@ -250,7 +247,8 @@
                 log::info!(prefix = self.prefix, is_list = is_list, took_ms = millis_since(asked_at, clock::now()), failures = self.failures, error:? = error; "the store gave no answer");
                 // The store may have written many versions before an answer that did not arrive in
                 // time.
-                self.must_list |= self.feed.prefers_listing(Interruption::StoreSilent);
+                let prefers_listing = self.feed.prefers_listing(Interruption::StoreSilent);
+                self.must_list |= prefers_listing && !is_for_proof;
                 let health = &self.feed.shared().store_health;
                 health.record_failure();
                 let now = clock::now();
@@ -271,9 +269,24 @@
         }
     }
 
+    /// Whether the next query only proves the configuration, for requests that wait for the proof. The
+    /// holder is relied on and relays all changes, so such a query misses none even if it fails.
+    fn take_proof_query(&self) -> bool {
+        self.receiver.feed == Some(CONFIGURATION_FEED)
+            && self.feed.shared().configuration_age.take_store_query()
+            && !self.has_gap
+            && self.receiver.trusted_until().is_some()
+    }
+
+    /// Whether the next query lists all values.
+    fn must_list(&self, is_for_proof: bool) -> bool {
+        self.known.is_none() || (self.must_list && !is_for_proof)
+    }
+
     /// Lists or watches once. A watch that proves the configuration does not wait for changes.
     fn query_store(&mut self, is_for_proof: bool) -> Result<(), StoreError> {
-        let Some(after) = self.known.filter(|_| !self.must_list) else {
+        let must_list = self.must_list(is_for_proof);
+        let Some(after) = self.known.filter(|_| !must_list) else {
             let asked_at = clock::now();
             let listing = self.store.list(&self.prefix)?;
             self.receiver.record_store_answer(asked_at);
@@ -289,7 +302,12 @@
         };
         let asked_at = clock::now();
         match self.store.watch(&self.prefix, after, timeout)? {
-            WatchAnswer::HistoryCompacted => self.must_list = true,
+            WatchAnswer::HistoryCompacted => {
+                self.must_list = true;
+                if is_for_proof {
+                    return self.query_store(false);
+                }
+            }
             WatchAnswer::Changes { changes, revision } => {
                 // A large answer may have taken long to arrive; an answer without changes was sent
                 // just now.
--- a/tests/all/scripted_store.rs
+++ b/tests/all/scripted_store.rs
@@ -44,6 +44,16 @@
             watch,
         })
     }
+
+    /// Number of lists so far.
+    pub fn list_count(&self) -> u32 {
+        self.lists.load(Ordering::Relaxed)
+    }
+
+    /// Number of watches so far.
+    pub fn watch_count(&self) -> u32 {
+        self.watches.load(Ordering::Relaxed)
+    }
 }
 
 impl SharedStore for ScriptedStore {
--- a/tests/all/stale_denials.rs
+++ b/tests/all/stale_denials.rs
@@ -6,13 +6,20 @@
 };
 use crate::keyed_cluster::{KEY, keyed_configuration, settings, status_with_key};
 use crate::passed_on_requests::pass_on;
+use crate::scripted_store::{ScriptedStore, at, heartbeat, shared};
 use crate::workspace_revocation::start_without_datagrams;
+use crossbeam::channel;
 use passway_instance::Instance;
+use passway_instance::feeds::{ConfigurationFeed, follow};
+use passway_instance::freshness::ConfigurationAge;
+use passway_instance::relay::{FEED_COUNT, Relay};
+use passway_serving::ports::{Listing, StoreError};
 use passway_standins::platform::caller::HOST;
 use passway_standins::platform::documents::{with_workspaces, workspace};
 use passway_standins::platform::model_server::ModelServer;
 use passway_standins::platform::store::{Faults, MetadataStandIn, StoreEndpoint};
 use passway_types::prelude::*;
+use passway_users_platform::PlatformDirectory;
 use passway_wire::dispatch::{Datagram, Dispatch};
 use passway_wire::message::PeerRequest;
 use passway_wire::permits::VersionAnswer;
@@ -249,6 +256,35 @@
     }
 }
 
+/// Guards against lists of the whole configuration by an instance that follows the holder: a failed
+/// query for a proof misses nothing.
+#[test]
+fn failed_proof_queries_list_nothing() {
+    let (relay, [receiver, _]) = Relay::new();
+    let clock_origin = Instant::now();
+    relay.receive(heartbeat(clock_origin, FEED_COUNT));
+    let shared = shared();
+    shared.set_relay(relay.clone());
+    ConfigurationAge::start(&shared);
+    let list = |_| {
+        Ok(Listing {
+            values: Vec::new(),
+            revision: at(10),
+        })
+    };
+    let store = ScriptedStore::new(list, |_| Err(StoreError::NotDone));
+    let (updates, _received) = channel::unbounded();
+    let feed = ConfigurationFeed::new(shared.clone(), Arc::new(PlatformDirectory));
+    follow(store.clone(), receiver, updates, feed);
+    until("three queries for a proof", || {
+        relay.receive(heartbeat(clock_origin, FEED_COUNT));
+        let age = &shared.configuration_age;
+        age.demand_denial_proof(BOUND, Instant::now(), Duration::ZERO);
+        store.watch_count() + store.list_count() >= 4
+    });
+    assert_eq!(store.list_count(), 1);
+}
+
 /// Guards against the default where the settings name the bound.
 #[test]
 fn bound_of_settings() {
