A request without a deadline waits for the query of the store, too

What was seen (in review): a request without a deadline waited 150 ms for the proof of its denial, but three instances that do not answer take 180 ms before the store is queried. So it got 503 although the store answers.

Change: it waits 0.3 s, as a request with a distant deadline does. The check directly before a request is sent keeps its 150 ms.

Measured: stale_denials::waits_without_deadline failed before (150 ms against 300 ms) and passes.

--- a/crates/instance/src/denials.rs
+++ b/crates/instance/src/denials.rs
@@ -63,7 +63,7 @@
         return arrived_at;
     }
     let deadline = deadline_ms.map(Duration::from_millis);
-    let wait = deadline.map_or(PROOF_TIMEOUT, |time| {
+    let wait = deadline.map_or(MAX_DENIAL_WAIT, |time| {
         time.mul_f64(CONFIGURATION_WAIT_RATIO).min(MAX_DENIAL_WAIT)
     });
     arrived_at + wait
--- a/tests/all/stale_denials.rs
+++ b/tests/all/stale_denials.rs
@@ -10,7 +10,9 @@
 use crate::workspace_revocation::start_without_datagrams;
 use crossbeam::channel;
 use passway_instance::Instance;
+use passway_instance::denials;
 use passway_instance::feeds::{ConfigurationFeed, follow};
+use passway_instance::forward::Origin;
 use passway_instance::freshness::ConfigurationAge;
 use passway_instance::relay::{FEED_COUNT, Relay};
 use passway_serving::ports::{Listing, StoreError};
@@ -285,6 +287,16 @@
     assert_eq!(store.list_count(), 1);
 }
 
+/// Guards against refusals of requests without a deadline before the store was queried for a proof:
+/// they wait as long as requests with a distant one.
+#[test]
+fn waits_without_deadline() {
+    let now = Instant::now();
+    let until = |deadline_ms| denials::wait_until(&Origin::Caller, deadline_ms, now);
+    assert_eq!(until(None), until(Some(8_000)));
+    assert_eq!(until(Some(500)), now + Duration::from_millis(150));
+}
+
 /// Guards against the default where the settings name the bound.
 #[test]
 fn bound_of_settings() {
