--- a/tests/all/scripted_store.rs
+++ b/tests/all/scripted_store.rs
@@ -68,6 +68,16 @@
         let requested = self.requested_pages.lock();
         requested.expect("an unpoisoned lock").clone()
     }
+
+    /// Number of lists so far.
+    pub fn list_count(&self) -> u32 {
+        self.lists.load(Ordering::Relaxed)
+    }
+
+    /// Number of watches so far.
+    pub fn watch_count(&self) -> u32 {
+        self.watches.load(Ordering::Relaxed)
+    }
 }
 
 impl SharedStore for ScriptedStore {
