A new holder connects to missing instances in turn

Cause (review): lets a new holder connect to 128 missing instances at a time, in the order of names; ones that cannot be reached hold their places for the ten seconds in which a term is announced, and the others never learn of it. Change: turns of a second while more are missing; the connection is closed with its turn, so that its thread ends. Test: holder_heard::unreachable_members_delay_no_other; by the review it fails on the code before, which was not run.

--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -16,6 +16,7 @@
 use passway_wire::message::{Member, Members, NewHolder};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Instances that reach the store have connected by then: they learn of the new holder at once, and
 /// their dialers retry within this time.
@@ -24,6 +25,8 @@
 const ANNOUNCEMENT_WINDOW: Duration = Duration::from_secs(10);
 /// Number of instances that a new holder connects to at a time; each costs a thread at both ends.
 const MAX_ANNOUNCED_AT_ONCE: usize = 128;
+/// How long a new holder tries to reach one instance while others wait for their turn.
+const ANNOUNCEMENT_TURN: Duration = Duration::from_secs(1);
 
 /// Addresses where instances listen for other instances, by name.
 pub type Addresses = BTreeMap<InstanceId, SocketAddr>;
@@ -122,7 +125,52 @@
     /// store, and that holder stops when it learns of this one.
     urgent: Addresses,
     /// Connections to instances that did not connect; dropped when they do.
-    dialers: BTreeMap<InstanceId, Dialer>,
+    calls: BTreeMap<InstanceId, Call>,
+    /// The instance whose turn began last, by the order of names.
+    last_turn: Option<InstanceId>,
+}
+
+/// A connection to an instance that did not connect; closed when dropped.
+#[derive(Debug)]
+struct Call {
+    began_at: Instant,
+    outbox: Arc<Mutex<Option<Outbox>>>,
+    _dialer: Dialer,
+}
+
+impl Call {
+    /// Connects to an instance and sends it a message.
+    fn start(address: SocketAddr, message: Body, now: Instant) -> Self {
+        let outbox = Arc::new(Mutex::new(None));
+        let connected = outbox.clone();
+        let dialer = Dialer::start(address, move |dialed| match dialed {
+            DialEvent::Connected(outbox) => {
+                outbox.send(message.clone());
+                // Keeps the connection open until the peer has read the message.
+                *lock(&connected) = Some(outbox);
+            }
+            DialEvent::Disconnected => *lock(&connected) = None,
+            DialEvent::Received(_) => {}
+        });
+        Self {
+            began_at: now,
+            outbox,
+            _dialer: dialer,
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        // The dialer's thread would otherwise wait for the peer to send something.
+        if let Some(outbox) = lock(&self.outbox).take() {
+            outbox.close();
+        }
+    }
+}
+
+fn lock(outbox: &Mutex<Option<Outbox>>) -> MutexGuard<'_, Option<Outbox>> {
+    outbox.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Announcement {
@@ -132,7 +180,8 @@
             fence,
             begun_at: now,
             urgent,
-            dialers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            last_turn: None,
         }
     }
 
@@ -152,30 +201,34 @@
             .map(|(name, address)| (name.clone(), *address))
             .collect();
         drop(members);
-        self.dialers.retain(|name, _| missing.contains_key(name));
-        for (name, address) in missing {
-            if self.dialers.len() >= MAX_ANNOUNCED_AT_ONCE && !self.dialers.contains_key(&name) {
-                continue;
-            }
+        let must_take_turns = missing.len() > MAX_ANNOUNCED_AT_ONCE;
+        self.calls.retain(|name, call| {
+            let has_turn = !must_take_turns || now < call.began_at + ANNOUNCEMENT_TURN;
+            has_turn && missing.contains_key(name)
+        });
+        for (name, address) in self.next_turns(&missing) {
             let message = Body::NewHolder(NewHolder {
                 instance: this_instance.to_string(),
                 address: shared.settings.peer_address.to_string(),
                 fence: self.fence,
             });
-            let dialer = self.dialers.entry(name);
-            dialer.or_insert_with(|| {
-                let mut connection: Option<Outbox> = None;
-                Dialer::start(address, move |dialed| match dialed {
-                    DialEvent::Connected(outbox) => {
-                        outbox.send(message.clone());
-                        // Keeps the connection open until the peer has read the message.
-                        connection.replace(outbox);
-                    }
-                    DialEvent::Disconnected => drop(connection.take()),
-                    DialEvent::Received(_) => {}
-                })
-            });
+            self.last_turn = Some(name.clone());
+            self.calls.insert(name, Call::start(address, message, now));
         }
-        others_should_have_connected && self.dialers.is_empty()
+        others_should_have_connected && self.calls.is_empty()
+    }
+
+    /// The missing instances to connect to now. Turns follow the order of names, and begin anew
+    /// after the last name.
+    fn next_turns(&self, missing: &Addresses) -> Vec<(InstanceId, SocketAddr)> {
+        let is_later = |name: &InstanceId| self.last_turn.as_ref().is_none_or(|last| name > last);
+        let (later, earlier): (Vec<_>, Vec<_>) =
+            missing.iter().partition(|(name, _)| is_later(name));
+        let waiting = later.into_iter().chain(earlier);
+        let waiting = waiting.filter(|(name, _)| !self.calls.contains_key(*name));
+        let free = MAX_ANNOUNCED_AT_ONCE.saturating_sub(self.calls.len());
+        let next = waiting.take(free);
+        next.map(|(name, address)| (name.clone(), *address))
+            .collect()
     }
 }
--- a/tests/all/holder_heard.rs
+++ b/tests/all/holder_heard.rs
@@ -1,6 +1,8 @@
 //! An instance that is cut off from the store learns of a new holder from that holder.
 
 use crate::cluster::{self, until};
+use crate::scripted_store;
+use passway_instance::members::{Addresses, Announcement};
 use passway_serving::leadership::{Holder, Leadership, LeadershipSettings};
 use passway_standins::platform::store::Faults;
 use passway_types::prelude::*;
@@ -198,3 +200,35 @@
     std::thread::sleep(Duration::from_millis(200));
     assert_eq!(instance.holder().map(|h| h.fence), Some(known.fence + 1));
 }
+
+/// Number of members that cannot be reached, more than a new holder connects to at a time.
+const UNREACHABLE_MEMBERS: usize = 200;
+
+/// Guards against members that cannot be reached and hold all places among those that a new holder
+/// connects to, so that others never learn of it.
+#[test]
+fn unreachable_members_delay_no_other() {
+    let shared = scripted_store::shared();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let unused = ([127, 0, 0, 1], 1).into();
+    let mut members: Addresses = (0..UNREACHABLE_MEMBERS)
+        .map(|number| (format!("a-{number:03}").into(), unused))
+        .collect();
+    members.insert("z".into(), listener.local_addr().expect("an address"));
+    *shared.members() = members;
+    let begun_at = Instant::now();
+    let mut announcement = Announcement::begin(7, Addresses::new(), begun_at);
+    let accepted = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        let (_link, mut reader) = Link::from_stream(stream).expect("a link");
+        reader.receive().expect("a message")
+    });
+    until("the announcement", || {
+        announcement.advance(&shared, &Addresses::new(), Instant::now());
+        accepted.is_finished()
+    });
+    // Well within the time for which a holder announces its term.
+    assert!(begun_at.elapsed() < Duration::from_secs(5));
+    let message = accepted.join().expect("a peer");
+    assert!(matches!(message, Some(Body::NewHolder(term)) if term.fence == 7));
+}
