Changes are sent at any length again; a subscription still sends to the new subscriber only

Cause, by reading: with the bound, the changes of each subscriber that has to wait were encoded again in each pass, and its share of the feed was counted over all values, 983 x 10,000 a pass, on the holder's only thread.

--- a/crates/instance/src/feed_frames.rs
+++ b/crates/instance/src/feed_frames.rs
@@ -14,15 +14,11 @@
 /// one; at the start of a term they know a few more.
 const MAX_CACHED_FRAMES: usize = 16;
 
-/// Number of values from which on a feed takes so long to encode that subscribers which lack most of
-/// it share a frame with the whole.
-const LONG_FEED_VALUES: usize = 500;
-
 /// A frame with a whole feed is reused for this time although the feed has changed since, because
 /// encoding a long feed takes longer than sending the changes that follow it.
 const WHOLE_FRAME_LIFETIME: Duration = Duration::from_secs(1);
 
-/// A whole feed for subscribers that lack most of it.
+/// A whole feed for subscribers that know nothing of it.
 #[derive(Debug, Clone)]
 pub struct WholeFeed {
     /// The encoded feed.
@@ -73,15 +69,6 @@
         &self.logs[feed]
     }
 
-    /// Whether a subscriber that knows a feed up to a revision is sent the whole feed: it knows
-    /// nothing, or most of a long feed has changed. Subscribers that know different revisions then
-    /// share one frame.
-    pub fn must_send_whole(&self, feed: usize, known: StoreRevision) -> bool {
-        let log = &self.logs[feed];
-        let is_long = log.value_count() > LONG_FEED_VALUES;
-        known.is_none() || (is_long && 2 * log.changed_count_after(known) > log.value_count())
-    }
-
     /// A whole feed, which changes may follow; `None` if nothing is known of it.
     pub fn whole(&mut self, feed: usize) -> Option<&WholeFeed> {
         let log = &self.logs[feed];
--- a/crates/instance/src/feed_log.rs
+++ b/crates/instance/src/feed_log.rs
@@ -53,17 +53,6 @@
         self.to
     }
 
-    /// Number of values.
-    pub fn value_count(&self) -> usize {
-        self.values.len()
-    }
-
-    /// Number of values that were written after a revision.
-    pub fn changed_count_after(&self, known: StoreRevision) -> usize {
-        let values = self.values.values();
-        values.filter(|value| value.revision > known).count()
-    }
-
     /// Whether an instance that knows the feed up to a revision lacks a change.
     pub fn has_changes_after(&self, known: StoreRevision) -> bool {
         known < self.changed_revision
--- a/crates/instance/src/subscribers.rs
+++ b/crates/instance/src/subscribers.rs
@@ -16,7 +16,7 @@
 /// the newest ones. A link of 10 Mbit/s carries this much in 50 ms.
 const MAX_BACKLOG_BYTES: usize = 64 << 10;
 
-/// Maximum number of subscribers to which an update of more than [`MAX_BACKLOG_BYTES`] is being
+/// Maximum number of subscribers to which a whole feed of more than [`MAX_BACKLOG_BYTES`] is being
 /// sent. The holder's heartbeats share its link with them.
 const MAX_LONG_SENDS: usize = 8;
 
@@ -154,7 +154,7 @@
     }
 }
 
-/// The long updates that are being sent. The holder's heartbeats share its link with them.
+/// The long feeds that are being sent. The holder's heartbeats share its link with them.
 #[derive(Debug)]
 struct LongSends(usize);
 
@@ -200,8 +200,10 @@
         is_complete
     }
 
-    /// Sends what the subscriber lacks of a feed, unless it is long and enough long updates are
-    /// being sent. Returns whether it was sent.
+    /// Sends what the subscriber lacks of a feed, unless it lacks all of a long feed and enough long
+    /// feeds are being sent. Changes are sent at any length: subscribers know many revisions, so
+    /// encoding the changes of those that have to wait again and again would take all processor
+    /// time of the holder. Returns whether it was sent.
     fn send_feed(
         &mut self,
         feed: usize,
@@ -209,7 +211,7 @@
         outbox: &Outbox,
         long_sends: &mut LongSends,
     ) -> bool {
-        if feeds.must_send_whole(feed, self.sent[feed])
+        if self.sent[feed].is_none()
             && let Some(whole) = feeds.whole(feed)
         {
             if !long_sends.admit(&whole.frame) {
@@ -223,9 +225,6 @@
             return true;
         }
         if let Some(frame) = feeds.changes(feed, known) {
-            if !long_sends.admit(&frame) {
-                return false;
-            }
             outbox.send_frame(frame);
         }
         self.sent[feed] = to;
