Lists of all upstreams by instances without a holder are spaced by what they cost, changes by drain_ms

Cause: bounds the spacing of all own queries by drain_ms, also of lists, which the store's link cannot carry in that time. Change: only watches have that bound. An instance without a holder whose history is gone may wait longer in a fleet whose lists together take longer; open, see the postmortem.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -103,6 +103,10 @@
     fn min_query_interval(&self) -> Duration {
         Duration::ZERO
     }
+    /// The same for lists of all values, which are longer than changes.
+    fn min_list_interval(&self) -> Duration {
+        Duration::ZERO
+    }
     /// Time for which this instance leaves the changes after its first list to the holder.
     fn first_query_delay(&self) -> Duration {
         Duration::ZERO
@@ -335,11 +339,12 @@
         let was_known = self.known.is_some();
         let asked_at = clock::now();
         let answer = self.query_store(is_for_proof);
-        self.delay_own_query(if was_known {
-            self.feed.min_query_interval()
-        } else {
-            self.feed.first_query_delay()
-        });
+        let delay = match (was_known, self.must_list) {
+            (true, true) => self.feed.min_list_interval(),
+            (true, false) => self.feed.min_query_interval(),
+            (false, _) => self.feed.first_query_delay(),
+        };
+        self.delay_own_query(delay);
         match answer {
             Ok(()) => {
                 self.failures = 0;
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -225,15 +225,18 @@
 
     /// If all instances of a large fleet watched the upstreams while there is no holder, their
     /// answers would fill the store's link, and no instance could renew the lease of the leadership.
-    /// The interval allows for answers with all entries, as far as leaving upstreams still become
-    /// known in time.
+    /// Leaving upstreams must still become known in time.
     fn min_query_interval(&self) -> Duration {
+        let longest = self.shared.bounds.load().leaving / QUERY_INTERVAL_DIVISOR;
+        self.min_list_interval().min(longest)
+    }
+
+    /// The store's link cannot carry the lists of all instances faster.
+    fn min_list_interval(&self) -> Duration {
         let count = |number| u32::try_from(number).unwrap_or(u32::MAX);
         let instances = count(self.shared.instance_count());
         let upstreams = count(self.shared.upstreams().entries().count());
-        let entries = instances.saturating_mul(upstreams);
-        let longest = self.shared.bounds.load().leaving / QUERY_INTERVAL_DIVISOR;
-        TRANSFER_TIME_PER_ENTRY.saturating_mul(entries).min(longest)
+        TRANSFER_TIME_PER_ENTRY.saturating_mul(instances.saturating_mul(upstreams))
     }
 
     fn first_query_delay(&self) -> Duration {
