An unanswered watch of the configuration is repeated, unless the versions missed may be large

What callers saw: late configurations, 404 for routes that stood, in the whole fleet. The list was there for storms of versions, each of which a watch returns. Tests: unanswered_watches::unanswered_watch_is_repeated, which failed on the code before (4 lists, 1 allowed); large_versions_are_listed.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -69,8 +69,8 @@
 pub enum Interruption {
     /// The holder can no longer be relied on; changes of about a second are missing.
     HolderLost,
-    /// The store did not answer; changes of an unknown time are missing.
-    StoreSilent,
+    /// The store did not answer; changes of this time are missing.
+    StoreSilent(Duration),
 }
 
 /// Applies the data under a prefix of the store.
@@ -140,6 +140,7 @@
         list_reader: ListReader::Undecided,
         trusted_holder: false,
         has_gap: false,
+        complete_at: None,
         failures: 0,
         backoff: Backoff::none(clock::now()),
         own_query_at: clock::now(),
@@ -198,6 +199,8 @@
     /// Whether there is a gap in the holder's updates. The holder is not relied on until the store
     /// or the holder has closed the gap.
     has_gap: bool,
+    /// No change is missing that was made before; `None` before the first list.
+    complete_at: Option<Instant>,
     /// Number of consecutive calls that the store did not answer.
     failures: u32,
     backoff: Backoff,
@@ -220,6 +223,7 @@
             self.log_trust(trusted_until.is_some());
             if let Some(until) = trusted_until {
                 self.trusted_holder = true;
+                self.complete_at = Some(clock::now());
                 let timeout = until.saturating_duration_since(clock::now());
                 self.receive(timeout.min(RELAY_POLL_INTERVAL));
             } else if self.awaits_list() {
@@ -348,6 +352,7 @@
         match answer {
             Ok(()) => {
                 self.failures = 0;
+                self.complete_at = Some(asked_at);
                 self.feed.shared().store_health.record_answer();
                 if self.partial.is_none() {
                     std::thread::sleep(self.feed.finish_batch());
@@ -357,7 +362,11 @@
                 log::info!(prefix = self.prefix, is_list = is_list, took_ms = millis_since(asked_at, clock::now()), failures = self.failures, error:? = error; "the store gave no answer");
                 // The store may have written many versions before an answer that did not arrive in
                 // time.
-                let prefers_listing = self.feed.prefers_listing(Interruption::StoreSilent);
+                let prefers_listing = {
+                    let silence = self.complete_at.map_or(Duration::MAX, clock::since);
+                    let silent = Interruption::StoreSilent(silence);
+                    self.feed.prefers_listing(silent)
+                };
                 self.must_list |= prefers_listing && !is_for_proof;
                 let health = &self.feed.shared().store_health;
                 health.record_failure();
--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -12,6 +12,12 @@
 /// If the last two versions arrived within this time, more of them may have been missed.
 const VERSION_BURST_WINDOW: Duration = Duration::from_secs(5);
 
+/// Shortest interval between two versions of the configuration that is assumed for the versions
+/// missed in a time of silence.
+const MIN_VERSION_INTERVAL: Duration = Duration::from_millis(300);
+/// Versions that may have been missed are listed, not watched, if they are larger than this together.
+const MAX_MISSED_BYTES: u128 = 2 << 20;
+
 /// After the store has returned from an older copy, operators write again what it has lost within
 /// this time.
 const REWRITE_DURATION: Duration = Duration::from_secs(2);
@@ -29,6 +35,8 @@
     last_versions_at: [Option<Instant>; 2],
     /// Halls that operators have emptied.
     emptied_halls: BTreeSet<DataHall>,
+    /// Size of the last version that was received, in bytes.
+    version_bytes: usize,
     /// Until when the store may lack a version that operators had written before it returned from
     /// an older copy, so that its answers prove nothing.
     unproven_until: Option<Instant>,
@@ -42,10 +50,17 @@
             directory,
             last_versions_at: [None; 2],
             emptied_halls: BTreeSet::new(),
+            version_bytes: 0,
             unproven_until: None,
         }
     }
 
+    /// Size of the versions that may have been written in a time of silence, in bytes.
+    fn missed_bytes(&self, silence: Duration) -> u128 {
+        let versions = silence.as_millis() / MIN_VERSION_INTERVAL.as_millis();
+        versions.saturating_mul(self.version_bytes as u128)
+    }
+
     /// Closes the emptied halls, and opens all others.
     fn apply_emptied_halls(&self) {
         let mut upstreams = self.shared.upstreams();
@@ -65,7 +80,8 @@
         self.shared.notify_upstreams_changed();
     }
 
-    fn apply_configuration(&self, value: &StoredValue) {
+    fn apply_configuration(&mut self, value: &StoredValue) {
+        self.version_bytes = value.value.len();
         match self.directory.decode_configuration(value) {
             Ok(Some(table)) => {
                 let age = &self.shared.configuration_age;
@@ -160,11 +176,17 @@
 
     /// A listing contains the whole configuration, 180 kB for 1,375 models. All instances query at
     /// the same time when the holder is lost: 53 MB for 295 of them, 0.4 s on the store's link. A
-    /// watch returns nothing if no version was written meanwhile, but otherwise every version.
+    /// watch returns nothing if no version was written meanwhile, but otherwise every version. If
+    /// each unanswered watch became a list, the lists of a large fleet would keep the store's link
+    /// full, so that the next watches would not be answered either.
     fn prefers_listing(&self, after: Interruption) -> bool {
         let is_recent =
             |at: Option<Instant>| at.is_some_and(|at| clock::since(at) < VERSION_BURST_WINDOW);
-        after == Interruption::StoreSilent || self.last_versions_at.into_iter().all(is_recent)
+        let may_have_missed_many = match after {
+            Interruption::HolderLost => false,
+            Interruption::StoreSilent(silence) => self.missed_bytes(silence) > MAX_MISSED_BYTES,
+        };
+        may_have_missed_many || self.last_versions_at.into_iter().all(is_recent)
     }
 
     /// While the holder is relied on, its answers to queries prove the configuration. The store is
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -101,6 +101,7 @@
 mod support;
 mod term_begin;
 mod test_planner;
+mod unanswered_watches;
 mod unbounded_input;
 mod unframed_answers;
 mod upstream_choice;
