--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -4,18 +4,20 @@
 use crate::json;
 use crate::record::Record;
 use crate::store::Store;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// Time until the first event: 628 tokens of prompt at 38.1 a ms, and some steps.
+/// Time until the first event of a server with little to do: 628 tokens of prompt at 38.1 a ms, and
+/// some steps.
 const FIRST_EVENT: Duration = Duration::from_millis(30);
 /// Time between two events: 6 tokens at 4.43 ms.
 const PAUSE: Duration = Duration::from_millis(27);
 const EVENTS: u32 = 40;
+/// Time to load a model from the weight store.
 const LOAD_TIME: Duration = Duration::from_secs(6);
 const UNLOAD_TIME: Duration = Duration::from_millis(50);
 /// `weights_mb` of a server and of a model, and so the number of models that fit.
@@ -33,14 +35,48 @@
     pub repeats: AtomicBool,
 }
 
-/// The answers of the garbled servers together, and how many of them had a second copy.
+/// What a server is like.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Time until the first event.
+    pub first_event: Duration,
+    pub load_time: Duration,
+    /// Models that the server has in its memory besides those that are loaded.
+    pub in_memory: Vec<String>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            first_event: FIRST_EVENT,
+            load_time: LOAD_TIME,
+            in_memory: Vec::new(),
+        }
+    }
+}
+
+/// An order that has reached a server.
+#[derive(Clone, Debug)]
+pub struct SeenOrder {
+    pub at: Instant,
+    pub server: String,
+    pub holder: String,
+    pub fence: u64,
+}
+
+/// What all servers together have seen.
 #[derive(Default)]
-pub struct Repeated {
+pub struct Observed {
+    pub orders: Vec<SeenOrder>,
+    /// The ids of the requests that have arrived.
+    pub arrived: BTreeSet<String>,
+    /// The answers of the garbled servers.
     pub answers: u32,
+    /// How many of these had a second copy.
     pub surplus: u32,
 }
 
-impl Repeated {
+impl Observed {
     /// Counts an answer; whether a second copy of it stays within [`SURPLUS_SHARE`].
     fn may_repeat(&mut self) -> bool {
         self.answers += 1;
@@ -73,10 +109,11 @@
     store: Store,
     record: Record,
     pub troubles: Troubles,
+    settings: Settings,
     state: Mutex<State>,
     /// How often each request began to run, over all servers.
     runs: Runs,
-    repeated: Arc<Mutex<Repeated>>,
+    observed: Arc<Mutex<Observed>>,
 }
 
 pub type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
@@ -88,7 +125,8 @@
         store: &Store,
         record: &Record,
         runs: &Runs,
-        repeated: &Arc<Mutex<Repeated>>,
+        observed: &Arc<Mutex<Observed>>,
+        settings: Settings,
     ) -> Arc<Self> {
         let address = crate::http::free_address([127, 0, 0, 1]);
         let engine = Arc::new(Self {
@@ -99,6 +137,7 @@
             store: store.clone(),
             record: record.clone(),
             troubles: Troubles::default(),
+            settings,
             state: Mutex::new(State {
                 models: models.iter().map(|name| (*name).to_owned()).collect(),
                 sequence: 0,
@@ -107,7 +146,7 @@
                 random: 0x9e37_79b9_7f4a_7c15 ^ u64::from(address.port()),
             }),
             runs: runs.clone(),
-            repeated: repeated.clone(),
+            observed: observed.clone(),
         });
         let served = engine.clone();
         listen(address, move |wire| served.serve(wire));
@@ -131,18 +170,26 @@
         models.collect::<Vec<String>>().join(",")
     }
 
+    /// The field with the models in the server's memory.
+    fn at_hand(&self) -> String {
+        let names = self.settings.in_memory.iter().map(|name| format!("\"{name}\""));
+        let names = names.collect::<Vec<String>>().join(",");
+        format!("\"at_hand\":{{\"in_memory\":[{names}],\"on_disk\":[{names}]}}")
+    }
+
     /// Writes the server's entry.
     fn beat(&self) {
         let mut state = self.state();
         state.heartbeat += 1;
         let text = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"colocated\",\"models\":[{}],\"sequence\":{}}}",
+             \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"colocated\",\"models\":[{}],\"sequence\":{},{}}}",
             self.service,
             self.address,
             self.zone,
             Self::models_json(&state.models),
-            state.heartbeat
+            state.heartbeat,
+            self.at_hand()
         );
         drop(state);
         self.store.put(&format!("servers/{}", self.id), &text);
@@ -187,6 +234,7 @@
                 return false;
             }
         }
+        self.observed().arrived.insert(id.clone());
         let ids = [("Request-Id", id.as_str()), ("Instance-Id", self.id.as_str())];
         if request
             .header("expect-instance")
@@ -201,14 +249,14 @@
             return wire.send(&answer_bytes(421, &ids, b"")).is_ok();
         }
         let is_garbled = self.troubles.repeats.load(Ordering::Relaxed);
-        let repeats = is_garbled && self.repeated().may_repeat();
+        let repeats = is_garbled && self.observed().may_repeat();
         if self.troubles.sheds.load(Ordering::Relaxed) && self.random_share() < SHED_SHARE {
             let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
             let refusal = answer_bytes(503, &headers, b"");
             self.record
                 .line(&format!("server {}: 503 Not-Executed to {id}", self.id));
             if repeats && request.path().starts_with(REPEATED_PREFIX) {
-                self.repeated().surplus += 1;
+                self.observed().surplus += 1;
                 *surplus = Some((id, refusal.clone()));
             }
             return wire.send(&refusal).is_ok();
@@ -217,7 +265,7 @@
     }
 
     fn stream(&self, wire: &mut Wire, id: &str) -> bool {
-        if !wire.work(FIRST_EVENT) {
+        if !wire.work(self.settings.first_event) {
             self.record.line(&format!(
                 "server {}: {id} dropped before its first token",
                 self.id
@@ -254,10 +302,11 @@
         let state = self.state();
         let text = format!(
             "{{\"stage\":\"colocated\",\"models\":[{}],\"in_flight\":{},\"sequence\":{},\"queued\":0,\
-             \"running\":1,\"kv_used\":0,\"kv_total\":156843,\"handles\":0}}",
+             \"running\":1,\"kv_used\":0,\"kv_total\":156843,\"handles\":0,{}}}",
             Self::models_json(&state.models),
             state.in_flight,
-            state.sequence
+            state.sequence,
+            self.at_hand()
         );
         answer_bytes(200, &[("Instance-Id", &self.id)], text.as_bytes())
     }
@@ -272,6 +321,13 @@
         let Some(order) = json::parse(&request.body) else {
             return answer_bytes(400, &[], b"");
         };
+        let (holder, fence) = (order.get("holder").text(), order.get("fence").number());
+        self.observed().orders.push(SeenOrder {
+            at: Instant::now(),
+            server: self.id.clone(),
+            holder: holder.to_owned(),
+            fence,
+        });
         let (operation, model) = (order.get("operation").text(), order.get("model").text());
         let mut state = self.state();
         let is_there = state.models.iter().any(|name| name == model);
@@ -298,7 +354,8 @@
             let (engine, model) = (self.clone(), model.to_owned());
             let loads = operation == "load_model";
             std::thread::spawn(move || {
-                std::thread::sleep(if loads { LOAD_TIME } else { UNLOAD_TIME });
+                let load_time = engine.settings.load_time;
+                std::thread::sleep(if loads { load_time } else { UNLOAD_TIME });
                 let mut state = engine.state();
                 state.models.retain(|name| *name != model);
                 if loads {
@@ -312,8 +369,8 @@
         answer_bytes(status, &[("Instance-Id", &self.id)], b"")
     }
 
-    fn repeated(&self) -> MutexGuard<'_, Repeated> {
-        self.repeated.lock().expect("locking the count of answers")
+    fn observed(&self) -> MutexGuard<'_, Observed> {
+        self.observed.lock().expect("locking the count of answers")
     }
 
     /// Waits until `until`.
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -76,10 +76,11 @@
         self.child.id()
     }
 
-    /// Kills the process and starts it again with the same settings.
-    pub fn kill_and_restart(&mut self) {
+    /// Kills the process and starts it again after a delay with the same settings.
+    pub fn kill_and_restart(&mut self, delay: Duration) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        std::thread::sleep(delay);
         self.child = spawn(&self.settings, &self.log);
     }
 
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -165,3 +165,25 @@
     }
     text
 }
+
+/// Decodes base64.
+pub fn from_base64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut number, mut bits) = (0_u32, 0);
+    for byte in text.bytes().filter(|byte| *byte != b'=') {
+        let digit = match byte {
+            b'A'..=b'Z' => byte - b'A',
+            b'a'..=b'z' => byte - b'a' + 26,
+            b'0'..=b'9' => byte - b'0' + 52,
+            b'+' => 62,
+            _ => 63,
+        };
+        number = number << 6 | u32::from(digit);
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((number >> bits & 255) as u8);
+        }
+    }
+    bytes
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,13 +7,16 @@
 mod http;
 mod instance;
 mod json;
+mod memory;
 mod plain;
 mod proxy;
 mod reborn;
 mod record;
 mod store;
+mod turns;
 mod twice;
 
+use memory::Bodies;
 use reborn::Disruption;
 use record::Record;
 use std::path::Path;
@@ -40,6 +43,14 @@
             trouble != "0",
             trouble != "0" && trouble != "shed",
         ),
+        "memory" => {
+            let bodies = match trouble.as_str() {
+                "0" => Bodies::None,
+                "length" => Bodies::WithLength,
+                _ => Bodies::Chunked,
+            };
+            memory::run(folder, &record, bodies)
+        }
         "reborn" => {
             let disruption = match trouble.as_str() {
                 "0" => Disruption::None,
@@ -48,6 +59,14 @@
             };
             reborn::run(folder, &record, disruption)
         }
+        "turns" => {
+            let disruption = match trouble.as_str() {
+                "0" => turns::Disruption::None,
+                "cut" => turns::Disruption::Cut,
+                _ => turns::Disruption::CutAndReturn,
+            };
+            turns::run(folder, &record, disruption)
+        }
         _ => 2,
     };
     record.line(match code {
--- a/review/standin/proxy.rs
+++ b/review/standin/proxy.rs
@@ -4,14 +4,17 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 pub struct Path {
     pub address: SocketAddr,
     target: SocketAddr,
     is_cut: AtomicBool,
+    is_resetting: AtomicBool,
+    /// Both ends of the connections since the last reset.
+    open: Mutex<Vec<TcpStream>>,
 }
 
 #[repr(C)]
@@ -50,6 +53,8 @@
             address: listener.local_addr().expect("reading a bound address"),
             target,
             is_cut: AtomicBool::new(false),
+            is_resetting: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let accepting = path.clone();
         std::thread::spawn(move || {
@@ -65,6 +70,15 @@
         self.is_cut.store(is_cut, Ordering::Release);
     }
 
+    /// Begins or ends a cut that resets open and new connections.
+    pub fn set_resetting(&self, is_resetting: bool) {
+        self.is_resetting.store(is_resetting, Ordering::Release);
+        for stream in self.open.lock().expect("locking a proxy").drain(..) {
+            reset(&stream);
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn wait_while_cut(&self) {
         while self.is_cut.load(Ordering::Acquire) {
             std::thread::sleep(Duration::from_millis(1));
@@ -73,6 +87,10 @@
 
     fn connect(self: &Arc<Self>, caller: TcpStream) {
         self.wait_while_cut();
+        if self.is_resetting.load(Ordering::Acquire) {
+            reset(&caller);
+            return;
+        }
         let Ok(server) = TcpStream::connect(self.target) else {
             // A dead port resets.
             reset(&caller);
@@ -82,6 +100,12 @@
         let (Ok(caller_end), Ok(server_end)) = (caller.try_clone(), server.try_clone()) else {
             return;
         };
+        if let (Ok(caller), Ok(server)) = (caller.try_clone(), server.try_clone()) {
+            self.open
+                .lock()
+                .expect("locking a proxy")
+                .extend([caller, server]);
+        }
         let path = self.clone();
         std::thread::spawn(move || path.forward(caller_end, server_end));
         self.forward(server, caller);
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -19,6 +19,10 @@
         }
     }
 
+    pub fn begun_at(&self) -> Instant {
+        self.begun_at
+    }
+
     /// Appends a line with the time since the begin.
     pub fn line(&self, text: &str) {
         let at = self.begun_at.elapsed().as_secs_f64();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -7,6 +7,15 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// Contents of the store from which it can return.
+#[derive(Clone)]
+pub struct Copy {
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    revision: u64,
+    last_lease: u64,
+}
+
 #[derive(Clone)]
 struct Item {
     /// In base64.
@@ -24,6 +33,11 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     revision: u64,
     last_lease: u64,
+    /// The revision after which changes are known.
+    compacted_to: u64,
+    /// How often the store has returned from an older copy.
+    era: u64,
+    is_away: bool,
 }
 
 #[derive(Clone, Default)]
@@ -83,8 +97,14 @@
         let served = store.clone();
         let address = listen(SocketAddr::from(([127, 0, 0, 1], 0)), move |mut wire: Wire| {
             while let Ok(Some(request)) = wire.request() {
-                let (status, body) = served.handle(&request);
-                let json = [("Content-Type", "application/json")];
+                let era = served.state().era;
+                let (mut status, body) = served.handle(&request);
+                let now = served.state().era.to_string();
+                if now != era.to_string() {
+                    // The copy does not know what the call has done.
+                    status = 503;
+                }
+                let json = [("Content-Type", "application/json"), ("Store-Era", now.as_str())];
                 if wire.send(&answer_bytes(status, &json, body.as_bytes())).is_err() {
                     return;
                 }
@@ -108,7 +128,49 @@
         self.0.1.notify_all();
     }
 
+    /// The value of a key, as text; empty without the key.
+    pub fn get(&self, key: &str) -> String {
+        let value = self.state().items.get(key).map(|item| item.value.clone());
+        let bytes = json::from_base64(&value.unwrap_or_default());
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    /// Copies the contents.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy {
+            items: state.items.clone(),
+            leases: state.leases.clone(),
+            revision: state.revision,
+            last_lease: state.last_lease,
+        }
+    }
+
+    /// Is away for a while and returns from a copy, as a new era. What was written since is gone;
+    /// revisions and leases are given out again, and the leases of the copy run for their time again.
+    pub fn return_from(&self, copy: &Copy, away: Duration) {
+        self.state().is_away = true;
+        std::thread::sleep(away);
+        let mut state = self.state();
+        state.items.clone_from(&copy.items);
+        state.leases.clone_from(&copy.leases);
+        for (ttl, until) in state.leases.values_mut() {
+            *until = Instant::now() + *ttl;
+        }
+        state.revision = copy.revision;
+        state.last_lease = copy.last_lease;
+        state.history.clear();
+        state.compacted_to = copy.revision;
+        state.era += 1;
+        state.is_away = false;
+        drop(state);
+        self.0.1.notify_all();
+    }
+
     fn handle(&self, request: &Message) -> (u16, String) {
+        if self.state().is_away {
+            return (503, "{}".to_owned());
+        }
         match (request.method(), request.path()) {
             ("GET", "/kv-key") => self.read_key(&request.query("tls_key")),
             ("GET", "/kv-range") => self.read_range(&request.query("prefix")),
@@ -156,7 +218,11 @@
         let wait: u64 = request.query("wait_ms").parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state();
+        let era = state.era;
         loop {
+            if state.era != era || after < state.compacted_to || after > state.revision {
+                return (410, "{}".to_owned());
+            }
             let events = state
                 .history
                 .iter()
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -1,7 +1,7 @@
 //! Case: a request that may run once is sent again, under its id, on a connection whose server still
 //! owes a second copy of its refusal.
 
-use crate::engine::{Engine, MODEL_MB, Repeated, Runs, SERVER_MB};
+use crate::engine::{Engine, MODEL_MB, Observed, Runs, SERVER_MB, Settings};
 use crate::http::{Ending, call};
 use crate::instance::Instance;
 use crate::record::Record;
@@ -128,14 +128,22 @@
     let (store, store_address) = Store::start();
     store.put("op/config", &configuration());
     let runs = Runs::default();
-    let repeated = Arc::new(Mutex::new(Repeated::default()));
+    let observed = Arc::new(Mutex::new(Observed::default()));
     let engines: Vec<Arc<Engine>> = (0..ENGINES)
         .map(|number| {
             let id = format!("i-engine-{number}");
             let rare = [2 * number, 2 * number + 1].map(|rare| format!("r{rare}"));
             let models = ["busy", &rare[0], &rare[1]];
             let place = (id.as_str(), ZONES[number % ZONES.len()], "linen-talk");
-            Engine::start(place, &models, &store, record, &runs, &repeated)
+            Engine::start(
+                place,
+                &models,
+                &store,
+                record,
+                &runs,
+                &observed,
+                Settings::default(),
+            )
         })
         .collect();
     let instances: Vec<Instance> = (0..3)
@@ -211,8 +219,8 @@
     }
     // The requests in progress end.
     std::thread::sleep(Duration::from_secs(3));
-    let repeated = repeated.lock().expect("locking the count of answers");
-    let (answers, surplus) = (repeated.answers, repeated.surplus);
+    let observed = observed.lock().expect("locking the count of answers");
+    let (answers, surplus) = (observed.answers, observed.surplus);
     record.line(&format!(
         "garbled servers: {answers} answers, {surplus} second answers"
     ));
