A refusal by an upstream leaves a log line with its attempt and its connection

Until now the log of an instance had only the end of such a request ('runs: 0'), which does not tell apart: (a) a copy of a refusal counts as the answer to a later attempt over the same connection; (b) the same over another connection; (c) a run that this instance gave up; (d) a successor or another instance that sent the request too.

Change: the line 'an upstream refused a request' with the attempt, the local port of the connection and the time since the attempt began.

--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -17,6 +17,7 @@
 use crate::reply::{self, WRITE_TIMEOUT};
 use crate::shared::MemoryReservation;
 use crate::signals::{self, ReceivedSignals};
+use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::forecast::StreamProgress;
 use passway_serving::headers::Headers;
 use passway_serving::ports::{AnswerMetadata, ForwardingMetadata};
@@ -318,6 +319,7 @@
             if matches!(read, Err(HttpError::WatchedClosed)) {
                 return Attempt::CallerGone;
             }
+            self.log_refusal(target, &upstream, head);
             // The head alone says that the request has not run.
             self.return_to_pool(target, upstream, head, &body);
             return self.handle_refusal(target, head, facts);
@@ -348,6 +350,16 @@
         }))
     }
 
+    /// Logs an answer by which the upstream has not run the request. Two refusals of one request on the
+    /// same connection, of which the second comes faster than a round trip, are copies of each other.
+    fn log_refusal(&self, target: &Target, upstream: &Connection, head: &AnswerHead) {
+        let after_us = clock::since(self.attempt_at).as_micros();
+        log::info!(target: REQUEST_TARGET, request = self.facts.id, upstream:% = target.id,
+            status = head.status, offer = self.request_log.offers,
+            connection = upstream.local_port(), after_us = u64::try_from(after_us).unwrap_or(u64::MAX);
+            "an upstream refused a request");
+    }
+
     /// Waits for memory to buffer an answer; the upstream's connection waits meanwhile. `None` once
     /// the deadline has passed or the caller has left.
     pub(super) fn reserve_answer_memory(&mut self, body: &BodyReader) -> Option<MemoryReservation> {
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -187,6 +187,11 @@
         )
     }
 
+    /// The local port, which tells connections apart in logs; 0 if it cannot be read.
+    pub fn local_port(&self) -> u16 {
+        self.stream.local_addr().map_or(0, |address| address.port())
+    }
+
     /// Closes both directions.
     pub fn close(&self) {
         // Closing can fail only because the peer closed first.
