An answer belongs to an exchange: a connection carries each request id once

Cause: answers were told apart by the request's id, which all attempts share. The pool handed the connection of a refused attempt to the next attempt of the same request, where a second copy of the refusal counted as its answer. An answer without an id counted on any connection.

Attempts 1 and 2 of the request that ran twice were both refused on local port 53196, the second 233 us after it began, while the server's record has one refusal, its copy and then a run. Ruled out by the same logs: another connection, a successor, another instance, a run that was given up.

Change: an UpstreamConnection remembers hashes of the ids that it has carried (1,000 at most, then it is closed) and begins an Exchange only for a new one; the pool gives out nothing but Exchanges. Refusals, signals and delivery take an OwnAnswer, which only the Exchange that asked can make: from its id, or without an id on a connection that has carried nothing else. Successors and requests passed on to other instances, always on new connections, use the same types.

Why it works: on a connection that carries each id once the id does tell answers apart, whenever a copy arrives. The refusal's connection stays open for other requests, so that shedding costs few connections.

--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -17,10 +17,11 @@
 use crate::reply::{self, WRITE_TIMEOUT};
 use crate::shared::MemoryReservation;
 use crate::signals::{self, ReceivedSignals};
+use crate::upstream_exchange::{Exchange, ForeignAnswer, OwnAnswer};
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::forecast::StreamProgress;
 use passway_serving::headers::Headers;
-use passway_serving::ports::{AnswerMetadata, ForwardingMetadata};
+use passway_serving::ports::ForwardingMetadata;
 use passway_serving::upstreams::Outcome;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -54,14 +55,6 @@
     Peer,
 }
 
-/// Whether an answer is a success of an upstream, made for this request and passed on unchanged.
-pub(super) fn is_valid_success(head: &AnswerHead, facts: &AnswerMetadata) -> bool {
-    (200..300).contains(&head.status)
-        && facts.is_sealed
-        && facts.id.is_some()
-        && !head.headers.has("content-encoding")
-}
-
 impl Forwarding<'_> {
     /// Sends the request over a pooled or a new connection.
     pub(super) fn exchange(&mut self, target: &Target) -> Attempt {
@@ -71,7 +64,12 @@
             MAX_IDLE_RUN_ONCE
         };
         let now = clock::now();
-        if let Some(pooled) = self.shared.pool.take(&target.id, max_idle, now) {
+        let id = &self.facts.id;
+        let pooled = self
+            .shared
+            .pool
+            .begin_exchange(&target.id, id, max_idle, now);
+        if let Some(pooled) = pooled {
             let attempt = self.exchange_over(target, pooled);
             if matches!(
                 attempt,
@@ -84,13 +82,20 @@
                 return attempt;
             }
         }
-        let paths = &self.shared.paths;
-        let Ok(connection) = Connection::connect(target.address, CONNECT_TIMEOUT) else {
-            paths.record_unreachable(&target.id);
+        let Ok(exchange) = self.connect(target) else {
             return Attempt::NotSent;
         };
-        paths.record_connected(self.shared);
-        self.exchange_over(target, connection)
+        self.shared.paths.record_connected(self.shared);
+        self.exchange_over(target, exchange)
+    }
+
+    /// Connects to an upstream for an exchange of the request.
+    pub(super) fn connect(&self, target: &Target) -> std::io::Result<Exchange> {
+        let connected = Exchange::connect(target.address, CONNECT_TIMEOUT, &self.facts.id);
+        if connected.is_err() {
+            self.shared.paths.record_unreachable(&target.id);
+        }
+        connected
     }
 
     fn record_activity(&self, target: &Target) {
@@ -124,8 +129,8 @@
         bytes
     }
 
-    /// Sends the request over `upstream` and handles the answer.
-    fn exchange_over(&mut self, target: &Target, mut upstream: Connection) -> Attempt {
+    /// Sends the request and handles the answer.
+    fn exchange_over(&mut self, target: &Target, mut exchange: Exchange) -> Attempt {
         if let Err(denial) = self.check_access() {
             return Attempt::Denied(denial);
         }
@@ -133,14 +138,14 @@
             return Attempt::NotPermitted;
         };
         let until = self.deadline_at;
-        let write_outcome = match self.send(target, permit, &mut upstream, until) {
+        let write_outcome = match self.send(target, permit, &mut exchange, until) {
             Ok(outcome) => outcome,
             Err(attempt) => return attempt,
         };
-        match self.read_matching_head(target, &mut upstream) {
-            Ok((head, facts)) => {
+        match self.read_own_answer(target, &mut exchange) {
+            Ok(answer) => {
                 let request_whole = write_outcome == WriteOutcome::Whole;
-                self.handle_answer(target, upstream, &head, &facts, request_whole)
+                self.handle_answer(target, exchange, &answer, request_whole)
             }
             Err(attempt) => attempt,
         }
@@ -154,10 +159,11 @@
         &mut self,
         target: &Target,
         _permit: SendPermit,
-        upstream: &mut Connection,
+        exchange: &mut Exchange,
         until: Instant,
     ) -> Result<WriteOutcome, Attempt> {
         let bytes = self.request_bytes(target);
+        let upstream = exchange.connection();
         let write_outcome = http1::write_all(upstream, &bytes, true, Some(self.caller), until);
         write_outcome.map_err(|error| match error {
             HttpError::WatchedClosed => Attempt::CallerGone,
@@ -170,48 +176,62 @@
         })
     }
 
-    /// Reads answers until one belongs to this request, and returns its head.
-    pub(super) fn read_matching_head(
+    /// Reads the heads of answers until one belongs to this attempt.
+    pub(super) fn read_own_answer(
         &mut self,
         target: &Target,
-        upstream: &mut Connection,
-    ) -> Result<(AnswerHead, AnswerMetadata), Attempt> {
+        exchange: &mut Exchange,
+    ) -> Result<OwnAnswer, Attempt> {
         for _ in 0..=MAX_STALE_ANSWERS {
-            let head = self.read_head(target, upstream)?;
-            if let Some(facts) = self.accept_head(target, &head, self.attempt_at) {
-                return Ok((head, facts));
+            let head = self.read_head(target, exchange.connection())?;
+            match self.accept_head(target, exchange, head, self.attempt_at) {
+                Ok(answer) => return Ok(answer),
+                // The own answer may follow the one to an earlier request.
+                Err(ForeignAnswer::OtherRequest(head)) => {
+                    self.skip_body(exchange.connection(), &head)?;
+                }
+                Err(ForeignAnswer::Unidentified) => return Err(Attempt::Broken),
             }
-            // An answer to an earlier request; the next one may belong to this request.
-            self.skip_body(upstream, &head)?;
         }
         Err(Attempt::Broken)
     }
 
-    /// Parses the head of an answer to the request that was sent at `sent_at`, and applies what it
-    /// shows of the upstream. `None` if the answer belongs to another request.
+    /// Identifies the head of an answer to the request that was sent at `sent_at`, and applies what
+    /// it shows of the upstream.
+    ///
+    /// # Errors
+    /// If the answer does not belong to the exchange.
     pub(super) fn accept_head(
         &self,
         target: &Target,
-        head: &AnswerHead,
+        exchange: &Exchange,
+        head: AnswerHead,
         sent_at: Instant,
-    ) -> Option<AnswerMetadata> {
+    ) -> Result<OwnAnswer, ForeignAnswer> {
         self.record_activity(target);
-        let vocabulary = &self.shared.vocabulary;
-        let facts = vocabulary.parse_answer(head.status, &head.headers, &target.id);
-        if facts.id.as_deref().is_some_and(|id| id != self.facts.id) {
-            return None;
-        }
-        self.apply_signals(target, &facts, sent_at);
-        if self.route.kind.is_stream() && !facts.not_run && target.continues.is_none() {
+        let vocabulary = &*self.shared.vocabulary;
+        let answer = exchange.own_answer(head, vocabulary, &target.id);
+        let answer = answer.inspect_err(|foreign| self.log_foreign(target, exchange, foreign))?;
+        self.apply_signals(target, &answer, sent_at);
+        if self.route.kind.is_stream() && !answer.facts().not_run && target.continues.is_none() {
             let mut first_byte_times = self.shared.first_byte_times();
             first_byte_times.observe(&self.route.name, clock::since(sent_at));
         }
-        Some(facts)
+        Ok(answer)
+    }
+
+    fn log_foreign(&self, target: &Target, exchange: &Exchange, foreign: &ForeignAnswer) {
+        log::info!(target: REQUEST_TARGET, request = self.facts.id, upstream:% = target.id,
+            offer = self.request_log.offers, connection = exchange.as_connection().local_port(),
+            earlier_requests = exchange.earlier_requests(),
+            names_other = matches!(foreign, ForeignAnswer::OtherRequest(_));
+            "an answer does not belong to the request");
     }
 
-    /// Applies the upstream's signals in an answer to this request. An answer without a request id
-    /// may belong to any request, and one of another incarnation says nothing about the target.
-    fn apply_signals(&self, target: &Target, facts: &AnswerMetadata, sent_at: Instant) {
+    /// Applies the upstream's signals in an answer to this request. One without a request id may be
+    /// of anything at the address, and one of another incarnation says nothing about the target.
+    fn apply_signals(&self, target: &Target, answer: &OwnAnswer, sent_at: Instant) {
+        let facts = answer.facts();
         if facts.is_other_incarnation || facts.id.is_none() {
             return;
         }
@@ -288,29 +308,29 @@
     pub(super) fn handle_answer(
         &mut self,
         target: &Target,
-        mut upstream: Connection,
-        head: &AnswerHead,
-        facts: &AnswerMetadata,
+        mut exchange: Exchange,
+        answer: &OwnAnswer,
         request_whole: bool,
     ) -> Attempt {
+        let (head, facts) = (answer.head(), answer.facts());
         let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
             return Attempt::Broken;
         };
         body.is_reusable &= request_whole;
         self.request_log.body_framing = Some(body.body_framing);
         let is_success = (200..300).contains(&head.status);
-        if is_success && !is_valid_success(head, facts) {
+        if is_success && !answer.is_valid_success() {
             return Attempt::Broken;
         }
         if is_success && self.route.kind.is_stream() {
-            return self.deliver_stream(AnswerSource::Upstream(target), upstream, head, body);
+            return self.deliver_stream(AnswerSource::Upstream(target), exchange, head, body);
         }
         let until = self.deadline_at;
         let Some(mut reservation) = self.reserve_answer_memory(&body) else {
             return Attempt::TimedOut;
         };
         let read = body.read_whole(
-            &mut upstream,
+            exchange.connection(),
             MAX_BUFFERED_ANSWER_BYTES,
             Some(self.caller),
             until,
@@ -319,10 +339,10 @@
             if matches!(read, Err(HttpError::WatchedClosed)) {
                 return Attempt::CallerGone;
             }
-            self.log_refusal(target, &upstream, head);
+            self.log_refusal(target, exchange.as_connection(), head);
             // The head alone says that the request has not run.
-            self.return_to_pool(target, upstream, head, &body);
-            return self.handle_refusal(target, head, facts);
+            self.return_to_pool(target, exchange, head, &body);
+            return self.handle_refusal(target, answer);
         }
         let ReadBody { bytes, end } = match read {
             Ok(read) => read,
@@ -333,7 +353,7 @@
         };
         // An answer without a length is counted at its actual length, even beyond the bound.
         reservation.resize(bytes.len());
-        self.return_to_pool(target, upstream, head, &body);
+        self.return_to_pool(target, exchange, head, &body);
         if !facts.is_sealed {
             return Attempt::Broken;
         }
@@ -376,17 +396,12 @@
     }
 
     /// Handles an answer by which the upstream has not run the request.
-    pub(super) fn handle_refusal(
-        &self,
-        target: &Target,
-        head: &AnswerHead,
-        facts: &AnswerMetadata,
-    ) -> Attempt {
-        if facts.is_other_incarnation {
+    pub(super) fn handle_refusal(&self, target: &Target, answer: &OwnAnswer) -> Attempt {
+        if answer.facts().is_other_incarnation {
             self.shared.pool.close_idle(&target.id);
             return Attempt::NotRun(Outcome::Unreachable);
         }
-        if head.status == MISDIRECTED
+        if answer.head().status == MISDIRECTED
             && let Some(model_ref) = self.model_ref()
         {
             let now = clock::now();
@@ -416,10 +431,11 @@
     fn return_to_pool(
         &self,
         target: &Target,
-        mut upstream: Connection,
+        exchange: Exchange,
         head: &AnswerHead,
         body: &BodyReader,
     ) {
+        let mut upstream = exchange.finish();
         if !body.is_reusable || !body.is_done() || !upstream.is_clean() {
             return;
         }
@@ -486,7 +502,7 @@
     pub(super) fn deliver_stream(
         &mut self,
         source: AnswerSource<'_>,
-        mut upstream: Connection,
+        mut exchange: Exchange,
         head: &AnswerHead,
         mut body: BodyReader,
     ) -> Attempt {
@@ -495,7 +511,9 @@
         let mut received = Vec::new();
         let mut events = Vec::new();
         loop {
-            let part = self.read_stream_part(source, &mut upstream, &mut body, &mut received);
+            let upstream = exchange.connection();
+            let part = self.read_stream_part(source, upstream, &mut body, &mut received);
+
             let end = match part {
                 Ok(BodyPart::Bytes) => None,
                 Ok(BodyPart::End(end)) => Some(end),
@@ -538,7 +556,7 @@
                 self.request_log.proof = proof;
                 self.request_log.end = "answered";
                 if let AnswerSource::Upstream(target) = source {
-                    self.return_to_pool(target, upstream, head, &body);
+                    self.return_to_pool(target, exchange, head, &body);
                 }
                 let can_reuse = self.delivered.chunked && !self.should_close;
                 return Attempt::Answered(connection_reuse(can_reuse));
--- a/crates/instance/src/forward/successor.rs
+++ b/crates/instance/src/forward/successor.rs
@@ -6,17 +6,16 @@
 //! that is not sent is returned, except for the grant of a limited upstream, which is therefore
 //! requested last.
 
-use super::exchange::{CONNECT_TIMEOUT, is_valid_success};
 use super::silence::MAX_OVERLAP;
 use super::via_peer::is_refusal;
 use super::{Attempt, Forwarding, MAX_OFFERS, NextHop, Target};
-use crate::http1::{self, AnswerHead, Connection, HttpError, ReadOutcome, WriteOutcome};
+use crate::http1::{self, AnswerHead, HttpError, ReadOutcome, WriteOutcome};
 use crate::metrics::PeerRequestOutcome;
 use crate::paths::{PathMonitor, PeerRequestGuard};
 use crate::successor_places::{SuccessorPlace, SuccessorPlaces};
+use crate::upstream_exchange::{Exchange, OwnAnswer};
 use passway_serving::paths::PeerOffer;
 use passway_serving::poison::RunPermission;
-use passway_serving::ports::AnswerMetadata;
 use passway_serving::upstreams::Outcome;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -25,10 +24,10 @@
 #[derive(Debug)]
 pub(super) struct SentRequest {
     recipient: Recipient,
-    pub(super) connection: Connection,
+    pub(super) exchange: Exchange,
     pub(super) sent_at: Instant,
-    /// The answer's head, once it was read.
-    answer: Option<(AnswerHead, AnswerMetadata)>,
+    /// The answer, once its head was read.
+    answer: Option<OwnAnswer>,
 }
 
 /// Why a run gets no successor.
@@ -232,7 +231,7 @@
         if learned == Some(Outcome::Failed) {
             self.handle_broken_run(&target, clock::now());
         }
-        let (connection, written) = sent?;
+        let (exchange, written) = sent?;
         self.tried.push(target.id.clone());
         Ok(SentRequest {
             recipient: Recipient::Upstream {
@@ -240,7 +239,7 @@
                 written,
                 place,
             },
-            connection,
+            exchange,
             sent_at: clock::now(),
             answer: None,
         })
@@ -250,11 +249,10 @@
     fn connect_and_send(
         &mut self,
         target: &Target,
-    ) -> Result<(Connection, WriteOutcome), NoSuccessor> {
+    ) -> Result<(Exchange, WriteOutcome), NoSuccessor> {
         let retry = self.take_retry().ok_or(NoSuccessor::NoRetry)?;
-        let connected = Connection::connect(target.address, CONNECT_TIMEOUT);
-        let Ok(mut connection) = connected else {
-            self.shared.paths.record_unreachable(&target.id);
+        // A new connection, so that the answer belongs to no other request.
+        let Ok(mut exchange) = self.connect(target) else {
             return Err(NoSuccessor::NotReached);
         };
         if self.check_access().is_err() {
@@ -265,10 +263,10 @@
         let permit = self.acquire_send_permit(&target);
         let permit = permit.ok_or(NoSuccessor::NotPermitted)?;
         let until = self.deadline_at.min(clock::now() + MAX_OVERLAP);
-        match self.send(&target, permit, &mut connection, until) {
+        match self.send(&target, permit, &mut exchange, until) {
             Ok(written) => {
                 retry.spend();
-                Ok((connection, written))
+                Ok((exchange, written))
             }
             Err(Attempt::NotSent) => Err(NoSuccessor::NotReached),
             Err(_) => {
@@ -289,9 +287,9 @@
             retry.spend();
         }
         match sent {
-            Ok(connection) => Ok(SentRequest {
+            Ok(exchange) => Ok(SentRequest {
                 recipient: Recipient::Peer { offer, guard },
-                connection,
+                exchange,
                 sent_at: clock::now(),
                 answer: None,
             }),
@@ -310,57 +308,60 @@
     /// part of its body has arrived: an upstream may send the head long before.
     pub(super) fn poll_successor(&mut self, sent: &mut SentRequest) -> SuccessorAnswer {
         if sent.answer.is_none() {
-            let head = match http1::read_answer_head(&mut sent.connection, None, clock::now()) {
+            let head = match http1::read_answer_head(sent.exchange.connection(), None, clock::now())
+            {
                 Ok(head) => head,
                 Err(HttpError::TimedOut) => return SuccessorAnswer::Pending,
                 Err(_) => return SuccessorAnswer::Unusable(UnusableAnswer::Broken),
             };
-            match self.accept_successor_head(sent, &head) {
-                Ok(facts) => sent.answer = Some((head, facts)),
+            match self.accept_successor_head(sent, head) {
+                Ok(answer) => sent.answer = Some(answer),
                 Err(reason) => return SuccessorAnswer::Unusable(reason),
             }
         }
-        if !self.route.kind.is_stream() || !sent.connection.buffered().is_empty() {
+        let connection = sent.exchange.connection();
+        if !self.route.kind.is_stream() || !connection.buffered().is_empty() {
             return SuccessorAnswer::Begun;
         }
-        match sent.connection.read_available() {
+        match connection.read_available() {
             Ok(ReadOutcome::Bytes) => SuccessorAnswer::Begun,
             Ok(ReadOutcome::Nothing) => SuccessorAnswer::Pending,
             Ok(ReadOutcome::End) | Err(_) => SuccessorAnswer::Unusable(UnusableAnswer::Broken),
         }
     }
 
-    /// Parses the head of the successor's answer.
+    /// Identifies the head of the successor's answer.
     ///
     /// # Errors
     /// Why the answer is not delivered.
     fn accept_successor_head(
         &self,
         sent: &SentRequest,
-        head: &AnswerHead,
-    ) -> Result<AnswerMetadata, UnusableAnswer> {
-        let facts = match &sent.recipient {
+        head: AnswerHead,
+    ) -> Result<OwnAnswer, UnusableAnswer> {
+        let answer = match &sent.recipient {
             Recipient::Upstream { target, .. } => {
-                let facts = self.accept_head(target, head, sent.sent_at);
-                let facts = facts.ok_or(UnusableAnswer::Broken)?;
-                if facts.not_run {
-                    let refusal = self.handle_refusal(target, head, &facts);
+                let answer = self.accept_head(target, &sent.exchange, head, sent.sent_at);
+                let answer = answer.map_err(|_| UnusableAnswer::Broken)?;
+                if answer.facts().not_run {
+                    let refusal = self.handle_refusal(target, &answer);
                     return Err(UnusableAnswer::Refused(refusal.outcome()));
                 }
-                facts
+                answer
             }
             Recipient::Peer { .. } => {
-                let vocabulary = &self.shared.vocabulary;
-                let facts = vocabulary.parse_answer(head.status, &head.headers, "");
-                if is_refusal(head, &facts) {
+                let answer = self.accept_peer_head(&sent.exchange, head);
+                let answer = answer.map_err(|_| UnusableAnswer::Broken)?;
+                if is_refusal(&answer) {
                     return Err(UnusableAnswer::Refused(Outcome::Unknown));
                 }
-                facts
+                answer
             }
         };
-        if is_valid_success(head, &facts) {
-            Ok(facts)
-        } else if facts.is_sealed && !(200..300).contains(&head.status) {
+        let is_success = (200..300).contains(&answer.head().status);
+        if answer.is_valid_success() {
+            Ok(answer)
+        } else if answer.facts().is_sealed && !is_success {
             Err(UnusableAnswer::Failed)
         } else {
             Err(UnusableAnswer::Broken)
@@ -401,7 +402,7 @@
             self.abandoned_runs += u32::from(may_have_run);
             self.tried.retain(|id| **id != *sent.name());
         }
-        drop(sent.connection);
+        drop(sent.exchange);
         match sent.recipient {
             Recipient::Upstream { target, .. } => self.record_end(&target, outcome),
             Recipient::Peer { offer, guard } => {
@@ -428,7 +429,7 @@
     pub(super) fn complete_successor(&mut self, sent: SentRequest) -> (NextHop, Attempt) {
         let SentRequest {
             recipient,
-            mut connection,
+            mut exchange,
             sent_at,
             answer,
         } = sent;
@@ -440,12 +441,12 @@
             } => {
                 drop(place);
                 let attempt = self.complete_run(&target, sent_at, |this| {
-                    let answer = answer
-                        .map_or_else(|| this.read_matching_head(&target, &mut connection), Ok);
+                    let answer =
+                        answer.map_or_else(|| this.read_own_answer(&target, &mut exchange), Ok);
                     match answer {
-                        Ok((head, facts)) => {
+                        Ok(answer) => {
                             let request_whole = written == WriteOutcome::Whole;
-                            this.handle_answer(&target, connection, &head, &facts, request_whole)
+                            this.handle_answer(&target, exchange, &answer, request_whole)
                         }
                         Err(attempt) => attempt,
                     }
@@ -454,8 +455,7 @@
             }
             Recipient::Peer { offer, guard } => {
                 let attempt = self.complete_at_peer(&offer, guard, sent_at, |this| {
-                    let answer = answer.map(|(head, _)| head);
-                    this.receive_from_peer(connection, answer)
+                    this.receive_from_peer(exchange, answer)
                 });
                 (NextHop::Peer(offer), attempt)
             }
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -5,6 +5,7 @@
 use crate::poison::{ExclusivePermit, PermitAnswer, PoisonTracker, REFUSAL_TIMEOUT};
 use crate::pool;
 use crate::relay::millis_since;
+use crate::upstream_exchange::UpstreamConnection;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::poison::{
     PartId, RequestDigest, RunDecision, RunPermission, SuspectKey, UpstreamStart,
@@ -165,6 +166,7 @@
                 // The upstream is alive, and the connection can serve the next request.
                 let idle_ttl = pool::idle_ttl(None);
                 let pool = &self.shared.pool;
+                let connection = UpstreamConnection::new(connection);
                 pool.put(&target.id, connection, idle_ttl, clock::now());
                 false
             }
--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -8,13 +8,13 @@
 
 use super::exchange::{AnswerSource, MAX_BUFFERED_ANSWER_BYTES};
 use super::{Attempt, FailedAnswer, Forwarding, Origin, request_hash};
-use crate::http1::{self, AnswerHead, BodyReader, Connection, HttpError, ReadBody, encode_head};
+use crate::http1::{self, AnswerHead, BodyReader, HttpError, ReadBody, encode_head};
 use crate::metrics::PeerRequestOutcome;
 use crate::paths::{PathMonitor, PeerRequestGuard};
 use crate::relay::millis;
+use crate::upstream_exchange::{Exchange, ForeignAnswer, OwnAnswer};
 use passway_serving::headers::Headers;
 use passway_serving::paths::PeerOffer;
-use passway_serving::ports::AnswerMetadata;
 use passway_serving::upstreams::Outcome;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -64,7 +64,7 @@
         let guard = PathMonitor::count_passed_on(self.shared, &peer.instance);
         self.complete_at_peer(peer, guard, clock::now(), |this| {
             match this.send_to_peer(peer, this.runs) {
-                Ok(connection) => this.receive_from_peer(connection, None),
+                Ok(exchange) => this.receive_from_peer(exchange, None),
                 Err(attempt) => attempt,
             }
         })
@@ -102,18 +102,19 @@
         &mut self,
         peer: &PeerOffer,
         runs: u32,
-    ) -> Result<Connection, Attempt> {
+    ) -> Result<Exchange, Attempt> {
         if let Err(denial) = self.check_access() {
             return Err(Attempt::Denied(denial));
         }
-        let Ok(mut connection) = Connection::connect(peer.address, CONNECT_TIMEOUT) else {
+        let connected = Exchange::connect(peer.address, CONNECT_TIMEOUT, &self.facts.id);
+        let Ok(mut exchange) = connected else {
             return Err(Attempt::NotSent);
         };
         let bytes = self.bytes_for_peer(runs).ok_or(Attempt::NotSent)?;
         let until = self.deadline_at;
         let caller = Some(&mut *self.caller);
-        match http1::write_all(&mut connection, &bytes, true, caller, until) {
-            Ok(_) => Ok(connection),
+        match http1::write_all(exchange.connection(), &bytes, true, caller, until) {
+            Ok(_) => Ok(exchange),
             Err(HttpError::WatchedClosed) => Err(Attempt::CallerGone),
             Err(HttpError::TimedOut) => Err(Attempt::TimedOut),
             Err(HttpError::Stopping) => Err(Attempt::Stopping),
@@ -122,24 +123,38 @@
         }
     }
 
-    /// Receives the answer of another instance and delivers it. `head` is its head, if that was read
+    /// Receives the answer of another instance and delivers it. `answer` is given if its head was read
     /// before.
     pub(super) fn receive_from_peer(
         &mut self,
-        mut connection: Connection,
-        head: Option<AnswerHead>,
+        mut exchange: Exchange,
+        answer: Option<OwnAnswer>,
     ) -> Attempt {
         let until = self.deadline_at + LAST_ANSWER_DELAY;
-        let head = head.map_or_else(
-            || http1::read_answer_head(&mut connection, Some(self.caller), until),
-            Ok,
-        );
-        match head {
-            Ok(head) => self.handle_peer_answer(connection, &head),
+        if let Some(answer) = answer {
+            return self.handle_peer_answer(exchange, &answer);
+        }
+        let connection = exchange.connection();
+        let head = http1::read_answer_head(connection, Some(self.caller), until);
+        match head.map(|head| self.accept_peer_head(&exchange, head)) {
+            Ok(Ok(answer)) => self.handle_peer_answer(exchange, &answer),
+            Ok(Err(_)) => Attempt::Broken,
             Err(error) => failed_read(&error),
         }
     }
 
+    /// Identifies the head of another instance's answer.
+    ///
+    /// # Errors
+    /// If the answer does not belong to the exchange.
+    pub(super) fn accept_peer_head(
+        &self,
+        exchange: &Exchange,
+        head: AnswerHead,
+    ) -> Result<OwnAnswer, ForeignAnswer> {
+        exchange.own_answer(head, &*self.shared.vocabulary, "")
+    }
+
     /// The announcement and the request as the caller sent it; `None` if they cannot be encoded.
     fn bytes_for_peer(&self, runs: u32) -> Option<Vec<u8>> {
         let table = self.shared.routes.load();
@@ -172,23 +187,23 @@
         Some(bytes)
     }
 
-    fn handle_peer_answer(&mut self, mut connection: Connection, head: &AnswerHead) -> Attempt {
-        let vocabulary = &self.shared.vocabulary;
-        let facts = vocabulary.parse_answer(head.status, &head.headers, "");
+    fn handle_peer_answer(&mut self, mut exchange: Exchange, answer: &OwnAnswer) -> Attempt {
+        let (head, facts) = (answer.head(), answer.facts());
         let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
             return Attempt::Broken;
         };
         self.request_log.body_framing = Some(body.body_framing);
         let is_success = (200..300).contains(&head.status);
         if facts.is_sealed && is_success && self.route.kind.is_stream() {
-            return self.deliver_stream(AnswerSource::Peer, connection, head, body);
+            return self.deliver_stream(AnswerSource::Peer, exchange, head, body);
         }
         let until = self.deadline_at + LAST_ANSWER_DELAY;
         let Some(mut reservation) = self.reserve_answer_memory(&body) else {
             return Attempt::TimedOut;
         };
         let caller = Some(&mut *self.caller);
-        let read = body.read_whole(&mut connection, MAX_BUFFERED_ANSWER_BYTES, caller, until);
+        let connection = exchange.connection();
+        let read = body.read_whole(connection, MAX_BUFFERED_ANSWER_BYTES, caller, until);
         let ReadBody { bytes, end } = match read {
             Ok(read) => read,
             Err(error) => return failed_read(&error),
@@ -227,9 +242,10 @@
 }
 
 /// Whether an answer of another instance says that the request has not run and never will.
-pub(super) fn is_refusal(head: &AnswerHead, facts: &AnswerMetadata) -> bool {
-    let is_refusal = (400..500).contains(&head.status) || NOT_RUN_STATUSES.contains(&head.status);
-    is_refusal && !facts.is_sealed
+pub(super) fn is_refusal(answer: &OwnAnswer) -> bool {
+    let status = answer.head().status;
+    let is_refusal = (400..500).contains(&status) || NOT_RUN_STATUSES.contains(&status);
+    is_refusal && !answer.facts().is_sealed
 }
 
 /// The outcome of an attempt whose answer could not be read. The request may have run.
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -67,5 +67,6 @@
 pub mod subscribers;
 pub mod successor_places;
 pub mod updates;
+pub mod upstream_exchange;
 
 pub use lifecycle::{Instance, Surroundings};
--- a/crates/instance/src/pool.rs
+++ b/crates/instance/src/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections to upstreams, kept between requests.
 
-use crate::http1::Connection;
+use crate::upstream_exchange::{Exchange, UpstreamConnection};
 use passway_types::prelude::*;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -20,7 +20,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    connection: Connection,
+    connection: UpstreamConnection,
     since: Instant,
     until: Instant,
 }
@@ -45,15 +45,18 @@
         self.sweep_at = Some(now + SWEEP_INTERVAL);
     }
 
-    /// Removes the most recently used connection to an upstream.
-    fn pop(&mut self, id: &UpstreamId) -> Option<IdleConnection> {
-        let connections = self.by_upstream.get_mut(id)?;
-        let last = connections.pop();
+    /// Removes the most recently used connection to an upstream that can carry a request with this
+    /// id.
+    fn pop(&mut self, upstream: &UpstreamId, request: &str) -> Option<IdleConnection> {
+        let connections = self.by_upstream.get_mut(upstream)?;
+        let can_carry = |idle: &IdleConnection| idle.connection.can_carry(request);
+        let found = connections.iter().rposition(can_carry)?;
+        let popped = connections.remove(found);
         if connections.is_empty() {
-            self.by_upstream.remove(id);
+            self.by_upstream.remove(upstream);
         }
-        self.count -= usize::from(last.is_some());
-        last
+        self.count -= 1;
+        Some(popped)
     }
 }
 
@@ -75,19 +78,35 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a clean connection that has been idle for at most `max_idle`.
-    pub fn take(&self, id: &UpstreamId, max_idle: Duration, now: Instant) -> Option<Connection> {
+    /// Begins the exchange of a request with this id over a clean connection that has been idle for
+    /// at most `max_idle`.
+    pub fn begin_exchange(
+        &self,
+        upstream: &UpstreamId,
+        request: &str,
+        max_idle: Duration,
+        now: Instant,
+    ) -> Option<Exchange> {
         let mut idle = self.lock_idle();
-        while let Some(mut entry) = idle.pop(id) {
+        while let Some(mut entry) = idle.pop(upstream, request) {
             if now < entry.until && now < entry.since + max_idle && entry.connection.is_clean() {
-                return Some(entry.connection);
+                return entry.connection.begin(request);
             }
         }
         None
     }
 
-    /// Keeps a connection for another request, or closes it if the pool is full.
-    pub fn put(&self, id: &UpstreamId, connection: Connection, idle_ttl: Duration, now: Instant) {
+    /// Keeps a connection for another request, or closes it if it is used up or the pool is full.
+    pub fn put(
+        &self,
+        id: &UpstreamId,
+        connection: UpstreamConnection,
+        idle_ttl: Duration,
+        now: Instant,
+    ) {
+        if connection.is_used_up() {
+            return;
+        }
         let mut idle = self.lock_idle();
         let is_due = idle.sweep_at.is_none_or(|at| now >= at);
         if is_due || idle.count >= MAX_IDLE {
--- a/tests/all/idle_connections.rs
+++ b/tests/all/idle_connections.rs
@@ -3,6 +3,7 @@
 
 use passway_instance::http1::Connection;
 use passway_instance::pool::{ConnectionPool, MAX_IDLE};
+use passway_instance::upstream_exchange::{MAX_REQUESTS_PER_CONNECTION, UpstreamConnection};
 use passway_types::prelude::*;
 use std::net::{TcpListener, TcpStream};
 
@@ -32,6 +33,7 @@
         let connection = Connection::connect(address, IDLE_TTL).expect("connecting");
         self.peer_ends
             .push(self.listener.accept().expect("accepting").0);
+        let connection = UpstreamConnection::new(connection);
         self.pool.put(&id(upstream), connection, IDLE_TTL, now);
     }
 
@@ -69,7 +71,7 @@
     assert!(
         connections
             .pool
-            .take(&id(upstreams), IDLE_TTL, now)
+            .begin_exchange(&id(upstreams), "request", IDLE_TTL, now)
             .is_some()
     );
 }
@@ -84,3 +86,25 @@
     connections.put(PER_UPSTREAM, now + 2 * IDLE_TTL);
     assert_eq!(connections.open_count(), 1);
 }
+
+/// Guards against a second attempt of a request on a connection that may still bring a copy of the
+/// answer to the first. Requests without an id need a connection that has carried nothing.
+#[test]
+fn each_id_once() {
+    let mut connections = PoolWithPeers::new();
+    let now = Instant::now();
+    connections.put(0, now);
+    let begin = |request: &str| {
+        let pool = &connections.pool;
+        let exchange = pool.begin_exchange(&id(0), request, IDLE_TTL, now);
+        exchange.map(|exchange| pool.put(&id(0), exchange.finish(), IDLE_TTL, now))
+    };
+    assert!(begin("0").is_some());
+    for refused in ["0", ""] {
+        assert!(begin(refused).is_none(), "{refused:?}");
+    }
+    for number in 1..MAX_REQUESTS_PER_CONNECTION {
+        assert!(begin(&number.to_string()).is_some(), "{number}");
+    }
+    assert!(begin("last").is_none());
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -107,6 +107,7 @@
 mod store_returns;
 mod stream_resume;
 mod support;
+mod surplus_answers;
 mod term_begin;
 mod test_planner;
 mod unanswered_watches;
