--- a/tests/all/surplus_answers.rs
+++ b/tests/all/surplus_answers.rs
@@ -2,10 +2,13 @@
 
 use crate::cluster::{self, Answer, fetch, list_plain, request, until};
 use passway_instance::Instance;
+use passway_serving::ports::{EngineOrder, Engines, OrderAction, OrderAnswer};
+use passway_serving::upstreams::ModelRef;
 use passway_standins::platform::model_server::{EVENTS, event};
 use passway_standins::platform::raw::{RawServer, Received, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
+use passway_users_platform::ServerControl;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
@@ -187,3 +190,63 @@
     assert_eq!(site.call("pay", "second", "x").status, 502);
     assert_eq!(site.runs("second"), 1);
 }
+
+/// A server that sends each answer once more in the place of the next one on the connection. The
+/// reports number themselves, orders are taken and refused in turn, and the server has another id for
+/// each question.
+fn repeating_engine() -> RawServer {
+    let owed: Mutex<BTreeMap<usize, Vec<u8>>> = Mutex::default();
+    RawServer::start(move |received| {
+        let number = received.number;
+        let status = match received.request_line() {
+            line if line.starts_with("POST /order ") => 202 + 207 * (number % 2),
+            _ => 200,
+        };
+        let body = format!(r#"{{"models": [], "sequence": {number}}}"#);
+        let length = body.len();
+        let answer = format!(
+            "HTTP/1.1 {status} X\r\nInstance-Id: i-{number}\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+        .into_bytes();
+        let mut owed = owed.lock().expect("locking the copies");
+        let copy = owed.insert(received.connection, answer.clone());
+        let copy = copy.map(Step::Send);
+        copy.into_iter()
+            .chain([Step::Pause(WORK), Step::Send(answer)])
+            .collect()
+    })
+}
+
+/// Guards against the copy of an earlier report, health check or answer to an order that counts as the
+/// answer to a later one: a start that has ended would count as running.
+#[test]
+fn control_copies_answer_nothing() {
+    let server = repeating_engine();
+    let control = ServerControl::default();
+    let order = EngineOrder {
+        action: OrderAction::Load,
+        model_ref: ModelRef {
+            model: "m0".into(),
+            adapter: None,
+        },
+        expected_orders: 0,
+        upstream: "i-0".into(),
+        holder: "one".into(),
+        fence: 1,
+    };
+    for round in 0..3 {
+        let number = 3 * round;
+        let report = control.report(&"i-0".into(), server.address).answer;
+        let orders_taken = report.expect("a report").orders_taken;
+        assert_eq!(orders_taken, number, "of a report");
+        let id = control.identify(server.address, Some("/health"));
+        assert_eq!(id.as_deref(), Some(&*format!("i-{}", number + 1)));
+        let answer = control.order(server.address, &order).answer;
+        let expected = if round % 2 == 0 {
+            OrderAnswer::Taken
+        } else {
+            OrderAnswer::Conflict
+        };
+        assert_eq!(answer, expected, "to an order");
+    }
+}
