Bytes that are no answer hold up no attempt: refusals by their heads, silences by whole events

What callers would have seen from an upstream in trouble: 504 at the deadline instead of another upstream's answer, where it sends a refusal's body, another's answer or bytes that are no event without an end, a few at a time.

Cause: the body of a refusal, and an answer to another request, were read to their end before the next attempt. Any byte of a stream ended its silence, and counted as activity of its upstream, so that it got no successor.

Change: the body of a refusal is read for 250 ms and 64 kB at most (its head says all), another's answer for 250 ms if the request may run again. A SilenceClock begins anew with a head or a whole event only. A stream that repeats more events than were delivered breaks off; empty lines outside an event are delivered and count as nothing.

Why it works: nothing that is waited for depends any more on when bytes that are no answer end; what is sound sends heads and events whole.

Tests: endless_bytes::refusal_bodies and resumable_streams.

--- a/crates/instance/src/events.rs
+++ b/crates/instance/src/events.rs
@@ -12,6 +12,8 @@
     TooLarge,
     /// An event of a continued run is not the one after the last delivered event.
     OutOfSequence,
+    /// More events than were delivered have ids that were delivered before.
+    Repeated,
 }
 
 /// Splits a stream into complete events.
@@ -22,10 +24,14 @@
     last_id_text: Option<String>,
     /// Number of delivered events.
     delivered: u64,
+    /// Number of events of this attempt, since the last delivered one, whose ids were delivered before.
+    repeated: u64,
     /// Whether the ids of delivered events are not consecutive numbers from 0 or 1.
     has_gap: bool,
     /// Whether the last delivered event had no id.
     ends_without_id: bool,
+    /// Why the stream cannot be split further, once the events before that were moved.
+    failure: Option<InvalidEvent>,
     /// Whether each further event must be the one after the last.
     must_be_consecutive: bool,
 }
@@ -60,11 +66,15 @@
     ///
     /// # Errors
     /// If an incomplete event exceeds the bound; nothing more is buffered then. If an event of a
-    /// continued run is missing.
+    /// continued run is missing. If the stream repeats more events than were delivered. Events before
+    /// the failure are moved first, and the next call fails.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<u32, InvalidEvent> {
         if self.partial.len() > MAX_PARTIAL_BYTES {
             return Err(InvalidEvent::TooLarge);
         }
+        if let Some(failure) = self.failure {
+            return Err(failure);
+        }
         self.partial.extend_from_slice(bytes);
         let mut consumed = 0;
         let mut moved = 0;
@@ -76,15 +86,25 @@
             if let (Some(number), Some(last)) = (number, self.last_id)
                 && number <= last
             {
+                self.repeated += 1;
+                if self.repeated > self.delivered {
+                    return self.fail(InvalidEvent::Repeated, moved);
+                }
+                continue;
+            }
+            if event.iter().all(|byte| matches!(byte, b'\r' | b'\n')) {
+                // An empty line outside an event says nothing.
+                out.extend_from_slice(event);
                 continue;
             }
             if id_text.is_some() && !self.is_next(number) {
                 if self.must_be_consecutive {
-                    return Err(InvalidEvent::OutOfSequence);
+                    return self.fail(InvalidEvent::OutOfSequence, moved);
                 }
                 self.has_gap = true;
             }
             self.delivered += 1;
+            self.repeated = 0;
             self.ends_without_id = id_text.is_none();
             if id_text.is_some() {
                 self.last_id = number;
@@ -97,6 +117,13 @@
         Ok(moved)
     }
 
+    /// Fails at once, or with the next call if events were moved before.
+    fn fail(&mut self, failure: InvalidEvent, moved: u32) -> Result<u32, InvalidEvent> {
+        self.partial.clear();
+        self.failure = Some(failure);
+        if moved == 0 { Err(failure) } else { Ok(moved) }
+    }
+
     /// Whether an event with this number follows the last delivered one. Streams number their events
     /// from 0 or 1.
     fn is_next(&self, number: Option<u64>) -> bool {
@@ -133,6 +160,13 @@
         self.partial.len()
     }
 
+    /// Begins with the stream of another attempt.
+    pub fn begin_attempt(&mut self) {
+        self.partial.clear();
+        self.failure = None;
+        self.repeated = 0;
+    }
+
     /// Drops an incomplete event of a stream that broke off.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -5,6 +5,7 @@
 //! delivered, so that another upstream can resume after the last of them.
 
 use super::send_permit::SendPermit;
+use super::silence::SilenceClock;
 use super::{
     Attempt, ConnectionReuse, FailedAnswer, Forwarding, NOT_TAKEN, Target, connection_reuse,
 };
@@ -35,6 +36,8 @@
 const MAX_IDLE_REPEATABLE: Duration = Duration::from_mins(10);
 /// Largest answer that is buffered whole.
 pub(super) const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
+/// Largest body of a refusal that is read.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// A caller that reads nothing of its answer for this long is given up. Slightly shorter than the
 /// user timeout of the connection itself.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_millis(3_500);
@@ -42,6 +45,9 @@
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Answers to earlier requests that are skipped before a connection is given up.
 const MAX_STALE_ANSWERS: usize = 2;
+/// Longest time for which the body of a refusal, or of an answer to another request, is read so that
+/// the connection can be used further. The bodies are short and arrive with their heads.
+const SKIPPED_BODY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Status of an upstream that does not have the model of the request (RFC 9110: Misdirected
 /// Request).
 const MISDIRECTED: u16 = 421;
@@ -251,9 +257,9 @@
         target: &Target,
         upstream: &mut Connection,
     ) -> Result<AnswerHead, Attempt> {
-        let mut silent_checks = 0;
+        let mut silence = SilenceClock::start();
         loop {
-            let until = self.next_silence_check_at(silent_checks);
+            let until = self.next_silence_check_at(&silence);
             match http1::read_answer_head(upstream, Some(self.caller), until) {
                 Ok(head) => return Ok(head),
                 Err(HttpError::WatchedClosed) => return Err(Attempt::CallerGone),
@@ -263,7 +269,7 @@
                 }
                 Err(HttpError::TimedOut) => {
                     let source = AnswerSource::Upstream(target);
-                    self.handle_silence(source, upstream, &mut silent_checks)?;
+                    self.handle_silence(source, upstream, &mut silence)?;
                 }
                 Err(error) => return Err(self.broken(&error)),
             }
@@ -285,12 +291,17 @@
         Attempt::Broken
     }
 
-    /// Reads and drops the body of an answer to another request.
+    /// Reads and drops the body of an answer to another request. A request that may run again does not
+    /// wait long for its end.
     fn skip_body(&mut self, upstream: &mut Connection, head: &AnswerHead) -> Result<(), Attempt> {
         let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
             return Err(Attempt::Broken);
         };
-        let until = self.deadline_at;
+        let until = if self.route.kind.can_run_again() {
+            self.deadline_at.min(clock::now() + SKIPPED_BODY_TIMEOUT)
+        } else {
+            self.deadline_at
+        };
         match body.read_whole(
             upstream,
             MAX_BUFFERED_ANSWER_BYTES,
@@ -325,6 +336,10 @@
         if is_success && self.route.kind.is_stream() {
             return self.deliver_stream(AnswerSource::Upstream(target), exchange, head, body);
         }
+        if facts.not_run {
+            self.log_refusal(target, exchange.as_connection(), head);
+            return self.finish_refusal(target, exchange, answer, body);
+        }
         let until = self.deadline_at;
         let Some(mut reservation) = self.reserve_answer_memory(&body) else {
             return Attempt::TimedOut;
@@ -335,15 +350,6 @@
             Some(self.caller),
             until,
         );
-        if facts.not_run {
-            if matches!(read, Err(HttpError::WatchedClosed)) {
-                return Attempt::CallerGone;
-            }
-            self.log_refusal(target, exchange.as_connection(), head);
-            // The head alone says that the request has not run.
-            self.return_to_pool(target, exchange, head, &body);
-            return self.handle_refusal(target, answer);
-        }
         let ReadBody { bytes, end } = match read {
             Ok(read) => read,
             Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
@@ -370,6 +376,25 @@
         }))
     }
 
+    /// Reads the body of a refusal if it comes soon, so that the connection can be used further. The head
+    /// alone says that the request has not run.
+    fn finish_refusal(
+        &mut self,
+        target: &Target,
+        mut exchange: Exchange,
+        answer: &OwnAnswer,
+        mut body: BodyReader,
+    ) -> Attempt {
+        let until = self.deadline_at.min(clock::now() + SKIPPED_BODY_TIMEOUT);
+        let caller = Some(&mut *self.caller);
+        let read = body.read_whole(exchange.connection(), MAX_REFUSAL_BYTES, caller, until);
+        if matches!(read, Err(HttpError::WatchedClosed)) {
+            return Attempt::CallerGone;
+        }
+        self.return_to_pool(target, exchange, answer.head(), &body);
+        self.handle_refusal(target, answer)
+    }
+
     /// Logs an answer by which the upstream has not run the request. Two refusals of one request on the
     /// same connection, of which the second comes faster than a round trip, are copies of each other.
     fn log_refusal(&self, target: &Target, upstream: &Connection, head: &AnswerHead) {
@@ -508,26 +533,29 @@
     ) -> Attempt {
         let mut opening = self.stream_opening(head);
         self.stream_timing.begin_attempt();
+        self.delivered.splitter.begin_attempt();
         let mut received = Vec::new();
         let mut events = Vec::new();
+        let mut silence = SilenceClock::start();
         loop {
             let upstream = exchange.connection();
-            let part = self.read_stream_part(source, upstream, &mut body, &mut received);
-
+            let part =
+                self.read_stream_part(source, upstream, &mut body, &mut received, &mut silence);
             let end = match part {
                 Ok(BodyPart::Bytes) => None,
                 Ok(BodyPart::End(end)) => Some(end),
                 Err(attempt) => return attempt,
             };
-            if let AnswerSource::Upstream(target) = source {
-                self.record_activity(target);
-            }
             events.clear();
             let Ok(event_count) = self.delivered.splitter.push(&received, &mut events) else {
                 self.delivered.splitter.drop_partial();
                 return Attempt::Broken;
             };
             if event_count > 0 {
+                silence = SilenceClock::start();
+                if let AnswerSource::Upstream(target) = source {
+                    self.record_activity(target);
+                }
                 self.drop_overtaken_successor();
             }
             self.record_events(source, event_count);
@@ -605,12 +633,12 @@
         upstream: &mut Connection,
         body: &mut BodyReader,
         received: &mut Vec<u8>,
+        silence: &mut SilenceClock,
     ) -> Result<BodyPart, Attempt> {
-        let mut silent_checks = 0;
         loop {
             received.clear();
             let until = match source {
-                AnswerSource::Upstream(_) => self.next_silence_check_at(silent_checks),
+                AnswerSource::Upstream(_) => self.next_silence_check_at(silence),
                 // The other instance moves the stream if its upstream falls silent.
                 AnswerSource::Peer => self.deadline_at,
             };
@@ -622,7 +650,7 @@
                     return Err(Attempt::TimedOut);
                 }
                 Err(HttpError::TimedOut) => {
-                    let handled = self.handle_silence(source, upstream, &mut silent_checks);
+                    let handled = self.handle_silence(source, upstream, silence);
                     if let Err(attempt) = handled {
                         self.delivered.splitter.drop_partial();
                         return Err(attempt);
--- a/crates/instance/src/forward/silence.rs
+++ b/crates/instance/src/forward/silence.rs
@@ -66,11 +66,30 @@
     }
 }
 
+/// How long a run has brought nothing of its answer. Bytes of a head or an event count only once it is
+/// whole: an upstream in trouble may send bytes without an end.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SilenceClock {
+    /// When the run began to be read, brought a whole event, or was last checked.
+    since: Instant,
+    /// Checks since the last event that found the upstream silent.
+    silent_checks: u32,
+}
+
+impl SilenceClock {
+    /// Begins with a head or a whole event, or with the first read.
+    pub(super) fn start() -> Self {
+        Self {
+            since: clock::now(),
+            silent_checks: 0,
+        }
+    }
+}
+
 impl Forwarding<'_> {
-    /// Until when to wait before the next check whether the upstream is silent, after `silent_checks`
-    /// have found it so since its last byte. Only a stream that may get a successor is checked; any
-    /// other request ends by its own deadline.
-    pub(super) fn next_silence_check_at(&self, silent_checks: u32) -> Instant {
+    /// Until when to wait before the next check whether the upstream is silent. Only a stream that may
+    /// get a successor is checked; any other request ends by its own deadline.
+    pub(super) fn next_silence_check_at(&self, silence: &SilenceClock) -> Instant {
         if let Some(sent) = &self.successor {
             return self.overlap_until(sent);
         }
@@ -78,17 +97,17 @@
         if !is_resumable || !self.may_have_successor() {
             return self.deadline_at;
         }
-        let silence = Duration::from_millis(self.route.gap_target_ms * SILENCE_GAP_MULTIPLE);
-        let wait = if silent_checks == 0 {
-            silence.max(MIN_SILENCE)
+        let usual = Duration::from_millis(self.route.gap_target_ms * SILENCE_GAP_MULTIPLE);
+        let wait = if silence.silent_checks == 0 {
+            usual.max(MIN_SILENCE)
         } else {
             CHECK_INTERVAL
         };
-        self.deadline_at.min(clock::now() + wait)
+        self.deadline_at.min(silence.since + wait)
     }
 
     /// Handles a silence of the run in progress, whose answer comes from `source` over `first`.
-    /// `silent_checks` counts the checks since the last byte that found the upstream silent.
+    /// The next check is due an interval later.
     ///
     /// # Errors
     /// The outcome of the run, if it has broken off or was given up for its successor.
@@ -96,7 +115,19 @@
         &mut self,
         source: AnswerSource<'_>,
         first: &mut Connection,
-        silent_checks: &mut u32,
+        silence: &mut SilenceClock,
+    ) -> Result<(), Attempt> {
+        let handled = self.check_run(source, first, silence);
+        silence.since = clock::now();
+        handled
+    }
+
+    /// Checks whether the upstream is silent, and if so, sends a successor and waits for either.
+    fn check_run(
+        &mut self,
+        source: AnswerSource<'_>,
+        first: &mut Connection,
+        silence: &mut SilenceClock,
     ) -> Result<(), Attempt> {
         let AnswerSource::Upstream(target) = source else {
             // The other instance handles the silence of its upstream.
@@ -110,9 +141,9 @@
             self.drop_overtaken_successor();
             return Ok(());
         }
-        let may_choose_silent = *silent_checks >= CHECKS_BEFORE_SILENT_UPSTREAMS;
+        let may_choose_silent = silence.silent_checks >= CHECKS_BEFORE_SILENT_UPSTREAMS;
         let sent = self.check_silence(target).and_then(|()| {
-            *silent_checks += 1;
+            silence.silent_checks += 1;
             self.send_successor(may_choose_silent)
         });
         let (outcome, next, end) = match sent {
--- a/tests/all/endless_bytes.rs
+++ b/tests/all/endless_bytes.rs
@@ -6,11 +6,12 @@
 //! twice.
 
 use crate::cluster::{self, Answer, fetch, list_plain, until};
-use crate::silent_cluster::closed_at;
+use crate::silent_cluster::{SilentStream, closed_at, resumed_stream, runs};
 use passway_instance::Instance;
 use passway_serving::ports::{EngineOrder, Engines, OrderAction, OrderAnswer};
 use passway_serving::upstreams::ModelRef;
 use passway_standins::platform::caller::HOST;
+use passway_standins::platform::model_server::{EVENTS, event};
 use passway_standins::platform::plain_server::{PlainAnswer, start_plain};
 use passway_standins::platform::raw::{RawServer, Received, Step};
 use passway_standins::platform::store::MetadataStandIn;
@@ -91,6 +92,13 @@
         "x",
     ),
 ];
+/// The body of a refusal, whose head says that the request has not run.
+const REFUSAL: Endless = endless(
+    "a refusal",
+    "HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n\r\n",
+    "x",
+);
+
 impl Endless {
     fn steps(self, id: &str, is_fast: bool) -> Vec<Step> {
         let begin = self.begin.replace("ID", id).into_bytes();
@@ -218,6 +226,77 @@
     );
 }
 
+/// A refusal counts by its head, and the request goes to another server at once.
+#[test]
+fn refusal_bodies() {
+    for_all(&[REFUSAL], |endless, is_fast, case| {
+        for route in ["pay", "read"] {
+            let site = PlainSite::start(endless, is_fast);
+            let (answer, at_sound) = site.call(route, case);
+            let seen = (answer.status, &*answer.body, at_sound);
+            assert_eq!(seen, (200, "r", 1), "{case}, {route}");
+        }
+    });
+}
+
+/// The head of a stream and two events, followed by bytes that are no new event.
+const IN_STREAMS: [Endless; 3] = [
+    endless("an event", "", "x"),
+    endless("old events", "", "id: 1\ndata: piece1\n\n"),
+    endless("empty lines", "", "\n"),
+];
+
+fn stream_steps(endless: Endless, received: &Received, is_fast: bool) -> Vec<Step> {
+    let mut steps = endless.answer(received, is_fast);
+    let id = received.header("request-id").unwrap_or_default();
+    let events: String = (1..=2).map(event).collect();
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n{events}");
+    steps[1] = Step::Send(head.into_bytes());
+    steps
+}
+
+/// Streams that another engine can resume go on there, however the first one's bytes go on.
+#[test]
+fn resumable_streams() {
+    let check = |endless: Endless, is_fast: bool, case: &str, is_begun: bool| {
+        let mut stream = SilentStream::start_scripted(move |received, _| {
+            if is_begun {
+                stream_steps(endless, received, is_fast)
+            } else {
+                endless.answer(received, is_fast)
+            }
+        });
+        let second = stream.add_engine("i-1", resumed_stream);
+        let answer = stream.end();
+        let expected: String = (1..=EVENTS).map(event).collect();
+        // Empty lines between events say nothing.
+        let events: Vec<&str> = answer
+            .body
+            .split('\n')
+            .filter(|line| !line.is_empty())
+            .collect();
+        let expected: Vec<&str> = expected
+            .split('\n')
+            .filter(|line| !line.is_empty())
+            .collect();
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{case}");
+        assert_eq!(events, expected, "{case}");
+        assert_eq!(runs(&second).len(), 1, "{case}");
+        stream.first_closed_at();
+        assert_bounded(&stream.first, 1, case);
+    };
+    for_all(&IN_HEADS, |endless, is_fast, case| {
+        check(endless, is_fast, case, false);
+    });
+    for_all(&[REFUSAL, IN_BODIES[5]], |endless, is_fast, case| {
+        check(endless, is_fast, case, false);
+    });
+    for_all(&IN_STREAMS[..2], |endless, is_fast, case| {
+        check(endless, is_fast, case, true);
+    });
+    check(IN_STREAMS[2], false, "empty lines, slow", true);
+}
+
 /// Reports, health checks and orders end in their time without an answer; an order that was sent counts
 /// as one that may have been taken.
 #[test]
