Each status query of a controller goes over a connection of its own

What callers saw: nothing was reported. A controller could take an old status of an engine for the answer to a later query, and plan by what the engine held before.

Change: the HTTP client of the product's own protocol keeps no connections, and has no way to ask for that any more: orders, lists and calls of routers kept none before.

Why it works: on a connection with one question every answer is to it.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -142,7 +142,7 @@
     pub fn new(order_timeout: Duration, status_timeout: Duration) -> Self {
         Self {
             orders: Client::new(order_timeout),
-            statuses: Client::with_keep_alive(status_timeout),
+            statuses: Client::new(status_timeout),
         }
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -12,9 +12,6 @@
 /// Maximum size of an answer of an upstream that is buffered whole.
 pub const MAX_ANSWER_BYTES: u64 = 10 << 20;
 
-/// Maximum number of idle connections of a client with keep-alive.
-const MAX_IDLE_CONNECTIONS: usize = 16;
-
 /// Why a call has no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallError {
@@ -35,25 +32,18 @@
     pub body: Vec<u8>,
 }
 
-/// An HTTP client with its own connection pool.
+/// An HTTP client whose connections carry one request each: answers do not name their requests, and a
+/// server may send a second copy of an answer in the place of the next one.
 #[derive(Debug)]
 pub struct Client {
     agent: Agent,
 }
 
 impl Client {
-    /// Creates a client without keep-alive whose calls take at most `timeout`.
+    /// Creates a client whose calls take at most `timeout`.
     pub fn new(timeout: Duration) -> Self {
         Self {
-            agent: agent(Some(timeout), 0),
-        }
-    }
-
-    /// Creates a client with keep-alive whose calls take at most `timeout`. It is meant for
-    /// queries, which can be repeated when a response is lost.
-    pub fn with_keep_alive(timeout: Duration) -> Self {
-        Self {
-            agent: agent(Some(timeout), MAX_IDLE_CONNECTIONS),
+            agent: agent(Some(timeout)),
         }
     }
 
@@ -99,18 +89,16 @@
 }
 
 /// Creates an agent without proxy and redirects that returns responses with error statuses as
-/// responses.
-///
-/// Callers that must know whether a request was sent pass 0 for `max_idle`: if the peer has just
-/// closed an idle connection, the failure of a request on it looks the same as a lost response.
-pub fn agent(timeout: Option<Duration>, max_idle: usize) -> Agent {
+/// responses, and keeps no connections: if the peer has just closed an idle one, the failure of a
+/// request on it looks the same as a lost response.
+pub fn agent(timeout: Option<Duration>) -> Agent {
     let config = Agent::config_builder()
         .timeout_global(timeout)
         .http_status_as_error(false)
         .allow_non_standard_methods(true)
         .max_redirects(0)
-        .max_idle_connections(max_idle)
-        .max_idle_connections_per_host(max_idle)
+        .max_idle_connections(0)
+        .max_idle_connections_per_host(0)
         .proxy(None);
     config.build().new_agent()
 }
--- a/crates/router/src/generate.rs
+++ b/crates/router/src/generate.rs
@@ -226,7 +226,7 @@
         let Ok(request) = request else {
             return Attempt::Ended(AttemptOutcome::Failed);
         };
-        let agent = agent(None, 0);
+        let agent = agent(None);
         let configured = agent
             .configure_request(request)
             .timeout_connect(Some(time_left))
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -200,7 +200,7 @@
     let request = request
         .body(call.body.as_slice())
         .map_err(|_| CallError::NotSent)?;
-    let mut response = agent(Some(time_left), 0)
+    let mut response = agent(Some(time_left))
         .run(request)
         .map_err(|error| classify(&error))?;
     let content_type = response
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -122,7 +122,7 @@
     let expected: String = (0..call.tokens)
         .map(|position| token_text(prompt_hash(&body), position))
         .collect();
-    let response = agent(Some(call.deadline + ANSWER_TIMEOUT_MARGIN), 0)
+    let response = agent(Some(call.deadline + ANSWER_TIMEOUT_MARGIN))
         .post(format!("http://{}/v1/chat/completions", call.router))
         .header("content-type", "application/json")
         .header("x-passway-workspace", &call.workspace)
--- a/tests/all/surplus_answers.rs
+++ b/tests/all/surplus_answers.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::{self, Answer, fetch, list_plain, request, until};
 use passway_instance::Instance;
+use passway_platform::engine::{EngineControl, HttpEngineControl};
 use passway_serving::ports::{EngineOrder, Engines, OrderAction, OrderAnswer};
 use passway_serving::upstreams::ModelRef;
 use passway_standins::platform::model_server::{EVENTS, event};
@@ -14,6 +15,8 @@
 
 /// Time that a server works on a request, in which a copy that was sent before arrives alone.
 const WORK: Duration = Duration::from_millis(30);
+/// Longest time for a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Requests of each kind.
 const REQUESTS: usize = 6;
 
@@ -202,7 +205,10 @@
             line if line.starts_with("POST /order ") => 202 + 207 * (number % 2),
             _ => 200,
         };
-        let body = format!(r#"{{"models": [], "sequence": {number}}}"#);
+        let body = format!(
+            r#"{{"models": [], "sequence": {number}, "boot": {number}, "loaded": [], "cached": [],
+                "leaving": false}}"#
+        );
         let length = body.len();
         let answer = format!(
             "HTTP/1.1 {status} X\r\nInstance-Id: i-{number}\r\nContent-Length: {length}\r\n\r\n{body}"
@@ -250,3 +256,15 @@
         assert_eq!(answer, expected, "to an order");
     }
 }
+
+/// The same for the status of an engine of the product's own protocol: a controller would plan by what
+/// the engine held before.
+#[test]
+fn status_copy_answers_nothing() {
+    let server = repeating_engine();
+    let control = HttpEngineControl::new(CALL_TIMEOUT, CALL_TIMEOUT);
+    for number in 0..3 {
+        let status = control.status(server.address).expect("a status");
+        assert_eq!(status.boot, number);
+    }
+}
