--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -169,7 +169,7 @@
         until: Instant,
     ) -> Result<WriteOutcome, Attempt> {
         let bytes = self.request_bytes(target);
-        let upstream = exchange.connection();
+        let upstream = exchange.connection_mut();
         let write_outcome = http1::write_all(upstream, &bytes, true, Some(self.caller), until);
         write_outcome.map_err(|error| match error {
             HttpError::WatchedClosed => Attempt::CallerGone,
@@ -189,12 +189,12 @@
         exchange: &mut Exchange,
     ) -> Result<OwnAnswer, Attempt> {
         for _ in 0..=MAX_STALE_ANSWERS {
-            let head = self.read_head(target, exchange.connection())?;
+            let head = self.read_head(target, exchange.connection_mut())?;
             match self.accept_head(target, exchange, head, self.attempt_at) {
                 Ok(answer) => return Ok(answer),
                 // The own answer may follow the one to an earlier request.
                 Err(ForeignAnswer::OtherRequest(head)) => {
-                    self.skip_body(exchange.connection(), &head)?;
+                    self.skip_body(exchange.connection_mut(), &head)?;
                 }
                 Err(ForeignAnswer::Unidentified) => return Err(Attempt::Broken),
             }
@@ -228,7 +228,7 @@
 
     fn log_foreign(&self, target: &Target, exchange: &Exchange, foreign: &ForeignAnswer) {
         log::info!(target: REQUEST_TARGET, request = self.facts.id, upstream:% = target.id,
-            offer = self.request_log.offers, connection = exchange.as_connection().local_port(),
+            offer = self.request_log.offers, connection = exchange.connection().local_port(),
             earlier_requests = exchange.earlier_requests(),
             names_other = matches!(foreign, ForeignAnswer::OtherRequest(_));
             "an answer does not belong to the request");
@@ -337,7 +337,7 @@
             return self.deliver_stream(AnswerSource::Upstream(target), exchange, head, body);
         }
         if facts.not_run {
-            self.log_refusal(target, exchange.as_connection(), head);
+            self.log_refusal(target, exchange.connection(), head);
             return self.finish_refusal(target, exchange, answer, body);
         }
         let until = self.deadline_at;
@@ -345,7 +345,7 @@
             return Attempt::TimedOut;
         };
         let read = body.read_whole(
-            exchange.connection(),
+            exchange.connection_mut(),
             MAX_BUFFERED_ANSWER_BYTES,
             Some(self.caller),
             until,
@@ -387,7 +387,7 @@
     ) -> Attempt {
         let until = self.deadline_at.min(clock::now() + SKIPPED_BODY_TIMEOUT);
         let caller = Some(&mut *self.caller);
-        let read = body.read_whole(exchange.connection(), MAX_REFUSAL_BYTES, caller, until);
+        let read = body.read_whole(exchange.connection_mut(), MAX_REFUSAL_BYTES, caller, until);
         if matches!(read, Err(HttpError::WatchedClosed)) {
             return Attempt::CallerGone;
         }
@@ -538,7 +538,7 @@
         let mut events = Vec::new();
         let mut silence = SilenceClock::start();
         loop {
-            let upstream = exchange.connection();
+            let upstream = exchange.connection_mut();
             let part =
                 self.read_stream_part(source, upstream, &mut body, &mut received, &mut silence);
             let end = match part {
--- a/crates/instance/src/forward/silence.rs
+++ b/crates/instance/src/forward/silence.rs
@@ -202,7 +202,7 @@
     ) -> (OverlapEnd, Result<(), Attempt>) {
         let until = self.overlap_until(&sent);
         loop {
-            let connections = [&*first, sent.exchange.as_connection()];
+            let connections = [&*first, sent.exchange.connection()];
             let ready = http1::wait_for_either(connections, self.caller, until);
             let [is_first_ready, is_successor_ready] = match ready {
                 Ok(ready) => ready,
--- a/crates/instance/src/forward/successor.rs
+++ b/crates/instance/src/forward/successor.rs
@@ -308,18 +308,18 @@
     /// part of its body has arrived: an upstream may send the head long before.
     pub(super) fn poll_successor(&mut self, sent: &mut SentRequest) -> SuccessorAnswer {
         if sent.answer.is_none() {
-            let head = match http1::read_answer_head(sent.exchange.connection(), None, clock::now())
-            {
-                Ok(head) => head,
-                Err(HttpError::TimedOut) => return SuccessorAnswer::Pending,
-                Err(_) => return SuccessorAnswer::Unusable(UnusableAnswer::Broken),
-            };
+            let head =
+                match http1::read_answer_head(sent.exchange.connection_mut(), None, clock::now()) {
+                    Ok(head) => head,
+                    Err(HttpError::TimedOut) => return SuccessorAnswer::Pending,
+                    Err(_) => return SuccessorAnswer::Unusable(UnusableAnswer::Broken),
+                };
             match self.accept_successor_head(sent, head) {
                 Ok(answer) => sent.answer = Some(answer),
                 Err(reason) => return SuccessorAnswer::Unusable(reason),
             }
         }
-        let connection = sent.exchange.connection();
+        let connection = sent.exchange.connection_mut();
         if !self.route.kind.is_stream() || !connection.buffered().is_empty() {
             return SuccessorAnswer::Begun;
         }
--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -113,7 +113,7 @@
         let bytes = self.bytes_for_peer(runs).ok_or(Attempt::NotSent)?;
         let until = self.deadline_at;
         let caller = Some(&mut *self.caller);
-        match http1::write_all(exchange.connection(), &bytes, true, caller, until) {
+        match http1::write_all(exchange.connection_mut(), &bytes, true, caller, until) {
             Ok(_) => Ok(exchange),
             Err(HttpError::WatchedClosed) => Err(Attempt::CallerGone),
             Err(HttpError::TimedOut) => Err(Attempt::TimedOut),
@@ -134,7 +134,7 @@
         if let Some(answer) = answer {
             return self.handle_peer_answer(exchange, &answer);
         }
-        let connection = exchange.connection();
+        let connection = exchange.connection_mut();
         let head = http1::read_answer_head(connection, Some(self.caller), until);
         match head.map(|head| self.accept_peer_head(&exchange, head)) {
             Ok(Ok(answer)) => self.handle_peer_answer(exchange, &answer),
@@ -202,7 +202,7 @@
             return Attempt::TimedOut;
         };
         let caller = Some(&mut *self.caller);
-        let connection = exchange.connection();
+        let connection = exchange.connection_mut();
         let read = body.read_whole(connection, MAX_BUFFERED_ANSWER_BYTES, caller, until);
         let ReadBody { bytes, end } = match read {
             Ok(read) => read,
--- a/crates/instance/src/upstream_exchange.rs
+++ b/crates/instance/src/upstream_exchange.rs
@@ -111,12 +111,12 @@
     }
 
     /// The connection, to send the request and to read the answer's bytes.
-    pub fn connection(&mut self) -> &mut Connection {
+    pub fn connection_mut(&mut self) -> &mut Connection {
         &mut self.connection
     }
 
     /// The connection, to wait for bytes.
-    pub fn as_connection(&self) -> &Connection {
+    pub fn connection(&self) -> &Connection {
         &self.connection
     }
 
