--- a/tests/all/endless_bytes.rs
+++ b/tests/all/endless_bytes.rs
@@ -7,9 +7,9 @@
 
 use crate::cluster::{self, Answer, fetch, list_plain, until};
 use crate::silent_cluster::{SilentStream, closed_at, resumed_stream, runs};
+use crate::surplus_answers::load_order;
 use passway_instance::Instance;
-use passway_serving::ports::{EngineOrder, Engines, OrderAction, OrderAnswer};
-use passway_serving::upstreams::ModelRef;
+use passway_serving::ports::{Engines, OrderAnswer};
 use passway_standins::platform::caller::HOST;
 use passway_standins::platform::model_server::{EVENTS, event};
 use passway_standins::platform::plain_server::{PlainAnswer, start_plain};
@@ -25,8 +25,7 @@
 /// Bytes that a fast upstream sends at a time.
 const FAST_BYTES: usize = 8 << 10;
 /// Most bytes that a fast upstream can send over a connection: what is read of an answer at most, 1 MiB
-/// in chunks of a byte, and the
-/// buffers of both sockets.
+/// in chunks of one byte, and the buffers of both sockets.
 const MAX_SENT_BYTES: usize = 16 << 20;
 /// Cases that run beside each other.
 const CASES_AT_ONCE: usize = 4;
@@ -146,8 +145,8 @@
         }
     }
 
-    /// The answer to a request that the troubled server gets first, the time that it took, and how
-    /// often the request reached the sound server, which is listed meanwhile.
+    /// The answer to a request that the troubled server gets first, and how often the request reached
+    /// the sound server, which is listed meanwhile.
     fn call(&self, route: &str, case: &str) -> (Answer, usize) {
         let address = self.instance.callers_address();
         let deadline_ms = DEADLINE.as_millis();
@@ -301,17 +300,7 @@
 /// as one that may have been taken.
 #[test]
 fn control_calls() {
-    let order = EngineOrder {
-        action: OrderAction::Load,
-        model_ref: ModelRef {
-            model: "m0".into(),
-            adapter: None,
-        },
-        expected_orders: 0,
-        upstream: "i-0".into(),
-        holder: "one".into(),
-        fence: 1,
-    };
+    let order = load_order();
     let kinds = [&IN_HEADS[..], &IN_BODIES[..5]].concat();
     for_all(&kinds, |endless, is_fast, case| {
         let server = RawServer::start(move |_| endless.steps("r", is_fast).split_off(1));
--- a/tests/all/surplus_answers.rs
+++ b/tests/all/surplus_answers.rs
@@ -223,13 +223,9 @@
     })
 }
 
-/// Guards against the copy of an earlier report, health check or answer to an order that counts as the
-/// answer to a later one: a start that has ended would count as running.
-#[test]
-fn control_copies_answer_nothing() {
-    let server = repeating_engine();
-    let control = ServerControl::default();
-    let order = EngineOrder {
+/// An order to load a model.
+pub fn load_order() -> EngineOrder {
+    EngineOrder {
         action: OrderAction::Load,
         model_ref: ModelRef {
             model: "m0".into(),
@@ -239,7 +235,16 @@
         upstream: "i-0".into(),
         holder: "one".into(),
         fence: 1,
-    };
+    }
+}
+
+/// Guards against the copy of an earlier report, health check or answer to an order that counts as the
+/// answer to a later one: a start that has ended would count as running.
+#[test]
+fn control_copies_answer_nothing() {
+    let server = repeating_engine();
+    let control = ServerControl::default();
+    let order = load_order();
     for round in 0..3 {
         let number = 3 * round;
         let report = control.report(&"i-0".into(), server.address).answer;
