--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -47,6 +47,7 @@
             on_disk: Vec::new(),
             heartbeat: 1,
             started_at_ms: 0,
+            software: "v1".into(),
         };
         upstreams.update(entry, now);
     }
@@ -156,6 +157,7 @@
             on_disk: Vec::new(),
             heartbeat: 1,
             started_at_ms: 0,
+            software: "v1".into(),
         };
         table.update(entry, now);
     }
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -10,6 +10,7 @@
 //!   `suspect` tracks whether the request crashes
 //!   its upstreams. `limits` requests grants at limited upstreams. `send_permit` is the last
 //!   check before a request is sent.
+//! * `resumption` handles streams that go on after events were delivered.
 //! * `backup` names an engine that keeps a copy of a run, and continues the run there if it breaks off.
 //! * `via_peer` passes a request on to another instance while this one is cut off from the
 //!   upstreams.
@@ -26,6 +27,7 @@
 mod exchange;
 mod limits;
 mod refusal;
+mod resumption;
 mod retries;
 mod send_permit;
 mod silence;
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::ContinuedRun;
 use passway_serving::upstreams::Outcome;
+use passway_serving::versions::SoftwareVersion;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -55,6 +56,8 @@
     pub(super) splitter: EventSplitter,
     /// The last event that the caller had received when another instance passed the request on.
     pub(super) resume_after: Option<String>,
+    /// The software version of the last run that brought events to this instance.
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 impl Delivery {
@@ -73,6 +76,8 @@
     /// When the upstream had started at the time of the choice, in Unix milliseconds by its own
     /// clock; 0 if it does not report its start.
     pub(super) started_at_ms: u64,
+    /// The software version of that start; `None` if the upstream was no longer listed.
+    pub(super) software: Option<SoftwareVersion>,
     /// Whether the coordinator, or the local share, has granted the request at this limited
     /// upstream.
     pub(super) has_limit_grant: bool,
--- a/crates/instance/src/forward/backup.rs
+++ b/crates/instance/src/forward/backup.rs
@@ -16,6 +16,7 @@
 use passway_serving::ports::ContinuedRun;
 use passway_serving::routes::{EnginePool, RequestKind};
 use passway_serving::upstreams::{RequestNeeds, UpstreamTable};
+use passway_serving::versions::SoftwareVersion;
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -32,13 +33,17 @@
     /// When the engine had started at the time of the choice, in Unix milliseconds by its own clock.
     /// A later start has no copy.
     pub(super) started_at_ms: u64,
+    /// The software version of that start.
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 impl BackupEngine {
     fn find(upstreams: &UpstreamTable, id: &UpstreamId) -> Option<Self> {
+        let start = upstreams.listed_start(id);
         Some(Self {
             address: upstreams.address_of(id)?,
-            started_at_ms: upstreams.started_at_ms(id),
+            started_at_ms: start.started_at_ms,
+            software: start.software,
             id: id.clone(),
         })
     }
@@ -176,6 +181,7 @@
             id: backup.id,
             address: backup.address,
             started_at_ms: backup.started_at_ms,
+            software: backup.software,
             has_limit_grant: false,
             run_id: None,
             backup: None,
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -169,6 +169,7 @@
         until: Instant,
     ) -> Result<WriteOutcome, Attempt> {
         let bytes = self.request_bytes(target);
+        self.log_resumption(target);
         let upstream = exchange.connection_mut();
         let write_outcome = http1::write_all(upstream, &bytes, true, Some(self.caller), until);
         write_outcome.map_err(|error| match error {
@@ -597,6 +598,11 @@
         let progress = self
             .stream_timing
             .record_events(event_count, self.attempt_at, clock::now());
+        if event_count > 0
+            && let AnswerSource::Upstream(target) = source
+        {
+            self.delivered.software.clone_from(&target.software);
+        }
         if event_count > 0
             && let AnswerSource::Upstream(target) = source
             && let Some(run_id) = target.run_id
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -264,15 +264,19 @@
         if let Some(answer) = answer {
             let backup = answer.backup.and_then(|id| self.granted_backup(&id));
             return match answer.choice {
-                Choice::Send { id, address } => Ok(Target {
-                    started_at_ms: self.shared.upstreams().started_at_ms(&id),
-                    id,
-                    address,
-                    has_limit_grant: false,
-                    run_id: answer.run_id,
-                    backup,
-                    continues: None,
-                }),
+                Choice::Send { id, address } => {
+                    let start = self.shared.upstreams().listed_start(&id);
+                    Ok(Target {
+                        started_at_ms: start.started_at_ms,
+                        software: start.software,
+                        id,
+                        address,
+                        has_limit_grant: false,
+                        run_id: answer.run_id,
+                        backup,
+                        continues: None,
+                    })
+                }
                 choice => Err(NoTarget {
                     choice,
                     too_late: answer.too_late,
@@ -286,17 +290,21 @@
         };
         let is_eligible = |id: &UpstreamId| !excluded.contains(id);
         match upstreams.choose_by(wanted, is_eligible, None, now) {
-            Choice::Send { id, address } => Ok(Target {
-                run_id: self
-                    .model_ref()
-                    .and_then(|_| dispatch.record_direct_run(&id)),
-                started_at_ms: upstreams.started_at_ms(&id),
-                backup: self.choose_backup(&upstreams, &id, excluded, now),
-                continues: None,
-                id,
-                address,
-                has_limit_grant: false,
-            }),
+            Choice::Send { id, address } => {
+                let start = upstreams.listed_start(&id);
+                Ok(Target {
+                    run_id: self
+                        .model_ref()
+                        .and_then(|_| dispatch.record_direct_run(&id)),
+                    started_at_ms: start.started_at_ms,
+                    software: start.software,
+                    backup: self.choose_backup(&upstreams, &id, excluded, now),
+                    continues: None,
+                    id,
+                    address,
+                    has_limit_grant: false,
+                })
+            }
             choice => Err(NoTarget {
                 choice,
                 too_late: None,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`routes`]: the operators' routes and services, and the route of each request.
 //! * [`upstreams`]: what upstreams report, what this instance has observed of them, and which one
 //!   a request goes to.
+//! * [`versions`]: versions of upstreams' software.
 //! * [`paths`]: whether this instance reaches upstreams at all, and which instance takes its
 //!   requests if not.
 //! * [`store_outages`]: when an upstream whose entry is missing counts as removed.
@@ -49,4 +50,5 @@
 pub mod signals;
 pub mod store_outages;
 pub mod upstreams;
+pub mod versions;
 pub mod workspaces;
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::halls::{AllowedRegions, HallRegions, Halls};
 use crate::limits::ObservedLimit;
 use crate::placement::{PlacementDigest, digest};
+use crate::versions::SoftwareVersion;
 pub use choice::{Choice, HallEngine, RequestNeeds, lateness_cost};
 use leaving::LeavingStarts;
 use passway_types::prelude::*;
@@ -53,6 +54,17 @@
     /// When the upstream started, in Unix milliseconds by its own clock; 0 if not reported. An
     /// upstream may start again under its id and then has nothing of its earlier state.
     pub started_at_ms: u64,
+    /// The version of the upstream's software. It belongs to this start.
+    pub software: SoftwareVersion,
+}
+
+/// A start of an upstream, as its entry reports it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedStart {
+    /// When the upstream started, in Unix milliseconds by its own clock; 0 if not reported.
+    pub started_at_ms: u64,
+    /// The version of its software; `None` if the upstream is not listed.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// What a request needs on an engine.
@@ -273,6 +285,15 @@
         upstream.map_or(0, |upstream| upstream.entry.started_at_ms)
     }
 
+    /// The latest start of an upstream.
+    pub fn listed_start(&self, id: &str) -> ListedStart {
+        let upstream = self.upstreams.get(id);
+        ListedStart {
+            started_at_ms: upstream.map_or(0, |upstream| upstream.entry.started_at_ms),
+            software: upstream.map(|upstream| upstream.entry.software.clone()),
+        }
+    }
+
     /// The service that an upstream reports to belong to.
     pub fn service_of(&self, id: &str) -> Option<&ServiceName> {
         let upstream = self.upstreams.get(id)?;
--- a/crates/standins/src/fleet_model/engine.rs
+++ b/crates/standins/src/fleet_model/engine.rs
@@ -111,6 +111,7 @@
             on_disk: self.disk.iter().cloned().collect(),
             heartbeat: self.heartbeat,
             started_at_ms: 0,
+            software: "v1".into(),
         }
     }
 
--- a/tests/all/cold_upstreams.rs
+++ b/tests/all/cold_upstreams.rs
@@ -27,6 +27,7 @@
         on_disk: Vec::new(),
         heartbeat,
         started_at_ms: 0,
+        software: "v1".into(),
     }
 }
 
--- a/tests/all/dispatch_load.rs
+++ b/tests/all/dispatch_load.rs
@@ -66,6 +66,7 @@
         on_disk: Vec::new(),
         heartbeat: 1,
         started_at_ms: 0,
+        software: "v1".into(),
     }
 }
 
--- a/tests/all/late_models.rs
+++ b/tests/all/late_models.rs
@@ -70,6 +70,7 @@
         on_disk: vec!["m1".into()],
         heartbeat: 1,
         started_at_ms: 1,
+        software: "v1".into(),
     };
     table.update(entry, Instant::now());
     assert!(table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY));
--- a/tests/all/placement_faults/engine.rs
+++ b/tests/all/placement_faults/engine.rs
@@ -272,6 +272,7 @@
             on_disk: self.state.on_disk.iter().cloned().collect(),
             heartbeat: self.heartbeat,
             started_at_ms: self.state.started_at_ms,
+            software: "v1".into(),
         };
         self.sent_entries.push(entry.clone());
         entry
--- a/tests/all/run_backups.rs
+++ b/tests/all/run_backups.rs
@@ -497,6 +497,7 @@
         on_disk: Vec::new(),
         heartbeat: 1,
         started_at_ms: 0,
+        software: "v1".into(),
     }
 }
 
--- a/tests/all/test_planner.rs
+++ b/tests/all/test_planner.rs
@@ -47,6 +47,7 @@
         on_disk: Vec::new(),
         heartbeat,
         started_at_ms: 0,
+        software: "v1".into(),
     }
 }
 
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -26,6 +26,7 @@
         on_disk: Vec::new(),
         heartbeat,
         started_at_ms: 0,
+        software: "v1".into(),
     }
 }
 
--- a/tests/all/wait_forecast.rs
+++ b/tests/all/wait_forecast.rs
@@ -46,6 +46,7 @@
             on_disk: Vec::new(),
             heartbeat: 1,
             started_at_ms: 0,
+            software: "v1".into(),
         };
         table.update(entry, now);
     }
--- a/tests/all/workspace_shares.rs
+++ b/tests/all/workspace_shares.rs
@@ -105,6 +105,7 @@
         on_disk: Vec::new(),
         heartbeat: 1,
         started_at_ms: 0,
+        software: "v1".into(),
     }
 }
 
