--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -14,6 +14,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 5;
+/// The software version of a server that is started without another one.
+pub const FIRST_SOFTWARE: &str = "v1";
 
 /// Faults that the server injects.
 #[derive(Debug, Clone, Default)]
@@ -127,6 +129,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// The version of the server's software; a restart may change it.
+    software: String,
     models: Vec<(String, Vec<String>)>,
     on_disk: Vec<String>,
     orders: Vec<AcceptedOrder>,
@@ -225,6 +229,7 @@
             on_disk,
         } = models;
         let state = State {
+            software: FIRST_SOFTWARE.to_owned(),
             models: models
                 .iter()
                 .map(|model| ((*model).to_owned(), Vec::new()))
@@ -269,11 +274,29 @@
         self.state().faults = faults;
     }
 
+    /// Starts a server with another software version, which marks its events.
+    pub fn start_with_software(
+        store: &MetadataStandIn,
+        id: &str,
+        software: &str,
+        models: InitialModels<'_>,
+    ) -> Self {
+        let server = Self::start_behind(store, id, "engines", models, |address| address);
+        server.set_software(software);
+        server
+    }
+
+    /// Replaces the server's software version and publishes its entry.
+    pub fn set_software(&self, software: &str) {
+        software.clone_into(&mut self.state().software);
+        self.publish_entry("ready");
+    }
+
     /// Writes the server's entry with this state to the store.
     pub fn publish_entry(&self, server_state: &str) {
         let state = self.state();
         let entry = json!({"service": self.service, "address": self.address.to_string(),
-            "zone": "hall0", "version": "v1", "slots": 8, "state": server_state, "cold_left_ms": 0,
+            "zone": "hall0", "version": state.software, "slots": 8, "state": server_state, "cold_left_ms": 0,
             "models": models(&state), "sequence": 1, "born": started_at_ms(&state),
             "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
         drop(state);
@@ -548,6 +571,7 @@
         let silent_after = state.faults.silent_after_events.take();
         let pause_after = state.faults.pause_after_events.take();
         let event_delay = state.faults.event_delay;
+        let software = state.software.clone();
         drop(state);
         let resumed_from = received
             .header("last-event-id")
@@ -584,7 +608,7 @@
             if !event_delay.is_zero() {
                 steps.push(Step::Pause(event_delay));
             }
-            let event = event(number);
+            let event = event_of(number, &software);
             let bytes = if is_unframed {
                 event
             } else {
@@ -624,9 +648,21 @@
     ids.any(|(id, _)| crashing.iter().any(|crashing| crashing == id))
 }
 
-/// Returns the bytes of one event of a stream.
+/// Returns the bytes of one event of a server's stream.
 pub fn event(number: u64) -> String {
-    format!("id: {number}\ndata: token{number}\n\n")
+    event_of(number, FIRST_SOFTWARE)
+}
+
+/// Returns the bytes of one event of a server with this software version.
+pub fn event_of(number: u64, software: &str) -> String {
+    format!("id: {number}\ndata: token{number} {software}\n\n")
+}
+
+/// Returns the software versions that wrote the events of a stream, in the order of the events.
+pub fn writers(events: &str) -> Vec<String> {
+    let data = events.lines().filter(|line| line.starts_with("data: "));
+    let writers = data.filter_map(|line| line.rsplit(' ').next());
+    writers.map(str::to_owned).collect()
 }
 
 /// Returns the header lines that announce the server's limit and that it is leaving.
--- /dev/null
+++ b/tests/all/software_versions.rs
@@ -0,0 +1,197 @@
+//! What two software versions of an engine write does not fit together: a stream goes on only at the
+//! version that began it, and does go on while that version serves.
+
+use crate::cluster::{self, Answer, Caller, fetch, request, until};
+use passway_instance::Instance;
+use passway_standins::platform::model_server::{
+    EVENTS, Faults, InitialModels, ModelServer, writers,
+};
+use passway_standins::platform::store::MetadataStandIn;
+use passway_types::prelude::*;
+use std::collections::BTreeSet;
+use std::io::Read;
+
+/// Streams that each test breaks off and takes up again.
+const STREAMS: usize = 12;
+/// Within this time a stream that cannot go on is refused.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(700);
+
+/// An engine with the model `m0` and this software version.
+fn engine(store: &MetadataStandIn, id: &str, software: &str) -> ModelServer {
+    let models = InitialModels {
+        capacity: 1,
+        loaded: &["m0"],
+        on_disk: &[],
+    };
+    ModelServer::start_with_software(store, id, software, models)
+}
+
+/// Makes engines send their streams slowly, so that callers can leave in the middle.
+fn slow_down(engines: &[&ModelServer]) {
+    for engine in engines {
+        engine.set_faults(Faults {
+            event_delay: Duration::from_millis(40),
+            ..Faults::default()
+        });
+    }
+}
+
+/// Requests a stream with further headers.
+fn send(instance: &Instance, id: &str, more: &str) -> Answer {
+    let headers = format!("Model: m0\r\n{more}");
+    let bytes = request("POST", "/chat/", id, &headers, id);
+    fetch(instance.callers_address(), &bytes).expect("an answer")
+}
+
+/// A stream that broke off at its caller after two events.
+struct BrokenStream {
+    /// The id of the attempt that began it.
+    id: String,
+    /// The version that wrote its events.
+    software: String,
+}
+
+impl BrokenStream {
+    /// Requests a stream and breaks the connection off after two events.
+    fn begin(instance: &Instance, id: &str) -> Self {
+        let mut caller = Caller::connect(instance.callers_address());
+        caller.send(&request("POST", "/chat/", id, "Model: m0\r\n", id));
+        let mut received = String::new();
+        let mut chunk = [0; 1_024];
+        while writers(&received).len() < 2 {
+            let count = caller.stream.read(&mut chunk).expect("events");
+            assert!(count > 0, "a stream that goes on: {received}");
+            received.push_str(&String::from_utf8_lossy(&chunk[..count]));
+        }
+        let software = writers(&received).swap_remove(0);
+        Self {
+            id: id.to_owned(),
+            software,
+        }
+    }
+
+    fn begin_many(instance: &Instance) -> Vec<Self> {
+        let streams = (0..STREAMS).map(|number| Self::begin(instance, &format!("begun-{number}")));
+        streams.collect()
+    }
+
+    /// Takes the stream up as its caller would.
+    fn take_up(&self, instance: &Instance) -> Answer {
+        let headers = format!("Last-Event-Id: 2\r\nResumes: {}\r\n", self.id);
+        send(instance, &format!("{}-again", self.id), &headers)
+    }
+
+    /// Whether the answer is the whole rest of the stream.
+    ///
+    /// # Panics
+    /// If another version wrote it.
+    fn goes_on_with(&self, rest: &Answer) -> bool {
+        let written = writers(&rest.body);
+        let is_joined = written.iter().any(|software| *software != self.software);
+        assert!(
+            !is_joined,
+            "began at {}, goes on at {written:?}",
+            self.software
+        );
+        rest.status == 200 && rest.is_complete && written.len() as u64 == EVENTS - 2
+    }
+}
+
+/// The versions that wrote the events of an answer.
+fn versions(answer: &Answer) -> BTreeSet<String> {
+    writers(&answer.body).into_iter().collect()
+}
+
+/// An instance continued a broken stream itself, at an engine of another software version.
+#[test]
+fn one_answer_one_version() {
+    let store = cluster::store(&["m0"]);
+    let old = engine(&store, "i-0", "v1");
+    let _new = engine(&store, "i-1", "v2");
+    let instance = cluster::start_ready("one", &store);
+    until("a repeat to spend", || instance.has_spare_retry("engines"));
+    for number in 0..STREAMS {
+        old.set_faults(Faults {
+            cut_after_events: Some(2),
+            ..Faults::default()
+        });
+        let answer = send(&instance, &format!("c{number}"), "");
+        assert_eq!(answer.status, 200);
+        assert_eq!(versions(&answer).len(), 1, "{}", answer.body);
+    }
+}
+
+/// A caller whose stream had broken off got the rest from the version that had replaced the first one.
+#[test]
+fn version_gone_refused() {
+    let store = cluster::store(&["m0"]);
+    let old = engine(&store, "i-0", "v1");
+    let instance = cluster::start_ready("one", &store);
+    slow_down(&[&old]);
+    let streams = BrokenStream::begin_many(&instance);
+    let _new = engine(&store, "i-1", "v2");
+    old.publish_entry("draining");
+    until("the new version serves", || {
+        versions(&send(&instance, "probe", "")) == BTreeSet::from(["v2".to_owned()])
+    });
+    for stream in &streams {
+        let began_at = Instant::now();
+        let rest = stream.take_up(&instance);
+        assert!(!stream.goes_on_with(&rest));
+        assert_eq!(rest.status, 503);
+        assert!(began_at.elapsed() < REFUSAL_LIMIT);
+    }
+}
+
+/// All instances lost their memory while two versions served; callers that came back got the rest of
+/// their streams from either.
+#[test]
+fn goes_on_at_its_version_after_restarts() {
+    let store = cluster::store(&["m0"]);
+    let old = engine(&store, "i-0", "v1");
+    let new = engine(&store, "i-1", "v2");
+    let first = cluster::start_ready("one", &store);
+    slow_down(&[&old, &new]);
+    let streams = BrokenStream::begin_many(&first);
+    let begun_at: BTreeSet<&str> = streams.iter().map(|stream| &*stream.software).collect();
+    assert_eq!(begun_at.len(), 2, "both versions begin streams");
+    // An instance that has just started knows as little as one that was killed.
+    let second = cluster::start_ready("two", &store);
+    let went_on = streams.iter().filter(|stream| {
+        let rest = stream.take_up(&second);
+        stream.goes_on_with(&rest)
+    });
+    assert_eq!(went_on.count(), STREAMS);
+}
+
+/// A stream of which no instance knows who began it went on at any version.
+#[test]
+fn unknown_refused_at_once() {
+    let store = cluster::store(&["m0"]);
+    let _old = engine(&store, "i-0", "v1");
+    let _new = engine(&store, "i-1", "v2");
+    let instance = cluster::start_ready("one", &store);
+    for resumes in ["Resumes: never-seen\r\n", ""] {
+        let began_at = Instant::now();
+        let headers = format!("Last-Event-Id: 2\r\n{resumes}");
+        let answer = send(&instance, "c1", &headers);
+        assert_eq!(answer.status, 503, "{}", answer.body);
+        assert!(began_at.elapsed() < REFUSAL_LIMIT);
+    }
+}
+
+/// One version alone serves: a caller that comes back is served by any instance.
+#[test]
+fn one_version_goes_on() {
+    let store = cluster::store(&["m0"]);
+    let only = engine(&store, "i-0", "v1");
+    let first = cluster::start_ready("one", &store);
+    slow_down(&[&only]);
+    let streams = BrokenStream::begin_many(&first);
+    let second = cluster::start_ready("two", &store);
+    let went_on = streams.iter().filter(|stream| {
+        let rest = stream.take_up(&second);
+        stream.goes_on_with(&rest)
+    });
+    assert_eq!(went_on.count(), STREAMS);
+}
