--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -26,6 +26,7 @@
 use passway_serving::halls::AllowedRegions;
 use passway_serving::leadership::Candidate;
 use passway_serving::upstreams::{Choice, ModelRef, Outcome, RequestNeeds};
+use passway_serving::versions::SoftwareVersion;
 use passway_serving::workspaces::Workspace;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -118,6 +119,8 @@
     pub wants_backup: bool,
     /// The regions in which the request may be served.
     pub allowed_regions: &'a AllowedRegions,
+    /// The only software version at which the request may run, if it goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 /// Client and server of the dispatch protocol.
@@ -218,8 +221,14 @@
             // A caller that returns must reach the dispatcher that refused it.
             random: query.fingerprint.unwrap_or(query.random),
         };
-        let mut engines = shared.upstreams().shuffled_engines(wanted, now);
-        engines.retain(|id| !tried.contains(id));
+        let upstreams = shared.upstreams();
+        let mut engines = upstreams.shuffled_engines(wanted, now);
+        let fits = |id: &UpstreamId| {
+            let software = query.software;
+            software.is_none() || upstreams.listed_start(id).software.as_ref() == software
+        };
+        engines.retain(|id| !tried.contains(id) && fits(id));
+        drop(upstreams);
         let mut request = messages::encode_query(query, &shared.settings.hall, now);
         let mut queried = Vec::new();
         let mut choice = Choice::Absent;
--- a/crates/instance/src/dispatch/server.rs
+++ b/crates/instance/src/dispatch/server.rs
@@ -88,6 +88,19 @@
     }
 }
 
+/// The engines that a request does not go to: those that the query names, and those of other software
+/// versions than the one that it requires.
+fn excluded_engines(upstreams: &UpstreamTable, query: &DispatchRequest) -> Vec<String> {
+    let mut excluded = query.tried_engines.clone();
+    if !query.software.is_empty() {
+        let others = upstreams.entries().filter(|entry| {
+            *entry.service == *query.service && entry.software.name() != query.software
+        });
+        excluded.extend(others.map(|entry| entry.id.to_string()));
+    }
+    excluded
+}
+
 impl Dispatch {
     /// Answers a query as the dispatcher.
     pub(super) fn answer_query(
@@ -97,6 +110,7 @@
         query: &DispatchRequest,
     ) -> DispatchReply {
         let now = clock::now();
+        let tried = excluded_engines(&shared.upstreams(), query);
         let model_ref = model_ref_of(query);
         let allowed = allowed_regions_of(query);
         let (service, hall) = (query.service.as_str().into(), query.hall.as_str().into());
@@ -113,7 +127,7 @@
                 random: query.random,
             },
             model_ref: &model_ref,
-            tried: &query.tried_engines,
+            tried: &tried,
             due_at: messages::instant_from_due_ms(query.due_in_ms, now),
             wait_until: messages::instant_after_ms(query.wait_limit_ms, now),
             is_urgent: query.is_urgent,
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -139,11 +139,13 @@
     /// Closes connections to upstreams that have restarted, because the old ones are dead.
     fn drop_restarted_connections(&self) {
         let restarted = self.shared.upstreams().take_restarted();
-        for id in restarted {
+        self.shared.versions.handle_restarts(&restarted);
+        for upstream in &restarted {
+            let id = &upstream.id;
             log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream has started again under its id");
-            self.shared.pool.close_idle(&id);
-            let started_at_ms = self.shared.upstreams().started_at_ms(&id);
-            self.shared.starts_ended(&id, started_at_ms);
+            self.shared.pool.close_idle(id);
+            let started_at_ms = self.shared.upstreams().started_at_ms(id);
+            self.shared.starts_ended(id, started_at_ms);
         }
     }
 
@@ -179,6 +181,7 @@
         self.drop_restarted_connections();
         self.expire();
         self.shared.mark_upstreams_listed();
+        self.shared.versions.wake();
         self.shared.notify_upstreams_changed();
     }
 
@@ -212,6 +215,7 @@
     }
 
     fn finish_batch(&mut self) -> Duration {
+        self.shared.versions.wake();
         self.shared.notify_upstreams_changed();
         if self.leadership.term().is_some() {
             let upstreams = self.shared.upstreams().entries().count();
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -41,7 +41,7 @@
 use crate::http1::{BodyFraming, CompletenessProof, Connection, RequestHead};
 use crate::poison::ExclusivePermit;
 use crate::relay::{CONFIGURATION_FEED, age_ms, millis, millis_since};
-use crate::reply::{self, Refusal};
+use crate::reply::{self, Refusal, ResumeObstacle};
 use crate::shared::{ReportEvent, Shared};
 use access::Access;
 use attempt::{Attempt, Delivery, FailedAnswer, Target};
@@ -59,6 +59,7 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::PeerRequest;
+use resumption::StreamVersion;
 use std::cell::OnceCell;
 use successor::SentRequest;
 
@@ -124,6 +125,10 @@
     deadline_at: Instant,
     should_close: bool,
     delivered: Delivery,
+    /// The software version at which the request's stream may run.
+    stream_version: StreamVersion,
+    /// Why the stream cannot go on, once that is known.
+    resume_obstacle: Option<ResumeObstacle>,
     /// The times at which the delivered stream's events arrived.
     stream_timing: StreamTiming,
     tried: Vec<UpstreamId>,
@@ -257,6 +262,7 @@
                 .clone_from(&announcement.last_event_id);
         }
     }
+    let stream_version = StreamVersion::on_arrival(&facts, delivered.resume_after.is_some());
     Forwarding {
         shared,
         caller,
@@ -275,6 +281,8 @@
         deadline_at: arrived_at + Duration::from_millis(timeout_ms),
         should_close,
         delivered,
+        stream_version,
+        resume_obstacle: None,
         stream_timing: StreamTiming::default(),
         tried: Vec::new(),
         tried_peers: Vec::new(),
@@ -425,6 +433,9 @@
         if let Err(denial) = self.admit() {
             return self.refuse(denial);
         }
+        if let Err(denial) = self.prove_version() {
+            return self.refuse(denial);
+        }
         // The instance that passes a request on has reported it.
         if let Some(model_ref) = self.model_ref()
             && *self.origin == Origin::Caller
@@ -538,6 +549,7 @@
     /// Why no attempt can be made, for logs.
     fn make_attempt(&mut self, may_wait: bool) -> Result<(NextHop, Attempt), &'static str> {
         let is_first = self.request_log.offers == 0;
+        self.prove_version().map_err(|denial| denial.end)?;
         let next_hop = self.wait_for_next_hop(may_wait).ok_or(NO_UPSTREAM)?;
         let retry = if is_first {
             None
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -8,8 +8,7 @@
 use passway_serving::dispatch::RunId;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::ContinuedRun;
-use passway_serving::upstreams::Outcome;
-use passway_serving::versions::SoftwareVersion;
+use passway_serving::upstreams::{ListedStart, Outcome};
 use passway_types::prelude::*;
 use std::net::SocketAddr;
 
@@ -56,8 +55,6 @@
     pub(super) splitter: EventSplitter,
     /// The last event that the caller had received when another instance passed the request on.
     pub(super) resume_after: Option<String>,
-    /// The software version of the last run that brought events to this instance.
-    pub(super) software: Option<SoftwareVersion>,
 }
 
 impl Delivery {
@@ -73,11 +70,8 @@
 pub(super) struct Target {
     pub(super) id: UpstreamId,
     pub(super) address: SocketAddr,
-    /// When the upstream had started at the time of the choice, in Unix milliseconds by its own
-    /// clock; 0 if it does not report its start.
-    pub(super) started_at_ms: u64,
-    /// The software version of that start; `None` if the upstream was no longer listed.
-    pub(super) software: Option<SoftwareVersion>,
+    /// The start of the upstream that was listed at the time of the choice.
+    pub(super) start: ListedStart,
     /// Whether the coordinator, or the local share, has granted the request at this limited
     /// upstream.
     pub(super) has_limit_grant: bool,
@@ -91,10 +85,10 @@
 
 impl Target {
     /// The start of the upstream at the time of the choice.
-    pub(super) fn start(&self) -> UpstreamStart {
+    pub(super) fn upstream_start(&self) -> UpstreamStart {
         UpstreamStart {
             upstream: self.id.clone(),
-            started_at_ms: self.started_at_ms,
+            started_at_ms: self.start.started_at_ms,
         }
     }
 }
--- a/crates/instance/src/forward/backup.rs
+++ b/crates/instance/src/forward/backup.rs
@@ -15,8 +15,7 @@
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::ports::ContinuedRun;
 use passway_serving::routes::{EnginePool, RequestKind};
-use passway_serving::upstreams::{RequestNeeds, UpstreamTable};
-use passway_serving::versions::SoftwareVersion;
+use passway_serving::upstreams::{ListedStart, RequestNeeds, UpstreamTable};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -30,20 +29,15 @@
 pub(super) struct BackupEngine {
     pub(super) id: UpstreamId,
     pub(super) address: SocketAddr,
-    /// When the engine had started at the time of the choice, in Unix milliseconds by its own clock.
-    /// A later start has no copy.
-    pub(super) started_at_ms: u64,
-    /// The software version of that start.
-    pub(super) software: Option<SoftwareVersion>,
+    /// The start of the engine that was listed at the time of the choice. A later start has no copy.
+    pub(super) start: ListedStart,
 }
 
 impl BackupEngine {
     fn find(upstreams: &UpstreamTable, id: &UpstreamId) -> Option<Self> {
-        let start = upstreams.listed_start(id);
         Some(Self {
             address: upstreams.address_of(id)?,
-            started_at_ms: start.started_at_ms,
-            software: start.software,
+            start: upstreams.listed_start(id),
             id: id.clone(),
         })
     }
@@ -174,14 +168,16 @@
         if self.refused_for().is_some() || !self.may_run_now() {
             return Err("may crash upstreams");
         }
-        if self.shared.upstreams().started_at_ms(&backup.id) != backup.started_at_ms {
+        if self.shared.upstreams().listed_start(&backup.id) != backup.start {
             return Err("engine restarted");
         }
+        if !self.fits_version(&backup.start) {
+            return Err("engine of another version");
+        }
         let target = Target {
             id: backup.id,
             address: backup.address,
-            started_at_ms: backup.started_at_ms,
-            software: backup.software,
+            start: backup.start,
             has_limit_grant: false,
             run_id: None,
             backup: None,
--- a/crates/instance/src/forward/completeness.rs
+++ b/crates/instance/src/forward/completeness.rs
@@ -74,13 +74,13 @@
             .as_ref()
             .and_then(|table| table.services.get(&self.service));
         let upstream = CheckedUpstream {
-            start: &target.start(),
+            start: &target.upstream_start(),
             address: target.address,
             is_engine: self.is_engine,
             health_path: service.and_then(|service| service.health_path.as_deref()),
         };
         let closed_at = clock::now();
-        let patience = if target.started_at_ms > 0 {
+        let patience = if target.start.started_at_ms > 0 {
             Duration::from_millis(self.route.max_silence_ms())
         } else {
             MAX_UNREPORTED_PROOF_DELAY
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -140,6 +140,9 @@
         if let Err(denial) = self.check_access() {
             return Attempt::Denied(denial);
         }
+        if !self.is_chosen_start(target) {
+            return Attempt::NotPermitted;
+        }
         let Some(permit) = self.acquire_send_permit(target) else {
             return Attempt::NotPermitted;
         };
@@ -243,7 +246,7 @@
             return;
         }
         let received = ReceivedSignals {
-            start: &target.start(),
+            start: &target.upstream_start(),
             signals: &facts.signals,
             is_authenticated: facts.is_sealed,
             sent_at,
@@ -335,6 +338,10 @@
             return Attempt::Broken;
         }
         if is_success && self.route.kind.is_stream() {
+            if !self.fits_version(&target.start) {
+                // Another run has brought events meanwhile.
+                return Attempt::Broken;
+            }
             return self.deliver_stream(AnswerSource::Upstream(target), exchange, head, body);
         }
         if facts.not_run {
@@ -584,6 +591,7 @@
             if proof.is_some() {
                 self.request_log.proof = proof;
                 self.request_log.end = "answered";
+                self.record_stream_end();
                 if let AnswerSource::Upstream(target) = source {
                     self.return_to_pool(target, exchange, head, &body);
                 }
@@ -598,10 +606,13 @@
         let progress = self
             .stream_timing
             .record_events(event_count, self.attempt_at, clock::now());
-        if event_count > 0
-            && let AnswerSource::Upstream(target) = source
-        {
-            self.delivered.software.clone_from(&target.software);
+        if event_count > 0 {
+            match source {
+                AnswerSource::Upstream(target) => {
+                    self.record_first_event(&target.id, &target.start);
+                }
+                AnswerSource::Peer => self.record_events_of_peer(),
+            }
         }
         if event_count > 0
             && let AnswerSource::Upstream(target) = source
--- a/crates/instance/src/forward/limits.rs
+++ b/crates/instance/src/forward/limits.rs
@@ -89,12 +89,14 @@
             .collect()
     }
 
-    /// Upstreams that the request does not go to now: those already tried, and those that do not
-    /// accept it yet.
+    /// Upstreams that the request does not go to now: those already tried, those that do not accept it
+    /// yet, and those at which streams may not begin yet.
     pub(super) fn excluded_upstreams(&self, now: Instant) -> Vec<UpstreamId> {
         let deferred = self.deferred_upstreams(now).into_iter();
         let deferred = deferred.map(|one| one.upstream);
-        self.tried.iter().cloned().chain(deferred).collect()
+        let unlisted = self.unlisted_versions(&self.shared.upstreams());
+        let excluded = self.tried.iter().cloned().chain(deferred);
+        excluded.chain(unlisted).collect()
     }
 
     /// Whether the request asks no further limited upstream for a grant.
--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -1,6 +1,7 @@
 //! The answer to a request when nothing more can be tried.
 
 use super::attempt::FailedAnswer;
+use super::resumption::resume_denial;
 use super::{ConnectionReuse, Forwarding, RETRY_AFTER_MS, connection_reuse, not_run};
 use crate::denials::Denial;
 use crate::poison::ExclusivePermit;
@@ -31,6 +32,11 @@
         if let Some(failed) = failed {
             return self.deliver_whole(&failed.head, &failed.body, failed.proof);
         }
+        if let Some(obstacle) = self.resume_obstacle
+            && self.runs == 0
+        {
+            return self.refuse(resume_denial(obstacle));
+        }
         let refused_for = self.refused_for();
         let has_permit = self
             .exclusive_permit
--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -1,8 +1,56 @@
 //! Streams that go on at another run after events were delivered: within one answer, through another
 //! instance, or by a caller that returns.
+//!
+//! A stream goes on only at the software version that began it. [`StreamVersion`] has the proof of that
+//! version, and the send permit requires it.
 
 use super::{Forwarding, Origin, Target};
+use crate::denials::Denial;
+use crate::reply::{Refusal, ResumeObstacle};
+use crate::versions::NoProof;
 use passway_process::logging::json::REQUEST_TARGET;
+use passway_serving::ports::RequestMetadata;
+use passway_serving::upstreams::{ListedStart, UpstreamTable};
+use passway_serving::versions::{ProvenVersion, SoftwareVersion, StreamKey};
+use passway_types::clock;
+use passway_types::prelude::*;
+
+/// Longest time for the proof of a stream's version. The store answers in 4 ms, and in 0.2 s on its
+/// worst days.
+const MAX_PROOF_TIME: Duration = Duration::from_secs(1);
+
+/// The software version at which the request's stream may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum StreamVersion {
+    /// No event has been delivered: the next run begins the stream.
+    Beginning,
+    /// Events were delivered by a run that this instance has not seen.
+    Unproven,
+    /// Events were delivered by a run at this version.
+    Proven(ProvenVersion),
+}
+
+impl StreamVersion {
+    /// The version of a request that has just arrived. A request from another instance is `resumed`
+    /// after events that this instance has not delivered.
+    pub(super) fn on_arrival(facts: &RequestMetadata, is_passed_on_after_events: bool) -> Self {
+        let is_taken_up = facts.last_event_id.is_some() || facts.resumes.is_some();
+        if is_taken_up || is_passed_on_after_events {
+            Self::Unproven
+        } else {
+            Self::Beginning
+        }
+    }
+}
+
+impl NoProof {
+    fn obstacle(self) -> ResumeObstacle {
+        match self {
+            Self::Unproven(_) => ResumeObstacle::UnknownVersion,
+            Self::StoreAway => ResumeObstacle::ProofUnavailable,
+        }
+    }
+}
 
 impl Forwarding<'_> {
     /// The event after which the next run of a stream goes on; `None` if it begins the stream.
@@ -32,11 +80,148 @@
         let Some(after) = self.resumed_after() else {
             return;
         };
+        let proven = match &self.stream_version {
+            StreamVersion::Proven(proven) => proven.software().name(),
+            StreamVersion::Beginning | StreamVersion::Unproven => "",
+        };
         log::info!(target: REQUEST_TARGET, request = self.facts.id, way = self.resumption_way(target),
             after_event = after, resumes = self.facts.resumes.as_deref().unwrap_or(""),
-            upstream:% = target.id, started_at_ms = target.started_at_ms,
-            version = target.software.as_ref().map_or("", |software| software.name()),
-            previous_version = self.delivered.software.as_ref().map_or("", |software| software.name());
+            upstream:% = target.id, started_at_ms = target.start.started_at_ms,
+            version = target.start.software.as_ref().map_or("", SoftwareVersion::name),
+            proven_version = proven;
             "a stream goes on");
     }
+
+    /// Identifies the stream by the attempt that began it: the one that the caller names, or this one.
+    /// `None` if the caller takes up a stream without naming the attempt.
+    fn stream_key(&self) -> Option<StreamKey> {
+        let begun_by = match (&self.facts.resumes, &self.facts.last_event_id) {
+            (Some(resumes), _) => resumes,
+            (None, Some(_)) => return None,
+            (None, None) => &self.facts.id,
+        };
+        StreamKey::new(&self.service, begun_by)
+    }
+
+    /// Proves the version of a stream that another instance has begun.
+    ///
+    /// # Errors
+    /// The refusal, if there is no proof.
+    pub(super) fn prove_version(&mut self) -> Result<(), Denial> {
+        if self.stream_version != StreamVersion::Unproven || !self.route.kind.is_stream() {
+            return Ok(());
+        }
+        let until = self.deadline_at.min(clock::now() + MAX_PROOF_TIME);
+        let versions = &self.shared.versions;
+        let proven = versions.prove(&self.service, self.stream_key(), until);
+        log::info!(target: REQUEST_TARGET, request = self.facts.id,
+            resumes = self.facts.resumes.as_deref().unwrap_or(""), proven:? = proven;
+            "looked up the version of a stream");
+        match proven {
+            Ok(proven) => {
+                self.stream_version = StreamVersion::Proven(proven);
+                Ok(())
+            }
+            Err(reason) => Err(resume_denial(reason.obstacle())),
+        }
+    }
+
+    /// Notes that the request's stream has begun, or goes on, at the run of `start`.
+    pub(super) fn record_first_event(&mut self, upstream: &UpstreamId, start: &ListedStart) {
+        if self.stream_version != StreamVersion::Beginning {
+            return;
+        }
+        let proven = ProvenVersion::observed(start);
+        self.stream_version = proven.map_or(StreamVersion::Unproven, StreamVersion::Proven);
+        if let Some(key) = self.stream_key() {
+            let versions = &self.shared.versions;
+            versions.stream_began(key, &self.service, upstream, start);
+        }
+    }
+
+    /// Notes that another instance has delivered events of the stream: only that instance has seen the
+    /// run.
+    pub(super) fn record_events_of_peer(&mut self) {
+        if self.stream_version == StreamVersion::Beginning {
+            self.stream_version = StreamVersion::Unproven;
+        }
+    }
+
+    /// Notes that the stream was delivered to its end.
+    pub(super) fn record_stream_end(&self) {
+        if let Some(key) = self.stream_key() {
+            self.shared.versions.stream_delivered(key);
+        }
+    }
+
+    /// The version at which the stream must go on; `None` if it has not begun.
+    pub(super) fn required_version(&self) -> Option<&SoftwareVersion> {
+        match &self.stream_version {
+            StreamVersion::Proven(proven) => Some(proven.software()),
+            StreamVersion::Beginning | StreamVersion::Unproven => None,
+        }
+    }
+
+    /// Whether a run of the request at a start of an upstream fits what was delivered.
+    pub(super) fn fits_version(&self, start: &ListedStart) -> bool {
+        if !self.route.kind.is_stream() {
+            return true;
+        }
+        let software = start.software.as_ref();
+        match &self.stream_version {
+            StreamVersion::Beginning => self.shared.versions.may_begin(&self.service, software),
+            StreamVersion::Unproven => false,
+            StreamVersion::Proven(proven) => {
+                let key = self.stream_key();
+                let is_disputed = key.is_some_and(|key| self.shared.versions.is_disputed(key));
+                proven.permits(software) && !is_disputed
+            }
+        }
+    }
+
+    /// Upstreams at which streams may not begin yet, because their versions are not in the stored list.
+    pub(super) fn unlisted_versions(&self, upstreams: &UpstreamTable) -> Vec<UpstreamId> {
+        let versions = &self.shared.versions;
+        let is_beginning = self.stream_version == StreamVersion::Beginning;
+        if !self.route.kind.is_stream() || !is_beginning || versions.is_list_complete() {
+            return Vec::new();
+        }
+        let of_service = upstreams
+            .entries()
+            .filter(|entry| entry.service == self.service);
+        let unlisted =
+            of_service.filter(|entry| !versions.may_begin(&self.service, Some(&entry.software)));
+        unlisted.map(|entry| entry.id.clone()).collect()
+    }
+
+    /// Whether no upstream with the version of the stream accepts requests any more.
+    pub(super) fn is_version_gone(&self, now: Instant) -> bool {
+        let Some(software) = self.required_version() else {
+            return false;
+        };
+        let upstreams = self.shared.upstreams();
+        let allowed = &self.access.allowed_regions;
+        !upstreams.serves_version(&self.service, software, allowed, now)
+    }
+
+    /// Whether the process at the upstream's address is still the start that was chosen. An upstream
+    /// that has started again under its id accepts requests for its earlier start. A connection that
+    /// was made before this query cannot belong to a later start than the one that answers.
+    pub(super) fn is_chosen_start(&self, target: &Target) -> bool {
+        let goes_on = self.required_version().is_some() && self.route.kind.is_stream();
+        if !goes_on || !self.is_engine || target.start.started_at_ms == 0 {
+            return true;
+        }
+        let engines = self.shared.engines();
+        let report = engines.and_then(|engines| engines.report(&target.id, target.address).answer);
+        report.is_some_and(|report| report.started_at_ms == target.start.started_at_ms)
+    }
+}
+
+/// The refusal of a stream that cannot go on.
+pub(super) fn resume_denial(obstacle: ResumeObstacle) -> Denial {
+    Denial {
+        refusal: Refusal::CannotResume(obstacle),
+        end: obstacle.end(),
+    }
 }
--- a/crates/instance/src/forward/send_permit.rs
+++ b/crates/instance/src/forward/send_permit.rs
@@ -2,7 +2,8 @@
 //! there.
 //!
 //! Since the choice, operators may have evacuated the hall or restricted the request to other
-//! regions, and the upstream may have sent new signals. Every request is sent with a
+//! regions, the upstream may have sent new signals or started again, and a stream goes on only at the
+//! software version that began it. Every request is sent with a
 //! [`SendPermit`], which only this check creates: first attempts, retries, resumed streams, runs
 //! granted by another instance, and requests that have waited for a connection.
 
@@ -23,7 +24,12 @@
             target.has_limit_grant || upstreams.limit_per_s(&target.id, now).is_none();
         let is_allowed =
             has_limit_grant && upstreams.admits(&target.id, &self.access.allowed_regions);
-        let is_admitted = is_allowed && upstreams.try_admit(&target.id, target.started_at_ms, now);
+        // The version belongs to the start that was chosen.
+        let listed = upstreams.listed_start(&target.id);
+        let is_replaced = listed.software.is_some() && listed != target.start;
+        let fits = !is_replaced && self.fits_version(&target.start);
+        let is_admitted =
+            is_allowed && fits && upstreams.try_admit(&target.id, target.start.started_at_ms, now);
         is_admitted.then_some(SendPermit(()))
     }
 }
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -61,7 +61,7 @@
     /// Handles a run that was sent at `sent_at` and broke off. If the upstream has crashed, the request
     /// becomes a suspect.
     pub(super) fn handle_broken_run(&mut self, target: &Target, sent_at: Instant) {
-        let start = target.start();
+        let start = target.upstream_start();
         self.shared.paths.request_check();
         if let Some(permit) = &mut self.exclusive_permit {
             permit.record_break();
@@ -85,14 +85,14 @@
     pub(super) fn handle_silent_run(&self, target: &Target) {
         if self.shared.upstreams().is_silent(&target.id, clock::now()) {
             self.shared.paths.request_check();
-            self.watch_for_crash(target, &target.start(), self.attempt_at, true);
+            self.watch_for_crash(target, &target.upstream_start(), self.attempt_at, true);
         }
     }
 
     /// Handles a silent run that was given up for its successor.
     pub(super) fn handle_replaced_run(&self, target: &Target) {
         self.shared.paths.request_check();
-        self.watch_for_crash(target, &target.start(), self.attempt_at, true);
+        self.watch_for_crash(target, &target.upstream_start(), self.attempt_at, true);
     }
 
     /// Watches for a crash of an engine that broke off, or that was `silent` until the request's
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -3,11 +3,12 @@
 use super::{Forwarding, NextHop, Target, request_hash};
 use crate::dispatch::{EngineQuery, TooLate};
 use crate::relay::{millis, millis_since};
+use crate::reply::ResumeObstacle;
 use crate::shared::{ReportEvent, Shared};
 use passway_serving::dispatch::Promise;
 use passway_serving::hash::{fnv1a, fnv1a_bytes};
 use passway_serving::paths::PathState;
-use passway_serving::upstreams::{Choice, ModelRef, RequestNeeds};
+use passway_serving::upstreams::{Choice, ModelRef, Outcome, RequestNeeds};
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -51,6 +52,10 @@
                 return None;
             }
             let now = clock::now();
+            if self.is_version_gone(now) {
+                self.resume_obstacle = Some(ResumeObstacle::VersionGone);
+                return None;
+            }
             if !self.may_run_now() {
                 if !self.wait_on_hold(now) {
                     return None;
@@ -258,6 +263,7 @@
                 fingerprint: self.can_be_refused().then(|| self.fingerprint()),
                 wants_backup: self.wants_backup(),
                 allowed_regions: &self.access.allowed_regions,
+                software: self.required_version(),
             };
             dispatch.query_engine(self.shared, &query)
         });
@@ -266,9 +272,18 @@
             return match answer.choice {
                 Choice::Send { id, address } => {
                     let start = self.shared.upstreams().listed_start(&id);
+                    if !self.fits_version(&start) {
+                        // The dispatcher knows another start, or is of a build that ignores versions.
+                        if let Some(run_id) = answer.run_id {
+                            dispatch.run_ended(self.shared, run_id, Outcome::Unknown);
+                        }
+                        return Err(NoTarget {
+                            choice: Choice::Absent,
+                            too_late: None,
+                        });
+                    }
                     Ok(Target {
-                        started_at_ms: start.started_at_ms,
-                        software: start.software,
+                        start,
                         id,
                         address,
                         has_limit_grant: false,
@@ -288,23 +303,24 @@
             random,
             ..self.wanted()
         };
-        let is_eligible = |id: &UpstreamId| !excluded.contains(id);
+        let required = self.required_version();
+        let is_eligible = |id: &UpstreamId| {
+            let fits =
+                required.is_none() || upstreams.listed_start(id).software.as_ref() == required;
+            fits && !excluded.contains(id)
+        };
         match upstreams.choose_by(wanted, is_eligible, None, now) {
-            Choice::Send { id, address } => {
-                let start = upstreams.listed_start(&id);
-                Ok(Target {
-                    run_id: self
-                        .model_ref()
-                        .and_then(|_| dispatch.record_direct_run(&id)),
-                    started_at_ms: start.started_at_ms,
-                    software: start.software,
-                    backup: self.choose_backup(&upstreams, &id, excluded, now),
-                    continues: None,
-                    id,
-                    address,
-                    has_limit_grant: false,
-                })
-            }
+            Choice::Send { id, address } => Ok(Target {
+                run_id: self
+                    .model_ref()
+                    .and_then(|_| dispatch.record_direct_run(&id)),
+                start: upstreams.listed_start(&id),
+                backup: self.choose_backup(&upstreams, &id, excluded, now),
+                continues: None,
+                id,
+                address,
+                has_limit_grant: false,
+            }),
             choice => Err(NoTarget {
                 choice,
                 too_late: None,
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -10,6 +10,7 @@
 use crate::poison;
 use crate::relay::{RelayReceiver, millis};
 use crate::shared::{ReportEvent, Shared};
+use crate::versions;
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::leadership::{
@@ -415,6 +416,9 @@
         let half_full = find(allotments::KEY).map(|value| (value.revision, &*value.value));
         let (revision, value) = half_full.unwrap_or(missing);
         self.shared.allotments.apply_stored(revision, value);
+        let versions = find(versions::KEY).map(|value| (value.revision, &*value.value));
+        let (revision, value) = versions.unwrap_or(missing);
+        self.shared.versions.apply_stored(revision, value);
         let key = find(HOLDER_KEY);
         let listed = ListedLeadership {
             era,
@@ -452,6 +456,13 @@
                 let allotments = &self.shared.allotments;
                 allotments.apply_stored(value.revision, &value.value);
             }
+            StoreChange::Written(value) if value.key == versions::KEY => {
+                let versions = &self.shared.versions;
+                versions.apply_stored(value.revision, &value.value);
+            }
+            StoreChange::Removed { key, revision } if key == versions::KEY => {
+                self.shared.versions.clear_stored(revision.era());
+            }
             StoreChange::Removed { key, .. } if key == allotments::KEY => {
                 let missing = StoreRevision::new(change.revision().era(), 0);
                 self.shared.allotments.apply_stored(missing, &[]);
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -17,6 +17,7 @@
 //!   [`control`] sends orders and queries to engines; [`limits`] keeps limited upstreams within
 //!   their advertised rates; [`dispatch`] queries dispatchers for engines and answers such queries.
 //! * [`liveness`] asks upstreams whether they still run after a connection of theirs has ended.
+//! * [`versions`] knows and stores the software versions that began streams.
 //! * [`poison`] detects requests that crash upstreams, publishes them and stores them.
 //! * [`freshness`] proves how recent the configuration is, and [`denials`] denies requests only by a
 //!   configuration that is proved to be recent; [`allotments`] enforces the workspaces'
@@ -68,5 +69,6 @@
 pub mod successor_places;
 pub mod updates;
 pub mod upstream_exchange;
+pub mod versions;
 
 pub use lifecycle::{Instance, Surroundings};
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -10,6 +10,7 @@
 use crate::poison::PoisonTracker;
 use crate::relay::Relay;
 use crate::shared::Shared;
+use crate::versions::Versions;
 use crate::{callers, holder, ready, report};
 use anyhow::{Context, Result};
 use crossbeam::channel;
@@ -119,6 +120,7 @@
         );
         PoisonTracker::start_writer(&shared, &leadership, store);
         Allotments::start_writer(&shared, &leadership, store);
+        Versions::start(&shared, &leadership, store);
         Dispatch::start(&shared);
         PathMonitor::start(&shared);
         ConfigurationAge::start(&shared);
@@ -147,6 +149,12 @@
         self.shared.is_ready()
     }
 
+    /// Whether streams may begin at all upstreams that this instance knows, as far as their software
+    /// versions are concerned.
+    pub fn begins_streams(&self) -> bool {
+        self.shared.versions.is_list_complete()
+    }
+
     /// Number of requests whose answer is not complete.
     pub fn in_progress(&self) -> usize {
         self.shared.in_progress()
--- a/crates/instance/src/reply.rs
+++ b/crates/instance/src/reply.rs
@@ -9,6 +9,47 @@
 /// Time for a caller to receive a complete answer.
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Header with the reason why a stream cannot be taken up.
+const RESUME_REFUSED: &str = "Resume-Refused";
+/// `Retry-After` of a stream whose version could not be looked up, in milliseconds.
+const PROOF_RETRY_MS: u64 = 500;
+
+/// Why a stream cannot be taken up now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumeObstacle {
+    /// It is not known which software version began the stream. The caller has to begin anew.
+    UnknownVersion,
+    /// No upstream with the version that began the stream accepts requests. The caller has to begin
+    /// anew.
+    VersionGone,
+    /// The version could not be looked up. The caller may retry.
+    ProofUnavailable,
+}
+
+impl ResumeObstacle {
+    /// The value of [`RESUME_REFUSED`], also for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::UnknownVersion => "version-unknown",
+            Self::VersionGone => "version-gone",
+            Self::ProofUnavailable => "proof-unavailable",
+        }
+    }
+
+    /// How the request ended, for logs.
+    pub fn end(self) -> &'static str {
+        match self {
+            Self::UnknownVersion => "refused, the version of its stream is unknown",
+            Self::VersionGone => "refused, the version of its stream is gone",
+            Self::ProofUnavailable => "refused, the version of its stream could not be looked up",
+        }
+    }
+
+    fn retry_after_ms(self) -> Option<u64> {
+        (self == Self::ProofUnavailable).then_some(PROOF_RETRY_MS)
+    }
+}
+
 /// An answer that the instance gives itself, not an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -32,6 +73,8 @@
         /// When to retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The request has not run, because the stream that it takes up cannot go on.
+    CannotResume(ResumeObstacle),
     /// The request may have run, and its answer is lost.
     AnswerLost,
     /// The deadline has passed, and the request may have run or may still run.
@@ -47,12 +90,23 @@
             Self::OverAllotment { .. } => (429, "Too Many Requests"),
             Self::BodyTooLarge => (413, "Content Too Large"),
             Self::HeadTooLarge => (431, "Request Header Fields Too Large"),
-            Self::NotRun { .. } => (503, "Service Unavailable"),
+            Self::NotRun { .. } | Self::CannotResume(_) => (503, "Service Unavailable"),
             Self::AnswerLost => (502, "Bad Gateway"),
             Self::TimedOut => (504, "Gateway Timeout"),
         }
     }
 
+    /// When the caller may retry, in milliseconds; `None` if the refusal does not say.
+    fn retry_after_ms(self) -> Option<u64> {
+        match self {
+            Self::NotRun { retry_after_ms } | Self::OverAllotment { retry_after_ms } => {
+                Some(retry_after_ms)
+            }
+            Self::CannotResume(obstacle) => obstacle.retry_after_ms(),
+            _ => None,
+        }
+    }
+
     /// The status code for logs and answers.
     pub fn code(self) -> u16 {
         self.status().0
@@ -77,8 +131,10 @@
     if refusal == Refusal::NoKey {
         headers.push("WWW-Authenticate", vocabulary.auth_challenge());
     }
-    if let Refusal::NotRun { retry_after_ms } | Refusal::OverAllotment { retry_after_ms } = refusal
-    {
+    if let Refusal::CannotResume(obstacle) = refusal {
+        headers.push(RESUME_REFUSED, obstacle.name());
+    }
+    if let Some(retry_after_ms) = refusal.retry_after_ms() {
         let whole_s = retry_after_ms / 1_000;
         let fraction_ms = retry_after_ms % 1_000;
         headers.push("Retry-After", format!("{whole_s}.{fraction_ms:03}"));
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::pool::ConnectionPool;
 use crate::relay::Relay;
 use crate::successor_places::SuccessorPlaces;
+use crate::versions::Versions;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
 use passway_serving::first_byte_times::FirstByteTimes;
@@ -116,6 +117,8 @@
     pub limits: Limits,
     /// Requests that crash upstreams.
     pub poison: PoisonTracker,
+    /// The software versions that began streams.
+    pub versions: Versions,
     /// The headers that callers and upstreams use.
     pub vocabulary: Box<dyn HeaderProtocol>,
     report_events: Sender<ReportEvent>,
@@ -183,6 +186,7 @@
             allotments: Allotments::default(),
             limits: Limits::default(),
             poison: PoisonTracker::default(),
+            versions: Versions::default(),
             vocabulary,
             report_events,
             upstreams: Mutex::new(upstreams),
--- /dev/null
+++ b/crates/instance/src/versions.rs
@@ -0,0 +1,576 @@
+//! The software versions that began streams: what this instance knows, and what the store keeps for
+//! an instance that knows nothing.
+//!
+//! Three things are kept ([`passway_serving::versions`]):
+//!
+//! * The list of versions, under one key that all instances follow. A version is added before any stream
+//!   begins there, by the holder of leadership or, if that takes too long, by any instance.
+//! * Records of single streams, while the list does not prove their version. An instance writes the
+//!   record once the first event has arrived, many streams at a time. A stream whose record was not
+//!   written when all instances were lost cannot be taken up.
+//! * The streams that this instance has begun, in its memory.
+
+mod list_reads;
+mod records;
+mod registry;
+
+use crate::leadership::LeadershipDriver;
+use crate::shared::Shared;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use list_reads::{ListRead, ListReads};
+use passway_process::logging::json::DECISION_TARGET;
+use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
+use passway_serving::upstreams::{ListedStart, RestartedUpstream};
+use passway_serving::versions::{
+    ProvenVersion, STREAM_RETENTION, ServiceVersion, SoftwareVersion, StreamKey, Unproven,
+    VersionList,
+};
+use passway_types::clock;
+use passway_types::prelude::*;
+use passway_wire::versions::{StoredVersion, StoredVersions};
+use prost::Message;
+use rand::RngExt;
+use records::RecordWriter;
+use registry::{BegunStream, Registry};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+
+/// Key in the store of the list of versions.
+pub const KEY: &str = "passway/versions";
+/// Interval of checks whether the list must change, in addition to those after changes of upstreams.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Mean delay before an instance that is not the holder reads the list because a version is missing in
+/// it. The holder has usually added the version by then.
+const READ_DELAY: Duration = Duration::from_millis(100);
+/// Added to that delay for each instance, so that they do not all read at once.
+const READ_DELAY_PER_INSTANCE: Duration = Duration::from_millis(2);
+/// The same while the store does not answer.
+const OUTAGE_DELAY: Duration = Duration::from_millis(600);
+/// Time after which an instance that is not the holder adds a missing version itself. A holder usually
+/// follows another one within it.
+const ADD_DELAY: Duration = Duration::from_secs(1);
+/// Interval at which an instance reads the list while it names several versions of a service, to stop
+/// recording streams once one is left.
+const REFRESH_INTERVAL: Duration = Duration::from_mins(1);
+/// After a version had no upstreams for this long, the list is read again before a stream begins there:
+/// the holder may have removed the version.
+const UNVERIFIED_AFTER: Duration = STREAM_RETENTION.checked_div(2).expect("a divisor");
+/// Longest wait for a read of the list that another thread has begun.
+const MAX_READ_TIME: Duration = Duration::from_secs(1);
+/// Pause before a failed read is repeated for a request that waits for it.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Why a stream cannot be taken up, as far as its version is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoProof {
+    /// The store does not prove the version.
+    Unproven(Unproven),
+    /// The store has not answered.
+    StoreAway,
+}
+
+impl From<Unproven> for NoProof {
+    fn from(reason: Unproven) -> Self {
+        Self::Unproven(reason)
+    }
+}
+
+/// The list of versions, and what this instance has observed of it.
+#[derive(Debug, Default)]
+struct KnownList {
+    list: VersionList,
+    /// The revision of the list's key; of an era in which the key is missing, the era's first one.
+    revision: StoreRevision,
+    /// Whether the list, or that there is none, was read since the process started.
+    is_read: bool,
+    /// Since when the list may lack versions, because the store has returned from an older copy or the
+    /// list was removed; `None` if it lacks none.
+    incomplete_since: Option<Instant>,
+    /// Versions of the list of an earlier era.
+    earlier: BTreeSet<ServiceVersion>,
+    /// Versions of listed upstreams.
+    present: BTreeSet<ServiceVersion>,
+    /// The count of changes at which `present` was taken.
+    start_changes: Option<u64>,
+    /// Since when no upstream with a listed version is known.
+    gone_since: BTreeMap<ServiceVersion, Instant>,
+    /// Whether the list is newer than at the last check.
+    has_new_list: bool,
+    /// Listed versions that the holder may have removed from the stored list meanwhile.
+    unverified: BTreeSet<ServiceVersion>,
+    /// Since when streams may not begin at all listed upstreams.
+    missing_since: Option<Instant>,
+    /// When the list was last read from the store, or written.
+    read_at: Option<Instant>,
+}
+
+/// The software versions that began streams.
+pub struct Versions {
+    known: Mutex<KnownList>,
+    /// Whether the list has the versions of all listed upstreams; requests read this without a lock.
+    is_list_complete: AtomicBool,
+    reads: ListReads,
+    registry: Mutex<Registry>,
+    records: RecordWriter,
+    store: OnceLock<Arc<dyn SharedStore>>,
+    wakeup_sender: Sender<()>,
+    wakeup_receiver: Receiver<()>,
+}
+
+impl Default for Versions {
+    fn default() -> Self {
+        let (wakeup_sender, wakeup_receiver) = bounded(1);
+        Self {
+            known: Mutex::default(),
+            is_list_complete: AtomicBool::new(false),
+            reads: ListReads::default(),
+            registry: Mutex::default(),
+            records: RecordWriter::default(),
+            store: OnceLock::new(),
+            wakeup_sender,
+            wakeup_receiver,
+        }
+    }
+}
+
+impl std::fmt::Debug for Versions {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Versions")
+            .field("known", &self.known)
+            .finish_non_exhaustive()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn encode(list: &VersionList) -> Vec<u8> {
+    let versions = list.versions().map(|version| StoredVersion {
+        service: version.service.to_string(),
+        software: version.software.name().to_owned(),
+    });
+    let stored = StoredVersions {
+        confirmed_in: list.confirmed_in(),
+        versions: versions.collect(),
+    };
+    stored.encode_to_vec()
+}
+
+fn decode(value: &[u8]) -> VersionList {
+    let stored = StoredVersions::decode(value).unwrap_or_else(|error| {
+        // An empty, unconfirmed list proves nothing.
+        log::warn!(error:% = error; "cannot decode the list of software versions");
+        StoredVersions::default()
+    });
+    let versions = stored.versions.into_iter().map(|version| ServiceVersion {
+        service: version.service.into(),
+        software: version.software.into(),
+    });
+    VersionList::new(stored.confirmed_in, versions)
+}
+
+impl KnownList {
+    /// Applies the list as stored; `value` is empty if the key is missing. Returns whether it is newer
+    /// than what was known.
+    fn apply(&mut self, revision: StoreRevision, value: &[u8], now: Instant) -> bool {
+        let is_newer = !self.is_read || revision > self.revision;
+        if !is_newer {
+            return false;
+        }
+        let is_later_era = revision.era() > self.revision.era();
+        if is_later_era {
+            self.earlier.extend(self.list.versions());
+        }
+        self.is_read = true;
+        self.revision = revision;
+        self.list = decode(value);
+        self.has_new_list = true;
+        let list = &self.list;
+        self.earlier
+            .retain(|version| !list.contains(&version.service, &version.software));
+        if list.confirmed_in() == Some(revision.era()) || self.is_before_first() {
+            self.incomplete_since = None;
+        } else if is_later_era || self.incomplete_since.is_none() {
+            self.incomplete_since = Some(now);
+        }
+        true
+    }
+
+    /// Applies that the list was removed from the store.
+    fn clear(&mut self, era: StoreEra, now: Instant) {
+        self.incomplete_since = Some(now);
+        self.earlier.extend(self.list.versions());
+        self.revision = StoreRevision::new(era, 0);
+        self.list = VersionList::default();
+    }
+
+    /// Whether no list was written yet. Before the first list, no stream has begun.
+    fn is_before_first(&self) -> bool {
+        self.revision == StoreRevision::NONE
+    }
+
+    /// Versions that the list must have and lacks.
+    fn missing(&self) -> BTreeSet<ServiceVersion> {
+        let wanted = self.present.iter().chain(&self.earlier);
+        let is_missing =
+            |version: &&ServiceVersion| !self.list.contains(&version.service, &version.software);
+        wanted.filter(is_missing).cloned().collect()
+    }
+
+    /// Updates since when listed versions have no upstreams.
+    fn update_gone(&mut self, now: Instant) {
+        let gone = self
+            .list
+            .versions()
+            .filter(|version| !self.present.contains(version));
+        let gone: BTreeSet<ServiceVersion> = gone.collect();
+        self.gone_since.retain(|version, _| gone.contains(version));
+        for version in gone {
+            let since = *self.gone_since.entry(version.clone()).or_insert(now);
+            if now >= since + UNVERIFIED_AFTER {
+                self.unverified.insert(version);
+            }
+        }
+    }
+
+    /// Notes that the store has the known list, by a read that has just ended.
+    fn verify(&mut self, revision: StoreRevision, now: Instant) {
+        self.read_at = Some(now);
+        if revision == self.revision {
+            let present = &self.present;
+            self.unverified.retain(|version| !present.contains(version));
+        }
+    }
+
+    /// Whether streams may begin at all listed upstreams.
+    fn is_complete(&self) -> bool {
+        self.is_read && self.missing().is_empty() && self.unverified.is_disjoint(&self.present)
+    }
+
+    /// Whether the list names several versions of a service and was read long ago.
+    fn must_refresh(&self, now: Instant) -> bool {
+        let era = self.revision.era();
+        let mut versions = self.list.versions();
+        let must_record = versions.any(|version| self.list.must_record(&version.service, era));
+        let is_old = self.read_at.is_none_or(|at| now >= at + REFRESH_INTERVAL);
+        must_record && is_old
+    }
+
+    /// The list that should be stored now; `None` if it is stored. The versions of a service without
+    /// upstreams stay.
+    fn next_list(&self, now: Instant) -> Option<VersionList> {
+        let missing = self.missing();
+        let is_expired = |version: &ServiceVersion| {
+            let has_other = |other: &ServiceVersion| other.service == version.service;
+            let since = self.gone_since.get(version);
+            let is_gone = since.is_some_and(|since| now >= *since + STREAM_RETENTION);
+            is_gone && self.present.iter().any(has_other)
+        };
+        let kept = self.list.versions().filter(|version| !is_expired(version));
+        let era = self.revision.era();
+        let is_confirmed = self.list.confirmed_in() == Some(era);
+        let is_first = self.is_before_first() && self.incomplete_since.is_none();
+        let is_long_known = self
+            .incomplete_since
+            .is_some_and(|since| now >= since + STREAM_RETENTION);
+        let confirmed_in = (is_confirmed || is_first || is_long_known).then_some(era);
+        let next = VersionList::new(
+            confirmed_in.or(self.list.confirmed_in()),
+            kept.chain(missing),
+        );
+        (self.is_read && next != self.list).then_some(next)
+    }
+}
+
+impl Versions {
+    /// Whether a stream of a service may begin at a start with this version.
+    pub fn may_begin(&self, service: &str, software: Option<&SoftwareVersion>) -> bool {
+        let Some(software) = software else {
+            return false;
+        };
+        let known = lock(&self.known);
+        let is_verified = known.unverified.is_empty()
+            || !known.unverified.contains(&ServiceVersion {
+                service: service.into(),
+                software: software.clone(),
+            });
+        is_verified && known.list.contains(service, software)
+    }
+
+    /// Whether streams may begin at all listed upstreams, as far as their versions are concerned.
+    pub fn is_list_complete(&self) -> bool {
+        self.is_list_complete.load(Ordering::Acquire)
+    }
+
+    /// Records that the first event of a stream has arrived from a run at `upstream`.
+    pub fn stream_began(
+        &self,
+        key: StreamKey,
+        service: &ServiceName,
+        upstream: &UpstreamId,
+        start: &ListedStart,
+    ) {
+        let Some(software) = start.software.clone() else {
+            return;
+        };
+        let stream = BegunStream {
+            service: service.clone(),
+            upstream: upstream.clone(),
+            started_at_ms: start.started_at_ms,
+            software,
+            began_at: clock::now(),
+            is_delivered: false,
+            is_recorded: false,
+            is_disputed: false,
+        };
+        let must_record = {
+            let known = lock(&self.known);
+            known.list.must_record(service, known.revision.era())
+        };
+        lock(&self.registry).insert(key, stream);
+        if must_record {
+            self.record_unrecorded(&[key]);
+        }
+    }
+
+    /// Records that a stream was delivered to its end.
+    pub fn stream_delivered(&self, key: StreamKey) {
+        lock(&self.registry).mark_delivered(key);
+    }
+
+    /// Whether this instance has found out that a stream may have begun at another version than was
+    /// observed.
+    pub fn is_disputed(&self, key: StreamKey) -> bool {
+        lock(&self.registry).is_disputed(key)
+    }
+
+    /// Proves the version that began a stream, by what this instance has observed or by a read of the
+    /// store that begins now. `key` is `None` if the caller does not name the attempt that began it.
+    ///
+    /// # Errors
+    /// Why there is no proof.
+    pub fn prove(
+        &self,
+        service: &ServiceName,
+        key: Option<StreamKey>,
+        until: Instant,
+    ) -> Result<ProvenVersion, NoProof> {
+        if let Some(key) = key {
+            let registry = lock(&self.registry);
+            if registry.is_disputed(key) {
+                return Err(Unproven::SeveralRecords.into());
+            }
+            if let Some(proven) = registry.proven(key) {
+                return Ok(proven);
+            }
+        }
+        let store = self.store.get().ok_or(NoProof::StoreAway)?;
+        loop {
+            let proven = self.prove_by_store(&**store, service, key, until);
+            let may_retry = clock::now() + READ_RETRY_DELAY < until;
+            if proven != Err(NoProof::StoreAway) || !may_retry {
+                return proven;
+            }
+            std::thread::sleep(READ_RETRY_DELAY);
+        }
+    }
+
+    fn prove_by_store(
+        &self,
+        store: &dyn SharedStore,
+        service: &ServiceName,
+        key: Option<StreamKey>,
+        until: Instant,
+    ) -> Result<ProvenVersion, NoProof> {
+        let read = self.read_list(store, until).ok_or(NoProof::StoreAway)?;
+        let list = decode(&read.value);
+        list.prove(service, read.revision.era(), || match key {
+            Some(key) => records::read(store, key).ok_or(NoProof::StoreAway),
+            None => Ok(Vec::new()),
+        })
+    }
+
+    /// Reads and applies the list; `None` without an answer by `until`.
+    fn read_list(&self, store: &dyn SharedStore, until: Instant) -> Option<ListRead> {
+        let read = self.reads.read(store, until)?;
+        self.apply_stored(read.revision, &read.value);
+        lock(&self.known).verify(read.revision, clock::now());
+        Some(read)
+    }
+
+    /// Applies the list as stored; `value` is empty if the key is missing.
+    pub fn apply_stored(&self, revision: StoreRevision, value: &[u8]) {
+        let mut known = lock(&self.known);
+        if known.apply(revision, value, clock::now()) {
+            drop(known);
+            self.wake();
+        }
+    }
+
+    /// Applies that the list was removed from the store in this era.
+    pub fn clear_stored(&self, era: StoreEra) {
+        lock(&self.known).clear(era, clock::now());
+        self.wake();
+    }
+
+    /// Wakes the thread that checks the list.
+    pub fn wake(&self) {
+        // If the channel is full, a wakeup is already pending.
+        let _ = self.wakeup_sender.try_send(());
+    }
+
+    /// Handles upstreams that have started again under their ids. Until an instance knows of such a
+    /// start, it takes the new one's streams for streams of the previous one.
+    pub fn handle_restarts(&self, restarted: &[RestartedUpstream]) {
+        for upstream in restarted {
+            if upstream.previous.software.as_ref() == Some(&upstream.software) {
+                continue;
+            }
+            let disputed = lock(&self.registry).dispute(upstream, clock::now());
+            self.record_unrecorded(&disputed);
+            for key in disputed {
+                self.records.push(key, upstream.software.clone());
+            }
+        }
+    }
+
+    /// Queues the records of streams that have none.
+    fn record_unrecorded(&self, keys: &[StreamKey]) {
+        let mut registry = lock(&self.registry);
+        for key in keys {
+            if let Some(software) = registry.take_unrecorded(*key) {
+                self.records.push(*key, software);
+            }
+        }
+    }
+
+    /// Queues the records of all running and broken streams of services whose list does not prove their
+    /// versions.
+    fn record_running(&self) {
+        let (list, era) = {
+            let known = lock(&self.known);
+            (known.list.clone(), known.revision.era())
+        };
+        let unrecorded = lock(&self.registry).unrecorded(clock::now());
+        let keys = unrecorded
+            .into_iter()
+            .filter(|(_, service)| list.must_record(service, era))
+            .map(|(key, _)| key);
+        self.record_unrecorded(&keys.collect::<Vec<_>>());
+    }
+
+    /// Starts the threads that write the list and the records.
+    pub fn start(
+        shared: &Arc<Shared>,
+        leadership: &Arc<LeadershipDriver>,
+        store: &Arc<dyn SharedStore>,
+    ) {
+        // Each process has exactly one store.
+        let _ = shared.versions.store.set(store.clone());
+        RecordWriter::start(shared, store);
+        let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
+        std::thread::spawn(move || {
+            let mut wait = CHECK_INTERVAL;
+            loop {
+                // Both a wakeup and the end of the wait lead to a check.
+                let _ = shared.versions.wakeup_receiver.recv_timeout(wait);
+                let is_holder = leadership.term().is_some();
+                wait = shared.versions.check(&shared, is_holder, &*store);
+            }
+        });
+    }
+
+    /// Checks whether the list must change, and writes it. Returns the time until the next check.
+    fn check(&self, shared: &Shared, is_holder: bool, store: &dyn SharedStore) -> Duration {
+        let now = clock::now();
+        self.update_present(shared);
+        let mut known = lock(&self.known);
+        known.update_gone(now);
+        let is_complete = known.is_complete();
+        let must_refresh = known.must_refresh(now);
+        let is_before_first = known.is_before_first();
+        let next = known.next_list(now);
+        let revision = known.revision;
+        let has_changed = self.is_list_complete.swap(is_complete, Ordering::AcqRel) != is_complete;
+        let has_new_list = std::mem::take(&mut known.has_new_list);
+        let missing_since = (!is_complete).then(|| *known.missing_since.get_or_insert(now));
+        known.missing_since = missing_since;
+        drop(known);
+        if has_changed {
+            shared.notify_upstreams_changed();
+        }
+        if has_new_list {
+            self.record_running();
+        }
+        if missing_since == Some(now) && !is_holder {
+            // The holder adds the version.
+            return retry_delay(shared);
+        }
+        let has_waited = missing_since.is_some_and(|since| now >= since + ADD_DELAY);
+        let may_write = is_holder || has_waited || is_before_first;
+        let is_done = match next.filter(|_| may_write) {
+            Some(next) => self.write(store, revision, &next),
+            None if is_complete && !must_refresh => return CHECK_INTERVAL,
+            None => self.read_list(store, now + MAX_READ_TIME).is_some() && is_complete,
+        };
+        if is_done {
+            CHECK_INTERVAL
+        } else {
+            retry_delay(shared)
+        }
+    }
+
+    /// Takes the versions of the listed upstreams, if they may have changed.
+    fn update_present(&self, shared: &Shared) {
+        let upstreams = shared.upstreams();
+        let start_changes = upstreams.start_changes();
+        if lock(&self.known).start_changes == Some(start_changes) {
+            return;
+        }
+        let present = upstreams.listed_versions();
+        drop(upstreams);
+        let mut known = lock(&self.known);
+        known.present = present;
+        known.start_changes = Some(start_changes);
+    }
+
+    /// Writes the list in place of the one with this revision. Returns whether that was done.
+    fn write(&self, store: &dyn SharedStore, revision: StoreRevision, list: &VersionList) -> bool {
+        let value = encode(list);
+        let write = ConditionalWrite {
+            key: KEY.to_owned(),
+            expected: revision,
+            value: Some(value.clone()),
+            lease: None,
+        };
+        let answer = store.write(std::slice::from_ref(&write));
+        log::info!(target: DECISION_TARGET, versions:? = list.versions().map(|version| format!("{}: {}", version.service, version.software)).collect::<Vec<_>>(),
+            confirmed_in:? = list.confirmed_in(), expected:% = revision, answer:? = answer;
+            "the list of software versions changes");
+        match answer {
+            Ok(WriteAnswer::Written(revision)) => {
+                self.apply_stored(revision, &value);
+                true
+            }
+            Ok(WriteAnswer::Conflict) => {
+                // Another instance has written the list. If the read fails, the next check repeats it.
+                let _ = self.read_list(store, clock::now() + MAX_READ_TIME);
+                false
+            }
+            Ok(WriteAnswer::LeaseEnded) | Err(_) => false,
+        }
+    }
+}
+
+/// Delay before the next check while the list lacks a version or could not be written.
+fn retry_delay(shared: &Shared) -> Duration {
+    let instances = u32::try_from(shared.instance_count()).unwrap_or(u32::MAX);
+    let mean = if shared.store_health.is_failing() {
+        OUTAGE_DELAY
+    } else {
+        READ_DELAY + READ_DELAY_PER_INSTANCE.saturating_mul(instances)
+    };
+    mean.mul_f64(rand::rng().random_range(0.5..1.5))
+}
--- /dev/null
+++ b/crates/instance/src/versions/list_reads.rs
@@ -0,0 +1,84 @@
+//! Reads of the list of versions, shared by the requests that wait for one.
+
+use super::KEY;
+use bytes::Bytes;
+use passway_serving::ports::{SharedStore, StoreRevision};
+use passway_types::clock;
+use passway_types::prelude::*;
+use std::sync::{Condvar, Mutex, PoisonError};
+
+/// The list as the store returned it.
+#[derive(Debug, Clone)]
+pub(super) struct ListRead {
+    /// The revision of the key; of an era in which the key is missing, the era's first one.
+    pub(super) revision: StoreRevision,
+    /// The list; empty if the key is missing.
+    pub(super) value: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Number of reads that have begun.
+    begun: u64,
+    /// Number of the last read that has ended.
+    ended: u64,
+    is_reading: bool,
+    /// The result of the last read; `None` if the store did not answer.
+    result: Option<ListRead>,
+}
+
+/// Reads of the list. A read serves all requests that arrived before it began.
+#[derive(Debug, Default)]
+pub(super) struct ListReads {
+    state: Mutex<State>,
+    has_ended: Condvar,
+}
+
+impl ListReads {
+    /// Returns the result of a read that began after this call; `None` if the store has not answered
+    /// by `until`.
+    pub(super) fn read(&self, store: &dyn SharedStore, until: Instant) -> Option<ListRead> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let wanted = state.begun + 1;
+        loop {
+            if state.ended >= wanted {
+                return state.result.clone();
+            }
+            if !state.is_reading {
+                break;
+            }
+            let timeout = until.saturating_duration_since(clock::now());
+            if timeout.is_zero() {
+                return None;
+            }
+            let after_wait = self.has_ended.wait_timeout(state, timeout);
+            state = after_wait.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        state.is_reading = true;
+        state.begun += 1;
+        drop(state);
+        let result = read_list(store);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.is_reading = false;
+        state.ended = state.begun;
+        state.result.clone_from(&result);
+        drop(state);
+        self.has_ended.notify_all();
+        result
+    }
+}
+
+fn read_list(store: &dyn SharedStore) -> Option<ListRead> {
+    let page = store.list_page(KEY, None).ok()?;
+    let value = page.values.into_iter().find(|value| value.key == KEY);
+    Some(value.map_or_else(
+        || ListRead {
+            revision: StoreRevision::new(page.revision.era(), 0),
+            value: Bytes::new(),
+        },
+        |value| ListRead {
+            revision: value.revision,
+            value: value.value,
+        },
+    ))
+}
--- /dev/null
+++ b/crates/instance/src/versions/records.rs
@@ -0,0 +1,173 @@
+//! Records of the versions that began single streams, in the store.
+
+use crate::shared::Shared;
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use passway_serving::ports::{ConditionalWrite, LeaseId, SharedStore, StoreRevision, WriteAnswer};
+use passway_serving::versions::{STREAM_RETENTION, SoftwareVersion, StreamKey};
+use passway_types::clock;
+use passway_types::hash::stable_hash;
+use passway_types::prelude::*;
+
+/// Prefix of the records' keys. All instances follow the keys under `passway/`, and nobody follows
+/// these.
+const PREFIX: &str = "passway-streams/";
+/// Most records in one write: the store's limit.
+const MAX_RECORDS_PER_WRITE: usize = 32;
+/// Writes a second of all instances together, in a small fleet.
+const FLEET_WRITES_PER_S: f64 = 40.0;
+/// Added to that for each instance. The users' stores take 400 writes a second of seven instances and
+/// 3,200 of three hundred.
+const WRITES_PER_S_PER_INSTANCE: f64 = 0.5;
+/// Longest interval between two writes of one instance.
+const MAX_INTERVAL: Duration = Duration::from_secs(2);
+/// Delay before a failed write is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time-to-live of the records' leases. A lease gets new records for half of it.
+const LEASE_TTL: Duration = STREAM_RETENTION.saturating_mul(2);
+
+/// A version that may have begun a stream.
+#[derive(Debug, Clone)]
+struct Record {
+    key: StreamKey,
+    software: SoftwareVersion,
+}
+
+/// Queues and writes records.
+#[derive(Debug)]
+pub(super) struct RecordWriter {
+    sender: Sender<Record>,
+    receiver: Receiver<Record>,
+}
+
+impl Default for RecordWriter {
+    fn default() -> Self {
+        // Bounded by the registry, which queues each stream once.
+        let (sender, receiver) = unbounded();
+        Self { sender, receiver }
+    }
+}
+
+/// The lease of this instance's records.
+#[derive(Debug, Clone, Copy)]
+struct RecordLease {
+    id: LeaseId,
+    /// From when on new records get another lease.
+    renew_at: Instant,
+}
+
+fn stream_prefix(key: StreamKey) -> String {
+    format!("{PREFIX}{key}/")
+}
+
+/// The key of a record. Versions may have long names, so that the key has a hash.
+fn record_key(record: &Record) -> String {
+    let hash = stable_hash(&[record.software.name().as_bytes()]);
+    format!("{}{hash:016x}", stream_prefix(record.key))
+}
+
+/// Reads the versions that are recorded for a stream; `None` without an answer.
+pub(super) fn read(store: &dyn SharedStore, key: StreamKey) -> Option<Vec<SoftwareVersion>> {
+    let page = store.list_page(&stream_prefix(key), None).ok()?;
+    let names = page.values.iter().map(|value| {
+        let name = String::from_utf8_lossy(&value.value);
+        SoftwareVersion::from(&*name)
+    });
+    Some(names.collect())
+}
+
+/// Minimum interval between two writes of an instance.
+fn interval(instances: usize) -> Duration {
+    let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+    let per_s = FLEET_WRITES_PER_S + f64::from(instances) * WRITES_PER_S_PER_INSTANCE;
+    Duration::from_secs_f64(f64::from(instances) / per_s).min(MAX_INTERVAL)
+}
+
+impl RecordWriter {
+    /// Queues a record.
+    pub(super) fn push(&self, key: StreamKey, software: SoftwareVersion) {
+        // The channel lives as long as the process.
+        let _ = self.sender.send(Record { key, software });
+    }
+
+    /// Starts the thread that writes the records. The first record after a pause is written at once.
+    pub(super) fn start(shared: &Arc<Shared>, store: &Arc<dyn SharedStore>) {
+        let (shared, store) = (shared.clone(), store.clone());
+        std::thread::spawn(move || {
+            let receiver = &shared.versions.records.receiver;
+            let mut lease = None;
+            while let Ok(first) = receiver.recv() {
+                let more = receiver.try_iter().take(MAX_RECORDS_PER_WRITE - 1);
+                let records: Vec<Record> = std::iter::once(first).chain(more).collect();
+                write_all(&*store, &mut lease, &records);
+                if receiver.len() < MAX_RECORDS_PER_WRITE {
+                    std::thread::sleep(interval(shared.instance_count()));
+                }
+            }
+        });
+    }
+}
+
+/// Writes records until the store has them, or until they are useless.
+fn write_all(store: &dyn SharedStore, lease: &mut Option<RecordLease>, records: &[Record]) {
+    let give_up_at = clock::now() + STREAM_RETENTION;
+    let mut batches = vec![records];
+    while let Some(batch) = batches.pop() {
+        match write(store, lease, batch) {
+            // One of them is stored already, perhaps by a write whose answer was lost.
+            Written::Conflict if batch.len() > 1 => batches.extend(batch.chunks(1)),
+            Written::Done | Written::Conflict => {}
+            Written::Failed => {
+                if clock::now() >= give_up_at {
+                    log::warn!(records = batch.len(); "the versions of streams are not recorded, the store does not answer");
+                    return;
+                }
+                batches.push(batch);
+                std::thread::sleep(RETRY_DELAY);
+            }
+        }
+    }
+}
+
+/// The result of a write of records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    Done,
+    Conflict,
+    Failed,
+}
+
+fn write(store: &dyn SharedStore, lease: &mut Option<RecordLease>, records: &[Record]) -> Written {
+    let now = clock::now();
+    lease.take_if(|lease| now >= lease.renew_at);
+    let is_new_lease = lease.is_none();
+    if is_new_lease {
+        let granted = store.grant_lease(LEASE_TTL).ok();
+        *lease = granted.map(|id| RecordLease {
+            id,
+            renew_at: now + STREAM_RETENTION,
+        });
+    }
+    let Some(RecordLease { id, .. }) = *lease else {
+        return Written::Failed;
+    };
+    let writes = records.iter().map(|record| ConditionalWrite {
+        key: record_key(record),
+        expected: StoreRevision::NONE,
+        value: Some(record.software.name().as_bytes().to_vec()),
+        lease: Some(id),
+    });
+    match store.write(&writes.collect::<Vec<_>>()) {
+        Ok(WriteAnswer::Written(_)) => Written::Done,
+        Ok(WriteAnswer::Conflict) if is_new_lease => Written::Conflict,
+        Ok(WriteAnswer::Conflict) => {
+            // The lease may be of an earlier era of the store.
+            *lease = None;
+            write(store, lease, records)
+        }
+        Ok(WriteAnswer::LeaseEnded) => {
+            *lease = None;
+            Written::Failed
+        }
+        Err(_) => Written::Failed,
+    }
+}
--- /dev/null
+++ b/crates/instance/src/versions/registry.rs
@@ -0,0 +1,120 @@
+//! The streams that this instance has begun.
+
+use passway_serving::upstreams::{ListedStart, RestartedUpstream};
+use passway_serving::versions::{ProvenVersion, STREAM_RETENTION, SoftwareVersion, StreamKey};
+use passway_types::prelude::*;
+use std::collections::{HashMap, VecDeque};
+
+/// Maximum number of streams in the registry, at 150 bytes each. The oldest are dropped first; their
+/// callers are refused unless the store proves the version.
+const MAX_STREAMS: usize = 20_000;
+/// Longest time that the entry of an upstream's new start takes to reach an instance. A stream that
+/// began earlier before the entry arrived was a stream of the previous start.
+const MAX_ENTRY_DELAY: Duration = Duration::from_secs(10);
+
+/// A stream whose first event has arrived at this instance.
+#[derive(Debug, Clone)]
+pub(super) struct BegunStream {
+    pub(super) service: ServiceName,
+    /// The upstream that brought the first event.
+    pub(super) upstream: UpstreamId,
+    /// The start of the upstream, as it was listed then.
+    pub(super) started_at_ms: u64,
+    /// The software version of that start.
+    pub(super) software: SoftwareVersion,
+    pub(super) began_at: Instant,
+    /// Whether the stream was delivered to its end.
+    pub(super) is_delivered: bool,
+    /// Whether the record of the stream was written or is queued.
+    pub(super) is_recorded: bool,
+    /// Whether a later start of the upstream, of another version, may have begun the stream.
+    pub(super) is_disputed: bool,
+}
+
+/// The streams that this instance has begun, for [`STREAM_RETENTION`].
+#[derive(Debug, Default)]
+pub(super) struct Registry {
+    streams: HashMap<StreamKey, BegunStream>,
+    /// All keys in the order of their insertion.
+    order: VecDeque<StreamKey>,
+}
+
+impl Registry {
+    /// Inserts a stream. A key that is used again by another version belongs to neither stream.
+    pub(super) fn insert(&mut self, key: StreamKey, stream: BegunStream) {
+        self.remove_expired(stream.began_at);
+        if let Some(known) = self.streams.get_mut(&key) {
+            known.is_disputed |= known.software != stream.software;
+            return;
+        }
+        self.streams.insert(key, stream);
+        self.order.push_back(key);
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        while let Some(key) = self.order.front() {
+            let stream = self.streams.get(key);
+            let is_expired = stream.is_none_or(|stream| now >= stream.began_at + STREAM_RETENTION);
+            if !is_expired && self.order.len() < MAX_STREAMS {
+                return;
+            }
+            self.streams.remove(key);
+            self.order.pop_front();
+        }
+    }
+
+    pub(super) fn mark_delivered(&mut self, key: StreamKey) {
+        if let Some(stream) = self.streams.get_mut(&key) {
+            stream.is_delivered = true;
+        }
+    }
+
+    pub(super) fn is_disputed(&self, key: StreamKey) -> bool {
+        let stream = self.streams.get(&key);
+        stream.is_some_and(|stream| stream.is_disputed)
+    }
+
+    /// The version that this instance has observed; `None` for an unknown or disputed stream.
+    pub(super) fn proven(&self, key: StreamKey) -> Option<ProvenVersion> {
+        let stream = self.streams.get(&key)?;
+        let start = ListedStart {
+            started_at_ms: stream.started_at_ms,
+            software: Some(stream.software.clone()),
+        };
+        ProvenVersion::observed(&start).filter(|_| !stream.is_disputed)
+    }
+
+    /// The version of a stream that has no record yet; it counts as recorded from now on.
+    pub(super) fn take_unrecorded(&mut self, key: StreamKey) -> Option<SoftwareVersion> {
+        let stream = self.streams.get_mut(&key)?;
+        let was_recorded = std::mem::replace(&mut stream.is_recorded, true);
+        (!was_recorded).then(|| stream.software.clone())
+    }
+
+    /// Streams without a record that callers may take up, with their services.
+    pub(super) fn unrecorded(&mut self, now: Instant) -> Vec<(StreamKey, ServiceName)> {
+        self.remove_expired(now);
+        let streams = self.streams.iter();
+        let unrecorded = streams.filter(|(_, stream)| !stream.is_recorded && !stream.is_delivered);
+        unrecorded
+            .map(|(key, stream)| (*key, stream.service.clone()))
+            .collect()
+    }
+
+    /// Marks the streams that the new start of an upstream may have begun, and returns them.
+    pub(super) fn dispute(&mut self, upstream: &RestartedUpstream, now: Instant) -> Vec<StreamKey> {
+        let may_be_of_new_start = |stream: &BegunStream| {
+            stream.upstream == upstream.id
+                && stream.started_at_ms == upstream.previous.started_at_ms
+                && stream.software != upstream.software
+                && now < stream.began_at + MAX_ENTRY_DELAY
+        };
+        let streams = self.streams.iter_mut();
+        let disputed = streams.filter(|(_, stream)| may_be_of_new_start(stream));
+        let disputed = disputed.map(|(key, stream)| {
+            stream.is_disputed = true;
+            *key
+        });
+        disputed.collect()
+    }
+}
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -9,7 +9,7 @@
 use crate::halls::{AllowedRegions, HallRegions, Halls};
 use crate::limits::ObservedLimit;
 use crate::placement::{PlacementDigest, digest};
-use crate::versions::SoftwareVersion;
+use crate::versions::{ServiceVersion, SoftwareVersion};
 pub use choice::{Choice, HallEngine, RequestNeeds, lateness_cost};
 use leaving::LeavingStarts;
 use passway_types::prelude::*;
@@ -58,12 +58,24 @@
     pub software: SoftwareVersion,
 }
 
-/// A start of an upstream, as its entry reports it.
+/// An upstream that has started again under its id.
 #[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RestartedUpstream {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// The start before.
+    pub previous: ListedStart,
+    /// The software version of the present start.
+    pub software: SoftwareVersion,
+}
+
+/// A start of an upstream, as its entry reports it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ListedStart {
     /// When the upstream started, in Unix milliseconds by its own clock; 0 if not reported.
     pub started_at_ms: u64,
-    /// The version of its software; `None` if the upstream is not listed.
+    /// The version of its software; `None` if the upstream is not listed, or if its entries contradict
+    /// each other.
     pub software: Option<SoftwareVersion>,
 }
 
@@ -111,7 +123,9 @@
     /// it.
     tokens_per_event: HashMap<ServiceName, u32>,
     upstreams: HashMap<UpstreamId, Upstream>,
-    restarted: Vec<UpstreamId>,
+    restarted: Vec<RestartedUpstream>,
+    /// Number of changes of the starts that are listed.
+    start_changes: u64,
     leaving: LeavingStarts,
     /// The few upstreams that have asked for backoff, until one of their answers shows that it is
     /// over.
@@ -128,6 +142,7 @@
             tokens_per_event: HashMap::new(),
             upstreams: HashMap::new(),
             restarted: Vec::new(),
+            start_changes: 0,
             leaving: LeavingStarts::default(),
             backing_off: BTreeSet::new(),
         }
@@ -234,6 +249,7 @@
         let Some(known) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
             self.upstreams.insert(id, new_upstream(entry));
+            self.start_changes += 1;
             return true;
         };
         if entry.started_at_ms < known.entry.started_at_ms {
@@ -242,10 +258,19 @@
         }
         if entry.started_at_ms > known.entry.started_at_ms {
             // Observations of the previous start do not apply to the new one.
-            self.restarted.push(entry.id.clone());
+            self.restarted.push(RestartedUpstream {
+                id: entry.id.clone(),
+                previous: known.listed_start(),
+                software: entry.software.clone(),
+            });
+            self.start_changes += 1;
             *known = new_upstream(entry);
             return true;
         }
+        let is_disputed = known.entry.software != entry.software;
+        known.is_software_disputed |= is_disputed;
+        let moves = known.entry.service != entry.service;
+        self.start_changes += u64::from(is_disputed || moves);
         let has_returned = known.removed_at.take().is_some();
         if entry.heartbeat < known.entry.heartbeat {
             // An older report that arrived late; only leaving is final.
@@ -269,7 +294,7 @@
     }
 
     /// Upstreams that have started again under their ids since the last call.
-    pub fn take_restarted(&mut self) -> Vec<UpstreamId> {
+    pub fn take_restarted(&mut self) -> Vec<RestartedUpstream> {
         std::mem::take(&mut self.restarted)
     }
 
@@ -288,10 +313,38 @@
     /// The latest start of an upstream.
     pub fn listed_start(&self, id: &str) -> ListedStart {
         let upstream = self.upstreams.get(id);
-        ListedStart {
-            started_at_ms: upstream.map_or(0, |upstream| upstream.entry.started_at_ms),
-            software: upstream.map(|upstream| upstream.entry.software.clone()),
-        }
+        upstream.map_or_else(ListedStart::default, Upstream::listed_start)
+    }
+
+    /// Number of changes of the listed starts, for [`Self::listed_versions`].
+    pub fn start_changes(&self) -> u64 {
+        self.start_changes
+    }
+
+    /// The software versions of all listed upstreams, by service.
+    pub fn listed_versions(&self) -> BTreeSet<ServiceVersion> {
+        let versions = self.entries().map(|entry| ServiceVersion {
+            service: entry.service.clone(),
+            software: entry.software.clone(),
+        });
+        versions.collect()
+    }
+
+    /// Whether an upstream of a service with this software version accepts new requests of the allowed
+    /// regions, whatever models it has.
+    pub fn serves_version(
+        &self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        allowed: &AllowedRegions,
+        now: Instant,
+    ) -> bool {
+        let mut upstreams = self.admitted_upstreams(service, allowed);
+        upstreams.any(|upstream| {
+            let entry = &upstream.entry;
+            let is_version = entry.software == *software && !upstream.is_software_disputed;
+            is_version && !entry.draining && !upstream.is_removed(now)
+        })
     }
 
     /// The service that an upstream reports to belong to.
@@ -326,7 +379,8 @@
         let removed = self
             .upstreams
             .extract_if(|_, upstream| upstream.is_removed(now));
-        let removed = removed.map(|(_, upstream)| upstream.entry).collect();
+        let removed: Vec<_> = removed.map(|(_, upstream)| upstream.entry).collect();
+        self.start_changes += removed.len() as u64;
         let upstreams = &self.upstreams;
         self.leaving
             .remove_expired(|id| upstreams.contains_key(id), now);
--- a/crates/serving/src/upstreams/choice.rs
+++ b/crates/serving/src/upstreams/choice.rs
@@ -216,7 +216,8 @@
         }
     }
 
-    /// The other engines in the hall of `engine` that have what a request needs and seem to work. An
+    /// The other engines in the hall of `engine`, of its software version, that have what a request needs
+    /// and seem to work. An
     /// engine with a limit is left out, because a request could not go there at once. The load is
     /// what `load_of` returns, or else what this instance has sent itself.
     pub fn others_in_hall<'a>(
@@ -226,10 +227,11 @@
         load_of: &'a dyn Fn(&UpstreamId) -> Option<u32>,
         now: Instant,
     ) -> impl Iterator<Item = HallEngine<'a>> {
-        let hall = self.upstreams.get(engine).map(|engine| &engine.entry.hall);
+        let engine_entry = self.upstreams.get(engine).map(|engine| &engine.entry);
         let in_hall = self.usable(needs, now).filter(move |other| {
-            Some(&other.entry.hall) == hall
-                && *other.entry.id != *engine
+            engine_entry.is_some_and(|engine| {
+                other.entry.hall == engine.hall && other.entry.software == engine.software
+            }) && *other.entry.id != *engine
                 && now >= other.unreachable_until
                 && !other.is_silent(now)
                 && other.limit_per_s(now).is_none()
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -1,7 +1,7 @@
 //! One upstream: its own report, and what this instance has observed of it.
 
 use super::backoff::Backoff;
-use super::{ModelRef, Outcome, UpstreamEntry};
+use super::{ListedStart, ModelRef, Outcome, UpstreamEntry};
 use crate::limits::ObservedLimit;
 use passway_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) entry: UpstreamEntry,
+    /// Whether entries of this start have named different software versions.
+    pub(super) is_software_disputed: bool,
     /// Running requests of this instance, in total and by model; models without requests are not
     /// listed.
     pub(super) in_flight: u32,
@@ -65,6 +67,7 @@
     pub(super) fn new(entry: UpstreamEntry, now: Instant) -> Self {
         Self {
             entry,
+            is_software_disputed: false,
             in_flight: 0,
             in_flight_models: HashMap::new(),
             silent_since: None,
@@ -83,6 +86,14 @@
         }
     }
 
+    /// The start that the entry reports.
+    pub(super) fn listed_start(&self) -> ListedStart {
+        ListedStart {
+            started_at_ms: self.entry.started_at_ms,
+            software: Some(self.entry.software.clone()).filter(|_| !self.is_software_disputed),
+        }
+    }
+
     /// Requests a second that the upstream accepts from all instances together, as advertised or
     /// because it is cold; `None` without a limit.
     pub(super) fn limit_per_s(&self, now: Instant) -> Option<f64> {
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -1,10 +1,23 @@
-//! Versions of upstreams' software.
+//! Versions of upstreams' software, and the proof of the version that began a stream.
 //!
 //! Upstreams of several software versions may serve one service side by side. What two versions write
-//! does not fit together.
+//! does not fit together, and upstreams do not check it, so a stream goes on only with a
+//! [`ProvenVersion`].
+//!
+//! A stream begins only at a version that the store's [`VersionList`] names. If the list names one
+//! version alone, each stream of the service has begun there, and nothing is stored for single streams.
+//! While it names several, the version of each stream is recorded.
 
+use crate::revisions::StoreEra;
+use crate::upstreams::ListedStart;
+use passway_types::hash::{DIGEST_BYTES, stable_digest};
+use passway_types::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::sync::Arc;
+
+/// How long after its last event a stream may still be taken up. A version stays in the list for this
+/// long after its last upstream has gone, and the record of a stream is kept as long.
+pub const STREAM_RETENTION: Duration = Duration::from_mins(5);
 
 /// A version of an upstream's software. Versions have no order.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,3 +47,144 @@
         f.write_str(&self.0)
     }
 }
+
+/// Proof that a stream began at a software version. Only a run at that version may go on with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProvenVersion(SoftwareVersion);
+
+impl ProvenVersion {
+    /// The version of the start whose run brought the stream's first event; `None` if the start was not
+    /// listed when it was chosen.
+    pub fn observed(start: &ListedStart) -> Option<Self> {
+        start.software.clone().map(Self)
+    }
+
+    /// The version.
+    pub fn software(&self) -> &SoftwareVersion {
+        &self.0
+    }
+
+    /// Whether the stream may go on at an upstream of a version; false if that is unknown.
+    pub fn permits(&self, software: Option<&SoftwareVersion>) -> bool {
+        software == Some(&self.0)
+    }
+}
+
+/// Why the version that began a stream is not proved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unproven {
+    /// Several versions may have begun it, and none is recorded.
+    NoRecord,
+    /// More than one version is recorded.
+    SeveralRecords,
+}
+
+/// Identifies a stream by its service and the id of the attempt that began it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamKey([u8; DIGEST_BYTES]);
+
+impl StreamKey {
+    /// The key of a stream; `None` if the attempt has no id.
+    pub fn new(service: &str, attempt_id: &str) -> Option<Self> {
+        let parts = [service.as_bytes(), attempt_id.as_bytes()];
+        (!attempt_id.is_empty()).then(|| Self(stable_digest(&parts)))
+    }
+}
+
+impl fmt::Display for StreamKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut bytes = self.0.iter();
+        bytes.try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// A software version of a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceVersion {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub software: SoftwareVersion,
+}
+
+/// The versions at which streams of each service may have begun.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VersionList {
+    /// The era of the store in which the list is known to lack no version; `None` if it may lack some,
+    /// because the store has returned from an older copy.
+    confirmed_in: Option<StoreEra>,
+    services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+}
+
+impl VersionList {
+    /// A list of these versions.
+    pub fn new(
+        confirmed_in: Option<StoreEra>,
+        versions: impl IntoIterator<Item = ServiceVersion>,
+    ) -> Self {
+        let mut services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+        for ServiceVersion { service, software } in versions {
+            services.entry(service).or_default().insert(software);
+        }
+        Self {
+            confirmed_in,
+            services,
+        }
+    }
+
+    /// The era of the store in which the list is known to lack no version.
+    pub fn confirmed_in(&self) -> Option<StoreEra> {
+        self.confirmed_in
+    }
+
+    /// All versions in the list.
+    pub fn versions(&self) -> impl Iterator<Item = ServiceVersion> {
+        self.services.iter().flat_map(|(service, versions)| {
+            versions.iter().map(|software| ServiceVersion {
+                service: service.clone(),
+                software: software.clone(),
+            })
+        })
+    }
+
+    /// Whether a stream of a service may begin at a version.
+    pub fn contains(&self, service: &str, software: &SoftwareVersion) -> bool {
+        let versions = self.services.get(service);
+        versions.is_some_and(|versions| versions.contains(software))
+    }
+
+    /// The version at which each stream of a service has begun, by a list that the store returned in
+    /// this era; `None` if several may have begun streams.
+    fn only_version(&self, service: &str, era: StoreEra) -> Option<&SoftwareVersion> {
+        let versions = self.services.get(service)?;
+        let is_only = versions.len() == 1 && self.confirmed_in == Some(era);
+        versions.first().filter(|_| is_only)
+    }
+
+    /// Whether the versions of a service's streams must be recorded.
+    pub fn must_record(&self, service: &str, era: StoreEra) -> bool {
+        self.only_version(service, era).is_none()
+    }
+
+    /// Proves the version of a stream by a list that the store returned in this era. `recorded` reads
+    /// the recorded versions of the stream, if they are needed.
+    ///
+    /// # Errors
+    /// Why the version is not proved, or the error of `recorded`.
+    pub fn prove<E: From<Unproven>>(
+        &self,
+        service: &str,
+        era: StoreEra,
+        recorded: impl FnOnce() -> Result<Vec<SoftwareVersion>, E>,
+    ) -> Result<ProvenVersion, E> {
+        if let Some(software) = self.only_version(service, era) {
+            return Ok(ProvenVersion(software.clone()));
+        }
+        let mut recorded = recorded()?.into_iter();
+        match (recorded.next(), recorded.next()) {
+            (Some(software), None) => Ok(ProvenVersion(software)),
+            (None, _) => Err(Unproven::NoRecord.into()),
+            (Some(_), Some(_)) => Err(Unproven::SeveralRecords.into()),
+        }
+    }
+}
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -222,6 +222,19 @@
         service: &str,
         models: InitialModels<'_>,
         proxy_to: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) -> Self {
+        let server = Self::start_unpublished(store, id, service, models, proxy_to);
+        server.publish_entry("ready");
+        server
+    }
+
+    /// Starts a server that has no entry in the store yet.
+    fn start_unpublished(
+        store: &MetadataStandIn,
+        id: &str,
+        service: &str,
+        models: InitialModels<'_>,
+        proxy_to: impl FnOnce(SocketAddr) -> SocketAddr,
     ) -> Self {
         let InitialModels {
             capacity,
@@ -261,7 +274,6 @@
             listener,
         };
         *shared_server.lock().unwrap_or_else(PoisonError::into_inner) = Some(server.clone());
-        server.publish_entry("ready");
         server
     }
 
@@ -281,15 +293,15 @@
         software: &str,
         models: InitialModels<'_>,
     ) -> Self {
-        let server = Self::start_behind(store, id, "engines", models, |address| address);
+        let server = Self::start_unpublished(store, id, "engines", models, |address| address);
         server.set_software(software);
+        server.publish_entry("ready");
         server
     }
 
-    /// Replaces the server's software version and publishes its entry.
+    /// Sets the software version with which the server starts next.
     pub fn set_software(&self, software: &str) {
         software.clone_into(&mut self.state().software);
-        self.publish_entry("ready");
     }
 
     /// Writes the server's entry with this state to the store.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //!   buffers are derived from Rust types, so that the build needs no code generator.
 //! * [`dispatch`]: datagrams by which requests are assigned to engines.
 //! * [`permits`]: datagrams by which instances ask for permits.
+//! * [`versions`]: the list of software versions in the store.
 //! * [`link`]: a blocking connection that sends and receives envelopes.
 //!
 //! Deadlines are sent as a remaining time in milliseconds and past events as an age, not as clock
@@ -13,6 +14,7 @@
 pub mod link;
 pub mod message;
 pub mod permits;
+pub mod versions;
 
 pub use link::{Frame, Link, LinkReader};
 pub use message::{Body, Envelope};
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -137,5 +137,6 @@
 pub fn start_ready(name: &str, store: &MetadataStandIn) -> Instance {
     let instance = start(name, store);
     until("readiness", || instance.is_ready());
+    until("streams may begin", || instance.begins_streams());
     instance
 }
--- a/tests/all/software_versions.rs
+++ b/tests/all/software_versions.rs
@@ -131,8 +131,10 @@
     let streams = BrokenStream::begin_many(&instance);
     let _new = engine(&store, "i-1", "v2");
     old.publish_entry("draining");
-    until("the new version serves", || {
-        versions(&send(&instance, "probe", "")) == BTreeSet::from(["v2".to_owned()])
+    until("the new version serves alone", || {
+        assert!(versions(&streams[0].take_up(&instance)).len() <= 1);
+        let is_refused = streams[0].take_up(&instance).status == 503;
+        is_refused && versions(&send(&instance, "probe", "")) == BTreeSet::from(["v2".to_owned()])
     });
     for stream in &streams {
         let began_at = Instant::now();
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -240,7 +240,9 @@
         table.update(restarted, now),
         "other instances must learn of it"
     );
-    assert_eq!(table.take_restarted(), std::slice::from_ref(&id));
+    let restarted = table.take_restarted();
+    let restarted: Vec<_> = restarted.iter().map(|upstream| &upstream.id).collect();
+    assert_eq!(restarted, [&id]);
     assert!(matches!(chosen(&table), Choice::Send { .. }));
     let late = UpstreamEntry {
         draining: true,
