The holder loads a model at the software version that a waiting request needs

A stream that goes on may run only at engines of one software version. The holder counted its model as loaded if any engine had it, so nothing was loaded where the stream could go on, and its caller was refused although engines of that version served.

A wait (started, ended, refused as too late) now names the only version at which the request may run, if there is one. An instance reports such waits to the holder in a field of their own (`InstanceReport.waiting_for_software`): a holder of an earlier release ignores them, where it would overwrite the count of the other waits if they came in the same field. The planner counts waits by version. If no engine of the required version serves the model or is loading it, a replica there is a candidate beside the usual one for the model; its gain is that of the usual one plus the waits for the version. Engines of other versions are not queried for such waits, and adapters are loaded at the required version too. Forwarding names no version yet (`Forwarding::required_software`).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -63,6 +63,7 @@
                     instance: "one".into(),
                     service: service.clone(),
                     model_ref,
+                    required_software: None,
                     count: 1,
                     latest_deadline,
                 };
@@ -121,6 +122,7 @@
                     instance,
                     service: service.clone(),
                     model_ref: model_ref(size.busy_models + number % AWAITED_MODELS * 5),
+                    required_software: None,
                     count: u32::from(!number.is_multiple_of(3)),
                     latest_deadline: now + Duration::from_secs(3),
                 };
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -56,6 +56,7 @@
 use passway_serving::ports::RequestMetadata;
 use passway_serving::routes::Route;
 use passway_serving::upstreams::{ModelRef, Outcome};
+use passway_serving::versions::SoftwareVersion;
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::message::PeerRequest;
@@ -124,6 +125,8 @@
     deadline_at: Instant,
     should_close: bool,
     delivered: Delivery,
+    /// The only software version at which the request may run; `None` if any may run it.
+    required_software: Option<SoftwareVersion>,
     /// The times at which the delivered stream's events arrived.
     stream_timing: StreamTiming,
     tried: Vec<UpstreamId>,
@@ -275,6 +278,7 @@
         deadline_at: arrived_at + Duration::from_millis(timeout_ms),
         should_close,
         delivered,
+        required_software: None,
         stream_timing: StreamTiming::default(),
         tried: Vec::new(),
         tried_peers: Vec::new(),
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -8,6 +8,7 @@
 use passway_serving::hash::{fnv1a, fnv1a_bytes};
 use passway_serving::paths::PathState;
 use passway_serving::upstreams::{Choice, ModelRef, RequestNeeds};
+use passway_serving::versions::SoftwareVersion;
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -104,6 +105,7 @@
                     self.shared,
                     &self.service,
                     model_ref,
+                    self.required_software.as_ref(),
                     wait_until,
                 ));
             }
@@ -206,6 +208,7 @@
             self.shared.report(ReportEvent::RefusedAsTooLate {
                 service: self.service.clone(),
                 model_ref: model_ref.clone(),
+                required_software: self.required_software.clone(),
                 until: wait_until,
             });
         }
@@ -367,6 +370,7 @@
     shared: &'a Shared,
     service: ServiceName,
     model_ref: ModelRef,
+    required_software: Option<SoftwareVersion>,
 }
 
 impl<'a> ReportedWait<'a> {
@@ -374,17 +378,20 @@
         shared: &'a Shared,
         service: &ServiceName,
         model_ref: &ModelRef,
+        required_software: Option<&SoftwareVersion>,
         until: Instant,
     ) -> Self {
         shared.report(ReportEvent::WaitStarted {
             service: service.clone(),
             model_ref: model_ref.clone(),
+            required_software: required_software.cloned(),
             until,
         });
         Self {
             shared,
             service: service.clone(),
             model_ref: model_ref.clone(),
+            required_software: required_software.cloned(),
         }
     }
 }
@@ -394,6 +401,7 @@
         self.shared.report(ReportEvent::WaitEnded {
             service: self.service.clone(),
             model_ref: self.model_ref.clone(),
+            required_software: self.required_software.clone(),
         });
     }
 }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -396,12 +396,13 @@
     }
 
     fn handle_report(&mut self, report: &InstanceReport, now: Instant) {
-        for waiting in &report.waiting {
+        for waiting in report.waiting.iter().chain(&report.waiting_for_software) {
             let (service, wanted) = decode_demand(waiting);
             let waiters = Waiters {
                 instance: report.instance.as_str().into(),
                 service,
                 model_ref: wanted,
+                required_software: waiting.required_software.as_deref().map(Into::into),
                 count: waiting.count,
                 latest_deadline: now + Duration::from_millis(waiting.remaining_wait_ms.into()),
             };
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -14,6 +14,7 @@
 use passway_serving::leadership::{Candidate, Holder};
 use passway_serving::poison::{Suspect, UpstreamStart};
 use passway_serving::upstreams::{ModelRef, ResidentModel};
+use passway_serving::versions::SoftwareVersion;
 use passway_types::clock;
 use passway_types::prelude::*;
 use passway_wire::Body;
@@ -90,8 +91,14 @@
     is_new_connection: Arc<AtomicBool>,
 }
 
-/// A model or adapter of a service.
-type DemandKey = (ServiceName, ModelName, Option<AdapterName>);
+/// What requests need: a model or adapter of a service, possibly at one software version only.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct DemandKey {
+    service: ServiceName,
+    model_ref: ModelRef,
+    required_software: Option<SoftwareVersion>,
+}
+
 type ArrivalCounts = BTreeMap<DemandKey, u32>;
 
 /// Requests of this instance that wait for one model or adapter.
@@ -102,21 +109,16 @@
     until: Instant,
 }
 
-fn demand_key(service: ServiceName, model_ref: ModelRef) -> DemandKey {
-    (service, model_ref.model, model_ref.adapter)
-}
-
-fn encode_demand(
-    (service, model, adapter): &DemandKey,
-    count: u32,
-    timeout: Duration,
-) -> ModelRequests {
+fn encode_demand(key: &DemandKey, count: u32, timeout: Duration) -> ModelRequests {
+    let ModelRef { model, adapter } = &key.model_ref;
+    let required_software = key.required_software.as_ref();
     ModelRequests {
-        service: service.to_string(),
+        service: key.service.to_string(),
         model: model.to_string(),
         adapter: adapter.as_deref().unwrap_or_default().to_owned(),
         remaining_wait_ms: u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX),
         count,
+        required_software: required_software.map(ToString::to_string),
     }
 }
 
@@ -187,17 +189,36 @@
             ReportEvent::WaitStarted {
                 service,
                 model_ref,
+                required_software,
                 until,
-            } => self.add_waiter(demand_key(service, model_ref), until),
-            ReportEvent::WaitEnded { service, model_ref } => {
-                self.remove_waiter(demand_key(service, model_ref));
+            } => {
+                let key = DemandKey {
+                    service,
+                    model_ref,
+                    required_software,
+                };
+                self.add_waiter(key, until);
             }
+            ReportEvent::WaitEnded {
+                service,
+                model_ref,
+                required_software,
+            } => self.remove_waiter(DemandKey {
+                service,
+                model_ref,
+                required_software,
+            }),
             ReportEvent::RefusedAsTooLate {
                 service,
                 model_ref,
+                required_software,
                 until,
             } => {
-                let key = demand_key(service, model_ref);
+                let key = DemandKey {
+                    service,
+                    model_ref,
+                    required_software,
+                };
                 self.refused.push((until, key.clone()));
                 self.add_waiter(key, until);
             }
@@ -217,7 +238,12 @@
                 {
                     self.recent.pop_front();
                 }
-                let key = demand_key(service, model_ref);
+                // The rate of a model includes the requests that need one version.
+                let key = DemandKey {
+                    service,
+                    model_ref,
+                    required_software: None,
+                };
                 self.recent.push_back((now, key.clone()));
                 *self.arrivals.entry(key).or_default() += 1;
             }
@@ -417,7 +443,8 @@
             ),
             None => encode_demand(key, 0, Duration::ZERO),
         });
-        let waiting: Vec<ModelRequests> = waiting.collect();
+        let (waiting, waiting_for_software): (Vec<ModelRequests>, Vec<ModelRequests>) =
+            waiting.partition(|requests| requests.required_software.is_none());
         let arrivals = arrivals
             .iter()
             .map(|(key, count)| encode_demand(key, *count, Duration::ZERO));
@@ -433,7 +460,8 @@
         let mut running: Vec<RunCount> = running.collect();
         running
             .sort_by(|left, right| (&left.engine, &left.model).cmp(&(&right.engine, &right.model)));
-        if waiting.is_empty() && accepted.is_empty() && running == self.last_running {
+        let has_waiting = !waiting.is_empty() || !waiting_for_software.is_empty();
+        if !has_waiting && accepted.is_empty() && running == self.last_running {
             return;
         }
         self.last_running.clone_from(&running);
@@ -442,6 +470,7 @@
             waiting,
             accepted,
             running,
+            waiting_for_software,
         }));
     }
 }
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -22,6 +22,7 @@
 use passway_serving::retry::RetryBudget;
 use passway_serving::routes::{EnginePool, RouteTable};
 use passway_serving::upstreams::{ModelRef, UpstreamTable};
+use passway_serving::versions::SoftwareVersion;
 use passway_serving::workspaces::Workspaces;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -40,6 +41,8 @@
         service: ServiceName,
         /// The model or adapter that the request needs.
         model_ref: ModelRef,
+        /// The only software version at which the request may run; `None` if any may run it.
+        required_software: Option<SoftwareVersion>,
         /// Until when the request waits.
         until: Instant,
     },
@@ -49,6 +52,8 @@
         service: ServiceName,
         /// The model or adapter that the request waited for.
         model_ref: ModelRef,
+        /// The only software version at which the request may run; `None` if any may run it.
+        required_software: Option<SoftwareVersion>,
     },
     /// A request was refused because the model that it needs would be loaded too late. It counts as
     /// waiting until the end of the wait that it would have had.
@@ -57,6 +62,8 @@
         service: ServiceName,
         /// The model or adapter that the request needs.
         model_ref: ModelRef,
+        /// The only software version at which the request may run; `None` if any may run it.
+        required_software: Option<SoftwareVersion>,
         /// Until when the request would have waited.
         until: Instant,
     },
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -426,7 +426,10 @@
             let service = &engine.entry.service;
             let instances: BTreeSet<InstanceId> = newly_loaded
                 .iter()
-                .flat_map(|model_ref| self.demand.waiting_instances(service, model_ref))
+                .flat_map(|model_ref| {
+                    let software = &engine.entry.software;
+                    self.demand.waiting_instances(service, model_ref, software)
+                })
                 .cloned()
                 .collect();
             if !instances.is_empty() {
@@ -495,13 +498,14 @@
     /// engines may be gone or may have lost the model.
     fn check_silent_engines(&mut self, now: Instant) {
         for awaited in self.demand.awaited_for_at_least(now, WAIT_BEFORE_CHECK) {
-            let service = &awaited.service;
+            let service = &awaited.need.service;
             let engines = self
                 .replica_counts
-                .engines_with_replica(service, &awaited.model_ref.model);
+                .engines_with_replica(service, &awaited.need.model_ref.model);
             for id in engines {
                 if let Some(engine) = self.engines.get_mut(id)
-                    && engine.can_serve(service, &awaited.model_ref)
+                    && awaited.need.accepts(&engine.entry.software)
+                    && engine.can_serve(service, &awaited.need.model_ref)
                 {
                     engine.schedule_check(now);
                 }
@@ -562,7 +566,7 @@
         let awaited_models = self.demand.awaited_models().into_iter();
         let engines = awaited_models.flat_map(|awaited| {
             self.checkpoint_locations
-                .engines_caching(&awaited.service, &awaited.model_ref.model)
+                .engines_caching(&awaited.need.service, &awaited.need.model_ref.model)
         });
         engines.cloned().collect()
     }
@@ -654,8 +658,8 @@
         let demand = &self.demand;
         let can_serve = |engine: &Engine, model: &ModelName| {
             let service = &engine.entry.service;
-            let has_blocked_waiters =
-                engine.is_backing_off(now) && demand.waiters(service, model) > 0;
+            let has_blocked_waiters = engine.is_backing_off(now)
+                && demand.waiters_accepting(service, model, &engine.entry.software) > 0;
             let can_serve_rate =
                 !engine.is_limited() || engine.can_serve_rate(demand.rate(service, model, now));
             can_serve_rate && !has_blocked_waiters
--- a/crates/serving/src/placement/benefit.rs
+++ b/crates/serving/src/placement/benefit.rs
@@ -3,6 +3,7 @@
 
 use super::Planner;
 use super::demand::{AwaitedModel, as_f64};
+use crate::versions::SoftwareVersion;
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
 
@@ -22,6 +23,8 @@
 pub(super) struct Candidate {
     pub(super) service: ServiceName,
     pub(super) model: ModelName,
+    /// The software version at which the replica is needed; `None` if any version will do.
+    pub(super) required_software: Option<SoftwareVersion>,
     /// Requests served in time because of the replica.
     pub(super) gain: f64,
     /// Requests that become late during each second until the replica is loaded.
@@ -32,6 +35,20 @@
     pub(super) is_for_speed: bool,
 }
 
+impl Candidate {
+    /// Whether the replica may be loaded on engines of a software version.
+    pub(super) fn accepts(&self, software: &SoftwareVersion) -> bool {
+        let required = self.required_software.as_ref();
+        required.is_none_or(|required| required == software)
+    }
+}
+
+/// Start of the longest of the waits.
+fn longest_wait_start(awaited_models: &[&AwaitedModel]) -> Option<Instant> {
+    let starts = awaited_models.iter().map(|awaited| awaited.waiting_since);
+    starts.min()
+}
+
 /// A number of replicas as a floating-point number.
 fn usize_as_f64(count: usize) -> f64 {
     as_f64(u64::try_from(count).unwrap_or(u64::MAX))
@@ -46,9 +63,15 @@
         for (service, model) in busy {
             models.entry((service, model)).or_default();
         }
+        let mut models_by_version: BTreeMap<_, Vec<&AwaitedModel>> = BTreeMap::new();
         for awaited in awaited_models {
-            let model = (&awaited.service, &awaited.model_ref.model);
-            models.entry(model).or_default().push(awaited);
+            let model = (&awaited.need.service, &awaited.need.model_ref.model);
+            if let Some(software) = &awaited.need.required_software {
+                let key = (model, software);
+                models_by_version.entry(key).or_default().push(awaited);
+            } else {
+                models.entry(model).or_default().push(awaited);
+            }
         }
         let candidates = models
             .into_iter()
@@ -57,6 +80,14 @@
                 has_pool.then(|| self.candidate(service, model, &awaited_models, now))?
             });
         let mut candidates: Vec<Candidate> = candidates.collect();
+        for ((model, software), awaited_models) in models_by_version {
+            let plain = candidates.iter().find(|candidate| {
+                candidate.required_software.is_none()
+                    && (&candidate.service, &candidate.model) == model
+            });
+            let candidate = self.version_candidate(model, software, plain, &awaited_models, now);
+            candidates.extend(candidate);
+        }
         candidates.sort_by(|a, b| b.gain.total_cmp(&a.gain));
         candidates
     }
@@ -92,38 +123,77 @@
         let mut candidate = Candidate {
             service: service.clone(),
             model: model.clone(),
+            required_software: None,
             gain: rate_share * HORIZON_S,
             delay_cost_per_s: rate_share,
             waiting_since: None,
             is_for_speed,
         };
         if replicas == 0 {
-            let scoring = self.policy.wait_scoring();
-            let scores = awaited_models.iter().map(|awaited| {
-                let count = if scoring.should_count_requests {
-                    awaited.count()
-                } else {
-                    1
-                };
-                let wait = now.saturating_duration_since(awaited.waiting_since);
-                let requests_per_s = if scoring.should_count_wait_time {
-                    1.0 / WAIT_S_PER_REQUEST
-                } else {
-                    0.0
-                };
-                f64::from(count) + wait.as_secs_f64() * requests_per_s
-            });
-            let wait_score: f64 = scores.sum();
+            let wait_score = self.wait_score(awaited_models, now);
             candidate.gain = rate * HORIZON_S + wait_score;
             candidate.delay_cost_per_s = rate + wait_score;
-            candidate.waiting_since = awaited_models
-                .iter()
-                .map(|awaited| awaited.waiting_since)
-                .min();
+            candidate.waiting_since = longest_wait_start(awaited_models);
         }
         Some(candidate)
     }
 
+    /// The gain of a replica at engines of one software version, for requests that may run only
+    /// there; `None` if such an engine has the model or is about to load it.
+    ///
+    /// The replica serves other requests too, so the gain includes that of `plain`, the candidate
+    /// for a replica at any version.
+    fn version_candidate(
+        &self,
+        (service, model): (&ServiceName, &ModelName),
+        software: &SoftwareVersion,
+        plain: Option<&Candidate>,
+        awaited_models: &[&AwaitedModel],
+        now: Instant,
+    ) -> Option<Candidate> {
+        let has_version = |id: &UpstreamId| {
+            let engine = self.engines.get(id);
+            engine.is_some_and(|engine| engine.entry.software == *software)
+        };
+        let counts = &self.replica_counts;
+        let loaded = counts.engines_with_replica(service, model);
+        let loading = counts.engines_loading(service, model);
+        let has_pool = self.pools.contains_key(service);
+        if !has_pool || loaded.iter().chain(loading).any(has_version) {
+            return None;
+        }
+        let wait_score = self.wait_score(awaited_models, now);
+        Some(Candidate {
+            service: service.clone(),
+            model: model.clone(),
+            required_software: Some(software.clone()),
+            gain: plain.map_or(0.0, |plain| plain.gain) + wait_score,
+            delay_cost_per_s: plain.map_or(0.0, |plain| plain.delay_cost_per_s) + wait_score,
+            waiting_since: longest_wait_start(awaited_models),
+            is_for_speed: false,
+        })
+    }
+
+    /// How much the requests that wait for a model count, in requests.
+    fn wait_score(&self, awaited_models: &[&AwaitedModel], now: Instant) -> f64 {
+        let scoring = self.policy.wait_scoring();
+        let scores = awaited_models.iter().map(|awaited| {
+            let count = if scoring.should_count_requests {
+                awaited.count()
+            } else {
+                1
+            };
+            let wait = now.saturating_duration_since(awaited.waiting_since);
+            let requests_per_s = if scoring.should_count_wait_time {
+                1.0 / WAIT_S_PER_REQUEST
+            } else {
+                0.0
+            };
+            f64::from(count) + wait.as_secs_f64() * requests_per_s
+        });
+        scores.sum()
+    }
+
     /// The benefit of one of a model's replicas, in requests served in time.
     pub(super) fn replica_benefit(
         &self,
--- a/crates/serving/src/placement/demand.rs
+++ b/crates/serving/src/placement/demand.rs
@@ -1,6 +1,7 @@
 //! The demand for models: waiting requests, and the request rate of each model.
 
 use crate::upstreams::ModelRef;
+use crate::versions::SoftwareVersion;
 use passway_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -41,6 +42,8 @@
     pub service: ServiceName,
     /// The model or adapter that the requests wait for.
     pub model_ref: ModelRef,
+    /// The only software version at which the requests may run; `None` if any may run them.
+    pub required_software: Option<SoftwareVersion>,
     /// Number of waiting requests; 0 if no request waits any more.
     pub count: u32,
     /// The latest deadline of these requests.
@@ -53,11 +56,27 @@
     number as f64
 }
 
+/// What waiting requests need: a model or adapter, at engines of one software version or at any.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Need {
+    pub(super) service: ServiceName,
+    pub(super) model_ref: ModelRef,
+    /// The only software version at which the requests may run; `None` if any may run them.
+    pub(super) required_software: Option<SoftwareVersion>,
+}
+
+impl Need {
+    /// Whether the requests may run at engines of a software version.
+    pub(super) fn accepts(&self, software: &SoftwareVersion) -> bool {
+        let required = self.required_software.as_ref();
+        required.is_none_or(|required| required == software)
+    }
+}
+
 /// A model or adapter that requests wait for.
 #[derive(Debug, Clone)]
 pub(super) struct AwaitedModel {
-    pub(super) service: ServiceName,
-    pub(super) model_ref: ModelRef,
+    pub(super) need: Need,
     /// Since when at least one request has been waiting at all times.
     pub(super) waiting_since: Instant,
     /// Number of waiting requests and their latest deadline, by instance.
@@ -85,12 +104,21 @@
     }
 }
 
+/// A model of a service, and the software version that requests for it need.
+type ModelKey = (ServiceName, ModelName, Option<SoftwareVersion>);
+
+fn model_key(need: &Need) -> ModelKey {
+    let model = need.model_ref.model.clone();
+    (need.service.clone(), model, need.required_software.clone())
+}
+
 /// Waiting requests and request rates.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
-    awaited: HashMap<(ServiceName, ModelRef), AwaitedModel>,
-    /// Waiting requests by model, including requests for its adapters.
-    waiters_by_model: HashMap<(ServiceName, ModelName), u32>,
+    awaited: HashMap<Need, AwaitedModel>,
+    /// Waiting requests by model and required software version, including requests for the model's
+    /// adapters.
+    waiters_by_model: HashMap<ModelKey, u32>,
     /// Names come from callers, so models without recent requests must be dropped.
     rates: HashMap<(ServiceName, ModelName), Rate>,
     /// When to drop decayed rates next.
@@ -104,18 +132,21 @@
             instance,
             service,
             model_ref,
+            required_software,
             count,
             latest_deadline,
         } = waiters;
-        let key = (service, model_ref);
-        if count == 0 && !self.awaited.contains_key(&key) {
-            return;
-        }
-        let (service, model_ref) = key.clone();
-        let model_key = (service.clone(), model_ref.model.clone());
-        let awaited = self.awaited.entry(key.clone()).or_insert(AwaitedModel {
+        let need = Need {
             service,
             model_ref,
+            required_software,
+        };
+        if count == 0 && !self.awaited.contains_key(&need) {
+            return;
+        }
+        let model_key = model_key(&need);
+        let awaited = self.awaited.entry(need.clone()).or_insert(AwaitedModel {
+            need: need.clone(),
             waiting_since: now,
             by_instance: BTreeMap::new(),
         });
@@ -127,7 +158,7 @@
                 .insert(instance, (count, latest_deadline))
         };
         if awaited.by_instance.is_empty() {
-            self.awaited.remove(&key);
+            self.awaited.remove(&need);
         }
         let previous = previous.map_or(0, |(count, _)| count);
         let waiters = self.waiters_by_model.entry(model_key.clone()).or_default();
@@ -170,7 +201,7 @@
     fn recount(&mut self) {
         self.waiters_by_model.clear();
         for awaited in self.awaited.values() {
-            let key = (awaited.service.clone(), awaited.model_ref.model.clone());
+            let key = model_key(&awaited.need);
             *self.waiters_by_model.entry(key).or_default() += awaited.count();
         }
     }
@@ -182,7 +213,8 @@
             let rank = |awaited: &AwaitedModel| awaited.waiting_since;
             rank(a)
                 .cmp(&rank(b))
-                .then_with(|| a.model_ref.cmp(&b.model_ref))
+                .then_with(|| a.need.model_ref.cmp(&b.need.model_ref))
+                .then_with(|| a.need.required_software.cmp(&b.need.required_software))
         });
         awaited_models
     }
@@ -197,25 +229,53 @@
         awaited_models.filter(move |awaited| now >= awaited.waiting_since + min_wait)
     }
 
-    /// Instances whose requests wait for a model or adapter.
+    /// Instances whose requests wait for a model or adapter that an engine of this software version
+    /// may serve to them.
     pub(super) fn waiting_instances<'a>(
         &'a self,
         service: &ServiceName,
         model_ref: &ModelRef,
+        software: &SoftwareVersion,
     ) -> impl Iterator<Item = &'a InstanceId> + use<'a> {
-        let key = (service.clone(), model_ref.clone());
-        let awaited_model = self.awaited.get(&key);
-        awaited_model
+        let versions = [None, Some(software.clone())];
+        let needs = versions.map(|required_software| Need {
+            service: service.clone(),
+            model_ref: model_ref.clone(),
+            required_software,
+        });
+        let awaited_models = needs.map(|need| self.awaited.get(&need));
+        awaited_models
             .into_iter()
+            .flatten()
             .flat_map(|awaited| awaited.by_instance.keys())
     }
 
-    /// Requests that wait for a model, including requests for its adapters.
+    /// Requests that wait for a model at any software version, including requests for its adapters.
     pub(super) fn waiters(&self, service: &ServiceName, model: &ModelName) -> u32 {
+        self.waiters_requiring(service, model, None)
+    }
+
+    /// Requests that wait for a model and may run at engines of this software version, including
+    /// requests for the model's adapters.
+    pub(super) fn waiters_accepting(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        software: &SoftwareVersion,
+    ) -> u32 {
+        self.waiters(service, model) + self.waiters_requiring(service, model, Some(software))
+    }
+
+    fn waiters_requiring(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        software: Option<&SoftwareVersion>,
+    ) -> u32 {
         if self.waiters_by_model.is_empty() {
             return 0;
         }
-        let key = (service.clone(), model.clone());
+        let key = (service.clone(), model.clone(), software.cloned());
         self.waiters_by_model.get(&key).copied().unwrap_or(0)
     }
 
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -3,13 +3,12 @@
 
 use super::Planner;
 use super::benefit::Candidate;
-use super::demand;
+use super::demand::{self, Need};
 use super::engine::{Engine, Tier};
 use super::speed;
 use super::store_load_limiter::MAX_CONCURRENT_STORE_LOADS;
 use crate::hash;
 use crate::routes::{EnginePool, ModelSpec};
-use crate::upstreams::ModelRef;
 use passway_types::prelude::*;
 
 /// A new replica must gain at least this many times the benefit of the models evicted for it.
@@ -47,44 +46,37 @@
     /// Plans the loads of adapters that requests wait for, on engines that have their model.
     pub(super) fn place_adapters(&mut self, now: Instant) {
         let awaited = self.demand.awaited_models().into_iter();
-        let adapters = awaited.filter(|awaited| awaited.model_ref.adapter.is_some());
-        let awaited_adapters: Vec<(ServiceName, ModelRef)> = adapters
-            .map(|awaited| (awaited.service.clone(), awaited.model_ref.clone()))
-            .collect();
-        for (service, model_ref) in awaited_adapters {
-            let rate = self.demand.rate(&service, &model_ref.model, now);
+        let adapters = awaited.filter(|awaited| awaited.need.model_ref.adapter.is_some());
+        let needs: Vec<Need> = adapters.map(|awaited| awaited.need.clone()).collect();
+        for need in needs {
+            let (service, model_ref) = (&need.service, &need.model_ref);
+            let rate = self.demand.rate(service, &model_ref.model, now);
             let mut engines = self.engines.values();
             let is_satisfied = engines.any(|engine| {
-                (engine.can_serve(&service, &model_ref) && engine.can_serve_rate(rate))
-                    || engine.is_load_planned(&service, &model_ref)
+                need.accepts(&engine.entry.software)
+                    && ((engine.can_serve(service, model_ref) && engine.can_serve_rate(rate))
+                        || engine.is_load_planned(service, model_ref))
             });
-            if let Some(adapter) = model_ref.adapter.as_ref().filter(|_| !is_satisfied) {
-                self.place_adapter(&service, &model_ref.model, adapter, now);
+            if !is_satisfied {
+                self.place_adapter(&need, now);
             }
         }
     }
 
     /// Plans an adapter on the engine with its model and the fewest adapters; limited engines come
     /// last.
-    fn place_adapter(
-        &mut self,
-        service: &ServiceName,
-        model: &ModelName,
-        adapter: &AdapterName,
-        now: Instant,
-    ) {
-        let Some(pool) = self.pools.get(service) else {
+    fn place_adapter(&mut self, need: &Need, now: Instant) {
+        let (service, model_ref) = (&need.service, &need.model_ref);
+        let model = &model_ref.model;
+        let (Some(pool), Some(adapter)) = (self.pools.get(service), &model_ref.adapter) else {
             return;
         };
         let engines = self.engines.values_mut();
-        let model_ref = ModelRef {
-            model: model.clone(),
-            adapter: Some(adapter.clone()),
-        };
         let usable = engines.filter(|engine| {
-            engine.has_model(service, model)
+            need.accepts(&engine.entry.software)
+                && engine.has_model(service, model)
                 && engine.can_start_swap()
-                && !engine.can_serve(service, &model_ref)
+                && !engine.can_serve(service, model_ref)
         });
         let best = usable.min_by_key(|engine| {
             let id = engine.entry.id.clone();
@@ -98,13 +90,27 @@
     /// Plans the loads of models that would benefit from one more replica, in descending order of
     /// gain.
     pub(super) fn place_models(&mut self, now: Instant) {
+        let mut placed_for_version: Vec<Candidate> = Vec::new();
         for candidate in self.candidates(now) {
+            // A replica at the version that some requests need serves the other requests too.
+            let is_placed = placed_for_version.iter().any(|placed| {
+                candidate.required_software.is_none()
+                    && (&placed.service, &placed.model) == (&candidate.service, &candidate.model)
+            });
+            if is_placed {
+                continue;
+            }
             // In both cases the engines that cache the model either serve it already or have no
             // memory for it, and more requests are refused each second than the fetch costs the
             // fetching engine.
-            let should_fetch_anyway = self.is_out_of_slots(&candidate.service, &candidate.model)
-                || self.has_waited_too_long_for_cached(&candidate, now);
-            self.place_model(&candidate, should_fetch_anyway, now);
+            let is_out_of_slots = candidate.required_software.is_none()
+                && self.is_out_of_slots(&candidate.service, &candidate.model);
+            let should_fetch_anyway =
+                is_out_of_slots || self.has_waited_too_long_for_cached(&candidate, now);
+            let is_placed = self.place_model(&candidate, should_fetch_anyway, now);
+            if is_placed && candidate.required_software.is_some() {
+                placed_for_version.push(candidate);
+            }
         }
     }
 
@@ -147,6 +153,7 @@
                 let candidate = Candidate {
                     service,
                     model,
+                    required_software: None,
                     // An evicted model can be loaded again from the engine's memory or disk.
                     gain: f64::INFINITY,
                     delay_cost_per_s: 0.0,
@@ -164,21 +171,29 @@
     }
 
     /// Plans the load of a model on the engine with the lowest cost, if the gain justifies it.
-    fn place_model(&mut self, candidate: &Candidate, should_fetch_anyway: bool, now: Instant) {
+    /// Returns whether a load was planned.
+    fn place_model(
+        &mut self,
+        candidate: &Candidate,
+        should_fetch_anyway: bool,
+        now: Instant,
+    ) -> bool {
         let is_refused = self
             .crashing_loads
             .is_refused(&candidate.service, &candidate.model);
         let swap = self.cheapest_swap(candidate, should_fetch_anyway, now);
         let Some(swap) = swap.filter(|_| !is_refused) else {
-            return;
+            return false;
         };
-        if let Some(engine) = self.engines.get_mut(&swap.engine) {
-            let model = &candidate.model;
-            let victims = swap.victims.clone();
-            engine.start_swap(model.clone(), swap.victims);
-            self.replica_counts.record_swap(engine, model, &victims);
-            self.changed_engines.insert(swap.engine);
-        }
+        let Some(engine) = self.engines.get_mut(&swap.engine) else {
+            return false;
+        };
+        let model = &candidate.model;
+        let victims = swap.victims.clone();
+        engine.start_swap(model.clone(), swap.victims);
+        self.replica_counts.record_swap(engine, model, &victims);
+        self.changed_engines.insert(swap.engine);
+        true
     }
 
     /// The swap of lowest cost, with regard to speed, that loads a model on an engine without it.
@@ -191,10 +206,13 @@
         let (service, model) = (&candidate.service, &candidate.model);
         let pool = self.pools.get(service)?;
         let spec = pool.models.named(model)?;
+        let caching = self.engines_caching(service, model);
+        let caching: Vec<&Engine> = caching
+            .filter(|engine| candidate.accepts(&engine.entry.software))
+            .collect();
         let can_fetch = !candidate.is_for_speed
-            && self.can_fetch(service, pool, spec, should_fetch_anyway, now);
-        let caching: Vec<&Engine> = self.engines_caching(service, model).collect();
-        let fetchers = can_fetch.then(|| self.fetch_candidates(model, &caching));
+            && self.can_fetch((service, pool, spec), &caching, should_fetch_anyway, now);
+        let fetchers = can_fetch.then(|| self.fetch_candidates(candidate, &caching));
         let engines = caching
             .iter()
             .copied()
@@ -217,16 +235,18 @@
     /// different selection for each model.
     fn fetch_candidates<'a>(
         &'a self,
-        model: &ModelName,
+        candidate: &'a Candidate,
         caching: &[&Engine],
     ) -> impl Iterator<Item = &'a Engine> + use<'a> {
         let caching: Vec<UpstreamId> = caching.iter().map(|e| e.entry.id.clone()).collect();
         let count = self.engines.len().max(1);
-        let offset = hash::mixed(0, model) % u64::try_from(count).unwrap_or(1);
+        let offset = hash::mixed(0, &candidate.model) % u64::try_from(count).unwrap_or(1);
         let start = usize::try_from(offset).unwrap_or(0);
         let engines = self.engines.values();
         let rotated = engines.clone().skip(start).chain(engines.take(start));
-        let others = rotated.filter(move |engine| !caching.contains(&engine.entry.id));
+        let others = rotated.filter(move |engine| {
+            candidate.accepts(&engine.entry.software) && !caching.contains(&engine.entry.id)
+        });
         others.take(MAX_FETCH_CANDIDATES)
     }
 
@@ -267,19 +287,17 @@
     }
 
     /// Whether a model may be fetched from the weight store now. With `should_fetch_anyway`, also
-    /// if a usable engine has it cached.
+    /// if a usable engine among `caching`, those that have it cached, could load it.
     fn can_fetch(
         &self,
-        service: &ServiceName,
-        pool: &EnginePool,
-        spec: &ModelSpec,
+        (service, pool, spec): (&ServiceName, &EnginePool, &ModelSpec),
+        caching: &[&Engine],
         should_fetch_anyway: bool,
         now: Instant,
     ) -> bool {
         // An engine that caches the model becomes free before a load from the store would end.
-        let mut caching = self.engines_caching(service, &spec.name);
         let rate = self.demand.rate(service, &spec.name, now);
-        let is_cached_on_usable = caching.any(|engine| {
+        let is_cached_on_usable = caching.iter().any(|engine| {
             let can_serve = if engine.has_model(service, &spec.name) {
                 engine.can_serve_rate(rate)
             } else {
--- a/crates/serving/src/placement/replica_counts.rs
+++ b/crates/serving/src/placement/replica_counts.rs
@@ -11,7 +11,8 @@
     replicas: Vec<UpstreamId>,
     /// Sum of the capacity ratios of these engines.
     capacity_ratios: f64,
-    pending_loads: usize,
+    /// Engines that are loading the model or about to load it.
+    pending_loads: Vec<UpstreamId>,
     running: u32,
 }
 
@@ -53,7 +54,8 @@
                 counts.capacity_ratios += engine.speed.weights.capacity_ratio;
             }
             if let Some(model) = engine.pending_load() {
-                counts.entry(model.clone()).or_default().pending_loads += 1;
+                let counts = counts.entry(model.clone()).or_default();
+                counts.pending_loads.push(engine.entry.id.clone());
             }
             for (model, running) in engine.running_requests() {
                 counts.entry(model.clone()).or_default().running += running;
@@ -80,7 +82,8 @@
             *unordered.or_default() += 1;
         }
         let counts = self.counts_by_model.entry(service).or_default();
-        counts.entry(loading.clone()).or_default().pending_loads += 1;
+        let loading = counts.entry(loading.clone()).or_default();
+        loading.pending_loads.push(engine.entry.id.clone());
         for victim in victims {
             if let Some(counts) = counts.get_mut(victim) {
                 let previous = counts.replicas.len();
@@ -136,10 +139,19 @@
         self.engines_with_replica(service, model).len()
     }
 
+    /// Engines that are loading a model or about to load it.
+    pub(super) fn engines_loading(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+    ) -> &[UpstreamId] {
+        let counts = self.counts(service, model);
+        counts.map_or(&[], |counts| &counts.pending_loads)
+    }
+
     /// Number of engines that are loading a model or about to load it.
     pub(super) fn pending_load_count(&self, service: &ServiceName, model: &ModelName) -> usize {
-        self.counts(service, model)
-            .map_or(0, |counts| counts.pending_loads)
+        self.engines_loading(service, model).len()
     }
 
     /// Running requests for a model.
--- a/crates/standins/src/fleet_model/requests.rs
+++ b/crates/standins/src/fleet_model/requests.rs
@@ -169,6 +169,7 @@
                 instance: "all".into(),
                 service: FleetSize::service(),
                 model_ref: base_model_ref(FleetSize::model(number)),
+                required_software: None,
                 count,
                 latest_deadline,
             };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -424,6 +424,9 @@
     /// Number of waiting requests, 0 if none is waiting any more; or number of accepted requests.
     #[prost(uint32, tag = "5")]
     pub count: u32,
+    /// The only software version at which the requests may run; absent if any may run them.
+    #[prost(string, optional, tag = "6")]
+    pub required_software: Option<String>,
 }
 
 /// The number of requests of a model that run on an engine.
@@ -455,6 +458,10 @@
     /// Requests that are running now.
     #[prost(message, repeated, tag = "4")]
     pub running: Vec<RunCount>,
+    /// Like `waiting`, for requests that may run only at one software version. A separate field,
+    /// because a receiver that ignored the version would overwrite the count in `waiting`.
+    #[prost(message, repeated, tag = "5")]
+    pub waiting_for_software: Vec<ModelRequests>,
 }
 
 /// A model that is loaded on an engine.
--- a/tests/all/holder_inputs.rs
+++ b/tests/all/holder_inputs.rs
@@ -24,6 +24,7 @@
         adapter: String::new(),
         remaining_wait_ms: 1_000,
         count: 1,
+        required_software: None,
     };
     let report = InstanceReport {
         instance: format!("reporter{number}"),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -118,6 +118,7 @@
 mod unload_order;
 mod upstream_choice;
 mod upstream_signals;
+mod version_demand;
 mod wait_forecast;
 mod waiting_requests;
 mod workspace_allotments;
--- a/tests/all/placement_faults.rs
+++ b/tests/all/placement_faults.rs
@@ -256,6 +256,7 @@
             instance: "one".into(),
             service: "engines".into(),
             model_ref: model_ref.clone(),
+            required_software: None,
             count: 1,
             latest_deadline,
         };
--- a/tests/all/test_planner.rs
+++ b/tests/all/test_planner.rs
@@ -112,6 +112,7 @@
             instance: "one".into(),
             service: "engines".into(),
             model_ref,
+            required_software: None,
             count,
             latest_deadline: self.now + RECEIVE_TIMEOUT,
         };
--- a/tests/all/unload_order.rs
+++ b/tests/all/unload_order.rs
@@ -82,6 +82,7 @@
                 instance: "one".into(),
                 service: "engines".into(),
                 model_ref: base_model(model),
+                required_software: None,
                 count: 3,
                 latest_deadline: now + Duration::from_mins(1),
             },
