--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -9,6 +9,7 @@
 use passway_serving::hash::{fnv1a, fnv1a_bytes};
 use passway_serving::paths::PathState;
 use passway_serving::upstreams::{Choice, ModelRef, Outcome, RequestNeeds};
+use passway_serving::versions::SoftwareVersion;
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -109,6 +110,7 @@
                     self.shared,
                     &self.service,
                     model_ref,
+                    self.required_version(),
                     wait_until,
                 ));
             }
@@ -187,6 +189,7 @@
                 &self.service,
                 &model_ref.model,
                 &self.access.allowed_regions,
+                self.required_version(),
             )
         {
             return None;
@@ -211,6 +214,7 @@
             self.shared.report(ReportEvent::RefusedAsTooLate {
                 service: self.service.clone(),
                 model_ref: model_ref.clone(),
+                required_software: self.required_version().cloned(),
                 until: wait_until,
             });
         }
@@ -383,6 +387,7 @@
     shared: &'a Shared,
     service: ServiceName,
     model_ref: ModelRef,
+    required_software: Option<SoftwareVersion>,
 }
 
 impl<'a> ReportedWait<'a> {
@@ -390,17 +395,20 @@
         shared: &'a Shared,
         service: &ServiceName,
         model_ref: &ModelRef,
+        required_software: Option<&SoftwareVersion>,
         until: Instant,
     ) -> Self {
         shared.report(ReportEvent::WaitStarted {
             service: service.clone(),
             model_ref: model_ref.clone(),
+            required_software: required_software.cloned(),
             until,
         });
         Self {
             shared,
             service: service.clone(),
             model_ref: model_ref.clone(),
+            required_software: required_software.cloned(),
         }
     }
 }
@@ -410,6 +418,7 @@
         self.shared.report(ReportEvent::WaitEnded {
             service: self.service.clone(),
             model_ref: self.model_ref.clone(),
+            required_software: self.required_software.clone(),
         });
     }
 }
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -597,16 +597,20 @@
         upstream.is_some_and(|upstream| upstream.has(model_ref, now))
     }
 
-    /// Whether none of a service's engines has the model loaded or cached, so that it must be
-    /// loaded from the weight store. Returns false if no engine is known, because an unknown one
-    /// may have it.
+    /// Whether none of a service's engines, or of those with the software version that a request
+    /// requires, has the model loaded or cached, so that it must be loaded from the weight store.
+    /// Returns false if no such engine is known, because an unknown one may have it.
     pub fn is_cached_nowhere(
         &self,
         service: &ServiceName,
         model: &ModelName,
         allowed: &AllowedRegions,
+        required: Option<&SoftwareVersion>,
     ) -> bool {
-        let mut engines = self.admitted_upstreams(service, allowed).peekable();
+        let engines = self.admitted_upstreams(service, allowed);
+        let mut engines = engines
+            .filter(|engine| required.is_none_or(|required| engine.entry.software == *required))
+            .peekable();
         engines.peek().is_some() && !engines.any(|upstream| upstream.has_cached(model))
     }
 
--- a/tests/all/late_models.rs
+++ b/tests/all/late_models.rs
@@ -54,7 +54,7 @@
     let (service, m0) = ("engines".into(), "m0".into());
     let mut table = UpstreamTable::new("hall0".into());
     assert!(
-        !table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY),
+        !table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY, None),
         "before the first entry nothing is known"
     );
     let entry = UpstreamEntry {
@@ -73,13 +73,13 @@
         software: "v1".into(),
     };
     table.update(entry, Instant::now());
-    assert!(table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY));
-    assert!(!table.is_cached_nowhere(&service, &"m1".into(), &AllowedRegions::ANY));
+    assert!(table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY, None));
+    assert!(!table.is_cached_nowhere(&service, &"m1".into(), &AllowedRegions::ANY, None));
     let resident_model = ResidentModel {
         name: m0.clone(),
         adapters: Vec::new(),
     };
     table.set_placement("i-0", vec![resident_model], Vec::new());
     table.set_placement("i-0", Vec::new(), Vec::new());
-    assert!(!table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY));
+    assert!(!table.is_cached_nowhere(&service, &m0, &AllowedRegions::ANY, None));
 }
