--- a/tests/all/software_versions.rs
+++ b/tests/all/software_versions.rs
@@ -195,7 +195,7 @@
             .map(|stream| stream.join().expect("a stream"));
         streams.collect()
     });
-    old.iter().for_each(|engine| slow_down(&[engine]));
+    slow_down(&old.each_ref());
     let second = cluster::start_ready("two", &store);
     let went_on = streams.iter().filter(|stream| {
         let rest = stream.take_up(&second);
