--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -408,6 +408,8 @@
             runs = self.runs, status = request_log.status, end = request_log.end,
             waited_ms = request_log.waited_ms.unwrap_or(0), first_ms = request_log.first_ms.unwrap_or(0),
             took_ms = self.elapsed_ms(), events = self.stream_timing.events(),
+            resumes = self.facts.resumes.as_deref().unwrap_or(""),
+            after_event = self.facts.last_event_id.as_deref().unwrap_or(""),
             longest_pause_ms = millis(self.stream_timing.longest_pause()), config_version = version,
             not_sent = request_log.not_sent, stopped_by = request_log.stopped_by,
             refused_by:% = self.too_late.map_or(String::new(), |refused| refused.dispatcher.to_string()),
--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -114,8 +114,14 @@
         let until = self.deadline_at.min(clock::now() + MAX_PROOF_TIME);
         let versions = &self.shared.versions;
         let proven = versions.prove(&self.service, self.stream_key(), until);
+        let outcome = match &proven {
+            Ok(proven) => proven.source().name(),
+            Err(reason) => reason.name(),
+        };
+        self.shared.metrics.version_proof(outcome);
         log::info!(target: REQUEST_TARGET, request = self.facts.id,
-            resumes = self.facts.resumes.as_deref().unwrap_or(""), proven:? = proven;
+            resumes = self.facts.resumes.as_deref().unwrap_or(""), outcome = outcome,
+            version = proven.as_ref().map_or("", |proven| proven.software().name());
             "looked up the version of a stream");
         match proven {
             Ok(proven) => {
--- a/crates/instance/src/metrics/dispatching.rs
+++ b/crates/instance/src/metrics/dispatching.rs
@@ -129,6 +129,14 @@
         let help =
             "Runs with a copy that broke off, by the outcome on the engine that has the copy";
         registry.register("continuations", help, continuations);
+        for outcome in ["record", "no record"] {
+            let _zero = self
+                .version_proofs
+                .get_or_create(&OutcomeLabels { outcome });
+        }
+        let version_proofs = self.version_proofs.clone();
+        let help = "Streams that were taken up, by what proves the version that began them, or why nothing does";
+        registry.register("version_proofs", help, version_proofs);
         for outcome in ["replaced", "no retry allowance"] {
             let _zero = self.silent_runs.get_or_create(&OutcomeLabels { outcome });
         }
@@ -185,6 +193,13 @@
             .inc();
     }
 
+    /// Counts a stream that was taken up by what proves its version, or why nothing does.
+    pub fn version_proof(&self, outcome: &'static str) {
+        self.version_proofs
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a check of a run whose upstream has fallen silent.
     pub fn silent_run(&self, outcome: &'static str) {
         self.silent_runs
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -70,6 +70,16 @@
     StoreAway,
 }
 
+impl NoProof {
+    /// The name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unproven(reason) => reason.name(),
+            Self::StoreAway => "store away",
+        }
+    }
+}
+
 impl From<Unproven> for NoProof {
     fn from(reason: Unproven) -> Self {
         Self::Unproven(reason)
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -48,25 +48,59 @@
     }
 }
 
+/// What proves the version of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProofSource {
+    /// This instance has received the first event.
+    Observed,
+    /// The stored list names no other version.
+    OnlyVersion,
+    /// The stream's record.
+    Record,
+}
+
+impl ProofSource {
+    /// The name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Observed => "observed",
+            Self::OnlyVersion => "only version",
+            Self::Record => "record",
+        }
+    }
+}
+
 /// Proof that a stream began at a software version. Only a run at that version may go on with it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ProvenVersion(SoftwareVersion);
+pub struct ProvenVersion {
+    software: SoftwareVersion,
+    source: ProofSource,
+}
 
 impl ProvenVersion {
     /// The version of the start whose run brought the stream's first event; `None` if the start was not
     /// listed when it was chosen.
     pub fn observed(start: &ListedStart) -> Option<Self> {
-        start.software.clone().map(Self)
+        let software = start.software.clone()?;
+        Some(Self {
+            software,
+            source: ProofSource::Observed,
+        })
     }
 
     /// The version.
     pub fn software(&self) -> &SoftwareVersion {
-        &self.0
+        &self.software
+    }
+
+    /// What proves it.
+    pub fn source(&self) -> ProofSource {
+        self.source
     }
 
     /// Whether the stream may go on at an upstream of a version; false if that is unknown.
     pub fn permits(&self, software: Option<&SoftwareVersion>) -> bool {
-        software == Some(&self.0)
+        software == Some(&self.software)
     }
 }
 
@@ -79,6 +113,16 @@
     SeveralRecords,
 }
 
+impl Unproven {
+    /// The name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoRecord => "no record",
+            Self::SeveralRecords => "several records",
+        }
+    }
+}
+
 /// Identifies a stream by its service and the id of the attempt that began it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamKey([u8; DIGEST_BYTES]);
@@ -178,11 +222,17 @@
         recorded: impl FnOnce() -> Result<Vec<SoftwareVersion>, E>,
     ) -> Result<ProvenVersion, E> {
         if let Some(software) = self.only_version(service, era) {
-            return Ok(ProvenVersion(software.clone()));
+            return Ok(ProvenVersion {
+                software: software.clone(),
+                source: ProofSource::OnlyVersion,
+            });
         }
         let mut recorded = recorded()?.into_iter();
         match (recorded.next(), recorded.next()) {
-            (Some(software), None) => Ok(ProvenVersion(software)),
+            (Some(software), None) => Ok(ProvenVersion {
+                software,
+                source: ProofSource::Record,
+            }),
             (None, _) => Err(Unproven::NoRecord.into()),
             (Some(_), Some(_)) => Err(Unproven::SeveralRecords.into()),
         }
--- a/tests/all/docs_match.rs
+++ b/tests/all/docs_match.rs
@@ -21,6 +21,7 @@
 | 429 | not run | The workspace has used its allotment. | the request's turn, 5 s at most |
 | 502 | unknown | An upstream may have run it, and its answer is lost. | |
 | 503 | not run | No upstream could take it; nobody could say what its workspace has used; its key may have been taken away meanwhile; the instance's configuration denies it and may be old; its upstreams take no more now; or the instance is stopping. | when it may be otherwise; 0.05 s where another instance most likely can |
+| 503 with `Resume-Refused` | not run | The stream that the request takes up cannot go on: `version-unknown` (nobody knows which software version began it) and `version-gone` (no upstream with that version takes requests) mean that the caller has to begin anew, without `Last-Event-Id` and `Resumes`; `proof-unavailable`: the store did not answer. | 0.5 s with `proof-unavailable`, else none |
 | 504 | unknown | The time is over while an upstream works. | |
 ";
 
