--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -102,7 +102,7 @@
     /// Versions of listed upstreams.
     present: BTreeSet<ServiceVersion>,
     /// The count of changes at which `present` was taken.
-    start_changes: Option<u64>,
+    version_changes: Option<u64>,
     /// Since when no upstream with a listed version is known.
     gone_since: BTreeMap<ServiceVersion, Instant>,
     /// Whether the list is newer than at the last check.
@@ -536,15 +536,15 @@
     /// Takes the versions of the listed upstreams, if they may have changed.
     fn update_present(&self, shared: &Shared) {
         let upstreams = shared.upstreams();
-        let start_changes = upstreams.start_changes();
-        if lock(&self.known).start_changes == Some(start_changes) {
+        let version_changes = upstreams.version_changes();
+        if lock(&self.known).version_changes == Some(version_changes) {
             return;
         }
         let present = upstreams.listed_versions();
         drop(upstreams);
         let mut known = lock(&self.known);
         known.present = present;
-        known.start_changes = Some(start_changes);
+        known.version_changes = Some(version_changes);
     }
 
     /// Writes the list in place of the one with this revision. Returns whether that was done.
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod leaving;
 mod upstream;
+mod version_counts;
 
 use crate::halls::{AllowedRegions, HallRegions, Halls};
 use crate::limits::ObservedLimit;
@@ -16,6 +17,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use upstream::Upstream;
+use version_counts::VersionCounts;
 
 /// A model that is loaded on an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -124,8 +126,7 @@
     tokens_per_event: HashMap<ServiceName, u32>,
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<RestartedUpstream>,
-    /// Number of changes of the starts that are listed.
-    start_changes: u64,
+    version_counts: VersionCounts,
     leaving: LeavingStarts,
     /// The few upstreams that have asked for backoff, until one of their answers shows that it is
     /// over.
@@ -142,7 +143,7 @@
             tokens_per_event: HashMap::new(),
             upstreams: HashMap::new(),
             restarted: Vec::new(),
-            start_changes: 0,
+            version_counts: VersionCounts::default(),
             leaving: LeavingStarts::default(),
             backing_off: BTreeSet::new(),
         }
@@ -247,9 +248,9 @@
             upstream
         };
         let Some(known) = self.upstreams.get_mut(&entry.id) else {
+            self.version_counts.add(&entry);
             let id = entry.id.clone();
             self.upstreams.insert(id, new_upstream(entry));
-            self.start_changes += 1;
             return true;
         };
         if entry.started_at_ms < known.entry.started_at_ms {
@@ -263,14 +264,11 @@
                 previous: known.listed_start(),
                 software: entry.software.clone(),
             });
-            self.start_changes += 1;
+            self.version_counts.replace(&known.entry, &entry);
             *known = new_upstream(entry);
             return true;
         }
-        let is_disputed = known.entry.software != entry.software;
-        known.is_software_disputed |= is_disputed;
-        let moves = known.entry.service != entry.service;
-        self.start_changes += u64::from(is_disputed || moves);
+        known.is_software_disputed |= known.entry.software != entry.software;
         let has_returned = known.removed_at.take().is_some();
         if entry.heartbeat < known.entry.heartbeat {
             // An older report that arrived late; only leaving is final.
@@ -287,6 +285,7 @@
             || known.entry.slots != entry.slots
             || known.entry.draining != entry.draining
             || known.stays_cold_longer(&entry);
+        self.version_counts.replace(&known.entry, &entry);
         known.cold_per_s = cold_per_s;
         known.entry = entry;
         known.record_loaded();
@@ -316,18 +315,14 @@
         upstream.map_or_else(ListedStart::default, Upstream::listed_start)
     }
 
-    /// Number of changes of the listed starts, for [`Self::listed_versions`].
-    pub fn start_changes(&self) -> u64 {
-        self.start_changes
+    /// Number of changes of [`Self::listed_versions`].
+    pub fn version_changes(&self) -> u64 {
+        self.version_counts.changes()
     }
 
     /// The software versions of all listed upstreams, by service.
     pub fn listed_versions(&self) -> BTreeSet<ServiceVersion> {
-        let versions = self.entries().map(|entry| ServiceVersion {
-            service: entry.service.clone(),
-            software: entry.software.clone(),
-        });
-        versions.collect()
+        self.version_counts.versions().cloned().collect()
     }
 
     /// Whether an upstream of a service with this software version accepts new requests of the allowed
@@ -380,7 +375,9 @@
             .upstreams
             .extract_if(|_, upstream| upstream.is_removed(now));
         let removed: Vec<_> = removed.map(|(_, upstream)| upstream.entry).collect();
-        self.start_changes += removed.len() as u64;
+        for entry in &removed {
+            self.version_counts.remove(entry);
+        }
         let upstreams = &self.upstreams;
         self.leaving
             .remove_expired(|id| upstreams.contains_key(id), now);
