Records that the store has lost are written again; a proof waits half a second at most

The listed start is compared now. - A take-up beside a store that does not answer was refused after 0.96 to 1.50 s. A proof waits 0.5 s, whatever the store's client still waits for.

--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -16,8 +16,8 @@
 use passway_types::prelude::*;
 
 /// Longest time for the proof of a stream's version. The store answers in 4 ms, and in 0.2 s on its
-/// worst days.
-const MAX_PROOF_TIME: Duration = Duration::from_secs(1);
+/// worst days; a proof takes two answers.
+const MAX_PROOF_TIME: Duration = Duration::from_millis(500);
 
 /// The software version at which the request's stream may run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -137,11 +137,15 @@
         if self.stream_version != StreamVersion::Beginning {
             return;
         }
-        let proven = ProvenVersion::observed(start);
+        let listed = self.shared.upstreams().listed_start(upstream);
+        let replaced_by = listed
+            .software
+            .filter(|software| start.software.as_ref() != Some(software));
+        let proven = ProvenVersion::observed(start).filter(|_| replaced_by.is_none());
         self.stream_version = proven.map_or(StreamVersion::Unproven, StreamVersion::Proven);
         if let Some(key) = self.stream_key() {
             let versions = &self.shared.versions;
-            versions.stream_began(key, &self.service, upstream, start);
+            versions.stream_began(key, &self.service, upstream, start, replaced_by);
         }
     }
 
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -10,6 +10,7 @@
 //!   written when all instances were lost cannot be taken up.
 //! * The streams that this instance has begun, in its memory.
 
+mod bounded_calls;
 mod list_reads;
 mod records;
 mod registry;
@@ -315,13 +316,15 @@
         self.is_list_complete.load(Ordering::Acquire)
     }
 
-    /// Records that the first event of a stream has arrived from a run at `upstream`.
+    /// Records that the first event of a stream has arrived from a run at `upstream`. If a later start of
+    /// another version is listed by now, which may have brought the event, `replaced_by` is that version.
     pub fn stream_began(
         &self,
         key: StreamKey,
         service: &ServiceName,
         upstream: &UpstreamId,
         start: &ListedStart,
+        replaced_by: Option<SoftwareVersion>,
     ) {
         let Some(software) = start.software.clone() else {
             return;
@@ -334,7 +337,7 @@
             began_at: clock::now(),
             is_delivered: false,
             is_recorded: false,
-            is_disputed: false,
+            other: replaced_by,
         };
         let must_record = {
             let known = lock(&self.known);
@@ -379,7 +382,7 @@
         }
         let store = self.store.get().ok_or(NoProof::StoreAway)?;
         loop {
-            let proven = self.prove_by_store(&**store, service, key, until);
+            let proven = self.prove_by_store(store, service, key, until);
             let may_retry = clock::now() + READ_RETRY_DELAY < until;
             if proven != Err(NoProof::StoreAway) || !may_retry {
                 return proven;
@@ -390,7 +393,7 @@
 
     fn prove_by_store(
         &self,
-        store: &dyn SharedStore,
+        store: &Arc<dyn SharedStore>,
         service: &ServiceName,
         key: Option<StreamKey>,
         until: Instant,
@@ -398,13 +401,13 @@
         let read = self.read_list(store, until).ok_or(NoProof::StoreAway)?;
         let list = decode(&read.value);
         list.prove(service, read.revision.era(), || match key {
-            Some(key) => records::read(store, key).ok_or(NoProof::StoreAway),
+            Some(key) => records::read(store, key, until).ok_or(NoProof::StoreAway),
             None => Ok(Vec::new()),
         })
     }
 
     /// Reads and applies the list; `None` without an answer by `until`.
-    fn read_list(&self, store: &dyn SharedStore, until: Instant) -> Option<ListRead> {
+    fn read_list(&self, store: &Arc<dyn SharedStore>, until: Instant) -> Option<ListRead> {
         let read = self.reads.read(store, until)?;
         self.apply_stored(read.revision, &read.value);
         lock(&self.known).verify(read.revision, clock::now());
@@ -414,10 +417,15 @@
     /// Applies the list as stored; `value` is empty if the key is missing.
     pub fn apply_stored(&self, revision: StoreRevision, value: &[u8]) {
         let mut known = lock(&self.known);
-        if known.apply(revision, value, clock::now()) {
-            drop(known);
-            self.wake();
+        let previous_era = known.revision.era();
+        if !known.apply(revision, value, clock::now()) {
+            return;
+        }
+        drop(known);
+        if revision.era() > previous_era {
+            lock(&self.registry).forget_records();
         }
+        self.wake();
     }
 
     /// Applies that the list was removed from the store in this era.
@@ -441,9 +449,6 @@
             }
             let disputed = lock(&self.registry).dispute(upstream, clock::now());
             self.record_unrecorded(&disputed);
-            for key in disputed {
-                self.records.push(key, upstream.software.clone());
-            }
         }
     }
 
@@ -451,7 +456,7 @@
     fn record_unrecorded(&self, keys: &[StreamKey]) {
         let mut registry = lock(&self.registry);
         for key in keys {
-            if let Some(software) = registry.take_unrecorded(*key) {
+            for software in registry.take_unrecorded(*key) {
                 self.records.push(*key, software);
             }
         }
@@ -488,13 +493,13 @@
                 // Both a wakeup and the end of the wait lead to a check.
                 let _ = shared.versions.wakeup_receiver.recv_timeout(wait);
                 let is_holder = leadership.term().is_some();
-                wait = shared.versions.check(&shared, is_holder, &*store);
+                wait = shared.versions.check(&shared, is_holder, &store);
             }
         });
     }
 
     /// Checks whether the list must change, and writes it. Returns the time until the next check.
-    fn check(&self, shared: &Shared, is_holder: bool, store: &dyn SharedStore) -> Duration {
+    fn check(&self, shared: &Shared, is_holder: bool, store: &Arc<dyn SharedStore>) -> Duration {
         let now = clock::now();
         self.update_present(shared);
         let mut known = lock(&self.known);
@@ -548,7 +553,12 @@
     }
 
     /// Writes the list in place of the one with this revision. Returns whether that was done.
-    fn write(&self, store: &dyn SharedStore, revision: StoreRevision, list: &VersionList) -> bool {
+    fn write(
+        &self,
+        store: &Arc<dyn SharedStore>,
+        revision: StoreRevision,
+        list: &VersionList,
+    ) -> bool {
         let value = encode(list);
         let write = ConditionalWrite {
             key: KEY.to_owned(),
--- a/crates/instance/src/versions/list_reads.rs
+++ b/crates/instance/src/versions/list_reads.rs
@@ -5,7 +5,7 @@
 use passway_serving::ports::{SharedStore, StoreRevision};
 use passway_types::clock;
 use passway_types::prelude::*;
-use std::sync::{Condvar, Mutex, PoisonError};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 /// The list as the store returned it.
 #[derive(Debug, Clone)]
@@ -28,43 +28,54 @@
 }
 
 /// Reads of the list. A read serves all requests that arrived before it began.
+#[derive(Debug, Default, Clone)]
+pub(super) struct ListReads(Arc<Shared>);
+
 #[derive(Debug, Default)]
-pub(super) struct ListReads {
+struct Shared {
     state: Mutex<State>,
     has_ended: Condvar,
 }
 
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl ListReads {
     /// Returns the result of a read that began after this call; `None` if the store has not answered
     /// by `until`.
-    pub(super) fn read(&self, store: &dyn SharedStore, until: Instant) -> Option<ListRead> {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+    pub(super) fn read(&self, store: &Arc<dyn SharedStore>, until: Instant) -> Option<ListRead> {
+        let mut state = self.0.state();
         let wanted = state.begun + 1;
         loop {
             if state.ended >= wanted {
                 return state.result.clone();
             }
             if !state.is_reading {
-                break;
+                state.is_reading = true;
+                state.begun += 1;
+                let (reads, store) = (self.clone(), store.clone());
+                std::thread::spawn(move || reads.run(&*store));
             }
             let timeout = until.saturating_duration_since(clock::now());
             if timeout.is_zero() {
                 return None;
             }
-            let after_wait = self.has_ended.wait_timeout(state, timeout);
+            let after_wait = self.0.has_ended.wait_timeout(state, timeout);
             state = after_wait.unwrap_or_else(PoisonError::into_inner).0;
         }
-        state.is_reading = true;
-        state.begun += 1;
-        drop(state);
+    }
+
+    fn run(&self, store: &dyn SharedStore) {
         let result = read_list(store);
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.0.state();
         state.is_reading = false;
         state.ended = state.begun;
-        state.result.clone_from(&result);
+        state.result = result;
         drop(state);
-        self.has_ended.notify_all();
-        result
+        self.0.has_ended.notify_all();
     }
 }
 
--- a/crates/instance/src/versions/records.rs
+++ b/crates/instance/src/versions/records.rs
@@ -1,5 +1,6 @@
 //! Records of the versions that began single streams, in the store.
 
+use super::bounded_calls::call_until;
 use crate::shared::Shared;
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use passway_serving::ports::{ConditionalWrite, LeaseId, SharedStore, StoreRevision, WriteAnswer};
@@ -65,9 +66,16 @@
     format!("{}{hash:016x}", stream_prefix(record.key))
 }
 
-/// Reads the versions that are recorded for a stream; `None` without an answer.
-pub(super) fn read(store: &dyn SharedStore, key: StreamKey) -> Option<Vec<SoftwareVersion>> {
-    let page = store.list_page(&stream_prefix(key), None).ok()?;
+/// Reads the versions that are recorded for a stream; `None` without an answer by `until`.
+pub(super) fn read(
+    store: &Arc<dyn SharedStore>,
+    key: StreamKey,
+    until: Instant,
+) -> Option<Vec<SoftwareVersion>> {
+    let read = call_until(store, until, move |store| {
+        store.list_page(&stream_prefix(key), None)
+    });
+    let page = read?.ok()?;
     let names = page.values.iter().map(|value| {
         let name = String::from_utf8_lossy(&value.value);
         SoftwareVersion::from(&*name)
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -27,8 +27,16 @@
     pub(super) is_delivered: bool,
     /// Whether the record of the stream was written or is queued.
     pub(super) is_recorded: bool,
-    /// Whether a later start of the upstream, of another version, may have begun the stream.
-    pub(super) is_disputed: bool,
+    /// The version of a later start of the upstream that may have begun the stream instead.
+    pub(super) other: Option<SoftwareVersion>,
+}
+
+impl BegunStream {
+    /// All versions that may have begun the stream; a stream with two of them is proved by neither.
+    fn possible_versions(&self) -> Vec<SoftwareVersion> {
+        let versions = std::iter::once(&self.software).chain(&self.other);
+        versions.cloned().collect()
+    }
 }
 
 /// The streams that this instance has begun, for [`STREAM_RETENTION`].
@@ -44,7 +52,10 @@
     pub(super) fn insert(&mut self, key: StreamKey, stream: BegunStream) {
         self.remove_expired(stream.began_at);
         if let Some(known) = self.streams.get_mut(&key) {
-            known.is_disputed |= known.software != stream.software;
+            let is_other = known.software != stream.software;
+            known.other = Some(stream.software)
+                .filter(|_| is_other)
+                .or(known.other.take());
             return;
         }
         self.streams.insert(key, stream);
@@ -71,7 +82,7 @@
 
     pub(super) fn is_disputed(&self, key: StreamKey) -> bool {
         let stream = self.streams.get(&key);
-        stream.is_some_and(|stream| stream.is_disputed)
+        stream.is_some_and(|stream| stream.other.is_some())
     }
 
     /// The version that this instance has observed; `None` for an unknown or disputed stream.
@@ -81,14 +92,25 @@
             started_at_ms: stream.started_at_ms,
             software: Some(stream.software.clone()),
         };
-        ProvenVersion::observed(&start).filter(|_| !stream.is_disputed)
+        ProvenVersion::observed(&start).filter(|_| stream.other.is_none())
+    }
+
+    /// The versions to record for a stream that has no record yet; it counts as recorded from now on.
+    pub(super) fn take_unrecorded(&mut self, key: StreamKey) -> Vec<SoftwareVersion> {
+        let Some(stream) = self.streams.get_mut(&key) else {
+            return Vec::new();
+        };
+        if std::mem::replace(&mut stream.is_recorded, true) {
+            return Vec::new();
+        }
+        stream.possible_versions()
     }
 
-    /// The version of a stream that has no record yet; it counts as recorded from now on.
-    pub(super) fn take_unrecorded(&mut self, key: StreamKey) -> Option<SoftwareVersion> {
-        let stream = self.streams.get_mut(&key)?;
-        let was_recorded = std::mem::replace(&mut stream.is_recorded, true);
-        (!was_recorded).then(|| stream.software.clone())
+    /// Notes that the store may have lost all records.
+    pub(super) fn forget_records(&mut self) {
+        for stream in self.streams.values_mut() {
+            stream.is_recorded = false;
+        }
     }
 
     /// Streams without a record that callers may take up, with their services.
@@ -101,7 +123,8 @@
             .collect()
     }
 
-    /// Marks the streams that the new start of an upstream may have begun, and returns them.
+    /// Marks the streams that the new start of an upstream may have begun, and returns them. They must be
+    /// recorded again.
     pub(super) fn dispute(&mut self, upstream: &RestartedUpstream, now: Instant) -> Vec<StreamKey> {
         let may_be_of_new_start = |stream: &BegunStream| {
             stream.upstream == upstream.id
@@ -112,7 +135,8 @@
         let streams = self.streams.iter_mut();
         let disputed = streams.filter(|(_, stream)| may_be_of_new_start(stream));
         let disputed = disputed.map(|(key, stream)| {
-            stream.is_disputed = true;
+            stream.other = Some(upstream.software.clone());
+            stream.is_recorded = false;
             *key
         });
         disputed.collect()
