--- a/crates/standins/src/platform/proxy.rs
+++ b/crates/standins/src/platform/proxy.rs
@@ -38,7 +38,7 @@
 pub struct Proxy {
     /// The address that the proxy listens on.
     pub address: SocketAddr,
-    target: SocketAddr,
+    target: Arc<Mutex<SocketAddr>>,
     state: Arc<Mutex<State>>,
 }
 
@@ -51,7 +51,7 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("binding a proxy");
         let proxy = Self {
             address: listener.local_addr().expect("reading the proxy's address"),
-            target,
+            target: Arc::new(Mutex::new(target)),
             state: Arc::default(),
         };
         let accepting = proxy.clone();
@@ -75,6 +75,15 @@
         self.state().faults = faults;
     }
 
+    /// Connects to another target from now on, as when the address is given to another server.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
+    fn target(&self) -> SocketAddr {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Resets all open connections.
     pub fn reset_connections(&self) {
         for sockets in std::mem::take(&mut self.state().open).values() {
@@ -85,7 +94,7 @@
     /// Closes the proxy's port if the target refuses connections. Later connection attempts are then
     /// refused, as after a crash without a proxy.
     fn close_with_target(&self) {
-        if TcpStream::connect(self.target).is_ok() {
+        if TcpStream::connect(self.target()).is_ok() {
             return;
         }
         self.state().is_closed = true;
@@ -101,7 +110,7 @@
             return;
         }
         // If the target refuses the connection, the caller's connection is closed.
-        let Ok(server) = TcpStream::connect(self.target) else {
+        let Ok(server) = TcpStream::connect(self.target()) else {
             return;
         };
         let (Ok(caller_end), Ok(server_end)) = (caller.try_clone(), server.try_clone()) else {
