--- a/tests/all/dispatcher_queries.rs
+++ b/tests/all/dispatcher_queries.rs
@@ -7,7 +7,9 @@
 use passway_instance::Instance;
 use passway_serving::dispatch::Dispatchers;
 use passway_serving::leadership::Candidate;
-use passway_standins::platform::model_server::{Faults, ModelServer};
+use passway_standins::platform::model_server::{
+    FIRST_SOFTWARE, Faults, InitialModels, ModelServer,
+};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
 use passway_wire::dispatch::{
@@ -17,6 +19,7 @@
 use passway_wire::{Body, Link};
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, channel};
 
 /// An instance before two engines, and the test's socket.
@@ -40,9 +43,23 @@
 
 /// As [`test_bed`], with the configuration in a store.
 pub fn test_bed_on(store: MetadataStandIn, dispatchers: &[Option<SocketAddr>]) -> TestBed {
+    test_bed_of(store, [FIRST_SOFTWARE; 2], dispatchers)
+}
+
+/// As [`test_bed_on`], with these software versions of the engines.
+pub fn test_bed_of(
+    store: MetadataStandIn,
+    software: [&str; 2],
+    dispatchers: &[Option<SocketAddr>],
+) -> TestBed {
     let holder = PlayedHolder::begin(&store);
-    let server = |id| ModelServer::start(&store, id, "engines", 2, &["m0"], &[]);
-    let servers = [server("i-0"), server("i-1")];
+    let models = InitialModels {
+        capacity: 2,
+        loaded: &["m0"],
+        on_disk: &[],
+    };
+    let server = |id, software| ModelServer::start_with_software(&store, id, software, models);
+    let servers = [server("i-0", software[0]), server("i-1", software[1])];
     let instance = cluster::start_ready("one", &store);
     let (link, mut reader) = holder.accept();
     let address = subscription(&mut reader).expect("a subscription").address;
@@ -328,6 +345,11 @@
 
 /// A dispatcher that grants the first engine on every query, whatever signals it receives.
 fn fixed_dispatcher() -> SocketAddr {
+    dispatcher_granting(Arc::new(Mutex::new("i-0")))
+}
+
+/// A dispatcher that grants the same engine on every query, until the test replaces the engine.
+pub fn dispatcher_granting(engine: Arc<Mutex<&'static str>>) -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
     let address = socket.local_addr().expect("an address");
     std::thread::spawn(move || {
@@ -337,7 +359,7 @@
                 let grant = DispatchReply {
                     id: ask.id,
                     verdict: Verdict::Go.into(),
-                    engine: "i-0".into(),
+                    engine: (*engine.lock().expect("a lock")).into(),
                     ..DispatchReply::default()
                 };
                 let bytes = Datagram::encode_body(Some(Dispatch::DispatchReply(grant)));
--- a/tests/all/passed_on_requests.rs
+++ b/tests/all/passed_on_requests.rs
@@ -26,7 +26,7 @@
 
 /// Sends requests until one was served by another instance, which proves that the instance knows
 /// that it is cut off.
-fn wait_until_passed_on(instance: &Instance) {
+pub fn wait_until_passed_on(instance: &Instance) {
     until("a request that is passed on", || {
         let bytes = request("GET", "/read/", "probe", "", "");
         answered(instance, &bytes);
--- a/tests/all/software_versions.rs
+++ b/tests/all/software_versions.rs
@@ -10,14 +10,15 @@
 use passway_types::prelude::*;
 use std::collections::BTreeSet;
 use std::io::Read;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Streams that each test breaks off and takes up again.
-const STREAMS: usize = 12;
+pub const STREAMS: usize = 12;
 /// Within this time a stream that cannot go on is refused.
-const REFUSAL_LIMIT: Duration = Duration::from_millis(700);
+pub const REFUSAL_LIMIT: Duration = Duration::from_millis(700);
 
 /// An engine with the model `m0` and this software version.
-fn engine(store: &MetadataStandIn, id: &str, software: &str) -> ModelServer {
+pub fn engine(store: &MetadataStandIn, id: &str, software: &str) -> ModelServer {
     let models = InitialModels {
         capacity: 1,
         loaded: &["m0"],
@@ -27,7 +28,7 @@
 }
 
 /// Makes engines send their streams slowly, so that callers can leave in the middle.
-fn slow_down(engines: &[&ModelServer]) {
+pub fn slow_down(engines: &[&ModelServer]) {
     for engine in engines {
         engine.set_faults(Faults {
             event_delay: Duration::from_millis(40),
@@ -37,55 +38,76 @@
 }
 
 /// Requests a stream with further headers.
-fn send(instance: &Instance, id: &str, more: &str) -> Answer {
+pub fn send(instance: &Instance, id: &str, more: &str) -> Answer {
     let headers = format!("Model: m0\r\n{more}");
     let bytes = request("POST", "/chat/", id, &headers, id);
     fetch(instance.callers_address(), &bytes).expect("an answer")
 }
 
+/// Requests a stream with further headers and breaks the connection off after some events. Returns
+/// their writers; `None` if the request is refused.
+pub fn break_off(instance: &Instance, id: &str, more: &str, events: usize) -> Option<Vec<String>> {
+    let mut caller = Caller::connect(instance.callers_address());
+    let headers = format!("Model: m0\r\n{more}");
+    caller.send(&request("POST", "/chat/", id, &headers, id));
+    let mut received = String::new();
+    let mut chunk = [0; 1_024];
+    while writers(&received).len() < events {
+        let count = caller.stream.read(&mut chunk).expect("an answer");
+        received.push_str(&String::from_utf8_lossy(&chunk[..count]));
+        if received.starts_with("HTTP/1.1 503 ") {
+            return None;
+        }
+        assert!(count > 0, "a stream that goes on: {received}");
+    }
+    Some(writers(&received))
+}
+
+/// The id of a further attempt; each attempt of a caller has its own.
+pub fn new_id() -> String {
+    static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
+    format!("again-{}", ATTEMPTS.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A stream that broke off at its caller after two events.
-struct BrokenStream {
+pub struct BrokenStream {
     /// The id of the attempt that began it.
-    id: String,
+    pub id: String,
     /// The version that wrote its events.
-    software: String,
+    pub software: String,
 }
 
 impl BrokenStream {
     /// Requests a stream and breaks the connection off after two events.
     fn begin(instance: &Instance, id: &str) -> Self {
-        let mut caller = Caller::connect(instance.callers_address());
-        caller.send(&request("POST", "/chat/", id, "Model: m0\r\n", id));
-        let mut received = String::new();
-        let mut chunk = [0; 1_024];
-        while writers(&received).len() < 2 {
-            let count = caller.stream.read(&mut chunk).expect("events");
-            assert!(count > 0, "a stream that goes on: {received}");
-            received.push_str(&String::from_utf8_lossy(&chunk[..count]));
-        }
-        let software = writers(&received).swap_remove(0);
-        Self {
+        Self::try_begin(instance, id).expect("a stream that begins")
+    }
+
+    /// As [`Self::begin`]; `None` if the request is refused.
+    pub fn try_begin(instance: &Instance, id: &str) -> Option<Self> {
+        let software = break_off(instance, id, "", 2)?.swap_remove(0);
+        Some(Self {
             id: id.to_owned(),
             software,
-        }
+        })
     }
 
-    fn begin_many(instance: &Instance) -> Vec<Self> {
+    pub fn begin_many(instance: &Instance) -> Vec<Self> {
         let streams = (0..STREAMS).map(|number| Self::begin(instance, &format!("begun-{number}")));
         streams.collect()
     }
 
     /// Takes the stream up as its caller would.
-    fn take_up(&self, instance: &Instance) -> Answer {
+    pub fn take_up(&self, instance: &Instance) -> Answer {
         let headers = format!("Last-Event-Id: 2\r\nResumes: {}\r\n", self.id);
-        send(instance, &format!("{}-again", self.id), &headers)
+        send(instance, &new_id(), &headers)
     }
 
     /// Whether the answer is the whole rest of the stream.
     ///
     /// # Panics
     /// If another version wrote it.
-    fn goes_on_with(&self, rest: &Answer) -> bool {
+    pub fn goes_on_with(&self, rest: &Answer) -> bool {
         let written = writers(&rest.body);
         let is_joined = written.iter().any(|software| *software != self.software);
         assert!(
@@ -98,7 +120,7 @@
 }
 
 /// The versions that wrote the events of an answer.
-fn versions(answer: &Answer) -> BTreeSet<String> {
+pub fn versions(answer: &Answer) -> BTreeSet<String> {
     writers(&answer.body).into_iter().collect()
 }
 
