Tests: every way on which a stream goes on keeps its software version

Seventeen ways: successor of a silent run, copy of a run, take-up or stream passed on to another instance (before and after the first event, and after that one broke too), dispatchers that ignore or know versions, a fleet of 16 instances, an engine that starts again under its id while its old entry is the one known (six streams at once inside one answer, callers that come back, streams begun before the entry), an address given to another engine, a store that returned from an older copy, a version that left and came back, a store that is away, and a caller that takes up twice.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -102,6 +102,7 @@
 mod slow_renewals;
 mod slow_store;
 mod soak;
+mod software_version_paths;
 mod software_versions;
 mod stale_denials;
 mod store_eras;
