Stand-in engines retire for good and restart as another software version

An engine that retires says so in its entry and its answers, serves on for a while, and is gone then; its entry is not written again by an order or by a store that returns from a copy. A restart with another software version changes the version under one lock with the start, so that no start has two, and closes all connections. A request that arrived before a restart does not run at the new start. The engine records when each start of it took new requests. A caller can stop reading in the middle of an answer.

--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -101,6 +101,15 @@
     /// # Panics
     /// If the answer has no valid status line.
     pub fn receive(&mut self) -> Option<Answer> {
+        self.receive_while(|_| true)
+    }
+
+    /// Reads an answer as long as `wants_more` holds for the body so far. A caller that stops earlier
+    /// has an incomplete answer and closes the connection.
+    ///
+    /// # Panics
+    /// If the answer has no valid status line.
+    pub fn receive_while(&mut self, wants_more: impl Fn(&str) -> bool) -> Option<Answer> {
         let end = loop {
             if let Some(end) = self
                 .bytes
@@ -123,7 +132,9 @@
             is_complete: false,
         };
         if answer.header("transfer-encoding") == Some("chunked") {
-            while let Some(chunk) = self.read_chunk() {
+            while wants_more(&answer.body)
+                && let Some(chunk) = self.read_chunk()
+            {
                 if chunk.is_empty() {
                     answer.is_complete = true;
                     break;
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -14,6 +14,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 5;
+/// The end of an event in a stream.
+pub const EVENT_END: &str = "\n\n";
 /// The software version of a server that is started without another one.
 pub const FIRST_SOFTWARE: &str = "v1";
 
@@ -127,10 +129,23 @@
     pub end: Option<(RunEnd, Instant)>,
 }
 
+/// A time for which one start of a server took new requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSpan {
+    /// The version of the server's software.
+    pub software: String,
+    /// When the server first published that it is ready.
+    pub began_at: Instant,
+    /// When the server announced that it leaves, restarted or crashed; `None` while it serves.
+    pub ended_at: Option<Instant>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// The version of the server's software; a restart may change it.
     software: String,
+    service_spans: Vec<ServiceSpan>,
+    retirement: Retirement,
     models: Vec<(String, Vec<String>)>,
     on_disk: Vec<String>,
     orders: Vec<AcceptedOrder>,
@@ -154,9 +169,43 @@
     faults: Faults,
 }
 
+/// Whether a server leaves for good.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Retirement {
+    /// The server stays.
+    #[default]
+    Stays,
+    /// The server serves on for a while; its entry says so.
+    Draining,
+    /// The server is gone.
+    Gone,
+}
+
 impl State {
     fn announces_leaving(&self) -> bool {
-        self.is_leaving || self.faults.is_leaving
+        self.is_leaving || self.faults.is_leaving || self.retirement != Retirement::Stays
+    }
+
+    fn begin_service(&mut self) {
+        let is_serving = self
+            .service_spans
+            .last()
+            .is_some_and(|span| span.ended_at.is_none());
+        let is_down = self.down_until.is_some() || self.crash_body.is_some();
+        if is_serving || is_down || self.announces_leaving() {
+            return;
+        }
+        self.service_spans.push(ServiceSpan {
+            software: self.software.clone(),
+            began_at: Instant::now(),
+            ended_at: None,
+        });
+    }
+
+    fn end_service(&mut self) {
+        if let Some(span) = self.service_spans.last_mut() {
+            span.ended_at.get_or_insert_with(Instant::now);
+        }
     }
 }
 
@@ -229,7 +278,7 @@
     }
 
     /// Starts a server that has no entry in the store yet.
-    fn start_unpublished(
+    pub fn start_unpublished(
         store: &MetadataStandIn,
         id: &str,
         service: &str,
@@ -304,17 +353,36 @@
         software.clone_into(&mut self.state().software);
     }
 
-    /// Writes the server's entry with this state to the store.
+    /// Writes the server's entry with this state to the store. A server that leaves for good is
+    /// `draining` in any case, and has no entry once it is gone.
     pub fn publish_entry(&self, server_state: &str) {
-        let state = self.state();
+        let mut state = self.state();
+        let server_state = match state.retirement {
+            Retirement::Stays => server_state,
+            Retirement::Draining => "draining",
+            Retirement::Gone => return,
+        };
+        if server_state == "ready" {
+            state.begin_service();
+        }
         let entry = json!({"service": self.service, "address": self.address.to_string(),
             "zone": "hall0", "version": state.software, "slots": 8, "state": server_state, "cold_left_ms": 0,
             "models": models(&state), "sequence": 1, "born": started_at_ms(&state),
             "at_hand": {"in_memory": [], "on_disk": state.on_disk}});
-        drop(state);
+        // Under the lock, so that no entry is written after its removal.
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Returns the version of the server's software.
+    pub fn software(&self) -> String {
+        self.state().software.clone()
+    }
+
+    /// Returns the times for which the server took new requests.
+    pub fn service_spans(&self) -> Vec<ServiceSpan> {
+        self.state().service_spans.clone()
+    }
+
     /// Returns the orders that the server accepted.
     pub fn accepted_orders(&self) -> Vec<AcceptedOrder> {
         self.state().orders.clone()
@@ -371,7 +439,10 @@
     /// Announces in every answer that the server is leaving, and restarts it under the same id
     /// after `delay`.
     pub fn leave(&self, delay: Duration) {
-        self.state().is_leaving = true;
+        let mut state = self.state();
+        state.is_leaving = true;
+        state.end_service();
+        drop(state);
         let server = self.clone();
         std::thread::spawn(move || {
             std::thread::sleep(delay);
@@ -379,6 +450,48 @@
         });
     }
 
+    /// Announces that the server leaves for good, in its entry and in every answer, serves on for
+    /// `drain`, and removes its entry, its port and all of its connections then.
+    pub fn retire(&self, drain: Duration) {
+        let mut state = self.state();
+        if state.retirement != Retirement::Stays {
+            return;
+        }
+        state.retirement = Retirement::Draining;
+        state.end_service();
+        drop(state);
+        self.publish_entry("draining");
+        std::thread::sleep(drain);
+        let mut state = self.state();
+        state.retirement = Retirement::Gone;
+        state.down_at.push(Instant::now());
+        self.store.remove(&format!("servers/{}", self.id));
+        drop(state);
+        self.listener.crash();
+    }
+
+    /// Returns whether the server has left for good.
+    pub fn has_left(&self) -> bool {
+        self.state().retirement == Retirement::Gone
+    }
+
+    /// Returns whether the server announces that it leaves, for good or for a restart.
+    pub fn is_leaving(&self) -> bool {
+        self.state().announces_leaving()
+    }
+
+    /// Restarts the server under its id with this software version. All connections are closed; the
+    /// new start serves after 0.3 s.
+    pub fn restart_with_software(&self, software: &str) {
+        let mut state = self.state();
+        if state.crash_body.is_some() || state.down_until.is_some() {
+            return;
+        }
+        software.clone_into(&mut state.software);
+        let _ = self.restart_locked(state, b"", RESTART_DELAY);
+        self.listener.close_connections();
+    }
+
     /// Returns the arrival times of orders and report queries.
     pub fn control_calls_at(&self) -> Vec<Instant> {
         self.state().control_calls_at.clone()
@@ -403,7 +516,17 @@
     /// that closes all connections. `body` is the body of the request that caused the crash, empty
     /// if the server left.
     fn restart(&self, body: &[u8], delay: Duration) -> Vec<Step> {
-        let mut state = self.state();
+        self.restart_locked(self.state(), body, delay)
+    }
+
+    /// As [`ModelServer::restart`], with the state locked.
+    fn restart_locked(
+        &self,
+        mut state: MutexGuard<'_, State>,
+        body: &[u8],
+        delay: Duration,
+    ) -> Vec<Step> {
+        state.end_service();
         let body = String::from_utf8_lossy(body).into_owned();
         state.restart_bodies.push(body);
         state.down_at.push(Instant::now());
@@ -426,6 +549,7 @@
             return self.restart(body, delay);
         }
         let mut state = self.state();
+        state.end_service();
         state.crash_body = Some(String::from_utf8_lossy(body).into_owned());
         state.down_at.push(Instant::now());
         vec![Step::Crash]
@@ -540,6 +664,10 @@
         let model_ref = received.header("model").unwrap_or_default();
         let (model, adapter) = model_ref.split_once('/').unwrap_or((model_ref, ""));
         let mut state = self.state();
+        if state.down_until.is_some() {
+            // The server has restarted since the request arrived.
+            return vec![Step::Close];
+        }
         let is_loaded = state.models.iter().any(|(name, adapters)| {
             name == model && (adapter.is_empty() || adapters.iter().any(|other| other == adapter))
         });
@@ -585,10 +713,7 @@
         let event_delay = state.faults.event_delay;
         let software = state.software.clone();
         drop(state);
-        let resumed_from = received
-            .header("last-event-id")
-            .and_then(|value| value.parse().ok());
-        let resumed_from: u64 = resumed_from.unwrap_or(0);
+        let resumed_from = last_event_id(received);
         let framing = if is_unframed {
             ""
         } else {
@@ -652,6 +777,12 @@
     }
 }
 
+/// Returns the number of the event after which the request resumes its stream; 0 for a new one.
+fn last_event_id(received: &Received) -> u64 {
+    let last_event = received.header("last-event-id");
+    last_event.and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
 /// Whether the prompt of a request has a part with one of these ids before its last one.
 fn has_shared_part(received: &Received, crashing: &[String]) -> bool {
     let prompt = received.header("prompt-prefix").unwrap_or_default();
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -200,8 +200,13 @@
         server
     }
 
+    /// Closes all connections, but not the port.
+    pub fn close_connections(&self) {
+        self.crash.close_all();
+    }
+
     /// Closes the port, then all connections.
-    fn crash(&self) {
+    pub fn crash(&self) {
         self.crash.has_begun.store(true, Ordering::Release);
         while !self.crash.is_port_closed.load(Ordering::Acquire) {
             // Wakes the accepting thread; without effect if the port is already closed.
@@ -421,7 +426,7 @@
                 return Ok(false);
             }
             Step::Crash => self.crash(),
-            Step::CloseAll => self.crash.close_all(),
+            Step::CloseAll => self.close_connections(),
         }
         Ok(true)
     }
