Soak: releases of engine software, streams taken up again, and checks on both

- Faults: releases of all engines or of half, beside the old ones, to a new version or back to an earlier one; engines that restart under their ids as another version; kills of all instances at once and overlapping ones; resets of all engines' connections in series.
Each run ends with a release of all, one of half, a kill of all instances and a calm stretch.
`--no-releases` plays without all this.
- Callers leave a quarter of their resumable streams in the middle and take up each that broke off after an event, whoever broke it, up to six times, at any instance, with an id of its own, at once or up to 9 s later.
A second sequence of random numbers selects that, so requests stay as the seed draws them.
- Checks, from what callers received: no stream has events of two versions, in one answer or over its requests (none is allowed), and numbers rise by one over the requests.

Existing checks: the body of a stream is compared with the events after Last-Event-Id as one version writes them, all or, of a broken answer, the beginning. A caller that left did not get a broken answer, so check_kept passes over exactly these records, which are new. The check of rests skipped an engine for the whole run once its proxy had been disturbed; with resets of all engines it would have skipped nearly all, so it now skips a rest only if the proxy was disturbed between the answer and the rest's end: stricter. A crashed engine was replaced by its place among the crashed ones, so that one could be replaced twice and another one never; engines are marked now.

--- a/crates/standins/src/bin/passway-soak.rs
+++ b/crates/standins/src/bin/passway-soak.rs
@@ -34,6 +34,9 @@
     /// Maximum time between two faults, in milliseconds.
     #[arg(long, default_value_t = 800)]
     pause_ms: u64,
+    /// Play without releases of engine software, breaks at callers and calm stretches.
+    #[arg(long)]
+    no_releases: bool,
     /// Keep the logs of all seeds.
     #[arg(long)]
     keep_logs: bool,
@@ -57,6 +60,7 @@
             callers: arguments.callers,
             fault_count: arguments.steps,
             max_pause: Duration::from_millis(arguments.pause_ms),
+            has_releases: !arguments.no_releases,
         })?;
         println!("{}", serde_json::to_string(&report)?);
         if report.broken.is_empty() && !arguments.keep_logs {
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -11,7 +11,7 @@
 //! * [`callers`]: send requests and record the answers.
 //! * [`checks`]: check the invariants; [`workspace_checks`] those on API keys and allotments,
 //!   [`signal_checks`] those on the engines' signals, [`silence_checks`] that no answer is broken
-//!   off while its server lives.
+//!   off while its server lives, [`version_checks`] those on the engines' software versions.
 
 mod callers;
 mod checks;
@@ -21,6 +21,7 @@
 mod signal_checks;
 mod silence_checks;
 mod silences;
+mod version_checks;
 mod workspace_checks;
 
 use anyhow::Result;
@@ -31,6 +32,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
+pub use version_checks::CalmCounts;
 
 /// Parameters of a soak run.
 #[derive(Debug, Clone)]
@@ -51,6 +53,9 @@
     pub fault_count: u64,
     /// Maximum pause between two faults.
     pub max_pause: Duration,
+    /// Whether engines are replaced by engines of other software versions, callers' connections are
+    /// closed within streams, and a calm stretch ends the run.
+    pub has_releases: bool,
 }
 
 /// Results of a soak run.
@@ -72,6 +77,12 @@
     pub crashed_by_part: usize,
     /// Peak resident memory of an instance, in bytes.
     pub peak_bytes: usize,
+    /// Number of streams that were taken up again.
+    pub taken_up: usize,
+    /// Number of software versions of engines.
+    pub software_versions: usize,
+    /// The streams of each calm stretch.
+    pub calm: Vec<CalmCounts>,
     /// Number of injected faults by name.
     pub faults: BTreeMap<&'static str, u32>,
     /// The violated invariants, one description each.
@@ -85,10 +96,13 @@
 pub fn run(plan: &SoakPlan) -> Result<SoakReport> {
     let cluster = Arc::new(SoakCluster::start(plan)?);
     let callers = Callers::start(&cluster, plan);
-    let mut schedule = Schedule::new(plan.seed);
+    let mut schedule = Schedule::new(plan.seed, plan.has_releases);
     for _ in 0..plan.fault_count {
         schedule.inject_next(&cluster, plan.max_pause);
     }
+    if plan.has_releases {
+        schedule.end_with_release(&cluster);
+    }
     cluster.clear_faults();
     let records = callers.stop_and_collect();
     let mut report = SoakReport {
@@ -96,7 +110,7 @@
         faults: schedule.injected().clone(),
         ..SoakReport::default()
     };
-    checks::check_promises(&cluster, &records, &mut report);
+    checks::check_promises(&cluster, &records, schedule.calm_stretches(), &mut report);
     checks::check_recovery(&cluster, &mut report);
     cluster.stop(&mut report);
     Ok(report)
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -6,10 +6,13 @@
     key_of_version,
 };
 use crate::platform::caller::{Answer, Caller, request};
+use crate::platform::model_server::{EVENT_END, EVENTS};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
 use std::net::TcpStream;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
 
@@ -24,6 +27,12 @@
 const SECOND_PARTS: u32 = 9;
 /// Probability that a caller reuses its open connection.
 const REUSE_PROBABILITY: f64 = 0.9;
+/// Probability that a caller's connection is closed between two events of a resumable stream.
+const BREAK_PROBABILITY: f64 = 0.25;
+/// Maximum number of requests with which a caller takes one stream up again.
+const MAX_TAKE_UPS: u32 = 6;
+/// Time after which a caller takes a stream up again, in milliseconds: soon, later, or after a pause.
+const TAKE_UP_DELAYS_MS: [Range<u64>; 3] = [0..300, 300..2_000, 4_000..9_000];
 
 /// The kind of a request. The variants' names appear in the descriptions of violations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +49,15 @@
     Version(u64),
 }
 
+/// A request that takes a stream up again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakeUp {
+    /// Id of the request whose answer brought the first event.
+    pub first_id: String,
+    /// Number of the last event that the caller has received.
+    pub last_event: u64,
+}
+
 /// A request and its answer.
 #[derive(Debug, Clone)]
 pub struct Record {
@@ -47,6 +65,12 @@
     pub id: String,
     /// Kind of the request.
     pub kind: RequestKind,
+    /// Whether the request crashes no engine.
+    pub is_sound: bool,
+    /// The stream that the request takes up again; `None` if the request begins anew.
+    pub take_up: Option<TakeUp>,
+    /// Whether the caller closed the connection before the end of the answer.
+    pub was_left: bool,
     /// Index of the instance in the cluster.
     pub instance: usize,
     /// Incarnation of the process that the request was sent to; `None` if the process was restarted
@@ -65,6 +89,80 @@
     pub answer: Option<Answer>,
 }
 
+impl Record {
+    /// Returns the id of the request that began the stream.
+    pub fn first_id(&self) -> &str {
+        let take_up = self.take_up.as_ref();
+        take_up.map_or(&self.id, |take_up| &take_up.first_id)
+    }
+
+    /// Returns the number of the last event before the answer.
+    pub fn last_event_before(&self) -> u64 {
+        self.take_up
+            .as_ref()
+            .map_or(0, |take_up| take_up.last_event)
+    }
+
+    /// Returns the body of a success up to the end of its last whole event.
+    pub fn whole_events(&self) -> &str {
+        let answer = self.answer.as_ref().filter(|answer| answer.status == 200);
+        let body = answer.map_or("", |answer| &*answer.body);
+        &body[..body.rfind(EVENT_END).map_or(0, |end| end + EVENT_END.len())]
+    }
+}
+
+/// A request without its id and its API key.
+#[derive(Debug, Clone)]
+struct Draft {
+    kind: RequestKind,
+    is_sound: bool,
+    method: &'static str,
+    path: String,
+    /// Header lines, each ending with CRLF.
+    headers: String,
+    /// The body; `None` for the request's id.
+    body: Option<String>,
+}
+
+impl Draft {
+    fn call(kind: RequestKind, method: &'static str, path: impl Into<String>) -> Self {
+        Self {
+            kind,
+            is_sound: true,
+            method,
+            path: path.into(),
+            headers: String::new(),
+            body: None,
+        }
+    }
+
+    fn stream(kind: RequestKind, path: &str, headers: String) -> Self {
+        Self {
+            headers,
+            ..Self::call(kind, "POST", path)
+        }
+    }
+
+    fn crashing(headers: String, body: String) -> Self {
+        Self {
+            is_sound: false,
+            body: Some(body),
+            ..Self::stream(RequestKind::Resumable, "/chat/", headers)
+        }
+    }
+}
+
+/// A stream that a caller will take up again.
+#[derive(Debug, Clone)]
+struct BrokenStream {
+    draft: Draft,
+    take_up: TakeUp,
+    /// Whether the request is charged to the small workspace.
+    is_small: bool,
+    take_ups_left: u32,
+    due_at: Instant,
+}
+
 /// The running callers.
 #[derive(Debug)]
 pub struct Callers {
@@ -76,6 +174,11 @@
 struct CallerLoop {
     caller_number: usize,
     rng: ChaCha8Rng,
+    /// Selects where streams break and when they are taken up again. That depends on the answers, the
+    /// requests don't.
+    break_rng: ChaCha8Rng,
+    breaks_streams: bool,
+    broken_streams: VecDeque<BrokenStream>,
     instances: Vec<Arc<SoakInstance>>,
     version: Arc<dyn Fn() -> u64 + Send + Sync>,
     is_stopped: Arc<AtomicBool>,
@@ -93,6 +196,11 @@
                 caller_number,
                 // Independent of the random numbers of the fault schedule.
                 rng: ChaCha8Rng::seed_from_u64(plan.seed ^ (u64::MAX - caller_number as u64)),
+                break_rng: ChaCha8Rng::seed_from_u64(
+                    plan.seed ^ (u64::MAX / 2 - caller_number as u64),
+                ),
+                breaks_streams: plan.has_releases,
+                broken_streams: VecDeque::new(),
                 instances: cluster.instances.clone(),
                 version: Arc::new(move || cluster.version()),
                 is_stopped: is_stopped.clone(),
@@ -128,14 +236,82 @@
                 self.pause();
                 continue;
             };
-            let (record, caller) = self.send(instance, caller);
+            let (record, caller) = self.send_random(instance, caller);
             open_connection = caller.map(|caller| (instance, caller));
             records.extend(record);
+            while let Some(stream) = self.due_stream() {
+                records.extend(self.take_up(stream));
+            }
             self.pause();
         }
         records
     }
 
+    /// Removes and returns a broken stream that is due.
+    fn due_stream(&mut self) -> Option<BrokenStream> {
+        let now = Instant::now();
+        let is_due = |stream: &BrokenStream| stream.due_at <= now;
+        let index = self.broken_streams.iter().position(is_due)?;
+        self.broken_streams.remove(index)
+    }
+
+    /// Takes a stream up again at a random instance, over a new connection.
+    fn take_up(&mut self, mut stream: BrokenStream) -> Option<Record> {
+        stream.take_ups_left -= 1;
+        let index = self.break_rng.random_range(0..self.instances.len());
+        let address = self.instances[index].callers_address;
+        let Ok(connection) = TcpStream::connect(address) else {
+            self.schedule_take_up(stream);
+            return None;
+        };
+        // The newest version has retained this key.
+        let retained = (self.version)().saturating_sub(1);
+        let key_version = (!stream.is_small).then_some(retained);
+        let caller = Caller::from_stream(connection);
+        let take_up = Some(stream.take_up.clone());
+        let (record, _) = self.send(index, caller, &stream.draft, key_version, take_up);
+        let is_whole = record.as_ref().is_some_and(is_whole);
+        if let Some(record) = &record {
+            stream.take_up.last_event += event_count(record);
+        }
+        if !is_whole {
+            self.schedule_take_up(stream);
+        }
+        record
+    }
+
+    fn schedule_take_up(&mut self, mut stream: BrokenStream) {
+        if stream.take_ups_left == 0 {
+            return;
+        }
+        let delays = &TAKE_UP_DELAYS_MS[self.break_rng.random_range(0..TAKE_UP_DELAYS_MS.len())];
+        let delay_ms = self.break_rng.random_range(delays.clone());
+        stream.due_at = Instant::now() + Duration::from_millis(delay_ms);
+        self.broken_streams.push_back(stream);
+    }
+
+    /// Schedules the stream of a request to be taken up again if its answer broke off after an event.
+    fn remember_broken(&mut self, draft: &Draft, record: &Record) {
+        let last_event = event_count(record);
+        let can_resume = draft.kind == RequestKind::Resumable && self.breaks_streams;
+        if !can_resume || last_event == 0 || is_whole(record) {
+            return;
+        }
+        self.schedule_take_up(BrokenStream {
+            draft: Draft {
+                body: Some(draft.body.clone().unwrap_or_else(|| record.id.clone())),
+                ..draft.clone()
+            },
+            take_up: TakeUp {
+                first_id: record.id.clone(),
+                last_event,
+            },
+            is_small: record.key_version.is_none(),
+            take_ups_left: MAX_TAKE_UPS,
+            due_at: Instant::now(),
+        });
+    }
+
     fn pause(&mut self) {
         let pause_ms = self.rng.random_range(0..MAX_PAUSE_MS);
         std::thread::sleep(Duration::from_millis(pause_ms));
@@ -148,14 +324,32 @@
         Some((instance, Caller::from_stream(stream)))
     }
 
+    /// Sends a random request. Returns what [`CallerLoop::send`] does.
+    fn send_random(&mut self, instance: usize, caller: Caller) -> (Option<Record>, Option<Caller>) {
+        let key_version = self.random_key_version();
+        let draft = self.random_draft();
+        let sent = self.send(instance, caller, &draft, key_version, None);
+        if let Some(record) = &sent.0 {
+            self.remember_broken(&draft, record);
+        }
+        sent
+    }
+
     /// Sends one request. Returns its record, or `None` if the request could not be sent, and the
     /// connection if it can carry another request.
-    fn send(&mut self, instance: usize, mut caller: Caller) -> (Option<Record>, Option<Caller>) {
+    fn send(
+        &mut self,
+        instance: usize,
+        mut caller: Caller,
+        draft: &Draft,
+        key_version: Option<u64>,
+        take_up: Option<TakeUp>,
+    ) -> (Option<Record>, Option<Caller>) {
         let number = self.request_count.fetch_add(1, Ordering::AcqRel);
         let id = format!("r{}-{number}", self.caller_number);
-        let key_version = self.random_key_version();
-        let key = key_version.map_or_else(|| SMALL_KEY.to_owned(), key_of_version);
-        let (kind, request_bytes) = self.random_request(&id, &key);
+        let request_bytes = request_bytes(&id, draft, key_version, take_up.as_ref());
+        let last_event = take_up.as_ref().map_or(0, |take_up| take_up.last_event);
+        let left_after = self.random_break(draft, last_event);
         let target = self.instances[instance].clone();
         let initial = target.incarnation.load(Ordering::Acquire);
         let count_before = target.disturbance_count.load(Ordering::Acquire);
@@ -163,13 +357,17 @@
         if !caller.try_send(&request_bytes) {
             return (None, None);
         }
-        let answer = caller.receive();
+        let was_left = |body: &str| left_after.is_some_and(|count| count_events(body) >= count);
+        let answer = caller.receive_while(|body| !was_left(body));
         let can_reuse = answer.as_ref().is_some_and(|answer| {
             answer.is_complete && answer.header("connection") != Some("close")
         });
         let record = Record {
             id,
-            kind,
+            kind: draft.kind,
+            is_sound: draft.is_sound,
+            take_up,
+            was_left: answer.as_ref().is_some_and(|answer| was_left(&answer.body)),
             instance,
             incarnation: (target.incarnation.load(Ordering::Acquire) == initial).then_some(initial),
             was_disturbed: target.disturbance_count.load(Ordering::Acquire) != count_before,
@@ -181,6 +379,16 @@
         (Some(record), Some(caller).filter(|_| can_reuse))
     }
 
+    /// Selects the number of events after which the caller's connection is closed; `None` if it stays
+    /// open.
+    fn random_break(&mut self, draft: &Draft, last_event: u64) -> Option<u64> {
+        let events_left = EVENTS.saturating_sub(last_event);
+        let can_break = self.breaks_streams && draft.kind == RequestKind::Resumable;
+        let breaks = self.break_rng.random_bool(BREAK_PROBABILITY);
+        let count = self.break_rng.random_range(1..EVENTS);
+        (can_break && breaks && count < events_left).then_some(count)
+    }
+
     /// Selects the version of a random API key: mostly a key that the newest version has retained, so
     /// most instances know it; sometimes the newest key or a revoked one. `None` selects the key of
     /// the small workspace.
@@ -195,53 +403,77 @@
         Some(version.saturating_sub(age))
     }
 
-    /// Builds a random request that carries `id` and the API key.
-    fn random_request(&mut self, id: &str, key: &str) -> (RequestKind, Vec<u8>) {
-        let key_header = format!("Authorization: Token {key}\r\n");
+    /// Selects a random request.
+    fn random_draft(&mut self) -> Draft {
         let model = MODELS[self.rng.random_range(0..MODELS.len())];
         let own_part = self.rng.random_range(0..u32::MAX);
         let second_part = self.rng.random_range(0..SECOND_PARTS);
         let prompt = format!("Prompt-Prefix: aa:100,5ec{second_part}:50,{own_part:x}:30\r\n");
-        let model_header = format!("{key_header}Model: {model}\r\n{prompt}");
+        let headers = format!("Model: {model}\r\n{prompt}");
         let version = (self.version)();
         match self.rng.random_range(0..6) {
-            0 => (
-                RequestKind::Once,
-                request("POST", "/pay/", id, &key_header, id),
-            ),
-            1 => (
-                RequestKind::Again,
-                request("GET", "/read/", id, &key_header, ""),
-            ),
+            0 => Draft::call(RequestKind::Once, "POST", "/pay/"),
+            1 => Draft::call(RequestKind::Again, "GET", "/read/"),
             2 if version > 1 => {
                 let version = self.rng.random_range(2..=version);
-                let path = format!("/v{version}/");
-                (
+                Draft::call(
                     RequestKind::Version(version),
-                    request("GET", &path, id, &key_header, ""),
+                    "GET",
+                    format!("/v{version}/"),
                 )
             }
-            3 => (
-                RequestKind::Stream,
-                request("POST", "/report/", id, &model_header, id),
-            ),
+            3 => Draft::stream(RequestKind::Stream, "/report/", headers),
             _ if self.rng.random_ratio(1, ONE_POISON_IN) => {
-                let model_header = format!("{key_header}Model: {}\r\n", MODELS[0]);
-                let request_bytes = request("POST", "/chat/", id, &model_header, POISON);
-                (RequestKind::Resumable, request_bytes)
+                let headers = format!("Model: {}\r\n", MODELS[0]);
+                Draft::crashing(headers, POISON.to_owned())
             }
             _ if self.rng.random_ratio(1, ONE_CRASHING_PART_IN) => {
                 let prompt =
                     format!("Prompt-Prefix: aa:100,{CRASHING_PART}:50,{own_part:x}:30\r\n");
-                let model_header = format!("{key_header}Model: {}\r\n{prompt}", MODELS[0]);
-                let body = format!("{CRASHING_PART_BODY}{id}");
-                let request_bytes = request("POST", "/chat/", id, &model_header, &body);
-                (RequestKind::Resumable, request_bytes)
+                let headers = format!("Model: {}\r\n{prompt}", MODELS[0]);
+                Draft::crashing(headers, format!("{CRASHING_PART_BODY}{own_part:x}"))
             }
-            _ => (
-                RequestKind::Resumable,
-                request("POST", "/chat/", id, &model_header, id),
-            ),
+            _ => Draft::stream(RequestKind::Resumable, "/chat/", headers),
         }
     }
 }
+
+/// Builds the bytes of a request.
+fn request_bytes(
+    id: &str,
+    draft: &Draft,
+    key_version: Option<u64>,
+    take_up: Option<&TakeUp>,
+) -> Vec<u8> {
+    let key = key_version.map_or_else(|| SMALL_KEY.to_owned(), key_of_version);
+    let take_up = take_up.map(
+        |TakeUp {
+             first_id,
+             last_event,
+         }| { format!("Last-Event-Id: {last_event}\r\nResumes: {first_id}\r\n") },
+    );
+    let headers = format!(
+        "Authorization: Token {key}\r\n{}{}",
+        draft.headers,
+        take_up.unwrap_or_default()
+    );
+    let own_body = if draft.method == "GET" { "" } else { id };
+    let body = draft.body.as_deref().unwrap_or(own_body);
+    request(draft.method, &draft.path, id, &headers, body)
+}
+
+/// Returns the number of whole events in a body.
+fn count_events(body: &str) -> u64 {
+    body.matches(EVENT_END).count() as u64
+}
+
+/// Returns the number of whole events that an answer brought.
+fn event_count(record: &Record) -> u64 {
+    count_events(record.whole_events())
+}
+
+/// Returns whether the answer is a whole success.
+fn is_whole(record: &Record) -> bool {
+    let answer = record.answer.as_ref();
+    answer.is_some_and(|answer| answer.status == 200 && answer.is_complete)
+}
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -3,11 +3,12 @@
 use super::SoakReport;
 use super::callers::{Record, RequestKind};
 use super::cluster::{CRASHING_PART_BODY, MODELS, POISON, SoakCluster, is_shed, key_of_version};
+use super::schedule::CalmStretch;
 use super::signal_checks;
 use super::silence_checks;
+use super::version_checks;
 use super::workspace_checks;
 use crate::platform::caller::{Answer, fetch, request};
-use crate::platform::model_server::{EVENTS, event};
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
 
@@ -27,7 +28,13 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Checks all records and fills in the report.
-pub fn check_promises(cluster: &SoakCluster, records: &[Record], report: &mut SoakReport) {
+pub fn check_promises(
+    cluster: &SoakCluster,
+    records: &[Record],
+    calm_stretches: &[CalmStretch],
+    report: &mut SoakReport,
+) {
+    let software = cluster.all_software();
     let execution_counts = execution_counts(cluster);
     report.requests = records.len();
     report.crashed_engines = count_crashes(cluster, POISON);
@@ -41,7 +48,7 @@
             Some(_) => {}
         }
         let violations = [
-            check_answer(record),
+            check_answer(record, &software),
             check_executed_once(record, executions),
             check_refusal(record, executions),
             check_not_lost(record, executions),
@@ -57,6 +64,7 @@
     workspace_checks::check_keys_and_quota(cluster, records, report);
     signal_checks::check_signals(cluster, records, report);
     silence_checks::check_kept(cluster, records, report);
+    version_checks::check_software(cluster, records, calm_stretches, report);
     check_versions(records, report);
     check_orders(cluster, report);
     let max_crashes = MAX_CRASHES + cluster.instances.len();
@@ -116,7 +124,7 @@
 
 /// An answer with status 200 belongs to the request. A complete one has the server's whole body, an
 /// incomplete one a prefix of it.
-fn check_answer(record: &Record) -> Option<String> {
+fn check_answer(record: &Record, software: &[String]) -> Option<String> {
     let answer = record
         .answer
         .as_ref()
@@ -124,16 +132,13 @@
     if answer.header("request-id") != Some(&record.id) {
         return Some("the answer belongs to another request".to_owned());
     }
-    let expected = match record.kind {
-        RequestKind::Resumable | RequestKind::Stream => {
-            (1..=EVENTS).map(event).collect::<Vec<_>>().concat()
-        }
-        RequestKind::Once | RequestKind::Again | RequestKind::Version(_) => record.id.clone(),
-    };
+    if matches!(record.kind, RequestKind::Resumable | RequestKind::Stream) {
+        return version_checks::check_body(record, software);
+    }
     let is_right = if answer.is_complete {
-        answer.body == expected
+        answer.body == record.id
     } else {
-        expected.starts_with(&answer.body)
+        record.id.starts_with(&answer.body)
     };
     (!is_right).then(|| format!("unexpected body: {:?}", answer.body))
 }
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -6,7 +6,7 @@
 use crate::platform::caller::HOST;
 use crate::platform::documents::{configuration, list_plain, with_workspaces, workspace};
 use crate::platform::model_server::{
-    Faults as EngineFaults, InitialModels, ModelServer, Run, RunEnd,
+    FIRST_SOFTWARE, Faults as EngineFaults, InitialModels, ModelServer, Run, RunEnd,
 };
 use crate::platform::plain_server::{PlainAnswer, echo_steps, identity_steps};
 use crate::platform::process::{InstanceProcess, Output, ProcessConfig};
@@ -17,9 +17,9 @@
 use passway_types::prelude::*;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Names of the models; each engine starts with two of them loaded.
@@ -73,6 +73,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after a crash at which a supervised engine serves again.
 const SUPERVISED_RESTART_DELAY: Duration = Duration::from_millis(800);
+/// Maximum wait for the faults that go on in the background.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the store entry of a crashed engine remains; then another engine replaces it.
 const STALE_ENTRY_DURATION: Duration = Duration::from_millis(1_500);
 
@@ -157,8 +159,8 @@
     pub server: ModelServer,
     /// The proxy between the instances and the engine.
     pub proxy: Proxy,
-    /// Whether a fault was injected into the proxy, so instances may have missed answers.
-    pub proxy_was_disturbed: Arc<AtomicBool>,
+    /// Whether another engine replaces the engine, which has crashed or leaves for good.
+    is_replaced: Arc<AtomicBool>,
     /// When the proxy had a fault, and when its connections were reset.
     pub proxy_disturbances: Arc<DisturbanceLog>,
 }
@@ -166,7 +168,6 @@
 impl Engine {
     /// Injects faults into the proxy.
     pub fn disturb_proxy(&self, faults: ProxyFaults) {
-        self.proxy_was_disturbed.store(true, Ordering::Release);
         self.proxy_disturbances.begin(Instant::now());
         self.proxy.set_faults(faults);
     }
@@ -200,6 +201,12 @@
     pub silences: Arc<Silences>,
     engines: Arc<Mutex<Vec<Engine>>>,
     version: AtomicU64,
+    /// Number of software versions of engines so far.
+    software_count: AtomicU64,
+    /// Number of faults that go on in the background.
+    background_count: Arc<AtomicUsize>,
+    /// When all instances were killed at once.
+    instances_lost_at: Mutex<Vec<Instant>>,
     /// Versions whose keys were revoked, with the time at which the store had accepted the revocation.
     revoked_keys: Mutex<BTreeMap<u64, Instant>>,
     publishing: Mutex<()>,
@@ -273,7 +280,12 @@
     }
 }
 
-fn start_engine(store: &MetadataStandIn, number: usize) -> Engine {
+/// Returns the name of the software version with this number, from 1 on.
+fn software_name(number: u64) -> String {
+    format!("v{number}")
+}
+
+fn start_engine(store: &MetadataStandIn, number: usize, software: &str) -> Engine {
     let id = format!("i-{number}");
     let loaded = [MODELS[number % 2], MODELS[2 + number % 3]];
     let models = InitialModels {
@@ -282,13 +294,15 @@
         on_disk: &MODELS,
     };
     let mut way = None;
-    let server = ModelServer::start_behind(store, &id, "engines", models, |address| {
+    let server = ModelServer::start_unpublished(store, &id, "engines", models, |address| {
         way.insert(Proxy::start(address)).address
     });
     server.set_faults(default_engine_faults(number));
+    server.set_software(software);
+    server.publish_entry("ready");
     Engine {
         number,
-        proxy_was_disturbed: Arc::default(),
+        is_replaced: Arc::default(),
         proxy_disturbances: Arc::default(),
         proxy: way.unwrap_or_else(|| Proxy::start(server.address)),
         server,
@@ -305,7 +319,7 @@
             list_plain(&store, id, server.address, "ready");
             (id, server)
         });
-        let engines = (0..plan.engines).map(|number| start_engine(&store, number));
+        let engines = (0..plan.engines).map(|number| start_engine(&store, number, FIRST_SOFTWARE));
         let engines: Arc<Mutex<Vec<Engine>>> = Arc::new(Mutex::new(engines.collect()));
         let instances: Result<Vec<Arc<SoakInstance>>> = (0..plan.instances)
             .map(|number| start_instance(plan, &store, number))
@@ -317,6 +331,9 @@
             silences: Arc::default(),
             engines,
             version: AtomicU64::new(1),
+            software_count: AtomicU64::new(1),
+            background_count: Arc::default(),
+            instances_lost_at: Mutex::default(),
             revoked_keys: Mutex::default(),
             publishing: Mutex::default(),
             is_stopped: Arc::default(),
@@ -376,6 +393,104 @@
         engines.clone()
     }
 
+    /// Returns the engines that no other one replaces, crashed ones included.
+    pub fn staying_engines(&self) -> Vec<Engine> {
+        // Under the lock, an engine is marked and its replacement added.
+        let engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
+        let staying = engines
+            .iter()
+            .filter(|engine| !engine.is_replaced.load(Ordering::Acquire));
+        staying.cloned().collect()
+    }
+
+    /// Returns the engines that no other one replaces and that have not crashed for good.
+    pub fn living_engines(&self) -> Vec<Engine> {
+        let mut engines = self.staying_engines();
+        engines.retain(|engine| !engine.server.has_crashed());
+        engines
+    }
+
+    /// Returns the name of a software version that no engine has had.
+    pub fn next_software(&self) -> String {
+        let number = self.software_count.fetch_add(1, Ordering::AcqRel) + 1;
+        software_name(number)
+    }
+
+    /// Returns the name of one of the software versions so far, selected by a random number.
+    pub fn known_software(&self, random: u64) -> String {
+        software_name(1 + random % self.software_count.load(Ordering::Acquire))
+    }
+
+    /// Returns the names of all software versions so far.
+    pub fn all_software(&self) -> Vec<String> {
+        let count = self.software_count.load(Ordering::Acquire);
+        (1..=count).map(software_name).collect()
+    }
+
+    /// Starts an engine of this software version for each of `old`, which are to leave.
+    pub fn start_replacements(&self, old: &[Engine], software: &str) {
+        let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
+        for engine in old {
+            engine.is_replaced.store(true, Ordering::Release);
+            let number = engines.len();
+            engines.push(start_engine(&self.store, number, software));
+        }
+    }
+
+    /// Kills instances, each this time after the first, while the others may be down too.
+    pub fn kill_overlapping(&self, kills: &[(usize, Duration)]) {
+        if kills.len() == self.instances.len() && kills.iter().all(|(_, after)| after.is_zero()) {
+            self.instances_lost_at().push(Instant::now());
+        }
+        std::thread::scope(|scope| {
+            for (number, after) in kills {
+                scope.spawn(|| {
+                    std::thread::sleep(*after);
+                    self.instances[*number].kill();
+                });
+            }
+        });
+    }
+
+    /// Returns the times at which all instances were killed at once.
+    pub fn instances_lost_at(&self) -> MutexGuard<'_, Vec<Instant>> {
+        let lost_at = self.instances_lost_at.lock();
+        lost_at.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs a fault in a thread of its own.
+    pub fn in_background(self: &Arc<Self>, fault: impl FnOnce(&Self) + Send + 'static) {
+        let cluster = self.clone();
+        self.background_count.fetch_add(1, Ordering::AcqRel);
+        std::thread::spawn(move || {
+            fault(&cluster);
+            cluster.background_count.fetch_sub(1, Ordering::AcqRel);
+        });
+    }
+
+    /// Waits until no fault goes on in the background, each crashed engine is replaced and no other one
+    /// announces that it leaves, then
+    /// ends all faults and waits until all instances are ready. Returns whether this came about
+    /// within the timeouts.
+    pub fn settle(&self) -> bool {
+        let deadline = Instant::now() + SETTLE_TIMEOUT;
+        let is_busy = || {
+            let engines = self.staying_engines();
+            self.background_count.load(Ordering::Acquire) > 0
+                || engines
+                    .iter()
+                    .any(|Engine { server, .. }| server.is_leaving() || server.has_crashed())
+        };
+        while is_busy() {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.clear_faults();
+        self.wait_until_ready()
+    }
+
     /// Returns the newest version of the configuration.
     pub fn version(&self) -> u64 {
         self.version.load(Ordering::Acquire)
@@ -430,7 +545,7 @@
         let engines = self.engines();
         self.store.return_from(copy);
         for engine in &engines {
-            if engine.server.has_crashed() {
+            if engine.server.has_crashed() || engine.server.has_left() {
                 self.store.remove(&format!("servers/{}", engine.server.id));
             } else {
                 engine.server.publish_entry("ready");
@@ -462,7 +577,7 @@
             self.is_stopped.clone(),
         );
         std::thread::spawn(move || {
-            let mut replaced_count = 0;
+            let mut replaced = BTreeSet::new();
             while !is_stopped.load(Ordering::Acquire) {
                 std::thread::sleep(POLL_INTERVAL);
                 let current = engines
@@ -470,7 +585,10 @@
                     .unwrap_or_else(PoisonError::into_inner)
                     .clone();
                 let crashed_engines = current.iter().filter(|engine| engine.server.has_crashed());
-                for engine in crashed_engines.skip(replaced_count) {
+                for engine in crashed_engines {
+                    if !replaced.insert(engine.number) {
+                        continue;
+                    }
                     engine.proxy.set_faults(ProxyFaults {
                         refuses_connections: true,
                         ..ProxyFaults::default()
@@ -478,9 +596,12 @@
                     std::thread::sleep(STALE_ENTRY_DURATION);
                     store.remove(&format!("servers/{}", engine.server.id));
                     let mut current = engines.lock().unwrap_or_else(PoisonError::into_inner);
-                    let replacement = start_engine(&store, current.len());
+                    if engine.is_replaced.swap(true, Ordering::AcqRel) {
+                        continue;
+                    }
+                    let replacement =
+                        start_engine(&store, current.len(), &engine.server.software());
                     current.push(replacement);
-                    replaced_count += 1;
                 }
             }
         });
@@ -499,7 +620,7 @@
             engine
                 .server
                 .set_faults(default_engine_faults(engine.number));
-            if !engine.server.has_crashed() {
+            if !engine.server.has_crashed() && !engine.server.has_left() {
                 engine.clear_proxy();
             }
         }
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -1,6 +1,6 @@
 //! Selects the faults and injects them.
 
-use super::cluster::{SoakCluster, default_engine_faults};
+use super::cluster::{Engine, SoakCluster, default_engine_faults};
 use super::silences::{Silence, SilenceableServer};
 use crate::platform::model_server::{EVENTS, Faults as EngineFaults};
 use crate::platform::proxy::ProxyFaults;
@@ -11,7 +11,6 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::ops::{Range, RangeInclusive};
-use std::sync::atomic::Ordering;
 
 /// Maximum time for which a process is stopped, in milliseconds.
 const MAX_STOPPED_MS: u64 = 2_500;
@@ -27,6 +26,25 @@
 const SILENCE_MS: Range<u64> = 300..2_500;
 /// Time between two silences of a series, in milliseconds.
 const SILENCE_GAP_MS: Range<u64> = 50..600;
+/// Maximum time between the start of an engine and the announcement that the engine which it replaces
+/// leaves, in milliseconds.
+const MAX_LEAD_MS: u64 = 1_500;
+/// Time for which a replaced engine serves on, in milliseconds.
+const DRAIN_MS: Range<u64> = 200..4_000;
+/// Probability that a release returns to an earlier software version.
+const ROLLBACK_PROBABILITY: f64 = 0.25;
+/// Maximum time between the kills of several instances, in milliseconds.
+const MAX_KILL_GAP_MS: u64 = 1_000;
+/// Number of resets in a series.
+const RESETS: RangeInclusive<usize> = 2..=4;
+/// Time between two resets of a series, in milliseconds.
+const RESET_GAP_MS: Range<u64> = 50..600;
+/// Time in which streams begin at a software version before the next release.
+const STREAMS_DURATION: Duration = Duration::from_secs(2);
+/// Undisturbed time before a calm stretch is judged: `contact_ms` of the users' installations.
+pub const CONTACT_DURATION: Duration = Duration::from_secs(3);
+/// Judged time of a calm stretch.
+const CALM_DURATION: Duration = Duration::from_secs(4);
 /// Probability that all servers fall silent together.
 const ALL_SILENT_PROBABILITY: f64 = 0.5;
 
@@ -70,11 +88,27 @@
     EngineLeaves,
     /// Some servers, or all, fall silent several times in succession and go on afterwards.
     Silences,
+    /// Every engine is replaced by an engine of another software version.
+    ReleaseAll,
+    /// Every second engine is replaced by an engine of another software version.
+    ReleaseHalf,
+    /// An engine restarts under its id with another software version.
+    RestartAsOther,
+    /// Every second engine restarts under its id with another software version.
+    RestartHalfAsOther,
+    /// All instances are killed at once.
+    KillAll,
+    /// Several instances are killed while others are down.
+    KillOverlapping,
+    /// The connections to all engines are closed several times in succession.
+    ResetEngineProxies,
+    /// Every second engine is replaced; then nothing is disturbed for a while.
+    Calm,
 }
 
 /// The faults to choose from. Engine faults appear several times, since each affects only one
-/// stream.
-const FAULTS: [Fault; 26] = [
+/// stream. Those of releases come last.
+const FAULTS: [Fault; 36] = [
     Fault::ClearAll,
     Fault::Store,
     Fault::CompactHistory,
@@ -101,7 +135,30 @@
     Fault::EngineLeaves,
     Fault::Silences,
     Fault::Silences,
+    Fault::ReleaseAll,
+    Fault::ReleaseHalf,
+    Fault::ReleaseHalf,
+    Fault::RestartAsOther,
+    Fault::RestartAsOther,
+    Fault::RestartHalfAsOther,
+    Fault::KillAll,
+    Fault::KillOverlapping,
+    Fault::ResetEngineProxies,
+    Fault::Calm,
 ];
+/// Number of faults that belong to releases.
+const RELEASE_FAULTS: usize = 10;
+
+fn every_second(engines: Vec<Engine>) -> Vec<Engine> {
+    engines.into_iter().step_by(2).collect()
+}
+
+/// Kills all instances at the same moment, in the background.
+fn kill_all(cluster: &Arc<SoakCluster>) {
+    let kills = (0..cluster.instances.len()).map(|number| (number, Duration::ZERO));
+    let kills: Vec<(usize, Duration)> = kills.collect();
+    cluster.in_background(move |cluster| cluster.kill_overlapping(&kills));
+}
 
 impl Fault {
     /// Returns the key of the fault in the report, an outer name.
@@ -125,26 +182,54 @@
             Self::EngineSignal => "engine word",
             Self::EngineLeaves => "engine leaves",
             Self::Silences => "silences",
+            Self::ReleaseAll => "release all",
+            Self::ReleaseHalf => "release half",
+            Self::RestartAsOther => "restart as other",
+            Self::RestartHalfAsOther => "restart half as other",
+            Self::KillAll => "kill all",
+            Self::KillOverlapping => "kill overlapping",
+            Self::ResetEngineProxies => "reset engine ways",
+            Self::Calm => "calm",
         }
     }
 }
 
+/// A time in which nothing is disturbed, after [`CONTACT_DURATION`] of the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CalmStretch {
+    /// Begin of the stretch.
+    pub began_at: Instant,
+    /// End of the stretch.
+    pub ended_at: Instant,
+    /// The configuration's version throughout the stretch.
+    pub version: u64,
+}
+
 /// A seeded sequence of faults.
 #[derive(Debug)]
 pub struct Schedule {
     rng: ChaCha8Rng,
+    has_releases: bool,
     injected: BTreeMap<&'static str, u32>,
+    calm_stretches: Vec<CalmStretch>,
 }
 
 impl Schedule {
-    /// Creates the schedule of a seed.
-    pub fn new(seed: u64) -> Self {
+    /// Creates the schedule of a seed, with or without releases of engine software.
+    pub fn new(seed: u64, has_releases: bool) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            has_releases,
             injected: BTreeMap::new(),
+            calm_stretches: Vec::new(),
         }
     }
 
+    /// Returns the calm stretches so far.
+    pub fn calm_stretches(&self) -> &[CalmStretch] {
+        &self.calm_stretches
+    }
+
     /// Returns the number of injected faults by name.
     pub fn injected(&self) -> &BTreeMap<&'static str, u32> {
         &self.injected
@@ -153,11 +238,17 @@
     /// Injects the next fault, then waits for a random time of at most `max_pause`. Stops and pauses
     /// of processes run in the background, concurrently with later faults.
     pub fn inject_next(&mut self, cluster: &Arc<SoakCluster>, max_pause: Duration) {
-        let fault = *FAULTS.choose(&mut self.rng).unwrap_or(&Fault::ClearAll);
+        let without_releases = FAULTS.len() - RELEASE_FAULTS;
+        let faults = if self.has_releases {
+            &FAULTS[..]
+        } else {
+            &FAULTS[..without_releases]
+        };
+        let fault = *faults.choose(&mut self.rng).unwrap_or(&Fault::ClearAll);
         *self.injected.entry(fault.name()).or_default() += 1;
         let instance = self.rng.random_range(0..cluster.instances.len());
         let instance = &cluster.instances[instance];
-        let engines = cluster.engines();
+        let engines = cluster.staying_engines();
         let engine = &engines[self.rng.random_range(0..engines.len())];
         match fault {
             Fault::ClearAll => cluster.clear_faults(),
@@ -165,8 +256,8 @@
             Fault::CompactHistory => cluster.store.compact_history(),
             Fault::StoreReturns => {
                 let age_ms = self.rng.random_range(100..MAX_COPY_AGE_MS);
-                let (cluster, copy) = (cluster.clone(), cluster.store.copy());
-                std::thread::spawn(move || {
+                let copy = cluster.store.copy();
+                cluster.in_background(move |cluster| {
                     std::thread::sleep(Duration::from_millis(age_ms));
                     cluster.return_store(&copy);
                 });
@@ -185,13 +276,13 @@
             }
             Fault::PlannedStop => {
                 let instance = instance.clone();
-                std::thread::spawn(move || instance.stop_as_planned());
+                cluster.in_background(move |_| instance.stop_as_planned());
             }
             Fault::StopProcess => {
                 instance.record_disturbance();
                 let duration = Duration::from_millis(self.rng.random_range(50..MAX_STOPPED_MS));
                 let instance = instance.clone();
-                std::thread::spawn(move || instance.pause(duration));
+                cluster.in_background(move |_| instance.pause(duration));
             }
             Fault::Configure => cluster.publish_next_version(),
             Fault::ConfigureOften => (0..3).for_each(|_| cluster.publish_next_version()),
@@ -199,10 +290,7 @@
                 .server
                 .set_faults(self.random_engine_faults(engine.number)),
             Fault::EngineProxy => engine.disturb_proxy(self.random_proxy_faults()),
-            Fault::ResetEngineProxy => {
-                engine.proxy_was_disturbed.store(true, Ordering::Release);
-                engine.reset_proxy();
-            }
+            Fault::ResetEngineProxy => engine.reset_proxy(),
             Fault::EngineSignal => engine.server.set_faults(self.random_signal(engine.number)),
             Fault::EngineLeaves => {
                 let delay_ms = self.rng.random_range(0..MAX_LEAVING_MS);
@@ -214,10 +302,113 @@
                     .silences
                     .start_series(servers, self.random_silences());
             }
+            Fault::ReleaseAll => self.release(cluster, cluster.living_engines()),
+            Fault::ReleaseHalf => self.release(cluster, every_second(cluster.living_engines())),
+            Fault::RestartAsOther => {
+                let software = self.random_software(cluster);
+                engine.server.restart_with_software(&software);
+            }
+            Fault::RestartHalfAsOther => {
+                let software = self.random_software(cluster);
+                for engine in every_second(cluster.living_engines()) {
+                    engine.server.restart_with_software(&software);
+                }
+            }
+            Fault::KillAll => kill_all(cluster),
+            Fault::KillOverlapping => {
+                let kills = self.random_kills(cluster.instances.len());
+                cluster.in_background(move |cluster| cluster.kill_overlapping(&kills));
+            }
+            Fault::ResetEngineProxies => self.reset_engines(cluster),
+            Fault::Calm => {
+                self.release(cluster, every_second(cluster.living_engines()));
+                self.stay_calm(cluster);
+            }
         }
         std::thread::sleep(max_pause.mul_f64(self.rng.random_range(0.1..1.0)));
     }
 
+    /// Replaces all engines and then every second one, so that two versions serve side by side, kills
+    /// all instances at once, and then stays calm.
+    pub fn end_with_release(&mut self, cluster: &Arc<SoakCluster>) {
+        cluster.settle();
+        self.release(cluster, cluster.living_engines());
+        cluster.settle();
+        std::thread::sleep(STREAMS_DURATION);
+        self.release(cluster, every_second(cluster.living_engines()));
+        std::thread::sleep(STREAMS_DURATION);
+        kill_all(cluster);
+        self.stay_calm(cluster);
+    }
+
+    /// Waits until all faults have ended and nothing was disturbed for [`CONTACT_DURATION`], and
+    /// records the stretch that follows.
+    fn stay_calm(&mut self, cluster: &SoakCluster) {
+        if !cluster.settle() {
+            return;
+        }
+        std::thread::sleep(CONTACT_DURATION);
+        let began_at = Instant::now();
+        std::thread::sleep(CALM_DURATION);
+        self.calm_stretches.push(CalmStretch {
+            began_at,
+            ended_at: Instant::now(),
+            version: cluster.version(),
+        });
+    }
+
+    /// Replaces these engines. They leave in the background.
+    fn release(&mut self, cluster: &Arc<SoakCluster>, old: Vec<Engine>) {
+        let software = self.random_software(cluster);
+        let lead_time = Duration::from_millis(self.rng.random_range(0..MAX_LEAD_MS));
+        let drain = Duration::from_millis(self.rng.random_range(DRAIN_MS));
+        cluster.start_replacements(&old, &software);
+        cluster.in_background(move |_| {
+            std::thread::sleep(lead_time);
+            std::thread::scope(|scope| {
+                for engine in &old {
+                    scope.spawn(|| engine.server.retire(drain));
+                }
+            });
+        });
+    }
+
+    /// Returns a new software version, or at times an earlier one.
+    fn random_software(&mut self, cluster: &SoakCluster) -> String {
+        let random: u64 = self.rng.random();
+        if self.rng.random_bool(ROLLBACK_PROBABILITY) {
+            cluster.known_software(random)
+        } else {
+            cluster.next_software()
+        }
+    }
+
+    /// Selects two or more instances to kill, each with the time after which it is killed.
+    fn random_kills(&mut self, instances: usize) -> Vec<(usize, Duration)> {
+        let count = self.rng.random_range(2.min(instances)..=instances);
+        let first = self.rng.random_range(0..instances);
+        let kill = |offset| {
+            let after_ms = self.rng.random_range(0..MAX_KILL_GAP_MS);
+            let number = (first + offset) % instances;
+            (number, Duration::from_millis(after_ms))
+        };
+        (0..count).map(kill).collect()
+    }
+
+    /// Closes the connections to all engines several times in the background.
+    fn reset_engines(&mut self, cluster: &Arc<SoakCluster>) {
+        let count = self.rng.random_range(RESETS);
+        let gaps = (0..count).map(|_| self.rng.random_range(RESET_GAP_MS));
+        let gaps: Vec<Duration> = gaps.map(Duration::from_millis).collect();
+        cluster.in_background(move |cluster| {
+            for gap in gaps {
+                let engines = cluster.staying_engines();
+                engines.iter().for_each(Engine::reset_proxy);
+                std::thread::sleep(gap);
+            }
+        });
+    }
+
     fn random_store_faults(&mut self) -> StoreFaults {
         let mut faults = StoreFaults::default();
         match self.rng.random_range(0..5) {
--- a/crates/standins/src/soak/signal_checks.rs
+++ b/crates/standins/src/soak/signal_checks.rs
@@ -46,12 +46,7 @@
         });
         let requests: Vec<SentRequest<'_>> = requests.collect();
         check_leaving(&engine, &requests, report);
-        if !engine
-            .proxy_was_disturbed
-            .load(std::sync::atomic::Ordering::Acquire)
-        {
-            check_backoff(&engine, &requests, &silences, report);
-        }
+        check_backoff(&engine, &requests, &silences, report);
     }
 }
 
@@ -80,7 +75,8 @@
 }
 
 /// At most [`MAX_WITHIN_BACKOFF`] requests from one instance reach an engine within a backoff that
-/// the engine asked for. An answer that a silence held back was late, or was lost in a reset meanwhile.
+/// the engine asked for. An answer that a silence held back was late, or was lost in a reset meanwhile;
+/// so may be one during a fault of the engine's proxy, which may also deliver a request late.
 fn check_backoff(
     engine: &Engine,
     requests: &[SentRequest<'_>],
@@ -99,7 +95,11 @@
         if is_held_back {
             continue;
         }
-        let within = arrived_at + IN_FLIGHT_WINDOW..arrived_at + backoff;
+        let ends_at = arrived_at + backoff;
+        if engine.proxy_disturbances.overlaps(arrived_at, ends_at) {
+            continue;
+        }
+        let within = arrived_at + IN_FLIGHT_WINDOW..ends_at;
         let others = requests.iter().filter(|other| other.link == request.link);
         let count = others
             .filter(|other| within.contains(&other.arrival.arrived_at))
--- a/crates/standins/src/soak/silence_checks.rs
+++ b/crates/standins/src/soak/silence_checks.rs
@@ -55,13 +55,14 @@
     }
 }
 
-/// Returns whether the caller got no whole answer, and none that says that the request was not
-/// executed.
+/// Returns whether the caller waited for the end but got no whole answer, and none that says that the
+/// request was not executed.
 fn is_broken_off(record: &Record) -> bool {
     let answer = record.answer.as_ref();
-    answer.is_none_or(|answer| {
+    let is_broken = answer.is_none_or(|answer| {
         !answer.is_complete && answer.status == 200 || FAILURES.contains(&answer.status)
-    })
+    });
+    is_broken && !record.was_left
 }
 
 /// Returns the run of each request that ended last, over all servers; one that has not ended, if any.
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -22,6 +22,7 @@
         callers: 8,
         fault_count: number_from_env("PASSWAY_SOAK_STEPS", STEPS),
         max_pause: Duration::from_millis(500),
+        has_releases: true,
     });
     let report = report.expect("a soak");
     assert_eq!(
