--- a/tests/all/software_versions.rs
+++ b/tests/all/software_versions.rs
@@ -235,3 +235,62 @@
     });
     assert_eq!(went_on.count(), STREAMS);
 }
+
+/// Time in which an instance follows a change in the store and writes its records.
+const RECORDING_TIME: Duration = Duration::from_secs(1);
+
+/// Returns the store from a copy that is older than the records of all streams.
+fn lose_records(store: &MetadataStandIn, first: &Instance) -> Vec<BrokenStream> {
+    let copy = store.copy();
+    let streams = BrokenStream::begin_many(first);
+    std::thread::sleep(RECORDING_TIME);
+    store.return_from(&copy);
+    std::thread::sleep(RECORDING_TIME);
+    streams
+}
+
+/// The store returned from an older copy and lacked the records of streams; an engine started again as
+/// another version, which alone was recorded for them then, and all instances lost their memory. The
+/// streams went on at the new version.
+#[test]
+fn restarted_version_after_lost_records() {
+    let store = cluster::store(&["m0"]);
+    let old = engine(&store, "i-0", "v1");
+    let new = engine(&store, "i-1", "v2");
+    let first = cluster::start_ready("one", &store);
+    slow_down(&[&old, &new]);
+    let streams = lose_records(&store, &first);
+    old.restart_with_software("v3");
+    // The instance chooses the other engine as long as that one is free.
+    new.set_faults(Faults {
+        backoff_s: Some(0.1),
+        ..Faults::default()
+    });
+    until("the new version serves", || {
+        versions(&send(&first, "probe", "")) == BTreeSet::from(["v3".to_owned()])
+    });
+    std::thread::sleep(RECORDING_TIME);
+    let second = cluster::start_ready("two", &store);
+    for stream in streams.iter().filter(|stream| stream.software == "v1") {
+        let rest = stream.take_up(&second);
+        assert!(!stream.goes_on_with(&rest));
+    }
+}
+
+/// The store returned from an older copy and lacked the records of streams, which their instance knew;
+/// once that was gone too, no caller could take them up.
+#[test]
+fn lost_records_written_again() {
+    let store = cluster::store(&["m0"]);
+    let old = engine(&store, "i-0", "v1");
+    let new = engine(&store, "i-1", "v2");
+    let first = cluster::start_ready("one", &store);
+    slow_down(&[&old, &new]);
+    let streams = lose_records(&store, &first);
+    let second = cluster::start_ready("two", &store);
+    let went_on = streams.iter().filter(|stream| {
+        let rest = stream.take_up(&second);
+        stream.goes_on_with(&rest)
+    });
+    assert_eq!(went_on.count(), STREAMS);
+}
