--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -11,6 +11,7 @@
 //! * The streams that this instance has begun, in its memory.
 
 mod bounded_calls;
+mod known_list;
 mod list_reads;
 mod records;
 mod registry;
@@ -18,22 +19,19 @@
 use crate::leadership::LeadershipDriver;
 use crate::shared::Shared;
 use crossbeam::channel::{Receiver, Sender, bounded};
+use known_list::{KnownList, decode, encode};
 use list_reads::{ListRead, ListReads};
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
 use passway_serving::upstreams::{ListedStart, RestartedUpstream};
 use passway_serving::versions::{
-    ProofSource, ProvenVersion, STREAM_RETENTION, ServiceVersion, SoftwareVersion, StreamKey,
-    Unproven, VersionList,
+    ProofSource, ProvenVersion, ServiceVersion, SoftwareVersion, StreamKey, Unproven, VersionList,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
-use passway_wire::versions::{StoredVersion, StoredVersions};
-use prost::Message;
 use rand::RngExt;
 use records::RecordWriter;
 use registry::{BegunStream, Registry};
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
@@ -56,12 +54,6 @@
 /// Time after which an instance that is not the holder adds a missing version itself. A holder usually
 /// follows another one within it.
 const ADD_DELAY: Duration = Duration::from_secs(1);
-/// Interval at which an instance reads the list while it names several versions of a service, to stop
-/// recording streams once one is left.
-const REFRESH_INTERVAL: Duration = Duration::from_mins(1);
-/// After a version had no upstreams for this long, the list is read again before a stream begins there:
-/// the holder may have removed the version.
-const UNVERIFIED_AFTER: Duration = STREAM_RETENTION.checked_div(2).expect("a divisor");
 /// Longest wait for a read of the list that another thread has begun.
 const MAX_READ_TIME: Duration = Duration::from_secs(1);
 /// Pause before a failed read is repeated for a request that waits for it.
@@ -92,35 +84,6 @@
     }
 }
 
-/// The list of versions, and what this instance has observed of it.
-#[derive(Debug, Default)]
-struct KnownList {
-    list: VersionList,
-    /// The revision of the list's key; of an era in which the key is missing, the era's first one.
-    revision: StoreRevision,
-    /// Whether the list, or that there is none, was read since the process started.
-    is_read: bool,
-    /// Since when the list may lack versions, because the store has returned from an older copy or the
-    /// list was removed; `None` if it lacks none.
-    incomplete_since: Option<Instant>,
-    /// Versions of the list of an earlier era.
-    earlier: BTreeSet<ServiceVersion>,
-    /// Versions of listed upstreams.
-    present: BTreeSet<ServiceVersion>,
-    /// The count of changes at which `present` was taken.
-    version_changes: Option<u64>,
-    /// Since when no upstream with a listed version is known.
-    gone_since: BTreeMap<ServiceVersion, Instant>,
-    /// Whether the list is newer than at the last check.
-    has_new_list: bool,
-    /// Listed versions that the holder may have removed from the stored list meanwhile.
-    unverified: BTreeSet<ServiceVersion>,
-    /// Since when streams may not begin at all listed upstreams.
-    missing_since: Option<Instant>,
-    /// When the list was last read from the store, or written.
-    read_at: Option<Instant>,
-}
-
 /// The software versions that began streams.
 pub struct Versions {
     known: Mutex<KnownList>,
@@ -165,145 +128,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn encode(list: &VersionList) -> Vec<u8> {
-    let versions = list.versions().map(|version| StoredVersion {
-        service: version.service.to_string(),
-        software: version.software.name().to_owned(),
-    });
-    let stored = StoredVersions {
-        confirmed_in: list.confirmed_in(),
-        versions: versions.collect(),
-    };
-    stored.encode_to_vec()
-}
-
-fn decode(value: &[u8]) -> VersionList {
-    let stored = StoredVersions::decode(value).unwrap_or_else(|error| {
-        // An empty, unconfirmed list proves nothing.
-        log::warn!(error:% = error; "cannot decode the list of software versions");
-        StoredVersions::default()
-    });
-    let versions = stored.versions.into_iter().map(|version| ServiceVersion {
-        service: version.service.into(),
-        software: version.software.into(),
-    });
-    VersionList::new(stored.confirmed_in, versions)
-}
-
-impl KnownList {
-    /// Applies the list as stored; `value` is empty if the key is missing. Returns whether it is newer
-    /// than what was known.
-    fn apply(&mut self, revision: StoreRevision, value: &[u8], now: Instant) -> bool {
-        let is_newer = !self.is_read || revision > self.revision;
-        if !is_newer {
-            return false;
-        }
-        let is_later_era = revision.era() > self.revision.era();
-        if is_later_era {
-            self.earlier.extend(self.list.versions());
-        }
-        self.is_read = true;
-        self.revision = revision;
-        self.list = decode(value);
-        self.has_new_list = true;
-        let list = &self.list;
-        self.earlier
-            .retain(|version| !list.contains(&version.service, &version.software));
-        if list.confirmed_in() == Some(revision.era()) || self.is_before_first() {
-            self.incomplete_since = None;
-        } else if is_later_era || self.incomplete_since.is_none() {
-            self.incomplete_since = Some(now);
-        }
-        true
-    }
-
-    /// Applies that the list was removed from the store.
-    fn clear(&mut self, era: StoreEra, now: Instant) {
-        self.incomplete_since = Some(now);
-        self.earlier.extend(self.list.versions());
-        self.revision = StoreRevision::new(era, 0);
-        self.list = VersionList::default();
-    }
-
-    /// Whether no list was written yet. Before the first list, no stream has begun.
-    fn is_before_first(&self) -> bool {
-        self.revision == StoreRevision::NONE
-    }
-
-    /// Versions that the list must have and lacks.
-    fn missing(&self) -> BTreeSet<ServiceVersion> {
-        let wanted = self.present.iter().chain(&self.earlier);
-        let is_missing =
-            |version: &&ServiceVersion| !self.list.contains(&version.service, &version.software);
-        wanted.filter(is_missing).cloned().collect()
-    }
-
-    /// Updates since when listed versions have no upstreams.
-    fn update_gone(&mut self, now: Instant) {
-        let gone = self
-            .list
-            .versions()
-            .filter(|version| !self.present.contains(version));
-        let gone: BTreeSet<ServiceVersion> = gone.collect();
-        self.gone_since.retain(|version, _| gone.contains(version));
-        for version in gone {
-            let since = *self.gone_since.entry(version.clone()).or_insert(now);
-            if now >= since + UNVERIFIED_AFTER {
-                self.unverified.insert(version);
-            }
-        }
-    }
-
-    /// Notes that the store has the known list, by a read that has just ended.
-    fn verify(&mut self, revision: StoreRevision, now: Instant) {
-        self.read_at = Some(now);
-        if revision == self.revision {
-            let present = &self.present;
-            self.unverified.retain(|version| !present.contains(version));
-        }
-    }
-
-    /// Whether streams may begin at all listed upstreams.
-    fn is_complete(&self) -> bool {
-        self.is_read && self.missing().is_empty() && self.unverified.is_disjoint(&self.present)
-    }
-
-    /// Whether the list names several versions of a service and was read long ago.
-    fn must_refresh(&self, now: Instant) -> bool {
-        let era = self.revision.era();
-        let mut versions = self.list.versions();
-        let must_record = versions.any(|version| self.list.must_record(&version.service, era));
-        let is_old = self.read_at.is_none_or(|at| now >= at + REFRESH_INTERVAL);
-        must_record && is_old
-    }
-
-    /// The list that should be stored now; `None` if it is stored. The versions of a service without
-    /// upstreams stay.
-    fn next_list(&self, now: Instant) -> Option<VersionList> {
-        let missing = self.missing();
-        let is_expired = |version: &ServiceVersion| {
-            let has_other = |other: &ServiceVersion| other.service == version.service;
-            let since = self.gone_since.get(version);
-            let is_gone = since.is_some_and(|since| now >= *since + STREAM_RETENTION);
-            is_gone && self.present.iter().any(has_other)
-        };
-        let kept = self.list.versions().filter(|version| !is_expired(version));
-        let era = self.revision.era();
-        let is_confirmed = self.list.confirmed_in() == Some(era);
-        let is_first = self.is_before_first() && self.incomplete_since.is_none();
-        let is_long_known = self
-            .incomplete_since
-            .is_some_and(|since| now >= since + STREAM_RETENTION);
-        let confirmed_in = (is_confirmed || is_first || is_long_known).then_some(era);
-        let next = VersionList::new(
-            confirmed_in.or(self.list.confirmed_in()),
-            kept.chain(missing),
-        );
-        let is_needed = next != self.list && next.versions().next().is_some();
-        (self.is_read && is_needed).then_some(next)
-    }
-}
-
 impl Versions {
     /// Whether a stream of a service may begin at a start with this version.
     pub fn may_begin(&self, service: &str, software: Option<&SoftwareVersion>) -> bool {
@@ -565,7 +389,8 @@
         if has_new_list {
             self.record_running();
         }
-        if missing_since == Some(now) && !is_holder {
+        let is_recent = missing_since.is_some_and(|since| now < since + READ_DELAY);
+        if is_recent && !is_holder {
             // The holder adds the version.
             return retry_delay(shared);
         }
