Wording: streams are resumed, processes restart; names and texts that a reader stumbled over

A doc comment said that a stream's retention counts from its last event; it counts from its first one. No change of behaviour.

--- a/crates/instance/src/forward/destination.rs
+++ b/crates/instance/src/forward/destination.rs
@@ -97,7 +97,7 @@
     let route = table.find(host, path).cloned();
     let route = route.ok_or(unrouted(Refusal::NoRoute))?;
     let access = Access::look_up(table, &route, facts).ok_or(UNKNOWN_KEY)?;
-    // A stream that is taken up goes on at the service that began it.
+    // A stream is resumed at the service that began it.
     let begun_by = facts.resumes.as_ref().unwrap_or(&facts.id);
     let service = route.backend(request_hash(begun_by)).cloned();
     let service = service.ok_or(unrouted(not_run(RETRY_AFTER_MS)))?;
--- a/crates/instance/src/forward/limits.rs
+++ b/crates/instance/src/forward/limits.rs
@@ -94,7 +94,7 @@
     pub(super) fn excluded_upstreams(&self, now: Instant) -> Vec<UpstreamId> {
         let deferred = self.deferred_upstreams(now).into_iter();
         let deferred = deferred.map(|one| one.upstream);
-        let unlisted = self.unlisted_versions(&self.shared.upstreams(), now);
+        let unlisted = self.upstreams_of_unlisted_versions(&self.shared.upstreams(), now);
         let excluded = self.tried.iter().cloned().chain(deferred);
         excluded.chain(unlisted).collect()
     }
--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -1,7 +1,7 @@
-//! Streams that go on at another run after events were delivered: within one answer, through another
-//! instance, or by a caller that returns.
+//! Resuming a stream at another run after events were delivered: within one answer, through another
+//! instance, or when its caller reconnects.
 //!
-//! A stream goes on only at the software version that began it. [`StreamVersion`] has the proof of that
+//! A stream is resumed only at the software version that began it. [`StreamVersion`] has the proof of that
 //! version, and the send permit requires it.
 
 use super::{Forwarding, Origin, Target};
@@ -39,8 +39,8 @@
             .last_event_id
             .as_ref()
             .is_some_and(|id| !id.is_empty());
-        let is_taken_up = has_event || facts.resumes.is_some();
-        if is_taken_up || is_passed_on_after_events {
+        let resumes_stream = has_event || facts.resumes.is_some();
+        if resumes_stream || is_passed_on_after_events {
             Self::Unproven
         } else {
             Self::Beginning
@@ -58,13 +58,14 @@
 }
 
 impl Forwarding<'_> {
-    /// The event after which the next run of a stream goes on; `None` if it begins the stream.
+    /// The last event that the caller has received, after which the next run resumes the stream; `None` if
+    /// the next run begins it.
     fn resumed_after(&self) -> Option<String> {
         let delivered = self.delivered.last_event_id();
         delivered.or_else(|| self.facts.last_event_id.clone())
     }
 
-    /// How the stream comes to go on at `target`, for logs.
+    /// Why the stream is resumed at `target`, for logs.
     fn resumption_way(&self, target: &Target) -> &'static str {
         if target.continues.is_some() {
             "copy"
@@ -80,7 +81,7 @@
         }
     }
 
-    /// Logs that the request is sent to `target` to go on with a stream.
+    /// Logs that the request is sent to `target` to resume a stream.
     pub(super) fn log_resumption(&self, target: &Target) {
         let Some(after) = self.resumed_after() else {
             return;
@@ -94,11 +95,11 @@
             upstream:% = target.id, started_at_ms = target.start.started_at_ms,
             version = target.start.software.as_ref().map_or("", SoftwareVersion::name),
             proven_version = proven;
-            "a stream goes on");
+            "a stream is resumed");
     }
 
     /// Identifies the stream by the attempt that began it: the one that the caller names, or this one.
-    /// `None` if the caller takes up a stream without naming the attempt.
+    /// `None` if the caller resumes a stream without naming the attempt.
     fn stream_key(&self) -> Option<StreamKey> {
         let last_event_id = self.facts.last_event_id.as_ref();
         let begun_by = match (
@@ -135,7 +136,7 @@
         match proven {
             Ok(proven) => {
                 if let Some(key) = self.stream_key() {
-                    versions.stream_taken_up(key, &self.service, &proven);
+                    versions.record_resumption(key, &self.service, &proven);
                 }
                 self.stream_version = StreamVersion::Proven(proven);
                 Ok(())
@@ -144,7 +145,7 @@
         }
     }
 
-    /// Notes that the request's stream has begun, or goes on, at the run of `start`.
+    /// Notes that the request's stream has received its first event from a run at `start`.
     pub(super) fn record_first_event(&mut self, upstream: &UpstreamId, start: &ListedStart) {
         if self.stream_version != StreamVersion::Beginning {
             return;
@@ -184,7 +185,7 @@
         }
     }
 
-    /// The version at which the stream must go on; `None` if it has not begun.
+    /// The version at which the stream must be resumed; `None` if it has not begun.
     pub(super) fn required_version(&self) -> Option<&SoftwareVersion> {
         match &self.stream_version {
             StreamVersion::Proven(proven) => Some(proven.software()),
@@ -211,7 +212,7 @@
 
     /// Upstreams at which streams may not begin, because their versions are not in the stored list yet or
     /// are contradictory.
-    pub(super) fn unlisted_versions(
+    pub(super) fn upstreams_of_unlisted_versions(
         &self,
         upstreams: &UpstreamTable,
         now: Instant,
@@ -241,10 +242,10 @@
         !upstreams.serves_version(&self.service, software, allowed, now)
     }
 
-    /// Whether the process at the upstream's address is still the start that was chosen. An upstream
-    /// that has started again under its id accepts requests for its earlier start. A connection that
-    /// was made before this query cannot belong to a later start than the one that answers.
-    pub(super) fn is_chosen_start(&self, target: &Target) -> bool {
+    /// Whether the process at the upstream's address is still the one that was chosen. A process that has
+    /// restarted under its id also accepts requests meant for its predecessor. The query follows the
+    /// connection, so a connection that still works leads to the process that answers the query.
+    pub(super) fn is_chosen_process(&self, target: &Target) -> bool {
         let goes_on = self.required_version().is_some() && self.route.kind.is_stream();
         if !goes_on || !self.is_engine || target.start.started_at_ms == 0 {
             return true;
@@ -255,7 +256,7 @@
     }
 }
 
-/// The refusal of a stream that cannot go on.
+/// The refusal of a request whose stream cannot be resumed.
 pub(super) fn resume_denial(obstacle: ResumeObstacle) -> Denial {
     Denial {
         refusal: Refusal::CannotResume(obstacle),
--- a/crates/instance/src/forward/send_permit.rs
+++ b/crates/instance/src/forward/send_permit.rs
@@ -2,7 +2,7 @@
 //! there.
 //!
 //! Since the choice, operators may have evacuated the hall or restricted the request to other
-//! regions, the upstream may have sent new signals or started again, and a stream goes on only at the
+//! regions, the upstream may have sent new signals or started again, and a stream is resumed only at the
 //! software version that began it. Every request is sent with a
 //! [`SendPermit`], which only this check creates: first attempts, retries, resumed streams, runs
 //! granted by another instance, and requests that have waited for a connection.
@@ -18,7 +18,7 @@
     /// Checks whether the request may be sent to the upstream; `None` if the upstream does not
     /// admit it.
     pub(super) fn acquire_send_permit(&self, target: &Target) -> Option<SendPermit> {
-        if !self.is_chosen_start(target) {
+        if !self.is_chosen_process(target) {
             return None;
         }
         let now = clock::now();
--- a/crates/instance/src/metrics/dispatching.rs
+++ b/crates/instance/src/metrics/dispatching.rs
@@ -135,7 +135,7 @@
                 .get_or_create(&OutcomeLabels { outcome });
         }
         let version_proofs = self.version_proofs.clone();
-        let help = "Streams that were taken up, by what proves the version that began them, or why nothing does";
+        let help = "Streams resumed by reconnecting callers, by what proves the software version that began them, or why there is no proof";
         registry.register("version_proofs", help, version_proofs);
         for outcome in ["replaced", "no retry allowance"] {
             let _zero = self.silent_runs.get_or_create(&OutcomeLabels { outcome });
@@ -193,7 +193,7 @@
             .inc();
     }
 
-    /// Counts a stream that was taken up by what proves its version, or why nothing does.
+    /// Counts a stream that a caller resumes, by what proves its software version or why there is no proof.
     pub fn version_proof(&self, outcome: &'static str) {
         self.version_proofs
             .get_or_create(&OutcomeLabels { outcome })
--- a/crates/instance/src/reply.rs
+++ b/crates/instance/src/reply.rs
@@ -9,12 +9,12 @@
 /// Time for a caller to receive a complete answer.
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Header with the reason why a stream cannot be taken up.
+/// Header with the reason why a stream cannot be resumed.
 const RESUME_REFUSED: &str = "Resume-Refused";
 /// `Retry-After` of a stream whose version could not be looked up, in milliseconds.
 const PROOF_RETRY_MS: u64 = 500;
 
-/// Why a stream cannot be taken up now.
+/// Why a stream cannot be resumed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResumeObstacle {
     /// It is not known which software version began the stream. The caller has to begin anew.
@@ -39,9 +39,11 @@
     /// How the request ended, for logs.
     pub fn end(self) -> &'static str {
         match self {
-            Self::UnknownVersion => "refused, the version of its stream is unknown",
-            Self::VersionGone => "refused, the version of its stream is gone",
-            Self::ProofUnavailable => "refused, the version of its stream could not be looked up",
+            Self::UnknownVersion => "refused, the software version of its stream is unknown",
+            Self::VersionGone => "refused, no upstream has the software version of its stream",
+            Self::ProofUnavailable => {
+                "refused, the software version of its stream could not be looked up"
+            }
         }
     }
 
@@ -73,7 +75,7 @@
         /// When to retry, in milliseconds.
         retry_after_ms: u64,
     },
-    /// The request has not run, because the stream that it takes up cannot go on.
+    /// The request has not run, because its stream cannot be resumed.
     CannotResume(ResumeObstacle),
     /// The request may have run, and its answer is lost.
     AnswerLost,
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -7,7 +7,7 @@
 //!   begins there, by the holder of leadership or, if that takes too long, by any instance.
 //! * Records of single streams, while the list does not prove their version. An instance writes the
 //!   record once the first event has arrived, many streams at a time. A stream whose record was not
-//!   written when all instances were lost cannot be taken up.
+//!   written when all instances were lost cannot be resumed.
 //! * The streams that this instance has begun, in its memory.
 
 mod bounded_calls;
@@ -39,8 +39,8 @@
 pub const KEY: &str = "passway/versions";
 /// Interval of checks whether the list must change, in addition to those after changes of upstreams.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
-/// Mean delay before an instance that is not the holder reads the list because a version is missing in
-/// it. The holder has usually added the version by then.
+/// Mean delay before an instance other than the holder reads the list after it has seen an upstream whose
+/// version is not listed. The holder has usually added the version by then.
 const READ_DELAY: Duration = Duration::from_millis(100);
 /// Added to that delay for each instance, so that they do not all read at once.
 const READ_DELAY_PER_INSTANCE: Duration = Duration::from_millis(2);
@@ -59,7 +59,7 @@
 /// Pause before a failed read is repeated for a request that waits for it.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Why a stream cannot be taken up, as far as its version is concerned.
+/// Why the software version that began a stream cannot be proved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoProof {
     /// The store does not prove the version.
@@ -143,7 +143,7 @@
         is_verified && known.list.contains(service, software)
     }
 
-    /// Whether streams may begin at all listed upstreams, as far as their versions are concerned.
+    /// Whether the list has the versions of all known upstreams, so that streams may begin at each of them.
     pub fn is_list_complete(&self) -> bool {
         self.is_list_complete.load(Ordering::Acquire)
     }
@@ -174,14 +174,14 @@
                 is_delivered: false,
                 is_recorded: false,
                 is_for_peer,
-                other: replaced_by,
+                disputed_with: replaced_by,
             },
         );
     }
 
-    /// Records that this instance goes on with a stream whose version the stored list has proved, so
-    /// that the stream is recorded if another version appears.
-    pub fn stream_taken_up(&self, key: StreamKey, service: &ServiceName, proven: &ProvenVersion) {
+    /// Remembers a stream that this instance resumes and whose version the stored list has proved, so that
+    /// its version is recorded if another version of the service appears.
+    pub fn record_resumption(&self, key: StreamKey, service: &ServiceName, proven: &ProvenVersion) {
         if proven.source() != ProofSource::OnlyVersion {
             return;
         }
@@ -196,7 +196,7 @@
                 is_delivered: false,
                 is_recorded: false,
                 is_for_peer: false,
-                other: None,
+                disputed_with: None,
             },
         );
     }
@@ -239,7 +239,7 @@
         if let Some(key) = key {
             let registry = lock(&self.registry);
             if registry.is_disputed(key) {
-                return Err(Unproven::SeveralRecords.into());
+                return Err(Unproven::ConflictingRecords.into());
             }
             if let Some(proven) = registry.proven(key) {
                 return Ok(proven);
@@ -306,8 +306,8 @@
         let _ = self.wakeup_sender.try_send(());
     }
 
-    /// Handles upstreams that have started again under their ids. Until an instance knows of such a
-    /// start, it takes the new one's streams for streams of the previous one.
+    /// Handles upstreams that have restarted under their ids. Until an instance knows of a restart, it
+    /// attributes the streams of the new process to the version of the previous one.
     pub fn handle_restarts(&self, restarted: &[RestartedUpstream]) {
         for upstream in restarted {
             if upstream.previous.software.as_ref() == Some(&upstream.software) {
@@ -418,7 +418,7 @@
         let present = upstreams.listed_versions();
         drop(upstreams);
         let mut known = lock(&self.known);
-        known.present = present;
+        known.upstream_versions = present;
         known.version_changes = Some(version_changes);
     }
 
--- a/crates/instance/src/versions/known_list.rs
+++ b/crates/instance/src/versions/known_list.rs
@@ -25,11 +25,11 @@
     /// Since when the list may lack versions, because the store has returned from an older copy or the
     /// list was removed; `None` if it lacks none.
     pub(super) incomplete_since: Option<Instant>,
-    /// Versions of the list of an earlier era.
-    pub(super) earlier: BTreeSet<ServiceVersion>,
+    /// Versions that the list had before the store returned from an older copy and that it lacks now.
+    pub(super) versions_before_return: BTreeSet<ServiceVersion>,
     /// Versions of listed upstreams.
-    pub(super) present: BTreeSet<ServiceVersion>,
-    /// The count of changes at which `present` was taken.
+    pub(super) upstream_versions: BTreeSet<ServiceVersion>,
+    /// The count of changes at which `upstream_versions` was taken.
     pub(super) version_changes: Option<u64>,
     /// Since when no upstream with a listed version is known.
     pub(super) gone_since: BTreeMap<ServiceVersion, Instant>,
@@ -78,14 +78,14 @@
         }
         let is_later_era = revision.era() > self.revision.era();
         if is_later_era {
-            self.earlier.extend(self.list.versions());
+            self.versions_before_return.extend(self.list.versions());
         }
         self.is_read = true;
         self.revision = revision;
         self.list = decode(value);
         self.has_new_list = true;
         let list = &self.list;
-        self.earlier
+        self.versions_before_return
             .retain(|version| !list.contains(&version.service, &version.software));
         if list.confirmed_in() == Some(revision.era()) || self.is_before_first() {
             self.incomplete_since = None;
@@ -98,7 +98,7 @@
     /// Applies that the list was removed from the store.
     pub(super) fn clear(&mut self, era: StoreEra, now: Instant) {
         self.incomplete_since = Some(now);
-        self.earlier.extend(self.list.versions());
+        self.versions_before_return.extend(self.list.versions());
         self.revision = StoreRevision::new(era, 0);
         self.list = VersionList::default();
     }
@@ -110,7 +110,10 @@
 
     /// Versions that the list must have and lacks.
     pub(super) fn missing(&self) -> BTreeSet<ServiceVersion> {
-        let wanted = self.present.iter().chain(&self.earlier);
+        let wanted = self
+            .upstream_versions
+            .iter()
+            .chain(&self.versions_before_return);
         let is_missing =
             |version: &&ServiceVersion| !self.list.contains(&version.service, &version.software);
         wanted.filter(is_missing).cloned().collect()
@@ -121,7 +124,7 @@
         let gone = self
             .list
             .versions()
-            .filter(|version| !self.present.contains(version));
+            .filter(|version| !self.upstream_versions.contains(version));
         let gone: BTreeSet<ServiceVersion> = gone.collect();
         self.gone_since.retain(|version, _| gone.contains(version));
         for version in gone {
@@ -136,14 +139,17 @@
     pub(super) fn verify(&mut self, revision: StoreRevision, now: Instant) {
         self.read_at = Some(now);
         if revision == self.revision {
-            let present = &self.present;
-            self.unverified.retain(|version| !present.contains(version));
+            let upstream_versions = &self.upstream_versions;
+            self.unverified
+                .retain(|version| !upstream_versions.contains(version));
         }
     }
 
     /// Whether streams may begin at all listed upstreams.
     pub(super) fn is_complete(&self) -> bool {
-        self.is_read && self.missing().is_empty() && self.unverified.is_disjoint(&self.present)
+        self.is_read
+            && self.missing().is_empty()
+            && self.unverified.is_disjoint(&self.upstream_versions)
     }
 
     /// Whether the list names several versions of a service and was read long ago.
@@ -163,7 +169,7 @@
             let has_other = |other: &ServiceVersion| other.service == version.service;
             let since = self.gone_since.get(version);
             let is_gone = since.is_some_and(|since| now >= *since + STREAM_RETENTION);
-            is_gone && self.present.iter().any(has_other)
+            is_gone && self.upstream_versions.iter().any(has_other)
         };
         let kept = self.list.versions().filter(|version| !is_expired(version));
         let era = self.revision.era();
--- a/crates/instance/src/versions/records.rs
+++ b/crates/instance/src/versions/records.rs
@@ -11,7 +11,7 @@
 
 /// Prefix of the records' keys. All instances follow the keys under `passway/`, and nobody follows
 /// these.
-const PREFIX: &str = "passway-streams/";
+const RECORD_PREFIX: &str = "passway-streams/";
 /// Most records in one write. The store takes 32 entries, and a record is a condition and a write.
 const MAX_RECORDS_PER_WRITE: usize = 16;
 /// Writes a second of all instances together, in a small fleet.
@@ -57,7 +57,7 @@
 }
 
 fn stream_prefix(key: StreamKey) -> String {
-    format!("{PREFIX}{key}/")
+    format!("{RECORD_PREFIX}{key}/")
 }
 
 /// The key of a record. Versions may have long names, so that the key has a hash.
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -29,14 +29,15 @@
     pub(super) is_recorded: bool,
     /// Whether another instance delivers the stream, perhaps by another run.
     pub(super) is_for_peer: bool,
-    /// The version of a later start of the upstream that may have begun the stream instead.
-    pub(super) other: Option<SoftwareVersion>,
+    /// Another version that may have begun the stream: that of the process which replaced the upstream's
+    /// earlier one under the same id at about that time.
+    pub(super) disputed_with: Option<SoftwareVersion>,
 }
 
 impl BegunStream {
     /// All versions that may have begun the stream; a stream with two of them is proved by neither.
     fn possible_versions(&self) -> Vec<SoftwareVersion> {
-        let versions = std::iter::once(&self.software).chain(&self.other);
+        let versions = std::iter::once(&self.software).chain(&self.disputed_with);
         versions.cloned().collect()
     }
 }
@@ -55,9 +56,9 @@
         self.remove_expired(stream.began_at);
         if let Some(known) = self.streams.get_mut(&key) {
             let is_other = known.software != stream.software;
-            known.other = Some(stream.software)
+            known.disputed_with = Some(stream.software)
                 .filter(|_| is_other)
-                .or(known.other.take());
+                .or(known.disputed_with.take());
             return;
         }
         self.streams.insert(key, stream);
@@ -84,7 +85,7 @@
 
     pub(super) fn is_disputed(&self, key: StreamKey) -> bool {
         let stream = self.streams.get(&key);
-        stream.is_some_and(|stream| stream.other.is_some())
+        stream.is_some_and(|stream| stream.disputed_with.is_some())
     }
 
     /// The version that this instance has observed; `None` for an unknown or disputed stream.
@@ -94,7 +95,7 @@
             started_at_ms: stream.started_at_ms,
             software: Some(stream.software.clone()),
         };
-        let is_own = stream.other.is_none() && !stream.is_for_peer;
+        let is_own = stream.disputed_with.is_none() && !stream.is_for_peer;
         ProvenVersion::observed(&start).filter(|_| is_own)
     }
 
@@ -116,7 +117,7 @@
         }
     }
 
-    /// Streams without a record that callers may take up, with their services.
+    /// Streams without a record that callers may still resume, with their services.
     pub(super) fn unrecorded(&mut self, now: Instant) -> Vec<(StreamKey, ServiceName)> {
         self.remove_expired(now);
         let streams = self.streams.iter();
@@ -138,7 +139,7 @@
         let streams = self.streams.iter_mut();
         let disputed = streams.filter(|(_, stream)| may_be_of_new_start(stream));
         let disputed = disputed.map(|(key, stream)| {
-            stream.other = Some(upstream.software.clone());
+            stream.disputed_with = Some(upstream.software.clone());
             stream.is_recorded = false;
             *key
         });
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -243,7 +243,7 @@
     pub model_ref: Option<ModelRef>,
     /// The last event of a stream that the caller has received.
     pub last_event_id: Option<String>,
-    /// The id of the attempt that brought the first event of the stream that this request takes up.
+    /// The id of the attempt that brought the first event of the stream that this request resumes.
     pub resumes: Option<String>,
     /// The digest of the request's key; `None` without a key or with more than one.
     pub key: Option<KeyDigest>,
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -1,7 +1,7 @@
 //! Versions of upstreams' software, and the proof of the version that began a stream.
 //!
 //! Upstreams of several software versions may serve one service side by side. What two versions write
-//! does not fit together, and upstreams do not check it, so a stream goes on only with a
+//! does not fit together, and upstreams do not check it, so a stream is resumed only with a
 //! [`ProvenVersion`].
 //!
 //! A stream begins only at a version that the store's [`VersionList`] names. If the list names one
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-/// How long after its last event a stream may still be taken up. A version stays in the list for this
+/// How long after its first event a stream may still be resumed. A version stays in the list for this
 /// long after its last upstream has gone, and the record of a stream is kept as long.
 pub const STREAM_RETENTION: Duration = Duration::from_mins(5);
 
@@ -24,7 +24,7 @@
 pub struct SoftwareVersion(Arc<str>);
 
 impl SoftwareVersion {
-    /// The version's name.
+    /// The name that the upstream reports for the version.
     pub fn name(&self) -> &str {
         &self.0
     }
@@ -70,7 +70,7 @@
     }
 }
 
-/// Proof that a stream began at a software version. Only a run at that version may go on with it.
+/// Proof that a stream began at a software version. Only a run at that version may resume it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProvenVersion {
     software: SoftwareVersion,
@@ -98,7 +98,7 @@
         self.source
     }
 
-    /// Whether the stream may go on at an upstream of a version; false if that is unknown.
+    /// Whether the stream may be resumed at an upstream of this version; false if the version is unknown.
     pub fn permits(&self, software: Option<&SoftwareVersion>) -> bool {
         software == Some(&self.software)
     }
@@ -110,7 +110,7 @@
     /// Several versions may have begun it, and none is recorded.
     NoRecord,
     /// More than one version is recorded.
-    SeveralRecords,
+    ConflictingRecords,
 }
 
 impl Unproven {
@@ -118,7 +118,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoRecord => "no record",
-            Self::SeveralRecords => "several records",
+            Self::ConflictingRecords => "conflicting records",
         }
     }
 }
@@ -234,7 +234,7 @@
                 source: ProofSource::Record,
             }),
             (None, _) => Err(Unproven::NoRecord.into()),
-            (Some(_), Some(_)) => Err(Unproven::SeveralRecords.into()),
+            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords.into()),
         }
     }
 }
--- a/crates/standins/src/bin/passway-soak.rs
+++ b/crates/standins/src/bin/passway-soak.rs
@@ -34,7 +34,7 @@
     /// Maximum time between two faults, in milliseconds.
     #[arg(long, default_value_t = 800)]
     pause_ms: u64,
-    /// Play without releases of engine software, breaks at callers and calm stretches.
+    /// Leave out engine software releases, connections closed by callers and fault-free periods.
     #[arg(long)]
     no_releases: bool,
     /// Keep the logs of all seeds.
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -29,7 +29,7 @@
 /// Maximum time between the start of an engine and the announcement that the engine which it replaces
 /// leaves, in milliseconds.
 const MAX_LEAD_MS: u64 = 1_500;
-/// Time for which a replaced engine serves on, in milliseconds.
+/// Time for which a replaced engine keeps serving, in milliseconds.
 const DRAIN_MS: Range<u64> = 200..4_000;
 /// Probability that a release returns to an earlier software version.
 const ROLLBACK_PROBABILITY: f64 = 0.25;
@@ -184,10 +184,10 @@
             Self::Silences => "silences",
             Self::ReleaseAll => "release all",
             Self::ReleaseHalf => "release half",
-            Self::RestartAsOther => "restart as other",
-            Self::RestartHalfAsOther => "restart half as other",
+            Self::RestartAsOther => "restart with another version",
+            Self::RestartHalfAsOther => "restart half with another version",
             Self::KillAll => "kill all",
-            Self::KillOverlapping => "kill overlapping",
+            Self::KillOverlapping => "overlapping kills",
             Self::ResetEngineProxies => "reset engine ways",
             Self::Calm => "calm",
         }
@@ -373,7 +373,7 @@
         });
     }
 
-    /// Returns a new software version, or at times an earlier one.
+    /// Returns the software version of the next release: a new one, or sometimes one that was replaced.
     fn random_software(&mut self, cluster: &SoakCluster) -> String {
         let random: u64 = self.rng.random();
         if self.rng.random_bool(ROLLBACK_PROBABILITY) {
--- a/tests/all/software_version_paths.rs
+++ b/tests/all/software_version_paths.rs
@@ -68,7 +68,7 @@
 ///
 /// # Panics
 /// If another version than the first one wrote to a stream.
-fn going_on(streams: &[BrokenStream], instance: &Instance) -> usize {
+fn count_resumed(streams: &[BrokenStream], instance: &Instance) -> usize {
     let went_on = streams.iter().filter(|stream| {
         let rest = stream.take_up(instance);
         let went_on = stream.goes_on_with(&rest);
@@ -83,10 +83,10 @@
 /// Takes streams up whose version is unknown, or does not serve as soon as the instance knows that its
 /// engines have left: all are refused at once.
 fn assert_refused(streams: &[BrokenStream], instance: &Instance) {
-    until("a refusal", || going_on(&streams[..1], instance) == 0);
+    until("a refusal", || count_resumed(&streams[..1], instance) == 0);
     for stream in streams {
         let began_at = Instant::now();
-        assert_eq!(going_on(std::slice::from_ref(stream), instance), 0);
+        assert_eq!(count_resumed(std::slice::from_ref(stream), instance), 0);
         let refused_after = began_at.elapsed();
         assert!(refused_after < REFUSAL_LIMIT, "{refused_after:?}");
     }
@@ -287,7 +287,7 @@
     paths.set(PathState::Reset);
     wait_until_passed_on(&cut);
     for streams in &streams {
-        assert!(going_on(streams, &cut) >= MIN_GOING_ON);
+        assert!(count_resumed(streams, &cut) >= MIN_GOING_ON);
     }
 }
 
@@ -335,7 +335,7 @@
         slow_down_all(&test_bed.servers);
         let streams = begin(&test_bed.instance);
         *engine.lock().expect("a lock") = granted;
-        going_on(&streams, &test_bed.instance);
+        count_resumed(&streams, &test_bed.instance);
     }
 }
 
@@ -345,7 +345,7 @@
     let test_bed = test_bed_of(cluster::store(&["m0"]), ["v1", "v2"], &[None]);
     slow_down_all(&test_bed.servers);
     let streams = begin_at_both(&test_bed.instance);
-    assert!(going_on(&streams, &test_bed.instance) >= MIN_GOING_ON);
+    assert!(count_resumed(&streams, &test_bed.instance) >= MIN_GOING_ON);
 }
 
 /// In a fleet with dispatchers, callers that came back at another instance got the rest from any version.
@@ -363,7 +363,7 @@
     let went_on = streams
         .chunks(1)
         .zip(&fleet[1..])
-        .map(|(one, other)| going_on(one, other));
+        .map(|(one, other)| count_resumed(one, other));
     assert!(went_on.sum::<usize>() >= MIN_GOING_ON);
 }
 
@@ -448,8 +448,8 @@
     let restarted = address.replace("i-0", "v2");
     let second = cluster::start_ready("two", &address.store);
     for instance in [&instance, &second] {
-        // The old entry names an engine of the version, so that a take-up may wait for it.
-        assert_eq!(going_on(&streams[..STREAMS_THAT_WAIT], instance), 0);
+        // The old entry names an engine of the version, so that a request to resume may wait for it.
+        assert_eq!(count_resumed(&streams[..STREAMS_THAT_WAIT], instance), 0);
     }
     // Streams that begin before the entry is known belong to the version that writes them.
     let at_new = (0..STREAMS).filter_map(|_| BrokenStream::try_begin(&instance, &new_id()));
@@ -461,7 +461,7 @@
     address.list("i-0");
     until_begun_at(&["v1"], &instance);
     for instance in [&instance, &second] {
-        going_on(&streams, instance);
+        count_resumed(&streams, instance);
         assert_refused(&at_new, instance);
     }
 }
@@ -480,12 +480,12 @@
     until("the second engine", || instance.known_upstream_count() == 2);
     let second = cluster::start_ready("two", &address.store);
     for instance in [&second, &instance] {
-        going_on(&at_new, instance);
+        count_resumed(&at_new, instance);
     }
 }
 
-/// The instance that had begun streams at a new start, and knew only the entry of the start before, was
-/// lost: the streams went on at the version of the earlier start.
+/// An engine restarted with another version under its id while instances still knew its old entry. The
+/// instance with its streams was lost, and they were resumed at the engine's previous version.
 #[test]
 fn lost_with_an_old_entry() {
     let address = Address::start("i-0", "v1");
@@ -498,7 +498,7 @@
     let _equal_to_old = engine(&address.store, "i-1", FIRST_SOFTWARE);
     address.list("i-0");
     let second = cluster::start_ready("two", &address.store);
-    going_on(&at_new, &second);
+    count_resumed(&at_new, &second);
 }
 
 /// Streams broke off because their engine started again with another software version, and were repeated
@@ -527,10 +527,10 @@
     let instance = cluster::start_ready("one", &address.store);
     let streams = begin(&instance);
     let _other = address.replace("i-9", "v2");
-    assert_eq!(going_on(&streams[..STREAMS_THAT_WAIT], &instance), 0);
+    assert_eq!(count_resumed(&streams[..STREAMS_THAT_WAIT], &instance), 0);
     address.list("i-9");
     until("the second entry", || instance.known_upstream_count() == 2);
-    assert_eq!(going_on(&streams[..STREAMS_THAT_WAIT], &instance), 0);
+    assert_eq!(count_resumed(&streams[..STREAMS_THAT_WAIT], &instance), 0);
     address.store.remove("servers/i-0");
     until_begun_at(&["v2"], &instance);
     let second = cluster::start_ready("two", &address.store);
@@ -563,9 +563,9 @@
             }
         }
         let second = cluster::start_ready("two", &store);
-        going_on(&streams, &second);
+        count_resumed(&streams, &second);
         std::thread::sleep(Duration::from_secs(1));
-        going_on(&streams, &second);
+        count_resumed(&streams, &second);
     }
 }
 
@@ -593,7 +593,7 @@
     let third = cluster::start_ready("three", &store);
     for instance in [&instance, &second, &third] {
         assert_refused(&at_v2, instance);
-        assert!(going_on(&at_v1, instance) >= MIN_GOING_ON);
+        assert!(count_resumed(&at_v1, instance) >= MIN_GOING_ON);
     }
 }
 
@@ -624,12 +624,12 @@
             let is_whole = answer.status == 200 && answer.is_complete;
             assert!(is_whole && versions(&answer).len() == 1, "{answer:?}");
         }
-        assert!(going_on(&streams, &first) >= MIN_GOING_ON);
+        assert!(count_resumed(&streams, &first) >= MIN_GOING_ON);
         // An instance that has just started knows none of these streams.
         assert_refused(&streams[..STREAMS_THAT_WAIT], &second);
         store.set_faults(store::Faults::default());
         until("streams that go on", || {
-            going_on(&streams, &second) >= MIN_GOING_ON
+            count_resumed(&streams, &second) >= MIN_GOING_ON
         });
     }
 }
--- a/tests/all/software_version_races.rs
+++ b/tests/all/software_version_races.rs
@@ -1,4 +1,4 @@
-//! Streams and software versions at the moments between a request and what is known: an engine starts again
+//! Software versions of streams when an instance's knowledge changes during a request: an engine restarts
 //! between the choice and the first event, a second version appears after a stream was taken up, entries
 //! contradict each other, a route has several services.
 
--- a/tests/all/version_demand.rs
+++ b/tests/all/version_demand.rs
@@ -187,8 +187,8 @@
     assert_eq!(loads(&mut test), load_of("i-2", "m0"));
 }
 
-// Guards against a version's only engine that is not among those considered for a fetch, and against
-// a fetch that waits for engines of other versions because they cache the model.
+// Guards against leaving out the only engine of the required version when choosing where to load the
+// model, and against postponing that load because engines of other versions have the model cached.
 #[test]
 fn fetched_by_any_engine_of_version() {
     for place in 0..MANY_ENGINES {
