A stream begins only at a process whose start is known

What callers saw: an engine had restarted under its id at another software version, and its new entry had not reached an instance, or could not because the instance was cut off from the store. Streams that began there counted as streams of the version before, and were resumed at other engines of that version: joined, with nothing in the answer to show it (begun_before_the_entry, begins_at_unknown_start_while_cut_off: "v2, v2, v1, v1, v1"). Cause: the version was taken from the entry at the time of the choice; that the process at the address is the start of that entry was assumed when a stream began, and asked only when one was resumed. Change: IdentifiedStart, which only a report of the process itself makes (for engines), asked after the connection was made: a connection does not outlive its process, so one report holds for all streams over it, resumed ones too. ProvenVersion::observed takes it. A process that reports a later start than its entry has an unknown version until its entry arrives, and no stream begins or goes on there. What an identified process began is no longer disputed by later entries; that remains for plain upstreams. Ruled out: asking with the first event (a run at the wrong process would end as 502 or cost a retry), and the entry alone after a delay (an instance that is cut off has none).

--- a/crates/instance/src/control.rs
+++ b/crates/instance/src/control.rs
@@ -35,7 +35,8 @@
     upstreams.backoff_until(engine, clock::now()).is_some()
 }
 
-/// Queries an engine's state; `None` without an answer.
+/// Queries an engine's state, and records whether it has restarted since its entry was written; `None`
+/// without an answer.
 pub fn query_report(
     shared: &Shared,
     engines: &dyn Engines,
@@ -44,7 +45,16 @@
 ) -> Option<EngineReport> {
     let sent_at = clock::now();
     let response = engines.report(&start.upstream, address);
-    apply_signals(shared, start, response, sent_at)
+    let report = apply_signals(shared, start, response, sent_at)?;
+    let has_restarted = {
+        let mut upstreams = shared.upstreams();
+        upstreams.record_reported_start(&start.upstream, report.started_at_ms)
+    };
+    if has_restarted {
+        log::info!(upstream:% = start.upstream, expected_ms = start.started_at_ms,
+            reported_ms = report.started_at_ms; "an engine has restarted, its new entry is not known yet");
+    }
+    Some(report)
 }
 
 /// Sends an order, unless the term in which it was decided is over.
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -24,6 +24,7 @@
 use passway_serving::headers::Headers;
 use passway_serving::ports::ForwardingMetadata;
 use passway_serving::upstreams::Outcome;
+use passway_serving::versions::IdentifiedStart;
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
@@ -140,7 +141,7 @@
         if let Err(denial) = self.check_access() {
             return Attempt::Denied(denial);
         }
-        let Some(permit) = self.acquire_send_permit(target) else {
+        let Some(permit) = self.acquire_send_permit(target, &mut exchange) else {
             return Attempt::NotPermitted;
         };
         let until = self.deadline_at;
@@ -563,7 +564,7 @@
                 }
                 self.drop_overtaken_successor();
             }
-            self.record_events(source, event_count);
+            self.record_events(source, exchange.identified_start(), event_count);
             let proof = match end {
                 Some(end) => match self.prove_stream_complete(source, end) {
                     Some(proof) => Some(proof),
@@ -599,14 +600,19 @@
     }
 
     /// Records that events of the stream arrived, for the log and for the engine's dispatcher.
-    fn record_events(&mut self, source: AnswerSource<'_>, event_count: u32) {
+    fn record_events(
+        &mut self,
+        source: AnswerSource<'_>,
+        start: Option<&IdentifiedStart>,
+        event_count: u32,
+    ) {
         let progress = self
             .stream_timing
             .record_events(event_count, self.attempt_at, clock::now());
         if event_count > 0 {
             match source {
                 AnswerSource::Upstream(target) => {
-                    self.record_first_event(&target.id, &target.start);
+                    self.record_first_event(&target.id, start);
                 }
                 AnswerSource::Peer => self.record_events_of_peer(),
             }
--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -5,13 +5,15 @@
 //! version, and the send permit requires it.
 
 use super::{Forwarding, Origin, Target};
+use crate::control;
 use crate::denials::Denial;
 use crate::reply::{Refusal, ResumeObstacle};
+use crate::upstream_exchange::Exchange;
 use crate::versions::NoProof;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::ports::RequestMetadata;
 use passway_serving::upstreams::{ListedStart, UpstreamTable};
-use passway_serving::versions::{ProvenVersion, SoftwareVersion, StreamKey};
+use passway_serving::versions::{IdentifiedStart, ProvenVersion, SoftwareVersion, StreamKey};
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -145,15 +147,26 @@
         }
     }
 
-    /// Notes that the request's stream has received its first event from a run at `start`.
-    pub(super) fn record_first_event(&mut self, upstream: &UpstreamId, start: &ListedStart) {
+    /// Notes that the request's stream has received its first event from a run at `start`; `None` if it is
+    /// not known which start is at the other end of the connection.
+    pub(super) fn record_first_event(
+        &mut self,
+        upstream: &UpstreamId,
+        start: Option<&IdentifiedStart>,
+    ) {
         if self.stream_version != StreamVersion::Beginning {
             return;
         }
+        let Some(start) = start else {
+            self.stream_version = StreamVersion::Unproven;
+            return;
+        };
         let listed = self.shared.upstreams().listed_start(upstream);
+        let is_other =
+            |software: &SoftwareVersion| start.start().software.as_ref() != Some(software);
         let replaced_by = listed
             .software
-            .filter(|software| start.software.as_ref() != Some(software));
+            .filter(|software| !start.is_reported() && is_other(software));
         let proven = ProvenVersion::observed(start).filter(|_| replaced_by.is_none());
         self.stream_version = proven.map_or(StreamVersion::Unproven, StreamVersion::Proven);
         if let Some(key) = self.stream_key() {
@@ -219,7 +232,7 @@
     ) -> Vec<UpstreamId> {
         let versions = &self.shared.versions;
         let is_beginning = self.stream_version == StreamVersion::Beginning;
-        let is_complete = versions.is_list_complete() && !upstreams.has_disputed_versions();
+        let is_complete = versions.is_list_complete() && !upstreams.has_unknown_versions();
         if !self.route.kind.is_stream() || !is_beginning || is_complete {
             return Vec::new();
         }
@@ -242,17 +255,31 @@
         !upstreams.serves_version(&self.service, software, allowed, now)
     }
 
-    /// Whether the process at the upstream's address is still the one that was chosen. A process that has
-    /// restarted under its id also accepts requests meant for its predecessor. The query follows the
-    /// connection, so a connection that still works leads to the process that answers the query.
-    pub(super) fn is_chosen_process(&self, target: &Target) -> bool {
-        let goes_on = self.required_version().is_some() && self.route.kind.is_stream();
-        if !goes_on || !self.is_engine || target.start.started_at_ms == 0 {
-            return true;
+    /// Finds out which start of the upstream is at the other end of the connection; `None` if it is not
+    /// the one that was chosen, or if the process does not say. One query identifies the start for all
+    /// streams over the connection.
+    pub(super) fn identify_start(&self, target: &Target, exchange: &mut Exchange) -> Option<()> {
+        let identified = exchange.identified_start();
+        if identified.is_some_and(|identified| *identified.start() == target.start) {
+            return Some(());
         }
-        let engines = self.shared.engines();
-        let report = engines.and_then(|engines| engines.report(&target.id, target.address).answer);
-        report.is_some_and(|report| report.started_at_ms == target.start.started_at_ms)
+        let is_reporting = self.is_engine && target.start.started_at_ms != 0;
+        let identified = if is_reporting {
+            IdentifiedStart::reported(&target.start, self.query_start(target)?)?
+        } else {
+            IdentifiedStart::by_entry(&target.start)
+        };
+        exchange.set_identified_start(identified);
+        Some(())
+    }
+
+    /// Asks an engine for the start of its process, in Unix milliseconds by its own clock; `None` without
+    /// an answer.
+    fn query_start(&self, target: &Target) -> Option<u64> {
+        let engines = self.shared.engines()?;
+        let (start, address) = (target.upstream_start(), target.address);
+        let report = control::query_report(self.shared, &*engines, &start, address)?;
+        Some(report.started_at_ms)
     }
 }
 
--- a/crates/instance/src/forward/send_permit.rs
+++ b/crates/instance/src/forward/send_permit.rs
@@ -2,12 +2,13 @@
 //! there.
 //!
 //! Since the choice, operators may have evacuated the hall or restricted the request to other
-//! regions, the upstream may have sent new signals or started again, and a stream is resumed only at the
-//! software version that began it. Every request is sent with a
+//! regions, the upstream may have sent new signals or started again, a stream begins only at a process
+//! whose software version is known, and is resumed only at that version. Every request is sent with a
 //! [`SendPermit`], which only this check creates: first attempts, retries, resumed streams, runs
 //! granted by another instance, and requests that have waited for a connection.
 
 use super::{Forwarding, Target};
+use crate::upstream_exchange::Exchange;
 use passway_types::clock;
 
 /// Permission to send one request to one upstream now.
@@ -15,11 +16,15 @@
 pub(super) struct SendPermit(());
 
 impl Forwarding<'_> {
-    /// Checks whether the request may be sent to the upstream; `None` if the upstream does not
-    /// admit it.
-    pub(super) fn acquire_send_permit(&self, target: &Target) -> Option<SendPermit> {
-        if !self.is_chosen_process(target) {
-            return None;
+    /// Checks whether the request may be sent to the upstream over the connection of `exchange`; `None`
+    /// if the upstream does not admit it.
+    pub(super) fn acquire_send_permit(
+        &self,
+        target: &Target,
+        exchange: &mut Exchange,
+    ) -> Option<SendPermit> {
+        if self.route.kind.is_stream() {
+            self.identify_start(target, exchange)?;
         }
         let now = clock::now();
         let mut upstreams = self.shared.upstreams();
--- a/crates/instance/src/forward/successor.rs
+++ b/crates/instance/src/forward/successor.rs
@@ -260,7 +260,7 @@
         }
         let granted = self.with_limit_grant(target.clone());
         let target = granted.ok_or(NoSuccessor::Limited)?;
-        let permit = self.acquire_send_permit(&target);
+        let permit = self.acquire_send_permit(&target, &mut exchange);
         let permit = permit.ok_or(NoSuccessor::NotPermitted)?;
         let until = self.deadline_at.min(clock::now() + MAX_OVERLAP);
         match self.send(&target, permit, &mut exchange, until) {
--- a/crates/instance/src/upstream_exchange.rs
+++ b/crates/instance/src/upstream_exchange.rs
@@ -10,6 +10,7 @@
 use crate::http1::{AnswerHead, Connection};
 use passway_serving::hash::fnv1a;
 use passway_serving::ports::{AnswerMetadata, HeaderProtocol};
+use passway_serving::versions::IdentifiedStart;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,6 +24,8 @@
     connection: Connection,
     /// Hashes of the ids that were sent. Two ids with the same hash only cost another connection.
     carried: Vec<u64>,
+    /// The start of the upstream that is at the other end, once that is known.
+    identified_start: Option<IdentifiedStart>,
 }
 
 /// A request that is sent over a connection, until its answer has been read.
@@ -33,6 +36,8 @@
     id: String,
     /// Hashes of the ids that the connection has carried, this request's last.
     carried: Vec<u64>,
+    /// The start of the upstream that is at the other end, once that is known.
+    identified_start: Option<IdentifiedStart>,
 }
 
 /// The head of an answer to the request of an exchange, and what it means.
@@ -61,6 +66,7 @@
         Self {
             connection,
             carried: Vec::new(),
+            identified_start: None,
         }
     }
 
@@ -93,6 +99,7 @@
             connection: self.connection,
             id: id.to_owned(),
             carried: self.carried,
+            identified_start: self.identified_start,
         })
     }
 }
@@ -107,9 +114,20 @@
             connection: Connection::connect(address, timeout)?,
             id: id.to_owned(),
             carried: vec![id_hash(id)],
+            identified_start: None,
         })
     }
 
+    /// The start of the upstream that is at the other end; `None` if it is not known.
+    pub fn identified_start(&self) -> Option<&IdentifiedStart> {
+        self.identified_start.as_ref()
+    }
+
+    /// Records the start of the upstream that is at the other end.
+    pub fn set_identified_start(&mut self, start: IdentifiedStart) {
+        self.identified_start = Some(start);
+    }
+
     /// The connection, to send the request and to read the answer's bytes.
     pub fn connection_mut(&mut self) -> &mut Connection {
         &mut self.connection
@@ -149,6 +167,7 @@
         UpstreamConnection {
             connection: self.connection,
             carried: self.carried,
+            identified_start: self.identified_start,
         }
     }
 }
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -22,10 +22,12 @@
 use known_list::{KnownList, decode, encode};
 use list_reads::{ListRead, ListReads};
 use passway_process::logging::json::DECISION_TARGET;
+use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
-use passway_serving::upstreams::{ListedStart, RestartedUpstream};
+use passway_serving::upstreams::RestartedUpstream;
 use passway_serving::versions::{
-    ProofSource, ProvenVersion, ServiceVersion, SoftwareVersion, StreamKey, Unproven, VersionList,
+    IdentifiedStart, ProofSource, ProvenVersion, ServiceVersion, SoftwareVersion, StreamKey,
+    Unproven, VersionList,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -156,20 +158,23 @@
         key: StreamKey,
         service: &ServiceName,
         upstream: &UpstreamId,
-        start: &ListedStart,
+        start: &IdentifiedStart,
         replaced_by: Option<SoftwareVersion>,
         is_for_peer: bool,
     ) {
-        let Some(software) = start.software.clone() else {
+        let Some(proven) = ProvenVersion::observed(start) else {
             return;
         };
+        let unreported_start = (!start.is_reported()).then(|| UpstreamStart {
+            upstream: upstream.clone(),
+            started_at_ms: start.start().started_at_ms,
+        });
         self.insert(
             key,
             BegunStream {
                 service: service.clone(),
-                upstream: upstream.clone(),
-                started_at_ms: start.started_at_ms,
-                software,
+                proven,
+                unreported_start,
                 began_at: clock::now(),
                 is_delivered: false,
                 is_recorded: false,
@@ -189,9 +194,8 @@
             key,
             BegunStream {
                 service: service.clone(),
-                upstream: UpstreamId::default(),
-                started_at_ms: 0,
-                software: proven.software().clone(),
+                proven: proven.clone(),
+                unreported_start: None,
                 began_at: clock::now(),
                 is_delivered: false,
                 is_recorded: false,
@@ -307,7 +311,8 @@
     }
 
     /// Handles upstreams that have restarted under their ids. Until an instance knows of a restart, it
-    /// attributes the streams of the new process to the version of the previous one.
+    /// attributes the streams of the new process to the version of the previous one, unless the process
+    /// reports its start.
     pub fn handle_restarts(&self, restarted: &[RestartedUpstream]) {
         for upstream in restarted {
             if upstream.previous.software.as_ref() == Some(&upstream.software) {
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -1,6 +1,7 @@
 //! The streams that this instance has begun.
 
-use passway_serving::upstreams::{ListedStart, RestartedUpstream};
+use passway_serving::poison::UpstreamStart;
+use passway_serving::upstreams::RestartedUpstream;
 use passway_serving::versions::{ProvenVersion, STREAM_RETENTION, SoftwareVersion, StreamKey};
 use passway_types::prelude::*;
 use std::collections::{HashMap, VecDeque};
@@ -16,12 +17,11 @@
 #[derive(Debug, Clone)]
 pub(super) struct BegunStream {
     pub(super) service: ServiceName,
-    /// The upstream that brought the first event.
-    pub(super) upstream: UpstreamId,
-    /// The start of the upstream, as it was listed then.
-    pub(super) started_at_ms: u64,
-    /// The software version of that start.
-    pub(super) software: SoftwareVersion,
+    /// The version that began it.
+    pub(super) proven: ProvenVersion,
+    /// The start that brought the first event, if its entry alone identifies it: a later start may have
+    /// begun the stream before its own entry was known.
+    pub(super) unreported_start: Option<UpstreamStart>,
     pub(super) began_at: Instant,
     /// Whether the stream was delivered to its end.
     pub(super) is_delivered: bool,
@@ -37,7 +37,7 @@
 impl BegunStream {
     /// All versions that may have begun the stream; a stream with two of them is proved by neither.
     fn possible_versions(&self) -> Vec<SoftwareVersion> {
-        let versions = std::iter::once(&self.software).chain(&self.disputed_with);
+        let versions = std::iter::once(self.proven.software()).chain(&self.disputed_with);
         versions.cloned().collect()
     }
 }
@@ -55,8 +55,9 @@
     pub(super) fn insert(&mut self, key: StreamKey, stream: BegunStream) {
         self.remove_expired(stream.began_at);
         if let Some(known) = self.streams.get_mut(&key) {
-            let is_other = known.software != stream.software;
-            known.disputed_with = Some(stream.software)
+            let software = stream.proven.software().clone();
+            let is_other = *known.proven.software() != software;
+            known.disputed_with = Some(software)
                 .filter(|_| is_other)
                 .or(known.disputed_with.take());
             return;
@@ -88,15 +89,11 @@
         stream.is_some_and(|stream| stream.disputed_with.is_some())
     }
 
-    /// The version that this instance has observed; `None` for an unknown or disputed stream.
+    /// The version that began a stream of this instance; `None` for an unknown or disputed stream.
     pub(super) fn proven(&self, key: StreamKey) -> Option<ProvenVersion> {
         let stream = self.streams.get(&key)?;
-        let start = ListedStart {
-            started_at_ms: stream.started_at_ms,
-            software: Some(stream.software.clone()),
-        };
         let is_own = stream.disputed_with.is_none() && !stream.is_for_peer;
-        ProvenVersion::observed(&start).filter(|_| is_own)
+        is_own.then(|| stream.proven.clone())
     }
 
     /// The versions to record for a stream that has no record yet; it counts as recorded from now on.
@@ -130,10 +127,13 @@
     /// Marks the streams that the new start of an upstream may have begun, and returns them. They must be
     /// recorded again.
     pub(super) fn dispute(&mut self, upstream: &RestartedUpstream, now: Instant) -> Vec<StreamKey> {
+        let previous = Some(UpstreamStart {
+            upstream: upstream.id.clone(),
+            started_at_ms: upstream.previous.started_at_ms,
+        });
         let may_be_of_new_start = |stream: &BegunStream| {
-            stream.upstream == upstream.id
-                && stream.started_at_ms == upstream.previous.started_at_ms
-                && stream.software != upstream.software
+            stream.unreported_start == previous
+                && *stream.proven.software() != upstream.software
                 && now < stream.began_at + MAX_ENTRY_DELAY
         };
         let streams = self.streams.iter_mut();
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -127,8 +127,9 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     restarted: Vec<RestartedUpstream>,
     version_counts: VersionCounts,
-    /// The upstreams whose entries contradict each other about their software versions.
-    disputed: BTreeSet<UpstreamId>,
+    /// The upstreams whose software versions are not known: their entries contradict each other, or they
+    /// have restarted and the entries of their new starts have not arrived.
+    unknown_versions: BTreeSet<UpstreamId>,
     leaving: LeavingStarts,
     /// The few upstreams that have asked for backoff, until one of their answers shows that it is
     /// over.
@@ -146,7 +147,7 @@
             upstreams: HashMap::new(),
             restarted: Vec::new(),
             version_counts: VersionCounts::default(),
-            disputed: BTreeSet::new(),
+            unknown_versions: BTreeSet::new(),
             leaving: LeavingStarts::default(),
             backing_off: BTreeSet::new(),
         }
@@ -268,13 +269,13 @@
                 software: entry.software.clone(),
             });
             self.version_counts.replace(&known.entry, &entry);
-            self.disputed.remove(&entry.id);
+            self.unknown_versions.remove(&entry.id);
             *known = new_upstream(entry);
             return true;
         }
         if known.entry.software != entry.software {
-            known.is_software_disputed = true;
-            self.disputed.insert(entry.id.clone());
+            known.is_software_unknown = true;
+            self.unknown_versions.insert(entry.id.clone());
         }
         let has_returned = known.removed_at.take().is_some();
         if entry.heartbeat < known.entry.heartbeat {
@@ -322,9 +323,24 @@
         upstream.map_or_else(ListedStart::default, Upstream::listed_start)
     }
 
-    /// Whether entries of any upstream contradict each other about its software version.
-    pub fn has_disputed_versions(&self) -> bool {
-        !self.disputed.is_empty()
+    /// Records the start that an upstream itself has reported, in Unix milliseconds by its own clock. If
+    /// it is later than the listed one, the upstream's software version is not known until its entry
+    /// arrives. Returns whether it is later.
+    pub fn record_reported_start(&mut self, id: &str, started_at_ms: u64) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return false;
+        };
+        let is_later = started_at_ms > upstream.entry.started_at_ms;
+        if is_later {
+            upstream.is_software_unknown = true;
+            self.unknown_versions.insert(upstream.entry.id.clone());
+        }
+        is_later
+    }
+
+    /// Whether the software version of any upstream is not known.
+    pub fn has_unknown_versions(&self) -> bool {
+        !self.unknown_versions.is_empty()
     }
 
     /// Number of changes of [`Self::listed_versions`].
@@ -349,7 +365,7 @@
         let mut upstreams = self.admitted_upstreams(service, allowed);
         upstreams.any(|upstream| {
             let entry = &upstream.entry;
-            let is_version = entry.software == *software && !upstream.is_software_disputed;
+            let is_version = entry.software == *software && !upstream.is_software_unknown;
             is_version && !entry.draining && !upstream.is_removed(now)
         })
     }
@@ -388,7 +404,7 @@
             .extract_if(|_, upstream| upstream.is_removed(now));
         let removed: Vec<_> = removed.map(|(_, upstream)| upstream.entry).collect();
         for entry in &removed {
-            self.disputed.remove(&entry.id);
+            self.unknown_versions.remove(&entry.id);
             self.version_counts.remove(entry);
         }
         let upstreams = &self.upstreams;
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -28,8 +28,9 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) entry: UpstreamEntry,
-    /// Whether entries of this start have named different software versions.
-    pub(super) is_software_disputed: bool,
+    /// Whether entries of this start have named different software versions, or a later start serves
+    /// whose entry is not known.
+    pub(super) is_software_unknown: bool,
     /// Running requests of this instance, in total and by model; models without requests are not
     /// listed.
     pub(super) in_flight: u32,
@@ -67,7 +68,7 @@
     pub(super) fn new(entry: UpstreamEntry, now: Instant) -> Self {
         Self {
             entry,
-            is_software_disputed: false,
+            is_software_unknown: false,
             in_flight: 0,
             in_flight_models: HashMap::new(),
             silent_since: None,
@@ -90,7 +91,7 @@
     pub(super) fn listed_start(&self) -> ListedStart {
         ListedStart {
             started_at_ms: self.entry.started_at_ms,
-            software: Some(self.entry.software.clone()).filter(|_| !self.is_software_disputed),
+            software: Some(self.entry.software.clone()).filter(|_| !self.is_software_unknown),
         }
     }
 
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -48,6 +48,46 @@
     }
 }
 
+/// A start of an upstream that is known to be the process at the other end of a connection.
+///
+/// A process that has restarted under its id, at another version perhaps, serves at the same address before
+/// its entry is known. So a connection to an address does not show which start answers there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IdentifiedStart {
+    start: ListedStart,
+    is_reported: bool,
+}
+
+impl IdentifiedStart {
+    /// The listed start, if the process has reported the same one. It must have been asked after the
+    /// connection was opened: a connection does not outlive its process.
+    pub fn reported(listed: &ListedStart, reported_at_ms: u64) -> Option<Self> {
+        (reported_at_ms == listed.started_at_ms).then(|| Self {
+            start: listed.clone(),
+            is_reported: true,
+        })
+    }
+
+    /// The listed start of an upstream whose process does not report its start.
+    pub fn by_entry(listed: &ListedStart) -> Self {
+        Self {
+            start: listed.clone(),
+            is_reported: false,
+        }
+    }
+
+    /// The start.
+    pub fn start(&self) -> &ListedStart {
+        &self.start
+    }
+
+    /// Whether the process itself has reported the start; otherwise a later start may have taken its
+    /// place before its entry was known.
+    pub fn is_reported(&self) -> bool {
+        self.is_reported
+    }
+}
+
 /// What proves the version of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProofSource {
@@ -80,8 +120,8 @@
 impl ProvenVersion {
     /// The version of the start whose run brought the stream's first event; `None` if the start was not
     /// listed when it was chosen.
-    pub fn observed(start: &ListedStart) -> Option<Self> {
-        let software = start.software.clone()?;
+    pub fn observed(start: &IdentifiedStart) -> Option<Self> {
+        let software = start.start.software.clone()?;
         Some(Self {
             software,
             source: ProofSource::Observed,
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -348,7 +348,8 @@
         server
     }
 
-    /// Sets the software version with which the server starts next.
+    /// Sets the software version. The process of an engine never changes its version, so this is called
+    /// before the server gets requests or just before it restarts.
     pub fn set_software(&self, software: &str) {
         software.clone_into(&mut self.state().software);
     }
