Tests: one lost read of the store refuses take-ups although the store answers

A stream that another instance has begun goes on once the store proves its version. By reading, three single losses beside a store that answers refuse it:

* One read of the list hangs.
No other begins until it has ended, the client of the store gives it up after 0.7 s, and the proof has half a second.
All take-ups that come meanwhile wait behind it.
* The thread of a read panics, or cannot be started.
The read counts as running for good, and the instance never reads the list again.
* The read of a stream's record hangs.
It is not repeated.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -56,6 +56,7 @@
 mod log_lines;
 mod long_lists;
 mod lost_engines;
+mod lost_version_reads;
 mod model_orders;
 mod outage_terms;
 mod part_blame;
