Tests: a path that can be cut takes no processor time while nothing connects

A fifth to a third of the time of the test process went to threads of cut_off_instances and passed_on_requests. They are not the instances' but those of the stand-in CutPath: each path had a thread that tried to accept a connection every 2 ms, for as long as the process ran. In a whole suite, about 90 s after its begin, when the tests of cut_off_instances had ended, 37 threads of that module took nearly all of its time; the twelve busiest waited in nanosleep and had made 28,584 to 35,697 voluntary switches each.

The thread now waits with epoll for the listener, which is watched while the path is open. epoll does not keep the port of a closed listener open, as a second handle would. The thread still stays, as the instances of ended tests do, and sleeps.

Ruled out: a loop of the product that spins. An instance that was left cut off repeats its check every 200 ms, as it is meant to.

--- a/crates/standins/src/platform/cut_path.rs
+++ b/crates/standins/src/platform/cut_path.rs
@@ -3,14 +3,16 @@
 
 use super::process::free_address;
 use passway_types::prelude::*;
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll;
+use rustix::io::Errno;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 /// Maximum number of bytes that are forwarded at once.
 const CHUNK_BYTES: usize = 16 << 10;
-/// Interval between two attempts to accept a connection.
-const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 /// Backlog of an open path.
 const OPEN_BACKLOG: i32 = 128;
 /// Connections that fill the backlog of a path that hangs.
@@ -30,24 +32,46 @@
     Hanging,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     path: PathState,
     /// The sockets of the open connections: from the instance and to the upstream.
     open: Vec<[TcpStream; 2]>,
     listener: Option<TcpListener>,
+    /// Whether the accepting thread waits for connections to the listener.
+    is_watched: bool,
     /// Connections that fill the backlog while the path hangs.
     filling: Vec<TcpStream>,
     /// Number of connections that were forwarded.
     connections: u64,
 }
 
+impl State {
+    /// Closes the port, which also ends the wait for connections to the port.
+    fn close_port(&mut self) {
+        self.listener = None;
+        self.is_watched = false;
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    has_changed: Condvar,
+    /// What the accepting thread waits for: the listener while the path is open. Unlike a second handle
+    /// of the listener, it does not keep the port open.
+    acceptable: OwnedFd,
+}
+
 /// A path; clones share the same state.
+///
+/// The path's thread lives as long as the process, as an instance that uses the path does. It takes no
+/// processor time while nothing connects.
 #[derive(Debug, Clone)]
 pub struct CutPath {
     /// The address that the instance connects to.
     pub address: SocketAddr,
-    shared: Arc<(Mutex<State>, Condvar)>,
+    shared: Arc<Shared>,
 }
 
 impl CutPath {
@@ -56,17 +80,30 @@
     /// # Panics
     /// If no port can be bound.
     pub fn open(target: SocketAddr) -> Self {
+        let state = State {
+            path: PathState::Reset,
+            open: Vec::new(),
+            listener: None,
+            is_watched: false,
+            filling: Vec::new(),
+            connections: 0,
+        };
+        let acceptable = epoll::create(epoll::CreateFlags::CLOEXEC);
         let path = Self {
             address: free_address(),
-            shared: Arc::default(),
+            shared: Arc::new(Shared {
+                state: Mutex::new(state),
+                has_changed: Condvar::new(),
+                acceptable: acceptable.expect("creating a path"),
+            }),
         };
-        path.state().listener = Some(bind(path.address));
+        path.set(PathState::Open);
         let accepting = path.clone();
         std::thread::spawn(move || {
             loop {
-                match accepting.accept() {
-                    Some(caller) => accepting.connect(&caller, target),
-                    None => std::thread::sleep(ACCEPT_INTERVAL),
+                accepting.wait_for_connection();
+                if let Some(caller) = accepting.accept() {
+                    accepting.connect(&caller, target);
                 }
             }
         });
@@ -74,7 +111,8 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Number of connections that reached the upstream over this path.
@@ -96,22 +134,61 @@
                 let listener = listener.unwrap_or_else(|| bind(self.address));
                 set_backlog(&listener, OPEN_BACKLOG);
                 state.listener = Some(listener);
+                self.watch(&mut state);
             }
             PathState::Reset => {
-                state.listener = None;
+                state.close_port();
                 for socket in state.open.drain(..).flatten() {
                     reset(&socket);
                 }
             }
-            PathState::Refusing => state.listener = None,
+            PathState::Refusing => state.close_port(),
             PathState::Hanging => {
+                self.unwatch(&mut state);
                 if let Some(listener) = &state.listener {
                     set_backlog(listener, 0);
                 }
                 state.filling = fill_backlog(self.address);
             }
         }
-        self.shared.1.notify_all();
+        self.shared.has_changed.notify_all();
+    }
+
+    /// Wakes the accepting thread when something connects to the listener.
+    fn watch(&self, state: &mut State) {
+        if state.is_watched {
+            return;
+        }
+        let Some(listener) = &state.listener else {
+            return;
+        };
+        let data = epoll::EventData::new_u64(0);
+        let watched = epoll::add(
+            &self.shared.acceptable,
+            listener,
+            data,
+            epoll::EventFlags::IN,
+        );
+        watched.expect("waiting for connections of a path");
+        state.is_watched = true;
+    }
+
+    /// Leaves connections to the listener unnoticed.
+    fn unwatch(&self, state: &mut State) {
+        if let Some(listener) = state.listener.as_ref().filter(|_| state.is_watched) {
+            let unwatched = epoll::delete(&self.shared.acceptable, listener);
+            unwatched.expect("ignoring connections of a path");
+        }
+        state.is_watched = false;
+    }
+
+    fn wait_for_connection(&self) {
+        let mut events = Vec::with_capacity(1);
+        let waited = epoll::wait(&self.shared.acceptable, spare_capacity(&mut events), None);
+        assert!(
+            matches!(waited, Ok(_) | Err(Errno::INTR)),
+            "waiting for a path: {waited:?}"
+        );
     }
 
     /// Accepts a connection, unless the path is cut.
@@ -167,7 +244,7 @@
     fn wait_while_hanging(&self) {
         let state = self.state();
         let is_hanging = |state: &mut State| state.path == PathState::Hanging;
-        drop(self.shared.1.wait_while(state, is_hanging));
+        drop(self.shared.has_changed.wait_while(state, is_hanging));
     }
 }
 
