Tests: a path that is reset keeps no connection that it has just accepted

By reading: a path accepts a connection, then connects to the upstream without the lock, then enters the connection into its list. A reset in between closed only what stood in the list, so this one connection went on over a path that was cut, and the instance, if it kept the connection, counted as connected. The path now resets such a connection.

Suspected, not shown, to be a reason for "timed out waiting for a request that is passed on". No test brings the moment about.

--- a/crates/standins/src/platform/cut_path.rs
+++ b/crates/standins/src/platform/cut_path.rs
@@ -213,6 +213,12 @@
         let _ = (caller.set_nodelay(true), server.set_nodelay(true));
         let _ = caller.set_nonblocking(false);
         let mut state = self.state();
+        if state.path == PathState::Reset {
+            // The path was cut after the connection was accepted.
+            reset(&caller_end);
+            reset(&server_end);
+            return;
+        }
         state.connections += 1;
         state.open.push([caller_end, server_end]);
         drop(state);
