--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -104,6 +104,7 @@
 mod soak;
 mod software_version_paths;
 mod software_version_races;
+mod software_version_review;
 mod software_versions;
 mod stale_denials;
 mod store_eras;
