An id that began streams of two versions is recorded with both

What a caller saw: two streams began under one id at one instance, the second at another version. Cause: the registry noted the dispute, but the stream counted as recorded (and delivered) already, so the store had the first version alone, which then proved it. Change: the second version is recorded too, and two records prove nothing.

--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -60,6 +60,9 @@
             known.disputed_with = Some(software)
                 .filter(|_| is_other)
                 .or(known.disputed_with.take());
+            // The other version is recorded as well, and the stream may break off again.
+            known.is_recorded &= !is_other;
+            known.is_delivered = false;
             return;
         }
         self.streams.insert(key, stream);
