An instance remembers the streams that it has resumed by their records

What callers saw: an instance had resumed 12 streams by their records; when they broke off again while the store was away, it refused all 12 (resumed_by_record_remembered). Cause: only streams that the list had proved were remembered. Change: those that a record proved are remembered too, as recorded; a later era of the store makes them unrecorded, as all others.

--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -184,10 +184,10 @@
         );
     }
 
-    /// Remembers a stream that this instance resumes and whose version the stored list has proved, so that
-    /// its version is recorded if another version of the service appears.
+    /// Remembers a stream that this instance resumes and whose version the store has proved: the stream may
+    /// break off again, another version of the service may appear, and the store may lose its record.
     pub fn record_resumption(&self, key: StreamKey, service: &ServiceName, proven: &ProvenVersion) {
-        if proven.source() != ProofSource::OnlyVersion {
+        if proven.source() == ProofSource::Observed {
             return;
         }
         self.insert(
@@ -198,7 +198,7 @@
                 unreported_start: None,
                 began_at: clock::now(),
                 is_delivered: false,
-                is_recorded: false,
+                is_recorded: proven.source() == ProofSource::Record,
                 is_for_peer: false,
                 disputed_with: None,
             },
