Blank and unreadable headers of streams: a blank one counts as none, another one resumes

What callers saw: a blank Resumes without Last-Event-Id was refused (503) beside two versions (empty_resumes_begins). A blank Last-Event-Id before one with an event, or one that is not UTF-8, counted as the beginning of a stream and was passed on to an engine of any version (unreadable_last_event_id). Cause: the first value alone was read, and a blank Resumes counted as one. Change: the first value that is not blank counts, whatever its bytes. Such a request needs a proof, as any other that resumes.

--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -36,12 +36,7 @@
     /// The version of a request that has just arrived. A request from another instance is `resumed`
     /// after events that this instance has not delivered.
     pub(super) fn on_arrival(facts: &RequestMetadata, is_passed_on_after_events: bool) -> Self {
-        // An empty id names no event.
-        let has_event = facts
-            .last_event_id
-            .as_ref()
-            .is_some_and(|id| !id.is_empty());
-        let resumes_stream = has_event || facts.resumes.is_some();
+        let resumes_stream = facts.last_event_id.is_some() || facts.resumes.is_some();
         if resumes_stream || is_passed_on_after_events {
             Self::Unproven
         } else {
@@ -103,11 +98,7 @@
     /// Identifies the stream by the attempt that began it: the one that the caller names, or this one.
     /// `None` if the caller resumes a stream without naming the attempt.
     fn stream_key(&self) -> Option<StreamKey> {
-        let last_event_id = self.facts.last_event_id.as_ref();
-        let begun_by = match (
-            &self.facts.resumes,
-            last_event_id.filter(|id| !id.is_empty()),
-        ) {
+        let begun_by = match (&self.facts.resumes, &self.facts.last_event_id) {
             (Some(resumes), _) => resumes,
             (None, Some(_)) => return None,
             (None, None) => &self.facts.id,
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -241,9 +241,10 @@
     pub deadline_ms: Option<u64>,
     /// The requested model and adapter, if any.
     pub model_ref: Option<ModelRef>,
-    /// The last event of a stream that the caller has received.
+    /// The last event of a stream that the caller has received; `None` for a blank header.
     pub last_event_id: Option<String>,
-    /// The id of the attempt that brought the first event of the stream that this request resumes.
+    /// The id of the attempt that brought the first event of the stream that this request resumes; `None`
+    /// for a blank header.
     pub resumes: Option<String>,
     /// The digest of the request's key; `None` without a key or with more than one.
     pub key: Option<KeyDigest>,
