Without Resumes, the only version of a service proves nothing on a route with several services

Cause: the service was chosen by the new attempt's id, and the only version of that service passed for the version that began the stream. Change: such a request is refused at once as unknown. The attempt that began the stream, which Resumes names, still chooses the service.

--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -13,7 +13,9 @@
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::ports::RequestMetadata;
 use passway_serving::upstreams::{ListedStart, UpstreamTable};
-use passway_serving::versions::{IdentifiedStart, ProvenVersion, SoftwareVersion, StreamKey};
+use passway_serving::versions::{
+    IdentifiedStart, ProvenVersion, SoftwareVersion, StreamKey, Unproven,
+};
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -116,7 +118,13 @@
         }
         let until = self.deadline_at.min(clock::now() + MAX_PROOF_TIME);
         let versions = &self.shared.versions;
-        let proven = versions.prove(&self.service, self.stream_key(), until);
+        let key = self.stream_key();
+        let proven = if key.is_none() && self.route.backends.len() > 1 {
+            // The stream may have begun at another service of the route.
+            Err(Unproven::NoRecord.into())
+        } else {
+            versions.prove(&self.service, key, until)
+        };
         let outcome = match &proven {
             Ok(proven) => proven.source().name(),
             Err(reason) => reason.name(),
