A term that begins while requests wait leaves pauses between its decisions

Cause: engines get no queries and no orders in the first half second of a term. An engine whose model was waited for had its query due at once, next_decision_at returned a moment in the past, and the holder's thread decided again without a pause until the half second was over. Change: engines' times count from the moment at which the term's queries begin.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -575,7 +575,9 @@
     pub fn next_decision_at(&self, now: Instant) -> Instant {
         let engines = self.engines.iter();
         let available = engines.filter(|(id, _)| !self.backing_off.contains_key(*id));
-        let engine_times = available.filter_map(|(_, engine)| engine.next_action_at());
+        let action_times = available.filter_map(|(_, engine)| engine.next_action_at());
+        // Engines get no queries and no orders before.
+        let engine_times = action_times.map(|at| self.queries_from.map_or(at, |from| at.max(from)));
         let planner_times = [
             self.listening_until,
             self.queries_from,
--- a/tests/all/term_begin.rs
+++ b/tests/all/term_begin.rs
@@ -112,3 +112,24 @@
     });
     assert!(is_loaded_early, "{orders:?}");
 }
+
+/// Requests waited when a term began: until the term's queries began, each decision was due at once, and
+/// the holder's thread ran without a pause.
+#[test]
+fn waits_of_earlier_term_leave_pauses() {
+    let mut test = TestPlanner::new();
+    test.add_waiter("m0");
+    test.now += Duration::from_millis(600);
+    test.planner
+        .begin_term(std::iter::empty(), &BTreeSet::new(), test.now);
+    for _ in 0..30 {
+        test.planner.decide(test.now);
+        let next = test.planner.next_decision_at(test.now);
+        assert!(
+            next > test.now,
+            "the next decision is due {} ms after the last",
+            test.now.saturating_duration_since(next).as_millis()
+        );
+        test.now += Duration::from_millis(20);
+    }
+}
