Tests: all paths of an instance refuse connections before the first is reset

In a suite beside four busy loops innocents_of_a_cut failed: two runs that a cut broke off counted as crashes, in the millisecond in which they broke off, and the log shows no change of the paths. By reading: the test resets one path after the other, each reset wakes the instance, and until the test's thread goes on the instance still reaches the other upstreams, which rightly means that the first has crashed. A cut now closes all ports before it resets any connection. What the tests check stays as it is.

--- a/tests/all/cut_off_cluster.rs
+++ b/tests/all/cut_off_cluster.rs
@@ -27,9 +27,15 @@
         path.or_insert_with(|| CutPath::open(target)).clone()
     }
 
-    /// Changes the state of all paths.
+    /// Changes the state of all paths. All ports are closed before any connection is reset: an instance
+    /// that still reached the other upstreams after the first reset would rightly take that upstream for
+    /// crashed.
     pub fn set(&self, state: PathState) {
         let paths = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if state == PathState::Reset {
+            let close_port = |path: &CutPath| path.set(PathState::Refusing);
+            paths.values().for_each(close_port);
+        }
         paths.values().for_each(|path| path.set(state));
     }
 
