--- a/tests/all/version_demand.rs
+++ b/tests/all/version_demand.rs
@@ -281,6 +281,77 @@
     assert!(orders.any(|order| &*order.engine == "i-1"), "many requests");
 }
 
+/// Lets requests for models arrive for five seconds, `per_s` for each model.
+fn arrive(test: &mut TestPlanner, per_s: &[(&str, u32)]) {
+    for _ in 0..5 {
+        test.now += Duration::from_secs(1);
+        for (model, count) in per_s {
+            let service = "engines".into();
+            let model_ref = base_model(model);
+            test.planner
+                .record_arrivals(&service, &model_ref, *count, test.now);
+        }
+    }
+}
+
+// Guards against streams that are lost with the only engine of their version that has a busy model,
+// although other engines of that version serve.
+#[test]
+fn second_replica_at_each_version() {
+    for on_disk in [&MODELS[..], &[]] {
+        let mut test = planner_with(&[
+            engine("i-1", "v1", &["m1"], on_disk),
+            engine("i-2", "v2", &["m0"], on_disk),
+            engine("i-3", "v2", &["m1"], on_disk),
+        ]);
+        arrive(&mut test, &[("m0", 40)]);
+        let mut loads = loads(&mut test);
+        loads.sort();
+        let expected = [load_of("i-1", "m0"), load_of("i-3", "m0")].concat();
+        assert_eq!(loads, expected, "on disk: {on_disk:?}");
+    }
+}
+
+// Guards against loads beyond the demand where one version serves, where a version has one engine,
+// and for models that few requests need.
+#[test]
+fn no_replica_beyond_demand() {
+    let load_count = |model, count, versions: [&str; 3]| {
+        let mut test = planner_with(&[
+            engine("i-1", versions[0], &["m0", "m2"], &MODELS),
+            engine("i-2", versions[1], &["m1"], &MODELS),
+            engine("i-3", versions[2], &["m3"], &MODELS),
+        ]);
+        arrive(&mut test, &[(model, count)]);
+        loads(&mut test).len()
+    };
+    assert_eq!(load_count("m0", 40, ["v1", "v1", "v1"]), 0, "one version");
+    assert_eq!(
+        load_count("m0", 40, ["v2", "v3", "v4"]),
+        0,
+        "single engines"
+    );
+    assert_eq!(load_count("m0", 1, ["v2", "v1", "v2"]), 0, "a rare model");
+}
+
+// Guards against a second replica at a version that is evicted as if it were beyond the demand.
+#[test]
+fn second_replica_stays() {
+    let mut test = planner_with(&[
+        engine("i-1", "v1", &["m0", "m3"], &MODELS),
+        engine("i-2", "v2", &["m0", "m1"], &MODELS),
+        engine("i-3", "v2", &["m0", "m3"], &MODELS),
+    ]);
+    arrive(&mut test, &[("m0", 3), ("m1", 1), ("m3", 1)]);
+    test.set_waiters(base_model("m2"), 3);
+    let orders = test.orders_within_second(OrderAnswer::Taken);
+    let unloads = orders
+        .iter()
+        .filter(|order| order.action == OrderAction::Unload);
+    let unloaded: Vec<&str> = unloads.map(|order| &*order.model_ref.model).collect();
+    assert!(matches!(unloaded[..], ["m1" | "m3"]), "{unloaded:?}");
+}
+
 // Guards against waits that end or are removed at one version and take those at any version with
 // them, or the reverse.
 #[test]
