--- a/crates/serving/src/placement/benefit.rs
+++ b/crates/serving/src/placement/benefit.rs
@@ -3,7 +3,6 @@
 
 use super::Planner;
 use super::demand::{AwaitedModel, as_f64};
-use super::engine::Engine;
 use crate::versions::SoftwareVersion;
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
@@ -18,9 +17,6 @@
 /// This many seconds of waiting count as one more waiting request, so that every model is
 /// eventually loaded, however busy the others are.
 const WAIT_S_PER_REQUEST: f64 = 1.0;
-/// Replicas of a busy model at each software version while several versions serve. A stream is
-/// resumed only at the version that began it, so a replica at another version is no substitute.
-const REPLICAS_PER_VERSION: usize = 2;
 
 /// A model that would benefit from one more replica.
 #[derive(Debug, Clone)]
@@ -37,9 +33,6 @@
     pub(super) waiting_since: Option<Instant>,
     /// Whether the model has enough replicas, but some on slow engines.
     pub(super) is_for_speed: bool,
-    /// Whether the replica takes over the streams of the only other one at its software version if
-    /// that one is lost.
-    pub(super) is_backup: bool,
 }
 
 impl Candidate {
@@ -95,7 +88,6 @@
             let candidate = self.version_candidate(model, software, plain, &awaited_models, now);
             candidates.extend(candidate);
         }
-        candidates.extend(self.backup_candidates(&candidates, now));
         candidates.sort_by(|a, b| b.gain.total_cmp(&a.gain));
         candidates
     }
@@ -136,7 +128,6 @@
             delay_cost_per_s: rate_share,
             waiting_since: None,
             is_for_speed,
-            is_backup: false,
         };
         if replicas == 0 {
             let wait_score = self.wait_score(awaited_models, now);
@@ -180,85 +171,9 @@
             delay_cost_per_s: plain.map_or(0.0, |plain| plain.delay_cost_per_s) + wait_score,
             waiting_since: longest_wait_start(awaited_models),
             is_for_speed: false,
-            is_backup: false,
         })
     }
 
-    /// Second replicas of busy models at each software version that has one, while several versions
-    /// serve. `plain` holds the candidates for replicas at any version.
-    fn backup_candidates(&self, plain: &[Candidate], now: Instant) -> Vec<Candidate> {
-        let busy_models = self.demand.busy_models(now);
-        let versions = busy_models.flat_map(|(service, model)| {
-            let versions = self.replica_counts.parallel_versions(service);
-            versions.map(move |software| (service, model, software))
-        });
-        let backups = versions.filter_map(|(service, model, software)| {
-            let is_needed = self.pools.contains_key(service)
-                && self.plain_target_replicas(service, model, now) >= REPLICAS_PER_VERSION
-                && self.replicas_at_version(service, model, software) == REPLICAS_PER_VERSION - 1;
-            is_needed.then(|| self.backup_candidate(service, model, software, plain, now))
-        });
-        backups.collect()
-    }
-
-    /// The gain of a second replica at a software version, which also serves as one at any version.
-    fn backup_candidate(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        software: &SoftwareVersion,
-        plain: &[Candidate],
-        now: Instant,
-    ) -> Candidate {
-        let mut plain = plain.iter().filter(|candidate| {
-            candidate.required_software.is_none()
-                && (&candidate.service, &candidate.model) == (service, model)
-        });
-        let plain = plain.next();
-        let replicas = self.replica_count(service, model) + self.pending_load_count(service, model);
-        let rate_share = self.demand.rate(service, model, now) / usize_as_f64(replicas + 1);
-        Candidate {
-            service: service.clone(),
-            model: model.clone(),
-            required_software: Some(software.clone()),
-            gain: plain.map_or(0.0, |plain| plain.gain) + rate_share * HORIZON_S,
-            delay_cost_per_s: plain.map_or(0.0, |plain| plain.delay_cost_per_s) + rate_share,
-            waiting_since: None,
-            is_for_speed: false,
-            is_backup: true,
-        }
-    }
-
-    /// Number of engines of a software version that have a model, are loading it or are about to.
-    fn replicas_at_version(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        software: &SoftwareVersion,
-    ) -> usize {
-        let loaded = self.replica_counts.engines_with_replica(service, model);
-        let loading = self.replica_counts.engines_loading(service, model);
-        let engines = loaded.iter().chain(loading);
-        let engines = engines.filter_map(|id| self.engines.get(id));
-        let at_version = engines.filter(|engine| engine.entry.software == *software);
-        at_version.count()
-    }
-
-    /// Whether a model should keep all its replicas at a software version, however low its target
-    /// over all versions is.
-    fn needs_replicas_at_version(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        software: &SoftwareVersion,
-        target: usize,
-    ) -> bool {
-        let mut versions = self.replica_counts.parallel_versions(service);
-        target >= REPLICAS_PER_VERSION
-            && versions.any(|parallel| parallel == software)
-            && self.replicas_at_version(service, model, software) <= REPLICAS_PER_VERSION
-    }
-
     /// How much the requests that wait for a model count, in requests.
     fn wait_score(&self, awaited_models: &[&AwaitedModel], now: Instant) -> f64 {
         let scoring = self.policy.wait_scoring();
@@ -279,15 +194,17 @@
         scores.sum()
     }
 
-    /// The benefit of a model's replica on an engine, in requests served in time.
-    pub(super) fn replica_benefit(&self, engine: &Engine, model: &ModelName, now: Instant) -> f64 {
-        let (service, software) = (&engine.entry.service, &engine.entry.software);
+    /// The benefit of one of a model's replicas, in requests served in time.
+    pub(super) fn replica_benefit(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        now: Instant,
+    ) -> f64 {
         let replicas = self.replica_count(service, model);
         let target = self.target_replicas(service, model, now);
         let rate = self.demand.rate(service, model, now);
-        let is_spare =
-            replicas > target && !self.needs_replicas_at_version(service, model, software, target);
-        if is_spare {
+        if replicas > target {
             return SPARE_REPLICA_RATIO * rate * HORIZON_S;
         }
         let waiters = f64::from(self.demand.waiters(service, model));
--- a/crates/serving/src/placement/engine.rs
+++ b/crates/serving/src/placement/engine.rs
@@ -264,11 +264,6 @@
         self.unanswered_queries >= UNREACHABLE_AFTER_QUERIES
     }
 
-    /// Whether requests may be routed to the engine: it neither leaves nor is unreachable.
-    pub(super) fn is_available(&self) -> bool {
-        !self.is_leaving() && !self.is_unreachable()
-    }
-
     /// Schedules a query because requests wait for a model that this engine should serve, at most
     /// once per [`CHECK_INTERVAL`].
     pub(super) fn schedule_check(&mut self, now: Instant) {
@@ -445,8 +440,8 @@
 
     /// Models that are loaded, usable and not about to be unloaded.
     pub(super) fn usable_models(&self) -> impl Iterator<Item = &ModelName> {
-        let is_available = self.is_available();
-        let is_usable = move |name: &&ModelName| is_available && !self.evicting.contains(name);
+        let is_engine_usable = !self.is_leaving() && !self.is_unreachable();
+        let is_usable = move |name: &&ModelName| is_engine_usable && !self.evicting.contains(name);
         self.models
             .iter()
             .map(|model| &model.name)
--- a/crates/serving/src/placement/loading.rs
+++ b/crates/serving/src/placement/loading.rs
@@ -159,7 +159,6 @@
                     delay_cost_per_s: 0.0,
                     waiting_since: None,
                     is_for_speed: false,
-                    is_backup: false,
                 };
                 self.place_model(&candidate, true, now);
             }
@@ -209,11 +208,7 @@
         let spec = pool.models.named(model)?;
         let caching = self.engines_caching(service, model);
         let caching: Vec<&Engine> = caching
-            .filter(|engine| {
-                // The engine of the only replica cannot load a second one.
-                let is_replica = candidate.is_backup && engine.has_model(service, model);
-                candidate.accepts(&engine.entry.software) && !is_replica
-            })
+            .filter(|engine| candidate.accepts(&engine.entry.software))
             .collect();
         let can_fetch = !candidate.is_for_speed
             && self.can_fetch((service, pool, spec), &caching, should_fetch_anyway, now);
--- a/crates/serving/src/placement/replica_counts.rs
+++ b/crates/serving/src/placement/replica_counts.rs
@@ -2,9 +2,8 @@
 //! pass because one pass reads them many times.
 
 use super::engine::Engine;
-use crate::versions::SoftwareVersion;
 use passway_types::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 #[derive(Debug, Clone, Default)]
 struct Counts {
@@ -25,8 +24,6 @@
     /// Those whose order is not in flight, by service.
     unordered_store_loads: HashMap<ServiceName, usize>,
     counts_by_model: HashMap<ServiceName, HashMap<ModelName, Counts>>,
-    /// Number of engines of each software version that accept requests.
-    engines_by_version: HashMap<ServiceName, BTreeMap<SoftwareVersion, usize>>,
 }
 
 impl ReplicaCounts {
@@ -39,14 +36,7 @@
         let mut counts_by_model: HashMap<ServiceName, HashMap<ModelName, Counts>> = HashMap::new();
         let mut store_loads = 0;
         let mut unordered_store_loads: HashMap<ServiceName, usize> = HashMap::new();
-        let mut engines_by_version: HashMap<ServiceName, BTreeMap<SoftwareVersion, usize>> =
-            HashMap::new();
         for engine in engines {
-            if engine.is_available() {
-                let versions = engines_by_version.entry(engine.entry.service.clone());
-                let software = engine.entry.software.clone();
-                *versions.or_default().entry(software).or_default() += 1;
-            }
             store_loads += usize::from(engine.has_pending_store_load());
             if engine.has_unordered_store_load() {
                 let service = engine.entry.service.clone();
@@ -75,7 +65,6 @@
             store_loads,
             unordered_store_loads,
             counts_by_model,
-            engines_by_version,
         }
     }
 
@@ -118,20 +107,6 @@
         }
     }
 
-    /// Software versions with at least two engines that accept requests, beside engines of another
-    /// version; none if one version serves.
-    pub(super) fn parallel_versions(
-        &self,
-        service: &ServiceName,
-    ) -> impl Iterator<Item = &SoftwareVersion> {
-        let versions = self.engines_by_version.get(service);
-        let versions = versions.filter(|versions| versions.len() > 1);
-        let engine_counts = versions.into_iter().flatten();
-        engine_counts
-            .filter(|(_, engines)| **engines > 1)
-            .map(|(software, _)| software)
-    }
-
     /// Loads from the weight store that are in progress or about to begin.
     pub(super) fn pending_store_loads(&self) -> usize {
         self.store_loads
--- a/crates/serving/src/placement/victims.rs
+++ b/crates/serving/src/placement/victims.rs
@@ -48,11 +48,12 @@
         if missing_mb <= 0.0 {
             return Some(Victims::default());
         }
+        let service = &engine.entry.service;
         let models = engine.model_names().into_iter();
         let evictable = models.filter(|model| !engine.was_loaded_within(model, MIN_RESIDENCY, now));
         let mut candidates: Vec<VictimCandidate> = evictable
             .map(|model| VictimCandidate {
-                benefit: self.replica_benefit(engine, &model, now),
+                benefit: self.replica_benefit(service, &model, now),
                 size_mb: engine.size_mb(pool, &model),
                 has_running_requests: engine.running_count(&model) > 0,
                 model,
