--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -254,22 +254,23 @@
         !upstreams.serves_version(&self.service, software, allowed, now)
     }
 
-    /// Finds out which start of the upstream is at the other end of the connection; `None` if it is not
-    /// the one that was chosen, or if the process does not say. One query identifies the start for all
-    /// streams over the connection.
-    pub(super) fn identify_start(&self, target: &Target, exchange: &mut Exchange) -> Option<()> {
+    /// Whether the start of the upstream that was chosen is at the other end of the connection; false also
+    /// if the process does not say. One query identifies the start for all streams over the connection.
+    pub(super) fn is_chosen_start(&self, target: &Target, exchange: &mut Exchange) -> bool {
         let identified = exchange.identified_start();
         if identified.is_some_and(|identified| *identified.start() == target.start) {
-            return Some(());
+            return true;
         }
         let is_reporting = self.is_engine && target.start.started_at_ms != 0;
         let identified = if is_reporting {
-            IdentifiedStart::reported(&target.start, self.query_start(target)?)?
+            let reported_at_ms = self.query_start(target);
+            reported_at_ms.and_then(|at_ms| IdentifiedStart::reported(&target.start, at_ms))
         } else {
-            IdentifiedStart::by_entry(&target.start)
+            Some(IdentifiedStart::by_entry(&target.start))
         };
+        let is_chosen = identified.is_some();
         exchange.set_identified_start(identified);
-        Some(())
+        is_chosen
     }
 
     /// Asks an engine for the start of its process, in Unix milliseconds by its own clock; `None` without
--- a/crates/instance/src/forward/send_permit.rs
+++ b/crates/instance/src/forward/send_permit.rs
@@ -23,8 +23,8 @@
         target: &Target,
         exchange: &mut Exchange,
     ) -> Option<SendPermit> {
-        if self.route.kind.is_stream() {
-            self.identify_start(target, exchange)?;
+        if self.route.kind.is_stream() && !self.is_chosen_start(target, exchange) {
+            return None;
         }
         let now = clock::now();
         let mut upstreams = self.shared.upstreams();
--- a/crates/instance/src/upstream_exchange.rs
+++ b/crates/instance/src/upstream_exchange.rs
@@ -123,9 +123,9 @@
         self.identified_start.as_ref()
     }
 
-    /// Records the start of the upstream that is at the other end.
-    pub fn set_identified_start(&mut self, start: IdentifiedStart) {
-        self.identified_start = Some(start);
+    /// Records the start of the upstream that is at the other end; `None` if it is not known.
+    pub fn set_identified_start(&mut self, start: Option<IdentifiedStart>) {
+        self.identified_start = start;
     }
 
     /// The connection, to send the request and to read the answer's bytes.
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -59,8 +59,9 @@
 }
 
 impl IdentifiedStart {
-    /// The listed start, if the process has reported the same one. It must have been asked after the
-    /// connection was opened: a connection does not outlive its process.
+    /// The listed start, if the process has reported the same one, in Unix milliseconds by its own clock.
+    /// The process must have been asked after the connection was opened: a connection does not outlive its
+    /// process.
     pub fn reported(listed: &ListedStart, reported_at_ms: u64) -> Option<Self> {
         (reported_at_ms == listed.started_at_ms).then(|| Self {
             start: listed.clone(),
