--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -254,8 +254,9 @@
         !upstreams.serves_version(&self.service, software, allowed, now)
     }
 
-    /// Whether the start of the upstream that was chosen is at the other end of the connection; false also
-    /// if the process does not say. One query identifies the start for all streams over the connection.
+    /// Whether the connection leads to the upstream's process that was chosen, and not to one that has
+    /// replaced it; false also if the process does not answer. One query identifies the process for all
+    /// streams over the connection.
     pub(super) fn is_chosen_start(&self, target: &Target, exchange: &mut Exchange) -> bool {
         let identified = exchange.identified_start();
         if identified.is_some_and(|identified| *identified.start() == target.start) {
@@ -273,8 +274,8 @@
         is_chosen
     }
 
-    /// Asks an engine for the start of its process, in Unix milliseconds by its own clock; `None` without
-    /// an answer.
+    /// Asks an engine when its process started, in Unix milliseconds by its own clock; `None` without an
+    /// answer.
     fn query_start(&self, target: &Target) -> Option<u64> {
         let engines = self.shared.engines()?;
         let (start, address) = (target.upstream_start(), target.address);
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -19,8 +19,8 @@
     pub(super) service: ServiceName,
     /// The version that began it.
     pub(super) proven: ProvenVersion,
-    /// The start that brought the first event, if its entry alone identifies it: a later start may have
-    /// begun the stream before its own entry was known.
+    /// The upstream's process that sent the first event, if only its entry identifies it: a newer process
+    /// may have begun the stream before its own entry arrived.
     pub(super) unreported_start: Option<UpstreamStart>,
     pub(super) began_at: Instant,
     /// Whether the stream was delivered to its end.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -576,7 +576,7 @@
         let engines = self.engines.iter();
         let available = engines.filter(|(id, _)| !self.backing_off.contains_key(*id));
         let action_times = available.filter_map(|(_, engine)| engine.next_action_at());
-        // Engines get no queries and no orders before.
+        // In a new term, engines receive no queries or orders before `queries_from`.
         let engine_times = action_times.map(|at| self.queries_from.map_or(at, |from| at.max(from)));
         let planner_times = [
             self.listening_until,
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -28,8 +28,8 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) entry: UpstreamEntry,
-    /// Whether entries of this start have named different software versions, or a later start serves
-    /// whose entry is not known.
+    /// Whether the software version is unknown: the entries of this process name different versions, or a
+    /// newer process has replaced it and its entry has not arrived.
     pub(super) is_software_unknown: bool,
     /// Running requests of this instance, in total and by model; models without requests are not
     /// listed.
