Dropping an instance ends its threads and closes its sockets

Callers saw nothing of it in production, where the process ends with its instance. In the test binary, where some 600 tests share a process, each instance of a test that was over went on: it renewed its lease, called its store and its engines, and so the ports that other tests had taken over, and it kept its connections open.

Cause: the threads had no end but that of the process.

Change: `Termination` (crates/instance/src/termination.rs) is the end of an instance. Dropping `Instance` begins it. Each thread is notified in the way in which it waits: a channel that disconnects (pauses and receives), a file descriptor that becomes readable (listeners, the datagram socket, callers' connections, next to the two signals of a stop), a link that closes (connecting instances), or its condition variable. There is no polling. As with a kill, nothing is answered or written after that, the instance has no fencing number, and leadership is not released. A dialer closes its connection when it is dropped, and its backoff ends. A call to the store or to an engine that is under way is not interrupted; its thread ends after it. A stop at SIGTERM runs as before: its signals are the same, and the program drops the instance after it, when it exits.

Tests: ended_instances::threads_and_sockets_close and dropped_holder_is_succeeded.

The whole suite was not run.

--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -8,7 +8,7 @@
 use crate::coordinator::{self, TermCoordinator};
 use crate::leadership::LeadershipDriver;
 use crate::shared::Shared;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use passway_serving::allotment::{FallbackQuotas, QuotaBounds};
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreRevision, WriteAnswer};
 use passway_serving::routes::RouteTable;
@@ -231,13 +231,12 @@
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
             let allotments = &shared.allotments;
+            let termination = shared.termination();
             let mut taken_over = None;
-            loop {
-                // A term may have begun, or the interval has passed; the thread checks in both
-                // cases.
-                let _ = allotments
-                    .wakeup_receiver
-                    .recv_timeout(STORE_CHECK_INTERVAL);
+            // A term may have begun, or the interval has passed; the thread checks in both cases.
+            while termination.receive_timeout(&allotments.wakeup_receiver, STORE_CHECK_INTERVAL)
+                != Err(RecvTimeoutError::Disconnected)
+            {
                 let term = leadership.term().filter(|_| shared.has_allotments());
                 let Some(fence) = term else {
                     continue;
@@ -271,7 +270,9 @@
                     });
                 return;
             }
-            std::thread::sleep(TAKEOVER_RETRY_DELAY);
+            if !shared.termination().pause(TAKEOVER_RETRY_DELAY) {
+                return;
+            }
         }
     }
 
--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -87,7 +87,7 @@
     let callers = Callers {
         address: listener.local_addr().context("reading the bound address")?,
         shared: shared.clone(),
-        stop_signals: Arc::new(StopSignals::new().context("creating the stop signals")?),
+        stop_signals: shared.stop_signals.clone(),
         open: Arc::default(),
     };
     let context = ConnectionContext::new(shared, &callers.stop_signals, &callers.open);
@@ -166,9 +166,9 @@
 }
 
 /// Accepts connections until waits are ended, and then those left in the backlog: their callers may
-/// have sent a request, and closing the listener would reset them.
+/// have sent a request, and closing the listener would reset them. A termination resets them.
 fn accept(context: &ConnectionContext, listener: &TcpListener) {
-    loop {
+    while !context.stop_signals.termination.has_begun() {
         match listener.accept() {
             Ok((stream, _)) => spawn_thread(context.clone(), stream),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
@@ -273,6 +273,9 @@
     origin: &Origin,
 ) -> Option<Connection> {
     let shared = &context.shared;
+    if shared.termination().has_begun() {
+        return None;
+    }
     let mut limits = newest_limits(shared);
     let head = loop {
         match read_head(&mut caller, &limits) {
--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::coordinator;
 use crate::queries::PendingQueries;
 use crate::shared::Shared;
+use arc_swap::ArcSwapOption;
 use passway_serving::dispatch::{
     Backups, Dispatcher, Dispatchers, Promise, REFRESH_INTERVAL, RunId, RunKey,
 };
@@ -44,6 +45,9 @@
 const MAX_DISPATCHERS_QUERIED: usize = 2;
 /// Largest datagram that is read: the maximum payload of UDP.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
+/// Longest read of a socket that has something to read. A datagram with a wrong checksum is dropped
+/// by the read, which then waits for the next one.
+const MAX_READ_TIME: Duration = Duration::from_millis(20);
 /// Runs reported in one datagram. A run with a name of the usual 15 bytes and its progress takes some
 /// 55 bytes, so that a datagram fits into one packet on any link (1,400 bytes); with longer names IP
 /// fragments it.
@@ -127,8 +131,9 @@
 #[derive(Debug)]
 pub struct Dispatch {
     own_address: SocketAddr,
-    /// `None` if the port is taken: the instance then chooses engines by its own state.
-    socket: Option<UdpSocket>,
+    /// `None` if the port is taken: the instance then chooses engines by its own state. Also `None`
+    /// once the instance has ended.
+    socket: ArcSwapOption<UdpSocket>,
     dispatchers: Mutex<Dispatchers>,
     /// This instance's state as a dispatcher.
     dispatcher: Mutex<Dispatcher>,
@@ -156,7 +161,7 @@
         }
         Self {
             own_address,
-            socket: socket.ok(),
+            socket: ArcSwapOption::from(socket.ok().map(Arc::new)),
             dispatchers: Mutex::default(),
             dispatcher: Mutex::default(),
             engine_speeds: Mutex::default(),
@@ -184,7 +189,7 @@
 
     /// Whether there are dispatchers and this instance can reach them.
     pub fn is_enabled(&self) -> bool {
-        self.socket.is_some() && !lock(&self.dispatchers).is_empty()
+        self.socket.load().is_some() && !lock(&self.dispatchers).is_empty()
     }
 
     fn dispatcher_of(&self, engine: &str) -> Option<SocketAddr> {
@@ -193,7 +198,7 @@
 
     /// Sends a datagram. One that cannot be sent counts as lost.
     pub fn send(&self, to: SocketAddr, body: impl Into<Option<Body>>) {
-        if let Some(socket) = &self.socket
+        if let Some(socket) = &*self.socket.load()
             && let Err(error) = socket.send_to(&Datagram::encode_body(body.into()), to)
         {
             log::debug!(to:% = to, error:% = error; "cannot send a datagram");
@@ -502,34 +507,36 @@
         }
     }
 
-    /// Starts the thread that receives datagrams for as long as the process runs.
+    /// Starts the thread that receives datagrams for as long as the instance runs.
     pub fn start(shared: &Arc<Shared>) {
         let shared = shared.clone();
         std::thread::spawn(move || shared.dispatch.run(&shared));
     }
 
     fn run(&self, shared: &Shared) {
-        let Some(socket) = &self.socket else {
+        let Some(socket) = self.socket.load_full() else {
             return;
         };
+        if let Err(error) = socket.set_read_timeout(Some(MAX_READ_TIME)) {
+            log::warn!(error:% = error; "cannot set the read timeout");
+        }
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         let mut refresh_at = clock::now();
-        loop {
+        while !shared.termination().has_begun() {
             let now = clock::now();
             // Without dispatchers nothing is due periodically: a datagram wakes the thread when the
             // list changes.
-            let read_timeout = self.is_enabled().then(|| {
+            let read_until = self.is_enabled().then(|| {
                 if now >= refresh_at {
                     refresh_at = now + REFRESH_INTERVAL;
                     self.announce_runs(shared);
                     self.send_report(shared);
                     lock(&self.dispatcher).remove_expired(now);
                 }
-                let remaining = refresh_at.saturating_duration_since(now);
-                remaining.max(Duration::from_millis(1))
+                refresh_at
             });
-            if let Err(error) = socket.set_read_timeout(read_timeout) {
-                log::warn!(error:% = error; "cannot set the read timeout");
+            if !shared.termination().wait_for_input(&*socket, read_until) {
+                continue;
             }
             let Ok((length, from)) = socket.recv_from(&mut bytes) else {
                 // The read timed out, or an earlier datagram was refused by a closed port.
@@ -539,5 +546,6 @@
                 self.handle_datagram(shared, from, body);
             }
         }
+        self.socket.store(None);
     }
 }
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -120,7 +120,7 @@
     fn shared(&self) -> &Shared;
 }
 
-/// Follows a prefix until the process exits: through the holder of leadership while it may be
+/// Follows a prefix until the instance ends: through the holder of leadership while it may be
 /// relied on, otherwise through the store and whatever the holder still sends.
 pub fn follow(
     store: Arc<dyn SharedStore>,
@@ -213,9 +213,9 @@
 
 impl<F: Feed> Follower<F> {
     /// Receives the holder's updates at all times, and queries the store while the holder may not
-    /// be relied on.
+    /// be relied on, until the instance ends.
     fn run(mut self) {
-        loop {
+        while !self.feed.shared().termination().has_begun() {
             self.feed.tick();
             // Applies updates that the holder sent during the query.
             self.receive(Duration::ZERO);
@@ -325,7 +325,8 @@
 
     /// Waits up to `timeout` for an update from the holder.
     fn receive(&mut self, timeout: Duration) {
-        if let Some(update) = self.receiver.wait_for_update(timeout) {
+        let termination = self.feed.shared().termination();
+        if let Some(update) = self.receiver.wait_for_update(timeout, termination) {
             self.apply_relayed(update);
         }
     }
@@ -355,7 +356,9 @@
                 self.complete_at = Some(asked_at);
                 self.feed.shared().store_health.record_answer();
                 if self.partial.is_none() {
-                    std::thread::sleep(self.feed.finish_batch());
+                    let pause = self.feed.finish_batch();
+                    // The loop that queries the store ends with the instance.
+                    let _ = self.feed.shared().termination().pause(pause);
                 }
             }
             Err(error) => {
@@ -564,7 +567,7 @@
             self.feed.store_returned();
         }
         if let Some(feed) = self.receiver.feed {
-            // The channel closes only when the process exits.
+            // The channel closes only when the instance ends.
             let _ = self.updates.send((feed, update));
         }
     }
--- a/crates/instance/src/freshness.rs
+++ b/crates/instance/src/freshness.rs
@@ -298,6 +298,13 @@
         self.age().is_some_and(|proof| proof < age)
     }
 
+    /// Notifies the thread that keeps the configuration proved.
+    pub fn wake_up(&self) {
+        // After this lock the thread waits, or it will check its conditions again.
+        drop(self.state());
+        self.proof_wanted.notify_all();
+    }
+
     /// Starts the thread that keeps the configuration proved.
     pub fn start(shared: &Arc<Shared>) {
         let shared = shared.clone();
@@ -326,6 +333,9 @@
             };
             let delay = delay.min(self.serve_demand(shared, &mut demand_served_at));
             let state = self.state();
+            if shared.termination().has_begun() {
+                return;
+            }
             if state.demand.is_some_and(|demand| demand.is_new) {
                 continue;
             }
--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -83,7 +83,8 @@
     let (input_sender, inputs) = bounded(MAX_QUEUED_INPUTS);
     let (update_sender, updates) = bounded(MAX_QUEUED_UPDATES);
     let peer_inputs = input_sender.clone();
-    std::thread::spawn(move || accept(&listener, &peer_inputs, &entry));
+    let peers_shared = shared.clone();
+    std::thread::spawn(move || accept(&peers_shared, &listener, &peer_inputs, &entry));
     let thread = HolderThread {
         shared: shared.clone(),
         leadership: leadership.clone(),
@@ -179,8 +180,10 @@
 }
 
 impl HolderThread {
+    /// Makes decisions until the instance ends. Connections of other instances close after that.
     fn run(mut self, inputs: &Receiver<Input>, updates: &Receiver<NumberedUpdate>) {
-        loop {
+        let shared = self.shared.clone();
+        while !shared.termination().has_begun() {
             let now = clock::now();
             let wake_at = if self.fence.is_some() {
                 let publish_at = self
@@ -201,7 +204,8 @@
                 now + IDLE_INTERVAL
             };
             let timeout = wake_at.saturating_duration_since(now).min(IDLE_INTERVAL);
-            // The sending threads run until the process exits, so the channels stay open.
+            // This thread has a sender of inputs, and the feeds' threads run until the instance
+            // ends, so the channels stay open.
             crossbeam::select! {
                 recv(inputs) -> input => {
                     if let Ok(input) = input {
@@ -213,6 +217,7 @@
                         self.handle_update(&update);
                     }
                 }
+                recv(shared.termination().begun()) -> _ => return,
                 default(timeout) => {}
             }
             for input in queue::waiting(inputs) {
@@ -552,7 +557,7 @@
                     Input::EngineReported(engine, report)
                 }
             };
-            // The channel closes only when the process exits.
+            // The channel closes only when the instance ends.
             let _ = input_sender.send(input);
         };
         if let Err(error) = std::thread::Builder::new().spawn(run_action) {
--- a/crates/instance/src/holder/peers.rs
+++ b/crates/instance/src/holder/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::callers::PeerEntry;
 use crate::members;
+use crate::shared::Shared;
 use anyhow::{Context, Result};
 use crossbeam::channel::Sender;
 use passway_process::outbox::Outbox;
@@ -52,22 +53,39 @@
 /// # Errors
 /// If the address cannot be bound.
 pub fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).with_context(|| format!("binding {address}"))
+    let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    listener
+        .set_nonblocking(true)
+        .context("setting the listener for other instances to non-blocking")?;
+    Ok(listener)
 }
 
-/// Accepts connections of other instances until the process exits.
-pub(super) fn accept(listener: &TcpListener, inputs: &Sender<Input>, entry: &PeerEntry) {
-    for (number, stream) in (0..).zip(listener.incoming()) {
-        let Ok((link, reader)) = stream.and_then(Link::from_stream) else {
-            continue;
+/// Accepts connections of other instances until the instance ends.
+pub(super) fn accept(
+    shared: &Arc<Shared>,
+    listener: &TcpListener,
+    inputs: &Sender<Input>,
+    entry: &PeerEntry,
+) {
+    let mut next_number = 0;
+    shared.termination().accept_until(listener, |stream| {
+        let number = next_number;
+        next_number += 1;
+        let Ok((link, reader)) = Link::from_stream(stream) else {
+            // The peer finds its connection closed and opens another one.
+            return;
         };
+        let shared = shared.clone();
         let (inputs, entry) = (inputs.clone(), entry.clone());
-        let receive = move || receive_from_peer(number, link, reader, &inputs, &entry);
+        let receive = move || {
+            let _closed_at_end = shared.termination().close_at_end(&link);
+            receive_from_peer(number, link, reader, &inputs, &entry);
+        };
         if let Err(error) = std::thread::Builder::new().spawn(receive) {
             // The peer finds its connection closed and opens another one.
             log::warn!(error:% = error; "cannot start a thread for a connecting instance");
         }
-    }
+    });
 }
 
 /// Forwards the messages of a peer until its connection ends, or serves the request that the peer
@@ -86,7 +104,7 @@
         return;
     }
     let mut instance = None;
-    // The channel closes only when the process exits.
+    // The channel closes only when the instance ends.
     let _ = inputs.send(Input::Connected(number, Outbox::new(link)));
     while let Ok(Some(body)) = next {
         if let Some(input) = input_of(number, body, &mut instance) {
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -4,7 +4,7 @@
 //! disconnects.
 
 use super::HttpError;
-use crate::stop_signal::StopSignals;
+use crate::stop_signal::{StopSignal, StopSignals};
 use passway_types::clock;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, Read, Write};
@@ -54,8 +54,19 @@
     has_timed_out: bool,
     /// Signals that end waits on behalf of this connection.
     stop_signals: Option<Arc<StopSignals>>,
-    /// Whether a stream is being sent, which only the later signal ends.
-    is_streaming: bool,
+    /// Which of the signals ends waits.
+    ended_by: EndedBy,
+}
+
+/// The signal that ends the waits on behalf of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndedBy {
+    /// The signal for answers.
+    Answers,
+    /// The signal for streams, while a stream is being sent.
+    Streams,
+    /// The termination of the instance.
+    Termination,
 }
 
 impl Connection {
@@ -75,7 +86,7 @@
             reads_in_row: 0,
             has_timed_out: false,
             stop_signals: None,
-            is_streaming: false,
+            ended_by: EndedBy::Answers,
         })
     }
 
@@ -97,12 +108,33 @@
     /// to this connection continue.
     pub fn set_stop_signals(&mut self, stop_signals: Arc<StopSignals>) {
         self.stop_signals = Some(stop_signals);
-        self.is_streaming = false;
+        self.ended_by = EndedBy::Answers;
+    }
+
+    /// Ends waits for bytes on behalf of this connection only when the instance ends.
+    pub fn end_at_termination(&mut self, stop_signals: Arc<StopSignals>) {
+        self.stop_signals = Some(stop_signals);
+        self.ended_by = EndedBy::Termination;
+    }
+
+    /// Whether the instance has ended, so that nothing more may be written to its callers.
+    fn is_terminated(&self) -> bool {
+        let stop_signals = self.stop_signals.as_ref();
+        stop_signals.is_some_and(|signals| signals.termination.has_begun())
+    }
+
+    /// The signal that ends waits on behalf of this connection.
+    fn end_signal(&self) -> Option<EndSignal> {
+        let signals = self.stop_signals.clone()?;
+        Some(EndSignal {
+            signals,
+            ended_by: self.ended_by,
+        })
     }
 
     /// From now on, such waits end with the signal for streams.
     pub fn mark_streaming(&mut self) {
-        self.is_streaming = true;
+        self.ended_by = EndedBy::Streams;
     }
 
     /// Makes closing reset the connection. Where only the end of the connection marks the end of a
@@ -183,8 +215,12 @@
         self.buffered().is_empty() && matches!(self.read_available(), Ok(ReadOutcome::Nothing))
     }
 
-    /// Whether the peer has closed the connection; bytes that arrive are buffered.
+    /// Whether the peer has closed the connection, or the instance has ended; bytes that arrive are
+    /// buffered.
     pub fn is_closed(&mut self) -> bool {
+        if self.is_terminated() {
+            return true;
+        }
         if !self.buffered().is_empty() {
             return self.is_ended;
         }
@@ -236,20 +272,35 @@
     Timespec::try_from(remaining.min(max_duration)).map_err(|_| HttpError::TimedOut)
 }
 
-/// The stop signals of the caller on whose behalf a wait for bytes runs, and whether it receives a
-/// stream. `None` for a wait that only writes: the bytes may be the answer that the signal has
-/// caused.
-fn stop_signals_for(
+/// One of the stop signals.
+struct EndSignal {
+    signals: Arc<StopSignals>,
+    ended_by: EndedBy,
+}
+
+impl EndSignal {
+    fn signal(&self) -> &StopSignal {
+        match self.ended_by {
+            EndedBy::Answers => &self.signals.answers,
+            EndedBy::Streams => &self.signals.streams,
+            EndedBy::Termination => self.signals.termination.signal(),
+        }
+    }
+}
+
+/// The signal that ends a wait on behalf of a caller. A wait that only writes ends at the
+/// termination alone: the bytes may be the answer that another signal has caused.
+fn end_signal_for(
     connection: &Connection,
     flags: PollFlags,
     watched: Option<&Connection>,
-) -> Option<(Arc<StopSignals>, bool)> {
+) -> Option<EndSignal> {
+    let caller = watched.unwrap_or(connection);
+    let mut end_signal = caller.end_signal()?;
     if !flags.contains(PollFlags::IN) {
-        return None;
+        end_signal.ended_by = EndedBy::Termination;
     }
-    let caller = watched.unwrap_or(connection);
-    let stop_signals = caller.stop_signals.clone();
-    stop_signals.map(|signals| (signals, caller.is_streaming))
+    Some(end_signal)
 }
 
 /// Waits until `connection` is ready for one of the `flags`, the watched connection is closed, or a
@@ -293,7 +344,7 @@
         Duration::MAX
     };
     let timeout = poll_timeout(until, max_duration)?;
-    let stop_signals = stop_signals_for(connections[0], flags, watched.as_deref());
+    let end_signal = end_signal_for(connections[0], flags, watched.as_deref());
     // Bytes of a next request do not show whether the caller has disconnected.
     let watched = watched.filter(|watched| watched.buffered().is_empty());
     let mut polled: Vec<PollFd<'_>> = connections
@@ -303,13 +354,8 @@
     if let Some(watched) = &watched {
         polled.push(PollFd::new(&watched.stream, PollFlags::IN));
     }
-    if let Some((signals, is_streaming)) = &stop_signals {
-        let signal = if *is_streaming {
-            &signals.streams
-        } else {
-            &signals.answers
-        };
-        polled.push(PollFd::new(signal, PollFlags::IN));
+    if let Some(end_signal) = &end_signal {
+        polled.push(PollFd::new(end_signal.signal(), PollFlags::IN));
     }
     match poll(&mut polled, Some(&timeout)) {
         Ok(_) | Err(rustix::io::Errno::INTR) => {}
@@ -317,7 +363,7 @@
     }
     let ready: [PollFlags; N] = std::array::from_fn(|number| polled[number].revents());
     let mut others = polled[N..].iter().map(|entry| !entry.revents().is_empty());
-    let is_stopping = stop_signals.is_some() && others.next_back().unwrap_or(false);
+    let is_stopping = end_signal.is_some() && others.next_back().unwrap_or(false);
     let is_watched_ready = others.next().unwrap_or(false);
     if is_watched_ready && watched.is_some_and(Connection::is_closed) {
         return Err(HttpError::WatchedClosed);
@@ -368,6 +414,9 @@
     let mut unwritten = bytes;
     let mut taken_at = clock::now();
     while !unwritten.is_empty() {
+        if connection.is_terminated() {
+            return Err(HttpError::Stopping);
+        }
         match connection.stream.write(unwritten) {
             Ok(count) => {
                 unwritten = &unwritten[count..];
@@ -406,6 +455,10 @@
 ) -> Result<WriteOutcome, HttpError> {
     let mut written = 0;
     while written < bytes.len() {
+        let caller = watched.as_deref().unwrap_or(connection);
+        if caller.is_terminated() {
+            return Err(HttpError::Stopping);
+        }
         match connection.stream.write(&bytes[written..]) {
             Ok(count) => written += count,
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/crates/instance/src/leadership.rs
+++ b/crates/instance/src/leadership.rs
@@ -10,6 +10,7 @@
 use crate::poison;
 use crate::relay::{RelayReceiver, millis};
 use crate::shared::{ReportEvent, Shared};
+use crate::stop_signal::StopSignals;
 use crate::versions;
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
@@ -52,6 +53,7 @@
     /// The last answer to such a request; a changed answer is logged.
     last_promise_answer: Mutex<Option<Result<(), PromiseRefusal>>>,
     has_low_cpu: bool,
+    stop_signals: Arc<StopSignals>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -126,6 +128,7 @@
             promise_requested_at: Mutex::default(),
             last_promise_answer: Mutex::default(),
             has_low_cpu,
+            stop_signals: shared.stop_signals.clone(),
         }
     }
 
@@ -177,15 +180,29 @@
         is_new
     }
 
+    /// Notifies the thread that acts on the leadership state.
+    pub fn wake_up(&self) {
+        // After this lock the thread waits, or it will check its conditions again.
+        drop(self.leadership());
+        self.changed.notify_all();
+    }
+
+    /// The given fencing number, unless the instance has ended.
+    fn unless_ended(&self, fence: Option<Fence>) -> Option<Fence> {
+        fence.filter(|_| !self.stop_signals.termination.has_begun())
+    }
+
     /// This instance's fencing number, if it may send orders now.
     pub fn fence(&self) -> Option<Fence> {
-        self.leadership().fence(clock::now())
+        let fence = self.leadership().fence(clock::now());
+        self.unless_ended(fence)
     }
 
     /// This instance's fencing number while its term lasts, including times when it may not send
     /// orders.
     pub fn term(&self) -> Option<Fence> {
-        self.leadership().term_fence(clock::now())
+        let fence = self.leadership().term_fence(clock::now());
+        self.unless_ended(fence)
     }
 
     /// This instance's fencing number if it needs the candidates' promises not to acquire
@@ -278,11 +295,14 @@
         }
     }
 
-    /// Acquires and renews leadership until the process exits.
+    /// Acquires and renews leadership until the instance stops or ends.
     fn run(&self, shared: &Shared, store: &dyn SharedStore, holder_inputs: &Sender<Input>) {
         let mut held_fence = None;
         loop {
             let mut leadership = self.leadership();
+            if shared.termination().has_begun() {
+                return;
+            }
             leadership.set_holder_gap(shared.bounds.load().holder_gap);
             let random = rand::rng().random_range(0.0..1.0);
             let store_answers = !shared.store_health.is_failing();
@@ -315,7 +335,7 @@
                     if let Some(fence) = held_fence {
                         log::info!(target: DECISION_TARGET, fence = fence; "holds the right to order");
                         shared.allotments.notify_term_begun();
-                        // The channel closes only when the process exits.
+                        // The channel closes only when the instance ends.
                         let _ = holder_inputs.send(Input::TermBegun);
                     }
                 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -29,7 +29,7 @@
 //!   instances that receive updates from the holder, [`feed_log`] is the log of updates to send, and
 //!   [`feed_frames`] are the encoded updates that subscribers share.
 //! * [`lifecycle`] starts and stops the instance; [`stop_signal`] ends the remaining waits at a
-//!   stop.
+//!   stop, and [`termination`] ends all threads of an instance that is dropped.
 
 pub mod allotments;
 pub mod callers;
@@ -67,6 +67,7 @@
 pub mod stop_signal;
 pub mod subscribers;
 pub mod successor_places;
+pub mod termination;
 pub mod updates;
 pub mod upstream_exchange;
 pub mod versions;
--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -10,6 +10,7 @@
 use crate::poison::PoisonTracker;
 use crate::relay::Relay;
 use crate::shared::Shared;
+use crate::stop_signal::StopSignals;
 use crate::versions::Versions;
 use crate::{callers, holder, ready, report};
 use anyhow::{Context, Result};
@@ -19,6 +20,7 @@
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
+use std::ops::Deref;
 
 /// Time for the balancer to notice that an instance is not ready: two probes, one second apart.
 const BALANCER_NOTICE_DELAY: Duration = Duration::from_millis(2_600);
@@ -52,21 +54,41 @@
     }
 }
 
-/// A running instance.
+/// A running instance. Dropping it ends all of its threads and closes its connections, as a kill of
+/// its process would: nothing more is answered or written, and leadership is not released. To finish
+/// requests, call [`Instance::stop`] first.
 #[derive(Debug)]
 pub struct Instance {
-    shared: Arc<Shared>,
+    shared: TerminatedOnDrop,
     leadership: Arc<LeadershipDriver>,
     callers: Callers,
     ready_address: SocketAddr,
 }
 
+/// The state of an instance whose threads end when this is dropped.
+#[derive(Debug)]
+struct TerminatedOnDrop(Arc<Shared>);
+
+impl Deref for TerminatedOnDrop {
+    type Target = Arc<Shared>;
+
+    fn deref(&self) -> &Arc<Shared> {
+        &self.0
+    }
+}
+
+impl Drop for TerminatedOnDrop {
+    fn drop(&mut self) {
+        self.0.terminate();
+    }
+}
+
 impl Instance {
     /// Binds the addresses of the settings and starts to serve; for port 0 the kernel chooses a
     /// port.
     ///
     /// # Errors
-    /// If an address cannot be bound.
+    /// If an address cannot be bound, or the process has no file descriptor left.
     pub fn start(mut settings: InstanceSettings, surroundings: Surroundings) -> Result<Self> {
         let peer_listener = holder::bind(settings.peer_address)?;
         settings.peer_address = peer_listener
@@ -76,7 +98,13 @@
         // reporting thread takes as well. At most three events of a hundred bytes wait for each
         // request in progress.
         let (event_sender, event_receiver) = channel::unbounded();
-        let shared = Arc::new(Shared::new(settings, surroundings.vocabulary, event_sender));
+        let stop_signals = StopSignals::new().context("creating the stop signals")?;
+        let shared = TerminatedOnDrop(Arc::new(Shared::new(
+            settings,
+            surroundings.vocabulary,
+            Arc::new(stop_signals),
+            event_sender,
+        )));
         let settings = &shared.settings;
         let leadership = Arc::new(LeadershipDriver::new(&shared));
         shared.set_leadership(leadership.clone());
--- a/crates/instance/src/paths.rs
+++ b/crates/instance/src/paths.rs
@@ -250,19 +250,21 @@
         others.is_empty() || self.probe(shared, &others)
     }
 
-    /// Starts the thread that checks the paths for as long as the process runs.
+    /// Starts the thread that checks the paths for as long as the instance runs.
     pub fn start(shared: &Arc<Shared>) {
         let shared = shared.clone();
         std::thread::spawn(move || shared.paths.run(&shared));
     }
 
     fn run(&self, shared: &Shared) {
-        // The channel stays open: this monitor owns a sender.
-        while self.check_receiver.recv().is_ok() {
+        let termination = shared.termination();
+        while termination.receive(&self.check_receiver).is_some() {
             let begun_at = clock::now();
             self.check_until_connected(shared);
             let next_at = begun_at + MIN_CHECK_INTERVAL;
-            std::thread::sleep(next_at.saturating_duration_since(clock::now()));
+            if !termination.pause(next_at.saturating_duration_since(clock::now())) {
+                return;
+            }
         }
     }
 
@@ -302,7 +304,9 @@
             } else {
                 FIRST_CHECK_INTERVAL
             };
-            std::thread::sleep(interval);
+            if !shared.termination().pause(interval) {
+                return;
+            }
         }
     }
 
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -385,8 +385,9 @@
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
             let poison = &shared.poison;
+            let termination = shared.termination();
             let mut was_holder = false;
-            while poison.wakeup_receiver.recv().is_ok() {
+            while termination.receive(&poison.wakeup_receiver).is_some() {
                 loop {
                     let is_holder = leadership.term().is_some();
                     was_holder |= is_holder;
@@ -410,7 +411,9 @@
                     }
                     // The pause collects further reports of a crash into one write. After a failed
                     // write, the watch returns the stored list meanwhile, or the store recovers.
-                    std::thread::sleep(WRITE_INTERVAL);
+                    if !termination.pause(WRITE_INTERVAL) {
+                        return;
+                    }
                 }
             }
         });
--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -96,7 +96,9 @@
     let mut delay = FIRST_PROBE_DELAY;
     let mut found = None;
     while found.is_none() && clock::since(broke_at) < UNCONFIRMED_TIMEOUT {
-        std::thread::sleep(delay);
+        if !shared.termination().pause(delay) {
+            return;
+        }
         delay = PROBE_INTERVAL;
         if control::is_backing_off(shared, &start.upstream) {
             continue;
--- a/crates/instance/src/ready.rs
+++ b/crates/instance/src/ready.rs
@@ -30,14 +30,18 @@
     address: SocketAddr,
 ) -> Result<SocketAddr> {
     let listener = TcpListener::bind(address).with_context(|| format!("binding {address}"))?;
+    listener
+        .set_nonblocking(true)
+        .context("setting the listener for probes to non-blocking")?;
     let bound = listener.local_addr().context("reading the bound address")?;
     let (shared, leadership) = (shared.clone(), leadership.clone());
     std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(connection) = stream.and_then(Connection::new) else {
+        shared.termination().accept_until(&listener, |stream| {
+            let Ok(mut connection) = Connection::new(stream) else {
                 // The balancer probes again on a new connection.
-                continue;
+                return;
             };
+            connection.end_at_termination(shared.stop_signals.clone());
             let (shared, leadership) = (shared.clone(), leadership.clone());
             let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
             let spawned = thread.spawn(move || {
@@ -47,7 +51,7 @@
             if let Err(error) = spawned {
                 log::warn!(error:% = error; "cannot start a thread for the balancer's probe");
             }
-        }
+        });
     });
     Ok(bound)
 }
--- a/crates/instance/src/relay.rs
+++ b/crates/instance/src/relay.rs
@@ -6,6 +6,7 @@
 //! themselves. Changes carry the store's revisions, so a receiver detects gaps.
 
 use crate::compression;
+use crate::termination::Termination;
 use crate::updates::{CompressionBases, FeedUpdate};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use passway_serving::ports::StoreRevision;
@@ -315,16 +316,21 @@
         }
     }
 
-    /// Waits up to `timeout` for an update from the holder.
-    pub fn wait_for_update(&self, timeout: Duration) -> Option<FeedUpdate> {
+    /// Waits up to `timeout` for an update from the holder, no longer than the instance runs.
+    pub fn wait_for_update(
+        &self,
+        timeout: Duration,
+        termination: &Termination,
+    ) -> Option<FeedUpdate> {
         let update = self.take_pending();
         if update.is_some() || timeout.is_zero() {
             return update;
         }
+        // The receiver checks for updates after a wakeup as well as after the timeout, and for the
+        // end of the instance before its next query.
         match &self.wakeups {
-            // The receiver checks for updates after a wakeup as well as after the timeout.
-            Some(wakeups) => drop(wakeups.recv_timeout(timeout)),
-            None => std::thread::sleep(timeout),
+            Some(wakeups) => drop(termination.receive_timeout(wakeups, timeout)),
+            None => drop(termination.pause(timeout)),
         }
         self.take_pending()
     }
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -36,7 +36,7 @@
 
 type Link = Arc<Mutex<Option<Outbox>>>;
 
-/// Starts the thread that reports to the holder until the process exits.
+/// Starts the thread that reports to the holder until the instance ends.
 pub fn start(
     shared: &Arc<Shared>,
     leadership: &Arc<LeadershipDriver>,
@@ -127,7 +127,8 @@
         let mut report_at = clock::now() + REPORT_INTERVAL;
         loop {
             let timeout = report_at.saturating_duration_since(clock::now());
-            match events.recv_timeout(timeout) {
+            let received = self.shared.termination().receive_timeout(events, timeout);
+            match received {
                 Ok(event) => self.record(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -13,7 +13,9 @@
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
 use crate::relay::Relay;
+use crate::stop_signal::StopSignals;
 use crate::successor_places::SuccessorPlaces;
+use crate::termination::Termination;
 use crate::versions::Versions;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
@@ -128,6 +130,8 @@
     pub versions: Versions,
     /// The headers that callers and upstreams use.
     pub vocabulary: Box<dyn HeaderProtocol>,
+    /// Signals that end threads' waits.
+    pub stop_signals: Arc<StopSignals>,
     report_events: Sender<ReportEvent>,
     upstreams: Mutex<UpstreamTable>,
     upstreams_changed: Condvar,
@@ -173,6 +177,7 @@
     pub fn new(
         settings: InstanceSettings,
         vocabulary: Box<dyn HeaderProtocol>,
+        stop_signals: Arc<StopSignals>,
         report_events: Sender<ReportEvent>,
     ) -> Self {
         let upstreams =
@@ -195,6 +200,7 @@
             poison: PoisonTracker::default(),
             versions: Versions::default(),
             vocabulary,
+            stop_signals,
             report_events,
             upstreams: Mutex::new(upstreams),
             upstreams_changed: Condvar::new(),
@@ -225,7 +231,7 @@
 
     /// Sends an event to the thread that reports to the holder.
     pub fn report(&self, event: ReportEvent) {
-        // The receiving thread ends only with the process.
+        // The receiving thread ends only with the instance.
         let _ = self.report_events.send(event);
     }
 
@@ -443,6 +449,21 @@
         self.notify_upstreams_changed();
     }
 
+    /// The end of this instance.
+    pub fn termination(&self) -> &Termination {
+        &self.stop_signals.termination
+    }
+
+    /// Ends all threads of this instance, as a kill of its process would.
+    pub fn terminate(&self) {
+        self.stop_signals.terminate();
+        self.end_waits();
+        self.configuration_age.wake_up();
+        if let Some(leadership) = self.leadership() {
+            leadership.wake_up();
+        }
+    }
+
     /// Whether requests are refused because they might not finish before the process exits.
     pub fn is_refusing_requests(&self) -> bool {
         self.is_refusing_requests.load(Ordering::Acquire)
--- a/crates/instance/src/stop_signal.rs
+++ b/crates/instance/src/stop_signal.rs
@@ -4,8 +4,10 @@
 //! allows. A stop must wake it while there is still time to answer. A [`StopSignal`] is a file
 //! descriptor that becomes readable once it is set and stays readable. Every wait on behalf of a
 //! caller polls it as well. There are two signals: one for requests that can still get an answer,
-//! and a later one for streams in progress, which can only be cut.
+//! and a later one for streams in progress, which can only be cut. The termination of the instance
+//! ends all waits, and writes as well.
 
+use crate::termination::Termination;
 use rustix::event::{EventfdFlags, eventfd};
 use std::io;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -32,13 +34,15 @@
     }
 }
 
-/// The two signals of a stop.
+/// The two signals of a stop, and the termination.
 #[derive(Debug)]
 pub struct StopSignals {
     /// Ends waits for answers whose first byte has not been sent to the caller.
     pub answers: StopSignal,
     /// Ends streams.
     pub streams: StopSignal,
+    /// The end of the instance.
+    pub termination: Termination,
 }
 
 impl StopSignals {
@@ -50,8 +54,16 @@
         Ok(Self {
             answers: StopSignal::new()?,
             streams: StopSignal::new()?,
+            termination: Termination::new()?,
         })
     }
+
+    /// Begins the termination, which ends all waits.
+    pub fn terminate(&self) {
+        self.termination.begin();
+        self.answers.set();
+        self.streams.set();
+    }
 }
 
 impl AsFd for StopSignal {
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -18,7 +18,7 @@
 
 use crate::leadership::LeadershipDriver;
 use crate::shared::Shared;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use known_list::{KnownList, decode, encode};
 use list_reads::{ListRead, ListReads};
 use passway_process::logging::json::DECISION_TARGET;
@@ -359,10 +359,12 @@
         RecordWriter::start(shared, store);
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
+            let termination = shared.termination();
+            let wakeups = &shared.versions.wakeup_receiver;
             let mut wait = CHECK_INTERVAL;
-            loop {
-                // Both a wakeup and the end of the wait lead to a check.
-                let _ = shared.versions.wakeup_receiver.recv_timeout(wait);
+            // Both a wakeup and the end of the wait lead to a check.
+            while termination.receive_timeout(wakeups, wait) != Err(RecvTimeoutError::Disconnected)
+            {
                 let is_holder = leadership.term().is_some();
                 wait = shared.versions.check(&shared, is_holder, &store);
             }
--- a/crates/instance/src/versions/records.rs
+++ b/crates/instance/src/versions/records.rs
@@ -2,6 +2,7 @@
 
 use super::bounded_calls::call_until;
 use crate::shared::Shared;
+use crate::termination::Termination;
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use passway_serving::ports::{ConditionalWrite, LeaseId, SharedStore, StoreRevision, WriteAnswer};
 use passway_serving::versions::{STREAM_RETENTION, SoftwareVersion, StreamKey};
@@ -93,7 +94,7 @@
 impl RecordWriter {
     /// Queues a record.
     pub(super) fn push(&self, key: StreamKey, software: SoftwareVersion) {
-        // The channel lives as long as the process.
+        // The channel lives as long as the instance.
         let _ = self.sender.send(Record { key, software });
     }
 
@@ -102,22 +103,30 @@
         let (shared, store) = (shared.clone(), store.clone());
         std::thread::spawn(move || {
             let receiver = &shared.versions.records.receiver;
+            let termination = shared.termination();
             let mut lease = None;
-            while let Ok(first) = receiver.recv() {
+            while let Some(first) = termination.receive(receiver) {
                 let more = receiver.try_iter().take(MAX_RECORDS_PER_WRITE - 1);
                 let records: Vec<Record> = std::iter::once(first).chain(more).collect();
-                write_all(&*store, &mut lease, &records);
-                std::thread::sleep(interval(shared.instance_count()));
+                write_all(&*store, termination, &mut lease, &records);
+                if !termination.pause(interval(shared.instance_count())) {
+                    return;
+                }
             }
         });
     }
 }
 
-/// Writes records until the store has them, or until they are useless.
-fn write_all(store: &dyn SharedStore, lease: &mut Option<RecordLease>, records: &[Record]) {
+/// Writes records until the store has them, they are useless, or the instance ends.
+fn write_all(
+    store: &dyn SharedStore,
+    termination: &Termination,
+    lease: &mut Option<RecordLease>,
+    records: &[Record],
+) {
     let give_up_at = clock::now() + STREAM_RETENTION;
     let mut batches = vec![records];
-    while let Some(batch) = batches.pop() {
+    while let Some(batch) = batches.pop().filter(|_| !termination.has_begun()) {
         match write(store, lease, batch) {
             // One of them is stored already, perhaps by a write whose answer was lost.
             Written::Conflict if batch.len() > 1 => batches.extend(batch.chunks(1)),
@@ -125,7 +134,7 @@
                 // The lease is of an earlier era of the store.
                 *lease = None;
                 batches.push(batch);
-                std::thread::sleep(RETRY_DELAY);
+                let _ = termination.pause(RETRY_DELAY);
             }
             Written::Done | Written::Conflict => {}
             Written::Failed => {
@@ -134,7 +143,7 @@
                     return;
                 }
                 batches.push(batch);
-                std::thread::sleep(RETRY_DELAY);
+                let _ = termination.pause(RETRY_DELAY);
             }
         }
     }
--- a/crates/process/src/dial.rs
+++ b/crates/process/src/dial.rs
@@ -1,11 +1,13 @@
 //! A connection to a peer that reconnects automatically.
 
 use crate::outbox::Outbox;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use passway_types::prelude::*;
 use passway_wire::{Body, Link};
 use rand::RngExt;
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,39 +29,68 @@
     Disconnected,
 }
 
-/// Keeps a connection to one address open until the dialer is dropped.
+/// Keeps a connection to one address open until the dialer is dropped, which closes it.
 #[derive(Debug)]
 pub struct Dialer {
-    is_stopped: Arc<AtomicBool>,
+    current: Arc<Mutex<Current>>,
+    /// Dropped with the dialer, which ends a backoff.
+    _keep_connected: Sender<Infallible>,
+}
+
+/// The present connection of a dialer.
+#[derive(Debug, Default)]
+struct Current {
+    link: Option<Link>,
+    is_stopped: bool,
+}
+
+fn lock(current: &Mutex<Current>) -> MutexGuard<'_, Current> {
+    current.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Dialer {
     /// Starts connecting. `handle` is called on the dialer's own thread.
     pub fn start(address: SocketAddr, mut handle: impl FnMut(DialEvent) + Send + 'static) -> Self {
-        let is_stopped = Arc::new(AtomicBool::new(false));
-        let stop_requested = is_stopped.clone();
+        let current = Arc::new(Mutex::new(Current::default()));
+        let (sender, stopped) = bounded(0);
+        let thread_current = current.clone();
         std::thread::spawn(move || {
-            while !stop_requested.load(Ordering::Relaxed) {
-                run_connection(address, &mut handle, &stop_requested);
+            loop {
+                run_connection(address, &mut handle, &thread_current);
                 handle(DialEvent::Disconnected);
-                let backoff_ms = rand::rng().random_range(MIN_BACKOFF_MS..2 * MIN_BACKOFF_MS);
-                std::thread::sleep(Duration::from_millis(backoff_ms));
+                if !back_off(&stopped) {
+                    return;
+                }
             }
         });
-        Self { is_stopped }
+        Self {
+            current,
+            _keep_connected: sender,
+        }
     }
 }
 
 impl Drop for Dialer {
     fn drop(&mut self) {
-        self.is_stopped.store(true, Ordering::Relaxed);
+        let mut current = lock(&self.current);
+        current.is_stopped = true;
+        if let Some(link) = current.link.take() {
+            link.close();
+        }
     }
 }
 
+/// Waits before the next attempt. Returns false once the dialer is dropped.
+fn back_off(stopped: &Receiver<Infallible>) -> bool {
+    let backoff_ms = rand::rng().random_range(MIN_BACKOFF_MS..2 * MIN_BACKOFF_MS);
+    let backoff = Duration::from_millis(backoff_ms);
+    stopped.recv_timeout(backoff) != Err(RecvTimeoutError::Disconnected)
+}
+
 fn run_connection(
     address: SocketAddr,
     handle: &mut impl FnMut(DialEvent),
-    is_stopped: &AtomicBool,
+    current: &Mutex<Current>,
 ) {
     let Ok((link, mut reader)) = Link::connect(address, CONNECT_TIMEOUT) else {
         return;
@@ -67,12 +98,20 @@
     if reader.set_timeout(READ_TIMEOUT).is_err() {
         return;
     }
+    {
+        let mut current = lock(current);
+        if current.is_stopped {
+            return;
+        }
+        current.link = Some(link.clone());
+    }
     handle(DialEvent::Connected(Outbox::new(link.clone())));
-    while !is_stopped.load(Ordering::Relaxed) {
+    while !lock(current).is_stopped {
         match reader.receive() {
             Ok(Some(body)) => handle(DialEvent::Received(body)),
             Ok(None) | Err(_) => break,
         }
     }
+    lock(current).link = None;
     link.close();
 }
--- a/tests/all/feed_log.rs
+++ b/tests/all/feed_log.rs
@@ -3,6 +3,7 @@
 use crate::scripted_store::at;
 use passway_instance::feed_log::FeedLog;
 use passway_instance::relay::{CONFIGURATION_FEED, Relay};
+use passway_instance::termination::Termination;
 use passway_instance::updates::{CompressionBases, FeedUpdate, latest_changes};
 use passway_serving::ports::{Listing, StoreChange, StoredValue};
 use prost::Message;
@@ -163,7 +164,8 @@
         log.update_after(CONFIGURATION_FEED, at(10))
             .expect("an update"),
     );
-    let decoded = receiver.wait_for_update(Duration::ZERO);
+    let termination = Termination::new().expect("a termination");
+    let decoded = receiver.wait_for_update(Duration::ZERO, &termination);
     assert!(
         decoded.is_some_and(|update| update.to() == at(12)),
         "version 12 is lost"
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod dispatch_load;
 mod dispatcher_queries;
 mod docs_match;
+mod ended_instances;
 mod endless_bytes;
 mod engine_speed_placement;
 mod engine_speeds;
--- a/tests/all/scripted_store.rs
+++ b/tests/all/scripted_store.rs
@@ -5,6 +5,7 @@
 use passway_instance::feeds::{Feed, follow};
 use passway_instance::relay::{CONFIGURATION_FEED, FEED_COUNT, RelayReceiver};
 use passway_instance::shared::Shared;
+use passway_instance::stop_signal::StopSignals;
 use passway_serving::ports::{
     ConditionalWrite, LeaseId, ListPage, Listing, RenewalAnswer, SharedStore, StoreChange,
     StoreError, StoreRevision, WatchAnswer, WriteAnswer,
@@ -139,6 +140,7 @@
     Arc::new(Shared::new(
         settings,
         Box::new(PlatformHeaders),
+        Arc::new(StopSignals::new().expect("stop signals")),
         report_events,
     ))
 }
