Dispatchers tell an empty software version from none

Cause: DispatchRequest.software was a plain string whose empty value meant any version, so that a dispatcher was asked for any engine by a stream that had begun at the version with the empty name. It named an engine of the other version, which the send permit of the instance refused.

Change: the field is optional, as PeerRequest and the holder's needs have it already. The tag and type are the same on the wire: earlier builds read an empty name as any version, as before.

--- a/crates/instance/src/dispatch/messages.rs
+++ b/crates/instance/src/dispatch/messages.rs
@@ -71,10 +71,7 @@
         wants_backup: query.wants_backup,
         is_redirected: false,
         only_engine: String::new(),
-        software: query
-            .software
-            .map(|software| software.name().to_owned())
-            .unwrap_or_default(),
+        software: query.software.map(|software| software.name().to_owned()),
     }
 }
 
--- a/crates/instance/src/dispatch/server.rs
+++ b/crates/instance/src/dispatch/server.rs
@@ -93,11 +93,11 @@
 /// versions than the one that it requires.
 fn excluded_engines(upstreams: &UpstreamTable, query: &DispatchRequest) -> Vec<String> {
     let mut excluded = query.tried_engines.clone();
-    if !query.software.is_empty() {
+    if let Some(required) = query.software.as_deref() {
         let others = upstreams.entries().filter(|entry| {
             let start = upstreams.listed_start(&entry.id);
             let software = start.software.as_ref().map(SoftwareVersion::name);
-            *entry.service == *query.service && software != Some(query.software.as_str())
+            *entry.service == *query.service && software != Some(required)
         });
         excluded.extend(others.map(|entry| entry.id.to_string()));
     }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -185,9 +185,10 @@
     /// The only engine that may be granted, if another dispatcher has named it; empty for any.
     #[prost(string, tag = "24")]
     pub only_engine: String,
-    /// The only software version at which the attempt may run; empty for any.
-    #[prost(string, tag = "25")]
-    pub software: String,
+    /// The only software version at which the attempt may run; absent for any. A version may have an
+    /// empty name.
+    #[prost(string, optional, tag = "25")]
+    pub software: Option<String>,
 }
 
 /// The result of a [`DispatchRequest`].
