--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -681,7 +681,11 @@
             let headers = format!("Not-Executed: 1\r\nRetry-After: {backoff_s}\r\n{signals}");
             return answer(503, id, "", &headers);
         }
-        if !is_loaded {
+        // The weights have version 1, as in the entries.
+        let expects_other = received
+            .header("expect-version")
+            .is_some_and(|expected| expected != "1");
+        if !is_loaded || expects_other {
             let headers = format!("Not-Executed: 1\r\n{signals}");
             return answer(421, id, "", &headers);
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -104,6 +104,7 @@
 mod slow_renewals;
 mod slow_store;
 mod soak;
+mod software_version_limits;
 mod software_version_paths;
 mod software_version_races;
 mod software_version_review;
