An instance forgets streams that were delivered before streams under way

What callers would see: with one listed version nothing is recorded, so that a stream under way is known only to its instance. After 20,000 further streams within five minutes it was forgotten there, and once a second version appeared it could be proved nowhere: refused, although its version serves.

Cause: a full registry dropped the oldest stream, whether it was delivered or not.

Change: a full registry drops an eighth of its streams at once, the oldest delivered ones first. One pass over all streams serves 2,500 of them.

--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -6,9 +6,12 @@
 use passway_types::prelude::*;
 use std::collections::{HashMap, VecDeque};
 
-/// Maximum number of streams in the registry, at 150 bytes each. The oldest are dropped first; their
-/// callers are refused unless the store proves the version.
+/// Maximum number of streams in the registry, at 150 bytes each. If there are more, streams that were
+/// delivered to their ends are dropped first, then the oldest; their callers are refused unless the store
+/// proves the version.
 const MAX_STREAMS: usize = 20_000;
+/// Number of streams that are dropped at a time, because each time takes a pass over all of them.
+const DROPPED_AT_ONCE: usize = MAX_STREAMS / 8;
 /// Longest time that the entry of an upstream's new start takes to reach an instance. A stream that
 /// began earlier before the entry arrived was a stream of the previous start.
 const MAX_ENTRY_DELAY: Duration = Duration::from_secs(10);
@@ -73,11 +76,38 @@
         while let Some(key) = self.order.front() {
             let stream = self.streams.get(key);
             let is_expired = stream.is_none_or(|stream| now >= stream.began_at + STREAM_RETENTION);
-            if !is_expired && self.order.len() < MAX_STREAMS {
-                return;
+            if !is_expired {
+                break;
             }
-            self.streams.remove(key);
-            self.order.pop_front();
+            self.remove_oldest();
+        }
+        if self.order.len() >= MAX_STREAMS {
+            self.make_room();
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        if let Some(key) = self.order.pop_front() {
+            self.streams.remove(&key);
+        }
+    }
+
+    /// Drops [`DROPPED_AT_ONCE`] streams: the oldest of those that were delivered to their ends, and the
+    /// oldest of the others if these are too few.
+    fn make_room(&mut self) {
+        let mut excess = DROPPED_AT_ONCE;
+        let streams = &mut self.streams;
+        self.order.retain(|key| {
+            let is_delivered = streams.get(key).is_none_or(|stream| stream.is_delivered);
+            let is_dropped = is_delivered && excess > 0;
+            if is_dropped {
+                streams.remove(key);
+                excess -= 1;
+            }
+            !is_dropped
+        });
+        for _ in 0..excess {
+            self.remove_oldest();
         }
     }
 
