Records of streams under way do not wait behind those of delivered streams

What callers saw in the test: in a fleet of 320, none of 12 streams went on at another instance two seconds after they began, 503 each, after their instance had delivered 150 other streams.

Cause: an instance writes 16 records in each interval, in the order of the streams' first events, and the interval follows the size of the fleet: 1.03 s at 320 instances. Records of streams that had been delivered meanwhile, which nobody needs, were written first.

Change: the registry is asked when a record's turn comes; a record of a delivered stream is left out, unless several versions may have begun the stream, since one record alone would prove it. An instance may make up to 16 writes in a row after a pause: a write takes 16 streams, so the sum over all instances follows the streams, and in the long run each writes as often as before.

Calls to the store of a whole fleet were not measured.

--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -323,6 +323,11 @@
         }
     }
 
+    /// Whether the queued record of a stream must still be written.
+    fn must_write_record(&self, key: StreamKey) -> bool {
+        lock(&self.registry).must_write_record(key)
+    }
+
     /// Queues the records of streams that have none.
     fn record_unrecorded(&self, keys: &[StreamKey]) {
         let mut registry = lock(&self.registry);
--- a/crates/instance/src/versions/records.rs
+++ b/crates/instance/src/versions/records.rs
@@ -20,8 +20,13 @@
 /// Added to that for each instance. The users' stores take 400 writes a second of seven instances and
 /// 3,200 of three hundred.
 const WRITES_PER_S_PER_INSTANCE: f64 = 0.5;
-/// Longest interval between two writes of one instance.
+/// Longest mean interval between two writes of one instance.
 const MAX_INTERVAL: Duration = Duration::from_secs(2);
+/// Writes that an instance may make in a row after a pause. Most new streams may begin at a few instances of
+/// a large fleet; there is a write for 16 streams, so that the sum over all instances follows the streams.
+const MAX_BURST: u32 = 16;
+/// Shortest interval between two writes of one instance.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time-to-live of the records' leases. A lease gets new records for half of it.
@@ -43,7 +48,8 @@
 
 impl Default for RecordWriter {
     fn default() -> Self {
-        // Bounded by the registry, which queues each stream once.
+        // Bounded by the registry: a stream is queued again only once another version may have begun it, or
+        // the store has lost records.
         let (sender, receiver) = unbounded();
         Self { sender, receiver }
     }
@@ -84,13 +90,34 @@
     Some(names.collect())
 }
 
-/// Minimum interval between two writes of an instance.
-fn interval(instances: usize) -> Duration {
+/// Mean interval between two writes of an instance that always has records.
+fn mean_interval(instances: usize) -> Duration {
     let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
     let per_s = FLEET_WRITES_PER_S + f64::from(instances) * WRITES_PER_S_PER_INSTANCE;
     Duration::from_secs_f64(f64::from(instances) / per_s).min(MAX_INTERVAL)
 }
 
+/// Spaces the writes of an instance: up to [`MAX_BURST`] in a row, and one each mean interval on average.
+#[derive(Debug)]
+struct WritePace {
+    /// When all writes so far would have been made at the mean interval.
+    paced_until: Instant,
+}
+
+impl WritePace {
+    fn new(now: Instant) -> Self {
+        Self { paced_until: now }
+    }
+
+    /// Counts a write that has just ended, and returns the pause before the next one.
+    fn pause_after_write(&mut self, mean_interval: Duration, now: Instant) -> Duration {
+        self.paced_until = self.paced_until.max(now) + mean_interval;
+        let burst = mean_interval.saturating_mul(MAX_BURST);
+        let ahead = self.paced_until.saturating_duration_since(now);
+        ahead.saturating_sub(burst).max(MIN_INTERVAL)
+    }
+}
+
 impl RecordWriter {
     /// Queues a record.
     pub(super) fn push(&self, key: StreamKey, software: SoftwareVersion) {
@@ -102,14 +129,23 @@
     pub(super) fn start(shared: &Arc<Shared>, store: &Arc<dyn SharedStore>) {
         let (shared, store) = (shared.clone(), store.clone());
         std::thread::spawn(move || {
-            let receiver = &shared.versions.records.receiver;
+            let versions = &shared.versions;
+            let receiver = &versions.records.receiver;
             let termination = shared.termination();
+            let mut pace = WritePace::new(clock::now());
             let mut lease = None;
             while let Some(first) = termination.receive(receiver) {
-                let more = receiver.try_iter().take(MAX_RECORDS_PER_WRITE - 1);
-                let records: Vec<Record> = std::iter::once(first).chain(more).collect();
+                // Streams that were delivered meanwhile do not delay the records of those that were not.
+                let queued = std::iter::once(first).chain(receiver.try_iter());
+                let needed = queued.filter(|record| versions.must_write_record(record.key));
+                let records: Vec<Record> = needed.take(MAX_RECORDS_PER_WRITE).collect();
+                if records.is_empty() {
+                    continue;
+                }
                 write_all(&*store, termination, &mut lease, &records);
-                if !termination.pause(interval(shared.instance_count())) {
+                let mean_interval = mean_interval(shared.instance_count());
+                let pause = pace.pause_after_write(mean_interval, clock::now());
+                if !termination.pause(pause) {
                     return;
                 }
             }
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -140,6 +140,18 @@
         stream.possible_versions()
     }
 
+    /// Whether a queued record must still be written. A stream that was delivered to its end needs none; it
+    /// counts as unrecorded from now on, in case that it is resumed nevertheless. Of a stream that several
+    /// versions may have begun, the records of all of them are written: one alone would prove its version.
+    pub(super) fn must_write_record(&mut self, key: StreamKey) -> bool {
+        let Some(stream) = self.streams.get_mut(&key) else {
+            return true;
+        };
+        let is_needed = !stream.is_delivered || stream.disputed_with.is_some();
+        stream.is_recorded &= is_needed;
+        is_needed
+    }
+
     /// Notes that the store may have lost all records.
     pub(super) fn forget_records(&mut self) {
         for stream in self.streams.values_mut() {
