store_away: the store goes away once a share of the retries is known

Cause, by the logs: the wait before the store goes away was met by the retries that the streams before it earn (a tenth each), not by the fixed share, which a holder tells 3 s after its term began. The term ends 1 s after the store has gone: after 3.19 s to 4.05 s in the runs that pass, after 2.93 s in one that fails and 3.19 s in the other (heartbeats are 0.3 s apart). Then nobody tells the share while the store is away, and after the first cut no retry is left. An instance without a share retries one stream of ten, by design: the fleet's bound needs the number of instances.

Change: the test waits until the first instance knows the number of instances that share the allowance (Instance::knows_instance_count), then starts the second one, and then lets the store go away. What it asks for is unchanged, and so is the state: the term lapses while streams are cut and taken up (logs).

--- a/crates/instance/src/lifecycle.rs
+++ b/crates/instance/src/lifecycle.rs
@@ -225,6 +225,12 @@
         self.shared.retry_budget().can_spend(&service.into(), now)
     }
 
+    /// Whether a holder has told how many instances share the fleet's allowance of retries. From then on
+    /// this instance accumulates its share of it, with a holder or without one.
+    pub fn knows_instance_count(&self) -> bool {
+        self.shared.instance_count() > 0
+    }
+
     /// Number of other instances that this one knows.
     pub fn other_instance_count(&self) -> usize {
         self.shared.other_instances().len()
--- a/tests/all/software_version_paths.rs
+++ b/tests/all/software_version_paths.rs
@@ -666,8 +666,9 @@
         slow_down_all(&engines);
         let first = cluster::start_ready("one", &store);
         let streams = begin_at_both(&first);
+        // Without the share that a holder tells, the retries earned by the streams end after the first cut.
+        until("a share of retries", || first.knows_instance_count());
         let second = cluster::start_ready("two", &store);
-        until("a retry to spend", || first.has_spare_retry("engines"));
         store.set_faults(faults);
         for _ in 0..PARALLEL {
             until("a retry to spend", || first.has_spare_retry("engines"));
