fifth_of_engines_crashes: the engines crash once all streams have begun

Cause, by the logs: each missing stream was at a crashing engine and had no event yet ("status=502 end=refused events=0"). Such a run may have run and is not continued, which not_continued_before_first_event asks for. The test let an engine crash when its first stream had three events, 0.18 s after its arrival, and took it that the other streams there had one by then. The product is unchanged.

Change: the callers count their streams at the first event; once all 60 have begun, the two engines crash (ModelServer::crash_now). All are asked for as before; new is that at least one run was continued, which a crash by count had implied. Events are 0.4 s apart, so that streams are still in progress then.

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -513,6 +513,12 @@
         self.state().crash_body.is_some()
     }
 
+    /// Crashes for good, with all runs.
+    pub fn crash_now(&self) {
+        self.crash(b"", None);
+        self.listener.crash();
+    }
+
     /// Takes the server down and brings it up again under the same id after `delay`. Returns the step
     /// that closes all connections. `body` is the body of the request that caused the crash, empty
     /// if the server left.
--- a/tests/all/run_backups.rs
+++ b/tests/all/run_backups.rs
@@ -1,6 +1,6 @@
 //! Streams that must not be repeated continue on the engine that has a copy of their run.
 
-use crate::cluster::{self, Answer, configuration, fetch, request, until};
+use crate::cluster::{self, Answer, Caller, configuration, fetch, request, until};
 use crate::dispatcher_queries::test_bed_on;
 use passway_instance::Instance;
 use passway_serving::dispatch::{
@@ -18,8 +18,10 @@
 use passway_types::prelude::*;
 use passway_wire::dispatch::{DispatchRequest, Verdict};
 use serde_json::json;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::ScopedJoinHandle;
 
 /// Headers of a request with 20 events.
@@ -326,6 +328,22 @@
     assert_eq!((answer.body, answer.is_complete), (body(1..=EVENTS), true));
 }
 
+/// Requests a stream with content of its own, so that none is suspected after two crashes, and counts it
+/// once its first event has arrived.
+fn counted_stream(instance: &Instance, id: &str, begun: &AtomicUsize) -> Answer {
+    let headers = format!("Model: m0\r\n{SIZE}");
+    let mut caller = Caller::connect(instance.callers_address());
+    caller.send(&request("POST", "/report/", id, &headers, id));
+    let has_begun = Cell::new(false);
+    let answer = caller.receive_while(|body| {
+        if !body.is_empty() && !has_begun.replace(true) {
+            begun.fetch_add(1, Ordering::AcqRel);
+        }
+        true
+    });
+    answer.expect("an answer")
+}
+
 // Guards against lost streams when a fifth of the engines crash under load: only those are lost whose
 // second engine crashes, too.
 #[test]
@@ -335,29 +353,36 @@
     let store = store_with_copies();
     let servers = (0..ENGINES).map(|number| model_server(&store, &format!("i-{number}")));
     let servers: Vec<ModelServer> = servers.collect();
-    for (number, server) in servers.iter().enumerate() {
+    for server in &servers {
         server.set_faults(Faults {
-            event_delay: Duration::from_millis(60),
-            crash_after_events: (number < ENGINES / 5).then_some(3),
+            event_delay: Duration::from_millis(400),
             ..Faults::default()
         });
     }
+    let (crashed, alive) = servers.split_at(ENGINES / 5);
     let instance = started(&store);
     // Retries for all streams of two engines: 18 a second become available.
     std::thread::sleep(Duration::from_secs(2));
+    let begun = AtomicUsize::new(0);
     let answers: Vec<Answer> = std::thread::scope(|scope| {
         let senders: Vec<_> = (0..STREAMS)
             .map(|number| {
-                let (instance, id) = (&instance, format!("s{number}"));
-                // Streams with different content, none of which is suspected after two crashes.
-                scope.spawn(move || send_body(instance, "report", &id, SIZE, &id))
+                let (instance, begun) = (&instance, &begun);
+                scope.spawn(move || counted_stream(instance, &format!("s{number}"), begun))
             })
             .collect();
+        // A stream without a delivered event is refused, since it may have run.
+        until("all streams have begun", || {
+            begun.load(Ordering::Acquire) == STREAMS
+        });
+        crashed.iter().for_each(ModelServer::crash_now);
         let answers = senders.into_iter().map(ScopedJoinHandle::join);
         answers.map(|answer| answer.expect("an answer")).collect()
     });
-    let (crashed, alive) = servers.split_at(ENGINES / 5);
     assert!(crashed.iter().all(ModelServer::has_crashed));
+    let arrivals = alive.iter().flat_map(ModelServer::arrivals);
+    let continued = arrivals.filter(|run| run.continues.is_some()).count();
+    assert!(continued > 0, "no run was in progress at the crash");
     let alive: Vec<String> = alive
         .iter()
         .map(|server| server.address.to_string())
