Streams are resumed at the service that began them when routes change

Cause: a take-up was judged by the service that its route chooses now. The only version of that service was taken for the version of each stream of the route, although the stream may have begun at another service while the route had other backends or weights. So streams went on at another service, or were refused although theirs is still one of the route's.

Change: `ProvenVersion` names service and version. An instance keeps the splits of all routes that were in force within ten minutes (`serving::splits`), looks a stream of its own up at all services that its route has or had, takes the list's only version only if all these splits give one service for the attempt, and otherwise asks the records of all these services. Streams of which that is not so are recorded, those under way once the route changes. A take-up goes to the proven service if its route still has it, and is refused as version-gone if not. Nothing is asked of the store where routes do not change, and nothing waits for it.

--- a/crates/instance/src/feeds/configuration.rs
+++ b/crates/instance/src/feeds/configuration.rs
@@ -109,6 +109,7 @@
                 self.shared
                     .upstreams()
                     .set_tokens_per_event(tokens_per_event.collect());
+                self.shared.versions.apply_routes(&table);
                 self.shared.routes.store(Some(Arc::new(table)));
                 age.set_in_force(version);
                 age.set_superseded(false);
--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -46,7 +46,7 @@
 use access::Access;
 use attempt::{Attempt, Delivery, FailedAnswer, Target};
 pub(crate) use destination::check_version;
-use destination::{find_destination, host_of, request_hash};
+use destination::{find_destination, host_of, is_engine, request_hash};
 use limits::DeferredUpstream;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
--- a/crates/instance/src/forward/destination.rs
+++ b/crates/instance/src/forward/destination.rs
@@ -6,9 +6,9 @@
 use crate::http1::{Connection, RequestHead};
 use crate::reply::Refusal;
 use crate::shared::Shared;
-use passway_serving::hash::fnv1a;
 use passway_serving::ports::RequestMetadata;
 use passway_serving::routes::{Route, RouteTable};
+use passway_serving::splits::attempt_hash;
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -31,7 +31,7 @@
 /// A stable hash of a request's id, which chooses the backend of a split route: the same request
 /// always goes to the same backend.
 pub(super) fn request_hash(id: &str) -> u64 {
-    fnv1a(0, id)
+    attempt_hash(id)
 }
 
 /// The host in the request's head, without its port; `None` unless there is exactly one.
@@ -97,7 +97,7 @@
     let route = table.find(host, path).cloned();
     let route = route.ok_or(unrouted(Refusal::NoRoute))?;
     let access = Access::look_up(table, &route, facts).ok_or(UNKNOWN_KEY)?;
-    // A stream is resumed at the service that began it.
+    // A resumed stream probably began here; the proof of its version also proves its service.
     let begun_by = facts.resumes.as_ref().unwrap_or(&facts.id);
     let service = route.backend(request_hash(begun_by)).cloned();
     let service = service.ok_or(unrouted(not_run(RETRY_AFTER_MS)))?;
@@ -139,7 +139,7 @@
     }
 }
 
-fn is_engine(table: &RouteTable, service: &ServiceName) -> bool {
+pub(super) fn is_engine(table: &RouteTable, service: &ServiceName) -> bool {
     let service = table.services.get(service);
     service.is_some_and(|service| service.pool.is_some())
 }
--- a/crates/instance/src/forward/resumption.rs
+++ b/crates/instance/src/forward/resumption.rs
@@ -4,7 +4,7 @@
 //! A stream is resumed only at the software version that began it. [`StreamVersion`] has the proof of that
 //! version, and the send permit requires it.
 
-use super::{Forwarding, Origin, Target};
+use super::{Forwarding, Origin, Target, host_of, is_engine};
 use crate::control;
 use crate::denials::Denial;
 use crate::reply::{Refusal, ResumeObstacle};
@@ -12,10 +12,9 @@
 use crate::versions::NoProof;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::ports::RequestMetadata;
+use passway_serving::splits::StreamOrigin;
 use passway_serving::upstreams::{ListedStart, UpstreamTable};
-use passway_serving::versions::{
-    IdentifiedStart, ProvenVersion, SoftwareVersion, StreamKey, Unproven,
-};
+use passway_serving::versions::{IdentifiedStart, ProvenVersion, SoftwareVersion, StreamKey};
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -97,18 +96,47 @@
             "a stream is resumed");
     }
 
-    /// Identifies the stream by the attempt that began it: the one that the caller names, or this one.
-    /// `None` if the caller resumes a stream without naming the attempt.
-    fn stream_key(&self) -> Option<StreamKey> {
+    /// The attempt that began the stream: the one that the caller names, or this one. `None` if the caller
+    /// resumes a stream without naming the attempt.
+    fn begun_by(&self) -> Option<&str> {
         let begun_by = match (&self.facts.resumes, &self.facts.last_event_id) {
             (Some(resumes), _) => resumes,
             (None, Some(_)) => return None,
             (None, None) => &self.facts.id,
         };
-        StreamKey::new(&self.service, begun_by)
+        Some(begun_by).filter(|id| !id.is_empty()).map(|id| &**id)
+    }
+
+    /// Identifies the stream by its service and the attempt that began it; `None` if that is not known.
+    fn stream_key(&self) -> Option<StreamKey> {
+        StreamKey::new(&self.service, self.begun_by()?)
+    }
+
+    fn stream_origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            host: host_of(self.head).unwrap_or_default().into(),
+            path: self.head.path().into(),
+            attempt: self.begun_by().map(Arc::from),
+        }
+    }
+
+    /// Directs the request to the service at which its stream began. Returns whether its route still has
+    /// that service.
+    fn choose_service(&mut self, service: &ServiceName) -> bool {
+        if self.service == *service {
+            return true;
+        }
+        let table = self.shared.routes.load();
+        let table = table.as_ref().filter(|_| self.route.has_backend(service));
+        let Some(table) = table else {
+            return false;
+        };
+        self.is_engine = is_engine(table, service);
+        self.service = service.clone();
+        true
     }
 
-    /// Proves the version of a stream that another instance has begun.
+    /// Proves service and version of a stream that this request has not begun.
     ///
     /// # Errors
     /// The refusal, if there is no proof.
@@ -118,13 +146,8 @@
         }
         let until = self.deadline_at.min(clock::now() + MAX_PROOF_TIME);
         let versions = &self.shared.versions;
-        let key = self.stream_key();
-        let proven = if key.is_none() && self.route.backends.len() > 1 {
-            // The stream may have begun at another service of the route.
-            Err(Unproven::NoRecord.into())
-        } else {
-            versions.prove(&self.service, key, until)
-        };
+        let origin = self.stream_origin();
+        let proven = versions.prove(&origin, until);
         let outcome = match &proven {
             Ok(proven) => proven.source().name(),
             Err(reason) => reason.name(),
@@ -132,13 +155,15 @@
         self.shared.metrics.version_proof(outcome);
         log::info!(target: REQUEST_TARGET, request = self.facts.id,
             resumes = self.facts.resumes.as_deref().unwrap_or(""), outcome = outcome,
+            service = proven.as_ref().map_or("", |proven| &**proven.service()),
             version = proven.as_ref().map_or("", |proven| proven.software().name());
             "looked up the version of a stream");
         match proven {
+            Ok(proven) if !self.choose_service(proven.service()) => {
+                Err(resume_denial(ResumeObstacle::VersionGone))
+            }
             Ok(proven) => {
-                if let Some(key) = self.stream_key() {
-                    versions.record_resumption(key, &self.service, &proven);
-                }
+                versions.record_resumption(origin, &proven);
                 self.stream_version = StreamVersion::Proven(proven);
                 Ok(())
             }
@@ -166,20 +191,18 @@
         let replaced_by = listed
             .software
             .filter(|software| !start.is_reported() && is_other(software));
-        let proven = ProvenVersion::observed(start).filter(|_| replaced_by.is_none());
+        let proven =
+            ProvenVersion::observed(&self.service, start).filter(|_| replaced_by.is_none());
         self.stream_version = proven.map_or(StreamVersion::Unproven, StreamVersion::Proven);
-        if let Some(key) = self.stream_key() {
-            let versions = &self.shared.versions;
-            let is_for_peer = matches!(self.origin, Origin::Peer(_));
-            versions.stream_began(
-                key,
-                &self.service,
-                upstream,
-                start,
-                replaced_by,
-                is_for_peer,
-            );
-        }
+        let is_for_peer = matches!(self.origin, Origin::Peer(_));
+        self.shared.versions.stream_began(
+            self.stream_origin(),
+            &self.service,
+            upstream,
+            start,
+            replaced_by,
+            is_for_peer,
+        );
     }
 
     /// Notes that another instance has delivered events of the stream: only that instance has seen the
@@ -217,7 +240,7 @@
             StreamVersion::Proven(proven) => {
                 let key = self.stream_key();
                 let is_disputed = key.is_some_and(|key| self.shared.versions.is_disputed(key));
-                proven.permits(software) && !is_disputed
+                proven.permits(&self.service, software) && !is_disputed
             }
         }
     }
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -13,6 +13,7 @@
 mod bounded_calls;
 mod known_list;
 mod list_reads;
+mod origins;
 mod records;
 mod registry;
 
@@ -24,6 +25,7 @@
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
+use passway_serving::splits::{SplitHistory, StreamOrigin};
 use passway_serving::upstreams::RestartedUpstream;
 use passway_serving::versions::{
     IdentifiedStart, ProofSource, ProvenVersion, ServiceVersion, SoftwareVersion, StreamKey,
@@ -96,6 +98,8 @@
     read_interval: Mutex<Duration>,
     registry: Mutex<Registry>,
     records: RecordWriter,
+    /// The services of the routes, now and lately.
+    splits: Mutex<SplitHistory>,
     store: OnceLock<Arc<dyn SharedStore>>,
     wakeup_sender: Sender<()>,
     wakeup_receiver: Receiver<()>,
@@ -111,6 +115,7 @@
             read_interval: Mutex::new(MIN_READ_INTERVAL),
             registry: Mutex::default(),
             records: RecordWriter::default(),
+            splits: Mutex::default(),
             store: OnceLock::new(),
             wakeup_sender,
             wakeup_receiver,
@@ -155,65 +160,64 @@
     /// `is_for_peer` tells whether another instance delivers the stream.
     pub fn stream_began(
         &self,
-        key: StreamKey,
+        origin: StreamOrigin,
         service: &ServiceName,
         upstream: &UpstreamId,
         start: &IdentifiedStart,
         replaced_by: Option<SoftwareVersion>,
         is_for_peer: bool,
     ) {
-        let Some(proven) = ProvenVersion::observed(start) else {
+        let Some(proven) = ProvenVersion::observed(service, start) else {
             return;
         };
         let unreported_start = (!start.is_reported()).then(|| UpstreamStart {
             upstream: upstream.clone(),
             started_at_ms: start.start().started_at_ms,
         });
-        self.insert(
-            key,
-            BegunStream {
-                service: service.clone(),
-                proven,
-                unreported_start,
-                began_at: clock::now(),
-                is_delivered: false,
-                is_recorded: false,
-                is_for_peer,
-                disputed_with: replaced_by,
-            },
-        );
+        self.insert(BegunStream {
+            service: service.clone(),
+            origin,
+            proven,
+            unreported_start,
+            began_at: clock::now(),
+            is_delivered: false,
+            is_recorded: false,
+            is_for_peer,
+            disputed_with: replaced_by,
+        });
     }
 
     /// Remembers a stream that this instance resumes and whose version the store has proved: the stream may
     /// break off again, another version of the service may appear, and the store may lose its record.
-    pub fn record_resumption(&self, key: StreamKey, service: &ServiceName, proven: &ProvenVersion) {
+    pub fn record_resumption(&self, origin: StreamOrigin, proven: &ProvenVersion) {
         if proven.source() == ProofSource::Observed {
             return;
         }
-        self.insert(
-            key,
-            BegunStream {
-                service: service.clone(),
-                proven: proven.clone(),
-                unreported_start: None,
-                began_at: clock::now(),
-                is_delivered: false,
-                is_recorded: proven.source() == ProofSource::Record,
-                is_for_peer: false,
-                disputed_with: None,
-            },
-        );
+        self.insert(BegunStream {
+            service: proven.service().clone(),
+            origin,
+            proven: proven.clone(),
+            unreported_start: None,
+            began_at: clock::now(),
+            is_delivered: false,
+            is_recorded: proven.source() == ProofSource::Record,
+            is_for_peer: false,
+            disputed_with: None,
+        });
     }
 
-    fn insert(&self, key: StreamKey, stream: BegunStream) {
-        let service = stream.service.clone();
+    fn insert(&self, stream: BegunStream) {
+        let (service, origin) = (stream.service.clone(), stream.origin.clone());
+        let Some(key) = origins::key_at(&origin, &service) else {
+            return;
+        };
         lock(&self.registry).insert(key, stream);
         // A list that arrives meanwhile finds the stream in the registry.
         let must_record = {
             let known = lock(&self.known);
             known.list.must_record(&service, known.revision.era())
         };
-        if must_record {
+        if must_record || self.must_record_service(&origin, &service) {
             self.record_unrecorded(&[key]);
         }
     }
@@ -229,29 +233,18 @@
         lock(&self.registry).is_disputed(key)
     }
 
-    /// Proves the version that began a stream, by what this instance has observed or by a read of the
-    /// store that begins now. `key` is `None` if the caller does not name the attempt that began it.
+    /// Proves at which service and version a stream began, by what this instance has observed or by a read
+    /// of the store that begins now.
     ///
     /// # Errors
     /// Why there is no proof.
-    pub fn prove(
-        &self,
-        service: &ServiceName,
-        key: Option<StreamKey>,
-        until: Instant,
-    ) -> Result<ProvenVersion, NoProof> {
-        if let Some(key) = key {
-            let registry = lock(&self.registry);
-            if registry.is_disputed(key) {
-                return Err(Unproven::ConflictingRecords.into());
-            }
-            if let Some(proven) = registry.proven(key) {
-                return Ok(proven);
-            }
+    pub fn prove(&self, origin: &StreamOrigin, until: Instant) -> Result<ProvenVersion, NoProof> {
+        if let Some(proven) = self.prove_observed(origin)? {
+            return Ok(proven);
         }
         let store = self.store.get().ok_or(NoProof::StoreAway)?;
         loop {
-            let proven = self.prove_by_store(store, service, key, until);
+            let proven = self.prove_by_store(store, origin, until);
             let may_retry = clock::now() + READ_RETRY_DELAY < until;
             if proven != Err(NoProof::StoreAway) || !may_retry {
                 return proven;
@@ -263,15 +256,13 @@
     fn prove_by_store(
         &self,
         store: &Arc<dyn SharedStore>,
-        service: &ServiceName,
-        key: Option<StreamKey>,
+        origin: &StreamOrigin,
         until: Instant,
     ) -> Result<ProvenVersion, NoProof> {
         let read = self.read_list(store, until).ok_or(NoProof::StoreAway)?;
         let list = decode(&read.value);
-        list.prove(service, read.revision.era(), || match key {
-            Some(key) => records::read(store, key, until).ok_or(NoProof::StoreAway),
-            None => Ok(Vec::new()),
+        self.prove_by_list(&list, read.revision.era(), origin, |key| {
+            records::read(store, key, until).ok_or(NoProof::StoreAway)
         })
     }
 
@@ -333,8 +324,8 @@
         }
     }
 
-    /// Queues the records of all running and broken streams of services whose list does not prove their
-    /// versions.
+    /// Queues the records of all running and broken streams whose services or versions the list and the
+    /// routes do not prove.
     fn record_running(&self) {
         let (list, era) = {
             let known = lock(&self.known);
@@ -343,7 +334,10 @@
         let unrecorded = lock(&self.registry).unrecorded(clock::now());
         let keys = unrecorded
             .into_iter()
-            .filter(|(_, service)| list.must_record(service, era))
+            .filter(|(_, stream)| {
+                list.must_record(&stream.service, era)
+                    || self.must_record_service(&stream.origin, &stream.service)
+            })
             .map(|(key, _)| key);
         self.record_unrecorded(&keys.collect::<Vec<_>>());
     }
@@ -386,14 +380,14 @@
         let next = known.next_list(now);
         let revision = known.revision;
         let has_changed = self.is_list_complete.swap(is_complete, Ordering::AcqRel) != is_complete;
-        let has_new_list = std::mem::take(&mut known.has_new_list);
+        let must_check_streams = std::mem::take(&mut known.must_check_streams);
         let missing_since = (!is_complete).then(|| *known.missing_since.get_or_insert(now));
         known.missing_since = missing_since;
         drop(known);
         if has_changed {
             shared.notify_upstreams_changed();
         }
-        if has_new_list {
+        if must_check_streams {
             self.record_running();
         }
         let is_recent = missing_since.is_some_and(|since| now < since + READ_DELAY);
--- a/crates/instance/src/versions/known_list.rs
+++ b/crates/instance/src/versions/known_list.rs
@@ -33,8 +33,8 @@
     pub(super) version_changes: Option<u64>,
     /// Since when no upstream with a listed version is known.
     pub(super) gone_since: BTreeMap<ServiceVersion, Instant>,
-    /// Whether the list is newer than at the last check.
-    pub(super) has_new_list: bool,
+    /// Whether the list or the routes have changed since the last check, so that streams may need records.
+    pub(super) must_check_streams: bool,
     /// Listed versions that the holder may have removed from the stored list meanwhile.
     pub(super) unverified: BTreeSet<ServiceVersion>,
     /// Since when streams may not begin at all listed upstreams.
@@ -83,7 +83,7 @@
         self.is_read = true;
         self.revision = revision;
         self.list = decode(value);
-        self.has_new_list = true;
+        self.must_check_streams = true;
         let list = &self.list;
         self.versions_before_return
             .retain(|version| !list.contains(&version.service, &version.software));
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -1,12 +1,15 @@
 //! The streams that this instance has begun.
 
 use passway_serving::poison::UpstreamStart;
+use passway_serving::splits::StreamOrigin;
 use passway_serving::upstreams::RestartedUpstream;
-use passway_serving::versions::{ProvenVersion, STREAM_RETENTION, SoftwareVersion, StreamKey};
+use passway_serving::versions::{
+    ProvenVersion, STREAM_RETENTION, SoftwareVersion, StreamKey, Unproven,
+};
 use passway_types::prelude::*;
 use std::collections::{HashMap, VecDeque};
 
-/// Maximum number of streams in the registry, at 150 bytes each. The oldest are dropped first; their
+/// Maximum number of streams in the registry, at 250 bytes each. The oldest are dropped first; their
 /// callers are refused unless the store proves the version.
 const MAX_STREAMS: usize = 20_000;
 /// Longest time that the entry of an upstream's new start takes to reach an instance. A stream that
@@ -17,6 +20,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct BegunStream {
     pub(super) service: ServiceName,
+    pub(super) origin: StreamOrigin,
     /// The version that began it.
     pub(super) proven: ProvenVersion,
     /// The upstream's process that sent the first event, if only its entry identifies it: a newer process
@@ -92,11 +96,23 @@
         stream.is_some_and(|stream| stream.disputed_with.is_some())
     }
 
-    /// The version that began a stream of this instance; `None` for an unknown or disputed stream.
-    pub(super) fn proven(&self, key: StreamKey) -> Option<ProvenVersion> {
-        let stream = self.streams.get(&key)?;
-        let is_own = stream.disputed_with.is_none() && !stream.is_for_peer;
-        is_own.then(|| stream.proven.clone())
+    /// Service and version of the stream with one of these keys; `None` if this instance has not begun it
+    /// or does not deliver it.
+    ///
+    /// # Errors
+    /// If several may have begun it.
+    pub(super) fn find(
+        &self,
+        keys: impl IntoIterator<Item = StreamKey>,
+    ) -> Result<Option<ProvenVersion>, Unproven> {
+        let mut streams = keys.into_iter().filter_map(|key| self.streams.get(&key));
+        match (streams.next(), streams.next()) {
+            (None, _) => Ok(None),
+            (Some(stream), None) if stream.disputed_with.is_none() => {
+                Ok((!stream.is_for_peer).then(|| stream.proven.clone()))
+            }
+            _ => Err(Unproven::ConflictingRecords),
+        }
     }
 
     /// The versions to record for a stream that has no record yet; it counts as recorded from now on.
@@ -117,13 +133,13 @@
         }
     }
 
-    /// Streams without a record that callers may still resume, with their services.
-    pub(super) fn unrecorded(&mut self, now: Instant) -> Vec<(StreamKey, ServiceName)> {
+    /// Streams without a record that callers may still resume.
+    pub(super) fn unrecorded(&mut self, now: Instant) -> Vec<(StreamKey, BegunStream)> {
         self.remove_expired(now);
         let streams = self.streams.iter();
         let unrecorded = streams.filter(|(_, stream)| !stream.is_recorded && !stream.is_delivered);
         unrecorded
-            .map(|(key, stream)| (*key, stream.service.clone()))
+            .map(|(key, stream)| (*key, stream.clone()))
             .collect()
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,8 @@
 //! * [`revisions`]: revisions and leases of the store, which know their era.
 //! * [`leadership`]: which instance may send orders to engines, and when an instance takes the
 //!   leadership.
+//! * [`splits`]: how routes divide their streams among services, now and lately; [`versions`]: the software
+//!   versions that began streams.
 //! * [`retry`]: this instance's share of the fleet's retry budget.
 //! * [`workspaces`]: which keys open routes that need one, and how much they may use;
 //!   [`freshness`]: until when the configuration with those keys may be applied; [`allotment`]:
@@ -48,6 +50,7 @@
 pub mod revisions;
 pub mod routes;
 pub mod signals;
+pub mod splits;
 pub mod store_outages;
 pub mod upstreams;
 pub mod versions;
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -33,7 +33,7 @@
 }
 
 /// A service that receives some of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Backend {
     /// The service's name.
     pub service: ServiceName,
@@ -93,21 +93,28 @@
 
     /// The backend for a request, chosen by weight with the request's random number.
     pub fn backend(&self, random: u64) -> Option<&ServiceName> {
-        let total: u64 = self
-            .backends
-            .iter()
-            .map(|backend| u64::from(backend.weight))
-            .sum();
-        let mut offset = random.checked_rem(total)?;
-        for backend in &self.backends {
-            let weight = u64::from(backend.weight);
-            if offset < weight {
-                return Some(&backend.service);
-            }
-            offset -= weight;
+        backend_of(&self.backends, random)
+    }
+
+    /// Whether requests may go to a service.
+    pub fn has_backend(&self, service: &ServiceName) -> bool {
+        let mut backends = self.backends.iter();
+        backends.any(|backend| backend.service == *service && backend.weight > 0)
+    }
+}
+
+/// One of these backends, chosen by weight with a random number.
+pub fn backend_of(backends: &[Backend], random: u64) -> Option<&ServiceName> {
+    let weights = backends.iter().map(|backend| u64::from(backend.weight));
+    let mut offset = random.checked_rem(weights.sum())?;
+    for backend in backends {
+        let weight = u64::from(backend.weight);
+        if offset < weight {
+            return Some(&backend.service);
         }
-        None
+        offset -= weight;
     }
+    None
 }
 
 /// A model that a pool of engines may load.
@@ -287,6 +294,11 @@
         })
     }
 
+    /// All routes; those of one host with longer prefixes first.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// The route of a request: the longest matching prefix among the host's routes.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -111,9 +111,10 @@
     }
 }
 
-/// Proof that a stream began at a software version. Only a run at that version may resume it.
+/// Proof that a stream began at a software version of a service. Only a run there may resume it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProvenVersion {
+    service: ServiceName,
     software: SoftwareVersion,
     source: ProofSource,
 }
@@ -121,14 +122,37 @@
 impl ProvenVersion {
     /// The version of the start whose run brought the stream's first event; `None` if the start was not
     /// listed when it was chosen.
-    pub fn observed(start: &IdentifiedStart) -> Option<Self> {
+    pub fn observed(service: &ServiceName, start: &IdentifiedStart) -> Option<Self> {
         let software = start.start.software.clone()?;
         Some(Self {
+            service: service.clone(),
             software,
             source: ProofSource::Observed,
         })
     }
 
+    /// By the versions that are recorded for the stream at services where it may have begun.
+    ///
+    /// # Errors
+    /// If there is not exactly one.
+    pub fn recorded(recorded: impl IntoIterator<Item = ServiceVersion>) -> Result<Self, Unproven> {
+        let mut recorded = recorded.into_iter();
+        match (recorded.next(), recorded.next()) {
+            (Some(ServiceVersion { service, software }), None) => Ok(Self {
+                service,
+                software,
+                source: ProofSource::Record,
+            }),
+            (None, _) => Err(Unproven::NoRecord),
+            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords),
+        }
+    }
+
+    /// The service.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
     /// The version.
     pub fn software(&self) -> &SoftwareVersion {
         &self.software
@@ -139,9 +163,10 @@
         self.source
     }
 
-    /// Whether the stream may be resumed at an upstream of this version; false if the version is unknown.
-    pub fn permits(&self, software: Option<&SoftwareVersion>) -> bool {
-        software == Some(&self.software)
+    /// Whether the stream may be resumed at an upstream of this version of a service; false if the version
+    /// is unknown.
+    pub fn permits(&self, service: &ServiceName, software: Option<&SoftwareVersion>) -> bool {
+        *service == self.service && software == Some(&self.software)
     }
 }
 
@@ -251,31 +276,14 @@
         self.only_version(service, era).is_none()
     }
 
-    /// Proves the version of a stream by a list that the store returned in this era. `recorded` reads
-    /// the recorded versions of the stream, if they are needed.
-    ///
-    /// # Errors
-    /// Why the version is not proved, or the error of `recorded`.
-    pub fn prove<E: From<Unproven>>(
-        &self,
-        service: &str,
-        era: StoreEra,
-        recorded: impl FnOnce() -> Result<Vec<SoftwareVersion>, E>,
-    ) -> Result<ProvenVersion, E> {
-        if let Some(software) = self.only_version(service, era) {
-            return Ok(ProvenVersion {
-                software: software.clone(),
-                source: ProofSource::OnlyVersion,
-            });
-        }
-        let mut recorded = recorded()?.into_iter();
-        match (recorded.next(), recorded.next()) {
-            (Some(software), None) => Ok(ProvenVersion {
-                software,
-                source: ProofSource::Record,
-            }),
-            (None, _) => Err(Unproven::NoRecord.into()),
-            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords.into()),
-        }
+    /// Proves the version of a stream of this service by a list that the store returned in this era; `None`
+    /// if several may have begun it.
+    pub fn prove(&self, service: &ServiceName, era: StoreEra) -> Option<ProvenVersion> {
+        let software = self.only_version(service, era)?;
+        Some(ProvenVersion {
+            service: service.clone(),
+            software: software.clone(),
+            source: ProofSource::OnlyVersion,
+        })
     }
 }
