The list of versions names the services of routes

Cause: an instance that has just started knows only the present splits of routes, so after a loss of all instances a stream that had begun under another split was taken for one of the service that the route chooses now.

Change: the list under passway/versions also names the splits under which streams may have begun, by host and prefix, and that a route was missing. The list proves the version of a stream only if it has the split that is in force here and if all splits that it names or that this instance knows give one service for the attempt; otherwise only records prove. Streams that begin under a split that is not listed yet are recorded; nothing waits for the list. A list without splits (earlier build) proves only for routes with one service that have not changed as far as the instance knows.

--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -16,6 +16,7 @@
 mod origins;
 mod records;
 mod registry;
+mod stored_splits;
 
 use crate::leadership::LeadershipDriver;
 use crate::shared::Shared;
@@ -279,9 +280,13 @@
     pub fn apply_stored(&self, revision: StoreRevision, value: &[u8]) {
         let mut known = lock(&self.known);
         let previous_era = known.revision.era();
+        let is_same_era = known.is_read && revision.era() == previous_era;
+        let previous = known.list.splits().clone();
         if !known.apply(revision, value, clock::now()) {
             return;
         }
+        let previous = Some(previous).filter(|_| is_same_era);
+        self.merge_splits(&known, &previous.unwrap_or_default());
         drop(known);
         if revision.era() > previous_era {
             lock(&self.registry).forget_records();
@@ -335,8 +340,7 @@
         let keys = unrecorded
             .into_iter()
             .filter(|(_, stream)| {
-                list.must_record(&stream.service, era)
-                    || self.must_record_service(&stream.origin, &stream.service)
+                list.must_record(&stream.service, era) || self.may_be_elsewhere(stream)
             })
             .map(|(key, _)| key);
         self.record_unrecorded(&keys.collect::<Vec<_>>());
@@ -377,12 +381,20 @@
         let is_complete = known.is_complete();
         let must_refresh = known.must_refresh(now);
         let is_before_first = known.is_before_first();
-        let next = known.next_list(now);
+        let splits = lock(&self.splits);
+        let next = known.next_list(splits.listing(now), now);
+        // The first list waits for the first version.
+        let has_list = known.list.versions().next().is_some();
+        let lacks_splits = has_list && splits.is_missing_from(known.list.splits(), now);
+        drop(splits);
         let revision = known.revision;
         let has_changed = self.is_list_complete.swap(is_complete, Ordering::AcqRel) != is_complete;
         let must_check_streams = std::mem::take(&mut known.must_check_streams);
         let missing_since = (!is_complete).then(|| *known.missing_since.get_or_insert(now));
         known.missing_since = missing_since;
+        let splits_missing_since =
+            lacks_splits.then(|| *known.splits_missing_since.get_or_insert(now));
+        known.splits_missing_since = splits_missing_since;
         drop(known);
         if has_changed {
             shared.notify_upstreams_changed();
@@ -395,10 +407,12 @@
             // The holder adds the version.
             return retry_delay(shared);
         }
-        let has_waited = missing_since.is_some_and(|since| now >= since + ADD_DELAY);
+        let mut missing = missing_since.iter().chain(&splits_missing_since);
+        let has_waited = missing.any(|since| now >= *since + ADD_DELAY);
         let may_write = is_holder || has_waited || is_before_first;
         let is_done = match next.filter(|_| may_write) {
             Some(next) => self.write(store, revision, &next),
+            None if is_complete && !must_refresh && lacks_splits => return retry_delay(shared),
             None if is_complete && !must_refresh => return CHECK_INTERVAL,
             None => self.read_list(store, now + MAX_READ_TIME).is_some() && is_complete,
         };
@@ -439,7 +453,7 @@
         };
         let answer = store.write(std::slice::from_ref(&write));
         log::info!(target: DECISION_TARGET, versions:? = list.versions().map(|version| format!("{}: {}", version.service, version.software)).collect::<Vec<_>>(),
-            confirmed_in:? = list.confirmed_in(), expected:% = revision, answer:? = answer;
+            splits = list.splits().iter().count(), confirmed_in:? = list.confirmed_in(), expected:% = revision, answer:? = answer;
             "the list of software versions changes");
         match answer {
             Ok(WriteAnswer::Written(revision)) => {
--- a/crates/instance/src/versions/known_list.rs
+++ b/crates/instance/src/versions/known_list.rs
@@ -1,6 +1,8 @@
 //! The stored list of versions as this instance knows it, and the list that should be stored.
 
+use super::stored_splits;
 use passway_serving::ports::{StoreEra, StoreRevision};
+use passway_serving::splits::SplitSet;
 use passway_serving::versions::{STREAM_RETENTION, ServiceVersion, VersionList};
 use passway_types::prelude::*;
 use passway_wire::versions::{StoredVersion, StoredVersions};
@@ -39,6 +41,8 @@
     pub(super) unverified: BTreeSet<ServiceVersion>,
     /// Since when streams may not begin at all listed upstreams.
     pub(super) missing_since: Option<Instant>,
+    /// Since when the list lacks splits that this instance has seen in force.
+    pub(super) splits_missing_since: Option<Instant>,
     /// When the list was last read from the store, or written.
     pub(super) read_at: Option<Instant>,
 }
@@ -51,6 +55,7 @@
     let stored = StoredVersions {
         confirmed_in: list.confirmed_in(),
         versions: versions.collect(),
+        splits: stored_splits::to_stored(list.splits()),
     };
     stored.encode_to_vec()
 }
@@ -66,6 +71,7 @@
         software: version.software.into(),
     });
     VersionList::new(stored.confirmed_in, versions)
+        .with_splits(stored_splits::from_stored(stored.splits))
 }
 
 impl KnownList {
@@ -161,9 +167,9 @@
         must_record && is_old
     }
 
-    /// The list that should be stored now; `None` if it is stored. The versions of a service without
-    /// upstreams stay.
-    pub(super) fn next_list(&self, now: Instant) -> Option<VersionList> {
+    /// The list that should be stored now, with these splits; `None` if it is stored. The versions of a
+    /// service without upstreams stay.
+    pub(super) fn next_list(&self, splits: SplitSet, now: Instant) -> Option<VersionList> {
         let missing = self.missing();
         let is_expired = |version: &ServiceVersion| {
             let has_other = |other: &ServiceVersion| other.service == version.service;
@@ -182,7 +188,8 @@
         let next = VersionList::new(
             confirmed_in.or(self.list.confirmed_in()),
             kept.chain(missing),
-        );
+        )
+        .with_splits(splits);
         let is_needed = next != self.list && next.versions().next().is_some();
         (self.is_read && is_needed).then_some(next)
     }
--- a/crates/instance/src/versions/origins.rs
+++ b/crates/instance/src/versions/origins.rs
@@ -1,14 +1,17 @@
 //! At which service a stream began: the operators may have given its route other services since.
 
+use super::known_list::KnownList;
+use super::registry::BegunStream;
 use super::{NoProof, Versions, lock};
 use passway_serving::ports::StoreEra;
 use passway_serving::routes::RouteTable;
-use passway_serving::splits::StreamOrigin;
+use passway_serving::splits::{SplitSet, StreamOrigin};
 use passway_serving::versions::{
     ProvenVersion, ServiceVersion, SoftwareVersion, StreamKey, VersionList,
 };
 use passway_types::clock;
 use passway_types::prelude::*;
+use std::collections::BTreeSet;
 
 /// The key of a stream if it began at this service; `None` if its attempt is not known.
 pub(super) fn key_at(origin: &StreamOrigin, service: &ServiceName) -> Option<StreamKey> {
@@ -25,11 +28,26 @@
         }
     }
 
-    /// Whether the service of a stream must be recorded because the routes do not prove it.
+    /// Applies the splits of a list that has just replaced `previous`.
+    pub(super) fn merge_splits(&self, known: &KnownList, previous: &SplitSet) {
+        let listed = known.list.splits();
+        lock(&self.splits).merge(listed, previous, clock::now());
+    }
+
+    /// Whether the service of a stream that begins must be recorded because the list and the routes do not
+    /// prove it.
     pub(super) fn must_record_service(&self, origin: &StreamOrigin, service: &ServiceName) -> bool {
+        let known = lock(&self.known);
+        let splits = lock(&self.splits);
+        let only = splits.only_service(origin, known.list.splits(), clock::now());
+        only.as_ref() != Some(service)
+    }
+
+    /// Whether a stream that has begun may have begun at another service, by the routes.
+    pub(super) fn may_be_elsewhere(&self, stream: &BegunStream) -> bool {
         let splits = lock(&self.splits);
-        let possible = splits.possible_services(origin, clock::now());
-        possible.len() != 1 || !possible.contains(service)
+        let possible = splits.possible_services(&stream.origin, clock::now());
+        possible.len() != 1 || !possible.contains(&stream.service)
     }
 
     /// The service and version of a stream that this instance has begun; `None` for other streams.
@@ -53,12 +71,18 @@
         origin: &StreamOrigin,
         recorded: impl Fn(StreamKey) -> Result<Vec<SoftwareVersion>, NoProof>,
     ) -> Result<ProvenVersion, NoProof> {
-        let possible = lock(&self.splits).possible_services(origin, clock::now());
-        let only_service = possible.first().filter(|_| possible.len() == 1);
-        let proven = only_service.and_then(|service| list.prove(service, era));
+        let now = clock::now();
+        let splits = lock(&self.splits);
+        let only_service = splits.only_service(origin, list.splits(), now);
+        let recent = splits.recent_services(origin, now);
+        drop(splits);
+        let proven = only_service
+            .as_ref()
+            .and_then(|service| list.prove(service, era));
         if let Some(proven) = proven {
             return Ok(proven);
         }
+        let possible = only_service.map_or(recent, |service| BTreeSet::from([service]));
         let mut versions = Vec::new();
         for service in &possible {
             let Some(key) = key_at(origin, service) else {
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -6,9 +6,11 @@
 //!
 //! A stream begins only at a version that the store's [`VersionList`] names. If the list names one
 //! version alone, each stream of the service has begun there, and nothing is stored for single streams.
+//! The list also names the services to which routes lead or have led lately ([`SplitSet`]).
 //! While it names several, the version of each stream is recorded.
 
 use crate::revisions::StoreEra;
+use crate::splits::SplitSet;
 use crate::upstreams::ListedStart;
 use passway_types::hash::{DIGEST_BYTES, stable_digest};
 use passway_types::prelude::*;
@@ -224,6 +226,7 @@
     /// because the store has returned from an older copy.
     confirmed_in: Option<StoreEra>,
     services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    splits: SplitSet,
 }
 
 impl VersionList {
@@ -239,9 +242,21 @@
         Self {
             confirmed_in,
             services,
+            splits: SplitSet::default(),
         }
     }
 
+    /// The list with these splits.
+    #[must_use]
+    pub fn with_splits(self, splits: SplitSet) -> Self {
+        Self { splits, ..self }
+    }
+
+    /// The splits of routes under which streams may have begun; empty in a list of an earlier build.
+    pub fn splits(&self) -> &SplitSet {
+        &self.splits
+    }
+
     /// The era of the store in which the list is known to lack no version.
     pub fn confirmed_in(&self) -> Option<StoreEra> {
         self.confirmed_in
--- a/crates/wire/src/versions.rs
+++ b/crates/wire/src/versions.rs
@@ -11,6 +11,34 @@
     /// The versions.
     #[prost(message, repeated, tag = "2")]
     pub versions: Vec<StoredVersion>,
+    /// The splits of routes under which streams may have begun.
+    #[prost(message, repeated, tag = "3")]
+    pub splits: Vec<StoredSplit>,
+}
+
+/// A split of a route among services.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StoredSplit {
+    /// The route's host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// The route's path prefix.
+    #[prost(string, tag = "2")]
+    pub prefix: String,
+    /// The services; none while there was no such route.
+    #[prost(message, repeated, tag = "3")]
+    pub backends: Vec<StoredBackend>,
+}
+
+/// A service of a split.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StoredBackend {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Its weight.
+    #[prost(uint32, tag = "2")]
+    pub weight: u32,
 }
 
 /// A software version of a service.
--- a/tests/all/software_version_review.rs
+++ b/tests/all/software_version_review.rs
@@ -33,7 +33,7 @@
 }
 
 /// Fails if the rest of a stream has events of another version.
-fn assert_not_joined(software: &str, rest: &Answer) {
+pub fn assert_not_joined(software: &str, rest: &Answer) {
     let written = writers(&rest.body);
     assert!(
         written.iter().all(|one| one == software),
@@ -107,7 +107,7 @@
 }
 
 /// A configuration whose chat route has these services.
-fn routed_configuration(version: u64, services: &[&str]) -> serde_json::Value {
+pub fn routed_configuration(version: u64, services: &[&str]) -> serde_json::Value {
     let mut config = configuration(version, &["m0"]);
     let mut other = config["services"][1].clone();
     other["name"] = json!("engines2");
@@ -134,7 +134,7 @@
 }
 
 /// Two services with one version each, and a route to some of them.
-fn two_services(services: &[&str]) -> (MetadataStandIn, [ModelServer; 2]) {
+pub fn two_services(services: &[&str]) -> (MetadataStandIn, [ModelServer; 2]) {
     let store = MetadataStandIn::default();
     store.put("op/config", &routed_configuration(1, services));
     let engines = [
