--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -6,9 +6,11 @@
 //!
 //! A stream begins only at a version that the store's [`VersionList`] names. If the list names one
 //! version alone, each stream of the service has begun there, and nothing is stored for single streams.
+//! The list also names the services to which routes lead or have led lately ([`SplitSet`]).
 //! While it names several, the version of each stream is recorded.
 
 use crate::revisions::StoreEra;
+use crate::splits::SplitSet;
 use crate::upstreams::ListedStart;
 use passway_types::hash::{DIGEST_BYTES, stable_digest};
 use passway_types::prelude::*;
@@ -111,9 +113,10 @@
     }
 }
 
-/// Proof that a stream began at a software version. Only a run at that version may resume it.
+/// Proof that a stream began at a software version of a service. Only a run there may resume it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProvenVersion {
+    service: ServiceName,
     software: SoftwareVersion,
     source: ProofSource,
 }
@@ -121,14 +124,37 @@
 impl ProvenVersion {
     /// The version of the start whose run brought the stream's first event; `None` if the start was not
     /// listed when it was chosen.
-    pub fn observed(start: &IdentifiedStart) -> Option<Self> {
+    pub fn observed(service: &ServiceName, start: &IdentifiedStart) -> Option<Self> {
         let software = start.start.software.clone()?;
         Some(Self {
+            service: service.clone(),
             software,
             source: ProofSource::Observed,
         })
     }
 
+    /// By the versions that are recorded for the stream at services where it may have begun.
+    ///
+    /// # Errors
+    /// If there is not exactly one.
+    pub fn recorded(recorded: impl IntoIterator<Item = ServiceVersion>) -> Result<Self, Unproven> {
+        let mut recorded = recorded.into_iter();
+        match (recorded.next(), recorded.next()) {
+            (Some(ServiceVersion { service, software }), None) => Ok(Self {
+                service,
+                software,
+                source: ProofSource::Record,
+            }),
+            (None, _) => Err(Unproven::NoRecord),
+            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords),
+        }
+    }
+
+    /// The service.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
     /// The version.
     pub fn software(&self) -> &SoftwareVersion {
         &self.software
@@ -139,9 +165,10 @@
         self.source
     }
 
-    /// Whether the stream may be resumed at an upstream of this version; false if the version is unknown.
-    pub fn permits(&self, software: Option<&SoftwareVersion>) -> bool {
-        software == Some(&self.software)
+    /// Whether the stream may be resumed at an upstream of this version of a service; false if the version
+    /// is unknown.
+    pub fn permits(&self, service: &ServiceName, software: Option<&SoftwareVersion>) -> bool {
+        *service == self.service && software == Some(&self.software)
     }
 }
 
@@ -199,6 +226,7 @@
     /// because the store has returned from an older copy.
     confirmed_in: Option<StoreEra>,
     services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    splits: SplitSet,
 }
 
 impl VersionList {
@@ -214,9 +242,21 @@
         Self {
             confirmed_in,
             services,
+            splits: SplitSet::default(),
         }
     }
 
+    /// The list with these splits.
+    #[must_use]
+    pub fn with_splits(self, splits: SplitSet) -> Self {
+        Self { splits, ..self }
+    }
+
+    /// The splits of routes under which streams may have begun; empty in a list of an earlier build.
+    pub fn splits(&self) -> &SplitSet {
+        &self.splits
+    }
+
     /// The era of the store in which the list is known to lack no version.
     pub fn confirmed_in(&self) -> Option<StoreEra> {
         self.confirmed_in
@@ -251,31 +291,14 @@
         self.only_version(service, era).is_none()
     }
 
-    /// Proves the version of a stream by a list that the store returned in this era. `recorded` reads
-    /// the recorded versions of the stream, if they are needed.
-    ///
-    /// # Errors
-    /// Why the version is not proved, or the error of `recorded`.
-    pub fn prove<E: From<Unproven>>(
-        &self,
-        service: &str,
-        era: StoreEra,
-        recorded: impl FnOnce() -> Result<Vec<SoftwareVersion>, E>,
-    ) -> Result<ProvenVersion, E> {
-        if let Some(software) = self.only_version(service, era) {
-            return Ok(ProvenVersion {
-                software: software.clone(),
-                source: ProofSource::OnlyVersion,
-            });
-        }
-        let mut recorded = recorded()?.into_iter();
-        match (recorded.next(), recorded.next()) {
-            (Some(software), None) => Ok(ProvenVersion {
-                software,
-                source: ProofSource::Record,
-            }),
-            (None, _) => Err(Unproven::NoRecord.into()),
-            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords.into()),
-        }
+    /// Proves the version of a stream of this service by a list that the store returned in this era; `None`
+    /// if several may have begun it.
+    pub fn prove(&self, service: &ServiceName, era: StoreEra) -> Option<ProvenVersion> {
+        let software = self.only_version(service, era)?;
+        Some(ProvenVersion {
+            service: service.clone(),
+            software: software.clone(),
+            source: ProofSource::OnlyVersion,
+        })
     }
 }
--- a/tests/all/software_version_limits.rs
+++ b/tests/all/software_version_limits.rs
@@ -6,8 +6,10 @@
 use crate::holder_link::{PlayedHolder, subscription};
 use crate::scripted_store::heartbeat;
 use crate::software_versions::{BrokenStream, STREAMS, engine, new_id, send, slow_down, versions};
+use crate::split_history::table;
 use passway_instance::relay::FEED_COUNT;
 use passway_instance::versions::Versions;
+use passway_serving::splits::StreamOrigin;
 use passway_serving::upstreams::ListedStart;
 use passway_serving::versions::{IdentifiedStart, StreamKey};
 use passway_standins::platform::model_server::Faults;
@@ -79,21 +81,28 @@
 #[test]
 fn stream_under_way_remembered() {
     let known = Versions::default();
+    known.apply_routes(&table(&[("/chat/", "engines")]));
     let service: ServiceName = "engines".into();
     let start = IdentifiedStart::by_entry(&ListedStart {
         started_at_ms: 1,
         software: Some("v1".into()),
     });
     let begin = |id: &str| {
-        let key = StreamKey::new(&service, id).expect("a key");
-        known.stream_began(key, &service, &"i-0".into(), &start, None, false);
-        key
+        let origin = StreamOrigin {
+            host: "h".into(),
+            path: "/chat/".into(),
+            attempt: Some(id.into()),
+        };
+        known.stream_began(origin.clone(), &service, &"i-0".into(), &start, None, false);
+        origin
     };
     let under_way = begin("under way");
     for number in 0..MAX_STREAMS {
-        known.stream_delivered(begin(&number.to_string()));
+        let id = number.to_string();
+        begin(&id);
+        known.stream_delivered(StreamKey::new(&service, &id).expect("a key"));
     }
-    let proven = known.prove(&service, Some(under_way), Instant::now());
+    let proven = known.prove(&under_way, Instant::now());
     assert!(proven.is_ok(), "{proven:?}");
 }
 
