Another instance reads the store for one that the store does not answer

Cause: only an instance's own read of the store proved the version of a stream that a caller takes up. While the store did not answer one instance, each caller that came back there was refused after half a second, also where other instances reached the store.

Change: an instance whose read has failed or is overdue asks the holder, and then up to two others, to read the list and the stream's record (StoreReadQuery, StoreReadAnswer; OnlyVersionByPeer, RecordByPeer). The read begins after the query arrived, so after the request arrived; the query's number is its own; what is older than the asking instance knew, era first, proves nothing; the answer names the instance. One query serves all requests that wait. Where the outage is known and others say that they cannot read, the request is refused at once and not after half a second. Builds before this one ignore the query. The stand-in of the store can be silent at one endpoint. The list is read for checks of its own by the instance alone, as before.

--- a/crates/instance/src/dispatch.rs
+++ b/crates/instance/src/dispatch.rs
@@ -465,6 +465,8 @@
             }
             Body::PathAnswer(answer) => shared.paths.receive_answer(from, answer),
             Body::DispatcherState(state) => self.receive_report(from, &state),
+            Body::StoreReadQuery(query) => shared.versions.answer_query(shared, from, &query),
+            Body::StoreReadAnswer(answer) => shared.versions.receive_answer(answer),
         }
     }
 
--- a/crates/instance/src/queries.rs
+++ b/crates/instance/src/queries.rs
@@ -34,13 +34,19 @@
     /// Sends a query with a unique id, and once more if there is no answer in time; `None` without
     /// an answer.
     pub fn send_and_wait(&self, id: u64, send: impl Fn()) -> Option<A> {
+        self.send_and_wait_for(id, RESEND_AFTER + SECOND_TIMEOUT, send)
+    }
+
+    /// The same with another time to wait in total, of which the second query has all but the first
+    /// part.
+    pub fn send_and_wait_for(&self, id: u64, timeout: Duration, send: impl Fn()) -> Option<A> {
         let (sender, answers) = bounded(2);
         self.waiting().insert(id, sender);
         send();
-        let mut answer = answers.recv_timeout(RESEND_AFTER);
+        let mut answer = answers.recv_timeout(RESEND_AFTER.min(timeout));
         if answer.is_err() {
             send();
-            answer = answers.recv_timeout(SECOND_TIMEOUT);
+            answer = answers.recv_timeout(timeout.saturating_sub(RESEND_AFTER));
         }
         self.waiting().remove(&id);
         answer.ok()
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -13,14 +13,18 @@
 mod bounded_calls;
 mod known_list;
 mod list_reads;
+mod peer_answers;
+mod peer_reads;
+mod proof_reads;
 mod records;
 mod registry;
 
 use crate::leadership::LeadershipDriver;
 use crate::shared::Shared;
+use bounded_calls::call_until;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use known_list::{KnownList, decode, encode};
-use list_reads::{ListRead, ListReads};
+use list_reads::{ListRead, ListReads, read_stored};
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
@@ -31,9 +35,14 @@
 };
 use passway_types::clock;
 use passway_types::prelude::*;
+use passway_wire::store_reads::{StoreReadAnswer, StoreReadQuery};
+use peer_answers::PeerAnswers;
+use peer_reads::PeerReads;
+use proof_reads::ProofReads;
 use rand::RngExt;
 use records::RecordWriter;
 use registry::{BegunStream, Registry};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
@@ -56,7 +65,7 @@
 /// Time after which an instance that is not the holder adds a missing version itself. A holder usually
 /// follows another one within it.
 const ADD_DELAY: Duration = Duration::from_secs(1);
-/// Longest wait for a read of the list that another thread has begun.
+/// Longest read of the list to check whether it must change.
 const MAX_READ_TIME: Duration = Duration::from_secs(1);
 /// Pause before a failed read is repeated for a request that waits for it.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -96,7 +105,10 @@
     read_interval: Mutex<Duration>,
     registry: Mutex<Registry>,
     records: RecordWriter,
-    store: OnceLock<Arc<dyn SharedStore>>,
+    /// Reads of the store for proofs.
+    proof_reads: OnceLock<Arc<ProofReads>>,
+    peers: PeerReads,
+    answers: PeerAnswers,
     wakeup_sender: Sender<()>,
     wakeup_receiver: Receiver<()>,
 }
@@ -111,7 +123,9 @@
             read_interval: Mutex::new(MIN_READ_INTERVAL),
             registry: Mutex::default(),
             records: RecordWriter::default(),
-            store: OnceLock::new(),
+            proof_reads: OnceLock::new(),
+            peers: PeerReads::default(),
+            answers: PeerAnswers::default(),
             wakeup_sender,
             wakeup_receiver,
         }
@@ -198,7 +212,7 @@
                 unreported_start: None,
                 began_at: clock::now(),
                 is_delivered: false,
-                is_recorded: proven.source() == ProofSource::Record,
+                is_recorded: proven.is_recorded(),
                 is_for_peer: false,
                 disputed_with: None,
             },
@@ -249,10 +263,13 @@
                 return Ok(proven);
             }
         }
-        let store = self.store.get().ok_or(NoProof::StoreAway)?;
+        let reads = self.proof_reads.get().ok_or(NoProof::StoreAway)?;
+        // In an outage that is known already nothing is gained by waiting if nobody else can read either.
+        let is_outage_known = reads.is_store_failing();
         loop {
-            let proven = self.prove_by_store(store, service, key, until);
-            let may_retry = clock::now() + READ_RETRY_DELAY < until;
+            let proven = self.prove_by_store(reads, service, key, until);
+            let is_hopeless = is_outage_known && self.peers.is_unable();
+            let may_retry = !is_hopeless && clock::now() + READ_RETRY_DELAY < until;
             if proven != Err(NoProof::StoreAway) || !may_retry {
                 return proven;
             }
@@ -262,26 +279,63 @@
 
     fn prove_by_store(
         &self,
-        store: &Arc<dyn SharedStore>,
+        reads: &Arc<ProofReads>,
         service: &ServiceName,
         key: Option<StreamKey>,
         until: Instant,
     ) -> Result<ProvenVersion, NoProof> {
-        let read = self.read_list(store, until).ok_or(NoProof::StoreAway)?;
+        let interval = *lock(&self.read_interval);
+        let read = self.reads.read(reads, interval, until);
+        let read = read.ok_or(NoProof::StoreAway)?;
+        self.apply_read(&read);
+        let mut is_by_peer = read.is_by_peer;
         let list = decode(&read.value);
-        list.prove(service, read.revision.era(), || match key {
-            Some(key) => records::read(store, key, until).ok_or(NoProof::StoreAway),
-            None => Ok(Vec::new()),
+        let proven = list.prove::<NoProof>(service, read.revision.era(), || {
+            let Some(key) = key else {
+                return Ok(Vec::new());
+            };
+            let records = reads.read_records(key, &read, until);
+            let records = records.ok_or(NoProof::StoreAway)?;
+            is_by_peer |= records.is_by_peer;
+            Ok(records.value)
+        })?;
+        Ok(if is_by_peer {
+            proven.read_by_peer()
+        } else {
+            proven
         })
     }
 
-    /// Reads and applies the list; `None` without an answer by `until`.
-    fn read_list(&self, store: &Arc<dyn SharedStore>, until: Instant) -> Option<ListRead> {
-        let interval = *lock(&self.read_interval);
-        let read = self.reads.read(store, interval, until)?;
+    /// Reads the list from the store and applies it; returns whether the store has answered.
+    fn read_list(&self, store: &Arc<dyn SharedStore>) -> bool {
+        let read = call_until(store, clock::now() + MAX_READ_TIME, read_stored);
+        let read = read.flatten();
+        if let Some(read) = &read {
+            self.apply_read(read);
+        }
+        read.is_some()
+    }
+
+    fn apply_read(&self, read: &ListRead) {
         self.apply_stored(read.revision, &read.value);
         lock(&self.known).verify(read.revision, clock::now());
-        Some(read)
+    }
+
+    /// The revision of the list that this instance knows.
+    fn known_revision(&self) -> StoreRevision {
+        lock(&self.known).revision
+    }
+
+    /// Reads the store for another instance, which the store does not answer.
+    pub fn answer_query(&self, shared: &Shared, from: SocketAddr, query: &StoreReadQuery) {
+        if let Some(reads) = self.proof_reads.get() {
+            self.answers.answer(shared, reads, from, query);
+        }
+    }
+
+    /// Receives what another instance has read for this one.
+    pub fn receive_answer(&self, answer: StoreReadAnswer) {
+        self.peers.receive(answer);
     }
 
     /// Applies the list as stored; `value` is empty if the key is missing.
@@ -355,7 +409,8 @@
         store: &Arc<dyn SharedStore>,
     ) {
         // Each process has exactly one store.
-        let _ = shared.versions.store.set(store.clone());
+        let reads = Arc::new(ProofReads::new(shared, store));
+        let _ = shared.versions.proof_reads.set(reads);
         RecordWriter::start(shared, store);
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
@@ -406,7 +461,7 @@
         let is_done = match next.filter(|_| may_write) {
             Some(next) => self.write(store, revision, &next),
             None if is_complete && !must_refresh => return CHECK_INTERVAL,
-            None => self.read_list(store, now + MAX_READ_TIME).is_some() && is_complete,
+            None => self.read_list(store) && is_complete,
         };
         if is_done {
             CHECK_INTERVAL
@@ -454,7 +509,7 @@
             }
             Ok(WriteAnswer::Conflict) => {
                 // Another instance has written the list. If the read fails, the next check repeats it.
-                let _ = self.read_list(store, clock::now() + MAX_READ_TIME);
+                self.read_list(store);
                 false
             }
             Ok(WriteAnswer::LeaseEnded) | Err(_) => false,
--- a/crates/instance/src/versions/list_reads.rs
+++ b/crates/instance/src/versions/list_reads.rs
@@ -1,6 +1,7 @@
 //! Reads of the list of versions, shared by the requests that wait for one.
 
 use super::KEY;
+use super::proof_reads::ProofReads;
 use bytes::Bytes;
 use passway_serving::ports::{SharedStore, StoreRevision};
 use passway_types::clock;
@@ -14,6 +15,8 @@
     pub(super) revision: StoreRevision,
     /// The list; empty if the key is missing.
     pub(super) value: Bytes,
+    /// Whether another instance has read it for this one.
+    pub(super) is_by_peer: bool,
 }
 
 /// A read is repeated beside one that has had no answer for this long: the store answers in 4 ms, and in
@@ -89,7 +92,7 @@
     /// before; `None` if the store has not answered by `until`.
     pub(super) fn read(
         &self,
-        store: &Arc<dyn SharedStore>,
+        reads: &Arc<ProofReads>,
         interval: Duration,
         until: Instant,
     ) -> Option<ListRead> {
@@ -118,7 +121,7 @@
                     result: None,
                 };
                 drop(state);
-                start_read(running, store.clone(), pause);
+                start_read(running, reads.clone(), pause);
                 state = self.0.state();
                 continue;
             }
@@ -134,28 +137,31 @@
     }
 }
 
-fn start_read(running: RunningRead, store: Arc<dyn SharedStore>, pause: Duration) {
+fn start_read(running: RunningRead, reads: Arc<ProofReads>, pause: Duration) {
     let read = move || {
         let mut running = running;
         std::thread::sleep(pause);
-        running.result = read_list(&*store);
+        running.result = reads.read_list();
     };
     if let Err(error) = std::thread::Builder::new().spawn(read) {
         log::warn!(error:% = error; "cannot start a thread to read the list of software versions");
     }
 }
 
-fn read_list(store: &dyn SharedStore) -> Option<ListRead> {
+/// Reads the list from the store now; `None` without an answer.
+pub(super) fn read_stored(store: &dyn SharedStore) -> Option<ListRead> {
     let page = store.list_page(KEY, None).ok()?;
     let value = page.values.into_iter().find(|value| value.key == KEY);
     Some(value.map_or_else(
         || ListRead {
             revision: StoreRevision::new(page.revision.era(), 0),
             value: Bytes::new(),
+            is_by_peer: false,
         },
         |value| ListRead {
             revision: value.revision,
             value: value.value,
+            is_by_peer: false,
         },
     ))
 }
--- a/crates/instance/src/versions/records.rs
+++ b/crates/instance/src/versions/records.rs
@@ -67,12 +67,20 @@
     format!("{}{hash:016x}", stream_prefix(record.key))
 }
 
+/// The versions that are recorded for a stream.
+#[derive(Debug)]
+pub(super) struct RecordsRead {
+    /// The revision of the store.
+    pub(super) revision: StoreRevision,
+    pub(super) versions: Vec<SoftwareVersion>,
+}
+
 /// Reads the versions that are recorded for a stream; `None` without an answer by `until`.
 pub(super) fn read(
     store: &Arc<dyn SharedStore>,
     key: StreamKey,
     until: Instant,
-) -> Option<Vec<SoftwareVersion>> {
+) -> Option<RecordsRead> {
     let read = call_until(store, until, move |store| {
         store.list_page(&stream_prefix(key), None)
     });
@@ -81,7 +89,10 @@
         let name = String::from_utf8_lossy(&value.value);
         SoftwareVersion::from(&*name)
     });
-    Some(names.collect())
+    Some(RecordsRead {
+        revision: page.revision,
+        versions: names.collect(),
+    })
 }
 
 /// Minimum interval between two writes of an instance.
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -98,6 +98,10 @@
     OnlyVersion,
     /// The stream's record.
     Record,
+    /// As [`Self::OnlyVersion`], read by another instance for this one.
+    OnlyVersionByPeer,
+    /// As [`Self::Record`], with the list or the record read by another instance for this one.
+    RecordByPeer,
 }
 
 impl ProofSource {
@@ -107,6 +111,8 @@
             Self::Observed => "observed",
             Self::OnlyVersion => "only version",
             Self::Record => "record",
+            Self::OnlyVersionByPeer => "only version, read by a peer",
+            Self::RecordByPeer => "record, read by a peer",
         }
     }
 }
@@ -129,6 +135,22 @@
         })
     }
 
+    /// The same proof, of which another instance has read a part from the store.
+    #[must_use]
+    pub fn read_by_peer(self) -> Self {
+        let source = match self.source {
+            ProofSource::OnlyVersion => ProofSource::OnlyVersionByPeer,
+            ProofSource::Record => ProofSource::RecordByPeer,
+            other => other,
+        };
+        Self { source, ..self }
+    }
+
+    /// Whether the store has a record of the stream's version.
+    pub fn is_recorded(&self) -> bool {
+        matches!(self.source, ProofSource::Record | ProofSource::RecordByPeer)
+    }
+
     /// The version.
     pub fn software(&self) -> &SoftwareVersion {
         &self.software
@@ -174,6 +196,16 @@
         let parts = [service.as_bytes(), attempt_id.as_bytes()];
         (!attempt_id.is_empty()).then(|| Self(stable_digest(&parts)))
     }
+
+    /// The key as bytes, for messages to other instances.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The key in a message of another instance; `None` if it has another length.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
 }
 
 impl fmt::Display for StreamKey {
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -181,7 +181,8 @@
         self.address
     }
 
-    /// Replaces the faults of this endpoint; only [`Faults::error_status`] has an effect.
+    /// Replaces the faults of this endpoint; only [`Faults::error_status`] and [`Faults::is_silent`] have an
+    /// effect.
     pub fn set_faults(&self, faults: Faults) {
         *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
     }
@@ -202,10 +203,13 @@
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let endpoint_faults = faults.clone();
         let address = serve(any_port, move |request| {
-            let error_status = endpoint_faults
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .error_status;
+            let faults = endpoint_faults.lock();
+            let faults = faults.unwrap_or_else(PoisonError::into_inner).clone();
+            if faults.is_silent {
+                std::thread::sleep(UNANSWERED_CALL_DURATION);
+                return response(503, "");
+            }
+            let error_status = faults.error_status;
             error_status.map_or_else(|| store.answer(&request), |status| response(status, ""))
         });
         StoreEndpoint { address, faults }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -1,10 +1,11 @@
 //! Datagrams between instances, and the messages to and from the dispatcher of an engine.
 //!
 //! Each datagram carries one message and may be lost or delivered twice. The messages about permits
-//! are in [`crate::permits`].
+//! are in [`crate::permits`], those about reads of the store in [`crate::store_reads`].
 
 use crate::message::Suspects;
 use crate::permits::{PermitRelease, PermitReply, PermitRequest, VersionAnswer, VersionQuery};
+use crate::store_reads::{StoreReadAnswer, StoreReadQuery};
 use prost::{Message, Oneof};
 
 /// One datagram.
@@ -12,7 +13,10 @@
 pub struct Datagram {
     /// The message; `None` if a newer program sent a kind that this one does not know. Such a
     /// datagram is ignored.
-    #[prost(oneof = "Dispatch", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "Dispatch",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub body: Option<Dispatch>,
 }
 
@@ -71,6 +75,12 @@
     /// What a dispatcher tells the other dispatchers and the holder.
     #[prost(message, tag = "13")]
     DispatcherState(DispatcherState),
+    /// Asks an instance to read the store.
+    #[prost(message, tag = "14")]
+    StoreReadQuery(StoreReadQuery),
+    /// The answer to [`Dispatch::StoreReadQuery`].
+    #[prost(message, tag = "15")]
+    StoreReadAnswer(StoreReadAnswer),
 }
 
 /// Asks an instance whether it reaches upstreams and takes requests of other instances.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //!   buffers are derived from Rust types, so that the build needs no code generator.
 //! * [`dispatch`]: datagrams by which requests are assigned to engines.
 //! * [`permits`]: datagrams by which instances ask for permits.
+//! * [`store_reads`]: datagrams by which instances read the store for others.
 //! * [`versions`]: the list of software versions in the store.
 //! * [`link`]: a blocking connection that sends and receives envelopes.
 //!
@@ -14,6 +15,7 @@
 pub mod link;
 pub mod message;
 pub mod permits;
+pub mod store_reads;
 pub mod versions;
 
 pub use link::{Frame, Link, LinkReader};
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -66,6 +66,7 @@
 mod passed_on_requests;
 mod paused_readers;
 mod peer_queue;
+mod peer_store_reads;
 mod placement_faults;
 mod platform_soak;
 mod platform_words;
