A start with an earlier clock counts once the process reports it

An engine whose machine's clock had gone back started again under its id with a lower `born`. Its entry was left out as one of the start before, the send permit asked the process, which reported the lower start, and no stream began there any more: callers got refusals for as long as the former entry stayed listed.

Starts are still ordered by their clocks, since a lower one is usually an entry that comes late or from an older copy of the store. But the entry of the other start is kept now. It replaces the listed one if the process reports its start at the address of both entries, asked after the listed entry had arrived: two processes do not listen at one address, so the reported one began later. An entry's version still counts only over a connection whose process has reported that entry's start, so the order decides where streams are sent and not what they are joined from. Entries of one start that contradict each other prove nothing in either place. The holder sends the first entry of such a start on, so that each instance can ask.

Open: another address, plain upstreams, and the planner, which orders starts by their clocks alone; by reading it gives such an engine no orders.

--- a/crates/instance/src/control.rs
+++ b/crates/instance/src/control.rs
@@ -7,6 +7,7 @@
 use passway_serving::placement::PlannedOrder;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{EngineOrder, EngineReport, EngineResponse, Engines, OrderAnswer};
+use passway_serving::upstreams::{StartFinding, StartReport};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::net::SocketAddr;
@@ -46,13 +47,28 @@
     let sent_at = clock::now();
     let response = engines.report(&start.upstream, address);
     let report = apply_signals(shared, start, response, sent_at)?;
-    let has_restarted = {
+    let finding = {
         let mut upstreams = shared.upstreams();
-        upstreams.record_reported_start(&start.upstream, report.started_at_ms)
+        let started = StartReport {
+            started_at_ms: report.started_at_ms,
+            address,
+            asked_at: sent_at,
+        };
+        upstreams.record_reported_start(&start.upstream, started)
     };
-    if has_restarted {
-        log::info!(upstream:% = start.upstream, expected_ms = start.started_at_ms,
-            reported_ms = report.started_at_ms; "an engine has restarted, its new entry is not known yet");
+    match finding {
+        StartFinding::Unchanged => {}
+        StartFinding::ReplacedByUnlisted => {
+            log::info!(upstream:% = start.upstream, expected_ms = start.started_at_ms,
+                reported_ms = report.started_at_ms; "an engine has restarted, its new entry is not known yet");
+        }
+        StartFinding::ReplacedByEarlier => {
+            log::info!(upstream:% = start.upstream, expected_ms = start.started_at_ms,
+                reported_ms = report.started_at_ms; "an engine has restarted, and its clock went back");
+            shared.handle_restarts();
+            shared.versions.wake();
+            shared.notify_upstreams_changed();
+        }
     }
     Some(report)
 }
--- a/crates/instance/src/feeds/upstreams.rs
+++ b/crates/instance/src/feeds/upstreams.rs
@@ -136,19 +136,6 @@
         Ok(entry)
     }
 
-    /// Closes connections to upstreams that have restarted, because the old ones are dead.
-    fn drop_restarted_connections(&self) {
-        let restarted = self.shared.upstreams().take_restarted();
-        self.shared.versions.handle_restarts(&restarted);
-        for upstream in &restarted {
-            let id = &upstream.id;
-            log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream has started again under its id");
-            self.shared.pool.close_idle(id);
-            let started_at_ms = self.shared.upstreams().started_at_ms(id);
-            self.shared.starts_ended(id, started_at_ms);
-        }
-    }
-
     /// Records that an upstream is no longer listed.
     fn mark_missing(&self, id: &str) {
         let expires_at = self
@@ -178,7 +165,7 @@
         self.shared
             .upstreams()
             .replace_all(entries, expires_at, now);
-        self.drop_restarted_connections();
+        self.shared.handle_restarts();
         self.expire();
         self.shared.mark_upstreams_listed();
         self.shared.versions.wake();
@@ -197,7 +184,7 @@
                 self.send_to_holder(Input::UpstreamSeen(entry.clone()));
                 // Models on an engine are published as placements, which are shorter.
                 let must_publish = self.shared.upstreams().update(entry, clock::now());
-                self.drop_restarted_connections();
+                self.shared.handle_restarts();
                 must_publish
             }
             StoreChange::Removed { key, .. } => {
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::versions::Versions;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use crossbeam::channel::Sender;
+use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::first_byte_times::FirstByteTimes;
 use passway_serving::poison::{Suspect, UpstreamStart};
 use passway_serving::ports::{Engines, HeaderProtocol, InstanceBounds, InstanceSettings};
@@ -325,6 +326,20 @@
         }
     }
 
+    /// Ends what belongs to the previous starts of upstreams that have started again under their ids: their
+    /// connections are dead.
+    pub fn handle_restarts(&self) {
+        let restarted = self.upstreams().take_restarted();
+        self.versions.handle_restarts(&restarted);
+        for upstream in &restarted {
+            let id = &upstream.id;
+            log::info!(target: DECISION_TARGET, upstream:% = id; "an upstream has started again under its id");
+            self.pool.close_idle(id);
+            let started_at_ms = self.upstreams().started_at_ms(id);
+            self.starts_ended(id, started_at_ms);
+        }
+    }
+
     /// Addresses of the other instances that this one knows.
     pub fn other_instances(&self) -> Vec<SocketAddr> {
         let dispatchers = self.dispatch.dispatcher_list();
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -16,7 +16,7 @@
 use passway_types::prelude::*;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
-use upstream::Upstream;
+use upstream::{OtherStart, Upstream};
 use version_counts::VersionCounts;
 
 /// A model that is loaded on an engine.
@@ -81,6 +81,28 @@
     pub software: Option<SoftwareVersion>,
 }
 
+/// A process's own report of its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartReport {
+    /// When the process started, in Unix milliseconds by its own clock.
+    pub started_at_ms: u64,
+    /// The address at which the process was asked.
+    pub address: SocketAddr,
+    /// When the process was asked.
+    pub asked_at: Instant,
+}
+
+/// What a [`StartReport`] shows of the listed start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartFinding {
+    /// Nothing new.
+    Unchanged,
+    /// A later start has replaced it, whose entry has not arrived.
+    ReplacedByUnlisted,
+    /// It was replaced by a start that seems to be earlier, whose entry counts from now on.
+    ReplacedByEarlier,
+}
+
 /// What a request needs on an engine.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ModelRef {
@@ -235,11 +257,13 @@
         self.upstreams.values().map(|upstream| &upstream.entry)
     }
 
-    /// Updates an upstream's entry. Returns whether more than its loaded models has changed.
+    /// Updates an upstream's entry. Returns whether more than its loaded models has changed, or whether the
+    /// entry is of a start that was not known.
     pub fn update(&mut self, mut entry: UpstreamEntry, now: Instant) -> bool {
         if entry.draining {
             let _ = self.leaving.record(&entry.id, entry.started_at_ms, now);
         }
+        let has_reported_leaving = entry.draining;
         // Leaving is final for a start, even if a report is older or does not include it yet.
         entry.draining = self.is_leaving(&entry.id, entry.started_at_ms);
         let cold_per_s = self
@@ -258,19 +282,15 @@
             return true;
         };
         if entry.started_at_ms < known.entry.started_at_ms {
-            // The report is from before the upstream started again.
-            return false;
+            // The report is from before the upstream started again, or its clock went back, which only
+            // the process can tell, to each instance.
+            entry.draining |= has_reported_leaving;
+            return known.keep_other_start(entry);
         }
         if entry.started_at_ms > known.entry.started_at_ms {
-            // Observations of the previous start do not apply to the new one.
-            self.restarted.push(RestartedUpstream {
-                id: entry.id.clone(),
-                previous: known.listed_start(),
-                software: entry.software.clone(),
-            });
-            self.version_counts.replace(&known.entry, &entry);
-            self.unknown_versions.remove(&entry.id);
-            *known = new_upstream(entry);
+            let id = entry.id.clone();
+            let _ = known.keep_other_start(entry);
+            self.change_start(&id, now);
             return true;
         }
         if known.entry.software != entry.software {
@@ -293,6 +313,9 @@
             || known.entry.slots != entry.slots
             || known.entry.draining != entry.draining
             || known.stays_cold_longer(&entry);
+        if known.entry.address != entry.address {
+            known.address_since = now;
+        }
         self.version_counts.replace(&known.entry, &entry);
         known.cold_per_s = cold_per_s;
         known.entry = entry;
@@ -323,19 +346,71 @@
         upstream.map_or_else(ListedStart::default, Upstream::listed_start)
     }
 
-    /// Records the start that an upstream itself has reported, in Unix milliseconds by its own clock. If
-    /// it is later than the listed one, the upstream's software version is not known until its entry
-    /// arrives. Returns whether it is later.
-    pub fn record_reported_start(&mut self, id: &str, started_at_ms: u64) -> bool {
+    /// Exchanges the listed start of an upstream for the other one that is known.
+    fn change_start(&mut self, id: &str, now: Instant) {
+        let Some(known) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        let Some(other) = known.other_start.take() else {
+            return;
+        };
+        let OtherStart {
+            mut entry,
+            is_software_unknown,
+        } = *other;
+        self.leaving.forget_later(id, entry.started_at_ms);
+        if entry.draining {
+            let _ = self.leaving.record(&entry.id, entry.started_at_ms, now);
+        }
+        entry.draining = self.leaving.is_leaving(id, entry.started_at_ms);
+        self.restarted.push(RestartedUpstream {
+            id: entry.id.clone(),
+            previous: known.listed_start(),
+            software: entry.software.clone(),
+        });
+        self.version_counts.replace(&known.entry, &entry);
+        if is_software_unknown {
+            self.unknown_versions.insert(entry.id.clone());
+        } else {
+            self.unknown_versions.remove(id);
+        }
+        let cold_limit = self.cold_limits.get(&entry.service);
+        // Observations of the previous start do not apply to the new one.
+        let mut upstream = Upstream::new(entry, now);
+        upstream.cold_per_s = cold_limit.map(|cold_limit| cold_limit.per_s);
+        upstream.is_software_unknown = is_software_unknown;
+        let previous = std::mem::replace(known, upstream);
+        known.other_start = Some(Box::new(OtherStart {
+            entry: previous.entry,
+            is_software_unknown: previous.is_software_unknown,
+        }));
+    }
+
+    /// Records the start that an upstream's process itself has reported.
+    ///
+    /// If it is later than the listed one, the upstream's software version is not known until its entry
+    /// arrives. An earlier one may be of a process that began later, after the clock of its machine went
+    /// back. It is, if the process answered at the address of the listed start to a question that was
+    /// asked after that start's entry had arrived: two processes do not listen there. Then the entry with
+    /// the reported start counts.
+    pub fn record_reported_start(&mut self, id: &str, report: StartReport) -> StartFinding {
         let Some(upstream) = self.upstreams.get_mut(id) else {
-            return false;
+            return StartFinding::Unchanged;
         };
-        let is_later = started_at_ms > upstream.entry.started_at_ms;
-        if is_later {
+        if report.started_at_ms > upstream.entry.started_at_ms {
             upstream.is_software_unknown = true;
             self.unknown_versions.insert(upstream.entry.id.clone());
+            return StartFinding::ReplacedByUnlisted;
+        }
+        if !upstream.is_replaced_by_other(report) {
+            return StartFinding::Unchanged;
+        }
+        let removed_at = upstream.removed_at;
+        self.change_start(id, report.asked_at);
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.removed_at = removed_at;
         }
-        is_later
+        StartFinding::ReplacedByEarlier
     }
 
     /// Whether the software version of any upstream is not known.
--- a/crates/serving/src/upstreams/leaving.rs
+++ b/crates/serving/src/upstreams/leaving.rs
@@ -34,6 +34,14 @@
         true
     }
 
+    /// Forgets a start that has ended although it seems to be later than the present one.
+    pub(super) fn forget_later(&mut self, id: &str, started_at_ms: u64) {
+        let known = self.0.get(id);
+        if known.is_some_and(|known| known.started_at_ms > started_at_ms) {
+            self.0.remove(id);
+        }
+    }
+
     /// Whether a start has reported that it is leaving.
     pub(super) fn is_leaving(&self, id: &str, started_at_ms: u64) -> bool {
         let known = self.0.get(id);
--- a/crates/serving/src/upstreams/upstream.rs
+++ b/crates/serving/src/upstreams/upstream.rs
@@ -1,7 +1,7 @@
 //! One upstream: its own report, and what this instance has observed of it.
 
 use super::backoff::Backoff;
-use super::{ListedStart, ModelRef, Outcome, UpstreamEntry};
+use super::{ListedStart, ModelRef, Outcome, StartReport, UpstreamEntry};
 use crate::limits::ObservedLimit;
 use passway_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -24,6 +24,14 @@
 /// How long an upstream gets no requests for a model that it reported missing.
 const ABSENT_BACKOFF: Duration = Duration::from_millis(400);
 
+/// The entry of another start than the listed one.
+#[derive(Debug)]
+pub(super) struct OtherStart {
+    pub(super) entry: UpstreamEntry,
+    /// As in [`Upstream`].
+    pub(super) is_software_unknown: bool,
+}
+
 /// An upstream's report and what this instance has observed of it.
 #[derive(Debug)]
 pub(super) struct Upstream {
@@ -31,6 +39,11 @@
     /// Whether the software version is unknown: the entries of this process name different versions, or a
     /// newer process has replaced it and its entry has not arrived.
     pub(super) is_software_unknown: bool,
+    /// Since when the entry's address is known for its start.
+    pub(super) address_since: Instant,
+    /// The entry of the start that was listed before, or the last one that seemed to be of an earlier
+    /// start.
+    pub(super) other_start: Option<Box<OtherStart>>,
     /// Running requests of this instance, in total and by model; models without requests are not
     /// listed.
     pub(super) in_flight: u32,
@@ -69,6 +82,8 @@
         Self {
             entry,
             is_software_unknown: false,
+            address_since: now,
+            other_start: None,
             in_flight: 0,
             in_flight_models: HashMap::new(),
             silent_since: None,
@@ -87,6 +102,38 @@
         }
     }
 
+    /// Keeps the entry of another start. Returns whether its start was not known.
+    pub(super) fn keep_other_start(&mut self, entry: UpstreamEntry) -> bool {
+        let known = self.other_start.as_mut();
+        let known = known.filter(|known| known.entry.started_at_ms == entry.started_at_ms);
+        if let Some(known) = known {
+            known.is_software_unknown |= known.entry.software != entry.software;
+            let is_leaving = known.entry.draining || entry.draining;
+            if known.entry.heartbeat <= entry.heartbeat {
+                known.entry = entry;
+            }
+            known.entry.draining = is_leaving;
+            false
+        } else {
+            self.other_start = Some(Box::new(OtherStart {
+                entry,
+                is_software_unknown: false,
+            }));
+            true
+        }
+    }
+
+    /// Whether the process that reported its start has replaced the listed start, and its entry is known.
+    pub(super) fn is_replaced_by_other(&self, report: StartReport) -> bool {
+        self.other_start.as_ref().is_some_and(|other| {
+            report.started_at_ms != 0
+                && other.entry.started_at_ms == report.started_at_ms
+                && other.entry.address == report.address
+                && self.entry.address == report.address
+                && report.asked_at > self.address_since
+        })
+    }
+
     /// The start that the entry reports.
     pub(super) fn listed_start(&self) -> ListedStart {
         ListedStart {
--- a/tests/all/software_version_limits.rs
+++ b/tests/all/software_version_limits.rs
@@ -15,6 +15,7 @@
 use passway_wire::Body;
 use passway_wire::message::Updates;
 use serde_json::json;
+use std::collections::BTreeSet;
 
 /// Instances of the largest fleet that is asked about.
 const LARGE_FLEET: u32 = 320;
@@ -138,6 +139,46 @@
     until("a stream", || send(&instance, &new_id(), "").status == 200);
 }
 
+/// The entry of an earlier process whose clock went ahead comes from an older copy of the store: what the
+/// present process writes does not go on at, or as, the version in that entry.
+#[test]
+fn old_entry_after_a_clock_that_went_back() {
+    let store = cluster::store(&["m0"]);
+    let server = engine(&store, "i-0", "v2");
+    let slow = engine(&store, "i-1", "v1");
+    slow_down(&[&server, &slow]);
+    let instance = cluster::start_ready("one", &store);
+    let begin = |instance: &_| {
+        let mut begun = Vec::new();
+        until("streams of both versions", || {
+            begun.extend(BrokenStream::try_begin(instance, &new_id()));
+            let begun = begun.iter();
+            let versions: BTreeSet<_> = begun
+                .map(|one: &BrokenStream| one.software.clone())
+                .collect();
+            versions.len() == 2
+        });
+        begun
+    };
+    let mut streams = begin(&instance);
+    let entry = store.get("servers/i-0").expect("an entry");
+    let mut old: serde_json::Value = serde_json::from_slice(&entry).expect("an entry");
+    old["born"] = json!(old["born"].as_u64().expect("a start") + 60_000);
+    old["version"] = json!("v1");
+    for _ in 0..3 {
+        store.put("servers/i-0", &old);
+        std::thread::sleep(Duration::from_millis(200));
+        streams.extend((0..4).filter_map(|_| BrokenStream::try_begin(&instance, &new_id())));
+        server.publish_entry("ready");
+        streams.extend(begin(&instance));
+    }
+    let went_on = streams.iter().filter(|stream| {
+        let rest = stream.take_up(&instance);
+        stream.goes_on_with(&rest)
+    });
+    assert!(went_on.count() > 0);
+}
+
 /// A caller that asked for another version of the weights made engines count as if they lacked the model, and
 /// other callers of the model waited or were refused.
 #[test]
@@ -184,7 +225,7 @@
     until("both versions", || {
         (0..6)
             .flat_map(|_| versions(&send(&instance, &new_id(), "")))
-            .collect::<std::collections::BTreeSet<_>>()
+            .collect::<BTreeSet<_>>()
             .len()
             == 2
     });
--- a/tests/all/upstream_choice.rs
+++ b/tests/all/upstream_choice.rs
@@ -2,7 +2,8 @@
 
 use passway_serving::store_outages::StoreOutages;
 use passway_serving::upstreams::{
-    Choice, ModelRef, Outcome, ResidentModel, UpstreamEntry, UpstreamTable,
+    Choice, ModelRef, Outcome, ResidentModel, StartFinding, StartReport, UpstreamEntry,
+    UpstreamTable,
 };
 use passway_types::prelude::*;
 use std::collections::BTreeMap;
@@ -214,6 +215,59 @@
     assert!(!is_chosen(&table, "i-2", during_outage));
 }
 
+/// An entry with an earlier start counts only once the process has reported that start, at the listed
+/// address and after the listed entry had arrived.
+#[test]
+fn earlier_start_needs_report() {
+    let began_at = Instant::now();
+    let of_start = |started_at_ms, software: &str| UpstreamEntry {
+        started_at_ms,
+        software: software.into(),
+        ..entry(0, 5)
+    };
+    let address = entry(0, 5).address;
+    let elsewhere = ([127, 0, 0, 1], 10).into();
+    let later = began_at + Duration::from_millis(10);
+    let reports = [
+        (5, address, began_at, StartFinding::Unchanged),
+        (5, elsewhere, later, StartFinding::Unchanged),
+        (9, address, later, StartFinding::Unchanged),
+        (4, address, later, StartFinding::Unchanged),
+        (5, address, later, StartFinding::ReplacedByEarlier),
+    ];
+    for (started_at_ms, address, asked_at, expected) in reports {
+        let report = StartReport {
+            started_at_ms,
+            address,
+            asked_at,
+        };
+        let mut table = UpstreamTable::new("hall0".into());
+        table.update(of_start(9, "v2"), began_at);
+        assert_eq!(
+            table.record_reported_start("i-0", report),
+            StartFinding::Unchanged
+        );
+        // Only the first entry of the start is sent on to other instances.
+        assert!(table.update(of_start(5, "v1"), began_at));
+        assert!(!table.update(of_start(5, "v1"), began_at));
+        assert_eq!(table.listed_start("i-0").started_at_ms, 9);
+        assert_eq!(table.record_reported_start("i-0", report), expected);
+        let is_replaced = expected == StartFinding::ReplacedByEarlier;
+        let software = if is_replaced { "v1" } else { "v2" };
+        assert_eq!(table.listed_start("i-0").software, Some(software.into()));
+        // Entries of one start that contradict each other prove nothing, in either place.
+        table.update(of_start(5, "v3"), later);
+        table.update(of_start(9, "v2"), later);
+        let newer = StartReport {
+            asked_at: later + Duration::from_millis(10),
+            ..report
+        };
+        if table.record_reported_start("i-0", newer) == StartFinding::ReplacedByEarlier {
+            assert_eq!(table.listed_start("i-0").software, None);
+        }
+    }
+}
+
 /// An upstream that starts again under its id keeps none of the earlier observations, and reports
 /// from before its start are ignored.
 #[test]
