--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -681,11 +681,7 @@
             let headers = format!("Not-Executed: 1\r\nRetry-After: {backoff_s}\r\n{signals}");
             return answer(503, id, "", &headers);
         }
-        // The weights have version 1, as in the entries.
-        let expects_other = received
-            .header("expect-version")
-            .is_some_and(|expected| expected != "1");
-        if !is_loaded || expects_other {
+        if !is_loaded || expects_other_weights(received) {
             let headers = format!("Not-Executed: 1\r\n{signals}");
             return answer(421, id, "", &headers);
         }
@@ -782,6 +778,12 @@
     }
 }
 
+/// Whether a request asks for other weights than those of version 1, as in the entries.
+fn expects_other_weights(received: &Received) -> bool {
+    let expected = received.header("expect-version");
+    expected.is_some_and(|expected| expected != "1")
+}
+
 /// Returns the number of the event after which the request resumes its stream; 0 for a new one.
 fn last_event_id(received: &Received) -> u64 {
     let last_event = received.header("last-event-id");
