Resumed streams wait longer for their model, and refusals name the end of its load

What callers saw: after engines crash beside a release, all attempts to take a stream up at a version whose last engine with the model had crashed were refused: 1.08 s, 503 with 0.5 s; the same again; then 503 at once with the 6 s of a load, however long the load had been needed. Cause: a request waits 0.45 of the gap that callers accept; a refusal beside a crashed engine whose entry is still there names the default; a later one counts the load from itself. Change: a stream that is resumed at a proved version waits for 0.9 of that gap, unless the load ends later; the end of the load counts from the first request of this instance that missed the model (MissingModels), for up to twice its duration; Retry-After is the rest of it. Other requests are as before, but for the Retry-After beside engines that cannot be reached. Why it works: a crashed engine is back with its disk after 4.4 s, and the second attempt now comes and waits then.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -390,6 +390,9 @@
         }
         metrics.request_ended(request_log.end, request_log.status);
         if let Some(first_ms) = request_log.first_ms {
+            if let Some(missing) = self.missing_model() {
+                self.shared.missing_models.remove(&missing);
+            }
             metrics.first_byte(Duration::from_millis(first_ms));
         }
         if let Some(waited_ms) = request_log.waited_ms.filter(|_| self.is_engine) {
--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -5,7 +5,7 @@
 use super::{ConnectionReuse, Forwarding, RETRY_AFTER_MS, connection_reuse, not_run};
 use crate::denials::Denial;
 use crate::poison::ExclusivePermit;
-use crate::relay::millis;
+use crate::relay::{millis, millis_since};
 use crate::reply::{self, Refusal};
 use passway_serving::poison::RunPermission;
 use passway_types::clock;
@@ -50,6 +50,7 @@
                 .or(self.too_late.map(|refused| millis(refused.retry_after)))
                 .or(self.upstream_available_ms)
                 .or(self.peer_retry_ms)
+                .or_else(|| self.missing_model_ms())
                 .unwrap_or(RETRY_AFTER_MS);
             let retry_ms = if is_on_hold {
                 SUSPECT_RETRY_MS
@@ -80,6 +81,13 @@
         self.refuse(Denial { refusal, end })
     }
 
+    /// Milliseconds until the model is loaded that the request has missed.
+    fn missing_model_ms(&self) -> Option<u64> {
+        let now = clock::now();
+        let ends_at = self.missing_model_ends_at(now)?;
+        Some(millis_since(now, ends_at)).filter(|remaining_ms| *remaining_ms > 0)
+    }
+
     /// Refuses the request.
     pub(super) fn refuse(&mut self, denial: Denial) -> ConnectionReuse {
         let Denial { refusal, end } = denial;
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -2,7 +2,8 @@
 
 use super::{Forwarding, NextHop, Target, request_hash};
 use crate::dispatch::{EngineQuery, TooLate};
-use crate::relay::{millis, millis_since};
+use crate::missing_models::MissingModel;
+use crate::relay::millis_since;
 use crate::reply::ResumeObstacle;
 use crate::shared::{ReportEvent, Shared};
 use passway_serving::dispatch::Promise;
@@ -19,6 +20,8 @@
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Fraction of its time that a request may wait for an upstream before it is refused.
 const WAIT_RATIO: f64 = 0.45;
+/// The same for a stream that is resumed, whose model only an engine of one version can have.
+const RESUMED_WAIT_RATIO: f64 = 0.9;
 /// Fraction of its latency goal after which a request of the most urgent kind is due.
 const URGENT_GOAL_RATIO: f64 = 0.5;
 
@@ -35,7 +38,17 @@
     pub(super) fn wait_until(&self, ends_at: Instant) -> Instant {
         let total = ends_at.saturating_duration_since(self.arrived_at);
         let patience = Duration::from_millis(self.route.max_silence_ms());
-        self.arrived_at + total.min(patience).mul_f64(WAIT_RATIO)
+        let ratio = if self.is_resumed_stream() {
+            RESUMED_WAIT_RATIO
+        } else {
+            WAIT_RATIO
+        };
+        self.arrived_at + total.min(patience).mul_f64(ratio)
+    }
+
+    /// Whether the caller resumes a stream whose software version is proven.
+    fn is_resumed_stream(&self) -> bool {
+        self.facts.last_event_id.is_some() && self.required_version().is_some()
     }
 
     /// Waits for an upstream that accepts the request, or for another instance if this one is cut
@@ -82,6 +95,8 @@
                 && available_at.is_none()
                 && may_wait
                 && self.request_log.offers == 0
+                // The end of the load is known once a resumed stream waits.
+                && (reported_wait.is_none() || !self.is_resumed_stream())
                 && let Some(model_ready_ms) = self.late_model_ready_ms(now)
             {
                 self.model_ready_ms = Some(model_ready_ms);
@@ -113,6 +128,7 @@
                     self.required_version(),
                     wait_until,
                 ));
+                self.missing_model_ends_at(now);
             }
             // Each iteration waits, so that requests for a service without upstreams do not take
             // the processor from all others.
@@ -182,21 +198,51 @@
         let model_ref = self.model_ref()?;
         let load_time = self.load_time()?;
         let wait_until = self.wait_until(self.deadline_at);
-        let ready_at = now + load_time;
-        let upstreams = self.shared.upstreams();
-        if ready_at <= wait_until
-            || !upstreams.is_cached_nowhere(
-                &self.service,
-                &model_ref.model,
-                &self.access.allowed_regions,
-                self.required_version(),
-            )
-        {
+        let is_cached_nowhere = self.shared.upstreams().is_cached_nowhere(
+            &self.service,
+            &model_ref.model,
+            &self.access.allowed_regions,
+            self.required_version(),
+        );
+        if !is_cached_nowhere {
+            return None;
+        }
+        let ready_at = if self.is_resumed_stream() {
+            self.missing_model_ends_at(now)?
+        } else {
+            now + load_time
+        };
+        if ready_at <= wait_until {
             return None;
         }
-        drop(upstreams);
         self.report_refused_wait(wait_until);
-        Some(millis(load_time))
+        Some(millis_since(now, ready_at))
+    }
+
+    /// When the load ends that requests for the model have caused, if no engine that this request
+    /// has not tried has the model cached.
+    pub(super) fn missing_model_ends_at(&self, now: Instant) -> Option<Instant> {
+        let model = &self.model_ref()?.model;
+        let load_time = self.load_time()?;
+        let is_cached_nowhere = self.shared.upstreams().is_cached_only_on(
+            &self.service,
+            model,
+            &self.access.allowed_regions,
+            self.required_version(),
+            &self.tried,
+        );
+        let missing = self.missing_model()?;
+        let missing_models = &self.shared.missing_models;
+        is_cached_nowhere.then(|| missing_models.load_ends_at(missing, load_time, now))
+    }
+
+    /// The request's model at the engines that may run the request.
+    pub(super) fn missing_model(&self) -> Option<MissingModel> {
+        Some(MissingModel {
+            service: self.service.clone(),
+            model: self.model_ref()?.model.clone(),
+            required_software: self.required_version().cloned(),
+        })
     }
 
     /// How long the request's model takes to load from the weight store.
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod liveness;
 pub mod members;
 pub mod metrics;
+pub mod missing_models;
 pub mod paths;
 pub mod poison;
 pub mod pool;
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::limits::Limits;
 use crate::members::Addresses;
 use crate::metrics::Metrics;
+use crate::missing_models::MissingModels;
 use crate::paths::PathMonitor;
 use crate::poison::PoisonTracker;
 use crate::pool::ConnectionPool;
@@ -128,6 +129,8 @@
     pub poison: PoisonTracker,
     /// The software versions that began streams.
     pub versions: Versions,
+    /// Models that requests have found on no engine.
+    pub missing_models: MissingModels,
     /// The headers that callers and upstreams use.
     pub vocabulary: Box<dyn HeaderProtocol>,
     /// Signals that end threads' waits.
@@ -199,6 +202,7 @@
             limits: Limits::default(),
             poison: PoisonTracker::default(),
             versions: Versions::default(),
+            missing_models: MissingModels::default(),
             vocabulary,
             stop_signals,
             report_events,
--- a/crates/serving/src/upstreams.rs
+++ b/crates/serving/src/upstreams.rs
@@ -632,9 +632,22 @@
         model: &ModelName,
         allowed: &AllowedRegions,
         required: Option<&SoftwareVersion>,
+    ) -> bool {
+        self.is_cached_only_on(service, model, allowed, required, &[])
+    }
+
+    /// As [`Self::is_cached_nowhere`], apart from the engines `except`.
+    pub fn is_cached_only_on(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        allowed: &AllowedRegions,
+        required: Option<&SoftwareVersion>,
+        except: &[UpstreamId],
     ) -> bool {
         let engines = self.admitted_upstreams(service, allowed);
         let mut engines = engines
+            .filter(|engine| !except.contains(&engine.entry.id))
             .filter(|engine| required.is_none_or(|required| engine.entry.software == *required))
             .peekable();
         engines.peek().is_some() && !engines.any(|upstream| upstream.has_cached(model))
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -58,6 +58,7 @@
 mod long_lists;
 mod lost_engines;
 mod lost_version_reads;
+mod missed_models;
 mod model_orders;
 mod outage_terms;
 mod part_blame;
