--- a/tests/all/peer_store_reads.rs
+++ b/tests/all/peer_store_reads.rs
@@ -171,6 +171,7 @@
                 service: "engines".to_owned(),
                 software: "v1".to_owned(),
             }],
+            splits: Vec::new(),
         };
         let result = StoreReadResult {
             revision: revision.packed(),
