--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -90,7 +90,7 @@
     /// Milliseconds until the model is loaded that the request has missed.
     fn missing_model_ms(&self) -> Option<u64> {
         let now = clock::now();
-        let ends_at = self.missing_model_ends_at(now)?;
+        let ends_at = self.record_missing_model(now)?;
         Some(millis_since(now, ends_at)).filter(|remaining_ms| *remaining_ms > 0)
     }
 
--- a/crates/instance/src/forward/waiting.rs
+++ b/crates/instance/src/forward/waiting.rs
@@ -131,7 +131,7 @@
                     self.required_version(),
                     wait_until,
                 ));
-                self.missing_model_ends_at(now);
+                self.record_missing_model(now);
             }
             // Each iteration waits, so that requests for a service without upstreams do not take
             // the processor from all others.
@@ -218,7 +218,7 @@
             return None;
         }
         let ready_at = if self.is_resumed_stream() {
-            self.missing_model_ends_at(now)?
+            self.record_missing_model(now)?
         } else {
             now + load_time
         };
@@ -229,9 +229,9 @@
         Some(millis_since(now, ready_at))
     }
 
-    /// When the load ends that requests for the model have caused, if no engine that this request
-    /// has not tried has the model cached.
-    pub(super) fn missing_model_ends_at(&self, now: Instant) -> Option<Instant> {
+    /// Records that the request misses its model, if no engine that it has not tried has the model cached.
+    /// Returns when the load ends that the first such request has caused.
+    pub(super) fn record_missing_model(&self, now: Instant) -> Option<Instant> {
         let model = &self.model_ref()?.model;
         let load_time = self.load_time()?;
         let is_cached_nowhere = self.shared.upstreams().is_cached_only_on(
