--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -46,7 +46,7 @@
 use access::Access;
 use attempt::{Attempt, Delivery, FailedAnswer, Target};
 pub(crate) use destination::check_version;
-use destination::{find_destination, host_of, request_hash};
+use destination::{find_destination, host_of, is_engine, request_hash};
 use limits::DeferredUpstream;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::dispatch::RunId;
@@ -132,6 +132,8 @@
     /// The times at which the delivered stream's events arrived.
     stream_timing: StreamTiming,
     tried: Vec<UpstreamId>,
+    /// Upstreams whose weights are not those that the caller asks for.
+    other_weights: Vec<UpstreamId>,
     /// Instances that the request was passed on to.
     tried_peers: Vec<InstanceId>,
     /// `Retry-After` of the last instance that refused the request, in milliseconds.
@@ -285,6 +287,7 @@
         resume_obstacle: None,
         stream_timing: StreamTiming::default(),
         tried: Vec::new(),
+        other_weights: Vec::new(),
         tried_peers: Vec::new(),
         peer_retry_ms: None,
         deferred: Vec::new(),
@@ -390,6 +393,9 @@
         }
         metrics.request_ended(request_log.end, request_log.status);
         if let Some(first_ms) = request_log.first_ms {
+            if let Some(missing) = self.missing_model() {
+                self.shared.missing_models.remove(&missing);
+            }
             metrics.first_byte(Duration::from_millis(first_ms));
         }
         if let Some(waited_ms) = request_log.waited_ms.filter(|_| self.is_engine) {
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -13,17 +13,24 @@
 mod bounded_calls;
 mod known_list;
 mod list_reads;
+mod origins;
+mod peer_answers;
+mod peer_reads;
+mod proof_reads;
 mod records;
 mod registry;
+mod stored_splits;
 
 use crate::leadership::LeadershipDriver;
 use crate::shared::Shared;
+use bounded_calls::call_until;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use known_list::{KnownList, decode, encode};
-use list_reads::{ListRead, ListReads};
+use list_reads::{ListRead, ListReads, read_stored};
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
+use passway_serving::splits::{SplitHistory, StreamOrigin};
 use passway_serving::upstreams::RestartedUpstream;
 use passway_serving::versions::{
     IdentifiedStart, ProofSource, ProvenVersion, ServiceVersion, SoftwareVersion, StreamKey,
@@ -31,9 +38,15 @@
 };
 use passway_types::clock;
 use passway_types::prelude::*;
+use passway_wire::store_reads::{StoreReadAnswer, StoreReadQuery};
+use peer_answers::PeerAnswers;
+use peer_reads::PeerReads;
+use proof_reads::ProofReads;
 use rand::RngExt;
 use records::RecordWriter;
 use registry::{BegunStream, Registry};
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
@@ -56,7 +69,7 @@
 /// Time after which an instance that is not the holder adds a missing version itself. A holder usually
 /// follows another one within it.
 const ADD_DELAY: Duration = Duration::from_secs(1);
-/// Longest wait for a read of the list that another thread has begun.
+/// Longest read of the list to check whether it must change.
 const MAX_READ_TIME: Duration = Duration::from_secs(1);
 /// Pause before a failed read is repeated for a request that waits for it.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -96,7 +109,12 @@
     read_interval: Mutex<Duration>,
     registry: Mutex<Registry>,
     records: RecordWriter,
-    store: OnceLock<Arc<dyn SharedStore>>,
+    /// The services of the routes, now and lately.
+    splits: Mutex<SplitHistory>,
+    /// Reads of the store for proofs.
+    proof_reads: OnceLock<Arc<ProofReads>>,
+    peers: PeerReads,
+    answers: PeerAnswers,
     wakeup_sender: Sender<()>,
     wakeup_receiver: Receiver<()>,
 }
@@ -111,7 +129,10 @@
             read_interval: Mutex::new(MIN_READ_INTERVAL),
             registry: Mutex::default(),
             records: RecordWriter::default(),
-            store: OnceLock::new(),
+            splits: Mutex::default(),
+            proof_reads: OnceLock::new(),
+            peers: PeerReads::default(),
+            answers: PeerAnswers::default(),
             wakeup_sender,
             wakeup_receiver,
         }
@@ -155,65 +176,64 @@
     /// `is_for_peer` tells whether another instance delivers the stream.
     pub fn stream_began(
         &self,
-        key: StreamKey,
+        origin: StreamOrigin,
         service: &ServiceName,
         upstream: &UpstreamId,
         start: &IdentifiedStart,
         replaced_by: Option<SoftwareVersion>,
         is_for_peer: bool,
     ) {
-        let Some(proven) = ProvenVersion::observed(start) else {
+        let Some(proven) = ProvenVersion::observed(service, start) else {
             return;
         };
         let unreported_start = (!start.is_reported()).then(|| UpstreamStart {
             upstream: upstream.clone(),
             started_at_ms: start.start().started_at_ms,
         });
-        self.insert(
-            key,
-            BegunStream {
-                service: service.clone(),
-                proven,
-                unreported_start,
-                began_at: clock::now(),
-                is_delivered: false,
-                is_recorded: false,
-                is_for_peer,
-                disputed_with: replaced_by,
-            },
-        );
+        self.insert(BegunStream {
+            service: service.clone(),
+            origin,
+            proven,
+            unreported_start,
+            began_at: clock::now(),
+            is_delivered: false,
+            is_recorded: false,
+            is_for_peer,
+            disputed_with: replaced_by,
+        });
     }
 
     /// Remembers a stream that this instance resumes and whose version the store has proved: the stream may
     /// break off again, another version of the service may appear, and the store may lose its record.
-    pub fn record_resumption(&self, key: StreamKey, service: &ServiceName, proven: &ProvenVersion) {
+    pub fn record_resumption(&self, origin: StreamOrigin, proven: &ProvenVersion) {
         if proven.source() == ProofSource::Observed {
             return;
         }
-        self.insert(
-            key,
-            BegunStream {
-                service: service.clone(),
-                proven: proven.clone(),
-                unreported_start: None,
-                began_at: clock::now(),
-                is_delivered: false,
-                is_recorded: proven.source() == ProofSource::Record,
-                is_for_peer: false,
-                disputed_with: None,
-            },
-        );
+        self.insert(BegunStream {
+            service: proven.service().clone(),
+            origin,
+            proven: proven.clone(),
+            unreported_start: None,
+            began_at: clock::now(),
+            is_delivered: false,
+            is_recorded: proven.is_recorded(),
+            is_for_peer: false,
+            disputed_with: None,
+        });
     }
 
-    fn insert(&self, key: StreamKey, stream: BegunStream) {
-        let service = stream.service.clone();
+    fn insert(&self, stream: BegunStream) {
+        let (service, origin) = (stream.service.clone(), stream.origin.clone());
+        let Some(key) = origins::key_at(&origin, &service) else {
+            return;
+        };
         lock(&self.registry).insert(key, stream);
         // A list that arrives meanwhile finds the stream in the registry.
         let must_record = {
             let known = lock(&self.known);
             known.list.must_record(&service, known.revision.era())
         };
-        if must_record {
+        if must_record || self.must_record_service(&origin, &service) {
             self.record_unrecorded(&[key]);
         }
     }
@@ -229,30 +249,22 @@
         lock(&self.registry).is_disputed(key)
     }
 
-    /// Proves the version that began a stream, by what this instance has observed or by a read of the
-    /// store that begins now. `key` is `None` if the caller does not name the attempt that began it.
+    /// Proves at which service and version a stream began, by what this instance has observed or by a read
+    /// of the store that begins now.
     ///
     /// # Errors
     /// Why there is no proof.
-    pub fn prove(
-        &self,
-        service: &ServiceName,
-        key: Option<StreamKey>,
-        until: Instant,
-    ) -> Result<ProvenVersion, NoProof> {
-        if let Some(key) = key {
-            let registry = lock(&self.registry);
-            if registry.is_disputed(key) {
-                return Err(Unproven::ConflictingRecords.into());
-            }
-            if let Some(proven) = registry.proven(key) {
-                return Ok(proven);
-            }
+    pub fn prove(&self, origin: &StreamOrigin, until: Instant) -> Result<ProvenVersion, NoProof> {
+        if let Some(proven) = self.prove_observed(origin)? {
+            return Ok(proven);
         }
-        let store = self.store.get().ok_or(NoProof::StoreAway)?;
+        let reads = self.proof_reads.get().ok_or(NoProof::StoreAway)?;
+        // In an outage that is known already nothing is gained by waiting if nobody else can read either.
+        let is_outage_known = reads.is_store_failing();
         loop {
-            let proven = self.prove_by_store(store, service, key, until);
-            let may_retry = clock::now() + READ_RETRY_DELAY < until;
+            let proven = self.prove_by_store(reads, origin, until);
+            let is_hopeless = is_outage_known && self.peers.is_unable();
+            let may_retry = !is_hopeless && clock::now() + READ_RETRY_DELAY < until;
             if proven != Err(NoProof::StoreAway) || !may_retry {
                 return proven;
             }
@@ -262,35 +274,72 @@
 
     fn prove_by_store(
         &self,
-        store: &Arc<dyn SharedStore>,
-        service: &ServiceName,
-        key: Option<StreamKey>,
+        reads: &Arc<ProofReads>,
+        origin: &StreamOrigin,
         until: Instant,
     ) -> Result<ProvenVersion, NoProof> {
-        let read = self.read_list(store, until).ok_or(NoProof::StoreAway)?;
+        let interval = *lock(&self.read_interval);
+        let read = self.reads.read(reads, interval, until);
+        let read = read.ok_or(NoProof::StoreAway)?;
+        self.apply_read(&read);
+        let is_by_peer = Cell::new(read.is_by_peer);
         let list = decode(&read.value);
-        list.prove(service, read.revision.era(), || match key {
-            Some(key) => records::read(store, key, until).ok_or(NoProof::StoreAway),
-            None => Ok(Vec::new()),
+        let proven = self.prove_by_list(&list, read.revision.era(), origin, |key| {
+            let records = reads.read_records(key, &read, until);
+            let records = records.ok_or(NoProof::StoreAway)?;
+            is_by_peer.set(is_by_peer.get() || records.is_by_peer);
+            Ok(records.value)
+        })?;
+        Ok(if is_by_peer.get() {
+            proven.read_by_peer()
+        } else {
+            proven
         })
     }
 
-    /// Reads and applies the list; `None` without an answer by `until`.
-    fn read_list(&self, store: &Arc<dyn SharedStore>, until: Instant) -> Option<ListRead> {
-        let interval = *lock(&self.read_interval);
-        let read = self.reads.read(store, interval, until)?;
+    /// Reads the list from the store and applies it; returns whether the store has answered.
+    fn read_list(&self, store: &Arc<dyn SharedStore>) -> bool {
+        let read = call_until(store, clock::now() + MAX_READ_TIME, read_stored);
+        let read = read.flatten();
+        if let Some(read) = &read {
+            self.apply_read(read);
+        }
+        read.is_some()
+    }
+
+    fn apply_read(&self, read: &ListRead) {
         self.apply_stored(read.revision, &read.value);
         lock(&self.known).verify(read.revision, clock::now());
-        Some(read)
+    }
+
+    /// The revision of the list that this instance knows.
+    fn known_revision(&self) -> StoreRevision {
+        lock(&self.known).revision
+    }
+
+    /// Reads the store for another instance, which the store does not answer.
+    pub fn answer_query(&self, shared: &Shared, from: SocketAddr, query: &StoreReadQuery) {
+        if let Some(reads) = self.proof_reads.get() {
+            self.answers.answer(shared, reads, from, query);
+        }
+    }
+
+    /// Receives what another instance has read for this one.
+    pub fn receive_answer(&self, answer: StoreReadAnswer) {
+        self.peers.receive(answer);
     }
 
     /// Applies the list as stored; `value` is empty if the key is missing.
     pub fn apply_stored(&self, revision: StoreRevision, value: &[u8]) {
         let mut known = lock(&self.known);
         let previous_era = known.revision.era();
+        let is_same_era = known.is_read && revision.era() == previous_era;
+        let previous = known.list.splits().clone();
         if !known.apply(revision, value, clock::now()) {
             return;
         }
+        let previous = Some(previous).filter(|_| is_same_era);
+        self.merge_splits(&known, &previous.unwrap_or_default());
         drop(known);
         if revision.era() > previous_era {
             lock(&self.registry).forget_records();
@@ -323,6 +372,11 @@
         }
     }
 
+    /// Whether the queued record of a stream must still be written.
+    fn must_write_record(&self, key: StreamKey) -> bool {
+        lock(&self.registry).must_write_record(key)
+    }
+
     /// Queues the records of streams that have none.
     fn record_unrecorded(&self, keys: &[StreamKey]) {
         let mut registry = lock(&self.registry);
@@ -333,8 +387,8 @@
         }
     }
 
-    /// Queues the records of all running and broken streams of services whose list does not prove their
-    /// versions.
+    /// Queues the records of all running and broken streams whose services or versions the list and the
+    /// routes do not prove.
     fn record_running(&self) {
         let (list, era) = {
             let known = lock(&self.known);
@@ -343,7 +397,9 @@
         let unrecorded = lock(&self.registry).unrecorded(clock::now());
         let keys = unrecorded
             .into_iter()
-            .filter(|(_, service)| list.must_record(service, era))
+            .filter(|(_, stream)| {
+                list.must_record(&stream.service, era) || self.may_be_elsewhere(stream)
+            })
             .map(|(key, _)| key);
         self.record_unrecorded(&keys.collect::<Vec<_>>());
     }
@@ -355,7 +411,8 @@
         store: &Arc<dyn SharedStore>,
     ) {
         // Each process has exactly one store.
-        let _ = shared.versions.store.set(store.clone());
+        let reads = Arc::new(ProofReads::new(shared, store));
+        let _ = shared.versions.proof_reads.set(reads);
         RecordWriter::start(shared, store);
         let (shared, leadership, store) = (shared.clone(), leadership.clone(), store.clone());
         std::thread::spawn(move || {
@@ -383,17 +440,25 @@
         let is_complete = known.is_complete();
         let must_refresh = known.must_refresh(now);
         let is_before_first = known.is_before_first();
-        let next = known.next_list(now);
+        let splits = lock(&self.splits);
+        let next = known.next_list(splits.listing(now), now);
+        // The first list waits for the first version.
+        let has_list = known.list.versions().next().is_some();
+        let lacks_splits = has_list && splits.is_missing_from(known.list.splits(), now);
+        drop(splits);
         let revision = known.revision;
         let has_changed = self.is_list_complete.swap(is_complete, Ordering::AcqRel) != is_complete;
-        let has_new_list = std::mem::take(&mut known.has_new_list);
+        let must_check_streams = std::mem::take(&mut known.must_check_streams);
         let missing_since = (!is_complete).then(|| *known.missing_since.get_or_insert(now));
         known.missing_since = missing_since;
+        let splits_missing_since =
+            lacks_splits.then(|| *known.splits_missing_since.get_or_insert(now));
+        known.splits_missing_since = splits_missing_since;
         drop(known);
         if has_changed {
             shared.notify_upstreams_changed();
         }
-        if has_new_list {
+        if must_check_streams {
             self.record_running();
         }
         let is_recent = missing_since.is_some_and(|since| now < since + READ_DELAY);
@@ -401,12 +466,14 @@
             // The holder adds the version.
             return retry_delay(shared);
         }
-        let has_waited = missing_since.is_some_and(|since| now >= since + ADD_DELAY);
+        let mut missing = missing_since.iter().chain(&splits_missing_since);
+        let has_waited = missing.any(|since| now >= *since + ADD_DELAY);
         let may_write = is_holder || has_waited || is_before_first;
         let is_done = match next.filter(|_| may_write) {
             Some(next) => self.write(store, revision, &next),
+            None if is_complete && !must_refresh && lacks_splits => return retry_delay(shared),
             None if is_complete && !must_refresh => return CHECK_INTERVAL,
-            None => self.read_list(store, now + MAX_READ_TIME).is_some() && is_complete,
+            None => self.read_list(store) && is_complete,
         };
         if is_done {
             CHECK_INTERVAL
@@ -445,7 +512,7 @@
         };
         let answer = store.write(std::slice::from_ref(&write));
         log::info!(target: DECISION_TARGET, versions:? = list.versions().map(|version| format!("{}: {}", version.service, version.software)).collect::<Vec<_>>(),
-            confirmed_in:? = list.confirmed_in(), expected:% = revision, answer:? = answer;
+            splits = list.splits().iter().count(), confirmed_in:? = list.confirmed_in(), expected:% = revision, answer:? = answer;
             "the list of software versions changes");
         match answer {
             Ok(WriteAnswer::Written(revision)) => {
@@ -454,7 +521,7 @@
             }
             Ok(WriteAnswer::Conflict) => {
                 // Another instance has written the list. If the read fails, the next check repeats it.
-                let _ = self.read_list(store, clock::now() + MAX_READ_TIME);
+                self.read_list(store);
                 false
             }
             Ok(WriteAnswer::LeaseEnded) | Err(_) => false,
--- a/crates/instance/src/versions/registry.rs
+++ b/crates/instance/src/versions/registry.rs
@@ -1,14 +1,20 @@
 //! The streams that this instance has begun.
 
 use passway_serving::poison::UpstreamStart;
+use passway_serving::splits::StreamOrigin;
 use passway_serving::upstreams::RestartedUpstream;
-use passway_serving::versions::{ProvenVersion, STREAM_RETENTION, SoftwareVersion, StreamKey};
+use passway_serving::versions::{
+    ProvenVersion, STREAM_RETENTION, SoftwareVersion, StreamKey, Unproven,
+};
 use passway_types::prelude::*;
 use std::collections::{HashMap, VecDeque};
 
-/// Maximum number of streams in the registry, at 150 bytes each. The oldest are dropped first; their
-/// callers are refused unless the store proves the version.
+/// Maximum number of streams in the registry, at 250 bytes each. If there are more, streams that were
+/// delivered to their ends are dropped first, then the oldest; their callers are refused unless the store
+/// proves the version.
 const MAX_STREAMS: usize = 20_000;
+/// Number of streams that are dropped at a time, because each time takes a pass over all of them.
+const DROPPED_AT_ONCE: usize = MAX_STREAMS / 8;
 /// Longest time that the entry of an upstream's new start takes to reach an instance. A stream that
 /// began earlier before the entry arrived was a stream of the previous start.
 const MAX_ENTRY_DELAY: Duration = Duration::from_secs(10);
@@ -17,6 +23,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct BegunStream {
     pub(super) service: ServiceName,
+    pub(super) origin: StreamOrigin,
     /// The version that began it.
     pub(super) proven: ProvenVersion,
     /// The upstream's process that sent the first event, if only its entry identifies it: a newer process
@@ -73,11 +80,38 @@
         while let Some(key) = self.order.front() {
             let stream = self.streams.get(key);
             let is_expired = stream.is_none_or(|stream| now >= stream.began_at + STREAM_RETENTION);
-            if !is_expired && self.order.len() < MAX_STREAMS {
-                return;
+            if !is_expired {
+                break;
             }
-            self.streams.remove(key);
-            self.order.pop_front();
+            self.remove_oldest();
+        }
+        if self.order.len() >= MAX_STREAMS {
+            self.make_room();
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        if let Some(key) = self.order.pop_front() {
+            self.streams.remove(&key);
+        }
+    }
+
+    /// Drops [`DROPPED_AT_ONCE`] streams: the oldest of those that were delivered to their ends, and the
+    /// oldest of the others if these are too few.
+    fn make_room(&mut self) {
+        let mut excess = DROPPED_AT_ONCE;
+        let streams = &mut self.streams;
+        self.order.retain(|key| {
+            let is_delivered = streams.get(key).is_none_or(|stream| stream.is_delivered);
+            let is_dropped = is_delivered && excess > 0;
+            if is_dropped {
+                streams.remove(key);
+                excess -= 1;
+            }
+            !is_dropped
+        });
+        for _ in 0..excess {
+            self.remove_oldest();
         }
     }
 
@@ -92,11 +126,23 @@
         stream.is_some_and(|stream| stream.disputed_with.is_some())
     }
 
-    /// The version that began a stream of this instance; `None` for an unknown or disputed stream.
-    pub(super) fn proven(&self, key: StreamKey) -> Option<ProvenVersion> {
-        let stream = self.streams.get(&key)?;
-        let is_own = stream.disputed_with.is_none() && !stream.is_for_peer;
-        is_own.then(|| stream.proven.clone())
+    /// Service and version of the stream with one of these keys; `None` if this instance has not begun it
+    /// or does not deliver it.
+    ///
+    /// # Errors
+    /// If several may have begun it.
+    pub(super) fn find(
+        &self,
+        keys: impl IntoIterator<Item = StreamKey>,
+    ) -> Result<Option<ProvenVersion>, Unproven> {
+        let mut streams = keys.into_iter().filter_map(|key| self.streams.get(&key));
+        match (streams.next(), streams.next()) {
+            (None, _) => Ok(None),
+            (Some(stream), None) if stream.disputed_with.is_none() => {
+                Ok((!stream.is_for_peer).then(|| stream.proven.clone()))
+            }
+            _ => Err(Unproven::ConflictingRecords),
+        }
     }
 
     /// The versions to record for a stream that has no record yet; it counts as recorded from now on.
@@ -110,6 +156,18 @@
         stream.possible_versions()
     }
 
+    /// Whether a queued record must still be written. A stream that was delivered to its end needs none; it
+    /// counts as unrecorded from now on, in case that it is resumed nevertheless. Of a stream that several
+    /// versions may have begun, the records of all of them are written: one alone would prove its version.
+    pub(super) fn must_write_record(&mut self, key: StreamKey) -> bool {
+        let Some(stream) = self.streams.get_mut(&key) else {
+            return true;
+        };
+        let is_needed = !stream.is_delivered || stream.disputed_with.is_some();
+        stream.is_recorded &= is_needed;
+        is_needed
+    }
+
     /// Notes that the store may have lost all records.
     pub(super) fn forget_records(&mut self) {
         for stream in self.streams.values_mut() {
@@ -117,13 +175,13 @@
         }
     }
 
-    /// Streams without a record that callers may still resume, with their services.
-    pub(super) fn unrecorded(&mut self, now: Instant) -> Vec<(StreamKey, ServiceName)> {
+    /// Streams without a record that callers may still resume.
+    pub(super) fn unrecorded(&mut self, now: Instant) -> Vec<(StreamKey, BegunStream)> {
         self.remove_expired(now);
         let streams = self.streams.iter();
         let unrecorded = streams.filter(|(_, stream)| !stream.is_recorded && !stream.is_delivered);
         unrecorded
-            .map(|(key, stream)| (*key, stream.service.clone()))
+            .map(|(key, stream)| (*key, stream.clone()))
             .collect()
     }
 
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -6,9 +6,11 @@
 //!
 //! A stream begins only at a version that the store's [`VersionList`] names. If the list names one
 //! version alone, each stream of the service has begun there, and nothing is stored for single streams.
+//! The list also names the services to which routes lead or have led lately ([`SplitSet`]).
 //! While it names several, the version of each stream is recorded.
 
 use crate::revisions::StoreEra;
+use crate::splits::SplitSet;
 use crate::upstreams::ListedStart;
 use passway_types::hash::{DIGEST_BYTES, stable_digest};
 use passway_types::prelude::*;
@@ -98,6 +100,10 @@
     OnlyVersion,
     /// The stream's record.
     Record,
+    /// As [`Self::OnlyVersion`], read by another instance for this one.
+    OnlyVersionByPeer,
+    /// As [`Self::Record`], with the list or the record read by another instance for this one.
+    RecordByPeer,
 }
 
 impl ProofSource {
@@ -107,13 +113,16 @@
             Self::Observed => "observed",
             Self::OnlyVersion => "only version",
             Self::Record => "record",
+            Self::OnlyVersionByPeer => "only version, read by a peer",
+            Self::RecordByPeer => "record, read by a peer",
         }
     }
 }
 
-/// Proof that a stream began at a software version. Only a run at that version may resume it.
+/// Proof that a stream began at a software version of a service. Only a run there may resume it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProvenVersion {
+    service: ServiceName,
     software: SoftwareVersion,
     source: ProofSource,
 }
@@ -121,14 +130,53 @@
 impl ProvenVersion {
     /// The version of the start whose run brought the stream's first event; `None` if the start was not
     /// listed when it was chosen.
-    pub fn observed(start: &IdentifiedStart) -> Option<Self> {
+    pub fn observed(service: &ServiceName, start: &IdentifiedStart) -> Option<Self> {
         let software = start.start.software.clone()?;
         Some(Self {
+            service: service.clone(),
             software,
             source: ProofSource::Observed,
         })
     }
 
+    /// By the versions that are recorded for the stream at services where it may have begun.
+    ///
+    /// # Errors
+    /// If there is not exactly one.
+    pub fn recorded(recorded: impl IntoIterator<Item = ServiceVersion>) -> Result<Self, Unproven> {
+        let mut recorded = recorded.into_iter();
+        match (recorded.next(), recorded.next()) {
+            (Some(ServiceVersion { service, software }), None) => Ok(Self {
+                service,
+                software,
+                source: ProofSource::Record,
+            }),
+            (None, _) => Err(Unproven::NoRecord),
+            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords),
+        }
+    }
+
+    /// The service.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// The same proof, of which another instance has read a part from the store.
+    #[must_use]
+    pub fn read_by_peer(self) -> Self {
+        let source = match self.source {
+            ProofSource::OnlyVersion => ProofSource::OnlyVersionByPeer,
+            ProofSource::Record => ProofSource::RecordByPeer,
+            other => other,
+        };
+        Self { source, ..self }
+    }
+
+    /// Whether the store has a record of the stream's version.
+    pub fn is_recorded(&self) -> bool {
+        matches!(self.source, ProofSource::Record | ProofSource::RecordByPeer)
+    }
+
     /// The version.
     pub fn software(&self) -> &SoftwareVersion {
         &self.software
@@ -139,9 +187,10 @@
         self.source
     }
 
-    /// Whether the stream may be resumed at an upstream of this version; false if the version is unknown.
-    pub fn permits(&self, software: Option<&SoftwareVersion>) -> bool {
-        software == Some(&self.software)
+    /// Whether the stream may be resumed at an upstream of this version of a service; false if the version
+    /// is unknown.
+    pub fn permits(&self, service: &ServiceName, software: Option<&SoftwareVersion>) -> bool {
+        *service == self.service && software == Some(&self.software)
     }
 }
 
@@ -174,6 +223,16 @@
         let parts = [service.as_bytes(), attempt_id.as_bytes()];
         (!attempt_id.is_empty()).then(|| Self(stable_digest(&parts)))
     }
+
+    /// The key as bytes, for messages to other instances.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The key in a message of another instance; `None` if it has another length.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
 }
 
 impl fmt::Display for StreamKey {
@@ -199,6 +258,7 @@
     /// because the store has returned from an older copy.
     confirmed_in: Option<StoreEra>,
     services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    splits: SplitSet,
 }
 
 impl VersionList {
@@ -214,9 +274,21 @@
         Self {
             confirmed_in,
             services,
+            splits: SplitSet::default(),
         }
     }
 
+    /// The list with these splits.
+    #[must_use]
+    pub fn with_splits(self, splits: SplitSet) -> Self {
+        Self { splits, ..self }
+    }
+
+    /// The splits of routes under which streams may have begun; empty in a list of an earlier build.
+    pub fn splits(&self) -> &SplitSet {
+        &self.splits
+    }
+
     /// The era of the store in which the list is known to lack no version.
     pub fn confirmed_in(&self) -> Option<StoreEra> {
         self.confirmed_in
@@ -251,31 +323,14 @@
         self.only_version(service, era).is_none()
     }
 
-    /// Proves the version of a stream by a list that the store returned in this era. `recorded` reads
-    /// the recorded versions of the stream, if they are needed.
-    ///
-    /// # Errors
-    /// Why the version is not proved, or the error of `recorded`.
-    pub fn prove<E: From<Unproven>>(
-        &self,
-        service: &str,
-        era: StoreEra,
-        recorded: impl FnOnce() -> Result<Vec<SoftwareVersion>, E>,
-    ) -> Result<ProvenVersion, E> {
-        if let Some(software) = self.only_version(service, era) {
-            return Ok(ProvenVersion {
-                software: software.clone(),
-                source: ProofSource::OnlyVersion,
-            });
-        }
-        let mut recorded = recorded()?.into_iter();
-        match (recorded.next(), recorded.next()) {
-            (Some(software), None) => Ok(ProvenVersion {
-                software,
-                source: ProofSource::Record,
-            }),
-            (None, _) => Err(Unproven::NoRecord.into()),
-            (Some(_), Some(_)) => Err(Unproven::ConflictingRecords.into()),
-        }
+    /// Proves the version of a stream of this service by a list that the store returned in this era; `None`
+    /// if several may have begun it.
+    pub fn prove(&self, service: &ServiceName, era: StoreEra) -> Option<ProvenVersion> {
+        let software = self.only_version(service, era)?;
+        Some(ProvenVersion {
+            service: service.clone(),
+            software: software.clone(),
+            source: ProofSource::OnlyVersion,
+        })
     }
 }
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -513,6 +513,12 @@
         self.state().crash_body.is_some()
     }
 
+    /// Crashes for good, with all runs.
+    pub fn crash_now(&self) {
+        self.crash(b"", None);
+        self.listener.crash();
+    }
+
     /// Takes the server down and brings it up again under the same id after `delay`. Returns the step
     /// that closes all connections. `body` is the body of the request that caused the crash, empty
     /// if the server left.
@@ -681,7 +687,7 @@
             let headers = format!("Not-Executed: 1\r\nRetry-After: {backoff_s}\r\n{signals}");
             return answer(503, id, "", &headers);
         }
-        if !is_loaded {
+        if !is_loaded || expects_other_weights(received) {
             let headers = format!("Not-Executed: 1\r\n{signals}");
             return answer(421, id, "", &headers);
         }
@@ -778,6 +784,12 @@
     }
 }
 
+/// Whether a request asks for other weights than those of version 1, as in the entries.
+fn expects_other_weights(received: &Received) -> bool {
+    let expected = received.header("expect-version");
+    expected.is_some_and(|expected| expected != "1")
+}
+
 /// Returns the number of the event after which the request resumes its stream; 0 for a new one.
 fn last_event_id(received: &Received) -> u64 {
     let last_event = received.header("last-event-id");
