--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -690,6 +690,7 @@
             request_id: received.header("request-id").unwrap_or_default().to_owned(),
             stream: String::from_utf8_lossy(&received.body).into_owned(),
             resumed_after: last_event_id(received),
+            is_continuation: received.header("kv-from").is_some(),
             software: state.software.clone(),
             shape,
         };
--- a/crates/standins/src/platform/stream_events.rs
+++ b/crates/standins/src/platform/stream_events.rs
@@ -25,6 +25,8 @@
     pub stream: String,
     /// Number of the event after which the request resumes the stream; 0 for a new one.
     pub resumed_after: u64,
+    /// Whether the run continues another one with a copy of its memory, and counts as the same run.
+    pub is_continuation: bool,
     /// Version of the server's software.
     pub software: String,
     /// Lengths of the stream and its events.
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -29,6 +29,8 @@
 pub const SMALL_KEY: &str = "soak-key-small";
 /// Rate limit of the workspace `small`, in units per second, and also its burst: ten calls.
 pub const SMALL_RATE_PER_S: u32 = 2_000;
+/// Memory of an engine for running requests and copies, in tokens.
+const KV_CAPACITY_TOKENS: u32 = 50_000;
 /// Units that a call is charged.
 pub const UNITS_PER_CALL: u32 = 200;
 
@@ -38,8 +40,13 @@
     format!("soak-key-{version}")
 }
 
-/// Adds the workspaces of a version to its configuration.
-fn with_keys(version: u64, document: Value) -> Value {
+/// Adds to a version's configuration its workspaces, and that engines keep copies of the runs of others.
+fn with_keys(version: u64, mut document: Value) -> Value {
+    let engine = &mut document["services"][1]["engine"];
+    engine["backups"] = true.into();
+    engine["kv_capacity"] = KV_CAPACITY_TOKENS.into();
+    engine["stride"] = 1.into();
+
     let (new, old) = (
         key_of_version(version),
         key_of_version(version.saturating_sub(1)),
@@ -97,6 +104,8 @@
     /// When the process could not be expected to finish what it had begun: from a kill to the
     /// restart, while the process was paused, and at the end of the grace period of a planned stop.
     pub interruptions: DisturbanceLog,
+    /// From each kill to the restart.
+    pub kills: DisturbanceLog,
     /// Number of restarts of the process.
     pub incarnation: AtomicU64,
 }
@@ -139,7 +148,9 @@
     /// Kills the process and starts it again.
     pub fn kill(&self) {
         self.record_disturbance();
+        let kill = self.kills.begin(Instant::now());
         self.restart(Signal::KILL, Duration::ZERO);
+        self.kills.end(kill);
         self.record_disturbance();
     }
 
@@ -370,11 +381,11 @@
             is_stopped: Arc::default(),
         };
         cluster.replace_crashed();
-        cluster.throttle(plan.throttled);
         ensure!(
             cluster.wait_until_ready(),
             "the instances did not become ready in time"
         );
+        cluster.throttle(plan.throttled);
         Ok(cluster)
     }
 
@@ -736,6 +747,7 @@
         store_proxy,
         disturbance_count: AtomicU64::new(0),
         interruptions: DisturbanceLog::default(),
+        kills: DisturbanceLog::default(),
         incarnation: AtomicU64::new(0),
     }))
 }
