A plain upstream that has started again under its id proves no answer complete

The verdict compared the known start with itself, since the query for the proof returned only the upstream's name.

The query returns the start as well. If the entry names a start, only the same start proves the answer complete; if the answer to the query names none, a health check of that upstream must. Upstreams whose entries name no start are judged as before.

What an upstream without a start is asked is unchanged: one query.

--- a/crates/instance/src/liveness.rs
+++ b/crates/instance/src/liveness.rs
@@ -8,7 +8,7 @@
 use crate::poison::REFUSAL_TIMEOUT;
 use crate::shared::Shared;
 use passway_serving::poison::UpstreamStart;
-use passway_serving::ports::Engines;
+use passway_serving::ports::{Engines, UpstreamIdentity};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
@@ -122,12 +122,43 @@
         let report = control::query_report(shared, engines, start, upstream.address)?;
         return verdict(start, report.started_at_ms, clock::since(ended_at));
     }
-    let answered_by = engines.identify(upstream.address, upstream.health_path)?;
-    if answered_by != start.upstream {
-        let before_ms = start.started_at_ms + 1;
+    let identity = query_identity(engines, upstream)?;
+    identity_verdict(start, &identity, clock::since(ended_at))
+}
+
+/// Asks an upstream that is no engine which start it is. If its entry names the start and the answer does
+/// not, a health check must.
+fn query_identity(
+    engines: &dyn Engines,
+    upstream: &CheckedUpstream<'_>,
+) -> Option<UpstreamIdentity> {
+    let start = upstream.start;
+    let (address, health_path) = (upstream.address, upstream.health_path);
+    let identity = engines.identify(address, health_path, None)?;
+    let is_named = start.started_at_ms == 0 || identity.started_at_ms.is_some();
+    if is_named || identity.upstream != start.upstream {
+        return Some(identity);
+    }
+    engines.identify(address, health_path, Some(&start.upstream))
+}
+
+/// The verdict on a start, given what the process at its address says about itself.
+fn identity_verdict(
+    start: &UpstreamStart,
+    identity: &UpstreamIdentity,
+    since_end: Duration,
+) -> Option<Verdict> {
+    if identity.upstream != start.upstream {
+        let before_ms = start.started_at_ms.saturating_add(1);
         return Some(Verdict::Ended { before_ms });
     }
-    verdict(start, start.started_at_ms, clock::since(ended_at))
+    let reported_ms = if start.started_at_ms == 0 {
+        // The entry names no start to compare with.
+        0
+    } else {
+        identity.started_at_ms?
+    };
+    verdict(start, reported_ms, since_end)
 }
 
 /// Whether nothing listens at an address.
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -410,14 +410,29 @@
     pub signals: UpstreamSignals,
 }
 
+/// What the process at an address says about itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamIdentity {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Start time of the process, in Unix milliseconds by its own clock; `None` if it does not say.
+    pub started_at_ms: Option<u64>,
+}
+
 /// The control interface of engines.
 pub trait Engines: Send + Sync {
     /// Sends an order.
     fn order(&self, address: SocketAddr, order: &EngineOrder) -> EngineResponse<OrderAnswer>;
 
-    /// Asks the process at an address which start of an upstream it is, without a slot and for any kind
-    /// of upstream. `None` without an answer that names one.
-    fn identify(&self, address: SocketAddr, health_path: Option<&str>) -> Option<UpstreamId>;
+    /// Asks the process at an address which start of an upstream it is, for any kind of upstream. With
+    /// `expected`, a health check of that upstream, which may wait for a slot or be refused; otherwise a
+    /// query that each upstream answers at once. `None` without an answer that names an upstream.
+    fn identify(
+        &self,
+        address: SocketAddr,
+        health_path: Option<&str>,
+        expected: Option<&UpstreamId>,
+    ) -> Option<UpstreamIdentity>;
 
     /// Asks an engine for its state. The answer is `None` if there was none.
     fn report(
--- a/crates/standins/src/platform/plain_server.rs
+++ b/crates/standins/src/platform/plain_server.rs
@@ -1,9 +1,13 @@
 //! A plain server that names itself to health checks, and whose answers may be close-delimited.
 
-use super::documents::list_plain;
+use super::documents::{list_plain, plain_entry};
 use super::raw::{RawServer, Received, Step};
 use super::store::MetadataStandIn;
 use passway_types::prelude::*;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Start time of a server that names its start, in Unix milliseconds, before its first restart.
+const FIRST_START_MS: u64 = 1_792_321_983_006;
 
 /// How a plain server sends its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +18,8 @@
     Unframed,
     /// Like [`PlainAnswer::Unframed`], but the server crashes after half of the body.
     UnframedCrash,
+    /// Like [`PlainAnswer::Unframed`], but the connection is closed after half of the body.
+    UnframedHalf,
     /// Like [`PlainAnswer::Unframed`], but the connection is reset after half of the body.
     UnframedReset,
 }
@@ -30,12 +36,12 @@
     let half = &id[..id.len() / 2];
     let body = match how {
         PlainAnswer::Framed | PlainAnswer::Unframed => id,
-        PlainAnswer::UnframedCrash | PlainAnswer::UnframedReset => half,
+        PlainAnswer::UnframedCrash | PlainAnswer::UnframedHalf | PlainAnswer::UnframedReset => half,
     };
     let mut steps = vec![Step::Send(format!("{head}{body}").into_bytes())];
     match how {
         PlainAnswer::Framed => {}
-        PlainAnswer::Unframed => steps.push(Step::Close),
+        PlainAnswer::Unframed | PlainAnswer::UnframedHalf => steps.push(Step::Close),
         PlainAnswer::UnframedCrash => steps.push(Step::Crash),
         // The bytes before a reset may be lost with it.
         PlainAnswer::UnframedReset => {
@@ -48,6 +54,11 @@
 /// Returns the answer to a health check, or to a request that is meant for another server; `None` for
 /// any other request.
 pub fn identity_steps(received: &Received, id: &str) -> Option<Vec<Step>> {
+    identity_steps_with(received, id, "")
+}
+
+/// As [`identity_steps`], with a body.
+fn identity_steps_with(received: &Received, id: &str, body: &str) -> Option<Vec<Step>> {
     let is_misdirected = received
         .header("expect-instance")
         .is_some_and(|expected| expected != id);
@@ -56,7 +67,10 @@
         (false, line) if line.starts_with("GET /health ") => 200,
         (false, _) => return None,
     };
-    let text = format!("HTTP/1.1 {status} X\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} X\r\nInstance-Id: {id}\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
     Some(vec![Step::Send(text.into_bytes())])
 }
 
@@ -70,3 +84,43 @@
     list_plain(store, id, server.address, "ready");
     server
 }
+
+/// Which of the queries for its identity a server answers with its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartNamed {
+    /// All of them.
+    Always,
+    /// Health checks that are meant for it.
+    ToHealthChecks,
+}
+
+/// Starts a plain server whose entry names its start and whose answers are close-delimited. With
+/// `restarts`, it starts again under its id in the middle of each answer, behind an open port.
+pub fn start_naming_plain(
+    store: &MetadataStandIn,
+    id: &str,
+    named: StartNamed,
+    restarts: bool,
+) -> RawServer {
+    let (name, started_at_ms) = (id.to_owned(), AtomicU64::new(FIRST_START_MS));
+    let server = RawServer::start(move |received| {
+        let is_own = received.header("expect-instance") == Some(&name);
+        let body = if is_own || named == StartNamed::Always {
+            format!("{{\"born\":{}}}", started_at_ms.load(Ordering::Acquire))
+        } else {
+            String::new()
+        };
+        if let Some(steps) = identity_steps_with(received, &name, &body) {
+            return steps;
+        }
+        if !restarts {
+            return echo_steps(received, PlainAnswer::Unframed);
+        }
+        started_at_ms.fetch_add(1, Ordering::AcqRel);
+        echo_steps(received, PlainAnswer::UnframedHalf)
+    });
+    let mut entry = plain_entry(server.address);
+    entry["born"] = FIRST_START_MS.into();
+    store.put(&format!("servers/{id}"), &entry);
+    server
+}
--- a/tests/all/endless_bytes.rs
+++ b/tests/all/endless_bytes.rs
@@ -316,7 +316,7 @@
             assert!(report.is_none(), "{case}: {report:?}");
         });
         timed(&|| {
-            let id = control.identify(server.address, Some("/health"));
+            let id = control.identify(server.address, Some("/health"), None);
             assert_eq!(id, None, "{case}");
         });
         timed(&|| {
--- a/tests/all/surplus_answers.rs
+++ b/tests/all/surplus_answers.rs
@@ -250,7 +250,8 @@
         let report = control.report(&"i-0".into(), server.address).answer;
         let orders_taken = report.expect("a report").orders_taken;
         assert_eq!(orders_taken, number, "of a report");
-        let id = control.identify(server.address, Some("/health"));
+        let id = control.identify(server.address, Some("/health"), None);
+        let id = id.map(|identity| identity.upstream);
         assert_eq!(id.as_deref(), Some(&*format!("i-{}", number + 1)));
         let answer = control.order(server.address, &order).answer;
         let expected = if round % 2 == 0 {
--- a/tests/all/unframed_answers.rs
+++ b/tests/all/unframed_answers.rs
@@ -6,7 +6,9 @@
 use crate::cluster::{self, Answer, Caller, fetch, request, until};
 use passway_instance::Instance;
 use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer, event};
-use passway_standins::platform::plain_server::{PlainAnswer, start_plain};
+use passway_standins::platform::plain_server::{
+    PlainAnswer, StartNamed, start_naming_plain, start_plain,
+};
 use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
@@ -112,6 +114,26 @@
     }
 }
 
+/// Half of the answer of a server that had started again under its id was framed as whole.
+#[test]
+fn restarted_plain_proves_nothing() {
+    for named in [StartNamed::Always, StartNamed::ToHealthChecks] {
+        let store = cluster::store(&[]);
+        let _restarting = start_naming_plain(&store, "i-0", named, true);
+        let instance = cluster::start_ready("one", &store);
+        assert_eq!(call(&instance, "POST", "pay").status, 502, "{named:?}");
+        let _sound = start_naming_plain(&store, "i-1", named, false);
+        until("a repeat to spend", || instance.has_spare_retry("plain"));
+        let reads = (0..8).map(|_| call(&instance, "GET", "read"));
+        let successes: Vec<Answer> = reads.filter(|answer| answer.status == 200).collect();
+        assert!(!successes.is_empty(), "{named:?}");
+        assert!(
+            successes.iter().all(|answer| answer.body == ID),
+            "{successes:?}"
+        );
+    }
+}
+
 /// A connection that carried an unframed answer is not used again.
 #[test]
 fn connection_not_reused() {
