The log shows which crashes a part of prompts is blamed for

A soak in which a part that all sound prompts share was refused from its third second on showed in the log that the part was considered the cause of crashes, but not which crashes were held against it and how far apart they were taken to be. The line also came only when the number of such parts changed, not when one took the place of another.

The line has the crashes of each part now: upstream, its start, what the crash says, and how many milliseconds ago its run was sent and broke off.

--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -69,7 +69,7 @@
     /// Whether the list is empty; each request reads this without a lock.
     is_empty: AtomicBool,
     refused: AtomicUsize,
-    blamed_parts: AtomicUsize,
+    blamed_parts: Mutex<Vec<SuspectKey>>,
     /// Whether the fleet's list was received since the process started.
     has_fleet_list: AtomicBool,
     stored: Mutex<StoredList>,
@@ -89,7 +89,7 @@
             list: Mutex::default(),
             is_empty: AtomicBool::new(true),
             refused: AtomicUsize::new(0),
-            blamed_parts: AtomicUsize::new(0),
+            blamed_parts: Mutex::default(),
             has_fleet_list: AtomicBool::new(false),
             stored: Mutex::default(),
             exclusive_runs: ExclusivePermits::default(),
@@ -117,7 +117,7 @@
 
     /// Number of parts of prompts that are blamed for crashes in every request.
     pub fn blamed_part_count(&self) -> usize {
-        self.blamed_parts.load(Ordering::Acquire)
+        lock(&self.blamed_parts).len()
     }
 
     /// Whether the fleet's list was received, from the store or from the holder.
@@ -347,9 +347,11 @@
         let refused = list.refused_count();
         let parts = list.blamed_parts(clock::now());
         self.is_empty.store(list.is_empty(), Ordering::Release);
+        let blamed = parts.iter().filter_map(|key| list.get(*key));
+        let crashes: Vec<String> = blamed.map(describe).collect();
         drop(list);
-        if self.blamed_parts.swap(parts.len(), Ordering::AcqRel) != parts.len() {
-            log::info!(target: DECISION_TARGET, blamed = parts.len(), parts:? = parts;
+        if std::mem::replace(&mut *lock(&self.blamed_parts), parts.clone()) != parts {
+            log::info!(target: DECISION_TARGET, blamed = parts.len(), parts:? = parts, crashes:? = crashes;
                 "the parts of prompts that are considered the cause of crashes changed");
         }
         if self.refused.swap(refused, Ordering::AcqRel) != refused {
@@ -420,6 +422,26 @@
     }
 }
 
+/// Describes the crashes of a suspect for logs: upstream, start, what the crash says, and how many
+/// milliseconds ago the run was sent and broke off.
+fn describe(suspect: &Suspect) -> String {
+    let now = clock::now();
+    let crashes = suspect.crashes.iter().map(|(crash, status)| {
+        let run = suspect.runs.get(crash);
+        let times = run.map_or_else(
+            || "at an unknown time".to_owned(),
+            |run| {
+                let sent_ms = millis_since(run.sent_at, now);
+                let broke_ms = millis_since(run.disconnected_at, now);
+                format!("sent {sent_ms}, broke off {broke_ms}")
+            },
+        );
+        let (upstream, started_at_ms) = (&crash.upstream, crash.started_at_ms);
+        format!("{upstream} {started_at_ms} {status:?} {times}")
+    });
+    crashes.collect::<Vec<_>>().join("; ")
+}
+
 /// Encodes requests; if there are too many, only the first ones.
 pub fn encode(suspects: Vec<Suspect>) -> Suspects {
     let suspects = suspects.into_iter().take(MAX_SENT_SUSPECTS);
