Crashes of one moment seem further apart each time instances tell each other of them

Crashes of upstreams within half a second count as one moment, so that what ran everywhere isn't blamed for them. An instance that is told of a crash takes it to be 100 ms earlier than it was told, since the report may have taken that long. It tells others the earlier time, they take off 100 ms again, and whoever saw the crash first takes over the earliest time that comes back.

The test has two instances tell each other of three crashes within 210 ms, 20 times each. Both then refuse all requests with the part for 2 s.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -62,6 +62,7 @@
 mod model_orders;
 mod outage_terms;
 mod part_blame;
+mod part_exchange;
 mod part_fleet;
 mod pass_through;
 mod passed_on_requests;
