What instances tell each other of a crash's time no longer drifts

Crashes within half a second count as one moment. An instance took 100 ms off the time of each crash that it was told, for the delay of the report, and told others the earlier time, so that crashes of one moment moved apart by 100 ms an exchange, without bound. By reading, it also took from whole requests the excuse that their upstreams were lost at one moment; not run.

An instance keeps two times now: the one that it tells others, which is never before the fact, and the earliest one that the delay allows, which stays with it. The smaller of two told times is nearer the fact, so that neither moves with the number of exchanges: the earliest is 100 ms off at most.

one_moment_stays_one failed before and passes, and so do part_blame, part_fleet, poison_list, poison_rack and crashing_parts (38 tests).

--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -41,7 +41,7 @@
 const MAX_DATAGRAM_SUSPECTS: usize = 32;
 /// Longest time that a report of a crash takes to another instance. A received age may be too low
 /// by up to this much.
-const MAX_PROPAGATION_MS: u64 = 100;
+const MAX_PROPAGATION: Duration = Duration::from_millis(100);
 /// Interval of writes of the list, which costs the store at most two calls a second while engines
 /// crash.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
@@ -504,10 +504,7 @@
             _ => CrashStatus::Cleared,
         };
         if let Some((sent_ms, broke_ms)) = times {
-            let run = RunSpan {
-                sent_at: ago(sent_ms),
-                disconnected_at: ago(broke_ms.saturating_add(MAX_PROPAGATION_MS)),
-            };
+            let run = RunSpan::reported(ago(sent_ms), ago(broke_ms), MAX_PROPAGATION);
             runs.insert(start.clone(), run);
         }
         (start, blame)
--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -98,12 +98,12 @@
             None => sequential.push(start),
         }
     }
-    timed.sort_by_key(|(span, _)| span.disconnected_at);
+    timed.sort_by_key(|(span, _)| span.disconnected_after);
     let mut last_at = None;
     for (span, start) in timed {
         if last_at.is_none_or(|last_at| span.sent_at >= last_at + PART_INCIDENT_WINDOW) {
             sequential.push(start);
-            last_at = Some(span.disconnected_at);
+            last_at = Some(span.disconnected_after);
         }
     }
     sequential
--- a/crates/serving/src/poison/list.rs
+++ b/crates/serving/src/poison/list.rs
@@ -66,23 +66,45 @@
     }
 }
 
-/// When a run was sent to an upstream and when the upstream disconnected. For another instance's
-/// run, `sent_at` may be later and `disconnected_at` earlier than in fact, never the other way
-/// round.
+/// When a run was sent to an upstream and when the upstream disconnected. Another instance's run took
+/// place at an unknown distance, so that its times may be later than in fact.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunSpan {
-    /// When the run was sent.
+    /// When the run was sent, or later.
     pub sent_at: Instant,
-    /// When the upstream disconnected.
+    /// When the upstream disconnected, or later. Instances tell each other this time: one that they
+    /// make earlier would become earlier with each exchange.
     pub disconnected_at: Instant,
+    /// When the upstream disconnected, or earlier.
+    pub disconnected_after: Instant,
 }
 
 impl RunSpan {
+    /// A run that this instance has seen.
+    fn observed(sent_at: Instant, disconnected_at: Instant) -> Self {
+        Self {
+            sent_at,
+            disconnected_at,
+            disconnected_after: disconnected_at,
+        }
+    }
+
+    /// A run of another instance, whose report took up to `max_delay`.
+    pub fn reported(sent_at: Instant, disconnected_at: Instant, max_delay: Duration) -> Self {
+        let disconnected_after = disconnected_at.checked_sub(max_delay);
+        Self {
+            sent_at,
+            disconnected_at,
+            disconnected_after: disconnected_after.unwrap_or(disconnected_at),
+        }
+    }
+
     /// Merges what two instances know of runs of the same request: the earlier time of each kind.
     fn merge(self, other: Self) -> Self {
         Self {
             sent_at: self.sent_at.min(other.sent_at),
             disconnected_at: self.disconnected_at.min(other.disconnected_at),
+            disconnected_after: self.disconnected_after.min(other.disconnected_after),
         }
     }
 }
@@ -130,10 +152,10 @@
         let Some(spans) = spans.collect::<Option<Vec<_>>>() else {
             return false;
         };
-        let first = spans.iter().map(|span| span.disconnected_at).min();
+        let first = spans.iter().map(|span| span.disconnected_after).min();
         first.is_some_and(|first| {
             let is_in_incident = |span: &&RunSpan| {
-                span.sent_at <= first && span.disconnected_at <= first + INCIDENT_WINDOW
+                span.sent_at <= first && span.disconnected_after <= first + INCIDENT_WINDOW
             };
             spans.iter().all(is_in_incident)
         })
@@ -392,10 +414,7 @@
         sent_at: Instant,
         now: Instant,
     ) -> Vec<Suspect> {
-        let run = RunSpan {
-            sent_at,
-            disconnected_at: now,
-        };
+        let run = RunSpan::observed(sent_at, now);
         let received = keys.iter().map(|key| Suspect {
             key: *key,
             crashes: BTreeMap::from([(start.clone(), status)]),
