one_moment_stays_one doesn't depend on the time that the exchanges take

Each request was sent after the exchanges on the crash before it, so that a test thread that stands still for half a second would have made three moments of them. All requests are sent before the first crash now, so that they are of one moment however long the test takes.

--- a/tests/all/part_exchange.rs
+++ b/tests/all/part_exchange.rs
@@ -8,10 +8,10 @@
 const SHARED: SuspectKey = SuspectKey::Part(PartId(1));
 /// Number of times that two instances tell each other all they know.
 const EXCHANGES: usize = 20;
-/// Time between two crashes of one moment.
+/// Time from the requests' begin to the first crash, and between two crashes.
 const GAP: Duration = Duration::from_millis(70);
 
-/// An upstream crashes under a request with the shared part, which was sent at `sent_at`.
+/// An upstream crashes under a request with the shared part that was sent at `sent_at`.
 fn crash(instance: &PoisonTracker, number: u8, sent_at: Instant) {
     let start = UpstreamStart {
         upstream: format!("i-{number}").into(),
@@ -26,8 +26,9 @@
 #[test]
 fn one_moment_stays_one() {
     let instances = [PoisonTracker::default(), PoisonTracker::default()];
+    // However long the test takes, all were sent before the first crash.
+    let sent_at = clock::now();
     for number in 0..3 {
-        let sent_at = clock::now();
         std::thread::sleep(GAP);
         crash(&instances[usize::from(number % 2)], number, sent_at);
         for _ in 0..EXCHANGES {
