--- a/tests/all/broken_call_answers.rs
+++ b/tests/all/broken_call_answers.rs
@@ -119,3 +119,27 @@
         assert_eq!(body_bytes, expected, "{framing:?}");
     }
 }
+
+/// Guards against a part of a body that is taken for a whole one, because its framing is unknown to the
+/// client or ambiguous.
+#[test]
+fn unknown_framing() {
+    let framings = [
+        ("1.1", "Transfer-Encoding: identity"),
+        ("1.1", "Transfer-Encoding: gzip"),
+        ("1.0", "Transfer-Encoding: chunked"),
+        ("1.1", "Content-Length: 4\r\nTransfer-Encoding: identity"),
+        ("1.1", "Content-Length: 4\r\nContent-Length: 40"),
+        ("1.1", "Content-Length: 40\r\nContent-Length: 4"),
+    ];
+    let is_accepted = |(version, framing): &(&str, &str)| {
+        let text = format!("HTTP/{version} 200 OK\r\n{framing}\r\n\r\nhalf");
+        let steps = vec![Step::Send(text.into_bytes()), Step::Close];
+        let server = RawServer::start(move |_| steps.clone());
+        let client = Client::new(Duration::from_secs(5));
+        let answer = client.call("GET", &format!("http://{}/x", server.address), b"");
+        answer.is_ok()
+    };
+    let accepted: Vec<_> = framings.into_iter().filter(is_accepted).collect();
+    assert_eq!(accepted, []);
+}
