A body of unknown or ambiguous framing that broke off is lost, not whole

What callers of the product's own router could get: a 200 with a part of the body, framed as whole by its own length, and stored as the answer of a call that runs once. Cause: read_body took any Transfer-Encoding for framing, while the library reads a coding other than chunked, and chunks in HTTP/1.0, up to the close. Now a body is framed by its status, by a length without a coding, or by the single coding chunked in HTTP/1.1 without a length, as the instances' own reader has it; all else is lost. Class: the check of the framing and the reader of the body disagree.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -67,6 +67,25 @@
     }
 }
 
+/// Whether the head of a response determines the end of its body. A coding other than `chunked`, or one in
+/// HTTP/1.0, leaves the body close-delimited, whatever its announced length (RFC 9112, section 6.3).
+fn is_framed(response: &ureq::http::Response<ureq::Body>) -> bool {
+    if matches!(response.status().as_u16(), 204 | 304) {
+        return true;
+    }
+    let headers = response.headers();
+    let has_length = headers.contains_key("content-length");
+    let mut codings = headers.get_all("transfer-encoding").iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => has_length,
+        (Some(coding), None) => {
+            let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+            is_chunked && !has_length && response.version() == ureq::http::Version::HTTP_11
+        }
+        (Some(_), Some(_)) => false,
+    }
+}
+
 /// Reads the complete body of a response, at most `max_bytes`. A close-delimited body
 /// may have been broken off and counts as lost.
 ///
@@ -76,12 +95,7 @@
     response: &mut ureq::http::Response<ureq::Body>,
     max_bytes: u64,
 ) -> Result<Vec<u8>, CallError> {
-    let headers = response.headers();
-    let is_empty_by_status = matches!(response.status().as_u16(), 204 | 304);
-    let is_framed = is_empty_by_status
-        || headers.contains_key("content-length")
-        || headers.contains_key("transfer-encoding");
-    if !is_framed {
+    if !is_framed(response) {
         return Err(CallError::Lost);
     }
     let reader = response.body_mut().with_config().limit(max_bytes);
