--- a/tests/all/unframed_answers.rs
+++ b/tests/all/unframed_answers.rs
@@ -7,10 +7,13 @@
 use passway_instance::Instance;
 use passway_standins::platform::model_server::{EVENTS, Faults, ModelServer, event};
 use passway_standins::platform::plain_server::{PlainAnswer, start_plain};
+use passway_standins::platform::process::{InstanceProcess, Output, ProcessConfig};
 use passway_standins::platform::raw::{RawServer, Step};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
-use std::io::Read;
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 /// The id, and so the body, of the answers of plain servers.
 const ID: &str = "0123456789";
@@ -188,6 +191,44 @@
     }
 }
 
+/// Guards against a stream that looks whole to a caller with HTTP/1.0 because its instance ended.
+#[test]
+fn old_callers_of_ended_instances() {
+    let store = cluster::store(&["m0"]);
+    let engine = ModelServer::start(&store, "i-0", "engines", 1, &["m0"], &[]);
+    engine.set_faults(Faults {
+        event_delay: Duration::from_secs(2),
+        ..Faults::default()
+    });
+    for signal in [Signal::KILL, Signal::TERM] {
+        let program = InstanceProcess::start(ProcessConfig {
+            executable: env!("CARGO_BIN_EXE_passway-instance").into(),
+            name: format!("ended{}", signal.as_raw()),
+            store: store.serve(),
+            grace_s: 1.0,
+            arguments: Vec::new(),
+            output: Output::Null,
+        });
+        let program = program.expect("an instance");
+        let head = "Host: shop.example\r\nRequest-Id: u\r\nModel: m0\r\nContent-Length: 0\r\n";
+        let mut caller = None;
+        until("a stream", || {
+            let Ok(stream) = TcpStream::connect(program.callers_address) else {
+                return false;
+            };
+            let caller = &mut caller.insert(Caller::from_stream(stream)).stream;
+            let sent = caller.write_all(format!("POST /report/ HTTP/1.0\r\n{head}\r\n").as_bytes());
+            let mut bytes = [0; 12];
+            sent.is_ok() && caller.read_exact(&mut bytes).is_ok() && bytes.ends_with(b"200")
+        });
+        program.signal(signal);
+        let mut bytes = Vec::new();
+        let read_result = caller.expect("a caller").stream.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(read_result.is_err(), "{signal:?}: {text}");
+    }
+}
+
 /// A last chunk inside an event, and empty lines that are cut in the middle.
 #[test]
 fn unfinished_events() {
