A stream over HTTP/1.0 is reset by any end before its proven one

What callers saw: a 200 whose events stop early and whose connection ends in order, so as whole, when the instance was killed. Cause: the reset was set where a stream is given up, which a process that ends does not reach. Now the connection of a stream without chunks resets on close from the first byte of its head until the end is proven, so whoever closes it, the system included. Chunked streams are unchanged.

--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -580,6 +580,7 @@
             let framed = self.frame_for_caller(std::mem::take(&mut opening), &events, proof);
             if !framed.is_empty() {
                 self.delivered.head_sent = true;
+                self.set_reset_on_close(true);
                 // Once the head is out, no other answer can be sent.
                 self.caller.mark_streaming();
                 self.request_log.status = head.status;
@@ -592,6 +593,7 @@
                 }
             }
             if proof.is_some() {
+                self.set_reset_on_close(false);
                 self.request_log.proof = proof;
                 self.request_log.end = "answered";
                 self.record_stream_end();
@@ -604,6 +606,14 @@
         }
     }
 
+    /// Sets whether the end of the caller's connection breaks its stream off. A chunked stream is broken
+    /// off by any end before its last chunk.
+    fn set_reset_on_close(&self, resets: bool) {
+        if !self.delivered.chunked {
+            self.caller.set_reset_on_close(resets);
+        }
+    }
+
     /// Records that events of the stream arrived, for the log and for the engine's dispatcher.
     fn record_events(
         &mut self,
--- a/crates/instance/src/forward/refusal.rs
+++ b/crates/instance/src/forward/refusal.rs
@@ -24,9 +24,6 @@
             } else {
                 "stream broken off"
             };
-            if !self.delivered.chunked {
-                self.caller.reset_when_closed();
-            }
             return ConnectionReuse::Close;
         }
         if let Some(failed) = failed {
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -137,10 +137,10 @@
         self.ended_by = EndedBy::Streams;
     }
 
-    /// Makes closing reset the connection. Where only the end of the connection marks the end of a
-    /// body, an incomplete answer must not look complete.
-    pub fn reset_when_closed(&self) {
-        let linger = Some(Duration::ZERO);
+    /// Sets whether closing resets the connection, also when the process ends. Where only the end of the
+    /// connection marks the end of a body, an incomplete answer must not look complete.
+    pub fn set_reset_on_close(&self, resets: bool) {
+        let linger = resets.then_some(Duration::ZERO);
         if let Err(error) = rustix::net::sockopt::set_socket_linger(&self.stream, linger) {
             log::warn!(error:% = error; "cannot set the connection to reset on close; a broken answer may look complete");
         }
