Tests: answers that end inside their head or body, on the paths that were not tried

No part of an answer counted as whole; run-once requests ended in 502 or visibly broken. Found while writing: none on these paths.

--- a/tests/all/broken_call_answers.rs
+++ b/tests/all/broken_call_answers.rs
@@ -4,10 +4,15 @@
 //! part of a body is accepted; a whole one is, also if it is close-delimited.
 
 use passway_platform::http::{CallError, Client};
+use passway_platform::key_value::{HttpKeyValue, KeyValue};
 use passway_serving::ports::{Engines, SharedStore, StoreError, StoreRevision};
 use passway_standins::platform::raw::{RawServer, Step};
 use passway_types::prelude::*;
 use passway_users_platform::{MetadataStore, ServerControl};
+use std::net::SocketAddr;
+
+/// Longest time of a call.
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 const LIST: &str = r#"{"items":[{"tls_key":"op/config","value":"bm9kZS0x","revision":4,"created":4,"lease":0}],"has_more":false,"store_revision":7}"#;
 const WATCH: &str =
@@ -108,7 +113,7 @@
         (Framing::Connection, false),
     ] {
         let server = server(body, framing, body.len());
-        let client = Client::new(Duration::from_secs(5));
+        let client = Client::new(TIMEOUT);
         let answer = client.call("GET", &format!("http://{}/x", server.address), b"");
         let body_bytes = answer.map(|answer| answer.body);
         let expected = if is_accepted {
@@ -120,6 +125,45 @@
     }
 }
 
+/// Whether a call to a server succeeds.
+type IsAccepted = fn(SocketAddr) -> bool;
+
+/// Guards against a status that counts although its head broke off.
+#[test]
+fn broken_heads() {
+    let calls: [(&str, IsAccepted); 5] = [
+        ("410 Gone", |at| {
+            let store = MetadataStore::new(at);
+            store.watch("op/", StoreRevision::NONE, TIMEOUT).is_ok()
+        }),
+        ("412 Precondition Failed", |at| {
+            MetadataStore::new(at).write(&[]).is_ok()
+        }),
+        ("200 OK\r\nInstance-Id: i-0", |at| {
+            ServerControl::default().identify(at, None).is_some()
+        }),
+        ("404 Not Found", |at| {
+            HttpKeyValue::new(at, TIMEOUT).get("a").is_ok()
+        }),
+        ("307 Temporary Redirect\r\nLocation: /x", |at| {
+            HttpKeyValue::new(at, TIMEOUT).renew_lease(7).is_ok()
+        }),
+    ];
+    for (head, is_accepted) in calls {
+        let text = format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n");
+        for sent in 0..=text.len() {
+            let part = text.as_bytes()[..sent].to_vec();
+            let server = RawServer::start(move |_| vec![Step::Send(part.clone()), Step::Close]);
+            let is_whole = sent == text.len();
+            assert_eq!(
+                is_accepted(server.address),
+                is_whole,
+                "{head}, {sent} bytes"
+            );
+        }
+    }
+}
+
 /// Guards against a part of a body that is taken for a whole one, because its framing is unknown to the
 /// client or ambiguous.
 #[test]
@@ -136,7 +180,7 @@
         let text = format!("HTTP/{version} 200 OK\r\n{framing}\r\n\r\nhalf");
         let steps = vec![Step::Send(text.into_bytes()), Step::Close];
         let server = RawServer::start(move |_| steps.clone());
-        let client = Client::new(Duration::from_secs(5));
+        let client = Client::new(TIMEOUT);
         let answer = client.call("GET", &format!("http://{}/x", server.address), b"");
         answer.is_ok()
     };
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod config_spread;
 mod crashing_loads;
 mod crashing_parts;
+mod cut_heads;
 mod cut_off_cluster;
 mod cut_off_instances;
 mod dispatch_load;
