endless_bytes doesn't flood the instances of other processes

run_once_requests failed in 3 of 17 runs beside soaks and other tests, each time with another case, 50 MB to 3 GB sent where 16 MiB are allowed. Traced with the requests that the server received: GET /kv-range and GET /kv-watch on three connections, then the test's own POST. The kernel had given the server the port that the store of another process had had, whose instance still called it; the flood went there. The server closes connections with calls to a store now, and a failure prints what it received. The bound is unchanged.

--- a/tests/all/endless_bytes.rs
+++ b/tests/all/endless_bytes.rs
@@ -111,16 +111,33 @@
     }
 
     fn answer(self, received: &Received, is_fast: bool) -> Vec<Step> {
+        if is_store_call(received) {
+            return vec![Step::Close];
+        }
         self.steps(received.header("request-id").unwrap_or_default(), is_fast)
     }
 }
 
+/// Whether a request is a call to a store: the kernel may have given the server's port to the store of
+/// another process before, whose instances still call it.
+fn is_store_call(received: &Received) -> bool {
+    received.request_line().contains(" /kv-")
+}
+
+/// Returns the requests that are meant for the server.
+fn own_requests(server: &RawServer) -> Vec<Received> {
+    let mut received = server.received();
+    received.retain(|one| !is_store_call(one));
+    received
+}
+
 /// Checks that a server could send no more than what is read at most.
 fn assert_bounded(server: &RawServer, connections: usize, case: &str) {
     let sent = server.repeated_bytes();
     assert!(
         sent <= connections * MAX_SENT_BYTES,
-        "{case}: {sent} bytes sent"
+        "{case}: {sent} bytes sent; received: {:?}",
+        server.received()
     );
 }
 
@@ -156,12 +173,12 @@
         );
         let begun_at = Instant::now();
         let caller = std::thread::spawn(move || fetch(address, text.as_bytes()));
-        until("the request", || !self.troubled.received().is_empty());
+        until("the request", || !own_requests(&self.troubled).is_empty());
         let sound = start_plain(&self.store, "i-1", PlainAnswer::Framed);
         let answer = caller.join().expect("a caller").expect("an answer");
         let took = begun_at.elapsed();
         assert!(took < MAX_WAIT, "{case}: {took:?}");
-        let first = &self.troubled.received()[0];
+        let first = &own_requests(&self.troubled)[0];
         closed_at(&self.troubled, first);
         assert_bounded(&self.troubled, 1, case);
         let at_sound = sound.received().into_iter();
