--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -60,6 +60,7 @@
 mod lost_version_reads;
 mod missed_models;
 mod model_orders;
+mod odd_entries;
 mod outage_terms;
 mod part_blame;
 mod part_fleet;
