--- a/tests/all/odd_entries.rs
+++ b/tests/all/odd_entries.rs
@@ -130,15 +130,16 @@
         }
     }
 
-    /// Lists a new server, and marks the one before as leaving.
+    /// Marks the newest server as leaving, and then lists a new one.
     fn replace_server(&mut self) {
         let server = plain_server();
         let number = self.servers.len();
-        list_plain(&self.store, &format!("i-{number}"), server.address, "ready");
         if let Some(previous) = self.servers.last() {
             let id = format!("i-{}", number - 1);
             list_plain(&self.store, &id, previous.address, "draining");
         }
+        // An instance that uses the new server has read the earlier entry of the leaving one, too.
+        list_plain(&self.store, &format!("i-{number}"), server.address, "ready");
         self.servers.push(server);
     }
 
