The soak's checks as its review asks: versions at a continuation, copies used once, kills as moments

The versions are compared for all kinds of streams, a copy serves once, and a kill excuses if it falls between the sending of the request and the end of its answer at the caller. The probe after a crash saturates a start's time, as liveness does.

--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -113,7 +113,7 @@
                 .upstreams()
                 .mark_unreachable(&start.upstream, clock::now());
             refuses_connections(shared, start, address).then_some(Verdict::Ended {
-                before_ms: start.started_at_ms + 1,
+                before_ms: start.started_at_ms.saturating_add(1),
             })
         };
     }
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -662,17 +662,23 @@
         answer(202, id, "", &signals)
     }
 
-    /// Records the copy that a request asks for, at the server that it names. Returns false if the
-    /// request continues with a copy that this server does not have.
+    /// Records the copy that a request asks for, at the server that it names. Uses up the copy that the request
+    /// continues with; returns false if this server does not have it.
     fn record_copies(&self, arrival: &Arrival) -> bool {
         if let Some(address) = &arrival.backup {
             let copy = format!("copies/{address}/{}", arrival.id);
             self.store.put(&copy, &json!(true));
         }
         let own_copy = format!("{}/{}", self.address, arrival.id);
-        arrival.continues.as_ref().is_none_or(|continued| {
-            *continued == own_copy && self.store.get(&format!("copies/{own_copy}")).is_some()
-        })
+        let Some(continued) = &arrival.continues else {
+            return true;
+        };
+        let key = format!("copies/{own_copy}");
+        let has_copy = *continued == own_copy && self.store.get(&key).is_some();
+        if has_copy {
+            self.store.remove(&key);
+        }
+        has_copy
     }
 
     /// Records that no fault breaks off the run of the request with this number at the listener.
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -104,8 +104,8 @@
     /// When the process could not be expected to finish what it had begun: from a kill to the
     /// restart, while the process was paused, and at the end of the grace period of a planned stop.
     pub interruptions: DisturbanceLog,
-    /// From each kill to the restart.
-    pub kills: DisturbanceLog,
+    /// Times at which the process was killed.
+    killed_at: Mutex<Vec<Instant>>,
     /// Number of restarts of the process.
     pub incarnation: AtomicU64,
 }
@@ -117,6 +117,18 @@
         self.process.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_killed_at(&self) -> MutexGuard<'_, Vec<Instant>> {
+        self.killed_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the process was killed at some time from `from` to `until`.
+    pub fn was_killed(&self, from: Instant, until: Instant) -> bool {
+        let mut killed_at = self.lock_killed_at().clone().into_iter();
+        killed_at.any(|at| (from..=until).contains(&at))
+    }
+
     /// Records a disturbance other than a planned stop.
     pub fn record_disturbance(&self) {
         self.disturbance_count.fetch_add(1, Ordering::AcqRel);
@@ -130,6 +142,9 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let interruption = self.interruptions.begin(Instant::now() + protected);
+        if signal == Signal::KILL {
+            self.lock_killed_at().push(Instant::now());
+        }
         self.process().signal(signal);
         while matches!(self.process().child.try_wait(), Ok(None)) {
             std::thread::sleep(POLL_INTERVAL);
@@ -148,9 +163,7 @@
     /// Kills the process and starts it again.
     pub fn kill(&self) {
         self.record_disturbance();
-        let kill = self.kills.begin(Instant::now());
         self.restart(Signal::KILL, Duration::ZERO);
-        self.kills.end(kill);
         self.record_disturbance();
     }
 
@@ -747,7 +760,7 @@
         store_proxy,
         disturbance_count: AtomicU64::new(0),
         interruptions: DisturbanceLog::default(),
-        kills: DisturbanceLog::default(),
+        killed_at: Mutex::default(),
         incarnation: AtomicU64::new(0),
     }))
 }
--- a/crates/standins/src/soak/event_checks.rs
+++ b/crates/standins/src/soak/event_checks.rs
@@ -97,6 +97,12 @@
         ));
     }
     let previous = previous?;
+    if run.software != previous.software {
+        return Some(format!(
+            "event {next} is of {name} at {}, the one before of {} at {}",
+            run.software, previous.name, previous.software
+        ));
+    }
     (record.kind == RequestKind::Stream && !run.is_continuation).then(|| {
         format!(
             "a stream that runs once has events of {} and {name}",
--- a/crates/standins/src/soak/silence_checks.rs
+++ b/crates/standins/src/soak/silence_checks.rs
@@ -113,10 +113,9 @@
         };
         instance.interruptions.overlaps(from, closed_at)
     });
-    // On a busy machine, the server may read a request after the process that sent it was killed.
-    let is_killed = cluster.instances[record.instance]
-        .kills
-        .overlaps(record.sent_at, closed_at);
+    // The process that held the caller's connection was killed. On a busy machine, the server may read
+    // the request only after that, so that the run begins after the interruption.
+    let is_killed = cluster.instances[record.instance].was_killed(record.sent_at, record.ended_at);
     // The connection was broken, delayed or silenced on its way, or the engine crashed or restarted
     // during the run. Plain servers have no proxy and never end.
     let is_cut = served.engine.as_ref().is_some_and(|engine| {
