--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -433,7 +433,7 @@
             |run| {
                 let sent_ms = millis_since(run.sent_at, now);
                 let broke_ms = millis_since(run.disconnected_at, now);
-                format!("sent {sent_ms}, broke off {broke_ms}")
+                format!("sent {sent_ms} ms ago, broke off {broke_ms} ms ago")
             },
         );
         let (upstream, started_at_ms) = (&crash.upstream, crash.started_at_ms);
--- a/crates/standins/src/platform/stream_events.rs
+++ b/crates/standins/src/platform/stream_events.rs
@@ -21,7 +21,7 @@
     pub name: String,
     /// Id of the request.
     pub request_id: String,
-    /// Body of the request, which names the stream.
+    /// Body of the request: the id of the first request for the stream, which later ones send again.
     pub stream: String,
     /// Number of the event after which the request resumes the stream; 0 for a new one.
     pub resumed_after: u64,
--- a/deploy/site-soak.sh
+++ b/deploy/site-soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the soak of real processes in the shape of one of the users' sites: instances, engines, callers, and lengths and
-# pace of streams as in the site's file.
+# pace of streams as in the site's file: machines in use, servers of the engines' service, clients of all zones, the longest
+# stream and event, and a step of an engine times the tokens of an event.
 #
 #   deploy/site-soak.sh SITE [OPTION]...
 #
