--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -246,19 +246,21 @@
             .push("an instance did not become ready again".to_owned());
         return;
     }
-    let instances = 0..cluster.instances.len();
-    let checks = instances.map(|number| move || unserved_paths(cluster, number));
-    let violations = std::thread::scope(|scope| {
-        let checks: Vec<_> = checks.map(|check| scope.spawn(check)).collect();
-        let checks = checks.into_iter().enumerate();
-        let violations = checks.flat_map(|(number, check)| {
-            let paths = check.join().unwrap_or_else(|_| vec!["an unknown path"]);
-            let violation = move |path| format!("{path} was not served again at instance {number}");
-            paths.into_iter().map(violation)
-        });
-        violations.collect::<Vec<String>>()
+    // All at once: a check takes seconds, and there may be dozens of instances.
+    std::thread::scope(|scope| {
+        let instances = 0..cluster.instances.len();
+        let checks: Vec<_> = instances
+            .map(|number| scope.spawn(move || unserved_paths(cluster, number)))
+            .collect();
+        for (number, check) in checks.into_iter().enumerate() {
+            // A check panics if the instance refuses its connection.
+            let paths = check.join().unwrap_or_else(|_| vec!["any path"]);
+            for path in paths {
+                let violation = format!("{path} was not served again at instance {number}");
+                report.broken.push(violation);
+            }
+        }
     });
-    report.broken.extend(violations);
 }
 
 /// Returns the paths that an instance does not serve within [`RECOVERY_TIMEOUT`] each.
