The stand-in's crashing part crashes engines under streams of one event, too

Traced: at 22.14 s all nine instances forgot the blame in the millisecond in which r4-3800, a request with the part, was answered whole: its stream had one event, and the stand-in crashed only before a second one. Ten engines crashed within 0.45 s after that. Streams of one event exist since the soak takes their lengths.

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -798,6 +798,11 @@
             };
             steps.push(Step::Send(bytes.into_bytes()));
         }
+        if has_crashing_part {
+            // A stream of one event doesn't end whole either.
+            steps.extend(self.crash(&received.body, restart_delay));
+            return steps;
+        }
         self.expect_whole(received.number);
         steps.push(if is_unframed {
             Step::Close
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -42,6 +42,7 @@
 
 /// Adds to a version's configuration its workspaces, and that engines keep copies of the runs of others.
 fn with_keys(version: u64, mut document: Value) -> Value {
+    // The second service is that of the engines.
     let engine = &mut document["services"][1]["engine"];
     engine["backups"] = true.into();
     engine["kv_capacity"] = KV_CAPACITY_TOKENS.into();
