--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -804,15 +804,20 @@
             return steps;
         }
         self.expect_whole(received.number);
-        steps.push(if is_unframed {
-            Step::Close
-        } else {
-            Step::Send(b"0\r\n\r\n".to_vec())
-        });
+        steps.push(stream_end(is_unframed));
         steps
     }
 }
 
+/// The step that ends a whole stream.
+fn stream_end(is_unframed: bool) -> Step {
+    if is_unframed {
+        Step::Close
+    } else {
+        Step::Send(b"0\r\n\r\n".to_vec())
+    }
+}
+
 /// The events that a run sends.
 enum RunEvents {
     /// [`EVENTS`] events that name only the software version.
