--- a/crates/standins/src/soak/event_checks.rs
+++ b/crates/standins/src/soak/event_checks.rs
@@ -47,7 +47,7 @@
                 return (compared, Some(violation));
             }
             if event != run.event(next) {
-                let violation = format!("event {next} of {} expected, got {event:?}", run.name);
+                let violation = format!("expected event {next} of run {}, got {event:?}", run.name);
                 return (compared, Some(violation));
             }
             previous = Some(run);
@@ -66,11 +66,11 @@
         if !answer.is_complete {
             let is_beginning =
                 rest.is_empty() || own_runs.any(|run| run.event(next).starts_with(rest));
-            return (!is_beginning).then(|| format!("event {next} expected, got {rest:?}"));
+            return (!is_beginning).then(|| format!("expected event {next}, got {rest:?}"));
         }
         let is_last = own_runs.any(|run| run.last_event() + 1 == next);
         (!is_last || !rest.is_empty())
-            .then(|| format!("complete before event {next}, followed by {rest:?}"))
+            .then(|| format!("the answer is complete before event {next}, followed by {rest:?}"))
     }
 }
 
@@ -84,7 +84,7 @@
     let name = &run.name;
     if run.request_id != record.id || run.stream != record.body {
         return Some(format!(
-            "event {next} is of {name}, a run of another request"
+            "event {next} was sent by run {name}, which belongs to another request"
         ));
     }
     if previous.is_some_and(|previous| previous.name == run.name) {
@@ -93,19 +93,19 @@
     if run.resumed_after + 1 != next {
         let after = run.resumed_after;
         return Some(format!(
-            "event {next} is of {name}, a run that resumes after event {after}"
+            "event {next} was sent by run {name}, which resumes after event {after}"
         ));
     }
     let previous = previous?;
     if run.software != previous.software {
         return Some(format!(
-            "event {next} is of {name} at {}, the one before of {} at {}",
+            "event {next} was sent by run {name} at software version {}, the event before by run {} at {}",
             run.software, previous.name, previous.software
         ));
     }
     (record.kind == RequestKind::Stream && !run.is_continuation).then(|| {
         format!(
-            "a stream that runs once has events of {} and {name}",
+            "a stream that may run only once has events of runs {} and {name}",
             previous.name
         )
     })
--- a/tests/all/cut_heads.rs
+++ b/tests/all/cut_heads.rs
@@ -22,12 +22,13 @@
 const CUT_STEP: usize = 17;
 /// Callers that send requests at once.
 const CALLERS: usize = 8;
+/// Start time that the servers report, in Unix milliseconds.
 const BORN_MS: u64 = 1_792_321_983_006;
-/// Stands for all bytes of an answer.
+/// Number of bytes that a server sends of an answer to send all of it: more than any answer has.
 const WHOLE: usize = 9_999;
 
 /// A request whose id tells the servers what to answer: the framing, the end of the connection, and how
-/// many bytes of the answer come at the first and the second arrival.
+/// many bytes of the answer to send when the request arrives for the first and for the second time.
 #[derive(Debug, Clone, Copy)]
 struct Case {
     is_chunked: bool,
