--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -15,6 +15,7 @@
 pub mod caller;
 pub mod cut_path;
 pub mod documents;
+pub mod failure_spans;
 pub mod model_server;
 pub mod plain_server;
 pub mod process;
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -1,5 +1,6 @@
 //! A model server that handles orders, reports and streams, and records them for checks by tests.
 
+use super::failure_spans::{Failure, FailureSpans};
 use super::raw::{RawServer, Received, ScriptEnd, Step};
 use super::store::MetadataStandIn;
 use super::stream_events::{BegunRun, StreamShape};
@@ -171,6 +172,7 @@
     /// The body of the request behind the crash, once the server has crashed for good.
     crash_body: Option<String>,
     faults: Faults,
+    failures: Arc<FailureSpans>,
 }
 
 /// Whether a server leaves for good.
@@ -358,6 +360,11 @@
         software.clone_into(&mut self.state().software);
     }
 
+    /// Sets the times in which the server refuses most requests.
+    pub fn set_failures(&self, failures: Arc<FailureSpans>) {
+        self.state().failures = failures;
+    }
+
     /// Sends streams of this shape from now on, whose events name their runs.
     pub fn set_stream_shape(&self, shape: StreamShape) {
         self.state().stream_shape = Some(shape);
@@ -725,6 +732,11 @@
             let headers = format!("Not-Executed: 1\r\nRetry-After: {backoff_s}\r\n{signals}");
             return answer(503, id, "", &headers);
         }
+        let failure = state.failures.failure(received);
+        if failure == Some(Failure::Refused) {
+            let headers = format!("Not-Executed: 1\r\n{signals}");
+            return answer(503, id, "", &headers);
+        }
         if !is_loaded || expects_other_weights(received) {
             let headers = format!("Not-Executed: 1\r\n{signals}");
             return answer(421, id, "", &headers);
@@ -737,6 +749,9 @@
         state.executed_at.push(Instant::now());
         // Until the server is known to answer wholly.
         state.faulty_runs.insert(received.number);
+        if failure == Some(Failure::Closed) {
+            return vec![Step::Close];
+        }
         let prefix = state.faults.crash_on_prefix.as_deref();
         let crashes = prefix.is_some_and(|prefix| received.body.starts_with(prefix.as_bytes()));
         if crashes {
--- a/crates/standins/src/platform/process.rs
+++ b/crates/standins/src/platform/process.rs
@@ -31,6 +31,12 @@
 pub const QUOTA_WINDOW_S: u64 = 8;
 /// Units that a workspace may use in a window beyond its allotment plus a tenth of it.
 pub const QUOTA_SLACK: u32 = 2_000;
+/// Retries for each request, for the whole fleet.
+pub const RETRY_RATIO: f64 = 0.2;
+/// Retries in a window independent of the number of requests, for the whole fleet.
+pub const RETRY_SLACK: f64 = 52.0;
+/// The window of the retry budget, in seconds.
+pub const RETRY_WINDOW_S: f64 = 10.0;
 
 /// Parameters of an instance's process.
 #[derive(Debug, Clone)]
@@ -112,8 +118,8 @@
         let text = format!(
             "node_name = \"{}\"\nzone = \"hall0\"\nip = \"{}\"\ninternal_ports = [{}, 1]\n\
             [listen_addrs]\nfrontend = \"{callers_address}\"\nready = \"{readiness_address}\"\n\
-            [bounds]\ngrace_s = {}\nretry_budget_ratio = 0.2\nretry_slack = 52\n\
-            retry_window_s = 10\nlease_ms = 3000\nstrict_revoke = true\nrevoke_ms = {REVOKE_MS}\n\
+            [bounds]\ngrace_s = {}\nretry_budget_ratio = {RETRY_RATIO}\nretry_slack = {RETRY_SLACK}\n\
+            retry_window_s = {RETRY_WINDOW_S}\nlease_ms = 3000\nstrict_revoke = true\nrevoke_ms = {REVOKE_MS}\n\
             quota_window_s = {QUOTA_WINDOW_S}\nquota_overage = 0.1\nquota_slack = {QUOTA_SLACK}\n\
             [platform]\naddress = \"{}\"\nttl_min_ms = 1000\n",
             config.name,
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -9,10 +9,11 @@
 //! * [`disturbances`]: the times at which instances and proxies were disturbed.
 //! * [`schedule`]: selects and injects the faults; [`silences`] those in which servers fall silent.
 //! * [`callers`]: send requests and record the answers.
-//! * [`checks`]: check the invariants; [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
+//! * [`checks`]: check the invariants; [`budget_checks`] the repeats that reached the servers, [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
 //!   [`signal_checks`] those on the engines' signals, [`silence_checks`] that no answer is broken
 //!   off while its server lives, [`version_checks`] those on the engines' software versions.
 
+mod budget_checks;
 mod callers;
 mod checks;
 mod cluster;
@@ -27,6 +28,7 @@
 
 use crate::platform::stream_events::StreamShape;
 use anyhow::Result;
+pub use budget_checks::Repeats;
 use callers::Callers;
 use cluster::SoakCluster;
 use passway_types::prelude::*;
@@ -67,6 +69,11 @@
     pub has_releases: bool,
     /// Whether the engines that replace others have the same software version as those.
     pub has_one_version: bool,
+    /// Whether servers fail most requests from time to time and some callers send their bodies slowly, so
+    /// that all callers need retries at once.
+    pub has_retry_pressure: bool,
+    /// Whether other faults are injected.
+    pub has_faults: bool,
 }
 
 /// Results of a soak run.
@@ -92,6 +99,8 @@
     pub events: usize,
     /// Number of streams that were taken up again.
     pub taken_up: usize,
+    /// The repeats that reached the servers, by service.
+    pub repeats: BTreeMap<&'static str, Repeats>,
     /// Number of software versions of engines.
     pub software_versions: usize,
     /// The streams of each calm stretch.
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -35,6 +35,11 @@
 /// Time after which a caller takes a stream up again, in milliseconds: soon, later, or after a pause.
 const TAKE_UP_DELAYS_MS: [Range<u64>; 3] = [0..300, 300..2_000, 4_000..9_000];
 
+/// Probability that a body is sent some time after its head, if bodies are sent slowly at all.
+const SLOW_BODY_PROBABILITY: f64 = 0.8;
+/// Pause between the head and the body of a request that is sent slowly, in milliseconds.
+const SLOW_BODY_PAUSE_MS: Range<u64> = 50..2_500;
+
 /// The kind of a request. The variants' names appear in the descriptions of violations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -181,6 +186,7 @@
     /// requests don't.
     break_rng: ChaCha8Rng,
     breaks_streams: bool,
+    sends_slowly: bool,
     shape: StreamShape,
     broken_streams: VecDeque<BrokenStream>,
     instances: Vec<Arc<SoakInstance>>,
@@ -204,6 +210,7 @@
                     plan.seed ^ (u64::MAX / 2 - caller_number as u64),
                 ),
                 breaks_streams: plan.has_releases,
+                sends_slowly: plan.has_retry_pressure,
                 shape: plan.shape,
                 broken_streams: VecDeque::new(),
                 instances: cluster.instances.clone(),
@@ -360,7 +367,16 @@
         let initial = target.incarnation.load(Ordering::Acquire);
         let count_before = target.disturbance_count.load(Ordering::Acquire);
         let sent_at = Instant::now();
-        if !caller.try_send(&request_bytes) {
+        let head_length = request_bytes.len() - if draft.method == "GET" { 0 } else { body.len() };
+        let (head, body_bytes) = request_bytes.split_at(head_length);
+        let pause = self.random_body_pause();
+        if !caller.try_send(head) {
+            return (None, None);
+        }
+        if !body_bytes.is_empty() {
+            std::thread::sleep(pause);
+        }
+        if !caller.try_send(body_bytes) {
             return (None, None);
         }
         let was_left = |body: &str| left_after.is_some_and(|count| count_events(body) >= count);
@@ -386,6 +402,15 @@
         (Some(record), Some(caller).filter(|_| can_reuse))
     }
 
+    /// Selects the pause between the head and the body of a request.
+    fn random_body_pause(&mut self) -> Duration {
+        if self.sends_slowly && self.break_rng.random_bool(SLOW_BODY_PROBABILITY) {
+            Duration::from_millis(self.break_rng.random_range(SLOW_BODY_PAUSE_MS))
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Selects the number of events after which the caller's connection is closed; `None` if it stays
     /// open.
     fn random_break(&mut self, draft: &Draft, body: &str, last_event: u64) -> Option<u64> {
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -1,8 +1,9 @@
 //! Checks the invariants against the records of callers and servers.
 
 use super::SoakReport;
+use super::budget_checks;
 use super::callers::{Record, RequestKind};
-use super::cluster::{CRASHING_PART_BODY, MODELS, POISON, SoakCluster, is_shed, key_of_version};
+use super::cluster::{CRASHING_PART_BODY, MODELS, POISON, SoakCluster, key_of_version};
 use super::event_checks;
 use super::schedule::CalmStretch;
 use super::signal_checks;
@@ -61,6 +62,7 @@
             )
         }));
     }
+    budget_checks::check_repeats(cluster, records, report);
     workspace_checks::check_keys_and_quota(cluster, records, report);
     signal_checks::check_signals(cluster, records, report);
     silence_checks::check_kept(cluster, records, report);
@@ -110,7 +112,7 @@
 fn execution_counts(cluster: &SoakCluster) -> BTreeMap<String, usize> {
     let mut execution_counts: BTreeMap<String, usize> = BTreeMap::new();
     let plain = cluster.plain_requests().into_iter();
-    let plain = plain.filter(|received| !is_shed(received));
+    let plain = plain.filter(|received| !cluster.is_shed(received));
     let plain = plain.map(|received| received.header("request-id").unwrap_or_default().to_owned());
     let engines = cluster.engines().into_iter();
     let streams = engines.flat_map(|engine| engine.server.executed_ids());
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -5,6 +5,7 @@
 use super::{SoakPlan, SoakReport};
 use crate::platform::caller::HOST;
 use crate::platform::documents::{configuration, list_plain, with_workspaces, workspace};
+use crate::platform::failure_spans::{Failure, FailureSpans};
 use crate::platform::model_server::{
     FIRST_SOFTWARE, Faults as EngineFaults, InitialModels, ModelServer, Run, RunEnd,
 };
@@ -225,10 +226,11 @@
 }
 
 /// The streams of all engines.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct EngineStreams {
     shape: StreamShape,
     event_delay: Duration,
+    failures: Arc<FailureSpans>,
 }
 
 /// The whole system under test.
@@ -242,6 +244,8 @@
     plain_servers: [(&'static str, RawServer); 2],
     /// The silences of servers.
     pub silences: Arc<Silences>,
+    /// The times in which all servers fail most requests.
+    pub failures: Arc<FailureSpans>,
     streams: EngineStreams,
     engines: Arc<Mutex<Vec<Engine>>>,
     version: AtomicU64,
@@ -258,12 +262,15 @@
 }
 
 /// Returns whether a plain server sheds the request, i.e. refuses it without executing it.
-pub fn is_shed(received: &Received) -> bool {
-    received.number % 11 == 5
+fn is_shed(received: &Received, failures: &FailureSpans) -> bool {
+    received.number % 11 == 5 || failures.failure(received) == Some(Failure::Refused)
 }
 
 /// Returns how a plain server answers a request; `None` if it closes the connection instead.
-fn plain_answer(received: &Received) -> Option<PlainAnswer> {
+fn plain_answer(received: &Received, failures: &FailureSpans) -> Option<PlainAnswer> {
+    if failures.failure(received) == Some(Failure::Closed) {
+        return None;
+    }
     match received.number {
         number if number % 9 == 4 => None,
         number if number % 8 == 2 => Some(PlainAnswer::Unframed),
@@ -275,19 +282,19 @@
 /// Starts a plain server that answers with the request's id. It sheds some requests, closes the
 /// connection of others after executing them, and sends some answers without a length, of which it
 /// breaks off every second one.
-fn plain_server(server_id: String) -> RawServer {
+fn plain_server(server_id: String, failures: Arc<FailureSpans>) -> RawServer {
     RawServer::start(move |received| {
         if let Some(steps) = identity_steps(received, &server_id) {
             return steps;
         }
         let id = received.header("request-id").unwrap_or_default();
-        if is_shed(received) {
+        if is_shed(received, &failures) {
             let text = format!(
                 "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             );
             return vec![Step::Send(text.into_bytes())];
         }
-        let Some(how) = plain_answer(received) else {
+        let Some(how) = plain_answer(received, &failures) else {
             return vec![Step::Pause(CALL_DURATION), Step::Close];
         };
         let mut steps = vec![Step::Pause(CALL_DURATION)];
@@ -297,9 +304,9 @@
 }
 
 /// Returns the run of a request at a plain server.
-fn plain_run(received: &Received, ended: Option<EndedScript>) -> Run {
+fn plain_run(received: &Received, failures: &FailureSpans, ended: Option<EndedScript>) -> Run {
     let is_whole = matches!(
-        plain_answer(received),
+        plain_answer(received, failures),
         Some(PlainAnswer::Framed | PlainAnswer::Unframed)
     );
     let end = |ended: EndedScript| (RunEnd::of_script(ended.end, !is_whole), ended.ended_at);
@@ -333,7 +340,7 @@
     store: &MetadataStandIn,
     number: usize,
     software: &str,
-    streams: EngineStreams,
+    streams: &EngineStreams,
 ) -> Engine {
     let id = format!("i-{number}");
     let loaded = [MODELS[number % 2], MODELS[2 + number % 3]];
@@ -349,6 +356,7 @@
     server.set_faults(default_engine_faults(number, streams.event_delay));
     server.set_stream_shape(streams.shape);
     server.set_software(software);
+    server.set_failures(streams.failures.clone());
     server.publish_entry("ready");
     Engine {
         number,
@@ -364,16 +372,18 @@
     pub fn start(plan: &SoakPlan) -> Result<Self> {
         let store = MetadataStandIn::default();
         store.put("op/config", &with_keys(1, configuration(1, &MODELS)));
+        let failures: Arc<FailureSpans> = Arc::default();
         let plain_servers = ["p-0", "p-1"].map(|id| {
-            let server = plain_server(id.to_owned());
+            let server = plain_server(id.to_owned(), failures.clone());
             list_plain(&store, id, server.address, "ready");
             (id, server)
         });
         let streams = EngineStreams {
             shape: plan.shape,
             event_delay: plan.event_delay,
+            failures: failures.clone(),
         };
-        let start = |number| start_engine(&store, number, FIRST_SOFTWARE, streams);
+        let start = |number| start_engine(&store, number, FIRST_SOFTWARE, &streams);
         let engines = (0..plan.engines).map(start);
         let engines: Arc<Mutex<Vec<Engine>>> = Arc::new(Mutex::new(engines.collect()));
         let instances: Result<Vec<Arc<SoakInstance>>> = (0..plan.instances)
@@ -384,6 +394,7 @@
             instances: instances?,
             plain_servers,
             silences: Arc::default(),
+            failures,
             streams,
             engines,
             version: AtomicU64::new(1),
@@ -414,6 +425,11 @@
         received.collect()
     }
 
+    /// Returns whether a plain server refused the request without executing it.
+    pub fn is_shed(&self, received: &Received) -> bool {
+        is_shed(received, &self.failures)
+    }
+
     /// Returns the requests that plain servers executed, each with the id of its server.
     pub fn plain_runs(&self) -> Vec<(&'static str, Run)> {
         let servers = self.plain_servers.iter();
@@ -421,10 +437,10 @@
             let ended_scripts = server.ended_scripts();
             let received = server.received().into_iter();
             let executed =
-                received.filter(|one| identity_steps(one, id).is_none() && !is_shed(one));
+                received.filter(|one| identity_steps(one, id).is_none() && !self.is_shed(one));
             executed.map(move |one| {
                 let ended = ended_scripts.get(&one.number).copied();
-                (*id, plain_run(&one, ended))
+                (*id, plain_run(&one, &self.failures, ended))
             })
         });
         runs.collect()
@@ -495,7 +511,7 @@
         for engine in old {
             engine.is_replaced.store(true, Ordering::Release);
             let number = engines.len();
-            engines.push(start_engine(&self.store, number, software, self.streams));
+            engines.push(start_engine(&self.store, number, software, &self.streams));
         }
     }
 
@@ -657,7 +673,7 @@
     /// Starts a thread that replaces each crashed engine: it removes the engine's store entry and
     /// starts another engine.
     fn replace_crashed(&self) {
-        let streams = self.streams;
+        let streams = self.streams.clone();
         let (store, engines, is_stopped) = (
             self.store.clone(),
             self.engines.clone(),
@@ -687,7 +703,7 @@
                         continue;
                     }
                     let software = engine.server.software();
-                    let replacement = start_engine(&store, current.len(), &software, streams);
+                    let replacement = start_engine(&store, current.len(), &software, &streams);
                     current.push(replacement);
                 }
             }
@@ -709,6 +725,7 @@
                 engine.clear_proxy();
             }
         }
+        self.failures.end();
         self.silences.end_all(&self.silenceable_servers());
     }
 
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -49,6 +49,11 @@
 /// Probability that all servers fall silent together.
 const ALL_SILENT_PROBABILITY: f64 = 0.5;
 
+/// Length of a cycle in which servers fail most requests once, in faults, and the number of faults at its begin
+/// in which they don't: about 15 s of 20 s, more than a window of the retry budget.
+const PRESSURE_CYCLE_STEPS: u64 = 45;
+const UNPRESSED_STEPS: u64 = 12;
+
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
@@ -216,6 +221,10 @@
     max_events: u64,
     injected: BTreeMap<&'static str, u32>,
     calm_stretches: Vec<CalmStretch>,
+    has_retry_pressure: bool,
+    has_faults: bool,
+    /// Number of faults so far.
+    steps: u64,
 }
 
 impl Schedule {
@@ -228,6 +237,9 @@
             max_events: plan.shape.max_events,
             injected: BTreeMap::new(),
             calm_stretches: Vec::new(),
+            has_retry_pressure: plan.has_retry_pressure,
+            has_faults: plan.has_faults,
+            steps: 0,
         }
     }
 
@@ -244,6 +256,14 @@
     /// Injects the next fault, then waits for a random time of at most `max_pause`. Stops and pauses
     /// of processes run in the background, concurrently with later faults.
     pub fn inject_next(&mut self, cluster: &Arc<SoakCluster>, max_pause: Duration) {
+        self.press(cluster);
+        if self.has_faults {
+            self.inject_random(cluster);
+        }
+        std::thread::sleep(max_pause.mul_f64(self.rng.random_range(0.1..1.0)));
+    }
+
+    fn inject_random(&mut self, cluster: &Arc<SoakCluster>) {
         let without_releases = FAULTS.len() - RELEASE_FAULTS;
         let faults = if self.has_releases {
             &FAULTS[..]
@@ -333,7 +353,17 @@
                 self.stay_calm(cluster);
             }
         }
-        std::thread::sleep(max_pause.mul_f64(self.rng.random_range(0.1..1.0)));
+    }
+
+    /// Lets servers fail most requests in a part of each [`PRESSURE_CYCLE_STEPS`] faults.
+    fn press(&mut self, cluster: &SoakCluster) {
+        let step = self.steps % PRESSURE_CYCLE_STEPS;
+        self.steps += 1;
+        if self.has_retry_pressure && step >= UNPRESSED_STEPS {
+            cluster.failures.begin();
+        } else {
+            cluster.failures.end();
+        }
     }
 
     /// Replaces all engines and then every second one, so that two versions serve side by side, kills
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -2,21 +2,22 @@
 //! ones.
 
 use crate::support::number_from_env;
+use passway_standins::platform::process::RETRY_SLACK;
 use passway_standins::platform::stream_events::StreamShape;
-use passway_standins::soak::{self, SoakPlan};
+use passway_standins::soak::{self, SoakPlan, SoakReport};
 use passway_types::prelude::*;
+use std::path::Path;
 
 /// Number of faults in a CI run, which takes about 15 s.
 const STEPS: u64 = 40;
+/// Number of steps in which servers fail most requests for longer than a window of the retry budget, about 20 s.
+const PRESSED_STEPS: u64 = 45;
 
-#[test]
-fn promises_kept() {
-    let seed = number_from_env("PASSWAY_SOAK_SEED", 1);
-    let log_dir = std::env::temp_dir().join(format!("passway-soak-{}", std::process::id()));
-    std::fs::create_dir_all(&log_dir).expect("a folder for logs");
-    let report = soak::run(&SoakPlan {
+/// A soak with a seed, of as many faults as CI plays.
+fn plan(seed: u64, log_dir: &Path) -> SoakPlan {
+    SoakPlan {
         executable: env!("CARGO_BIN_EXE_passway-instance").into(),
-        log_dir: log_dir.clone(),
+        log_dir: log_dir.to_owned(),
         seed,
         instances: 3,
         throttled: 0,
@@ -32,14 +33,49 @@
         max_pause: Duration::from_millis(500),
         has_releases: true,
         has_one_version: false,
-    });
-    let report = report.expect("a soak");
+        has_retry_pressure: false,
+        has_faults: true,
+    }
+}
+
+/// Runs a plan with its logs in a folder of this name, and fails if a promise is broken.
+fn run(name: &str, plan: impl FnOnce(&Path) -> SoakPlan) -> SoakReport {
+    let log_dir = std::env::temp_dir().join(format!("passway-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&log_dir).expect("a folder for logs");
+    let report = soak::run(&plan(&log_dir)).expect("a soak");
     assert_eq!(
         report.broken,
         Vec::<String>::new(),
-        "logs: {}",
+        "logs: {}, {report:?}",
         log_dir.display()
     );
     assert!(report.served > 0, "{report:?}");
     std::fs::remove_dir_all(&log_dir).expect("the folder removed");
+    report
+}
+
+#[test]
+fn promises_kept() {
+    let seed = number_from_env("PASSWAY_SOAK_SEED", 1);
+    run("soak", |log_dir| plan(seed, log_dir));
+}
+
+// Guards against instances that together repeat more requests than the fleet's budget allows while bodies arrive
+// slowly and servers fail most requests. The shape is that of seven small instances.
+#[test]
+fn repeats_within_budget() {
+    let report = run("repeats", |log_dir| SoakPlan {
+        instances: 7,
+        engines: 9,
+        callers: 68,
+        fault_count: PRESSED_STEPS,
+        max_pause: Duration::from_millis(800),
+        has_releases: false,
+        has_retry_pressure: true,
+        has_faults: false,
+        ..plan(8821, log_dir)
+    });
+    // Without retries, the check would see nothing.
+    let engines = report.repeats["engines"];
+    assert!(engines.in_window as f64 > RETRY_SLACK, "{report:?}");
 }
