The retry budget's time never goes back

Cause: a request was recorded with the time at which its head had been read, after its body. A retry that was spent meanwhile has a later time; RetryBudget took over whatever time it was given, so each record moved the budget's time back, and the next call refilled the share, and decayed the requests, for the same time once more. Change: clock::advance moves a stored time forward only; the budget uses it, and requests are recorded with the time of the record.

--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -255,7 +255,7 @@
     match origin {
         Origin::Caller => shared
             .retry_budget()
-            .record_request(&destination.service, arrived_at),
+            .record_request(&destination.service, clock::now()),
         // The other instance has counted the request.
         Origin::Peer(announcement) => {
             runs = announcement.runs;
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -5,6 +5,7 @@
 //! received itself, and its share of the fixed allowance. So instances need no agreement and
 //! borrow nothing.
 
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 
@@ -43,6 +44,7 @@
     available: f64,
     /// Requests of about the last window, as a decaying count.
     recent_requests: f64,
+    /// The time up to which the other values are computed.
     at: Instant,
 }
 
@@ -188,8 +190,7 @@
             recent_requests: 0.0,
             at: now,
         });
-        let idle_s = now.saturating_duration_since(bucket.at).as_secs_f64();
-        bucket.at = now;
+        let idle_s = clock::advance(&mut bucket.at, now).as_secs_f64();
         bucket.recent_requests *= (-idle_s / window_s).exp();
         // The fixed share is refilled over a window; the earned retries decay with the requests.
         let capacity = share + earned_per_request * bucket.recent_requests;
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -41,6 +41,14 @@
     now().saturating_duration_since(instant)
 }
 
+/// Moves a stored time forward to `now`, never back, and returns by how much. A thread that reads the clock
+/// before it waits, for a lock or for input, may come after one that has read it later.
+pub fn advance(stored: &mut Instant, now: Instant) -> Duration {
+    let passed = now.saturating_duration_since(*stored);
+    *stored += passed;
+    passed
+}
+
 /// Advances the clock as if the machine had been suspended for `duration`; for tests.
 pub fn simulate_suspension(duration: Duration) {
     let ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
