--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -117,6 +117,7 @@
 mod software_versions;
 mod split_history;
 mod stale_denials;
+mod stopped_instances;
 mod store_eras;
 mod store_feeds;
 mod store_returns;
