A stand-in engine that fails a continued run counts it as one

Change: the stand-in notes the run first. The check is as it was; that the case is allowed is the rule on copies (the same run, on any route).

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -749,9 +749,6 @@
         state.executed_at.push(Instant::now());
         // Until the server is known to answer wholly.
         state.faulty_runs.insert(received.number);
-        if failure == Some(Failure::Closed) {
-            return vec![Step::Close];
-        }
         let prefix = state.faults.crash_on_prefix.as_deref();
         let crashes = prefix.is_some_and(|prefix| received.body.starts_with(prefix.as_bytes()));
         if crashes {
@@ -773,6 +770,9 @@
         let event_delay = state.faults.event_delay;
         let resumed_from = last_event_id(received);
         let events = self.begin_run(&mut state, received);
+        if failure == Some(Failure::Closed) {
+            return vec![Step::Close];
+        }
         drop(state);
         let framing = if is_unframed {
             ""
