--- a/crates/standins/src/bin/passway-soak.rs
+++ b/crates/standins/src/bin/passway-soak.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, Result};
 use clap::Parser;
 use passway_standins::platform::stream_events::StreamShape;
-use passway_standins::soak::{self, SoakPlan};
+use passway_standins::soak::{self, Disturbance, SoakPlan};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -56,12 +56,9 @@
     /// Replace engines by engines of the same software version.
     #[arg(long)]
     one_version: bool,
-    /// Let servers fail most requests from time to time, and callers send some bodies slowly.
-    #[arg(long)]
-    retry_pressure: bool,
-    /// Inject no other faults than those of the retry pressure, and no release at the end.
-    #[arg(long)]
-    no_faults: bool,
+    /// What disturbs the system; only faults include a release at the end.
+    #[arg(long, value_enum, default_value = "faults")]
+    disturbance: Disturbance,
     /// Keep the logs of all seeds.
     #[arg(long)]
     keep_logs: bool,
@@ -92,10 +89,10 @@
             event_delay: Duration::from_millis(arguments.event_delay_ms),
             fault_count: arguments.steps,
             max_pause: Duration::from_millis(arguments.pause_ms),
-            has_releases: !arguments.no_releases && !arguments.no_faults,
+            has_releases: !arguments.no_releases
+                && arguments.disturbance != Disturbance::RetryPressure,
             has_one_version: arguments.one_version,
-            has_retry_pressure: arguments.retry_pressure,
-            has_faults: !arguments.no_faults,
+            disturbance: arguments.disturbance,
         })?;
         println!("{}", serde_json::to_string(&report)?);
         broken += u64::from(!report.broken.is_empty());
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -713,37 +713,20 @@
 
     fn stream(&self, received: &Received) -> Vec<Step> {
         let id = received.header("request-id").unwrap_or_default();
-        let model_ref = received.header("model").unwrap_or_default();
-        let (model, adapter) = model_ref.split_once('/').unwrap_or((model_ref, ""));
         let mut state = self.state();
         if state.down_until.is_some() {
             // The server has restarted since the request arrived.
             return vec![Step::Close];
         }
-        let is_loaded = state.models.iter().any(|(name, adapters)| {
-            name == model && (adapter.is_empty() || adapters.iter().any(|other| other == adapter))
-        });
         let signals = signal_headers(&state);
-        let backoff_s = state.faults.backoff_s;
+        let failure = state.failures.failure(received);
         let arrival = arrival_of(received, &state);
         let has_copy = self.record_copies(&arrival);
         state.arrivals.push(arrival);
-        if let Some(backoff_s) = backoff_s {
-            let headers = format!("Not-Executed: 1\r\nRetry-After: {backoff_s}\r\n{signals}");
-            return answer(503, id, "", &headers);
-        }
-        let failure = state.failures.failure(received);
-        if failure == Some(Failure::Refused) {
-            let headers = format!("Not-Executed: 1\r\n{signals}");
-            return answer(503, id, "", &headers);
-        }
-        if !is_loaded || expects_other_weights(received) {
-            let headers = format!("Not-Executed: 1\r\n{signals}");
-            return answer(421, id, "", &headers);
-        }
-        if !has_copy {
-            let headers = format!("Not-Executed: 1\r\n{signals}");
-            return answer(503, id, "", &headers);
+        let refusal = refusal_of(received, &state, has_copy);
+        if let Some((status, headers)) = refusal {
+            let headers = format!("Not-Executed: 1\r\n{headers}{signals}");
+            return answer(status, id, "", &headers);
         }
         state.executed_ids.push(id.to_owned());
         state.executed_at.push(Instant::now());
@@ -871,6 +854,25 @@
     }
 }
 
+/// The status and the headers with which a server refuses a request; `None` if it runs it.
+fn refusal_of(received: &Received, state: &State, has_copy: bool) -> Option<(u16, String)> {
+    let model_ref = received.header("model").unwrap_or_default();
+    let (model, adapter) = model_ref.split_once('/').unwrap_or((model_ref, ""));
+    let is_loaded = state.models.iter().any(|(name, adapters)| {
+        name == model && (adapter.is_empty() || adapters.iter().any(|other| other == adapter))
+    });
+    let failure = state.failures.failure(received);
+    if let Some(backoff_s) = state.faults.backoff_s {
+        Some((503, format!("Retry-After: {backoff_s}\r\n")))
+    } else if !is_loaded || expects_other_weights(received) {
+        Some((421, String::new()))
+    } else if !has_copy || failure == Some(Failure::Refused) {
+        Some((503, String::new()))
+    } else {
+        None
+    }
+}
+
 /// Whether a request asks for other weights than those of version 1, as in the entries.
 fn expects_other_weights(received: &Received) -> bool {
     let expected = received.header("expect-version");
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -30,6 +30,7 @@
 use anyhow::Result;
 pub use budget_checks::Repeats;
 use callers::Callers;
+use clap::ValueEnum;
 use cluster::SoakCluster;
 use passway_types::prelude::*;
 use schedule::Schedule;
@@ -38,6 +39,28 @@
 use std::path::PathBuf;
 pub use version_checks::CalmCounts;
 
+/// What disturbs the system in a soak run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Disturbance {
+    /// Random faults.
+    Faults,
+    /// From time to time servers fail most requests, and callers send most bodies slowly, so that all callers need
+    /// retries at once.
+    RetryPressure,
+    /// Both.
+    FaultsAndRetryPressure,
+}
+
+impl Disturbance {
+    fn has_faults(self) -> bool {
+        self != Self::RetryPressure
+    }
+
+    fn has_retry_pressure(self) -> bool {
+        self != Self::Faults
+    }
+}
+
 /// Parameters of a soak run.
 #[derive(Debug, Clone)]
 pub struct SoakPlan {
@@ -69,11 +92,8 @@
     pub has_releases: bool,
     /// Whether the engines that replace others have the same software version as those.
     pub has_one_version: bool,
-    /// Whether servers fail most requests from time to time and some callers send their bodies slowly, so
-    /// that all callers need retries at once.
-    pub has_retry_pressure: bool,
-    /// Whether other faults are injected.
-    pub has_faults: bool,
+    /// What disturbs the system.
+    pub disturbance: Disturbance,
 }
 
 /// Results of a soak run.
--- a/crates/standins/src/soak/budget_checks.rs
+++ b/crates/standins/src/soak/budget_checks.rs
@@ -16,13 +16,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Repeats {
     /// Repeats in the whole run.
-    pub total: usize,
+    pub total: u32,
     /// Repeats in the window that comes nearest to what is allowed, or exceeds it by most.
-    pub in_window: usize,
+    pub in_window: u32,
     /// Repeats that are allowed in that window.
     pub allowed: f64,
     /// Largest number of arrivals of one request.
-    pub most_arrivals: usize,
+    pub most_arrivals: u32,
 }
 
 /// What reached the servers of one service, and what callers sent for it.
@@ -39,7 +39,7 @@
         self.sent_at.sort();
         self.arrivals.sort();
         let mut first_ids = HashSet::new();
-        let mut arrivals_by_id: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut arrivals_by_id: BTreeMap<&str, u32> = BTreeMap::new();
         let mut repeated_at = Vec::new();
         for (arrived_at, id) in &self.arrivals {
             *arrivals_by_id.entry(id).or_default() += 1;
@@ -48,13 +48,17 @@
             }
         }
         Repeats {
-            total: repeated_at.len(),
+            total: count_of(repeated_at.len()),
             most_arrivals: arrivals_by_id.into_values().max().unwrap_or(0),
             ..worst_window(&self.sent_at, &repeated_at)
         }
     }
 }
 
+fn count_of(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
 /// Finds the window whose repeats exceed what is allowed by most. Allowed is a share of the requests of that
 /// window, of the one before it or of the one that begins half a window earlier, whichever holds
 /// most, and a fixed number. Both lists are sorted.
@@ -69,17 +73,18 @@
     let repeated: Vec<Duration> = repeated_at.iter().map(offset).collect();
     let count = |times: &[Duration], from: Duration| {
         let before = |end: Duration| times.partition_point(|at| *at < end);
-        before(from + window) - before(from)
+        count_of(before(from + window) - before(from))
     };
     let mut worst: Option<Repeats> = None;
-    let excess = |repeats: &Repeats| repeats.in_window as f64 - repeats.allowed;
+    let excess = |repeats: &Repeats| f64::from(repeats.in_window) - repeats.allowed;
     let mut from = window;
     while from <= offset(last) {
-        let begins = [from, from.saturating_sub(window / 2), from - window];
+        let begins =
+            [Duration::ZERO, window / 2, window].map(|earlier| from.saturating_sub(earlier));
         let requests = begins.map(|begin| count(&sent, begin)).into_iter().max();
         let found = Repeats {
             in_window: count(&repeated, from),
-            allowed: RETRY_RATIO * requests.unwrap_or(0) as f64 + RETRY_SLACK,
+            allowed: RETRY_RATIO * f64::from(requests.unwrap_or(0)) + RETRY_SLACK,
             ..Repeats::default()
         };
         if worst.is_none_or(|worst| excess(&found) > excess(&worst)) {
@@ -115,7 +120,7 @@
     loads.entry("engines").or_default().arrivals.extend(engines);
     for (service, load) in loads {
         let repeats = load.repeats();
-        if repeats.in_window as f64 > repeats.allowed {
+        if f64::from(repeats.in_window) > repeats.allowed {
             report.broken.push(format!(
                 "{} repeats reached {service} in {RETRY_WINDOW_S} s, {:.1} are allowed",
                 repeats.in_window, repeats.allowed
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -210,7 +210,7 @@
                     plan.seed ^ (u64::MAX / 2 - caller_number as u64),
                 ),
                 breaks_streams: plan.has_releases,
-                sends_slowly: plan.has_retry_pressure,
+                sends_slowly: plan.disturbance.has_retry_pressure(),
                 shape: plan.shape,
                 broken_streams: VecDeque::new(),
                 instances: cluster.instances.clone(),
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -169,6 +169,19 @@
         self.record_disturbance();
     }
 
+    /// Waits until the process has exited, and returns its exit code. Others may signal the process meanwhile: one
+    /// that is paused exits only after it was resumed.
+    fn wait_for_exit(&self) -> Option<i32> {
+        loop {
+            let exited = self.process().child.try_wait();
+            match exited {
+                Ok(None) => std::thread::sleep(POLL_INTERVAL),
+                Ok(Some(status)) => return status.code(),
+                Err(_) => return None,
+            }
+        }
+    }
+
     /// Signals the process if it has not exited; the id of a process that has may be another one's.
     fn signal_running(&self, signal: Signal) {
         let mut process = self.process();
@@ -742,12 +755,7 @@
             instance.process().signal(Signal::TERM);
         }
         for (number, instance) in self.instances.iter().enumerate() {
-            let exit_code = instance
-                .process()
-                .child
-                .wait()
-                .ok()
-                .and_then(|status| status.code());
+            let exit_code = instance.wait_for_exit();
             if exit_code != Some(0) {
                 let broken = format!("instance {number} exited with {exit_code:?} after SIGTERM");
                 report.broken.push(broken);
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -1,8 +1,8 @@
 //! Selects the faults and injects them.
 
-use super::SoakPlan;
 use super::cluster::{Engine, SoakCluster};
 use super::silences::{Silence, SilenceableServer};
+use super::{Disturbance, SoakPlan};
 use crate::platform::model_server::{FIRST_SOFTWARE, Faults as EngineFaults};
 use crate::platform::proxy::ProxyFaults;
 use crate::platform::store::Faults as StoreFaults;
@@ -221,8 +221,7 @@
     max_events: u64,
     injected: BTreeMap<&'static str, u32>,
     calm_stretches: Vec<CalmStretch>,
-    has_retry_pressure: bool,
-    has_faults: bool,
+    disturbance: Disturbance,
     /// Number of faults so far.
     steps: u64,
 }
@@ -237,8 +236,7 @@
             max_events: plan.shape.max_events,
             injected: BTreeMap::new(),
             calm_stretches: Vec::new(),
-            has_retry_pressure: plan.has_retry_pressure,
-            has_faults: plan.has_faults,
+            disturbance: plan.disturbance,
             steps: 0,
         }
     }
@@ -257,7 +255,7 @@
     /// of processes run in the background, concurrently with later faults.
     pub fn inject_next(&mut self, cluster: &Arc<SoakCluster>, max_pause: Duration) {
         self.press(cluster);
-        if self.has_faults {
+        if self.disturbance.has_faults() {
             self.inject_random(cluster);
         }
         std::thread::sleep(max_pause.mul_f64(self.rng.random_range(0.1..1.0)));
@@ -359,7 +357,7 @@
     fn press(&mut self, cluster: &SoakCluster) {
         let step = self.steps % PRESSURE_CYCLE_STEPS;
         self.steps += 1;
-        if self.has_retry_pressure && step >= UNPRESSED_STEPS {
+        if self.disturbance.has_retry_pressure() && step >= UNPRESSED_STEPS {
             cluster.failures.begin();
         } else {
             cluster.failures.end();
--- a/tests/all/retry_share.rs
+++ b/tests/all/retry_share.rs
@@ -90,24 +90,30 @@
 // time at which their heads arrived, before the latest spend.
 #[test]
 fn late_records_refill_nothing() {
-    const INSTANCES: usize = 7;
+    const INSTANCES: u32 = 7;
     const REQUESTS_PER_S: f64 = 51.0;
+    let instances = usize::try_from(INSTANCES).expect("a small number");
+    let chance = REQUESTS_PER_S * STEP.as_secs_f64() / f64::from(INSTANCES);
     for delay_ms in [0, 20, 500, 1_000, 2_000] {
         let mut rng = ChaCha8Rng::seed_from_u64(delay_ms);
         let delay = Duration::from_millis(delay_ms);
-        let mut now = Instant::now() + delay;
-        let full = |_| full_budget(ALLOWANCE, INSTANCES, now);
-        let mut budgets: Vec<_> = (0..INSTANCES).map(full).collect();
+        let mut arrived_at = Instant::now();
+        let mut now = arrived_at + delay;
+        let full = |_| full_budget(ALLOWANCE, instances, now);
+        let mut budgets: Vec<_> = (0..instances).map(full).collect();
         let (mut requests, mut retries): (Vec<f64>, Vec<f64>) = (Vec::new(), Vec::new());
         for _ in 0..4 * WINDOW_STEPS {
             now += STEP;
+            arrived_at += STEP;
             let (mut received, mut spent) = (0.0, 0.0);
             for budget in &mut budgets {
-                if rng.random_bool(REQUESTS_PER_S * STEP.as_secs_f64() / INSTANCES as f64) {
-                    budget.record_request(&service(), now - delay);
+                if rng.random_bool(chance) {
+                    budget.record_request(&service(), arrived_at);
                     received += 1.0;
                 }
-                spent += spend_all(budget, now) as f64;
+                while budget.try_spend(&service(), now) {
+                    spent += 1.0;
+                }
             }
             requests.push(received);
             retries.push(spent);
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -4,7 +4,7 @@
 use crate::support::number_from_env;
 use passway_standins::platform::process::RETRY_SLACK;
 use passway_standins::platform::stream_events::StreamShape;
-use passway_standins::soak::{self, SoakPlan, SoakReport};
+use passway_standins::soak::{self, Disturbance, SoakPlan, SoakReport};
 use passway_types::prelude::*;
 use std::path::Path;
 
@@ -33,8 +33,7 @@
         max_pause: Duration::from_millis(500),
         has_releases: true,
         has_one_version: false,
-        has_retry_pressure: false,
-        has_faults: true,
+        disturbance: Disturbance::Faults,
     }
 }
 
@@ -71,11 +70,10 @@
         fault_count: PRESSED_STEPS,
         max_pause: Duration::from_millis(800),
         has_releases: false,
-        has_retry_pressure: true,
-        has_faults: false,
+        disturbance: Disturbance::RetryPressure,
         ..plan(8821, log_dir)
     });
     // Without retries, the check would see nothing.
     let engines = report.repeats["engines"];
-    assert!(engines.in_window as f64 > RETRY_SLACK, "{report:?}");
+    assert!(f64::from(engines.in_window) > RETRY_SLACK, "{report:?}");
 }
