A further software version waits until all instances have recorded their streams

Cause: while the list names one version, streams have no records, since the list proves their version. As soon as it names two, a record is needed, and the only process that knows the version cannot write it. Class: a fact that only one process knows becomes needed while that process is away. Change: the list announces a further version first. Nothing begins there, so the list goes on proving the other one; all instances record their streams and say so in their reports; the holder adds the version once all connected instances have, at the latest after 6 s. It is added at once if no upstream of a listed version is left, or if it was listed before the store returned from a copy. Why it joins nothing: a stream begins at the version only after the second write, and a proof by the list counts only if its read began after the request arrived; a read that shows the version as announced began before any stream there.

--- a/crates/instance/src/holder.rs
+++ b/crates/instance/src/holder.rs
@@ -105,6 +105,7 @@
         published_leaving: BTreeMap::new(),
         dispatchers: Vec::new(),
         member_list: MemberListTracker::default(),
+        recorded_lists: BTreeMap::new(),
         clock_origin: clock::now(),
         instances: InstanceCount::start_term(clock::now()),
         announcement: None,
@@ -148,6 +149,8 @@
     dispatchers: Vec<Candidate>,
     /// Which candidates were sent which list of members.
     member_list: MemberListTracker,
+    /// The list of software versions up to which each connected instance has recorded its streams.
+    recorded_lists: BTreeMap<InstanceId, StoreRevision>,
     /// Origin of the times in messages to other instances.
     clock_origin: Instant,
     /// How many instances share the fleet's allowances.
@@ -243,6 +246,7 @@
                 }
                 if let Some(instance) = instance {
                     self.planner.remove_instance(&instance);
+                    self.recorded_lists.remove(&instance);
                 }
             }
             Input::Report(report) => self.handle_report(&report, now),
@@ -367,6 +371,17 @@
         }
     }
 
+    /// The list of software versions for which all subscribers have recorded their streams; `None` if one of them
+    /// has not said.
+    fn recorded_by_others(&self) -> Option<StoreRevision> {
+        let no_others = StoreRevision::from_packed(u64::MAX);
+        let mut recorded = self.subscribers.connections().map(|number| {
+            let (name, _) = self.subscribers.member(number)?;
+            self.recorded_lists.get(name).copied()
+        });
+        recorded.try_fold(no_others, |least, revision| Some(least.min(revision?)))
+    }
+
     /// Shows the other instances, if that is due, that this instance's lease is still valid.
     fn send_due_heartbeat(&mut self, now: Instant) {
         if now >= self.heartbeat_at {
@@ -376,6 +391,8 @@
             if let Some(instances) = instances {
                 self.shared.set_instance_count(instances);
             }
+            let recorded = instances.and_then(|_| self.recorded_by_others());
+            self.shared.versions.set_recorded_by_others(recorded, now);
             self.request_promises(now);
             self.publish_members();
             self.publish_dispatchers(instances);
@@ -426,6 +443,8 @@
         let running: Vec<_> = running.collect();
         let instance = InstanceId::from(report.instance.as_str());
         self.planner.set_running(&instance, &running);
+        let recorded_list = StoreRevision::from_packed(report.recorded_list);
+        self.recorded_lists.insert(instance, recorded_list);
     }
 
     fn decide(&mut self) {
--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -13,6 +13,7 @@
 use passway_process::queue;
 use passway_serving::leadership::{Candidate, Holder};
 use passway_serving::poison::{Suspect, UpstreamStart};
+use passway_serving::ports::StoreRevision;
 use passway_serving::upstreams::{ModelRef, ResidentModel};
 use passway_serving::versions::SoftwareVersion;
 use passway_types::clock;
@@ -50,6 +51,7 @@
         link: Link::default(),
         subscribed_at: None,
         last_running: Vec::new(),
+        last_recorded_list: None,
         dialed: None,
         arrivals: BTreeMap::new(),
         waiting: BTreeMap::new(),
@@ -71,6 +73,8 @@
     link: Link,
     subscribed_at: Option<Instant>,
     last_running: Vec<RunCount>,
+    /// The list of software versions up to which streams are recorded, as last reported on the connection.
+    last_recorded_list: Option<StoreRevision>,
     dialed: Option<(Holder, Dialer)>,
     arrivals: ArrivalCounts,
     /// Requests of this instance that wait for a model or adapter.
@@ -425,6 +429,7 @@
             arrivals = recent_counts(&self.recent);
             unreported = self.waiting.keys().cloned().collect();
             self.last_running.clear();
+            self.last_recorded_list = None;
             suspects = self.shared.poison.suspects();
             signals = signals::encode_for_holder(&self.shared, None);
         }
@@ -462,9 +467,13 @@
         running
             .sort_by(|left, right| (&left.engine, &left.model).cmp(&(&right.engine, &right.model)));
         let has_waiting = !waiting.is_empty() || !waiting_for_software.is_empty();
-        if !has_waiting && accepted.is_empty() && running == self.last_running {
+        let recorded_list = self.shared.versions.recorded_list();
+        let is_unchanged =
+            running == self.last_running && Some(recorded_list) == self.last_recorded_list;
+        if !has_waiting && accepted.is_empty() && is_unchanged {
             return;
         }
+        self.last_recorded_list = Some(recorded_list);
         self.last_running.clone_from(&running);
         outbox.send(Body::InstanceReport(InstanceReport {
             instance: self.shared.settings.instance.to_string(),
@@ -472,6 +481,7 @@
             accepted,
             running,
             waiting_for_software,
+            recorded_list: recorded_list.packed(),
         }));
     }
 }
--- a/crates/instance/src/subscribers.rs
+++ b/crates/instance/src/subscribers.rs
@@ -74,6 +74,11 @@
         subscribers.filter_map(|(number, subscriber)| Some((*number, subscriber.member.as_ref()?)))
     }
 
+    /// Name and address of the subscriber on a connection, if they are known.
+    pub fn member(&self, number: u64) -> Option<&Member> {
+        self.by_connection.get(&number)?.member.as_ref()
+    }
+
     /// The connections of the subscribers.
     pub fn connections(&self) -> impl Iterator<Item = u64> {
         self.by_connection.keys().copied()
--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -69,6 +69,8 @@
 /// Time after which an instance that is not the holder adds a missing version itself. A holder usually
 /// follows another one within it.
 const ADD_DELAY: Duration = Duration::from_secs(1);
+/// How long the holder may rely on what it knew of the records of the others; it looks again at each heartbeat.
+const RECORDING_TTL: Duration = Duration::from_millis(500);
 /// Longest read of the list to check whether it must change.
 const MAX_READ_TIME: Duration = Duration::from_secs(1);
 /// Pause before a failed read is repeated for a request that waits for it.
@@ -109,6 +111,7 @@
     read_interval: Mutex<Duration>,
     registry: Mutex<Registry>,
     records: RecordWriter,
+    recording: Mutex<Recording>,
     /// The services of the routes, now and lately.
     splits: Mutex<SplitHistory>,
     /// Reads of the store for proofs.
@@ -119,6 +122,14 @@
     wakeup_receiver: Receiver<()>,
 }
 
+/// Up to which list instances have recorded their streams.
+#[derive(Debug, Default)]
+struct Recording {
+    own: StoreRevision,
+    /// The list up to which all other instances have, and until when the holder may rely on that.
+    others: Option<(StoreRevision, Instant)>,
+}
+
 impl Default for Versions {
     fn default() -> Self {
         let (wakeup_sender, wakeup_receiver) = bounded(1);
@@ -129,6 +140,7 @@
             read_interval: Mutex::new(MIN_READ_INTERVAL),
             registry: Mutex::default(),
             records: RecordWriter::default(),
+            recording: Mutex::default(),
             splits: Mutex::default(),
             proof_reads: OnceLock::new(),
             peers: PeerReads::default(),
@@ -387,6 +399,36 @@
         }
     }
 
+    /// Notes that this instance has recorded all streams whose records the list of this revision requires.
+    fn set_recorded_list(&self, revision: StoreRevision) {
+        lock(&self.recording).own = revision;
+        self.wake();
+    }
+
+    /// The revision of the list for which this instance has recorded its streams.
+    pub fn recorded_list(&self) -> StoreRevision {
+        lock(&self.recording).own
+    }
+
+    /// Sets the revision of the list for which all other connected instances have recorded their streams, as the
+    /// holder knows it at `now`; `None` if it does not know all of them.
+    pub fn set_recorded_by_others(&self, revision: Option<StoreRevision>, now: Instant) {
+        let others = revision.map(|revision| (revision, now + RECORDING_TTL));
+        let previous = std::mem::replace(&mut lock(&self.recording).others, others);
+        if revision != previous.map(|(revision, _)| revision) {
+            self.wake();
+        }
+    }
+
+    /// Whether all instances have recorded their streams since they know this list.
+    fn is_recorded_by_all(&self, list: StoreRevision, now: Instant) -> bool {
+        let recording = lock(&self.recording);
+        let others = recording
+            .others
+            .filter(|(_, valid_until)| now < *valid_until);
+        recording.own >= list && others.is_some_and(|(revision, _)| revision >= list)
+    }
+
     /// Queues the records of all running and broken streams whose services or versions the list and the
     /// routes do not prove.
     fn record_running(&self) {
@@ -441,7 +483,9 @@
         let must_refresh = known.must_refresh(now);
         let is_before_first = known.is_before_first();
         let splits = lock(&self.splits);
-        let next = known.next_list(splits.listing(now), now);
+        let is_recorded = is_holder && self.is_recorded_by_all(known.revision, now);
+        let next = known.next_list(splits.listing(now), is_recorded, now);
+        let awaits_records = known.awaits_records(now);
         // The first list waits for the first version.
         let has_list = known.list.versions().next().is_some();
         let lacks_splits = has_list && splits.is_missing_from(known.list.splits(), now);
@@ -460,6 +504,7 @@
         }
         if must_check_streams {
             self.record_running();
+            self.records.push_end_of_list(revision);
         }
         let is_recent = missing_since.is_some_and(|since| now < since + READ_DELAY);
         if is_recent && !is_holder {
@@ -473,6 +518,7 @@
             Some(next) => self.write(store, revision, &next),
             None if is_complete && !must_refresh && lacks_splits => return retry_delay(shared),
             None if is_complete && !must_refresh => return CHECK_INTERVAL,
+            None if awaits_records => return retry_delay(shared),
             None => self.read_list(store) && is_complete,
         };
         if is_done {
@@ -511,7 +557,13 @@
             lease: None,
         };
         let answer = store.write(std::slice::from_ref(&write));
-        log::info!(target: DECISION_TARGET, versions:? = list.versions().map(|version| format!("{}: {}", version.service, version.software)).collect::<Vec<_>>(),
+        let names = |versions: &mut dyn Iterator<Item = ServiceVersion>| {
+            let names =
+                versions.map(|version| format!("{}: {}", version.service, version.software));
+            names.collect::<Vec<_>>()
+        };
+        let announced = &mut list.announced().iter().cloned();
+        log::info!(target: DECISION_TARGET, versions:? = names(&mut list.versions()), announced:? = names(announced),
             splits = list.splits().iter().count(), confirmed_in:? = list.confirmed_in(), expected:% = revision, answer:? = answer;
             "the list of software versions changes");
         match answer {
--- a/crates/instance/src/versions/known_list.rs
+++ b/crates/instance/src/versions/known_list.rs
@@ -12,6 +12,12 @@
 /// Interval at which an instance reads the list while it names several versions of a service, to stop
 /// recording streams once one is left.
 const REFRESH_INTERVAL: Duration = Duration::from_mins(1);
+/// Longest time for which an announced version waits for an instance that is connected and does not record its
+/// streams. A machine that stands still usually goes on within some seconds; later its streams cannot be resumed
+/// elsewhere.
+const MAX_RECORDING_WAIT: Duration = Duration::from_secs(6);
+/// Interval at which an instance reads the list while it waits for an announced version.
+const ANNOUNCED_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// After a version had no upstreams for this long, the list is read again before a stream begins there:
 /// the holder may have removed the version.
 const UNVERIFIED_AFTER: Duration = STREAM_RETENTION.checked_div(2).expect("a divisor");
@@ -33,6 +39,8 @@
     pub(super) upstream_versions: BTreeSet<ServiceVersion>,
     /// The count of changes at which `upstream_versions` was taken.
     pub(super) version_changes: Option<u64>,
+    /// Until when an announced version waits for instances that have not recorded their streams.
+    pub(super) announced_until: BTreeMap<ServiceVersion, Instant>,
     /// Since when no upstream with a listed version is known.
     pub(super) gone_since: BTreeMap<ServiceVersion, Instant>,
     /// Whether the list or the routes have changed since the last check, so that streams may need records.
@@ -48,14 +56,16 @@
 }
 
 pub(super) fn encode(list: &VersionList) -> Vec<u8> {
-    let versions = list.versions().map(|version| StoredVersion {
+    let to_stored = |version: ServiceVersion| StoredVersion {
         service: version.service.to_string(),
         software: version.software.name().to_owned(),
-    });
+    };
+    let announced = list.announced().iter().cloned();
     let stored = StoredVersions {
         confirmed_in: list.confirmed_in(),
-        versions: versions.collect(),
+        versions: list.versions().map(to_stored).collect(),
         splits: stored_splits::to_stored(list.splits()),
+        announced: announced.map(to_stored).collect(),
     };
     stored.encode_to_vec()
 }
@@ -66,11 +76,14 @@
         log::warn!(error:% = error; "cannot decode the list of software versions");
         StoredVersions::default()
     });
-    let versions = stored.versions.into_iter().map(|version| ServiceVersion {
+    let from_stored = |version: StoredVersion| ServiceVersion {
         service: version.service.into(),
         software: version.software.into(),
-    });
+    };
+    let versions = stored.versions.into_iter().map(from_stored);
+    let announced = stored.announced.into_iter().map(from_stored);
     VersionList::new(stored.confirmed_in, versions)
+        .with_announced(announced.collect())
         .with_splits(stored_splits::from_stored(stored.splits))
 }
 
@@ -91,6 +104,12 @@
         self.list = decode(value);
         self.must_check_streams = true;
         let list = &self.list;
+        let announced_until = &mut self.announced_until;
+        announced_until.retain(|version, _| list.announced().contains(version));
+        for version in list.announced() {
+            let until = now + MAX_RECORDING_WAIT;
+            announced_until.entry(version.clone()).or_insert(until);
+        }
         self.versions_before_return
             .retain(|version| !list.contains(&version.service, &version.software));
         if list.confirmed_in() == Some(revision.era()) || self.is_before_first() {
@@ -167,10 +186,40 @@
         must_record && is_old
     }
 
-    /// The list that should be stored now, with these splits; `None` if it is stored. The versions of a
-    /// service without upstreams stay.
-    pub(super) fn next_list(&self, splits: SplitSet, now: Instant) -> Option<VersionList> {
+    /// Whether streams may begin now at a version that the list lacks: all instances have recorded their streams or
+    /// have had their time, or none could go on with its streams, because no other version is left.
+    fn may_add(&self, version: &ServiceVersion, is_recorded: bool, now: Instant) -> bool {
+        let is_served = |other: &ServiceVersion| {
+            other.service == version.service && self.list.contains(&other.service, &other.software)
+        };
+        let until = self.announced_until.get(version);
+        until.is_some_and(|until| is_recorded || now >= *until)
+            || self.versions_before_return.contains(version)
+            || !self.upstream_versions.iter().any(is_served)
+    }
+
+    /// Whether the versions that the list lacks only wait for records. The list is read now and then nevertheless,
+    /// in case that an update was lost.
+    pub(super) fn awaits_records(&self, now: Instant) -> bool {
+        let is_recent = self
+            .read_at
+            .is_some_and(|at| now < at + ANNOUNCED_READ_INTERVAL);
         let missing = self.missing();
+        !missing.is_empty() && missing.is_subset(self.list.announced()) && is_recent
+    }
+
+    /// The list that should be stored now, with these splits; `None` if it is stored. The versions of a
+    /// service without upstreams stay. `is_recorded` tells whether all instances have recorded their
+    /// streams since they know the list.
+    pub(super) fn next_list(
+        &self,
+        splits: SplitSet,
+        is_recorded: bool,
+        now: Instant,
+    ) -> Option<VersionList> {
+        let missing = self.missing().into_iter();
+        let (added, announced): (BTreeSet<_>, BTreeSet<_>) =
+            missing.partition(|version| self.may_add(version, is_recorded, now));
         let is_expired = |version: &ServiceVersion| {
             let has_other = |other: &ServiceVersion| other.service == version.service;
             let since = self.gone_since.get(version);
@@ -185,11 +234,9 @@
             .incomplete_since
             .is_some_and(|since| now >= since + STREAM_RETENTION);
         let confirmed_in = (is_confirmed || is_first || is_long_known).then_some(era);
-        let next = VersionList::new(
-            confirmed_in.or(self.list.confirmed_in()),
-            kept.chain(missing),
-        )
-        .with_splits(splits);
+        let next = VersionList::new(confirmed_in.or(self.list.confirmed_in()), kept.chain(added))
+            .with_announced(announced)
+            .with_splits(splits);
         let is_needed = next != self.list && next.versions().next().is_some();
         (self.is_read && is_needed).then_some(next)
     }
--- a/crates/instance/src/versions/records.rs
+++ b/crates/instance/src/versions/records.rs
@@ -1,5 +1,6 @@
 //! Records of the versions that began single streams, in the store.
 
+use super::Versions;
 use super::bounded_calls::call_until;
 use crate::shared::Shared;
 use crate::termination::Termination;
@@ -39,11 +40,19 @@
     software: SoftwareVersion,
 }
 
+/// An item of the queue.
+#[derive(Debug)]
+enum Queued {
+    Record(Record),
+    /// All records that the list of this revision requires were queued before.
+    EndOfList(StoreRevision),
+}
+
 /// Queues and writes records.
 #[derive(Debug)]
 pub(super) struct RecordWriter {
-    sender: Sender<Record>,
-    receiver: Receiver<Record>,
+    sender: Sender<Queued>,
+    receiver: Receiver<Queued>,
 }
 
 impl Default for RecordWriter {
@@ -133,7 +142,12 @@
     /// Queues a record.
     pub(super) fn push(&self, key: StreamKey, software: SoftwareVersion) {
         // The channel lives as long as the instance.
-        let _ = self.sender.send(Record { key, software });
+        let _ = self.sender.send(Queued::Record(Record { key, software }));
+    }
+
+    /// Notes in the queue that all records which the list of this revision requires were queued.
+    pub(super) fn push_end_of_list(&self, revision: StoreRevision) {
+        let _ = self.sender.send(Queued::EndOfList(revision));
     }
 
     /// Starts the thread that writes the records. The first record after a pause is written at once.
@@ -146,14 +160,17 @@
             let mut pace = WritePace::new(clock::now());
             let mut lease = None;
             while let Some(first) = termination.receive(receiver) {
-                // Streams that were delivered meanwhile do not delay the records of those that were not.
                 let queued = std::iter::once(first).chain(receiver.try_iter());
-                let needed = queued.filter(|record| versions.must_write_record(record.key));
-                let records: Vec<Record> = needed.take(MAX_RECORDS_PER_WRITE).collect();
+                let (records, recorded_list) = next_batch(versions, queued);
+                if !records.is_empty() {
+                    write_all(&*store, termination, &mut lease, &records);
+                }
+                if let Some(revision) = recorded_list {
+                    versions.set_recorded_list(revision);
+                }
                 if records.is_empty() {
                     continue;
                 }
-                write_all(&*store, termination, &mut lease, &records);
                 let mean_interval = mean_interval(shared.instance_count());
                 let pause = pace.pause_after_write(mean_interval, clock::now());
                 if !termination.pause(pause) {
@@ -164,6 +181,28 @@
     }
 }
 
+/// The records of the next write, and the list whose records end with them. Streams that were delivered meanwhile
+/// do not delay the records of those that were not.
+fn next_batch(
+    versions: &Versions,
+    queued: impl Iterator<Item = Queued>,
+) -> (Vec<Record>, Option<StoreRevision>) {
+    let mut records = Vec::new();
+    for item in queued {
+        match item {
+            Queued::Record(record) if versions.must_write_record(record.key) => {
+                records.push(record);
+            }
+            Queued::Record(_) => {}
+            Queued::EndOfList(revision) => return (records, Some(revision)),
+        }
+        if records.len() == MAX_RECORDS_PER_WRITE {
+            break;
+        }
+    }
+    (records, None)
+}
+
 /// Writes records until the store has them, they are useless, or the instance ends.
 fn write_all(
     store: &dyn SharedStore,
--- a/crates/serving/src/versions.rs
+++ b/crates/serving/src/versions.rs
@@ -8,6 +8,9 @@
 //! version alone, each stream of the service has begun there, and nothing is stored for single streams.
 //! The list also names the services to which routes lead or have led lately ([`SplitSet`]).
 //! While it names several, the version of each stream is recorded.
+//!
+//! A further version is announced first. Streams begin there once every instance has recorded the streams
+//! that it knows: an instance that stands still cannot do so in time.
 
 use crate::revisions::StoreEra;
 use crate::splits::SplitSet;
@@ -258,6 +261,8 @@
     /// because the store has returned from an older copy.
     confirmed_in: Option<StoreEra>,
     services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    /// Versions at which no stream has begun yet.
+    announced: BTreeSet<ServiceVersion>,
     splits: SplitSet,
 }
 
@@ -274,10 +279,22 @@
         Self {
             confirmed_in,
             services,
+            announced: BTreeSet::new(),
             splits: SplitSet::default(),
         }
     }
 
+    /// The list with these versions announced. Instances begin no stream there yet, and record their streams.
+    #[must_use]
+    pub fn with_announced(self, announced: BTreeSet<ServiceVersion>) -> Self {
+        Self { announced, ..self }
+    }
+
+    /// Versions at which no stream has begun yet.
+    pub fn announced(&self) -> &BTreeSet<ServiceVersion> {
+        &self.announced
+    }
+
     /// The list with these splits.
     #[must_use]
     pub fn with_splits(self, splits: SplitSet) -> Self {
@@ -318,9 +335,12 @@
         versions.first().filter(|_| is_only)
     }
 
-    /// Whether the versions of a service's streams must be recorded.
+    /// Whether the versions of a service's streams must be recorded: the list does not prove them, or will not
+    /// once streams begin at an announced version.
     pub fn must_record(&self, service: &str, era: StoreEra) -> bool {
-        self.only_version(service, era).is_none()
+        let mut announced = self.announced.iter();
+        announced.any(|version| *version.service == *service)
+            || self.only_version(service, era).is_none()
     }
 
     /// Proves the version of a stream of this service by a list that the store returned in this era; `None`
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -462,6 +462,10 @@
     /// because a receiver that ignored the version would overwrite the count in `waiting`.
     #[prost(message, repeated, tag = "5")]
     pub waiting_for_software: Vec<ModelRequests>,
+    /// Revision of the list of software versions for which the instance has recorded its streams, packed; 0 for
+    /// none.
+    #[prost(uint64, tag = "6")]
+    pub recorded_list: u64,
 }
 
 /// A model that is loaded on an engine.
--- a/crates/wire/src/versions.rs
+++ b/crates/wire/src/versions.rs
@@ -14,6 +14,10 @@
     /// The splits of routes under which streams may have begun.
     #[prost(message, repeated, tag = "3")]
     pub splits: Vec<StoredSplit>,
+    /// Versions at which no stream has begun yet. Their servers wait until all instances have recorded the
+    /// streams that began before.
+    #[prost(message, repeated, tag = "4")]
+    pub announced: Vec<StoredVersion>,
 }
 
 /// A split of a route among services.
--- a/tests/all/peer_store_reads.rs
+++ b/tests/all/peer_store_reads.rs
@@ -172,6 +172,7 @@
                 software: "v1".to_owned(),
             }],
             splits: Vec::new(),
+            announced: Vec::new(),
         };
         let result = StoreReadResult {
             revision: revision.packed(),
