The soak checks the attempts of single requests: servers that ran them, and their time

Cause: of the rule on retries, the soak judged only crashing requests, crashing parts and rests. Nothing compared the servers on which one request ran with its route's attempts, nor the time that a server gets with the time that is left.

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -91,6 +91,8 @@
     pub is_leaving: bool,
     /// The backoff that the answer asked for.
     pub backoff: Option<Duration>,
+    /// The time that the request gives the server, in milliseconds; `None` without a limit.
+    pub deadline_ms: Option<u64>,
     /// The address that the request named for a copy of the run.
     pub backup: Option<String>,
     /// The address and the request's id that name the copy with which the run continues.
@@ -840,6 +842,11 @@
     }
 }
 
+/// The time that a request gives the server, in milliseconds; `None` without a limit.
+pub fn deadline_ms(received: &Received) -> Option<u64> {
+    received.header("deadline-ms")?.parse().ok()
+}
+
 /// A request that reaches the server in this state.
 fn arrival_of(received: &Received, state: &State) -> Arrival {
     let header = |name| received.header(name).map(str::to_owned);
@@ -849,6 +856,7 @@
         restart_count: state.restart_bodies.len(),
         is_leaving: state.announces_leaving(),
         backoff: state.faults.backoff_s.map(Duration::from_secs_f64),
+        deadline_ms: deadline_ms(received),
         backup: header("kv-backup"),
         continues: header("kv-from"),
     }
--- a/crates/standins/src/platform/process.rs
+++ b/crates/standins/src/platform/process.rs
@@ -66,6 +66,13 @@
     File(PathBuf),
 }
 
+/// Returns the status code of the readiness probe at an address; `None` without an answer.
+pub fn readiness_status(address: SocketAddr) -> Option<u16> {
+    TcpStream::connect(address).ok()?;
+    let probe = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    super::caller::fetch(address, probe).map(|answer| answer.status)
+}
+
 /// A running instance; dropping it kills the process.
 #[derive(Debug)]
 pub struct InstanceProcess {
@@ -157,9 +164,7 @@
 
     /// Returns the status code of the readiness probe; `None` without an answer.
     pub fn readiness_status(&self) -> Option<u16> {
-        TcpStream::connect(self.readiness_address).ok()?;
-        let probe = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        super::caller::fetch(self.readiness_address, probe).map(|answer| answer.status)
+        readiness_status(self.readiness_address)
     }
 
     /// Returns the resident memory, in bytes; 0 if the process has exited.
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -9,10 +9,12 @@
 //! * [`disturbances`]: the times at which instances and proxies were disturbed.
 //! * [`schedule`]: selects and injects the faults; [`silences`] those in which servers fall silent.
 //! * [`callers`]: send requests and record the answers.
-//! * [`checks`]: check the invariants; [`budget_checks`] the repeats that reached the servers, [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
+//! * [`checks`]: check the invariants; [`budget_checks`] the repeats that reached the servers, [`attempt_checks`] the
+//!   attempts of single requests, [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
 //!   [`signal_checks`] those on the engines' signals, [`silence_checks`] that no answer is broken
 //!   off while its server lives, [`version_checks`] those on the engines' software versions.
 
+mod attempt_checks;
 mod budget_checks;
 mod callers;
 mod checks;
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -1,6 +1,7 @@
 //! Checks the invariants against the records of callers and servers.
 
 use super::SoakReport;
+use super::attempt_checks;
 use super::budget_checks;
 use super::callers::{Record, RequestKind};
 use super::cluster::{CRASHING_PART_BODY, MODELS, POISON, SoakCluster, key_of_version};
@@ -62,6 +63,7 @@
             )
         }));
     }
+    attempt_checks::check_attempts(cluster, records, report);
     budget_checks::check_repeats(cluster, records, report);
     workspace_checks::check_keys_and_quota(cluster, records, report);
     signal_checks::check_signals(cluster, records, report);
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -10,7 +10,7 @@
     FIRST_SOFTWARE, Faults as EngineFaults, InitialModels, ModelServer, Run, RunEnd,
 };
 use crate::platform::plain_server::{PlainAnswer, echo_steps, identity_steps};
-use crate::platform::process::{InstanceProcess, Output, ProcessConfig};
+use crate::platform::process::{InstanceProcess, Output, ProcessConfig, readiness_status};
 use crate::platform::proxy::{Proxy, ProxyFaults};
 use crate::platform::raw::{EndedScript, RawServer, Received, Step};
 use crate::platform::store::{Faults as StoreFaults, MetadataStandIn, StoreCopy};
@@ -429,11 +429,17 @@
 
     /// Returns the requests that reached plain servers, without queries for their identity.
     pub fn plain_requests(&self) -> Vec<Received> {
+        let arrivals = self.plain_arrivals().into_iter();
+        arrivals.map(|(_, received)| received).collect()
+    }
+
+    /// Returns the same requests, each with the id of its server.
+    pub fn plain_arrivals(&self) -> Vec<(&'static str, Received)> {
         let servers = self.plain_servers.iter();
         let received = servers.flat_map(|(id, server)| {
             let mut received = server.received();
             received.retain(|one| identity_steps(one, id).is_none());
-            received
+            received.into_iter().map(|one| (*id, one))
         });
         received.collect()
     }
@@ -650,7 +656,9 @@
         let deadline = Instant::now() + START_TIMEOUT;
         self.instances.iter().all(|instance| {
             while Instant::now() < deadline {
-                if instance.process().readiness_status() == Some(200) {
+                // Not under the lock: a paused process answers only after another thread has resumed it.
+                let address = instance.process().readiness_address;
+                if readiness_status(address) == Some(200) {
                     return true;
                 }
                 std::thread::sleep(POLL_INTERVAL);
