Allotments and fallback limits are refilled once, whatever the order of their calls' times

The coordinator of allotments and the fallbacks of instances are given times that were read before a lock was acquired, the fallback quota even the time before the question to the coordinator, which may take long. Found by reading; its size on real processes is not measured, and no caller reported it. Change: clock::advance in the four places (QuotaCoordinator's buckets and counts, FallbackQuotas, FallbackLimits); the instance reads the time after the coordinator's answer.

--- a/crates/instance/src/allotments.rs
+++ b/crates/instance/src/allotments.rs
@@ -83,7 +83,6 @@
         let Some(allotment) = workspace.allotment else {
             return Decision::Granted;
         };
-        let now = clock::now();
         let request = PermitRequest {
             id: rand::random(),
             workspace: workspace.name.to_string(),
@@ -96,6 +95,7 @@
         let answer = shared.coordinator.request(shared, &request);
         let window = shared.bounds.load().quota.window;
         let mut parts = lock(&self.parts);
+        let now = clock::now();
         let Ok(answer) = answer else {
             let is_granted = parts.try_take(&workspace.name, cost, rand::random(), now);
             return if is_granted {
--- a/crates/serving/src/allotment.rs
+++ b/crates/serving/src/allotment.rs
@@ -16,6 +16,7 @@
 //! This module uses no I/O and no clock.
 
 use crate::workspaces::Allotment;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -89,7 +90,7 @@
 
     fn add(&mut self, count: f64, now: Instant) {
         self.count = (self.at(now) + count).max(0.0);
-        self.at = now;
+        clock::advance(&mut self.at, now);
     }
 }
 
@@ -122,10 +123,9 @@
     }
 
     fn refill(&mut self, allotment: Allotment, extra: Allotment, now: Instant) {
-        let passed_s = now.saturating_duration_since(self.at).as_secs_f64();
         self.level = self.level_at(allotment, now);
+        let passed_s = clock::advance(&mut self.at, now).as_secs_f64();
         self.extra = (self.extra + extra.rate_per_s * passed_s).min(extra.burst);
-        self.at = now;
     }
 
     /// Available units of the allotment at a time.
@@ -343,10 +343,11 @@
             at: now,
             updated_at: now,
         });
-        let passed = now.saturating_duration_since(bucket.at).as_secs_f64();
+        let passed = clock::advance(&mut bucket.at, now).as_secs_f64();
         let saved = capacity * passed / window.as_secs_f64().max(1.0);
         bucket.level = (bucket.level + saved).min(capacity);
-        (bucket.rate_per_s, bucket.at, bucket.updated_at) = (rate_per_s, now, now);
+        bucket.rate_per_s = rate_per_s;
+        clock::advance(&mut bucket.updated_at, now);
     }
 
     /// Whether a request of this cost may be sent without asking the coordinator.
@@ -362,9 +363,8 @@
         if now.saturating_duration_since(bucket.updated_at) > FALLBACK_TTL {
             return false;
         }
-        let passed = now.saturating_duration_since(bucket.at).as_secs_f64();
+        let passed = clock::advance(&mut bucket.at, now).as_secs_f64();
         bucket.level += bucket.rate_per_s * passed;
-        bucket.at = now;
         let chance = bucket.level / cost;
         bucket.level = (bucket.level - cost).max(0.0);
         random < chance
--- a/crates/serving/src/limits.rs
+++ b/crates/serving/src/limits.rs
@@ -9,6 +9,7 @@
 
 use crate::allotment::QuotaBounds;
 use crate::workspaces::Allotment;
+use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 
@@ -118,14 +119,9 @@
             level: 0.0,
             at: now,
         });
-        let elapsed = now
-            .saturating_duration_since(bucket.at)
-            .min(MAX_ACCUMULATION);
+        let elapsed = clock::advance(&mut bucket.at, now).min(MAX_ACCUMULATION);
         let available = bucket.level + rate_per_s * elapsed.as_secs_f64();
-        *bucket = FallbackBucket {
-            level: (available - 1.0).max(0.0),
-            at: now,
-        };
+        bucket.level = (available - 1.0).max(0.0);
         random < available
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -47,6 +47,7 @@
 mod keyed_cluster;
 mod large_store_answers;
 mod late_models;
+mod late_times;
 mod leadership_faults;
 mod lease_renewals;
 mod leaving_upstreams;
