Announced versions wait only while a listed version accepts requests, and stay announced where their upstreams are not known

Cause, found by reading the change: a version waited for records while servers of a listed version existed, also if all of these were draining, so that new streams had nowhere to begin, 6 s beside an instance that stands still; and an instance that writes the list without knowing the version's entry dropped the announcement, which the next one made again. Change: the wait ends once no listed version of the service accepts requests; announcements stay until their time has passed. The two cases themselves have no test of their own.

--- a/crates/instance/src/versions.rs
+++ b/crates/instance/src/versions.rs
@@ -28,6 +28,7 @@
 use known_list::{KnownList, decode, encode};
 use list_reads::{ListRead, ListReads, read_stored};
 use passway_process::logging::json::DECISION_TARGET;
+use passway_serving::halls::AllowedRegions;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::{ConditionalWrite, SharedStore, StoreEra, StoreRevision, WriteAnswer};
 use passway_serving::splits::{SplitHistory, StreamOrigin};
@@ -477,6 +478,7 @@
         let interval = READ_INTERVAL_PER_INSTANCE.saturating_mul(instances);
         *lock(&self.read_interval) = interval.max(MIN_READ_INTERVAL);
         self.update_present(shared);
+        self.update_serving(shared, now);
         let mut known = lock(&self.known);
         known.update_gone(now);
         let is_complete = known.is_complete();
@@ -542,6 +544,25 @@
         known.version_changes = Some(version_changes);
     }
 
+    /// Takes the listed versions whose upstreams accept new requests, if the list lacks a version, which may wait for
+    /// records while they do.
+    fn update_serving(&self, shared: &Shared, now: Instant) {
+        let known = lock(&self.known);
+        if known.missing().is_empty() {
+            return;
+        }
+        let listed: Vec<ServiceVersion> = known.list.versions().collect();
+        drop(known);
+        let upstreams = shared.upstreams();
+        let accepts = |version: &ServiceVersion| {
+            let ServiceVersion { service, software } = version;
+            upstreams.serves_version(service, software, &AllowedRegions::ANY, now)
+        };
+        let serving = listed.into_iter().filter(accepts).collect();
+        drop(upstreams);
+        lock(&self.known).serving_versions = serving;
+    }
+
     /// Writes the list in place of the one with this revision. Returns whether that was done.
     fn write(
         &self,
--- a/crates/instance/src/versions/known_list.rs
+++ b/crates/instance/src/versions/known_list.rs
@@ -37,6 +37,8 @@
     pub(super) versions_before_return: BTreeSet<ServiceVersion>,
     /// Versions of listed upstreams.
     pub(super) upstream_versions: BTreeSet<ServiceVersion>,
+    /// Listed versions at which streams may begin now; up to date while the list lacks a version.
+    pub(super) serving_versions: BTreeSet<ServiceVersion>,
     /// The count of changes at which `upstream_versions` was taken.
     pub(super) version_changes: Option<u64>,
     /// Until when an announced version waits for instances that have not recorded their streams.
@@ -187,15 +189,20 @@
     }
 
     /// Whether streams may begin now at a version that the list lacks: all instances have recorded their streams or
-    /// have had their time, or none could go on with its streams, because no other version is left.
+    /// have had their time, or no listed version of the service accepts requests any more.
     fn may_add(&self, version: &ServiceVersion, is_recorded: bool, now: Instant) -> bool {
-        let is_served = |other: &ServiceVersion| {
-            other.service == version.service && self.list.contains(&other.service, &other.software)
-        };
+        let is_of_service = |other: &ServiceVersion| other.service == version.service;
         let until = self.announced_until.get(version);
         until.is_some_and(|until| is_recorded || now >= *until)
             || self.versions_before_return.contains(version)
-            || !self.upstream_versions.iter().any(is_served)
+            || !self.serving_versions.iter().any(is_of_service)
+    }
+
+    /// Announced versions whose time has not passed. Their upstreams may be known to another instance alone.
+    fn waiting_announced(&self, now: Instant) -> impl Iterator<Item = &ServiceVersion> {
+        let waiting = self.announced_until.iter();
+        let waiting = waiting.filter(move |(_, until)| now < **until);
+        waiting.map(|(version, _)| version)
     }
 
     /// Whether the versions that the list lacks only wait for records. The list is read now and then nevertheless,
@@ -218,8 +225,10 @@
         now: Instant,
     ) -> Option<VersionList> {
         let missing = self.missing().into_iter();
-        let (added, announced): (BTreeSet<_>, BTreeSet<_>) =
+        let (added, mut announced): (BTreeSet<_>, BTreeSet<_>) =
             missing.partition(|version| self.may_add(version, is_recorded, now));
+        let waiting = self.waiting_announced(now);
+        announced.extend(waiting.filter(|version| !added.contains(version)).cloned());
         let is_expired = |version: &ServiceVersion| {
             let has_other = |other: &ServiceVersion| other.service == version.service;
             let since = self.gone_since.get(version);
