--- a/tests/all/stopped_instances.rs
+++ b/tests/all/stopped_instances.rs
@@ -19,6 +19,8 @@
 /// Time in which the other instances would list a version and begin streams there: the holder lists one at once, any other
 /// instance after a second.
 const JOIN_DURATION: Duration = Duration::from_millis(1_500);
+/// Longest time for which a version waits for an instance that stands still.
+const MAX_WAIT: Duration = Duration::from_secs(6);
 const ONE_MODEL: InitialModels<'static> = InitialModels {
     capacity: 1,
     loaded: &["m0"],
@@ -214,3 +216,16 @@
         "joined by an instance that knows both versions"
     );
 }
+
+// Guards against requests that have nowhere to begin while a version waits for an instance that stands still: all servers of
+// the version before are leaving.
+#[test]
+fn no_wait_while_first_version_leaves() {
+    let mut fleet = Fleet::start("leaving");
+    fleet.processes[INSTANCES - 1].signal(Signal::STOP);
+    fleet.engines[0].publish_entry("draining");
+    fleet.add_engine("v2");
+    let joined_at = Instant::now();
+    fleet.await_streams_at(0, "v2");
+    assert!(joined_at.elapsed() < MAX_WAIT, "{:?}", joined_at.elapsed());
+}
