--- a/crates/standins/src/soak/attempt_checks.rs
+++ b/crates/standins/src/soak/attempt_checks.rs
@@ -110,7 +110,7 @@
     }
     if overlong > MAX_OVERLONG && overlong * ONE_OVERLONG_IN > late_or_overlong {
         report.broken.push(format!(
-            "{overlong} attempts had more time than was left, of {late_or_overlong} late repeats and such"
+            "{overlong} attempts had more time than was left, of {late_or_overlong} late repeats and overlong attempts"
         ));
     }
 }
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -52,7 +52,7 @@
 /// Length of a cycle in which servers fail most requests once, in faults, and the number of faults at its begin
 /// in which they don't: about 15 s of 20 s, more than a window of the retry budget.
 const PRESSURE_CYCLE_STEPS: u64 = 45;
-const UNPRESSED_STEPS: u64 = 12;
+const STEPS_WITHOUT_PRESSURE: u64 = 12;
 
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -254,7 +254,7 @@
     /// Injects the next fault, then waits for a random time of at most `max_pause`. Stops and pauses
     /// of processes run in the background, concurrently with later faults.
     pub fn inject_next(&mut self, cluster: &Arc<SoakCluster>, max_pause: Duration) {
-        self.press(cluster);
+        self.update_retry_pressure(cluster);
         if self.disturbance.has_faults() {
             self.inject_random(cluster);
         }
@@ -354,10 +354,10 @@
     }
 
     /// Lets servers fail most requests in a part of each [`PRESSURE_CYCLE_STEPS`] faults.
-    fn press(&mut self, cluster: &SoakCluster) {
+    fn update_retry_pressure(&mut self, cluster: &SoakCluster) {
         let step = self.steps % PRESSURE_CYCLE_STEPS;
         self.steps += 1;
-        if self.disturbance.has_retry_pressure() && step >= UNPRESSED_STEPS {
+        if self.disturbance.has_retry_pressure() && step >= STEPS_WITHOUT_PRESSURE {
             cluster.failures.begin();
         } else {
             cluster.failures.end();
