--- a/crates/instance/src/forward/retries.rs
+++ b/crates/instance/src/forward/retries.rs
@@ -3,6 +3,7 @@
 use super::Forwarding;
 use crate::metrics::RetryDecision;
 use crate::shared::Shared;
+use passway_process::logging::json::REQUEST_TARGET;
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -56,10 +57,23 @@
             RetryDecision::UsedUp
         };
         self.shared.metrics.retry(decision);
+        if decision == RetryDecision::Spent {
+            self.log_spent();
+        }
         (decision != RetryDecision::UsedUp).then(|| TakenRetry {
             shared: self.shared.clone(),
             service: self.service.clone(),
             is_refundable: decision == RetryDecision::Spent,
         })
     }
+
+    /// Logs what the budget still holds after a retry was spent. Where servers received too many retries, the
+    /// lines tell how many were spent, and of what.
+    fn log_spent(&self) {
+        let Some(balance) = self.shared.retry_budget().balance(&self.service) else {
+            return;
+        };
+        log::debug!(target: REQUEST_TARGET, request = self.facts.id, service:% = self.service,
+            available = balance.available, recent_requests = balance.recent_requests; "retry spent");
+    }
 }
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -48,6 +48,15 @@
     at: Instant,
 }
 
+/// What one service may still be sent, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBalance {
+    /// Retries that may be spent now.
+    pub available: f64,
+    /// Requests of about the last window, which earned a part of these retries.
+    pub recent_requests: f64,
+}
+
 /// How many instances share the allowance, as a holder sees them connect.
 ///
 /// While a fleet moves to a new holder, the instances connect one after another. If each were
@@ -220,6 +229,15 @@
         can_spend
     }
 
+    /// What is left for the service, as last computed; `None` if no request or retry has been recorded.
+    pub fn balance(&self, service: &ServiceName) -> Option<RetryBalance> {
+        let bucket = self.buckets.get(service)?;
+        Some(RetryBalance {
+            available: bucket.available,
+            recent_requests: bucket.recent_requests,
+        })
+    }
+
     /// Returns a retry that was spent for an attempt of which nothing was sent.
     pub fn refund(&mut self, service: &ServiceName) {
         // A bucket that was removed meanwhile is created with its whole share.
