--- a/crates/standins/src/bin/passway-soak.rs
+++ b/crates/standins/src/bin/passway-soak.rs
@@ -89,8 +89,7 @@
             event_delay: Duration::from_millis(arguments.event_delay_ms),
             fault_count: arguments.steps,
             max_pause: Duration::from_millis(arguments.pause_ms),
-            has_releases: !arguments.no_releases
-                && arguments.disturbance != Disturbance::RetryPressure,
+            has_releases: !arguments.no_releases && arguments.disturbance.has_faults(),
             has_one_version: arguments.one_version,
             disturbance: arguments.disturbance,
         })?;
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -114,6 +114,8 @@
     /// The ends of the scripts, by request number.
     ended_scripts: Arc<Mutex<BTreeMap<usize, EndedScript>>>,
     silent_until: Arc<Mutex<Option<Instant>>>,
+    /// Until when no request is taken, as by a process that stands still.
+    standing_until: Arc<Mutex<Option<Instant>>>,
     /// Bytes that [`Step::Repeat`] has sent, over all connections.
     repeated_bytes: Arc<AtomicUsize>,
     closed: Arc<Mutex<Vec<(usize, Instant)>>>,
@@ -171,6 +173,7 @@
             received: Arc::default(),
             ended_scripts: Arc::default(),
             silent_until: Arc::default(),
+            standing_until: Arc::default(),
             repeated_bytes: Arc::default(),
             closed: Arc::default(),
             crash: Arc::default(),
@@ -263,9 +266,23 @@
         *silent_until = (*silent_until).max(Some(Instant::now() + duration));
     }
 
-    /// Ends a silence.
+    /// Takes no request and sends nothing for at least this time, as a process that stands still. Requests that
+    /// arrive meanwhile wait in their sockets, and are taken together afterwards unless their connections were reset.
+    pub fn stand_still(&self, duration: Duration) {
+        self.fall_silent(duration);
+        let mut standing_until = self.lock_standing_until();
+        *standing_until = (*standing_until).max(Some(Instant::now() + duration));
+    }
+
+    /// Ends a silence or a standstill.
     pub fn end_silence(&self) {
         *self.lock_silent_until() = None;
+        *self.lock_standing_until() = None;
+    }
+
+    fn lock_standing_until(&self) -> MutexGuard<'_, Option<Instant>> {
+        let standing_until = self.standing_until.lock();
+        standing_until.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn lock_silent_until(&self) -> MutexGuard<'_, Option<Instant>> {
@@ -319,6 +336,11 @@
         stream.set_nodelay(true)?;
         let mut bytes = Vec::new();
         while let Some((head, body)) = read_request(&mut stream, &mut bytes)? {
+            self.wait_until(|| *self.lock_standing_until(), &stream, connection);
+            if is_reset(&stream) {
+                // The kernel has discarded what had arrived.
+                break;
+            }
             let mut requests = self.received.lock().unwrap_or_else(PoisonError::into_inner);
             let received = Received {
                 number: requests.len(),
@@ -457,6 +479,12 @@
     }
 }
 
+/// Returns whether the peer has reset the connection.
+fn is_reset(stream: &TcpStream) -> bool {
+    let received = rustix::net::recv(stream, &mut [0], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    received.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset)
+}
+
 /// Reads one request whose body has a `Content-Length`; `None` at the end of the connection.
 fn read_request(
     stream: &mut TcpStream,
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -7,7 +7,8 @@
 //!
 //! * [`cluster`]: the processes, the stand-ins and the proxies between them.
 //! * [`disturbances`]: the times at which instances and proxies were disturbed.
-//! * [`schedule`]: selects and injects the faults; [`silences`] those in which servers fall silent.
+//! * [`schedule`]: selects and injects the faults; [`silences`] those in which servers fall silent, and [`retry_cycle`]
+//!   the times in which all callers need retries.
 //! * [`callers`]: send requests and record the answers.
 //! * [`checks`]: check the invariants; [`budget_checks`] the repeats that reached the servers, [`attempt_checks`] the
 //!   attempts of single requests, [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
@@ -21,6 +22,7 @@
 mod cluster;
 mod disturbances;
 mod event_checks;
+mod retry_cycle;
 mod schedule;
 mod signal_checks;
 mod silence_checks;
@@ -35,6 +37,7 @@
 use clap::ValueEnum;
 use cluster::SoakCluster;
 use passway_types::prelude::*;
+use retry_cycle::RetryCycle;
 use schedule::Schedule;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -51,15 +54,36 @@
     RetryPressure,
     /// Both.
     FaultsAndRetryPressure,
+    /// Bursts of short requests, then quiet times, and then servers that fail most requests. Some servers stand still
+    /// meanwhile.
+    SavedRetries,
+    /// The same beside random faults.
+    FaultsAndSavedRetries,
 }
 
 impl Disturbance {
-    fn has_faults(self) -> bool {
-        self != Self::RetryPressure
+    /// Whether random faults are injected.
+    pub fn has_faults(self) -> bool {
+        !matches!(self, Self::RetryPressure | Self::SavedRetries)
     }
 
-    fn has_retry_pressure(self) -> bool {
-        self != Self::Faults
+    /// Whether callers send most bodies slowly.
+    fn has_slow_bodies(self) -> bool {
+        matches!(self, Self::RetryPressure | Self::FaultsAndRetryPressure)
+    }
+
+    /// Whether servers stand still while callers need retries.
+    fn has_standstills(self) -> bool {
+        self.retry_cycle() == Some(RetryCycle::AfterBurst)
+    }
+
+    /// When servers fail most requests; `None` if they never do.
+    fn retry_cycle(self) -> Option<RetryCycle> {
+        match self {
+            Self::Faults => None,
+            Self::RetryPressure | Self::FaultsAndRetryPressure => Some(RetryCycle::Steady),
+            Self::SavedRetries | Self::FaultsAndSavedRetries => Some(RetryCycle::AfterBurst),
+        }
     }
 }
 
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -5,6 +5,7 @@
     CRASHING_PART, CRASHING_PART_BODY, MODELS, POISON, SMALL_KEY, SoakCluster, SoakInstance,
     key_of_version,
 };
+use super::retry_cycle::{CurrentPhase, Phase};
 use crate::platform::caller::{Answer, Caller, request};
 use crate::platform::model_server::EVENT_END;
 use crate::platform::stream_events::StreamShape;
@@ -37,6 +38,14 @@
 
 /// Probability that a body is sent some time after its head, if bodies are sent slowly at all.
 const SLOW_BODY_PROBABILITY: f64 = 0.8;
+/// In a burst, the maximum pause of a caller between two requests, in milliseconds.
+const MAX_BURST_PAUSE_MS: u64 = 20;
+/// Maximum number of events in a stream of a burst.
+const MAX_BURST_EVENTS: u64 = 2;
+/// While few callers send, one in this many.
+const ONE_SENDING_IN: usize = 8;
+/// Time after which a caller that sends nothing looks again whether it may.
+const RESTING_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between the head and the body of a request that is sent slowly, in milliseconds.
 const SLOW_BODY_PAUSE_MS: Range<u64> = 50..2_500;
 
@@ -187,6 +196,7 @@
     break_rng: ChaCha8Rng,
     breaks_streams: bool,
     sends_slowly: bool,
+    phase: Arc<CurrentPhase>,
     shape: StreamShape,
     broken_streams: VecDeque<BrokenStream>,
     instances: Vec<Arc<SoakInstance>>,
@@ -210,7 +220,8 @@
                     plan.seed ^ (u64::MAX / 2 - caller_number as u64),
                 ),
                 breaks_streams: plan.has_releases,
-                sends_slowly: plan.disturbance.has_retry_pressure(),
+                sends_slowly: plan.disturbance.has_slow_bodies(),
+                phase: cluster.phase.clone(),
                 shape: plan.shape,
                 broken_streams: VecDeque::new(),
                 instances: cluster.instances.clone(),
@@ -242,6 +253,10 @@
         let mut records = Vec::new();
         let mut open_connection: Option<(usize, Caller)> = None;
         while !self.is_stopped.load(Ordering::Acquire) {
+            if self.phase.get().has_few_callers() && self.caller_number % ONE_SENDING_IN != 0 {
+                std::thread::sleep(RESTING_INTERVAL);
+                continue;
+            }
             let can_reuse = self.rng.random_bool(REUSE_PROBABILITY);
             let connection = open_connection.take().filter(|_| can_reuse);
             let Some((instance, caller)) = connection.or_else(|| self.connect()) else {
@@ -325,7 +340,11 @@
     }
 
     fn pause(&mut self) {
-        let pause_ms = self.rng.random_range(0..MAX_PAUSE_MS);
+        let max_pause_ms = match self.phase.get() {
+            Phase::Burst => MAX_BURST_PAUSE_MS,
+            _ => MAX_PAUSE_MS,
+        };
+        let pause_ms = self.rng.random_range(0..max_pause_ms);
         std::thread::sleep(Duration::from_millis(pause_ms));
     }
 
@@ -339,7 +358,10 @@
     /// Sends a random request. Returns what [`CallerLoop::send`] does.
     fn send_random(&mut self, instance: usize, caller: Caller) -> (Option<Record>, Option<Caller>) {
         let key_version = self.random_key_version();
-        let draft = self.random_draft();
+        let draft = match self.phase.get() {
+            Phase::Burst => self.short_draft(),
+            _ => self.random_draft(),
+        };
         let sent = self.send(instance, caller, &draft, key_version, None);
         if let Some(record) = &sent.0 {
             self.remember_broken(&draft, record);
@@ -437,6 +459,25 @@
         Some(version.saturating_sub(age))
     }
 
+    /// Selects a request that takes little time: a call, or a stream of a few events.
+    fn short_draft(&mut self) -> Draft {
+        if self.rng.random_bool(0.3) {
+            return Draft::call(RequestKind::Again, "GET", "/read/");
+        }
+        let model = MODELS[self.rng.random_range(0..MODELS.len())];
+        let mut draft = Draft::stream(
+            RequestKind::Resumable,
+            "/chat/",
+            format!("Model: {model}\r\n"),
+        );
+        let bodies = std::iter::repeat_with(|| format!("short-{:x}", self.rng.random::<u64>()));
+        let max_events = MAX_BURST_EVENTS.max(self.shape.min_events);
+        draft.body = bodies
+            .take(1_000)
+            .find(|body| self.shape.event_count(body) <= max_events);
+        draft
+    }
+
     /// Selects a random request.
     fn random_draft(&mut self) -> Draft {
         let model = MODELS[self.rng.random_range(0..MODELS.len())];
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -1,6 +1,7 @@
 //! The instances' processes, the stand-ins and the proxies between them.
 
 use super::disturbances::DisturbanceLog;
+use super::retry_cycle::{CurrentPhase, Phase};
 use super::silences::{SilenceableServer, Silences};
 use super::{SoakPlan, SoakReport};
 use crate::platform::caller::HOST;
@@ -259,6 +260,8 @@
     pub silences: Arc<Silences>,
     /// The times in which all servers fail most requests.
     pub failures: Arc<FailureSpans>,
+    /// How much the callers send.
+    pub phase: Arc<CurrentPhase>,
     streams: EngineStreams,
     engines: Arc<Mutex<Vec<Engine>>>,
     version: AtomicU64,
@@ -408,6 +411,7 @@
             plain_servers,
             silences: Arc::default(),
             failures,
+            phase: Arc::default(),
             streams,
             engines,
             version: AtomicU64::new(1),
@@ -747,6 +751,7 @@
             }
         }
         self.failures.end();
+        self.phase.set(Phase::Usual);
         self.silences.end_all(&self.silenceable_servers());
     }
 
@@ -772,6 +777,15 @@
     }
 }
 
+/// The arguments with which an instance logs each retry that it spends, where retries are short.
+fn log_arguments(plan: &SoakPlan) -> Vec<String> {
+    let options = plan
+        .disturbance
+        .retry_cycle()
+        .map(|_| ["--log-level=debug", "--log-lines-per-s=5000"]);
+    options.into_iter().flatten().map(str::to_owned).collect()
+}
+
 fn start_instance(
     plan: &SoakPlan,
     store: &MetadataStandIn,
@@ -785,7 +799,7 @@
         name,
         store: store_proxy.address,
         grace_s: GRACE_S,
-        arguments: Vec::new(),
+        arguments: log_arguments(plan),
     })?;
     Ok(Arc::new(SoakInstance {
         callers_address: process.callers_address,
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Selects the faults and injects them.
 
 use super::cluster::{Engine, SoakCluster};
+use super::retry_cycle::{RetryCycles, random_standstill};
 use super::silences::{Silence, SilenceableServer};
 use super::{Disturbance, SoakPlan};
 use crate::platform::model_server::{FIRST_SOFTWARE, Faults as EngineFaults};
@@ -49,10 +50,8 @@
 /// Probability that all servers fall silent together.
 const ALL_SILENT_PROBABILITY: f64 = 0.5;
 
-/// Length of a cycle in which servers fail most requests once, in faults, and the number of faults at its begin
-/// in which they don't: about 15 s of 20 s, more than a window of the retry budget.
-const PRESSURE_CYCLE_STEPS: u64 = 45;
-const STEPS_WITHOUT_PRESSURE: u64 = 12;
+/// Probability that servers stand still at a step of a phase in which all callers need retries.
+const STANDSTILL_PROBABILITY: f64 = 0.15;
 
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -222,8 +221,8 @@
     injected: BTreeMap<&'static str, u32>,
     calm_stretches: Vec<CalmStretch>,
     disturbance: Disturbance,
-    /// Number of faults so far.
-    steps: u64,
+    /// The phases in which callers need retries; `None` if servers never fail most requests.
+    retry_cycles: Option<RetryCycles>,
 }
 
 impl Schedule {
@@ -237,7 +236,7 @@
             injected: BTreeMap::new(),
             calm_stretches: Vec::new(),
             disturbance: plan.disturbance,
-            steps: 0,
+            retry_cycles: plan.disturbance.retry_cycle().map(RetryCycles::start),
         }
     }
 
@@ -353,14 +352,23 @@
         }
     }
 
-    /// Lets servers fail most requests in a part of each [`PRESSURE_CYCLE_STEPS`] faults.
+    /// Begins the next phase of a cycle in which callers need retries, once the one before has ended.
     fn update_retry_pressure(&mut self, cluster: &SoakCluster) {
-        let step = self.steps % PRESSURE_CYCLE_STEPS;
-        self.steps += 1;
-        if self.disturbance.has_retry_pressure() && step >= STEPS_WITHOUT_PRESSURE {
-            cluster.failures.begin();
-        } else {
+        let Some(cycles) = &mut self.retry_cycles else {
+            return;
+        };
+        let phase = cycles.advance(&mut self.rng);
+        cluster.phase.set(phase);
+        if !phase.has_failures() {
             cluster.failures.end();
+            return;
+        }
+        cluster.failures.begin();
+        if self.disturbance.has_standstills() && self.rng.random_bool(STANDSTILL_PROBABILITY) {
+            let duration = random_standstill(&mut self.rng);
+            for server in self.random_servers(cluster.silenceable_servers()) {
+                server.listener.stand_still(duration);
+            }
         }
     }
 
