--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -98,6 +98,7 @@
 mod route_changes;
 mod router_faults;
 mod run_backups;
+mod saved_retries;
 mod scrape;
 mod scripted_store;
 mod signalling;
