--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -253,9 +253,11 @@
     let mut delivered = Delivery::default();
     let mut runs = 0;
     match origin {
-        Origin::Caller => shared
-            .retry_budget()
-            .record_request(&destination.service, clock::now()),
+        Origin::Caller => {
+            let now = clock::now();
+            let mut budget = shared.retry_budget();
+            budget.record_request(&destination.service, arrived_at, now);
+        }
         // The other instance has counted the request.
         Origin::Peer(announcement) => {
             runs = announcement.runs;
--- a/crates/instance/src/forward/retries.rs
+++ b/crates/instance/src/forward/retries.rs
@@ -2,8 +2,10 @@
 
 use super::Forwarding;
 use crate::metrics::RetryDecision;
+use crate::relay::age_ms;
 use crate::shared::Shared;
 use passway_process::logging::json::REQUEST_TARGET;
+use passway_serving::retry::SpentRetry;
 use passway_types::clock;
 use passway_types::prelude::*;
 
@@ -13,22 +15,22 @@
 pub(super) struct TakenRetry {
     shared: Arc<Shared>,
     service: ServiceName,
-    /// Whether the budget was charged; false if no earlier attempt arrived at an upstream, or once
-    /// the retry is spent.
-    is_refundable: bool,
+    /// What the budget was charged; `None` if no earlier attempt arrived at an upstream, or once the
+    /// retry is spent.
+    refundable: Option<SpentRetry>,
 }
 
 impl TakenRetry {
     /// Spends the retry, because the request may have arrived at an upstream.
     pub(super) fn spend(mut self) {
-        self.is_refundable = false;
+        self.refundable = None;
     }
 }
 
 impl Drop for TakenRetry {
     fn drop(&mut self) {
-        if self.is_refundable {
-            self.shared.retry_budget().refund(&self.service);
+        if let Some(spent) = self.refundable.take() {
+            self.shared.retry_budget().refund(&self.service, spent);
             self.shared.metrics.retry(RetryDecision::Returned);
         }
     }
@@ -45,35 +47,34 @@
     /// earlier attempt may have arrived at an upstream.
     pub(super) fn take_retry(&self) -> Option<TakenRetry> {
         let has_arrived = self.request_log.offers > self.request_log.not_sent;
-        let decision = if !has_arrived {
-            RetryDecision::Free
-        } else if self
-            .shared
-            .retry_budget()
-            .try_spend(&self.service, clock::now())
-        {
-            RetryDecision::Spent
+        let refundable = if has_arrived {
+            let Some(spent) = self.spend_retry() else {
+                self.shared.metrics.retry(RetryDecision::UsedUp);
+                return None;
+            };
+            self.shared.metrics.retry(RetryDecision::Spent);
+            Some(spent)
         } else {
-            RetryDecision::UsedUp
+            self.shared.metrics.retry(RetryDecision::Free);
+            None
         };
-        self.shared.metrics.retry(decision);
-        if decision == RetryDecision::Spent {
-            self.log_spent();
-        }
-        (decision != RetryDecision::UsedUp).then(|| TakenRetry {
+        Some(TakenRetry {
             shared: self.shared.clone(),
             service: self.service.clone(),
-            is_refundable: decision == RetryDecision::Spent,
+            refundable,
         })
     }
 
-    /// Logs what the budget still holds after a retry was spent. Where servers received too many retries, the
-    /// lines tell how many were spent, and of what.
-    fn log_spent(&self) {
-        let Some(balance) = self.shared.retry_budget().balance(&self.service) else {
-            return;
-        };
+    /// Charges the budget. The log line says what has paid: where servers received too many retries, the lines tell
+    /// how many were spent, and whether requests or the fixed share had earned them.
+    fn spend_retry(&self) -> Option<SpentRetry> {
+        let now = clock::now();
+        let mut budget = self.shared.retry_budget();
+        let spent = budget.try_spend(&self.service, now)?;
+        let available = budget.available(&self.service, now);
+        drop(budget);
         log::debug!(target: REQUEST_TARGET, request = self.facts.id, service:% = self.service,
-            available = balance.available, recent_requests = balance.recent_requests; "retry spent");
+            from_share = spent.share(), oldest_ms = age_ms(spent.earned_at()), available = available; "retry spent");
+        Some(spent)
     }
 }
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -1,20 +1,42 @@
 //! The share of the fleet's retry budget that one instance may spend.
 //!
 //! All instances together may send a service a limited number of retries in a window: a fixed
-//! allowance and a ratio of its requests. Each instance spends the ratio on the requests that it
+//! allowance and a ratio of its requests, of those in the window, in the one before it or in the one
+//! that begins half a window earlier. Each instance spends the ratio on the requests that it
 //! received itself, and its share of the fixed allowance. So instances need no agreement and
 //! borrow nothing.
+//!
+//! Why each window stays within the allowance, whatever the order of requests and retries, if each
+//! retry arrives at most [`MAX_DELAY_WINDOWS`] after it was spent:
+//!
+//! * A request earns half of the ratio. What it earns can be spent for [`EARNED_WINDOWS`] only, so
+//!   that the retries arriving in a window were earned in that window or in the one before it. Half
+//!   of the ratio for the requests of both is at most the whole ratio for those of one.
+//! * The fixed share is refilled over a window, so that at most the whole share and what is refilled
+//!   in the window and the delay before it arrives in a window: [`SLACK_FRACTION`] of the allowance
+//!   times 1 + 1 + [`MAX_DELAY_WINDOWS`].
+//! * A process that starts has no retries, so that the previous process and the new one spend no more
+//!   than one process.
+
+mod earned;
 
+use earned::{Credit, EarnedRetries};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::collections::HashMap;
 
-/// Fraction of the allowed ratio that is earned. What was earned in one window may be spent in the
-/// next, so half of the ratio keeps each window within the whole ratio.
+/// Fraction of the allowed ratio that a request earns.
 const EARNED_RATIO_FRACTION: f64 = 0.5;
-/// Fraction of the fixed allowance that is spent. It is refilled over one window, so a window may
-/// see it twice.
-const SLACK_FRACTION: f64 = 0.45;
+/// Longest time from the spend of a retry to its arrival, and from the sending of a request to its
+/// record, for which the allowance is kept, in windows. Upstreams and instances may stand still for
+/// some seconds.
+const MAX_DELAY_WINDOWS: f64 = 0.25;
+/// How long an earned retry can be spent, in windows.
+const EARNED_WINDOWS: f64 = 1.0 - MAX_DELAY_WINDOWS;
+/// Fraction of the fixed allowance that all instances together hold.
+const SLACK_FRACTION: f64 = 1.0 / (2.0 + MAX_DELAY_WINDOWS);
+/// What sums of parts of a retry may differ from the whole.
+const ROUNDING: f64 = 1e-9;
 /// For this many windows the allowance is shared among the largest recent number of instances: a
 /// window may see what those spent and what they had earned in the previous window.
 const INSTANCE_COUNT_WINDOWS: f64 = 2.0;
@@ -22,7 +44,7 @@
 /// for those that relied on the previous holder until it became silent.
 const RECONNECT_DURATION: Duration = Duration::from_secs(3);
 /// A service without requests for this many windows is removed: its share is full again after one
-/// window, and what it earned has decayed to 2% after four.
+/// window, and what it earned has expired.
 const IDLE_WINDOWS: f64 = 4.0;
 /// Number of services before the first check for idle ones.
 const MIN_CLEANUP_THRESHOLD: usize = 16;
@@ -39,22 +61,40 @@
 }
 
 /// The retries that one service may still be sent.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Bucket {
-    available: f64,
-    /// Requests of about the last window, as a decaying count.
-    recent_requests: f64,
+    /// What is left of the instance's share of the fixed allowance.
+    share: f64,
+    earned: EarnedRetries,
     /// The time up to which the other values are computed.
     at: Instant,
 }
 
-/// What one service may still be sent, for logs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RetryBalance {
-    /// Retries that may be spent now.
-    pub available: f64,
-    /// Requests of about the last window, which earned a part of these retries.
-    pub recent_requests: f64,
+impl Bucket {
+    fn available(&self) -> f64 {
+        self.share + self.earned.total()
+    }
+}
+
+/// One retry that was spent, with what has paid for it.
+#[derive(Debug, Clone, PartialEq)]
+#[must_use]
+pub struct SpentRetry {
+    earned: Vec<Credit>,
+    share: f64,
+}
+
+impl SpentRetry {
+    /// The part of the retry that was taken from the share of the fixed allowance.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// When the oldest request arrived that has paid for a part of the retry; `None` if the share has
+    /// paid for all of it.
+    pub fn earned_at(&self) -> Option<Instant> {
+        self.earned.iter().map(|credit| credit.earned_at).min()
+    }
 }
 
 /// How many instances share the allowance, as a holder sees them connect.
@@ -189,60 +229,64 @@
         }
         let share = self.slack_share(now);
         let window_s = self.allowance.window_s;
-        let earned_per_request = self.allowance.ratio * EARNED_RATIO_FRACTION;
         let known_s = self.first_report_at.map_or(0.0, |at| {
             let elapsed = now.saturating_duration_since(at);
             elapsed.as_secs_f64()
         });
         let bucket = self.buckets.entry(service.clone()).or_insert(Bucket {
-            available: share * (known_s / window_s).min(1.0),
-            recent_requests: 0.0,
+            share: share * (known_s / window_s).min(1.0),
+            earned: EarnedRetries::default(),
             at: now,
         });
-        let idle_s = clock::advance(&mut bucket.at, now).as_secs_f64();
-        bucket.recent_requests *= (-idle_s / window_s).exp();
-        // The fixed share is refilled over a window; the earned retries decay with the requests.
-        let capacity = share + earned_per_request * bucket.recent_requests;
-        bucket.available = (bucket.available + share * idle_s / window_s).min(capacity);
+        let passed_s = clock::advance(&mut bucket.at, now).as_secs_f64();
+        bucket.share = (bucket.share + share * passed_s / window_s).min(share);
+        let lifetime = Duration::from_secs_f64(EARNED_WINDOWS * window_s);
+        bucket.earned.expire(bucket.at, lifetime);
         bucket
     }
 
-    /// Records a request for the service.
-    pub fn record_request(&mut self, service: &ServiceName, now: Instant) {
-        let earned_per_request = self.allowance.ratio * EARNED_RATIO_FRACTION;
-        let bucket = self.bucket(service, now);
-        bucket.recent_requests += 1.0;
-        bucket.available += earned_per_request;
+    /// Records a request for the service that arrived at `arrived_at`.
+    pub fn record_request(&mut self, service: &ServiceName, arrived_at: Instant, now: Instant) {
+        let window = Duration::from_secs_f64(self.allowance.window_s);
+        let credit = Credit {
+            earned_at: arrived_at,
+            amount: self.allowance.ratio * EARNED_RATIO_FRACTION,
+        };
+        self.bucket(service, now).earned.add(credit, window);
     }
 
     /// Whether a retry could be spent.
     pub fn can_spend(&mut self, service: &ServiceName, now: Instant) -> bool {
-        self.bucket(service, now).available >= 1.0
+        self.available(service, now) >= 1.0 - ROUNDING
     }
 
-    /// Spends one retry if one is left.
-    pub fn try_spend(&mut self, service: &ServiceName, now: Instant) -> bool {
-        let can_spend = self.can_spend(service, now);
-        if can_spend {
-            self.bucket(service, now).available -= 1.0;
-        }
-        can_spend
+    /// The retries that are left.
+    pub fn available(&mut self, service: &ServiceName, now: Instant) -> f64 {
+        self.bucket(service, now).available()
     }
 
-    /// What is left for the service, as last computed; `None` if no request or retry has been recorded.
-    pub fn balance(&self, service: &ServiceName) -> Option<RetryBalance> {
-        let bucket = self.buckets.get(service)?;
-        Some(RetryBalance {
-            available: bucket.available,
-            recent_requests: bucket.recent_requests,
-        })
+    /// Spends one retry if one is left. What was earned first is spent first, and the fixed share last.
+    pub fn try_spend(&mut self, service: &ServiceName, now: Instant) -> Option<SpentRetry> {
+        if !self.can_spend(service, now) {
+            return None;
+        }
+        let bucket = self.bucket(service, now);
+        let earned = bucket.earned.take(1.0);
+        let paid: f64 = earned.iter().map(|credit| credit.amount).sum();
+        let share = (1.0 - paid).clamp(0.0, bucket.share);
+        bucket.share -= share;
+        Some(SpentRetry { earned, share })
     }
 
     /// Returns a retry that was spent for an attempt of which nothing was sent.
-    pub fn refund(&mut self, service: &ServiceName) {
+    pub fn refund(&mut self, service: &ServiceName, spent: SpentRetry) {
         // A bucket that was removed meanwhile is created with its whole share.
         if let Some(bucket) = self.buckets.get_mut(service) {
-            bucket.available += 1.0;
+            bucket.share += spent.share;
+            let window = Duration::from_secs_f64(self.allowance.window_s);
+            for credit in spent.earned {
+                bucket.earned.add(credit, window);
+            }
         }
     }
 }
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -253,7 +253,9 @@
         let mut records = Vec::new();
         let mut open_connection: Option<(usize, Caller)> = None;
         while !self.is_stopped.load(Ordering::Acquire) {
-            if self.phase.get().has_few_callers() && self.caller_number % ONE_SENDING_IN != 0 {
+            if self.phase.get().has_few_callers()
+                && !self.caller_number.is_multiple_of(ONE_SENDING_IN)
+            {
                 std::thread::sleep(RESTING_INTERVAL);
                 continue;
             }
--- a/tests/all/bounded_state.rs
+++ b/tests/all/bounded_state.rs
@@ -104,8 +104,8 @@
     for number in 0..NAMES {
         // A new configuration renames the service.
         let service = format!("renamed-{number}").into();
-        budget.record_request(&service, now);
-        assert!(budget.try_spend(&service, now));
+        budget.record_request(&service, now, now);
+        assert!(budget.try_spend(&service, now).is_some());
         now += Duration::from_secs(10);
     }
     let retained = retained(&budget, "renamed-");
--- a/tests/all/retry_share.rs
+++ b/tests/all/retry_share.rs
@@ -72,10 +72,10 @@
             let (mut received, mut spent) = (0.0, 0.0);
             for budget in &mut budgets {
                 if rng.random_bool(chance) {
-                    budget.record_request(&service(), now);
+                    budget.record_request(&service(), now, now);
                     received += 1.0;
                 }
-                while budget.try_spend(&service(), now) {
+                while budget.try_spend(&service(), now).is_some() {
                     spent += 1.0;
                 }
             }
@@ -108,10 +108,10 @@
             let (mut received, mut spent) = (0.0, 0.0);
             for budget in &mut budgets {
                 if rng.random_bool(chance) {
-                    budget.record_request(&service(), arrived_at);
+                    budget.record_request(&service(), arrived_at, now);
                     received += 1.0;
                 }
-                while budget.try_spend(&service(), now) {
+                while budget.try_spend(&service(), now).is_some() {
                     spent += 1.0;
                 }
             }
@@ -129,10 +129,10 @@
     let mut budget = full_budget(ALLOWANCE, 8, now);
     for _ in 0..100 {
         now += Duration::from_millis(100);
-        budget.record_request(&service(), now);
+        budget.record_request(&service(), now, now);
     }
     let spent = (0..100)
-        .filter(|_| budget.try_spend(&service(), now))
+        .filter(|_| budget.try_spend(&service(), now).is_some())
         .count();
     assert!(spent >= 8, "{spent}");
 }
@@ -183,10 +183,10 @@
             let (mut received, mut spent) = (0.0, 0.0);
             for budget in &mut budgets {
                 if rng.random_bool(0.33) {
-                    budget.record_request(&service(), now);
+                    budget.record_request(&service(), now, now);
                     received += 1.0;
                 }
-                while budget.try_spend(&service(), now) {
+                while budget.try_spend(&service(), now).is_some() {
                     spent += 1.0;
                 }
             }
@@ -199,7 +199,7 @@
 
 /// The number of retries that can be spent now; spends them.
 fn spend_all(budget: &mut RetryBudget, now: Instant) -> usize {
-    let spent = (0..1_000).take_while(|_| budget.try_spend(&service(), now));
+    let spent = (0..1_000).take_while(|_| budget.try_spend(&service(), now).is_some());
     spent.count()
 }
 
@@ -211,22 +211,25 @@
         let mut now = Instant::now();
         let instances = rng.random_range(1..12);
         let [mut plain, mut returning] = [(); 2].map(|()| full_budget(ALLOWANCE, instances, now));
-        let mut taken = 0;
+        let mut taken = Vec::new();
         for _ in 0..rng.random_range(1..400) {
             now += STEP;
             if rng.random_bool(0.3) {
-                plain.record_request(&service(), now);
-                returning.record_request(&service(), now);
+                plain.record_request(&service(), now, now);
+                returning.record_request(&service(), now, now);
             }
             // Retries are returned later than they were taken, and never more of them than were.
-            if rng.random_bool(0.3) && returning.try_spend(&service(), now) {
-                taken += 1;
-            } else if taken > 0 && rng.random_bool(0.5) {
-                returning.refund(&service());
-                taken -= 1;
+            if rng.random_bool(0.3) {
+                taken.extend(returning.try_spend(&service(), now));
+            } else if rng.random_bool(0.5)
+                && let Some(spent) = taken.pop()
+            {
+                returning.refund(&service(), spent);
             }
         }
-        (0..taken).for_each(|_| returning.refund(&service()));
+        for spent in taken {
+            returning.refund(&service(), spent);
+        }
         let [plain, returning] = [&mut plain, &mut returning].map(|one| spend_all(one, now));
         assert_eq!(plain, returning, "seed {seed}");
     }
--- a/tests/all/saved_retries.rs
+++ b/tests/all/saved_retries.rs
@@ -103,12 +103,14 @@
         for step in 0..part.steps {
             self.now += STEP;
             self.sent.push(0);
-            self.arrivals.push(0);
+            // Retries of an earlier hold may arrive later than now.
+            let steps = self.arrivals.len().max(self.sent.len());
+            self.arrivals.resize(steps, 0);
             let mut due = per_step;
             while due >= 1.0 || (due > 0.0 && self.rng.random_bool(due)) {
                 due -= 1.0;
                 let instance = self.rng.random_range(0..self.budgets.len());
-                self.budgets[instance].record_request(&service(), self.now);
+                self.budgets[instance].record_request(&service(), self.now, self.now);
                 *self.sent.last_mut().expect("a step") += 1;
             }
             if step < part.steps_before_retries {
@@ -141,24 +143,19 @@
     /// The repeats of the window that exceeds its allowance by most, or comes nearest to it, and that allowance. It
     /// counts the requests of the window, of the one before, or of the one half a window earlier, whichever has most.
     fn worst_window(&self) -> (f64, f64) {
-        let sum = |counts: &[u32], from: usize| -> f64 {
-            let end = (from + WINDOW_STEPS).min(counts.len());
-            counts[from.min(end)..end]
-                .iter()
-                .copied()
-                .map(f64::from)
-                .sum()
+        // Counts in the window that begins at a step, or some steps earlier.
+        let sum = |counts: &[u32], from: usize, earlier: usize| -> f64 {
+            let end = (from + WINDOW_STEPS).saturating_sub(earlier);
+            let end = end.min(counts.len());
+            let begin = from.saturating_sub(earlier).min(end);
+            counts[begin..end].iter().copied().map(f64::from).sum()
         };
         let mut worst = (0.0, f64::MAX);
         for from in 0..self.arrivals.len() {
-            let begins =
-                [0, WINDOW_STEPS / 2, WINDOW_STEPS].map(|earlier| from.checked_sub(earlier));
-            let requests = begins
-                .into_iter()
-                .flatten()
-                .map(|begin| sum(&self.sent, begin));
-            let allowed = RATIO * requests.fold(0.0, f64::max) + self.allowance.slack;
-            let repeats = sum(&self.arrivals, from);
+            let requests = [0, WINDOW_STEPS / 2, WINDOW_STEPS];
+            let requests = requests.map(|earlier| sum(&self.sent, from, earlier));
+            let allowed = RATIO * requests.into_iter().fold(0.0, f64::max) + self.allowance.slack;
+            let repeats = sum(&self.arrivals, from, 0);
             if repeats - allowed > worst.0 - worst.1 {
                 worst = (repeats, allowed);
             }
@@ -181,7 +178,7 @@
 /// Spends all retries that are left, and returns their number.
 fn spend_all(budget: &mut RetryBudget, now: Instant) -> u32 {
     let mut spent = 0;
-    while budget.try_spend(&service(), now) {
+    while budget.try_spend(&service(), now).is_some() {
         spent += 1;
     }
     spent
