--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -38,6 +38,7 @@
 mod foreign_entries;
 mod freshness_faults;
 mod graceful_stops;
+mod held_bytes;
 mod holder_heard;
 mod holder_inputs;
 mod holder_link;
