--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -27,6 +27,7 @@
 //! * [`poison`]: requests that crash the upstreams that run them.
 //! * [`first_byte_times`]: how long upstreams usually take until the first byte of an answer.
 //! * [`headers`]: headers as received.
+//! * [`memory`]: memory for bytes that are held for others.
 //! * [`hash`]: a hash that is the same in every process.
 //!
 //! Events and the current time are inputs, decisions are outputs. `passway-instance` adds the
@@ -42,6 +43,7 @@
 pub mod headers;
 pub mod leadership;
 pub mod limits;
+pub mod memory;
 pub mod paths;
 pub mod placement;
 pub mod poison;
