--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -2,13 +2,14 @@
 
 use crate::denials::{self, Denial, UNPROVEN_CONFIGURATION};
 use crate::forward::{self, ConnectionReuse, Origin};
-use crate::http1::{self, BodyReader, Connection, HttpError, RequestHead};
+use crate::http1::{self, BodyMemory, BodyReader, Connection, HttpError, ReadBody, RequestHead};
 use crate::paths::PathMonitor;
 use crate::reply::{self, Refusal};
 use crate::shared::Shared;
 use crate::stop_signal::StopSignals;
 use anyhow::{Context, Result};
 use passway_process::logging::json::REQUEST_TARGET;
+use passway_serving::memory::MemoryReservation;
 use passway_serving::routes::CallerLimits;
 use passway_types::clock;
 use passway_types::prelude::*;
@@ -307,11 +308,10 @@
         .and_then(|length| length.parse().ok())
         .unwrap_or(0);
     // A length above the limit is refused by the body reader below.
-    let Some(mut reservation) = shared.reserve_body(announced_bytes.min(limits.max_body_bytes))
-    else {
+    let Some(reservation) = shared.reserve_body(announced_bytes.min(limits.max_body_bytes)) else {
         return refuse_for_memory(shared, caller, &head);
     };
-    let body = match read_body(&mut caller, &head, limits.max_body_bytes) {
+    let body = match read_body(&mut caller, &head, limits.max_body_bytes, reservation) {
         Ok(body) => body,
         Err(HttpError::Malformed(_)) => return refuse(shared, caller, Refusal::Malformed),
         Err(HttpError::FramingTooLarge) => {
@@ -325,13 +325,11 @@
             let facts = shared.vocabulary.parse_request(&head.headers);
             return refuse_half_read(shared, caller, &facts.id);
         }
+        Err(HttpError::NoMemory) => return refuse_for_memory(shared, caller, &head),
         Err(_) => return None,
     };
-    if !reservation.resize(body.len()) {
-        return refuse_for_memory(shared, caller, &head);
-    }
-    let reuse = forward::serve(shared, &mut caller, &head, &body, arrived_at, origin);
-    drop((in_progress, reservation));
+    let reuse = forward::serve(shared, &mut caller, &head, &body.bytes, arrived_at, origin);
+    drop((in_progress, body));
     if reuse == ConnectionReuse::Close {
         return None;
     }
@@ -423,13 +421,14 @@
     caller: &mut Connection,
     head: &RequestHead,
     max_bytes: usize,
-) -> Result<Vec<u8>, HttpError> {
+    reservation: MemoryReservation,
+) -> Result<ReadBody, HttpError> {
     let mut body = BodyReader::of_request(head)?;
     let until = clock::now() + BODY_TIMEOUT;
     let expect = head.headers.text("expect");
     if expect.is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) && !body.is_done() {
         http1::write_all(caller, b"HTTP/1.1 100 Continue\r\n\r\n", false, None, until)?;
     }
-    let read = body.read_whole(caller, max_bytes, None, until)?;
-    Ok(read.bytes)
+    let memory = BodyMemory::of_known_length(reservation);
+    body.read_whole(caller, max_bytes, memory, None, until)
 }
--- a/crates/instance/src/forward/attempt.rs
+++ b/crates/instance/src/forward/attempt.rs
@@ -6,6 +6,7 @@
 use crate::events::EventSplitter;
 use crate::http1::{AnswerHead, CompletenessProof};
 use passway_serving::dispatch::RunId;
+use passway_serving::memory::MemoryReservation;
 use passway_serving::poison::UpstreamStart;
 use passway_serving::ports::ContinuedRun;
 use passway_serving::upstreams::{ListedStart, Outcome};
@@ -45,6 +46,9 @@
     pub(super) head: AnswerHead,
     pub(super) body: Vec<u8>,
     pub(super) proof: CompletenessProof,
+    /// The memory of the body.
+    #[expect(dead_code, reason = "released on drop")]
+    pub(super) memory: MemoryReservation,
 }
 
 /// What has been delivered to the caller, over all attempts.
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -10,24 +10,25 @@
     Attempt, ConnectionReuse, FailedAnswer, Forwarding, NOT_TAKEN, Target, connection_reuse,
 };
 use crate::http1::{
-    self, AnswerHead, BodyPart, BodyReader, CompletenessProof, Connection, HttpError, ReadBody,
-    WriteOutcome, encode_head,
+    self, AnswerHead, BodyMemory, BodyPart, BodyReader, CompletenessProof, Connection, HttpError,
+    ReadBody, WriteOutcome, encode_head,
 };
 use crate::pool;
 use crate::relay;
 use crate::reply::{self, WRITE_TIMEOUT};
-use crate::shared::MemoryReservation;
 use crate::signals::{self, ReceivedSignals};
 use crate::upstream_exchange::{Exchange, ForeignAnswer, OwnAnswer};
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::forecast::StreamProgress;
 use passway_serving::headers::Headers;
+use passway_serving::memory::MemoryReservation;
 use passway_serving::ports::ForwardingMetadata;
 use passway_serving::upstreams::Outcome;
 use passway_serving::versions::IdentifiedStart;
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 
 /// Time to connect to an upstream; a round trip takes a few milliseconds.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -42,8 +43,10 @@
 /// A caller that reads nothing of its answer for this long is given up. Slightly shorter than the
 /// user timeout of the connection itself.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// Interval between two checks for memory for an answer.
-const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Copies of a long event that are held at once: as received, among the events to deliver, and framed for the caller.
+const EVENT_COPIES: usize = 3;
+/// Bytes from which on the body of an answer is not copied behind its head to be written with it.
+const SEPARATE_BODY_BYTES: usize = 64 << 10;
 /// Answers to earlier requests that are skipped before a connection is given up.
 const MAX_STALE_ANSWERS: usize = 2;
 /// Longest time for which the body of a refusal, or of an answer to another request, is read so that
@@ -98,13 +101,23 @@
 
     /// Connects to an upstream for an exchange of the request.
     pub(super) fn connect(&self, target: &Target) -> std::io::Result<Exchange> {
-        let connected = Exchange::connect(target.address, CONNECT_TIMEOUT, &self.facts.id);
+        let connected = self.connect_to(target.address, CONNECT_TIMEOUT);
         if connected.is_err() {
             self.shared.paths.record_unreachable(&target.id);
         }
         connected
     }
 
+    /// Connects to an upstream or another instance for an exchange of the request.
+    pub(super) fn connect_to(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Exchange> {
+        let memory = self.shared.open_ended_memory.reservation();
+        Exchange::connect(address, timeout, &self.facts.id, memory)
+    }
+
     fn record_activity(&self, target: &Target) {
         let now = clock::now();
         self.shared.upstreams().record_activity(&target.id, now);
@@ -304,16 +317,16 @@
         } else {
             self.deadline_at
         };
-        match body.read_whole(
+        match body.skip(
             upstream,
             MAX_BUFFERED_ANSWER_BYTES,
             Some(self.caller),
             until,
         ) {
-            Ok(_) if body.is_reusable => Ok(()),
+            Ok(()) if body.is_reusable => Ok(()),
             Err(HttpError::WatchedClosed) => Err(Attempt::CallerGone),
             Err(HttpError::Stopping) => Err(Attempt::Stopping),
-            Ok(_) | Err(_) => Err(Attempt::Broken),
+            Ok(()) | Err(_) => Err(Attempt::Broken),
         }
     }
 
@@ -346,25 +359,14 @@
             self.log_refusal(target, exchange.connection(), head);
             return self.finish_refusal(target, exchange, answer, body);
         }
-        let until = self.deadline_at;
-        let Some(mut reservation) = self.reserve_answer_memory(&body) else {
-            return Attempt::TimedOut;
-        };
-        let read = body.read_whole(
-            exchange.connection_mut(),
-            MAX_BUFFERED_ANSWER_BYTES,
-            Some(self.caller),
-            until,
-        );
-        let ReadBody { bytes, end } = match read {
+        let read = self.read_answer(exchange.connection_mut(), &mut body, self.deadline_at);
+        let ReadBody { bytes, end, memory } = match read {
             Ok(read) => read,
             Err(HttpError::WatchedClosed) => return Attempt::CallerGone,
             Err(HttpError::Stopping) => return Attempt::Stopping,
             Err(HttpError::TimedOut) => return Attempt::TimedOut,
             Err(_) => return Attempt::Broken,
         };
-        // An answer without a length is counted at its actual length, even beyond the bound.
-        reservation.resize(bytes.len());
         self.return_to_pool(target, exchange, head, &body);
         if !facts.is_sealed {
             return Attempt::Broken;
@@ -379,6 +381,7 @@
             head: head.clone(),
             body: bytes,
             proof,
+            memory,
         }))
     }
 
@@ -393,7 +396,7 @@
     ) -> Attempt {
         let until = self.deadline_at.min(clock::now() + SKIPPED_BODY_TIMEOUT);
         let caller = Some(&mut *self.caller);
-        let read = body.read_whole(exchange.connection_mut(), MAX_REFUSAL_BYTES, caller, until);
+        let read = body.skip(exchange.connection_mut(), MAX_REFUSAL_BYTES, caller, until);
         if matches!(read, Err(HttpError::WatchedClosed)) {
             return Attempt::CallerGone;
         }
@@ -411,19 +414,28 @@
             "an upstream refused a request");
     }
 
-    /// Waits for memory to buffer an answer; the upstream's connection waits meanwhile. `None` once
-    /// the deadline has passed or the caller has left.
-    pub(super) fn reserve_answer_memory(&mut self, body: &BodyReader) -> Option<MemoryReservation> {
-        let bytes = body.announced_bytes().min(MAX_BUFFERED_ANSWER_BYTES);
-        loop {
-            if let Some(reservation) = self.shared.reserve_answer(bytes) {
-                return Some(reservation);
-            }
-            if clock::now() >= self.deadline_at || self.caller.is_closed() {
-                return None;
-            }
-            std::thread::sleep(MEMORY_POLL_INTERVAL);
-        }
+    /// Reads the body of an answer that is delivered whole. The upstream's connection waits while there
+    /// is no memory: for all of an answer that names its length, otherwise for each part.
+    pub(super) fn read_answer(
+        &mut self,
+        connection: &mut Connection,
+        body: &mut BodyReader,
+        until: Instant,
+    ) -> Result<ReadBody, HttpError> {
+        let announced_bytes = body.announced_bytes();
+        if announced_bytes > MAX_BUFFERED_ANSWER_BYTES {
+            return Err(HttpError::TooLarge);
+        }
+        let memory = if announced_bytes > 0 {
+            let shared = self.shared;
+            let reserve = || shared.reserve_answer(announced_bytes);
+            let reservation = http1::wait_for_room(reserve, self.caller, until)?;
+            BodyMemory::of_known_length(reservation)
+        } else {
+            BodyMemory::of_open_ended_answer(self.shared.open_ended_memory.reservation())
+        };
+        let caller = Some(&mut *self.caller);
+        body.read_whole(connection, MAX_BUFFERED_ANSWER_BYTES, memory, caller, until)
     }
 
     /// Handles an answer by which the upstream has not run the request.
@@ -522,12 +534,15 @@
             headers.push("Content-Length", body.len().to_string());
         }
         let mut bytes = encode_head(&head.status_line(), &headers);
-        if !is_bodyless {
-            bytes.extend_from_slice(body);
-        }
+        let body = if is_bodyless { &[] } else { body };
         self.request_log.status = head.status;
         self.request_log.end = "answered";
-        let written = self.write(&bytes);
+        let written = if body.len() < SEPARATE_BODY_BYTES {
+            bytes.extend_from_slice(body);
+            self.write(&bytes)
+        } else {
+            self.write(&bytes).and_then(|()| self.write(body))
+        };
         if self.request_log.is_stalled {
             self.request_log.end = NOT_TAKEN;
         }
@@ -546,7 +561,7 @@
         self.stream_timing.begin_attempt();
         self.delivered.splitter.begin_attempt();
         let mut received = Vec::new();
-        let mut events = Vec::new();
+        let mut event_memory = self.shared.open_ended_memory.reservation();
         let mut silence = SilenceClock::start();
         loop {
             let upstream = exchange.connection_mut();
@@ -557,7 +572,10 @@
                 Ok(BodyPart::End(end)) => Some(end),
                 Err(attempt) => return attempt,
             };
-            events.clear();
+            if let Err(attempt) = self.reserve_event(&mut event_memory, received.len()) {
+                return attempt;
+            }
+            let mut events = Vec::new();
             let Ok(event_count) = self.delivered.splitter.push(&received, &mut events) else {
                 self.delivered.splitter.drop_partial();
                 return Attempt::Broken;
@@ -592,6 +610,9 @@
                     return Attempt::CallerGone;
                 }
             }
+            if event_count > 0 {
+                event_memory.resize(0);
+            }
             if proof.is_some() {
                 self.set_reset_on_close(false);
                 self.request_log.proof = proof;
@@ -606,6 +627,33 @@
         }
     }
 
+    /// Reserves memory for an event that has not ended and the bytes that were received of it. Short
+    /// events need none.
+    ///
+    /// # Errors
+    /// The outcome of the attempt, if there is no memory.
+    fn reserve_event(
+        &mut self,
+        memory: &mut MemoryReservation,
+        received_bytes: usize,
+    ) -> Result<(), Attempt> {
+        let bytes = self.delivered.splitter.partial_bytes() + received_bytes;
+        if bytes <= http1::FREE_BYTES {
+            return Ok(());
+        }
+        let until = self.deadline_at;
+        let reserved = http1::wait_for_memory(memory, EVENT_COPIES * bytes, self.caller, until);
+        reserved.map_err(|error| {
+            self.delivered.splitter.drop_partial();
+            match error {
+                HttpError::WatchedClosed => Attempt::CallerGone,
+                HttpError::Stopping => Attempt::Stopping,
+                HttpError::TimedOut => Attempt::TimedOut,
+                _ => Attempt::Broken,
+            }
+        })
+    }
+
     /// Sets whether the end of the caller's connection breaks its stream off. A chunked stream is broken
     /// off by any end before its last chunk.
     fn set_reset_on_close(&self, resets: bool) {
--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -6,7 +6,7 @@
 //! An answer of an upstream is sealed. An answer without a seal is the other instance's own: by its
 //! status, a refusal promises that the request has not run and never will.
 
-use super::exchange::{AnswerSource, MAX_BUFFERED_ANSWER_BYTES};
+use super::exchange::AnswerSource;
 use super::{Attempt, FailedAnswer, Forwarding, Origin, request_hash};
 use crate::http1::{self, AnswerHead, BodyReader, HttpError, ReadBody, encode_head};
 use crate::metrics::PeerRequestOutcome;
@@ -106,7 +106,7 @@
         if let Err(denial) = self.check_access() {
             return Err(Attempt::Denied(denial));
         }
-        let connected = Exchange::connect(peer.address, CONNECT_TIMEOUT, &self.facts.id);
+        let connected = self.connect_to(peer.address, CONNECT_TIMEOUT);
         let Ok(mut exchange) = connected else {
             return Err(Attempt::NotSent);
         };
@@ -198,18 +198,11 @@
             return self.deliver_stream(AnswerSource::Peer, exchange, head, body);
         }
         let until = self.deadline_at + LAST_ANSWER_DELAY;
-        let Some(mut reservation) = self.reserve_answer_memory(&body) else {
-            return Attempt::TimedOut;
-        };
-        let caller = Some(&mut *self.caller);
-        let connection = exchange.connection_mut();
-        let read = body.read_whole(connection, MAX_BUFFERED_ANSWER_BYTES, caller, until);
-        let ReadBody { bytes, end } = match read {
+        let read = self.read_answer(exchange.connection_mut(), &mut body, until);
+        let ReadBody { bytes, end, memory } = match read {
             Ok(read) => read,
             Err(error) => return failed_read(&error),
         };
-        // An answer without a length is counted at its actual length, even beyond the bound.
-        reservation.resize(bytes.len());
         if facts.is_sealed {
             let Some(proof) = self.prove_complete(AnswerSource::Peer, end) else {
                 return Attempt::Broken;
@@ -221,6 +214,7 @@
                     head: head.clone(),
                     body: bytes,
                     proof,
+                    memory,
                 }))
             };
         }
--- a/crates/instance/src/http1.rs
+++ b/crates/instance/src/http1.rs
@@ -5,10 +5,12 @@
 //! where they are detected before the connection is reused.
 
 mod body;
+mod body_memory;
 mod head;
 mod socket;
 
 pub use body::{BodyEnd, BodyFraming, BodyPart, BodyReader, CompletenessProof, ReadBody};
+pub use body_memory::{BodyMemory, FREE_BYTES, wait_for_memory, wait_for_room};
 pub use head::{
     AnswerHead, MAX_ANSWER_HEAD_BYTES, RequestHead, encode_head, read_answer_head,
     read_request_head,
@@ -36,6 +38,8 @@
     TooLarge,
     /// A chunk-size line or the trailer exceeds its limit, which no configuration changes.
     FramingTooLarge,
+    /// There is no memory left for it.
+    NoMemory,
     /// The watched connection was closed during the wait.
     WatchedClosed,
     /// The process is about to exit.
--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -1,10 +1,12 @@
 //! Bodies of messages: their framing, and reading them in parts.
 
 use super::HttpError;
+use super::body_memory::BodyMemory;
 use super::head::{AnswerHead, RequestHead};
-use super::socket::{Connection, read_more};
+use super::socket::{Connection, READ_BYTES, read_more};
 use crate::liveness::LiveUpstream;
 use passway_serving::headers::Headers;
+use passway_serving::memory::MemoryReservation;
 use std::time::Instant;
 
 /// Longest chunk-size line with its extensions, and largest trailer, in bytes. Neither is
@@ -113,6 +115,9 @@
     End(BodyEnd),
 }
 
+/// Bytes that one part of a body has at most: those of one read.
+const PART_BYTES: usize = READ_BYTES;
+
 /// The bytes of a body that has ended.
 #[derive(Debug)]
 pub struct ReadBody {
@@ -120,6 +125,8 @@
     pub bytes: Vec<u8>,
     /// How the body ended.
     pub end: BodyEnd,
+    /// The memory of the bytes.
+    pub memory: MemoryReservation,
 }
 
 fn single_length(headers: &Headers) -> Result<Option<u64>, HttpError> {
@@ -341,30 +348,63 @@
         }
     }
 
-    /// Reads the rest of the body.
+    /// Reads the rest of the body, of which `memory` has as much as was announced.
     ///
     /// # Errors
-    /// As [`BodyReader::read_part`], or if the body is larger than `max_bytes`.
+    /// As [`BodyReader::read_part`], if the body is larger than `max_bytes`, or if there is no memory
+    /// for it.
     pub fn read_whole(
         &mut self,
         connection: &mut Connection,
         max_bytes: usize,
+        mut memory: BodyMemory,
         mut watched: Option<&mut Connection>,
         until: Instant,
     ) -> Result<ReadBody, HttpError> {
         let mut bytes = Vec::new();
-        if let DecoderState::Length(length) = self.state {
+        let is_announced = self.announced_bytes() > 0;
+        if is_announced {
             // Growing by doubling would fragment the heap. Reserved memory that is never written
             // takes no physical memory.
-            let length = usize::try_from(length).unwrap_or(usize::MAX);
-            bytes.reserve_exact(length.min(max_bytes));
+            bytes.reserve_exact(self.announced_bytes().min(max_bytes));
         }
         loop {
+            if !is_announced && !self.is_done() {
+                memory.make_room(&mut bytes, PART_BYTES, watched.as_deref_mut(), until)?;
+            }
             match self.read_part(connection, &mut bytes, watched.as_deref_mut(), until)? {
-                BodyPart::End(end) => return Ok(ReadBody { bytes, end }),
+                BodyPart::End(end) => {
+                    let memory = memory.end(&mut bytes);
+                    return Ok(ReadBody { bytes, end, memory });
+                }
                 BodyPart::Bytes if bytes.len() > max_bytes => return Err(HttpError::TooLarge),
                 BodyPart::Bytes => {}
             }
         }
     }
+
+    /// Reads and drops the rest of the body.
+    ///
+    /// # Errors
+    /// As [`BodyReader::read_part`], or if the body is larger than `max_bytes`.
+    pub fn skip(
+        &mut self,
+        connection: &mut Connection,
+        max_bytes: usize,
+        mut watched: Option<&mut Connection>,
+        until: Instant,
+    ) -> Result<(), HttpError> {
+        let mut part = Vec::new();
+        let mut skipped_bytes = 0;
+        loop {
+            part.clear();
+            let read = self.read_part(connection, &mut part, watched.as_deref_mut(), until)?;
+            skipped_bytes += part.len();
+            match read {
+                BodyPart::End(_) => return Ok(()),
+                BodyPart::Bytes if skipped_bytes > max_bytes => return Err(HttpError::TooLarge),
+                BodyPart::Bytes => {}
+            }
+        }
+    }
 }
--- a/crates/instance/src/http1/head.rs
+++ b/crates/instance/src/http1/head.rs
@@ -11,6 +11,9 @@
 /// Largest head of an answer.
 pub const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
 
+/// A head is parsed at each read until it has this many bytes, so that bytes that are no head are noticed at once, and
+/// then with each new line: parsing it all anew with each byte takes time that grows with the square of its length.
+const EAGER_BYTES: usize = 1 << 10;
 /// Largest number of interim (1xx) answers before an answer.
 const MAX_INTERIM_ANSWERS: u32 = 32;
 
@@ -104,6 +107,11 @@
     }
 }
 
+/// Whether parsing a head may show more than when it had `parsed_bytes`.
+fn has_news(bytes: &[u8], parsed_bytes: usize) -> bool {
+    bytes.len() <= EAGER_BYTES || bytes[parsed_bytes..].contains(&b'\n')
+}
+
 /// Reads a request's head. `header_timeout` begins with the first byte; until then the connection
 /// may be idle until `idle_until`. `None` if the connection was closed while idle.
 ///
@@ -119,11 +127,15 @@
         return Ok(None);
     }
     let until = clock::now() + header_timeout;
+    let mut parsed_bytes = 0;
     loop {
-        if let Some((head, length)) = parse_request(connection.buffered())? {
+        if has_news(connection.buffered(), parsed_bytes)
+            && let Some((head, length)) = parse_request(connection.buffered())?
+        {
             connection.consume(length);
             return Ok(Some(head));
         }
+        parsed_bytes = connection.buffered().len();
         if connection.buffered().len() >= max_bytes {
             return Err(HttpError::TooLarge);
         }
@@ -144,9 +156,13 @@
     until: Instant,
 ) -> Result<AnswerHead, HttpError> {
     let mut interim_answers = 0;
+    let mut parsed_bytes = 0;
     loop {
-        if let Some((head, length)) = parse_answer(connection.buffered())? {
+        if has_news(connection.buffered(), parsed_bytes)
+            && let Some((head, length)) = parse_answer(connection.buffered())?
+        {
             connection.consume(length);
+            parsed_bytes = 0;
             if head.status >= 200 {
                 return Ok(head);
             }
@@ -156,9 +172,13 @@
             }
             continue;
         }
-        if connection.buffered().len() >= MAX_ANSWER_HEAD_BYTES {
+        parsed_bytes = connection.buffered().len();
+        if parsed_bytes >= MAX_ANSWER_HEAD_BYTES {
             return Err(HttpError::TooLarge);
         }
+        if !connection.reserve_buffer() {
+            return Err(HttpError::NoMemory);
+        }
         if !read_more(connection, watched.as_deref_mut(), until)? {
             return Err(HttpError::Closed);
         }
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -5,6 +5,7 @@
 
 use super::HttpError;
 use crate::stop_signal::{StopSignal, StopSignals};
+use passway_serving::memory::MemoryReservation;
 use passway_types::clock;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, Read, Write};
@@ -13,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// Bytes requested by one read.
-const READ_BYTES: usize = 16 << 10;
+pub(super) const READ_BYTES: usize = 16 << 10;
 /// TCP user timeout of a caller's connection: the kernel ends the connection if sent data is
 /// unacknowledged for this long.
 const CALLER_USER_TIMEOUT_MS: u32 = 4_000;
@@ -56,6 +57,8 @@
     stop_signals: Option<Arc<StopSignals>>,
     /// Which of the signals ends waits.
     ended_by: EndedBy,
+    /// Memory for what is buffered beyond [`READ_BYTES`], as far as that is bounded over all connections.
+    buffer_memory: Option<MemoryReservation>,
 }
 
 /// The signal that ends the waits on behalf of a connection.
@@ -87,6 +90,7 @@
             has_timed_out: false,
             stop_signals: None,
             ended_by: EndedBy::Answers,
+            buffer_memory: None,
         })
     }
 
@@ -104,6 +108,18 @@
         Ok(connection)
     }
 
+    /// Reserves what is buffered beyond one read from now on.
+    pub fn set_buffer_memory(&mut self, reservation: MemoryReservation) {
+        self.buffer_memory = Some(reservation);
+    }
+
+    /// Reserves memory for what is buffered; false if there is none.
+    pub(super) fn reserve_buffer(&mut self) -> bool {
+        let excess = self.buffer.len().saturating_sub(READ_BYTES);
+        let reservation = self.buffer_memory.as_mut();
+        reservation.is_none_or(|reservation| reservation.resize(excess))
+    }
+
     /// Ends waits for bytes on behalf of this connection when the signal for answers is set. Writes
     /// to this connection continue.
     pub fn set_stop_signals(&mut self, stop_signals: Arc<StopSignals>) {
@@ -185,6 +201,7 @@
         if self.buffer.is_empty() {
             // An idle connection keeps no buffer: for 3,900 connections that would be 64 MB.
             self.buffer = Vec::new();
+            self.reserve_buffer();
         }
         match read {
             Ok(0) => {
@@ -330,6 +347,43 @@
     Ok(ready.map(|flags| !flags.is_empty()))
 }
 
+/// Waits on behalf of `caller` for this time.
+///
+/// # Errors
+/// As [`wait_for_either`].
+pub(super) fn pause(
+    caller: &mut Connection,
+    duration: Duration,
+    until: Instant,
+) -> Result<(), HttpError> {
+    let timeout = poll_timeout(until, duration)?;
+    let end_signal = caller.end_signal();
+    // Bytes of a next request do not show whether the caller has disconnected.
+    let is_watched = caller.buffered().is_empty();
+    let mut polled = Vec::new();
+    polled.extend(
+        end_signal
+            .iter()
+            .map(|one| PollFd::new(one.signal(), PollFlags::IN)),
+    );
+    if is_watched {
+        polled.push(PollFd::new(&caller.stream, PollFlags::IN));
+    }
+    match poll(&mut polled, Some(&timeout)) {
+        Ok(_) | Err(rustix::io::Errno::INTR) => {}
+        Err(error) => return Err(HttpError::Io(error.into())),
+    }
+    let is_stopping = end_signal.is_some() && !polled[0].revents().is_empty();
+    drop(polled);
+    if is_watched && caller.is_closed() {
+        return Err(HttpError::WatchedClosed);
+    }
+    if is_stopping {
+        return Err(HttpError::Stopping);
+    }
+    Ok(())
+}
+
 /// Waits as [`wait`] does, for any of several connections. Returns what each is ready for.
 fn wait_for_any<const N: usize>(
     connections: [&Connection; N],
--- a/crates/instance/src/shared.rs
+++ b/crates/instance/src/shared.rs
@@ -22,6 +22,7 @@
 use crossbeam::channel::Sender;
 use passway_process::logging::json::DECISION_TARGET;
 use passway_serving::first_byte_times::FirstByteTimes;
+use passway_serving::memory::{MemoryPool, MemoryReservation};
 use passway_serving::poison::{Suspect, UpstreamStart};
 use passway_serving::ports::{Engines, HeaderProtocol, InstanceBounds, InstanceSettings};
 use passway_serving::retry::RetryBudget;
@@ -89,10 +90,13 @@
     },
 }
 
-/// Largest sum of the bodies of all requests in progress, in bytes, and likewise of all answers
-/// that are buffered whole: a fifth of the memory of the smallest instance (160 MB).
+/// Largest sum of the bodies of all requests in progress, in bytes, and likewise of all answers of
+/// known length that are buffered whole: a fifth of the memory of the smallest instance (160 MB).
 pub const MAX_RESERVED_BYTES: usize = 32 << 20;
 
+/// Largest sum of what upstreams have sent without saying how long it is, in bytes.
+const MAX_OPEN_ENDED_BYTES: usize = 16 << 20;
+
 /// After this time without contact to the coordinator of allotments, an instance reports that it is
 /// not ready, so that the balancer sends callers elsewhere. A lost coordinator is replaced within
 /// it.
@@ -160,10 +164,15 @@
     in_progress: AtomicUsize,
     /// Number of instances in the last message of the holder; 0 before the first.
     instance_count: AtomicUsize,
-    /// Bytes of the bodies of requests in progress.
-    reserved_body_bytes: AtomicUsize,
-    /// Bytes of the answers that are buffered whole.
-    reserved_answer_bytes: AtomicUsize,
+    /// Memory for the bodies of requests in progress.
+    body_memory: Arc<MemoryPool>,
+    /// Memory for answers of known length that are buffered whole. Apart from that for bodies, because
+    /// requests hold their bodies while they wait for memory for their answers.
+    answer_memory: Arc<MemoryPool>,
+    /// Memory for what upstreams send without saying how long it is: answers without a length, incomplete
+    /// events, long heads. Apart from that for answers of known length, so that bytes without an end hold up
+    /// only their like.
+    pub open_ended_memory: Arc<MemoryPool>,
 }
 
 impl fmt::Debug for Shared {
@@ -224,8 +233,9 @@
             waits_end_at: OnceLock::new(),
             in_progress: AtomicUsize::new(0),
             instance_count: AtomicUsize::new(0),
-            reserved_body_bytes: AtomicUsize::new(0),
-            reserved_answer_bytes: AtomicUsize::new(0),
+            body_memory: MemoryPool::new(MAX_RESERVED_BYTES),
+            answer_memory: MemoryPool::new(MAX_RESERVED_BYTES),
+            open_ended_memory: MemoryPool::new(MAX_OPEN_ENDED_BYTES),
         }
     }
 
@@ -508,73 +518,15 @@
 impl Shared {
     /// Reserves memory for a request's body; `None` if other bodies leave too little. A body above
     /// the whole bound is accepted while no other body is reserved.
-    pub fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<MemoryReservation> {
-        self.reserve(ReservationKind::Body, bytes)
-    }
-
-    /// Reserves memory for an answer that is delivered whole; `None` if answers that other callers
-    /// have not read leave too little. An answer above the whole bound is accepted while no other
-    /// answer is reserved.
-    pub fn reserve_answer(self: &Arc<Self>, bytes: usize) -> Option<MemoryReservation> {
-        self.reserve(ReservationKind::Answer, bytes)
-    }
-
-    fn reserve(self: &Arc<Self>, kind: ReservationKind, bytes: usize) -> Option<MemoryReservation> {
-        let mut reservation = MemoryReservation {
-            shared: self.clone(),
-            kind,
-            bytes: 0,
-        };
-        reservation.resize(bytes).then_some(reservation)
+    pub fn reserve_body(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.body_memory.reserve(bytes)
     }
 
-    fn reserved_bytes(&self, kind: ReservationKind) -> &AtomicUsize {
-        match kind {
-            ReservationKind::Body => &self.reserved_body_bytes,
-            ReservationKind::Answer => &self.reserved_answer_bytes,
-        }
-    }
-}
-
-/// What memory is reserved for. Bodies and answers have separate bounds, because requests hold
-/// their bodies while they wait for memory for their answers.
-#[derive(Debug, Clone, Copy)]
-enum ReservationKind {
-    Body,
-    Answer,
-}
-
-/// Memory for a request's body or its answer, released on drop.
-#[derive(Debug)]
-pub struct MemoryReservation {
-    shared: Arc<Shared>,
-    kind: ReservationKind,
-    bytes: usize,
-}
-
-impl MemoryReservation {
-    /// Changes the reservation to `bytes`. Returns false and keeps the old size if there is too
-    /// little memory.
-    pub fn resize(&mut self, bytes: usize) -> bool {
-        let own_bytes = self.bytes;
-        let add_if_fits = |total_bytes: usize| {
-            let other_bytes = total_bytes - own_bytes;
-            let fits = other_bytes == 0 || other_bytes + bytes <= MAX_RESERVED_BYTES;
-            (fits || bytes <= own_bytes).then_some(other_bytes + bytes)
-        };
-        let total = self.shared.reserved_bytes(self.kind);
-        let updated = total.fetch_update(Ordering::AcqRel, Ordering::Acquire, add_if_fits);
-        if updated.is_ok() {
-            self.bytes = bytes;
-        }
-        updated.is_ok()
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        let total = self.shared.reserved_bytes(self.kind);
-        total.fetch_sub(self.bytes, Ordering::AcqRel);
+    /// Reserves memory for an answer of known length that is delivered whole; `None` if answers that
+    /// other callers have not read leave too little. An answer above the whole bound is accepted while no
+    /// other answer is reserved.
+    pub fn reserve_answer(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.answer_memory.reserve(bytes)
     }
 }
 
--- a/crates/instance/src/upstream_exchange.rs
+++ b/crates/instance/src/upstream_exchange.rs
@@ -9,6 +9,7 @@
 
 use crate::http1::{AnswerHead, Connection};
 use passway_serving::hash::fnv1a;
+use passway_serving::memory::MemoryReservation;
 use passway_serving::ports::{AnswerMetadata, HeaderProtocol};
 use passway_serving::versions::IdentifiedStart;
 use std::io;
@@ -105,13 +106,20 @@
 }
 
 impl Exchange {
-    /// Connects to an upstream, for a request with this id.
+    /// Connects to an upstream, for a request with this id. Long heads of answers are held in `memory`.
     ///
     /// # Errors
     /// The socket's error.
-    pub fn connect(address: SocketAddr, timeout: Duration, id: &str) -> io::Result<Self> {
+    pub fn connect(
+        address: SocketAddr,
+        timeout: Duration,
+        id: &str,
+        memory: MemoryReservation,
+    ) -> io::Result<Self> {
+        let mut connection = Connection::connect(address, timeout)?;
+        connection.set_buffer_memory(memory);
         Ok(Self {
-            connection: Connection::connect(address, timeout)?,
+            connection,
             id: id.to_owned(),
             carried: vec![id_hash(id)],
             identified_start: None,
