--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -47,6 +47,7 @@
 mod kept_terms;
 mod keyed_cluster;
 mod large_store_answers;
+mod late_in_stop;
 mod late_models;
 mod late_times;
 mod leadership_faults;
