The stand-in engine crashes when its script comes to the crash, and only the start that ran the request (91)

Traced: the stand-in, not the product. The engine was marked as crashed, and its next start published, when a request arrived; its connections were closed when the script came to that step, after events that a silence or a busy machine holds back. If that took longer than the restart (0.8 s), the connections of the next start were closed, and that start answered truthfully that it ran.

Change: the crash happens in the script, all at one moment, and only if the start still runs that took the request.

A server that closes its streams in order and ends some milliseconds later would look the same to an instance; that is no crash of a process.

--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -1,7 +1,7 @@
 //! A model server that handles orders, reports and streams, and records them for checks by tests.
 
 use super::failure_spans::{Failure, FailureSpans};
-use super::raw::{RawServer, Received, ScriptEnd, Step};
+use super::raw::{Action, RawServer, Received, ScriptEnd, Step};
 use super::store::MetadataStandIn;
 use super::stream_events::{BegunRun, StreamShape};
 use passway_types::prelude::*;
@@ -512,7 +512,7 @@
             return;
         }
         software.clone_into(&mut state.software);
-        let _ = self.restart_locked(state, b"", RESTART_DELAY);
+        self.restart_locked(state, b"", RESTART_DELAY);
         self.listener.close_connections();
     }
 
@@ -538,24 +538,17 @@
 
     /// Crashes for good, with all runs.
     pub fn crash_now(&self) {
-        self.crash(b"", None);
-        self.listener.crash();
+        self.crash_start(None, b"", None);
     }
 
-    /// Takes the server down and brings it up again under the same id after `delay`. Returns the step
-    /// that closes all connections. `body` is the body of the request that caused the crash, empty
-    /// if the server left.
-    fn restart(&self, body: &[u8], delay: Duration) -> Vec<Step> {
-        self.restart_locked(self.state(), body, delay)
+    /// Takes the server down and brings it up again under the same id after `delay`. `body` is the body of
+    /// the request that caused the crash, empty if the server left.
+    fn restart(&self, body: &[u8], delay: Duration) {
+        self.restart_locked(self.state(), body, delay);
     }
 
     /// As [`ModelServer::restart`], with the state locked.
-    fn restart_locked(
-        &self,
-        mut state: MutexGuard<'_, State>,
-        body: &[u8],
-        delay: Duration,
-    ) -> Vec<Step> {
+    fn restart_locked(&self, mut state: MutexGuard<'_, State>, body: &[u8], delay: Duration) {
         state.end_service();
         let body = String::from_utf8_lossy(body).into_owned();
         state.restart_bodies.push(body);
@@ -569,20 +562,36 @@
             server.state().down_until = None;
             server.publish_entry("ready");
         });
-        vec![Step::CloseAll]
     }
 
-    /// Crashes while it runs the request with this body: for good, or under a supervisor, which
-    /// restarts the server after a delay. Returns the step that closes all connections.
+    /// Returns the steps in which the server crashes, because it runs the request with this body: for good, or
+    /// under a supervisor, which restarts it after a delay.
     fn crash(&self, body: &[u8], restart_delay: Option<Duration>) -> Vec<Step> {
+        let (server, body) = (self.clone(), body.to_vec());
+        let start = self.state().restart_bodies.len();
+        let crash = move || server.crash_start(Some(start), &body, restart_delay);
+        // A request of an earlier start has no answer any more.
+        vec![Step::Do(Action::new(crash)), Step::Close]
+    }
+
+    /// Crashes the start with this number, the current one if none is given. A request of an earlier start
+    /// crashes nothing.
+    fn crash_start(&self, start: Option<usize>, body: &[u8], restart_delay: Option<Duration>) {
+        let mut state = self.state();
+        let is_running = state.down_until.is_none() && state.crash_body.is_none();
+        if !is_running || start.is_some_and(|start| start != state.restart_bodies.len()) {
+            return;
+        }
         if let Some(delay) = restart_delay {
-            return self.restart(body, delay);
+            self.restart_locked(state, body, delay);
+            self.listener.close_connections();
+            return;
         }
-        let mut state = self.state();
         state.end_service();
         state.crash_body = Some(String::from_utf8_lossy(body).into_owned());
         state.down_at.push(Instant::now());
-        vec![Step::Crash]
+        drop(state);
+        self.listener.crash();
     }
 
     fn answer(&self, received: &Received) -> Vec<Step> {
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -3,6 +3,7 @@
 use passway_types::prelude::*;
 use rustix::net::RecvFlags;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -62,6 +63,25 @@
     /// Closes all connections of the server, but not its port: a supervisor keeps the port open when
     /// the server crashes.
     CloseAll,
+    /// Does something at the server.
+    Do(Action),
+}
+
+/// What a script does at its server once it comes to that step.
+#[derive(Clone)]
+pub struct Action(Arc<dyn Fn() + Send + Sync>);
+
+impl Action {
+    /// Wraps what is done.
+    pub fn new(action: impl Fn() + Send + Sync + 'static) -> Self {
+        Self(Arc::new(action))
+    }
+}
+
+impl fmt::Debug for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Action").finish_non_exhaustive()
+    }
 }
 
 /// A condition that scripts wait for until the test opens it; clones share the same state.
@@ -419,7 +439,7 @@
                 }
                 None
             }
-            Step::Crash | Step::CloseAll => None,
+            Step::Crash | Step::CloseAll | Step::Do(_) => None,
         }
     }
 
@@ -449,6 +469,7 @@
             }
             Step::Crash => self.crash(),
             Step::CloseAll => self.close_connections(),
+            Step::Do(action) => (action.0)(),
         }
         Ok(true)
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -121,6 +121,7 @@
 mod software_versions;
 mod split_history;
 mod stale_denials;
+mod standin_crashes;
 mod stopped_instances;
 mod store_eras;
 mod store_feeds;
