--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -64,6 +64,7 @@
 mod lost_version_reads;
 mod missed_models;
 mod model_orders;
+mod moved_workspaces;
 mod odd_entries;
 mod outage_terms;
 mod part_blame;
