--- a/tests/all/late_in_stop.rs
+++ b/tests/all/late_in_stop.rs
@@ -275,7 +275,7 @@
         let _throttled = ThrottleGuard(&throttle);
         scope.spawn(|| throttle.run(&program));
         check_stop(program.callers_address, &servers, || {
-            program.signal(Signal::TERM)
+            program.signal(Signal::TERM);
         });
     });
     let mut program = program;
