--- a/tests/all/late_in_stop.rs
+++ b/tests/all/late_in_stop.rs
@@ -182,6 +182,7 @@
 
 /// Requests that reached a server.
 #[derive(Debug, Default)]
+#[must_use]
 struct PassedOn {
     all: u32,
     /// Those that did later than [`LATE`] after the signal.
@@ -274,9 +275,12 @@
     std::thread::scope(|scope| {
         let _throttled = ThrottleGuard(&throttle);
         scope.spawn(|| throttle.run(&program));
-        check_stop(program.callers_address, &servers, || {
+        let stop = || {
             program.signal(Signal::TERM);
-        });
+        };
+        let passed_on = check_stop(program.callers_address, &servers, stop);
+        // The last moments in which requests are taken are covered.
+        assert!(passed_on.late > 0, "{passed_on:?}");
     });
     let mut program = program;
     assert_eq!(program.child.wait().expect("wait").code(), Some(0));
