--- a/crates/instance/src/http1/head.rs
+++ b/crates/instance/src/http1/head.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// Whether parsing a head may show more than when it had `parsed_bytes`.
-fn has_news(bytes: &[u8], parsed_bytes: usize) -> bool {
+/// Whether a head is parsed that was parsed before when it had `parsed_bytes`: a further line has ended, or it is short.
+fn should_parse(bytes: &[u8], parsed_bytes: usize) -> bool {
     bytes.len() <= EAGER_BYTES || bytes[parsed_bytes..].contains(&b'\n')
 }
 
@@ -129,7 +129,7 @@
     let until = clock::now() + header_timeout;
     let mut parsed_bytes = 0;
     loop {
-        if has_news(connection.buffered(), parsed_bytes)
+        if should_parse(connection.buffered(), parsed_bytes)
             && let Some((head, length)) = parse_request(connection.buffered())?
         {
             connection.consume(length);
@@ -158,7 +158,7 @@
     let mut interim_answers = 0;
     let mut parsed_bytes = 0;
     loop {
-        if has_news(connection.buffered(), parsed_bytes)
+        if should_parse(connection.buffered(), parsed_bytes)
             && let Some((head, length)) = parse_answer(connection.buffered())?
         {
             connection.consume(length);
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -12,6 +12,8 @@
 const STEPS: u64 = 40;
 /// Number of steps in which servers fail most requests for longer than a window of the retry budget, about 20 s.
 const PRESSED_STEPS: u64 = 45;
+/// Number of steps of a burst, a quiet time and failures, about 40 s.
+const BURST_STEPS: u64 = 90;
 
 /// A soak with a seed, of as many faults as CI plays.
 fn plan(seed: u64, log_dir: &Path) -> SoakPlan {
@@ -77,3 +79,22 @@
     let engines = report.repeats["engines"];
     assert!(f64::from(engines.in_window) > RETRY_SLACK, "{report:?}");
 }
+
+// Guards against retries that are kept for longer than the requests that earned them count: after a burst and a quiet
+// time, failures that make all callers need retries bring more repeats to the servers than the fleet's budget allows.
+#[test]
+fn repeats_after_burst() {
+    let report = run("burst", |log_dir| SoakPlan {
+        instances: 7,
+        engines: 9,
+        callers: 68,
+        fault_count: BURST_STEPS,
+        max_pause: Duration::from_millis(800),
+        has_releases: false,
+        disturbance: Disturbance::SavedRetries,
+        ..plan(9122, log_dir)
+    });
+    // Without retries, the check would see nothing.
+    let engines = report.repeats["engines"];
+    assert!(f64::from(engines.total) > RETRY_SLACK, "{report:?}");
+}
