--- a/crates/instance/src/http1/body.rs
+++ b/crates/instance/src/http1/body.rs
@@ -115,7 +115,7 @@
     End(BodyEnd),
 }
 
-/// Bytes that one part of a body has at most: those of one read.
+/// Maximum number of bytes in one part of a body, which comes from one read of the socket.
 const PART_BYTES: usize = READ_BYTES;
 
 /// The bytes of a body that has ended.
@@ -348,7 +348,8 @@
         }
     }
 
-    /// Reads the rest of the body, of which `memory` has as much as was announced.
+    /// Reads the rest of the body into a buffer that is counted against `memory`. If the body has a length,
+    /// `memory` has reserved all of it.
     ///
     /// # Errors
     /// As [`BodyReader::read_part`], if the body is larger than `max_bytes`, or if there is no memory
--- a/crates/instance/src/http1/body_memory.rs
+++ b/crates/instance/src/http1/body_memory.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// Waits on behalf of `caller` until `reserve` returns a reservation.
+/// Calls `reserve` until it returns a reservation. Waits between calls on behalf of `caller`.
 ///
 /// # Errors
 /// What ends the wait.
@@ -107,7 +107,7 @@
     }
 }
 
-/// Waits on behalf of `caller` until the reservation has `bytes`.
+/// Grows a reservation to `bytes`. Waits for memory on behalf of `caller`.
 ///
 /// # Errors
 /// [`HttpError::NoMemory`] if the reservation would be larger than an equal share of the memory for over
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -57,7 +57,7 @@
     stop_signals: Option<Arc<StopSignals>>,
     /// Which of the signals ends waits.
     ended_by: EndedBy,
-    /// Memory for what is buffered beyond [`READ_BYTES`], as far as that is bounded over all connections.
+    /// Reservation for buffered bytes beyond [`READ_BYTES`]; `None` if they are counted against no pool.
     buffer_memory: Option<MemoryReservation>,
 }
 
@@ -108,7 +108,7 @@
         Ok(connection)
     }
 
-    /// Reserves what is buffered beyond one read from now on.
+    /// Counts buffered bytes beyond [`READ_BYTES`] against the reservation's pool from now on.
     pub fn set_buffer_memory(&mut self, reservation: MemoryReservation) {
         self.buffer_memory = Some(reservation);
     }
--- a/crates/serving/src/memory.rs
+++ b/crates/serving/src/memory.rs
@@ -1,8 +1,8 @@
 //! Memory for bytes that are held for others, bounded over all connections.
 //!
 //! A bound for each connection says nothing about their sum. So what may grow large is reserved from a [`MemoryPool`]
-//! before it is held. If the pool is used up, a reservation that is larger than an equal share of the pool has to give
-//! way ([`NoMemory::OverShare`]): bytes without an end from many connections then leave memory for the others.
+//! before it is buffered. Once the pool is used up, a reservation cannot grow beyond an equal share of the pool
+//! ([`NoMemory::OverShare`]), so that connections whose peers send without end leave memory for all others.
 
 use passway_types::prelude::*;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/serving/src/retry/earned.rs
+++ b/crates/serving/src/retry/earned.rs
@@ -25,7 +25,7 @@
         self.0.iter().map(|credit| credit.amount).sum()
     }
 
-    /// Adds a credit, which may be older than others.
+    /// Adds a credit. Credits may be added out of order.
     pub(super) fn add(&mut self, credit: Credit, window: Duration) {
         let index = self
             .0
