--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -289,7 +289,8 @@
     }
 
     /// Takes no request and sends nothing for at least this time, as a process that stands still. Requests that
-    /// arrive meanwhile wait in their sockets, and are taken together afterwards unless their connections were reset.
+    /// arrive meanwhile wait in their sockets, and are taken together afterwards, also those whose connections were closed
+    /// or reset.
     pub fn stand_still(&self, duration: Duration) {
         self.fall_silent(duration);
         let mut standing_until = self.lock_standing_until();
@@ -359,11 +360,8 @@
         let mut bytes = Vec::new();
         while let Some((head, body)) = read_request(&mut stream, &mut bytes)? {
             let readable_at = Instant::now();
+            // A process that goes on reads what had arrived, also if the connection was reset meanwhile.
             self.wait_until(|| *self.lock_standing_until(), &stream, connection);
-            if is_reset(&stream) {
-                // The kernel has discarded what had arrived.
-                break;
-            }
             let mut requests = self.received.lock().unwrap_or_else(PoisonError::into_inner);
             let received = Received {
                 number: requests.len(),
@@ -504,12 +502,6 @@
     }
 }
 
-/// Returns whether the peer has reset the connection.
-fn is_reset(stream: &TcpStream) -> bool {
-    let received = rustix::net::recv(stream, &mut [0], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-    received.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset)
-}
-
 /// Reads one request whose body has a `Content-Length`; `None` at the end of the connection.
 fn read_request(
     stream: &mut TcpStream,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -123,6 +123,7 @@
 mod split_history;
 mod stale_denials;
 mod standin_crashes;
+mod standin_reads;
 mod stopped_instances;
 mod store_eras;
 mod store_feeds;
