--- a/crates/standins/src/bin/passway-soak.rs
+++ b/crates/standins/src/bin/passway-soak.rs
@@ -29,6 +29,9 @@
     /// Number of engines.
     #[arg(long, default_value_t = 4)]
     engines: usize,
+    /// Number of plain servers.
+    #[arg(long, default_value_t = 2)]
+    plain_servers: usize,
     /// Number of callers.
     #[arg(long, default_value_t = 24)]
     callers: usize,
@@ -80,6 +83,7 @@
             instances: arguments.instances,
             throttled: arguments.throttled,
             engines: arguments.engines,
+            plain_servers: arguments.plain_servers,
             callers: arguments.callers,
             shape: StreamShape {
                 min_events: arguments.min_events,
--- a/crates/standins/src/platform/model_server.rs
+++ b/crates/standins/src/platform/model_server.rs
@@ -81,6 +81,8 @@
 /// A request that reached the server, and the signals in its answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arrival {
+    /// Number of the request at the server's listener.
+    pub number: usize,
     /// Id of the request.
     pub id: String,
     /// When the server took the request.
@@ -862,6 +864,7 @@
 fn arrival_of(received: &Received, state: &State) -> Arrival {
     let header = |name| received.header(name).map(str::to_owned);
     Arrival {
+        number: received.number,
         id: header("request-id").unwrap_or_default(),
         arrived_at: Instant::now(),
         readable_at: received.readable_at,
--- a/crates/standins/src/platform/plain_server.rs
+++ b/crates/standins/src/platform/plain_server.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Start time of a server that names its start, in Unix milliseconds, before its first restart.
-const FIRST_START_MS: u64 = 1_792_321_983_006;
+pub(super) const FIRST_START_MS: u64 = 1_792_321_983_006;
 
 /// How a plain server sends its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,7 +58,7 @@
 }
 
 /// As [`identity_steps`], with a body.
-fn identity_steps_with(received: &Received, id: &str, body: &str) -> Option<Vec<Step>> {
+pub(super) fn identity_steps_with(received: &Received, id: &str, body: &str) -> Option<Vec<Step>> {
     let is_misdirected = received
         .header("expect-instance")
         .is_some_and(|expected| expected != id);
--- a/crates/standins/src/soak.rs
+++ b/crates/standins/src/soak.rs
@@ -11,7 +11,8 @@
 //!   the times in which all callers need retries.
 //! * [`callers`]: send requests and record the answers.
 //! * [`checks`]: check the invariants; [`budget_checks`] the repeats that reached the servers, [`attempt_checks`] the
-//!   attempts of single requests, [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
+//!   attempts of single requests, [`crash_checks`] the requests that crash servers, which [`culprits`] names,
+//!   [`event_checks`] each event that a caller received, [`workspace_checks`] those on API keys and allotments,
 //!   [`signal_checks`] those on the engines' signals, [`silence_checks`] that no answer is broken
 //!   off while its server lives, [`version_checks`] those on the engines' software versions.
 
@@ -20,6 +21,8 @@
 mod callers;
 mod checks;
 mod cluster;
+mod crash_checks;
+mod culprits;
 mod disturbances;
 mod event_checks;
 mod retry_cycle;
@@ -32,14 +35,17 @@
 
 use crate::platform::stream_events::StreamShape;
 use anyhow::Result;
+pub use attempt_checks::AttemptCounts;
 pub use budget_checks::Repeats;
 use callers::Callers;
 use clap::ValueEnum;
 use cluster::SoakCluster;
+pub use crash_checks::{CulpritCounts, SoundCounts};
 use passway_types::prelude::*;
 use retry_cycle::RetryCycle;
 use schedule::Schedule;
 use serde::Serialize;
+pub use signal_checks::BackoffCounts;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 pub use version_checks::CalmCounts;
@@ -59,12 +65,28 @@
     SavedRetries,
     /// The same beside random faults.
     FaultsAndSavedRetries,
+    /// From time to time callers repeat many different requests that crash the servers which run them, and requests with
+    /// several crashing parts; some servers ask for backoffs.
+    CrashingRequests,
+    /// The same beside random faults.
+    FaultsAndCrashingRequests,
 }
 
 impl Disturbance {
     /// Whether random faults are injected.
     pub fn has_faults(self) -> bool {
-        !matches!(self, Self::RetryPressure | Self::SavedRetries)
+        !matches!(
+            self,
+            Self::RetryPressure | Self::SavedRetries | Self::CrashingRequests
+        )
+    }
+
+    /// Whether callers repeat many different crashing requests.
+    fn has_culprits(self) -> bool {
+        matches!(
+            self,
+            Self::CrashingRequests | Self::FaultsAndCrashingRequests
+        )
     }
 
     /// Whether callers send most bodies slowly.
@@ -80,7 +102,7 @@
     /// When servers fail most requests; `None` if they never do.
     fn retry_cycle(self) -> Option<RetryCycle> {
         match self {
-            Self::Faults => None,
+            Self::Faults | Self::CrashingRequests | Self::FaultsAndCrashingRequests => None,
             Self::RetryPressure | Self::FaultsAndRetryPressure => Some(RetryCycle::Steady),
             Self::SavedRetries | Self::FaultsAndSavedRetries => Some(RetryCycle::AfterBurst),
         }
@@ -103,6 +125,8 @@
     pub throttled: usize,
     /// Number of engines, each with a capacity of two models.
     pub engines: usize,
+    /// Number of plain servers.
+    pub plain_servers: usize,
     /// Number of callers, each with one connection at a time.
     pub callers: usize,
     /// Lengths of the engines' streams.
@@ -139,6 +163,14 @@
     pub crashed_engines: usize,
     /// Number of engine crashes caused by the crashing part of prompts.
     pub crashed_by_part: usize,
+    /// The requests and parts that crash servers, by their kind.
+    pub culprits: BTreeMap<&'static str, CulpritCounts>,
+    /// The backoffs that servers asked for, and the requests that reached servers within them.
+    pub backoffs: BackoffCounts,
+    /// The sound requests that began while culprits were repeated.
+    pub sound: SoundCounts,
+    /// The attempts whose time was judged.
+    pub attempts: AttemptCounts,
     /// Peak resident memory of an instance, in bytes.
     pub peak_bytes: usize,
     /// Number of events that were compared with those of the engines' runs.
--- a/crates/standins/src/soak/attempt_checks.rs
+++ b/crates/standins/src/soak/attempt_checks.rs
@@ -6,6 +6,7 @@
 use crate::platform::caller::DEADLINE;
 use crate::platform::model_server;
 use passway_types::prelude::*;
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// Number of requests that may run on more servers than their routes allow (users' pages).
@@ -16,6 +17,19 @@
 /// By how much an attempt may have too much time, and after which a repeat is a late one (users' pages).
 const TOLERANCE: Duration = Duration::from_millis(500);
 
+/// The attempts whose time was judged.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct AttemptCounts {
+    /// Attempts of requests at instances without a disturbance.
+    pub judged: usize,
+    /// Attempts that were not judged, because their instances were disturbed.
+    pub excused: usize,
+    /// Attempts that gave their servers too much time.
+    pub overlong: usize,
+    /// These and the repeats that came late.
+    pub late_or_overlong: usize,
+}
+
 /// A request that reached a server.
 #[derive(Debug)]
 struct ServerArrival {
@@ -46,13 +60,15 @@
 /// Returns the arrivals of each request, in the order of time. A run that continues another one is the same run.
 fn arrivals_by_id(cluster: &SoakCluster) -> BTreeMap<String, Vec<ServerArrival>> {
     let mut by_id: BTreeMap<String, Vec<ServerArrival>> = BTreeMap::new();
-    for (server, received) in cluster.plain_arrivals() {
+    for arrival in cluster.plain_arrivals() {
+        let is_shed = cluster.is_shed(&arrival);
+        let received = arrival.received;
         let id = received.header("request-id").unwrap_or_default().to_owned();
         by_id.entry(id).or_default().push(ServerArrival {
-            server: server.to_owned(),
+            server: arrival.server,
             arrived_at: received.readable_at,
             deadline_ms: model_server::deadline_ms(&received),
-            counts_as_run: !cluster.is_shed(&received),
+            counts_as_run: !is_shed && !arrival.has_server_ended,
         });
     }
     for engine in cluster.engines() {
@@ -83,7 +99,7 @@
 pub(super) fn check_attempts(cluster: &SoakCluster, records: &[Record], report: &mut SoakReport) {
     let by_id = arrivals_by_id(cluster);
     let mut over_attempts = Vec::new();
-    let (mut overlong, mut late_or_overlong) = (0, 0);
+    let mut counts = AttemptCounts::default();
     for record in records {
         let Some(arrivals) = by_id.get(&record.id) else {
             continue;
@@ -94,14 +110,16 @@
             over_attempts.push(format!("{} on {servers:?}", record.id));
         }
         if record.was_disturbed {
+            counts.excused += arrivals.len();
             continue;
         }
+        counts.judged += arrivals.len();
         let first = &arrivals[0];
         for arrival in arrivals {
             let is_late_repeat = arrival.arrived_at > first.arrived_at + TOLERANCE;
             let is_overlong = is_overlong(arrival, first, record.sent_at, is_late_repeat);
-            overlong += usize::from(is_overlong);
-            late_or_overlong += usize::from(is_overlong || is_late_repeat);
+            counts.overlong += usize::from(is_overlong);
+            counts.late_or_overlong += usize::from(is_overlong || is_late_repeat);
         }
     }
     if over_attempts.len() > MAX_OVER_ATTEMPTS {
@@ -110,11 +128,14 @@
             over_attempts.len()
         ));
     }
-    if overlong > MAX_OVERLONG && overlong * ONE_OVERLONG_IN > late_or_overlong {
+    if counts.overlong > MAX_OVERLONG && counts.overlong * ONE_OVERLONG_IN > counts.late_or_overlong
+    {
         report.broken.push(format!(
-            "{overlong} attempts had more time than was left, of {late_or_overlong} late repeats and overlong attempts"
+            "{} attempts had more time than was left, of {} late repeats and overlong attempts",
+            counts.overlong, counts.late_or_overlong
         ));
     }
+    report.attempts = counts;
 }
 
 /// Returns whether an attempt gives its server more time than the caller has, or a late repeat more than is left by both
--- a/crates/standins/src/soak/budget_checks.rs
+++ b/crates/standins/src/soak/budget_checks.rs
@@ -109,7 +109,8 @@
             .sent_at
             .push(record.sent_at);
     }
-    let plain = cluster.plain_requests().into_iter().map(|received| {
+    let plain = cluster.plain_arrivals().into_iter().map(|arrival| {
+        let received = arrival.received;
         let id = received.header("request-id").unwrap_or_default().to_owned();
         (received.arrived_at, id)
     });
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -5,6 +5,7 @@
     CRASHING_PART, CRASHING_PART_BODY, MODELS, POISON, SMALL_KEY, SoakCluster, SoakInstance,
     key_of_version,
 };
+use super::culprits::{CULPRITS, Culprit, CulpritKind};
 use super::retry_cycle::{CurrentPhase, Phase};
 use crate::platform::caller::{Answer, Caller, request};
 use crate::platform::model_server::EVENT_END;
@@ -13,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
+use std::fmt::Write;
 use std::net::TcpStream;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -46,6 +48,8 @@
 const ONE_SENDING_IN: usize = 8;
 /// Time after which a caller that sends nothing looks again whether it may.
 const RESTING_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause between two requests of one culprit, in milliseconds.
+const CULPRIT_PAUSE_MS: Range<u64> = 200..800;
 /// Pause between the head and the body of a request that is sent slowly, in milliseconds.
 const SLOW_BODY_PAUSE_MS: Range<u64> = 50..2_500;
 
@@ -160,6 +164,36 @@
         }
     }
 
+    /// A request of a culprit. Those with a crashing part differ in their own part and body.
+    fn culprit(culprit: &Culprit, model: &str, own: u32) -> Self {
+        let mut body = culprit.body.clone();
+        let mut headers = format!("Model: {model}\r\n");
+        if let Some(part) = &culprit.part {
+            write!(headers, "Prompt-Prefix: aa:100,{part}:50,{own:x}:30\r\n")
+                .expect("writing to a string");
+            write!(body, "{own:x}").expect("writing to a string");
+        }
+        let draft = match culprit.kind {
+            CulpritKind::Part | CulpritKind::Request(RequestKind::Resumable) => {
+                Self::stream(RequestKind::Resumable, "/chat/", headers)
+            }
+            CulpritKind::Request(RequestKind::Stream) => {
+                Self::stream(RequestKind::Stream, "/report/", headers)
+            }
+            CulpritKind::Request(RequestKind::Once) => {
+                Self::call(RequestKind::Once, "POST", "/pay/")
+            }
+            CulpritKind::Request(RequestKind::Again | RequestKind::Version(_)) => {
+                Self::call(RequestKind::Again, "POST", "/read/")
+            }
+        };
+        Self {
+            is_sound: false,
+            body: Some(body),
+            ..draft
+        }
+    }
+
     fn crashing(headers: String, body: String) -> Self {
         Self {
             is_sound: false,
@@ -200,6 +234,7 @@
     shape: StreamShape,
     broken_streams: VecDeque<BrokenStream>,
     instances: Vec<Arc<SoakInstance>>,
+    cluster: Arc<SoakCluster>,
     version: Arc<dyn Fn() -> u64 + Send + Sync>,
     is_stopped: Arc<AtomicBool>,
     request_count: Arc<AtomicU64>,
@@ -210,7 +245,12 @@
     pub fn start(cluster: &Arc<SoakCluster>, plan: &SoakPlan) -> Self {
         let is_stopped: Arc<AtomicBool> = Arc::default();
         let request_count: Arc<AtomicU64> = Arc::default();
-        let handles = (0..plan.callers).map(|caller_number| {
+        let culprit_callers = if plan.disturbance.has_culprits() {
+            CULPRITS
+        } else {
+            0
+        };
+        let handles = (0..plan.callers + culprit_callers).map(|caller_number| {
             let cluster = cluster.clone();
             let caller_loop = CallerLoop {
                 caller_number,
@@ -220,16 +260,21 @@
                     plan.seed ^ (u64::MAX / 2 - caller_number as u64),
                 ),
                 breaks_streams: plan.has_releases,
-                sends_slowly: plan.disturbance.has_slow_bodies(),
+                sends_slowly: plan.disturbance.has_slow_bodies() && caller_number < plan.callers,
                 phase: cluster.phase.clone(),
                 shape: plan.shape,
                 broken_streams: VecDeque::new(),
                 instances: cluster.instances.clone(),
+                cluster: cluster.clone(),
                 version: Arc::new(move || cluster.version()),
                 is_stopped: is_stopped.clone(),
                 request_count: request_count.clone(),
             };
-            std::thread::spawn(move || caller_loop.run())
+            let culprit = caller_number.checked_sub(plan.callers);
+            std::thread::spawn(move || match culprit {
+                Some(number) => caller_loop.repeat_culprits(number),
+                None => caller_loop.run(),
+            })
         });
         Self {
             handles: handles.collect(),
@@ -276,6 +321,29 @@
         records
     }
 
+    /// Sends the requests of the culprit with this number of each generation, one after the other, over new
+    /// connections to random instances.
+    fn repeat_culprits(mut self, number: usize) -> Vec<Record> {
+        let mut records = Vec::new();
+        while !self.is_stopped.load(Ordering::Acquire) {
+            let pause_ms = self.rng.random_range(CULPRIT_PAUSE_MS);
+            std::thread::sleep(Duration::from_millis(pause_ms));
+            let Some(culprit) = self.cluster.culprits.current(number) else {
+                continue;
+            };
+            let Some((instance, caller)) = self.connect() else {
+                continue;
+            };
+            let model = MODELS[number % MODELS.len()];
+            let draft = Draft::culprit(&culprit, model, self.rng.random());
+            // The newest version has retained this key.
+            let retained = (self.version)().saturating_sub(1);
+            let (record, _) = self.send(instance, caller, &draft, Some(retained), None);
+            records.extend(record);
+        }
+        records
+    }
+
     /// Removes and returns a broken stream that is due.
     fn due_stream(&mut self) -> Option<BrokenStream> {
         let now = Instant::now();
@@ -508,7 +576,7 @@
                 let prompt =
                     format!("Prompt-Prefix: aa:100,{CRASHING_PART}:50,{own_part:x}:30\r\n");
                 let headers = format!("Model: {}\r\n{prompt}", MODELS[0]);
-                Draft::crashing(headers, format!("{CRASHING_PART_BODY}{own_part:x}"))
+                Draft::crashing(headers, format!("{CRASHING_PART_BODY}0-{own_part:x}"))
             }
             _ => Draft::stream(RequestKind::Resumable, "/chat/", headers),
         }
--- a/crates/standins/src/soak/checks.rs
+++ b/crates/standins/src/soak/checks.rs
@@ -5,6 +5,7 @@
 use super::budget_checks;
 use super::callers::{Record, RequestKind};
 use super::cluster::{CRASHING_PART_BODY, MODELS, POISON, SoakCluster, key_of_version};
+use super::crash_checks;
 use super::event_checks;
 use super::schedule::CalmStretch;
 use super::signal_checks;
@@ -18,13 +19,6 @@
 /// Maximum resident memory of an instance, in bytes: the limit of the smallest instance according
 /// to the users.
 const MAX_RESIDENT_BYTES: usize = 160 << 20;
-/// Maximum number of crashes caused by one request, in addition to one per instance: each of
-/// several copies that run at the same time crashes an engine, and so does each instance that is
-/// disconnected from the others.
-const MAX_CRASHES: usize = 3;
-/// Maximum number of crashes caused by one part of prompts, in addition to one per instance: five until
-/// the part must be known, and three more (users' pages).
-const MAX_CRASHES_BY_PART: usize = 5 + 3;
 /// Maximum wait until all requests are served after the faults have ended.
 const RECOVERY_TIMEOUT: Duration = Duration::from_mins(1);
 /// Pause between two attempts.
@@ -63,6 +57,7 @@
             )
         }));
     }
+    crash_checks::check_culprits(cluster, records, report);
     attempt_checks::check_attempts(cluster, records, report);
     budget_checks::check_repeats(cluster, records, report);
     workspace_checks::check_keys_and_quota(cluster, records, report);
@@ -72,20 +67,6 @@
     version_checks::check_software(cluster, records, calm_stretches, report);
     check_versions(records, report);
     check_orders(cluster, report);
-    let max_crashes = MAX_CRASHES + cluster.instances.len();
-    if report.crashed_engines > max_crashes {
-        let crash_count = report.crashed_engines;
-        report
-            .broken
-            .push(format!("the poison request crashed {crash_count} engines"));
-    }
-    let max_crashes = MAX_CRASHES_BY_PART + cluster.instances.len();
-    if report.crashed_by_part > max_crashes {
-        let crash_count = report.crashed_by_part;
-        report.broken.push(format!(
-            "requests with the crashing part crashed {crash_count} engines"
-        ));
-    }
     for (number, instance) in cluster.instances.iter().enumerate() {
         let bytes = instance.process().resident_bytes();
         report.peak_bytes = report.peak_bytes.max(bytes);
@@ -113,9 +94,12 @@
 /// with a copy of its memory is the same execution.
 fn execution_counts(cluster: &SoakCluster) -> BTreeMap<String, usize> {
     let mut execution_counts: BTreeMap<String, usize> = BTreeMap::new();
-    let plain = cluster.plain_requests().into_iter();
-    let plain = plain.filter(|received| !cluster.is_shed(received));
-    let plain = plain.map(|received| received.header("request-id").unwrap_or_default().to_owned());
+    let plain = cluster.plain_arrivals().into_iter();
+    let plain = plain.filter(|arrival| !cluster.is_shed(arrival));
+    let plain = plain.map(|arrival| {
+        let id = arrival.received.header("request-id");
+        id.unwrap_or_default().to_owned()
+    });
     let engines = cluster.engines().into_iter();
     let streams = engines.flat_map(|engine| engine.server.executed_ids());
     for id in plain.chain(streams) {
--- a/crates/standins/src/soak/cluster.rs
+++ b/crates/standins/src/soak/cluster.rs
@@ -1,19 +1,21 @@
 //! The instances' processes, the stand-ins and the proxies between them.
 
+use super::culprits::CulpritCycle;
 use super::disturbances::DisturbanceLog;
 use super::retry_cycle::{CurrentPhase, Phase};
 use super::silences::{SilenceableServer, Silences};
 use super::{SoakPlan, SoakReport};
 use crate::platform::caller::HOST;
-use crate::platform::documents::{configuration, list_plain, with_workspaces, workspace};
+use crate::platform::documents::{configuration, with_workspaces, workspace};
 use crate::platform::failure_spans::{Failure, FailureSpans};
 use crate::platform::model_server::{
     FIRST_SOFTWARE, Faults as EngineFaults, InitialModels, ModelServer, Run, RunEnd,
 };
-use crate::platform::plain_server::{PlainAnswer, echo_steps, identity_steps};
+use crate::platform::plain_server::{PlainAnswer, echo_steps};
 use crate::platform::process::{InstanceProcess, Output, ProcessConfig, readiness_status};
 use crate::platform::proxy::{Proxy, ProxyFaults};
-use crate::platform::raw::{EndedScript, RawServer, Received, Step};
+use crate::platform::raw::{EndedScript, Received, Step};
+use crate::platform::restarting_plain::{PlainArrival, PortEnd, RestartingPlain, Restarts};
 use crate::platform::store::{Faults as StoreFaults, MetadataStandIn, StoreCopy};
 use crate::platform::stream_events::StreamShape;
 use anyhow::{Result, ensure};
@@ -65,6 +67,14 @@
 pub const POISON: &str = "poison";
 /// The part of prompts that crashes the engines.
 pub const CRASHING_PART: &str = "bad0bad0";
+/// Number of parts that crash the engines, [`CRASHING_PART`] included.
+pub const CRASHING_PARTS: usize = 16;
+
+/// Returns the id of the crashing part with this number; number 0 is [`CRASHING_PART`].
+pub fn crashing_part(number: usize) -> String {
+    format!("bad{number:x}bad{number:x}")
+}
+
 /// Beginning of the bodies of requests with [`CRASHING_PART`].
 pub const CRASHING_PART_BODY: &str = "part-";
 /// Grace period from SIGTERM to the exit, in seconds: the shortest that leaves time between the
@@ -84,6 +94,8 @@
 const THROTTLE_PHASES: usize = 3;
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after its end at which a plain server starts again.
+const PLAIN_RESTART_DELAY: Duration = Duration::from_secs(2);
 /// Time after a crash at which a supervised engine serves again.
 const SUPERVISED_RESTART_DELAY: Duration = Duration::from_millis(800);
 /// Maximum wait for the faults that go on in the background.
@@ -107,6 +119,9 @@
     /// When the process could not be expected to finish what it had begun: from a kill to the
     /// restart, while the process was paused, and at the end of the grace period of a planned stop.
     pub interruptions: DisturbanceLog,
+    /// Further times at which the machine was not in touch: after a signal to stop, and while its way to the store was
+    /// disturbed.
+    pub out_of_touch: DisturbanceLog,
     /// Times at which the process was killed.
     killed_at: Mutex<Vec<Instant>>,
     /// Number of restarts of the process.
@@ -132,6 +147,11 @@
         killed_at.any(|at| (from..=until).contains(&at))
     }
 
+    /// Returns whether the machine was in touch throughout the time from `from` to `until`.
+    pub fn was_in_touch(&self, from: Instant, until: Instant) -> bool {
+        !self.interruptions.overlaps(from, until) && !self.out_of_touch.overlaps(from, until)
+    }
+
     /// Records a disturbance other than a planned stop.
     pub fn record_disturbance(&self) {
         self.disturbance_count.fetch_add(1, Ordering::AcqRel);
@@ -148,6 +168,7 @@
         if signal == Signal::KILL {
             self.lock_killed_at().push(Instant::now());
         }
+        let stopping = self.out_of_touch.begin(Instant::now());
         self.process().signal(signal);
         while matches!(self.process().child.try_wait(), Ok(None)) {
             std::thread::sleep(POLL_INTERVAL);
@@ -156,6 +177,7 @@
         let restarted = self.process().restart();
         restarted.expect("restarting the instance");
         self.interruptions.end(interruption);
+        self.out_of_touch.end(stopping);
     }
 
     /// Stops the process with SIGTERM and starts it again.
@@ -255,11 +277,15 @@
     /// The instances.
     pub instances: Vec<Arc<SoakInstance>>,
     /// The plain servers.
-    plain_servers: [(&'static str, RawServer); 2],
+    pub plain_servers: Vec<RestartingPlain>,
+    /// When the store was wrong, silent, slow to answer or returned from an older copy.
+    pub store_disturbances: DisturbanceLog,
     /// The silences of servers.
     pub silences: Arc<Silences>,
     /// The times in which all servers fail most requests.
     pub failures: Arc<FailureSpans>,
+    /// The crashing requests that callers repeat.
+    pub culprits: CulpritCycle,
     /// How much the callers send.
     pub phase: Arc<CurrentPhase>,
     streams: EngineStreams,
@@ -295,14 +321,29 @@
     }
 }
 
+/// What becomes of the ports of plain servers that end: a server of several threads, its supervisor and its machine
+/// close them in any order.
+const PLAIN_PORTS: [PortEnd; 4] = [
+    PortEnd::Before,
+    PortEnd::After(Duration::from_millis(2)),
+    PortEnd::StaysOpen,
+    PortEnd::After(Duration::from_millis(30)),
+];
+
 /// Starts a plain server that answers with the request's id. It sheds some requests, closes the
 /// connection of others after executing them, and sends some answers without a length, of which it
 /// breaks off every second one.
-fn plain_server(server_id: String, failures: Arc<FailureSpans>) -> RawServer {
-    RawServer::start(move |received| {
-        if let Some(steps) = identity_steps(received, &server_id) {
-            return steps;
-        }
+fn plain_server(
+    store: &MetadataStandIn,
+    number: usize,
+    failures: Arc<FailureSpans>,
+) -> RestartingPlain {
+    let restarts = Restarts {
+        crash_prefix: POISON.to_owned(),
+        port: PLAIN_PORTS[number % PLAIN_PORTS.len()],
+        delay: PLAIN_RESTART_DELAY,
+    };
+    RestartingPlain::start(store, &format!("p-{number}"), restarts, move |received| {
         let id = received.header("request-id").unwrap_or_default();
         if is_shed(received, &failures) {
             let text = format!(
@@ -339,7 +380,7 @@
 fn default_engine_faults(number: usize, event_delay: Duration) -> EngineFaults {
     EngineFaults {
         crash_on_prefix: Some(POISON.to_owned()),
-        crash_on_parts: vec![CRASHING_PART.to_owned()],
+        crash_on_parts: (0..CRASHING_PARTS).map(crashing_part).collect(),
         restart_delay: (number % 2 == 1).then_some(SUPERVISED_RESTART_DELAY),
         event_delay,
         is_unframed: number % 3 == 2,
@@ -389,11 +430,10 @@
         let store = MetadataStandIn::default();
         store.put("op/config", &with_keys(1, configuration(1, &MODELS)));
         let failures: Arc<FailureSpans> = Arc::default();
-        let plain_servers = ["p-0", "p-1"].map(|id| {
-            let server = plain_server(id.to_owned(), failures.clone());
-            list_plain(&store, id, server.address, "ready");
-            (id, server)
-        });
+        let plain_servers = 0..plan.plain_servers;
+        let plain_servers =
+            plain_servers.map(|number| plain_server(&store, number, failures.clone()));
+        let plain_servers = plain_servers.collect();
         let streams = EngineStreams {
             shape: plan.shape,
             event_delay: plan.event_delay,
@@ -409,8 +449,10 @@
             store,
             instances: instances?,
             plain_servers,
+            store_disturbances: DisturbanceLog::default(),
             silences: Arc::default(),
             failures,
+            culprits: CulpritCycle::default(),
             phase: Arc::default(),
             streams,
             engines,
@@ -432,39 +474,23 @@
     }
 
     /// Returns the requests that reached plain servers, without queries for their identity.
-    pub fn plain_requests(&self) -> Vec<Received> {
-        let arrivals = self.plain_arrivals().into_iter();
-        arrivals.map(|(_, received)| received).collect()
-    }
-
-    /// Returns the same requests, each with the id of its server.
-    pub fn plain_arrivals(&self) -> Vec<(&'static str, Received)> {
+    pub fn plain_arrivals(&self) -> Vec<PlainArrival> {
         let servers = self.plain_servers.iter();
-        let received = servers.flat_map(|(id, server)| {
-            let mut received = server.received();
-            received.retain(|one| identity_steps(one, id).is_none());
-            received.into_iter().map(|one| (*id, one))
-        });
-        received.collect()
+        servers.flat_map(RestartingPlain::arrivals).collect()
     }
 
     /// Returns whether a plain server refused the request without executing it.
-    pub fn is_shed(&self, received: &Received) -> bool {
-        is_shed(received, &self.failures)
+    pub fn is_shed(&self, arrival: &PlainArrival) -> bool {
+        arrival.backoff.is_some() || is_shed(&arrival.received, &self.failures)
     }
 
     /// Returns the requests that plain servers executed, each with the id of its server.
-    pub fn plain_runs(&self) -> Vec<(&'static str, Run)> {
-        let servers = self.plain_servers.iter();
-        let runs = servers.flat_map(|(id, server)| {
-            let ended_scripts = server.ended_scripts();
-            let received = server.received().into_iter();
-            let executed =
-                received.filter(|one| identity_steps(one, id).is_none() && !self.is_shed(one));
-            executed.map(move |one| {
-                let ended = ended_scripts.get(&one.number).copied();
-                (*id, plain_run(&one, &self.failures, ended))
-            })
+    pub fn plain_runs(&self) -> Vec<(String, Run)> {
+        let arrivals = self.plain_arrivals().into_iter();
+        let executed = arrivals.filter(|arrival| !self.is_shed(arrival));
+        let runs = executed.map(|arrival| {
+            let run = plain_run(&arrival.received, &self.failures, arrival.ended);
+            (arrival.server, run)
         });
         runs.collect()
     }
@@ -472,9 +498,9 @@
     /// Returns all servers so far, plain ones first.
     pub fn silenceable_servers(&self) -> Vec<SilenceableServer> {
         let plain = self.plain_servers.iter();
-        let plain = plain.map(|(id, server)| SilenceableServer {
-            id: (*id).to_owned(),
-            listener: server.clone(),
+        let plain = plain.map(|server| SilenceableServer {
+            id: server.id().to_owned(),
+            listener: server.listener(),
         });
         let engines = self.engines().into_iter().map(|engine| SilenceableServer {
             id: engine.server.id.clone(),
@@ -645,6 +671,11 @@
         let _publishing = self.lock_publishing();
         let engines = self.engines();
         self.store.return_from(copy);
+        self.plain_servers
+            .iter()
+            .for_each(RestartingPlain::publish_entry);
+        let moment = self.store_disturbances.begin(Instant::now());
+        self.store_disturbances.end(moment);
         for engine in &engines {
             if engine.server.has_crashed() || engine.server.has_left() {
                 self.store.remove(&format!("servers/{}", engine.server.id));
@@ -738,8 +769,10 @@
     /// Ends all injected faults and resumes stopped processes.
     pub fn clear_faults(&self) {
         self.store.set_faults(StoreFaults::default());
+        self.store_disturbances.end_all();
         for instance in &self.instances {
             instance.store_proxy.set_faults(ProxyFaults::default());
+            instance.out_of_touch.end_all();
             // Silenced connections stay silent, so they are closed; new connections work.
             instance.store_proxy.reset_connections();
             instance.process().signal(Signal::CONT);
@@ -751,6 +784,9 @@
             }
         }
         self.failures.end();
+        for server in &self.plain_servers {
+            server.set_backoff(None);
+        }
         self.phase.set(Phase::Usual);
         self.silences.end_all(&self.silenceable_servers());
     }
@@ -808,6 +844,7 @@
         store_proxy,
         disturbance_count: AtomicU64::new(0),
         interruptions: DisturbanceLog::default(),
+        out_of_touch: DisturbanceLog::default(),
         killed_at: Mutex::default(),
         incarnation: AtomicU64::new(0),
     }))
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -50,6 +50,10 @@
 /// Probability that all servers fall silent together.
 const ALL_SILENT_PROBABILITY: f64 = 0.5;
 
+/// Probability that servers ask for a backoff at a step while callers repeat crashing requests.
+const BACKOFF_PROBABILITY: f64 = 0.1;
+/// Backoffs that servers ask for then, in milliseconds.
+const BACKOFF_MS: Range<u64> = 1_000..3_000;
 /// Probability that servers stand still at a step of a phase in which all callers need retries.
 const STANDSTILL_PROBABILITY: f64 = 0.15;
 
@@ -254,6 +258,7 @@
     /// of processes run in the background, concurrently with later faults.
     pub fn inject_next(&mut self, cluster: &Arc<SoakCluster>, max_pause: Duration) {
         self.update_retry_pressure(cluster);
+        self.update_culprits(cluster);
         if self.disturbance.has_faults() {
             self.inject_random(cluster);
         }
@@ -275,7 +280,10 @@
         let engine = &engines[self.rng.random_range(0..engines.len())];
         match fault {
             Fault::ClearAll => cluster.clear_faults(),
-            Fault::Store => cluster.store.set_faults(self.random_store_faults()),
+            Fault::Store => {
+                cluster.store_disturbances.begin(Instant::now());
+                cluster.store.set_faults(self.random_store_faults());
+            }
             Fault::CompactHistory => cluster.store.compact_history(),
             Fault::StoreReturns => {
                 let age_ms = self.rng.random_range(100..MAX_COPY_AGE_MS);
@@ -287,9 +295,14 @@
             }
             Fault::StoreProxy => {
                 instance.record_disturbance();
+                instance.out_of_touch.begin(Instant::now());
                 instance.store_proxy.set_faults(self.random_proxy_faults());
             }
-            Fault::ResetStoreProxy => instance.store_proxy.reset_connections(),
+            Fault::ResetStoreProxy => {
+                let reset = instance.out_of_touch.begin(Instant::now());
+                instance.store_proxy.reset_connections();
+                instance.out_of_touch.end(reset);
+            }
             Fault::Kill => instance.kill(),
             Fault::KillMany => {
                 let first = self.rng.random_range(0..cluster.instances.len());
@@ -352,6 +365,40 @@
         }
     }
 
+    /// Begins or ends a time in which callers repeat crashing requests, and lets some servers ask for a backoff.
+    fn update_culprits(&mut self, cluster: &Arc<SoakCluster>) {
+        if !self.disturbance.has_culprits() {
+            return;
+        }
+        cluster.culprits.advance();
+        if !self.rng.random_bool(BACKOFF_PROBABILITY) {
+            return;
+        }
+        let backoff = Duration::from_millis(self.rng.random_range(BACKOFF_MS));
+        let engines = cluster.living_engines();
+        let engine = engines.choose(&mut self.rng).cloned();
+        let plain = cluster.plain_servers.choose(&mut self.rng).cloned();
+        cluster.in_background(move |cluster| {
+            if let Some(plain) = &plain {
+                plain.set_backoff(Some(backoff));
+            }
+            if let Some(engine) = &engine {
+                engine.server.set_faults(EngineFaults {
+                    backoff_s: Some(backoff.as_secs_f64()),
+                    ..cluster.engine_faults(engine.number)
+                });
+            }
+            std::thread::sleep(backoff);
+            if let Some(plain) = &plain {
+                plain.set_backoff(None);
+            }
+            if let Some(engine) = &engine {
+                let faults = cluster.engine_faults(engine.number);
+                engine.server.set_faults(faults);
+            }
+        });
+    }
+
     /// Begins the next phase of a cycle in which callers need retries, once the one before has ended.
     fn update_retry_pressure(&mut self, cluster: &SoakCluster) {
         let Some(cycles) = &mut self.retry_cycles else {
--- a/crates/standins/src/soak/signal_checks.rs
+++ b/crates/standins/src/soak/signal_checks.rs
@@ -3,9 +3,9 @@
 use super::SoakReport;
 use super::callers::Record;
 use super::cluster::{Engine, SoakCluster};
-use super::silences::BegunSilence;
 use crate::platform::model_server::Arrival;
 use passway_types::prelude::*;
+use serde::Serialize;
 use std::collections::HashMap;
 
 /// Time after an instance has forwarded an engine's leaving signal for which its requests may still
@@ -30,7 +30,6 @@
 pub(super) fn check_signals(cluster: &SoakCluster, records: &[Record], report: &mut SoakReport) {
     let by_id: HashMap<&str, &Record> =
         records.iter().map(|record| (&*record.id, record)).collect();
-    let silences = cluster.silences.begun();
     for engine in cluster.engines() {
         let arrivals = engine.server.arrivals();
         let requests = arrivals.iter().filter_map(|arrival| {
@@ -46,8 +45,8 @@
         });
         let requests: Vec<SentRequest<'_>> = requests.collect();
         check_leaving(&engine, &requests, report);
-        check_backoff(&engine, &requests, &silences, report);
     }
+    check_backoffs(cluster, &by_id, report);
 }
 
 /// No request reaches an engine more than [`DRAIN_WINDOW`] after the sending instance has forwarded
@@ -74,41 +73,97 @@
     }
 }
 
-/// At most [`MAX_WITHIN_BACKOFF`] requests from one instance reach an engine within a backoff that
-/// the engine asked for. An answer that a silence held back was late, or was lost in a reset meanwhile;
-/// so may be one during a fault of the engine's proxy, which may also deliver a request late.
-fn check_backoff(
-    engine: &Engine,
-    requests: &[SentRequest<'_>],
-    silences: &[BegunSilence],
-    report: &mut SoakReport,
-) {
-    for request in requests {
-        let Some(backoff) = request.arrival.backoff else {
-            continue;
-        };
-        let arrived_at = request.arrival.arrived_at;
-        let is_held_back = silences.iter().any(|silence| {
-            silence.server == engine.server.id
-                && (silence.began_at..silence.ends_at).contains(&arrived_at)
-        });
-        if is_held_back {
-            continue;
-        }
-        let ends_at = arrived_at + backoff;
-        if engine.proxy_disturbances.overlaps(arrived_at, ends_at) {
-            continue;
+/// A request that reached a server, as the check of backoffs sees it.
+struct BackoffArrival {
+    id: String,
+    server: String,
+    arrived_at: Instant,
+    /// The backoff that the answer asked for, and when it was sent.
+    asked: Option<(Duration, Instant)>,
+}
+
+fn arrivals_with_backoffs(cluster: &SoakCluster) -> Vec<BackoffArrival> {
+    let plain = cluster.plain_arrivals().into_iter();
+    let plain = plain.map(|arrival| BackoffArrival {
+        id: arrival
+            .received
+            .header("request-id")
+            .unwrap_or_default()
+            .to_owned(),
+        arrived_at: arrival.received.readable_at,
+        asked: arrival
+            .backoff
+            .zip(arrival.ended.map(|ended| ended.ended_at)),
+        server: arrival.server,
+    });
+    let engines = cluster.engines().into_iter().flat_map(|engine| {
+        let ended_scripts = engine.server.listener().ended_scripts();
+        let arrivals = engine.server.arrivals().into_iter();
+        arrivals.map(move |arrival| {
+            let ended = ended_scripts.get(&arrival.number);
+            BackoffArrival {
+                id: arrival.id,
+                server: engine.server.id.clone(),
+                arrived_at: arrival.readable_at,
+                asked: arrival.backoff.zip(ended.map(|ended| ended.ended_at)),
+            }
+        })
+    });
+    plain.chain(engines).collect()
+}
+
+/// The backoffs that servers asked for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct BackoffCounts {
+    /// Answers that asked for a backoff of more than [`IN_FLIGHT_WINDOW`].
+    pub asked: usize,
+    /// The most requests of one instance that reached a server within a backoff.
+    pub most_within: usize,
+    /// The same, with instances that were not in touch.
+    pub most_within_from_all: usize,
+}
+
+/// At most [`MAX_WITHIN_BACKOFF`] requests from one instance reach a server between [`IN_FLIGHT_WINDOW`] after it has
+/// answered that instance with a backoff and the end of the backoff (users' pages). An instance that was not in
+/// touch then is excused, and so is one whose way to the engine was harmed.
+fn check_backoffs(cluster: &SoakCluster, by_id: &HashMap<&str, &Record>, report: &mut SoakReport) {
+    let mut by_link: HashMap<(usize, String), Vec<BackoffArrival>> = HashMap::new();
+    for arrival in arrivals_with_backoffs(cluster) {
+        if let Some(record) = by_id.get(&*arrival.id) {
+            let link = (record.instance, arrival.server.clone());
+            by_link.entry(link).or_default().push(arrival);
         }
-        let within = arrived_at + IN_FLIGHT_WINDOW..ends_at;
-        let others = requests.iter().filter(|other| other.link == request.link);
-        let count = others
-            .filter(|other| within.contains(&other.arrival.arrived_at))
-            .count();
-        if count > MAX_WITHIN_BACKOFF {
-            let (id, engine) = (&request.arrival.id, &engine.server.id);
-            let violation =
-                format!("{count} requests reached {engine} within the backoff after {id}");
-            report.broken.push(violation);
+    }
+    let engines = cluster.engines();
+    for ((instance, server), arrivals) in by_link {
+        let engine = engines.iter().find(|engine| engine.server.id == server);
+        for asked in &arrivals {
+            let Some((backoff, answered_at)) = asked.asked else {
+                continue;
+            };
+            if backoff <= IN_FLIGHT_WINDOW {
+                continue;
+            }
+            report.backoffs.asked += 1;
+            let (from, until) = (answered_at + IN_FLIGHT_WINDOW, answered_at + backoff);
+            let within = arrivals.iter();
+            let count = within
+                .filter(|other| (from..until).contains(&other.arrived_at))
+                .count();
+            let counts = &mut report.backoffs;
+            counts.most_within_from_all = counts.most_within_from_all.max(count);
+            let is_harmed =
+                engine.is_some_and(|engine| engine.proxy_disturbances.overlaps(answered_at, until));
+            if is_harmed || !cluster.instances[instance].was_in_touch(answered_at, until) {
+                continue;
+            }
+            counts.most_within = counts.most_within.max(count);
+            if count > MAX_WITHIN_BACKOFF {
+                report.broken.push(format!(
+                    "{count} requests of instance {instance} reached {server} within the backoff after {}",
+                    asked.id
+                ));
+            }
         }
     }
 }
--- a/crates/standins/src/soak/silence_checks.rs
+++ b/crates/standins/src/soak/silence_checks.rs
@@ -69,7 +69,7 @@
 fn last_runs(cluster: &SoakCluster) -> HashMap<String, ServedRun> {
     let plain = cluster.plain_runs().into_iter();
     let plain = plain.map(|(server, run)| ServedRun {
-        server: server.to_owned(),
+        server,
         engine: None,
         run,
     });
--- a/crates/standins/src/soak/workspace_checks.rs
+++ b/crates/standins/src/soak/workspace_checks.rs
@@ -24,8 +24,9 @@
             record.id
         )
     }));
-    let requests = cluster.plain_requests().into_iter();
-    let exposed = requests.filter(|received| {
+    let requests = cluster.plain_arrivals().into_iter();
+    let exposed = requests.map(|arrival| arrival.received);
+    let exposed = exposed.filter(|received| {
         let workspace = received.header("tenant");
         received.head.contains("soak-key") || !matches!(workspace, Some("large" | "small"))
     });
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -24,6 +24,7 @@
         instances: 3,
         throttled: 0,
         engines: 4,
+        plain_servers: 2,
         callers: 8,
         shape: StreamShape {
             min_events: 5,
