--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -82,6 +82,7 @@
 mod poison_late_ports;
 mod poison_list;
 mod poison_open_ports;
+mod poison_plain;
 mod poison_rack;
 mod poison_requests;
 mod poison_turns;
