--- a/crates/instance/src/forward/completeness.rs
+++ b/crates/instance/src/forward/completeness.rs
@@ -66,19 +66,23 @@
         self.prove_complete(source, end)
     }
 
+    /// What identifies the start of an attempt's upstream to queries.
+    pub(super) fn checked_upstream(&self, target: &Target) -> CheckedUpstream {
+        let table = self.shared.routes.load();
+        let services = table.as_ref().map(|table| &table.services);
+        let service = services.and_then(|services| services.get(&self.service));
+        CheckedUpstream {
+            start: target.upstream_start(),
+            address: target.address,
+            is_engine: self.is_engine,
+            health_path: service.and_then(|service| service.health_path.clone()),
+        }
+    }
+
     /// Asks an upstream that has closed the connection of an answer whether it is still running.
     fn ask_upstream(&mut self, target: &Target) -> Option<CompletenessProof> {
         let shared = self.shared;
-        let table = shared.routes.load();
-        let service = table
-            .as_ref()
-            .and_then(|table| table.services.get(&self.service));
-        let upstream = CheckedUpstream {
-            start: &target.upstream_start(),
-            address: target.address,
-            is_engine: self.is_engine,
-            health_path: service.and_then(|service| service.health_path.as_deref()),
-        };
+        let upstream = self.checked_upstream(target);
         let closed_at = clock::now();
         let patience = if target.start.started_at_ms > 0 {
             Duration::from_millis(self.route.max_silence_ms())
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -7,9 +7,7 @@
 use crate::relay::millis_since;
 use crate::upstream_exchange::UpstreamConnection;
 use passway_process::logging::json::REQUEST_TARGET;
-use passway_serving::poison::{
-    PartId, RequestDigest, RunDecision, RunPermission, SuspectKey, UpstreamStart,
-};
+use passway_serving::poison::{PartId, RequestDigest, RunDecision, RunPermission, SuspectKey};
 use passway_types::clock;
 use passway_types::prelude::*;
 use std::io::ErrorKind;
@@ -72,7 +70,7 @@
             upstream:% = target.id, crashed = has_crashed, ran_ms = ran_ms, parts:? = self.parts(), standing:? = self.run_permission;
             "a run broke off");
         if !has_crashed {
-            self.watch_for_crash(target, &start, sent_at, false);
+            self.watch_for_crash(target, sent_at, false);
             return;
         }
         self.crashed_runs += 1;
@@ -85,37 +83,30 @@
     pub(super) fn handle_silent_run(&self, target: &Target) {
         if self.shared.upstreams().is_silent(&target.id, clock::now()) {
             self.shared.paths.request_check();
-            self.watch_for_crash(target, &target.upstream_start(), self.attempt_at, true);
+            self.watch_for_crash(target, self.attempt_at, true);
         }
     }
 
     /// Handles a silent run that was given up for its successor.
     pub(super) fn handle_replaced_run(&self, target: &Target) {
         self.shared.paths.request_check();
-        self.watch_for_crash(target, &target.upstream_start(), self.attempt_at, true);
+        self.watch_for_crash(target, self.attempt_at, true);
     }
 
-    /// Watches for a crash of an engine that broke off, or that was `silent` until the request's
-    /// deadline. Its port alone does not show a crash: under a supervisor the port stays open, and
-    /// a machine that has lost power sends nothing.
+    /// Watches for a crash of an upstream that broke off, or that was `silent` until the request's
+    /// deadline. Its port alone does not show a crash: it may close later than the connections, under a
+    /// supervisor it stays open, and a machine that has lost power sends nothing.
     ///
-    /// Plain upstreams are left out, because they do not report their start and reset connections
-    /// beyond those that they accept.
-    fn watch_for_crash(
-        &self,
-        target: &Target,
-        start: &UpstreamStart,
-        sent_at: Instant,
-        is_silent: bool,
-    ) {
-        if !self.is_engine || self.shared.upstreams().is_draining(&target.id) {
+    /// Silent upstreams that are no engines are left out: they say nothing before a whole answer.
+    fn watch_for_crash(&self, target: &Target, sent_at: Instant, is_silent: bool) {
+        if self.shared.upstreams().is_draining(&target.id) {
             return;
         }
-        let keys = self.suspect_keys();
-        if is_silent {
-            PoisonTracker::probe_after_break(self.shared, keys, start, sent_at, target.address);
-        } else {
-            PoisonTracker::record_break(self.shared, keys, start, sent_at, target.address);
+        let (keys, upstream) = (self.suspect_keys(), self.checked_upstream(target));
+        if !is_silent {
+            PoisonTracker::record_break(self.shared, keys, &upstream, sent_at);
+        } else if self.is_engine {
+            PoisonTracker::probe_after_break(self.shared, keys, &upstream, sent_at);
         }
     }
 
--- a/crates/instance/src/liveness.rs
+++ b/crates/instance/src/liveness.rs
@@ -70,16 +70,16 @@
 }
 
 /// The upstream whose start is to be confirmed.
-#[derive(Debug)]
-pub struct CheckedUpstream<'a> {
+#[derive(Debug, Clone)]
+pub struct CheckedUpstream {
     /// The start.
-    pub start: &'a UpstreamStart,
+    pub start: UpstreamStart,
     /// The address.
     pub address: SocketAddr,
     /// Whether the upstream answers queries for its state.
     pub is_engine: bool,
     /// The path of its health checks.
-    pub health_path: Option<&'a str>,
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Asks the upstream, once and then until `until`, whether the start is still running whose connection
@@ -89,7 +89,7 @@
 /// Why that is not known.
 pub fn confirm(
     shared: &Shared,
-    upstream: &CheckedUpstream<'_>,
+    upstream: &CheckedUpstream,
     ended_at: Instant,
     until: Instant,
 ) -> Result<LiveUpstream, NotConfirmed> {
@@ -114,10 +114,10 @@
 fn query(
     shared: &Shared,
     engines: &dyn Engines,
-    upstream: &CheckedUpstream<'_>,
+    upstream: &CheckedUpstream,
     ended_at: Instant,
 ) -> Option<Verdict> {
-    let start = upstream.start;
+    let start = &upstream.start;
     if upstream.is_engine {
         let report = control::query_report(shared, engines, start, upstream.address)?;
         return verdict(start, report.started_at_ms, clock::since(ended_at));
@@ -126,14 +126,30 @@
     identity_verdict(start, &identity, clock::since(ended_at))
 }
 
+/// Asks an upstream once whether the start is still running under which a run broke off at `broke_at`. Unlike the proof
+/// of an answer, it also accepts the id of an upstream that does not name its start, if that answers sooner than it
+/// could restart.
+pub fn query_after_break(
+    shared: &Shared,
+    engines: &dyn Engines,
+    upstream: &CheckedUpstream,
+    broke_at: Instant,
+) -> Option<Verdict> {
+    if upstream.is_engine {
+        return query(shared, engines, upstream, broke_at);
+    }
+    let identity = query_identity(engines, upstream)?;
+    let since_break = clock::since(broke_at);
+    let verdict = identity_verdict(&upstream.start, &identity, since_break);
+    let is_soon = identity.started_at_ms.is_none() && since_break < MIN_RESTART_DURATION;
+    verdict.or_else(|| is_soon.then_some(Verdict::Lives))
+}
+
 /// Asks an upstream that is no engine which start it is. If its entry names the start and the answer does
 /// not, a health check must.
-fn query_identity(
-    engines: &dyn Engines,
-    upstream: &CheckedUpstream<'_>,
-) -> Option<UpstreamIdentity> {
-    let start = upstream.start;
-    let (address, health_path) = (upstream.address, upstream.health_path);
+fn query_identity(engines: &dyn Engines, upstream: &CheckedUpstream) -> Option<UpstreamIdentity> {
+    let start = &upstream.start;
+    let (address, health_path) = (upstream.address, upstream.health_path.as_deref());
     let identity = engines.identify(address, health_path, None)?;
     let is_named = start.started_at_ms == 0 || identity.started_at_ms.is_some();
     if is_named || identity.upstream != start.upstream {
--- a/crates/instance/src/poison.rs
+++ b/crates/instance/src/poison.rs
@@ -9,6 +9,7 @@
 mod probe;
 
 use crate::leadership::LeadershipDriver;
+use crate::liveness::CheckedUpstream;
 use crate::relay::millis_since;
 use crate::shared::{ReportEvent, Shared};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
@@ -24,11 +25,10 @@
 use passway_types::prelude::*;
 use passway_wire::dispatch::Dispatch as Body;
 use passway_wire::message::{self, Crash, Suspects, UpstreamDisconnect};
-use probe::ProbedEngines;
+use probe::ProbedUpstreams;
 pub use probe::REFUSAL_TIMEOUT;
 use prost::Message;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -75,8 +75,8 @@
     stored: Mutex<StoredList>,
     /// Requests that must run exclusively among their copies.
     exclusive_runs: ExclusivePermits,
-    /// Engines that broke off and are probed to find out whether they crashed.
-    probed_engines: ProbedEngines,
+    /// Upstreams that broke off and are probed to find out whether they crashed.
+    probed_upstreams: ProbedUpstreams,
     /// Wakes the thread that writes the list to the store.
     wakeup_sender: Sender<()>,
     wakeup_receiver: Receiver<()>,
@@ -93,7 +93,7 @@
             has_fleet_list: AtomicBool::new(false),
             stored: Mutex::default(),
             exclusive_runs: ExclusivePermits::default(),
-            probed_engines: ProbedEngines::default(),
+            probed_upstreams: ProbedUpstreams::default(),
             wakeup_sender,
             wakeup_receiver,
         }
@@ -166,37 +166,38 @@
         Updates { all, broadcast }
     }
 
-    /// Records that an engine broke off under a request, if it is unknown yet whether the engine
-    /// has crashed.
+    /// Records that an upstream broke off under a request, if it is unknown yet whether the upstream
+    /// has crashed. Other instances are notified of engines only: any other upstream closes connections
+    /// while it serves others.
     pub fn record_break(
         shared: &Arc<Shared>,
         keys: &[SuspectKey],
-        start: &UpstreamStart,
+        upstream: &CheckedUpstream,
         sent_at: Instant,
-        address: SocketAddr,
     ) {
-        Self::probe_after_break(shared, keys, start, sent_at, address);
-        let now = clock::now();
-        if lock(&shared.poison.list).record_disconnect(start, now, now) {
+        Self::probe_after_break(shared, keys, upstream, sent_at);
+        let (start, now) = (&upstream.start, clock::now());
+        let is_new = lock(&shared.poison.list).record_disconnect(start, now, now);
+        if is_new && upstream.is_engine {
             shared.report(ReportEvent::StartBroken(start.clone(), now));
-            shared.upstreams().mark_unreachable(&start.upstream, now);
+            probe::mark_unreachable(shared, upstream);
         }
     }
 
-    /// Probes an engine that may have crashed under a request that was sent at `sent_at`.
+    /// Probes an upstream that may have crashed under a request that was sent at `sent_at`.
     pub fn probe_after_break(
         shared: &Arc<Shared>,
         keys: &[SuspectKey],
-        start: &UpstreamStart,
+        upstream: &CheckedUpstream,
         sent_at: Instant,
-        address: SocketAddr,
     ) {
+        let start = &upstream.start;
         let poison = &shared.poison;
         let updates = poison.change(keys, |list, now| {
             list.record_run_disconnect(keys, start, sent_at, now)
         });
         Self::publish(shared, updates);
-        probe::start(shared, keys, start, address);
+        probe::start(shared, keys, upstream);
     }
 
     /// Records that an upstream that broke off under a request is still running. Returns what to
--- a/crates/instance/src/poison/probe.rs
+++ b/crates/instance/src/poison/probe.rs
@@ -1,12 +1,13 @@
 //! Finds out whether an upstream that broke off under a request has crashed, if its port does not
 //! show that.
 //!
-//! A supervisor keeps the port open, and a machine that does not respond refuses nothing. The
-//! engine is therefore asked for its report until it names its start. Its entry in the store shows
-//! the same when it disappears or names a later start.
+//! A supervisor keeps the port open, a port may close some milliseconds after the connections, and a
+//! machine that does not respond refuses nothing. An engine is therefore asked for its report until it
+//! names its start, and any other upstream for its identity. The entry in the store shows the same when it
+//! disappears or names a later start.
 
 use crate::control;
-use crate::liveness::{self, Verdict, verdict};
+use crate::liveness::{self, CheckedUpstream, Verdict};
 use crate::poison::PoisonTracker;
 use crate::shared::Shared;
 use passway_process::logging::json::DECISION_TARGET;
@@ -22,67 +23,63 @@
 /// terminated process refuses within a round trip of a few milliseconds. If the link is cut, the
 /// request waits for this long before it is retried elsewhere.
 pub const REFUSAL_TIMEOUT: Duration = Duration::from_millis(60);
-/// Delay before the first query of an engine. A running engine answers at once after a broken
+/// Delay before the first query of an upstream. A running one answers at once after a broken
 /// connection.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(50);
-/// Interval of queries of an engine that does not answer.
+/// Interval of queries of an upstream that does not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
-/// Maximum number of engines that are probed at the same time. The entries in the store show what
+/// Maximum number of upstreams that are probed at the same time. The entries in the store show what
 /// happened to others.
-const MAX_PROBED_ENGINES: usize = 32;
+const MAX_PROBED_UPSTREAMS: usize = 32;
 
-/// Starts of engines that are probed, and the suspects that broke off there.
+/// Starts of upstreams that are probed, and the suspects that broke off there.
 #[derive(Debug, Default)]
-pub(super) struct ProbedEngines(Mutex<BTreeMap<UpstreamStart, BTreeSet<SuspectKey>>>);
+pub(super) struct ProbedUpstreams(Mutex<BTreeMap<UpstreamStart, BTreeSet<SuspectKey>>>);
 
-impl ProbedEngines {
+impl ProbedUpstreams {
     fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamStart, BTreeSet<SuspectKey>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds suspects. Returns whether the caller must start a probe of the engine.
+    /// Adds suspects. Returns whether the caller must start a probe of the upstream.
     fn add(&self, keys: &[SuspectKey], start: &UpstreamStart) -> bool {
         let mut probed = self.lock();
         if let Some(known) = probed.get_mut(start) {
             known.extend(keys);
             return false;
         }
-        let has_capacity = probed.len() < MAX_PROBED_ENGINES;
+        let has_capacity = probed.len() < MAX_PROBED_UPSTREAMS;
         if has_capacity {
             probed.insert(start.clone(), keys.iter().copied().collect());
         }
         has_capacity
     }
 
-    /// Removes the start of an engine. Returns the suspects that broke off there.
+    /// Removes the start of an upstream. Returns the suspects that broke off there.
     fn take(&self, start: &UpstreamStart) -> BTreeSet<SuspectKey> {
         self.lock().remove(start).unwrap_or_default()
     }
 }
 
-/// Starts to probe an engine that broke off under a request.
-pub(super) fn start(
-    shared: &Arc<Shared>,
-    keys: &[SuspectKey],
-    start: &UpstreamStart,
-    address: SocketAddr,
-) {
+/// Starts to probe an upstream that broke off under a request.
+pub(super) fn start(shared: &Arc<Shared>, keys: &[SuspectKey], upstream: &CheckedUpstream) {
     let Some(engines) = shared.engines() else {
         return;
     };
-    if !shared.poison.probed_engines.add(keys, start) {
+    let start = &upstream.start;
+    if !shared.poison.probed_upstreams.add(keys, start) {
         return;
     }
     let thread_shared = shared.clone();
-    let probed_start = start.clone();
-    let run_probe = move || probe(&thread_shared, &*engines, &probed_start, address);
+    let probed = upstream.clone();
+    let run_probe = move || probe(&thread_shared, &*engines, &probed);
     if let Err(error) = std::thread::Builder::new().spawn(run_probe) {
-        log::warn!(error:% = error; "cannot start a thread to probe an engine that broke off");
-        shared.poison.probed_engines.take(start);
+        log::warn!(error:% = error; "cannot start a thread to probe an upstream that broke off");
+        shared.poison.probed_upstreams.take(start);
     }
 }
 
-/// Whether connections to the address of an engine are refused that did not announce that it
+/// Whether connections to the address of an upstream are refused that did not announce that it
 /// leaves, while other upstreams can be reached. A port may close a little later than its
 /// connections.
 fn refuses_connections(shared: &Shared, start: &UpstreamStart, address: SocketAddr) -> bool {
@@ -91,7 +88,17 @@
         && shared.paths.confirms_path(shared, &start.upstream)
 }
 
-fn probe(shared: &Shared, engines: &dyn Engines, start: &UpstreamStart, address: SocketAddr) {
+/// Requests sent to an engine that does not answer would break off, too. Other upstreams reset connections beyond those
+/// that they take, queries included, and serve the others.
+pub(super) fn mark_unreachable(shared: &Shared, upstream: &CheckedUpstream) {
+    if upstream.is_engine {
+        let id = &upstream.start.upstream;
+        shared.upstreams().mark_unreachable(id, clock::now());
+    }
+}
+
+fn probe(shared: &Shared, engines: &dyn Engines, upstream: &CheckedUpstream) {
+    let start = &upstream.start;
     let broke_at = clock::now();
     let mut delay = FIRST_PROBE_DELAY;
     let mut found = None;
@@ -103,22 +110,17 @@
         if control::is_backing_off(shared, &start.upstream) {
             continue;
         }
-        let since_break = clock::since(broke_at);
-        let report = control::query_report(shared, engines, start, address);
-        found = if let Some(report) = report {
-            verdict(start, report.started_at_ms, since_break)
-        } else {
-            // Requests sent there would break off, too.
-            shared
-                .upstreams()
-                .mark_unreachable(&start.upstream, clock::now());
-            refuses_connections(shared, start, address).then_some(Verdict::Ended {
+        found = liveness::query_after_break(shared, engines, upstream, broke_at);
+        if found.is_none() {
+            mark_unreachable(shared, upstream);
+            let refuses = refuses_connections(shared, start, upstream.address);
+            found = refuses.then_some(Verdict::Ended {
                 before_ms: start.started_at_ms.saturating_add(1),
-            })
-        };
+            });
+        }
     }
     log::info!(target: DECISION_TARGET, upstream:% = start.upstream, found:? = found; "probed an upstream that broke off");
-    let keys = shared.poison.probed_engines.take(start);
+    let keys = shared.poison.probed_upstreams.take(start);
     match found {
         Some(Verdict::Lives) => {
             shared
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -138,6 +138,8 @@
     silent_until: Arc<Mutex<Option<Instant>>>,
     /// Until when no request is taken, as by a process that stands still.
     standing_until: Arc<Mutex<Option<Instant>>>,
+    /// Number of connections beyond which the server resets new ones.
+    max_connections: Arc<AtomicUsize>,
     /// Bytes that [`Step::Repeat`] has sent, over all connections.
     repeated_bytes: Arc<AtomicUsize>,
     closed: Arc<Mutex<Vec<(usize, Instant)>>>,
@@ -196,6 +198,7 @@
             ended_scripts: Arc::default(),
             silent_until: Arc::default(),
             standing_until: Arc::default(),
+            max_connections: Arc::new(AtomicUsize::new(usize::MAX)),
             repeated_bytes: Arc::default(),
             closed: Arc::default(),
             crash: Arc::default(),
@@ -207,6 +210,12 @@
                     break;
                 }
                 let Ok(stream) = stream else { continue };
+                if accepting.resets_next() {
+                    // Dropping the connection resets it. If the option fails, it is closed instead.
+                    let linger = Some(Duration::ZERO);
+                    let _ = rustix::net::sockopt::set_socket_linger(&stream, linger);
+                    continue;
+                }
                 accepting.crash.register(connection, &stream);
                 let (server, script) = (accepting.clone(), script.clone());
                 std::thread::spawn(move || {
@@ -225,6 +234,17 @@
         server
     }
 
+    /// Resets connections beyond this number from now on.
+    pub fn limit_connections(&self, max_connections: usize) {
+        self.max_connections
+            .store(max_connections, Ordering::Release);
+    }
+
+    /// Returns whether a connection that is accepted now is beyond the number that the server takes.
+    fn resets_next(&self) -> bool {
+        self.crash.streams().len() >= self.max_connections.load(Ordering::Acquire)
+    }
+
     /// Closes all connections, but not the port.
     pub fn close_connections(&self) {
         self.crash.close_all();
--- a/tests/all/poison_plain.rs
+++ b/tests/all/poison_plain.rs
@@ -6,9 +6,11 @@
 use crate::cluster::{self, configuration, fetch, request, until};
 use passway_instance::Instance;
 use passway_standins::platform::plain_server::{PlainAnswer, echo_steps};
+use passway_standins::platform::raw::Step;
 use passway_standins::platform::restarting_plain::{PortEnd, RestartingPlain, Restarts};
 use passway_standins::platform::store::MetadataStandIn;
 use passway_types::prelude::*;
+use std::collections::BTreeMap;
 
 /// The crashing requests: their routes, one whose requests may be repeated and one whose requests run once, and bodies.
 const CULPRITS: [(&str, &str); 2] = [("read", "poison one"), ("pay", "poison two")];
@@ -163,3 +165,66 @@
 fn port_stays_open() {
     check(PortEnd::StaysOpen);
 }
+
+/// Connections that each of the servers below takes, and how long a request runs there.
+const MAX_CONNECTIONS: usize = 6;
+const RUN_DURATION: Duration = Duration::from_millis(60);
+/// Number of callers, of whom each sends one request after another over new connections: twice as many as the servers take.
+const CALLERS: usize = 48;
+const RESETS_DURATION: Duration = Duration::from_secs(6);
+
+// Guards against sound requests that are refused, or wait, because servers reset connections beyond those that they take: that is
+// no crash.
+#[test]
+fn resets_are_no_crashes() {
+    let store = MetadataStandIn::default();
+    store.put("op/config", &configuration(1, &["m0"]));
+    let servers = (0..4).map(|number| {
+        let restarts = Restarts {
+            crash_prefix: "poison".to_owned(),
+            port: PortEnd::Before,
+            delay: RESTART_DELAY,
+        };
+        let server = RestartingPlain::start(&store, &format!("p-{number}"), restarts, |received| {
+            let mut steps = vec![Step::Pause(RUN_DURATION)];
+            steps.extend(echo_steps(received, PlainAnswer::Framed));
+            steps
+        });
+        server.listener().limit_connections(MAX_CONNECTIONS);
+        server
+    });
+    let servers: Vec<RestartingPlain> = servers.collect();
+    let instances = ["one", "two", "three"].map(|name| cluster::start_ready(name, &store));
+    let over_at = Instant::now() + RESETS_DURATION;
+    let (mut served, mut statuses) = (0, BTreeMap::new());
+    std::thread::scope(|scope| {
+        let callers = (0..CALLERS).map(|caller| {
+            let instance = &instances[caller % instances.len()];
+            scope.spawn(move || {
+                let mut answers = Vec::new();
+                while Instant::now() < over_at {
+                    let id = format!("c{caller}-{}", answers.len());
+                    // A few contents that many callers send.
+                    let (route, body) = (["read", "pay"][caller % 2], format!("{}", caller % 4));
+                    let bytes = request("POST", &format!("/{route}/"), &id, "", &body);
+                    answers.extend(fetch(instance.callers_address(), &bytes));
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                answers
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        for caller in callers {
+            for answer in caller.join().expect("a caller") {
+                served += usize::from(answer.status == 200);
+                *statuses.entry(answer.status).or_insert(0) += 1;
+                let seconds = answer.header("retry-after").and_then(|s| s.parse().ok());
+                assert!(seconds.is_none_or(|s: f64| s < 60.0), "{answer:?}");
+            }
+        }
+    });
+    let arrivals: usize = servers.iter().map(|server| server.arrivals().len()).sum();
+    println!("{served} served, {statuses:?}, {arrivals} reached the servers");
+    // The servers could run 400 a second: 4 x 6 connections of 60 ms.
+    assert!(served >= 600, "{served} served, {statuses:?}");
+}
