--- a/crates/instance/src/forward.rs
+++ b/crates/instance/src/forward.rs
@@ -60,6 +60,7 @@
 use passway_types::prelude::*;
 use passway_wire::message::PeerRequest;
 use resumption::StreamVersion;
+use retries::RetryCharges;
 use std::cell::OnceCell;
 use successor::SentRequest;
 
@@ -159,6 +160,8 @@
     unreachable_engine: Option<UpstreamId>,
     /// The id under which this instance counts the copy of the request's run.
     copy_id: RunId,
+    /// The retries of attempts that are not known to have arrived.
+    retry_charges: RetryCharges,
     /// When the attempt in progress began.
     attempt_at: Instant,
     /// The successor of the run in progress, or of the last one if no run is in progress.
@@ -305,6 +308,7 @@
         unreachable_engine: None,
         copy_id: shared.dispatch.next_run_id(),
         attempt_at: arrived_at,
+        retry_charges: RetryCharges::new(shared),
         successor: None,
         model_ready_ms: None,
         too_late: None,
@@ -561,25 +565,18 @@
         let is_first = self.request_log.offers == 0;
         self.prove_version().map_err(|denial| denial.end)?;
         let next_hop = self.wait_for_next_hop(may_wait).ok_or(NO_UPSTREAM)?;
-        let retry = if is_first {
-            None
-        } else {
+        if !is_first {
             let Some(retry) = self.take_retry() else {
                 self.release_place(&next_hop);
                 return Err(NO_ALLOWANCE);
             };
-            Some(retry)
-        };
+            self.retry_charges.begin(Some(retry));
+        }
         self.request_log.offers += 1;
         self.attempts_since_wait += 1;
         let waited_ms = self.elapsed_ms();
         self.request_log.waited_ms.get_or_insert(waited_ms);
         let attempt = self.attempt_at_hop(&next_hop);
-        if let Some(retry) = retry
-            && !attempt.is_unsent()
-        {
-            retry.spend();
-        }
         Ok((next_hop, attempt))
     }
 
@@ -625,6 +622,7 @@
         self.attempt_upstream = Some(target.id.clone());
         self.attempt_at = began_at;
         let attempt = exchange(self);
+        self.record_attempt_end(&attempt);
         self.attempt_upstream = None;
         self.run_id = self.shared.dispatch.next_run_id();
         self.record_end(target, attempt.outcome());
@@ -635,6 +633,22 @@
         attempt
     }
 
+    /// Records what the end of an attempt tells of its arrival.
+    fn record_attempt_end(&mut self, attempt: &Attempt) {
+        if attempt.is_unsent() {
+            self.retry_charges.refund();
+            return;
+        }
+        let is_given_up = match attempt {
+            Attempt::TimedOut | Attempt::Replaced | Attempt::CallerGone | Attempt::Stopping => true,
+            Attempt::Broken => self.unreachable_engine.is_some(),
+            _ => false,
+        };
+        let has_successor = self.successor.is_some();
+        self.retry_charges
+            .record_end(is_given_up, self.attempt_at, has_successor);
+    }
+
     /// Records that the request is sent to an upstream.
     fn record_start(&self, target: &Target) {
         let now = clock::now();
--- a/crates/instance/src/forward/backup.rs
+++ b/crates/instance/src/forward/backup.rs
@@ -129,10 +129,8 @@
         };
         self.delivered.splitter.begin_continuation();
         self.request_log.offers += 1;
+        self.retry_charges.begin(Some(retry));
         let attempt = self.attempt_at_upstream(&target);
-        if !attempt.is_unsent() {
-            retry.spend();
-        }
         self.record_continuation(&inputs, attempt.name());
         self.end_continuation(attempt, &target)
     }
--- a/crates/instance/src/forward/exchange.rs
+++ b/crates/instance/src/forward/exchange.rs
@@ -206,7 +206,10 @@
         for _ in 0..=MAX_STALE_ANSWERS {
             let head = self.read_head(target, exchange.connection_mut())?;
             match self.accept_head(target, exchange, head, self.attempt_at) {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.retry_charges.record_answer();
+                    return Ok(answer);
+                }
                 // The own answer may follow the one to an earlier request.
                 Err(ForeignAnswer::OtherRequest(head)) => {
                     self.skip_body(exchange.connection_mut(), &head)?;
--- a/crates/instance/src/forward/successor.rs
+++ b/crates/instance/src/forward/successor.rs
@@ -265,12 +265,12 @@
         let until = self.deadline_at.min(clock::now() + MAX_OVERLAP);
         match self.send(&target, permit, &mut exchange, until) {
             Ok(written) => {
-                retry.spend();
+                self.retry_charges.spend(retry);
                 Ok((exchange, written))
             }
             Err(Attempt::NotSent) => Err(NoSuccessor::NotReached),
             Err(_) => {
-                retry.spend();
+                self.retry_charges.spend(retry);
                 Err(NoSuccessor::WriteFailed)
             }
         }
@@ -284,7 +284,7 @@
         let runs = self.runs + 1;
         let sent = self.send_to_peer(&offer, runs);
         if !sent.as_ref().is_err_and(Attempt::is_unsent) {
-            retry.spend();
+            self.retry_charges.spend(retry);
         }
         match sent {
             Ok(exchange) => Ok(SentRequest {
@@ -343,6 +343,7 @@
             Recipient::Upstream { target, .. } => {
                 let answer = self.accept_head(target, &sent.exchange, head, sent.sent_at);
                 let answer = answer.map_err(|_| UnusableAnswer::Broken)?;
+                self.retry_charges.record_successor_answer(self.attempt_at);
                 if answer.facts().not_run {
                     let refusal = self.handle_refusal(target, &answer);
                     return Err(UnusableAnswer::Refused(refusal.outcome()));
@@ -352,6 +353,7 @@
             Recipient::Peer { .. } => {
                 let answer = self.accept_peer_head(&sent.exchange, head);
                 let answer = answer.map_err(|_| UnusableAnswer::Broken)?;
+                self.retry_charges.record_successor_answer(self.attempt_at);
                 if is_refusal(&answer) {
                     return Err(UnusableAnswer::Refused(Outcome::Unknown));
                 }
@@ -397,6 +399,9 @@
     ) {
         self.runs += u32::from(may_have_run);
         self.may_have_run |= may_have_run;
+        if sent.answer.is_none() && outcome == Outcome::Unknown {
+            self.retry_charges.record_unanswered(sent.sent_at);
+        }
         if outcome == Outcome::Unknown {
             // The upstream has not failed, so the request may be sent there again.
             self.abandoned_runs += u32::from(may_have_run);
@@ -441,6 +446,9 @@
             } => {
                 drop(place);
                 let attempt = self.complete_run(&target, sent_at, |this| {
+                    if answer.is_some() {
+                        this.retry_charges.record_answer();
+                    }
                     let answer =
                         answer.map_or_else(|| this.read_own_answer(&target, &mut exchange), Ok);
                     match answer {
--- a/crates/instance/src/forward/via_peer.rs
+++ b/crates/instance/src/forward/via_peer.rs
@@ -81,6 +81,7 @@
         self.request_log.peer = Some(peer.instance.clone());
         self.attempt_at = began_at;
         let attempt = exchange(self);
+        self.record_attempt_end(&attempt);
         drop(guard);
         let outcome = match attempt {
             Attempt::NotSent | Attempt::NotRun(_) => {
@@ -188,6 +189,7 @@
     }
 
     fn handle_peer_answer(&mut self, mut exchange: Exchange, answer: &OwnAnswer) -> Attempt {
+        self.retry_charges.record_answer();
         let (head, facts) = (answer.head(), answer.facts());
         let Ok(mut body) = BodyReader::of_answer(head, &self.head.method) else {
             return Attempt::Broken;
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -6,35 +6,39 @@
 //! received itself, and its share of the fixed allowance. So instances need no agreement and
 //! borrow nothing.
 //!
-//! Why each window stays within the allowance, whatever the order of requests and retries, if each
-//! retry arrives at most [`MAX_DELAY_WINDOWS`] after it was spent:
+//! Why each window stays within the allowance, whatever the order of requests, retries and restarts, if each
+//! attempt arrives at most [`MAX_DELAY`] after it was sent. An attempt that nobody has answered is not known to have
+//! arrived; with it, a retry for the same request may be the one that arrives first.
 //!
-//! * A request earns half of the ratio. What it earns can be spent for [`EARNED_WINDOWS`] only, so
-//!   that the retries arriving in a window were earned in that window or in the one before it. Half
-//!   of the ratio for the requests of both is at most the whole ratio for those of one.
-//! * The fixed share is refilled over a window. The retries arriving in a window were spent in that
-//!   window or in the delay before it, so the fixed share has paid at most for what it held and what
-//!   was refilled in that time: [`SLACK_FRACTION`] of the allowance times 1 + 1 + [`MAX_DELAY_WINDOWS`].
-//! * A process that starts has no retries, so that the previous process and the new one spend no more
-//!   than one process.
+//! * A request earns half of the ratio. A credit pays for arrivals until one window after its request: half of
+//!   the ratio for the requests of a window and of the one before it is at most the whole ratio for those of one. A
+//!   young credit can be spent as it is, since even the latest arrival is in time. An older one is spent only
+//!   together with as much of the fixed share, which is released once the attempts of the request are known to have arrived in time.
+//! * Of the fixed share, each part that was spent returns one window after the attempts of its request are known to have arrived, so
+//!   it pays for at most one arrival in a window. All shares are [`SLACK_FRACTION`] of the allowance.
+//! * A process that starts has no retries. Its share grows over [`START_WINDOWS`], so that what all processes of an
+//!   instance that restarts again and again spend in a window and the delay before it is less than the other half.
 
 mod earned;
 
 use earned::{Credit, EarnedRetries};
 use passway_types::clock;
 use passway_types::prelude::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 /// Fraction of the allowed ratio that a request earns.
 const EARNED_RATIO_FRACTION: f64 = 0.5;
-/// Longest time from the spend of a retry to its arrival, and from the sending of a request to its
-/// record, for which the allowance is kept, in windows. Upstreams and instances may stand still for
-/// some seconds.
-const MAX_DELAY_WINDOWS: f64 = 0.25;
+/// Longest time from the sending of an attempt to its arrival for which the allowance is kept. The entry of an upstream
+/// that stands still expires before.
+const MAX_DELAY: Duration = Duration::from_secs(8);
+/// The same in windows at most: credits must live for some time.
+const MAX_DELAY_WINDOWS: f64 = 0.8;
 /// How long an earned retry can be spent, in windows.
-const EARNED_WINDOWS: f64 = 1.0 - MAX_DELAY_WINDOWS;
-/// Fraction of the fixed allowance that all instances together hold.
-const SLACK_FRACTION: f64 = 1.0 / (2.0 + MAX_DELAY_WINDOWS);
+const EARNED_WINDOWS: f64 = 0.75;
+/// Fraction of the fixed allowance that all instances together hold. The rest is for the previous processes of instances that restart.
+const SLACK_FRACTION: f64 = 0.5;
+/// Time in which the share of a process that starts grows to its whole size, in windows.
+const START_WINDOWS: f64 = 2.0;
 /// What sums of parts of a retry may differ from the whole.
 const ROUNDING: f64 = 1e-9;
 /// For this many windows the allowance is shared among the largest recent number of instances: a
@@ -43,8 +47,8 @@
 /// Time in which instances connect to a new holder: one retry of their connections, and some time
 /// for those that relied on the previous holder until it became silent.
 const RECONNECT_DURATION: Duration = Duration::from_secs(3);
-/// A service without requests for this many windows is removed: its share is full again after one
-/// window, and what it earned has expired.
+/// A service without requests for this many windows is removed: all of its share has returned,
+/// and what it earned has expired.
 const IDLE_WINDOWS: f64 = 4.0;
 /// Number of services before the first check for idle ones.
 const MIN_CLEANUP_THRESHOLD: usize = 16;
@@ -61,26 +65,71 @@
 }
 
 /// The retries that one service may still be sent.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Bucket {
-    /// What is left of the instance's share of the fixed allowance.
-    share: f64,
+    /// Parts of the share that pay for attempts, or guarantee them, which are not known to have arrived.
+    pending: f64,
+    /// Parts of the share that have paid for an arrival, in the order of the times at which they return.
+    returning: VecDeque<Returning>,
     earned: EarnedRetries,
-    /// The time up to which the other values are computed.
+    /// The time up to which the other values are computed; `None` before the first call.
+    at: Option<Instant>,
+}
+
+/// A part of the share that returns at a time.
+#[derive(Debug, Clone, Copy)]
+struct Returning {
     at: Instant,
+    amount: f64,
 }
 
 impl Bucket {
-    fn available(&self) -> f64 {
-        self.share + self.earned.total()
+    /// Moves the time forward: parts of the share return, and credits expire.
+    fn advance(&mut self, now: Instant, lifetime: Duration) -> Instant {
+        let at = self.at.get_or_insert(now);
+        clock::advance(at, now);
+        let at = *at;
+        while self.returning.front().is_some_and(|part| part.at <= at) {
+            self.returning.pop_front();
+        }
+        self.earned.expire(at, lifetime);
+        at
+    }
+
+    /// What is left of a share.
+    fn free_share(&self, share: f64) -> f64 {
+        let returning: f64 = self.returning.iter().map(|part| part.amount).sum();
+        (share - self.pending - returning).max(0.0)
+    }
+
+    fn return_at(&mut self, at: Instant, amount: f64) {
+        if amount > 0.0 {
+            let index = self.returning.partition_point(|part| part.at <= at);
+            self.returning.insert(index, Returning { at, amount });
+        }
     }
 }
 
-/// One retry that was spent, with what has paid for it.
+/// When the attempts of a request had arrived that a retry was spent for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// All have been answered, or their connections were closed by the upstream.
+    Known,
+    /// At least one was given up without an answer. The last of these was sent at this time.
+    Unknown {
+        /// When it was sent.
+        sent_at: Instant,
+    },
+}
+
+/// One retry that was spent, with what has paid for it. It must be settled or refunded.
 #[derive(Debug, Clone, PartialEq)]
 #[must_use]
 pub struct SpentRetry {
-    earned: Vec<Credit>,
+    /// Credits that were spent with as much of the share.
+    guaranteed: Vec<Credit>,
+    /// Credits for which even the latest arrival is in time.
+    young: Vec<Credit>,
     share: f64,
 }
 
@@ -90,10 +139,16 @@
         self.share
     }
 
+    /// The part of the share that is needed until the arrivals are known.
+    fn guarantee(&self) -> f64 {
+        self.guaranteed.iter().map(|credit| credit.amount).sum()
+    }
+
     /// When the oldest request arrived that has paid for a part of the retry; `None` if the share has
     /// paid for all of it.
     pub fn earned_at(&self) -> Option<Instant> {
-        self.earned.iter().map(|credit| credit.earned_at).min()
+        let credits = self.guaranteed.iter().chain(&self.young);
+        credits.map(|credit| credit.earned_at).min()
     }
 }
 
@@ -153,8 +208,8 @@
 
 /// Retries that may still be sent, by service.
 ///
-/// A process starts with no retries and accumulates its share of the fixed allowance over a
-/// window: the previous process may have spent that share, and the fleet's size is unknown until
+/// A process starts with no retries and accumulates its share of the fixed allowance over two
+/// windows: the previous process may have spent that share, and the fleet's size is unknown until
 /// it is reported. What the process earns by its own requests it may spend at once.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -218,41 +273,50 @@
     fn remove_idle(&mut self, now: Instant) {
         let max_idle_s = IDLE_WINDOWS * self.allowance.window_s;
         let idle_s = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
-        self.buckets
-            .retain(|_, bucket| idle_s(bucket.at) < max_idle_s);
+        self.buckets.retain(|_, bucket| {
+            bucket.pending > 0.0 || bucket.at.is_some_and(|at| idle_s(at) < max_idle_s)
+        });
         self.cleanup_threshold = 2 * self.buckets.len() + MIN_CLEANUP_THRESHOLD;
     }
 
-    fn bucket(&mut self, service: &ServiceName, now: Instant) -> &mut Bucket {
-        if self.buckets.len() >= self.cleanup_threshold {
-            self.remove_idle(now);
-        }
-        let share = self.slack_share(now);
-        let window_s = self.allowance.window_s;
+    /// The window of the allowance.
+    fn window(&self) -> Duration {
+        Duration::from_secs_f64(self.allowance.window_s)
+    }
+
+    /// Longest delay of an arrival for which the allowance is kept.
+    fn max_delay(&self) -> Duration {
+        MAX_DELAY.min(self.window().mul_f64(MAX_DELAY_WINDOWS))
+    }
+
+    /// What the share has grown to since the first report of the fleet's size.
+    fn grown_share(&self, now: Instant) -> f64 {
         let known_s = self.first_report_at.map_or(0.0, |at| {
             let elapsed = now.saturating_duration_since(at);
             elapsed.as_secs_f64()
         });
-        let bucket = self.buckets.entry(service.clone()).or_insert(Bucket {
-            share: share * (known_s / window_s).min(1.0),
-            earned: EarnedRetries::default(),
-            at: now,
-        });
-        let passed_s = clock::advance(&mut bucket.at, now).as_secs_f64();
-        bucket.share = (bucket.share + share * passed_s / window_s).min(share);
-        let lifetime = Duration::from_secs_f64(EARNED_WINDOWS * window_s);
-        bucket.earned.expire(bucket.at, lifetime);
-        bucket
+        let grown = known_s / (START_WINDOWS * self.allowance.window_s);
+        self.slack_share(now) * grown.min(1.0)
+    }
+
+    fn bucket(&mut self, service: &ServiceName, now: Instant) -> (&mut Bucket, Instant) {
+        if self.buckets.len() >= self.cleanup_threshold {
+            self.remove_idle(now);
+        }
+        let lifetime = self.window().mul_f64(EARNED_WINDOWS);
+        let bucket = self.buckets.entry(service.clone()).or_default();
+        let at = bucket.advance(now, lifetime);
+        (bucket, at)
     }
 
     /// Records a request for the service that arrived at `arrived_at`.
     pub fn record_request(&mut self, service: &ServiceName, arrived_at: Instant, now: Instant) {
-        let window = Duration::from_secs_f64(self.allowance.window_s);
+        let window = self.window();
         let credit = Credit {
             earned_at: arrived_at,
             amount: self.allowance.ratio * EARNED_RATIO_FRACTION,
         };
-        self.bucket(service, now).earned.add(credit, window);
+        self.bucket(service, now).0.earned.add(credit, window);
     }
 
     /// Whether a retry could be spent.
@@ -260,31 +324,72 @@
         self.available(service, now) >= 1.0 - ROUNDING
     }
 
-    /// The retries that are left.
+    /// The retries that could be spent at once.
     pub fn available(&mut self, service: &ServiceName, now: Instant) -> f64 {
-        self.bucket(service, now).available()
+        let young_age = self.window().saturating_sub(self.max_delay());
+        let share = self.grown_share(now);
+        let (bucket, at) = self.bucket(service, now);
+        bucket.free_share(share) + bucket.earned.total_since(at.checked_sub(young_age))
     }
 
-    /// Spends one retry if one is left. What was earned first is spent first, and the fixed share last.
+    /// Spends one retry if one is left: older credits first, as far as the share guarantees them, then young ones, and the
+    /// share last. The retry is settled once the arrivals are known.
     pub fn try_spend(&mut self, service: &ServiceName, now: Instant) -> Option<SpentRetry> {
         if !self.can_spend(service, now) {
             return None;
         }
-        let bucket = self.bucket(service, now);
-        let earned = bucket.earned.take(1.0);
-        let paid: f64 = earned.iter().map(|credit| credit.amount).sum();
-        let share = (1.0 - paid).clamp(0.0, bucket.share);
-        bucket.share -= share;
-        Some(SpentRetry { earned, share })
+        let young_age = self.window().saturating_sub(self.max_delay());
+        let share = self.grown_share(now);
+        let (bucket, at) = self.bucket(service, now);
+        let young_from = at.checked_sub(young_age);
+        let free = bucket.free_share(share);
+        let guaranteed = bucket.earned.take_before(young_from, free.min(1.0));
+        let mut spent = SpentRetry {
+            guaranteed,
+            young: Vec::new(),
+            share: 0.0,
+        };
+        let guarantee = spent.guarantee();
+        spent.young = bucket.earned.take_since(young_from, 1.0 - guarantee);
+        let young: f64 = spent.young.iter().map(|credit| credit.amount).sum();
+        spent.share = (1.0 - guarantee - young).clamp(0.0, (free - guarantee).max(0.0));
+        bucket.pending += guarantee + spent.share;
+        Some(spent)
+    }
+
+    /// Settles a retry: the request's attempts have arrived, or at least one was given up.
+    pub fn settle(
+        &mut self,
+        service: &ServiceName,
+        spent: SpentRetry,
+        arrival: Arrival,
+        now: Instant,
+    ) {
+        let (window, max_delay) = (self.window(), self.max_delay());
+        // A bucket that was removed meanwhile had nothing pending.
+        let Some(bucket) = self.buckets.get_mut(service) else {
+            return;
+        };
+        let arrived_at = match arrival {
+            Arrival::Known => now,
+            Arrival::Unknown { sent_at } => now.max(sent_at + max_delay),
+        };
+        bucket.pending = (bucket.pending - spent.guarantee() - spent.share).max(0.0);
+        let mut returning = spent.share;
+        for credit in spent.guaranteed {
+            if arrived_at > credit.earned_at + window {
+                returning += credit.amount;
+            }
+        }
+        bucket.return_at(arrived_at + window, returning);
     }
 
     /// Returns a retry that was spent for an attempt of which nothing was sent.
     pub fn refund(&mut self, service: &ServiceName, spent: SpentRetry) {
-        // A bucket that was removed meanwhile is created with its whole share.
+        let window = self.window();
         if let Some(bucket) = self.buckets.get_mut(service) {
-            bucket.share += spent.share;
-            let window = Duration::from_secs_f64(self.allowance.window_s);
-            for credit in spent.earned {
+            bucket.pending = (bucket.pending - spent.guarantee() - spent.share).max(0.0);
+            for credit in spent.guaranteed.into_iter().chain(spent.young) {
                 bucket.earned.add(credit, window);
             }
         }
--- a/crates/serving/src/retry/earned.rs
+++ b/crates/serving/src/retry/earned.rs
@@ -20,9 +20,11 @@
 pub(super) struct EarnedRetries(VecDeque<Credit>);
 
 impl EarnedRetries {
-    /// Number of retries that are left.
-    pub(super) fn total(&self) -> f64 {
-        self.0.iter().map(|credit| credit.amount).sum()
+    /// Number of retries that are left of requests since `from`; of all requests without a time.
+    pub(super) fn total_since(&self, from: Option<Instant>) -> f64 {
+        let credits = self.0.iter();
+        let young = credits.filter(|credit| from.is_none_or(|from| credit.earned_at >= from));
+        young.map(|credit| credit.amount).sum()
     }
 
     /// Adds a credit. Credits may be added out of order.
@@ -48,20 +50,36 @@
         }
     }
 
-    /// Takes up to this number of retries, the oldest credits first. An empty credit stays until it
-    /// expires, so that what is returned to it expires as before.
-    pub(super) fn take(&mut self, count: f64) -> Vec<Credit> {
-        let mut taken = Vec::new();
-        let mut missing = count;
-        for credit in self.0.iter_mut().filter(|credit| credit.amount > 0.0) {
-            if missing <= 0.0 {
-                break;
-            }
-            let amount = credit.amount.min(missing);
-            taken.push(Credit { amount, ..*credit });
-            missing -= amount;
-            credit.amount -= amount;
+    /// Takes up to this number of retries that were earned before a time, the oldest credits first; none without a time.
+    pub(super) fn take_before(&mut self, before: Option<Instant>, count: f64) -> Vec<Credit> {
+        let older = before.map_or(0, |before| {
+            self.0.partition_point(|credit| credit.earned_at < before)
+        });
+        take(self.0.range_mut(..older), count)
+    }
+
+    /// Takes up to this number of retries of requests since a time; of all requests without one.
+    pub(super) fn take_since(&mut self, from: Option<Instant>, count: f64) -> Vec<Credit> {
+        let older = from.map_or(0, |from| {
+            self.0.partition_point(|credit| credit.earned_at < from)
+        });
+        take(self.0.range_mut(older..), count)
+    }
+}
+
+/// Takes up to this number of retries, the first credits first. An empty credit stays until it
+/// expires, so that what is returned to it expires as before.
+fn take<'a>(credits: impl Iterator<Item = &'a mut Credit>, count: f64) -> Vec<Credit> {
+    let mut taken = Vec::new();
+    let mut missing = count;
+    for credit in credits.filter(|credit| credit.amount > 0.0) {
+        if missing <= 0.0 {
+            break;
         }
-        taken
+        let amount = credit.amount.min(missing);
+        taken.push(Credit { amount, ..*credit });
+        missing -= amount;
+        credit.amount -= amount;
     }
+    taken
 }
--- a/tests/all/bounded_state.rs
+++ b/tests/all/bounded_state.rs
@@ -4,7 +4,7 @@
 
 use crate::test_planner::{TestPlanner, base_model};
 use passway_serving::ports::OrderAnswer;
-use passway_serving::retry::{RetryAllowance, RetryBudget};
+use passway_serving::retry::{Arrival, RetryAllowance, RetryBudget};
 use passway_serving::upstreams::{ModelRef, Outcome, UpstreamEntry, UpstreamTable};
 use passway_types::prelude::*;
 
@@ -98,14 +98,15 @@
     };
     let mut budget = RetryBudget::new(allowance);
     let mut now = Instant::now();
-    // The fleet's size has been known for a window, so that each service begins with its share.
-    let known_at = now.checked_sub(Duration::from_secs(10)).expect("a clock");
+    // The fleet's size has been known for two windows, so that each service begins with its share.
+    let known_at = now.checked_sub(Duration::from_secs(20)).expect("a clock");
     budget.set_instances(4, known_at);
     for number in 0..NAMES {
         // A new configuration renames the service.
         let service = format!("renamed-{number}").into();
         budget.record_request(&service, now, now);
-        assert!(budget.try_spend(&service, now).is_some());
+        let spent = budget.try_spend(&service, now).expect("a retry");
+        budget.settle(&service, spent, Arrival::Known, now);
         now += Duration::from_secs(10);
     }
     let retained = retained(&budget, "renamed-");
--- a/tests/all/retry_share.rs
+++ b/tests/all/retry_share.rs
@@ -1,6 +1,6 @@
 //! The instances' shares of the retry allowance never add up to more than the whole.
 
-use passway_serving::retry::{InstanceCount, RetryAllowance, RetryBudget};
+use passway_serving::retry::{Arrival, InstanceCount, RetryAllowance, RetryBudget};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,17 +17,27 @@
     "engines".into()
 }
 
-/// A budget of a process that has known the fleet's size for a window, so that its share is full.
+/// A budget of a process that has known the fleet's size for two windows, so that its share is full.
 fn full_budget(allowance: RetryAllowance, instances: usize, now: Instant) -> RetryBudget {
     let mut budget = RetryBudget::new(allowance);
-    let window = Duration::from_secs_f64(allowance.window_s);
+    let windows = Duration::from_secs_f64(2.0 * allowance.window_s);
     let known_at = now
-        .checked_sub(window)
-        .expect("a clock that has run for a window");
+        .checked_sub(windows)
+        .expect("a clock that has run for two windows");
     budget.set_instances(instances, known_at);
     budget
 }
 
+/// Spends retries as long as there are any, each of which arrives and is answered at once. Returns their number.
+fn spend_while_left(budget: &mut RetryBudget, now: Instant) -> f64 {
+    let mut count = 0.0;
+    while let Some(spent) = budget.try_spend(&service(), now) {
+        budget.settle(&service(), spent, Arrival::Known, now);
+        count += 1.0;
+    }
+    count
+}
+
 /// Checks that each window has no more retries than the allowance permits for the requests of that
 /// window, of the one before it, or of the one that begins half a window earlier.
 fn check_windows(
@@ -75,9 +85,7 @@
                     budget.record_request(&service(), now, now);
                     received += 1.0;
                 }
-                while budget.try_spend(&service(), now).is_some() {
-                    spent += 1.0;
-                }
+                spent += spend_while_left(budget, now);
             }
             requests.push(received);
             retries.push(spent);
@@ -111,9 +119,7 @@
                     budget.record_request(&service(), arrived_at, now);
                     received += 1.0;
                 }
-                while budget.try_spend(&service(), now).is_some() {
-                    spent += 1.0;
-                }
+                spent += spend_while_left(budget, now);
             }
             requests.push(received);
             retries.push(spent);
@@ -131,10 +137,8 @@
         now += Duration::from_millis(100);
         budget.record_request(&service(), now, now);
     }
-    let spent = (0..100)
-        .filter(|_| budget.try_spend(&service(), now).is_some())
-        .count();
-    assert!(spent >= 8, "{spent}");
+    let spent = spend_while_left(&mut budget, now);
+    assert!(spent >= 8.0, "{spent}");
 }
 
 /// The load: a fleet of 300 instances and up to 78 that join it, with a third of all arrivals
@@ -186,9 +190,7 @@
                     budget.record_request(&service(), now, now);
                     received += 1.0;
                 }
-                while budget.try_spend(&service(), now).is_some() {
-                    spent += 1.0;
-                }
+                spent += spend_while_left(budget, now);
             }
             requests.push(received);
             retries.push(spent);
--- a/tests/all/saved_retries.rs
+++ b/tests/all/saved_retries.rs
@@ -1,9 +1,10 @@
-//! Retries that were earned before a quiet time never exceed the allowance of the windows in which they arrive.
+//! Retries never exceed the allowance of the windows in which they arrive, whenever their requests were sent and however
+//! long servers stood still meanwhile.
 //!
 //! Guards against retries that instances keep for longer than the requests that earned them count: after a burst and a
 //! quiet time, failures that make all callers need retries brought more repeats to the servers than were allowed.
 
-use passway_serving::retry::{RetryAllowance, RetryBudget};
+use passway_serving::retry::{Arrival, RetryAllowance, RetryBudget, SpentRetry};
 use passway_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -13,8 +14,12 @@
 const RATIO: f64 = 0.2;
 const STEP: Duration = Duration::from_millis(50);
 const WINDOW_STEPS: usize = 200;
-/// Longest time from a retry's spend to its arrival, in steps: servers stood still meanwhile.
-const MAX_HOLD_STEPS: usize = WINDOW_STEPS / 4;
+/// Longest time from a retry's spend to its arrival, in steps: servers stood still for 8 s meanwhile.
+const MAX_HOLD_STEPS: usize = 160;
+/// Steps after which an attempt without an answer is given up, where any is.
+const GIVE_UP_STEPS: usize = 20;
+/// Longest time for which a request waits in the socket of an instance, in steps.
+const MAX_READ_DELAY_STEPS: usize = 80;
 /// Number of parts of a history, each with its own load.
 const PARTS: usize = 12;
 
@@ -57,6 +62,8 @@
 struct Fleet {
     allowance: RetryAllowance,
     budgets: Vec<RetryBudget>,
+    /// How often each instance was restarted.
+    processes: Vec<u32>,
     /// The number that the fixed allowance is divided by.
     shared_by: usize,
     now: Instant,
@@ -64,6 +71,10 @@
     sent: Vec<u32>,
     /// Repeats that arrive in each step.
     arrivals: Vec<u32>,
+    /// Retries that are not settled.
+    pending: Vec<PendingRetry>,
+    /// Requests that wait in the sockets of instances: when they are read, where, and when they were sent.
+    unread: Vec<(usize, usize, Instant)>,
     rng: ChaCha8Rng,
 }
 
@@ -78,10 +89,13 @@
         let mut fleet = Self {
             allowance,
             budgets: Vec::new(),
+            processes: vec![0; shape.instances],
             shared_by: shape.instances + shape.instances / 4 + 1,
             now: Instant::now(),
             sent: Vec::new(),
             arrivals: Vec::new(),
+            pending: Vec::new(),
+            unread: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         fleet.budgets = (0..shape.instances).map(|_| fleet.new_budget()).collect();
@@ -110,31 +124,87 @@
             while due >= 1.0 || (due > 0.0 && self.rng.random_bool(due)) {
                 due -= 1.0;
                 let instance = self.rng.random_range(0..self.budgets.len());
-                self.budgets[instance].record_request(&service(), self.now, self.now);
+                let delay = self.rng.random_range(0..=part.read_delay_steps);
+                self.unread
+                    .push((self.sent.len() + delay, instance, self.now));
                 *self.sent.last_mut().expect("a step") += 1;
             }
+            self.read_requests();
+            self.settle_retries();
             if step < part.steps_before_retries {
                 continue;
             }
-            let now = self.now;
-            let spent: u32 = self.budgets.iter_mut().map(|one| spend_all(one, now)).sum();
-            self.arrive(spent, part.hold_steps - step % (part.hold_steps + 1));
+            let held_step = step - part.steps_before_retries;
+            let hold = part.hold_steps;
+            let delay = match part.hold {
+                Hold::Repeated => hold - step % (hold + 1),
+                Hold::Once(from) if (from..from + hold).contains(&held_step) => {
+                    from + hold - held_step
+                }
+                Hold::Once(_) => 0,
+            };
+            for instance in 0..self.budgets.len() {
+                self.spend_all(instance, delay, part.gives_up);
+            }
+        }
+    }
+
+    /// Hands the requests that are read now to their instances, in any order.
+    fn read_requests(&mut self) {
+        let (step, now) = (self.sent.len(), self.now);
+        for (_, instance, sent_at) in self.unread.extract_if(.., |unread| unread.0 <= step) {
+            self.budgets[instance].record_request(&service(), sent_at, now);
         }
     }
 
-    /// Counts retries that arrive some steps later.
-    fn arrive(&mut self, count: u32, delay_steps: usize) {
-        let at = self.sent.len() - 1 + delay_steps;
-        if self.arrivals.len() <= at {
-            self.arrivals.resize(at + 1, 0);
+    /// Settles the retries whose arrivals are known now, or that are given up.
+    fn settle_retries(&mut self) {
+        let (step, now) = (self.sent.len(), self.now);
+        for one in self.pending.extract_if(.., |one| one.settled_at <= step) {
+            // The process that spent the retry may have ended.
+            if one.process == self.processes[one.instance] {
+                self.budgets[one.instance].settle(&service(), one.spent, one.arrival, now);
+            }
+        }
+    }
+
+    /// Spends all retries that are left at an instance. They arrive some steps later; with `gives_up` they are given up before
+    /// that.
+    fn spend_all(&mut self, instance: usize, delay_steps: usize, gives_up: bool) {
+        let (step, now) = (self.sent.len(), self.now);
+        while let Some(spent) = self.budgets[instance].try_spend(&service(), now) {
+            let at = step - 1 + delay_steps;
+            if self.arrivals.len() <= at {
+                self.arrivals.resize(at + 1, 0);
+            }
+            self.arrivals[at] += 1;
+            let is_given_up = gives_up && delay_steps > GIVE_UP_STEPS;
+            let (wait_steps, arrival) = if is_given_up {
+                (GIVE_UP_STEPS, Arrival::Unknown { sent_at: now })
+            } else {
+                (delay_steps, Arrival::Known)
+            };
+            if wait_steps == 0 {
+                // Answered within the step.
+                self.budgets[instance].settle(&service(), spent, arrival, now);
+                continue;
+            }
+            self.pending.push(PendingRetry {
+                settled_at: step + wait_steps,
+                instance,
+                process: self.processes[instance],
+                spent,
+                arrival,
+            });
         }
-        self.arrivals[at] += count;
     }
 
     /// Replaces the processes of some instances.
     fn restart(&mut self, share: f64) {
         for instance in 0..self.budgets.len() {
             if self.rng.random_bool(share) {
+                self.processes[instance] += 1;
+                self.unread.retain(|unread| unread.1 != instance);
                 self.budgets[instance] = self.new_budget();
             }
         }
@@ -173,15 +243,30 @@
     steps_before_retries: usize,
     /// Retries arrive together after this many steps; 0 if each arrives at once.
     hold_steps: usize,
+    hold: Hold,
+    /// Whether attempts without an answer are given up.
+    gives_up: bool,
+    /// Longest time for which a request waits in the socket of its instance, in steps.
+    read_delay_steps: usize,
 }
 
-/// Spends all retries that are left, and returns their number.
-fn spend_all(budget: &mut RetryBudget, now: Instant) -> u32 {
-    let mut spent = 0;
-    while budget.try_spend(&service(), now).is_some() {
-        spent += 1;
-    }
-    spent
+/// When servers stand still.
+#[derive(Debug, Clone, Copy)]
+enum Hold {
+    /// Again and again.
+    Repeated,
+    /// Once, this many steps after the first retries.
+    Once(usize),
+}
+
+/// A retry that is not settled.
+#[derive(Debug)]
+struct PendingRetry {
+    settled_at: usize,
+    instance: usize,
+    process: u32,
+    spent: SpentRetry,
+    arrival: Arrival,
 }
 
 /// Runs a history for each shape and seed, and fails with the worst windows of those that exceed what is allowed.
@@ -209,6 +294,9 @@
             requests_per_s: shape.requests_per_s,
             steps_before_retries: usize::MAX,
             hold_steps: 0,
+            hold: Hold::Repeated,
+            gives_up: false,
+            read_delay_steps: 0,
         };
         let factor = fleet.rng.random_range(1.0..12.0);
         let quiet = fleet.rng.random_range(0.0..1.0);
@@ -251,6 +339,13 @@
                 } else {
                     0
                 },
+                hold: Hold::Repeated,
+                gives_up: fleet.rng.random_bool(0.5),
+                read_delay_steps: if fleet.rng.random_bool(0.3) {
+                    fleet.rng.random_range(0..=MAX_READ_DELAY_STEPS)
+                } else {
+                    0
+                },
             };
             fleet.play(&part);
             match fleet.rng.random_range(0..8) {
@@ -261,3 +356,55 @@
         }
     });
 }
+
+// Guards against retries that are held by servers which stand still for some seconds, and arrive together when the requests
+// that earned them count no more: directed histories of a burst, little traffic, and retries that are all wanted.
+#[test]
+fn directed_holds() {
+    for hold_s in [1, 2, 4, 5, 6, 8] {
+        for begins_s in [0, 3] {
+            for gives_up in [false, true] {
+                check_histories(6, |fleet, shape| {
+                    play_hold(fleet, shape, (hold_s, begins_s, gives_up));
+                });
+            }
+        }
+    }
+}
+
+/// Plays one directed history: a hold of some seconds that begins some seconds after the first retries.
+fn play_hold(fleet: &mut Fleet, shape: Shape, (hold_s, begins_s, gives_up): (usize, usize, bool)) {
+    let steps_per_s = WINDOW_STEPS / 10;
+    let steady = Part {
+        steps: 2 * WINDOW_STEPS,
+        requests_per_s: shape.requests_per_s,
+        steps_before_retries: usize::MAX,
+        hold_steps: 0,
+        hold: Hold::Repeated,
+        gives_up: false,
+        read_delay_steps: 0,
+    };
+    let factor = [1.0, 3.0, 8.0][fleet.rng.random_range(0..3)];
+    let quiet = [1.0, 0.2][fleet.rng.random_range(0..2)];
+    let quiet_s = [0, 2, 5, 8, 10][fleet.rng.random_range(0..5)];
+    fleet.play(&steady);
+    fleet.play(&Part {
+        steps: WINDOW_STEPS,
+        requests_per_s: factor * shape.requests_per_s,
+        ..steady
+    });
+    let rest = Part {
+        steps: quiet_s * steps_per_s,
+        requests_per_s: quiet * shape.requests_per_s,
+        ..steady
+    };
+    fleet.play(&rest);
+    fleet.play(&Part {
+        steps: 22 * steps_per_s,
+        steps_before_retries: 0,
+        hold_steps: hold_s * steps_per_s,
+        hold: Hold::Once(begins_s * steps_per_s),
+        gives_up,
+        ..rest
+    });
+}
