--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -8,6 +8,7 @@
 use crate::shared::Shared;
 use crate::stop_signal::StopSignals;
 use anyhow::{Context, Result};
+use passway_process::arrival_time;
 use passway_process::logging::json::REQUEST_TARGET;
 use passway_serving::memory::MemoryReservation;
 use passway_serving::routes::CallerLimits;
@@ -85,6 +86,12 @@
     listener
         .set_nonblocking(true)
         .context("setting the callers' listener to non-blocking")?;
+    // Bytes may arrive before their connection is accepted.
+    if !arrival_time::enable(&listener) {
+        log::info!(
+            "the kernel does not note when requests arrive; their time runs from when they are read"
+        );
+    }
     let callers = Callers {
         address: listener.local_addr().context("reading the bound address")?,
         shared: shared.clone(),
@@ -205,6 +212,7 @@
         // A socket that rejects its options is unusable; dropping it closes it.
         if let Ok(mut connection) = Connection::new(stream) {
             connection.set_stop_signals(context.stop_signals.clone());
+            connection.note_arrival_times();
             serve_connection(&context, connection);
         }
     };
@@ -300,7 +308,8 @@
         Ok(None) | Err(_) => return None,
     };
     let in_progress = shared.count_in_progress();
-    let arrived_at = clock::now();
+    // The caller's time has run since then, also while the request waited to be read.
+    let arrived_at = caller.received_at();
     // They may have changed while the connection was idle.
     let limits = newest_limits(shared);
     let announced_length = head.headers.text("content-length");
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -5,6 +5,7 @@
 
 use super::HttpError;
 use crate::stop_signal::{StopSignal, StopSignals};
+use passway_process::arrival_time;
 use passway_serving::memory::MemoryReservation;
 use passway_types::clock;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -49,6 +50,10 @@
     buffer: Vec<u8>,
     consumed: usize,
     is_ended: bool,
+    /// Whether the kernel notes when bytes arrive.
+    has_arrival_times: bool,
+    /// When the bytes that were read last had arrived at the socket; no later than their read.
+    received_at: Instant,
     /// Reads of bytes since the last wait.
     reads_in_row: u32,
     /// Whether the kernel ended the connection because the peer acknowledged nothing for too long.
@@ -86,6 +91,8 @@
             buffer: Vec::new(),
             consumed: 0,
             is_ended: false,
+            has_arrival_times: false,
+            received_at: clock::now(),
             reads_in_row: 0,
             has_timed_out: false,
             stop_signals: None,
@@ -108,6 +115,31 @@
         Ok(connection)
     }
 
+    /// From now on the kernel notes when bytes arrive, where it can.
+    pub fn note_arrival_times(&mut self) {
+        self.has_arrival_times = arrival_time::enable(&self.stream);
+    }
+
+    /// When the bytes that were read last had arrived at the socket, if the kernel notes that, else when they were read.
+    pub fn received_at(&self) -> Instant {
+        self.received_at
+    }
+
+    /// Reads once from the socket, and records when the bytes had arrived.
+    fn read_socket(&mut self, start: usize) -> io::Result<usize> {
+        let buffer = &mut self.buffer[start..];
+        let (count, age) = if self.has_arrival_times {
+            arrival_time::read(&self.stream, buffer)?
+        } else {
+            (self.stream.read(buffer)?, Duration::ZERO)
+        };
+        if count > 0 {
+            let now = clock::now();
+            self.received_at = now.checked_sub(age).unwrap_or(now);
+        }
+        Ok(count)
+    }
+
     /// Counts buffered bytes beyond [`READ_BYTES`] against the reservation's pool from now on.
     pub fn set_buffer_memory(&mut self, reservation: MemoryReservation) {
         self.buffer_memory = Some(reservation);
@@ -195,7 +227,7 @@
         }
         let start = self.buffer.len();
         self.buffer.resize(start + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buffer[start..]);
+        let read = self.read_socket(start);
         let count = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + count);
         if self.buffer.is_empty() {
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,11 +1,13 @@
 //! Process setup shared by passway's programs.
 //!
+//! * [`arrival_time`]: when received bytes had arrived at a socket.
 //! * [`logging`]: one structured line per event, through `log` and `fern`.
 //! * [`dial`]: a connection to a peer that reconnects automatically.
 //! * [`outbox`]: sending to a peer without blocking the sender.
 //! * [`queue`]: reading of a queue to which other threads add all the time.
 //! * [`signals`]: signals of the operating system as a channel.
 
+pub mod arrival_time;
 pub mod dial;
 pub mod logging;
 pub mod outbox;
--- a/crates/standins/src/platform/raw.rs
+++ b/crates/standins/src/platform/raw.rs
@@ -1,11 +1,12 @@
 //! A server that sends scripted bytes, for answers that no HTTP library would produce.
 
+use passway_process::arrival_time;
 use passway_types::prelude::*;
 use rustix::net::RecvFlags;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{ErrorKind, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -189,7 +190,20 @@
     /// # Panics
     /// If no port can be bound.
     pub fn start(script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("binding a stand-in");
+        Self::start_on(Ipv4Addr::LOCALHOST, script)
+    }
+
+    /// As [`RawServer::start`], on an address of the machine.
+    ///
+    /// # Panics
+    /// If no port can be bound.
+    pub fn start_on(
+        ip: Ipv4Addr,
+        script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("binding a stand-in");
+        // Without noted times, requests count as having arrived when they are read.
+        arrival_time::enable(&listener);
         let server = Self {
             address: listener
                 .local_addr()
@@ -378,8 +392,8 @@
     ) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut bytes = Vec::new();
-        while let Some((head, body)) = read_request(&mut stream, &mut bytes)? {
-            let readable_at = Instant::now();
+        let mut readable_at = Instant::now();
+        while let Some((head, body)) = read_request(&mut stream, &mut bytes, &mut readable_at)? {
             // A process that goes on reads what had arrived, also if the connection was reset meanwhile.
             self.wait_until(|| *self.lock_standing_until(), &stream, connection);
             let mut requests = self.received.lock().unwrap_or_else(PoisonError::into_inner);
@@ -522,10 +536,12 @@
     }
 }
 
-/// Reads one request whose body has a `Content-Length`; `None` at the end of the connection.
+/// Reads one request whose body has a `Content-Length`; `None` at the end of the connection. `readable_at` becomes the
+/// time at which the bytes that were read last had reached the socket.
 fn read_request(
     stream: &mut TcpStream,
     bytes: &mut Vec<u8>,
+    readable_at: &mut Instant,
 ) -> std::io::Result<Option<(String, Vec<u8>)>> {
     let mut chunk = [0; 8 << 10];
     loop {
@@ -543,10 +559,12 @@
                 return Ok(Some((head, body)));
             }
         }
-        let count = stream.read(&mut chunk)?;
+        let (count, age) = arrival_time::read(stream, &mut chunk)?;
         if count == 0 {
             return Ok(None);
         }
+        let now = Instant::now();
+        *readable_at = now.checked_sub(age).unwrap_or(now);
         bytes.extend_from_slice(&chunk[..count]);
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -49,6 +49,7 @@
 mod large_store_answers;
 mod late_in_stop;
 mod late_models;
+mod late_reads;
 mod late_times;
 mod leadership_faults;
 mod lease_renewals;
