--- a/crates/serving/src/poison/blame.rs
+++ b/crates/serving/src/poison/blame.rs
@@ -24,6 +24,9 @@
 /// From this number of sequential crashes on, a crash is explained only by a suspect with more of them.
 /// Otherwise a caller could send two crashing parts so that each explains the crashes of the other.
 const MIN_UNTIED_CRASHES: u32 = MAX_CRASHES + 1;
+/// From this number of crashes on, each under a run that was sent after the previous one, at two moments or more, a part is
+/// refused as one with [`MIN_UNTIED_CRASHES`] sequential crashes (users' pages).
+const MAX_TOTAL_CRASHES: u32 = 5;
 /// How long a part is refused after its last crash, by the number of its crashes beyond
 /// [`MAX_CRASHES`]; then one run is tried. With more crashes it is refused until it is forgotten.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(20)];
@@ -89,6 +92,15 @@
 /// [`PART_INCIDENT_WINDOW`] after the previous crash. Crashes whose times are not known belong to it.
 fn sequential_crashes<'a>(
     crashes: impl Iterator<Item = (&'a UpstreamStart, Option<&'a RunSpan>)>,
+) -> Vec<&'a UpstreamStart> {
+    crashes_in_sequence(crashes, PART_INCIDENT_WINDOW)
+}
+
+/// The longest sequence of crashes each of which happened under a run that was sent at least this long after the previous
+/// crash. Crashes whose times are not known belong to it.
+fn crashes_in_sequence<'a>(
+    crashes: impl Iterator<Item = (&'a UpstreamStart, Option<&'a RunSpan>)>,
+    min_gap: Duration,
 ) -> Vec<&'a UpstreamStart> {
     let mut sequential = Vec::new();
     let mut timed = Vec::new();
@@ -101,7 +113,7 @@
     timed.sort_by_key(|(span, _)| span.disconnected_after);
     let mut last_at = None;
     for (span, start) in timed {
-        if last_at.is_none_or(|last_at| span.sent_at >= last_at + PART_INCIDENT_WINDOW) {
+        if last_at.is_none_or(|last_at| span.sent_at >= last_at + min_gap) {
             sequential.push(start);
             last_at = Some(span.disconnected_after);
         }
@@ -110,7 +122,11 @@
 }
 
 fn length(sequential: &[&UpstreamStart]) -> u32 {
-    u32::try_from(sequential.len()).unwrap_or(u32::MAX)
+    count_of(sequential.len())
+}
+
+fn count_of(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
 }
 
 /// The number of sequential crashes of a suspect, with or without unconfirmed ones.
@@ -174,7 +190,11 @@
     /// The parts that are considered the cause of their crashes, whatever else a request contains.
     pub fn blamed_parts(&mut self, now: Instant) -> Vec<SuspectKey> {
         let suspects = self.known.values().map(|known| &known.suspect);
-        let candidates = suspects.filter(|suspect| suspect.key.is_part() && suspect.is_refused());
+        let candidates = suspects.filter(|suspect| {
+            let may_be_blamed =
+                suspect.is_refused() || count_of(suspect.crashes.len()) >= MAX_TOTAL_CRASHES;
+            suspect.key.is_part() && may_be_blamed
+        });
         let mut parts: Vec<SuspectKey> = candidates.map(|suspect| suspect.key).collect();
         parts.retain(|key| self.judge_part(*key, &[*key], now).is_blamed);
         parts.sort_unstable();
@@ -195,6 +215,17 @@
                 length(&sequential_crashes(crashes))
             };
             let confirmed = unexplained(false);
+            let crashes = counted(&known.suspect, false);
+            let crashes = crashes.filter(|(start, _)| !blame.is_explained(start, total, keys));
+            // Requests that go on to the next upstream at once may have ended many within a few moments. One moment alone may
+            // be the loss of a rack.
+            let is_known = confirmed >= MIN_LIMITED_CRASHES
+                && length(&crashes_in_sequence(crashes, Duration::ZERO)) >= MAX_TOTAL_CRASHES;
+            let confirmed = if is_known {
+                confirmed.max(MIN_UNTIED_CRASHES)
+            } else {
+                confirmed
+            };
             if confirmed >= MAX_CRASHES {
                 return Judgement::of_blamed(known, confirmed, now);
             }
--- a/tests/all/part_blame.rs
+++ b/tests/all/part_blame.rs
@@ -101,6 +101,28 @@
     assert!(world.is_free(&[SHARED, SOUND]));
 }
 
+// Guards against a part that ends many upstreams within a few moments, because its requests go on to the next one at once, and
+// counts only once for each moment: five ends are as many as may pass before it is known. A moment alone may be the loss
+// of a rack.
+#[test]
+fn crashes_in_few_moments() {
+    let mut world = World::new();
+    let crash_in_row = |world: &mut World, count: usize| {
+        world.now += GAP;
+        for _ in 0..count {
+            let sent_at = world.now;
+            world.now += RUN / 10;
+            world.crash_at(&[&[SHARED, CRASHING]], sent_at);
+        }
+        world.whole_run(&[SHARED, SOUND]);
+    };
+    crash_in_row(&mut world, 4);
+    assert!(world.is_free(&[77, CRASHING]));
+    crash_in_row(&mut world, 1);
+    assert!(world.is_refused(&[77, CRASHING]));
+    assert!(world.is_free(&[SHARED, SOUND]));
+}
+
 /// Two ends under one request alone: the next one runs alone, by the permit of one part.
 #[test]
 fn alone_after_two() {
