--- a/crates/instance/src/callers.rs
+++ b/crates/instance/src/callers.rs
@@ -89,7 +89,7 @@
     // Bytes may arrive before their connection is accepted.
     if !arrival_time::enable(&listener) {
         log::info!(
-            "the kernel does not note when requests arrive; their time runs from when they are read"
+            "the kernel has no arrival times; the time of requests runs from when they are read"
         );
     }
     let callers = Callers {
@@ -212,7 +212,7 @@
         // A socket that rejects its options is unusable; dropping it closes it.
         if let Ok(mut connection) = Connection::new(stream) {
             connection.set_stop_signals(context.stop_signals.clone());
-            connection.note_arrival_times();
+            connection.enable_arrival_times();
             serve_connection(&context, connection);
         }
     };
--- a/crates/instance/src/forward/completeness.rs
+++ b/crates/instance/src/forward/completeness.rs
@@ -66,7 +66,7 @@
         self.prove_complete(source, end)
     }
 
-    /// What identifies the start of an attempt's upstream to queries.
+    /// The upstream of an attempt, as queries for its start need it.
     pub(super) fn checked_upstream(&self, target: &Target) -> CheckedUpstream {
         let table = self.shared.routes.load();
         let services = table.as_ref().map(|table| &table.services);
--- a/crates/instance/src/http1/socket.rs
+++ b/crates/instance/src/http1/socket.rs
@@ -50,7 +50,7 @@
     buffer: Vec<u8>,
     consumed: usize,
     is_ended: bool,
-    /// Whether the kernel notes when bytes arrive.
+    /// Whether the kernel's arrival times are enabled.
     has_arrival_times: bool,
     /// When the bytes that were read last had arrived at the socket; no later than their read.
     received_at: Instant,
@@ -115,12 +115,12 @@
         Ok(connection)
     }
 
-    /// From now on the kernel notes when bytes arrive, where it can.
-    pub fn note_arrival_times(&mut self) {
+    /// Enables the kernel's arrival times, where it supports them.
+    pub fn enable_arrival_times(&mut self) {
         self.has_arrival_times = arrival_time::enable(&self.stream);
     }
 
-    /// When the bytes that were read last had arrived at the socket, if the kernel notes that, else when they were read.
+    /// When the bytes that were read last had arrived at the socket; when they were read, without arrival times.
     pub fn received_at(&self) -> Instant {
         self.received_at
     }
--- a/crates/process/src/arrival_time.rs
+++ b/crates/process/src/arrival_time.rs
@@ -1,4 +1,4 @@
-//! When received bytes had arrived at a socket, as the kernel has noted it.
+//! When received bytes had arrived at a socket, by the kernel's timestamps.
 //!
 //! A process with little processor time reads requests late. Their deadlines count from their arrival all the same.
 
@@ -8,16 +8,16 @@
 use std::os::fd::{AsFd, AsRawFd};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// An age beyond this is not believed: the time of day has been set since the bytes arrived.
+/// An age beyond this is ignored: the time of day was probably set after the bytes had arrived.
 const MAX_AGE: Duration = Duration::from_secs(20);
 
-/// Has the kernel note the arrival times of what the socket receives; of a listener, also for the connections that it
-/// accepts. Returns whether the kernel does so.
+/// Enables the kernel's arrival times for a socket; for a listener, also for the connections that it accepts.
+/// Returns whether the kernel supports them.
 pub fn enable(socket: &impl AsFd) -> bool {
     setsockopt(socket, sockopt::ReceiveTimestampns, &true).is_ok()
 }
 
-/// Reads from a socket with noted arrival times. Returns the number of bytes, and how long ago the last of them had
+/// Reads from a socket whose arrival times are enabled. Returns the number of bytes, and how long ago the last of them had
 /// arrived; zero if that is not known.
 ///
 /// # Errors
--- a/crates/serving/src/retry.rs
+++ b/crates/serving/src/retry.rs
@@ -6,18 +6,20 @@
 //! received itself, and its share of the fixed allowance. So instances need no agreement and
 //! borrow nothing.
 //!
-//! Why each window stays within the allowance, whatever the order of requests, retries and restarts, if each
-//! attempt arrives at most [`MAX_DELAY`] after it was sent. An attempt that nobody has answered is not known to have
-//! arrived; with it, a retry for the same request may be the one that arrives first.
+//! Each window stays within the allowance, whatever the order of requests, retries and restarts, if each
+//! attempt arrives at most [`MAX_DELAY`] after it was sent. Until an attempt is answered, its arrival is
+//! unknown, and it may arrive after a retry of the same request. A retry is settled when the arrivals of all
+//! attempts of its request are known.
 //!
-//! * A request earns half of the ratio. A credit pays for arrivals until one window after its request: half of
-//!   the ratio for the requests of a window and of the one before it is at most the whole ratio for those of one. A
-//!   young credit can be spent as it is, since even the latest arrival is in time. An older one is spent only
-//!   together with as much of the fixed share, which is released once the attempts of the request are known to have arrived in time.
-//! * Of the fixed share, each part that was spent returns one window after the attempts of its request are known to have arrived, so
-//!   it pays for at most one arrival in a window. All shares are [`SLACK_FRACTION`] of the allowance.
-//! * A process that starts has no retries. Its share grows over [`START_WINDOWS`], so that what all processes of an
-//!   instance that restarts again and again spend in a window and the delay before it is less than the other half.
+//! * A request earns half of the ratio, as a credit. It pays for arrivals until one window after the
+//!   request: half of the ratio for the requests of a window and of the one before it is at most the whole
+//!   ratio for those of one. A young credit can be spent as it is, since even the latest arrival is in
+//!   time. An older one needs as much of the fixed share as a guarantee, which is released when the retry
+//!   is settled in time.
+//! * A part of the fixed share returns one window after its retry was settled, so it pays for at most one
+//!   arrival in a window. All shares together are [`SLACK_FRACTION`] of the fixed allowance.
+//! * A process that starts has no retries, and its share grows over [`START_WINDOWS`]. So the processes of an
+//!   instance that restarts repeatedly spend less than the other half of its allowance in a window and the delay before it.
 
 mod earned;
 
@@ -28,14 +30,15 @@
 
 /// Fraction of the allowed ratio that a request earns.
 const EARNED_RATIO_FRACTION: f64 = 0.5;
-/// Longest time from the sending of an attempt to its arrival for which the allowance is kept. The entry of an upstream
-/// that stands still expires before.
+/// Longest time from the sending of an attempt to its arrival for which the allowance is kept. The entry of an
+/// upstream that stands still expires after some four seconds.
 const MAX_DELAY: Duration = Duration::from_secs(8);
-/// The same in windows at most: credits must live for some time.
+/// Upper limit of that time, in windows: young credits must remain.
 const MAX_DELAY_WINDOWS: f64 = 0.8;
 /// How long an earned retry can be spent, in windows.
 const EARNED_WINDOWS: f64 = 0.75;
-/// Fraction of the fixed allowance that all instances together hold. The rest is for the previous processes of instances that restart.
+/// Fraction of the fixed allowance that all instances together hold. The rest covers the previous
+/// processes of instances that restart.
 const SLACK_FRACTION: f64 = 0.5;
 /// Time in which the share of a process that starts grows to its whole size, in windows.
 const START_WINDOWS: f64 = 2.0;
@@ -110,7 +113,7 @@
     }
 }
 
-/// When the attempts of a request had arrived that a retry was spent for.
+/// What is known of the arrivals of a request's attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Arrival {
     /// All have been answered, or their connections were closed by the upstream.
@@ -126,9 +129,9 @@
 #[derive(Debug, Clone, PartialEq)]
 #[must_use]
 pub struct SpentRetry {
-    /// Credits that were spent with as much of the share.
+    /// Older credits, for which the share is the guarantee.
     guaranteed: Vec<Credit>,
-    /// Credits for which even the latest arrival is in time.
+    /// Young credits: even the latest arrival is in time.
     young: Vec<Credit>,
     share: f64,
 }
