--- a/crates/instance/src/forward/retries.rs
+++ b/crates/instance/src/forward/retries.rs
@@ -20,7 +20,8 @@
     refundable: Option<SpentRetry>,
 }
 
-/// The retries of a request, until it is known when its attempts arrived. Dropping them settles what is left.
+/// The retries that a request has spent, until the arrivals of its attempts are known. On drop, those that remain are
+/// settled.
 #[derive(Debug)]
 pub(super) struct RetryCharges {
     shared: Arc<Shared>,
--- a/crates/instance/src/forward/suspect.rs
+++ b/crates/instance/src/forward/suspect.rs
@@ -97,7 +97,8 @@
     /// deadline. Its port alone does not show a crash: it may close later than the connections, under a
     /// supervisor it stays open, and a machine that has lost power sends nothing.
     ///
-    /// Silent upstreams that are no engines are left out: they say nothing before a whole answer.
+    /// A plain upstream that is silent is not watched: it sends nothing before its whole answer, so silence says
+    /// nothing about a crash.
     fn watch_for_crash(&self, target: &Target, sent_at: Instant, is_silent: bool) {
         if self.shared.upstreams().is_draining(&target.id) {
             return;
--- a/crates/standins/src/soak/crash_checks.rs
+++ b/crates/standins/src/soak/crash_checks.rs
@@ -162,7 +162,7 @@
         CulpritKind::Part => "request with a crashing part",
     };
     format!(
-        "{late} copies of a {what} ({}, {}) reached servers later than {CONTACT_DURATION:?} after crash {}, of {ended}",
+        "{late} copies of a {what} ({}, {}) reached servers later than {CONTACT_DURATION:?} after crash number {} of {ended}",
         culprit.kind.name(),
         culprit.body,
         culprit.kind.known_crashes()
--- a/crates/standins/src/soak/culprits.rs
+++ b/crates/standins/src/soak/culprits.rs
@@ -1,4 +1,4 @@
-//! Crashing requests that callers repeat: many different ones at a time, and requests with crashing parts.
+//! Culprits: requests, or parts of prompts, that crash each server that runs them, and that callers repeat.
 
 use super::callers::RequestKind;
 use super::cluster::{CRASHING_PART, CRASHING_PART_BODY, CRASHING_PARTS, POISON, crashing_part};
