--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -1,13 +1,14 @@
 //! A sound model server: it takes orders one at a time, reports its state as it was some hundred ms ago, and runs
-//! requests for the models that it holds. It may leave an order unanswered and carry it out later.
+//! requests for the models that it holds. It may leave an order unanswered and carry it out later, and it may crash and
+//! start again under its id.
 
 use crate::http::{self, Message};
 use crate::json;
 use crate::plain::unix_ms;
 use crate::record::Record;
 use crate::store::Store;
-use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpStream};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,8 +19,22 @@
 const REPORT_LAG: Duration = Duration::from_millis(300);
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
 /// Time to load a model from the server's own disk.
-const LOAD_TIME: Duration = Duration::from_millis(840);
+const DISK_LOAD: Duration = Duration::from_millis(840);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The entry of a server goes after so many heartbeats of silence.
+const SILENT_HEARTBEATS: u32 = 3;
+
+/// What is the same for the servers of a software version.
+#[derive(Clone)]
+pub struct Build {
+    pub service: &'static str,
+    pub version: &'static str,
+    /// Time to load a model that is not on the disk.
+    pub store_load: Duration,
+    /// Events of a stream, and the time between them.
+    pub events: u64,
+    pub event_interval: Duration,
+}
 
 #[derive(Clone, Default)]
 struct Shown {
@@ -34,6 +49,15 @@
     loading: Option<String>,
     past: VecDeque<(Instant, Shown)>,
     heartbeat: u64,
+    /// When the process was started.
+    born: u64,
+    is_running: bool,
+    listener: Option<TcpListener>,
+    /// The open connections, by the port of the other side.
+    connections: BTreeMap<u16, TcpStream>,
+    on_disk: Vec<String>,
+    /// The models of the requests that run.
+    runs: Vec<String>,
     /// The next load order gets no answer and is carried out after this time.
     leave_next_load: Option<Duration>,
     /// Load orders that were left without an answer.
@@ -47,9 +71,7 @@
 pub struct Engine {
     pub id: String,
     pub address: SocketAddr,
-    service: String,
-    on_disk: Vec<String>,
-    born: u64,
+    build: Build,
     state: Arc<Mutex<State>>,
     store: Store,
     record: Record,
@@ -61,7 +83,7 @@
         store: &Store,
         record: &Record,
         id: &str,
-        service: &str,
+        build: &Build,
         models: &[String],
         on_disk: &[String],
     ) -> Self {
@@ -73,14 +95,18 @@
         let engine = Self {
             id: id.to_owned(),
             address,
-            service: service.to_owned(),
-            on_disk: on_disk.to_vec(),
-            born: unix_ms(),
+            build: build.clone(),
             state: Arc::new(Mutex::new(State {
                 now,
                 loading: None,
                 past: VecDeque::new(),
                 heartbeat: 0,
+                born: unix_ms(),
+                is_running: true,
+                listener: None,
+                connections: BTreeMap::new(),
+                on_disk: on_disk.to_vec(),
+                runs: Vec::new(),
                 leave_next_load: None,
                 left: 0,
                 too_large: Vec::new(),
@@ -88,10 +114,7 @@
             store: store.clone(),
             record: record.clone(),
         };
-        let serving = engine.clone();
-        http::serve(listener, move |request, stream| {
-            serving.serve(request, stream)
-        });
+        engine.listen(listener);
         engine.publish();
         let beating = engine.clone();
         std::thread::spawn(move || {
@@ -103,6 +126,75 @@
         engine
     }
 
+    fn listen(&self, listener: TcpListener) {
+        let mut state = self.state.lock().unwrap();
+        state.listener = listener.try_clone().ok();
+        let (serving, born) = (self.clone(), state.born);
+        http::serve(listener, move |request, stream| {
+            serving.is_of_start(born, stream) && serving.serve(request, stream, born)
+        });
+    }
+
+    /// Whether the process with this start runs; the connection is closed when that process ends.
+    fn is_of_start(&self, born: u64, stream: &TcpStream) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let is_running = state.is_running && state.born == born;
+        if let (true, Ok(other), Ok(stream)) = (is_running, stream.peer_addr(), stream.try_clone())
+        {
+            state.connections.entry(other.port()).or_insert(stream);
+        }
+        is_running
+    }
+
+    /// Ends the process: its port refuses connections, its connections are closed, its entry goes later.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.is_running = false;
+        if let Some(listener) = state.listener.take() {
+            http::stop_listening(&listener);
+        }
+        for (_, connection) in std::mem::take(&mut state.connections) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        let born = state.born;
+        drop(state);
+        let engine = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(HEARTBEAT * SILENT_HEARTBEATS);
+            let state = engine.state.lock().unwrap();
+            if state.born == born {
+                engine.store.remove(&format!("servers/{}", engine.id));
+            }
+        });
+    }
+
+    /// Starts a new process under the id and at the address. It holds nothing but what is on the disk.
+    pub fn restart(&self) -> bool {
+        let Ok(listener) = TcpListener::bind(self.address) else {
+            return false;
+        };
+        let mut state = self.state.lock().unwrap();
+        state.born = unix_ms();
+        state.is_running = true;
+        state.now = Shown::default();
+        state.past.clear();
+        state.loading = None;
+        state.heartbeat = 0;
+        state.runs.clear();
+        drop(state);
+        self.listen(listener);
+        self.publish();
+        true
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.state.lock().unwrap().is_running
+    }
+
+    pub fn version(&self) -> &'static str {
+        self.build.version
+    }
+
     /// Leaves the next load order without an answer, and carries it out after this time.
     pub fn leave_next_load(&self, delay: Duration) {
         self.state.lock().unwrap().leave_next_load = Some(delay);
@@ -134,15 +226,19 @@
     /// Writes the entry.
     fn publish(&self) {
         let mut state = self.state.lock().unwrap();
+        if !state.is_running {
+            return;
+        }
         state.heartbeat += 1;
         let entry = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{},\"born\":{},\"stage\":\"colocated\",\"models\":{},\"at_hand\":{{\"in_memory\":[],\"on_disk\":{}}}}}",
-            self.service,
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"{}\",\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{},\"born\":{},\"stage\":\"colocated\",\"models\":{},\"at_hand\":{{\"in_memory\":[],\"on_disk\":{}}}}}",
+            self.build.service,
             self.address,
+            self.build.version,
             state.heartbeat,
-            self.born,
+            state.born,
             Self::resident(&state.now.models),
-            Self::names(&self.on_disk),
+            Self::names(&state.on_disk),
         );
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
@@ -159,13 +255,29 @@
             shown.orders_taken += 1;
             shown.in_flight = true;
         });
+        let is_on_disk = state.on_disk.iter().any(|known| known == model);
+        let duration = match is_load {
+            true if is_on_disk => DISK_LOAD,
+            true => self.build.store_load,
+            false => UNLOAD_TIME,
+        };
         if is_load {
             state.loading = Some(model.to_owned());
         }
-        let (engine, model) = (self.clone(), model.to_owned());
+        let (engine, model, born) = (self.clone(), model.to_owned(), state.born);
         std::thread::spawn(move || {
-            std::thread::sleep(if is_load { LOAD_TIME } else { UNLOAD_TIME });
+            std::thread::sleep(duration);
+            let runs = || engine.state.lock().unwrap().runs.clone();
+            while !is_load && runs().contains(&model) {
+                std::thread::sleep(UNLOAD_TIME);
+            }
             let mut state = engine.state.lock().unwrap();
+            if state.born != born || !state.is_running {
+                return;
+            }
+            if is_load && !is_on_disk {
+                state.on_disk.push(model.clone());
+            }
             state.loading = None;
             engine.change(&mut state, |shown| {
                 shown.in_flight = false;
@@ -179,7 +291,7 @@
         });
     }
 
-    fn serve(&self, request: &Message, stream: &mut TcpStream) -> bool {
+    fn serve(&self, request: &Message, stream: &mut TcpStream, born: u64) -> bool {
         let own = format!("Instance-Id: {}\r\n", self.id);
         let expected = request.header("expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
@@ -189,7 +301,7 @@
             "/report" => http::write(stream, &self.report()),
             "/health" => http::write(stream, &http::answer(200, &own, b"{}")),
             "/order" => self.order(request, stream),
-            _ => self.run(request, stream),
+            _ => self.run(request, stream, born),
         }
     }
 
@@ -205,12 +317,13 @@
         }
         let shown = state.past.front().map_or(&state.now, |(_, before)| before);
         let body = format!(
-            "{{\"stage\":\"colocated\",\"models\":{},\"in_flight\":{},\"sequence\":{},\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":90000,\"handles\":0,\"born\":{},\"at_hand\":{{\"in_memory\":[],\"on_disk\":{}}},\"coming\":[]}}",
+            "{{\"stage\":\"colocated\",\"models\":{},\"in_flight\":{},\"sequence\":{},\"queued\":0,\"running\":{},\"kv_used\":0,\"kv_total\":90000,\"handles\":0,\"born\":{},\"at_hand\":{{\"in_memory\":[],\"on_disk\":{}}},\"coming\":[]}}",
             Self::resident(&shown.models),
             shown.in_flight,
             shown.orders_taken,
-            self.born,
-            Self::names(&self.on_disk),
+            state.runs.len(),
+            state.born,
+            Self::names(&state.on_disk),
         );
         self.record.line(&format!(
             "{}: report: {:?}, {} orders taken",
@@ -285,27 +398,45 @@
         http::write(stream, &http::answer(202, "", b""))
     }
 
-    fn run(&self, request: &Message, stream: &mut TcpStream) -> bool {
+    fn run(&self, request: &Message, stream: &mut TcpStream, born: u64) -> bool {
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let model = request.header("model").unwrap_or_default().to_owned();
-        let state = self.state.lock().unwrap();
-        let is_loaded = state.now.models.contains(&model);
-        drop(state);
-        if !is_loaded {
+        let after = request.header("last-event-id");
+        let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut state = self.state.lock().unwrap();
+        if !state.now.models.contains(&model) {
+            drop(state);
             let headers = format!("Request-Id: {id}\r\nNot-Executed: 1\r\n");
             return http::write(stream, &http::answer(421, &headers, b""));
         }
-        self.record
-            .line(&format!("{}: runs {id} for {model}", self.id));
+        state.runs.push(model.clone());
+        drop(state);
+        self.record.line(&format!(
+            "{}: runs {id} for {model} after event {after}",
+            self.id
+        ));
+        let is_whole = self.stream(&id, after, stream);
+        let mut state = self.state.lock().unwrap();
+        if state.born == born
+            && let Some(at) = state.runs.iter().position(|running| *running == model)
+        {
+            state.runs.swap_remove(at);
+        }
+        is_whole
+    }
+
+    /// Writes the events of a stream after one of them.
+    fn stream(&self, id: &str, after: u64, stream: &mut TcpStream) -> bool {
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{}\r\n\r\n",
             self.id
         );
         let mut is_written = http::write(stream, head.as_bytes());
-        for number in 1..=3 {
-            let event = format!("id: {number}\ndata: token\n\n");
+        for number in after + 1..=self.build.events {
+            let event = format!("id: {number}\ndata: {} {}\n\n", self.id, self.build.version);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            is_written &= http::write(stream, chunk.as_bytes());
+            is_written = is_written && http::write(stream, chunk.as_bytes());
+            std::thread::sleep(self.build.event_interval);
         }
         is_written && http::write(stream, b"0\r\n\r\n")
     }
--- a/review/standin-2/late_orders.rs
+++ b/review/standin-2/late_orders.rs
@@ -1,7 +1,7 @@
 //! Engines leave orders without an answer and carry them out seconds later, and meanwhile all instances are killed
 //! and start again.
 
-use crate::engine::{Engine, MODEL_MB, WEIGHTS_MB};
+use crate::engine::{Build, Engine, MODEL_MB, WEIGHTS_MB};
 use crate::instance::Instance;
 use crate::record::Record;
 use crate::store::Store;
@@ -16,6 +16,14 @@
 const FIRST_DELAY: Duration = Duration::from_millis(2_200);
 const DELAY_STEP: Duration = Duration::from_millis(600);
 
+const BUILD: Build = Build {
+    service: "llm",
+    version: "v1",
+    store_load: Duration::from_secs(6),
+    events: 3,
+    event_interval: Duration::ZERO,
+};
+
 fn model(letter: char, engine: usize) -> String {
     format!("{letter}{engine}")
 }
@@ -74,7 +82,7 @@
                 &store,
                 record,
                 &format!("e-{number}"),
-                "llm",
+                &BUILD,
                 &names("abc"),
                 &names("abcxy"),
             )
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,11 +9,11 @@
 mod json;
 mod keep_alive;
 mod late_orders;
-mod no_content;
 mod plain;
 mod record;
 mod slow_reader;
 mod store;
+mod take_ups;
 
 use std::path::PathBuf;
 
@@ -63,7 +63,7 @@
         "keep-alive" => keep_alive::run(&site, &record),
         "crash-loop" => crash_loop::run(&site, &record),
         "late-orders" => late_orders::run(&site, &record),
-        "no-content" => no_content::run(&site, &record),
+        "take-ups" => take_ups::run(&site, &record),
         other => {
             eprintln!("there is no case {other}");
             Verdict::NotRun
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -126,6 +126,14 @@
         self.0.1.notify_all();
     }
 
+    /// Removes a key, as the platform does when a server is gone.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.0.0.lock().unwrap();
+        state.revision += 1;
+        state.remove(key);
+        self.0.1.notify_all();
+    }
+
     /// Sets whether the store is down: it answers 503 to all calls, which says that nothing was done.
     pub fn set_down(&self, is_down: bool) {
         self.1.store(is_down, Ordering::Relaxed);
