--- a/review/standin-2/crash_loop.rs
+++ b/review/standin-2/crash_loop.rs
@@ -39,8 +39,8 @@
 }
 
 impl Server {
-    fn new(id: &str) -> Self {
-        let (listener, address) = http::listen("127.0.0.1");
+    fn new(id: &str, ip: &str) -> Self {
+        let (listener, address) = http::listen(ip);
         let start = Start {
             id: id.to_owned(),
             version: "v1",
@@ -173,7 +173,7 @@
     let (store, store_address) = Store::start("127.0.0.1");
     store.put("op/config", CONFIGURATION);
     let mut servers: Vec<Server> = (0..3)
-        .map(|number| Server::new(&format!("i-{number}")))
+        .map(|number| Server::new(&format!("i-{number}"), &site.ip(100)))
         .collect();
     for server in &servers {
         store.put(&format!("servers/{}", server.start.id), &server.entry());
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -78,16 +78,16 @@
 }
 
 impl Engine {
-    /// Starts a server that holds `models` and has further ones on its disk.
+    /// Starts a server at this loopback address, of its own if it shall start again, that holds `models` and has further ones on its disk.
     pub fn start(
         store: &Store,
         record: &Record,
-        id: &str,
+        (id, ip): (&str, &str),
         build: &Build,
         models: &[String],
         on_disk: &[String],
     ) -> Self {
-        let (listener, address) = http::listen("127.0.0.1");
+        let (listener, address) = http::listen(ip);
         let now = Shown {
             models: models.to_vec(),
             ..Shown::default()
--- a/review/standin-2/late_orders.rs
+++ b/review/standin-2/late_orders.rs
@@ -81,7 +81,7 @@
             Engine::start(
                 &store,
                 record,
-                &format!("e-{number}"),
+                (&format!("e-{number}"), &site.ip(100)),
                 &BUILD,
                 &names("abc"),
                 &names("abcxy"),
--- a/review/standin-2/take_ups.rs
+++ b/review/standin-2/take_ups.rs
@@ -251,7 +251,14 @@
                 format!("e-{number}"),
                 build(if is_newer { "v2" } else { "v1" }),
             );
-            Engine::start(&store, record, &id, &build, &models, &models)
+            Engine::start(
+                &store,
+                record,
+                (&id, &site.ip(100)),
+                &build,
+                &models,
+                &models,
+            )
         })
         .collect();
     let instances: Vec<Instance> = (1..=3)
